--- /dev/null
+++ b/lib/client.c
@@ -0,0 +1,290 @@
+/**
+ * DOC: HTTP client: libcurl's multi interface hung on the loop.
+ */
+
+#include "marlhoist.h"
+
+#include <curl/curl.h>
+#include <string.h>
+
+#define MAX_ANSWER (4U << 20)
+#define CONNECT_MS 1000L
+
+struct mh_client {
+	struct mh_kern *k;
+	struct mh_loop *loop;
+	CURLM *multi;
+	struct mh_timer *timer;
+	GHashTable *calls; /* id -> struct http */
+};
+
+struct http {
+	struct mh_client *c;
+	uint64_t id;
+	CURL *easy;
+	struct curl_slist *headers;
+	GBytes *body;
+	GByteArray *answer;
+	mh_http_data_fn data;
+	mh_http_done_fn done;
+	void *arg;
+	uint64_t index;
+};
+
+static void
+free_http(struct http *h)
+{
+	g_hash_table_remove(h->c->calls, &h->id);
+	curl_multi_remove_handle(h->c->multi, h->easy);
+	curl_easy_cleanup(h->easy);
+	curl_slist_free_all(h->headers);
+	if (h->body != NULL)
+		g_bytes_unref(h->body);
+	g_byte_array_unref(h->answer);
+	g_free(h);
+}
+
+static void
+finish(struct http *h, CURLcode rc)
+{
+	struct mh_http_done d = { .whole = rc == CURLE_OK };
+	long status = 0;
+	mh_http_done_fn done = h->done;
+	void *arg = h->arg;
+
+	curl_easy_getinfo(h->easy, CURLINFO_RESPONSE_CODE, &status);
+	d.status = (uint32_t)status;
+	d.sent = rc != CURLE_COULDNT_CONNECT;
+	d.index = h->index;
+	d.body = g_bytes_new(h->answer->data, h->answer->len);
+	free_http(h);
+	done(arg, &d);
+	g_bytes_unref(d.body);
+}
+
+static void
+reap(struct mh_client *c)
+{
+	CURLMsg *m;
+	int left;
+
+	while ((m = curl_multi_info_read(c->multi, &left)) != NULL) {
+		struct http *h = NULL;
+
+		if (m->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &h);
+		finish(h, m->data.result);
+	}
+}
+
+static void
+act(struct mh_client *c, curl_socket_t fd, int what)
+{
+	int running;
+
+	curl_multi_socket_action(c->multi, fd, what, &running);
+	reap(c);
+}
+
+static void
+on_timer(void *arg)
+{
+	struct mh_client *c = arg;
+
+	c->timer = NULL;
+	act(c, CURL_SOCKET_TIMEOUT, 0);
+}
+
+static int
+set_timer(CURLM *multi, long ms, void *arg)
+{
+	struct mh_client *c = arg;
+
+	(void)multi;
+	mh_timer_stop(c->k, &c->timer);
+	if (ms >= 0)
+		c->timer = mh_timer_start(
+		    c->k, (int64_t)ms * MH_US_PER_MS, on_timer, c);
+	return 0;
+}
+
+struct sock {
+	struct mh_client *c;
+	curl_socket_t fd;
+};
+
+static void
+on_fd(void *arg, bool readable, bool writable)
+{
+	struct sock *s = arg;
+
+	act(s->c, s->fd,
+	    (readable ? CURL_CSELECT_IN : 0) |
+		(writable ? CURL_CSELECT_OUT : 0));
+}
+
+static int
+set_socket(CURL *easy, curl_socket_t fd, int what, void *arg, void *priv)
+{
+	struct mh_client *c = arg;
+	struct sock *s = priv;
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		mh_loop_fd_close(c->loop, fd);
+		curl_multi_assign(c->multi, fd, NULL);
+		g_free(s);
+		return 0;
+	}
+	if (s == NULL) {
+		s = g_new0(struct sock, 1);
+		s->c = c;
+		s->fd = fd;
+		curl_multi_assign(c->multi, fd, s);
+	}
+	mh_loop_fd(
+	    c->loop, fd, what & CURL_POLL_IN, what & CURL_POLL_OUT, on_fd, s);
+	return 0;
+}
+
+static size_t
+on_data(char *data, size_t size, size_t n, void *arg)
+{
+	struct http *h = arg;
+
+	if (h->data != NULL) {
+		h->data(h->arg, data, size * n);
+		return size * n;
+	}
+	/* An endless answer must not eat our memory. */
+	if (h->answer->len + size * n > MAX_ANSWER)
+		return 0;
+	g_byte_array_append(h->answer, (uint8_t *)data, (guint)(size * n));
+	return size * n;
+}
+
+static size_t
+on_header(char *data, size_t size, size_t n, void *arg)
+{
+	static const char name[] = "x-consul-index:";
+	struct http *h = arg;
+	size_t len = size * n;
+	char *text;
+
+	if (len > sizeof(name) &&
+	    g_ascii_strncasecmp(data, name, sizeof(name) - 1) == 0) {
+		text = g_strndup(
+		    data + sizeof(name) - 1, len - (sizeof(name) - 1));
+		h->index = g_ascii_strtoull(g_strstrip(text), NULL, 10);
+		g_free(text);
+	}
+	return len;
+}
+
+static void
+set_body(struct http *h, const struct mh_http_call *call)
+{
+	gsize len = 0;
+	const char *data = "";
+
+	if (call->body != NULL) {
+		h->body = g_bytes_ref(call->body);
+		data = g_bytes_get_data(h->body, &len);
+	}
+	if (strcmp(call->method, "GET") != 0) {
+		curl_easy_setopt(h->easy, CURLOPT_CUSTOMREQUEST, call->method);
+		curl_easy_setopt(
+		    h->easy, CURLOPT_POSTFIELDSIZE, (long)len);
+		curl_easy_setopt(
+		    h->easy, CURLOPT_POSTFIELDS, data != NULL ? data : "");
+	}
+	h->headers = curl_slist_append(h->headers, "Expect:");
+	for (int i = 0; call->headers != NULL && call->headers[i]; i++)
+		h->headers = curl_slist_append(h->headers, call->headers[i]);
+	curl_easy_setopt(h->easy, CURLOPT_HTTPHEADER, h->headers);
+}
+
+uint64_t
+mh_client_start(struct mh_client *c, const struct mh_http_call *call,
+    mh_http_data_fn data, mh_http_done_fn done, void *arg)
+{
+	struct http *h = g_new0(struct http, 1);
+
+	h->c = c;
+	h->id = mh_next_id(c->k);
+	h->easy = curl_easy_init();
+	h->answer = g_byte_array_new();
+	h->data = data;
+	h->done = done;
+	h->arg = arg;
+	curl_easy_setopt(h->easy, CURLOPT_PRIVATE, h);
+	curl_easy_setopt(h->easy, CURLOPT_URL, call->url);
+	curl_easy_setopt(h->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(h->easy, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(h->easy, CURLOPT_PROTOCOLS_STR, "http,https");
+	curl_easy_setopt(h->easy, CURLOPT_WRITEFUNCTION, on_data);
+	curl_easy_setopt(h->easy, CURLOPT_WRITEDATA, h);
+	curl_easy_setopt(h->easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(h->easy, CURLOPT_HEADERDATA, h);
+	curl_easy_setopt(h->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_MS);
+	curl_easy_setopt(h->easy, CURLOPT_TIMEOUT_MS,
+	    (long)(call->timeout_us / MH_US_PER_MS) + 1);
+	/*
+	 * libcurl sends a request again by itself when a reused connection
+	 * closed before the first byte of the answer.  The endpoint may have
+	 * run the first one: a non-repeatable call would run twice.  On a
+	 * fresh connection it never does that.
+	 */
+	if (call->once) {
+		curl_easy_setopt(h->easy, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(h->easy, CURLOPT_FORBID_REUSE, 1L);
+	}
+	set_body(h, call);
+	g_hash_table_insert(c->calls, &h->id, h);
+	curl_multi_add_handle(c->multi, h->easy);
+	return h->id;
+}
+
+void
+mh_client_abort(struct mh_client *c, uint64_t id)
+{
+	struct http *h = g_hash_table_lookup(c->calls, &id);
+
+	if (h != NULL)
+		free_http(h);
+}
+
+static void
+destroy(void *self)
+{
+	struct mh_client *c = self;
+	GList *all = g_hash_table_get_values(c->calls);
+
+	for (GList *n = all; n != NULL; n = n->next)
+		free_http(n->data);
+	g_list_free(all);
+	mh_timer_stop(c->k, &c->timer);
+	curl_multi_cleanup(c->multi);
+	curl_global_cleanup();
+	g_hash_table_destroy(c->calls);
+	g_free(c);
+}
+
+struct mh_client *
+mh_client_create(struct mh_loop *loop)
+{
+	struct mh_client *c = g_new0(struct mh_client, 1);
+
+	c->k = mh_loop_kern(loop);
+	c->loop = loop;
+	c->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	c->multi = curl_multi_init();
+	curl_multi_setopt(c->multi, CURLMOPT_SOCKETFUNCTION, set_socket);
+	curl_multi_setopt(c->multi, CURLMOPT_SOCKETDATA, c);
+	curl_multi_setopt(c->multi, CURLMOPT_TIMERFUNCTION, set_timer);
+	curl_multi_setopt(c->multi, CURLMOPT_TIMERDATA, c);
+	mh_kern_add(c->k, "client", c, NULL, destroy);
+	return c;
+}
--- /dev/null
+++ b/lib/daemon.c
@@ -0,0 +1,303 @@
+/**
+ * DOC: What every daemon does the same way: settings, secret, logs.
+ */
+
+#include "marlhoist.h"
+
+#include <argtable2.h>
+#include <log4c.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define DEFAULT_SLOTS 8
+#define DEFAULT_QUEUE 64
+#define MAX_SLOTS 4096
+#define MIN_SECRET 16
+
+struct setting {
+	const char *flag;
+	const char *env;
+	const char *what;
+	size_t offset;
+	enum mh_daemon_kind only; /* with both: for every daemon */
+	bool both;
+	bool required;
+	bool number;
+};
+
+#define S(fl, en, fld, wh, onl, bth, req, num)                             \
+	{                                                                  \
+		.flag = fl, .env = en, .what = wh,                         \
+		.offset = offsetof(struct mh_settings, fld), .only = onl,  \
+		.both = bth, .required = req, .number = num                \
+	}
+
+static const struct setting settings[] = {
+	S("vm", "MARLHOIST_VM", vm, "this VM's id in the VM list", 0, true,
+	    true, false),
+	S("domain", "MARLHOIST_DOMAIN", domain, "failure domain", 0, true,
+	    true, false),
+	S("listen", "MARLHOIST_LISTEN", listen, "IP:PORT for our processes",
+	    0, true, true, false),
+	S("advertise", "MARLHOIST_ADVERTISE", advertise,
+	    "IP:PORT that peers dial, if another", 0, true, false, false),
+	S("http", "MARLHOIST_HTTP", http,
+	    "IP:PORT for callers, health and metrics", 0, true, true, false),
+	S("kv", "MARLHOIST_KV", kv, "URL of the KV service", 0, true, true,
+	    false),
+	S("vmlist", "MARLHOIST_VMLIST", vmlist, "URL of the VM list", 0, true,
+	    true, false),
+	S("secret-file", "MARLHOIST_SECRET_FILE", secret_file,
+	    "file with the processes' shared secret", 0, true, true, false),
+	S("log-level", "MARLHOIST_LOG_LEVEL", log_level,
+	    "error, info or debug", 0, true, false, false),
+	S("cert-file", "MARLHOIST_CERT_FILE", cert_file,
+	    "TLS certificate (PEM) of the callers' port", MH_DAEMON_ENTRY,
+	    false, false, false),
+	S("key-file", "MARLHOIST_KEY_FILE", key_file,
+	    "TLS key (PEM) of the callers' port", MH_DAEMON_ENTRY, false,
+	    false, false),
+	S("pool", "MARLHOIST_POOL", pool, "pool of the endpoint",
+	    MH_DAEMON_SIDE, false, true, false),
+	S("endpoint", "MARLHOIST_ENDPOINT", endpoint, "URL of the endpoint",
+	    MH_DAEMON_SIDE, false, true, false),
+	S("slots", "MARLHOIST_SLOTS", slots,
+	    "calls at the endpoint at once, 1 to 4096", MH_DAEMON_SIDE, false,
+	    false, true),
+	S("queue", "MARLHOIST_QUEUE", queue_limit,
+	    "calls waiting at most, 1 to 4096", MH_DAEMON_SIDE, false, false,
+	    true),
+};
+#define NSETTINGS (sizeof(settings) / sizeof(settings[0]))
+
+static G_GNUC_NORETURN void
+bad(const char *program, const char *fmt, ...)
+{
+	va_list ap;
+
+	fprintf(stderr, "%s: ", program);
+	va_start(ap, fmt);
+	vfprintf(stderr, fmt, ap);
+	va_end(ap);
+	fputc('\n', stderr);
+	exit(2);
+}
+
+static bool
+applies(const struct setting *t, enum mh_daemon_kind kind)
+{
+	return t->both || t->only == kind;
+}
+
+static void
+set_value(struct mh_settings *s, const struct setting *t, const char *v,
+    const char *program)
+{
+	void *at = (char *)s + t->offset;
+	guint64 n;
+
+	if (!t->number) {
+		g_free(*(char **)at);
+		*(char **)at = g_strdup(v);
+		return;
+	}
+	if (!g_ascii_string_to_unsigned(v, 10, 1, MAX_SLOTS, &n, NULL))
+		bad(program, "--%s \"%s\": write %s", t->flag, v, t->what);
+	*(int *)at = (int)n;
+}
+
+static bool
+is_addr(const char *a)
+{
+	char host[MH_HOST_LEN];
+	uint16_t port;
+
+	return mh_addr_parse(a, host, &port);
+}
+
+static bool
+is_url(const char *u)
+{
+	return g_str_has_prefix(u, "http://") ||
+	    g_str_has_prefix(u, "https://");
+}
+
+static void
+check(const struct mh_settings *s, enum mh_daemon_kind kind,
+    const char *program)
+{
+	for (size_t i = 0; i < NSETTINGS; i++) {
+		const struct setting *t = &settings[i];
+		const char *v;
+
+		if (!applies(t, kind) || t->number)
+			continue;
+		v = *(char *const *)(const void *)((const char *)s + t->offset);
+		if (v == NULL && t->required)
+			bad(program, "--%s or %s is missing: give %s", t->flag,
+			    t->env, t->what);
+		if (v != NULL && g_str_has_prefix(t->what, "IP:PORT") &&
+		    !is_addr(v))
+			bad(program, "--%s \"%s\" is no IP:PORT: give %s",
+			    t->flag, v, t->what);
+		if (v != NULL && g_str_has_prefix(t->what, "URL") && !is_url(v))
+			bad(program, "--%s \"%s\" is no http URL: give %s",
+			    t->flag, v, t->what);
+	}
+	if ((s->cert_file == NULL) != (s->key_file == NULL))
+		bad(program, "--cert-file and --key-file go together: "
+			     "give both or none");
+}
+
+void
+mh_settings_read(struct mh_settings *s, enum mh_daemon_kind kind, int argc,
+    char **argv)
+{
+	const char *program = strrchr(argv[0], '/');
+	struct arg_str *strs[NSETTINGS];
+	struct arg_lit *only_check =
+	    arg_lit0(NULL, "check-settings", "check the settings and exit");
+	struct arg_lit *help = arg_lit0("h", "help", "show this");
+	struct arg_end *end = arg_end(10);
+	void *table[NSETTINGS + 3];
+	size_t n = 0;
+
+	program = program == NULL ? argv[0] : program + 1;
+	memset(s, 0, sizeof(*s));
+	s->slots = DEFAULT_SLOTS;
+	s->queue_limit = DEFAULT_QUEUE;
+	for (size_t i = 0; i < NSETTINGS; i++) {
+		strs[i] = arg_str0(
+		    NULL, settings[i].flag, "<value>", settings[i].what);
+		if (applies(&settings[i], kind))
+			table[n++] = strs[i];
+	}
+	table[n++] = only_check;
+	table[n++] = help;
+	table[n++] = end;
+	if (arg_parse(argc, argv, table) > 0) {
+		arg_print_errors(stderr, end, program);
+		exit(2);
+	}
+	if (help->count > 0) {
+		printf("usage: %s", program);
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-28s %s\n");
+		exit(0);
+	}
+	for (size_t i = 0; i < NSETTINGS; i++) {
+		const char *v = getenv(settings[i].env);
+
+		if (!applies(&settings[i], kind))
+			continue;
+		if (strs[i]->count > 0)
+			v = strs[i]->sval[0];
+		if (v != NULL)
+			set_value(s, &settings[i], v, program);
+	}
+	s->check_only = only_check->count > 0;
+	for (size_t i = 0; i < NSETTINGS; i++) {
+		if (!applies(&settings[i], kind))
+			free(strs[i]);
+	}
+	arg_freetable(table, n);
+	check(s, kind, program);
+}
+
+void
+mh_settings_clear(struct mh_settings *s)
+{
+	for (size_t i = 0; i < NSETTINGS; i++) {
+		if (!settings[i].number)
+			g_free(*(char **)(void *)((char *)s +
+			    settings[i].offset));
+	}
+	memset(s, 0, sizeof(*s));
+}
+
+char *
+mh_secret_read(const char *file, GError **err)
+{
+	char *text = NULL;
+
+	if (!g_file_get_contents(file, &text, NULL, err))
+		return NULL;
+	text[strcspn(text, "\r\n")] = '\0';
+	if (strlen(text) < MIN_SECRET) {
+		g_set_error(err, MH_ERROR, MH_ERR_SETTING,
+		    "%s: the secret is shorter than %d characters; "
+		    "write a longer random line",
+		    file, MIN_SECRET);
+		g_free(text);
+		return NULL;
+	}
+	return text;
+}
+
+uint64_t
+mh_random_incarnation(void)
+{
+	uint64_t n;
+
+	if (sodium_init() < 0)
+		abort();
+	randombytes_buf(&n, sizeof(n));
+	return n | 1;
+}
+
+static void
+log_line(void *arg, const char *part, const char *line)
+{
+	log4c_category_t *cat = arg;
+
+	log4c_category_log(cat, LOG4C_PRIORITY_INFO, "%s: %s", part, line);
+}
+
+static const char *
+format_line(
+    const log4c_layout_t *layout, const log4c_logging_event_t *ev)
+{
+	static __thread char buf[2048];
+	GDateTime *now = g_date_time_new_now_utc();
+	char *stamp = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S");
+
+	(void)layout;
+	snprintf(buf, sizeof(buf), "%s.%03dZ %s %s\n", stamp,
+	    g_date_time_get_microsecond(now) / 1000,
+	    log4c_priority_to_string(ev->evt_priority), ev->evt_msg);
+	g_free(stamp);
+	g_date_time_unref(now);
+	return buf;
+}
+
+static const log4c_layout_type_t layout_type = { "marlhoist", format_line };
+
+void
+mh_log_start(struct mh_kern *k, const char *program, const char *level)
+{
+	log4c_category_t *cat;
+	log4c_layout_t *layout;
+	log4c_appender_t *out;
+
+	log4c_init();
+	log4c_layout_type_set(&layout_type);
+	layout = log4c_layout_get("marlhoist");
+	log4c_layout_set_type(layout, &layout_type);
+	out = log4c_appender_get("stderr");
+	log4c_appender_set_type(out, log4c_appender_type_get("stream"));
+	log4c_appender_set_layout(out, layout);
+	cat = log4c_category_get(program);
+	log4c_category_set_appender(cat, out);
+	log4c_category_set_additivity(cat, 0);
+	log4c_category_set_priority(cat,
+	    log4c_priority_to_int(level == NULL ? "info" : level));
+	mh_kern_set_log(k, log_line, cat);
+}
+
+void
+mh_log_stop(void)
+{
+	log4c_fini();
+}
--- /dev/null
+++ b/lib/endpoint.c
@@ -0,0 +1,205 @@
+/**
+ * DOC: Service "endpoint": one call becomes one HTTP request in the
+ * OpenAI-style forms; generation streams server-sent events.
+ */
+
+#include "marlhoist.h"
+
+#include <string.h>
+
+#define MAX_LINE (1U << 20)
+
+struct endpoint {
+	struct mh_kern *k;
+	struct mh_client *client;
+	char *url;
+	GHashTable *runs; /* run -> struct run */
+};
+
+struct run {
+	struct endpoint *e;
+	uint64_t id;
+	uint64_t http;
+	bool stream;
+	bool end_mark;
+	bool garbage;
+	GString *line;
+	json_t *usage;
+};
+
+static void
+free_run(void *arg)
+{
+	struct run *r = arg;
+
+	g_string_free(r->line, TRUE);
+	json_decref(r->usage);
+	g_free(r);
+}
+
+static void
+send_chunk(struct run *r, const char *text)
+{
+	struct mh_msg *m = mh_msg_new(MH_MSG_RUN_CHUNK);
+
+	m->u.run.run = r->id;
+	m->u.run.body = g_bytes_new(text, strlen(text));
+	mh_post(r->e->k, "side", m);
+}
+
+static void
+take_event(struct run *r, const char *data)
+{
+	json_t *j, *usage;
+	const char *text;
+
+	if (strcmp(data, "[DONE]") == 0) {
+		r->end_mark = true;
+		return;
+	}
+	j = json_loads(data, 0, NULL);
+	if (j == NULL) {
+		r->garbage = true;
+		return;
+	}
+	text = json_string_value(json_object_get(
+	    json_array_get(json_object_get(j, "choices"), 0), "text"));
+	if (text != NULL && *text != '\0')
+		send_chunk(r, text);
+	usage = json_object_get(j, "usage");
+	if (json_is_object(usage)) {
+		json_decref(r->usage);
+		r->usage = json_incref(usage);
+	}
+	json_decref(j);
+}
+
+static void
+on_data(void *arg, const char *data, size_t len)
+{
+	struct run *r = arg;
+
+	for (size_t i = 0; i < len; i++) {
+		if (data[i] != '\n') {
+			if (r->line->len < MAX_LINE)
+				g_string_append_c(r->line, data[i]);
+			continue;
+		}
+		if (g_str_has_prefix(r->line->str, "data: "))
+			take_event(r, g_strchomp(r->line->str) + 6);
+		g_string_truncate(r->line, 0);
+	}
+}
+
+static uint64_t
+usage_of(json_t *usage, const char *name)
+{
+	return (uint64_t)json_integer_value(json_object_get(usage, name));
+}
+
+static void
+on_done(void *arg, const struct mh_http_done *d)
+{
+	struct run *r = arg;
+	struct mh_msg *m = mh_msg_new(MH_MSG_RAN);
+	struct mh_run_msg *u = &m->u.run;
+	json_t *j = NULL;
+	gsize len;
+	const char *data = g_bytes_get_data(d->body, &len);
+
+	u->run = r->id;
+	u->status = d->status;
+	u->sent = d->sent;
+	/* A stream without its end mark was cut, however it closed. */
+	u->whole = d->whole && !r->garbage &&
+	    (!r->stream || d->status != 200 || r->end_mark);
+	if (!r->stream) {
+		u->body = g_bytes_ref(d->body);
+		j = json_loadb(data, len, 0, NULL);
+		r->usage = json_incref(json_object_get(j, "usage"));
+		json_decref(j);
+	}
+	u->tokens_in = usage_of(r->usage, "prompt_tokens");
+	u->tokens_out = usage_of(r->usage, "completion_tokens");
+	u->tokens_cached = usage_of(r->usage, "cached_tokens");
+	mh_post(r->e->k, "side", m);
+	g_hash_table_remove(r->e->runs, &r->id);
+}
+
+static void
+start(struct endpoint *e, const struct mh_run_msg *q)
+{
+	struct run *r = g_new0(struct run, 1);
+	char *url = g_strconcat(e->url, q->path, NULL);
+	char *key = g_strconcat("Idempotency-Key: ", q->key, NULL);
+	char *org = g_strconcat("X-Organisation: ", q->org, NULL);
+	const char *headers[4] = { "Content-Type: application/json" };
+	struct mh_http_call call = { .method = "POST",
+		.url = url,
+		.body = q->body,
+		.headers = headers,
+		.timeout_us = q->timeout_us,
+		.once = q->once };
+	int n = 1;
+
+	if (q->key != NULL && *q->key != '\0')
+		headers[n++] = key;
+	if (q->org != NULL && *q->org != '\0')
+		headers[n++] = org;
+	r->e = e;
+	r->id = q->run;
+	r->stream = q->stream;
+	r->line = g_string_new(NULL);
+	g_hash_table_insert(e->runs, &r->id, r);
+	r->http = mh_client_start(
+	    e->client, &call, r->stream ? on_data : NULL, on_done, r);
+	g_free(url);
+	g_free(key);
+	g_free(org);
+}
+
+static void
+handle(void *self, struct mh_msg *m)
+{
+	struct endpoint *e = self;
+	struct run *r;
+
+	if (m->kind == MH_MSG_RUN) {
+		start(e, &m->u.run);
+		return;
+	}
+	r = g_hash_table_lookup(e->runs, &m->u.run.run);
+	if (m->kind != MH_MSG_RUN_ABORT || r == NULL)
+		return;
+	/* Closing the stream makes the engine drop the sequence. */
+	mh_client_abort(e->client, r->http);
+	g_hash_table_remove(e->runs, &r->id);
+}
+
+static void
+destroy(void *self)
+{
+	struct endpoint *e = self;
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, e->runs);
+	while (g_hash_table_iter_next(&it, NULL, &v))
+		mh_client_abort(e->client, ((struct run *)v)->http);
+	g_hash_table_destroy(e->runs);
+	g_free(e->url);
+	g_free(e);
+}
+
+void
+mh_endpoint_create(struct mh_kern *k, struct mh_client *c, const char *url)
+{
+	struct endpoint *e = g_new0(struct endpoint, 1);
+
+	e->k = k;
+	e->client = c;
+	e->url = g_strdup(url);
+	e->runs = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, free_run);
+	mh_kern_add(k, "endpoint", e, handle, destroy);
+}
--- /dev/null
+++ b/lib/entry.c
@@ -0,0 +1,690 @@
+/**
+ * DOC: Callers' requests: rights, rules, limits, feasibility, and the
+ * answers.  What happens between admission and answer is in pipe.c.
+ */
+
+#include "entry.h"
+
+#include <string.h>
+
+#define MAX_KEY 128
+#define LOOKUP_US (1 * MH_US_PER_S)
+#define PREFIX_PIPELINES "/v1/pipelines/"
+#define PREFIX_OUTCOMES "/v1/outcomes/"
+#define START_BUDGET 10.0
+
+static struct entry *
+get(struct mh_kern *k)
+{
+	return mh_kern_get(k, "entry");
+}
+
+static GBytes *
+dump(json_t *o)
+{
+	char *text = json_dumps(o, JSON_COMPACT | JSON_SORT_KEYS);
+
+	json_decref(o);
+	return g_bytes_new_with_free_func(text, strlen(text), free, text);
+}
+
+void
+entry_reply(struct entry *e, uint64_t caller, uint32_t status, GBytes *body,
+    uint32_t retry_after_s)
+{
+	struct mh_msg *m = mh_msg_new(MH_MSG_REPLY);
+
+	m->u.reply.id = caller;
+	m->u.reply.status = status;
+	m->u.reply.body = body;
+	m->u.reply.retry_after_s = retry_after_s;
+	m->u.reply.last = true;
+	mh_post(e->k, "http", m);
+}
+
+static json_t *
+problem_json(const struct problem *p)
+{
+	return json_pack("{s:s, s:i, s:s, s:s, s:s}", "title", p->kind,
+	    "status", (int)p->status, "detail", p->detail, "remedy", p->remedy,
+	    "outcome", p->outcome);
+}
+
+static uint32_t
+seconds_up(int64_t us)
+{
+	return (uint32_t)((us + MH_US_PER_S - 1) / MH_US_PER_S);
+}
+
+void
+entry_problem(struct entry *e, uint64_t caller, const struct problem *p)
+{
+	char name[64];
+
+	snprintf(name, sizeof(name), "entry_problem_%u", p->status);
+	mh_count(e->k, name, 1);
+	entry_reply(e, caller, p->status, dump(problem_json(p)),
+	    p->retry_us > 0 ? seconds_up(p->retry_us) : 0);
+}
+
+static void
+refuse(struct entry *e, uint64_t caller, uint32_t status, const char *kind,
+    const char *detail, const char *remedy)
+{
+	struct problem p = { .status = status, .kind = kind, .detail = detail,
+		.remedy = remedy, .outcome = "not-run" };
+
+	entry_problem(e, caller, &p);
+}
+
+static void
+free_request(struct request *r)
+{
+	pipe_stop(r);
+	mh_timer_stop(r->e->k, &r->deadline);
+	mh_limit_settle(r->e->k, &r->ticket, r->used_units);
+	mh_flow_clear(&r->flow);
+	json_decref(r->stages);
+	mh_decl_unref(r->decl);
+	g_free(r->id_text);
+	g_free(r->key);
+	g_free(r->last_vm);
+	g_free(r->last_domain);
+	g_free(r);
+}
+
+static void
+end_request(struct request *r)
+{
+	g_hash_table_steal(r->e->requests, &r->caller);
+	free_request(r);
+}
+
+static void
+add_identity(struct request *r, json_t *o)
+{
+	json_object_set_new(o, "request", json_string(r->id_text));
+	json_object_set_new(o, "rule", json_string(r->d.rule->name));
+	json_object_set_new(o, "class", json_string(r->d.class->name));
+	json_object_set_new(o, "generation",
+	    json_integer((json_int_t)r->decl->generation));
+	json_object_set(o, "stages", r->stages);
+	if (r->key != NULL)
+		json_object_set_new(
+		    o, "key", json_string(strchr(r->key, '/') + 1));
+}
+
+static void
+sse(struct request *r, const char *event, json_t *data, bool last)
+{
+	struct mh_msg *m = mh_msg_new(MH_MSG_REPLY);
+	char *text = json_dumps(data, JSON_COMPACT | JSON_SORT_KEYS);
+	char *part =
+	    g_strdup_printf("event: %s\ndata: %s\n\n", event, text);
+
+	json_decref(data);
+	free(text);
+	m->u.reply.id = r->caller;
+	m->u.reply.status = 200;
+	m->u.reply.stream = true;
+	m->u.reply.last = last;
+	m->u.reply.body = g_bytes_new_take(part, strlen(part));
+	r->streaming = true;
+	mh_post(r->e->k, "http", m);
+}
+
+void
+entry_token(struct request *r, GBytes *text)
+{
+	gsize len;
+	const char *data = g_bytes_get_data(text, &len);
+
+	sse(r, "token", json_pack("{s:s%}", "text", data, len), false);
+}
+
+static void
+log_end(struct request *r, const char *outcome, uint32_t status)
+{
+	mh_log(r->e->k, "entry",
+	    "Request ended: request=%s org=%s rule=%s class=%s outcome=%s "
+	    "status=%u us=%" PRId64 ".",
+	    r->id_text, r->org->name, r->d.rule->name, r->d.class->name,
+	    outcome, status, mh_now(r->e->k) - r->arrived_us);
+}
+
+void
+entry_done(struct request *r)
+{
+	json_t *o = json_pack("{s:s, s:O}", "outcome", "done", "answer",
+	    r->flow.answer);
+
+	add_identity(r, o);
+	mh_count(r->e->k, "entry_done", 1);
+	log_end(r, "done", 200);
+	if (r->stream)
+		sse(r, "done", o, true);
+	else
+		entry_reply(r->e, r->caller, 200, dump(o), 0);
+	end_request(r);
+}
+
+void
+entry_fail(struct request *r, const struct problem *p)
+{
+	json_t *o = problem_json(p);
+
+	add_identity(r, o);
+	mh_count(r->e->k, "entry_failed", 1);
+	log_end(r, p->outcome, p->status);
+	if (r->streaming)
+		sse(r, "problem", o, true);
+	else
+		entry_reply(r->e, r->caller, p->status, dump(o),
+		    p->retry_us > 0 ? seconds_up(p->retry_us) : 0);
+	end_request(r);
+}
+
+/*
+ * At the deadline an answer is of no use any more.  A non-repeatable call
+ * that is still out may run or have run: that is "unknown", never
+ * "not run".
+ */
+static void
+on_deadline(void *arg)
+{
+	struct request *r = arg;
+	struct problem p = { .status = 504, .kind = "deadline",
+		.detail = "The deadline passed.",
+		.remedy = "Ask again, or ask for more time.",
+		.outcome = r->maybe_ran || r->attempts > 0 ? "failed" :
+							     "not-run" };
+	const struct mh_stage *s = r->d.pipeline->stages->pdata[r->stage];
+
+	r->deadline = NULL;
+	if (s->never && r->tries[0].call != NULL) {
+		p.kind = "outcome-unknown";
+		p.outcome = "unknown";
+		p.remedy = "Look the outcome up by key; do not repeat it "
+			   "under another key.";
+	}
+	entry_fail(r, &p);
+}
+
+struct mh_owners *
+entry_owners(struct entry *e, const char *service)
+{
+	struct mh_owners *o = g_hash_table_lookup(e->owners, service);
+
+	if (o == NULL) {
+		o = mh_owners_create(service);
+		g_hash_table_insert(e->owners, g_strdup(service), o);
+	}
+	return o;
+}
+
+static void
+on_owners(void *arg, uint64_t conn, const Mh__Frame *f)
+{
+	struct entry *e = arg;
+
+	(void)conn;
+	mh_owners_take(entry_owners(e, f->owners->service), f->owners);
+}
+
+static bool
+good_key(const char *key)
+{
+	size_t len = strlen(key);
+
+	if (len == 0 || len > MAX_KEY)
+		return false;
+	for (size_t i = 0; i < len; i++) {
+		if (!g_ascii_isgraph(key[i]) || key[i] == '/')
+			return false;
+	}
+	return true;
+}
+
+static bool
+read_input(struct entry *e, const struct mh_request_msg *m, struct request *r)
+{
+	gsize len;
+	const char *data = g_bytes_get_data(m->body, &len);
+	json_error_t err;
+	json_t *tokens;
+	char *detail;
+
+	r->flow.input = json_loadb(data, len, 0, &err);
+	if (!json_is_object(r->flow.input)) {
+		detail = g_strdup_printf("The body is no JSON object: %s.",
+		    r->flow.input == NULL ? err.text : "another JSON type");
+		refuse(e, m->id, 400, "bad-body", detail,
+		    "Send a JSON object.");
+		g_free(detail);
+		return false;
+	}
+	r->stream = json_is_true(json_object_get(r->flow.input, "stream"));
+	tokens = json_object_get(r->flow.input, "max_tokens");
+	if (tokens != NULL &&
+	    (!json_is_integer(tokens) || json_integer_value(tokens) < 1 ||
+		json_integer_value(tokens) > 100000)) {
+		refuse(e, m->id, 400, "bad-max-tokens",
+		    "max_tokens is no whole number from 1 to 100000.",
+		    "Mend max_tokens.");
+		return false;
+	}
+	r->max_tokens = (uint32_t)json_integer_value(tokens);
+	return true;
+}
+
+static const struct mh_stage *
+last_stage(const struct mh_pipeline *p)
+{
+	return p->stages->pdata[p->stages->len - 1];
+}
+
+static bool
+decide(struct entry *e, const struct mh_request_msg *m, struct request *r)
+{
+	struct mh_ask ask = { .org = r->org->name,
+		.pipeline = m->path + strlen(PREFIX_PIPELINES),
+		.class_asked = m->class_asked,
+		.labels = m->labels,
+		.wall_us = mh_wall(e->k),
+		.deadline_us = m->deadline_us };
+	const struct mh_stage *s;
+
+	ask.model =
+	    json_string_value(json_object_get(r->flow.input, "model"));
+	mh_rules_decide(r->decl, &ask, &r->d);
+	if (r->d.pipeline == NULL) {
+		refuse(e, m->id, 404, "no-pipeline",
+		    "No such pipeline is declared.",
+		    "Use a declared pipeline's name.");
+		return false;
+	}
+	if (r->d.rule == NULL || r->d.refuse != NULL) {
+		refuse(e, m->id, 403, "refused",
+		    r->d.rule == NULL ? "No rule admits the request." :
+					r->d.refuse,
+		    "Ask the operators about the rules.");
+		return false;
+	}
+	for (guint i = 0; i < r->d.pipeline->stages->len; i++) {
+		s = r->d.pipeline->stages->pdata[i];
+		if (s->kind != MH_GENERATE)
+			continue;
+		if (r->max_tokens == 0 || r->max_tokens > s->max_tokens)
+			r->max_tokens = s->max_tokens;
+	}
+	if (r->d.max_tokens > 0)
+		r->max_tokens = MIN(r->max_tokens, r->d.max_tokens);
+	r->max_tokens = MAX(r->max_tokens, 1);
+	s = last_stage(r->d.pipeline);
+	r->stream = r->stream && s->kind == MH_GENERATE;
+	return true;
+}
+
+static bool
+take_key(struct entry *e, const struct mh_request_msg *m, struct request *r)
+{
+	if (m->idempotency_key == NULL)
+		return true;
+	if (!good_key(m->idempotency_key)) {
+		refuse(e, m->id, 400, "bad-key",
+		    "Idempotency-Key is not 1 to 128 printable characters "
+		    "without a slash.",
+		    "Send a UUID version 7.");
+		return false;
+	}
+	if (!last_stage(r->d.pipeline)->never)
+		return true;
+	r->key =
+	    g_strconcat(r->org->name, "/", m->idempotency_key, NULL);
+	r->key_given = true;
+	return true;
+}
+
+static bool
+take_limits(struct entry *e, const struct mh_request_msg *m,
+    const struct mh_key_owner *who, struct request *r)
+{
+	struct problem p = { .status = 429, .kind = "over-limit",
+		.detail = "The organisation's or key's limit is used up.",
+		.remedy = "Ask again after Retry-After.",
+		.outcome = "not-run" };
+	int64_t wait = mh_limit_take(e->k, who, pipe_units(r), &r->ticket);
+
+	if (wait == 0)
+		return true;
+	if (wait < 0) {
+		refuse(e, m->id, 400, "over-burst",
+		    "The request is larger than the limit's burst.",
+		    "Lower max_tokens.");
+		return false;
+	}
+	p.retry_us =
+	    wait + (int64_t)(mh_random_unit(e->k) * (double)wait / 2);
+	entry_problem(e, m->id, &p);
+	return false;
+}
+
+/* What cannot finish in time is refused at once: 503, and when to ask. */
+static bool
+feasible(struct entry *e, const struct mh_request_msg *m, struct request *r)
+{
+	struct problem p = { .status = 503, .kind = "overloaded",
+		.detail = "The request could not finish by its deadline.",
+		.remedy = "Ask again after Retry-After, or allow more time.",
+		.outcome = "not-run" };
+	int64_t need, over;
+
+	if (r->decl->policy.admission == MH_ADMIT_ALL)
+		return true;
+	need = pipe_predict_us(r, 0, true);
+	over = need - r->d.deadline_us;
+	if (over <= 0)
+		return true;
+	mh_count(e->k, "entry_infeasible", 1);
+	over = MAX(over, MH_US_PER_S);
+	p.retry_us =
+	    over + (int64_t)(mh_random_unit(e->k) * (double)over / 2);
+	entry_problem(e, m->id, &p);
+	return false;
+}
+
+/* Requests with one context meet one prefix cache. */
+static uint64_t
+affinity_of(const struct request *r)
+{
+	const char *c =
+	    json_string_value(json_object_get(r->flow.input, "context"));
+
+	if (c == NULL || *c == '\0')
+		return 0;
+	return mh_hash(c, strlen(c)) | 1;
+}
+
+static bool
+prepare(struct entry *e, const struct mh_request_msg *m,
+    const struct mh_key_owner *who, struct request *r)
+{
+	r->e = e;
+	r->caller = m->id;
+	r->org = who->org;
+	r->stages = json_array();
+	r->arrived_us = mh_now(e->k);
+	mh_uuid7(e->k, r->id);
+	r->id_text = mh_uuid_text(r->id);
+	return read_input(e, m, r) && decide(e, m, r) &&
+	    take_key(e, m, r) && feasible(e, m, r) &&
+	    take_limits(e, m, who, r);
+}
+
+static void
+start_request(struct entry *e, const struct mh_request_msg *m,
+    const struct mh_key_owner *who)
+{
+	struct request *r = g_new0(struct request, 1);
+
+	r->decl = mh_decl_ref(mh_conf_get(e->k));
+	if (!prepare(e, m, who, r)) {
+		free_request(r);
+		return;
+	}
+	r->affinity = affinity_of(r);
+	r->flow.priority = r->d.class->priority;
+	r->deadline_us = r->arrived_us + r->d.deadline_us;
+	g_hash_table_insert(e->requests, &r->caller, r);
+	mh_count(e->k, "entry_admitted", 1);
+	r->deadline =
+	    mh_timer_start(e->k, r->d.deadline_us, on_deadline, r);
+	pipe_start(r);
+}
+
+static void
+on_lookup_timeout(void *arg)
+{
+	struct lookup *l = arg;
+	struct entry *e = l->e;
+
+	l->timer = NULL;
+	refuse(e, l->caller, 503, "owner-silent",
+	    "The key's owner did not answer.", "Ask again later.");
+	g_hash_table_remove(e->lookups, &l->token);
+}
+
+static void
+free_lookup(void *arg)
+{
+	struct lookup *l = arg;
+
+	mh_timer_stop(l->e->k, &l->timer);
+	g_free(l);
+}
+
+static const char *
+outcome_text(Mh__Outcome o)
+{
+	switch (o) {
+	case MH__OUTCOME__DONE:
+		return "done";
+	case MH__OUTCOME__NOT_RUN:
+		return "not-run";
+	case MH__OUTCOME__RUNNING:
+		return "running";
+	case MH__OUTCOME__NOT_SEEN:
+		return "not-seen";
+	default:
+		return "unknown";
+	}
+}
+
+static void
+on_outcomes(void *arg, uint64_t conn, const Mh__Frame *f)
+{
+	struct entry *e = arg;
+	const Mh__Outcomes *o = f->outcomes;
+	struct lookup *l = g_hash_table_lookup(e->lookups, &o->token);
+	json_t *j, *answer;
+
+	(void)conn;
+	if (l == NULL)
+		return;
+	j = json_pack("{s:s}", "outcome", outcome_text(o->outcome));
+	answer = json_loadb(
+	    (const char *)o->body.data, o->body.len, JSON_DECODE_ANY, NULL);
+	if (answer != NULL)
+		json_object_set_new(j, "answer", answer);
+	entry_reply(e, l->caller, 200, dump(j), 0);
+	g_hash_table_remove(e->lookups, &o->token);
+}
+
+static void
+send_lookup(struct entry *e, struct mh_peer *p, const char *key,
+    bool revoke, uint64_t caller)
+{
+	struct lookup *l = g_new0(struct lookup, 1);
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__Lookup m = MH__LOOKUP__INIT;
+
+	l->e = e;
+	l->token = mh_next_id(e->k);
+	l->caller = caller;
+	l->timer = mh_timer_start(e->k, LOOKUP_US, on_lookup_timeout, l);
+	g_hash_table_insert(e->lookups, &l->token, l);
+	m.token = l->token;
+	m.key = (char *)(uintptr_t)key;
+	m.partition = mh_partition_of(key);
+	m.revoke = revoke;
+	f.body_case = MH__FRAME__BODY_LOOKUP;
+	f.lookup = &m;
+	mh_frame_send(e->k, p->conn, &f);
+}
+
+/* GET looks an outcome up, DELETE revokes what did not run yet. */
+static void
+start_lookup(struct entry *e, const struct mh_request_msg *m,
+    const struct mh_key_owner *who, bool revoke)
+{
+	char **part = g_strsplit(m->path + strlen(PREFIX_OUTCOMES), "/", 2);
+	struct mh_pipeline *pl = NULL;
+	const struct mh_stage *s;
+	const struct mh_part *owner;
+	struct mh_peer *p;
+	char *key;
+
+	if (part[0] != NULL && part[1] != NULL && good_key(part[1]))
+		pl = mh_decl_pipeline(mh_conf_get(e->k), part[0]);
+	if (pl == NULL || !last_stage(pl)->never) {
+		refuse(e, m->id, 404, "no-outcome",
+		    "The path names no pipeline with a non-repeatable stage.",
+		    "Use /v1/outcomes/PIPELINE/KEY.");
+		g_strfreev(part);
+		return;
+	}
+	s = last_stage(pl);
+	key = g_strconcat(who->org->name, "/", part[1], NULL);
+	owner =
+	    mh_owners_part(entry_owners(e, s->pool), mh_partition_of(key));
+	p = mh_member_find(e->k, owner->vm);
+	if (p == NULL || !p->up)
+		refuse(e, m->id, 503, "owner-unreachable",
+		    "The key's owner cannot be reached now.",
+		    "Ask again later.");
+	else
+		send_lookup(e, p, key, revoke, m->id);
+	g_free(key);
+	g_strfreev(part);
+}
+
+static void
+dispatch(struct entry *e, const struct mh_request_msg *m)
+{
+	struct mh_decl *d = mh_conf_get(e->k);
+	const struct mh_key_owner *who;
+	bool post = strcmp(m->method, "POST") == 0;
+	bool del = strcmp(m->method, "DELETE") == 0;
+
+	if (d == NULL) {
+		refuse(e, m->id, 503, "no-configuration",
+		    "No configuration is in force yet.",
+		    "Apply declarations with marlctl; ask again later.");
+		return;
+	}
+	who = m->key == NULL ? NULL : mh_decl_find_key(d, m->key);
+	if (who == NULL) {
+		refuse(e, m->id, 401, "no-right",
+		    "The key is missing or not known.",
+		    "Send Authorization: Bearer KEY.");
+		return;
+	}
+	if (g_str_has_prefix(m->path, PREFIX_OUTCOMES) && !post) {
+		start_lookup(e, m, who, del);
+		return;
+	}
+	if (!g_str_has_prefix(m->path, PREFIX_PIPELINES) || !post) {
+		refuse(e, m->id, 404, "no-path", "No such path or method.",
+		    "POST to /v1/pipelines/NAME.");
+		return;
+	}
+	if (e->draining) {
+		refuse(e, m->id, 503, "draining",
+		    "This entry is shutting down.", "Ask another entry.");
+		return;
+	}
+	start_request(e, m, who);
+}
+
+static void
+handle(void *self, struct mh_msg *m)
+{
+	struct entry *e = self;
+	struct request *r;
+
+	switch (m->kind) {
+	case MH_MSG_REQUEST:
+		dispatch(e, &m->u.request);
+		break;
+	case MH_MSG_GONE:
+		r = g_hash_table_lookup(e->requests, &m->u.request.id);
+		if (r == NULL)
+			break;
+		/* Nobody waits: cancel down to the engine. */
+		mh_count(e->k, "entry_callers_gone", 1);
+		end_request(r);
+		break;
+	default:
+		mh_count(e->k, "entry_unexpected", 1);
+		break;
+	}
+}
+
+void
+mh_entry_drain(struct mh_kern *k)
+{
+	get(k)->draining = true;
+	mh_member_drain(k);
+}
+
+uint32_t
+mh_entry_open(struct mh_kern *k)
+{
+	return g_hash_table_size(get(k)->requests);
+}
+
+json_t *
+mh_entry_state(struct mh_kern *k)
+{
+	struct entry *e = get(k);
+
+	return json_pack("{s:b, s:i, s:i, s:f}", "draining", e->draining,
+	    "requests", (int)g_hash_table_size(e->requests), "calls",
+	    (int)mh_relay_open(k), "retry_budget", e->budget);
+}
+
+static void
+destroy(void *self)
+{
+	struct entry *e = self;
+	GHashTableIter it;
+	gpointer r;
+
+	g_hash_table_iter_init(&it, e->requests);
+	while (g_hash_table_iter_next(&it, NULL, &r)) {
+		g_hash_table_iter_steal(&it);
+		free_request(r);
+	}
+	g_hash_table_destroy(e->requests);
+	g_hash_table_destroy(e->owners);
+	g_hash_table_destroy(e->lookups);
+	g_free(e->vm);
+	g_free(e->domain);
+	g_free(e);
+}
+
+void
+mh_entry_create(struct mh_kern *k, const char *vm, const char *domain)
+{
+	struct entry *e = g_new0(struct entry, 1);
+
+	mh_hub_create(k);
+	mh_member_create(k, vm, domain, "entry");
+	mh_conf_create(k, vm);
+	mh_route_create(k, domain);
+	mh_predict_create(k);
+	mh_relay_create(k);
+	mh_limit_create(k, vm);
+	e->k = k;
+	e->vm = g_strdup(vm);
+	e->domain = g_strdup(domain);
+	e->budget = START_BUDGET;
+	e->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
+	e->owners = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+	    (GDestroyNotify)mh_owners_destroy);
+	e->lookups = g_hash_table_new_full(
+	    g_int64_hash, g_int64_equal, NULL, free_lookup);
+	mh_kern_add(k, "entry", e, handle, destroy);
+	mh_hub_on(k, MH__FRAME__BODY_OWNERS, on_owners, e);
+	mh_hub_on(k, MH__FRAME__BODY_OUTCOMES, on_outcomes, e);
+}
--- /dev/null
+++ b/lib/entry.h
@@ -0,0 +1,101 @@
+#ifndef ENTRY_H
+#define ENTRY_H
+
+#include "marlhoist.h"
+
+#define MAX_TRIES 2 /* calls of one stage at once: the first and a hedge */
+
+struct request;
+
+/** struct try - one call made for the stage under way. */
+struct try {
+	struct request *r;
+	struct mh_call *call; /* NULL: free */
+	int64_t started_us;
+	int64_t first_us; /* first chunk, 0: none yet */
+	uint32_t tokens; /* chunks of this try */
+	bool hedge;
+};
+
+/** struct request - one caller's request on its way through the stages. */
+struct request {
+	struct entry *e;
+	uint8_t id[MH_ID_LEN];
+	char *id_text;
+	uint64_t caller; /* names the waiting caller to http */
+	struct mh_decl *decl;
+	struct mh_decision d;
+	const struct mh_org *org;
+	char *key; /* at-most-once key, org/key */
+	bool key_given;
+	int64_t arrived_us;
+	int64_t deadline_us;
+	bool stream;
+	bool streaming; /* the SSE answer was opened */
+	uint32_t max_tokens;
+	uint32_t done_tokens;
+	uint64_t affinity;
+	struct mh_flow flow;
+	struct mh_limit_ticket ticket;
+	double used_units;
+	guint stage;
+	uint32_t attempts; /* calls made, over all stages */
+	uint32_t picks; /* endpoints asked for this stage */
+	int64_t stage_us; /* when this stage began */
+	bool maybe_ran; /* some call was accepted somewhere */
+	bool unknown; /* a non-repeatable call may have run */
+	char *last_vm;
+	char *last_domain;
+	struct try tries[MAX_TRIES];
+	json_t *stages;
+	struct mh_timer *deadline;
+	struct mh_timer *check; /* attempt timeout or pace check */
+	struct mh_timer *hedge;
+	struct request *next;
+};
+
+/** struct lookup - one question about an outcome. */
+struct lookup {
+	struct entry *e;
+	uint64_t token;
+	uint64_t caller;
+	struct mh_timer *timer;
+};
+
+struct entry {
+	struct mh_kern *k;
+	char *vm;
+	char *domain;
+	bool draining;
+	double budget; /* calls that may still be retried or hedged */
+	GHashTable *requests; /* caller -> struct request */
+	GHashTable *owners; /* service -> struct mh_owners */
+	GHashTable *lookups; /* token -> struct lookup */
+};
+
+/** struct problem - an RFC 9457 problem document. */
+struct problem {
+	uint32_t status;
+	const char *kind;
+	const char *detail;
+	const char *remedy;
+	const char *outcome;
+	int64_t retry_us; /* 0: no Retry-After */
+};
+
+/* entry.c */
+void entry_reply(struct entry *e, uint64_t caller, uint32_t status,
+    GBytes *body, uint32_t retry_after_s);
+void entry_problem(struct entry *e, uint64_t caller, const struct problem *p);
+void entry_done(struct request *r);
+void entry_fail(struct request *r, const struct problem *p);
+void entry_token(struct request *r, GBytes *text);
+struct mh_owners *entry_owners(struct entry *e, const char *service);
+
+/* pipe.c */
+void pipe_start(struct request *r);
+void pipe_stop(struct request *r);
+int64_t pipe_predict_us(const struct request *r, guint from, bool waits);
+double pipe_units(const struct request *r);
+
+#endif
--- /dev/null
+++ b/lib/err.c
@@ -0,0 +1,11 @@
+/**
+ * DOC: Error domain. Kinds are in enum mh_error; messages name the remedy.
+ */
+
+#include "marlhoist.h"
+
+GQuark
+mh_error_quark(void)
+{
+	return g_quark_from_static_string("marlhoist");
+}
--- /dev/null
+++ b/lib/httpd.c
@@ -0,0 +1,583 @@
+/**
+ * DOC: HTTP server: libmicrohttpd hung on the loop, one thread.
+ *
+ * A request that waits for its answer is suspended and holds no thread.
+ */
+
+#include "marlhoist.h"
+
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define GONE_CHECK_US (200 * MH_US_PER_MS)
+#define CONNECTIONS 4096U
+#define IDLE_S 60U
+#define BLOCK 65536
+
+enum phase { READING, WAITING, READY, STREAMING, QUEUED, CUT };
+
+struct header {
+	char *name;
+	char *value;
+};
+
+struct mh_http_req {
+	struct mh_httpd *h;
+	struct MHD_Connection *conn;
+	uint64_t id;
+	enum phase phase;
+	bool suspended;
+	bool too_big;
+	bool told; /* the owner knows of it */
+	bool ended; /* the owner gave the last part */
+	char *method;
+	char *path;
+	GByteArray *in;
+	GBytes *body;
+	GArray *headers; /* of the answer */
+	uint32_t status;
+	char *type;
+	GBytes *answer;
+	GByteArray *out; /* parts of a stream not yet sent */
+	bool stream_waits; /* the reader found nothing and was suspended */
+};
+
+struct mh_httpd {
+	struct mh_loop *loop;
+	struct mh_kern *k;
+	struct MHD_Daemon *daemon;
+	struct mh_httpd_args a;
+	GHashTable *reqs; /* id -> struct mh_http_req */
+	struct mh_timer *gone;
+	char *cert;
+	char *key;
+	int epoll_fd;
+	uint16_t port;
+	bool kick; /* MHD has something to do this turn */
+	bool stopping;
+};
+
+const char *
+mh_req_method(const struct mh_http_req *r)
+{
+	return r->method;
+}
+
+const char *
+mh_req_path(const struct mh_http_req *r)
+{
+	return r->path;
+}
+
+const char *
+mh_req_header(const struct mh_http_req *r, const char *name)
+{
+	return MHD_lookup_connection_value(r->conn, MHD_HEADER_KIND, name);
+}
+
+const char *
+mh_req_query(const struct mh_http_req *r, const char *name)
+{
+	return MHD_lookup_connection_value(
+	    r->conn, MHD_GET_ARGUMENT_KIND, name);
+}
+
+struct each {
+	void (*fn)(void *arg, const char *name, const char *value);
+	void *arg;
+};
+
+static enum MHD_Result
+each_header(void *cls, enum MHD_ValueKind kind, const char *name,
+    const char *value)
+{
+	struct each *e = cls;
+
+	(void)kind;
+	e->fn(e->arg, name, value == NULL ? "" : value);
+	return MHD_YES;
+}
+
+void
+mh_req_each_header(const struct mh_http_req *r,
+    void (*fn)(void *arg, const char *name, const char *value), void *arg)
+{
+	struct each e = { fn, arg };
+
+	MHD_get_connection_values(r->conn, MHD_HEADER_KIND, each_header, &e);
+}
+
+GBytes *
+mh_req_body(const struct mh_http_req *r)
+{
+	return r->body;
+}
+
+bool
+mh_req_too_big(const struct mh_http_req *r)
+{
+	return r->too_big;
+}
+
+uint64_t
+mh_req_id(const struct mh_http_req *r)
+{
+	return r->id;
+}
+
+struct mh_http_req *
+mh_httpd_find(struct mh_httpd *h, uint64_t id)
+{
+	return g_hash_table_lookup(h->reqs, &id);
+}
+
+static void
+wake(struct mh_http_req *r)
+{
+	if (!r->suspended)
+		return;
+	r->suspended = false;
+	r->h->kick = true;
+	MHD_resume_connection(r->conn);
+}
+
+void
+mh_req_header_set(
+    struct mh_http_req *r, const char *name, const char *value)
+{
+	struct header hd = { g_strdup(name), g_strdup(value) };
+
+	g_array_append_val(r->headers, hd);
+}
+
+static void
+set_answer(struct mh_http_req *r, uint32_t status, const char *type)
+{
+	r->status = status;
+	g_free(r->type);
+	r->type = g_strdup(type);
+}
+
+void
+mh_req_reply(struct mh_http_req *r, uint32_t status, const char *type,
+    GBytes *body)
+{
+	if (r->phase != WAITING)
+		return;
+	set_answer(r, status, type);
+	r->answer = body == NULL ? g_bytes_new(NULL, 0) : g_bytes_ref(body);
+	r->phase = READY;
+	r->ended = true;
+	wake(r);
+}
+
+void
+mh_req_stream(struct mh_http_req *r, uint32_t status, const char *type)
+{
+	if (r->phase != WAITING)
+		return;
+	set_answer(r, status, type);
+	r->out = g_byte_array_new();
+	r->phase = STREAMING;
+	wake(r);
+}
+
+static void
+wake_stream(struct mh_http_req *r)
+{
+	if (r->stream_waits) {
+		r->stream_waits = false;
+		wake(r);
+	}
+}
+
+void
+mh_req_stream_add(struct mh_http_req *r, GBytes *part)
+{
+	gsize len;
+	const uint8_t *data = g_bytes_get_data(part, &len);
+
+	if (r->out == NULL)
+		return;
+	g_byte_array_append(r->out, data, (guint)len);
+	wake_stream(r);
+}
+
+void
+mh_req_stream_end(struct mh_http_req *r)
+{
+	r->ended = true;
+	wake_stream(r);
+}
+
+void
+mh_req_cut(struct mh_http_req *r)
+{
+	r->phase = CUT;
+	r->ended = true;
+	r->stream_waits = false;
+	wake(r);
+}
+
+static ssize_t
+read_stream(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	struct mh_http_req *r = cls;
+	size_t n;
+
+	(void)pos;
+	if (r->phase == CUT)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (r->out->len > 0) {
+		n = MIN(max, r->out->len);
+		memcpy(buf, r->out->data, n);
+		g_byte_array_remove_range(r->out, 0, (guint)n);
+		return (ssize_t)n;
+	}
+	if (r->ended)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	r->stream_waits = true;
+	r->suspended = true;
+	MHD_suspend_connection(r->conn);
+	return 0;
+}
+
+static enum MHD_Result
+queue(struct mh_http_req *r)
+{
+	struct MHD_Response *res;
+	enum MHD_Result rv;
+	gsize len = 0;
+	const void *data = "";
+
+	if (r->phase == STREAMING) {
+		res = MHD_create_response_from_callback(
+		    MHD_SIZE_UNKNOWN, BLOCK, read_stream, r, NULL);
+	} else {
+		data = g_bytes_get_data(r->answer, &len);
+		res = MHD_create_response_from_buffer(len,
+		    (void *)(uintptr_t)(data == NULL ? "" : data),
+		    MHD_RESPMEM_MUST_COPY);
+	}
+	if (res == NULL)
+		return MHD_NO;
+	if (r->type != NULL)
+		MHD_add_response_header(res, "Content-Type", r->type);
+	for (guint i = 0; i < r->headers->len; i++) {
+		struct header *hd = &g_array_index(r->headers, struct header, i);
+
+		MHD_add_response_header(res, hd->name, hd->value);
+	}
+	rv = MHD_queue_response(r->conn, r->status, res);
+	MHD_destroy_response(res);
+	r->phase = r->phase == STREAMING ? STREAMING : QUEUED;
+	return rv;
+}
+
+static struct mh_http_req *
+new_req(struct mh_httpd *h, struct MHD_Connection *conn, const char *url,
+    const char *method)
+{
+	struct mh_http_req *r = g_new0(struct mh_http_req, 1);
+
+	r->h = h;
+	r->conn = conn;
+	r->id = mh_next_id(h->k);
+	r->method = g_strdup(method);
+	r->path = g_strdup(url);
+	r->in = g_byte_array_new();
+	r->headers = g_array_new(FALSE, FALSE, sizeof(struct header));
+	g_hash_table_insert(h->reqs, &r->id, r);
+	return r;
+}
+
+static enum MHD_Result
+on_access(void *cls, struct MHD_Connection *conn, const char *url,
+    const char *method, const char *version, const char *data, size_t *size,
+    void **ctx)
+{
+	struct mh_httpd *h = cls;
+	struct mh_http_req *r = *ctx;
+
+	(void)version;
+	if (r == NULL) {
+		*ctx = new_req(h, conn, url, method);
+		return MHD_YES;
+	}
+	if (*size > 0) {
+		if (r->in->len + *size > MH_MAX_BODY)
+			r->too_big = true;
+		else
+			g_byte_array_append(
+			    r->in, (const uint8_t *)data, (guint)*size);
+		*size = 0;
+		return MHD_YES;
+	}
+	if (r->phase == READING) {
+		r->phase = WAITING;
+		r->body = g_byte_array_free_to_bytes(r->in);
+		r->in = NULL;
+		r->told = true;
+		h->a.on_request(h->a.arg, r);
+		if (r->phase == WAITING) {
+			r->suspended = true;
+			MHD_suspend_connection(conn);
+			return MHD_YES;
+		}
+	}
+	if (r->phase == READY || r->phase == STREAMING)
+		return queue(r);
+	return r->phase == CUT ? MHD_NO : MHD_YES;
+}
+
+static void
+free_req(struct mh_http_req *r)
+{
+	g_hash_table_remove(r->h->reqs, &r->id);
+	for (guint i = 0; i < r->headers->len; i++) {
+		struct header *hd = &g_array_index(r->headers, struct header, i);
+
+		g_free(hd->name);
+		g_free(hd->value);
+	}
+	g_array_free(r->headers, TRUE);
+	if (r->in != NULL)
+		g_byte_array_unref(r->in);
+	if (r->out != NULL)
+		g_byte_array_unref(r->out);
+	if (r->body != NULL)
+		g_bytes_unref(r->body);
+	if (r->answer != NULL)
+		g_bytes_unref(r->answer);
+	g_free(r->method);
+	g_free(r->path);
+	g_free(r->type);
+	g_free(r);
+}
+
+static void
+on_completed(void *cls, struct MHD_Connection *conn, void **ctx,
+    enum MHD_RequestTerminationCode code)
+{
+	struct mh_httpd *h = cls;
+	struct mh_http_req *r = *ctx;
+
+	(void)conn;
+	(void)code;
+	if (r == NULL)
+		return;
+	if (r->told && !r->ended && h->a.on_gone != NULL)
+		h->a.on_gone(h->a.arg, r);
+	*ctx = NULL;
+	free_req(r);
+}
+
+/*
+ * A suspended connection is not polled, so a caller that left would go
+ * unseen and its work would run on: peek at the waiting sockets.
+ */
+static bool
+caller_left(const struct mh_http_req *r)
+{
+	const union MHD_ConnectionInfo *info =
+	    MHD_get_connection_info(r->conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	char c;
+
+	return info != NULL &&
+	    recv(info->connect_fd, &c, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+static void
+check_gone(void *arg)
+{
+	struct mh_httpd *h = arg;
+	GPtrArray *left = g_ptr_array_new();
+	GHashTableIter it;
+	gpointer v;
+
+	h->gone = mh_timer_start(h->k, GONE_CHECK_US, check_gone, h);
+	g_hash_table_iter_init(&it, h->reqs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct mh_http_req *r = v;
+
+		if (r->suspended && caller_left(r))
+			g_ptr_array_add(left, r);
+	}
+	for (guint i = 0; i < left->len; i++) {
+		struct mh_http_req *r = left->pdata[i];
+
+		if (r->told && !r->ended && h->a.on_gone != NULL)
+			h->a.on_gone(h->a.arg, r);
+		mh_req_cut(r);
+	}
+	g_ptr_array_free(left, TRUE);
+}
+
+static void
+on_ready(void *arg, bool readable, bool writable)
+{
+	struct mh_httpd *h = arg;
+
+	(void)readable;
+	(void)writable;
+	h->kick = true;
+}
+
+static int64_t
+before_wait(void *arg)
+{
+	struct mh_httpd *h = arg;
+	MHD_UNSIGNED_LONG_LONG ms = 0;
+
+	if (h->daemon == NULL)
+		return -1;
+	/* A handler may wake others, which must be served in this turn. */
+	for (int i = 0; h->kick && i < 4; i++) {
+		h->kick = false;
+		MHD_run(h->daemon);
+	}
+	if (h->kick)
+		return 0;
+	if (mh_kern_next(h->k) == mh_now(h->k))
+		return 0;
+	if (MHD_get_timeout(h->daemon, &ms) != MHD_YES)
+		return -1;
+	h->kick = true;
+	return (int64_t)ms * MH_US_PER_MS;
+}
+
+static bool
+parse_listen(const char *listen, struct sockaddr_in *sa, GError **err)
+{
+	char host[MH_HOST_LEN];
+	uint16_t port = 0;
+	bool ok = mh_addr_parse(listen, host, &port);
+
+	memset(sa, 0, sizeof(*sa));
+	sa->sin_family = AF_INET;
+	sa->sin_port = htons(port);
+	ok = ok && inet_pton(AF_INET, host, &sa->sin_addr) == 1;
+	if (!ok)
+		g_set_error(err, MH_ERROR, MH_ERR_SETTING,
+		    "\"%s\" is no IP:PORT: write for example 127.0.0.1:8080",
+		    listen);
+	return ok;
+}
+
+static bool
+read_tls(struct mh_httpd *h, GError **err)
+{
+	if (h->a.cert_file == NULL)
+		return true;
+	return g_file_get_contents(h->a.cert_file, &h->cert, NULL, err) &&
+	    g_file_get_contents(h->a.key_file, &h->key, NULL, err);
+}
+
+static bool
+start(struct mh_httpd *h, struct sockaddr_in *sa, GError **err)
+{
+	unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
+	struct MHD_OptionItem tls[] = {
+		{ MHD_OPTION_HTTPS_MEM_CERT, 0, h->cert },
+		{ MHD_OPTION_HTTPS_MEM_KEY, 0, h->key },
+		{ MHD_OPTION_END, 0, NULL }
+	};
+	const union MHD_DaemonInfo *info;
+
+	if (h->cert != NULL)
+		flags |= MHD_USE_TLS;
+	else
+		tls[0].option = MHD_OPTION_END;
+	h->daemon = MHD_start_daemon(flags, 0, NULL, NULL, on_access, h,
+	    MHD_OPTION_SOCK_ADDR, (struct sockaddr *)sa,
+	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, h,
+	    MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS,
+	    MHD_OPTION_CONNECTION_TIMEOUT, IDLE_S,
+	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+	    MHD_OPTION_ARRAY, tls, MHD_OPTION_END);
+	if (h->daemon == NULL) {
+		g_set_error(err, MH_ERROR, MH_ERR_IO,
+		    "cannot serve HTTP on %s: give a free IP:PORT of this VM "
+		    "and a matching certificate and key",
+		    h->a.listen);
+		return false;
+	}
+	info = MHD_get_daemon_info(h->daemon, MHD_DAEMON_INFO_BIND_PORT);
+	h->port = info->port;
+	info = MHD_get_daemon_info(h->daemon, MHD_DAEMON_INFO_EPOLL_FD);
+	h->epoll_fd = info->epoll_fd;
+	return true;
+}
+
+struct mh_httpd *
+mh_httpd_create(
+    struct mh_loop *loop, const struct mh_httpd_args *a, GError **err)
+{
+	struct mh_httpd *h = g_new0(struct mh_httpd, 1);
+	struct sockaddr_in sa;
+
+	h->loop = loop;
+	h->k = mh_loop_kern(loop);
+	h->a = *a;
+	h->reqs = g_hash_table_new(g_int64_hash, g_int64_equal);
+	if (!parse_listen(a->listen, &sa, err) || !read_tls(h, err) ||
+	    !start(h, &sa, err)) {
+		mh_httpd_destroy(h);
+		return NULL;
+	}
+	mh_loop_fd(loop, h->epoll_fd, true, false, on_ready, h);
+	mh_loop_before(loop, before_wait, h);
+	h->gone = mh_timer_start(h->k, GONE_CHECK_US, check_gone, h);
+	return h;
+}
+
+void
+mh_httpd_stop(struct mh_httpd *h)
+{
+	MHD_socket fd;
+
+	if (h->stopping)
+		return;
+	h->stopping = true;
+	fd = MHD_quiesce_daemon(h->daemon);
+	if (fd != MHD_INVALID_SOCKET)
+		close(fd);
+}
+
+/* The loop keeps the hook: it finds the daemon gone and does nothing. */
+void
+mh_httpd_destroy(struct mh_httpd *h)
+{
+	GList *all;
+
+	if (h == NULL)
+		return;
+	mh_timer_stop(h->k, &h->gone);
+	all = g_hash_table_get_values(h->reqs);
+	for (GList *n = all; n != NULL; n = n->next) {
+		struct mh_http_req *r = n->data;
+
+		r->told = false;
+		mh_req_cut(r);
+	}
+	g_list_free(all);
+	if (h->daemon != NULL) {
+		mh_loop_fd_close(h->loop, h->epoll_fd);
+		MHD_run(h->daemon);
+		MHD_stop_daemon(h->daemon);
+		h->daemon = NULL;
+	}
+	g_hash_table_destroy(h->reqs);
+	g_free(h->cert);
+	g_free(h->key);
+	g_free(h);
+}
+
+uint16_t
+mh_httpd_port(const struct mh_httpd *h)
+{
+	return h->port;
+}
--- /dev/null
+++ b/lib/hub.c
@@ -0,0 +1,76 @@
+/**
+ * DOC: Where the link service delivers: unpacks each frame once, notes the
+ * progress and the generation it shows, and hands it to its handler.
+ */
+
+#include "marlhoist.h"
+
+#define MAX_CASES 64
+
+struct hub {
+	struct mh_kern *k;
+	struct {
+		mh_frame_fn fn;
+		void *arg;
+	} on[MAX_CASES];
+};
+
+static void
+take_frame(struct hub *h, const struct mh_link_msg *l)
+{
+	Mh__Frame *f = mh_frame_unpack(l->frame);
+
+	mh_count(h->k, "link_frames_in", 1);
+	mh_count(h->k, "link_bytes_in", g_bytes_get_size(l->frame) + 4);
+	if (f == NULL || (unsigned)f->body_case >= MAX_CASES) {
+		mh_count(h->k, "link_malformed", 1);
+		mh_log(h->k, "hub", "Malformed frame on conn=%" PRIu64
+		    "; link closed.", l->conn);
+		mh_link_close(h->k, l->conn);
+		mh_frame_free(f);
+		return;
+	}
+	mh_member_rx(h->k, l->conn, f);
+	mh_conf_see(h->k, l->conn, f->generation);
+	if (h->on[f->body_case].fn != NULL)
+		h->on[f->body_case].fn(h->on[f->body_case].arg, l->conn, f);
+	mh_frame_free(f);
+}
+
+static void
+handle(void *self, struct mh_msg *m)
+{
+	struct hub *h = self;
+
+	switch (m->kind) {
+	case MH_MSG_FRAME:
+		take_frame(h, &m->u.link);
+		break;
+	case MH_MSG_LINK_UP:
+	case MH_MSG_LINK_DOWN:
+		mh_member_link(h->k, m);
+		break;
+	default:
+		mh_count(h->k, "hub_unexpected", 1);
+		break;
+	}
+}
+
+void
+mh_hub_create(struct mh_kern *k)
+{
+	struct hub *h = g_new0(struct hub, 1);
+
+	h->k = k;
+	mh_kern_add(k, "hub", h, handle, g_free);
+}
+
+void
+mh_hub_on(
+    struct mh_kern *k, Mh__Frame__BodyCase kind, mh_frame_fn fn, void *arg)
+{
+	struct hub *h = mh_kern_get(k, "hub");
+
+	h->on[kind].fn = fn;
+	h->on[kind].arg = arg;
+}
--- /dev/null
+++ b/lib/kv.c
@@ -0,0 +1,165 @@
+/**
+ * DOC: Service "kv": the platform's key-value service in the Consul KV HTTP
+ * form.  A blocking query is a watch; ?cas= is compare-and-swap.
+ */
+
+#include "marlhoist.h"
+
+#include <string.h>
+
+#define CALL_US (2 * MH_US_PER_S)
+#define WATCH_SLACK_US (5 * MH_US_PER_S)
+
+struct kv {
+	struct mh_kern *k;
+	struct mh_client *client;
+	char *url;
+};
+
+struct ask {
+	struct kv *kv;
+	struct mh_kv_msg q; /* strings owned */
+};
+
+/* JSON: [{"ModifyIndex": N, "Value": base64}] */
+static bool
+read_value(GBytes *body, struct mh_kv_msg *out)
+{
+	gsize len;
+	const char *data = g_bytes_get_data(body, &len), *value;
+	json_t *a = json_loadb(data, len, 0, NULL);
+	json_t *o = json_array_get(a, 0);
+	bool ok;
+	guchar *raw;
+
+	value = json_string_value(json_object_get(o, "Value"));
+	ok = value != NULL &&
+	    json_is_integer(json_object_get(o, "ModifyIndex"));
+	if (ok) {
+		raw = g_base64_decode(value, &len);
+		out->value = g_bytes_new_take(raw, len);
+		out->cas = (uint64_t)json_integer_value(
+		    json_object_get(o, "ModifyIndex"));
+		out->found = true;
+	}
+	json_decref(a);
+	return ok;
+}
+
+static void
+fill(struct mh_kv_msg *out, const struct ask *a, const struct mh_http_done *d)
+{
+	gsize len;
+	const char *data = g_bytes_get_data(d->body, &len);
+
+	out->index = d->index;
+	out->cas = 0;
+	if (!d->whole)
+		return;
+	if (a->q.op == MH_KV_PUT || a->q.op == MH_KV_DELETE) {
+		out->ok = d->status == 200;
+		out->found = out->ok && len >= 4 && memcmp(data, "true", 4) == 0;
+	} else if (d->status == 404) {
+		out->ok = true;
+	} else if (d->status == 200) {
+		out->ok = read_value(d->body, out);
+	}
+}
+
+static void
+on_done(void *arg, const struct mh_http_done *d)
+{
+	struct ask *a = arg;
+	struct mh_msg *m = mh_msg_new(MH_MSG_KV_DONE);
+
+	m->u.kv.op = a->q.op;
+	m->u.kv.token = a->q.token;
+	m->u.kv.name = g_strdup(a->q.name);
+	fill(&m->u.kv, a, d);
+	mh_post(a->kv->k, a->q.from, m);
+	g_free(a->q.from);
+	g_free(a->q.name);
+	g_free(a);
+}
+
+static char *
+make_url(const struct kv *kv, const struct mh_kv_msg *q)
+{
+	char *name = g_uri_escape_string(q->name, "/", FALSE), *url;
+
+	switch (q->op) {
+	case MH_KV_PUT:
+	case MH_KV_DELETE:
+		url = g_strdup_printf("%s/v1/kv/%s?cas=%" PRIu64, kv->url,
+		    name, q->cas);
+		break;
+	case MH_KV_WATCH:
+		if (q->index > 0) {
+			url = g_strdup_printf(
+			    "%s/v1/kv/%s?index=%" PRIu64 "&wait=%" PRId64 "ms",
+			    kv->url, name, q->index,
+			    (int64_t)(q->wait_us / MH_US_PER_MS));
+			break;
+		}
+		/* FALLTHROUGH */
+	default:
+		url = g_strdup_printf("%s/v1/kv/%s", kv->url, name);
+		break;
+	}
+	g_free(name);
+	return url;
+}
+
+static void
+handle(void *self, struct mh_msg *m)
+{
+	struct kv *kv = self;
+	const struct mh_kv_msg *q = &m->u.kv;
+	struct mh_http_call call = { .method = "GET", .timeout_us = CALL_US };
+	struct ask *a;
+	char *url;
+
+	if (m->kind != MH_MSG_KV)
+		return;
+	a = g_new0(struct ask, 1);
+	a->kv = kv;
+	a->q.op = q->op;
+	a->q.token = q->token;
+	a->q.from = g_strdup(q->from);
+	a->q.name = g_strdup(q->name);
+	if (q->op == MH_KV_PUT) {
+		call.method = "PUT";
+		call.body = q->value;
+		/* A doubled write could undo somebody's write in between. */
+		call.once = true;
+	} else if (q->op == MH_KV_DELETE) {
+		call.method = "DELETE";
+	} else if (q->op == MH_KV_WATCH && q->index > 0) {
+		call.timeout_us = q->wait_us + WATCH_SLACK_US;
+	}
+	url = make_url(kv, q);
+	call.url = url;
+	mh_count(kv->k, "kv_calls", 1);
+	mh_client_start(kv->client, &call, NULL, on_done, a);
+	g_free(url);
+}
+
+static void
+destroy(void *self)
+{
+	struct kv *kv = self;
+
+	g_free(kv->url);
+	g_free(kv);
+}
+
+void
+mh_kv_create(struct mh_kern *k, struct mh_client *c, const char *url)
+{
+	struct kv *kv = g_new0(struct kv, 1);
+
+	kv->k = k;
+	kv->client = c;
+	kv->url = g_strdup(url);
+	mh_kern_add(k, "kv", kv, handle, destroy);
+}
--- /dev/null
+++ b/lib/limit.c
@@ -0,0 +1,375 @@
+/**
+ * DOC: Organisation and key limits in weighted tokens, over all entries.
+ *
+ * Reserve on admission, settle on usage (as in "Rate Limiting for LLM
+ * Endpoints", section "Admission at the gateway").  The organisation's rate
+ * is handed out by a home entry in short grants sized by demand.  With the
+ * home unreachable an entry falls back to an equal share of the rate, which
+ * cannot exceed the declared limit in total; the paper weighs failing open
+ * against closed, and this is its "conservative local caps".
+ */
+
+#include "marlhoist.h"
+
+#include <math.h>
+#include <string.h>
+
+#define TICK_US (250 * MH_US_PER_MS)
+#define GRANT_US (1 * MH_US_PER_S)
+#define DEMAND_GAIN 0.3
+
+struct bucket {
+	double level;
+	double rate;
+	double cap;
+	int64_t at_us;
+	uint32_t streams;
+};
+
+struct grant {
+	double rate;
+	int64_t until_us;
+};
+
+struct asker {
+	double demand;
+	int64_t until_us;
+};
+
+struct org {
+	char *name;
+	struct bucket b;
+	struct grant grant;
+	double asked; /* units asked for since the last tick */
+	double demand; /* units a second, smoothed */
+	GHashTable *askers; /* entry vm -> struct asker; on the home */
+};
+
+struct limit {
+	struct mh_kern *k;
+	char *vm;
+	GHashTable *orgs; /* name -> struct org */
+	GHashTable *keys; /* key hash -> struct bucket */
+	struct mh_timer *tick;
+};
+
+static void
+free_org(void *arg)
+{
+	struct org *o = arg;
+
+	g_hash_table_destroy(o->askers);
+	g_free(o->name);
+	g_free(o);
+}
+
+static struct org *
+org_of(struct limit *l, const char *name)
+{
+	struct org *o = g_hash_table_lookup(l->orgs, name);
+
+	if (o != NULL)
+		return o;
+	o = g_new0(struct org, 1);
+	o->name = g_strdup(name);
+	o->askers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	o->b.at_us = -1;
+	g_hash_table_insert(l->orgs, o->name, o);
+	return o;
+}
+
+static double
+share(struct limit *l, struct org *o, double rate)
+{
+	if (o->grant.until_us > mh_now(l->k))
+		return o->grant.rate;
+	return rate / (double)mh_member_entries(l->k);
+}
+
+static void
+refill(struct limit *l, struct bucket *b, double rate, double cap)
+{
+	int64_t now = mh_now(l->k);
+
+	if (b->at_us < 0)
+		b->level = cap;
+	else
+		b->level += rate * (double)(now - b->at_us) / MH_US_PER_S;
+	b->at_us = now;
+	b->rate = rate;
+	b->cap = cap;
+	b->level = MIN(b->level, cap);
+}
+
+static int64_t
+wait_us(const struct bucket *b, double units)
+{
+	double short_of = units - b->level;
+
+	if (short_of <= 0)
+		return 0;
+	if (b->rate <= 0)
+		return MH_US_PER_S;
+	return (int64_t)(short_of / b->rate * MH_US_PER_S) + 1;
+}
+
+static struct bucket *
+key_bucket(struct limit *l, const struct mh_key *key)
+{
+	struct bucket *b = g_hash_table_lookup(l->keys, key->hash_hex);
+
+	if (b == NULL) {
+		b = g_new0(struct bucket, 1);
+		b->at_us = -1;
+		g_hash_table_insert(l->keys, g_strdup(key->hash_hex), b);
+	}
+	refill(l, b, key->units_per_s, key->units_per_s * 2);
+	return b;
+}
+
+static uint32_t
+stream_cap(struct limit *l, const struct mh_org *org)
+{
+	uint32_t n = mh_member_entries(l->k);
+
+	return (org->streams + n - 1) / n;
+}
+
+int64_t
+mh_limit_take(struct mh_kern *k, const struct mh_key_owner *who,
+    double units, struct mh_limit_ticket *t)
+{
+	struct limit *l = mh_kern_get(k, "limit");
+	const struct mh_org *org = who->org;
+	const struct mh_key *key = who->key;
+	struct org *o = org_of(l, org->name);
+	struct bucket *kb = NULL;
+	int64_t wait = 0;
+
+	if (org->units_per_s > 0) {
+		if (units > org->burst_units)
+			return -1;
+		o->asked += units;
+		refill(l, &o->b, share(l, o, org->units_per_s),
+		    org->burst_units / (double)mh_member_entries(k) + units);
+		wait = wait_us(&o->b, units);
+	}
+	if (org->streams > 0 && o->b.streams >= stream_cap(l, org))
+		wait = MAX(wait, MH_US_PER_S);
+	if (key->units_per_s > 0) {
+		kb = key_bucket(l, key);
+		if (units > kb->cap)
+			return -1;
+		wait = MAX(wait, wait_us(kb, units));
+	}
+	if (wait > 0)
+		return wait;
+	o->b.level -= org->units_per_s > 0 ? units : 0;
+	o->b.streams++;
+	t->org = g_strdup(org->name);
+	t->units = units;
+	if (kb != NULL) {
+		kb->level -= units;
+		t->has_key = true;
+		memcpy(t->key_hash, key->hash, MH_HASH_LEN);
+		t->key = key->hash_hex;
+	}
+	return 0;
+}
+
+void
+mh_limit_settle(struct mh_kern *k, struct mh_limit_ticket *t, double used)
+{
+	struct limit *l = mh_kern_get(k, "limit");
+	struct bucket *kb;
+	struct org *o;
+
+	if (t->org == NULL)
+		return;
+	o = org_of(l, t->org);
+	o->b.level = MIN(o->b.cap, o->b.level + t->units - used);
+	/* What was reserved and not used is no demand either. */
+	o->asked = MAX(0, o->asked - MAX(0, t->units - used));
+	if (o->b.streams > 0)
+		o->b.streams--;
+	if (t->has_key) {
+		kb = g_hash_table_lookup(l->keys, t->key);
+		if (kb != NULL)
+			kb->level = MIN(kb->cap, kb->level + t->units - used);
+	}
+	g_free(t->org);
+	memset(t, 0, sizeof(*t));
+}
+
+/*
+ * The home's answer: everybody gets what it asks for while that fits, the
+ * rest is split evenly; if it does not fit, all shrink alike.
+ */
+static double
+allot(struct limit *l, struct org *o, const char *vm, double demand,
+    double rate)
+{
+	struct asker *a = g_hash_table_lookup(o->askers, vm);
+	double total = 0;
+	GHashTableIter it;
+	gpointer v;
+	guint n;
+
+	if (a == NULL) {
+		a = g_new0(struct asker, 1);
+		g_hash_table_insert(o->askers, g_strdup(vm), a);
+	}
+	a->demand = demand;
+	a->until_us = mh_now(l->k) + GRANT_US;
+	g_hash_table_iter_init(&it, o->askers);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		if (((struct asker *)v)->until_us < mh_now(l->k))
+			g_hash_table_iter_remove(&it);
+		else
+			total += ((struct asker *)v)->demand;
+	}
+	n = MAX(g_hash_table_size(o->askers), 1U);
+	if (total > rate)
+		return rate * demand / total;
+	return demand + (rate - total) / (double)n;
+}
+
+static void
+ask_home(struct limit *l, struct org *o, const struct mh_org *decl)
+{
+	const char *home = mh_member_home(l->k, o->name);
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__GrantAsk ask = MH__GRANT_ASK__INIT;
+	struct mh_peer *p;
+
+	if (home == NULL)
+		return;
+	if (strcmp(home, l->vm) == 0) {
+		o->grant.rate =
+		    allot(l, o, l->vm, o->demand, decl->units_per_s);
+		o->grant.until_us = mh_now(l->k) + GRANT_US;
+		return;
+	}
+	p = mh_member_find(l->k, home);
+	if (p == NULL)
+		return;
+	mh_member_dial(l->k, p);
+	if (!p->up)
+		return;
+	ask.org = o->name;
+	ask.demand = (uint64_t)o->demand;
+	f.body_case = MH__FRAME__BODY_GRANT_ASK;
+	f.grant_ask = &ask;
+	mh_frame_send(l->k, p->conn, &f);
+	mh_count(l->k, "limit_grants_asked", 1);
+}
+
+static void
+on_tick(void *arg)
+{
+	struct limit *l = arg;
+	struct mh_decl *d = mh_conf_get(l->k);
+	GHashTableIter it;
+	gpointer v;
+
+	l->tick = mh_timer_start(l->k, TICK_US, on_tick, l);
+	if (d == NULL)
+		return;
+	g_hash_table_iter_init(&it, l->orgs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct org *o = v;
+		const struct mh_org *decl = mh_decl_org(d, o->name);
+		double now = o->asked * MH_US_PER_S / TICK_US;
+
+		o->demand += DEMAND_GAIN * (now - o->demand);
+		o->asked = 0;
+		if (decl != NULL && decl->units_per_s > 0 && o->demand > 1)
+			ask_home(l, o, decl);
+	}
+}
+
+static void
+on_grant_ask(void *arg, uint64_t conn, const Mh__Frame *in)
+{
+	struct limit *l = arg;
+	struct mh_peer *from = mh_member_conn(l->k, conn);
+	struct mh_decl *d = mh_conf_get(l->k);
+	const struct mh_org *decl;
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__Grant g = MH__GRANT__INIT;
+
+	decl = d == NULL ? NULL : mh_decl_org(d, in->grant_ask->org);
+	if (from == NULL || decl == NULL)
+		return;
+	g.org = in->grant_ask->org;
+	g.units_per_s = (uint64_t)allot(l, org_of(l, decl->name), from->vm,
+	    (double)in->grant_ask->demand, decl->units_per_s);
+	g.for_us = GRANT_US;
+	f.body_case = MH__FRAME__BODY_GRANT;
+	f.grant = &g;
+	mh_frame_send(l->k, conn, &f);
+}
+
+static void
+on_grant(void *arg, uint64_t conn, const Mh__Frame *f)
+{
+	struct limit *l = arg;
+	struct org *o = g_hash_table_lookup(l->orgs, f->grant->org);
+
+	(void)conn;
+	if (o == NULL)
+		return;
+	o->grant.rate = (double)f->grant->units_per_s;
+	o->grant.until_us =
+	    mh_now(l->k) + (int64_t)MIN(f->grant->for_us, GRANT_US);
+}
+
+json_t *
+mh_limit_state(struct mh_kern *k)
+{
+	struct limit *l = mh_kern_get(k, "limit");
+	json_t *a = json_array();
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, l->orgs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct org *o = v;
+
+		json_array_append_new(a,
+		    json_pack("{s:s, s:f, s:f, s:f, s:i}", "organisation",
+			o->name, "level", o->b.level, "rate", o->b.rate,
+			"demand", o->demand, "streams", (int)o->b.streams));
+	}
+	return a;
+}
+
+static void
+destroy(void *self)
+{
+	struct limit *l = self;
+
+	mh_timer_stop(l->k, &l->tick);
+	g_hash_table_destroy(l->orgs);
+	g_hash_table_destroy(l->keys);
+	g_free(l->vm);
+	g_free(l);
+}
+
+void
+mh_limit_create(struct mh_kern *k, const char *vm)
+{
+	struct limit *l = g_new0(struct limit, 1);
+
+	l->k = k;
+	l->vm = g_strdup(vm);
+	l->orgs =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_org);
+	l->keys =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	mh_kern_add(k, "limit", l, NULL, destroy);
+	mh_hub_on(k, MH__FRAME__BODY_GRANT_ASK, on_grant_ask, l);
+	mh_hub_on(k, MH__FRAME__BODY_GRANT, on_grant, l);
+	l->tick = mh_timer_start(k, TICK_US, on_tick, l);
+}
--- /dev/null
+++ b/lib/loop.c
@@ -0,0 +1,308 @@
+/**
+ * DOC: One APR pollset that drives a kernel in real time.
+ *
+ * A timerfd in the pollset carries the nearest deadline: apr_pollset_poll()
+ * cuts its wait to whole milliseconds, so a wait below one would spin.
+ */
+
+#include "marlhoist.h"
+
+#include <apr_general.h>
+#include <apr_poll.h>
+#include <apr_portable.h>
+#include <signal.h>
+#include <sys/signalfd.h>
+#include <sys/timerfd.h>
+#include <time.h>
+#include <unistd.h>
+
+#define POLL_MAX 4096
+
+struct watch {
+	int fd;
+	bool read;
+	bool write;
+	mh_fd_fn fn;
+	void *arg;
+	apr_pool_t *pool;
+	apr_pollfd_t pfd;
+};
+
+struct hook {
+	int64_t (*fn)(void *arg);
+	void *arg;
+};
+
+struct on_signal {
+	int sig;
+	void (*fn)(void *arg);
+	void *arg;
+};
+
+struct mh_loop {
+	struct mh_kern *k;
+	apr_pool_t *pool;
+	apr_pollset_t *set;
+	GHashTable *watches;
+	GArray *hooks;
+	GArray *signals;
+	sigset_t mask;
+	int timer_fd;
+	int signal_fd;
+	int64_t armed_us;
+	bool stop;
+};
+
+static int64_t
+clock_us(clockid_t id)
+{
+	struct timespec ts;
+
+	clock_gettime(id, &ts);
+	return (int64_t)ts.tv_sec * MH_US_PER_S + ts.tv_nsec / 1000;
+}
+
+struct mh_kern *
+mh_loop_kern(struct mh_loop *l)
+{
+	return l->k;
+}
+
+static void
+free_watch(void *arg)
+{
+	struct watch *w = arg;
+
+	apr_pool_destroy(w->pool);
+	g_free(w);
+}
+
+static apr_int16_t
+events(bool read, bool write)
+{
+	return (apr_int16_t)((read ? APR_POLLIN : 0) |
+	    (write ? APR_POLLOUT : 0));
+}
+
+static void
+new_watch(struct mh_loop *l, int fd, struct watch *w)
+{
+	apr_socket_t *sock = NULL;
+	apr_os_sock_t os = fd;
+
+	apr_pool_create(&w->pool, l->pool);
+	apr_os_sock_put(&sock, &os, w->pool);
+	w->fd = fd;
+	w->pfd.p = w->pool;
+	w->pfd.desc_type = APR_POLL_SOCKET;
+	w->pfd.desc.s = sock;
+	w->pfd.client_data = GINT_TO_POINTER(fd);
+	g_hash_table_insert(l->watches, GINT_TO_POINTER(fd), w);
+}
+
+void
+mh_loop_fd(
+    struct mh_loop *l, int fd, bool read, bool write, mh_fd_fn fn, void *arg)
+{
+	struct watch *w =
+	    g_hash_table_lookup(l->watches, GINT_TO_POINTER(fd));
+
+	if (w == NULL) {
+		w = g_new0(struct watch, 1);
+		new_watch(l, fd, w);
+	}
+	w->fn = fn;
+	w->arg = arg;
+	if (w->read == read && w->write == write)
+		return;
+	if (w->read || w->write)
+		apr_pollset_remove(l->set, &w->pfd);
+	w->read = read;
+	w->write = write;
+	w->pfd.reqevents = events(read, write);
+	if (read || write)
+		apr_pollset_add(l->set, &w->pfd);
+}
+
+void
+mh_loop_fd_close(struct mh_loop *l, int fd)
+{
+	struct watch *w =
+	    g_hash_table_lookup(l->watches, GINT_TO_POINTER(fd));
+
+	if (w == NULL)
+		return;
+	if (w->read || w->write)
+		apr_pollset_remove(l->set, &w->pfd);
+	g_hash_table_remove(l->watches, GINT_TO_POINTER(fd));
+}
+
+void
+mh_loop_before(struct mh_loop *l, int64_t (*fn)(void *arg), void *arg)
+{
+	struct hook h = { fn, arg };
+
+	g_array_append_val(l->hooks, h);
+}
+
+static void
+on_timer(void *arg, bool readable, bool writable)
+{
+	struct mh_loop *l = arg;
+	uint64_t n;
+
+	(void)readable;
+	(void)writable;
+	l->armed_us = -1;
+	if (read(l->timer_fd, &n, sizeof(n)) < 0)
+		return;
+}
+
+static void
+on_signal(void *arg, bool readable, bool writable)
+{
+	struct mh_loop *l = arg;
+	struct signalfd_siginfo si;
+
+	(void)readable;
+	(void)writable;
+	if (read(l->signal_fd, &si, sizeof(si)) != (ssize_t)sizeof(si))
+		return;
+	for (guint i = 0; i < l->signals->len; i++) {
+		struct on_signal *s =
+		    &g_array_index(l->signals, struct on_signal, i);
+
+		if (s->sig == (int)si.ssi_signo)
+			s->fn(s->arg);
+	}
+}
+
+void
+mh_loop_signal(
+    struct mh_loop *l, int sig, void (*fn)(void *arg), void *arg)
+{
+	struct on_signal s = { sig, fn, arg };
+
+	g_array_append_val(l->signals, s);
+	sigaddset(&l->mask, sig);
+	sigprocmask(SIG_BLOCK, &l->mask, NULL);
+	l->signal_fd =
+	    signalfd(l->signal_fd, &l->mask, SFD_NONBLOCK | SFD_CLOEXEC);
+	if (l->signal_fd >= 0)
+		mh_loop_fd(l, l->signal_fd, true, false, on_signal, l);
+}
+
+struct mh_loop *
+mh_loop_create(struct mh_kern *k, GError **err)
+{
+	struct mh_loop *l = g_new0(struct mh_loop, 1);
+
+	l->k = k;
+	l->signal_fd = -1;
+	l->armed_us = -1;
+	sigemptyset(&l->mask);
+	l->watches = g_hash_table_new_full(NULL, NULL, NULL, free_watch);
+	l->hooks = g_array_new(FALSE, FALSE, sizeof(struct hook));
+	l->signals = g_array_new(FALSE, FALSE, sizeof(struct on_signal));
+	apr_initialize();
+	apr_pool_create(&l->pool, NULL);
+	l->timer_fd =
+	    timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
+	if (l->timer_fd < 0 ||
+	    apr_pollset_create(&l->set, POLL_MAX, l->pool, 0) !=
+		APR_SUCCESS) {
+		g_set_error(err, MH_ERROR, MH_ERR_IO,
+		    "no pollset or timer: raise the open files limit");
+		mh_loop_destroy(l);
+		return NULL;
+	}
+	mh_loop_fd(l, l->timer_fd, true, false, on_timer, l);
+	mh_kern_advance(
+	    k, clock_us(CLOCK_MONOTONIC), clock_us(CLOCK_REALTIME));
+	return l;
+}
+
+void
+mh_loop_destroy(struct mh_loop *l)
+{
+	if (l == NULL)
+		return;
+	g_hash_table_destroy(l->watches);
+	g_array_free(l->hooks, TRUE);
+	g_array_free(l->signals, TRUE);
+	if (l->timer_fd >= 0)
+		close(l->timer_fd);
+	if (l->signal_fd >= 0)
+		close(l->signal_fd);
+	apr_pool_destroy(l->pool);
+	apr_terminate();
+	g_free(l);
+}
+
+static void
+arm(struct mh_loop *l, int64_t at_us)
+{
+	struct itimerspec it = { { 0, 0 }, { 0, 0 } };
+
+	if (at_us == l->armed_us)
+		return;
+	l->armed_us = at_us;
+	if (at_us >= 0) {
+		at_us = MAX(at_us, 1);
+		it.it_value.tv_sec = at_us / MH_US_PER_S;
+		it.it_value.tv_nsec = at_us % MH_US_PER_S * 1000;
+	}
+	timerfd_settime(l->timer_fd, TFD_TIMER_ABSTIME, &it, NULL);
+}
+
+static void
+turn(struct mh_loop *l)
+{
+	int64_t next, bound = -1;
+	const apr_pollfd_t *ev = NULL;
+	apr_int32_t n = 0;
+
+	mh_kern_advance(
+	    l->k, clock_us(CLOCK_MONOTONIC), clock_us(CLOCK_REALTIME));
+	for (guint i = 0; i < l->hooks->len; i++) {
+		struct hook *h = &g_array_index(l->hooks, struct hook, i);
+		int64_t us = h->fn(h->arg);
+
+		if (us >= 0 && (bound < 0 || us < bound))
+			bound = us;
+	}
+	next = mh_kern_next(l->k);
+	if (bound >= 0 &&
+	    (next < 0 || clock_us(CLOCK_MONOTONIC) + bound < next))
+		next = clock_us(CLOCK_MONOTONIC) + bound;
+	arm(l, next);
+	if (l->stop)
+		return;
+	if (apr_pollset_poll(l->set, -1, &n, &ev) != APR_SUCCESS)
+		return;
+	mh_kern_advance(
+	    l->k, clock_us(CLOCK_MONOTONIC), clock_us(CLOCK_REALTIME));
+	for (apr_int32_t i = 0; i < n; i++) {
+		/* An earlier callback may have closed this descriptor. */
+		struct watch *w =
+		    g_hash_table_lookup(l->watches, ev[i].client_data);
+		apr_int16_t r = ev[i].rtnevents;
+
+		if (w != NULL)
+			w->fn(w->arg, r & (APR_POLLIN | APR_POLLHUP | APR_POLLERR),
+			    r & APR_POLLOUT);
+	}
+}
+
+void
+mh_loop_run(struct mh_loop *l)
+{
+	while (!l->stop)
+		turn(l);
+}
+
+void
+mh_loop_stop(struct mh_loop *l)
+{
+	l->stop = true;
+}
--- /dev/null
+++ b/lib/marlhoist.h
@@ -0,0 +1,1094 @@
+#ifndef MARLHOIST_H
+#define MARLHOIST_H
+
+/*
+ * libmarlhoist: decision services, wire codec and adapters.
+ *
+ * The parts are grouped by the file that defines them.  Nothing above the
+ * line "I/O services" opens a socket, reads the system clock or keeps a
+ * static: a program may create many kernels and drive them in virtual time.
+ */
+
+#include <sys/types.h>
+
+#include <glib.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "wire.pb-c.h"
+
+#define MH_US_PER_MS 1000LL
+#define MH_US_PER_S 1000000LL
+#define MH_PRIORITIES 4 /* class priorities, 0 is the most urgent */
+#define MH_ID_LEN 16 /* a request id, RFC 9562 version 7 */
+#define MH_HASH_LEN 32 /* a key's BLAKE2b hash */
+#define MH_PARTITIONS 32 /* at-most-once partitions of a service */
+#define MH_MAX_FRAME (4U << 20) /* bytes of one frame */
+#define MH_MAX_BODY (1U << 20) /* bytes of a caller's body */
+
+/* err.c */
+
+/**
+ * enum mh_error - typed error kinds; each message names the remedy.
+ */
+enum mh_error {
+	MH_ERR_SETTING, /* a flag or environment variable is wrong */
+	MH_ERR_DECL, /* the declaration document is wrong */
+	MH_ERR_IO, /* a socket or file failed */
+	MH_ERR_WIRE, /* a frame is malformed */
+	MH_ERR_KV, /* the key-value service failed or is out */
+	MH_ERR_LOST_RACE, /* somebody else wrote first */
+	MH_ERR_REQUEST /* a caller's request is wrong */
+};
+#define MH_ERROR (mh_error_quark())
+GQuark mh_error_quark(void);
+
+/* addr.c */
+
+#define MH_HOST_LEN 16
+/** mh_addr_parse() - splits IP:PORT; port 0 is allowed. */
+bool mh_addr_parse(
+    const char *addr, char host[MH_HOST_LEN], uint16_t *port);
+
+/* kern.c */
+
+struct mh_kern;
+struct mh_timer;
+
+enum mh_msg_kind {
+	MH_MSG_LINK_DIAL, /* to link: connect to addr as conn */
+	MH_MSG_LINK_SEND, /* to link: one packed frame */
+	MH_MSG_LINK_CLOSE, /* to link */
+	MH_MSG_LINK_UP, /* from link: handshake done */
+	MH_MSG_LINK_DOWN, /* from link: closed or never opened */
+	MH_MSG_FRAME, /* from link: one packed frame */
+	MH_MSG_REQUEST, /* from http: a caller's request */
+	MH_MSG_REPLY, /* to http: part of an answer */
+	MH_MSG_GONE, /* from http: the caller left */
+	MH_MSG_RUN, /* to endpoint: run one call */
+	MH_MSG_RUN_ABORT, /* to endpoint */
+	MH_MSG_RUN_CHUNK, /* from endpoint: a piece of a stream */
+	MH_MSG_RAN, /* from endpoint: the call ended */
+	MH_MSG_KV, /* to kv: one operation */
+	MH_MSG_KV_DONE, /* from kv */
+	MH_MSG_VMLIST, /* from vmlist: one reading */
+	MH_MSG_VMLIST_ASK /* to vmlist: read once */
+};
+
+/** struct mh_link_msg - everything between a decision service and link. */
+struct mh_link_msg {
+	uint64_t conn;
+	char *addr; /* ip:port, on DIAL and UP */
+	char *vm; /* the peer, on UP */
+	char *domain;
+	char *role;
+	char *pool;
+	uint64_t incarnation;
+	bool inbound;
+	GBytes *frame;
+};
+
+/** struct mh_request_msg - a caller's request as the http service read it. */
+struct mh_request_msg {
+	uint64_t id; /* names the waiting caller */
+	char *method;
+	char *path;
+	char *key; /* bearer key or NULL */
+	char *idempotency_key;
+	char *class_asked;
+	int64_t deadline_us; /* 0: not given */
+	GHashTable *labels;
+	GBytes *body;
+};
+
+/** struct mh_reply_msg - one part of an answer to a waiting caller. */
+struct mh_reply_msg {
+	uint64_t id;
+	uint32_t status;
+	uint32_t retry_after_s; /* 0: none */
+	bool stream; /* an SSE part; the first opens the stream */
+	bool last;
+	GBytes *body;
+};
+
+/** struct mh_run_msg - one call to the endpoint beside a side process. */
+struct mh_run_msg {
+	uint64_t run;
+	enum {
+		MH_ENCODE,
+		MH_RETRIEVE,
+		MH_RERANK,
+		MH_GENERATE,
+		MH_SERVICE
+	} kind;
+	char *path;
+	char *key; /* idempotency key for services that check it */
+	char *org;
+	uint32_t priority;
+	bool stream;
+	bool once; /* a non-repeatable call */
+	int64_t timeout_us;
+	GBytes *body;
+	/* below: from the endpoint */
+	uint32_t status; /* HTTP status, 0 when none came */
+	bool sent; /* false: certainly never reached the endpoint */
+	bool whole; /* the end mark was seen */
+	uint64_t tokens_in;
+	uint64_t tokens_cached;
+	uint64_t tokens_out;
+};
+
+enum mh_kv_op { MH_KV_GET, MH_KV_WATCH, MH_KV_PUT, MH_KV_DELETE };
+
+/** struct mh_kv_msg - one operation on the platform's KV service. */
+struct mh_kv_msg {
+	enum mh_kv_op op;
+	uint64_t token; /* the asker's own */
+	char *from; /* service to answer */
+	char *name; /* key in the KV */
+	uint64_t index; /* what a watch has seen */
+	uint64_t cas; /* PUT: expected modify index, 0 creates */
+	int64_t wait_us; /* longest wait of a watch */
+	GBytes *value;
+	/* below: the answer */
+	bool ok; /* an answer came */
+	bool found; /* GET, WATCH: the name exists; PUT: it was written */
+};
+
+/** struct mh_vm - one line of the platform's VM list. */
+struct mh_vm {
+	char *id;
+	char *addr; /* ip:port of our process there */
+	char *role; /* entry or side */
+	char *pool;
+	char *domain;
+	bool leaving;
+};
+
+/** struct mh_vmlist_msg - one reading of the VM list; ok false: none came. */
+struct mh_vmlist_msg {
+	bool ok;
+	GPtrArray *vms; /* struct mh_vm, owned */
+};
+
+/** struct mh_msg - a typed message between two services. */
+struct mh_msg {
+	enum mh_msg_kind kind;
+	struct mh_msg *next;
+	void *to;
+	union {
+		struct mh_link_msg link;
+		struct mh_request_msg request;
+		struct mh_reply_msg reply;
+		struct mh_run_msg run;
+		struct mh_kv_msg kv;
+		struct mh_vmlist_msg vmlist;
+	} u;
+};
+
+typedef void (*mh_handle_fn)(void *self, struct mh_msg *msg);
+typedef void (*mh_free_fn)(void *self);
+typedef void (*mh_timer_fn)(void *arg);
+typedef void (*mh_log_fn)(void *arg, const char *part, const char *line);
+
+/** mh_kern_create() - a kernel with no services, its clock at zero. */
+struct mh_kern *mh_kern_create(uint32_t seed);
+/** mh_kern_destroy() - frees services in reverse order, timers, messages. */
+void mh_kern_destroy(struct mh_kern *k);
+/** mh_kern_add() - registers a service; the kernel frees @self. */
+void mh_kern_add(struct mh_kern *k, const char *name, void *self,
+    mh_handle_fn handle, mh_free_fn destroy);
+/** mh_kern_get() - the service of that name, or NULL. */
+void *mh_kern_get(struct mh_kern *k, const char *name);
+/** mh_kern_advance() - sets both clocks, fires what is due, drains. */
+void mh_kern_advance(struct mh_kern *k, int64_t now_us, int64_t wall_us);
+/** mh_kern_next() - when the next timer is due, -1 for none. */
+int64_t mh_kern_next(struct mh_kern *k);
+/** mh_now() - monotonic time, microseconds. */
+int64_t mh_now(struct mh_kern *k);
+/** mh_wall() - time since 1970, microseconds; never used for deadlines. */
+int64_t mh_wall(struct mh_kern *k);
+uint64_t mh_next_id(struct mh_kern *k);
+uint64_t mh_random(struct mh_kern *k);
+/** mh_random_unit() - a double in [0, 1). */
+double mh_random_unit(struct mh_kern *k);
+struct mh_msg *mh_msg_new(enum mh_msg_kind kind);
+void mh_msg_free(struct mh_msg *msg);
+/** mh_post() - queues @msg for the named service, which frees nothing. */
+void mh_post(struct mh_kern *k, const char *to, struct mh_msg *msg);
+struct mh_timer *mh_timer_start(
+    struct mh_kern *k, int64_t delay_us, mh_timer_fn fn, void *arg);
+/** mh_timer_stop() - cancels *@t if set and clears it. */
+void mh_timer_stop(struct mh_kern *k, struct mh_timer **t);
+void mh_log(struct mh_kern *k, const char *part, const char *fmt, ...)
+    G_GNUC_PRINTF(3, 4);
+void mh_kern_set_log(struct mh_kern *k, mh_log_fn fn, void *arg);
+/** mh_count() - adds @n to the named counter. */
+void mh_count(struct mh_kern *k, const char *name, uint64_t n);
+uint64_t mh_counter(struct mh_kern *k, const char *name);
+/** mh_kern_metrics() - every counter as Prometheus text. */
+char *mh_kern_metrics(struct mh_kern *k);
+/** mh_kern_counters() - every counter as a JSON object. */
+json_t *mh_kern_counters(struct mh_kern *k);
+/** mh_uuid7() - a time-ordered id from the kernel's clock and random. */
+void mh_uuid7(struct mh_kern *k, uint8_t id[MH_ID_LEN]);
+char *mh_uuid_text(const uint8_t id[MH_ID_LEN]);
+/** mh_uuid7_ms() - the time in a version 7 text id, -1 for other keys. */
+int64_t mh_uuid7_ms(const char *text);
+struct mh_vm *mh_vm_new(const char *id, const char *addr, const char *role,
+    const char *pool, const char *domain, bool leaving);
+void mh_vm_free(struct mh_vm *vm);
+
+/* hist.c */
+
+struct mh_hist;
+/** mh_hist_create() - log-linear buckets, 3% wide, 1 us to 5 min. */
+struct mh_hist *mh_hist_create(void);
+void mh_hist_destroy(struct mh_hist *h);
+void mh_hist_add(struct mh_hist *h, int64_t value_us);
+/** mh_hist_at() - the value at quantile @q in [0, 1]. */
+int64_t mh_hist_at(const struct mh_hist *h, double q);
+uint64_t mh_hist_count(const struct mh_hist *h);
+
+/* wire.c */
+
+/** mh_frame_pack() - packs one frame (without the length). */
+GBytes *mh_frame_pack(const Mh__Frame *f);
+/** mh_frame_unpack() - NULL when malformed; free with mh_frame_free(). */
+Mh__Frame *mh_frame_unpack(GBytes *b);
+void mh_frame_free(Mh__Frame *f);
+/** mh_frame_send() - stamps, packs and posts a frame to the link service. */
+void mh_frame_send(struct mh_kern *k, uint64_t conn, Mh__Frame *f);
+void mh_link_dial(struct mh_kern *k, uint64_t conn, const char *addr);
+void mh_link_close(struct mh_kern *k, uint64_t conn);
+
+/* decl.c */
+
+enum mh_routing { MH_ROUTE_TWO_CHOICES, MH_ROUTE_ROUND_ROBIN };
+enum mh_queueing { MH_QUEUE_URGENT, MH_QUEUE_FIFO };
+enum mh_admission { MH_ADMIT_DEADLINE, MH_ADMIT_ALL };
+enum mh_retrying { MH_RETRY_BUDGET, MH_RETRY_PLAIN };
+
+/** struct mh_policy - which of the decisions are in force. */
+struct mh_policy {
+	uint32_t routing;
+	uint32_t queueing;
+	uint32_t admission;
+	uint32_t retrying;
+	bool hedge;
+	bool affinity;
+	int64_t fixed_timeout_us;
+	double retry_share;
+	int64_t retention_us; /* ledger entries are kept this long */
+	int64_t skew_us; /* clocks of VMs agree within this */
+	int64_t vm_gone_us; /* absence that the list cannot explain by lag */
+	double weight_in; /* weighted tokens, cf. docs/MEASUREMENTS.md */
+	double weight_cached;
+	double weight_out;
+};
+
+struct mh_class {
+	char *name;
+	uint32_t priority;
+	int64_t deadline_us;
+	double share; /* part of the starts kept for this class */
+};
+
+struct mh_pool {
+	char *name;
+	uint32_t kind; /* MH_ENCODE ... */
+	bool checks_fencing;
+	bool honours_priority;
+	bool prefix_cache;
+	bool checks_key;
+};
+
+struct mh_stage {
+	char *name;
+	uint32_t kind;
+	char *pool;
+	char *model;
+	char *path;
+	bool never;
+	int64_t timeout_us;
+	uint32_t top_k;
+	uint32_t max_tokens;
+	uint32_t line;
+};
+
+struct mh_pipeline {
+	char *name;
+	GPtrArray *stages;
+	uint32_t line;
+};
+
+struct mh_when {
+	GPtrArray *organisations; /* NULL: any */
+	GPtrArray *pipelines;
+	GPtrArray *classes;
+	GPtrArray *models;
+	GHashTable *labels; /* NULL: any */
+	int32_t from_min; /* minutes of the UTC day, -1: any */
+	int32_t to_min;
+};
+
+struct mh_then {
+	char *pipeline;
+	char *class_name;
+	char *model;
+	char *refuse;
+	int64_t deadline_us;
+	uint32_t max_tokens;
+};
+
+struct mh_rule {
+	char *name;
+	struct mh_when when;
+	struct mh_then then;
+	uint32_t line;
+};
+
+struct mh_key {
+	char *hash_hex;
+	uint8_t hash[MH_HASH_LEN];
+	double units_per_s; /* 0: only the organisation's limit */
+	uint32_t streams;
+	bool operator_key;
+};
+
+struct mh_org {
+	char *name;
+	uint32_t weight;
+	double units_per_s;
+	double burst_units;
+	uint32_t streams;
+	GPtrArray *keys;
+	uint32_t line;
+};
+
+struct mh_want {
+	char *pool;
+	char *model;
+	uint32_t replicas;
+	uint32_t line;
+};
+
+/** struct mh_decl - one checked declaration document, reference counted. */
+struct mh_decl {
+	int refs;
+	uint64_t generation;
+	GBytes *doc;
+	struct mh_policy policy;
+	GPtrArray *classes;
+	GPtrArray *pools;
+	GPtrArray *pipelines;
+	GPtrArray *rules;
+	GPtrArray *orgs;
+	GPtrArray *wants;
+	GHashTable *by_key; /* hash -> struct mh_key_owner */
+};
+
+struct mh_key_owner {
+	struct mh_org *org;
+	struct mh_key *key;
+};
+
+/**
+ * mh_decl_read() - reads and checks a YAML declaration document.
+ *
+ * Return: the document with one reference, or NULL with @err saying line,
+ * field, reason and remedy.
+ */
+struct mh_decl *mh_decl_read(GBytes *doc, GError **err);
+struct mh_decl *mh_decl_ref(struct mh_decl *d);
+void mh_decl_unref(struct mh_decl *d);
+struct mh_pipeline *mh_decl_pipeline(const struct mh_decl *d, const char *n);
+struct mh_class *mh_decl_class(const struct mh_decl *d, const char *n);
+struct mh_pool *mh_decl_pool(const struct mh_decl *d, const char *n);
+struct mh_org *mh_decl_org(const struct mh_decl *d, const char *n);
+/** mh_decl_find_key() - constant time in the key's content. */
+const struct mh_key_owner *mh_decl_find_key(
+    const struct mh_decl *d, const char *key);
+/** mh_key_hash() - BLAKE2b-256 of a key as stored in declarations. */
+void mh_key_hash(const char *key, uint8_t hash[MH_HASH_LEN]);
+
+/* declread.c: the table-driven reader under decl.c */
+
+enum mh_field_type {
+	MH_F_STR,
+	MH_F_BOOL,
+	MH_F_U32,
+	MH_F_DOUBLE,
+	MH_F_MS, /* milliseconds into microseconds */
+	MH_F_ENUM,
+	MH_F_STRS, /* a string or a list of strings */
+	MH_F_MAP, /* string to string */
+	MH_F_LIST, /* a list of mappings with their own table */
+	MH_F_STRUCT, /* one mapping with its own table */
+	MH_F_LINE /* filled with the line of the mapping */
+};
+
+struct mh_table;
+
+/** struct mh_field - one field that a mapping may hold. */
+struct mh_field {
+	const char *name;
+	enum mh_field_type type;
+	size_t offset;
+	bool required;
+	double min;
+	double max;
+	const char *const *words; /* MH_F_ENUM */
+	const struct mh_table *table; /* MH_F_LIST, MH_F_STRUCT */
+};
+
+/** struct mh_table - the fields of one mapping. */
+struct mh_table {
+	const char *what;
+	size_t size;
+	const struct mh_field *fields;
+	GDestroyNotify destroy;
+};
+
+/** mh_yaml_read() - fills @out as @table says; strict about every field. */
+bool mh_yaml_read(
+    GBytes *doc, const struct mh_table *table, void *out, GError **err);
+
+/* hub.c: service "hub", where link delivers */
+
+typedef void (*mh_frame_fn)(void *arg, uint64_t conn, const Mh__Frame *f);
+
+void mh_hub_create(struct mh_kern *k);
+/** mh_hub_on() - frames of one kind go to @fn. */
+void mh_hub_on(
+    struct mh_kern *k, Mh__Frame__BodyCase kind, mh_frame_fn fn, void *arg);
+
+/* rules.c */
+
+/** struct mh_ask - what the rules look at. */
+struct mh_ask {
+	const char *org;
+	const char *pipeline;
+	const char *class_asked;
+	const char *model;
+	GHashTable *labels;
+	int64_t wall_us;
+	int64_t deadline_us;
+};
+
+/** struct mh_decision - what the first matching rule decided. */
+struct mh_decision {
+	const struct mh_rule *rule; /* NULL: none matched */
+	const struct mh_pipeline *pipeline; /* NULL: no such pipeline */
+	const struct mh_class *class;
+	const char *model;
+	const char *refuse;
+	int64_t deadline_us;
+	uint32_t max_tokens;
+};
+
+void mh_rules_decide(const struct mh_decl *d, const struct mh_ask *ask,
+    struct mh_decision *out);
+/** mh_rules_explain() - one line a rule: why it matched or did not. */
+char *mh_rules_explain(const struct mh_decl *d, const struct mh_ask *ask);
+
+/* conf.c: service "conf" */
+
+typedef void (*mh_conf_fn)(void *arg, struct mh_decl *d);
+
+void mh_conf_create(struct mh_kern *k, const char *vm);
+/** mh_conf_get() - the declaration in force, or NULL before the first. */
+struct mh_decl *mh_conf_get(struct mh_kern *k);
+uint64_t mh_conf_generation(struct mh_kern *k);
+/** mh_conf_on_change() - called after each new generation is in force. */
+void mh_conf_on_change(struct mh_kern *k, mh_conf_fn fn, void *arg);
+/** mh_conf_see() - a peer on @conn showed @generation. */
+void mh_conf_see(struct mh_kern *k, uint64_t conn, uint64_t generation);
+/** mh_conf_load() - takes a document directly (tests, embedding). */
+bool mh_conf_load(
+    struct mh_kern *k, uint64_t generation, GBytes *doc, GError **err);
+json_t *mh_conf_state(struct mh_kern *k);
+/** mh_conf_head_make() - the KV head value for a new document. */
+GBytes *mh_conf_head_make(uint64_t generation, const char *write_id,
+    GBytes *doc, uint64_t base, GBytes *base_doc, json_t *history);
+#define MH_CONF_HEAD "config/head"
+#define MH_CONF_DOC "config/doc/"
+
+/* member.c: service "member" */
+
+/** struct mh_peer - a process of ours that this one knows. */
+struct mh_peer {
+	char *vm;
+	char *addr;
+	char *role;
+	char *pool;
+	char *domain;
+	bool listed; /* in the newest list */
+	bool seen_listed; /* was in some list */
+	bool list_leaving;
+	bool draining; /* said so itself */
+	int64_t absent_since_us; /* 0: listed */
+	/* link */
+	uint64_t conn; /* the link in use, 0 for none */
+	uint64_t dial; /* a link being opened */
+	bool up;
+	uint64_t incarnation;
+	int64_t last_rx_us;
+	int64_t ping_at_us; /* first ping since last_rx_us, 0: none */
+	int64_t dialed_us;
+	int64_t up_since_us;
+	uint32_t dial_failures;
+	/* load, kept by route.c */
+	uint32_t own; /* calls of this process under way there */
+	uint32_t load_running;
+	uint32_t load_queued;
+	uint32_t load_slots;
+	uint32_t load_own; /* own when the load was reported */
+	uint64_t load_wait_us[MH_PRIORITIES];
+	int64_t load_at_us;
+	double ewma_us; /* endpoint time of one call */
+	uint32_t fails; /* in a row */
+	int64_t eject_until_us;
+	int64_t eject_for_us;
+	bool wanted; /* in this process's subset */
+	bool kept; /* asked for by mh_member_dial() */
+	uint64_t generation; /* newest configuration it showed */
+	void *calls; /* relay.c's open calls there */
+};
+
+typedef void (*mh_peer_fn)(void *arg, struct mh_peer *p);
+
+void mh_member_create(struct mh_kern *k, const char *vm, const char *domain,
+    const char *role);
+/** mh_member_pool() - all known peers of a pool (struct mh_peer). */
+GPtrArray *mh_member_pool(struct mh_kern *k, const char *pool);
+struct mh_peer *mh_member_find(struct mh_kern *k, const char *vm);
+struct mh_peer *mh_member_conn(struct mh_kern *k, uint64_t conn);
+/** mh_member_each() - calls @fn for every known peer. */
+void mh_member_each(struct mh_kern *k, mh_peer_fn fn, void *arg);
+/** mh_member_usable() - up, in the subset, not leaving. */
+bool mh_member_usable(struct mh_kern *k, const struct mh_peer *p);
+/** mh_member_gone() - absence is longer than the list's lag explains. */
+bool mh_member_gone(struct mh_kern *k, const char *vm, int64_t after_us);
+/** mh_member_listed() - the newest reading holds @vm, not leaving. */
+bool mh_member_listed(struct mh_kern *k, const char *vm);
+/** mh_member_has_list() - some reading of the VM list is known. */
+bool mh_member_has_list(struct mh_kern *k);
+/** mh_member_dropped() - this VM was listed and is not any more. */
+bool mh_member_dropped(struct mh_kern *k);
+/** mh_member_watcher() - is this process one of its domain's watchers? */
+bool mh_member_watcher(struct mh_kern *k, const char *what);
+/** mh_member_dial() - keep a link to @p from now on. */
+void mh_member_dial(struct mh_kern *k, struct mh_peer *p);
+/** mh_member_entries() - how many entries are listed, at least one. */
+uint32_t mh_member_entries(struct mh_kern *k);
+/** mh_member_home() - the listed entry that rendezvous gives @what. */
+const char *mh_member_home(struct mh_kern *k, const char *what);
+/** mh_member_winner() - the listed, staying side of @pool for @what. */
+const char *mh_member_winner(
+    struct mh_kern *k, const char *pool, const char *what);
+
+enum mh_link_event { MH_LINK_SAME, MH_LINK_OTHER, MH_LINK_FAILED };
+typedef void (*mh_link_fn)(
+    void *arg, struct mh_peer *p, enum mh_link_event ev, uint64_t conn);
+
+/**
+ * mh_member_on_link() - SAME: a link to the same incarnation is up, OTHER:
+ * the process behind is a new one, FAILED: it cannot be reached now.
+ */
+void mh_member_on_link(struct mh_kern *k, mh_link_fn fn, void *arg);
+/** mh_member_rx() - a frame came from @conn: progress. */
+void mh_member_rx(struct mh_kern *k, uint64_t conn, const Mh__Frame *f);
+void mh_member_link(struct mh_kern *k, struct mh_msg *msg);
+/** mh_member_drain() - tell every linked peer that this process leaves. */
+void mh_member_drain(struct mh_kern *k);
+json_t *mh_member_state(struct mh_kern *k);
+
+/* rendez.c */
+
+/** mh_rendezvous() - the weight of @node for @what; highest wins. */
+uint64_t mh_rendezvous(const char *what, const char *node);
+uint64_t mh_hash(const void *data, size_t len);
+
+/* route.c: service "route" */
+
+/** struct mh_pick - what a call needs of its endpoint. */
+struct mh_pick {
+	const char *pool;
+	uint32_t priority;
+	uint64_t affinity; /* 0: none */
+	const char *avoid_vm; /* tried before */
+	const char *avoid_domain;
+	int64_t left_us;
+};
+
+void mh_route_create(struct mh_kern *k, const char *domain);
+/** mh_route_pick() - the endpoint to ask next, or NULL. */
+struct mh_peer *mh_route_pick(struct mh_kern *k, const struct mh_pick *q);
+void mh_route_load(struct mh_kern *k, struct mh_peer *p, const Mh__Load *l);
+void mh_route_sent(struct mh_kern *k, struct mh_peer *p);
+/** mh_route_result() - a call there ended; @good false counts against it. */
+void mh_route_result(
+    struct mh_kern *k, struct mh_peer *p, bool good, int64_t endpoint_us);
+/** mh_route_wait() - shortest expected wait in a pool, -1 if none is up. */
+int64_t mh_route_wait(struct mh_kern *k, const char *pool, uint32_t priority);
+uint32_t mh_route_usable(struct mh_kern *k, const char *pool);
+
+/* predict.c: service "predict" */
+
+void mh_predict_create(struct mh_kern *k);
+/** mh_predict_add() - a stage took @us with @tokens generated. */
+void mh_predict_add(
+    struct mh_kern *k, const char *pool, int64_t us, uint32_t tokens);
+/** mh_predict_first() - a stream's first chunk came after @us. */
+void mh_predict_first(struct mh_kern *k, const char *pool, int64_t us);
+/** mh_predict_us() - expected time, and its deviation if @dev is given. */
+int64_t mh_predict_us(
+    struct mh_kern *k, const char *pool, uint32_t tokens, int64_t *dev);
+
+/* relay.c: service "relay" */
+
+struct mh_call;
+
+/** struct mh_call_args - one stage call; pointers are borrowed. */
+struct mh_call_args {
+	const uint8_t *request;
+	uint32_t stage;
+	uint32_t attempt;
+	uint32_t kind;
+	uint32_t priority;
+	int64_t left_us;
+	const char *org;
+	uint32_t org_weight;
+	uint64_t units;
+	uint64_t predicted_us;
+	const char *path;
+	GBytes *body;
+	bool stream;
+	bool never;
+	const char *key;
+	uint32_t partition;
+	uint64_t epoch;
+	uint32_t out_tokens;
+};
+
+/** struct mh_call_event - a chunk (result NULL) or the end of a call. */
+struct mh_call_event {
+	GBytes *chunk;
+	const Mh__Result *result;
+	bool lost; /* the peer went: result tells what that means */
+	struct mh_peer *peer;
+};
+
+typedef void (*mh_call_fn)(
+    void *arg, struct mh_call *c, const struct mh_call_event *ev);
+
+void mh_relay_create(struct mh_kern *k);
+struct mh_call *mh_relay_start(struct mh_kern *k, struct mh_peer *p,
+    const struct mh_call_args *a, mh_call_fn fn, void *arg);
+/** mh_relay_cancel() - no event follows; the side process is told. */
+void mh_relay_cancel(struct mh_kern *k, struct mh_call *c);
+struct mh_peer *mh_call_peer(const struct mh_call *c);
+uint32_t mh_call_attempt(const struct mh_call *c);
+uint32_t mh_relay_open(struct mh_kern *k);
+
+/* owner.c: the owners' table, on entries and side processes */
+
+struct mh_owners;
+
+/** struct mh_part - one partition's owner. */
+struct mh_part {
+	char *vm; /* "" for none */
+	uint64_t incarnation;
+	uint64_t epoch;
+	int64_t bound_ms;
+};
+
+struct mh_owners *mh_owners_create(const char *service);
+void mh_owners_destroy(struct mh_owners *o);
+const struct mh_part *mh_owners_part(const struct mh_owners *o, uint32_t p);
+uint64_t mh_owners_version(const struct mh_owners *o);
+void mh_owners_set(struct mh_owners *o, uint32_t p, const char *vm,
+    uint64_t incarnation, uint64_t epoch, int64_t bound_ms);
+void mh_owners_set_version(struct mh_owners *o, uint64_t version);
+/** mh_owners_parse() - from the KV's JSON; false when malformed. */
+bool mh_owners_parse(struct mh_owners *o, GBytes *value);
+GBytes *mh_owners_print(const struct mh_owners *o);
+/** mh_owners_ahead() - this table knows epochs that the KV lost. */
+bool mh_owners_ahead(const struct mh_owners *o);
+/** mh_owners_take() - from a peer's frame; older versions are refused. */
+bool mh_owners_take(struct mh_owners *o, const Mh__Owners *f);
+void mh_owners_send(struct mh_kern *k, const struct mh_owners *o,
+    uint64_t conn);
+uint32_t mh_partition_of(const char *key);
+
+/* limit.c: service "limit" */
+
+/** struct mh_limit_ticket - what one admitted request holds. */
+struct mh_limit_ticket {
+	char *org;
+	const void *key;
+	uint8_t key_hash[MH_HASH_LEN];
+	bool has_key;
+	double units;
+};
+
+void mh_limit_create(struct mh_kern *k, const char *vm);
+/**
+ * mh_limit_take() - reserves @units and a stream.
+ *
+ * Return: 0 when taken, else microseconds until it may be, or -1 when it
+ * can never fit.
+ */
+int64_t mh_limit_take(struct mh_kern *k, const struct mh_key_owner *who,
+    double units, struct mh_limit_ticket *t);
+/** mh_limit_settle() - gives back what was not used and the stream. */
+void mh_limit_settle(
+    struct mh_kern *k, struct mh_limit_ticket *t, double used);
+json_t *mh_limit_state(struct mh_kern *k);
+
+/* stage.c */
+
+/** struct mh_flow - what passes from stage to stage of one request. */
+struct mh_flow {
+	json_t *input; /* the caller's document */
+	json_t *embedding;
+	json_t *documents;
+	GString *text; /* generated so far */
+	json_t *answer; /* the last stage's document */
+	uint32_t priority; /* of the request's class, for engines */
+};
+
+/** mh_stage_body() - the body of a stage's call. */
+GBytes *mh_stage_body(const struct mh_stage *s, const struct mh_flow *f,
+    const char *model, uint32_t max_tokens, uint32_t done_tokens);
+/** mh_stage_take() - takes a stage's result; false when it is not whole. */
+bool mh_stage_take(
+    const struct mh_stage *s, struct mh_flow *f, GBytes *result);
+const char *mh_stage_path(const struct mh_stage *s);
+const char *mh_stage_kind(uint32_t kind);
+void mh_flow_clear(struct mh_flow *f);
+
+/* entry.c: service "entry" */
+
+void mh_entry_create(struct mh_kern *k, const char *vm, const char *domain);
+/** mh_entry_drain() - refuse new requests, finish those under way. */
+void mh_entry_drain(struct mh_kern *k);
+uint32_t mh_entry_open(struct mh_kern *k);
+json_t *mh_entry_state(struct mh_kern *k);
+
+/* queue.c */
+
+struct mh_queue;
+
+/** struct mh_item - one waiting call; embed it. */
+struct mh_item {
+	uint32_t priority;
+	int64_t deadline_us;
+	uint64_t units;
+	int64_t predicted_us;
+	uint32_t org_weight;
+	const char *org;
+	void *call;
+	/* queue.c's own */
+	uint64_t seq;
+	bool queued;
+};
+
+struct mh_queue *mh_queue_create(uint32_t limit);
+void mh_queue_destroy(struct mh_queue *q);
+/** mh_queue_policy() - urgent first or arrival order. */
+void mh_queue_policy(struct mh_queue *q, uint32_t queueing);
+/** mh_queue_share() - part of the starts kept for a priority. */
+void mh_queue_share(struct mh_queue *q, uint32_t priority, double share);
+/**
+ * mh_queue_put() - adds @it.
+ *
+ * Return: NULL when it fitted, else the item that had to go (maybe @it).
+ */
+struct mh_item *mh_queue_put(struct mh_queue *q, struct mh_item *it);
+void mh_queue_remove(struct mh_queue *q, struct mh_item *it);
+/** mh_queue_pop() - next to run; only priority 0 if @urgent_only. */
+struct mh_item *mh_queue_pop(struct mh_queue *q, bool urgent_only);
+uint32_t mh_queue_len(const struct mh_queue *q);
+/** mh_queue_work_us() - predicted work waiting at @priority or above. */
+int64_t mh_queue_work_us(const struct mh_queue *q, uint32_t priority);
+/** mh_queue_pop_late() - an item past its deadline, or NULL. */
+struct mh_item *mh_queue_pop_late(struct mh_queue *q, int64_t now_us);
+
+/* ledger.c */
+
+struct mh_ledger;
+
+/** enum mh_ledger_verdict - may this key run here, now? */
+enum mh_ledger_verdict {
+	MH_LEDGER_RUN, /* entered as running: the caller must run it */
+	MH_LEDGER_ATTACH, /* runs already: wait for its end */
+	MH_LEDGER_DONE, /* the stored answer */
+	MH_LEDGER_TOMBSTONE, /* revoked: not run, never will */
+	MH_LEDGER_UNKNOWN, /* may have run before this ledger's memory */
+	MH_LEDGER_CLAIM, /* opaque key: claim it in the KV first */
+	MH_LEDGER_MISMATCH, /* same key, other body */
+	MH_LEDGER_FUTURE /* stamped beyond the skew allowance */
+};
+
+struct mh_ledger_row {
+	char *key;
+	Mh__Outcome outcome;
+	uint32_t status;
+	GBytes *body;
+	uint64_t body_hash;
+	int64_t stamp_ms; /* key's own time, or when it came */
+	uint32_t partition;
+	uint8_t refused[MH_ID_LEN]; /* requests up to this id never run */
+};
+
+struct mh_ledger *mh_ledger_create(uint32_t limit);
+void mh_ledger_destroy(struct mh_ledger *l);
+/** mh_ledger_open() - start owning @p: keys up to @bound_ms never run. */
+void mh_ledger_open(struct mh_ledger *l, uint32_t p, int64_t bound_ms);
+void mh_ledger_close(struct mh_ledger *l, uint32_t p);
+int64_t mh_ledger_bound(const struct mh_ledger *l, uint32_t p);
+/** struct mh_ledger_ask - one call that asks to run. */
+struct mh_ledger_ask {
+	uint32_t partition;
+	const char *key;
+	const uint8_t *request; /* MH_ID_LEN bytes */
+	uint64_t body_hash;
+	int64_t now_ms;
+	int64_t skew_ms;
+	int64_t retention_ms;
+	bool claimed; /* the key was claimed in the KV */
+};
+enum mh_ledger_verdict mh_ledger_ask(
+    struct mh_ledger *l, const struct mh_ledger_ask *a);
+/** mh_ledger_refuse() - it never started and that request never will. */
+void mh_ledger_refuse(
+    struct mh_ledger *l, const char *key, const uint8_t *request);
+void mh_ledger_end(struct mh_ledger *l, const char *key, Mh__Outcome outcome,
+    uint32_t status, GBytes *body);
+/** mh_ledger_revoke() - tombstones an unseen key; returns its row. */
+const struct mh_ledger_row *mh_ledger_revoke(struct mh_ledger *l, uint32_t p,
+    const char *key, int64_t now_ms);
+/** mh_ledger_may_have_run() - the bound does not rule it out. */
+bool mh_ledger_may_have_run(
+    const struct mh_ledger *l, uint32_t p, const char *key);
+const struct mh_ledger_row *mh_ledger_find(
+    const struct mh_ledger *l, const char *key);
+void mh_ledger_expire(
+    struct mh_ledger *l, int64_t now_ms, int64_t retention_ms);
+/** mh_ledger_rows() - the rows of a partition (borrowed). */
+GPtrArray *mh_ledger_rows(const struct mh_ledger *l, uint32_t p);
+/** mh_ledger_add() - a row received by hand-over. */
+void mh_ledger_add(struct mh_ledger *l, uint32_t p, const Mh__LedgerEntry *e);
+uint32_t mh_ledger_len(const struct mh_ledger *l);
+
+/* claim.c: service "claim", ownership of partitions on a side process */
+
+void mh_claim_create(struct mh_kern *k, const char *vm, const char *pool,
+    uint64_t incarnation, struct mh_ledger *l);
+/** mh_claim_owns() - may partition @p's calls start here, now? */
+bool mh_claim_owns(struct mh_kern *k, uint32_t p, uint64_t epoch);
+/** mh_claim_open() - is this the confirmed owner of @p, moving or not? */
+bool mh_claim_open(struct mh_kern *k, uint32_t p);
+void mh_claim_drain(struct mh_kern *k);
+/** mh_claim_count() - partitions still owned or on their way in. */
+uint32_t mh_claim_count(struct mh_kern *k);
+/** mh_claim_busy() - a call of partition @p started (+1) or ended (-1). */
+void mh_claim_busy(struct mh_kern *k, uint32_t p, int delta);
+json_t *mh_claim_state(struct mh_kern *k);
+
+/* side.c: service "side" */
+
+/** struct mh_side_args - a side process's place and size. */
+struct mh_side_args {
+	const char *vm;
+	const char *domain;
+	const char *pool;
+	uint64_t incarnation;
+	uint32_t slots; /* calls at the endpoint at once */
+	uint32_t queue_limit;
+};
+
+void mh_side_create(struct mh_kern *k, const struct mh_side_args *a);
+/** mh_side_drain() - tell every entry, hand over, finish, then idle. */
+void mh_side_drain(struct mh_kern *k);
+/** mh_side_idle() - drained and nothing left to send. */
+bool mh_side_idle(struct mh_kern *k);
+/** mh_side_load() - fills the load; false when this is no side process. */
+bool mh_side_load(
+    struct mh_kern *k, Mh__Load *l, uint64_t wait_us[MH_PRIORITIES]);
+json_t *mh_side_state(struct mh_kern *k);
+
+/*
+ * I/O services: everything below touches sockets or the system clock.
+ */
+
+/* loop.c */
+
+struct mh_loop;
+typedef void (*mh_fd_fn)(void *arg, bool readable, bool writable);
+
+/** mh_loop_create() - one APR pollset driving @k in real time. */
+struct mh_loop *mh_loop_create(struct mh_kern *k, GError **err);
+void mh_loop_destroy(struct mh_loop *l);
+void mh_loop_fd(
+    struct mh_loop *l, int fd, bool read, bool write, mh_fd_fn fn, void *arg);
+void mh_loop_fd_close(struct mh_loop *l, int fd);
+/** mh_loop_before() - called before each wait; returns a bound in us or -1. */
+void mh_loop_before(struct mh_loop *l, int64_t (*fn)(void *arg), void *arg);
+/** mh_loop_run() - until mh_loop_stop(). */
+void mh_loop_run(struct mh_loop *l);
+void mh_loop_stop(struct mh_loop *l);
+struct mh_kern *mh_loop_kern(struct mh_loop *l);
+/** mh_loop_signal() - calls @fn in the loop after signal @sig. */
+void mh_loop_signal(
+    struct mh_loop *l, int sig, void (*fn)(void *arg), void *arg);
+
+/* link.c: service "link" */
+
+struct mh_link_args {
+	const char *listen; /* ip:port or NULL */
+	const char *advertise; /* ip:port told to peers, NULL: listen */
+	const char *vm;
+	const char *domain;
+	const char *role;
+	const char *pool;
+	uint64_t incarnation;
+	const char *secret; /* shared key of the handshake */
+};
+
+bool mh_link_create(
+    struct mh_loop *l, const struct mh_link_args *a, GError **err);
+uint16_t mh_link_port(struct mh_loop *l);
+void mh_link_stop_listening(struct mh_loop *l);
+
+/* client.c: HTTP client over libcurl */
+
+struct mh_client;
+
+struct mh_http_call {
+	const char *method;
+	const char *url;
+	GBytes *body;
+	const char *const *headers; /* "Name: value", NULL-ended */
+	int64_t timeout_us;
+	bool once; /* never sent twice, not even by the HTTP library */
+};
+
+/** struct mh_http_done - the end of one HTTP call. */
+struct mh_http_done {
+	uint32_t status; /* 0: no answer */
+	bool sent; /* false: never left */
+	bool whole;
+	GBytes *body;
+	uint64_t index; /* X-Consul-Index */
+};
+
+typedef void (*mh_http_done_fn)(void *arg, const struct mh_http_done *d);
+typedef void (*mh_http_data_fn)(void *arg, const char *data, size_t len);
+
+/** mh_client_create() - owned by the kernel; create it before its users. */
+struct mh_client *mh_client_create(struct mh_loop *l);
+/** mh_client_start() - @data may be NULL: the body is then collected. */
+uint64_t mh_client_start(struct mh_client *c, const struct mh_http_call *call,
+    mh_http_data_fn data, mh_http_done_fn done, void *arg);
+void mh_client_abort(struct mh_client *c, uint64_t id);
+
+/* kv.c: service "kv"; vmlist.c: service "vmlist"; endpoint.c: "endpoint" */
+
+void mh_kv_create(struct mh_kern *k, struct mh_client *c, const char *url);
+void mh_vmlist_create(struct mh_kern *k, struct mh_client *c, const char *url);
+void mh_endpoint_create(struct mh_kern *k, struct mh_client *c,
+    const char *url);
+/** mh_vmlist_parse() - the platform's JSON; NULL when malformed. */
+GPtrArray *mh_vmlist_parse(GBytes *body);
+
+/* httpd.c: HTTP server over libmicrohttpd */
+
+struct mh_httpd;
+struct mh_http_req;
+
+struct mh_httpd_args {
+	const char *listen; /* ip:port, port 0 picks one */
+	const char *cert_file; /* NULL: no TLS */
+	const char *key_file;
+	void (*on_request)(void *arg, struct mh_http_req *r);
+	void (*on_gone)(void *arg, struct mh_http_req *r);
+	void *arg;
+};
+
+struct mh_httpd *mh_httpd_create(
+    struct mh_loop *l, const struct mh_httpd_args *a, GError **err);
+void mh_httpd_destroy(struct mh_httpd *h);
+uint16_t mh_httpd_port(const struct mh_httpd *h);
+/** mh_httpd_stop() - accept no more connections. */
+void mh_httpd_stop(struct mh_httpd *h);
+const char *mh_req_method(const struct mh_http_req *r);
+const char *mh_req_path(const struct mh_http_req *r);
+const char *mh_req_header(const struct mh_http_req *r, const char *name);
+const char *mh_req_query(const struct mh_http_req *r, const char *name);
+void mh_req_each_header(const struct mh_http_req *r,
+    void (*fn)(void *arg, const char *name, const char *value), void *arg);
+GBytes *mh_req_body(const struct mh_http_req *r);
+bool mh_req_too_big(const struct mh_http_req *r);
+uint64_t mh_req_id(const struct mh_http_req *r);
+struct mh_http_req *mh_httpd_find(struct mh_httpd *h, uint64_t id);
+/** mh_req_header_set() - a header of the answer to come. */
+void mh_req_header_set(
+    struct mh_http_req *r, const char *name, const char *value);
+void mh_req_reply(struct mh_http_req *r, uint32_t status, const char *type,
+    GBytes *body);
+void mh_req_stream(struct mh_http_req *r, uint32_t status, const char *type);
+void mh_req_stream_add(struct mh_http_req *r, GBytes *part);
+void mh_req_stream_end(struct mh_http_req *r);
+/** mh_req_cut() - drops the connection in the middle of the answer. */
+void mh_req_cut(struct mh_http_req *r);
+
+/* admin.c */
+
+/** mh_admin_serve() - answers /livez, /readyz, /metrics and /state. */
+bool mh_admin_serve(struct mh_kern *k, struct mh_http_req *r);
+/** mh_state_dump() - the whole process's state as JSON text. */
+char *mh_state_dump(struct mh_kern *k);
+/** mh_admin_create() - answers StateAsk frames. */
+void mh_admin_create(struct mh_kern *k);
+
+/* daemon.c: what every daemon does the same way */
+
+/** struct mh_settings - flags and environment of a daemon. */
+struct mh_settings {
+	char *vm;
+	char *domain;
+	char *listen;
+	char *advertise;
+	char *http;
+	char *kv;
+	char *vmlist;
+	char *secret_file;
+	char *pool;
+	char *endpoint;
+	char *cert_file;
+	char *key_file;
+	char *log_level;
+	int slots;
+	int queue_limit;
+	bool check_only;
+};
+
+enum mh_daemon_kind { MH_DAEMON_ENTRY, MH_DAEMON_SIDE };
+
+/** mh_settings_read() - flags win over MARLHOIST_*; exits on bad ones. */
+void mh_settings_read(struct mh_settings *s, enum mh_daemon_kind kind,
+    int argc, char **argv);
+void mh_settings_clear(struct mh_settings *s);
+/** mh_secret_read() - the shared secret, first line of a file. */
+char *mh_secret_read(const char *file, GError **err);
+void mh_log_start(struct mh_kern *k, const char *program, const char *level);
+void mh_log_stop(void);
+uint64_t mh_random_incarnation(void);
+
+#endif
--- /dev/null
+++ b/lib/member.c
@@ -0,0 +1,980 @@
+/**
+ * DOC: Membership: who our peers are, from three witnesses (the VM list,
+ * the peer's own words, observed progress), and the links to them.
+ *
+ * An entry links to a rendezvous subset of each pool; a side process links
+ * only to processes it was asked for.  Only a few watchers per failure
+ * domain read the platform's list; the rest ask a linked peer.
+ */
+
+#include "marlhoist.h"
+
+#include <string.h>
+
+#define TICK_US (50 * MH_US_PER_MS)
+#define LIST_US (1 * MH_US_PER_S) /* between two readings */
+#define LIST_STALE_US (3 * MH_US_PER_S) /* then read it oneself */
+#define ABSENT_US (2 * MH_US_PER_S) /* absence that stops new work */
+#define FORGET_US (120 * MH_US_PER_S)
+#define BUSY_PING_US (150 * MH_US_PER_MS)
+#define IDLE_PING_US (1 * MH_US_PER_S)
+#define IDLE_PING_PER_LINK_US (50 * MH_US_PER_MS)
+#define SILENT_US (300 * MH_US_PER_MS)
+#define DIAL_US (300 * MH_US_PER_MS) /* a dial that takes longer failed */
+#define REDIAL_MIN_US (100 * MH_US_PER_MS)
+#define REDIAL_MAX_US (2 * MH_US_PER_S)
+#define SUBSET 20 /* links of an entry to one pool */
+#define SUBSET_NEAR 14 /* of them in its own failure domain */
+#define WATCHERS 2
+
+struct listener {
+	mh_link_fn fn;
+	void *arg;
+};
+
+struct member {
+	struct mh_kern *k;
+	char *vm;
+	char *domain;
+	bool entry;
+	GHashTable *peers; /* vm -> struct mh_peer */
+	GHashTable *conns; /* conn -> struct mh_peer */
+	GHashTable *pools; /* name -> GPtrArray of struct mh_peer */
+	GArray *listeners;
+	int64_t list_at_us; /* when the newest reading was made, -1: never */
+	int64_t list_asked_us;
+	bool draining;
+	bool self_seen; /* some reading held this VM */
+	bool self_listed; /* the newest reading holds it */
+	uint32_t links;
+	struct mh_timer *tick;
+};
+
+static struct member *
+get(struct mh_kern *k)
+{
+	return mh_kern_get(k, "member");
+}
+
+static bool
+is_side(const struct mh_peer *p)
+{
+	return strcmp(p->role, "side") == 0;
+}
+
+static void
+set_str(char **s, const char *v)
+{
+	if (*s != NULL && strcmp(*s, v) == 0)
+		return;
+	g_free(*s);
+	*s = g_strdup(v);
+}
+
+static GPtrArray *
+pool_of(struct member *mb, const char *pool)
+{
+	GPtrArray *a = g_hash_table_lookup(mb->pools, pool);
+
+	if (a == NULL) {
+		a = g_ptr_array_new();
+		g_hash_table_insert(mb->pools, g_strdup(pool), a);
+	}
+	return a;
+}
+
+static struct mh_peer *
+peer_for(struct member *mb, const char *vm, const char *role,
+    const char *pool)
+{
+	struct mh_peer *p = g_hash_table_lookup(mb->peers, vm);
+
+	if (p != NULL)
+		return p;
+	p = g_new0(struct mh_peer, 1);
+	p->vm = g_strdup(vm);
+	p->role = g_strdup(role);
+	p->pool = g_strdup(pool);
+	p->addr = g_strdup("");
+	p->domain = g_strdup("");
+	g_hash_table_insert(mb->peers, p->vm, p);
+	if (is_side(p))
+		g_ptr_array_add(pool_of(mb, pool), p);
+	return p;
+}
+
+static void
+free_peer(void *arg)
+{
+	struct mh_peer *p = arg;
+
+	g_free(p->vm);
+	g_free(p->addr);
+	g_free(p->role);
+	g_free(p->pool);
+	g_free(p->domain);
+	g_free(p);
+}
+
+GPtrArray *
+mh_member_pool(struct mh_kern *k, const char *pool)
+{
+	return pool_of(get(k), pool);
+}
+
+struct mh_peer *
+mh_member_find(struct mh_kern *k, const char *vm)
+{
+	return g_hash_table_lookup(get(k)->peers, vm);
+}
+
+struct mh_peer *
+mh_member_conn(struct mh_kern *k, uint64_t conn)
+{
+	return g_hash_table_lookup(get(k)->conns, &conn);
+}
+
+void
+mh_member_each(struct mh_kern *k, mh_peer_fn fn, void *arg)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	g_hash_table_iter_init(&it, get(k)->peers);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		fn(arg, p);
+}
+
+static bool
+leaving(const struct mh_peer *p)
+{
+	return p->draining || p->list_leaving;
+}
+
+static bool
+absent(struct member *mb, const struct mh_peer *p)
+{
+	return p->absent_since_us > 0 &&
+	    mh_now(mb->k) - p->absent_since_us > ABSENT_US;
+}
+
+bool
+mh_member_usable(struct mh_kern *k, const struct mh_peer *p)
+{
+	return p->up && p->wanted && !leaving(p) && !absent(get(k), p);
+}
+
+/*
+ * "Gone" needs a VM that was listed and then missed from every reading for
+ * longer than the list lags; no reading (an outage) proves nothing, so the
+ * newest reading must itself be recent.
+ */
+bool
+mh_member_gone(struct mh_kern *k, const char *vm, int64_t after_us)
+{
+	struct member *mb = get(k);
+	struct mh_peer *p = mh_member_find(k, vm);
+
+	if (p == NULL || !p->seen_listed || p->absent_since_us == 0)
+		return false;
+	if (mb->list_at_us < 0 ||
+	    mh_now(k) - mb->list_at_us > LIST_STALE_US + LIST_US)
+		return false;
+	return mb->list_at_us - p->absent_since_us > after_us;
+}
+
+bool
+mh_member_listed(struct mh_kern *k, const char *vm)
+{
+	struct member *mb = get(k);
+	struct mh_peer *p;
+
+	if (strcmp(vm, mb->vm) == 0)
+		return !mb->draining;
+	p = mh_member_find(k, vm);
+	return p != NULL && p->listed && !leaving(p);
+}
+
+bool
+mh_member_has_list(struct mh_kern *k)
+{
+	return get(k)->list_at_us >= 0;
+}
+
+bool
+mh_member_dropped(struct mh_kern *k)
+{
+	return get(k)->self_seen && !get(k)->self_listed;
+}
+
+/* The best of the candidates for @what by rendezvous hashing. */
+struct contest {
+	struct mh_kern *k;
+	const char *what;
+	const char *role;
+	const char *pool;
+	const char *domain;
+	const char *best;
+	uint64_t weight;
+	uint64_t mine;
+	uint32_t better; /* candidates that beat this process */
+	uint32_t count;
+};
+
+static void
+contend(struct contest *c, const char *vm)
+{
+	uint64_t w = mh_rendezvous(c->what, vm);
+
+	c->count++;
+	if (w > c->mine)
+		c->better++;
+	if (c->best != NULL && w <= c->weight)
+		return;
+	c->best = vm;
+	c->weight = w;
+}
+
+static void
+contend_peer(void *arg, struct mh_peer *p)
+{
+	struct contest *c = arg;
+
+	if (!p->listed || leaving(p) || strcmp(p->role, c->role) != 0)
+		return;
+	if (c->pool != NULL && strcmp(p->pool, c->pool) != 0)
+		return;
+	if (c->domain != NULL && strcmp(p->domain, c->domain) != 0)
+		return;
+	if (strcmp(p->vm, get(c->k)->vm) != 0)
+		contend(c, p->vm);
+}
+
+uint32_t
+mh_member_entries(struct mh_kern *k)
+{
+	struct contest c = { .k = k, .what = "", .role = "entry" };
+
+	mh_member_each(k, contend_peer, &c);
+	return c.count + (get(k)->entry ? 1 : 0);
+}
+
+const char *
+mh_member_home(struct mh_kern *k, const char *what)
+{
+	struct contest c = { .k = k, .what = what, .role = "entry" };
+
+	mh_member_each(k, contend_peer, &c);
+	if (get(k)->entry)
+		contend(&c, get(k)->vm);
+	return c.best;
+}
+
+const char *
+mh_member_winner(struct mh_kern *k, const char *pool, const char *what)
+{
+	struct contest c = { .k = k, .what = what, .role = "side",
+		.pool = pool };
+
+	mh_member_each(k, contend_peer, &c);
+	if (!get(k)->draining)
+		contend(&c, get(k)->vm);
+	return c.best;
+}
+
+/*
+ * Chosen without agreement: each process ranks itself among the entries
+ * that it knows in its domain.  Two views may give one watcher too many or
+ * too few for a moment, which costs a read, not safety.
+ */
+bool
+mh_member_watcher(struct mh_kern *k, const char *what)
+{
+	struct member *mb = get(k);
+	struct contest c = { .k = k, .what = what, .role = "entry",
+		.domain = mb->domain };
+
+	if (mb->list_at_us < 0)
+		return true;
+	c.mine = mh_rendezvous(what, mb->vm);
+	mh_member_each(k, contend_peer, &c);
+	if (!mb->entry)
+		return c.count == 0 && mb->links == 0;
+	return c.better < WATCHERS;
+}
+
+void
+mh_member_on_link(struct mh_kern *k, mh_link_fn fn, void *arg)
+{
+	struct listener l = { fn, arg };
+
+	g_array_append_val(get(k)->listeners, l);
+}
+
+static void
+tell(struct member *mb, struct mh_peer *p, enum mh_link_event ev,
+    uint64_t conn)
+{
+	for (guint i = 0; i < mb->listeners->len; i++) {
+		struct listener *l =
+		    &g_array_index(mb->listeners, struct listener, i);
+
+		l->fn(l->arg, p, ev, conn);
+	}
+}
+
+static void
+map_conn(struct member *mb, uint64_t conn, struct mh_peer *p)
+{
+	uint64_t *key = g_new(uint64_t, 1);
+
+	*key = conn;
+	g_hash_table_insert(mb->conns, key, p);
+}
+
+static void
+drop_conn(struct member *mb, uint64_t conn)
+{
+	if (conn == 0)
+		return;
+	g_hash_table_remove(mb->conns, &conn);
+	mh_link_close(mb->k, conn);
+}
+
+static void
+dial(struct member *mb, struct mh_peer *p)
+{
+	p->dial = mh_next_id(mb->k);
+	p->dialed_us = mh_now(mb->k);
+	map_conn(mb, p->dial, p);
+	mh_link_dial(mb->k, p->dial, p->addr);
+}
+
+void
+mh_member_dial(struct mh_kern *k, struct mh_peer *p)
+{
+	p->kept = true;
+	if (!p->up && p->dial == 0 && p->addr[0] != '\0')
+		dial(get(k), p);
+}
+
+static void
+dial_failed(struct member *mb, struct mh_peer *p)
+{
+	drop_conn(mb, p->dial);
+	p->dial = 0;
+	if (p->dial_failures < 16)
+		p->dial_failures++;
+	/* A silent link that cannot be replaced is of no use either. */
+	if (p->up && p->ping_at_us > 0) {
+		drop_conn(mb, p->conn);
+		p->conn = 0;
+		p->up = false;
+	}
+	if (!p->up)
+		tell(mb, p, MH_LINK_FAILED, 0);
+}
+
+static void
+link_up_outbound(struct member *mb, struct mh_peer *p,
+    const struct mh_link_msg *l)
+{
+	uint64_t old = p->conn, old_inc = p->incarnation;
+
+	/*
+	 * An IP number is reused: another VM answers at the old address.
+	 * The hello names the VM, so a call never reaches a stranger.
+	 */
+	if (strcmp(l->vm, p->vm) != 0) {
+		mh_count(mb->k, "member_wrong_vm", 1);
+		dial_failed(mb, p);
+		return;
+	}
+	p->conn = l->conn;
+	p->dial = 0;
+	p->up = true;
+	p->dial_failures = 0;
+	p->incarnation = l->incarnation;
+	p->last_rx_us = mh_now(mb->k);
+	p->ping_at_us = 0;
+	if (old_inc != l->incarnation) {
+		p->up_since_us = mh_now(mb->k);
+		p->draining = false;
+		p->fails = 0;
+	}
+	if (old != 0 && old != l->conn)
+		drop_conn(mb, old);
+	tell(mb, p,
+	    old_inc == 0 || old_inc == l->incarnation ? MH_LINK_SAME :
+							MH_LINK_OTHER,
+	    l->conn);
+}
+
+static void
+link_up_inbound(struct member *mb, const struct mh_link_msg *l)
+{
+	struct mh_peer *p;
+
+	if (strcmp(l->role, "ctl") == 0)
+		return;
+	p = peer_for(mb, l->vm, l->role, l->pool);
+	set_str(&p->domain, l->domain);
+	if (p->addr[0] == '\0')
+		set_str(&p->addr, l->addr);
+	map_conn(mb, l->conn, p);
+	mb->links++;
+	if (!p->up || !p->kept) {
+		p->conn = l->conn;
+		p->up = true;
+		p->incarnation = l->incarnation;
+	}
+	p->last_rx_us = mh_now(mb->k);
+	tell(mb, p, MH_LINK_SAME, l->conn);
+}
+
+static void
+link_down(struct member *mb, uint64_t conn)
+{
+	struct mh_peer *p = mh_member_conn(mb->k, conn);
+
+	if (p == NULL)
+		return;
+	g_hash_table_remove(mb->conns, &conn);
+	if (mb->links > 0 && conn != p->dial)
+		mb->links--;
+	if (conn == p->dial) {
+		dial_failed(mb, p);
+		return;
+	}
+	if (conn != p->conn)
+		return;
+	p->conn = 0;
+	p->up = false;
+	/* Try at once: a cut link to a live process resumes in a round trip. */
+	if ((p->wanted || p->kept) && p->dial == 0)
+		dial(mb, p);
+}
+
+void
+mh_member_link(struct mh_kern *k, struct mh_msg *m)
+{
+	struct member *mb = get(k);
+	const struct mh_link_msg *l = &m->u.link;
+	struct mh_peer *p;
+
+	if (m->kind == MH_MSG_LINK_DOWN) {
+		link_down(mb, l->conn);
+		return;
+	}
+	if (l->inbound) {
+		link_up_inbound(mb, l);
+		return;
+	}
+	p = mh_member_conn(k, l->conn);
+	if (p == NULL || p->dial != l->conn)
+		mh_link_close(k, l->conn);
+	else
+		link_up_outbound(mb, p, l);
+}
+
+void
+mh_member_rx(struct mh_kern *k, uint64_t conn, const Mh__Frame *f)
+{
+	struct mh_peer *p = mh_member_conn(k, conn);
+
+	if (p == NULL)
+		return;
+	p->last_rx_us = mh_now(k);
+	p->ping_at_us = 0;
+	if (f->load != NULL)
+		mh_route_load(k, p, f->load);
+}
+
+static void
+send_ping(struct member *mb, struct mh_peer *p)
+{
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__Ping ping = MH__PING__INIT;
+
+	ping.token = 1;
+	f.body_case = MH__FRAME__BODY_PING;
+	f.ping = &ping;
+	p->ping_at_us = mh_now(mb->k);
+	mh_frame_send(mb->k, p->conn, &f);
+}
+
+/*
+ * A link may go silent for good with no error from TCP: something between
+ * the ends lost track of it.  No answer to a ping for SILENT_US shows it;
+ * a second link is opened and the calls resume there by id, so nothing is
+ * run again and nothing is lost.
+ */
+static void
+check_link(struct member *mb, struct mh_peer *p)
+{
+	int64_t now = mh_now(mb->k), idle;
+
+	idle = MAX(IDLE_PING_US, mb->links * IDLE_PING_PER_LINK_US);
+	if (p->own > 0)
+		idle = BUSY_PING_US;
+	if (p->ping_at_us == 0) {
+		if (now - p->last_rx_us > idle)
+			send_ping(mb, p);
+		return;
+	}
+	if (now - p->ping_at_us <= SILENT_US || p->dial != 0)
+		return;
+	mh_count(mb->k, "member_silent_links", 1);
+	mh_log(mb->k, "member", "Link silent: vm=%s; dialing again.", p->vm);
+	dial(mb, p);
+}
+
+static int64_t
+redial_after(struct member *mb, const struct mh_peer *p)
+{
+	int64_t d = REDIAL_MIN_US << MIN(p->dial_failures, 5U);
+
+	d = MIN(d, REDIAL_MAX_US);
+	return d / 2 + (int64_t)(mh_random_unit(mb->k) * (double)(d / 2));
+}
+
+static void
+tend_peer(void *arg, struct mh_peer *p)
+{
+	struct member *mb = arg;
+	int64_t now = mh_now(mb->k);
+
+	if (p->dial != 0 && now - p->dialed_us > DIAL_US) {
+		dial_failed(mb, p);
+		return;
+	}
+	if (!p->wanted && !p->kept)
+		return;
+	if (p->up)
+		check_link(mb, p);
+	else if (p->dial == 0 && p->listed &&
+	    now - p->dialed_us > redial_after(mb, p))
+		dial(mb, p);
+}
+
+static int
+by_weight(gconstpointer a, gconstpointer b, gpointer self)
+{
+	const struct mh_peer *x = *(struct mh_peer *const *)a;
+	const struct mh_peer *y = *(struct mh_peer *const *)b;
+	uint64_t wx = mh_rendezvous(self, x->vm);
+	uint64_t wy = mh_rendezvous(self, y->vm);
+
+	return wx > wy ? -1 : wx < wy;
+}
+
+static void
+want(struct member *mb, struct mh_peer *p, bool wanted)
+{
+	p->wanted = wanted;
+	if (wanted && !p->up && p->dial == 0 && p->listed)
+		dial(mb, p);
+	/* Never cut a link that still carries calls. */
+	if (!wanted && !p->kept && p->up && p->own == 0) {
+		drop_conn(mb, p->conn);
+		p->conn = 0;
+		p->up = false;
+	}
+}
+
+/*
+ * The subset follows from the two names alone, so a change of one VM moves
+ * only that VM's links.
+ */
+static void
+choose_subset(struct member *mb, GPtrArray *pool)
+{
+	GPtrArray *sorted = g_ptr_array_new();
+	uint32_t near = 0, taken = 0;
+
+	for (guint i = 0; i < pool->len; i++) {
+		struct mh_peer *p = pool->pdata[i];
+
+		if (p->listed)
+			g_ptr_array_add(sorted, p);
+		else
+			p->wanted = p->wanted && p->absent_since_us > 0;
+	}
+	g_ptr_array_sort_with_data(sorted, by_weight, mb->vm);
+	for (guint i = 0; i < sorted->len; i++) {
+		struct mh_peer *p = sorted->pdata[i];
+		bool mine = strcmp(p->domain, mb->domain) == 0;
+		bool take = taken < SUBSET &&
+		    (sorted->len <= SUBSET ||
+			(mine ? near < SUBSET_NEAR :
+				taken - near < SUBSET - SUBSET_NEAR));
+
+		if (take) {
+			taken++;
+			near += mine;
+		}
+		want(mb, p, take);
+	}
+	g_ptr_array_free(sorted, TRUE);
+}
+
+static void
+count_links(void *arg, struct mh_peer *p)
+{
+	struct member *mb = arg;
+
+	mb->links += p->up;
+}
+
+static void
+mark_absent(void *arg, struct mh_peer *p)
+{
+	struct member *mb = arg;
+
+	if (!p->listed && p->seen_listed && p->absent_since_us == 0) {
+		p->absent_since_us = MAX(mb->list_at_us, 1);
+		mh_log(mb->k, "member", "VM left the list: vm=%s.", p->vm);
+	}
+}
+
+static void
+unlist(void *arg, struct mh_peer *p)
+{
+	(void)arg;
+	p->listed = false;
+}
+
+static void
+list_vm(struct member *mb, const struct mh_vm *vm)
+{
+	struct mh_peer *p = peer_for(mb, vm->id, vm->role, vm->pool);
+
+	if (strcmp(p->addr, vm->addr) != 0) {
+		set_str(&p->addr, vm->addr);
+		p->dial_failures = 0;
+	}
+	set_str(&p->domain, vm->domain);
+	p->listed = true;
+	p->seen_listed = true;
+	p->list_leaving = vm->leaving;
+	p->absent_since_us = 0;
+}
+
+static gboolean
+is_peers(gpointer key, gpointer value, gpointer peer)
+{
+	(void)key;
+	return value == peer;
+}
+
+static gboolean
+forgettable(gpointer key, gpointer value, gpointer arg)
+{
+	struct mh_peer *p = value;
+	struct member *mb = arg;
+
+	(void)key;
+	if (p->up || p->dial != 0 || p->calls != NULL || p->own > 0 ||
+	    p->absent_since_us == 0 ||
+	    mh_now(mb->k) - p->absent_since_us < FORGET_US)
+		return FALSE;
+	g_ptr_array_remove(pool_of(mb, p->pool), p);
+	g_hash_table_foreach_remove(mb->conns, is_peers, p);
+	return TRUE;
+}
+
+static void
+take_list(struct member *mb, GPtrArray *vms, int64_t at_us)
+{
+	GHashTableIter it;
+	gpointer pool;
+
+	mb->list_at_us = at_us;
+	mb->self_listed = false;
+	mh_member_each(mb->k, unlist, mb);
+	for (guint i = 0; i < vms->len; i++) {
+		const struct mh_vm *vm = vms->pdata[i];
+
+		if (strcmp(vm->id, mb->vm) == 0)
+			mb->self_seen = mb->self_listed = true;
+		else
+			list_vm(mb, vm);
+	}
+	mh_member_each(mb->k, mark_absent, mb);
+	g_hash_table_foreach_remove(mb->peers, forgettable, mb);
+	if (!mb->entry)
+		return;
+	g_hash_table_iter_init(&it, mb->pools);
+	while (g_hash_table_iter_next(&it, NULL, &pool))
+		choose_subset(mb, pool);
+}
+
+static void
+first_up(void *arg, struct mh_peer *p)
+{
+	struct mh_peer **out = arg;
+
+	if (p->up && (*out == NULL || strcmp(p->role, "entry") == 0))
+		*out = p;
+}
+
+static void
+ask_list(struct member *mb)
+{
+	int64_t now = mh_now(mb->k);
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__MembersAsk ask = MH__MEMBERS_ASK__INIT;
+	struct mh_peer *p = NULL;
+	bool stale =
+	    mb->list_at_us < 0 || now - mb->list_at_us > LIST_STALE_US;
+
+	if (mb->list_asked_us != 0 && now - mb->list_asked_us < LIST_US)
+		return;
+	mb->list_asked_us = MAX(now, 1);
+	if (mh_member_watcher(mb->k, "vmlist") || stale) {
+		mh_post(mb->k, "vmlist", mh_msg_new(MH_MSG_VMLIST_ASK));
+		mh_count(mb->k, "member_list_reads", 1);
+		return;
+	}
+	mh_member_each(mb->k, first_up, &p);
+	if (p == NULL)
+		return;
+	ask.max_age_us = LIST_US;
+	f.body_case = MH__FRAME__BODY_MEMBERS_ASK;
+	f.members_ask = &ask;
+	mh_frame_send(mb->k, p->conn, &f);
+}
+
+static void
+on_tick(void *arg)
+{
+	struct member *mb = arg;
+
+	mb->tick = mh_timer_start(mb->k, TICK_US, on_tick, mb);
+	ask_list(mb);
+	if (mb->entry) {
+		mb->links = 0;
+		mh_member_each(mb->k, count_links, mb);
+	}
+	mh_member_each(mb->k, tend_peer, mb);
+}
+
+static void
+on_members_ask(void *arg, uint64_t conn, const Mh__Frame *in)
+{
+	struct member *mb = arg;
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__Members ms = MH__MEMBERS__INIT;
+	GPtrArray *list;
+	GHashTableIter it;
+	gpointer value;
+
+	(void)in;
+	if (mb->list_at_us < 0)
+		return;
+	list = g_ptr_array_new_with_free_func(g_free);
+	g_hash_table_iter_init(&it, mb->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct mh_peer *p = value;
+		Mh__Vm *vm;
+
+		if (!p->listed)
+			continue;
+		vm = g_new(Mh__Vm, 1);
+		mh__vm__init(vm);
+		vm->id = p->vm;
+		vm->addr = p->addr;
+		vm->role = p->role;
+		vm->pool = p->pool;
+		vm->domain = p->domain;
+		vm->leaving = p->list_leaving;
+		g_ptr_array_add(list, vm);
+	}
+	ms.seen_us_ago = (uint64_t)(mh_now(mb->k) - mb->list_at_us);
+	ms.n_vms = list->len;
+	ms.vms = (Mh__Vm **)list->pdata;
+	f.body_case = MH__FRAME__BODY_MEMBERS;
+	f.members = &ms;
+	mh_frame_send(mb->k, conn, &f);
+	g_ptr_array_free(list, TRUE);
+}
+
+/*
+ * The answering peer leaves itself out of its own list: it is linked, so it
+ * is added here as it was known.
+ */
+static void
+on_members(void *arg, uint64_t conn, const Mh__Frame *f)
+{
+	struct member *mb = arg;
+	const Mh__Members *ms = f->members;
+	int64_t at = mh_now(mb->k) - (int64_t)ms->seen_us_ago;
+	struct mh_peer *from = mh_member_conn(mb->k, conn);
+	GPtrArray *vms;
+
+	/* A reading older than ours tells nothing new. */
+	if (at <= mb->list_at_us)
+		return;
+	vms = g_ptr_array_new_with_free_func((GDestroyNotify)mh_vm_free);
+	for (size_t i = 0; i < ms->n_vms; i++) {
+		const Mh__Vm *v = ms->vms[i];
+
+		g_ptr_array_add(vms,
+		    mh_vm_new(v->id, v->addr, v->role, v->pool, v->domain,
+			v->leaving));
+	}
+	if (from != NULL)
+		g_ptr_array_add(vms,
+		    mh_vm_new(from->vm, from->addr, from->role, from->pool,
+			from->domain, from->list_leaving));
+	take_list(mb, vms, at);
+	g_ptr_array_unref(vms);
+}
+
+static void
+on_ping(void *arg, uint64_t conn, const Mh__Frame *in)
+{
+	struct member *mb = arg;
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__Pong pong = MH__PONG__INIT;
+	Mh__Load load = MH__LOAD__INIT;
+	uint64_t wait_us[MH_PRIORITIES];
+
+	/* Token 0 only tells a generation. */
+	if (in->ping->token == 0)
+		return;
+	pong.token = in->ping->token;
+	f.body_case = MH__FRAME__BODY_PONG;
+	f.pong = &pong;
+	if (mh_side_load(mb->k, &load, wait_us))
+		f.load = &load;
+	mh_frame_send(mb->k, conn, &f);
+}
+
+static void
+on_drain(void *arg, uint64_t conn, const Mh__Frame *f)
+{
+	struct member *mb = arg;
+	struct mh_peer *p = mh_member_conn(mb->k, conn);
+
+	if (p == NULL || p->draining == (bool)f->drain->leaving)
+		return;
+	p->draining = f->drain->leaving;
+	mh_log(mb->k, "member", "Peer is leaving: vm=%s.", p->vm);
+}
+
+static void
+send_drain(void *arg, struct mh_peer *p)
+{
+	struct member *mb = arg;
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__Drain d = MH__DRAIN__INIT;
+
+	if (!p->up)
+		return;
+	d.leaving = true;
+	f.body_case = MH__FRAME__BODY_DRAIN;
+	f.drain = &d;
+	mh_frame_send(mb->k, p->conn, &f);
+}
+
+void
+mh_member_drain(struct mh_kern *k)
+{
+	get(k)->draining = true;
+	mh_member_each(k, send_drain, get(k));
+}
+
+static void
+on_link_self(void *arg, struct mh_peer *p, enum mh_link_event ev,
+    uint64_t conn)
+{
+	struct member *mb = arg;
+
+	(void)conn;
+	if (mb->draining && ev != MH_LINK_FAILED)
+		send_drain(mb, p);
+}
+
+static void
+add_state(void *arg, struct mh_peer *p)
+{
+	json_t *o = json_pack(
+	    "{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:i, s:I}", "vm",
+	    p->vm, "role", p->role, "pool", p->pool, "up", p->up, "listed",
+	    p->listed, "leaving", leaving(p), "wanted", p->wanted, "own",
+	    (int)p->own, "running", (int)p->load_running, "queued",
+	    (int)p->load_queued, "ewma_us", (json_int_t)p->ewma_us);
+
+	json_array_append_new(arg, o);
+}
+
+json_t *
+mh_member_state(struct mh_kern *k)
+{
+	struct member *mb = get(k);
+	json_t *peers = json_array();
+
+	mh_member_each(k, add_state, peers);
+	return json_pack("{s:I, s:b, s:i, s:o}", "list_age_us",
+	    mb->list_at_us < 0 ? (json_int_t)-1 :
+				 (json_int_t)(mh_now(k) - mb->list_at_us),
+	    "draining", mb->draining, "links", (int)mb->links, "peers", peers);
+}
+
+static void
+handle(void *self, struct mh_msg *m)
+{
+	struct member *mb = self;
+
+	if (m->kind != MH_MSG_VMLIST)
+		return;
+	/* No reading changes nothing: an outage of the list stops nobody. */
+	if (!m->u.vmlist.ok) {
+		mh_count(mb->k, "member_list_failed", 1);
+		return;
+	}
+	take_list(mb, m->u.vmlist.vms, mh_now(mb->k));
+}
+
+static void
+destroy(void *self)
+{
+	struct member *mb = self;
+
+	mh_timer_stop(mb->k, &mb->tick);
+	g_hash_table_destroy(mb->conns);
+	g_hash_table_destroy(mb->pools);
+	g_hash_table_destroy(mb->peers);
+	g_array_free(mb->listeners, TRUE);
+	g_free(mb->vm);
+	g_free(mb->domain);
+	g_free(mb);
+}
+
+void
+mh_member_create(struct mh_kern *k, const char *vm, const char *domain,
+    const char *role)
+{
+	struct member *mb = g_new0(struct member, 1);
+
+	mb->k = k;
+	mb->vm = g_strdup(vm);
+	mb->domain = g_strdup(domain);
+	mb->entry = strcmp(role, "entry") == 0;
+	mb->list_at_us = -1;
+	mb->peers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
+	mb->conns =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	mb->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+	    (GDestroyNotify)g_ptr_array_unref);
+	mb->listeners = g_array_new(FALSE, FALSE, sizeof(struct listener));
+	mh_kern_add(k, "member", mb, handle, destroy);
+	mh_hub_on(k, MH__FRAME__BODY_MEMBERS_ASK, on_members_ask, mb);
+	mh_hub_on(k, MH__FRAME__BODY_MEMBERS, on_members, mb);
+	mh_hub_on(k, MH__FRAME__BODY_DRAIN, on_drain, mb);
+	mh_hub_on(k, MH__FRAME__BODY_PING, on_ping, mb);
+	mh_member_on_link(k, on_link_self, mb);
+	mb->tick = mh_timer_start(k, 0, on_tick, mb);
+}
--- /dev/null
+++ b/lib/pipe.c
@@ -0,0 +1,652 @@
+/**
+ * DOC: A request's way through its stages: budgets from one deadline,
+ * attempts, retries, hedges and the rescue of slow streams.
+ */
+
+#include "entry.h"
+
+#include <string.h>
+
+#define MAX_PICKS 4 /* endpoints asked for one stage */
+#define HEDGE_DEVS 4
+#define HEDGE_MIN_US (15 * MH_US_PER_MS)
+#define PACE_US (150 * MH_US_PER_MS) /* between two checks of a stream */
+#define FIRST_FACTOR 4
+#define FIRST_MIN_US (300 * MH_US_PER_MS)
+#define RESCUE_SHARE 0.8 /* a rescue must fit well into what is left */
+#define BUDGET_MAX 20.0
+#define BYTES_PER_TOKEN 4
+#define KEY_CANDIDATES 16
+#define MOVE_WAIT_US (50 * MH_US_PER_MS) /* a partition is changing hands */
+#define NEVER_MARGIN_US (30 * MH_US_PER_MS)
+
+static void next_try(struct request *r, bool hedge);
+static void start_stage(struct request *r);
+
+static const struct mh_stage *
+stage_at(const struct request *r, guint i)
+{
+	return r->d.pipeline->stages->pdata[i];
+}
+
+static const struct mh_stage *
+stage_of(const struct request *r)
+{
+	return stage_at(r, r->stage);
+}
+
+static const struct mh_policy *
+policy_of(const struct request *r)
+{
+	return &r->decl->policy;
+}
+
+static uint32_t
+tokens_of(const struct request *r, const struct mh_stage *s)
+{
+	return s->kind == MH_GENERATE ? r->max_tokens - r->done_tokens : 0;
+}
+
+static int64_t
+left_us(const struct request *r)
+{
+	return r->deadline_us - mh_now(r->e->k);
+}
+
+int64_t
+pipe_predict_us(const struct request *r, guint from, bool waits)
+{
+	struct mh_kern *k = r->e->k;
+	int64_t sum = 0;
+
+	for (guint i = from; i < r->d.pipeline->stages->len; i++) {
+		const struct mh_stage *s = stage_at(r, i);
+
+		sum += mh_predict_us(k, s->pool, tokens_of(r, s), NULL);
+		if (waits)
+			sum += MAX(mh_route_wait(
+				       k, s->pool, r->d.class->priority),
+			    0);
+	}
+	return sum;
+}
+
+/* Weighted tokens that the request may use at most. */
+double
+pipe_units(const struct request *r)
+{
+	const struct mh_policy *p = policy_of(r);
+	const char *in =
+	    json_string_value(json_object_get(r->flow.input, "input"));
+	const char *context =
+	    json_string_value(json_object_get(r->flow.input, "context"));
+	double tokens = 1;
+	bool generates = false;
+
+	for (guint i = 0; i < r->d.pipeline->stages->len; i++)
+		generates |= stage_at(r, i)->kind == MH_GENERATE;
+	tokens += (double)(in == NULL ? 0 : strlen(in)) / BYTES_PER_TOKEN;
+	tokens +=
+	    (double)(context == NULL ? 0 : strlen(context)) / BYTES_PER_TOKEN;
+	return p->weight_in * tokens +
+	    (generates ? p->weight_out * (double)r->max_tokens : 0);
+}
+
+static void
+stop_timers(struct request *r)
+{
+	mh_timer_stop(r->e->k, &r->check);
+	mh_timer_stop(r->e->k, &r->hedge);
+}
+
+static void
+cancel_tries(struct request *r)
+{
+	for (int i = 0; i < MAX_TRIES; i++) {
+		if (r->tries[i].call != NULL)
+			mh_relay_cancel(r->e->k, r->tries[i].call);
+		r->tries[i].call = NULL;
+	}
+}
+
+void
+pipe_stop(struct request *r)
+{
+	stop_timers(r);
+	cancel_tries(r);
+}
+
+static int
+running_tries(const struct request *r)
+{
+	int n = 0;
+
+	for (int i = 0; i < MAX_TRIES; i++)
+		n += r->tries[i].call != NULL;
+	return n;
+}
+
+/*
+ * Retries and hedges share one budget, a part of recent traffic: when a
+ * whole pool is in trouble, more calls would only add to it.
+ */
+static bool
+spend(struct request *r)
+{
+	if (policy_of(r)->retrying == MH_RETRY_PLAIN)
+		return r->picks < 2;
+	if (r->e->budget < 1) {
+		mh_count(r->e->k, "pipe_budget_empty", 1);
+		return false;
+	}
+	r->e->budget -= 1;
+	return true;
+}
+
+static void
+earn(struct request *r)
+{
+	r->e->budget =
+	    MIN(r->e->budget + policy_of(r)->retry_share, BUDGET_MAX);
+}
+
+static int64_t
+retry_after(struct request *r, int64_t at_least_us)
+{
+	int64_t us = MAX(at_least_us, MH_US_PER_S);
+
+	return us + (int64_t)(mh_random_unit(r->e->k) * (double)us / 2);
+}
+
+/* No attempt is left: the caller hears it now, not at its deadline. */
+static void
+give_up(struct request *r, const char *detail, int64_t retry_us)
+{
+	struct problem p = { .status = 503, .kind = "overloaded",
+		.detail = detail, .remedy = "Ask again after Retry-After.",
+		.outcome = "not-run" };
+
+	p.retry_us = retry_after(r, retry_us);
+	if (r->unknown) {
+		p.status = 504;
+		p.kind = "outcome-unknown";
+		p.outcome = "unknown";
+		p.remedy = "Look the outcome up by key; do not repeat it "
+			   "under another key.";
+		p.retry_us = 0;
+	} else if (r->maybe_ran) {
+		p.kind = "failed";
+		p.outcome = "failed";
+		p.remedy = "The request changes nothing; ask again.";
+	}
+	entry_fail(r, &p);
+}
+
+static void
+add_stage_row(struct request *r, const struct mh_stage *s,
+    const struct mh_peer *p, const Mh__Result *res)
+{
+	const struct mh_policy *pol = policy_of(r);
+	double units = pol->weight_in *
+		(double)(res->tokens_in - MIN(res->tokens_cached,
+					      res->tokens_in)) +
+	    pol->weight_cached * (double)res->tokens_cached +
+	    pol->weight_out * (double)res->tokens_out;
+	char name[64];
+
+	r->used_units += units;
+	json_array_append_new(r->stages,
+	    json_pack("{s:s, s:s, s:I, s:I, s:f, s:i}", "stage", s->name, "vm",
+		p->vm, "us", (json_int_t)(mh_now(r->e->k) - r->stage_us),
+		"endpoint_us", (json_int_t)res->endpoint_us, "units", units,
+		"attempts", (int)r->picks));
+	snprintf(name, sizeof(name), "cost_%s_us", mh_stage_kind(s->kind));
+	mh_count(r->e->k, name, res->endpoint_us);
+	snprintf(name, sizeof(name), "cost_%s_units", mh_stage_kind(s->kind));
+	mh_count(r->e->k, name, (uint64_t)units);
+}
+
+static void
+stage_done(struct request *r, struct try *t, struct mh_peer *p,
+    const Mh__Result *res)
+{
+	const struct mh_stage *s = stage_of(r);
+	uint32_t tokens = s->kind == MH_GENERATE ? t->tokens : 0;
+
+	mh_predict_add(
+	    r->e->k, s->pool, mh_now(r->e->k) - t->started_us, tokens);
+	add_stage_row(r, s, p, res);
+	if (t->hedge)
+		mh_count(r->e->k, "pipe_hedges_won", 1);
+	stop_timers(r);
+	cancel_tries(r);
+	r->stage++;
+	if (r->stage == r->d.pipeline->stages->len)
+		entry_done(r);
+	else
+		start_stage(r);
+}
+
+static void
+on_owner_wait(void *arg)
+{
+	struct request *r = arg;
+
+	r->check = NULL;
+	next_try(r, false);
+}
+
+/*
+ * A given key can run at one owner only.  While its partition changes hands
+ * it is refused for a moment; asking again is safe, for a refusal is final
+ * for that call and the next one carries the new owner's epoch.
+ */
+static void
+wait_for_owner(struct request *r)
+{
+	mh_count(r->e->k, "pipe_owner_waits", 1);
+	mh_timer_stop(r->e->k, &r->check);
+	r->check =
+	    mh_timer_start(r->e->k, MOVE_WAIT_US, on_owner_wait, r);
+}
+
+/* A try ended without a result; another may follow. */
+static void
+try_failed(struct request *r, struct mh_peer *p, const Mh__Result *res)
+{
+	const struct mh_stage *s = stage_of(r);
+	bool not_run = res->outcome == MH__OUTCOME__NOT_RUN;
+	bool fits;
+
+	g_free(r->last_vm);
+	g_free(r->last_domain);
+	r->last_vm = g_strdup(p->vm);
+	r->last_domain = g_strdup(p->domain);
+	if (res->outcome == MH__OUTCOME__UNKNOWN)
+		r->unknown = true;
+	else if (!not_run)
+		r->maybe_ran = true;
+	if (running_tries(r) > 0)
+		return;
+	stop_timers(r);
+	if (s->never && r->key_given && not_run && !r->unknown &&
+	    left_us(r) > 4 * MOVE_WAIT_US) {
+		wait_for_owner(r);
+		return;
+	}
+	fits = left_us(r) >
+	    mh_predict_us(r->e->k, s->pool, tokens_of(r, s), NULL) / 2;
+	/* A refusal cost nothing; only real repeats draw on the budget. */
+	if (!r->unknown && fits && r->picks < MAX_PICKS &&
+	    (not_run || (!s->never && spend(r)))) {
+		mh_count(r->e->k, not_run ? "pipe_repicks" : "pipe_retries", 1);
+		next_try(r, false);
+		return;
+	}
+	give_up(r,
+	    not_run ? "Every endpoint asked is full." :
+		      "The stage failed at every endpoint asked.",
+	    (int64_t)res->retry_us);
+}
+
+/* A non-repeatable service's answer is final whatever its status says. */
+static bool
+service_refused(struct request *r, const Mh__Result *res)
+{
+	struct problem p = { .status = 502, .kind = "service-refused",
+		.detail = "The service refused the request.",
+		.remedy = "Mend the request; the status is the service's.",
+		.outcome = "done" };
+
+	if (res->status >= 200 && res->status < 300)
+		return false;
+	if (res->status >= 400 && res->status < 500)
+		p.status = res->status;
+	pipe_stop(r);
+	entry_fail(r, &p);
+	return true;
+}
+
+static void
+on_result(struct request *r, struct try *t, struct mh_peer *p,
+    const Mh__Result *res)
+{
+	GBytes *body;
+	bool ok;
+
+	t->call = NULL;
+	if (res->outcome != MH__OUTCOME__DONE) {
+		try_failed(r, p, res);
+		return;
+	}
+	r->maybe_ran = true;
+	if (stage_of(r)->kind == MH_SERVICE && service_refused(r, res))
+		return;
+	body = g_bytes_new(res->body.data, res->body.len);
+	ok = mh_stage_take(stage_of(r), &r->flow, body);
+	g_bytes_unref(body);
+	if (ok) {
+		stage_done(r, t, p, res);
+	} else {
+		Mh__Result bad = MH__RESULT__INIT;
+
+		mh_count(r->e->k, "pipe_garbage", 1);
+		bad.outcome = stage_of(r)->never ? MH__OUTCOME__UNKNOWN :
+						   MH__OUTCOME__FAILED;
+		try_failed(r, p, &bad);
+	}
+}
+
+static void
+on_event(void *arg, struct mh_call *c, const struct mh_call_event *ev)
+{
+	struct try *t = arg;
+	struct request *r = t->r;
+	gsize len;
+	const char *data;
+
+	(void)c;
+	if (ev->result != NULL) {
+		on_result(r, t, ev->peer, ev->result);
+		return;
+	}
+	r->maybe_ran = true;
+	if (t->first_us == 0) {
+		t->first_us = mh_now(r->e->k);
+		mh_predict_first(r->e->k, stage_of(r)->pool,
+		    t->first_us - t->started_us);
+	}
+	t->tokens++;
+	r->done_tokens++;
+	data = g_bytes_get_data(ev->chunk, &len);
+	if (r->flow.text == NULL)
+		r->flow.text = g_string_new(NULL);
+	g_string_append_len(r->flow.text, data, (gssize)len);
+	if (r->stream && r->stage + 1 == r->d.pipeline->stages->len)
+		entry_token(r, ev->chunk);
+}
+
+static void
+fail_try(struct request *r, struct try *t)
+{
+	struct mh_peer *p = mh_call_peer(t->call);
+	Mh__Result res = MH__RESULT__INIT;
+
+	res.outcome = MH__OUTCOME__FAILED;
+	p->fails++;
+	mh_relay_cancel(r->e->k, t->call);
+	t->call = NULL;
+	try_failed(r, p, &res);
+}
+
+static void
+on_timeout(void *arg)
+{
+	struct request *r = arg;
+
+	r->check = NULL;
+	mh_count(r->e->k, "pipe_timeouts", 1);
+	for (int i = 1; i < MAX_TRIES; i++) {
+		if (r->tries[i].call != NULL) {
+			mh_relay_cancel(r->e->k, r->tries[i].call);
+			r->tries[i].call = NULL;
+		}
+	}
+	if (r->tries[0].call != NULL)
+		fail_try(r, &r->tries[0]);
+}
+
+/* Would this stream miss the deadline where another endpoint would not? */
+static bool
+too_slow(struct request *r, const struct try *t)
+{
+	const struct mh_stage *s = stage_of(r);
+	struct mh_peer *p = mh_call_peer(t->call);
+	int64_t now = mh_now(r->e->k), waited = now - t->started_us;
+	int64_t elsewhere, need, wait;
+
+	elsewhere = mh_predict_us(r->e->k, s->pool, tokens_of(r, s), NULL);
+	wait = MAX(mh_route_wait(r->e->k, s->pool, r->d.class->priority), 0);
+	if ((double)(elsewhere + wait) > RESCUE_SHARE * (double)left_us(r))
+		return false;
+	if (t->first_us == 0) {
+		int64_t first = mh_predict_us(r->e->k, s->pool, 1, NULL);
+		int64_t there =
+		    (int64_t)p->load_wait_us[r->d.class->priority];
+
+		return waited >
+		    MAX(FIRST_FACTOR * first, FIRST_MIN_US) + there;
+	}
+	need = (now - t->first_us) * (int64_t)tokens_of(r, s) /
+	    (int64_t)MAX(t->tokens, 1);
+	return need > left_us(r) || need > 4 * (elsewhere + wait);
+}
+
+static void
+on_pace(void *arg)
+{
+	struct request *r = arg;
+	struct try *t = &r->tries[0];
+
+	r->check = NULL;
+	if (t->call == NULL)
+		return;
+	if (too_slow(r, t) && spend(r)) {
+		/* fail_try() asks the budget too: it was paid here. */
+		r->e->budget += 1;
+		mh_count(r->e->k, "pipe_rescues", 1);
+		fail_try(r, t);
+		return;
+	}
+	r->check = mh_timer_start(r->e->k, PACE_US, on_pace, r);
+}
+
+static void
+on_hedge(void *arg)
+{
+	struct request *r = arg;
+
+	r->hedge = NULL;
+	if (running_tries(r) != 1 || r->picks >= MAX_PICKS ||
+	    mh_route_usable(r->e->k, stage_of(r)->pool) < 2 || !spend(r))
+		return;
+	mh_count(r->e->k, "pipe_hedges", 1);
+	g_free(r->last_vm);
+	g_free(r->last_domain);
+	r->last_vm = g_strdup(mh_call_peer(r->tries[0].call)->vm);
+	r->last_domain = g_strdup(mh_call_peer(r->tries[0].call)->domain);
+	next_try(r, true);
+}
+
+/* How long this stage may take so that the later ones still fit. */
+static int64_t
+stage_left(const struct request *r)
+{
+	int64_t later = pipe_predict_us(r, r->stage + 1, false);
+	int64_t left = left_us(r) - later;
+
+	return MAX(left, left_us(r) / 4);
+}
+
+static void
+arm(struct request *r)
+{
+	const struct mh_policy *p = policy_of(r);
+	const struct mh_stage *s = stage_of(r);
+	int64_t dev, mean;
+
+	if (s->never)
+		return;
+	if (p->retrying == MH_RETRY_PLAIN) {
+		r->check = mh_timer_start(
+		    r->e->k, p->fixed_timeout_us, on_timeout, r);
+		return;
+	}
+	if (s->kind == MH_GENERATE) {
+		r->check = mh_timer_start(r->e->k, PACE_US, on_pace, r);
+		return;
+	}
+	r->check = mh_timer_start(
+	    r->e->k, MIN(s->timeout_us, stage_left(r)), on_timeout, r);
+	mean = mh_predict_us(r->e->k, s->pool, 0, &dev);
+	if (p->hedge)
+		r->hedge = mh_timer_start(r->e->k,
+		    MAX(mean + HEDGE_DEVS * dev, HEDGE_MIN_US), on_hedge, r);
+}
+
+/*
+ * An assigned key goes to the least busy owner among a few candidates.  The
+ * key is new with each pick: a refused key is never used again.
+ */
+static struct mh_peer *
+assign_key(struct request *r, struct mh_owners *o)
+{
+	struct mh_peer *best = NULL;
+
+	for (int i = 0; i < KEY_CANDIDATES; i++) {
+		uint8_t id[MH_ID_LEN];
+		char *text, *key;
+		const struct mh_part *part;
+		struct mh_peer *p;
+
+		mh_uuid7(r->e->k, id);
+		text = mh_uuid_text(id);
+		key = g_strconcat(r->org->name, "/", text, NULL);
+		part = mh_owners_part(o, mh_partition_of(key));
+		p = mh_member_find(r->e->k, part->vm);
+		if (p != NULL && mh_member_usable(r->e->k, p) &&
+		    p->incarnation == part->incarnation &&
+		    part->bound_ms < mh_uuid7_ms(text) &&
+		    (best == NULL || p->own < best->own)) {
+			best = p;
+			g_free(r->key);
+			r->key = key;
+			key = NULL;
+		}
+		g_free(text);
+		g_free(key);
+	}
+	return best;
+}
+
+static struct mh_peer *
+pick_owner(struct request *r, const struct mh_stage *s)
+{
+	struct mh_owners *o = entry_owners(r->e, s->pool);
+	const struct mh_part *part;
+	struct mh_peer *p;
+
+	if (!r->key_given)
+		return assign_key(r, o);
+	part = mh_owners_part(o, mh_partition_of(r->key));
+	p = mh_member_find(r->e->k, part->vm);
+	if (p == NULL || !mh_member_usable(r->e->k, p))
+		return NULL;
+	return p;
+}
+
+static struct mh_peer *
+pick(struct request *r, const struct mh_stage *s)
+{
+	struct mh_pick q = { .pool = s->pool,
+		.priority = r->d.class->priority,
+		.left_us = left_us(r) };
+
+	if (s->never)
+		return pick_owner(r, s);
+	if (r->picks > 0) {
+		q.avoid_vm = r->last_vm;
+		q.avoid_domain = r->last_domain;
+	} else if (s->kind == MH_GENERATE) {
+		q.affinity = r->affinity;
+	}
+	return mh_route_pick(r->e->k, &q);
+}
+
+static void
+send_try(struct request *r, struct try *t, struct mh_peer *p)
+{
+	const struct mh_stage *s = stage_of(r);
+	const char *model = s->model != NULL ? s->model : r->d.model;
+	struct mh_call_args a = { .request = r->id,
+		.stage = r->stage,
+		.attempt = ++r->attempts,
+		.kind = s->kind,
+		.priority = r->d.class->priority,
+		.org = r->org->name,
+		.org_weight = r->org->weight,
+		.path = mh_stage_path(s),
+		.stream = s->kind == MH_GENERATE,
+		.never = s->never };
+
+	if (s->kind == MH_GENERATE && r->d.model != NULL)
+		model = r->d.model;
+	/*
+	 * The side process refuses a waiting non-repeatable call a little
+	 * before the deadline, so that its "not run" is here in time; without
+	 * the margin the caller would be told "unknown".
+	 */
+	a.left_us = s->never ? left_us(r) - NEVER_MARGIN_US : stage_left(r);
+	a.out_tokens = tokens_of(r, s);
+	a.units = s->kind == MH_GENERATE ? (uint64_t)pipe_units(r) : 1;
+	a.predicted_us = (uint64_t)mh_predict_us(
+	    r->e->k, s->pool, a.out_tokens, NULL);
+	if (s->never) {
+		struct mh_owners *o = entry_owners(r->e, s->pool);
+
+		a.key = r->key;
+		a.partition = mh_partition_of(r->key);
+		a.epoch = mh_owners_part(o, a.partition)->epoch;
+	}
+	a.body =
+	    mh_stage_body(s, &r->flow, model, r->max_tokens, r->done_tokens);
+	t->r = r;
+	t->started_us = mh_now(r->e->k);
+	t->first_us = 0;
+	t->tokens = 0;
+	t->call = mh_relay_start(r->e->k, p, &a, on_event, t);
+	g_bytes_unref(a.body);
+}
+
+static void
+next_try(struct request *r, bool hedge)
+{
+	const struct mh_stage *s = stage_of(r);
+	struct mh_peer *p = pick(r, s);
+	struct try *t = &r->tries[hedge ? 1 : 0];
+
+	if (p == NULL && s->never && r->key_given &&
+	    left_us(r) > 4 * MOVE_WAIT_US) {
+		wait_for_owner(r);
+		return;
+	}
+	if (p == NULL) {
+		if (!hedge)
+			give_up(r, "No endpoint of the pool can be reached.", 0);
+		return;
+	}
+	r->picks++;
+	t->hedge = hedge;
+	send_try(r, t, p);
+	if (!hedge)
+		arm(r);
+}
+
+static void
+start_stage(struct request *r)
+{
+	r->picks = 0;
+	r->stage_us = mh_now(r->e->k);
+	earn(r);
+	if (stage_of(r)->kind == MH_GENERATE &&
+	    r->done_tokens >= r->max_tokens)
+		r->done_tokens = 0;
+	next_try(r, false);
+}
+
+void
+pipe_start(struct request *r)
+{
+	r->stage = 0;
+	start_stage(r);
+}
--- /dev/null
+++ b/lib/route.c
@@ -0,0 +1,314 @@
+/**
+ * DOC: Which endpoint of a pool to ask next.
+ *
+ * Two choices by expected delay: calls under way (the reported load, with
+ * what this process sent since) times the endpoint's smoothed time.  Prefix
+ * affinity goes before that while its endpoint is not much busier than the
+ * rest.  Endpoints that fail, or are far slower than their pool, are
+ * ejected for a while, never more than a third of the pool.
+ */
+
+#include "marlhoist.h"
+
+#include <string.h>
+
+#define EWMA_GAIN 0.1
+#define EJECT_FAILS 3
+#define EJECT_MIN_US (500 * MH_US_PER_MS)
+#define EJECT_MAX_US (8 * MH_US_PER_S)
+#define SLOW_FACTOR 4.0 /* times the pool's median */
+#define SLOW_FLOOR_US 2000.0
+#define NEW_US (3 * MH_US_PER_S) /* slow start of a newcomer */
+#define NEW_FACTOR 2.0
+#define LOAD_FRESH_US (500 * MH_US_PER_MS)
+#define AFFINITY_BOUND 1.25
+#define AFFINITY_SLACK 2.0
+#define FAR_FACTOR 1.05 /* another failure domain costs a hop */
+
+struct route {
+	struct mh_kern *k;
+	char *domain;
+	GHashTable *turns; /* pool -> next turn of round robin */
+};
+
+/* Calls at the endpoint as far as this process can tell. */
+static double
+busy(struct mh_kern *k, const struct mh_peer *p)
+{
+	double reported = (double)p->load_running + (double)p->load_queued;
+	double since = (double)p->own - (double)p->load_own;
+
+	/* An old report is worth less than the local exact count. */
+	if (p->load_at_us == 0 || mh_now(k) - p->load_at_us > LOAD_FRESH_US)
+		return (double)p->own;
+	return MAX(reported + since, (double)p->own);
+}
+
+static double
+fill(struct mh_kern *k, const struct mh_peer *p)
+{
+	return busy(k, p) / (double)MAX(p->load_slots, 1U);
+}
+
+static double
+score(struct route *r, const struct mh_peer *p)
+{
+	double s = (fill(r->k, p) + 0.1) * MAX(p->ewma_us, 1.0);
+
+	if (strcmp(p->domain, r->domain) != 0)
+		s *= FAR_FACTOR;
+	if (mh_now(r->k) - p->up_since_us < NEW_US)
+		s *= NEW_FACTOR;
+	return s;
+}
+
+static bool
+skip(const struct mh_peer *p, const struct mh_pick *q)
+{
+	return q->avoid_vm != NULL && strcmp(p->vm, q->avoid_vm) == 0;
+}
+
+static void
+collect(struct route *r, const struct mh_pick *q, GPtrArray *out, bool all)
+{
+	GPtrArray *pool = mh_member_pool(r->k, q->pool);
+	int64_t now = mh_now(r->k);
+
+	for (guint i = 0; i < pool->len; i++) {
+		struct mh_peer *p = pool->pdata[i];
+
+		if (!mh_member_usable(r->k, p) || skip(p, q))
+			continue;
+		if (all || p->eject_until_us <= now)
+			g_ptr_array_add(out, p);
+	}
+}
+
+uint32_t
+mh_route_usable(struct mh_kern *k, const char *pool)
+{
+	GPtrArray *a = mh_member_pool(k, pool);
+	uint32_t n = 0;
+
+	for (guint i = 0; i < a->len; i++)
+		n += mh_member_usable(k, a->pdata[i]);
+	return n;
+}
+
+static struct mh_peer *
+round_robin(struct route *r, const struct mh_pick *q, GPtrArray *c)
+{
+	guint turn = GPOINTER_TO_UINT(g_hash_table_lookup(r->turns, q->pool));
+
+	g_hash_table_replace(
+	    r->turns, g_strdup(q->pool), GUINT_TO_POINTER(turn + 1));
+	return c->pdata[turn % c->len];
+}
+
+static struct mh_peer *
+by_affinity(struct route *r, const struct mh_pick *q, GPtrArray *c)
+{
+	struct mh_peer *best = NULL;
+	char what[24];
+	uint64_t weight = 0;
+	double sum = 0;
+
+	snprintf(what, sizeof(what), "%" PRIx64, q->affinity);
+	for (guint i = 0; i < c->len; i++) {
+		struct mh_peer *p = c->pdata[i];
+		uint64_t w = mh_rendezvous(what, p->vm);
+
+		sum += busy(r->k, p);
+		if (best == NULL || w > weight) {
+			best = p;
+			weight = w;
+		}
+	}
+	if (busy(r->k, best) >
+	    AFFINITY_BOUND * sum / (double)c->len + AFFINITY_SLACK)
+		return NULL;
+	return best;
+}
+
+static struct mh_peer *
+two_choices(struct route *r, const struct mh_pick *q, GPtrArray *c)
+{
+	guint i = (guint)(mh_random(r->k) % c->len);
+	guint j = (guint)(mh_random(r->k) % c->len);
+	struct mh_peer *a = c->pdata[i], *b = c->pdata[j];
+	bool a_avoided, b_avoided;
+
+	if (i == j && c->len > 1)
+		b = c->pdata[(j + 1) % c->len];
+	if (q->avoid_domain != NULL) {
+		a_avoided = strcmp(a->domain, q->avoid_domain) == 0;
+		b_avoided = strcmp(b->domain, q->avoid_domain) == 0;
+		if (a_avoided != b_avoided)
+			return a_avoided ? b : a;
+	}
+	return score(r, a) <= score(r, b) ? a : b;
+}
+
+struct mh_peer *
+mh_route_pick(struct mh_kern *k, const struct mh_pick *q)
+{
+	struct route *r = mh_kern_get(k, "route");
+	const struct mh_policy *pol = &mh_conf_get(k)->policy;
+	GPtrArray *c = g_ptr_array_new();
+	struct mh_peer *p = NULL;
+
+	collect(r, q, c, pol->routing == MH_ROUTE_ROUND_ROBIN);
+	if (c->len == 0)
+		collect(r, q, c, true);
+	if (c->len > 0 && pol->routing == MH_ROUTE_ROUND_ROBIN)
+		p = round_robin(r, q, c);
+	if (c->len > 0 && p == NULL && q->affinity != 0 && pol->affinity)
+		p = by_affinity(r, q, c);
+	if (c->len > 0 && p == NULL)
+		p = two_choices(r, q, c);
+	g_ptr_array_free(c, TRUE);
+	return p;
+}
+
+void
+mh_route_load(struct mh_kern *k, struct mh_peer *p, const Mh__Load *l)
+{
+	p->load_running = l->running;
+	p->load_queued = l->queued;
+	p->load_slots = l->slots;
+	p->load_own = p->own;
+	p->load_at_us = mh_now(k);
+	for (size_t i = 0; i < MH_PRIORITIES; i++)
+		p->load_wait_us[i] = i < l->n_wait_us ? l->wait_us[i] : 0;
+}
+
+void
+mh_route_sent(struct mh_kern *k, struct mh_peer *p)
+{
+	(void)k;
+	p->own++;
+}
+
+static int
+by_value(gconstpointer a, gconstpointer b)
+{
+	double x = *(const double *)a, y = *(const double *)b;
+
+	return x < y ? -1 : x > y;
+}
+
+static double
+median_us(struct mh_kern *k, const char *pool, guint *usable, guint *ejected)
+{
+	GPtrArray *a = mh_member_pool(k, pool);
+	GArray *v = g_array_new(FALSE, FALSE, sizeof(double));
+	double m = 0;
+
+	*usable = *ejected = 0;
+	for (guint i = 0; i < a->len; i++) {
+		struct mh_peer *p = a->pdata[i];
+
+		if (!mh_member_usable(k, p))
+			continue;
+		(*usable)++;
+		*ejected += p->eject_until_us > mh_now(k);
+		if (p->ewma_us > 0)
+			g_array_append_val(v, p->ewma_us);
+	}
+	g_array_sort(v, by_value);
+	if (v->len > 0)
+		m = g_array_index(v, double, v->len / 2);
+	g_array_free(v, TRUE);
+	return m;
+}
+
+/*
+ * The floor: with a third of the pool ejected already, more ejections would
+ * push the work onto too few, which then look slow in their turn.
+ */
+static void
+eject(struct mh_kern *k, struct mh_peer *p, guint usable, guint ejected)
+{
+	if ((ejected + 1) * 3 > usable || p->eject_until_us > mh_now(k))
+		return;
+	p->eject_for_us = CLAMP(p->eject_for_us * 2, EJECT_MIN_US, EJECT_MAX_US);
+	p->eject_until_us = mh_now(k) + p->eject_for_us;
+	p->fails = 0;
+	mh_count(k, "route_ejections", 1);
+	mh_log(k, "route", "Endpoint ejected: vm=%s for_us=%" PRId64 ".", p->vm,
+	    p->eject_for_us);
+}
+
+void
+mh_route_result(
+    struct mh_kern *k, struct mh_peer *p, bool good, int64_t endpoint_us)
+{
+	guint usable, ejected;
+	double median;
+
+	if (p->own > 0)
+		p->own--;
+	if (p->load_own > 0 && p->load_own > p->own)
+		p->load_own = p->own;
+	if (endpoint_us > 0) {
+		if (p->ewma_us <= 0)
+			p->ewma_us = (double)endpoint_us;
+		p->ewma_us += EWMA_GAIN * ((double)endpoint_us - p->ewma_us);
+	}
+	p->fails = good ? 0 : p->fails + 1;
+	if (good && endpoint_us <= 0)
+		return;
+	median = median_us(k, p->pool, &usable, &ejected);
+	if (p->fails >= EJECT_FAILS ||
+	    (endpoint_us > 0 &&
+		p->ewma_us > SLOW_FACTOR * median + SLOW_FLOOR_US)) {
+		eject(k, p, usable, ejected);
+		/* Let it prove itself when it comes back. */
+		if (p->eject_until_us > mh_now(k))
+			p->ewma_us = MIN(p->ewma_us, SLOW_FACTOR * median);
+	} else if (good) {
+		p->eject_for_us /= 2;
+	}
+}
+
+int64_t
+mh_route_wait(struct mh_kern *k, const char *pool, uint32_t priority)
+{
+	GPtrArray *a = mh_member_pool(k, pool);
+	int64_t best = -1;
+
+	for (guint i = 0; i < a->len; i++) {
+		struct mh_peer *p = a->pdata[i];
+		int64_t wait = (int64_t)p->load_wait_us[priority];
+
+		if (!mh_member_usable(k, p))
+			continue;
+		if (mh_now(k) - p->load_at_us > LOAD_FRESH_US)
+			wait = 0;
+		if (best < 0 || wait < best)
+			best = wait;
+	}
+	return best;
+}
+
+static void
+destroy(void *self)
+{
+	struct route *r = self;
+
+	g_hash_table_destroy(r->turns);
+	g_free(r->domain);
+	g_free(r);
+}
+
+void
+mh_route_create(struct mh_kern *k, const char *domain)
+{
+	struct route *r = g_new0(struct route, 1);
+
+	r->k = k;
+	r->domain = g_strdup(domain);
+	r->turns =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	mh_kern_add(k, "route", r, NULL, destroy);
+}
--- /dev/null
+++ b/marlload/trace.c
@@ -0,0 +1,125 @@
+/**
+ * DOC: The arrival trace: open loop, seeded, the same for every policy.
+ */
+
+#include "marlload.h"
+
+#include <math.h>
+#include <string.h>
+
+#define CONTEXTS 24
+#define CONTEXT_BYTES 4000
+#define GIVEN_SHARE 0.5 /* of non-repeatable calls bring their own key */
+#define MS_PER_S 1000
+
+const struct plan plans[PLANS] = {
+	{ "dispatch-order", "carga-viva", "volt-key", "urgent", 0.20, 0.10,
+	    1500 * MH_US_PER_MS, 0, true, false },
+	{ "confirm-booking", "confetti", "party-key", "urgent", 0.15, 0.05,
+	    1500 * MH_US_PER_MS, 0, true, false },
+	{ "explain-dispatch", "carga-viva", "volt-key", "urgent", 0.10, 0.10,
+	    4000 * MH_US_PER_MS, 24, false, false },
+	{ "party-plan", "confetti", "party-key", "interactive", 0.35, 0.45,
+	    4000 * MH_US_PER_MS, 32, false, true },
+	{ "draft-plan", "carga-viva", "volt-key", "batch", 0.20, 0.30,
+	    10000 * MH_US_PER_MS, 48, false, false },
+};
+
+static bool
+in_burst(const struct load_args *a, double t)
+{
+	return a->burst > 1 && t >= a->burst_from * a->seconds &&
+	    t < a->burst_to * a->seconds;
+}
+
+static const struct plan *
+choose(GRand *g, bool burst)
+{
+	double u = g_rand_double(g);
+
+	for (int i = 0; i < PLANS; i++) {
+		u -= burst ? plans[i].burst_share : plans[i].share;
+		if (u < 0)
+			return &plans[i];
+	}
+	return &plans[PLANS - 1];
+}
+
+static struct shot *
+new_shot(const struct load_args *a, GRand *g, double t)
+{
+	struct shot *s = g_new0(struct shot, 1);
+
+	s->plan = choose(g, in_burst(a, t));
+	s->at_us = (int64_t)(t * MH_US_PER_S);
+	for (int i = 0; i < REF_LEN; i += 8)
+		snprintf(s->ref + i, 9, "%08x", g_rand_int(g));
+	s->context = (uint32_t)g_rand_int_range(g, 0, CONTEXTS);
+	s->entry = g_rand_int(g) % a->nentries;
+	s->once_given =
+	    s->plan->never && g_rand_double(g) < GIVEN_SHARE;
+	s->text = g_string_new(NULL);
+	return s;
+}
+
+GPtrArray *
+trace_make(const struct load_args *a)
+{
+	GRand *g = g_rand_new_with_seed(a->seed);
+	GPtrArray *out = g_ptr_array_new_with_free_func(shot_free);
+	double t = 0;
+
+	while (t < a->seconds) {
+		double rate = a->rate * (in_burst(a, t) ? a->burst : 1);
+
+		g_ptr_array_add(out, new_shot(a, g, t));
+		t -= log(1 - g_rand_double(g)) / rate;
+	}
+	g_rand_free(g);
+	return out;
+}
+
+void
+shot_free(void *arg)
+{
+	struct shot *s = arg;
+
+	g_free(s->once);
+	g_free(s->outcome);
+	g_string_free(s->text, TRUE);
+	g_free(s);
+}
+
+/* Requests of one context share a long beginning, as one plant's do. */
+static char *
+make_context(const struct shot *s)
+{
+	GString *c = g_string_new(NULL);
+
+	for (int i = 0; c->len < CONTEXT_BYTES; i++)
+		g_string_append_printf(
+		    c, "%s history %u line %d load 42 MW. ", s->plan->org,
+		    s->context, i);
+	return g_string_free(c, FALSE);
+}
+
+GBytes *
+shot_body(const struct shot *s)
+{
+	char *input = g_strdup_printf("ref:%s", s->ref), *text, *context;
+	json_t *o;
+
+	if (s->plan->tokens == 0) {
+		o = json_pack("{s:{s:s}}", "body", "order", input);
+	} else {
+		context = make_context(s);
+		o = json_pack("{s:s, s:s, s:i, s:b}", "input", input,
+		    "context", context, "max_tokens", (int)s->plan->tokens,
+		    "stream", s->plan->stream);
+		g_free(context);
+	}
+	text = json_dumps(o, JSON_COMPACT);
+	json_decref(o);
+	g_free(input);
+	return g_bytes_new_with_free_func(text, strlen(text), free, text);
+}
--- /dev/null
+++ b/mk/common.mk
@@ -0,0 +1,26 @@
+# Shared by every folder's Makefile.
+.DEFAULT_GOAL := all
+TOP ?= ..
+PKGS = apr-1 libprotobuf-c libmicrohttpd libcurl glib-2.0 jansson \
+	yaml-0.1 libxxhash libsodium libbsd-overlay
+BUILD ?= debug
+OBJ = $(TOP)/build/$(BUILD)
+CC = gcc
+WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
+	-Werror
+CFLAGS += -std=gnu11 -g -O2 $(WARN) -I$(TOP)/lib \
+	$(shell pkg-config --cflags $(PKGS))
+LDLIBS += $(shell pkg-config --libs $(PKGS)) -largtable2 -llog4c -lm
+ifeq ($(BUILD),asan)
+CFLAGS += -O1 -fsanitize=address,undefined -fno-omit-frame-pointer \
+	-fno-sanitize-recover=undefined
+LDFLAGS += -fsanitize=address,undefined
+endif
+LIB = $(OBJ)/libmarlhoist.a
+
+$(OBJ)/$(NAME)/%.o: %.c
+	@mkdir -p $(dir $@)
+	@echo "CC $(NAME)/$<"
+	@$(CC) $(CFLAGS) -MMD -c -o $@ $<
+
+-include $(wildcard $(OBJ)/$(NAME)/*.d)
