--- a/GNUmakefile
+++ b/GNUmakefile
@@ -1,10 +1,56 @@
+# make demo    the main job on stand-ins; installs what is missing
+# make check   every test, the formatter and the linters
+# make bench   the scenarios against the baseline (SCENARIO=name for one)
+# make slopes  the figures behind docs/CAPACITY.md
+# make model   the model of the at-most-once protocol
 LIBS = lib
-PROGS = marlhoistd marlsided marlctl marlstand marlload
+PROGS = marlhoistd marlsided marlctl marlstand marlload regress
 BUILD ?= debug
+CODE = $(filter-out lib/wire.pb-c.%,$(wildcard */*.c */*.h))
 
 all: $(PROGS)
 lib:
 	@$(MAKE) --no-print-directory -C lib BUILD=$(BUILD)
 $(PROGS): lib
 	@$(MAKE) --no-print-directory -C $@ BUILD=$(BUILD)
-.PHONY: all lib $(PROGS)
+
+deps:
+	@sh mk/deps.sh
+
+demo: deps
+	@$(MAKE) --no-print-directory -j4 all
+	@bash bench/demo.sh
+
+check: deps
+	@$(MAKE) --no-print-directory -j4 all
+	@$(MAKE) --no-print-directory format-check lint
+	@$(MAKE) --no-print-directory model
+	@$(MAKE) --no-print-directory -j4 BUILD=asan lib regress
+	build/asan/regress.bin regress >build/asan/regress.log 2>&1 || \
+	    { tail -60 build/asan/regress.log; exit 1; }
+	@tail -1 build/asan/regress.log | sed 's/^/under sanitizers: /'
+	build/debug/regress.bin regress
+
+bench: deps
+	@$(MAKE) --no-print-directory -j4 all
+	@bash bench/bench.sh $(SCENARIO)
+
+slopes: deps
+	@$(MAKE) --no-print-directory -j4 all
+	@bash bench/slopes.sh
+
+model:
+	@sh model/run.sh
+
+format:
+	clang-format -i $(CODE)
+format-check:
+	@clang-format --dry-run -Werror $(CODE)
+	@echo "format: good"
+lint:
+	@sh mk/lint.sh
+
+clean:
+	rm -rf build
+.PHONY: all lib $(PROGS) deps demo check bench slopes model format \
+	format-check lint clean
--- a/lib/admin.c
+++ b/lib/admin.c
@@ -35,8 +35,8 @@
 }
 
 static void
-reply_text(struct mh_http_req *r, uint32_t status, const char *type,
-    const char *text)
+reply_text(
+    struct mh_http_req *r, uint32_t status, const char *type, const char *text)
 {
 	GBytes *b = g_bytes_new(text, strlen(text));
 
@@ -56,8 +56,8 @@
 		reply_text(r, 200, "text/plain", "live\n");
 	} else if (strcmp(path, "/readyz") == 0) {
 		reply_text(r, is_ready(k) ? 200 : 503, "text/plain",
-		    is_ready(k) ? "ready\n" :
-				  "no configuration or VM list yet\n");
+		    is_ready(k) ? "ready\n"
+				: "no configuration or VM list yet\n");
 	} else if (strcmp(path, "/metrics") == 0) {
 		text = mh_kern_metrics(k);
 		reply_text(r, 200, "text/plain; version=0.0.4", text);
--- a/lib/claim.c
+++ b/lib/claim.c
@@ -83,8 +83,8 @@
 	 * A VM that the platform dropped from its list may be taken over:
 	 * its process, if it still runs, starts nothing more.
 	 */
-	return c->part[p].open && c->part[p].move == MOVE_NONE &&
-	    mine(c, t) && t->epoch == epoch && !mh_member_dropped(k);
+	return c->part[p].open && c->part[p].move == MOVE_NONE && mine(c, t) &&
+	    t->epoch == epoch && !mh_member_dropped(k);
 }
 
 bool
@@ -128,8 +128,7 @@
 static int64_t
 fresh_bound(struct claim *c)
 {
-	return now_ms(c) +
-	    mh_conf_get(c->k)->policy.skew_us / MH_US_PER_MS;
+	return now_ms(c) + mh_conf_get(c->k)->policy.skew_us / MH_US_PER_MS;
 }
 
 static const char *
@@ -229,8 +228,8 @@
 		return false;
 	if (strcmp(t->vm, c->vm) == 0) {
 		/* This VM's earlier process: its memory is gone. */
-		mh_owners_set(next, p, c->vm, c->inc, t->epoch + 1,
-		    fresh_bound(c));
+		mh_owners_set(
+		    next, p, c->vm, c->inc, t->epoch + 1, fresh_bound(c));
 		return true;
 	}
 	if (t->vm[0] != '\0' && !mh_member_gone(c->k, t->vm, pol->vm_gone_us))
@@ -284,11 +283,9 @@
 		e->status = r->status;
 		e->body_hash = r->body_hash;
 		e->stamp_ms = (uint64_t)r->stamp_ms;
-		e->refused.data = r->refused;
-		e->refused.len = MH_ID_LEN;
 		if (r->body != NULL)
-			e->body.data = (uint8_t *)(uintptr_t)
-			    g_bytes_get_data(r->body, &len);
+			e->body.data = (uint8_t *)(uintptr_t)g_bytes_get_data(
+			    r->body, &len);
 		e->body.len = len;
 		ptrs[i] = e;
 	}
@@ -497,8 +494,7 @@
 {
 	struct claim *c = arg;
 
-	if (ev != MH_LINK_FAILED && c->loaded &&
-	    strcmp(p->role, "entry") == 0)
+	if (ev != MH_LINK_FAILED && c->loaded && strcmp(p->role, "entry") == 0)
 		mh_owners_send(c->k, c->owners, conn);
 }
 
--- a/lib/client.c
+++ b/lib/client.c
@@ -194,8 +194,7 @@
 	}
 	if (strcmp(call->method, "GET") != 0) {
 		curl_easy_setopt(h->easy, CURLOPT_CUSTOMREQUEST, call->method);
-		curl_easy_setopt(
-		    h->easy, CURLOPT_POSTFIELDSIZE, (long)len);
+		curl_easy_setopt(h->easy, CURLOPT_POSTFIELDSIZE, (long)len);
 		curl_easy_setopt(
 		    h->easy, CURLOPT_POSTFIELDS, data != NULL ? data : "");
 	}
--- a/lib/conf.c
+++ b/lib/conf.c
@@ -112,8 +112,7 @@
 }
 
 bool
-mh_conf_load(
-    struct mh_kern *k, uint64_t generation, GBytes *doc, GError **err)
+mh_conf_load(struct mh_kern *k, uint64_t generation, GBytes *doc, GError **err)
 {
 	struct conf *c = mh_kern_get(k, "conf");
 	struct mh_decl *d;
@@ -228,8 +227,7 @@
 		json_object_set_new(o, "prefix", json_integer(prefix));
 		json_object_set_new(o, "suffix", json_integer(suffix));
 		json_object_set_new(o, "middle",
-		    json_stringn_nocheck(
-			data + prefix, len - prefix - suffix));
+		    json_stringn_nocheck(data + prefix, len - prefix - suffix));
 	}
 	text = json_dumps(o, JSON_COMPACT | JSON_SORT_KEYS);
 	json_decref(o);
@@ -289,7 +287,8 @@
 	name = json_string_value(json_object_get(head, "doc"));
 	if (name == NULL) {
 		mh_count(c->k, "conf_bad_head", 1);
-		mh_log(c->k, "conf", "The head value is malformed; apply again.");
+		mh_log(
+		    c->k, "conf", "The head value is malformed; apply again.");
 		json_decref(head);
 		return;
 	}
@@ -433,8 +432,8 @@
 		return;
 	empty = g_bytes_new(NULL, 0);
 	old = n->base_generation == 0 ? empty : kept_doc(c, n->base_generation);
-	doc = old == NULL ? NULL :
-			    patch(old, n->prefix, n->suffix, n->doc.data,
+	doc = old == NULL ? NULL
+			  : patch(old, n->prefix, n->suffix, n->doc.data,
 				n->doc.len, n->hash);
 	g_bytes_unref(empty);
 	if (doc == NULL) {
--- a/lib/daemon.c
+++ b/lib/daemon.c
@@ -27,20 +27,20 @@
 	bool number;
 };
 
-#define S(fl, en, fld, wh, onl, bth, req, num)                             \
-	{                                                                  \
-		.flag = fl, .env = en, .what = wh,                         \
-		.offset = offsetof(struct mh_settings, fld), .only = onl,  \
-		.both = bth, .required = req, .number = num                \
+#define S(fl, en, fld, wh, onl, bth, req, num)                            \
+	{                                                                 \
+		.flag = fl, .env = en, .what = wh,                        \
+		.offset = offsetof(struct mh_settings, fld), .only = onl, \
+		.both = bth, .required = req, .number = num               \
 	}
 
 static const struct setting settings[] = {
 	S("vm", "MARLHOIST_VM", vm, "this VM's id in the VM list", 0, true,
 	    true, false),
-	S("domain", "MARLHOIST_DOMAIN", domain, "failure domain", 0, true,
-	    true, false),
-	S("listen", "MARLHOIST_LISTEN", listen, "IP:PORT for our processes",
-	    0, true, true, false),
+	S("domain", "MARLHOIST_DOMAIN", domain, "failure domain", 0, true, true,
+	    false),
+	S("listen", "MARLHOIST_LISTEN", listen, "IP:PORT for our processes", 0,
+	    true, true, false),
 	S("advertise", "MARLHOIST_ADVERTISE", advertise,
 	    "IP:PORT that peers dial, if another", 0, true, false, false),
 	S("http", "MARLHOIST_HTTP", http,
@@ -51,14 +51,14 @@
 	    true, false),
 	S("secret-file", "MARLHOIST_SECRET_FILE", secret_file,
 	    "file with the processes' shared secret", 0, true, true, false),
-	S("log-level", "MARLHOIST_LOG_LEVEL", log_level,
-	    "error, info or debug", 0, true, false, false),
+	S("log-level", "MARLHOIST_LOG_LEVEL", log_level, "error, info or debug",
+	    0, true, false, false),
 	S("cert-file", "MARLHOIST_CERT_FILE", cert_file,
 	    "TLS certificate (PEM) of the callers' port", MH_DAEMON_ENTRY,
 	    false, false, false),
 	S("key-file", "MARLHOIST_KEY_FILE", key_file,
-	    "TLS key (PEM) of the callers' port", MH_DAEMON_ENTRY, false,
-	    false, false),
+	    "TLS key (PEM) of the callers' port", MH_DAEMON_ENTRY, false, false,
+	    false),
 	S("pool", "MARLHOIST_POOL", pool, "pool of the endpoint",
 	    MH_DAEMON_SIDE, false, true, false),
 	S("endpoint", "MARLHOIST_ENDPOINT", endpoint, "URL of the endpoint",
@@ -125,8 +125,8 @@
 }
 
 static void
-check(const struct mh_settings *s, enum mh_daemon_kind kind,
-    const char *program)
+check(
+    const struct mh_settings *s, enum mh_daemon_kind kind, const char *program)
 {
 	for (size_t i = 0; i < NSETTINGS; i++) {
 		const struct setting *t = &settings[i];
@@ -147,13 +147,14 @@
 			    t->flag, v, t->what);
 	}
 	if ((s->cert_file == NULL) != (s->key_file == NULL))
-		bad(program, "--cert-file and --key-file go together: "
-			     "give both or none");
+		bad(program,
+		    "--cert-file and --key-file go together: "
+		    "give both or none");
 }
 
 void
-mh_settings_read(struct mh_settings *s, enum mh_daemon_kind kind, int argc,
-    char **argv)
+mh_settings_read(
+    struct mh_settings *s, enum mh_daemon_kind kind, int argc, char **argv)
 {
 	const char *program = strrchr(argv[0], '/');
 	struct arg_str *strs[NSETTINGS];
@@ -211,8 +212,8 @@
 {
 	for (size_t i = 0; i < NSETTINGS; i++) {
 		if (!settings[i].number)
-			g_free(*(char **)(void *)((char *)s +
-			    settings[i].offset));
+			g_free(
+			    *(char **)(void *)((char *)s + settings[i].offset));
 	}
 	memset(s, 0, sizeof(*s));
 }
@@ -256,8 +257,7 @@
 }
 
 static const char *
-format_line(
-    const log4c_layout_t *layout, const log4c_logging_event_t *ev)
+format_line(const log4c_layout_t *layout, const log4c_logging_event_t *ev)
 {
 	static __thread char buf[2048];
 	GDateTime *now = g_date_time_new_now_utc();
@@ -291,8 +291,8 @@
 	cat = log4c_category_get(program);
 	log4c_category_set_appender(cat, out);
 	log4c_category_set_additivity(cat, 0);
-	log4c_category_set_priority(cat,
-	    log4c_priority_to_int(level == NULL ? "info" : level));
+	log4c_category_set_priority(
+	    cat, log4c_priority_to_int(level == NULL ? "info" : level));
 	mh_kern_set_log(k, log_line, cat);
 }
 
--- a/lib/decl.c
+++ b/lib/decl.c
@@ -11,28 +11,36 @@
 #include <sodium.h>
 #include <string.h>
 
-#define F(st, fld, typ, req, lo, hi)                                          \
-	{                                                                     \
+#define F(st, fld, typ, req, lo, hi)                                           \
+	{                                                                      \
 		.name = #fld, .type = typ, .offset = offsetof(struct st, fld), \
-		.required = req, .min = lo, .max = hi                         \
+		.required = req, .min = lo, .max = hi                          \
 	}
-#define FN(nm, st, fld, typ, req, lo, hi)                                     \
-	{                                                                     \
-		.name = nm, .type = typ, .offset = offsetof(struct st, fld),  \
-		.required = req, .min = lo, .max = hi                         \
+#define FN(nm, st, fld, typ, req, lo, hi)                                    \
+	{                                                                    \
+		.name = nm, .type = typ, .offset = offsetof(struct st, fld), \
+		.required = req, .min = lo, .max = hi                        \
 	}
-#define FENUM(nm, st, fld, req, wrds)                                         \
-	{                                                                     \
-		.name = nm, .type = MH_F_ENUM,                                \
-		.offset = offsetof(struct st, fld), .required = req,          \
-		.words = wrds                                                 \
+#define FENUM(nm, st, fld, req, wrds)                                \
+	{                                                            \
+		.name = nm, .type = MH_F_ENUM,                       \
+		.offset = offsetof(struct st, fld), .required = req, \
+		.words = wrds                                        \
 	}
-#define FTAB(nm, st, fld, typ, req, tab)                                      \
-	{                                                                     \
-		.name = nm, .type = typ, .offset = offsetof(struct st, fld),  \
-		.required = req, .table = tab                                 \
+#define FTAB(nm, st, fld, typ, req, tab)                                     \
+	{                                                                    \
+		.name = nm, .type = typ, .offset = offsetof(struct st, fld), \
+		.required = req, .table = tab                                \
+	}
+#define FEND                 \
+	{                    \
+		.name = NULL \
+	}
+#define TABLE(wht, st, flds, dst)                                       \
+	{                                                               \
+		.what = wht, .size = sizeof(struct st), .fields = flds, \
+		.destroy = (GDestroyNotify)(dst)                        \
 	}
-#define FEND { .name = NULL }
 
 #define MAX_MS 3600000.0
 #define DEFAULT_STAGE_TIMEOUT_US (2 * MH_US_PER_S)
@@ -66,8 +74,8 @@
 	F(mh_policy, weight_out, MH_F_DOUBLE, false, 0, 100),
 	FEND,
 };
-static const struct mh_table policy_table = { "policy",
-	sizeof(struct mh_policy), policy_fields, NULL };
+static const struct mh_table policy_table =
+    TABLE("policy", mh_policy, policy_fields, NULL);
 
 static const struct mh_field class_fields[] = {
 	F(mh_class, name, MH_F_STR, true, 0, 0),
@@ -117,8 +125,8 @@
 	FN("to_minute", mh_when, to_min, MH_F_U32, false, 0, 1439),
 	FEND,
 };
-static const struct mh_table when_table = { "when", sizeof(struct mh_when),
-	when_fields, NULL };
+static const struct mh_table when_table =
+    TABLE("when", mh_when, when_fields, NULL);
 
 static const struct mh_field then_fields[] = {
 	F(mh_then, pipeline, MH_F_STR, false, 0, 0),
@@ -129,8 +137,8 @@
 	F(mh_then, max_tokens, MH_F_U32, false, 1, 100000),
 	FEND,
 };
-static const struct mh_table then_table = { "then", sizeof(struct mh_then),
-	then_fields, NULL };
+static const struct mh_table then_table =
+    TABLE("then", mh_then, then_fields, NULL);
 
 static const struct mh_field rule_fields[] = {
 	F(mh_rule, name, MH_F_STR, true, 0, 0),
@@ -155,8 +163,8 @@
 	g_free(key);
 }
 
-static const struct mh_table key_table = { "key", sizeof(struct mh_key),
-	key_fields, (GDestroyNotify)free_key };
+static const struct mh_table key_table =
+    TABLE("key", mh_key, key_fields, free_key);
 
 static const struct mh_field org_fields[] = {
 	F(mh_org, name, MH_F_STR, true, 0, 0),
@@ -249,12 +257,12 @@
 	g_free(w);
 }
 
-static const struct mh_table class_table = { "class", sizeof(struct mh_class),
-	class_fields, (GDestroyNotify)free_class };
-static const struct mh_table pool_table = { "pool", sizeof(struct mh_pool),
-	pool_fields, (GDestroyNotify)free_pool };
-static const struct mh_table stage_table = { "stage",
-	sizeof(struct raw_stage), stage_fields, (GDestroyNotify)free_stage };
+static const struct mh_table class_table =
+    TABLE("class", mh_class, class_fields, free_class);
+static const struct mh_table pool_table =
+    TABLE("pool", mh_pool, pool_fields, free_pool);
+static const struct mh_table stage_table =
+    TABLE("stage", raw_stage, stage_fields, free_stage);
 
 static const struct mh_field pipeline_fields[] = {
 	F(mh_pipeline, name, MH_F_STR, true, 0, 0),
@@ -262,29 +270,39 @@
 	F(mh_pipeline, line, MH_F_LINE, false, 0, 0),
 	FEND,
 };
-static const struct mh_table pipeline_table = { "pipeline",
-	sizeof(struct mh_pipeline), pipeline_fields,
-	(GDestroyNotify)free_pipeline };
-static const struct mh_table rule_table = { "rule", sizeof(struct mh_rule),
-	rule_fields, (GDestroyNotify)free_rule };
-static const struct mh_table org_table = { "organisation",
-	sizeof(struct mh_org), org_fields, (GDestroyNotify)free_org };
-static const struct mh_table want_table = { "want", sizeof(struct mh_want),
-	want_fields, (GDestroyNotify)free_want };
+static const struct mh_table pipeline_table =
+    TABLE("pipeline", mh_pipeline, pipeline_fields, free_pipeline);
+
+static void
+init_rule(void *item)
+{
+	struct mh_rule *r = item;
+
+	r->when.from_min = r->when.to_min = -1;
+}
+
+static const struct mh_table rule_table = { .what = "rule",
+	.size = sizeof(struct mh_rule),
+	.fields = rule_fields,
+	.destroy = (GDestroyNotify)free_rule,
+	.init = init_rule };
+static const struct mh_table org_table =
+    TABLE("organisation", mh_org, org_fields, free_org);
+static const struct mh_table want_table =
+    TABLE("want", mh_want, want_fields, free_want);
 
 static const struct mh_field decl_fields[] = {
 	FTAB("policy", mh_decl, policy, MH_F_STRUCT, false, &policy_table),
 	FTAB("classes", mh_decl, classes, MH_F_LIST, true, &class_table),
 	FTAB("pools", mh_decl, pools, MH_F_LIST, true, &pool_table),
-	FTAB(
-	    "pipelines", mh_decl, pipelines, MH_F_LIST, true, &pipeline_table),
+	FTAB("pipelines", mh_decl, pipelines, MH_F_LIST, true, &pipeline_table),
 	FTAB("rules", mh_decl, rules, MH_F_LIST, true, &rule_table),
 	FTAB("organisations", mh_decl, orgs, MH_F_LIST, true, &org_table),
 	FTAB("wants", mh_decl, wants, MH_F_LIST, false, &want_table),
 	FEND,
 };
-static const struct mh_table decl_table = { "declarations",
-	sizeof(struct mh_decl), decl_fields, NULL };
+static const struct mh_table decl_table =
+    TABLE("declarations", mh_decl, decl_fields, NULL);
 
 /* The name is the first member of every named item. */
 static void *
@@ -428,8 +446,7 @@
 		if (!check_names(
 			r, r->when.organisations, d->orgs, "organisation", err))
 			return false;
-		if (!check_names(
-			r, r->when.classes, d->classes, "class", err))
+		if (!check_names(r, r->when.classes, d->classes, "class", err))
 			return false;
 		if (r->then.class_name == NULL && r->then.refuse == NULL)
 			return fail_at(err, r->line, "then",
@@ -468,8 +485,7 @@
 }
 
 static bool
-index_key(
-    struct mh_decl *d, struct mh_org *o, struct mh_key *key, GError **err)
+index_key(struct mh_decl *d, struct mh_org *o, struct mh_key *key, GError **err)
 {
 	struct mh_key_owner *w;
 	size_t len = 0;
@@ -516,8 +532,7 @@
 
 		if (mh_decl_pool(d, w->pool) == NULL)
 			return fail_at(err, w->line, "pool",
-			    "names no declared pool",
-			    "declare it under pools");
+			    "names no declared pool", "declare it under pools");
 	}
 	return true;
 }
@@ -549,21 +564,6 @@
 	p->weight_out = 8.0;
 }
 
-/*
- * "Any minute" is -1, which no table default can say: the rules are read
- * with from_min and to_min at 0 and mended here when the pair is 0-0.
- */
-static void
-mend_minutes(struct mh_decl *d)
-{
-	for (guint i = 0; d->rules != NULL && i < d->rules->len; i++) {
-		struct mh_when *w = &((struct mh_rule *)d->rules->pdata[i])->when;
-
-		if (w->from_min == 0 && w->to_min == 0)
-			w->from_min = w->to_min = -1;
-	}
-}
-
 struct mh_decl *
 mh_decl_read(GBytes *doc, GError **err)
 {
@@ -578,7 +578,6 @@
 		mh_decl_unref(d);
 		return NULL;
 	}
-	mend_minutes(d);
 	if (!check(d, err)) {
 		mh_decl_unref(d);
 		return NULL;
--- a/lib/declread.c
+++ b/lib/declread.c
@@ -37,8 +37,8 @@
 }
 
 static bool
-fail(GError **err, const yaml_node_t *n, const char *field,
-    const char *reason, const char *remedy)
+fail(GError **err, const yaml_node_t *n, const char *field, const char *reason,
+    const char *remedy)
 {
 	g_set_error(err, MH_ERROR, MH_ERR_DECL, "line %u: field \"%s\": %s; %s",
 	    line_of(n), field, reason, remedy);
@@ -46,8 +46,7 @@
 }
 
 static bool
-is_scalar(
-    const yaml_node_t *n, const char *field, GError **err)
+is_scalar(const yaml_node_t *n, const char *field, GError **err)
 {
 	if (n->type != YAML_SCALAR_NODE)
 		return fail(err, n, field, "is not a single value",
@@ -58,8 +57,8 @@
 }
 
 static bool
-read_number(const yaml_node_t *n, const struct mh_field *f, double *out,
-    GError **err)
+read_number(
+    const yaml_node_t *n, const struct mh_field *f, double *out, GError **err)
 {
 	char *end, *remedy;
 	double v;
@@ -85,8 +84,8 @@
 }
 
 static bool
-read_enum(const yaml_node_t *n, const struct mh_field *f, uint32_t *out,
-    GError **err)
+read_enum(
+    const yaml_node_t *n, const struct mh_field *f, uint32_t *out, GError **err)
 {
 	char *all, *remedy;
 
@@ -129,8 +128,8 @@
 	if (!is_scalar(n, f->name, err))
 		return false;
 	if (n->data.scalar.length == 0)
-		return fail(
-		    err, n, f->name, "is empty", "write a text or drop the field");
+		return fail(err, n, f->name, "is empty",
+		    "write a text or drop the field");
 	g_free(*out);
 	*out = g_strdup(text_of(n));
 	return true;
@@ -151,8 +150,8 @@
 	if (n->type != YAML_SEQUENCE_NODE)
 		return fail(err, n, f->name, "is neither a text nor a list",
 		    "write a text or a list of texts");
-	for (it = n->data.sequence.items.start;
-	     it < n->data.sequence.items.top; it++) {
+	for (it = n->data.sequence.items.start; it < n->data.sequence.items.top;
+	     it++) {
 		yaml_node_t *e = yaml_document_get_node(&r->doc, *it);
 
 		if (!is_scalar(e, f->name, err))
@@ -195,14 +194,16 @@
 
 	*out = a;
 	if (n->type != YAML_SEQUENCE_NODE)
-		return fail(
-		    err, n, f->name, "is not a list", "write a list with dashes");
-	for (it = n->data.sequence.items.start;
-	     it < n->data.sequence.items.top; it++) {
+		return fail(err, n, f->name, "is not a list",
+		    "write a list with dashes");
+	for (it = n->data.sequence.items.start; it < n->data.sequence.items.top;
+	     it++) {
 		yaml_node_t *e = yaml_document_get_node(&r->doc, *it);
 		void *item = g_malloc0(f->table->size);
 
 		g_ptr_array_add(a, item);
+		if (f->table->init != NULL)
+			f->table->init(item);
 		if (!read_map(r, e, f->table, item, err))
 			return false;
 	}
@@ -331,8 +332,7 @@
 }
 
 bool
-mh_yaml_read(
-    GBytes *doc, const struct mh_table *table, void *out, GError **err)
+mh_yaml_read(GBytes *doc, const struct mh_table *table, void *out, GError **err)
 {
 	struct reader r = { .depth = 0 };
 	yaml_parser_t parser;
--- a/lib/endpoint.c
+++ b/lib/endpoint.c
@@ -199,7 +199,7 @@
 	e->k = k;
 	e->client = c;
 	e->url = g_strdup(url);
-	e->runs = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, NULL, free_run);
+	e->runs =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_run);
 	mh_kern_add(k, "endpoint", e, handle, destroy);
 }
--- a/lib/entry.c
+++ b/lib/entry.c
@@ -71,8 +71,11 @@
 refuse(struct entry *e, uint64_t caller, uint32_t status, const char *kind,
     const char *detail, const char *remedy)
 {
-	struct problem p = { .status = status, .kind = kind, .detail = detail,
-		.remedy = remedy, .outcome = "not-run" };
+	struct problem p = { .status = status,
+		.kind = kind,
+		.detail = detail,
+		.remedy = remedy,
+		.outcome = "not-run" };
 
 	entry_problem(e, caller, &p);
 }
@@ -106,8 +109,8 @@
 	json_object_set_new(o, "request", json_string(r->id_text));
 	json_object_set_new(o, "rule", json_string(r->d.rule->name));
 	json_object_set_new(o, "class", json_string(r->d.class->name));
-	json_object_set_new(o, "generation",
-	    json_integer((json_int_t)r->decl->generation));
+	json_object_set_new(
+	    o, "generation", json_integer((json_int_t)r->decl->generation));
 	json_object_set(o, "stages", r->stages);
 	if (r->key != NULL)
 		json_object_set_new(
@@ -119,8 +122,7 @@
 {
 	struct mh_msg *m = mh_msg_new(MH_MSG_REPLY);
 	char *text = json_dumps(data, JSON_COMPACT | JSON_SORT_KEYS);
-	char *part =
-	    g_strdup_printf("event: %s\ndata: %s\n\n", event, text);
+	char *part = g_strdup_printf("event: %s\ndata: %s\n\n", event, text);
 
 	json_decref(data);
 	free(text);
@@ -155,8 +157,8 @@
 void
 entry_done(struct request *r)
 {
-	json_t *o = json_pack("{s:s, s:O}", "outcome", "done", "answer",
-	    r->flow.answer);
+	json_t *o = json_pack(
+	    "{s:s, s:O}", "outcome", "done", "answer", r->flow.answer);
 
 	add_identity(r, o);
 	mh_count(r->e->k, "entry_done", 1);
@@ -193,11 +195,12 @@
 on_deadline(void *arg)
 {
 	struct request *r = arg;
-	struct problem p = { .status = 504, .kind = "deadline",
+	struct problem p = { .status = 504,
+		.kind = "deadline",
 		.detail = "The deadline passed.",
 		.remedy = "Ask again, or ask for more time.",
-		.outcome = r->maybe_ran || r->attempts > 0 ? "failed" :
-							     "not-run" };
+		.outcome =
+		    r->maybe_ran || r->attempts > 0 ? "failed" : "not-run" };
 	const struct mh_stage *s = r->d.pipeline->stages->pdata[r->stage];
 
 	r->deadline = NULL;
@@ -258,8 +261,8 @@
 	if (!json_is_object(r->flow.input)) {
 		detail = g_strdup_printf("The body is no JSON object: %s.",
 		    r->flow.input == NULL ? err.text : "another JSON type");
-		refuse(e, m->id, 400, "bad-body", detail,
-		    "Send a JSON object.");
+		refuse(
+		    e, m->id, 400, "bad-body", detail, "Send a JSON object.");
 		g_free(detail);
 		return false;
 	}
@@ -294,8 +297,7 @@
 		.deadline_us = m->deadline_us };
 	const struct mh_stage *s;
 
-	ask.model =
-	    json_string_value(json_object_get(r->flow.input, "model"));
+	ask.model = json_string_value(json_object_get(r->flow.input, "model"));
 	mh_rules_decide(r->decl, &ask, &r->d);
 	if (r->d.pipeline == NULL) {
 		refuse(e, m->id, 404, "no-pipeline",
@@ -305,8 +307,8 @@
 	}
 	if (r->d.rule == NULL || r->d.refuse != NULL) {
 		refuse(e, m->id, 403, "refused",
-		    r->d.rule == NULL ? "No rule admits the request." :
-					r->d.refuse,
+		    r->d.rule == NULL ? "No rule admits the request."
+				      : r->d.refuse,
 		    "Ask the operators about the rules.");
 		return false;
 	}
@@ -339,8 +341,7 @@
 	}
 	if (!last_stage(r->d.pipeline)->never)
 		return true;
-	r->key =
-	    g_strconcat(r->org->name, "/", m->idempotency_key, NULL);
+	r->key = g_strconcat(r->org->name, "/", m->idempotency_key, NULL);
 	r->key_given = true;
 	return true;
 }
@@ -349,7 +350,8 @@
 take_limits(struct entry *e, const struct mh_request_msg *m,
     const struct mh_key_owner *who, struct request *r)
 {
-	struct problem p = { .status = 429, .kind = "over-limit",
+	struct problem p = { .status = 429,
+		.kind = "over-limit",
 		.detail = "The organisation's or key's limit is used up.",
 		.remedy = "Ask again after Retry-After.",
 		.outcome = "not-run" };
@@ -363,8 +365,7 @@
 		    "Lower max_tokens.");
 		return false;
 	}
-	p.retry_us =
-	    wait + (int64_t)(mh_random_unit(e->k) * (double)wait / 2);
+	p.retry_us = wait + (int64_t)(mh_random_unit(e->k) * (double)wait / 2);
 	entry_problem(e, m->id, &p);
 	return false;
 }
@@ -373,7 +374,8 @@
 static bool
 feasible(struct entry *e, const struct mh_request_msg *m, struct request *r)
 {
-	struct problem p = { .status = 503, .kind = "overloaded",
+	struct problem p = { .status = 503,
+		.kind = "overloaded",
 		.detail = "The request could not finish by its deadline.",
 		.remedy = "Ask again after Retry-After, or allow more time.",
 		.outcome = "not-run" };
@@ -387,8 +389,7 @@
 		return true;
 	mh_count(e->k, "entry_infeasible", 1);
 	over = MAX(over, MH_US_PER_S);
-	p.retry_us =
-	    over + (int64_t)(mh_random_unit(e->k) * (double)over / 2);
+	p.retry_us = over + (int64_t)(mh_random_unit(e->k) * (double)over / 2);
 	entry_problem(e, m->id, &p);
 	return false;
 }
@@ -416,9 +417,8 @@
 	r->arrived_us = mh_now(e->k);
 	mh_uuid7(e->k, r->id);
 	r->id_text = mh_uuid_text(r->id);
-	return read_input(e, m, r) && decide(e, m, r) &&
-	    take_key(e, m, r) && feasible(e, m, r) &&
-	    take_limits(e, m, who, r);
+	return read_input(e, m, r) && decide(e, m, r) && take_key(e, m, r) &&
+	    feasible(e, m, r) && take_limits(e, m, who, r);
 }
 
 static void
@@ -437,8 +437,7 @@
 	r->deadline_us = r->arrived_us + r->d.deadline_us;
 	g_hash_table_insert(e->requests, &r->caller, r);
 	mh_count(e->k, "entry_admitted", 1);
-	r->deadline =
-	    mh_timer_start(e->k, r->d.deadline_us, on_deadline, r);
+	r->deadline = mh_timer_start(e->k, r->d.deadline_us, on_deadline, r);
 	pipe_start(r);
 }
 
@@ -501,8 +500,8 @@
 }
 
 static void
-send_lookup(struct entry *e, struct mh_peer *p, const char *key,
-    bool revoke, uint64_t caller)
+send_lookup(struct entry *e, struct mh_peer *p, const char *key, bool revoke,
+    uint64_t caller)
 {
 	struct lookup *l = g_new0(struct lookup, 1);
 	Mh__Frame f = MH__FRAME__INIT;
@@ -545,8 +544,7 @@
 	}
 	s = last_stage(pl);
 	key = g_strconcat(who->org->name, "/", part[1], NULL);
-	owner =
-	    mh_owners_part(entry_owners(e, s->pool), mh_partition_of(key));
+	owner = mh_owners_part(entry_owners(e, s->pool), mh_partition_of(key));
 	p = mh_member_find(e->k, owner->vm);
 	if (p == NULL || !p->up)
 		refuse(e, m->id, 503, "owner-unreachable",
@@ -680,8 +678,8 @@
 	e->domain = g_strdup(domain);
 	e->budget = START_BUDGET;
 	e->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
-	e->owners = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-	    (GDestroyNotify)mh_owners_destroy);
+	e->owners = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)mh_owners_destroy);
 	e->lookups = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, NULL, free_lookup);
 	mh_kern_add(k, "entry", e, handle, destroy);
--- a/lib/entry.h
+++ b/lib/entry.h
@@ -8,7 +8,8 @@
 struct request;
 
 /** struct try - one call made for the stage under way. */
-struct try {
+struct
+try {
 	struct request *r;
 	struct mh_call *call; /* NULL: free */
 	int64_t started_us;
--- a/lib/httpd.c
+++ b/lib/httpd.c
@@ -91,8 +91,8 @@
 };
 
 static enum MHD_Result
-each_header(void *cls, enum MHD_ValueKind kind, const char *name,
-    const char *value)
+each_header(
+    void *cls, enum MHD_ValueKind kind, const char *name, const char *value)
 {
 	struct each *e = cls;
 
@@ -145,8 +145,7 @@
 }
 
 void
-mh_req_header_set(
-    struct mh_http_req *r, const char *name, const char *value)
+mh_req_header_set(struct mh_http_req *r, const char *name, const char *value)
 {
 	struct header hd = { g_strdup(name), g_strdup(value) };
 
@@ -162,8 +161,8 @@
 }
 
 void
-mh_req_reply(struct mh_http_req *r, uint32_t status, const char *type,
-    GBytes *body)
+mh_req_reply(
+    struct mh_http_req *r, uint32_t status, const char *type, GBytes *body)
 {
 	if (r->phase != WAITING)
 		return;
@@ -267,7 +266,8 @@
 	if (r->type != NULL)
 		MHD_add_response_header(res, "Content-Type", r->type);
 	for (guint i = 0; i < r->headers->len; i++) {
-		struct header *hd = &g_array_index(r->headers, struct header, i);
+		struct header *hd =
+		    &g_array_index(r->headers, struct header, i);
 
 		MHD_add_response_header(res, hd->name, hd->value);
 	}
@@ -338,7 +338,8 @@
 {
 	g_hash_table_remove(r->h->reqs, &r->id);
 	for (guint i = 0; i < r->headers->len; i++) {
-		struct header *hd = &g_array_index(r->headers, struct header, i);
+		struct header *hd =
+		    &g_array_index(r->headers, struct header, i);
 
 		g_free(hd->name);
 		g_free(hd->value);
@@ -480,11 +481,10 @@
 start(struct mh_httpd *h, struct sockaddr_in *sa, GError **err)
 {
 	unsigned flags = MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME;
-	struct MHD_OptionItem tls[] = {
-		{ MHD_OPTION_HTTPS_MEM_CERT, 0, h->cert },
+	struct MHD_OptionItem tls[] = { { MHD_OPTION_HTTPS_MEM_CERT, 0,
+					    h->cert },
 		{ MHD_OPTION_HTTPS_MEM_KEY, 0, h->key },
-		{ MHD_OPTION_END, 0, NULL }
-	};
+		{ MHD_OPTION_END, 0, NULL } };
 	const union MHD_DaemonInfo *info;
 
 	if (h->cert != NULL)
@@ -496,8 +496,8 @@
 	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, h,
 	    MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS,
 	    MHD_OPTION_CONNECTION_TIMEOUT, IDLE_S,
-	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-	    MHD_OPTION_ARRAY, tls, MHD_OPTION_END);
+	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_ARRAY, tls,
+	    MHD_OPTION_END);
 	if (h->daemon == NULL) {
 		g_set_error(err, MH_ERROR, MH_ERR_IO,
 		    "cannot serve HTTP on %s: give a free IP:PORT of this VM "
--- a/lib/hub.c
+++ b/lib/hub.c
@@ -24,8 +24,9 @@
 	mh_count(h->k, "link_bytes_in", g_bytes_get_size(l->frame) + 4);
 	if (f == NULL || (unsigned)f->body_case >= MAX_CASES) {
 		mh_count(h->k, "link_malformed", 1);
-		mh_log(h->k, "hub", "Malformed frame on conn=%" PRIu64
-		    "; link closed.", l->conn);
+		mh_log(h->k, "hub",
+		    "Malformed frame on conn=%" PRIu64 "; link closed.",
+		    l->conn);
 		mh_link_close(h->k, l->conn);
 		mh_frame_free(f);
 		return;
--- a/lib/kern.c
+++ b/lib/kern.c
@@ -313,8 +313,7 @@
  * freed before it is called.
  */
 struct mh_timer *
-mh_timer_start(
-    struct mh_kern *k, int64_t delay_us, mh_timer_fn fn, void *arg)
+mh_timer_start(struct mh_kern *k, int64_t delay_us, mh_timer_fn fn, void *arg)
 {
 	struct mh_timer *t = g_new0(struct mh_timer, 1);
 
@@ -411,8 +410,8 @@
 	GList *names = counter_names(k);
 
 	for (GList *l = names; l != NULL; l = l->next)
-		json_object_set_new(
-		    o, l->data, json_integer((json_int_t)mh_counter(k, l->data)));
+		json_object_set_new(o, l->data,
+		    json_integer((json_int_t)mh_counter(k, l->data)));
 	g_list_free(names);
 	return o;
 }
@@ -464,8 +463,8 @@
 }
 
 struct mh_vm *
-mh_vm_new(const char *id, const char *addr, const char *role,
-    const char *pool, const char *domain, bool leaving)
+mh_vm_new(const char *id, const char *addr, const char *role, const char *pool,
+    const char *domain, bool leaving)
 {
 	struct mh_vm *vm = g_new0(struct mh_vm, 1);
 
--- a/lib/kv.c
+++ b/lib/kv.c
@@ -33,8 +33,8 @@
 	guchar *raw;
 
 	value = json_string_value(json_object_get(o, "Value"));
-	ok = value != NULL &&
-	    json_is_integer(json_object_get(o, "ModifyIndex"));
+	ok =
+	    value != NULL && json_is_integer(json_object_get(o, "ModifyIndex"));
 	if (ok) {
 		raw = g_base64_decode(value, &len);
 		out->value = g_bytes_new_take(raw, len);
@@ -58,7 +58,8 @@
 		return;
 	if (a->q.op == MH_KV_PUT || a->q.op == MH_KV_DELETE) {
 		out->ok = d->status == 200;
-		out->found = out->ok && len >= 4 && memcmp(data, "true", 4) == 0;
+		out->found =
+		    out->ok && len >= 4 && memcmp(data, "true", 4) == 0;
 	} else if (d->status == 404) {
 		out->ok = true;
 	} else if (d->status == 200) {
@@ -90,13 +91,13 @@
 	switch (q->op) {
 	case MH_KV_PUT:
 	case MH_KV_DELETE:
-		url = g_strdup_printf("%s/v1/kv/%s?cas=%" PRIu64, kv->url,
-		    name, q->cas);
+		url = g_strdup_printf(
+		    "%s/v1/kv/%s?cas=%" PRIu64, kv->url, name, q->cas);
 		break;
 	case MH_KV_WATCH:
 		if (q->index > 0) {
-			url = g_strdup_printf(
-			    "%s/v1/kv/%s?index=%" PRIu64 "&wait=%" PRId64 "ms",
+			url = g_strdup_printf("%s/v1/kv/%s?index=%" PRIu64
+					      "&wait=%" PRId64 "ms",
 			    kv->url, name, q->index,
 			    (int64_t)(q->wait_us / MH_US_PER_MS));
 			break;
--- a/lib/ledger.c
+++ b/lib/ledger.c
@@ -12,10 +12,20 @@
 
 #include <string.h>
 
+#define EXPIRE_MARKS_MS 5000
+
+/** struct mark - requests with this key, up to this one, never run here. */
+struct mark {
+	uint8_t request[MH_ID_LEN];
+	int64_t at_ms;
+};
+
 struct mh_ledger {
 	uint32_t limit;
+	GHashTable *marks; /* key -> struct mark */
 	GHashTable *rows; /* key -> struct mh_ledger_row */
 	GQueue order; /* oldest first */
+	int64_t expire_ms; /* marks are next looked through */
 	bool open[MH_PARTITIONS];
 	int64_t bound_ms[MH_PARTITIONS];
 };
@@ -39,6 +49,8 @@
 	l->limit = limit;
 	l->rows =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_row);
+	l->marks =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&l->order);
 	return l;
 }
@@ -48,6 +60,7 @@
 {
 	g_queue_clear(&l->order);
 	g_hash_table_destroy(l->rows);
+	g_hash_table_destroy(l->marks);
 	g_free(l);
 }
 
@@ -143,17 +156,7 @@
 	case MH__OUTCOME__DONE:
 		return MH_LEDGER_DONE;
 	case MH__OUTCOME__NOT_RUN:
-		/*
-		 * A frame of a request that was told "not run" may still
-		 * stand in a dead connection.  Requests are ordered by id:
-		 * up to the refused one none ever runs, a later one is the
-		 * caller asking again and may.
-		 */
-		if (memcmp(a->request, r->refused, MH_ID_LEN) <= 0)
-			return MH_LEDGER_TOMBSTONE;
-		r->outcome = MH__OUTCOME__RUNNING;
-		r->body_hash = a->body_hash;
-		return MH_LEDGER_RUN;
+		return MH_LEDGER_TOMBSTONE; /* revoked for good */
 	default:
 		return MH_LEDGER_UNKNOWN;
 	}
@@ -186,6 +189,19 @@
 	return MH_LEDGER_CLAIM;
 }
 
+/*
+ * A copy of a call that was told "not run" may still stand in a dead
+ * connection.  Requests are ordered by id: up to the marked one none ever
+ * runs here, a later one is the caller asking again and is judged anew.
+ */
+static bool
+marked(struct mh_ledger *l, const struct mh_ledger_ask *a)
+{
+	const struct mark *m = g_hash_table_lookup(l->marks, a->key);
+
+	return m != NULL && memcmp(a->request, m->request, MH_ID_LEN) <= 0;
+}
+
 enum mh_ledger_verdict
 mh_ledger_ask(struct mh_ledger *l, const struct mh_ledger_ask *a)
 {
@@ -193,29 +209,42 @@
 	int64_t stamp_ms = stamp_of(a->key);
 	enum mh_ledger_verdict v;
 
+	if (marked(l, a))
+		return MH_LEDGER_TOMBSTONE;
 	if (r != NULL)
 		return ask_known(r, a);
 	v = stamp_ms >= 0 ? ask_stamped(l, a, stamp_ms) : ask_opaque(l, a);
 	if (v != MH_LEDGER_RUN)
 		return v;
-	r = add_row(l, a->partition, a->key,
-	    stamp_ms >= 0 ? stamp_ms : a->now_ms);
+	r = add_row(
+	    l, a->partition, a->key, stamp_ms >= 0 ? stamp_ms : a->now_ms);
 	r->outcome = MH__OUTCOME__RUNNING;
 	r->body_hash = a->body_hash;
 	return MH_LEDGER_RUN;
 }
 
 void
-mh_ledger_refuse(
-    struct mh_ledger *l, const char *key, const uint8_t *request)
+mh_ledger_refuse(struct mh_ledger *l, const char *key, const uint8_t *request,
+    int64_t now_ms)
+{
+	struct mark *m = g_hash_table_lookup(l->marks, key);
+
+	if (m == NULL) {
+		m = g_new0(struct mark, 1);
+		g_hash_table_insert(l->marks, g_strdup(key), m);
+	}
+	m->at_ms = now_ms;
+	if (memcmp(request, m->request, MH_ID_LEN) > 0)
+		memcpy(m->request, request, MH_ID_LEN);
+}
+
+void
+mh_ledger_undo(struct mh_ledger *l, const char *key)
 {
 	struct mh_ledger_row *r = g_hash_table_lookup(l->rows, key);
 
-	if (r == NULL)
-		return;
-	r->outcome = MH__OUTCOME__NOT_RUN;
-	if (memcmp(request, r->refused, MH_ID_LEN) > 0)
-		memcpy(r->refused, request, MH_ID_LEN);
+	if (r != NULL && r->outcome == MH__OUTCOME__RUNNING)
+		drop(l, r);
 }
 
 void
@@ -234,8 +263,7 @@
 }
 
 bool
-mh_ledger_may_have_run(
-    const struct mh_ledger *l, uint32_t p, const char *key)
+mh_ledger_may_have_run(const struct mh_ledger *l, uint32_t p, const char *key)
 {
 	int64_t stamp_ms = stamp_of(key);
 
@@ -258,8 +286,6 @@
 		r = add_row(l, p, key, stamp_ms >= 0 ? stamp_ms : now_ms);
 		r->outcome = MH__OUTCOME__NOT_RUN;
 	}
-	if (r->outcome == MH__OUTCOME__NOT_RUN)
-		memset(r->refused, 0xff, MH_ID_LEN);
 	return r;
 }
 
@@ -269,14 +295,25 @@
 	return g_hash_table_lookup(l->rows, key);
 }
 
+static gboolean
+mark_is_old(gpointer key, gpointer value, gpointer before_ms)
+{
+	(void)key;
+	return ((struct mark *)value)->at_ms < *(int64_t *)before_ms;
+}
+
 void
 mh_ledger_expire(struct mh_ledger *l, int64_t now_ms, int64_t retention_ms)
 {
 	struct mh_ledger_row *r;
+	int64_t before_ms = now_ms - retention_ms;
 
+	if (now_ms >= l->expire_ms) {
+		l->expire_ms = now_ms + EXPIRE_MARKS_MS;
+		g_hash_table_foreach_remove(l->marks, mark_is_old, &before_ms);
+	}
 	while ((r = g_queue_peek_head(&l->order)) != NULL &&
-	    r->stamp_ms < now_ms - retention_ms &&
-	    r->outcome != MH__OUTCOME__RUNNING)
+	    r->stamp_ms < before_ms && r->outcome != MH__OUTCOME__RUNNING)
 		drop(l, r);
 }
 
@@ -300,15 +337,12 @@
 	if (r == NULL)
 		r = add_row(l, p, e->key, (int64_t)e->stamp_ms);
 	/* What still ran at the old owner may have ended either way. */
-	r->outcome = e->outcome == MH__OUTCOME__RUNNING ?
-	    MH__OUTCOME__UNKNOWN :
-	    e->outcome;
+	r->outcome = e->outcome == MH__OUTCOME__RUNNING ? MH__OUTCOME__UNKNOWN
+							: e->outcome;
 	r->status = e->status;
 	r->body_hash = e->body_hash;
-	if (e->refused.len == MH_ID_LEN)
-		memcpy(r->refused, e->refused.data, MH_ID_LEN);
 	if (r->body != NULL)
 		g_bytes_unref(r->body);
-	r->body = e->body.len == 0 ? NULL :
-				     g_bytes_new(e->body.data, e->body.len);
+	r->body =
+	    e->body.len == 0 ? NULL : g_bytes_new(e->body.data, e->body.len);
 }
--- a/lib/limit.c
+++ b/lib/limit.c
@@ -137,8 +137,8 @@
 }
 
 int64_t
-mh_limit_take(struct mh_kern *k, const struct mh_key_owner *who,
-    double units, struct mh_limit_ticket *t)
+mh_limit_take(struct mh_kern *k, const struct mh_key_owner *who, double units,
+    struct mh_limit_ticket *t)
 {
 	struct limit *l = mh_kern_get(k, "limit");
 	const struct mh_org *org = who->org;
@@ -207,8 +207,8 @@
  * rest is split evenly; if it does not fit, all shrink alike.
  */
 static double
-allot(struct limit *l, struct org *o, const char *vm, double demand,
-    double rate)
+allot(
+    struct limit *l, struct org *o, const char *vm, double demand, double rate)
 {
 	struct asker *a = g_hash_table_lookup(o->askers, vm);
 	double total = 0;
--- a/lib/link.c
+++ b/lib/link.c
@@ -100,8 +100,8 @@
 static void
 want_io(struct conn *c)
 {
-	mh_loop_fd(c->l->loop, c->fd, true,
-	    !c->connected || c->out->len > 0, on_io, c);
+	mh_loop_fd(c->l->loop, c->fd, true, !c->connected || c->out->len > 0,
+	    on_io, c);
 }
 
 static bool
@@ -193,9 +193,8 @@
 
 /* The dialer's byte and name stop a MAC from being played back. */
 static void
-make_mac(struct link *l, bool by_dialer, const char *vm,
-    const uint8_t *first, const uint8_t *second,
-    uint8_t mac[crypto_auth_BYTES])
+make_mac(struct link *l, bool by_dialer, const char *vm, const uint8_t *first,
+    const uint8_t *second, uint8_t mac[crypto_auth_BYTES])
 {
 	GByteArray *a = g_byte_array_new();
 	uint8_t dir = by_dialer;
@@ -222,8 +221,7 @@
 		return false;
 	}
 	c->hello = f;
-	make_mac(
-	    l, c->dialer, l->vm, f->hello->nonce.data, c->nonce, mac);
+	make_mac(l, c->dialer, l->vm, f->hello->nonce.data, c->nonce, mac);
 	auth.mac.data = mac;
 	auth.mac.len = sizeof(mac);
 	out.body_case = MH__FRAME__BODY_AUTH;
@@ -553,8 +551,7 @@
 }
 
 bool
-mh_link_create(
-    struct mh_loop *loop, const struct mh_link_args *a, GError **err)
+mh_link_create(struct mh_loop *loop, const struct mh_link_args *a, GError **err)
 {
 	struct link *l = g_new0(struct link, 1);
 
--- a/lib/loop.c
+++ b/lib/loop.c
@@ -80,8 +80,8 @@
 static apr_int16_t
 events(bool read, bool write)
 {
-	return (apr_int16_t)((read ? APR_POLLIN : 0) |
-	    (write ? APR_POLLOUT : 0));
+	return (
+	    apr_int16_t)((read ? APR_POLLIN : 0) | (write ? APR_POLLOUT : 0));
 }
 
 static void
@@ -104,8 +104,7 @@
 mh_loop_fd(
     struct mh_loop *l, int fd, bool read, bool write, mh_fd_fn fn, void *arg)
 {
-	struct watch *w =
-	    g_hash_table_lookup(l->watches, GINT_TO_POINTER(fd));
+	struct watch *w = g_hash_table_lookup(l->watches, GINT_TO_POINTER(fd));
 
 	if (w == NULL) {
 		w = g_new0(struct watch, 1);
@@ -127,8 +126,7 @@
 void
 mh_loop_fd_close(struct mh_loop *l, int fd)
 {
-	struct watch *w =
-	    g_hash_table_lookup(l->watches, GINT_TO_POINTER(fd));
+	struct watch *w = g_hash_table_lookup(l->watches, GINT_TO_POINTER(fd));
 
 	if (w == NULL)
 		return;
@@ -178,8 +176,7 @@
 }
 
 void
-mh_loop_signal(
-    struct mh_loop *l, int sig, void (*fn)(void *arg), void *arg)
+mh_loop_signal(struct mh_loop *l, int sig, void (*fn)(void *arg), void *arg)
 {
 	struct on_signal s = { sig, fn, arg };
 
@@ -209,16 +206,14 @@
 	l->timer_fd =
 	    timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
 	if (l->timer_fd < 0 ||
-	    apr_pollset_create(&l->set, POLL_MAX, l->pool, 0) !=
-		APR_SUCCESS) {
+	    apr_pollset_create(&l->set, POLL_MAX, l->pool, 0) != APR_SUCCESS) {
 		g_set_error(err, MH_ERROR, MH_ERR_IO,
 		    "no pollset or timer: raise the open files limit");
 		mh_loop_destroy(l);
 		return NULL;
 	}
 	mh_loop_fd(l, l->timer_fd, true, false, on_timer, l);
-	mh_kern_advance(
-	    k, clock_us(CLOCK_MONOTONIC), clock_us(CLOCK_REALTIME));
+	mh_kern_advance(k, clock_us(CLOCK_MONOTONIC), clock_us(CLOCK_REALTIME));
 	return l;
 }
 
@@ -289,7 +284,8 @@
 		apr_int16_t r = ev[i].rtnevents;
 
 		if (w != NULL)
-			w->fn(w->arg, r & (APR_POLLIN | APR_POLLHUP | APR_POLLERR),
+			w->fn(w->arg,
+			    r & (APR_POLLIN | APR_POLLHUP | APR_POLLERR),
 			    r & APR_POLLOUT);
 	}
 }
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -50,8 +50,7 @@
 
 #define MH_HOST_LEN 16
 /** mh_addr_parse() - splits IP:PORT; port 0 is allowed. */
-bool mh_addr_parse(
-    const char *addr, char host[MH_HOST_LEN], uint16_t *port);
+bool mh_addr_parse(const char *addr, char host[MH_HOST_LEN], uint16_t *port);
 
 /* kern.c */
 
@@ -451,6 +450,7 @@
 	size_t size;
 	const struct mh_field *fields;
 	GDestroyNotify destroy;
+	void (*init)(void *item); /* NULL: every default is zero */
 };
 
 /** mh_yaml_read() - fills @out as @table says; strict about every field. */
@@ -490,8 +490,8 @@
 	uint32_t max_tokens;
 };
 
-void mh_rules_decide(const struct mh_decl *d, const struct mh_ask *ask,
-    struct mh_decision *out);
+void mh_rules_decide(
+    const struct mh_decl *d, const struct mh_ask *ask, struct mh_decision *out);
 /** mh_rules_explain() - one line a rule: why it matched or did not. */
 char *mh_rules_explain(const struct mh_decl *d, const struct mh_ask *ask);
 
@@ -561,8 +561,8 @@
 
 typedef void (*mh_peer_fn)(void *arg, struct mh_peer *p);
 
-void mh_member_create(struct mh_kern *k, const char *vm, const char *domain,
-    const char *role);
+void mh_member_create(
+    struct mh_kern *k, const char *vm, const char *domain, const char *role);
 /** mh_member_pool() - all known peers of a pool (struct mh_peer). */
 GPtrArray *mh_member_pool(struct mh_kern *k, const char *pool);
 struct mh_peer *mh_member_find(struct mh_kern *k, const char *vm);
@@ -721,8 +721,8 @@
 bool mh_owners_ahead(const struct mh_owners *o);
 /** mh_owners_take() - from a peer's frame; older versions are refused. */
 bool mh_owners_take(struct mh_owners *o, const Mh__Owners *f);
-void mh_owners_send(struct mh_kern *k, const struct mh_owners *o,
-    uint64_t conn);
+void mh_owners_send(
+    struct mh_kern *k, const struct mh_owners *o, uint64_t conn);
 uint32_t mh_partition_of(const char *key);
 
 /* limit.c: service "limit" */
@@ -746,8 +746,7 @@
 int64_t mh_limit_take(struct mh_kern *k, const struct mh_key_owner *who,
     double units, struct mh_limit_ticket *t);
 /** mh_limit_settle() - gives back what was not used and the stream. */
-void mh_limit_settle(
-    struct mh_kern *k, struct mh_limit_ticket *t, double used);
+void mh_limit_settle(struct mh_kern *k, struct mh_limit_ticket *t, double used);
 json_t *mh_limit_state(struct mh_kern *k);
 
 /* stage.c */
@@ -766,8 +765,7 @@
 GBytes *mh_stage_body(const struct mh_stage *s, const struct mh_flow *f,
     const char *model, uint32_t max_tokens, uint32_t done_tokens);
 /** mh_stage_take() - takes a stage's result; false when it is not whole. */
-bool mh_stage_take(
-    const struct mh_stage *s, struct mh_flow *f, GBytes *result);
+bool mh_stage_take(const struct mh_stage *s, struct mh_flow *f, GBytes *result);
 const char *mh_stage_path(const struct mh_stage *s);
 const char *mh_stage_kind(uint32_t kind);
 void mh_flow_clear(struct mh_flow *f);
@@ -843,7 +841,6 @@
 	uint64_t body_hash;
 	int64_t stamp_ms; /* key's own time, or when it came */
 	uint32_t partition;
-	uint8_t refused[MH_ID_LEN]; /* requests up to this id never run */
 };
 
 struct mh_ledger *mh_ledger_create(uint32_t limit);
@@ -866,13 +863,15 @@
 enum mh_ledger_verdict mh_ledger_ask(
     struct mh_ledger *l, const struct mh_ledger_ask *a);
 /** mh_ledger_refuse() - it never started and that request never will. */
-void mh_ledger_refuse(
-    struct mh_ledger *l, const char *key, const uint8_t *request);
+void mh_ledger_refuse(struct mh_ledger *l, const char *key,
+    const uint8_t *request, int64_t now_ms);
+/** mh_ledger_undo() - forgets a row that was entered and never started. */
+void mh_ledger_undo(struct mh_ledger *l, const char *key);
 void mh_ledger_end(struct mh_ledger *l, const char *key, Mh__Outcome outcome,
     uint32_t status, GBytes *body);
 /** mh_ledger_revoke() - tombstones an unseen key; returns its row. */
-const struct mh_ledger_row *mh_ledger_revoke(struct mh_ledger *l, uint32_t p,
-    const char *key, int64_t now_ms);
+const struct mh_ledger_row *mh_ledger_revoke(
+    struct mh_ledger *l, uint32_t p, const char *key, int64_t now_ms);
 /** mh_ledger_may_have_run() - the bound does not rule it out. */
 bool mh_ledger_may_have_run(
     const struct mh_ledger *l, uint32_t p, const char *key);
@@ -1002,8 +1001,8 @@
 
 void mh_kv_create(struct mh_kern *k, struct mh_client *c, const char *url);
 void mh_vmlist_create(struct mh_kern *k, struct mh_client *c, const char *url);
-void mh_endpoint_create(struct mh_kern *k, struct mh_client *c,
-    const char *url);
+void mh_endpoint_create(
+    struct mh_kern *k, struct mh_client *c, const char *url);
 /** mh_vmlist_parse() - the platform's JSON; NULL when malformed. */
 GPtrArray *mh_vmlist_parse(GBytes *body);
 
@@ -1040,8 +1039,8 @@
 /** mh_req_header_set() - a header of the answer to come. */
 void mh_req_header_set(
     struct mh_http_req *r, const char *name, const char *value);
-void mh_req_reply(struct mh_http_req *r, uint32_t status, const char *type,
-    GBytes *body);
+void mh_req_reply(
+    struct mh_http_req *r, uint32_t status, const char *type, GBytes *body);
 void mh_req_stream(struct mh_http_req *r, uint32_t status, const char *type);
 void mh_req_stream_add(struct mh_http_req *r, GBytes *part);
 void mh_req_stream_end(struct mh_http_req *r);
@@ -1082,8 +1081,8 @@
 enum mh_daemon_kind { MH_DAEMON_ENTRY, MH_DAEMON_SIDE };
 
 /** mh_settings_read() - flags win over MARLHOIST_*; exits on bad ones. */
-void mh_settings_read(struct mh_settings *s, enum mh_daemon_kind kind,
-    int argc, char **argv);
+void mh_settings_read(
+    struct mh_settings *s, enum mh_daemon_kind kind, int argc, char **argv);
 void mh_settings_clear(struct mh_settings *s);
 /** mh_secret_read() - the shared secret, first line of a file. */
 char *mh_secret_read(const char *file, GError **err);
--- a/lib/member.c
+++ b/lib/member.c
@@ -84,8 +84,7 @@
 }
 
 static struct mh_peer *
-peer_for(struct member *mb, const char *vm, const char *role,
-    const char *pool)
+peer_for(struct member *mb, const char *vm, const char *role, const char *pool)
 {
 	struct mh_peer *p = g_hash_table_lookup(mb->peers, vm);
 
@@ -273,8 +272,9 @@
 const char *
 mh_member_winner(struct mh_kern *k, const char *pool, const char *what)
 {
-	struct contest c = { .k = k, .what = what, .role = "side",
-		.pool = pool };
+	struct contest c = {
+		.k = k, .what = what, .role = "side", .pool = pool
+	};
 
 	mh_member_each(k, contend_peer, &c);
 	if (!get(k)->draining)
@@ -291,8 +291,9 @@
 mh_member_watcher(struct mh_kern *k, const char *what)
 {
 	struct member *mb = get(k);
-	struct contest c = { .k = k, .what = what, .role = "entry",
-		.domain = mb->domain };
+	struct contest c = {
+		.k = k, .what = what, .role = "entry", .domain = mb->domain
+	};
 
 	if (mb->list_at_us < 0)
 		return true;
@@ -312,8 +313,7 @@
 }
 
 static void
-tell(struct member *mb, struct mh_peer *p, enum mh_link_event ev,
-    uint64_t conn)
+tell(struct member *mb, struct mh_peer *p, enum mh_link_event ev, uint64_t conn)
 {
 	for (guint i = 0; i < mb->listeners->len; i++) {
 		struct listener *l =
@@ -376,8 +376,8 @@
 }
 
 static void
-link_up_outbound(struct member *mb, struct mh_peer *p,
-    const struct mh_link_msg *l)
+link_up_outbound(
+    struct member *mb, struct mh_peer *p, const struct mh_link_msg *l)
 {
 	uint64_t old = p->conn, old_inc = p->incarnation;
 
@@ -405,8 +405,8 @@
 	if (old != 0 && old != l->conn)
 		drop_conn(mb, old);
 	tell(mb, p,
-	    old_inc == 0 || old_inc == l->incarnation ? MH_LINK_SAME :
-							MH_LINK_OTHER,
+	    old_inc == 0 || old_inc == l->incarnation ? MH_LINK_SAME
+						      : MH_LINK_OTHER,
 	    l->conn);
 }
 
@@ -532,10 +532,11 @@
 static int64_t
 redial_after(struct member *mb, const struct mh_peer *p)
 {
-	int64_t d = REDIAL_MIN_US << MIN(p->dial_failures, 5U);
+	int64_t longest =
+	    MIN(REDIAL_MIN_US << MIN(p->dial_failures, 5U), REDIAL_MAX_US);
+	int64_t half = longest / 2;
 
-	d = MIN(d, REDIAL_MAX_US);
-	return d / 2 + (int64_t)(mh_random_unit(mb->k) * (double)(d / 2));
+	return half + (int64_t)(mh_random_unit(mb->k) * (double)half);
 }
 
 static void
@@ -606,8 +607,8 @@
 		bool mine = strcmp(p->domain, mb->domain) == 0;
 		bool take = taken < SUBSET &&
 		    (sorted->len <= SUBSET ||
-			(mine ? near < SUBSET_NEAR :
-				taken - near < SUBSET - SUBSET_NEAR));
+			(mine ? near < SUBSET_NEAR
+			      : taken - near < SUBSET - SUBSET_NEAR));
 
 		if (take) {
 			taken++;
@@ -725,8 +726,7 @@
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__MembersAsk ask = MH__MEMBERS_ASK__INIT;
 	struct mh_peer *p = NULL;
-	bool stale =
-	    mb->list_at_us < 0 || now - mb->list_at_us > LIST_STALE_US;
+	bool stale = mb->list_at_us < 0 || now - mb->list_at_us > LIST_STALE_US;
 
 	if (mb->list_asked_us != 0 && now - mb->list_asked_us < LIST_US)
 		return;
@@ -886,8 +886,7 @@
 }
 
 static void
-on_link_self(void *arg, struct mh_peer *p, enum mh_link_event ev,
-    uint64_t conn)
+on_link_self(void *arg, struct mh_peer *p, enum mh_link_event ev, uint64_t conn)
 {
 	struct member *mb = arg;
 
@@ -899,12 +898,12 @@
 static void
 add_state(void *arg, struct mh_peer *p)
 {
-	json_t *o = json_pack(
-	    "{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:i, s:I}", "vm",
-	    p->vm, "role", p->role, "pool", p->pool, "up", p->up, "listed",
-	    p->listed, "leaving", leaving(p), "wanted", p->wanted, "own",
-	    (int)p->own, "running", (int)p->load_running, "queued",
-	    (int)p->load_queued, "ewma_us", (json_int_t)p->ewma_us);
+	json_t *o =
+	    json_pack("{s:s, s:s, s:s, s:b, s:b, s:b, s:b, s:i, s:i, s:i, s:I}",
+		"vm", p->vm, "role", p->role, "pool", p->pool, "up", p->up,
+		"listed", p->listed, "leaving", leaving(p), "wanted", p->wanted,
+		"own", (int)p->own, "running", (int)p->load_running, "queued",
+		(int)p->load_queued, "ewma_us", (json_int_t)p->ewma_us);
 
 	json_array_append_new(arg, o);
 }
@@ -917,8 +916,8 @@
 
 	mh_member_each(k, add_state, peers);
 	return json_pack("{s:I, s:b, s:i, s:o}", "list_age_us",
-	    mb->list_at_us < 0 ? (json_int_t)-1 :
-				 (json_int_t)(mh_now(k) - mb->list_at_us),
+	    mb->list_at_us < 0 ? (json_int_t)-1
+			       : (json_int_t)(mh_now(k) - mb->list_at_us),
 	    "draining", mb->draining, "links", (int)mb->links, "peers", peers);
 }
 
@@ -953,8 +952,8 @@
 }
 
 void
-mh_member_create(struct mh_kern *k, const char *vm, const char *domain,
-    const char *role)
+mh_member_create(
+    struct mh_kern *k, const char *vm, const char *domain, const char *role)
 {
 	struct member *mb = g_new0(struct member, 1);
 
@@ -967,8 +966,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
 	mb->conns =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-	mb->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-	    (GDestroyNotify)g_ptr_array_unref);
+	mb->pools = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
 	mb->listeners = g_array_new(FALSE, FALSE, sizeof(struct listener));
 	mh_kern_add(k, "member", mb, handle, destroy);
 	mh_hub_on(k, MH__FRAME__BODY_MEMBERS_ASK, on_members_ask, mb);
--- a/lib/owner.c
+++ b/lib/owner.c
@@ -85,8 +85,8 @@
 		o->ahead = true;
 		return true;
 	}
-	mh_owners_set(o, p, vm, g_ascii_strtoull(inc, NULL, 16),
-	    (uint64_t)epoch, bound);
+	mh_owners_set(
+	    o, p, vm, g_ascii_strtoull(inc, NULL, 16), (uint64_t)epoch, bound);
 	return true;
 }
 
@@ -151,8 +151,7 @@
 }
 
 void
-mh_owners_send(
-    struct mh_kern *k, const struct mh_owners *o, uint64_t conn)
+mh_owners_send(struct mh_kern *k, const struct mh_owners *o, uint64_t conn)
 {
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__Owners m = MH__OWNERS__INIT;
--- a/lib/pipe.c
+++ b/lib/pipe.c
@@ -64,9 +64,8 @@
 
 		sum += mh_predict_us(k, s->pool, tokens_of(r, s), NULL);
 		if (waits)
-			sum += MAX(mh_route_wait(
-				       k, s->pool, r->d.class->priority),
-			    0);
+			sum += MAX(
+			    mh_route_wait(k, s->pool, r->d.class->priority), 0);
 	}
 	return sum;
 }
@@ -162,8 +161,10 @@
 static void
 give_up(struct request *r, const char *detail, int64_t retry_us)
 {
-	struct problem p = { .status = 503, .kind = "overloaded",
-		.detail = detail, .remedy = "Ask again after Retry-After.",
+	struct problem p = { .status = 503,
+		.kind = "overloaded",
+		.detail = detail,
+		.remedy = "Ask again after Retry-After.",
 		.outcome = "not-run" };
 
 	p.retry_us = retry_after(r, retry_us);
@@ -188,8 +189,8 @@
 {
 	const struct mh_policy *pol = policy_of(r);
 	double units = pol->weight_in *
-		(double)(res->tokens_in - MIN(res->tokens_cached,
-					      res->tokens_in)) +
+		(double)(res->tokens_in -
+		    MIN(res->tokens_cached, res->tokens_in)) +
 	    pol->weight_cached * (double)res->tokens_cached +
 	    pol->weight_out * (double)res->tokens_out;
 	char name[64];
@@ -207,8 +208,8 @@
 }
 
 static void
-stage_done(struct request *r, struct try *t, struct mh_peer *p,
-    const Mh__Result *res)
+stage_done(
+    struct request *r, struct try *t, struct mh_peer *p, const Mh__Result *res)
 {
 	const struct mh_stage *s = stage_of(r);
 	uint32_t tokens = s->kind == MH_GENERATE ? t->tokens : 0;
@@ -246,8 +247,7 @@
 {
 	mh_count(r->e->k, "pipe_owner_waits", 1);
 	mh_timer_stop(r->e->k, &r->check);
-	r->check =
-	    mh_timer_start(r->e->k, MOVE_WAIT_US, on_owner_wait, r);
+	r->check = mh_timer_start(r->e->k, MOVE_WAIT_US, on_owner_wait, r);
 }
 
 /* A try ended without a result; another may follow. */
@@ -284,8 +284,8 @@
 		return;
 	}
 	give_up(r,
-	    not_run ? "Every endpoint asked is full." :
-		      "The stage failed at every endpoint asked.",
+	    not_run ? "Every endpoint asked is full."
+		    : "The stage failed at every endpoint asked.",
 	    (int64_t)res->retry_us);
 }
 
@@ -293,7 +293,8 @@
 static bool
 service_refused(struct request *r, const Mh__Result *res)
 {
-	struct problem p = { .status = 502, .kind = "service-refused",
+	struct problem p = { .status = 502,
+		.kind = "service-refused",
 		.detail = "The service refused the request.",
 		.remedy = "Mend the request; the status is the service's.",
 		.outcome = "done" };
@@ -308,8 +309,8 @@
 }
 
 static void
-on_result(struct request *r, struct try *t, struct mh_peer *p,
-    const Mh__Result *res)
+on_result(
+    struct request *r, struct try *t, struct mh_peer *p, const Mh__Result *res)
 {
 	GBytes *body;
 	bool ok;
@@ -331,8 +332,8 @@
 		Mh__Result bad = MH__RESULT__INIT;
 
 		mh_count(r->e->k, "pipe_garbage", 1);
-		bad.outcome = stage_of(r)->never ? MH__OUTCOME__UNKNOWN :
-						   MH__OUTCOME__FAILED;
+		bad.outcome = stage_of(r)->never ? MH__OUTCOME__UNKNOWN
+						 : MH__OUTCOME__FAILED;
 		try_failed(r, p, &bad);
 	}
 }
@@ -353,8 +354,8 @@
 	r->maybe_ran = true;
 	if (t->first_us == 0) {
 		t->first_us = mh_now(r->e->k);
-		mh_predict_first(r->e->k, stage_of(r)->pool,
-		    t->first_us - t->started_us);
+		mh_predict_first(
+		    r->e->k, stage_of(r)->pool, t->first_us - t->started_us);
 	}
 	t->tokens++;
 	r->done_tokens++;
@@ -411,11 +412,9 @@
 		return false;
 	if (t->first_us == 0) {
 		int64_t first = mh_predict_us(r->e->k, s->pool, 1, NULL);
-		int64_t there =
-		    (int64_t)p->load_wait_us[r->d.class->priority];
+		int64_t there = (int64_t)p->load_wait_us[r->d.class->priority];
 
-		return waited >
-		    MAX(FIRST_FACTOR * first, FIRST_MIN_US) + there;
+		return waited > MAX(FIRST_FACTOR * first, FIRST_MIN_US) + there;
 	}
 	need = (now - t->first_us) * (int64_t)tokens_of(r, s) /
 	    (int64_t)MAX(t->tokens, 1);
@@ -478,8 +477,8 @@
 	if (s->never)
 		return;
 	if (p->retrying == MH_RETRY_PLAIN) {
-		r->check = mh_timer_start(
-		    r->e->k, p->fixed_timeout_us, on_timeout, r);
+		r->check =
+		    mh_timer_start(r->e->k, p->fixed_timeout_us, on_timeout, r);
 		return;
 	}
 	if (s->kind == MH_GENERATE) {
@@ -589,8 +588,8 @@
 	a.left_us = s->never ? left_us(r) - NEVER_MARGIN_US : stage_left(r);
 	a.out_tokens = tokens_of(r, s);
 	a.units = s->kind == MH_GENERATE ? (uint64_t)pipe_units(r) : 1;
-	a.predicted_us = (uint64_t)mh_predict_us(
-	    r->e->k, s->pool, a.out_tokens, NULL);
+	a.predicted_us =
+	    (uint64_t)mh_predict_us(r->e->k, s->pool, a.out_tokens, NULL);
 	if (s->never) {
 		struct mh_owners *o = entry_owners(r->e, s->pool);
 
@@ -622,7 +621,8 @@
 	}
 	if (p == NULL) {
 		if (!hedge)
-			give_up(r, "No endpoint of the pool can be reached.", 0);
+			give_up(
+			    r, "No endpoint of the pool can be reached.", 0);
 		return;
 	}
 	r->picks++;
@@ -638,8 +638,7 @@
 	r->picks = 0;
 	r->stage_us = mh_now(r->e->k);
 	earn(r);
-	if (stage_of(r)->kind == MH_GENERATE &&
-	    r->done_tokens >= r->max_tokens)
+	if (stage_of(r)->kind == MH_GENERATE && r->done_tokens >= r->max_tokens)
 		r->done_tokens = 0;
 	next_try(r, false);
 }
--- a/lib/predict.c
+++ b/lib/predict.c
@@ -59,8 +59,7 @@
 }
 
 void
-mh_predict_add(
-    struct mh_kern *k, const char *pool, int64_t us, uint32_t tokens)
+mh_predict_add(struct mh_kern *k, const char *pool, int64_t us, uint32_t tokens)
 {
 	struct est *e = est_of(k, pool);
 	double err, g = gain(e);
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -66,8 +66,7 @@
 {
 	struct slot_id s;
 
-	if (id == NULL || id->request.len != MH_ID_LEN ||
-	    id->entry != r->entry)
+	if (id == NULL || id->request.len != MH_ID_LEN || id->entry != r->entry)
 		return NULL;
 	memset(&s, 0, sizeof(s));
 	memcpy(s.request, id->request.data, MH_ID_LEN);
@@ -94,8 +93,7 @@
 	m.units = c->a.units;
 	m.predicted_us = c->a.predicted_us;
 	m.path = c->path;
-	m.body.data =
-	    (uint8_t *)(uintptr_t)g_bytes_get_data(c->body, &len);
+	m.body.data = (uint8_t *)(uintptr_t)g_bytes_get_data(c->body, &len);
 	m.body.len = len;
 	m.stream = c->a.stream;
 	m.never = c->a.never;
@@ -192,10 +190,12 @@
 static void
 finish(struct relay *r, struct mh_call *c, const Mh__Result *res, bool lost)
 {
-	struct mh_call_event ev = { .result = res, .lost = lost,
-		.peer = c->peer };
-	bool good = !lost && (res->outcome == MH__OUTCOME__DONE ||
-				 res->outcome == MH__OUTCOME__NOT_RUN);
+	struct mh_call_event ev = {
+		.result = res, .lost = lost, .peer = c->peer
+	};
+	bool good = !lost &&
+	    (res->outcome == MH__OUTCOME__DONE ||
+		res->outcome == MH__OUTCOME__NOT_RUN);
 
 	g_hash_table_steal(r->slots, &c->id);
 	mh_route_result(
--- a/lib/route.c
+++ b/lib/route.c
@@ -231,7 +231,8 @@
 {
 	if ((ejected + 1) * 3 > usable || p->eject_until_us > mh_now(k))
 		return;
-	p->eject_for_us = CLAMP(p->eject_for_us * 2, EJECT_MIN_US, EJECT_MAX_US);
+	p->eject_for_us =
+	    CLAMP(p->eject_for_us * 2, EJECT_MIN_US, EJECT_MAX_US);
 	p->eject_until_us = mh_now(k) + p->eject_for_us;
 	p->fails = 0;
 	mh_count(k, "route_ejections", 1);
@@ -308,7 +309,6 @@
 
 	r->k = k;
 	r->domain = g_strdup(domain);
-	r->turns =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	r->turns = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	mh_kern_add(k, "route", r, NULL, destroy);
 }
--- a/lib/rules.c
+++ b/lib/rules.c
@@ -44,8 +44,7 @@
 static bool
 in_minutes(const struct mh_when *w, int64_t wall_us)
 {
-	int32_t now =
-	    (int32_t)(wall_us / (60 * MH_US_PER_S) % MINUTES_PER_DAY);
+	int32_t now = (int32_t)(wall_us / (60 * MH_US_PER_S) % MINUTES_PER_DAY);
 
 	if (w->from_min < 0)
 		return true;
@@ -74,8 +73,8 @@
 }
 
 static void
-apply(const struct mh_decl *d, const struct mh_rule *r,
-    const struct mh_ask *a, struct mh_decision *out)
+apply(const struct mh_decl *d, const struct mh_rule *r, const struct mh_ask *a,
+    struct mh_decision *out)
 {
 	out->rule = r;
 	out->refuse = r->then.refuse;
@@ -87,16 +86,16 @@
 	out->class = mh_decl_class(d, r->then.class_name);
 	if (out->class == NULL)
 		return;
-	out->deadline_us = r->then.deadline_us > 0 ? r->then.deadline_us :
-						     out->class->deadline_us;
+	out->deadline_us = r->then.deadline_us > 0 ? r->then.deadline_us
+						   : out->class->deadline_us;
 	/* A caller may ask for less time than the rules give, not more. */
 	if (a->deadline_us > 0 && a->deadline_us < out->deadline_us)
 		out->deadline_us = a->deadline_us;
 }
 
 void
-mh_rules_decide(const struct mh_decl *d, const struct mh_ask *a,
-    struct mh_decision *out)
+mh_rules_decide(
+    const struct mh_decl *d, const struct mh_ask *a, struct mh_decision *out)
 {
 	memset(out, 0, sizeof(*out));
 	out->pipeline = mh_decl_pipeline(d, a->pipeline);
--- a/lib/side.c
+++ b/lib/side.c
@@ -18,8 +18,17 @@
 #define FACTOR_GAIN 0.05
 #define RUN_MIN_US (20 * MH_US_PER_MS)
 
-enum reason { WHY_NONE, WHY_FULL, WHY_LATE, WHY_LEAVING, WHY_NOT_OWNER,
-	WHY_TOMBSTONE, WHY_MISMATCH, WHY_FUTURE, WHY_NO_CLAIM };
+enum reason {
+	WHY_NONE,
+	WHY_FULL,
+	WHY_LATE,
+	WHY_LEAVING,
+	WHY_NOT_OWNER,
+	WHY_TOMBSTONE,
+	WHY_MISMATCH,
+	WHY_FUTURE,
+	WHY_NO_CLAIM
+};
 
 enum state { ST_CLAIMING, ST_QUEUED, ST_RUNNING, ST_ATTACHED, ST_ENDED };
 
@@ -163,8 +172,7 @@
 }
 
 bool
-mh_side_load(
-    struct mh_kern *k, Mh__Load *l, uint64_t wait_us[MH_PRIORITIES])
+mh_side_load(struct mh_kern *k, Mh__Load *l, uint64_t wait_us[MH_PRIORITIES])
 {
 	struct side *s = get(k);
 
@@ -225,8 +233,8 @@
 	r.outcome = c->outcome;
 	r.status = c->status;
 	if (c->result != NULL)
-		r.body.data = (uint8_t *)(uintptr_t)g_bytes_get_data(
-		    c->result, &len);
+		r.body.data =
+		    (uint8_t *)(uintptr_t)g_bytes_get_data(c->result, &len);
 	r.body.len = len;
 	r.chunks = c->chunks->len;
 	r.endpoint_us = (uint64_t)c->endpoint_us;
@@ -252,14 +260,31 @@
 	send_result(c);
 }
 
-/* It never started here and, under this request, never will. */
+static void
+undo_once(struct call *c)
+{
+	struct side *s = c->s;
+
+	/* Only a call that entered its row may take it out again. */
+	if (c->state == ST_QUEUED || c->state == ST_RUNNING)
+		mh_ledger_undo(s->ledger, c->once);
+	mh_ledger_refuse(
+	    s->ledger, c->once, c->key.request, mh_wall(s->k) / MH_US_PER_MS);
+}
+
+/*
+ * It never started here and, under this request, never will: a copy that is
+ * still on its way must find the mark, whoever owns the partition by then.
+ */
 static void
 refuse(struct call *c, enum reason why, int64_t retry_us)
 {
-	if (c->never && c->state == ST_QUEUED)
-		mh_ledger_refuse(c->s->ledger, c->once, c->key.request);
+	struct side *s = c->s;
+
+	if (c->never)
+		undo_once(c);
 	c->retry_us = retry_us;
-	mh_count(c->s->k, "side_refused", 1);
+	mh_count(s->k, "side_refused", 1);
 	end_call(c, MH__OUTCOME__NOT_RUN, why);
 }
 
@@ -299,8 +324,7 @@
 	while ((it = mh_queue_pop_late(s->queue, mh_now(s->k))) != NULL)
 		refuse(it->call, WHY_LATE, 0);
 	while (s->running < s->a.slots) {
-		bool urgent_only =
-		    s->running >= s->a.slots - urgent_slots(s);
+		bool urgent_only = s->running >= s->a.slots - urgent_slots(s);
 		struct call *c;
 
 		it = mh_queue_pop(s->queue, urgent_only);
@@ -311,8 +335,7 @@
 		 * Ownership may have moved while the call waited: a stale
 		 * start here would be a second run elsewhere.
 		 */
-		if (c->never &&
-		    !mh_claim_owns(s->k, c->partition, c->epoch)) {
+		if (c->never && !mh_claim_owns(s->k, c->partition, c->epoch)) {
 			refuse(c, WHY_NOT_OWNER, 0);
 			continue;
 		}
@@ -356,8 +379,7 @@
 static void
 stored_answer(struct call *c)
 {
-	const struct mh_ledger_row *r =
-	    mh_ledger_find(c->s->ledger, c->once);
+	const struct mh_ledger_row *r = mh_ledger_find(c->s->ledger, c->once);
 
 	c->status = r->status;
 	c->result = r->body == NULL ? NULL : g_bytes_ref(r->body);
@@ -472,8 +494,8 @@
 	c->chunks =
 	    g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
 	c->item.priority = m->priority;
-	c->item.deadline_us = mh_now(s->k) + (int64_t)MIN(m->left_us,
-		    (uint64_t)G_MAXINT32 * 1000);
+	c->item.deadline_us = mh_now(s->k) +
+	    (int64_t)MIN(m->left_us, (uint64_t)G_MAXINT32 * 1000);
 	c->item.units = m->units;
 	c->item.predicted_us = (int64_t)m->predicted_us;
 	c->item.org_weight = m->org_weight;
@@ -584,8 +606,7 @@
 	case ST_QUEUED:
 		mh_queue_remove(s->queue, &c->item);
 		if (c->never)
-			mh_ledger_refuse(
-			    s->ledger, c->once, c->key.request);
+			undo_once(c);
 		drop_call(c);
 		break;
 	case ST_RUNNING:
@@ -704,11 +725,10 @@
 	if (c->never) {
 		mh_claim_busy(s->k, c->partition, -1);
 		if (c->outcome == MH__OUTCOME__NOT_RUN)
-			mh_ledger_refuse(
-			    s->ledger, c->once, c->key.request);
+			undo_once(c);
 		else
-			mh_ledger_end(s->ledger, c->once, c->outcome,
-			    c->status, c->result);
+			mh_ledger_end(s->ledger, c->once, c->outcome, c->status,
+			    c->result);
 		end_attached(s, c);
 	}
 	end_call(c, c->outcome, WHY_NONE);
@@ -749,14 +769,14 @@
 	} else if (r != NULL) {
 		o.outcome = r->outcome;
 	} else {
-		o.outcome = mh_ledger_may_have_run(
-				s->ledger, q->partition, q->key) ?
-		    MH__OUTCOME__UNKNOWN :
-		    MH__OUTCOME__NOT_SEEN;
+		o.outcome =
+		    mh_ledger_may_have_run(s->ledger, q->partition, q->key)
+		    ? MH__OUTCOME__UNKNOWN
+		    : MH__OUTCOME__NOT_SEEN;
 	}
 	if (r != NULL && r->body != NULL) {
-		o.body.data = (uint8_t *)(uintptr_t)g_bytes_get_data(
-		    r->body, &len);
+		o.body.data =
+		    (uint8_t *)(uintptr_t)g_bytes_get_data(r->body, &len);
 		o.status = r->status;
 	}
 	o.body.len = len;
@@ -804,8 +824,8 @@
 			       ",\"verb\":\"%s\",\"subject\":\"%s\"}",
 	    m->fence, m->verb, m->subject);
 	run->u.run.body = g_bytes_new_take(text, strlen(text));
-	g_hash_table_insert(s->orders,
-	    g_memdup2(&run->u.run.run, sizeof(run->u.run.run)), o);
+	g_hash_table_insert(
+	    s->orders, g_memdup2(&run->u.run.run, sizeof(run->u.run.run)), o);
 	mh_post(s->k, "endpoint", run);
 }
 
@@ -893,12 +913,11 @@
 {
 	struct side *s = get(k);
 
-	return json_pack(
-	    "{s:s, s:i, s:i, s:i, s:i, s:b, s:I, s:f, s:o}", "pool", s->pool,
-	    "running", (int)s->running, "queued",
+	return json_pack("{s:s, s:i, s:i, s:i, s:i, s:b, s:I, s:f, s:o}",
+	    "pool", s->pool, "running", (int)s->running, "queued",
 	    (int)mh_queue_len(s->queue), "slots", (int)s->a.slots, "calls",
-	    (int)g_hash_table_size(s->calls), "draining", s->draining,
-	    "fence", (json_int_t)s->fence, "factor", s->factor, "claim",
+	    (int)g_hash_table_size(s->calls), "draining", s->draining, "fence",
+	    (json_int_t)s->fence, "factor", s->factor, "claim",
 	    mh_claim_state(k));
 }
 
@@ -948,11 +967,10 @@
 	s->factor = 1.0;
 	s->queue = mh_queue_create(a->queue_limit);
 	s->ledger = mh_ledger_create(LEDGER_LIMIT);
-	s->calls =
-	    g_hash_table_new_full(key_hash, key_equal, NULL, free_call);
+	s->calls = g_hash_table_new_full(key_hash, key_equal, NULL, free_call);
 	s->runs = g_hash_table_new(g_int64_hash, g_int64_equal);
-	s->orders = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, g_free, g_free);
+	s->orders =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	mh_hub_create(k);
 	mh_member_create(k, a->vm, a->domain, "side");
 	mh_conf_create(k, a->vm);
--- a/lib/stage.c
+++ b/lib/stage.c
@@ -27,8 +27,8 @@
 static GBytes *
 dump(json_t *o)
 {
-	char *text = json_dumps(
-	    o, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY);
+	char *text =
+	    json_dumps(o, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY);
 
 	json_decref(o);
 	return g_bytes_new_with_free_func(text, strlen(text), free, text);
@@ -59,8 +59,8 @@
 
 		g_string_append_printf(s, "\n%s", t == NULL ? "" : t);
 	}
-	g_string_append_printf(s, "\nQuestion: %s\nAnswer:",
-	    text_in(f, "input"));
+	g_string_append_printf(
+	    s, "\nQuestion: %s\nAnswer:", text_in(f, "input"));
 	if (f->text != NULL)
 		g_string_append(s, f->text->str);
 	return g_string_free(s, FALSE);
@@ -100,8 +100,8 @@
 
 	switch (s->kind) {
 	case MH_ENCODE:
-		return dump(json_pack("{s:s, s:s}", "model", m, "input",
-		    text_in(f, "input")));
+		return dump(json_pack(
+		    "{s:s, s:s}", "model", m, "input", text_in(f, "input")));
 	case MH_RETRIEVE:
 		o = json_pack("{s:s, s:i}", "query", text_in(f, "input"),
 		    "top_k", (int)s->top_k);
--- a/lib/vmlist.c
+++ b/lib/vmlist.c
@@ -31,12 +31,11 @@
 	vms = g_ptr_array_new_with_free_func((GDestroyNotify)mh_vm_free);
 	json_array_foreach(a, i, o)
 	{
-		const char *id, *addr, *role, *state, *pool = "",
-						      *domain = "";
+		const char *id, *addr, *role, *state, *pool = "", *domain = "";
 
-		if (json_unpack(o, "{s:s, s:s, s:s, s:s, s?s, s?s}", "id",
-			&id, "addr", &addr, "role", &role, "state", &state,
-			"pool", &pool, "domain", &domain) != 0) {
+		if (json_unpack(o, "{s:s, s:s, s:s, s:s, s?s, s?s}", "id", &id,
+			"addr", &addr, "role", &role, "state", &state, "pool",
+			&pool, "domain", &domain) != 0) {
 			g_ptr_array_unref(vms);
 			json_decref(a);
 			return NULL;
@@ -65,9 +64,9 @@
 handle(void *self, struct mh_msg *m)
 {
 	struct vmlist *v = self;
-	struct mh_http_call call = { .method = "GET",
-		.url = v->url,
-		.timeout_us = CALL_US };
+	struct mh_http_call call = {
+		.method = "GET", .url = v->url, .timeout_us = CALL_US
+	};
 
 	if (m->kind == MH_MSG_VMLIST_ASK)
 		mh_client_start(v->client, &call, NULL, on_done, v);
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -2852,7 +2852,7 @@
   (ProtobufCMessageInit) mh__owners_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__ledger_entry__field_descriptors[7] =
+static const ProtobufCFieldDescriptor mh__ledger_entry__field_descriptors[6] =
 {
   {
     "key",
@@ -2926,32 +2926,19 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "refused",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Mh__LedgerEntry, refused),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned mh__ledger_entry__field_indices_by_name[] = {
   3,   /* field[3] = body */
   4,   /* field[4] = body_hash */
   0,   /* field[0] = key */
   1,   /* field[1] = outcome */
-  6,   /* field[6] = refused */
   5,   /* field[5] = stamp_ms */
   2,   /* field[2] = status */
 };
 static const ProtobufCIntRange mh__ledger_entry__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mh__ledger_entry__descriptor =
 {
@@ -2961,7 +2948,7 @@
   "Mh__LedgerEntry",
   "mh",
   sizeof(Mh__LedgerEntry),
-  7,
+  6,
   mh__ledger_entry__field_descriptors,
   mh__ledger_entry__field_indices_by_name,
   1,  mh__ledger_entry__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -328,11 +328,10 @@
   ProtobufCBinaryData body;
   uint64_t body_hash;
   uint64_t stamp_ms;
-  ProtobufCBinaryData refused;
 };
 #define MH__LEDGER_ENTRY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__ledger_entry__descriptor) \
-    , (char *)protobuf_c_empty_string, MH__OUTCOME__DONE, 0, {0,NULL}, 0, 0, {0,NULL} }
+    , (char *)protobuf_c_empty_string, MH__OUTCOME__DONE, 0, {0,NULL}, 0, 0 }
 
 
 struct  Mh__Handover
--- a/marlctl/apply.c
+++ b/marlctl/apply.c
@@ -30,18 +30,20 @@
 	*cas = 0;
 	store_get(o->kv, MH_CONF_HEAD, &s);
 	if (!s.answered)
-		die(EXIT_BAD, "the KV service does not answer; try again "
-			      "when it is back (what is in force stays)");
+		die(EXIT_BAD,
+		    "the KV service does not answer; try again "
+		    "when it is back (what is in force stays)");
 	if (!s.found)
 		return NULL;
 	*cas = s.cas;
 	data = g_bytes_get_data(s.value, &len);
 	*head = json_loadb(data, len, 0, NULL);
 	if (*head == NULL)
-		die(EXIT_BAD, "the head value is malformed; apply again from "
-			      "version control");
-	store_get(o->kv, json_string_value(json_object_get(*head, "doc")),
-	    &doc);
+		die(EXIT_BAD,
+		    "the head value is malformed; apply again from "
+		    "version control");
+	store_get(
+	    o->kv, json_string_value(json_object_get(*head, "doc")), &doc);
 	if (doc.found) {
 		d = mh_decl_read(doc.value, &err);
 		if (d == NULL)
@@ -66,8 +68,8 @@
 }
 
 static json_t *
-new_history(json_t *head, uint64_t generation, const char *write_id,
-    const char *file)
+new_history(
+    json_t *head, uint64_t generation, const char *write_id, const char *file)
 {
 	json_t *old = json_object_get(head, "history"), *a = json_array();
 	GDateTime *now = g_date_time_new_now_utc();
@@ -76,8 +78,8 @@
 
 	json_array_append_new(a,
 	    json_pack("{s:I, s:s, s:s, s:s}", "generation",
-		(json_int_t)generation, "write_id", write_id, "at", at,
-		"file", base));
+		(json_int_t)generation, "write_id", write_id, "at", at, "file",
+		base));
 	for (size_t i = 0; i < json_array_size(old) && i + 1 < HISTORY; i++)
 		json_array_append(a, json_array_get(old, i));
 	g_free(base);
@@ -119,8 +121,9 @@
 			break;
 		}
 		if (i + 1 == TRIES)
-			die(EXIT_BAD, "the KV service does not answer; nothing "
-				      "was applied, try again");
+			die(EXIT_BAD,
+			    "the KV service does not answer; nothing "
+			    "was applied, try again");
 	}
 	g_free(name);
 }
@@ -171,14 +174,15 @@
 	id = new_write_id();
 	write_doc(o, id, doc);
 	history = new_history(head, generation, id, file);
-	value = mh_conf_head_make(generation, id, doc, base,
-	    old == NULL ? NULL : old->doc, history);
+	value = mh_conf_head_make(
+	    generation, id, doc, base, old == NULL ? NULL : old->doc, history);
 	w = store_put(o->kv, MH_CONF_HEAD, cas, value);
 	if (w == NO_ANSWER)
 		w = settle(o, id);
 	if (w != WRITTEN)
-		die(EXIT_BAD, "lost race: somebody else applied first; diff "
-			      "again and apply against the new generation");
+		die(EXIT_BAD,
+		    "lost race: somebody else applied first; diff "
+		    "again and apply against the new generation");
 	printf("applied generation=%" PRIu64 " write_id=%s\n", generation, id);
 	json_decref(history);
 	json_decref(head);
@@ -202,8 +206,7 @@
 	if (d == NULL)
 		die(EXIT_BAD, "nothing was applied yet; use marlctl apply");
 	data = g_bytes_get_data(d->doc, &len);
-	printf("# generation %" PRIu64 "\n%.*s", d->generation, (int)len,
-	    data);
+	printf("# generation %" PRIu64 "\n%.*s", d->generation, (int)len, data);
 	mh_decl_unref(d);
 	json_decref(head);
 	return 0;
--- a/marlctl/ask.c
+++ b/marlctl/ask.c
@@ -30,8 +30,7 @@
 	if (f != NULL && f->body_case == MH__FRAME__BODY_STATE) {
 		printf("%s\n", f->state->json);
 		a->answered = true;
-	} else if (f != NULL &&
-	    f->body_case == MH__FRAME__BODY_ORDER_RESULT) {
+	} else if (f != NULL && f->body_case == MH__FRAME__BODY_ORDER_RESULT) {
 		printf("status=%u %s\n", f->order_result->status,
 		    f->order_result->text);
 		a->status = f->order_result->status < 300 ? 0 : EXIT_BAD;
@@ -80,8 +79,9 @@
 	char *secret;
 
 	if (o->secret_file == NULL)
-		die(EXIT_USAGE, "--secret-file or MARLHOIST_SECRET_FILE is "
-				"missing: give the processes' secret");
+		die(EXIT_USAGE,
+		    "--secret-file or MARLHOIST_SECRET_FILE is "
+		    "missing: give the processes' secret");
 	secret = mh_secret_read(o->secret_file, &err);
 	if (secret == NULL)
 		die(EXIT_BAD, "%s", err->message);
@@ -99,8 +99,10 @@
 	mh_loop_destroy(a.loop);
 	g_free(secret);
 	if (!a.answered)
-		die(EXIT_BAD, "%s does not answer: check the address and the "
-			      "secret", addr);
+		die(EXIT_BAD,
+		    "%s does not answer: check the address and the "
+		    "secret",
+		    addr);
 	return a.status;
 }
 
@@ -135,8 +137,9 @@
 	}
 	g_bytes_unref(value);
 	if (fence == 0)
-		die(EXIT_BAD, "no fencing number: the KV service is out or "
-			      "others order too; try again");
+		die(EXIT_BAD,
+		    "no fencing number: the KV service is out or "
+		    "others order too; try again");
 	return fence;
 }
 
--- a/marlctl/diff.c
+++ b/marlctl/diff.c
@@ -61,8 +61,8 @@
 	guint n = 0;
 
 	for (guint i = 0; i < new->pipelines->len; i++) {
-		a.pipeline = ((struct mh_pipeline *)new->pipelines->pdata[i])
-				 ->name;
+		a.pipeline =
+		    ((struct mh_pipeline *)new->pipelines->pdata[i])->name;
 		a.class_asked = NULL;
 		n += compare(old, new, &a, shown + n);
 		for (guint j = 0; j < new->classes->len; j++) {
@@ -77,8 +77,8 @@
 static void
 compare_limits(const struct mh_decl *old, const struct mh_org *o)
 {
-	const struct mh_org *was = old == NULL ? NULL :
-						 mh_decl_org(old, o->name);
+	const struct mh_org *was =
+	    old == NULL ? NULL : mh_decl_org(old, o->name);
 
 	if (was == NULL)
 		printf("+ organisation=%s\n", o->name);
--- a/marlctl/marlctl.c
+++ b/marlctl/marlctl.c
@@ -79,8 +79,8 @@
 	struct arg_str *words =
 	    arg_strn(NULL, NULL, "<word>", 1, MAX_WORDS, "command");
 	struct arg_end *end = arg_end(5);
-	void *table[] = { kv, secret, org, pipeline, class, model, base,
-		fence, words, end };
+	void *table[] = { kv, secret, org, pipeline, class, model, base, fence,
+		words, end };
 	struct options o = { .base_generation = -1 };
 	const struct command *c;
 	int rv;
@@ -88,8 +88,8 @@
 	if (arg_parse(argc, argv, table) > 0)
 		usage();
 	o.kv = kv->count > 0 ? kv->sval[0] : getenv("MARLHOIST_KV");
-	o.secret_file = secret->count > 0 ? secret->sval[0] :
-					    getenv("MARLHOIST_SECRET_FILE");
+	o.secret_file = secret->count > 0 ? secret->sval[0]
+					  : getenv("MARLHOIST_SECRET_FILE");
 	o.org = org->count > 0 ? org->sval[0] : NULL;
 	o.pipeline = pipeline->count > 0 ? pipeline->sval[0] : NULL;
 	o.class_asked = class->count > 0 ? class->sval[0] : NULL;
@@ -102,8 +102,9 @@
 	if (c == NULL || words->count != c->nargs + 1)
 		usage();
 	if (c->needs_kv && o.kv == NULL)
-		die(EXIT_USAGE, "--kv or MARLHOIST_KV is missing: give the KV "
-				"service's URL");
+		die(EXIT_USAGE,
+		    "--kv or MARLHOIST_KV is missing: give the KV "
+		    "service's URL");
 	if (sodium_init() < 0)
 		die(EXIT_BAD, "no random source: check the system");
 	rv = c->run(&o, &words->sval[1]);
--- a/marlctl/marlctl.h
+++ b/marlctl/marlctl.h
@@ -19,8 +19,7 @@
 };
 
 /* marlctl.c */
-G_GNUC_NORETURN void die(int status, const char *fmt, ...)
-    G_GNUC_PRINTF(2, 3);
+G_GNUC_NORETURN void die(int status, const char *fmt, ...) G_GNUC_PRINTF(2, 3);
 GBytes *read_file(const char *path);
 
 /* store.c: the KV service, one call at a time */
@@ -45,8 +44,8 @@
 int cmd_history(const struct options *o);
 int cmd_show(const struct options *o);
 /** read_current() - the document in the KV, NULL when there is none. */
-struct mh_decl *read_current(const struct options *o, json_t **head,
-    uint64_t *cas);
+struct mh_decl *read_current(
+    const struct options *o, json_t **head, uint64_t *cas);
 
 /* diff.c */
 int cmd_diff(const struct options *o, const char *file);
--- a/marlctl/store.c
+++ b/marlctl/store.c
@@ -82,8 +82,7 @@
 enum written
 store_put(const char *kv, const char *name, uint64_t cas, GBytes *value)
 {
-	char *url =
-	    g_strdup_printf("%s/v1/kv/%s?cas=%" PRIu64, kv, name, cas);
+	char *url = g_strdup_printf("%s/v1/kv/%s?cas=%" PRIu64, kv, name, cas);
 	GByteArray *a = g_byte_array_new();
 	long status = call("PUT", url, value, a);
 	bool ok = a->len >= 4 && memcmp(a->data, "true", 4) == 0;
--- a/marlhoistd/http.c
+++ b/marlhoistd/http.c
@@ -66,8 +66,8 @@
 	if (mh_admin_serve(h->k, r))
 		return;
 	if (mh_req_too_big(r)) {
-		reply_problem(r, 413, "body-too-large",
-		    "Send a body of at most 1 MiB.");
+		reply_problem(
+		    r, 413, "body-too-large", "Send a body of at most 1 MiB.");
 		return;
 	}
 	if (!read_deadline(
--- a/marlload/marlload.c
+++ b/marlload/marlload.c
@@ -180,8 +180,8 @@
 	struct mh_http_call call = { .method = "POST", .headers = headers };
 	char deadline[40];
 	char *auth = g_strconcat("Authorization: Bearer ", s->plan->key, NULL);
-	char *url = g_strconcat(l->a.entries[s->entry], "/v1/pipelines/",
-	    s->plan->pipeline, NULL);
+	char *url = g_strconcat(
+	    l->a.entries[s->entry], "/v1/pipelines/", s->plan->pipeline, NULL);
 	char *once = NULL;
 	int n = 1;
 
--- a/marlload/report.c
+++ b/marlload/report.c
@@ -22,11 +22,10 @@
 };
 
 static void
-print(const struct load *l, const char *measure, double value,
-    const char *unit)
+print(const struct load *l, const char *measure, double value, const char *unit)
 {
-	printf("bench %s %s %s %.4f %s\n", l->a.scenario, l->a.policy,
-	    measure, value, unit);
+	printf("bench %s %s %s %.4f %s\n", l->a.scenario, l->a.policy, measure,
+	    value, unit);
 }
 
 static bool
@@ -81,8 +80,8 @@
 	{
 		t->doubled += json_integer_value(v) > 1;
 	}
-	t->crossed = (uint32_t)json_integer_value(
-	    json_object_get(l->audit, "crossed"));
+	t->crossed =
+	    (uint32_t)json_integer_value(json_object_get(l->audit, "crossed"));
 	for (guint i = 0; i < l->shots->len; i++) {
 		const struct shot *s = l->shots->pdata[i];
 
@@ -115,18 +114,16 @@
 		{
 			double in, cached, out;
 
-			if (strcmp(json_string_value(
-				       json_object_get(e, "kind")),
+			if (strcmp(
+				json_string_value(json_object_get(e, "kind")),
 				kinds[i]) != 0)
 				continue;
-			in = json_number_value(
-			    json_object_get(e, "tokens_in"));
+			in = json_number_value(json_object_get(e, "tokens_in"));
 			cached = json_number_value(
 			    json_object_get(e, "tokens_cached"));
-			out = json_number_value(
-			    json_object_get(e, "tokens_out"));
-			us += json_number_value(
-			    json_object_get(e, "busy_us"));
+			out =
+			    json_number_value(json_object_get(e, "tokens_out"));
+			us += json_number_value(json_object_get(e, "busy_us"));
 			units += WEIGHT_IN * (in - cached) +
 			    WEIGHT_CACHED * cached + WEIGHT_OUT * out;
 		}
@@ -174,8 +171,7 @@
 		return;
 	f = fopen(l->a.json_file, "w");
 	if (f == NULL) {
-		fprintf(stderr, "marlload: cannot write %s\n",
-		    l->a.json_file);
+		fprintf(stderr, "marlload: cannot write %s\n", l->a.json_file);
 		return;
 	}
 	for (guint i = 0; i < l->shots->len; i++) {
--- a/marlload/trace.c
+++ b/marlload/trace.c
@@ -56,8 +56,7 @@
 		snprintf(s->ref + i, 9, "%08x", g_rand_int(g));
 	s->context = (uint32_t)g_rand_int_range(g, 0, CONTEXTS);
 	s->entry = g_rand_int(g) % a->nentries;
-	s->once_given =
-	    s->plan->never && g_rand_double(g) < GIVEN_SHARE;
+	s->once_given = s->plan->never && g_rand_double(g) < GIVEN_SHARE;
 	s->text = g_string_new(NULL);
 	return s;
 }
@@ -97,9 +96,8 @@
 	GString *c = g_string_new(NULL);
 
 	for (int i = 0; c->len < CONTEXT_BYTES; i++)
-		g_string_append_printf(
-		    c, "%s history %u line %d load 42 MW. ", s->plan->org,
-		    s->context, i);
+		g_string_append_printf(c, "%s history %u line %d load 42 MW. ",
+		    s->plan->org, s->context, i);
 	return g_string_free(c, FALSE);
 }
 
@@ -113,9 +111,9 @@
 		o = json_pack("{s:{s:s}}", "body", "order", input);
 	} else {
 		context = make_context(s);
-		o = json_pack("{s:s, s:s, s:i, s:b}", "input", input,
-		    "context", context, "max_tokens", (int)s->plan->tokens,
-		    "stream", s->plan->stream);
+		o = json_pack("{s:s, s:s, s:i, s:b}", "input", input, "context",
+		    context, "max_tokens", (int)s->plan->tokens, "stream",
+		    s->plan->stream);
 		g_free(context);
 	}
 	text = json_dumps(o, JSON_COMPACT);
--- a/marlload/verify.c
+++ b/marlload/verify.c
@@ -48,8 +48,7 @@
 
 	g_free(s->outcome);
 	s->outcome = g_strdup(outcome);
-	if (outcome != NULL && strcmp(outcome, "done") == 0 &&
-	    s->status == 200)
+	if (outcome != NULL && strcmp(outcome, "done") == 0 && s->status == 200)
 		take_done(s, o, text);
 	else if (key != NULL && s->once == NULL)
 		s->once = g_strdup(key);
--- a/marlsided/marlsided.c
+++ b/marlsided/marlsided.c
@@ -51,9 +51,9 @@
 		.incarnation = incarnation,
 		.slots = (uint32_t)s->slots,
 		.queue_limit = (uint32_t)s->queue_limit };
-	struct mh_httpd_args http = { .listen = s->http,
-		.on_request = on_http,
-		.arg = d };
+	struct mh_httpd_args http = {
+		.listen = s->http, .on_request = on_http, .arg = d
+	};
 	GError *err = NULL;
 
 	if (!mh_link_create(d->loop, &link, &err))
--- a/marlstand/engine.c
+++ b/marlstand/engine.c
@@ -82,8 +82,7 @@
 	bool miss = false;
 
 	for (size_t at = 0; at + BLOCK_BYTES <= len; at += BLOCK_BYTES) {
-		uint64_t pair[2] = { hash,
-			mh_hash(prompt + at, BLOCK_BYTES) };
+		uint64_t pair[2] = { hash, mh_hash(prompt + at, BLOCK_BYTES) };
 
 		hash = mh_hash(pair, sizeof(pair));
 		if (!miss && g_hash_table_contains(g->cache, &hash))
@@ -111,8 +110,7 @@
 static void
 arm(struct engine *g)
 {
-	if (g->step != NULL ||
-	    (g->running->len == 0 && g->waiting->len == 0))
+	if (g->step != NULL || (g->running->len == 0 && g->waiting->len == 0))
 		return;
 	g->step = mh_timer_start(g->e->w->k, g->step_us, on_step, g);
 }
@@ -126,8 +124,8 @@
 		const struct seq *a = g->waiting->pdata[i];
 		const struct seq *b = g->waiting->pdata[best];
 
-		if (g->e->spec.honours_priority ? a->priority < b->priority :
-						  a->order < b->order)
+		if (g->e->spec.honours_priority ? a->priority < b->priority
+						: a->order < b->order)
 			best = i;
 	}
 	return g_ptr_array_steal_index(g->waiting, best);
@@ -249,8 +247,7 @@
 	gsize len;
 	const char *data = g_bytes_get_data(mh_req_body(r), &len);
 	json_t *in = json_loadb(data, len, 0, NULL);
-	const char *prompt =
-	    json_string_value(json_object_get(in, "prompt"));
+	const char *prompt = json_string_value(json_object_get(in, "prompt"));
 	struct seq *s;
 
 	if (prompt == NULL) {
@@ -262,11 +259,11 @@
 	s->req = mh_req_id(r);
 	s->order = ++g->order;
 	s->prompt = g_string_new(prompt);
-	s->priority = (uint32_t)json_integer_value(
-	    json_object_get(in, "priority"));
+	s->priority =
+	    (uint32_t)json_integer_value(json_object_get(in, "priority"));
 	s->next = count_tokens(prompt);
-	s->end = s->next + (uint32_t)json_integer_value(
-			       json_object_get(in, "max_tokens"));
+	s->end = s->next +
+	    (uint32_t)json_integer_value(json_object_get(in, "max_tokens"));
 	find_ref(g->e->w, mh_req_body(r), s->ref);
 	json_decref(in);
 	g_ptr_array_add(g->waiting, s);
--- a/marlstand/kvstand.c
+++ b/marlstand/kvstand.c
@@ -165,21 +165,18 @@
 {
 	const char *index = mh_req_query(r, "index");
 	struct value *v = g_hash_table_lookup(p->values, name);
-	uint64_t seen =
-	    index == NULL ? 0 : g_ascii_strtoull(index, NULL, 10);
+	uint64_t seen = index == NULL ? 0 : g_ascii_strtoull(index, NULL, 10);
 	uint64_t now = v == NULL ? 0 : v->index;
 
 	p->reads++;
 	if (seen > 0 && now <= seen)
-		hold(p, r, name, seen, parse_ms(mh_req_query(r, "wait")),
-		    true);
+		hold(p, r, name, seen, parse_ms(mh_req_query(r, "wait")), true);
 	else
 		hold(p, r, name, 0, p->delay_us, false);
 }
 
 static bool
-write_value(struct platform *p, const char *name, const char *cas,
-    GBytes *data)
+write_value(struct platform *p, const char *name, const char *cas, GBytes *data)
 {
 	struct value *v = g_hash_table_lookup(p->values, name);
 	uint64_t now = v == NULL ? 0 : v->index;
@@ -268,8 +265,8 @@
 
 		g_hash_table_iter_init(&it, p->held);
 		while (g_hash_table_iter_next(&it, NULL, &h)) {
-			struct mh_http_req *r = mh_httpd_find(
-			    p->w->ctl, ((struct held *)h)->req);
+			struct mh_http_req *r =
+			    mh_httpd_find(p->w->ctl, ((struct held *)h)->req);
 
 			if (r != NULL)
 				mh_req_cut(r);
@@ -363,9 +360,9 @@
 	p->w = w;
 	p->delay_us = DEFAULT_US;
 	p->vms = g_strdup("[]");
-	p->values = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, free_value);
-	p->held = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, NULL, free_held);
+	p->values =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_value);
+	p->held =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_held);
 	mh_kern_add(w->k, "platform", p, NULL, destroy);
 }
--- a/marlstand/marlstand.c
+++ b/marlstand/marlstand.c
@@ -55,8 +55,7 @@
 	if (w.loop == NULL)
 		fail(err->message);
 	w.endpoints = g_hash_table_new(g_str_hash, g_str_equal);
-	w.audit =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	w.audit = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	platform_create(&w);
 	relays_create(&w);
 	w.ctl = mh_httpd_create(w.loop, &a, &err);
@@ -174,9 +173,8 @@
 	json_object_set_new(arg, name,
 	    json_pack("{s:s, s:I, s:I, s:I, s:I, s:I, s:I}", "kind",
 		e->spec.kind, "calls", (json_int_t)e->calls, "busy_us",
-		(json_int_t)e->busy_us, "tokens_in",
-		(json_int_t)e->tokens_in, "tokens_cached",
-		(json_int_t)e->tokens_cached, "tokens_out",
+		(json_int_t)e->busy_us, "tokens_in", (json_int_t)e->tokens_in,
+		"tokens_cached", (json_int_t)e->tokens_cached, "tokens_out",
 		(json_int_t)e->tokens_out, "cancelled",
 		(json_int_t)e->cancelled));
 }
@@ -195,9 +193,9 @@
 	g_hash_table_foreach(w->audit, add_run, runs);
 	g_hash_table_foreach(w->endpoints, add_endpoint_audit, endpoints);
 	reply_json(r, 200,
-	    json_pack("{s:I, s:I, s:o, s:o}", "crossed",
-		(json_int_t)w->crossed, "runs", (json_int_t)w->runs, "keys",
-		runs, "endpoints", endpoints));
+	    json_pack("{s:I, s:I, s:o, s:o}", "crossed", (json_int_t)w->crossed,
+		"runs", (json_int_t)w->runs, "keys", runs, "endpoints",
+		endpoints));
 }
 
 static enum fault
--- a/marlstand/pool.c
+++ b/marlstand/pool.c
@@ -46,8 +46,8 @@
 
 	for (int i = 0; i < EMBEDDING_LEN; i++)
 		json_array_append_new(v,
-		    json_integer((json_int_t)(mh_hash(j->ref, REF_LEN) >> i &
-			0xffff)));
+		    json_integer(
+			(json_int_t)(mh_hash(j->ref, REF_LEN) >> i & 0xffff)));
 	return json_pack("{s:[{s:o}], s:{s:i}}", "data", "embedding", v,
 	    "usage", "prompt_tokens", 8);
 }
@@ -61,8 +61,8 @@
 	for (json_int_t i = 0; i < n * 2; i++) {
 		char text[64];
 
-		snprintf(text, sizeof(text), "ref:%s document %d", j->ref,
-		    (int)i);
+		snprintf(
+		    text, sizeof(text), "ref:%s document %d", j->ref, (int)i);
 		json_array_append_new(
 		    a, json_pack("{s:I, s:s}", "id", i, "text", text));
 	}
@@ -169,8 +169,7 @@
 static void
 start_next(struct endpoint *e)
 {
-	while (e->running < e->spec.workers &&
-	    !g_queue_is_empty(&e->waiting))
+	while (e->running < e->spec.workers && !g_queue_is_empty(&e->waiting))
 		run(g_queue_pop_head(&e->waiting));
 }
 
--- a/marlstand/relay.c
+++ b/marlstand/relay.c
@@ -265,8 +265,12 @@
 	if (r->listen_fd < 0 ||
 	    bind(r->listen_fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 ||
 	    listen(r->listen_fd, 128) < 0 ||
-	    getsockname(r->listen_fd, (struct sockaddr *)&sa, &len) < 0)
+	    getsockname(r->listen_fd, (struct sockaddr *)&sa, &len) < 0) {
+		g_ptr_array_free(r->hops, TRUE);
+		g_free(r->name);
+		g_free(r);
 		return 0;
+	}
 	mh_loop_fd(w->loop, r->listen_fd, true, false, on_accept, r);
 	g_hash_table_insert(relays(w), r->name, r);
 	return ntohs(sa.sin_port);
--- /dev/null
+++ b/regress/regress.h
@@ -0,0 +1,27 @@
+#ifndef REGRESS_H
+#define REGRESS_H
+
+#include <CUnit/CUnit.h>
+
+/** struct test - one test of a suite. */
+struct test {
+	const char *name;
+	void (*fn)(void);
+};
+
+/* One table for each file, ended by a NULL name. */
+extern const struct test tests_kern[];
+extern const struct test tests_decl[];
+extern const struct test tests_queue[];
+extern const struct test tests_ledger[];
+extern const struct test tests_session[];
+extern const struct test tests_once[];
+extern const struct test tests_entry[];
+extern const struct test tests_nodes[];
+extern const struct test tests_adapter[];
+extern const struct test tests_fuzz[];
+
+/** regress_dir - where golden files stand. */
+extern const char *regress_dir;
+
+#endif
--- /dev/null
+++ b/regress/t_queue.c
@@ -0,0 +1,170 @@
+/**
+ * DOC: The queue before an endpoint: class, fairness, deadline, bound.
+ */
+
+#include "net.h"
+#include "regress.h"
+
+#include <string.h>
+
+static struct mh_item
+item(uint32_t priority, int64_t deadline_us, const char *org)
+{
+	struct mh_item it = { .priority = priority,
+		.deadline_us = deadline_us,
+		.org = org,
+		.org_weight = 1,
+		.units = 1000,
+		.predicted_us = 100 };
+
+	return it;
+}
+
+static void
+test_class_then_deadline(void)
+{
+	struct mh_queue *q = mh_queue_create(8);
+	struct mh_item late = item(0, 900, "a"), soon = item(0, 100, "a"),
+		       low = item(1, 50, "a");
+
+	CU_ASSERT_PTR_NULL(mh_queue_put(q, &low));
+	CU_ASSERT_PTR_NULL(mh_queue_put(q, &late));
+	CU_ASSERT_PTR_NULL(mh_queue_put(q, &soon));
+	CU_ASSERT_EQUAL(mh_queue_work_us(q, 0), 200);
+	CU_ASSERT_EQUAL(mh_queue_work_us(q, 1), 300);
+	CU_ASSERT_PTR_EQUAL(mh_queue_pop(q, false), &soon);
+	CU_ASSERT_PTR_EQUAL(mh_queue_pop(q, false), &late);
+	CU_ASSERT_PTR_NULL(mh_queue_pop(q, true));
+	CU_ASSERT_PTR_EQUAL(mh_queue_pop(q, false), &low);
+	mh_queue_destroy(q);
+}
+
+/*
+ * A demand event fills every queue with drafting.  A dispatch order that
+ * came then was refused as "full" while drafts held the places: the plant
+ * missed its window.
+ */
+static void
+test_urgent_takes_a_waiting_place(void)
+{
+	struct mh_queue *q = mh_queue_create(2);
+	struct mh_item a = item(2, 900, "a"), b = item(2, 800, "a"),
+		       u = item(0, 500, "a"), v = item(2, 100, "a");
+
+	mh_queue_put(q, &a);
+	mh_queue_put(q, &b);
+	CU_ASSERT_PTR_EQUAL(mh_queue_put(q, &u), &a);
+	CU_ASSERT_PTR_EQUAL(mh_queue_put(q, &v), &v);
+	CU_ASSERT_EQUAL(mh_queue_len(q), 2);
+	mh_queue_destroy(q);
+}
+
+/*
+ * One organisation sends a hundred requests, another one.  In arrival order
+ * the one waits behind the hundred; with fair sharing it is served second
+ * at the latest.
+ */
+static void
+test_fair_between_organisations(void)
+{
+	struct mh_queue *q = mh_queue_create(200);
+	struct mh_item many[100], one = item(1, 5000, "small");
+	int before = 0;
+
+	for (int i = 0; i < 100; i++) {
+		many[i] = item(1, 1000, "large");
+		many[i].units = 4000;
+		mh_queue_put(q, &many[i]);
+	}
+	mh_queue_put(q, &one);
+	while (mh_queue_pop(q, false) != &one)
+		before++;
+	CU_ASSERT(before <= 2);
+	mh_queue_destroy(q);
+}
+
+static void
+test_weight_sets_the_share(void)
+{
+	struct mh_queue *q = mh_queue_create(400);
+	struct mh_item a[100], b[100];
+	int heavy = 0;
+
+	for (int i = 0; i < 100; i++) {
+		a[i] = item(1, 1000, "heavy");
+		a[i].org_weight = 3;
+		a[i].units = 3000;
+		b[i] = item(1, 1000, "light");
+		b[i].units = 3000;
+		mh_queue_put(q, &a[i]);
+		mh_queue_put(q, &b[i]);
+	}
+	for (int i = 0; i < 80; i++)
+		heavy += strcmp(mh_queue_pop(q, false)->org, "heavy") == 0;
+	CU_ASSERT(heavy >= 56 && heavy <= 64);
+	mh_queue_destroy(q);
+}
+
+/*
+ * Urgent work never ends during an event and drafting waits for ever.  The
+ * declared share keeps it moving.
+ */
+static void
+test_lower_class_keeps_its_share(void)
+{
+	struct mh_queue *q = mh_queue_create(400);
+	struct mh_item u[100], l[100];
+	int low = 0;
+
+	mh_queue_share(q, 1, 0.1);
+	for (int i = 0; i < 100; i++) {
+		u[i] = item(0, 1000, "a");
+		l[i] = item(1, 1000, "b");
+		mh_queue_put(q, &u[i]);
+		mh_queue_put(q, &l[i]);
+	}
+	for (int i = 0; i < 100; i++)
+		low += mh_queue_pop(q, false)->priority == 1;
+	CU_ASSERT(low >= 9 && low <= 11);
+	mh_queue_destroy(q);
+}
+
+static void
+test_fifo_is_fifo(void)
+{
+	struct mh_queue *q = mh_queue_create(2);
+	struct mh_item a = item(2, 900, "a"), b = item(0, 100, "a"),
+		       c = item(0, 50, "a");
+
+	mh_queue_policy(q, MH_QUEUE_FIFO);
+	mh_queue_put(q, &a);
+	mh_queue_put(q, &b);
+	CU_ASSERT_PTR_EQUAL(mh_queue_put(q, &c), &c);
+	CU_ASSERT_PTR_EQUAL(mh_queue_pop(q, false), &a);
+	mh_queue_destroy(q);
+}
+
+static void
+test_late_items_leave(void)
+{
+	struct mh_queue *q = mh_queue_create(4);
+	struct mh_item a = item(0, 900, "a"), b = item(1, 100, "a");
+
+	mh_queue_put(q, &a);
+	mh_queue_put(q, &b);
+	CU_ASSERT_PTR_EQUAL(mh_queue_pop_late(q, 100), &b);
+	CU_ASSERT_PTR_NULL(mh_queue_pop_late(q, 100));
+	CU_ASSERT_EQUAL(mh_queue_len(q), 1);
+	mh_queue_destroy(q);
+}
+
+const struct test tests_queue[] = {
+	{ "class_then_deadline", test_class_then_deadline },
+	{ "urgent_takes_a_waiting_place", test_urgent_takes_a_waiting_place },
+	{ "fair_between_organisations", test_fair_between_organisations },
+	{ "weight_sets_the_share", test_weight_sets_the_share },
+	{ "lower_class_keeps_its_share", test_lower_class_keeps_its_share },
+	{ "fifo_is_fifo", test_fifo_is_fifo },
+	{ "late_items_leave", test_late_items_leave },
+	{ NULL, NULL },
+};
--- /dev/null
+++ b/regress/t_session.c
@@ -0,0 +1,191 @@
+/**
+ * DOC: Whole sessions in virtual time against golden files: request, rule,
+ * stages, answer and log.  Set MARLHOIST_GOLDEN=write to write them anew
+ * and read the difference before committing it.
+ */
+
+#include "net.h"
+#include "regress.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+static void
+compare(const char *name, const char *text)
+{
+	char *path = g_strconcat(regress_dir, "/golden/", name, ".txt", NULL);
+	const char *mode = g_getenv("MARLHOIST_GOLDEN");
+	char *want = NULL;
+
+	if (mode != NULL && strcmp(mode, "write") == 0)
+		g_file_set_contents(path, text, -1, NULL);
+	if (!g_file_get_contents(path, &want, NULL, NULL))
+		want = g_strdup("");
+	if (strcmp(want, text) != 0)
+		printf("\n--- %s: got\n%s\n--- wanted\n%s\n", name, text, want);
+	CU_ASSERT_STRING_EQUAL(text, want);
+	g_free(want);
+	g_free(path);
+}
+
+static struct net *
+world(void)
+{
+	struct net *n = net_create(7);
+
+	net_apply(n, 1, net_doc);
+	net_side(n, "enc1", "enc", "a", 4);
+	net_side(n, "ret1", "ret", "a", 4);
+	net_side(n, "rer1", "rer", "a", 4);
+	net_side(n, "llm1", "llm", "a", 4);
+	net_side(n, "book1", "book", "a", 4);
+	return n;
+}
+
+static void
+add(GString *out, struct net *n, const char *what, uint64_t caller)
+{
+	struct net_answer *a = net_answer(n, caller);
+
+	g_string_append_printf(out,
+	    "%s: status=%u retry_after=%u parts=%u\n%s\n", what, a->status,
+	    a->retry_after_s, a->parts, a->body->str);
+}
+
+static void
+test_golden_plain(void)
+{
+	struct net *n = world();
+	struct net_node *e = net_entry(n, "entry1", "a");
+	GString *out = g_string_new(NULL);
+	struct net_ask plan = { .path = "/v1/pipelines/plan",
+		.body = "{\"input\":\"a party\",\"max_tokens\":3}" };
+	struct net_ask confirm = { .path = "/v1/pipelines/confirm",
+		.once = "order-17",
+		.body = "{\"body\":{\"order\":17}}" };
+	struct net_ask wrong = { .path = "/v1/pipelines/plan",
+		.key = "stolen" };
+	struct net_ask refused = { .path = "/v1/pipelines/confirm",
+		.class_asked = "batch" };
+	struct net_ask lookup = { .method = "GET",
+		.path = "/v1/outcomes/confirm/order-17" };
+	uint64_t ids[6];
+
+	net_run(n, 4 * MH_US_PER_S);
+	n->log_on = true;
+	ids[0] = net_request(e, &plan);
+	net_run(n, MH_US_PER_S);
+	ids[1] = net_request(e, &confirm);
+	net_run(n, MH_US_PER_S);
+	ids[2] = net_request(e, &confirm);
+	ids[3] = net_request(e, &wrong);
+	ids[4] = net_request(e, &refused);
+	ids[5] = net_request(e, &lookup);
+	net_run(n, MH_US_PER_S);
+	add(out, n, "plan", ids[0]);
+	add(out, n, "confirm", ids[1]);
+	add(out, n, "confirm again", ids[2]);
+	add(out, n, "wrong key", ids[3]);
+	add(out, n, "refused by rule", ids[4]);
+	add(out, n, "outcome", ids[5]);
+	g_string_append_printf(out, "runs of order-17: %u\nlog:\n%s",
+	    net_runs(n, "acme/order-17"), n->log->str);
+	compare("plain", out->str);
+	g_string_free(out, TRUE);
+	net_destroy(n);
+}
+
+static void
+test_golden_stream(void)
+{
+	struct net *n = world();
+	struct net_node *e = net_entry(n, "entry1", "a");
+	GString *out = g_string_new(NULL);
+	struct net_ask plan = { .path = "/v1/pipelines/plan",
+		.body = "{\"input\":\"a\",\"max_tokens\":3,\"stream\":true}" };
+	uint64_t id;
+
+	net_run(n, 4 * MH_US_PER_S);
+	id = net_request(e, &plan);
+	net_run(n, MH_US_PER_S);
+	add(out, n, "stream", id);
+	compare("stream", out->str);
+	g_string_free(out, TRUE);
+	net_destroy(n);
+}
+
+struct bad {
+	const char *method;
+	const char *path;
+	const char *key;
+	const char *once;
+	const char *body;
+	uint32_t status;
+	const char *title;
+};
+
+static const struct bad bads[] = {
+	{ "POST", "/v1/pipelines/plan", "", NULL, NULL, 401, "no-right" },
+	{ "POST", "/v1/pipelines/none", NULL, NULL, NULL, 404, "no-pipeline" },
+	{ "GET", "/v1/pipelines/plan", NULL, NULL, NULL, 404, "no-path" },
+	{ "POST", "/etc/passwd", NULL, NULL, NULL, 404, "no-path" },
+	{ "POST", "/v1/pipelines/plan", NULL, NULL, "{", 400, "bad-body" },
+	{ "POST", "/v1/pipelines/plan", NULL, NULL, "[]", 400, "bad-body" },
+	{ "POST", "/v1/pipelines/plan", NULL, NULL, "{\"max_tokens\":-1}", 400,
+	    "bad-max-tokens" },
+	{ "POST", "/v1/pipelines/confirm", NULL, "a/b", NULL, 400, "bad-key" },
+	{ "POST", "/v1/pipelines/confirm", NULL, "a b", NULL, 400, "bad-key" },
+	{ "GET", "/v1/outcomes/plan/x", NULL, NULL, NULL, 404, "no-outcome" },
+	{ "GET", "/v1/outcomes/confirm", NULL, NULL, NULL, 404, "no-outcome" },
+};
+
+static void
+test_bad_requests(void)
+{
+	struct net *n = world();
+	struct net_node *e = net_entry(n, "entry1", "a");
+
+	net_run(n, 4 * MH_US_PER_S);
+	for (size_t i = 0; i < G_N_ELEMENTS(bads); i++) {
+		struct net_ask a = { .method = bads[i].method,
+			.path = bads[i].path,
+			.key = bads[i].key,
+			.once = bads[i].once,
+			.body = bads[i].body };
+		uint64_t id = net_request(e, &a);
+
+		net_run(n, 100 * MH_US_PER_MS);
+		CU_ASSERT_EQUAL(net_answer(n, id)->status, bads[i].status);
+		CU_ASSERT_STRING_EQUAL(
+		    net_answer_text(n, id, "title"), bads[i].title);
+		CU_ASSERT_STRING_EQUAL(
+		    net_answer_text(n, id, "outcome"), "not-run");
+		CU_ASSERT(strlen(net_answer_text(n, id, "remedy")) > 0);
+	}
+	net_destroy(n);
+}
+
+static void
+test_no_configuration_yet(void)
+{
+	struct net *n = net_create(1);
+	struct net_node *e = net_entry(n, "entry1", "a");
+	struct net_ask a = { .path = "/v1/pipelines/plan" };
+	uint64_t id;
+
+	net_run(n, MH_US_PER_S);
+	id = net_request(e, &a);
+	net_run(n, MH_US_PER_S);
+	CU_ASSERT_EQUAL(net_answer(n, id)->status, 503);
+	CU_ASSERT_STRING_EQUAL(
+	    net_answer_text(n, id, "title"), "no-configuration");
+	net_destroy(n);
+}
+
+const struct test tests_session[] = {
+	{ "golden_plain", test_golden_plain },
+	{ "golden_stream", test_golden_stream },
+	{ "bad_requests", test_bad_requests },
+	{ "no_configuration_yet", test_no_configuration_yet },
+	{ NULL, NULL },
+};
