--- a/bench/deploy.sh
+++ b/bench/deploy.sh
@@ -47,6 +47,8 @@
 		    ',"workers":8,"step_us":20000,"per_seq_us":500,"prefill_per_s":12000,"cache_blocks":700,"honours_priority":true'
 		_i=$((_i + 1))
 	done
+	dp_endpoint llm-spare generate a \
+	    ',"workers":8,"step_us":20000,"per_seq_us":500,"prefill_per_s":12000,"cache_blocks":700,"honours_priority":true'
 	for _i in 0 1 2; do
 		_d=$(dp_domain $_i)
 		dp_endpoint enc-$_i encode "$_d" ',"service_us":4000,"workers":4'
--- a/lib/member.c
+++ b/lib/member.c
@@ -46,6 +46,7 @@
 	bool draining;
 	bool self_seen; /* some reading held this VM */
 	bool self_listed; /* the newest reading holds it */
+	bool self_leaving; /* and says that it leaves */
 	uint32_t links;
 	struct mh_timer *tick;
 };
@@ -277,7 +278,7 @@
 	};
 
 	mh_member_each(k, contend_peer, &c);
-	if (!get(k)->draining)
+	if (!get(k)->draining && !get(k)->self_leaving)
 		contend(&c, get(k)->vm);
 	return c.best;
 }
@@ -696,10 +697,12 @@
 	for (guint i = 0; i < vms->len; i++) {
 		const struct mh_vm *vm = vms->pdata[i];
 
-		if (strcmp(vm->id, mb->vm) == 0)
-			mb->self_seen = mb->self_listed = true;
-		else
+		if (strcmp(vm->id, mb->vm) != 0) {
 			list_vm(mb, vm);
+			continue;
+		}
+		mb->self_seen = mb->self_listed = true;
+		mb->self_leaving = vm->leaving;
 	}
 	mh_member_each(mb->k, mark_absent, mb);
 	g_hash_table_foreach_remove(mb->peers, forgettable, mb);
--- a/marlload/report.c
+++ b/marlload/report.c
@@ -192,6 +192,36 @@
 	fclose(f);
 }
 
+/* One line for each request that was not served in time. */
+static void
+write_misses(const struct load *l)
+{
+	char *name;
+	FILE *f;
+
+	if (l->a.json_file == NULL)
+		return;
+	name = g_strconcat(l->a.json_file, ".misses", NULL);
+	f = fopen(name, "w");
+	g_free(name);
+	if (f == NULL)
+		return;
+	for (guint i = 0; i < l->shots->len; i++) {
+		const struct shot *s = l->shots->pdata[i];
+
+		if (attained(s))
+			continue;
+		fprintf(f, "at=%.3f took=%.3f %s entry=%u status=%u given=%d "
+			   "outcome=%s text=%.300s\n",
+		    (double)s->at_us / MH_US_PER_S,
+		    (double)(s->done_us - s->at_us) / MH_US_PER_S,
+		    s->plan->pipeline, s->entry, s->status, s->once_given,
+		    s->outcome == NULL ? "-" : s->outcome,
+		    s->right ? "late" : s->text->str);
+	}
+	fclose(f);
+}
+
 void
 report(struct load *l)
 {
@@ -224,4 +254,5 @@
 	print(l, "between_tokens_p95",
 	    (double)mh_hist_at(l->between, 0.95) / MH_US_PER_MS, "ms");
 	write_series(l);
+	write_misses(l);
 }
--- a/regress/net.c
+++ b/regress/net.c
@@ -10,7 +10,7 @@
 #define DIAL_REFUSED_US 200
 #define LATE_FACTOR 40
 #define LIST_ANSWER_US 1000
-#define KV_ANSWER_US 2000
+#define KV_ANSWER_US 2000 /* "it answers in milliseconds" */
 
 struct end {
 	struct net_node *node;
@@ -144,6 +144,7 @@
 	n->kv =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_value);
 	n->latency_us = 300;
+	n->kv_us = KV_ANSWER_US;
 	n->next_incarnation = 100;
 	n->log = g_string_new(NULL);
 	return n;
@@ -394,7 +395,7 @@
 
 	m->u.kv.op = q->op;
 	m->u.kv.token = q->token;
-	deliver(x, service_name(q->from), m, KV_ANSWER_US, NULL, false);
+	deliver(x, service_name(q->from), m, x->net->kv_us, NULL, false);
 }
 
 static void
@@ -414,7 +415,7 @@
 				kv_fail(w->node, &w->q);
 			else
 				deliver(w->node, service_name(w->q.from),
-				    kv_answer(n, &w->q), KV_ANSWER_US, NULL,
+				    kv_answer(n, &w->q), n->kv_us, NULL,
 				    false);
 		}
 		g_ptr_array_remove_index(n->kv_waits, i);
@@ -452,7 +453,7 @@
 	m->u.kv.token = q->token;
 	m->u.kv.ok = true;
 	m->u.kv.found = ok;
-	deliver(x, service_name(q->from), m, KV_ANSWER_US, NULL, false);
+	deliver(x, service_name(q->from), m, x->net->kv_us, NULL, false);
 }
 
 static void
--- a/regress/net.h
+++ b/regress/net.h
@@ -63,6 +63,7 @@
 	uint64_t next_incarnation;
 	uint64_t next_caller;
 	int64_t latency_us;
+	int64_t kv_us; /* how long the KV service takes */
 	double duplicate; /* share of frames delivered twice */
 	double delay; /* share of frames delivered late */
 	uint64_t frames;
--- a/regress/t_once.c
+++ b/regress/t_once.c
@@ -1,3 +1,544 @@
+/**
+ * DOC: At most once, through kills, restarts, hand-overs, outages of the KV
+ * service, pauses, silent links and frames doubled or late.
+ */
+
 #include "net.h"
 #include "regress.h"
-const struct test tests_once[] = { { NULL, NULL } };
+
+#include <string.h>
+
+#define MAX_ASKS 400
+
+struct once_world {
+	struct net *n;
+	struct net_node *e[2];
+	struct net_node *s[3];
+};
+
+static void
+make(struct once_world *w, uint32_t seed)
+{
+	w->n = net_create(seed);
+	net_apply(w->n, 1, net_doc);
+	w->s[0] = net_side(w->n, "book1", "book", "a", 4);
+	w->s[1] = net_side(w->n, "book2", "book", "b", 4);
+	w->s[2] = net_side(w->n, "book3", "book", "c", 4);
+	w->e[0] = net_entry(w->n, "entry1", "a");
+	w->e[1] = net_entry(w->n, "entry2", "b");
+	net_run(w->n, 4 * MH_US_PER_S);
+}
+
+static uint64_t
+confirm(struct net_node *e, const char *key)
+{
+	struct net_ask a = { .path = "/v1/pipelines/confirm", .once = key };
+
+	return net_request(e, &a);
+}
+
+static struct net_node *
+owner_of(struct once_world *w, const char *key)
+{
+	char *full = g_strconcat("acme/", key, NULL);
+	uint32_t p = mh_partition_of(full);
+
+	g_free(full);
+	for (int i = 0; i < 3; i++) {
+		if (w->s[i]->k != NULL && mh_claim_open(w->s[i]->k, p))
+			return w->s[i];
+	}
+	return NULL;
+}
+
+static char *
+key_now(struct net *n)
+{
+	uint8_t id[MH_ID_LEN];
+
+	mh_kern_advance(n->k, net_now(n), NET_START_WALL_US + net_now(n));
+	mh_uuid7(n->k, id);
+	return mh_uuid_text(id);
+}
+
+static void
+test_every_partition_has_one_owner(void)
+{
+	struct once_world w;
+
+	make(&w, 1);
+	for (uint32_t p = 0; p < MH_PARTITIONS; p++) {
+		int owners = 0;
+
+		for (int i = 0; i < 3; i++)
+			owners += mh_claim_open(w.s[i]->k, p);
+		CU_ASSERT_EQUAL(owners, 1);
+	}
+	for (int i = 0; i < 3; i++)
+		CU_ASSERT(mh_claim_count(w.s[i]->k) >= 4);
+	net_destroy(w.n);
+}
+
+/*
+ * Two parents' pages press "confirm" with one key at two entries at the
+ * same moment.  One performer may come, and both pages must be told so.
+ */
+static void
+test_one_key_at_two_entries(void)
+{
+	struct once_world w;
+	uint64_t a, b;
+
+	make(&w, 1);
+	a = confirm(w.e[0], "k1");
+	b = confirm(w.e[1], "k1");
+	net_run(w.n, MH_US_PER_S);
+	CU_ASSERT_EQUAL(net_answer(w.n, a)->status, 200);
+	CU_ASSERT_EQUAL(net_answer(w.n, b)->status, 200);
+	CU_ASSERT_EQUAL(net_runs(w.n, "acme/k1"), 1);
+	net_destroy(w.n);
+}
+
+/*
+ * The side process dies after the service confirmed and before the answer
+ * left.  The parent is told "unknown", never "not run"; the new process
+ * knows that it cannot know, and a repeat does not run.
+ */
+static void
+test_death_after_the_run(void)
+{
+	struct once_world w;
+	struct net_node *owner;
+	char *key;
+	uint64_t a, b;
+
+	make(&w, 2);
+	key = key_now(w.n);
+	owner = owner_of(&w, key);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(owner);
+	a = confirm(w.e[0], key);
+	net_run(w.n, 5 * MH_US_PER_MS);
+	net_kill(owner);
+	net_run(w.n, 50 * MH_US_PER_MS);
+	net_start(owner);
+	net_run(w.n, 3 * MH_US_PER_S);
+	CU_ASSERT_EQUAL(net_answer(w.n, a)->status, 504);
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, a, "outcome"), "unknown");
+	b = confirm(w.e[1], key);
+	net_run(w.n, 3 * MH_US_PER_S);
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, b, "outcome"), "unknown");
+	CU_ASSERT_EQUAL(net_most_runs(w.n), 1);
+	g_free(key);
+	net_destroy(w.n);
+}
+
+/*
+ * An opaque key after a restart: the ledger is not complete, so the key is
+ * claimed in the KV service first; with the service out it does not run and
+ * the caller is told so truly.
+ */
+static void
+test_opaque_key_after_restart(void)
+{
+	struct once_world w;
+	struct net_node *owner;
+	uint64_t a, b, c;
+
+	make(&w, 3);
+	owner = owner_of(&w, "party-9");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(owner);
+	net_kill(owner);
+	net_start(owner);
+	net_run(w.n, 4 * MH_US_PER_S);
+	w.n->kv_down = true;
+	a = confirm(w.e[0], "party-9");
+	net_run(w.n, 3 * MH_US_PER_S);
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, a, "outcome"), "not-run");
+	CU_ASSERT_EQUAL(net_runs(w.n, "acme/party-9"), 0);
+	w.n->kv_down = false;
+	net_run(w.n, 2 * MH_US_PER_S);
+	b = confirm(w.e[0], "party-9");
+	net_run(w.n, MH_US_PER_S);
+	CU_ASSERT_EQUAL(net_answer(w.n, b)->status, 200);
+	net_kill(owner);
+	net_start(owner);
+	net_run(w.n, 4 * MH_US_PER_S);
+	c = confirm(w.e[0], "party-9");
+	net_run(w.n, 3 * MH_US_PER_S);
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, c, "outcome"), "unknown");
+	CU_ASSERT_EQUAL(net_runs(w.n, "acme/party-9"), 1);
+	net_destroy(w.n);
+}
+
+/*
+ * A drain hands the ledger over: the repeat of a confirmed key at the new
+ * owner gets the stored answer, and nothing is refused for long.
+ */
+static void
+test_drain_hands_the_ledger_over(void)
+{
+	struct once_world w;
+	struct net_node *owner;
+	uint64_t a, b;
+
+	make(&w, 4);
+	owner = owner_of(&w, "k2");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(owner);
+	a = confirm(w.e[0], "k2");
+	net_run(w.n, MH_US_PER_S);
+	CU_ASSERT_EQUAL(net_answer(w.n, a)->status, 200);
+	mh_side_drain(owner->k);
+	net_run(w.n, 3 * MH_US_PER_S);
+	CU_ASSERT_EQUAL(mh_claim_count(owner->k), 0);
+	CU_ASSERT_TRUE(mh_side_idle(owner->k));
+	net_kill(owner);
+	owner->listed = false;
+	b = confirm(w.e[1], "k2");
+	net_run(w.n, 2 * MH_US_PER_S);
+	CU_ASSERT_EQUAL(net_answer(w.n, b)->status, 200);
+	CU_ASSERT_EQUAL(net_runs(w.n, "acme/k2"), 1);
+	net_destroy(w.n);
+}
+
+/* A VM that the list dropped is taken over; new keys run there, old don't. */
+static void
+test_takeover_of_a_gone_vm(void)
+{
+	struct once_world w;
+	struct net_node *owner;
+	char *old, *new;
+	uint64_t a, b;
+
+	make(&w, 5);
+	old = key_now(w.n);
+	owner = owner_of(&w, old);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(owner);
+	net_vanish(owner);
+	net_run(w.n, 2 * MH_US_PER_S);
+	owner->listed = false;
+	net_run(w.n, 10 * MH_US_PER_S);
+	for (int i = 0; i < 3; i++) {
+		if (w.s[i] != owner)
+			CU_ASSERT(mh_claim_count(w.s[i]->k) > 8);
+	}
+	a = confirm(w.e[0], old);
+	net_run(w.n, 3 * MH_US_PER_S);
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, a, "outcome"), "unknown");
+	do {
+		new = key_now(w.n);
+	} while (owner_of(&w, new) == NULL);
+	b = confirm(w.e[0], new);
+	net_run(w.n, MH_US_PER_S);
+	CU_ASSERT_EQUAL(net_answer(w.n, b)->status, 200);
+	CU_ASSERT_EQUAL(net_runs(w.n, "acme/"), 0);
+	CU_ASSERT_EQUAL(net_most_runs(w.n), 1);
+	g_free(old);
+	g_free(new);
+	net_destroy(w.n);
+}
+
+/*
+ * The owner is paused with its VM still listed.  A lease would lapse and
+ * another would take over, while the paused one still believes it owns and
+ * runs what it had checked.  Nothing is taken over.
+ */
+static void
+test_paused_owner_keeps_its_partitions(void)
+{
+	struct once_world w;
+	struct net_node *owner;
+	uint32_t had;
+
+	make(&w, 6);
+	owner = owner_of(&w, "k3");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(owner);
+	had = mh_claim_count(owner->k);
+	owner->paused = true;
+	net_run(w.n, 60 * MH_US_PER_S);
+	CU_ASSERT_PTR_EQUAL(owner_of(&w, "k3"), owner);
+	owner->paused = false;
+	net_run(w.n, 3 * MH_US_PER_S);
+	CU_ASSERT_EQUAL(mh_claim_count(owner->k), had);
+	net_destroy(w.n);
+}
+
+/*
+ * The reclaim's write took effect but its answer was lost.  Taken for a
+ * failure, the process would write again over its own epoch, or serve
+ * nothing for ever; read back, it owns.
+ */
+static void
+test_lost_answer_of_a_claim(void)
+{
+	struct once_world w;
+
+	make(&w, 7);
+	net_kill(w.s[0]);
+	net_start(w.s[0]);
+	w.n->kv_lose_answer = true;
+	net_run(w.n, 6 * MH_US_PER_S);
+	CU_ASSERT(mh_claim_count(w.s[0]->k) >= 4);
+	CU_ASSERT(mh_counter(w.s[0]->k, "claim_kv_failed") > 0);
+	net_destroy(w.n);
+}
+
+/* The KV service is out for minutes: what is owned goes on being served. */
+static void
+test_outage_stops_nothing(void)
+{
+	struct once_world w;
+	int good = 0;
+
+	make(&w, 8);
+	w.n->kv_down = true;
+	for (int i = 0; i < 100; i++) {
+		char key[16];
+		uint64_t a;
+
+		snprintf(key, sizeof(key), "out-%d", i);
+		a = confirm(w.e[i % 2], key);
+		net_run(w.n, 2 * MH_US_PER_S);
+		good += net_answer(w.n, a)->status == 200;
+	}
+	CU_ASSERT_EQUAL(good, 100);
+	net_destroy(w.n);
+}
+
+/* A revoke before the run: the key never runs; after it: the answer. */
+static void
+test_revoke(void)
+{
+	struct once_world w;
+	struct net_ask r = { .method = "DELETE",
+		.path = "/v1/outcomes/confirm/k5" };
+	struct net_ask g = { .method = "GET",
+		.path = "/v1/outcomes/confirm/k6" };
+	uint64_t a, b, c, d;
+
+	make(&w, 9);
+	a = net_request(w.e[0], &r);
+	net_run(w.n, MH_US_PER_S);
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, a, "outcome"), "not-run");
+	b = confirm(w.e[1], "k5");
+	net_run(w.n, 3 * MH_US_PER_S);
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, b, "outcome"), "not-run");
+	CU_ASSERT_EQUAL(net_runs(w.n, "acme/k5"), 0);
+	c = confirm(w.e[0], "k6");
+	net_run(w.n, MH_US_PER_S);
+	CU_ASSERT_EQUAL(net_answer(w.n, c)->status, 200);
+	d = net_request(w.e[1], &g);
+	net_run(w.n, MH_US_PER_S);
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, d, "outcome"), "done");
+	net_destroy(w.n);
+}
+
+struct cut_case {
+	const char *name;
+	uint32_t status;
+	bool unsent;
+	bool cut;
+	uint32_t answer;
+	const char *outcome;
+	uint32_t runs;
+};
+
+/* How an endpoint's end of a non-repeatable call becomes an outcome. */
+static const struct cut_case cuts[] = {
+	{ "good", 0, false, false, 200, "done", 1 },
+	{ "refused", 409, false, false, 409, "done", 1 },
+	{ "server error", 500, false, false, 504, "unknown", 1 },
+	{ "cut answer", 0, false, true, 504, "unknown", 1 },
+	{ "no connection", 0, true, false, 503, "not-run", 0 },
+};
+
+static void
+test_endpoint_ends(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(cuts); i++) {
+		struct once_world w;
+		uint64_t a;
+
+		make(&w, 10);
+		for (int j = 0; j < 3; j++) {
+			w.s[j]->status = cuts[i].status;
+			w.s[j]->unsent = cuts[i].unsent;
+			w.s[j]->cut = cuts[i].cut;
+		}
+		a = confirm(w.e[0], "k7");
+		net_run(w.n, 3 * MH_US_PER_S);
+		CU_ASSERT_EQUAL(net_answer(w.n, a)->status, cuts[i].answer);
+		CU_ASSERT_STRING_EQUAL(
+		    net_answer_text(w.n, a, "outcome"), cuts[i].outcome);
+		CU_ASSERT_EQUAL(net_runs(w.n, "acme/k7"), cuts[i].runs);
+		net_destroy(w.n);
+	}
+}
+
+/*
+ * While a partition is handed over, two pages send one key a moment apart.
+ * The old owner, its rows already sent, ran the first; the new owner, not
+ * knowing, the second.  A moving partition starts nothing.
+ */
+static void
+test_one_key_across_a_hand_over(void)
+{
+	for (uint32_t seed = 1; seed <= 30; seed++) {
+		struct once_world w;
+		struct net_node *x;
+
+		make(&w, seed);
+		w.n->kv_us = 100 * MH_US_PER_MS; /* a long hand-over */
+		x = net_side(w.n, "book4", "book", "a", 4);
+		net_run(w.n, 2 * MH_US_PER_S);
+		for (int i = 0; i < 100; i++) {
+			char key[24];
+
+			snprintf(key, sizeof(key), "h-%d", i);
+			confirm(w.e[0], key);
+			net_run(w.n, (int64_t)(mh_random(w.n->k) % 50000));
+		}
+		net_run(w.n, 2 * MH_US_PER_S);
+		for (int i = 0; i < 100; i++) {
+			char key[24];
+
+			snprintf(key, sizeof(key), "h-%d", i);
+			confirm(w.e[1], key);
+		}
+		net_run(w.n, 5 * MH_US_PER_S);
+		CU_ASSERT_EQUAL(net_most_runs(w.n), 1);
+		CU_ASSERT_EQUAL(g_hash_table_size(w.n->audit), 100);
+		CU_ASSERT(mh_claim_count(x->k) > 2);
+		net_destroy(w.n);
+	}
+}
+
+/* ---- random failures, the promises checked from outside ---- */
+
+struct ask_row {
+	uint64_t caller;
+	char key[48];
+	bool given;
+};
+
+static void
+hurt(struct once_world *w)
+{
+	struct net *n = w->n;
+	struct net_node *x = w->s[mh_random(n->k) % 3];
+
+	switch (mh_random(n->k) % 10) {
+	case 0:
+		if (x->k != NULL)
+			net_kill(x);
+		break;
+	case 1:
+	case 2:
+		if (x->k == NULL)
+			net_start(x);
+		break;
+	case 3:
+		x->paused = !x->paused;
+		break;
+	case 4:
+		n->kv_down = !n->kv_down;
+		break;
+	case 5:
+		n->kv_lose_answer = true;
+		break;
+	case 6:
+		net_silence(x, true, true);
+		break;
+	case 7:
+		net_silence(x, mh_random(n->k) & 1, mh_random(n->k) & 1);
+		break;
+	case 8:
+		if (x->k != NULL && !x->paused)
+			mh_side_drain(x->k);
+		break;
+	default:
+		n->vmlist_down = !n->vmlist_down;
+		break;
+	}
+}
+
+static void
+check_promises(struct net *n, struct ask_row *rows, int count)
+{
+	CU_ASSERT(net_most_runs(n) <= 1);
+	for (int i = 0; i < count; i++) {
+		struct net_answer *a = net_answer(n, rows[i].caller);
+		const char *outcome =
+		    net_answer_text(n, rows[i].caller, "outcome");
+		char *full = g_strconcat("acme/", rows[i].key, NULL);
+
+		CU_ASSERT_TRUE(a->ended);
+		if (a->status == 200)
+			CU_ASSERT_EQUAL(net_runs(n, full), 1);
+		/* Each key is asked once here, so "not run" is about it. */
+		if (strcmp(outcome, "not-run") == 0)
+			CU_ASSERT_EQUAL(net_runs(n, full), 0);
+		g_free(full);
+	}
+}
+
+static void
+run_random(uint32_t seed)
+{
+	struct once_world w;
+	struct ask_row rows[MAX_ASKS];
+	int count = 0;
+
+	make(&w, seed);
+	w.n->duplicate = 0.1;
+	w.n->delay = 0.1;
+	while (count < MAX_ASKS) {
+		struct ask_row *r = &rows[count];
+		char *key = key_now(w.n);
+
+		if (count % 4 == 0)
+			snprintf(r->key, sizeof(r->key), "op-%u-%d", seed,
+			    count);
+		else
+			g_strlcpy(r->key, key, sizeof(r->key));
+		r->caller = confirm(w.e[count % 2], r->key);
+		count++;
+		g_free(key);
+		net_run(w.n, 20 * MH_US_PER_MS +
+			(int64_t)(mh_random(w.n->k) % 50000));
+		if (count % 8 == 0)
+			hurt(&w);
+	}
+	net_run(w.n, 10 * MH_US_PER_S);
+	check_promises(w.n, rows, count);
+	net_destroy(w.n);
+}
+
+/*
+ * Whatever happens, together and in any order: no key runs twice, "not run"
+ * did not run, "done" ran, and everybody is answered.
+ */
+static void
+test_random_failures(void)
+{
+	for (uint32_t seed = 1; seed <= 20; seed++)
+		run_random(seed);
+}
+
+const struct test tests_once[] = {
+	{ "every_partition_has_one_owner",
+	    test_every_partition_has_one_owner },
+	{ "one_key_at_two_entries", test_one_key_at_two_entries },
+	{ "death_after_the_run", test_death_after_the_run },
+	{ "opaque_key_after_restart", test_opaque_key_after_restart },
+	{ "drain_hands_the_ledger_over", test_drain_hands_the_ledger_over },
+	{ "takeover_of_a_gone_vm", test_takeover_of_a_gone_vm },
+	{ "paused_owner_keeps_its_partitions",
+	    test_paused_owner_keeps_its_partitions },
+	{ "lost_answer_of_a_claim", test_lost_answer_of_a_claim },
+	{ "outage_stops_nothing", test_outage_stops_nothing },
+	{ "revoke", test_revoke },
+	{ "endpoint_ends", test_endpoint_ends },
+	{ "one_key_across_a_hand_over", test_one_key_across_a_hand_over },
+	{ "random_failures", test_random_failures },
+	{ NULL, NULL },
+};
