Overload: predictions without queue time, hopeless waiting work refused, draining entries serve on

Cause: the time a call waited in the side process's queue was learned as its service time, so under a burst even urgent requests were refused as infeasible, and lowest-class work was started when it could no longer end in time. A draining entry answered 503 on connections that the balancer still used. Waiting streams were taken for slow ones and moved to another queue. Change: results carry the endpoint's own time to the first chunk; queues drop what can no longer meet its deadline; draining entries serve with Connection: close; a stream is rescued before its first token only where nothing waits; faster detection of silent links (100 + 200 ms). Ruled out: queue length (64 to 256 changed nothing by itself).

--- a/bench/deploy.sh
+++ b/bench/deploy.sh
@@ -9,7 +9,7 @@
 DP_RELAYS=${DP_RELAYS:-0}
 DP_LLM=${DP_LLM:-10}
 DP_ENTRIES=${DP_ENTRIES:-3}
-DP_QUEUE=${DP_QUEUE:-64}
+DP_QUEUE=${DP_QUEUE:-256}
 
 dp_wait_file() { # FILE WORD: until the word stands in the file, 20 s at most
 	_w=0
--- a/lib/admin.c
+++ b/lib/admin.c
@@ -9,6 +9,8 @@
 static bool
 is_ready(struct mh_kern *k)
 {
+	if (mh_kern_get(k, "entry") != NULL && mh_entry_draining(k))
+		return false;
 	return mh_conf_get(k) != NULL && mh_member_has_list(k);
 }
 
--- a/lib/daemon.c
+++ b/lib/daemon.c
@@ -12,7 +12,7 @@
 #include <string.h>
 
 #define DEFAULT_SLOTS 8
-#define DEFAULT_QUEUE 64
+#define DEFAULT_QUEUE 256
 #define MAX_SLOTS 4096
 #define MIN_SECRET 16
 
--- a/lib/entry.c
+++ b/lib/entry.c
@@ -588,11 +588,6 @@
 		    "POST to /v1/pipelines/NAME.");
 		return;
 	}
-	if (e->draining) {
-		refuse(e, m->id, 503, "draining",
-		    "This entry is shutting down.", "Ask another entry.");
-		return;
-	}
 	start_request(e, m, who);
 }
 
@@ -627,6 +622,12 @@
 	mh_member_drain(k);
 }
 
+bool
+mh_entry_draining(struct mh_kern *k)
+{
+	return get(k)->draining;
+}
+
 uint32_t
 mh_entry_open(struct mh_kern *k)
 {
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -773,8 +773,12 @@
 /* entry.c: service "entry" */
 
 void mh_entry_create(struct mh_kern *k, const char *vm, const char *domain);
-/** mh_entry_drain() - refuse new requests, finish those under way. */
+/**
+ * mh_entry_drain() - tell the peers that this entry leaves.  Requests that
+ * still arrive on open connections are served: a balancer needs a moment.
+ */
 void mh_entry_drain(struct mh_kern *k);
+bool mh_entry_draining(struct mh_kern *k);
 uint32_t mh_entry_open(struct mh_kern *k);
 json_t *mh_entry_state(struct mh_kern *k);
 
@@ -814,8 +818,13 @@
 uint32_t mh_queue_len(const struct mh_queue *q);
 /** mh_queue_work_us() - predicted work waiting at @priority or above. */
 int64_t mh_queue_work_us(const struct mh_queue *q, uint32_t priority);
-/** mh_queue_pop_late() - an item past its deadline, or NULL. */
-struct mh_item *mh_queue_pop_late(struct mh_queue *q, int64_t now_us);
+/**
+ * mh_queue_pop_late() - an item that can no longer meet its deadline.
+ *
+ * @factor: real over predicted time; 0 waits for the deadline itself.
+ */
+struct mh_item *mh_queue_pop_late(
+    struct mh_queue *q, int64_t now_us, double factor);
 
 /* ledger.c */
 
--- a/lib/member.c
+++ b/lib/member.c
@@ -16,10 +16,10 @@
 #define LIST_STALE_US (3 * MH_US_PER_S) /* then read it oneself */
 #define ABSENT_US (2 * MH_US_PER_S) /* absence that stops new work */
 #define FORGET_US (120 * MH_US_PER_S)
-#define BUSY_PING_US (150 * MH_US_PER_MS)
+#define BUSY_PING_US (100 * MH_US_PER_MS)
 #define IDLE_PING_US (1 * MH_US_PER_S)
 #define IDLE_PING_PER_LINK_US (50 * MH_US_PER_MS)
-#define SILENT_US (300 * MH_US_PER_MS)
+#define SILENT_US (200 * MH_US_PER_MS)
 #define DIAL_US (300 * MH_US_PER_MS) /* a dial that takes longer failed */
 #define REDIAL_MIN_US (100 * MH_US_PER_MS)
 #define REDIAL_MAX_US (2 * MH_US_PER_S)
--- a/lib/pipe.c
+++ b/lib/pipe.c
@@ -214,8 +214,10 @@
 	const struct mh_stage *s = stage_of(r);
 	uint32_t tokens = s->kind == MH_GENERATE ? t->tokens : 0;
 
-	mh_predict_add(
-	    r->e->k, s->pool, mh_now(r->e->k) - t->started_us, tokens);
+	/* Without the time in the queue, which the load reports tell. */
+	if (tokens > 0)
+		mh_predict_first(r->e->k, s->pool, (int64_t)res->first_us);
+	mh_predict_add(r->e->k, s->pool, (int64_t)res->endpoint_us, tokens);
 	add_stage_row(r, s, p, res);
 	if (t->hedge)
 		mh_count(r->e->k, "pipe_hedges_won", 1);
@@ -352,11 +354,8 @@
 		return;
 	}
 	r->maybe_ran = true;
-	if (t->first_us == 0) {
+	if (t->first_us == 0)
 		t->first_us = mh_now(r->e->k);
-		mh_predict_first(
-		    r->e->k, stage_of(r)->pool, t->first_us - t->started_us);
-	}
 	t->tokens++;
 	r->done_tokens++;
 	data = g_bytes_get_data(ev->chunk, &len);
@@ -412,9 +411,10 @@
 		return false;
 	if (t->first_us == 0) {
 		int64_t first = mh_predict_us(r->e->k, s->pool, 1, NULL);
-		int64_t there = (int64_t)p->load_wait_us[r->d.class->priority];
 
-		return waited > MAX(FIRST_FACTOR * first, FIRST_MIN_US) + there;
+		/* Behind others in its queue it is not slow, it waits. */
+		return p->load_queued == 0 &&
+		    waited > MAX(FIRST_FACTOR * first, FIRST_MIN_US);
 	}
 	need = (now - t->first_us) * (int64_t)tokens_of(r, s) /
 	    (int64_t)MAX(t->tokens, 1);
--- a/lib/queue.c
+++ b/lib/queue.c
@@ -253,12 +253,13 @@
 }
 
 struct mh_item *
-mh_queue_pop_late(struct mh_queue *q, int64_t now_us)
+mh_queue_pop_late(struct mh_queue *q, int64_t now_us, double factor)
 {
 	for (guint i = 0; i < q->items->len; i++) {
 		struct mh_item *it = q->items->pdata[i];
+		int64_t need = (int64_t)(factor * (double)it->predicted_us);
 
-		if (it->deadline_us <= now_us) {
+		if (it->deadline_us <= now_us + need) {
 			mh_queue_remove(q, it);
 			return it;
 		}
--- a/lib/side.c
+++ b/lib/side.c
@@ -56,6 +56,7 @@
 	GBytes *body;
 	uint64_t run; /* token of the run or of the claim */
 	int64_t run_at_us;
+	int64_t first_us; /* endpoint's time to the first chunk */
 	int64_t orphan_us; /* since when no link leads to its entry */
 	GPtrArray *chunks;
 	/* the end */
@@ -241,6 +242,7 @@
 	r.tokens_in = c->used.tokens_in;
 	r.tokens_cached = c->used.tokens_cached;
 	r.tokens_out = c->used.tokens_out;
+	r.first_us = (uint64_t)c->first_us;
 	r.reason = c->reason;
 	r.retry_us = (uint64_t)c->retry_us;
 	mh_side_load(c->s->k, &load, wait_us);
@@ -316,12 +318,29 @@
 	mh_post(s->k, "endpoint", m);
 }
 
+/*
+ * In an overload the earliest deadlines are those that can no longer be
+ * met.  Started all the same, each takes a slot from one that could still
+ * be on time, which then is late in its turn.  Refused as soon as it is
+ * clear, the caller also hears it sooner.
+ */
+static double
+late_factor(const struct side *s)
+{
+	struct mh_decl *d = mh_conf_get(s->k);
+
+	if (d == NULL || d->policy.admission == MH_ADMIT_ALL)
+		return 0;
+	return MIN(s->factor, 1.0);
+}
+
 static void
 pump(struct side *s)
 {
 	struct mh_item *it;
 
-	while ((it = mh_queue_pop_late(s->queue, mh_now(s->k))) != NULL)
+	while ((it = mh_queue_pop_late(
+		    s->queue, mh_now(s->k), late_factor(s))) != NULL)
 		refuse(it->call, WHY_LATE, 0);
 	while (s->running < s->a.slots) {
 		bool urgent_only = s->running >= s->a.slots - urgent_slots(s);
@@ -742,6 +761,8 @@
 
 	if (c == NULL || c->state != ST_RUNNING)
 		return;
+	if (c->first_us == 0)
+		c->first_us = mh_now(s->k) - c->run_at_us;
 	g_ptr_array_add(c->chunks, g_bytes_ref(m->body));
 	send_chunk(c, c->chunks->len - 1);
 }
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -2110,7 +2110,7 @@
   (ProtobufCMessageInit) mh__chunk__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__result__field_descriptors[11] =
+static const ProtobufCFieldDescriptor mh__result__field_descriptors[12] =
 {
   {
     "id",
@@ -2244,11 +2244,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "first_us",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Result, first_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__result__field_indices_by_name[] = {
   3,   /* field[3] = body */
   4,   /* field[4] = chunks */
   5,   /* field[5] = endpoint_us */
+  11,   /* field[11] = first_us */
   0,   /* field[0] = id */
   1,   /* field[1] = outcome */
   9,   /* field[9] = reason */
@@ -2261,7 +2274,7 @@
 static const ProtobufCIntRange mh__result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor mh__result__descriptor =
 {
@@ -2271,7 +2284,7 @@
   "Mh__Result",
   "mh",
   sizeof(Mh__Result),
-  11,
+  12,
   mh__result__field_descriptors,
   mh__result__field_indices_by_name,
   1,  mh__result__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -187,10 +187,14 @@
   uint64_t tokens_out;
   uint32_t reason;
   uint64_t retry_us;
+  /*
+   * endpoint's time to the first chunk
+   */
+  uint64_t first_us;
 };
 #define MH__RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__result__descriptor) \
-    , NULL, MH__OUTCOME__DONE, 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, MH__OUTCOME__DONE, 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Mh__Ack
--- a/marlhoistd/http.c
+++ b/marlhoistd/http.c
@@ -76,6 +76,9 @@
 		    "Send Marl-Deadline-Ms as whole milliseconds.");
 		return;
 	}
+	/* Each answer asks the caller to come back by another entry. */
+	if (mh_entry_draining(h->k))
+		mh_req_header_set(r, "Connection", "close");
 	m = mh_msg_new(MH_MSG_REQUEST);
 	m->u.request.id = mh_req_id(r);
 	m->u.request.method = g_strdup(mh_req_method(r));
