Routing: overflow of a prefix goes to its own next endpoint; no idle urgent slot where slots turn over fast

Cause: past the load bound a prefix went to two random choices and polluted every cache; one slot in eight idled for urgent work that never waited long. Change: rendezvous order with bounded loads; the kept slot only where a slot comes free less often than every 250 ms.

--- a/bench/bench.sh
+++ b/bench/bench.sh
@@ -39,13 +39,14 @@
 			dp_ctl /ctl/relay "{\"name\":\"$(basename "$_f" .relay)\",\"crossed\":$_cross}" >/dev/null
 		done
 	fi
+	[ -n "${SAMPLE:-}" ] && { sample >"$OUT/$1-$2-$SEED.sample" & _smp=$!; }
 	"act_$(echo "$1" | tr - _)" >"$_dir/act.log" 2>&1 &
 	_act=$!
 	# shellcheck disable=SC2086
 	"$DP_BIN/marlload.bin" $_args --audit "$DP_PLATFORM" --scenario "$1" \
 	    --policy "$2" --rate "$RATE" --seconds $SECONDS_LONG \
 	    --seed "$SEED" --series "$OUT/$1-$2-$SEED.dat"
-	kill $_act 2>/dev/null
+	kill $_act ${_smp:-} 2>/dev/null
 	metrics "$1" "$2"
 	if [ -n "${KEEP:-}" ]; then
 		mkdir -p "$KEEP"
@@ -69,6 +70,13 @@
 		curl -s -m 2 "$_u/metrics" | grep -v '^#'
 	done | awk '{ v[$1] += $2 } END { for (k in v) print k, v[k] }' |
 	    sort >"$OUT/$1-$2-$SEED.metrics"
+	for _f in "$DP_DIR"/*.vm; do
+		read -r _n _role _ <"$_f"
+		[ "$_role" = side ] || continue
+		curl -s -m 2 "http://127.0.0.1:$(dp_port "$DP_DIR/$_n.out" http)/metrics" |
+		    grep -v '^#'
+	done | awk '{ v[$1] += $2 } END { for (k in v) print k, v[k] }' |
+	    sort >"$OUT/$1-$2-$SEED.sides"
 }
 
 run_scenario() { # SCENARIO
--- a/bench/scenarios.sh
+++ b/bench/scenarios.sh
@@ -201,3 +201,16 @@
 	dp_signal llm-6 CONT
 	platform '{"lose_answers":0}'
 }
+
+# SAMPLE=1 writes what the engines did, second by second.
+sample() {
+	while sleep 1; do
+		curl -s -m 2 "$DP_PLATFORM/ctl/audit" | tr '{' '\n' |
+		    awk -F'[:,]' '/"generate"/ { for (i = 1; i < NF; i++) {
+			if ($i ~ /tokens_out/) o += $(i + 1)
+			if ($i ~ /tokens_in/) t += $(i + 1)
+			if ($i ~ /tokens_cached/) c += $(i + 1)
+			if ($i ~ /busy_us/) b += $(i + 1) } }
+			END { print b, t, c, o }'
+	done
+}
--- a/lib/route.c
+++ b/lib/route.c
@@ -105,28 +105,32 @@
 	return c->pdata[turn % c->len];
 }
 
+/*
+ * Rendezvous hashing with bounded loads: the first endpoint in the prefix's
+ * own order that is not much busier than the rest.  An overflow thus goes to
+ * the same second endpoint each time and finds its cache warm as well.
+ */
 static struct mh_peer *
 by_affinity(struct route *r, const struct mh_pick *q, GPtrArray *c)
 {
 	struct mh_peer *best = NULL;
 	char what[24];
 	uint64_t weight = 0;
-	double sum = 0;
+	double sum = 0, bound;
 
 	snprintf(what, sizeof(what), "%" PRIx64, q->affinity);
+	for (guint i = 0; i < c->len; i++)
+		sum += busy(r->k, c->pdata[i]);
+	bound = AFFINITY_BOUND * sum / (double)c->len + AFFINITY_SLACK;
 	for (guint i = 0; i < c->len; i++) {
 		struct mh_peer *p = c->pdata[i];
 		uint64_t w = mh_rendezvous(what, p->vm);
 
-		sum += busy(r->k, p);
-		if (best == NULL || w > weight) {
-			best = p;
-			weight = w;
-		}
+		if (busy(r->k, p) > bound || (best != NULL && w <= weight))
+			continue;
+		best = p;
+		weight = w;
 	}
-	if (busy(r->k, best) >
-	    AFFINITY_BOUND * sum / (double)c->len + AFFINITY_SLACK)
-		return NULL;
 	return best;
 }
 
--- a/lib/side.c
+++ b/lib/side.c
@@ -15,9 +15,13 @@
 #define ORPHAN_US (1 * MH_US_PER_S) /* no link to the asking entry */
 #define LEDGER_LIMIT 65536
 #define URGENT_SLOTS_PART 8 /* one slot in eight waits for priority 0 */
+#define URGENT_WAIT_US (250 * MH_US_PER_MS)
 #define FACTOR_GAIN 0.05
 #define RUN_MIN_US (20 * MH_US_PER_MS)
 
+static const char *const reason_names[] = { "none", "full", "late", "leaving",
+	"not_owner", "tombstone", "mismatch", "future", "no_claim" };
+
 enum reason {
 	WHY_NONE,
 	WHY_FULL,
@@ -84,6 +88,7 @@
 	struct mh_queue *queue;
 	struct mh_ledger *ledger;
 	uint32_t running;
+	double run_us; /* smoothed time of a call at the endpoint */
 	double factor; /* real over predicted time at this endpoint */
 	bool draining;
 	uint64_t fence; /* highest order number seen */
@@ -145,13 +150,19 @@
 	g_hash_table_remove(c->s->calls, &c->key);
 }
 
+/*
+ * Where slots come free rarely, one in eight is kept for the most urgent
+ * class.  Elsewhere urgent work, first in the queue, gets the next free slot
+ * soon enough, and a kept slot would only idle.
+ */
 static uint32_t
 urgent_slots(const struct side *s)
 {
 	struct mh_decl *d = mh_conf_get(s->k);
 
 	if (d == NULL || d->policy.queueing == MH_QUEUE_FIFO ||
-	    s->a.slots < URGENT_SLOTS_PART)
+	    s->a.slots < URGENT_SLOTS_PART ||
+	    s->run_us / s->a.slots < URGENT_WAIT_US)
 		return 0;
 	return s->a.slots / URGENT_SLOTS_PART;
 }
@@ -282,11 +293,13 @@
 refuse(struct call *c, enum reason why, int64_t retry_us)
 {
 	struct side *s = c->s;
+	char name[48];
 
 	if (c->never)
 		undo_once(c);
 	c->retry_us = retry_us;
-	mh_count(s->k, "side_refused", 1);
+	snprintf(name, sizeof(name), "side_refused_%s", reason_names[why]);
+	mh_count(s->k, name, 1);
 	end_call(c, MH__OUTCOME__NOT_RUN, why);
 }
 
@@ -703,6 +716,7 @@
 
 	if (c->item.predicted_us <= 0 || c->outcome != MH__OUTCOME__DONE)
 		return;
+	s->run_us += FACTOR_GAIN * ((double)c->endpoint_us - s->run_us);
 	f = (double)c->endpoint_us / (double)c->item.predicted_us;
 	s->factor += FACTOR_GAIN * (CLAMP(f, 0.1, 20.0) - s->factor);
 }
--- a/marlload/report.c
+++ b/marlload/report.c
@@ -211,8 +211,9 @@
 
 		if (attained(s))
 			continue;
-		fprintf(f, "at=%.3f took=%.3f %s entry=%u status=%u given=%d "
-			   "outcome=%s text=%.300s\n",
+		fprintf(f,
+		    "at=%.3f took=%.3f %s entry=%u status=%u given=%d "
+		    "outcome=%s text=%.300s\n",
 		    (double)s->at_us / MH_US_PER_S,
 		    (double)(s->done_us - s->at_us) / MH_US_PER_S,
 		    s->plan->pipeline, s->entry, s->status, s->once_given,
--- a/regress/net.c
+++ b/regress/net.c
@@ -415,8 +415,7 @@
 				kv_fail(w->node, &w->q);
 			else
 				deliver(w->node, service_name(w->q.from),
-				    kv_answer(n, &w->q), n->kv_us, NULL,
-				    false);
+				    kv_answer(n, &w->q), n->kv_us, NULL, false);
 		}
 		g_ptr_array_remove_index(n->kv_waits, i);
 	}
--- a/regress/t_once.c
+++ b/regress/t_once.c
@@ -496,15 +496,15 @@
 		char *key = key_now(w.n);
 
 		if (count % 4 == 0)
-			snprintf(r->key, sizeof(r->key), "op-%u-%d", seed,
-			    count);
+			snprintf(
+			    r->key, sizeof(r->key), "op-%u-%d", seed, count);
 		else
 			g_strlcpy(r->key, key, sizeof(r->key));
 		r->caller = confirm(w.e[count % 2], r->key);
 		count++;
 		g_free(key);
-		net_run(w.n, 20 * MH_US_PER_MS +
-			(int64_t)(mh_random(w.n->k) % 50000));
+		net_run(w.n,
+		    20 * MH_US_PER_MS + (int64_t)(mh_random(w.n->k) % 50000));
 		if (count % 8 == 0)
 			hurt(&w);
 	}
@@ -525,8 +525,7 @@
 }
 
 const struct test tests_once[] = {
-	{ "every_partition_has_one_owner",
-	    test_every_partition_has_one_owner },
+	{ "every_partition_has_one_owner", test_every_partition_has_one_owner },
 	{ "one_key_at_two_entries", test_one_key_at_two_entries },
 	{ "death_after_the_run", test_death_after_the_run },
 	{ "opaque_key_after_restart", test_opaque_key_after_restart },
