--- a/lib/httpd.c
+++ b/lib/httpd.c
@@ -32,6 +32,7 @@
 	bool suspended;
 	bool too_big;
 	bool told; /* the owner knows of it */
+	bool cut; /* drop the connection after what is in out */
 	bool ended; /* the owner gave the last part */
 	char *method;
 	char *path;
@@ -215,7 +216,11 @@
 void
 mh_req_cut(struct mh_http_req *r)
 {
-	r->phase = CUT;
+	/* What a stream already holds still goes out before the cut. */
+	if (r->phase == STREAMING)
+		r->cut = true;
+	else
+		r->phase = CUT;
 	r->ended = true;
 	r->stream_waits = false;
 	wake(r);
@@ -228,14 +233,14 @@
 	size_t n;
 
 	(void)pos;
-	if (r->phase == CUT)
-		return MHD_CONTENT_READER_END_WITH_ERROR;
 	if (r->out->len > 0) {
 		n = MIN(max, r->out->len);
 		memcpy(buf, r->out->data, n);
 		g_byte_array_remove_range(r->out, 0, (guint)n);
 		return (ssize_t)n;
 	}
+	if (r->cut)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
 	if (r->ended)
 		return MHD_CONTENT_READER_END_OF_STREAM;
 	r->stream_waits = true;
--- a/lib/loop.c
+++ b/lib/loop.c
@@ -293,6 +293,7 @@
 void
 mh_loop_run(struct mh_loop *l)
 {
+	l->stop = false;
 	while (!l->stop)
 		turn(l);
 }
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -537,7 +537,8 @@
 	bool up;
 	uint64_t incarnation;
 	int64_t last_rx_us;
-	int64_t ping_at_us; /* first ping since last_rx_us, 0: none */
+	int64_t ping_at_us; /* the ping not answered yet, 0: none */
+	int64_t pong_at_us; /* last proof that both directions work */
 	int64_t dialed_us;
 	int64_t up_since_us;
 	uint32_t dial_failures;
--- a/lib/member.c
+++ b/lib/member.c
@@ -17,6 +17,7 @@
 #define ABSENT_US (2 * MH_US_PER_S) /* absence that stops new work */
 #define FORGET_US (120 * MH_US_PER_S)
 #define BUSY_PING_US (100 * MH_US_PER_MS)
+#define FLOW_PING_US (500 * MH_US_PER_MS) /* while chunks come in */
 #define IDLE_PING_US (1 * MH_US_PER_S)
 #define IDLE_PING_PER_LINK_US (50 * MH_US_PER_MS)
 #define SILENT_US (200 * MH_US_PER_MS)
@@ -396,7 +397,7 @@
 	p->up = true;
 	p->dial_failures = 0;
 	p->incarnation = l->incarnation;
-	p->last_rx_us = mh_now(mb->k);
+	p->last_rx_us = p->pong_at_us = mh_now(mb->k);
 	p->ping_at_us = 0;
 	if (old_inc != l->incarnation) {
 		p->up_since_us = mh_now(mb->k);
@@ -486,7 +487,10 @@
 	if (p == NULL)
 		return;
 	p->last_rx_us = mh_now(k);
-	p->ping_at_us = 0;
+	if (f->body_case == MH__FRAME__BODY_PONG) {
+		p->pong_at_us = mh_now(k);
+		p->ping_at_us = 0;
+	}
 	if (f->load != NULL)
 		mh_route_load(k, p, f->load);
 }
@@ -504,26 +508,34 @@
 	mh_frame_send(mb->k, p->conn, &f);
 }
 
+static bool
+ping_due(struct member *mb, const struct mh_peer *p)
+{
+	int64_t now = mh_now(mb->k);
+
+	if (p->own > 0)
+		return now - p->last_rx_us > BUSY_PING_US ||
+		    now - p->pong_at_us > FLOW_PING_US;
+	return now - p->pong_at_us >
+	    MAX(IDLE_PING_US, mb->links * IDLE_PING_PER_LINK_US);
+}
+
 /*
  * A link may go silent for good with no error from TCP: something between
- * the ends lost track of it.  No answer to a ping for SILENT_US shows it;
- * a second link is opened and the calls resume there by id, so nothing is
- * run again and nothing is lost.
+ * the ends lost track of it, maybe in one direction only.  Frames that come
+ * in prove nothing about those that go out, so only the answer to a ping
+ * counts.  None for SILENT_US: a second link is opened and the calls resume
+ * there by id, so nothing is run again and nothing is lost.
  */
 static void
 check_link(struct member *mb, struct mh_peer *p)
 {
-	int64_t now = mh_now(mb->k), idle;
-
-	idle = MAX(IDLE_PING_US, mb->links * IDLE_PING_PER_LINK_US);
-	if (p->own > 0)
-		idle = BUSY_PING_US;
 	if (p->ping_at_us == 0) {
-		if (now - p->last_rx_us > idle)
+		if (ping_due(mb, p))
 			send_ping(mb, p);
 		return;
 	}
-	if (now - p->ping_at_us <= SILENT_US || p->dial != 0)
+	if (mh_now(mb->k) - p->ping_at_us <= SILENT_US || p->dial != 0)
 		return;
 	mh_count(mb->k, "member_silent_links", 1);
 	mh_log(mb->k, "member", "Link silent: vm=%s; dialing again.", p->vm);
--- a/lib/stage.c
+++ b/lib/stage.c
@@ -173,12 +173,12 @@
 	return true;
 }
 
-static bool
-take_answer(struct mh_flow *f, json_t *j)
+/* Any stage may be the last: its document is then the answer. */
+static void
+keep_answer(struct mh_flow *f, json_t *j)
 {
 	json_decref(f->answer);
 	f->answer = json_incref(j);
-	return true;
 }
 
 bool
@@ -209,9 +209,11 @@
 		ok = take_ranking(s, f, j);
 		break;
 	default:
-		ok = take_answer(f, j);
+		ok = true;
 		break;
 	}
+	if (ok)
+		keep_answer(f, j);
 	json_decref(j);
 	return ok;
 }
--- a/regress/net.c
+++ b/regress/net.c
@@ -128,6 +128,8 @@
 	g_free(w);
 }
 
+static void free_delivery(void *arg);
+
 struct net *
 net_create(uint32_t seed)
 {
@@ -146,6 +148,7 @@
 	n->latency_us = 300;
 	n->kv_us = KV_ANSWER_US;
 	n->next_incarnation = 100;
+	n->under_way = g_hash_table_new_full(NULL, NULL, free_delivery, NULL);
 	n->log = g_string_new(NULL);
 	return n;
 }
@@ -159,6 +162,7 @@
 		mh_kern_destroy(x->k);
 	}
 	mh_kern_destroy(n->k);
+	g_hash_table_destroy(n->under_way);
 	g_ptr_array_unref(n->nodes);
 	g_ptr_array_unref(n->wires);
 	g_ptr_array_unref(n->kv_waits);
@@ -169,6 +173,15 @@
 	g_free(n);
 }
 
+static void
+free_delivery(void *arg)
+{
+	struct delivery *d = arg;
+
+	mh_msg_free(d->msg);
+	g_free(d);
+}
+
 static void
 arrive(void *arg)
 {
@@ -178,11 +191,13 @@
 	if (d->wire != NULL && !lost)
 		lost = !d->wire->open ||
 		    (d->to_a ? d->wire->a.deaf : d->wire->b.deaf);
-	if (lost)
-		mh_msg_free(d->msg);
-	else
+	if (!lost) {
 		mh_post(d->to->k, d->service, d->msg);
-	g_free(d);
+		g_hash_table_steal(d->net->under_way, d);
+		g_free(d);
+	} else {
+		g_hash_table_remove(d->net->under_way, d);
+	}
 }
 
 static void
@@ -198,6 +213,7 @@
 	d->msg = m;
 	d->wire = wire;
 	d->to_a = to_a;
+	g_hash_table_add(to->net->under_way, d);
 	mh_timer_start(to->net->k, after_us, arrive, d);
 }
 
@@ -749,8 +765,8 @@
 		    (double)mh_now(x->net->k) / MH_US_PER_S, x->vm, part, line);
 }
 
-static void
-tick_clock(struct net_node *x)
+void
+net_tick(struct net_node *x)
 {
 	mh_kern_advance(x->k, mh_now(x->net->k),
 	    NET_START_WALL_US + mh_now(x->net->k) + x->skew_us);
@@ -769,7 +785,7 @@
 	x->incarnation = ++n->next_incarnation;
 	x->k = mh_kern_create((uint32_t)(mh_random(n->k)));
 	mh_kern_set_log(x->k, log_line, x);
-	tick_clock(x);
+	net_tick(x);
 	mh_kern_add(x->k, "link", x, link_handle, NULL);
 	mh_kern_add(x->k, "kv", x, kv_handle, NULL);
 	mh_kern_add(x->k, "vmlist", x, vmlist_handle, NULL);
@@ -873,7 +889,7 @@
 			if (runs(x) &&
 			    (mh_kern_next(x->k) <= next &&
 				mh_kern_next(x->k) >= 0))
-				tick_clock(x);
+				net_tick(x);
 		}
 		if (mh_now(n->k) >= end && next_event(n) > end)
 			return;
--- a/regress/net.h
+++ b/regress/net.h
@@ -51,6 +51,7 @@
 	struct mh_kern *k; /* the world's own clock and random */
 	GPtrArray *nodes;
 	GPtrArray *wires;
+	GHashTable *under_way; /* deliveries */
 	GHashTable *answers; /* caller -> struct net_answer */
 	GHashTable *audit; /* key -> runs */
 	GHashTable *kv; /* name -> value */
@@ -87,6 +88,8 @@
 void net_apply(struct net *n, uint64_t generation, const char *doc);
 void net_run(struct net *n, int64_t us);
 int64_t net_now(const struct net *n);
+/** net_tick() - brings a node's own clock up to the world's. */
+void net_tick(struct net_node *x);
 
 /** struct net_ask - one caller's request. */
 struct net_ask {
--- a/regress/t_adapter.c
+++ b/regress/t_adapter.c
@@ -1,3 +1,555 @@
+/**
+ * DOC: Contract tests of the adapters over real sockets on loopback: HTTP
+ * server and client, KV service, VM list, endpoint, link.  The other side
+ * is a stand-in in the same process; port 0; no assertion on time.
+ */
+
 #include "net.h"
 #include "regress.h"
-const struct test tests_adapter[] = { { NULL, NULL } };
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LONGEST_US (10 * MH_US_PER_S)
+
+/** struct reply - how the stand-in answers the next calls. */
+struct reply {
+	const char *name;
+	uint32_t status; /* 0: cut, 1: never answer */
+	const char *body;
+	bool stream; /* body is sent as a stream */
+	bool cut_stream;
+};
+
+struct rig {
+	struct mh_kern *k;
+	struct mh_loop *loop;
+	struct mh_client *client;
+	struct mh_httpd *httpd;
+	const struct reply *reply;
+	char url[64];
+	uint32_t hits;
+	uint32_t gone;
+	char last_path[128];
+	char last_key[64];
+	/* what came back */
+	uint32_t done;
+	struct mh_msg *msg;
+	uint32_t chunks;
+	uint32_t status;
+	bool whole;
+	bool sent;
+	GString *body;
+	struct mh_timer *late;
+	bool timed_out;
+};
+
+static GBytes *
+bytes(const char *text)
+{
+	return g_bytes_new(text, strlen(text));
+}
+
+static void
+on_request(void *arg, struct mh_http_req *r)
+{
+	struct rig *g = arg;
+	const struct reply *p = g->reply;
+	const char *key = mh_req_header(r, "Idempotency-Key");
+	GBytes *b;
+
+	g->hits++;
+	g_strlcpy(g->last_path, mh_req_path(r), sizeof(g->last_path));
+	g_strlcpy(g->last_key, key == NULL ? "" : key, sizeof(g->last_key));
+	if (p->status == 0) {
+		mh_req_cut(r);
+		return;
+	}
+	if (p->status == 1)
+		return;
+	b = bytes(p->body);
+	if (p->stream) {
+		mh_req_stream(r, p->status, "text/event-stream");
+		mh_req_stream_add(r, b);
+		if (p->cut_stream)
+			mh_req_cut(r);
+		else
+			mh_req_stream_end(r);
+	} else {
+		mh_req_header_set(r, "X-Consul-Index", "7");
+		mh_req_reply(r, p->status, "application/json", b);
+	}
+	g_bytes_unref(b);
+}
+
+static void
+on_gone(void *arg, struct mh_http_req *r)
+{
+	struct rig *g = arg;
+
+	(void)r;
+	g->gone++;
+}
+
+/* Stands in for the service that an adapter answers. */
+static void
+take(void *self, struct mh_msg *m)
+{
+	struct rig *g = self;
+
+	if (m->kind == MH_MSG_RUN_CHUNK) {
+		g->chunks++;
+		return;
+	}
+	g->done++;
+	if (m->kind == MH_MSG_RAN) {
+		g->status = m->u.run.status;
+		g->whole = m->u.run.whole;
+		g->sent = m->u.run.sent;
+	} else if (m->kind == MH_MSG_KV_DONE) {
+		g->whole = m->u.kv.ok;
+		g->sent = m->u.kv.found;
+		g->status = (uint32_t)m->u.kv.cas;
+	} else if (m->kind == MH_MSG_VMLIST) {
+		g->whole = m->u.vmlist.ok;
+	}
+	mh_loop_stop(g->loop);
+}
+
+static void
+on_late(void *arg)
+{
+	struct rig *g = arg;
+
+	g->late = NULL;
+	g->timed_out = true;
+	mh_loop_stop(g->loop);
+}
+
+static void
+rig_open(struct rig *g)
+{
+	struct mh_httpd_args a = { .listen = "127.0.0.1:0",
+		.on_request = on_request,
+		.on_gone = on_gone,
+		.arg = g };
+
+	memset(g, 0, sizeof(*g));
+	g->k = mh_kern_create(1);
+	g->loop = mh_loop_create(g->k, NULL);
+	g->client = mh_client_create(g->loop);
+	g->httpd = mh_httpd_create(g->loop, &a, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(g->httpd);
+	snprintf(g->url, sizeof(g->url), "http://127.0.0.1:%u",
+	    mh_httpd_port(g->httpd));
+	g->body = g_string_new(NULL);
+	g->late = mh_timer_start(g->k, LONGEST_US, on_late, g);
+}
+
+static void
+rig_close(struct rig *g)
+{
+	CU_ASSERT_FALSE(g->timed_out);
+	mh_httpd_destroy(g->httpd);
+	mh_kern_destroy(g->k);
+	mh_loop_destroy(g->loop);
+	g_string_free(g->body, TRUE);
+}
+
+struct run_case {
+	struct reply reply;
+	bool stream;
+	bool whole;
+	uint32_t status;
+	uint32_t chunks;
+};
+
+#define TOKEN "data: {\"choices\":[{\"text\":\" a\"}]}\n\n"
+#define DONE "data: [DONE]\n\n"
+
+static const struct run_case run_cases[] = {
+	{ { "good", 200, "{\"a\":1}", false, false }, false, true, 200, 0 },
+	{ { "error", 500, "{}", false, false }, false, true, 500, 0 },
+	{ { "cut", 0, "", false, false }, false, false, 0, 0 },
+	{ { "silent", 1, "", false, false }, false, false, 0, 0 },
+	{ { "good stream", 200, TOKEN TOKEN DONE, true, false }, true, true,
+	    200, 2 },
+	{ { "no end mark", 200, TOKEN TOKEN, true, false }, true, false, 200,
+	    2 },
+	{ { "cut stream", 200, TOKEN, true, true }, true, false, 200, 1 },
+	{ { "garbage", 200, TOKEN "data: }{\n\n" DONE, true, false }, true,
+	    false, 200, 1 },
+	{ { "refused stream", 429, "{}", false, false }, true, true, 429, 0 },
+};
+
+static void
+test_endpoint_contract(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(run_cases); i++) {
+		const struct run_case *c = &run_cases[i];
+		struct mh_msg *m = mh_msg_new(MH_MSG_RUN);
+		struct rig g;
+
+		rig_open(&g);
+		g.reply = &c->reply;
+		mh_kern_add(g.k, "side", &g, take, NULL);
+		mh_endpoint_create(g.k, g.client, g.url);
+		m->u.run.run = 1;
+		m->u.run.path = g_strdup("/v1/x");
+		m->u.run.key = g_strdup("org/k");
+		m->u.run.org = g_strdup("org");
+		m->u.run.stream = c->stream;
+		m->u.run.timeout_us = 300 * MH_US_PER_MS;
+		m->u.run.body = bytes("{}");
+		mh_post(g.k, "endpoint", m);
+		mh_loop_run(g.loop);
+		if (g.whole != c->whole || g.chunks != c->chunks)
+			printf("\n  case %s\n", c->reply.name);
+		CU_ASSERT_EQUAL(g.whole, c->whole);
+		CU_ASSERT_EQUAL(g.chunks, c->chunks);
+		CU_ASSERT_EQUAL(g.status, c->status);
+		CU_ASSERT_TRUE(g.sent);
+		CU_ASSERT_STRING_EQUAL(g.last_path, "/v1/x");
+		CU_ASSERT_STRING_EQUAL(g.last_key, "org/k");
+		rig_close(&g);
+	}
+}
+
+static void
+test_endpoint_not_there(void)
+{
+	struct mh_msg *m = mh_msg_new(MH_MSG_RUN);
+	struct rig g;
+
+	rig_open(&g);
+	mh_kern_add(g.k, "side", &g, take, NULL);
+	mh_endpoint_create(g.k, g.client, "http://127.0.0.1:1");
+	m->u.run.run = 1;
+	m->u.run.path = g_strdup("/x");
+	m->u.run.timeout_us = 300 * MH_US_PER_MS;
+	m->u.run.body = bytes("{}");
+	mh_post(g.k, "endpoint", m);
+	mh_loop_run(g.loop);
+	CU_ASSERT_FALSE(g.sent);
+	rig_close(&g);
+}
+
+static void
+on_done(void *arg, const struct mh_http_done *d)
+{
+	struct rig *g = arg;
+
+	g->done++;
+	g->status = d->status;
+	mh_loop_stop(g->loop);
+}
+
+/*
+ * A service answers one call and keeps the connection; at the next call it
+ * runs the booking and dies before it answers.  libcurl sent the call again
+ * by itself over a new connection: two performers.  A call marked "once"
+ * never uses a connection that was used before.
+ */
+static void
+test_http_library_never_resends(void)
+{
+	static const struct reply good = { "good", 200, "{}", false, false };
+	static const struct reply cut = { "cut", 0, "", false, false };
+	struct mh_http_call call = { .method = "POST",
+		.timeout_us = 2 * MH_US_PER_S };
+	struct rig g;
+
+	for (int once = 0; once < 2; once++) {
+		rig_open(&g);
+		call.url = g.url;
+		call.once = once == 1;
+		g.reply = &good;
+		mh_client_start(g.client, &call, NULL, on_done, &g);
+		mh_loop_run(g.loop);
+		CU_ASSERT_EQUAL(g.status, 200);
+		g.reply = &cut;
+		mh_client_start(g.client, &call, NULL, on_done, &g);
+		mh_loop_run(g.loop);
+		CU_ASSERT_EQUAL(g.status, 0);
+		/* Without the mark the library itself asks a second time. */
+		CU_ASSERT_EQUAL(g.hits, once == 1 ? 2 : 3);
+		rig_close(&g);
+	}
+}
+
+struct kv_case {
+	enum mh_kv_op op;
+	struct reply reply;
+	bool ok;
+	bool found;
+	uint32_t cas;
+};
+
+static const struct kv_case kv_cases[] = {
+	{ MH_KV_GET,
+	    { "value", 200, "[{\"ModifyIndex\":5,\"Value\":\"aGk=\"}]", false,
+		false },
+	    true, true, 5 },
+	{ MH_KV_GET, { "none", 404, "", false, false }, true, false, 0 },
+	{ MH_KV_GET, { "garbage", 200, "}{", false, false }, false, false, 0 },
+	{ MH_KV_GET, { "no value", 200, "[{}]", false, false }, false, false,
+	    0 },
+	{ MH_KV_GET, { "error", 500, "", false, false }, false, false, 0 },
+	{ MH_KV_GET, { "cut", 0, "", false, false }, false, false, 0 },
+	{ MH_KV_PUT, { "written", 200, "true", false, false }, true, true, 0 },
+	{ MH_KV_PUT, { "lost race", 200, "false", false, false }, true, false,
+	    0 },
+	{ MH_KV_PUT, { "no answer", 0, "", false, false }, false, false, 0 },
+	{ MH_KV_PUT, { "error", 503, "true", false, false }, false, false, 0 },
+	{ MH_KV_WATCH,
+	    { "value", 200, "[{\"ModifyIndex\":9,\"Value\":\"aGk=\"}]", false,
+		false },
+	    true, true, 9 },
+};
+
+static void
+test_kv_contract(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(kv_cases); i++) {
+		const struct kv_case *c = &kv_cases[i];
+		struct mh_msg *m = mh_msg_new(MH_MSG_KV);
+		struct rig g;
+
+		rig_open(&g);
+		g.reply = &c->reply;
+		mh_kern_add(g.k, "conf", &g, take, NULL);
+		mh_kv_create(g.k, g.client, g.url);
+		m->u.kv.op = c->op;
+		m->u.kv.from = g_strdup("conf");
+		m->u.kv.name = g_strdup("config/head");
+		m->u.kv.index = 3;
+		m->u.kv.wait_us = MH_US_PER_S;
+		m->u.kv.value = bytes("x");
+		mh_post(g.k, "kv", m);
+		mh_loop_run(g.loop);
+		if (g.whole != c->ok || g.sent != c->found)
+			printf("\n  case %s\n", c->reply.name);
+		CU_ASSERT_EQUAL(g.whole, c->ok);
+		CU_ASSERT_EQUAL(g.sent, c->found);
+		CU_ASSERT_EQUAL(g.status, c->cas);
+		CU_ASSERT_STRING_EQUAL(g.last_path, "/v1/kv/config/head");
+		/* A write whose answer was lost is never written again. */
+		CU_ASSERT(c->op != MH_KV_PUT || g.hits == 1);
+		rig_close(&g);
+	}
+}
+
+static const struct {
+	struct reply reply;
+	bool ok;
+} list_cases[] = {
+	{ { "empty", 200, "[]", false, false }, true },
+	{ { "one", 200,
+	      "[{\"id\":\"a\",\"addr\":\"127.0.0.1:1\",\"role\":\"side\","
+	      "\"state\":\"leaving\"}]",
+	      false, false },
+	    true },
+	{ { "missing id", 200, "[{\"addr\":\"127.0.0.1:1\"}]", false, false },
+	    false },
+	{ { "garbage", 200, "}{", false, false }, false },
+	{ { "error", 500, "[]", false, false }, false },
+	{ { "cut", 0, "", false, false }, false },
+};
+
+static void
+test_vmlist_contract(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(list_cases); i++) {
+		struct rig g;
+
+		rig_open(&g);
+		g.reply = &list_cases[i].reply;
+		mh_kern_add(g.k, "member", &g, take, NULL);
+		mh_vmlist_create(g.k, g.client, g.url);
+		mh_post(g.k, "vmlist", mh_msg_new(MH_MSG_VMLIST_ASK));
+		mh_loop_run(g.loop);
+		CU_ASSERT_EQUAL(g.whole, list_cases[i].ok);
+		rig_close(&g);
+	}
+}
+
+/* A caller that leaves while its request waits is noticed. */
+static void
+test_caller_leaving_is_noticed(void)
+{
+	static const struct reply never = { "silent", 1, "", false, false };
+	struct mh_http_call call = { .method = "POST",
+		.timeout_us = 200 * MH_US_PER_MS };
+	struct rig g;
+
+	rig_open(&g);
+	g.reply = &never;
+	call.url = g.url;
+	mh_client_start(g.client, &call, NULL, on_done, &g);
+	mh_loop_run(g.loop);
+	CU_ASSERT_EQUAL(g.hits, 1);
+	while (g.gone == 0 && !g.timed_out) {
+		struct mh_http_call ping = { .method = "GET",
+			.url = g.url,
+			.timeout_us = 300 * MH_US_PER_MS };
+
+		mh_client_start(g.client, &ping, NULL, on_done, &g);
+		mh_loop_run(g.loop);
+	}
+	CU_ASSERT(g.gone >= 1);
+	rig_close(&g);
+}
+
+/** struct ends - what the link service told its owner. */
+struct ends {
+	struct mh_kern *k;
+	struct mh_loop *loop;
+	uint32_t up;
+	uint32_t down;
+};
+
+static void
+end_handle(void *self, struct mh_msg *m)
+{
+	struct ends *e = self;
+
+	e->up += m->kind == MH_MSG_LINK_UP;
+	e->down += m->kind == MH_MSG_LINK_DOWN;
+	if (e->up == 2)
+		mh_loop_stop(e->loop);
+}
+
+static void
+stop_ends(void *arg)
+{
+	struct ends *e = arg;
+
+	mh_loop_stop(e->loop);
+}
+
+static int
+connect_to(uint16_t port)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET,
+		.sin_port = htons(port) };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	sa.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	CU_ASSERT_EQUAL_FATAL(
+	    connect(fd, (struct sockaddr *)&sa, sizeof(sa)), 0);
+	return fd;
+}
+
+static void
+send_frame(int fd, const Mh__Frame *f)
+{
+	GBytes *b = mh_frame_pack(f);
+	gsize len;
+	const void *data = g_bytes_get_data(b, &len);
+	uint8_t head[4] = { 0, 0, (uint8_t)(len >> 8), (uint8_t)len };
+
+	CU_ASSERT_EQUAL(write(fd, head, sizeof(head)), 4);
+	CU_ASSERT_EQUAL(write(fd, data, len), (ssize_t)len);
+	g_bytes_unref(b);
+}
+
+/* A stranger's greeting, then a proof that it cannot make. */
+static void
+send_stranger(int fd)
+{
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__Hello h = MH__HELLO__INIT;
+	Mh__Auth a = MH__AUTH__INIT;
+	Mh__Call c = MH__CALL__INIT;
+	uint8_t zero[32] = { 0 };
+
+	h.version = 1;
+	h.vm = (char *)"stranger";
+	h.nonce.data = zero;
+	h.nonce.len = 16;
+	f.body_case = MH__FRAME__BODY_HELLO;
+	f.hello = &h;
+	send_frame(fd, &f);
+	a.mac.data = zero;
+	a.mac.len = sizeof(zero);
+	f.body_case = MH__FRAME__BODY_AUTH;
+	f.auth = &a;
+	send_frame(fd, &f);
+	f.body_case = MH__FRAME__BODY_CALL;
+	f.call = &c;
+	send_frame(fd, &f);
+}
+
+struct stranger {
+	const char *name;
+	const char *bytes; /* NULL: a greeting with a wrong proof */
+	size_t len;
+};
+
+static const struct stranger strangers[] = {
+	{ "wrong proof", NULL, 0 },
+	{ "another protocol", "GET / HTTP/1.1\r\n\r\n", 18 },
+	{ "garbage frame", "\0\0\0\4\377\377\377\377", 8 },
+	{ "oversize frame", "\177\377\377\377", 4 },
+};
+
+/*
+ * Who does not hold the secret gets nothing through, is never announced,
+ * and its connection is closed; who holds it is linked.
+ */
+static void
+test_link(void)
+{
+	struct ends e = { .k = mh_kern_create(1) };
+	struct mh_link_args a = { .listen = "127.0.0.1:0",
+		.vm = "one",
+		.domain = "a",
+		.role = "side",
+		.secret = "0123456789abcdef" };
+	char addr[32], c;
+
+	e.loop = mh_loop_create(e.k, NULL);
+	mh_kern_add(e.k, "hub", &e, end_handle, NULL);
+	CU_ASSERT_TRUE(mh_link_create(e.loop, &a, NULL));
+	for (size_t i = 0; i < G_N_ELEMENTS(strangers); i++) {
+		const struct stranger *s = &strangers[i];
+		int fd = connect_to(mh_link_port(e.loop));
+		ssize_t n;
+
+		if (s->bytes == NULL)
+			send_stranger(fd);
+		else
+			CU_ASSERT_EQUAL(
+			    write(fd, s->bytes, s->len), (ssize_t)s->len);
+		mh_timer_start(e.k, 100 * MH_US_PER_MS, stop_ends, &e);
+		mh_loop_run(e.loop);
+		/* Its own greeting, then the end: nothing else came. */
+		do {
+			n = recv(fd, &c, 1, MSG_DONTWAIT);
+		} while (n > 0);
+		CU_ASSERT(n == 0 || errno == ECONNRESET);
+		CU_ASSERT_EQUAL(e.up, 0);
+		close(fd);
+	}
+	CU_ASSERT_EQUAL(mh_counter(e.k, "link_refused"), 1);
+	snprintf(addr, sizeof(addr), "127.0.0.1:%u", mh_link_port(e.loop));
+	mh_link_dial(e.k, 1000, addr);
+	mh_loop_run(e.loop);
+	CU_ASSERT_EQUAL(e.up, 2);
+	mh_kern_destroy(e.k);
+	mh_loop_destroy(e.loop);
+}
+
+const struct test tests_adapter[] = {
+	{ "endpoint_contract", test_endpoint_contract },
+	{ "endpoint_not_there", test_endpoint_not_there },
+	{ "http_library_never_resends", test_http_library_never_resends },
+	{ "kv_contract", test_kv_contract },
+	{ "vmlist_contract", test_vmlist_contract },
+	{ "caller_leaving_is_noticed", test_caller_leaving_is_noticed },
+	{ "link", test_link },
+	{ NULL, NULL },
+};
--- a/regress/t_entry.c
+++ b/regress/t_entry.c
@@ -1,3 +1,466 @@
+/**
+ * DOC: Own answer, whole and in time: streams over bad links, retries,
+ * hedges, deadlines, drains, cancels, limits.
+ */
+
 #include "net.h"
 #include "regress.h"
-const struct test tests_entry[] = { { NULL, NULL } };
+
+#include <string.h>
+
+struct entry_world {
+	struct net *n;
+	struct net_node *e;
+	struct net_node *enc[3];
+	struct net_node *llm[3];
+};
+
+static void
+make(struct entry_world *w, uint32_t seed, const char *doc)
+{
+	static const char *const domains[] = { "a", "b", "c" };
+	char vm[24];
+
+	w->n = net_create(seed);
+	net_apply(w->n, 1, doc);
+	for (int i = 0; i < 3; i++) {
+		snprintf(vm, sizeof(vm), "enc%d", i);
+		w->enc[i] = net_side(w->n, vm, "enc", domains[i], 4);
+		snprintf(vm, sizeof(vm), "llm%d", i);
+		w->llm[i] = net_side(w->n, vm, "llm", domains[i], 4);
+		w->llm[i]->service_us = 400 * MH_US_PER_MS;
+	}
+	net_side(w->n, "ret0", "ret", "a", 4);
+	net_side(w->n, "rer0", "rer", "a", 4);
+	w->e = net_entry(w->n, "entry1", "a");
+	net_run(w->n, 3 * MH_US_PER_S);
+}
+
+static uint64_t
+plan(struct entry_world *w, bool stream)
+{
+	struct net_ask a = { .path = "/v1/pipelines/plan",
+		.body = stream
+		    ? "{\"input\":\"x\",\"max_tokens\":8,\"stream\":true}"
+		    : "{\"input\":\"x\",\"max_tokens\":8}" };
+
+	return net_request(w->e, &a);
+}
+
+static uint64_t
+embed(struct entry_world *w)
+{
+	struct net_ask a = { .path = "/v1/pipelines/embed" };
+
+	return net_request(w->e, &a);
+}
+
+static void
+check_whole(struct entry_world *w, uint64_t id)
+{
+	CU_ASSERT_EQUAL(net_answer(w->n, id)->status, 200);
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w->n, id, "outcome"), "done");
+	CU_ASSERT_STRING_EQUAL(
+	    net_answer_text(w->n, id, "answer"), " t t t t t t t t");
+}
+
+static struct net_node *
+busy_llm(struct entry_world *w)
+{
+	for (int i = 0; i < 3; i++) {
+		json_t *s = mh_side_state(w->llm[i]->k);
+		json_int_t n =
+		    json_integer_value(json_object_get(s, "running"));
+
+		json_decref(s);
+		if (n > 0)
+			return w->llm[i];
+	}
+	return NULL;
+}
+
+struct silence {
+	bool in;
+	bool out;
+};
+
+/*
+ * Something between two VMs loses track of a connection in the middle of a
+ * streamed plan: no error, no more tokens.  The parent stares at half a
+ * plan.  A second link takes up the stream by its number.
+ */
+static void
+test_stream_over_a_silent_link(void)
+{
+	static const struct silence ways[] = { { true, true }, { true, false },
+		{ false, true } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ways); i++) {
+		struct entry_world w;
+		struct net_node *x;
+		uint64_t id;
+
+		make(&w, 1, net_doc);
+		id = plan(&w, false);
+		net_run(w.n, 200 * MH_US_PER_MS);
+		x = busy_llm(&w);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(x);
+		net_silence(x, ways[i].in, ways[i].out);
+		net_run(w.n, 3 * MH_US_PER_S);
+		check_whole(&w, id);
+		CU_ASSERT(mh_counter(w.e->k, "member_silent_links") > 0);
+		CU_ASSERT_EQUAL(
+		    w.llm[0]->runs + w.llm[1]->runs + w.llm[2]->runs, 1);
+		net_destroy(w.n);
+	}
+}
+
+/* The engine's side process dies in mid-stream: another goes on with it. */
+static void
+test_stream_goes_on_elsewhere(void)
+{
+	struct entry_world w;
+	struct net_node *x;
+	uint64_t id;
+
+	make(&w, 2, net_doc);
+	id = plan(&w, false);
+	net_run(w.n, 250 * MH_US_PER_MS);
+	x = busy_llm(&w);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(x);
+	net_kill(x);
+	net_run(w.n, 3 * MH_US_PER_S);
+	check_whole(&w, id);
+	CU_ASSERT_EQUAL(mh_counter(w.e->k, "pipe_retries"), 1);
+	net_destroy(w.n);
+}
+
+/* Doubled and late frames: every answer is whole, in order and its own. */
+static void
+test_doubled_and_late_frames(void)
+{
+	struct entry_world w;
+	uint64_t ids[60];
+
+	make(&w, 3, net_doc);
+	w.n->duplicate = 0.3;
+	w.n->delay = 0.2;
+	for (int i = 0; i < 60; i++) {
+		ids[i] = plan(&w, false);
+		net_run(w.n, 100 * MH_US_PER_MS);
+	}
+	net_run(w.n, 6 * MH_US_PER_S);
+	for (int i = 0; i < 60; i++)
+		check_whole(&w, ids[i]);
+	CU_ASSERT(mh_counter(w.e->k, "relay_unmatched") > 0);
+	net_destroy(w.n);
+}
+
+/*
+ * One encoder is fifty times slower.  Without hedging one request in three
+ * waits for it; with it the answer comes from another.
+ */
+static void
+test_hedge_around_a_straggler(void)
+{
+	struct entry_world w;
+	uint64_t id;
+	int slow = 0;
+
+	make(&w, 4, net_doc);
+	for (int i = 0; i < 30; i++) {
+		embed(&w);
+		net_run(w.n, 30 * MH_US_PER_MS);
+	}
+	w.enc[1]->service_us = 500 * MH_US_PER_MS;
+	for (int i = 0; i < 30; i++) {
+		int64_t at = net_now(w.n);
+
+		id = embed(&w);
+		net_run(w.n, 700 * MH_US_PER_MS);
+		slow += net_answer(w.n, id)->at_us - at > 100 * MH_US_PER_MS;
+		CU_ASSERT_EQUAL(net_answer(w.n, id)->status, 200);
+	}
+	CU_ASSERT(slow <= 1);
+	CU_ASSERT(mh_counter(w.e->k, "pipe_hedges_won") > 0);
+	net_destroy(w.n);
+}
+
+/*
+ * A whole pool fails.  Retrying each request again and again multiplied the
+ * load on it; the budget bounds the extra calls to a share of the traffic.
+ */
+static void
+test_retries_keep_to_their_budget(void)
+{
+	struct entry_world w;
+	uint64_t calls, extra;
+
+	make(&w, 5, net_doc);
+	for (int i = 0; i < 3; i++)
+		w.enc[i]->status = 500;
+	for (int i = 0; i < 200; i++) {
+		embed(&w);
+		net_run(w.n, 20 * MH_US_PER_MS);
+	}
+	calls = mh_counter(w.e->k, "relay_calls");
+	extra = mh_counter(w.e->k, "pipe_retries") +
+	    mh_counter(w.e->k, "pipe_hedges");
+	CU_ASSERT(extra <= 200 / 10 + 20);
+	CU_ASSERT_EQUAL(calls, 200 + extra);
+	net_destroy(w.n);
+}
+
+/*
+ * A pipeline that ends in encoding: the daemon built its answer from the
+ * text that no stage had made, and died with every request it held.
+ */
+static void
+test_any_stage_may_be_the_last(void)
+{
+	struct entry_world w;
+	uint64_t id;
+
+	make(&w, 14, net_doc);
+	id = embed(&w);
+	net_run(w.n, MH_US_PER_S);
+	CU_ASSERT_EQUAL(net_answer(w.n, id)->status, 200);
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(net_answer(w.n, id)->body->str, "\"embedding\":[1,2]"));
+	net_destroy(w.n);
+}
+
+/* Given up means answered now, with the time to come back, not held back. */
+static void
+test_given_up_is_answered_at_once(void)
+{
+	struct entry_world w;
+	int64_t at;
+	uint64_t id;
+
+	make(&w, 6, net_doc);
+	for (int i = 0; i < 3; i++)
+		w.enc[i]->status = 500;
+	at = net_now(w.n);
+	id = embed(&w);
+	net_run(w.n, 4 * MH_US_PER_S);
+	CU_ASSERT_EQUAL(net_answer(w.n, id)->status, 503);
+	CU_ASSERT(net_answer(w.n, id)->at_us - at < 200 * MH_US_PER_MS);
+	CU_ASSERT(net_answer(w.n, id)->retry_after_s >= 1);
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, id, "outcome"), "failed");
+	net_destroy(w.n);
+}
+
+/* What cannot end in time is refused at the door, with Retry-After. */
+static void
+test_infeasible_is_refused_early(void)
+{
+	struct entry_world w;
+	struct net_ask a = { .path = "/v1/pipelines/plan",
+		.body = "{\"input\":\"x\",\"max_tokens\":100}",
+		.deadline_us = 100 * MH_US_PER_MS };
+	uint64_t id;
+
+	make(&w, 7, net_doc);
+	id = net_request(w.e, &a);
+	net_run(w.n, 5 * MH_US_PER_MS);
+	CU_ASSERT_EQUAL(net_answer(w.n, id)->status, 503);
+	CU_ASSERT(net_answer(w.n, id)->retry_after_s >= 1);
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, id, "outcome"), "not-run");
+	CU_ASSERT_EQUAL(mh_counter(w.e->k, "relay_calls"), 0);
+	net_destroy(w.n);
+}
+
+/* A supervisor's page closes: the engine must stop working for nobody. */
+static void
+test_caller_gone_cancels_to_the_engine(void)
+{
+	struct entry_world w;
+	uint64_t id;
+
+	make(&w, 8, net_doc);
+	id = plan(&w, true);
+	net_run(w.n, 200 * MH_US_PER_MS);
+	CU_ASSERT_PTR_NOT_NULL(busy_llm(&w));
+	net_caller_leaves(w.e, id);
+	net_run(w.n, 10 * MH_US_PER_MS);
+	CU_ASSERT_PTR_NULL(busy_llm(&w));
+	CU_ASSERT_EQUAL(
+	    w.llm[0]->aborts + w.llm[1]->aborts + w.llm[2]->aborts, 1);
+	CU_ASSERT_EQUAL(mh_entry_open(w.e->k), 0);
+	net_destroy(w.n);
+}
+
+/*
+ * A VM leaves, by its own word or by the list alone.  Within 3 s it gets no
+ * new work, and what it has under way is not cut.
+ */
+static void
+test_leaving_endpoint_gets_no_work(void)
+{
+	for (int by_list = 0; by_list < 2; by_list++) {
+		struct entry_world w;
+		uint64_t runs, ids[10];
+
+		make(&w, 9, net_doc);
+		for (int i = 0; i < 10; i++)
+			ids[i] = plan(&w, false);
+		net_run(w.n, 100 * MH_US_PER_MS);
+		if (by_list)
+			w.llm[0]->leaving = true;
+		else
+			mh_side_drain(w.llm[0]->k);
+		net_run(w.n, 3 * MH_US_PER_S);
+		runs = w.llm[0]->runs;
+		for (int i = 0; i < 10; i++)
+			check_whole(&w, ids[i]);
+		for (int i = 0; i < 30; i++) {
+			plan(&w, false);
+			net_run(w.n, 50 * MH_US_PER_MS);
+		}
+		net_run(w.n, 3 * MH_US_PER_S);
+		CU_ASSERT_EQUAL(w.llm[0]->runs, runs);
+		net_destroy(w.n);
+	}
+}
+
+/* An entry that drains finishes what it has and serves open connections. */
+static void
+test_draining_entry_cuts_nothing(void)
+{
+	struct entry_world w;
+	uint64_t before, after;
+
+	make(&w, 10, net_doc);
+	before = plan(&w, false);
+	net_run(w.n, 50 * MH_US_PER_MS);
+	mh_entry_drain(w.e->k);
+	after = plan(&w, false);
+	net_run(w.n, 3 * MH_US_PER_S);
+	check_whole(&w, before);
+	check_whole(&w, after);
+	CU_ASSERT_EQUAL(mh_entry_open(w.e->k), 0);
+	net_destroy(w.n);
+}
+
+/* A request keeps the configuration that decided it. */
+static void
+test_request_keeps_its_generation(void)
+{
+	struct entry_world w;
+	char **p = g_strsplit(net_doc, "{class: interactive}", 2);
+	char *doc = g_strconcat(p[0], "{class: batch}", p[1], NULL);
+	uint64_t old, new;
+
+	make(&w, 11, net_doc);
+	old = plan(&w, false);
+	net_run(w.n, 50 * MH_US_PER_MS);
+	net_apply(w.n, 2, doc);
+	net_run(w.n, 2 * MH_US_PER_S);
+	new = plan(&w, false);
+	net_run(w.n, 3 * MH_US_PER_S);
+	CU_ASSERT_STRING_EQUAL(
+	    net_answer_text(w.n, old, "class"), "interactive");
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, new, "class"), "batch");
+	g_strfreev(p);
+	g_free(doc);
+	net_destroy(w.n);
+}
+
+/*
+ * Limits: 429 and Retry-After for the organisation's own quota, 400 for
+ * what can never fit, and another organisation is not touched.
+ */
+static void
+test_limits(void)
+{
+	struct entry_world w;
+	char *doc = g_strdup(net_doc), **p;
+	struct net_ask other = { .path = "/v1/pipelines/embed",
+		.key = "volt-key" };
+	struct net_ask large = { .path = "/v1/pipelines/plan",
+		.body = "{\"input\":\"x\",\"max_tokens\":120}" };
+	uint64_t id = 0;
+	int limited = 0;
+
+	p = g_strsplit(doc, "{name: acme,", 2);
+	g_free(doc);
+	doc = g_strconcat(
+	    p[0], "{name: acme, units_per_s: 10, burst_units: 30,", p[1], NULL);
+	g_strfreev(p);
+	make(&w, 12, doc);
+	for (int i = 0; i < 3; i++)
+		w.enc[i]->service_us = 3 * MH_US_PER_S;
+	for (int i = 0; i < 100; i++) {
+		id = embed(&w);
+		net_run(w.n, MH_US_PER_MS);
+		if (net_answer(w.n, id)->status == 429) {
+			limited++;
+			CU_ASSERT(net_answer(w.n, id)->retry_after_s >= 1);
+		}
+	}
+	CU_ASSERT(limited > 20 && limited < 90);
+	id = net_request(w.e, &large);
+	net_run(w.n, 10 * MH_US_PER_MS);
+	CU_ASSERT_EQUAL(net_answer(w.n, id)->status, 400);
+	net_run(w.n, 5 * MH_US_PER_S);
+	for (int i = 0; i < 3; i++)
+		w.enc[i]->service_us = 10 * MH_US_PER_MS;
+	id = net_request(w.e, &other);
+	net_run(w.n, 4 * MH_US_PER_S);
+	CU_ASSERT_EQUAL(net_answer(w.n, id)->status, 200);
+	g_free(doc);
+	net_destroy(w.n);
+}
+
+/*
+ * The urgent request that came last is answered before the drafts that
+ * wait, whichever entry they came through.
+ */
+static void
+test_urgent_passes_waiting_work(void)
+{
+	struct net *n = net_create(13);
+	struct net_node *e1, *e2, *x;
+	struct net_ask draft = { .path = "/v1/pipelines/embed",
+		.class_asked = "batch" };
+	struct net_ask soon = { .path = "/v1/pipelines/embed" };
+	uint64_t drafts[20], id;
+	int before = 0;
+
+	net_apply(n, 1, net_doc);
+	x = net_side(n, "enc0", "enc", "a", 1);
+	x->service_us = 50 * MH_US_PER_MS;
+	e1 = net_entry(n, "entry1", "a");
+	e2 = net_entry(n, "entry2", "b");
+	net_run(n, 3 * MH_US_PER_S);
+	for (int i = 0; i < 20; i++)
+		drafts[i] = net_request(e1, &draft);
+	net_run(n, 10 * MH_US_PER_MS);
+	id = net_request(e2, &soon);
+	net_run(n, 3 * MH_US_PER_S);
+	for (int i = 0; i < 20; i++)
+		before +=
+		    net_answer(n, drafts[i])->at_us < net_answer(n, id)->at_us;
+	CU_ASSERT(before <= 2);
+	net_destroy(n);
+}
+
+const struct test tests_entry[] = {
+	{ "stream_over_a_silent_link", test_stream_over_a_silent_link },
+	{ "stream_goes_on_elsewhere", test_stream_goes_on_elsewhere },
+	{ "doubled_and_late_frames", test_doubled_and_late_frames },
+	{ "hedge_around_a_straggler", test_hedge_around_a_straggler },
+	{ "retries_keep_to_their_budget", test_retries_keep_to_their_budget },
+	{ "any_stage_may_be_the_last", test_any_stage_may_be_the_last },
+	{ "given_up_is_answered_at_once", test_given_up_is_answered_at_once },
+	{ "infeasible_is_refused_early", test_infeasible_is_refused_early },
+	{ "caller_gone_cancels_to_the_engine",
+	    test_caller_gone_cancels_to_the_engine },
+	{ "leaving_endpoint_gets_no_work", test_leaving_endpoint_gets_no_work },
+	{ "draining_entry_cuts_nothing", test_draining_entry_cuts_nothing },
+	{ "request_keeps_its_generation", test_request_keeps_its_generation },
+	{ "limits", test_limits },
+	{ "urgent_passes_waiting_work", test_urgent_passes_waiting_work },
+	{ NULL, NULL },
+};
--- a/regress/t_nodes.c
+++ b/regress/t_nodes.c
@@ -1,3 +1,317 @@
+/**
+ * DOC: Many nodes together: membership, configuration in force everywhere,
+ * limits over all entries, a failure domain cut off.
+ */
+
 #include "net.h"
 #include "regress.h"
-const struct test tests_nodes[] = { { NULL, NULL } };
+
+#include <string.h>
+
+#define ENTRIES 12
+#define SIDES 36
+
+struct nodes {
+	struct net *n;
+	struct net_node *e[ENTRIES];
+	struct net_node *s[SIDES];
+};
+
+static const char *const domains[] = { "a", "b", "c" };
+
+static void
+make(struct nodes *w, uint32_t seed, const char *doc)
+{
+	char vm[24];
+
+	w->n = net_create(seed);
+	net_apply(w->n, 1, doc);
+	for (int i = 0; i < SIDES; i++) {
+		snprintf(vm, sizeof(vm), "enc%d", i);
+		w->s[i] = net_side(w->n, vm, "enc", domains[i % 3], 4);
+	}
+	for (int i = 0; i < ENTRIES; i++) {
+		snprintf(vm, sizeof(vm), "entry%d", i);
+		w->e[i] = net_entry(w->n, vm, domains[i % 3]);
+	}
+	net_run(w->n, 5 * MH_US_PER_S);
+}
+
+static bool
+all_have(struct nodes *w, uint64_t generation)
+{
+	for (guint i = 0; i < w->n->nodes->len; i++) {
+		struct net_node *x = w->n->nodes->pdata[i];
+
+		if (x->k != NULL && !x->paused &&
+		    mh_conf_generation(x->k) != generation)
+			return false;
+	}
+	return true;
+}
+
+/* Virtual time until every running node has @generation, -1 for never. */
+static int64_t
+time_until(struct nodes *w, uint64_t generation, int64_t longest_us)
+{
+	int64_t start = net_now(w->n);
+
+	while (net_now(w->n) - start < longest_us) {
+		if (all_have(w, generation))
+			return net_now(w->n) - start;
+		net_run(w->n, 10 * MH_US_PER_MS);
+	}
+	return -1;
+}
+
+static void
+test_change_is_everywhere_in_seconds(void)
+{
+	struct nodes w;
+	int64_t us;
+
+	make(&w, 1, net_doc);
+	CU_ASSERT_TRUE(all_have(&w, 1));
+	for (uint64_t g = 2; g < 12; g++) {
+		net_apply(w.n, g, net_doc);
+		us = time_until(&w, g, 9 * MH_US_PER_S);
+		CU_ASSERT(us >= 0 && us < 3 * MH_US_PER_S);
+	}
+	net_destroy(w.n);
+}
+
+/* Watchers are few: a waiting watch counts as a call to the KV service. */
+static void
+test_few_watch_the_platform(void)
+{
+	struct nodes w;
+	int conf = 0;
+
+	make(&w, 2, net_doc);
+	for (guint i = 0; i < w.n->nodes->len; i++) {
+		struct net_node *x = w.n->nodes->pdata[i];
+
+		conf += mh_member_watcher(x->k, "config");
+	}
+	CU_ASSERT(conf >= 3 && conf <= 6);
+	net_destroy(w.n);
+}
+
+/*
+ * An operator applies, then the KV service goes out and a node starts.  It
+ * has no platform to ask; its peers tell it.
+ */
+static void
+test_start_during_an_outage(void)
+{
+	struct nodes w;
+
+	make(&w, 3, net_doc);
+	net_apply(w.n, 2, net_doc);
+	net_run(w.n, 3 * MH_US_PER_S);
+	w.n->kv_down = true;
+	net_kill(w.e[4]);
+	net_kill(w.s[7]);
+	net_run(w.n, MH_US_PER_S);
+	net_start(w.e[4]);
+	net_start(w.s[7]);
+	CU_ASSERT(time_until(&w, 2, 9 * MH_US_PER_S) >= 0);
+	net_destroy(w.n);
+}
+
+/* The KV service comes back older than what is in force: nothing reverts. */
+static void
+test_restored_kv_reverts_nothing(void)
+{
+	struct nodes w;
+
+	make(&w, 4, net_doc);
+	net_apply(w.n, 2, net_doc);
+	net_apply(w.n, 3, net_doc);
+	CU_ASSERT(time_until(&w, 3, 9 * MH_US_PER_S) >= 0);
+	w.n->kv_down = true;
+	net_run(w.n, 2 * MH_US_PER_S);
+	net_apply(w.n, 2, net_doc);
+	w.n->kv_index = 1;
+	w.n->kv_down = false;
+	net_run(w.n, 10 * MH_US_PER_S);
+	CU_ASSERT_TRUE(all_have(&w, 3));
+	net_apply(w.n, 4, net_doc);
+	CU_ASSERT(time_until(&w, 4, 9 * MH_US_PER_S) >= 0);
+	net_destroy(w.n);
+}
+
+/* A document that is not valid was put by hand: the good one stays. */
+static void
+test_bad_document_is_not_taken(void)
+{
+	struct nodes w;
+
+	make(&w, 5, net_doc);
+	net_apply(w.n, 2, "classes: oops");
+	net_run(w.n, 5 * MH_US_PER_S);
+	CU_ASSERT_TRUE(all_have(&w, 1));
+	net_apply(w.n, 3, net_doc);
+	CU_ASSERT(time_until(&w, 3, 9 * MH_US_PER_S) >= 0);
+	net_destroy(w.n);
+}
+
+static uint64_t
+embed(struct net_node *e)
+{
+	struct net_ask a = { .path = "/v1/pipelines/embed" };
+
+	return net_request(e, &a);
+}
+
+static int
+serve(struct nodes *w, int count, int64_t each_us)
+{
+	uint64_t *ids = g_new(uint64_t, count);
+	int good = 0;
+
+	for (int i = 0; i < count; i++) {
+		struct net_node *e = w->e[i % ENTRIES];
+
+		if (e->k == NULL || e->paused)
+			e = w->e[(i + 1) % ENTRIES];
+		ids[i] = embed(e);
+		net_run(w->n, each_us);
+	}
+	net_run(w->n, 5 * MH_US_PER_S);
+	for (int i = 0; i < count; i++)
+		good += net_answer(w->n, ids[i])->status == 200;
+	g_free(ids);
+	return good;
+}
+
+/* The VM list is out for a minute: nobody stops serving. */
+static void
+test_missing_list_changes_nothing(void)
+{
+	struct nodes w;
+
+	make(&w, 6, net_doc);
+	w.n->vmlist_down = true;
+	net_run(w.n, 60 * MH_US_PER_S);
+	CU_ASSERT_EQUAL(serve(&w, 100, 5 * MH_US_PER_MS), 100);
+	net_destroy(w.n);
+}
+
+/*
+ * A whole failure domain vanishes without a word: links stay open and say
+ * nothing.  The entries left serve on; what was under way there goes
+ * elsewhere.
+ */
+static void
+test_failure_domain_vanishes(void)
+{
+	struct nodes w;
+
+	make(&w, 7, net_doc);
+	for (int i = 0; i < SIDES; i += 3)
+		net_vanish(w.s[i]);
+	for (int i = 0; i < ENTRIES; i += 3) {
+		w.e[i]->listed = false;
+		net_vanish(w.e[i]);
+	}
+	CU_ASSERT(serve(&w, 200, 10 * MH_US_PER_MS) >= 199);
+	net_destroy(w.n);
+}
+
+/* Churn as on an ordinary day, at three hundred times its pace. */
+static void
+test_churn(void)
+{
+	struct nodes w;
+	int good = 0, asked = 0;
+
+	make(&w, 8, net_doc);
+	for (int i = 0; i < 60; i++) {
+		struct net_node *x = w.s[mh_random(w.n->k) % SIDES];
+
+		if (x->k == NULL)
+			net_start(x);
+		else if (mh_random(w.n->k) % 8 == 0)
+			net_vanish(x);
+		else
+			net_kill(x);
+		good += serve(&w, 20, 5 * MH_US_PER_MS);
+		asked += 20;
+		if (x->k == NULL)
+			net_start(x);
+	}
+	CU_ASSERT(good * 1000 >= asked * 997);
+	net_destroy(w.n);
+}
+
+/* Two calls of one VM: the subset moves only with what changed. */
+static void
+test_subset_is_stable(void)
+{
+	struct nodes w;
+	uint64_t calls, frames;
+
+	make(&w, 9, net_doc);
+	calls = w.n->kv_calls;
+	frames = w.n->frames;
+	net_run(w.n, 30 * MH_US_PER_S);
+	CU_ASSERT(w.n->kv_calls - calls < 30);
+	CU_ASSERT((w.n->frames - frames) / w.n->nodes->len / 30 < 60);
+	net_destroy(w.n);
+}
+
+/*
+ * One organisation's limit holds over all entries though its traffic comes
+ * through few of them: over by at most 5%, unused by at most 10%.  Asked of
+ * the limit services themselves, each request using all it reserved.
+ */
+static void
+test_limit_over_all_entries(void)
+{
+	struct nodes w;
+	char **p = g_strsplit(net_doc, "{name: acme,", 2);
+	char *doc = g_strconcat(p[0],
+	    "{name: acme, units_per_s: 1000, burst_units: 100,", p[1], NULL);
+	double units = 0;
+
+	make(&w, 10, doc);
+	for (int i = 0; i < 24000; i++) {
+		/* Two entries of twelve get nine tenths of the traffic. */
+		struct net_node *e =
+		    w.e[i % 10 == 0 ? i / 10 % ENTRIES : i % 2];
+		const struct mh_key_owner *who =
+		    mh_decl_find_key(mh_conf_get(e->k), "party-key");
+		struct mh_limit_ticket t = { .org = NULL };
+
+		net_tick(e);
+		if (mh_limit_take(e->k, who, 10, &t) == 0) {
+			mh_limit_settle(e->k, &t, 10);
+			units += i >= 4000 ? 10 : 0;
+		}
+		net_run(w.n, 5 * MH_US_PER_MS);
+	}
+	units /= 20000 * 0.005;
+	if (units > 1050 || units < 900)
+		printf("\n  units a second: %.0f of 1000\n", units);
+	CU_ASSERT(units <= 1050);
+	CU_ASSERT(units >= 900);
+	g_strfreev(p);
+	g_free(doc);
+	net_destroy(w.n);
+}
+
+const struct test tests_nodes[] = {
+	{ "change_is_everywhere_in_seconds",
+	    test_change_is_everywhere_in_seconds },
+	{ "few_watch_the_platform", test_few_watch_the_platform },
+	{ "start_during_an_outage", test_start_during_an_outage },
+	{ "restored_kv_reverts_nothing", test_restored_kv_reverts_nothing },
+	{ "bad_document_is_not_taken", test_bad_document_is_not_taken },
+	{ "missing_list_changes_nothing", test_missing_list_changes_nothing },
+	{ "failure_domain_vanishes", test_failure_domain_vanishes },
+	{ "churn", test_churn },
+	{ "subset_is_stable", test_subset_is_stable },
+	{ "limit_over_all_entries", test_limit_over_all_entries },
+	{ NULL, NULL },
+};
