Roster: the VM list travels as changes, named by a hash; no dial storms

Cause: every process asked a peer for the whole VM list each second: control bytes of an entry grew by 176 B/s with each node, 520 KB/s at 3,000 nodes. Change: the list has a name that does not depend on order (exclusive-or of its VMs' hashes); a peer answers with what changed since the asker's name; a side process keeps its own pool only; entries ask their domain's watchers. Found on the way: two entries that dial each other closed each other's links for ever (test mutual_dial_settles).

--- a/lib/admin.c
+++ b/lib/admin.c
@@ -22,6 +22,7 @@
 
 	json_object_set_new(o, "config", mh_conf_state(k));
 	json_object_set_new(o, "members", mh_member_state(k));
+	json_object_set_new(o, "vm_list", mh_roster_state(k));
 	if (mh_kern_get(k, "entry") != NULL) {
 		json_object_set_new(o, "entry", mh_entry_state(k));
 		json_object_set_new(o, "limits", mh_limit_state(k));
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -527,12 +527,12 @@
 	char *pool;
 	char *domain;
 	bool listed; /* in the newest list */
-	bool seen_listed; /* was in some list */
 	bool list_leaving;
 	bool draining; /* said so itself */
 	int64_t absent_since_us; /* 0: listed */
 	/* link */
 	uint64_t conn; /* the link in use, 0 for none */
+	bool conn_ours; /* this process dialed it */
 	uint64_t dial; /* a link being opened */
 	bool up;
 	uint64_t incarnation;
@@ -572,26 +572,16 @@
 void mh_member_each(struct mh_kern *k, mh_peer_fn fn, void *arg);
 /** mh_member_usable() - up, in the subset, not leaving. */
 bool mh_member_usable(struct mh_kern *k, const struct mh_peer *p);
-/** mh_member_gone() - absence is longer than the list's lag explains. */
-bool mh_member_gone(struct mh_kern *k, const char *vm, int64_t after_us);
-/** mh_member_listed() - the newest reading holds @vm, not leaving. */
-bool mh_member_listed(struct mh_kern *k, const char *vm);
-/** mh_member_has_list() - some reading of the VM list is known. */
-bool mh_member_has_list(struct mh_kern *k);
-/** mh_member_dropped() - this VM was listed and is not any more. */
-bool mh_member_dropped(struct mh_kern *k);
-/** mh_member_watcher() - is this process one of its domain's watchers? */
-bool mh_member_watcher(struct mh_kern *k, const char *what);
+/** mh_member_list() - the VM list holds @vm, as it says now. */
+void mh_member_list(struct mh_kern *k, const struct mh_vm *vm);
+/** mh_member_unlist() - the VM list does not hold it any more. */
+void mh_member_unlist(struct mh_kern *k, const char *vm);
+/** mh_member_refresh() - the list changed: choose the links anew. */
+void mh_member_refresh(struct mh_kern *k);
+uint32_t mh_member_links(struct mh_kern *k);
+bool mh_member_draining(struct mh_kern *k);
 /** mh_member_dial() - keep a link to @p from now on. */
 void mh_member_dial(struct mh_kern *k, struct mh_peer *p);
-/** mh_member_entries() - how many entries are listed, at least one. */
-uint32_t mh_member_entries(struct mh_kern *k);
-/** mh_member_home() - the listed entry that rendezvous gives @what. */
-const char *mh_member_home(struct mh_kern *k, const char *what);
-/** mh_member_winner() - the listed, staying side of @pool for @what. */
-const char *mh_member_winner(
-    struct mh_kern *k, const char *pool, const char *what);
-
 enum mh_link_event { MH_LINK_SAME, MH_LINK_OTHER, MH_LINK_FAILED };
 typedef void (*mh_link_fn)(
     void *arg, struct mh_peer *p, enum mh_link_event ev, uint64_t conn);
@@ -608,6 +598,30 @@
 void mh_member_drain(struct mh_kern *k);
 json_t *mh_member_state(struct mh_kern *k);
 
+/* roster.c: service "roster", the VM list */
+
+/** mh_roster_create() - @pool: the only one to keep, NULL on an entry. */
+void mh_roster_create(
+    struct mh_kern *k, const char *vm, const char *domain, const char *pool);
+/** mh_member_gone() - absence is longer than the list's lag explains. */
+bool mh_member_gone(struct mh_kern *k, const char *vm, int64_t after_us);
+/** mh_member_listed() - the newest reading holds @vm, not leaving. */
+bool mh_member_listed(struct mh_kern *k, const char *vm);
+/** mh_member_has_list() - some reading of the VM list is known. */
+bool mh_member_has_list(struct mh_kern *k);
+/** mh_member_dropped() - this VM was listed and is not any more. */
+bool mh_member_dropped(struct mh_kern *k);
+/** mh_member_watcher() - is this process one of its domain's watchers? */
+bool mh_member_watcher(struct mh_kern *k, const char *what);
+/** mh_member_entries() - how many entries are listed, at least one. */
+uint32_t mh_member_entries(struct mh_kern *k);
+/** mh_member_home() - the listed entry that rendezvous gives @what. */
+const char *mh_member_home(struct mh_kern *k, const char *what);
+/** mh_member_winner() - the listed, staying side of @pool for @what. */
+const char *mh_member_winner(
+    struct mh_kern *k, const char *pool, const char *what);
+json_t *mh_roster_state(struct mh_kern *k);
+
 /* rendez.c */
 
 /** mh_rendezvous() - the weight of @node for @what; highest wins. */
--- a/lib/member.c
+++ b/lib/member.c
@@ -3,8 +3,7 @@
  * the peer's own words, observed progress), and the links to them.
  *
  * An entry links to a rendezvous subset of each pool; a side process links
- * only to processes it was asked for.  Only a few watchers per failure
- * domain read the platform's list; the rest ask a linked peer.
+ * only to processes it was asked for.  The list itself is in roster.c.
  */
 
 #include "marlhoist.h"
@@ -12,8 +11,6 @@
 #include <string.h>
 
 #define TICK_US (50 * MH_US_PER_MS)
-#define LIST_US (1 * MH_US_PER_S) /* between two readings */
-#define LIST_STALE_US (3 * MH_US_PER_S) /* then read it oneself */
 #define ABSENT_US (2 * MH_US_PER_S) /* absence that stops new work */
 #define FORGET_US (120 * MH_US_PER_S)
 #define BUSY_PING_US (100 * MH_US_PER_MS)
@@ -26,7 +23,6 @@
 #define REDIAL_MAX_US (2 * MH_US_PER_S)
 #define SUBSET 20 /* links of an entry to one pool */
 #define SUBSET_NEAR 14 /* of them in its own failure domain */
-#define WATCHERS 2
 
 struct listener {
 	mh_link_fn fn;
@@ -42,12 +38,7 @@
 	GHashTable *conns; /* conn -> struct mh_peer */
 	GHashTable *pools; /* name -> GPtrArray of struct mh_peer */
 	GArray *listeners;
-	int64_t list_at_us; /* when the newest reading was made, -1: never */
-	int64_t list_asked_us;
 	bool draining;
-	bool self_seen; /* some reading held this VM */
-	bool self_listed; /* the newest reading holds it */
-	bool self_leaving; /* and says that it leaves */
 	uint32_t links;
 	struct mh_timer *tick;
 };
@@ -165,147 +156,6 @@
 	return p->up && p->wanted && !leaving(p) && !absent(get(k), p);
 }
 
-/*
- * "Gone" needs a VM that was listed and then missed from every reading for
- * longer than the list lags; no reading (an outage) proves nothing, so the
- * newest reading must itself be recent.
- */
-bool
-mh_member_gone(struct mh_kern *k, const char *vm, int64_t after_us)
-{
-	struct member *mb = get(k);
-	struct mh_peer *p = mh_member_find(k, vm);
-
-	if (p == NULL || !p->seen_listed || p->absent_since_us == 0)
-		return false;
-	if (mb->list_at_us < 0 ||
-	    mh_now(k) - mb->list_at_us > LIST_STALE_US + LIST_US)
-		return false;
-	return mb->list_at_us - p->absent_since_us > after_us;
-}
-
-bool
-mh_member_listed(struct mh_kern *k, const char *vm)
-{
-	struct member *mb = get(k);
-	struct mh_peer *p;
-
-	if (strcmp(vm, mb->vm) == 0)
-		return !mb->draining;
-	p = mh_member_find(k, vm);
-	return p != NULL && p->listed && !leaving(p);
-}
-
-bool
-mh_member_has_list(struct mh_kern *k)
-{
-	return get(k)->list_at_us >= 0;
-}
-
-bool
-mh_member_dropped(struct mh_kern *k)
-{
-	return get(k)->self_seen && !get(k)->self_listed;
-}
-
-/* The best of the candidates for @what by rendezvous hashing. */
-struct contest {
-	struct mh_kern *k;
-	const char *what;
-	const char *role;
-	const char *pool;
-	const char *domain;
-	const char *best;
-	uint64_t weight;
-	uint64_t mine;
-	uint32_t better; /* candidates that beat this process */
-	uint32_t count;
-};
-
-static void
-contend(struct contest *c, const char *vm)
-{
-	uint64_t w = mh_rendezvous(c->what, vm);
-
-	c->count++;
-	if (w > c->mine)
-		c->better++;
-	if (c->best != NULL && w <= c->weight)
-		return;
-	c->best = vm;
-	c->weight = w;
-}
-
-static void
-contend_peer(void *arg, struct mh_peer *p)
-{
-	struct contest *c = arg;
-
-	if (!p->listed || leaving(p) || strcmp(p->role, c->role) != 0)
-		return;
-	if (c->pool != NULL && strcmp(p->pool, c->pool) != 0)
-		return;
-	if (c->domain != NULL && strcmp(p->domain, c->domain) != 0)
-		return;
-	if (strcmp(p->vm, get(c->k)->vm) != 0)
-		contend(c, p->vm);
-}
-
-uint32_t
-mh_member_entries(struct mh_kern *k)
-{
-	struct contest c = { .k = k, .what = "", .role = "entry" };
-
-	mh_member_each(k, contend_peer, &c);
-	return c.count + (get(k)->entry ? 1 : 0);
-}
-
-const char *
-mh_member_home(struct mh_kern *k, const char *what)
-{
-	struct contest c = { .k = k, .what = what, .role = "entry" };
-
-	mh_member_each(k, contend_peer, &c);
-	if (get(k)->entry)
-		contend(&c, get(k)->vm);
-	return c.best;
-}
-
-const char *
-mh_member_winner(struct mh_kern *k, const char *pool, const char *what)
-{
-	struct contest c = {
-		.k = k, .what = what, .role = "side", .pool = pool
-	};
-
-	mh_member_each(k, contend_peer, &c);
-	if (!get(k)->draining && !get(k)->self_leaving)
-		contend(&c, get(k)->vm);
-	return c.best;
-}
-
-/*
- * Chosen without agreement: each process ranks itself among the entries
- * that it knows in its domain.  Two views may give one watcher too many or
- * too few for a moment, which costs a read, not safety.
- */
-bool
-mh_member_watcher(struct mh_kern *k, const char *what)
-{
-	struct member *mb = get(k);
-	struct contest c = {
-		.k = k, .what = what, .role = "entry", .domain = mb->domain
-	};
-
-	if (mb->list_at_us < 0)
-		return true;
-	c.mine = mh_rendezvous(what, mb->vm);
-	mh_member_each(k, contend_peer, &c);
-	if (!mb->entry)
-		return c.count == 0 && mb->links == 0;
-	return c.better < WATCHERS;
-}
-
 void
 mh_member_on_link(struct mh_kern *k, mh_link_fn fn, void *arg)
 {
@@ -404,8 +254,14 @@
 		p->draining = false;
 		p->fails = 0;
 	}
-	if (old != 0 && old != l->conn)
+	/*
+	 * Only a link of our own is replaced.  The peer's link to us is the
+	 * peer's to close: two processes that dial each other would else
+	 * close each other's links for ever.
+	 */
+	if (old != 0 && old != l->conn && p->conn_ours)
 		drop_conn(mb, old);
+	p->conn_ours = true;
 	tell(mb, p,
 	    old_inc == 0 || old_inc == l->incarnation ? MH_LINK_SAME
 						      : MH_LINK_OTHER,
@@ -427,6 +283,7 @@
 	mb->links++;
 	if (!p->up || !p->kept) {
 		p->conn = l->conn;
+		p->conn_ours = false;
 		p->up = true;
 		p->incarnation = l->incarnation;
 	}
@@ -453,7 +310,8 @@
 	p->conn = 0;
 	p->up = false;
 	/* Try at once: a cut link to a live process resumes in a round trip. */
-	if ((p->wanted || p->kept) && p->dial == 0)
+	if ((p->wanted || p->kept) && p->dial == 0 &&
+	    mh_now(mb->k) - p->dialed_us > REDIAL_MIN_US)
 		dial(mb, p);
 }
 
@@ -640,27 +498,10 @@
 	mb->links += p->up;
 }
 
-static void
-mark_absent(void *arg, struct mh_peer *p)
-{
-	struct member *mb = arg;
-
-	if (!p->listed && p->seen_listed && p->absent_since_us == 0) {
-		p->absent_since_us = MAX(mb->list_at_us, 1);
-		mh_log(mb->k, "member", "VM left the list: vm=%s.", p->vm);
-	}
-}
-
-static void
-unlist(void *arg, struct mh_peer *p)
-{
-	(void)arg;
-	p->listed = false;
-}
-
-static void
-list_vm(struct member *mb, const struct mh_vm *vm)
+void
+mh_member_list(struct mh_kern *k, const struct mh_vm *vm)
 {
+	struct member *mb = get(k);
 	struct mh_peer *p = peer_for(mb, vm->id, vm->role, vm->pool);
 
 	if (strcmp(p->addr, vm->addr) != 0) {
@@ -669,11 +510,22 @@
 	}
 	set_str(&p->domain, vm->domain);
 	p->listed = true;
-	p->seen_listed = true;
 	p->list_leaving = vm->leaving;
 	p->absent_since_us = 0;
 }
 
+void
+mh_member_unlist(struct mh_kern *k, const char *vm)
+{
+	struct mh_peer *p = mh_member_find(k, vm);
+
+	if (p == NULL)
+		return;
+	p->listed = false;
+	p->absent_since_us = MAX(mh_now(k), 1);
+	mh_log(k, "member", "VM left the list: vm=%s.", vm);
+}
+
 static gboolean
 is_peers(gpointer key, gpointer value, gpointer peer)
 {
@@ -697,26 +549,13 @@
 	return TRUE;
 }
 
-static void
-take_list(struct member *mb, GPtrArray *vms, int64_t at_us)
+void
+mh_member_refresh(struct mh_kern *k)
 {
+	struct member *mb = get(k);
 	GHashTableIter it;
 	gpointer pool;
 
-	mb->list_at_us = at_us;
-	mb->self_listed = false;
-	mh_member_each(mb->k, unlist, mb);
-	for (guint i = 0; i < vms->len; i++) {
-		const struct mh_vm *vm = vms->pdata[i];
-
-		if (strcmp(vm->id, mb->vm) != 0) {
-			list_vm(mb, vm);
-			continue;
-		}
-		mb->self_seen = mb->self_listed = true;
-		mb->self_leaving = vm->leaving;
-	}
-	mh_member_each(mb->k, mark_absent, mb);
 	g_hash_table_foreach_remove(mb->peers, forgettable, mb);
 	if (!mb->entry)
 		return;
@@ -725,39 +564,16 @@
 		choose_subset(mb, pool);
 }
 
-static void
-first_up(void *arg, struct mh_peer *p)
+uint32_t
+mh_member_links(struct mh_kern *k)
 {
-	struct mh_peer **out = arg;
-
-	if (p->up && (*out == NULL || strcmp(p->role, "entry") == 0))
-		*out = p;
+	return get(k)->links;
 }
 
-static void
-ask_list(struct member *mb)
+bool
+mh_member_draining(struct mh_kern *k)
 {
-	int64_t now = mh_now(mb->k);
-	Mh__Frame f = MH__FRAME__INIT;
-	Mh__MembersAsk ask = MH__MEMBERS_ASK__INIT;
-	struct mh_peer *p = NULL;
-	bool stale = mb->list_at_us < 0 || now - mb->list_at_us > LIST_STALE_US;
-
-	if (mb->list_asked_us != 0 && now - mb->list_asked_us < LIST_US)
-		return;
-	mb->list_asked_us = MAX(now, 1);
-	if (mh_member_watcher(mb->k, "vmlist") || stale) {
-		mh_post(mb->k, "vmlist", mh_msg_new(MH_MSG_VMLIST_ASK));
-		mh_count(mb->k, "member_list_reads", 1);
-		return;
-	}
-	mh_member_each(mb->k, first_up, &p);
-	if (p == NULL)
-		return;
-	ask.max_age_us = LIST_US;
-	f.body_case = MH__FRAME__BODY_MEMBERS_ASK;
-	f.members_ask = &ask;
-	mh_frame_send(mb->k, p->conn, &f);
+	return get(k)->draining;
 }
 
 static void
@@ -766,7 +582,6 @@
 	struct member *mb = arg;
 
 	mb->tick = mh_timer_start(mb->k, TICK_US, on_tick, mb);
-	ask_list(mb);
 	if (mb->entry) {
 		mb->links = 0;
 		mh_member_each(mb->k, count_links, mb);
@@ -774,78 +589,6 @@
 	mh_member_each(mb->k, tend_peer, mb);
 }
 
-static void
-on_members_ask(void *arg, uint64_t conn, const Mh__Frame *in)
-{
-	struct member *mb = arg;
-	Mh__Frame f = MH__FRAME__INIT;
-	Mh__Members ms = MH__MEMBERS__INIT;
-	GPtrArray *list;
-	GHashTableIter it;
-	gpointer value;
-
-	(void)in;
-	if (mb->list_at_us < 0)
-		return;
-	list = g_ptr_array_new_with_free_func(g_free);
-	g_hash_table_iter_init(&it, mb->peers);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct mh_peer *p = value;
-		Mh__Vm *vm;
-
-		if (!p->listed)
-			continue;
-		vm = g_new(Mh__Vm, 1);
-		mh__vm__init(vm);
-		vm->id = p->vm;
-		vm->addr = p->addr;
-		vm->role = p->role;
-		vm->pool = p->pool;
-		vm->domain = p->domain;
-		vm->leaving = p->list_leaving;
-		g_ptr_array_add(list, vm);
-	}
-	ms.seen_us_ago = (uint64_t)(mh_now(mb->k) - mb->list_at_us);
-	ms.n_vms = list->len;
-	ms.vms = (Mh__Vm **)list->pdata;
-	f.body_case = MH__FRAME__BODY_MEMBERS;
-	f.members = &ms;
-	mh_frame_send(mb->k, conn, &f);
-	g_ptr_array_free(list, TRUE);
-}
-
-/*
- * The answering peer leaves itself out of its own list: it is linked, so it
- * is added here as it was known.
- */
-static void
-on_members(void *arg, uint64_t conn, const Mh__Frame *f)
-{
-	struct member *mb = arg;
-	const Mh__Members *ms = f->members;
-	int64_t at = mh_now(mb->k) - (int64_t)ms->seen_us_ago;
-	struct mh_peer *from = mh_member_conn(mb->k, conn);
-	GPtrArray *vms;
-
-	/* A reading older than ours tells nothing new. */
-	if (at <= mb->list_at_us)
-		return;
-	vms = g_ptr_array_new_with_free_func((GDestroyNotify)mh_vm_free);
-	for (size_t i = 0; i < ms->n_vms; i++) {
-		const Mh__Vm *v = ms->vms[i];
-
-		g_ptr_array_add(vms,
-		    mh_vm_new(v->id, v->addr, v->role, v->pool, v->domain,
-			v->leaving));
-	}
-	if (from != NULL)
-		g_ptr_array_add(vms,
-		    mh_vm_new(from->vm, from->addr, from->role, from->pool,
-			from->domain, from->list_leaving));
-	take_list(mb, vms, at);
-	g_ptr_array_unref(vms);
-}
-
 static void
 on_ping(void *arg, uint64_t conn, const Mh__Frame *in)
 {
@@ -930,25 +673,8 @@
 	json_t *peers = json_array();
 
 	mh_member_each(k, add_state, peers);
-	return json_pack("{s:I, s:b, s:i, s:o}", "list_age_us",
-	    mb->list_at_us < 0 ? (json_int_t)-1
-			       : (json_int_t)(mh_now(k) - mb->list_at_us),
-	    "draining", mb->draining, "links", (int)mb->links, "peers", peers);
-}
-
-static void
-handle(void *self, struct mh_msg *m)
-{
-	struct member *mb = self;
-
-	if (m->kind != MH_MSG_VMLIST)
-		return;
-	/* No reading changes nothing: an outage of the list stops nobody. */
-	if (!m->u.vmlist.ok) {
-		mh_count(mb->k, "member_list_failed", 1);
-		return;
-	}
-	take_list(mb, m->u.vmlist.vms, mh_now(mb->k));
+	return json_pack("{s:b, s:i, s:o}", "draining", mb->draining, "links",
+	    (int)mb->links, "peers", peers);
 }
 
 static void
@@ -976,7 +702,6 @@
 	mb->vm = g_strdup(vm);
 	mb->domain = g_strdup(domain);
 	mb->entry = strcmp(role, "entry") == 0;
-	mb->list_at_us = -1;
 	mb->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
 	mb->conns =
@@ -984,9 +709,7 @@
 	mb->pools = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
 	mb->listeners = g_array_new(FALSE, FALSE, sizeof(struct listener));
-	mh_kern_add(k, "member", mb, handle, destroy);
-	mh_hub_on(k, MH__FRAME__BODY_MEMBERS_ASK, on_members_ask, mb);
-	mh_hub_on(k, MH__FRAME__BODY_MEMBERS, on_members, mb);
+	mh_kern_add(k, "member", mb, NULL, destroy);
 	mh_hub_on(k, MH__FRAME__BODY_DRAIN, on_drain, mb);
 	mh_hub_on(k, MH__FRAME__BODY_PING, on_ping, mb);
 	mh_member_on_link(k, on_link_self, mb);
--- a/lib/vmlist.c
+++ b/lib/vmlist.c
@@ -57,7 +57,7 @@
 	if (d->whole && d->status == 200)
 		m->u.vmlist.vms = mh_vmlist_parse(d->body);
 	m->u.vmlist.ok = m->u.vmlist.vms != NULL;
-	mh_post(v->k, "member", m);
+	mh_post(v->k, "roster", m);
 }
 
 static void
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -3315,7 +3315,7 @@
   (ProtobufCMessageInit) mh__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__vm__field_descriptors[6] =
+static const ProtobufCFieldDescriptor mh__vm__field_descriptors[7] =
 {
   {
     "id",
@@ -3389,6 +3389,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "removed",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Vm, removed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__vm__field_indices_by_name[] = {
   1,   /* field[1] = addr */
@@ -3396,12 +3408,13 @@
   0,   /* field[0] = id */
   5,   /* field[5] = leaving */
   3,   /* field[3] = pool */
+  6,   /* field[6] = removed */
   2,   /* field[2] = role */
 };
 static const ProtobufCIntRange mh__vm__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor mh__vm__descriptor =
 {
@@ -3411,14 +3424,14 @@
   "Mh__Vm",
   "mh",
   sizeof(Mh__Vm),
-  6,
+  7,
   mh__vm__field_descriptors,
   mh__vm__field_indices_by_name,
   1,  mh__vm__number_ranges,
   (ProtobufCMessageInit) mh__vm__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__members__field_descriptors[2] =
+static const ProtobufCFieldDescriptor mh__members__field_descriptors[4] =
 {
   {
     "seen_us_ago",
@@ -3444,15 +3457,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "hash",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Members, hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Members, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__members__field_indices_by_name[] = {
+  2,   /* field[2] = hash */
   0,   /* field[0] = seen_us_ago */
   1,   /* field[1] = vms */
+  3,   /* field[3] = whole */
 };
 static const ProtobufCIntRange mh__members__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor mh__members__descriptor =
 {
@@ -3462,35 +3501,48 @@
   "Mh__Members",
   "mh",
   sizeof(Mh__Members),
-  2,
+  4,
   mh__members__field_descriptors,
   mh__members__field_indices_by_name,
   1,  mh__members__number_ranges,
   (ProtobufCMessageInit) mh__members__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__members_ask__field_descriptors[1] =
+static const ProtobufCFieldDescriptor mh__members_ask__field_descriptors[2] =
 {
   {
-    "max_age_us",
+    "hash",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Mh__MembersAsk, max_age_us),
+    offsetof(Mh__MembersAsk, hash),
+    NULL,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pool",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__MembersAsk, pool),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
 static const unsigned mh__members_ask__field_indices_by_name[] = {
-  0,   /* field[0] = max_age_us */
+  0,   /* field[0] = hash */
+  1,   /* field[1] = pool */
 };
 static const ProtobufCIntRange mh__members_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor mh__members_ask__descriptor =
 {
@@ -3500,7 +3552,7 @@
   "Mh__MembersAsk",
   "mh",
   sizeof(Mh__MembersAsk),
-  1,
+  2,
   mh__members_ask__field_descriptors,
   mh__members_ask__field_indices_by_name,
   1,  mh__members_ask__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -409,10 +409,11 @@
   char *pool;
   char *domain;
   protobuf_c_boolean leaving;
+  protobuf_c_boolean removed;
 };
 #define MH__VM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__vm__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Mh__Members
@@ -421,20 +422,35 @@
   uint64_t seen_us_ago;
   size_t n_vms;
   Mh__Vm **vms;
+  /*
+   * of the whole list, in this view
+   */
+  uint64_t hash;
+  /*
+   * else only what changed
+   */
+  protobuf_c_boolean whole;
 };
 #define MH__MEMBERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__members__descriptor) \
-    , 0, 0,NULL }
+    , 0, 0,NULL, 0, 0 }
 
 
 struct  Mh__MembersAsk
 {
   ProtobufCMessage base;
-  uint64_t max_age_us;
+  /*
+   * of the list that the asker has
+   */
+  uint64_t hash;
+  /*
+   * the view: one pool, or "" for all
+   */
+  char *pool;
 };
 #define MH__MEMBERS_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__members_ask__descriptor) \
-    , 0 }
+    , 0, (char *)protobuf_c_empty_string }
 
 
 struct  Mh__GrantAsk
--- a/regress/net.c
+++ b/regress/net.c
@@ -508,18 +508,28 @@
 }
 
 void
-net_apply(struct net *n, uint64_t generation, const char *doc)
+net_apply_delta(
+    struct net *n, uint64_t generation, const char *doc, const char *old)
 {
 	GBytes *b = g_bytes_new(doc, strlen(doc)), *head;
+	GBytes *base = old == NULL ? NULL : g_bytes_new(old, strlen(old));
 	char id[24], name[64];
 
 	snprintf(id, sizeof(id), "w%" PRIu64, generation);
 	snprintf(name, sizeof(name), "%s%s", MH_CONF_DOC, id);
 	kv_store(n, name, b);
-	head = mh_conf_head_make(generation, id, b, 0, NULL, NULL);
+	head = mh_conf_head_make(generation, id, b, generation - 1, base, NULL);
 	kv_store(n, MH_CONF_HEAD, head);
 	g_bytes_unref(head);
 	g_bytes_unref(b);
+	if (base != NULL)
+		g_bytes_unref(base);
+}
+
+void
+net_apply(struct net *n, uint64_t generation, const char *doc)
+{
+	net_apply_delta(n, generation, doc, NULL);
 }
 
 /* ---- VM list ---- */
@@ -543,7 +553,7 @@
 			    mh_vm_new(y->vm, y->addr, y->role, y->pool,
 				y->domain, y->leaving));
 	}
-	deliver(x, "member", m, LIST_ANSWER_US, NULL, false);
+	deliver(x, "roster", m, LIST_ANSWER_US, NULL, false);
 }
 
 /* ---- endpoint ---- */
--- a/regress/net.h
+++ b/regress/net.h
@@ -86,6 +86,9 @@
 /** net_silence() - open links of @x carry nothing any more. */
 void net_silence(struct net_node *x, bool in, bool out);
 void net_apply(struct net *n, uint64_t generation, const char *doc);
+/** net_apply_delta() - as marlctl does, with the delta from @old. */
+void net_apply_delta(
+    struct net *n, uint64_t generation, const char *doc, const char *old);
 void net_run(struct net *n, int64_t us);
 int64_t net_now(const struct net *n);
 /** net_tick() - brings a node's own clock up to the world's. */
--- a/regress/t_adapter.c
+++ b/regress/t_adapter.c
@@ -367,7 +367,7 @@
 
 		rig_open(&g);
 		g.reply = &list_cases[i].reply;
-		mh_kern_add(g.k, "member", &g, take, NULL);
+		mh_kern_add(g.k, "roster", &g, take, NULL);
 		mh_vmlist_create(g.k, g.client, g.url);
 		mh_post(g.k, "vmlist", mh_msg_new(MH_MSG_VMLIST_ASK));
 		mh_loop_run(g.loop);
--- a/regress/t_nodes.c
+++ b/regress/t_nodes.c
@@ -245,6 +245,30 @@
 	net_destroy(w.n);
 }
 
+/*
+ * Two entries dial each other at the same moment, each taking the other's
+ * link for an old one of its own: both closed and dialed for ever, and a
+ * core was busy with nothing.
+ */
+static void
+test_mutual_dial_settles(void)
+{
+	struct nodes w;
+	uint64_t frames;
+
+	make(&w, 11, net_doc);
+	for (int i = 0; i < 2; i++)
+		mh_member_dial(w.e[i]->k,
+		    mh_member_find(w.e[i]->k, w.e[1 - i]->vm));
+	net_run(w.n, MH_US_PER_S);
+	frames = w.n->frames;
+	net_run(w.n, MH_US_PER_S);
+	CU_ASSERT(w.n->frames - frames < 5000);
+	CU_ASSERT_TRUE(mh_member_find(w.e[0]->k, w.e[1]->vm)->up);
+	CU_ASSERT_TRUE(mh_member_find(w.e[1]->k, w.e[0]->vm)->up);
+	net_destroy(w.n);
+}
+
 /* Two calls of one VM: the subset moves only with what changed. */
 static void
 test_subset_is_stable(void)
@@ -311,6 +335,7 @@
 	{ "missing_list_changes_nothing", test_missing_list_changes_nothing },
 	{ "failure_domain_vanishes", test_failure_domain_vanishes },
 	{ "churn", test_churn },
+	{ "mutual_dial_settles", test_mutual_dial_settles },
 	{ "subset_is_stable", test_subset_is_stable },
 	{ "limit_over_all_entries", test_limit_over_all_entries },
 	{ NULL, NULL },
