--- a/lib/member.c
+++ b/lib/member.c
@@ -21,8 +21,9 @@
 #define DIAL_US (300 * MH_US_PER_MS) /* a dial that takes longer failed */
 #define REDIAL_MIN_US (100 * MH_US_PER_MS)
 #define REDIAL_MAX_US (2 * MH_US_PER_S)
-#define SUBSET 20 /* links of an entry to one pool */
-#define SUBSET_NEAR 14 /* of them in its own failure domain */
+#define SUBSET 20 /* an entry's links to one pool, at least */
+#define LINKED 6 /* links from entries that each endpoint has on average */
+#define NEAR_PART 0.7 /* of the links stay in the own failure domain */
 
 struct listener {
 	mh_link_fn fn;
@@ -454,6 +455,19 @@
 	}
 }
 
+/*
+ * With few entries before a large pool twenty links each would leave
+ * endpoints that nobody asks, so the subset grows until every endpoint can
+ * expect several.
+ */
+static uint32_t
+subset_size(struct member *mb, uint32_t pool)
+{
+	uint32_t entries = mh_member_entries(mb->k);
+
+	return MAX(SUBSET, (pool * LINKED + entries - 1) / entries);
+}
+
 /*
  * The subset follows from the two names alone, so a change of one VM moves
  * only that VM's links.
@@ -462,7 +476,8 @@
 choose_subset(struct member *mb, GPtrArray *pool)
 {
 	GPtrArray *sorted = g_ptr_array_new();
-	uint32_t near = 0, taken = 0;
+	uint32_t size = subset_size(mb, pool->len), near = 0, taken = 0;
+	uint32_t near_size = (uint32_t)(NEAR_PART * size);
 
 	for (guint i = 0; i < pool->len; i++) {
 		struct mh_peer *p = pool->pdata[i];
@@ -476,15 +491,12 @@
 	for (guint i = 0; i < sorted->len; i++) {
 		struct mh_peer *p = sorted->pdata[i];
 		bool mine = strcmp(p->domain, mb->domain) == 0;
-		bool take = taken < SUBSET &&
-		    (sorted->len <= SUBSET ||
-			(mine ? near < SUBSET_NEAR
-			      : taken - near < SUBSET - SUBSET_NEAR));
-
-		if (take) {
-			taken++;
-			near += mine;
-		}
+		bool room =
+		    mine ? near < near_size : taken - near < size - near_size;
+		bool take = sorted->len <= size || room;
+
+		taken += take;
+		near += take && mine;
 		want(mb, p, take);
 	}
 	g_ptr_array_free(sorted, TRUE);
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -112,8 +112,8 @@
 	if (was == hash)
 		return;
 	row = g_new0(struct row, 1);
-	row->vm = mh_vm_new(vm->id, vm->addr, vm->role, vm->pool, vm->domain,
-	    vm->leaving);
+	row->vm = mh_vm_new(
+	    vm->id, vm->addr, vm->role, vm->pool, vm->domain, vm->leaving);
 	row->hash = hash;
 	note_change(r, vm, was, hash);
 	g_hash_table_replace(r->rows, row->vm->id, row);
@@ -320,9 +320,9 @@
 mh_member_watcher(struct mh_kern *k, const char *what)
 {
 	struct roster *r = get(k);
-	struct contest c = { .what = what,
-		.role = "entry",
-		.domain = r->domain };
+	struct contest c = {
+		.what = what, .role = "entry", .domain = r->domain
+	};
 
 	if (r->at_us < 0)
 		return true;
@@ -345,9 +345,9 @@
 static struct mh_peer *
 upstream(struct roster *r)
 {
-	struct contest c = { .what = "vmlist",
-		.role = "entry",
-		.domain = r->domain };
+	struct contest c = {
+		.what = "vmlist", .role = "entry", .domain = r->domain
+	};
 	struct mh_peer *found = NULL;
 	const char *names[WATCHERS];
 
@@ -437,8 +437,7 @@
 {
 	GHashTable *ids = g_hash_table_new(g_str_hash, g_str_equal);
 
-	for (GList *n = r->changes.head; n != NULL && to != from;
-	     n = n->next) {
+	for (GList *n = r->changes.head; n != NULL && to != from; n = n->next) {
 		struct change *c = n->data;
 
 		if (!in_view(view, c->pool))
@@ -481,8 +480,8 @@
 
 		if (!in_view(view, row->vm->pool))
 			continue;
-		if (ids != NULL ? g_hash_table_contains(ids, row->vm->id) :
-				  row->hash != 0)
+		if (ids != NULL ? g_hash_table_contains(ids, row->vm->id)
+				: row->hash != 0)
 			g_ptr_array_add(list, wire_vm(row));
 	}
 	return list;
@@ -494,8 +493,7 @@
 	struct roster *r = arg;
 	const char *view = in->members_ask->pool;
 	uint64_t hash = view_hash(r, view);
-	GHashTable *ids =
-	    changed_since(r, view, in->members_ask->hash, hash);
+	GHashTable *ids = changed_since(r, view, in->members_ask->hash, hash);
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__Members m = MH__MEMBERS__INIT;
 	GPtrArray *list;
@@ -526,8 +524,8 @@
 	for (size_t i = 0; i < m->n_vms; i++) {
 		const Mh__Vm *v = m->vms[i];
 		struct row *row = g_hash_table_lookup(r->rows, v->id);
-		struct mh_vm vm = { v->id, v->addr, v->role, v->pool,
-			v->domain, v->leaving };
+		struct mh_vm vm = { v->id, v->addr, v->role, v->pool, v->domain,
+			v->leaving };
 
 		if (!v->removed)
 			list_vm(r, &vm);
--- a/regress/t_nodes.c
+++ b/regress/t_nodes.c
@@ -258,8 +258,8 @@
 
 	make(&w, 11, net_doc);
 	for (int i = 0; i < 2; i++)
-		mh_member_dial(w.e[i]->k,
-		    mh_member_find(w.e[i]->k, w.e[1 - i]->vm));
+		mh_member_dial(
+		    w.e[i]->k, mh_member_find(w.e[i]->k, w.e[1 - i]->vm));
 	net_run(w.n, MH_US_PER_S);
 	frames = w.n->frames;
 	net_run(w.n, MH_US_PER_S);
@@ -269,6 +269,34 @@
 	net_destroy(w.n);
 }
 
+/*
+ * Two entries before sixty encoders: with twenty links each, a third of the
+ * encoders stood idle while the others were full.
+ */
+static void
+test_every_endpoint_is_linked(void)
+{
+	struct net *n = net_create(12);
+	struct net_node *s[60], *e[2];
+	char vm[24];
+
+	net_apply(n, 1, net_doc);
+	for (int i = 0; i < 60; i++) {
+		snprintf(vm, sizeof(vm), "enc%d", i);
+		s[i] = net_side(n, vm, "enc", domains[i % 3], 4);
+	}
+	e[0] = net_entry(n, "entry0", "a");
+	e[1] = net_entry(n, "entry1", "b");
+	net_run(n, 5 * MH_US_PER_S);
+	for (int i = 0; i < 60; i++) {
+		const struct mh_peer *a = mh_member_find(e[0]->k, s[i]->vm);
+		const struct mh_peer *b = mh_member_find(e[1]->k, s[i]->vm);
+
+		CU_ASSERT_TRUE(a->up || b->up);
+	}
+	net_destroy(n);
+}
+
 /* Two calls of one VM: the subset moves only with what changed. */
 static void
 test_subset_is_stable(void)
@@ -335,6 +363,7 @@
 	{ "missing_list_changes_nothing", test_missing_list_changes_nothing },
 	{ "failure_domain_vanishes", test_failure_domain_vanishes },
 	{ "churn", test_churn },
+	{ "every_endpoint_is_linked", test_every_endpoint_is_linked },
 	{ "mutual_dial_settles", test_mutual_dial_settles },
 	{ "subset_is_stable", test_subset_is_stable },
 	{ "limit_over_all_entries", test_limit_over_all_entries },
--- a/slopes/slopes.c
+++ b/slopes/slopes.c
@@ -132,8 +132,7 @@
 	clock_t c = clock();
 
 	net_run(n, MEASURE_S * MH_US_PER_S);
-	out->entry_bytes =
-	    (bytes_of(n, "entry") - e) / entries / MEASURE_S;
+	out->entry_bytes = (bytes_of(n, "entry") - e) / entries / MEASURE_S;
 	out->side_bytes =
 	    (bytes_of(n, "side") - s) / (pools * per_pool) / MEASURE_S;
 	out->kv_calls = ((double)n->kv_calls - k) / MEASURE_S;
@@ -200,8 +199,8 @@
 		mh_key_hash(key, hash);
 		sodium_bin2hex(hex, sizeof(hex), hash, sizeof(hash));
 		g_string_append_printf(s,
-		    "  - {name: o%d, units_per_s: %d, keys: [{hash: %s}]}\n",
-		    i, i == orgs / 2 ? (int)(1000 + turn) : 1000, hex);
+		    "  - {name: o%d, units_per_s: %d, keys: [{hash: %s}]}\n", i,
+		    i == orgs / 2 ? (int)(1000 + turn) : 1000, hex);
 	}
 	return g_string_free(s, FALSE);
 }
@@ -227,8 +226,8 @@
 	int64_t start = net_now(n);
 
 	net_apply_delta(n, generation, doc, old);
-	while (!all_have(n, generation) &&
-	    net_now(n) - start < 20 * MH_US_PER_S)
+	while (
+	    !all_have(n, generation) && net_now(n) - start < 20 * MH_US_PER_S)
 		net_run(n, 10 * MH_US_PER_MS);
 	g_free(doc);
 	g_free(old);
@@ -258,7 +257,9 @@
 		bytes = (double)n->bytes;
 		calls = (double)n->kv_calls;
 		for (uint64_t g = 2; g < 12; g++) {
-			worst = MAX(worst, apply_and_wait(n, g, 200));
+			double took = apply_and_wait(n, g, 200);
+
+			worst = MAX(worst, took);
 			net_run(n, MH_US_PER_S);
 		}
 		bytes = (double)n->bytes - bytes - idle * 10;
