--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -1114,4 +1114,37 @@
 void mh_log_stop(void);
 uint64_t mh_random_incarnation(void);
 
+/* run.c: a daemon from its settings to its end */
+
+struct mh_daemon;
+
+/** struct mh_daemon_ops - what differs between the daemons. */
+struct mh_daemon_ops {
+	const char *name;
+	const char *role;
+	enum mh_daemon_kind kind;
+	int64_t linger_us; /* shortest drain */
+	int64_t longest_us; /* longest drain, 0: until idle */
+	/* creates the services and d->httpd */
+	bool (*create)(struct mh_daemon *d, GError **err);
+	void (*drain)(struct mh_daemon *d);
+	bool (*idle)(struct mh_daemon *d);
+};
+
+/** struct mh_daemon - a running daemon. */
+struct mh_daemon {
+	const struct mh_daemon_ops *ops;
+	struct mh_settings settings;
+	uint64_t incarnation;
+	struct mh_kern *k;
+	struct mh_loop *loop;
+	struct mh_client *client;
+	struct mh_httpd *httpd;
+	struct mh_timer *drain;
+	int64_t drain_at_us;
+};
+
+/** mh_daemon_main() - runs until drained; the process's exit status. */
+int mh_daemon_main(const struct mh_daemon_ops *ops, int argc, char **argv);
+
 #endif
--- /dev/null
+++ b/lib/run.c
@@ -0,0 +1,130 @@
+/**
+ * DOC: A daemon from its settings to its end: kernel, loop, link, signals,
+ * drain.  What differs between the daemons comes as functions.
+ */
+
+#include "marlhoist.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#define DRAIN_CHECK_US (50 * MH_US_PER_MS)
+
+static G_GNUC_NORETURN void
+fail(const struct mh_daemon *d, GError *err)
+{
+	fprintf(stderr, "%s: %s\n", d->ops->name, err->message);
+	exit(2);
+}
+
+static void
+check_drained(void *arg)
+{
+	struct mh_daemon *d = arg;
+	int64_t waited = mh_now(d->k) - d->drain_at_us;
+
+	d->drain = mh_timer_start(d->k, DRAIN_CHECK_US, check_drained, d);
+	if (waited < d->ops->linger_us)
+		return;
+	if (!d->ops->idle(d) &&
+	    (d->ops->longest_us == 0 || waited < d->ops->longest_us))
+		return;
+	mh_log(d->k, "daemon", "Drained.");
+	mh_loop_stop(d->loop);
+}
+
+/* The first signal drains; a request in progress is never cut. */
+static void
+on_terminate(void *arg)
+{
+	struct mh_daemon *d = arg;
+
+	if (d->drain != NULL)
+		return;
+	mh_log(d->k, "daemon", "Draining.");
+	d->ops->drain(d);
+	d->drain_at_us = mh_now(d->k);
+	d->drain = mh_timer_start(d->k, DRAIN_CHECK_US, check_drained, d);
+}
+
+static void
+on_dump(void *arg)
+{
+	struct mh_daemon *d = arg;
+	char *text = mh_state_dump(d->k);
+
+	fprintf(stderr, "%s\n", text);
+	g_free(text);
+}
+
+static void
+create_link(struct mh_daemon *d, const char *secret)
+{
+	const struct mh_settings *s = &d->settings;
+	struct mh_link_args a = { .listen = s->listen,
+		.advertise = s->advertise,
+		.vm = s->vm,
+		.domain = s->domain,
+		.role = d->ops->role,
+		.pool = s->pool,
+		.incarnation = d->incarnation,
+		.secret = secret };
+	GError *err = NULL;
+
+	if (!mh_link_create(d->loop, &a, &err))
+		fail(d, err);
+}
+
+static void
+create_services(struct mh_daemon *d, const char *secret)
+{
+	GError *err = NULL;
+
+	d->client = mh_client_create(d->loop);
+	create_link(d, secret);
+	mh_kv_create(d->k, d->client, d->settings.kv);
+	mh_vmlist_create(d->k, d->client, d->settings.vmlist);
+	if (!d->ops->create(d, &err))
+		fail(d, err);
+	mh_admin_create(d->k);
+}
+
+int
+mh_daemon_main(const struct mh_daemon_ops *ops, int argc, char **argv)
+{
+	struct mh_daemon d = { .ops = ops };
+	GError *err = NULL;
+	char *secret;
+
+	mh_settings_read(&d.settings, ops->kind, argc, argv);
+	secret = mh_secret_read(d.settings.secret_file, &err);
+	if (secret == NULL)
+		fail(&d, err);
+	if (d.settings.check_only) {
+		printf("%s: settings are good\n", ops->name);
+		return 0;
+	}
+	signal(SIGPIPE, SIG_IGN);
+	d.incarnation = mh_random_incarnation();
+	d.k = mh_kern_create((uint32_t)mh_random_incarnation());
+	mh_log_start(d.k, ops->name, d.settings.log_level);
+	d.loop = mh_loop_create(d.k, &err);
+	if (d.loop == NULL)
+		fail(&d, err);
+	create_services(&d, secret);
+	mh_loop_signal(d.loop, SIGTERM, on_terminate, &d);
+	mh_loop_signal(d.loop, SIGINT, on_terminate, &d);
+	mh_loop_signal(d.loop, SIGUSR1, on_dump, &d);
+	printf("%s: ready http=%u link=%u\n", ops->name, mh_httpd_port(d.httpd),
+	    mh_link_port(d.loop));
+	fflush(stdout);
+	mh_loop_run(d.loop);
+	mh_httpd_destroy(d.httpd);
+	mh_kern_destroy(d.k);
+	mh_loop_destroy(d.loop);
+	mh_settings_clear(&d.settings);
+	g_free(secret);
+	mh_log_stop();
+	return 0;
+}
--- a/marlhoistd/http.c
+++ b/marlhoistd/http.c
@@ -145,15 +145,6 @@
 		mh_req_stream_end(r);
 }
 
-static void
-destroy(void *self)
-{
-	struct http *h = self;
-
-	mh_httpd_destroy(h->httpd);
-	g_free(h);
-}
-
 struct mh_httpd *
 http_create(struct mh_loop *l, const struct mh_settings *s, GError **err)
 {
@@ -171,6 +162,6 @@
 		g_free(h);
 		return NULL;
 	}
-	mh_kern_add(h->k, "http", h, handle, destroy);
+	mh_kern_add(h->k, "http", h, handle, g_free);
 	return h->httpd;
 }
