At-most-once: an opaque key may not run twice after a restart; bounded marks and hand-overs

Cause: a key that tells no time ran, its owner restarted and forgot, and the repeat was claimed in the KV service as if it were new: it ran a second time. Marks of refusals had no bound, and a hand-over over 4 MB was refused by the receiving link for ever. Change: an opaque key runs only where the ledger covers the retention time, else its outcome is "unknown"; the claim path is gone. Marks are bounded, what is forgotten raises a floor of request ids. A hand-over drops old answers, then old rows, raising the bound. Ruled out: claiming every opaque key (a KV write a request).

--- a/lib/claim.c
+++ b/lib/claim.c
@@ -20,6 +20,9 @@
 #define SETTLE_US (1 * MH_US_PER_S) /* before balancing after a start */
 #define MOVE_US (2 * MH_US_PER_S) /* a hand-over that takes longer stops */
 #define MOVE_AGAIN_US (5 * MH_US_PER_S)
+#define MAX_ROWS_BYTES (1U << 20) /* of a hand-over, without answers */
+#define MAX_BODIES_BYTES (2U << 20)
+#define ROW_OVERHEAD 64
 #define MAX_MOVES 4 /* partitions on their way out at once */
 
 enum move { MOVE_NONE, MOVE_EMPTYING, MOVE_SENT, MOVE_ACKED };
@@ -33,6 +36,7 @@
 	int64_t move_at_us;
 	int64_t again_at_us; /* no balancing move before this */
 	uint64_t serial; /* of the hand-over sent */
+	int64_t move_bound_ms; /* the bound that goes with it */
 	uint64_t got_epoch; /* of the hand-over received */
 	uint64_t got_serial;
 };
@@ -221,7 +225,7 @@
 
 	if (s->move == MOVE_ACKED) {
 		mh_owners_set(next, p, s->target, s->target_inc, t->epoch + 1,
-		    mh_ledger_bound(c->ledger, p));
+		    s->move_bound_ms);
 		return true;
 	}
 	if (mine(c, t) || c->draining)
@@ -263,38 +267,80 @@
 	mh_owners_destroy(next);
 }
 
+static void
+fill_row(struct mh_ledger_row *r, Mh__LedgerEntry *e, bool with_body)
+{
+	gsize len = 0;
+
+	mh__ledger_entry__init(e);
+	e->key = r->key;
+	e->outcome = r->outcome;
+	e->status = r->status;
+	e->body_hash = r->body_hash;
+	e->stamp_ms = (uint64_t)r->stamp_ms;
+	if (r->body != NULL && with_body)
+		e->body.data =
+		    (uint8_t *)(uintptr_t)g_bytes_get_data(r->body, &len);
+	e->body.len = len;
+}
+
+static size_t
+row_size(const struct mh_ledger_row *r)
+{
+	return strlen(r->key) + ROW_OVERHEAD;
+}
+
+/*
+ * A hand-over is one frame, and a frame has a bound: one that a peer must
+ * refuse would be sent again for ever and the drain never end.  The newest
+ * rows go with their answers, older ones without; what does not fit at all
+ * raises the bound, so that its keys are "unknown" at the new owner.
+ */
+static guint
+first_to_send(GPtrArray *rows, int64_t *bound_ms, guint *first_with_body)
+{
+	size_t size = 0, bodies = 0;
+	guint first = rows->len;
+
+	*first_with_body = rows->len;
+	while (first > 0) {
+		struct mh_ledger_row *r = rows->pdata[first - 1];
+
+		size += row_size(r);
+		if (size > MAX_ROWS_BYTES)
+			break;
+		bodies += r->body == NULL ? 0 : g_bytes_get_size(r->body);
+		if (bodies <= MAX_BODIES_BYTES)
+			*first_with_body = first - 1;
+		first--;
+	}
+	for (guint i = 0; i < first; i++)
+		*bound_ms = MAX(*bound_ms,
+		    ((struct mh_ledger_row *)rows->pdata[i])->stamp_ms);
+	return first;
+}
+
 static void
 send_rows(struct claim *c, uint32_t p, struct mh_peer *to)
 {
 	GPtrArray *rows = mh_ledger_rows(c->ledger, p);
 	Mh__LedgerEntry *entries = g_new(Mh__LedgerEntry, rows->len + 1);
 	Mh__LedgerEntry **ptrs = g_new(Mh__LedgerEntry *, rows->len + 1);
+	int64_t bound_ms = mh_ledger_bound(c->ledger, p);
+	guint with_body, first = first_to_send(rows, &bound_ms, &with_body);
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__Handover h = MH__HANDOVER__INIT;
 
-	for (guint i = 0; i < rows->len; i++) {
-		struct mh_ledger_row *r = rows->pdata[i];
-		Mh__LedgerEntry *e = &entries[i];
-		gsize len = 0;
-
-		mh__ledger_entry__init(e);
-		e->key = r->key;
-		e->outcome = r->outcome;
-		e->status = r->status;
-		e->body_hash = r->body_hash;
-		e->stamp_ms = (uint64_t)r->stamp_ms;
-		if (r->body != NULL)
-			e->body.data = (uint8_t *)(uintptr_t)g_bytes_get_data(
-			    r->body, &len);
-		e->body.len = len;
-		ptrs[i] = e;
+	for (guint i = first; i < rows->len; i++) {
+		fill_row(rows->pdata[i], &entries[i], i >= with_body);
+		ptrs[i - first] = &entries[i];
 	}
+	c->part[p].move_bound_ms = bound_ms;
 	h.service = c->pool;
 	h.partition = p;
 	h.epoch = mh_owners_part(c->owners, p)->epoch + 1;
-	h.bound_ms = (uint64_t)mh_ledger_bound(c->ledger, p);
 	h.serial = c->part[p].serial = mh_next_id(c->k);
-	h.n_entries = rows->len;
+	h.n_entries = rows->len - first;
 	h.entries = ptrs;
 	f.body_case = MH__FRAME__BODY_HANDOVER;
 	f.handover = &h;
--- a/lib/ledger.c
+++ b/lib/ledger.c
@@ -12,10 +12,9 @@
 
 #include <string.h>
 
-#define EXPIRE_MARKS_MS 5000
-
 /** struct mark - requests with this key, up to this one, never run here. */
 struct mark {
+	char *key;
 	uint8_t request[MH_ID_LEN];
 	int64_t at_ms;
 };
@@ -23,9 +22,10 @@
 struct mh_ledger {
 	uint32_t limit;
 	GHashTable *marks; /* key -> struct mark */
+	GQueue mark_order; /* oldest first */
+	uint8_t floor[MH_ID_LEN]; /* no request up to this id runs here */
 	GHashTable *rows; /* key -> struct mh_ledger_row */
 	GQueue order; /* oldest first */
-	int64_t expire_ms; /* marks are next looked through */
 	bool open[MH_PARTITIONS];
 	int64_t bound_ms[MH_PARTITIONS];
 };
@@ -41,6 +41,15 @@
 	g_free(r);
 }
 
+static void
+free_mark(void *arg)
+{
+	struct mark *m = arg;
+
+	g_free(m->key);
+	g_free(m);
+}
+
 struct mh_ledger *
 mh_ledger_create(uint32_t limit)
 {
@@ -50,7 +59,8 @@
 	l->rows =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_row);
 	l->marks =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_mark);
+	g_queue_init(&l->mark_order);
 	g_queue_init(&l->order);
 	return l;
 }
@@ -59,6 +69,7 @@
 mh_ledger_destroy(struct mh_ledger *l)
 {
 	g_queue_clear(&l->order);
+	g_queue_clear(&l->mark_order);
 	g_hash_table_destroy(l->rows);
 	g_hash_table_destroy(l->marks);
 	g_free(l);
@@ -175,18 +186,18 @@
 }
 
 /*
- * An opaque key tells no time.  It may run only where this ledger is
- * complete for the whole retention time, or where the KV service proved
- * that nobody claimed it.
+ * An opaque key tells no time, so nothing proves that it is new to a ledger
+ * that does not cover the whole retention time: it may have run before the
+ * restart, takeover or eviction that the bound tells of.
  */
 static enum mh_ledger_verdict
 ask_opaque(struct mh_ledger *l, const struct mh_ledger_ask *a)
 {
 	int64_t bound = l->bound_ms[a->partition];
 
-	if (a->claimed || bound == 0 || bound < a->now_ms - a->retention_ms)
+	if (bound == 0 || bound < a->now_ms - a->retention_ms)
 		return MH_LEDGER_RUN;
-	return MH_LEDGER_CLAIM;
+	return MH_LEDGER_UNKNOWN;
 }
 
 /*
@@ -199,6 +210,8 @@
 {
 	const struct mark *m = g_hash_table_lookup(l->marks, a->key);
 
+	if (memcmp(a->request, l->floor, MH_ID_LEN) <= 0)
+		return true;
 	return m != NULL && memcmp(a->request, m->request, MH_ID_LEN) <= 0;
 }
 
@@ -223,6 +236,27 @@
 	return MH_LEDGER_RUN;
 }
 
+static void
+raise_to(uint8_t *id, const uint8_t *request)
+{
+	if (memcmp(request, id, MH_ID_LEN) > 0)
+		memcpy(id, request, MH_ID_LEN);
+}
+
+/*
+ * Marks are bounded in number.  What is forgotten raises the floor: request
+ * ids grow with time, so only requests about as old are refused with it.
+ */
+static void
+forget_mark(struct mh_ledger *l, bool raise)
+{
+	struct mark *m = g_queue_pop_head(&l->mark_order);
+
+	if (raise)
+		raise_to(l->floor, m->request);
+	g_hash_table_remove(l->marks, m->key);
+}
+
 void
 mh_ledger_refuse(struct mh_ledger *l, const char *key, const uint8_t *request,
     int64_t now_ms)
@@ -230,12 +264,17 @@
 	struct mark *m = g_hash_table_lookup(l->marks, key);
 
 	if (m == NULL) {
+		if (g_hash_table_size(l->marks) >= l->limit)
+			forget_mark(l, true);
 		m = g_new0(struct mark, 1);
-		g_hash_table_insert(l->marks, g_strdup(key), m);
+		m->key = g_strdup(key);
+		g_hash_table_insert(l->marks, m->key, m);
+	} else {
+		g_queue_remove(&l->mark_order, m);
 	}
 	m->at_ms = now_ms;
-	if (memcmp(request, m->request, MH_ID_LEN) > 0)
-		memcpy(m->request, request, MH_ID_LEN);
+	raise_to(m->request, request);
+	g_queue_push_tail(&l->mark_order, m);
 }
 
 void
@@ -295,23 +334,16 @@
 	return g_hash_table_lookup(l->rows, key);
 }
 
-static gboolean
-mark_is_old(gpointer key, gpointer value, gpointer before_ms)
-{
-	(void)key;
-	return ((struct mark *)value)->at_ms < *(int64_t *)before_ms;
-}
-
 void
 mh_ledger_expire(struct mh_ledger *l, int64_t now_ms, int64_t retention_ms)
 {
 	struct mh_ledger_row *r;
+	struct mark *m;
 	int64_t before_ms = now_ms - retention_ms;
 
-	if (now_ms >= l->expire_ms) {
-		l->expire_ms = now_ms + EXPIRE_MARKS_MS;
-		g_hash_table_foreach_remove(l->marks, mark_is_old, &before_ms);
-	}
+	while ((m = g_queue_peek_head(&l->mark_order)) != NULL &&
+	    m->at_ms < before_ms)
+		forget_mark(l, false);
 	while ((r = g_queue_peek_head(&l->order)) != NULL &&
 	    r->stamp_ms < before_ms && r->outcome != MH__OUTCOME__RUNNING)
 		drop(l, r);
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -852,7 +852,6 @@
 	MH_LEDGER_DONE, /* the stored answer */
 	MH_LEDGER_TOMBSTONE, /* revoked: not run, never will */
 	MH_LEDGER_UNKNOWN, /* may have run before this ledger's memory */
-	MH_LEDGER_CLAIM, /* opaque key: claim it in the KV first */
 	MH_LEDGER_MISMATCH, /* same key, other body */
 	MH_LEDGER_FUTURE /* stamped beyond the skew allowance */
 };
@@ -882,7 +881,6 @@
 	int64_t now_ms;
 	int64_t skew_ms;
 	int64_t retention_ms;
-	bool claimed; /* the key was claimed in the KV */
 };
 enum mh_ledger_verdict mh_ledger_ask(
     struct mh_ledger *l, const struct mh_ledger_ask *a);
--- a/lib/side.c
+++ b/lib/side.c
@@ -67,7 +67,7 @@
 	if (s->draining)
 		call_refuse(c, WHY_LEAVING, 0);
 	else if (c->never)
-		call_decide_once(s, c, false);
+		call_decide_once(s, c);
 	else
 		call_enqueue(s, c);
 }
@@ -331,9 +331,6 @@
 	case MH_MSG_RUN_CHUNK:
 		side_run_chunk(self, &m->u.run);
 		break;
-	case MH_MSG_KV_DONE:
-		side_claim_done(self, &m->u.kv);
-		break;
 	default:
 		mh_count(((struct side *)self)->k, "side_unexpected", 1);
 		break;
--- a/lib/side.h
+++ b/lib/side.h
@@ -12,12 +12,11 @@
 	WHY_NOT_OWNER,
 	WHY_TOMBSTONE,
 	WHY_MISMATCH,
-	WHY_FUTURE,
-	WHY_NO_CLAIM
+	WHY_FUTURE
 };
 
 /** enum state - where a call stands at this side process. */
-enum state { ST_CLAIMING, ST_QUEUED, ST_RUNNING, ST_ATTACHED, ST_ENDED };
+enum state { ST_NEW, ST_QUEUED, ST_RUNNING, ST_ATTACHED, ST_ENDED };
 
 /** struct call_key - names one call of one entry. */
 struct call_key {
@@ -43,7 +42,7 @@
 	char *path;
 	char *org;
 	GBytes *body;
-	uint64_t run; /* token of the run or of the claim */
+	uint64_t run; /* token of the run */
 	int64_t run_at_us;
 	int64_t first_us; /* endpoint's time to the first chunk */
 	int64_t orphan_us; /* since when no link leads to its entry */
@@ -94,11 +93,10 @@
 void call_refuse(struct call *c, enum reason why, int64_t retry_us);
 void call_enqueue(struct side *s, struct call *c);
 /** call_decide_once() - a non-repeatable call: may it run here, now? */
-void call_decide_once(struct side *s, struct call *c, bool claimed);
+void call_decide_once(struct side *s, struct call *c);
 void call_cancel(struct call *c);
 /** side_pump() - starts what waits while slots are free. */
 void side_pump(struct side *s);
-void side_claim_done(struct side *s, const struct mh_kv_msg *v);
 void side_run_ended(struct side *s, const struct mh_run_msg *m);
 void side_run_chunk(struct side *s, const struct mh_run_msg *m);
 
--- a/lib/sidecall.c
+++ b/lib/sidecall.c
@@ -13,7 +13,7 @@
 #define RUN_MIN_US (20 * MH_US_PER_MS)
 
 static const char *const reason_names[] = { "none", "full", "late", "leaving",
-	"not_owner", "tombstone", "mismatch", "future", "no_claim" };
+	"not_owner", "tombstone", "mismatch", "future" };
 
 void
 call_free(void *arg)
@@ -306,32 +306,14 @@
 	end_call(c, MH__OUTCOME__DONE, WHY_NONE);
 }
 
-static void
-claim_in_kv(struct side *s, struct call *c)
-{
-	struct mh_msg *m = mh_msg_new(MH_MSG_KV);
-	char *text = mh_uuid_text(c->key.request);
-
-	c->state = ST_CLAIMING;
-	c->run = mh_next_id(s->k);
-	g_hash_table_insert(s->runs, &c->run, c);
-	m->u.kv.op = MH_KV_PUT;
-	m->u.kv.token = c->run;
-	m->u.kv.from = g_strdup("side");
-	m->u.kv.name = g_strdup_printf("claims/%s/%s", s->pool, c->once);
-	m->u.kv.value = g_bytes_new_take(text, strlen(text));
-	mh_post(s->k, "kv", m);
-}
-
 void
-call_decide_once(struct side *s, struct call *c, bool claimed)
+call_decide_once(struct side *s, struct call *c)
 {
 	struct mh_decl *d = mh_conf_get(s->k);
 	struct mh_ledger_ask a = { .partition = c->partition,
 		.key = c->once,
 		.request = c->key.request,
-		.now_ms = mh_wall(s->k) / MH_US_PER_MS,
-		.claimed = claimed };
+		.now_ms = mh_wall(s->k) / MH_US_PER_MS };
 	gsize len;
 	const void *data = g_bytes_get_data(c->body, &len);
 
@@ -362,9 +344,6 @@
 	case MH_LEDGER_FUTURE:
 		call_refuse(c, WHY_FUTURE, 0);
 		break;
-	case MH_LEDGER_CLAIM:
-		claim_in_kv(s, c);
-		break;
 	case MH_LEDGER_UNKNOWN:
 		mh_count(s->k, "side_unknown", 1);
 		end_call(c, MH__OUTCOME__UNKNOWN, WHY_NONE);
@@ -372,27 +351,6 @@
 	}
 }
 
-/*
- * The claim's answer.  "Not written" means somebody claimed it before, and
- * may have run it.  No answer leaves it unrun here, and a later repeat
- * finds the claim, so "not run" stays true.
- */
-void
-side_claim_done(struct side *s, const struct mh_kv_msg *v)
-{
-	struct call *c = g_hash_table_lookup(s->runs, &v->token);
-
-	if (c == NULL)
-		return;
-	g_hash_table_remove(s->runs, &v->token);
-	if (!v->ok)
-		call_refuse(c, WHY_NO_CLAIM, MH_US_PER_S);
-	else if (!v->found)
-		end_call(c, MH__OUTCOME__UNKNOWN, WHY_NONE);
-	else
-		call_decide_once(s, c, true);
-}
-
 struct call *
 call_new(struct side *s, uint64_t conn, const Mh__Call *m)
 {
@@ -471,11 +429,7 @@
 		call_drop(c);
 		side_pump(s);
 		break;
-	case ST_CLAIMING:
-		/* Its answer finds no call; the key stays claimed, unrun. */
-		g_hash_table_remove(s->runs, &c->run);
-		call_drop(c);
-		break;
+	case ST_NEW:
 	case ST_ATTACHED:
 	case ST_ENDED:
 		call_drop(c);
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -2968,7 +2968,7 @@
   (ProtobufCMessageInit) mh__ledger_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__handover__field_descriptors[6] =
+static const ProtobufCFieldDescriptor mh__handover__field_descriptors[5] =
 {
   {
     "service",
@@ -3006,18 +3006,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "bound_ms",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Mh__Handover, bound_ms),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "entries",
     5,
@@ -3044,17 +3032,17 @@
   },
 };
 static const unsigned mh__handover__field_indices_by_name[] = {
-  3,   /* field[3] = bound_ms */
-  4,   /* field[4] = entries */
+  3,   /* field[3] = entries */
   2,   /* field[2] = epoch */
   1,   /* field[1] = partition */
-  5,   /* field[5] = serial */
+  4,   /* field[4] = serial */
   0,   /* field[0] = service */
 };
-static const ProtobufCIntRange mh__handover__number_ranges[1 + 1] =
+static const ProtobufCIntRange mh__handover__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 5, 3 },
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor mh__handover__descriptor =
 {
@@ -3064,10 +3052,10 @@
   "Mh__Handover",
   "mh",
   sizeof(Mh__Handover),
-  6,
+  5,
   mh__handover__field_descriptors,
   mh__handover__field_indices_by_name,
-  1,  mh__handover__number_ranges,
+  2,  mh__handover__number_ranges,
   (ProtobufCMessageInit) mh__handover__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -344,7 +344,6 @@
   char *service;
   uint32_t partition;
   uint64_t epoch;
-  uint64_t bound_ms;
   size_t n_entries;
   Mh__LedgerEntry **entries;
   /*
@@ -354,7 +353,7 @@
 };
 #define MH__HANDOVER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__handover__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0 }
 
 
 struct  Mh__HandoverAck
--- a/regress/net.c
+++ b/regress/net.c
@@ -301,6 +301,28 @@
 	deliver(y, "hub", up_msg(w->b.conn, x, true), n->latency_us, w, false);
 }
 
+static void
+close_end(struct wire *w, const struct end *e)
+{
+	(void)w;
+	if (e->node->k != NULL && e->node->incarnation == e->incarnation)
+		deliver(e->node, "hub", down_msg(e->conn),
+		    e->node->net->latency_us, NULL, false);
+}
+
+static void
+close_conn(struct net_node *x, uint64_t conn)
+{
+	bool is_a = false;
+	struct wire *w = wire_of(x, conn, &is_a);
+
+	if (w == NULL)
+		return;
+	w->open = false;
+	if (!w->a.deaf && !w->b.deaf)
+		close_end(w, is_a ? &w->b : &w->a);
+}
+
 static void
 send_frame(struct net_node *x, const struct mh_link_msg *l)
 {
@@ -312,6 +334,11 @@
 
 	if (w == NULL)
 		return;
+	/* As link.c does: what is over the bound ends the connection. */
+	if (g_bytes_get_size(l->frame) > MH_MAX_FRAME) {
+		close_conn(x, l->conn);
+		return;
+	}
 	to = is_a ? &w->b : &w->a;
 	n->frames++;
 	n->bytes += g_bytes_get_size(l->frame) + 4;
@@ -329,28 +356,6 @@
 	}
 }
 
-static void
-close_end(struct wire *w, const struct end *e)
-{
-	(void)w;
-	if (e->node->k != NULL && e->node->incarnation == e->incarnation)
-		deliver(e->node, "hub", down_msg(e->conn),
-		    e->node->net->latency_us, NULL, false);
-}
-
-static void
-close_conn(struct net_node *x, uint64_t conn)
-{
-	bool is_a = false;
-	struct wire *w = wire_of(x, conn, &is_a);
-
-	if (w == NULL)
-		return;
-	w->open = false;
-	if (!w->a.deaf && !w->b.deaf)
-		close_end(w, is_a ? &w->b : &w->a);
-}
-
 static void
 link_handle(void *self, struct mh_msg *m)
 {
@@ -559,10 +564,23 @@
 /* ---- endpoint ---- */
 
 static GBytes *
-run_body(const struct mh_run_msg *q)
+padded_answer(size_t bytes)
+{
+	GString *s = g_string_new("{\"confirmed\":true,\"pad\":\"");
+
+	while (s->len < bytes)
+		g_string_append(s, "................................");
+	g_string_append(s, "\"}");
+	return g_string_free_to_bytes(s);
+}
+
+static GBytes *
+run_body(const struct net_node *x, const struct mh_run_msg *q)
 {
 	const char *text = "{\"confirmed\":true}";
 
+	if (q->kind == MH_SERVICE && x->answer_bytes > 0)
+		return padded_answer(x->answer_bytes);
 	if (q->kind == MH_ENCODE)
 		text = "{\"data\":[{\"embedding\":[1,2]}]}";
 	else if (q->kind == MH_RETRIEVE)
@@ -625,7 +643,7 @@
 		}
 		m->u.run.status = x->status == 0 ? 200 : x->status;
 		m->u.run.whole = !x->cut;
-		m->u.run.body = run_body(q);
+		m->u.run.body = run_body(x, q);
 		if (q->kind == MH_GENERATE && x->status == 0)
 			run_stream(x, q, wanted_tokens(q));
 	}
--- a/regress/net.h
+++ b/regress/net.h
@@ -31,6 +31,7 @@
 	int64_t service_us;
 	uint32_t status; /* 0: 200 */
 	bool unsent; /* the endpoint refuses the connection */
+	size_t answer_bytes; /* a service's answer is padded to this */
 	bool cut; /* it runs, but its answer is cut */
 	uint64_t runs;
 	uint64_t aborts;
