Declarations: what a pool says of its endpoints is used; unbuilt fields removed

Cause: prefix_cache, honours_priority and checks_fencing were read and used nowhere; wants and checks_key promised what is not built. Change: affinity and priorities follow the pool; the side process fences for engines that do not; wants and checks_key are gone from the format. Conclusion: the format says what the code does.

--- a/lib/decl.c
+++ b/lib/decl.c
@@ -91,7 +91,6 @@
 	F(mh_pool, checks_fencing, MH_F_BOOL, false, 0, 0),
 	F(mh_pool, honours_priority, MH_F_BOOL, false, 0, 0),
 	F(mh_pool, prefix_cache, MH_F_BOOL, false, 0, 0),
-	F(mh_pool, checks_key, MH_F_BOOL, false, 0, 0),
 	FEND,
 };
 
@@ -177,14 +176,6 @@
 	FEND,
 };
 
-static const struct mh_field want_fields[] = {
-	F(mh_want, pool, MH_F_STR, true, 0, 0),
-	F(mh_want, model, MH_F_STR, true, 0, 0),
-	F(mh_want, replicas, MH_F_U32, true, 0, 100000),
-	F(mh_want, line, MH_F_LINE, false, 0, 0),
-	FEND,
-};
-
 static void
 free_class(struct mh_class *c)
 {
@@ -249,14 +240,6 @@
 	g_free(o);
 }
 
-static void
-free_want(struct mh_want *w)
-{
-	g_free(w->pool);
-	g_free(w->model);
-	g_free(w);
-}
-
 static const struct mh_table class_table =
     TABLE("class", mh_class, class_fields, free_class);
 static const struct mh_table pool_table =
@@ -288,8 +271,6 @@
 	.init = init_rule };
 static const struct mh_table org_table =
     TABLE("organisation", mh_org, org_fields, free_org);
-static const struct mh_table want_table =
-    TABLE("want", mh_want, want_fields, free_want);
 
 static const struct mh_field decl_fields[] = {
 	FTAB("policy", mh_decl, policy, MH_F_STRUCT, false, &policy_table),
@@ -298,7 +279,6 @@
 	FTAB("pipelines", mh_decl, pipelines, MH_F_LIST, true, &pipeline_table),
 	FTAB("rules", mh_decl, rules, MH_F_LIST, true, &rule_table),
 	FTAB("organisations", mh_decl, orgs, MH_F_LIST, true, &org_table),
-	FTAB("wants", mh_decl, wants, MH_F_LIST, false, &want_table),
 	FEND,
 };
 static const struct mh_table decl_table =
@@ -524,19 +504,6 @@
 	return true;
 }
 
-static bool
-check_wants(struct mh_decl *d, GError **err)
-{
-	for (guint i = 0; d->wants != NULL && i < d->wants->len; i++) {
-		struct mh_want *w = d->wants->pdata[i];
-
-		if (mh_decl_pool(d, w->pool) == NULL)
-			return fail_at(err, w->line, "pool",
-			    "names no declared pool", "declare it under pools");
-	}
-	return true;
-}
-
 static bool
 check(struct mh_decl *d, GError **err)
 {
@@ -546,7 +513,7 @@
 	    check_unique(d->rules, "rules", err) &&
 	    check_unique(d->orgs, "organisations", err) &&
 	    check_pipelines(d, err) && check_rules(d, err) &&
-	    check_orgs(d, err) && check_wants(d, err);
+	    check_orgs(d, err);
 }
 
 static void
@@ -603,7 +570,6 @@
 	free_array(d->pipelines);
 	free_array(d->rules);
 	free_array(d->orgs);
-	free_array(d->wants);
 	g_bytes_unref(d->doc);
 	g_free(d);
 }
--- a/lib/entry.c
+++ b/lib/entry.c
@@ -433,9 +433,6 @@
 		return;
 	}
 	r->affinity = affinity_of(r);
-	/* In arrival order the engines get no priorities either. */
-	if (r->decl->policy.queueing == MH_QUEUE_URGENT)
-		r->flow.priority = r->d.class->priority;
 	r->deadline_us = r->arrived_us + r->d.deadline_us;
 	g_hash_table_insert(e->requests, &r->caller, r);
 	mh_count(e->k, "entry_admitted", 1);
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -302,7 +302,6 @@
 	bool checks_fencing;
 	bool honours_priority;
 	bool prefix_cache;
-	bool checks_key;
 };
 
 struct mh_stage {
@@ -368,13 +367,6 @@
 	uint32_t line;
 };
 
-struct mh_want {
-	char *pool;
-	char *model;
-	uint32_t replicas;
-	uint32_t line;
-};
-
 /** struct mh_decl - one checked declaration document, reference counted. */
 struct mh_decl {
 	int refs;
@@ -386,7 +378,6 @@
 	GPtrArray *pipelines;
 	GPtrArray *rules;
 	GPtrArray *orgs;
-	GPtrArray *wants;
 	GHashTable *by_key; /* hash -> struct mh_key_owner */
 };
 
--- a/lib/pipe.c
+++ b/lib/pipe.c
@@ -129,16 +129,22 @@
  * Retries and hedges share one budget, a part of recent traffic: when a
  * whole pool is in trouble, more calls would only add to it.
  */
+static bool
+may_spend(const struct request *r)
+{
+	return policy_of(r)->retrying == MH_RETRY_PLAIN ? r->picks < 2
+							: r->e->budget >= 1;
+}
+
 static bool
 spend(struct request *r)
 {
-	if (policy_of(r)->retrying == MH_RETRY_PLAIN)
-		return r->picks < 2;
-	if (r->e->budget < 1) {
+	if (!may_spend(r)) {
 		mh_count(r->e->k, "pipe_budget_empty", 1);
 		return false;
 	}
-	r->e->budget -= 1;
+	if (policy_of(r)->retrying == MH_RETRY_BUDGET)
+		r->e->budget -= 1;
 	return true;
 }
 
@@ -430,9 +436,7 @@
 	r->check = NULL;
 	if (t->call == NULL)
 		return;
-	if (too_slow(r, t) && spend(r)) {
-		/* fail_try() asks the budget too: it was paid here. */
-		r->e->budget += 1;
+	if (may_spend(r) && too_slow(r, t)) {
 		mh_count(r->e->k, "pipe_rescues", 1);
 		fail_try(r, t);
 		return;
@@ -556,12 +560,22 @@
 	if (r->picks > 0) {
 		q.avoid_vm = r->last_vm;
 		q.avoid_domain = r->last_domain;
-	} else if (s->kind == MH_GENERATE) {
+	} else if (mh_decl_pool(r->decl, s->pool)->prefix_cache) {
 		q.affinity = r->affinity;
 	}
 	return mh_route_pick(r->e->k, &q);
 }
 
+/* In arrival order the engines get no priorities either. */
+static uint32_t
+engine_priority(const struct request *r, const struct mh_stage *s)
+{
+	if (policy_of(r)->queueing == MH_QUEUE_FIFO ||
+	    !mh_decl_pool(r->decl, s->pool)->honours_priority)
+		return 0;
+	return r->d.class->priority;
+}
+
 static void
 send_try(struct request *r, struct try *t, struct mh_peer *p)
 {
@@ -580,6 +594,7 @@
 
 	if (s->kind == MH_GENERATE && r->d.model != NULL)
 		model = r->d.model;
+	r->flow.priority = engine_priority(r, s);
 	/*
 	 * The side process refuses a waiting non-repeatable call a little
 	 * before the deadline, so that its "not run" is here in time; without
--- a/lib/side.c
+++ b/lib/side.c
@@ -165,6 +165,15 @@
 	mh_frame_send(s->k, conn, &f);
 }
 
+static bool
+endpoint_fences(const struct side *s)
+{
+	struct mh_decl *d = mh_conf_get(s->k);
+	const struct mh_pool *p = d == NULL ? NULL : mh_decl_pool(d, s->pool);
+
+	return p != NULL && p->checks_fencing;
+}
+
 /*
  * An order with an old fencing number comes from a holder whose lease
  * lapsed while it was paused.  Engines that do not check would obey it, so
@@ -182,7 +191,7 @@
 	json_t *body;
 	char *text;
 
-	if (m->fence < s->fence) {
+	if (m->fence < s->fence && !endpoint_fences(s)) {
 		mh_count(s->k, "side_orders_fenced", 1);
 		r.token = m->token;
 		r.status = 409;
@@ -192,7 +201,7 @@
 		mh_frame_send(s->k, conn, &f);
 		return;
 	}
-	s->fence = m->fence;
+	s->fence = MAX(s->fence, m->fence);
 	o = g_new0(struct order, 1);
 	o->conn = conn;
 	o->token = m->token;
