Refusals that no try can change are answered at once; rescues count against their endpoint

Cause: a key used with another body, revoked or stamped in the future was asked again until near the deadline; a non-repeatable try carried the request's id, so a second try after a refusal was refused by the first one's mark; calls that were rescued never told routing that their endpoint is slow; a stream whose end mark was lost was asked to go on with no token left. Change: reasons of refusal are part of the frame's meaning (409, 400); each non-repeatable try is a call with an id of its own; mh_route_judge(); a text with all its tokens is whole; one generate stage a pipeline.

--- a/lib/decl.c
+++ b/lib/decl.c
@@ -384,6 +384,7 @@
 {
 	for (guint i = 0; i < d->pipelines->len; i++) {
 		struct mh_pipeline *p = d->pipelines->pdata[i];
+		uint32_t generates = 0;
 
 		if (p->stages->len == 0 || p->stages->len > MAX_STAGES)
 			return fail_at(err, p->line, "stages",
@@ -395,6 +396,11 @@
 			r->s.never = r->repeat == 1;
 			if (!check_stage(d, &r->s, err))
 				return false;
+			generates += r->s.kind == MH_GENERATE;
+			if (generates > 1)
+				return fail_at(err, r->s.line, "kind",
+				    "is the pipeline's second generate stage",
+				    "keep one; the text is passed on once");
 			if (r->s.never && j + 1 < p->stages->len)
 				return fail_at(err, r->s.line, "repeat",
 				    "\"never\" stands before another stage",
--- a/lib/entry.h
+++ b/lib/entry.h
@@ -28,6 +28,7 @@
 	struct mh_decision d;
 	const struct mh_org *org;
 	char *key; /* at-most-once key, org/key */
+	uint8_t call_id[MH_ID_LEN]; /* of a non-repeatable try */
 	bool key_given;
 	int64_t arrived_us;
 	int64_t deadline_us;
--- a/lib/ledger.c
+++ b/lib/ledger.c
@@ -167,7 +167,7 @@
 	case MH__OUTCOME__DONE:
 		return MH_LEDGER_DONE;
 	case MH__OUTCOME__NOT_RUN:
-		return MH_LEDGER_TOMBSTONE; /* revoked for good */
+		return MH_LEDGER_REVOKED;
 	default:
 		return MH_LEDGER_UNKNOWN;
 	}
@@ -223,7 +223,7 @@
 	enum mh_ledger_verdict v;
 
 	if (marked(l, a))
-		return MH_LEDGER_TOMBSTONE;
+		return MH_LEDGER_MARKED;
 	if (r != NULL)
 		return ask_known(r, a);
 	v = stamp_ms >= 0 ? ask_stamped(l, a, stamp_ms) : ask_opaque(l, a);
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -639,6 +639,9 @@
 /** mh_route_result() - a call there ended; @good false counts against it. */
 void mh_route_result(
     struct mh_kern *k, struct mh_peer *p, bool good, int64_t endpoint_us);
+/** mh_route_judge() - what an entry saw of @p without a call's end. */
+void mh_route_judge(
+    struct mh_kern *k, struct mh_peer *p, bool good, int64_t endpoint_us);
 /** mh_route_wait() - shortest expected wait in a pool, -1 if none is up. */
 int64_t mh_route_wait(struct mh_kern *k, const char *pool, uint32_t priority);
 uint32_t mh_route_usable(struct mh_kern *k, const char *pool);
@@ -841,7 +844,8 @@
 	MH_LEDGER_RUN, /* entered as running: the caller must run it */
 	MH_LEDGER_ATTACH, /* runs already: wait for its end */
 	MH_LEDGER_DONE, /* the stored answer */
-	MH_LEDGER_TOMBSTONE, /* revoked: not run, never will */
+	MH_LEDGER_MARKED, /* this request was refused: it never runs */
+	MH_LEDGER_REVOKED, /* the key never runs */
 	MH_LEDGER_UNKNOWN, /* may have run before this ledger's memory */
 	MH_LEDGER_MISMATCH, /* same key, other body */
 	MH_LEDGER_FUTURE /* stamped beyond the skew allowance */
@@ -915,6 +919,19 @@
 
 /* side.c: service "side" */
 
+/** enum mh_refusal - why a side process did not run a call. */
+enum mh_refusal {
+	WHY_NONE,
+	WHY_FULL,
+	WHY_LATE, /* it could not have ended in time */
+	WHY_LEAVING,
+	WHY_NOT_OWNER, /* of the key's partition, or not in that epoch */
+	WHY_MARKED, /* this call was refused before */
+	WHY_REVOKED, /* the key was revoked for good */
+	WHY_MISMATCH, /* the key came with another body before */
+	WHY_FUTURE /* the key is stamped in the future */
+};
+
 /** struct mh_side_args - a side process's place and size. */
 struct mh_side_args {
 	const char *vm;
--- a/lib/pipe.c
+++ b/lib/pipe.c
@@ -221,9 +221,11 @@
 	uint32_t tokens = s->kind == MH_GENERATE ? t->tokens : 0;
 
 	/* Without the time in the queue, which the load reports tell. */
-	if (tokens > 0)
+	if (tokens > 0 && res->first_us > 0)
 		mh_predict_first(r->e->k, s->pool, (int64_t)res->first_us);
-	mh_predict_add(r->e->k, s->pool, (int64_t)res->endpoint_us, tokens);
+	if (res->endpoint_us > 0)
+		mh_predict_add(
+		    r->e->k, s->pool, (int64_t)res->endpoint_us, tokens);
 	add_stage_row(r, s, p, res);
 	if (t->hedge)
 		mh_count(r->e->k, "pipe_hedges_won", 1);
@@ -258,6 +260,55 @@
 	r->check = mh_timer_start(r->e->k, MOVE_WAIT_US, on_owner_wait, r);
 }
 
+/* Refusals that no other try can change; false for all others. */
+static bool
+refused_for_good(struct request *r, const Mh__Result *res)
+{
+	struct problem p = { .status = 409, .outcome = "not-run" };
+
+	switch (res->reason) {
+	case WHY_MISMATCH:
+		p.kind = "key-reused";
+		p.detail = "The key came with another body before.";
+		p.remedy = "Use a new key for a new request.";
+		break;
+	case WHY_REVOKED:
+		p.kind = "key-revoked";
+		p.detail = "The key was revoked and never runs.";
+		p.remedy = "Use a new key if the request is still wanted.";
+		break;
+	case WHY_FUTURE:
+		p.status = 400;
+		p.kind = "key-in-future";
+		p.detail = "The key is stamped later than now.";
+		p.remedy = "Set the clock that makes the keys.";
+		break;
+	default:
+		return false;
+	}
+	entry_fail(r, &p);
+	return true;
+}
+
+static void on_result(
+    struct request *r, struct try *t, struct mh_peer *p, const Mh__Result *res);
+
+/*
+ * Every token came and only the end mark was lost: the text is whole, and
+ * asking another engine for no token at all would fail.
+ */
+static bool
+text_is_whole(struct request *r, struct mh_peer *p)
+{
+	Mh__Result whole = MH__RESULT__INIT;
+
+	if (stage_of(r)->kind != MH_GENERATE || r->done_tokens < r->max_tokens)
+		return false;
+	whole.outcome = MH__OUTCOME__DONE;
+	on_result(r, &r->tries[0], p, &whole);
+	return true;
+}
+
 /* A try ended without a result; another may follow. */
 static void
 try_failed(struct request *r, struct mh_peer *p, const Mh__Result *res)
@@ -277,6 +328,8 @@
 	if (running_tries(r) > 0)
 		return;
 	stop_timers(r);
+	if ((not_run && refused_for_good(r, res)) || text_is_whole(r, p))
+		return;
 	if (s->never && r->key_given && not_run && !r->unknown &&
 	    left_us(r) > 4 * MOVE_WAIT_US) {
 		wait_for_owner(r);
@@ -379,9 +432,11 @@
 	Mh__Result res = MH__RESULT__INIT;
 
 	res.outcome = MH__OUTCOME__FAILED;
-	p->fails++;
 	mh_relay_cancel(r->e->k, t->call);
 	t->call = NULL;
+	/* A call that was given up tells of its endpoint like one that failed.
+	 */
+	mh_route_judge(r->e->k, p, false, mh_now(r->e->k) - t->started_us);
 	try_failed(r, p, &res);
 }
 
@@ -608,6 +663,9 @@
 	if (s->never) {
 		struct mh_owners *o = entry_owners(r->e, s->pool);
 
+		/* A refused call never runs: each try is a call of its own. */
+		mh_uuid7(r->e->k, r->call_id);
+		a.request = r->call_id;
 		a.key = r->key;
 		a.partition = mh_partition_of(r->key);
 		a.epoch = mh_owners_part(o, a.partition)->epoch;
@@ -653,8 +711,6 @@
 	r->picks = 0;
 	r->stage_us = mh_now(r->e->k);
 	earn(r);
-	if (stage_of(r)->kind == MH_GENERATE && r->done_tokens >= r->max_tokens)
-		r->done_tokens = 0;
 	next_try(r, false);
 }
 
--- a/lib/route.c
+++ b/lib/route.c
@@ -245,16 +245,12 @@
 }
 
 void
-mh_route_result(
+mh_route_judge(
     struct mh_kern *k, struct mh_peer *p, bool good, int64_t endpoint_us)
 {
 	guint usable, ejected;
 	double median;
 
-	if (p->own > 0)
-		p->own--;
-	if (p->load_own > 0 && p->load_own > p->own)
-		p->load_own = p->own;
 	if (endpoint_us > 0) {
 		if (p->ewma_us <= 0)
 			p->ewma_us = (double)endpoint_us;
@@ -276,6 +272,17 @@
 	}
 }
 
+void
+mh_route_result(
+    struct mh_kern *k, struct mh_peer *p, bool good, int64_t endpoint_us)
+{
+	if (p->own > 0)
+		p->own--;
+	if (p->load_own > p->own)
+		p->load_own = p->own;
+	mh_route_judge(k, p, good, endpoint_us);
+}
+
 int64_t
 mh_route_wait(struct mh_kern *k, const char *pool, uint32_t priority)
 {
--- a/lib/side.h
+++ b/lib/side.h
@@ -3,18 +3,6 @@
 
 #include "marlhoist.h"
 
-/** enum reason - why a call was refused. */
-enum reason {
-	WHY_NONE,
-	WHY_FULL,
-	WHY_LATE,
-	WHY_LEAVING,
-	WHY_NOT_OWNER,
-	WHY_TOMBSTONE,
-	WHY_MISMATCH,
-	WHY_FUTURE
-};
-
 /** enum state - where a call stands at this side process. */
 enum state { ST_NEW, ST_QUEUED, ST_RUNNING, ST_ATTACHED, ST_ENDED };
 
@@ -50,7 +38,7 @@
 	/* the end */
 	Mh__Outcome outcome;
 	uint32_t status;
-	enum reason reason;
+	enum mh_refusal reason;
 	int64_t retry_us;
 	GBytes *result;
 	struct mh_run_msg used;
@@ -90,7 +78,7 @@
 void call_drop(struct call *c);
 /** call_resend() - a link asks again: chunks from @from on, and the end. */
 void call_resend(struct call *c, uint64_t conn, guint from);
-void call_refuse(struct call *c, enum reason why, int64_t retry_us);
+void call_refuse(struct call *c, enum mh_refusal why, int64_t retry_us);
 void call_enqueue(struct side *s, struct call *c);
 /** call_decide_once() - a non-repeatable call: may it run here, now? */
 void call_decide_once(struct side *s, struct call *c);
--- a/lib/sidecall.c
+++ b/lib/sidecall.c
@@ -12,8 +12,8 @@
 #define FACTOR_GAIN 0.05
 #define RUN_MIN_US (20 * MH_US_PER_MS)
 
-static const char *const reason_names[] = { "none", "full", "late", "leaving",
-	"not_owner", "tombstone", "mismatch", "future" };
+static const char *const refusal_names[] = { "none", "full", "late", "leaving",
+	"not_owner", "marked", "revoked", "mismatch", "future" };
 
 void
 call_free(void *arg)
@@ -152,7 +152,7 @@
 
 /* The result stays until acknowledged, so a new link can ask for it. */
 static void
-end_call(struct call *c, Mh__Outcome outcome, enum reason why)
+end_call(struct call *c, Mh__Outcome outcome, enum mh_refusal why)
 {
 	c->state = ST_ENDED;
 	c->outcome = outcome;
@@ -177,7 +177,7 @@
  * still on its way must find the mark, whoever owns the partition by then.
  */
 void
-call_refuse(struct call *c, enum reason why, int64_t retry_us)
+call_refuse(struct call *c, enum mh_refusal why, int64_t retry_us)
 {
 	struct side *s = c->s;
 	char name[48];
@@ -185,7 +185,7 @@
 	if (c->never)
 		undo_once(c);
 	c->retry_us = retry_us;
-	snprintf(name, sizeof(name), "side_refused_%s", reason_names[why]);
+	snprintf(name, sizeof(name), "side_refused_%s", refusal_names[why]);
 	mh_count(s->k, name, 1);
 	end_call(c, MH__OUTCOME__NOT_RUN, why);
 }
@@ -334,11 +334,13 @@
 	case MH_LEDGER_DONE:
 		stored_answer(c);
 		break;
-	case MH_LEDGER_TOMBSTONE:
-		call_refuse(c, WHY_TOMBSTONE, 0);
+	case MH_LEDGER_MARKED:
+		call_refuse(c, WHY_MARKED, 0);
+		break;
+	case MH_LEDGER_REVOKED:
+		call_refuse(c, WHY_REVOKED, 0);
 		break;
 	case MH_LEDGER_MISMATCH:
-		c->status = 409;
 		call_refuse(c, WHY_MISMATCH, 0);
 		break;
 	case MH_LEDGER_FUTURE:
--- a/regress/t_decl.c
+++ b/regress/t_decl.c
@@ -35,6 +35,8 @@
 	{ "pool: enc, repeat: safe}\n      - {name: retrieve",
 	    "pool: gone, repeat: safe}\n      - {name: retrieve",
 	    "names no declared pool" },
+	{ "kind: rerank, pool: rer", "kind: generate, pool: llm",
+	    "second generate stage" },
 	{ "repeat: never", "repeat: sometimes", "safe, never" },
 	{ "path: /c, ", "", "needs the path" },
 	{ "path: /c", "path: c", "does not start with /" },
--- a/regress/t_ledger.c
+++ b/regress/t_ledger.c
@@ -90,12 +90,12 @@
 	CU_ASSERT_EQUAL(ask(l, key, req1), MH_LEDGER_RUN);
 	mh_ledger_undo(l, key);
 	mh_ledger_refuse(l, key, req1, NOW_MS);
-	CU_ASSERT_EQUAL(ask(l, key, req1), MH_LEDGER_TOMBSTONE);
+	CU_ASSERT_EQUAL(ask(l, key, req1), MH_LEDGER_MARKED);
 	CU_ASSERT_EQUAL(ask(l, key, req2), MH_LEDGER_RUN);
 	mh_ledger_undo(l, key);
 	mh_ledger_refuse(l, key, req2, NOW_MS);
-	CU_ASSERT_EQUAL(ask(l, key, req1), MH_LEDGER_TOMBSTONE);
-	CU_ASSERT_EQUAL(ask(l, key, req2), MH_LEDGER_TOMBSTONE);
+	CU_ASSERT_EQUAL(ask(l, key, req1), MH_LEDGER_MARKED);
+	CU_ASSERT_EQUAL(ask(l, key, req2), MH_LEDGER_MARKED);
 	g_free(key);
 	mh_ledger_destroy(l);
 }
@@ -115,10 +115,10 @@
 
 	mh_ledger_refuse(l, key, req1, NOW_MS);
 	mh_ledger_open(l, 0, 0);
-	CU_ASSERT_EQUAL(ask(l, key, req1), MH_LEDGER_TOMBSTONE);
+	CU_ASSERT_EQUAL(ask(l, key, req1), MH_LEDGER_MARKED);
 	mh_ledger_close(l, 0);
 	mh_ledger_open(l, 0, 0);
-	CU_ASSERT_EQUAL(ask(l, key, req1), MH_LEDGER_TOMBSTONE);
+	CU_ASSERT_EQUAL(ask(l, key, req1), MH_LEDGER_MARKED);
 	CU_ASSERT_EQUAL(ask(l, key, req2), MH_LEDGER_RUN);
 	mh_ledger_expire(l, NOW_MS + 120000, 60000);
 	g_free(key);
@@ -153,8 +153,8 @@
 	mh_ledger_open(l, 0, 0);
 	CU_ASSERT_EQUAL(
 	    mh_ledger_revoke(l, 0, key, NOW_MS)->outcome, MH__OUTCOME__NOT_RUN);
-	CU_ASSERT_EQUAL(ask(l, key, req1), MH_LEDGER_TOMBSTONE);
-	CU_ASSERT_EQUAL(ask(l, key, req2), MH_LEDGER_TOMBSTONE);
+	CU_ASSERT_EQUAL(ask(l, key, req1), MH_LEDGER_REVOKED);
+	CU_ASSERT_EQUAL(ask(l, key, req2), MH_LEDGER_REVOKED);
 	g_free(key);
 	mh_ledger_destroy(l);
 }
@@ -232,7 +232,7 @@
 	for (int i = 1; i <= 100; i++) {
 		request[0] = (uint8_t)i;
 		snprintf(key, sizeof(key), "acme/%d", i);
-		CU_ASSERT_EQUAL(ask(l, key, request), MH_LEDGER_TOMBSTONE);
+		CU_ASSERT_EQUAL(ask(l, key, request), MH_LEDGER_MARKED);
 	}
 	request[0] = 101;
 	CU_ASSERT_EQUAL(ask(l, "acme/1", request), MH_LEDGER_RUN);
--- a/regress/t_once.c
+++ b/regress/t_once.c
@@ -360,7 +360,8 @@
 	net_run(w.n, MH_US_PER_S);
 	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, a, "outcome"), "not-run");
 	b = confirm(w.e[1], "k5");
-	net_run(w.n, 3 * MH_US_PER_S);
+	net_run(w.n, 10 * MH_US_PER_MS);
+	CU_ASSERT_EQUAL(net_answer(w.n, b)->status, 409);
 	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, b, "outcome"), "not-run");
 	CU_ASSERT_EQUAL(net_runs(w.n, "acme/k5"), 0);
 	c = confirm(w.e[0], "k6");
@@ -372,6 +373,31 @@
 	net_destroy(w.n);
 }
 
+/*
+ * One key with two orders: the second page was answered only at its
+ * deadline, though the owner had refused it in a millisecond.
+ */
+static void
+test_key_with_another_body(void)
+{
+	struct once_world w;
+	struct net_ask other = { .path = "/v1/pipelines/confirm",
+		.once = "k8",
+		.body = "{\"body\":{\"order\":2}}" };
+	uint64_t a, b;
+
+	make(&w, 16);
+	a = confirm(w.e[0], "k8");
+	net_run(w.n, MH_US_PER_S);
+	b = net_request(w.e[1], &other);
+	net_run(w.n, 10 * MH_US_PER_MS);
+	CU_ASSERT_EQUAL(net_answer(w.n, a)->status, 200);
+	CU_ASSERT_EQUAL(net_answer(w.n, b)->status, 409);
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, b, "outcome"), "not-run");
+	CU_ASSERT_EQUAL(net_runs(w.n, "acme/k8"), 1);
+	net_destroy(w.n);
+}
+
 struct cut_case {
 	const char *name;
 	uint32_t status;
@@ -583,6 +609,7 @@
 	{ "lost_answer_of_a_claim", test_lost_answer_of_a_claim },
 	{ "outage_stops_nothing", test_outage_stops_nothing },
 	{ "revoke", test_revoke },
+	{ "key_with_another_body", test_key_with_another_body },
 	{ "endpoint_ends", test_endpoint_ends },
 	{ "one_key_across_a_hand_over", test_one_key_across_a_hand_over },
 	{ "random_failures", test_random_failures },
