Requests during an entry's start wait for its configuration; outcomes in a file of their own

Change: for two seconds after the start requests wait for configuration, VM list and a link; outcome.c asks owners. Conclusion: readiness alone does not help where a balancer lags.

--- a/lib/entry.c
+++ b/lib/entry.c
@@ -8,10 +8,10 @@
 #include <string.h>
 
 #define MAX_KEY 128
-#define LOOKUP_US (1 * MH_US_PER_S)
 #define PREFIX_PIPELINES "/v1/pipelines/"
-#define PREFIX_OUTCOMES "/v1/outcomes/"
 #define START_BUDGET 10.0
+#define START_US (2 * MH_US_PER_S) /* requests wait for the start this long */
+#define EARLY_US (10 * MH_US_PER_MS)
 
 static struct entry *
 get(struct mh_kern *k)
@@ -19,8 +19,8 @@
 	return mh_kern_get(k, "entry");
 }
 
-static GBytes *
-dump(json_t *o)
+GBytes *
+entry_dump(json_t *o)
 {
 	char *text = json_dumps(o, JSON_COMPACT | JSON_SORT_KEYS);
 
@@ -63,13 +63,13 @@
 
 	snprintf(name, sizeof(name), "entry_problem_%u", p->status);
 	mh_count(e->k, name, 1);
-	entry_reply(e, caller, p->status, dump(problem_json(p)),
+	entry_reply(e, caller, p->status, entry_dump(problem_json(p)),
 	    p->retry_us > 0 ? seconds_up(p->retry_us) : 0);
 }
 
-static void
-refuse(struct entry *e, uint64_t caller, uint32_t status, const char *kind,
-    const char *detail, const char *remedy)
+void
+entry_refuse(struct entry *e, uint64_t caller, uint32_t status,
+    const char *kind, const char *detail, const char *remedy)
 {
 	struct problem p = { .status = status,
 		.kind = kind,
@@ -166,7 +166,7 @@
 	if (r->stream)
 		sse(r, "done", o, true);
 	else
-		entry_reply(r->e, r->caller, 200, dump(o), 0);
+		entry_reply(r->e, r->caller, 200, entry_dump(o), 0);
 	end_request(r);
 }
 
@@ -181,7 +181,7 @@
 	if (r->streaming)
 		sse(r, "problem", o, true);
 	else
-		entry_reply(r->e, r->caller, p->status, dump(o),
+		entry_reply(r->e, r->caller, p->status, entry_dump(o),
 		    p->retry_us > 0 ? seconds_up(p->retry_us) : 0);
 	end_request(r);
 }
@@ -234,8 +234,8 @@
 	mh_owners_take(entry_owners(e, f->owners->service), f->owners);
 }
 
-static bool
-good_key(const char *key)
+bool
+entry_good_key(const char *key)
 {
 	size_t len = strlen(key);
 
@@ -261,7 +261,7 @@
 	if (!json_is_object(r->flow.input)) {
 		detail = g_strdup_printf("The body is no JSON object: %s.",
 		    r->flow.input == NULL ? err.text : "another JSON type");
-		refuse(
+		entry_refuse(
 		    e, m->id, 400, "bad-body", detail, "Send a JSON object.");
 		g_free(detail);
 		return false;
@@ -271,7 +271,7 @@
 	if (tokens != NULL &&
 	    (!json_is_integer(tokens) || json_integer_value(tokens) < 1 ||
 		json_integer_value(tokens) > 100000)) {
-		refuse(e, m->id, 400, "bad-max-tokens",
+		entry_refuse(e, m->id, 400, "bad-max-tokens",
 		    "max_tokens is no whole number from 1 to 100000.",
 		    "Mend max_tokens.");
 		return false;
@@ -280,12 +280,6 @@
 	return true;
 }
 
-static const struct mh_stage *
-last_stage(const struct mh_pipeline *p)
-{
-	return p->stages->pdata[p->stages->len - 1];
-}
-
 static bool
 decide(struct entry *e, const struct mh_request_msg *m, struct request *r)
 {
@@ -300,13 +294,13 @@
 	ask.model = json_string_value(json_object_get(r->flow.input, "model"));
 	mh_rules_decide(r->decl, &ask, &r->d);
 	if (r->d.pipeline == NULL) {
-		refuse(e, m->id, 404, "no-pipeline",
+		entry_refuse(e, m->id, 404, "no-pipeline",
 		    "No such pipeline is declared.",
 		    "Use a declared pipeline's name.");
 		return false;
 	}
 	if (r->d.rule == NULL || r->d.refuse != NULL) {
-		refuse(e, m->id, 403, "refused",
+		entry_refuse(e, m->id, 403, "refused",
 		    r->d.rule == NULL ? "No rule admits the request."
 				      : r->d.refuse,
 		    "Ask the operators about the rules.");
@@ -322,7 +316,7 @@
 	if (r->d.max_tokens > 0)
 		r->max_tokens = MIN(r->max_tokens, r->d.max_tokens);
 	r->max_tokens = MAX(r->max_tokens, 1);
-	s = last_stage(r->d.pipeline);
+	s = pipe_last(r->d.pipeline);
 	r->stream = r->stream && s->kind == MH_GENERATE;
 	return true;
 }
@@ -332,14 +326,14 @@
 {
 	if (m->idempotency_key == NULL)
 		return true;
-	if (!good_key(m->idempotency_key)) {
-		refuse(e, m->id, 400, "bad-key",
+	if (!entry_good_key(m->idempotency_key)) {
+		entry_refuse(e, m->id, 400, "bad-key",
 		    "Idempotency-Key is not 1 to 128 printable characters "
 		    "without a slash.",
 		    "Send a UUID version 7.");
 		return false;
 	}
-	if (!last_stage(r->d.pipeline)->never)
+	if (!pipe_last(r->d.pipeline)->never)
 		return true;
 	r->key = g_strconcat(r->org->name, "/", m->idempotency_key, NULL);
 	r->key_given = true;
@@ -360,7 +354,7 @@
 	if (wait == 0)
 		return true;
 	if (wait < 0) {
-		refuse(e, m->id, 400, "over-burst",
+		entry_refuse(e, m->id, 400, "over-burst",
 		    "The request is larger than the limit's burst.",
 		    "Lower max_tokens.");
 		return false;
@@ -440,119 +434,58 @@
 	pipe_start(r);
 }
 
-static void
-on_lookup_timeout(void *arg)
+static bool
+settled(struct entry *e)
 {
-	struct lookup *l = arg;
-	struct entry *e = l->e;
-
-	l->timer = NULL;
-	refuse(e, l->caller, 503, "owner-silent",
-	    "The key's owner did not answer.", "Ask again later.");
-	g_hash_table_remove(e->lookups, &l->token);
+	return mh_conf_get(e->k) != NULL && mh_member_has_list(e->k) &&
+	    mh_member_links(e->k) > 0;
 }
 
 static void
-free_lookup(void *arg)
-{
-	struct lookup *l = arg;
-
-	mh_timer_stop(l->e->k, &l->timer);
-	g_free(l);
-}
-
-static const char *
-outcome_text(Mh__Outcome o)
+free_early(struct early *x)
 {
-	switch (o) {
-	case MH__OUTCOME__DONE:
-		return "done";
-	case MH__OUTCOME__NOT_RUN:
-		return "not-run";
-	case MH__OUTCOME__RUNNING:
-		return "running";
-	case MH__OUTCOME__NOT_SEEN:
-		return "not-seen";
-	default:
-		return "unknown";
-	}
+	mh_timer_stop(x->e->k, &x->timer);
+	if (x->msg != NULL)
+		mh_msg_free(x->msg);
+	g_free(x);
 }
 
 static void
-on_outcomes(void *arg, uint64_t conn, const Mh__Frame *f)
+on_early(void *arg)
 {
-	struct entry *e = arg;
-	const Mh__Outcomes *o = f->outcomes;
-	struct lookup *l = g_hash_table_lookup(e->lookups, &o->token);
-	json_t *j, *answer;
+	struct early *x = arg;
+	struct entry *e = x->e;
 
-	(void)conn;
-	if (l == NULL)
+	x->timer = NULL;
+	if (!settled(e) && mh_now(e->k) < e->started_us + START_US) {
+		x->timer = mh_timer_start(e->k, EARLY_US, on_early, x);
 		return;
-	j = json_pack("{s:s}", "outcome", outcome_text(o->outcome));
-	answer = json_loadb(
-	    (const char *)o->body.data, o->body.len, JSON_DECODE_ANY, NULL);
-	if (answer != NULL)
-		json_object_set_new(j, "answer", answer);
-	entry_reply(e, l->caller, 200, dump(j), 0);
-	g_hash_table_remove(e->lookups, &o->token);
+	}
+	mh_post(e->k, "entry", x->msg);
+	x->msg = NULL;
+	g_ptr_array_remove(e->early, x);
 }
 
-static void
-send_lookup(struct entry *e, struct mh_peer *p, const char *key, bool revoke,
-    uint64_t caller)
-{
-	struct lookup *l = g_new0(struct lookup, 1);
-	Mh__Frame f = MH__FRAME__INIT;
-	Mh__Lookup m = MH__LOOKUP__INIT;
-
-	l->e = e;
-	l->token = mh_next_id(e->k);
-	l->caller = caller;
-	l->timer = mh_timer_start(e->k, LOOKUP_US, on_lookup_timeout, l);
-	g_hash_table_insert(e->lookups, &l->token, l);
-	m.token = l->token;
-	m.key = (char *)(uintptr_t)key;
-	m.partition = mh_partition_of(key);
-	m.revoke = revoke;
-	f.body_case = MH__FRAME__BODY_LOOKUP;
-	f.lookup = &m;
-	mh_frame_send(e->k, p->conn, &f);
-}
-
-/* GET looks an outcome up, DELETE revokes what did not run yet. */
-static void
-start_lookup(struct entry *e, const struct mh_request_msg *m,
-    const struct mh_key_owner *who, bool revoke)
+/*
+ * A restarted entry gets requests before it has its configuration and its
+ * links: the balancer knows only that the port answers.  For a moment after
+ * the start they wait for both instead of being refused.
+ */
+static bool
+hold_early(struct entry *e, struct mh_msg *m)
 {
-	char **part = g_strsplit(m->path + strlen(PREFIX_OUTCOMES), "/", 2);
-	struct mh_pipeline *pl = NULL;
-	const struct mh_stage *s;
-	const struct mh_part *owner;
-	struct mh_peer *p;
-	char *key;
-
-	if (part[0] != NULL && part[1] != NULL && good_key(part[1]))
-		pl = mh_decl_pipeline(mh_conf_get(e->k), part[0]);
-	if (pl == NULL || !last_stage(pl)->never) {
-		refuse(e, m->id, 404, "no-outcome",
-		    "The path names no pipeline with a non-repeatable stage.",
-		    "Use /v1/outcomes/PIPELINE/KEY.");
-		g_strfreev(part);
-		return;
-	}
-	s = last_stage(pl);
-	key = g_strconcat(who->org->name, "/", part[1], NULL);
-	owner = mh_owners_part(entry_owners(e, s->pool), mh_partition_of(key));
-	p = mh_member_find(e->k, owner->vm);
-	if (p == NULL || !p->up)
-		refuse(e, m->id, 503, "owner-unreachable",
-		    "The key's owner cannot be reached now.",
-		    "Ask again later.");
-	else
-		send_lookup(e, p, key, revoke, m->id);
-	g_free(key);
-	g_strfreev(part);
+	struct early *x;
+
+	if (settled(e) || mh_now(e->k) >= e->started_us + START_US)
+		return false;
+	x = g_new0(struct early, 1);
+	x->e = e;
+	x->msg = mh_msg_new(m->kind);
+	x->msg->u.request = m->u.request;
+	memset(&m->u.request, 0, sizeof(m->u.request));
+	x->timer = mh_timer_start(e->k, EARLY_US, on_early, x);
+	g_ptr_array_add(e->early, x);
+	return true;
 }
 
 static void
@@ -564,25 +497,25 @@
 	bool del = strcmp(m->method, "DELETE") == 0;
 
 	if (d == NULL) {
-		refuse(e, m->id, 503, "no-configuration",
+		entry_refuse(e, m->id, 503, "no-configuration",
 		    "No configuration is in force yet.",
 		    "Apply declarations with marlctl; ask again later.");
 		return;
 	}
 	who = m->key == NULL ? NULL : mh_decl_find_key(d, m->key);
 	if (who == NULL) {
-		refuse(e, m->id, 401, "no-right",
+		entry_refuse(e, m->id, 401, "no-right",
 		    "The key is missing or not known.",
 		    "Send Authorization: Bearer KEY.");
 		return;
 	}
 	if (g_str_has_prefix(m->path, PREFIX_OUTCOMES) && !post) {
-		start_lookup(e, m, who, del);
+		outcome_ask(e, m, who, del);
 		return;
 	}
 	if (!g_str_has_prefix(m->path, PREFIX_PIPELINES) || !post) {
-		refuse(e, m->id, 404, "no-path", "No such path or method.",
-		    "POST to /v1/pipelines/NAME.");
+		entry_refuse(e, m->id, 404, "no-path",
+		    "No such path or method.", "POST to /v1/pipelines/NAME.");
 		return;
 	}
 	start_request(e, m, who);
@@ -596,7 +529,8 @@
 
 	switch (m->kind) {
 	case MH_MSG_REQUEST:
-		dispatch(e, &m->u.request);
+		if (!hold_early(e, m))
+			dispatch(e, &m->u.request);
 		break;
 	case MH_MSG_GONE:
 		r = g_hash_table_lookup(e->requests, &m->u.request.id);
@@ -628,7 +562,7 @@
 uint32_t
 mh_entry_open(struct mh_kern *k)
 {
-	return g_hash_table_size(get(k)->requests);
+	return g_hash_table_size(get(k)->requests) + get(k)->early->len;
 }
 
 json_t *
@@ -653,6 +587,7 @@
 		g_hash_table_iter_steal(&it);
 		free_request(r);
 	}
+	g_ptr_array_unref(e->early);
 	g_hash_table_destroy(e->requests);
 	g_hash_table_destroy(e->owners);
 	g_hash_table_destroy(e->lookups);
@@ -678,12 +613,14 @@
 	e->vm = g_strdup(vm);
 	e->domain = g_strdup(domain);
 	e->budget = START_BUDGET;
+	e->started_us = mh_now(k);
+	e->early = g_ptr_array_new_with_free_func((GDestroyNotify)free_early);
 	e->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
 	e->owners = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, g_free, (GDestroyNotify)mh_owners_destroy);
 	e->lookups = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, NULL, free_lookup);
+	    g_int64_hash, g_int64_equal, NULL, outcome_free);
 	mh_kern_add(k, "entry", e, handle, destroy);
 	mh_hub_on(k, MH__FRAME__BODY_OWNERS, on_owners, e);
-	mh_hub_on(k, MH__FRAME__BODY_OUTCOMES, on_outcomes, e);
+	mh_hub_on(k, MH__FRAME__BODY_OUTCOMES, outcome_take, e);
 }
--- a/lib/entry.h
+++ b/lib/entry.h
@@ -64,12 +64,21 @@
 	struct mh_timer *timer;
 };
 
+/** struct early - a request that came before the entry had settled. */
+struct early {
+	struct entry *e;
+	struct mh_msg *msg;
+	struct mh_timer *timer;
+};
+
 struct entry {
 	struct mh_kern *k;
 	char *vm;
 	char *domain;
 	bool draining;
 	double budget; /* calls that may still be retried or hedged */
+	int64_t started_us;
+	GPtrArray *early; /* struct early */
 	GHashTable *requests; /* caller -> struct request */
 	GHashTable *owners; /* service -> struct mh_owners */
 	GHashTable *lookups; /* token -> struct lookup */
@@ -89,12 +98,28 @@
 void entry_reply(struct entry *e, uint64_t caller, uint32_t status,
     GBytes *body, uint32_t retry_after_s);
 void entry_problem(struct entry *e, uint64_t caller, const struct problem *p);
+/** entry_refuse() - a problem without Retry-After: it never left here. */
+void entry_refuse(struct entry *e, uint64_t caller, uint32_t status,
+    const char *kind, const char *detail, const char *remedy);
+/** entry_dump() - takes @o and gives its text. */
+GBytes *entry_dump(json_t *o);
+bool entry_good_key(const char *key);
 void entry_done(struct request *r);
 void entry_fail(struct request *r, const struct problem *p);
 void entry_token(struct request *r, GBytes *text);
 struct mh_owners *entry_owners(struct entry *e, const char *service);
 
+/* outcome.c */
+#define PREFIX_OUTCOMES "/v1/outcomes/"
+/** outcome_ask() - GET looks up, DELETE (@revoke) revokes. */
+void outcome_ask(struct entry *e, const struct mh_request_msg *m,
+    const struct mh_key_owner *who, bool revoke);
+/** outcome_take() - the owner's answer. */
+void outcome_take(void *arg, uint64_t conn, const Mh__Frame *f);
+void outcome_free(void *lookup);
+
 /* pipe.c */
+const struct mh_stage *pipe_last(const struct mh_pipeline *p);
 void pipe_start(struct request *r);
 void pipe_stop(struct request *r);
 int64_t pipe_predict_us(const struct request *r, guint from, bool waits);
--- a/lib/pipe.c
+++ b/lib/pipe.c
@@ -29,6 +29,12 @@
 	return r->d.pipeline->stages->pdata[i];
 }
 
+const struct mh_stage *
+pipe_last(const struct mh_pipeline *p)
+{
+	return p->stages->pdata[p->stages->len - 1];
+}
+
 static const struct mh_stage *
 stage_of(const struct request *r)
 {
--- a/regress/t_entry.c
+++ b/regress/t_entry.c
@@ -343,6 +343,30 @@
 	net_destroy(w.n);
 }
 
+/*
+ * An entry is replaced.  Its port answers before it has its configuration
+ * and links, the balancer sends, and callers were told 503 for nothing.
+ */
+static void
+test_requests_during_a_start(void)
+{
+	struct entry_world w;
+	struct net_ask a = { .path = "/v1/pipelines/embed" };
+	uint64_t ids[5];
+
+	make(&w, 16, net_doc);
+	net_kill(w.e);
+	net_start(w.e);
+	for (int i = 0; i < 5; i++) {
+		ids[i] = net_request(w.e, &a);
+		net_run(w.n, MH_US_PER_MS);
+	}
+	net_run(w.n, MH_US_PER_S);
+	for (int i = 0; i < 5; i++)
+		CU_ASSERT_EQUAL(net_answer(w.n, ids[i])->status, 200);
+	net_destroy(w.n);
+}
+
 /* A request keeps the configuration that decided it. */
 static void
 test_request_keeps_its_generation(void)
@@ -497,6 +521,7 @@
 	    test_caller_gone_cancels_to_the_engine },
 	{ "leaving_endpoint_gets_no_work", test_leaving_endpoint_gets_no_work },
 	{ "draining_entry_cuts_nothing", test_draining_entry_cuts_nothing },
+	{ "requests_during_a_start", test_requests_during_a_start },
 	{ "request_keeps_its_generation", test_request_keeps_its_generation },
 	{ "limits", test_limits },
 	{ "old_orders_are_fenced", test_old_orders_are_fenced },
--- a/regress/t_session.c
+++ b/regress/t_session.c
@@ -173,7 +173,7 @@
 	struct net_ask a = { .path = "/v1/pipelines/plan" };
 	uint64_t id;
 
-	net_run(n, MH_US_PER_S);
+	net_run(n, 3 * MH_US_PER_S);
 	id = net_request(e, &a);
 	net_run(n, MH_US_PER_S);
 	CU_ASSERT_EQUAL(net_answer(n, id)->status, 503);
