--- a/lib/entry.h
+++ b/lib/entry.h
@@ -118,6 +118,10 @@
 void outcome_take(void *arg, uint64_t conn, const Mh__Frame *f);
 void outcome_free(void *lookup);
 
+/* pick.c */
+/** pick_endpoint() - NULL: none can be asked now. */
+struct mh_peer *pick_endpoint(struct request *r, const struct mh_stage *s);
+
 /* pipe.c */
 const struct mh_stage *pipe_last(const struct mh_pipeline *p);
 void pipe_start(struct request *r);
