--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -589,6 +589,21 @@
 void mh_member_drain(struct mh_kern *k);
 json_t *mh_member_state(struct mh_kern *k);
 
+/* subset.c */
+
+/** struct mh_subset_args - the entry that chooses. */
+struct mh_subset_args {
+	const char *vm;
+	const char *domain;
+	uint32_t entries; /* listed, this one included */
+};
+
+typedef void (*mh_subset_fn)(void *arg, struct mh_peer *p, bool take);
+
+/** mh_subset_choose() - tells @fn of each peer whether to link to it. */
+void mh_subset_choose(const struct mh_subset_args *a, GPtrArray *pool,
+    mh_subset_fn fn, void *arg);
+
 /* roster.c: service "roster", the VM list */
 
 /** mh_roster_create() - @pool: the only one to keep, NULL on an entry. */
--- a/lib/member.c
+++ b/lib/member.c
@@ -21,9 +21,6 @@
 #define DIAL_US (300 * MH_US_PER_MS) /* a dial that takes longer failed */
 #define REDIAL_MIN_US (100 * MH_US_PER_MS)
 #define REDIAL_MAX_US (2 * MH_US_PER_S)
-#define SUBSET 20 /* an entry's links to one pool, at least */
-#define LINKED 6 /* links from entries that each endpoint has on average */
-#define NEAR_PART 0.7 /* of the links stay in the own failure domain */
 
 struct listener {
 	mh_link_fn fn;
@@ -430,20 +427,11 @@
 		dial(mb, p);
 }
 
-static int
-by_weight(gconstpointer a, gconstpointer b, gpointer self)
-{
-	const struct mh_peer *x = *(struct mh_peer *const *)a;
-	const struct mh_peer *y = *(struct mh_peer *const *)b;
-	uint64_t wx = mh_rendezvous(self, x->vm);
-	uint64_t wy = mh_rendezvous(self, y->vm);
-
-	return wx > wy ? -1 : wx < wy;
-}
-
 static void
-want(struct member *mb, struct mh_peer *p, bool wanted)
+want(void *arg, struct mh_peer *p, bool wanted)
 {
+	struct member *mb = arg;
+
 	p->wanted = wanted;
 	if (wanted && !p->up && p->dial == 0 && p->listed)
 		dial(mb, p);
@@ -455,53 +443,6 @@
 	}
 }
 
-/*
- * With few entries before a large pool twenty links each would leave
- * endpoints that nobody asks, so the subset grows until every endpoint can
- * expect several.
- */
-static uint32_t
-subset_size(struct member *mb, uint32_t pool)
-{
-	uint32_t entries = mh_member_entries(mb->k);
-
-	return MAX(SUBSET, (pool * LINKED + entries - 1) / entries);
-}
-
-/*
- * The subset follows from the two names alone, so a change of one VM moves
- * only that VM's links.
- */
-static void
-choose_subset(struct member *mb, GPtrArray *pool)
-{
-	GPtrArray *sorted = g_ptr_array_new();
-	uint32_t size = subset_size(mb, pool->len), near = 0, taken = 0;
-	uint32_t near_size = (uint32_t)(NEAR_PART * size);
-
-	for (guint i = 0; i < pool->len; i++) {
-		struct mh_peer *p = pool->pdata[i];
-
-		if (p->listed)
-			g_ptr_array_add(sorted, p);
-		else
-			p->wanted = p->wanted && p->absent_since_us > 0;
-	}
-	g_ptr_array_sort_with_data(sorted, by_weight, mb->vm);
-	for (guint i = 0; i < sorted->len; i++) {
-		struct mh_peer *p = sorted->pdata[i];
-		bool mine = strcmp(p->domain, mb->domain) == 0;
-		bool room =
-		    mine ? near < near_size : taken - near < size - near_size;
-		bool take = sorted->len <= size || room;
-
-		taken += take;
-		near += take && mine;
-		want(mb, p, take);
-	}
-	g_ptr_array_free(sorted, TRUE);
-}
-
 static void
 count_links(void *arg, struct mh_peer *p)
 {
@@ -565,6 +506,9 @@
 mh_member_refresh(struct mh_kern *k)
 {
 	struct member *mb = get(k);
+	struct mh_subset_args args = { .vm = mb->vm,
+		.domain = mb->domain,
+		.entries = mh_member_entries(k) };
 	GHashTableIter it;
 	gpointer pool;
 
@@ -573,7 +517,7 @@
 		return;
 	g_hash_table_iter_init(&it, mb->pools);
 	while (g_hash_table_iter_next(&it, NULL, &pool))
-		choose_subset(mb, pool);
+		mh_subset_choose(&args, pool, want, mb);
 }
 
 uint32_t
