Tests' nodes and tests' fakes in two files

Cause: regress/net.c did two jobs in 927 lines. Change: netfake.c holds the fakes at the interfaces. No behaviour changed. Conclusion: smaller files.

--- a/regress/net.c
+++ b/regress/net.c
@@ -2,15 +2,13 @@
  * DOC: Nodes in virtual time over small fakes.
  */
 
-#include "net.h"
+#include "netfake.h"
 
 #include <stdio.h>
 #include <string.h>
 
 #define DIAL_REFUSED_US 200
 #define LATE_FACTOR 40
-#define LIST_ANSWER_US 1000
-#define KV_ANSWER_US 2000 /* "it answers in milliseconds" */
 
 struct end {
 	struct net_node *node;
@@ -25,11 +23,6 @@
 	bool open;
 };
 
-struct value {
-	GBytes *data;
-	uint64_t index;
-};
-
 /** struct delivery - a message on its way to a node. */
 struct delivery {
 	struct net *net;
@@ -41,13 +34,6 @@
 	struct mh_msg *msg;
 };
 
-struct kv_wait {
-	struct net_node *node;
-	uint64_t incarnation;
-	struct mh_kv_msg q;
-	int64_t until_us;
-};
-
 const char net_doc[] =
     "policy: {retention_ms: 60000, vm_gone_ms: 5000, clock_skew_ms: 500}\n"
     "classes:\n"
@@ -100,34 +86,6 @@
 	return mh_now(n->k);
 }
 
-static void
-free_value(void *arg)
-{
-	struct value *v = arg;
-
-	g_bytes_unref(v->data);
-	g_free(v);
-}
-
-static void
-free_answer(void *arg)
-{
-	struct net_answer *a = arg;
-
-	g_string_free(a->body, TRUE);
-	g_free(a);
-}
-
-static void
-free_wait(void *arg)
-{
-	struct kv_wait *w = arg;
-
-	g_free(w->q.from);
-	g_free(w->q.name);
-	g_free(w);
-}
-
 static void free_delivery(void *arg);
 
 struct net *
@@ -139,12 +97,12 @@
 	mh_kern_advance(n->k, 1, NET_START_WALL_US);
 	n->nodes = g_ptr_array_new_with_free_func(g_free);
 	n->wires = g_ptr_array_new_with_free_func(g_free);
-	n->kv_waits = g_ptr_array_new_with_free_func(free_wait);
+	n->kv_waits = g_ptr_array_new_with_free_func(net_free_wait);
 	n->answers = g_hash_table_new_full(
-	    g_int64_hash, g_int64_equal, NULL, free_answer);
+	    g_int64_hash, g_int64_equal, NULL, net_free_answer);
 	n->audit = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	n->kv =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_value);
+	n->kv = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, net_free_value);
 	n->latency_us = 300;
 	n->kv_us = KV_ANSWER_US;
 	n->next_incarnation = 100;
@@ -200,8 +158,8 @@
 	}
 }
 
-static void
-deliver(struct net_node *to, const char *service, struct mh_msg *m,
+void
+net_deliver(struct net_node *to, const char *service, struct mh_msg *m,
     int64_t after_us, struct wire *wire, bool to_a)
 {
 	struct delivery *d = g_new0(struct delivery, 1);
@@ -286,7 +244,8 @@
 	struct wire *w;
 
 	if (y == NULL) {
-		deliver(x, "hub", down_msg(conn), DIAL_REFUSED_US, NULL, false);
+		net_deliver(
+		    x, "hub", down_msg(conn), DIAL_REFUSED_US, NULL, false);
 		return;
 	}
 	/* A paused process accepts nothing: the dialer hears nothing. */
@@ -297,8 +256,10 @@
 	w->a = (struct end) { x, x->incarnation, conn, false };
 	w->b = (struct end) { y, y->incarnation, mh_next_id(y->k), false };
 	g_ptr_array_add(n->wires, w);
-	deliver(x, "hub", up_msg(conn, y, false), n->latency_us * 2, w, true);
-	deliver(y, "hub", up_msg(w->b.conn, x, true), n->latency_us, w, false);
+	net_deliver(
+	    x, "hub", up_msg(conn, y, false), n->latency_us * 2, w, true);
+	net_deliver(
+	    y, "hub", up_msg(w->b.conn, x, true), n->latency_us, w, false);
 }
 
 static void
@@ -306,7 +267,7 @@
 {
 	(void)w;
 	if (e->node->k != NULL && e->node->incarnation == e->incarnation)
-		deliver(e->node, "hub", down_msg(e->conn),
+		net_deliver(e->node, "hub", down_msg(e->conn),
 		    e->node->net->latency_us, NULL, false);
 }
 
@@ -352,7 +313,7 @@
 			after *= LATE_FACTOR;
 		m->u.link.conn = to->conn;
 		m->u.link.frame = g_bytes_ref(l->frame);
-		deliver(to->node, "hub", m, after, w, !is_a);
+		net_deliver(to->node, "hub", m, after, w, !is_a);
 	}
 }
 
@@ -374,374 +335,6 @@
 	}
 }
 
-/* ---- kv ---- */
-
-static struct mh_msg *
-kv_answer(struct net *n, const struct mh_kv_msg *q)
-{
-	struct mh_msg *m = mh_msg_new(MH_MSG_KV_DONE);
-	struct value *v = g_hash_table_lookup(n->kv, q->name);
-
-	m->u.kv.op = q->op;
-	m->u.kv.token = q->token;
-	m->u.kv.name = g_strdup(q->name);
-	m->u.kv.ok = true;
-	m->u.kv.index = MAX(n->kv_index, 1);
-	if (v != NULL) {
-		m->u.kv.found = true;
-		m->u.kv.cas = v->index;
-		m->u.kv.index = v->index;
-		m->u.kv.value = g_bytes_ref(v->data);
-	}
-	return m;
-}
-
-/* Names of services live as long as the program. */
-static const char *
-service_name(const char *from)
-{
-	static const char *const names[] = { "conf", "claim", "side" };
-
-	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
-		if (strcmp(names[i], from) == 0)
-			return names[i];
-	}
-	return "nobody";
-}
-
-static void
-kv_fail(struct net_node *x, const struct mh_kv_msg *q)
-{
-	struct mh_msg *m = mh_msg_new(MH_MSG_KV_DONE);
-
-	m->u.kv.op = q->op;
-	m->u.kv.token = q->token;
-	deliver(x, service_name(q->from), m, x->net->kv_us, NULL, false);
-}
-
-static void
-kv_wake(struct net *n, const char *name)
-{
-	for (guint i = 0; i < n->kv_waits->len;) {
-		struct kv_wait *w = n->kv_waits->pdata[i];
-
-		if (name != NULL && strcmp(w->q.name, name) != 0 &&
-		    w->until_us > mh_now(n->k)) {
-			i++;
-			continue;
-		}
-		if (w->node->k != NULL &&
-		    w->node->incarnation == w->incarnation) {
-			if (n->kv_down)
-				kv_fail(w->node, &w->q);
-			else
-				deliver(w->node, service_name(w->q.from),
-				    kv_answer(n, &w->q), n->kv_us, NULL, false);
-		}
-		g_ptr_array_remove_index(n->kv_waits, i);
-	}
-}
-
-static void
-kv_store(struct net *n, const char *name, GBytes *data)
-{
-	struct value *v = g_new0(struct value, 1);
-
-	v->data = g_bytes_ref(data);
-	v->index = ++n->kv_index;
-	g_hash_table_replace(n->kv, g_strdup(name), v);
-	kv_wake(n, name);
-}
-
-static void
-kv_put(struct net_node *x, const struct mh_kv_msg *q)
-{
-	struct net *n = x->net;
-	struct value *v = g_hash_table_lookup(n->kv, q->name);
-	struct mh_msg *m;
-	bool ok = q->cas == (v == NULL ? 0 : v->index);
-
-	if (ok)
-		kv_store(n, q->name, q->value);
-	if (n->kv_lose_answer) {
-		n->kv_lose_answer = false;
-		kv_fail(x, q);
-		return;
-	}
-	m = mh_msg_new(MH_MSG_KV_DONE);
-	m->u.kv.op = q->op;
-	m->u.kv.token = q->token;
-	m->u.kv.ok = true;
-	m->u.kv.found = ok;
-	deliver(x, service_name(q->from), m, x->net->kv_us, NULL, false);
-}
-
-static void
-kv_handle(void *self, struct mh_msg *m)
-{
-	struct net_node *x = self;
-	struct net *n = x->net;
-	const struct mh_kv_msg *q = &m->u.kv;
-	struct value *v;
-	struct kv_wait *w;
-
-	n->kv_calls++;
-	if (n->kv_down) {
-		kv_fail(x, q);
-		return;
-	}
-	if (q->op == MH_KV_PUT) {
-		kv_put(x, q);
-		return;
-	}
-	v = g_hash_table_lookup(n->kv, q->name);
-	if (q->op != MH_KV_WATCH || q->index == 0 ||
-	    (v != NULL && v->index > q->index)) {
-		deliver(x, service_name(q->from), kv_answer(n, q), KV_ANSWER_US,
-		    NULL, false);
-		return;
-	}
-	w = g_new0(struct kv_wait, 1);
-	w->node = x;
-	w->incarnation = x->incarnation;
-	w->q = *q;
-	w->q.from = g_strdup(q->from);
-	w->q.name = g_strdup(q->name);
-	w->q.value = NULL;
-	w->until_us = mh_now(n->k) + q->wait_us;
-	g_ptr_array_add(n->kv_waits, w);
-}
-
-void
-net_apply_delta(
-    struct net *n, uint64_t generation, const char *doc, const char *old)
-{
-	GBytes *b = g_bytes_new(doc, strlen(doc)), *head;
-	GBytes *base = old == NULL ? NULL : g_bytes_new(old, strlen(old));
-	char id[24], name[64];
-
-	snprintf(id, sizeof(id), "w%" PRIu64, generation);
-	snprintf(name, sizeof(name), "%s%s", MH_CONF_DOC, id);
-	kv_store(n, name, b);
-	head = mh_conf_head_make(generation, id, b, generation - 1, base, NULL);
-	kv_store(n, MH_CONF_HEAD, head);
-	g_bytes_unref(head);
-	g_bytes_unref(b);
-	if (base != NULL)
-		g_bytes_unref(base);
-}
-
-void
-net_apply(struct net *n, uint64_t generation, const char *doc)
-{
-	net_apply_delta(n, generation, doc, NULL);
-}
-
-/* ---- VM list ---- */
-
-static void
-vmlist_handle(void *self, struct mh_msg *in)
-{
-	struct net_node *x = self;
-	struct net *n = x->net;
-	struct mh_msg *m = mh_msg_new(MH_MSG_VMLIST);
-
-	(void)in;
-	m->u.vmlist.ok = !n->vmlist_down;
-	m->u.vmlist.vms =
-	    g_ptr_array_new_with_free_func((GDestroyNotify)mh_vm_free);
-	for (guint i = 0; i < n->nodes->len; i++) {
-		struct net_node *y = n->nodes->pdata[i];
-
-		if (y->listed)
-			g_ptr_array_add(m->u.vmlist.vms,
-			    mh_vm_new(y->vm, y->addr, y->role, y->pool,
-				y->domain, y->leaving));
-	}
-	deliver(x, "roster", m, LIST_ANSWER_US, NULL, false);
-}
-
-/* ---- endpoint ---- */
-
-static GBytes *
-padded_answer(size_t bytes)
-{
-	GString *s = g_string_new("{\"confirmed\":true,\"pad\":\"");
-
-	while (s->len < bytes)
-		g_string_append(s, "................................");
-	g_string_append(s, "\"}");
-	return g_string_free_to_bytes(s);
-}
-
-static GBytes *
-run_body(const struct net_node *x, const struct mh_run_msg *q)
-{
-	const char *text = "{\"confirmed\":true}";
-
-	if (q->kind == MH_SERVICE && x->answer_bytes > 0)
-		return padded_answer(x->answer_bytes);
-	if (q->kind == MH_ENCODE)
-		text = "{\"data\":[{\"embedding\":[1,2]}]}";
-	else if (q->kind == MH_RETRIEVE)
-		text = "{\"documents\":[{\"id\":1,\"text\":\"one\"},"
-		       "{\"id\":2,\"text\":\"two\"}]}";
-	else if (q->kind == MH_RERANK)
-		text = "{\"results\":[{\"index\":1},{\"index\":0}]}";
-	else if (q->kind == MH_GENERATE)
-		text = "";
-	return g_bytes_new(text, strlen(text));
-}
-
-static uint32_t
-wanted_tokens(const struct mh_run_msg *q)
-{
-	gsize len;
-	const char *data = g_bytes_get_data(q->body, &len);
-	json_t *j = json_loadb(data, len, 0, NULL);
-	uint32_t n =
-	    (uint32_t)json_integer_value(json_object_get(j, "max_tokens"));
-
-	json_decref(j);
-	return n;
-}
-
-static void
-run_stream(struct net_node *x, const struct mh_run_msg *q, uint32_t n)
-{
-	for (uint32_t i = 0; i < n; i++) {
-		struct mh_msg *m = mh_msg_new(MH_MSG_RUN_CHUNK);
-
-		m->u.run.run = q->run;
-		m->u.run.body = g_bytes_new(" t", 2);
-		deliver(x, "side", m, x->service_us * (i + 1) / (n + 1), NULL,
-		    false);
-	}
-}
-
-static void
-endpoint_handle(void *self, struct mh_msg *in)
-{
-	struct net_node *x = self;
-	const struct mh_run_msg *q = &in->u.run;
-	struct mh_msg *m;
-	gpointer runs;
-
-	if (in->kind == MH_MSG_RUN_ABORT) {
-		x->aborts++;
-		return;
-	}
-	m = mh_msg_new(MH_MSG_RAN);
-	m->u.run.run = q->run;
-	m->u.run.sent = !x->unsent;
-	if (!x->unsent) {
-		x->runs++;
-		if (q->key != NULL && *q->key != '\0') {
-			runs = g_hash_table_lookup(x->net->audit, q->key);
-			g_hash_table_replace(x->net->audit, g_strdup(q->key),
-			    GUINT_TO_POINTER(GPOINTER_TO_UINT(runs) + 1));
-		}
-		m->u.run.status = x->status == 0 ? 200 : x->status;
-		m->u.run.whole = !x->cut;
-		m->u.run.body = run_body(x, q);
-		if (q->kind == MH_GENERATE && x->status == 0)
-			run_stream(x, q, wanted_tokens(q));
-	}
-	deliver(x, "side", m, x->unsent ? 100 : x->service_us, NULL, false);
-}
-
-/* ---- http ---- */
-
-static void
-http_handle(void *self, struct mh_msg *m)
-{
-	struct net_node *x = self;
-	const struct mh_reply_msg *r = &m->u.reply;
-	struct net_answer *a = g_hash_table_lookup(x->net->answers, &r->id);
-	gsize len;
-	const char *data;
-
-	if (a == NULL || a->ended)
-		return;
-	data = g_bytes_get_data(r->body, &len);
-	g_string_append_len(a->body, data, (gssize)len);
-	a->status = r->status;
-	a->retry_after_s = r->retry_after_s;
-	a->parts++;
-	a->ended = r->last;
-	a->at_us = mh_now(x->k);
-}
-
-uint64_t
-net_request(struct net_node *entry, const struct net_ask *a)
-{
-	struct net *n = entry->net;
-	struct mh_msg *m = mh_msg_new(MH_MSG_REQUEST);
-	struct net_answer *ans = g_new0(struct net_answer, 1);
-	const char *body = a->body == NULL ? "{\"input\":\"x\"}" : a->body;
-
-	ans->caller = ++n->next_caller;
-	ans->body = g_string_new(NULL);
-	g_hash_table_insert(n->answers, &ans->caller, ans);
-	m->u.request.id = ans->caller;
-	m->u.request.method = g_strdup(a->method == NULL ? "POST" : a->method);
-	m->u.request.path = g_strdup(a->path);
-	m->u.request.key = g_strdup(a->key == NULL ? "party-key" : a->key);
-	m->u.request.idempotency_key = g_strdup(a->once);
-	m->u.request.class_asked = g_strdup(a->class_asked);
-	m->u.request.deadline_us = a->deadline_us;
-	m->u.request.body = g_bytes_new(body, strlen(body));
-	mh_post(entry->k, "entry", m);
-	return ans->caller;
-}
-
-void
-net_caller_leaves(struct net_node *entry, uint64_t caller)
-{
-	struct mh_msg *m = mh_msg_new(MH_MSG_GONE);
-
-	m->u.request.id = caller;
-	mh_post(entry->k, "entry", m);
-}
-
-struct net_answer *
-net_answer(struct net *n, uint64_t caller)
-{
-	return g_hash_table_lookup(n->answers, &caller);
-}
-
-const char *
-net_answer_text(struct net *n, uint64_t caller, const char *f)
-{
-	static char buf[512];
-	struct net_answer *a = net_answer(n, caller);
-	json_t *j = json_loads(a->body->str, 0, NULL);
-	const char *t = json_string_value(json_object_get(j, f));
-
-	g_strlcpy(buf, t == NULL ? "" : t, sizeof(buf));
-	json_decref(j);
-	return buf;
-}
-
-uint32_t
-net_runs(struct net *n, const char *key)
-{
-	return GPOINTER_TO_UINT(g_hash_table_lookup(n->audit, key));
-}
-
-uint32_t
-net_most_runs(struct net *n)
-{
-	GHashTableIter it;
-	gpointer v;
-	uint32_t most = 0;
-
-	g_hash_table_iter_init(&it, n->audit);
-	while (g_hash_table_iter_next(&it, NULL, &v))
-		most = MAX(most, GPOINTER_TO_UINT(v));
-	return most;
-}
-
 /* ---- nodes ---- */
 
 static struct net_node *
@@ -815,14 +408,14 @@
 	mh_kern_set_log(x->k, log_line, x);
 	net_tick(x);
 	mh_kern_add(x->k, "link", x, link_handle, NULL);
-	mh_kern_add(x->k, "kv", x, kv_handle, NULL);
-	mh_kern_add(x->k, "vmlist", x, vmlist_handle, NULL);
+	mh_kern_add(x->k, "kv", x, net_kv_handle, NULL);
+	mh_kern_add(x->k, "vmlist", x, net_vmlist_handle, NULL);
 	if (strcmp(x->role, "entry") == 0) {
-		mh_kern_add(x->k, "http", x, http_handle, NULL);
+		mh_kern_add(x->k, "http", x, net_http_handle, NULL);
 		mh_entry_create(x->k, x->vm, x->domain);
 		return;
 	}
-	mh_kern_add(x->k, "endpoint", x, endpoint_handle, NULL);
+	mh_kern_add(x->k, "endpoint", x, net_endpoint_handle, NULL);
 	a.incarnation = x->incarnation;
 	mh_side_create(x->k, &a);
 }
@@ -910,7 +503,7 @@
 		next = MAX(next, mh_now(n->k));
 		mh_kern_advance(n->k, next, NET_START_WALL_US + next);
 		if (n->kv_waits->len > 0 && n->kv_down)
-			kv_wake(n, NULL);
+			net_kv_wake(n, NULL);
 		for (guint i = 0; i < n->nodes->len; i++) {
 			struct net_node *x = n->nodes->pdata[i];
 
