A newcomer during a KV outage stops no partition

Cause: owners began hand-overs to a VM that joined during an outage, which could not end: keys in those partitions were refused until the service was back. Change: a move begins only while the KV service's last call was answered. Conclusion: an outage moves nothing, as the design says.

--- a/lib/claim.c
+++ b/lib/claim.c
@@ -52,6 +52,7 @@
 	struct part_state part[MH_PARTITIONS];
 	bool loaded; /* the KV was read */
 	bool fresh; /* read since the last write */
+	bool reachable; /* the KV's last call was answered */
 	bool draining;
 	uint64_t index; /* watched up to here */
 	uint64_t cas; /* the table's modify index */
@@ -399,6 +400,9 @@
 			step_move(c, p);
 			continue;
 		}
+		/* Without the KV no move can end: do not even begin one. */
+		if (!c->reachable)
+			continue;
 		if (!s->open || (!c->draining && moves >= MAX_MOVES) ||
 		    (!c->draining && mh_now(c->k) < s->again_at_us))
 			continue;
@@ -424,9 +428,7 @@
 	if (!c->loaded || !mh_member_has_list(c->k) ||
 	    mh_now(c->k) - c->started_us < SETTLE_US)
 		return;
-	/* Without the KV no move can end: do not even begin one. */
-	if (mh_now(c->k) >= c->kv_at_us)
-		balance(c);
+	balance(c);
 	if (c->put == 0 && c->fresh && mh_now(c->k) >= c->kv_at_us)
 		plan(c);
 }
@@ -434,6 +436,7 @@
 static void
 kv_failed(struct claim *c)
 {
+	c->reachable = false;
 	mh_count(c->k, "claim_kv_failed", 1);
 	c->kv_at_us = mh_now(c->k) + BACKOFF_US +
 	    (int64_t)(mh_random_unit(c->k) * (double)BACKOFF_US);
@@ -444,6 +447,7 @@
 static void
 take_value(struct claim *c, const struct mh_kv_msg *v)
 {
+	c->reachable = true;
 	c->index = v->index;
 	c->cas = v->cas;
 	c->loaded = true;
--- a/regress/t_once.c
+++ b/regress/t_once.c
@@ -322,7 +322,12 @@
 	net_destroy(w.n);
 }
 
-/* The KV service is out for minutes: what is owned goes on being served. */
+/*
+ * The KV service is out for minutes and a new VM joins.  Owners began to
+ * hand partitions to it, which the outage kept them from ending: those keys
+ * were refused until the service came back.  What is owned goes on being
+ * served.
+ */
 static void
 test_outage_stops_nothing(void)
 {
@@ -331,6 +336,8 @@
 
 	make(&w, 8);
 	w.n->kv_down = true;
+	net_run(w.n, 2 * MH_US_PER_S);
+	net_side(w.n, "book4", "book", "a", 4);
 	for (int i = 0; i < 100; i++) {
 		char key[16];
 		uint64_t a;
