--- a/bench/slopes.sh
+++ b/bench/slopes.sh
@@ -114,9 +114,14 @@
 		_calls=$(($(dp_ctl /ctl/platform '{}' | sed 's/.*"reads":\([0-9]*\).*/\1/') - _calls))
 		echo "$_nodes $_worst" >>"$DIR/spread"
 		echo "$((_nodes - 6)) $(rss entry-0)" >>"$DIR/links-rss"
+		_e=$(cpu_ms entry-0 entry-1 entry-2)
+		sleep 10
+		echo "$((_nodes - 6)) $((($(cpu_ms entry-0 entry-1 entry-2) - _e) * 100 / 3))" |
+		    awk '{ print $1, $2 / 1000 / 10 }' >>"$DIR/links-cpu"
 		echo "$_nodes $(echo "$_calls 5" | awk '{ print $1 / $2 }')" >>"$DIR/calls"
 		dp_stop
 	done
+	fit entry_idle_cpu_by_links "% of a core" <"$DIR/links-cpu"
 	fit entry_rssanon_by_links KB <"$DIR/links-rss"
 	fit change_in_force_by_processes ms <"$DIR/spread"
 	fit kv_reads_a_change_by_processes calls <"$DIR/calls"
