--- a/bench/bench.sh
+++ b/bench/bench.sh
@@ -98,3 +98,5 @@
 	done
 	wait
 done
+sh bench/plot.sh "$OUT" "$SEED" 2>/dev/null
+exit 0
--- a/regress/t_entry.c
+++ b/regress/t_entry.c
@@ -135,6 +135,26 @@
 	net_destroy(w.n);
 }
 
+/*
+ * Every token of a plan came, then the engine's connection broke before the
+ * end mark.  Asking another engine for no token at all failed the request.
+ */
+static void
+test_lost_end_mark_of_a_whole_text(void)
+{
+	struct entry_world w;
+	uint64_t id;
+
+	make(&w, 17, net_doc);
+	for (int i = 0; i < 3; i++)
+		w.llm[i]->cut = true;
+	id = plan(&w, false);
+	net_run(w.n, 3 * MH_US_PER_S);
+	check_whole(&w, id);
+	CU_ASSERT_EQUAL(w.llm[0]->runs + w.llm[1]->runs + w.llm[2]->runs, 1);
+	net_destroy(w.n);
+}
+
 /* Doubled and late frames: every answer is whole, in order and its own. */
 static void
 test_doubled_and_late_frames(void)
@@ -511,6 +531,7 @@
 const struct test tests_entry[] = {
 	{ "stream_over_a_silent_link", test_stream_over_a_silent_link },
 	{ "stream_goes_on_elsewhere", test_stream_goes_on_elsewhere },
+	{ "lost_end_mark_of_a_whole_text", test_lost_end_mark_of_a_whole_text },
 	{ "doubled_and_late_frames", test_doubled_and_late_frames },
 	{ "hedge_around_a_straggler", test_hedge_around_a_straggler },
 	{ "retries_keep_to_their_budget", test_retries_keep_to_their_budget },
