--- a/GNUmakefile
+++ b/GNUmakefile
@@ -1,10 +1,10 @@
 # make demo    the main job on stand-ins; installs what is missing
 # make check   every test, the formatter and the linters
 # make bench   the scenarios against the baseline (SCENARIO=name for one)
-# make slopes-runthe figures behind docs/CAPACITY.md
+# make slopes  the figures behind docs/CAPACITY.md
 # make model   the model of the at-most-once protocol
 LIBS = lib
-PROGS = marlhoistd marlsided marlctl marlstand marlload regress slopes
+PROGS = marlhoistd marlsided marlctl marlstand marlload regress marlslope
 BUILD ?= debug
 CODE = $(filter-out lib/wire.pb-c.%,$(wildcard */*.c */*.h))
 
@@ -35,7 +35,7 @@
 	@$(MAKE) --no-print-directory -j4 all
 	@bash bench/bench.sh $(SCENARIO)
 
-slopes-run: deps
+slopes: deps
 	@$(MAKE) --no-print-directory -j4 all
 	@bash bench/slopes.sh
 
--- a/bench/slopes.sh
+++ b/bench/slopes.sh
@@ -1,5 +1,5 @@
 # The slopes behind docs/CAPACITY.md: the decision services in virtual time
-# (slopes.bin), then real processes on loopback: memory by organisations,
+# (marlslope.bin), then real processes on loopback: memory by organisations,
 # processor time by requests and tokens, a change until in force everywhere.
 set -u
 cd "$(dirname "$0")/.." || exit 1
@@ -7,7 +7,7 @@
 DIR=$(mktemp -d)
 trap 'dp_stop; rm -rf "$DIR"' EXIT
 
-"$DP_BIN/slopes.bin" || exit 1
+"$DP_BIN/marlslope.bin" || exit 1
 
 rss() { # NAME: the process's own memory, KB
 	awk '/^RssAnon/ { print $2 }' "/proc/$(cat "$DP_DIR/$1.pid")/status"
--- a/slopes/slopes.c
+++ b/marlslope/marlslope.c
@@ -142,7 +142,7 @@
 	net_destroy(n);
 }
 
-/* Nodes in the letter's proportion: about five endpoints an entry. */
+/* About five endpoints an entry, as at full size. */
 static void
 by_nodes(void)
 {
