Dead code removed: functions and fields that nothing called or read

Cause: on reading the whole change again, four functions had no caller (mh_call_attempt, mh_link_stop_listening, mh_member_listed, mh_owners_version), conf kept a VM id and mh_pick a priority and a time left that nothing read, and one macro was unused. Change: they are gone. No behaviour changed.

--- a/lib/conf.c
+++ b/lib/conf.c
@@ -29,7 +29,6 @@
 
 struct conf {
 	struct mh_kern *k;
-	char *vm;
 	struct mh_decl *decl;
 	GQueue kept; /* newest first */
 	GArray *listeners;
@@ -476,17 +475,15 @@
 	}
 	g_array_free(c->listeners, TRUE);
 	json_decref(c->head);
-	g_free(c->vm);
 	g_free(c);
 }
 
 void
-mh_conf_create(struct mh_kern *k, const char *vm)
+mh_conf_create(struct mh_kern *k)
 {
 	struct conf *c = g_new0(struct conf, 1);
 
 	c->k = k;
-	c->vm = g_strdup(vm);
 	c->listeners = g_array_new(FALSE, FALSE, sizeof(struct listener));
 	g_queue_init(&c->kept);
 	mh_kern_add(k, "conf", c, handle, destroy);
--- a/lib/entry.c
+++ b/lib/entry.c
@@ -604,7 +604,7 @@
 	mh_hub_create(k);
 	mh_member_create(k, vm, domain, "entry");
 	mh_roster_create(k, vm, domain, NULL);
-	mh_conf_create(k, vm);
+	mh_conf_create(k);
 	mh_route_create(k, domain);
 	mh_predict_create(k);
 	mh_relay_create(k);
--- a/lib/link.c
+++ b/lib/link.c
@@ -538,18 +538,6 @@
 	return l->port;
 }
 
-void
-mh_link_stop_listening(struct mh_loop *loop)
-{
-	struct link *l = mh_kern_get(mh_loop_kern(loop), "link");
-
-	if (l->listener == NULL)
-		return;
-	mh_loop_fd_close(loop, l->listen_fd);
-	apr_socket_close(l->listener);
-	l->listener = NULL;
-}
-
 bool
 mh_link_create(struct mh_loop *loop, const struct mh_link_args *a, GError **err)
 {
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -490,7 +490,7 @@
 
 typedef void (*mh_conf_fn)(void *arg, struct mh_decl *d);
 
-void mh_conf_create(struct mh_kern *k, const char *vm);
+void mh_conf_create(struct mh_kern *k);
 /** mh_conf_get() - the declaration in force, or NULL before the first. */
 struct mh_decl *mh_conf_get(struct mh_kern *k);
 uint64_t mh_conf_generation(struct mh_kern *k);
@@ -611,8 +611,6 @@
     struct mh_kern *k, const char *vm, const char *domain, const char *pool);
 /** mh_member_gone() - absence is longer than the list's lag explains. */
 bool mh_member_gone(struct mh_kern *k, const char *vm, int64_t after_us);
-/** mh_member_listed() - the newest reading holds @vm, not leaving. */
-bool mh_member_listed(struct mh_kern *k, const char *vm);
 /** mh_member_has_list() - some reading of the VM list is known. */
 bool mh_member_has_list(struct mh_kern *k);
 /** mh_member_dropped() - this VM was listed and is not any more. */
@@ -639,11 +637,9 @@
 /** struct mh_pick - what a call needs of its endpoint. */
 struct mh_pick {
 	const char *pool;
-	uint32_t priority;
 	uint64_t affinity; /* 0: none */
 	const char *avoid_vm; /* tried before */
 	const char *avoid_domain;
-	int64_t left_us;
 };
 
 void mh_route_create(struct mh_kern *k, const char *domain);
@@ -716,7 +712,6 @@
 /** mh_relay_cancel() - no event follows; the side process is told. */
 void mh_relay_cancel(struct mh_kern *k, struct mh_call *c);
 struct mh_peer *mh_call_peer(const struct mh_call *c);
-uint32_t mh_call_attempt(const struct mh_call *c);
 uint32_t mh_relay_open(struct mh_kern *k);
 
 /* owner.c: the owners' table, on entries and side processes */
@@ -734,7 +729,6 @@
 struct mh_owners *mh_owners_create(const char *service);
 void mh_owners_destroy(struct mh_owners *o);
 const struct mh_part *mh_owners_part(const struct mh_owners *o, uint32_t p);
-uint64_t mh_owners_version(const struct mh_owners *o);
 void mh_owners_set(struct mh_owners *o, uint32_t p, const char *vm,
     uint64_t incarnation, uint64_t epoch, int64_t bound_ms);
 void mh_owners_set_version(struct mh_owners *o, uint64_t version);
@@ -1008,7 +1002,6 @@
 bool mh_link_create(
     struct mh_loop *l, const struct mh_link_args *a, GError **err);
 uint16_t mh_link_port(struct mh_loop *l);
-void mh_link_stop_listening(struct mh_loop *l);
 
 /* client.c: HTTP client over libcurl */
 
--- a/lib/owner.c
+++ b/lib/owner.c
@@ -43,12 +43,6 @@
 	return &o->part[p % MH_PARTITIONS];
 }
 
-uint64_t
-mh_owners_version(const struct mh_owners *o)
-{
-	return o->version;
-}
-
 void
 mh_owners_set_version(struct mh_owners *o, uint64_t version)
 {
--- a/lib/pick.c
+++ b/lib/pick.c
@@ -61,9 +61,7 @@
 struct mh_peer *
 pick_endpoint(struct request *r, const struct mh_stage *s)
 {
-	struct mh_pick q = { .pool = s->pool,
-		.priority = r->d.class->priority,
-		.left_us = r->deadline_us - mh_now(r->e->k) };
+	struct mh_pick q = { .pool = s->pool };
 
 	if (s->never)
 		return pick_owner(r, s);
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -232,12 +232,6 @@
 	return c->peer;
 }
 
-uint32_t
-mh_call_attempt(const struct mh_call *c)
-{
-	return c->id.attempt;
-}
-
 uint32_t
 mh_relay_open(struct mh_kern *k)
 {
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -203,15 +203,6 @@
 	return p == NULL || !p->draining;
 }
 
-bool
-mh_member_listed(struct mh_kern *k, const char *vm)
-{
-	struct roster *r = get(k);
-	const struct row *row = g_hash_table_lookup(r->rows, vm);
-
-	return row != NULL && stays(r, row);
-}
-
 bool
 mh_member_has_list(struct mh_kern *k)
 {
--- a/marlload/trace.c
+++ b/marlload/trace.c
@@ -10,7 +10,6 @@
 #define CONTEXTS 24
 #define CONTEXT_BYTES 4000
 #define GIVEN_SHARE 0.5 /* of non-repeatable calls bring their own key */
-#define MS_PER_S 1000
 
 const struct plan plans[PLANS] = {
 	{ "dispatch-order", "carga-viva", "volt-key", "urgent", 0.20, 0.10,
