--- a/GNUmakefile
+++ b/GNUmakefile
@@ -4,8 +4,11 @@
 # make slopes  the figures behind docs/CAPACITY.md
 # make model   the model of the at-most-once protocol
 LIBS = lib
-PROGS = marlhoistd marlsided marlctl marlstand marlload regress marlslope
+PROGS = marlhoistd marlsided marlctl marlstand marlload regress marlslope \
+	platform
 BUILD ?= debug
+BUILDDIR ?= build
+export BUILDDIR
 CODE = $(filter-out lib/wire.pb-c.%,$(wildcard */*.c */*.h))
 
 all: $(PROGS)
@@ -51,6 +54,12 @@
 	@sh mk/lint.sh
 
 clean:
-	rm -rf build
+	rm -rf build target
 .PHONY: all lib $(PROGS) deps demo check bench slopes model format \
 	format-check lint clean
+
+# What the platform builds: the entry daemon under target/, no tests.
+deploy: lib
+	@$(MAKE) --no-print-directory -C platform BUILD=$(BUILD) \
+	    OUT=../$(BUILDDIR)
+.PHONY: deploy
--- /dev/null
+++ b/lib/cell.h
@@ -0,0 +1,61 @@
+#ifndef CELL_H
+#define CELL_H
+
+/* cell.c's own state, seen by its tests only through gate.h. */
+
+/* Added to the key of work that is late: behind all that is on time. */
+#define LATE_BEHIND_US (3600 * MH_US_PER_S)
+
+/** struct worker - one endpoint of a stage pool. */
+struct worker {
+	uint32_t flying; /* calls */
+	double slow; /* its time over the expected, 1: as told */
+	int64_t pause_us; /* not asked before */
+	uint64_t held; /* bytes of results that we know it keeps */
+};
+
+/** struct cpool - one stage pool. */
+struct cpool {
+	char *name;
+	GHashTable *workers; /* endpoint id -> struct worker */
+};
+
+/** struct made - one piece: where it is made, or was. */
+struct made {
+	bool need; /* wanted and not there */
+	bool flying; /* in a call */
+	uint32_t tries;
+	struct worker *worker;
+	const char *node; /* interned id */
+};
+
+/** struct sstate - one stage of a job. */
+struct sstate {
+	uint32_t left; /* pieces not made */
+	uint32_t flying; /* of these, in a call */
+	struct made *made;
+};
+
+/** struct mh_jstate - the cell's side of a job. */
+struct mh_jstate {
+	bool late; /* its aim is missed; only the deadline counts */
+	struct sstate stages[MH_GSTAGES];
+};
+
+struct mh_cell {
+	struct mh_kern *k;
+	struct mh_fleet *f;
+	struct mh_budget *budget;
+	struct mh_gconf *conf;
+	struct mh_cell_ops ops;
+	GPtrArray *jobs; /* struct mh_job, being worked on */
+	GPtrArray *ended; /* done, their results not yet released */
+	GHashTable *pools; /* name -> struct cpool */
+	GHashTable *batches; /* id -> struct mh_batch */
+	GHashTable *factors; /* route and stage -> double */
+	struct mh_timer *tick;
+	uint64_t next_id;
+	bool dispatching;
+};
+
+#endif
--- /dev/null
+++ b/lib/evlog.c
@@ -0,0 +1,131 @@
+/**
+ * DOC: Structured log: one line of key=value pairs for each decision.
+ *
+ * Lines are collected and written a few times a second without blocking.  A
+ * rate bounds them; what was left out is counted and told in a line of its
+ * own, so that a gap never looks like silence.
+ */
+
+#include "gate.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <string.h>
+#include <unistd.h>
+
+/* At 100 bytes a line this is 30 KB/s, about a tenth of a percent of a core. */
+#define LINES_PER_S 300
+#define BURST_LINES 1200
+#define FLUSH_US (200 * MH_US_PER_MS)
+#define MAX_WAITING (256U << 10)
+
+struct mh_evlog {
+	struct mh_kern *k;
+	int fd;
+	GString *out;
+	double allowance;
+	int64_t filled_us;
+	uint64_t left_out;
+	struct mh_timer *timer;
+};
+
+static void
+flush(struct mh_evlog *e)
+{
+	while (e->out->len > 0) {
+		ssize_t n = write(e->fd, e->out->str, e->out->len);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n <= 0)
+			break; /* a reader that stalls must not stall us */
+		g_string_erase(e->out, 0, n);
+	}
+}
+
+static void
+on_flush(void *arg)
+{
+	struct mh_evlog *e = arg;
+
+	e->timer = NULL;
+	flush(e);
+	if (e->out->len > 0)
+		e->timer = mh_timer_start(e->k, FLUSH_US, on_flush, e);
+}
+
+static bool
+allowed(struct mh_evlog *e)
+{
+	int64_t now = mh_now(e->k);
+
+	e->allowance += (double)(now - e->filled_us) * LINES_PER_S /
+	    (double)MH_US_PER_S;
+	e->allowance = MIN(e->allowance, BURST_LINES);
+	e->filled_us = now;
+	if (e->allowance < 1 || e->out->len > MAX_WAITING) {
+		e->left_out++;
+		mh_count(e->k, "log_lines_left_out", 1);
+		return false;
+	}
+	e->allowance -= 1;
+	return true;
+}
+
+static void
+stamp(struct mh_evlog *e, const char *kind)
+{
+	g_string_append_printf(e->out, "t=%.3f ev=%s",
+	    (double)mh_wall(e->k) / (double)MH_US_PER_S, kind);
+}
+
+void
+mh_event(struct mh_kern *k, const char *kind, const char *fmt, ...)
+{
+	struct mh_evlog *e = mh_kern_get(k, "evlog");
+	va_list ap;
+
+	if (e == NULL || !allowed(e))
+		return;
+	if (e->left_out > 0) {
+		stamp(e, "log-gap");
+		g_string_append_printf(
+		    e->out, " lines=%" PRIu64 "\n", e->left_out);
+		e->left_out = 0;
+	}
+	stamp(e, kind);
+	g_string_append_c(e->out, ' ');
+	va_start(ap, fmt);
+	g_string_append_vprintf(e->out, fmt, ap);
+	va_end(ap);
+	g_string_append_c(e->out, '\n');
+	if (e->timer == NULL)
+		e->timer = mh_timer_start(k, FLUSH_US, on_flush, e);
+}
+
+static void
+destroy(void *self)
+{
+	struct mh_evlog *e = self;
+
+	mh_timer_stop(e->k, &e->timer);
+	flush(e);
+	g_string_free(e->out, TRUE);
+	g_free(e);
+}
+
+void
+mh_evlog_create(struct mh_kern *k, int fd)
+{
+	struct mh_evlog *e = g_new0(struct mh_evlog, 1);
+	int flags = fcntl(fd, F_GETFL);
+
+	if (flags >= 0)
+		(void)fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+	e->k = k;
+	e->fd = fd;
+	e->out = g_string_new(NULL);
+	e->allowance = BURST_LINES;
+	e->filled_us = mh_now(k);
+	mh_kern_add(k, "evlog", e, NULL, destroy);
+}
--- /dev/null
+++ b/lib/fleet.c
@@ -0,0 +1,276 @@
+/**
+ * DOC: The endpoints, and what this process has seen of each.
+ *
+ * The registry says which endpoints exist; it says nothing of one that fails
+ * part of its requests while its health check is good.  So every answer and
+ * failure counts: an endpoint that fails far more than its pool is left out
+ * for a while, never so many that less than half of a pool remains.
+ */
+
+#include "gate.h"
+
+#include <string.h>
+
+/* One failure in four of the recent eight or so moves the share this much. */
+#define FAIL_WEIGHT 0.2
+#define TOOK_WEIGHT 0.2
+/*
+ * A pool's own error rate is no fault of one endpoint: it is left out only
+ * above this share, and above twice the mean of the others.
+ */
+#define FAIL_OUT 0.45
+#define FAIL_OVER_POOL 2.0
+/* Unreachable that often in a row: left out without regard to the share. */
+#define STREAK_OUT 2
+/* How long, doubled each time in a row: a restart takes some seconds. */
+#define OUT_MIN_US (700 * MH_US_PER_MS)
+#define OUT_MAX_US (6 * MH_US_PER_S)
+
+struct mh_fleet {
+	struct mh_kern *k;
+	GHashTable *nodes; /* id -> struct mh_node */
+	GHashTable *pools; /* name -> GPtrArray of struct mh_node */
+	uint32_t mark;
+	void (*on_gone)(void *arg, const char *id);
+	void *on_gone_arg;
+};
+
+static void
+free_node(void *arg)
+{
+	struct mh_node *n = arg;
+
+	g_free(n->id);
+	g_free(n->pool);
+	g_free(n->addr);
+	g_free(n->domain);
+	g_free(n);
+}
+
+static void
+free_array(void *arg)
+{
+	g_ptr_array_free(arg, TRUE);
+}
+
+struct mh_fleet *
+mh_fleet_create(struct mh_kern *k)
+{
+	struct mh_fleet *f = g_new0(struct mh_fleet, 1);
+
+	f->k = k;
+	f->nodes =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_node);
+	f->pools = g_hash_table_new_full(
+	    g_str_hash, g_str_equal, g_free, free_array);
+	return f;
+}
+
+void
+mh_fleet_destroy(struct mh_fleet *f)
+{
+	if (f == NULL)
+		return;
+	g_hash_table_destroy(f->pools);
+	g_hash_table_destroy(f->nodes);
+	g_free(f);
+}
+
+void
+mh_fleet_begin(struct mh_fleet *f)
+{
+	f->mark++;
+}
+
+static struct mh_node *
+add(struct mh_fleet *f, const struct mh_listing *l)
+{
+	struct mh_node *n = g_new0(struct mh_node, 1);
+	GPtrArray *pool = g_hash_table_lookup(f->pools, l->pool);
+
+	n->id = g_strdup(l->id);
+	n->pool = g_strdup(l->pool);
+	n->addr = g_strdup(l->addr);
+	n->domain = g_strdup(l->domain);
+	g_hash_table_insert(f->nodes, n->id, n);
+	if (pool == NULL) {
+		pool = g_ptr_array_new();
+		g_hash_table_insert(f->pools, g_strdup(l->pool), pool);
+	}
+	g_ptr_array_add(pool, n);
+	mh_event(f->k, "endpoint-listed", "id=%s pool=%s addr=%s domain=%s",
+	    n->id, n->pool, n->addr, n->domain);
+	return n;
+}
+
+void
+mh_fleet_list(struct mh_fleet *f, const struct mh_listing *l)
+{
+	struct mh_node *n = g_hash_table_lookup(f->nodes, l->id);
+
+	if (n == NULL)
+		n = add(f, l);
+	if (strcmp(n->addr, l->addr) != 0) {
+		g_free(n->addr);
+		n->addr = g_strdup(l->addr);
+	}
+	if (l->leaving && !n->leaving)
+		mh_event(f->k, "endpoint-leaving", "id=%s pool=%s", n->id,
+		    n->pool);
+	n->capacity = l->capacity;
+	n->leaving = l->leaving;
+	n->warm_at_us = mh_now(f->k) + l->warm_us;
+	n->marks = f->mark;
+}
+
+void
+mh_fleet_end(struct mh_fleet *f)
+{
+	GHashTableIter it;
+	gpointer key, value;
+	GPtrArray *gone = g_ptr_array_new();
+
+	g_hash_table_iter_init(&it, f->nodes);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		struct mh_node *n = value;
+
+		if (n->marks != f->mark)
+			g_ptr_array_add(gone, n);
+	}
+	for (guint i = 0; i < gone->len; i++) {
+		struct mh_node *n = g_ptr_array_index(gone, i);
+
+		mh_event(
+		    f->k, "endpoint-gone", "id=%s pool=%s", n->id, n->pool);
+		g_ptr_array_remove(g_hash_table_lookup(f->pools, n->pool), n);
+		if (f->on_gone != NULL)
+			f->on_gone(f->on_gone_arg, n->id);
+		g_hash_table_remove(f->nodes, n->id);
+	}
+	g_ptr_array_free(gone, TRUE);
+}
+
+void
+mh_fleet_on_gone(
+    struct mh_fleet *f, void (*fn)(void *arg, const char *id), void *arg)
+{
+	f->on_gone = fn;
+	f->on_gone_arg = arg;
+}
+
+struct mh_node *
+mh_fleet_find(struct mh_fleet *f, const char *id)
+{
+	return g_hash_table_lookup(f->nodes, id);
+}
+
+struct mh_node *
+mh_fleet_at(struct mh_fleet *f, const char *addr)
+{
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, f->nodes);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		struct mh_node *n = value;
+
+		if (strcmp(n->addr, addr) == 0)
+			return n;
+	}
+	return NULL;
+}
+
+GPtrArray *
+mh_fleet_pool(struct mh_fleet *f, const char *pool)
+{
+	return g_hash_table_lookup(f->pools, pool);
+}
+
+uint32_t
+mh_fleet_size(const struct mh_fleet *f)
+{
+	return g_hash_table_size(f->nodes);
+}
+
+void
+mh_node_told(struct mh_fleet *f, struct mh_node *n, uint32_t running,
+    uint32_t waiting, uint32_t slots)
+{
+	n->running = running;
+	n->waiting = waiting;
+	n->slots = slots;
+	n->told_us = mh_now(f->k);
+}
+
+void
+mh_node_good(struct mh_fleet *f, struct mh_node *n, int64_t took_us)
+{
+	(void)f;
+	n->streak = 0;
+	n->outs = 0;
+	n->fail *= 1 - FAIL_WEIGHT;
+	if (n->took_us <= 0)
+		n->took_us = (double)took_us;
+	n->took_us += TOOK_WEIGHT * ((double)took_us - n->took_us);
+}
+
+static double
+others_fail(struct mh_fleet *f, const struct mh_node *n)
+{
+	GPtrArray *pool = mh_fleet_pool(f, n->pool);
+	double sum = 0;
+
+	for (guint i = 0; pool != NULL && i < pool->len; i++) {
+		const struct mh_node *o = g_ptr_array_index(pool, i);
+
+		if (o != n)
+			sum += o->fail;
+	}
+	return pool == NULL || pool->len < 2 ? 0 : sum / (pool->len - 1);
+}
+
+/* Half of a pool stays in use, however bad it looks. */
+static bool
+may_put_out(struct mh_fleet *f, const struct mh_node *n)
+{
+	GPtrArray *pool = mh_fleet_pool(f, n->pool);
+	int64_t now = mh_now(f->k);
+	uint32_t out = 0;
+
+	for (guint i = 0; pool != NULL && i < pool->len; i++) {
+		const struct mh_node *o = g_ptr_array_index(pool, i);
+
+		out += o != n && o->out_until_us > now;
+	}
+	return pool != NULL && (out + 1) * 2 <= pool->len + 1;
+}
+
+void
+mh_node_bad(struct mh_fleet *f, struct mh_node *n, const char *why)
+{
+	int64_t now = mh_now(f->k), out_us;
+
+	n->streak++;
+	n->fail += FAIL_WEIGHT * (1 - n->fail);
+	if (n->out_until_us > now)
+		return;
+	if (n->streak < STREAK_OUT &&
+	    (n->fail < FAIL_OUT ||
+		n->fail < FAIL_OVER_POOL * others_fail(f, n)))
+		return;
+	if (!may_put_out(f, n))
+		return;
+	out_us = MIN(OUT_MIN_US << MIN(n->outs, 4), OUT_MAX_US);
+	n->outs++;
+	n->out_until_us = now + out_us;
+	mh_count(f->k, "endpoints_put_out", 1);
+	mh_event(f->k, "endpoint-out",
+	    "id=%s pool=%s why=%s fail=%.2f streak=%u for_ms=%" PRId64, n->id,
+	    n->pool, why, n->fail, n->streak, mh_ms(out_us));
+}
+
+bool
+mh_node_usable(const struct mh_fleet *f, const struct mh_node *n)
+{
+	return !n->leaving && n->out_until_us <= mh_now(f->k);
+}
--- /dev/null
+++ b/lib/gate.h
@@ -0,0 +1,598 @@
+#ifndef GATE_H
+#define GATE_H
+
+/*
+ * The gate: opaque HTTP requests passed on to the endpoints of a pool, with
+ * the stage work that a request needs first.  Nothing here knows the names
+ * that a platform gives its headers, calls or fields.
+ */
+
+#include "marlhoist.h"
+
+/** mh_ms() - microseconds as milliseconds, for log lines. */
+static inline int64_t
+mh_ms(int64_t us)
+{
+	return us / (int64_t)MH_US_PER_MS;
+}
+
+/* headers.c */
+
+struct mh_headers;
+typedef void (*mh_header_fn)(void *arg, const char *name, const char *value);
+
+struct mh_headers *mh_headers_create(void);
+void mh_headers_destroy(struct mh_headers *h);
+void mh_headers_add(struct mh_headers *h, const char *name, const char *value);
+/** mh_headers_get() - the first field of that name, any case, or NULL. */
+const char *mh_headers_get(const struct mh_headers *h, const char *name);
+uint32_t mh_headers_count(const struct mh_headers *h, const char *name);
+void mh_headers_each(
+    const struct mh_headers *h, mh_header_fn fn, void *arg);
+/** mh_list_has() - whether a comma-separated list holds @word, any case. */
+bool mh_list_has(const char *list, const char *word);
+/** mh_header_is_hop() - a field that concerns one connection only. */
+bool mh_header_is_hop(const struct mh_headers *h, const char *name);
+/** mh_header_name_ok() - an RFC 9110 token. */
+bool mh_header_name_ok(const char *name);
+bool mh_header_value_ok(const char *value);
+
+/* hserve.c: HTTP/1.1 server that keeps requests byte for byte */
+
+struct mh_hserve;
+struct mh_hreq;
+
+/** struct mh_hlimits - bounds on what a caller may send, and how slowly. */
+struct mh_hlimits {
+	uint32_t header_bytes;
+	uint32_t body_bytes;
+	int64_t header_us;
+	int64_t idle_us;
+};
+
+struct mh_hserve_args {
+	const char *listen; /* ip:port, port 0 picks one */
+	struct mh_hlimits limits;
+	void (*on_request)(void *arg, struct mh_hreq *r);
+	/* the caller closed; @r is freed on return */
+	void (*on_gone)(void *arg, struct mh_hreq *r);
+	void *arg;
+};
+
+struct mh_hserve *mh_hserve_create(
+    struct mh_loop *l, const struct mh_hserve_args *a, GError **err);
+void mh_hserve_destroy(struct mh_hserve *s);
+uint16_t mh_hserve_port(const struct mh_hserve *s);
+void mh_hserve_set_limits(struct mh_hserve *s, const struct mh_hlimits *l);
+/** mh_hserve_drain() - each answer from now on closes its connection. */
+void mh_hserve_drain(struct mh_hserve *s);
+uint32_t mh_hserve_open(const struct mh_hserve *s);
+
+const char *mh_hreq_method(const struct mh_hreq *r);
+/** mh_hreq_target() - path and query exactly as received. */
+const char *mh_hreq_target(const struct mh_hreq *r);
+const struct mh_headers *mh_hreq_headers(const struct mh_hreq *r);
+/** mh_hreq_body() - valid while the request is. */
+const GByteArray *mh_hreq_body(const struct mh_hreq *r);
+void *mh_hreq_data(const struct mh_hreq *r);
+void mh_hreq_set_data(struct mh_hreq *r, void *data);
+/**
+ * mh_hreq_head() - starts an answer.
+ * @length: bytes of the body, -1 when not known beforehand
+ */
+void mh_hreq_head(struct mh_hreq *r, uint32_t status,
+    const struct mh_headers *headers, int64_t length);
+void mh_hreq_write(struct mh_hreq *r, const void *data, size_t len);
+/** mh_hreq_end() - the answer is complete; frees @r. */
+void mh_hreq_end(struct mh_hreq *r);
+/** mh_hreq_break() - resets the connection; frees @r. */
+void mh_hreq_break(struct mh_hreq *r);
+
+/* hcall.c: HTTP/1.1 client that sends a request once, whatever happens */
+
+struct mh_hcalls;
+struct mh_hcall;
+
+enum mh_hcall_end {
+	MH_CALL_WHOLE, /* the answer came complete */
+	MH_CALL_UNSENT, /* no byte of the request has left */
+	MH_CALL_BROKEN /* sent at least in part; it may have run */
+};
+
+struct mh_hcall_fns {
+	void (*head)(void *arg, uint32_t status, const struct mh_headers *h,
+	    int64_t length);
+	void (*data)(void *arg, const char *data, size_t len);
+	/* the call is freed on return */
+	void (*done)(void *arg, enum mh_hcall_end end);
+};
+
+struct mh_hcall_args {
+	const char *addr; /* ip:port */
+	const char *peer; /* which process there; connections are its own */
+	GBytes *text; /* the whole request */
+	/* an answer whose field @echo_name is not @echo belongs to others */
+	const char *echo_name;
+	const char *echo;
+	bool is_head; /* a HEAD request: the answer has no body */
+	bool fresh; /* never on a kept connection */
+	struct mh_hcall_fns fns;
+	void *arg;
+};
+
+struct mh_hcalls *mh_hcalls_create(struct mh_loop *l);
+void mh_hcalls_destroy(struct mh_hcalls *c);
+struct mh_hcall *mh_hcalls_start(
+    struct mh_hcalls *c, const struct mh_hcall_args *a);
+/** mh_hcall_abort() - closes its connection; done() is not called. */
+void mh_hcall_abort(struct mh_hcall *call);
+/** mh_hcalls_forget() - closes the idle connections to a peer. */
+void mh_hcalls_forget(struct mh_hcalls *c, const char *peer);
+/** mh_hcalls_open() - connections to a peer, idle ones included. */
+uint32_t mh_hcalls_open(const struct mh_hcalls *c, const char *peer);
+
+/* evlog.c: one line for each decision, bounded, to standard output */
+
+struct mh_evlog;
+
+/** mh_evlog_create() - owned by the kernel as service "evlog". */
+void mh_evlog_create(struct mh_kern *k, int fd);
+/** mh_event() - a line "ev=@kind ..."; dropped and counted over the rate. */
+void mh_event(struct mh_kern *k, const char *kind, const char *fmt, ...)
+    G_GNUC_PRINTF(3, 4);
+
+/* gconf.c: what operators declare, as the gate uses it */
+
+enum mh_repeat {
+	MH_REPEAT_SAFE, /* may run more than once */
+	MH_REPEAT_RESUME, /* a stream that another run may continue */
+	MH_REPEAT_NEVER /* at most once */
+};
+
+#define MH_GSTAGES 8 /* stages of one route at most */
+
+/** struct mh_gstage - one stage of work before the request itself. */
+struct mh_gstage {
+	char *pool;
+	uint32_t after; /* bit mask of the stages whose results it needs */
+	uint64_t result_bytes; /* about, of one result */
+};
+
+struct mh_gtarget {
+	char *pool;
+	double weight;
+};
+
+struct mh_groute {
+	char *name;
+	char *host;
+	char *prefix;
+	bool stream;
+	enum mh_repeat repeat;
+	bool open_to_all; /* needs no key */
+	bool keeps_prompts; /* its requests say what their prompt shares */
+	int64_t timeout_us;
+	int64_t aim_us;
+	int64_t gap_aim_us; /* longest pause of a stream that is on time */
+	uint32_t priority; /* 0 is the most urgent */
+	uint32_t attempts;
+	GArray *targets; /* struct mh_gtarget */
+	struct mh_gstage stages[MH_GSTAGES];
+	uint32_t n_stages;
+	/* learnt while running, kept across versions by name */
+	int64_t deadline_seen_us; /* the longest deadline callers gave */
+};
+
+/** struct mh_gwork - how the endpoints of a stage pool take work. */
+struct mh_gwork {
+	uint32_t batch; /* pieces a call */
+	uint32_t running; /* calls at once */
+	int64_t call_us;
+	int64_t item_us;
+	uint64_t room_bytes; /* for results */
+	int64_t result_us; /* a result lives this long */
+};
+
+/** struct mh_gengine - the size of a pool's model engines. */
+struct mh_gengine {
+	uint32_t slots;
+	uint64_t memory_tokens;
+};
+
+struct mh_gpool {
+	char *name;
+	uint32_t max_conns; /* to one endpoint, of all callers together */
+	bool is_engine;
+	bool is_work;
+	struct mh_gengine engine;
+	struct mh_gwork work;
+};
+
+struct mh_gorg {
+	char *name;
+	int32_t priority; /* -1: the route's */
+};
+
+/** struct mh_gconf - one version of the configuration. */
+struct mh_gconf {
+	int refs;
+	uint64_t version;
+	GPtrArray *routes; /* struct mh_groute */
+	GHashTable *pools; /* name -> struct mh_gpool */
+	GHashTable *keys; /* key -> struct mh_gorg, not owned */
+	GPtrArray *orgs; /* struct mh_gorg */
+	struct mh_hlimits limits;
+};
+
+struct mh_gconf *mh_gconf_create(void);
+struct mh_gconf *mh_gconf_ref(struct mh_gconf *c);
+void mh_gconf_unref(struct mh_gconf *c);
+struct mh_groute *mh_groute_create(void);
+/** mh_gconf_route() - longest prefix of that host, or NULL. */
+struct mh_groute *mh_gconf_route(
+    const struct mh_gconf *c, const char *host, const char *target);
+struct mh_groute *mh_gconf_named(const struct mh_gconf *c, const char *name);
+struct mh_gpool *mh_gconf_pool(const struct mh_gconf *c, const char *name);
+/** mh_groute_pool() - a pool by the weights; @unit in [0, 1). */
+const char *mh_groute_pool(const struct mh_groute *r, double unit);
+
+/* fleet.c: the endpoints and what this process knows of each */
+
+struct mh_fleet;
+
+/** struct mh_node - one endpoint, one incarnation. */
+struct mh_node {
+	char *id;
+	char *pool;
+	char *addr;
+	char *domain;
+	uint32_t capacity;
+	bool leaving;
+	int64_t warm_at_us; /* slow until then */
+	/* seen by this process */
+	uint32_t inflight; /* own calls */
+	uint32_t running; /* last told by itself */
+	uint32_t waiting;
+	uint32_t slots;
+	int64_t told_us; /* when; 0: never */
+	double fail; /* recent share of failures, 0 to 1 */
+	double took_us; /* recent mean time to an answer */
+	uint32_t streak; /* failures in a row */
+	int64_t out_until_us; /* not chosen before, unless all are out */
+	uint32_t outs; /* times put out in a row */
+	uint32_t marks; /* set by fleet when listed */
+};
+
+/** struct mh_listing - a row of the registry. */
+struct mh_listing {
+	const char *id;
+	const char *pool;
+	const char *addr;
+	const char *domain;
+	uint32_t capacity;
+	bool leaving;
+	int64_t warm_us;
+};
+
+struct mh_fleet *mh_fleet_create(struct mh_kern *k);
+void mh_fleet_destroy(struct mh_fleet *f);
+/** mh_fleet_begin(), _list(), _end() - one whole reading of the registry. */
+void mh_fleet_begin(struct mh_fleet *f);
+void mh_fleet_list(struct mh_fleet *f, const struct mh_listing *l);
+void mh_fleet_end(struct mh_fleet *f);
+void mh_fleet_on_gone(
+    struct mh_fleet *f, void (*fn)(void *arg, const char *id), void *arg);
+struct mh_node *mh_fleet_find(struct mh_fleet *f, const char *id);
+/** mh_fleet_at() - the listed endpoint at an address, or NULL. */
+struct mh_node *mh_fleet_at(struct mh_fleet *f, const char *addr);
+/** mh_fleet_pool() - every listed endpoint of a pool; NULL: none. */
+GPtrArray *mh_fleet_pool(struct mh_fleet *f, const char *pool);
+uint32_t mh_fleet_size(const struct mh_fleet *f);
+/** mh_node_told() - the endpoint's own word of its load. */
+void mh_node_told(struct mh_fleet *f, struct mh_node *n, uint32_t running,
+    uint32_t waiting, uint32_t slots);
+void mh_node_good(struct mh_fleet *f, struct mh_node *n, int64_t took_us);
+void mh_node_bad(struct mh_fleet *f, struct mh_node *n, const char *why);
+bool mh_node_usable(const struct mh_fleet *f, const struct mh_node *n);
+
+/* place.c: which endpoint takes a request */
+
+struct mh_place;
+
+/** struct mh_prompt_part - a part of a prompt, shared with other requests. */
+struct mh_prompt_part {
+	uint64_t id;
+	uint32_t tokens;
+};
+
+#define MH_PARTS 16
+#define MH_TRIED 8
+
+struct mh_place_ask {
+	const char *pool;
+	const char *domain; /* the asker's, preferred among equals */
+	struct mh_prompt_part parts[MH_PARTS];
+	uint32_t n_parts;
+	const char *tried[MH_TRIED]; /* ids */
+	uint32_t n_tried;
+};
+
+struct mh_place *mh_place_create(struct mh_kern *k, struct mh_fleet *f);
+void mh_place_destroy(struct mh_place *p);
+/** mh_place_pick() - the endpoint to try next, or NULL. */
+struct mh_node *mh_place_pick(
+    struct mh_place *p, const struct mh_place_ask *a);
+/** mh_place_sent() - the prompt's parts will be kept at @n. */
+void mh_place_sent(
+    struct mh_place *p, const struct mh_place_ask *a, struct mh_node *n);
+
+/* budget.c: repeats as a share of recent requests */
+
+struct mh_budget;
+
+struct mh_budget_args {
+	double ratio; /* repeats a request */
+	double slack; /* repeats a window besides, of all entries */
+	int64_t window_us;
+};
+
+struct mh_budget *mh_budget_create(
+    struct mh_kern *k, const struct mh_budget_args *a);
+void mh_budget_destroy(struct mh_budget *b);
+/** mh_budget_entries() - the slack is shared by so many processes. */
+void mh_budget_entries(struct mh_budget *b, uint32_t n);
+void mh_budget_first(struct mh_budget *b, const char *pool);
+/** mh_budget_take() - whether a repeat is allowed; counts it if so. */
+bool mh_budget_take(struct mh_budget *b, const char *pool);
+/** mh_budget_left() - share of the window's repeats not yet used. */
+double mh_budget_left(struct mh_budget *b, const char *pool);
+
+/* cell.c: the stage work of many requests, batched */
+
+struct mh_cell;
+
+/** struct mh_jstage - one stage of a job. */
+struct mh_jstage {
+	char *pool;
+	uint32_t after; /* bit mask */
+	uint32_t pieces; /* 0: left out */
+	uint64_t result_bytes;
+	GPtrArray *results; /* char *, NULL where not made yet */
+};
+
+enum mh_job_end {
+	MH_JOB_DONE,
+	MH_JOB_REFUSED, /* can't be served in time: not run */
+	MH_JOB_FAILED, /* tried, and given up on */
+	MH_JOB_CANCELLED
+};
+
+/** struct mh_job - the stage work of one request. */
+struct mh_job {
+	char *id;
+	char *key; /* what stages without inputs are given */
+	char *route;
+	uint32_t priority;
+	bool returned; /* the caller was refused before */
+	int64_t arrived_us;
+	int64_t aim_us; /* absolute: the stages' share of the aim */
+	int64_t deadline_us; /* absolute */
+	struct mh_jstage stages[MH_GSTAGES];
+	uint32_t n_stages;
+	void *owner; /* the submitter's own */
+	struct mh_jstate *state; /* cell.c's own */
+};
+
+struct mh_job *mh_job_create(const char *id);
+void mh_job_destroy(struct mh_job *j);
+/** mh_job_finals() - results that no other stage takes, comma-separated. */
+char *mh_job_finals(const struct mh_job *j);
+
+/** struct mh_batch_item - one piece in a call. */
+struct mh_batch_item {
+	struct mh_job *job; /* NULL: its caller left meanwhile */
+	uint32_t stage;
+	uint32_t piece;
+	char *result; /* NULL: not made */
+	bool inputs_gone;
+	bool no_room;
+};
+
+/** struct mh_batch - one call to an endpoint of a stage pool. */
+struct mh_batch {
+	uint64_t id;
+	char *node;
+	const char *node_name; /* interned, outlives the batch */
+	char *pool;
+	GArray *items; /* struct mh_batch_item */
+	int64_t sent_us;
+	int64_t expect_us; /* how long it should take */
+	bool doubled; /* its pieces were given to another endpoint */
+	void *call; /* the runner's own */
+};
+
+enum mh_batch_end {
+	MH_BATCH_DONE, /* items are filled in */
+	MH_BATCH_FULL, /* the endpoint did not take it */
+	MH_BATCH_LOST /* no answer */
+};
+
+struct mh_cell_ops {
+	void (*run)(void *arg, struct mh_batch *b);
+	void (*abort)(void *arg, struct mh_batch *b);
+	/* @j is the submitter's to destroy; its results stay to be freed */
+	void (*end)(void *arg, struct mh_job *j, enum mh_job_end end,
+	    int64_t retry_us);
+	void (*discard)(void *arg, const char *result);
+	void *arg;
+};
+
+/** mh_cell_create() - @budget bounds repeated pieces; not owned. */
+struct mh_cell *mh_cell_create(struct mh_kern *k, struct mh_fleet *f,
+    struct mh_budget *budget, const struct mh_cell_ops *ops);
+void mh_cell_destroy(struct mh_cell *c);
+void mh_cell_conf(struct mh_cell *c, struct mh_gconf *conf);
+void mh_cell_submit(struct mh_cell *c, struct mh_job *j);
+/** mh_cell_cancel() - forgets the job without calling end(). */
+void mh_cell_cancel(struct mh_cell *c, struct mh_job *j);
+void mh_cell_batch_end(
+    struct mh_cell *c, struct mh_batch *b, enum mh_batch_end end);
+/** mh_cell_release() - the results of a job that has ended are free. */
+void mh_cell_release(struct mh_cell *c, struct mh_job *j);
+/** mh_cell_backlog_us() - how long a new piece would wait at a pool. */
+int64_t mh_cell_backlog_us(struct mh_cell *c, const char *pool);
+
+
+/* sse.c: whole events of a stream, and where it stands */
+
+struct mh_sse;
+struct mh_sse *mh_sse_create(void);
+void mh_sse_destroy(struct mh_sse *s);
+/** mh_sse_feed() - appends to @out what completes events. */
+void mh_sse_feed(
+    struct mh_sse *s, const char *data, size_t len, GString *out);
+/** mh_sse_restart() - forgets an incomplete event; another run goes on. */
+void mh_sse_restart(struct mh_sse *s);
+/** mh_sse_last_id() - the id of the last whole event, or NULL. */
+const char *mh_sse_last_id(const struct mh_sse *s);
+bool mh_sse_partial(const struct mh_sse *s);
+
+/* gate.c: one request from its arrival to its end */
+
+struct mh_gate;
+
+enum mh_gstate {
+	MH_ASK_STAGES, /* its stage work is being done */
+	MH_ASK_TRYING, /* an endpoint has it */
+	MH_ASK_ANSWERING, /* the head of the answer was passed on */
+	MH_ASK_ENDED
+};
+
+/** enum mh_gate_refusal - why the gate itself answers. */
+enum mh_gate_refusal {
+	MH_NOT_READY, /* no configuration yet */
+	MH_NO_ROUTE,
+	MH_BAD_KEY,
+	MH_BAD_REQUEST,
+	MH_TOO_BUSY, /* not run: come back later */
+	MH_NO_ENDPOINT, /* not run: none could be reached */
+	MH_NOT_IN_TIME, /* not run: its time was up before it was sent */
+	MH_RUN_FAILED, /* sent, and no whole answer came */
+	MH_RUN_TIMEOUT /* sent, and its time is up */
+};
+
+/** struct mh_gask - one request, as the adapter decoded it. */
+struct mh_gask {
+	char *id;
+	char *host;
+	const char *target; /* the adapter's */
+	char *key; /* NULL: none given */
+	int64_t deadline_us; /* from its arrival; 0: not given */
+	struct mh_prompt_part parts[MH_PARTS];
+	uint32_t n_parts;
+	uint32_t tokens_in;
+	uint32_t tokens_out;
+	uint32_t pieces[MH_GSTAGES];
+	uint32_t n_pieces;
+	char *piece_key;
+	void *wire; /* the adapter's own */
+	/* below: the gate's */
+	struct mh_gate *gate;
+	enum mh_gstate state;
+	struct mh_gconf *conf;
+	struct mh_groute *route;
+	struct mh_gorg *org;
+	const char *pool;
+	int64_t arrived_us;
+	int64_t first_us; /* when the caller first asked, as far as known */
+	int64_t aim_us; /* absolute */
+	int64_t until_us; /* absolute: the caller's or the route's limit */
+	uint32_t priority;
+	bool returned;
+	struct mh_job *job;
+	char *inputs; /* results of its stages */
+	struct mh_try *cur;
+	char *tried[MH_TRIED];
+	uint32_t n_tried;
+	uint32_t runs; /* endpoints that may have run it */
+	uint32_t jobs; /* times its stage work was asked for */
+	bool passed_head;
+	struct mh_sse *events;
+	int64_t last_data_us;
+	struct mh_timer *until;
+	struct mh_timer *patience;
+};
+
+/** struct mh_try - one sending of a request to an endpoint. */
+struct mh_try {
+	struct mh_gask *ask;
+	char *node; /* id */
+	char *addr;
+	int64_t sent_us;
+	int64_t left_us; /* what the endpoint is told */
+	const char *resume_after; /* id of the last event passed on */
+	bool fresh; /* on a new connection */
+	bool counted; /* among the runs of its request */
+	void *call; /* the adapter's own */
+};
+
+/** struct mh_gans - what an endpoint's head says, decoded. */
+struct mh_gans {
+	uint32_t status;
+	bool not_run; /* it says that it did not run the request */
+	bool moved; /* another endpoint has that address now */
+	bool inputs_gone;
+	bool genuine; /* signed, and its body unencoded */
+	bool events; /* its body is a stream of events */
+	bool told; /* the load below is given */
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t slots;
+};
+
+enum mh_verdict {
+	MH_PASS, /* head and body go to the caller */
+	MH_PASS_ON, /* the body continues an answer begun before */
+	MH_DROP /* the gate went on without it: abort the call */
+};
+
+struct mh_gate_ops {
+	void (*send)(void *arg, struct mh_try *t);
+	void (*abort)(void *arg, struct mh_try *t);
+	void (*refuse)(void *arg, struct mh_gask *q, enum mh_gate_refusal why,
+	    int64_t retry_us);
+	void (*finish)(void *arg, struct mh_gask *q); /* a complete answer */
+	void (*break_off)(void *arg, struct mh_gask *q);
+	void *arg; /* of the above */
+	void (*submit)(void *jobs, struct mh_job *j);
+	void (*cancel)(void *jobs, struct mh_job *j);
+	void (*release)(void *jobs, struct mh_job *j);
+	void *jobs; /* of these three */
+};
+
+struct mh_gate *mh_gate_create(struct mh_kern *k, struct mh_fleet *f,
+    struct mh_place *p, struct mh_budget *b, const struct mh_gate_ops *ops,
+    const char *domain);
+void mh_gate_destroy(struct mh_gate *g);
+void mh_gate_conf(struct mh_gate *g, struct mh_gconf *conf);
+struct mh_gconf *mh_gate_conf_now(struct mh_gate *g);
+struct mh_gask *mh_gask_create(const char *id);
+void mh_gask_destroy(struct mh_gask *q);
+/** mh_gate_take() - a request has come; ends with one of refuse, finish or
+ * break_off, unless mh_gate_gone() comes first. */
+void mh_gate_take(struct mh_gate *g, struct mh_gask *q);
+/** mh_gate_gone() - its caller left; the request is forgotten. */
+void mh_gate_gone(struct mh_gate *g, struct mh_gask *q);
+void mh_gate_job_end(struct mh_gate *g, struct mh_job *j,
+    enum mh_job_end end, int64_t retry_us);
+enum mh_verdict mh_gate_head(
+    struct mh_gate *g, struct mh_try *t, const struct mh_gans *a);
+/** mh_gate_progress() - a part of the answer has come. */
+void mh_gate_progress(struct mh_gate *g, struct mh_try *t);
+void mh_gate_end(
+    struct mh_gate *g, struct mh_try *t, enum mh_hcall_end end);
+uint32_t mh_gate_open(const struct mh_gate *g);
+/** mh_gate_leaving() - what cannot end within @left_us is refused. */
+void mh_gate_leaving(struct mh_gate *g, int64_t left_us);
+
+#endif
--- /dev/null
+++ b/lib/headers.c
@@ -0,0 +1,144 @@
+/**
+ * DOC: A list of HTTP header fields in the order they were received.
+ */
+
+#include "gate.h"
+
+#include <string.h>
+
+struct mh_headers {
+	GArray *fields; /* struct field */
+};
+
+struct field {
+	char *name;
+	char *value;
+};
+
+static void
+clear_field(void *arg)
+{
+	struct field *f = arg;
+
+	g_free(f->name);
+	g_free(f->value);
+}
+
+struct mh_headers *
+mh_headers_create(void)
+{
+	struct mh_headers *h = g_new0(struct mh_headers, 1);
+
+	h->fields = g_array_new(FALSE, FALSE, sizeof(struct field));
+	g_array_set_clear_func(h->fields, clear_field);
+	return h;
+}
+
+void
+mh_headers_destroy(struct mh_headers *h)
+{
+	if (h == NULL)
+		return;
+	g_array_free(h->fields, TRUE);
+	g_free(h);
+}
+
+void
+mh_headers_add(struct mh_headers *h, const char *name, const char *value)
+{
+	struct field f = { g_strdup(name), g_strdup(value) };
+
+	g_array_append_val(h->fields, f);
+}
+
+static struct field *
+at(const struct mh_headers *h, uint32_t i)
+{
+	return &g_array_index(h->fields, struct field, i);
+}
+
+const char *
+mh_headers_get(const struct mh_headers *h, const char *name)
+{
+	for (uint32_t i = 0; i < h->fields->len; i++) {
+		if (g_ascii_strcasecmp(at(h, i)->name, name) == 0)
+			return at(h, i)->value;
+	}
+	return NULL;
+}
+
+uint32_t
+mh_headers_count(const struct mh_headers *h, const char *name)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < h->fields->len; i++)
+		n += g_ascii_strcasecmp(at(h, i)->name, name) == 0;
+	return n;
+}
+
+void
+mh_headers_each(
+    const struct mh_headers *h, mh_header_fn fn, void *arg)
+{
+	for (uint32_t i = 0; i < h->fields->len; i++)
+		fn(arg, at(h, i)->name, at(h, i)->value);
+}
+
+bool
+mh_list_has(const char *list, const char *word)
+{
+	size_t n = strlen(word);
+
+	while (list != NULL && *list != '\0') {
+		size_t len;
+
+		list += strspn(list, " \t,");
+		len = strcspn(list, " \t,;");
+		if (len == n && g_ascii_strncasecmp(list, word, n) == 0)
+			return true;
+		list += strcspn(list, ",");
+	}
+	return false;
+}
+
+bool
+mh_header_is_hop(const struct mh_headers *h, const char *name)
+{
+	static const char *const hop[] = { "Connection", "Keep-Alive",
+		"Proxy-Connection", "Proxy-Authenticate",
+		"Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding",
+		"Upgrade", "Content-Length", "Expect", NULL };
+
+	for (int i = 0; hop[i] != NULL; i++) {
+		if (g_ascii_strcasecmp(hop[i], name) == 0)
+			return true;
+	}
+	return mh_list_has(mh_headers_get(h, "Connection"), name);
+}
+
+bool
+mh_header_name_ok(const char *name)
+{
+	static const char extra[] = "!#$%&'*+-.^_`|~";
+
+	if (*name == '\0')
+		return false;
+	for (; *name != '\0'; name++) {
+		if (!g_ascii_isalnum(*name) && strchr(extra, *name) == NULL)
+			return false;
+	}
+	return true;
+}
+
+bool
+mh_header_value_ok(const char *value)
+{
+	for (; *value != '\0'; value++) {
+		if ((unsigned char)*value < ' ' && *value != '\t')
+			return false;
+		if (*value == 0x7f)
+			return false;
+	}
+	return true;
+}
--- /dev/null
+++ b/lib/hserve.c
@@ -0,0 +1,726 @@
+/**
+ * DOC: HTTP/1.1 server that keeps requests byte for byte.
+ *
+ * libmicrohttpd decodes paths and answers bad requests in its own way; here
+ * a request is passed on unchanged or refused, so http_parser reads it and
+ * this file moves the bytes.  A request is handed over when its body is
+ * whole; one connection has one request at a time.
+ */
+
+#include "gate.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <http_parser.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BACKLOG 1024
+#define READ_SIZE 32768
+/* Bytes of further requests kept while one is answered. */
+#define MAX_AHEAD (256U << 10)
+/* A caller that does not read its answer is dropped at this many bytes. */
+#define MAX_OUT (8U << 20)
+/*
+ * After an error answer the caller's bytes are still read for this long:
+ * closing with unread bytes would reset the connection and lose the answer.
+ */
+#define LINGER_US (1 * MH_US_PER_S)
+/* A silent peer is noticed within this time while we send to it. */
+#define USER_TIMEOUT_MS 4000
+
+enum conn_state {
+	CONN_READING, /* between requests, or in the middle of one */
+	CONN_ANSWERING, /* the request is with the gate */
+	CONN_LINGER /* answered with an error; reading to the end */
+};
+
+struct mh_hreq {
+	struct conn *c;
+	char *method;
+	GString *target;
+	struct mh_headers *headers;
+	GString *name; /* the field being read */
+	GString *value;
+	bool in_value;
+	bool keep_alive;
+	bool chunked; /* the answer's framing */
+	bool http10;
+	uint32_t header_bytes;
+	GByteArray *body;
+	uint32_t refuse; /* status of an error found while reading */
+	void *data;
+};
+
+struct conn {
+	struct mh_hserve *s;
+	int fd;
+	enum conn_state state;
+	http_parser parser;
+	bool began; /* a request's first byte has come */
+	bool close_after;
+	bool dead;
+	bool eof;
+	struct mh_hreq *req;
+	GByteArray *ahead;
+	GByteArray *out;
+	struct mh_timer *timer;
+};
+
+struct mh_hserve {
+	struct mh_kern *k;
+	struct mh_loop *loop;
+	struct mh_hserve_args args;
+	int fd;
+	uint16_t port;
+	bool draining;
+	GHashTable *conns; /* set of struct conn */
+};
+
+static void on_io(void *arg, bool readable, bool writable);
+static void process(struct conn *c);
+
+static void
+free_req(struct mh_hreq *r)
+{
+	if (r == NULL)
+		return;
+	g_free(r->method);
+	g_string_free(r->target, TRUE);
+	mh_headers_destroy(r->headers);
+	g_string_free(r->name, TRUE);
+	g_string_free(r->value, TRUE);
+	g_byte_array_unref(r->body);
+	g_free(r);
+}
+
+static struct mh_hreq *
+new_req(struct conn *c)
+{
+	struct mh_hreq *r = g_new0(struct mh_hreq, 1);
+
+	r->c = c;
+	r->target = g_string_new(NULL);
+	r->headers = mh_headers_create();
+	r->name = g_string_new(NULL);
+	r->value = g_string_new(NULL);
+	r->body = g_byte_array_new();
+	return r;
+}
+
+static void
+free_conn(struct conn *c)
+{
+	mh_timer_stop(c->s->k, &c->timer);
+	mh_loop_fd_close(c->s->loop, c->fd);
+	close(c->fd);
+	free_req(c->req);
+	g_byte_array_unref(c->ahead);
+	g_byte_array_unref(c->out);
+	g_hash_table_remove(c->s->conns, c);
+	g_free(c);
+}
+
+/* The caller is gone: the gate is told first, as it holds the request. */
+static void
+lose(struct conn *c)
+{
+	if (c->state == CONN_ANSWERING && c->req != NULL) {
+		struct mh_hreq *r = c->req;
+
+		c->state = CONN_LINGER;
+		c->s->args.on_gone(c->s->args.arg, r);
+	}
+	free_conn(c);
+}
+
+static void
+on_timer(void *arg)
+{
+	struct conn *c = arg;
+
+	c->timer = NULL;
+	if (c->state == CONN_READING && c->began) {
+		struct mh_hreq *r = c->req;
+
+		mh_count(c->s->k, "serve_header_timeouts", 1);
+		c->state = CONN_ANSWERING;
+		r->keep_alive = false;
+		c->close_after = true;
+		mh_hreq_head(r, 408, NULL, 0);
+		mh_hreq_end(r);
+		return;
+	}
+	lose(c);
+}
+
+static void
+set_timer(struct conn *c, int64_t us)
+{
+	mh_timer_stop(c->s->k, &c->timer);
+	if (us > 0)
+		c->timer = mh_timer_start(c->s->k, us, on_timer, c);
+}
+
+static void
+want_io(struct conn *c)
+{
+	bool full = c->ahead->len >= MAX_AHEAD;
+
+	mh_loop_fd(c->s->loop, c->fd, !full, c->out->len > 0, on_io, c);
+}
+
+/* Returns false when the connection was lost and freed. */
+static bool
+flush_out(struct conn *c)
+{
+	uint32_t off = 0;
+
+	while (off < c->out->len) {
+		ssize_t n = send(c->fd, c->out->data + off, c->out->len - off,
+		    MSG_NOSIGNAL | MSG_DONTWAIT);
+
+		if (n < 0 && (errno == EAGAIN || errno == EINTR))
+			break;
+		if (n <= 0) {
+			lose(c);
+			return false;
+		}
+		off += (uint32_t)n;
+	}
+	if (off > 0)
+		g_byte_array_remove_range(c->out, 0, off);
+	if (c->out->len > MAX_OUT) {
+		mh_count(c->s->k, "serve_slow_callers", 1);
+		lose(c);
+		return false;
+	}
+	want_io(c);
+	return true;
+}
+
+/* parsing */
+
+static int
+on_url(http_parser *p, const char *at, size_t n)
+{
+	struct mh_hreq *r = ((struct conn *)p->data)->req;
+
+	g_string_append_len(r->target, at, (gssize)n);
+	r->header_bytes += (uint32_t)n;
+	return 0;
+}
+
+static void
+end_field(struct mh_hreq *r)
+{
+	if (r->name->len == 0)
+		return;
+	if (!mh_header_name_ok(r->name->str) ||
+	    !mh_header_value_ok(r->value->str) ||
+	    strlen(r->value->str) != r->value->len)
+		r->refuse = 400;
+	mh_headers_add(r->headers, r->name->str, r->value->str);
+	g_string_truncate(r->name, 0);
+	g_string_truncate(r->value, 0);
+}
+
+static int
+on_field(http_parser *p, const char *at, size_t n)
+{
+	struct conn *c = p->data;
+	struct mh_hreq *r = c->req;
+
+	if (r->method != NULL) /* a trailer after the last chunk */
+		return 0;
+	if (r->in_value)
+		end_field(r);
+	r->in_value = false;
+	g_string_append_len(r->name, at, (gssize)n);
+	r->header_bytes += (uint32_t)n;
+	return 0;
+}
+
+static int
+on_value(http_parser *p, const char *at, size_t n)
+{
+	struct conn *c = p->data;
+	struct mh_hreq *r = c->req;
+
+	if (r->method != NULL)
+		return 0;
+	r->in_value = true;
+	g_string_append_len(r->value, at, (gssize)n);
+	r->header_bytes += (uint32_t)n;
+	return 0;
+}
+
+static int
+on_headers(http_parser *p)
+{
+	static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+	struct conn *c = p->data;
+	struct mh_hreq *r = c->req;
+	const struct mh_hlimits *l = &c->s->args.limits;
+
+	end_field(r);
+	r->method = g_strdup(http_method_str(p->method));
+	r->keep_alive = http_should_keep_alive(p);
+	r->http10 = p->http_major == 1 && p->http_minor == 0;
+	if (p->http_major != 1 || p->upgrade ||
+	    mh_headers_count(r->headers, "Host") != 1 ||
+	    mh_headers_count(r->headers, "Content-Length") > 1 ||
+	    mh_headers_count(r->headers, "Transfer-Encoding") > 1)
+		r->refuse = 400;
+	if (r->header_bytes > l->header_bytes)
+		r->refuse = 431;
+	if (r->refuse == 0 && p->content_length != UINT64_MAX &&
+	    p->content_length > l->body_bytes)
+		r->refuse = 413;
+	if (r->refuse != 0)
+		return -1;
+	if (mh_headers_get(r->headers, "Expect") != NULL)
+		g_byte_array_append(
+		    c->out, (const uint8_t *)go_on, sizeof(go_on) - 1);
+	return 0;
+}
+
+static int
+on_body(http_parser *p, const char *at, size_t n)
+{
+	struct conn *c = p->data;
+	struct mh_hreq *r = c->req;
+
+	if (r->body->len + n > c->s->args.limits.body_bytes) {
+		r->refuse = 413;
+		return -1;
+	}
+	g_byte_array_append(r->body, (const uint8_t *)at, (guint)n);
+	return 0;
+}
+
+static int
+on_complete(http_parser *p)
+{
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = { .on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers,
+	.on_body = on_body,
+	.on_message_complete = on_complete };
+
+/* answers */
+
+static const char *
+reason(uint32_t status)
+{
+	switch (status) {
+#define XX(num, name, string) \
+	case num:             \
+		return #string;
+		HTTP_STATUS_MAP(XX)
+#undef XX
+	default:
+		return "Unknown";
+	}
+}
+
+static void
+add_field(void *arg, const char *name, const char *value)
+{
+	g_string_append_printf(arg, "%s: %s\r\n", name, value);
+}
+
+void
+mh_hreq_head(struct mh_hreq *r, uint32_t status,
+    const struct mh_headers *headers, int64_t length)
+{
+	struct conn *c = r->c;
+	GString *g = g_string_sized_new(512);
+
+	g_string_printf(g, "HTTP/1.1 %u %s\r\n", status, reason(status));
+	if (headers != NULL)
+		mh_headers_each(headers, add_field, g);
+	if (length >= 0) {
+		g_string_append_printf(
+		    g, "Content-Length: %" PRId64 "\r\n", length);
+	} else if (r->http10) {
+		c->close_after = true;
+	} else {
+		r->chunked = true;
+		g_string_append(g, "Transfer-Encoding: chunked\r\n");
+	}
+	if (!r->keep_alive || c->s->draining)
+		c->close_after = true;
+	if (c->close_after)
+		g_string_append(g, "Connection: close\r\n");
+	g_string_append(g, "\r\n");
+	g_byte_array_append(c->out, (uint8_t *)g->str, (guint)g->len);
+	g_string_free(g, TRUE);
+	want_io(c);
+}
+
+void
+mh_hreq_write(struct mh_hreq *r, const void *data, size_t len)
+{
+	struct conn *c = r->c;
+	char size[24];
+
+	if (len == 0)
+		return;
+	if (r->chunked) {
+		g_snprintf(size, sizeof(size), "%zx\r\n", len);
+		g_byte_array_append(
+		    c->out, (uint8_t *)size, (guint)strlen(size));
+	}
+	g_byte_array_append(c->out, data, (guint)len);
+	if (r->chunked)
+		g_byte_array_append(c->out, (const uint8_t *)"\r\n", 2);
+	want_io(c);
+}
+
+static void
+start_reading(struct conn *c)
+{
+	c->state = CONN_READING;
+	c->began = false;
+	http_parser_init(&c->parser, HTTP_REQUEST);
+	c->parser.data = c;
+	c->req = new_req(c);
+	set_timer(c, c->s->args.limits.idle_us);
+}
+
+static void
+start_linger(struct conn *c)
+{
+	c->state = CONN_LINGER;
+	set_timer(c, LINGER_US);
+	if (c->out->len == 0)
+		shutdown(c->fd, SHUT_WR);
+}
+
+/*
+ * Runs from the loop, not from the gate's call: the gate may still be in the
+ * middle of its own work on this request.
+ */
+static void
+after_answer(void *arg)
+{
+	struct conn *c = arg;
+
+	c->timer = NULL;
+	if (!flush_out(c))
+		return;
+	if (c->close_after) {
+		start_linger(c);
+		return;
+	}
+	start_reading(c);
+	process(c);
+}
+
+void
+mh_hreq_end(struct mh_hreq *r)
+{
+	struct conn *c = r->c;
+
+	if (r->chunked)
+		g_byte_array_append(c->out, (const uint8_t *)"0\r\n\r\n", 5);
+	c->req = NULL;
+	c->state = CONN_LINGER;
+	free_req(r);
+	mh_timer_stop(c->s->k, &c->timer);
+	c->timer = mh_timer_start(c->s->k, 0, after_answer, c);
+}
+
+static void
+reset(void *arg)
+{
+	struct conn *c = arg;
+	struct linger hard = { 1, 0 };
+
+	c->timer = NULL;
+	/* A plain close would look like the end of an unframed answer. */
+	setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+	free_conn(c);
+}
+
+void
+mh_hreq_break(struct mh_hreq *r)
+{
+	struct conn *c = r->c;
+
+	c->req = NULL;
+	c->state = CONN_LINGER;
+	free_req(r);
+	mh_timer_stop(c->s->k, &c->timer);
+	c->timer = mh_timer_start(c->s->k, 0, reset, c);
+}
+
+static void
+refuse_bad(struct conn *c)
+{
+	struct mh_hreq *r = c->req;
+	uint32_t status = r->refuse != 0 ? r->refuse : 400;
+
+	mh_event(c->s->k, "bad-request", "status=%u parser=%s", status,
+	    http_errno_name(HTTP_PARSER_ERRNO(&c->parser)));
+	c->state = CONN_ANSWERING;
+	c->close_after = true;
+	g_byte_array_set_size(c->ahead, 0);
+	mh_hreq_head(r, status, NULL, 0);
+	mh_hreq_end(r);
+}
+
+static void
+hand_over(struct conn *c)
+{
+	set_timer(c, 0);
+	c->state = CONN_ANSWERING;
+	c->s->args.on_request(c->s->args.arg, c->req);
+}
+
+/* Parses what has come until one request is whole. */
+static void
+process(struct conn *c)
+{
+	size_t n;
+
+	if (c->state != CONN_READING || c->ahead->len == 0)
+		return;
+	if (!c->began) {
+		c->began = true;
+		set_timer(c, c->s->args.limits.header_us);
+	}
+	n = http_parser_execute(&c->parser, &callbacks,
+	    (const char *)c->ahead->data, c->ahead->len);
+	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED) {
+		g_byte_array_remove_range(c->ahead, 0, (guint)n);
+		if (c->req->refuse != 0)
+			refuse_bad(c);
+		else
+			hand_over(c);
+		return;
+	}
+	if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK || c->parser.upgrade) {
+		refuse_bad(c);
+		return;
+	}
+	g_byte_array_set_size(c->ahead, 0);
+	if (c->req->method == NULL &&
+	    c->req->header_bytes > c->s->args.limits.header_bytes) {
+		c->req->refuse = 431;
+		refuse_bad(c);
+	}
+}
+
+/* Returns false when the connection was lost and freed. */
+static bool
+read_in(struct conn *c)
+{
+	uint8_t buf[READ_SIZE];
+	ssize_t n = recv(c->fd, buf, sizeof(buf), MSG_DONTWAIT);
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return true;
+	if (n <= 0) {
+		lose(c);
+		return false;
+	}
+	if (c->state != CONN_LINGER || !c->close_after)
+		g_byte_array_append(c->ahead, buf, (guint)n);
+	return true;
+}
+
+static void
+on_io(void *arg, bool readable, bool writable)
+{
+	struct conn *c = arg;
+
+	if (readable) {
+		if (!read_in(c))
+			return;
+		process(c);
+	}
+	(void)writable;
+	if (!flush_out(c))
+		return;
+	if (c->state == CONN_LINGER && c->close_after && c->out->len == 0 &&
+	    c->req == NULL)
+		shutdown(c->fd, SHUT_WR);
+}
+
+static void
+on_accept(void *arg, bool readable, bool writable)
+{
+	struct mh_hserve *s = arg;
+
+	(void)readable;
+	(void)writable;
+	for (;;) {
+		int on = 1, ms = USER_TIMEOUT_MS;
+		int fd = accept4(
+		    s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		struct conn *c;
+
+		if (fd < 0)
+			return;
+		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+		setsockopt(
+		    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+		c = g_new0(struct conn, 1);
+		c->s = s;
+		c->fd = fd;
+		c->ahead = g_byte_array_new();
+		c->out = g_byte_array_new();
+		g_hash_table_add(s->conns, c);
+		start_reading(c);
+		want_io(c);
+	}
+}
+
+const char *
+mh_hreq_method(const struct mh_hreq *r)
+{
+	return r->method;
+}
+
+const char *
+mh_hreq_target(const struct mh_hreq *r)
+{
+	return r->target->str;
+}
+
+const struct mh_headers *
+mh_hreq_headers(const struct mh_hreq *r)
+{
+	return r->headers;
+}
+
+const GByteArray *
+mh_hreq_body(const struct mh_hreq *r)
+{
+	return r->body;
+}
+
+void *
+mh_hreq_data(const struct mh_hreq *r)
+{
+	return r->data;
+}
+
+void
+mh_hreq_set_data(struct mh_hreq *r, void *data)
+{
+	r->data = data;
+}
+
+static int
+listen_on(const char *addr, uint16_t *port, GError **err)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	socklen_t len = sizeof(sin);
+	char host[MH_HOST_LEN];
+	int on = 1, fd = -1;
+
+	if (!mh_addr_parse(addr, host, port) ||
+	    inet_pton(AF_INET, host, &sin.sin_addr) != 1)
+		goto bad;
+	sin.sin_port = htons(*port);
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		goto bad;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) < 0 ||
+	    listen(fd, BACKLOG) < 0 ||
+	    getsockname(fd, (struct sockaddr *)&sin, &len) < 0)
+		goto bad;
+	*port = ntohs(sin.sin_port);
+	return fd;
+bad:
+	g_set_error(err, MH_ERROR, MH_ERR_IO,
+	    "cannot listen on %s: %s; give a free IP:PORT of this VM", addr,
+	    g_strerror(errno));
+	if (fd >= 0)
+		close(fd);
+	return -1;
+}
+
+struct mh_hserve *
+mh_hserve_create(
+    struct mh_loop *l, const struct mh_hserve_args *a, GError **err)
+{
+	struct mh_hserve *s = g_new0(struct mh_hserve, 1);
+
+	s->k = mh_loop_kern(l);
+	s->loop = l;
+	s->args = *a;
+	s->conns = g_hash_table_new(NULL, NULL);
+	s->fd = listen_on(a->listen, &s->port, err);
+	if (s->fd < 0) {
+		g_hash_table_destroy(s->conns);
+		g_free(s);
+		return NULL;
+	}
+	mh_loop_fd(l, s->fd, true, false, on_accept, s);
+	return s;
+}
+
+void
+mh_hserve_destroy(struct mh_hserve *s)
+{
+	GList *all;
+
+	if (s == NULL)
+		return;
+	all = g_hash_table_get_keys(s->conns);
+	for (GList *n = all; n != NULL; n = n->next)
+		free_conn(n->data);
+	g_list_free(all);
+	g_hash_table_destroy(s->conns);
+	mh_loop_fd_close(s->loop, s->fd);
+	close(s->fd);
+	g_free(s);
+}
+
+uint16_t
+mh_hserve_port(const struct mh_hserve *s)
+{
+	return s->port;
+}
+
+void
+mh_hserve_set_limits(struct mh_hserve *s, const struct mh_hlimits *l)
+{
+	s->args.limits = *l;
+}
+
+void
+mh_hserve_drain(struct mh_hserve *s)
+{
+	s->draining = true;
+}
+
+uint32_t
+mh_hserve_open(const struct mh_hserve *s)
+{
+	GHashTableIter it;
+	gpointer key;
+	uint32_t n = 0;
+
+	g_hash_table_iter_init(&it, s->conns);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		struct conn *c = key;
+
+		n += c->state == CONN_ANSWERING || c->out->len > 0 ||
+		    (c->state == CONN_READING && c->began);
+	}
+	return n;
+}
--- /dev/null
+++ b/lib/place.c
@@ -0,0 +1,226 @@
+/**
+ * DOC: Which endpoint takes a request.
+ *
+ * Plain pools: the shortest expected wait.  Engines: the earliest first
+ * token, where reading again what another engine keeps counts as time.  All
+ * processes agree on a home for each shared part by rendezvous hashing, so
+ * that a part is kept in one place although nobody tells the others what he
+ * sent; a home that is loaded loses to the next.
+ */
+
+#include "gate.h"
+
+#include <string.h>
+
+/* Reading a prompt, from engine tests of this class: 36 tokens a ms alone,
+ * less beside the decoding of others. */
+#define PREFILL_US_PER_TOKEN 40.0
+/*
+ * What one more running request costs the next one's first token: its share
+ * of each step of a chunked prefill.
+ */
+#define RUNNING_US 3000.0
+#define WAITING_US 60000.0
+#define FULL_US 2000000.0
+/* An endpoint's own word is used this long, then our own count alone. */
+#define TOLD_US (600 * MH_US_PER_MS)
+/* A part that was sent is taken as kept for this long after its last use. */
+#define KEPT_US (30 * MH_US_PER_S)
+#define KEPT_MAX 20000
+/* Where nothing else decides: stay in the own failure domain. */
+#define OTHER_DOMAIN_US 1500.0
+/* The time that a failing endpoint is expected to cost. */
+#define FAIL_US 400000.0
+/* Unknown endpoints answer about so fast. */
+#define TOOK_DEFAULT_US 30000.0
+
+struct mh_place {
+	struct mh_kern *k;
+	struct mh_fleet *f;
+	GHashTable *kept; /* hash of node and part -> last use */
+};
+
+struct mh_place *
+mh_place_create(struct mh_kern *k, struct mh_fleet *f)
+{
+	struct mh_place *p = g_new0(struct mh_place, 1);
+
+	p->k = k;
+	p->f = f;
+	p->kept =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	return p;
+}
+
+void
+mh_place_destroy(struct mh_place *p)
+{
+	if (p == NULL)
+		return;
+	g_hash_table_destroy(p->kept);
+	g_free(p);
+}
+
+static int64_t
+kept_key(const struct mh_node *n, uint64_t part)
+{
+	char text[32];
+
+	g_snprintf(text, sizeof(text), "%" PRIx64, part);
+	return (int64_t)mh_rendezvous(n->id, text);
+}
+
+static bool
+is_kept(const struct mh_place *p, const struct mh_node *n, uint64_t part)
+{
+	int64_t key = kept_key(n, part);
+	const int64_t *at = g_hash_table_lookup(p->kept, &key);
+
+	return at != NULL && mh_now(p->k) - *at < KEPT_US;
+}
+
+static gboolean
+expired(gpointer key, gpointer value, gpointer arg)
+{
+	struct mh_place *p = arg;
+
+	(void)key;
+	return mh_now(p->k) - *(int64_t *)value >= KEPT_US;
+}
+
+void
+mh_place_sent(
+    struct mh_place *p, const struct mh_place_ask *a, struct mh_node *n)
+{
+	if (g_hash_table_size(p->kept) > KEPT_MAX)
+		g_hash_table_foreach_remove(p->kept, expired, p);
+	for (uint32_t i = 0; i + 1 < a->n_parts; i++) {
+		int64_t key = kept_key(n, a->parts[i].id);
+		int64_t now = mh_now(p->k);
+
+		g_hash_table_insert(p->kept, g_memdup2(&key, sizeof(key)),
+		    g_memdup2(&now, sizeof(now)));
+	}
+}
+
+static bool
+was_tried(const struct mh_place_ask *a, const struct mh_node *n)
+{
+	for (uint32_t i = 0; i < a->n_tried; i++) {
+		if (strcmp(a->tried[i], n->id) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* The deepest shared part says where a prompt is at home. */
+static const struct mh_node *
+home_of(const struct mh_place *p, const struct mh_place_ask *a,
+    const GPtrArray *pool)
+{
+	const struct mh_node *home = NULL;
+	uint64_t best = 0;
+	char what[32];
+
+	if (a->n_parts < 2)
+		return NULL;
+	g_snprintf(what, sizeof(what), "%" PRIx64,
+	    a->parts[a->n_parts - 2].id);
+	for (guint i = 0; i < pool->len; i++) {
+		const struct mh_node *n = g_ptr_array_index(pool, i);
+		uint64_t w = mh_rendezvous(what, n->id);
+
+		if (mh_node_usable(p->f, n) && (home == NULL || w > best)) {
+			home = n;
+			best = w;
+		}
+	}
+	return home;
+}
+
+/* Parts are kept only as far as all before them are. */
+static double
+prefill_us(const struct mh_place *p, const struct mh_place_ask *a,
+    const struct mh_node *n, bool home)
+{
+	double tokens = 0;
+	bool kept = true;
+
+	for (uint32_t i = 0; i < a->n_parts; i++) {
+		bool last = i + 1 == a->n_parts;
+
+		kept = kept && !last && (home || is_kept(p, n, a->parts[i].id));
+		if (!kept)
+			tokens += a->parts[i].tokens;
+	}
+	return tokens * PREFILL_US_PER_TOKEN;
+}
+
+static double
+load_us(const struct mh_place *p, const struct mh_node *n, bool engine)
+{
+	bool fresh = n->told_us > 0 && mh_now(p->k) - n->told_us < TOLD_US;
+	double running = n->inflight;
+	double slots = n->capacity > 0 ? n->capacity : 1;
+	double each = n->took_us > 0 ? n->took_us : TOOK_DEFAULT_US;
+
+	if (fresh)
+		running = MAX(running, (double)n->running + n->waiting);
+	if (!engine)
+		return each * (1 + running / slots) +
+		    (running >= slots ? each : 0);
+	return RUNNING_US * running +
+	    (fresh ? WAITING_US * n->waiting : 0) +
+	    (running >= slots ? FULL_US : 0);
+}
+
+static double
+score(const struct mh_place *p, const struct mh_place_ask *a,
+    const struct mh_node *n, const struct mh_node *home)
+{
+	double us = load_us(p, n, a->n_parts > 0);
+
+	us += prefill_us(p, a, n, n == home);
+	us += n->fail * FAIL_US;
+	if (n->warm_at_us > mh_now(p->k))
+		us *= 2;
+	if (a->domain != NULL && strcmp(a->domain, n->domain) != 0)
+		us += OTHER_DOMAIN_US;
+	return us + mh_random_unit(p->k) * OTHER_DOMAIN_US / 2;
+}
+
+static struct mh_node *
+best_of(struct mh_place *p, const struct mh_place_ask *a,
+    const GPtrArray *pool, bool any)
+{
+	const struct mh_node *home = home_of(p, a, pool);
+	struct mh_node *best = NULL;
+	double least = 0;
+
+	for (guint i = 0; i < pool->len; i++) {
+		struct mh_node *n = g_ptr_array_index(pool, i);
+		double s;
+
+		if (n->leaving || was_tried(a, n) ||
+		    (!any && !mh_node_usable(p->f, n)))
+			continue;
+		s = score(p, a, n, home);
+		if (best == NULL || s < least) {
+			best = n;
+			least = s;
+		}
+	}
+	return best;
+}
+
+struct mh_node *
+mh_place_pick(struct mh_place *p, const struct mh_place_ask *a)
+{
+	GPtrArray *pool = mh_fleet_pool(p->f, a->pool);
+	struct mh_node *n;
+
+	if (pool == NULL)
+		return NULL;
+	n = best_of(p, a, pool, false);
+	return n != NULL ? n : best_of(p, a, pool, true);
+}
--- a/mk/common.mk
+++ b/mk/common.mk
@@ -4,13 +4,16 @@
 PKGS = apr-1 libprotobuf-c libmicrohttpd libcurl glib-2.0 jansson \
 	yaml-0.1 libxxhash libsodium libbsd-overlay
 BUILD ?= debug
-OBJ = $(TOP)/build/$(BUILD)
+# Where everything built goes; the platform wants its own folder.
+BUILDDIR ?= build
+OBJ = $(TOP)/$(BUILDDIR)/$(BUILD)
+OUT ?= $(OBJ)
 CC = gcc
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
 	-Werror
 CFLAGS += -std=gnu11 -g -O2 $(WARN) -I$(TOP)/lib \
 	$(shell pkg-config --cflags $(PKGS))
-LDLIBS += $(shell pkg-config --libs $(PKGS)) -largtable2 -llog4c -lm
+LDLIBS += $(shell pkg-config --libs $(PKGS)) -lhttp_parser -largtable2 -llog4c -lm
 ifeq ($(BUILD),asan)
 CFLAGS += -O1 -fsanitize=address,undefined -fno-omit-frame-pointer \
 	-fno-sanitize-recover=undefined \
