--- /dev/null
+++ b/lib/broker.c
@@ -0,0 +1,400 @@
+/**
+ * DOC: Stage work goes to the entry whose turn it is.
+ *
+ * All pieces meet at one entry, so that calls are full.  If that entry dies
+ * or falls silent its jobs are given to the next, which starts them anew: a
+ * piece may be made twice, a request is sent once.
+ */
+
+#include "mesh.h"
+
+#include <string.h>
+
+#define WORK "stage-work"
+
+/* A job that another entry does for us. */
+struct sent {
+	struct mh_job *job;
+	char *node;
+};
+
+/* A job that we do for another entry; its job's owner. */
+struct guest {
+	struct mh_broker *b;
+	struct mh_job *job;
+	char *node;
+	bool ended; /* its results wait to be freed */
+};
+
+struct mh_broker {
+	struct mh_kern *k;
+	struct mh_mesh *m;
+	struct mh_cell *c;
+	GHashTable *sent; /* job -> struct sent */
+	GHashTable *guests; /* node/id -> struct guest */
+	GHashTable *guest_jobs; /* job -> struct guest */
+	void (*end)(void *arg, struct mh_job *j, enum mh_job_end end,
+	    int64_t retry_us);
+	void *end_arg;
+};
+
+static void
+free_sent(void *arg)
+{
+	struct sent *s = arg;
+
+	g_free(s->node);
+	g_free(s);
+}
+
+static char *
+guest_key(const char *node, const char *id)
+{
+	return g_strdup_printf("%s/%s", node, id);
+}
+
+/* asking */
+
+static void
+send_job(struct mh_broker *b, struct mh_job *j, const char *node)
+{
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__Job m = MH__JOB__INIT;
+	Mh__JobStage stages[MH_GSTAGES], *list[MH_GSTAGES];
+
+	m.id = j->id;
+	m.key = j->key == NULL ? (char *)"" : j->key;
+	m.route = j->route;
+	m.priority = j->priority;
+	m.returned = j->returned;
+	m.aim_us = j->aim_us - mh_now(b->k);
+	m.deadline_us = j->deadline_us - mh_now(b->k);
+	m.n_stages = j->n_stages;
+	m.stages = list;
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		mh__job_stage__init(&stages[s]);
+		stages[s].pool = j->stages[s].pool;
+		stages[s].after = j->stages[s].after;
+		stages[s].pieces = j->stages[s].pieces;
+		stages[s].result_bytes = j->stages[s].result_bytes;
+		list[s] = &stages[s];
+	}
+	f.body_case = MH__FRAME__BODY_JOB;
+	f.job = &m;
+	mh_mesh_send(b->m, node, &f);
+}
+
+void
+mh_broker_submit(struct mh_broker *b, struct mh_job *j)
+{
+	const char *home = mh_mesh_home(b->m, WORK);
+	struct sent *s;
+
+	if (mh_mesh_is_self(b->m, home)) {
+		mh_cell_submit(b->c, j);
+		return;
+	}
+	s = g_new0(struct sent, 1);
+	s->job = j;
+	s->node = g_strdup(home);
+	g_hash_table_insert(b->sent, j, s);
+	mh_count(b->k, "jobs_sent", 1);
+	mh_event(b->k, "job-sent", "id=%s home=%s", j->id, home);
+	send_job(b, j, home);
+}
+
+void
+mh_broker_drop(struct mh_broker *b, struct mh_job *j)
+{
+	struct sent *s = g_hash_table_lookup(b->sent, j);
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__JobDrop d = MH__JOB_DROP__INIT;
+
+	if (s == NULL) {
+		mh_cell_cancel(b->c, j);
+		return;
+	}
+	d.id = j->id;
+	f.body_case = MH__FRAME__BODY_JOB_DROP;
+	f.job_drop = &d;
+	mh_mesh_send(b->m, s->node, &f);
+	g_hash_table_remove(b->sent, j);
+}
+
+static void
+take_results(struct mh_job *j, const Mh__JobEnd *m)
+{
+	for (uint32_t s = 0; s < j->n_stages && s < m->n_stages; s++) {
+		GPtrArray *a = g_ptr_array_new_with_free_func(g_free);
+
+		for (size_t i = 0; i < m->stages[s]->n_results; i++)
+			g_ptr_array_add(
+			    a, g_strdup(m->stages[s]->results[i]));
+		if (j->stages[s].results != NULL)
+			g_ptr_array_free(j->stages[s].results, TRUE);
+		j->stages[s].results = a;
+	}
+}
+
+/* Results of stages that others took are gone: only the last ones count. */
+static bool
+has_finals(const struct mh_job *j)
+{
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		const GPtrArray *a = j->stages[s].results;
+
+		if (a == NULL || a->len != j->stages[s].pieces)
+			return false;
+	}
+	return true;
+}
+
+static struct mh_job *
+find_sent(struct mh_broker *b, const char *node, const char *id)
+{
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, b->sent);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		struct sent *s = value;
+
+		if (strcmp(s->job->id, id) == 0 && strcmp(s->node, node) == 0)
+			return s->job;
+	}
+	return NULL;
+}
+
+static void
+on_job_end(void *arg, const char *node, const Mh__Frame *f)
+{
+	struct mh_broker *b = arg;
+	const Mh__JobEnd *m = f->job_end;
+	struct mh_job *j = find_sent(b, node, m->id);
+	enum mh_job_end end = m->end;
+
+	if (j == NULL)
+		return; /* its caller left, or it went to another entry */
+	if (end == MH_JOB_DONE) {
+		take_results(j, m);
+		if (!has_finals(j))
+			end = MH_JOB_FAILED;
+	}
+	if (end != MH_JOB_DONE)
+		g_hash_table_remove(b->sent, j);
+	b->end(b->end_arg, j, end, (int64_t)m->retry_us);
+}
+
+/* doing */
+
+static void
+free_guest(struct mh_broker *b, struct guest *g)
+{
+	char *key = guest_key(g->node, g->job->id);
+
+	g_hash_table_remove(b->guest_jobs, g->job);
+	g_hash_table_remove(b->guests, key);
+	mh_job_destroy(g->job);
+	g_free(g->node);
+	g_free(g);
+	g_free(key);
+}
+
+static struct mh_job *
+read_job(struct mh_broker *b, const Mh__Job *m)
+{
+	struct mh_job *j = mh_job_create(m->id);
+
+	j->key = g_strdup(m->key);
+	j->route = g_strdup(m->route);
+	j->priority = m->priority;
+	j->returned = m->returned;
+	j->arrived_us = mh_now(b->k);
+	j->aim_us = j->arrived_us + m->aim_us;
+	j->deadline_us = j->arrived_us + m->deadline_us;
+	j->n_stages = MIN((uint32_t)m->n_stages, MH_GSTAGES);
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		j->stages[s].pool = g_strdup(m->stages[s]->pool);
+		j->stages[s].after =
+		    m->stages[s]->after & ((1U << s) - 1);
+		j->stages[s].pieces = m->stages[s]->pieces;
+		j->stages[s].result_bytes = m->stages[s]->result_bytes;
+	}
+	return j;
+}
+
+static void
+on_job(void *arg, const char *node, const Mh__Frame *f)
+{
+	struct mh_broker *b = arg;
+	struct guest *g = g_new0(struct guest, 1);
+	char *key = guest_key(node, f->job->id);
+	struct guest *old = g_hash_table_lookup(b->guests, key);
+
+	if (old != NULL) {
+		mh_cell_cancel(b->c, old->job);
+		free_guest(b, old);
+	}
+	g->b = b;
+	g->node = g_strdup(node);
+	g->job = read_job(b, f->job);
+	g->job->owner = g;
+	g_hash_table_insert(b->guests, key, g);
+	g_hash_table_insert(b->guest_jobs, g->job, g);
+	mh_count(b->k, "jobs_guest", 1);
+	mh_cell_submit(b->c, g->job);
+}
+
+static void
+on_job_drop(void *arg, const char *node, const Mh__Frame *f)
+{
+	struct mh_broker *b = arg;
+	char *key = guest_key(node, f->job_drop->id);
+	struct guest *g = g_hash_table_lookup(b->guests, key);
+
+	g_free(key);
+	if (g == NULL)
+		return;
+	mh_cell_cancel(b->c, g->job);
+	free_guest(b, g);
+}
+
+static void
+send_end(struct mh_broker *b, struct guest *g, enum mh_job_end end,
+    int64_t retry_us)
+{
+	struct mh_job *j = g->job;
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__JobEnd m = MH__JOB_END__INIT;
+	Mh__JobStage stages[MH_GSTAGES], *list[MH_GSTAGES];
+
+	m.id = j->id;
+	m.end = end;
+	m.retry_us = (uint64_t)MAX(retry_us, 0);
+	m.n_stages = end == MH_JOB_DONE ? j->n_stages : 0;
+	m.stages = list;
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		GPtrArray *a = j->stages[s].results;
+
+		mh__job_stage__init(&stages[s]);
+		list[s] = &stages[s];
+		if (end != MH_JOB_DONE)
+			continue;
+		stages[s].n_results = a->len;
+		stages[s].results = (char **)a->pdata;
+		/* Those that were taken by later stages are gone. */
+		for (guint i = 0; i < a->len; i++) {
+			if (a->pdata[i] == NULL)
+				a->pdata[i] = g_strdup("");
+		}
+	}
+	f.body_case = MH__FRAME__BODY_JOB_END;
+	f.job_end = &m;
+	mh_mesh_send(b->m, g->node, &f);
+}
+
+void
+mh_broker_cell_end(struct mh_broker *b, struct mh_job *j, enum mh_job_end end,
+    int64_t retry_us)
+{
+	struct guest *g = g_hash_table_lookup(b->guest_jobs, j);
+
+	if (g == NULL) {
+		b->end(b->end_arg, j, end, retry_us);
+		return;
+	}
+	send_end(b, g, end, retry_us);
+	if (end != MH_JOB_DONE)
+		free_guest(b, g);
+}
+
+/* an entry is lost */
+
+static void
+drop_guests(struct mh_broker *b, const char *node)
+{
+	GList *all = g_hash_table_get_values(b->guests);
+
+	for (GList *l = all; l != NULL; l = l->next) {
+		struct guest *g = l->data;
+
+		if (strcmp(g->node, node) != 0)
+			continue;
+		mh_cell_cancel(b->c, g->job);
+		free_guest(b, g);
+	}
+	g_list_free(all);
+}
+
+static void
+on_lost(void *arg, const char *node)
+{
+	struct mh_broker *b = arg;
+	GList *all = g_hash_table_get_keys(b->sent);
+
+	drop_guests(b, node);
+	for (GList *l = all; l != NULL; l = l->next) {
+		struct mh_job *j = l->data;
+		struct sent *s = g_hash_table_lookup(b->sent, j);
+
+		if (s == NULL || strcmp(s->node, node) != 0)
+			continue;
+		g_hash_table_remove(b->sent, j);
+		if (has_finals(j))
+			continue; /* done; the results live without it */
+		mh_count(b->k, "jobs_moved", 1);
+		mh_event(b->k, "job-moved", "id=%s from=%s", j->id, node);
+		mh_broker_submit(b, j);
+	}
+	g_list_free(all);
+}
+
+void
+mh_broker_on_end(struct mh_broker *b,
+    void (*fn)(void *arg, struct mh_job *j, enum mh_job_end end,
+	int64_t retry_us),
+    void *arg)
+{
+	b->end = fn;
+	b->end_arg = arg;
+}
+
+struct mh_broker *
+mh_broker_create(struct mh_kern *k, struct mh_mesh *m, struct mh_cell *c)
+{
+	struct mh_broker *b = g_new0(struct mh_broker, 1);
+
+	b->k = k;
+	b->m = m;
+	b->c = c;
+	b->sent = g_hash_table_new_full(NULL, NULL, NULL, free_sent);
+	b->guests =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	b->guest_jobs = g_hash_table_new(NULL, NULL);
+	mh_mesh_on(m, MH__FRAME__BODY_JOB, on_job, b);
+	mh_mesh_on(m, MH__FRAME__BODY_JOB_END, on_job_end, b);
+	mh_mesh_on(m, MH__FRAME__BODY_JOB_DROP, on_job_drop, b);
+	mh_mesh_on_lost(m, on_lost, b);
+	return b;
+}
+
+void
+mh_broker_destroy(struct mh_broker *b)
+{
+	GList *all;
+
+	if (b == NULL)
+		return;
+	all = g_hash_table_get_values(b->guests);
+	for (GList *l = all; l != NULL; l = l->next) {
+		struct guest *g = l->data;
+
+		mh_cell_cancel(b->c, g->job);
+		free_guest(b, g);
+	}
+	g_list_free(all);
+	g_hash_table_destroy(b->guests);
+	g_hash_table_destroy(b->guest_jobs);
+	g_hash_table_destroy(b->sent);
+	g_free(b);
+}
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -222,8 +222,12 @@
 static bool
 may_repeat(const struct mh_gask *q)
 {
+	uint32_t runs = q->runs;
+
+	if (q->cur != NULL && !q->cur->counted)
+		runs++;
 	return q->route->repeat != MH_REPEAT_NEVER &&
-	    q->runs < q->route->attempts;
+	    runs < q->route->attempts;
 }
 
 /* Goes to another endpoint if that is allowed; else ends. */
@@ -329,6 +333,7 @@
 	    n->waiting,
 	    n->told_us > 0 ? mh_ms(mh_now(g->k) - n->told_us) : -1, n->fail,
 	    mh_ms(left));
+	mh_timer_stop(g->k, &q->patience);
 	if (may_repeat(q))
 		set_patience(g, q, patience_us(q));
 	g->ops.send(g->ops.arg, t);
--- /dev/null
+++ b/lib/mesh.c
@@ -0,0 +1,537 @@
+/**
+ * DOC: Entries among themselves: who is alive, and whose turn it is.
+ *
+ * The list of entries comes from the platform and may be old; a beat on each
+ * link tells who is alive.  The order of entries for a piece of work is by
+ * weighted rendezvous hashing, so that all agree without asking, and each
+ * dials only the first few of that order.  Two entries that disagree for a
+ * moment cost smaller batches, never a wrong answer.
+ */
+
+#include "mesh.h"
+
+#include <math.h>
+#include <string.h>
+
+#define BEAT_US (250 * MH_US_PER_MS)
+/* Three beats and the way: a process that has its turn answers in this. */
+#define SILENT_US (850 * MH_US_PER_MS)
+#define REDIAL_US (500 * MH_US_PER_MS)
+/* First in the order of any work: one to use and the next to fall back on. */
+#define DIALLED 4
+/* The only work that has a home today. */
+#define WORK "stage-work"
+
+struct peer {
+	struct mh_mesh *m;
+	char *node;
+	char *addr;
+	double weight;
+	bool listed;
+	bool ready;
+	bool leaving;
+	uint64_t dial; /* a link being opened, 0: none */
+	uint64_t out; /* links that are up, 0: none */
+	uint64_t in;
+	int64_t heard_us;
+	int64_t dial_us; /* not again before */
+	uint64_t asked_conf; /* revision asked for */
+};
+
+struct handler {
+	mh_mesh_fn fn;
+	void *arg;
+};
+
+#define MAX_CASES 64
+
+struct mh_mesh {
+	struct mh_kern *k;
+	char *node;
+	double weight;
+	bool leaving;
+	GHashTable *peers; /* node -> struct peer */
+	GHashTable *conns; /* conn -> struct peer */
+	struct mh_mesh_view view;
+	struct handler on[MAX_CASES];
+	void (*lost)(void *arg, const char *node);
+	void *lost_arg;
+	struct mh_timer *timer;
+};
+
+static void
+free_peer(void *arg)
+{
+	struct peer *p = arg;
+
+	g_free(p->node);
+	g_free(p->addr);
+	g_free(p);
+}
+
+/* whose turn it is */
+
+/* Highest wins; a share of the work by weight (Wang and Ravishankar). */
+static double
+rank(const char *what, const char *node, double weight)
+{
+	double unit = ((double)(mh_rendezvous(what, node) >> 11) + 1) /
+	    (double)(1ULL << 53);
+
+	return -MAX(weight, 0.001) / log(unit);
+}
+
+static uint64_t
+link_of(const struct peer *p)
+{
+	return p->out != 0 ? p->out : p->in;
+}
+
+static bool
+alive(const struct peer *p)
+{
+	return link_of(p) != 0 &&
+	    mh_now(p->m->k) - p->heard_us < SILENT_US;
+}
+
+const char *
+mh_mesh_home(struct mh_mesh *m, const char *what)
+{
+	const char *best = m->node;
+	double most = m->leaving ? -1 : rank(what, m->node, m->weight);
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		const struct peer *p = value;
+		double r = rank(what, p->node, p->weight);
+
+		if (alive(p) && p->ready && !p->leaving && r > most) {
+			best = p->node;
+			most = r;
+		}
+	}
+	return best;
+}
+
+bool
+mh_mesh_is_self(const struct mh_mesh *m, const char *node)
+{
+	return strcmp(m->node, node) == 0;
+}
+
+uint32_t
+mh_mesh_size(struct mh_mesh *m)
+{
+	GHashTableIter it;
+	gpointer key, value;
+	uint32_t n = 1;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		const struct peer *p = value;
+
+		n += p->listed || alive(p);
+	}
+	return n;
+}
+
+/* frames */
+
+static void
+send_to(struct mh_mesh *m, uint64_t conn, Mh__Frame *f)
+{
+	struct mh_msg *msg = mh_msg_new(MH_MSG_LINK_SEND);
+
+	msg->u.link.conn = conn;
+	msg->u.link.frame = mh_frame_pack(f);
+	mh_count(m->k, "link_frames_out", 1);
+	mh_count(m->k, "link_bytes_out",
+	    g_bytes_get_size(msg->u.link.frame) + 4);
+	mh_post(m->k, "link", msg);
+}
+
+bool
+mh_mesh_send(struct mh_mesh *m, const char *node, Mh__Frame *f)
+{
+	struct peer *p = g_hash_table_lookup(m->peers, node);
+
+	if (p == NULL || link_of(p) == 0)
+		return false;
+	send_to(m, link_of(p), f);
+	return true;
+}
+
+void
+mh_mesh_on(struct mh_mesh *m, Mh__Frame__BodyCase kind, mh_mesh_fn fn,
+    void *arg)
+{
+	m->on[kind].fn = fn;
+	m->on[kind].arg = arg;
+}
+
+void
+mh_mesh_on_lost(
+    struct mh_mesh *m, void (*fn)(void *arg, const char *node), void *arg)
+{
+	m->lost = fn;
+	m->lost_arg = arg;
+}
+
+void
+mh_mesh_share(struct mh_mesh *m, const struct mh_mesh_view *v)
+{
+	m->view = *v;
+}
+
+static void
+beat_all(struct mh_mesh *m)
+{
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__Beat b = MH__BEAT__INIT;
+	GHashTableIter it;
+	gpointer key, value;
+
+	b.leaving = m->leaving;
+	if (m->view.ready != NULL) {
+		b.ready = m->view.ready(m->view.arg);
+		b.conf_revision = m->view.conf_revision(m->view.arg);
+		b.rows_revision = m->view.rows_revision(m->view.arg);
+	}
+	f.body_case = MH__FRAME__BODY_BEAT;
+	f.beat = &b;
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		const struct peer *p = value;
+
+		if (link_of(p) != 0)
+			send_to(m, link_of(p), &f);
+	}
+}
+
+/*
+ * A process that the store turns away still learns of a new configuration
+ * and of leaving endpoints: from whoever has read them.
+ */
+static void
+compare_views(struct mh_mesh *m, struct peer *p, const Mh__Beat *b)
+{
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__ViewAsk ask = MH__VIEW_ASK__INIT;
+
+	if (m->view.conf_revision == NULL)
+		return;
+	ask.conf = b->conf_revision > m->view.conf_revision(m->view.arg) &&
+	    p->asked_conf != b->conf_revision;
+	ask.rows = b->rows_revision > m->view.rows_revision(m->view.arg) &&
+	    m->view.rows_overdue(m->view.arg);
+	if (!ask.conf && !ask.rows)
+		return;
+	if (ask.conf)
+		p->asked_conf = b->conf_revision;
+	f.body_case = MH__FRAME__BODY_VIEW_ASK;
+	f.view_ask = &ask;
+	send_to(m, link_of(p), &f);
+}
+
+static void
+take_beat(struct mh_mesh *m, struct peer *p, const Mh__Beat *b)
+{
+	p->ready = b->ready;
+	if (b->leaving && !p->leaving)
+		mh_event(m->k, "peer-leaving", "node=%s", p->node);
+	p->leaving = b->leaving;
+	compare_views(m, p, b);
+}
+
+static void
+answer_view(struct mh_mesh *m, struct peer *p, const Mh__ViewAsk *ask)
+{
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__View v = MH__VIEW__INIT;
+	struct mh_shared s = { NULL, NULL };
+
+	if (m->view.fill == NULL)
+		return;
+	m->view.fill(m->view.arg, ask, &s);
+	v.conf_revision = m->view.conf_revision(m->view.arg);
+	v.rows_revision = m->view.rows_revision(m->view.arg);
+	if (s.conf != NULL)
+		v.conf.data = (uint8_t *)g_bytes_get_data(s.conf, &v.conf.len);
+	if (s.rows != NULL)
+		v.rows.data = (uint8_t *)g_bytes_get_data(s.rows, &v.rows.len);
+	f.body_case = MH__FRAME__BODY_VIEW;
+	f.view = &v;
+	send_to(m, link_of(p), &f);
+	g_clear_pointer(&s.conf, g_bytes_unref);
+	g_clear_pointer(&s.rows, g_bytes_unref);
+}
+
+static void
+take_frame(struct mh_mesh *m, const struct mh_link_msg *l)
+{
+	struct peer *p = g_hash_table_lookup(m->conns, &l->conn);
+	Mh__Frame *f = mh_frame_unpack(l->frame);
+
+	mh_count(m->k, "link_frames_in", 1);
+	mh_count(m->k, "link_bytes_in", g_bytes_get_size(l->frame) + 4);
+	if (f == NULL || p == NULL || (unsigned)f->body_case >= MAX_CASES) {
+		mh_event(m->k, "link-malformed", "conn=%" PRIu64, l->conn);
+		mh_link_close(m->k, l->conn);
+		goto done;
+	}
+	p->heard_us = mh_now(m->k);
+	switch (f->body_case) {
+	case MH__FRAME__BODY_BEAT:
+		take_beat(m, p, f->beat);
+		break;
+	case MH__FRAME__BODY_VIEW_ASK:
+		answer_view(m, p, f->view_ask);
+		break;
+	case MH__FRAME__BODY_VIEW:
+		if (m->view.take != NULL)
+			m->view.take(m->view.arg, f->view);
+		break;
+	default:
+		if (m->on[f->body_case].fn != NULL)
+			m->on[f->body_case].fn(
+			    m->on[f->body_case].arg, p->node, f);
+		break;
+	}
+done:
+	mh_frame_free(f);
+}
+
+/* links */
+
+static struct peer *
+peer_of(struct mh_mesh *m, const char *node)
+{
+	struct peer *p = g_hash_table_lookup(m->peers, node);
+
+	if (p == NULL) {
+		p = g_new0(struct peer, 1);
+		p->m = m;
+		p->node = g_strdup(node);
+		p->weight = 1;
+		g_hash_table_insert(m->peers, p->node, p);
+	}
+	return p;
+}
+
+static void
+note_conn(struct mh_mesh *m, uint64_t conn, struct peer *p)
+{
+	g_hash_table_replace(
+	    m->conns, g_memdup2(&conn, sizeof(conn)), p);
+}
+
+static void
+link_up(struct mh_mesh *m, const struct mh_link_msg *l)
+{
+	struct peer *p = peer_of(m, l->vm);
+	uint64_t *slot = l->inbound ? &p->in : &p->out;
+
+	if (*slot != 0 && *slot != l->conn) {
+		uint64_t old = *slot;
+
+		g_hash_table_remove(m->conns, &old);
+		mh_link_close(m->k, old);
+	}
+	*slot = l->conn;
+	if (!l->inbound)
+		p->dial = 0;
+	if (p->addr == NULL)
+		p->addr = g_strdup(l->addr);
+	p->heard_us = mh_now(m->k);
+	p->asked_conf = 0;
+	note_conn(m, l->conn, p);
+	mh_event(m->k, "peer-up", "node=%s addr=%s inbound=%d", p->node,
+	    l->addr, l->inbound);
+}
+
+static void
+peer_lost(struct mh_mesh *m, struct peer *p, const char *why)
+{
+	mh_event(m->k, "peer-lost", "node=%s why=%s silent_ms=%" PRId64,
+	    p->node, why, mh_ms(mh_now(m->k) - p->heard_us));
+	p->ready = false;
+	if (m->lost != NULL)
+		m->lost(m->lost_arg, p->node);
+}
+
+static void
+link_down(struct mh_mesh *m, uint64_t conn)
+{
+	struct peer *p = g_hash_table_lookup(m->conns, &conn);
+	bool was;
+
+	if (p == NULL)
+		return;
+	was = link_of(p) != 0;
+	g_hash_table_remove(m->conns, &conn);
+	if (p->dial == conn)
+		p->dial = 0;
+	if (p->out == conn)
+		p->out = 0;
+	if (p->in == conn)
+		p->in = 0;
+	if (was && link_of(p) == 0)
+		peer_lost(m, p, "closed");
+}
+
+static void
+drop_link(struct mh_mesh *m, uint64_t *slot)
+{
+	uint64_t conn = *slot;
+
+	*slot = 0;
+	if (conn == 0)
+		return;
+	g_hash_table_remove(m->conns, &conn);
+	mh_link_close(m->k, conn);
+}
+
+static void
+check_silent(struct mh_mesh *m, struct peer *p)
+{
+	if (link_of(p) == 0 || mh_now(m->k) - p->heard_us < SILENT_US)
+		return;
+	/* The link may have gone silent while a new one would work. */
+	drop_link(m, &p->out);
+	drop_link(m, &p->in);
+	p->dial_us = mh_now(m->k);
+	peer_lost(m, p, "silent");
+}
+
+/* Among the first of the order, so worth a link of our own. */
+static bool
+worth_link(struct mh_mesh *m, const struct peer *p)
+{
+	double mine = rank(WORK, p->node, p->weight);
+	GHashTableIter it;
+	gpointer key, value;
+	uint32_t before = 0;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		const struct peer *o = value;
+
+		before += o != p && (o->listed || alive(o)) &&
+		    rank(WORK, o->node, o->weight) > mine;
+	}
+	return before < DIALLED;
+}
+
+static void
+dial(struct mh_mesh *m, struct peer *p)
+{
+	p->dial = mh_next_id(m->k);
+	p->dial_us = mh_now(m->k) + REDIAL_US;
+	note_conn(m, p->dial, p);
+	mh_link_dial(m->k, p->dial, p->addr);
+}
+
+static void
+on_timer(void *arg)
+{
+	struct mh_mesh *m = arg;
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		struct peer *p = value;
+
+		check_silent(m, p);
+		if (link_of(p) == 0 && p->dial == 0 && !p->listed) {
+			g_hash_table_iter_remove(&it);
+			continue;
+		}
+		if (p->out == 0 && p->dial == 0 && p->listed &&
+		    mh_now(m->k) >= p->dial_us && worth_link(m, p))
+			dial(m, p);
+	}
+	beat_all(m);
+	m->timer = mh_timer_start(m->k, BEAT_US, on_timer, m);
+}
+
+void
+mh_mesh_list(struct mh_mesh *m, const GPtrArray *members)
+{
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value))
+		((struct peer *)value)->listed = false;
+	for (guint i = 0; i < members->len; i++) {
+		const struct mh_member *e = g_ptr_array_index(members, i);
+		struct peer *p;
+
+		if (strcmp(e->node, m->node) == 0)
+			continue;
+		p = peer_of(m, e->node);
+		p->listed = true;
+		p->weight = e->weight;
+		g_free(p->addr);
+		p->addr = g_strdup(e->addr);
+	}
+}
+
+void
+mh_mesh_leave(struct mh_mesh *m)
+{
+	m->leaving = true;
+	beat_all(m);
+}
+
+static void
+handle(void *self, struct mh_msg *msg)
+{
+	struct mh_mesh *m = self;
+
+	switch (msg->kind) {
+	case MH_MSG_FRAME:
+		take_frame(m, &msg->u.link);
+		break;
+	case MH_MSG_LINK_UP:
+		link_up(m, &msg->u.link);
+		break;
+	case MH_MSG_LINK_DOWN:
+		link_down(m, msg->u.link.conn);
+		break;
+	default:
+		break;
+	}
+}
+
+static void
+destroy(void *self)
+{
+	struct mh_mesh *m = self;
+
+	mh_timer_stop(m->k, &m->timer);
+	g_hash_table_destroy(m->conns);
+	g_hash_table_destroy(m->peers);
+	g_free(m->node);
+	g_free(m);
+}
+
+struct mh_mesh *
+mh_mesh_create(struct mh_kern *k, const char *node, double weight)
+{
+	struct mh_mesh *m = g_new0(struct mh_mesh, 1);
+
+	m->k = k;
+	m->node = g_strdup(node);
+	m->weight = weight;
+	m->peers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
+	m->conns =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	mh_kern_add(k, "hub", m, handle, destroy);
+	m->timer = mh_timer_start(k, BEAT_US, on_timer, m);
+	return m;
+}
--- /dev/null
+++ b/lib/mesh.h
@@ -0,0 +1,82 @@
+#ifndef MESH_H
+#define MESH_H
+
+/*
+ * Entries among themselves: links, who is alive, whose turn it is, and the
+ * stage work that they do for each other.
+ */
+
+#include "gate.h"
+
+/* mesh.c: service "hub" of a process on the users' platform */
+
+struct mh_mesh;
+
+/** struct mh_member - another entry, as it is listed. */
+struct mh_member {
+	char *node;
+	char *addr; /* ip:port for frames */
+	double weight; /* its share of the work, by its processor */
+};
+
+typedef void (*mh_mesh_fn)(void *arg, const char *node, const Mh__Frame *f);
+
+/** struct mh_shared - what another entry asked for; NULL: not asked. */
+struct mh_shared {
+	GBytes *conf;
+	GBytes *rows;
+};
+
+/** struct mh_mesh_view - what a process has read, to share with others. */
+struct mh_mesh_view {
+	uint64_t (*conf_revision)(void *arg);
+	uint64_t (*rows_revision)(void *arg);
+	/* whether an own reading is overdue, so that another's helps */
+	bool (*rows_overdue)(void *arg);
+	void (*fill)(
+	    void *arg, const Mh__ViewAsk *ask, struct mh_shared *out);
+	void (*take)(void *arg, const Mh__View *v);
+	bool (*ready)(void *arg);
+	void *arg;
+};
+
+struct mh_mesh *mh_mesh_create(
+    struct mh_kern *k, const char *node, double weight);
+void mh_mesh_share(struct mh_mesh *m, const struct mh_mesh_view *v);
+/** mh_mesh_list() - the entries listed now; struct mh_member. */
+void mh_mesh_list(struct mh_mesh *m, const GPtrArray *members);
+void mh_mesh_on(struct mh_mesh *m, Mh__Frame__BodyCase kind, mh_mesh_fn fn,
+    void *arg);
+/** mh_mesh_on_lost() - an entry stopped answering. */
+void mh_mesh_on_lost(
+    struct mh_mesh *m, void (*fn)(void *arg, const char *node), void *arg);
+/** mh_mesh_send() - false when there is no link to @node. */
+bool mh_mesh_send(struct mh_mesh *m, const char *node, Mh__Frame *f);
+/** mh_mesh_home() - the live entry whose turn @what is; may be ourselves. */
+const char *mh_mesh_home(struct mh_mesh *m, const char *what);
+bool mh_mesh_is_self(const struct mh_mesh *m, const char *node);
+/** mh_mesh_leave() - others no longer choose us. */
+void mh_mesh_leave(struct mh_mesh *m);
+/** mh_mesh_size() - live entries, ourselves included. */
+uint32_t mh_mesh_size(struct mh_mesh *m);
+
+/* broker.c: stage work goes to the entry whose turn it is */
+
+struct mh_broker;
+
+struct mh_broker *mh_broker_create(
+    struct mh_kern *k, struct mh_mesh *m, struct mh_cell *c);
+void mh_broker_destroy(struct mh_broker *b);
+/** mh_broker_on_end() - a job that was submitted here has ended. */
+void mh_broker_on_end(struct mh_broker *b,
+    void (*fn)(void *arg, struct mh_job *j, enum mh_job_end end,
+	int64_t retry_us),
+    void *arg);
+void mh_broker_submit(struct mh_broker *b, struct mh_job *j);
+/** mh_broker_drop() - cancels the job, or frees its results. */
+void mh_broker_drop(struct mh_broker *b, struct mh_job *j);
+/** mh_broker_cell_end() - the cell's end() of any job. */
+void mh_broker_cell_end(struct mh_broker *b, struct mh_job *j,
+    enum mh_job_end end, int64_t retry_us);
+
+#endif
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -1447,6 +1447,321 @@
   assert(message->base.descriptor == &mh__state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mh__beat__init
+                     (Mh__Beat         *message)
+{
+  static const Mh__Beat init_value = MH__BEAT__INIT;
+  *message = init_value;
+}
+size_t mh__beat__get_packed_size
+                     (const Mh__Beat *message)
+{
+  assert(message->base.descriptor == &mh__beat__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__beat__pack
+                     (const Mh__Beat *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__beat__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__beat__pack_to_buffer
+                     (const Mh__Beat *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__beat__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__Beat *
+       mh__beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__Beat *)
+     protobuf_c_message_unpack (&mh__beat__descriptor,
+                                allocator, len, data);
+}
+void   mh__beat__free_unpacked
+                     (Mh__Beat *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__beat__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mh__view_ask__init
+                     (Mh__ViewAsk         *message)
+{
+  static const Mh__ViewAsk init_value = MH__VIEW_ASK__INIT;
+  *message = init_value;
+}
+size_t mh__view_ask__get_packed_size
+                     (const Mh__ViewAsk *message)
+{
+  assert(message->base.descriptor == &mh__view_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__view_ask__pack
+                     (const Mh__ViewAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__view_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__view_ask__pack_to_buffer
+                     (const Mh__ViewAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__view_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__ViewAsk *
+       mh__view_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__ViewAsk *)
+     protobuf_c_message_unpack (&mh__view_ask__descriptor,
+                                allocator, len, data);
+}
+void   mh__view_ask__free_unpacked
+                     (Mh__ViewAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__view_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mh__view__init
+                     (Mh__View         *message)
+{
+  static const Mh__View init_value = MH__VIEW__INIT;
+  *message = init_value;
+}
+size_t mh__view__get_packed_size
+                     (const Mh__View *message)
+{
+  assert(message->base.descriptor == &mh__view__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__view__pack
+                     (const Mh__View *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__view__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__view__pack_to_buffer
+                     (const Mh__View *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__view__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__View *
+       mh__view__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__View *)
+     protobuf_c_message_unpack (&mh__view__descriptor,
+                                allocator, len, data);
+}
+void   mh__view__free_unpacked
+                     (Mh__View *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__view__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mh__job_stage__init
+                     (Mh__JobStage         *message)
+{
+  static const Mh__JobStage init_value = MH__JOB_STAGE__INIT;
+  *message = init_value;
+}
+size_t mh__job_stage__get_packed_size
+                     (const Mh__JobStage *message)
+{
+  assert(message->base.descriptor == &mh__job_stage__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__job_stage__pack
+                     (const Mh__JobStage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__job_stage__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__job_stage__pack_to_buffer
+                     (const Mh__JobStage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__job_stage__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__JobStage *
+       mh__job_stage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__JobStage *)
+     protobuf_c_message_unpack (&mh__job_stage__descriptor,
+                                allocator, len, data);
+}
+void   mh__job_stage__free_unpacked
+                     (Mh__JobStage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__job_stage__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mh__job__init
+                     (Mh__Job         *message)
+{
+  static const Mh__Job init_value = MH__JOB__INIT;
+  *message = init_value;
+}
+size_t mh__job__get_packed_size
+                     (const Mh__Job *message)
+{
+  assert(message->base.descriptor == &mh__job__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__job__pack
+                     (const Mh__Job *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__job__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__job__pack_to_buffer
+                     (const Mh__Job *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__job__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__Job *
+       mh__job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__Job *)
+     protobuf_c_message_unpack (&mh__job__descriptor,
+                                allocator, len, data);
+}
+void   mh__job__free_unpacked
+                     (Mh__Job *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__job__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mh__job_end__init
+                     (Mh__JobEnd         *message)
+{
+  static const Mh__JobEnd init_value = MH__JOB_END__INIT;
+  *message = init_value;
+}
+size_t mh__job_end__get_packed_size
+                     (const Mh__JobEnd *message)
+{
+  assert(message->base.descriptor == &mh__job_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__job_end__pack
+                     (const Mh__JobEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__job_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__job_end__pack_to_buffer
+                     (const Mh__JobEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__job_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__JobEnd *
+       mh__job_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__JobEnd *)
+     protobuf_c_message_unpack (&mh__job_end__descriptor,
+                                allocator, len, data);
+}
+void   mh__job_end__free_unpacked
+                     (Mh__JobEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__job_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mh__job_drop__init
+                     (Mh__JobDrop         *message)
+{
+  static const Mh__JobDrop init_value = MH__JOB_DROP__INIT;
+  *message = init_value;
+}
+size_t mh__job_drop__get_packed_size
+                     (const Mh__JobDrop *message)
+{
+  assert(message->base.descriptor == &mh__job_drop__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__job_drop__pack
+                     (const Mh__JobDrop *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__job_drop__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__job_drop__pack_to_buffer
+                     (const Mh__JobDrop *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__job_drop__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__JobDrop *
+       mh__job_drop__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__JobDrop *)
+     protobuf_c_message_unpack (&mh__job_drop__descriptor,
+                                allocator, len, data);
+}
+void   mh__job_drop__free_unpacked
+                     (Mh__JobDrop *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__job_drop__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mh__frame__init
                      (Mh__Frame         *message)
 {
@@ -3918,82 +4233,621 @@
   (ProtobufCMessageInit) mh__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__frame__field_descriptors[29] =
+static const ProtobufCFieldDescriptor mh__beat__field_descriptors[4] =
 {
   {
-    "generation",
+    "ready",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Mh__Frame, generation),
+    offsetof(Mh__Beat, ready),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "load",
+    "leaving",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Mh__Frame, load),
-    &mh__load__descriptor,
+    offsetof(Mh__Beat, leaving),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "hello",
-    10,
+    "conf_revision",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Mh__Frame, body_case),
-    offsetof(Mh__Frame, hello),
-    &mh__hello__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Beat, conf_revision),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "auth",
-    11,
+    "rows_revision",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Mh__Frame, body_case),
-    offsetof(Mh__Frame, auth),
-    &mh__auth__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Beat, rows_revision),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned mh__beat__field_indices_by_name[] = {
+  2,   /* field[2] = conf_revision */
+  1,   /* field[1] = leaving */
+  0,   /* field[0] = ready */
+  3,   /* field[3] = rows_revision */
+};
+static const ProtobufCIntRange mh__beat__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mh__beat__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.Beat",
+  "Beat",
+  "Mh__Beat",
+  "mh",
+  sizeof(Mh__Beat),
+  4,
+  mh__beat__field_descriptors,
+  mh__beat__field_indices_by_name,
+  1,  mh__beat__number_ranges,
+  (ProtobufCMessageInit) mh__beat__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__view_ask__field_descriptors[2] =
+{
   {
-    "call",
-    12,
+    "conf",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Mh__Frame, body_case),
-    offsetof(Mh__Frame, call),
-    &mh__call__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__ViewAsk, conf),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "chunk",
-    13,
+    "rows",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Mh__Frame, body_case),
-    offsetof(Mh__Frame, chunk),
-    &mh__chunk__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__ViewAsk, rows),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "result",
+};
+static const unsigned mh__view_ask__field_indices_by_name[] = {
+  0,   /* field[0] = conf */
+  1,   /* field[1] = rows */
+};
+static const ProtobufCIntRange mh__view_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mh__view_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.ViewAsk",
+  "ViewAsk",
+  "Mh__ViewAsk",
+  "mh",
+  sizeof(Mh__ViewAsk),
+  2,
+  mh__view_ask__field_descriptors,
+  mh__view_ask__field_indices_by_name,
+  1,  mh__view_ask__number_ranges,
+  (ProtobufCMessageInit) mh__view_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__view__field_descriptors[4] =
+{
+  {
+    "conf_revision",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__View, conf_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "conf",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mh__View, conf),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows_revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__View, rows_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mh__View, rows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__view__field_indices_by_name[] = {
+  1,   /* field[1] = conf */
+  0,   /* field[0] = conf_revision */
+  3,   /* field[3] = rows */
+  2,   /* field[2] = rows_revision */
+};
+static const ProtobufCIntRange mh__view__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mh__view__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.View",
+  "View",
+  "Mh__View",
+  "mh",
+  sizeof(Mh__View),
+  4,
+  mh__view__field_descriptors,
+  mh__view__field_indices_by_name,
+  1,  mh__view__number_ranges,
+  (ProtobufCMessageInit) mh__view__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__job_stage__field_descriptors[5] =
+{
+  {
+    "pool",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__JobStage, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__JobStage, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pieces",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__JobStage, pieces),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result_bytes",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__JobStage, result_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "results",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Mh__JobStage, n_results),
+    offsetof(Mh__JobStage, results),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__job_stage__field_indices_by_name[] = {
+  1,   /* field[1] = after */
+  2,   /* field[2] = pieces */
+  0,   /* field[0] = pool */
+  3,   /* field[3] = result_bytes */
+  4,   /* field[4] = results */
+};
+static const ProtobufCIntRange mh__job_stage__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor mh__job_stage__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.JobStage",
+  "JobStage",
+  "Mh__JobStage",
+  "mh",
+  sizeof(Mh__JobStage),
+  5,
+  mh__job_stage__field_descriptors,
+  mh__job_stage__field_indices_by_name,
+  1,  mh__job_stage__number_ranges,
+  (ProtobufCMessageInit) mh__job_stage__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__job__field_descriptors[8] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Job, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Job, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Job, route),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Job, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "returned",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Job, returned),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "aim_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Job, aim_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deadline_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_SINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Job, deadline_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stages",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Job, n_stages),
+    offsetof(Mh__Job, stages),
+    &mh__job_stage__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__job__field_indices_by_name[] = {
+  5,   /* field[5] = aim_us */
+  6,   /* field[6] = deadline_us */
+  0,   /* field[0] = id */
+  1,   /* field[1] = key */
+  3,   /* field[3] = priority */
+  4,   /* field[4] = returned */
+  2,   /* field[2] = route */
+  7,   /* field[7] = stages */
+};
+static const ProtobufCIntRange mh__job__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor mh__job__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.Job",
+  "Job",
+  "Mh__Job",
+  "mh",
+  sizeof(Mh__Job),
+  8,
+  mh__job__field_descriptors,
+  mh__job__field_indices_by_name,
+  1,  mh__job__number_ranges,
+  (ProtobufCMessageInit) mh__job__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__job_end__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__JobEnd, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__JobEnd, end),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__JobEnd, retry_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stages",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__JobEnd, n_stages),
+    offsetof(Mh__JobEnd, stages),
+    &mh__job_stage__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__job_end__field_indices_by_name[] = {
+  1,   /* field[1] = end */
+  0,   /* field[0] = id */
+  2,   /* field[2] = retry_us */
+  3,   /* field[3] = stages */
+};
+static const ProtobufCIntRange mh__job_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mh__job_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.JobEnd",
+  "JobEnd",
+  "Mh__JobEnd",
+  "mh",
+  sizeof(Mh__JobEnd),
+  4,
+  mh__job_end__field_descriptors,
+  mh__job_end__field_indices_by_name,
+  1,  mh__job_end__number_ranges,
+  (ProtobufCMessageInit) mh__job_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__job_drop__field_descriptors[1] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__JobDrop, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__job_drop__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange mh__job_drop__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor mh__job_drop__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.JobDrop",
+  "JobDrop",
+  "Mh__JobDrop",
+  "mh",
+  sizeof(Mh__JobDrop),
+  1,
+  mh__job_drop__field_descriptors,
+  mh__job_drop__field_indices_by_name,
+  1,  mh__job_drop__number_ranges,
+  (ProtobufCMessageInit) mh__job_drop__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__frame__field_descriptors[35] =
+{
+  {
+    "generation",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Frame, generation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Frame, load),
+    &mh__load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hello",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, hello),
+    &mh__hello__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "auth",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, auth),
+    &mh__auth__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "call",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, call),
+    &mh__call__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "chunk",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, chunk),
+    &mh__chunk__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
     14,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
@@ -4268,10 +5122,83 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "beat",
+    37,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, beat),
+    &mh__beat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "view_ask",
+    38,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, view_ask),
+    &mh__view_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "view",
+    39,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, view),
+    &mh__view__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    40,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, job),
+    &mh__job__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_end",
+    41,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, job_end),
+    &mh__job_end__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job_drop",
+    42,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, job_drop),
+    &mh__job_drop__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__frame__field_indices_by_name[] = {
   7,   /* field[7] = ack */
   3,   /* field[3] = auth */
+  29,   /* field[29] = beat */
   4,   /* field[4] = call */
   8,   /* field[8] = cancel */
   5,   /* field[5] = chunk */
@@ -4284,6 +5211,9 @@
   17,   /* field[17] = handover */
   18,   /* field[18] = handover_ack */
   2,   /* field[2] = hello */
+  32,   /* field[32] = job */
+  34,   /* field[34] = job_drop */
+  33,   /* field[33] = job_end */
   1,   /* field[1] = load */
   13,   /* field[13] = lookup */
   21,   /* field[21] = members */
@@ -4299,12 +5229,14 @@
   9,   /* field[9] = resume */
   28,   /* field[28] = state */
   27,   /* field[27] = state_ask */
+  31,   /* field[31] = view */
+  30,   /* field[30] = view_ask */
 };
 static const ProtobufCIntRange mh__frame__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 10, 2 },
-  { 0, 29 }
+  { 0, 35 }
 };
 const ProtobufCMessageDescriptor mh__frame__descriptor =
 {
@@ -4314,7 +5246,7 @@
   "Mh__Frame",
   "mh",
   sizeof(Mh__Frame),
-  29,
+  35,
   mh__frame__field_descriptors,
   mh__frame__field_indices_by_name,
   2,  mh__frame__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -47,6 +47,13 @@
 typedef struct Mh__OrderResult Mh__OrderResult;
 typedef struct Mh__StateAsk Mh__StateAsk;
 typedef struct Mh__State Mh__State;
+typedef struct Mh__Beat Mh__Beat;
+typedef struct Mh__ViewAsk Mh__ViewAsk;
+typedef struct Mh__View Mh__View;
+typedef struct Mh__JobStage Mh__JobStage;
+typedef struct Mh__Job Mh__Job;
+typedef struct Mh__JobEnd Mh__JobEnd;
+typedef struct Mh__JobDrop Mh__JobDrop;
 typedef struct Mh__Frame Mh__Frame;
 
 
@@ -523,6 +530,121 @@
     , 0, (char *)protobuf_c_empty_string }
 
 
+/*
+ * Among entries: who is here, what each has read, and stage work.
+ */
+struct  Mh__Beat
+{
+  ProtobufCMessage base;
+  /*
+   * can do stage work for others
+   */
+  protobuf_c_boolean ready;
+  protobuf_c_boolean leaving;
+  uint64_t conf_revision;
+  uint64_t rows_revision;
+};
+#define MH__BEAT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__beat__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+struct  Mh__ViewAsk
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean conf;
+  protobuf_c_boolean rows;
+};
+#define MH__VIEW_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__view_ask__descriptor) \
+    , 0, 0 }
+
+
+struct  Mh__View
+{
+  ProtobufCMessage base;
+  uint64_t conf_revision;
+  ProtobufCBinaryData conf;
+  uint64_t rows_revision;
+  ProtobufCBinaryData rows;
+};
+#define MH__VIEW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__view__descriptor) \
+    , 0, {0,NULL}, 0, {0,NULL} }
+
+
+struct  Mh__JobStage
+{
+  ProtobufCMessage base;
+  char *pool;
+  /*
+   * bit mask of earlier stages
+   */
+  uint32_t after;
+  uint32_t pieces;
+  uint64_t result_bytes;
+  /*
+   * in JobEnd, in the order of pieces
+   */
+  size_t n_results;
+  char **results;
+};
+#define MH__JOB_STAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__job_stage__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
+
+
+struct  Mh__Job
+{
+  ProtobufCMessage base;
+  char *id;
+  char *key;
+  char *route;
+  uint32_t priority;
+  protobuf_c_boolean returned;
+  /*
+   * from now
+   */
+  int64_t aim_us;
+  /*
+   * from now
+   */
+  int64_t deadline_us;
+  size_t n_stages;
+  Mh__JobStage **stages;
+};
+#define MH__JOB__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__job__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
+
+
+struct  Mh__JobEnd
+{
+  ProtobufCMessage base;
+  char *id;
+  uint32_t end;
+  uint64_t retry_us;
+  size_t n_stages;
+  Mh__JobStage **stages;
+};
+#define MH__JOB_END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__job_end__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+
+
+/*
+ * The results of a job are free, or it is not wanted any more.
+ */
+struct  Mh__JobDrop
+{
+  ProtobufCMessage base;
+  char *id;
+};
+#define MH__JOB_DROP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__job_drop__descriptor) \
+    , (char *)protobuf_c_empty_string }
+
+
 typedef enum {
   MH__FRAME__BODY__NOT_SET = 0,
   MH__FRAME__BODY_HELLO = 10,
@@ -551,7 +673,13 @@
   MH__FRAME__BODY_ORDER = 33,
   MH__FRAME__BODY_ORDER_RESULT = 34,
   MH__FRAME__BODY_STATE_ASK = 35,
-  MH__FRAME__BODY_STATE = 36
+  MH__FRAME__BODY_STATE = 36,
+  MH__FRAME__BODY_BEAT = 37,
+  MH__FRAME__BODY_VIEW_ASK = 38,
+  MH__FRAME__BODY_VIEW = 39,
+  MH__FRAME__BODY_JOB = 40,
+  MH__FRAME__BODY_JOB_END = 41,
+  MH__FRAME__BODY_JOB_DROP = 42
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MH__FRAME__BODY__CASE)
 } Mh__Frame__BodyCase;
 
@@ -589,6 +717,12 @@
     Mh__OrderResult *order_result;
     Mh__StateAsk *state_ask;
     Mh__State *state;
+    Mh__Beat *beat;
+    Mh__ViewAsk *view_ask;
+    Mh__View *view;
+    Mh__Job *job;
+    Mh__JobEnd *job_end;
+    Mh__JobDrop *job_drop;
   };
 };
 #define MH__FRAME__INIT \
@@ -1204,6 +1338,139 @@
 void   mh__state__free_unpacked
                      (Mh__State *message,
                       ProtobufCAllocator *allocator);
+/* Mh__Beat methods */
+void   mh__beat__init
+                     (Mh__Beat         *message);
+size_t mh__beat__get_packed_size
+                     (const Mh__Beat   *message);
+size_t mh__beat__pack
+                     (const Mh__Beat   *message,
+                      uint8_t             *out);
+size_t mh__beat__pack_to_buffer
+                     (const Mh__Beat   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__Beat *
+       mh__beat__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__beat__free_unpacked
+                     (Mh__Beat *message,
+                      ProtobufCAllocator *allocator);
+/* Mh__ViewAsk methods */
+void   mh__view_ask__init
+                     (Mh__ViewAsk         *message);
+size_t mh__view_ask__get_packed_size
+                     (const Mh__ViewAsk   *message);
+size_t mh__view_ask__pack
+                     (const Mh__ViewAsk   *message,
+                      uint8_t             *out);
+size_t mh__view_ask__pack_to_buffer
+                     (const Mh__ViewAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__ViewAsk *
+       mh__view_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__view_ask__free_unpacked
+                     (Mh__ViewAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Mh__View methods */
+void   mh__view__init
+                     (Mh__View         *message);
+size_t mh__view__get_packed_size
+                     (const Mh__View   *message);
+size_t mh__view__pack
+                     (const Mh__View   *message,
+                      uint8_t             *out);
+size_t mh__view__pack_to_buffer
+                     (const Mh__View   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__View *
+       mh__view__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__view__free_unpacked
+                     (Mh__View *message,
+                      ProtobufCAllocator *allocator);
+/* Mh__JobStage methods */
+void   mh__job_stage__init
+                     (Mh__JobStage         *message);
+size_t mh__job_stage__get_packed_size
+                     (const Mh__JobStage   *message);
+size_t mh__job_stage__pack
+                     (const Mh__JobStage   *message,
+                      uint8_t             *out);
+size_t mh__job_stage__pack_to_buffer
+                     (const Mh__JobStage   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__JobStage *
+       mh__job_stage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__job_stage__free_unpacked
+                     (Mh__JobStage *message,
+                      ProtobufCAllocator *allocator);
+/* Mh__Job methods */
+void   mh__job__init
+                     (Mh__Job         *message);
+size_t mh__job__get_packed_size
+                     (const Mh__Job   *message);
+size_t mh__job__pack
+                     (const Mh__Job   *message,
+                      uint8_t             *out);
+size_t mh__job__pack_to_buffer
+                     (const Mh__Job   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__Job *
+       mh__job__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__job__free_unpacked
+                     (Mh__Job *message,
+                      ProtobufCAllocator *allocator);
+/* Mh__JobEnd methods */
+void   mh__job_end__init
+                     (Mh__JobEnd         *message);
+size_t mh__job_end__get_packed_size
+                     (const Mh__JobEnd   *message);
+size_t mh__job_end__pack
+                     (const Mh__JobEnd   *message,
+                      uint8_t             *out);
+size_t mh__job_end__pack_to_buffer
+                     (const Mh__JobEnd   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__JobEnd *
+       mh__job_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__job_end__free_unpacked
+                     (Mh__JobEnd *message,
+                      ProtobufCAllocator *allocator);
+/* Mh__JobDrop methods */
+void   mh__job_drop__init
+                     (Mh__JobDrop         *message);
+size_t mh__job_drop__get_packed_size
+                     (const Mh__JobDrop   *message);
+size_t mh__job_drop__pack
+                     (const Mh__JobDrop   *message,
+                      uint8_t             *out);
+size_t mh__job_drop__pack_to_buffer
+                     (const Mh__JobDrop   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__JobDrop *
+       mh__job_drop__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__job_drop__free_unpacked
+                     (Mh__JobDrop *message,
+                      ProtobufCAllocator *allocator);
 /* Mh__Frame methods */
 void   mh__frame__init
                      (Mh__Frame         *message);
@@ -1321,6 +1588,27 @@
 typedef void (*Mh__State_Closure)
                  (const Mh__State *message,
                   void *closure_data);
+typedef void (*Mh__Beat_Closure)
+                 (const Mh__Beat *message,
+                  void *closure_data);
+typedef void (*Mh__ViewAsk_Closure)
+                 (const Mh__ViewAsk *message,
+                  void *closure_data);
+typedef void (*Mh__View_Closure)
+                 (const Mh__View *message,
+                  void *closure_data);
+typedef void (*Mh__JobStage_Closure)
+                 (const Mh__JobStage *message,
+                  void *closure_data);
+typedef void (*Mh__Job_Closure)
+                 (const Mh__Job *message,
+                  void *closure_data);
+typedef void (*Mh__JobEnd_Closure)
+                 (const Mh__JobEnd *message,
+                  void *closure_data);
+typedef void (*Mh__JobDrop_Closure)
+                 (const Mh__JobDrop *message,
+                  void *closure_data);
 typedef void (*Mh__Frame_Closure)
                  (const Mh__Frame *message,
                   void *closure_data);
@@ -1363,6 +1651,13 @@
 extern const ProtobufCMessageDescriptor mh__order_result__descriptor;
 extern const ProtobufCMessageDescriptor mh__state_ask__descriptor;
 extern const ProtobufCMessageDescriptor mh__state__descriptor;
+extern const ProtobufCMessageDescriptor mh__beat__descriptor;
+extern const ProtobufCMessageDescriptor mh__view_ask__descriptor;
+extern const ProtobufCMessageDescriptor mh__view__descriptor;
+extern const ProtobufCMessageDescriptor mh__job_stage__descriptor;
+extern const ProtobufCMessageDescriptor mh__job__descriptor;
+extern const ProtobufCMessageDescriptor mh__job_end__descriptor;
+extern const ProtobufCMessageDescriptor mh__job_drop__descriptor;
 extern const ProtobufCMessageDescriptor mh__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
