--- a/lib/gate.c
+++ b/lib/gate.c
@@ -327,11 +327,12 @@
 	n->inflight++;
 	mh_place_sent(g->place, &a, n);
 	mh_event(g->k, "send",
-	    "id=%s node=%s pool=%s try=%u inflight=%u running=%u waiting=%u "
-	    "told_ms=%" PRId64 " fail=%.2f left_ms=%" PRId64,
-	    q->id, n->id, q->pool, q->n_tried, n->inflight, n->running,
+	    "id=%s route=%s node=%s pool=%s try=%u inflight=%u running=%u waiting=%u "
+	    "told_ms=%" PRId64 " fail=%.2f home=%d left_ms=%" PRId64,
+	    q->id, q->route->name, n->id, q->pool, q->n_tried, n->inflight, n->running,
 	    n->waiting,
 	    n->told_us > 0 ? mh_ms(mh_now(g->k) - n->told_us) : -1, n->fail,
+	    a.at_home,
 	    mh_ms(left));
 	mh_timer_stop(g->k, &q->patience);
 	if (may_repeat(q))
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -315,13 +315,13 @@
 	uint32_t n_parts;
 	const char *tried[MH_TRIED]; /* ids */
 	uint32_t n_tried;
+	bool at_home; /* set by the choice: where its prompt is kept */
 };
 
 struct mh_place *mh_place_create(struct mh_kern *k, struct mh_fleet *f);
 void mh_place_destroy(struct mh_place *p);
 /** mh_place_pick() - the endpoint to try next, or NULL. */
-struct mh_node *mh_place_pick(
-    struct mh_place *p, const struct mh_place_ask *a);
+struct mh_node *mh_place_pick(struct mh_place *p, struct mh_place_ask *a);
 /** mh_place_sent() - the prompt's parts will be kept at @n. */
 void mh_place_sent(
     struct mh_place *p, const struct mh_place_ask *a, struct mh_node *n);
--- a/lib/place.c
+++ b/lib/place.c
@@ -190,7 +190,7 @@
 }
 
 static struct mh_node *
-best_of(struct mh_place *p, const struct mh_place_ask *a,
+best_of(struct mh_place *p, struct mh_place_ask *a,
     const GPtrArray *pool, bool any)
 {
 	const struct mh_node *home = home_of(p, a, pool);
@@ -210,11 +210,12 @@
 			least = s;
 		}
 	}
+	a->at_home = best != NULL && best == home;
 	return best;
 }
 
 struct mh_node *
-mh_place_pick(struct mh_place *p, const struct mh_place_ask *a)
+mh_place_pick(struct mh_place *p, struct mh_place_ask *a)
 {
 	GPtrArray *pool = mh_fleet_pool(p->f, a->pool);
 	struct mh_node *n;
