Stage work waits a little for an endpoint near its data

Ruled out: a home for each prompt in every domain (shared parts read three times). Change: a job names the domain of its prompt's engine; each stage prefers where most of its bytes lie and waits up to 200 ms while its aim allows.

--- a/lib/broker.c
+++ b/lib/broker.c
@@ -65,6 +65,7 @@
 	m.id = j->id;
 	m.key = j->key == NULL ? (char *)"" : j->key;
 	m.route = j->route;
+	m.domain = j->domain == NULL ? (char *)"" : j->domain;
 	m.priority = j->priority;
 	m.returned = j->returned;
 	m.aim_us = j->aim_us - mh_now(b->k);
@@ -207,6 +208,8 @@
 
 	j->key = g_strdup(m->key);
 	j->route = g_strdup(m->route);
+	if (*m->domain != '\0')
+		j->domain = g_strdup(m->domain);
 	j->priority = m->priority;
 	j->returned = m->returned;
 	j->arrived_us = mh_now(b->k);
--- a/lib/cell.c
+++ b/lib/cell.c
@@ -48,6 +48,17 @@
 #define AIM_SLACK_US (100 * MH_US_PER_MS)
 /* Times that one piece may be made before its job is given up. */
 #define PIECE_TRIES 4
+/*
+ * Work waits so long for an endpoint in the failure domain of its data: half
+ * of a full call, after which one of two endpoints there has come free.
+ */
+#define HOLD_US (200 * MH_US_PER_MS)
+/* Only with this much time to spare, and for this many bytes. */
+#define HOLD_SLACK_US (350 * MH_US_PER_MS)
+#define HOLD_BYTES (200U << 10)
+#define MAX_DOMAINS 16
+/* One wanted piece weighs as much as this part of an endpoint's speed. */
+#define WANTED_WORTH 0.02
 
 static void dispatch_all(struct mh_cell *c);
 static void on_tick(void *arg);
@@ -74,6 +85,7 @@
 	g_free(j->id);
 	g_free(j->key);
 	g_free(j->route);
+	g_free(j->domain);
 	g_free(j);
 }
 
@@ -148,6 +160,71 @@
 	return w;
 }
 
+/* results and where they lie */
+
+static const char *
+domain_of(struct mh_cell *c, const char *node)
+{
+	const struct mh_node *n =
+	    node == NULL ? NULL : mh_fleet_find(c->f, node);
+
+	return n == NULL ? NULL : n->domain;
+}
+
+struct pull {
+	const char *domain;
+	uint64_t bytes;
+};
+
+static void
+add_pull(struct pull *all, uint32_t *n, const char *domain, uint64_t bytes)
+{
+	if (domain == NULL || bytes == 0)
+		return;
+	for (uint32_t i = 0; i < *n; i++) {
+		if (strcmp(all[i].domain, domain) == 0) {
+			all[i].bytes += bytes;
+			return;
+		}
+	}
+	if (*n < MAX_DOMAINS) {
+		all[*n].domain = domain;
+		all[*n].bytes = bytes;
+		(*n)++;
+	}
+}
+
+/*
+ * The failure domain in which a stage of a job moves fewest bytes to others:
+ * where its inputs lie, and where its results will be read.  NULL where it
+ * makes no difference worth waiting for.
+ */
+static const char *
+best_domain(struct mh_cell *c, const struct mh_job *j, uint32_t stage)
+{
+	const struct mh_jstage *st = &j->stages[stage];
+	struct pull all[MAX_DOMAINS];
+	uint32_t n = 0, best = 0;
+
+	for (uint32_t s = 0; s < stage; s++) {
+		if ((st->after >> s & 1) == 0)
+			continue;
+		for (uint32_t i = 0; i < j->stages[s].pieces; i++)
+			add_pull(all, &n,
+			    domain_of(c, j->state->stages[s].made[i].node),
+			    j->stages[s].result_bytes * st->pieces);
+	}
+	if (followers(j, stage) == 0)
+		add_pull(
+		    all, &n, j->domain, st->result_bytes * st->pieces);
+	for (uint32_t i = 1; i < n; i++) {
+		if (all[i].bytes > all[best].bytes)
+			best = i;
+	}
+	return n == 0 || all[best].bytes < HOLD_BYTES ? NULL
+						      : all[best].domain;
+}
+
 /* Pieces of a stage cost more or less than the pool's mean: learnt. */
 static double *
 item_factor(struct mh_cell *c, const char *route, uint32_t stage)
@@ -529,6 +606,8 @@
 	struct mh_job *job;
 	uint32_t stage;
 	int64_t key;
+	const char *domain; /* where it is better run, NULL: anywhere */
+	bool holds; /* it can still wait for an endpoint there */
 };
 
 static gint
@@ -539,9 +618,53 @@
 	return x->key < y->key ? -1 : x->key > y->key;
 }
 
+/* Whether a pool has a usable endpoint in a failure domain. */
+static bool
+has_domain(struct mh_cell *c, const char *pool, const char *domain)
+{
+	GPtrArray *nodes = mh_fleet_pool(c->f, pool);
+
+	for (guint i = 0; nodes != NULL && i < nodes->len; i++) {
+		const struct mh_node *n = g_ptr_array_index(nodes, i);
+
+		if (mh_node_usable(c->f, n) &&
+		    strcmp(n->domain, domain) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Work waits a little for an endpoint near its data, as long as its aim
+ * allows; under load everything waits longer than that and goes anywhere.
+ */
+static void
+place_unit(struct mh_cell *c, const struct cpool *p, struct unit *u)
+{
+	struct sstate *ss = &u->job->state->stages[u->stage];
+	int64_t now = mh_now(c->k);
+
+	if (ss->ready_us == 0)
+		ss->ready_us = now;
+	u->domain = best_domain(c, u->job, u->stage);
+	if (u->domain == NULL || u->job->state->late)
+		return;
+	u->holds = now - ss->ready_us < HOLD_US &&
+	    u->job->aim_us - now - path_us(c, u->job, u->stage) >
+		HOLD_SLACK_US &&
+	    has_domain(c, p->name, u->domain);
+}
+
+static bool
+suits(const struct unit *u, const struct mh_node *n)
+{
+	return !u->holds || strcmp(u->domain, n->domain) == 0;
+}
+
 static GArray *
-ready_units(struct mh_cell *c, const char *pool)
+ready_units(struct mh_cell *c, const struct cpool *p)
 {
+	const char *pool = p->name;
 	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct unit));
 
 	for (guint i = 0; i < c->jobs->len; i++) {
@@ -549,13 +672,14 @@
 
 		for (uint32_t s = 0; s < j->n_stages; s++) {
 			const struct sstate *ss = &j->state->stages[s];
-			struct unit u = { j, s, 0 };
+			struct unit u = { j, s, 0, NULL, false };
 
 			if (ss->left <= ss->flying ||
 			    strcmp(j->stages[s].pool, pool) != 0 ||
 			    !is_ready(j, s))
 				continue;
 			u.key = slack_key(c, j, s);
+			place_unit(c, p, &u);
 			g_array_append_val(all, u);
 		}
 	}
@@ -591,22 +715,26 @@
 }
 
 static void
-run_batch(struct mh_cell *c, struct cpool *p, struct worker *w,
-    const char *node, GArray *units)
+run_batch(struct mh_cell *c, struct cpool *p, const struct mh_node *n,
+    GArray *units)
 {
+	struct worker *w = worker_of(p, n->id);
 	const struct mh_gwork *gw = work_of(c, p->name);
 	struct mh_batch *b = g_new0(struct mh_batch, 1);
 
 	b->id = ++c->next_id;
-	b->node = g_strdup(node);
+	b->node = g_strdup(n->id);
 	b->pool = g_strdup(p->name);
 	b->items = g_array_new(FALSE, FALSE, sizeof(struct mh_batch_item));
 	b->sent_us = mh_now(c->k);
 	b->expect_us = gw->call_us;
 	g_hash_table_insert(c->batches, &b->id, b);
-	for (guint i = 0; i < units->len && b->items->len < gw->batch; i++)
-		take_pieces(
-		    c, b, w, &g_array_index(units, struct unit, i), gw);
+	for (guint i = 0; i < units->len && b->items->len < gw->batch; i++) {
+		const struct unit *u = &g_array_index(units, struct unit, i);
+
+		if (suits(u, n))
+			take_pieces(c, b, w, u, gw);
+	}
 	if (b->items->len == 0) {
 		w->pause_us = mh_now(c->k) + ROOM_PAUSE_US;
 		free_batch(c, b);
@@ -617,15 +745,16 @@
 	mh_count(c->k, "batch_pieces", b->items->len);
 	mh_event(c->k, "batch", "batch=%" PRIu64 " pool=%s node=%s pieces=%u "
 	    "of=%u expect_ms=%" PRId64 " slow=%.2f first=%s", b->id, p->name,
-	    node, b->items->len, gw->batch, mh_ms(b->expect_us),
+	    n->id, b->items->len, gw->batch, mh_ms(b->expect_us),
 	    w->slow, g_array_index(b->items, struct mh_batch_item, 0).job->id);
 	c->ops.run(c->ops.arg, b);
 }
 
-/* The fastest free endpoint; a slow one only when others are all slow. */
+/* The endpoint that is fastest, and most wanted by what is ready. */
 static struct mh_node *
-free_node(struct mh_cell *c, struct cpool *p, const struct mh_gwork *gw)
+free_node(struct mh_cell *c, struct cpool *p, const GArray *units)
 {
+	const struct mh_gwork *gw = work_of(c, p->name);
 	GPtrArray *nodes = mh_fleet_pool(c->f, p->name);
 	struct mh_node *best = NULL;
 	double least = 0, fastest = 1e9;
@@ -641,13 +770,26 @@
 	for (guint i = 0; nodes != NULL && i < nodes->len; i++) {
 		struct mh_node *n = g_ptr_array_index(nodes, i);
 		struct worker *w = worker_of(p, n->id);
+		uint32_t wants = 0, suited = 0;
+		double score;
 
 		if (!mh_node_usable(c->f, n) || w->flying >= gw->running ||
 		    w->pause_us > now || w->slow > SLOW_OUT * fastest)
 			continue;
-		if (best == NULL || w->slow < least) {
+		for (guint u = 0; u < units->len; u++) {
+			const struct unit *one =
+			    &g_array_index(units, struct unit, u);
+
+			suited += suits(one, n);
+			wants += one->domain != NULL &&
+			    strcmp(one->domain, n->domain) == 0;
+		}
+		if (suited == 0)
+			continue;
+		score = w->slow - WANTED_WORTH * MIN(wants, gw->batch);
+		if (best == NULL || score < least) {
 			best = n;
-			least = w->slow;
+			least = score;
 		}
 	}
 	return best;
@@ -656,17 +798,15 @@
 static void
 dispatch(struct mh_cell *c, struct cpool *p)
 {
-	const struct mh_gwork *gw = work_of(c, p->name);
-	struct mh_node *n;
-
-	while ((n = free_node(c, p, gw)) != NULL) {
-		GArray *units = ready_units(c, p->name);
-		bool some = units->len > 0;
+	for (;;) {
+		GArray *units = ready_units(c, p);
+		struct mh_node *n =
+		    units->len > 0 ? free_node(c, p, units) : NULL;
 
-		if (some)
-			run_batch(c, p, worker_of(p, n->id), n->id, units);
+		if (n != NULL)
+			run_batch(c, p, n, units);
 		g_array_free(units, TRUE);
-		if (!some)
+		if (n == NULL)
 			return;
 	}
 }
--- a/lib/cell.h
+++ b/lib/cell.h
@@ -33,6 +33,7 @@
 struct sstate {
 	uint32_t left; /* pieces not made */
 	uint32_t flying; /* of these, in a call */
+	int64_t ready_us; /* since when its inputs are there */
 	struct made *made;
 };
 
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -347,9 +347,15 @@
 {
 	struct mh_job *j = mh_job_create(q->id);
 	const struct mh_groute *r = q->route;
+	struct mh_place_ask a = { 0 };
+	const struct mh_node *home;
 	int64_t engine_us = ENGINE_US +
 	    (int64_t)q->tokens_in * ENGINE_US_PER_TOKEN;
 
+	fill_place(g, q, &a);
+	home = mh_place_home(g->place, &a);
+	if (home != NULL)
+		j->domain = g_strdup(home->domain);
 	j->key = g_strdup(q->piece_key);
 	j->route = g_strdup(r->name);
 	j->priority = q->priority;
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -322,6 +322,9 @@
 void mh_place_destroy(struct mh_place *p);
 /** mh_place_pick() - the endpoint to try next, or NULL. */
 struct mh_node *mh_place_pick(struct mh_place *p, struct mh_place_ask *a);
+/** mh_place_home() - the endpoint at which a prompt is at home, or NULL. */
+const struct mh_node *mh_place_home(
+    struct mh_place *p, const struct mh_place_ask *a);
 /** mh_place_sent() - the prompt's parts will be kept at @n. */
 void mh_place_sent(
     struct mh_place *p, const struct mh_place_ask *a, struct mh_node *n);
@@ -371,6 +374,7 @@
 struct mh_job {
 	char *id;
 	char *key; /* what stages without inputs are given */
+	char *domain; /* where its results will be read, NULL: not known */
 	char *route;
 	uint32_t priority;
 	bool returned; /* the caller was refused before */
--- a/lib/place.c
+++ b/lib/place.c
@@ -214,6 +214,14 @@
 	return best;
 }
 
+const struct mh_node *
+mh_place_home(struct mh_place *p, const struct mh_place_ask *a)
+{
+	GPtrArray *pool = mh_fleet_pool(p->f, a->pool);
+
+	return pool == NULL ? NULL : home_of(p, a, pool);
+}
+
 struct mh_node *
 mh_place_pick(struct mh_place *p, struct mh_place_ask *a)
 {
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -4528,7 +4528,7 @@
   (ProtobufCMessageInit) mh__job_stage__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__job__field_descriptors[8] =
+static const ProtobufCFieldDescriptor mh__job__field_descriptors[9] =
 {
   {
     "id",
@@ -4626,10 +4626,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "domain",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Job, domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__job__field_indices_by_name[] = {
   5,   /* field[5] = aim_us */
   6,   /* field[6] = deadline_us */
+  8,   /* field[8] = domain */
   0,   /* field[0] = id */
   1,   /* field[1] = key */
   3,   /* field[3] = priority */
@@ -4640,7 +4653,7 @@
 static const ProtobufCIntRange mh__job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor mh__job__descriptor =
 {
@@ -4650,7 +4663,7 @@
   "Mh__Job",
   "mh",
   sizeof(Mh__Job),
-  8,
+  9,
   mh__job__field_descriptors,
   mh__job__field_indices_by_name,
   1,  mh__job__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -612,10 +612,14 @@
   int64_t deadline_us;
   size_t n_stages;
   Mh__JobStage **stages;
+  /*
+   * where its results will be read
+   */
+  char *domain;
 };
 #define MH__JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__job__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
 
 
 struct  Mh__JobEnd
