Cells: room of pieces whose caller left is given back

Cause: a cancelled job's pieces in a call kept their share of an endpoint's room, so batches shrank for the rest of the process's life. Ruled out: order of waiting (fill was low with pieces ready). Change: an item knows its bytes.

--- a/lib/cell.c
+++ b/lib/cell.c
@@ -344,6 +344,12 @@
 
 /* ends of a job */
 
+static void
+give_room(struct worker *w, uint64_t bytes)
+{
+	w->held -= MIN(w->held, bytes);
+}
+
 static void
 drop_result(struct mh_cell *c, struct mh_job *j, uint32_t stage, uint32_t i)
 {
@@ -354,7 +360,7 @@
 	if (*slot == NULL)
 		return;
 	if (m->worker != NULL)
-		m->worker->held -= MIN(m->worker->held, st->result_bytes);
+		give_room(m->worker, st->result_bytes);
 	m->worker = NULL;
 	c->ops.discard(c->ops.arg, *slot);
 	g_free(*slot);
@@ -696,8 +702,10 @@
 
 	for (uint32_t i = 0; i < st->pieces && b->items->len < gw->batch;
 	     i++) {
-		struct mh_batch_item m = { u->job, u->stage, i, NULL, false,
-			false };
+		struct mh_batch_item m = { .job = u->job,
+			.stage = u->stage,
+			.piece = i,
+			.bytes = st->result_bytes };
 
 		if (ss->made[i].flying || !ss->made[i].need)
 			continue;
@@ -955,7 +963,7 @@
 			stage_done(c, j, m->stage);
 		return;
 	}
-	w->held -= MIN(w->held, j->stages[m->stage].result_bytes);
+	give_room(w, m->bytes);
 	if (m->result != NULL) { /* the other one of a pair was faster */
 		c->ops.discard(c->ops.arg, m->result);
 		return;
@@ -1006,9 +1014,12 @@
 		struct mh_batch_item *m =
 		    &g_array_index(b->items, struct mh_batch_item, i);
 
-		if (m->job != NULL)
+		if (m->job != NULL) {
 			take_item(c, b, w, m, end);
-		else if (m->result != NULL)
+			continue;
+		}
+		give_room(w, m->bytes);
+		if (m->result != NULL)
 			c->ops.discard(c->ops.arg, m->result);
 	}
 	c->dispatching = false;
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -397,6 +397,7 @@
 	struct mh_job *job; /* NULL: its caller left meanwhile */
 	uint32_t stage;
 	uint32_t piece;
+	uint64_t bytes; /* room that its result takes */
 	char *result; /* NULL: not made */
 	bool inputs_gone;
 	bool no_room;
