Cells free inputs once they were read; a used piece is not taken twice

Cause: room for results, not time, limited calls in a burst (logs: 16.2 of 17.6 MB held, calls of 2 to 6 of 8). A second copy of a piece that had been used and freed was counted as made again, and its stage ran without inputs. Ruled out: order of waiting, endpoints' speed. Change: inputs are freed 40 ms after their call began (80 ms at engines); only wanted pieces are taken.

--- a/lib/cell.c
+++ b/lib/cell.c
@@ -57,6 +57,12 @@
 #define HOLD_SLACK_US (350 * MH_US_PER_MS)
 #define HOLD_BYTES (200U << 10)
 #define MAX_DOMAINS 16
+/*
+ * An endpoint reads its inputs when a call's turn comes.  Ours has its turn
+ * at once, so that after this time they are free, long before the call ends:
+ * room for results, not time, is what a burst runs out of.
+ */
+#define FED_US (40 * MH_US_PER_MS)
 /* One wanted piece weighs as much as this part of an endpoint's speed. */
 #define WANTED_WORTH 0.02
 
@@ -598,6 +604,7 @@
 static void
 free_batch(struct mh_cell *c, struct mh_batch *b)
 {
+	mh_timer_stop(c->k, &b->fed);
 	for (guint i = 0; i < b->items->len; i++)
 		g_free(g_array_index(b->items, struct mh_batch_item, i)
 			   .result);
@@ -714,6 +721,7 @@
 			ROOM_USED * (double)gw->room_bytes)
 			return;
 		ss->made[i].flying = true;
+		ss->made[i].fed = false;
 		ss->made[i].tries++;
 		ss->flying++;
 		w->held += st->result_bytes;
@@ -722,6 +730,71 @@
 	}
 }
 
+/* What waits, without the pieces just taken. */
+static uint32_t
+ready_pieces(const GArray *units)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < units->len; i++) {
+		const struct unit *u = &g_array_index(units, struct unit, i);
+		const struct sstate *ss = &u->job->state->stages[u->stage];
+
+		n += ss->left - ss->flying;
+	}
+	return n;
+}
+
+/* Whether every piece of a stage is made, or has read its inputs. */
+static bool
+is_fed(const struct mh_job *j, uint32_t stage)
+{
+	const struct sstate *ss = &j->state->stages[stage];
+
+	for (uint32_t i = 0; i < j->stages[stage].pieces; i++) {
+		if (ss->made[i].need && !ss->made[i].fed)
+			return false;
+	}
+	return true;
+}
+
+/* Frees the inputs of a stage that no stage will read any more. */
+static void
+drop_inputs(struct mh_cell *c, struct mh_job *j, uint32_t stage)
+{
+	for (uint32_t s = 0; s < stage; s++) {
+		bool wanted = false;
+
+		if ((j->stages[stage].after >> s & 1) == 0)
+			continue;
+		for (uint32_t t = 0; t < j->n_stages; t++)
+			wanted = wanted ||
+			    ((j->stages[t].after >> s & 1) != 0 &&
+				!is_fed(j, t));
+		if (!wanted)
+			drop_results(c, j, s);
+	}
+}
+
+static void
+on_fed(void *arg)
+{
+	struct mh_batch *b = arg;
+	struct mh_cell *c = b->cell;
+
+	b->fed = NULL;
+	for (guint i = 0; i < b->items->len; i++) {
+		const struct mh_batch_item *m =
+		    &g_array_index(b->items, struct mh_batch_item, i);
+
+		if (m->job == NULL)
+			continue;
+		m->job->state->stages[m->stage].made[m->piece].fed = true;
+		drop_inputs(c, m->job, m->stage);
+	}
+	dispatch_all(c);
+}
+
 static void
 run_batch(struct mh_cell *c, struct cpool *p, const struct mh_node *n,
     GArray *units)
@@ -752,9 +825,13 @@
 	mh_count(c->k, "batches", 1);
 	mh_count(c->k, "batch_pieces", b->items->len);
 	mh_event(c->k, "batch", "batch=%" PRIu64 " pool=%s node=%s pieces=%u "
-	    "of=%u expect_ms=%" PRId64 " slow=%.2f first=%s", b->id, p->name,
-	    n->id, b->items->len, gw->batch, mh_ms(b->expect_us),
+	    "of=%u ready=%u held_kb=%" PRIu64 " room_kb=%" PRIu64
+	    " expect_ms=%" PRId64 " slow=%.2f first=%s", b->id, p->name,
+	    n->id, b->items->len, gw->batch, ready_pieces(units),
+	    w->held >> 10, gw->room_bytes >> 10, mh_ms(b->expect_us),
 	    w->slow, g_array_index(b->items, struct mh_batch_item, 0).job->id);
+	b->cell = c;
+	b->fed = mh_timer_start(c->k, FED_US, on_fed, b);
 	c->ops.run(c->ops.arg, b);
 }
 
@@ -860,15 +937,13 @@
 	}
 }
 
-/* Makes a result once more, and what it needs that was given up since. */
+static void remake(
+    struct mh_cell *c, struct mh_job *j, uint32_t stage, uint32_t piece);
+
+/* Inputs that were freed, since a call had read them, are made again. */
 static void
-remake(struct mh_cell *c, struct mh_job *j, uint32_t stage, uint32_t piece)
+need_inputs(struct mh_cell *c, struct mh_job *j, uint32_t stage)
 {
-	struct sstate *ss = &j->state->stages[stage];
-
-	drop_result(c, j, stage, piece);
-	ss->made[piece].need = true;
-	ss->left++;
 	for (uint32_t s = 0; s < stage; s++) {
 		if ((j->stages[stage].after >> s & 1) == 0)
 			continue;
@@ -880,6 +955,20 @@
 	}
 }
 
+/* Makes a result once more, and what it needs that was given up since. */
+static void
+remake(struct mh_cell *c, struct mh_job *j, uint32_t stage, uint32_t piece)
+{
+	struct sstate *ss = &j->state->stages[stage];
+
+	drop_result(c, j, stage, piece);
+	ss->made[piece].need = true;
+	ss->made[piece].fed = false;
+	ss->left++;
+	mh_count(c->k, "pieces_remade", 1);
+	need_inputs(c, j, stage);
+}
+
 static bool
 in_doubt(struct mh_cell *c, const struct made *m)
 {
@@ -918,19 +1007,7 @@
 static void
 stage_done(struct mh_cell *c, struct mh_job *j, uint32_t stage)
 {
-	/* Inputs are needed no longer once all stages that take them ran. */
-	for (uint32_t s = 0; s < stage; s++) {
-		bool wanted = false;
-
-		if ((j->stages[stage].after >> s & 1) == 0)
-			continue;
-		for (uint32_t t = 0; t < j->n_stages; t++)
-			wanted = wanted ||
-			    ((j->stages[t].after >> s & 1) != 0 &&
-				todo(j, t) > 0);
-		if (!wanted)
-			drop_results(c, j, s);
-	}
+	drop_inputs(c, j, stage);
 	for (uint32_t s = 0; s < j->n_stages; s++) {
 		if (todo(j, s) > 0)
 			return;
@@ -952,7 +1029,7 @@
 		md->flying = false;
 		ss->flying--;
 	}
-	if (m->result != NULL && *slot == NULL) {
+	if (m->result != NULL && md->need) {
 		*slot = m->result;
 		m->result = NULL;
 		md->worker = w;
@@ -964,7 +1041,8 @@
 		return;
 	}
 	give_room(w, m->bytes);
-	if (m->result != NULL) { /* the other one of a pair was faster */
+	if (m->result != NULL) { /* the other one of a pair was faster, or
+				  * it has been used already */
 		c->ops.discard(c->ops.arg, m->result);
 		return;
 	}
@@ -972,16 +1050,19 @@
 		remake_inputs(c, j, m->stage);
 	if (m->no_room)
 		w->pause_us = mh_now(c->k) + ROOM_PAUSE_US;
-	if (b->doubled || *slot != NULL)
+	if (b->doubled || !md->need)
 		return;
 	if (end == MH_BATCH_FULL)
 		md->tries--;
+	md->fed = false;
 	if (md->tries >= PIECE_TRIES ||
 	    (end != MH_BATCH_DONE && !mh_budget_take(c->budget, b->pool))) {
 		mh_event(c->k, "job-failed", "id=%s stage=%u piece=%u tries=%u",
 		    j->id, m->stage, m->piece, md->tries);
 		end_job(c, j, MH_JOB_FAILED, 0);
+		return;
 	}
+	need_inputs(c, j, m->stage);
 }
 
 void
@@ -1052,7 +1133,9 @@
 			continue;
 		ss = &m->job->state->stages[m->stage];
 		ss->made[m->piece].flying = false;
+		ss->made[m->piece].fed = false;
 		ss->flying--;
+		need_inputs(c, m->job, m->stage);
 		mh_budget_take(c->budget, b->pool);
 	}
 }
--- a/lib/cell.h
+++ b/lib/cell.h
@@ -24,6 +24,7 @@
 struct made {
 	bool need; /* wanted and not there */
 	bool flying; /* in a call */
+	bool fed; /* that call has read its inputs */
 	uint32_t tries;
 	struct worker *worker;
 	const char *node; /* interned id */
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -28,6 +28,12 @@
  * return together. */
 #define RETRY_MIN_US (150 * MH_US_PER_MS)
 #define RETRY_SPREAD 0.5
+/*
+ * An engine reads the inputs of a request when it takes it on.  One that has
+ * places does so at once; after this time the inputs are freed, since room
+ * for them is what a burst runs out of.
+ */
+#define FED_US (80 * MH_US_PER_MS)
 /* Less time left than this is no use to an endpoint. */
 #define LEAST_LEFT_US (20 * MH_US_PER_MS)
 /* A request whose time given is this much below the longest seen on its
@@ -131,6 +137,7 @@
 	q->state = MH_ASK_ENDED;
 	mh_timer_stop(g->k, &q->until);
 	mh_timer_stop(g->k, &q->patience);
+	mh_timer_stop(g->k, &q->fed);
 	g_hash_table_remove(g->asks, q);
 }
 
@@ -293,6 +300,22 @@
 		a->tried[i] = q->tried[i];
 }
 
+static void
+on_fed(void *arg)
+{
+	struct mh_gask *q = arg;
+
+	q->fed = NULL;
+	release_job(q->gate, q);
+}
+
+/* Whether an engine takes the next request on at once. */
+static bool
+has_places(const struct mh_node *n)
+{
+	return n->waiting == 0 && n->running < n->capacity * 3 / 4;
+}
+
 static void
 try_next(struct mh_gate *g, struct mh_gask *q)
 {
@@ -337,6 +360,9 @@
 	mh_timer_stop(g->k, &q->patience);
 	if (may_repeat(q))
 		set_patience(g, q, patience_us(q));
+	mh_timer_stop(g->k, &q->fed);
+	if (q->job != NULL && has_places(n))
+		q->fed = mh_timer_start(g->k, FED_US, on_fed, q);
 	g->ops.send(g->ops.arg, t);
 }
 
@@ -506,6 +532,8 @@
 {
 	leave_try(g, q, false);
 	if (a->inputs_gone && q->jobs < 2) {
+		mh_count(g->k, "inputs_gone", 1);
+		mh_timer_stop(g->k, &q->fed);
 		release_job(g, q);
 		start_job(g, q);
 		return;
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -413,6 +413,8 @@
 	int64_t sent_us;
 	int64_t expect_us; /* how long it should take */
 	bool doubled; /* its pieces were given to another endpoint */
+	struct mh_cell *cell;
+	struct mh_timer *fed; /* when its inputs will have been read */
 	void *call; /* the runner's own */
 };
 
@@ -526,6 +528,7 @@
 	int64_t last_data_us;
 	struct mh_timer *until;
 	struct mh_timer *patience;
+	struct mh_timer *fed; /* when its inputs will have been read */
 };
 
 /** struct mh_try - one sending of a request to an endpoint. */
