A leaving process takes only what will have ended in time

Ruled out: a shorter drain (callers still come on open connections). Change: streams are taken for 0.3 of the time left, plain requests while their limit ends before it.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -28,6 +28,9 @@
  * return together. */
 #define RETRY_MIN_US (150 * MH_US_PER_MS)
 #define RETRY_SPREAD 0.5
+/* A leaving process takes streams for this part of the time it has left:
+ * most end in a few seconds, and callers have heard to go elsewhere. */
+#define STREAMS_SHARE 0.3
 /*
  * An engine reads the inputs of a request when it takes it on.  One that has
  * places does so at once; after this time the inputs are freed, since room
@@ -53,6 +56,7 @@
 	char *domain;
 	GHashTable *asks; /* set of struct mh_gask */
 	int64_t leave_us; /* 0: not leaving; else when it will be gone */
+	int64_t streams_until_us; /* streams that come later are refused */
 	struct mh_hist *plain; /* own time added to plain requests */
 	GHashTable *deadlines; /* route -> longest time given */
 };
@@ -467,6 +471,22 @@
 	q->until_us = now + MIN(given, q->route->timeout_us);
 }
 
+/*
+ * A process that leaves keeps what it has taken; what comes later, over a
+ * connection that is still open, is taken only if it will surely have ended
+ * before the process is killed.  A stream cut half way is lost to its caller,
+ * one that is refused goes to another entry at once.
+ */
+static bool
+ends_in_time(const struct mh_gate *g, const struct mh_gask *q)
+{
+	if (g->leave_us == 0)
+		return true;
+	if (q->route->stream)
+		return mh_now(g->k) < g->streams_until_us;
+	return q->until_us < g->leave_us;
+}
+
 void
 mh_gate_take(struct mh_gate *g, struct mh_gask *q)
 {
@@ -499,8 +519,7 @@
 		    0);
 		return;
 	}
-	if (g->leave_us > 0 && q->route->stream &&
-	    mh_now(g->k) + q->route->aim_us > g->leave_us) {
+	if (!ends_in_time(g, q)) {
 		refuse(g, q, MH_NOT_READY, 0);
 		return;
 	}
@@ -703,4 +722,6 @@
 mh_gate_leaving(struct mh_gate *g, int64_t left_us)
 {
 	g->leave_us = mh_now(g->k) + left_us;
+	g->streams_until_us =
+	    mh_now(g->k) + (int64_t)((double)left_us * STREAMS_SHARE);
 }
