--- a/lib/cell.c
+++ b/lib/cell.c
@@ -128,6 +128,16 @@
 
 /* what a pool can do */
 
+static const struct mh_gwork *
+work_of(const struct mh_cell *c, const char *pool)
+{
+	static const struct mh_gwork none = { .batch = 1, .running = 1 };
+	const struct mh_gpool *p =
+	    c->conf == NULL ? NULL : mh_gconf_pool(c->conf, pool);
+
+	return p == NULL || !p->is_work ? &none : &p->work;
+}
+
 static struct cpool *
 pool_of(struct mh_cell *c, const char *name)
 {
@@ -136,6 +146,7 @@
 	if (p == NULL) {
 		p = g_new0(struct cpool, 1);
 		p->name = g_strdup(name);
+		p->work = work_of(c, name);
 		p->workers = g_hash_table_new_full(
 		    g_str_hash, g_str_equal, g_free, g_free);
 		g_hash_table_insert(c->pools, p->name, p);
@@ -143,16 +154,6 @@
 	return p;
 }
 
-static const struct mh_gwork *
-work_of(const struct mh_cell *c, const char *pool)
-{
-	static const struct mh_gwork none = { .batch = 1, .running = 1 };
-	const struct mh_gpool *p =
-	    c->conf == NULL ? NULL : mh_gconf_pool(c->conf, pool);
-
-	return p == NULL || !p->is_work ? &none : &p->work;
-}
-
 static struct worker *
 worker_of(struct cpool *p, const char *node)
 {
@@ -249,21 +250,19 @@
 }
 
 static int64_t
-item_us(struct mh_cell *c, const struct mh_job *j, uint32_t stage)
+item_us(const struct mh_job *j, uint32_t stage)
 {
-	const struct mh_gwork *w = work_of(c, j->stages[stage].pool);
+	const struct sstate *ss = &j->state->stages[stage];
 
-	return (int64_t)((double)w->item_us *
-	    *item_factor(c, j->route, stage));
+	return (int64_t)((double)ss->pool->work->item_us * *ss->factor);
 }
 
 /* Pieces a second with full calls, over the endpoints in use. */
 static double
-pool_rate(struct mh_cell *c, const char *name)
+pool_rate(struct mh_cell *c, struct cpool *p)
 {
-	struct cpool *p = pool_of(c, name);
-	GPtrArray *nodes = mh_fleet_pool(c->f, name);
-	const struct mh_gwork *w = work_of(c, name);
+	GPtrArray *nodes = mh_fleet_pool(c->f, p->name);
+	const struct mh_gwork *w = p->work;
 	double full_us = (double)w->call_us + (double)w->item_us * w->batch;
 	double rate = 0;
 
@@ -297,50 +296,68 @@
 
 /* A call with half of its places taken: what a stage takes when not rushed. */
 static int64_t
-stage_us(struct mh_cell *c, const struct mh_job *j, uint32_t stage)
+stage_us(const struct mh_job *j, uint32_t stage)
 {
-	const struct mh_gwork *w = work_of(c, j->stages[stage].pool);
+	const struct mh_gwork *w = j->state->stages[stage].pool->work;
 	uint32_t n = MAX(todo(j, stage), w->batch / 2);
 
-	return w->call_us + (int64_t)MIN(n, w->batch) * item_us(c, j, stage);
+	return w->call_us + (int64_t)MIN(n, w->batch) * item_us(j, stage);
 }
 
-/* The longest chain of work from @stage to the end, itself included. */
-static int64_t
-path_us(struct mh_cell *c, const struct mh_job *j, uint32_t stage)
+/*
+ * Works out, for each stage, the longest chain of work from it to the end,
+ * itself included.  Every choice asks for these, so they are kept until the
+ * work that is left changes.
+ */
+static void
+refresh(struct mh_job *j)
 {
-	int64_t longest = 0;
+	j->state->stale = false;
+	j->state->left_us = 0;
+	for (uint32_t s = j->n_stages; s-- > 0;) {
+		struct sstate *ss = &j->state->stages[s];
+		int64_t longest = 0;
 
-	for (uint32_t s = stage + 1; s < j->n_stages; s++) {
-		if ((j->stages[s].after >> stage & 1) != 0)
-			longest = MAX(longest, path_us(c, j, s));
+		for (uint32_t t = s + 1; t < j->n_stages; t++) {
+			if ((j->stages[t].after >> s & 1) != 0)
+				longest = MAX(
+				    longest, j->state->stages[t].path_us);
+		}
+		ss->path_us = longest;
+		if (ss->left == 0)
+			continue;
+		ss->path_us += stage_us(j, s);
+		j->state->left_us = MAX(j->state->left_us, ss->path_us);
 	}
-	return longest + (todo(j, stage) > 0 ? stage_us(c, j, stage) : 0);
 }
 
 static int64_t
-left_us(struct mh_cell *c, const struct mh_job *j)
+path_us(struct mh_job *j, uint32_t stage)
 {
-	int64_t longest = 0;
+	if (j->state->stale)
+		refresh(j);
+	return j->state->stages[stage].path_us;
+}
 
-	for (uint32_t s = 0; s < j->n_stages; s++) {
-		if (todo(j, s) > 0)
-			longest = MAX(longest, path_us(c, j, s));
-	}
-	return longest;
+static int64_t
+left_us(struct mh_job *j)
+{
+	if (j->state->stale)
+		refresh(j);
+	return j->state->left_us;
 }
 
 static bool
-is_late(struct mh_cell *c, const struct mh_job *j)
+is_late(struct mh_cell *c, struct mh_job *j)
 {
-	return mh_now(c->k) + left_us(c, j) > j->aim_us + AIM_SLACK_US;
+	return mh_now(c->k) + left_us(j) > j->aim_us + AIM_SLACK_US;
 }
 
 /* Lower goes first. */
 static int64_t
-slack_key(struct mh_cell *c, const struct mh_job *j, uint32_t stage)
+slack_key(struct mh_job *j, uint32_t stage)
 {
-	int64_t key = j->aim_us - path_us(c, j, stage) +
+	int64_t key = j->aim_us - path_us(j, stage) +
 	    (int64_t)j->priority * CLASS_LEAD_US;
 
 	if (j->state->late)
@@ -451,17 +468,17 @@
 
 /* Pieces of live jobs that go before @key at a pool. */
 static double
-pieces_before(struct mh_cell *c, const char *pool, int64_t key)
+pieces_before(struct mh_cell *c, const struct cpool *pool, int64_t key)
 {
 	double n = 0;
 
 	for (guint i = 0; i < c->jobs->len; i++) {
-		const struct mh_job *j = g_ptr_array_index(c->jobs, i);
+		struct mh_job *j = g_ptr_array_index(c->jobs, i);
 
 		for (uint32_t s = 0; s < j->n_stages; s++) {
 			if (todo(j, s) > 0 &&
-			    strcmp(j->stages[s].pool, pool) == 0 &&
-			    slack_key(c, j, s) <= key)
+			    j->state->stages[s].pool == pool &&
+			    slack_key(j, s) <= key)
 				n += todo(j, s);
 		}
 	}
@@ -473,7 +490,7 @@
  * goes before it at its pool, less what is worked off until it is ready.
  */
 static int64_t
-predict_us(struct mh_cell *c, const struct mh_job *j)
+predict_us(struct mh_cell *c, struct mh_job *j)
 {
 	int64_t now = mh_now(c->k), done[MH_GSTAGES], last = now;
 
@@ -488,22 +505,23 @@
 		done[s] = start;
 		if (todo(j, s) == 0)
 			continue;
-		rate = pool_rate(c, j->stages[s].pool);
+		rate = pool_rate(c, j->state->stages[s].pool);
 		if (rate <= 0)
 			return INT64_MAX;
-		wait = (int64_t)(pieces_before(c, j->stages[s].pool,
-				     slack_key(c, j, s)) /
+		wait = (int64_t)(pieces_before(c, j->state->stages[s].pool,
+				     slack_key(j, s)) /
 		    rate * (double)MH_US_PER_S);
 		wait = MAX(wait - (start - now), 0);
-		done[s] = start + wait + stage_us(c, j, s);
+		done[s] = start + wait + stage_us(j, s);
 		last = MAX(last, done[s]);
 	}
 	return last;
 }
 
 int64_t
-mh_cell_backlog_us(struct mh_cell *c, const char *pool)
+mh_cell_backlog_us(struct mh_cell *c, const char *name)
 {
+	struct cpool *pool = pool_of(c, name);
 	double rate = pool_rate(c, pool);
 
 	if (rate <= 0)
@@ -527,13 +545,16 @@
 }
 
 static void
-start_state(struct mh_job *j)
+start_state(struct mh_cell *c, struct mh_job *j)
 {
 	j->state = g_new0(struct mh_jstate, 1);
+	j->state->stale = true;
 	for (uint32_t s = 0; s < j->n_stages; s++) {
 		struct mh_jstage *st = &j->stages[s];
 		struct sstate *ss = &j->state->stages[s];
 
+		ss->pool = pool_of(c, st->pool);
+		ss->factor = item_factor(c, j->route, s);
 		ss->made = g_new0(struct made, MAX(st->pieces, 1));
 		if (st->results == NULL) {
 			st->results = g_ptr_array_new_with_free_func(g_free);
@@ -578,8 +599,8 @@
 void
 mh_cell_submit(struct mh_cell *c, struct mh_job *j)
 {
-	start_state(j);
-	if (left_us(c, j) == 0) {
+	start_state(c, j);
+	if (left_us(j) == 0) {
 		g_ptr_array_add(c->ended, j);
 		c->ops.end(c->ops.arg, j, MH_JOB_DONE, 0);
 		return;
@@ -663,7 +684,7 @@
 	if (u->domain == NULL || u->job->state->late)
 		return;
 	u->holds = now - ss->ready_us < HOLD_US &&
-	    u->job->aim_us - now - path_us(c, u->job, u->stage) >
+	    u->job->aim_us - now - path_us(u->job, u->stage) >
 		HOLD_SLACK_US &&
 	    has_domain(c, p->name, u->domain);
 }
@@ -677,7 +698,6 @@
 static GArray *
 ready_units(struct mh_cell *c, const struct cpool *p)
 {
-	const char *pool = p->name;
 	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct unit));
 
 	for (guint i = 0; i < c->jobs->len; i++) {
@@ -687,11 +707,10 @@
 			const struct sstate *ss = &j->state->stages[s];
 			struct unit u = { j, s, 0, NULL, false };
 
-			if (ss->left <= ss->flying ||
-			    strcmp(j->stages[s].pool, pool) != 0 ||
+			if (ss->left <= ss->flying || ss->pool != p ||
 			    !is_ready(j, s))
 				continue;
-			u.key = slack_key(c, j, s);
+			u.key = slack_key(j, s);
 			place_unit(c, p, &u);
 			g_array_append_val(all, u);
 		}
@@ -701,7 +720,7 @@
 }
 
 static void
-take_pieces(struct mh_cell *c, struct mh_batch *b, struct worker *w,
+take_pieces(struct mh_batch *b, struct worker *w,
     const struct unit *u, const struct mh_gwork *gw)
 {
 	struct mh_jstage *st = &u->job->stages[u->stage];
@@ -725,7 +744,7 @@
 		ss->made[i].tries++;
 		ss->flying++;
 		w->held += st->result_bytes;
-		b->expect_us += item_us(c, u->job, u->stage);
+		b->expect_us += item_us(u->job, u->stage);
 		g_array_append_val(b->items, m);
 	}
 }
@@ -800,7 +819,7 @@
     GArray *units)
 {
 	struct worker *w = worker_of(p, n->id);
-	const struct mh_gwork *gw = work_of(c, p->name);
+	const struct mh_gwork *gw = p->work;
 	struct mh_batch *b = g_new0(struct mh_batch, 1);
 
 	b->id = ++c->next_id;
@@ -814,7 +833,7 @@
 		const struct unit *u = &g_array_index(units, struct unit, i);
 
 		if (suits(u, n))
-			take_pieces(c, b, w, u, gw);
+			take_pieces(b, w, u, gw);
 	}
 	if (b->items->len == 0) {
 		w->pause_us = mh_now(c->k) + ROOM_PAUSE_US;
@@ -839,7 +858,7 @@
 static struct mh_node *
 free_node(struct mh_cell *c, struct cpool *p, const GArray *units)
 {
-	const struct mh_gwork *gw = work_of(c, p->name);
+	const struct mh_gwork *gw = p->work;
 	GPtrArray *nodes = mh_fleet_pool(c->f, p->name);
 	struct mh_node *best = NULL;
 	double least = 0, fastest = 1e9;
@@ -880,10 +899,28 @@
 	return best;
 }
 
+/* Under load all are busy, which is seen sooner than what waits. */
+static bool
+any_free(struct mh_cell *c, struct cpool *p)
+{
+	GPtrArray *nodes = mh_fleet_pool(c->f, p->name);
+	int64_t now = mh_now(c->k);
+
+	for (guint i = 0; nodes != NULL && i < nodes->len; i++) {
+		const struct mh_node *n = g_ptr_array_index(nodes, i);
+		const struct worker *w = worker_of(p, n->id);
+
+		if (w->flying < p->work->running && w->pause_us <= now &&
+		    mh_node_usable(c->f, n))
+			return true;
+	}
+	return false;
+}
+
 static void
 dispatch(struct mh_cell *c, struct cpool *p)
 {
-	for (;;) {
+	while (any_free(c, p)) {
 		GArray *units = ready_units(c, p);
 		struct mh_node *n =
 		    units->len > 0 ? free_node(c, p, units) : NULL;
@@ -914,7 +951,7 @@
 static void
 learn(struct mh_cell *c, struct mh_batch *b, struct worker *w)
 {
-	const struct mh_gwork *gw = work_of(c, b->pool);
+	const struct mh_gwork *gw = pool_of(c, b->pool)->work;
 	double took = (double)(mh_now(c->k) - b->sent_us);
 	double ratio = took / (double)MAX(b->expect_us, 1);
 	double over;
@@ -965,6 +1002,7 @@
 	ss->made[piece].need = true;
 	ss->made[piece].fed = false;
 	ss->left++;
+	j->state->stale = true;
 	mh_count(c->k, "pieces_remade", 1);
 	need_inputs(c, j, stage);
 }
@@ -1035,6 +1073,7 @@
 		md->worker = w;
 		md->node = b->node_name;
 		ss->left--;
+		j->state->stale = true;
 		md->need = false;
 		if (ss->left == 0)
 			stage_done(c, j, m->stage);
@@ -1170,11 +1209,11 @@
 	for (guint i = 0; i < c->jobs->len;) {
 		struct mh_job *j = g_ptr_array_index(c->jobs, i);
 
-		if (now + left_us(c, j) / 2 > j->deadline_us) {
+		if (now + left_us(j) / 2 > j->deadline_us) {
 			mh_event(c->k, "job-hopeless", "id=%s left_ms=%" PRId64
 			    " need_ms=%" PRId64, j->id,
 			    mh_ms(j->deadline_us - now),
-			    mh_ms(left_us(c, j)));
+			    mh_ms(left_us(j)));
 			end_job(c, j, MH_JOB_REFUSED, room_in_us(c, j));
 			continue;
 		}
@@ -1275,12 +1314,15 @@
 void
 mh_cell_conf(struct mh_cell *c, struct mh_gconf *conf)
 {
+	GHashTableIter it;
+	gpointer key, value;
+
 	mh_gconf_unref(c->conf);
 	c->conf = mh_gconf_ref(conf);
-	for (guint i = 0; i < conf->routes->len; i++) {
-		const struct mh_groute *r = g_ptr_array_index(conf->routes, i);
+	g_hash_table_iter_init(&it, c->pools);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		struct cpool *p = value;
 
-		for (uint32_t s = 0; s < r->n_stages; s++)
-			pool_of(c, r->stages[s].pool);
+		p->work = work_of(c, p->name);
 	}
 }
--- a/lib/cell.h
+++ b/lib/cell.h
@@ -17,6 +17,7 @@
 /** struct cpool - one stage pool. */
 struct cpool {
 	char *name;
+	const struct mh_gwork *work; /* of the configuration in force */
 	GHashTable *workers; /* endpoint id -> struct worker */
 };
 
@@ -35,12 +36,17 @@
 	uint32_t left; /* pieces not made */
 	uint32_t flying; /* of these, in a call */
 	int64_t ready_us; /* since when its inputs are there */
+	struct cpool *pool;
+	double *factor; /* its pieces' cost over the pool's mean */
+	int64_t path_us; /* work from here to the end, see refresh() */
 	struct made *made;
 };
 
 /** struct mh_jstate - the cell's side of a job. */
 struct mh_jstate {
 	bool late; /* its aim is missed; only the deadline counts */
+	bool stale; /* paths are to be worked out anew */
+	int64_t left_us; /* the longest path */
 	struct sstate stages[MH_GSTAGES];
 };
 
