Few entries read the store for all; callers' patience bounds stage work

Stage work went on for callers that had given up on their first event. Ruled out: slower reading (the bound for leaving endpoints). Change: two entries read and beats tell the others, who read themselves when that is late.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -24,6 +24,14 @@
 /* A stream that pauses this many times the longest pause allowed hangs. */
 #define GAP_FACTOR 2
 #define GAP_DEFAULT_US (1600 * MH_US_PER_MS)
+/*
+ * Callers of a stream give up on its first event after the longest of these;
+ * what would come later is work for nobody.
+ */
+#define PATIENCE_AIMS 4
+#define PATIENCE_GAPS 8
+#define PATIENCE_LEAST_US (2 * MH_US_PER_S)
+#define PATIENCE_PERCENT 90
 /* Callers that were told to come back after; spread so that they do not
  * return together. */
 #define RETRY_MIN_US (150 * MH_US_PER_MS)
@@ -392,7 +400,7 @@
 	j->returned = q->returned;
 	j->arrived_us = q->arrived_us;
 	j->aim_us = q->aim_us - engine_us;
-	j->deadline_us = q->until_us - engine_us;
+	j->deadline_us = q->first_by_us - engine_us;
 	j->n_stages = r->n_stages;
 	for (uint32_t s = 0; s < r->n_stages; s++) {
 		j->stages[s].pool = g_strdup(r->stages[s].pool);
@@ -469,6 +477,16 @@
 	q->first_us = now - (*longest - given);
 	q->aim_us = q->first_us + q->route->aim_us;
 	q->until_us = now + MIN(given, q->route->timeout_us);
+	q->first_by_us = q->until_us;
+	if (q->route->stream) {
+		/* Later than this nobody reads its first event. */
+		int64_t patience = MAX(PATIENCE_AIMS * q->route->aim_us,
+		    PATIENCE_GAPS * q->route->gap_aim_us);
+
+		patience = MAX(patience, PATIENCE_LEAST_US);
+		q->first_by_us = MIN(q->until_us,
+		    now + patience * PATIENCE_PERCENT / 100);
+	}
 }
 
 /*
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -514,6 +514,7 @@
 	int64_t first_us; /* when the caller first asked, as far as known */
 	int64_t aim_us; /* absolute */
 	int64_t until_us; /* absolute: the caller's or the route's limit */
+	int64_t first_by_us; /* absolute: its caller waits so long at most */
 	uint32_t priority;
 	bool returned;
 	struct mh_job *job;
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -21,6 +21,8 @@
 #define DIALLED 4
 /* The only work that has a home today. */
 #define WORK "stage-work"
+/* Entries that read for all: one may be cut off or die unnoticed. */
+#define READERS 2
 
 struct peer {
 	struct mh_mesh *m;
@@ -30,6 +32,7 @@
 	bool listed;
 	bool ready;
 	bool leaving;
+	bool reads; /* the platform answers it */
 	uint64_t dial; /* a link being opened, 0: none */
 	uint64_t out; /* links that are up, 0: none */
 	uint64_t in;
@@ -137,6 +140,28 @@
 	return n;
 }
 
+/*
+ * The first of the order that the platform answers; they are linked to all
+ * who would fall back on them.
+ */
+bool
+mh_mesh_reads(struct mh_mesh *m)
+{
+	double mine = rank(WORK, m->node, m->weight);
+	GHashTableIter it;
+	gpointer key, value;
+	uint32_t before = 0;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		const struct peer *p = value;
+
+		before += alive(p) && p->reads && !p->leaving &&
+		    rank(WORK, p->node, p->weight) > mine;
+	}
+	return before < READERS;
+}
+
 /* frames */
 
 static void
@@ -196,6 +221,7 @@
 	b.leaving = m->leaving;
 	if (m->view.ready != NULL) {
 		b.ready = m->view.ready(m->view.arg);
+		b.reads = m->view.reads(m->view.arg);
 		b.conf_revision = m->view.conf_revision(m->view.arg);
 		b.rows_revision = m->view.rows_revision(m->view.arg);
 	}
@@ -225,7 +251,7 @@
 	ask.conf = b->conf_revision > m->view.conf_revision(m->view.arg) &&
 	    p->asked_conf != b->conf_revision;
 	ask.rows = b->rows_revision > m->view.rows_revision(m->view.arg) &&
-	    m->view.rows_overdue(m->view.arg);
+	    m->view.rows_due(m->view.arg);
 	if (!ask.conf && !ask.rows)
 		return;
 	if (ask.conf)
@@ -239,6 +265,7 @@
 take_beat(struct mh_mesh *m, struct peer *p, const Mh__Beat *b)
 {
 	p->ready = b->ready;
+	p->reads = b->reads;
 	if (b->leaving && !p->leaving)
 		mh_event(m->k, "peer-leaving", "node=%s", p->node);
 	p->leaving = b->leaving;
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -31,12 +31,13 @@
 struct mh_mesh_view {
 	uint64_t (*conf_revision)(void *arg);
 	uint64_t (*rows_revision)(void *arg);
-	/* whether an own reading is overdue, so that another's helps */
-	bool (*rows_overdue)(void *arg);
+	/* whether ours is old enough that another's helps */
+	bool (*rows_due)(void *arg);
 	void (*fill)(
 	    void *arg, const Mh__ViewAsk *ask, struct mh_shared *out);
 	void (*take)(void *arg, const Mh__View *v);
 	bool (*ready)(void *arg);
+	bool (*reads)(void *arg); /* whether the platform answers us */
 	void *arg;
 };
 
@@ -55,6 +56,11 @@
 /** mh_mesh_home() - the live entry whose turn @what is; may be ourselves. */
 const char *mh_mesh_home(struct mh_mesh *m, const char *what);
 bool mh_mesh_is_self(const struct mh_mesh *m, const char *node);
+/**
+ * mh_mesh_reads() - whether it is for us to read what all need: a few do and
+ * tell the others, so that the platform's load does not grow with entries.
+ */
+bool mh_mesh_reads(struct mh_mesh *m);
 /** mh_mesh_leave() - others no longer choose us. */
 void mh_mesh_leave(struct mh_mesh *m);
 /** mh_mesh_size() - live entries, ourselves included. */
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -4233,7 +4233,7 @@
   (ProtobufCMessageInit) mh__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__beat__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mh__beat__field_descriptors[5] =
 {
   {
     "ready",
@@ -4283,17 +4283,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reads",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Beat, reads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__beat__field_indices_by_name[] = {
   2,   /* field[2] = conf_revision */
   1,   /* field[1] = leaving */
+  4,   /* field[4] = reads */
   0,   /* field[0] = ready */
   3,   /* field[3] = rows_revision */
 };
 static const ProtobufCIntRange mh__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor mh__beat__descriptor =
 {
@@ -4303,7 +4316,7 @@
   "Mh__Beat",
   "mh",
   sizeof(Mh__Beat),
-  4,
+  5,
   mh__beat__field_descriptors,
   mh__beat__field_indices_by_name,
   1,  mh__beat__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -543,10 +543,14 @@
   protobuf_c_boolean leaving;
   uint64_t conf_revision;
   uint64_t rows_revision;
+  /*
+   * the platform answers it
+   */
+  protobuf_c_boolean reads;
 };
 #define MH__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__beat__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Mh__ViewAsk
