Late stage work that has begun goes before other late work; whole log lines

Cause: late jobs shared what was left and few ended; log writes of any size tore lines apart. Change: begun late work first among the late; writes of whole lines up to PIPE_BUF.

--- a/lib/cell.c
+++ b/lib/cell.c
@@ -36,7 +36,7 @@
 /* Beliefs fade so that a mended endpoint is tried again, a factor a tick. */
 #define SLOW_FADE 0.995
 /* What a more urgent class may go ahead of the next one. */
-#define CLASS_LEAD_US (150 * MH_US_PER_MS)
+#define CLASS_LEAD_US (100 * MH_US_PER_MS)
 /* Room kept free for what other processes may still keep there. */
 #define ROOM_USED 0.95
 /*
@@ -360,8 +360,9 @@
 	int64_t key = j->aim_us - path_us(j, stage) +
 	    (int64_t)j->priority * CLASS_LEAD_US;
 
+	/* Once begun it goes before others that are late. */
 	if (j->state->late)
-		key += LATE_BEHIND_US;
+		key += j->state->started ? LATE_BEHIND_US / 2 : LATE_BEHIND_US;
 	return key;
 }
 
@@ -739,6 +740,7 @@
 		    (double)(w->held + st->result_bytes) >
 			ROOM_USED * (double)gw->room_bytes)
 			return;
+		u->job->state->started = true;
 		ss->made[i].flying = true;
 		ss->made[i].fed = false;
 		ss->made[i].tries++;
@@ -1217,8 +1219,9 @@
 			end_job(c, j, MH_JOB_REFUSED, room_in_us(c, j));
 			continue;
 		}
-		if (!j->state->late && is_late(c, j))
+		if (!j->state->late && is_late(c, j)) {
 			j->state->late = true;
+			}
 		i++;
 	}
 }
--- a/lib/cell.h
+++ b/lib/cell.h
@@ -45,6 +45,7 @@
 /** struct mh_jstate - the cell's side of a job. */
 struct mh_jstate {
 	bool late; /* its aim is missed; only the deadline counts */
+	bool started; /* a piece was given to an endpoint */
 	bool stale; /* paths are to be worked out anew */
 	int64_t left_us; /* the longest path */
 	struct sstate stages[MH_GSTAGES];
--- a/lib/evlog.c
+++ b/lib/evlog.c
@@ -10,6 +10,7 @@
 
 #include <errno.h>
 #include <fcntl.h>
+#include <limits.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -30,18 +31,38 @@
 	struct mh_timer *timer;
 };
 
+/* Whole lines of at most @max bytes; a longer line is cut there. */
+static size_t
+whole_lines(const GString *out, size_t max)
+{
+	size_t n = MIN(out->len, max);
+
+	while (n > 0 && out->str[n - 1] != '\n')
+		n--;
+	return n > 0 ? n : MIN(out->len, max);
+}
+
+/*
+ * Writes of at most PIPE_BUF bytes to a pipe are whole or fail, so that a
+ * reader that stalls tears no line apart.
+ */
 static void
 flush(struct mh_evlog *e)
 {
-	while (e->out->len > 0) {
-		ssize_t n = write(e->fd, e->out->str, e->out->len);
+	size_t done = 0;
+
+	while (done < e->out->len) {
+		GString rest = { e->out->str + done, e->out->len - done, 0 };
+		size_t len = whole_lines(&rest, PIPE_BUF);
+		ssize_t n = write(e->fd, rest.str, len);
 
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n <= 0)
 			break; /* a reader that stalls must not stall us */
-		g_string_erase(e->out, 0, n);
+		done += (size_t)n;
 	}
+	g_string_erase(e->out, 0, (gssize)done);
 }
 
 static void
