Homes of stage work settle; a leaving home hands on what has not begun

Cause: while entries restart in turn and the store is away, the first few of the order were all gone and every entry did its own stage work (calls at one replica 3 deep); each restart moved the home twice; waiting behind another's call looked like a slow replica and its inputs were freed too early. Change: entries that are down or not ready are not counted; a home must have run for 8 s where one has; a leaving home ends unbegun jobs as moved; an endpoint that others call keeps inputs to the end and is not judged.

--- a/lib/broker.c
+++ b/lib/broker.c
@@ -122,6 +122,14 @@
 	g_hash_table_remove(b->sent, j);
 }
 
+static void
+submit_again(struct mh_broker *b, struct mh_job *j, const char *from)
+{
+	mh_count(b->k, "jobs_moved", 1);
+	mh_event(b->k, "job-moved", "id=%s from=%s", j->id, from);
+	mh_broker_submit(b, j);
+}
+
 static void
 take_results(struct mh_job *j, const Mh__JobEnd *m)
 {
@@ -183,6 +191,10 @@
 	}
 	if (end != MH_JOB_DONE)
 		g_hash_table_remove(b->sent, j);
+	if (end == MH_JOB_MOVED) {
+		submit_again(b, j, node);
+		return;
+	}
 	b->end(b->end_arg, j, end, (int64_t)m->retry_us);
 }
 
@@ -302,6 +314,10 @@
 {
 	struct guest *g = g_hash_table_lookup(b->guest_jobs, j);
 
+	if (g == NULL && end == MH_JOB_MOVED) {
+		submit_again(b, j, "here");
+		return;
+	}
 	if (g == NULL) {
 		b->end(b->end_arg, j, end, retry_us);
 		return;
@@ -345,9 +361,7 @@
 		g_hash_table_remove(b->sent, j);
 		if (has_finals(j))
 			continue; /* done; the results live without it */
-		mh_count(b->k, "jobs_moved", 1);
-		mh_event(b->k, "job-moved", "id=%s from=%s", j->id, node);
-		mh_broker_submit(b, j);
+		submit_again(b, j, node);
 	}
 	g_list_free(all);
 }
--- a/lib/cell.c
+++ b/lib/cell.c
@@ -26,7 +26,7 @@
 /* Calls that never end are given up at this multiple. */
 #define LOST_FACTOR 8.0
 /* A full endpoint, or one without room for results, is asked again after. */
-#define FULL_PAUSE_US (60 * MH_US_PER_MS)
+#define FULL_PAUSE_US (150 * MH_US_PER_MS)
 #define ROOM_PAUSE_US (120 * MH_US_PER_MS)
 /* How far one observation moves what is believed of an endpoint's speed. */
 #define SLOW_WEIGHT 0.5
@@ -63,6 +63,13 @@
  * room for results, not time, is what a burst runs out of.
  */
 #define FED_US (40 * MH_US_PER_MS)
+/*
+ * Where another process calls the endpoint too, as while entries disagree on
+ * whose turn it is, ours waits behind it: its inputs are kept to the end for
+ * this long after the last sign of that.
+ */
+#define SHARED_US (3 * MH_US_PER_S)
+#define SHARED_RATIO 1.35
 /* One wanted piece weighs as much as this part of an endpoint's speed. */
 #define WANTED_WORTH 0.02
 
@@ -852,7 +859,8 @@
 	    w->held >> 10, gw->room_bytes >> 10, mh_ms(b->expect_us),
 	    w->slow, g_array_index(b->items, struct mh_batch_item, 0).job->id);
 	b->cell = c;
-	b->fed = mh_timer_start(c->k, FED_US, on_fed, b);
+	if (w->shared_us <= mh_now(c->k))
+		b->fed = mh_timer_start(c->k, FED_US, on_fed, b);
 	c->ops.run(c->ops.arg, b);
 }
 
@@ -958,6 +966,13 @@
 	double ratio = took / (double)MAX(b->expect_us, 1);
 	double over;
 
+	/* A call that waited behind another's says nothing of the endpoint. */
+	if (b->others > 0) {
+		w->shared_us = mh_now(c->k) + SHARED_US;
+		return;
+	}
+	if (ratio > SHARED_RATIO)
+		w->shared_us = mh_now(c->k) + SHARED_US;
 	w->slow += SLOW_WEIGHT * (MAX(ratio, 0.5) - w->slow);
 	w->slow = MAX(w->slow, 0.7);
 	if (ratio < 0.5 || ratio > 1.5 || gw->item_us <= 0)
@@ -1087,8 +1102,10 @@
 		c->ops.discard(c->ops.arg, m->result);
 		return;
 	}
-	if (m->inputs_gone)
+	if (m->inputs_gone) {
+		w->shared_us = mh_now(c->k) + SHARED_US;
 		remake_inputs(c, j, m->stage);
+	}
 	if (m->no_room)
 		w->pause_us = mh_now(c->k) + ROOM_PAUSE_US;
 	if (b->doubled || !md->need)
@@ -1129,8 +1146,10 @@
 		mh_node_good(c->f, n, mh_now(c->k) - b->sent_us);
 	if (end == MH_BATCH_LOST && n != NULL)
 		mh_node_bad(c->f, n, "stage-call-lost");
-	if (end == MH_BATCH_FULL)
+	if (end == MH_BATCH_FULL) {
 		w->pause_us = mh_now(c->k) + FULL_PAUSE_US;
+		w->shared_us = mh_now(c->k) + SHARED_US;
+	}
 	c->dispatching = true; /* not before every item is back */
 	for (guint i = 0; i < b->items->len; i++) {
 		struct mh_batch_item *m =
@@ -1192,6 +1211,8 @@
 		int64_t grace = OVERDUE_GRACE_US;
 		double took = (double)(now - b->sent_us - grace);
 
+		if (worker_of(pool_of(c, b->pool), b->node)->shared_us > now)
+			took /= 2; /* another's call goes before ours */
 		if (!b->doubled &&
 		    took > OVERDUE_FACTOR * (double)b->expect_us)
 			double_up(c, b);
@@ -1226,6 +1247,17 @@
 	}
 }
 
+void
+mh_cell_leave(struct mh_cell *c)
+{
+	for (guint i = c->jobs->len; i-- > 0;) {
+		struct mh_job *j = g_ptr_array_index(c->jobs, i);
+
+		if (!j->state->started)
+			end_job(c, j, MH_JOB_MOVED, 0);
+	}
+}
+
 static void
 fade(struct mh_cell *c)
 {
--- a/lib/cell.h
+++ b/lib/cell.h
@@ -11,6 +11,7 @@
 	uint32_t flying; /* calls */
 	double slow; /* its time over the expected, 1: as told */
 	int64_t pause_us; /* not asked before */
+	int64_t shared_us; /* others seem to call it as well, until then */
 	uint64_t held; /* bytes of results that we know it keeps */
 };
 
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -437,7 +437,7 @@
 		refuse(g, q, MH_TOO_BUSY, retry_us);
 		return;
 	case MH_JOB_FAILED:
-	case MH_JOB_CANCELLED:
+	case MH_JOB_MOVED:
 		q->job = NULL;
 		mh_job_destroy(j);
 		refuse(g, q, MH_NO_ENDPOINT, retry_us);
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -367,7 +367,7 @@
 	MH_JOB_DONE,
 	MH_JOB_REFUSED, /* can't be served in time: not run */
 	MH_JOB_FAILED, /* tried, and given up on */
-	MH_JOB_CANCELLED
+	MH_JOB_MOVED /* not begun, and this process leaves */
 };
 
 /** struct mh_job - the stage work of one request. */
@@ -413,6 +413,7 @@
 	int64_t sent_us;
 	int64_t expect_us; /* how long it should take */
 	bool doubled; /* its pieces were given to another endpoint */
+	uint32_t others; /* calls waiting there when it ended */
 	struct mh_cell *cell;
 	struct mh_timer *fed; /* when its inputs will have been read */
 	void *call; /* the runner's own */
@@ -446,6 +447,8 @@
     struct mh_cell *c, struct mh_batch *b, enum mh_batch_end end);
 /** mh_cell_release() - the results of a job that has ended are free. */
 void mh_cell_release(struct mh_cell *c, struct mh_job *j);
+/** mh_cell_leave() - jobs that have not begun end as moved. */
+void mh_cell_leave(struct mh_cell *c);
 /** mh_cell_backlog_us() - how long a new piece would wait at a pool. */
 int64_t mh_cell_backlog_us(struct mh_cell *c, const char *pool);
 
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -23,6 +23,10 @@
 #define WORK "stage-work"
 /* Entries that read for all: one may be cut off or die unnoticed. */
 #define READERS 2
+/* A process that ran so long is as good a home as any. */
+#define SETTLED_US (8 * MH_US_PER_S)
+/* Processes that were started within this time were started together. */
+#define TOGETHER_US (2 * MH_US_PER_S)
 
 struct peer {
 	struct mh_mesh *m;
@@ -33,6 +37,8 @@
 	bool ready;
 	bool leaving;
 	bool reads; /* the platform answers it */
+	bool failed; /* the last try to reach it failed */
+	int64_t started_us; /* by our clock */
 	uint64_t dial; /* a link being opened, 0: none */
 	uint64_t out; /* links that are up, 0: none */
 	uint64_t in;
@@ -53,6 +59,7 @@
 	char *node;
 	double weight;
 	bool leaving;
+	int64_t started_us;
 	GHashTable *peers; /* node -> struct peer */
 	GHashTable *conns; /* conn -> struct peer */
 	struct mh_mesh_view view;
@@ -97,20 +104,59 @@
 	    mh_now(p->m->k) - p->heard_us < SILENT_US;
 }
 
+static bool
+serves(const struct peer *p)
+{
+	return alive(p) && p->ready && !p->leaving;
+}
+
+/* When the longest running of those that can serve was started. */
+static int64_t
+oldest_start(struct mh_mesh *m)
+{
+	int64_t oldest = m->started_us;
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		const struct peer *p = value;
+
+		if (serves(p))
+			oldest = MIN(oldest, p->started_us);
+	}
+	return oldest;
+}
+
+/*
+ * Work moves to another home each time a better one appears, and moving
+ * costs.  While processes restart in turn, those that have just come back are
+ * passed over as long as longer running ones can serve; when all restarted
+ * together, none is passed over.
+ */
+static int64_t
+latest_start(struct mh_mesh *m)
+{
+	return MAX(mh_now(m->k) - SETTLED_US, oldest_start(m) + TOGETHER_US);
+}
+
 const char *
 mh_mesh_home(struct mh_mesh *m, const char *what)
 {
+	int64_t latest = latest_start(m);
 	const char *best = m->node;
-	double most = m->leaving ? -1 : rank(what, m->node, m->weight);
+	double most = -1;
 	GHashTableIter it;
 	gpointer key, value;
 
+	if (!m->leaving && m->started_us <= latest)
+		most = rank(what, m->node, m->weight);
 	g_hash_table_iter_init(&it, m->peers);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		const struct peer *p = value;
 		double r = rank(what, p->node, p->weight);
 
-		if (alive(p) && p->ready && !p->leaving && r > most) {
+		if (serves(p) && p->started_us <= latest && r > most) {
 			best = p->node;
 			most = r;
 		}
@@ -219,6 +265,7 @@
 	gpointer key, value;
 
 	b.leaving = m->leaving;
+	b.uptime_us = (uint64_t)(mh_now(m->k) - m->started_us);
 	if (m->view.ready != NULL) {
 		b.ready = m->view.ready(m->view.arg);
 		b.reads = m->view.reads(m->view.arg);
@@ -266,6 +313,7 @@
 {
 	p->ready = b->ready;
 	p->reads = b->reads;
+	p->started_us = mh_now(m->k) - (int64_t)b->uptime_us;
 	if (b->leaving && !p->leaving)
 		mh_event(m->k, "peer-leaving", "node=%s", p->node);
 	p->leaving = b->leaving;
@@ -372,6 +420,7 @@
 	if (p->addr == NULL)
 		p->addr = g_strdup(l->addr);
 	p->heard_us = mh_now(m->k);
+	p->failed = false;
 	p->asked_conf = 0;
 	note_conn(m, l->conn, p);
 	mh_event(m->k, "peer-up", "node=%s addr=%s inbound=%d", p->node,
@@ -397,6 +446,7 @@
 	if (p == NULL)
 		return;
 	was = link_of(p) != 0;
+	p->failed = !was || p->failed;
 	g_hash_table_remove(m->conns, &conn);
 	if (p->dial == conn)
 		p->dial = 0;
@@ -432,7 +482,20 @@
 	peer_lost(m, p, "silent");
 }
 
-/* Among the first of the order, so worth a link of our own. */
+/* It can do work for us, or may as far as we know. */
+static bool
+may_serve(const struct peer *p)
+{
+	if (alive(p))
+		return p->ready && !p->leaving;
+	return p->listed && !p->failed;
+}
+
+/*
+ * Among the first of the order, so worth a link of our own.  Those that are
+ * down, leaving or not ready don't count: while many restart, the first few
+ * of the list may all be gone, and every entry would be left alone.
+ */
 static bool
 worth_link(struct mh_mesh *m, const struct peer *p)
 {
@@ -445,7 +508,7 @@
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		const struct peer *o = value;
 
-		before += o != p && (o->listed || alive(o)) &&
+		before += o != p && may_serve(o) &&
 		    rank(WORK, o->node, o->weight) > mine;
 	}
 	return before < DIALLED;
@@ -554,6 +617,7 @@
 	m->k = k;
 	m->node = g_strdup(node);
 	m->weight = weight;
+	m->started_us = mh_now(k);
 	m->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
 	m->conns =
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -4233,7 +4233,7 @@
   (ProtobufCMessageInit) mh__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__beat__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mh__beat__field_descriptors[6] =
 {
   {
     "ready",
@@ -4295,6 +4295,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "uptime_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Beat, uptime_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__beat__field_indices_by_name[] = {
   2,   /* field[2] = conf_revision */
@@ -4302,11 +4314,12 @@
   4,   /* field[4] = reads */
   0,   /* field[0] = ready */
   3,   /* field[3] = rows_revision */
+  5,   /* field[5] = uptime_us */
 };
 static const ProtobufCIntRange mh__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mh__beat__descriptor =
 {
@@ -4316,7 +4329,7 @@
   "Mh__Beat",
   "mh",
   sizeof(Mh__Beat),
-  5,
+  6,
   mh__beat__field_descriptors,
   mh__beat__field_indices_by_name,
   1,  mh__beat__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -547,10 +547,11 @@
    * the platform answers it
    */
   protobuf_c_boolean reads;
+  uint64_t uptime_us;
 };
 #define MH__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__beat__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 struct  Mh__ViewAsk
