Late work is estimated against what work on time leaves of a pool

Cause: 349 late jobs waited seconds for places that work on time kept taking. Ruled out: letting begun late work pass work on time. Change: the estimate for late work uses the pool's rate less the recent rate of work on time.

--- a/lib/cell.c
+++ b/lib/cell.c
@@ -13,6 +13,7 @@
 #include "gate.h"
 #include "cell.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Jobs are looked at this often for deadlines, calls for being overdue. */
@@ -43,7 +44,12 @@
  * A fresh job that would be late is taken only if the estimate lies within
  * this share of its time left: work that comes later may pass it.
  */
-#define LATE_SHARE 0.6
+#define LATE_SHARE 0.9
+#define RETURNED_SHARE 0.9
+/* Late work gets at least this part of a pool, in the estimate. */
+#define LATE_RATE_LEAST 0.1
+/* How long work that came on time counts as recent. */
+#define FRESH_US (2 * MH_US_PER_S)
 /* Estimates err; a job predicted to miss its aim by less is still taken. */
 #define AIM_SLACK_US (100 * MH_US_PER_MS)
 /* Times that one piece may be made before its job is given up. */
@@ -283,14 +289,36 @@
 	return rate * (double)MH_US_PER_S;
 }
 
-/* what a job still needs */
-
 static uint32_t
 todo(const struct mh_job *j, uint32_t stage)
 {
 	return j->state->stages[stage].left;
 }
 
+/* Pieces a second of work on time that came lately. */
+static double
+fresh_rate(struct mh_cell *c, struct cpool *p)
+{
+	double age = (double)(mh_now(c->k) - p->fresh_us) / (double)FRESH_US;
+
+	p->fresh *= exp(-age);
+	p->fresh_us = mh_now(c->k);
+	return p->fresh * (double)MH_US_PER_S / (double)FRESH_US;
+}
+
+static void
+note_fresh(struct mh_cell *c, const struct mh_job *j)
+{
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		struct cpool *p = j->state->stages[s].pool;
+
+		(void)fresh_rate(c, p);
+		p->fresh += todo(j, s);
+	}
+}
+
+
+
 static bool
 is_ready(const struct mh_job *j, uint32_t stage)
 {
@@ -516,6 +544,11 @@
 		rate = pool_rate(c, j->state->stages[s].pool);
 		if (rate <= 0)
 			return INT64_MAX;
+		/* What comes on time meanwhile passes work that is late. */
+		if (j->state->late)
+			rate = MAX(rate -
+				fresh_rate(c, j->state->stages[s].pool),
+			    rate * LATE_RATE_LEAST);
 		wait = (int64_t)(pieces_before(c, j->state->stages[s].pool,
 				     slack_key(j, s)) /
 		    rate * (double)MH_US_PER_S);
@@ -592,7 +625,8 @@
 		/* One that was refused before is taken if it can be done. */
 		ok = at != INT64_MAX &&
 		    at - now <= (int64_t)((double)left *
-			(j->returned ? 0.9 : LATE_SHARE));
+			(j->returned ? RETURNED_SHARE
+							  : LATE_SHARE));
 	}
 	mh_event(c->k, "job", "id=%s route=%s outcome=%s late=%d returned=%d "
 	    "predict_ms=%" PRId64 " aim_ms=%" PRId64 " left_ms=%" PRId64
@@ -622,6 +656,8 @@
 		return;
 	}
 	mh_count(c->k, "jobs_taken", 1);
+	if (!j->state->late)
+		note_fresh(c, j);
 	g_ptr_array_add(c->jobs, j);
 	if (c->tick == NULL)
 		c->tick = mh_timer_start(c->k, TICK_US, on_tick, c);
--- a/lib/cell.h
+++ b/lib/cell.h
@@ -20,6 +20,8 @@
 	char *name;
 	const struct mh_gwork *work; /* of the configuration in force */
 	GHashTable *workers; /* endpoint id -> struct worker */
+	double fresh; /* pieces of work on time that came lately, fading */
+	int64_t fresh_us; /* when that was worked out */
 };
 
 /** struct made - one piece: where it is made, or was. */
