--- a/lib/broker.c
+++ b/lib/broker.c
@@ -33,8 +33,8 @@
 	GHashTable *sent; /* job -> struct sent */
 	GHashTable *guests; /* node/id -> struct guest */
 	GHashTable *guest_jobs; /* job -> struct guest */
-	void (*end)(void *arg, struct mh_job *j, enum mh_job_end end,
-	    int64_t retry_us);
+	void (*end)(
+	    void *arg, struct mh_job *j, enum mh_job_end end, int64_t retry_us);
 	void *end_arg;
 };
 
@@ -137,8 +137,7 @@
 		GPtrArray *a = g_ptr_array_new_with_free_func(g_free);
 
 		for (size_t i = 0; i < m->stages[s]->n_results; i++)
-			g_ptr_array_add(
-			    a, g_strdup(m->stages[s]->results[i]));
+			g_ptr_array_add(a, g_strdup(m->stages[s]->results[i]));
 		if (j->stages[s].results != NULL)
 			g_ptr_array_free(j->stages[s].results, TRUE);
 		j->stages[s].results = a;
@@ -230,8 +229,7 @@
 	j->n_stages = MIN((uint32_t)m->n_stages, MH_GSTAGES);
 	for (uint32_t s = 0; s < j->n_stages; s++) {
 		j->stages[s].pool = g_strdup(m->stages[s]->pool);
-		j->stages[s].after =
-		    m->stages[s]->after & ((1U << s) - 1);
+		j->stages[s].after = m->stages[s]->after & ((1U << s) - 1);
 		j->stages[s].pieces = m->stages[s]->pieces;
 		j->stages[s].result_bytes = m->stages[s]->result_bytes;
 	}
@@ -275,8 +273,8 @@
 }
 
 static void
-send_end(struct mh_broker *b, struct guest *g, enum mh_job_end end,
-    int64_t retry_us)
+send_end(
+    struct mh_broker *b, struct guest *g, enum mh_job_end end, int64_t retry_us)
 {
 	struct mh_job *j = g->job;
 	Mh__Frame f = MH__FRAME__INIT;
@@ -368,8 +366,8 @@
 
 void
 mh_broker_on_end(struct mh_broker *b,
-    void (*fn)(void *arg, struct mh_job *j, enum mh_job_end end,
-	int64_t retry_us),
+    void (*fn)(
+	void *arg, struct mh_job *j, enum mh_job_end end, int64_t retry_us),
     void *arg)
 {
 	b->end = fn;
--- a/lib/cell.h
+++ b/lib/cell.h
@@ -1,8 +1,18 @@
 #ifndef CELL_H
 #define CELL_H
 
-/* cell.c's own state, seen by its tests only through gate.h. */
+/* The state of a cell, shared by the files cell*.c alone; others use gate.h. */
 
+#include "gate.h"
+
+/* An endpoint without room for results is asked again after this. */
+#define ROOM_PAUSE_US (120 * MH_US_PER_MS)
+/*
+ * Where another process calls the endpoint too, as while entries disagree on
+ * whose turn it is, ours waits behind it: its inputs are kept to the end for
+ * this long after the last sign of that.
+ */
+#define SHARED_US (3 * MH_US_PER_S)
 /* Added to the key of work that is late: behind all that is on time. */
 #define LATE_BEHIND_US (3600 * MH_US_PER_S)
 
@@ -70,4 +80,71 @@
 	bool dispatching;
 };
 
+/* cellwork.c */
+
+/** mh_cell_followers() - stages that read the results of @stage. */
+uint32_t mh_cell_followers(const struct mh_job *j, uint32_t stage);
+/** mh_cell_pool_of() - the pool of that name, made when first asked for. */
+struct cpool *mh_cell_pool_of(struct mh_cell *c, const char *name);
+/** mh_cell_pool_rate() - pieces a second with full calls, of usable endpoints.
+ */
+double mh_cell_pool_rate(struct mh_cell *c, struct cpool *p);
+/** mh_cell_todo() - pieces of a stage that are not made. */
+uint32_t mh_cell_todo(const struct mh_job *j, uint32_t stage);
+/** mh_cell_fresh_rate() - pieces a second of work on time that came lately. */
+double mh_cell_fresh_rate(struct mh_cell *c, struct cpool *p);
+/** mh_cell_stage_us() - what a stage takes in a call that is not rushed. */
+int64_t mh_cell_stage_us(const struct mh_job *j, uint32_t stage);
+/** mh_cell_slack_key() - the order of waiting; lower goes first. */
+int64_t mh_cell_slack_key(struct mh_job *j, uint32_t stage);
+/** mh_cell_worker_of() - what is believed of one endpoint. */
+struct worker *mh_cell_worker_of(struct cpool *p, const char *node);
+/** mh_cell_item_factor() - a stage's cost a piece over its pool's mean. */
+double *mh_cell_item_factor(
+    struct mh_cell *c, const char *route, uint32_t stage);
+/** mh_cell_item_us() - time that one piece adds to a call. */
+int64_t mh_cell_item_us(const struct mh_job *j, uint32_t stage);
+/** mh_cell_is_ready() - whether all inputs of a stage are made. */
+bool mh_cell_is_ready(const struct mh_job *j, uint32_t stage);
+/** mh_cell_path_us() - the longest chain of work from @stage to the end. */
+int64_t mh_cell_path_us(struct mh_job *j, uint32_t stage);
+/** mh_cell_work_of() - how a pool takes work, as configured. */
+const struct mh_gwork *mh_cell_work_of(
+    const struct mh_cell *c, const char *pool);
+/** mh_cell_note_fresh() - counts work on time that was taken. */
+void mh_cell_note_fresh(struct mh_cell *c, const struct mh_job *j);
+/** mh_cell_left_us() - the longest chain of work of a whole job. */
+int64_t mh_cell_left_us(struct mh_job *j);
+/** mh_cell_is_late() - whether a job will miss its aim. */
+bool mh_cell_is_late(struct mh_cell *c, struct mh_job *j);
+
+/* cellmade.c */
+
+/** mh_cell_drop_inputs() - frees the inputs of @stage that none will read. */
+void mh_cell_drop_inputs(struct mh_cell *c, struct mh_job *j, uint32_t stage);
+/** mh_cell_give_room() - an endpoint has so many bytes of room again. */
+void mh_cell_give_room(struct worker *w, uint64_t bytes);
+/** mh_cell_drop_results() - frees every result of a stage. */
+void mh_cell_drop_results(struct mh_cell *c, struct mh_job *j, uint32_t stage);
+/** mh_cell_need_inputs() - inputs of @stage that were freed are made again. */
+void mh_cell_need_inputs(struct mh_cell *c, struct mh_job *j, uint32_t stage);
+/** mh_cell_remake_inputs() - inputs of @stage are gone and are made again. */
+void mh_cell_remake_inputs(struct mh_cell *c, struct mh_job *j, uint32_t stage);
+
+/* celladmit.c */
+
+/** mh_cell_room_in_us() - when the work that is queued is worked off. */
+int64_t mh_cell_room_in_us(struct mh_cell *c, const struct mh_job *j);
+/** mh_cell_admit() - whether a new job is taken; notes if it is late. */
+bool mh_cell_admit(struct mh_cell *c, struct mh_job *j);
+
+/* cellrun.c */
+
+/** mh_cell_free_batch() - forgets a call. */
+void mh_cell_free_batch(struct mh_cell *c, struct mh_batch *b);
+/** mh_cell_dispatch_all() - gives work to every endpoint that is free. */
+void mh_cell_dispatch_all(struct mh_cell *c);
+/** mh_cell_learn() - what the time of a call says of endpoint and pieces. */
+void mh_cell_learn(struct mh_cell *c, struct mh_batch *b, struct worker *w);
+
 #endif
--- /dev/null
+++ b/lib/celladmit.c
@@ -0,0 +1,133 @@
+/**
+ * DOC: Whether new work can be done in time.
+ */
+
+#include "cell.h"
+
+#include <string.h>
+
+/*
+ * A fresh job that would be late is taken only if the estimate lies within
+ * this share of its time left: work that comes later may pass it.
+ */
+#define LATE_SHARE 0.9
+#define RETURNED_SHARE 0.9
+/* Late work gets at least this part of a pool, in the estimate. */
+#define LATE_RATE_LEAST 0.1
+/*
+ * Work taken on time must end on time: what is taken to the last moment ends
+ * a little late, all of it, once a pool is full.
+ */
+#define ADMIT_MARGIN_US (200 * MH_US_PER_MS)
+
+/* admission */
+
+/* Pieces of live jobs that go before @key at a pool. */
+static double
+pieces_before(struct mh_cell *c, const struct cpool *pool, int64_t key)
+{
+	double n = 0;
+
+	for (guint i = 0; i < c->jobs->len; i++) {
+		struct mh_job *j = g_ptr_array_index(c->jobs, i);
+
+		for (uint32_t s = 0; s < j->n_stages; s++) {
+			if (mh_cell_todo(j, s) > 0 &&
+			    j->state->stages[s].pool == pool &&
+			    mh_cell_slack_key(j, s) <= key)
+				n += mh_cell_todo(j, s);
+		}
+	}
+	return n;
+}
+
+/*
+ * When the job would be done if nothing more came: each stage waits for what
+ * goes before it at its pool, less what is worked off until it is ready.
+ */
+static int64_t
+predict_us(struct mh_cell *c, struct mh_job *j)
+{
+	int64_t now = mh_now(c->k), done[MH_GSTAGES], last = now;
+
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		int64_t start = now, wait = 0;
+		double rate;
+
+		for (uint32_t a = 0; a < s; a++) {
+			if ((j->stages[s].after >> a & 1) != 0)
+				start = MAX(start, done[a]);
+		}
+		done[s] = start;
+		if (mh_cell_todo(j, s) == 0)
+			continue;
+		rate = mh_cell_pool_rate(c, j->state->stages[s].pool);
+		if (rate <= 0)
+			return INT64_MAX;
+		/* What comes on time meanwhile passes work that is late. */
+		if (j->state->late)
+			rate = MAX(rate -
+				mh_cell_fresh_rate(c, j->state->stages[s].pool),
+			    rate * LATE_RATE_LEAST);
+		wait = (int64_t)(pieces_before(c, j->state->stages[s].pool,
+				     mh_cell_slack_key(j, s)) /
+		    rate * (double)MH_US_PER_S);
+		wait = MAX(wait - (start - now), 0);
+		done[s] = start + wait + mh_cell_stage_us(j, s);
+		last = MAX(last, done[s]);
+	}
+	return last;
+}
+
+int64_t
+mh_cell_backlog_us(struct mh_cell *c, const char *name)
+{
+	struct cpool *pool = mh_cell_pool_of(c, name);
+	double rate = mh_cell_pool_rate(c, pool);
+
+	if (rate <= 0)
+		return MH_US_PER_S;
+	return (int64_t)(pieces_before(c, pool, INT64_MAX) / rate *
+	    (double)MH_US_PER_S);
+}
+
+/* When the work that is queued will have been worked off. */
+int64_t
+mh_cell_room_in_us(struct mh_cell *c, const struct mh_job *j)
+{
+	int64_t us = 0;
+
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		if (j->stages[s].pieces > 0)
+			us = MAX(us, mh_cell_backlog_us(c, j->stages[s].pool));
+	}
+	return us;
+}
+
+bool
+mh_cell_admit(struct mh_cell *c, struct mh_job *j)
+{
+	int64_t now = mh_now(c->k), at, left = j->deadline_us - now;
+	bool ok;
+
+	at = predict_us(c, j);
+	if (at <= j->aim_us - ADMIT_MARGIN_US)
+		ok = true;
+	else {
+		j->state->late = true;
+		at = predict_us(c, j);
+		/* One that was refused before is taken if it can be done. */
+		ok = at != INT64_MAX &&
+		    at - now <=
+			(int64_t)((double)left *
+			    (j->returned ? RETURNED_SHARE : LATE_SHARE));
+	}
+	mh_event(c->k, "job",
+	    "id=%s route=%s outcome=%s late=%d returned=%d "
+	    "predict_ms=%" PRId64 " aim_ms=%" PRId64 " left_ms=%" PRId64
+	    " jobs=%u",
+	    j->id, j->route, ok ? "taken" : "refused", j->state->late,
+	    j->returned, at == INT64_MAX ? -1 : mh_ms(at - now),
+	    mh_ms(j->aim_us - now), mh_ms(left), c->jobs->len);
+	return ok;
+}
--- /dev/null
+++ b/lib/cellmade.c
@@ -0,0 +1,138 @@
+/**
+ * DOC: Results that were made: kept while needed, made again when lost.
+ */
+
+#include "cell.h"
+
+#include <string.h>
+
+static void remake(
+    struct mh_cell *c, struct mh_job *j, uint32_t stage, uint32_t piece);
+
+/* ends of a job */
+
+void
+mh_cell_give_room(struct worker *w, uint64_t bytes)
+{
+	w->held -= MIN(w->held, bytes);
+}
+
+static void
+drop_result(struct mh_cell *c, struct mh_job *j, uint32_t stage, uint32_t i)
+{
+	struct mh_jstage *st = &j->stages[stage];
+	struct made *m = &j->state->stages[stage].made[i];
+	char **slot = (char **)&g_ptr_array_index(st->results, i);
+
+	if (*slot == NULL)
+		return;
+	if (m->worker != NULL)
+		mh_cell_give_room(m->worker, st->result_bytes);
+	m->worker = NULL;
+	c->ops.discard(c->ops.arg, *slot);
+	g_free(*slot);
+	*slot = NULL;
+}
+
+void
+mh_cell_drop_results(struct mh_cell *c, struct mh_job *j, uint32_t stage)
+{
+	for (uint32_t i = 0; i < j->stages[stage].pieces; i++)
+		drop_result(c, j, stage, i);
+}
+
+/* Whether every piece of a stage is made, or has read its inputs. */
+static bool
+is_fed(const struct mh_job *j, uint32_t stage)
+{
+	const struct sstate *ss = &j->state->stages[stage];
+
+	for (uint32_t i = 0; i < j->stages[stage].pieces; i++) {
+		if (ss->made[i].need && !ss->made[i].fed)
+			return false;
+	}
+	return true;
+}
+
+/* Frees the inputs of a stage that no stage will read any more. */
+void
+mh_cell_drop_inputs(struct mh_cell *c, struct mh_job *j, uint32_t stage)
+{
+	for (uint32_t s = 0; s < stage; s++) {
+		bool wanted = false;
+
+		if ((j->stages[stage].after >> s & 1) == 0)
+			continue;
+		for (uint32_t t = 0; t < j->n_stages; t++)
+			wanted = wanted ||
+			    ((j->stages[t].after >> s & 1) != 0 &&
+				!is_fed(j, t));
+		if (!wanted)
+			mh_cell_drop_results(c, j, s);
+	}
+}
+
+/* Inputs that were freed, since a call had read them, are made again. */
+void
+mh_cell_need_inputs(struct mh_cell *c, struct mh_job *j, uint32_t stage)
+{
+	for (uint32_t s = 0; s < stage; s++) {
+		if ((j->stages[stage].after >> s & 1) == 0)
+			continue;
+		for (uint32_t i = 0; i < j->stages[s].pieces; i++) {
+			if (!j->state->stages[s].made[i].need &&
+			    g_ptr_array_index(j->stages[s].results, i) == NULL)
+				remake(c, j, s, i);
+		}
+	}
+}
+
+/* Makes a result once more, and what it needs that was given up since. */
+static void
+remake(struct mh_cell *c, struct mh_job *j, uint32_t stage, uint32_t piece)
+{
+	struct sstate *ss = &j->state->stages[stage];
+
+	drop_result(c, j, stage, piece);
+	ss->made[piece].need = true;
+	ss->made[piece].fed = false;
+	ss->left++;
+	j->state->stale = true;
+	mh_count(c->k, "pieces_remade", 1);
+	mh_cell_need_inputs(c, j, stage);
+}
+
+static bool
+in_doubt(struct mh_cell *c, const struct made *m)
+{
+	struct mh_node *n =
+	    m->node == NULL ? NULL : mh_fleet_find(c->f, m->node);
+
+	return n == NULL || n->out_until_us > mh_now(c->k);
+}
+
+/*
+ * The results that a piece was to read are gone: those whose maker is in
+ * doubt are made again, or all where none is.
+ */
+void
+mh_cell_remake_inputs(struct mh_cell *c, struct mh_job *j, uint32_t stage)
+{
+	bool any = false;
+
+	for (int all = 0; all < 2 && !any; all++) {
+		for (uint32_t s = 0; s < stage; s++) {
+			struct sstate *ss = &j->state->stages[s];
+
+			if ((j->stages[stage].after >> s & 1) == 0)
+				continue;
+			for (uint32_t i = 0; i < j->stages[s].pieces; i++) {
+				if (ss->made[i].need ||
+				    (all == 0 && !in_doubt(c, &ss->made[i])))
+					continue;
+				remake(c, j, s, i);
+				any = true;
+			}
+		}
+	}
+}
--- /dev/null
+++ b/lib/cellrun.c
@@ -0,0 +1,428 @@
+/**
+ * DOC: Which pieces go to which endpoint, in one call.
+ */
+
+#include "cell.h"
+
+#include <string.h>
+
+/* How far one observation moves what is believed of an endpoint's speed. */
+#define SLOW_WEIGHT 0.5
+#define ITEM_WEIGHT 0.1
+/* An endpoint this much slower than told gets only work that can wait. */
+#define SLOW_OUT 1.8
+/* Room kept free for what other processes may still keep there. */
+#define ROOM_USED 0.95
+/*
+ * Work waits so long for an endpoint in the failure domain of its data: half
+ * of a full call, after which one of two endpoints there has come free.
+ */
+#define HOLD_US (200 * MH_US_PER_MS)
+/* Only with this much time to spare, and for this many bytes. */
+#define HOLD_SLACK_US (350 * MH_US_PER_MS)
+#define HOLD_BYTES (200U << 10)
+#define MAX_DOMAINS 16
+/*
+ * An endpoint reads its inputs when a call's turn comes.  Ours has its turn
+ * at once, so that after this time they are free, long before the call ends:
+ * room for results, not time, is what a burst runs out of.
+ */
+#define FED_US (40 * MH_US_PER_MS)
+/* A call that took this much longer than expected waited behind another's. */
+#define SHARED_RATIO 1.35
+/* One wanted piece weighs as much as this part of an endpoint's speed. */
+#define WANTED_WORTH 0.02
+
+/* results and where they lie */
+
+static const char *
+domain_of(struct mh_cell *c, const char *node)
+{
+	const struct mh_node *n =
+	    node == NULL ? NULL : mh_fleet_find(c->f, node);
+
+	return n == NULL ? NULL : n->domain;
+}
+
+struct pull {
+	const char *domain;
+	uint64_t bytes;
+};
+
+static void
+add_pull(struct pull *all, uint32_t *n, const char *domain, uint64_t bytes)
+{
+	if (domain == NULL || bytes == 0)
+		return;
+	for (uint32_t i = 0; i < *n; i++) {
+		if (strcmp(all[i].domain, domain) == 0) {
+			all[i].bytes += bytes;
+			return;
+		}
+	}
+	if (*n < MAX_DOMAINS) {
+		all[*n].domain = domain;
+		all[*n].bytes = bytes;
+		(*n)++;
+	}
+}
+
+/*
+ * The failure domain in which a stage of a job moves fewest bytes to others:
+ * where its inputs lie, and where its results will be read.  NULL where it
+ * makes no difference worth waiting for.
+ */
+static const char *
+best_domain(struct mh_cell *c, const struct mh_job *j, uint32_t stage)
+{
+	const struct mh_jstage *st = &j->stages[stage];
+	struct pull all[MAX_DOMAINS];
+	uint32_t n = 0, best = 0;
+
+	for (uint32_t s = 0; s < stage; s++) {
+		if ((st->after >> s & 1) == 0)
+			continue;
+		for (uint32_t i = 0; i < j->stages[s].pieces; i++)
+			add_pull(all, &n,
+			    domain_of(c, j->state->stages[s].made[i].node),
+			    j->stages[s].result_bytes * st->pieces);
+	}
+	if (mh_cell_followers(j, stage) == 0)
+		add_pull(all, &n, j->domain, st->result_bytes * st->pieces);
+	for (uint32_t i = 1; i < n; i++) {
+		if (all[i].bytes > all[best].bytes)
+			best = i;
+	}
+	return n == 0 || all[best].bytes < HOLD_BYTES ? NULL : all[best].domain;
+}
+
+/* calls */
+
+void
+mh_cell_free_batch(struct mh_cell *c, struct mh_batch *b)
+{
+	mh_timer_stop(c->k, &b->fed);
+	for (guint i = 0; i < b->items->len; i++)
+		g_free(g_array_index(b->items, struct mh_batch_item, i).result);
+	g_array_free(b->items, TRUE);
+	g_free(b->node);
+	g_free(b->pool);
+	g_hash_table_remove(c->batches, &b->id);
+	g_free(b);
+}
+
+struct unit {
+	struct mh_job *job;
+	uint32_t stage;
+	int64_t key;
+	const char *domain; /* where it is better run, NULL: anywhere */
+	bool holds; /* it can still wait for an endpoint there */
+};
+
+static gint
+by_key(gconstpointer a, gconstpointer b)
+{
+	const struct unit *x = a, *y = b;
+
+	return x->key < y->key ? -1 : x->key > y->key;
+}
+
+/* Whether a pool has a usable endpoint in a failure domain. */
+static bool
+has_domain(struct mh_cell *c, const char *pool, const char *domain)
+{
+	GPtrArray *nodes = mh_fleet_pool(c->f, pool);
+
+	for (guint i = 0; nodes != NULL && i < nodes->len; i++) {
+		const struct mh_node *n = g_ptr_array_index(nodes, i);
+
+		if (mh_node_usable(c->f, n) && strcmp(n->domain, domain) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Work waits a little for an endpoint near its data, as long as its aim
+ * allows; under load everything waits longer than that and goes anywhere.
+ */
+static void
+place_unit(struct mh_cell *c, const struct cpool *p, struct unit *u)
+{
+	struct sstate *ss = &u->job->state->stages[u->stage];
+	int64_t now = mh_now(c->k);
+
+	if (ss->ready_us == 0)
+		ss->ready_us = now;
+	u->domain = best_domain(c, u->job, u->stage);
+	if (u->domain == NULL || u->job->state->late)
+		return;
+	u->holds = now - ss->ready_us < HOLD_US &&
+	    u->job->aim_us - now - mh_cell_path_us(u->job, u->stage) >
+		HOLD_SLACK_US &&
+	    has_domain(c, p->name, u->domain);
+}
+
+static bool
+suits(const struct unit *u, const struct mh_node *n)
+{
+	return !u->holds || strcmp(u->domain, n->domain) == 0;
+}
+
+static GArray *
+ready_units(struct mh_cell *c, const struct cpool *p)
+{
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct unit));
+
+	for (guint i = 0; i < c->jobs->len; i++) {
+		struct mh_job *j = g_ptr_array_index(c->jobs, i);
+
+		for (uint32_t s = 0; s < j->n_stages; s++) {
+			const struct sstate *ss = &j->state->stages[s];
+			struct unit u = { j, s, 0, NULL, false };
+
+			if (ss->left <= ss->flying || ss->pool != p ||
+			    !mh_cell_is_ready(j, s))
+				continue;
+			u.key = mh_cell_slack_key(j, s);
+			place_unit(c, p, &u);
+			g_array_append_val(all, u);
+		}
+	}
+	g_array_sort(all, by_key);
+	return all;
+}
+
+static void
+take_pieces(struct mh_batch *b, struct worker *w, const struct unit *u,
+    const struct mh_gwork *gw)
+{
+	struct mh_jstage *st = &u->job->stages[u->stage];
+	struct sstate *ss = &u->job->state->stages[u->stage];
+
+	for (uint32_t i = 0; i < st->pieces && b->items->len < gw->batch; i++) {
+		struct mh_batch_item m = { .job = u->job,
+			.stage = u->stage,
+			.piece = i,
+			.bytes = st->result_bytes };
+
+		if (ss->made[i].flying || !ss->made[i].need)
+			continue;
+		if (gw->room_bytes > 0 && w->held > 0 &&
+		    (double)(w->held + st->result_bytes) >
+			ROOM_USED * (double)gw->room_bytes)
+			return;
+		u->job->state->started = true;
+		ss->made[i].flying = true;
+		ss->made[i].fed = false;
+		ss->made[i].tries++;
+		ss->flying++;
+		w->held += st->result_bytes;
+		b->expect_us += mh_cell_item_us(u->job, u->stage);
+		g_array_append_val(b->items, m);
+	}
+}
+
+/* What waits, without the pieces just taken. */
+static uint32_t
+ready_pieces(const GArray *units)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < units->len; i++) {
+		const struct unit *u = &g_array_index(units, struct unit, i);
+		const struct sstate *ss = &u->job->state->stages[u->stage];
+
+		n += ss->left - ss->flying;
+	}
+	return n;
+}
+
+static void
+on_fed(void *arg)
+{
+	struct mh_batch *b = arg;
+	struct mh_cell *c = b->cell;
+
+	b->fed = NULL;
+	for (guint i = 0; i < b->items->len; i++) {
+		const struct mh_batch_item *m =
+		    &g_array_index(b->items, struct mh_batch_item, i);
+
+		if (m->job == NULL)
+			continue;
+		m->job->state->stages[m->stage].made[m->piece].fed = true;
+		mh_cell_drop_inputs(c, m->job, m->stage);
+	}
+	mh_cell_dispatch_all(c);
+}
+
+static void
+run_batch(
+    struct mh_cell *c, struct cpool *p, const struct mh_node *n, GArray *units)
+{
+	struct worker *w = mh_cell_worker_of(p, n->id);
+	const struct mh_gwork *gw = p->work;
+	struct mh_batch *b = g_new0(struct mh_batch, 1);
+
+	b->id = ++c->next_id;
+	b->node = g_strdup(n->id);
+	b->pool = g_strdup(p->name);
+	b->items = g_array_new(FALSE, FALSE, sizeof(struct mh_batch_item));
+	b->sent_us = mh_now(c->k);
+	b->expect_us = gw->call_us;
+	g_hash_table_insert(c->batches, &b->id, b);
+	for (guint i = 0; i < units->len && b->items->len < gw->batch; i++) {
+		const struct unit *u = &g_array_index(units, struct unit, i);
+
+		if (suits(u, n))
+			take_pieces(b, w, u, gw);
+	}
+	if (b->items->len == 0) {
+		w->pause_us = mh_now(c->k) + ROOM_PAUSE_US;
+		mh_cell_free_batch(c, b);
+		return;
+	}
+	w->flying++;
+	mh_count(c->k, "batches", 1);
+	mh_count(c->k, "batch_pieces", b->items->len);
+	mh_event(c->k, "batch",
+	    "batch=%" PRIu64 " pool=%s node=%s pieces=%u "
+	    "of=%u ready=%u held_kb=%" PRIu64 " room_kb=%" PRIu64
+	    " expect_ms=%" PRId64 " slow=%.2f first=%s",
+	    b->id, p->name, n->id, b->items->len, gw->batch,
+	    ready_pieces(units), w->held >> 10, gw->room_bytes >> 10,
+	    mh_ms(b->expect_us), w->slow,
+	    g_array_index(b->items, struct mh_batch_item, 0).job->id);
+	b->cell = c;
+	if (w->shared_us <= mh_now(c->k))
+		b->fed = mh_timer_start(c->k, FED_US, on_fed, b);
+	c->ops.run(c->ops.arg, b);
+}
+
+/* The endpoint that is fastest, and most wanted by what is ready. */
+static struct mh_node *
+free_node(struct mh_cell *c, struct cpool *p, const GArray *units)
+{
+	const struct mh_gwork *gw = p->work;
+	GPtrArray *nodes = mh_fleet_pool(c->f, p->name);
+	struct mh_node *best = NULL;
+	double least = 0, fastest = 1e9;
+	int64_t now = mh_now(c->k);
+
+	for (guint i = 0; nodes != NULL && i < nodes->len; i++) {
+		struct mh_node *n = g_ptr_array_index(nodes, i);
+
+		if (mh_node_usable(c->f, n))
+			fastest =
+			    MIN(fastest, mh_cell_worker_of(p, n->id)->slow);
+	}
+	for (guint i = 0; nodes != NULL && i < nodes->len; i++) {
+		struct mh_node *n = g_ptr_array_index(nodes, i);
+		struct worker *w = mh_cell_worker_of(p, n->id);
+		uint32_t wants = 0, suited = 0;
+		double score;
+
+		if (!mh_node_usable(c->f, n) || w->flying >= gw->running ||
+		    w->pause_us > now || w->slow > SLOW_OUT * fastest)
+			continue;
+		for (guint u = 0; u < units->len; u++) {
+			const struct unit *one =
+			    &g_array_index(units, struct unit, u);
+
+			suited += suits(one, n);
+			wants += one->domain != NULL &&
+			    strcmp(one->domain, n->domain) == 0;
+		}
+		if (suited == 0)
+			continue;
+		score = w->slow - WANTED_WORTH * MIN(wants, gw->batch);
+		if (best == NULL || score < least) {
+			best = n;
+			least = score;
+		}
+	}
+	return best;
+}
+
+/* Under load all are busy, which is seen sooner than what waits. */
+static bool
+any_free(struct mh_cell *c, struct cpool *p)
+{
+	GPtrArray *nodes = mh_fleet_pool(c->f, p->name);
+	int64_t now = mh_now(c->k);
+
+	for (guint i = 0; nodes != NULL && i < nodes->len; i++) {
+		const struct mh_node *n = g_ptr_array_index(nodes, i);
+		const struct worker *w = mh_cell_worker_of(p, n->id);
+
+		if (w->flying < p->work->running && w->pause_us <= now &&
+		    mh_node_usable(c->f, n))
+			return true;
+	}
+	return false;
+}
+
+static void
+dispatch(struct mh_cell *c, struct cpool *p)
+{
+	while (any_free(c, p)) {
+		GArray *units = ready_units(c, p);
+		struct mh_node *n =
+		    units->len > 0 ? free_node(c, p, units) : NULL;
+
+		if (n != NULL)
+			run_batch(c, p, n, units);
+		g_array_free(units, TRUE);
+		if (n == NULL)
+			return;
+	}
+}
+
+void
+mh_cell_dispatch_all(struct mh_cell *c)
+{
+	GHashTableIter it;
+	gpointer key, value;
+
+	if (c->dispatching)
+		return;
+	c->dispatching = true;
+	g_hash_table_iter_init(&it, c->pools);
+	while (g_hash_table_iter_next(&it, &key, &value))
+		dispatch(c, value);
+	c->dispatching = false;
+}
+
+void
+mh_cell_learn(struct mh_cell *c, struct mh_batch *b, struct worker *w)
+{
+	const struct mh_gwork *gw = mh_cell_pool_of(c, b->pool)->work;
+	double took = (double)(mh_now(c->k) - b->sent_us);
+	double ratio = took / (double)MAX(b->expect_us, 1);
+	double over;
+
+	/* A call that waited behind another's says nothing of the endpoint. */
+	if (b->others > 0) {
+		w->shared_us = mh_now(c->k) + SHARED_US;
+		return;
+	}
+	if (ratio > SHARED_RATIO)
+		w->shared_us = mh_now(c->k) + SHARED_US;
+	w->slow += SLOW_WEIGHT * (MAX(ratio, 0.5) - w->slow);
+	w->slow = MAX(w->slow, 0.7);
+	if (ratio < 0.5 || ratio > 1.5 || gw->item_us <= 0)
+		return; /* the endpoint's speed, not the pieces' */
+	over = (took - (double)b->expect_us) /
+	    ((double)gw->item_us * b->items->len);
+	for (guint i = 0; i < b->items->len; i++) {
+		const struct mh_batch_item *m =
+		    &g_array_index(b->items, struct mh_batch_item, i);
+		double *f;
+
+		if (m->job == NULL)
+			continue;
+		f = mh_cell_item_factor(c, m->job->route, m->stage);
+		*f = CLAMP(*f + ITEM_WEIGHT * over / b->items->len, 0.1, 4);
+	}
+}
--- a/lib/evlog.c
+++ b/lib/evlog.c
@@ -81,8 +81,8 @@
 {
 	int64_t now = mh_now(e->k);
 
-	e->allowance += (double)(now - e->filled_us) * LINES_PER_S /
-	    (double)MH_US_PER_S;
+	e->allowance +=
+	    (double)(now - e->filled_us) * LINES_PER_S / (double)MH_US_PER_S;
 	e->allowance = MIN(e->allowance, BURST_LINES);
 	e->filled_us = now;
 	if (e->allowance < 1 || e->out->len > MAX_WAITING) {
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -61,8 +61,8 @@
 	f->k = k;
 	f->nodes =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_node);
-	f->pools = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, free_array);
+	f->pools =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_array);
 	return f;
 }
 
@@ -115,8 +115,8 @@
 		n->addr = g_strdup(l->addr);
 	}
 	if (l->leaving && !n->leaving)
-		mh_event(f->k, "endpoint-leaving", "id=%s pool=%s", n->id,
-		    n->pool);
+		mh_event(
+		    f->k, "endpoint-leaving", "id=%s pool=%s", n->id, n->pool);
 	n->capacity = l->capacity;
 	n->leaving = l->leaving;
 	n->warm_at_us = mh_now(f->k) + l->warm_us;
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -184,11 +184,10 @@
 	    " tries=%u runs=%u returned=%d node=%s retry_ms=%" PRId64,
 	    q->id, q->route != NULL ? q->route->name : "-", outcome,
 	    q->org != NULL ? q->org->name : "-",
-	    q->conf != NULL ? q->conf->version : 0,
-	    mh_ms(now - q->arrived_us), mh_ms(q->aim_us - now),
-	    mh_ms(q->until_us - now), q->n_tried, q->runs, q->returned,
-	    q->n_tried > 0 ? q->tried[q->n_tried - 1] : "-",
-	    mh_ms(retry_us));
+	    q->conf != NULL ? q->conf->version : 0, mh_ms(now - q->arrived_us),
+	    mh_ms(q->aim_us - now), mh_ms(q->until_us - now), q->n_tried,
+	    q->runs, q->returned,
+	    q->n_tried > 0 ? q->tried[q->n_tried - 1] : "-", mh_ms(retry_us));
 }
 
 static void
@@ -248,8 +247,7 @@
 
 	if (q->cur != NULL && !q->cur->counted)
 		runs++;
-	return q->route->repeat != MH_REPEAT_NEVER &&
-	    runs < q->route->attempts;
+	return q->route->repeat != MH_REPEAT_NEVER && runs < q->route->attempts;
 }
 
 /* Goes to another endpoint if that is allowed; else ends. */
@@ -365,13 +363,13 @@
 	n->inflight++;
 	mh_place_sent(g->place, &a, n);
 	mh_event(g->k, "send",
-	    "id=%s route=%s node=%s pool=%s try=%u inflight=%u running=%u waiting=%u "
+	    "id=%s route=%s node=%s pool=%s try=%u inflight=%u running=%u "
+	    "waiting=%u "
 	    "told_ms=%" PRId64 " fail=%.2f home=%d left_ms=%" PRId64,
-	    q->id, q->route->name, n->id, q->pool, q->n_tried, n->inflight, n->running,
-	    n->waiting,
+	    q->id, q->route->name, n->id, q->pool, q->n_tried, n->inflight,
+	    n->running, n->waiting,
 	    n->told_us > 0 ? mh_ms(mh_now(g->k) - n->told_us) : -1, n->fail,
-	    a.at_home,
-	    mh_ms(left));
+	    a.at_home, mh_ms(left));
 	mh_timer_stop(g->k, &q->patience);
 	if (may_repeat(q))
 		set_patience(g, q, patience_us(q));
@@ -390,8 +388,8 @@
 	const struct mh_groute *r = q->route;
 	struct mh_place_ask a = { 0 };
 	const struct mh_node *home;
-	int64_t engine_us = ENGINE_US +
-	    (int64_t)q->tokens_in * ENGINE_US_PER_TOKEN;
+	int64_t engine_us =
+	    ENGINE_US + (int64_t)q->tokens_in * ENGINE_US_PER_TOKEN;
 
 	fill_place(g, q, &a);
 	home = mh_place_home(g->place, &a);
@@ -419,8 +417,8 @@
 }
 
 void
-mh_gate_job_end(struct mh_gate *g, struct mh_job *j, enum mh_job_end end,
-    int64_t retry_us)
+mh_gate_job_end(
+    struct mh_gate *g, struct mh_job *j, enum mh_job_end end, int64_t retry_us)
 {
 	struct mh_gask *q = j->owner;
 
@@ -476,12 +474,10 @@
 		    g->deadlines, g_strdup(q->route->name), longest);
 	}
 	*longest = MAX(*longest, given);
-	q->returned =
-	    (double)given < RETURNED_BELOW * (double)*longest;
+	q->returned = (double)given < RETURNED_BELOW * (double)*longest;
 	q->first_us = now;
 	if (q->returned)
-		q->first_us -=
-		    (int64_t)(GIVEN_MEAN * (double)*longest) - given;
+		q->first_us -= (int64_t)(GIVEN_MEAN * (double)*longest) - given;
 	q->aim_us = q->first_us + q->route->aim_us;
 	q->until_us = now + MIN(given, q->route->timeout_us);
 	q->first_by_us = q->until_us;
@@ -491,8 +487,8 @@
 		    PATIENCE_GAPS * q->route->gap_aim_us);
 
 		patience = MAX(patience, PATIENCE_LEAST_US);
-		q->first_by_us = MIN(q->until_us,
-		    now + patience * PATIENCE_PERCENT / 100);
+		q->first_by_us =
+		    MIN(q->until_us, now + patience * PATIENCE_PERCENT / 100);
 	}
 }
 
@@ -540,8 +536,8 @@
 	q->pool = mh_groute_pool(q->route, mh_random_unit(g->k));
 	set_times(g, q);
 	if (q->pool == NULL || q->n_pieces > q->route->n_stages) {
-		refuse(g, q, q->pool == NULL ? MH_NO_ENDPOINT : MH_BAD_REQUEST,
-		    0);
+		refuse(
+		    g, q, q->pool == NULL ? MH_NO_ENDPOINT : MH_BAD_REQUEST, 0);
 		return;
 	}
 	if (!ends_in_time(g, q)) {
@@ -658,8 +654,8 @@
 		release_job(g, q);
 	}
 	if (q->route->stream && may_repeat(q))
-		set_patience(g, q, MAX(GAP_FACTOR * q->route->gap_aim_us,
-				       GAP_DEFAULT_US));
+		set_patience(g, q,
+		    MAX(GAP_FACTOR * q->route->gap_aim_us, GAP_DEFAULT_US));
 }
 
 void
@@ -680,8 +676,8 @@
 	    q->id, t->node, end == MH_CALL_BROKEN,
 	    mh_ms(mh_now(g->k) - t->sent_us));
 	if (n != NULL)
-		mh_node_bad(g->f, n,
-		    end == MH_CALL_UNSENT ? "unreachable" : "broken");
+		mh_node_bad(
+		    g->f, n, end == MH_CALL_UNSENT ? "unreachable" : "broken");
 	if (end == MH_CALL_BROKEN)
 		count_run(q, t);
 	leave_try(g, q, false);
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -27,8 +27,7 @@
 /** mh_headers_get() - the first field of that name, any case, or NULL. */
 const char *mh_headers_get(const struct mh_headers *h, const char *name);
 uint32_t mh_headers_count(const struct mh_headers *h, const char *name);
-void mh_headers_each(
-    const struct mh_headers *h, mh_header_fn fn, void *arg);
+void mh_headers_each(const struct mh_headers *h, mh_header_fn fn, void *arg);
 /** mh_list_has() - whether a comma-separated list holds @word, any case. */
 bool mh_list_has(const char *list, const char *word);
 /** mh_header_is_hop() - a field that concerns one connection only. */
@@ -429,8 +428,8 @@
 	void (*run)(void *arg, struct mh_batch *b);
 	void (*abort)(void *arg, struct mh_batch *b);
 	/* @j is the submitter's to destroy; its results stay to be freed */
-	void (*end)(void *arg, struct mh_job *j, enum mh_job_end end,
-	    int64_t retry_us);
+	void (*end)(
+	    void *arg, struct mh_job *j, enum mh_job_end end, int64_t retry_us);
 	void (*discard)(void *arg, const char *result);
 	void *arg;
 };
@@ -452,15 +451,13 @@
 /** mh_cell_backlog_us() - how long a new piece would wait at a pool. */
 int64_t mh_cell_backlog_us(struct mh_cell *c, const char *pool);
 
-
 /* sse.c: whole events of a stream, and where it stands */
 
 struct mh_sse;
 struct mh_sse *mh_sse_create(void);
 void mh_sse_destroy(struct mh_sse *s);
 /** mh_sse_feed() - appends to @out what completes events. */
-void mh_sse_feed(
-    struct mh_sse *s, const char *data, size_t len, GString *out);
+void mh_sse_feed(struct mh_sse *s, const char *data, size_t len, GString *out);
 /** mh_sse_restart() - forgets an incomplete event; another run goes on. */
 void mh_sse_restart(struct mh_sse *s);
 /** mh_sse_last_id() - the id of the last whole event, or NULL. */
@@ -595,14 +592,13 @@
 void mh_gate_take(struct mh_gate *g, struct mh_gask *q);
 /** mh_gate_gone() - its caller left; the request is forgotten. */
 void mh_gate_gone(struct mh_gate *g, struct mh_gask *q);
-void mh_gate_job_end(struct mh_gate *g, struct mh_job *j,
-    enum mh_job_end end, int64_t retry_us);
+void mh_gate_job_end(
+    struct mh_gate *g, struct mh_job *j, enum mh_job_end end, int64_t retry_us);
 enum mh_verdict mh_gate_head(
     struct mh_gate *g, struct mh_try *t, const struct mh_gans *a);
 /** mh_gate_progress() - a part of the answer has come. */
 void mh_gate_progress(struct mh_gate *g, struct mh_try *t);
-void mh_gate_end(
-    struct mh_gate *g, struct mh_try *t, enum mh_hcall_end end);
+void mh_gate_end(struct mh_gate *g, struct mh_try *t, enum mh_hcall_end end);
 uint32_t mh_gate_open(const struct mh_gate *g);
 /** mh_gate_leaving() - what cannot end within @left_us is refused. */
 void mh_gate_leaving(struct mh_gate *g, int64_t left_us);
--- a/lib/gconf.c
+++ b/lib/gconf.c
@@ -62,10 +62,9 @@
 	c->refs = 1;
 	c->routes = g_ptr_array_new_with_free_func(free_route);
 	c->orgs = g_ptr_array_new_with_free_func(free_org);
-	c->pools = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, NULL, free_pool);
-	c->keys =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	c->pools =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
+	c->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return c;
 }
 
--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -394,8 +394,8 @@
 		c->connected = true;
 		set_timer(c, 0);
 	}
-	if (c->call != NULL && c->call->sent < g_bytes_get_size(c->call->text) &&
-	    !write_out(c))
+	if (c->call != NULL &&
+	    c->call->sent < g_bytes_get_size(c->call->text) && !write_out(c))
 		return;
 	if (readable)
 		read_in(c);
@@ -547,8 +547,8 @@
 	a->k = mh_loop_kern(l);
 	a->loop = l;
 	a->conns = g_hash_table_new(NULL, NULL);
-	a->peers = g_hash_table_new_full(
-	    g_str_hash, g_str_equal, g_free, free_list);
+	a->peers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_list);
 	return a;
 }
 
--- a/lib/headers.c
+++ b/lib/headers.c
@@ -78,8 +78,7 @@
 }
 
 void
-mh_headers_each(
-    const struct mh_headers *h, mh_header_fn fn, void *arg)
+mh_headers_each(const struct mh_headers *h, mh_header_fn fn, void *arg)
 {
 	for (uint32_t i = 0; i < h->fields->len; i++)
 		fn(arg, at(h, i)->name, at(h, i)->value);
@@ -106,9 +105,9 @@
 mh_header_is_hop(const struct mh_headers *h, const char *name)
 {
 	static const char *const hop[] = { "Connection", "Keep-Alive",
-		"Proxy-Connection", "Proxy-Authenticate",
-		"Proxy-Authorization", "TE", "Trailer", "Transfer-Encoding",
-		"Upgrade", "Content-Length", "Expect", NULL };
+		"Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+		"TE", "Trailer", "Transfer-Encoding", "Upgrade",
+		"Content-Length", "Expect", NULL };
 
 	for (int i = 0; hop[i] != NULL; i++) {
 		if (g_ascii_strcasecmp(hop[i], name) == 0)
--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -566,15 +566,14 @@
 	(void)writable;
 	for (;;) {
 		int on = 1, ms = USER_TIMEOUT_MS;
-		int fd = accept4(
-		    s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+		int fd =
+		    accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 		struct conn *c;
 
 		if (fd < 0)
 			return;
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-		setsockopt(
-		    fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
 		c = g_new0(struct conn, 1);
 		c->s = s;
 		c->fd = fd;
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -100,8 +100,7 @@
 static bool
 alive(const struct peer *p)
 {
-	return link_of(p) != 0 &&
-	    mh_now(p->m->k) - p->heard_us < SILENT_US;
+	return link_of(p) != 0 && mh_now(p->m->k) - p->heard_us < SILENT_US;
 }
 
 static bool
@@ -218,8 +217,8 @@
 	msg->u.link.conn = conn;
 	msg->u.link.frame = mh_frame_pack(f);
 	mh_count(m->k, "link_frames_out", 1);
-	mh_count(m->k, "link_bytes_out",
-	    g_bytes_get_size(msg->u.link.frame) + 4);
+	mh_count(
+	    m->k, "link_bytes_out", g_bytes_get_size(msg->u.link.frame) + 4);
 	mh_post(m->k, "link", msg);
 }
 
@@ -235,8 +234,8 @@
 }
 
 void
-mh_mesh_on(struct mh_mesh *m, Mh__Frame__BodyCase kind, mh_mesh_fn fn,
-    void *arg)
+mh_mesh_on(
+    struct mh_mesh *m, Mh__Frame__BodyCase kind, mh_mesh_fn fn, void *arg)
 {
 	m->on[kind].fn = fn;
 	m->on[kind].arg = arg;
@@ -398,8 +397,7 @@
 static void
 note_conn(struct mh_mesh *m, uint64_t conn, struct peer *p)
 {
-	g_hash_table_replace(
-	    m->conns, g_memdup2(&conn, sizeof(conn)), p);
+	g_hash_table_replace(m->conns, g_memdup2(&conn, sizeof(conn)), p);
 }
 
 static void
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -33,8 +33,7 @@
 	uint64_t (*rows_revision)(void *arg);
 	/* whether ours is old enough that another's helps */
 	bool (*rows_due)(void *arg);
-	void (*fill)(
-	    void *arg, const Mh__ViewAsk *ask, struct mh_shared *out);
+	void (*fill)(void *arg, const Mh__ViewAsk *ask, struct mh_shared *out);
 	void (*take)(void *arg, const Mh__View *v);
 	bool (*ready)(void *arg);
 	bool (*reads)(void *arg); /* whether the platform answers us */
@@ -46,8 +45,8 @@
 void mh_mesh_share(struct mh_mesh *m, const struct mh_mesh_view *v);
 /** mh_mesh_list() - the entries listed now; struct mh_member. */
 void mh_mesh_list(struct mh_mesh *m, const GPtrArray *members);
-void mh_mesh_on(struct mh_mesh *m, Mh__Frame__BodyCase kind, mh_mesh_fn fn,
-    void *arg);
+void mh_mesh_on(
+    struct mh_mesh *m, Mh__Frame__BodyCase kind, mh_mesh_fn fn, void *arg);
 /** mh_mesh_on_lost() - an entry stopped answering. */
 void mh_mesh_on_lost(
     struct mh_mesh *m, void (*fn)(void *arg, const char *node), void *arg);
@@ -75,8 +74,8 @@
 void mh_broker_destroy(struct mh_broker *b);
 /** mh_broker_on_end() - a job that was submitted here has ended. */
 void mh_broker_on_end(struct mh_broker *b,
-    void (*fn)(void *arg, struct mh_job *j, enum mh_job_end end,
-	int64_t retry_us),
+    void (*fn)(
+	void *arg, struct mh_job *j, enum mh_job_end end, int64_t retry_us),
     void *arg);
 void mh_broker_submit(struct mh_broker *b, struct mh_job *j);
 /** mh_broker_drop() - cancels the job, or frees its results. */
--- a/lib/place.c
+++ b/lib/place.c
@@ -124,8 +124,7 @@
 
 	if (a->n_parts < 2)
 		return NULL;
-	g_snprintf(what, sizeof(what), "%" PRIx64,
-	    a->parts[a->n_parts - 2].id);
+	g_snprintf(what, sizeof(what), "%" PRIx64, a->parts[a->n_parts - 2].id);
 	for (guint i = 0; i < pool->len; i++) {
 		const struct mh_node *n = g_ptr_array_index(pool, i);
 		uint64_t w = mh_rendezvous(what, n->id);
@@ -169,8 +168,7 @@
 	if (!engine)
 		return each * (1 + running / slots) +
 		    (running >= slots ? each : 0);
-	return RUNNING_US * running +
-	    (fresh ? WAITING_US * n->waiting : 0) +
+	return RUNNING_US * running + (fresh ? WAITING_US * n->waiting : 0) +
 	    (running >= slots ? FULL_US : 0);
 }
 
@@ -190,8 +188,8 @@
 }
 
 static struct mh_node *
-best_of(struct mh_place *p, struct mh_place_ask *a,
-    const GPtrArray *pool, bool any)
+best_of(
+    struct mh_place *p, struct mh_place_ask *a, const GPtrArray *pool, bool any)
 {
 	const struct mh_node *home = home_of(p, a, pool);
 	struct mh_node *best = NULL;
--- a/lib/sse.c
+++ b/lib/sse.c
@@ -65,8 +65,8 @@
 			nl = end;
 		if (nl - p > 3 && strncmp(p, "id:", 3) == 0) {
 			g_free(s->last_id);
-			s->last_id = g_strstrip(
-			    g_strndup(p + 3, (gsize)(nl - p - 3)));
+			s->last_id =
+			    g_strstrip(g_strndup(p + 3, (gsize)(nl - p - 3)));
 		}
 		p = nl + 1;
 	}
