--- a/GNUmakefile
+++ b/GNUmakefile
@@ -14,6 +14,7 @@
 all: $(PROGS)
 lib:
 	@$(MAKE) --no-print-directory -C lib BUILD=$(BUILD)
+regress: platform
 $(PROGS): lib
 	@$(MAKE) --no-print-directory -C $@ BUILD=$(BUILD)
 
@@ -28,7 +29,7 @@
 	@$(MAKE) --no-print-directory -j4 all
 	@$(MAKE) --no-print-directory format-check lint
 	@$(MAKE) --no-print-directory model
-	@$(MAKE) --no-print-directory -j4 BUILD=asan lib regress
+	@$(MAKE) --no-print-directory -j4 BUILD=asan lib platform regress
 	build/asan/regress.bin regress >build/asan/regress.log 2>&1 || \
 	    { tail -60 build/asan/regress.log; exit 1; }
 	@tail -1 build/asan/regress.log | sed 's/^/under sanitizers: /'
--- a/regress/main.c
+++ b/regress/main.c
@@ -29,6 +29,11 @@
 	{ "nodes", tests_nodes },
 	{ "adapter", tests_adapter },
 	{ "fuzz", tests_fuzz },
+	{ "cell", tests_cell },
+	{ "gate", tests_gate },
+	{ "mesh", tests_mesh },
+	{ "http", tests_http },
+	{ "platform", tests_platform },
 };
 
 static void
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -21,6 +21,11 @@
 extern const struct test tests_nodes[];
 extern const struct test tests_adapter[];
 extern const struct test tests_fuzz[];
+extern const struct test tests_cell[];
+extern const struct test tests_gate[];
+extern const struct test tests_mesh[];
+extern const struct test tests_http[];
+extern const struct test tests_platform[];
 
 /** regress_dir - where golden files stand. */
 extern const char *regress_dir;
--- /dev/null
+++ b/regress/t_cell.c
@@ -0,0 +1,370 @@
+/**
+ * DOC: Stage work in virtual time: batches, order, admission, loss.
+ */
+
+#include "regress.h"
+#include "world.h"
+
+#include <string.h>
+
+#define MS MH_US_PER_MS
+#define S MH_US_PER_S
+
+static const char *const one_pool[] = { "a", NULL };
+static const char *const chain[] = { "a", "b", NULL };
+
+static uint32_t
+calls_of(const struct world *w)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < w->n_nodes; i++)
+		n += w->nodes[i].calls;
+	return n;
+}
+
+/*
+ * An evening peak: 24 requests a second of two pieces each reach a pool that
+ * carries 65 pieces a second with full calls and 14 with one piece a call.
+ * When each request made its own calls most were late; meeting, their pieces
+ * fill calls and all are on time.
+ */
+static void
+test_pieces_meet(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 2 };
+
+	world_pool(w, "a", 3, 8, 200 * MS, 21 * MS, 0);
+	for (int i = 0; i < 96; i++) {
+		mh_cell_submit(
+		    w->c, world_job(w, one_pool, pieces, 1500 * MS, 6 * S));
+		world_run(w, 42 * MS);
+	}
+	world_run(w, 3 * S);
+	CU_ASSERT_EQUAL(w->done, 96);
+	CU_ASSERT(w->on_time >= 94);
+	CU_ASSERT(world_fill(w, "a", 8) > 0.5);
+	world_destroy(w);
+}
+
+/*
+ * A burst past any capacity: what is taken is on time, what can't be is
+ * refused at its arrival, and calls are nearly full.  Taking all until the
+ * last moment made all of them a little late.
+ */
+static void
+test_burst_taken_on_time(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 3 };
+
+	world_pool(w, "a", 3, 8, 200 * MS, 21 * MS, 0);
+	for (int i = 0; i < 240; i++) {
+		mh_cell_submit(
+		    w->c, world_job(w, one_pool, pieces, 1500 * MS, 6 * S));
+		world_run(w, 21 * MS);
+	}
+	world_run(w, 8 * S);
+	CU_ASSERT_EQUAL(w->done + w->refused, 240);
+	/* Full calls carry 65 pieces a second: 109 jobs in the burst. */
+	CU_ASSERT(w->on_time >= 100);
+	CU_ASSERT(w->done - w->on_time < w->on_time / 2);
+	CU_ASSERT(world_fill(w, "a", 8) > 0.8);
+	world_destroy(w);
+}
+
+/*
+ * A caller leaves while its pieces are in a call.  The room that their
+ * results would have taken stayed counted for ever, and calls to that
+ * endpoint shrank to one piece for the rest of the process's life.
+ */
+static void
+test_room_of_leavers_given_back(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 4 };
+
+	world_pool(w, "a", 1, 8, 200 * MS, 21 * MS, 10000);
+	for (int i = 0; i < 10; i++) {
+		struct mh_job *j =
+		    world_job(w, one_pool, pieces, 1500 * MS, 6 * S);
+
+		mh_cell_submit(w->c, j);
+		world_run(w, 50 * MS);
+		mh_cell_cancel(w->c, j);
+		mh_job_destroy(j);
+		world_run(w, 600 * MS);
+	}
+	CU_ASSERT_EQUAL(g_hash_table_size(w->live), 0);
+	w->nodes[0].calls = w->nodes[0].pieces = 0;
+	mh_cell_submit(w->c, world_job(w, one_pool, pieces, 1500 * MS, 6 * S));
+	world_run(w, 600 * MS);
+	CU_ASSERT_EQUAL(w->nodes[0].calls, 1);
+	CU_ASSERT_EQUAL(w->nodes[0].pieces, 4);
+	world_destroy(w);
+}
+
+/*
+ * An endpoint is slow, its pieces are made again elsewhere, used by the next
+ * stage and freed.  Then the slow answer comes.  Taken as if it were wanted,
+ * it counted a stage as made whose results were gone, and the next stage ran
+ * without its inputs.
+ */
+static void
+test_late_double_of_a_used_piece(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 2, 1 };
+
+	world_pool(w, "a", 2, 8, 100 * MS, 10 * MS, 0);
+	world_pool(w, "b", 1, 8, 600 * MS, 0, 0);
+	w->nodes[0].slow = w->nodes[1].slow = 4;
+	mh_cell_submit(w->c, world_job(w, chain, pieces, 5 * S, 8 * S));
+	world_run(w, 200 * MS);
+	/* The second call to the pool is a fast one and overtakes the first. */
+	w->nodes[0].slow = w->nodes[1].slow = 1;
+	world_run(w, 260 * MS);
+	CU_ASSERT_EQUAL(world_node(w, "b-0")->calls, 1);
+	CU_ASSERT_EQUAL(g_hash_table_size(w->live), 0);
+	world_run(w, 3 * S);
+	CU_ASSERT_EQUAL(w->done, 1);
+	CU_ASSERT_EQUAL(w->without_inputs, 0);
+	CU_ASSERT_EQUAL(g_hash_table_size(w->live), 0);
+	world_destroy(w);
+}
+
+/*
+ * Results of a stage took up room until the stage after it had ended.  An
+ * endpoint reads its inputs when a call begins, so they are free soon after,
+ * and a burst does not run out of room.
+ */
+static void
+test_inputs_freed_once_read(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 4, 1 };
+
+	world_pool(w, "a", 1, 8, 100 * MS, 10 * MS, 0);
+	world_pool(w, "b", 1, 8, 400 * MS, 10 * MS, 0);
+	mh_cell_submit(w->c, world_job(w, chain, pieces, 2 * S, 6 * S));
+	world_run(w, 150 * MS);
+	CU_ASSERT_EQUAL(g_hash_table_size(w->live), 4);
+	world_run(w, 80 * MS);
+	CU_ASSERT_EQUAL(g_hash_table_size(w->live), 0);
+	CU_ASSERT_EQUAL(w->done, 0);
+	world_run(w, 500 * MS);
+	CU_ASSERT_EQUAL(w->done, 1);
+	world_destroy(w);
+}
+
+/* The inputs were freed and the call was lost: both are made again. */
+static void
+test_lost_call_after_inputs_were_freed(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 3, 2 };
+
+	world_pool(w, "a", 1, 8, 100 * MS, 10 * MS, 0);
+	world_pool(w, "b", 2, 8, 100 * MS, 10 * MS, 0);
+	world_node(w, "b-0")->lost = true;
+	world_node(w, "b-1")->lost = true;
+	mh_cell_submit(w->c, world_job(w, chain, pieces, 4 * S, 8 * S));
+	world_run(w, 400 * MS);
+	world_node(w, "b-1")->lost = false;
+	world_node(w, "b-0")->lost = false;
+	world_run(w, 6 * S);
+	CU_ASSERT_EQUAL(w->done, 1);
+	CU_ASSERT_EQUAL(w->without_inputs, 0);
+	CU_ASSERT_EQUAL(g_hash_table_size(w->live), 0);
+	world_destroy(w);
+}
+
+/* A replica answers that the inputs are gone: they are made again. */
+static void
+test_inputs_gone(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 3, 2 };
+
+	world_pool(w, "a", 1, 8, 100 * MS, 10 * MS, 0);
+	world_pool(w, "b", 1, 8, 100 * MS, 10 * MS, 0);
+	world_node(w, "b-0")->gone_inputs = true;
+	mh_cell_submit(w->c, world_job(w, chain, pieces, 4 * S, 8 * S));
+	world_run(w, 3 * S);
+	CU_ASSERT_EQUAL(w->done, 1);
+	CU_ASSERT_EQUAL(world_node(w, "a-0")->pieces, 6);
+	CU_ASSERT_EQUAL(w->without_inputs, 0);
+	world_destroy(w);
+}
+
+/*
+ * One of three replicas turns five times slower.  Its first call is overdue;
+ * the pieces go to another and it is left out while the others are faster.
+ */
+static void
+test_slow_endpoint_left_out(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 3 };
+	struct wnode *slow;
+
+	world_pool(w, "a", 3, 8, 200 * MS, 21 * MS, 0);
+	slow = world_node(w, "a-0");
+	slow->slow = 5;
+	for (int i = 0; i < 60; i++) {
+		mh_cell_submit(
+		    w->c, world_job(w, one_pool, pieces, 1500 * MS, 6 * S));
+		world_run(w, 100 * MS);
+	}
+	world_run(w, 3 * S);
+	CU_ASSERT_EQUAL(w->done, 60);
+	CU_ASSERT(w->on_time >= 57);
+	CU_ASSERT(slow->calls * 5 < calls_of(w));
+	world_destroy(w);
+}
+
+/* A replica that refuses is not asked again at once, and counts no try. */
+static void
+test_full_endpoint(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 3 };
+
+	world_pool(w, "a", 1, 8, 100 * MS, 10 * MS, 0);
+	w->nodes[0].full = true;
+	mh_cell_submit(w->c, world_job(w, one_pool, pieces, 3 * S, 6 * S));
+	world_run(w, 1500 * MS);
+	CU_ASSERT(w->nodes[0].calls < 15);
+	w->nodes[0].full = false;
+	world_run(w, 1 * S);
+	CU_ASSERT_EQUAL(w->done, 1);
+	world_destroy(w);
+}
+
+/*
+ * A leaving process hands on what it has not begun, and ends what it has: a
+ * job begun anew elsewhere would make its pieces twice.
+ */
+static void
+test_leave_hands_on_unbegun(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 8 };
+
+	world_pool(w, "a", 1, 8, 200 * MS, 21 * MS, 0);
+	for (int i = 0; i < 3; i++)
+		mh_cell_submit(
+		    w->c, world_job(w, one_pool, pieces, 5 * S, 6 * S));
+	world_run(w, 50 * MS);
+	mh_cell_leave(w->c);
+	CU_ASSERT_EQUAL(w->moved, 2);
+	world_run(w, 1 * S);
+	CU_ASSERT_EQUAL(w->done, 1);
+	world_destroy(w);
+}
+
+/*
+ * After a burst many jobs have missed their aim.  One that has begun holds
+ * results at its endpoints: it is ended before late ones that have not.
+ */
+static void
+test_begun_late_work_first(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 8, 8 };
+	struct mh_job *begun, *fresh;
+
+	world_pool(w, "a", 1, 8, 300 * MS, 0, 0);
+	world_pool(w, "b", 1, 8, 300 * MS, 0, 0);
+	begun = world_job(w, chain, pieces, 900 * MS, 9 * S);
+	fresh = world_job(w, chain, pieces, 800 * MS, 9 * S);
+	w->keep = true;
+	mh_cell_submit(w->c, begun);
+	world_run(w, 10 * MS);
+	begun->state->late = true;
+	mh_cell_submit(w->c, fresh);
+	fresh->state->late = true;
+	fresh->state->started = false;
+	CU_ASSERT(mh_cell_slack_key(begun, 1) < mh_cell_slack_key(fresh, 0));
+	world_run(w, 3 * S);
+	CU_ASSERT_EQUAL(w->done, 2);
+	world_destroy(w);
+}
+
+/*
+ * Results of a megabyte and more cost dear between failure domains.  With
+ * time to spare their stage waits for the endpoint near the engine.
+ */
+static void
+test_waits_for_its_domain(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 4 };
+	struct mh_job *j;
+
+	world_pool(w, "a", 2, 8, 100 * MS, 0, 0);
+	for (int i = 0; i < 2; i++) {
+		j = world_job(w, one_pool, pieces, 2 * S, 6 * S);
+		j->domain = g_strdup("d1");
+		j->stages[0].result_bytes = 1500000;
+		mh_cell_submit(w->c, j);
+		world_run(w, 5 * MS);
+	}
+	world_run(w, 500 * MS);
+	CU_ASSERT_EQUAL(w->done, 2);
+	CU_ASSERT_EQUAL(world_node(w, "a-0")->calls, 0);
+	CU_ASSERT_EQUAL(world_node(w, "a-1")->calls, 2);
+	world_destroy(w);
+}
+
+/* A pool without a usable endpoint refuses at once. */
+static void
+test_no_endpoint_refused_at_once(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 1 };
+
+	world_pool(w, "a", 0, 8, 100 * MS, 10 * MS, 0);
+	mh_cell_submit(w->c, world_job(w, one_pool, pieces, 2 * S, 6 * S));
+	CU_ASSERT_EQUAL(w->refused, 1);
+	world_destroy(w);
+}
+
+/* A request may leave out every stage: it is done at once. */
+static void
+test_no_pieces(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 0, 0 };
+
+	world_pool(w, "a", 1, 8, 100 * MS, 10 * MS, 0);
+	world_pool(w, "b", 1, 8, 100 * MS, 10 * MS, 0);
+	mh_cell_submit(w->c, world_job(w, chain, pieces, 2 * S, 6 * S));
+	CU_ASSERT_EQUAL(w->done, 1);
+	world_destroy(w);
+}
+
+const struct test tests_cell[] = {
+	{ "cell: pieces of all entries meet", test_pieces_meet },
+	{ "cell: a burst, taken on time or refused",
+	    test_burst_taken_on_time },
+	{ "cell: room of leavers given back",
+	    test_room_of_leavers_given_back },
+	{ "cell: a late double of a used piece",
+	    test_late_double_of_a_used_piece },
+	{ "cell: inputs freed once read", test_inputs_freed_once_read },
+	{ "cell: a lost call after inputs were freed",
+	    test_lost_call_after_inputs_were_freed },
+	{ "cell: inputs gone", test_inputs_gone },
+	{ "cell: a slow endpoint left out", test_slow_endpoint_left_out },
+	{ "cell: a full endpoint", test_full_endpoint },
+	{ "cell: leaving hands on unbegun work",
+	    test_leave_hands_on_unbegun },
+	{ "cell: begun late work first", test_begun_late_work_first },
+	{ "cell: waits for its domain", test_waits_for_its_domain },
+	{ "cell: no endpoint, refused at once",
+	    test_no_endpoint_refused_at_once },
+	{ "cell: no pieces", test_no_pieces },
+	{ NULL, NULL },
+};
--- /dev/null
+++ b/regress/t_platform.c
@@ -0,0 +1,3 @@
+#include "regress.h"
+
+const struct test tests_platform[] = { { NULL, NULL } };
--- /dev/null
+++ b/regress/world.c
@@ -0,0 +1,304 @@
+/**
+ * DOC: A cell against modelled stage endpoints, in virtual time.
+ */
+
+#include "world.h"
+
+#include <string.h>
+
+#define STEP_US (1 * MH_US_PER_MS)
+#define SEED 7
+
+struct wcall {
+	struct world *w;
+	struct mh_batch *b;
+	struct wnode *n;
+	struct mh_timer *timer;
+};
+
+struct wnode *
+world_node(struct world *w, const char *id)
+{
+	for (uint32_t i = 0; i < w->n_nodes; i++) {
+		if (strcmp(w->nodes[i].id, id) == 0)
+			return &w->nodes[i];
+	}
+	return NULL;
+}
+
+static void
+forget(struct world *w, struct wcall *call)
+{
+	mh_timer_stop(w->k, &call->timer);
+	g_ptr_array_remove(w->calls, call);
+	g_free(call);
+}
+
+static void
+on_end(void *arg)
+{
+	struct wcall *call = arg;
+	struct world *w = call->w;
+	struct mh_batch *b = call->b;
+	struct wnode *n = call->n;
+	enum mh_batch_end end = MH_BATCH_DONE;
+
+	call->timer = NULL;
+	b->call = NULL;
+	for (guint i = 0; i < b->items->len; i++) {
+		struct mh_batch_item *m =
+		    &g_array_index(b->items, struct mh_batch_item, i);
+
+		if (n->gone_inputs) {
+			m->inputs_gone = true;
+			continue;
+		}
+		m->result = g_strdup_printf("%s/%" PRIu64, n->id, ++w->results);
+		g_hash_table_add(w->live, g_strdup(m->result));
+	}
+	n->gone_inputs = false;
+	w->most_live = MAX(w->most_live, g_hash_table_size(w->live));
+	forget(w, call);
+	mh_cell_batch_end(w->c, b, end);
+}
+
+static void
+on_full(void *arg)
+{
+	struct wcall *call = arg;
+	struct world *w = call->w;
+	struct mh_batch *b = call->b;
+
+	call->timer = NULL;
+	b->call = NULL;
+	forget(w, call);
+	mh_cell_batch_end(w->c, b, MH_BATCH_FULL);
+}
+
+/* A piece with inputs must get every result of the stages before it. */
+static void
+check_inputs(struct world *w, const struct mh_batch_item *m)
+{
+	const struct mh_job *j = m->job;
+
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		if ((j->stages[m->stage].after >> s & 1) == 0)
+			continue;
+		for (uint32_t i = 0; i < j->stages[s].pieces; i++)
+			w->without_inputs += g_ptr_array_index(
+						 j->stages[s].results, i) ==
+			    NULL;
+	}
+}
+
+static void
+op_run(void *arg, struct mh_batch *b)
+{
+	struct world *w = arg;
+	struct wnode *n = world_node(w, b->node);
+	struct wcall *call = g_new0(struct wcall, 1);
+	const struct mh_gpool *p = mh_gconf_pool(w->conf, b->pool);
+	int64_t now = mh_now(w->k), took;
+
+	call->w = w;
+	call->b = b;
+	call->n = n;
+	b->call = call;
+	n->calls++;
+	n->pieces += b->items->len;
+	for (guint i = 0; i < b->items->len; i++)
+		check_inputs(w,
+		    &g_array_index(b->items, struct mh_batch_item, i));
+	g_ptr_array_add(w->calls, call);
+	took = (int64_t)((double)(p->work.call_us +
+			     p->work.item_us * b->items->len) *
+	    n->slow);
+	n->busy_until_us = MAX(n->busy_until_us, now) + took;
+	if (n->full)
+		call->timer = mh_timer_start(w->k, STEP_US, on_full, call);
+	else if (!n->lost)
+		call->timer = mh_timer_start(
+		    w->k, n->busy_until_us - now, on_end, call);
+}
+
+static void
+op_abort(void *arg, struct mh_batch *b)
+{
+	struct world *w = arg;
+
+	if (b->call != NULL)
+		forget(w, b->call);
+	b->call = NULL;
+}
+
+static void
+op_discard(void *arg, const char *result)
+{
+	struct world *w = arg;
+
+	g_hash_table_remove(w->live, result);
+}
+
+static void
+op_end(void *arg, struct mh_job *j, enum mh_job_end end, int64_t retry_us)
+{
+	struct world *w = arg;
+
+	(void)retry_us;
+	switch (end) {
+	case MH_JOB_DONE:
+		w->done++;
+		w->on_time += mh_now(w->k) <= j->aim_us;
+		if (w->keep) {
+			g_ptr_array_add(w->kept, j);
+			return;
+		}
+		mh_cell_release(w->c, j);
+		break;
+	case MH_JOB_REFUSED:
+		w->refused++;
+		break;
+	case MH_JOB_FAILED:
+		w->failed++;
+		break;
+	case MH_JOB_MOVED:
+		w->moved++;
+		break;
+	}
+	mh_job_destroy(j);
+}
+
+struct world *
+world_create(void)
+{
+	struct world *w = g_new0(struct world, 1);
+	struct mh_budget_args b = { 0.2, 200, 10 * MH_US_PER_S };
+	struct mh_cell_ops ops = { op_run, op_abort, op_end, op_discard, w };
+
+	w->k = mh_kern_create(SEED);
+	w->now_us = MH_US_PER_S;
+	mh_kern_advance(w->k, w->now_us, w->now_us);
+	w->f = mh_fleet_create(w->k);
+	w->budget = mh_budget_create(w->k, &b);
+	w->c = mh_cell_create(w->k, w->f, w->budget, &ops);
+	w->conf = mh_gconf_create();
+	w->live =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	w->calls = g_ptr_array_new();
+	w->kept = g_ptr_array_new();
+	return w;
+}
+
+void
+world_destroy(struct world *w)
+{
+	for (guint i = 0; i < w->kept->len; i++) {
+		mh_cell_release(w->c, g_ptr_array_index(w->kept, i));
+		mh_job_destroy(g_ptr_array_index(w->kept, i));
+	}
+	while (w->c->jobs->len > 0) {
+		struct mh_job *j = g_ptr_array_index(w->c->jobs, 0);
+
+		mh_cell_cancel(w->c, j);
+		mh_job_destroy(j);
+	}
+	mh_cell_destroy(w->c);
+	while (w->calls->len > 0)
+		forget(w, g_ptr_array_index(w->calls, 0));
+	g_ptr_array_free(w->calls, TRUE);
+	g_ptr_array_free(w->kept, TRUE);
+	g_hash_table_destroy(w->live);
+	mh_budget_destroy(w->budget);
+	mh_fleet_destroy(w->f);
+	mh_gconf_unref(w->conf);
+	mh_kern_destroy(w->k);
+	g_free(w);
+}
+
+static void
+list_nodes(struct world *w)
+{
+	mh_fleet_begin(w->f);
+	for (uint32_t i = 0; i < w->n_nodes; i++) {
+		struct wnode *n = &w->nodes[i];
+		struct mh_listing l = { n->id, n->pool, n->id, n->domain, 1,
+			false, 0 };
+
+		mh_fleet_list(w->f, &l);
+	}
+	mh_fleet_end(w->f);
+}
+
+void
+world_pool(struct world *w, const char *name, uint32_t n, uint32_t batch,
+    int64_t call_us, int64_t item_us, uint64_t room)
+{
+	struct mh_gpool *p = g_new0(struct mh_gpool, 1);
+
+	p->name = g_strdup(name);
+	p->is_work = true;
+	p->work.batch = batch;
+	p->work.running = 1;
+	p->work.call_us = call_us;
+	p->work.item_us = item_us;
+	p->work.room_bytes = room;
+	g_hash_table_replace(w->conf->pools, p->name, p);
+	for (uint32_t i = 0; i < n; i++) {
+		struct wnode *nd = &w->nodes[w->n_nodes++];
+
+		g_snprintf(nd->id, sizeof(nd->id), "%s-%u", name, i);
+		g_strlcpy(nd->pool, name, sizeof(nd->pool));
+		g_snprintf(nd->domain, sizeof(nd->domain), "d%u", i);
+		nd->slow = 1;
+	}
+	list_nodes(w);
+	mh_cell_conf(w->c, w->conf);
+}
+
+struct mh_job *
+world_job(struct world *w, const char *const *pools, const uint32_t *pieces,
+    int64_t aim_us, int64_t deadline_us)
+{
+	static uint32_t serial;
+	char id[24];
+	struct mh_job *j;
+
+	g_snprintf(id, sizeof(id), "job-%u", ++serial);
+	j = mh_job_create(id);
+	j->route = g_strdup("route");
+	j->key = g_strdup("key");
+	j->arrived_us = mh_now(w->k);
+	j->aim_us = mh_now(w->k) + aim_us;
+	j->deadline_us = mh_now(w->k) + deadline_us;
+	for (uint32_t s = 0; pools[s] != NULL; s++) {
+		j->stages[s].pool = g_strdup(pools[s]);
+		j->stages[s].pieces = pieces[s];
+		j->stages[s].after = s == 0 ? 0 : 1U << (s - 1);
+		j->stages[s].result_bytes = 1000;
+		j->n_stages++;
+	}
+	return j;
+}
+
+void
+world_run(struct world *w, int64_t us)
+{
+	for (int64_t t = 0; t < us; t += STEP_US) {
+		w->now_us += STEP_US;
+		mh_kern_advance(w->k, w->now_us, w->now_us);
+	}
+}
+
+double
+world_fill(const struct world *w, const char *pool, uint32_t batch)
+{
+	uint32_t calls = 0, pieces = 0;
+
+	for (uint32_t i = 0; i < w->n_nodes; i++) {
+		if (strcmp(w->nodes[i].pool, pool) != 0)
+			continue;
+		calls += w->nodes[i].calls;
+		pieces += w->nodes[i].pieces;
+	}
+	return calls == 0 ? 0 : (double)pieces / (double)(calls * batch);
+}
