--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -1,3 +1,651 @@
+/**
+ * DOC: One request from its arrival to its end, its endpoint, its repeats.
+ */
+
+#include "gate.h"
 #include "regress.h"
 
-const struct test tests_gate[] = { { NULL, NULL } };
+#include <string.h>
+
+#define MS MH_US_PER_MS
+#define S MH_US_PER_S
+
+/** struct grig - a gate whose other sides are counters. */
+struct grig {
+	struct mh_kern *k;
+	struct mh_fleet *f;
+	struct mh_place *p;
+	struct mh_budget *b;
+	struct mh_gate *g;
+	struct mh_gconf *conf;
+	int64_t now_us;
+	struct mh_try *cur; /* last sent, NULL once aborted */
+	char last[16]; /* endpoint of the last try */
+	char resume[16]; /* where it goes on */
+	uint32_t sends;
+	uint32_t aborts;
+	uint32_t finished;
+	uint32_t broken;
+	uint32_t refused;
+	uint32_t jobs;
+	uint32_t dropped;
+	enum mh_gate_refusal why;
+	int64_t retry_us;
+	struct mh_job *job;
+	GPtrArray *open; /* requests that have not ended */
+};
+
+static void
+end(struct grig *r, struct mh_gask *q)
+{
+	g_ptr_array_remove(r->open, q);
+	mh_gask_destroy(q);
+}
+
+static void
+op_send(void *arg, struct mh_try *t)
+{
+	struct grig *r = arg;
+
+	r->cur = t;
+	r->sends++;
+	g_strlcpy(r->last, t->node, sizeof(r->last));
+	g_strlcpy(r->resume, t->resume_after == NULL ? "" : t->resume_after,
+	    sizeof(r->resume));
+}
+
+static void
+op_abort(void *arg, struct mh_try *t)
+{
+	struct grig *r = arg;
+
+	if (t == r->cur)
+		r->cur = NULL;
+	r->aborts++;
+}
+
+static void
+op_refuse(void *arg, struct mh_gask *q, enum mh_gate_refusal why,
+    int64_t retry_us)
+{
+	struct grig *r = arg;
+
+	r->refused++;
+	r->why = why;
+	r->retry_us = retry_us;
+	end(r, q);
+}
+
+static void
+op_finish(void *arg, struct mh_gask *q)
+{
+	((struct grig *)arg)->finished++;
+	end(arg, q);
+}
+
+static void
+op_break(void *arg, struct mh_gask *q)
+{
+	((struct grig *)arg)->broken++;
+	end(arg, q);
+}
+
+static void
+op_submit(void *arg, struct mh_job *j)
+{
+	struct grig *r = arg;
+
+	r->jobs++;
+	r->job = j;
+}
+
+static void
+op_drop(void *arg, struct mh_job *j)
+{
+	(void)j;
+	((struct grig *)arg)->dropped++;
+}
+
+static void
+add_route(struct grig *r, const char *name, bool stream, enum mh_repeat repeat,
+    uint32_t attempts)
+{
+	struct mh_groute *t = mh_groute_create();
+	struct mh_gtarget to = { g_strdup("pool"), 1 };
+
+	t->name = g_strdup(name);
+	t->host = g_strdup("h.example");
+	t->prefix = g_strdup_printf("/%s/", name);
+	t->stream = stream;
+	t->repeat = repeat;
+	t->attempts = attempts;
+	t->timeout_us = 6 * S;
+	t->aim_us = 1 * S;
+	g_array_append_val(t->targets, to);
+	g_ptr_array_add(r->conf->routes, t);
+}
+
+static void
+add_pool(struct grig *r, uint32_t n)
+{
+	static const char *const ids[] = { "n0", "n1", "n2", "n3" };
+
+	mh_fleet_begin(r->f);
+	for (uint32_t i = 0; i < n; i++) {
+		struct mh_listing l = { ids[i], "pool", "10.0.0.1:1", "d", 8,
+			false, 0 };
+
+		mh_fleet_list(r->f, &l);
+	}
+	mh_fleet_end(r->f);
+}
+
+static struct grig *
+grig_create(uint32_t nodes)
+{
+	struct grig *r = g_new0(struct grig, 1);
+	struct mh_budget_args b = { 0.2, 50, 10 * S };
+	struct mh_gate_ops ops = { op_send, op_abort, op_refuse, op_finish,
+		op_break, r, op_submit, op_drop, op_drop, r };
+
+	r->k = mh_kern_create(3);
+	r->open = g_ptr_array_new();
+	r->now_us = S;
+	mh_kern_advance(r->k, S, S);
+	r->f = mh_fleet_create(r->k);
+	r->p = mh_place_create(r->k, r->f);
+	r->b = mh_budget_create(r->k, &b);
+	r->g = mh_gate_create(r->k, r->f, r->p, r->b, &ops, "d");
+	r->conf = mh_gconf_create();
+	add_route(r, "safe", false, MH_REPEAT_SAFE, 2);
+	add_route(r, "once", false, MH_REPEAT_NEVER, 1);
+	add_route(r, "resume", true, MH_REPEAT_RESUME, 2);
+	add_route(r, "stream", true, MH_REPEAT_NEVER, 1);
+	add_pool(r, nodes);
+	mh_gate_conf(r->g, r->conf);
+	return r;
+}
+
+static void
+grig_destroy(struct grig *r)
+{
+	mh_gate_destroy(r->g);
+	while (r->open->len > 0)
+		end(r, g_ptr_array_index(r->open, 0));
+	g_ptr_array_free(r->open, TRUE);
+	mh_place_destroy(r->p);
+	mh_budget_destroy(r->b);
+	mh_fleet_destroy(r->f);
+	mh_gconf_unref(r->conf);
+	mh_kern_destroy(r->k);
+	g_free(r);
+}
+
+static void
+pass(struct grig *r, int64_t us)
+{
+	r->now_us += us;
+	mh_kern_advance(r->k, r->now_us, r->now_us);
+}
+
+static struct mh_gask *
+ask(struct grig *r, const char *target, int64_t deadline_us)
+{
+	struct mh_gask *q = mh_gask_create("id");
+
+	q->host = g_strdup("h.example");
+	q->target = target;
+	q->deadline_us = deadline_us;
+	g_ptr_array_add(r->open, q);
+	mh_gate_take(r->g, q);
+	return q;
+}
+
+static void
+answer(struct grig *r, uint32_t status, bool not_run, bool genuine)
+{
+	struct mh_gans a = { .status = status,
+		.not_run = not_run,
+		.genuine = genuine };
+	struct mh_try *t = r->cur;
+
+	if (mh_gate_head(r->g, t, &a) != MH_DROP)
+		mh_gate_end(r->g, t, MH_CALL_WHOLE);
+}
+
+/** struct row - what an endpoint does with a request, and what follows. */
+struct row {
+	const char *name;
+	const char *target;
+	uint32_t status; /* 0: no answer */
+	bool not_run;
+	bool genuine;
+	enum mh_hcall_end end; /* with status 0 */
+	uint32_t sends; /* wanted, with every endpoint doing the same */
+	bool finished;
+	enum mh_gate_refusal why; /* when not finished */
+};
+
+static const struct row rows[] = {
+	{ "safe, answered", "/safe/x", 200, false, true, 0, 1, true, 0 },
+	{ "safe, fails everywhere", "/safe/x", 500, false, true, 0, 2, true,
+	    0 },
+	{ "safe, not the endpoint's answer", "/safe/x", 200, false, false, 0,
+	    2, false, MH_RUN_FAILED },
+	{ "safe, cut", "/safe/x", 0, false, false, MH_CALL_BROKEN, 2, false,
+	    MH_RUN_FAILED },
+	{ "safe, never sent", "/safe/x", 0, false, false, MH_CALL_UNSENT, 4,
+	    false, MH_NO_ENDPOINT },
+	{ "safe, refused by all", "/safe/x", 503, true, false, 0, 4, false,
+	    MH_TOO_BUSY },
+	{ "once, answered", "/once/x", 200, false, true, 0, 1, true, 0 },
+	{ "once, failed: its own failure", "/once/x", 500, false, true, 0, 1,
+	    true, 0 },
+	{ "once, cut: it may have run", "/once/x", 0, false, false,
+	    MH_CALL_BROKEN, 1, false, MH_RUN_FAILED },
+	{ "once, never sent", "/once/x", 0, false, false, MH_CALL_UNSENT, 4,
+	    false, MH_NO_ENDPOINT },
+	{ "once, refused: not run", "/once/x", 503, true, false, 0, 4, false,
+	    MH_TOO_BUSY },
+	{ "once, not the endpoint's answer", "/once/x", 200, false, false, 0,
+	    1, false, MH_RUN_FAILED },
+	{ "stream, cut before its first event", "/stream/x", 0, false, false,
+	    MH_CALL_BROKEN, 1, false, MH_RUN_FAILED },
+};
+
+/*
+ * The promises by kind of request: a booking confirmation whose connection
+ * broke is never sent again, and "not run" is said only where no endpoint
+ * may have run it.
+ */
+static void
+test_repeats_table(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		const struct row *row = &rows[i];
+		struct grig *r = grig_create(4);
+
+		ask(r, row->target, 0);
+		while (r->cur != NULL && r->finished + r->refused == 0) {
+			if (row->status == 0)
+				mh_gate_end(r->g, r->cur, row->end);
+			else
+				answer(r, row->status, row->not_run,
+				    row->genuine);
+		}
+		if (r->sends != row->sends ||
+		    (r->finished == 1) != row->finished ||
+		    (!row->finished && r->why != row->why))
+			fprintf(stderr, "row: %s (sends %u why %d)\n",
+			    row->name, r->sends, (int)r->why);
+		CU_ASSERT_EQUAL(r->sends, row->sends);
+		CU_ASSERT_EQUAL(r->finished, row->finished);
+		CU_ASSERT_EQUAL(r->refused, !row->finished);
+		if (!row->finished)
+			CU_ASSERT_EQUAL(r->why, row->why);
+		CU_ASSERT_EQUAL(mh_gate_open(r->g), 0);
+		grig_destroy(r);
+	}
+}
+
+/*
+ * A replica hangs while its health check is good.  The request goes to
+ * another one after half its aim, but never to more than its route allows:
+ * counting only answered tries let a third replica run it.
+ */
+static void
+test_silent_endpoint(void)
+{
+	struct grig *r = grig_create(4);
+
+	ask(r, "/safe/x", 0);
+	pass(r, 600 * MS);
+	CU_ASSERT_EQUAL(r->sends, 2);
+	CU_ASSERT_EQUAL(r->aborts, 1);
+	pass(r, 3 * S);
+	CU_ASSERT_EQUAL(r->sends, 2);
+	pass(r, 3 * S);
+	CU_ASSERT_EQUAL(r->refused, 1);
+	CU_ASSERT_EQUAL(r->why, MH_RUN_TIMEOUT);
+	grig_destroy(r);
+}
+
+/* A request that may run once waits for its answer to its last moment. */
+static void
+test_silent_endpoint_once(void)
+{
+	struct grig *r = grig_create(4);
+
+	ask(r, "/once/x", 800 * MS);
+	pass(r, 790 * MS);
+	CU_ASSERT_EQUAL(r->sends, 1);
+	CU_ASSERT_EQUAL(r->refused, 0);
+	pass(r, 20 * MS);
+	CU_ASSERT_EQUAL(r->why, MH_RUN_TIMEOUT);
+	CU_ASSERT_EQUAL(r->retry_us, 0);
+	grig_destroy(r);
+}
+
+/* A stream breaks off after an event: another run goes on behind it. */
+static void
+test_stream_resumes(void)
+{
+	struct grig *r = grig_create(4);
+	struct mh_gask *q = ask(r, "/resume/x", 0);
+	struct mh_gans a = { .status = 200, .genuine = true, .events = true };
+	GString *out = g_string_new(NULL);
+	char first[16];
+
+	g_strlcpy(first, r->last, sizeof(first));
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, r->cur, &a), MH_PASS);
+	mh_sse_feed(q->events, "id: 7\ndata: x\n\nid: 8\nda", 22, out);
+	CU_ASSERT_STRING_EQUAL(out->str, "id: 7\ndata: x\n\n");
+	mh_gate_progress(r->g, r->cur);
+	mh_gate_end(r->g, r->cur, MH_CALL_BROKEN);
+	CU_ASSERT_EQUAL(r->sends, 2);
+	CU_ASSERT_STRING_EQUAL(r->resume, "7");
+	CU_ASSERT_STRING_NOT_EQUAL(r->last, first);
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, r->cur, &a), MH_PASS_ON);
+	mh_gate_end(r->g, r->cur, MH_CALL_WHOLE);
+	CU_ASSERT_EQUAL(r->finished, 1);
+	g_string_free(out, TRUE);
+	grig_destroy(r);
+}
+
+/* A stream that may not be run again breaks visibly. */
+static void
+test_stream_breaks(void)
+{
+	struct grig *r = grig_create(4);
+	struct mh_gans a = { .status = 200, .genuine = true, .events = true };
+
+	ask(r, "/stream/x", 0);
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, r->cur, &a), MH_PASS);
+	mh_gate_progress(r->g, r->cur);
+	mh_gate_end(r->g, r->cur, MH_CALL_BROKEN);
+	CU_ASSERT_EQUAL(r->sends, 1);
+	CU_ASSERT_EQUAL(r->broken, 1);
+	grig_destroy(r);
+}
+
+/* Who gets 404, 401 or "not ready", before anything is sent. */
+static void
+test_arrival(void)
+{
+	struct grig *r = grig_create(2);
+	struct mh_gorg *o = g_new0(struct mh_gorg, 1);
+
+	ask(r, "/nowhere/x", 0);
+	CU_ASSERT_EQUAL(r->why, MH_NO_ROUTE);
+	o->name = g_strdup("org");
+	o->priority = -1;
+	g_ptr_array_add(r->conf->orgs, o);
+	g_hash_table_insert(r->conf->keys, g_strdup("key"), o);
+	ask(r, "/safe/x", 0);
+	CU_ASSERT_EQUAL(r->why, MH_BAD_KEY);
+	CU_ASSERT_EQUAL(r->sends, 0);
+	CU_ASSERT_EQUAL(r->refused, 2);
+	grig_destroy(r);
+	r = grig_create(0);
+	ask(r, "/safe/x", 0);
+	CU_ASSERT_EQUAL(r->why, MH_NO_ENDPOINT);
+	CU_ASSERT(r->retry_us > 0);
+	grig_destroy(r);
+}
+
+/* The caller leaves: the endpoint is relieved at once. */
+static void
+test_caller_leaves(void)
+{
+	struct grig *r = grig_create(1);
+	struct mh_gask *q = ask(r, "/safe/x", 0);
+
+	CU_ASSERT_EQUAL(mh_fleet_find(r->f, "n0")->inflight, 1);
+	mh_gate_gone(r->g, q);
+	end(r, q);
+	CU_ASSERT_EQUAL(r->aborts, 1);
+	CU_ASSERT_EQUAL(mh_fleet_find(r->f, "n0")->inflight, 0);
+	CU_ASSERT_EQUAL(mh_gate_open(r->g), 0);
+	grig_destroy(r);
+}
+
+/*
+ * A stream was taken six seconds after SIGTERM and cut at the end of the
+ * grace.  Late comers are sent elsewhere with a truthful "not run".
+ */
+static void
+test_leaving(void)
+{
+	struct grig *r = grig_create(2);
+
+	mh_gate_leaving(r->g, 7 * S);
+	ask(r, "/stream/x", 0);
+	CU_ASSERT_EQUAL(r->sends, 1);
+	pass(r, 3 * S);
+	ask(r, "/stream/x", 0);
+	CU_ASSERT_EQUAL(r->why, MH_NOT_READY);
+	ask(r, "/once/x", 800 * MS);
+	CU_ASSERT_EQUAL(r->sends, 2);
+	pass(r, 3500 * MS);
+	ask(r, "/once/x", 800 * MS);
+	CU_ASSERT_EQUAL(r->sends, 2);
+	CU_ASSERT_EQUAL(r->why, MH_NOT_READY);
+	CU_ASSERT(r->retry_us > 0);
+	grig_destroy(r);
+}
+
+/*
+ * Callers give a little less than their longest time by themselves.  Taking
+ * all of these for returned counted their aim as passed, and their work went
+ * behind everybody's.
+ */
+static void
+test_returned(void)
+{
+	struct grig *r = grig_create(2);
+	struct mh_gask *q;
+
+	ask(r, "/once/x", 6 * S);
+	q = ask(r, "/once/x", 5200 * MS);
+	CU_ASSERT_FALSE(q->returned);
+	CU_ASSERT_EQUAL(q->aim_us, q->arrived_us + S);
+	q = ask(r, "/once/x", 3 * S);
+	CU_ASSERT_TRUE(q->returned);
+	CU_ASSERT(q->aim_us < q->arrived_us);
+	grig_destroy(r);
+}
+
+static struct mh_gask *
+staged(struct grig *r)
+{
+	struct mh_groute *t = mh_gconf_named(r->conf, "resume");
+
+	t->n_stages = 1;
+	t->stages[0].pool = g_strdup("work");
+	return ask(r, "/resume/x", 0);
+}
+
+/* Stage work that can't be done in time: "not run", at once. */
+static void
+test_job_refused(void)
+{
+	struct grig *r = grig_create(2);
+
+	staged(r);
+	CU_ASSERT_EQUAL(r->jobs, 1);
+	CU_ASSERT_EQUAL(r->sends, 0);
+	mh_gate_job_end(r->g, r->job, MH_JOB_REFUSED, 400 * MS);
+	CU_ASSERT_EQUAL(r->why, MH_TOO_BUSY);
+	CU_ASSERT(r->retry_us >= 400 * MS && r->retry_us <= 600 * MS);
+	grig_destroy(r);
+}
+
+/*
+ * The maker of a result crashed between the stage and the engine, which says
+ * that it did not run the request: the work is done once more, only once.
+ */
+static void
+test_inputs_gone_at_engine(void)
+{
+	struct grig *r = grig_create(4);
+	struct mh_gans a = { .status = 409, .not_run = true,
+		.inputs_gone = true };
+
+	staged(r);
+	mh_gate_job_end(r->g, r->job, MH_JOB_DONE, 0);
+	CU_ASSERT_EQUAL(r->sends, 1);
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, r->cur, &a), MH_DROP);
+	CU_ASSERT_EQUAL(r->jobs, 2);
+	CU_ASSERT_EQUAL(r->dropped, 1);
+	mh_gate_job_end(r->g, r->job, MH_JOB_DONE, 0);
+	CU_ASSERT_EQUAL(r->sends, 2);
+	grig_destroy(r);
+}
+
+/* An engine with places has read its inputs soon: they are freed then. */
+static void
+test_results_freed_early(void)
+{
+	struct grig *r = grig_create(2);
+
+	staged(r);
+	mh_gate_job_end(r->g, r->job, MH_JOB_DONE, 0);
+	CU_ASSERT_EQUAL(r->dropped, 0);
+	pass(r, 100 * MS);
+	CU_ASSERT_EQUAL(r->dropped, 1);
+	grig_destroy(r);
+}
+
+/* placement */
+
+/*
+ * Two entries must send a shared prompt to the same engine without asking
+ * each other, or each part is read once an entry.
+ */
+static void
+test_home_agreed(void)
+{
+	struct grig *a = grig_create(4), *b = grig_create(4);
+	struct mh_place_ask q = { .pool = "pool", .n_parts = 3 };
+	uint32_t seen = 0;
+
+	for (uint64_t part = 1; part <= 40; part++) {
+		struct mh_node *n, *m;
+
+		q.parts[0] = (struct mh_prompt_part){ 7, 2500 };
+		q.parts[1] = (struct mh_prompt_part){ part * 977, 3800 };
+		q.parts[2] = (struct mh_prompt_part){ part * 31, 2900 };
+		n = mh_place_pick(a->p, &q);
+		m = mh_place_pick(b->p, &q);
+		CU_ASSERT_STRING_EQUAL(n->id, m->id);
+		CU_ASSERT_TRUE(q.at_home);
+		seen |= 1U << (n->id[1] - '0');
+	}
+	CU_ASSERT_EQUAL(seen, 15);
+	grig_destroy(a);
+	grig_destroy(b);
+}
+
+/* A hot part moves on when its home is full. */
+static void
+test_home_full(void)
+{
+	struct grig *r = grig_create(4);
+	struct mh_place_ask q = { .pool = "pool", .n_parts = 2,
+		.parts = { { 5, 3000 }, { 6, 100 } } };
+	struct mh_node *home = mh_place_pick(r->p, &q);
+
+	home->inflight = home->capacity;
+	CU_ASSERT_PTR_NOT_EQUAL(mh_place_pick(r->p, &q), home);
+	CU_ASSERT_FALSE(q.at_home);
+	grig_destroy(r);
+}
+
+/*
+ * Every replica of a pool fails in a bad hour.  Putting all of them out left
+ * none to ask; half of a pool always stays in use.
+ */
+static void
+test_half_stays_in_use(void)
+{
+	struct grig *r = grig_create(4);
+	uint32_t out = 0;
+
+	for (int round = 0; round < 5; round++) {
+		for (int i = 0; i < 4; i++) {
+			char id[3] = { 'n', (char)('0' + i), 0 };
+
+			mh_node_bad(r->f, mh_fleet_find(r->f, id), "test");
+		}
+	}
+	for (int i = 0; i < 4; i++) {
+		char id[3] = { 'n', (char)('0' + i), 0 };
+
+		out += !mh_node_usable(r->f, mh_fleet_find(r->f, id));
+	}
+	CU_ASSERT_EQUAL(out, 2);
+	grig_destroy(r);
+}
+
+/* A failing endpoint comes back after a while, and is out longer each time. */
+static void
+test_out_and_back(void)
+{
+	struct grig *r = grig_create(3);
+	struct mh_node *n = mh_fleet_find(r->f, "n0");
+
+	mh_node_bad(r->f, n, "test");
+	CU_ASSERT_TRUE(mh_node_usable(r->f, n));
+	mh_node_bad(r->f, n, "test");
+	CU_ASSERT_FALSE(mh_node_usable(r->f, n));
+	pass(r, 800 * MS);
+	CU_ASSERT_TRUE(mh_node_usable(r->f, n));
+	mh_node_bad(r->f, n, "test");
+	pass(r, 800 * MS);
+	CU_ASSERT_FALSE(mh_node_usable(r->f, n));
+	pass(r, 1 * S);
+	CU_ASSERT_TRUE(mh_node_usable(r->f, n));
+	grig_destroy(r);
+}
+
+/* Repeats: a share of recent requests and a slack divided among entries. */
+static void
+test_budget(void)
+{
+	struct grig *r = grig_create(1);
+	uint32_t n = 0;
+
+	mh_budget_entries(r->b, 4);
+	while (mh_budget_take(r->b, "pool"))
+		n++;
+	CU_ASSERT_EQUAL(n, 10);
+	for (int i = 0; i < 50; i++)
+		mh_budget_first(r->b, "pool");
+	while (mh_budget_take(r->b, "pool"))
+		n++;
+	CU_ASSERT_EQUAL(n, 20);
+	pass(r, 11 * S);
+	CU_ASSERT_TRUE(mh_budget_take(r->b, "pool"));
+	grig_destroy(r);
+}
+
+const struct test tests_gate[] = {
+	{ "gate: repeats by kind and failure", test_repeats_table },
+	{ "gate: a silent endpoint", test_silent_endpoint },
+	{ "gate: a silent endpoint, once", test_silent_endpoint_once },
+	{ "gate: a stream resumes", test_stream_resumes },
+	{ "gate: a stream breaks", test_stream_breaks },
+	{ "gate: route, key, endpoint", test_arrival },
+	{ "gate: the caller leaves", test_caller_leaves },
+	{ "gate: leaving", test_leaving },
+	{ "gate: who has been here before", test_returned },
+	{ "gate: stage work refused", test_job_refused },
+	{ "gate: inputs gone at the engine", test_inputs_gone_at_engine },
+	{ "gate: results freed early", test_results_freed_early },
+	{ "place: a home agreed without asking", test_home_agreed },
+	{ "place: a full home", test_home_full },
+	{ "fleet: half stays in use", test_half_stays_in_use },
+	{ "fleet: out and back", test_out_and_back },
+	{ "budget: ratio and shared slack", test_budget },
+	{ NULL, NULL },
+};
