A fault soak on a stand-in of the platform; histograms; reload of the file

Ruled out: several programs for the stand-in; one process sees all that callers and replicas see. Change: platform/soak (store, replicas, proxies, callers, audit, plan), make soak, a short run in make check, pages of both programs.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -2,6 +2,7 @@
 # make check   every test, the formatter and the linters
 # make bench   the scenarios against the baseline (SCENARIO=name for one)
 # make slopes  the figures behind docs/CAPACITY.md
+# make soak    faults from outside on real processes (SEEDS="1 2" for some)
 # make model   the model of the at-most-once protocol
 LIBS = lib
 PROGS = marlhoistd marlsided marlctl marlstand marlload regress marlslope \
@@ -9,11 +10,13 @@
 BUILD ?= debug
 BUILDDIR ?= build
 export BUILDDIR
-CODE = $(filter-out lib/wire.pb-c.%,$(wildcard */*.c */*.h))
+CODE = $(filter-out lib/wire.pb-c.%,$(wildcard */*.c */*.h platform/soak/*.[ch]))
 
-all: $(PROGS)
+all: $(PROGS) soakers
 lib:
 	@$(MAKE) --no-print-directory -C lib BUILD=$(BUILD)
+soakers: platform
+	@$(MAKE) --no-print-directory -C platform/soak BUILD=$(BUILD)
 regress: platform
 $(PROGS): lib
 	@$(MAKE) --no-print-directory -C $@ BUILD=$(BUILD)
@@ -33,8 +36,13 @@
 	build/asan/regress.bin regress >build/asan/regress.log 2>&1 || \
 	    { tail -60 build/asan/regress.log; exit 1; }
 	@tail -1 build/asan/regress.log | sed 's/^/under sanitizers: /'
+	@sh platform/soak/soak.sh build/debug 22 11
 	build/debug/regress.bin regress
 
+soak: deps
+	@$(MAKE) --no-print-directory -j4 all
+	@sh platform/soak/soak.sh build/$(BUILD) 26 $(SEEDS)
+
 bench: deps
 	@$(MAKE) --no-print-directory -j4 all
 	@bash bench/bench.sh $(SCENARIO)
@@ -56,7 +64,7 @@
 
 clean:
 	rm -rf build target
-.PHONY: all lib $(PROGS) deps demo check bench slopes model format \
+.PHONY: all lib soakers soak $(PROGS) deps demo check bench slopes model format \
 	format-check lint clean
 
 # What the platform builds: the entry daemon under target/, no tests.
--- a/lib/budget.c
+++ b/lib/budget.c
@@ -49,6 +49,12 @@
 	g_free(b);
 }
 
+void
+mh_budget_set(struct mh_budget *b, const struct mh_budget_args *a)
+{
+	b->args = *a;
+}
+
 void
 mh_budget_entries(struct mh_budget *b, uint32_t n)
 {
--- a/lib/cell.c
+++ b/lib/cell.c
@@ -232,6 +232,7 @@
 		: end == MH_BATCH_FULL ? "full"
 				       : "lost",
 	    mh_ms(mh_now(c->k) - b->sent_us), mh_ms(b->expect_us));
+	mh_observe(c->k, "stage_call", mh_now(c->k) - b->sent_us);
 	if (end == MH_BATCH_DONE)
 		mh_cell_learn(c, b, w);
 	if (end == MH_BATCH_DONE && n != NULL)
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -68,7 +68,6 @@
 	GHashTable *asks; /* set of struct mh_gask */
 	int64_t leave_us; /* 0: not leaving; else when it will be gone */
 	int64_t streams_until_us; /* streams that come later are refused */
-	struct mh_hist *plain; /* own time added to plain requests */
 	GHashTable *deadlines; /* route -> longest time given */
 };
 
@@ -159,15 +158,15 @@
 static const char *
 refusal_name(enum mh_gate_refusal why)
 {
-	static const char *const names[] = { [MH_NOT_READY] = "not-ready",
-		[MH_NO_ROUTE] = "no-route",
-		[MH_BAD_KEY] = "bad-key",
-		[MH_BAD_REQUEST] = "bad-request",
-		[MH_TOO_BUSY] = "too-busy",
-		[MH_NO_ENDPOINT] = "no-endpoint",
-		[MH_NOT_IN_TIME] = "not-in-time",
-		[MH_RUN_FAILED] = "run-failed",
-		[MH_RUN_TIMEOUT] = "run-timeout" };
+	static const char *const names[] = { [MH_NOT_READY] = "not_ready",
+		[MH_NO_ROUTE] = "no_route",
+		[MH_BAD_KEY] = "bad_key",
+		[MH_BAD_REQUEST] = "bad_request",
+		[MH_TOO_BUSY] = "too_busy",
+		[MH_NO_ENDPOINT] = "no_endpoint",
+		[MH_NOT_IN_TIME] = "not_in_time",
+		[MH_RUN_FAILED] = "run_failed",
+		[MH_RUN_TIMEOUT] = "run_timeout" };
 
 	return names[why];
 }
@@ -356,6 +355,9 @@
 	t->fresh = q->n_tried > 0;
 	if (q->events != NULL)
 		t->resume_after = mh_sse_last_id(q->events);
+	if (q->n_tried == 0 && q->job == NULL)
+		mh_observe(
+		    g->k, "plain_before_send", t->sent_us - q->arrived_us);
 	q->tried[q->n_tried++] = g_strdup(n->id);
 	q->cur = t;
 	if (q->state != MH_ASK_ANSWERING)
@@ -424,6 +426,7 @@
 
 	switch (end) {
 	case MH_JOB_DONE:
+		mh_observe(g->k, "stage_work", mh_now(g->k) - q->arrived_us);
 		q->state = MH_ASK_TRYING;
 		g_free(q->inputs);
 		q->inputs = mh_job_finals(j);
@@ -565,7 +568,7 @@
 {
 	if (q->state == MH_ASK_ENDED)
 		return;
-	log_end(g, q, "caller-left", 0);
+	log_end(g, q, "caller_left", 0);
 	mh_count(g->k, "callers_left", 1);
 	close_ask(g, q, true);
 }
@@ -642,12 +645,24 @@
 	return MH_PASS;
 }
 
+/* Streams: to the first event; others: to the whole answer. */
+static void
+meter_answer(struct mh_gate *g, struct mh_gask *q)
+{
+	if (!q->metered)
+		mh_observe(g->k,
+		    q->route->stream ? "stream_first_event" : "plain_answer",
+		    mh_now(g->k) - q->arrived_us);
+	q->metered = true;
+}
+
 void
 mh_gate_progress(struct mh_gate *g, struct mh_try *t)
 {
 	struct mh_gask *q = t->ask;
 
 	q->last_data_us = mh_now(g->k);
+	meter_answer(g, q);
 	if (q->state != MH_ASK_ANSWERING) {
 		q->state = MH_ASK_ANSWERING;
 		/* The engine has read its inputs. */
@@ -665,6 +680,7 @@
 	struct mh_node *n = mh_fleet_find(g->f, t->node);
 
 	if (end == MH_CALL_WHOLE) {
+		meter_answer(g, q);
 		log_end(g, q, "answered", 0);
 		mh_count(g->k, "answered", 1);
 		leave_try(g, q, false);
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -140,6 +140,14 @@
 void mh_event(struct mh_kern *k, const char *kind, const char *fmt, ...)
     G_GNUC_PRINTF(3, 4);
 
+/* meter.c: latency histograms */
+
+/** mh_meter_create() - owned by the kernel as service "meter". */
+void mh_meter_create(struct mh_kern *k);
+void mh_observe(struct mh_kern *k, const char *name, int64_t us);
+/** mh_meter_text() - every histogram as Prometheus text. */
+char *mh_meter_text(struct mh_kern *k);
+
 /* gconf.c: what operators declare, as the gate uses it */
 
 enum mh_repeat {
@@ -341,6 +349,8 @@
 struct mh_budget *mh_budget_create(
     struct mh_kern *k, const struct mh_budget_args *a);
 void mh_budget_destroy(struct mh_budget *b);
+/** mh_budget_set() - other bounds, from now on. */
+void mh_budget_set(struct mh_budget *b, const struct mh_budget_args *a);
 /** mh_budget_entries() - the slack is shared by so many processes. */
 void mh_budget_entries(struct mh_budget *b, uint32_t n);
 void mh_budget_first(struct mh_budget *b, const char *pool);
@@ -525,6 +535,7 @@
 	uint32_t runs; /* endpoints that may have run it */
 	uint32_t jobs; /* times its stage work was asked for */
 	bool passed_head;
+	bool metered; /* its time to the answer was noted */
 	struct mh_sse *events;
 	int64_t last_data_us;
 	struct mh_timer *until;
--- a/mk/lint.sh
+++ b/mk/lint.sh
@@ -3,7 +3,7 @@
 FLAGS="-std=gnu11 -Ilib -Iregress -Iplatform $(pkg-config --cflags apr-1 libprotobuf-c \
     libmicrohttpd libcurl glib-2.0 jansson yaml-0.1 libxxhash libsodium \
     libbsd-overlay)"
-files=$(ls lib/*.c marl*/*.c platform/*.c regress/*.c | grep -v 'pb-c')
+files=$(ls lib/*.c marl*/*.c platform/*.c platform/soak/*.c regress/*.c | grep -v 'pb-c')
 # shellcheck disable=SC2086
 echo "$files" | xargs -P 4 -n 4 sh -c '
 	flags=$0
@@ -13,7 +13,7 @@
 cppcheck --quiet --error-exitcode=1 --inline-suppr --std=c11 -j 4 \
     --enable=warning,portability --suppress=unknownMacro \
     --suppress=missingIncludeSystem -Ilib $files
-for m in marl*/*.[158] platform/*.8; do
+for m in marl*/*.[158] platform/*.8 platform/soak/*.1; do
 	[ -e "$m" ] || continue
 	mandoc -Tlint -Wwarning "$m"
 done
