The demonstration serves the platform's path too

Cause: make demo showed the product's own interface only. Change: eight seconds of four entries before the stand-in, judged like the soak.

--- a/bench/demo.sh
+++ b/bench/demo.sh
@@ -105,5 +105,15 @@
     state "127.0.0.1:$(dp_port "$DIR/run/entry-0.out" link)" >"$DIR/answer"
 check "a state dump" '"generation": 1'
 
+say "the users' platform: four entries before a stand-in of it"
+if "$DP_BIN/marlsoak.bin" --quiet --seconds 8 --program "$DP_BIN/marlgated" \
+    --dir "$DIR/platform"; then
+	echo "ok: every answer whole, no promise broken"
+else
+	BAD=$((BAD + 1))
+fi
+grep -h -m 1 'ev=batch ' "$DIR"/platform/*.log | head -1
+grep -h -m 1 'ev=end .*answered' "$DIR"/platform/*.log | head -1
+
 say "done: $BAD wrong"
 [ "$BAD" = 0 ]
