Entries tell each other of endpoints that give no answer

Ruled out: leaving a replica out after one failure everywhere (grey pools). Change: entries report to the home of stage work, which tells all when two reports agree within a second.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -33,6 +33,8 @@
 	uint32_t mark;
 	void (*on_gone)(void *arg, const char *id);
 	void *on_gone_arg;
+	void (*on_dead)(void *arg, const char *id);
+	void *on_dead_arg;
 };
 
 static void
@@ -246,19 +248,11 @@
 }
 
 void
-mh_node_bad(struct mh_fleet *f, struct mh_node *n, const char *why)
+mh_node_out(struct mh_fleet *f, struct mh_node *n, const char *why)
 {
 	int64_t now = mh_now(f->k), out_us;
 
-	n->streak++;
-	n->fail += FAIL_WEIGHT * (1 - n->fail);
-	if (n->out_until_us > now)
-		return;
-	if (n->streak < STREAK_OUT &&
-	    (n->fail < FAIL_OUT ||
-		n->fail < FAIL_OVER_POOL * others_fail(f, n)))
-		return;
-	if (!may_put_out(f, n))
+	if (n->out_until_us > now || !may_put_out(f, n))
 		return;
 	out_us = MIN(OUT_MIN_US << MIN(n->outs, 4), OUT_MAX_US);
 	n->outs++;
@@ -269,6 +263,33 @@
 	    n->pool, why, n->fail, n->streak, mh_ms(out_us));
 }
 
+void
+mh_node_bad(struct mh_fleet *f, struct mh_node *n, const char *why)
+{
+	n->streak++;
+	n->fail += FAIL_WEIGHT * (1 - n->fail);
+	if (n->streak >= STREAK_OUT ||
+	    (n->fail >= FAIL_OUT &&
+		n->fail >= FAIL_OVER_POOL * others_fail(f, n)))
+		mh_node_out(f, n, why);
+}
+
+void
+mh_fleet_on_dead(
+    struct mh_fleet *f, void (*fn)(void *arg, const char *id), void *arg)
+{
+	f->on_dead = fn;
+	f->on_dead_arg = arg;
+}
+
+void
+mh_node_dead(struct mh_fleet *f, struct mh_node *n, const char *why)
+{
+	mh_node_bad(f, n, why);
+	if (f->on_dead != NULL)
+		f->on_dead(f->on_dead_arg, n->id);
+}
+
 bool
 mh_node_usable(const struct mh_fleet *f, const struct mh_node *n)
 {
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -691,9 +691,11 @@
 	mh_event(g->k, "broken", "id=%s node=%s sent=%d took_ms=%" PRId64,
 	    q->id, t->node, end == MH_CALL_BROKEN,
 	    mh_ms(mh_now(g->k) - t->sent_us));
-	if (n != NULL)
-		mh_node_bad(
-		    g->f, n, end == MH_CALL_UNSENT ? "unreachable" : "broken");
+	if (n != NULL && !t->counted)
+		mh_node_dead(g->f, n,
+		    end == MH_CALL_UNSENT ? "unreachable" : "no-answer");
+	else if (n != NULL)
+		mh_node_bad(g->f, n, "broken");
 	if (end == MH_CALL_BROKEN)
 		count_run(q, t);
 	leave_try(g, q, false);
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -300,6 +300,12 @@
     uint32_t waiting, uint32_t slots);
 void mh_node_good(struct mh_fleet *f, struct mh_node *n, int64_t took_us);
 void mh_node_bad(struct mh_fleet *f, struct mh_node *n, const char *why);
+/** mh_node_out() - left out for a while, unless half of its pool is out. */
+void mh_node_out(struct mh_fleet *f, struct mh_node *n, const char *why);
+/** mh_fleet_on_dead() - an endpoint gave no answer at all. */
+void mh_fleet_on_dead(
+    struct mh_fleet *f, void (*fn)(void *arg, const char *id), void *arg);
+void mh_node_dead(struct mh_fleet *f, struct mh_node *n, const char *why);
 bool mh_node_usable(const struct mh_fleet *f, const struct mh_node *n);
 
 /* place.c: which endpoint takes a request */
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -233,6 +233,21 @@
 	return true;
 }
 
+void
+mh_mesh_send_all(struct mh_mesh *m, Mh__Frame *f)
+{
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		const struct peer *p = value;
+
+		if (link_of(p) != 0)
+			send_to(m, link_of(p), f);
+	}
+}
+
 void
 mh_mesh_on(
     struct mh_mesh *m, Mh__Frame__BodyCase kind, mh_mesh_fn fn, void *arg)
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -65,6 +65,19 @@
 /** mh_mesh_size() - live entries, ourselves included. */
 uint32_t mh_mesh_size(struct mh_mesh *m);
 
+/** mh_mesh_send_all() - to every entry that we are linked to. */
+void mh_mesh_send_all(struct mh_mesh *m, Mh__Frame *f);
+
+/* suspect.c: endpoints that several entries could not reach */
+
+struct mh_suspects;
+
+struct mh_suspects *mh_suspects_create(
+    struct mh_kern *k, struct mh_mesh *m, struct mh_fleet *f);
+void mh_suspects_destroy(struct mh_suspects *s);
+/** mh_suspects_report() - an endpoint gave no answer at all. */
+void mh_suspects_report(struct mh_suspects *s, const char *endpoint);
+
 /* broker.c: stage work goes to the entry whose turn it is */
 
 struct mh_broker;
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -1762,6 +1762,51 @@
   assert(message->base.descriptor == &mh__job_drop__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mh__suspect__init
+                     (Mh__Suspect         *message)
+{
+  static const Mh__Suspect init_value = MH__SUSPECT__INIT;
+  *message = init_value;
+}
+size_t mh__suspect__get_packed_size
+                     (const Mh__Suspect *message)
+{
+  assert(message->base.descriptor == &mh__suspect__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__suspect__pack
+                     (const Mh__Suspect *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__suspect__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__suspect__pack_to_buffer
+                     (const Mh__Suspect *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__suspect__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__Suspect *
+       mh__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__Suspect *)
+     protobuf_c_message_unpack (&mh__suspect__descriptor,
+                                allocator, len, data);
+}
+void   mh__suspect__free_unpacked
+                     (Mh__Suspect *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__suspect__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mh__frame__init
                      (Mh__Frame         *message)
 {
@@ -4811,7 +4856,58 @@
   (ProtobufCMessageInit) mh__job_drop__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__frame__field_descriptors[35] =
+static const ProtobufCFieldDescriptor mh__suspect__field_descriptors[2] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Suspect, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "agreed",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Suspect, agreed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__suspect__field_indices_by_name[] = {
+  1,   /* field[1] = agreed */
+  0,   /* field[0] = endpoint */
+};
+static const ProtobufCIntRange mh__suspect__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mh__suspect__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.Suspect",
+  "Suspect",
+  "Mh__Suspect",
+  "mh",
+  sizeof(Mh__Suspect),
+  2,
+  mh__suspect__field_descriptors,
+  mh__suspect__field_indices_by_name,
+  1,  mh__suspect__number_ranges,
+  (ProtobufCMessageInit) mh__suspect__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__frame__field_descriptors[36] =
 {
   {
     "generation",
@@ -5233,6 +5329,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspect",
+    43,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, suspect),
+    &mh__suspect__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__frame__field_indices_by_name[] = {
   7,   /* field[7] = ack */
@@ -5268,6 +5376,7 @@
   9,   /* field[9] = resume */
   28,   /* field[28] = state */
   27,   /* field[27] = state_ask */
+  35,   /* field[35] = suspect */
   31,   /* field[31] = view */
   30,   /* field[30] = view_ask */
 };
@@ -5275,7 +5384,7 @@
 {
   { 1, 0 },
   { 10, 2 },
-  { 0, 35 }
+  { 0, 36 }
 };
 const ProtobufCMessageDescriptor mh__frame__descriptor =
 {
@@ -5285,7 +5394,7 @@
   "Mh__Frame",
   "mh",
   sizeof(Mh__Frame),
-  35,
+  36,
   mh__frame__field_descriptors,
   mh__frame__field_indices_by_name,
   2,  mh__frame__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -54,6 +54,7 @@
 typedef struct Mh__Job Mh__Job;
 typedef struct Mh__JobEnd Mh__JobEnd;
 typedef struct Mh__JobDrop Mh__JobDrop;
+typedef struct Mh__Suspect Mh__Suspect;
 typedef struct Mh__Frame Mh__Frame;
 
 
@@ -654,6 +655,23 @@
     , (char *)protobuf_c_empty_string }
 
 
+/*
+ * A process could not reach an endpoint, or the home says to leave it out.
+ */
+struct  Mh__Suspect
+{
+  ProtobufCMessage base;
+  char *endpoint;
+  /*
+   * by several reports, told by the home
+   */
+  protobuf_c_boolean agreed;
+};
+#define MH__SUSPECT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__suspect__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
 typedef enum {
   MH__FRAME__BODY__NOT_SET = 0,
   MH__FRAME__BODY_HELLO = 10,
@@ -688,7 +706,8 @@
   MH__FRAME__BODY_VIEW = 39,
   MH__FRAME__BODY_JOB = 40,
   MH__FRAME__BODY_JOB_END = 41,
-  MH__FRAME__BODY_JOB_DROP = 42
+  MH__FRAME__BODY_JOB_DROP = 42,
+  MH__FRAME__BODY_SUSPECT = 43
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MH__FRAME__BODY__CASE)
 } Mh__Frame__BodyCase;
 
@@ -732,6 +751,7 @@
     Mh__Job *job;
     Mh__JobEnd *job_end;
     Mh__JobDrop *job_drop;
+    Mh__Suspect *suspect;
   };
 };
 #define MH__FRAME__INIT \
@@ -1480,6 +1500,25 @@
 void   mh__job_drop__free_unpacked
                      (Mh__JobDrop *message,
                       ProtobufCAllocator *allocator);
+/* Mh__Suspect methods */
+void   mh__suspect__init
+                     (Mh__Suspect         *message);
+size_t mh__suspect__get_packed_size
+                     (const Mh__Suspect   *message);
+size_t mh__suspect__pack
+                     (const Mh__Suspect   *message,
+                      uint8_t             *out);
+size_t mh__suspect__pack_to_buffer
+                     (const Mh__Suspect   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__Suspect *
+       mh__suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__suspect__free_unpacked
+                     (Mh__Suspect *message,
+                      ProtobufCAllocator *allocator);
 /* Mh__Frame methods */
 void   mh__frame__init
                      (Mh__Frame         *message);
@@ -1618,6 +1657,9 @@
 typedef void (*Mh__JobDrop_Closure)
                  (const Mh__JobDrop *message,
                   void *closure_data);
+typedef void (*Mh__Suspect_Closure)
+                 (const Mh__Suspect *message,
+                  void *closure_data);
 typedef void (*Mh__Frame_Closure)
                  (const Mh__Frame *message,
                   void *closure_data);
@@ -1667,6 +1709,7 @@
 extern const ProtobufCMessageDescriptor mh__job__descriptor;
 extern const ProtobufCMessageDescriptor mh__job_end__descriptor;
 extern const ProtobufCMessageDescriptor mh__job_drop__descriptor;
+extern const ProtobufCMessageDescriptor mh__suspect__descriptor;
 extern const ProtobufCMessageDescriptor mh__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
