A full pool takes what brings more for its work first

Cause: when a pool is full, whoever came first was taken, whatever work it asked for; pieces of a request vary from one to ten.

--- a/lib/broker.c
+++ b/lib/broker.c
@@ -67,6 +67,7 @@
 	m.route = j->route;
 	m.domain = j->domain == NULL ? (char *)"" : j->domain;
 	m.priority = j->priority;
+	m.weight = j->weight;
 	m.returned = j->returned;
 	m.aim_us = j->aim_us - mh_now(b->k);
 	m.deadline_us = j->deadline_us - mh_now(b->k);
@@ -222,6 +223,7 @@
 	if (*m->domain != '\0')
 		j->domain = g_strdup(m->domain);
 	j->priority = m->priority;
+	j->weight = m->weight;
 	j->returned = m->returned;
 	j->arrived_us = mh_now(b->k);
 	j->aim_us = j->arrived_us + m->aim_us;
--- a/lib/cell.c
+++ b/lib/cell.c
@@ -414,6 +414,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
 	c->factors =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	c->mean_work =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return c;
 }
 
@@ -438,6 +440,7 @@
 	g_hash_table_destroy(c->batches);
 	g_hash_table_destroy(c->pools);
 	g_hash_table_destroy(c->factors);
+	g_hash_table_destroy(c->mean_work);
 	mh_gconf_unref(c->conf);
 	g_free(c);
 }
--- a/lib/cell.h
+++ b/lib/cell.h
@@ -75,6 +75,7 @@
 	GHashTable *pools; /* name -> struct cpool */
 	GHashTable *batches; /* id -> struct mh_batch */
 	GHashTable *factors; /* route and stage -> double */
+	GHashTable *mean_work; /* route -> double, microseconds a job */
 	struct mh_timer *tick;
 	uint64_t next_id;
 	bool dispatching;
@@ -102,6 +103,8 @@
 /** mh_cell_item_factor() - a stage's cost a piece over its pool's mean. */
 double *mh_cell_item_factor(
     struct mh_cell *c, const char *route, uint32_t stage);
+/** mh_cell_mean_work() - a route's mean work a job; starts at @first. */
+double *mh_cell_mean_work(struct mh_cell *c, const char *route, double first);
 /** mh_cell_item_us() - time that one piece adds to a call. */
 int64_t mh_cell_item_us(const struct mh_job *j, uint32_t stage);
 /** mh_cell_is_ready() - whether all inputs of a stage are made. */
--- a/lib/celladmit.c
+++ b/lib/celladmit.c
@@ -19,6 +19,10 @@
  * a little late, all of it, once a pool is full.
  */
 #define ADMIT_MARGIN_US (200 * MH_US_PER_MS)
+/* Bounds of a job's work over its worth, each against the mean. */
+#define RATIO_LEAST 0.25
+#define RATIO_MOST 3.0
+#define WORK_WEIGHT 0.05
 
 /* admission */
 
@@ -104,6 +108,42 @@
 	return us;
 }
 
+/* Time that the job takes of its pools, with full calls. */
+static double
+work_of_job(const struct mh_job *j)
+{
+	double us = 0;
+
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		const struct mh_gwork *w = j->state->stages[s].pool->work;
+
+		us += mh_cell_todo(j, s) *
+		    ((double)w->call_us / w->batch +
+			(double)mh_cell_item_us(j, s));
+	}
+	return us;
+}
+
+/*
+ * The margin before the aim that a job needs.  When a pool is full, work is
+ * taken up to this margin, so what brings more for its work gets in where
+ * the rest is refused: fewer pieces, or a larger answer, than its route's
+ * mean.
+ */
+static int64_t
+margin_us(struct mh_cell *c, const struct mh_job *j)
+{
+	double work = work_of_job(j);
+	double *mean = mh_cell_mean_work(c, j->route, work);
+	double ratio = *mean <= 0 ? 1 : work / *mean;
+
+	*mean += WORK_WEIGHT * (work - *mean);
+	if (j->weight > 0)
+		ratio /= j->weight;
+	return (
+	    int64_t)(ADMIT_MARGIN_US * CLAMP(ratio, RATIO_LEAST, RATIO_MOST));
+}
+
 bool
 mh_cell_admit(struct mh_cell *c, struct mh_job *j)
 {
@@ -111,7 +151,7 @@
 	bool ok;
 
 	at = predict_us(c, j);
-	if (at <= j->aim_us - ADMIT_MARGIN_US)
+	if (at <= j->aim_us - margin_us(c, j))
 		ok = true;
 	else {
 		j->state->late = true;
--- a/lib/cellwork.c
+++ b/lib/cellwork.c
@@ -83,6 +83,19 @@
 	return f;
 }
 
+double *
+mh_cell_mean_work(struct mh_cell *c, const char *route, double first)
+{
+	double *mean = g_hash_table_lookup(c->mean_work, route);
+
+	if (mean == NULL) {
+		mean = g_new(double, 1);
+		*mean = first;
+		g_hash_table_insert(c->mean_work, g_strdup(route), mean);
+	}
+	return mean;
+}
+
 int64_t
 mh_cell_item_us(const struct mh_job *j, uint32_t stage)
 {
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -36,6 +36,11 @@
  * return together. */
 #define RETRY_MIN_US (150 * MH_US_PER_MS)
 #define RETRY_SPREAD 0.5
+/* A generated token costs an engine about ten times one that is read. */
+#define OUT_WEIGHT 10
+/* Part of a request's worth that is the same whatever its size. */
+#define FIXED_WORTH 0.3
+#define SIZE_WEIGHT 0.05
 /* A leaving process takes streams for this part of the time it has left:
  * most end in a few seconds, and callers have heard to go elsewhere. */
 #define STREAMS_SHARE 0.3
@@ -69,6 +74,7 @@
 	int64_t leave_us; /* 0: not leaving; else when it will be gone */
 	int64_t streams_until_us; /* streams that come later are refused */
 	GHashTable *deadlines; /* route -> longest time given */
+	GHashTable *sizes; /* route -> mean size of a request, double */
 };
 
 static void try_next(struct mh_gate *g, struct mh_gask *q);
@@ -383,6 +389,27 @@
 
 /* stage work */
 
+/*
+ * What a request is worth over the mean of its route: part of it is the same
+ * for all, the rest goes by its weighted tokens.
+ */
+static double
+weight_of(struct mh_gate *g, const struct mh_gask *q)
+{
+	double size = q->tokens_in + OUT_WEIGHT * (double)q->tokens_out;
+	double *mean = g_hash_table_lookup(g->sizes, q->route->name);
+
+	if (size <= 0)
+		return 1;
+	if (mean == NULL) {
+		mean = g_new(double, 1);
+		*mean = size;
+		g_hash_table_insert(g->sizes, g_strdup(q->route->name), mean);
+	}
+	*mean += SIZE_WEIGHT * (size - *mean);
+	return FIXED_WORTH + (1 - FIXED_WORTH) * size / *mean;
+}
+
 static void
 start_job(struct mh_gate *g, struct mh_gask *q)
 {
@@ -401,6 +428,7 @@
 	j->route = g_strdup(r->name);
 	j->priority = q->priority;
 	j->returned = q->returned;
+	j->weight = weight_of(g, q);
 	j->arrived_us = q->arrived_us;
 	j->aim_us = q->aim_us - engine_us;
 	j->deadline_us = q->first_by_us - engine_us;
@@ -723,6 +751,8 @@
 	g->asks = g_hash_table_new(NULL, NULL);
 	g->deadlines =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g->sizes =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return g;
 }
 
@@ -739,6 +769,7 @@
 	g_list_free(all);
 	g_hash_table_destroy(g->asks);
 	g_hash_table_destroy(g->deadlines);
+	g_hash_table_destroy(g->sizes);
 	mh_gconf_unref(g->conf);
 	g_free(g->domain);
 	g_free(g);
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -392,6 +392,7 @@
 	char *domain; /* where its results will be read, NULL: not known */
 	char *route;
 	uint32_t priority;
+	double weight; /* its worth over the mean of its route, 0: unknown */
 	bool returned; /* the caller was refused before */
 	int64_t arrived_us;
 	int64_t aim_us; /* absolute: the stages' share of the aim */
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -4599,7 +4599,7 @@
   (ProtobufCMessageInit) mh__job_stage__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__job__field_descriptors[9] =
+static const ProtobufCFieldDescriptor mh__job__field_descriptors[10] =
 {
   {
     "id",
@@ -4709,6 +4709,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "weight",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Job, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__job__field_indices_by_name[] = {
   5,   /* field[5] = aim_us */
@@ -4720,11 +4732,12 @@
   4,   /* field[4] = returned */
   2,   /* field[2] = route */
   7,   /* field[7] = stages */
+  9,   /* field[9] = weight */
 };
 static const ProtobufCIntRange mh__job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor mh__job__descriptor =
 {
@@ -4734,7 +4747,7 @@
   "Mh__Job",
   "mh",
   sizeof(Mh__Job),
-  9,
+  10,
   mh__job__field_descriptors,
   mh__job__field_indices_by_name,
   1,  mh__job__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -622,10 +622,14 @@
    * where its results will be read
    */
   char *domain;
+  /*
+   * its worth over the mean of its route
+   */
+  double weight;
 };
 #define MH__JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__job__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Mh__JobEnd
