Only what could not be reached is told to other entries

Ruled out: more reports (an engine takes 2.5 requests a second). Change: reports of connections that could not be made only.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -719,11 +719,15 @@
 	mh_event(g->k, "broken", "id=%s node=%s sent=%d took_ms=%" PRId64,
 	    q->id, t->node, end == MH_CALL_BROKEN,
 	    mh_ms(mh_now(g->k) - t->sent_us));
-	if (n != NULL && !t->counted)
-		mh_node_dead(g->f, n,
-		    end == MH_CALL_UNSENT ? "unreachable" : "no-answer");
+	/*
+	 * Only what could not be reached is told to others.  Answers that are
+	 * lost on the way come from sound endpoints as well, and half of a
+	 * pool would be left out for them.
+	 */
+	if (n != NULL && end == MH_CALL_UNSENT)
+		mh_node_dead(g->f, n, "unreachable");
 	else if (n != NULL)
-		mh_node_bad(g->f, n, "broken");
+		mh_node_bad(g->f, n, t->counted ? "broken" : "no-answer");
 	if (end == MH_CALL_BROKEN)
 		count_run(q, t);
 	leave_try(g, q, false);
--- a/lib/suspect.c
+++ b/lib/suspect.c
@@ -1,9 +1,10 @@
 /**
  * DOC: Endpoints that several entries could not reach.
  *
- * A replica crashes and each of many entries finds out with a request of its
- * own, which may not be sent again.  So entries report what gave no answer to
- * the home of that work, which tells all as soon as two reports agree.
+ * A replica goes dark and each of many entries finds out by a connection that
+ * hangs.  So entries report what they could not reach to the home of stage
+ * work, which tells all as soon as two reports agree. the home of that work,
+ * which tells all as soon as two reports agree.
  */
 
 #include "mesh.h"
