Tests of a full pool's choice and of endpoints out of reach; one name for the work

Cause: two gains had no test. Change: a burst of small and large work (fails with a fixed margin), reports of two entries; the name of stage work stands once.

--- a/lib/broker.c
+++ b/lib/broker.c
@@ -10,8 +10,6 @@
 
 #include <string.h>
 
-#define WORK "stage-work"
-
 /* A job that another entry does for us. */
 struct sent {
 	struct mh_job *job;
@@ -89,7 +87,7 @@
 void
 mh_broker_submit(struct mh_broker *b, struct mh_job *j)
 {
-	const char *home = mh_mesh_home(b->m, WORK);
+	const char *home = mh_mesh_home(b->m, MH_STAGE_WORK);
 	struct sent *s;
 
 	if (mh_mesh_is_self(b->m, home)) {
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -19,8 +19,6 @@
 #define REDIAL_US (500 * MH_US_PER_MS)
 /* First in the order of any work: one to use and the next to fall back on. */
 #define DIALLED 4
-/* The only work that has a home today. */
-#define WORK "stage-work"
 /* Entries that read for all: one may be cut off or die unnoticed. */
 #define READERS 2
 /* A process that ran so long is as good a home as any. */
@@ -192,7 +190,7 @@
 bool
 mh_mesh_reads(struct mh_mesh *m)
 {
-	double mine = rank(WORK, m->node, m->weight);
+	double mine = rank(MH_STAGE_WORK, m->node, m->weight);
 	GHashTableIter it;
 	gpointer key, value;
 	uint32_t before = 0;
@@ -202,7 +200,7 @@
 		const struct peer *p = value;
 
 		before += alive(p) && p->reads && !p->leaving &&
-		    rank(WORK, p->node, p->weight) > mine;
+		    rank(MH_STAGE_WORK, p->node, p->weight) > mine;
 	}
 	return before < READERS;
 }
@@ -514,7 +512,7 @@
 static bool
 worth_link(struct mh_mesh *m, const struct peer *p)
 {
-	double mine = rank(WORK, p->node, p->weight);
+	double mine = rank(MH_STAGE_WORK, p->node, p->weight);
 	GHashTableIter it;
 	gpointer key, value;
 	uint32_t before = 0;
@@ -524,7 +522,7 @@
 		const struct peer *o = value;
 
 		before += o != p && may_serve(o) &&
-		    rank(WORK, o->node, o->weight) > mine;
+		    rank(MH_STAGE_WORK, o->node, o->weight) > mine;
 	}
 	return before < DIALLED;
 }
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -10,6 +10,9 @@
 
 /* mesh.c: service "hub" of a process on the users' platform */
 
+/* The only work that has a home today. */
+#define MH_STAGE_WORK "stage-work"
+
 struct mh_mesh;
 
 /** struct mh_member - another entry, as it is listed. */
--- a/lib/suspect.c
+++ b/lib/suspect.c
@@ -3,15 +3,13 @@
  *
  * A replica goes dark and each of many entries finds out by a connection that
  * hangs.  So entries report what they could not reach to the home of stage
- * work, which tells all as soon as two reports agree. the home of that work,
- * which tells all as soon as two reports agree.
+ * work, which tells all as soon as two reports agree.
  */
 
 #include "mesh.h"
 
 #include <string.h>
 
-#define WORK "stage-work"
 /* Reports that far apart say nothing together. */
 #define AGREE_US (1 * MH_US_PER_S)
 #define AGREE_REPORTS 2
@@ -82,7 +80,7 @@
 void
 mh_suspects_report(struct mh_suspects *s, const char *endpoint)
 {
-	const char *home = mh_mesh_home(s->m, WORK);
+	const char *home = mh_mesh_home(s->m, MH_STAGE_WORK);
 
 	if (mh_mesh_is_self(s->m, home))
 		count(s, endpoint);
--- a/regress/t_cell.c
+++ b/regress/t_cell.c
@@ -74,6 +74,41 @@
 	world_destroy(w);
 }
 
+/*
+ * A full pool took whoever came first, whatever work he asked for.  Taking
+ * what brings more for its work serves more callers of the same burst, and
+ * the large ones are not shut out.
+ */
+static void
+test_burst_small_work_first(void)
+{
+	struct world *w = world_create();
+	uint32_t small = 0, large = 0;
+
+	world_pool(w, "a", 3, 8, 200 * MS, 21 * MS, 0);
+	w->keep = true;
+	for (int i = 0; i < 240; i++) {
+		const uint32_t pieces[] = { i % 2 == 0 ? 1 : 7 };
+		struct mh_job *j =
+		    world_job(w, one_pool, pieces, 1500 * MS, 6 * S);
+
+		j->weight = 1;
+		mh_cell_submit(w->c, j);
+		world_run(w, 21 * MS);
+	}
+	world_run(w, 8 * S);
+	for (guint i = 0; i < w->kept->len; i++) {
+		const struct mh_job *j = g_ptr_array_index(w->kept, i);
+
+		small += j->stages[0].pieces == 1;
+		large += j->stages[0].pieces == 7;
+	}
+	CU_ASSERT(small >= 115);
+	CU_ASSERT(large >= 15);
+	CU_ASSERT(w->on_time >= 130);
+	world_destroy(w);
+}
+
 /*
  * A caller leaves while its pieces are in a call.  The room that their
  * results would have taken stayed counted for ever, and calls to that
@@ -348,6 +383,7 @@
 const struct test tests_cell[] = {
 	{ "cell: pieces of all entries meet", test_pieces_meet },
 	{ "cell: a burst, taken on time or refused", test_burst_taken_on_time },
+	{ "cell: a burst, small work first", test_burst_small_work_first },
 	{ "cell: room of leavers given back", test_room_of_leavers_given_back },
 	{ "cell: a late double of a used piece",
 	    test_late_double_of_a_used_piece },
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -456,6 +456,50 @@
 	mrig_destroy(r);
 }
 
+/*
+ * A replica goes dark.  Two entries find out by connections that hang; the
+ * others must not have to.
+ */
+static void
+test_suspects(void)
+{
+	struct mrig *r = mrig_create();
+	struct mh_fleet *f[ENTRIES];
+	struct mh_suspects *s[ENTRIES];
+	uint32_t out = 0;
+
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		static const char *const ids[] = { "n0", "n1", "n2" };
+
+		f[i] = mh_fleet_create(r->e[i].k);
+		mh_fleet_begin(f[i]);
+		for (int n = 0; n < 3; n++) {
+			struct mh_listing l = { ids[n], "pool", "a:1", "d", 1,
+				false, 0 };
+
+			mh_fleet_list(f[i], &l);
+		}
+		mh_fleet_end(f[i]);
+		s[i] = mh_suspects_create(r->e[i].k, r->e[i].m, f[i]);
+	}
+	run(r, 2 * S);
+	mh_suspects_report(s[0], "n1");
+	run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		out += !mh_node_usable(f[i], mh_fleet_find(f[i], "n1"));
+	CU_ASSERT_EQUAL(out, 0);
+	mh_suspects_report(s[1], "n1");
+	run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		out += !mh_node_usable(f[i], mh_fleet_find(f[i], "n1"));
+	CU_ASSERT_EQUAL(out, ENTRIES);
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		mh_suspects_destroy(s[i]);
+		mh_fleet_destroy(f[i]);
+	}
+	mrig_destroy(r);
+}
+
 /* A job goes to its home; the home dies; the next one does it. */
 struct jrig {
 	struct mrig *r;
@@ -563,6 +607,7 @@
 	{ "mesh: settled entries first", test_settled_first },
 	{ "mesh: configuration from peers", test_conf_from_peers },
 	{ "mesh: readers", test_readers },
+	{ "mesh: endpoints that two could not reach", test_suspects },
 	{ "mesh: a job moves to the next home", test_job_moves },
 	{ NULL, NULL },
 };
