--- a/lib/gate.c
+++ b/lib/gate.c
@@ -8,7 +8,7 @@
  * said that it did not run it, or no byte of it had left.
  */
 
-#include "gate.h"
+#include "gateint.h"
 
 #include <string.h>
 
@@ -24,26 +24,10 @@
 /* A stream that pauses this many times the longest pause allowed hangs. */
 #define GAP_FACTOR 2
 #define GAP_DEFAULT_US (1600 * MH_US_PER_MS)
-/*
- * Callers of a stream give up on its first event after the longest of these;
- * what would come later is work for nobody.
- */
-#define PATIENCE_AIMS 4
-#define PATIENCE_GAPS 8
-#define PATIENCE_LEAST_US (2 * MH_US_PER_S)
-#define PATIENCE_PERCENT 90
 /* Callers that were told to come back after; spread so that they do not
  * return together. */
 #define RETRY_MIN_US (150 * MH_US_PER_MS)
 #define RETRY_SPREAD 0.5
-/* A generated token costs an engine about ten times one that is read. */
-#define OUT_WEIGHT 10
-/* Part of a request's worth that is the same whatever its size. */
-#define FIXED_WORTH 0.3
-#define SIZE_WEIGHT 0.05
-/* A leaving process takes streams for this part of the time it has left:
- * most end in a few seconds, and callers have heard to go elsewhere. */
-#define STREAMS_SHARE 0.3
 /*
  * An engine reads the inputs of a request when it takes it on.  One that has
  * places does so at once; after this time the inputs are freed, since room
@@ -52,32 +36,6 @@
 #define FED_US (80 * MH_US_PER_MS)
 /* Less time left than this is no use to an endpoint. */
 #define LEAST_LEFT_US (20 * MH_US_PER_MS)
-/*
- * Callers give between 0.85 and 1 times their route's longest time; less than
- * that is what was left to one that was refused before and has come back.
- */
-#define RETURNED_BELOW 0.84
-#define GIVEN_MEAN 0.925
-/* Time from the stages' end to the first event: prefill and a step. */
-#define ENGINE_US (150 * MH_US_PER_MS)
-#define ENGINE_US_PER_TOKEN 40
-
-struct mh_gate {
-	struct mh_kern *k;
-	struct mh_fleet *f;
-	struct mh_place *place;
-	struct mh_budget *budget;
-	struct mh_gate_ops ops;
-	struct mh_gconf *conf;
-	char *domain;
-	GHashTable *asks; /* set of struct mh_gask */
-	int64_t leave_us; /* 0: not leaving; else when it will be gone */
-	int64_t streams_until_us; /* streams that come later are refused */
-	GHashTable *deadlines; /* route -> longest time given */
-	GHashTable *sizes; /* route -> mean size of a request, double */
-};
-
-static void try_next(struct mh_gate *g, struct mh_gask *q);
 
 struct mh_gask *
 mh_gask_create(const char *id)
@@ -149,8 +107,8 @@
 	q->job = NULL;
 }
 
-static void
-close_ask(struct mh_gate *g, struct mh_gask *q, bool abort)
+void
+mh_gate_close(struct mh_gate *g, struct mh_gask *q, bool abort)
 {
 	leave_try(g, q, abort);
 	release_job(g, q);
@@ -177,8 +135,8 @@
 	return names[why];
 }
 
-static void
-log_end(struct mh_gate *g, const struct mh_gask *q, const char *outcome,
+void
+mh_gate_log_end(struct mh_gate *g, const struct mh_gask *q, const char *outcome,
     int64_t retry_us)
 {
 	int64_t now = mh_now(g->k);
@@ -195,8 +153,8 @@
 	    q->n_tried > 0 ? q->tried[q->n_tried - 1] : "-", mh_ms(retry_us));
 }
 
-static void
-refuse(struct mh_gate *g, struct mh_gask *q, enum mh_gate_refusal why,
+void
+mh_gate_refuse(struct mh_gate *g, struct mh_gask *q, enum mh_gate_refusal why,
     int64_t retry_us)
 {
 	bool later = why == MH_NOT_READY || why == MH_TOO_BUSY ||
@@ -207,9 +165,9 @@
 		retry_us += (int64_t)((double)retry_us * RETRY_SPREAD *
 		    mh_random_unit(g->k));
 	}
-	log_end(g, q, refusal_name(why), retry_us);
+	mh_gate_log_end(g, q, refusal_name(why), retry_us);
 	mh_count(g->k, refusal_name(why), 1);
-	close_ask(g, q, true);
+	mh_gate_close(g, q, true);
 	if (q->passed_head)
 		g->ops.break_off(g->ops.arg, q);
 	else
@@ -224,13 +182,13 @@
 
 	q->until = NULL;
 	if (q->runs > 0 || q->cur != NULL)
-		refuse(g, q, MH_RUN_TIMEOUT, 0);
+		mh_gate_refuse(g, q, MH_RUN_TIMEOUT, 0);
 	else
-		refuse(g, q, MH_NOT_IN_TIME, 0);
+		mh_gate_refuse(g, q, MH_NOT_IN_TIME, 0);
 }
 
-static void
-set_until(struct mh_gate *g, struct mh_gask *q)
+void
+mh_gate_set_until(struct mh_gate *g, struct mh_gask *q)
 {
 	q->until = mh_timer_start(
 	    g->k, MAX(q->until_us - mh_now(g->k), 0), on_until, q);
@@ -262,11 +220,11 @@
 	if (!may_repeat(q) || q->n_tried >= TRIES_MAX ||
 	    (q->passed_head && q->route->repeat != MH_REPEAT_RESUME) ||
 	    !mh_budget_take(g->budget, q->pool)) {
-		refuse(g, q, why, 0);
+		mh_gate_refuse(g, q, why, 0);
 		return;
 	}
 	mh_count(g->k, "repeats", 1);
-	try_next(g, q);
+	mh_gate_try_next(g, q);
 }
 
 static void
@@ -288,7 +246,7 @@
 	mh_count(g->k, "repeats_silent", 1);
 	count_run(q, q->cur);
 	leave_try(g, q, true);
-	try_next(g, q);
+	mh_gate_try_next(g, q);
 }
 
 static void
@@ -306,8 +264,9 @@
 	return q->route->stream ? MAX(us, STREAM_PATIENCE_US) : us;
 }
 
-static void
-fill_place(struct mh_gate *g, const struct mh_gask *q, struct mh_place_ask *a)
+void
+mh_gate_fill_place(
+    struct mh_gate *g, const struct mh_gask *q, struct mh_place_ask *a)
 {
 	a->pool = q->pool;
 	a->domain = g->domain;
@@ -334,8 +293,8 @@
 	return n->waiting == 0 && n->running < n->capacity * 3 / 4;
 }
 
-static void
-try_next(struct mh_gate *g, struct mh_gask *q)
+void
+mh_gate_try_next(struct mh_gate *g, struct mh_gask *q)
 {
 	struct mh_place_ask a = { 0 };
 	struct mh_node *n;
@@ -343,13 +302,15 @@
 	int64_t left = q->until_us - mh_now(g->k);
 
 	if (left < LEAST_LEFT_US) {
-		refuse(g, q, q->runs > 0 ? MH_RUN_TIMEOUT : MH_NOT_IN_TIME, 0);
+		mh_gate_refuse(
+		    g, q, q->runs > 0 ? MH_RUN_TIMEOUT : MH_NOT_IN_TIME, 0);
 		return;
 	}
-	fill_place(g, q, &a);
+	mh_gate_fill_place(g, q, &a);
 	n = q->n_tried < TRIES_MAX ? mh_place_pick(g->place, &a) : NULL;
 	if (n == NULL) {
-		refuse(g, q, q->runs > 0 ? MH_RUN_FAILED : MH_NO_ENDPOINT, 0);
+		mh_gate_refuse(
+		    g, q, q->runs > 0 ? MH_RUN_FAILED : MH_NO_ENDPOINT, 0);
 		return;
 	}
 	t = g_new0(struct mh_try, 1);
@@ -387,220 +348,6 @@
 	g->ops.send(g->ops.arg, t);
 }
 
-/* stage work */
-
-/*
- * What a request is worth over the mean of its route: part of it is the same
- * for all, the rest goes by its weighted tokens.
- */
-static double
-weight_of(struct mh_gate *g, const struct mh_gask *q)
-{
-	double size = q->tokens_in + OUT_WEIGHT * (double)q->tokens_out;
-	double *mean = g_hash_table_lookup(g->sizes, q->route->name);
-
-	if (size <= 0)
-		return 1;
-	if (mean == NULL) {
-		mean = g_new(double, 1);
-		*mean = size;
-		g_hash_table_insert(g->sizes, g_strdup(q->route->name), mean);
-	}
-	*mean += SIZE_WEIGHT * (size - *mean);
-	return FIXED_WORTH + (1 - FIXED_WORTH) * size / *mean;
-}
-
-static void
-start_job(struct mh_gate *g, struct mh_gask *q)
-{
-	struct mh_job *j = mh_job_create(q->id);
-	const struct mh_groute *r = q->route;
-	struct mh_place_ask a = { 0 };
-	const struct mh_node *home;
-	int64_t engine_us =
-	    ENGINE_US + (int64_t)q->tokens_in * ENGINE_US_PER_TOKEN;
-
-	fill_place(g, q, &a);
-	home = mh_place_home(g->place, &a);
-	if (home != NULL)
-		j->domain = g_strdup(home->domain);
-	j->key = g_strdup(q->piece_key);
-	j->route = g_strdup(r->name);
-	j->priority = q->priority;
-	j->returned = q->returned;
-	j->weight = weight_of(g, q);
-	j->arrived_us = q->arrived_us;
-	j->aim_us = q->aim_us - engine_us;
-	j->deadline_us = q->first_by_us - engine_us;
-	j->n_stages = r->n_stages;
-	for (uint32_t s = 0; s < r->n_stages; s++) {
-		j->stages[s].pool = g_strdup(r->stages[s].pool);
-		j->stages[s].after = r->stages[s].after;
-		j->stages[s].result_bytes = r->stages[s].result_bytes;
-		j->stages[s].pieces = s < q->n_pieces ? q->pieces[s] : 0;
-	}
-	j->owner = q;
-	q->job = j;
-	q->jobs++;
-	q->state = MH_ASK_STAGES;
-	g->ops.submit(g->ops.jobs, j);
-}
-
-void
-mh_gate_job_end(
-    struct mh_gate *g, struct mh_job *j, enum mh_job_end end, int64_t retry_us)
-{
-	struct mh_gask *q = j->owner;
-
-	switch (end) {
-	case MH_JOB_DONE:
-		mh_observe(g->k, "stage_work", mh_now(g->k) - q->arrived_us);
-		q->state = MH_ASK_TRYING;
-		g_free(q->inputs);
-		q->inputs = mh_job_finals(j);
-		try_next(g, q);
-		return;
-	case MH_JOB_REFUSED:
-		q->job = NULL;
-		mh_job_destroy(j);
-		refuse(g, q, MH_TOO_BUSY, retry_us);
-		return;
-	case MH_JOB_FAILED:
-	case MH_JOB_MOVED:
-		q->job = NULL;
-		mh_job_destroy(j);
-		refuse(g, q, MH_NO_ENDPOINT, retry_us);
-		return;
-	}
-}
-
-/* arrival */
-
-static bool
-find_org(struct mh_gate *g, struct mh_gask *q)
-{
-	if (g_hash_table_size(g->conf->keys) == 0)
-		return true;
-	if (q->key != NULL)
-		q->org = g_hash_table_lookup(g->conf->keys, q->key);
-	return q->org != NULL || (q->route->open_to_all && q->key == NULL);
-}
-
-/*
- * A caller that comes back gives the time that is left to it; its aim still
- * counts from its first asking, which is worked out from the time that is
- * missing.
- */
-static void
-set_times(struct mh_gate *g, struct mh_gask *q)
-{
-	int64_t *longest = g_hash_table_lookup(g->deadlines, q->route->name);
-	int64_t now = mh_now(g->k), given = q->deadline_us;
-
-	if (given <= 0)
-		given = q->route->timeout_us;
-	if (longest == NULL) {
-		longest = g_new0(int64_t, 1);
-		g_hash_table_insert(
-		    g->deadlines, g_strdup(q->route->name), longest);
-	}
-	*longest = MAX(*longest, given);
-	q->returned = (double)given < RETURNED_BELOW * (double)*longest;
-	q->first_us = now;
-	if (q->returned)
-		q->first_us -= (int64_t)(GIVEN_MEAN * (double)*longest) - given;
-	q->aim_us = q->first_us + q->route->aim_us;
-	q->until_us = now + MIN(given, q->route->timeout_us);
-	q->first_by_us = q->until_us;
-	if (q->route->stream) {
-		/* Later than this nobody reads its first event. */
-		int64_t patience = MAX(PATIENCE_AIMS * q->route->aim_us,
-		    PATIENCE_GAPS * q->route->gap_aim_us);
-
-		patience = MAX(patience, PATIENCE_LEAST_US);
-		q->first_by_us =
-		    MIN(q->until_us, now + patience * PATIENCE_PERCENT / 100);
-	}
-}
-
-/*
- * A process that leaves keeps what it has taken; what comes later, over a
- * connection that is still open, is taken only if it will surely have ended
- * before the process is killed.  A stream cut half way is lost to its caller,
- * one that is refused goes to another entry at once.
- */
-static bool
-ends_in_time(const struct mh_gate *g, const struct mh_gask *q)
-{
-	if (g->leave_us == 0)
-		return true;
-	if (q->route->stream)
-		return mh_now(g->k) < g->streams_until_us;
-	return q->until_us < g->leave_us;
-}
-
-void
-mh_gate_take(struct mh_gate *g, struct mh_gask *q)
-{
-	q->gate = g;
-	q->arrived_us = mh_now(g->k);
-	q->until_us = q->arrived_us;
-	q->aim_us = q->arrived_us;
-	g_hash_table_add(g->asks, q);
-	if (g->conf == NULL) {
-		refuse(g, q, MH_NOT_READY, 0);
-		return;
-	}
-	q->conf = mh_gconf_ref(g->conf);
-	q->route = mh_gconf_route(g->conf, q->host, q->target);
-	if (q->route == NULL) {
-		refuse(g, q, MH_NO_ROUTE, 0);
-		return;
-	}
-	if (!find_org(g, q)) {
-		refuse(g, q, MH_BAD_KEY, 0);
-		return;
-	}
-	q->priority = q->org != NULL && q->org->priority >= 0
-	    ? (uint32_t)q->org->priority
-	    : q->route->priority;
-	q->pool = mh_groute_pool(q->route, mh_random_unit(g->k));
-	set_times(g, q);
-	if (q->pool == NULL || q->n_pieces > q->route->n_stages) {
-		refuse(
-		    g, q, q->pool == NULL ? MH_NO_ENDPOINT : MH_BAD_REQUEST, 0);
-		return;
-	}
-	if (!ends_in_time(g, q)) {
-		refuse(g, q, MH_NOT_READY, 0);
-		return;
-	}
-	mh_event(g->k, "ask",
-	    "id=%s route=%s org=%s config=%" PRIu64 " pool=%s given_ms=%" PRId64
-	    " returned=%d aim_ms=%" PRId64 " open=%u",
-	    q->id, q->route->name, q->org != NULL ? q->org->name : "-",
-	    q->conf->version, q->pool, mh_ms(q->deadline_us), q->returned,
-	    mh_ms(q->aim_us - q->arrived_us), mh_gate_open(g));
-	mh_budget_first(g->budget, q->pool);
-	if (q->route->stream)
-		q->events = mh_sse_create();
-	set_until(g, q);
-	if (q->route->n_stages > 0)
-		start_job(g, q);
-	else
-		try_next(g, q);
-}
-
-void
-mh_gate_gone(struct mh_gate *g, struct mh_gask *q)
-{
-	if (q->state == MH_ASK_ENDED)
-		return;
-	log_end(g, q, "caller_left", 0);
-	mh_count(g->k, "callers_left", 1);
-	close_ask(g, q, true);
-}
-
 /* answers */
 
 /* Not run by that endpoint, by its own word: another may. */
@@ -612,14 +359,15 @@
 		mh_count(g->k, "inputs_gone", 1);
 		mh_timer_stop(g->k, &q->fed);
 		release_job(g, q);
-		start_job(g, q);
+		mh_gate_start_job(g, q);
 		return;
 	}
 	if (q->n_tried >= TRIES_MAX || !mh_budget_take(g->budget, q->pool)) {
-		refuse(g, q, q->runs > 0 ? MH_RUN_FAILED : MH_TOO_BUSY, 0);
+		mh_gate_refuse(
+		    g, q, q->runs > 0 ? MH_RUN_FAILED : MH_TOO_BUSY, 0);
 		return;
 	}
-	try_next(g, q);
+	mh_gate_try_next(g, q);
 }
 
 static enum mh_verdict
@@ -635,9 +383,9 @@
 	}
 	leave_try(g, q, false);
 	if (again)
-		try_next(g, q);
+		mh_gate_try_next(g, q);
 	else
-		refuse(g, q, MH_RUN_FAILED, 0);
+		mh_gate_refuse(g, q, MH_RUN_FAILED, 0);
 	return MH_DROP;
 }
 
@@ -709,10 +457,10 @@
 
 	if (end == MH_CALL_WHOLE) {
 		meter_answer(g, q);
-		log_end(g, q, "answered", 0);
+		mh_gate_log_end(g, q, "answered", 0);
 		mh_count(g->k, "answered", 1);
 		leave_try(g, q, false);
-		close_ask(g, q, false);
+		mh_gate_close(g, q, false);
 		g->ops.finish(g->ops.arg, q);
 		return;
 	}
@@ -734,7 +482,7 @@
 	if (q->events != NULL)
 		mh_sse_restart(q->events);
 	if (end == MH_CALL_UNSENT) {
-		try_next(g, q);
+		mh_gate_try_next(g, q);
 		return;
 	}
 	repeat_or(g, q, MH_RUN_FAILED);
@@ -769,7 +517,7 @@
 		return;
 	all = g_hash_table_get_keys(g->asks);
 	for (GList *l = all; l != NULL; l = l->next)
-		close_ask(g, l->data, true);
+		mh_gate_close(g, l->data, true);
 	g_list_free(all);
 	g_hash_table_destroy(g->asks);
 	g_hash_table_destroy(g->deadlines);
@@ -797,11 +545,3 @@
 {
 	return g_hash_table_size(g->asks);
 }
-
-void
-mh_gate_leaving(struct mh_gate *g, int64_t left_us)
-{
-	g->leave_us = mh_now(g->k) + left_us;
-	g->streams_until_us =
-	    mh_now(g->k) + (int64_t)((double)left_us * STREAMS_SHARE);
-}
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -36,6 +36,11 @@
 bool mh_header_name_ok(const char *name);
 bool mh_header_value_ok(const char *value);
 
+/* addr.c */
+
+/** mh_listen() - a listening socket; port 0 picks one, told in @port. */
+int mh_listen(const char *addr, uint16_t *port, GError **err);
+
 /* hserve.c: HTTP/1.1 server that keeps requests byte for byte */
 
 struct mh_hserve;
--- /dev/null
+++ b/lib/gateint.h
@@ -0,0 +1,42 @@
+#ifndef GATEINT_H
+#define GATEINT_H
+
+/* Shared by gate.c, gatejob.c and gatetake.c alone. */
+
+#include "gate.h"
+
+/** struct mh_gate - the gate's own state. */
+struct mh_gate {
+	struct mh_kern *k;
+	struct mh_fleet *f;
+	struct mh_place *place;
+	struct mh_budget *budget;
+	struct mh_gate_ops ops;
+	struct mh_gconf *conf;
+	char *domain;
+	GHashTable *asks; /* set of struct mh_gask */
+	int64_t leave_us; /* 0: not leaving; else when it will be gone */
+	int64_t streams_until_us; /* streams that come later are refused */
+	GHashTable *deadlines; /* route -> longest time given */
+	GHashTable *sizes; /* route -> mean size of a request, double */
+};
+
+/** mh_gate_try_next() - sends it to the next endpoint, or ends it. */
+void mh_gate_try_next(struct mh_gate *g, struct mh_gask *q);
+/** mh_gate_refuse() - ends it with an answer of our own. */
+void mh_gate_refuse(struct mh_gate *g, struct mh_gask *q,
+    enum mh_gate_refusal why, int64_t retry_us);
+/** mh_gate_close() - forgets it; its try and its job are ended. */
+void mh_gate_close(struct mh_gate *g, struct mh_gask *q, bool abort);
+/** mh_gate_fill_place() - what placement is to know of it. */
+void mh_gate_fill_place(
+    struct mh_gate *g, const struct mh_gask *q, struct mh_place_ask *a);
+/** mh_gate_log_end() - the line of its end. */
+void mh_gate_log_end(struct mh_gate *g, const struct mh_gask *q,
+    const char *outcome, int64_t retry_us);
+/** mh_gate_set_until() - starts the timer of its limit. */
+void mh_gate_set_until(struct mh_gate *g, struct mh_gask *q);
+/** mh_gate_start_job() - asks for the stage work of a request. */
+void mh_gate_start_job(struct mh_gate *g, struct mh_gask *q);
+
+#endif
--- /dev/null
+++ b/lib/gatejob.c
@@ -0,0 +1,101 @@
+/**
+ * DOC: The stage work of a request, as the gate asks for it.
+ */
+
+#include "gateint.h"
+
+#include <string.h>
+
+/* A generated token costs an engine about ten times one that is read. */
+#define OUT_WEIGHT 10
+/* Part of a request's worth that is the same whatever its size. */
+#define FIXED_WORTH 0.3
+#define SIZE_WEIGHT 0.05
+/* Time from the stages' end to the first event: prefill and a step. */
+#define ENGINE_US (150 * MH_US_PER_MS)
+#define ENGINE_US_PER_TOKEN 40
+
+/*
+ * What a request is worth over the mean of its route: part of it is the same
+ * for all, the rest goes by its weighted tokens.
+ */
+static double
+weight_of(struct mh_gate *g, const struct mh_gask *q)
+{
+	double size = q->tokens_in + OUT_WEIGHT * (double)q->tokens_out;
+	double *mean = g_hash_table_lookup(g->sizes, q->route->name);
+
+	if (size <= 0)
+		return 1;
+	if (mean == NULL) {
+		mean = g_new(double, 1);
+		*mean = size;
+		g_hash_table_insert(g->sizes, g_strdup(q->route->name), mean);
+	}
+	*mean += SIZE_WEIGHT * (size - *mean);
+	return FIXED_WORTH + (1 - FIXED_WORTH) * size / *mean;
+}
+
+void
+mh_gate_start_job(struct mh_gate *g, struct mh_gask *q)
+{
+	struct mh_job *j = mh_job_create(q->id);
+	const struct mh_groute *r = q->route;
+	struct mh_place_ask a = { 0 };
+	const struct mh_node *home;
+	int64_t engine_us =
+	    ENGINE_US + (int64_t)q->tokens_in * ENGINE_US_PER_TOKEN;
+
+	mh_gate_fill_place(g, q, &a);
+	home = mh_place_home(g->place, &a);
+	if (home != NULL)
+		j->domain = g_strdup(home->domain);
+	j->key = g_strdup(q->piece_key);
+	j->route = g_strdup(r->name);
+	j->priority = q->priority;
+	j->returned = q->returned;
+	j->weight = weight_of(g, q);
+	j->arrived_us = q->arrived_us;
+	j->aim_us = q->aim_us - engine_us;
+	j->deadline_us = q->first_by_us - engine_us;
+	j->n_stages = r->n_stages;
+	for (uint32_t s = 0; s < r->n_stages; s++) {
+		j->stages[s].pool = g_strdup(r->stages[s].pool);
+		j->stages[s].after = r->stages[s].after;
+		j->stages[s].result_bytes = r->stages[s].result_bytes;
+		j->stages[s].pieces = s < q->n_pieces ? q->pieces[s] : 0;
+	}
+	j->owner = q;
+	q->job = j;
+	q->jobs++;
+	q->state = MH_ASK_STAGES;
+	g->ops.submit(g->ops.jobs, j);
+}
+
+void
+mh_gate_job_end(
+    struct mh_gate *g, struct mh_job *j, enum mh_job_end end, int64_t retry_us)
+{
+	struct mh_gask *q = j->owner;
+
+	switch (end) {
+	case MH_JOB_DONE:
+		mh_observe(g->k, "stage_work", mh_now(g->k) - q->arrived_us);
+		q->state = MH_ASK_TRYING;
+		g_free(q->inputs);
+		q->inputs = mh_job_finals(j);
+		mh_gate_try_next(g, q);
+		return;
+	case MH_JOB_REFUSED:
+		q->job = NULL;
+		mh_job_destroy(j);
+		mh_gate_refuse(g, q, MH_TOO_BUSY, retry_us);
+		return;
+	case MH_JOB_FAILED:
+	case MH_JOB_MOVED:
+		q->job = NULL;
+		mh_job_destroy(j);
+		mh_gate_refuse(g, q, MH_NO_ENDPOINT, retry_us);
+		return;
+	}
+}
--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -9,7 +9,6 @@
 
 #include "gate.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <http_parser.h>
 #include <netinet/in.h>
@@ -18,7 +17,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define BACKLOG 1024
 #define READ_SIZE 32768
 /* Bytes of further requests kept while one is answered. */
 #define MAX_AHEAD (256U << 10)
@@ -621,37 +619,6 @@
 	r->data = data;
 }
 
-static int
-listen_on(const char *addr, uint16_t *port, GError **err)
-{
-	struct sockaddr_in sin = { .sin_family = AF_INET };
-	socklen_t len = sizeof(sin);
-	char host[MH_HOST_LEN];
-	int on = 1, fd = -1;
-
-	if (!mh_addr_parse(addr, host, port) ||
-	    inet_pton(AF_INET, host, &sin.sin_addr) != 1)
-		goto bad;
-	sin.sin_port = htons(*port);
-	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd < 0)
-		goto bad;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-	if (bind(fd, (struct sockaddr *)&sin, sizeof(sin)) < 0 ||
-	    listen(fd, BACKLOG) < 0 ||
-	    getsockname(fd, (struct sockaddr *)&sin, &len) < 0)
-		goto bad;
-	*port = ntohs(sin.sin_port);
-	return fd;
-bad:
-	g_set_error(err, MH_ERROR, MH_ERR_IO,
-	    "cannot listen on %s: %s; give a free IP:PORT of this VM", addr,
-	    g_strerror(errno));
-	if (fd >= 0)
-		close(fd);
-	return -1;
-}
-
 struct mh_hserve *
 mh_hserve_create(
     struct mh_loop *l, const struct mh_hserve_args *a, GError **err)
@@ -662,7 +629,7 @@
 	s->loop = l;
 	s->args = *a;
 	s->conns = g_hash_table_new(NULL, NULL);
-	s->fd = listen_on(a->listen, &s->port, err);
+	s->fd = mh_listen(a->listen, &s->port, err);
 	if (s->fd < 0) {
 		g_hash_table_destroy(s->conns);
 		g_free(s);
