A call that was given up says nothing of its pieces' next call

Ruled out: a late double (its test held), lost links. Change: the timer ends with the call's claim; a piece whose input is missing has it made again instead of running. The test failed first.

--- a/lib/cell.c
+++ b/lib/cell.c
@@ -275,6 +275,8 @@
 	if (n != NULL)
 		mh_node_bad(c->f, n, "stage-call-overdue");
 	b->doubled = true;
+	/* What it has read says nothing of the calls that follow. */
+	mh_timer_stop(c->k, &b->fed);
 	mh_count(c->k, "batches_overdue", 1);
 	mh_event(c->k, "batch-overdue",
 	    "batch=%" PRIu64 " node=%s "
--- a/lib/cellrun.c
+++ b/lib/cellrun.c
@@ -193,6 +193,24 @@
 	return all;
 }
 
+/*
+ * A piece that runs without an input of its request gives a wrong answer that
+ * looks right; whatever lost the input, it is made again instead.
+ */
+static bool
+inputs_there(const struct mh_job *j, uint32_t stage)
+{
+	for (uint32_t s = 0; s < stage; s++) {
+		if ((j->stages[stage].after >> s & 1) == 0)
+			continue;
+		for (uint32_t i = 0; i < j->stages[s].pieces; i++) {
+			if (g_ptr_array_index(j->stages[s].results, i) == NULL)
+				return false;
+		}
+	}
+	return true;
+}
+
 static void
 take_pieces(struct mh_batch *b, struct worker *w, const struct unit *u,
     const struct mh_gwork *gw)
@@ -275,8 +293,12 @@
 	for (guint i = 0; i < units->len && b->items->len < gw->batch; i++) {
 		const struct unit *u = &g_array_index(units, struct unit, i);
 
-		if (suits(u, n))
+		if (!suits(u, n))
+			continue;
+		if (inputs_there(u->job, u->stage))
 			take_pieces(b, w, u, gw);
+		else
+			mh_cell_need_inputs(c, u->job, u->stage);
 	}
 	if (b->items->len == 0) {
 		w->pause_us = mh_now(c->k) + ROOM_PAUSE_US;
--- a/regress/t_cell.c
+++ b/regress/t_cell.c
@@ -193,6 +193,34 @@
 	world_destroy(w);
 }
 
+/*
+ * The home of stage work freezes for seconds just after a call began and
+ * wakes with every timer due.  The call counted as overdue, its pieces waited
+ * for a free endpoint, and then the old call's timer said that their inputs
+ * had been read: they were freed, and the pieces ran without them.
+ */
+static void
+test_freeze_in_a_call(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 3, 2 };
+
+	world_pool(w, "a", 1, 8, 100 * MS, 10 * MS, 0);
+	world_pool(w, "b", 1, 8, 100 * MS, 10 * MS, 0);
+	world_node(w, "b-0")->lost = true;
+	mh_cell_submit(w->c, world_job(w, chain, pieces, 20 * S, 30 * S));
+	world_run(w, 145 * MS);
+	CU_ASSERT_EQUAL(world_node(w, "b-0")->calls, 1);
+	w->now_us += 4 * S;
+	mh_kern_advance(w->k, w->now_us, w->now_us);
+	world_node(w, "b-0")->lost = false;
+	world_run(w, 10 * S);
+	CU_ASSERT_EQUAL(w->without_inputs, 0);
+	CU_ASSERT_EQUAL(w->done, 1);
+	CU_ASSERT_EQUAL(g_hash_table_size(w->live), 0);
+	world_destroy(w);
+}
+
 /* The inputs were freed and the call was lost: both are made again. */
 static void
 test_lost_call_after_inputs_were_freed(void)
@@ -388,6 +416,7 @@
 	{ "cell: a late double of a used piece",
 	    test_late_double_of_a_used_piece },
 	{ "cell: inputs freed once read", test_inputs_freed_once_read },
+	{ "cell: a freeze in a call", test_freeze_in_a_call },
 	{ "cell: a lost call after inputs were freed",
 	    test_lost_call_after_inputs_were_freed },
 	{ "cell: inputs gone", test_inputs_gone },
