Stage pools in slices, each with a cell and a home

Ruled out: cheaper choices alone (links and rows grow too). Change: pools are divided by endpoints' ids into a power of two of slices, ten endpoints of the smallest pool at least; an entry uses four of them and is linked to their homes.

--- a/lib/broker.c
+++ b/lib/broker.c
@@ -27,7 +27,7 @@
 struct mh_broker {
 	struct mh_kern *k;
 	struct mh_mesh *m;
-	struct mh_cell *c;
+	struct mh_cells *cells;
 	GHashTable *sent; /* job -> struct sent */
 	GHashTable *guests; /* node/id -> struct guest */
 	GHashTable *guest_jobs; /* job -> struct guest */
@@ -54,7 +54,8 @@
 /* asking */
 
 static void
-send_job(struct mh_broker *b, struct mh_job *j, const char *node)
+send_job(struct mh_broker *b, struct mh_job *j, const char *node,
+    uint32_t slice, uint32_t slices)
 {
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__Job m = MH__JOB__INIT;
@@ -66,6 +67,8 @@
 	m.domain = j->domain == NULL ? (char *)"" : j->domain;
 	m.priority = j->priority;
 	m.weight = j->weight;
+	m.slice = slice;
+	m.slices = slices;
 	m.returned = j->returned;
 	m.aim_us = j->aim_us - mh_now(b->k);
 	m.deadline_us = j->deadline_us - mh_now(b->k);
@@ -84,14 +87,43 @@
 	mh_mesh_send(b->m, node, &f);
 }
 
+/*
+ * Which slice takes a job: one of the few that this entry uses, by what the
+ * slice has of the pools.  With all slices in use by all entries a home would
+ * be linked to every entry; with a few, some dozen entries still meet there.
+ */
+static uint32_t
+pick_slice(struct mh_broker *b, const struct mh_job *j, uint32_t count)
+{
+	uint32_t used[MH_USED_SLICES];
+	uint32_t n = mh_mesh_slices(b->m, count, used);
+	double all = 0, at;
+
+	for (uint32_t i = 0; i < n; i++)
+		all += mh_cells_share(b->cells, used[i]);
+	at = (double)(mh_hash(j->id, strlen(j->id)) >> 11) /
+	    (double)(1ULL << 53) * all;
+	for (uint32_t i = 0; i < n; i++) {
+		at -= mh_cells_share(b->cells, used[i]);
+		if (at < 0)
+			return used[i];
+	}
+	return used[0];
+}
+
 void
 mh_broker_submit(struct mh_broker *b, struct mh_job *j)
 {
-	const char *home = mh_mesh_home(b->m, MH_STAGE_WORK);
+	uint32_t count = mh_cells_count(b->cells);
+	uint32_t slice = pick_slice(b, j, count);
+	char work[MH_WORK_LEN];
+	const char *home;
 	struct sent *s;
 
+	mh_mesh_set_slices(b->m, count);
+	home = mh_mesh_home(b->m, mh_slice_work(work, slice, count));
 	if (mh_mesh_is_self(b->m, home)) {
-		mh_cell_submit(b->c, j);
+		mh_cell_submit(mh_cells_get(b->cells, slice, count), j);
 		return;
 	}
 	s = g_new0(struct sent, 1);
@@ -99,8 +131,9 @@
 	s->node = g_strdup(home);
 	g_hash_table_insert(b->sent, j, s);
 	mh_count(b->k, "jobs_sent", 1);
-	mh_event(b->k, "job-sent", "id=%s home=%s", j->id, home);
-	send_job(b, j, home);
+	mh_event(b->k, "job-sent", "id=%s home=%s slice=%u/%u", j->id, home,
+	    slice, count);
+	send_job(b, j, home, slice, count);
 }
 
 void
@@ -111,7 +144,8 @@
 	Mh__JobDrop d = MH__JOB_DROP__INIT;
 
 	if (s == NULL) {
-		mh_cell_cancel(b->c, j);
+		if (j->cell != NULL)
+			mh_cell_cancel(j->cell, j);
 		return;
 	}
 	d.id = j->id;
@@ -245,7 +279,7 @@
 	struct guest *old = g_hash_table_lookup(b->guests, key);
 
 	if (old != NULL) {
-		mh_cell_cancel(b->c, old->job);
+		mh_cell_cancel(old->job->cell, old->job);
 		free_guest(b, old);
 	}
 	g->b = b;
@@ -255,7 +289,9 @@
 	g_hash_table_insert(b->guests, key, g);
 	g_hash_table_insert(b->guest_jobs, g->job, g);
 	mh_count(b->k, "jobs_guest", 1);
-	mh_cell_submit(b->c, g->job);
+	mh_cell_submit(mh_cells_get(b->cells, f->job->slice % MH_SLICES,
+			   CLAMP(f->job->slices, 1, MH_SLICES)),
+	    g->job);
 }
 
 static void
@@ -268,7 +304,7 @@
 	g_free(key);
 	if (g == NULL)
 		return;
-	mh_cell_cancel(b->c, g->job);
+	mh_cell_cancel(g->job->cell, g->job);
 	free_guest(b, g);
 }
 
@@ -337,7 +373,7 @@
 
 		if (strcmp(g->node, node) != 0)
 			continue;
-		mh_cell_cancel(b->c, g->job);
+		mh_cell_cancel(g->job->cell, g->job);
 		free_guest(b, g);
 	}
 	g_list_free(all);
@@ -375,13 +411,13 @@
 }
 
 struct mh_broker *
-mh_broker_create(struct mh_kern *k, struct mh_mesh *m, struct mh_cell *c)
+mh_broker_create(struct mh_kern *k, struct mh_mesh *m, struct mh_cells *cells)
 {
 	struct mh_broker *b = g_new0(struct mh_broker, 1);
 
 	b->k = k;
 	b->m = m;
-	b->c = c;
+	b->cells = cells;
 	b->sent = g_hash_table_new_full(NULL, NULL, NULL, free_sent);
 	b->guests =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -404,7 +440,7 @@
 	for (GList *l = all; l != NULL; l = l->next) {
 		struct guest *g = l->data;
 
-		mh_cell_cancel(b->c, g->job);
+		mh_cell_cancel(g->job->cell, g->job);
 		free_guest(b, g);
 	}
 	g_list_free(all);
--- a/lib/cell.c
+++ b/lib/cell.c
@@ -127,6 +127,7 @@
 void
 mh_cell_submit(struct mh_cell *c, struct mh_job *j)
 {
+	j->cell = c;
 	start_state(c, j);
 	if (mh_cell_left_us(j) == 0) {
 		g_ptr_array_add(c->ended, j);
@@ -395,6 +396,8 @@
 	struct cpool *p = arg;
 
 	g_hash_table_destroy(p->workers);
+	if (p->nodes != NULL)
+		g_ptr_array_free(p->nodes, TRUE);
 	g_free(p->name);
 	g_free(p);
 }
@@ -408,6 +411,7 @@
 	c->k = k;
 	c->f = f;
 	c->budget = budget;
+	c->slices = 1;
 	c->ops = *ops;
 	c->jobs = g_ptr_array_new();
 	c->ended = g_ptr_array_new();
@@ -447,6 +451,13 @@
 	g_free(c);
 }
 
+void
+mh_cell_slice(struct mh_cell *c, uint32_t index, uint32_t count)
+{
+	c->slice = index;
+	c->slices = MAX(count, 1);
+}
+
 void
 mh_cell_conf(struct mh_cell *c, struct mh_gconf *conf)
 {
--- a/lib/cell.h
+++ b/lib/cell.h
@@ -30,6 +30,8 @@
 	char *name;
 	const struct mh_gwork *work; /* of the configuration in force */
 	GHashTable *workers; /* endpoint id -> struct worker */
+	GPtrArray *nodes; /* the cell's endpoints, see mh_cell_nodes() */
+	uint64_t nodes_version; /* of the fleet */
 	double fresh; /* pieces of work on time that came lately, fading */
 	int64_t fresh_us; /* when that was worked out */
 };
@@ -70,6 +72,8 @@
 	struct mh_budget *budget;
 	struct mh_gconf *conf;
 	struct mh_cell_ops ops;
+	uint32_t slice; /* which of @slices shares of every pool it has */
+	uint32_t slices;
 	GPtrArray *jobs; /* struct mh_job, being worked on */
 	GPtrArray *ended; /* done, their results not yet released */
 	GHashTable *pools; /* name -> struct cpool */
@@ -87,6 +91,8 @@
 uint32_t mh_cell_followers(const struct mh_job *j, uint32_t stage);
 /** mh_cell_pool_of() - the pool of that name, made when first asked for. */
 struct cpool *mh_cell_pool_of(struct mh_cell *c, const char *name);
+/** mh_cell_nodes() - the endpoints of a pool that the cell may call. */
+GPtrArray *mh_cell_nodes(struct mh_cell *c, struct cpool *p);
 /** mh_cell_pool_rate() - pieces a second with full calls, of usable endpoints.
  */
 double mh_cell_pool_rate(struct mh_cell *c, struct cpool *p);
--- a/lib/cellrun.c
+++ b/lib/cellrun.c
@@ -129,9 +129,9 @@
 
 /* Whether a pool has a usable endpoint in a failure domain. */
 static bool
-has_domain(struct mh_cell *c, const char *pool, const char *domain)
+has_domain(struct mh_cell *c, struct cpool *p, const char *domain)
 {
-	GPtrArray *nodes = mh_fleet_pool(c->f, pool);
+	GPtrArray *nodes = mh_cell_nodes(c, p);
 
 	for (guint i = 0; nodes != NULL && i < nodes->len; i++) {
 		const struct mh_node *n = g_ptr_array_index(nodes, i);
@@ -147,7 +147,7 @@
  * allows; under load everything waits longer than that and goes anywhere.
  */
 static void
-place_unit(struct mh_cell *c, const struct cpool *p, struct unit *u)
+place_unit(struct mh_cell *c, struct cpool *p, struct unit *u)
 {
 	struct sstate *ss = &u->job->state->stages[u->stage];
 	int64_t now = mh_now(c->k);
@@ -160,7 +160,7 @@
 	u->holds = now - ss->ready_us < HOLD_US &&
 	    u->job->aim_us - now - mh_cell_path_us(u->job, u->stage) >
 		HOLD_SLACK_US &&
-	    has_domain(c, p->name, u->domain);
+	    has_domain(c, p, u->domain);
 }
 
 static bool
@@ -170,7 +170,7 @@
 }
 
 static GArray *
-ready_units(struct mh_cell *c, const struct cpool *p)
+ready_units(struct mh_cell *c, struct cpool *p)
 {
 	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct unit));
 
@@ -327,7 +327,7 @@
 free_node(struct mh_cell *c, struct cpool *p, const GArray *units)
 {
 	const struct mh_gwork *gw = p->work;
-	GPtrArray *nodes = mh_fleet_pool(c->f, p->name);
+	GPtrArray *nodes = mh_cell_nodes(c, p);
 	struct mh_node *best = NULL;
 	double least = 0, fastest = 1e9;
 	int64_t now = mh_now(c->k);
@@ -371,7 +371,7 @@
 static bool
 any_free(struct mh_cell *c, struct cpool *p)
 {
-	GPtrArray *nodes = mh_fleet_pool(c->f, p->name);
+	GPtrArray *nodes = mh_cell_nodes(c, p);
 	int64_t now = mh_now(c->k);
 
 	for (guint i = 0; nodes != NULL && i < nodes->len; i++) {
--- a/lib/cellwork.c
+++ b/lib/cellwork.c
@@ -104,11 +104,32 @@
 	return (int64_t)((double)ss->pool->work->item_us * *ss->factor);
 }
 
+GPtrArray *
+mh_cell_nodes(struct mh_cell *c, struct cpool *p)
+{
+	uint64_t version = mh_fleet_version(c->f);
+	GPtrArray *all = mh_fleet_pool(c->f, p->name);
+
+	if (p->nodes != NULL && p->nodes_version == version)
+		return p->nodes;
+	if (p->nodes == NULL)
+		p->nodes = g_ptr_array_new();
+	g_ptr_array_set_size(p->nodes, 0);
+	for (guint i = 0; all != NULL && i < all->len; i++) {
+		struct mh_node *n = g_ptr_array_index(all, i);
+
+		if (n->hash % c->slices == c->slice)
+			g_ptr_array_add(p->nodes, n);
+	}
+	p->nodes_version = version;
+	return p->nodes;
+}
+
 /* Pieces a second with full calls, over the endpoints in use. */
 double
 mh_cell_pool_rate(struct mh_cell *c, struct cpool *p)
 {
-	GPtrArray *nodes = mh_fleet_pool(c->f, p->name);
+	GPtrArray *nodes = mh_cell_nodes(c, p);
 	const struct mh_gwork *w = p->work;
 	double full_us = (double)w->call_us + (double)w->item_us * w->batch;
 	double rate = 0;
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -31,6 +31,7 @@
 	GHashTable *nodes; /* id -> struct mh_node */
 	GHashTable *pools; /* name -> GPtrArray of struct mh_node */
 	uint32_t mark;
+	uint64_t version;
 	void (*on_gone)(void *arg, const char *id);
 	void *on_gone_arg;
 	void (*on_dead)(void *arg, const char *id);
@@ -94,6 +95,8 @@
 	n->pool = g_strdup(l->pool);
 	n->addr = g_strdup(l->addr);
 	n->domain = g_strdup(l->domain);
+	n->hash = mh_hash(n->id, strlen(n->id));
+	f->version++;
 	g_hash_table_insert(f->nodes, n->id, n);
 	if (pool == NULL) {
 		pool = g_ptr_array_new();
@@ -148,6 +151,7 @@
 		if (f->on_gone != NULL)
 			f->on_gone(f->on_gone_arg, n->id);
 		g_hash_table_remove(f->nodes, n->id);
+		f->version++;
 	}
 	g_ptr_array_free(gone, TRUE);
 }
@@ -188,6 +192,12 @@
 	return g_hash_table_lookup(f->pools, pool);
 }
 
+uint64_t
+mh_fleet_version(const struct mh_fleet *f)
+{
+	return f->version;
+}
+
 uint32_t
 mh_fleet_size(const struct mh_fleet *f)
 {
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -273,6 +273,7 @@
 	int64_t out_until_us; /* not chosen before, unless all are out */
 	uint32_t outs; /* times put out in a row */
 	uint32_t marks; /* set by fleet when listed */
+	uint64_t hash; /* of its id; says which slice it is in */
 };
 
 /** struct mh_listing - a row of the registry. */
@@ -300,6 +301,8 @@
 /** mh_fleet_pool() - every listed endpoint of a pool; NULL: none. */
 GPtrArray *mh_fleet_pool(struct mh_fleet *f, const char *pool);
 uint32_t mh_fleet_size(const struct mh_fleet *f);
+/** mh_fleet_version() - grows whenever endpoints come or go. */
+uint64_t mh_fleet_version(const struct mh_fleet *f);
 /** mh_node_told() - the endpoint's own word of its load. */
 void mh_node_told(struct mh_fleet *f, struct mh_node *n, uint32_t running,
     uint32_t waiting, uint32_t slots);
@@ -405,6 +408,7 @@
 	struct mh_jstage stages[MH_GSTAGES];
 	uint32_t n_stages;
 	void *owner; /* the submitter's own */
+	struct mh_cell *cell; /* that took it, or NULL */
 	struct mh_jstate *state; /* cell.c's own */
 };
 
@@ -460,6 +464,8 @@
 struct mh_cell *mh_cell_create(struct mh_kern *k, struct mh_fleet *f,
     struct mh_budget *budget, const struct mh_cell_ops *ops);
 void mh_cell_destroy(struct mh_cell *c);
+/** mh_cell_slice() - it has one of @count shares of every pool. */
+void mh_cell_slice(struct mh_cell *c, uint32_t index, uint32_t count);
 void mh_cell_conf(struct mh_cell *c, struct mh_gconf *conf);
 void mh_cell_submit(struct mh_cell *c, struct mh_job *j);
 /** mh_cell_cancel() - forgets the job without calling end(). */
@@ -473,6 +479,25 @@
 /** mh_cell_backlog_us() - how long a new piece would wait at a pool. */
 int64_t mh_cell_backlog_us(struct mh_cell *c, const char *pool);
 
+/* cells.c: the cells of a process */
+
+struct mh_cells;
+
+#define MH_SLICES 64 /* shares of the stage pools at most */
+
+struct mh_cells *mh_cells_create(struct mh_kern *k, struct mh_fleet *f,
+    struct mh_budget *budget, const struct mh_cell_ops *ops);
+void mh_cells_destroy(struct mh_cells *cs);
+void mh_cells_conf(struct mh_cells *cs, struct mh_gconf *conf);
+void mh_cells_leave(struct mh_cells *cs);
+/** mh_cells_get() - the cell of a slice, made when first asked for. */
+struct mh_cell *mh_cells_get(
+    struct mh_cells *cs, uint32_t index, uint32_t count);
+/** mh_cells_count() - slices that the pools are divided into now. */
+uint32_t mh_cells_count(struct mh_cells *cs);
+/** mh_cells_share() - a slice's part of the pools it has least of. */
+double mh_cells_share(struct mh_cells *cs, uint32_t index);
+
 /* sse.c: whole events of a stream, and where it stands */
 
 struct mh_sse;
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -36,6 +36,8 @@
 	bool leaving;
 	bool reads; /* the platform answers it */
 	bool failed; /* the last try to reach it failed */
+	bool wanted; /* worth a link of our own */
+	double rank; /* in the order that is being looked at */
 	int64_t started_us; /* by our clock */
 	uint64_t dial; /* a link being opened, 0: none */
 	uint64_t out; /* links that are up, 0: none */
@@ -57,6 +59,7 @@
 	char *node;
 	double weight;
 	bool leaving;
+	uint32_t slices; /* of the stage pools */
 	int64_t started_us;
 	GHashTable *peers; /* node -> struct peer */
 	GHashTable *conns; /* conn -> struct peer */
@@ -101,6 +104,47 @@
 	return link_of(p) != 0 && mh_now(p->m->k) - p->heard_us < SILENT_US;
 }
 
+const char *
+mh_slice_work(char name[MH_WORK_LEN], uint32_t slice, uint32_t slices)
+{
+	if (slices <= 1)
+		return MH_STAGE_WORK;
+	g_snprintf(name, MH_WORK_LEN, MH_STAGE_WORK "/%u/%u", slice, slices);
+	return name;
+}
+
+uint32_t
+mh_mesh_slices(
+    const struct mh_mesh *m, uint32_t slices, uint32_t used[MH_USED_SLICES])
+{
+	uint64_t best[MH_USED_SLICES] = { 0 };
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < slices; i++) {
+		char work[MH_WORK_LEN];
+		uint64_t r =
+		    mh_rendezvous(mh_slice_work(work, i, slices), m->node);
+		uint32_t at = MIN(n, MH_USED_SLICES - 1);
+
+		if (n == MH_USED_SLICES && r <= best[at])
+			continue;
+		n = MIN(n + 1, MH_USED_SLICES);
+		for (; at > 0 && best[at - 1] < r; at--) {
+			best[at] = best[at - 1];
+			used[at] = used[at - 1];
+		}
+		best[at] = r;
+		used[at] = i;
+	}
+	return n;
+}
+
+void
+mh_mesh_set_slices(struct mh_mesh *m, uint32_t slices)
+{
+	m->slices = slices;
+}
+
 static bool
 serves(const struct peer *p)
 {
@@ -508,26 +552,63 @@
 }
 
 /*
- * Among the first of the order, so worth a link of our own.  Those that are
- * down, leaving or not ready don't count: while many restart, the first few
- * of the list may all be gone, and every entry would be left alone.
+ * Marks the first few of the order of some work as worth a link of our own.
+ * Those that are down, leaving or not ready don't count: while many restart,
+ * the first few of the list may all be gone, and every entry would be left
+ * alone.
  */
-static bool
-worth_link(struct mh_mesh *m, const struct peer *p)
+static void
+want_first(struct mh_mesh *m, const char *work, uint32_t few)
 {
-	double mine = rank(MH_STAGE_WORK, p->node, p->weight);
+	struct peer *first[DIALLED] = { NULL };
+	double least = 0;
 	GHashTableIter it;
 	gpointer key, value;
-	uint32_t before = 0;
 
 	g_hash_table_iter_init(&it, m->peers);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
-		const struct peer *o = value;
+		struct peer *p = value;
+		uint32_t at = few;
+
+		if (!may_serve(p))
+			continue;
+		p->rank = rank(work, p->node, p->weight);
+		while (at > 0 &&
+		    (first[at - 1] == NULL || first[at - 1]->rank < p->rank))
+			at--;
+		for (uint32_t i = few - 1; at < few && i > at; i--)
+			first[i] = first[i - 1];
+		if (at < few)
+			first[at] = p;
+	}
+	/* Who would be among them is tried again, should it be back. */
+	if (first[few - 1] != NULL)
+		least = first[few - 1]->rank;
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		struct peer *p = value;
 
-		before += o != p && may_serve(o) &&
-		    rank(MH_STAGE_WORK, o->node, o->weight) > mine;
+		if (p->listed && rank(work, p->node, p->weight) >= least)
+			p->wanted = true;
 	}
-	return before < DIALLED;
+}
+
+static void
+want_links(struct mh_mesh *m)
+{
+	uint32_t used[MH_USED_SLICES];
+	uint32_t n = mh_mesh_slices(m, m->slices, used);
+	char work[MH_WORK_LEN];
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value))
+		((struct peer *)value)->wanted = false;
+	want_first(m, MH_STAGE_WORK, DIALLED);
+	for (uint32_t i = 0; n > 1 && i < n; i++)
+		want_first(
+		    m, mh_slice_work(work, used[i], m->slices), DIALLED / 2);
 }
 
 static void
@@ -546,6 +627,7 @@
 	GHashTableIter it;
 	gpointer key, value;
 
+	want_links(m);
 	g_hash_table_iter_init(&it, m->peers);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		struct peer *p = value;
@@ -556,7 +638,7 @@
 			continue;
 		}
 		if (p->out == 0 && p->dial == 0 && p->listed &&
-		    mh_now(m->k) >= p->dial_us && worth_link(m, p))
+		    mh_now(m->k) >= p->dial_us && p->wanted)
 			dial(m, p);
 	}
 	beat_all(m);
@@ -634,6 +716,7 @@
 	m->node = g_strdup(node);
 	m->weight = weight;
 	m->started_us = mh_now(k);
+	m->slices = 1;
 	m->peers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
 	m->conns =
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -10,8 +10,15 @@
 
 /* mesh.c: service "hub" of a process on the users' platform */
 
-/* The only work that has a home today. */
+/* Work that has one home for all entries. */
 #define MH_STAGE_WORK "stage-work"
+#define MH_WORK_LEN 48
+/* Slices that one entry uses; of more, each entry takes these few. */
+#define MH_USED_SLICES 4
+
+/** mh_slice_work() - the name of a slice's work, in @name. */
+const char *mh_slice_work(
+    char name[MH_WORK_LEN], uint32_t slice, uint32_t slices);
 
 struct mh_mesh;
 
@@ -66,6 +73,11 @@
  * tell the others, so that the platform's load does not grow with entries.
  */
 bool mh_mesh_reads(struct mh_mesh *m);
+/** mh_mesh_slices() - the slices that this entry uses; their number. */
+uint32_t mh_mesh_slices(
+    const struct mh_mesh *m, uint32_t slices, uint32_t used[MH_USED_SLICES]);
+/** mh_mesh_set_slices() - links go to the homes of this entry's slices. */
+void mh_mesh_set_slices(struct mh_mesh *m, uint32_t slices);
 /** mh_mesh_leave() - others no longer choose us. */
 void mh_mesh_leave(struct mh_mesh *m);
 /** mh_mesh_size() - live entries, ourselves included. */
@@ -89,7 +101,7 @@
 struct mh_broker;
 
 struct mh_broker *mh_broker_create(
-    struct mh_kern *k, struct mh_mesh *m, struct mh_cell *c);
+    struct mh_kern *k, struct mh_mesh *m, struct mh_cells *cells);
 void mh_broker_destroy(struct mh_broker *b);
 /** mh_broker_on_end() - a job that was submitted here has ended. */
 void mh_broker_on_end(struct mh_broker *b,
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -4612,7 +4612,7 @@
   (ProtobufCMessageInit) mh__job_stage__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__job__field_descriptors[10] =
+static const ProtobufCFieldDescriptor mh__job__field_descriptors[12] =
 {
   {
     "id",
@@ -4734,6 +4734,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "slice",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Job, slice),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slices",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Job, slices),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__job__field_indices_by_name[] = {
   5,   /* field[5] = aim_us */
@@ -4744,13 +4768,15 @@
   3,   /* field[3] = priority */
   4,   /* field[4] = returned */
   2,   /* field[2] = route */
+  10,   /* field[10] = slice */
+  11,   /* field[11] = slices */
   7,   /* field[7] = stages */
   9,   /* field[9] = weight */
 };
 static const ProtobufCIntRange mh__job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor mh__job__descriptor =
 {
@@ -4760,7 +4786,7 @@
   "Mh__Job",
   "mh",
   sizeof(Mh__Job),
-  10,
+  12,
   mh__job__field_descriptors,
   mh__job__field_indices_by_name,
   1,  mh__job__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -630,10 +630,15 @@
    * its worth over the mean of its route
    */
   double weight;
+  /*
+   * of the stage pools, of so many:
+   */
+  uint32_t slice;
+  uint32_t slices;
 };
 #define MH__JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__job__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Mh__JobEnd
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -537,6 +537,7 @@
 struct jrig {
 	struct mrig *r;
 	struct world *w[ENTRIES];
+	struct mh_cells *cs[ENTRIES];
 	struct mh_broker *b[ENTRIES];
 	uint32_t ended;
 	enum mh_job_end end;
@@ -567,7 +568,7 @@
 		g_array_index(b->items, struct mh_batch_item, i).result =
 		    g_strdup("10.9.9.9:1/result");
 	if (!e->g->r->e[e->i].cut)
-		mh_cell_batch_end(e->g->w[e->i]->c, b, MH_BATCH_DONE);
+		mh_cell_batch_end(b->cell, b, MH_BATCH_DONE);
 }
 
 static void
@@ -602,11 +603,10 @@
 		ends[i] = (struct bend) { &g, i };
 		g.w[i] = world_create();
 		world_pool(g.w[i], "a", 1, 8, 100 * MS, 10 * MS, 0);
-		mh_cell_destroy(g.w[i]->c);
-		g.w[i]->c = mh_cell_create(
+		g.cs[i] = mh_cells_create(
 		    g.r->e[i].k, g.w[i]->f, g.w[i]->budget, &ops);
-		mh_cell_conf(g.w[i]->c, g.w[i]->conf);
-		g.b[i] = mh_broker_create(g.r->e[i].k, g.r->e[i].m, g.w[i]->c);
+		mh_cells_conf(g.cs[i], g.w[i]->conf);
+		g.b[i] = mh_broker_create(g.r->e[i].k, g.r->e[i].m, g.cs[i]);
 		mh_broker_on_end(g.b[i], on_job_end, &g);
 	}
 	run(g.r, 2 * S);
@@ -627,6 +627,7 @@
 	run(g.r, 100 * MS);
 	for (uint32_t i = 0; i < ENTRIES; i++) {
 		mh_broker_destroy(g.b[i]);
+		mh_cells_destroy(g.cs[i]);
 		world_destroy(g.w[i]);
 	}
 	mrig_destroy(g.r);
