--- a/regress/t_cell.c
+++ b/regress/t_cell.c
@@ -381,6 +381,43 @@
 	world_destroy(w);
 }
 
+/*
+ * Large pools are divided into slices with a home each.  Two homes must not
+ * call the same endpoint, nor leave one out.
+ */
+static void
+test_slices(void)
+{
+	struct world *w = world_create();
+	struct mh_cell_ops none = { 0 };
+	struct mh_cells *cs;
+	uint32_t seen = 0;
+	double share = 0;
+
+	world_pool(w, "a", 12, 8, 100 * MS, 10 * MS, 0);
+	cs = mh_cells_create(w->k, w->f, w->budget, &none);
+	mh_cells_conf(cs, w->conf);
+	CU_ASSERT_EQUAL(mh_cells_count(cs), 1);
+	for (uint32_t i = 0; i < 4; i++) {
+		struct mh_cell *c = mh_cells_get(cs, i, 4);
+		struct cpool *p = mh_cell_pool_of(c, "a");
+		GPtrArray *nodes = mh_cell_nodes(c, p);
+
+		seen += nodes->len;
+		for (guint n = 0; n < nodes->len; n++) {
+			const struct mh_node *nd = g_ptr_array_index(nodes, n);
+
+			CU_ASSERT_EQUAL(nd->hash % 4, i);
+		}
+		share += mh_cells_share(cs, i);
+	}
+	CU_ASSERT_EQUAL(seen, 12);
+	CU_ASSERT_DOUBLE_EQUAL(share, 1, 1e-9);
+	CU_ASSERT_PTR_EQUAL(mh_cells_get(cs, 1, 4), mh_cells_get(cs, 1, 4));
+	mh_cells_destroy(cs);
+	world_destroy(w);
+}
+
 /* A pool without a usable endpoint refuses at once. */
 static void
 test_no_endpoint_refused_at_once(void)
@@ -425,6 +462,7 @@
 	{ "cell: leaving hands on unbegun work", test_leave_hands_on_unbegun },
 	{ "cell: begun late work first", test_begun_late_work_first },
 	{ "cell: waits for its domain", test_waits_for_its_domain },
+	{ "cell: slices part a pool", test_slices },
 	{ "cell: no endpoint, refused at once",
 	    test_no_endpoint_refused_at_once },
 	{ "cell: no pieces", test_no_pieces },
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -469,6 +469,34 @@
 	mrig_destroy(r);
 }
 
+/*
+ * With sixteen slices an entry uses four, always the same, so that a home is
+ * not linked to every entry; all entries together use all of them.
+ */
+static void
+test_slices_used(void)
+{
+	struct mrig *r = mrig_create();
+	uint32_t all = 0;
+
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		uint32_t a[MH_USED_SLICES], b[MH_USED_SLICES], mine = 0;
+
+		CU_ASSERT_EQUAL(mh_mesh_slices(r->e[i].m, 16, a), 4);
+		CU_ASSERT_EQUAL(mh_mesh_slices(r->e[i].m, 16, b), 4);
+		for (int n = 0; n < 4; n++) {
+			CU_ASSERT_EQUAL(a[n], b[n]);
+			CU_ASSERT(a[n] < 16);
+			mine |= 1U << a[n];
+		}
+		CU_ASSERT_EQUAL(__builtin_popcount(mine), 4);
+		all |= mine;
+		CU_ASSERT_EQUAL(mh_mesh_slices(r->e[i].m, 2, a), 2);
+	}
+	CU_ASSERT(__builtin_popcount(all) >= 12);
+	mrig_destroy(r);
+}
+
 /* Two entries read for all; one that the store turns away is none of them. */
 static void
 test_readers(void)
@@ -640,6 +668,7 @@
 	{ "mesh: the first of the order gone", test_first_of_the_order_gone },
 	{ "mesh: settled entries first", test_settled_first },
 	{ "mesh: configuration from peers", test_conf_from_peers },
+	{ "mesh: slices used", test_slices_used },
 	{ "mesh: readers", test_readers },
 	{ "mesh: what is unchanged is fresh", test_unchanged_is_fresh },
 	{ "mesh: endpoints that two could not reach", test_suspects },
