--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -8,67 +8,14 @@
  * moment cost smaller batches, never a wrong answer.
  */
 
-#include "mesh.h"
+#include "meshint.h"
 
-#include <math.h>
 #include <string.h>
 
 #define BEAT_US (250 * MH_US_PER_MS)
 /* Three beats and the way: a process that has its turn answers in this. */
 #define SILENT_US (850 * MH_US_PER_MS)
 #define REDIAL_US (500 * MH_US_PER_MS)
-/* First in the order of any work: one to use and the next to fall back on. */
-#define DIALLED 4
-/* Entries that read for all: one may be cut off or die unnoticed. */
-#define READERS 2
-/* A process that ran so long is as good a home as any. */
-#define SETTLED_US (8 * MH_US_PER_S)
-/* Processes that were started within this time were started together. */
-#define TOGETHER_US (2 * MH_US_PER_S)
-
-struct peer {
-	struct mh_mesh *m;
-	char *node;
-	char *addr;
-	double weight;
-	bool listed;
-	bool ready;
-	bool leaving;
-	bool reads; /* the platform answers it */
-	bool failed; /* the last try to reach it failed */
-	bool wanted; /* worth a link of our own */
-	double rank; /* in the order that is being looked at */
-	int64_t started_us; /* by our clock */
-	uint64_t dial; /* a link being opened, 0: none */
-	uint64_t out; /* links that are up, 0: none */
-	uint64_t in;
-	int64_t heard_us;
-	int64_t dial_us; /* not again before */
-	uint64_t asked_conf; /* revision asked for */
-};
-
-struct handler {
-	mh_mesh_fn fn;
-	void *arg;
-};
-
-#define MAX_CASES 64
-
-struct mh_mesh {
-	struct mh_kern *k;
-	char *node;
-	double weight;
-	bool leaving;
-	uint32_t slices; /* of the stage pools */
-	int64_t started_us;
-	GHashTable *peers; /* node -> struct peer */
-	GHashTable *conns; /* conn -> struct peer */
-	struct mh_mesh_view view;
-	struct handler on[MAX_CASES];
-	void (*lost)(void *arg, const char *node);
-	void *lost_arg;
-	struct mh_timer *timer;
-};
 
 static void
 free_peer(void *arg)
@@ -80,173 +27,17 @@
 	g_free(p);
 }
 
-/* whose turn it is */
-
-/* Highest wins; a share of the work by weight (Wang and Ravishankar). */
-static double
-rank(const char *what, const char *node, double weight)
-{
-	double unit = ((double)(mh_rendezvous(what, node) >> 11) + 1) /
-	    (double)(1ULL << 53);
-
-	return -MAX(weight, 0.001) / log(unit);
-}
-
-static uint64_t
-link_of(const struct peer *p)
+uint64_t
+mh_peer_link(const struct peer *p)
 {
 	return p->out != 0 ? p->out : p->in;
 }
 
-static bool
-alive(const struct peer *p)
-{
-	return link_of(p) != 0 && mh_now(p->m->k) - p->heard_us < SILENT_US;
-}
-
-const char *
-mh_slice_work(char name[MH_WORK_LEN], uint32_t slice, uint32_t slices)
-{
-	if (slices <= 1)
-		return MH_STAGE_WORK;
-	g_snprintf(name, MH_WORK_LEN, MH_STAGE_WORK "/%u/%u", slice, slices);
-	return name;
-}
-
-uint32_t
-mh_mesh_slices(
-    const struct mh_mesh *m, uint32_t slices, uint32_t used[MH_USED_SLICES])
-{
-	uint64_t best[MH_USED_SLICES] = { 0 };
-	uint32_t n = 0;
-
-	for (uint32_t i = 0; i < slices; i++) {
-		char work[MH_WORK_LEN];
-		uint64_t r =
-		    mh_rendezvous(mh_slice_work(work, i, slices), m->node);
-		uint32_t at = MIN(n, MH_USED_SLICES - 1);
-
-		if (n == MH_USED_SLICES && r <= best[at])
-			continue;
-		n = MIN(n + 1, MH_USED_SLICES);
-		for (; at > 0 && best[at - 1] < r; at--) {
-			best[at] = best[at - 1];
-			used[at] = used[at - 1];
-		}
-		best[at] = r;
-		used[at] = i;
-	}
-	return n;
-}
-
-void
-mh_mesh_set_slices(struct mh_mesh *m, uint32_t slices)
-{
-	m->slices = slices;
-}
-
-static bool
-serves(const struct peer *p)
-{
-	return alive(p) && p->ready && !p->leaving;
-}
-
-/* When the longest running of those that can serve was started. */
-static int64_t
-oldest_start(struct mh_mesh *m)
-{
-	int64_t oldest = m->started_us;
-	GHashTableIter it;
-	gpointer key, value;
-
-	g_hash_table_iter_init(&it, m->peers);
-	while (g_hash_table_iter_next(&it, &key, &value)) {
-		const struct peer *p = value;
-
-		if (serves(p))
-			oldest = MIN(oldest, p->started_us);
-	}
-	return oldest;
-}
-
-/*
- * Work moves to another home each time a better one appears, and moving
- * costs.  While processes restart in turn, those that have just come back are
- * passed over as long as longer running ones can serve; when all restarted
- * together, none is passed over.
- */
-static int64_t
-latest_start(struct mh_mesh *m)
-{
-	return MAX(mh_now(m->k) - SETTLED_US, oldest_start(m) + TOGETHER_US);
-}
-
-const char *
-mh_mesh_home(struct mh_mesh *m, const char *what)
-{
-	int64_t latest = latest_start(m);
-	const char *best = m->node;
-	double most = -1;
-	GHashTableIter it;
-	gpointer key, value;
-
-	if (!m->leaving && m->started_us <= latest)
-		most = rank(what, m->node, m->weight);
-	g_hash_table_iter_init(&it, m->peers);
-	while (g_hash_table_iter_next(&it, &key, &value)) {
-		const struct peer *p = value;
-		double r = rank(what, p->node, p->weight);
-
-		if (serves(p) && p->started_us <= latest && r > most) {
-			best = p->node;
-			most = r;
-		}
-	}
-	return best;
-}
-
 bool
-mh_mesh_is_self(const struct mh_mesh *m, const char *node)
+mh_peer_alive(const struct peer *p)
 {
-	return strcmp(m->node, node) == 0;
-}
-
-uint32_t
-mh_mesh_size(struct mh_mesh *m)
-{
-	GHashTableIter it;
-	gpointer key, value;
-	uint32_t n = 1;
-
-	g_hash_table_iter_init(&it, m->peers);
-	while (g_hash_table_iter_next(&it, &key, &value)) {
-		const struct peer *p = value;
-
-		n += p->listed || alive(p);
-	}
-	return n;
-}
-
-/*
- * The first of the order that the platform answers; they are linked to all
- * who would fall back on them.
- */
-bool
-mh_mesh_reads(struct mh_mesh *m)
-{
-	double mine = rank(MH_STAGE_WORK, m->node, m->weight);
-	GHashTableIter it;
-	gpointer key, value;
-	uint32_t before = 0;
-
-	g_hash_table_iter_init(&it, m->peers);
-	while (g_hash_table_iter_next(&it, &key, &value)) {
-		const struct peer *p = value;
-
-		before += alive(p) && p->reads && !p->leaving &&
-		    rank(MH_STAGE_WORK, p->node, p->weight) > mine;
-	}
-	return before < READERS;
+	return mh_peer_link(p) != 0 &&
+	    mh_now(p->m->k) - p->heard_us < SILENT_US;
 }
 
 /* frames */
@@ -269,9 +60,9 @@
 {
 	struct peer *p = g_hash_table_lookup(m->peers, node);
 
-	if (p == NULL || link_of(p) == 0)
+	if (p == NULL || mh_peer_link(p) == 0)
 		return false;
-	send_to(m, link_of(p), f);
+	send_to(m, mh_peer_link(p), f);
 	return true;
 }
 
@@ -285,8 +76,8 @@
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		const struct peer *p = value;
 
-		if (link_of(p) != 0)
-			send_to(m, link_of(p), f);
+		if (mh_peer_link(p) != 0)
+			send_to(m, mh_peer_link(p), f);
 	}
 }
 
@@ -335,8 +126,8 @@
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		const struct peer *p = value;
 
-		if (link_of(p) != 0)
-			send_to(m, link_of(p), &f);
+		if (mh_peer_link(p) != 0)
+			send_to(m, mh_peer_link(p), &f);
 	}
 }
 
@@ -366,7 +157,7 @@
 		p->asked_conf = b->conf_revision;
 	f.body_case = MH__FRAME__BODY_VIEW_ASK;
 	f.view_ask = &ask;
-	send_to(m, link_of(p), &f);
+	send_to(m, mh_peer_link(p), &f);
 }
 
 static void
@@ -399,7 +190,7 @@
 		v.rows.data = (uint8_t *)g_bytes_get_data(s.rows, &v.rows.len);
 	f.body_case = MH__FRAME__BODY_VIEW;
 	f.view = &v;
-	send_to(m, link_of(p), &f);
+	send_to(m, mh_peer_link(p), &f);
 	if (s.conf != NULL)
 		g_bytes_unref(s.conf);
 	if (s.rows != NULL)
@@ -507,7 +298,7 @@
 
 	if (p == NULL)
 		return;
-	was = link_of(p) != 0;
+	was = mh_peer_link(p) != 0;
 	p->failed = !was || p->failed;
 	g_hash_table_remove(m->conns, &conn);
 	if (p->dial == conn)
@@ -516,7 +307,7 @@
 		p->out = 0;
 	if (p->in == conn)
 		p->in = 0;
-	if (was && link_of(p) == 0)
+	if (was && mh_peer_link(p) == 0)
 		peer_lost(m, p, "closed");
 }
 
@@ -535,7 +326,7 @@
 static void
 check_silent(struct mh_mesh *m, struct peer *p)
 {
-	if (link_of(p) == 0 || mh_now(m->k) - p->heard_us < SILENT_US)
+	if (mh_peer_link(p) == 0 || mh_now(m->k) - p->heard_us < SILENT_US)
 		return;
 	/* The link may have gone silent while a new one would work. */
 	drop_link(m, &p->out);
@@ -544,75 +335,6 @@
 	peer_lost(m, p, "silent");
 }
 
-/* It can do work for us, or may as far as we know. */
-static bool
-may_serve(const struct peer *p)
-{
-	if (alive(p))
-		return p->ready && !p->leaving;
-	return p->listed && !p->failed;
-}
-
-/*
- * Marks the first few of the order of some work as worth a link of our own.
- * Those that are down, leaving or not ready don't count: while many restart,
- * the first few of the list may all be gone, and every entry would be left
- * alone.
- */
-static void
-want_first(struct mh_mesh *m, const char *work, uint32_t few)
-{
-	struct peer *first[DIALLED] = { NULL };
-	double least = 0;
-	GHashTableIter it;
-	gpointer key, value;
-
-	g_hash_table_iter_init(&it, m->peers);
-	while (g_hash_table_iter_next(&it, &key, &value)) {
-		struct peer *p = value;
-		uint32_t at = few;
-
-		if (!may_serve(p))
-			continue;
-		p->rank = rank(work, p->node, p->weight);
-		while (at > 0 &&
-		    (first[at - 1] == NULL || first[at - 1]->rank < p->rank))
-			at--;
-		for (uint32_t i = few - 1; at < few && i > at; i--)
-			first[i] = first[i - 1];
-		if (at < few)
-			first[at] = p;
-	}
-	/* Who would be among them is tried again, should it be back. */
-	if (first[few - 1] != NULL)
-		least = first[few - 1]->rank;
-	g_hash_table_iter_init(&it, m->peers);
-	while (g_hash_table_iter_next(&it, &key, &value)) {
-		struct peer *p = value;
-
-		if (p->listed && rank(work, p->node, p->weight) >= least)
-			p->wanted = true;
-	}
-}
-
-static void
-want_links(struct mh_mesh *m)
-{
-	uint32_t used[MH_USED_SLICES];
-	uint32_t n = mh_mesh_slices(m, m->slices, used);
-	char work[MH_WORK_LEN];
-	GHashTableIter it;
-	gpointer key, value;
-
-	g_hash_table_iter_init(&it, m->peers);
-	while (g_hash_table_iter_next(&it, &key, &value))
-		((struct peer *)value)->wanted = false;
-	want_first(m, MH_STAGE_WORK, DIALLED);
-	for (uint32_t i = 0; n > 1 && i < n; i++)
-		want_first(
-		    m, mh_slice_work(work, used[i], m->slices), DIALLED / 2);
-}
-
 static void
 dial(struct mh_mesh *m, struct peer *p)
 {
@@ -629,13 +351,13 @@
 	GHashTableIter it;
 	gpointer key, value;
 
-	want_links(m);
+	mh_mesh_want_links(m);
 	g_hash_table_iter_init(&it, m->peers);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		struct peer *p = value;
 
 		check_silent(m, p);
-		if (link_of(p) == 0 && p->dial == 0 && !p->listed) {
+		if (mh_peer_link(p) == 0 && p->dial == 0 && !p->listed) {
 			g_hash_table_iter_remove(&it);
 			continue;
 		}
--- /dev/null
+++ b/lib/meshint.h
@@ -0,0 +1,60 @@
+#ifndef MESHINT_H
+#define MESHINT_H
+
+/* Shared by mesh.c and meshorder.c alone. */
+
+#include "mesh.h"
+
+/** struct peer - another entry. */
+struct peer {
+	struct mh_mesh *m;
+	char *node;
+	char *addr;
+	double weight;
+	bool listed;
+	bool ready;
+	bool leaving;
+	bool reads; /* the platform answers it */
+	bool failed; /* the last try to reach it failed */
+	bool wanted; /* worth a link of our own */
+	double rank; /* in the order that is being looked at */
+	int64_t started_us; /* by our clock */
+	uint64_t dial; /* a link being opened, 0: none */
+	uint64_t out; /* links that are up, 0: none */
+	uint64_t in;
+	int64_t heard_us;
+	int64_t dial_us; /* not again before */
+	uint64_t asked_conf; /* revision asked for */
+};
+
+struct handler {
+	mh_mesh_fn fn;
+	void *arg;
+};
+
+#define MAX_CASES 64
+
+struct mh_mesh {
+	struct mh_kern *k;
+	char *node;
+	double weight;
+	bool leaving;
+	uint32_t slices; /* of the stage pools */
+	int64_t started_us;
+	GHashTable *peers; /* node -> struct peer */
+	GHashTable *conns; /* conn -> struct peer */
+	struct mh_mesh_view view;
+	struct handler on[MAX_CASES];
+	void (*lost)(void *arg, const char *node);
+	void *lost_arg;
+	struct mh_timer *timer;
+};
+
+/** mh_peer_link() - a link that is up, 0: none. */
+uint64_t mh_peer_link(const struct peer *p);
+/** mh_peer_alive() - linked and heard of lately. */
+bool mh_peer_alive(const struct peer *p);
+/** mh_mesh_want_links() - marks the peers that are worth a link. */
+void mh_mesh_want_links(struct mh_mesh *m);
+
+#endif
--- /dev/null
+++ b/lib/meshorder.c
@@ -0,0 +1,241 @@
+/**
+ * DOC: Whose turn it is: the order of entries for a piece of work.
+ */
+
+#include "meshint.h"
+
+#include <math.h>
+#include <string.h>
+
+/* First in the order of any work: one to use and the next to fall back on. */
+#define DIALLED 4
+/* Entries that read for all: one may be cut off or die unnoticed. */
+#define READERS 2
+/* A process that ran so long is as good a home as any. */
+#define SETTLED_US (8 * MH_US_PER_S)
+/* Processes that were started within this time were started together. */
+#define TOGETHER_US (2 * MH_US_PER_S)
+
+/* Highest wins; a share of the work by weight (Wang and Ravishankar). */
+static double
+rank(const char *what, const char *node, double weight)
+{
+	double unit = ((double)(mh_rendezvous(what, node) >> 11) + 1) /
+	    (double)(1ULL << 53);
+
+	return -MAX(weight, 0.001) / log(unit);
+}
+
+const char *
+mh_slice_work(char name[MH_WORK_LEN], uint32_t slice, uint32_t slices)
+{
+	if (slices <= 1)
+		return MH_STAGE_WORK;
+	g_snprintf(name, MH_WORK_LEN, MH_STAGE_WORK "/%u/%u", slice, slices);
+	return name;
+}
+
+uint32_t
+mh_mesh_slices(
+    const struct mh_mesh *m, uint32_t slices, uint32_t used[MH_USED_SLICES])
+{
+	uint64_t best[MH_USED_SLICES] = { 0 };
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < slices; i++) {
+		char work[MH_WORK_LEN];
+		uint64_t r =
+		    mh_rendezvous(mh_slice_work(work, i, slices), m->node);
+		uint32_t at = MIN(n, MH_USED_SLICES - 1);
+
+		if (n == MH_USED_SLICES && r <= best[at])
+			continue;
+		n = MIN(n + 1, MH_USED_SLICES);
+		for (; at > 0 && best[at - 1] < r; at--) {
+			best[at] = best[at - 1];
+			used[at] = used[at - 1];
+		}
+		best[at] = r;
+		used[at] = i;
+	}
+	return n;
+}
+
+void
+mh_mesh_set_slices(struct mh_mesh *m, uint32_t slices)
+{
+	m->slices = slices;
+}
+
+static bool
+serves(const struct peer *p)
+{
+	return mh_peer_alive(p) && p->ready && !p->leaving;
+}
+
+/* When the longest running of those that can serve was started. */
+static int64_t
+oldest_start(struct mh_mesh *m)
+{
+	int64_t oldest = m->started_us;
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		const struct peer *p = value;
+
+		if (serves(p))
+			oldest = MIN(oldest, p->started_us);
+	}
+	return oldest;
+}
+
+/*
+ * Work moves to another home each time a better one appears, and moving
+ * costs.  While processes restart in turn, those that have just come back are
+ * passed over as long as longer running ones can serve; when all restarted
+ * together, none is passed over.
+ */
+static int64_t
+latest_start(struct mh_mesh *m)
+{
+	return MAX(mh_now(m->k) - SETTLED_US, oldest_start(m) + TOGETHER_US);
+}
+
+const char *
+mh_mesh_home(struct mh_mesh *m, const char *what)
+{
+	int64_t latest = latest_start(m);
+	const char *best = m->node;
+	double most = -1;
+	GHashTableIter it;
+	gpointer key, value;
+
+	if (!m->leaving && m->started_us <= latest)
+		most = rank(what, m->node, m->weight);
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		const struct peer *p = value;
+		double r = rank(what, p->node, p->weight);
+
+		if (serves(p) && p->started_us <= latest && r > most) {
+			best = p->node;
+			most = r;
+		}
+	}
+	return best;
+}
+
+bool
+mh_mesh_is_self(const struct mh_mesh *m, const char *node)
+{
+	return strcmp(m->node, node) == 0;
+}
+
+uint32_t
+mh_mesh_size(struct mh_mesh *m)
+{
+	GHashTableIter it;
+	gpointer key, value;
+	uint32_t n = 1;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		const struct peer *p = value;
+
+		n += p->listed || mh_peer_alive(p);
+	}
+	return n;
+}
+
+/*
+ * The first of the order that the platform answers; they are linked to all
+ * who would fall back on them.
+ */
+bool
+mh_mesh_reads(struct mh_mesh *m)
+{
+	double mine = rank(MH_STAGE_WORK, m->node, m->weight);
+	GHashTableIter it;
+	gpointer key, value;
+	uint32_t before = 0;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		const struct peer *p = value;
+
+		before += mh_peer_alive(p) && p->reads && !p->leaving &&
+		    rank(MH_STAGE_WORK, p->node, p->weight) > mine;
+	}
+	return before < READERS;
+}
+
+/* It can do work for us, or may as far as we know. */
+static bool
+may_serve(const struct peer *p)
+{
+	if (mh_peer_alive(p))
+		return p->ready && !p->leaving;
+	return p->listed && !p->failed;
+}
+
+/*
+ * Marks the first few of the order of some work as worth a link of our own.
+ * Those that are down, leaving or not ready don't count: while many restart,
+ * the first few of the list may all be gone, and every entry would be left
+ * alone.
+ */
+static void
+want_first(struct mh_mesh *m, const char *work, uint32_t few)
+{
+	struct peer *first[DIALLED] = { NULL };
+	double least = 0;
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		struct peer *p = value;
+		uint32_t at = few;
+
+		if (!may_serve(p))
+			continue;
+		p->rank = rank(work, p->node, p->weight);
+		while (at > 0 &&
+		    (first[at - 1] == NULL || first[at - 1]->rank < p->rank))
+			at--;
+		for (uint32_t i = few - 1; at < few && i > at; i--)
+			first[i] = first[i - 1];
+		if (at < few)
+			first[at] = p;
+	}
+	/* Who would be among them is tried again, should it be back. */
+	if (first[few - 1] != NULL)
+		least = first[few - 1]->rank;
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		struct peer *p = value;
+
+		if (p->listed && rank(work, p->node, p->weight) >= least)
+			p->wanted = true;
+	}
+}
+
+void
+mh_mesh_want_links(struct mh_mesh *m)
+{
+	uint32_t used[MH_USED_SLICES];
+	uint32_t n = mh_mesh_slices(m, m->slices, used);
+	char work[MH_WORK_LEN];
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value))
+		((struct peer *)value)->wanted = false;
+	want_first(m, MH_STAGE_WORK, DIALLED);
+	for (uint32_t i = 0; n > 1 && i < n; i++)
+		want_first(
+		    m, mh_slice_work(work, used[i], m->slices), DIALLED / 2);
+}
