--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -16,6 +16,14 @@
 /* Three beats and the way: a process that has its turn answers in this. */
 #define SILENT_US (850 * MH_US_PER_MS)
 #define REDIAL_US (500 * MH_US_PER_MS)
+/*
+ * What one entry sends of its readings between two beats.  All who are linked
+ * to a reader would ask it at once: 300 copies of a configuration are 15 MB.
+ * Those that get none ask at a later beat, by when others have it too: what is
+ * new spreads by a factor a beat.
+ */
+#define ANSWERS_A_BEAT 12
+#define ASK_AGAIN_US (400 * MH_US_PER_MS)
 
 static void
 free_peer(void *arg)
@@ -145,16 +153,16 @@
 		return;
 	if (b->rows_revision == m->view.rows_revision(m->view.arg))
 		m->view.rows_same(m->view.arg, (int64_t)b->rows_age_us);
-	ask.conf = b->conf_revision > m->view.conf_revision(m->view.arg) &&
-	    p->asked_conf != b->conf_revision;
+	if (mh_now(m->k) - p->asked_us < ASK_AGAIN_US && p->asked_us != 0)
+		return;
+	ask.conf = b->conf_revision > m->view.conf_revision(m->view.arg);
 	ask.rows = b->rows_revision > m->view.rows_revision(m->view.arg) &&
 	    m->view.rows_due(m->view.arg);
 	if (!ask.conf && !ask.rows)
 		return;
+	p->asked_us = mh_now(m->k);
 	if (ask.rows)
 		ask.rows_since = m->view.rows_have(m->view.arg);
-	if (ask.conf)
-		p->asked_conf = b->conf_revision;
 	f.body_case = MH__FRAME__BODY_VIEW_ASK;
 	f.view_ask = &ask;
 	send_to(m, mh_peer_link(p), &f);
@@ -181,6 +189,10 @@
 
 	if (m->view.fill == NULL)
 		return;
+	if (++m->answers > ANSWERS_A_BEAT) {
+		mh_count(m->k, "views_put_off", 1);
+		return;
+	}
 	m->view.fill(m->view.arg, ask, &s);
 	v.conf_revision = m->view.conf_revision(m->view.arg);
 	v.rows_revision = m->view.rows_revision(m->view.arg);
@@ -274,7 +286,7 @@
 		p->addr = g_strdup(l->addr);
 	p->heard_us = mh_now(m->k);
 	p->failed = false;
-	p->asked_conf = 0;
+	p->asked_us = 0;
 	note_conn(m, l->conn, p);
 	mh_event(m->k, "peer-up", "node=%s addr=%s inbound=%d", p->node,
 	    l->addr, l->inbound);
@@ -365,6 +377,7 @@
 		    mh_now(m->k) >= p->dial_us && p->wanted)
 			dial(m, p);
 	}
+	m->answers = 0;
 	beat_all(m);
 	m->timer = mh_timer_start(m->k, BEAT_US, on_timer, m);
 }
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -24,7 +24,7 @@
 	uint64_t in;
 	int64_t heard_us;
 	int64_t dial_us; /* not again before */
-	uint64_t asked_conf; /* revision asked for */
+	int64_t asked_us; /* when it was last asked for what it has read */
 };
 
 struct handler {
@@ -48,6 +48,7 @@
 	void (*lost)(void *arg, const char *node);
 	void *lost_arg;
 	struct mh_timer *timer;
+	uint32_t answers; /* views sent since the last beat */
 };
 
 /** mh_peer_link() - a link that is up, 0: none. */
