--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -27,6 +27,7 @@
 	uint64_t rows;
 	uint32_t taken_conf;
 	uint32_t fresh; /* beats that said: unchanged just now */
+	uint32_t lose_views; /* of its answers, so many are lost */
 };
 
 /** struct mrig - entries whose links are one queue. */
@@ -115,6 +116,17 @@
 	tell(to, MH_MSG_LINK_UP, mirror(id), e, true, NULL);
 }
 
+static bool
+is_lost(struct ment *e, GBytes *frame)
+{
+	Mh__Frame *f = mh_frame_unpack(frame);
+	bool lost = e->lose_views > 0 && f->body_case == MH__FRAME__BODY_VIEW;
+
+	e->lose_views -= lost;
+	mh_frame_free(f);
+	return lost;
+}
+
 static void
 link_handle(void *self, struct mh_msg *msg)
 {
@@ -130,7 +142,7 @@
 		break;
 	case MH_MSG_LINK_SEND:
 		to = other_end(e, id);
-		if (e->cut || to->cut || to->down)
+		if (e->cut || to->cut || to->down || is_lost(e, m->frame))
 			break;
 		tl = mh_kern_get(to->k, "link");
 		tell(to, MH_MSG_FRAME, theirs(tl, mirror(id)), e, false,
@@ -469,6 +481,24 @@
 	mrig_destroy(r);
 }
 
+/*
+ * An entry that is asked by all answers some and puts off the rest.  Who got
+ * no answer asks again; asking once a revision left them on the old one.
+ */
+static void
+test_asks_again(void)
+{
+	struct mrig *r = mrig_create();
+
+	run(r, 2 * S);
+	r->e[2].lose_views = ENTRIES - 1;
+	r->e[2].conf = 5;
+	run(r, 2 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		CU_ASSERT_EQUAL(r->e[i].conf, 5);
+	mrig_destroy(r);
+}
+
 /*
  * With sixteen slices an entry uses four, always the same, so that a home is
  * not linked to every entry; all entries together use all of them.
@@ -668,6 +698,7 @@
 	{ "mesh: the first of the order gone", test_first_of_the_order_gone },
 	{ "mesh: settled entries first", test_settled_first },
 	{ "mesh: configuration from peers", test_conf_from_peers },
+	{ "mesh: asks again", test_asks_again },
 	{ "mesh: slices used", test_slices_used },
 	{ "mesh: readers", test_readers },
 	{ "mesh: what is unchanged is fresh", test_unchanged_is_fresh },
