--- a/lib/budget.c
+++ b/lib/budget.c
@@ -121,12 +121,3 @@
 	w->again[w->at % BUCKETS]++;
 	return true;
 }
-
-double
-mh_budget_left(struct mh_budget *b, const char *pool)
-{
-	struct window *w = window_of(b, pool);
-	double all = allowance(b, w);
-
-	return all <= 0 ? 0 : 1 - used(w) / all;
-}
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -268,7 +268,11 @@
 mh_gate_fill_place(
     struct mh_gate *g, const struct mh_gask *q, struct mh_place_ask *a)
 {
+	const struct mh_gpool *p = mh_gconf_pool(q->conf, q->pool);
+
 	a->pool = q->pool;
+	if (p != NULL)
+		a->most = MAX(p->max_conns / MAX(g->entries, 1), 1);
 	a->domain = g->domain;
 	a->n_parts = q->n_parts;
 	memcpy(a->parts, q->parts, sizeof(a->parts));
@@ -534,14 +538,14 @@
 	g->conf = mh_gconf_ref(conf);
 }
 
-struct mh_gconf *
-mh_gate_conf_now(struct mh_gate *g)
-{
-	return g->conf;
-}
-
 uint32_t
 mh_gate_open(const struct mh_gate *g)
 {
 	return g_hash_table_size(g->asks);
 }
+
+void
+mh_gate_entries(struct mh_gate *g, uint32_t n)
+{
+	g->entries = n;
+}
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -132,8 +132,6 @@
 void mh_hcall_abort(struct mh_hcall *call);
 /** mh_hcalls_forget() - closes the idle connections to a peer. */
 void mh_hcalls_forget(struct mh_hcalls *c, const char *peer);
-/** mh_hcalls_open() - connections to a peer, idle ones included. */
-uint32_t mh_hcalls_open(const struct mh_hcalls *c, const char *peer);
 
 /* evlog.c: one line for each decision, bounded, to standard output */
 
@@ -182,7 +180,6 @@
 	bool stream;
 	enum mh_repeat repeat;
 	bool open_to_all; /* needs no key */
-	bool keeps_prompts; /* its requests say what their prompt shares */
 	int64_t timeout_us;
 	int64_t aim_us;
 	int64_t gap_aim_us; /* longest pause of a stream that is on time */
@@ -191,8 +188,6 @@
 	GArray *targets; /* struct mh_gtarget */
 	struct mh_gstage stages[MH_GSTAGES];
 	uint32_t n_stages;
-	/* learnt while running, kept across versions by name */
-	int64_t deadline_seen_us; /* the longest deadline callers gave */
 };
 
 /** struct mh_gwork - how the endpoints of a stage pool take work. */
@@ -202,7 +197,6 @@
 	int64_t call_us;
 	int64_t item_us;
 	uint64_t room_bytes; /* for results */
-	int64_t result_us; /* a result lives this long */
 };
 
 /** struct mh_gengine - the size of a pool's model engines. */
@@ -214,9 +208,7 @@
 struct mh_gpool {
 	char *name;
 	uint32_t max_conns; /* to one endpoint, of all callers together */
-	bool is_engine;
 	bool is_work;
-	struct mh_gengine engine;
 	struct mh_gwork work;
 };
 
@@ -332,6 +324,7 @@
 struct mh_place_ask {
 	const char *pool;
 	const char *domain; /* the asker's, preferred among equals */
+	uint32_t most; /* calls that we may have at one endpoint, 0: any */
 	struct mh_prompt_part parts[MH_PARTS];
 	uint32_t n_parts;
 	const char *tried[MH_TRIED]; /* ids */
@@ -370,8 +363,6 @@
 void mh_budget_first(struct mh_budget *b, const char *pool);
 /** mh_budget_take() - whether a repeat is allowed; counts it if so. */
 bool mh_budget_take(struct mh_budget *b, const char *pool);
-/** mh_budget_left() - share of the window's repeats not yet used. */
-double mh_budget_left(struct mh_budget *b, const char *pool);
 
 /* cell.c: the stage work of many requests, batched */
 
@@ -632,7 +623,6 @@
     const char *domain);
 void mh_gate_destroy(struct mh_gate *g);
 void mh_gate_conf(struct mh_gate *g, struct mh_gconf *conf);
-struct mh_gconf *mh_gate_conf_now(struct mh_gate *g);
 struct mh_gask *mh_gask_create(const char *id);
 void mh_gask_destroy(struct mh_gask *q);
 /** mh_gate_take() - a request has come; ends with one of refuse, finish or
@@ -648,6 +638,8 @@
 void mh_gate_progress(struct mh_gate *g, struct mh_try *t);
 void mh_gate_end(struct mh_gate *g, struct mh_try *t, enum mh_hcall_end end);
 uint32_t mh_gate_open(const struct mh_gate *g);
+/** mh_gate_entries() - so many processes share an endpoint's connections. */
+void mh_gate_entries(struct mh_gate *g, uint32_t n);
 /** mh_gate_leaving() - what cannot end within @left_us is refused. */
 void mh_gate_leaving(struct mh_gate *g, int64_t left_us);
 
--- a/lib/gateint.h
+++ b/lib/gateint.h
@@ -14,6 +14,7 @@
 	struct mh_gate_ops ops;
 	struct mh_gconf *conf;
 	char *domain;
+	uint32_t entries; /* processes like this one */
 	GHashTable *asks; /* set of struct mh_gask */
 	int64_t leave_us; /* 0: not leaving; else when it will be gone */
 	int64_t streams_until_us; /* streams that come later are refused */
--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -592,11 +592,3 @@
 		free_conn(g_ptr_array_index(idle, i));
 	g_ptr_array_free(idle, TRUE);
 }
-
-uint32_t
-mh_hcalls_open(const struct mh_hcalls *a, const char *peer)
-{
-	GPtrArray *list = g_hash_table_lookup(a->peers, peer);
-
-	return list == NULL ? 0 : list->len;
-}
--- a/lib/place.c
+++ b/lib/place.c
@@ -206,6 +206,9 @@
 		struct mh_node *n = g_ptr_array_index(pool, i);
 		double s;
 
+		/* An endpoint resets connections beyond its bound. */
+		if (a->most > 0 && n->inflight >= a->most)
+			continue;
 		if (n->leaving || was_tried(a, n) ||
 		    (!any && !mh_node_usable(p->f, n)))
 			continue;
--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -563,6 +563,24 @@
 	grig_destroy(r);
 }
 
+/*
+ * A replica takes so many connections of all entries together and resets the
+ * rest: a request that may run once would be lost.  Each keeps to its share.
+ */
+static void
+test_share_of_connections(void)
+{
+	struct grig *r = grig_create(2);
+	struct mh_place_ask q = { .pool = "pool", .most = 3 };
+
+	for (int i = 0; i < 6; i++)
+		mh_place_pick(r->p, &q)->inflight++;
+	CU_ASSERT_EQUAL(mh_fleet_find(r->f, "n0")->inflight, 3);
+	CU_ASSERT_EQUAL(mh_fleet_find(r->f, "n1")->inflight, 3);
+	CU_ASSERT_PTR_NULL(mh_place_pick(r->p, &q));
+	grig_destroy(r);
+}
+
 /*
  * Every replica of a pool fails in a bad hour.  Putting all of them out left
  * none to ask; half of a pool always stays in use.
@@ -646,6 +664,7 @@
 	{ "gate: results freed early", test_results_freed_early },
 	{ "place: a home agreed without asking", test_home_agreed },
 	{ "place: a full home", test_home_full },
+	{ "place: its share of connections", test_share_of_connections },
 	{ "fleet: half stays in use", test_half_stays_in_use },
 	{ "fleet: out and back", test_out_and_back },
 	{ "budget: ratio and shared slack", test_budget },
