marlwork: a file of load on the decisions about stage work

Ruled out: marlload, which sends real requests and takes real time; a copy of the model, since regress/world already plays endpoints for the cells. Change: marlwork plays a YAML load on the cells in virtual time, one home for all entries or each alone, with a report, a series and a man page; the tests' world takes several cells and endpoints that bound their calls.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -5,7 +5,7 @@
 # make soak    faults from outside on real processes (SEEDS="1 2" for some)
 # make model   the model of the at-most-once protocol
 LIBS = lib
-PROGS = marlhoistd marlsided marlctl marlstand marlload regress marlslope \
+PROGS = marlhoistd marlsided marlctl marlstand marlload regress marlslope marlwork \
 	platform
 BUILD ?= debug
 BUILDDIR ?= build
--- /dev/null
+++ b/marlwork/run.c
@@ -0,0 +1,228 @@
+/**
+ * DOC: One run of a file of load in virtual time.  Arrivals are open loop
+ * and the same for every policy.
+ */
+
+#include "marlwork.h"
+
+#include <math.h>
+#include <string.h>
+
+#define STEP_US (1 * MH_US_PER_MS) /* of arrivals */
+#define SETTLE_US (30 * MH_US_PER_S) /* after the last arrival */
+
+static struct second *
+second_of(const struct run *r, const struct mh_job *j)
+{
+	int64_t s = (j->arrived_us - r->start_us) / MH_US_PER_S;
+
+	return &r->seconds[MIN((uint32_t)s, r->n_seconds - 1)];
+}
+
+static void
+on_end(void *arg, const struct mh_job *j, enum mh_job_end end)
+{
+	struct run *r = arg;
+	struct tally *t = j->owner;
+	struct second *s = second_of(r, j);
+	int64_t now = mh_now(r->w->k);
+
+	switch (end) {
+	case MH_JOB_DONE:
+		t->done++;
+		s->done++;
+		t->on_time += now <= j->aim_us;
+		s->on_time += now <= j->aim_us;
+		mh_hist_add(t->waits, now - j->arrived_us);
+		break;
+	case MH_JOB_REFUSED:
+		t->refused++;
+		s->refused++;
+		break;
+	case MH_JOB_FAILED:
+	case MH_JOB_MOVED:
+		break;
+	}
+}
+
+/* An entry's own cell, or that of a slice, as often as it has a share. */
+static struct mh_cell *
+choose_cell(struct run *r)
+{
+	uint32_t n;
+	double sum = 0, u;
+
+	if (r->cells == NULL)
+		return r->alone[g_rand_int(r->spread) % r->entries];
+	n = mh_cells_count(r->cells);
+	for (uint32_t i = 0; i < n; i++)
+		sum += mh_cells_share(r->cells, i);
+	u = g_rand_double(r->spread) * sum;
+	for (uint32_t i = 0; i + 1 < n; i++) {
+		u -= mh_cells_share(r->cells, i);
+		if (u < 0)
+			return mh_cells_get(r->cells, i, n);
+	}
+	return mh_cells_get(r->cells, n - 1, n);
+}
+
+static void
+arrive(struct run *r, guint kind)
+{
+	const struct wkind *k = g_ptr_array_index(r->l->kinds, kind);
+	const char *pools[MH_GSTAGES + 1] = { NULL };
+	uint32_t pieces[MH_GSTAGES];
+	struct mh_job *j;
+
+	for (guint i = 0; i < k->stages->len; i++) {
+		const struct wstage *s = g_ptr_array_index(k->stages, i);
+
+		pools[i] = s->pool;
+		pieces[i] = s->pieces;
+	}
+	j = world_job(r->w, pools, pieces, k->aim_us, k->deadline_us);
+	g_free(j->route);
+	j->route = g_strdup(k->name);
+	j->owner = &r->kinds[kind];
+	r->kinds[kind].arrived++;
+	second_of(r, j)->arrived++;
+	mh_cell_submit(choose_cell(r), j);
+}
+
+static double
+burst_at(const struct wload *l, double t)
+{
+	double times = 1;
+
+	for (guint i = 0; l->bursts != NULL && i < l->bursts->len; i++) {
+		const struct wburst *b = g_ptr_array_index(l->bursts, i);
+
+		if (t >= b->from_s && t < b->to_s)
+			times *= b->times;
+	}
+	return times;
+}
+
+static void
+lose(struct run *r, double t)
+{
+	for (guint i = 0; r->l->losses != NULL && i < r->l->losses->len; i++) {
+		const struct wloss *s = g_ptr_array_index(r->l->losses, i);
+		bool lost = t >= s->from_s && t < s->to_s;
+		char id[16];
+
+		for (uint32_t e = 0; e < s->endpoints; e++) {
+			struct wnode *n;
+
+			g_snprintf(id, sizeof(id), "%s-%u", s->pool, e);
+			n = world_node(r->w, id);
+			if (n != NULL)
+				n->lost = lost;
+		}
+	}
+}
+
+/* Poisson arrivals: how many of a mean of @mean come in one step. */
+static uint32_t
+draw(GRand *g, double mean)
+{
+	double p = exp(-mean), u = g_rand_double(g), sum = p;
+	uint32_t n = 0;
+
+	while (u > sum && n < 1000) {
+		n++;
+		p *= mean / n;
+		sum += p;
+	}
+	return n;
+}
+
+static void
+prepare(struct run *r)
+{
+	r->entries = r->a->entries > 0 ? r->a->entries : r->l->entries;
+	r->scale = (double)r->entries / r->l->entries;
+	r->rand = g_rand_new_with_seed(r->a->seed);
+	r->spread = g_rand_new_with_seed(r->a->seed + 1);
+	r->n_seconds = (uint32_t)ceil(r->l->seconds);
+	r->seconds = g_new0(struct second, r->n_seconds);
+	r->kinds = g_new0(struct tally, r->l->kinds->len);
+	for (guint i = 0; i < r->l->kinds->len; i++)
+		r->kinds[i].waits = mh_hist_create();
+	r->w = world_create();
+	r->w->ended = on_end;
+	r->w->arg = r;
+	for (guint i = 0; i < r->l->pools->len; i++) {
+		const struct wpool *p = g_ptr_array_index(r->l->pools, i);
+		double n = MIN(round((double)p->endpoints * r->scale),
+		    (double)WORLD_NODES / r->l->pools->len);
+
+		world_pool(r->w, p->name, MAX((uint32_t)n, 1), p->batch,
+		    p->call_us, p->item_us, UINT64_MAX);
+	}
+	for (uint32_t i = 0; i < r->w->n_nodes; i++)
+		r->w->nodes[i].most_calls =
+		    load_pool(r->l, r->w->nodes[i].pool)->calls;
+	if (strcmp(r->a->policy, "home") == 0)
+		r->cells = world_cells(r->w);
+	for (uint32_t i = 0; r->cells == NULL && i < r->entries; i++)
+		r->alone[i] = world_cell(r->w);
+	r->start_us = mh_now(r->w->k);
+}
+
+struct run *
+run_load(const struct wload *l, const struct run_args *a)
+{
+	struct run *r = g_new0(struct run, 1);
+
+	r->a = a;
+	r->l = l;
+	prepare(r);
+	for (int64_t at = 0; at < (int64_t)(r->l->seconds * MH_US_PER_S);
+	     at += STEP_US) {
+		double t = (double)at / MH_US_PER_S;
+		double times = burst_at(r->l, t) * r->scale;
+
+		lose(r, t);
+		for (guint i = 0; i < r->l->kinds->len; i++) {
+			const struct wkind *k =
+			    g_ptr_array_index(r->l->kinds, i);
+			uint32_t n = draw(r->rand,
+			    k->per_second * times * STEP_US / MH_US_PER_S);
+
+			while (n-- > 0)
+				arrive(r, i);
+		}
+		world_run(r->w, STEP_US);
+	}
+	world_run(r->w, SETTLE_US);
+	return r;
+}
+
+double
+run_busy_ms(const struct run *r)
+{
+	double busy_us = 0;
+
+	for (uint32_t i = 0; i < r->w->n_nodes; i++) {
+		const struct wnode *n = &r->w->nodes[i];
+		const struct wpool *p = load_pool(r->l, n->pool);
+
+		busy_us += (double)p->call_us * n->calls +
+		    (double)p->item_us * n->pieces;
+	}
+	return busy_us / MH_US_PER_MS;
+}
+
+void
+run_destroy(struct run *r)
+{
+	world_destroy(r->w);
+	for (guint i = 0; i < r->l->kinds->len; i++)
+		mh_hist_destroy(r->kinds[i].waits);
+	g_free(r->kinds);
+	g_free(r->seconds);
+	g_rand_free(r->rand);
+	g_rand_free(r->spread);
+	g_free(r);
+}
--- a/regress/main.c
+++ b/regress/main.c
@@ -34,6 +34,7 @@
 	{ "mesh", tests_mesh },
 	{ "http", tests_http },
 	{ "platform", tests_platform },
+	{ "work", tests_work },
 };
 
 static void
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -26,6 +26,7 @@
 extern const struct test tests_mesh[];
 extern const struct test tests_http[];
 extern const struct test tests_platform[];
+extern const struct test tests_work[];
 
 /** regress_dir - where golden files stand. */
 extern const char *regress_dir;
--- a/regress/world.c
+++ b/regress/world.c
@@ -1,5 +1,5 @@
 /**
- * DOC: A cell against modelled stage endpoints, in virtual time.
+ * DOC: Cells against modelled stage endpoints, in virtual time.
  */
 
 #include "world.h"
@@ -30,6 +30,7 @@
 forget(struct world *w, struct wcall *call)
 {
 	mh_timer_stop(w->k, &call->timer);
+	call->n->at_it--;
 	g_ptr_array_remove(w->calls, call);
 	g_free(call);
 }
@@ -59,7 +60,7 @@
 	n->gone_inputs = false;
 	w->most_live = MAX(w->most_live, g_hash_table_size(w->live));
 	forget(w, call);
-	mh_cell_batch_end(w->c, b, end);
+	mh_cell_batch_end(b->cell, b, end);
 }
 
 static void
@@ -72,7 +73,7 @@
 	call->timer = NULL;
 	b->call = NULL;
 	forget(w, call);
-	mh_cell_batch_end(w->c, b, MH_BATCH_FULL);
+	mh_cell_batch_end(b->cell, b, MH_BATCH_FULL);
 }
 
 /* A piece with inputs must get every result of the stages before it. */
@@ -97,25 +98,29 @@
 	struct wnode *n = world_node(w, b->node);
 	struct wcall *call = g_new0(struct wcall, 1);
 	const struct mh_gpool *p = mh_gconf_pool(w->conf, b->pool);
+	bool full = n->full || (n->most_calls > 0 && n->at_it >= n->most_calls);
 	int64_t now = mh_now(w->k), took;
 
+	n->at_it++;
 	call->w = w;
 	call->b = b;
 	call->n = n;
 	b->call = call;
+	g_ptr_array_add(w->calls, call);
+	if (full) {
+		call->timer = mh_timer_start(w->k, STEP_US, on_full, call);
+		return;
+	}
 	n->calls++;
 	n->pieces += b->items->len;
 	for (guint i = 0; i < b->items->len; i++)
 		check_inputs(
 		    w, &g_array_index(b->items, struct mh_batch_item, i));
-	g_ptr_array_add(w->calls, call);
 	took = (int64_t)((double)(p->work.call_us +
 			     p->work.item_us * b->items->len) *
 	    n->slow);
 	n->busy_until_us = MAX(n->busy_until_us, now) + took;
-	if (n->full)
-		call->timer = mh_timer_start(w->k, STEP_US, on_full, call);
-	else if (!n->lost)
+	if (!n->lost)
 		call->timer =
 		    mh_timer_start(w->k, n->busy_until_us - now, on_end, call);
 }
@@ -144,6 +149,8 @@
 	struct world *w = arg;
 
 	(void)retry_us;
+	if (w->ended != NULL)
+		w->ended(w->arg, j, end);
 	switch (end) {
 	case MH_JOB_DONE:
 		w->done++;
@@ -152,7 +159,7 @@
 			g_ptr_array_add(w->kept, j);
 			return;
 		}
-		mh_cell_release(w->c, j);
+		mh_cell_release(j->cell, j);
 		break;
 	case MH_JOB_REFUSED:
 		w->refused++;
@@ -167,19 +174,47 @@
 	mh_job_destroy(j);
 }
 
+static struct mh_cell *
+new_cell(struct world *w)
+{
+	struct mh_cell_ops ops = { op_run, op_abort, op_end, op_discard, w };
+
+	return mh_cell_create(w->k, w->f, w->budget, &ops);
+}
+
+struct mh_cells *
+world_cells(struct world *w)
+{
+	struct mh_cell_ops ops = { op_run, op_abort, op_end, op_discard, w };
+
+	w->cells = mh_cells_create(w->k, w->f, w->budget, &ops);
+	mh_cells_conf(w->cells, w->conf);
+	return w->cells;
+}
+
+struct mh_cell *
+world_cell(struct world *w)
+{
+	struct mh_cell *c = new_cell(w);
+
+	mh_cell_conf(c, w->conf);
+	g_ptr_array_add(w->more, c);
+	return c;
+}
+
 struct world *
 world_create(void)
 {
 	struct world *w = g_new0(struct world, 1);
 	struct mh_budget_args b = { 0.2, 200, 10 * MH_US_PER_S };
-	struct mh_cell_ops ops = { op_run, op_abort, op_end, op_discard, w };
 
 	w->k = mh_kern_create(SEED);
 	w->now_us = MH_US_PER_S;
 	mh_kern_advance(w->k, w->now_us, w->now_us);
 	w->f = mh_fleet_create(w->k);
 	w->budget = mh_budget_create(w->k, &b);
-	w->c = mh_cell_create(w->k, w->f, w->budget, &ops);
+	w->c = new_cell(w);
+	w->more = g_ptr_array_new();
 	w->conf = mh_gconf_create();
 	w->live = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	w->calls = g_ptr_array_new();
@@ -187,6 +222,18 @@
 	return w;
 }
 
+static void
+destroy_cell(struct mh_cell *c)
+{
+	while (c->jobs->len > 0) {
+		struct mh_job *j = g_ptr_array_index(c->jobs, 0);
+
+		mh_cell_cancel(c, j);
+		mh_job_destroy(j);
+	}
+	mh_cell_destroy(c);
+}
+
 void
 world_destroy(struct world *w)
 {
@@ -194,13 +241,12 @@
 		mh_cell_release(w->c, g_ptr_array_index(w->kept, i));
 		mh_job_destroy(g_ptr_array_index(w->kept, i));
 	}
-	while (w->c->jobs->len > 0) {
-		struct mh_job *j = g_ptr_array_index(w->c->jobs, 0);
-
-		mh_cell_cancel(w->c, j);
-		mh_job_destroy(j);
-	}
-	mh_cell_destroy(w->c);
+	for (guint i = 0; i < w->more->len; i++)
+		destroy_cell(g_ptr_array_index(w->more, i));
+	g_ptr_array_free(w->more, TRUE);
+	destroy_cell(w->c);
+	if (w->cells != NULL)
+		mh_cells_destroy(w->cells);
 	while (w->calls->len > 0)
 		forget(w, g_ptr_array_index(w->calls, 0));
 	g_ptr_array_free(w->calls, TRUE);
@@ -251,6 +297,8 @@
 	}
 	list_nodes(w);
 	mh_cell_conf(w->c, w->conf);
+	for (guint i = 0; i < w->more->len; i++)
+		mh_cell_conf(g_ptr_array_index(w->more, i), w->conf);
 }
 
 struct mh_job *
--- a/regress/world.h
+++ b/regress/world.h
@@ -2,14 +2,14 @@
 #define WORLD_H
 
 /*
- * A cell against modelled stage endpoints, in virtual time.  An endpoint
+ * Cells against modelled stage endpoints, in virtual time.  An endpoint
  * works on one call at a time; a call takes call_us and item_us a piece.
  */
 
 #include "cell.h"
 #include "mesh.h"
 
-#define WORLD_NODES 16
+#define WORLD_NODES 1024
 
 /** struct wnode - one modelled endpoint. */
 struct wnode {
@@ -19,6 +19,8 @@
 	double slow; /* times as long */
 	bool lost; /* calls get no answer */
 	bool full; /* calls are refused */
+	uint32_t most_calls; /* at it at once, others refused; 0: no limit */
+	uint32_t at_it; /* calls that run or wait there */
 	bool gone_inputs; /* calls find their inputs gone, once */
 	int64_t busy_until_us;
 	uint32_t calls;
@@ -31,6 +33,8 @@
 	struct mh_fleet *f;
 	struct mh_budget *budget;
 	struct mh_cell *c;
+	GPtrArray *more; /* struct mh_cell, see world_cell() */
+	struct mh_cells *cells; /* see world_cells() */
 	struct mh_gconf *conf;
 	struct wnode nodes[WORLD_NODES];
 	uint32_t n_nodes;
@@ -47,9 +51,15 @@
 	uint32_t most_live; /* results kept at once */
 	bool keep; /* jobs that are done keep their results */
 	GPtrArray *kept;
+	void (*ended)(void *arg, const struct mh_job *j, enum mh_job_end end);
+	void *arg; /* of ended() */
 };
 
 struct world *world_create(void);
+/** world_cell() - one more cell that calls the same endpoints. */
+struct mh_cell *world_cell(struct world *w);
+/** world_cells() - cells that divide the endpoints; declare pools first. */
+struct mh_cells *world_cells(struct world *w);
 void world_destroy(struct world *w);
 /** world_pool() - declares a pool of @n endpoints in domains d0, d1, ... */
 void world_pool(struct world *w, const char *name, uint32_t n, uint32_t batch,
