Configuration and rows from peers are bounded apart

Cause: 300 entries at start, 3,000 endpoints registering: the two entries that read for all answer 12 asks a beat, and rows, asked for all the time, used them up. Ruled out: more answers for all (copies of all rows fill slow links); the watch of the readers (others had the change within a beat). Before: the new test fails (0 answers), after: 1.

--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -20,7 +20,9 @@
  * What one entry sends of its readings between two beats.  All who are linked
  * to a reader would ask it at once: 300 copies of a configuration are 15 MB.
  * Those that get none ask at a later beat, by when others have it too: what is
- * new spreads by a factor a beat.
+ * new spreads by a factor a beat.  Rows and configurations are counted apart:
+ * while many endpoints register, everybody asks for rows all the time, and a
+ * new key was unknown at some entries for longer than its bound.
  */
 #define ANSWERS_A_BEAT 12
 #define ASK_AGAIN_US (400 * MH_US_PER_MS)
@@ -185,15 +187,20 @@
 {
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__View v = MH__VIEW__INIT;
+	Mh__ViewAsk some = *ask;
 	struct mh_shared s = { NULL, NULL };
 
 	if (m->view.fill == NULL)
 		return;
-	if (++m->answers > ANSWERS_A_BEAT) {
+	some.conf = ask->conf && m->conf_answers < ANSWERS_A_BEAT;
+	some.rows = ask->rows && m->rows_answers < ANSWERS_A_BEAT;
+	if (some.conf != ask->conf || some.rows != ask->rows)
 		mh_count(m->k, "views_put_off", 1);
+	if (!some.conf && !some.rows)
 		return;
-	}
-	m->view.fill(m->view.arg, ask, &s);
+	m->conf_answers += some.conf;
+	m->rows_answers += some.rows;
+	m->view.fill(m->view.arg, &some, &s);
 	v.conf_revision = m->view.conf_revision(m->view.arg);
 	v.rows_revision = m->view.rows_revision(m->view.arg);
 	if (s.conf != NULL)
@@ -377,7 +384,8 @@
 		    mh_now(m->k) >= p->dial_us && p->wanted)
 			dial(m, p);
 	}
-	m->answers = 0;
+	m->conf_answers = 0;
+	m->rows_answers = 0;
 	beat_all(m);
 	m->timer = mh_timer_start(m->k, BEAT_US, on_timer, m);
 }
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -48,7 +48,8 @@
 	void (*lost)(void *arg, const char *node);
 	void *lost_arg;
 	struct mh_timer *timer;
-	uint32_t answers; /* views sent since the last beat */
+	uint32_t conf_answers; /* configurations sent since the last beat */
+	uint32_t rows_answers; /* rows sent since the last beat */
 };
 
 /** mh_peer_link() - a link that is up, 0: none. */
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -499,6 +499,49 @@
 	mrig_destroy(r);
 }
 
+/* Sends an ask for the configuration, or for rows, to an entry. */
+static void
+ask_view(struct ment *e, struct ment *to, bool conf)
+{
+	struct link *l = mh_kern_get(e->k, "link");
+	uint64_t id = e->index * 10 + to->index;
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__ViewAsk ask = MH__VIEW_ASK__INIT;
+	struct mh_msg *m = mh_msg_new(MH_MSG_LINK_SEND);
+
+	ask.conf = conf;
+	ask.rows = !conf;
+	f.body_case = MH__FRAME__BODY_VIEW_ASK;
+	f.view_ask = &ask;
+	if (g_hash_table_lookup(l->back, &id) == NULL)
+		id = mirror(to->index * 10 + e->index);
+	m->u.link.conn = theirs(l, id);
+	m->u.link.frame = mh_frame_pack(&f);
+	mh_post(e->k, "link", m);
+}
+
+/*
+ * Hundreds of entries start at once and thousands of endpoints register: the
+ * few entries that read for all are asked for rows all the time and put most
+ * askers off.  A key that was declared meanwhile was still unknown at some
+ * entries after five seconds, since their asks for it were put off as well.
+ */
+static void
+test_conf_while_rows_change(void)
+{
+	struct mrig *r = mrig_create();
+	uint32_t before;
+
+	run(r, 2 * S);
+	before = r->e[1].taken_conf;
+	for (int i = 0; i < 40; i++)
+		ask_view(&r->e[1], &r->e[0], false);
+	ask_view(&r->e[1], &r->e[0], true);
+	run(r, 2 * MS);
+	CU_ASSERT_EQUAL(r->e[1].taken_conf, before + 1);
+	mrig_destroy(r);
+}
+
 /*
  * With sixteen slices an entry uses four, always the same, so that a home is
  * not linked to every entry; all entries together use all of them.
@@ -699,6 +742,8 @@
 	{ "mesh: settled entries first", test_settled_first },
 	{ "mesh: configuration from peers", test_conf_from_peers },
 	{ "mesh: asks again", test_asks_again },
+	{ "mesh: configuration while rows change",
+	    test_conf_while_rows_change },
 	{ "mesh: slices used", test_slices_used },
 	{ "mesh: readers", test_readers },
 	{ "mesh: what is unchanged is fresh", test_unchanged_is_fresh },
