All rows are sent by bytes a beat

All rows of 3,003 endpoints are 1 MB and a dozen askers a beat got them. Ruled out: beats (298 links are 0.1 MB a second); own readings of the registry (1 MB each 0.6 s). Change: 256 KB of rows a beat, then askers are put off and read the store. Before: the new test gives 8 MB in a beat, after: 1 MB.

--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -25,6 +25,12 @@
  * new key was unknown at some entries for longer than its bound.
  */
 #define ANSWERS_A_BEAT 12
+/*
+ * All rows of 3,000 endpoints are 1 MB: a dozen a beat filled the links of the
+ * entries that read for all, and what came behind them was late everywhere.
+ * Who gets none reads the platform itself.  Changes alone are some KB.
+ */
+#define ROWS_BYTES_A_BEAT (256 * 1024)
 #define ASK_AGAIN_US (400 * MH_US_PER_MS)
 
 static void
@@ -193,7 +199,8 @@
 	if (m->view.fill == NULL)
 		return;
 	some.conf = ask->conf && m->conf_answers < ANSWERS_A_BEAT;
-	some.rows = ask->rows && m->rows_answers < ANSWERS_A_BEAT;
+	some.rows = ask->rows && m->rows_answers < ANSWERS_A_BEAT &&
+	    m->rows_bytes < ROWS_BYTES_A_BEAT;
 	if (some.conf != ask->conf || some.rows != ask->rows)
 		mh_count(m->k, "views_put_off", 1);
 	if (!some.conf && !some.rows)
@@ -207,6 +214,7 @@
 		v.conf.data = (uint8_t *)g_bytes_get_data(s.conf, &v.conf.len);
 	if (s.rows != NULL)
 		v.rows.data = (uint8_t *)g_bytes_get_data(s.rows, &v.rows.len);
+	m->rows_bytes += v.rows.len;
 	f.body_case = MH__FRAME__BODY_VIEW;
 	f.view = &v;
 	send_to(m, mh_peer_link(p), &f);
@@ -386,6 +394,7 @@
 	}
 	m->conf_answers = 0;
 	m->rows_answers = 0;
+	m->rows_bytes = 0;
 	beat_all(m);
 	m->timer = mh_timer_start(m->k, BEAT_US, on_timer, m);
 }
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -49,7 +49,8 @@
 	void *lost_arg;
 	struct mh_timer *timer;
 	uint32_t conf_answers; /* configurations sent since the last beat */
-	uint32_t rows_answers; /* rows sent since the last beat */
+	uint32_t rows_answers; /* times rows were sent since the last beat */
+	size_t rows_bytes; /* of these */
 };
 
 /** mh_peer_link() - a link that is up, 0: none. */
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -28,6 +28,8 @@
 	uint32_t taken_conf;
 	uint32_t fresh; /* beats that said: unchanged just now */
 	uint32_t lose_views; /* of its answers, so many are lost */
+	uint32_t rows_len; /* bytes of all its rows */
+	uint32_t taken_rows; /* bytes */
 };
 
 /** struct mrig - entries whose links are one queue. */
@@ -218,9 +220,13 @@
 static void
 v_fill(void *arg, const Mh__ViewAsk *ask, struct mh_shared *out)
 {
-	(void)arg;
+	struct ment *e = arg;
+
 	if (ask->conf)
 		out->conf = g_bytes_new("conf", 4);
+	if (ask->rows && e->rows_len > 0)
+		out->rows =
+		    g_bytes_new_take(g_malloc0(e->rows_len), e->rows_len);
 }
 
 static void
@@ -228,6 +234,7 @@
 {
 	struct ment *e = arg;
 
+	e->taken_rows += (uint32_t)v->rows.len;
 	if (v->conf.len == 4) {
 		e->conf = v->conf_revision;
 		e->taken_conf++;
@@ -542,6 +549,31 @@
 	mrig_destroy(r);
 }
 
+/*
+ * All rows of thousands of endpoints are 1 MB.  An entry that gave them to a
+ * dozen others a beat sent 11 MB a second, and its beats came late.
+ */
+static void
+test_rows_by_bytes(void)
+{
+	struct mrig *r = mrig_create();
+
+	run(r, 2 * S);
+	r->e[0].rows_len = 1 << 20;
+	for (int i = 0; i < 8; i++)
+		ask_view(&r->e[1], &r->e[0], false);
+	run(r, 2 * MS);
+	CU_ASSERT_EQUAL(r->e[1].taken_rows, 1 << 20);
+	r->e[0].rows_len = 4 << 10; /* changes: as many as before */
+	r->e[1].taken_rows = 0;
+	run(r, 300 * MS);
+	for (int i = 0; i < 8; i++)
+		ask_view(&r->e[1], &r->e[0], false);
+	run(r, 2 * MS);
+	CU_ASSERT_EQUAL(r->e[1].taken_rows, 8 * (4 << 10));
+	mrig_destroy(r);
+}
+
 /*
  * With sixteen slices an entry uses four, always the same, so that a home is
  * not linked to every entry; all entries together use all of them.
@@ -744,6 +776,7 @@
 	{ "mesh: asks again", test_asks_again },
 	{ "mesh: configuration while rows change",
 	    test_conf_while_rows_change },
+	{ "mesh: rows by bytes", test_rows_by_bytes },
 	{ "mesh: slices used", test_slices_used },
 	{ "mesh: readers", test_readers },
 	{ "mesh: what is unchanged is fresh", test_unchanged_is_fresh },
