--- a/lib/decl.c
+++ b/lib/decl.c
@@ -7,41 +7,11 @@
  */
 
 #include "marlhoist.h"
+#include "table.h"
 
 #include <sodium.h>
 #include <string.h>
 
-#define F(st, fld, typ, req, lo, hi)                                           \
-	{                                                                      \
-		.name = #fld, .type = typ, .offset = offsetof(struct st, fld), \
-		.required = req, .min = lo, .max = hi                          \
-	}
-#define FN(nm, st, fld, typ, req, lo, hi)                                    \
-	{                                                                    \
-		.name = nm, .type = typ, .offset = offsetof(struct st, fld), \
-		.required = req, .min = lo, .max = hi                        \
-	}
-#define FENUM(nm, st, fld, req, wrds)                                \
-	{                                                            \
-		.name = nm, .type = MH_F_ENUM,                       \
-		.offset = offsetof(struct st, fld), .required = req, \
-		.words = wrds                                        \
-	}
-#define FTAB(nm, st, fld, typ, req, tab)                                     \
-	{                                                                    \
-		.name = nm, .type = typ, .offset = offsetof(struct st, fld), \
-		.required = req, .table = tab                                \
-	}
-#define FEND                 \
-	{                    \
-		.name = NULL \
-	}
-#define TABLE(wht, st, flds, dst)                                       \
-	{                                                               \
-		.what = wht, .size = sizeof(struct st), .fields = flds, \
-		.destroy = (GDestroyNotify)(dst)                        \
-	}
-
 #define MAX_MS 3600000.0
 #define DEFAULT_STAGE_TIMEOUT_US (2 * MH_US_PER_S)
 #define MAX_STAGES 6
--- a/marlwork/load.c
+++ b/marlwork/load.c
@@ -3,6 +3,7 @@
  */
 
 #include "marlwork.h"
+#include "table.h"
 
 #include <string.h>
 
@@ -10,27 +11,6 @@
 #define MAX_SECONDS 3600.0
 #define MAX_POOLS 8 /* MH_GSTAGES of the library: stages of one kind too */
 
-#define F(st, nm, fld, typ, req, lo, hi)                                     \
-	{                                                                    \
-		.name = nm, .type = typ, .offset = offsetof(struct st, fld), \
-		.required = req, .min = lo, .max = hi                        \
-	}
-#define FLIST(st, nm, fld, req, tab)                                 \
-	{                                                            \
-		.name = nm, .type = MH_F_LIST,                       \
-		.offset = offsetof(struct st, fld), .required = req, \
-		.table = tab                                         \
-	}
-#define FEND                 \
-	{                    \
-		.name = NULL \
-	}
-#define TABLE(wht, st, flds, dst)                                       \
-	{                                                               \
-		.what = wht, .size = sizeof(struct st), .fields = flds, \
-		.destroy = dst                                          \
-	}
-
 static void
 free_pool(void *arg)
 {
@@ -70,62 +50,62 @@
 }
 
 static const struct mh_field pool_fields[] = {
-	F(wpool, "name", name, MH_F_STR, true, 0, 0),
-	F(wpool, "endpoints", endpoints, MH_F_U32, true, 1, 200),
-	F(wpool, "batch", batch, MH_F_U32, true, 1, 256),
-	F(wpool, "calls", calls, MH_F_U32, false, 0, 1000),
-	F(wpool, "call_ms", call_us, MH_F_MS, true, 0.01, MAX_MS),
-	F(wpool, "piece_ms", item_us, MH_F_MS, true, 0.01, MAX_MS),
+	F(wpool, name, MH_F_STR, true, 0, 0),
+	F(wpool, endpoints, MH_F_U32, true, 1, 200),
+	F(wpool, batch, MH_F_U32, true, 1, 256),
+	F(wpool, calls, MH_F_U32, false, 0, 1000),
+	FN("call_ms", wpool, call_us, MH_F_MS, true, 0.01, MAX_MS),
+	FN("piece_ms", wpool, item_us, MH_F_MS, true, 0.01, MAX_MS),
 	FEND,
 };
 static const struct mh_table pool_table =
     TABLE("pool", wpool, pool_fields, free_pool);
 
 static const struct mh_field stage_fields[] = {
-	F(wstage, "pool", pool, MH_F_STR, true, 0, 0),
-	F(wstage, "pieces", pieces, MH_F_U32, true, 1, 256),
+	F(wstage, pool, MH_F_STR, true, 0, 0),
+	F(wstage, pieces, MH_F_U32, true, 1, 256),
 	FEND,
 };
 static const struct mh_table stage_table =
     TABLE("stage", wstage, stage_fields, free_stage);
 
 static const struct mh_field kind_fields[] = {
-	F(wkind, "name", name, MH_F_STR, true, 0, 0),
-	F(wkind, "per_second", per_second, MH_F_DOUBLE, true, 0.001, 1e5),
-	F(wkind, "aim_ms", aim_us, MH_F_MS, true, 1, MAX_MS),
-	F(wkind, "deadline_ms", deadline_us, MH_F_MS, true, 1, MAX_MS),
-	FLIST(wkind, "stages", stages, true, &stage_table),
+	F(wkind, name, MH_F_STR, true, 0, 0),
+	F(wkind, per_second, MH_F_DOUBLE, true, 0.001, 1e5),
+	FN("aim_ms", wkind, aim_us, MH_F_MS, true, 1, MAX_MS),
+	FN("deadline_ms", wkind, deadline_us, MH_F_MS, true, 1, MAX_MS),
+	FTAB("stages", wkind, stages, MH_F_LIST, true, &stage_table),
 	FEND,
 };
 static const struct mh_table kind_table =
     TABLE("kind", wkind, kind_fields, free_kind);
 
 static const struct mh_field burst_fields[] = {
-	F(wburst, "from_s", from_s, MH_F_DOUBLE, true, 0, MAX_SECONDS),
-	F(wburst, "to_s", to_s, MH_F_DOUBLE, true, 0, MAX_SECONDS),
-	F(wburst, "times", times, MH_F_DOUBLE, true, 0, 100),
+	F(wburst, from_s, MH_F_DOUBLE, true, 0, MAX_SECONDS),
+	F(wburst, to_s, MH_F_DOUBLE, true, 0, MAX_SECONDS),
+	F(wburst, times, MH_F_DOUBLE, true, 0, 100),
 	FEND,
 };
 static const struct mh_table burst_table =
     TABLE("burst", wburst, burst_fields, g_free);
 
 static const struct mh_field loss_fields[] = {
-	F(wloss, "pool", pool, MH_F_STR, true, 0, 0),
-	F(wloss, "endpoints", endpoints, MH_F_U32, true, 1, 200),
-	F(wloss, "from_s", from_s, MH_F_DOUBLE, true, 0, MAX_SECONDS),
-	F(wloss, "to_s", to_s, MH_F_DOUBLE, true, 0, MAX_SECONDS),
+	F(wloss, pool, MH_F_STR, true, 0, 0),
+	F(wloss, endpoints, MH_F_U32, true, 1, 200),
+	F(wloss, from_s, MH_F_DOUBLE, true, 0, MAX_SECONDS),
+	F(wloss, to_s, MH_F_DOUBLE, true, 0, MAX_SECONDS),
 	FEND,
 };
 static const struct mh_table loss_table =
     TABLE("loss", wloss, loss_fields, free_loss);
 
 static const struct mh_field load_fields[] = {
-	F(wload, "entries", entries, MH_F_U32, true, 1, 64),
-	F(wload, "seconds", seconds, MH_F_DOUBLE, true, 1, MAX_SECONDS),
-	FLIST(wload, "pools", pools, true, &pool_table),
-	FLIST(wload, "kinds", kinds, true, &kind_table),
-	FLIST(wload, "bursts", bursts, false, &burst_table),
-	FLIST(wload, "losses", losses, false, &loss_table),
+	F(wload, entries, MH_F_U32, true, 1, 64),
+	F(wload, seconds, MH_F_DOUBLE, true, 1, MAX_SECONDS),
+	FTAB("pools", wload, pools, MH_F_LIST, true, &pool_table),
+	FTAB("kinds", wload, kinds, MH_F_LIST, true, &kind_table),
+	FTAB("bursts", wload, bursts, MH_F_LIST, false, &burst_table),
+	FTAB("losses", wload, losses, MH_F_LIST, false, &loss_table),
 	FEND,
 };
 static const struct mh_table load_table =
