gate: events on a route that is no stream

An answer of type text/event-stream on a safe route had no reader of events, and the front would have read through a null pointer; and the patience of such a request did not look whether its answer had begun, as the two other places that repeat do. Ruled out: treating such an answer as a plain body (a caller that reads events would wait for its end). Change: the reader is made when events come; the three places that repeat ask one function, take_repeat(). Before: the new test fails (no reader; sent twice).

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -213,13 +213,23 @@
 	return q->route->repeat != MH_REPEAT_NEVER && runs < q->route->attempts;
 }
 
+/*
+ * Whether it goes to another endpoint now; takes that from the budget.  What
+ * has reached the caller can be gone on with by a route that resumes alone.
+ */
+static bool
+take_repeat(struct mh_gate *g, const struct mh_gask *q)
+{
+	return may_repeat(q) && q->n_tried < TRIES_MAX &&
+	    (!q->passed_head || q->route->repeat == MH_REPEAT_RESUME) &&
+	    mh_budget_take(g->budget, q->pool);
+}
+
 /* Goes to another endpoint if that is allowed; else ends. */
 static void
 repeat_or(struct mh_gate *g, struct mh_gask *q, enum mh_gate_refusal why)
 {
-	if (!may_repeat(q) || q->n_tried >= TRIES_MAX ||
-	    (q->passed_head && q->route->repeat != MH_REPEAT_RESUME) ||
-	    !mh_budget_take(g->budget, q->pool)) {
+	if (!take_repeat(g, q)) {
 		mh_gate_refuse(g, q, why, 0);
 		return;
 	}
@@ -235,8 +245,7 @@
 	struct mh_node *n;
 
 	q->patience = NULL;
-	if (q->cur == NULL || !may_repeat(q) || q->n_tried >= TRIES_MAX ||
-	    !mh_budget_take(g->budget, q->pool))
+	if (q->cur == NULL || !take_repeat(g, q))
 		return;
 	n = mh_fleet_find(g->f, q->cur->node);
 	if (n != NULL)
@@ -374,17 +383,26 @@
 	mh_gate_try_next(g, q);
 }
 
+/*
+ * Events may come where the route is no stream; they need their reader, or
+ * the adapter has none to give them to.
+ */
+static enum mh_verdict
+pass_head(struct mh_gask *q, const struct mh_gans *a)
+{
+	if (a->events && q->events == NULL)
+		q->events = mh_sse_create();
+	q->passed_head = a->events;
+	return MH_PASS;
+}
+
 static enum mh_verdict
 failed_answer(struct mh_gate *g, struct mh_gask *q, const struct mh_gans *a)
 {
-	bool again = may_repeat(q) && q->n_tried < TRIES_MAX &&
-	    (!q->passed_head || q->route->repeat == MH_REPEAT_RESUME) &&
-	    mh_budget_take(g->budget, q->pool);
+	bool again = take_repeat(g, q);
 
-	if (!again && a->genuine && !q->passed_head) {
-		q->passed_head = a->events;
-		return MH_PASS; /* the endpoint's own failure */
-	}
+	if (!again && a->genuine && !q->passed_head)
+		return pass_head(q, a); /* the endpoint's own failure */
 	leave_try(g, q, false);
 	if (again)
 		mh_gate_try_next(g, q);
@@ -421,8 +439,7 @@
 	q->last_data_us = mh_now(g->k);
 	if (q->passed_head)
 		return MH_PASS_ON;
-	q->passed_head = a->events;
-	return MH_PASS;
+	return pass_head(q, a);
 }
 
 /* Streams: to the first event; others: to the whole answer. */
--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -352,6 +352,26 @@
 	grig_destroy(r);
 }
 
+/*
+ * An endpoint answers with events on a route that is no stream: the entry
+ * fell over, having nothing to read events with.  And once events were passed
+ * on, a pause does not send the request again: its caller has seen the start.
+ */
+static void
+test_events_unasked(void)
+{
+	struct grig *r = grig_create(2);
+	struct mh_gans a = { .status = 200, .genuine = true, .events = true };
+	struct mh_gask *q = ask(r, "/safe/x", 0);
+
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, r->cur, &a), MH_PASS);
+	CU_ASSERT_PTR_NOT_NULL(q->events);
+	mh_gate_progress(r->g, r->cur);
+	pass(r, 3 * S);
+	CU_ASSERT_EQUAL(r->sends, 1);
+	grig_destroy(r);
+}
+
 /* A stream that may not be run again breaks visibly. */
 static void
 test_stream_breaks(void)
@@ -655,6 +675,7 @@
 	{ "gate: a silent endpoint, once", test_silent_endpoint_once },
 	{ "gate: a stream resumes", test_stream_resumes },
 	{ "gate: a stream breaks", test_stream_breaks },
+	{ "gate: events that nobody asked for", test_events_unasked },
 	{ "gate: route, key, endpoint", test_arrival },
 	{ "gate: the caller leaves", test_caller_leaves },
 	{ "gate: leaving", test_leaving },
