Last reading: one copy of what stood twice, no dead parts

Ruled out: splitting platform/view.c and sharing the choice by share between broker.c and marlwork (their last resorts differ); noted on the issue. Conclusion: behaviour as before.

--- a/lib/cell.c
+++ b/lib/cell.c
@@ -69,13 +69,10 @@
     struct mh_cell *c, struct mh_job *j, enum mh_job_end end, int64_t retry_us)
 {
 	detach(c, j);
-	if (end == MH_JOB_DONE) {
+	if (end == MH_JOB_DONE)
 		g_ptr_array_add(c->ended, j);
-	} else {
-		for (uint32_t s = 0; s < j->n_stages; s++)
-			mh_cell_drop_results(c, j, s);
-		free_state(j);
-	}
+	else
+		mh_cell_release(c, j);
 	c->ops.end(c->ops.arg, j, end, retry_us);
 }
 
@@ -339,9 +336,8 @@
 			end_job(c, j, MH_JOB_REFUSED, mh_cell_room_in_us(c, j));
 			continue;
 		}
-		if (!j->state->late && mh_cell_is_late(c, j)) {
+		if (!j->state->late && mh_cell_is_late(c, j))
 			j->state->late = true;
-		}
 		i++;
 	}
 }
--- a/lib/celladmit.c
+++ b/lib/celladmit.c
@@ -7,11 +7,10 @@
 #include <string.h>
 
 /*
- * A fresh job that would be late is taken only if the estimate lies within
- * this share of its time left: work that comes later may pass it.
+ * A job that would be late is taken only if the estimate lies within this
+ * share of its time left: work that comes later may pass it.
  */
 #define LATE_SHARE 0.9
-#define RETURNED_SHARE 0.9
 /* Late work gets at least this part of a pool, in the estimate. */
 #define LATE_RATE_LEAST 0.1
 /*
@@ -156,11 +155,8 @@
 	else {
 		j->state->late = true;
 		at = predict_us(c, j);
-		/* One that was refused before is taken if it can be done. */
 		ok = at != INT64_MAX &&
-		    at - now <=
-			(int64_t)((double)left *
-			    (j->returned ? RETURNED_SHARE : LATE_SHARE));
+		    at - now <= (int64_t)((double)left * LATE_SHARE);
 	}
 	mh_event(c->k, "job",
 	    "id=%s route=%s outcome=%s late=%d returned=%d "
--- a/lib/cellrun.c
+++ b/lib/cellrun.c
@@ -133,7 +133,7 @@
 {
 	GPtrArray *nodes = mh_cell_nodes(c, p);
 
-	for (guint i = 0; nodes != NULL && i < nodes->len; i++) {
+	for (guint i = 0; i < nodes->len; i++) {
 		const struct mh_node *n = g_ptr_array_index(nodes, i);
 
 		if (mh_node_usable(c->f, n) && strcmp(n->domain, domain) == 0)
@@ -332,14 +332,14 @@
 	double least = 0, fastest = 1e9;
 	int64_t now = mh_now(c->k);
 
-	for (guint i = 0; nodes != NULL && i < nodes->len; i++) {
+	for (guint i = 0; i < nodes->len; i++) {
 		struct mh_node *n = g_ptr_array_index(nodes, i);
 
 		if (mh_node_usable(c->f, n))
 			fastest =
 			    MIN(fastest, mh_cell_worker_of(p, n->id)->slow);
 	}
-	for (guint i = 0; nodes != NULL && i < nodes->len; i++) {
+	for (guint i = 0; i < nodes->len; i++) {
 		struct mh_node *n = g_ptr_array_index(nodes, i);
 		struct worker *w = mh_cell_worker_of(p, n->id);
 		uint32_t wants = 0, suited = 0;
@@ -374,7 +374,7 @@
 	GPtrArray *nodes = mh_cell_nodes(c, p);
 	int64_t now = mh_now(c->k);
 
-	for (guint i = 0; nodes != NULL && i < nodes->len; i++) {
+	for (guint i = 0; i < nodes->len; i++) {
 		const struct mh_node *n = g_ptr_array_index(nodes, i);
 		const struct worker *w = mh_cell_worker_of(p, n->id);
 
--- a/lib/cellwork.c
+++ b/lib/cellwork.c
@@ -108,13 +108,14 @@
 mh_cell_nodes(struct mh_cell *c, struct cpool *p)
 {
 	uint64_t version = mh_fleet_version(c->f);
-	GPtrArray *all = mh_fleet_pool(c->f, p->name);
+	GPtrArray *all;
 
 	if (p->nodes != NULL && p->nodes_version == version)
 		return p->nodes;
 	if (p->nodes == NULL)
 		p->nodes = g_ptr_array_new();
 	g_ptr_array_set_size(p->nodes, 0);
+	all = mh_fleet_pool(c->f, p->name);
 	for (guint i = 0; all != NULL && i < all->len; i++) {
 		struct mh_node *n = g_ptr_array_index(all, i);
 
@@ -134,7 +135,7 @@
 	double full_us = (double)w->call_us + (double)w->item_us * w->batch;
 	double rate = 0;
 
-	for (guint i = 0; nodes != NULL && i < nodes->len; i++) {
+	for (guint i = 0; i < nodes->len; i++) {
 		struct mh_node *n = g_ptr_array_index(nodes, i);
 
 		if (mh_node_usable(c->f, n))
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -28,8 +28,6 @@
 const char *mh_headers_get(const struct mh_headers *h, const char *name);
 uint32_t mh_headers_count(const struct mh_headers *h, const char *name);
 void mh_headers_each(const struct mh_headers *h, mh_header_fn fn, void *arg);
-/** mh_list_has() - whether a comma-separated list holds @word, any case. */
-bool mh_list_has(const char *list, const char *word);
 /** mh_header_is_hop() - a field that concerns one connection only. */
 bool mh_header_is_hop(const struct mh_headers *h, const char *name);
 /** mh_header_name_ok() - an RFC 9110 token. */
--- a/lib/headers.c
+++ b/lib/headers.c
@@ -84,8 +84,9 @@
 		fn(arg, at(h, i)->name, at(h, i)->value);
 }
 
-bool
-mh_list_has(const char *list, const char *word)
+/* Whether a comma-separated list holds @word, any case. */
+static bool
+list_has(const char *list, const char *word)
 {
 	size_t n = strlen(word);
 
@@ -113,7 +114,7 @@
 		if (g_ascii_strcasecmp(hop[i], name) == 0)
 			return true;
 	}
-	return mh_list_has(mh_headers_get(h, "Connection"), name);
+	return list_has(mh_headers_get(h, "Connection"), name);
 }
 
 bool
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -59,18 +59,26 @@
 /* frames */
 
 static void
-send_to(struct mh_mesh *m, uint64_t conn, Mh__Frame *f)
+send_bytes(struct mh_mesh *m, uint64_t conn, GBytes *frame)
 {
 	struct mh_msg *msg = mh_msg_new(MH_MSG_LINK_SEND);
 
 	msg->u.link.conn = conn;
-	msg->u.link.frame = mh_frame_pack(f);
+	msg->u.link.frame = g_bytes_ref(frame);
 	mh_count(m->k, "link_frames_out", 1);
-	mh_count(
-	    m->k, "link_bytes_out", g_bytes_get_size(msg->u.link.frame) + 4);
+	mh_count(m->k, "link_bytes_out", g_bytes_get_size(frame) + 4);
 	mh_post(m->k, "link", msg);
 }
 
+static void
+send_to(struct mh_mesh *m, uint64_t conn, Mh__Frame *f)
+{
+	GBytes *frame = mh_frame_pack(f);
+
+	send_bytes(m, conn, frame);
+	g_bytes_unref(frame);
+}
+
 bool
 mh_mesh_send(struct mh_mesh *m, const char *node, Mh__Frame *f)
 {
@@ -85,6 +93,7 @@
 void
 mh_mesh_send_all(struct mh_mesh *m, Mh__Frame *f)
 {
+	GBytes *frame = mh_frame_pack(f);
 	GHashTableIter it;
 	gpointer key, value;
 
@@ -93,8 +102,9 @@
 		const struct peer *p = value;
 
 		if (mh_peer_link(p) != 0)
-			send_to(m, mh_peer_link(p), f);
+			send_bytes(m, mh_peer_link(p), frame);
 	}
+	g_bytes_unref(frame);
 }
 
 void
@@ -124,8 +134,6 @@
 {
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__Beat b = MH__BEAT__INIT;
-	GHashTableIter it;
-	gpointer key, value;
 
 	b.leaving = m->leaving;
 	b.uptime_us = (uint64_t)(mh_now(m->k) - m->started_us);
@@ -138,13 +146,7 @@
 	}
 	f.body_case = MH__FRAME__BODY_BEAT;
 	f.beat = &b;
-	g_hash_table_iter_init(&it, m->peers);
-	while (g_hash_table_iter_next(&it, &key, &value)) {
-		const struct peer *p = value;
-
-		if (mh_peer_link(p) != 0)
-			send_to(m, mh_peer_link(p), &f);
-	}
+	mh_mesh_send_all(m, &f);
 }
 
 /*
