Entries that start together find each other at once

Cause: after a loss of power all entries are back within 0.2 s, with requests. Read by the logs: (1) a dial before the links' secret was read got neither link nor failure, so that entry stayed alone for good; (2) a first packet to a VM without power is sent again by TCP after a second, and the dial hung so long; (3) the first beat came a quarter of a second after the link; (4) the first list of entries lacked those whose leases had lapsed, the next came 2 s later.

Ruled out: refusals by the store, lost beats, the ranking of homes.

The rig of many entries is a file of its own.

What is left of the dip is room that results of the dead home take up at the endpoints until they lapse.

--- a/lib/broker.c
+++ b/lib/broker.c
@@ -31,6 +31,8 @@
 	GHashTable *sent; /* job -> struct sent */
 	GHashTable *guests; /* node/id -> struct guest */
 	GHashTable *guest_jobs; /* job -> struct guest */
+	GQueue *held; /* struct mh_job, until we know whose turn it is */
+	struct mh_timer *held_timer;
 	void (*end)(
 	    void *arg, struct mh_job *j, enum mh_job_end end, int64_t retry_us);
 	void *end_arg;
@@ -111,8 +113,8 @@
 	return used[0];
 }
 
-void
-mh_broker_submit(struct mh_broker *b, struct mh_job *j)
+static void
+submit(struct mh_broker *b, struct mh_job *j)
 {
 	uint32_t count = mh_cells_count(b->cells);
 	uint32_t slice = pick_slice(b, j, count);
@@ -136,6 +138,36 @@
 	send_job(b, j, home, slice, count);
 }
 
+static void
+on_settled(void *arg)
+{
+	struct mh_broker *b = arg;
+	struct mh_job *j;
+
+	b->held_timer = NULL;
+	while ((j = g_queue_pop_head(b->held)) != NULL)
+		submit(b, j);
+}
+
+/*
+ * A process that has just started knows no other and would do its stage work
+ * alone, in small calls that take the endpoints from everybody's: so it waits
+ * until it has heard of the others.
+ */
+void
+mh_broker_submit(struct mh_broker *b, struct mh_job *j)
+{
+	int64_t wait_us = mh_mesh_unsettled_us(b->m);
+
+	if (wait_us == 0) {
+		submit(b, j);
+		return;
+	}
+	g_queue_push_tail(b->held, j);
+	if (b->held_timer == NULL)
+		b->held_timer = mh_timer_start(b->k, wait_us, on_settled, b);
+}
+
 void
 mh_broker_drop(struct mh_broker *b, struct mh_job *j)
 {
@@ -143,6 +175,8 @@
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__JobDrop d = MH__JOB_DROP__INIT;
 
+	if (g_queue_remove(b->held, j))
+		return;
 	if (s == NULL) {
 		if (j->cell != NULL)
 			mh_cell_cancel(j->cell, j);
@@ -422,6 +456,7 @@
 	b->guests =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	b->guest_jobs = g_hash_table_new(NULL, NULL);
+	b->held = g_queue_new();
 	mh_mesh_on(m, MH__FRAME__BODY_JOB, on_job, b);
 	mh_mesh_on(m, MH__FRAME__BODY_JOB_END, on_job_end, b);
 	mh_mesh_on(m, MH__FRAME__BODY_JOB_DROP, on_job_drop, b);
@@ -436,6 +471,8 @@
 
 	if (b == NULL)
 		return;
+	mh_timer_stop(b->k, &b->held_timer);
+	g_queue_free(b->held);
 	all = g_hash_table_get_values(b->guests);
 	for (GList *l = all; l != NULL; l = l->next) {
 		struct guest *g = l->data;
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -16,6 +16,22 @@
 /* Three beats and the way: a process that has its turn answers in this. */
 #define SILENT_US (850 * MH_US_PER_MS)
 #define REDIAL_US (500 * MH_US_PER_MS)
+/*
+ * A first packet to a VM that is still without power is lost and sent again
+ * by TCP a second later; links open within some tens of milliseconds.
+ */
+#define DIAL_LATE_US (150 * MH_US_PER_MS)
+/* An entry that could not be reached for so long is passed over. */
+#define GONE_US (1 * MH_US_PER_S)
+/*
+ * After a loss of power all processes come back within some tenths of a
+ * second, and requests with them.  Until a process has heard of the others it
+ * takes itself for the home: twenty of them called the same endpoints, which
+ * refused most calls.  So a young process beats and dials more often.
+ */
+#define YOUNG_US (1500 * MH_US_PER_MS)
+#define YOUNG_BEAT_US (50 * MH_US_PER_MS)
+#define YOUNG_REDIAL_US (100 * MH_US_PER_MS)
 /*
  * What one entry sends of its readings between two beats.  All who are linked
  * to a reader would ask it at once: 300 copies of a configuration are 15 MB.
@@ -32,6 +48,11 @@
  */
 #define ROWS_BYTES_A_BEAT (256 * 1024)
 #define ASK_AGAIN_US (400 * MH_US_PER_MS)
+/*
+ * One entry is asked for rows at a time: all that had read them answered, and
+ * their copies filled the links of 10 Mbit/s that requests come by.
+ */
+#define ROWS_WAIT_US (150 * MH_US_PER_MS)
 
 static void
 free_peer(void *arg)
@@ -129,24 +150,40 @@
 	m->view = *v;
 }
 
+static bool
+is_young(const struct mh_mesh *m)
+{
+	return mh_now(m->k) - m->started_us < YOUNG_US;
+}
+
+static void
+fill_beat(struct mh_mesh *m, Mh__Beat *b)
+{
+	b->leaving = m->leaving;
+	b->uptime_us = (uint64_t)(mh_now(m->k) - m->started_us);
+	if (m->view.ready == NULL)
+		return;
+	b->ready = m->view.ready(m->view.arg);
+	b->reads = m->view.reads(m->view.arg);
+	b->conf_revision = m->view.conf_revision(m->view.arg);
+	b->rows_revision = m->view.rows_revision(m->view.arg);
+	b->rows_age_us = (uint64_t)m->view.rows_age_us(m->view.arg);
+}
+
+/* To one link, or to all: 0. */
 static void
-beat_all(struct mh_mesh *m)
+beat(struct mh_mesh *m, uint64_t conn)
 {
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__Beat b = MH__BEAT__INIT;
 
-	b.leaving = m->leaving;
-	b.uptime_us = (uint64_t)(mh_now(m->k) - m->started_us);
-	if (m->view.ready != NULL) {
-		b.ready = m->view.ready(m->view.arg);
-		b.reads = m->view.reads(m->view.arg);
-		b.conf_revision = m->view.conf_revision(m->view.arg);
-		b.rows_revision = m->view.rows_revision(m->view.arg);
-		b.rows_age_us = (uint64_t)m->view.rows_age_us(m->view.arg);
-	}
+	fill_beat(m, &b);
 	f.body_case = MH__FRAME__BODY_BEAT;
 	f.beat = &b;
-	mh_mesh_send_all(m, &f);
+	if (conn != 0)
+		send_to(m, conn, &f);
+	else
+		mh_mesh_send_all(m, &f);
 }
 
 /*
@@ -167,10 +204,13 @@
 		return;
 	ask.conf = b->conf_revision > m->view.conf_revision(m->view.arg);
 	ask.rows = b->rows_revision > m->view.rows_revision(m->view.arg) &&
-	    m->view.rows_due(m->view.arg);
+	    m->view.rows_due(m->view.arg) &&
+	    mh_now(m->k) >= m->rows_asked_us + ROWS_WAIT_US;
 	if (!ask.conf && !ask.rows)
 		return;
 	p->asked_us = mh_now(m->k);
+	if (ask.rows)
+		m->rows_asked_us = mh_now(m->k);
 	if (ask.rows)
 		ask.rows_since = m->view.rows_have(m->view.arg);
 	f.body_case = MH__FRAME__BODY_VIEW_ASK;
@@ -248,6 +288,8 @@
 		answer_view(m, p, f->view_ask);
 		break;
 	case MH__FRAME__BODY_VIEW:
+		if (f->view->rows.len > 0)
+			m->rows_asked_us = 0;
 		if (m->view.take != NULL)
 			m->view.take(m->view.arg, f->view);
 		break;
@@ -302,9 +344,14 @@
 	if (p->addr == NULL)
 		p->addr = g_strdup(l->addr);
 	p->heard_us = mh_now(m->k);
+	if (p->started_us == 0)
+		p->started_us = p->heard_us;
 	p->failed = false;
+	p->tried_us = 0;
 	p->asked_us = 0;
 	note_conn(m, l->conn, p);
+	/* It must not wait for our next beat to know that we can serve. */
+	beat(m, l->conn);
 	mh_event(m->k, "peer-up", "node=%s addr=%s inbound=%d", p->node,
 	    l->addr, l->inbound);
 }
@@ -319,6 +366,17 @@
 		m->lost(m->lost_arg, p->node);
 }
 
+/*
+ * While all start together most dials fail at first.  Taking those for gone
+ * and going on to the next of the order, every entry was linked to every
+ * other.
+ */
+static void
+note_failed(struct mh_mesh *m, struct peer *p)
+{
+	p->failed = mh_now(m->k) - p->tried_us >= GONE_US;
+}
+
 static void
 link_down(struct mh_mesh *m, uint64_t conn)
 {
@@ -328,7 +386,8 @@
 	if (p == NULL)
 		return;
 	was = mh_peer_link(p) != 0;
-	p->failed = !was || p->failed;
+	if (!was)
+		note_failed(m, p);
 	g_hash_table_remove(m->conns, &conn);
 	if (p->dial == conn)
 		p->dial = 0;
@@ -364,11 +423,24 @@
 	peer_lost(m, p, "silent");
 }
 
+static void
+drop_late_dial(struct mh_mesh *m, struct peer *p)
+{
+	if (p->dial == 0 || mh_now(m->k) - p->dialled_us < DIAL_LATE_US)
+		return;
+	drop_link(m, &p->dial);
+	note_failed(m, p);
+	p->dial_us = mh_now(m->k);
+}
+
 static void
 dial(struct mh_mesh *m, struct peer *p)
 {
 	p->dial = mh_next_id(m->k);
-	p->dial_us = mh_now(m->k) + REDIAL_US;
+	p->dialled_us = mh_now(m->k);
+	if (p->tried_us == 0)
+		p->tried_us = p->dialled_us;
+	p->dial_us = mh_now(m->k) + (is_young(m) ? YOUNG_REDIAL_US : REDIAL_US);
 	note_conn(m, p->dial, p);
 	mh_link_dial(m->k, p->dial, p->addr);
 }
@@ -377,6 +449,11 @@
 on_timer(void *arg)
 {
 	struct mh_mesh *m = arg;
+	/*
+	 * The links' secret may be read after the list of entries.  A dial
+	 * that nobody takes never fails: the entry stayed alone for good.
+	 */
+	bool can_dial = mh_kern_get(m->k, "link") != NULL;
 	GHashTableIter it;
 	gpointer key, value;
 
@@ -386,19 +463,21 @@
 		struct peer *p = value;
 
 		check_silent(m, p);
+		drop_late_dial(m, p);
 		if (mh_peer_link(p) == 0 && p->dial == 0 && !p->listed) {
 			g_hash_table_iter_remove(&it);
 			continue;
 		}
-		if (p->out == 0 && p->dial == 0 && p->listed &&
+		if (can_dial && p->out == 0 && p->dial == 0 && p->listed &&
 		    mh_now(m->k) >= p->dial_us && p->wanted)
 			dial(m, p);
 	}
 	m->conf_answers = 0;
 	m->rows_answers = 0;
 	m->rows_bytes = 0;
-	beat_all(m);
-	m->timer = mh_timer_start(m->k, BEAT_US, on_timer, m);
+	beat(m, 0);
+	m->timer = mh_timer_start(
+	    m->k, is_young(m) ? YOUNG_BEAT_US : BEAT_US, on_timer, m);
 }
 
 void
@@ -428,7 +507,7 @@
 mh_mesh_leave(struct mh_mesh *m)
 {
 	m->leaving = true;
-	beat_all(m);
+	beat(m, 0);
 }
 
 static void
@@ -478,6 +557,6 @@
 	m->conns =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	mh_kern_add(k, "hub", m, handle, destroy);
-	m->timer = mh_timer_start(k, BEAT_US, on_timer, m);
+	m->timer = mh_timer_start(k, YOUNG_BEAT_US, on_timer, m);
 	return m;
 }
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -70,6 +70,9 @@
 /** mh_mesh_home() - the live entry whose turn @what is; may be ourselves. */
 const char *mh_mesh_home(struct mh_mesh *m, const char *what);
 bool mh_mesh_is_self(const struct mh_mesh *m, const char *node);
+/** mh_mesh_unsettled_us() - time until the others have been heard of; 0: it
+ * is over. */
+int64_t mh_mesh_unsettled_us(const struct mh_mesh *m);
 /**
  * mh_mesh_reads() - whether it is for us to read what all need: a few do and
  * tell the others, so that the platform's load does not grow with entries.
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -23,6 +23,8 @@
 	uint64_t out; /* links that are up, 0: none */
 	uint64_t in;
 	int64_t heard_us;
+	int64_t dialled_us; /* when that was begun */
+	int64_t tried_us; /* dialled in vain since, 0: not at all */
 	int64_t dial_us; /* not again before */
 	int64_t asked_us; /* when it was last asked for what it has read */
 };
@@ -48,6 +50,7 @@
 	void (*lost)(void *arg, const char *node);
 	void *lost_arg;
 	struct mh_timer *timer;
+	int64_t rows_asked_us; /* when another was asked, 0: answered */
 	uint32_t conf_answers; /* configurations sent since the last beat */
 	uint32_t rows_answers; /* times rows were sent since the last beat */
 	size_t rows_bytes; /* of these */
--- a/lib/meshorder.c
+++ b/lib/meshorder.c
@@ -16,6 +16,15 @@
 /* Processes that were started within this time were started together. */
 #define TOGETHER_US (2 * MH_US_PER_S)
 
+/*
+ * Processes that lost power together are back within a few tenths of a
+ * second, in any order; by then a link to each has been tried again.
+ */
+#define UNSETTLED_US (400 * MH_US_PER_MS)
+
+/* A process that has just started is taken for one that will be ready. */
+#define STARTING_US (1 * MH_US_PER_S)
+
 /* Highest wins; a share of the work by weight (Wang and Ravishankar). */
 static double
 rank(const char *what, const char *node, double weight)
@@ -127,6 +136,12 @@
 	return best;
 }
 
+int64_t
+mh_mesh_unsettled_us(const struct mh_mesh *m)
+{
+	return MAX(m->started_us + UNSETTLED_US - mh_now(m->k), 0);
+}
+
 bool
 mh_mesh_is_self(const struct mh_mesh *m, const char *node)
 {
@@ -175,9 +190,10 @@
 static bool
 may_serve(const struct peer *p)
 {
-	if (mh_peer_alive(p))
-		return p->ready && !p->leaving;
-	return p->listed && !p->failed;
+	if (!mh_peer_alive(p))
+		return p->listed && !p->failed;
+	return !p->leaving &&
+	    (p->ready || mh_now(p->m->k) - p->started_us < STARTING_US);
 }
 
 /*
--- /dev/null
+++ b/regress/entries.c
@@ -0,0 +1,355 @@
+/**
+ * DOC: Many entries in one process and virtual time, linked by one queue.
+ */
+
+#include "entries.h"
+
+#include <string.h>
+
+#define MS MH_US_PER_MS
+#define S MH_US_PER_S
+
+static struct ment *
+by_node(struct mrig *r, const char *node)
+{
+	return &r->e[node[1] - '0'];
+}
+
+/* Connection ids name both ends: dialer * 100 + other, inbound + 1000000. */
+static struct ment *
+other_end(struct ment *e, uint64_t conn)
+{
+	uint64_t id = conn % 1000000;
+
+	return &e->r->e[id / 10 % 10 == e->index ? id % 10 : id / 10 % 10];
+}
+
+static uint64_t
+mirror(uint64_t conn)
+{
+	return conn >= 1000000 ? conn - 1000000 : conn + 1000000;
+}
+
+static void
+tell(struct ment *e, enum mh_msg_kind kind, uint64_t conn, struct ment *peer,
+    bool inbound, GBytes *frame)
+{
+	struct mh_msg *m = mh_msg_new(kind);
+
+	m->u.link.conn = conn;
+	m->u.link.inbound = inbound;
+	if (kind == MH_MSG_LINK_UP) {
+		m->u.link.vm = g_strdup(peer->node);
+		m->u.link.addr = g_strdup_printf("10.0.0.%u:1", peer->index);
+	}
+	if (frame != NULL)
+		m->u.link.frame = g_bytes_ref(frame);
+	mh_post(e->k, "hub", m);
+}
+
+struct link {
+	struct ment *e;
+	GHashTable *ids; /* the mesh's dial id -> ours */
+	GHashTable *back;
+};
+
+static uint64_t
+ours(struct link *l, uint64_t id)
+{
+	uint64_t *v = g_hash_table_lookup(l->ids, &id);
+
+	return v != NULL ? *v : id;
+}
+
+static uint64_t
+theirs(struct link *l, uint64_t id)
+{
+	uint64_t *v = g_hash_table_lookup(l->back, &id);
+
+	return v != NULL ? *v : id;
+}
+
+static void
+dial(struct link *l, const struct mh_link_msg *m)
+{
+	struct ment *e = l->e;
+	struct ment *to = &e->r->e[m->addr[7] - '0'];
+	uint64_t id = e->index * 10 + to->index, dialled = m->conn;
+
+	if (to->off)
+		return;
+	if (mh_kern_get(to->k, "link") == NULL) {
+		tell(e, MH_MSG_LINK_DOWN, dialled, to, false, NULL);
+		return;
+	}
+	if (to->down || e->cut || to->cut) {
+		tell(e, MH_MSG_LINK_DOWN, dialled, to, false, NULL);
+		return;
+	}
+	g_hash_table_replace(l->ids, g_memdup2(&dialled, sizeof(dialled)),
+	    g_memdup2(&id, sizeof(id)));
+	g_hash_table_replace(l->back, g_memdup2(&id, sizeof(id)),
+	    g_memdup2(&dialled, sizeof(dialled)));
+	e->dialled++;
+	tell(e, MH_MSG_LINK_UP, dialled, to, false, NULL);
+	tell(to, MH_MSG_LINK_UP, mirror(id), e, true, NULL);
+}
+
+static bool
+is_lost(struct ment *e, GBytes *frame)
+{
+	Mh__Frame *f = mh_frame_unpack(frame);
+	bool lost = e->lose_views > 0 && f->body_case == MH__FRAME__BODY_VIEW;
+
+	e->lose_views -= lost;
+	mh_frame_free(f);
+	return lost;
+}
+
+static void
+link_handle(void *self, struct mh_msg *msg)
+{
+	struct link *l = self;
+	struct ment *e = l->e, *to;
+	const struct mh_link_msg *m = &msg->u.link;
+	uint64_t id = ours(l, m->conn);
+	struct link *tl;
+
+	switch (msg->kind) {
+	case MH_MSG_LINK_DIAL:
+		dial(l, m);
+		break;
+	case MH_MSG_LINK_SEND:
+		to = other_end(e, id);
+		if (e->cut || to->cut || to->down || to->off ||
+		    is_lost(e, m->frame))
+			break;
+		tl = mh_kern_get(to->k, "link");
+		if (tl == NULL)
+			break;
+		tell(to, MH_MSG_FRAME, theirs(tl, mirror(id)), e, false,
+		    m->frame);
+		break;
+	case MH_MSG_LINK_CLOSE:
+		to = other_end(e, id);
+		tl = mh_kern_get(to->k, "link");
+		if (tl != NULL && !e->cut && !to->cut && !to->down && !to->off)
+			tell(to, MH_MSG_LINK_DOWN, theirs(tl, mirror(id)), e,
+			    false, NULL);
+		break;
+	default:
+		break;
+	}
+}
+
+static void
+link_free(void *self)
+{
+	struct link *l = self;
+
+	g_hash_table_destroy(l->ids);
+	g_hash_table_destroy(l->back);
+	g_free(l);
+}
+
+static uint64_t
+v_conf(void *arg)
+{
+	return ((struct ment *)arg)->conf;
+}
+
+static uint64_t
+v_rows(void *arg)
+{
+	return ((struct ment *)arg)->rows;
+}
+
+static bool
+v_due(void *arg)
+{
+	(void)arg;
+	return true;
+}
+
+static bool
+v_ready(void *arg)
+{
+	return ((struct ment *)arg)->ready;
+}
+
+static bool
+v_reads(void *arg)
+{
+	return ((struct ment *)arg)->reads;
+}
+
+static int64_t
+v_age(void *arg)
+{
+	return ((struct ment *)arg)->reads ? 0 : S;
+}
+
+static void
+v_same(void *arg, int64_t age_us)
+{
+	struct ment *e = arg;
+
+	e->fresh += age_us == 0;
+}
+
+static void
+v_fill(void *arg, const Mh__ViewAsk *ask, struct mh_shared *out)
+{
+	struct ment *e = arg;
+
+	if (ask->conf)
+		out->conf = g_bytes_new("conf", 4);
+	if (ask->rows && e->rows_len > 0)
+		out->rows =
+		    g_bytes_new_take(g_malloc0(e->rows_len), e->rows_len);
+}
+
+static void
+v_take(void *arg, const Mh__View *v)
+{
+	struct ment *e = arg;
+
+	e->taken_rows += (uint32_t)v->rows.len;
+	if (v->rows.len > 0)
+		e->rows = v->rows_revision;
+	if (v->conf.len == 4) {
+		e->conf = v->conf_revision;
+		e->taken_conf++;
+	}
+}
+
+void
+mrig_link(struct ment *e)
+{
+	struct link *l = g_new0(struct link, 1);
+
+	l->e = e;
+	l->ids =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	l->back =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	mh_kern_add(e->k, "link", l, link_handle, link_free);
+}
+
+void
+mrig_start(struct ment *e)
+{
+	const struct mh_mesh_view v = { v_conf, v_rows, v_due, v_rows, v_age,
+		v_same, v_fill, v_take, v_ready, v_reads, e };
+
+	e->dialled = 0;
+	e->k = mh_kern_create(e->index + 1);
+	mh_kern_advance(e->k, e->r->now_us, e->r->now_us);
+	if (!e->no_links)
+		mrig_link(e);
+	e->m = mh_mesh_create(e->k, e->node, 1);
+	mh_mesh_share(e->m, &v);
+	mh_mesh_list(e->m, e->r->members);
+}
+
+void
+mrig_run(struct mrig *r, int64_t us)
+{
+	for (int64_t t = 0; t < us; t += 10 * MS) {
+		r->now_us += 10 * MS;
+		for (int round = 0; round < 4; round++) {
+			for (uint32_t i = 0; i < ENTRIES; i++) {
+				if (!r->e[i].down && !r->e[i].off)
+					mh_kern_advance(
+					    r->e[i].k, r->now_us, r->now_us);
+			}
+		}
+	}
+}
+
+struct mrig *
+mrig_create(void)
+{
+	struct mrig *r = g_new0(struct mrig, 1);
+
+	r->now_us = S;
+	r->members = g_ptr_array_new();
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		struct mh_member *m = g_new0(struct mh_member, 1);
+
+		g_snprintf(r->e[i].node, sizeof(r->e[i].node), "e%u", i);
+		m->node = g_strdup(r->e[i].node);
+		m->addr = g_strdup_printf("10.0.0.%u:1", i);
+		m->weight = 1;
+		g_ptr_array_add(r->members, m);
+	}
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		r->e[i].r = r;
+		r->e[i].index = i;
+		r->e[i].ready = r->e[i].reads = true;
+		mrig_start(&r->e[i]);
+	}
+	return r;
+}
+
+void
+mrig_destroy(struct mrig *r)
+{
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		mh_kern_destroy(r->e[i].k);
+	for (guint i = 0; i < r->members->len; i++) {
+		struct mh_member *m = g_ptr_array_index(r->members, i);
+
+		g_free(m->node);
+		g_free(m->addr);
+		g_free(m);
+	}
+	g_ptr_array_free(r->members, TRUE);
+	g_free(r);
+}
+
+const char *
+mrig_home(struct ment *e)
+{
+	return mh_mesh_home(e->m, "stage-work");
+}
+
+/* The home that all live entries name, or NULL when they differ. */
+struct ment *
+mrig_agreed(struct mrig *r)
+{
+	const char *home = NULL;
+
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		const char *h;
+
+		if (r->e[i].down || r->e[i].off || r->e[i].cut)
+			continue;
+		h = mrig_home(&r->e[i]);
+		if (home != NULL && strcmp(home, h) != 0)
+			return NULL;
+		home = h;
+	}
+	return home == NULL ? NULL : by_node(r, home);
+}
+
+/* Sends an ask for the configuration, or for rows, to an entry. */
+void
+mrig_ask_view(struct ment *e, struct ment *to, bool conf)
+{
+	struct link *l = mh_kern_get(e->k, "link");
+	uint64_t id = e->index * 10 + to->index;
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__ViewAsk ask = MH__VIEW_ASK__INIT;
+	struct mh_msg *m = mh_msg_new(MH_MSG_LINK_SEND);
+
+	ask.conf = conf;
+	ask.rows = !conf;
+	f.body_case = MH__FRAME__BODY_VIEW_ASK;
+	f.view_ask = &ask;
+	if (g_hash_table_lookup(l->back, &id) == NULL)
+		id = mirror(to->index * 10 + e->index);
+	m->u.link.conn = theirs(l, id);
+	m->u.link.frame = mh_frame_pack(&f);
+	mh_post(e->k, "link", m);
+}
--- /dev/null
+++ b/regress/entries.h
@@ -0,0 +1,58 @@
+#ifndef ENTRIES_H
+#define ENTRIES_H
+
+/*
+ * Many entries in one process and virtual time: each has a kernel and a mesh
+ * of its own, and their links are one queue.
+ */
+
+#include "mesh.h"
+
+#define ENTRIES 8
+
+/** struct ment - one entry: a kernel with a mesh and a fake link. */
+struct ment {
+	struct mrig *r;
+	uint32_t index;
+	char node[8];
+	struct mh_kern *k;
+	struct mh_mesh *m;
+	bool cut; /* its frames are lost, silently */
+	bool down; /* refuses connections */
+	bool off; /* its VM has no power: what is sent there is lost */
+	bool no_links; /* started without its link service */
+	uint32_t dialled; /* links of its own that came up since its start */
+	bool ready;
+	bool reads;
+	uint64_t conf;
+	uint64_t rows;
+	uint32_t taken_conf;
+	uint32_t fresh; /* beats that said: unchanged just now */
+	uint32_t lose_views; /* of its answers, so many are lost */
+	uint32_t rows_len; /* bytes of all its rows */
+	uint32_t taken_rows; /* bytes */
+};
+
+/** struct mrig - entries whose links are one queue. */
+struct mrig {
+	struct ment e[ENTRIES];
+	int64_t now_us;
+	GPtrArray *members;
+};
+
+struct mrig *mrig_create(void);
+void mrig_destroy(struct mrig *r);
+/** mrig_start() - the process of an entry starts, with a kernel of its own. */
+void mrig_start(struct ment *e);
+/** mrig_link() - its link service, which mrig_start() left out if no_links. */
+void mrig_link(struct ment *e);
+/** mrig_run() - lets @us pass in steps of 10 ms. */
+void mrig_run(struct mrig *r, int64_t us);
+/** mrig_home() - the home of stage work, as one entry sees it. */
+const char *mrig_home(struct ment *e);
+/** mrig_agreed() - the home that all live entries name; NULL: they differ. */
+struct ment *mrig_agreed(struct mrig *r);
+/** mrig_ask_view() - asks @to for its configuration, or for its rows. */
+void mrig_ask_view(struct ment *e, struct ment *to, bool conf);
+
+#endif
--- a/regress/main.c
+++ b/regress/main.c
@@ -32,6 +32,7 @@
 	{ "cell", tests_cell },
 	{ "gate", tests_gate },
 	{ "mesh", tests_mesh },
+	{ "start", tests_start },
 	{ "http", tests_http },
 	{ "platform", tests_platform },
 	{ "work", tests_work },
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -24,6 +24,7 @@
 extern const struct test tests_cell[];
 extern const struct test tests_gate[];
 extern const struct test tests_mesh[];
+extern const struct test tests_start[];
 extern const struct test tests_http[];
 extern const struct test tests_platform[];
 extern const struct test tests_work[];
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -4,351 +4,20 @@
  */
 
 #include "regress.h"
+#include "entries.h"
 #include "world.h"
 
 #include <string.h>
 
 #define MS MH_US_PER_MS
 #define S MH_US_PER_S
-#define ENTRIES 8
-
-/** struct ment - one entry: a kernel with a mesh and a fake link. */
-struct ment {
-	struct mrig *r;
-	uint32_t index;
-	char node[8];
-	struct mh_kern *k;
-	struct mh_mesh *m;
-	bool cut; /* its frames are lost, silently */
-	bool down; /* refuses connections */
-	bool ready;
-	bool reads;
-	uint64_t conf;
-	uint64_t rows;
-	uint32_t taken_conf;
-	uint32_t fresh; /* beats that said: unchanged just now */
-	uint32_t lose_views; /* of its answers, so many are lost */
-	uint32_t rows_len; /* bytes of all its rows */
-	uint32_t taken_rows; /* bytes */
-};
-
-/** struct mrig - entries whose links are one queue. */
-struct mrig {
-	struct ment e[ENTRIES];
-	int64_t now_us;
-	GPtrArray *members;
-};
-
-static struct ment *
-by_node(struct mrig *r, const char *node)
-{
-	return &r->e[node[1] - '0'];
-}
-
-/* Connection ids name both ends: dialer * 100 + other, inbound + 1000000. */
-static struct ment *
-other_end(struct ment *e, uint64_t conn)
-{
-	uint64_t id = conn % 1000000;
-
-	return &e->r->e[id / 10 % 10 == e->index ? id % 10 : id / 10 % 10];
-}
-
-static uint64_t
-mirror(uint64_t conn)
-{
-	return conn >= 1000000 ? conn - 1000000 : conn + 1000000;
-}
-
-static void
-tell(struct ment *e, enum mh_msg_kind kind, uint64_t conn, struct ment *peer,
-    bool inbound, GBytes *frame)
-{
-	struct mh_msg *m = mh_msg_new(kind);
-
-	m->u.link.conn = conn;
-	m->u.link.inbound = inbound;
-	if (kind == MH_MSG_LINK_UP) {
-		m->u.link.vm = g_strdup(peer->node);
-		m->u.link.addr = g_strdup_printf("10.0.0.%u:1", peer->index);
-	}
-	if (frame != NULL)
-		m->u.link.frame = g_bytes_ref(frame);
-	mh_post(e->k, "hub", m);
-}
-
-struct link {
-	struct ment *e;
-	GHashTable *ids; /* the mesh's dial id -> ours */
-	GHashTable *back;
-};
-
-static uint64_t
-ours(struct link *l, uint64_t id)
-{
-	uint64_t *v = g_hash_table_lookup(l->ids, &id);
-
-	return v != NULL ? *v : id;
-}
-
-static uint64_t
-theirs(struct link *l, uint64_t id)
-{
-	uint64_t *v = g_hash_table_lookup(l->back, &id);
-
-	return v != NULL ? *v : id;
-}
-
-static void
-dial(struct link *l, const struct mh_link_msg *m)
-{
-	struct ment *e = l->e;
-	struct ment *to = &e->r->e[m->addr[7] - '0'];
-	uint64_t id = e->index * 10 + to->index, dialled = m->conn;
-
-	if (to->down || e->cut || to->cut) {
-		tell(e, MH_MSG_LINK_DOWN, dialled, to, false, NULL);
-		return;
-	}
-	g_hash_table_replace(l->ids, g_memdup2(&dialled, sizeof(dialled)),
-	    g_memdup2(&id, sizeof(id)));
-	g_hash_table_replace(l->back, g_memdup2(&id, sizeof(id)),
-	    g_memdup2(&dialled, sizeof(dialled)));
-	tell(e, MH_MSG_LINK_UP, dialled, to, false, NULL);
-	tell(to, MH_MSG_LINK_UP, mirror(id), e, true, NULL);
-}
-
-static bool
-is_lost(struct ment *e, GBytes *frame)
-{
-	Mh__Frame *f = mh_frame_unpack(frame);
-	bool lost = e->lose_views > 0 && f->body_case == MH__FRAME__BODY_VIEW;
-
-	e->lose_views -= lost;
-	mh_frame_free(f);
-	return lost;
-}
-
-static void
-link_handle(void *self, struct mh_msg *msg)
-{
-	struct link *l = self;
-	struct ment *e = l->e, *to;
-	const struct mh_link_msg *m = &msg->u.link;
-	uint64_t id = ours(l, m->conn);
-	struct link *tl;
-
-	switch (msg->kind) {
-	case MH_MSG_LINK_DIAL:
-		dial(l, m);
-		break;
-	case MH_MSG_LINK_SEND:
-		to = other_end(e, id);
-		if (e->cut || to->cut || to->down || is_lost(e, m->frame))
-			break;
-		tl = mh_kern_get(to->k, "link");
-		tell(to, MH_MSG_FRAME, theirs(tl, mirror(id)), e, false,
-		    m->frame);
-		break;
-	case MH_MSG_LINK_CLOSE:
-		to = other_end(e, id);
-		tl = mh_kern_get(to->k, "link");
-		if (!e->cut && !to->cut && !to->down)
-			tell(to, MH_MSG_LINK_DOWN, theirs(tl, mirror(id)), e,
-			    false, NULL);
-		break;
-	default:
-		break;
-	}
-}
-
-static void
-link_free(void *self)
-{
-	struct link *l = self;
-
-	g_hash_table_destroy(l->ids);
-	g_hash_table_destroy(l->back);
-	g_free(l);
-}
-
-static uint64_t
-v_conf(void *arg)
-{
-	return ((struct ment *)arg)->conf;
-}
-
-static uint64_t
-v_rows(void *arg)
-{
-	return ((struct ment *)arg)->rows;
-}
-
-static bool
-v_due(void *arg)
-{
-	(void)arg;
-	return true;
-}
-
-static bool
-v_ready(void *arg)
-{
-	return ((struct ment *)arg)->ready;
-}
-
-static bool
-v_reads(void *arg)
-{
-	return ((struct ment *)arg)->reads;
-}
-
-static int64_t
-v_age(void *arg)
-{
-	return ((struct ment *)arg)->reads ? 0 : S;
-}
-
-static void
-v_same(void *arg, int64_t age_us)
-{
-	struct ment *e = arg;
-
-	e->fresh += age_us == 0;
-}
-
-static void
-v_fill(void *arg, const Mh__ViewAsk *ask, struct mh_shared *out)
-{
-	struct ment *e = arg;
-
-	if (ask->conf)
-		out->conf = g_bytes_new("conf", 4);
-	if (ask->rows && e->rows_len > 0)
-		out->rows =
-		    g_bytes_new_take(g_malloc0(e->rows_len), e->rows_len);
-}
-
-static void
-v_take(void *arg, const Mh__View *v)
-{
-	struct ment *e = arg;
-
-	e->taken_rows += (uint32_t)v->rows.len;
-	if (v->conf.len == 4) {
-		e->conf = v->conf_revision;
-		e->taken_conf++;
-	}
-}
-
-static void
-start(struct ment *e)
-{
-	const struct mh_mesh_view v = { v_conf, v_rows, v_due, v_rows, v_age,
-		v_same, v_fill, v_take, v_ready, v_reads, e };
-	struct link *l = g_new0(struct link, 1);
-
-	e->k = mh_kern_create(e->index + 1);
-	mh_kern_advance(e->k, e->r->now_us, e->r->now_us);
-	l->e = e;
-	l->ids =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-	l->back =
-	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
-	mh_kern_add(e->k, "link", l, link_handle, link_free);
-	e->m = mh_mesh_create(e->k, e->node, 1);
-	mh_mesh_share(e->m, &v);
-	mh_mesh_list(e->m, e->r->members);
-}
-
-static void
-run(struct mrig *r, int64_t us)
-{
-	for (int64_t t = 0; t < us; t += 10 * MS) {
-		r->now_us += 10 * MS;
-		for (int round = 0; round < 4; round++) {
-			for (uint32_t i = 0; i < ENTRIES; i++) {
-				if (!r->e[i].down)
-					mh_kern_advance(
-					    r->e[i].k, r->now_us, r->now_us);
-			}
-		}
-	}
-}
-
-static struct mrig *
-mrig_create(void)
-{
-	struct mrig *r = g_new0(struct mrig, 1);
-
-	r->now_us = S;
-	r->members = g_ptr_array_new();
-	for (uint32_t i = 0; i < ENTRIES; i++) {
-		struct mh_member *m = g_new0(struct mh_member, 1);
-
-		g_snprintf(r->e[i].node, sizeof(r->e[i].node), "e%u", i);
-		m->node = g_strdup(r->e[i].node);
-		m->addr = g_strdup_printf("10.0.0.%u:1", i);
-		m->weight = 1;
-		g_ptr_array_add(r->members, m);
-	}
-	for (uint32_t i = 0; i < ENTRIES; i++) {
-		r->e[i].r = r;
-		r->e[i].index = i;
-		r->e[i].ready = r->e[i].reads = true;
-		start(&r->e[i]);
-	}
-	return r;
-}
-
-static void
-mrig_destroy(struct mrig *r)
-{
-	for (uint32_t i = 0; i < ENTRIES; i++)
-		mh_kern_destroy(r->e[i].k);
-	for (guint i = 0; i < r->members->len; i++) {
-		struct mh_member *m = g_ptr_array_index(r->members, i);
-
-		g_free(m->node);
-		g_free(m->addr);
-		g_free(m);
-	}
-	g_ptr_array_free(r->members, TRUE);
-	g_free(r);
-}
-
-static const char *
-home_of(struct ment *e)
-{
-	return mh_mesh_home(e->m, "stage-work");
-}
-
-/* The home that all live entries name, or NULL when they differ. */
-static struct ment *
-agreed(struct mrig *r)
-{
-	const char *home = NULL;
-
-	for (uint32_t i = 0; i < ENTRIES; i++) {
-		const char *h;
-
-		if (r->e[i].down || r->e[i].cut)
-			continue;
-		h = home_of(&r->e[i]);
-		if (home != NULL && strcmp(home, h) != 0)
-			return NULL;
-		home = h;
-	}
-	return home == NULL ? NULL : by_node(r, home);
-}
-
 static void
 test_one_home(void)
 {
 	struct mrig *r = mrig_create();
 
-	run(r, 2 * S);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(agreed(r));
+	mrig_run(r, 2 * S);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(mrig_agreed(r));
 	CU_ASSERT_EQUAL(mh_mesh_size(r->e[0].m), ENTRIES);
 	mrig_destroy(r);
 }
@@ -363,15 +32,15 @@
 	struct mrig *r = mrig_create();
 	struct ment *home;
 
-	run(r, 2 * S);
-	home = agreed(r);
+	mrig_run(r, 2 * S);
+	home = mrig_agreed(r);
 	home->cut = true;
-	run(r, 1200 * MS);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(agreed(r));
-	CU_ASSERT_PTR_NOT_EQUAL(agreed(r), home);
+	mrig_run(r, 1200 * MS);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(mrig_agreed(r));
+	CU_ASSERT_PTR_NOT_EQUAL(mrig_agreed(r), home);
 	home->cut = false;
-	run(r, 3 * S);
-	CU_ASSERT_PTR_EQUAL(agreed(r), home);
+	mrig_run(r, 3 * S);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), home);
 	mrig_destroy(r);
 }
 
@@ -382,16 +51,16 @@
 	struct mrig *r = mrig_create();
 	struct ment *home;
 
-	run(r, 2 * S);
-	home = agreed(r);
+	mrig_run(r, 2 * S);
+	home = mrig_agreed(r);
 	mh_mesh_leave(home->m);
-	run(r, 100 * MS);
-	CU_ASSERT_PTR_NOT_NULL_FATAL(agreed(r));
-	CU_ASSERT_PTR_NOT_EQUAL(agreed(r), home);
-	home = agreed(r);
+	mrig_run(r, 100 * MS);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(mrig_agreed(r));
+	CU_ASSERT_PTR_NOT_EQUAL(mrig_agreed(r), home);
+	home = mrig_agreed(r);
 	home->ready = false;
-	run(r, 400 * MS);
-	CU_ASSERT_PTR_NOT_EQUAL(home_of(&r->e[home->index == 0]), home->node);
+	mrig_run(r, 400 * MS);
+	CU_ASSERT_PTR_NOT_EQUAL(mrig_home(&r->e[home->index == 0]), home->node);
 	mrig_destroy(r);
 }
 
@@ -406,24 +75,24 @@
 	struct mrig *r = mrig_create();
 	struct ment *fresh = NULL;
 
-	run(r, 2 * S);
+	mrig_run(r, 2 * S);
 	for (int gone = 0; gone < 5; gone++) {
-		agreed(r)->down = true;
-		run(r, 2 * S);
-		CU_ASSERT_PTR_NOT_NULL_FATAL(agreed(r));
+		mrig_agreed(r)->down = true;
+		mrig_run(r, 2 * S);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(mrig_agreed(r));
 	}
 	for (uint32_t i = 0; i < ENTRIES; i++) {
-		if (!r->e[i].down && &r->e[i] != agreed(r))
+		if (!r->e[i].down && &r->e[i] != mrig_agreed(r))
 			fresh = &r->e[i];
 	}
 	fresh->down = true;
-	run(r, 2 * S);
+	mrig_run(r, 2 * S);
 	mh_kern_destroy(fresh->k);
 	fresh->down = false;
-	start(fresh);
-	run(r, 4 * S);
-	CU_ASSERT_PTR_NOT_NULL(agreed(r));
-	CU_ASSERT_PTR_NOT_EQUAL(agreed(r), fresh);
+	mrig_start(fresh);
+	mrig_run(r, 4 * S);
+	CU_ASSERT_PTR_NOT_NULL(mrig_agreed(r));
+	CU_ASSERT_PTR_NOT_EQUAL(mrig_agreed(r), fresh);
 	mrig_destroy(r);
 }
 
@@ -438,18 +107,18 @@
 	struct mrig *r = mrig_create();
 	struct ment *home, *next;
 
-	run(r, 10 * S);
-	home = agreed(r);
+	mrig_run(r, 10 * S);
+	home = mrig_agreed(r);
 	home->down = true;
-	run(r, 2 * S);
-	next = agreed(r);
+	mrig_run(r, 2 * S);
+	next = mrig_agreed(r);
 	mh_kern_destroy(home->k);
 	home->down = false;
-	start(home);
-	run(r, 3 * S);
-	CU_ASSERT_PTR_EQUAL(agreed(r), next);
-	run(r, 7 * S);
-	CU_ASSERT_PTR_EQUAL(agreed(r), home);
+	mrig_start(home);
+	mrig_run(r, 3 * S);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), next);
+	mrig_run(r, 7 * S);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), home);
 	mrig_destroy(r);
 }
 
@@ -462,9 +131,9 @@
 {
 	struct mrig *r = mrig_create();
 
-	run(r, 2 * S);
+	mrig_run(r, 2 * S);
 	r->e[2].conf = 5;
-	run(r, 1 * S);
+	mrig_run(r, 1 * S);
 	for (uint32_t i = 0; i < ENTRIES; i++)
 		CU_ASSERT_EQUAL(r->e[i].conf, 5);
 	mrig_destroy(r);
@@ -482,7 +151,7 @@
 
 	for (uint32_t i = 0; i < ENTRIES; i++)
 		r->e[i].rows = 7;
-	run(r, 2 * S);
+	mrig_run(r, 2 * S);
 	for (uint32_t i = 0; i < ENTRIES; i++)
 		CU_ASSERT(r->e[i].fresh > 2);
 	mrig_destroy(r);
@@ -497,36 +166,15 @@
 {
 	struct mrig *r = mrig_create();
 
-	run(r, 2 * S);
+	mrig_run(r, 2 * S);
 	r->e[2].lose_views = ENTRIES - 1;
 	r->e[2].conf = 5;
-	run(r, 2 * S);
+	mrig_run(r, 2 * S);
 	for (uint32_t i = 0; i < ENTRIES; i++)
 		CU_ASSERT_EQUAL(r->e[i].conf, 5);
 	mrig_destroy(r);
 }
 
-/* Sends an ask for the configuration, or for rows, to an entry. */
-static void
-ask_view(struct ment *e, struct ment *to, bool conf)
-{
-	struct link *l = mh_kern_get(e->k, "link");
-	uint64_t id = e->index * 10 + to->index;
-	Mh__Frame f = MH__FRAME__INIT;
-	Mh__ViewAsk ask = MH__VIEW_ASK__INIT;
-	struct mh_msg *m = mh_msg_new(MH_MSG_LINK_SEND);
-
-	ask.conf = conf;
-	ask.rows = !conf;
-	f.body_case = MH__FRAME__BODY_VIEW_ASK;
-	f.view_ask = &ask;
-	if (g_hash_table_lookup(l->back, &id) == NULL)
-		id = mirror(to->index * 10 + e->index);
-	m->u.link.conn = theirs(l, id);
-	m->u.link.frame = mh_frame_pack(&f);
-	mh_post(e->k, "link", m);
-}
-
 /*
  * Hundreds of entries start at once and thousands of endpoints register: the
  * few entries that read for all are asked for rows all the time and put most
@@ -539,12 +187,12 @@
 	struct mrig *r = mrig_create();
 	uint32_t before;
 
-	run(r, 2 * S);
+	mrig_run(r, 2 * S);
 	before = r->e[1].taken_conf;
 	for (int i = 0; i < 40; i++)
-		ask_view(&r->e[1], &r->e[0], false);
-	ask_view(&r->e[1], &r->e[0], true);
-	run(r, 2 * MS);
+		mrig_ask_view(&r->e[1], &r->e[0], false);
+	mrig_ask_view(&r->e[1], &r->e[0], true);
+	mrig_run(r, 2 * MS);
 	CU_ASSERT_EQUAL(r->e[1].taken_conf, before + 1);
 	mrig_destroy(r);
 }
@@ -558,18 +206,18 @@
 {
 	struct mrig *r = mrig_create();
 
-	run(r, 2 * S);
+	mrig_run(r, 2 * S);
 	r->e[0].rows_len = 1 << 20;
 	for (int i = 0; i < 8; i++)
-		ask_view(&r->e[1], &r->e[0], false);
-	run(r, 2 * MS);
+		mrig_ask_view(&r->e[1], &r->e[0], false);
+	mrig_run(r, 2 * MS);
 	CU_ASSERT_EQUAL(r->e[1].taken_rows, 1 << 20);
 	r->e[0].rows_len = 4 << 10; /* changes: as many as before */
 	r->e[1].taken_rows = 0;
-	run(r, 300 * MS);
+	mrig_run(r, 300 * MS);
 	for (int i = 0; i < 8; i++)
-		ask_view(&r->e[1], &r->e[0], false);
-	run(r, 2 * MS);
+		mrig_ask_view(&r->e[1], &r->e[0], false);
+	mrig_run(r, 2 * MS);
 	CU_ASSERT_EQUAL(r->e[1].taken_rows, 8 * (4 << 10));
 	mrig_destroy(r);
 }
@@ -609,13 +257,13 @@
 	struct mrig *r = mrig_create();
 	uint32_t n = 0, m = 0;
 
-	run(r, 2 * S);
+	mrig_run(r, 2 * S);
 	for (uint32_t i = 0; i < ENTRIES; i++)
 		n += mh_mesh_reads(r->e[i].m);
 	CU_ASSERT_EQUAL(n, 2);
 	for (uint32_t i = 0; i < ENTRIES; i++)
 		r->e[i].reads = !mh_mesh_reads(r->e[i].m);
-	run(r, 1 * S);
+	mrig_run(r, 1 * S);
 	for (uint32_t i = 0; i < ENTRIES; i++)
 		m += mh_mesh_reads(r->e[i].m) && r->e[i].reads;
 	CU_ASSERT_EQUAL(m, 2);
@@ -648,14 +296,14 @@
 		mh_fleet_end(f[i]);
 		s[i] = mh_suspects_create(r->e[i].k, r->e[i].m, f[i]);
 	}
-	run(r, 2 * S);
+	mrig_run(r, 2 * S);
 	mh_suspects_report(s[0], "n1");
-	run(r, 100 * MS);
+	mrig_run(r, 100 * MS);
 	for (uint32_t i = 0; i < ENTRIES; i++)
 		out += !mh_node_usable(f[i], mh_fleet_find(f[i], "n1"));
 	CU_ASSERT_EQUAL(out, 0);
 	mh_suspects_report(s[1], "n1");
-	run(r, 100 * MS);
+	mrig_run(r, 100 * MS);
 	for (uint32_t i = 0; i < ENTRIES; i++)
 		out += !mh_node_usable(f[i], mh_fleet_find(f[i], "n1"));
 	CU_ASSERT_EQUAL(out, ENTRIES);
@@ -742,22 +390,22 @@
 		g.b[i] = mh_broker_create(g.r->e[i].k, g.r->e[i].m, g.cs[i]);
 		mh_broker_on_end(g.b[i], on_job_end, &g);
 	}
-	run(g.r, 2 * S);
-	home = agreed(g.r);
+	mrig_run(g.r, 2 * S);
+	home = mrig_agreed(g.r);
 	asker = &g.r->e[home->index == 0];
 	j = world_job(g.w[asker->index], pools, pieces, 5 * S, 9 * S);
 	j->aim_us = mh_now(asker->k) + 5 * S;
 	j->deadline_us = mh_now(asker->k) + 9 * S;
 	home->cut = true; /* takes nothing, answers nothing */
 	mh_broker_submit(g.b[asker->index], j);
-	run(g.r, 400 * MS);
+	mrig_run(g.r, 400 * MS);
 	CU_ASSERT_EQUAL(g.ended, 0);
-	run(g.r, 1500 * MS);
+	mrig_run(g.r, 1500 * MS);
 	CU_ASSERT_EQUAL(g.ended, 1);
 	CU_ASSERT_EQUAL(g.end, MH_JOB_DONE);
 	mh_broker_drop(g.b[asker->index], j);
 	mh_job_destroy(j);
-	run(g.r, 100 * MS);
+	mrig_run(g.r, 100 * MS);
 	for (uint32_t i = 0; i < ENTRIES; i++) {
 		mh_broker_destroy(g.b[i]);
 		mh_cells_destroy(g.cs[i]);
