Stage work near its data first; lost answers asked for earlier

And an overdue call was asked for at 1.6 times its time.

Change: an endpoint's next call takes first what has its data in its failure domain and is at most 400 ms less urgent than the first that waits. Endpoints are asked for their report at 100 ms over a call's expected time.

A test replays a burst of two stages in two domains: a quarter of the inputs cross at most, half without.

--- a/lib/cell.c
+++ b/lib/cell.c
@@ -22,6 +22,11 @@
  */
 #define OVERDUE_FACTOR 1.6
 #define OVERDUE_GRACE_US (80 * MH_US_PER_MS)
+/*
+ * An endpoint is asked whether it is still at a call that takes this much
+ * longer than expected: nine calls of ten end within 40 ms of it.
+ */
+#define ASK_AFTER_US (100 * MH_US_PER_MS)
 /* Calls that never end are given up at this multiple. */
 #define LOST_FACTOR 8.0
 /* A full endpoint is asked again after this. */
@@ -312,8 +317,8 @@
 
 		if (w->shared_us > now)
 			took /= 2; /* another's call goes before ours */
-		if (b->doubled) /* its answer may be lost */
-			mh_cell_ask(c, w, b->node);
+		if (now - b->sent_us > b->expect_us + ASK_AFTER_US)
+			mh_cell_ask(c, w, b->node); /* is it lost? */
 		if (!b->doubled && took > OVERDUE_FACTOR * (double)b->expect_us)
 			double_up(c, b);
 		else if (took > LOST_FACTOR * (double)b->expect_us) {
--- a/lib/cellrun.c
+++ b/lib/cellrun.c
@@ -21,6 +21,13 @@
 /* Only with this much time to spare, and for this many bytes. */
 #define HOLD_SLACK_US (350 * MH_US_PER_MS)
 #define HOLD_BYTES (200U << 10)
+/*
+ * Where work waits, an endpoint takes what has its data near before what is
+ * so much more urgent: fewer bytes cross failure domains, and what is read
+ * sooner gives its room back sooner (mean worth of ten loaded days 0.651
+ * before, 0.661 after; 0.652 at 150 ms, 0.658 at 800, 0.655 at 1600).
+ */
+#define NEAR_US (400 * MH_US_PER_MS)
 #define MAX_DOMAINS 16
 /*
  * An endpoint reads its inputs when a call's turn comes.  Ours has its turn
@@ -173,10 +180,16 @@
 	    has_domain(c, p, u->domain);
 }
 
+static bool
+is_near(const struct unit *u, const struct mh_node *n)
+{
+	return u->domain != NULL && strcmp(u->domain, n->domain) == 0;
+}
+
 static bool
 suits(const struct unit *u, const struct mh_node *n)
 {
-	return !u->holds || strcmp(u->domain, n->domain) == 0;
+	return !u->holds || is_near(u, n);
 }
 
 static GArray *
@@ -310,6 +323,44 @@
 	return w->slow > slow_limit(c, p) ? MIN(PROBE_PIECES, batch) : batch;
 }
 
+/* What has its data near the endpoint and is hardly less urgent. */
+static void
+take_near(struct mh_batch *b, struct worker *w, const struct mh_node *n,
+    const GArray *units, const struct mh_gwork *gw, uint32_t most)
+{
+	int64_t last = units->len == 0
+	    ? 0
+	    : g_array_index(units, struct unit, 0).key + NEAR_US;
+
+	for (guint i = 0; i < units->len && b->items->len < most; i++) {
+		const struct unit *u = &g_array_index(units, struct unit, i);
+
+		if (u->key > last)
+			return;
+		if (is_near(u, n) && inputs_there(u->job, u->stage))
+			take_pieces(b, w, u, gw, most);
+	}
+}
+
+/* What is most pressing, wherever its data lies. */
+static void
+take_first(struct mh_cell *c, struct mh_batch *b, struct worker *w,
+    const struct mh_node *n, const GArray *units, uint32_t most)
+{
+	const struct mh_gwork *gw = mh_cell_work_of(c, b->pool);
+
+	for (guint i = 0; i < units->len && b->items->len < most; i++) {
+		const struct unit *u = &g_array_index(units, struct unit, i);
+
+		if (!suits(u, n))
+			continue;
+		if (inputs_there(u->job, u->stage))
+			take_pieces(b, w, u, gw, most);
+		else
+			mh_cell_need_inputs(c, u->job, u->stage);
+	}
+}
+
 static void
 run_batch(
     struct mh_cell *c, struct cpool *p, const struct mh_node *n, GArray *units)
@@ -327,16 +378,8 @@
 	b->expect_us = gw->call_us;
 	g_hash_table_insert(c->batches, &b->id, b);
 	w->called_us = mh_now(c->k);
-	for (guint i = 0; i < units->len && b->items->len < most; i++) {
-		const struct unit *u = &g_array_index(units, struct unit, i);
-
-		if (!suits(u, n))
-			continue;
-		if (inputs_there(u->job, u->stage))
-			take_pieces(b, w, u, gw, most);
-		else
-			mh_cell_need_inputs(c, u->job, u->stage);
-	}
+	take_near(b, w, n, units, gw, most);
+	take_first(c, b, w, n, units, most);
 	if (b->items->len == 0) {
 		w->pause_us = mh_now(c->k) + ROOM_PAUSE_US;
 		mh_cell_free_batch(c, b);
@@ -378,7 +421,7 @@
 		const struct unit *u = &g_array_index(units, struct unit, i);
 
 		*suited = *suited || suits(u, n);
-		all += u->domain != NULL && strcmp(u->domain, n->domain) == 0;
+		all += is_near(u, n);
 	}
 	return all;
 }
--- a/lib/celltold.c
+++ b/lib/celltold.c
@@ -16,11 +16,11 @@
  */
 #define REPORT_LAG_US (400 * MH_US_PER_MS)
 /*
- * An overdue call is asked for this often.  Without, an endpoint stood idle
- * for eight times a call's time after each lost answer: four of fifteen at
- * once, and the queue before them lasted for ten seconds.
+ * A call that takes too long is asked for this often.  Without, an endpoint
+ * stood idle for eight times a call's time after each lost answer: four of
+ * fifteen at once, and the queue before them lasted for ten seconds.
  */
-#define ASK_US (300 * MH_US_PER_MS)
+#define ASK_US (150 * MH_US_PER_MS)
 
 void
 mh_cell_ask(struct mh_cell *c, struct worker *w, const char *node)
@@ -46,7 +46,7 @@
 	for (GList *l = all; l != NULL; l = l->next) {
 		struct mh_batch *b = l->data;
 
-		if (!b->doubled || now - b->sent_us < REPORT_LAG_US ||
+		if (now - b->sent_us < REPORT_LAG_US ||
 		    strcmp(b->node, node) != 0)
 			continue;
 		mh_count(c->k, "stage_calls_found_lost", 1);
--- a/regress/t_cell.c
+++ b/regress/t_cell.c
@@ -455,6 +455,32 @@
 	world_destroy(w);
 }
 
+/*
+ * A burst: work waits at the second stage, and nothing can wait longer for
+ * the endpoint near its data.  Taken in the strict order of urgency, half of
+ * all inputs crossed to the other failure domain.
+ */
+static void
+test_burst_near_its_data(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 2, 4 };
+
+	world_pool(w, "a", 2, 8, 100 * MS, 10 * MS, 0);
+	world_pool(w, "b", 2, 8, 200 * MS, 20 * MS, 0);
+	for (int i = 0; i < 120; i++) {
+		struct mh_job *j = world_job(w, chain, pieces, 3 * S, 6 * S);
+
+		j->stages[0].result_bytes = 400000;
+		mh_cell_submit(w->c, j);
+		world_run(w, 50 * MS);
+	}
+	world_run(w, 6 * S);
+	CU_ASSERT(w->on_time >= 60);
+	CU_ASSERT(w->crossed * 4 < w->read);
+	world_destroy(w);
+}
+
 /*
  * Large pools are divided into slices with a home each.  Two homes must not
  * call the same endpoint, nor leave one out.
@@ -539,6 +565,7 @@
 	{ "cell: leaving hands on unbegun work", test_leave_hands_on_unbegun },
 	{ "cell: begun late work first", test_begun_late_work_first },
 	{ "cell: waits for its domain", test_waits_for_its_domain },
+	{ "cell: a burst, near its data", test_burst_near_its_data },
 	{ "cell: slices part a pool", test_slices },
 	{ "cell: no endpoint, refused at once",
 	    test_no_endpoint_refused_at_once },
--- a/regress/world.c
+++ b/regress/world.c
@@ -76,18 +76,36 @@
 	mh_cell_batch_end(b->cell, b, MH_BATCH_FULL);
 }
 
+/* Counts one input that an endpoint reads; results are named MAKER/NUMBER. */
+static void
+read_input(struct world *w, const struct wnode *n, const char *result)
+{
+	char *maker = g_strndup(result, strcspn(result, "/"));
+
+	w->read++;
+	w->crossed += strcmp(world_node(w, maker)->domain, n->domain) != 0;
+	g_free(maker);
+}
+
 /* A piece with inputs must get every result of the stages before it. */
 static void
-check_inputs(struct world *w, const struct mh_batch_item *m)
+check_inputs(
+    struct world *w, const struct wnode *n, const struct mh_batch_item *m)
 {
 	const struct mh_job *j = m->job;
 
 	for (uint32_t s = 0; s < j->n_stages; s++) {
 		if ((j->stages[m->stage].after >> s & 1) == 0)
 			continue;
-		for (uint32_t i = 0; i < j->stages[s].pieces; i++)
-			w->without_inputs +=
-			    g_ptr_array_index(j->stages[s].results, i) == NULL;
+		for (uint32_t i = 0; i < j->stages[s].pieces; i++) {
+			const char *result =
+			    g_ptr_array_index(j->stages[s].results, i);
+
+			if (result == NULL)
+				w->without_inputs++;
+			else
+				read_input(w, n, result);
+		}
 	}
 }
 
@@ -115,7 +133,7 @@
 	n->pieces += b->items->len;
 	for (guint i = 0; i < b->items->len; i++)
 		check_inputs(
-		    w, &g_array_index(b->items, struct mh_batch_item, i));
+		    w, n, &g_array_index(b->items, struct mh_batch_item, i));
 	took = (int64_t)((double)(p->work.call_us +
 			     p->work.item_us * b->items->len) *
 	    n->slow);
