--- a/lib/broker.c
+++ b/lib/broker.c
@@ -99,18 +99,10 @@
 {
 	uint32_t used[MH_USED_SLICES];
 	uint32_t n = mh_mesh_slices(b->m, count, used);
-	double all = 0, at;
-
-	for (uint32_t i = 0; i < n; i++)
-		all += mh_cells_share(b->cells, used[i]);
-	at = (double)(mh_hash(j->id, strlen(j->id)) >> 11) /
-	    (double)(1ULL << 53) * all;
-	for (uint32_t i = 0; i < n; i++) {
-		at -= mh_cells_share(b->cells, used[i]);
-		if (at < 0)
-			return used[i];
-	}
-	return used[0];
+	double unit = (double)(mh_hash(j->id, strlen(j->id)) >> 11) /
+	    (double)(1ULL << 53);
+
+	return mh_cells_pick(b->cells, used, n, unit);
 }
 
 static void
--- a/lib/cells.c
+++ b/lib/cells.c
@@ -180,3 +180,20 @@
 {
 	return index < mh_cells_count(cs) ? cs->share[index] : 0;
 }
+
+uint32_t
+mh_cells_pick(
+    struct mh_cells *cs, const uint32_t *some, uint32_t n, double unit)
+{
+	double all = 0, at;
+
+	for (uint32_t i = 0; i < n; i++)
+		all += mh_cells_share(cs, some[i]);
+	at = unit * all;
+	for (uint32_t i = 0; i < n; i++) {
+		at -= mh_cells_share(cs, some[i]);
+		if (at < 0)
+			return some[i];
+	}
+	return some[0]; /* no slice has a share: no endpoints yet */
+}
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -497,6 +497,9 @@
 uint32_t mh_cells_count(struct mh_cells *cs);
 /** mh_cells_share() - a slice's part of the pools it has least of. */
 double mh_cells_share(struct mh_cells *cs, uint32_t index);
+/** mh_cells_pick() - one of @some slices by their shares; @unit in [0, 1). */
+uint32_t mh_cells_pick(
+    struct mh_cells *cs, const uint32_t *some, uint32_t n, double unit);
 
 /* sse.c: whole events of a stream, and where it stands */
 
--- a/lib/kv.c
+++ b/lib/kv.c
@@ -22,28 +22,24 @@
 };
 
 /* JSON: [{"ModifyIndex": N, "Value": base64}] */
-static bool
-read_value(GBytes *body, struct mh_kv_msg *out)
+GBytes *
+mh_kv_value(const void *data, size_t len, uint64_t *cas)
 {
-	gsize len;
-	const char *data = g_bytes_get_data(body, &len), *value;
 	json_t *a = json_loadb(data, len, 0, NULL);
 	json_t *o = json_array_get(a, 0);
-	bool ok;
-	guchar *raw;
-
-	value = json_string_value(json_object_get(o, "Value"));
-	ok =
-	    value != NULL && json_is_integer(json_object_get(o, "ModifyIndex"));
-	if (ok) {
-		raw = g_base64_decode(value, &len);
-		out->value = g_bytes_new_take(raw, len);
-		out->cas = (uint64_t)json_integer_value(
-		    json_object_get(o, "ModifyIndex"));
-		out->found = true;
+	json_t *index = json_object_get(o, "ModifyIndex");
+	const char *value = json_string_value(json_object_get(o, "Value"));
+	GBytes *out = NULL;
+	gsize n;
+
+	if (value != NULL && json_is_integer(index)) {
+		guchar *raw = g_base64_decode(value, &n);
+
+		out = g_bytes_new_take(raw, n);
+		*cas = (uint64_t)json_integer_value(index);
 	}
 	json_decref(a);
-	return ok;
+	return out;
 }
 
 static void
@@ -63,7 +59,8 @@
 	} else if (d->status == 404) {
 		out->ok = true;
 	} else if (d->status == 200) {
-		out->ok = read_value(d->body, out);
+		out->value = mh_kv_value(data, len, &out->cas);
+		out->found = out->ok = out->value != NULL;
 	}
 }
 
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -1038,6 +1038,8 @@
 /* kv.c: service "kv"; vmlist.c: service "vmlist"; endpoint.c: "endpoint" */
 
 void mh_kv_create(struct mh_kern *k, struct mh_client *c, const char *url);
+/** mh_kv_value() - the value in an answer to a GET; NULL: malformed. */
+GBytes *mh_kv_value(const void *data, size_t len, uint64_t *cas);
 void mh_vmlist_create(struct mh_kern *k, struct mh_client *c, const char *url);
 void mh_endpoint_create(
     struct mh_kern *k, struct mh_client *c, const char *url);
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -772,51 +772,6 @@
   assert(message->base.descriptor == &mh__owners__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   mh__owners_ask__init
-                     (Mh__OwnersAsk         *message)
-{
-  static const Mh__OwnersAsk init_value = MH__OWNERS_ASK__INIT;
-  *message = init_value;
-}
-size_t mh__owners_ask__get_packed_size
-                     (const Mh__OwnersAsk *message)
-{
-  assert(message->base.descriptor == &mh__owners_ask__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t mh__owners_ask__pack
-                     (const Mh__OwnersAsk *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &mh__owners_ask__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t mh__owners_ask__pack_to_buffer
-                     (const Mh__OwnersAsk *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &mh__owners_ask__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-Mh__OwnersAsk *
-       mh__owners_ask__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (Mh__OwnersAsk *)
-     protobuf_c_message_unpack (&mh__owners_ask__descriptor,
-                                allocator, len, data);
-}
-void   mh__owners_ask__free_unpacked
-                     (Mh__OwnersAsk *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &mh__owners_ask__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
 void   mh__ledger_entry__init
                      (Mh__LedgerEntry         *message)
 {
@@ -3187,44 +3142,6 @@
   (ProtobufCMessageInit) mh__owners__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__owners_ask__field_descriptors[1] =
-{
-  {
-    "service",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Mh__OwnersAsk, service),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned mh__owners_ask__field_indices_by_name[] = {
-  0,   /* field[0] = service */
-};
-static const ProtobufCIntRange mh__owners_ask__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor mh__owners_ask__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "mh.OwnersAsk",
-  "OwnersAsk",
-  "Mh__OwnersAsk",
-  "mh",
-  sizeof(Mh__OwnersAsk),
-  1,
-  mh__owners_ask__field_descriptors,
-  mh__owners_ask__field_indices_by_name,
-  1,  mh__owners_ask__number_ranges,
-  (ProtobufCMessageInit) mh__owners_ask__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
 static const ProtobufCFieldDescriptor mh__ledger_entry__field_descriptors[6] =
 {
   {
@@ -3547,7 +3464,7 @@
   (ProtobufCMessageInit) mh__config_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__config__field_descriptors[7] =
+static const ProtobufCFieldDescriptor mh__config__field_descriptors[6] =
 {
   {
     "generation",
@@ -3621,32 +3538,19 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "index",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Mh__Config, index),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned mh__config__field_indices_by_name[] = {
   1,   /* field[1] = base_generation */
   4,   /* field[4] = doc */
   0,   /* field[0] = generation */
   5,   /* field[5] = hash */
-  6,   /* field[6] = index */
   2,   /* field[2] = prefix */
   3,   /* field[3] = suffix */
 };
 static const ProtobufCIntRange mh__config__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mh__config__descriptor =
 {
@@ -3656,7 +3560,7 @@
   "Mh__Config",
   "mh",
   sizeof(Mh__Config),
-  7,
+  6,
   mh__config__field_descriptors,
   mh__config__field_indices_by_name,
   1,  mh__config__number_ranges,
@@ -3907,7 +3811,7 @@
   (ProtobufCMessageInit) mh__members_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__grant_ask__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mh__grant_ask__field_descriptors[2] =
 {
   {
     "org",
@@ -3933,28 +3837,15 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "streams",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Mh__GrantAsk, streams),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned mh__grant_ask__field_indices_by_name[] = {
   1,   /* field[1] = demand */
   0,   /* field[0] = org */
-  2,   /* field[2] = streams */
 };
 static const ProtobufCIntRange mh__grant_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor mh__grant_ask__descriptor =
 {
@@ -3964,14 +3855,14 @@
   "Mh__GrantAsk",
   "mh",
   sizeof(Mh__GrantAsk),
-  3,
+  2,
   mh__grant_ask__field_descriptors,
   mh__grant_ask__field_indices_by_name,
   1,  mh__grant_ask__number_ranges,
   (ProtobufCMessageInit) mh__grant_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__grant__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mh__grant__field_descriptors[3] =
 {
   {
     "org",
@@ -4009,29 +3900,16 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "streams",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Mh__Grant, streams),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned mh__grant__field_indices_by_name[] = {
   2,   /* field[2] = for_us */
   0,   /* field[0] = org */
-  3,   /* field[3] = streams */
   1,   /* field[1] = units_per_s */
 };
 static const ProtobufCIntRange mh__grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor mh__grant__descriptor =
 {
@@ -4041,7 +3919,7 @@
   "Mh__Grant",
   "mh",
   sizeof(Mh__Grant),
-  4,
+  3,
   mh__grant__field_descriptors,
   mh__grant__field_indices_by_name,
   1,  mh__grant__number_ranges,
@@ -4972,7 +4850,7 @@
   (ProtobufCMessageInit) mh__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__frame__field_descriptors[36] =
+static const ProtobufCFieldDescriptor mh__frame__field_descriptors[35] =
 {
   {
     "generation",
@@ -5166,18 +5044,6 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "owners_ask",
-    24,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Mh__Frame, body_case),
-    offsetof(Mh__Frame, owners_ask),
-    &mh__owners_ask__descriptor,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "handover",
     25,
@@ -5410,46 +5276,46 @@
 static const unsigned mh__frame__field_indices_by_name[] = {
   7,   /* field[7] = ack */
   3,   /* field[3] = auth */
-  29,   /* field[29] = beat */
+  28,   /* field[28] = beat */
   4,   /* field[4] = call */
   8,   /* field[8] = cancel */
   5,   /* field[5] = chunk */
-  20,   /* field[20] = config */
-  19,   /* field[19] = config_ask */
+  19,   /* field[19] = config */
+  18,   /* field[18] = config_ask */
   12,   /* field[12] = drain */
   0,   /* field[0] = generation */
-  24,   /* field[24] = grant */
-  23,   /* field[23] = grant_ask */
-  17,   /* field[17] = handover */
-  18,   /* field[18] = handover_ack */
+  23,   /* field[23] = grant */
+  22,   /* field[22] = grant_ask */
+  16,   /* field[16] = handover */
+  17,   /* field[17] = handover_ack */
   2,   /* field[2] = hello */
-  32,   /* field[32] = job */
-  34,   /* field[34] = job_drop */
-  33,   /* field[33] = job_end */
+  31,   /* field[31] = job */
+  33,   /* field[33] = job_drop */
+  32,   /* field[32] = job_end */
   1,   /* field[1] = load */
   13,   /* field[13] = lookup */
-  21,   /* field[21] = members */
-  22,   /* field[22] = members_ask */
-  25,   /* field[25] = order */
-  26,   /* field[26] = order_result */
+  20,   /* field[20] = members */
+  21,   /* field[21] = members_ask */
+  24,   /* field[24] = order */
+  25,   /* field[25] = order_result */
   14,   /* field[14] = outcomes */
   15,   /* field[15] = owners */
-  16,   /* field[16] = owners_ask */
   10,   /* field[10] = ping */
   11,   /* field[11] = pong */
   6,   /* field[6] = result */
   9,   /* field[9] = resume */
-  28,   /* field[28] = state */
-  27,   /* field[27] = state_ask */
-  35,   /* field[35] = suspect */
-  31,   /* field[31] = view */
-  30,   /* field[30] = view_ask */
+  27,   /* field[27] = state */
+  26,   /* field[26] = state_ask */
+  34,   /* field[34] = suspect */
+  30,   /* field[30] = view */
+  29,   /* field[29] = view_ask */
 };
-static const ProtobufCIntRange mh__frame__number_ranges[2 + 1] =
+static const ProtobufCIntRange mh__frame__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 10, 2 },
-  { 0, 36 }
+  { 25, 16 },
+  { 0, 35 }
 };
 const ProtobufCMessageDescriptor mh__frame__descriptor =
 {
@@ -5459,10 +5325,10 @@
   "Mh__Frame",
   "mh",
   sizeof(Mh__Frame),
-  36,
+  35,
   mh__frame__field_descriptors,
   mh__frame__field_indices_by_name,
-  2,  mh__frame__number_ranges,
+  3,  mh__frame__number_ranges,
   (ProtobufCMessageInit) mh__frame__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -32,7 +32,6 @@
 typedef struct Mh__Outcomes Mh__Outcomes;
 typedef struct Mh__Partition Mh__Partition;
 typedef struct Mh__Owners Mh__Owners;
-typedef struct Mh__OwnersAsk Mh__OwnersAsk;
 typedef struct Mh__LedgerEntry Mh__LedgerEntry;
 typedef struct Mh__Handover Mh__Handover;
 typedef struct Mh__HandoverAck Mh__HandoverAck;
@@ -321,16 +320,6 @@
     , (char *)protobuf_c_empty_string, 0, 0,NULL }
 
 
-struct  Mh__OwnersAsk
-{
-  ProtobufCMessage base;
-  char *service;
-};
-#define MH__OWNERS_ASK__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&mh__owners_ask__descriptor) \
-    , (char *)protobuf_c_empty_string }
-
-
 struct  Mh__LedgerEntry
 {
   ProtobufCMessage base;
@@ -400,11 +389,10 @@
   uint32_t suffix;
   ProtobufCBinaryData doc;
   uint64_t hash;
-  uint64_t index;
 };
 #define MH__CONFIG__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__config__descriptor) \
-    , 0, 0, 0, 0, {0,NULL}, 0, 0 }
+    , 0, 0, 0, 0, {0,NULL}, 0 }
 
 
 struct  Mh__Vm
@@ -465,11 +453,10 @@
   ProtobufCMessage base;
   char *org;
   uint64_t demand;
-  uint64_t streams;
 };
 #define MH__GRANT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__grant_ask__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0 }
 
 
 struct  Mh__Grant
@@ -478,11 +465,10 @@
   char *org;
   uint64_t units_per_s;
   uint64_t for_us;
-  uint64_t streams;
 };
 #define MH__GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__grant__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Mh__Order
@@ -705,7 +691,6 @@
   MH__FRAME__BODY_LOOKUP = 21,
   MH__FRAME__BODY_OUTCOMES = 22,
   MH__FRAME__BODY_OWNERS = 23,
-  MH__FRAME__BODY_OWNERS_ASK = 24,
   MH__FRAME__BODY_HANDOVER = 25,
   MH__FRAME__BODY_HANDOVER_ACK = 26,
   MH__FRAME__BODY_CONFIG_ASK = 27,
@@ -749,7 +734,6 @@
     Mh__Lookup *lookup;
     Mh__Outcomes *outcomes;
     Mh__Owners *owners;
-    Mh__OwnersAsk *owners_ask;
     Mh__Handover *handover;
     Mh__HandoverAck *handover_ack;
     Mh__ConfigAsk *config_ask;
@@ -1099,25 +1083,6 @@
 void   mh__owners__free_unpacked
                      (Mh__Owners *message,
                       ProtobufCAllocator *allocator);
-/* Mh__OwnersAsk methods */
-void   mh__owners_ask__init
-                     (Mh__OwnersAsk         *message);
-size_t mh__owners_ask__get_packed_size
-                     (const Mh__OwnersAsk   *message);
-size_t mh__owners_ask__pack
-                     (const Mh__OwnersAsk   *message,
-                      uint8_t             *out);
-size_t mh__owners_ask__pack_to_buffer
-                     (const Mh__OwnersAsk   *message,
-                      ProtobufCBuffer     *buffer);
-Mh__OwnersAsk *
-       mh__owners_ask__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   mh__owners_ask__free_unpacked
-                     (Mh__OwnersAsk *message,
-                      ProtobufCAllocator *allocator);
 /* Mh__LedgerEntry methods */
 void   mh__ledger_entry__init
                      (Mh__LedgerEntry         *message);
@@ -1608,9 +1573,6 @@
 typedef void (*Mh__Owners_Closure)
                  (const Mh__Owners *message,
                   void *closure_data);
-typedef void (*Mh__OwnersAsk_Closure)
-                 (const Mh__OwnersAsk *message,
-                  void *closure_data);
 typedef void (*Mh__LedgerEntry_Closure)
                  (const Mh__LedgerEntry *message,
                   void *closure_data);
@@ -1704,7 +1666,6 @@
 extern const ProtobufCMessageDescriptor mh__outcomes__descriptor;
 extern const ProtobufCMessageDescriptor mh__partition__descriptor;
 extern const ProtobufCMessageDescriptor mh__owners__descriptor;
-extern const ProtobufCMessageDescriptor mh__owners_ask__descriptor;
 extern const ProtobufCMessageDescriptor mh__ledger_entry__descriptor;
 extern const ProtobufCMessageDescriptor mh__handover__descriptor;
 extern const ProtobufCMessageDescriptor mh__handover_ack__descriptor;
--- a/marlctl/store.c
+++ b/marlctl/store.c
@@ -47,26 +47,12 @@
 	char *url = g_strdup_printf("%s/v1/kv/%s", kv, name);
 	GByteArray *a = g_byte_array_new();
 	long status = call("GET", url, NULL, a);
-	json_t *j, *o;
-	const char *value;
-	gsize len;
 
 	memset(out, 0, sizeof(*out));
 	out->answered = status == 200 || status == 404;
-	if (status == 200) {
-		j = json_loadb((const char *)a->data, a->len, 0, NULL);
-		o = json_array_get(j, 0);
-		value = json_string_value(json_object_get(o, "Value"));
-		if (value != NULL) {
-			guchar *raw = g_base64_decode(value, &len);
-
-			out->value = g_bytes_new_take(raw, len);
-			out->found = true;
-			out->cas = (uint64_t)json_integer_value(
-			    json_object_get(o, "ModifyIndex"));
-		}
-		json_decref(j);
-	}
+	if (status == 200)
+		out->value = mh_kv_value(a->data, a->len, &out->cas);
+	out->found = out->value != NULL;
 	g_byte_array_unref(a);
 	g_free(url);
 }
--- a/marlwork/run.c
+++ b/marlwork/run.c
@@ -49,21 +49,15 @@
 static struct mh_cell *
 choose_cell(struct run *r)
 {
-	uint32_t n;
-	double sum = 0, u;
+	uint32_t all[MH_SLICES], n;
 
 	if (r->cells == NULL)
 		return r->alone[g_rand_int(r->spread) % r->entries];
 	n = mh_cells_count(r->cells);
 	for (uint32_t i = 0; i < n; i++)
-		sum += mh_cells_share(r->cells, i);
-	u = g_rand_double(r->spread) * sum;
-	for (uint32_t i = 0; i + 1 < n; i++) {
-		u -= mh_cells_share(r->cells, i);
-		if (u < 0)
-			return mh_cells_get(r->cells, i, n);
-	}
-	return mh_cells_get(r->cells, n - 1, n);
+		all[i] = i;
+	return mh_cells_get(r->cells,
+	    mh_cells_pick(r->cells, all, n, g_rand_double(r->spread)), n);
 }
 
 static void
