A dial may take twice as long each time it is given up

Cause: found by reading: a dial that has not opened after 0.15 s is begun anew, whatever the link is like. An entry behind a link that is full for longer would dial for ever and never be linked.

Ruled out: a longer time at once, which brings back the second that the first packet to a VM without power costs after a loss of power.

Change: each further dial may take twice as long, up to the link's own timeout.

Figures: a test in virtual time with links that open in 0.7 s: linked, not without the change.

--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -18,9 +18,11 @@
 #define REDIAL_US (500 * MH_US_PER_MS)
 /*
  * A first packet to a VM that is still without power is lost and sent again
- * by TCP a second later; links open within some tens of milliseconds.
+ * by TCP a second later; links open within some tens of milliseconds.  Each
+ * further dial may take twice as long, so that a busy link opens in the end.
  */
 #define DIAL_LATE_US (150 * MH_US_PER_MS)
+#define DIAL_DOUBLINGS 4 /* then the link's own timeout comes first */
 /* An entry that could not be reached for so long is passed over. */
 #define GONE_US (1 * MH_US_PER_S)
 /*
@@ -348,6 +350,7 @@
 		p->started_us = p->heard_us;
 	p->failed = false;
 	p->tried_us = 0;
+	p->dials = 0;
 	p->asked_us = 0;
 	note_conn(m, l->conn, p);
 	/* It must not wait for our next beat to know that we can serve. */
@@ -426,8 +429,11 @@
 static void
 drop_late_dial(struct mh_mesh *m, struct peer *p)
 {
-	if (p->dial == 0 || mh_now(m->k) - p->dialled_us < DIAL_LATE_US)
+	int64_t late_us = DIAL_LATE_US << MIN(p->dials, DIAL_DOUBLINGS);
+
+	if (p->dial == 0 || mh_now(m->k) - p->dialled_us < late_us)
 		return;
+	p->dials++;
 	mh_count(m->k, "dials_hung", 1);
 	drop_link(m, &p->dial);
 	note_failed(m, p);
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -24,6 +24,7 @@
 	uint64_t in;
 	int64_t heard_us;
 	int64_t dialled_us; /* when that was begun */
+	uint32_t dials; /* given up as late since it was linked */
 	int64_t tried_us; /* dialled in vain since, 0: not at all */
 	int64_t dial_us; /* not again before */
 	int64_t asked_us; /* when it was last asked for what it has read */
--- a/regress/entries.c
+++ b/regress/entries.c
@@ -69,23 +69,20 @@
 	return v != NULL ? *v : id;
 }
 
+/** struct opening - a dial that takes its time. */
+struct opening {
+	struct link *l;
+	struct ment *to;
+	uint64_t dialled;
+	int64_t at_us;
+};
+
 static void
-dial(struct link *l, const struct mh_link_msg *m)
+open_link(struct link *l, struct ment *to, uint64_t dialled)
 {
 	struct ment *e = l->e;
-	struct ment *to = &e->r->e[m->addr[7] - '0'];
-	uint64_t id = e->index * 10 + to->index, dialled = m->conn;
+	uint64_t id = e->index * 10 + to->index;
 
-	if (to->off)
-		return;
-	if (mh_kern_get(to->k, "link") == NULL) {
-		tell(e, MH_MSG_LINK_DOWN, dialled, to, false, NULL);
-		return;
-	}
-	if (to->down || e->cut || to->cut) {
-		tell(e, MH_MSG_LINK_DOWN, dialled, to, false, NULL);
-		return;
-	}
 	g_hash_table_replace(l->ids, g_memdup2(&dialled, sizeof(dialled)),
 	    g_memdup2(&id, sizeof(id)));
 	g_hash_table_replace(l->back, g_memdup2(&id, sizeof(id)),
@@ -95,6 +92,58 @@
 	tell(to, MH_MSG_LINK_UP, mirror(id), e, true, NULL);
 }
 
+static void
+dial(struct link *l, const struct mh_link_msg *m)
+{
+	struct ment *e = l->e;
+	struct ment *to = &e->r->e[m->addr[7] - '0'];
+	struct opening o = { l, to, m->conn, e->r->now_us + to->opens_us };
+
+	if (to->off)
+		return;
+	if (to->down || e->cut || to->cut ||
+	    mh_kern_get(to->k, "link") == NULL) {
+		tell(e, MH_MSG_LINK_DOWN, m->conn, to, false, NULL);
+		return;
+	}
+	if (to->opens_us == 0)
+		open_link(l, to, m->conn);
+	else
+		g_ptr_array_add(e->r->opening, g_memdup2(&o, sizeof(o)));
+}
+
+/* True when the dial had not opened yet; it never will. */
+static bool
+give_up(struct link *l, uint64_t dialled)
+{
+	GPtrArray *all = l->e->r->opening;
+
+	for (guint i = 0; i < all->len; i++) {
+		const struct opening *o = g_ptr_array_index(all, i);
+
+		if (o->l == l && o->dialled == dialled) {
+			g_ptr_array_remove_index(all, i);
+			return true;
+		}
+	}
+	return false;
+}
+
+static void
+open_due(struct mrig *r)
+{
+	for (guint i = 0; i < r->opening->len;) {
+		struct opening *o = g_ptr_array_index(r->opening, i);
+
+		if (o->at_us > r->now_us) {
+			i++;
+			continue;
+		}
+		open_link(o->l, o->to, o->dialled);
+		g_ptr_array_remove_index(r->opening, i);
+	}
+}
+
 static bool
 is_lost(struct ment *e, GBytes *frame)
 {
@@ -131,6 +180,8 @@
 		    m->frame);
 		break;
 	case MH_MSG_LINK_CLOSE:
+		if (give_up(l, m->conn))
+			break;
 		to = other_end(e, id);
 		tl = mh_kern_get(to->k, "link");
 		if (tl != NULL && !e->cut && !to->cut && !to->down && !to->off)
@@ -257,6 +308,7 @@
 {
 	for (int64_t t = 0; t < us; t += 10 * MS) {
 		r->now_us += 10 * MS;
+		open_due(r);
 		for (int round = 0; round < 4; round++) {
 			for (uint32_t i = 0; i < ENTRIES; i++) {
 				if (!r->e[i].down && !r->e[i].off)
@@ -274,6 +326,7 @@
 
 	r->now_us = S;
 	r->members = g_ptr_array_new();
+	r->opening = g_ptr_array_new_with_free_func(g_free);
 	for (uint32_t i = 0; i < ENTRIES; i++) {
 		struct mh_member *m = g_new0(struct mh_member, 1);
 
@@ -305,6 +358,7 @@
 		g_free(m);
 	}
 	g_ptr_array_free(r->members, TRUE);
+	g_ptr_array_free(r->opening, TRUE);
 	g_free(r);
 }
 
--- a/regress/entries.h
+++ b/regress/entries.h
@@ -20,6 +20,7 @@
 	bool cut; /* its frames are lost, silently */
 	bool down; /* refuses connections */
 	bool off; /* its VM has no power: what is sent there is lost */
+	int64_t opens_us; /* links to it take so long to open */
 	bool no_links; /* started without its link service */
 	uint32_t dialled; /* links of its own that came up since its start */
 	bool ready;
@@ -38,6 +39,7 @@
 	struct ment e[ENTRIES];
 	int64_t now_us;
 	GPtrArray *members;
+	GPtrArray *opening; /* struct opening */
 };
 
 struct mrig *mrig_create(void);
--- a/regress/t_start.c
+++ b/regress/t_start.c
@@ -78,6 +78,27 @@
 	mrig_destroy(r);
 }
 
+/*
+ * The links of all VMs are full of other bytes, and a new one takes 0.7 s to
+ * open.  Dials that are given up after 0.15 s each time would never open one.
+ */
+static void
+test_slow_to_open(void)
+{
+	struct mrig *r = mrig_create();
+	struct ment *home, *e;
+
+	mrig_run(r, 10 * S);
+	home = mrig_agreed(r);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		r->e[i].opens_us = 700 * MS;
+	e = &r->e[home->index == 0];
+	restart(e);
+	mrig_run(r, 4 * S);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), home);
+	mrig_destroy(r);
+}
+
 /*
  * Several entries have read the registry anew.  One that has not asked each
  * of them, and their answers filled its link of 10 Mbit/s, through which its
@@ -235,6 +256,7 @@
 	{ "start: the list of entries before the links",
 	    test_list_before_links },
 	{ "start: power lost everywhere", test_power_lost },
+	{ "start: a link that is slow to open", test_slow_to_open },
 	{ "start: rows of one entry at a time", test_rows_of_one },
 	{ "start: work waits for the others", test_work_waits_for_others },
 	{ "start: waiting work dropped", test_waiting_work_dropped },
