Tests that speak raw bytes share their sockets

Cause: regress/t_front and t_http opened sockets on loopback in the same lines. Change: regress/tcp. Ruled out: nothing.

--- a/regress/t_front.c
+++ b/regress/t_front.c
@@ -8,8 +8,8 @@
 #include "golden.h"
 #include "platform.h"
 #include "regress.h"
+#include "tcp.h"
 
-#include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -173,17 +173,7 @@
 static void
 listen_endpoint(struct frig *r)
 {
-	struct sockaddr_in sin = { .sin_family = AF_INET,
-		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
-	socklen_t len = sizeof(sin);
-
-	r->listen_fd = socket(AF_INET, SOCK_STREAM, 0);
-	CU_ASSERT_EQUAL(
-	    bind(r->listen_fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
-	CU_ASSERT_EQUAL(listen(r->listen_fd, 8), 0);
-	getsockname(r->listen_fd, (struct sockaddr *)&sin, &len);
-	g_snprintf(
-	    r->addr, sizeof(r->addr), "127.0.0.1:%u", ntohs(sin.sin_port));
+	r->listen_fd = tcp_listen(r->addr);
 	mh_loop_fd(r->loop, r->listen_fd, true, false, on_accept, r);
 }
 
@@ -314,18 +304,12 @@
 static void
 session(struct frig *r, const char *name, const char *text)
 {
-	struct sockaddr_in sin = { .sin_family = AF_INET,
-		.sin_port = htons(mh_hserve_port(plat_front_server(r->front))),
-		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
-
 	g_string_append_printf(r->log, "=== %s\n", name);
 	note(r, "the caller sends", text);
 	g_string_truncate(r->answer, 0);
 	r->answered = 0;
 	r->first[0] = '\0';
-	r->caller_fd = socket(AF_INET, SOCK_STREAM, 0);
-	CU_ASSERT_EQUAL(
-	    connect(r->caller_fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	r->caller_fd = tcp_dial(mh_hserve_port(plat_front_server(r->front)));
 	CU_ASSERT(send(r->caller_fd, text, strlen(text), MSG_NOSIGNAL) > 0);
 	mh_loop_fd(r->loop, r->caller_fd, true, false, on_caller, r);
 	r->late = mh_timer_start(r->k, LONGEST_US, on_late, r);
--- a/regress/t_http.c
+++ b/regress/t_http.c
@@ -6,6 +6,7 @@
 
 #include "gate.h"
 #include "regress.h"
+#include "tcp.h"
 
 #include <arpa/inet.h>
 #include <stdio.h>
@@ -157,13 +158,7 @@
 static void
 raw(struct hrig *r, const char *text)
 {
-	struct sockaddr_in sin = { .sin_family = AF_INET,
-		.sin_port = htons(mh_hserve_port(r->s)),
-		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
-
-	r->peer_fd = socket(AF_INET, SOCK_STREAM, 0);
-	CU_ASSERT_EQUAL(
-	    connect(r->peer_fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	r->peer_fd = tcp_dial(mh_hserve_port(r->s));
 	CU_ASSERT(send(r->peer_fd, text, strlen(text), MSG_NOSIGNAL) > 0);
 	mh_loop_fd(r->loop, r->peer_fd, true, false, on_raw, r);
 }
@@ -357,17 +352,7 @@
 static void
 listen_raw(struct hrig *r)
 {
-	struct sockaddr_in sin = { .sin_family = AF_INET,
-		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
-	socklen_t len = sizeof(sin);
-
-	r->listen_fd = socket(AF_INET, SOCK_STREAM, 0);
-	CU_ASSERT_EQUAL(
-	    bind(r->listen_fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
-	CU_ASSERT_EQUAL(listen(r->listen_fd, 8), 0);
-	getsockname(r->listen_fd, (struct sockaddr *)&sin, &len);
-	g_snprintf(
-	    r->addr, sizeof(r->addr), "127.0.0.1:%u", ntohs(sin.sin_port));
+	r->listen_fd = tcp_listen(r->addr);
 	mh_loop_fd(r->loop, r->listen_fd, true, false, on_accept, r);
 }
 
