Tests: one rig for the stage work of linked entries

Cause: t_start wrote again what t_mesh had to give linked entries their cells, endpoints and jobs. Change: regress/entwork serves both; the tests and what they assert are the same (ended once, and done). Ruled out: nothing.

--- /dev/null
+++ b/regress/entwork.c
@@ -0,0 +1,70 @@
+/**
+ * DOC: The stage work of linked entries, whose endpoints answer at once.
+ */
+
+#include "entwork.h"
+
+#define MS MH_US_PER_MS
+
+static void
+op_run(void *arg, struct mh_batch *b)
+{
+	struct ent *e = arg;
+
+	e->calls++;
+	for (guint i = 0; i < b->items->len; i++)
+		g_array_index(b->items, struct mh_batch_item, i).result =
+		    g_strdup("10.9.9.9:1/result");
+	if (!e->m->cut)
+		mh_cell_batch_end(b->cell, b, MH_BATCH_DONE);
+}
+
+static void
+op_end(void *arg, struct mh_job *j, enum mh_job_end end, int64_t retry_us)
+{
+	struct ent *e = arg;
+
+	mh_broker_cell_end(e->b, j, end, retry_us);
+}
+
+static void
+op_discard(void *arg, const char *result)
+{
+	(void)arg;
+	(void)result;
+}
+
+static void
+on_job_end(void *arg, struct mh_job *j, enum mh_job_end end, int64_t retry_us)
+{
+	struct ent *e = arg;
+
+	(void)j;
+	(void)retry_us;
+	e->ended++;
+	e->done += end == MH_JOB_DONE;
+}
+
+void
+ent_create(struct ent *e, struct ment *m)
+{
+	struct mh_cell_ops ops = {
+		.run = op_run, .end = op_end, .discard = op_discard, .arg = e
+	};
+
+	e->m = m;
+	e->w = world_create();
+	world_pool(e->w, "a", 1, 8, 100 * MS, 10 * MS, 0);
+	e->cs = mh_cells_create(m->k, e->w->f, e->w->budget, &ops);
+	mh_cells_conf(e->cs, e->w->conf);
+	e->b = mh_broker_create(m->k, m->m, e->cs);
+	mh_broker_on_end(e->b, on_job_end, e);
+}
+
+void
+ent_destroy(struct ent *e)
+{
+	mh_broker_destroy(e->b);
+	mh_cells_destroy(e->cs);
+	world_destroy(e->w);
+}
--- /dev/null
+++ b/regress/entwork.h
@@ -0,0 +1,23 @@
+#ifndef ENTWORK_H
+#define ENTWORK_H
+
+#include "entries.h"
+#include "world.h"
+
+/** struct ent - the stage work of one entry; calls end at once, or never
+ * where its frames are lost. */
+struct ent {
+	struct ment *m;
+	struct world *w;
+	struct mh_cells *cs;
+	struct mh_broker *b;
+	uint32_t calls;
+	uint32_t ended; /* jobs that were submitted here */
+	uint32_t done; /* of these */
+};
+
+/** ent_create() - for a running entry: a pool "a", and its cells. */
+void ent_create(struct ent *e, struct ment *m);
+void ent_destroy(struct ent *e);
+
+#endif
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -4,8 +4,7 @@
  */
 
 #include "regress.h"
-#include "entries.h"
-#include "world.h"
+#include "entwork.h"
 
 #include <string.h>
 
@@ -315,105 +314,39 @@
 }
 
 /* A job goes to its home; the home dies; the next one does it. */
-struct jrig {
-	struct mrig *r;
-	struct world *w[ENTRIES];
-	struct mh_cells *cs[ENTRIES];
-	struct mh_broker *b[ENTRIES];
-	uint32_t ended;
-	enum mh_job_end end;
-};
-
-static void
-on_job_end(void *arg, struct mh_job *j, enum mh_job_end end, int64_t retry_us)
-{
-	struct jrig *g = arg;
-
-	(void)j;
-	(void)retry_us;
-	g->ended++;
-	g->end = end;
-}
-
-struct bend {
-	struct jrig *g;
-	uint32_t i;
-};
-
-static void
-op_run(void *arg, struct mh_batch *b)
-{
-	struct bend *e = arg;
-
-	for (guint i = 0; i < b->items->len; i++)
-		g_array_index(b->items, struct mh_batch_item, i).result =
-		    g_strdup("10.9.9.9:1/result");
-	if (!e->g->r->e[e->i].cut)
-		mh_cell_batch_end(b->cell, b, MH_BATCH_DONE);
-}
-
-static void
-op_end(void *arg, struct mh_job *j, enum mh_job_end end, int64_t retry_us)
-{
-	struct bend *e = arg;
-
-	mh_broker_cell_end(e->g->b[e->i], j, end, retry_us);
-}
-
-static void
-op_none(void *arg, const char *result)
-{
-	(void)arg;
-	(void)result;
-}
-
 static void
 test_job_moves(void)
 {
 	static const char *const pools[] = { "a", NULL };
 	const uint32_t pieces[] = { 2 };
-	struct jrig g = { .r = mrig_create() };
-	struct bend ends[ENTRIES];
+	struct mrig *r = mrig_create();
+	struct ent all[ENTRIES] = { 0 };
 	struct ment *home, *asker;
+	struct ent *e;
 	struct mh_job *j;
 
-	for (uint32_t i = 0; i < ENTRIES; i++) {
-		struct mh_cell_ops ops = { .run = op_run,
-			.end = op_end,
-			.discard = op_none,
-			.arg = &ends[i] };
-
-		ends[i] = (struct bend) { &g, i };
-		g.w[i] = world_create();
-		world_pool(g.w[i], "a", 1, 8, 100 * MS, 10 * MS, 0);
-		g.cs[i] = mh_cells_create(
-		    g.r->e[i].k, g.w[i]->f, g.w[i]->budget, &ops);
-		mh_cells_conf(g.cs[i], g.w[i]->conf);
-		g.b[i] = mh_broker_create(g.r->e[i].k, g.r->e[i].m, g.cs[i]);
-		mh_broker_on_end(g.b[i], on_job_end, &g);
-	}
-	mrig_run(g.r, 2 * S);
-	home = mrig_agreed(g.r);
-	asker = &g.r->e[home->index == 0];
-	j = world_job(g.w[asker->index], pools, pieces, 5 * S, 9 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_create(&all[i], &r->e[i]);
+	mrig_run(r, 2 * S);
+	home = mrig_agreed(r);
+	asker = &r->e[home->index == 0];
+	e = &all[asker->index];
+	j = world_job(e->w, pools, pieces, 5 * S, 9 * S);
 	j->aim_us = mh_now(asker->k) + 5 * S;
 	j->deadline_us = mh_now(asker->k) + 9 * S;
 	home->cut = true; /* takes nothing, answers nothing */
-	mh_broker_submit(g.b[asker->index], j);
-	mrig_run(g.r, 400 * MS);
-	CU_ASSERT_EQUAL(g.ended, 0);
-	mrig_run(g.r, 1500 * MS);
-	CU_ASSERT_EQUAL(g.ended, 1);
-	CU_ASSERT_EQUAL(g.end, MH_JOB_DONE);
-	mh_broker_drop(g.b[asker->index], j);
+	mh_broker_submit(e->b, j);
+	mrig_run(r, 400 * MS);
+	CU_ASSERT_EQUAL(e->ended, 0);
+	mrig_run(r, 1500 * MS);
+	CU_ASSERT_EQUAL(e->ended, 1);
+	CU_ASSERT_EQUAL(e->done, 1);
+	mh_broker_drop(e->b, j);
 	mh_job_destroy(j);
-	mrig_run(g.r, 100 * MS);
-	for (uint32_t i = 0; i < ENTRIES; i++) {
-		mh_broker_destroy(g.b[i]);
-		mh_cells_destroy(g.cs[i]);
-		world_destroy(g.w[i]);
-	}
-	mrig_destroy(g.r);
+	mrig_run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
 }
 
 const struct test tests_mesh[] = {
--- a/regress/t_start.c
+++ b/regress/t_start.c
@@ -3,9 +3,8 @@
  * loss of power.
  */
 
-#include "entries.h"
+#include "entwork.h"
 #include "regress.h"
-#include "world.h"
 
 #include <string.h>
 
@@ -120,75 +119,6 @@
 	mrig_destroy(r);
 }
 
-/** struct ent - the stage work of one entry; calls end at once. */
-struct ent {
-	struct world *w;
-	struct mh_cells *cs;
-	struct mh_broker *b;
-	uint32_t calls;
-	uint32_t ended;
-};
-
-static void
-op_run(void *arg, struct mh_batch *b)
-{
-	struct ent *e = arg;
-
-	e->calls++;
-	for (guint i = 0; i < b->items->len; i++)
-		g_array_index(b->items, struct mh_batch_item, i).result =
-		    g_strdup("10.9.9.9:1/result");
-	mh_cell_batch_end(b->cell, b, MH_BATCH_DONE);
-}
-
-static void
-op_end(void *arg, struct mh_job *j, enum mh_job_end end, int64_t retry_us)
-{
-	struct ent *e = arg;
-
-	mh_broker_cell_end(e->b, j, end, retry_us);
-}
-
-static void
-op_discard(void *arg, const char *result)
-{
-	(void)arg;
-	(void)result;
-}
-
-static void
-on_job_end(void *arg, struct mh_job *j, enum mh_job_end end, int64_t retry_us)
-{
-	struct ent *e = arg;
-
-	(void)j;
-	(void)retry_us;
-	e->ended += end == MH_JOB_DONE;
-}
-
-static void
-ent_create(struct ent *e, struct ment *m)
-{
-	struct mh_cell_ops ops = {
-		.run = op_run, .end = op_end, .discard = op_discard, .arg = e
-	};
-
-	e->w = world_create();
-	world_pool(e->w, "a", 1, 8, 100 * MS, 10 * MS, 0);
-	e->cs = mh_cells_create(m->k, e->w->f, e->w->budget, &ops);
-	mh_cells_conf(e->cs, e->w->conf);
-	e->b = mh_broker_create(m->k, m->m, e->cs);
-	mh_broker_on_end(e->b, on_job_end, e);
-}
-
-static void
-ent_destroy(struct ent *e)
-{
-	mh_broker_destroy(e->b);
-	mh_cells_destroy(e->cs);
-	world_destroy(e->w);
-}
-
 /*
  * Requests come as soon as a process listens, before it knows of any other.
  * Their stage work waits for the tenths of a second until it does, and goes
@@ -217,7 +147,7 @@
 	CU_ASSERT_PTR_NOT_NULL_FATAL(home);
 	for (uint32_t i = 0; i < ENTRIES; i++) {
 		calls += all[i].calls;
-		ended += all[i].ended;
+		ended += all[i].done;
 		mh_broker_drop(all[i].b, j[i]);
 		mh_job_destroy(j[i]);
 	}
