--- a/lib/cell.h
+++ b/lib/cell.h
@@ -143,6 +143,9 @@
 /** mh_cell_remake_inputs() - inputs of @stage are gone and are made again. */
 void mh_cell_remake_inputs(struct mh_cell *c, struct mh_job *j, uint32_t stage);
 
+/** mh_cell_remake_from() - what lay at an endpoint that ended. */
+void mh_cell_remake_from(struct mh_cell *c, struct mh_job *j, const char *node);
+
 /* celltold.c */
 
 /** mh_cell_ask() - has an endpoint report its calls, not too often. */
--- a/lib/cellmade.c
+++ b/lib/cellmade.c
@@ -136,3 +136,17 @@
 		}
 	}
 }
+
+void
+mh_cell_remake_from(struct mh_cell *c, struct mh_job *j, const char *node)
+{
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		const struct sstate *ss = &j->state->stages[s];
+
+		for (uint32_t i = 0; i < j->stages[s].pieces; i++) {
+			if (ss->made[i].node == node && !ss->made[i].need &&
+			    g_ptr_array_index(j->stages[s].results, i) != NULL)
+				remake(c, j, s, i);
+		}
+	}
+}
--- a/lib/cells.c
+++ b/lib/cells.c
@@ -104,6 +104,17 @@
 		mh_cell_leave(value);
 }
 
+void
+mh_cells_restarted(struct mh_cells *cs, const char *node)
+{
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, cs->cells);
+	while (g_hash_table_iter_next(&it, &key, &value))
+		mh_cell_restarted(value, node);
+}
+
 static uint32_t
 smallest_pool(const struct mh_cells *cs)
 {
--- a/lib/celltold.c
+++ b/lib/celltold.c
@@ -71,3 +71,28 @@
 	if (r != NULL && r->running == 0 && r->waiting == 0)
 		end_lost_calls(c, node);
 }
+
+/*
+ * Calls in work there get no answer, and results that lay there are gone.
+ * Waiting for each to be found so costs a call that is refused, and a stage's
+ * time for each stage on the way back.
+ */
+void
+mh_cell_restarted(struct mh_cell *c, const char *node)
+{
+	GList *all = g_hash_table_get_values(c->batches);
+	const char *name = g_intern_string(node);
+
+	for (GList *l = all; l != NULL; l = l->next) {
+		struct mh_batch *b = l->data;
+
+		if (strcmp(b->node, node) != 0)
+			continue;
+		c->ops.abort(c->ops.arg, b);
+		mh_cell_batch_end(c, b, MH_BATCH_LOST);
+	}
+	g_list_free(all);
+	for (guint i = 0; i < c->jobs->len; i++)
+		mh_cell_remake_from(c, g_ptr_array_index(c->jobs, i), name);
+	mh_cell_dispatch_all(c);
+}
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -29,11 +29,14 @@
 struct mh_fleet {
 	struct mh_kern *k;
 	GHashTable *nodes; /* id -> struct mh_node */
+	GHashTable *names; /* name -> struct mh_node, not owned */
 	GHashTable *pools; /* name -> GPtrArray of struct mh_node */
 	uint32_t mark;
 	uint64_t version;
 	void (*on_gone)(void *arg, const char *id);
 	void *on_gone_arg;
+	void (*on_restart)(void *arg, const char *id);
+	void *on_restart_arg;
 	void (*on_dead)(void *arg, const char *id);
 	void *on_dead_arg;
 };
@@ -44,6 +47,7 @@
 	struct mh_node *n = arg;
 
 	g_free(n->id);
+	g_free(n->name);
 	g_free(n->pool);
 	g_free(n->addr);
 	g_free(n->domain);
@@ -64,6 +68,7 @@
 	f->k = k;
 	f->nodes =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_node);
+	f->names = g_hash_table_new(g_str_hash, g_str_equal);
 	f->pools =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_array);
 	return f;
@@ -75,6 +80,7 @@
 	if (f == NULL)
 		return;
 	g_hash_table_destroy(f->pools);
+	g_hash_table_destroy(f->names);
 	g_hash_table_destroy(f->nodes);
 	g_free(f);
 }
@@ -85,19 +91,32 @@
 	f->mark++;
 }
 
+/* An incarnation's own id; "@" stands in no name. */
+static char *
+incarnation_id(const char *name, int64_t born_ms)
+{
+	if (born_ms == 0)
+		return g_strdup(name);
+	return g_strdup_printf("%s@%" PRId64, name, born_ms);
+}
+
 static struct mh_node *
 add(struct mh_fleet *f, const struct mh_listing *l)
 {
 	struct mh_node *n = g_new0(struct mh_node, 1);
 	GPtrArray *pool = g_hash_table_lookup(f->pools, l->pool);
 
-	n->id = g_strdup(l->id);
+	n->id = incarnation_id(l->name, l->born_ms);
+	n->name = g_strdup(l->name);
+	n->born_ms = l->born_ms;
 	n->pool = g_strdup(l->pool);
 	n->addr = g_strdup(l->addr);
 	n->domain = g_strdup(l->domain);
-	n->hash = mh_hash(n->id, strlen(n->id));
+	n->hash = mh_hash(n->name, strlen(n->name));
+	n->kept_hash = mh_hash(n->id, strlen(n->id));
 	f->version++;
 	g_hash_table_insert(f->nodes, n->id, n);
+	g_hash_table_replace(f->names, n->name, n);
 	if (pool == NULL) {
 		pool = g_ptr_array_new();
 		g_hash_table_insert(f->pools, g_strdup(l->pool), pool);
@@ -108,13 +127,61 @@
 	return n;
 }
 
+/* What was believed of it ends, here and wherever its id is kept. */
+static void
+end_node(struct mh_fleet *f, struct mh_node *n)
+{
+	mh_event(f->k, "endpoint-gone", "id=%s pool=%s", n->id, n->pool);
+	g_ptr_array_remove(g_hash_table_lookup(f->pools, n->pool), n);
+	if (f->on_gone != NULL)
+		f->on_gone(f->on_gone_arg, n->id);
+	if (g_hash_table_lookup(f->names, n->name) == n)
+		g_hash_table_remove(f->names, n->name);
+	g_hash_table_remove(f->nodes, n->id);
+	f->version++;
+}
+
+/*
+ * An endpoint that starts again holds nothing of before: results, prompts
+ * and calls in work there are gone, and neither its failures nor its leaving
+ * are its successor's.  So the successor is another node.
+ */
+static struct mh_node *
+restarted(struct mh_fleet *f, struct mh_node *n, const struct mh_listing *l)
+{
+	int64_t former_ms = n->born_ms;
+	uint32_t mark = n->marks;
+	char *ended;
+
+	mh_count(f->k, "endpoints_restarted", 1);
+	mh_event(f->k, "endpoint-restarted",
+	    "name=%s pool=%s born_ms=%" PRId64 " former_ms=%" PRId64, l->name,
+	    l->pool, l->born_ms, former_ms);
+	ended = g_strdup(n->id);
+	end_node(f, n);
+	n = add(f, l);
+	if (f->on_restart != NULL)
+		f->on_restart(f->on_restart_arg, ended);
+	g_free(ended);
+	n->former_ms = former_ms;
+	n->marks = mark;
+	return n;
+}
+
 void
 mh_fleet_list(struct mh_fleet *f, const struct mh_listing *l)
 {
-	struct mh_node *n = g_hash_table_lookup(f->nodes, l->id);
+	struct mh_node *n = g_hash_table_lookup(f->names, l->name);
 
+	/* The row is older than the endpoint's own word: not of this one. */
+	if (n != NULL && n->former_ms != 0 && l->born_ms == n->former_ms) {
+		n->marks = f->mark;
+		return;
+	}
 	if (n == NULL)
 		n = add(f, l);
+	else if (n->born_ms != l->born_ms || strcmp(n->pool, l->pool) != 0)
+		n = restarted(f, n, l);
 	if (strcmp(n->addr, l->addr) != 0) {
 		g_free(n->addr);
 		n->addr = g_strdup(l->addr);
@@ -128,6 +195,25 @@
 	n->marks = f->mark;
 }
 
+void
+mh_fleet_born(struct mh_fleet *f, const char *id, int64_t born_ms)
+{
+	struct mh_node *n = mh_fleet_find(f, id), *now;
+	struct mh_listing l;
+
+	if (n == NULL || born_ms == 0 || n->born_ms == 0 ||
+	    n->born_ms == born_ms)
+		return;
+	l = (struct mh_listing) { g_strdup(n->name), born_ms, g_strdup(n->pool),
+		g_strdup(n->addr), g_strdup(n->domain), n->capacity, false, 0 };
+	now = restarted(f, n, &l);
+	now->capacity = l.capacity;
+	g_free((char *)(uintptr_t)l.name);
+	g_free((char *)(uintptr_t)l.pool);
+	g_free((char *)(uintptr_t)l.addr);
+	g_free((char *)(uintptr_t)l.domain);
+}
+
 void
 mh_fleet_end(struct mh_fleet *f)
 {
@@ -142,17 +228,8 @@
 		if (n->marks != f->mark)
 			g_ptr_array_add(gone, n);
 	}
-	for (guint i = 0; i < gone->len; i++) {
-		struct mh_node *n = g_ptr_array_index(gone, i);
-
-		mh_event(
-		    f->k, "endpoint-gone", "id=%s pool=%s", n->id, n->pool);
-		g_ptr_array_remove(g_hash_table_lookup(f->pools, n->pool), n);
-		if (f->on_gone != NULL)
-			f->on_gone(f->on_gone_arg, n->id);
-		g_hash_table_remove(f->nodes, n->id);
-		f->version++;
-	}
+	for (guint i = 0; i < gone->len; i++)
+		end_node(f, g_ptr_array_index(gone, i));
 	g_ptr_array_free(gone, TRUE);
 }
 
@@ -164,6 +241,14 @@
 	f->on_gone_arg = arg;
 }
 
+void
+mh_fleet_on_restart(
+    struct mh_fleet *f, void (*fn)(void *arg, const char *id), void *arg)
+{
+	f->on_restart = fn;
+	f->on_restart_arg = arg;
+}
+
 struct mh_node *
 mh_fleet_find(struct mh_fleet *f, const char *id)
 {
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -72,6 +72,7 @@
 	if (t == NULL)
 		return;
 	g_free(t->node);
+	g_free(t->name);
 	g_free(t->addr);
 	g_free(t);
 }
@@ -329,6 +330,7 @@
 	t = g_new0(struct mh_try, 1);
 	t->ask = q;
 	t->node = g_strdup(n->id);
+	t->name = g_strdup(n->name);
 	t->addr = g_strdup(n->addr);
 	t->sent_us = mh_now(g->k);
 	t->left_us = left;
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -242,9 +242,18 @@
 
 struct mh_fleet;
 
-/** struct mh_node - one endpoint, one incarnation. */
+/**
+ * struct mh_node - one endpoint, one incarnation.
+ *
+ * Whatever is believed of an endpoint is kept under @id, so that it ends with
+ * the incarnation; @name is what the endpoint calls itself in every one.
+ */
 struct mh_node {
 	char *id;
+	char *name;
+	int64_t born_ms; /* Unix time of its start; 0: not told */
+	/* the row may still name the one before, when its own word did not */
+	int64_t former_ms;
 	char *pool;
 	char *addr;
 	char *domain;
@@ -263,12 +272,14 @@
 	int64_t out_until_us; /* not chosen before, unless all are out */
 	uint32_t outs; /* times put out in a row */
 	uint32_t marks; /* set by fleet when listed */
-	uint64_t hash; /* of its id; says which slice it is in */
+	uint64_t hash; /* of its name: its slice, and whose prompts are home */
+	uint64_t kept_hash; /* of its id: the prompts that it has read */
 };
 
 /** struct mh_listing - a row of the registry. */
 struct mh_listing {
-	const char *id;
+	const char *name;
+	int64_t born_ms; /* Unix time of its start; 0: not told */
 	const char *pool;
 	const char *addr;
 	const char *domain;
@@ -283,9 +294,20 @@
 void mh_fleet_begin(struct mh_fleet *f);
 void mh_fleet_list(struct mh_fleet *f, const struct mh_listing *l);
 void mh_fleet_end(struct mh_fleet *f);
+/** mh_fleet_on_gone() - an endpoint is listed no more; it may still serve. */
 void mh_fleet_on_gone(
     struct mh_fleet *f, void (*fn)(void *arg, const char *id), void *arg);
+/** mh_fleet_on_restart() - called after, where it is known to have ended. */
+void mh_fleet_on_restart(
+    struct mh_fleet *f, void (*fn)(void *arg, const char *id), void *arg);
 struct mh_node *mh_fleet_find(struct mh_fleet *f, const char *id);
+/**
+ * mh_fleet_born() - an endpoint tells when it started.
+ *
+ * Another time than the listed one means that it has started again: what was
+ * believed of @n ends, as when it goes, and another node takes its place.
+ */
+void mh_fleet_born(struct mh_fleet *f, const char *id, int64_t born_ms);
 /** mh_fleet_at() - the listed endpoint at an address, or NULL. */
 struct mh_node *mh_fleet_at(struct mh_fleet *f, const char *addr);
 /** mh_fleet_pool() - every listed endpoint of a pool; NULL: none. */
@@ -441,6 +463,7 @@
 
 /** struct mh_work_report - what a stage endpoint says of itself. */
 struct mh_work_report {
+	int64_t born_ms; /* Unix time of its start; 0: not told */
 	uint32_t running; /* calls in work */
 	uint32_t waiting;
 };
@@ -472,6 +495,8 @@
 /** mh_cell_told() - an endpoint's report; NULL: none came. */
 void mh_cell_told(
     struct mh_cell *c, const char *node, const struct mh_work_report *r);
+/** mh_cell_restarted() - an endpoint has ended, its calls and results too. */
+void mh_cell_restarted(struct mh_cell *c, const char *node);
 /** mh_cell_release() - the results of a job that has ended are free. */
 void mh_cell_release(struct mh_cell *c, struct mh_job *j);
 /** mh_cell_leave() - jobs that have not begun end as moved. */
@@ -490,6 +515,7 @@
 void mh_cells_destroy(struct mh_cells *cs);
 void mh_cells_conf(struct mh_cells *cs, struct mh_gconf *conf);
 void mh_cells_leave(struct mh_cells *cs);
+void mh_cells_restarted(struct mh_cells *cs, const char *node);
 /** mh_cells_get() - the cell of a slice, made when first asked for. */
 struct mh_cell *mh_cells_get(
     struct mh_cells *cs, uint32_t index, uint32_t count);
@@ -587,6 +613,7 @@
 struct mh_try {
 	struct mh_gask *ask;
 	char *node; /* id */
+	char *name; /* what the endpoint calls itself */
 	char *addr;
 	int64_t sent_us;
 	int64_t left_us; /* what the endpoint is told */
--- a/lib/place.c
+++ b/lib/place.c
@@ -75,7 +75,7 @@
 static int64_t
 kept_key(const struct mh_node *n, uint64_t part)
 {
-	return (int64_t)mix(part, n->hash);
+	return (int64_t)mix(part, n->kept_hash);
 }
 
 static bool
--- a/regress/main.c
+++ b/regress/main.c
@@ -35,6 +35,7 @@
 	{ "start", tests_start },
 	{ "http", tests_http },
 	{ "platform", tests_platform },
+	{ "registry", tests_registry },
 	{ "front", tests_front },
 	{ "work", tests_work },
 };
--- a/regress/t_platform.c
+++ b/regress/t_platform.c
@@ -1,6 +1,6 @@
 /**
  * DOC: Contract tables of the users' platform: settings, configuration,
- * registry rows, headers in and out.
+ * headers in and out.  Rows of the registry are in t_registry.
  */
 
 #include "platform.h"
@@ -183,36 +183,6 @@
 	}
 }
 
-static void
-test_rows(void)
-{
-	static const char good[] =
-	    "{\"service\":\"s\",\"address\":\"10.0.0.2:80\",\"zone\":\"z\","
-	    "\"capacity\":64,\"state\":\"draining\",\"warmupLeftMs\":5}";
-	static const char *const bad[] = { "", "{}", "[1]",
-		"{\"service\":\"s\"}",
-		"{\"service\":\"s\",\"address\":\"10.0.0.2\"}" };
-	struct plat_row *r = plat_row_decode("i", good, strlen(good), NULL);
-
-	if (r == NULL) {
-		CU_FAIL("nothing came back");
-		return;
-	}
-	CU_ASSERT_STRING_EQUAL(r->pool, "s");
-	CU_ASSERT_STRING_EQUAL(r->domain, "z");
-	CU_ASSERT_TRUE(r->leaving);
-	CU_ASSERT_EQUAL(r->warm_us, 5 * MH_US_PER_MS);
-	plat_row_free(r);
-	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
-		GError *err = NULL;
-
-		CU_ASSERT_PTR_NULL(
-		    plat_row_decode("i", bad[i], strlen(bad[i]), &err));
-		CU_ASSERT_PTR_NOT_NULL(err);
-		g_clear_error(&err);
-	}
-}
-
 /* the answer's head */
 
 /** struct head - an endpoint's head and what it says. */
@@ -293,106 +263,6 @@
 	mh_headers_destroy(h);
 }
 
-/* what entries tell each other of the registry */
-
-static char *
-row_item(const char *id, uint64_t revision, bool leaving)
-{
-	char *row = g_strdup_printf("{\"service\":\"s\",\"address\":"
-				    "\"10.0.0.2:80\",\"zone\":\"z\","
-				    "\"state\":\"%s\"}",
-	    leaving ? "draining" : "ready");
-	char *value = g_base64_encode((const guchar *)row, strlen(row));
-	char *item = g_strdup_printf("{\"key\":\"servers/%s\",\"value\":"
-				     "\"%s\",\"revision\":%" PRIu64 "}",
-	    id, value, revision);
-
-	g_free(row);
-	g_free(value);
-	return item;
-}
-
-static void
-take(struct plat_view *v, uint64_t revision, uint64_t since, const char *items,
-    const char *gone, int count)
-{
-	char *text = g_strdup_printf("{\"items\":[%s],\"gone\":[%s],"
-				     "\"since\":%" PRIu64 ",\"count\":%d}",
-	    items, gone, since, count);
-
-	plat_view_take_rows(v, revision, text, strlen(text));
-	g_free(text);
-}
-
-static bool
-is_reader(void *arg)
-{
-	(void)arg;
-	return false;
-}
-
-static void
-no_conf(void *arg, struct mh_gconf *c)
-{
-	(void)arg;
-	(void)c;
-}
-
-/*
- * A change of one row sent every row to every entry.  Now the change alone is
- * sent; where it does not fit what an entry has, all rows are asked for, so
- * that no leaving endpoint is missed.
- */
-static void
-test_registry_changes(void)
-{
-	struct mh_kern *k = mh_kern_create(1);
-	struct mh_loop *l = mh_loop_create(k, NULL);
-	struct mh_hcalls *calls = mh_hcalls_create(l);
-	struct mh_fleet *f = mh_fleet_create(k);
-	struct plat_store *store = plat_store_create(k, calls, "127.0.0.1:1");
-	struct plat_view_fns fns = { no_conf, is_reader, NULL };
-	struct plat_view *v = plat_view_create(k, store, f, &fns);
-	char *a = row_item("a", 3, false), *b = row_item("b", 4, false);
-	char *both = g_strdup_printf("%s,%s", a, b);
-	char *left = row_item("b", 6, true), *c = row_item("c", 8, false);
-	GBytes *text;
-
-	take(v, 5, 0, both, "", 2);
-	CU_ASSERT_EQUAL(mh_fleet_size(f), 2);
-	CU_ASSERT_EQUAL(plat_view_rows_have(v), 5);
-	take(v, 6, 5, left, "", 2);
-	CU_ASSERT_TRUE(mh_fleet_find(f, "b")->leaving);
-	CU_ASSERT_FALSE(mh_fleet_find(f, "a")->leaving);
-	take(v, 8, 6, c, "{\"key\":\"servers/b\",\"revision\":7}", 2);
-	CU_ASSERT_PTR_NULL(mh_fleet_find(f, "b"));
-	CU_ASSERT_EQUAL(mh_fleet_size(f), 2);
-	take(v, 7, 0, both, "", 2); /* an old one changes nothing */
-	CU_ASSERT_EQUAL(mh_fleet_size(f), 2);
-	take(v, 9, 8, left, "", 5); /* removed since; and the number differs */
-	CU_ASSERT_PTR_NULL(mh_fleet_find(f, "b"));
-	CU_ASSERT_EQUAL(plat_view_rows_have(v), 0);
-	CU_ASSERT_EQUAL(mh_fleet_size(f), 2);
-	take(v, 10, 0, both, "", 2);
-	CU_ASSERT_EQUAL(plat_view_rows_have(v), 10);
-	CU_ASSERT_PTR_NOT_NULL(mh_fleet_find(f, "b"));
-	text = plat_view_rows_text(v, 5);
-	CU_ASSERT_PTR_NOT_NULL(
-	    strstr(g_bytes_get_data(text, NULL), "servers/c"));
-	g_bytes_unref(text);
-	g_free(a);
-	g_free(b);
-	g_free(both);
-	g_free(left);
-	g_free(c);
-	plat_view_destroy(v);
-	plat_store_destroy(store);
-	mh_fleet_destroy(f);
-	mh_hcalls_destroy(calls);
-	mh_loop_destroy(l);
-	mh_kern_destroy(k);
-}
-
 /* Only statuses that promise "not run" are given where that is true. */
 static void
 test_refusals(void)
@@ -431,6 +301,9 @@
 	{ "{\"busy\":\"yes\"}", false, 0, 0 },
 	{ "{\"busy\":0,\"waiting\":\"some\"}", true, 0, 0 },
 	{ "{\"waiting\":1}", false, 0, 0 },
+	{ "{\"busy\":1,\"born\":1784044378752}", true, 1, 0 },
+	{ "{\"busy\":1,\"born\":1784044378752.5}", false, 0, 0 },
+	{ "{\"busy\":1,\"born\":\"now\"}", false, 0, 0 },
 	{ "[1]", false, 0, 0 },
 };
 
@@ -456,8 +329,6 @@
 	{ "settings: what is wrong is named", test_bad_settings },
 	{ "configuration: decoded once", test_conf },
 	{ "configuration: what is wrong is named", test_bad_conf },
-	{ "registry: rows", test_rows },
-	{ "registry: changes among entries", test_registry_changes },
 	{ "answers: what a head says", test_heads },
 	{ "answers: load", test_load },
 	{ "answers: our own", test_refusals },
--- /dev/null
+++ b/regress/t_registry.c
@@ -0,0 +1,572 @@
+/**
+ * DOC: The registry of endpoints: rows of endpoints and of other writers,
+ * endpoints that start again, what entries tell each other of it.
+ */
+
+#include "platform.h"
+#include "regress.h"
+#include "world.h"
+
+#include <string.h>
+
+#define MS MH_US_PER_MS
+#define S MH_US_PER_S
+#define BORN_MS 1784044378752 /* when an endpoint started */
+
+/* rows, one by one */
+
+static const char good_row[] =
+    "{\"service\":\"s\",\"address\":\"10.0.0.2:80\",\"zone\":\"z\","
+    "\"version\":\"v1\",\"capacity\":64,\"state\":\"draining\","
+    "\"warmupLeftMs\":5,\"sequence\":4,\"born\":1784044378752}";
+
+static void
+test_row(void)
+{
+	struct plat_row *r =
+	    plat_row_decode("i", good_row, strlen(good_row), NULL);
+
+	if (r == NULL) {
+		CU_FAIL("nothing came back");
+		return;
+	}
+	CU_ASSERT_STRING_EQUAL(r->name, "i");
+	CU_ASSERT_STRING_EQUAL(r->pool, "s");
+	CU_ASSERT_STRING_EQUAL(r->domain, "z");
+	CU_ASSERT_EQUAL(r->capacity, 64);
+	CU_ASSERT_EQUAL(r->born_ms, BORN_MS);
+	CU_ASSERT_TRUE(r->leaving);
+	CU_ASSERT_EQUAL(r->warm_us, 5 * MS);
+	plat_row_free(r);
+}
+
+/** struct foreign - one change that makes a row no endpoint's. */
+struct foreign {
+	const char *from;
+	const char *to;
+	const char *names; /* what the reason must name */
+};
+
+static const struct foreign foreigns[] = {
+	{ "\"service\":\"s\",", "", "service" },
+	{ "\"service\":\"s\"", "\"service\":7", "service" },
+	{ "\"service\":\"s\"", "\"service\":\"\"", "service" },
+	{ "\"address\":\"10.0.0.2:80\",", "", "address" },
+	{ "\"10.0.0.2:80\"", "\"10.0.0.2\"", "address" },
+	{ "\"10.0.0.2:80\"", "\"10.0.0.2:0\"", "address" },
+	{ "\"10.0.0.2:80\"", "[\"10.0.0.2:80\"]", "address" },
+	{ "\"zone\":\"z\",", "", "zone" },
+	{ "\"zone\":\"z\"", "\"zone\":null", "zone" },
+	{ "\"version\":\"v1\",", "", "version" },
+	{ "\"version\":\"v1\"", "\"version\":1", "version" },
+	{ "\"capacity\":64,", "", "capacity" },
+	{ "\"capacity\":64", "\"capacity\":\"64\"", "capacity" },
+	{ "\"capacity\":64", "\"capacity\":0", "capacity" },
+	{ "\"capacity\":64", "\"capacity\":-1", "capacity" },
+	{ "\"capacity\":64", "\"capacity\":1.5", "capacity" },
+	{ "\"capacity\":64", "\"capacity\":9999999999", "capacity" },
+	{ "\"state\":\"draining\",", "", "state" },
+	{ "\"draining\"", "\"parked\"", "state" },
+	{ "\"draining\"", "true", "state" },
+	{ "\"warmupLeftMs\":5,", "", "warmupLeftMs" },
+	{ "\"warmupLeftMs\":5", "\"warmupLeftMs\":-5", "warmupLeftMs" },
+	{ "\"warmupLeftMs\":5", "\"warmupLeftMs\":1e300", "warmupLeftMs" },
+	{ "\"sequence\":4,", "", "sequence" },
+	{ "\"sequence\":4", "\"sequence\":\"4\"", "sequence" },
+	{ "1784044378752", "1784044378752.5", "born" },
+	{ "1784044378752", "\"1784044378752\"", "born" },
+	{ "1784044378752", "0", "born" },
+	{ "1784044378752", "null", "born" },
+	{ "{\"service\"", "[{\"service\"", "JSON" },
+	{ "\"zone\":\"z\"", "\"zone\":\"\xff\"", "JSON" },
+	{ "}", "", "JSON" },
+};
+
+/*
+ * Another program writes rows of its own into the registry.  A row without a
+ * state was taken for a ready endpoint, one with a capacity in quotes for one
+ * with a single place: requests went to addresses where nobody served them.
+ */
+static void
+test_foreign_rows(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(foreigns); i++) {
+		gchar **parts = g_strsplit(good_row, foreigns[i].from, 2);
+		char *text = g_strjoinv(foreigns[i].to, parts);
+		GError *err = NULL;
+
+		CU_ASSERT_EQUAL(g_strv_length(parts), 2);
+		CU_ASSERT_PTR_NULL(
+		    plat_row_decode("i", text, strlen(text), &err));
+		if (err == NULL) {
+			CU_FAIL("nothing came back");
+			return;
+		}
+		CU_ASSERT_PTR_NOT_NULL(strstr(err->message, foreigns[i].names));
+		g_error_free(err);
+		g_free(text);
+		g_strfreev(parts);
+	}
+}
+
+/* A name goes into a header of each request: "i\r\nX: y" would add one. */
+static void
+test_foreign_names(void)
+{
+	static const char *const names[] = { "", "a b", "a\r\nX: y", "a@5",
+		"\xc3\xa9" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		GError *err = NULL;
+
+		CU_ASSERT_PTR_NULL(plat_row_decode(
+		    names[i], good_row, strlen(good_row), &err));
+		CU_ASSERT_PTR_NOT_NULL(err);
+		g_clear_error(&err);
+	}
+	CU_ASSERT_PTR_NULL(plat_row_decode("i", NULL, 0, NULL));
+}
+
+/* Any bytes: read or refused, never half of each. */
+static void
+test_rows_mutated(void)
+{
+	struct mh_kern *k = mh_kern_create(11);
+	char text[sizeof(good_row)];
+	uint32_t read = 0;
+
+	for (int i = 0; i < 20000; i++) {
+		size_t len = strlen(good_row);
+		struct plat_row *r;
+		GError *err = NULL;
+
+		memcpy(text, good_row, sizeof(text));
+		for (int n = 0; n < 1 + i % 3; n++)
+			text[(size_t)(mh_random_unit(k) * (double)len)] =
+			    (char)(mh_random_unit(k) * 256);
+		r = plat_row_decode("i", text, len, &err);
+		CU_ASSERT_EQUAL(r == NULL, err != NULL);
+		if (r != NULL) {
+			CU_ASSERT(r->capacity >= 1 && r->born_ms >= 0);
+			read++;
+		}
+		plat_row_free(r);
+		g_clear_error(&err);
+	}
+	CU_ASSERT(read > 100);
+	mh_kern_destroy(k);
+}
+
+/* what entries tell each other of the registry */
+
+static char *
+item_of(const char *id, uint64_t revision, const char *row)
+{
+	char *value = g_base64_encode((const guchar *)row, strlen(row));
+	char *item = g_strdup_printf("{\"key\":\"servers/%s\",\"value\":"
+				     "\"%s\",\"revision\":%" PRIu64 "}",
+	    id, value, revision);
+
+	g_free(value);
+	return item;
+}
+
+static char *
+row_item(const char *id, uint64_t revision, bool leaving)
+{
+	char *row = g_strdup_printf("{\"service\":\"s\",\"address\":"
+				    "\"10.0.0.2:80\",\"zone\":\"z\","
+				    "\"version\":\"v1\",\"capacity\":4,"
+				    "\"warmupLeftMs\":0,\"sequence\":1,"
+				    "\"state\":\"%s\"}",
+	    leaving ? "draining" : "ready");
+	char *item = item_of(id, revision, row);
+
+	g_free(row);
+	return item;
+}
+
+static void
+take(struct plat_view *v, uint64_t revision, uint64_t since, const char *items,
+    const char *gone, int count)
+{
+	char *text = g_strdup_printf("{\"items\":[%s],\"gone\":[%s],"
+				     "\"since\":%" PRIu64 ",\"count\":%d}",
+	    items, gone, since, count);
+
+	plat_view_take_rows(v, revision, text, strlen(text));
+	g_free(text);
+}
+
+static bool
+is_reader(void *arg)
+{
+	(void)arg;
+	return false;
+}
+
+static void
+no_conf(void *arg, struct mh_gconf *c)
+{
+	(void)arg;
+	(void)c;
+}
+
+/** struct vrig - a view of the registry that is told its rows. */
+struct vrig {
+	struct mh_kern *k;
+	struct mh_loop *l;
+	struct mh_hcalls *calls;
+	struct mh_fleet *f;
+	struct plat_store *store;
+	struct plat_view *v;
+};
+
+static void
+open_view(struct vrig *r)
+{
+	struct plat_view_fns fns = { no_conf, is_reader, NULL };
+
+	r->k = mh_kern_create(1);
+	r->l = mh_loop_create(r->k, NULL);
+	r->calls = mh_hcalls_create(r->l);
+	r->f = mh_fleet_create(r->k);
+	r->store = plat_store_create(r->k, r->calls, "127.0.0.1:1");
+	r->v = plat_view_create(r->k, r->store, r->f, &fns);
+}
+
+static void
+close_view(struct vrig *r)
+{
+	plat_view_destroy(r->v);
+	plat_store_destroy(r->store);
+	mh_fleet_destroy(r->f);
+	mh_hcalls_destroy(r->calls);
+	mh_loop_destroy(r->l);
+	mh_kern_destroy(r->k);
+}
+
+/*
+ * A change of one row sent every row to every entry.  Now the change alone is
+ * sent; where it does not fit what an entry has, all rows are asked for, so
+ * that no leaving endpoint is missed.
+ */
+static void
+test_registry_changes(void)
+{
+	struct vrig r;
+	struct plat_view *v;
+	struct mh_fleet *f;
+	char *a = row_item("a", 3, false), *b = row_item("b", 4, false);
+	char *both = g_strdup_printf("%s,%s", a, b);
+	char *left = row_item("b", 6, true), *c = row_item("c", 8, false);
+	GBytes *text;
+
+	open_view(&r);
+	v = r.v;
+	f = r.f;
+	take(v, 5, 0, both, "", 2);
+	CU_ASSERT_EQUAL(mh_fleet_size(f), 2);
+	CU_ASSERT_EQUAL(plat_view_rows_have(v), 5);
+	take(v, 6, 5, left, "", 2);
+	CU_ASSERT_TRUE(mh_fleet_find(f, "b")->leaving);
+	CU_ASSERT_FALSE(mh_fleet_find(f, "a")->leaving);
+	take(v, 8, 6, c, "{\"key\":\"servers/b\",\"revision\":7}", 2);
+	CU_ASSERT_PTR_NULL(mh_fleet_find(f, "b"));
+	CU_ASSERT_EQUAL(mh_fleet_size(f), 2);
+	take(v, 7, 0, both, "", 2); /* an old one changes nothing */
+	CU_ASSERT_EQUAL(mh_fleet_size(f), 2);
+	take(v, 9, 8, left, "", 5); /* removed since; and the number differs */
+	CU_ASSERT_PTR_NULL(mh_fleet_find(f, "b"));
+	CU_ASSERT_EQUAL(plat_view_rows_have(v), 0);
+	CU_ASSERT_EQUAL(mh_fleet_size(f), 2);
+	take(v, 10, 0, both, "", 2);
+	CU_ASSERT_EQUAL(plat_view_rows_have(v), 10);
+	CU_ASSERT_PTR_NOT_NULL(mh_fleet_find(f, "b"));
+	text = plat_view_rows_text(v, 5);
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(g_bytes_get_data(text, NULL), "servers/c"));
+	g_bytes_unref(text);
+	g_free(a);
+	g_free(b);
+	g_free(both);
+	g_free(left);
+	g_free(c);
+	close_view(&r);
+}
+
+/* A row with the start of its endpoint; 0: without. */
+static char *
+born_item(const char *id, uint64_t revision, int64_t born_ms, const char *state)
+{
+	char *born = born_ms == 0
+	    ? g_strdup("")
+	    : g_strdup_printf(",\"born\":%" PRId64, born_ms);
+	char *row = g_strdup_printf(
+	    "{\"service\":\"s\",\"address\":\"10.0.0.2:80\","
+	    "\"zone\":\"z\",\"version\":\"v1\",\"capacity\":4,"
+	    "\"warmupLeftMs\":0,\"sequence\":1,\"state\":\"%s\"%s}",
+	    state, born);
+	char *item = item_of(id, revision, row);
+
+	g_free(born);
+	g_free(row);
+	return item;
+}
+
+static void
+take_two(struct plat_view *v, uint64_t revision, char *a, char *b)
+{
+	char *both = g_strdup_printf("%s,%s", a, b);
+
+	take(v, revision, 0, both, "", 2);
+	g_free(a);
+	g_free(b);
+	g_free(both);
+}
+
+/*
+ * Another program writes over one endpoint's row, on the same page as a sound
+ * one.  The sound one holds; the other is back when its row is mended.  The
+ * reason is told once a revision, not with each reading.
+ */
+static void
+test_foreign_row_in_a_reading(void)
+{
+	struct vrig r;
+
+	open_view(&r);
+	take_two(r.v, 5, born_item("a", 3, BORN_MS, "ready"),
+	    born_item("b", 4, BORN_MS, "ready"));
+	CU_ASSERT_EQUAL(mh_fleet_size(r.f), 2);
+	for (uint64_t at = 6; at < 9; at++)
+		take_two(r.v, at, born_item("a", 3, BORN_MS, "ready"),
+		    item_of("b", 6, "\x01\x02"));
+	CU_ASSERT_EQUAL(mh_fleet_size(r.f), 1);
+	CU_ASSERT_PTR_NOT_NULL(mh_fleet_find(r.f, "a@1784044378752"));
+	CU_ASSERT_EQUAL(mh_counter(r.k, "registry_rows_refused"), 1);
+	take_two(r.v, 10, born_item("a", 3, BORN_MS, "ready"),
+	    born_item("b", 9, BORN_MS, "parked"));
+	CU_ASSERT_EQUAL(mh_counter(r.k, "registry_rows_refused"), 2);
+	take_two(r.v, 12, born_item("a", 3, BORN_MS, "ready"),
+	    born_item("b", 11, BORN_MS, "ready"));
+	CU_ASSERT_EQUAL(mh_fleet_size(r.f), 2);
+	close_view(&r);
+}
+
+/*
+ * A row for a service that nobody configured, at the address of a sound
+ * endpoint: results of that one were freed under the other's name.
+ */
+static void
+test_row_of_no_service(void)
+{
+	static const char conf[] =
+	    "{\"version\":3,\"routes\":[],\"services\":[{\"name\":\"t\"}]}";
+	static const char both[] =
+	    "{\"version\":4,\"routes\":[],\"services\":[{\"name\":\"t\"},"
+	    "{\"name\":\"s\"}]}";
+	struct vrig r;
+
+	open_view(&r);
+	take_two(r.v, 5, born_item("a", 3, BORN_MS, "ready"),
+	    born_item("b", 4, BORN_MS, "ready"));
+	plat_view_take_conf(r.v, 6, conf, strlen(conf));
+	CU_ASSERT_EQUAL(mh_fleet_size(r.f), 0);
+	CU_ASSERT_EQUAL(mh_counter(r.k, "registry_rows_refused"), 2);
+	take_two(r.v, 7, born_item("a", 3, BORN_MS, "ready"),
+	    born_item("b", 4, BORN_MS, "ready"));
+	CU_ASSERT_EQUAL(mh_fleet_size(r.f), 0);
+	CU_ASSERT_EQUAL(mh_counter(r.k, "registry_rows_refused"), 2);
+	plat_view_take_conf(r.v, 8, both, strlen(both));
+	CU_ASSERT_EQUAL(mh_fleet_size(r.f), 2);
+	close_view(&r);
+}
+
+/*
+ * A row that lacks only the time of its endpoint's start is from another
+ * writer where endpoints tell it, and sound where none does.
+ */
+static void
+test_row_without_born(void)
+{
+	struct vrig r;
+
+	open_view(&r);
+	take_two(r.v, 5, born_item("a", 3, 0, "ready"),
+	    born_item("b", 4, 0, "ready"));
+	CU_ASSERT_EQUAL(mh_fleet_size(r.f), 2);
+	take(r.v, 9, 0, "", "", 0);
+	for (uint64_t at = 10; at < 12; at++) {
+		char *a = born_item("a", 6, BORN_MS, "ready");
+		char *b = born_item("b", 7, BORN_MS, "ready");
+		char *c = born_item("c", 8, 0, "ready");
+		char *all = g_strdup_printf("%s,%s,%s", a, b, c);
+
+		take(r.v, at, 0, all, "", 3);
+		g_free(a);
+		g_free(b);
+		g_free(c);
+		g_free(all);
+	}
+	CU_ASSERT_EQUAL(mh_fleet_size(r.f), 2);
+	CU_ASSERT_EQUAL(mh_counter(r.k, "registry_rows_refused"), 1);
+	close_view(&r);
+}
+
+/* endpoints that start again */
+
+static void
+list_one(struct mh_fleet *f, int64_t born_ms, bool leaving)
+{
+	struct mh_listing l = { "i", born_ms, "pool", "10.0.0.2:80", "z", 4,
+		leaving, 0 };
+
+	mh_fleet_begin(f);
+	mh_fleet_list(f, &l);
+	mh_fleet_end(f);
+}
+
+static void
+count_end(void *arg, const char *id)
+{
+	(void)id;
+	(*(uint32_t *)arg)++;
+}
+
+/*
+ * A replica that was leaving and had failed crashes and starts again under
+ * its id.  Taken for the same one, it stayed left out, and prompts were sent
+ * to it that it had never read.
+ */
+static void
+test_restart_under_its_id(void)
+{
+	struct mh_kern *k = mh_kern_create(1);
+	struct mh_fleet *f = mh_fleet_create(k);
+	struct mh_place *p = mh_place_create(k, f);
+	struct mh_place_ask a = {
+		.pool = "pool", .n_parts = 2, .parts = { { 1, 100 }, { 2, 10 } }
+	};
+	struct mh_node *n;
+	uint32_t gone = 0, ended = 0;
+	uint64_t kept;
+
+	mh_fleet_on_gone(f, count_end, &gone);
+	mh_fleet_on_restart(f, count_end, &ended);
+	list_one(f, BORN_MS, false);
+	list_one(f, BORN_MS, true);
+	n = mh_fleet_find(f, "i@1784044378752");
+	if (n == NULL) {
+		CU_FAIL("nothing came back");
+		return;
+	}
+	CU_ASSERT_TRUE(n->leaving);
+	kept = n->kept_hash;
+	mh_place_sent(p, &a, n);
+	mh_node_bad(f, n, "test");
+	mh_node_told(f, n, 3, 4, 5);
+	n->inflight = 2;
+	list_one(f, BORN_MS + 9000, false);
+	CU_ASSERT_EQUAL(gone, 1);
+	CU_ASSERT_EQUAL(ended, 1);
+	CU_ASSERT_EQUAL(mh_fleet_size(f), 1);
+	CU_ASSERT_PTR_NULL(mh_fleet_find(f, "i@1784044378752"));
+	n = mh_fleet_at(f, "10.0.0.2:80");
+	if (n == NULL) {
+		CU_FAIL("nothing came back");
+		return;
+	}
+	CU_ASSERT_STRING_EQUAL(n->name, "i");
+	CU_ASSERT_FALSE(n->leaving);
+	CU_ASSERT_EQUAL(n->inflight, 0);
+	CU_ASSERT_EQUAL(n->streak, 0);
+	CU_ASSERT_EQUAL(n->told_us, 0);
+	CU_ASSERT(n->kept_hash != kept);
+	mh_place_destroy(p);
+	mh_fleet_destroy(f);
+	mh_kern_destroy(k);
+}
+
+/*
+ * The endpoint's own report tells of the restart before its row does.  The
+ * row of before, read once more, must not bring the former one back; a clock
+ * that went back makes no difference.
+ */
+static void
+test_restart_told_by_itself(void)
+{
+	struct mh_kern *k = mh_kern_create(1);
+	struct mh_fleet *f = mh_fleet_create(k);
+	uint32_t ended = 0;
+
+	mh_fleet_on_restart(f, count_end, &ended);
+	list_one(f, BORN_MS, true);
+	mh_fleet_born(f, "i@1784044378752", BORN_MS);
+	CU_ASSERT_EQUAL(ended, 0);
+	mh_fleet_born(f, "i@1784044378752", BORN_MS - 4000);
+	CU_ASSERT_EQUAL(ended, 1);
+	CU_ASSERT_PTR_NOT_NULL(mh_fleet_find(f, "i@1784044374752"));
+	list_one(f, BORN_MS, true);
+	CU_ASSERT_FALSE(mh_fleet_at(f, "10.0.0.2:80")->leaving);
+	CU_ASSERT_EQUAL(ended, 1);
+	list_one(f, BORN_MS - 4000, false);
+	CU_ASSERT_EQUAL(ended, 1);
+	list_one(f, BORN_MS + 1, false);
+	CU_ASSERT_EQUAL(ended, 2);
+	CU_ASSERT_EQUAL(mh_fleet_size(f), 1);
+	mh_fleet_born(f, "i@1784044378752", BORN_MS + 5); /* a late answer */
+	CU_ASSERT_EQUAL(ended, 2);
+	mh_fleet_destroy(f);
+	mh_kern_destroy(k);
+}
+
+/*
+ * A stage endpoint crashes with results on it and a call in work, and starts
+ * again at once.  The results were found missing one call at a time, each a
+ * stage's time later; now all are made again as soon as the restart is known.
+ */
+static void
+test_restart_remakes_results(void)
+{
+	static const char *const chain[] = { "a", "b", NULL };
+	const uint32_t pieces[] = { 2, 2 };
+	struct world *w = world_create();
+	struct wnode *b0;
+	uint32_t before;
+
+	world_pool(w, "a", 1, 8, 200 * MS, 20 * MS, 0);
+	world_pool(w, "b", 1, 8, 400 * MS, 20 * MS, 0);
+	w->keep = true;
+	mh_cell_submit(w->c, world_job(w, chain, pieces, 3 * S, 6 * S));
+	world_run(w, 250 * MS);
+	b0 = world_node(w, "b-0");
+	CU_ASSERT_EQUAL(b0->calls, 1);
+	before = world_node(w, "a-0")->calls;
+	mh_cell_restarted(w->c, "a-0");
+	mh_cell_restarted(w->c, "b-0");
+	b0->busy_until_us = 0;
+	world_node(w, "a-0")->busy_until_us = 0;
+	world_run(w, 10 * MS);
+	CU_ASSERT_EQUAL(world_node(w, "a-0")->calls, before + 1);
+	world_run(w, 1 * S);
+	CU_ASSERT_EQUAL(w->done, 1);
+	CU_ASSERT_EQUAL(w->without_inputs, 0);
+	world_destroy(w);
+}
+
+const struct test tests_registry[] = {
+	{ "registry: a row", test_row },
+	{ "registry: rows of another writer", test_foreign_rows },
+	{ "registry: names of another writer", test_foreign_names },
+	{ "registry: rows of any bytes", test_rows_mutated },
+	{ "registry: changes among entries", test_registry_changes },
+	{ "registry: another writer's row in a reading",
+	    test_foreign_row_in_a_reading },
+	{ "registry: a row of no service", test_row_of_no_service },
+	{ "registry: a row without its start", test_row_without_born },
+	{ "registry: a restart under its id", test_restart_under_its_id },
+	{ "registry: a restart told by itself", test_restart_told_by_itself },
+	{ "registry: a restart remakes results", test_restart_remakes_results },
+	{ NULL, NULL },
+};
--- a/regress/world.c
+++ b/regress/world.c
@@ -321,7 +321,7 @@
 	mh_fleet_begin(w->f);
 	for (uint32_t i = 0; i < w->n_nodes; i++) {
 		struct wnode *n = &w->nodes[i];
-		struct mh_listing l = { n->id, n->pool, n->id, n->domain, 1,
+		struct mh_listing l = { n->id, 0, n->pool, n->id, n->domain, 1,
 			false, 0 };
 
 		mh_fleet_list(w->f, &l);
