--- a/lib/claim.c
+++ b/lib/claim.c
@@ -76,20 +76,25 @@
 }
 
 bool
-mh_claim_owns(struct mh_kern *k, uint32_t p, uint64_t epoch)
+mh_claim_knows(struct mh_kern *k, uint32_t p)
 {
 	struct claim *c = get(k);
-	const struct mh_part *t;
 
 	if (p >= MH_PARTITIONS)
 		return false;
-	t = mh_owners_part(c->owners, p);
 	/*
 	 * A VM that the platform dropped from its list may be taken over:
 	 * its process, if it still runs, starts nothing more.
 	 */
-	return c->part[p].open && c->part[p].move == MOVE_NONE && mine(c, t) &&
-	    t->epoch == epoch && !mh_member_dropped(k);
+	return c->part[p].open && c->part[p].move == MOVE_NONE &&
+	    mine(c, mh_owners_part(c->owners, p)) && !mh_member_dropped(k);
+}
+
+bool
+mh_claim_owns(struct mh_kern *k, uint32_t p, uint64_t epoch)
+{
+	return mh_claim_knows(k, p) &&
+	    mh_owners_part(get(k)->owners, p)->epoch == epoch;
 }
 
 bool
--- a/lib/entry.c
+++ b/lib/entry.c
@@ -45,9 +45,9 @@
 static json_t *
 problem_json(const struct problem *p)
 {
-	return json_pack("{s:s, s:i, s:s, s:s, s:s}", "title", p->kind,
+	return json_pack("{s:s, s:i, s:s, s:s, s:s, s:s*}", "title", p->kind,
 	    "status", (int)p->status, "detail", p->detail, "remedy", p->remedy,
-	    "outcome", p->outcome);
+	    "outcome", p->outcome, "lookup", p->lookup);
 }
 
 static uint32_t
@@ -67,17 +67,64 @@
 	    p->retry_us > 0 ? seconds_up(p->retry_us) : 0);
 }
 
+/*
+ * A key that a caller sends may have been asked before, here or at another
+ * entry, and may have run.  A refusal that knows only its own request once
+ * said "not run" of keys that had, and the caller paid for a second one.
+ */
+static void
+find_asked_key(
+    struct entry *e, const struct mh_request_msg *m, struct asked_key *a)
+{
+	struct mh_decl *d = mh_conf_get(e->k);
+	const struct mh_pipeline *pl = NULL;
+	const char *name = m->path + strlen(PREFIX_PIPELINES);
+
+	memset(a, 0, sizeof(*a));
+	if (m->idempotency_key == NULL || !entry_good_key(m->idempotency_key))
+		return; /* no such key is ever taken */
+	if (d != NULL && g_str_has_prefix(m->path, PREFIX_PIPELINES))
+		pl = mh_decl_pipeline(d, name);
+	if (pl != NULL && !pipe_last(pl)->never)
+		return; /* there keys mean nothing */
+	a->given = true;
+	if (pl != NULL)
+		a->lookup = g_strconcat(
+		    PREFIX_OUTCOMES, name, "/", m->idempotency_key, NULL);
+}
+
+/* Refuses a request that never left here; @p has all but the outcome. */
+static void
+refuse(struct entry *e, const struct mh_request_msg *m, const struct problem *p)
+{
+	struct problem whole = *p;
+	struct asked_key key;
+
+	find_asked_key(e, m, &key);
+	whole.outcome = key.given ? "unknown" : "not-run";
+	whole.lookup = key.lookup;
+	entry_problem(e, m->id, &whole);
+	g_free(key.lookup);
+}
+
 void
-entry_refuse(struct entry *e, uint64_t caller, uint32_t status,
+entry_refuse(struct entry *e, const struct mh_request_msg *m, uint32_t status,
     const char *kind, const char *detail, const char *remedy)
 {
 	struct problem p = { .status = status,
 		.kind = kind,
 		.detail = detail,
-		.remedy = remedy,
-		.outcome = "not-run" };
+		.remedy = remedy };
 
-	entry_problem(e, caller, &p);
+	refuse(e, m, &p);
+}
+
+const char *
+entry_key_outcome(const struct request *r)
+{
+	if (!r->key_given || r->key_outcome == MH__OUTCOME__NOT_RUN)
+		return "not-run";
+	return "unknown";
 }
 
 static void
@@ -173,8 +220,14 @@
 void
 entry_fail(struct request *r, const struct problem *p)
 {
-	json_t *o = problem_json(p);
+	struct problem whole = *p;
+	json_t *o;
 
+	if (r->key_given)
+		whole.lookup = g_strconcat(PREFIX_OUTCOMES, r->d.pipeline->name,
+		    "/", strchr(r->key, '/') + 1, NULL);
+	o = problem_json(&whole);
+	g_free(whole.lookup);
 	add_identity(r, o);
 	mh_count(r->e->k, "entry_failed", 1);
 	log_end(r, p->outcome, p->status);
@@ -199,10 +252,14 @@
 		.kind = "deadline",
 		.detail = "The deadline passed.",
 		.remedy = "Ask again, or ask for more time.",
-		.outcome =
-		    r->maybe_ran || r->attempts > 0 ? "failed" : "not-run" };
+		.outcome = r->key_given		      ? entry_key_outcome(r)
+		    : r->maybe_ran || r->attempts > 0 ? "failed"
+						      : "not-run" };
 	const struct mh_stage *s = r->d.pipeline->stages->pdata[r->stage];
 
+	if (r->key_given)
+		p.remedy = "Ask again with the same key, or look the outcome "
+			   "up; do not repeat it under another key.";
 	r->deadline = NULL;
 	if (s->never && r->tries[0].call != NULL) {
 		p.kind = "outcome-unknown";
@@ -262,7 +319,7 @@
 		detail = g_strdup_printf("The body is no JSON object: %s.",
 		    r->flow.input == NULL ? err.text : "another JSON type");
 		entry_refuse(
-		    e, m->id, 400, "bad-body", detail, "Send a JSON object.");
+		    e, m, 400, "bad-body", detail, "Send a JSON object.");
 		g_free(detail);
 		return false;
 	}
@@ -271,7 +328,7 @@
 	if (tokens != NULL &&
 	    (!json_is_integer(tokens) || json_integer_value(tokens) < 1 ||
 		json_integer_value(tokens) > 100000)) {
-		entry_refuse(e, m->id, 400, "bad-max-tokens",
+		entry_refuse(e, m, 400, "bad-max-tokens",
 		    "max_tokens is no whole number from 1 to 100000.",
 		    "Mend max_tokens.");
 		return false;
@@ -294,13 +351,13 @@
 	ask.model = json_string_value(json_object_get(r->flow.input, "model"));
 	mh_rules_decide(r->decl, &ask, &r->d);
 	if (r->d.pipeline == NULL) {
-		entry_refuse(e, m->id, 404, "no-pipeline",
+		entry_refuse(e, m, 404, "no-pipeline",
 		    "No such pipeline is declared.",
 		    "Use a declared pipeline's name.");
 		return false;
 	}
 	if (r->d.rule == NULL || r->d.refuse != NULL) {
-		entry_refuse(e, m->id, 403, "refused",
+		entry_refuse(e, m, 403, "refused",
 		    r->d.rule == NULL ? "No rule admits the request."
 				      : r->d.refuse,
 		    "Ask the operators about the rules.");
@@ -327,7 +384,7 @@
 	if (m->idempotency_key == NULL)
 		return true;
 	if (!entry_good_key(m->idempotency_key)) {
-		entry_refuse(e, m->id, 400, "bad-key",
+		entry_refuse(e, m, 400, "bad-key",
 		    "Idempotency-Key is not 1 to 128 printable characters "
 		    "without a slash.",
 		    "Send a UUID version 7.");
@@ -337,6 +394,7 @@
 		return true;
 	r->key = g_strconcat(r->org->name, "/", m->idempotency_key, NULL);
 	r->key_given = true;
+	r->key_outcome = MH__OUTCOME__UNKNOWN;
 	return true;
 }
 
@@ -347,20 +405,19 @@
 	struct problem p = { .status = 429,
 		.kind = "over-limit",
 		.detail = "The organisation's or key's limit is used up.",
-		.remedy = "Ask again after Retry-After.",
-		.outcome = "not-run" };
+		.remedy = "Ask again after Retry-After." };
 	int64_t wait = mh_limit_take(e->k, who, pipe_units(r), &r->ticket);
 
 	if (wait == 0)
 		return true;
 	if (wait < 0) {
-		entry_refuse(e, m->id, 400, "over-burst",
+		entry_refuse(e, m, 400, "over-burst",
 		    "The request is larger than the limit's burst.",
 		    "Lower max_tokens.");
 		return false;
 	}
 	p.retry_us = wait + (int64_t)(mh_random_unit(e->k) * (double)wait / 2);
-	entry_problem(e, m->id, &p);
+	refuse(e, m, &p);
 	return false;
 }
 
@@ -371,8 +428,7 @@
 	struct problem p = { .status = 503,
 		.kind = "overloaded",
 		.detail = "The request could not finish by its deadline.",
-		.remedy = "Ask again after Retry-After, or allow more time.",
-		.outcome = "not-run" };
+		.remedy = "Ask again after Retry-After, or allow more time." };
 	int64_t need, over;
 
 	if (r->decl->policy.admission == MH_ADMIT_ALL)
@@ -384,7 +440,7 @@
 	mh_count(e->k, "entry_infeasible", 1);
 	over = MAX(over, MH_US_PER_S);
 	p.retry_us = over + (int64_t)(mh_random_unit(e->k) * (double)over / 2);
-	entry_problem(e, m->id, &p);
+	refuse(e, m, &p);
 	return false;
 }
 
@@ -497,14 +553,14 @@
 	bool del = strcmp(m->method, "DELETE") == 0;
 
 	if (d == NULL) {
-		entry_refuse(e, m->id, 503, "no-configuration",
+		entry_refuse(e, m, 503, "no-configuration",
 		    "No configuration is in force yet.",
 		    "Apply declarations with marlctl; ask again later.");
 		return;
 	}
 	who = m->key == NULL ? NULL : mh_decl_find_key(d, m->key);
 	if (who == NULL) {
-		entry_refuse(e, m->id, 401, "no-right",
+		entry_refuse(e, m, 401, "no-right",
 		    "The key is missing or not known.",
 		    "Send Authorization: Bearer KEY.");
 		return;
@@ -514,8 +570,8 @@
 		return;
 	}
 	if (!g_str_has_prefix(m->path, PREFIX_PIPELINES) || !post) {
-		entry_refuse(e, m->id, 404, "no-path",
-		    "No such path or method.", "POST to /v1/pipelines/NAME.");
+		entry_refuse(e, m, 404, "no-path", "No such path or method.",
+		    "POST to /v1/pipelines/NAME.");
 		return;
 	}
 	start_request(e, m, who);
--- a/lib/entry.h
+++ b/lib/entry.h
@@ -46,6 +46,8 @@
 	int64_t stage_us; /* when this stage began */
 	bool maybe_ran; /* some call was accepted somewhere */
 	bool unknown; /* a non-repeatable call may have run */
+	/* what the owner said of a given key when it last refused a call */
+	Mh__Outcome key_outcome;
 	char *last_vm;
 	char *last_domain;
 	struct try tries[MAX_TRIES];
@@ -91,16 +93,31 @@
 	const char *detail;
 	const char *remedy;
 	const char *outcome;
+	char *lookup; /* where a key's outcome is told; NULL: no key */
 	int64_t retry_us; /* 0: no Retry-After */
 };
 
+/** struct asked_key - the key that a caller gave, and where to look it up. */
+struct asked_key {
+	bool given; /* it may have been asked before */
+	char *lookup; /* NULL: the pipeline is not known */
+};
+
 /* entry.c */
 void entry_reply(struct entry *e, uint64_t caller, uint32_t status,
     GBytes *body, uint32_t retry_after_s);
 void entry_problem(struct entry *e, uint64_t caller, const struct problem *p);
-/** entry_refuse() - a problem without Retry-After: it never left here. */
-void entry_refuse(struct entry *e, uint64_t caller, uint32_t status,
-    const char *kind, const char *detail, const char *remedy);
+/**
+ * entry_refuse() - a problem without Retry-After: the request never left here.
+ *
+ * What is said of the outcome is true of a key that the caller gave too.
+ */
+void entry_refuse(struct entry *e, const struct mh_request_msg *m,
+    uint32_t status, const char *kind, const char *detail, const char *remedy);
+/** entry_key_outcome() - of a request that did not run, by its key. */
+const char *entry_key_outcome(const struct request *r);
+/** entry_outcome_text() - the word for an outcome in answers. */
+const char *entry_outcome_text(Mh__Outcome o);
 /** entry_dump() - takes @o and gives its text. */
 GBytes *entry_dump(json_t *o);
 bool entry_good_key(const char *key);
--- a/lib/ledger.c
+++ b/lib/ledger.c
@@ -311,6 +311,17 @@
 	return l->bound_ms[p] != 0;
 }
 
+Mh__Outcome
+mh_ledger_known(const struct mh_ledger *l, uint32_t p, const char *key)
+{
+	const struct mh_ledger_row *r = mh_ledger_find(l, key);
+
+	if (r != NULL)
+		return r->outcome;
+	return mh_ledger_may_have_run(l, p, key) ? MH__OUTCOME__UNKNOWN
+						 : MH__OUTCOME__NOT_RUN;
+}
+
 const struct mh_ledger_row *
 mh_ledger_revoke(
     struct mh_ledger *l, uint32_t p, const char *key, int64_t now_ms)
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -903,6 +903,13 @@
     const struct mh_ledger *l, uint32_t p, const char *key);
 const struct mh_ledger_row *mh_ledger_find(
     const struct mh_ledger *l, const char *key);
+/**
+ * mh_ledger_known() - what became of a key, as far as the ledger tells.
+ *
+ * NOT_RUN only where it tells of the key's whole life: it was never started.
+ */
+Mh__Outcome mh_ledger_known(
+    const struct mh_ledger *l, uint32_t p, const char *key);
 void mh_ledger_expire(
     struct mh_ledger *l, int64_t now_ms, int64_t retention_ms);
 /** mh_ledger_rows() - the rows of a partition (borrowed). */
@@ -917,6 +924,8 @@
     uint64_t incarnation, struct mh_ledger *l);
 /** mh_claim_owns() - may partition @p's calls start here, now? */
 bool mh_claim_owns(struct mh_kern *k, uint32_t p, uint64_t epoch);
+/** mh_claim_knows() - can nobody else start @p's calls now, or since? */
+bool mh_claim_knows(struct mh_kern *k, uint32_t p);
 /** mh_claim_open() - is this the confirmed owner of @p, moving or not? */
 bool mh_claim_open(struct mh_kern *k, uint32_t p);
 void mh_claim_drain(struct mh_kern *k);
--- a/lib/outcome.c
+++ b/lib/outcome.c
@@ -9,6 +9,20 @@
 
 #define LOOKUP_US (1 * MH_US_PER_S)
 
+/* A question that nobody answers says nothing of the key that it is about. */
+static void
+refuse_lookup(struct entry *e, uint64_t caller, uint32_t status,
+    const char *kind, const char *detail, const char *remedy)
+{
+	struct problem p = { .status = status,
+		.kind = kind,
+		.detail = detail,
+		.remedy = remedy,
+		.outcome = "unknown" };
+
+	entry_problem(e, caller, &p);
+}
+
 static void
 on_lookup_timeout(void *arg)
 {
@@ -16,7 +30,7 @@
 	struct entry *e = l->e;
 
 	l->timer = NULL;
-	entry_refuse(e, l->caller, 503, "owner-silent",
+	refuse_lookup(e, l->caller, 503, "owner-silent",
 	    "The key's owner did not answer.", "Ask again later.");
 	g_hash_table_remove(e->lookups, &l->token);
 }
@@ -30,8 +44,8 @@
 	g_free(l);
 }
 
-static const char *
-outcome_text(Mh__Outcome o)
+const char *
+entry_outcome_text(Mh__Outcome o)
 {
 	switch (o) {
 	case MH__OUTCOME__DONE:
@@ -58,7 +72,7 @@
 	(void)conn;
 	if (l == NULL)
 		return;
-	j = json_pack("{s:s}", "outcome", outcome_text(o->outcome));
+	j = json_pack("{s:s}", "outcome", entry_outcome_text(o->outcome));
 	answer = json_loadb(
 	    (const char *)o->body.data, o->body.len, JSON_DECODE_ANY, NULL);
 	if (answer != NULL)
@@ -104,7 +118,7 @@
 	if (part[0] != NULL && part[1] != NULL && entry_good_key(part[1]))
 		pl = mh_decl_pipeline(mh_conf_get(e->k), part[0]);
 	if (pl == NULL || !pipe_last(pl)->never) {
-		entry_refuse(e, m->id, 404, "no-outcome",
+		refuse_lookup(e, m->id, 404, "no-outcome",
 		    "The path names no pipeline with a non-repeatable stage.",
 		    "Use /v1/outcomes/PIPELINE/KEY.");
 		g_strfreev(part);
@@ -115,7 +129,7 @@
 	owner = mh_owners_part(entry_owners(e, s->pool), mh_partition_of(key));
 	p = mh_member_find(e->k, owner->vm);
 	if (p == NULL || !p->up)
-		entry_refuse(e, m->id, 503, "owner-unreachable",
+		refuse_lookup(e, m->id, 503, "owner-unreachable",
 		    "The key's owner cannot be reached now.",
 		    "Ask again later.");
 	else
--- a/lib/pipe.c
+++ b/lib/pipe.c
@@ -17,6 +17,11 @@
 #define BUDGET_MAX 20.0
 #define BYTES_PER_TOKEN 4
 #define MOVE_WAIT_US (50 * MH_US_PER_MS) /* a partition is changing hands */
+/*
+ * A side process that is started again has its partitions back in this time.
+ * One that is silent for longer while its VM is listed may stay so for hours.
+ */
+#define OWNER_BACK_US (2 * MH_US_PER_S)
 #define NEVER_MARGIN_US (30 * MH_US_PER_MS)
 
 static void next_try(struct request *r, bool hedge);
@@ -176,7 +181,7 @@
 		.kind = "overloaded",
 		.detail = detail,
 		.remedy = "Ask again after Retry-After.",
-		.outcome = "not-run" };
+		.outcome = entry_key_outcome(r) };
 
 	p.retry_us = retry_after(r, retry_us);
 	if (r->unknown) {
@@ -186,6 +191,9 @@
 		p.remedy = "Look the outcome up by key; do not repeat it "
 			   "under another key.";
 		p.retry_us = 0;
+	} else if (r->key_given) {
+		p.remedy = "Ask again with the same key after Retry-After; "
+			   "do not repeat it under another key.";
 	} else if (r->maybe_ran) {
 		p.kind = "failed";
 		p.outcome = "failed";
@@ -265,11 +273,29 @@
 	r->check = mh_timer_start(r->e->k, MOVE_WAIT_US, on_owner_wait, r);
 }
 
+/*
+ * Whether the owner of a given key may be asked soon.  A dead one whose VM is
+ * still listed keeps its partitions, since it may only be paused: its callers
+ * hear so at once instead of at their deadlines.
+ */
+static bool
+owner_may_come(struct request *r)
+{
+	const struct mh_part *part = mh_owners_part(
+	    entry_owners(r->e, stage_of(r)->pool), mh_partition_of(r->key));
+	const struct mh_peer *p = mh_member_find(r->e->k, part->vm);
+
+	return p == NULL || !p->listed ||
+	    mh_now(r->e->k) - p->last_rx_us < OWNER_BACK_US;
+}
+
 /* Refusals that no other try can change; false for all others. */
 static bool
 refused_for_good(struct request *r, const Mh__Result *res)
 {
-	struct problem p = { .status = 409, .outcome = "not-run" };
+	struct problem p = { .status = 409,
+		.outcome = r->key_given ? entry_outcome_text(r->key_outcome)
+					: "not-run" };
 
 	switch (res->reason) {
 	case WHY_MISMATCH:
@@ -326,6 +352,7 @@
 	g_free(r->last_domain);
 	r->last_vm = g_strdup(p->vm);
 	r->last_domain = g_strdup(p->domain);
+	r->key_outcome = not_run ? res->key_outcome : MH__OUTCOME__UNKNOWN;
 	if (res->outcome == MH__OUTCOME__UNKNOWN)
 		r->unknown = true;
 	else if (!not_run)
@@ -623,7 +650,7 @@
 	struct mh_peer *p = pick_endpoint(r, s);
 	struct try *t = &r->tries[hedge ? 1 : 0];
 
-	if (p == NULL && s->never && r->key_given &&
+	if (p == NULL && s->never && r->key_given && owner_may_come(r) &&
 	    left_us(r) > 4 * MOVE_WAIT_US) {
 		wait_for_owner(r);
 		return;
--- a/lib/side.h
+++ b/lib/side.h
@@ -39,6 +39,7 @@
 	Mh__Outcome outcome;
 	uint32_t status;
 	enum mh_refusal reason;
+	Mh__Outcome key_outcome; /* of a refused non-repeatable call */
 	int64_t retry_us;
 	GBytes *result;
 	struct mh_run_msg used;
--- a/lib/sidecall.c
+++ b/lib/sidecall.c
@@ -142,6 +142,7 @@
 	r.tokens_out = c->used.tokens_out;
 	r.first_us = (uint64_t)c->first_us;
 	r.reason = c->reason;
+	r.key_outcome = c->key_outcome;
 	r.retry_us = (uint64_t)c->retry_us;
 	mh_side_load(c->s->k, &load, wait_us);
 	f.load = &load;
@@ -150,6 +151,19 @@
 	mh_frame_send(c->s->k, c->conn, &f);
 }
 
+/*
+ * A caller that is told "not run" asks again under another key, or elsewhere.
+ * So it must be true of the key, whatever was asked with it before: only the
+ * owner can say so, and only of a key that is newer than its ledger.
+ */
+static Mh__Outcome
+key_outcome(const struct call *c)
+{
+	if (!mh_claim_knows(c->s->k, c->partition))
+		return MH__OUTCOME__UNKNOWN;
+	return mh_ledger_known(c->s->ledger, c->partition, c->once);
+}
+
 /* The result stays until acknowledged, so a new link can ask for it. */
 static void
 end_call(struct call *c, Mh__Outcome outcome, enum mh_refusal why)
@@ -157,6 +171,8 @@
 	c->state = ST_ENDED;
 	c->outcome = outcome;
 	c->reason = why;
+	if (c->never && outcome == MH__OUTCOME__NOT_RUN)
+		c->key_outcome = key_outcome(c);
 	send_result(c);
 }
 
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -2425,7 +2425,7 @@
   (ProtobufCMessageInit) mh__chunk__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__result__field_descriptors[12] =
+static const ProtobufCFieldDescriptor mh__result__field_descriptors[13] =
 {
   {
     "id",
@@ -2571,6 +2571,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "key_outcome",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Result, key_outcome),
+    &mh__outcome__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__result__field_indices_by_name[] = {
   3,   /* field[3] = body */
@@ -2578,6 +2590,7 @@
   5,   /* field[5] = endpoint_us */
   11,   /* field[11] = first_us */
   0,   /* field[0] = id */
+  12,   /* field[12] = key_outcome */
   1,   /* field[1] = outcome */
   9,   /* field[9] = reason */
   10,   /* field[10] = retry_us */
@@ -2589,7 +2602,7 @@
 static const ProtobufCIntRange mh__result__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor mh__result__descriptor =
 {
@@ -2599,7 +2612,7 @@
   "Mh__Result",
   "mh",
   sizeof(Mh__Result),
-  12,
+  13,
   mh__result__field_descriptors,
   mh__result__field_indices_by_name,
   1,  mh__result__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -198,10 +198,14 @@
    * endpoint's time to the first chunk
    */
   uint64_t first_us;
+  /*
+   * what is known of the key of a non-repeatable call that did not run
+   */
+  Mh__Outcome key_outcome;
 };
 #define MH__RESULT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__result__descriptor) \
-    , NULL, MH__OUTCOME__DONE, 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, MH__OUTCOME__DONE, 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, MH__OUTCOME__DONE }
 
 
 struct  Mh__Ack
--- a/model/once.pml
+++ b/model/once.pml
@@ -4,15 +4,17 @@
  * and sent again, refusals, a caller that asks again, restarts, hand-over
  * (taken back, repeated, delayed) and takeover of a VM that is gone.
  *
- * Two claims: the key runs at most once, and a request that was told
- * "not run" never runs.  Each -D below takes one guard out of the protocol;
- * the checker must then find a failure.
+ * Three claims: the key runs at most once; a request that was told "not run"
+ * never runs; and where the owner says so of the key, none of its requests
+ * has run.  Each -D below takes one guard out of the protocol; the checker must
+ * then find a failure.
  *
  *   NO_BOUND      a restarted or taking-over owner runs keys of any time
  *   NO_FREEZE     the owner goes on starting calls while it hands over
  *   NO_SERIAL     an acknowledgement of an earlier hand-over counts
  *   LEASE         an owner that is still listed is taken over
  *   NO_MARK       a refused request is forgotten with its call
+ *   NO_PROOF      "not run" is said of the key by whoever refuses a request
  */
 
 #define OTHER(v) (1 - (v))
@@ -61,8 +63,16 @@
 	fi
 }
 
+/* Only the owner whose ledger covers the key's whole life knows of it. */
+#ifdef NO_PROOF
+#define KNOWS(v) true
+#else
+#define KNOWS(v) (epoch[v] != 0 && !frozen[v] && !row[v] && !bounded[v])
+#endif
+
 inline tell(v, q)
 {
+	assert(!KNOWS(v) || runs == 0);
 	set_rec(v, q, REFUSED);
 	if
 	:: q == 1 -> told1 = true
--- a/model/run.sh
+++ b/model/run.sh
@@ -23,7 +23,7 @@
 	exit 1
 fi
 echo "model: whole, no failure in $states states"
-for v in NO_BOUND NO_FREEZE NO_SERIAL NO_MARK LEASE; do
+for v in NO_BOUND NO_FREEZE NO_SERIAL NO_MARK NO_PROOF LEASE; do
 	n=$(check "$v" "-D$v")
 	if [ "${n:-0}" = 0 ]; then
 		echo "model: $v is not caught" >&2
--- a/regress/net.h
+++ b/regress/net.h
@@ -45,6 +45,8 @@
 	uint32_t parts;
 	bool ended;
 	int64_t at_us;
+	char *once; /* the key that it was asked with, or NULL */
+	uint32_t runs; /* of that key when the answer ended */
 	GString *body;
 };
 
--- a/regress/netfake.c
+++ b/regress/netfake.c
@@ -34,6 +34,8 @@
 {
 	struct net_answer *a = arg;
 
+	g_free(a->once);
+
 	g_string_free(a->body, TRUE);
 	g_free(a);
 }
@@ -344,6 +346,8 @@
 	a->parts++;
 	a->ended = r->last;
 	a->at_us = mh_now(x->k);
+	if (a->once != NULL)
+		a->runs = net_runs(x->net, a->once);
 }
 
 uint64_t
@@ -356,6 +360,8 @@
 
 	ans->caller = ++n->next_caller;
 	ans->body = g_string_new(NULL);
+	if (a->once != NULL)
+		ans->once = g_strconcat("acme/", a->once, NULL);
 	g_hash_table_insert(n->answers, &ans->caller, ans);
 	m->u.request.id = ans->caller;
 	m->u.request.method = g_strdup(a->method == NULL ? "POST" : a->method);
--- a/regress/t_front.c
+++ b/regress/t_front.c
@@ -210,8 +210,8 @@
 
 	mh_fleet_begin(r->fleet);
 	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
-		struct mh_listing l = { ids[i], 0, "desk", r->addr, "d", 8, false,
-			0 };
+		struct mh_listing l = { ids[i], 0, "desk", r->addr, "d", 8,
+			false, 0 };
 
 		mh_fleet_list(r->fleet, &l);
 	}
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -287,8 +287,8 @@
 		f[i] = mh_fleet_create(r->e[i].k);
 		mh_fleet_begin(f[i]);
 		for (int n = 0; n < 3; n++) {
-			struct mh_listing l = { ids[n], 0, "pool", "a:1", "d", 1,
-				false, 0 };
+			struct mh_listing l = { ids[n], 0, "pool", "a:1", "d",
+				1, false, 0 };
 
 			mh_fleet_list(f[i], &l);
 		}
--- a/regress/t_once.c
+++ b/regress/t_once.c
@@ -400,11 +400,140 @@
 	net_run(w.n, 10 * MH_US_PER_MS);
 	CU_ASSERT_EQUAL(net_answer(w.n, a)->status, 200);
 	CU_ASSERT_EQUAL(net_answer(w.n, b)->status, 409);
-	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, b, "outcome"), "not-run");
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, b, "outcome"), "done");
+	CU_ASSERT_STRING_EQUAL(
+	    net_answer_text(w.n, b, "lookup"), "/v1/outcomes/confirm/k8");
 	CU_ASSERT_EQUAL(net_runs(w.n, "acme/k8"), 1);
 	net_destroy(w.n);
 }
 
+/*
+ * Twelve parents' confirmations are answered.  One of three side processes is
+ * killed and not replaced; the pages send their keys once more.  Five were told
+ * "not run" though each had run: those parents book elsewhere and pay twice.
+ * Nobody can know of these keys, which is said, and at once.
+ */
+static void
+test_owner_dead_and_listed(void)
+{
+	struct once_world w;
+	struct net_node *dead;
+	int unknown = 0;
+
+	make(&w, 17);
+	for (int i = 0; i < 12; i++) {
+		char key[24];
+		uint64_t a;
+
+		snprintf(key, sizeof(key), "party-%d", i);
+		a = confirm(w.e[i % 2], key);
+		net_run(w.n, 200 * MH_US_PER_MS);
+		CU_ASSERT_EQUAL(net_answer(w.n, a)->status, 200);
+	}
+	dead = owner_of(&w, "party-0");
+	net_kill(dead);
+	net_run(w.n, 3 * MH_US_PER_S);
+	for (int i = 0; i < 24; i++) {
+		char key[24];
+		int64_t at = net_now(w.n);
+		struct net_answer *ans;
+		const char *outcome;
+		uint64_t a;
+
+		snprintf(key, sizeof(key), "party-%d", i / 2);
+		a = confirm(w.e[i % 2], key);
+		net_run(w.n, 100 * MH_US_PER_MS);
+		ans = net_answer(w.n, a);
+		outcome = net_answer_text(w.n, a, "outcome");
+		CU_ASSERT_TRUE(ans->ended);
+		CU_ASSERT(ans->at_us - at < 100 * MH_US_PER_MS);
+		if (ans->status == 200)
+			continue;
+		unknown++;
+		CU_ASSERT_STRING_EQUAL(outcome, "unknown");
+		CU_ASSERT_EQUAL(ans->status, 503);
+		CU_ASSERT(ans->retry_after_s >= 1);
+		CU_ASSERT(
+		    g_str_has_suffix(net_answer_text(w.n, a, "lookup"), key));
+	}
+	CU_ASSERT(unknown >= 6);
+	CU_ASSERT_EQUAL(net_most_runs(w.n), 1);
+	net_destroy(w.n);
+}
+
+/*
+ * Asked what became of a key whose owner is dead, an entry said "not run" in
+ * the problem that told that nobody answers.
+ */
+static void
+test_lookup_without_owner(void)
+{
+	struct once_world w;
+	struct net_ask g = { .method = "GET",
+		.path = "/v1/outcomes/confirm/k9" };
+	uint64_t a, b, c;
+
+	make(&w, 18);
+	a = confirm(w.e[0], "k9");
+	net_run(w.n, MH_US_PER_S);
+	CU_ASSERT_EQUAL(net_answer(w.n, a)->status, 200);
+	owner_of(&w, "k9")->paused = true;
+	b = net_request(w.e[0], &g);
+	net_run(w.n, 5 * MH_US_PER_S);
+	c = net_request(w.e[1], &g);
+	net_run(w.n, 5 * MH_US_PER_S);
+	CU_ASSERT_EQUAL(net_answer(w.n, b)->status, 503);
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, b, "outcome"), "unknown");
+	CU_ASSERT_EQUAL(net_answer(w.n, c)->status, 503);
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, c, "outcome"), "unknown");
+	net_destroy(w.n);
+}
+
+/*
+ * An overloaded pool, a quota or a body that can't be read refuses a repeat
+ * of a key that has run: only its request is known not to run.  A key that
+ * the owner has never seen is "not run", and so is one on a pipeline that
+ * takes no keys.
+ */
+static void
+test_refusals_of_a_key(void)
+{
+	struct once_world w;
+	struct net_ask hopeless = {
+		.path = "/v1/pipelines/confirm", .once = "k10", .deadline_us = 1
+	};
+	struct net_ask bad = {
+		.path = "/v1/pipelines/confirm", .once = "k10", .body = "["
+	};
+	struct net_ask plain = {
+		.path = "/v1/pipelines/plan", .once = "k10", .body = "["
+	};
+	uint64_t a, b, c, d, e;
+
+	make(&w, 19);
+	a = confirm(w.e[0], "k10");
+	net_run(w.n, MH_US_PER_S);
+	CU_ASSERT_EQUAL(net_answer(w.n, a)->status, 200);
+	b = net_request(w.e[1], &hopeless);
+	c = net_request(w.e[1], &bad);
+	d = net_request(w.e[1], &plain);
+	net_run(w.n, MH_US_PER_S);
+	CU_ASSERT(net_answer(w.n, b)->status >= 500);
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, b, "outcome"), "unknown");
+	CU_ASSERT_EQUAL(net_answer(w.n, c)->status, 400);
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, c, "outcome"), "unknown");
+	CU_ASSERT_STRING_EQUAL(
+	    net_answer_text(w.n, c, "lookup"), "/v1/outcomes/confirm/k10");
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, d, "outcome"), "not-run");
+	for (int i = 0; i < 3; i++)
+		w.s[i]->unsent = true;
+	e = confirm(w.e[0], "k11");
+	net_run(w.n, 5 * MH_US_PER_S);
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, e, "outcome"), "not-run");
+	CU_ASSERT_EQUAL(net_runs(w.n, "acme/k11"), 0);
+	net_destroy(w.n);
+}
+
 struct cut_case {
 	const char *name;
 	uint32_t status;
@@ -547,6 +676,9 @@
 		CU_ASSERT_TRUE(a->ended);
 		if (a->status == 200)
 			CU_ASSERT_EQUAL(net_runs(n, full), 1);
+		/* Whatever was asked with the key before: it had not run. */
+		if (strcmp(outcome, "not-run") == 0)
+			CU_ASSERT_EQUAL(a->runs, 0);
 		/* A key asked again may run for the later request. */
 		if (strcmp(outcome, "not-run") == 0 && !rows[i].again)
 			CU_ASSERT_EQUAL(net_runs(n, full), 0);
@@ -617,6 +749,9 @@
 	{ "outage_stops_nothing", test_outage_stops_nothing },
 	{ "revoke", test_revoke },
 	{ "key_with_another_body", test_key_with_another_body },
+	{ "owner_dead_and_listed", test_owner_dead_and_listed },
+	{ "lookup_without_owner", test_lookup_without_owner },
+	{ "refusals_of_a_key", test_refusals_of_a_key },
 	{ "endpoint_ends", test_endpoint_ends },
 	{ "one_key_across_a_hand_over", test_one_key_across_a_hand_over },
 	{ "random_failures", test_random_failures },
--- a/regress/t_session.c
+++ b/regress/t_session.c
@@ -105,21 +105,39 @@
 	const char *body;
 	uint32_t status;
 	const char *title;
+	const char *outcome;
 };
 
 static const struct bad bads[] = {
-	{ "POST", "/v1/pipelines/plan", "", NULL, NULL, 401, "no-right" },
-	{ "POST", "/v1/pipelines/none", NULL, NULL, NULL, 404, "no-pipeline" },
-	{ "GET", "/v1/pipelines/plan", NULL, NULL, NULL, 404, "no-path" },
-	{ "POST", "/etc/passwd", NULL, NULL, NULL, 404, "no-path" },
-	{ "POST", "/v1/pipelines/plan", NULL, NULL, "{", 400, "bad-body" },
-	{ "POST", "/v1/pipelines/plan", NULL, NULL, "[]", 400, "bad-body" },
+	{ "POST", "/v1/pipelines/plan", "", NULL, NULL, 401, "no-right",
+	    "not-run" },
+	{ "POST", "/v1/pipelines/none", NULL, NULL, NULL, 404, "no-pipeline",
+	    "not-run" },
+	{ "GET", "/v1/pipelines/plan", NULL, NULL, NULL, 404, "no-path",
+	    "not-run" },
+	{ "POST", "/etc/passwd", NULL, NULL, NULL, 404, "no-path", "not-run" },
+	{ "POST", "/v1/pipelines/plan", NULL, NULL, "{", 400, "bad-body",
+	    "not-run" },
+	{ "POST", "/v1/pipelines/plan", NULL, NULL, "[]", 400, "bad-body",
+	    "not-run" },
 	{ "POST", "/v1/pipelines/plan", NULL, NULL, "{\"max_tokens\":-1}", 400,
-	    "bad-max-tokens" },
-	{ "POST", "/v1/pipelines/confirm", NULL, "a/b", NULL, 400, "bad-key" },
-	{ "POST", "/v1/pipelines/confirm", NULL, "a b", NULL, 400, "bad-key" },
-	{ "GET", "/v1/outcomes/plan/x", NULL, NULL, NULL, 404, "no-outcome" },
-	{ "GET", "/v1/outcomes/confirm", NULL, NULL, NULL, 404, "no-outcome" },
+	    "bad-max-tokens", "not-run" },
+	{ "POST", "/v1/pipelines/confirm", NULL, "a/b", NULL, 400, "bad-key",
+	    "not-run" },
+	{ "POST", "/v1/pipelines/confirm", NULL, "a b", NULL, 400, "bad-key",
+	    "not-run" },
+	{ "GET", "/v1/outcomes/plan/x", NULL, NULL, NULL, 404, "no-outcome",
+	    "unknown" },
+	{ "GET", "/v1/outcomes/confirm", NULL, NULL, NULL, 404, "no-outcome",
+	    "unknown" },
+	{ "POST", "/v1/pipelines/confirm", NULL, "k", "{", 400, "bad-body",
+	    "unknown" },
+	{ "POST", "/v1/pipelines/confirm", "", "k", NULL, 401, "no-right",
+	    "unknown" },
+	{ "POST", "/v1/pipelines/none", NULL, "k", NULL, 404, "no-pipeline",
+	    "unknown" },
+	{ "POST", "/v1/pipelines/plan", NULL, "k", "{", 400, "bad-body",
+	    "not-run" },
 };
 
 static void
@@ -142,7 +160,7 @@
 		CU_ASSERT_STRING_EQUAL(
 		    net_answer_text(n, id, "title"), bads[i].title);
 		CU_ASSERT_STRING_EQUAL(
-		    net_answer_text(n, id, "outcome"), "not-run");
+		    net_answer_text(n, id, "outcome"), bads[i].outcome);
 		CU_ASSERT(strlen(net_answer_text(n, id, "remedy")) > 0);
 	}
 	net_destroy(n);
