--- a/lib/cell.c
+++ b/lib/cell.c
@@ -221,8 +221,8 @@
 	}
 	if (m->inputs_gone) {
 		w->shared_us = mh_now(c->k) + SHARED_US;
-		if (b->freed) /* before it had its turn */
-			ss->pool->shared_us = w->shared_us;
+		if (b->freed && !mh_cell_doubts_inputs(c, j, m->stage))
+			ss->pool->shared_us = w->shared_us; /* freed too soon */
 		mh_cell_remake_inputs(c, j, m->stage);
 	}
 	if (m->no_room)
@@ -272,7 +272,6 @@
 	if (end == MH_BATCH_FULL) {
 		w->pause_us = mh_now(c->k) + FULL_PAUSE_US;
 		w->shared_us = mh_now(c->k) + SHARED_US;
-		p->shared_us = w->shared_us;
 	}
 	if (p->trying == b->id) {
 		p->trying = 0;
--- a/lib/cell.h
+++ b/lib/cell.h
@@ -145,6 +145,9 @@
 void mh_cell_drop_results(struct mh_cell *c, struct mh_job *j, uint32_t stage);
 /** mh_cell_need_inputs() - inputs of @stage that were freed are made again. */
 void mh_cell_need_inputs(struct mh_cell *c, struct mh_job *j, uint32_t stage);
+/** mh_cell_doubts_inputs() - a maker of @stage's inputs may have ended. */
+bool mh_cell_doubts_inputs(
+    struct mh_cell *c, const struct mh_job *j, uint32_t stage);
 /** mh_cell_remake_inputs() - inputs of @stage are gone and are made again. */
 void mh_cell_remake_inputs(struct mh_cell *c, struct mh_job *j, uint32_t stage);
 
--- a/lib/cellmade.c
+++ b/lib/cellmade.c
@@ -111,6 +111,20 @@
 	return n == NULL || n->out_until_us > mh_now(c->k);
 }
 
+bool
+mh_cell_doubts_inputs(struct mh_cell *c, const struct mh_job *j, uint32_t stage)
+{
+	for (uint32_t s = 0; s < stage; s++) {
+		if ((j->stages[stage].after >> s & 1) == 0)
+			continue;
+		for (uint32_t i = 0; i < j->stages[s].pieces; i++) {
+			if (in_doubt(c, &j->state->stages[s].made[i]))
+				return true;
+		}
+	}
+	return false;
+}
+
 /*
  * The results that a piece was to read are gone: those whose maker is in
  * doubt are made again, or all where none is.
--- a/lib/cellrun.c
+++ b/lib/cellrun.c
@@ -542,7 +542,6 @@
 	/* A call that waited behind another's says nothing of the endpoint. */
 	if (b->others > 0) {
 		w->shared_us = mh_now(c->k) + SHARED_US;
-		mh_cell_pool_of(c, b->pool)->shared_us = w->shared_us;
 		return;
 	}
 	if (ratio > SHARED_RATIO)
--- a/lib/meshorder.c
+++ b/lib/meshorder.c
@@ -11,6 +11,12 @@
 #define DIALLED 4
 /* Entries that read for all: one may be cut off or die unnoticed. */
 #define READERS 2
+/*
+ * While the platform answers nobody these few find it back.  With all entries
+ * trying, 68 of them made 4,000 of the 7,800 calls of a day in which it was
+ * away for 14 s.
+ */
+#define SEEKERS 3
 /* A process that ran so long is as good a home as any. */
 #define SETTLED_US (8 * MH_US_PER_S)
 /* Processes that were started within this time were started together. */
@@ -166,24 +172,32 @@
 
 /*
  * The first of the order that the platform answers; they are linked to all
- * who would fall back on them.
+ * who would fall back on them.  Whom it does not answer reads only while
+ * nobody before it could: a few seek it, in case it answers nobody.
  */
 bool
 mh_mesh_reads(struct mh_mesh *m)
 {
 	double mine = rank(MH_STAGE_WORK, m->node, m->weight);
+	bool answered = m->view.reads != NULL && m->view.reads(m->view.arg);
 	GHashTableIter it;
 	gpointer key, value;
-	uint32_t before = 0;
+	uint32_t readers = 0, seekers = 0;
 
+	/* Those that start together have not heard of each other yet. */
+	if (mh_mesh_unsettled_us(m) > 0)
+		return false;
 	g_hash_table_iter_init(&it, m->peers);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		const struct peer *p = value;
 
-		before += mh_peer_alive(p) && p->reads && !p->leaving &&
-		    rank(MH_STAGE_WORK, p->node, p->weight) > mine;
+		if (!mh_peer_alive(p) || p->leaving ||
+		    rank(MH_STAGE_WORK, p->node, p->weight) <= mine)
+			continue;
+		readers += p->reads;
+		seekers++;
 	}
-	return before < READERS;
+	return readers < READERS && (answered || seekers < SEEKERS);
 }
 
 /* It can do work for us, or may as far as we know. */
--- a/regress/main.c
+++ b/regress/main.c
@@ -36,6 +36,7 @@
 	{ "http", tests_http },
 	{ "platform", tests_platform },
 	{ "registry", tests_registry },
+	{ "store", tests_store },
 	{ "home", tests_home },
 	{ "front", tests_front },
 	{ "work", tests_work },
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -28,6 +28,7 @@
 extern const struct test tests_http[];
 extern const struct test tests_platform[];
 extern const struct test tests_registry[];
+extern const struct test tests_store[];
 extern const struct test tests_home[];
 extern const struct test tests_front[];
 extern const struct test tests_work[];
--- /dev/null
+++ b/regress/t_store.c
@@ -0,0 +1,251 @@
+/**
+ * DOC: Calls to the platform's store: who makes them while it is away, and
+ * what is read first once it answers.  Over loopback, against a stand-in that
+ * turns callers away for so many calls.
+ */
+
+#include "entries.h"
+#include "platform.h"
+#include "regress.h"
+
+#include <string.h>
+
+#define S MH_US_PER_S
+#define LONGEST_US (8 * MH_US_PER_S)
+
+static const char conf_item[] =
+    "{\"key\":\"op/config\",\"revision\":3,\"asOf\":9,\"value\":"
+    "\"eyJ2ZXJzaW9uIjozLCJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6W119\"}";
+
+/** struct srig - a store that answers after @refuse calls, and its reader. */
+struct srig {
+	struct mh_kern *k;
+	struct mh_loop *loop;
+	struct mh_hcalls *calls;
+	struct mh_hserve *server;
+	struct mh_fleet *fleet;
+	struct plat_store *store;
+	struct plat_view *view;
+	struct plat_members *members;
+	struct mh_timer *late;
+	bool timed_out;
+	uint32_t refuse; /* calls that get 503 */
+	uint32_t early; /* calls that did */
+	uint32_t early_conf; /* of these, for the configuration */
+	uint32_t rows;
+	uint32_t lists;
+	uint32_t leases;
+	uint32_t secrets;
+	bool has_conf;
+};
+
+static void
+on_late(void *arg)
+{
+	struct srig *r = arg;
+
+	r->late = NULL;
+	r->timed_out = true;
+	mh_loop_stop(r->loop);
+}
+
+static void
+say(struct mh_hreq *q, uint32_t status, const char *text)
+{
+	struct mh_headers *h = mh_headers_create();
+
+	mh_headers_add(h, "Content-Type", "application/json");
+	mh_hreq_head(q, status, h, (int64_t)strlen(text));
+	mh_hreq_write(q, text, strlen(text));
+	mh_hreq_end(q);
+	mh_headers_destroy(h);
+}
+
+static void
+answer(struct srig *r, struct mh_hreq *q)
+{
+	const char *target = mh_hreq_target(q);
+
+	if (strstr(target, "op/config") != NULL) {
+		say(q, 200, conf_item);
+	} else if (strstr(target, "servers/") != NULL) {
+		r->rows++;
+		say(q, 200, "{\"items\":[],\"hasMore\":false,\"asOf\":9}");
+	} else if (strstr(target, "marlhoist/entries/") != NULL) {
+		r->lists++;
+		say(q, 200, "{\"items\":[],\"hasMore\":false,\"asOf\":9}");
+	} else if (strstr(target, "marlhoist/secret") != NULL) {
+		r->secrets++;
+		say(q, 200,
+		    "{\"key\":\"marlhoist/secret\",\"revision\":2,"
+		    "\"value\":\"c2VjcmV0\"}");
+	} else if (strcmp(target, "/kv-lease") == 0) {
+		r->leases++;
+		say(q, 200, "{\"lease\":5,\"ttlMs\":20000}");
+	} else {
+		say(q, 200, "{\"revision\":10}");
+	}
+}
+
+static void
+on_request(void *arg, struct mh_hreq *q)
+{
+	struct srig *r = arg;
+
+	if (r->early < r->refuse) {
+		r->early++;
+		r->early_conf +=
+		    strstr(mh_hreq_target(q), "key=op/config") != NULL;
+		say(q, 503, "{}");
+		return;
+	}
+	answer(r, q);
+	if (r->has_conf && r->rows > 0 && r->lists > 0 && r->leases > 0 &&
+	    r->secrets > 0)
+		mh_loop_stop(r->loop);
+}
+
+static void
+on_gone(void *arg, struct mh_hreq *q)
+{
+	(void)arg;
+	(void)q;
+}
+
+static void
+on_conf(void *arg, struct mh_gconf *c)
+{
+	(void)c;
+	((struct srig *)arg)->has_conf = true;
+}
+
+static bool
+is_reader(void *arg)
+{
+	(void)arg;
+	return true;
+}
+
+static void
+on_entries(void *arg, GPtrArray *entries)
+{
+	(void)arg;
+	(void)entries;
+}
+
+static void
+on_secret(void *arg, const char *text)
+{
+	(void)arg;
+	(void)text;
+}
+
+static void
+run(struct srig *r, uint32_t refuse)
+{
+	struct mh_hserve_args a = { .listen = "127.0.0.1:0",
+		.limits = { 4096, 65536, 3 * S, 9 * S },
+		.on_request = on_request,
+		.on_gone = on_gone,
+		.arg = r };
+	struct plat_view_fns fns = { on_conf, is_reader, r };
+	struct plat_member_fns member_fns = { on_entries, on_secret, is_reader,
+		r };
+	struct mh_member self = { (char *)"e0", (char *)"127.0.0.1:9", 1 };
+	char addr[32];
+
+	memset(r, 0, sizeof(*r));
+	r->refuse = refuse;
+	r->k = mh_kern_create(1);
+	r->loop = mh_loop_create(r->k, NULL);
+	r->server = mh_hserve_create(r->loop, &a, NULL);
+	r->calls = mh_hcalls_create(r->loop);
+	g_snprintf(
+	    addr, sizeof(addr), "127.0.0.1:%u", mh_hserve_port(r->server));
+	r->fleet = mh_fleet_create(r->k);
+	r->store = plat_store_create(r->k, r->calls, addr);
+	r->view = plat_view_create(r->k, r->store, r->fleet, &fns);
+	r->members = plat_members_create(r->k, r->store, &member_fns);
+	plat_members_announce(r->members, &self);
+	r->late = mh_timer_start(r->k, LONGEST_US, on_late, r);
+	mh_loop_run(r->loop);
+	mh_timer_stop(r->k, &r->late);
+	CU_ASSERT_FALSE(r->timed_out);
+}
+
+static void
+finish(struct srig *r)
+{
+	plat_members_destroy(r->members);
+	plat_view_destroy(r->view);
+	plat_store_destroy(r->store);
+	mh_fleet_destroy(r->fleet);
+	mh_hserve_destroy(r->server);
+	mh_hcalls_destroy(r->calls);
+	mh_loop_destroy(r->loop);
+	mh_kern_destroy(r->k);
+}
+
+/*
+ * All processes lose power while the store is away.  Each made five kinds of
+ * calls, over and over, that nobody answered; now one of each finds the store
+ * back, and all that is needed is read at once.
+ */
+static void
+test_one_call_finds_it_back(void)
+{
+	struct srig r;
+
+	run(&r, 6);
+	CU_ASSERT_EQUAL(r.early, 6);
+	CU_ASSERT_EQUAL(r.early_conf, 6);
+	CU_ASSERT_FALSE(plat_store_away(r.store));
+	finish(&r);
+}
+
+static void
+test_all_is_read_at_once(void)
+{
+	struct srig r;
+
+	run(&r, 0);
+	CU_ASSERT_EQUAL(r.rows, 1);
+	CU_ASSERT_EQUAL(r.leases, 1);
+	CU_ASSERT_EQUAL(r.secrets, 1);
+	finish(&r);
+}
+
+/*
+ * The platform answers nobody for seconds.  Every entry took itself for one of
+ * those that read for all, since none before it could: the calls of all were
+ * counted and none was answered.
+ */
+static void
+test_few_seek_it(void)
+{
+	struct mrig *r = mrig_create();
+	uint32_t n = 0;
+
+	mrig_run(r, 2 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		r->e[i].reads = false;
+	mrig_run(r, 1 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		n += mh_mesh_reads(r->e[i].m);
+	CU_ASSERT_EQUAL(n, 3);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		r->e[i].reads = true;
+	mrig_run(r, 1 * S);
+	n = 0;
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		n += mh_mesh_reads(r->e[i].m);
+	CU_ASSERT_EQUAL(n, 2);
+	mrig_destroy(r);
+}
+
+const struct test tests_store[] = {
+	{ "store: one call finds it back", test_one_call_finds_it_back },
+	{ "store: all is read at once", test_all_is_read_at_once },
+	{ "store: a few seek it", test_few_seek_it },
+	{ NULL, NULL },
+};
