--- a/lib/entry.c
+++ b/lib/entry.c
@@ -78,12 +78,14 @@
 {
 	struct mh_decl *d = mh_conf_get(e->k);
 	const struct mh_pipeline *pl = NULL;
-	const char *name = m->path + strlen(PREFIX_PIPELINES);
+	const char *name = NULL;
 
 	memset(a, 0, sizeof(*a));
 	if (m->idempotency_key == NULL || !entry_good_key(m->idempotency_key))
 		return; /* no such key is ever taken */
-	if (d != NULL && g_str_has_prefix(m->path, PREFIX_PIPELINES))
+	if (g_str_has_prefix(m->path, PREFIX_PIPELINES))
+		name = m->path + strlen(PREFIX_PIPELINES);
+	if (d != NULL && name != NULL)
 		pl = mh_decl_pipeline(d, name);
 	if (pl != NULL && !pipe_last(pl)->never)
 		return; /* there keys mean nothing */
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -57,13 +57,6 @@
 #define ROWS_WAIT_US (150 * MH_US_PER_MS)
 /* Our own timer was late by so much: this process did not run. */
 #define AWAY_US (600 * MH_US_PER_MS)
-/* Weights travel in whole units of this part of one. */
-#define WEIGHT_UNIT 10000.0
-/* An entry that another told of is known so long, unless told of again... */
-#define TOLD_US (10 * MH_US_PER_S)
-/* ...which is done so often at most. */
-#define HINT_US (200 * MH_US_PER_MS)
-
 static void on_timer(void *arg);
 
 static void
@@ -76,13 +69,6 @@
 	g_free(p);
 }
 
-/* All who rank an entry must have the very same weight of it. */
-static uint32_t
-weight_units(double weight)
-{
-	return MAX((uint32_t)(weight * WEIGHT_UNIT + 0.5), 1);
-}
-
 uint64_t
 mh_peer_link(const struct peer *p)
 {
@@ -96,12 +82,6 @@
 	    mh_now(p->m->k) - p->heard_us < SILENT_US;
 }
 
-bool
-mh_peer_known(const struct peer *p)
-{
-	return p->listed || mh_now(p->m->k) < p->told_until_us;
-}
-
 /* frames */
 
 static void
@@ -116,8 +96,8 @@
 	mh_post(m->k, "link", msg);
 }
 
-static void
-send_to(struct mh_mesh *m, uint64_t conn, Mh__Frame *f)
+void
+mh_mesh_send_conn(struct mh_mesh *m, uint64_t conn, Mh__Frame *f)
 {
 	GBytes *frame = mh_frame_pack(f);
 
@@ -132,7 +112,7 @@
 
 	if (p == NULL || mh_peer_link(p) == 0)
 		return false;
-	send_to(m, mh_peer_link(p), f);
+	mh_mesh_send_conn(m, mh_peer_link(p), f);
 	return true;
 }
 
@@ -239,7 +219,7 @@
 {
 	b->leaving = m->leaving;
 	b->uptime_us = (uint64_t)(mh_now(m->k) - m->started_us);
-	b->weight = weight_units(m->weight);
+	b->weight = mh_weight_units(m->weight);
 	if (m->view.ready == NULL)
 		return;
 	b->ready = m->view.ready(m->view.arg);
@@ -260,7 +240,7 @@
 	f.body_case = MH__FRAME__BODY_BEAT;
 	f.beat = &b;
 	if (conn != 0)
-		send_to(m, conn, &f);
+		mh_mesh_send_conn(m, conn, &f);
 	else
 		mh_mesh_send_all(m, &f);
 }
@@ -294,7 +274,7 @@
 		ask.rows_since = m->view.rows_have(m->view.arg);
 	f.body_case = MH__FRAME__BODY_VIEW_ASK;
 	f.view_ask = &ask;
-	send_to(m, mh_peer_link(p), &f);
+	mh_mesh_send_conn(m, mh_peer_link(p), &f);
 }
 
 static void
@@ -340,15 +320,13 @@
 	m->rows_bytes += v.rows.len;
 	f.body_case = MH__FRAME__BODY_VIEW;
 	f.view = &v;
-	send_to(m, mh_peer_link(p), &f);
+	mh_mesh_send_conn(m, mh_peer_link(p), &f);
 	if (s.conf != NULL)
 		g_bytes_unref(s.conf);
 	if (s.rows != NULL)
 		g_bytes_unref(s.rows);
 }
 
-static void take_known(struct mh_mesh *m, const Mh__Known *k);
-
 static void
 take_frame(struct mh_mesh *m, const struct mh_link_msg *l)
 {
@@ -368,7 +346,7 @@
 		take_beat(m, p, f->beat);
 		break;
 	case MH__FRAME__BODY_KNOWN:
-		take_known(m, f->known);
+		mh_mesh_take_known(m, f->known);
 		break;
 	case MH__FRAME__BODY_VIEW_ASK:
 		answer_view(m, p, f->view_ask);
@@ -391,8 +369,8 @@
 
 /* links */
 
-static struct peer *
-peer_of(struct mh_mesh *m, const char *node)
+struct peer *
+mh_peer_of(struct mh_mesh *m, const char *node)
 {
 	struct peer *p = g_hash_table_lookup(m->peers, node);
 
@@ -414,7 +392,7 @@
 static void
 link_up(struct mh_mesh *m, const struct mh_link_msg *l)
 {
-	struct peer *p = peer_of(m, l->vm);
+	struct peer *p = mh_peer_of(m, l->vm);
 	uint64_t *slot = l->inbound ? &p->in : &p->out;
 
 	if (*slot != 0 && *slot != l->conn) {
@@ -590,64 +568,14 @@
 
 		if (strcmp(e->node, m->node) == 0)
 			continue;
-		p = peer_of(m, e->node);
+		p = mh_peer_of(m, e->node);
 		p->listed = true;
-		p->weight = weight_units(e->weight) / WEIGHT_UNIT;
+		p->weight = mh_weight_units(e->weight) / WEIGHT_UNIT;
 		g_free(p->addr);
 		p->addr = g_strdup(e->addr);
 	}
 }
 
-/*
- * An entry that the store turns away drops out of its list after some seconds,
- * though it serves on.  Who read the list before still takes it for the home;
- * one that restarts reads the list without it and chose another, which then
- * called the same endpoints, for as long as the store turned the first away.
- * So whoever gets work for which another is the home tells of that one.
- */
-void
-mh_mesh_hint(struct mh_mesh *m, const char *node, const char *home)
-{
-	struct peer *to = g_hash_table_lookup(m->peers, node);
-	struct peer *p = g_hash_table_lookup(m->peers, home);
-	Mh__Frame f = MH__FRAME__INIT;
-	Mh__Known k = MH__KNOWN__INIT;
-
-	if (to == NULL || to == p || p == NULL || p->addr == NULL ||
-	    mh_peer_link(to) == 0 ||
-	    (to->hinted_us != 0 && mh_now(m->k) - to->hinted_us < HINT_US))
-		return;
-	to->hinted_us = mh_now(m->k);
-	k.node = p->node;
-	k.addr = p->addr;
-	k.weight = weight_units(p->weight);
-	f.body_case = MH__FRAME__BODY_KNOWN;
-	f.known = &k;
-	send_to(m, mh_peer_link(to), &f);
-}
-
-static void
-take_known(struct mh_mesh *m, const Mh__Known *k)
-{
-	char host[MH_HOST_LEN];
-	uint16_t port;
-	struct peer *p;
-
-	if (*k->node == '\0' || strcmp(k->node, m->node) == 0 ||
-	    !mh_addr_parse(k->addr, host, &port))
-		return;
-	p = peer_of(m, k->node);
-	if (!mh_peer_known(p))
-		mh_event(
-		    m->k, "entry-told-of", "node=%s addr=%s", k->node, k->addr);
-	p->told_until_us = mh_now(m->k) + TOLD_US;
-	if (p->listed)
-		return; /* the list has its address and weight */
-	p->weight = k->weight / WEIGHT_UNIT;
-	g_free(p->addr);
-	p->addr = g_strdup(k->addr);
-}
-
 void
 mh_mesh_leave(struct mh_mesh *m)
 {
@@ -694,7 +622,7 @@
 
 	m->k = k;
 	m->node = g_strdup(node);
-	m->weight = weight_units(weight) / WEIGHT_UNIT;
+	m->weight = mh_weight_units(weight) / WEIGHT_UNIT;
 	m->started_us = m->ticked_us = mh_now(k);
 	m->slices = 1;
 	m->peers =
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -39,6 +39,9 @@
 
 #define MAX_CASES 64
 
+/* Weights travel in whole units of this part of one. */
+#define WEIGHT_UNIT 10000.0
+
 struct mh_mesh {
 	struct mh_kern *k;
 	char *node;
@@ -71,6 +74,14 @@
 void mh_mesh_look(struct mh_mesh *m);
 /** mh_mesh_begun_us() - since when it looks for the others. */
 int64_t mh_mesh_begun_us(const struct mh_mesh *m);
+/** mh_weight_units() - a weight as it travels, in units of WEIGHT_UNIT. */
+uint32_t mh_weight_units(double weight);
+/** mh_peer_of() - the peer of that name, made when first heard of. */
+struct peer *mh_peer_of(struct mh_mesh *m, const char *node);
+/** mh_mesh_send_conn() - a frame to one link. */
+void mh_mesh_send_conn(struct mh_mesh *m, uint64_t conn, Mh__Frame *f);
+/** mh_mesh_take_known() - another entry tells of one. */
+void mh_mesh_take_known(struct mh_mesh *m, const Mh__Known *k);
 /** mh_mesh_want_links() - marks the peers that are worth a link. */
 void mh_mesh_want_links(struct mh_mesh *m);
 
--- /dev/null
+++ b/lib/meshknown.c
@@ -0,0 +1,73 @@
+/**
+ * DOC: Entries that the platform's list lacks: others tell of them.
+ */
+
+#include "meshint.h"
+
+/* An entry that another told of is known so long, unless told of again... */
+#define TOLD_US (10 * MH_US_PER_S)
+/* ...which is done so often at most. */
+#define HINT_US (200 * MH_US_PER_MS)
+
+/* All who rank an entry must have the very same weight of it. */
+uint32_t
+mh_weight_units(double weight)
+{
+	return MAX((uint32_t)(weight * WEIGHT_UNIT + 0.5), 1);
+}
+
+bool
+mh_peer_known(const struct peer *p)
+{
+	return p->listed || mh_now(p->m->k) < p->told_until_us;
+}
+
+/*
+ * An entry that the store turns away drops out of its list after some seconds,
+ * though it serves on.  Who read the list before still takes it for the home;
+ * one that restarts reads the list without it and chose another, which then
+ * called the same endpoints, for as long as the store turned the first away.
+ * So whoever gets work for which another is the home tells of that one.
+ */
+void
+mh_mesh_hint(struct mh_mesh *m, const char *node, const char *home)
+{
+	struct peer *to = g_hash_table_lookup(m->peers, node);
+	struct peer *p = g_hash_table_lookup(m->peers, home);
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__Known k = MH__KNOWN__INIT;
+
+	if (to == NULL || to == p || p == NULL || p->addr == NULL ||
+	    mh_peer_link(to) == 0 ||
+	    (to->hinted_us != 0 && mh_now(m->k) - to->hinted_us < HINT_US))
+		return;
+	to->hinted_us = mh_now(m->k);
+	k.node = p->node;
+	k.addr = p->addr;
+	k.weight = mh_weight_units(p->weight);
+	f.body_case = MH__FRAME__BODY_KNOWN;
+	f.known = &k;
+	mh_mesh_send_conn(m, mh_peer_link(to), &f);
+}
+
+void
+mh_mesh_take_known(struct mh_mesh *m, const Mh__Known *k)
+{
+	char host[MH_HOST_LEN];
+	uint16_t port;
+	struct peer *p;
+
+	if (*k->node == '\0' || strcmp(k->node, m->node) == 0 ||
+	    !mh_addr_parse(k->addr, host, &port))
+		return;
+	p = mh_peer_of(m, k->node);
+	if (!mh_peer_known(p))
+		mh_event(
+		    m->k, "entry-told-of", "node=%s addr=%s", k->node, k->addr);
+	p->told_until_us = mh_now(m->k) + TOLD_US;
+	if (p->listed)
+		return; /* the list has its address and weight */
+	p->weight = k->weight / WEIGHT_UNIT;
+	g_free(p->addr);
+	p->addr = g_strdup(k->addr);
+}
