--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -155,8 +155,7 @@
 	m->view = *v;
 }
 
-/* It has just started, woken up or lost all links: it has to find the others.
- */
+/* It has just started, or woken up, and has to find the others. */
 static bool
 is_young(const struct mh_mesh *m)
 {
--- a/regress/t_platform.c
+++ b/regress/t_platform.c
@@ -1,6 +1,6 @@
 /**
  * DOC: Contract tables of the users' platform: settings, configuration,
- * headers in and out.  Rows of the registry are in t_registry.
+ * headers in and out.  Rows of the registry are in t_platform_rows.
  */
 
 #include "platform.h"
