--- a/lib/celltold.c
+++ b/lib/celltold.c
@@ -36,24 +36,26 @@
 	c->ops.ask(c->ops.arg, c, node);
 }
 
-/* A call that the endpoint neither works on nor keeps waiting is lost. */
-static void
-end_lost_calls(struct mh_cell *c, const char *node)
+/* Gives up the calls to an endpoint that were sent so long ago; their number.
+ */
+static uint32_t
+end_calls(struct mh_cell *c, const char *node, int64_t age_us)
 {
 	GList *all = g_hash_table_get_values(c->batches);
 	int64_t now = mh_now(c->k);
+	uint32_t n = 0;
 
 	for (GList *l = all; l != NULL; l = l->next) {
 		struct mh_batch *b = l->data;
 
-		if (now - b->sent_us < REPORT_LAG_US ||
-		    strcmp(b->node, node) != 0)
+		if (now - b->sent_us < age_us || strcmp(b->node, node) != 0)
 			continue;
-		mh_count(c->k, "stage_calls_found_lost", 1);
 		c->ops.abort(c->ops.arg, b);
 		mh_cell_batch_end(c, b, MH_BATCH_LOST);
+		n++;
 	}
 	g_list_free(all);
+	return n;
 }
 
 void
@@ -68,8 +70,10 @@
 	mh_event(c->k, "stage-report", "node=%s told=%d running=%u waiting=%u",
 	    node, r != NULL, r == NULL ? 0 : r->running,
 	    r == NULL ? 0 : r->waiting);
+	/* What it neither works on nor keeps waiting is lost. */
 	if (r != NULL && r->running == 0 && r->waiting == 0)
-		end_lost_calls(c, node);
+		mh_count(c->k, "stage_calls_found_lost",
+		    end_calls(c, node, REPORT_LAG_US));
 }
 
 /*
@@ -80,18 +84,9 @@
 void
 mh_cell_restarted(struct mh_cell *c, const char *node)
 {
-	GList *all = g_hash_table_get_values(c->batches);
 	const char *name = g_intern_string(node);
 
-	for (GList *l = all; l != NULL; l = l->next) {
-		struct mh_batch *b = l->data;
-
-		if (strcmp(b->node, node) != 0)
-			continue;
-		c->ops.abort(c->ops.arg, b);
-		mh_cell_batch_end(c, b, MH_BATCH_LOST);
-	}
-	g_list_free(all);
+	end_calls(c, node, 0);
 	for (guint i = 0; i < c->jobs->len; i++)
 		mh_cell_remake_from(c, g_ptr_array_index(c->jobs, i), name);
 	mh_cell_dispatch_all(c);
