An entry tells what it drops at its end

Cause: with lines left out over the rate, a missing 'send' line does not tell a request that still waits for stage work from one that is at an endpoint, or from one whose answer was made and not delivered. Ruled out: by reading the logs alone, nothing. Change: lines 'cut' (how far each open request had come) and 'callers-cut' (connections not answered, not sent, not wholly read), counter 'cut'. No change of a decision.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -531,6 +531,39 @@
 	return g;
 }
 
+static const char *
+state_name(enum mh_gstate state)
+{
+	static const char *const names[] = { [MH_ASK_STAGES] = "stages",
+		[MH_ASK_TRYING] = "sent",
+		[MH_ASK_ANSWERING] = "answering",
+		[MH_ASK_ENDED] = "ended" };
+
+	return names[state];
+}
+
+/* A caller whose request this is gets no answer: how far had it come? */
+static void
+log_cut(struct mh_gate *g, const struct mh_gask *q)
+{
+	uint32_t made = 0, stages = 0;
+
+	for (uint32_t s = 0; q->job != NULL && s < q->job->n_stages; s++) {
+		const struct mh_jstage *st = &q->job->stages[s];
+
+		stages += st->pieces > 0;
+		made += st->pieces > 0 && mh_job_stage_made(st);
+	}
+	mh_count(g->k, "cut", 1);
+	mh_event(g->k, "cut",
+	    "id=%s state=%s stages_made=%u/%u waited_ms=%" PRId64
+	    " left_ms=%" PRId64 " tries=%u runs=%u node=%s",
+	    q->id, state_name(q->state), made, stages,
+	    mh_ms(mh_now(g->k) - q->arrived_us),
+	    mh_ms(q->until_us - mh_now(g->k)), q->n_tried, q->runs,
+	    q->n_tried > 0 ? q->tried[q->n_tried - 1] : "-");
+}
+
 void
 mh_gate_destroy(struct mh_gate *g)
 {
@@ -539,8 +572,10 @@
 	if (g == NULL)
 		return;
 	all = g_hash_table_get_keys(g->asks);
-	for (GList *l = all; l != NULL; l = l->next)
+	for (GList *l = all; l != NULL; l = l->next) {
+		log_cut(g, l->data);
 		mh_gate_close(g, l->data, true);
+	}
 	g_list_free(all);
 	g_hash_table_destroy(g->asks);
 	g_hash_table_destroy(g->deadlines);
--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -639,6 +639,28 @@
 	return s;
 }
 
+/* Callers that get no whole answer since the server ends now. */
+static void
+log_cut(struct mh_hserve *s)
+{
+	GHashTableIter it;
+	gpointer key;
+	uint32_t unanswered = 0, unsent = 0, half_read = 0;
+
+	g_hash_table_iter_init(&it, s->conns);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		const struct conn *c = key;
+
+		unanswered += c->state == CONN_ANSWERING;
+		unsent += c->out->len > 0;
+		half_read += c->state == CONN_READING && c->began;
+	}
+	if (unanswered + unsent + half_read > 0)
+		mh_event(s->k, "callers-cut",
+		    "unanswered=%u unsent=%u half_read=%u", unanswered, unsent,
+		    half_read);
+}
+
 void
 mh_hserve_destroy(struct mh_hserve *s)
 {
@@ -646,6 +668,7 @@
 
 	if (s == NULL)
 		return;
+	log_cut(s);
 	all = g_hash_table_get_keys(s->conns);
 	for (GList *n = all; n != NULL; n = n->next)
 		free_conn(n->data);
