Tests: the gate's rig in a file of its own

Ruled out: a second rig. Change: gaterig.[ch]; names with a prefix; no test changed. Conclusion: a move alone.

--- /dev/null
+++ b/regress/gaterig.c
@@ -0,0 +1,185 @@
+/**
+ * DOC: A gate whose other sides are counters.
+ */
+
+#include "gaterig.h"
+
+#include <string.h>
+
+void
+grig_end(struct grig *r, struct mh_gask *q)
+{
+	g_ptr_array_remove(r->open, q);
+	mh_gask_destroy(q);
+}
+
+static void
+op_send(void *arg, struct mh_try *t)
+{
+	struct grig *r = arg;
+
+	r->cur = t;
+	r->sends++;
+	g_strlcpy(r->last, t->node, sizeof(r->last));
+	g_strlcpy(r->resume, t->resume_after == NULL ? "" : t->resume_after,
+	    sizeof(r->resume));
+}
+
+static void
+op_abort(void *arg, struct mh_try *t)
+{
+	struct grig *r = arg;
+
+	if (t == r->cur)
+		r->cur = NULL;
+	r->aborts++;
+}
+
+static void
+op_refuse(
+    void *arg, struct mh_gask *q, enum mh_gate_refusal why, int64_t retry_us)
+{
+	struct grig *r = arg;
+
+	r->refused++;
+	r->why = why;
+	r->retry_us = retry_us;
+	grig_end(r, q);
+}
+
+static void
+op_finish(void *arg, struct mh_gask *q)
+{
+	((struct grig *)arg)->finished++;
+	grig_end(arg, q);
+}
+
+static void
+op_break(void *arg, struct mh_gask *q)
+{
+	((struct grig *)arg)->broken++;
+	grig_end(arg, q);
+}
+
+static void
+op_submit(void *arg, struct mh_job *j)
+{
+	struct grig *r = arg;
+
+	r->jobs++;
+	r->job = j;
+}
+
+static void
+op_drop(void *arg, struct mh_job *j)
+{
+	(void)j;
+	((struct grig *)arg)->dropped++;
+}
+
+static void
+add_route(struct grig *r, const char *name, bool stream, enum mh_repeat repeat,
+    uint32_t attempts)
+{
+	struct mh_groute *t = mh_groute_create();
+	struct mh_gtarget to = { g_strdup("pool"), 1 };
+
+	t->name = g_strdup(name);
+	t->host = g_strdup("h.example");
+	t->prefix = g_strdup_printf("/%s/", name);
+	t->stream = stream;
+	t->repeat = repeat;
+	t->attempts = attempts;
+	t->timeout_us = 6 * S;
+	t->aim_us = 1 * S;
+	g_array_append_val(t->targets, to);
+	g_ptr_array_add(r->conf->routes, t);
+}
+
+static void
+add_pool(struct grig *r, uint32_t n)
+{
+	static const char *const ids[] = { "n0", "n1", "n2", "n3" };
+
+	mh_fleet_begin(r->f);
+	for (uint32_t i = 0; i < n; i++) {
+		struct mh_listing l = { ids[i], 0, "pool", "10.0.0.1:1", "d", 8,
+			false, 0 };
+
+		mh_fleet_list(r->f, &l);
+	}
+	mh_fleet_end(r->f);
+}
+
+struct grig *
+grig_create(uint32_t nodes)
+{
+	struct grig *r = g_new0(struct grig, 1);
+	struct mh_budget_args b = { 0.2, 50, 10 * S };
+	struct mh_gate_ops ops = { op_send, op_abort, op_refuse, op_finish,
+		op_break, r, op_submit, op_drop, op_drop, r };
+
+	r->k = mh_kern_create(3);
+	r->open = g_ptr_array_new();
+	r->now_us = S;
+	mh_kern_advance(r->k, S, S);
+	r->f = mh_fleet_create(r->k);
+	r->p = mh_place_create(r->k, r->f);
+	r->b = mh_budget_create(r->k, &b);
+	r->g = mh_gate_create(r->k, r->f, r->p, r->b, &ops, "d");
+	r->conf = mh_gconf_create();
+	add_route(r, "safe", false, MH_REPEAT_SAFE, 2);
+	add_route(r, "once", false, MH_REPEAT_NEVER, 1);
+	add_route(r, "resume", true, MH_REPEAT_RESUME, 2);
+	add_route(r, "stream", true, MH_REPEAT_NEVER, 1);
+	add_pool(r, nodes);
+	mh_gate_conf(r->g, r->conf);
+	return r;
+}
+
+void
+grig_destroy(struct grig *r)
+{
+	mh_gate_destroy(r->g);
+	while (r->open->len > 0)
+		grig_end(r, g_ptr_array_index(r->open, 0));
+	g_ptr_array_free(r->open, TRUE);
+	mh_place_destroy(r->p);
+	mh_budget_destroy(r->b);
+	mh_fleet_destroy(r->f);
+	mh_gconf_unref(r->conf);
+	mh_kern_destroy(r->k);
+	g_free(r);
+}
+
+void
+grig_pass(struct grig *r, int64_t us)
+{
+	r->now_us += us;
+	mh_kern_advance(r->k, r->now_us, r->now_us);
+}
+
+struct mh_gask *
+grig_ask(struct grig *r, const char *target, int64_t deadline_us)
+{
+	struct mh_gask *q = mh_gask_create("id");
+
+	q->host = g_strdup("h.example");
+	q->target = target;
+	q->deadline_us = deadline_us;
+	g_ptr_array_add(r->open, q);
+	mh_gate_take(r->g, q);
+	return q;
+}
+
+void
+grig_answer(struct grig *r, uint32_t status, bool not_run, bool genuine)
+{
+	struct mh_gans a = {
+		.status = status, .not_run = not_run, .genuine = genuine
+	};
+	struct mh_try *t = r->cur;
+
+	if (mh_gate_head(r->g, t, &a) != MH_DROP)
+		mh_gate_end(r->g, t, MH_CALL_WHOLE);
+}
--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -2,217 +2,11 @@
  * DOC: One request from its arrival to its end, its endpoint, its repeats.
  */
 
-#include "gate.h"
+#include "gaterig.h"
 #include "regress.h"
 
 #include <string.h>
 
-#define MS MH_US_PER_MS
-#define S MH_US_PER_S
-
-/** struct grig - a gate whose other sides are counters. */
-struct grig {
-	struct mh_kern *k;
-	struct mh_fleet *f;
-	struct mh_place *p;
-	struct mh_budget *b;
-	struct mh_gate *g;
-	struct mh_gconf *conf;
-	int64_t now_us;
-	struct mh_try *cur; /* last sent, NULL once aborted */
-	char last[16]; /* endpoint of the last try */
-	char resume[16]; /* where it goes on */
-	uint32_t sends;
-	uint32_t aborts;
-	uint32_t finished;
-	uint32_t broken;
-	uint32_t refused;
-	uint32_t jobs;
-	uint32_t dropped;
-	enum mh_gate_refusal why;
-	int64_t retry_us;
-	struct mh_job *job;
-	GPtrArray *open; /* requests that have not ended */
-};
-
-static void
-end(struct grig *r, struct mh_gask *q)
-{
-	g_ptr_array_remove(r->open, q);
-	mh_gask_destroy(q);
-}
-
-static void
-op_send(void *arg, struct mh_try *t)
-{
-	struct grig *r = arg;
-
-	r->cur = t;
-	r->sends++;
-	g_strlcpy(r->last, t->node, sizeof(r->last));
-	g_strlcpy(r->resume, t->resume_after == NULL ? "" : t->resume_after,
-	    sizeof(r->resume));
-}
-
-static void
-op_abort(void *arg, struct mh_try *t)
-{
-	struct grig *r = arg;
-
-	if (t == r->cur)
-		r->cur = NULL;
-	r->aborts++;
-}
-
-static void
-op_refuse(
-    void *arg, struct mh_gask *q, enum mh_gate_refusal why, int64_t retry_us)
-{
-	struct grig *r = arg;
-
-	r->refused++;
-	r->why = why;
-	r->retry_us = retry_us;
-	end(r, q);
-}
-
-static void
-op_finish(void *arg, struct mh_gask *q)
-{
-	((struct grig *)arg)->finished++;
-	end(arg, q);
-}
-
-static void
-op_break(void *arg, struct mh_gask *q)
-{
-	((struct grig *)arg)->broken++;
-	end(arg, q);
-}
-
-static void
-op_submit(void *arg, struct mh_job *j)
-{
-	struct grig *r = arg;
-
-	r->jobs++;
-	r->job = j;
-}
-
-static void
-op_drop(void *arg, struct mh_job *j)
-{
-	(void)j;
-	((struct grig *)arg)->dropped++;
-}
-
-static void
-add_route(struct grig *r, const char *name, bool stream, enum mh_repeat repeat,
-    uint32_t attempts)
-{
-	struct mh_groute *t = mh_groute_create();
-	struct mh_gtarget to = { g_strdup("pool"), 1 };
-
-	t->name = g_strdup(name);
-	t->host = g_strdup("h.example");
-	t->prefix = g_strdup_printf("/%s/", name);
-	t->stream = stream;
-	t->repeat = repeat;
-	t->attempts = attempts;
-	t->timeout_us = 6 * S;
-	t->aim_us = 1 * S;
-	g_array_append_val(t->targets, to);
-	g_ptr_array_add(r->conf->routes, t);
-}
-
-static void
-add_pool(struct grig *r, uint32_t n)
-{
-	static const char *const ids[] = { "n0", "n1", "n2", "n3" };
-
-	mh_fleet_begin(r->f);
-	for (uint32_t i = 0; i < n; i++) {
-		struct mh_listing l = { ids[i], 0, "pool", "10.0.0.1:1", "d", 8,
-			false, 0 };
-
-		mh_fleet_list(r->f, &l);
-	}
-	mh_fleet_end(r->f);
-}
-
-static struct grig *
-grig_create(uint32_t nodes)
-{
-	struct grig *r = g_new0(struct grig, 1);
-	struct mh_budget_args b = { 0.2, 50, 10 * S };
-	struct mh_gate_ops ops = { op_send, op_abort, op_refuse, op_finish,
-		op_break, r, op_submit, op_drop, op_drop, r };
-
-	r->k = mh_kern_create(3);
-	r->open = g_ptr_array_new();
-	r->now_us = S;
-	mh_kern_advance(r->k, S, S);
-	r->f = mh_fleet_create(r->k);
-	r->p = mh_place_create(r->k, r->f);
-	r->b = mh_budget_create(r->k, &b);
-	r->g = mh_gate_create(r->k, r->f, r->p, r->b, &ops, "d");
-	r->conf = mh_gconf_create();
-	add_route(r, "safe", false, MH_REPEAT_SAFE, 2);
-	add_route(r, "once", false, MH_REPEAT_NEVER, 1);
-	add_route(r, "resume", true, MH_REPEAT_RESUME, 2);
-	add_route(r, "stream", true, MH_REPEAT_NEVER, 1);
-	add_pool(r, nodes);
-	mh_gate_conf(r->g, r->conf);
-	return r;
-}
-
-static void
-grig_destroy(struct grig *r)
-{
-	mh_gate_destroy(r->g);
-	while (r->open->len > 0)
-		end(r, g_ptr_array_index(r->open, 0));
-	g_ptr_array_free(r->open, TRUE);
-	mh_place_destroy(r->p);
-	mh_budget_destroy(r->b);
-	mh_fleet_destroy(r->f);
-	mh_gconf_unref(r->conf);
-	mh_kern_destroy(r->k);
-	g_free(r);
-}
-
-static void
-pass(struct grig *r, int64_t us)
-{
-	r->now_us += us;
-	mh_kern_advance(r->k, r->now_us, r->now_us);
-}
-
-static struct mh_gask *
-ask(struct grig *r, const char *target, int64_t deadline_us)
-{
-	struct mh_gask *q = mh_gask_create("id");
-
-	q->host = g_strdup("h.example");
-	q->target = target;
-	q->deadline_us = deadline_us;
-	g_ptr_array_add(r->open, q);
-	mh_gate_take(r->g, q);
-	return q;
-}
-
-static void
-answer(struct grig *r, uint32_t status, bool not_run, bool genuine)
-{
-	struct mh_gans a = {
-		.status = status, .not_run = not_run, .genuine = genuine
-	};
-	struct mh_try *t = r->cur;
-
-	if (mh_gate_head(r->g, t, &a) != MH_DROP)
-		mh_gate_end(r->g, t, MH_CALL_WHOLE);
-}
-
 /** struct row - what an endpoint does with a request, and what follows. */
 struct row {
 	const char *name;
@@ -265,12 +59,12 @@
 		const struct row *row = &rows[i];
 		struct grig *r = grig_create(4);
 
-		ask(r, row->target, 0);
+		grig_ask(r, row->target, 0);
 		while (r->cur != NULL && r->finished + r->refused == 0) {
 			if (row->status == 0)
 				mh_gate_end(r->g, r->cur, row->end);
 			else
-				answer(
+				grig_answer(
 				    r, row->status, row->not_run, row->genuine);
 		}
 		if (r->sends != row->sends ||
@@ -298,13 +92,13 @@
 {
 	struct grig *r = grig_create(4);
 
-	ask(r, "/safe/x", 0);
-	pass(r, 600 * MS);
+	grig_ask(r, "/safe/x", 0);
+	grig_pass(r, 600 * MS);
 	CU_ASSERT_EQUAL(r->sends, 2);
 	CU_ASSERT_EQUAL(r->aborts, 1);
-	pass(r, 3 * S);
+	grig_pass(r, 3 * S);
 	CU_ASSERT_EQUAL(r->sends, 2);
-	pass(r, 3 * S);
+	grig_pass(r, 3 * S);
 	CU_ASSERT_EQUAL(r->refused, 1);
 	CU_ASSERT_EQUAL(r->why, MH_RUN_TIMEOUT);
 	grig_destroy(r);
@@ -316,11 +110,11 @@
 {
 	struct grig *r = grig_create(4);
 
-	ask(r, "/once/x", 800 * MS);
-	pass(r, 790 * MS);
+	grig_ask(r, "/once/x", 800 * MS);
+	grig_pass(r, 790 * MS);
 	CU_ASSERT_EQUAL(r->sends, 1);
 	CU_ASSERT_EQUAL(r->refused, 0);
-	pass(r, 20 * MS);
+	grig_pass(r, 20 * MS);
 	CU_ASSERT_EQUAL(r->why, MH_RUN_TIMEOUT);
 	CU_ASSERT_EQUAL(r->retry_us, 0);
 	grig_destroy(r);
@@ -331,7 +125,7 @@
 test_stream_resumes(void)
 {
 	struct grig *r = grig_create(4);
-	struct mh_gask *q = ask(r, "/resume/x", 0);
+	struct mh_gask *q = grig_ask(r, "/resume/x", 0);
 	struct mh_gans a = { .status = 200, .genuine = true, .events = true };
 	GString *out = g_string_new(NULL);
 	char first[16];
@@ -362,12 +156,12 @@
 {
 	struct grig *r = grig_create(2);
 	struct mh_gans a = { .status = 200, .genuine = true, .events = true };
-	struct mh_gask *q = ask(r, "/safe/x", 0);
+	struct mh_gask *q = grig_ask(r, "/safe/x", 0);
 
 	CU_ASSERT_EQUAL(mh_gate_head(r->g, r->cur, &a), MH_PASS);
 	CU_ASSERT_PTR_NOT_NULL(q->events);
 	mh_gate_progress(r->g, r->cur);
-	pass(r, 3 * S);
+	grig_pass(r, 3 * S);
 	CU_ASSERT_EQUAL(r->sends, 1);
 	grig_destroy(r);
 }
@@ -379,7 +173,7 @@
 	struct grig *r = grig_create(4);
 	struct mh_gans a = { .status = 200, .genuine = true, .events = true };
 
-	ask(r, "/stream/x", 0);
+	grig_ask(r, "/stream/x", 0);
 	CU_ASSERT_EQUAL(mh_gate_head(r->g, r->cur, &a), MH_PASS);
 	mh_gate_progress(r->g, r->cur);
 	mh_gate_end(r->g, r->cur, MH_CALL_BROKEN);
@@ -395,19 +189,19 @@
 	struct grig *r = grig_create(2);
 	struct mh_gorg *o = g_new0(struct mh_gorg, 1);
 
-	ask(r, "/nowhere/x", 0);
+	grig_ask(r, "/nowhere/x", 0);
 	CU_ASSERT_EQUAL(r->why, MH_NO_ROUTE);
 	o->name = g_strdup("org");
 	o->priority = -1;
 	g_ptr_array_add(r->conf->orgs, o);
 	g_hash_table_insert(r->conf->keys, g_strdup("key"), o);
-	ask(r, "/safe/x", 0);
+	grig_ask(r, "/safe/x", 0);
 	CU_ASSERT_EQUAL(r->why, MH_BAD_KEY);
 	CU_ASSERT_EQUAL(r->sends, 0);
 	CU_ASSERT_EQUAL(r->refused, 2);
 	grig_destroy(r);
 	r = grig_create(0);
-	ask(r, "/safe/x", 0);
+	grig_ask(r, "/safe/x", 0);
 	CU_ASSERT_EQUAL(r->why, MH_NO_ENDPOINT);
 	CU_ASSERT(r->retry_us > 0);
 	grig_destroy(r);
@@ -418,11 +212,11 @@
 test_caller_leaves(void)
 {
 	struct grig *r = grig_create(1);
-	struct mh_gask *q = ask(r, "/safe/x", 0);
+	struct mh_gask *q = grig_ask(r, "/safe/x", 0);
 
 	CU_ASSERT_EQUAL(mh_fleet_find(r->f, "n0")->inflight, 1);
 	mh_gate_gone(r->g, q);
-	end(r, q);
+	grig_end(r, q);
 	CU_ASSERT_EQUAL(r->aborts, 1);
 	CU_ASSERT_EQUAL(mh_fleet_find(r->f, "n0")->inflight, 0);
 	CU_ASSERT_EQUAL(mh_gate_open(r->g), 0);
@@ -439,15 +233,15 @@
 	struct grig *r = grig_create(2);
 
 	mh_gate_leaving(r->g, 7 * S);
-	ask(r, "/stream/x", 0);
+	grig_ask(r, "/stream/x", 0);
 	CU_ASSERT_EQUAL(r->sends, 1);
-	pass(r, 3 * S);
-	ask(r, "/stream/x", 0);
+	grig_pass(r, 3 * S);
+	grig_ask(r, "/stream/x", 0);
 	CU_ASSERT_EQUAL(r->why, MH_NOT_READY);
-	ask(r, "/once/x", 800 * MS);
+	grig_ask(r, "/once/x", 800 * MS);
 	CU_ASSERT_EQUAL(r->sends, 2);
-	pass(r, 3500 * MS);
-	ask(r, "/once/x", 800 * MS);
+	grig_pass(r, 3500 * MS);
+	grig_ask(r, "/once/x", 800 * MS);
 	CU_ASSERT_EQUAL(r->sends, 2);
 	CU_ASSERT_EQUAL(r->why, MH_NOT_READY);
 	CU_ASSERT(r->retry_us > 0);
@@ -465,11 +259,11 @@
 	struct grig *r = grig_create(2);
 	struct mh_gask *q;
 
-	ask(r, "/once/x", 6 * S);
-	q = ask(r, "/once/x", 5200 * MS);
+	grig_ask(r, "/once/x", 6 * S);
+	q = grig_ask(r, "/once/x", 5200 * MS);
 	CU_ASSERT_FALSE(q->returned);
 	CU_ASSERT_EQUAL(q->aim_us, q->arrived_us + S);
-	q = ask(r, "/once/x", 3 * S);
+	q = grig_ask(r, "/once/x", 3 * S);
 	CU_ASSERT_TRUE(q->returned);
 	CU_ASSERT(q->aim_us < q->arrived_us);
 	grig_destroy(r);
@@ -482,7 +276,7 @@
 
 	t->n_stages = 1;
 	t->stages[0].pool = g_strdup("work");
-	return ask(r, "/resume/x", 0);
+	return grig_ask(r, "/resume/x", 0);
 }
 
 /* Stage work that can't be done in time: "not run", at once. */
@@ -532,7 +326,7 @@
 	staged(r);
 	mh_gate_job_end(r->g, r->job, MH_JOB_DONE, 0);
 	CU_ASSERT_EQUAL(r->dropped, 0);
-	pass(r, 100 * MS);
+	grig_pass(r, 100 * MS);
 	CU_ASSERT_EQUAL(r->dropped, 1);
 	grig_destroy(r);
 }
@@ -638,12 +432,12 @@
 	CU_ASSERT_TRUE(mh_node_usable(r->f, n));
 	mh_node_bad(r->f, n, "test");
 	CU_ASSERT_FALSE(mh_node_usable(r->f, n));
-	pass(r, 800 * MS);
+	grig_pass(r, 800 * MS);
 	CU_ASSERT_TRUE(mh_node_usable(r->f, n));
 	mh_node_bad(r->f, n, "test");
-	pass(r, 800 * MS);
+	grig_pass(r, 800 * MS);
 	CU_ASSERT_FALSE(mh_node_usable(r->f, n));
-	pass(r, 1 * S);
+	grig_pass(r, 1 * S);
 	CU_ASSERT_TRUE(mh_node_usable(r->f, n));
 	grig_destroy(r);
 }
@@ -664,7 +458,7 @@
 	while (mh_budget_take(r->b, "pool"))
 		n++;
 	CU_ASSERT_EQUAL(n, 20);
-	pass(r, 11 * S);
+	grig_pass(r, 11 * S);
 	CU_ASSERT_TRUE(mh_budget_take(r->b, "pool"));
 	grig_destroy(r);
 }
