Tests, failing: a leaving entry answers what it has taken

Cause: a request is bound by its own deadline alone; an entry that was told to stop ends before that, and what is still open gets no answer. Ruled out: by the lines 'cut' and 'callers-cut', that answers were made and not delivered. Change: three tests that fail on the code as it is (what waits for stage work; what is at a silent endpoint; what is held though it can't be answered any more). The test program reads KNOWN-RED.txt: listed tests run, are printed and may fail; a listed test that passes, a fourth line or one it can't read fails the run. Conclusion: the fault stands in the gate alone, without a socket.

--- a/regress/main.c
+++ b/regress/main.c
@@ -5,7 +5,10 @@
 #include "regress.h"
 
 #include <CUnit/Basic.h>
+#include <glib.h>
 #include <sodium.h>
+#include <stdbool.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -31,6 +34,7 @@
 	{ "fuzz", tests_fuzz },
 	{ "cell", tests_cell },
 	{ "gate", tests_gate },
+	{ "leave", tests_leave },
 	{ "mesh", tests_mesh },
 	{ "start", tests_start },
 	{ "http", tests_http },
@@ -42,6 +46,83 @@
 	{ "work", tests_work },
 };
 
+/*
+ * Tests that fail for a known fault: a line "test | cause | issue" each.  They
+ * run and are printed; they alone may fail, and one that passes must go from
+ * the list.
+ */
+struct red {
+	uint32_t known; /* failed as listed */
+	uint32_t stale; /* listed, and did not fail */
+	uint32_t bad; /* lines that can't be taken */
+};
+
+#define MAX_RED 3
+
+static bool
+has_failed(const char *name)
+{
+	for (CU_pFailureRecord f = CU_get_failure_list(); f != NULL;
+	     f = f->pNext) {
+		if (f->pTest != NULL && strcmp(f->pTest->pName, name) == 0)
+			return true;
+	}
+	return false;
+}
+
+static bool
+has_run(const char *name)
+{
+	CU_pTestRegistry reg = CU_get_registry();
+
+	for (CU_pSuite s = reg->pSuite; s != NULL; s = s->pNext) {
+		if (CU_get_test_by_name(name, s) != NULL)
+			return true;
+	}
+	return false;
+}
+
+static void
+judge_red_line(struct red *r, const char *line, bool all)
+{
+	char **part = g_strsplit(line, "|", 3);
+	const char *name = g_strstrip(part[0]);
+
+	if (g_strv_length(part) != 3) {
+		printf("known red, not \"test | cause | issue\": %s\n", line);
+		r->bad++;
+	} else if (has_run(name) && has_failed(name)) {
+		printf("known red: %s\n", line);
+		r->known++;
+	} else if (has_run(name) || all) {
+		printf("known red, passes now, take it off: %s\n", line);
+		r->stale++;
+	}
+	g_strfreev(part);
+}
+
+static void
+judge_red(struct red *r, bool all)
+{
+	char *file = g_build_filename(regress_dir, "..", "KNOWN-RED.txt", NULL);
+	char *text = NULL;
+	uint32_t n = 0;
+
+	if (g_file_get_contents(file, &text, NULL, NULL)) {
+		char **lines = g_strsplit(text, "\n", -1);
+
+		for (char **l = lines; *l != NULL; l++) {
+			if (**l == '\0' || **l == '#')
+				continue;
+			judge_red_line(r, *l, all);
+			r->bad += ++n > MAX_RED;
+		}
+		g_strfreev(lines);
+	}
+	g_free(text);
+	g_free(file);
+}
+
 static void
 add_suite(const struct suite *s, const char *only)
 {
@@ -58,6 +139,7 @@
 main(int argc, char **argv)
 {
 	unsigned failed, run;
+	struct red red = { 0 };
 
 	if (sodium_init() < 0 || CU_initialize_registry() != CUE_SUCCESS)
 		return EXIT_FAILURE;
@@ -67,9 +149,11 @@
 		add_suite(&suites[i], argc > 2 ? argv[2] : NULL);
 	CU_basic_set_mode(CU_BRM_NORMAL);
 	CU_basic_run_tests();
-	failed = CU_get_number_of_tests_failed();
+	judge_red(&red, argc <= 2);
+	failed =
+	    CU_get_number_of_tests_failed() - red.known + red.stale + red.bad;
 	run = CU_get_number_of_tests_run();
 	CU_cleanup_registry();
-	printf("\n%u passed, %u failed\n", run - failed, failed);
+	printf("\n%u passed, %u failed\n", run - failed - red.known, failed);
 	return failed == 0 && run > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -23,6 +23,7 @@
 extern const struct test tests_fuzz[];
 extern const struct test tests_cell[];
 extern const struct test tests_gate[];
+extern const struct test tests_leave[];
 extern const struct test tests_mesh[];
 extern const struct test tests_start[];
 extern const struct test tests_http[];
--- /dev/null
+++ b/regress/t_leave.c
@@ -0,0 +1,124 @@
+/**
+ * DOC: What callers get from an entry that was told to stop.
+ */
+
+#include "gaterig.h"
+#include "regress.h"
+
+#include <string.h>
+
+/* What its callers give a chat reply; an entry that leaves has less. */
+#define LONG_DEADLINE_US (20 * S)
+#define LEFT_US (7 * S)
+
+/* A chat reply: three stages of work, then a stream that can't be resumed. */
+static struct mh_gask *
+chat(struct grig *r)
+{
+	struct mh_groute *t = mh_gconf_named(r->conf, "stream");
+
+	t->n_stages = 1;
+	if (t->stages[0].pool == NULL)
+		t->stages[0].pool = g_strdup("work");
+	t->timeout_us = LONG_DEADLINE_US;
+	return grig_ask(r, "/stream/x", LONG_DEADLINE_US);
+}
+
+/* The stage work is done, the endpoint answers and its stream takes @us. */
+static void
+stream(struct grig *r, int64_t us)
+{
+	struct mh_gans a = { .status = 200, .genuine = true, .events = true };
+
+	mh_gate_job_end(r->g, r->job, MH_JOB_DONE, 0);
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, r->cur, &a), MH_PASS);
+	mh_gate_progress(r->g, r->cur);
+	grig_pass(r, us);
+	mh_gate_end(r->g, r->cur, MH_CALL_WHOLE);
+}
+
+/*
+ * Parents' chats ended in a closed connection, with neither an answer nor a
+ * refusal, each time an entry was restarted under load.  The entry had taken
+ * the chat just before it was told to stop, or just after; its stage work was
+ * promised in one second and still waited when the entry ended 7.6 seconds
+ * later, since a request was bound by its own deadline of 20 seconds alone.
+ *
+ *     ev=drained after_ms=7603 open=4
+ *     ev=cut state=stages stages_made=1/3 waited_ms=6238 left_ms=11576 tries=0
+ *     ev=callers-cut unanswered=4 unsent=0 half_read=0
+ */
+static void
+test_waiting_answered(void)
+{
+	struct grig *r = grig_create(2);
+
+	chat(r);
+	mh_gate_leaving(r->g, LEFT_US);
+	grig_pass(r, 500 * MS);
+	chat(r);
+	CU_ASSERT_EQUAL(r->jobs, 2);
+	grig_pass(r, LEFT_US - 500 * MS);
+	CU_ASSERT_EQUAL(mh_gate_open(r->g), 0);
+	CU_ASSERT_EQUAL(r->refused, 2);
+	CU_ASSERT_EQUAL(r->why, MH_NOT_READY);
+	CU_ASSERT(r->retry_us > 0);
+	CU_ASSERT_EQUAL(r->dropped, 2); /* the home works for nobody */
+	CU_ASSERT_EQUAL(r->sends, 0);
+	grig_destroy(r);
+}
+
+/*
+ * A booking confirmation was at an endpoint that stayed silent when its entry
+ * ended: its caller could not know whether it had run.  It is told so, and
+ * not that it had not run.
+ */
+static void
+test_sent_answered(void)
+{
+	struct grig *r = grig_create(2);
+
+	grig_ask(r, "/once/x", 6 * S);
+	mh_gate_leaving(r->g, 3 * S);
+	grig_pass(r, 3 * S);
+	CU_ASSERT_EQUAL(mh_gate_open(r->g), 0);
+	CU_ASSERT_EQUAL(r->refused, 1);
+	CU_ASSERT_EQUAL(r->why, MH_RUN_TIMEOUT);
+	CU_ASSERT_EQUAL(r->retry_us, 0);
+	grig_destroy(r);
+}
+
+/*
+ * Chats lately took three seconds to stream.  One that still waits for its
+ * stage work four seconds before its entry ends can be answered; three
+ * seconds before, it would be cut in the middle, so it is refused there and
+ * then, while its caller has time to ask another entry.
+ */
+static void
+test_refused_while_it_helps(void)
+{
+	struct grig *r = grig_create(2);
+
+	chat(r);
+	stream(r, 3 * S);
+	CU_ASSERT_EQUAL(r->finished, 1);
+	chat(r);
+	chat(r);
+	mh_gate_leaving(r->g, LEFT_US);
+	grig_pass(r, LEFT_US - 3500 * MS);
+	CU_ASSERT_EQUAL(r->refused, 0);
+	mh_gate_job_end(r->g, r->job, MH_JOB_DONE, 0);
+	CU_ASSERT_EQUAL(r->sends, 2);
+	grig_pass(r, 600 * MS);
+	CU_ASSERT_EQUAL(r->refused, 1);
+	CU_ASSERT_EQUAL(r->why, MH_NOT_READY);
+	CU_ASSERT_EQUAL(mh_gate_open(r->g), 1);
+	grig_destroy(r);
+}
+
+const struct test tests_leave[] = {
+	{ "leave: what waits is answered", test_waiting_answered },
+	{ "leave: what was sent is answered", test_sent_answered },
+	{ "leave: refused while it helps", test_refused_while_it_helps },
+	{ NULL, NULL },
+};
