The end of an entry bounds every request that it holds

Cause: a request was bound by its caller's and its route's limits alone. An entry that was told to stop ended 7.6 s later with requests open whose own limit lay 9.5 to 13.1 s off: nearly all waited for stage work. Their callers saw a closed connection. Class: a bound that comes to be after work was taken is applied to new work only. Ruled out: answers made and not delivered (unsent=0), endpoints that were silent (no 'cut' with state=sent and time waited). Change: one place (gatelimit.c) says when a request is given up on; where the entry leaves that is its end at the latest, and for what waits for stage work the moment from which its answer would be cut, by the longest recent stream of its route.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -175,26 +175,6 @@
 		g->ops.refuse(g->ops.arg, q, why, later ? retry_us : 0);
 }
 
-static void
-on_until(void *arg)
-{
-	struct mh_gask *q = arg;
-	struct mh_gate *g = q->gate;
-
-	q->until = NULL;
-	if (q->runs > 0 || q->cur != NULL)
-		mh_gate_refuse(g, q, MH_RUN_TIMEOUT, 0);
-	else
-		mh_gate_refuse(g, q, MH_NOT_IN_TIME, 0);
-}
-
-void
-mh_gate_set_until(struct mh_gate *g, struct mh_gask *q)
-{
-	q->until = mh_timer_start(
-	    g->k, MAX(q->until_us - mh_now(g->k), 0), on_until, q);
-}
-
 /* The endpoint may have begun to work on it. */
 static void
 count_run(struct mh_gask *q, struct mh_try *t)
@@ -313,11 +293,9 @@
 	struct mh_place_ask a = { 0 };
 	struct mh_node *n;
 	struct mh_try *t;
-	int64_t left = q->until_us - mh_now(g->k);
 
-	if (left < LEAST_LEFT_US) {
-		mh_gate_refuse(
-		    g, q, q->runs > 0 ? MH_RUN_TIMEOUT : MH_NOT_IN_TIME, 0);
+	if (mh_gate_limit_us(g, q) - mh_now(g->k) < LEAST_LEFT_US) {
+		mh_gate_out_of_time(g, q);
 		return;
 	}
 	mh_gate_fill_place(g, q, &a);
@@ -333,7 +311,7 @@
 	t->name = g_strdup(n->name);
 	t->addr = g_strdup(n->addr);
 	t->sent_us = mh_now(g->k);
-	t->left_us = left;
+	t->left_us = q->until_us - mh_now(g->k);
 	t->fresh = q->n_tried > 0;
 	if (q->events != NULL)
 		t->resume_after = mh_sse_last_id(q->events);
@@ -344,6 +322,7 @@
 	q->cur = t;
 	if (q->state != MH_ASK_ANSWERING)
 		q->state = MH_ASK_TRYING;
+	mh_gate_set_limit(g, q);
 	n->inflight++;
 	mh_place_sent(g->place, &a, n);
 	mh_event(g->k, "send",
@@ -353,7 +332,7 @@
 	    q->id, q->route->name, n->id, q->pool, q->n_tried, n->inflight,
 	    n->running, n->waiting,
 	    n->told_us > 0 ? mh_ms(mh_now(g->k) - n->told_us) : -1, n->fail,
-	    a.at_home, mh_ms(left));
+	    a.at_home, mh_ms(t->left_us));
 	mh_timer_stop(g->k, &q->patience);
 	if (may_repeat(q))
 		set_patience(g, q, patience_us(q));
@@ -480,6 +459,7 @@
 
 	if (end == MH_CALL_WHOLE) {
 		meter_answer(g, q);
+		mh_gate_note_run(g, q);
 		mh_gate_log_end(g, q, "answered", 0);
 		mh_count(g->k, "answered", 1);
 		leave_try(g, q, false);
@@ -528,6 +508,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->sizes =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g->run_us =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return g;
 }
 
@@ -580,6 +562,7 @@
 	g_hash_table_destroy(g->asks);
 	g_hash_table_destroy(g->deadlines);
 	g_hash_table_destroy(g->sizes);
+	g_hash_table_destroy(g->run_us);
 	mh_gconf_unref(g->conf);
 	g_free(g->domain);
 	g_free(g);
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -462,7 +462,7 @@
 
 /** enum mh_gate_refusal - why the gate itself answers. */
 enum mh_gate_refusal {
-	MH_NOT_READY, /* no configuration yet */
+	MH_NOT_READY, /* not run: no configuration yet, or we leave */
 	MH_NO_ROUTE,
 	MH_BAD_KEY,
 	MH_BAD_REQUEST,
@@ -588,7 +588,12 @@
 uint32_t mh_gate_open(const struct mh_gate *g);
 /** mh_gate_entries() - so many processes share an endpoint's connections. */
 void mh_gate_entries(struct mh_gate *g, uint32_t n);
-/** mh_gate_leaving() - what cannot end within @left_us is refused. */
+/**
+ * mh_gate_leaving() - this process ends in @left_us.
+ *
+ * Nothing is open any more by then: what was taken has been answered, broken
+ * off or refused, and new requests are taken only if they surely end in time.
+ */
 void mh_gate_leaving(struct mh_gate *g, int64_t left_us);
 
 #endif
--- a/lib/gateint.h
+++ b/lib/gateint.h
@@ -1,7 +1,7 @@
 #ifndef GATEINT_H
 #define GATEINT_H
 
-/* Shared by gate.c, gatejob.c and gatetake.c alone. */
+/* Shared by gate.c, gatejob.c, gatelimit.c and gatetake.c alone. */
 
 #include "gate.h"
 
@@ -20,6 +20,7 @@
 	int64_t streams_until_us; /* streams that come later are refused */
 	GHashTable *deadlines; /* route -> longest time given */
 	GHashTable *sizes; /* route -> mean size of a request, double */
+	GHashTable *run_us; /* route -> time that its streams take, int64_t */
 };
 
 /** mh_gate_try_next() - sends it to the next endpoint, or ends it. */
@@ -35,8 +36,22 @@
 /** mh_gate_log_end() - the line of its end. */
 void mh_gate_log_end(struct mh_gate *g, const struct mh_gask *q,
     const char *outcome, int64_t retry_us);
-/** mh_gate_set_until() - starts the timer of its limit. */
-void mh_gate_set_until(struct mh_gate *g, struct mh_gask *q);
+/**
+ * mh_gate_limit_us() - when it is given up on: absolute.
+ *
+ * Its caller's or the route's limit; where this process leaves, no later than
+ * it can still be answered here.
+ */
+int64_t mh_gate_limit_us(const struct mh_gate *g, const struct mh_gask *q);
+/** mh_gate_set_limit() - starts the timer of its limit, as it is now. */
+void mh_gate_set_limit(struct mh_gate *g, struct mh_gask *q);
+/** mh_gate_out_of_time() - gives up on it, and says truly if it may have run.
+ */
+void mh_gate_out_of_time(struct mh_gate *g, struct mh_gask *q);
+/** mh_gate_ends_in_time() - whether a new request will have ended before us. */
+bool mh_gate_ends_in_time(const struct mh_gate *g, const struct mh_gask *q);
+/** mh_gate_note_run() - its answer is whole: how long did that take? */
+void mh_gate_note_run(struct mh_gate *g, const struct mh_gask *q);
 /** mh_gate_start_job() - asks for the stage work of a request. */
 void mh_gate_start_job(struct mh_gate *g, struct mh_gask *q);
 
--- a/lib/gatejob.c
+++ b/lib/gatejob.c
@@ -69,6 +69,7 @@
 	q->job = j;
 	q->jobs++;
 	q->state = MH_ASK_STAGES;
+	mh_gate_set_limit(g, q);
 	g->ops.submit(g->ops.jobs, j);
 }
 
--- /dev/null
+++ b/lib/gatelimit.c
@@ -0,0 +1,122 @@
+/**
+ * DOC: How long a request may be here: its caller's time, and ours.
+ */
+
+#include "gateint.h"
+
+/*
+ * What a stream is taken to last where none has ended yet, and what the longest
+ * seen loses with each that ends sooner: the longest of some twenty.
+ */
+#define RUN_DEFAULT_US (2 * MH_US_PER_S)
+#define RUN_FADE 0.95
+/* A leaving process takes streams for this part of the time it has left:
+ * most end in a few seconds, and callers have heard to go elsewhere. */
+#define STREAMS_SHARE 0.3
+
+void
+mh_gate_out_of_time(struct mh_gate *g, struct mh_gask *q)
+{
+	if (q->runs > 0 || q->cur != NULL)
+		mh_gate_refuse(g, q, MH_RUN_TIMEOUT, 0);
+	else if (mh_now(g->k) < q->until_us)
+		mh_gate_refuse(g, q, MH_NOT_READY, 0); /* we leave */
+	else
+		mh_gate_refuse(g, q, MH_NOT_IN_TIME, 0);
+}
+
+static void
+on_until(void *arg)
+{
+	struct mh_gask *q = arg;
+	struct mh_gate *g = q->gate;
+
+	q->until = NULL;
+	mh_gate_out_of_time(g, q);
+}
+
+/* What the answer of a request takes that has its stage work done. */
+static int64_t
+run_us(const struct mh_gate *g, const struct mh_groute *r)
+{
+	const int64_t *us = g_hash_table_lookup(g->run_us, r->name);
+
+	if (!r->stream)
+		return 0;
+	return us == NULL ? RUN_DEFAULT_US : *us;
+}
+
+void
+mh_gate_note_run(struct mh_gate *g, const struct mh_gask *q)
+{
+	int64_t took = mh_now(g->k) - q->cur->sent_us;
+	int64_t *us = g_hash_table_lookup(g->run_us, q->route->name);
+
+	if (us == NULL) {
+		us = g_new0(int64_t, 1);
+		g_hash_table_insert(g->run_us, g_strdup(q->route->name), us);
+	}
+	*us = MAX(took, (int64_t)((double)*us * RUN_FADE));
+}
+
+/*
+ * The end of this process bounds all that it has taken.  Bound by their own
+ * deadlines alone, requests that outlived it were dropped when it ended, which
+ * their callers saw as a closed connection with no answer.  One that waits for
+ * stage work is given up on while another entry can still help its caller: as
+ * soon as its answer would be cut in the middle here.
+ */
+int64_t
+mh_gate_limit_us(const struct mh_gate *g, const struct mh_gask *q)
+{
+	int64_t us = g->leave_us;
+
+	if (us == 0)
+		return q->until_us;
+	if (q->state == MH_ASK_STAGES)
+		us -= run_us(g, q->route);
+	return MIN(us, q->until_us);
+}
+
+void
+mh_gate_set_limit(struct mh_gate *g, struct mh_gask *q)
+{
+	int64_t limit_us = mh_gate_limit_us(g, q);
+
+	/* The home plans by this, the next one too if this one is lost. */
+	if (q->state == MH_ASK_STAGES && q->job != NULL)
+		q->job->deadline_us = MIN(q->job->deadline_us, limit_us);
+	mh_timer_stop(g->k, &q->until);
+	q->until =
+	    mh_timer_start(g->k, MAX(limit_us - mh_now(g->k), 0), on_until, q);
+}
+
+/*
+ * A process that leaves keeps what it has taken; what comes later, over a
+ * connection that is still open, is taken only if it will surely have ended
+ * before the process is killed.  A stream cut half way is lost to its caller,
+ * one that is refused goes to another entry at once.
+ */
+bool
+mh_gate_ends_in_time(const struct mh_gate *g, const struct mh_gask *q)
+{
+	if (g->leave_us == 0)
+		return true;
+	if (q->route->stream)
+		return mh_now(g->k) < g->streams_until_us;
+	return q->until_us < g->leave_us;
+}
+
+void
+mh_gate_leaving(struct mh_gate *g, int64_t left_us)
+{
+	GHashTableIter it;
+	gpointer key;
+
+	g->leave_us = mh_now(g->k) + left_us;
+	g->streams_until_us =
+	    mh_now(g->k) + (int64_t)((double)left_us * STREAMS_SHARE);
+	g_hash_table_iter_init(&it, g->asks);
+	while (g_hash_table_iter_next(&it, &key, NULL))
+		mh_gate_set_limit(g, key);
+}
--- a/lib/gatetake.c
+++ b/lib/gatetake.c
@@ -14,9 +14,6 @@
 #define PATIENCE_GAPS 8
 #define PATIENCE_LEAST_US (2 * MH_US_PER_S)
 #define PATIENCE_PERCENT 90
-/* A leaving process takes streams for this part of the time it has left:
- * most end in a few seconds, and callers have heard to go elsewhere. */
-#define STREAMS_SHARE 0.3
 /*
  * Callers give between 0.85 and 1 times their route's longest time; less than
  * that is what was left to one that was refused before and has come back.
@@ -71,22 +68,6 @@
 	}
 }
 
-/*
- * A process that leaves keeps what it has taken; what comes later, over a
- * connection that is still open, is taken only if it will surely have ended
- * before the process is killed.  A stream cut half way is lost to its caller,
- * one that is refused goes to another entry at once.
- */
-static bool
-ends_in_time(const struct mh_gate *g, const struct mh_gask *q)
-{
-	if (g->leave_us == 0)
-		return true;
-	if (q->route->stream)
-		return mh_now(g->k) < g->streams_until_us;
-	return q->until_us < g->leave_us;
-}
-
 void
 mh_gate_take(struct mh_gate *g, struct mh_gask *q)
 {
@@ -119,7 +100,7 @@
 		    g, q, q->pool == NULL ? MH_NO_ENDPOINT : MH_BAD_REQUEST, 0);
 		return;
 	}
-	if (!ends_in_time(g, q)) {
+	if (!mh_gate_ends_in_time(g, q)) {
 		mh_gate_refuse(g, q, MH_NOT_READY, 0);
 		return;
 	}
@@ -132,7 +113,6 @@
 	mh_budget_first(g->budget, q->pool);
 	if (q->route->stream)
 		q->events = mh_sse_create();
-	mh_gate_set_until(g, q);
 	if (q->route->n_stages > 0)
 		mh_gate_start_job(g, q);
 	else
@@ -148,11 +128,3 @@
 	mh_count(g->k, "callers_left", 1);
 	mh_gate_close(g, q, true);
 }
-
-void
-mh_gate_leaving(struct mh_gate *g, int64_t left_us)
-{
-	g->leave_us = mh_now(g->k) + left_us;
-	g->streams_until_us =
-	    mh_now(g->k) + (int64_t)((double)left_us * STREAMS_SHARE);
-}
--- a/regress/t_leave.c
+++ b/regress/t_leave.c
@@ -88,6 +88,30 @@
 	grig_destroy(r);
 }
 
+/*
+ * A stream that is still running when its entry ends breaks off visibly, by
+ * the gate's decision while its bytes can still leave, and not by the end of
+ * the process.
+ */
+static void
+test_stream_broken_off(void)
+{
+	struct grig *r = grig_create(2);
+	struct mh_gans a = { .status = 200, .genuine = true, .events = true };
+
+	chat(r);
+	mh_gate_job_end(r->g, r->job, MH_JOB_DONE, 0);
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, r->cur, &a), MH_PASS);
+	mh_gate_progress(r->g, r->cur);
+	mh_gate_leaving(r->g, LEFT_US);
+	grig_pass(r, LEFT_US - 1 * MS);
+	CU_ASSERT_EQUAL(r->broken, 0);
+	grig_pass(r, 1 * MS);
+	CU_ASSERT_EQUAL(r->broken, 1);
+	CU_ASSERT_EQUAL(mh_gate_open(r->g), 0);
+	grig_destroy(r);
+}
+
 /*
  * Chats lately took three seconds to stream.  One that still waits for its
  * stage work four seconds before its entry ends can be answered; three
@@ -116,9 +140,27 @@
 	grig_destroy(r);
 }
 
+/*
+ * The home of stage work plans by the deadline that comes with the work.  For
+ * what a leaving entry asks, that is what the entry has left, so that the home
+ * refuses at once what can't be done by then.
+ */
+static void
+test_home_told(void)
+{
+	struct grig *r = grig_create(2);
+
+	mh_gate_leaving(r->g, 3 * S);
+	chat(r);
+	CU_ASSERT(r->job->deadline_us <= r->now_us + 3 * S);
+	grig_destroy(r);
+}
+
 const struct test tests_leave[] = {
 	{ "leave: what waits is answered", test_waiting_answered },
 	{ "leave: what was sent is answered", test_sent_answered },
+	{ "leave: a stream is broken off", test_stream_broken_off },
 	{ "leave: refused while it helps", test_refused_while_it_helps },
+	{ "leave: the home is told", test_home_told },
 	{ NULL, NULL },
 };
