A loop that is stopped calls nobody any more

Cause: a loop went on with the descriptors of the turn in which it was stopped. An entry with nothing open that had decided to end read the next request of a kept connection in that turn, sent it on and ended. Ruled out: stopping to read earlier alone; whoever stops a loop counts on the end. Change: the dispatch of a turn ends where the loop is stopped. Conclusion: mended for every daemon, they share the loop.

--- a/lib/loop.c
+++ b/lib/loop.c
@@ -277,7 +277,11 @@
 		return;
 	mh_kern_advance(
 	    l->k, clock_us(CLOCK_MONOTONIC), clock_us(CLOCK_REALTIME));
-	for (apr_int32_t i = 0; i < n; i++) {
+	/*
+	 * Who stops the loop counts on nothing else to happen: a request that
+	 * is read after that is sent on, and its caller gets no answer.
+	 */
+	for (apr_int32_t i = 0; i < n && !l->stop; i++) {
 		/* An earlier callback may have closed this descriptor. */
 		struct watch *w =
 		    g_hash_table_lookup(l->watches, ev[i].client_data);
