--- a/regress/t_cell.c
+++ b/regress/t_cell.c
@@ -74,6 +74,42 @@
 	world_destroy(w);
 }
 
+/*
+ * Its entry ends long before the caller's aim: work that would be on time for
+ * the caller and too late for its entry is refused at once, while another
+ * entry can still help, and costs no call.
+ */
+static void
+test_deadline_before_the_aim(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 16 };
+
+	world_pool(w, "a", 1, 8, 200 * MS, 21 * MS, 0);
+	mh_cell_submit(w->c, world_job(w, one_pool, pieces, 5 * S, 8 * S));
+	mh_cell_submit(w->c, world_job(w, one_pool, pieces, 5 * S, 600 * MS));
+	CU_ASSERT_EQUAL(w->refused, 1);
+	world_run(w, 5 * S);
+	CU_ASSERT_EQUAL(w->done, 1);
+	CU_ASSERT_EQUAL(w->nodes[0].pieces, 16);
+	world_destroy(w);
+}
+
+/* The same where its time has passed when it comes. */
+static void
+test_deadline_passed(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 4 };
+
+	world_pool(w, "a", 1, 8, 200 * MS, 21 * MS, 0);
+	mh_cell_submit(w->c, world_job(w, one_pool, pieces, 5 * S, -1 * MS));
+	CU_ASSERT_EQUAL(w->refused, 1);
+	CU_ASSERT_EQUAL(w->nodes[0].calls, 0);
+	world_run(w, 1 * S);
+	world_destroy(w);
+}
+
 /*
  * A full pool took whoever came first, whatever work he asked for.  Taking
  * what brings more for its work serves more callers of the same burst, and
@@ -638,6 +674,8 @@
 const struct test tests_cell[] = {
 	{ "cell: pieces of all entries meet", test_pieces_meet },
 	{ "cell: a burst, taken on time or refused", test_burst_taken_on_time },
+	{ "cell: deadline before the aim", test_deadline_before_the_aim },
+	{ "cell: deadline passed", test_deadline_passed },
 	{ "cell: a burst, small work first", test_burst_small_work_first },
 	{ "cell: a burst, the urgent taken", test_burst_urgent_taken },
 	{ "cell: room of leavers given back", test_room_of_leavers_given_back },
--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -317,6 +317,44 @@
 	grig_destroy(r);
 }
 
+/*
+ * A first endpoint broke off and may have run the request, a second said that
+ * its inputs are gone.  The home has no time to make them again: that is no
+ * "not run, and never will be".
+ */
+static void
+test_job_refused_after_a_run(void)
+{
+	struct grig *r = grig_create(4);
+	struct mh_gans a = {
+		.status = 409, .not_run = true, .inputs_gone = true
+	};
+
+	staged(r);
+	mh_gate_job_end(r->g, r->job, MH_JOB_DONE, 0);
+	mh_gate_end(r->g, r->cur, MH_CALL_BROKEN);
+	CU_ASSERT_EQUAL(r->sends, 2);
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, r->cur, &a), MH_DROP);
+	CU_ASSERT_EQUAL(r->jobs, 2);
+	mh_gate_job_end(r->g, r->job, MH_JOB_REFUSED, 400 * MS);
+	CU_ASSERT_EQUAL(r->refused, 1);
+	CU_ASSERT_EQUAL(r->why, MH_RUN_FAILED);
+	CU_ASSERT_EQUAL(r->retry_us, 0);
+	grig_destroy(r);
+}
+
+/* A caller that gave too little time hears so, not that we leave. */
+static void
+test_too_little_time(void)
+{
+	struct grig *r = grig_create(2);
+
+	grig_ask(r, "/once/x", 10 * MS);
+	CU_ASSERT_EQUAL(r->sends, 0);
+	CU_ASSERT_EQUAL(r->why, MH_NOT_IN_TIME);
+	grig_destroy(r);
+}
+
 /* An engine with places has read its inputs soon: they are freed then. */
 static void
 test_results_freed_early(void)
@@ -463,6 +501,29 @@
 	grig_destroy(r);
 }
 
+/*
+ * The settings change the length of the window.  What was spent before still
+ * counts: else the endpoints get twice the repeats that are allowed.
+ */
+static void
+test_budget_shorter_window(void)
+{
+	struct grig *r = grig_create(1);
+	struct mh_budget_args b = { 0.2, 50, 8 * S };
+	uint32_t n = 0;
+
+	grig_pass(r, 95 * S);
+	while (mh_budget_take(r->b, "pool"))
+		n++;
+	CU_ASSERT_EQUAL(n, 40);
+	mh_budget_set(r->b, &b);
+	grig_pass(r, 10 * MS);
+	while (mh_budget_take(r->b, "pool"))
+		n++;
+	CU_ASSERT_EQUAL(n, 40);
+	grig_destroy(r);
+}
+
 const struct test tests_gate[] = {
 	{ "gate: repeats by kind and failure", test_repeats_table },
 	{ "gate: a silent endpoint", test_silent_endpoint },
@@ -476,6 +537,9 @@
 	{ "gate: who has been here before", test_returned },
 	{ "gate: stage work refused", test_job_refused },
 	{ "gate: inputs gone at the engine", test_inputs_gone_at_engine },
+	{ "gate: stage work refused after a run",
+	    test_job_refused_after_a_run },
+	{ "gate: too little time", test_too_little_time },
 	{ "gate: results freed early", test_results_freed_early },
 	{ "place: a home agreed without asking", test_home_agreed },
 	{ "place: a full home", test_home_full },
@@ -483,5 +547,6 @@
 	{ "fleet: half stays in use", test_half_stays_in_use },
 	{ "fleet: out and back", test_out_and_back },
 	{ "budget: ratio and shared slack", test_budget },
+	{ "budget: a shorter window", test_budget_shorter_window },
 	{ NULL, NULL },
 };
