--- a/lib/budget.c
+++ b/lib/budget.c
@@ -49,10 +49,45 @@
 	g_free(b);
 }
 
+static int64_t
+bucket_now(const struct mh_budget *b)
+{
+	return mh_now(b->k) / MAX(b->args.window_us / BUCKETS, 1);
+}
+
+/* All that it holds counts as of now. */
+static void
+gather(struct window *w, int64_t at)
+{
+	uint32_t first = 0, again = 0;
+
+	for (int i = 0; i < BUCKETS; i++) {
+		first += w->first[i];
+		again += w->again[i];
+	}
+	memset(w, 0, sizeof(*w));
+	w->at = at;
+	w->first[at % BUCKETS] = first;
+	w->again[at % BUCKETS] = again;
+}
+
+/*
+ * Buckets are numbered by their length: with another length all would look old,
+ * and endpoints would get a whole allowance more than they were promised.
+ */
 void
 mh_budget_set(struct mh_budget *b, const struct mh_budget_args *a)
 {
+	bool other = b->args.window_us != a->window_us;
+	GHashTableIter it;
+	gpointer w;
+
 	b->args = *a;
+	if (!other)
+		return;
+	g_hash_table_iter_init(&it, b->pools);
+	while (g_hash_table_iter_next(&it, NULL, &w))
+		gather(w, bucket_now(b));
 }
 
 void
@@ -65,7 +100,7 @@
 window_of(struct mh_budget *b, const char *pool)
 {
 	struct window *w = g_hash_table_lookup(b->pools, pool);
-	int64_t at = mh_now(b->k) / MAX(b->args.window_us / BUCKETS, 1);
+	int64_t at = bucket_now(b);
 
 	if (w == NULL) {
 		w = g_new0(struct window, 1);
--- a/lib/celladmit.c
+++ b/lib/celladmit.c
@@ -158,7 +158,8 @@
 	bool ok;
 
 	at = predict_us(c, j);
-	if (at <= j->aim_us - margin_us(c, j))
+	/* Whoever asks may end before its caller's aim. */
+	if (at <= MIN(j->aim_us - margin_us(c, j), j->deadline_us))
 		ok = true;
 	else {
 		j->state->late = true;
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -508,7 +508,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->sizes =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	g->run_us =
+	g->runs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return g;
 }
@@ -562,7 +562,7 @@
 	g_hash_table_destroy(g->asks);
 	g_hash_table_destroy(g->deadlines);
 	g_hash_table_destroy(g->sizes);
-	g_hash_table_destroy(g->run_us);
+	g_hash_table_destroy(g->runs);
 	mh_gconf_unref(g->conf);
 	g_free(g->domain);
 	g_free(g);
--- a/lib/gateint.h
+++ b/lib/gateint.h
@@ -5,6 +5,15 @@
 
 #include "gate.h"
 
+#define MH_GRUNS 16
+
+/** struct mh_gruns - times from sending to the whole answer, the last ones. */
+struct mh_gruns {
+	int64_t us[MH_GRUNS];
+	uint32_t n;
+	uint32_t next;
+};
+
 /** struct mh_gate - the gate's own state. */
 struct mh_gate {
 	struct mh_kern *k;
@@ -20,7 +29,7 @@
 	int64_t streams_until_us; /* streams that come later are refused */
 	GHashTable *deadlines; /* route -> longest time given */
 	GHashTable *sizes; /* route -> mean size of a request, double */
-	GHashTable *run_us; /* route -> time that its streams take, int64_t */
+	GHashTable *runs; /* route -> struct mh_gruns */
 };
 
 /** mh_gate_try_next() - sends it to the next endpoint, or ends it. */
--- a/lib/gatejob.c
+++ b/lib/gatejob.c
@@ -73,6 +73,19 @@
 	g->ops.submit(g->ops.jobs, j);
 }
 
+/* Its stage work is not done, and will not be. */
+static void
+give_up(struct mh_gate *g, struct mh_gask *q, enum mh_gate_refusal why,
+    int64_t retry_us)
+{
+	if (q->runs > 0) /* an endpoint had it before its inputs were gone */
+		mh_gate_refuse(g, q, MH_RUN_FAILED, 0);
+	else if (mh_gate_limit_us(g, q) < q->first_by_us)
+		mh_gate_refuse(g, q, MH_NOT_READY, 0); /* our end is too near */
+	else
+		mh_gate_refuse(g, q, why, retry_us);
+}
+
 void
 mh_gate_job_end(
     struct mh_gate *g, struct mh_job *j, enum mh_job_end end, int64_t retry_us)
@@ -90,13 +103,13 @@
 	case MH_JOB_REFUSED:
 		q->job = NULL;
 		mh_job_destroy(j);
-		mh_gate_refuse(g, q, MH_TOO_BUSY, retry_us);
+		give_up(g, q, MH_TOO_BUSY, retry_us);
 		return;
 	case MH_JOB_FAILED:
 	case MH_JOB_MOVED:
 		q->job = NULL;
 		mh_job_destroy(j);
-		mh_gate_refuse(g, q, MH_NO_ENDPOINT, retry_us);
+		give_up(g, q, MH_NO_ENDPOINT, retry_us);
 		return;
 	}
 }
--- a/lib/gatelimit.c
+++ b/lib/gatelimit.c
@@ -4,12 +4,16 @@
 
 #include "gateint.h"
 
+#include <stdlib.h>
+#include <string.h>
+
 /*
- * What a stream is taken to last where none has ended yet, and what the longest
- * seen loses with each that ends sooner: the longest of some twenty.
+ * What a stream is taken to last: three of four of the last ones of its route
+ * were shorter.  By the longest, one slow stream would have all refused that
+ * wait.  Where none has ended yet: about what 300 tokens take of a busy engine.
  */
+#define RUN_SHARE 0.75
 #define RUN_DEFAULT_US (2 * MH_US_PER_S)
-#define RUN_FADE 0.95
 /* A leaving process takes streams for this part of the time it has left:
  * most end in a few seconds, and callers have heard to go elsewhere. */
 #define STREAMS_SHARE 0.3
@@ -19,7 +23,7 @@
 {
 	if (q->runs > 0 || q->cur != NULL)
 		mh_gate_refuse(g, q, MH_RUN_TIMEOUT, 0);
-	else if (mh_now(g->k) < q->until_us)
+	else if (mh_gate_limit_us(g, q) < q->until_us)
 		mh_gate_refuse(g, q, MH_NOT_READY, 0); /* we leave */
 	else
 		mh_gate_refuse(g, q, MH_NOT_IN_TIME, 0);
@@ -35,28 +39,42 @@
 	mh_gate_out_of_time(g, q);
 }
 
+static int
+by_time(const void *a, const void *b)
+{
+	const int64_t *x = a, *y = b;
+
+	return (*x > *y) - (*x < *y);
+}
+
 /* What the answer of a request takes that has its stage work done. */
 static int64_t
 run_us(const struct mh_gate *g, const struct mh_groute *r)
 {
-	const int64_t *us = g_hash_table_lookup(g->run_us, r->name);
+	const struct mh_gruns *all = g_hash_table_lookup(g->runs, r->name);
+	int64_t us[MH_GRUNS];
 
 	if (!r->stream)
 		return 0;
-	return us == NULL ? RUN_DEFAULT_US : *us;
+	if (all == NULL)
+		return RUN_DEFAULT_US;
+	memcpy(us, all->us, sizeof(us));
+	qsort(us, all->n, sizeof(us[0]), by_time);
+	return us[(uint32_t)(all->n * RUN_SHARE)];
 }
 
 void
 mh_gate_note_run(struct mh_gate *g, const struct mh_gask *q)
 {
-	int64_t took = mh_now(g->k) - q->cur->sent_us;
-	int64_t *us = g_hash_table_lookup(g->run_us, q->route->name);
+	struct mh_gruns *all = g_hash_table_lookup(g->runs, q->route->name);
 
-	if (us == NULL) {
-		us = g_new0(int64_t, 1);
-		g_hash_table_insert(g->run_us, g_strdup(q->route->name), us);
+	if (all == NULL) {
+		all = g_new0(struct mh_gruns, 1);
+		g_hash_table_insert(g->runs, g_strdup(q->route->name), all);
 	}
-	*us = MAX(took, (int64_t)((double)*us * RUN_FADE));
+	all->us[all->next] = mh_now(g->k) - q->cur->sent_us;
+	all->next = (all->next + 1) % MH_GRUNS;
+	all->n = MIN(all->n + 1, MH_GRUNS);
 }
 
 /*
--- a/lib/loop.c
+++ b/lib/loop.c
@@ -259,6 +259,8 @@
 
 	mh_kern_advance(
 	    l->k, clock_us(CLOCK_MONOTONIC), clock_us(CLOCK_REALTIME));
+	if (l->stop) /* a hook may read, too */
+		return;
 	for (guint i = 0; i < l->hooks->len; i++) {
 		struct hook *h = &g_array_index(l->hooks, struct hook, i);
 		int64_t us = h->fn(h->arg);
