A whole answer has its own time to leave, and a server an orderly end

Cause: the server had no state for an answer that is whole while its bytes are leaving. It was lingering (1 s, then closed, cut or not) or already reading the next request (the idle time ran, and the next long answer was piled up behind it until both passed MAX_OUT). Reading stopped at MAX_AHEAD and did not begin again when these bytes were taken up or thrown away. A close in order ended half of an answer that only the connection's end bounds. Timers are run before what has come on the sockets. accept() without a free descriptor left the listening socket readable. Ruled out: shutdown() was left out in no case; it was called again with each event while lingering, which the kernel ignores, and once too early: before the reset of an answer that broke in the same turn. Change: states 'sending' and 'broken'. Lingering and idle time begin when the last byte is with the kernel; DELIVER_US bounds the sending, and the lingering goes on while the kernel has bytes of the answer. The next request waits until the answer before it has left. Idle and header time: the socket is read once more first. At the server's end whole answers are sent as far as the kernel takes them, and half ones without a frame are reset. mh_hserve_finish() closes what is idle after one more look, and mh_hserve_open() counts answers until their bytes are with the kernel. 'Expect' of HTTP/1.0 is ignored. Conclusion: an answer that is whole is cut only by its caller, by DELIVER_US, by the kernel's user timeout, or by the process's end.

--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -11,9 +11,11 @@
 
 #include <errno.h>
 #include <http_parser.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -23,17 +25,31 @@
 /* A caller that does not read its answer is dropped at this many bytes. */
 #define MAX_OUT (8U << 20)
 /*
- * After an error answer the caller's bytes are still read for this long:
- * closing with unread bytes would reset the connection and lose the answer.
+ * After the last byte of an answer that closes the connection the caller's
+ * bytes are still read for this long, and again while the kernel has bytes
+ * of the answer: closing with unread bytes would reset the connection and
+ * lose them.
  */
 #define LINGER_US (1 * MH_US_PER_S)
+/*
+ * A caller has this long to take an answer that is whole.  Twice the time of
+ * MAX_OUT over the narrowest link we serve, 10 Mbit/s.
+ */
+#define DELIVER_US (14 * MH_US_PER_S)
+/* Reads at a connection's end, so that one which goes on sending can't hold
+ * us: MAX_AHEAD in all. */
+#define LAST_READS (MAX_AHEAD / READ_SIZE)
+/* Without a free file descriptor the next accept is tried after this. */
+#define ACCEPT_AGAIN_US (100 * MH_US_PER_MS)
 /* A silent peer is noticed within this time while we send to it. */
 #define USER_TIMEOUT_MS 4000
 
 enum conn_state {
 	CONN_READING, /* between requests, or in the middle of one */
 	CONN_ANSWERING, /* the request is with the gate */
-	CONN_LINGER /* answered with an error; reading to the end */
+	CONN_SENDING, /* the answer is whole; its bytes are leaving */
+	CONN_BROKEN, /* the answer broke; to be reset */
+	CONN_LINGER /* answered and not to be used again; reading to the end */
 };
 
 struct mh_hreq {
@@ -60,8 +76,8 @@
 	http_parser parser;
 	bool began; /* a request's first byte has come */
 	bool close_after;
-	bool dead;
-	bool eof;
+	bool unframed; /* the answer ends where the connection does */
+	int64_t deliver_by_us;
 	struct mh_hreq *req;
 	GByteArray *ahead;
 	GByteArray *out;
@@ -75,11 +91,14 @@
 	int fd;
 	uint16_t port;
 	bool draining;
+	bool finishing;
+	struct mh_timer *accept_timer;
 	GHashTable *conns; /* set of struct conn */
 };
 
 static void on_io(void *arg, bool readable, bool writable);
 static void process(struct conn *c);
+static void end_idle(struct conn *c);
 
 static void
 free_req(struct mh_hreq *r)
@@ -122,10 +141,35 @@
 	g_free(c);
 }
 
+/*
+ * Half of an answer without a frame would look whole to the caller if the
+ * connection were closed in order.  A reset tells them apart.
+ */
+static void
+reset_if_half(struct conn *c)
+{
+	struct linger hard = { 1, 0 };
+
+	switch (c->state) {
+	case CONN_READING:
+	case CONN_LINGER:
+		return;
+	case CONN_ANSWERING:
+	case CONN_SENDING:
+		if (!c->unframed)
+			return;
+		break;
+	case CONN_BROKEN:
+		break;
+	}
+	setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+}
+
 /* The caller is gone: the gate is told first, as it holds the request. */
 static void
 lose(struct conn *c)
 {
+	reset_if_half(c);
 	if (c->state == CONN_ANSWERING && c->req != NULL) {
 		struct mh_hreq *r = c->req;
 
@@ -135,25 +179,7 @@
 	free_conn(c);
 }
 
-static void
-on_timer(void *arg)
-{
-	struct conn *c = arg;
-
-	c->timer = NULL;
-	if (c->state == CONN_READING && c->began) {
-		struct mh_hreq *r = c->req;
-
-		mh_count(c->s->k, "serve_header_timeouts", 1);
-		c->state = CONN_ANSWERING;
-		r->keep_alive = false;
-		c->close_after = true;
-		mh_hreq_head(r, 408, NULL, 0);
-		mh_hreq_end(r);
-		return;
-	}
-	lose(c);
-}
+static void on_timer(void *arg);
 
 static void
 set_timer(struct conn *c, int64_t us)
@@ -171,9 +197,9 @@
 	mh_loop_fd(c->s->loop, c->fd, !full, c->out->len > 0, on_io, c);
 }
 
-/* Returns false when the connection was lost and freed. */
+/* Returns false when the connection has failed. */
 static bool
-flush_out(struct conn *c)
+send_out(struct conn *c)
 {
 	uint32_t off = 0;
 
@@ -183,15 +209,25 @@
 
 		if (n < 0 && (errno == EAGAIN || errno == EINTR))
 			break;
-		if (n <= 0) {
-			lose(c);
+		if (n <= 0)
 			return false;
-		}
 		off += (uint32_t)n;
 	}
 	if (off > 0)
 		g_byte_array_remove_range(c->out, 0, off);
-	if (c->out->len > MAX_OUT) {
+	return true;
+}
+
+/* Returns false when the connection was lost and freed. */
+static bool
+flush_out(struct conn *c)
+{
+	if (!send_out(c)) {
+		lose(c);
+		return false;
+	}
+	/* A whole answer is bounded by its maker, and by DELIVER_US. */
+	if (c->state == CONN_ANSWERING && c->out->len > MAX_OUT) {
 		mh_count(c->s->k, "serve_slow_callers", 1);
 		lose(c);
 		return false;
@@ -280,7 +316,8 @@
 		r->refuse = 413;
 	if (r->refuse != 0)
 		return -1;
-	if (mh_headers_get(r->headers, "Expect") != NULL)
+	/* HTTP/1.0 knows no interim answer and would take it for the last. */
+	if (!r->http10 && mh_headers_get(r->headers, "Expect") != NULL)
 		g_byte_array_append(
 		    c->out, (const uint8_t *)go_on, sizeof(go_on) - 1);
 	return 0;
@@ -351,6 +388,7 @@
 		    g, "Content-Length: %" PRId64 "\r\n", length);
 	} else if (r->http10) {
 		c->close_after = true;
+		c->unframed = true;
 	} else {
 		r->chunked = true;
 		g_string_append(g, "Transfer-Encoding: chunked\r\n");
@@ -400,8 +438,23 @@
 {
 	c->state = CONN_LINGER;
 	set_timer(c, LINGER_US);
-	if (c->out->len == 0)
-		shutdown(c->fd, SHUT_WR);
+	shutdown(c->fd, SHUT_WR);
+}
+
+/* The answer's last byte is with the kernel. */
+static void
+on_sent(struct conn *c)
+{
+	if (c->close_after) {
+		start_linger(c);
+		return;
+	}
+	start_reading(c);
+	process(c);
+	/* Reading had stopped if the bytes that came early were many. */
+	want_io(c);
+	if (c->s->finishing)
+		end_idle(c);
 }
 
 /*
@@ -416,12 +469,10 @@
 	c->timer = NULL;
 	if (!flush_out(c))
 		return;
-	if (c->close_after) {
-		start_linger(c);
-		return;
-	}
-	start_reading(c);
-	process(c);
+	if (c->out->len == 0)
+		on_sent(c);
+	else
+		set_timer(c, DELIVER_US);
 }
 
 void
@@ -432,7 +483,12 @@
 	if (r->chunked)
 		g_byte_array_append(c->out, (const uint8_t *)"0\r\n\r\n", 5);
 	c->req = NULL;
-	c->state = CONN_LINGER;
+	c->state = CONN_SENDING;
+	c->deliver_by_us = mh_now(c->s->k) + DELIVER_US;
+	/* What lies behind the last request is not answered, and must not
+	 * stop reading: unread bytes would make the close a reset. */
+	if (c->close_after)
+		g_byte_array_set_size(c->ahead, 0);
 	free_req(r);
 	mh_timer_stop(c->s->k, &c->timer);
 	c->timer = mh_timer_start(c->s->k, 0, after_answer, c);
@@ -442,11 +498,9 @@
 reset(void *arg)
 {
 	struct conn *c = arg;
-	struct linger hard = { 1, 0 };
 
 	c->timer = NULL;
-	/* A plain close would look like the end of an unframed answer. */
-	setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+	reset_if_half(c);
 	free_conn(c);
 }
 
@@ -456,7 +510,7 @@
 	struct conn *c = r->c;
 
 	c->req = NULL;
-	c->state = CONN_LINGER;
+	c->state = CONN_BROKEN;
 	free_req(r);
 	mh_timer_stop(c->s->k, &c->timer);
 	c->timer = mh_timer_start(c->s->k, 0, reset, c);
@@ -532,27 +586,149 @@
 		lose(c);
 		return false;
 	}
-	if (c->state != CONN_LINGER || !c->close_after)
+	switch (c->state) {
+	case CONN_READING:
+	case CONN_ANSWERING:
 		g_byte_array_append(c->ahead, buf, (guint)n);
+		break;
+	case CONN_SENDING:
+		if (!c->close_after)
+			g_byte_array_append(c->ahead, buf, (guint)n);
+		break;
+	case CONN_BROKEN:
+	case CONN_LINGER:
+		break;
+	}
 	return true;
 }
 
+/* Reads what lies in the socket, so that closing it does not reset it. */
+static void
+drop_unread(struct conn *c)
+{
+	uint8_t buf[READ_SIZE];
+
+	for (uint32_t i = 0; i < LAST_READS; i++)
+		if (recv(c->fd, buf, sizeof(buf), MSG_DONTWAIT) <= 0)
+			return;
+}
+
+/*
+ * Ends a connection that waits for a request, unless one lies in the socket:
+ * the caller may have sent it in good time while we were busy, and a close
+ * would reset the connection instead of answering.
+ */
+static void
+end_idle(struct conn *c)
+{
+	if (c->state != CONN_READING || c->began || !read_in(c))
+		return;
+	process(c);
+	want_io(c);
+	if (c->state == CONN_READING && !c->began)
+		lose(c);
+}
+
+/* As end_idle(): what has come is looked at before the time is up. */
+static void
+end_header(struct conn *c)
+{
+	if (!read_in(c))
+		return;
+	process(c);
+	want_io(c);
+	if (c->state != CONN_READING)
+		return;
+	mh_count(c->s->k, "serve_header_timeouts", 1);
+	c->state = CONN_ANSWERING;
+	c->req->keep_alive = false;
+	c->close_after = true;
+	mh_hreq_head(c->req, 408, NULL, 0);
+	mh_hreq_end(c->req);
+}
+
+/* Bytes of the answer that the caller has not confirmed yet. */
+static bool
+unconfirmed(const struct conn *c)
+{
+	int n = 0;
+
+	return ioctl(c->fd, SIOCOUTQ, &n) == 0 && n > 0;
+}
+
+static void
+on_timer(void *arg)
+{
+	struct conn *c = arg;
+
+	c->timer = NULL;
+	switch (c->state) {
+	case CONN_READING:
+		if (c->began)
+			end_header(c);
+		else
+			end_idle(c);
+		return;
+	case CONN_SENDING:
+		mh_count(c->s->k, "serve_slow_callers", 1);
+		lose(c);
+		return;
+	case CONN_LINGER:
+		if (unconfirmed(c) && mh_now(c->s->k) < c->deliver_by_us) {
+			set_timer(c, LINGER_US);
+			return;
+		}
+		drop_unread(c);
+		free_conn(c);
+		return;
+	case CONN_ANSWERING:
+	case CONN_BROKEN:
+		return;
+	}
+}
+
 static void
 on_io(void *arg, bool readable, bool writable)
 {
 	struct conn *c = arg;
 
+	(void)writable;
+	if (c->state == CONN_BROKEN)
+		return;
 	if (readable) {
 		if (!read_in(c))
 			return;
 		process(c);
 	}
-	(void)writable;
 	if (!flush_out(c))
 		return;
-	if (c->state == CONN_LINGER && c->close_after && c->out->len == 0 &&
-	    c->req == NULL)
-		shutdown(c->fd, SHUT_WR);
+	if (c->state == CONN_SENDING && c->out->len == 0)
+		on_sent(c);
+}
+
+static void on_accept(void *arg, bool readable, bool writable);
+
+static void
+on_accept_again(void *arg)
+{
+	struct mh_hserve *s = arg;
+
+	s->accept_timer = NULL;
+	mh_loop_fd(s->loop, s->fd, true, false, on_accept, s);
+}
+
+/*
+ * Connections that wait keep the socket readable, and without a pause the
+ * loop would turn at full speed until some file is closed.
+ */
+static void
+pause_accept(struct mh_hserve *s)
+{
+	mh_count(s->k, "serve_accept_pauses", 1);
+	mh_loop_fd(s->loop, s->fd, false, false, on_accept, s);
+	mh_timer_stop(s->k, &s->accept_timer);
+	s->accept_timer =
+	    mh_timer_start(s->k, ACCEPT_AGAIN_US, on_accept_again, s);
 }
 
 static void
@@ -568,8 +744,12 @@
 		    accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 		struct conn *c;
 
-		if (fd < 0)
+		if (fd < 0) {
+			if (errno == EMFILE || errno == ENFILE ||
+			    errno == ENOBUFS || errno == ENOMEM)
+				pause_accept(s);
 			return;
+		}
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
 		c = g_new0(struct conn, 1);
@@ -661,6 +841,26 @@
 		    half_read);
 }
 
+/* An answer that is whole is sent as far as the kernel takes it at once. */
+static void
+last_bytes(struct conn *c)
+{
+	if (c->state != CONN_SENDING || !send_out(c) || c->out->len > 0)
+		return;
+	c->state = CONN_LINGER;
+}
+
+static void
+stop_accepting(struct mh_hserve *s)
+{
+	mh_timer_stop(s->k, &s->accept_timer);
+	if (s->fd < 0)
+		return;
+	mh_loop_fd_close(s->loop, s->fd);
+	close(s->fd);
+	s->fd = -1;
+}
+
 void
 mh_hserve_destroy(struct mh_hserve *s)
 {
@@ -668,14 +868,21 @@
 
 	if (s == NULL)
 		return;
-	log_cut(s);
 	all = g_hash_table_get_keys(s->conns);
 	for (GList *n = all; n != NULL; n = n->next)
-		free_conn(n->data);
+		last_bytes(n->data);
+	log_cut(s);
+	for (GList *n = all; n != NULL; n = n->next) {
+		struct conn *c = n->data;
+
+		reset_if_half(c);
+		if (c->state == CONN_LINGER)
+			drop_unread(c);
+		free_conn(c);
+	}
 	g_list_free(all);
 	g_hash_table_destroy(s->conns);
-	mh_loop_fd_close(s->loop, s->fd);
-	close(s->fd);
+	stop_accepting(s);
 	g_free(s);
 }
 
@@ -697,6 +904,22 @@
 	s->draining = true;
 }
 
+void
+mh_hserve_finish(struct mh_hserve *s)
+{
+	GList *all;
+
+	s->draining = true;
+	s->finishing = true;
+	if (s->fd >= 0)
+		on_accept(s, true, false);
+	stop_accepting(s);
+	all = g_hash_table_get_keys(s->conns);
+	for (GList *n = all; n != NULL; n = n->next)
+		end_idle(n->data);
+	g_list_free(all);
+}
+
 uint32_t
 mh_hserve_open(const struct mh_hserve *s)
 {
@@ -706,10 +929,20 @@
 
 	g_hash_table_iter_init(&it, s->conns);
 	while (g_hash_table_iter_next(&it, &key, NULL)) {
-		struct conn *c = key;
+		const struct conn *c = key;
 
-		n += c->state == CONN_ANSWERING || c->out->len > 0 ||
-		    (c->state == CONN_READING && c->began);
+		switch (c->state) {
+		case CONN_READING:
+			n += c->began;
+			break;
+		case CONN_ANSWERING:
+		case CONN_SENDING:
+			n++;
+			break;
+		case CONN_BROKEN:
+		case CONN_LINGER:
+			break;
+		}
 	}
 	return n;
 }
--- a/lib/opaque.h
+++ b/lib/opaque.h
@@ -60,6 +60,25 @@
 void mh_hserve_set_limits(struct mh_hserve *s, const struct mh_hlimits *l);
 /** mh_hserve_drain() - each answer from now on closes its connection. */
 void mh_hserve_drain(struct mh_hserve *s);
+/**
+ * mh_hserve_finish() - the last part of an orderly end.
+ *
+ * Connections that wait for a request are closed, now and as they come to
+ * wait; those that wait to be accepted are accepted first, then the listening
+ * socket is closed.  A request whose bytes have come by then is still read
+ * and handed over: who takes it answers or refuses at once.  One that comes
+ * later meets a closed socket, so that its caller sees a reset and not one
+ * byte of an answer; it has not been read.  Answers go on until their bytes
+ * are with the kernel.  Call it late: a connection that carries an answer
+ * before is told to close and needs no guess when the caller uses it next.
+ */
+void mh_hserve_finish(struct mh_hserve *s);
+/**
+ * mh_hserve_open() - connections that a server's end would cut.
+ *
+ * A request half read or not answered, or an answer with bytes that are not
+ * with the kernel yet.
+ */
 uint32_t mh_hserve_open(const struct mh_hserve *s);
 
 const char *mh_hreq_method(const struct mh_hreq *r);
--- a/regress/t_http.c
+++ b/regress/t_http.c
@@ -711,6 +711,150 @@
 	hrig_destroy(r);
 }
 
+/* the end of a server */
+
+static void
+on_finish(void *arg)
+{
+	mh_hserve_finish(((struct hrig *)arg)->s);
+}
+
+static const char one_request[] = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/*
+ * A server ends while callers hold connections that they may use again at
+ * any moment.  Left open to the last they would be closed with whatever has
+ * come on them; so they are closed in order while nothing has come.
+ */
+static void
+test_finish_closes_idle(void)
+{
+	struct hrig *r = hrig_create();
+
+	raw(r, one_request);
+	mh_timer_start(r->k, 50 * MH_US_PER_MS, on_finish, r);
+	run(r);
+	CU_ASSERT_EQUAL(r->raw_errno, 0);
+	CU_ASSERT_TRUE(g_str_has_suffix(r->got->str, "\r\n\r\nxx"));
+	CU_ASSERT_EQUAL(mh_hserve_open(r->s), 0);
+	hrig_destroy(r);
+}
+
+static void
+on_send_and_finish(void *arg)
+{
+	struct hrig *r = arg;
+
+	CU_ASSERT(send(r->peer_fd, one_request, sizeof(one_request) - 1,
+		      MSG_NOSIGNAL) > 0);
+	mh_hserve_finish(r->s);
+}
+
+/*
+ * A request comes on such a connection just before it would be closed, and
+ * lies unread in the socket.  A close would reset the connection; the request
+ * is read and answered, and the answer tells that the connection ends.
+ */
+static void
+test_finish_reads_what_came(void)
+{
+	struct hrig *r = hrig_create();
+
+	r->peer_fd = tcp_dial(mh_hserve_port(r->s));
+	mh_loop_fd(r->loop, r->peer_fd, true, false, on_raw, r);
+	mh_timer_start(r->k, 50 * MH_US_PER_MS, on_send_and_finish, r);
+	run(r);
+	CU_ASSERT_EQUAL(r->requests, 1);
+	CU_ASSERT_EQUAL(r->raw_errno, 0);
+	CU_ASSERT_PTR_NOT_NULL(strstr(r->got->str, "Connection: close"));
+	CU_ASSERT_TRUE(g_str_has_suffix(r->got->str, "\r\n\r\nxx"));
+	hrig_destroy(r);
+}
+
+/*
+ * The same for a caller whose connection the kernel has taken and the server
+ * has not.  The next caller finds nobody listening.
+ */
+static void
+test_finish_accepts_once_more(void)
+{
+	struct hrig *r = hrig_create();
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+		.sin_port = htons(mh_hserve_port(r->s)),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	raw(r, one_request);
+	mh_hserve_finish(r->s);
+	CU_ASSERT_EQUAL(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), -1);
+	CU_ASSERT_EQUAL(errno, ECONNREFUSED);
+	close(fd);
+	run(r);
+	CU_ASSERT_EQUAL(r->requests, 1);
+	CU_ASSERT_TRUE(g_str_has_suffix(r->got->str, "\r\n\r\nxx"));
+	hrig_destroy(r);
+}
+
+static void
+on_finish_and_count(void *arg)
+{
+	struct hrig *r = arg;
+
+	mh_hserve_finish(r->s);
+	CU_ASSERT_EQUAL(mh_hserve_open(r->s), 1);
+}
+
+/*
+ * A long answer is under way to a slow caller when the server begins to end.
+ * The process may stop once nothing counts as open, so the connection counts
+ * until the answer's last byte is with the kernel.
+ */
+static void
+test_finish_waits_for_bytes(void)
+{
+	struct hrig *r = hrig_create();
+
+	r->big = LONG_ANSWER;
+	raw_slow(r, one_request, 300 * MH_US_PER_MS);
+	mh_timer_start(r->k, 100 * MH_US_PER_MS, on_finish_and_count, r);
+	run(r);
+	CU_ASSERT_EQUAL(r->raw_errno, 0);
+	CU_ASSERT_EQUAL(r->got->len - heads_end(r->got), LONG_ANSWER);
+	CU_ASSERT_EQUAL(mh_hserve_open(r->s), 0);
+	hrig_destroy(r);
+}
+
+static void
+on_second_half(void *arg)
+{
+	struct hrig *r = arg;
+
+	CU_ASSERT_EQUAL(mh_hserve_open(r->s), 1);
+	mh_hreq_end(r->held);
+}
+
+/*
+ * A stream began before the server was told to leave, so its head does not
+ * say that the connection ends.  It runs to its end, and only then is the
+ * connection closed, in order.
+ */
+static void
+test_finish_lets_streams_end(void)
+{
+	struct hrig *r = hrig_create();
+
+	r->hold = true;
+	raw(r, one_request);
+	mh_timer_start(r->k, 50 * MH_US_PER_MS, on_first_half, r);
+	mh_timer_start(r->k, 100 * MH_US_PER_MS, on_finish_and_count, r);
+	mh_timer_start(r->k, 150 * MH_US_PER_MS, on_second_half, r);
+	run(r);
+	CU_ASSERT_EQUAL(r->raw_errno, 0);
+	CU_ASSERT_TRUE(g_str_has_suffix(r->got->str, "ok\r\n0\r\n\r\n"));
+	CU_ASSERT_EQUAL(mh_hserve_open(r->s), 0);
+	hrig_destroy(r);
+}
+
 /* the client against a raw peer */
 
 static void
@@ -933,6 +1077,11 @@
 	{ "serve: a request at the idle limit",
 	    test_request_at_the_idle_limit },
 	{ "serve: no file left", test_no_file_left },
+	{ "serve: the end closes idle connections", test_finish_closes_idle },
+	{ "serve: the end reads what came", test_finish_reads_what_came },
+	{ "serve: the end accepts once more", test_finish_accepts_once_more },
+	{ "serve: the end waits for bytes", test_finish_waits_for_bytes },
+	{ "serve: the end lets streams end", test_finish_lets_streams_end },
 	{ "call: what a replica sends", test_backs },
 	{ "call: kept or not", test_kept_or_not },
 	{ "call: not sent", test_unsent },
