A caller that pauses over a whole answer: test, failing

Cause: TCP_USER_TIMEOUT, 4 s, counts the time with a shut window also when the peer confirms each probe. Ruled out: DELIVER_US, 14 s, has not passed; a pause of 1.5 s is survived. Change: a test with a pause of 5.5 s; the bound of the tests' runs goes from 5 to 10 s, it ends a run that hangs and is no assertion on a time. Conclusion: the limit for silent peers cuts answers to slow ones.

--- a/regress/t_http.c
+++ b/regress/t_http.c
@@ -16,7 +16,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define LONGEST_US (5 * MH_US_PER_S)
+#define LONGEST_US (10 * MH_US_PER_S)
 /* More than the kernel takes for a caller that does not read. */
 #define LONG_ANSWER ((size_t)6 << 20)
 
@@ -711,6 +711,25 @@
 	hrig_destroy(r);
 }
 
+/*
+ * A long answer is under way to a caller that reads nothing of it for some
+ * seconds.  Its machine confirms all the time that it is there, yet the
+ * kernel's limit for silent peers counts a shut window too and cut the
+ * connection, with the answer whole and the process idle.
+ */
+static void
+test_caller_that_pauses(void)
+{
+	struct hrig *r = hrig_create();
+
+	r->big = LONG_ANSWER;
+	raw_slow(r, "GET /1 HTTP/1.1\r\nHost: h\r\n" END, 5500 * MH_US_PER_MS);
+	run(r);
+	CU_ASSERT_EQUAL(r->raw_errno, 0);
+	CU_ASSERT_EQUAL(r->got->len - heads_end(r->got), LONG_ANSWER);
+	hrig_destroy(r);
+}
+
 /* the end of a server */
 
 static void
@@ -1062,6 +1081,7 @@
 	{ "serve: the caller closes", test_caller_closes },
 	{ "serve: a broken answer", test_broken_answer },
 	{ "serve: a slow caller, to be closed", test_slow_caller_that_closes },
+	{ "serve: a caller that pauses", test_caller_that_pauses },
 	{ "serve: a slow caller is not idle", test_slow_caller_is_not_idle },
 	{ "serve: two long answers", test_two_long_answers },
 	{ "serve: bytes behind the last request",
