The limit for silent peers no longer cuts answers that are whole

Cause: TCP_USER_TIMEOUT, 4 s, was set on each connection for good; the kernel counts a shut window as silence, and ended the connection of a caller that confirmed every probe. Ruled out: the server's own clocks: DELIVER_US is 14 s. Change: 4 s while a stream is made, when noticing saves work; DELIVER_US as soon as the answer is whole, and for answers that are sent whole from the beginning. Conclusion: mended for whole answers. A stream to a caller with a shut window still ends after 4 s, visibly.

--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -41,7 +41,11 @@
 #define LAST_READS (MAX_AHEAD / READ_SIZE)
 /* Without a free file descriptor the next accept is tried after this. */
 #define ACCEPT_AGAIN_US (100 * MH_US_PER_MS)
-/* A silent peer is noticed within this time while we send to it. */
+/*
+ * A silent peer is noticed within this time while a stream is made for it.
+ * The kernel counts a shut window as silence, so an answer that is whole,
+ * and for which nobody works any more, has DELIVER_US instead.
+ */
 #define USER_TIMEOUT_MS 4000
 
 enum conn_state {
@@ -179,6 +183,12 @@
 	free_conn(c);
 }
 
+static void
+set_user_timeout(int fd, int ms)
+{
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+}
+
 static void on_timer(void *arg);
 
 static void
@@ -393,6 +403,8 @@
 		r->chunked = true;
 		g_string_append(g, "Transfer-Encoding: chunked\r\n");
 	}
+	if (length < 0)
+		set_user_timeout(c->fd, USER_TIMEOUT_MS);
 	if (!r->keep_alive || c->s->draining)
 		c->close_after = true;
 	if (c->close_after)
@@ -485,6 +497,7 @@
 	c->req = NULL;
 	c->state = CONN_SENDING;
 	c->deliver_by_us = mh_now(c->s->k) + DELIVER_US;
+	set_user_timeout(c->fd, DELIVER_US / MH_US_PER_MS);
 	/* What lies behind the last request is not answered, and must not
 	 * stop reading: unread bytes would make the close a reset. */
 	if (c->close_after)
@@ -739,7 +752,7 @@
 	(void)readable;
 	(void)writable;
 	for (;;) {
-		int on = 1, ms = USER_TIMEOUT_MS;
+		int on = 1;
 		int fd =
 		    accept4(s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 		struct conn *c;
@@ -751,7 +764,7 @@
 			return;
 		}
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+		set_user_timeout(fd, DELIVER_US / MH_US_PER_MS);
 		c = g_new0(struct conn, 1);
 		c->s = s;
 		c->fd = fd;
