Tests of the server's end that hold against single changes

Cause: with lines of the mended server taken out one at a time three changes passed all tests: reading what lies behind the last answer at the end, lingering while the kernel has bytes of it, closing connections that become idle after mh_hserve_finish(). The last was hidden by the rig's idle time, 9 s, once runs were bounded by 10 s. Ruled out: the other lines tried (last_bytes, the look into the socket, the last accept, end_idle in mh_hserve_finish) already failed a test each. Change: two tests; the rig's idle time is twice the bound of a run. Conclusion: the code is unchanged.

--- a/regress/t_http.c
+++ b/regress/t_http.c
@@ -125,7 +125,7 @@
 {
 	struct hrig *r = g_new0(struct hrig, 1);
 	struct mh_hserve_args a = { .listen = "127.0.0.1:0",
-		.limits = { 512, 64, 3 * MH_US_PER_S, 9 * MH_US_PER_S },
+		.limits = { 512, 64, 3 * MH_US_PER_S, 2 * LONGEST_US },
 		.on_request = on_request,
 		.on_gone = on_gone,
 		.arg = r };
@@ -730,6 +730,60 @@
 	hrig_destroy(r);
 }
 
+/*
+ * A server ends while the kernel still has an answer for a slow caller, and
+ * the caller has sent something behind its last request.  Left unread it
+ * would make the close a reset, and the kernel would throw the answer away.
+ */
+static void
+test_end_with_unread_bytes(void)
+{
+	struct hrig *r = hrig_create();
+	char *more = g_strnfill(10000, 'x');
+
+	r->hold = true;
+	r->big = 256 << 10;
+	raw_slow(r, "GET /1 HTTP/1.1\r\nHost: h\r\n" END, 200 * MH_US_PER_MS);
+	mh_timer_start(r->k, 50 * MH_US_PER_MS, on_enough, r);
+	run(r);
+	CU_ASSERT(send(r->peer_fd, more, 10000, MSG_NOSIGNAL) > 0);
+	answer(r, r->held);
+	end_server(r);
+	run(r);
+	CU_ASSERT_EQUAL(r->raw_errno, 0);
+	CU_ASSERT_EQUAL(r->got->len - heads_end(r->got), 256 << 10);
+	g_free(more);
+	hrig_destroy(r);
+}
+
+static void
+on_late_bytes(void *arg)
+{
+	struct hrig *r = arg;
+
+	CU_ASSERT(send(r->peer_fd, "more", 4, MSG_NOSIGNAL) > 0);
+}
+
+/*
+ * The kernel has the whole of the last answer and a slow caller has not yet
+ * taken it, when some more bytes come from the caller.  With the connection
+ * closed by then they would be answered with a reset, which throws away what
+ * the kernel still has.
+ */
+static void
+test_late_bytes(void)
+{
+	struct hrig *r = hrig_create();
+
+	r->big = 256 << 10;
+	raw_slow(r, "GET /1 HTTP/1.1\r\nHost: h\r\n" END, 1800 * MH_US_PER_MS);
+	mh_timer_start(r->k, 1500 * MH_US_PER_MS, on_late_bytes, r);
+	run(r);
+	CU_ASSERT_EQUAL(r->raw_errno, 0);
+	CU_ASSERT_EQUAL(r->got->len - heads_end(r->got), 256 << 10);
+	hrig_destroy(r);
+}
+
 /* the end of a server */
 
 static void
@@ -1094,6 +1148,8 @@
 	{ "serve: the end within an answer without a frame",
 	    test_end_within_an_answer_without_a_frame },
 	{ "serve: an answer at the end", test_answer_at_the_end },
+	{ "serve: the end with unread bytes", test_end_with_unread_bytes },
+	{ "serve: late bytes", test_late_bytes },
 	{ "serve: a request at the idle limit",
 	    test_request_at_the_idle_limit },
 	{ "serve: no file left", test_no_file_left },
