Tests that fail: a side process ends with calls open

Cause: marlsided stops its loop 30 s after SIGTERM (longest_us, marlsided.c) and what it still holds is dropped: the calls at the endpoint, and those in its queue, whose entries can't tell "not run" any more. Reached when a class or rule allows more than 30 s (the declarations allow up to an hour) and the drain lasts. Ruled out: new calls after SIGTERM are refused as leaving (side.c, on_call); with the KV service in reach waiting bookings are refused when their partition moves. Change: suite "drain", two tests. Conclusion: the calls have to be bounded by the process's own end.

--- a/regress/main.c
+++ b/regress/main.c
@@ -40,6 +40,7 @@
 	{ "home", tests_home },
 	{ "front", tests_front },
 	{ "work", tests_work },
+	{ "drain", tests_drain },
 };
 
 static void
