A draining side process's end bounds the calls it holds

Cause: marlsided ends 30 s after SIGTERM, but a call's own deadline may lie an hour ahead; what was open at the end was dropped with the links. Entries redial, are refused, and count a repeatable call as failed, though it may never have left the queue; of a non-repeatable one nobody else can tell, so it is "unknown" at its deadline. Ruled out: handing the queue on at once (refusing it as leaving): where the pool has one endpoint, or the others are full, work that the drain has time for would be turned away. Draining until idle without an end: a call of an hour would outlive the supervisor's SIGKILL, and then nobody is told. Change: mh_side_drain() makes the process's end, less 1 s to tell it, the deadline of every call: the queue's own rule then refuses in time what can't finish, and starts nothing that would be cut; what still runs is ended as the endpoint's cut answer would be (failed, or unknown in the ledger and to its attached calls). The 30 s stand in one place, MH_SIDE_DRAIN_US.

--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -960,8 +960,19 @@
 	uint32_t queue_limit;
 };
 
+/*
+ * The longest drain, in microseconds.  Supervisors of containers send SIGKILL
+ * 30 s after SIGTERM if not told otherwise, and then nobody is told anything.
+ */
+#define MH_SIDE_DRAIN_US (30 * MH_US_PER_S)
+
 void mh_side_create(struct mh_kern *k, const struct mh_side_args *a);
-/** mh_side_drain() - tell every entry, hand over, finish, then idle. */
+/**
+ * mh_side_drain() - tell every entry, hand over, finish, then idle.
+ *
+ * The process may end MH_SIDE_DRAIN_US later: by then every call has its
+ * answer.  What can't end before does not start, what still runs is cut.
+ */
 void mh_side_drain(struct mh_kern *k);
 /** mh_side_idle() - drained and nothing left to send. */
 bool mh_side_idle(struct mh_kern *k);
--- a/lib/run.c
+++ b/lib/run.c
@@ -34,7 +34,10 @@
 	mh_loop_stop(d->loop);
 }
 
-/* The first signal drains; a request in progress is never cut. */
+/*
+ * The first signal drains, later ones change nothing.  Nothing in progress is
+ * dropped: where a drain has an end, the service answers all by then.
+ */
 static void
 on_terminate(void *arg)
 {
--- a/lib/side.c
+++ b/lib/side.c
@@ -15,6 +15,11 @@
 #define KEEP_US (5 * MH_US_PER_S) /* results, past their deadline */
 #define ORPHAN_US (1 * MH_US_PER_S) /* no link to the asking entry */
 #define LEDGER_LIMIT 65536
+/*
+ * Between the last answer and the process's end: a link that just broke is
+ * found silent (200 ms), dialled again (300 ms) and asks for its results.
+ */
+#define TELL_US (1 * MH_US_PER_S)
 
 static struct side *
 get(struct mh_kern *k)
@@ -262,6 +267,8 @@
 
 	s->tick = mh_timer_start(s->k, TICK_US, on_tick, s);
 	sweep(s);
+	if (s->draining && mh_now(s->k) >= s->end_us)
+		side_cut(s);
 	side_pump(s);
 	if (d != NULL)
 		mh_ledger_expire(s->ledger, mh_wall(s->k) / MH_US_PER_MS,
@@ -281,12 +288,35 @@
 	}
 }
 
+/*
+ * A call's own deadline may lie an hour ahead, beyond the end of the process.
+ * Callers were left without a word, and a call that had never left the queue
+ * was "unknown" for good, since only this process could tell.  With the end as
+ * its deadline it is refused while it can still be told, and one that could
+ * not finish is not started.
+ */
+static void
+bound_calls(struct side *s)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, s->calls);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct call *c = v;
+
+		c->item.deadline_us = MIN(c->item.deadline_us, s->end_us);
+	}
+}
+
 void
 mh_side_drain(struct mh_kern *k)
 {
 	struct side *s = get(k);
 
 	s->draining = true;
+	s->end_us = mh_now(k) + MH_SIDE_DRAIN_US - TELL_US;
+	bound_calls(s);
 	mh_member_drain(k);
 	mh_claim_drain(k);
 }
--- a/lib/side.h
+++ b/lib/side.h
@@ -66,6 +66,7 @@
 	double run_us; /* smoothed time of a call at the endpoint */
 	double factor; /* real over predicted time at this endpoint */
 	bool draining;
+	int64_t end_us; /* with draining: every call is answered by then */
 	uint64_t fence; /* highest order number seen */
 	struct mh_timer *tick;
 };
@@ -87,6 +88,8 @@
 /** side_pump() - starts what waits while slots are free. */
 void side_pump(struct side *s);
 void side_run_ended(struct side *s, const struct mh_run_msg *m);
+/** side_cut() - ends every call at the endpoint: it may have run. */
+void side_cut(struct side *s);
 void side_run_chunk(struct side *s, const struct mh_run_msg *m);
 
 #endif
--- a/lib/sidecall.c
+++ b/lib/sidecall.c
@@ -412,13 +412,20 @@
 }
 
 static void
-abort_run(struct call *c)
+tell_abort(struct call *c)
 {
-	struct side *s = c->s;
 	struct mh_msg *m = mh_msg_new(MH_MSG_RUN_ABORT);
 
 	m->u.run.run = c->run;
-	mh_post(s->k, "endpoint", m);
+	mh_post(c->s->k, "endpoint", m);
+}
+
+static void
+abort_run(struct call *c)
+{
+	struct side *s = c->s;
+
+	tell_abort(c);
 	g_hash_table_remove(s->runs, &c->run);
 	s->running--;
 }
@@ -534,6 +541,22 @@
 	side_pump(s);
 }
 
+void
+side_cut(struct side *s)
+{
+	GList *all = g_hash_table_get_values(s->runs);
+
+	for (GList *n = all; n != NULL; n = n->next) {
+		struct call *c = n->data;
+		struct mh_run_msg cut = { .run = c->run, .sent = true };
+
+		mh_count(s->k, "side_cuts", 1);
+		tell_abort(c);
+		side_run_ended(s, &cut);
+	}
+	g_list_free(all);
+}
+
 void
 side_run_chunk(struct side *s, const struct mh_run_msg *m)
 {
--- a/marlsided/marlsided.c
+++ b/marlsided/marlsided.c
@@ -7,7 +7,6 @@
 #include <string.h>
 
 #define LINGER_US (500 * MH_US_PER_MS)
-#define LONGEST_US (30 * MH_US_PER_S) /* partitions without a KV service */
 
 static bool create(struct mh_daemon *d, GError **err);
 static void drain(struct mh_daemon *d);
@@ -18,7 +17,7 @@
 	.role = "side",
 	.kind = MH_DAEMON_SIDE,
 	.linger_us = LINGER_US,
-	.longest_us = LONGEST_US,
+	.longest_us = MH_SIDE_DRAIN_US,
 	.create = create,
 	.drain = drain,
 	.idle = idle };
--- a/regress/t_drain.c
+++ b/regress/t_drain.c
@@ -8,7 +8,6 @@
 
 #include <string.h>
 
-#define LONGEST_US (30 * MH_US_PER_S) /* marlsided's longest drain */
 #define CHECK_US (50 * MH_US_PER_MS) /* run.c looks this often */
 #define SLOW_US (40 * MH_US_PER_S) /* a call that outlasts the drain */
 
@@ -58,7 +57,8 @@
 	mh_side_drain(x->k);
 	do {
 		net_run(x->net, CHECK_US);
-	} while (!mh_side_idle(x->k) && net_now(x->net) - start < LONGEST_US);
+	} while (
+	    !mh_side_idle(x->k) && net_now(x->net) - start < MH_SIDE_DRAIN_US);
 	net_kill(x);
 }
 
