Tests that fail: an entry ends with a lookup open, a side process with an order

Cause: mh_entry_open() (entry.c) counts requests and those held since the start, not the questions about outcomes in e->lookups; mh_side_idle() (side.c) looks at calls and partitions, not at s->orders. Each waits for another process, up to 1 s and 10 s, and the drain's shortest time is 1 s and 0.5 s. Ruled out: results that no entry acknowledged stay in s->calls and keep the process (t_once: drain_hands_the_ledger_over); attached calls are in s->calls too. Change: two tests in the suite "drain". Conclusion: both tables have to count.

--- a/regress/t_drain.c
+++ b/regress/t_drain.c
@@ -136,8 +136,77 @@
 	net_destroy(w.n);
 }
 
+/*
+ * A page asks what became of its booking, and the owner of the key is slow to
+ * say.  The entry had no other request, so it counted as idle and left: the
+ * page's connection closed without a word.  Questions about outcomes were
+ * kept in a table that the drain did not look at.
+ */
+static void
+test_entry_waits_for_a_lookup(void)
+{
+	struct net_ask a = { .method = "GET",
+		.path = "/v1/outcomes/confirm/k1" };
+	struct drain_world w;
+	uint64_t id;
+
+	make(&w, 3, "book");
+	net_silence(w.side, false, true);
+	id = net_request(w.e[0], &a);
+	net_run(w.n, 10 * MH_US_PER_MS);
+	mh_entry_drain(w.e[0]->k);
+	CU_ASSERT_FALSE(net_answer(w.n, id)->ended);
+	CU_ASSERT_EQUAL(mh_entry_open(w.e[0]->k), 1);
+	net_run(w.n, 2 * MH_US_PER_S);
+	CU_ASSERT_TRUE(net_answer(w.n, id)->ended);
+	CU_ASSERT_EQUAL(mh_entry_open(w.e[0]->k), 0);
+	net_destroy(w.n);
+}
+
+static void
+give_order(struct net_node *x)
+{
+	struct mh_msg *m = mh_msg_new(MH_MSG_FRAME);
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__Order o = MH__ORDER__INIT;
+
+	o.fence = 1;
+	o.verb = (char *)"load-model";
+	o.subject = (char *)"party-8b";
+	f.body_case = MH__FRAME__BODY_ORDER;
+	f.order = &o;
+	m->u.link.conn = 1;
+	m->u.link.frame = mh_frame_pack(&f);
+	mh_post(x->k, "hub", m);
+	net_run(x->net, 100 * MH_US_PER_MS);
+}
+
+/*
+ * An operator has an engine load a model, and its side process gets SIGTERM
+ * meanwhile.  It left after half a second, marlctl saw a closed link, and
+ * whether the model was loaded nobody knew.  Orders are not calls, and only
+ * calls kept the process.
+ */
+static void
+test_side_waits_for_an_order(void)
+{
+	struct drain_world w;
+
+	make(&w, 4, "enc");
+	w.side->service_us = 2 * MH_US_PER_S;
+	give_order(w.side);
+	mh_side_drain(w.side->k);
+	net_run(w.n, 1 * MH_US_PER_S);
+	CU_ASSERT_FALSE(mh_side_idle(w.side->k));
+	net_run(w.n, 2 * MH_US_PER_S);
+	CU_ASSERT_TRUE(mh_side_idle(w.side->k));
+	net_destroy(w.n);
+}
+
 const struct test tests_drain[] = {
 	{ "side_ends_with_bookings", test_side_ends_with_bookings },
 	{ "side_ends_with_work", test_side_ends_with_work },
+	{ "entry_waits_for_a_lookup", test_entry_waits_for_a_lookup },
+	{ "side_waits_for_an_order", test_side_waits_for_an_order },
 	{ NULL, NULL },
 };
