Lookups and orders keep a draining process until they are answered

Cause: idle was asked of the tables that came first, requests and calls; questions about outcomes (entry) and orders (side process) came later and were forgotten. Ruled out: a drain without end by them: a lookup is answered or refused after 1 s, an order after 10 s, and one that comes during a drain before the process's end. Change: mh_entry_open() counts lookups; mh_side_idle() asks for no orders; an order's time is cut to what the draining process has left.

--- a/lib/entry.c
+++ b/lib/entry.c
@@ -620,7 +620,10 @@
 uint32_t
 mh_entry_open(struct mh_kern *k)
 {
-	return g_hash_table_size(get(k)->requests) + get(k)->early->len;
+	struct entry *e = get(k);
+
+	return g_hash_table_size(e->requests) + e->early->len +
+	    g_hash_table_size(e->lookups);
 }
 
 json_t *
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -797,6 +797,7 @@
  */
 void mh_entry_drain(struct mh_kern *k);
 bool mh_entry_draining(struct mh_kern *k);
+/** mh_entry_open() - callers who wait for an answer of the entry. */
 uint32_t mh_entry_open(struct mh_kern *k);
 json_t *mh_entry_state(struct mh_kern *k);
 
--- a/lib/side.c
+++ b/lib/side.c
@@ -15,6 +15,7 @@
 #define KEEP_US (5 * MH_US_PER_S) /* results, past their deadline */
 #define ORPHAN_US (1 * MH_US_PER_S) /* no link to the asking entry */
 #define LEDGER_LIMIT 65536
+#define ORDER_US (10 * MH_US_PER_S) /* an engine answers its orders in this */
 /*
  * Between the last answer and the process's end: a link that just broke is
  * found silent (200 ms), dialled again (300 ms) and asks for its results.
@@ -179,6 +180,15 @@
 	return p != NULL && p->checks_fencing;
 }
 
+/* A draining process answers its orders before it ends, too. */
+static int64_t
+order_time(const struct side *s)
+{
+	if (!s->draining)
+		return ORDER_US;
+	return CLAMP(s->end_us - mh_now(s->k), 0, ORDER_US);
+}
+
 /*
  * An order with an old fencing number comes from a holder whose lease
  * lapsed while it was paused.  Engines that do not check would obey it, so
@@ -214,7 +224,7 @@
 	run->u.run.run = mh_next_id(s->k);
 	run->u.run.kind = MH_SERVICE;
 	run->u.run.path = g_strdup("/v1/orders");
-	run->u.run.timeout_us = 10 * MH_US_PER_S;
+	run->u.run.timeout_us = order_time(s);
 	body = json_pack("{s:I, s:s, s:s}", "fence", (json_int_t)m->fence,
 	    "verb", m->verb, "subject", m->subject);
 	text = json_dumps(body, JSON_COMPACT);
@@ -327,7 +337,8 @@
 	struct side *s = get(k);
 
 	return s->draining && s->running == 0 &&
-	    g_hash_table_size(s->calls) == 0 && mh_claim_count(k) == 0;
+	    g_hash_table_size(s->calls) == 0 &&
+	    g_hash_table_size(s->orders) == 0 && mh_claim_count(k) == 0;
 }
 
 json_t *
