A daemon waits for bytes of its callers before it ends

Cause: the drain asked the service whether it is idle, not the HTTP server, which holds a request before it is whole and after its answer is made. Ruled out: waiting without a bound: the server's own idle time (60 s) closes a caller that does nothing, but not one that takes a byte a minute. Change: mh_httpd_open() counts the requests that the server holds; run.c waits for them too, for FLUSH_US (10 s, the largest body on a line of 1 Mbit/s) after the service's last work. A request that arrives meanwhile starts this anew.

--- a/lib/httpd.c
+++ b/lib/httpd.c
@@ -552,6 +552,12 @@
 		close(fd);
 }
 
+uint32_t
+mh_httpd_open(const struct mh_httpd *h)
+{
+	return g_hash_table_size(h->reqs);
+}
+
 /* The loop keeps the hook: it finds the daemon gone and does nothing. */
 void
 mh_httpd_destroy(struct mh_httpd *h)
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -1087,6 +1087,8 @@
 uint16_t mh_httpd_port(const struct mh_httpd *h);
 /** mh_httpd_stop() - accept no more connections. */
 void mh_httpd_stop(struct mh_httpd *h);
+/** mh_httpd_open() - requests not wholly read or not wholly answered. */
+uint32_t mh_httpd_open(const struct mh_httpd *h);
 const char *mh_req_method(const struct mh_http_req *r);
 const char *mh_req_path(const struct mh_http_req *r);
 const char *mh_req_header(const struct mh_http_req *r, const char *name);
@@ -1179,6 +1181,7 @@
 	struct mh_httpd *httpd;
 	struct mh_timer *drain;
 	int64_t drain_at_us;
+	int64_t idle_at_us; /* draining and without work since, 0: not yet */
 };
 
 /** mh_daemon_main() - runs until drained; the process's exit status. */
--- a/lib/run.c
+++ b/lib/run.c
@@ -10,6 +10,8 @@
 #include <stdlib.h>
 
 #define DRAIN_CHECK_US (50 * MH_US_PER_MS)
+/* The largest body, 1 MiB, takes 8.4 s on a line of 1 Mbit/s. */
+#define FLUSH_US (10 * MH_US_PER_S)
 
 static G_GNUC_NORETURN void
 fail(const struct mh_daemon *d, GError *err)
@@ -18,6 +20,25 @@
 	exit(2);
 }
 
+/*
+ * A service is done with a request when its answer is made, and hears of it
+ * when its body is whole.  The bytes before and after are the HTTP server's:
+ * a daemon that asked only the service cut answers in the middle.  A caller
+ * that stalls holds the process for FLUSH_US and no longer.
+ */
+static bool
+is_done(struct mh_daemon *d)
+{
+	if (!d->ops->idle(d)) {
+		d->idle_at_us = 0;
+		return false;
+	}
+	if (d->idle_at_us == 0)
+		d->idle_at_us = mh_now(d->k);
+	return mh_httpd_open(d->httpd) == 0 ||
+	    mh_now(d->k) - d->idle_at_us >= FLUSH_US;
+}
+
 static void
 check_drained(void *arg)
 {
@@ -27,7 +48,7 @@
 	d->drain = mh_timer_start(d->k, DRAIN_CHECK_US, check_drained, d);
 	if (waited < d->ops->linger_us)
 		return;
-	if (!d->ops->idle(d) &&
+	if (!is_done(d) &&
 	    (d->ops->longest_us == 0 || waited < d->ops->longest_us))
 		return;
 	mh_log(d->k, "daemon", "Drained.");
--- a/regress/t_drain.c
+++ b/regress/t_drain.c
@@ -304,7 +304,8 @@
 	close(out[0]);
 	at = strstr(line, "http=");
 	CU_ASSERT_PTR_NOT_NULL_FATAL(at);
-	c->fd = tcp_dial((uint16_t)strtoul(at + 5, NULL, 10));
+	c->fd =
+	    tcp_dial((uint16_t)(at == NULL ? 0 : strtoul(at + 5, NULL, 10)));
 	setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
 	c->got = g_string_new(NULL);
 	unlink(secret);
