A stopping HTTP server accepts what waits before it closes its socket

Cause: the listening socket was closed with connections in its queue. Ruled out: shutdown() of the listening socket first: on Linux it drops the queue too. Keeping it open while the daemon lingers: balancers are to see it closed (docs/operators/draining.md). Change: mh_httpd_stop() runs the server until nobody waits, CONNECTIONS turns at most. Conclusion: mended but for a connection that comes between the last look and the close, microseconds; only a second socket on the port could take that one.

--- a/lib/httpd.c
+++ b/lib/httpd.c
@@ -8,6 +8,7 @@
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -539,6 +540,24 @@
 	return h;
 }
 
+/*
+ * Closing the listening socket resets every connection that the kernel holds
+ * for us, with the request that may be in it, and its caller can't tell
+ * whether that ran.  They are few, and each turn accepts one at least;
+ * what is over CONNECTIONS is reset as before.
+ */
+static void
+accept_waiting(struct mh_httpd *h)
+{
+	const union MHD_DaemonInfo *info =
+	    MHD_get_daemon_info(h->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+	struct pollfd p = { .fd = info->listen_fd, .events = POLLIN };
+
+	for (uint32_t i = 0; i < CONNECTIONS && poll(&p, 1, 0) == 1; i++)
+		MHD_run(h->daemon);
+	h->kick = true;
+}
+
 void
 mh_httpd_stop(struct mh_httpd *h)
 {
@@ -547,6 +566,7 @@
 	if (h->stopping)
 		return;
 	h->stopping = true;
+	accept_waiting(h);
 	fd = MHD_quiesce_daemon(h->daemon);
 	if (fd != MHD_INVALID_SOCKET)
 		close(fd);
