A partition on its way in keeps a draining side process

Cause: the count behind "idle" had only what the table names as ours. Ruled out: refusing the table's later word: the old owner's write may be in the KV service already. Waiting without a bound for a hand-over that was taken back: its sender tells nobody, so each later drain would last its full 30 s. Change: mh_claim_count() counts a hand-over from our word on until the table is as new, for 10 s at most. The process then owns it and hands it on.

--- a/lib/claim.c
+++ b/lib/claim.c
@@ -20,6 +20,11 @@
 #define SETTLE_US (1 * MH_US_PER_S) /* before balancing after a start */
 #define MOVE_US (2 * MH_US_PER_S) /* a hand-over that takes longer stops */
 #define MOVE_AGAIN_US (5 * MH_US_PER_S)
+/*
+ * Between our word on a hand-over and the KV service's news of it: three tries
+ * of the old owner's write, 2 s each (kv.c), their backoffs, and a reading.
+ */
+#define COMING_US (10 * MH_US_PER_S)
 #define MAX_ROWS_BYTES (1U << 20) /* of a hand-over, without answers */
 #define MAX_BODIES_BYTES (2U << 20)
 #define ROW_OVERHEAD 64
@@ -39,6 +44,7 @@
 	int64_t move_bound_ms; /* the bound that goes with it */
 	uint64_t got_epoch; /* of the hand-over received */
 	uint64_t got_serial;
+	int64_t got_at_us;
 };
 
 struct claim {
@@ -109,6 +115,18 @@
 	get(k)->part[p].busy += delta;
 }
 
+/*
+ * The old owner has our word and is about to write our name into the table.  A
+ * process that ended before it read so would take the rows with it.  One whose
+ * word was lost is not told: the old owner takes the move back and stays.
+ */
+static bool
+coming(const struct claim *c, uint32_t p)
+{
+	return c->part[p].got_epoch > mh_owners_part(c->owners, p)->epoch &&
+	    mh_now(c->k) - c->part[p].got_at_us < COMING_US;
+}
+
 uint32_t
 mh_claim_count(struct mh_kern *k)
 {
@@ -116,7 +134,7 @@
 	uint32_t n = 0;
 
 	for (uint32_t p = 0; p < MH_PARTITIONS; p++)
-		n += mine(c, mh_owners_part(c->owners, p));
+		n += mine(c, mh_owners_part(c->owners, p)) || coming(c, p);
 	return n;
 }
 
@@ -510,6 +528,7 @@
 		return;
 	c->part[p].got_epoch = h->epoch;
 	c->part[p].got_serial = h->serial;
+	c->part[p].got_at_us = mh_now(c->k);
 	mh_ledger_close(c->ledger, p);
 	for (size_t i = 0; i < h->n_entries; i++)
 		mh_ledger_add(c->ledger, p, h->entries[i]);
