Test that fails: a request reaches the HTTP server while it closes

Cause: mh_httpd_destroy() (httpd.c) lets the library run once more, so that cut connections close. It reads new requests too: on_access() hands them to a service that is gone or going and suspends the connection, and MHD_stop_daemon() panics on a suspended connection. Ruled out: a library that ends such connections by itself: it says "MHD_stop_daemon() called while we have suspended connections" and aborts. Then the link service is not destroyed either, which sends the last results (link.c, destroy). Change: one test in the suite "drain". Conclusion: a server that closes must take nothing.

--- a/regress/t_drain.c
+++ b/regress/t_drain.c
@@ -473,6 +473,7 @@
 	int fd[WAITING];
 	uint32_t answered;
 	uint32_t closed;
+	uint32_t taken;
 };
 
 static void
@@ -554,6 +555,48 @@
 	mh_loop_destroy(p.loop);
 }
 
+/* Takes a request that nobody will answer any more. */
+static void
+on_taken(void *arg, struct mh_http_req *r)
+{
+	struct port *p = arg;
+
+	(void)r;
+	p->taken++;
+}
+
+/*
+ * A balancer keeps a connection to an entry, and sends its next request in
+ * the turn in which the entry stops.  The server took it while it closed, the
+ * service was gone by then, and a request that waited made the library abort
+ * the process.
+ */
+static void
+test_request_at_the_close(void)
+{
+	static const char ask[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+	struct port p = { 0 };
+	struct mh_httpd_args a = {
+		.listen = "127.0.0.1:0", .on_request = on_taken, .arg = &p
+	};
+	char buf[1024] = "";
+
+	p.k = mh_kern_create(1);
+	p.loop = mh_loop_create(p.k, NULL);
+	p.h = mh_httpd_create(p.loop, &a, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(p.h);
+	p.fd[0] = tcp_dial(mh_httpd_port(p.h));
+	mh_httpd_stop(p.h);
+	CU_ASSERT(send(p.fd[0], ask, strlen(ask), MSG_NOSIGNAL) > 0);
+	mh_httpd_destroy(p.h);
+	CU_ASSERT(recv(p.fd[0], buf, sizeof(buf) - 1, 0) > 0);
+	CU_ASSERT_TRUE(g_str_has_prefix(buf, "HTTP/1.1 503"));
+	CU_ASSERT_EQUAL(p.taken, 0);
+	close(p.fd[0]);
+	mh_kern_destroy(p.k);
+	mh_loop_destroy(p.loop);
+}
+
 const struct test tests_drain[] = {
 	{ "side_ends_with_bookings", test_side_ends_with_bookings },
 	{ "side_ends_with_work", test_side_ends_with_work },
@@ -563,5 +606,6 @@
 	{ "answer_on_a_slow_line", test_answer_on_a_slow_line },
 	{ "request_half_sent", test_request_half_sent },
 	{ "connections_not_yet_accepted", test_connections_not_yet_accepted },
+	{ "request_at_the_close", test_request_at_the_close },
 	{ NULL, NULL },
 };
