An HTTP server that closes takes nothing and says so

Cause: between the decision to end and the library's end the server still read requests and handed them to a service that answers nobody any more. Ruled out: not running the library again: the connections that are cut at the end are closed in that turn. Closing such a connection without a status: its caller can't tell that the request went nowhere. Change: mh_httpd_close(), called where the daemon stops its loop and before the server is destroyed: a new request gets 503 and the connection closes.

--- a/lib/httpd.c
+++ b/lib/httpd.c
@@ -17,6 +17,7 @@
 #define CONNECTIONS 4096U
 #define IDLE_S 60U
 #define BLOCK 65536
+#define TURNS 4 /* of the library in a row: a handler may wake others */
 
 enum phase { READING, WAITING, READY, STREAMING, QUEUED, CUT };
 
@@ -60,6 +61,7 @@
 	uint16_t port;
 	bool kick; /* MHD has something to do this turn */
 	bool stopping;
+	bool closing; /* nothing is taken any more */
 };
 
 const char *
@@ -300,6 +302,27 @@
 	return r;
 }
 
+/*
+ * A request that is read while the server closes has nobody left to answer it.
+ * Handed on all the same it left its caller without a status, and, suspended,
+ * made MHD_stop_daemon() abort the process.  It is answered here instead.
+ */
+static enum MHD_Result
+refuse(struct MHD_Connection *conn)
+{
+	static const char text[] = "leaving; ask another\n";
+	struct MHD_Response *res = MHD_create_response_from_buffer(
+	    strlen(text), (void *)(uintptr_t)text, MHD_RESPMEM_PERSISTENT);
+	enum MHD_Result rv;
+
+	if (res == NULL)
+		return MHD_NO;
+	MHD_add_response_header(res, "Connection", "close");
+	rv = MHD_queue_response(conn, MHD_HTTP_SERVICE_UNAVAILABLE, res);
+	MHD_destroy_response(res);
+	return rv;
+}
+
 static enum MHD_Result
 on_access(void *cls, struct MHD_Connection *conn, const char *url,
     const char *method, const char *version, const char *data, size_t *size,
@@ -309,6 +332,8 @@
 	struct mh_http_req *r = *ctx;
 
 	(void)version;
+	if (r == NULL && h->closing)
+		return refuse(conn);
 	if (r == NULL) {
 		*ctx = new_req(h, conn, url, method);
 		return MHD_YES;
@@ -441,8 +466,7 @@
 
 	if (h->daemon == NULL)
 		return -1;
-	/* A handler may wake others, which must be served in this turn. */
-	for (int i = 0; h->kick && i < 4; i++) {
+	for (int i = 0; h->kick && i < TURNS; i++) {
 		h->kick = false;
 		MHD_run(h->daemon);
 	}
@@ -578,6 +602,12 @@
 	return g_hash_table_size(h->reqs);
 }
 
+void
+mh_httpd_close(struct mh_httpd *h)
+{
+	h->closing = true;
+}
+
 /* The loop keeps the hook: it finds the daemon gone and does nothing. */
 void
 mh_httpd_destroy(struct mh_httpd *h)
@@ -587,6 +617,7 @@
 	if (h == NULL)
 		return;
 	mh_timer_stop(h->k, &h->gone);
+	mh_httpd_close(h);
 	all = g_hash_table_get_values(h->reqs);
 	for (GList *n = all; n != NULL; n = n->next) {
 		struct mh_http_req *r = n->data;
@@ -597,7 +628,8 @@
 	g_list_free(all);
 	if (h->daemon != NULL) {
 		mh_loop_fd_close(h->loop, h->epoll_fd);
-		MHD_run(h->daemon);
+		for (int i = 0; i < TURNS; i++)
+			MHD_run(h->daemon);
 		MHD_stop_daemon(h->daemon);
 		h->daemon = NULL;
 	}
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -1087,6 +1087,8 @@
 uint16_t mh_httpd_port(const struct mh_httpd *h);
 /** mh_httpd_stop() - accept no more connections. */
 void mh_httpd_stop(struct mh_httpd *h);
+/** mh_httpd_close() - answer what still comes with 503; then destroy. */
+void mh_httpd_close(struct mh_httpd *h);
 /** mh_httpd_open() - requests not wholly read or not wholly answered. */
 uint32_t mh_httpd_open(const struct mh_httpd *h);
 const char *mh_req_method(const struct mh_http_req *r);
--- a/lib/run.c
+++ b/lib/run.c
@@ -52,6 +52,7 @@
 	    (d->ops->longest_us == 0 || waited < d->ops->longest_us))
 		return;
 	mh_log(d->k, "daemon", "Drained.");
+	mh_httpd_close(d->httpd);
 	mh_loop_stop(d->loop);
 }
 
