--- a/regress/t_leave.c
+++ b/regress/t_leave.c
@@ -4,7 +4,10 @@
 
 #include "gaterig.h"
 #include "regress.h"
+#include "tcp.h"
 
+#include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 /* What its callers give a chat reply; an entry that leaves has less. */
@@ -266,6 +269,99 @@
 	mh_loop_destroy(t.l);
 }
 
+/* the same, for the server of the product's own daemons */
+
+struct last_read {
+	struct mh_loop *l;
+	int pipe[2];
+	int caller;
+	uint32_t turns;
+	uint32_t read_after;
+	bool ended;
+};
+
+static void
+on_last(void *arg)
+{
+	struct last_read *t = arg;
+
+	t->ended = true;
+	mh_loop_stop(t->l);
+}
+
+/* In the turn in which the request comes, the end is due in the next one. */
+static void
+on_due(void *arg, bool readable, bool writable)
+{
+	struct last_read *t = arg;
+	char c;
+
+	(void)readable;
+	(void)writable;
+	CU_ASSERT_EQUAL(read(t->pipe[0], &c, 1), 1);
+	mh_timer_start(mh_loop_kern(t->l), 0, on_last, t);
+}
+
+static void
+on_http(void *arg, struct mh_http_req *q)
+{
+	struct last_read *t = arg;
+
+	(void)q;
+	t->read_after += t->ended;
+	if (!t->ended)
+		mh_loop_stop(t->l);
+}
+
+/* Sends once the connection was accepted; both are ready in one turn then. */
+static int64_t
+send_last(void *arg)
+{
+	static const char text[] = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+	struct last_read *t = arg;
+
+	if (++t->turns == 4) {
+		CU_ASSERT_EQUAL(send(t->caller, text, strlen(text), 0),
+		    (ssize_t)strlen(text));
+		CU_ASSERT_EQUAL(write(t->pipe[1], "x", 1), 1);
+		g_usleep(20 * MS);
+	}
+	return t->turns < 4 ? 5 * MS : -1;
+}
+
+/*
+ * A hook of the loop runs once more after the end: the server of marlhoistd
+ * reads a request of a kept connection in it, which nobody answers.
+ */
+static void
+test_no_request_after_the_end(void)
+{
+	struct last_read t = { 0 };
+	struct mh_kern *k = mh_kern_create(1);
+	struct mh_httpd_args a = {
+		.listen = "127.0.0.1:0", .on_request = on_http, .arg = &t
+	};
+	struct mh_httpd *h;
+
+	t.l = mh_loop_create(k, NULL);
+	CU_ASSERT_EQUAL(pipe(t.pipe), 0);
+	h = mh_httpd_create(t.l, &a, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(h);
+	t.caller = tcp_dial(mh_httpd_port(h));
+	mh_loop_fd(t.l, t.pipe[0], true, false, on_due, &t);
+	mh_loop_before(t.l, send_last, &t);
+	mh_loop_run(t.l);
+	CU_ASSERT_TRUE(t.ended);
+	CU_ASSERT_EQUAL(t.read_after, 0);
+	mh_httpd_destroy(h);
+	mh_loop_fd_close(t.l, t.pipe[0]);
+	close(t.pipe[0]);
+	close(t.pipe[1]);
+	close(t.caller);
+	mh_kern_destroy(k);
+	mh_loop_destroy(t.l);
+}
+
 const struct test tests_leave[] = {
 	{ "leave: what waits is answered", test_waiting_answered },
 	{ "leave: what was sent is answered", test_sent_answered },
@@ -275,5 +371,6 @@
 	{ "leave: elsewhere at once", test_elsewhere_at_once },
 	{ "leave: the home is told", test_home_told },
 	{ "leave: nothing after the end", test_nothing_after_the_end },
+	{ "leave: no request after the end", test_no_request_after_the_end },
 	{ NULL, NULL },
 };
