Split the HTTP server: one request, and the connections

Ruled out: one internal header with both structures open to both files; the parser is begun anew with each request, so it goes with the request, and hreq.c needs to know neither a connection nor a socket. Change: lib/hreq.c has the parser's callbacks, the header checks, the answer's framing and what the gate asks of a request; lib/hreqint.h is for these two files alone. No change of behaviour; the tests are untouched. Conclusion: a pure move; limits, order of calls and texts are as before.

--- /dev/null
+++ b/lib/hreq.c
@@ -0,0 +1,286 @@
+/**
+ * DOC: One request: read from bytes, answered in bytes.
+ *
+ * http_parser reads it and what it leaves open is checked here, so that a
+ * request is passed on unchanged or refused.  Nothing here knows a socket:
+ * hserve.c brings the bytes of the request and sends those of the answer.
+ */
+
+#include "hreqint.h"
+
+#include <string.h>
+
+void
+mh_hreq_destroy(struct mh_hreq *r)
+{
+	if (r == NULL)
+		return;
+	g_free(r->method);
+	g_string_free(r->target, TRUE);
+	mh_headers_destroy(r->headers);
+	g_string_free(r->name, TRUE);
+	g_string_free(r->value, TRUE);
+	g_byte_array_unref(r->body);
+	g_free(r);
+}
+
+struct mh_hreq *
+mh_hreq_create(const struct mh_hlimits *l, GByteArray *out)
+{
+	struct mh_hreq *r = g_new0(struct mh_hreq, 1);
+
+	r->limits = l;
+	r->out = out;
+	http_parser_init(&r->parser, HTTP_REQUEST);
+	r->parser.data = r;
+	r->target = g_string_new(NULL);
+	r->headers = mh_headers_create();
+	r->name = g_string_new(NULL);
+	r->value = g_string_new(NULL);
+	r->body = g_byte_array_new();
+	return r;
+}
+
+/* parsing */
+
+static int
+on_url(http_parser *p, const char *at, size_t n)
+{
+	struct mh_hreq *r = p->data;
+
+	g_string_append_len(r->target, at, (gssize)n);
+	r->header_bytes += (uint32_t)n;
+	return 0;
+}
+
+static void
+end_field(struct mh_hreq *r)
+{
+	if (r->name->len == 0)
+		return;
+	if (!mh_header_name_ok(r->name->str) ||
+	    !mh_header_value_ok(r->value->str) ||
+	    strlen(r->value->str) != r->value->len)
+		r->refuse = 400;
+	mh_headers_add(r->headers, r->name->str, r->value->str);
+	g_string_truncate(r->name, 0);
+	g_string_truncate(r->value, 0);
+}
+
+static int
+on_field(http_parser *p, const char *at, size_t n)
+{
+	struct mh_hreq *r = p->data;
+
+	if (r->method != NULL) /* a trailer after the last chunk */
+		return 0;
+	if (r->in_value)
+		end_field(r);
+	r->in_value = false;
+	g_string_append_len(r->name, at, (gssize)n);
+	r->header_bytes += (uint32_t)n;
+	return 0;
+}
+
+static int
+on_value(http_parser *p, const char *at, size_t n)
+{
+	struct mh_hreq *r = p->data;
+
+	if (r->method != NULL)
+		return 0;
+	r->in_value = true;
+	g_string_append_len(r->value, at, (gssize)n);
+	r->header_bytes += (uint32_t)n;
+	return 0;
+}
+
+static int
+on_headers(http_parser *p)
+{
+	static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
+	struct mh_hreq *r = p->data;
+	const struct mh_hlimits *l = r->limits;
+
+	end_field(r);
+	r->method = g_strdup(http_method_str(p->method));
+	r->keep_alive = http_should_keep_alive(p);
+	r->http10 = p->http_major == 1 && p->http_minor == 0;
+	if (p->http_major != 1 || p->upgrade ||
+	    mh_headers_count(r->headers, "Host") != 1 ||
+	    mh_headers_count(r->headers, "Content-Length") > 1 ||
+	    mh_headers_count(r->headers, "Transfer-Encoding") > 1)
+		r->refuse = 400;
+	if (r->header_bytes > l->header_bytes)
+		r->refuse = 431;
+	if (r->refuse == 0 && p->content_length != UINT64_MAX &&
+	    p->content_length > l->body_bytes)
+		r->refuse = 413;
+	if (r->refuse != 0)
+		return -1;
+	/* HTTP/1.0 knows no interim answer and would take it for the last. */
+	if (!r->http10 && mh_headers_get(r->headers, "Expect") != NULL)
+		g_byte_array_append(
+		    r->out, (const uint8_t *)go_on, sizeof(go_on) - 1);
+	return 0;
+}
+
+static int
+on_body(http_parser *p, const char *at, size_t n)
+{
+	struct mh_hreq *r = p->data;
+
+	if (r->body->len + n > r->limits->body_bytes) {
+		r->refuse = 413;
+		return -1;
+	}
+	g_byte_array_append(r->body, (const uint8_t *)at, (guint)n);
+	return 0;
+}
+
+static int
+on_complete(http_parser *p)
+{
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings callbacks = { .on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers,
+	.on_body = on_body,
+	.on_message_complete = on_complete };
+
+enum mh_hread
+mh_hreq_read(struct mh_hreq *r, GByteArray *in)
+{
+	size_t n = http_parser_execute(
+	    &r->parser, &callbacks, (const char *)in->data, in->len);
+
+	if (HTTP_PARSER_ERRNO(&r->parser) == HPE_PAUSED) {
+		g_byte_array_remove_range(in, 0, (guint)n);
+		return r->refuse != 0 ? MH_HREAD_BAD : MH_HREAD_WHOLE;
+	}
+	if (HTTP_PARSER_ERRNO(&r->parser) != HPE_OK || r->parser.upgrade)
+		return MH_HREAD_BAD;
+	g_byte_array_set_size(in, 0);
+	if (r->method == NULL && r->header_bytes > r->limits->header_bytes) {
+		r->refuse = 431;
+		return MH_HREAD_BAD;
+	}
+	return MH_HREAD_MORE;
+}
+
+/* answers */
+
+static const char *
+reason(uint32_t status)
+{
+	switch (status) {
+#define XX(num, name, string) \
+	case num:             \
+		return #string;
+		HTTP_STATUS_MAP(XX)
+#undef XX
+	default:
+		return "Unknown";
+	}
+}
+
+static void
+add_field(void *arg, const char *name, const char *value)
+{
+	g_string_append_printf(arg, "%s: %s\r\n", name, value);
+}
+
+bool
+mh_hreq_framed(const struct mh_hreq *r, int64_t length)
+{
+	return length >= 0 || !r->http10;
+}
+
+void
+mh_hreq_put_head(struct mh_hreq *r, uint32_t status,
+    const struct mh_headers *headers, int64_t length, bool close)
+{
+	GString *g = g_string_sized_new(512);
+
+	g_string_printf(g, "HTTP/1.1 %u %s\r\n", status, reason(status));
+	if (headers != NULL)
+		mh_headers_each(headers, add_field, g);
+	if (length >= 0) {
+		g_string_append_printf(
+		    g, "Content-Length: %" PRId64 "\r\n", length);
+	} else if (mh_hreq_framed(r, length)) {
+		r->chunked = true;
+		g_string_append(g, "Transfer-Encoding: chunked\r\n");
+	}
+	if (close)
+		g_string_append(g, "Connection: close\r\n");
+	g_string_append(g, "\r\n");
+	g_byte_array_append(r->out, (uint8_t *)g->str, (guint)g->len);
+	g_string_free(g, TRUE);
+}
+
+void
+mh_hreq_put(struct mh_hreq *r, const void *data, size_t len)
+{
+	char size[24];
+
+	if (len == 0)
+		return;
+	if (r->chunked) {
+		g_snprintf(size, sizeof(size), "%zx\r\n", len);
+		g_byte_array_append(
+		    r->out, (uint8_t *)size, (guint)strlen(size));
+	}
+	g_byte_array_append(r->out, data, (guint)len);
+	if (r->chunked)
+		g_byte_array_append(r->out, (const uint8_t *)"\r\n", 2);
+}
+
+void
+mh_hreq_put_end(struct mh_hreq *r)
+{
+	if (r->chunked)
+		g_byte_array_append(r->out, (const uint8_t *)"0\r\n\r\n", 5);
+}
+
+/* what the gate asks of it */
+
+const char *
+mh_hreq_method(const struct mh_hreq *r)
+{
+	return r->method;
+}
+
+const char *
+mh_hreq_target(const struct mh_hreq *r)
+{
+	return r->target->str;
+}
+
+const struct mh_headers *
+mh_hreq_headers(const struct mh_hreq *r)
+{
+	return r->headers;
+}
+
+const GByteArray *
+mh_hreq_body(const struct mh_hreq *r)
+{
+	return r->body;
+}
+
+void *
+mh_hreq_data(const struct mh_hreq *r)
+{
+	return r->data;
+}
+
+void
+mh_hreq_set_data(struct mh_hreq *r, void *data)
+{
+	r->data = data;
+}
--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -2,15 +2,15 @@
  * DOC: HTTP/1.1 server that keeps requests byte for byte.
  *
  * libmicrohttpd decodes paths and answers bad requests in its own way; here
- * a request is passed on unchanged or refused, so http_parser reads it and
- * this file moves the bytes.  A request is handed over when its body is
- * whole; one connection has one request at a time.
+ * a request is passed on unchanged or refused.  This file has the connections
+ * and moves the bytes; hreq.c reads requests and frames answers.  A request
+ * is handed over when its body is whole; one connection has one request at a
+ * time.
  */
 
-#include "gate.h"
+#include "hreqint.h"
 
 #include <errno.h>
-#include <http_parser.h>
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -56,28 +56,10 @@
 	CONN_LINGER /* answered and not to be used again; reading to the end */
 };
 
-struct mh_hreq {
-	struct conn *c;
-	char *method;
-	GString *target;
-	struct mh_headers *headers;
-	GString *name; /* the field being read */
-	GString *value;
-	bool in_value;
-	bool keep_alive;
-	bool chunked; /* the answer's framing */
-	bool http10;
-	uint32_t header_bytes;
-	GByteArray *body;
-	uint32_t refuse; /* status of an error found while reading */
-	void *data;
-};
-
 struct conn {
 	struct mh_hserve *s;
 	int fd;
 	enum conn_state state;
-	http_parser parser;
 	bool began; /* a request's first byte has come */
 	bool close_after;
 	bool unframed; /* the answer ends where the connection does */
@@ -104,41 +86,13 @@
 static void process(struct conn *c);
 static void end_idle(struct conn *c);
 
-static void
-free_req(struct mh_hreq *r)
-{
-	if (r == NULL)
-		return;
-	g_free(r->method);
-	g_string_free(r->target, TRUE);
-	mh_headers_destroy(r->headers);
-	g_string_free(r->name, TRUE);
-	g_string_free(r->value, TRUE);
-	g_byte_array_unref(r->body);
-	g_free(r);
-}
-
-static struct mh_hreq *
-new_req(struct conn *c)
-{
-	struct mh_hreq *r = g_new0(struct mh_hreq, 1);
-
-	r->c = c;
-	r->target = g_string_new(NULL);
-	r->headers = mh_headers_create();
-	r->name = g_string_new(NULL);
-	r->value = g_string_new(NULL);
-	r->body = g_byte_array_new();
-	return r;
-}
-
 static void
 free_conn(struct conn *c)
 {
 	mh_timer_stop(c->s->k, &c->timer);
 	mh_loop_fd_close(c->s->loop, c->fd);
 	close(c->fd);
-	free_req(c->req);
+	mh_hreq_destroy(c->req);
 	g_byte_array_unref(c->ahead);
 	g_byte_array_unref(c->out);
 	g_hash_table_remove(c->s->conns, c);
@@ -246,192 +200,30 @@
 	return true;
 }
 
-/* parsing */
-
-static int
-on_url(http_parser *p, const char *at, size_t n)
-{
-	struct mh_hreq *r = ((struct conn *)p->data)->req;
-
-	g_string_append_len(r->target, at, (gssize)n);
-	r->header_bytes += (uint32_t)n;
-	return 0;
-}
-
-static void
-end_field(struct mh_hreq *r)
-{
-	if (r->name->len == 0)
-		return;
-	if (!mh_header_name_ok(r->name->str) ||
-	    !mh_header_value_ok(r->value->str) ||
-	    strlen(r->value->str) != r->value->len)
-		r->refuse = 400;
-	mh_headers_add(r->headers, r->name->str, r->value->str);
-	g_string_truncate(r->name, 0);
-	g_string_truncate(r->value, 0);
-}
-
-static int
-on_field(http_parser *p, const char *at, size_t n)
-{
-	struct conn *c = p->data;
-	struct mh_hreq *r = c->req;
-
-	if (r->method != NULL) /* a trailer after the last chunk */
-		return 0;
-	if (r->in_value)
-		end_field(r);
-	r->in_value = false;
-	g_string_append_len(r->name, at, (gssize)n);
-	r->header_bytes += (uint32_t)n;
-	return 0;
-}
-
-static int
-on_value(http_parser *p, const char *at, size_t n)
-{
-	struct conn *c = p->data;
-	struct mh_hreq *r = c->req;
-
-	if (r->method != NULL)
-		return 0;
-	r->in_value = true;
-	g_string_append_len(r->value, at, (gssize)n);
-	r->header_bytes += (uint32_t)n;
-	return 0;
-}
-
-static int
-on_headers(http_parser *p)
-{
-	static const char go_on[] = "HTTP/1.1 100 Continue\r\n\r\n";
-	struct conn *c = p->data;
-	struct mh_hreq *r = c->req;
-	const struct mh_hlimits *l = &c->s->args.limits;
-
-	end_field(r);
-	r->method = g_strdup(http_method_str(p->method));
-	r->keep_alive = http_should_keep_alive(p);
-	r->http10 = p->http_major == 1 && p->http_minor == 0;
-	if (p->http_major != 1 || p->upgrade ||
-	    mh_headers_count(r->headers, "Host") != 1 ||
-	    mh_headers_count(r->headers, "Content-Length") > 1 ||
-	    mh_headers_count(r->headers, "Transfer-Encoding") > 1)
-		r->refuse = 400;
-	if (r->header_bytes > l->header_bytes)
-		r->refuse = 431;
-	if (r->refuse == 0 && p->content_length != UINT64_MAX &&
-	    p->content_length > l->body_bytes)
-		r->refuse = 413;
-	if (r->refuse != 0)
-		return -1;
-	/* HTTP/1.0 knows no interim answer and would take it for the last. */
-	if (!r->http10 && mh_headers_get(r->headers, "Expect") != NULL)
-		g_byte_array_append(
-		    c->out, (const uint8_t *)go_on, sizeof(go_on) - 1);
-	return 0;
-}
-
-static int
-on_body(http_parser *p, const char *at, size_t n)
-{
-	struct conn *c = p->data;
-	struct mh_hreq *r = c->req;
-
-	if (r->body->len + n > c->s->args.limits.body_bytes) {
-		r->refuse = 413;
-		return -1;
-	}
-	g_byte_array_append(r->body, (const uint8_t *)at, (guint)n);
-	return 0;
-}
-
-static int
-on_complete(http_parser *p)
-{
-	http_parser_pause(p, 1);
-	return 0;
-}
-
-static const http_parser_settings callbacks = { .on_url = on_url,
-	.on_header_field = on_field,
-	.on_header_value = on_value,
-	.on_headers_complete = on_headers,
-	.on_body = on_body,
-	.on_message_complete = on_complete };
-
 /* answers */
 
-static const char *
-reason(uint32_t status)
-{
-	switch (status) {
-#define XX(num, name, string) \
-	case num:             \
-		return #string;
-		HTTP_STATUS_MAP(XX)
-#undef XX
-	default:
-		return "Unknown";
-	}
-}
-
-static void
-add_field(void *arg, const char *name, const char *value)
-{
-	g_string_append_printf(arg, "%s: %s\r\n", name, value);
-}
-
 void
 mh_hreq_head(struct mh_hreq *r, uint32_t status,
     const struct mh_headers *headers, int64_t length)
 {
 	struct conn *c = r->c;
-	GString *g = g_string_sized_new(512);
-
-	g_string_printf(g, "HTTP/1.1 %u %s\r\n", status, reason(status));
-	if (headers != NULL)
-		mh_headers_each(headers, add_field, g);
-	if (length >= 0) {
-		g_string_append_printf(
-		    g, "Content-Length: %" PRId64 "\r\n", length);
-	} else if (r->http10) {
-		c->close_after = true;
-		c->unframed = true;
-	} else {
-		r->chunked = true;
-		g_string_append(g, "Transfer-Encoding: chunked\r\n");
-	}
+
+	c->unframed = !mh_hreq_framed(r, length);
 	if (length < 0)
 		set_user_timeout(c->fd, USER_TIMEOUT_MS);
-	if (!r->keep_alive || c->s->draining)
+	if (c->unframed || !r->keep_alive || c->s->draining)
 		c->close_after = true;
-	if (c->close_after)
-		g_string_append(g, "Connection: close\r\n");
-	g_string_append(g, "\r\n");
-	g_byte_array_append(c->out, (uint8_t *)g->str, (guint)g->len);
-	g_string_free(g, TRUE);
+	mh_hreq_put_head(r, status, headers, length, c->close_after);
 	want_io(c);
 }
 
 void
 mh_hreq_write(struct mh_hreq *r, const void *data, size_t len)
 {
-	struct conn *c = r->c;
-	char size[24];
-
 	if (len == 0)
 		return;
-	if (r->chunked) {
-		g_snprintf(size, sizeof(size), "%zx\r\n", len);
-		g_byte_array_append(
-		    c->out, (uint8_t *)size, (guint)strlen(size));
-	}
-	g_byte_array_append(c->out, data, (guint)len);
-	if (r->chunked)
-		g_byte_array_append(c->out, (const uint8_t *)"\r\n", 2);
-	want_io(c);
+	mh_hreq_put(r, data, len);
+	want_io(r->c);
 }
 
 static void
@@ -439,9 +231,8 @@
 {
 	c->state = CONN_READING;
 	c->began = false;
-	http_parser_init(&c->parser, HTTP_REQUEST);
-	c->parser.data = c;
-	c->req = new_req(c);
+	c->req = mh_hreq_create(&c->s->args.limits, c->out);
+	c->req->c = c;
 	set_timer(c, c->s->args.limits.idle_us);
 }
 
@@ -492,8 +283,7 @@
 {
 	struct conn *c = r->c;
 
-	if (r->chunked)
-		g_byte_array_append(c->out, (const uint8_t *)"0\r\n\r\n", 5);
+	mh_hreq_put_end(r);
 	c->req = NULL;
 	c->state = CONN_SENDING;
 	c->deliver_by_us = mh_now(c->s->k) + DELIVER_US;
@@ -502,7 +292,7 @@
 	 * stop reading: unread bytes would make the close a reset. */
 	if (c->close_after)
 		g_byte_array_set_size(c->ahead, 0);
-	free_req(r);
+	mh_hreq_destroy(r);
 	mh_timer_stop(c->s->k, &c->timer);
 	c->timer = mh_timer_start(c->s->k, 0, after_answer, c);
 }
@@ -524,7 +314,7 @@
 
 	c->req = NULL;
 	c->state = CONN_BROKEN;
-	free_req(r);
+	mh_hreq_destroy(r);
 	mh_timer_stop(c->s->k, &c->timer);
 	c->timer = mh_timer_start(c->s->k, 0, reset, c);
 }
@@ -536,7 +326,7 @@
 	uint32_t status = r->refuse != 0 ? r->refuse : 400;
 
 	mh_event(c->s->k, "bad-request", "status=%u parser=%s", status,
-	    http_errno_name(HTTP_PARSER_ERRNO(&c->parser)));
+	    http_errno_name(HTTP_PARSER_ERRNO(&r->parser)));
 	c->state = CONN_ANSWERING;
 	c->close_after = true;
 	g_byte_array_set_size(c->ahead, 0);
@@ -556,33 +346,21 @@
 static void
 process(struct conn *c)
 {
-	size_t n;
-
 	if (c->state != CONN_READING || c->ahead->len == 0)
 		return;
 	if (!c->began) {
 		c->began = true;
 		set_timer(c, c->s->args.limits.header_us);
 	}
-	n = http_parser_execute(&c->parser, &callbacks,
-	    (const char *)c->ahead->data, c->ahead->len);
-	if (HTTP_PARSER_ERRNO(&c->parser) == HPE_PAUSED) {
-		g_byte_array_remove_range(c->ahead, 0, (guint)n);
-		if (c->req->refuse != 0)
-			refuse_bad(c);
-		else
-			hand_over(c);
+	switch (mh_hreq_read(c->req, c->ahead)) {
+	case MH_HREAD_MORE:
 		return;
-	}
-	if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK || c->parser.upgrade) {
-		refuse_bad(c);
+	case MH_HREAD_WHOLE:
+		hand_over(c);
 		return;
-	}
-	g_byte_array_set_size(c->ahead, 0);
-	if (c->req->method == NULL &&
-	    c->req->header_bytes > c->s->args.limits.header_bytes) {
-		c->req->refuse = 431;
+	case MH_HREAD_BAD:
 		refuse_bad(c);
+		return;
 	}
 }
 
@@ -776,42 +554,6 @@
 	}
 }
 
-const char *
-mh_hreq_method(const struct mh_hreq *r)
-{
-	return r->method;
-}
-
-const char *
-mh_hreq_target(const struct mh_hreq *r)
-{
-	return r->target->str;
-}
-
-const struct mh_headers *
-mh_hreq_headers(const struct mh_hreq *r)
-{
-	return r->headers;
-}
-
-const GByteArray *
-mh_hreq_body(const struct mh_hreq *r)
-{
-	return r->body;
-}
-
-void *
-mh_hreq_data(const struct mh_hreq *r)
-{
-	return r->data;
-}
-
-void
-mh_hreq_set_data(struct mh_hreq *r, void *data)
-{
-	r->data = data;
-}
-
 struct mh_hserve *
 mh_hserve_create(
     struct mh_loop *l, const struct mh_hserve_args *a, GError **err)
--- a/lib/opaque.h
+++ b/lib/opaque.h
@@ -31,7 +31,7 @@
 /** mh_listen() - a listening socket; port 0 picks one, told in @port. */
 int mh_listen(const char *addr, uint16_t *port, GError **err);
 
-/* hserve.c: HTTP/1.1 server that keeps requests byte for byte */
+/* hserve.c, hreq.c: HTTP/1.1 server that keeps requests byte for byte */
 
 struct mh_hserve;
 struct mh_hreq;
