Test: a caller that shuts its sending side and reads its answer

Cause: read_in() in lib/hserve.c takes the end of the caller's bytes for a caller that left, in every state, and closes the connection with the answer in it. Ruled out: the same while the answer is awaited, where it is the only early sign of a caller that left; test_caller_closes holds that. Change: a test in which the caller shuts its side after the answer was made and reads it 200 ms later, on a connection that stays, one that closes and one without a frame, with the loop's turns counted; a guard in which the caller closes for good.

--- a/regress/t_http.c
+++ b/regress/t_http.c
@@ -784,6 +784,71 @@
 	hrig_destroy(r);
 }
 
+static void
+on_shut(void *arg)
+{
+	struct hrig *r = arg;
+
+	CU_ASSERT_EQUAL(mh_hserve_open(r->s), 1);
+	CU_ASSERT_EQUAL(shutdown(r->peer_fd, SHUT_WR), 0);
+	r->turns = 0;
+}
+
+static void
+on_count(void *arg)
+{
+	struct hrig *r = arg;
+
+	CU_ASSERT_EQUAL(mh_hserve_open(r->s), 1);
+	CU_ASSERT_TRUE(r->turns < 100);
+}
+
+/*
+ * A caller has sent its last request and shuts its sending side while a long
+ * answer is under way, which it reads to the end, if late.  By HTTP it may;
+ * the shut side was taken for a caller that had left, and the answer was
+ * cut.  The server waits for the caller without turning its loop.
+ */
+static void
+test_caller_that_shuts_its_side(void)
+{
+	static const char *const texts[] = {
+		"GET /1 HTTP/1.1\r\nHost: h\r\n\r\n",
+		"GET /1 HTTP/1.1\r\nHost: h\r\n" END,
+		"GET /1 HTTP/1.0\r\nHost: h\r\n\r\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		struct hrig *r = hrig_create();
+
+		mh_loop_before(r->loop, on_turn, r);
+		r->big = LONG_ANSWER;
+		raw_slow(r, texts[i], 300 * MH_US_PER_MS);
+		mh_timer_start(r->k, 100 * MH_US_PER_MS, on_shut, r);
+		mh_timer_start(r->k, 200 * MH_US_PER_MS, on_count, r);
+		run(r);
+		CU_ASSERT_EQUAL(r->raw_errno, 0);
+		CU_ASSERT_EQUAL(r->got->len - heads_end(r->got), LONG_ANSWER);
+		CU_ASSERT_EQUAL(mh_hserve_open(r->s), 0);
+		hrig_destroy(r);
+	}
+}
+
+/* One that closes in the middle of it is let go of at the next bytes. */
+static void
+test_caller_closes_in_an_answer(void)
+{
+	struct hrig *r = hrig_create();
+
+	r->big = LONG_ANSWER;
+	raw_slow(r, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n", 2 * LONGEST_US);
+	mh_timer_start(r->k, 100 * MH_US_PER_MS, leave, r);
+	mh_timer_start(r->k, 200 * MH_US_PER_MS, on_enough, r);
+	run(r);
+	CU_ASSERT_EQUAL(mh_hserve_open(r->s), 0);
+	hrig_destroy(r);
+}
+
 /* the end of a server */
 
 static void
@@ -1153,6 +1218,10 @@
 	{ "serve: a request at the idle limit",
 	    test_request_at_the_idle_limit },
 	{ "serve: no file left", test_no_file_left },
+	{ "serve: a caller that shuts its side",
+	    test_caller_that_shuts_its_side },
+	{ "serve: the caller closes in an answer",
+	    test_caller_closes_in_an_answer },
 	{ "serve: the end closes idle connections", test_finish_closes_idle },
 	{ "serve: the end reads what came", test_finish_reads_what_came },
 	{ "serve: the end accepts once more", test_finish_accepts_once_more },
