A caller may shut its sending side while its answer leaves

Cause: the end of the caller's bytes was taken for a caller that left, also while a whole answer was being sent; the answer was cut at what the kernel had of it. Ruled out: going on reading in that state, since a shut side stays readable and the loop would turn without a pause; the same rule while the answer is awaited, where the end is the only early sign of a caller that left. Change: in CONN_SENDING the end is noted and reading stops; in every other state it is read again and closes the connection as before. A caller that closed for good is found by the reset that our next bytes bring. Conclusion: an answer that is whole reaches a caller that only reads.

--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -63,6 +63,7 @@
 	bool began; /* a request's first byte has come */
 	bool close_after;
 	bool unframed; /* the answer ends where the connection does */
+	bool shut; /* the caller sends no more; found while sending */
 	int64_t deliver_by_us;
 	struct mh_hreq *req;
 	GByteArray *ahead;
@@ -157,8 +158,11 @@
 want_io(struct conn *c)
 {
 	bool full = c->ahead->len >= MAX_AHEAD;
+	/* A shut side stays readable, and the loop would turn for nothing. */
+	bool ended = c->shut && c->state == CONN_SENDING;
 
-	mh_loop_fd(c->s->loop, c->fd, !full, c->out->len > 0, on_io, c);
+	mh_loop_fd(
+	    c->s->loop, c->fd, !full && !ended, c->out->len > 0, on_io, c);
 }
 
 /* Returns false when the connection has failed. */
@@ -242,6 +246,7 @@
 	c->state = CONN_LINGER;
 	set_timer(c, LINGER_US);
 	shutdown(c->fd, SHUT_WR);
+	want_io(c);
 }
 
 /* The answer's last byte is with the kernel. */
@@ -373,6 +378,15 @@
 
 	if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		return true;
+	/*
+	 * A caller may shut its side behind its last request and still read;
+	 * taken for one that left, its answer would be cut.  One that did
+	 * leave resets the connection when the next bytes reach it.
+	 */
+	if (n == 0 && c->state == CONN_SENDING) {
+		c->shut = true;
+		return true;
+	}
 	if (n <= 0) {
 		lose(c);
 		return false;
