Test: an empty line between two requests is no request

Cause: process() in lib/hserve.c takes any byte for a request's first one; http_parser skips empty lines before a request.

--- a/regress/t_http.c
+++ b/regress/t_http.c
@@ -933,6 +933,67 @@
 	hrig_destroy(r);
 }
 
+static void
+on_none_open(void *arg)
+{
+	CU_ASSERT_EQUAL(mh_hserve_open(((struct hrig *)arg)->s), 0);
+}
+
+static void
+on_one_open(void *arg)
+{
+	CU_ASSERT_EQUAL(mh_hserve_open(((struct hrig *)arg)->s), 1);
+}
+
+/*
+ * A caller sends an empty line behind its request, as some do behind a body.
+ * The line counted as a request half read: a server that was to end waited
+ * for the rest of it, and the caller was answered 408 for nothing.
+ */
+static void
+test_empty_line_behind_a_request(void)
+{
+	struct hrig *r = hrig_create();
+	struct mh_hlimits l = { 512, 64, 100 * MH_US_PER_MS, LONGEST_US };
+
+	mh_hserve_set_limits(r->s, &l);
+	raw(r, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n\r\n");
+	mh_timer_start(r->k, 50 * MH_US_PER_MS, on_none_open, r);
+	mh_timer_start(r->k, 200 * MH_US_PER_MS, on_finish, r);
+	run(r);
+	CU_ASSERT_EQUAL(r->requests, 1);
+	CU_ASSERT_EQUAL(r->raw_errno, 0);
+	CU_ASSERT_TRUE(g_str_has_suffix(r->got->str, "\r\n\r\nxx"));
+	hrig_destroy(r);
+}
+
+static void
+on_first_letters(void *arg)
+{
+	struct hrig *r = arg;
+
+	CU_ASSERT(send(r->peer_fd, "\r\nGE", 4, MSG_NOSIGNAL) > 0);
+}
+
+/* With a request's first letter behind it the request does count, and has
+ * the time for a header and no more. */
+static void
+test_letters_behind_an_empty_line(void)
+{
+	struct hrig *r = hrig_create();
+	struct mh_hlimits l = { 512, 64, 200 * MH_US_PER_MS, 2 * LONGEST_US };
+
+	mh_hserve_set_limits(r->s, &l);
+	raw(r, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n\r\n");
+	mh_timer_start(r->k, 50 * MH_US_PER_MS, on_first_letters, r);
+	mh_timer_start(r->k, 100 * MH_US_PER_MS, on_one_open, r);
+	run(r);
+	CU_ASSERT_EQUAL(r->requests, 1);
+	CU_ASSERT_EQUAL(r->raw_errno, 0);
+	CU_ASSERT_PTR_NOT_NULL(strstr(r->got->str, "xxHTTP/1.1 408"));
+	hrig_destroy(r);
+}
+
 static void
 on_finish_and_count(void *arg)
 {
@@ -1225,6 +1286,10 @@
 	{ "serve: the end closes idle connections", test_finish_closes_idle },
 	{ "serve: the end reads what came", test_finish_reads_what_came },
 	{ "serve: the end accepts once more", test_finish_accepts_once_more },
+	{ "serve: an empty line behind a request",
+	    test_empty_line_behind_a_request },
+	{ "serve: letters behind an empty line",
+	    test_letters_behind_an_empty_line },
 	{ "serve: the end waits for bytes", test_finish_waits_for_bytes },
 	{ "serve: the end lets streams end", test_finish_lets_streams_end },
 	{ "call: what a replica sends", test_backs },
