An empty line between two requests is no request

Cause: any byte began a request for the connection, also the empty lines that http_parser skips; the connection counted as half read, a server that was to end waited for it up to header_us, and the caller got a 408 for nothing. Ruled out: dropping leading line ends in hserve.c, a second reader of what the parser reads already. Change: the parser's own word that a message begins is kept with the request and takes the place of the connection's mark; the time for a header runs from there, the idle time goes on until then, so that empty lines alone cannot hold a connection.

--- a/lib/hreq.c
+++ b/lib/hreq.c
@@ -43,6 +43,15 @@
 
 /* parsing */
 
+static int
+on_begin(http_parser *p)
+{
+	struct mh_hreq *r = p->data;
+
+	r->began = true;
+	return 0;
+}
+
 static int
 on_url(http_parser *p, const char *at, size_t n)
 {
@@ -145,7 +154,8 @@
 	return 0;
 }
 
-static const http_parser_settings callbacks = { .on_url = on_url,
+static const http_parser_settings callbacks = { .on_message_begin = on_begin,
+	.on_url = on_url,
 	.on_header_field = on_field,
 	.on_header_value = on_value,
 	.on_headers_complete = on_headers,
--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -60,7 +60,6 @@
 	struct mh_hserve *s;
 	int fd;
 	enum conn_state state;
-	bool began; /* a request's first byte has come */
 	bool close_after;
 	bool unframed; /* the answer ends where the connection does */
 	bool shut; /* the caller sends no more; found while sending */
@@ -234,7 +233,6 @@
 start_reading(struct conn *c)
 {
 	c->state = CONN_READING;
-	c->began = false;
 	c->req = mh_hreq_create(&c->s->args.limits, c->out);
 	c->req->c = c;
 	set_timer(c, c->s->args.limits.idle_us);
@@ -351,14 +349,15 @@
 static void
 process(struct conn *c)
 {
+	bool began;
+
 	if (c->state != CONN_READING || c->ahead->len == 0)
 		return;
-	if (!c->began) {
-		c->began = true;
-		set_timer(c, c->s->args.limits.header_us);
-	}
+	began = c->req->began;
 	switch (mh_hreq_read(c->req, c->ahead)) {
 	case MH_HREAD_MORE:
+		if (!began && c->req->began)
+			set_timer(c, c->s->args.limits.header_us);
 		return;
 	case MH_HREAD_WHOLE:
 		hand_over(c);
@@ -426,11 +425,11 @@
 static void
 end_idle(struct conn *c)
 {
-	if (c->state != CONN_READING || c->began || !read_in(c))
+	if (c->state != CONN_READING || c->req->began || !read_in(c))
 		return;
 	process(c);
 	want_io(c);
-	if (c->state == CONN_READING && !c->began)
+	if (c->state == CONN_READING && !c->req->began)
 		lose(c);
 }
 
@@ -469,7 +468,7 @@
 	c->timer = NULL;
 	switch (c->state) {
 	case CONN_READING:
-		if (c->began)
+		if (c->req->began)
 			end_header(c);
 		else
 			end_idle(c);
@@ -602,7 +601,7 @@
 
 		unanswered += c->state == CONN_ANSWERING;
 		unsent += c->out->len > 0;
-		half_read += c->state == CONN_READING && c->began;
+		half_read += c->state == CONN_READING && c->req->began;
 	}
 	if (unanswered + unsent + half_read > 0)
 		mh_event(s->k, "callers-cut",
@@ -702,7 +701,7 @@
 
 		switch (c->state) {
 		case CONN_READING:
-			n += c->began;
+			n += c->req->began;
 			break;
 		case CONN_ANSWERING:
 		case CONN_SENDING:
