A long answer of the store or of a stage has no gap

Cause: a piece of an answer that did not fit was left out and later, smaller ones were kept; what remains could be read as whole. Conclusion: the same class as callers' answers over the bound.

--- a/regress/t_platform.c
+++ b/regress/t_platform.c
@@ -324,6 +324,24 @@
 	    plat_report_decode(NULL, &(struct mh_work_report) { 0 }));
 }
 
+/*
+ * An answer of the store or of a stage endpoint is longer than we take.  With
+ * the piece that did not fit left out and the next one kept, what had a gap
+ * could be read as a whole answer, with rows or results missing.
+ */
+static void
+test_no_gap_in_an_answer(void)
+{
+	GByteArray *body = g_byte_array_new();
+
+	plat_json_collect(body, "{\"items\":[1,", 12, 16);
+	plat_json_collect(body, "2,3,4,5,", 8, 16);
+	plat_json_collect(body, "]}", 2, 16);
+	CU_ASSERT_EQUAL(body->len, 16);
+	CU_ASSERT_EQUAL(memcmp(body->data, "{\"items\":[1,2,3,", 16), 0);
+	g_byte_array_unref(body);
+}
+
 const struct test tests_platform[] = {
 	{ "settings: decoded once", test_settings },
 	{ "settings: what is wrong is named", test_bad_settings },
@@ -333,5 +351,6 @@
 	{ "answers: load", test_load },
 	{ "answers: our own", test_refusals },
 	{ "platform: reports of stage endpoints", test_reports },
+	{ "platform: no gap in an answer", test_no_gap_in_an_answer },
 	{ NULL, NULL },
 };
