--- a/regress/t_home.c
+++ b/regress/t_home.c
@@ -288,6 +288,73 @@
 	mrig_destroy(r);
 }
 
+/*
+ * The first four of the order have just come back, the rest have run for long
+ * and pass over them.  Each of the rest was linked to those four alone, knew
+ * none that it could take for the home, and did its own stage work: six homes
+ * called the same endpoints for eight seconds.
+ */
+static void
+test_first_of_the_order_young(void)
+{
+	struct mrig *r = mrig_create();
+	struct ment *order[ENTRIES] = { NULL };
+
+	mrig_run(r, 10 * S);
+	order_of(r, order);
+	for (uint32_t i = 0; i < 4; i++)
+		restart(order[i]);
+	mrig_run(r, 2 * S);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), order[4]);
+	mrig_run(r, 7 * S);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), order[0]);
+	mrig_destroy(r);
+}
+
+#define LOOK_US (50 * MS)
+#define LOOKS_A_BEAT 5
+
+/* How often, of looks at all entries, they name different homes. */
+static uint32_t
+disagreed(struct mrig *r, int64_t us)
+{
+	uint32_t n = 0;
+
+	for (int64_t t = 0; t < us; t += LOOK_US) {
+		mrig_run(r, LOOK_US);
+		n += mrig_agreed(r) == NULL;
+	}
+	return n;
+}
+
+/*
+ * All entries restart in turn, begun with any of them.  Who ran longest decides
+ * who is old enough to be the home, and not everybody is linked to that one:
+ * for five seconds some took another home than the rest.  All agree, but for
+ * a beat at each change.
+ */
+static void
+test_restarted_in_turn(void)
+{
+	for (uint32_t first = 0; first < ENTRIES; first++) {
+		struct mrig *r = mrig_create();
+		uint32_t n = 0;
+
+		mrig_run(r, 10 * S);
+		for (uint32_t i = 0; i < ENTRIES; i++) {
+			struct ment *e = &r->e[(first + i * 3) % ENTRIES];
+
+			mh_mesh_leave(e->m);
+			n += disagreed(r, 500 * MS);
+			restart(e);
+			n += disagreed(r, 300 * MS);
+		}
+		n += disagreed(r, 9 * S);
+		CU_ASSERT(n <= ENTRIES * LOOKS_A_BEAT);
+		mrig_destroy(r);
+	}
+}
+
 const struct test tests_home[] = {
 	{ "home: listed no more", test_unlisted_home },
 	{ "home: a small entry that is listed no more",
@@ -296,5 +363,8 @@
 	{ "home: what is still wanted", test_what_is_still_wanted },
 	{ "home: two at once", test_two_homes },
 	{ "home: entries that wake", test_woken_entries },
+	{ "home: the first of the order are young",
+	    test_first_of_the_order_young },
+	{ "home: restarted in turn", test_restarted_in_turn },
 	{ NULL, NULL },
 };
