--- a/regress/t_home.c
+++ b/regress/t_home.c
@@ -355,6 +355,29 @@
 	}
 }
 
+/*
+ * The last of the entries to restart leaves; all others have just come back.
+ * Having run longest itself, it passed over all of them and did its callers'
+ * stage work itself, while the others had theirs done elsewhere.
+ */
+static void
+test_last_to_leave(void)
+{
+	struct mrig *r = mrig_create();
+	struct ment *order[ENTRIES] = { NULL };
+
+	mrig_run(r, 10 * S);
+	order_of(r, order);
+	for (uint32_t i = 0; i < ENTRIES - 1; i++)
+		restart(order[i]);
+	mrig_run(r, 3 * S);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), order[ENTRIES - 1]);
+	mh_mesh_leave(order[ENTRIES - 1]->m);
+	mrig_run(r, 100 * MS);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), order[0]);
+	mrig_destroy(r);
+}
+
 const struct test tests_home[] = {
 	{ "home: listed no more", test_unlisted_home },
 	{ "home: a small entry that is listed no more",
@@ -366,5 +389,6 @@
 	{ "home: the first of the order are young",
 	    test_first_of_the_order_young },
 	{ "home: restarted in turn", test_restarted_in_turn },
+	{ "home: the last to leave", test_last_to_leave },
 	{ NULL, NULL },
 };
