An entry that leaves does not count its own age

Cause: who is old enough to be a home goes by the longest running entry, and one that leaves counted itself. The last to restart passed over all who had just come back and did its callers' stage work itself for its last four to seven seconds. Ruled out: a late word of the leaving; the others had changed within 0.25 s. Change: an entry that leaves is not among those whose age counts.

--- a/lib/meshorder.c
+++ b/lib/meshorder.c
@@ -88,11 +88,15 @@
 	return mh_peer_alive(p) && p->ready && !p->leaving;
 }
 
-/* When the longest running of those that can serve was started. */
+/*
+ * When the longest running of those that can serve was started.  One that
+ * leaves serves nobody: counting itself, it passed over all who had just come
+ * back and did its callers' stage work itself up to its end.
+ */
 static int64_t
 oldest_start(struct mh_mesh *m)
 {
-	int64_t oldest = m->started_us;
+	int64_t oldest = m->leaving ? mh_now(m->k) : m->started_us;
 	GHashTableIter it;
 	gpointer key, value;
 
