--- a/regress/entries.h
+++ b/regress/entries.h
@@ -8,7 +8,7 @@
 
 #include "mesh.h"
 
-#define ENTRIES 8
+#define ENTRIES 10
 
 /** struct ment - one entry: a kernel with a mesh and a fake link. */
 struct ment {
--- a/regress/t_home.c
+++ b/regress/t_home.c
@@ -378,6 +378,28 @@
 	mrig_destroy(r);
 }
 
+/*
+ * The first four of the order have just come back, and so has one that is
+ * linked to those alone.  It did not know of any that had run longer, took the
+ * first for the home, and the two homes called the same endpoints for seconds.
+ */
+static void
+test_young_among_young(void)
+{
+	struct mrig *r = mrig_create();
+	struct ment *order[ENTRIES] = { NULL };
+
+	mrig_run(r, 10 * S);
+	order_of(r, order);
+	for (uint32_t i = 0; i < 4; i++)
+		restart(order[i]);
+	mrig_run(r, 1 * S);
+	restart(order[ENTRIES - 1]);
+	mrig_run(r, 1 * S);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), order[4]);
+	mrig_destroy(r);
+}
+
 const struct test tests_home[] = {
 	{ "home: listed no more", test_unlisted_home },
 	{ "home: a small entry that is listed no more",
@@ -390,5 +412,6 @@
 	    test_first_of_the_order_young },
 	{ "home: restarted in turn", test_restarted_in_turn },
 	{ "home: the last to leave", test_last_to_leave },
+	{ "home: young among young", test_young_among_young },
 	{ NULL, NULL },
 };
