Beats tell the longest running entry that can serve

Cause: an entry that has just come back is linked to four that have as well. Ruled out: a word of the wrong home to the asker (mh_mesh_hint()): it names the home, but the asker still lacks the age that passes over the wrong one. Change: a beat has the age of the longest running entry that can serve, of the sender and those it is linked to. That one links itself to all who come before the home in the order, so two hops reach everybody. Who sees it leave beats at once; where it is lost, and none is old enough for a beat, the first of any age is taken.

--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -216,9 +216,13 @@
 static void
 fill_beat(struct mh_mesh *m, Mh__Beat *b)
 {
+	int64_t oldest = mh_mesh_oldest(m);
+
 	b->leaving = m->leaving;
 	b->uptime_us = (uint64_t)(mh_now(m->k) - m->started_us);
 	b->weight = mh_weight_units(m->weight);
+	if (oldest != INT64_MAX)
+		b->oldest_us = (uint64_t)(mh_now(m->k) - oldest);
 	if (m->view.ready == NULL)
 		return;
 	b->ready = m->view.ready(m->view.arg);
@@ -279,14 +283,24 @@
 static void
 take_beat(struct mh_mesh *m, struct peer *p, const Mh__Beat *b)
 {
+	int64_t oldest = mh_mesh_oldest(m);
+	bool leaves;
+
 	p->ready = b->ready;
 	p->reads = b->reads;
 	if (b->weight > 0)
 		p->weight = b->weight / WEIGHT_UNIT;
 	p->started_us = mh_now(m->k) - (int64_t)b->uptime_us;
-	if (b->leaving && !p->leaving)
+	p->oldest_us = b->oldest_us == 0 ? INT64_MAX
+					 : mh_now(m->k) - (int64_t)b->oldest_us;
+	leaves = b->leaving && !p->leaving;
+	if (leaves)
 		mh_event(m->k, "peer-leaving", "node=%s", p->node);
 	p->leaving = b->leaving;
+	/* Others may know of it through us alone, and go on passing over all
+	 * who have not run for as long. */
+	if (leaves && oldest != mh_mesh_oldest(m))
+		beat(m, 0);
 	compare_views(m, p, b);
 }
 
@@ -406,6 +420,7 @@
 	if (p->addr == NULL)
 		p->addr = g_strdup(l->addr);
 	p->heard_us = mh_now(m->k);
+	p->oldest_us = INT64_MAX; /* until its first beat */
 	if (p->started_us == 0)
 		p->started_us = p->heard_us;
 	p->failed = false;
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -21,6 +21,7 @@
 	bool wanted; /* worth a link of our own */
 	double rank; /* in the order that is being looked at */
 	int64_t started_us; /* by our clock */
+	int64_t oldest_us; /* start of the longest running that it knows of */
 	uint64_t dial; /* a link being opened, 0: none */
 	uint64_t out; /* links that are up, 0: none */
 	uint64_t in;
@@ -82,6 +83,9 @@
 void mh_mesh_send_conn(struct mh_mesh *m, uint64_t conn, Mh__Frame *f);
 /** mh_mesh_take_known() - another entry tells of one. */
 void mh_mesh_take_known(struct mh_mesh *m, const Mh__Known *k);
+/** mh_mesh_oldest() - start of the longest running that can serve, of itself
+ * and those it is linked to; INT64_MAX: none can. */
+int64_t mh_mesh_oldest(struct mh_mesh *m);
 /** mh_mesh_want_links() - marks the peers that are worth a link. */
 void mh_mesh_want_links(struct mh_mesh *m);
 
--- a/lib/meshorder.c
+++ b/lib/meshorder.c
@@ -89,14 +89,13 @@
 }
 
 /*
- * When the longest running of those that can serve was started.  One that
- * leaves serves nobody: counting itself, it passed over all who had just come
- * back and did its callers' stage work itself up to its end.
+ * One that leaves serves nobody: counting itself, it passed over all who had
+ * just come back and did its callers' stage work itself up to its end.
  */
-static int64_t
-oldest_start(struct mh_mesh *m)
+int64_t
+mh_mesh_oldest(struct mh_mesh *m)
 {
-	int64_t oldest = m->leaving ? mh_now(m->k) : m->started_us;
+	int64_t oldest = m->leaving ? INT64_MAX : m->started_us;
 	GHashTableIter it;
 	gpointer key, value;
 
@@ -110,6 +109,29 @@
 	return oldest;
 }
 
+/*
+ * When the longest running of all that can serve was started.  It links itself
+ * to whoever comes before the home, so that each entry, linked to some of
+ * those, is told of it.  By its own links alone, one that had just come back
+ * knew only others that had, and took one of them for the home.
+ */
+static int64_t
+oldest_start(struct mh_mesh *m)
+{
+	int64_t oldest = MIN(mh_mesh_oldest(m), mh_now(m->k));
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		const struct peer *p = value;
+
+		if (mh_peer_alive(p))
+			oldest = MIN(oldest, p->oldest_us);
+	}
+	return oldest;
+}
+
 /*
  * Work moves to another home each time a better one appears, and moving
  * costs.  While processes restart in turn, those that have just come back are
@@ -122,17 +144,19 @@
 	return MAX(mh_now(m->k) - SETTLED_US, oldest_start(m) + TOGETHER_US);
 }
 
-const char *
-mh_mesh_home(struct mh_mesh *m, const char *what)
+/* The first of the order that can serve and was started by then, or NULL. */
+static const char *
+first_of(struct mh_mesh *m, const char *what, int64_t latest)
 {
-	int64_t latest = latest_start(m);
-	const char *best = m->node;
+	const char *best = NULL;
 	double most = -1;
 	GHashTableIter it;
 	gpointer key, value;
 
-	if (!m->leaving && m->started_us <= latest)
+	if (!m->leaving && m->started_us <= latest) {
+		best = m->node;
 		most = rank(what, m->node, m->weight);
+	}
 	g_hash_table_iter_init(&it, m->peers);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		const struct peer *p = value;
@@ -146,6 +170,20 @@
 	return best;
 }
 
+/*
+ * Where the one that ran longest is lost, it is heard of for a beat more, and
+ * none is old enough: then the first of any age, so that not each does its own.
+ */
+const char *
+mh_mesh_home(struct mh_mesh *m, const char *what)
+{
+	const char *best = first_of(m, what, latest_start(m));
+
+	if (best == NULL)
+		best = first_of(m, what, INT64_MAX);
+	return best == NULL ? m->node : best;
+}
+
 int64_t
 mh_mesh_unsettled_us(struct mh_mesh *m)
 {
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -4259,7 +4259,7 @@
   (ProtobufCMessageInit) mh__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__beat__field_descriptors[8] =
+static const ProtobufCFieldDescriptor mh__beat__field_descriptors[9] =
 {
   {
     "ready",
@@ -4357,10 +4357,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "oldest_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Beat, oldest_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__beat__field_indices_by_name[] = {
   2,   /* field[2] = conf_revision */
   1,   /* field[1] = leaving */
+  8,   /* field[8] = oldest_us */
   4,   /* field[4] = reads */
   0,   /* field[0] = ready */
   6,   /* field[6] = rows_age_us */
@@ -4371,7 +4384,7 @@
 static const ProtobufCIntRange mh__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor mh__beat__descriptor =
 {
@@ -4381,7 +4394,7 @@
   "Mh__Beat",
   "mh",
   sizeof(Mh__Beat),
-  8,
+  9,
   mh__beat__field_descriptors,
   mh__beat__field_indices_by_name,
   1,  mh__beat__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -549,10 +549,15 @@
    * in 1/10000; share of work done for others
    */
   uint32_t weight;
+  /*
+   * uptime of the longest running that can serve,
+   * of itself and those it is linked to; 0: none
+   */
+  uint64_t oldest_us;
 };
 #define MH__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
