Tests: a home that leaves hands on what it has begun; results outlive it

They fail: a begun job stays with the leaving home until its turn comes there, partly made stages are not handed on at all, and the entry that was given the results of a home that has gone does not free them.

--- a/regress/entwork.c
+++ b/regress/entwork.c
@@ -50,8 +50,10 @@
 static void
 op_discard(void *arg, const char *result)
 {
-	(void)arg;
+	struct ent *e = arg;
+
 	(void)result;
+	e->freed++;
 }
 
 static void
--- a/regress/entwork.h
+++ b/regress/entwork.h
@@ -14,6 +14,7 @@
 	const char *stalled; /* calls of this pool do not end; NULL: all do */
 	uint32_t calls;
 	uint32_t calls_b; /* of these, of the second pool */
+	uint32_t freed; /* results */
 	uint32_t ended; /* jobs that were submitted here */
 	uint32_t done; /* of these */
 };
--- a/regress/t_cell.c
+++ b/regress/t_cell.c
@@ -436,6 +436,63 @@
 	world_destroy(w);
 }
 
+static void
+keep_results(void *arg, const struct mh_job *j, enum mh_job_end end)
+{
+	GPtrArray *kept = arg;
+
+	CU_ASSERT_EQUAL(end, MH_JOB_MOVED);
+	for (guint i = 0; i < j->stages[0].results->len; i++)
+		g_ptr_array_add(
+		    kept, g_strdup(g_ptr_array_index(j->stages[0].results, i)));
+}
+
+/*
+ * A process leaves while one call holds eight of a job's twelve pieces.  The
+ * job moves when that call ends, with the eight results, which are not freed;
+ * the next process makes the other four.
+ */
+static void
+test_leave_hands_on_results(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 12 };
+	GPtrArray *kept = g_ptr_array_new_with_free_func(g_free);
+	struct mh_cell *next;
+	struct mh_job *j;
+	uint32_t there = 0;
+
+	world_pool(w, "a", 1, 8, 200 * MS, 21 * MS, 0);
+	next = world_cell(w);
+	w->ended = keep_results;
+	w->arg = kept;
+	mh_cell_submit(w->c, world_job(w, one_pool, pieces, 5 * S, 6 * S));
+	world_run(w, 50 * MS);
+	mh_cell_leave(w->c);
+	CU_ASSERT_EQUAL(w->moved, 0);
+	world_run(w, 400 * MS);
+	CU_ASSERT_EQUAL_FATAL(w->moved, 1);
+	CU_ASSERT_EQUAL(w->nodes[0].pieces, 8);
+	CU_ASSERT_EQUAL_FATAL(kept->len, 12);
+	for (guint i = 0; i < kept->len; i++) {
+		const char *result = g_ptr_array_index(kept, i);
+
+		there += result != NULL;
+		CU_ASSERT(
+		    result == NULL || g_hash_table_contains(w->live, result));
+	}
+	CU_ASSERT_EQUAL(there, 8);
+	w->ended = NULL;
+	j = world_job(w, one_pool, pieces, 5 * S, 6 * S);
+	mh_job_made(j, 0, (char *const *)kept->pdata, kept->len);
+	mh_cell_submit(next, j);
+	world_run(w, 1 * S);
+	CU_ASSERT_EQUAL(w->done, 1);
+	CU_ASSERT_EQUAL(w->nodes[0].pieces, 12);
+	g_ptr_array_free(kept, TRUE);
+	world_destroy(w);
+}
+
 /*
  * After a burst many jobs have missed their aim.  One that has begun holds
  * results at its endpoints: it is ended before late ones that have not.
@@ -654,6 +711,7 @@
 	{ "cell: a slow call is not lost", test_slow_call_not_lost },
 	{ "cell: a full endpoint", test_full_endpoint },
 	{ "cell: leaving hands on unbegun work", test_leave_hands_on_unbegun },
+	{ "cell: leaving hands on results", test_leave_hands_on_results },
 	{ "cell: begun late work first", test_begun_late_work_first },
 	{ "cell: waits for its domain", test_waits_for_its_domain },
 	{ "cell: a burst, near its data", test_burst_near_its_data },
--- a/regress/t_home.c
+++ b/regress/t_home.c
@@ -184,6 +184,97 @@
 	mrig_destroy(r);
 }
 
+/*
+ * The home of a request's stage work is gone by the time that its results have
+ * been read.  Nobody else knew them, or so it was taken, and they filled their
+ * endpoints' room for seconds: the entry that was given them frees them.
+ */
+static void
+test_results_outlive_the_home(void)
+{
+	static const char *const pools[] = { "a", "b", NULL };
+	const uint32_t pieces[] = { 2, 3 };
+	struct mrig *r = mrig_create();
+	struct ent all[ENTRIES] = { 0 };
+	struct ment *home;
+	struct ent *e;
+	struct mh_job *j;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_create(&all[i], &r->e[i]);
+	mrig_run(r, 2 * S);
+	home = mrig_agreed(r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(home);
+	e = &all[home->index == 0];
+	j = new_job(e, pools, pieces);
+	j->stages[1].after = 1;
+	mh_broker_submit(e->b, j);
+	mrig_run(r, 200 * MS);
+	CU_ASSERT_EQUAL(e->done, 1);
+	home->cut = true;
+	mrig_run(r, 2 * S);
+	CU_ASSERT_EQUAL(e->freed, 0);
+	mh_broker_drop(e->b, j);
+	CU_ASSERT_EQUAL(e->freed, 3);
+	mh_job_destroy(j);
+	mrig_run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
+}
+
+/*
+ * The home leaves in order while one request's call runs and another's pieces
+ * wait behind it.  The second was kept until its turn came there, seconds for
+ * some, while the next home called the same endpoints.  It is handed on with
+ * what is made of it, which is not made again.
+ */
+static void
+test_leaving_home_hands_on(void)
+{
+	static const char *const pools[] = { "a", "b", NULL };
+	const uint32_t pieces[] = { 2, 3 };
+	struct mrig *r = mrig_create();
+	struct ent all[ENTRIES] = { 0 };
+	struct mh_job *j[2];
+	struct ment *home;
+	struct ent *e;
+	uint32_t first = 0;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_create(&all[i], &r->e[i]);
+	mrig_run(r, 2 * S);
+	home = mrig_agreed(r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(home);
+	e = &all[home->index == 0];
+	all[home->index].stalled = "b";
+	for (int i = 0; i < 2; i++) {
+		j[i] = new_job(e, pools, pieces);
+		j[i]->stages[1].after = 1;
+		mh_broker_submit(e->b, j[i]);
+		mrig_run(r, 50 * MS);
+	}
+	CU_ASSERT_EQUAL(all[home->index].calls_b, 1);
+	mh_mesh_leave(home->m);
+	mh_cells_leave(all[home->index].cs);
+	mrig_run(r, 100 * MS);
+	CU_ASSERT_EQUAL(e->done, 1);
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		if (&r->e[i] != home)
+			first += all[i].calls - all[i].calls_b;
+	}
+	CU_ASSERT_EQUAL(first, 0);
+	CU_ASSERT_EQUAL(all[home->index].freed, 2); /* read by the call */
+	for (int i = 0; i < 2; i++) {
+		mh_broker_drop(e->b, j[i]);
+		mh_job_destroy(j[i]);
+	}
+	mrig_run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
+}
+
 /* What a job that another home began still needs, stage by stage. */
 static void
 test_what_is_still_wanted(void)
@@ -405,6 +496,8 @@
 	{ "home: a small entry that is listed no more",
 	    test_small_unlisted_entry },
 	{ "home: begun work goes on", test_begun_work_goes_on },
+	{ "home: results outlive it", test_results_outlive_the_home },
+	{ "home: one that leaves hands on", test_leaving_home_hands_on },
 	{ "home: what is still wanted", test_what_is_still_wanted },
 	{ "home: two at once", test_two_homes },
 	{ "home: entries that wake", test_woken_entries },
