A home that leaves hands on what it has begun

Cause: begun jobs stayed with a leaving home up to its end. For two seconds its calls and those of the next home queued behind each other at the same endpoints: inputs were freed before a call had read them and were made again. Results that a home had given to a request were freed by it alone; once it had gone, mh_broker_drop() found neither a home nor a cell and freed nothing. Ruled out: moving them at once, in the middle of a call: its pieces would be made twice. A job moves when none of its pieces is in a call. Change: a job that moves takes along every result that is still to be read, also of a stage half made; the others are freed. The entry that asked frees what it was given by a home that has gone. Whether a lost home had done a job is noted, no longer worked out from the number of results.

--- a/lib/broker.c
+++ b/lib/broker.c
@@ -14,6 +14,7 @@
 struct sent {
 	struct mh_job *job;
 	char *node;
+	bool done; /* its results are with the request */
 };
 
 /* A job that we do for another entry; its job's owner. */
@@ -55,14 +56,24 @@
 
 /* asking */
 
-/* The results of a stage that another home has done. */
-static void
-add_made(const struct mh_jstage *st, Mh__JobStage *out)
+/*
+ * The results of a stage as they travel, "" where one is not made; NULL: never
+ * begun.  The caller frees the list, not what it names.
+ */
+static char **
+made_of(const struct mh_jstage *st)
 {
-	if (st->pieces == 0 || !mh_job_stage_made(st))
-		return;
-	out->n_results = st->results->len;
-	out->results = (char **)st->results->pdata;
+	char **list;
+
+	if (st->results == NULL)
+		return NULL;
+	list = g_new0(char *, st->results->len + 1);
+	for (guint i = 0; i < st->results->len; i++) {
+		list[i] = g_ptr_array_index(st->results, i);
+		if (list[i] == NULL)
+			list[i] = (char *)"";
+	}
+	return list;
 }
 
 static void
@@ -72,6 +83,7 @@
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__Job m = MH__JOB__INIT;
 	Mh__JobStage stages[MH_GSTAGES], *list[MH_GSTAGES];
+	char **made[MH_GSTAGES];
 
 	m.id = j->id;
 	m.key = j->key == NULL ? (char *)"" : j->key;
@@ -94,11 +106,16 @@
 		stages[s].pieces = j->stages[s].pieces;
 		stages[s].result_bytes = j->stages[s].result_bytes;
 		list[s] = &stages[s];
-		add_made(&j->stages[s], &stages[s]);
+		made[s] = made_of(&j->stages[s]);
+		stages[s].results = made[s];
+		stages[s].n_results =
+		    made[s] == NULL ? 0 : j->stages[s].results->len;
 	}
 	f.body_case = MH__FRAME__BODY_JOB;
 	f.job = &m;
 	mh_mesh_send(b->m, node, &f);
+	for (uint32_t s = 0; s < j->n_stages; s++)
+		g_free(made[s]);
 }
 
 /*
@@ -172,6 +189,25 @@
 		b->held_timer = mh_timer_start(b->k, wait_us, on_settled, b);
 }
 
+/*
+ * What the job's home made before it went is known here alone.  It filled its
+ * endpoints until it lapsed.
+ */
+static void
+discard_known(struct mh_broker *b, struct mh_job *j)
+{
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		GPtrArray *a = j->stages[s].results;
+
+		for (guint i = 0; a != NULL && i < a->len; i++) {
+			const char *result = g_ptr_array_index(a, i);
+
+			if (result != NULL && *result != '\0')
+				mh_cells_discard(b->cells, result);
+		}
+	}
+}
+
 void
 mh_broker_drop(struct mh_broker *b, struct mh_job *j)
 {
@@ -179,11 +215,12 @@
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__JobDrop d = MH__JOB_DROP__INIT;
 
-	if (g_queue_remove(b->held, j))
+	if (j->state != NULL) { /* a cell of ours has it */
+		mh_cell_cancel(j->cell, j);
 		return;
-	if (s == NULL) {
-		if (j->cell != NULL)
-			mh_cell_cancel(j->cell, j);
+	}
+	if (g_queue_remove(b->held, j) || s == NULL) {
+		discard_known(b, j);
 		return;
 	}
 	d.id = j->id;
@@ -252,6 +289,7 @@
 	const Mh__JobEnd *m = f->job_end;
 	struct mh_job *j = find_sent(b, node, m->id);
 	enum mh_job_end end = m->end;
+	struct sent *s;
 
 	if (j == NULL)
 		return; /* its caller left, or it went to another entry */
@@ -259,6 +297,8 @@
 		take_results(j, m);
 		if (!has_finals(j))
 			end = MH_JOB_FAILED;
+		s = g_hash_table_lookup(b->sent, j);
+		s->done = end == MH_JOB_DONE;
 	}
 	if (end != MH_JOB_DONE)
 		g_hash_table_remove(b->sent, j);
@@ -418,19 +458,20 @@
 mh_broker_cell_step(struct mh_broker *b, struct mh_job *j, uint32_t stage)
 {
 	struct guest *g = g_hash_table_lookup(b->guest_jobs, j);
-	GPtrArray *made = j->stages[stage].results;
+	char **made = made_of(&j->stages[stage]);
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__JobStep m = MH__JOB_STEP__INIT;
 
-	if (g == NULL)
-		return;
-	m.id = j->id;
-	m.stage = stage;
-	m.n_results = made->len;
-	m.results = (char **)made->pdata;
-	f.body_case = MH__FRAME__BODY_JOB_STEP;
-	f.job_step = &m;
-	mh_mesh_send(b->m, g->node, &f);
+	if (g != NULL && made != NULL) {
+		m.id = j->id;
+		m.stage = stage;
+		m.n_results = j->stages[stage].results->len;
+		m.results = made;
+		f.body_case = MH__FRAME__BODY_JOB_STEP;
+		f.job_step = &m;
+		mh_mesh_send(b->m, g->node, &f);
+	}
+	g_free(made);
 }
 
 void
@@ -447,6 +488,8 @@
 		b->end(b->end_arg, j, end, retry_us);
 		return;
 	}
+	for (uint32_t s = 0; s < j->n_stages && end == MH_JOB_MOVED; s++)
+		mh_broker_cell_step(b, j, s);
 	send_end(b, g, end, retry_us);
 	if (end != MH_JOB_DONE)
 		free_guest(b, g);
@@ -475,6 +518,7 @@
 {
 	struct mh_broker *b = arg;
 	GList *all = g_hash_table_get_keys(b->sent);
+	bool done;
 
 	drop_guests(b, node);
 	for (GList *l = all; l != NULL; l = l->next) {
@@ -483,9 +527,10 @@
 
 		if (s == NULL || strcmp(s->node, node) != 0)
 			continue;
+		done = s->done;
 		g_hash_table_remove(b->sent, j);
-		if (has_finals(j))
-			continue; /* done; the results live without it */
+		if (done)
+			continue; /* the results live without it */
 		submit_again(b, j, node);
 	}
 	g_list_free(all);
--- a/lib/cell.c
+++ b/lib/cell.c
@@ -74,10 +74,19 @@
     struct mh_cell *c, struct mh_job *j, enum mh_job_end end, int64_t retry_us)
 {
 	detach(c, j);
-	if (end == MH_JOB_DONE)
+	switch (end) {
+	case MH_JOB_DONE:
 		g_ptr_array_add(c->ended, j);
-	else
+		break;
+	case MH_JOB_MOVED:
+		mh_cell_hand_on(c, j);
+		free_state(j);
+		break;
+	case MH_JOB_REFUSED:
+	case MH_JOB_FAILED:
 		mh_cell_release(c, j);
+		break;
+	}
 	c->ops.end(c->ops.arg, j, end, retry_us);
 }
 
@@ -242,6 +251,33 @@
 	mh_cell_need_inputs(c, j, m->stage);
 }
 
+static bool
+in_a_call(const struct mh_job *j)
+{
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		if (j->state->stages[s].flying > 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Begun work stayed with a leaving process to its end.  Its calls and those of
+ * the next home queued behind each other for seconds, and inputs were freed
+ * before they were read.  Only what is in a call is still waited for.
+ */
+static void
+move_leaving(struct mh_cell *c)
+{
+	/* One with nowhere else to go comes back here, after those. */
+	for (guint i = c->jobs->len; i-- > 0;) {
+		struct mh_job *j = g_ptr_array_index(c->jobs, i);
+
+		if (j->state->leaving && !in_a_call(j))
+			end_job(c, j, MH_JOB_MOVED, 0);
+	}
+}
+
 void
 mh_cell_batch_end(struct mh_cell *c, struct mh_batch *b, enum mh_batch_end end)
 {
@@ -292,6 +328,7 @@
 	}
 	c->dispatching = false;
 	mh_cell_free_batch(c, b);
+	move_leaving(c);
 	mh_cell_dispatch_all(c);
 }
 
@@ -383,12 +420,12 @@
 void
 mh_cell_leave(struct mh_cell *c)
 {
-	for (guint i = c->jobs->len; i-- > 0;) {
+	for (guint i = 0; i < c->jobs->len; i++) {
 		struct mh_job *j = g_ptr_array_index(c->jobs, i);
 
-		if (!j->state->started)
-			end_job(c, j, MH_JOB_MOVED, 0);
+		j->state->leaving = true;
 	}
+	move_leaving(c);
 }
 
 static void
@@ -418,6 +455,7 @@
 	c->tick = NULL;
 	check_batches(c);
 	check_jobs(c);
+	move_leaving(c);
 	fade(c);
 	mh_cell_dispatch_all(c);
 	if (c->jobs->len > 0 || g_hash_table_size(c->batches) > 0)
--- a/lib/cell.h
+++ b/lib/cell.h
@@ -68,6 +68,7 @@
 struct mh_jstate {
 	bool late; /* its aim is missed; only the deadline counts */
 	bool started; /* a piece was given to an endpoint */
+	bool leaving; /* it moves once none of its pieces is in a call */
 	bool stale; /* paths are to be worked out anew */
 	int64_t left_us; /* the longest path */
 	struct sstate stages[MH_GSTAGES];
@@ -143,6 +144,8 @@
 void mh_cell_give_room(struct worker *w, uint64_t bytes);
 /** mh_cell_drop_results() - frees every result of a stage. */
 void mh_cell_drop_results(struct mh_cell *c, struct mh_job *j, uint32_t stage);
+/** mh_cell_hand_on() - frees what no later cell of the job will read. */
+void mh_cell_hand_on(struct mh_cell *c, struct mh_job *j);
 /** mh_cell_need_inputs() - inputs of @stage that were freed are made again. */
 void mh_cell_need_inputs(struct mh_cell *c, struct mh_job *j, uint32_t stage);
 /** mh_cell_doubts_inputs() - a maker of @stage's inputs may have ended. */
--- a/lib/cellmade.c
+++ b/lib/cellmade.c
@@ -41,6 +41,32 @@
 		drop_result(c, j, stage, i);
 }
 
+/* The room that results take is no longer ours to count. */
+static void
+forget_makers(struct mh_job *j, uint32_t stage)
+{
+	const struct mh_jstage *st = &j->stages[stage];
+
+	for (uint32_t i = 0; i < st->pieces; i++) {
+		struct made *m = &j->state->stages[stage].made[i];
+
+		if (m->worker != NULL)
+			mh_cell_give_room(m->worker, st->result_bytes);
+		m->worker = NULL;
+	}
+}
+
+void
+mh_cell_hand_on(struct mh_cell *c, struct mh_job *j)
+{
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		if (mh_job_wants(j, s))
+			forget_makers(j, s);
+		else
+			mh_cell_drop_results(c, j, s);
+	}
+}
+
 /* Whether every piece of a stage is made, or has read its inputs. */
 static bool
 is_fed(const struct mh_job *j, uint32_t stage)
--- a/lib/cellrun.c
+++ b/lib/cellrun.c
@@ -200,7 +200,8 @@
 	for (guint i = 0; i < c->jobs->len; i++) {
 		struct mh_job *j = g_ptr_array_index(c->jobs, i);
 
-		for (uint32_t s = 0; s < j->n_stages; s++) {
+		for (uint32_t s = 0; s < j->n_stages && !j->state->leaving;
+		     s++) {
 			const struct sstate *ss = &j->state->stages[s];
 			struct unit u = { j, s, 0, NULL, false };
 
--- a/lib/cells.c
+++ b/lib/cells.c
@@ -106,6 +106,12 @@
 		mh_cell_leave(value);
 }
 
+void
+mh_cells_discard(struct mh_cells *cs, const char *result)
+{
+	cs->ops.discard(cs->ops.arg, result);
+}
+
 void
 mh_cells_restarted(struct mh_cells *cs, const char *node)
 {
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -297,7 +297,7 @@
 	MH_JOB_DONE,
 	MH_JOB_REFUSED, /* can't be served in time: not run */
 	MH_JOB_FAILED, /* tried, and given up on */
-	MH_JOB_MOVED /* not begun, and this process leaves */
+	MH_JOB_MOVED /* this process leaves; what was made goes on */
 };
 
 /** struct mh_job - the stage work of one request. */
@@ -324,7 +324,7 @@
 void mh_job_destroy(struct mh_job *j);
 /** mh_job_stage_made() - every result of a stage is there. */
 bool mh_job_stage_made(const struct mh_jstage *st);
-/** mh_job_made() - sets all results of a stage. */
+/** mh_job_made() - sets the results of a stage; "": not made yet. */
 void mh_job_made(
     struct mh_job *j, uint32_t stage, char *const *results, size_t n);
 /** mh_job_forget_read() - drops results that no stage still to do reads. */
@@ -408,7 +408,10 @@
 void mh_cell_restarted(struct mh_cell *c, const char *node);
 /** mh_cell_release() - the results of a job that has ended are free. */
 void mh_cell_release(struct mh_cell *c, struct mh_job *j);
-/** mh_cell_leave() - jobs that have not begun end as moved. */
+/**
+ * mh_cell_leave() - the jobs it has end as moved, each once none of its pieces
+ * is in a call, with what is made of them.
+ */
 void mh_cell_leave(struct mh_cell *c);
 /** mh_cell_backlog_us() - how long a new piece would wait at a pool. */
 int64_t mh_cell_backlog_us(struct mh_cell *c, const char *pool);
@@ -424,6 +427,8 @@
 void mh_cells_destroy(struct mh_cells *cs);
 void mh_cells_conf(struct mh_cells *cs, struct mh_gconf *conf);
 void mh_cells_leave(struct mh_cells *cs);
+/** mh_cells_discard() - frees a result that no cell of ours knows. */
+void mh_cells_discard(struct mh_cells *cs, const char *result);
 void mh_cells_restarted(struct mh_cells *cs, const char *node);
 /** mh_cells_get() - the cell of a slice, made when first asked for. */
 struct mh_cell *mh_cells_get(
--- a/lib/job.c
+++ b/lib/job.c
@@ -55,7 +55,10 @@
 		g_ptr_array_free(st->results, TRUE);
 	st->results = g_ptr_array_new_with_free_func(g_free);
 	for (size_t i = 0; i < n; i++)
-		g_ptr_array_add(st->results, g_strdup(results[i]));
+		g_ptr_array_add(st->results,
+		    results[i] == NULL || *results[i] == '\0'
+			? NULL
+			: g_strdup(results[i]));
 }
 
 /* Its results are the request's, or a stage that is not made reads them. */
