--- a/regress/t_home.c
+++ b/regress/t_home.c
@@ -275,6 +275,55 @@
 	mrig_destroy(r);
 }
 
+/*
+ * The first of the order is back and has run for long enough to be the home
+ * again.  The entry that stood in kept what it had been given, for seconds,
+ * while both called the same endpoints.  It hands on what waits there.
+ */
+static void
+test_home_no_more_hands_on(void)
+{
+	static const char *const pools[] = { "a", "b", NULL };
+	const uint32_t pieces[] = { 2, 3 };
+	struct mrig *r = mrig_create();
+	struct ment *order[ENTRIES] = { NULL };
+	struct ent all[ENTRIES] = { 0 };
+	struct mh_job *j[2];
+	struct ent *e, *first, *second;
+
+	mrig_run(r, 10 * S);
+	order_of(r, order);
+	restart(order[0]);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_create(&all[i], &r->e[i]);
+	first = &all[order[0]->index];
+	second = &all[order[1]->index];
+	e = &all[order[2]->index];
+	mrig_run(r, 7800 * MS);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), order[1]);
+	second->stalled = "b";
+	for (int i = 0; i < 2; i++) {
+		j[i] = new_job(e, pools, pieces);
+		j[i]->stages[1].after = 1;
+		mh_broker_submit(e->b, j[i]);
+		mrig_run(r, 50 * MS);
+	}
+	CU_ASSERT_EQUAL(second->calls_b, 1);
+	mrig_run(r, 600 * MS);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), order[0]);
+	CU_ASSERT(e->done >= 1);
+	CU_ASSERT(first->calls_b >= 1);
+	CU_ASSERT_EQUAL(first->calls, first->calls_b);
+	for (int i = 0; i < 2; i++) {
+		mh_broker_drop(e->b, j[i]);
+		mh_job_destroy(j[i]);
+	}
+	mrig_run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
+}
+
 /* What a job that another home began still needs, stage by stage. */
 static void
 test_what_is_still_wanted(void)
@@ -498,6 +547,8 @@
 	{ "home: begun work goes on", test_begun_work_goes_on },
 	{ "home: results outlive it", test_results_outlive_the_home },
 	{ "home: one that leaves hands on", test_leaving_home_hands_on },
+	{ "home: one that is no more the home hands on",
+	    test_home_no_more_hands_on },
 	{ "home: what is still wanted", test_what_is_still_wanted },
 	{ "home: two at once", test_two_homes },
 	{ "home: entries that wake", test_woken_entries },
