An entry that is no more the home hands on its jobs

Cause: the home also changes without anybody leaving, when the first of the order has run for eight seconds. The entry that stood in kept what it had, and both called the same endpoints for two seconds: 50 to 70 inputs gone a second. Ruled out: never moving back; the home's place goes by weight, and with slices all of them would end at the entry that runs longest. Change: an entry with jobs looks ten times a second whether it is still the home. After three looks at which it is not, it hands its jobs on, once a change.

--- a/lib/broker.c
+++ b/lib/broker.c
@@ -10,6 +10,13 @@
 
 #include <string.h>
 
+/*
+ * An entry with work looks so often whether it is still the home, and is sure
+ * of it when so many looks agree: within a beat the others know as well.
+ */
+#define LOOK_US (100 * MH_US_PER_MS)
+#define LOOKS 3
+
 /* A job that another entry does for us. */
 struct sent {
 	struct mh_job *job;
@@ -34,6 +41,8 @@
 	GHashTable *guest_jobs; /* job -> struct guest */
 	GQueue *held; /* struct mh_job, until we know whose turn it is */
 	struct mh_timer *held_timer;
+	struct mh_timer *look_timer;
+	GHashTable *looks; /* cell -> looks in a row at which it was not ours */
 	void (*end)(
 	    void *arg, struct mh_job *j, enum mh_job_end end, int64_t retry_us);
 	void *end_arg;
@@ -536,6 +545,44 @@
 	g_list_free(all);
 }
 
+/* no longer the home */
+
+/*
+ * Another has become the home while we have jobs: it calls the same endpoints.
+ * Both homes' calls queued behind each other until the last of the jobs had
+ * ended, two seconds for most, and room was refused for results that the other
+ * did not know of.  Once a change: who still takes us for the home is served.
+ */
+static void
+look_at(void *arg, struct mh_cell *c, uint32_t index, uint32_t count)
+{
+	struct mh_broker *b = arg;
+	char work[MH_WORK_LEN];
+	uint32_t looks;
+
+	if (mh_cell_idle(c))
+		return;
+	if (mh_mesh_is_self(
+		b->m, mh_mesh_home(b->m, mh_slice_work(work, index, count)))) {
+		g_hash_table_remove(b->looks, c);
+		return;
+	}
+	looks = GPOINTER_TO_UINT(g_hash_table_lookup(b->looks, c));
+	if (looks < LOOKS)
+		g_hash_table_insert(b->looks, c, GUINT_TO_POINTER(looks + 1));
+	if (looks + 1 == LOOKS)
+		mh_cell_leave(c);
+}
+
+static void
+on_look(void *arg)
+{
+	struct mh_broker *b = arg;
+
+	b->look_timer = mh_timer_start(b->k, LOOK_US, on_look, b);
+	mh_cells_each(b->cells, look_at, b);
+}
+
 void
 mh_broker_on_end(struct mh_broker *b,
     void (*fn)(
@@ -559,6 +606,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	b->guest_jobs = g_hash_table_new(NULL, NULL);
 	b->held = g_queue_new();
+	b->looks = g_hash_table_new(NULL, NULL);
+	b->look_timer = mh_timer_start(k, LOOK_US, on_look, b);
 	mh_mesh_on(m, MH__FRAME__BODY_JOB, on_job, b);
 	mh_mesh_on(m, MH__FRAME__BODY_JOB_END, on_job_end, b);
 	mh_mesh_on(m, MH__FRAME__BODY_JOB_STEP, on_job_step, b);
@@ -575,7 +624,9 @@
 	if (b == NULL)
 		return;
 	mh_timer_stop(b->k, &b->held_timer);
+	mh_timer_stop(b->k, &b->look_timer);
 	g_queue_free(b->held);
+	g_hash_table_destroy(b->looks);
 	all = g_hash_table_get_values(b->guests);
 	for (GList *l = all; l != NULL; l = l->next) {
 		struct guest *g = l->data;
--- a/lib/cell.c
+++ b/lib/cell.c
@@ -417,6 +417,12 @@
 	}
 }
 
+bool
+mh_cell_idle(const struct mh_cell *c)
+{
+	return c->jobs->len == 0;
+}
+
 void
 mh_cell_leave(struct mh_cell *c)
 {
--- a/lib/cells.c
+++ b/lib/cells.c
@@ -96,14 +96,34 @@
 }
 
 void
-mh_cells_leave(struct mh_cells *cs)
+mh_cells_each(struct mh_cells *cs,
+    void (*fn)(void *arg, struct mh_cell *c, uint32_t index, uint32_t count),
+    void *arg)
 {
-	GHashTableIter it;
-	gpointer key, value;
+	GList *keys = g_hash_table_get_keys(cs->cells);
 
-	g_hash_table_iter_init(&it, cs->cells);
-	while (g_hash_table_iter_next(&it, &key, &value))
-		mh_cell_leave(value);
+	for (GList *l = keys; l != NULL; l = l->next) {
+		uint32_t key = GPOINTER_TO_UINT(l->data);
+
+		fn(arg, g_hash_table_lookup(cs->cells, l->data),
+		    key % MH_SLICES, key / MH_SLICES);
+	}
+	g_list_free(keys);
+}
+
+static void
+leave_one(void *arg, struct mh_cell *c, uint32_t index, uint32_t count)
+{
+	(void)arg;
+	(void)index;
+	(void)count;
+	mh_cell_leave(c);
+}
+
+void
+mh_cells_leave(struct mh_cells *cs)
+{
+	mh_cells_each(cs, leave_one, NULL);
 }
 
 void
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -413,6 +413,8 @@
  * is in a call, with what is made of them.
  */
 void mh_cell_leave(struct mh_cell *c);
+/** mh_cell_idle() - whether it has no jobs. */
+bool mh_cell_idle(const struct mh_cell *c);
 /** mh_cell_backlog_us() - how long a new piece would wait at a pool. */
 int64_t mh_cell_backlog_us(struct mh_cell *c, const char *pool);
 
@@ -427,6 +429,10 @@
 void mh_cells_destroy(struct mh_cells *cs);
 void mh_cells_conf(struct mh_cells *cs, struct mh_gconf *conf);
 void mh_cells_leave(struct mh_cells *cs);
+/** mh_cells_each() - calls @fn for each cell; it may have cells made. */
+void mh_cells_each(struct mh_cells *cs,
+    void (*fn)(void *arg, struct mh_cell *c, uint32_t index, uint32_t count),
+    void *arg);
 /** mh_cells_discard() - frees a result that no cell of ours knows. */
 void mh_cells_discard(struct mh_cells *cs, const char *result);
 void mh_cells_restarted(struct mh_cells *cs, const char *node);
