--- a/regress/t_cell.c
+++ b/regress/t_cell.c
@@ -493,6 +493,48 @@
 	world_destroy(w);
 }
 
+/*
+ * A job is handed on with eight results that lie at an endpoint with room for
+ * twelve, and waits for the next stage.  Its new home did not count them and
+ * asked for eight more, of which the endpoint refused most for want of room.
+ */
+static void
+test_room_of_what_was_handed_on(void)
+{
+	struct world *w = world_create();
+	const uint32_t pieces[] = { 8, 1 };
+	GPtrArray *kept = g_ptr_array_new_with_free_func(g_free);
+	struct mh_cell *next;
+	struct mh_job *j;
+
+	world_pool(w, "a", 1, 8, 200 * MS, 21 * MS, 12 * 1000);
+	world_pool(w, "b", 1, 8, 200 * MS, 21 * MS, 0);
+	world_node(w, "b-0")->full = true;
+	next = world_cell(w);
+	w->ended = keep_results;
+	w->arg = kept;
+	mh_cell_submit(w->c, world_job(w, chain, pieces, 5 * S, 6 * S));
+	world_run(w, 600 * MS);
+	mh_cell_leave(w->c);
+	world_run(w, 100 * MS);
+	CU_ASSERT_EQUAL_FATAL(w->moved, 1);
+	CU_ASSERT_EQUAL_FATAL(kept->len, 8);
+	w->ended = NULL;
+	j = world_job(w, chain, pieces, 5 * S, 6 * S);
+	mh_job_made(j, 0, (char *const *)kept->pdata, kept->len);
+	mh_cell_submit(next, j);
+	mh_cell_submit(next, world_job(w, chain, pieces, 5 * S, 6 * S));
+	world_run(w, 600 * MS);
+	CU_ASSERT(w->most_live > 8);
+	CU_ASSERT(w->most_live <= 12);
+	world_node(w, "b-0")->full = false;
+	world_run(w, 3 * S);
+	CU_ASSERT_EQUAL(w->done, 2);
+	CU_ASSERT_EQUAL(g_hash_table_size(w->live), 0);
+	g_ptr_array_free(kept, TRUE);
+	world_destroy(w);
+}
+
 /*
  * After a burst many jobs have missed their aim.  One that has begun holds
  * results at its endpoints: it is ended before late ones that have not.
@@ -712,6 +754,7 @@
 	{ "cell: a full endpoint", test_full_endpoint },
 	{ "cell: leaving hands on unbegun work", test_leave_hands_on_unbegun },
 	{ "cell: leaving hands on results", test_leave_hands_on_results },
+	{ "cell: room of what was handed on", test_room_of_what_was_handed_on },
 	{ "cell: begun late work first", test_begun_late_work_first },
 	{ "cell: waits for its domain", test_waits_for_its_domain },
 	{ "cell: a burst, near its data", test_burst_near_its_data },
