The room of results that were handed on is counted

Cause: a home that was handed a job did not know at which endpoint its results lie, and gave that endpoint work for room that it lacked.

--- a/lib/cell.c
+++ b/lib/cell.c
@@ -151,6 +151,8 @@
 		}
 	}
 	skip_read(j);
+	for (uint32_t s = 0; s < j->n_stages; s++)
+		mh_cell_know_makers(c, j, s);
 }
 
 void
--- a/lib/cell.h
+++ b/lib/cell.h
@@ -144,6 +144,8 @@
 void mh_cell_give_room(struct worker *w, uint64_t bytes);
 /** mh_cell_drop_results() - frees every result of a stage. */
 void mh_cell_drop_results(struct mh_cell *c, struct mh_job *j, uint32_t stage);
+/** mh_cell_know_makers() - where what another cell made of @stage lies. */
+void mh_cell_know_makers(struct mh_cell *c, struct mh_job *j, uint32_t stage);
 /** mh_cell_hand_on() - frees what no later cell of the job will read. */
 void mh_cell_hand_on(struct mh_cell *c, struct mh_job *j);
 /** mh_cell_need_inputs() - inputs of @stage that were freed are made again. */
--- a/lib/cellmade.c
+++ b/lib/cellmade.c
@@ -41,6 +41,45 @@
 		drop_result(c, j, stage, i);
 }
 
+/* A result is named by its maker's address, a slash and a number. */
+static const struct mh_node *
+maker_of(struct mh_cell *c, struct cpool *p, const char *result)
+{
+	GPtrArray *nodes = mh_cell_nodes(c, p);
+	size_t len = strcspn(result, "/");
+
+	for (guint i = 0; i < nodes->len; i++) {
+		const struct mh_node *n = g_ptr_array_index(nodes, i);
+
+		if (strlen(n->addr) == len && memcmp(n->addr, result, len) == 0)
+			return n;
+	}
+	return NULL;
+}
+
+/*
+ * Results that are handed on take up room where they lie.  Not counted, their
+ * endpoints were given work for room that they lacked, and refused it.
+ */
+void
+mh_cell_know_makers(struct mh_cell *c, struct mh_job *j, uint32_t stage)
+{
+	const struct mh_jstage *st = &j->stages[stage];
+	struct sstate *ss = &j->state->stages[stage];
+
+	for (uint32_t i = 0; i < st->pieces; i++) {
+		const char *result = g_ptr_array_index(st->results, i);
+		const struct mh_node *n =
+		    result == NULL ? NULL : maker_of(c, ss->pool, result);
+
+		if (n == NULL)
+			continue;
+		ss->made[i].node = g_intern_string(n->id);
+		ss->made[i].worker = mh_cell_worker_of(ss->pool, n->id);
+		ss->made[i].worker->held += st->result_bytes;
+	}
+}
+
 /* The room that results take is no longer ours to count. */
 static void
 forget_makers(struct mh_job *j, uint32_t stage)
