--- a/regress/entries.c
+++ b/regress/entries.c
@@ -151,12 +151,26 @@
 	}
 }
 
+/* A process of before takes every result that it is told of for made. */
+static void
+count_holes(struct mrig *r, const Mh__Frame *f)
+{
+	for (size_t s = 0;
+	     f->body_case == MH__FRAME__BODY_JOB && s < f->job->n_stages; s++) {
+		const Mh__JobStage *st = f->job->stages[s];
+
+		for (size_t i = 0; i < st->n_results; i++)
+			r->holes += *st->results[i] == '\0';
+	}
+}
+
 static bool
 is_lost(struct ment *e, GBytes *frame)
 {
 	Mh__Frame *f = mh_frame_unpack(frame);
 	bool lost = e->lose_views > 0 && f->body_case == MH__FRAME__BODY_VIEW;
 
+	count_holes(e->r, f);
 	e->lose_views -= lost;
 	mh_frame_free(f);
 	return lost;
--- a/regress/entries.h
+++ b/regress/entries.h
@@ -43,6 +43,7 @@
 	int64_t now_us;
 	GPtrArray *members;
 	GPtrArray *opening; /* struct opening */
+	uint32_t holes; /* results of a stage that were sent without one */
 };
 
 struct mrig *mrig_create(void);
--- a/regress/entwork.c
+++ b/regress/entwork.c
@@ -15,8 +15,12 @@
 
 	e->calls++;
 	e->calls_b += strcmp(b->pool, "b") == 0;
-	if (e->stalled != NULL && strcmp(b->pool, e->stalled) == 0)
-		return;
+	e->pieces += b->items->len;
+	if (e->stalled != NULL && strcmp(b->pool, e->stalled) == 0) {
+		if (e->passes == 0)
+			return;
+		e->passes--;
+	}
 	for (guint i = 0; i < b->items->len; i++)
 		g_array_index(b->items, struct mh_batch_item, i).result =
 		    g_strdup("10.9.9.9:1/result");
--- a/regress/entwork.h
+++ b/regress/entwork.h
@@ -12,7 +12,9 @@
 	struct mh_cells *cs;
 	struct mh_broker *b;
 	const char *stalled; /* calls of this pool do not end; NULL: all do */
+	uint32_t passes; /* so many of these end all the same */
 	uint32_t calls;
+	uint32_t pieces; /* in these */
 	uint32_t calls_b; /* of these, of the second pool */
 	uint32_t freed; /* results */
 	uint32_t ended; /* jobs that were submitted here */
--- a/regress/t_home.c
+++ b/regress/t_home.c
@@ -275,6 +275,55 @@
 	mrig_destroy(r);
 }
 
+/*
+ * A home leaves with a stage half made: eight of twelve pieces.  These are
+ * handed on as well, apart from results of whole stages, which a process of an
+ * earlier version takes for whole.
+ */
+static void
+test_half_a_stage_is_handed_on(void)
+{
+	static const char *const pools[] = { "a", "b", NULL };
+	const uint32_t pieces[] = { 12, 1 };
+	struct mrig *r = mrig_create();
+	struct ent all[ENTRIES] = { 0 };
+	struct ment *home;
+	struct ent *e, *left;
+	struct mh_job *j;
+	uint32_t elsewhere = 0;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_create(&all[i], &r->e[i]);
+	mrig_run(r, 2 * S);
+	home = mrig_agreed(r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(home);
+	e = &all[home->index == 0];
+	left = &all[home->index];
+	left->stalled = "a";
+	left->passes = 1;
+	j = new_job(e, pools, pieces);
+	j->stages[1].after = 1;
+	mh_broker_submit(e->b, j);
+	mrig_run(r, 50 * MS);
+	CU_ASSERT_EQUAL(left->calls, 2);
+	mh_mesh_leave(home->m);
+	mh_cells_leave(left->cs);
+	mrig_run(r, 600 * MS);
+	CU_ASSERT_EQUAL(e->done, 1);
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		if (&all[i] != left)
+			elsewhere += all[i].pieces;
+	}
+	CU_ASSERT_EQUAL(elsewhere, 4 + 1);
+	CU_ASSERT_EQUAL(r->holes, 0);
+	mh_broker_drop(e->b, j);
+	mh_job_destroy(j);
+	mrig_run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
+}
+
 /*
  * The first of the order is back and has run for long enough to be the home
  * again.  The entry that stood in kept what it had been given, for seconds,
@@ -547,6 +596,7 @@
 	{ "home: begun work goes on", test_begun_work_goes_on },
 	{ "home: results outlive it", test_results_outlive_the_home },
 	{ "home: one that leaves hands on", test_leaving_home_hands_on },
+	{ "home: half a stage is handed on", test_half_a_stage_is_handed_on },
 	{ "home: one that is no more the home hands on",
 	    test_home_no_more_hands_on },
 	{ "home: what is still wanted", test_what_is_still_wanted },
