Results of half a stage travel apart from those of whole stages

Found by reading the change, not by a play: an entry of an earlier version takes every result in a stage's list for made, also an empty name, and would have run the next stage without it. Entries are restarted in turn to change versions. Change: half a stage has fields of its own in Job and JobStep (some).

--- a/lib/broker.c
+++ b/lib/broker.c
@@ -67,7 +67,10 @@
 
 /*
  * The results of a stage as they travel, "" where one is not made; NULL: never
- * begun.  The caller frees the list, not what it names.
+ * begun.  The caller frees the list, not what it names.  Those of a stage half
+ * made have a field of their own: an entry of an earlier version takes what it
+ * finds among the results of a stage for made, and would run the next stage
+ * without it; so it makes the stage anew.
  */
 static char **
 made_of(const struct mh_jstage *st)
@@ -116,9 +119,15 @@
 		stages[s].result_bytes = j->stages[s].result_bytes;
 		list[s] = &stages[s];
 		made[s] = made_of(&j->stages[s]);
-		stages[s].results = made[s];
-		stages[s].n_results =
-		    made[s] == NULL ? 0 : j->stages[s].results->len;
+		if (made[s] == NULL)
+			continue;
+		if (mh_job_stage_made(&j->stages[s])) {
+			stages[s].results = made[s];
+			stages[s].n_results = j->stages[s].results->len;
+		} else {
+			stages[s].some = made[s];
+			stages[s].n_some = j->stages[s].results->len;
+		}
 	}
 	f.body_case = MH__FRAME__BODY_JOB;
 	f.job = &m;
@@ -330,10 +339,14 @@
 	const Mh__JobStep *m = f->job_step;
 	struct mh_job *j = find_sent(b, node, m->id);
 
-	if (j == NULL || m->stage >= j->n_stages ||
-	    m->n_results != j->stages[m->stage].pieces)
+	if (j == NULL || m->stage >= j->n_stages)
+		return;
+	if (m->n_results == j->stages[m->stage].pieces)
+		mh_job_made(j, m->stage, m->results, m->n_results);
+	else if (m->n_some == j->stages[m->stage].pieces)
+		mh_job_made(j, m->stage, m->some, m->n_some);
+	else
 		return;
-	mh_job_made(j, m->stage, m->results, m->n_results);
 	mh_job_forget_read(j);
 }
 
@@ -378,6 +391,10 @@
 		    m->stages[s]->n_results == m->stages[s]->pieces)
 			mh_job_made(j, s, m->stages[s]->results,
 			    m->stages[s]->n_results);
+		else if (m->stages[s]->n_some > 0 &&
+		    m->stages[s]->n_some == m->stages[s]->pieces)
+			mh_job_made(
+			    j, s, m->stages[s]->some, m->stages[s]->n_some);
 	}
 	return j;
 }
@@ -474,8 +491,13 @@
 	if (g != NULL && made != NULL) {
 		m.id = j->id;
 		m.stage = stage;
-		m.n_results = j->stages[stage].results->len;
-		m.results = made;
+		if (mh_job_stage_made(&j->stages[stage])) {
+			m.results = made;
+			m.n_results = j->stages[stage].results->len;
+		} else {
+			m.some = made;
+			m.n_some = j->stages[stage].results->len;
+		}
 		f.body_case = MH__FRAME__BODY_JOB_STEP;
 		f.job_step = &m;
 		mh_mesh_send(b->m, g->node, &f);
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -4606,7 +4606,7 @@
   (ProtobufCMessageInit) mh__view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__job_stage__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mh__job_stage__field_descriptors[6] =
 {
   {
     "pool",
@@ -4668,6 +4668,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "some",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Mh__JobStage, n_some),
+    offsetof(Mh__JobStage, some),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__job_stage__field_indices_by_name[] = {
   1,   /* field[1] = after */
@@ -4675,11 +4687,12 @@
   0,   /* field[0] = pool */
   3,   /* field[3] = result_bytes */
   4,   /* field[4] = results */
+  5,   /* field[5] = some */
 };
 static const ProtobufCIntRange mh__job_stage__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mh__job_stage__descriptor =
 {
@@ -4689,7 +4702,7 @@
   "Mh__JobStage",
   "mh",
   sizeof(Mh__JobStage),
-  5,
+  6,
   mh__job_stage__field_descriptors,
   mh__job_stage__field_indices_by_name,
   1,  mh__job_stage__number_ranges,
@@ -4967,7 +4980,7 @@
   (ProtobufCMessageInit) mh__job_end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__job_step__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mh__job_step__field_descriptors[4] =
 {
   {
     "id",
@@ -5005,16 +5018,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "some",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Mh__JobStep, n_some),
+    offsetof(Mh__JobStep, some),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__job_step__field_indices_by_name[] = {
   0,   /* field[0] = id */
   2,   /* field[2] = results */
+  3,   /* field[3] = some */
   1,   /* field[1] = stage */
 };
 static const ProtobufCIntRange mh__job_step__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor mh__job_step__descriptor =
 {
@@ -5024,7 +5050,7 @@
   "Mh__JobStep",
   "mh",
   sizeof(Mh__JobStep),
-  3,
+  4,
   mh__job_step__field_descriptors,
   mh__job_step__field_indices_by_name,
   1,  mh__job_step__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -621,10 +621,15 @@
    */
   size_t n_results;
   char **results;
+  /*
+   * or of a stage half made; "": not made
+   */
+  size_t n_some;
+  char **some;
 };
 #define MH__JOB_STAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__job_stage__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  Mh__Job
@@ -695,10 +700,15 @@
    */
   size_t n_results;
   char **results;
+  /*
+   * or half made, by a home that leaves
+   */
+  size_t n_some;
+  char **some;
 };
 #define MH__JOB_STEP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__job_step__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL }
 
 
 /*
