Jobs that move: other jobs may end meanwhile; ages are not worked out each beat

Found by reading the change: the loop over jobs that move went backwards by index, while the end of one may end others; it goes forwards and looks at the length each time. The longest running entry was worked out for every beat, only to be used when its sender leaves: with 476 entries, 1,900 beats a second at a reader.

--- a/lib/cell.c
+++ b/lib/cell.c
@@ -271,12 +271,14 @@
 static void
 move_leaving(struct mh_cell *c)
 {
-	/* One with nowhere else to go comes back here, after those. */
-	for (guint i = c->jobs->len; i-- > 0;) {
+	/* One with nowhere else to go comes back here, and may end others. */
+	for (guint i = 0; i < c->jobs->len;) {
 		struct mh_job *j = g_ptr_array_index(c->jobs, i);
 
 		if (j->state->leaving && !in_a_call(j))
 			end_job(c, j, MH_JOB_MOVED, 0);
+		else
+			i++;
 	}
 }
 
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -283,8 +283,8 @@
 static void
 take_beat(struct mh_mesh *m, struct peer *p, const Mh__Beat *b)
 {
-	int64_t oldest = mh_mesh_oldest(m);
-	bool leaves;
+	bool leaves = b->leaving && !p->leaving;
+	int64_t oldest = leaves ? mh_mesh_oldest(m) : 0;
 
 	p->ready = b->ready;
 	p->reads = b->reads;
@@ -293,7 +293,6 @@
 	p->started_us = mh_now(m->k) - (int64_t)b->uptime_us;
 	p->oldest_us = b->oldest_us == 0 ? INT64_MAX
 					 : mh_now(m->k) - (int64_t)b->oldest_us;
-	leaves = b->leaving && !p->leaving;
 	if (leaves)
 		mh_event(m->k, "peer-leaving", "node=%s", p->node);
 	p->leaving = b->leaving;
