--- a/lib/meshorder.c
+++ b/lib/meshorder.c
@@ -88,11 +88,14 @@
 	return mh_peer_alive(p) && p->ready && !p->leaving;
 }
 
-/* When the longest running of those that can serve was started. */
-static int64_t
-oldest_start(struct mh_mesh *m)
+/*
+ * One that leaves serves nobody: counting itself, it passed over all who had
+ * just come back and did its callers' stage work itself up to its end.
+ */
+int64_t
+mh_mesh_oldest(struct mh_mesh *m)
 {
-	int64_t oldest = m->started_us;
+	int64_t oldest = m->leaving ? INT64_MAX : m->started_us;
 	GHashTableIter it;
 	gpointer key, value;
 
@@ -106,6 +109,29 @@
 	return oldest;
 }
 
+/*
+ * When the longest running of all that can serve was started.  It links itself
+ * to whoever comes before the home, so that each entry, linked to some of
+ * those, is told of it.  By its own links alone, one that had just come back
+ * knew only others that had, and took one of them for the home.
+ */
+static int64_t
+oldest_start(struct mh_mesh *m)
+{
+	int64_t oldest = MIN(mh_mesh_oldest(m), mh_now(m->k));
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value)) {
+		const struct peer *p = value;
+
+		if (mh_peer_alive(p))
+			oldest = MIN(oldest, p->oldest_us);
+	}
+	return oldest;
+}
+
 /*
  * Work moves to another home each time a better one appears, and moving
  * costs.  While processes restart in turn, those that have just come back are
@@ -118,17 +144,19 @@
 	return MAX(mh_now(m->k) - SETTLED_US, oldest_start(m) + TOGETHER_US);
 }
 
-const char *
-mh_mesh_home(struct mh_mesh *m, const char *what)
+/* The first of the order that can serve and was started by then, or NULL. */
+static const char *
+first_of(struct mh_mesh *m, const char *what, int64_t latest)
 {
-	int64_t latest = latest_start(m);
-	const char *best = m->node;
+	const char *best = NULL;
 	double most = -1;
 	GHashTableIter it;
 	gpointer key, value;
 
-	if (!m->leaving && m->started_us <= latest)
+	if (!m->leaving && m->started_us <= latest) {
+		best = m->node;
 		most = rank(what, m->node, m->weight);
+	}
 	g_hash_table_iter_init(&it, m->peers);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		const struct peer *p = value;
@@ -142,6 +170,20 @@
 	return best;
 }
 
+/*
+ * Where the one that ran longest is lost, it is heard of for a beat more, and
+ * none is old enough: then the first of any age, so that not each does its own.
+ */
+const char *
+mh_mesh_home(struct mh_mesh *m, const char *what)
+{
+	const char *best = first_of(m, what, latest_start(m));
+
+	if (best == NULL)
+		best = first_of(m, what, INT64_MAX);
+	return best == NULL ? m->node : best;
+}
+
 int64_t
 mh_mesh_unsettled_us(struct mh_mesh *m)
 {
@@ -201,26 +243,27 @@
 	return readers < READERS && (answered || seekers < SEEKERS);
 }
 
-/* It can do work for us, or may as far as we know. */
+/* It can be a home for us, or may as far as we know. */
 static bool
-may_serve(const struct peer *p)
+may_serve(const struct peer *p, int64_t latest)
 {
 	if (!mh_peer_alive(p))
 		return mh_peer_known(p) && !p->failed;
-	return !p->leaving &&
+	return !p->leaving && p->started_us <= latest &&
 	    (p->ready || mh_now(p->m->k) - p->started_us < STARTING_US);
 }
 
 /*
  * Marks the first few of the order of some work as worth a link of our own.
- * Those that are down, leaving or not ready don't count: while many restart,
- * the first few of the list may all be gone, and every entry would be left
- * alone.
+ * Those that are down, leaving, not ready or too young to be a home don't
+ * count: while many restart, the first few of the list may all be gone or have
+ * just come back, and every entry would be left alone.
  */
 static void
 want_first(struct mh_mesh *m, const char *work, uint32_t few)
 {
 	struct peer *first[DIALLED] = { NULL };
+	int64_t latest = latest_start(m);
 	double least = 0;
 	GHashTableIter it;
 	gpointer key, value;
@@ -230,7 +273,7 @@
 		struct peer *p = value;
 		uint32_t at = few;
 
-		if (!may_serve(p))
+		if (!may_serve(p, latest))
 			continue;
 		p->rank = rank(work, p->node, p->weight);
 		while (at > 0 &&
--- a/regress/entries.h
+++ b/regress/entries.h
@@ -8,7 +8,7 @@
 
 #include "mesh.h"
 
-#define ENTRIES 8
+#define ENTRIES 10
 
 /** struct ment - one entry: a kernel with a mesh and a fake link. */
 struct ment {
@@ -43,6 +43,7 @@
 	int64_t now_us;
 	GPtrArray *members;
 	GPtrArray *opening; /* struct opening */
+	uint32_t holes; /* results of a stage that were sent without one */
 };
 
 struct mrig *mrig_create(void);
