Tests: a process that is killed some seconds after its first signal

Cause: neither daemon knows when its supervisor kills it. An entry drains until its last request's deadline, a side process for 30 s whatever the supervisor has. Ruled out: that the tests fail to build or start only: mh_entry_drain(), mh_side_drain() and struct mh_settings carry the grace already and nothing obeys it. Calls in older tests give the default. Conclusion: the process's own end is a bound that isn't applied.

--- a/lib/entry.c
+++ b/lib/entry.c
@@ -605,8 +605,9 @@
 }
 
 void
-mh_entry_drain(struct mh_kern *k)
+mh_entry_drain(struct mh_kern *k, int64_t grace_us)
 {
+	(void)grace_us;
 	get(k)->draining = true;
 	mh_member_drain(k);
 }
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -794,8 +794,10 @@
 /**
  * mh_entry_drain() - tell the peers that this entry leaves.  Requests that
  * still arrive on open connections are served: a balancer needs a moment.
+ *
+ * The process is killed @grace_us later.
  */
-void mh_entry_drain(struct mh_kern *k);
+void mh_entry_drain(struct mh_kern *k, int64_t grace_us);
 bool mh_entry_draining(struct mh_kern *k);
 /** mh_entry_open() - callers who wait for an answer of the entry. */
 uint32_t mh_entry_open(struct mh_kern *k);
@@ -974,7 +976,7 @@
  * The process may end MH_SIDE_DRAIN_US later: by then every call has its
  * answer.  What can't end before does not start, what still runs is cut.
  */
-void mh_side_drain(struct mh_kern *k);
+void mh_side_drain(struct mh_kern *k, int64_t grace_us);
 /** mh_side_idle() - drained and nothing left to send. */
 bool mh_side_idle(struct mh_kern *k);
 /** mh_side_load() - fills the load; false when this is no side process. */
@@ -1140,6 +1142,7 @@
 	char *log_level;
 	int slots;
 	int queue_limit;
+	int grace; /* seconds from the first signal to the kill */
 	bool check_only;
 };
 
--- a/lib/side.c
+++ b/lib/side.c
@@ -320,10 +320,11 @@
 }
 
 void
-mh_side_drain(struct mh_kern *k)
+mh_side_drain(struct mh_kern *k, int64_t grace_us)
 {
 	struct side *s = get(k);
 
+	(void)grace_us;
 	s->draining = true;
 	s->end_us = mh_now(k) + MH_SIDE_DRAIN_US - TELL_US;
 	bound_calls(s);
--- a/marlsided/marlsided.c
+++ b/marlsided/marlsided.c
@@ -51,7 +51,7 @@
 static void
 drain(struct mh_daemon *d)
 {
-	mh_side_drain(d->k);
+	mh_side_drain(d->k, MH_SIDE_DRAIN_US);
 }
 
 static bool
--- a/regress/main.c
+++ b/regress/main.c
@@ -45,6 +45,7 @@
 	{ "front", tests_front },
 	{ "work", tests_work },
 	{ "drain", tests_drain },
+	{ "grace", tests_grace },
 };
 
 /*
--- a/regress/t_drain.c
+++ b/regress/t_drain.c
@@ -19,6 +19,7 @@
 
 #define CHECK_US (50 * MH_US_PER_MS) /* run.c looks this often */
 #define SIDE_LINGER_US (500 * MH_US_PER_MS) /* as in marlsided.c */
+#define GRACE_US (30 * MH_US_PER_S) /* the default */
 #define SLOW_US (40 * MH_US_PER_S) /* a call that outlasts the drain */
 
 struct drain_world {
@@ -64,9 +65,9 @@
 {
 	int64_t waited = 0;
 
-	mh_side_drain(x->k);
+	mh_side_drain(x->k, GRACE_US);
 	while (waited < SIDE_LINGER_US ||
-	    (!mh_side_idle(x->k) && waited < MH_SIDE_DRAIN_US)) {
+	    (!mh_side_idle(x->k) && waited < GRACE_US)) {
 		net_run(x->net, CHECK_US);
 		waited += CHECK_US;
 	}
@@ -165,7 +166,7 @@
 	net_silence(w.side, false, true);
 	id = net_request(w.e[0], &a);
 	net_run(w.n, 10 * MH_US_PER_MS);
-	mh_entry_drain(w.e[0]->k);
+	mh_entry_drain(w.e[0]->k, GRACE_US);
 	CU_ASSERT_FALSE(net_answer(w.n, id)->ended);
 	CU_ASSERT_EQUAL(mh_entry_open(w.e[0]->k), 1);
 	net_run(w.n, 2 * MH_US_PER_S);
@@ -206,7 +207,7 @@
 	make(&w, 4, "enc");
 	w.side->service_us = 2 * MH_US_PER_S;
 	give_order(w.side);
-	mh_side_drain(w.side->k);
+	mh_side_drain(w.side->k, GRACE_US);
 	net_run(w.n, 1 * MH_US_PER_S);
 	CU_ASSERT_FALSE(mh_side_idle(w.side->k));
 	net_run(w.n, 2 * MH_US_PER_S);
@@ -244,7 +245,7 @@
 	for (int i = 0; i < 100 && mh_member_find(first->k, "book2") == NULL;
 	     i++)
 		net_run(n, CHECK_US);
-	mh_side_drain(first->k);
+	mh_side_drain(first->k, GRACE_US);
 	net_run(n, 300 * MH_US_PER_MS);
 	snprintf(what, sizeof(what), "book/%u", p);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(mh_member_winner(first->k, "book", what));
@@ -312,16 +313,24 @@
 	return true;
 }
 
+/* A request is never answered. */
+static bool
+d_busy(struct mh_daemon *d)
+{
+	(void)d;
+	return false;
+}
+
 static G_GNUC_NORETURN void
-run_daemon(const char *secret, int out)
+run_daemon(const char *secret, int out, bool (*idle)(struct mh_daemon *))
 {
-	static const struct mh_daemon_ops ops = { .name = "drained",
+	const struct mh_daemon_ops ops = { .name = "drained",
 		.role = "entry",
 		.kind = MH_DAEMON_ENTRY,
 		.linger_us = LINGER_US,
 		.create = d_create,
 		.drain = d_drain,
-		.idle = d_idle };
+		.idle = idle };
 	char *argv[] = { (char *)"drained", (char *)"--vm", (char *)"e",
 		(char *)"--domain", (char *)"a", (char *)"--listen",
 		(char *)"127.0.0.1:0", (char *)"--http", (char *)"127.0.0.1:0",
@@ -336,7 +345,7 @@
 }
 
 static void
-child_start(struct child *c)
+child_start_with(struct child *c, bool (*idle)(struct mh_daemon *))
 {
 	char line[128] = "", *secret = NULL;
 	int fd = g_file_open_tmp("secret-XXXXXX", &secret, NULL), out[2];
@@ -349,7 +358,7 @@
 	fflush(NULL);
 	c->pid = fork();
 	if (c->pid == 0)
-		run_daemon(secret, out[1]);
+		run_daemon(secret, out[1], idle);
 	close(out[1]);
 	CU_ASSERT(read(out[0], line, sizeof(line) - 1) > 0);
 	close(out[0]);
@@ -363,6 +372,12 @@
 	g_free(secret);
 }
 
+static void
+child_start(struct child *c)
+{
+	child_start_with(c, d_idle);
+}
+
 /* Takes what comes, at most @max bytes; false when no more will come. */
 static bool
 child_read(struct child *c, size_t max)
@@ -462,6 +477,50 @@
 	child_check(&c);
 }
 
+#define KILL_S "2" /* as its supervisor has it */
+#define KILL_MS 2000
+
+/* SIGTERM, and the kill as its supervisor does it; true if that was late. */
+static bool
+child_leaves(struct child *c)
+{
+	int64_t until = g_get_monotonic_time() + KILL_MS * MH_US_PER_MS;
+	int status = -1;
+	pid_t pid;
+
+	kill(c->pid, SIGTERM);
+	while ((pid = waitpid(c->pid, &status, WNOHANG)) == 0 &&
+	    g_get_monotonic_time() < until)
+		poll(NULL, 0, 10);
+	if (pid == 0) {
+		kill(c->pid, SIGKILL);
+		waitpid(c->pid, &status, 0);
+	}
+	close(c->fd);
+	g_string_free(c->got, TRUE);
+	return pid == c->pid && status == 0;
+}
+
+/*
+ * A supervisor waits two seconds between SIGTERM and SIGKILL, and the daemon
+ * was never told.  With work that did not end it stayed until the kill; with
+ * an answer that its caller did not read it stayed for ten seconds.
+ */
+static void
+test_daemon_ends_before_its_kill(void)
+{
+	struct child busy, unread;
+
+	g_setenv("MARLHOIST_GRACE", KILL_S, TRUE);
+	child_start_with(&busy, d_busy);
+	child_start(&unread);
+	g_unsetenv("MARLHOIST_GRACE");
+	CU_ASSERT_TRUE(child_leaves(&busy));
+	child_send(&unread, "GET /a HTTP/1.1\r\n" END);
+	child_read(&unread, 1);
+	CU_ASSERT_TRUE(child_leaves(&unread));
+}
+
 #define WAITING 40 /* connections that nobody accepted yet */
 
 /** struct port - a server in this process, and its callers. */
@@ -605,6 +664,7 @@
 	{ "side_waits_for_a_hand_over", test_side_waits_for_a_hand_over },
 	{ "answer_on_a_slow_line", test_answer_on_a_slow_line },
 	{ "request_half_sent", test_request_half_sent },
+	{ "daemon_ends_before_its_kill", test_daemon_ends_before_its_kill },
 	{ "connections_not_yet_accepted", test_connections_not_yet_accepted },
 	{ "request_at_the_close", test_request_at_the_close },
 	{ NULL, NULL },
--- a/regress/t_entry.c
+++ b/regress/t_entry.c
@@ -8,6 +8,8 @@
 
 #include <string.h>
 
+#define GRACE_US (30 * MH_US_PER_S) /* the default */
+
 struct entry_world {
 	struct net *n;
 	struct net_node *e;
@@ -329,7 +331,7 @@
 		if (by_list)
 			w.llm[0]->leaving = true;
 		else
-			mh_side_drain(w.llm[0]->k);
+			mh_side_drain(w.llm[0]->k, GRACE_US);
 		net_run(w.n, 3 * MH_US_PER_S);
 		runs = w.llm[0]->runs;
 		for (int i = 0; i < 10; i++)
@@ -354,7 +356,7 @@
 	make(&w, 10, net_doc);
 	before = plan(&w, false);
 	net_run(w.n, 50 * MH_US_PER_MS);
-	mh_entry_drain(w.e->k);
+	mh_entry_drain(w.e->k, GRACE_US);
 	after = plan(&w, false);
 	net_run(w.n, 3 * MH_US_PER_S);
 	check_whole(&w, before);
--- a/regress/t_once.c
+++ b/regress/t_once.c
@@ -8,6 +8,8 @@
 
 #include <string.h>
 
+#define GRACE_US (30 * MH_US_PER_S) /* the default */
+
 #define MAX_ASKS 400
 
 struct once_world {
@@ -182,7 +184,7 @@
 	a = confirm(w.e[0], "k2");
 	net_run(w.n, MH_US_PER_S);
 	CU_ASSERT_EQUAL(net_answer(w.n, a)->status, 200);
-	mh_side_drain(owner->k);
+	mh_side_drain(owner->k, GRACE_US);
 	net_run(w.n, 3 * MH_US_PER_S);
 	CU_ASSERT_EQUAL(mh_claim_count(owner->k), 0);
 	CU_ASSERT_TRUE(mh_side_idle(owner->k));
@@ -230,7 +232,7 @@
 		}
 		g_free(full);
 	}
-	mh_side_drain(owner->k);
+	mh_side_drain(owner->k, GRACE_US);
 	net_run(w.n, 5 * MH_US_PER_S);
 	CU_ASSERT_EQUAL(mh_claim_count(owner->k), 0);
 	a = confirm(w.e[1], last);
@@ -655,7 +657,7 @@
 		break;
 	case 8:
 		if (x->k != NULL && !x->paused)
-			mh_side_drain(x->k);
+			mh_side_drain(x->k, GRACE_US);
 		break;
 	default:
 		n->vmlist_down = !n->vmlist_down;
