Daemons know when they are killed, and answer all before

Cause: an entry was bound by its requests' deadlines alone, up to an hour; a side process by 30 s of its own. The supervisor's kill closed what was open without a word. Ruled out: to tell side processes the shorter deadline of calls that they have: they learn of it as at any deadline, by a cancel, which takes a call out of the queue. So a booking that only waited there is told "unknown" with its lookup, which then says "not-seen". At the drain the end of an entry less 1 s bounds each request's deadline (until.c), of those that come later, of held ones and of lookups too; what can't be done by then is refused (503 "leaving", Retry-After). The process ends 0.2 s before the kill. Conclusion: the process's end is a bound of all that it has taken.

--- a/lib/daemon.c
+++ b/lib/daemon.c
@@ -24,51 +24,55 @@
 	enum mh_daemon_kind only; /* with both: for every daemon */
 	bool both;
 	bool required;
-	bool number;
+	uint32_t min; /* with max: a number; max 0: text */
+	uint32_t max;
 };
 
-#define S(fl, en, fld, wh, onl, bth, req, num)                            \
+#define S(fl, en, fld, wh, onl, bth, req, lo, hi)                         \
 	{                                                                 \
 		.flag = fl, .env = en, .what = wh,                        \
 		.offset = offsetof(struct mh_settings, fld), .only = onl, \
-		.both = bth, .required = req, .number = num               \
+		.both = bth, .required = req, .min = lo, .max = hi        \
 	}
 
 static const struct setting settings[] = {
 	S("vm", "MARLHOIST_VM", vm, "this VM's id in the VM list", 0, true,
-	    true, false),
+	    true, 0, 0),
 	S("domain", "MARLHOIST_DOMAIN", domain, "failure domain", 0, true, true,
-	    false),
+	    0, 0),
 	S("listen", "MARLHOIST_LISTEN", listen, "IP:PORT for our processes", 0,
-	    true, true, false),
+	    true, true, 0, 0),
 	S("advertise", "MARLHOIST_ADVERTISE", advertise,
-	    "IP:PORT that peers dial, if another", 0, true, false, false),
+	    "IP:PORT that peers dial, if another", 0, true, false, 0, 0),
 	S("http", "MARLHOIST_HTTP", http,
-	    "IP:PORT for callers, health and metrics", 0, true, true, false),
-	S("kv", "MARLHOIST_KV", kv, "URL of the KV service", 0, true, true,
-	    false),
+	    "IP:PORT for callers, health and metrics", 0, true, true, 0, 0),
+	S("kv", "MARLHOIST_KV", kv, "URL of the KV service", 0, true, true, 0,
+	    0),
 	S("vmlist", "MARLHOIST_VMLIST", vmlist, "URL of the VM list", 0, true,
-	    true, false),
+	    true, 0, 0),
 	S("secret-file", "MARLHOIST_SECRET_FILE", secret_file,
-	    "file with the processes' shared secret", 0, true, true, false),
+	    "file with the processes' shared secret", 0, true, true, 0, 0),
 	S("log-level", "MARLHOIST_LOG_LEVEL", log_level, "error, info or debug",
-	    0, true, false, false),
+	    0, true, false, 0, 0),
 	S("cert-file", "MARLHOIST_CERT_FILE", cert_file,
 	    "TLS certificate (PEM) of the callers' port", MH_DAEMON_ENTRY,
-	    false, false, false),
+	    false, false, 0, 0),
 	S("key-file", "MARLHOIST_KEY_FILE", key_file,
 	    "TLS key (PEM) of the callers' port", MH_DAEMON_ENTRY, false, false,
-	    false),
+	    0, 0),
 	S("pool", "MARLHOIST_POOL", pool, "pool of the endpoint",
-	    MH_DAEMON_SIDE, false, true, false),
+	    MH_DAEMON_SIDE, false, true, 0, 0),
 	S("endpoint", "MARLHOIST_ENDPOINT", endpoint, "URL of the endpoint",
-	    MH_DAEMON_SIDE, false, true, false),
+	    MH_DAEMON_SIDE, false, true, 0, 0),
 	S("slots", "MARLHOIST_SLOTS", slots,
 	    "calls at the endpoint at once, 1 to 4096", MH_DAEMON_SIDE, false,
-	    false, true),
+	    false, 1, MAX_SLOTS),
 	S("queue", "MARLHOIST_QUEUE", queue_limit,
-	    "calls waiting at most, 1 to 4096", MH_DAEMON_SIDE, false, false,
-	    true),
+	    "calls waiting at most, 1 to 4096", MH_DAEMON_SIDE, false, false, 1,
+	    MAX_SLOTS),
+	S("grace", "MARLHOIST_GRACE", grace,
+	    "seconds from SIGTERM to SIGKILL, whole, 2 to 3600", 0, true, false,
+	    MH_GRACE_MIN_S, MH_GRACE_MAX_S),
 };
 #define NSETTINGS (sizeof(settings) / sizeof(settings[0]))
 
@@ -98,12 +102,12 @@
 	void *at = (char *)s + t->offset;
 	guint64 n;
 
-	if (!t->number) {
+	if (t->max == 0) {
 		g_free(*(char **)at);
 		*(char **)at = g_strdup(v);
 		return;
 	}
-	if (!g_ascii_string_to_unsigned(v, 10, 1, MAX_SLOTS, &n, NULL))
+	if (!g_ascii_string_to_unsigned(v, 10, t->min, t->max, &n, NULL))
 		bad(program, "--%s \"%s\": write %s", t->flag, v, t->what);
 	*(int *)at = (int)n;
 }
@@ -132,7 +136,7 @@
 		const struct setting *t = &settings[i];
 		const char *v;
 
-		if (!applies(t, kind) || t->number)
+		if (!applies(t, kind) || t->max > 0)
 			continue;
 		v = *(char *const *)(const void *)((const char *)s + t->offset);
 		if (v == NULL && t->required)
@@ -169,6 +173,7 @@
 	memset(s, 0, sizeof(*s));
 	s->slots = DEFAULT_SLOTS;
 	s->queue_limit = DEFAULT_QUEUE;
+	s->grace = MH_GRACE_S;
 	for (size_t i = 0; i < NSETTINGS; i++) {
 		strs[i] = arg_str0(
 		    NULL, settings[i].flag, "<value>", settings[i].what);
@@ -211,7 +216,7 @@
 mh_settings_clear(struct mh_settings *s)
 {
 	for (size_t i = 0; i < NSETTINGS; i++) {
-		if (!settings[i].number)
+		if (settings[i].max == 0)
 			g_free(
 			    *(char **)(void *)((char *)s + settings[i].offset));
 	}
--- a/lib/entry.c
+++ b/lib/entry.c
@@ -241,37 +241,6 @@
 	end_request(r);
 }
 
-/*
- * At the deadline an answer is of no use any more.  A non-repeatable call
- * that is still out may run or have run: that is "unknown", never
- * "not run".
- */
-static void
-on_deadline(void *arg)
-{
-	struct request *r = arg;
-	struct problem p = { .status = 504,
-		.kind = "deadline",
-		.detail = "The deadline passed.",
-		.remedy = "Ask again, or ask for more time.",
-		.outcome = r->key_given		      ? entry_key_outcome(r)
-		    : r->maybe_ran || r->attempts > 0 ? "failed"
-						      : "not-run" };
-	const struct mh_stage *s = r->d.pipeline->stages->pdata[r->stage];
-
-	if (r->key_given)
-		p.remedy = "Ask again with the same key, or look the outcome "
-			   "up; do not repeat it under another key.";
-	r->deadline = NULL;
-	if (s->never && r->tries[0].call != NULL) {
-		p.kind = "outcome-unknown";
-		p.outcome = "unknown";
-		p.remedy = "Look the outcome up by key; do not repeat it "
-			   "under another key.";
-	}
-	entry_fail(r, &p);
-}
-
 struct mh_owners *
 entry_owners(struct entry *e, const char *service)
 {
@@ -352,6 +321,8 @@
 
 	ask.model = json_string_value(json_object_get(r->flow.input, "model"));
 	mh_rules_decide(r->decl, &ask, &r->d);
+	r->d.deadline_us = entry_time_us(e, r->d.deadline_us);
+	r->deadline_us = r->arrived_us + r->d.deadline_us;
 	if (r->d.pipeline == NULL) {
 		entry_refuse(e, m, 404, "no-pipeline",
 		    "No such pipeline is declared.",
@@ -433,13 +404,17 @@
 		.remedy = "Ask again after Retry-After, or allow more time." };
 	int64_t need, over;
 
-	if (r->decl->policy.admission == MH_ADMIT_ALL)
+	if (r->decl->policy.admission == MH_ADMIT_ALL && r->d.deadline_us > 0)
 		return true;
 	need = pipe_predict_us(r, 0, true);
 	over = need - r->d.deadline_us;
 	if (over <= 0)
 		return true;
 	mh_count(e->k, "entry_infeasible", 1);
+	if (entry_ends(r)) {
+		refuse(e, m, &entry_leaving);
+		return false;
+	}
 	over = MAX(over, MH_US_PER_S);
 	p.retry_us = over + (int64_t)(mh_random_unit(e->k) * (double)over / 2);
 	refuse(e, m, &p);
@@ -485,10 +460,9 @@
 		return;
 	}
 	r->affinity = affinity_of(r);
-	r->deadline_us = r->arrived_us + r->d.deadline_us;
 	g_hash_table_insert(e->requests, &r->caller, r);
 	mh_count(e->k, "entry_admitted", 1);
-	r->deadline = mh_timer_start(e->k, r->d.deadline_us, on_deadline, r);
+	entry_set_deadline(r);
 	pipe_start(r);
 }
 
@@ -499,6 +473,15 @@
 	    mh_member_links(e->k) > 0;
 }
 
+/* Not longer than the start may take, nor than this entry is there. */
+static bool
+may_wait(const struct entry *e)
+{
+	int64_t left = e->started_us + START_US - mh_now(e->k);
+
+	return entry_time_us(e, left) > 0;
+}
+
 static void
 free_early(struct early *x)
 {
@@ -515,7 +498,7 @@
 	struct entry *e = x->e;
 
 	x->timer = NULL;
-	if (!settled(e) && mh_now(e->k) < e->started_us + START_US) {
+	if (!settled(e) && may_wait(e)) {
 		x->timer = mh_timer_start(e->k, EARLY_US, on_early, x);
 		return;
 	}
@@ -534,7 +517,7 @@
 {
 	struct early *x;
 
-	if (settled(e) || mh_now(e->k) >= e->started_us + START_US)
+	if (settled(e) || !may_wait(e))
 		return false;
 	x = g_new0(struct early, 1);
 	x->e = e;
@@ -554,6 +537,10 @@
 	bool post = strcmp(m->method, "POST") == 0;
 	bool del = strcmp(m->method, "DELETE") == 0;
 
+	if (d == NULL && e->draining) {
+		refuse(e, m, &entry_leaving);
+		return;
+	}
 	if (d == NULL) {
 		entry_refuse(e, m, 503, "no-configuration",
 		    "No configuration is in force yet.",
@@ -604,14 +591,6 @@
 	}
 }
 
-void
-mh_entry_drain(struct mh_kern *k, int64_t grace_us)
-{
-	(void)grace_us;
-	get(k)->draining = true;
-	mh_member_drain(k);
-}
-
 bool
 mh_entry_draining(struct mh_kern *k)
 {
--- a/lib/entry.h
+++ b/lib/entry.h
@@ -78,6 +78,7 @@
 	char *vm;
 	char *domain;
 	bool draining;
+	int64_t end_us; /* with draining: every request is answered by then */
 	double budget; /* calls that may still be retried or hedged */
 	int64_t started_us;
 	GPtrArray *early; /* struct early */
@@ -126,6 +127,16 @@
 void entry_token(struct request *r, GBytes *text);
 struct mh_owners *entry_owners(struct entry *e, const char *service);
 
+/* until.c */
+/** entry_leaving - why this entry's end keeps a request from its answer. */
+extern const struct problem entry_leaving;
+/** entry_time_us() - the part of @us that is left before this entry's end. */
+int64_t entry_time_us(const struct entry *e, int64_t us);
+/** entry_ends() - bounds this entry's end @r, and not its caller's time? */
+bool entry_ends(const struct request *r);
+/** entry_set_deadline() - @r is answered at its deadline_us at the latest. */
+void entry_set_deadline(struct request *r);
+
 /* outcome.c */
 #define PREFIX_OUTCOMES "/v1/outcomes/"
 /** outcome_ask() - GET looks up, DELETE (@revoke) revokes. */
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -795,7 +795,8 @@
  * mh_entry_drain() - tell the peers that this entry leaves.  Requests that
  * still arrive on open connections are served: a balancer needs a moment.
  *
- * The process is killed @grace_us later.
+ * The process is killed @grace_us later, MH_GRACE_MIN_S at least: before
+ * that every request has its answer.
  */
 void mh_entry_drain(struct mh_kern *k, int64_t grace_us);
 bool mh_entry_draining(struct mh_kern *k);
@@ -963,18 +964,13 @@
 	uint32_t queue_limit;
 };
 
-/*
- * The longest drain, in microseconds.  Supervisors of containers send SIGKILL
- * 30 s after SIGTERM if not told otherwise, and then nobody is told anything.
- */
-#define MH_SIDE_DRAIN_US (30 * MH_US_PER_S)
-
 void mh_side_create(struct mh_kern *k, const struct mh_side_args *a);
 /**
  * mh_side_drain() - tell every entry, hand over, finish, then idle.
  *
- * The process may end MH_SIDE_DRAIN_US later: by then every call has its
- * answer.  What can't end before does not start, what still runs is cut.
+ * The process is killed @grace_us later, MH_GRACE_MIN_S at least: before
+ * that every call has its answer.  What can't end in time does not start,
+ * what still runs is cut.
  */
 void mh_side_drain(struct mh_kern *k, int64_t grace_us);
 /** mh_side_idle() - drained and nothing left to send. */
@@ -1125,6 +1121,16 @@
 
 /* daemon.c: what every daemon does the same way */
 
+/*
+ * Seconds between a daemon's first signal and its kill.  Supervisors of
+ * containers wait 30 s if not told otherwise.  The least leaves a second for
+ * work beside the one for telling its end; the most is the longest deadline
+ * that the declarations allow.
+ */
+#define MH_GRACE_S 30
+#define MH_GRACE_MIN_S 2
+#define MH_GRACE_MAX_S 3600
+
 /** struct mh_settings - flags and environment of a daemon. */
 struct mh_settings {
 	char *vm;
@@ -1168,9 +1174,9 @@
 	const char *role;
 	enum mh_daemon_kind kind;
 	int64_t linger_us; /* shortest drain */
-	int64_t longest_us; /* longest drain, 0: until idle */
 	/* creates the services and d->httpd */
 	bool (*create)(struct mh_daemon *d, GError **err);
+	/* from now on d->grace_us are left */
 	void (*drain)(struct mh_daemon *d);
 	bool (*idle)(struct mh_daemon *d);
 };
@@ -1184,6 +1190,7 @@
 	struct mh_loop *loop;
 	struct mh_client *client;
 	struct mh_httpd *httpd;
+	int64_t grace_us; /* from the first signal to the kill */
 	struct mh_timer *drain;
 	int64_t drain_at_us;
 	int64_t idle_at_us; /* draining and without work since, 0: not yet */
--- a/lib/outcome.c
+++ b/lib/outcome.c
@@ -92,7 +92,8 @@
 	l->e = e;
 	l->token = mh_next_id(e->k);
 	l->caller = caller;
-	l->timer = mh_timer_start(e->k, LOOKUP_US, on_lookup_timeout, l);
+	l->timer = mh_timer_start(
+	    e->k, entry_time_us(e, LOOKUP_US), on_lookup_timeout, l);
 	g_hash_table_insert(e->lookups, &l->token, l);
 	m.token = l->token;
 	m.key = (char *)(uintptr_t)key;
--- a/lib/run.c
+++ b/lib/run.c
@@ -12,6 +12,11 @@
 #define DRAIN_CHECK_US (50 * MH_US_PER_MS)
 /* The largest body, 1 MiB, takes 8.4 s on a line of 1 Mbit/s. */
 #define FLUSH_US (10 * MH_US_PER_S)
+/*
+ * Between our own end and the kill: one check that was just missed, and the
+ * close of all connections.
+ */
+#define EXIT_US (200 * MH_US_PER_MS)
 
 static G_GNUC_NORETURN void
 fail(const struct mh_daemon *d, GError *err)
@@ -48,8 +53,7 @@
 	d->drain = mh_timer_start(d->k, DRAIN_CHECK_US, check_drained, d);
 	if (waited < d->ops->linger_us)
 		return;
-	if (!is_done(d) &&
-	    (d->ops->longest_us == 0 || waited < d->ops->longest_us))
+	if (!is_done(d) && waited < d->grace_us - EXIT_US)
 		return;
 	mh_log(d->k, "daemon", "Drained.");
 	mh_httpd_close(d->httpd);
@@ -57,8 +61,10 @@
 }
 
 /*
- * The first signal drains, later ones change nothing.  Nothing in progress is
- * dropped: where a drain has an end, the service answers all by then.
+ * The first signal drains, later ones change nothing.  The supervisor's kill
+ * closes connections without a word, and a daemon that did not know of it ran
+ * into it with whatever it held.  So the grace bounds all: the service answers
+ * what it has a while before, and the process ends before the kill.
  */
 static void
 on_terminate(void *arg)
@@ -68,8 +74,8 @@
 	if (d->drain != NULL)
 		return;
 	mh_log(d->k, "daemon", "Draining.");
-	d->ops->drain(d);
 	d->drain_at_us = mh_now(d->k);
+	d->ops->drain(d);
 	d->drain = mh_timer_start(d->k, DRAIN_CHECK_US, check_drained, d);
 }
 
@@ -130,6 +136,7 @@
 		printf("%s: settings are good\n", ops->name);
 		return 0;
 	}
+	d.grace_us = d.settings.grace * MH_US_PER_S;
 	signal(SIGPIPE, SIG_IGN);
 	d.incarnation = mh_random_incarnation();
 	d.k = mh_kern_create((uint32_t)mh_random_incarnation());
--- a/lib/side.c
+++ b/lib/side.c
@@ -17,7 +17,7 @@
 #define LEDGER_LIMIT 65536
 #define ORDER_US (10 * MH_US_PER_S) /* an engine answers its orders in this */
 /*
- * Between the last answer and the process's end: a link that just broke is
+ * Between the last answer and the kill: a link that just broke is
  * found silent (200 ms), dialled again (300 ms) and asks for its results.
  */
 #define TELL_US (1 * MH_US_PER_S)
@@ -324,9 +324,8 @@
 {
 	struct side *s = get(k);
 
-	(void)grace_us;
 	s->draining = true;
-	s->end_us = mh_now(k) + MH_SIDE_DRAIN_US - TELL_US;
+	s->end_us = mh_now(k) + grace_us - TELL_US;
 	bound_calls(s);
 	mh_member_drain(k);
 	mh_claim_drain(k);
--- a/marlhoistd/marlhoistd.c
+++ b/marlhoistd/marlhoistd.c
@@ -35,7 +35,7 @@
 static void
 drain(struct mh_daemon *d)
 {
-	mh_entry_drain(d->k, 0);
+	mh_entry_drain(d->k, d->grace_us);
 	mh_httpd_stop(d->httpd);
 }
 
--- a/marlsided/marlsided.c
+++ b/marlsided/marlsided.c
@@ -17,7 +17,6 @@
 	.role = "side",
 	.kind = MH_DAEMON_SIDE,
 	.linger_us = LINGER_US,
-	.longest_us = MH_SIDE_DRAIN_US,
 	.create = create,
 	.drain = drain,
 	.idle = idle };
@@ -51,7 +50,7 @@
 static void
 drain(struct mh_daemon *d)
 {
-	mh_side_drain(d->k, MH_SIDE_DRAIN_US);
+	mh_side_drain(d->k, d->grace_us);
 }
 
 static bool
