Test: an answer of a leaving entry takes its connection away

Cause: only answers to requests that came after SIGTERM said "Connection: close". Ruled out: that the request is lost: it has its 503, Retry-After and "not-run". Change: the test runs marlhoistd itself in a child; the child's rig comes out of t_drain.c, whose tests are the same.

--- a/regress/t_drain.c
+++ b/regress/t_drain.c
@@ -3,6 +3,7 @@
  * holds when it stops.
  */
 
+#include "child.h"
 #include "net.h"
 #include "regress.h"
 #include "tcp.h"
@@ -268,14 +269,6 @@
 #define ANSWER_BYTES (16U << 20) /* more than socket buffers hold */
 #define LINGER_US (100 * MH_US_PER_MS)
 #define DRAINED_MS 1000 /* by then an idle daemon has left */
-#define LONGEST_MS 10000
-
-/** struct child - a daemon and one caller's connection to it. */
-struct child {
-	pid_t pid;
-	int fd;
-	GString *got;
-};
 
 static void
 on_http(void *arg, struct mh_http_req *r)
@@ -321,8 +314,8 @@
 	return false;
 }
 
-static G_GNUC_NORETURN void
-run_daemon(const char *secret, int out, bool (*idle)(struct mh_daemon *))
+static int
+run(bool (*idle)(struct mh_daemon *), int argc, char **argv)
 {
 	const struct mh_daemon_ops ops = { .name = "drained",
 		.role = "entry",
@@ -331,75 +324,20 @@
 		.create = d_create,
 		.drain = d_drain,
 		.idle = idle };
-	char *argv[] = { (char *)"drained", (char *)"--vm", (char *)"e",
-		(char *)"--domain", (char *)"a", (char *)"--listen",
-		(char *)"127.0.0.1:0", (char *)"--http", (char *)"127.0.0.1:0",
-		(char *)"--kv", (char *)"http://127.0.0.1:1",
-		(char *)"--vmlist", (char *)"http://127.0.0.1:1",
-		(char *)"--secret-file", (char *)(uintptr_t)secret, NULL };
-	int null = open("/dev/null", O_WRONLY | O_CLOEXEC);
-
-	dup2(out, STDOUT_FILENO);
-	dup2(null, STDERR_FILENO);
-	_exit(mh_daemon_main(&ops, G_N_ELEMENTS(argv) - 1, argv));
-}
 
-static void
-child_start_with(struct child *c, bool (*idle)(struct mh_daemon *))
-{
-	char line[128] = "", *secret = NULL;
-	int fd = g_file_open_tmp("secret-XXXXXX", &secret, NULL), out[2];
-	const char *at;
-	int size = 65536;
-
-	CU_ASSERT_EQUAL(write(fd, "0123456789abcdef\n", 17), 17);
-	close(fd);
-	CU_ASSERT_EQUAL(pipe(out), 0);
-	fflush(NULL);
-	c->pid = fork();
-	if (c->pid == 0)
-		run_daemon(secret, out[1], idle);
-	close(out[1]);
-	CU_ASSERT(read(out[0], line, sizeof(line) - 1) > 0);
-	close(out[0]);
-	at = strstr(line, "http=");
-	CU_ASSERT_PTR_NOT_NULL_FATAL(at);
-	c->fd =
-	    tcp_dial((uint16_t)(at == NULL ? 0 : strtoul(at + 5, NULL, 10)));
-	setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
-	c->got = g_string_new(NULL);
-	unlink(secret);
-	g_free(secret);
+	return mh_daemon_main(&ops, argc, argv);
 }
 
-static void
-child_start(struct child *c)
+static int
+answers(int argc, char **argv)
 {
-	child_start_with(c, d_idle);
+	return run(d_idle, argc, argv);
 }
 
-/* Takes what comes, at most @max bytes; false when no more will come. */
-static bool
-child_read(struct child *c, size_t max)
+static int
+answers_never(int argc, char **argv)
 {
-	struct pollfd p = { .fd = c->fd, .events = POLLIN };
-	static char buf[65536];
-	ssize_t n;
-
-	if (poll(&p, 1, LONGEST_MS) != 1)
-		return false;
-	n = recv(c->fd, buf, MIN(max, sizeof(buf)), 0);
-	if (n > 0)
-		g_string_append_len(c->got, buf, n);
-	return n > 0;
-}
-
-static void
-child_send(struct child *c, const char *text)
-{
-	size_t len = strlen(text);
-
-	CU_ASSERT_EQUAL(send(c->fd, text, len, MSG_NOSIGNAL), (ssize_t)len);
+	return run(d_busy, argc, argv);
 }
 
 /* SIGTERM, and as long as an idle daemon needs to leave. */
@@ -424,8 +362,7 @@
 	if (body != NULL)
 		CU_ASSERT_EQUAL(strlen(body + 4), ANSWER_BYTES);
 	for (int ms = 0;
-	     ms < LONGEST_MS && waitpid(c->pid, &status, WNOHANG) == 0;
-	     ms += 10)
+	     ms < CHILD_MS && waitpid(c->pid, &status, WNOHANG) == 0; ms += 10)
 		poll(NULL, 0, 10);
 	CU_ASSERT_EQUAL(status, 0);
 	if (status == -1) {
@@ -448,7 +385,7 @@
 {
 	struct child c;
 
-	child_start(&c);
+	child_start(&c, answers);
 	child_send(&c, "GET /a HTTP/1.1\r\n" END);
 	child_read(&c, 1);
 	child_drain(&c);
@@ -465,7 +402,7 @@
 {
 	struct child c;
 
-	child_start(&c);
+	child_start(&c, answers);
 	child_send(&c,
 	    "POST /a HTTP/1.1\r\nExpect: 100-continue\r\n"
 	    "Content-Length: 4\r\n" END);
@@ -480,27 +417,6 @@
 #define KILL_S "2" /* as its supervisor has it */
 #define KILL_MS 2000
 
-/* SIGTERM, and the kill as its supervisor does it; true if that was late. */
-static bool
-child_leaves(struct child *c)
-{
-	int64_t until = g_get_monotonic_time() + KILL_MS * MH_US_PER_MS;
-	int status = -1;
-	pid_t pid;
-
-	kill(c->pid, SIGTERM);
-	while ((pid = waitpid(c->pid, &status, WNOHANG)) == 0 &&
-	    g_get_monotonic_time() < until)
-		poll(NULL, 0, 10);
-	if (pid == 0) {
-		kill(c->pid, SIGKILL);
-		waitpid(c->pid, &status, 0);
-	}
-	close(c->fd);
-	g_string_free(c->got, TRUE);
-	return pid == c->pid && status == 0;
-}
-
 /*
  * A supervisor waits two seconds between SIGTERM and SIGKILL, and the daemon
  * was never told.  With work that did not end it stayed until the kill; with
@@ -512,13 +428,13 @@
 	struct child busy, unread;
 
 	g_setenv("MARLHOIST_GRACE", KILL_S, TRUE);
-	child_start_with(&busy, d_busy);
-	child_start(&unread);
+	child_start(&busy, answers_never);
+	child_start(&unread, answers);
 	g_unsetenv("MARLHOIST_GRACE");
-	CU_ASSERT_TRUE(child_leaves(&busy));
+	CU_ASSERT_TRUE(child_leaves(&busy, KILL_MS));
 	child_send(&unread, "GET /a HTTP/1.1\r\n" END);
 	child_read(&unread, 1);
-	CU_ASSERT_TRUE(child_leaves(&unread));
+	CU_ASSERT_TRUE(child_leaves(&unread, KILL_MS));
 }
 
 #define WAITING 40 /* connections that nobody accepted yet */
@@ -604,7 +520,7 @@
 		mh_loop_fd(p.loop, p.fd[i], true, false, on_answer, &p);
 	}
 	mh_httpd_stop(p.h);
-	p.late = mh_timer_start(p.k, LONGEST_MS * MH_US_PER_MS, on_late, &p);
+	p.late = mh_timer_start(p.k, CHILD_MS * MH_US_PER_MS, on_late, &p);
 	mh_loop_run(p.loop);
 	CU_ASSERT_EQUAL(p.closed, WAITING);
 	CU_ASSERT_EQUAL(p.answered, WAITING);
--- a/regress/t_grace.c
+++ b/regress/t_grace.c
@@ -3,9 +3,12 @@
  * first signal: what callers get for what it has taken, in virtual time.
  */
 
+#include "child.h"
 #include "net.h"
 #include "regress.h"
 
+#include <poll.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/wait.h>
@@ -363,6 +366,39 @@
 	net_destroy(w.n);
 }
 
+/* marlhoistd itself */
+
+int marlhoistd_main(int argc, char **argv);
+
+/*
+ * An entry that has just started holds a balancer's request, and is told to
+ * leave.  The answer left the connection open, the balancer sent its next
+ * request on it while the process ended, and that one got a reset.  Every
+ * answer of a leaving entry takes its connection away.
+ */
+static void
+test_answer_takes_its_connection_away(void)
+{
+	struct child c;
+
+	g_setenv("MARLHOIST_GRACE", "2", TRUE);
+	child_start(&c, marlhoistd_main);
+	g_unsetenv("MARLHOIST_GRACE");
+	child_send(&c,
+	    "POST /v1/pipelines/embed HTTP/1.1\r\nHost: h\r\n"
+	    "Authorization: Bearer party-key\r\nContent-Length: 2\r\n\r\n"
+	    "{}");
+	poll(NULL, 0, 200);
+	kill(c.pid, SIGTERM);
+	while (child_read(&c, SIZE_MAX))
+		continue;
+	CU_ASSERT_TRUE(g_str_has_prefix(c.got->str, "HTTP/1.1 503 "));
+	CU_ASSERT_PTR_NOT_NULL(strstr(c.got->str, "\r\nRetry-After: "));
+	CU_ASSERT_PTR_NOT_NULL(strstr(c.got->str, "\r\nConnection: close\r"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(c.got->str, "\"outcome\":\"not-run\""));
+	CU_ASSERT_TRUE(child_leaves(&c, 2000));
+}
+
 /* the setting */
 
 /* Reads settings as @kind does, all good but for @grace; its exit status. */
@@ -451,6 +487,8 @@
 	{ "lookup_at_the_end", test_lookup_at_the_end },
 	{ "held_request_at_the_end", test_held_request_at_the_end },
 	{ "side_ends_by_its_grace", test_side_ends_by_its_grace },
+	{ "answer_takes_its_connection_away",
+	    test_answer_takes_its_connection_away },
 	{ "grace_is_checked", test_grace_is_checked },
 	{ NULL, NULL },
 };
