Every answer of a leaving entry takes its connection away

Cause: an answer to a request that came before SIGTERM left its connection open, and our end closed it, perhaps under the next request. Ruled out: to close idle connections at the signal: that races with each one's next request. Change: the header is set when the answer is made; set twice it is sent once.

--- a/lib/httpd.c
+++ b/lib/httpd.c
@@ -153,6 +153,17 @@
 {
 	struct header hd = { g_strdup(name), g_strdup(value) };
 
+	for (guint i = 0; i < r->headers->len; i++) {
+		struct header *old =
+		    &g_array_index(r->headers, struct header, i);
+
+		if (g_ascii_strcasecmp(old->name, name) != 0)
+			continue;
+		g_free(old->name);
+		g_free(old->value);
+		*old = hd;
+		return;
+	}
 	g_array_append_val(r->headers, hd);
 }
 
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -1099,7 +1099,7 @@
 bool mh_req_too_big(const struct mh_http_req *r);
 uint64_t mh_req_id(const struct mh_http_req *r);
 struct mh_http_req *mh_httpd_find(struct mh_httpd *h, uint64_t id);
-/** mh_req_header_set() - a header of the answer to come. */
+/** mh_req_header_set() - a header of the answer to come, the last counts. */
 void mh_req_header_set(
     struct mh_http_req *r, const char *name, const char *value);
 void mh_req_reply(
--- a/marlhoistd/http.c
+++ b/marlhoistd/http.c
@@ -54,6 +54,18 @@
 	return true;
 }
 
+/*
+ * A connection that stayed open would be closed by our end, perhaps just when
+ * its next request comes: that one's caller sees a reset.  With the answer it
+ * hears of it in time.
+ */
+static void
+close_if_leaving(struct http *h, struct mh_http_req *r)
+{
+	if (mh_entry_draining(h->k))
+		mh_req_header_set(r, "Connection", "close");
+}
+
 static void
 on_request(void *arg, struct mh_http_req *r)
 {
@@ -65,6 +77,7 @@
 
 	if (mh_admin_serve(h->k, r))
 		return;
+	close_if_leaving(h, r);
 	if (mh_req_too_big(r)) {
 		reply_problem(
 		    r, 413, "body-too-large", "Send a body of at most 1 MiB.");
@@ -76,9 +89,6 @@
 		    "Send Marl-Deadline-Ms as whole milliseconds.");
 		return;
 	}
-	/* Each answer asks the caller to come back by another entry. */
-	if (mh_entry_draining(h->k))
-		mh_req_header_set(r, "Connection", "close");
 	m = mh_msg_new(MH_MSG_REQUEST);
 	m->u.request.id = mh_req_id(r);
 	m->u.request.method = g_strdup(mh_req_method(r));
@@ -134,6 +144,7 @@
 		mh_count(h->k, "http_reply_to_nobody", 1);
 		return;
 	}
+	close_if_leaving(h, r);
 	if (!p->stream) {
 		reply_whole(r, p);
 		return;
