--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -794,8 +794,11 @@
 /**
  * mh_entry_drain() - tell the peers that this entry leaves.  Requests that
  * still arrive on open connections are served: a balancer needs a moment.
+ *
+ * The process is killed @grace_us later, MH_GRACE_MIN_S at least: before
+ * that every request has its answer.
  */
-void mh_entry_drain(struct mh_kern *k);
+void mh_entry_drain(struct mh_kern *k, int64_t grace_us);
 bool mh_entry_draining(struct mh_kern *k);
 /** mh_entry_open() - callers who wait for an answer of the entry. */
 uint32_t mh_entry_open(struct mh_kern *k);
@@ -961,20 +964,15 @@
 	uint32_t queue_limit;
 };
 
-/*
- * The longest drain, in microseconds.  Supervisors of containers send SIGKILL
- * 30 s after SIGTERM if not told otherwise, and then nobody is told anything.
- */
-#define MH_SIDE_DRAIN_US (30 * MH_US_PER_S)
-
 void mh_side_create(struct mh_kern *k, const struct mh_side_args *a);
 /**
  * mh_side_drain() - tell every entry, hand over, finish, then idle.
  *
- * The process may end MH_SIDE_DRAIN_US later: by then every call has its
- * answer.  What can't end before does not start, what still runs is cut.
+ * The process is killed @grace_us later, MH_GRACE_MIN_S at least: before
+ * that every call has its answer.  What can't end in time does not start,
+ * what still runs is cut.
  */
-void mh_side_drain(struct mh_kern *k);
+void mh_side_drain(struct mh_kern *k, int64_t grace_us);
 /** mh_side_idle() - drained and nothing left to send. */
 bool mh_side_idle(struct mh_kern *k);
 /** mh_side_load() - fills the load; false when this is no side process. */
@@ -1101,7 +1099,7 @@
 bool mh_req_too_big(const struct mh_http_req *r);
 uint64_t mh_req_id(const struct mh_http_req *r);
 struct mh_http_req *mh_httpd_find(struct mh_httpd *h, uint64_t id);
-/** mh_req_header_set() - a header of the answer to come. */
+/** mh_req_header_set() - a header of the answer to come, the last counts. */
 void mh_req_header_set(
     struct mh_http_req *r, const char *name, const char *value);
 void mh_req_reply(
@@ -1123,6 +1121,16 @@
 
 /* daemon.c: what every daemon does the same way */
 
+/*
+ * Seconds between a daemon's first signal and its kill.  Supervisors of
+ * containers wait 30 s if not told otherwise.  The least leaves a second for
+ * work beside the one for telling its end; the most is the longest deadline
+ * that the declarations allow.
+ */
+#define MH_GRACE_S 30
+#define MH_GRACE_MIN_S 2
+#define MH_GRACE_MAX_S 3600
+
 /** struct mh_settings - flags and environment of a daemon. */
 struct mh_settings {
 	char *vm;
@@ -1140,6 +1148,7 @@
 	char *log_level;
 	int slots;
 	int queue_limit;
+	int grace; /* seconds from the first signal to the kill */
 	bool check_only;
 };
 
@@ -1165,9 +1174,9 @@
 	const char *role;
 	enum mh_daemon_kind kind;
 	int64_t linger_us; /* shortest drain */
-	int64_t longest_us; /* longest drain, 0: until idle */
 	/* creates the services and d->httpd */
 	bool (*create)(struct mh_daemon *d, GError **err);
+	/* from now on d->grace_us are left */
 	void (*drain)(struct mh_daemon *d);
 	bool (*idle)(struct mh_daemon *d);
 };
@@ -1181,6 +1190,7 @@
 	struct mh_loop *loop;
 	struct mh_client *client;
 	struct mh_httpd *httpd;
+	int64_t grace_us; /* from the first signal to the kill */
 	struct mh_timer *drain;
 	int64_t drain_at_us;
 	int64_t idle_at_us; /* draining and without work since, 0: not yet */
