--- a/lib/broker.c
+++ b/lib/broker.c
@@ -2,8 +2,9 @@
  * DOC: Stage work goes to the entry whose turn it is.
  *
  * All pieces meet at one entry, so that calls are full.  If that entry dies
- * or falls silent its jobs are given to the next, which starts them anew: a
- * piece may be made twice, a request is sent once.
+ * or falls silent its jobs are given to the next, which goes on from the stages
+ * that are made: a piece may be made twice, a request is sent once.  One that
+ * leaves, or is the home no more, hands on all that it has made.
  */
 
 #include "mesh.h"
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -297,7 +297,7 @@
 	MH_JOB_DONE,
 	MH_JOB_REFUSED, /* can't be served in time: not run */
 	MH_JOB_FAILED, /* tried, and given up on */
-	MH_JOB_MOVED /* this process leaves; what was made goes on */
+	MH_JOB_MOVED /* to another home, with what was made of it */
 };
 
 /** struct mh_job - the stage work of one request. */
--- a/regress/t_cell.c
+++ b/regress/t_cell.c
@@ -415,8 +415,8 @@
 }
 
 /*
- * A leaving process hands on what it has not begun, and ends what it has: a
- * job begun anew elsewhere would make its pieces twice.
+ * A leaving process hands on what it has not begun, and ends what is in a
+ * call: a job begun anew elsewhere would make its pieces twice.
  */
 static void
 test_leave_hands_on_unbegun(void)
