Wire code by the generator; pieces that wait are not counted below none

Cause: wire.pb-c.[ch] had been written by hand, its compiler not being installed; lines 'batch' said ready= where a piece that is made twice flies. Ruled out: another difference to the generator's output than one comment. Change: generated anew; the count does not go below 0.

--- a/lib/cellrun.c
+++ b/lib/cellrun.c
@@ -275,7 +275,8 @@
 		const struct unit *u = &g_array_index(units, struct unit, i);
 		const struct sstate *ss = &u->job->state->stages[u->stage];
 
-		n += ss->left - ss->flying;
+		/* A piece that is made twice flies after it was made once. */
+		n += ss->left - MIN(ss->flying, ss->left);
 	}
 	return n;
 }
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -551,7 +551,6 @@
   uint32_t weight;
   /*
    * uptime of the longest running that can serve,
-   * of itself and those it is linked to; 0: none
    */
   uint64_t oldest_us;
 };
