--- a/GNUmakefile
+++ b/GNUmakefile
@@ -2,7 +2,7 @@
 # make check   every test, the formatter and the linters
 # make bench   the scenarios against the baseline (SCENARIO=name for one)
 # make slopes  the figures behind docs/CAPACITY.md
-# make soak    faults from outside on real processes (SEEDS="1 2" for some)
+# make soak    faults from outside on real processes (SEEDS="1 2p" for some)
 # make model   the model of the at-most-once protocol
 LIBS = lib
 PROGS = marlhoistd marlsided marlctl marlstand marlload regress marlslope marlwork \
@@ -36,7 +36,7 @@
 	build/asan/regress.bin regress >build/asan/regress.log 2>&1 || \
 	    { tail -60 build/asan/regress.log; exit 1; }
 	@tail -1 build/asan/regress.log | sed 's/^/under sanitizers: /'
-	@sh platform/soak/soak.sh build/debug 22 11
+	@sh platform/soak/soak.sh build/debug 22 11 413p
 	@bash regress/owner.sh build/debug
 	build/debug/regress.bin regress
 
