--- a/regress/t_leave.c
+++ b/regress/t_leave.c
@@ -140,6 +140,48 @@
 	grig_destroy(r);
 }
 
+/*
+ * One stream of twelve seconds, among many of one, and an entry that was told
+ * to stop refused all that waited, though seven seconds were left to it: what
+ * an answer takes went by the longest one.
+ */
+static void
+test_one_slow_stream(void)
+{
+	struct grig *r = grig_create(2);
+
+	chat(r);
+	stream(r, 12 * S);
+	for (int i = 0; i < 8; i++) {
+		chat(r);
+		stream(r, 1 * S);
+	}
+	chat(r);
+	mh_gate_leaving(r->g, LEFT_US);
+	grig_pass(r, 3 * S);
+	CU_ASSERT_EQUAL(r->refused, 0);
+	CU_ASSERT_EQUAL(mh_gate_open(r->g), 1);
+	grig_destroy(r);
+}
+
+/*
+ * Its own end is all that kept an entry from serving a request, and its caller
+ * was told to wait until the home's queue will have been worked off: another
+ * entry could have taken it at once.
+ */
+static void
+test_elsewhere_at_once(void)
+{
+	struct grig *r = grig_create(2);
+
+	mh_gate_leaving(r->g, 3 * S);
+	chat(r);
+	mh_gate_job_end(r->g, r->job, MH_JOB_REFUSED, 5 * S);
+	CU_ASSERT_EQUAL(r->why, MH_NOT_READY);
+	CU_ASSERT(r->retry_us > 0 && r->retry_us < 1 * S);
+	grig_destroy(r);
+}
+
 /*
  * The home of stage work plans by the deadline that comes with the work.  For
  * what a leaving entry asks, that is what the entry has left, so that the home
@@ -229,6 +271,8 @@
 	{ "leave: what was sent is answered", test_sent_answered },
 	{ "leave: a stream is broken off", test_stream_broken_off },
 	{ "leave: refused while it helps", test_refused_while_it_helps },
+	{ "leave: one slow stream", test_one_slow_stream },
+	{ "leave: elsewhere at once", test_elsewhere_at_once },
 	{ "leave: the home is told", test_home_told },
 	{ "leave: nothing after the end", test_nothing_after_the_end },
 	{ NULL, NULL },
