--- a/lib/httpd.c
+++ b/lib/httpd.c
@@ -8,6 +8,7 @@
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -16,6 +17,7 @@
 #define CONNECTIONS 4096U
 #define IDLE_S 60U
 #define BLOCK 65536
+#define TURNS 4 /* of the library in a row: a handler may wake others */
 
 enum phase { READING, WAITING, READY, STREAMING, QUEUED, CUT };
 
@@ -59,6 +61,7 @@
 	uint16_t port;
 	bool kick; /* MHD has something to do this turn */
 	bool stopping;
+	bool closing; /* nothing is taken any more */
 };
 
 const char *
@@ -299,6 +302,27 @@
 	return r;
 }
 
+/*
+ * A request that is read while the server closes has nobody left to answer it.
+ * Handed on all the same it left its caller without a status, and, suspended,
+ * made MHD_stop_daemon() abort the process.  It is answered here instead.
+ */
+static enum MHD_Result
+refuse(struct MHD_Connection *conn)
+{
+	static const char text[] = "leaving; ask another\n";
+	struct MHD_Response *res = MHD_create_response_from_buffer(
+	    strlen(text), (void *)(uintptr_t)text, MHD_RESPMEM_PERSISTENT);
+	enum MHD_Result rv;
+
+	if (res == NULL)
+		return MHD_NO;
+	MHD_add_response_header(res, "Connection", "close");
+	rv = MHD_queue_response(conn, MHD_HTTP_SERVICE_UNAVAILABLE, res);
+	MHD_destroy_response(res);
+	return rv;
+}
+
 static enum MHD_Result
 on_access(void *cls, struct MHD_Connection *conn, const char *url,
     const char *method, const char *version, const char *data, size_t *size,
@@ -308,6 +332,8 @@
 	struct mh_http_req *r = *ctx;
 
 	(void)version;
+	if (r == NULL && h->closing)
+		return refuse(conn);
 	if (r == NULL) {
 		*ctx = new_req(h, conn, url, method);
 		return MHD_YES;
@@ -440,8 +466,7 @@
 
 	if (h->daemon == NULL)
 		return -1;
-	/* A handler may wake others, which must be served in this turn. */
-	for (int i = 0; h->kick && i < 4; i++) {
+	for (int i = 0; h->kick && i < TURNS; i++) {
 		h->kick = false;
 		MHD_run(h->daemon);
 	}
@@ -539,6 +564,24 @@
 	return h;
 }
 
+/*
+ * Closing the listening socket resets every connection that the kernel holds
+ * for us, with the request that may be in it, and its caller can't tell
+ * whether that ran.  They are few, and each turn accepts one at least;
+ * what is over CONNECTIONS is reset as before.
+ */
+static void
+accept_waiting(struct mh_httpd *h)
+{
+	const union MHD_DaemonInfo *info =
+	    MHD_get_daemon_info(h->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+	struct pollfd p = { .fd = info->listen_fd, .events = POLLIN };
+
+	for (uint32_t i = 0; i < CONNECTIONS && poll(&p, 1, 0) == 1; i++)
+		MHD_run(h->daemon);
+	h->kick = true;
+}
+
 void
 mh_httpd_stop(struct mh_httpd *h)
 {
@@ -547,11 +590,24 @@
 	if (h->stopping)
 		return;
 	h->stopping = true;
+	accept_waiting(h);
 	fd = MHD_quiesce_daemon(h->daemon);
 	if (fd != MHD_INVALID_SOCKET)
 		close(fd);
 }
 
+uint32_t
+mh_httpd_open(const struct mh_httpd *h)
+{
+	return g_hash_table_size(h->reqs);
+}
+
+void
+mh_httpd_close(struct mh_httpd *h)
+{
+	h->closing = true;
+}
+
 /* The loop keeps the hook: it finds the daemon gone and does nothing. */
 void
 mh_httpd_destroy(struct mh_httpd *h)
@@ -561,6 +617,7 @@
 	if (h == NULL)
 		return;
 	mh_timer_stop(h->k, &h->gone);
+	mh_httpd_close(h);
 	all = g_hash_table_get_values(h->reqs);
 	for (GList *n = all; n != NULL; n = n->next) {
 		struct mh_http_req *r = n->data;
@@ -571,7 +628,8 @@
 	g_list_free(all);
 	if (h->daemon != NULL) {
 		mh_loop_fd_close(h->loop, h->epoll_fd);
-		MHD_run(h->daemon);
+		for (int i = 0; i < TURNS; i++)
+			MHD_run(h->daemon);
 		MHD_stop_daemon(h->daemon);
 		h->daemon = NULL;
 	}
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -797,6 +797,7 @@
  */
 void mh_entry_drain(struct mh_kern *k);
 bool mh_entry_draining(struct mh_kern *k);
+/** mh_entry_open() - callers who wait for an answer of the entry. */
 uint32_t mh_entry_open(struct mh_kern *k);
 json_t *mh_entry_state(struct mh_kern *k);
 
@@ -960,8 +961,19 @@
 	uint32_t queue_limit;
 };
 
+/*
+ * The longest drain, in microseconds.  Supervisors of containers send SIGKILL
+ * 30 s after SIGTERM if not told otherwise, and then nobody is told anything.
+ */
+#define MH_SIDE_DRAIN_US (30 * MH_US_PER_S)
+
 void mh_side_create(struct mh_kern *k, const struct mh_side_args *a);
-/** mh_side_drain() - tell every entry, hand over, finish, then idle. */
+/**
+ * mh_side_drain() - tell every entry, hand over, finish, then idle.
+ *
+ * The process may end MH_SIDE_DRAIN_US later: by then every call has its
+ * answer.  What can't end before does not start, what still runs is cut.
+ */
 void mh_side_drain(struct mh_kern *k);
 /** mh_side_idle() - drained and nothing left to send. */
 bool mh_side_idle(struct mh_kern *k);
@@ -1075,6 +1087,10 @@
 uint16_t mh_httpd_port(const struct mh_httpd *h);
 /** mh_httpd_stop() - accept no more connections. */
 void mh_httpd_stop(struct mh_httpd *h);
+/** mh_httpd_close() - answer what still comes with 503; then destroy. */
+void mh_httpd_close(struct mh_httpd *h);
+/** mh_httpd_open() - requests not wholly read or not wholly answered. */
+uint32_t mh_httpd_open(const struct mh_httpd *h);
 const char *mh_req_method(const struct mh_http_req *r);
 const char *mh_req_path(const struct mh_http_req *r);
 const char *mh_req_header(const struct mh_http_req *r, const char *name);
@@ -1167,6 +1183,7 @@
 	struct mh_httpd *httpd;
 	struct mh_timer *drain;
 	int64_t drain_at_us;
+	int64_t idle_at_us; /* draining and without work since, 0: not yet */
 };
 
 /** mh_daemon_main() - runs until drained; the process's exit status. */
--- /dev/null
+++ b/regress/t_drain.c
@@ -0,0 +1,611 @@
+/**
+ * DOC: A process's own end: what its callers and peers get for what it still
+ * holds when it stops.
+ */
+
+#include "net.h"
+#include "regress.h"
+#include "tcp.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define CHECK_US (50 * MH_US_PER_MS) /* run.c looks this often */
+#define SIDE_LINGER_US (500 * MH_US_PER_MS) /* as in marlsided.c */
+#define SLOW_US (40 * MH_US_PER_S) /* a call that outlasts the drain */
+
+struct drain_world {
+	struct net *n;
+	struct net_node *side;
+	struct net_node *e[2];
+};
+
+/* Every class and stage may take a minute: longer than a drain. */
+static char *
+patient_doc(void)
+{
+	GString *s = g_string_new(net_doc);
+	char *doc;
+
+	g_string_replace(s, "deadline_ms: 2000", "deadline_ms: 60000", 0);
+	g_string_replace(s, "deadline_ms: 4000", "deadline_ms: 60000", 0);
+	g_string_replace(s, "pool: enc, repeat: safe",
+	    "pool: enc, repeat: safe, timeout_ms: 60000", 0);
+	doc = s->str;
+	g_string_free(s, FALSE);
+	return doc;
+}
+
+static void
+make(struct drain_world *w, uint32_t seed, const char *pool)
+{
+	char *doc = patient_doc();
+
+	w->n = net_create(seed);
+	net_apply(w->n, 1, doc);
+	w->side = net_side(w->n, "side1", pool, "a", 1);
+	w->side->service_us = SLOW_US;
+	w->e[0] = net_entry(w->n, "entry1", "a");
+	w->e[1] = net_entry(w->n, "entry2", "b");
+	net_run(w->n, 4 * MH_US_PER_S);
+	g_free(doc);
+}
+
+/* Drains @x as its daemon does, and ends it. */
+static void
+drain_to_the_end(struct net_node *x)
+{
+	int64_t waited = 0;
+
+	mh_side_drain(x->k);
+	while (waited < SIDE_LINGER_US ||
+	    (!mh_side_idle(x->k) && waited < MH_SIDE_DRAIN_US)) {
+		net_run(x->net, CHECK_US);
+		waited += CHECK_US;
+	}
+	net_kill(x);
+}
+
+static uint64_t
+confirm(struct drain_world *w, int entry, const char *key)
+{
+	struct net_ask a = { .path = "/v1/pipelines/confirm", .once = key };
+	uint64_t id = net_request(w->e[entry], &a);
+
+	net_run(w->n, 100 * MH_US_PER_MS);
+	return id;
+}
+
+/*
+ * While the KV service is out a side process can't hand its partitions over
+ * and ends after 30 s, with one booking at the service and one in its queue.
+ * The callers waited for their whole minute and were told "unknown", both,
+ * though the second had never left the queue: its parent may not book again.
+ * The end was bounded, and the calls that it held were not.
+ */
+static void
+test_side_ends_with_bookings(void)
+{
+	struct drain_world w;
+	uint64_t runs, same, queued;
+	int64_t end;
+
+	make(&w, 1, "book");
+	w.n->kv_down = true;
+	runs = confirm(&w, 0, "k1");
+	same = confirm(&w, 1, "k1");
+	queued = confirm(&w, 0, "k2");
+	drain_to_the_end(w.side);
+	end = net_now(w.n);
+	net_run(w.n, SLOW_US);
+	CU_ASSERT_STRING_EQUAL(
+	    net_answer_text(w.n, runs, "outcome"), "unknown");
+	CU_ASSERT_STRING_EQUAL(
+	    net_answer_text(w.n, same, "outcome"), "unknown");
+	CU_ASSERT_STRING_EQUAL(
+	    net_answer_text(w.n, queued, "outcome"), "not-run");
+	CU_ASSERT(net_answer(w.n, runs)->at_us < end);
+	CU_ASSERT(net_answer(w.n, same)->at_us < end);
+	CU_ASSERT_EQUAL(net_runs(w.n, "acme/k1"), 1);
+	CU_ASSERT_EQUAL(net_runs(w.n, "acme/k2"), 0);
+	net_destroy(w.n);
+}
+
+/*
+ * The same with work that may be repeated: the request in the queue never
+ * ran and was told "failed", as if an endpoint had spent time on it.
+ */
+static void
+test_side_ends_with_work(void)
+{
+	struct net_ask a = { .path = "/v1/pipelines/embed" };
+	struct drain_world w;
+	uint64_t runs, queued;
+	int64_t end;
+
+	make(&w, 2, "enc");
+	runs = net_request(w.e[0], &a);
+	net_run(w.n, 100 * MH_US_PER_MS);
+	queued = net_request(w.e[0], &a);
+	net_run(w.n, 100 * MH_US_PER_MS);
+	drain_to_the_end(w.side);
+	end = net_now(w.n);
+	net_run(w.n, SLOW_US);
+	CU_ASSERT_STRING_EQUAL(net_answer_text(w.n, runs, "outcome"), "failed");
+	CU_ASSERT_STRING_EQUAL(
+	    net_answer_text(w.n, queued, "outcome"), "not-run");
+	CU_ASSERT(net_answer(w.n, runs)->at_us < end);
+	CU_ASSERT(net_answer(w.n, queued)->at_us < end);
+	CU_ASSERT_EQUAL(w.side->runs, 1);
+	net_destroy(w.n);
+}
+
+/*
+ * A page asks what became of its booking, and the owner of the key is slow to
+ * say.  The entry had no other request, so it counted as idle and left: the
+ * page's connection closed without a word.  Questions about outcomes were
+ * kept in a table that the drain did not look at.
+ */
+static void
+test_entry_waits_for_a_lookup(void)
+{
+	struct net_ask a = { .method = "GET",
+		.path = "/v1/outcomes/confirm/k1" };
+	struct drain_world w;
+	uint64_t id;
+
+	make(&w, 3, "book");
+	net_silence(w.side, false, true);
+	id = net_request(w.e[0], &a);
+	net_run(w.n, 10 * MH_US_PER_MS);
+	mh_entry_drain(w.e[0]->k);
+	CU_ASSERT_FALSE(net_answer(w.n, id)->ended);
+	CU_ASSERT_EQUAL(mh_entry_open(w.e[0]->k), 1);
+	net_run(w.n, 2 * MH_US_PER_S);
+	CU_ASSERT_TRUE(net_answer(w.n, id)->ended);
+	CU_ASSERT_EQUAL(mh_entry_open(w.e[0]->k), 0);
+	net_destroy(w.n);
+}
+
+static void
+give_order(struct net_node *x)
+{
+	struct mh_msg *m = mh_msg_new(MH_MSG_FRAME);
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__Order o = MH__ORDER__INIT;
+
+	o.fence = 1;
+	o.verb = (char *)"load-model";
+	o.subject = (char *)"party-8b";
+	f.body_case = MH__FRAME__BODY_ORDER;
+	f.order = &o;
+	m->u.link.conn = 1;
+	m->u.link.frame = mh_frame_pack(&f);
+	mh_post(x->k, "hub", m);
+	net_run(x->net, 100 * MH_US_PER_MS);
+}
+
+/*
+ * An operator has an engine load a model, and its side process gets SIGTERM
+ * meanwhile.  It left after half a second, marlctl saw a closed link, and
+ * whether the model was loaded nobody knew.  Orders are not calls, and only
+ * calls kept the process.
+ */
+static void
+test_side_waits_for_an_order(void)
+{
+	struct drain_world w;
+
+	make(&w, 4, "enc");
+	w.side->service_us = 2 * MH_US_PER_S;
+	give_order(w.side);
+	mh_side_drain(w.side->k);
+	net_run(w.n, 1 * MH_US_PER_S);
+	CU_ASSERT_FALSE(mh_side_idle(w.side->k));
+	net_run(w.n, 2 * MH_US_PER_S);
+	CU_ASSERT_TRUE(mh_side_idle(w.side->k));
+	net_destroy(w.n);
+}
+
+/*
+ * A side process leaves just after two others came, and the KV service is
+ * slow.  It hands a booking's memory to one of them, which gets SIGTERM before
+ * the KV service tells it that it is the owner.  It owned nothing as far as it
+ * knew, and left; a page that asked about its confirmed booking again was told
+ * "unknown".
+ */
+static void
+test_side_waits_for_a_hand_over(void)
+{
+	struct net_ask a = { .path = "/v1/pipelines/confirm", .once = "k1" };
+	uint32_t p = mh_partition_of("acme/k1");
+	struct net *n = net_create(5);
+	struct net_node *first, *next[2], *to, *e;
+	char what[16];
+	uint64_t id;
+
+	net_apply(n, 1, net_doc);
+	first = net_side(n, "book0", "book", "a", 4);
+	e = net_entry(n, "entry1", "a");
+	net_run(n, 4 * MH_US_PER_S);
+	id = net_request(e, &a);
+	net_run(n, MH_US_PER_S);
+	CU_ASSERT_EQUAL(net_answer(n, id)->status, 200);
+	n->kv_us = 1500 * MH_US_PER_MS;
+	next[0] = net_side(n, "book1", "book", "a", 4);
+	next[1] = net_side(n, "book2", "book", "a", 4);
+	for (int i = 0; i < 100 && mh_member_find(first->k, "book2") == NULL;
+	     i++)
+		net_run(n, CHECK_US);
+	mh_side_drain(first->k);
+	net_run(n, 300 * MH_US_PER_MS);
+	snprintf(what, sizeof(what), "book/%u", p);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(mh_member_winner(first->k, "book", what));
+	to = strcmp(mh_member_winner(first->k, "book", what), "book1") == 0
+	    ? next[0]
+	    : next[1];
+	CU_ASSERT_FALSE(mh_claim_open(to->k, p));
+	CU_ASSERT(mh_counter(to->k, "claim_received") > 0);
+	drain_to_the_end(to);
+	net_run(n, 10 * MH_US_PER_S);
+	id = net_request(e, &a);
+	net_run(n, 3 * MH_US_PER_S);
+	CU_ASSERT_STRING_EQUAL(net_answer_text(n, id, "outcome"), "done");
+	CU_ASSERT_EQUAL(net_runs(n, "acme/k1"), 1);
+	net_destroy(n);
+}
+
+/* a daemon of its own, in a child process over real sockets */
+
+#define ANSWER_BYTES (16U << 20) /* more than socket buffers hold */
+#define LINGER_US (100 * MH_US_PER_MS)
+#define DRAINED_MS 1000 /* by then an idle daemon has left */
+#define LONGEST_MS 10000
+
+/** struct child - a daemon and one caller's connection to it. */
+struct child {
+	pid_t pid;
+	int fd;
+	GString *got;
+};
+
+static void
+on_http(void *arg, struct mh_http_req *r)
+{
+	char *text = g_strnfill(ANSWER_BYTES, 'x');
+	GBytes *b = g_bytes_new_take(text, ANSWER_BYTES);
+
+	(void)arg;
+	mh_req_reply(r, 200, "text/plain", b);
+	g_bytes_unref(b);
+}
+
+static bool
+d_create(struct mh_daemon *d, GError **err)
+{
+	struct mh_httpd_args a = { .listen = d->settings.http,
+		.on_request = on_http };
+
+	mh_hub_create(d->k);
+	d->httpd = mh_httpd_create(d->loop, &a, err);
+	return d->httpd != NULL;
+}
+
+static void
+d_drain(struct mh_daemon *d)
+{
+	mh_httpd_stop(d->httpd);
+}
+
+/* Each request is answered as soon as it is there. */
+static bool
+d_idle(struct mh_daemon *d)
+{
+	(void)d;
+	return true;
+}
+
+static G_GNUC_NORETURN void
+run_daemon(const char *secret, int out)
+{
+	static const struct mh_daemon_ops ops = { .name = "drained",
+		.role = "entry",
+		.kind = MH_DAEMON_ENTRY,
+		.linger_us = LINGER_US,
+		.create = d_create,
+		.drain = d_drain,
+		.idle = d_idle };
+	char *argv[] = { (char *)"drained", (char *)"--vm", (char *)"e",
+		(char *)"--domain", (char *)"a", (char *)"--listen",
+		(char *)"127.0.0.1:0", (char *)"--http", (char *)"127.0.0.1:0",
+		(char *)"--kv", (char *)"http://127.0.0.1:1",
+		(char *)"--vmlist", (char *)"http://127.0.0.1:1",
+		(char *)"--secret-file", (char *)(uintptr_t)secret, NULL };
+	int null = open("/dev/null", O_WRONLY | O_CLOEXEC);
+
+	dup2(out, STDOUT_FILENO);
+	dup2(null, STDERR_FILENO);
+	_exit(mh_daemon_main(&ops, G_N_ELEMENTS(argv) - 1, argv));
+}
+
+static void
+child_start(struct child *c)
+{
+	char line[128] = "", *secret = NULL;
+	int fd = g_file_open_tmp("secret-XXXXXX", &secret, NULL), out[2];
+	const char *at;
+	int size = 65536;
+
+	CU_ASSERT_EQUAL(write(fd, "0123456789abcdef\n", 17), 17);
+	close(fd);
+	CU_ASSERT_EQUAL(pipe(out), 0);
+	fflush(NULL);
+	c->pid = fork();
+	if (c->pid == 0)
+		run_daemon(secret, out[1]);
+	close(out[1]);
+	CU_ASSERT(read(out[0], line, sizeof(line) - 1) > 0);
+	close(out[0]);
+	at = strstr(line, "http=");
+	CU_ASSERT_PTR_NOT_NULL_FATAL(at);
+	c->fd =
+	    tcp_dial((uint16_t)(at == NULL ? 0 : strtoul(at + 5, NULL, 10)));
+	setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	c->got = g_string_new(NULL);
+	unlink(secret);
+	g_free(secret);
+}
+
+/* Takes what comes, at most @max bytes; false when no more will come. */
+static bool
+child_read(struct child *c, size_t max)
+{
+	struct pollfd p = { .fd = c->fd, .events = POLLIN };
+	static char buf[65536];
+	ssize_t n;
+
+	if (poll(&p, 1, LONGEST_MS) != 1)
+		return false;
+	n = recv(c->fd, buf, MIN(max, sizeof(buf)), 0);
+	if (n > 0)
+		g_string_append_len(c->got, buf, n);
+	return n > 0;
+}
+
+static void
+child_send(struct child *c, const char *text)
+{
+	size_t len = strlen(text);
+
+	CU_ASSERT_EQUAL(send(c->fd, text, len, MSG_NOSIGNAL), (ssize_t)len);
+}
+
+/* SIGTERM, and as long as an idle daemon needs to leave. */
+static void
+child_drain(struct child *c)
+{
+	kill(c->pid, SIGTERM);
+	poll(NULL, 0, DRAINED_MS);
+}
+
+/* The whole answer came, and the daemon leaves by itself. */
+static void
+child_check(struct child *c)
+{
+	const char *body;
+	int status = -1;
+
+	while (child_read(c, SIZE_MAX))
+		continue;
+	body = strstr(c->got->str, "\r\n\r\nx");
+	CU_ASSERT_PTR_NOT_NULL(body);
+	if (body != NULL)
+		CU_ASSERT_EQUAL(strlen(body + 4), ANSWER_BYTES);
+	for (int ms = 0;
+	     ms < LONGEST_MS && waitpid(c->pid, &status, WNOHANG) == 0;
+	     ms += 10)
+		poll(NULL, 0, 10);
+	CU_ASSERT_EQUAL(status, 0);
+	if (status == -1) {
+		kill(c->pid, SIGKILL);
+		waitpid(c->pid, &status, 0);
+	}
+	close(c->fd);
+	g_string_free(c->got, TRUE);
+}
+
+#define END "Host: h\r\nConnection: close\r\n\r\n"
+
+/*
+ * A parent on a slow line gets a long plan while the entry leaves.  The
+ * request had its answer, so it no longer kept the process, which closed the
+ * connection in the middle of the plan: bytes not yet sent were nobody's.
+ */
+static void
+test_answer_on_a_slow_line(void)
+{
+	struct child c;
+
+	child_start(&c);
+	child_send(&c, "GET /a HTTP/1.1\r\n" END);
+	child_read(&c, 1);
+	child_drain(&c);
+	child_check(&c);
+}
+
+/*
+ * A request's header is there and its body still on the way when the entry
+ * gets SIGTERM.  Nobody had been told of the request yet, so the entry left,
+ * and the caller's connection closed without a status.
+ */
+static void
+test_request_half_sent(void)
+{
+	struct child c;
+
+	child_start(&c);
+	child_send(&c,
+	    "POST /a HTTP/1.1\r\nExpect: 100-continue\r\n"
+	    "Content-Length: 4\r\n" END);
+	child_read(&c, 25);
+	CU_ASSERT_PTR_NOT_NULL(strstr(c.got->str, " 100 "));
+	child_send(&c, "ab");
+	child_drain(&c);
+	child_send(&c, "cd");
+	child_check(&c);
+}
+
+#define WAITING 40 /* connections that nobody accepted yet */
+
+/** struct port - a server in this process, and its callers. */
+struct port {
+	struct mh_kern *k;
+	struct mh_loop *loop;
+	struct mh_httpd *h;
+	struct mh_timer *late;
+	int fd[WAITING];
+	uint32_t answered;
+	uint32_t closed;
+	uint32_t taken;
+};
+
+static void
+on_small(void *arg, struct mh_http_req *r)
+{
+	GBytes *b = g_bytes_new_static("ok", 2);
+
+	(void)arg;
+	mh_req_reply(r, 200, "text/plain", b);
+	g_bytes_unref(b);
+}
+
+static void
+on_answer(void *arg, bool readable, bool writable)
+{
+	struct port *p = arg;
+	char buf[1024];
+
+	(void)readable;
+	(void)writable;
+	for (int i = 0; i < WAITING; i++) {
+		ssize_t n;
+
+		if (p->fd[i] < 0)
+			continue;
+		n = recv(p->fd[i], buf, sizeof(buf), MSG_DONTWAIT);
+		p->answered += n > 0;
+		if (n > 0 || (n < 0 && errno == EAGAIN))
+			continue;
+		mh_loop_fd_close(p->loop, p->fd[i]);
+		close(p->fd[i]);
+		p->fd[i] = -1;
+		p->closed++;
+	}
+	if (p->closed == WAITING)
+		mh_loop_stop(p->loop);
+}
+
+static void
+on_late(void *arg)
+{
+	struct port *p = arg;
+
+	p->late = NULL;
+	mh_loop_stop(p->loop);
+}
+
+/*
+ * A balancer opens connections and sends in the same moment in which the
+ * entry gets SIGTERM.  The kernel had taken them, the server had not yet, and
+ * closing the listening socket reset them all: whether they ran, the balancer
+ * can't tell.
+ */
+static void
+test_connections_not_yet_accepted(void)
+{
+	static const char ask[] = "GET /a HTTP/1.1\r\n" END;
+	struct mh_httpd_args a = { .listen = "127.0.0.1:0",
+		.on_request = on_small };
+	struct port p = { 0 };
+
+	p.k = mh_kern_create(1);
+	p.loop = mh_loop_create(p.k, NULL);
+	p.h = mh_httpd_create(p.loop, &a, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(p.h);
+	for (int i = 0; i < WAITING; i++) {
+		p.fd[i] = tcp_dial(mh_httpd_port(p.h));
+		CU_ASSERT(send(p.fd[i], ask, strlen(ask), MSG_NOSIGNAL) > 0);
+		mh_loop_fd(p.loop, p.fd[i], true, false, on_answer, &p);
+	}
+	mh_httpd_stop(p.h);
+	p.late = mh_timer_start(p.k, LONGEST_MS * MH_US_PER_MS, on_late, &p);
+	mh_loop_run(p.loop);
+	CU_ASSERT_EQUAL(p.closed, WAITING);
+	CU_ASSERT_EQUAL(p.answered, WAITING);
+	mh_timer_stop(p.k, &p.late);
+	mh_httpd_destroy(p.h);
+	mh_kern_destroy(p.k);
+	mh_loop_destroy(p.loop);
+}
+
+/* Takes a request that nobody will answer any more. */
+static void
+on_taken(void *arg, struct mh_http_req *r)
+{
+	struct port *p = arg;
+
+	(void)r;
+	p->taken++;
+}
+
+/*
+ * A balancer keeps a connection to an entry, and sends its next request in
+ * the turn in which the entry stops.  The server took it while it closed, the
+ * service was gone by then, and a request that waited made the library abort
+ * the process.
+ */
+static void
+test_request_at_the_close(void)
+{
+	static const char ask[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+	struct port p = { 0 };
+	struct mh_httpd_args a = {
+		.listen = "127.0.0.1:0", .on_request = on_taken, .arg = &p
+	};
+	char buf[1024] = "";
+
+	p.k = mh_kern_create(1);
+	p.loop = mh_loop_create(p.k, NULL);
+	p.h = mh_httpd_create(p.loop, &a, NULL);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(p.h);
+	p.fd[0] = tcp_dial(mh_httpd_port(p.h));
+	mh_httpd_stop(p.h);
+	CU_ASSERT(send(p.fd[0], ask, strlen(ask), MSG_NOSIGNAL) > 0);
+	mh_httpd_destroy(p.h);
+	CU_ASSERT(recv(p.fd[0], buf, sizeof(buf) - 1, 0) > 0);
+	CU_ASSERT_TRUE(g_str_has_prefix(buf, "HTTP/1.1 503"));
+	CU_ASSERT_EQUAL(p.taken, 0);
+	close(p.fd[0]);
+	mh_kern_destroy(p.k);
+	mh_loop_destroy(p.loop);
+}
+
+const struct test tests_drain[] = {
+	{ "side_ends_with_bookings", test_side_ends_with_bookings },
+	{ "side_ends_with_work", test_side_ends_with_work },
+	{ "entry_waits_for_a_lookup", test_entry_waits_for_a_lookup },
+	{ "side_waits_for_an_order", test_side_waits_for_an_order },
+	{ "side_waits_for_a_hand_over", test_side_waits_for_a_hand_over },
+	{ "answer_on_a_slow_line", test_answer_on_a_slow_line },
+	{ "request_half_sent", test_request_half_sent },
+	{ "connections_not_yet_accepted", test_connections_not_yet_accepted },
+	{ "request_at_the_close", test_request_at_the_close },
+	{ NULL, NULL },
+};
