--- a/lib/broker.c
+++ b/lib/broker.c
@@ -10,10 +10,18 @@
 
 #include <string.h>
 
+/*
+ * An entry with work looks so often whether it is still the home, and is sure
+ * of it when so many looks agree: within a beat the others know as well.
+ */
+#define LOOK_US (100 * MH_US_PER_MS)
+#define LOOKS 3
+
 /* A job that another entry does for us. */
 struct sent {
 	struct mh_job *job;
 	char *node;
+	bool done; /* its results are with the request */
 };
 
 /* A job that we do for another entry; its job's owner. */
@@ -33,6 +41,8 @@
 	GHashTable *guest_jobs; /* job -> struct guest */
 	GQueue *held; /* struct mh_job, until we know whose turn it is */
 	struct mh_timer *held_timer;
+	struct mh_timer *look_timer;
+	GHashTable *looks; /* cell -> looks in a row at which it was not ours */
 	void (*end)(
 	    void *arg, struct mh_job *j, enum mh_job_end end, int64_t retry_us);
 	void *end_arg;
@@ -55,14 +65,27 @@
 
 /* asking */
 
-/* The results of a stage that another home has done. */
-static void
-add_made(const struct mh_jstage *st, Mh__JobStage *out)
+/*
+ * The results of a stage as they travel, "" where one is not made; NULL: never
+ * begun.  The caller frees the list, not what it names.  Those of a stage half
+ * made have a field of their own: an entry of an earlier version takes what it
+ * finds among the results of a stage for made, and would run the next stage
+ * without it; so it makes the stage anew.
+ */
+static char **
+made_of(const struct mh_jstage *st)
 {
-	if (st->pieces == 0 || !mh_job_stage_made(st))
-		return;
-	out->n_results = st->results->len;
-	out->results = (char **)st->results->pdata;
+	char **list;
+
+	if (st->results == NULL)
+		return NULL;
+	list = g_new0(char *, st->results->len + 1);
+	for (guint i = 0; i < st->results->len; i++) {
+		list[i] = g_ptr_array_index(st->results, i);
+		if (list[i] == NULL)
+			list[i] = (char *)"";
+	}
+	return list;
 }
 
 static void
@@ -72,6 +95,7 @@
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__Job m = MH__JOB__INIT;
 	Mh__JobStage stages[MH_GSTAGES], *list[MH_GSTAGES];
+	char **made[MH_GSTAGES];
 
 	m.id = j->id;
 	m.key = j->key == NULL ? (char *)"" : j->key;
@@ -94,11 +118,22 @@
 		stages[s].pieces = j->stages[s].pieces;
 		stages[s].result_bytes = j->stages[s].result_bytes;
 		list[s] = &stages[s];
-		add_made(&j->stages[s], &stages[s]);
+		made[s] = made_of(&j->stages[s]);
+		if (made[s] == NULL)
+			continue;
+		if (mh_job_stage_made(&j->stages[s])) {
+			stages[s].results = made[s];
+			stages[s].n_results = j->stages[s].results->len;
+		} else {
+			stages[s].some = made[s];
+			stages[s].n_some = j->stages[s].results->len;
+		}
 	}
 	f.body_case = MH__FRAME__BODY_JOB;
 	f.job = &m;
 	mh_mesh_send(b->m, node, &f);
+	for (uint32_t s = 0; s < j->n_stages; s++)
+		g_free(made[s]);
 }
 
 /*
@@ -172,6 +207,25 @@
 		b->held_timer = mh_timer_start(b->k, wait_us, on_settled, b);
 }
 
+/*
+ * What the job's home made before it went is known here alone.  It filled its
+ * endpoints until it lapsed.
+ */
+static void
+discard_known(struct mh_broker *b, struct mh_job *j)
+{
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		GPtrArray *a = j->stages[s].results;
+
+		for (guint i = 0; a != NULL && i < a->len; i++) {
+			const char *result = g_ptr_array_index(a, i);
+
+			if (result != NULL && *result != '\0')
+				mh_cells_discard(b->cells, result);
+		}
+	}
+}
+
 void
 mh_broker_drop(struct mh_broker *b, struct mh_job *j)
 {
@@ -179,11 +233,12 @@
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__JobDrop d = MH__JOB_DROP__INIT;
 
-	if (g_queue_remove(b->held, j))
+	if (j->state != NULL) { /* a cell of ours has it */
+		mh_cell_cancel(j->cell, j);
 		return;
-	if (s == NULL) {
-		if (j->cell != NULL)
-			mh_cell_cancel(j->cell, j);
+	}
+	if (g_queue_remove(b->held, j) || s == NULL) {
+		discard_known(b, j);
 		return;
 	}
 	d.id = j->id;
@@ -252,6 +307,7 @@
 	const Mh__JobEnd *m = f->job_end;
 	struct mh_job *j = find_sent(b, node, m->id);
 	enum mh_job_end end = m->end;
+	struct sent *s;
 
 	if (j == NULL)
 		return; /* its caller left, or it went to another entry */
@@ -259,6 +315,8 @@
 		take_results(j, m);
 		if (!has_finals(j))
 			end = MH_JOB_FAILED;
+		s = g_hash_table_lookup(b->sent, j);
+		s->done = end == MH_JOB_DONE;
 	}
 	if (end != MH_JOB_DONE)
 		g_hash_table_remove(b->sent, j);
@@ -281,10 +339,14 @@
 	const Mh__JobStep *m = f->job_step;
 	struct mh_job *j = find_sent(b, node, m->id);
 
-	if (j == NULL || m->stage >= j->n_stages ||
-	    m->n_results != j->stages[m->stage].pieces)
+	if (j == NULL || m->stage >= j->n_stages)
+		return;
+	if (m->n_results == j->stages[m->stage].pieces)
+		mh_job_made(j, m->stage, m->results, m->n_results);
+	else if (m->n_some == j->stages[m->stage].pieces)
+		mh_job_made(j, m->stage, m->some, m->n_some);
+	else
 		return;
-	mh_job_made(j, m->stage, m->results, m->n_results);
 	mh_job_forget_read(j);
 }
 
@@ -329,6 +391,10 @@
 		    m->stages[s]->n_results == m->stages[s]->pieces)
 			mh_job_made(j, s, m->stages[s]->results,
 			    m->stages[s]->n_results);
+		else if (m->stages[s]->n_some > 0 &&
+		    m->stages[s]->n_some == m->stages[s]->pieces)
+			mh_job_made(
+			    j, s, m->stages[s]->some, m->stages[s]->n_some);
 	}
 	return j;
 }
@@ -418,19 +484,25 @@
 mh_broker_cell_step(struct mh_broker *b, struct mh_job *j, uint32_t stage)
 {
 	struct guest *g = g_hash_table_lookup(b->guest_jobs, j);
-	GPtrArray *made = j->stages[stage].results;
+	char **made = made_of(&j->stages[stage]);
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__JobStep m = MH__JOB_STEP__INIT;
 
-	if (g == NULL)
-		return;
-	m.id = j->id;
-	m.stage = stage;
-	m.n_results = made->len;
-	m.results = (char **)made->pdata;
-	f.body_case = MH__FRAME__BODY_JOB_STEP;
-	f.job_step = &m;
-	mh_mesh_send(b->m, g->node, &f);
+	if (g != NULL && made != NULL) {
+		m.id = j->id;
+		m.stage = stage;
+		if (mh_job_stage_made(&j->stages[stage])) {
+			m.results = made;
+			m.n_results = j->stages[stage].results->len;
+		} else {
+			m.some = made;
+			m.n_some = j->stages[stage].results->len;
+		}
+		f.body_case = MH__FRAME__BODY_JOB_STEP;
+		f.job_step = &m;
+		mh_mesh_send(b->m, g->node, &f);
+	}
+	g_free(made);
 }
 
 void
@@ -447,6 +519,8 @@
 		b->end(b->end_arg, j, end, retry_us);
 		return;
 	}
+	for (uint32_t s = 0; s < j->n_stages && end == MH_JOB_MOVED; s++)
+		mh_broker_cell_step(b, j, s);
 	send_end(b, g, end, retry_us);
 	if (end != MH_JOB_DONE)
 		free_guest(b, g);
@@ -475,6 +549,7 @@
 {
 	struct mh_broker *b = arg;
 	GList *all = g_hash_table_get_keys(b->sent);
+	bool done;
 
 	drop_guests(b, node);
 	for (GList *l = all; l != NULL; l = l->next) {
@@ -483,14 +558,53 @@
 
 		if (s == NULL || strcmp(s->node, node) != 0)
 			continue;
+		done = s->done;
 		g_hash_table_remove(b->sent, j);
-		if (has_finals(j))
-			continue; /* done; the results live without it */
+		if (done)
+			continue; /* the results live without it */
 		submit_again(b, j, node);
 	}
 	g_list_free(all);
 }
 
+/* no longer the home */
+
+/*
+ * Another has become the home while we have jobs: it calls the same endpoints.
+ * Both homes' calls queued behind each other until the last of the jobs had
+ * ended, two seconds for most, and room was refused for results that the other
+ * did not know of.  Once a change: who still takes us for the home is served.
+ */
+static void
+look_at(void *arg, struct mh_cell *c, uint32_t index, uint32_t count)
+{
+	struct mh_broker *b = arg;
+	char work[MH_WORK_LEN];
+	uint32_t looks;
+
+	if (mh_cell_idle(c))
+		return;
+	if (mh_mesh_is_self(
+		b->m, mh_mesh_home(b->m, mh_slice_work(work, index, count)))) {
+		g_hash_table_remove(b->looks, c);
+		return;
+	}
+	looks = GPOINTER_TO_UINT(g_hash_table_lookup(b->looks, c));
+	if (looks < LOOKS)
+		g_hash_table_insert(b->looks, c, GUINT_TO_POINTER(looks + 1));
+	if (looks + 1 == LOOKS)
+		mh_cell_leave(c);
+}
+
+static void
+on_look(void *arg)
+{
+	struct mh_broker *b = arg;
+
+	b->look_timer = mh_timer_start(b->k, LOOK_US, on_look, b);
+	mh_cells_each(b->cells, look_at, b);
+}
+
 void
 mh_broker_on_end(struct mh_broker *b,
     void (*fn)(
@@ -514,6 +628,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	b->guest_jobs = g_hash_table_new(NULL, NULL);
 	b->held = g_queue_new();
+	b->looks = g_hash_table_new(NULL, NULL);
+	b->look_timer = mh_timer_start(k, LOOK_US, on_look, b);
 	mh_mesh_on(m, MH__FRAME__BODY_JOB, on_job, b);
 	mh_mesh_on(m, MH__FRAME__BODY_JOB_END, on_job_end, b);
 	mh_mesh_on(m, MH__FRAME__BODY_JOB_STEP, on_job_step, b);
@@ -530,7 +646,9 @@
 	if (b == NULL)
 		return;
 	mh_timer_stop(b->k, &b->held_timer);
+	mh_timer_stop(b->k, &b->look_timer);
 	g_queue_free(b->held);
+	g_hash_table_destroy(b->looks);
 	all = g_hash_table_get_values(b->guests);
 	for (GList *l = all; l != NULL; l = l->next) {
 		struct guest *g = l->data;
--- a/regress/t_home.c
+++ b/regress/t_home.c
@@ -184,6 +184,195 @@
 	mrig_destroy(r);
 }
 
+/*
+ * The home of a request's stage work is gone by the time that its results have
+ * been read.  Nobody else knew them, or so it was taken, and they filled their
+ * endpoints' room for seconds: the entry that was given them frees them.
+ */
+static void
+test_results_outlive_the_home(void)
+{
+	static const char *const pools[] = { "a", "b", NULL };
+	const uint32_t pieces[] = { 2, 3 };
+	struct mrig *r = mrig_create();
+	struct ent all[ENTRIES] = { 0 };
+	struct ment *home;
+	struct ent *e;
+	struct mh_job *j;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_create(&all[i], &r->e[i]);
+	mrig_run(r, 2 * S);
+	home = mrig_agreed(r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(home);
+	e = &all[home->index == 0];
+	j = new_job(e, pools, pieces);
+	j->stages[1].after = 1;
+	mh_broker_submit(e->b, j);
+	mrig_run(r, 200 * MS);
+	CU_ASSERT_EQUAL(e->done, 1);
+	home->cut = true;
+	mrig_run(r, 2 * S);
+	CU_ASSERT_EQUAL(e->freed, 0);
+	mh_broker_drop(e->b, j);
+	CU_ASSERT_EQUAL(e->freed, 3);
+	mh_job_destroy(j);
+	mrig_run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
+}
+
+/*
+ * The home leaves in order while one request's call runs and another's pieces
+ * wait behind it.  The second was kept until its turn came there, seconds for
+ * some, while the next home called the same endpoints.  It is handed on with
+ * what is made of it, which is not made again.
+ */
+static void
+test_leaving_home_hands_on(void)
+{
+	static const char *const pools[] = { "a", "b", NULL };
+	const uint32_t pieces[] = { 2, 3 };
+	struct mrig *r = mrig_create();
+	struct ent all[ENTRIES] = { 0 };
+	struct mh_job *j[2];
+	struct ment *home;
+	struct ent *e;
+	uint32_t first = 0;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_create(&all[i], &r->e[i]);
+	mrig_run(r, 2 * S);
+	home = mrig_agreed(r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(home);
+	e = &all[home->index == 0];
+	all[home->index].stalled = "b";
+	for (int i = 0; i < 2; i++) {
+		j[i] = new_job(e, pools, pieces);
+		j[i]->stages[1].after = 1;
+		mh_broker_submit(e->b, j[i]);
+		mrig_run(r, 50 * MS);
+	}
+	CU_ASSERT_EQUAL(all[home->index].calls_b, 1);
+	mh_mesh_leave(home->m);
+	mh_cells_leave(all[home->index].cs);
+	mrig_run(r, 100 * MS);
+	CU_ASSERT_EQUAL(e->done, 1);
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		if (&r->e[i] != home)
+			first += all[i].calls - all[i].calls_b;
+	}
+	CU_ASSERT_EQUAL(first, 0);
+	CU_ASSERT_EQUAL(all[home->index].freed, 2); /* read by the call */
+	for (int i = 0; i < 2; i++) {
+		mh_broker_drop(e->b, j[i]);
+		mh_job_destroy(j[i]);
+	}
+	mrig_run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
+}
+
+/*
+ * A home leaves with a stage half made: eight of twelve pieces.  These are
+ * handed on as well, apart from results of whole stages, which a process of an
+ * earlier version takes for whole.
+ */
+static void
+test_half_a_stage_is_handed_on(void)
+{
+	static const char *const pools[] = { "a", "b", NULL };
+	const uint32_t pieces[] = { 12, 1 };
+	struct mrig *r = mrig_create();
+	struct ent all[ENTRIES] = { 0 };
+	struct ment *home;
+	struct ent *e, *left;
+	struct mh_job *j;
+	uint32_t elsewhere = 0;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_create(&all[i], &r->e[i]);
+	mrig_run(r, 2 * S);
+	home = mrig_agreed(r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(home);
+	e = &all[home->index == 0];
+	left = &all[home->index];
+	left->stalled = "a";
+	left->passes = 1;
+	j = new_job(e, pools, pieces);
+	j->stages[1].after = 1;
+	mh_broker_submit(e->b, j);
+	mrig_run(r, 50 * MS);
+	CU_ASSERT_EQUAL(left->calls, 2);
+	mh_mesh_leave(home->m);
+	mh_cells_leave(left->cs);
+	mrig_run(r, 600 * MS);
+	CU_ASSERT_EQUAL(e->done, 1);
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		if (&all[i] != left)
+			elsewhere += all[i].pieces;
+	}
+	CU_ASSERT_EQUAL(elsewhere, 4 + 1);
+	CU_ASSERT_EQUAL(r->holes, 0);
+	mh_broker_drop(e->b, j);
+	mh_job_destroy(j);
+	mrig_run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
+}
+
+/*
+ * The first of the order is back and has run for long enough to be the home
+ * again.  The entry that stood in kept what it had been given, for seconds,
+ * while both called the same endpoints.  It hands on what waits there.
+ */
+static void
+test_home_no_more_hands_on(void)
+{
+	static const char *const pools[] = { "a", "b", NULL };
+	const uint32_t pieces[] = { 2, 3 };
+	struct mrig *r = mrig_create();
+	struct ment *order[ENTRIES] = { NULL };
+	struct ent all[ENTRIES] = { 0 };
+	struct mh_job *j[2];
+	struct ent *e, *first, *second;
+
+	mrig_run(r, 10 * S);
+	order_of(r, order);
+	restart(order[0]);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_create(&all[i], &r->e[i]);
+	first = &all[order[0]->index];
+	second = &all[order[1]->index];
+	e = &all[order[2]->index];
+	mrig_run(r, 7800 * MS);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), order[1]);
+	second->stalled = "b";
+	for (int i = 0; i < 2; i++) {
+		j[i] = new_job(e, pools, pieces);
+		j[i]->stages[1].after = 1;
+		mh_broker_submit(e->b, j[i]);
+		mrig_run(r, 50 * MS);
+	}
+	CU_ASSERT_EQUAL(second->calls_b, 1);
+	mrig_run(r, 600 * MS);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), order[0]);
+	CU_ASSERT(e->done >= 1);
+	CU_ASSERT(first->calls_b >= 1);
+	CU_ASSERT_EQUAL(first->calls, first->calls_b);
+	for (int i = 0; i < 2; i++) {
+		mh_broker_drop(e->b, j[i]);
+		mh_job_destroy(j[i]);
+	}
+	mrig_run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
+}
+
 /* What a job that another home began still needs, stage by stage. */
 static void
 test_what_is_still_wanted(void)
@@ -288,13 +477,135 @@
 	mrig_destroy(r);
 }
 
+/*
+ * The first four of the order have just come back, the rest have run for long
+ * and pass over them.  Each of the rest was linked to those four alone, knew
+ * none that it could take for the home, and did its own stage work: six homes
+ * called the same endpoints for eight seconds.
+ */
+static void
+test_first_of_the_order_young(void)
+{
+	struct mrig *r = mrig_create();
+	struct ment *order[ENTRIES] = { NULL };
+
+	mrig_run(r, 10 * S);
+	order_of(r, order);
+	for (uint32_t i = 0; i < 4; i++)
+		restart(order[i]);
+	mrig_run(r, 2 * S);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), order[4]);
+	mrig_run(r, 7 * S);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), order[0]);
+	mrig_destroy(r);
+}
+
+#define LOOK_US (50 * MS)
+#define LOOKS_A_BEAT 5
+
+/* How often, of looks at all entries, they name different homes. */
+static uint32_t
+disagreed(struct mrig *r, int64_t us)
+{
+	uint32_t n = 0;
+
+	for (int64_t t = 0; t < us; t += LOOK_US) {
+		mrig_run(r, LOOK_US);
+		n += mrig_agreed(r) == NULL;
+	}
+	return n;
+}
+
+/*
+ * All entries restart in turn, begun with any of them.  Who ran longest decides
+ * who is old enough to be the home, and not everybody is linked to that one:
+ * for five seconds some took another home than the rest.  All agree, but for
+ * a beat at each change.
+ */
+static void
+test_restarted_in_turn(void)
+{
+	for (uint32_t first = 0; first < ENTRIES; first++) {
+		struct mrig *r = mrig_create();
+		uint32_t n = 0;
+
+		mrig_run(r, 10 * S);
+		for (uint32_t i = 0; i < ENTRIES; i++) {
+			struct ment *e = &r->e[(first + i * 3) % ENTRIES];
+
+			mh_mesh_leave(e->m);
+			n += disagreed(r, 500 * MS);
+			restart(e);
+			n += disagreed(r, 300 * MS);
+		}
+		n += disagreed(r, 9 * S);
+		CU_ASSERT(n <= ENTRIES * LOOKS_A_BEAT);
+		mrig_destroy(r);
+	}
+}
+
+/*
+ * The last of the entries to restart leaves; all others have just come back.
+ * Having run longest itself, it passed over all of them and did its callers'
+ * stage work itself, while the others had theirs done elsewhere.
+ */
+static void
+test_last_to_leave(void)
+{
+	struct mrig *r = mrig_create();
+	struct ment *order[ENTRIES] = { NULL };
+
+	mrig_run(r, 10 * S);
+	order_of(r, order);
+	for (uint32_t i = 0; i < ENTRIES - 1; i++)
+		restart(order[i]);
+	mrig_run(r, 3 * S);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), order[ENTRIES - 1]);
+	mh_mesh_leave(order[ENTRIES - 1]->m);
+	mrig_run(r, 100 * MS);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), order[0]);
+	mrig_destroy(r);
+}
+
+/*
+ * The first four of the order have just come back, and so has one that is
+ * linked to those alone.  It did not know of any that had run longer, took the
+ * first for the home, and the two homes called the same endpoints for seconds.
+ */
+static void
+test_young_among_young(void)
+{
+	struct mrig *r = mrig_create();
+	struct ment *order[ENTRIES] = { NULL };
+
+	mrig_run(r, 10 * S);
+	order_of(r, order);
+	for (uint32_t i = 0; i < 4; i++)
+		restart(order[i]);
+	mrig_run(r, 1 * S);
+	restart(order[ENTRIES - 1]);
+	mrig_run(r, 1 * S);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), order[4]);
+	mrig_destroy(r);
+}
+
 const struct test tests_home[] = {
 	{ "home: listed no more", test_unlisted_home },
 	{ "home: a small entry that is listed no more",
 	    test_small_unlisted_entry },
 	{ "home: begun work goes on", test_begun_work_goes_on },
+	{ "home: results outlive it", test_results_outlive_the_home },
+	{ "home: one that leaves hands on", test_leaving_home_hands_on },
+	{ "home: half a stage is handed on", test_half_a_stage_is_handed_on },
+	{ "home: one that is no more the home hands on",
+	    test_home_no_more_hands_on },
 	{ "home: what is still wanted", test_what_is_still_wanted },
 	{ "home: two at once", test_two_homes },
 	{ "home: entries that wake", test_woken_entries },
+	{ "home: the first of the order are young",
+	    test_first_of_the_order_young },
+	{ "home: restarted in turn", test_restarted_in_turn },
+	{ "home: the last to leave", test_last_to_leave },
+	{ "home: young among young", test_young_among_young },
 	{ NULL, NULL },
 };
