--- a/regress/t_cell.c
+++ b/regress/t_cell.c
@@ -770,7 +770,85 @@
 	world_destroy(w);
 }
 
+#define WAITING 24
+#define SLOWER 1.5 /* times as long as the endpoints say */
+
+/** struct goes_on - where jobs that are handed on come back to. */
+struct goes_on {
+	struct world *w;
+	struct mh_cell *to;
+};
+
+static void
+hand_back(void *arg, const struct mh_job *j, enum mh_job_end end)
+{
+	const struct goes_on *g = arg;
+	struct mh_job *n;
+	const char *pools[MH_GSTAGES + 1] = { NULL };
+	uint32_t pieces[MH_GSTAGES] = { 0 };
+	int64_t now = mh_now(g->w->k);
+
+	if (end != MH_JOB_MOVED)
+		return;
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		pools[s] = j->stages[s].pool;
+		pieces[s] = j->stages[s].pieces;
+	}
+	n = world_job(
+	    g->w, pools, pieces, j->aim_us - now, j->deadline_us - now);
+	n->moved = true;
+	for (uint32_t s = 0; s < j->n_stages; s++)
+		mh_job_made(n, s, (char *const *)j->stages[s].results->pdata,
+		    j->stages[s].results->len);
+	mh_job_forget_read(n);
+	mh_cell_submit(g->to, n);
+}
+
+/* Jobs done of those that a pool was given for four seconds of its time. */
+static uint32_t
+done_of_taken(bool leaves, bool elsewhere)
+{
+	struct world *w = world_create();
+	struct goes_on g = { w, w->c };
+	const uint32_t pieces[] = { 1, 8 };
+	uint32_t done;
+
+	world_pool(w, "a", 1, 8, 100 * MS, 10 * MS, 0);
+	world_pool(w, "b", 1, 8, 100 * MS, 10 * MS, 0);
+	world_node(w, "b-0")->slow = SLOWER;
+	if (elsewhere)
+		g.to = world_cell(w);
+	w->ended = hand_back;
+	w->arg = &g;
+	for (int i = 0; i < WAITING; i++) {
+		mh_cell_submit(w->c, world_job(w, chain, pieces, 5 * S, 9 * S));
+		world_run(w, 10 * MS);
+	}
+	CU_ASSERT_EQUAL(w->refused, 0);
+	world_run(w, 2500 * MS);
+	if (leaves)
+		mh_cell_leave(w->c);
+	world_run(w, 10 * S);
+	done = w->done;
+	world_destroy(w);
+	return done;
+}
+
+/*
+ * What was taken and begun is handed on: to the next home, or back to the same
+ * cell where no other entry serves.  It is judged there as if it were new, and
+ * work that would have ended in time is refused.
+ */
+static void
+test_handed_on_is_taken(void)
+{
+	CU_ASSERT_EQUAL(done_of_taken(false, false), WAITING);
+	CU_ASSERT_EQUAL(done_of_taken(true, true), WAITING);
+	CU_ASSERT_EQUAL(done_of_taken(true, false), WAITING);
+}
+
 const struct test tests_cell[] = {
+	{ "cell: what is handed on is taken", test_handed_on_is_taken },
 	{ "cell: pieces of all entries meet", test_pieces_meet },
 	{ "cell: a burst, taken on time or refused", test_burst_taken_on_time },
 	{ "cell: deadline before the aim", test_deadline_before_the_aim },
--- a/regress/t_home.c
+++ b/regress/t_home.c
@@ -589,7 +589,142 @@
 	mrig_destroy(r);
 }
 
+/* The one call that a cell has under way. */
+static struct mh_batch *
+only_call(struct mh_cell *c)
+{
+	GHashTableIter it;
+	gpointer key, value;
+
+	CU_ASSERT_EQUAL_FATAL(g_hash_table_size(c->batches), 1);
+	g_hash_table_iter_init(&it, c->batches);
+	CU_ASSERT_TRUE(g_hash_table_iter_next(&it, &key, &value));
+	return value;
+}
+
+/*
+ * A stage was made and found gone when the next one was to read it, so the home
+ * makes it again, with its inputs.  It leaves when the inputs are made and the
+ * stage is not.  The entry that asked took the stage for made still when it
+ * was told of the inputs, and forgot them: they are made a third time.
+ */
+static void
+test_made_again_is_handed_on(void)
+{
+	static const char *const pools[] = { "a", "b", "a", NULL };
+	const uint32_t pieces[] = { 2, 3, 1 };
+	struct mrig *r = mrig_create();
+	struct ent all[ENTRIES] = { 0 };
+	struct ment *home;
+	struct ent *e, *left;
+	struct mh_batch *b;
+	struct mh_cell *c;
+	struct mh_job *j;
+	uint32_t elsewhere = 0;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_create(&all[i], &r->e[i]);
+	mrig_run(r, 2 * S);
+	home = mrig_agreed(r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(home);
+	e = &all[home->index == 0];
+	left = &all[home->index];
+	left->stalled = "a";
+	left->passes = 1;
+	j = new_job(e, pools, pieces);
+	j->stages[1].after = 1;
+	j->stages[2].after = 2;
+	mh_broker_submit(e->b, j);
+	mrig_run(r, 100 * MS);
+	CU_ASSERT_EQUAL(left->calls, 3);
+	CU_ASSERT_TRUE(mh_job_stage_made(&j->stages[1]));
+	c = mh_cells_get(left->cs, 0, 1);
+	b = only_call(c);
+	g_array_index(b->items, struct mh_batch_item, 0).inputs_gone = true;
+	left->stalled = "b";
+	mh_cell_batch_end(c, b, MH_BATCH_DONE);
+	mrig_run(r, 20 * MS);
+	CU_ASSERT_EQUAL(left->calls, 5); /* inputs made, the stage in a call */
+	mh_mesh_leave(home->m);
+	mh_cells_leave(left->cs);
+	mh_cell_batch_end(c, only_call(c), MH_BATCH_FULL);
+	mrig_run(r, 300 * MS);
+	CU_ASSERT_EQUAL(e->done, 1);
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		if (&all[i] != left)
+			elsewhere += all[i].pieces;
+	}
+	CU_ASSERT_EQUAL(elsewhere, 3 + 1);
+	mh_broker_drop(e->b, j);
+	mh_job_destroy(j);
+	mrig_run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
+}
+
+/* Two jobs come to an entry that is the home no more: one call, one waits. */
+static uint32_t
+left_of_two(struct mrig *r, struct ent *e)
+{
+	static const char *const pools[] = { "a", NULL };
+	const uint32_t pieces[] = { 8 };
+	struct mh_cell *c = mh_cells_get(e->cs, 0, 1);
+	struct mh_job *j[2];
+	uint32_t left;
+
+	e->stalled = "a";
+	for (int i = 0; i < 2; i++) {
+		j[i] = new_job(e, pools, pieces);
+		mh_cell_submit(c, j[i]);
+	}
+	mrig_run(r, 360 * MS); /* three looks; the call is not overdue yet */
+	left = c->jobs->len;
+	for (int i = 0; i < 2; i++) {
+		mh_broker_drop(e->b, j[i]);
+		mh_job_destroy(j[i]);
+	}
+	mh_cell_batch_end(c, only_call(c), MH_BATCH_DONE);
+	return left;
+}
+
+/*
+ * An entry ceases to be the home, is it again while it has no work, and ceases
+ * once more.  The second time it kept what it was given.
+ */
+static void
+test_home_no_more_twice(void)
+{
+	struct mrig *r = mrig_create();
+	struct ment *order[ENTRIES] = { NULL };
+	struct ent all[ENTRIES] = { 0 };
+	struct ent *first, *second;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_create(&all[i], &r->e[i]);
+	mrig_run(r, 10 * S);
+	order_of(r, order);
+	first = &all[order[0]->index];
+	second = &all[order[1]->index];
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), order[0]);
+	CU_ASSERT_EQUAL(left_of_two(r, second), 1);
+	ent_destroy(first);
+	restart(order[0]);
+	ent_create(first, order[0]);
+	mrig_run(r, 4 * S);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), order[1]);
+	mrig_run(r, 5 * S);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), order[0]);
+	CU_ASSERT_EQUAL(left_of_two(r, second), 1);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
+}
+
 const struct test tests_home[] = {
+	{ "home: no more, twice", test_home_no_more_twice },
+	{ "home: what is made again is handed on",
+	    test_made_again_is_handed_on },
 	{ "home: listed no more", test_unlisted_home },
 	{ "home: a small entry that is listed no more",
 	    test_small_unlisted_entry },
