Log lines tell whether two requests ask the same, and how far a broken one was

Cause: engines end one after the other and the logs can't tell whether one request does it: each sending has an id of its own. No decision reads it. Conclusion: the hypotheses that are left can be told apart.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -411,6 +411,7 @@
 		return MH_DROP;
 	}
 	count_run(q, t);
+	t->head_us = mh_now(g->k);
 	if (n != NULL && a->genuine && a->status < 500)
 		mh_node_good(g->f, n, took);
 	else if (n != NULL)
@@ -467,9 +468,12 @@
 		g->ops.finish(g->ops.arg, q);
 		return;
 	}
-	mh_event(g->k, "broken", "id=%s node=%s sent=%d took_ms=%" PRId64,
+	mh_event(g->k, "broken",
+	    "id=%s node=%s sent=%d took_ms=%" PRId64 " head_ms=%" PRId64
+	    " print=%016" PRIx64,
 	    q->id, t->node, end == MH_CALL_BROKEN,
-	    mh_ms(mh_now(g->k) - t->sent_us));
+	    mh_ms(mh_now(g->k) - t->sent_us),
+	    t->head_us == 0 ? -1 : mh_ms(mh_now(g->k) - t->head_us), q->print);
 	/*
 	 * Only what could not be reached is told to others.  Answers that are
 	 * lost on the way come from sound endpoints as well, and half of a
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -498,6 +498,7 @@
 	uint32_t pieces[MH_GSTAGES];
 	uint32_t n_pieces;
 	char *piece_key;
+	uint64_t print; /* fingerprint: equal when the same is asked again */
 	void *wire; /* the adapter's own */
 	/* below: the gate's */
 	struct mh_gate *gate;
@@ -536,6 +537,7 @@
 	char *name; /* what the endpoint calls itself */
 	char *addr;
 	int64_t sent_us;
+	int64_t head_us; /* its answer began; 0: not yet */
 	int64_t left_us; /* what the endpoint is told */
 	const char *resume_after; /* id of the last event passed on */
 	bool fresh; /* on a new connection */
--- a/lib/gatetake.c
+++ b/lib/gatetake.c
@@ -106,10 +106,10 @@
 	}
 	mh_event(g->k, "ask",
 	    "id=%s route=%s org=%s config=%" PRIu64 " pool=%s given_ms=%" PRId64
-	    " returned=%d aim_ms=%" PRId64 " open=%u",
+	    " returned=%d aim_ms=%" PRId64 " open=%u print=%016" PRIx64,
 	    q->id, q->route->name, q->org != NULL ? q->org->name : "-",
 	    q->conf->version, q->pool, mh_ms(q->deadline_us), q->returned,
-	    mh_ms(q->aim_us - q->arrived_us), mh_gate_open(g));
+	    mh_ms(q->aim_us - q->arrived_us), mh_gate_open(g), q->print);
 	mh_budget_first(g->budget, q->pool);
 	if (q->route->stream)
 		q->events = mh_sse_create();
