Test, failing: a request that ends every engine that runs it

Cause: each sending of it is a new request to every entry, so nothing ends the row of engine ends. Ruled out: repeats by one entry (the test's route has one attempt). Change: linked entries with gates, callers and engines in virtual time; one request ends each engine 60 ms after the head of its answer and comes again every 0.7 s, at any entry.

--- a/regress/main.c
+++ b/regress/main.c
@@ -46,6 +46,7 @@
 	{ "work", tests_work },
 	{ "drain", tests_drain },
 	{ "grace", tests_grace },
+	{ "fall", tests_fall },
 };
 
 /*
