--- a/lib/broker.c
+++ b/lib/broker.c
@@ -108,6 +108,7 @@
 	m.slices = slices;
 	m.returned = j->returned;
 	m.moved = j->moved;
+	m.print = j->print;
 	m.aim_us = j->aim_us - mh_now(b->k);
 	m.deadline_us = j->deadline_us - mh_now(b->k);
 	m.n_stages = j->n_stages;
@@ -307,7 +308,7 @@
 	struct mh_broker *b = arg;
 	const Mh__JobEnd *m = f->job_end;
 	struct mh_job *j = find_sent(b, node, m->id);
-	enum mh_job_end end = m->end;
+	enum mh_job_end end = m->held ? MH_JOB_HELD : m->end;
 	struct sent *s;
 
 	if (j == NULL)
@@ -379,6 +380,7 @@
 	j->weight = m->weight;
 	j->returned = m->returned;
 	j->moved = m->moved;
+	j->print = m->print;
 	j->arrived_us = mh_now(b->k);
 	j->aim_us = j->arrived_us + m->aim_us;
 	j->deadline_us = j->arrived_us + m->deadline_us;
@@ -457,7 +459,9 @@
 	Mh__JobStage stages[MH_GSTAGES], *list[MH_GSTAGES];
 
 	m.id = j->id;
-	m.end = end;
+	/* An entry of an earlier version knows no other end. */
+	m.held = end == MH_JOB_HELD;
+	m.end = m.held ? MH_JOB_FAILED : end;
 	m.retry_us = (uint64_t)MAX(retry_us, 0);
 	m.n_stages = end == MH_JOB_DONE ? j->n_stages : 0;
 	m.stages = list;
--- a/lib/cell.c
+++ b/lib/cell.c
@@ -84,12 +84,27 @@
 		break;
 	case MH_JOB_REFUSED:
 	case MH_JOB_FAILED:
+	case MH_JOB_HELD:
 		mh_cell_release(c, j);
 		break;
 	}
 	c->ops.end(c->ops.arg, j, end, retry_us);
 }
 
+void
+mh_cell_held(struct mh_cell *c, uint64_t print)
+{
+	for (guint i = 0; i < c->jobs->len;) {
+		struct mh_job *j = g_ptr_array_index(c->jobs, i);
+
+		if (j->print == print)
+			end_job(
+			    c, j, MH_JOB_HELD, mh_poison_held_us(c->k, print));
+		else
+			i++;
+	}
+}
+
 void
 mh_cell_release(struct mh_cell *c, struct mh_job *j)
 {
@@ -165,6 +180,12 @@
 		c->ops.end(c->ops.arg, j, MH_JOB_DONE, 0);
 		return;
 	}
+	if (mh_poison_held_us(c->k, j->print) > 0) {
+		mh_cell_release(c, j);
+		c->ops.end(c->ops.arg, j, MH_JOB_HELD,
+		    mh_poison_held_us(c->k, j->print));
+		return;
+	}
 	if (!mh_cell_admit(c, j)) {
 		int64_t retry = mh_cell_room_in_us(c, j);
 
@@ -282,6 +303,30 @@
 	}
 }
 
+/* What the end of a call says of the requests that were in it. */
+static void
+note_requests(
+    struct mh_cell *c, const struct mh_batch *b, enum mh_batch_end end)
+{
+	const struct mh_node *n = mh_fleet_find(c->f, b->node);
+
+	if (end != MH_BATCH_LOST)
+		mh_poison_answered(
+		    c->k, b->node, b->sent_us, n != NULL && n->born_ms == 0);
+	for (guint i = 0; i < b->items->len; i++) {
+		const struct mh_job *j =
+		    g_array_index(b->items, struct mh_batch_item, i).job;
+		struct mh_poison_end e = { b->node, b->pool,
+			j == NULL ? 0 : j->print, false };
+
+		if (end == MH_BATCH_DONE && j != NULL)
+			mh_poison_ran(c->k, j->print, b->pool);
+		else if (end == MH_BATCH_LOST && b->broke &&
+		    (n == NULL || !n->leaving))
+			mh_poison_broke(c->k, &e);
+	}
+}
+
 void
 mh_cell_batch_end(struct mh_cell *c, struct mh_batch *b, enum mh_batch_end end)
 {
@@ -317,6 +362,7 @@
 		p->trying = 0;
 		p->shared_us = 0; /* unless an input is gone, see take_item() */
 	}
+	note_requests(c, b, end);
 	c->dispatching = true; /* not before every item is back */
 	for (guint i = 0; i < b->items->len; i++) {
 		struct mh_batch_item *m =
--- a/lib/cellrun.c
+++ b/lib/cellrun.c
@@ -235,6 +235,23 @@
 	return true;
 }
 
+/*
+ * A request that may end endpoints has calls of its own: what others have in a
+ * call is lost with it, and the end of a call with many tells nothing.
+ */
+static bool
+goes_with(
+    const struct mh_cell *c, const struct mh_batch *b, const struct mh_job *j)
+{
+	const struct mh_job *first = b->items->len == 0
+	    ? NULL
+	    : g_array_index(b->items, struct mh_batch_item, 0).job;
+
+	return first == NULL || first == j ||
+	    (mh_poison_apart(c->k, j->print, b->pool) == 0 &&
+		mh_poison_apart(c->k, first->print, b->pool) == 0);
+}
+
 static void
 take_pieces(struct mh_batch *b, struct worker *w, const struct unit *u,
     const struct mh_gwork *gw, uint32_t most)
@@ -328,9 +345,10 @@
 
 /* What has its data near the endpoint and is hardly less urgent. */
 static void
-take_near(struct mh_batch *b, struct worker *w, const struct mh_node *n,
-    const GArray *units, const struct mh_gwork *gw, uint32_t most)
+take_near(struct mh_cell *c, struct mh_batch *b, struct worker *w,
+    const struct mh_node *n, const GArray *units, uint32_t most)
 {
+	const struct mh_gwork *gw = mh_cell_work_of(c, b->pool);
 	int64_t last = units->len == 0
 	    ? 0
 	    : g_array_index(units, struct unit, 0).key + NEAR_US;
@@ -340,7 +358,8 @@
 
 		if (u->key > last)
 			return;
-		if (is_near(u, n) && inputs_there(u->job, u->stage))
+		if (is_near(u, n) && goes_with(c, b, u->job) &&
+		    inputs_there(u->job, u->stage))
 			take_pieces(b, w, u, gw, most);
 	}
 }
@@ -355,7 +374,7 @@
 	for (guint i = 0; i < units->len && b->items->len < most; i++) {
 		const struct unit *u = &g_array_index(units, struct unit, i);
 
-		if (!suits(u, n))
+		if (!suits(u, n) || !goes_with(c, b, u->job))
 			continue;
 		if (inputs_there(u->job, u->stage))
 			take_pieces(b, w, u, gw, most);
@@ -407,7 +426,7 @@
 	b->expect_us = gw->call_us;
 	g_hash_table_insert(c->batches, &b->id, b);
 	w->called_us = mh_now(c->k);
-	take_near(b, w, n, units, gw, most);
+	take_near(c, b, w, n, units, most);
 	take_first(c, b, w, n, units, most);
 	if (b->items->len == 0) {
 		w->pause_us = mh_now(c->k) + ROOM_PAUSE_US;
--- a/lib/cells.c
+++ b/lib/cells.c
@@ -143,6 +143,17 @@
 		mh_cell_restarted(value, node);
 }
 
+void
+mh_cells_held(struct mh_cells *cs, uint64_t print)
+{
+	GHashTableIter it;
+	gpointer key, value;
+
+	g_hash_table_iter_init(&it, cs->cells);
+	while (g_hash_table_iter_next(&it, &key, &value))
+		mh_cell_held(value, print);
+}
+
 static uint32_t
 smallest_pool(const struct mh_cells *cs)
 {
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -34,6 +34,8 @@
  * for them is what a burst runs out of.
  */
 #define FED_US (80 * MH_US_PER_MS)
+/* A run that has answered for so long is hardly what ends its endpoint. */
+#define FRESH_US (500 * MH_US_PER_MS)
 /* Less time left than this is no use to an endpoint. */
 #define LEAST_LEFT_US (20 * MH_US_PER_MS)
 
@@ -120,8 +122,8 @@
 	g_hash_table_remove(g->asks, q);
 }
 
-static const char *
-refusal_name(enum mh_gate_refusal why)
+const char *
+mh_gate_refusal_name(enum mh_gate_refusal why)
 {
 	static const char *const names[] = { [MH_NOT_READY] = "not_ready",
 		[MH_NO_ROUTE] = "no_route",
@@ -130,6 +132,8 @@
 		[MH_TOO_BUSY] = "too_busy",
 		[MH_NO_ENDPOINT] = "no_endpoint",
 		[MH_NOT_IN_TIME] = "not_in_time",
+		[MH_HELD] = "held",
+		[MH_RUN_HELD] = "run_held",
 		[MH_RUN_FAILED] = "run_failed",
 		[MH_RUN_TIMEOUT] = "run_timeout" };
 
@@ -159,15 +163,15 @@
     int64_t retry_us)
 {
 	bool later = why == MH_NOT_READY || why == MH_TOO_BUSY ||
-	    why == MH_NO_ENDPOINT || why == MH_NOT_IN_TIME;
+	    why == MH_NO_ENDPOINT || why == MH_NOT_IN_TIME || why == MH_HELD;
 
 	if (later) {
 		retry_us = MAX(retry_us, RETRY_MIN_US);
 		retry_us += (int64_t)((double)retry_us * RETRY_SPREAD *
 		    mh_random_unit(g->k));
 	}
-	mh_gate_log_end(g, q, refusal_name(why), retry_us);
-	mh_count(g->k, refusal_name(why), 1);
+	mh_gate_log_end(g, q, mh_gate_refusal_name(why), retry_us);
+	mh_count(g->k, mh_gate_refusal_name(why), 1);
 	mh_gate_close(g, q, true);
 	if (q->passed_head)
 		g->ops.break_off(g->ops.arg, q);
@@ -266,6 +270,7 @@
 	a->domain = g->domain;
 	a->n_parts = q->n_parts;
 	memcpy(a->parts, q->parts, sizeof(a->parts));
+	a->apart = mh_poison_apart(g->k, q->print, q->pool);
 	a->n_tried = q->n_tried;
 	for (uint32_t i = 0; i < q->n_tried; i++)
 		a->tried[i] = q->tried[i];
@@ -287,6 +292,58 @@
 	return n->waiting == 0 && n->running < n->capacity * 3 / 4;
 }
 
+bool
+mh_gate_refuse_held(struct mh_gate *g, struct mh_gask *q)
+{
+	int64_t us = mh_poison_held_us(g->k, q->print);
+
+	if (us == 0)
+		return false;
+	mh_event(g->k, "held",
+	    "id=%s print=%016" PRIx64 " runs=%u sent=%d left_ms=%" PRId64,
+	    q->id, q->print, q->runs, q->cur != NULL, mh_ms(us));
+	if (q->runs > 0 || q->cur != NULL)
+		mh_gate_refuse(g, q, MH_RUN_HELD, 0);
+	else
+		mh_gate_refuse(g, q, MH_HELD, us);
+	return true;
+}
+
+/*
+ * What it runs on now would end under it as well, and what others have there
+ * would break; its caller hears it at once.
+ */
+void
+mh_gate_held(struct mh_gate *g, uint64_t print)
+{
+	GList *all = g_hash_table_get_keys(g->asks);
+
+	for (GList *l = all; l != NULL; l = l->next) {
+		struct mh_gask *q = l->data;
+
+		if (q->print == print)
+			(void)mh_gate_refuse_held(g, q);
+	}
+	g_list_free(all);
+}
+
+bool
+mh_gate_open_at(const struct mh_gate *g, const char *endpoint, int64_t us)
+{
+	GHashTableIter it;
+	gpointer key;
+
+	g_hash_table_iter_init(&it, g->asks);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		const struct mh_try *t = ((struct mh_gask *)key)->cur;
+
+		if (t != NULL && t->sent_us < us &&
+		    strcmp(t->node, endpoint) == 0)
+			return true;
+	}
+	return false;
+}
+
 void
 mh_gate_try_next(struct mh_gate *g, struct mh_gask *q)
 {
@@ -294,6 +351,8 @@
 	struct mh_node *n;
 	struct mh_try *t;
 
+	if (mh_gate_refuse_held(g, q))
+		return;
 	if (mh_gate_limit_us(g, q) - mh_now(g->k) < LEAST_LEFT_US) {
 		mh_gate_out_of_time(g, q);
 		return;
@@ -392,6 +451,15 @@
 	return MH_DROP;
 }
 
+/* Its endpoint has sent something, so that it has not ended. */
+static void
+heard_of(struct mh_gate *g, const struct mh_try *t, const struct mh_node *n)
+{
+	/* Without the time of its start it has another name after each. */
+	mh_poison_answered(
+	    g->k, t->node, t->sent_us, n != NULL && n->born_ms == 0);
+}
+
 enum mh_verdict
 mh_gate_head(struct mh_gate *g, struct mh_try *t, const struct mh_gans *a)
 {
@@ -401,6 +469,8 @@
 
 	if (n != NULL && a->told)
 		mh_node_told(g->f, n, a->running, a->waiting, a->slots);
+	if (!a->moved)
+		heard_of(g, t, n);
 	mh_event(g->k, "head",
 	    "id=%s node=%s status=%u not_run=%d genuine=%d took_ms=%" PRId64,
 	    q->id, t->node, a->status, a->not_run, a->genuine, mh_ms(took));
@@ -416,6 +486,8 @@
 		mh_node_good(g->f, n, took);
 	else if (n != NULL)
 		mh_node_bad(g->f, n, a->genuine ? "status" : "not-genuine");
+	if (a->genuine && a->status >= 500) /* it failed, and goes on */
+		mh_poison_ran(g->k, q->print, q->pool);
 	if (!a->genuine || a->status >= 500)
 		return failed_answer(g, q, a);
 	q->last_data_us = mh_now(g->k);
@@ -441,6 +513,7 @@
 	struct mh_gask *q = t->ask;
 
 	q->last_data_us = mh_now(g->k);
+	heard_of(g, t, mh_fleet_find(g->f, t->node));
 	meter_answer(g, q);
 	if (q->state != MH_ASK_ANSWERING) {
 		q->state = MH_ASK_ANSWERING;
@@ -452,6 +525,17 @@
 		    MAX(GAP_FACTOR * q->route->gap_aim_us, GAP_DEFAULT_US));
 }
 
+/* The endpoint may have ended; one that leaves does so as planned. */
+static void
+note_break(struct mh_gate *g, const struct mh_try *t, const struct mh_node *n)
+{
+	struct mh_poison_end e = { t->node, t->ask->pool, t->ask->print,
+		t->head_us != 0 && mh_now(g->k) - t->head_us > FRESH_US };
+
+	if (n == NULL || !n->leaving)
+		mh_poison_broke(g->k, &e);
+}
+
 void
 mh_gate_end(struct mh_gate *g, struct mh_try *t, enum mh_hcall_end end)
 {
@@ -460,6 +544,7 @@
 
 	if (end == MH_CALL_WHOLE) {
 		meter_answer(g, q);
+		mh_poison_ran(g->k, q->print, q->pool);
 		mh_gate_note_run(g, q);
 		mh_gate_log_end(g, q, "answered", 0);
 		mh_count(g->k, "answered", 1);
@@ -483,8 +568,10 @@
 		mh_node_dead(g->f, n, "unreachable");
 	else if (n != NULL)
 		mh_node_bad(g->f, n, t->counted ? "broken" : "no-answer");
-	if (end == MH_CALL_BROKEN)
+	if (end == MH_CALL_BROKEN) {
 		count_run(q, t);
+		note_break(g, t, n);
+	}
 	leave_try(g, q, false);
 	if (q->events != NULL)
 		mh_sse_restart(q->events);
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -8,6 +8,7 @@
  */
 
 #include "opaque.h"
+#include "poison.h"
 
 /** mh_ms() - microseconds as milliseconds, for log lines. */
 static inline int64_t
@@ -245,6 +246,7 @@
 	uint32_t n_parts;
 	const char *tried[MH_TRIED]; /* ids */
 	uint32_t n_tried;
+	uint64_t apart; /* chosen by this alone; 0: by its prompt and load */
 	bool at_home; /* set by the choice: where its prompt is kept */
 };
 
@@ -297,6 +299,7 @@
 	MH_JOB_DONE,
 	MH_JOB_REFUSED, /* can't be served in time: not run */
 	MH_JOB_FAILED, /* tried, and given up on */
+	MH_JOB_HELD, /* endpoints end under its request: not run any more */
 	MH_JOB_MOVED /* to another home, with what was made of it */
 };
 
@@ -306,6 +309,7 @@
 	char *key; /* what stages without inputs are given */
 	char *domain; /* where its results will be read, NULL: not known */
 	char *route;
+	uint64_t print; /* of its request, see poison.h; 0: not known */
 	uint32_t priority;
 	double weight; /* its worth over the mean of its route, 0: unknown */
 	bool returned; /* the caller was refused before */
@@ -355,6 +359,7 @@
 	int64_t sent_us;
 	int64_t expect_us; /* how long it should take */
 	bool doubled; /* its pieces were given to another endpoint */
+	bool broke; /* its connection broke off: the endpoint may have ended */
 	uint32_t others; /* calls waiting there when it ended */
 	struct mh_cell *cell;
 	struct mh_timer *fed; /* when its inputs will have been read */
@@ -413,6 +418,8 @@
  * is in a call, with what is made of them.
  */
 void mh_cell_leave(struct mh_cell *c);
+/** mh_cell_held() - jobs of that print end: endpoints end under it. */
+void mh_cell_held(struct mh_cell *c, uint64_t print);
 /** mh_cell_idle() - whether it has no jobs. */
 bool mh_cell_idle(const struct mh_cell *c);
 /** mh_cell_backlog_us() - how long a new piece would wait at a pool. */
@@ -436,6 +443,8 @@
 /** mh_cells_discard() - frees a result that no cell of ours knows. */
 void mh_cells_discard(struct mh_cells *cs, const char *result);
 void mh_cells_restarted(struct mh_cells *cs, const char *node);
+/** mh_cells_held() - mh_cell_held() of every cell. */
+void mh_cells_held(struct mh_cells *cs, uint64_t print);
 /** mh_cells_get() - the cell of a slice, made when first asked for. */
 struct mh_cell *mh_cells_get(
     struct mh_cells *cs, uint32_t index, uint32_t count);
@@ -480,6 +489,8 @@
 	MH_TOO_BUSY, /* not run: come back later */
 	MH_NO_ENDPOINT, /* not run: none could be reached */
 	MH_NOT_IN_TIME, /* not run: its time was up before it was sent */
+	MH_HELD, /* not run: endpoints end under it */
+	MH_RUN_HELD, /* sent, and endpoints end under it */
 	MH_RUN_FAILED, /* sent, and no whole answer came */
 	MH_RUN_TIMEOUT /* sent, and its time is up */
 };
@@ -599,6 +610,12 @@
 void mh_gate_progress(struct mh_gate *g, struct mh_try *t);
 void mh_gate_end(struct mh_gate *g, struct mh_try *t, enum mh_hcall_end end);
 uint32_t mh_gate_open(const struct mh_gate *g);
+/** mh_gate_open_at() - a try sent to @endpoint before @us is still open. */
+bool mh_gate_open_at(const struct mh_gate *g, const char *endpoint, int64_t us);
+/** mh_gate_held() - requests of that print end now: endpoints end under it. */
+void mh_gate_held(struct mh_gate *g, uint64_t print);
+/** mh_gate_refusal_name() - as logs, counters and callers know it. */
+const char *mh_gate_refusal_name(enum mh_gate_refusal why);
 /** mh_gate_entries() - so many processes share an endpoint's connections. */
 void mh_gate_entries(struct mh_gate *g, uint32_t n);
 /**
--- a/lib/gateint.h
+++ b/lib/gateint.h
@@ -37,6 +37,8 @@
 /** mh_gate_refuse() - ends it with an answer of our own. */
 void mh_gate_refuse(struct mh_gate *g, struct mh_gask *q,
     enum mh_gate_refusal why, int64_t retry_us);
+/** mh_gate_refuse_held() - true where endpoints end under it: it is refused. */
+bool mh_gate_refuse_held(struct mh_gate *g, struct mh_gask *q);
 /** mh_gate_close() - forgets it; its try and its job are ended. */
 void mh_gate_close(struct mh_gate *g, struct mh_gask *q, bool abort);
 /** mh_gate_fill_place() - what placement is to know of it. */
--- a/lib/gatejob.c
+++ b/lib/gatejob.c
@@ -52,6 +52,7 @@
 		j->domain = g_strdup(home->domain);
 	j->key = g_strdup(q->piece_key);
 	j->route = g_strdup(r->name);
+	j->print = q->print;
 	j->priority = q->priority;
 	j->returned = q->returned;
 	j->weight = weight_of(g, q);
@@ -105,6 +106,12 @@
 		mh_job_destroy(j);
 		give_up(g, q, MH_TOO_BUSY, retry_us);
 		return;
+	case MH_JOB_HELD:
+		q->job = NULL;
+		mh_job_destroy(j);
+		mh_gate_refuse(g, q, q->runs > 0 ? MH_RUN_HELD : MH_HELD,
+		    MAX(retry_us, mh_poison_held_us(g->k, q->print)));
+		return;
 	case MH_JOB_FAILED:
 	case MH_JOB_MOVED:
 		q->job = NULL;
--- a/lib/gatetake.c
+++ b/lib/gatetake.c
@@ -104,6 +104,8 @@
 		mh_gate_refuse(g, q, MH_NOT_READY, 0);
 		return;
 	}
+	if (mh_gate_refuse_held(g, q))
+		return;
 	mh_event(g->k, "ask",
 	    "id=%s route=%s org=%s config=%" PRIu64 " pool=%s given_ms=%" PRId64
 	    " returned=%d aim_ms=%" PRId64 " open=%u print=%016" PRIx64,
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -149,6 +149,29 @@
 	m->lost_arg = arg;
 }
 
+void
+mh_mesh_on_up(
+    struct mh_mesh *m, void (*fn)(void *arg, const char *node), void *arg)
+{
+	m->up = fn;
+	m->up_arg = arg;
+}
+
+bool
+mh_mesh_passes_on(struct mh_mesh *m)
+{
+	uint32_t linked = 0, known = 0;
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		linked += mh_peer_link(value) != 0;
+		known += mh_peer_known(value);
+	}
+	return linked * 2 >= known;
+}
+
 void
 mh_mesh_share(struct mh_mesh *m, const struct mh_mesh_view *v)
 {
@@ -431,6 +454,8 @@
 	beat(m, l->conn);
 	mh_event(m->k, "peer-up", "node=%s addr=%s inbound=%d", p->node,
 	    l->addr, l->inbound);
+	if (m->up != NULL)
+		m->up(m->up_arg, p->node);
 }
 
 static void
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -65,6 +65,16 @@
 /** mh_mesh_on_lost() - an entry stopped answering. */
 void mh_mesh_on_lost(
     struct mh_mesh *m, void (*fn)(void *arg, const char *node), void *arg);
+/** mh_mesh_on_up() - a link to an entry is up. */
+void mh_mesh_on_up(
+    struct mh_mesh *m, void (*fn)(void *arg, const char *node), void *arg);
+/**
+ * mh_mesh_passes_on() - whether others may be linked to us alone.
+ *
+ * Most entries are linked to the few that all know; these pass on what all
+ * should have.
+ */
+bool mh_mesh_passes_on(struct mh_mesh *m);
 /** mh_mesh_send() - false when there is no link to @node. */
 bool mh_mesh_send(struct mh_mesh *m, const char *node, Mh__Frame *f);
 /** mh_mesh_home() - the live entry whose turn @what is; may be ourselves. */
@@ -104,6 +114,24 @@
 /** mh_suspects_report() - an endpoint gave no answer at all. */
 void mh_suspects_report(struct mh_suspects *s, const char *endpoint);
 
+/* poisonmesh.c: requests under which endpoints end, among entries */
+
+struct mh_poison_mesh;
+
+/** struct mh_poison_mesh_args - the parts of an entry; not owned. */
+struct mh_poison_mesh_args {
+	struct mh_mesh *mesh;
+	struct mh_fleet *fleet;
+	struct mh_gate *gate;
+	struct mh_cells *cells; /* NULL: no stage work */
+};
+
+/** mh_poison_mesh_create() - makes service "poison" of an entry. */
+struct mh_poison_mesh *mh_poison_mesh_create(
+    struct mh_kern *k, const struct mh_poison_mesh_args *a);
+/** mh_poison_mesh_destroy() - no message may come any more. */
+void mh_poison_mesh_destroy(struct mh_poison_mesh *p);
+
 /* broker.c: stage work goes to the entry whose turn it is */
 
 struct mh_broker;
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -58,6 +58,8 @@
 	struct handler on[MAX_CASES];
 	void (*lost)(void *arg, const char *node);
 	void *lost_arg;
+	void (*up)(void *arg, const char *node);
+	void *up_arg;
 	struct mh_timer *timer;
 	int64_t rows_asked_us; /* when another was asked, 0: answered */
 	uint32_t conf_answers; /* configurations sent since the last beat */
--- a/lib/place.c
+++ b/lib/place.c
@@ -222,6 +222,31 @@
 	return best;
 }
 
+/*
+ * A request that may end endpoints: all entries choose the same one for it,
+ * and others for others, so that an end tells which of them it was.
+ */
+static struct mh_node *
+apart_of(
+    struct mh_place *p, const struct mh_place_ask *a, const GPtrArray *pool)
+{
+	struct mh_node *best = NULL;
+	uint64_t most = 0;
+
+	for (guint i = 0; i < pool->len; i++) {
+		struct mh_node *n = g_ptr_array_index(pool, i);
+		uint64_t w = mix(a->apart, n->hash);
+
+		if (!mh_node_usable(p->f, n) || was_tried(a, n) ||
+		    (a->most > 0 && n->inflight >= a->most) ||
+		    (best != NULL && w <= most))
+			continue;
+		best = n;
+		most = w;
+	}
+	return best;
+}
+
 const struct mh_node *
 mh_place_home(struct mh_place *p, const struct mh_place_ask *a)
 {
@@ -238,6 +263,8 @@
 
 	if (pool == NULL)
 		return NULL;
-	n = best_of(p, a, pool, false);
+	n = a->apart != 0 ? apart_of(p, a, pool) : NULL;
+	if (n == NULL)
+		n = best_of(p, a, pool, false);
 	return n != NULL ? n : best_of(p, a, pool, true);
 }
--- /dev/null
+++ b/lib/poisonint.h
@@ -0,0 +1,98 @@
+#ifndef POISONINT_H
+#define POISONINT_H
+
+/* Shared by poison.c and poisontold.c alone. */
+
+#include "poison.h"
+
+/* Breaks that far apart are of two ends of one incarnation. */
+#define MH_POISON_SAME_US (2 * MH_US_PER_S)
+
+/** struct member - a request that an endpoint had when it ended. */
+struct member {
+	uint64_t print;
+	bool old;
+};
+
+/** struct ended - an endpoint that ended, as far as is known. */
+struct ended {
+	struct mh_poison *s;
+	char *endpoint;
+	char *pool;
+	int64_t at_us;
+	GArray *members; /* struct member */
+	bool settled; /* else the calls that break with it still come in */
+	bool ripe; /* the others have told what they had there */
+	bool lives; /* it has answered since */
+	bool told;
+};
+
+/** struct hold - a request that is held, or was. */
+struct hold {
+	uint64_t print;
+	char *pool;
+	int64_t made_us;
+	int64_t until_us;
+	uint32_t times;
+	bool told;
+};
+
+/** struct ran - a request that was suspected and has run. */
+struct ran {
+	uint64_t print;
+	char *pool;
+	int64_t at_us;
+	bool told;
+};
+
+/** struct row - what speaks against a request at one pool. */
+struct row {
+	uint64_t print;
+	const char *pool; /* of an end or a hold */
+	uint32_t score;
+	uint32_t ends;
+	bool alone; /* nothing else was blamed for its last end */
+};
+
+/** struct mh_poison - the service. */
+struct mh_poison {
+	struct mh_kern *k;
+	struct mh_poison_ops ops;
+	GHashTable *ended; /* endpoint -> struct ended */
+	GHashTable *holds; /* print -> struct hold */
+	GHashTable *ran; /* print and pool -> struct ran */
+	GHashTable *rows; /* print and pool -> struct row */
+	bool stale; /* rows are to be worked out anew */
+	int64_t second; /* of the bound on new ends */
+	uint32_t new_ends; /* in it */
+	struct mh_timer *look;
+	struct mh_timer *sweep;
+};
+
+/** mh_poison_key() - names a request at a pool. */
+uint64_t mh_poison_key(uint64_t print, const char *pool);
+/** mh_poison_ended() - the end of an endpoint about then, made if new; NULL:
+ * there are too many. */
+struct ended *mh_poison_ended(
+    struct mh_poison *s, const char *endpoint, const char *pool, int64_t at_us);
+/** mh_poison_add() - true if the member was not known. */
+bool mh_poison_add(struct ended *e, uint64_t print, bool old);
+/** mh_poison_hold() - holds a request, or moves the end of its hold. */
+struct hold *mh_poison_hold(struct mh_poison *s, uint64_t print,
+    const char *pool, int64_t until_us, uint32_t times);
+/** mh_poison_release() - a hold is over and forgotten. */
+void mh_poison_release(struct mh_poison *s, struct hold *h, const char *why);
+/** mh_poison_clear() - a request has run; true if that changes anything. */
+bool mh_poison_clear(
+    struct mh_poison *s, uint64_t print, const char *pool, int64_t at_us);
+/** mh_poison_take_back() - an endpoint lives: what was laid to its requests. */
+void mh_poison_take_back(struct mh_poison *s, const struct ended *e);
+/** mh_poison_judge() - looks for causes, with all that is known. */
+void mh_poison_judge(struct mh_poison *s);
+/** mh_poison_tell() - what is not told yet goes out. */
+void mh_poison_tell(struct mh_poison *s);
+/** mh_poison_says() - a line of the log. */
+void mh_poison_says(struct mh_poison *s, const char *kind, const char *fmt, ...)
+    G_GNUC_PRINTF(3, 4);
+
+#endif
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -1852,6 +1852,186 @@
   assert(message->base.descriptor == &mh__suspect__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mh__ended__init
+                     (Mh__Ended         *message)
+{
+  static const Mh__Ended init_value = MH__ENDED__INIT;
+  *message = init_value;
+}
+size_t mh__ended__get_packed_size
+                     (const Mh__Ended *message)
+{
+  assert(message->base.descriptor == &mh__ended__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__ended__pack
+                     (const Mh__Ended *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__ended__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__ended__pack_to_buffer
+                     (const Mh__Ended *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__ended__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__Ended *
+       mh__ended__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__Ended *)
+     protobuf_c_message_unpack (&mh__ended__descriptor,
+                                allocator, len, data);
+}
+void   mh__ended__free_unpacked
+                     (Mh__Ended *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__ended__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mh__held__init
+                     (Mh__Held         *message)
+{
+  static const Mh__Held init_value = MH__HELD__INIT;
+  *message = init_value;
+}
+size_t mh__held__get_packed_size
+                     (const Mh__Held *message)
+{
+  assert(message->base.descriptor == &mh__held__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__held__pack
+                     (const Mh__Held *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__held__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__held__pack_to_buffer
+                     (const Mh__Held *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__held__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__Held *
+       mh__held__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__Held *)
+     protobuf_c_message_unpack (&mh__held__descriptor,
+                                allocator, len, data);
+}
+void   mh__held__free_unpacked
+                     (Mh__Held *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__held__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mh__ran__init
+                     (Mh__Ran         *message)
+{
+  static const Mh__Ran init_value = MH__RAN__INIT;
+  *message = init_value;
+}
+size_t mh__ran__get_packed_size
+                     (const Mh__Ran *message)
+{
+  assert(message->base.descriptor == &mh__ran__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__ran__pack
+                     (const Mh__Ran *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__ran__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__ran__pack_to_buffer
+                     (const Mh__Ran *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__ran__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__Ran *
+       mh__ran__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__Ran *)
+     protobuf_c_message_unpack (&mh__ran__descriptor,
+                                allocator, len, data);
+}
+void   mh__ran__free_unpacked
+                     (Mh__Ran *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__ran__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mh__poison__init
+                     (Mh__Poison         *message)
+{
+  static const Mh__Poison init_value = MH__POISON__INIT;
+  *message = init_value;
+}
+size_t mh__poison__get_packed_size
+                     (const Mh__Poison *message)
+{
+  assert(message->base.descriptor == &mh__poison__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__poison__pack
+                     (const Mh__Poison *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__poison__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__poison__pack_to_buffer
+                     (const Mh__Poison *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__poison__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__Poison *
+       mh__poison__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__Poison *)
+     protobuf_c_message_unpack (&mh__poison__descriptor,
+                                allocator, len, data);
+}
+void   mh__poison__free_unpacked
+                     (Mh__Poison *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__poison__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mh__frame__init
                      (Mh__Frame         *message)
 {
@@ -2218,7 +2398,7 @@
   (ProtobufCMessageInit) mh__auth__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__call__field_descriptors[16] =
+static const ProtobufCFieldDescriptor mh__call__field_descriptors[17] =
 {
   {
     "id",
@@ -2412,6 +2592,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "print",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Call, print),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__call__field_indices_by_name[] = {
   9,   /* field[9] = body */
@@ -2427,6 +2619,7 @@
   13,   /* field[13] = partition */
   8,   /* field[8] = path */
   7,   /* field[7] = predicted_us */
+  16,   /* field[16] = print */
   2,   /* field[2] = priority */
   10,   /* field[10] = stream */
   6,   /* field[6] = units */
@@ -2434,7 +2627,7 @@
 static const ProtobufCIntRange mh__call__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor mh__call__descriptor =
 {
@@ -2444,7 +2637,7 @@
   "Mh__Call",
   "mh",
   sizeof(Mh__Call),
-  16,
+  17,
   mh__call__field_descriptors,
   mh__call__field_indices_by_name,
   1,  mh__call__number_ranges,
@@ -4709,7 +4902,7 @@
   (ProtobufCMessageInit) mh__job_stage__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__job__field_descriptors[13] =
+static const ProtobufCFieldDescriptor mh__job__field_descriptors[14] =
 {
   {
     "id",
@@ -4867,6 +5060,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "print",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Job, print),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__job__field_indices_by_name[] = {
   5,   /* field[5] = aim_us */
@@ -4875,6 +5080,7 @@
   0,   /* field[0] = id */
   1,   /* field[1] = key */
   12,   /* field[12] = moved */
+  13,   /* field[13] = print */
   3,   /* field[3] = priority */
   4,   /* field[4] = returned */
   2,   /* field[2] = route */
@@ -4886,7 +5092,7 @@
 static const ProtobufCIntRange mh__job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor mh__job__descriptor =
 {
@@ -4896,14 +5102,14 @@
   "Mh__Job",
   "mh",
   sizeof(Mh__Job),
-  13,
+  14,
   mh__job__field_descriptors,
   mh__job__field_indices_by_name,
   1,  mh__job__number_ranges,
   (ProtobufCMessageInit) mh__job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__job_end__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mh__job_end__field_descriptors[5] =
 {
   {
     "id",
@@ -4953,9 +5159,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "held",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__JobEnd, held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__job_end__field_indices_by_name[] = {
   1,   /* field[1] = end */
+  4,   /* field[4] = held */
   0,   /* field[0] = id */
   2,   /* field[2] = retry_us */
   3,   /* field[3] = stages */
@@ -4963,7 +5182,7 @@
 static const ProtobufCIntRange mh__job_end__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor mh__job_end__descriptor =
 {
@@ -4973,7 +5192,7 @@
   "Mh__JobEnd",
   "mh",
   sizeof(Mh__JobEnd),
-  4,
+  5,
   mh__job_end__field_descriptors,
   mh__job_end__field_indices_by_name,
   1,  mh__job_end__number_ranges,
@@ -5146,7 +5365,328 @@
   (ProtobufCMessageInit) mh__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__frame__field_descriptors[37] =
+static const ProtobufCFieldDescriptor mh__ended__field_descriptors[6] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Ended, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pool",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Ended, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Ended, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fresh",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Mh__Ended, n_fresh),
+    offsetof(Mh__Ended, fresh),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "old",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Mh__Ended, n_old),
+    offsetof(Mh__Ended, old),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lives",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Ended, lives),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__ended__field_indices_by_name[] = {
+  2,   /* field[2] = age_us */
+  0,   /* field[0] = endpoint */
+  3,   /* field[3] = fresh */
+  5,   /* field[5] = lives */
+  4,   /* field[4] = old */
+  1,   /* field[1] = pool */
+};
+static const ProtobufCIntRange mh__ended__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor mh__ended__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.Ended",
+  "Ended",
+  "Mh__Ended",
+  "mh",
+  sizeof(Mh__Ended),
+  6,
+  mh__ended__field_descriptors,
+  mh__ended__field_indices_by_name,
+  1,  mh__ended__number_ranges,
+  (ProtobufCMessageInit) mh__ended__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__held__field_descriptors[5] =
+{
+  {
+    "print",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Held, print),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pool",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Held, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Held, left_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "times",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Held, times),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Held, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__held__field_indices_by_name[] = {
+  4,   /* field[4] = age_us */
+  2,   /* field[2] = left_us */
+  1,   /* field[1] = pool */
+  0,   /* field[0] = print */
+  3,   /* field[3] = times */
+};
+static const ProtobufCIntRange mh__held__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor mh__held__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.Held",
+  "Held",
+  "Mh__Held",
+  "mh",
+  sizeof(Mh__Held),
+  5,
+  mh__held__field_descriptors,
+  mh__held__field_indices_by_name,
+  1,  mh__held__number_ranges,
+  (ProtobufCMessageInit) mh__held__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__ran__field_descriptors[3] =
+{
+  {
+    "print",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Ran, print),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pool",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Ran, pool),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Ran, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__ran__field_indices_by_name[] = {
+  2,   /* field[2] = age_us */
+  1,   /* field[1] = pool */
+  0,   /* field[0] = print */
+};
+static const ProtobufCIntRange mh__ran__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor mh__ran__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.Ran",
+  "Ran",
+  "Mh__Ran",
+  "mh",
+  sizeof(Mh__Ran),
+  3,
+  mh__ran__field_descriptors,
+  mh__ran__field_indices_by_name,
+  1,  mh__ran__number_ranges,
+  (ProtobufCMessageInit) mh__ran__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__poison__field_descriptors[3] =
+{
+  {
+    "ended",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Poison, n_ended),
+    offsetof(Mh__Poison, ended),
+    &mh__ended__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Poison, n_held),
+    offsetof(Mh__Poison, held),
+    &mh__held__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ran",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Poison, n_ran),
+    offsetof(Mh__Poison, ran),
+    &mh__ran__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__poison__field_indices_by_name[] = {
+  0,   /* field[0] = ended */
+  1,   /* field[1] = held */
+  2,   /* field[2] = ran */
+};
+static const ProtobufCIntRange mh__poison__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor mh__poison__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.Poison",
+  "Poison",
+  "Mh__Poison",
+  "mh",
+  sizeof(Mh__Poison),
+  3,
+  mh__poison__field_descriptors,
+  mh__poison__field_indices_by_name,
+  1,  mh__poison__number_ranges,
+  (ProtobufCMessageInit) mh__poison__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__frame__field_descriptors[38] =
 {
   {
     "generation",
@@ -5592,6 +6132,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "poison",
+    46,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, poison),
+    &mh__poison__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__frame__field_indices_by_name[] = {
   7,   /* field[7] = ack */
@@ -5623,6 +6175,7 @@
   14,   /* field[14] = outcomes */
   15,   /* field[15] = owners */
   10,   /* field[10] = ping */
+  37,   /* field[37] = poison */
   11,   /* field[11] = pong */
   6,   /* field[6] = result */
   9,   /* field[9] = resume */
@@ -5637,7 +6190,7 @@
   { 1, 0 },
   { 10, 2 },
   { 25, 16 },
-  { 0, 37 }
+  { 0, 38 }
 };
 const ProtobufCMessageDescriptor mh__frame__descriptor =
 {
@@ -5647,7 +6200,7 @@
   "Mh__Frame",
   "mh",
   sizeof(Mh__Frame),
-  37,
+  38,
   mh__frame__field_descriptors,
   mh__frame__field_indices_by_name,
   3,  mh__frame__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -56,6 +56,10 @@
 typedef struct Mh__JobStep Mh__JobStep;
 typedef struct Mh__JobDrop Mh__JobDrop;
 typedef struct Mh__Suspect Mh__Suspect;
+typedef struct Mh__Ended Mh__Ended;
+typedef struct Mh__Held Mh__Held;
+typedef struct Mh__Ran Mh__Ran;
+typedef struct Mh__Poison Mh__Poison;
 typedef struct Mh__Frame Mh__Frame;
 
 
@@ -161,10 +165,14 @@
   uint32_t partition;
   uint64_t epoch;
   uint32_t out_tokens;
+  /*
+   * of the caller's request; 0: not known
+   */
+  uint64_t print;
 };
 #define MH__CALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__call__descriptor) \
-    , NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , NULL, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string, {0,NULL}, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Mh__Chunk
@@ -666,10 +674,14 @@
    * another home had it, whose calls may still run
    */
   protobuf_c_boolean moved;
+  /*
+   * of its request; 0: not known
+   */
+  uint64_t print;
 };
 #define MH__JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__job__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
 
 
 struct  Mh__JobEnd
@@ -680,10 +692,14 @@
   uint64_t retry_us;
   size_t n_stages;
   Mh__JobStage **stages;
+  /*
+   * with a failed end: endpoints end under it
+   */
+  protobuf_c_boolean held;
 };
 #define MH__JOB_END__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__job_end__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -740,6 +756,89 @@
     , (char *)protobuf_c_empty_string, 0 }
 
 
+/*
+ * What is known of requests under which endpoints end; requests are named by
+ * a fingerprint of what is asked.
+ */
+struct  Mh__Ended
+{
+  ProtobufCMessage base;
+  /*
+   * the incarnation
+   */
+  char *endpoint;
+  char *pool;
+  uint64_t age_us;
+  /*
+   * requests that had just begun there...
+   */
+  size_t n_fresh;
+  uint64_t *fresh;
+  /*
+   * ...and that had run for a while
+   */
+  size_t n_old;
+  uint64_t *old;
+  /*
+   * it has answered since: it had not ended
+   */
+  protobuf_c_boolean lives;
+};
+#define MH__ENDED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__ended__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0 }
+
+
+struct  Mh__Held
+{
+  ProtobufCMessage base;
+  uint64_t print;
+  char *pool;
+  /*
+   * of the hold; 0: it is over
+   */
+  uint64_t left_us;
+  /*
+   * that it was held
+   */
+  uint32_t times;
+  uint64_t age_us;
+};
+#define MH__HELD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__held__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * An endpoint has run it and goes on: what was known before is no more.
+ */
+struct  Mh__Ran
+{
+  ProtobufCMessage base;
+  uint64_t print;
+  char *pool;
+  uint64_t age_us;
+};
+#define MH__RAN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__ran__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Mh__Poison
+{
+  ProtobufCMessage base;
+  size_t n_ended;
+  Mh__Ended **ended;
+  size_t n_held;
+  Mh__Held **held;
+  size_t n_ran;
+  Mh__Ran **ran;
+};
+#define MH__POISON__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__poison__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL }
+
+
 typedef enum {
   MH__FRAME__BODY__NOT_SET = 0,
   MH__FRAME__BODY_HELLO = 10,
@@ -776,7 +875,8 @@
   MH__FRAME__BODY_JOB_DROP = 42,
   MH__FRAME__BODY_SUSPECT = 43,
   MH__FRAME__BODY_KNOWN = 44,
-  MH__FRAME__BODY_JOB_STEP = 45
+  MH__FRAME__BODY_JOB_STEP = 45,
+  MH__FRAME__BODY_POISON = 46
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MH__FRAME__BODY__CASE)
 } Mh__Frame__BodyCase;
 
@@ -822,6 +922,7 @@
     Mh__Suspect *suspect;
     Mh__Known *known;
     Mh__JobStep *job_step;
+    Mh__Poison *poison;
   };
 };
 #define MH__FRAME__INIT \
@@ -1608,6 +1709,82 @@
 void   mh__suspect__free_unpacked
                      (Mh__Suspect *message,
                       ProtobufCAllocator *allocator);
+/* Mh__Ended methods */
+void   mh__ended__init
+                     (Mh__Ended         *message);
+size_t mh__ended__get_packed_size
+                     (const Mh__Ended   *message);
+size_t mh__ended__pack
+                     (const Mh__Ended   *message,
+                      uint8_t             *out);
+size_t mh__ended__pack_to_buffer
+                     (const Mh__Ended   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__Ended *
+       mh__ended__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__ended__free_unpacked
+                     (Mh__Ended *message,
+                      ProtobufCAllocator *allocator);
+/* Mh__Held methods */
+void   mh__held__init
+                     (Mh__Held         *message);
+size_t mh__held__get_packed_size
+                     (const Mh__Held   *message);
+size_t mh__held__pack
+                     (const Mh__Held   *message,
+                      uint8_t             *out);
+size_t mh__held__pack_to_buffer
+                     (const Mh__Held   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__Held *
+       mh__held__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__held__free_unpacked
+                     (Mh__Held *message,
+                      ProtobufCAllocator *allocator);
+/* Mh__Ran methods */
+void   mh__ran__init
+                     (Mh__Ran         *message);
+size_t mh__ran__get_packed_size
+                     (const Mh__Ran   *message);
+size_t mh__ran__pack
+                     (const Mh__Ran   *message,
+                      uint8_t             *out);
+size_t mh__ran__pack_to_buffer
+                     (const Mh__Ran   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__Ran *
+       mh__ran__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__ran__free_unpacked
+                     (Mh__Ran *message,
+                      ProtobufCAllocator *allocator);
+/* Mh__Poison methods */
+void   mh__poison__init
+                     (Mh__Poison         *message);
+size_t mh__poison__get_packed_size
+                     (const Mh__Poison   *message);
+size_t mh__poison__pack
+                     (const Mh__Poison   *message,
+                      uint8_t             *out);
+size_t mh__poison__pack_to_buffer
+                     (const Mh__Poison   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__Poison *
+       mh__poison__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__poison__free_unpacked
+                     (Mh__Poison *message,
+                      ProtobufCAllocator *allocator);
 /* Mh__Frame methods */
 void   mh__frame__init
                      (Mh__Frame         *message);
@@ -1752,6 +1929,18 @@
 typedef void (*Mh__Suspect_Closure)
                  (const Mh__Suspect *message,
                   void *closure_data);
+typedef void (*Mh__Ended_Closure)
+                 (const Mh__Ended *message,
+                  void *closure_data);
+typedef void (*Mh__Held_Closure)
+                 (const Mh__Held *message,
+                  void *closure_data);
+typedef void (*Mh__Ran_Closure)
+                 (const Mh__Ran *message,
+                  void *closure_data);
+typedef void (*Mh__Poison_Closure)
+                 (const Mh__Poison *message,
+                  void *closure_data);
 typedef void (*Mh__Frame_Closure)
                  (const Mh__Frame *message,
                   void *closure_data);
@@ -1803,6 +1992,10 @@
 extern const ProtobufCMessageDescriptor mh__job_step__descriptor;
 extern const ProtobufCMessageDescriptor mh__job_drop__descriptor;
 extern const ProtobufCMessageDescriptor mh__suspect__descriptor;
+extern const ProtobufCMessageDescriptor mh__ended__descriptor;
+extern const ProtobufCMessageDescriptor mh__held__descriptor;
+extern const ProtobufCMessageDescriptor mh__ran__descriptor;
+extern const ProtobufCMessageDescriptor mh__poison__descriptor;
 extern const ProtobufCMessageDescriptor mh__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/marlwork/run.c
+++ b/marlwork/run.c
@@ -40,6 +40,7 @@
 		s->refused++;
 		break;
 	case MH_JOB_FAILED:
+	case MH_JOB_HELD:
 	case MH_JOB_MOVED:
 		break;
 	}
--- a/regress/fallrig.c
+++ b/regress/fallrig.c
@@ -134,9 +134,13 @@
 op_refuse(
     void *arg, struct mh_gask *q, enum mh_gate_refusal why, int64_t retry_us)
 {
-	(void)why;
+	struct fallrig *r = ((struct fent *)arg)->r;
+	bool held = why == MH_HELD || why == MH_RUN_HELD;
+
 	(void)retry_us;
-	failed(((struct fent *)arg)->r, q);
+	r->good_held += held && !is_bad(r, q->print);
+	r->bad_held += held && is_bad(r, q->print);
+	failed(r, q);
 }
 
 static void
@@ -183,11 +187,15 @@
 	struct mh_budget_args b = { 0.2, 500, 10 * S };
 	struct mh_gate_ops ops = { op_send, op_abort, op_refuse, op_finish,
 		op_break, e, op_job, op_job, op_job, e };
+	struct mh_poison_mesh_args poison = { .mesh = e->m->m };
 
 	e->f = mh_fleet_create(e->m->k);
 	e->p = mh_place_create(e->m->k, e->f);
 	e->b = mh_budget_create(e->m->k, &b);
 	e->g = mh_gate_create(e->m->k, e->f, e->p, e->b, &ops, "d");
+	poison.gate = e->g;
+	poison.fleet = e->f;
+	e->poison = mh_poison_mesh_create(e->m->k, &poison);
 	mh_gate_conf(e->g, e->r->conf);
 	list_engines(e);
 }
@@ -206,6 +214,7 @@
 		else
 			i++;
 	}
+	mh_poison_mesh_destroy(e->poison);
 	mh_place_destroy(e->p);
 	mh_budget_destroy(e->b);
 	mh_fleet_destroy(e->f);
--- a/regress/fallrig.h
+++ b/regress/fallrig.h
@@ -26,6 +26,7 @@
 	struct mh_place *p;
 	struct mh_budget *b;
 	struct mh_gate *g;
+	struct mh_poison_mesh *poison;
 };
 
 /** struct fallrig - what all share. */
--- a/regress/world.c
+++ b/regress/world.c
@@ -210,6 +210,7 @@
 		w->refused++;
 		break;
 	case MH_JOB_FAILED:
+	case MH_JOB_HELD:
 		w->failed++;
 		break;
 	case MH_JOB_MOVED:
