Our own entries and side processes hold requests under which endpoints end

Cause: the same class of fault at our own interface: entry and side process knew a request by its call alone, so one that ends endpoints ended each in turn, by retries and by its caller's next request. Ruled out: an entry noticing it alone; calls break at the side process beside the endpoint, of all entries. Change: calls carry the fingerprint; a side process tells which runs broke with its endpoint; entries pass it on; a held request is refused by entries (503 request-held) and by side processes before it starts; suspects get no hedge and an endpoint of their own. A call that was sent after its endpoint had ended says nothing. Conclusion: one decision service serves both interfaces.

--- a/lib/admin.c
+++ b/lib/admin.c
@@ -3,6 +3,7 @@
  */
 
 #include "marlhoist.h"
+#include "poison.h"
 
 #include <string.h>
 
@@ -29,6 +30,7 @@
 	}
 	if (mh_kern_get(k, "side") != NULL)
 		json_object_set_new(o, "side", mh_side_state(k));
+	json_object_set_new(o, "held", mh_poison_state(k));
 	json_object_set_new(o, "counters", mh_kern_counters(k));
 	text = json_dumps(o, JSON_INDENT(2) | JSON_SORT_KEYS);
 	json_decref(o);
--- a/lib/cell.c
+++ b/lib/cell.c
@@ -317,7 +317,7 @@
 		const struct mh_job *j =
 		    g_array_index(b->items, struct mh_batch_item, i).job;
 		struct mh_poison_end e = { b->node, b->pool,
-			j == NULL ? 0 : j->print, false };
+			j == NULL ? 0 : j->print, b->sent_us, false };
 
 		if (end == MH_BATCH_DONE && j != NULL)
 			mh_poison_ran(c->k, j->print, b->pool);
--- a/lib/client.c
+++ b/lib/client.c
@@ -55,6 +55,8 @@
 	curl_easy_getinfo(h->easy, CURLINFO_RESPONSE_CODE, &status);
 	d.status = (uint32_t)status;
 	d.sent = rc != CURLE_COULDNT_CONNECT;
+	d.broke = rc == CURLE_RECV_ERROR || rc == CURLE_SEND_ERROR ||
+	    rc == CURLE_GOT_NOTHING || rc == CURLE_PARTIAL_FILE;
 	d.index = h->index;
 	d.body = g_bytes_new(h->answer->data, h->answer->len);
 	free_http(h);
--- a/lib/endpoint.c
+++ b/lib/endpoint.c
@@ -110,6 +110,7 @@
 	u->run = r->id;
 	u->status = d->status;
 	u->sent = d->sent;
+	u->broke = d->broke;
 	/* A stream without its end mark was cut, however it closed. */
 	u->whole = d->whole && !r->garbage &&
 	    (!r->stream || d->status != 200 || r->end_mark);
--- a/lib/entry.c
+++ b/lib/entry.c
@@ -5,6 +5,8 @@
 
 #include "entry.h"
 
+#include "poison.h"
+
 #include <string.h>
 
 #define MAX_KEY 128
@@ -433,6 +435,52 @@
 	return mh_hash(c, strlen(c)) | 1;
 }
 
+/* What is asked, whoever carries it and under whatever key. */
+static uint64_t
+fingerprint(const struct mh_request_msg *m, const struct mh_org *org)
+{
+	gsize len;
+	const void *data = g_bytes_get_data(m->body, &len);
+	uint64_t of[] = { mh_hash(org->name, strlen(org->name)),
+		mh_hash(m->path, strlen(m->path)), mh_hash(data, len) };
+
+	return MAX(mh_hash(of, sizeof(of)), 1);
+}
+
+/* Endpoints end under it: it is refused before it costs one more. */
+static bool
+not_held(struct entry *e, const struct mh_request_msg *m, struct request *r)
+{
+	struct problem p = { .status = 503,
+		.kind = "request-held",
+		.detail = "Endpoints end under this request; it was not run.",
+		.remedy = "Change the request, or ask again after "
+			  "Retry-After." };
+
+	r->print = fingerprint(m, r->org);
+	p.retry_us = mh_poison_held_us(e->k, r->print);
+	if (p.retry_us == 0)
+		return true;
+	mh_count(e->k, "entry_held", 1);
+	refuse(e, m, &p);
+	return false;
+}
+
+void
+mh_entry_held(struct mh_kern *k, uint64_t print)
+{
+	struct entry *e = get(k);
+	GList *all = g_hash_table_get_values(e->requests);
+
+	for (GList *l = all; l != NULL; l = l->next) {
+		struct request *r = l->data;
+
+		if (r->print == print)
+			pipe_held(r);
+	}
+	g_list_free(all);
+}
+
 static bool
 prepare(struct entry *e, const struct mh_request_msg *m,
     const struct mh_key_owner *who, struct request *r)
@@ -445,7 +493,7 @@
 	mh_uuid7(e->k, r->id);
 	r->id_text = mh_uuid_text(r->id);
 	return read_input(e, m, r) && decide(e, m, r) && take_key(e, m, r) &&
-	    feasible(e, m, r) && take_limits(e, m, who, r);
+	    not_held(e, m, r) && feasible(e, m, r) && take_limits(e, m, who, r);
 }
 
 static void
@@ -650,6 +698,7 @@
 	mh_predict_create(k);
 	mh_relay_create(k);
 	mh_limit_create(k, vm);
+	mh_poison_hub_create(k);
 	e->k = k;
 	e->vm = g_strdup(vm);
 	e->domain = g_strdup(domain);
--- a/lib/entry.h
+++ b/lib/entry.h
@@ -23,6 +23,7 @@
 	struct entry *e;
 	uint8_t id[MH_ID_LEN];
 	char *id_text;
+	uint64_t print; /* equal when the same is asked again */
 	uint64_t caller; /* names the waiting caller to http */
 	struct mh_decl *decl;
 	struct mh_decision d;
@@ -154,6 +155,8 @@
 const struct mh_stage *pipe_last(const struct mh_pipeline *p);
 void pipe_start(struct request *r);
 void pipe_stop(struct request *r);
+/** pipe_held() - ends a request under which endpoints end. */
+void pipe_held(struct request *r);
 int64_t pipe_predict_us(const struct request *r, guint from, bool waits);
 double pipe_units(const struct request *r);
 
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -530,6 +530,7 @@
 note_break(struct mh_gate *g, const struct mh_try *t, const struct mh_node *n)
 {
 	struct mh_poison_end e = { t->node, t->ask->pool, t->ask->print,
+		t->sent_us,
 		t->head_us != 0 && mh_now(g->k) - t->head_us > FRESH_US };
 
 	if (n == NULL || !n->leaving)
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -135,6 +135,7 @@
 	uint32_t status; /* HTTP status, 0 when none came */
 	bool sent; /* false: certainly never reached the endpoint */
 	bool whole; /* the end mark was seen */
+	bool broke; /* the endpoint closed in the middle of the call */
 	uint64_t tokens_in;
 	uint64_t tokens_cached;
 	uint64_t tokens_out;
@@ -640,6 +641,7 @@
 	uint64_t affinity; /* 0: none */
 	const char *avoid_vm; /* tried before */
 	const char *avoid_domain;
+	uint64_t apart; /* chosen by this alone, see poison.h; 0: by load */
 };
 
 void mh_route_create(struct mh_kern *k, const char *domain);
@@ -693,6 +695,7 @@
 	uint32_t partition;
 	uint64_t epoch;
 	uint32_t out_tokens;
+	uint64_t print; /* of the caller's request, see poison.h */
 };
 
 /** struct mh_call_event - a chunk (result NULL) or the end of a call. */
@@ -951,7 +954,8 @@
 	WHY_MARKED, /* this call was refused before */
 	WHY_REVOKED, /* the key was revoked for good */
 	WHY_MISMATCH, /* the key came with another body before */
-	WHY_FUTURE /* the key is stamped in the future */
+	WHY_FUTURE, /* the key is stamped in the future */
+	WHY_HELD /* endpoints end under its request */
 };
 
 /** struct mh_side_args - a side process's place and size. */
@@ -1040,6 +1044,7 @@
 	uint32_t status; /* 0: no answer */
 	bool sent; /* false: never left */
 	bool whole;
+	bool broke; /* the other end closed in the middle */
 	GBytes *body;
 	uint64_t index; /* X-Consul-Index */
 };
@@ -1110,6 +1115,15 @@
 /** mh_req_cut() - drops the connection in the middle of the answer. */
 void mh_req_cut(struct mh_http_req *r);
 
+/* poisonhub.c: requests under which endpoints end, in our own deployments */
+
+/** mh_poison_hub_create() - makes service "poison" of an entry or a side. */
+void mh_poison_hub_create(struct mh_kern *k);
+/** mh_entry_held() - requests of that print end: endpoints end under it. */
+void mh_entry_held(struct mh_kern *k, uint64_t print);
+/** mh_side_held() - calls of that print that wait are refused. */
+void mh_side_held(struct mh_kern *k, uint64_t print);
+
 /* admin.c */
 
 /** mh_admin_serve() - answers /livez, /readyz, /metrics and /state. */
--- a/lib/pick.c
+++ b/lib/pick.c
@@ -5,6 +5,8 @@
 
 #include "entry.h"
 
+#include "poison.h"
+
 #define KEY_CANDIDATES 16
 
 /*
@@ -65,6 +67,7 @@
 
 	if (s->never)
 		return pick_owner(r, s);
+	q.apart = mh_poison_apart(r->e->k, r->print, s->pool);
 	if (r->picks > 0) {
 		q.avoid_vm = r->last_vm;
 		q.avoid_domain = r->last_domain;
--- a/lib/pipe.c
+++ b/lib/pipe.c
@@ -5,6 +5,8 @@
 
 #include "entry.h"
 
+#include "poison.h"
+
 #include <string.h>
 
 #define MAX_PICKS 4 /* endpoints asked for one stage */
@@ -202,6 +204,37 @@
 	entry_fail(r, &p);
 }
 
+/*
+ * A call that may run once is left to end: only its answer tells what became
+ * of it.
+ */
+void
+pipe_held(struct request *r)
+{
+	struct problem p = { .status = 503,
+		.kind = "request-held",
+		.detail = "Endpoints end under this request.",
+		.remedy = "Change the request, or ask again after "
+			  "Retry-After.",
+		.outcome = entry_key_outcome(r) };
+
+	if (stage_of(r)->never && running_tries(r) > 0)
+		return;
+	if (r->unknown) {
+		give_up(r, p.detail, 0);
+		return;
+	}
+	p.retry_us = mh_poison_held_us(r->e->k, r->print);
+	if (!r->key_given && (r->maybe_ran || r->attempts > 0)) {
+		p.status = 502;
+		p.outcome = "failed";
+		p.remedy = "Change the request.";
+	}
+	mh_count(r->e->k, "entry_held", 1);
+	pipe_stop(r);
+	entry_fail(r, &p);
+}
+
 static void
 add_stage_row(struct request *r, const struct mh_stage *s,
     const struct mh_peer *p, const Mh__Result *res)
@@ -362,6 +395,11 @@
 	stop_timers(r);
 	if ((not_run && refused_for_good(r, res)) || text_is_whole(r, p))
 		return;
+	if (res->reason == WHY_HELD ||
+	    mh_poison_held_us(r->e->k, r->print) > 0) {
+		pipe_held(r);
+		return;
+	}
 	if (s->never && r->key_given && not_run && !r->unknown &&
 	    left_us(r) > 4 * MOVE_WAIT_US) {
 		wait_for_owner(r);
@@ -537,6 +575,9 @@
 	struct request *r = arg;
 
 	r->hedge = NULL;
+	/* One that may end endpoints has one at a time. */
+	if (mh_poison_apart(r->e->k, r->print, stage_of(r)->pool) != 0)
+		return;
 	if (running_tries(r) != 1 || r->picks >= MAX_PICKS ||
 	    mh_route_usable(r->e->k, stage_of(r)->pool) < 2 || !spend(r))
 		return;
@@ -608,7 +649,8 @@
 		.org_weight = r->org->weight,
 		.path = mh_stage_path(s),
 		.stream = s->kind == MH_GENERATE,
-		.never = s->never };
+		.never = s->never,
+		.print = r->print };
 
 	if (s->kind == MH_GENERATE && r->d.model != NULL)
 		model = r->d.model;
--- a/lib/poison.c
+++ b/lib/poison.c
@@ -135,7 +135,7 @@
 {
 	struct ended *e = g_hash_table_lookup(s->ended, endpoint);
 
-	if (e != NULL && at_us - e->at_us < MH_POISON_SAME_US)
+	if (e != NULL && (!e->lives || at_us - e->at_us < MH_POISON_SAME_US))
 		return e;
 	if (e == NULL && !has_room(s))
 		return NULL;
@@ -237,6 +237,11 @@
 	if (s == NULL)
 		return;
 	e = g_hash_table_lookup(s->ended, b->endpoint);
+	/* It was sent to an endpoint that had ended. */
+	if (e != NULL && !e->lives &&
+	    (b->sent_us >= e->at_us ||
+		mh_now(k) - e->at_us >= MH_POISON_SAME_US))
+		return;
 	/* What was believed to have ended lives: this is another end. */
 	if (e != NULL && e->lives && mh_now(k) - e->at_us > ON_WAY_US)
 		g_hash_table_remove(s->ended, b->endpoint);
--- a/lib/poison.h
+++ b/lib/poison.h
@@ -29,6 +29,7 @@
 	const char *endpoint; /* the incarnation */
 	const char *pool;
 	uint64_t print; /* of its request; 0: not known */
+	int64_t sent_us; /* when the call was sent */
 	bool old; /* it had run for a while before */
 };
 
--- a/lib/poisonint.h
+++ b/lib/poisonint.h
@@ -5,7 +5,7 @@
 
 #include "poison.h"
 
-/* Breaks that far apart are of two ends of one incarnation. */
+/* Calls that break with their endpoint do so within this. */
 #define MH_POISON_SAME_US (2 * MH_US_PER_S)
 
 /** struct member - a request that an endpoint had when it ended. */
--- a/lib/poisontold.c
+++ b/lib/poisontold.c
@@ -230,7 +230,8 @@
 {
 	int64_t at_us = then(s, m->age_us);
 	struct ended *e = g_hash_table_lookup(s->ended, m->endpoint);
-	bool is_new = e == NULL || at_us - e->at_us >= MH_POISON_SAME_US;
+	bool is_new =
+	    e == NULL || (e->lives && at_us - e->at_us >= MH_POISON_SAME_US);
 	bool news;
 
 	e = mh_poison_ended(s, m->endpoint, m->pool, at_us);
--- a/lib/relay.c
+++ b/lib/relay.c
@@ -101,6 +101,7 @@
 	m.partition = c->a.partition;
 	m.epoch = c->a.epoch;
 	m.out_tokens = c->a.out_tokens;
+	m.print = c->a.print;
 	f.body_case = MH__FRAME__BODY_CALL;
 	f.call = &m;
 	mh_frame_send(r->k, c->peer->conn, &f);
--- a/lib/route.c
+++ b/lib/route.c
@@ -134,6 +134,27 @@
 	return best;
 }
 
+/* The same endpoint at every entry, whatever its load. */
+static struct mh_peer *
+by_name(uint64_t what, GPtrArray *c)
+{
+	struct mh_peer *best = NULL;
+	char text[24];
+	uint64_t weight = 0;
+
+	snprintf(text, sizeof(text), "%" PRIx64, what);
+	for (guint i = 0; i < c->len; i++) {
+		struct mh_peer *p = c->pdata[i];
+		uint64_t w = mh_rendezvous(text, p->vm);
+
+		if (best != NULL && w <= weight)
+			continue;
+		best = p;
+		weight = w;
+	}
+	return best;
+}
+
 static struct mh_peer *
 two_choices(struct route *r, const struct mh_pick *q, GPtrArray *c)
 {
@@ -164,7 +185,9 @@
 	collect(r, q, c, pol->routing == MH_ROUTE_ROUND_ROBIN);
 	if (c->len == 0)
 		collect(r, q, c, true);
-	if (c->len > 0 && pol->routing == MH_ROUTE_ROUND_ROBIN)
+	if (c->len > 0 && q->apart != 0)
+		p = by_name(q->apart, c);
+	else if (c->len > 0 && pol->routing == MH_ROUTE_ROUND_ROBIN)
 		p = round_robin(r, q, c);
 	if (c->len > 0 && p == NULL && q->affinity != 0 && pol->affinity)
 		p = by_affinity(r, q, c);
--- a/lib/side.c
+++ b/lib/side.c
@@ -402,6 +402,7 @@
 	g_hash_table_destroy(s->calls);
 	mh_queue_destroy(s->queue);
 	mh_ledger_destroy(s->ledger);
+	g_free(s->endpoint);
 	g_free(s->pool);
 	g_free(s);
 }
@@ -415,6 +416,8 @@
 	s->a = *a;
 	s->a.slots = MAX(a->slots, 1);
 	s->pool = g_strdup(a->pool);
+	s->endpoint =
+	    g_strdup_printf("%s@%" PRIx64 "/0", a->vm, a->incarnation);
 	s->factor = 1.0;
 	s->queue = mh_queue_create(a->queue_limit);
 	s->ledger = mh_ledger_create(LEDGER_LIMIT);
@@ -427,6 +430,7 @@
 	mh_roster_create(k, a->vm, a->domain, a->pool);
 	mh_conf_create(k);
 	mh_claim_create(k, a->vm, a->pool, a->incarnation, s->ledger);
+	mh_poison_hub_create(k);
 	mh_kern_add(k, "side", s, handle, destroy);
 	mh_conf_on_change(k, on_config, s);
 	mh_hub_on(k, MH__FRAME__BODY_CALL, on_call, s);
--- a/lib/side.h
+++ b/lib/side.h
@@ -30,6 +30,7 @@
 	char *path;
 	char *org;
 	GBytes *body;
+	uint64_t print; /* of the caller's request */
 	uint64_t run; /* token of the run */
 	int64_t run_at_us;
 	int64_t first_us; /* endpoint's time to the first chunk */
@@ -65,6 +66,10 @@
 	uint32_t running;
 	double run_us; /* smoothed time of a call at the endpoint */
 	double factor; /* real over predicted time at this endpoint */
+	/* its endpoint as others know it, another after each end */
+	char *endpoint;
+	uint32_t ends;
+	int64_t broke_us; /* a call there broke and none ended well since; 0 */
 	bool draining;
 	int64_t end_us; /* with draining: every call is answered by then */
 	uint64_t fence; /* highest order number seen */
--- a/lib/sidecall.c
+++ b/lib/sidecall.c
@@ -5,15 +5,19 @@
 
 #include "side.h"
 
+#include "poison.h"
+
 #include <string.h>
 
 #define URGENT_SLOTS_PART 8 /* one slot in eight waits for priority 0 */
 #define URGENT_WAIT_US (250 * MH_US_PER_MS)
 #define FACTOR_GAIN 0.05
 #define RUN_MIN_US (20 * MH_US_PER_MS)
+/* A run that has answered for so long is hardly what ends its endpoint. */
+#define FRESH_US (500 * MH_US_PER_MS)
 
 static const char *const refusal_names[] = { "none", "full", "late", "leaving",
-	"not_owner", "marked", "revoked", "mismatch", "future" };
+	"not_owner", "marked", "revoked", "mismatch", "future", "held" };
 
 void
 call_free(void *arg)
@@ -250,6 +254,35 @@
 	return MIN(s->factor, 1.0);
 }
 
+/* Endpoints end under its request. */
+static bool
+refused_held(struct side *s, struct call *c)
+{
+	int64_t us = mh_poison_held_us(s->k, c->print);
+
+	if (us > 0)
+		call_refuse(c, WHY_HELD, us);
+	return us > 0;
+}
+
+void
+mh_side_held(struct mh_kern *k, uint64_t print)
+{
+	struct side *s = mh_kern_get(k, "side");
+	GList *all = g_hash_table_get_values(s->calls);
+
+	for (GList *l = all; l != NULL; l = l->next) {
+		struct call *c = l->data;
+
+		if (c->state != ST_QUEUED || c->print != print)
+			continue;
+		mh_queue_remove(s->queue, &c->item);
+		(void)refused_held(s, c);
+	}
+	g_list_free(all);
+	side_pump(s);
+}
+
 void
 side_pump(struct side *s)
 {
@@ -274,6 +307,8 @@
 			call_refuse(c, WHY_NOT_OWNER, 0);
 			continue;
 		}
+		if (refused_held(s, c))
+			continue;
 		start(c);
 	}
 }
@@ -301,6 +336,8 @@
 	int64_t wait;
 
 	c->state = ST_QUEUED;
+	if (refused_held(s, c))
+		return;
 	if (too_late(s, c, &wait)) {
 		call_refuse(c, WHY_LATE, wait);
 		return;
@@ -383,6 +420,7 @@
 	c->once = g_strdup(m->key);
 	c->partition = m->partition;
 	c->epoch = m->epoch;
+	c->print = m->print;
 	c->path = g_strdup(m->path);
 	c->org = g_strdup(m->org);
 	c->body = g_bytes_new(m->body.data, m->body.len);
@@ -508,6 +546,41 @@
 	s->factor += FACTOR_GAIN * (CLAMP(f, 0.1, 20.0) - s->factor);
 }
 
+static void
+name_endpoint(struct side *s)
+{
+	g_free(s->endpoint);
+	s->endpoint = g_strdup_printf(
+	    "%s@%" PRIx64 "/%u", s->a.vm, s->a.incarnation, s->ends);
+}
+
+/* What the end of a run says of its request. */
+static void
+note_request(struct side *s, const struct call *c, const struct mh_run_msg *m)
+{
+	struct mh_poison_end e = { s->endpoint, s->pool, c->print, c->run_at_us,
+		c->first_us > 0 && c->endpoint_us - c->first_us > FRESH_US };
+
+	if (m->broke) {
+		if (s->broke_us == 0)
+			s->broke_us = mh_now(s->k);
+		mh_poison_broke(s->k, &e);
+		return;
+	}
+	if (!m->whole)
+		return;
+	mh_poison_ran(s->k, c->print, s->pool);
+	if (s->broke_us == 0)
+		return;
+	mh_poison_answered(s->k, s->endpoint, c->run_at_us, false);
+	if (c->run_at_us < s->broke_us)
+		return;
+	/* It runs again, or still: its next end is another. */
+	s->broke_us = 0;
+	s->ends++;
+	name_endpoint(s);
+}
+
 void
 side_run_ended(struct side *s, const struct mh_run_msg *m)
 {
@@ -527,6 +600,7 @@
 	c->used.tokens_out = m->tokens_out;
 	c->result = m->body == NULL ? NULL : g_bytes_ref(m->body);
 	learn_factor(s, c);
+	note_request(s, c, m);
 	mh_count(s->k, "side_endpoint_us", (uint64_t)c->endpoint_us);
 	if (c->never) {
 		mh_claim_busy(s->k, c->partition, -1);
