--- a/regress/net.c
+++ b/regress/net.c
@@ -118,6 +118,8 @@
 		struct net_node *x = n->nodes->pdata[i];
 
 		mh_kern_destroy(x->k);
+		if (x->at_it != NULL)
+			g_array_free(x->at_it, TRUE);
 	}
 	mh_kern_destroy(n->k);
 	g_hash_table_destroy(n->under_way);
--- a/regress/net.h
+++ b/regress/net.h
@@ -8,6 +8,11 @@
  * interface (link, kv, vmlist, endpoint, http).  No socket, no clock.
  */
 
+/* An endpoint that falls does so so long after such a request begins... */
+#define NET_FATAL "fatal"
+#define NET_FALL_US (60 * MH_US_PER_MS)
+/* ...and is back after this. */
+#define NET_BACK_US (1500 * MH_US_PER_MS)
 #define NET_START_WALL_US (1800000000LL * MH_US_PER_S)
 
 struct net;
@@ -33,6 +38,10 @@
 	bool unsent; /* the endpoint refuses the connection */
 	size_t answer_bytes; /* a service's answer is padded to this */
 	bool cut; /* it runs, but its answer is cut */
+	bool falls; /* it ends under a body with NET_FATAL */
+	int64_t fall_us; /* when it ends, or ended; 0: never */
+	uint32_t falls_seen;
+	GArray *at_it; /* uint64_t, runs that have not ended */
 	uint64_t runs;
 	uint64_t aborts;
 };
--- a/regress/netfake.c
+++ b/regress/netfake.c
@@ -295,6 +295,45 @@
 	}
 }
 
+/* Every run there breaks; the ends that were on their way match none. */
+static void
+fall(struct net_node *x)
+{
+	x->fall_us = net_now(x->net) + NET_FALL_US;
+	x->falls_seen++;
+	for (guint i = 0; i < x->at_it->len; i++) {
+		struct mh_msg *m = mh_msg_new(MH_MSG_RAN);
+
+		m->u.run.run = g_array_index(x->at_it, uint64_t, i);
+		m->u.run.sent = m->u.run.broke = true;
+		m->u.run.body = g_bytes_new("", 0);
+		net_deliver(x, "side", m, NET_FALL_US, NULL, false);
+	}
+	g_array_set_size(x->at_it, 0);
+}
+
+/* True if the run needs no other end. */
+static bool
+falls(struct net_node *x, const struct mh_run_msg *q)
+{
+	int64_t now = net_now(x->net);
+	gsize len;
+	const char *data = g_bytes_get_data(q->body, &len);
+
+	if (!x->falls)
+		return false;
+	if (x->at_it == NULL)
+		x->at_it = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	x->unsent = x->fall_us != 0 && now < x->fall_us + NET_BACK_US;
+	if (x->unsent)
+		return false;
+	g_array_append_val(x->at_it, q->run);
+	if (g_strstr_len(data, (gssize)len, NET_FATAL) == NULL)
+		return false;
+	fall(x);
+	return true;
+}
+
 void
 net_endpoint_handle(void *self, struct mh_msg *in)
 {
@@ -307,6 +346,8 @@
 		x->aborts++;
 		return;
 	}
+	if (falls(x, q))
+		return;
 	m = mh_msg_new(MH_MSG_RAN);
 	m->u.run.run = q->run;
 	m->u.run.sent = !x->unsent;
--- a/regress/t_fall.c
+++ b/regress/t_fall.c
@@ -3,9 +3,11 @@
  */
 
 #include "fallrig.h"
+#include "net.h"
 #include "regress.h"
 
 #include <stdio.h>
+#include <string.h>
 
 #define MS MH_US_PER_MS
 #define S MH_US_PER_S
@@ -262,6 +264,189 @@
 	fallrig_destroy(r);
 }
 
+/* our own entries and side processes */
+
+#define OWN_ENTRIES 3
+#define OWN_SIDES 6
+
+struct own {
+	struct net *n;
+	struct net_node *e[OWN_ENTRIES];
+	struct net_node *s[OWN_SIDES];
+	GRand *rand;
+	uint64_t bad[256];
+	uint32_t n_bad;
+	uint64_t good[2048];
+	uint32_t n_good;
+	uint32_t again;
+};
+
+static void
+own_create(struct own *o, uint32_t seed, const char *pool)
+{
+	char vm[16];
+
+	memset(o, 0, sizeof(*o));
+	o->rand = g_rand_new_with_seed(seed);
+	o->n = net_create(seed);
+	net_apply(o->n, 1, net_doc);
+	for (int i = 0; i < OWN_SIDES; i++) {
+		g_snprintf(vm, sizeof(vm), "%s%d", pool, i);
+		o->s[i] = net_side(o->n, vm, pool, i % 2 == 0 ? "a" : "b", 8);
+		o->s[i]->falls = true;
+		o->s[i]->service_us = 200 * MS;
+	}
+	for (int i = 0; i < OWN_ENTRIES; i++) {
+		g_snprintf(vm, sizeof(vm), "entry%d", i);
+		o->e[i] = net_entry(o->n, vm, "a");
+	}
+	net_run(o->n, 5 * S);
+}
+
+static void
+own_destroy(struct own *o)
+{
+	net_destroy(o->n);
+	g_rand_free(o->rand);
+}
+
+static uint64_t
+own_ask(struct own *o, const char *path, const char *what)
+{
+	char *body = g_strdup_printf("{\"input\":\"%s\"}", what);
+	struct net_ask a = { .path = path, .body = body };
+	struct net_node *e = o->e[g_rand_int_range(o->rand, 0, OWN_ENTRIES)];
+	uint64_t id = net_request(e, &a);
+
+	g_free(body);
+	return id;
+}
+
+/* Those that failed ask the same again. */
+static void
+own_ask_again(struct own *o, const char *path)
+{
+	char what[24];
+
+	for (uint32_t i = 0; i < o->n_good; i++) {
+		const struct net_answer *a = net_answer(o->n, o->good[i]);
+
+		if (!a->ended || a->status == 200)
+			continue;
+		o->again++;
+		g_snprintf(what, sizeof(what), "other %u", i);
+		o->good[i] = own_ask(o, path, what);
+	}
+}
+
+/* Others ask twenty times a second, the cause once in 0.7 s. */
+static void
+own_run(struct own *o, const char *path, int64_t us)
+{
+	char what[24];
+
+	for (int64_t t = 0; t < us; t += 50 * MS) {
+		if (t % (500 * MS) == 0)
+			own_ask_again(o, path);
+		g_snprintf(what, sizeof(what), "other %u", o->n_good);
+		o->good[o->n_good++] = own_ask(o, path, what);
+		if (t % (700 * MS) == 0)
+			o->bad[o->n_bad++] = own_ask(o, path, NET_FATAL);
+		net_run(o->n, 50 * MS);
+	}
+	net_run(o->n, 3 * S);
+}
+
+static uint32_t
+own_falls(const struct own *o)
+{
+	uint32_t n = 0;
+
+	for (int i = 0; i < OWN_SIDES; i++)
+		n += o->s[i]->falls_seen;
+	return n;
+}
+
+/*
+ * An encoder ended under a request; the entry asked the next one, up to four,
+ * and the caller asked again at another entry.  Three ends are enough: from
+ * then on it is refused at once, with a word that says why, and what others had
+ * there is run elsewhere.
+ */
+static void
+test_own_interface(void)
+{
+	for (uint32_t seed = 1; seed <= 5; seed++) {
+		struct own o;
+		uint32_t served = 0, falls;
+
+		own_create(&o, seed, "enc");
+		own_run(&o, "/v1/pipelines/embed", 10 * S);
+		falls = own_falls(&o);
+		CU_ASSERT(falls >= 3 && falls <= 3 + LATE_MOST);
+		for (uint32_t i = 0; i < o.n_good; i++)
+			served += net_answer(o.n, o.good[i])->status == 200;
+		CU_ASSERT_EQUAL(served, o.n_good);
+		CU_ASSERT_EQUAL(
+		    net_answer(o.n, o.bad[o.n_bad - 1])->status, 503);
+		CU_ASSERT_STRING_EQUAL(
+		    net_answer_text(o.n, o.bad[o.n_bad - 1], "title"),
+		    "request-held");
+		CU_ASSERT_STRING_EQUAL(
+		    net_answer_text(o.n, o.bad[o.n_bad - 1], "outcome"),
+		    "not-run");
+		CU_ASSERT(
+		    net_answer(o.n, o.bad[o.n_bad - 1])->retry_after_s > 60);
+		if (served != o.n_good || falls > 3 + LATE_MOST)
+			fprintf(stderr, "seed %u: %u falls, %u of %u served\n",
+			    seed, falls, served, o.n_good);
+		own_destroy(&o);
+	}
+}
+
+/* A booking that ends its service: never run twice, and held all the same. */
+static void
+test_own_once(void)
+{
+	struct own o;
+	uint32_t falls;
+
+	own_create(&o, 9, "book");
+	own_run(&o, "/v1/pipelines/confirm", 10 * S);
+	falls = own_falls(&o);
+	CU_ASSERT(falls >= 3 && falls <= 3 + LATE_MOST);
+	CU_ASSERT(net_most_runs(o.n) <= 1);
+	CU_ASSERT_STRING_EQUAL(
+	    net_answer_text(o.n, o.bad[o.n_bad - 1], "title"), "request-held");
+	own_destroy(&o);
+}
+
+/* An entry that starts anew is told by the side processes that it links to. */
+static void
+test_own_entry_restarts(void)
+{
+	struct own o;
+	uint32_t falls;
+	uint64_t id;
+
+	own_create(&o, 4, "enc");
+	own_run(&o, "/v1/pipelines/embed", 8 * S);
+	falls = own_falls(&o);
+	for (int i = 0; i < OWN_ENTRIES; i++) {
+		net_kill(o.e[i]);
+		net_start(o.e[i]);
+	}
+	net_run(o.n, 3 * S);
+	for (int i = 0; i < 20; i++) {
+		id = own_ask(&o, "/v1/pipelines/embed", NET_FATAL);
+		net_run(o.n, 200 * MS);
+		CU_ASSERT_STRING_EQUAL(
+		    net_answer_text(o.n, id, "title"), "request-held");
+	}
+	CU_ASSERT_EQUAL(own_falls(&o), falls);
+	own_destroy(&o);
+}
+
 const struct test tests_fall[] = {
 	{ "a request ends engines", test_ends_engines },
 	{ "others are served", test_others_are_served },
@@ -273,5 +458,8 @@
 	{ "store away", test_store_away },
 	{ "an entry restarts", test_entry_restarts },
 	{ "held, tried, forgotten", test_tried_again },
+	{ "own interface", test_own_interface },
+	{ "own interface, once", test_own_once },
+	{ "own interface, an entry restarts", test_own_entry_restarts },
 	{ NULL, NULL },
 };
