Tests: what is kept, told and forgotten of requests under which endpoints end; stage work

Change: a request whose endpoint has just ended runs apart before that end is judged, and a likely cause waits for the judgement in a cell. Bounds on holds that others tell. Golden session of a held request through the platform's front.

--- a/lib/cellrun.c
+++ b/lib/cellrun.c
@@ -206,7 +206,8 @@
 			struct unit u = { j, s, 0, NULL, false };
 
 			if (ss->left <= ss->flying || ss->pool != p ||
-			    !mh_cell_is_ready(j, s))
+			    !mh_cell_is_ready(j, s) ||
+			    mh_poison_waits(c->k, j->print, p->name))
 				continue;
 			u.key = mh_cell_slack_key(j, s);
 			place_unit(c, p, &u);
--- a/lib/poison.c
+++ b/lib/poison.c
@@ -56,9 +56,7 @@
 #define OTHERS_MANY 2
 #define POOL_LEAST 4
 #define POOL_DEFAULT 8
-/* First hold, doubled each time; then one end holds it again. */
-#define HOLD_US (300 * MH_US_PER_S)
-#define HOLD_DOUBLINGS 4
+/* After a hold one end holds it again, for so long. */
 #define FORGET_US (3600 * MH_US_PER_S)
 #define SWEEP_US (5 * MH_US_PER_S)
 /* What an endpoint sent before it ended arrives within this. */
@@ -146,6 +144,7 @@
 	e->at_us = at_us;
 	e->members = g_array_new(FALSE, FALSE, sizeof(struct member));
 	g_hash_table_replace(s->ended, e->endpoint, e);
+	s->unripe++;
 	look_later(s);
 	sweep_later(s);
 	return e;
@@ -174,6 +173,16 @@
 	return true;
 }
 
+static bool
+has_member(const struct ended *e, uint64_t print)
+{
+	for (guint i = 0; i < e->members->len; i++) {
+		if (g_array_index(e->members, struct member, i).print == print)
+			return true;
+	}
+	return false;
+}
+
 /* Where no call of ours tells that it goes on, it has ended. */
 static void
 settle(struct ended *e)
@@ -201,9 +210,9 @@
 	struct mh_poison *s = arg;
 	GHashTableIter it;
 	gpointer v;
-	bool more = false;
 
 	s->look = NULL;
+	s->unripe = 0;
 	g_hash_table_iter_init(&it, s->ended);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct ended *e = v;
@@ -213,11 +222,11 @@
 			settle(e);
 		if (!e->ripe && since >= RIPE_US)
 			e->ripe = s->stale = true;
-		more |= !e->ripe;
+		s->unripe += !e->ripe;
 	}
 	mh_poison_judge(s);
 	mh_poison_tell(s);
-	if (more)
+	if (s->unripe > 0)
 		look_later(s);
 }
 
@@ -486,7 +495,7 @@
 	if (r->score < needed || (h != NULL && h->until_us > mh_now(s->k)))
 		return;
 	times = h == NULL ? 1 : h->times + 1;
-	for_us = HOLD_US << MIN(times - 1, HOLD_DOUBLINGS);
+	for_us = MH_POISON_HOLD_US << MIN(times - 1, MH_POISON_DOUBLINGS);
 	mh_count(s->k, "requests_held", 1);
 	mh_poison_says(s, "request-held",
 	    "print=%016" PRIx64 " pool=%s ends=%u points=%u of=%u others=%u "
@@ -626,12 +635,33 @@
 	return h == NULL ? 0 : MAX(h->until_us - mh_now(k), 0);
 }
 
+/* An endpoint that had it has just ended; nothing is laid to it yet. */
+static bool
+just_broke(const struct mh_poison *s, uint64_t print, const char *pool)
+{
+	GHashTableIter it;
+	gpointer v;
+
+	if (s->unripe == 0)
+		return false;
+	g_hash_table_iter_init(&it, s->ended);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct ended *e = v;
+
+		if (!e->ripe && !e->lives && strcmp(e->pool, pool) == 0 &&
+		    has_member(e, print))
+			return true;
+	}
+	return false;
+}
+
 uint64_t
 mh_poison_apart(struct mh_kern *k, uint64_t print, const char *pool)
 {
 	struct mh_poison *s = get(k);
 	uint64_t of[2], key;
 	const struct row *r;
+	uint32_t score;
 
 	if (s == NULL || print == 0 ||
 	    (g_hash_table_size(s->ended) == 0 &&
@@ -640,13 +670,31 @@
 	work_out(s);
 	key = mh_poison_key(print, pool);
 	r = g_hash_table_lookup(s->rows, &key);
-	if (r == NULL || r->score == 0)
+	score = (r == NULL ? 0 : r->score) +
+	    (just_broke(s, print, pool) ? POINTS : 0);
+	if (score == 0)
 		return 0;
 	of[0] = print;
-	of[1] = r->score;
+	of[1] = score;
 	return mh_hash(of, sizeof(of)) | 1;
 }
 
+bool
+mh_poison_waits(struct mh_kern *k, uint64_t print, const char *pool)
+{
+	struct mh_poison *s = get(k);
+	uint64_t key;
+	const struct row *r;
+
+	if (s == NULL || print == 0 || s->unripe == 0)
+		return false;
+	work_out(s);
+	key = mh_poison_key(print, pool);
+	r = g_hash_table_lookup(s->rows, &key);
+	return r != NULL && r->score >= LIKELY_POINTS &&
+	    just_broke(s, print, pool);
+}
+
 json_t *
 mh_poison_state(struct mh_kern *k)
 {
--- a/lib/poison.h
+++ b/lib/poison.h
@@ -65,6 +65,12 @@
  * another after each end; 0: it is not suspected.
  */
 uint64_t mh_poison_apart(struct mh_kern *k, uint64_t print, const char *pool);
+/**
+ * mh_poison_waits() - a likely cause had an endpoint that has just ended.
+ *
+ * Some tenths of a second later it is known whether that was the last one.
+ */
+bool mh_poison_waits(struct mh_kern *k, uint64_t print, const char *pool);
 /**
  * mh_poison_take() - what another process tells.
  * @pass_on: others are linked to us alone, so what is new goes on to them
--- a/lib/poisonint.h
+++ b/lib/poisonint.h
@@ -8,6 +8,11 @@
 /* Calls that break with their endpoint do so within this. */
 #define MH_POISON_SAME_US (2 * MH_US_PER_S)
 
+/* First hold, doubled each time it is held again. */
+#define MH_POISON_HOLD_US (300 * MH_US_PER_S)
+#define MH_POISON_DOUBLINGS 4
+#define MH_POISON_HOLD_MOST_US (MH_POISON_HOLD_US << MH_POISON_DOUBLINGS)
+
 /** struct member - a request that an endpoint had when it ended. */
 struct member {
 	uint64_t print;
@@ -63,6 +68,7 @@
 	GHashTable *ran; /* print and pool -> struct ran */
 	GHashTable *rows; /* print and pool -> struct row */
 	bool stale; /* rows are to be worked out anew */
+	uint32_t unripe; /* ends that are not judged yet */
 	int64_t second; /* of the bound on new ends */
 	uint32_t new_ends; /* in it */
 	struct mh_timer *look;
--- a/lib/poisontold.c
+++ b/lib/poisontold.c
@@ -255,11 +255,10 @@
 take_held(struct mh_poison *s, const Mh__Held *m, bool pass_on)
 {
 	struct hold *h = g_hash_table_lookup(s->holds, &m->print);
-	int64_t until_us = mh_now(s->k) + (int64_t)m->left_us;
+	int64_t until_us = mh_now(s->k) +
+	    (int64_t)MIN(m->left_us, (uint64_t)MH_POISON_HOLD_MOST_US);
 	bool news = h == NULL || m->times > h->times;
 
-	if (m->left_us > (uint64_t)G_MAXINT64 / 2)
-		return;
 	h = mh_poison_hold(s, m->print, m->pool, until_us, m->times);
 	if (h == NULL)
 		return;
--- a/regress/main.c
+++ b/regress/main.c
@@ -47,6 +47,7 @@
 	{ "drain", tests_drain },
 	{ "grace", tests_grace },
 	{ "fall", tests_fall },
+	{ "poison", tests_poison },
 };
 
 /*
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -36,6 +36,7 @@
 extern const struct test tests_drain[];
 extern const struct test tests_grace[];
 extern const struct test tests_fall[];
+extern const struct test tests_poison[];
 
 /** regress_dir - where golden files stand. */
 extern const char *regress_dir;
--- a/regress/t_front.c
+++ b/regress/t_front.c
@@ -95,20 +95,25 @@
 {
 	GRegex *node = g_regex_new("X-Expect-Instance: (i-\\d)", 0, 0, NULL);
 	GRegex *port = g_regex_new("127\\.0\\.0\\.1:\\d+", 0, 0, NULL);
+	GRegex *again = g_regex_new("Retry-After: \\d{3}\\.\\d+", 0, 0, NULL);
 	GRegex *left = g_regex_new("(X-Deadline-Ms): \\d+", 0, 0, NULL);
 	char *a = g_regex_replace_literal(port, text, -1, 0, "(addr)", 0, NULL);
 	char *b = g_regex_replace(left, a, -1, 0, "\\1: (left)", 0, NULL);
 	char *c =
 	    g_regex_replace_eval(node, b, -1, 0, 0, name_endpoint, r, NULL);
-	gchar **lines = g_strsplit(c, "\r\n", -1);
+	char *d = g_regex_replace_literal(
+	    again, c, -1, 0, "Retry-After: (minutes)", 0, NULL);
+	gchar **lines = g_strsplit(d, "\r\n", -1);
 	char *body = g_strjoinv("\n", lines);
 
 	g_string_append_printf(r->log, "--- %s\n%s\n", who, body);
 	g_free(body);
 	g_strfreev(lines);
+	g_free(d);
 	g_free(c);
 	g_free(b);
 	g_free(a);
+	g_regex_unref(again);
 	g_regex_unref(node);
 	g_regex_unref(left);
 	g_regex_unref(port);
@@ -247,9 +252,9 @@
 }
 
 static void
-list_endpoints(struct frig *r)
+list_endpoints(struct frig *r, const char *one, const char *two)
 {
-	static const char *const ids[] = { "i-1", "i-2" };
+	const char *const ids[] = { one, two };
 
 	mh_fleet_begin(r->fleet);
 	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
@@ -291,7 +296,7 @@
 	mh_gate_conf(r->gate, c);
 	mh_gconf_unref(c);
 	listen_endpoint(r);
-	list_endpoints(r);
+	list_endpoints(r, "i-1", "i-2");
 	return r;
 }
 
@@ -410,6 +415,51 @@
 	frig_destroy(r);
 }
 
+static void
+on_pause(void *arg)
+{
+	mh_loop_stop(((struct frig *)arg)->loop);
+}
+
+/* Time in which entries put together what an endpoint had when it ended. */
+static void
+pause_a_while(struct frig *r)
+{
+	mh_timer_start(r->k, 300 * MH_US_PER_MS, on_pause, r);
+	mh_loop_run(r->loop);
+}
+
+/*
+ * A booking's endpoint ends under it, and so do the two that it is sent to when
+ * it comes again.  The fourth time it is refused at once: not run, and by which
+ * kind of refusal.  The same path with another body is another request.
+ */
+static void
+test_held(void)
+{
+	static const char text[] = "POST /confirm/3 HTTP/1.1\r\n" CALLER
+				   "Content-Length: 3\r\n\r\nabc";
+	static const char *const ids[] = { "i-1", "i-3", "i-5", "i-7" };
+	struct mh_poison_ops alone = { .arg = NULL };
+	struct frig *r = frig_create();
+
+	mh_poison_create(r->k, &alone);
+	for (int i = 0; i < 3; i++) {
+		list_endpoints(r, ids[i], ids[i]);
+		r->script[0] = "";
+		session(r, "its endpoint ends", text);
+		pause_a_while(r);
+	}
+	list_endpoints(r, ids[3], ids[3]);
+	session(r, "once more", text);
+	r->script[0] = WHOLE;
+	session(r, "another body",
+	    "POST /confirm/3 HTTP/1.1\r\n" CALLER
+	    "Content-Length: 3\r\n\r\nabd");
+	golden_compare("front-held", r->log->str);
+	frig_destroy(r);
+}
+
 static void
 test_stream(void)
 {
@@ -536,6 +586,7 @@
 
 const struct test tests_front[] = {
 	{ "front: plain sessions", test_plain },
+	{ "a request under which endpoints end", test_held },
 	{ "front: sessions of streams", test_stream },
 	{ "front: an answer over the bound", test_answer_over_the_bound },
 	{ "front: an answer of just the bound", test_answer_of_the_bound },
--- a/regress/world.c
+++ b/regress/world.c
@@ -10,6 +10,9 @@
 #define SEED 7
 #define FETCH_US (5 * MH_US_PER_MS) /* a call's inputs are read in this */
 
+/* A call that ends its endpoint does so after this. */
+#define FALL_US (60 * MH_US_PER_MS)
+
 struct wcall {
 	struct world *w;
 	struct mh_batch *b;
@@ -18,6 +21,7 @@
 	bool gone; /* one of them was freed by then */
 	struct mh_timer *turn;
 	struct mh_timer *timer;
+	bool falls; /* its endpoint ends under it */
 };
 
 struct wnode *
@@ -133,6 +137,31 @@
 	}
 }
 
+/* Its connections break. */
+static void
+on_fall(void *arg)
+{
+	struct wcall *call = arg;
+	struct mh_batch *b = call->b;
+
+	call->timer = NULL;
+	b->call = NULL;
+	b->broke = call->falls;
+	forget(call->w, call);
+	mh_cell_batch_end(b->cell, b, MH_BATCH_LOST);
+}
+
+static bool
+is_fatal(const struct world *w, const struct mh_batch *b)
+{
+	for (guint i = 0; i < b->items->len && w->fatal != 0; i++) {
+		if (g_array_index(b->items, struct mh_batch_item, i)
+			.job->print == w->fatal)
+			return true;
+	}
+	return false;
+}
+
 static void
 op_run(void *arg, struct mh_batch *b)
 {
@@ -154,6 +183,14 @@
 		call->timer = mh_timer_start(w->k, STEP_US, on_full, call);
 		return;
 	}
+	if (n->ended || is_fatal(w, b)) {
+		call->falls = !n->ended;
+		w->falls += call->falls;
+		n->ended = true;
+		call->timer = mh_timer_start(
+		    w->k, call->falls ? FALL_US : STEP_US, on_fall, call);
+		return;
+	}
 	n->calls++;
 	n->pieces += b->items->len;
 	for (guint i = 0; i < b->items->len; i++)
--- a/regress/world.h
+++ b/regress/world.h
@@ -19,6 +19,7 @@
 	double slow; /* times as long */
 	bool lost; /* calls get no answer */
 	bool full; /* calls are refused */
+	bool ended; /* it fell under the request named by @fatal: no answers */
 	uint32_t most_calls; /* at it at once, others refused; 0: no limit */
 	uint32_t at_it; /* calls that run or wait there */
 	bool gone_inputs; /* calls find their inputs gone, once */
@@ -55,6 +56,8 @@
 	uint32_t most_live; /* results kept at once */
 	bool keep; /* jobs that are done keep their results */
 	GPtrArray *kept;
+	uint64_t fatal; /* endpoints end under jobs of this print; 0: none */
+	uint32_t falls;
 	void (*ended)(void *arg, const struct mh_job *j, enum mh_job_end end);
 	void *arg; /* of ended() */
 };
