Test over real processes: a request that ends endpoints; the stand-ins learn to fall

Change: a stand-in endpoint that begins a call with "ends-endpoints" is dead 10 ms later, for a second, and breaks what it has; regress/falls.sh asks for such a plan twenty times beside forty others, in make check.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -38,6 +38,7 @@
 	@tail -1 build/asan/regress.log | sed 's/^/under sanitizers: /'
 	@sh platform/soak/soak.sh build/debug 22 11 413p
 	@bash regress/owner.sh build/debug
+	@bash regress/falls.sh build/debug
 	build/debug/regress.bin regress
 
 soak: deps
--- a/marlstand/engine.c
+++ b/marlstand/engine.c
@@ -151,6 +151,7 @@
 		us += (double)(s->prompt_tokens - s->cached_tokens) /
 		    e->spec.prefill_per_s * MH_US_PER_S;
 		e->w->runs++;
+		(void)endpoint_try_fall(e, s->prompt->str, s->prompt->len);
 		g_ptr_array_add(g->running, s);
 	}
 	return (int64_t)us;
--- a/marlstand/marlstand.c
+++ b/marlstand/marlstand.c
@@ -171,12 +171,12 @@
 	const struct endpoint *e = value;
 
 	json_object_set_new(arg, name,
-	    json_pack("{s:s, s:I, s:I, s:I, s:I, s:I, s:I}", "kind",
+	    json_pack("{s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:i}", "kind",
 		e->spec.kind, "calls", (json_int_t)e->calls, "busy_us",
 		(json_int_t)e->busy_us, "tokens_in", (json_int_t)e->tokens_in,
 		"tokens_cached", (json_int_t)e->tokens_cached, "tokens_out",
 		(json_int_t)e->tokens_out, "cancelled",
-		(json_int_t)e->cancelled));
+		(json_int_t)e->cancelled, "falls", (int)e->falls));
 }
 
 static void
--- a/marlstand/marlstand.h
+++ b/marlstand/marlstand.h
@@ -51,8 +51,11 @@
 	struct mh_httpd *httpd;
 	enum fault fault;
 	double factor;
+	struct mh_timer *fall; /* it ends, or is back */
+	uint32_t falls;
 	uint32_t running;
 	GQueue waiting; /* struct job */
+	GQueue open; /* struct job, running */
 	struct engine *engine;
 	uint64_t calls;
 	uint64_t busy_us;
@@ -73,6 +76,13 @@
 void endpoint_destroy(struct endpoint *e);
 void endpoint_fault(struct endpoint *e, enum fault f, double factor);
 
+/*
+ * endpoint_try_fall() - a call whose body has STAND_FATAL begins: soon the
+ * endpoint is dead, for a second.  True if the body has it.
+ */
+#define STAND_FATAL "ends-endpoints"
+bool endpoint_try_fall(struct endpoint *e, const char *body, size_t len);
+
 /* engine.c: continuous batching */
 struct engine;
 struct engine *engine_create(struct endpoint *e);
--- a/marlstand/pool.c
+++ b/marlstand/pool.c
@@ -9,6 +9,10 @@
 #include <string.h>
 
 #define EMBEDDING_LEN 8
+/* A call with STAND_FATAL ends its endpoint so long after it began... */
+#define FALL_US (10 * MH_US_PER_MS)
+/* ...which is back after this. */
+#define BACK_US (1 * MH_US_PER_S)
 #define SPREAD 0.25 /* sigma of the log-normal service time */
 
 struct job {
@@ -19,6 +23,7 @@
 	char *key;
 	int64_t us;
 	bool started;
+	bool fatal;
 };
 
 static void start_next(struct endpoint *e);
@@ -137,14 +142,49 @@
 {
 	struct job *j = arg;
 	struct endpoint *e = j->e;
+	struct mh_http_req *r;
 
 	e->running--;
+	g_queue_remove(&e->open, j);
 	e->busy_us += (uint64_t)j->us;
-	answer(j);
+	if (!j->fatal)
+		answer(j);
+	else if ((r = mh_httpd_find(e->httpd, j->req)) != NULL)
+		mh_req_cut(r); /* the endpoint ends under it */
 	free_job(j);
 	start_next(e);
 }
 
+static void
+on_back(void *arg)
+{
+	struct endpoint *e = arg;
+
+	e->fall = NULL;
+	endpoint_fault(e, FAULT_NONE, 1);
+}
+
+static void
+on_fall(void *arg)
+{
+	struct endpoint *e = arg;
+
+	endpoint_fault(e, FAULT_DEAD, 1);
+	e->fall = mh_timer_start(e->w->k, BACK_US, on_back, e);
+}
+
+bool
+endpoint_try_fall(struct endpoint *e, const char *body, size_t len)
+{
+	if (g_strstr_len(body, (gssize)len, STAND_FATAL) == NULL)
+		return false;
+	if (e->fall == NULL) {
+		e->falls++;
+		e->fall = mh_timer_start(e->w->k, FALL_US, on_fall, e);
+	}
+	return true;
+}
+
 /* From here on the call has run: the audit counts it. */
 static void
 run(struct job *j)
@@ -152,8 +192,12 @@
 	struct endpoint *e = j->e;
 	struct world *w = e->w;
 	gpointer n;
+	gsize len;
+	const char *body = g_bytes_get_data(j->body, &len);
 
+	j->fatal = endpoint_try_fall(e, body, len);
 	e->running++;
+	g_queue_push_tail(&e->open, j);
 	w->runs++;
 	if (j->key != NULL) {
 		n = g_hash_table_lookup(w->audit, j->key);
@@ -230,6 +274,13 @@
 	e->factor = factor;
 	if (f != FAULT_DEAD)
 		return;
+	for (GList *n = e->open.head; n != NULL; n = n->next) {
+		struct job *o = n->data;
+		struct mh_http_req *r = mh_httpd_find(e->httpd, o->req);
+
+		if (r != NULL)
+			mh_req_cut(r);
+	}
 	while ((j = g_queue_pop_head(&e->waiting)) != NULL) {
 		struct mh_http_req *r = mh_httpd_find(e->httpd, j->req);
 
@@ -254,6 +305,7 @@
 	e->spec = *s;
 	e->factor = 1;
 	g_queue_init(&e->waiting);
+	g_queue_init(&e->open);
 	e->httpd = mh_httpd_create(w->loop, &a, err);
 	if (e->httpd == NULL) {
 		g_free(e);
@@ -269,6 +321,7 @@
 {
 	struct job *j;
 
+	mh_timer_stop(e->w->k, &e->fall);
 	while ((j = g_queue_pop_head(&e->waiting)) != NULL)
 		free_job(j);
 	mh_httpd_destroy(e->httpd);
