What moves between homes is taken, told in order, and handed on each time

Cause, of three known faults: (1) a cell judged work that another home had taken and begun as if it were new, behind the others that moved with it; (2) a leaving home told the stages of a job first to last, so that its asker, told of inputs made again, forgot them for a stage that it still took for made; (3) that an entry is the home again went unseen while it had no work, so its next end as the home was not counted. Ruled out for (1): taking whatever moves; what can't end by its deadline is still refused. Change: moved work is taken if it can end by its deadline; stages are told last to first; an idle cell that has ceased to be the home's looks on.

--- a/lib/broker.c
+++ b/lib/broker.c
@@ -524,8 +524,12 @@
 		b->end(b->end_arg, j, end, retry_us);
 		return;
 	}
-	for (uint32_t s = 0; s < j->n_stages && end == MH_JOB_MOVED; s++)
-		mh_broker_cell_step(b, j, s);
+	/*
+	 * The last stage first: told of an earlier one, the asker forgets what
+	 * a stage reads that it still takes for made, and it is made again.
+	 */
+	for (uint32_t s = j->n_stages; s > 0 && end == MH_JOB_MOVED; s--)
+		mh_broker_cell_step(b, j, s - 1);
 	send_end(b, g, end, retry_us);
 	if (end != MH_JOB_DONE)
 		free_guest(b, g);
@@ -587,14 +591,20 @@
 	char work[MH_WORK_LEN];
 	uint32_t looks;
 
-	if (mh_cell_idle(c))
+	looks = GPOINTER_TO_UINT(g_hash_table_lookup(b->looks, c));
+	if (mh_cell_idle(c) && looks == 0)
 		return;
+	/*
+	 * Home again, be it without work: unseen, the next time that it is no
+	 * more the home did not count, and it kept what it was given.
+	 */
 	if (mh_mesh_is_self(
 		b->m, mh_mesh_home(b->m, mh_slice_work(work, index, count)))) {
 		g_hash_table_remove(b->looks, c);
 		return;
 	}
-	looks = GPOINTER_TO_UINT(g_hash_table_lookup(b->looks, c));
+	if (mh_cell_idle(c))
+		return;
 	if (looks < LOOKS)
 		g_hash_table_insert(b->looks, c, GUINT_TO_POINTER(looks + 1));
 	if (looks + 1 == LOOKS)
--- a/lib/celladmit.c
+++ b/lib/celladmit.c
@@ -161,7 +161,15 @@
 	/* Whoever asks may end before its caller's aim. */
 	if (at <= MIN(j->aim_us - margin_us(c, j), j->deadline_us))
 		ok = true;
-	else {
+	else if (j->moved) {
+		/*
+		 * Another home, or this one before it left, has taken it and
+		 * begun: judged as if it were new, it was refused behind the
+		 * others that moved with it, and what was made thrown away.
+		 */
+		j->state->late = at > j->aim_us;
+		ok = at <= j->deadline_us;
+	} else {
 		j->state->late = true;
 		at = predict_us(c, j);
 		ok = at != INT64_MAX &&
