Ends are kept for three minutes, the oldest go first

Cause: four ends of a caller that asks every 40 s were never kept together where endpoints of the pool end by themselves too. Change: 180 s instead of 60; a full table drops its oldest end. Figures: the test (asked every 40 s, others end between) is held at the fourth end.

--- a/lib/poison.c
+++ b/lib/poison.c
@@ -33,8 +33,8 @@
  * laid to whoever ran beside the cause at this entry.
  */
 #define RIPE_US (150 * MH_US_PER_MS)
-/* An end speaks against a request for so long. */
-#define KEEP_US (60 * MH_US_PER_S)
+/* An end speaks against a request for so long: callers may ask seldom. */
+#define KEEP_US (180 * MH_US_PER_S)
 /* Bounds on what is kept and on what is new in a second. */
 #define ENDS_MOST 256
 #define ENDS_A_SECOND 32
@@ -114,6 +114,25 @@
 static void sweep_later(struct mh_poison *s);
 static void work_out(struct mh_poison *s);
 
+static void
+drop_oldest(struct mh_poison *s)
+{
+	const struct ended *oldest = NULL;
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, s->ended);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct ended *e = v;
+
+		if (oldest == NULL || e->at_us < oldest->at_us)
+			oldest = e;
+	}
+	s->stale = true;
+	if (oldest != NULL)
+		g_hash_table_remove(s->ended, oldest->endpoint);
+}
+
 /* A zone that is lost ends hundreds at once: these tell nothing. */
 static bool
 has_room(struct mh_poison *s)
@@ -123,12 +142,13 @@
 	if (s->second != second)
 		s->new_ends = 0;
 	s->second = second;
-	if (s->new_ends >= ENDS_A_SECOND ||
-	    g_hash_table_size(s->ended) >= ENDS_MOST) {
+	if (s->new_ends >= ENDS_A_SECOND) {
 		mh_count(s->k, "poison_ends_left_out", 1);
 		return false;
 	}
 	s->new_ends++;
+	if (g_hash_table_size(s->ended) >= ENDS_MOST)
+		drop_oldest(s);
 	return true;
 }
 
--- a/regress/t_poison.c
+++ b/regress/t_poison.c
@@ -137,6 +137,25 @@
 	prig_destroy(r);
 }
 
+/* Its caller asks every 40 s; between, endpoints end by themselves. */
+static void
+test_asked_seldom(void)
+{
+	struct prig *r = prig_create();
+	char id[16];
+
+	for (uint64_t i = 0; i < 4; i++) {
+		g_snprintf(id, sizeof(id), "a%" PRIu64, i);
+		broke(r, id, BAD);
+		pass(r, 30 * S);
+		g_snprintf(id, sizeof(id), "b%" PRIu64, i);
+		broke(r, id, 100 + i);
+		pass(r, 10 * S);
+	}
+	CU_ASSERT(mh_poison_held_us(r->k, BAD) > 0);
+	prig_destroy(r);
+}
+
 /* It ran at another pool: that says nothing of this one. */
 static void
 test_ran_elsewhere(void)
@@ -221,7 +240,7 @@
 		end_three(r, p);
 	CU_ASSERT(all_bytes(r) < 256 * 1024);
 	CU_ASSERT(mh_counter(r->k, "poison_ends_left_out") > 0);
-	pass(r, 70 * S);
+	pass(r, 190 * S);
 	pass(r, 2 * 3600 * S);
 	pass(r, 10 * S);
 	CU_ASSERT_EQUAL(all_bytes(r), 0);
@@ -383,6 +402,7 @@
 const struct test tests_poison[] = {
 	{ "held, tried, forgotten", test_tried_again },
 	{ "a trial that passes", test_trial_passed },
+	{ "asked seldom", test_asked_seldom },
 	{ "it ran at another pool", test_ran_elsewhere },
 	{ "answers lost", test_answers_lost },
 	{ "answers of the next incarnation", test_answer_of_the_next },
