Ends of endpoints that leave, or have left, lay nothing to their requests

Change: also where the endpoint is listed no more; a hold that is told late is not another; what is on its way from an ended endpoint is waited for 0.7 s (links that queue for half a second); every end is judged, whoever worked out the points.

--- a/lib/cell.c
+++ b/lib/cell.c
@@ -321,8 +321,8 @@
 
 		if (end == MH_BATCH_DONE && j != NULL)
 			mh_poison_ran(c->k, j->print, b->pool);
-		else if (end == MH_BATCH_LOST && b->broke &&
-		    (n == NULL || !n->leaving))
+		else if (end == MH_BATCH_LOST && b->broke && n != NULL &&
+		    !n->leaving)
 			mh_poison_broke(c->k, &e);
 	}
 }
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -525,7 +525,7 @@
 		    MAX(GAP_FACTOR * q->route->gap_aim_us, GAP_DEFAULT_US));
 }
 
-/* The endpoint may have ended; one that leaves does so as planned. */
+/* The endpoint may have ended; one that leaves, or has left, is to. */
 static void
 note_break(struct mh_gate *g, const struct mh_try *t, const struct mh_node *n)
 {
@@ -533,7 +533,7 @@
 		t->sent_us,
 		t->head_us != 0 && mh_now(g->k) - t->head_us > FRESH_US };
 
-	if (n == NULL || !n->leaving)
+	if (n != NULL && !n->leaving)
 		mh_poison_broke(g->k, &e);
 }
 
--- a/lib/poison.c
+++ b/lib/poison.c
@@ -40,7 +40,7 @@
 #define ENDS_A_SECOND 32
 #define MEMBERS_MOST 64
 #define HOLDS_MOST 1024
-#define RAN_MOST 1024
+#define RAN_MOST 4096
 /*
  * Points that an end adds: half for a request that had run for a while, since
  * a cause shows when it begins.
@@ -65,7 +65,7 @@
  */
 #define SAME_RUN_US (1 * MH_US_PER_S)
 /* What an endpoint sent before it ended arrives within this. */
-#define ON_WAY_US (300 * MH_US_PER_MS)
+#define ON_WAY_US (700 * MH_US_PER_MS)
 /* One that ended is not back before. */
 #define BACK_US (1 * MH_US_PER_S)
 
@@ -169,6 +169,7 @@
 	e->at_us = at_us;
 	e->members = g_array_new(FALSE, FALSE, sizeof(struct member));
 	g_hash_table_replace(s->ended, e->endpoint, e);
+	s->stale = true; /* rows name pools of what may be gone now */
 	s->unripe++;
 	look_later(s);
 	sweep_later(s);
@@ -535,19 +536,21 @@
 void
 mh_poison_judge(struct mh_poison *s)
 {
-	GList *all;
+	GArray *likely = g_array_new(FALSE, FALSE, sizeof(struct row));
+	GHashTableIter it;
+	gpointer v;
 
-	if (!s->stale)
-		return;
 	work_out(s);
-	all = g_hash_table_get_values(s->rows);
-	for (GList *l = all; l != NULL; l = l->next) {
-		const struct row *r = l->data;
+	g_hash_table_iter_init(&it, s->rows);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		const struct row *r = v;
 
 		if (r->score >= HOLD_POINTS)
-			hold_cause(s, r);
+			g_array_append_vals(likely, r, 1);
 	}
-	g_list_free(all);
+	for (guint i = 0; i < likely->len; i++)
+		hold_cause(s, &g_array_index(likely, struct row, i));
+	g_array_free(likely, TRUE);
 }
 
 /* holds */
@@ -578,10 +581,10 @@
 		h->told = true;
 		g_hash_table_insert(s->holds, &h->print, h);
 	}
-	if (until_us > h->until_us && until_us > mh_now(s->k)) {
+	/* Word of one hold that comes later is not another. */
+	if (until_us - h->until_us > SAME_RUN_US && until_us > mh_now(s->k)) {
 		h->made_us = mh_now(s->k);
 		h->until_us = until_us;
-		h->times = MAX(times, h->times);
 		if (s->ops.held != NULL)
 			s->ops.held(s->ops.arg, print);
 	}
--- a/regress/fallrig.c
+++ b/regress/fallrig.c
@@ -174,7 +174,7 @@
 	for (uint32_t i = 0; i < r->n_engines; i++) {
 		const struct engine *n = &r->engines[i];
 		struct mh_listing l = { n->id, 0, "pool", "10.0.0.1:1", "d", 64,
-			false, 0 };
+			n->leaving, 0 };
 
 		mh_fleet_list(e->f, &l);
 	}
--- a/regress/fallrig.h
+++ b/regress/fallrig.h
@@ -15,6 +15,7 @@
 	char id[16];
 	uint32_t born; /* number of its start */
 	int64_t down_us; /* it ended then; 0: it runs */
+	bool leaving;
 	uint32_t falls; /* under a request that ends engines */
 };
 
--- a/regress/t_fall.c
+++ b/regress/t_fall.c
@@ -230,6 +230,30 @@
 	fallrig_destroy(r);
 }
 
+/*
+ * Engines leave as planned, and end with what still runs there; so do some that
+ * are listed no more.  That says nothing of their requests.
+ */
+static void
+test_engines_leave(void)
+{
+	struct fallrig *r = fallrig_create(ENGINES, 2);
+	uint64_t ends = 0;
+
+	for (uint32_t i = 0; i < ENGINES; i++) {
+		r->engines[i].leaving = true;
+		fallrig_run(r, S);
+		fallrig_fall(r, i);
+		fallrig_run(r, 4 * S);
+		r->engines[i].leaving = false;
+	}
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ends += mh_counter(r->m->e[i].k, "poison_ends");
+	CU_ASSERT_EQUAL(ends, 0);
+	check_good(r, 2);
+	fallrig_destroy(r);
+}
+
 /* our own entries and side processes */
 
 #define OWN_ENTRIES 3
@@ -438,6 +462,7 @@
 	{ "engines fall by themselves", test_engines_fall_alone },
 	{ "engines fall by themselves too", test_both },
 	{ "connections reset", test_connections_reset },
+	{ "engines leave", test_engines_leave },
 	{ "store away", test_store_away },
 	{ "an entry restarts", test_entry_restarts },
 	{ "own interface", test_own_interface },
--- a/regress/t_poison.c
+++ b/regress/t_poison.c
@@ -186,7 +186,7 @@
 
 	for (int i = 0; i < 3; i++) {
 		broke(r, ids[i], BAD);
-		pass(r, 400 * MS);
+		pass(r, 800 * MS); /* nothing is on its way any more */
 		if (i == 1)
 			mh_poison_answered(r->k, ids[i], r->now_us, false);
 		else
@@ -197,6 +197,7 @@
 	end_three(r, BAD);
 	CU_ASSERT(mh_poison_held_us(r->k, BAD) > 0);
 	/* The last one was none after all. */
+	pass(r, 400 * MS);
 	mh_poison_answered(r->k, "7-2", 0, false);
 	CU_ASSERT_EQUAL(mh_poison_held_us(r->k, BAD), 0);
 	prig_destroy(r);
