--- a/regress/entwork.c
+++ b/regress/entwork.c
@@ -69,6 +69,7 @@
 	(void)retry_us;
 	e->ended++;
 	e->done += end == MH_JOB_DONE;
+	e->held += end == MH_JOB_HELD;
 }
 
 void
--- a/regress/entwork.h
+++ b/regress/entwork.h
@@ -19,6 +19,7 @@
 	uint32_t freed; /* results */
 	uint32_t ended; /* jobs that were submitted here */
 	uint32_t done; /* of these */
+	uint32_t held; /* of these, since endpoints end under their requests */
 };
 
 /** ent_create() - for a running entry: pools "a" and "b", and its cells. */
--- a/regress/t_home.c
+++ b/regress/t_home.c
@@ -663,6 +663,62 @@
 	mrig_destroy(r);
 }
 
+/*
+ * Stage work of a request under which endpoints end is at the home of another
+ * entry, or on its way to the next home.  Every home knows whose it is, and the
+ * entry that asked is told why it ends.
+ */
+static void
+test_held_at_the_home(void)
+{
+	static const char *const pools[] = { "a", NULL };
+	const uint32_t pieces[] = { 8 };
+	struct mrig *r = mrig_create();
+	struct ent all[ENTRIES] = { 0 };
+	struct ment *home, *next;
+	struct ent *e;
+	struct mh_cell *c;
+	struct mh_job *j[2];
+
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		ent_create(&all[i], &r->e[i]);
+		all[i].stalled = "a";
+	}
+	mrig_run(r, 2 * S);
+	home = mrig_agreed(r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(home);
+	e = &all[home->index == 0];
+	for (int i = 0; i < 2; i++) { /* one in a call, one that waits */
+		j[i] = new_job(e, pools, pieces);
+		j[i]->print = 77;
+		mh_broker_submit(e->b, j[i]);
+	}
+	mrig_run(r, 100 * MS);
+	c = mh_cells_get(all[home->index].cs, 0, 1);
+	CU_ASSERT_EQUAL_FATAL(c->jobs->len, 2);
+	mh_mesh_leave(home->m);
+	mh_cells_leave(all[home->index].cs);
+	mrig_run(r, 200 * MS); /* the call is not overdue yet */
+	next = mrig_agreed(r);
+	CU_ASSERT_PTR_NOT_EQUAL(next, home);
+	c = mh_cells_get(all[next->index].cs, 0, 1);
+	CU_ASSERT_EQUAL_FATAL(c->jobs->len, 1);
+	CU_ASSERT_EQUAL(
+	    ((struct mh_job *)g_ptr_array_index(c->jobs, 0))->print, 77);
+	mh_cells_held(all[next->index].cs, 77);
+	mrig_run(r, 40 * MS);
+	CU_ASSERT_EQUAL(e->held, 1);
+	CU_ASSERT_EQUAL(c->jobs->len, 0);
+	for (int i = 0; i < 2; i++) {
+		mh_broker_drop(e->b, j[i]);
+		mh_job_destroy(j[i]);
+	}
+	mrig_run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
+}
+
 /* Two jobs come to an entry that is the home no more: one call, one waits. */
 static uint32_t
 left_of_two(struct mrig *r, struct ent *e)
@@ -723,6 +779,7 @@
 
 const struct test tests_home[] = {
 	{ "home: no more, twice", test_home_no_more_twice },
+	{ "home: held at the home", test_held_at_the_home },
 	{ "home: what is made again is handed on",
 	    test_made_again_is_handed_on },
 	{ "home: listed no more", test_unlisted_home },
