--- a/regress/t_fall.c
+++ b/regress/t_fall.c
@@ -139,23 +139,40 @@
 	}
 }
 
+static void
+two_causes_and_falls(uint32_t seed)
+{
+	struct fallrig *r = fallrig_create(ENGINES, seed);
+
+	r->bad = 2;
+	for (int i = 0; i < 30; i++) {
+		fallrig_run(r, S);
+		fallrig_fall(
+		    r, (uint32_t)g_rand_int_range(r->rand, 0, ENGINES));
+	}
+	check_bad(r, seed);
+	check_good(r, seed);
+	fallrig_destroy(r);
+}
+
 /* Engines end by themselves while two requests end others. */
 static void
 test_both(void)
 {
-	for (uint32_t seed = 1; seed <= 8; seed++) {
-		struct fallrig *r = fallrig_create(ENGINES, seed);
+	for (uint32_t seed = 1; seed <= 8; seed++)
+		two_causes_and_falls(seed);
+}
 
-		r->bad = 2;
-		for (int i = 0; i < 30; i++) {
-			fallrig_run(r, S);
-			fallrig_fall(
-			    r, (uint32_t)g_rand_int_range(r->rand, 0, ENGINES));
-		}
-		check_bad(r, seed);
-		check_good(r, seed);
-		fallrig_destroy(r);
-	}
+/*
+ * In the first seconds, before either cause is known, a request of somebody
+ * else runs beside one, beside the other and on an engine that ends by itself,
+ * asks again each time, and is held with them.
+ */
+static void
+test_both_in_the_first_seconds(void)
+{
+	two_causes_and_falls(39);
+	two_causes_and_falls(46);
 }
 
 /*
@@ -461,6 +478,8 @@
 	{ "many causes at once", test_many_causes },
 	{ "engines fall by themselves", test_engines_fall_alone },
 	{ "engines fall by themselves too", test_both },
+	{ "fall: two causes in the first seconds",
+	    test_both_in_the_first_seconds },
 	{ "connections reset", test_connections_reset },
 	{ "engines leave", test_engines_leave },
 	{ "store away", test_store_away },
