--- a/regress/t_fall.c
+++ b/regress/t_fall.c
@@ -164,9 +164,9 @@
 }
 
 /*
- * In the first seconds, before either cause is known, a request of somebody
- * else runs beside one, beside the other and on an engine that ends by itself,
- * asks again each time, and is held with them.
+ * Two requests end engines, and one a second ends by itself.  A request of
+ * somebody else, which asks again after each end that it meets, is held as if
+ * it were a third cause.
  */
 static void
 test_both_in_the_first_seconds(void)
