Test, failing: word that a request has run goes round once, on slow links too

Change: the rig's links take time; the test counts frames when nobody asks any more. The runner counts what passed without lines of the list that can't be taken.

--- a/regress/entries.c
+++ b/regress/entries.c
@@ -171,11 +171,59 @@
 	bool lost = e->lose_views > 0 && f->body_case == MH__FRAME__BODY_VIEW;
 
 	count_holes(e->r, f);
+	e->r->poison_frames += f->body_case == MH__FRAME__BODY_POISON;
 	e->lose_views -= lost;
 	mh_frame_free(f);
 	return lost;
 }
 
+/** struct on_way - a frame that takes its time. */
+struct on_way {
+	struct ment *from;
+	struct ment *to;
+	uint64_t conn; /* the receiver's */
+	GBytes *frame;
+	int64_t at_us;
+};
+
+static void
+free_on_way(void *arg)
+{
+	struct on_way *w = arg;
+
+	g_bytes_unref(w->frame);
+	g_free(w);
+}
+
+static void
+deliver(struct ment *from, struct ment *to, uint64_t conn, GBytes *frame)
+{
+	struct on_way w = { from, to, conn, frame,
+		to->r->now_us + to->delay_us };
+
+	if (to->delay_us == 0) {
+		tell(to, MH_MSG_FRAME, conn, from, false, frame);
+		return;
+	}
+	g_bytes_ref(frame);
+	g_ptr_array_add(to->r->on_way, g_memdup2(&w, sizeof(w)));
+}
+
+static void
+arrive_due(struct mrig *r)
+{
+	for (guint i = 0; i < r->on_way->len;) {
+		struct on_way *w = g_ptr_array_index(r->on_way, i);
+
+		if (w->at_us > r->now_us) {
+			i++;
+			continue;
+		}
+		tell(w->to, MH_MSG_FRAME, w->conn, w->from, false, w->frame);
+		g_ptr_array_remove_index(r->on_way, i);
+	}
+}
+
 static void
 link_handle(void *self, struct mh_msg *msg)
 {
@@ -197,8 +245,7 @@
 		tl = mh_kern_get(to->k, "link");
 		if (tl == NULL)
 			break;
-		tell(to, MH_MSG_FRAME, theirs(tl, mirror(id)), e, false,
-		    m->frame);
+		deliver(e, to, theirs(tl, mirror(id)), m->frame);
 		break;
 	case MH_MSG_LINK_CLOSE:
 		if (give_up(l, m->conn) || never_opened(l, m->conn))
@@ -330,6 +377,7 @@
 	for (int64_t t = 0; t < us; t += 10 * MS) {
 		r->now_us += 10 * MS;
 		open_due(r);
+		arrive_due(r);
 		for (int round = 0; round < 4; round++) {
 			for (uint32_t i = 0; i < ENTRIES; i++) {
 				if (!r->e[i].down && !r->e[i].off &&
@@ -349,6 +397,7 @@
 	r->now_us = S;
 	r->members = g_ptr_array_new();
 	r->opening = g_ptr_array_new_with_free_func(g_free);
+	r->on_way = g_ptr_array_new_with_free_func(free_on_way);
 	for (uint32_t i = 0; i < ENTRIES; i++) {
 		struct mh_member *m = g_new0(struct mh_member, 1);
 
@@ -382,6 +431,7 @@
 	}
 	g_ptr_array_free(r->members, TRUE);
 	g_ptr_array_free(r->opening, TRUE);
+	g_ptr_array_free(r->on_way, TRUE);
 	g_free(r);
 }
 
--- a/regress/entries.h
+++ b/regress/entries.h
@@ -24,6 +24,7 @@
 	bool frozen; /* does not run; what is sent to it waits */
 	bool off; /* its VM has no power: what is sent there is lost */
 	int64_t opens_us; /* links to it take so long to open */
+	int64_t delay_us; /* what is sent to it takes so long */
 	bool no_links; /* started without its link service */
 	uint32_t dialled; /* links of its own that came up since its start */
 	bool ready;
@@ -43,6 +44,8 @@
 	int64_t now_us;
 	GPtrArray *members;
 	GPtrArray *opening; /* struct opening */
+	GPtrArray *on_way; /* struct on_way, those sent first before */
+	uint32_t poison_frames; /* sent so far */
 	uint32_t holes; /* results of a stage that were sent without one */
 };
 
--- a/regress/main.c
+++ b/regress/main.c
@@ -141,7 +141,7 @@
 int
 main(int argc, char **argv)
 {
-	unsigned failed, run;
+	unsigned failed, run, red_tests;
 	struct red red = { 0 };
 
 	if (sodium_init() < 0 || CU_initialize_registry() != CUE_SUCCESS)
@@ -153,10 +153,10 @@
 	CU_basic_set_mode(CU_BRM_NORMAL);
 	CU_basic_run_tests();
 	judge_red(&red, argc <= 2);
-	failed =
-	    CU_get_number_of_tests_failed() - red.known + red.stale + red.bad;
+	red_tests = CU_get_number_of_tests_failed();
+	failed = red_tests - red.known + red.stale + red.bad;
 	run = CU_get_number_of_tests_run();
 	CU_cleanup_registry();
-	printf("\n%u passed, %u failed\n", run - failed - red.known, failed);
+	printf("\n%u passed, %u failed\n", run - red_tests, failed);
 	return failed == 0 && run > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/regress/t_fall.c
+++ b/regress/t_fall.c
@@ -271,6 +271,50 @@
 	fallrig_destroy(r);
 }
 
+/* Frames that entries send of all this in three seconds without requests. */
+static uint32_t
+frames_when_quiet(uint32_t seed, int64_t delay_us)
+{
+	struct fallrig *r = fallrig_create(ENGINES, seed);
+	uint32_t frames;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		r->m->e[i].delay_us = delay_us;
+	for (int i = 0; i < 15; i++) {
+		fallrig_run(r, S);
+		fallrig_fall(
+		    r, (uint32_t)g_rand_int_range(r->rand, 0, ENGINES));
+	}
+	r->per_s = 0;
+	fallrig_run(r, 15 * S);
+	frames = r->m->poison_frames;
+	CU_ASSERT(frames > 0);
+	fallrig_run(r, 3 * S);
+	frames = r->m->poison_frames - frames;
+	if (frames > 0)
+		fprintf(stderr, "seed %u, links of %" PRId64 " ms: %u frames\n",
+		    seed, mh_ms(delay_us), frames);
+	fallrig_destroy(r);
+	return frames;
+}
+
+/*
+ * On a day with engines that crash, the entries used 310 s of processor time
+ * instead of 15; half of the requests were not served, links were cut as
+ * silent, and an engine was asked 4.3 s after it had said that it leaves.
+ */
+static void
+test_word_goes_round_once(void)
+{
+	static const int64_t links_us[] = { 20 * MS, 300 * MS, 600 * MS,
+		700 * MS };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(links_us); i++) {
+		CU_ASSERT_EQUAL(frames_when_quiet(1, links_us[i]), 0);
+		CU_ASSERT_EQUAL(frames_when_quiet(2, links_us[i]), 0);
+	}
+}
+
 /* our own entries and side processes */
 
 #define OWN_ENTRIES 3
@@ -484,6 +528,7 @@
 	{ "engines leave", test_engines_leave },
 	{ "store away", test_store_away },
 	{ "an entry restarts", test_entry_restarts },
+	{ "fall: word goes round once", test_word_goes_round_once },
 	{ "own interface", test_own_interface },
 	{ "own interface, once", test_own_once },
 	{ "own interface, an entry restarts", test_own_entry_restarts },
