A request is held for ends of its own, not for those of a cause beside it

What callers saw: with two requests that end engines, and an engine that ends by itself each second, a third caller's request was refused for five minutes as if it ended engines (503 request-held), about 1 of 90,000 requests. Cause: it had run beside a cause at two ends, as likely as that one each time (they had been sent to the same engine, apart from others); its third was an engine's own end, at which it alone was likely. Only the last of the three had to be its own. Change: two of its ends must be its own, else one more is asked for. On trial after a hold one end is still enough. Conclusion: holds since two ends of its own need two ends that nobody else explains, and between them the suspect runs apart and is cleared when it runs whole.

--- a/lib/poison.c
+++ b/lib/poison.c
@@ -49,6 +49,8 @@
 #define POINTS 2
 #define POINTS_OLD 1
 #define HOLD_POINTS (3 * POINTS)
+/* Of three ends so many are its own, or one more is asked for. */
+#define ENDS_ALONE 2
 /* Suspected this much, a request explains the end of its endpoint. */
 #define LIKELY_POINTS (2 * POINTS)
 /* Other ends of the pool count for so long... */
@@ -488,7 +490,8 @@
 			continue;
 		r->score += m->old ? POINTS_OLD : POINTS;
 		r->ends++;
-		r->alone = blamed == 1;
+		r->ends_alone += blamed == 1;
+		r->last_alone = blamed == 1;
 	}
 }
 
@@ -507,10 +510,14 @@
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		const struct hold *h = v;
 		bool over = h->until_us <= mh_now(s->k);
+		struct row *r;
 
+		if (!over && h->times == 1)
+			continue;
 		/* On trial, or held after one: one more end is enough. */
-		if (over || h->times > 1)
-			row_of(s, h->print, h->pool)->score = LIKELY_POINTS;
+		r = row_of(s, h->print, h->pool);
+		r->score = LIKELY_POINTS;
+		r->ends_alone = ENDS_ALONE - 1;
 	}
 	ends = ends_of(s);
 	for (guint i = 0; i < ends->len; i++)
@@ -554,6 +561,18 @@
 	return n;
 }
 
+/*
+ * Whether the ends can be laid to it without another that was as likely.  Who
+ * ran beside a cause at two ends had all its points from that one, and a third
+ * end, of an endpoint that ended by itself, held it as a cause of its own.  The
+ * first end is seldom one's own: all are as likely then.
+ */
+static bool
+stands_alone(const struct row *r)
+{
+	return r->last_alone && r->ends_alone >= ENDS_ALONE;
+}
+
 /*
  * Points that hold a request.  Endpoints that end by themselves, one after the
  * other, end under whoever asks again too.
@@ -570,7 +589,7 @@
 	*others = other_ends(s, r);
 	points += *others > 0 ? POINTS : 0;
 	points += *others * OTHERS_MANY >= size ? POINTS : 0;
-	return r->alone ? points : points + POINTS;
+	return stands_alone(r) ? points : points + POINTS;
 }
 
 static void
--- a/lib/poisonint.h
+++ b/lib/poisonint.h
@@ -71,7 +71,8 @@
 	const char *pool; /* of an end or a hold */
 	uint32_t score;
 	uint32_t ends;
-	bool alone; /* nothing else was blamed for its last end */
+	uint32_t ends_alone; /* for which nothing else was blamed */
+	bool last_alone; /* its last end is one of these */
 };
 
 /** struct mh_poison - the service. */
--- a/regress/t_fall.c
+++ b/regress/t_fall.c
@@ -166,7 +166,11 @@
 /*
  * Two requests end engines, and one a second ends by itself.  A request of
  * somebody else, which asks again after each end that it meets, is held as if
- * it were a third cause.
+ * it were a third cause.  It had run beside a cause at two ends and was blamed
+ * as much for them; the third engine ended by itself and it alone was likely:
+ *	end n4-0: 1000 (0 points) and cause 2 (0)
+ *	end n7-0: 1000 (2) and cause 2 (2)
+ *	end n6-0, by itself: 1000 (4), others 0; held with 6 of 6
  */
 static void
 test_both_in_the_first_seconds(void)
