--- a/regress/main.c
+++ b/regress/main.c
@@ -16,6 +16,33 @@
 
 const char *regress_dir = "regress";
 
+/* Seeds by hand, "FIRST-LAST"; 0: those of the test. */
+static uint32_t first_seed, last_seed;
+
+uint32_t
+regress_first(uint32_t seed)
+{
+	return first_seed != 0 ? first_seed : seed;
+}
+
+uint32_t
+regress_last(uint32_t seed)
+{
+	return last_seed != 0 ? last_seed : seed;
+}
+
+static bool
+take_seeds(const char *text)
+{
+	char *end;
+
+	first_seed = (uint32_t)g_ascii_strtoull(text, &end, 10);
+	if (first_seed == 0 || *end != '-')
+		return false;
+	last_seed = (uint32_t)g_ascii_strtoull(end + 1, &end, 10);
+	return *end == '\0' && last_seed >= first_seed;
+}
+
 struct suite {
 	const char *name;
 	const struct test *tests;
@@ -43,6 +70,7 @@
 	{ "registry", tests_registry },
 	{ "store", tests_store },
 	{ "home", tests_home },
+	{ "handon", tests_handon },
 	{ "front", tests_front },
 	{ "work", tests_work },
 	{ "drain", tests_drain },
@@ -148,6 +176,11 @@
 		return EXIT_FAILURE;
 	if (argc > 1)
 		regress_dir = argv[1];
+	if (argc > 3 && !take_seeds(argv[3])) {
+		fprintf(stderr,
+		    "usage: regress [dir [suite-or-test [first-last]]]\n");
+		return EXIT_FAILURE;
+	}
 	for (size_t i = 0; i < sizeof(suites) / sizeof(suites[0]); i++)
 		add_suite(&suites[i], argc > 2 ? argv[2] : NULL);
 	CU_basic_set_mode(CU_BRM_NORMAL);
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -2,6 +2,7 @@
 #define REGRESS_H
 
 #include <CUnit/CUnit.h>
+#include <stdint.h>
 
 /** struct test - one test of a suite. */
 struct test {
@@ -31,6 +32,7 @@
 extern const struct test tests_registry[];
 extern const struct test tests_store[];
 extern const struct test tests_home[];
+extern const struct test tests_handon[];
 extern const struct test tests_front[];
 extern const struct test tests_work[];
 extern const struct test tests_drain[];
@@ -42,4 +44,11 @@
 /** regress_dir - where golden files stand. */
 extern const char *regress_dir;
 
+/**
+ * regress_first() - the seed that a test of many begins with: @seed, or the one
+ * given by hand; regress_last() - the last, likewise.
+ */
+uint32_t regress_first(uint32_t seed);
+uint32_t regress_last(uint32_t seed);
+
 #endif
