Who asked for stage work is told when what was made is to be made again

What callers saw: after a home dies their work waits longer than it need: the next home is given results that are gone, finds it out by a call that fails, and makes stage after stage again on the way back. Cause: the home told of stages that are made, never that one is made no more. Told of the inputs that it made again, the entry that asked forgot them, since the stage that reads them was made as far as it knew. Evidence: trace of the named test on the code before its mend, with the home still there: "asker told of stage 0: made 1 1 0 kept 0 1 0", stage 1 gone at the home. Change: a stage that is to be made again is told of at once, last stage first. Conclusion: holds since every way to unmake a piece is remake(), which marks it.

--- a/lib/cell.h
+++ b/lib/cell.h
@@ -70,6 +70,8 @@
 	bool started; /* a piece was given to an endpoint */
 	bool leaving; /* it moves once none of its pieces is in a call */
 	bool stale; /* paths are to be worked out anew */
+	uint32_t unmade; /* stages that were told as made and are not, a bit
+			  * each */
 	int64_t left_us; /* the longest path */
 	struct sstate stages[MH_GSTAGES];
 };
--- a/lib/cellmade.c
+++ b/lib/cellmade.c
@@ -6,8 +6,7 @@
 
 #include <string.h>
 
-static void remake(
-    struct mh_cell *c, struct mh_job *j, uint32_t stage, uint32_t piece);
+static void need_inputs(struct mh_cell *c, struct mh_job *j, uint32_t stage);
 
 /* ends of a job */
 
@@ -137,9 +136,25 @@
 	}
 }
 
-/* Inputs that were freed, since a call had read them, are made again. */
-void
-mh_cell_need_inputs(struct mh_cell *c, struct mh_job *j, uint32_t stage)
+/* Makes a result once more, and what it needs that was given up since. */
+static void
+remake(struct mh_cell *c, struct mh_job *j, uint32_t stage, uint32_t piece)
+{
+	struct sstate *ss = &j->state->stages[stage];
+
+	drop_result(c, j, stage, piece);
+	if (ss->left == 0)
+		j->state->unmade |= 1U << stage;
+	ss->made[piece].need = true;
+	ss->made[piece].fed = false;
+	ss->left++;
+	j->state->stale = true;
+	mh_count(c->k, "pieces_remade", 1);
+	need_inputs(c, j, stage);
+}
+
+static void
+need_inputs(struct mh_cell *c, struct mh_job *j, uint32_t stage)
 {
 	for (uint32_t s = 0; s < stage; s++) {
 		if ((j->stages[stage].after >> s & 1) == 0)
@@ -152,19 +167,30 @@
 	}
 }
 
-/* Makes a result once more, and what it needs that was given up since. */
+/*
+ * Who asked was told that these stages are made.  Not told that they are made
+ * again, it forgets their inputs when these are made, and should this process
+ * die, the next home is given results that are gone and finds it out by calls
+ * that fail, a stage at a time.  The last stage first, as in all that is told.
+ */
 static void
-remake(struct mh_cell *c, struct mh_job *j, uint32_t stage, uint32_t piece)
+tell_unmade(struct mh_cell *c, struct mh_job *j)
 {
-	struct sstate *ss = &j->state->stages[stage];
+	uint32_t unmade = j->state->unmade;
 
-	drop_result(c, j, stage, piece);
-	ss->made[piece].need = true;
-	ss->made[piece].fed = false;
-	ss->left++;
-	j->state->stale = true;
-	mh_count(c->k, "pieces_remade", 1);
-	mh_cell_need_inputs(c, j, stage);
+	j->state->unmade = 0;
+	for (uint32_t s = j->n_stages; s > 0 && c->ops.step != NULL; s--) {
+		if ((unmade >> (s - 1) & 1) != 0)
+			c->ops.step(c->ops.arg, j, s - 1);
+	}
+}
+
+/* Inputs that were freed, since a call had read them, are made again. */
+void
+mh_cell_need_inputs(struct mh_cell *c, struct mh_job *j, uint32_t stage)
+{
+	need_inputs(c, j, stage);
+	tell_unmade(c, j);
 }
 
 static bool
@@ -214,6 +240,7 @@
 			}
 		}
 	}
+	tell_unmade(c, j);
 }
 
 void
@@ -228,4 +255,5 @@
 				remake(c, j, s, i);
 		}
 	}
+	tell_unmade(c, j);
 }
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -383,7 +383,8 @@
 struct mh_cell_ops {
 	void (*run)(void *arg, struct mh_batch *b);
 	void (*abort)(void *arg, struct mh_batch *b);
-	/* a stage of @j is done, and more is to come; NULL: nobody cares */
+	/* a stage of @j is done, and more is to come, or it was and is to be
+	 * made again; NULL: nobody cares */
 	void (*step)(void *arg, struct mh_job *j, uint32_t stage);
 	/* @j is the submitter's to destroy; its results stay to be freed */
 	void (*end)(
--- a/regress/t_handon.c
+++ b/regress/t_handon.c
@@ -250,7 +250,10 @@
 
 /*
  * A home dies in the same states.  What it had made in whole stages is known to
- * the entry that asked; what it had found gone is not taken for made.
+ * the entry that asked; what it had found gone was taken for made there, since
+ * only stages that are made were told of: told of the inputs of such a stage,
+ * the entry forgot them, and gave the next home results that did not exist
+ * ("asker told of stage 0: made 1 1 0 kept 0 1 0", stage 1 being gone).
  */
 static void
 test_dies_at_any_moment(void)
