Test: an entry ceases to be the home any number of times

Cause: the named test has two times, with no work between. Conclusion: "home: no more, twice" holds beyond its case.

--- a/regress/t_handon.c
+++ b/regress/t_handon.c
@@ -122,12 +122,12 @@
 }
 
 static void
-end_calls(struct handon *h, enum mh_batch_end end)
+end_calls(struct mh_cell *c, enum mh_batch_end end)
 {
-	GList *all = g_hash_table_get_values(h->cell->batches);
+	GList *all = g_hash_table_get_values(c->batches);
 
 	for (GList *l = all; l != NULL; l = l->next)
-		mh_cell_batch_end(h->cell, l->data, end);
+		mh_cell_batch_end(c, l->data, end);
 	g_list_free(all);
 }
 
@@ -150,7 +150,7 @@
 		}
 	}
 	stall(h);
-	end_calls(h, MH_BATCH_DONE);
+	end_calls(h->cell, MH_BATCH_DONE);
 	mrig_run(h->r, UNREAD_US);
 	if (h->cell->jobs->len == 0)
 		h->begun = NULL;
@@ -192,7 +192,7 @@
 		mrig_run(h->r, READ_US);
 		make_results(h);
 	}
-	end_calls(h, read ? MH_BATCH_DONE : MH_BATCH_FULL);
+	end_calls(h->cell, read ? MH_BATCH_DONE : MH_BATCH_FULL);
 	return due;
 }
 
@@ -262,6 +262,102 @@
 		CU_ASSERT_TRUE(goes_on(seed, true));
 }
 
+/* any number of times */
+
+#define ROUNDS 4
+
+/* The first two of the order of stage work. */
+static void
+first_two(struct mrig *r, struct ment *order[2])
+{
+	order[0] = order[1] = NULL;
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		struct ment *e = &r->e[i];
+		uint64_t rank = mh_rendezvous(MH_STAGE_WORK, e->node);
+
+		if (order[0] == NULL ||
+		    rank > mh_rendezvous(MH_STAGE_WORK, order[0]->node)) {
+			order[1] = order[0];
+			order[0] = e;
+		} else if (order[1] == NULL ||
+		    rank > mh_rendezvous(MH_STAGE_WORK, order[1]->node)) {
+			order[1] = e;
+		}
+	}
+}
+
+/* Jobs that wait behind one in a call, where another entry is the home. */
+static uint32_t
+kept_of(struct mrig *r, struct ent *e, uint32_t jobs)
+{
+	static const char *const pools[] = { "a", NULL };
+	const uint32_t pieces[] = { 8 };
+	struct mh_cell *c = mh_cells_get(e->cs, 0, 1);
+	struct mh_job *j[PIECES_MOST];
+	uint32_t kept;
+
+	e->stalled = "a";
+	e->passes = 0;
+	for (uint32_t i = 0; i < jobs; i++) {
+		j[i] = world_job(e->w, pools, pieces, 5 * S, 9 * S);
+		j[i]->aim_us = mh_now(e->m->k) + 5 * S;
+		j[i]->deadline_us = mh_now(e->m->k) + 9 * S;
+		mh_cell_submit(c, j[i]);
+	}
+	mrig_run(r, 360 * MS); /* three looks; the call is not overdue yet */
+	kept = c->jobs->len - 1;
+	for (uint32_t i = 0; i < jobs; i++) {
+		mh_broker_drop(e->b, j[i]);
+		mh_job_destroy(j[i]);
+	}
+	end_calls(c, MH_BATCH_DONE);
+	return kept;
+}
+
+/*
+ * An entry is the home and is not, by turns, with work at some of these times
+ * and without at others.  Each time that it is no more it hands on what waits.
+ */
+static void
+test_ceases_any_number_of_times(void)
+{
+	for (uint32_t seed = regress_first(1); seed <= regress_last(3);
+	     seed++) {
+		GRand *rand = g_rand_new_with_seed(seed);
+		struct mrig *r = mrig_create();
+		struct ent all[ENTRIES] = { 0 };
+		struct ment *order[2];
+		struct ent *first, *second;
+
+		for (uint32_t i = 0; i < ENTRIES; i++)
+			ent_create(&all[i], &r->e[i]);
+		mrig_run(r, 10 * S);
+		first_two(r, order);
+		first = &all[order[0]->index];
+		second = &all[order[1]->index];
+		for (int round = 0; round < ROUNDS; round++) {
+			CU_ASSERT_PTR_EQUAL(mrig_agreed(r), order[0]);
+			CU_ASSERT_EQUAL(
+			    kept_of(r, second,
+				2 + (uint32_t)g_rand_int_range(rand, 0, 5)),
+			    0);
+			ent_destroy(first);
+			mh_kern_destroy(order[0]->k);
+			mrig_start(order[0]);
+			ent_create(first, order[0]);
+			mrig_run(r, 4 * S);
+			CU_ASSERT_PTR_EQUAL(mrig_agreed(r), order[1]);
+			if (g_rand_int_range(rand, 0, 2) == 0)
+				CU_ASSERT_EQUAL(kept_of(r, second, 3), 2);
+			mrig_run(r, 6 * S);
+		}
+		for (uint32_t i = 0; i < ENTRIES; i++)
+			ent_destroy(&all[i]);
+		mrig_destroy(r);
+		g_rand_free(rand);
+	}
+}
+
 /* any load */
 
 #define AIM_US (5 * S)
@@ -361,6 +457,8 @@
 const struct test tests_handon[] = {
 	{ "handon: a home leaves at any moment", test_leaves_at_any_moment },
 	{ "handon: a home dies at any moment", test_dies_at_any_moment },
+	{ "handon: ceases to be the home, any number of times",
+	    test_ceases_any_number_of_times },
 	{ "handon: taken under any load", test_taken_under_any_load },
 	{ NULL, NULL },
 };
