Poison: evidence and judgement are files of their own; one way to look up a row

Change: ends and runs, with their names, are in poisonends.c; rows, holds and what follows from them stay in poison.c; mh_poison_row() is the one look-up. Conclusion: no change of behaviour.

--- a/lib/poisonint.h
+++ b/lib/poisonint.h
@@ -1,13 +1,20 @@
 #ifndef POISONINT_H
 #define POISONINT_H
 
-/* Shared by poison.c and poisontold.c alone. */
+/* Shared by poison.c, poisonends.c and poisontold.c alone. */
 
 #include "poison.h"
 
 /* Calls that break with their endpoint do so within this. */
 #define MH_POISON_SAME_US (2 * MH_US_PER_S)
 
+/* An end speaks against a request for so long: callers may ask seldom. */
+#define MH_POISON_KEEP_US (180 * MH_US_PER_S)
+/* What is told of a time so close to another is told of the same run. */
+#define MH_POISON_RUN_US (1 * MH_US_PER_S)
+/* Points that hold a request: three ends that are laid to it alone. */
+#define MH_POISON_HOLD_POINTS 6
+
 /* First hold, doubled each time it is held again. */
 #define MH_POISON_HOLD_US (300 * MH_US_PER_S)
 #define MH_POISON_DOUBLINGS 4
@@ -91,6 +98,8 @@
 	struct mh_timer *sweep;
 };
 
+/** mh_poison_of() - the service; NULL: the process has none. */
+struct mh_poison *mh_poison_of(struct mh_kern *k);
 /** mh_poison_key() - names a request at a pool. */
 uint64_t mh_poison_key(uint64_t print, const char *pool);
 /** struct end_seen - an end, as it is seen or told. */
@@ -119,6 +128,15 @@
 uint64_t mh_poison_word(const struct ran *r);
 /** mh_poison_take_back() - an endpoint lives: what was laid to its requests. */
 void mh_poison_take_back(struct mh_poison *s, const struct ended *e);
+/** mh_poison_work_out() - rows, by all that is known now. */
+void mh_poison_work_out(struct mh_poison *s);
+/** mh_poison_row() - what speaks against a request; NULL: nothing. */
+struct row *mh_poison_row(
+    struct mh_poison *s, uint64_t print, const char *pool);
+/** mh_poison_sweep_later() - what is old will be forgotten. */
+void mh_poison_sweep_later(struct mh_poison *s);
+void mh_poison_free_ended(void *ended);
+void mh_poison_free_ran(void *ran);
 /** mh_poison_judge() - looks for causes, with all that is known. */
 void mh_poison_judge(struct mh_poison *s);
 /** mh_poison_tell() - what is not told yet goes out. */
--- a/lib/poisontold.c
+++ b/lib/poisontold.c
@@ -200,7 +200,7 @@
 mh_poison_all(
     struct mh_kern *k, void (*send)(void *arg, Mh__Frame *f), void *arg)
 {
-	struct mh_poison *s = mh_kern_get(k, "poison");
+	struct mh_poison *s = mh_poison_of(k);
 	struct lists l;
 
 	if (s == NULL)
@@ -287,7 +287,7 @@
 void
 mh_poison_take(struct mh_kern *k, const Mh__Poison *m, bool pass_on)
 {
-	struct mh_poison *s = mh_kern_get(k, "poison");
+	struct mh_poison *s = mh_poison_of(k);
 
 	if (s == NULL)
 		return;
