Tests, failing: requests that end their engines long after they began

Symptom: a cause that shows one second or more after the head of its answer ends six to nine engines, and more than three sendings reach one after all must know (the rule is three); beside an engine that ends by itself each second somebody else is held.

--- a/regress/fallrig.c
+++ b/regress/fallrig.c
@@ -10,7 +10,7 @@
 #define S MH_US_PER_S
 #define STEP_US (10 * MS)
 #define HEAD_US (40 * MS)
-/* From the head of its answer to the end of the engine. */
+/* From the head of its answer to the end of the engine, where not said. */
 #define FALL_US (60 * MS)
 #define RUN_MIN_US (300 * MS)
 #define RUN_MAX_US (2500 * MS)
@@ -295,7 +295,7 @@
 		end_run(r, n, MH_CALL_UNSENT);
 		return true;
 	}
-	if (is_bad(r, n->print) && age >= HEAD_US + FALL_US) {
+	if (is_bad(r, n->print) && age >= HEAD_US + r->fall_us) {
 		note_end(r, n->print);
 		fall(r, n->at);
 		return true;
@@ -446,6 +446,7 @@
 	r->n_engines = engines;
 	r->per_s = 30;
 	r->bad_each_us = 700 * MS;
+	r->fall_us = FALL_US;
 	for (uint32_t i = 0; i < engines; i++)
 		g_snprintf(
 		    r->engines[i].id, sizeof(r->engines[i].id), "n%u-0", i);
--- a/regress/fallrig.h
+++ b/regress/fallrig.h
@@ -46,6 +46,7 @@
 	/* settings of a run */
 	double per_s; /* other requests a second */
 	int64_t bad_each_us; /* pause between two sendings of each bad one */
+	int64_t fall_us; /* from the head of a bad one to its engine's end */
 	uint32_t bad; /* requests that end engines; prints 1 to so many */
 	bool store_away; /* the list of engines stands still */
 	bool plain; /* requests are no streams */
--- a/regress/main.c
+++ b/regress/main.c
@@ -76,6 +76,7 @@
 	{ "drain", tests_drain },
 	{ "grace", tests_grace },
 	{ "fall", tests_fall },
+	{ "late", tests_late },
 	{ "poison", tests_poison },
 	{ "red", tests_red },
 };
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -38,6 +38,7 @@
 extern const struct test tests_drain[];
 extern const struct test tests_grace[];
 extern const struct test tests_fall[];
+extern const struct test tests_late[];
 extern const struct test tests_poison[];
 extern const struct test tests_red[];
 
