--- a/lib/poison.c
+++ b/lib/poison.c
@@ -29,7 +29,7 @@
 #define HOLDS_MOST 1024
 /*
  * Points that an end adds: half for a request that had run for a while, since
- * a cause shows when it begins.
+ * most causes show when they begin.
  */
 #define POINTS (MH_POISON_HOLD_POINTS / 3)
 #define POINTS_OLD 1
@@ -144,41 +144,84 @@
 	return r != NULL && r->at_us >= e->at_us;
 }
 
-/*
- * An end is laid to those against whom most speaks already.  Laid to all that
- * ran there, it made a cause of whoever met the real one three times.
- */
-static void
-lay(struct mh_poison *s, const struct ended *e)
+/** struct most - what the likeliest of an end's requests have against them. */
+struct most {
+	uint32_t score;
+	uint32_t seen;
+	uint32_t blamed; /* so many have */
+};
+
+static bool
+is_blamed(const struct row *r, const struct most *t)
 {
-	uint32_t top = 0, blamed = 0;
+	return r->score == t->score || r->seen == t->seen;
+}
+
+/* The requests of an end that have not run since, as rows. */
+static GPtrArray *
+suspects_of(struct mh_poison *s, const struct ended *e, GArray *old)
+{
+	GPtrArray *rows = g_ptr_array_new();
 
 	for (guint i = 0; i < e->members->len; i++) {
 		const struct member *m =
 		    &g_array_index(e->members, struct member, i);
-		const struct row *r;
 
 		if (was_cleared(s, e, m->print))
 			continue;
-		r = row_of(s, m->print, e->pool);
-		blamed = r->score > top ? 1 : blamed + (r->score == top);
-		top = MAX(top, r->score);
+		g_ptr_array_add(rows, row_of(s, m->print, e->pool));
+		g_array_append_val(old, m->old);
 	}
-	for (guint i = 0; i < e->members->len; i++) {
-		const struct member *m =
-		    &g_array_index(e->members, struct member, i);
-		struct row *r;
+	return rows;
+}
 
-		if (was_cleared(s, e, m->print))
-			continue;
-		r = row_of(s, m->print, e->pool);
-		if (r->score != top)
-			continue;
-		r->score += m->old ? POINTS_OLD : POINTS;
-		r->ends++;
-		r->ends_alone += blamed == 1;
-		r->last_alone = blamed == 1;
+/*
+ * A cause that shows late has run for a while at each of its ends; who ran
+ * there by chance, at some.  Points for half an end alone kept a late cause
+ * going for six ends and more.
+ */
+static uint32_t
+points_of(const struct row *r, bool old)
+{
+	return old && !r->late ? POINTS_OLD : POINTS;
+}
+
+/*
+ * An end is laid to those against whom most speaks already, or who were there
+ * most often.  Laid to all that ran there, it made a cause of whoever met the
+ * real one three times; by points alone, of whoever had begun beside one that
+ * shows late and has half of the points for its first end.
+ */
+static void
+lay(struct mh_poison *s, const struct ended *e)
+{
+	GArray *old = g_array_new(FALSE, FALSE, sizeof(bool));
+	GPtrArray *rows = suspects_of(s, e, old);
+	struct most t = { 0 };
+
+	for (guint i = 0; i < rows->len; i++) {
+		const struct row *r = rows->pdata[i];
+
+		t.score = MAX(t.score, r->score);
+		t.seen = MAX(t.seen, r->seen);
+	}
+	for (guint i = 0; i < rows->len; i++)
+		t.blamed += is_blamed(rows->pdata[i], &t);
+	for (guint i = 0; i < rows->len; i++) {
+		struct row *r = rows->pdata[i];
+		bool was_old = g_array_index(old, bool, i);
+
+		if (is_blamed(r, &t)) {
+			r->score += points_of(r, was_old);
+			r->ends++;
+			r->ends_alone += t.blamed == 1;
+			r->last_alone = t.blamed == 1;
+		}
+		r->late = was_old && (r->seen == 0 || r->late);
+		r->seen++;
 	}
+	g_ptr_array_free(rows, TRUE);
+	g_array_free(old, TRUE);
 }
 
 void
@@ -203,6 +246,7 @@
 		/* On trial, or held after one: one more end is enough. */
 		r = row_of(s, h->print, h->pool);
 		r->score = LIKELY_POINTS;
+		r->seen = LIKELY_POINTS / POINTS;
 		r->ends_alone = ENDS_ALONE - 1;
 	}
 	ends = ends_of(s);
--- a/lib/poisonint.h
+++ b/lib/poisonint.h
@@ -77,7 +77,9 @@
 	uint64_t print;
 	const char *pool; /* of an end or a hold */
 	uint32_t score;
-	uint32_t ends;
+	uint32_t seen; /* ends at which it was there */
+	bool late; /* it had run for a while at each of these */
+	uint32_t ends; /* that were laid to it */
 	uint32_t ends_alone; /* for which nothing else was blamed */
 	bool last_alone; /* its last end is one of these */
 };
--- a/regress/t_late.c
+++ b/regress/t_late.c
@@ -53,7 +53,10 @@
 /*
  * A request ends its engine in the middle of a long answer, or after a long
  * read of its prompt, as where memory runs out with its length.  Six engines
- * and more ended under one, and up to eight sendings reached one too late.
+ * and more ended under one, and up to eight sendings reached one too late.  It
+ * had half of the points for each end, as what had run for a while; who had
+ * begun beside it had more, so that two further ends were laid to that one
+ * alone: "1o:0 1040:0", "1:1 1040:2", "1o:1 1040o:4", held: 1040.
  */
 static void
 test_late_causes(void)
