Small copies gone: endpoint's name, fingerprint, rendezvous choice, a limit

Cause: the name of an endpoint, the fingerprint of a request, the choice by rendezvous and the half second after which an end counts less stood twice each. Change: one function or constant each (side_name_endpoint(), mh_poison_print(), by_rendezvous(), MH_POISON_FRESH_US). Conclusion: no change of behaviour.

--- a/lib/entry.c
+++ b/lib/entry.c
@@ -444,7 +444,7 @@
 	uint64_t of[] = { mh_hash(org->name, strlen(org->name)),
 		mh_hash(m->path, strlen(m->path)), mh_hash(data, len) };
 
-	return MAX(mh_hash(of, sizeof(of)), 1);
+	return mh_poison_print(of, G_N_ELEMENTS(of));
 }
 
 /* Endpoints end under it: it is refused before it costs one more. */
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -34,8 +34,6 @@
  * for them is what a burst runs out of.
  */
 #define FED_US (80 * MH_US_PER_MS)
-/* A run that has answered for so long is hardly what ends its endpoint. */
-#define FRESH_US (500 * MH_US_PER_MS)
 /* Less time left than this is no use to an endpoint. */
 #define LEAST_LEFT_US (20 * MH_US_PER_MS)
 
@@ -531,7 +529,8 @@
 {
 	struct mh_poison_end e = { t->node, t->ask->pool, t->ask->print,
 		t->sent_us,
-		t->head_us != 0 && mh_now(g->k) - t->head_us > FRESH_US };
+		t->head_us != 0 &&
+		    mh_now(g->k) - t->head_us > MH_POISON_FRESH_US };
 
 	if (n != NULL && !n->leaving)
 		mh_poison_broke(g->k, &e);
--- a/lib/poison.c
+++ b/lib/poison.c
@@ -67,6 +67,12 @@
 	g_free(text);
 }
 
+uint64_t
+mh_poison_print(const uint64_t *parts, size_t n)
+{
+	return MAX(mh_hash(parts, n * sizeof(*parts)), 1);
+}
+
 uint64_t
 mh_poison_key(uint64_t print, const char *pool)
 {
--- a/lib/poison.h
+++ b/lib/poison.h
@@ -11,6 +11,9 @@
 
 #include "marlhoist.h"
 
+/* Most causes end their endpoint this soon after their answer began. */
+#define MH_POISON_FRESH_US (500 * MH_US_PER_MS)
+
 /** struct mh_poison_ops - what a process lends to its service "poison". */
 struct mh_poison_ops {
 	/* to every process that it is linked to; NULL: alone */
@@ -35,6 +38,8 @@
 
 /** mh_poison_create() - service "poison", owned by the kernel. */
 void mh_poison_create(struct mh_kern *k, const struct mh_poison_ops *ops);
+/** mh_poison_print() - the fingerprint of a request, of hashes of its parts. */
+uint64_t mh_poison_print(const uint64_t *parts, size_t n);
 /*
  * The functions below do nothing, and know nothing, in a process without the
  * service.
--- a/lib/route.c
+++ b/lib/route.c
@@ -10,6 +10,7 @@
 
 #include "marlhoist.h"
 
+#include <math.h>
 #include <string.h>
 
 #define EWMA_GAIN 0.1
@@ -105,28 +106,21 @@
 	return c->pdata[turn % c->len];
 }
 
-/*
- * Rendezvous hashing with bounded loads: the first endpoint in the prefix's
- * own order that is not much busier than the rest.  An overflow thus goes to
- * the same second endpoint each time and finds its cache warm as well.
- */
+/* The first endpoint in the own order of @what that is not busier than that. */
 static struct mh_peer *
-by_affinity(struct route *r, const struct mh_pick *q, GPtrArray *c)
+by_rendezvous(
+    const struct route *r, uint64_t what, const GPtrArray *c, double busy_most)
 {
 	struct mh_peer *best = NULL;
-	char what[24];
+	char text[24];
 	uint64_t weight = 0;
-	double sum = 0, bound;
 
-	snprintf(what, sizeof(what), "%" PRIx64, q->affinity);
-	for (guint i = 0; i < c->len; i++)
-		sum += busy(r->k, c->pdata[i]);
-	bound = AFFINITY_BOUND * sum / (double)c->len + AFFINITY_SLACK;
+	snprintf(text, sizeof(text), "%" PRIx64, what);
 	for (guint i = 0; i < c->len; i++) {
 		struct mh_peer *p = c->pdata[i];
-		uint64_t w = mh_rendezvous(what, p->vm);
+		uint64_t w = mh_rendezvous(text, p->vm);
 
-		if (busy(r->k, p) > bound || (best != NULL && w <= weight))
+		if (busy(r->k, p) > busy_most || (best != NULL && w <= weight))
 			continue;
 		best = p;
 		weight = w;
@@ -134,25 +128,20 @@
 	return best;
 }
 
-/* The same endpoint at every entry, whatever its load. */
+/*
+ * Rendezvous hashing with bounded loads: the first endpoint in the prefix's
+ * own order that is not much busier than the rest.  An overflow thus goes to
+ * the same second endpoint each time and finds its cache warm as well.
+ */
 static struct mh_peer *
-by_name(uint64_t what, GPtrArray *c)
+by_affinity(struct route *r, const struct mh_pick *q, GPtrArray *c)
 {
-	struct mh_peer *best = NULL;
-	char text[24];
-	uint64_t weight = 0;
-
-	snprintf(text, sizeof(text), "%" PRIx64, what);
-	for (guint i = 0; i < c->len; i++) {
-		struct mh_peer *p = c->pdata[i];
-		uint64_t w = mh_rendezvous(text, p->vm);
+	double sum = 0;
 
-		if (best != NULL && w <= weight)
-			continue;
-		best = p;
-		weight = w;
-	}
-	return best;
+	for (guint i = 0; i < c->len; i++)
+		sum += busy(r->k, c->pdata[i]);
+	return by_rendezvous(r, q->affinity, c,
+	    AFFINITY_BOUND * sum / (double)c->len + AFFINITY_SLACK);
 }
 
 static struct mh_peer *
@@ -185,8 +174,8 @@
 	collect(r, q, c, pol->routing == MH_ROUTE_ROUND_ROBIN);
 	if (c->len == 0)
 		collect(r, q, c, true);
-	if (c->len > 0 && q->apart != 0)
-		p = by_name(q->apart, c);
+	if (c->len > 0 && q->apart != 0) /* the same at every entry */
+		p = by_rendezvous(r, q->apart, c, INFINITY);
 	else if (c->len > 0 && pol->routing == MH_ROUTE_ROUND_ROBIN)
 		p = round_robin(r, q, c);
 	if (c->len > 0 && p == NULL && q->affinity != 0 && pol->affinity)
--- a/lib/side.c
+++ b/lib/side.c
@@ -416,8 +416,7 @@
 	s->a = *a;
 	s->a.slots = MAX(a->slots, 1);
 	s->pool = g_strdup(a->pool);
-	s->endpoint =
-	    g_strdup_printf("%s@%" PRIx64 "/0", a->vm, a->incarnation);
+	side_name_endpoint(s);
 	s->factor = 1.0;
 	s->queue = mh_queue_create(a->queue_limit);
 	s->ledger = mh_ledger_create(LEDGER_LIMIT);
--- a/lib/side.h
+++ b/lib/side.h
@@ -92,6 +92,8 @@
 void call_cancel(struct call *c);
 /** side_pump() - starts what waits while slots are free. */
 void side_pump(struct side *s);
+/** side_name_endpoint() - the incarnation that runs now, by its ends so far. */
+void side_name_endpoint(struct side *s);
 void side_run_ended(struct side *s, const struct mh_run_msg *m);
 /** side_cut() - ends every call at the endpoint: it may have run. */
 void side_cut(struct side *s);
--- a/lib/sidecall.c
+++ b/lib/sidecall.c
@@ -13,8 +13,6 @@
 #define URGENT_WAIT_US (250 * MH_US_PER_MS)
 #define FACTOR_GAIN 0.05
 #define RUN_MIN_US (20 * MH_US_PER_MS)
-/* A run that has answered for so long is hardly what ends its endpoint. */
-#define FRESH_US (500 * MH_US_PER_MS)
 
 static const char *const refusal_names[] = { "none", "full", "late", "leaving",
 	"not_owner", "marked", "revoked", "mismatch", "future", "held" };
@@ -546,8 +544,8 @@
 	s->factor += FACTOR_GAIN * (CLAMP(f, 0.1, 20.0) - s->factor);
 }
 
-static void
-name_endpoint(struct side *s)
+void
+side_name_endpoint(struct side *s)
 {
 	g_free(s->endpoint);
 	s->endpoint = g_strdup_printf(
@@ -559,7 +557,8 @@
 note_request(struct side *s, const struct call *c, const struct mh_run_msg *m)
 {
 	struct mh_poison_end e = { s->endpoint, s->pool, c->print, c->run_at_us,
-		c->first_us > 0 && c->endpoint_us - c->first_us > FRESH_US };
+		c->first_us > 0 &&
+		    c->endpoint_us - c->first_us > MH_POISON_FRESH_US };
 
 	if (m->broke) {
 		if (s->broke_us == 0)
@@ -578,7 +577,7 @@
 	/* It runs again, or still: its next end is another. */
 	s->broke_us = 0;
 	s->ends++;
-	name_endpoint(s);
+	side_name_endpoint(s);
 }
 
 void
