Runs and ends are told with an id; whether an end is new is said by who makes it

Cause: "word" and "name" stood for what the field calls an id; a process compared a pointer that may have been freed to see whether an end was new. Change: names; mh_poison_ended() says whether it made one.

--- a/lib/poisonends.c
+++ b/lib/poisonends.c
@@ -20,16 +20,16 @@
 #define ENDS_MOST 256
 #define ENDS_A_SECOND 32
 #define MEMBERS_MOST 64
-#define WORDS_MOST 64
+#define END_IDS_MOST 64
 #define RAN_MOST 4096
 /* What an endpoint sent before it ended arrives within this. */
 #define ON_WAY_US (700 * MH_US_PER_MS)
 /* One that ended is not back before. */
 #define BACK_US (1 * MH_US_PER_S)
 
-/* Names what is seen now; no other of the same has that name but by chance. */
+/* Of what is seen now; no other of the same has it but by chance. */
 static uint64_t
-new_word(const struct mh_poison *s, uint64_t key)
+new_id(const struct mh_poison *s, uint64_t key)
 {
 	uint64_t of[] = { key, (uint64_t)mh_now(s->k) };
 
@@ -46,8 +46,8 @@
 	struct ended *e = arg;
 
 	g_array_free(e->members, TRUE);
-	g_array_free(e->words, TRUE);
-	g_array_free(e->past, TRUE);
+	g_array_free(e->ids, TRUE);
+	g_array_free(e->past_ids, TRUE);
 	g_free(e->endpoint);
 	g_free(e->pool);
 	g_free(e);
@@ -92,30 +92,31 @@
 }
 
 static bool
-has_word(const GArray *words, uint64_t word)
+has_id(const GArray *ids, uint64_t id)
 {
-	for (guint i = 0; word != 0 && i < words->len; i++) {
-		if (g_array_index(words, uint64_t, i) == word)
+	for (guint i = 0; id != 0 && i < ids->len; i++) {
+		if (g_array_index(ids, uint64_t, i) == id)
 			return true;
 	}
 	return false;
 }
 
 static void
-add_word(GArray *words, uint64_t word)
+add_id(GArray *ids, uint64_t id)
 {
-	if (word != 0 && words->len < WORDS_MOST && !has_word(words, word))
-		g_array_append_val(words, word);
+	if (id != 0 && ids->len < END_IDS_MOST && !has_id(ids, id))
+		g_array_append_val(ids, id);
 }
 
 /* What was told of the ends before is still under way. */
 static void
 know_past(struct ended *e, const struct ended *before)
 {
-	for (guint i = 0; i < before->words->len; i++)
-		add_word(e->past, g_array_index(before->words, uint64_t, i));
-	for (guint i = 0; i < before->past->len; i++)
-		add_word(e->past, g_array_index(before->past, uint64_t, i));
+	for (guint i = 0; i < before->ids->len; i++)
+		add_id(e->past_ids, g_array_index(before->ids, uint64_t, i));
+	for (guint i = 0; i < before->past_ids->len; i++)
+		add_id(
+		    e->past_ids, g_array_index(before->past_ids, uint64_t, i));
 }
 
 static struct ended *
@@ -128,9 +129,9 @@
 	e->pool = g_strdup(w->pool);
 	e->at_us = w->at_us;
 	e->members = g_array_new(FALSE, FALSE, sizeof(struct member));
-	e->words = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	e->past = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	add_word(e->words, w->word);
+	e->ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	e->past_ids = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	add_id(e->ids, w->id);
 	return e;
 }
 
@@ -138,25 +139,27 @@
  * An end is told with its age, as a run is, and what was on its way for long
  * looks like a later one.  Where the endpoint had been shown to live, it was
  * taken for another end and told on, shown to be none and told on, by turns and
- * for ever.  The names tell which end is meant.
+ * for ever.  Its id tells which end is meant.
  */
 struct ended *
-mh_poison_ended(struct mh_poison *s, const struct end_seen *w)
+mh_poison_ended(struct mh_poison *s, const struct end_seen *w, bool *is_new)
 {
 	struct ended *e = g_hash_table_lookup(s->ended, w->endpoint), *before;
 
-	if (e != NULL && has_word(e->past, w->word))
+	*is_new = false;
+	if (e != NULL && has_id(e->past_ids, w->id))
 		return NULL;
 	if (e != NULL &&
-	    (!e->lives || has_word(e->words, w->word) ||
+	    (!e->lives || has_id(e->ids, w->id) ||
 		w->at_us - e->at_us < w->same_us)) {
-		add_word(e->words, w->word);
+		add_id(e->ids, w->id);
 		return e;
 	}
 	if (!has_room(s))
 		return NULL;
 	before = g_hash_table_lookup(s->ended, w->endpoint);
 	e = new_end(s, w);
+	*is_new = true;
 	if (before != NULL)
 		know_past(e, before);
 	g_hash_table_replace(s->ended, e->endpoint, e);
@@ -252,6 +255,7 @@
 	struct end_seen w = { b->endpoint, b->pool, mh_now(k), 0,
 		ON_WAY_US + 1 };
 	struct ended *e;
+	bool is_new;
 
 	if (s == NULL)
 		return;
@@ -261,8 +265,8 @@
 	    (b->sent_us >= e->at_us ||
 		mh_now(k) - e->at_us >= MH_POISON_SAME_US))
 		return;
-	w.word = new_word(s, mh_hash(b->endpoint, strlen(b->endpoint)));
-	e = mh_poison_ended(s, &w);
+	w.id = new_id(s, mh_hash(b->endpoint, strlen(b->endpoint)));
+	e = mh_poison_ended(s, &w, &is_new);
 	if (e == NULL)
 		return;
 	if (mh_poison_add(e, b->print, b->old))
@@ -327,23 +331,22 @@
 }
 
 uint64_t
-mh_poison_word(const struct ran *r)
+mh_poison_run_id(const struct ran *r)
 {
-	return r->n_words == 0 ? 0
-			       : r->words[(r->n_words - 1) % MH_POISON_WORDS];
+	return r->n_ids == 0 ? 0 : r->ids[(r->n_ids - 1) % MH_POISON_RUN_IDS];
 }
 
 /*
  * The time of a run is told as its age, which leaves out what the word was on
  * its way: where that is long it comes back as a later run.  Taken for news, it
  * went from process to process for ever, and what each of them had to do with
- * it held up the links and kept it so.  Known by its name, it is taken once.
+ * it held up the links and kept it so.  Known by its id, it is taken once.
  */
 static bool
-is_known(const struct ran *r, uint64_t word)
+is_known(const struct ran *r, uint64_t id)
 {
-	for (uint32_t i = 0; word != 0 && i < MH_POISON_WORDS; i++) {
-		if (r->words[i] == word)
+	for (uint32_t i = 0; id != 0 && i < MH_POISON_RUN_IDS; i++) {
+		if (r->ids[i] == id)
 			return true;
 	}
 	return false;
@@ -363,12 +366,12 @@
 		r->print = n->print;
 		r->pool = g_strdup(n->pool);
 		g_hash_table_insert(s->ran, g_memdup2(&key, sizeof(key)), r);
-	} else if (is_known(r, n->word) ||
+	} else if (is_known(r, n->id) ||
 	    n->at_us - r->at_us < MH_POISON_RUN_US) {
 		return false;
 	}
 	r->at_us = n->at_us;
-	r->words[r->n_words++ % MH_POISON_WORDS] = n->word;
+	r->ids[r->n_ids++ % MH_POISON_RUN_IDS] = n->id;
 	r->told = true;
 	s->stale = true;
 	if (h != NULL && strcmp(h->pool, n->pool) == 0 &&
@@ -394,7 +397,7 @@
 	if (mh_poison_row(s, print, pool) == NULL)
 		return;
 	key = mh_poison_key(print, pool);
-	n.word = new_word(s, key);
+	n.id = new_id(s, key);
 	if (!mh_poison_clear(s, &n))
 		return;
 	r = g_hash_table_lookup(s->ran, &key);
--- a/lib/poisonint.h
+++ b/lib/poisonint.h
@@ -33,8 +33,8 @@
 	char *pool;
 	int64_t at_us;
 	GArray *members; /* struct member */
-	GArray *words; /* uint64_t: names of this end, ours to tell first */
-	GArray *past; /* names of the ends before, after which it lived */
+	GArray *ids; /* uint64_t, of this end; the first is told */
+	GArray *past_ids; /* of the ends before, after which it lived */
 	bool settled; /* else the calls that break with it still come in */
 	bool ripe; /* the others have told what they had there */
 	bool lives; /* it has answered since */
@@ -51,16 +51,16 @@
 	bool told;
 };
 
-/* Words of runs that a process has taken and knows again. */
-#define MH_POISON_WORDS 8
+/* Ids of a request's runs by which a process knows them again. */
+#define MH_POISON_RUN_IDS 8
 
 /** struct ran - a request that was suspected and has run. */
 struct ran {
 	uint64_t print;
 	char *pool;
 	int64_t at_us;
-	uint64_t words[MH_POISON_WORDS]; /* a ring; 0: none */
-	uint32_t n_words; /* taken so far, the last one is the one to tell */
+	uint64_t ids[MH_POISON_RUN_IDS]; /* a ring; 0: none */
+	uint32_t n_ids; /* taken so far; the last one is told */
 	bool told;
 };
 
@@ -69,7 +69,7 @@
 	uint64_t print;
 	const char *pool;
 	int64_t at_us;
-	uint64_t word;
+	uint64_t id; /* 0: none */
 };
 
 /** struct row - what speaks against a request at one pool. */
@@ -109,14 +109,14 @@
 	const char *endpoint;
 	const char *pool;
 	int64_t at_us;
-	uint64_t word; /* its name; 0: none */
-	int64_t same_us; /* after one that it has outlived: the same until then
-			  */
+	uint64_t id; /* 0: none */
+	int64_t same_us; /* so soon after one that it outlived: the same */
 };
 
 /** mh_poison_ended() - that end, made if new; NULL: there are too many, or it
  * has been shown since that the endpoint lived. */
-struct ended *mh_poison_ended(struct mh_poison *s, const struct end_seen *w);
+struct ended *mh_poison_ended(
+    struct mh_poison *s, const struct end_seen *w, bool *is_new);
 /** mh_poison_add() - true if the member was not known. */
 bool mh_poison_add(struct ended *e, uint64_t print, bool old);
 /** mh_poison_hold() - holds a request, or moves the end of its hold. */
@@ -126,8 +126,8 @@
 void mh_poison_release(struct mh_poison *s, struct hold *h, const char *why);
 /** mh_poison_clear() - a request has run; true if that changes anything. */
 bool mh_poison_clear(struct mh_poison *s, const struct run *n);
-/** mh_poison_word() - what names its last run; 0: it has no name. */
-uint64_t mh_poison_word(const struct ran *r);
+/** mh_poison_run_id() - of its last run; 0: none. */
+uint64_t mh_poison_run_id(const struct ran *r);
 /** mh_poison_take_back() - an endpoint lives: what was laid to its requests. */
 void mh_poison_take_back(struct mh_poison *s, const struct ended *e);
 /** mh_poison_work_out() - rows, by all that is known now. */
--- a/lib/poisontold.c
+++ b/lib/poisontold.c
@@ -56,7 +56,7 @@
 	m->pool = e->pool;
 	m->age_us = age(s, e->at_us);
 	m->lives = e->lives;
-	m->word = e->words->len == 0 ? 0 : g_array_index(e->words, uint64_t, 0);
+	m->end_id = e->ids->len == 0 ? 0 : g_array_index(e->ids, uint64_t, 0);
 	m->fresh = prints_of(o, e, false, &m->n_fresh);
 	m->old = prints_of(o, e, true, &m->n_old);
 	o->ended_of[i] = m;
@@ -87,7 +87,7 @@
 	m->print = r->print;
 	m->pool = r->pool;
 	m->age_us = age(s, r->at_us);
-	m->word = mh_poison_word(r);
+	m->run_id = mh_poison_run_id(r);
 	o->ran_of[i] = m;
 }
 
@@ -230,12 +230,10 @@
 static void
 take_ended(struct mh_poison *s, const Mh__Ended *m, bool pass_on)
 {
-	struct end_seen w = { m->endpoint, m->pool, then(s, m->age_us), m->word,
-		MH_POISON_SAME_US };
-	const struct ended *before = g_hash_table_lookup(s->ended, m->endpoint);
-	struct ended *e = mh_poison_ended(s, &w);
-	bool is_new = e != before;
-	bool news;
+	struct end_seen w = { m->endpoint, m->pool, then(s, m->age_us),
+		m->end_id, MH_POISON_SAME_US };
+	bool is_new, news;
+	struct ended *e = mh_poison_ended(s, &w, &is_new);
 
 	if (e == NULL)
 		return;
@@ -274,7 +272,7 @@
 static void
 take_ran(struct mh_poison *s, const Mh__Ran *m, bool pass_on)
 {
-	struct run n = { m->print, m->pool, then(s, m->age_us), m->word };
+	struct run n = { m->print, m->pool, then(s, m->age_us), m->run_id };
 	uint64_t key = mh_poison_key(m->print, m->pool);
 	struct ran *r;
 
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -5440,12 +5440,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "word",
+    "end_id",
     7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Mh__Ended, word),
+    offsetof(Mh__Ended, end_id),
     NULL,
     NULL,
     0,             /* flags */
@@ -5454,12 +5454,12 @@
 };
 static const unsigned mh__ended__field_indices_by_name[] = {
   2,   /* field[2] = age_us */
+  6,   /* field[6] = end_id */
   0,   /* field[0] = endpoint */
   3,   /* field[3] = fresh */
   5,   /* field[5] = lives */
   4,   /* field[4] = old */
   1,   /* field[1] = pool */
-  6,   /* field[6] = word */
 };
 static const ProtobufCIntRange mh__ended__number_ranges[1 + 1] =
 {
@@ -5610,12 +5610,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "word",
+    "run_id",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Mh__Ran, word),
+    offsetof(Mh__Ran, run_id),
     NULL,
     NULL,
     0,             /* flags */
@@ -5626,7 +5626,7 @@
   2,   /* field[2] = age_us */
   1,   /* field[1] = pool */
   0,   /* field[0] = print */
-  3,   /* field[3] = word */
+  3,   /* field[3] = run_id */
 };
 static const ProtobufCIntRange mh__ran__number_ranges[1 + 1] =
 {
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -784,9 +784,9 @@
    */
   protobuf_c_boolean lives;
   /*
-   * names this end; 0: not told
+   * 0: not told
    */
-  uint64_t word;
+  uint64_t end_id;
 };
 #define MH__ENDED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__ended__descriptor) \
@@ -823,9 +823,9 @@
   char *pool;
   uint64_t age_us;
   /*
-   * names this run; 0: not told
+   * 0: not told
    */
-  uint64_t word;
+  uint64_t run_id;
 };
 #define MH__RAN__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__ran__descriptor) \
