--- a/regress/t_fall.c
+++ b/regress/t_fall.c
@@ -159,7 +159,7 @@
 static void
 test_both(void)
 {
-	for (uint32_t seed = 1; seed <= 8; seed++)
+	for (uint32_t seed = regress_first(1); seed <= regress_last(8); seed++)
 		two_causes_and_falls(seed);
 }
 
