Test, failing: late causes that are held too late in one run of twenty

Symptom: with an engine that ends by itself each 3 s, four to six sendings of a cause that shows 1.0 or 2.3 s after its head reach an engine too late. Cause, suspected only: half of the pool has ended by itself in the last 20 s by then, and the hold asks for five ends where the rate of such ends would do with four. Ruled out: nothing yet. Also: names and comments of t_handon.c.

--- a/regress/t_handon.c
+++ b/regress/t_handon.c
@@ -32,6 +32,7 @@
 	struct mh_job *begun; /* the home's; NULL: it has ended */
 };
 
+/* A number below @most. */
 static uint32_t
 pick(struct handon *h, uint32_t most)
 {
@@ -179,7 +180,10 @@
 	return n;
 }
 
-/* The home leaves; its calls are refused, or end when they have been read. */
+/*
+ * The home leaves; its calls are refused, or end when they have been read.
+ * Returns the pieces that are due elsewhere.
+ */
 static uint32_t
 leave(struct handon *h)
 {
@@ -196,6 +200,7 @@
 	return due;
 }
 
+/* The same where it dies. */
 static uint32_t
 die(struct handon *h)
 {
@@ -220,18 +225,18 @@
 goes_on(uint32_t seed, bool dies)
 {
 	struct handon *h = handon_create(seed);
-	uint32_t expected, made;
+	uint32_t due, made;
 	bool good;
 
 	for (uint32_t i = pick(h, 4); i > 0 && h->begun != NULL; i--)
 		lose_inputs(h);
-	expected = dies ? die(h) : leave(h);
+	due = dies ? die(h) : leave(h);
 	mrig_run(h->r, 2 * S);
 	made = made_elsewhere(h);
-	good = made == expected && h->asker->done == 1 && h->r->holes == 0;
+	good = made == due && h->asker->done == 1 && h->r->holes == 0;
 	if (!good)
 		fprintf(stderr, "seed %u: %u pieces made elsewhere, %u due\n",
-		    seed, made, expected);
+		    seed, made, due);
 	handon_destroy(h);
 	return good;
 }
@@ -363,6 +368,7 @@
 #define AIM_US (5 * S)
 #define DEADLINE_US (9 * S)
 #define BETWEEN_US (10 * MS)
+#define PLAYED_US (DEADLINE_US + 3 * S)
 
 /** struct load - jobs that one cell takes, and its leaving. */
 struct load {
@@ -419,7 +425,7 @@
 		n.to = world_cell(w);
 	w->ended = go_on;
 	w->arg = &n;
-	for (int64_t t = 0; t <= DEADLINE_US + 3 * S; t += BETWEEN_US) {
+	for (int64_t t = 0; t <= PLAYED_US; t += BETWEEN_US) {
 		if (l->leaves_us == t)
 			mh_cell_leave(w->c);
 		if (t < l->jobs * BETWEEN_US)
--- a/regress/t_late.c
+++ b/regress/t_late.c
@@ -99,9 +99,25 @@
 		CU_ASSERT_TRUE(holds(&row, seed));
 }
 
+/* An engine ends by itself each three seconds: in one run of twenty. */
+static void
+test_late_seldom(void)
+{
+	static const struct late_row one = { 2300 * MS, 1, 3, false };
+	static const struct late_row two = { 1000 * MS, 2, 3, false };
+	static const uint32_t of_one[] = { 27, 43, 57 };
+	static const uint32_t of_two[] = { 46, 55 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(of_one); i++)
+		CU_ASSERT_TRUE(holds(&one, of_one[i]));
+	for (size_t i = 0; i < G_N_ELEMENTS(of_two); i++)
+		CU_ASSERT_TRUE(holds(&two, of_two[i]));
+}
+
 const struct test tests_late[] = {
 	{ "late: causes that show late", test_late_causes },
 	{ "late: two causes and falls", test_two_late_causes },
 	{ "late: a cause and falls", test_late_cause_and_falls },
+	{ "late: seldom", test_late_seldom },
 	{ NULL, NULL },
 };
