--- a/regress/t_cell.c
+++ b/regress/t_cell.c
@@ -837,7 +837,9 @@
 /*
  * What was taken and begun is handed on: to the next home, or back to the same
  * cell where no other entry serves.  It is judged there as if it were new, and
- * work that would have ended in time is refused.
+ * work that would have ended in time is refused: "predict 21780 ms, aim 2480,
+ * left 6480" for work that ends where the cell stays, since what moved with it
+ * counted as going before.  22 and 19 of 24 were done.
  */
 static void
 test_handed_on_is_taken(void)
--- a/regress/t_home.c
+++ b/regress/t_home.c
@@ -606,7 +606,10 @@
  * A stage was made and found gone when the next one was to read it, so the home
  * makes it again, with its inputs.  It leaves when the inputs are made and the
  * stage is not.  The entry that asked took the stage for made still when it
- * was told of the inputs, and forgot them: they are made a third time.
+ * was told of the inputs, and forgot them: they are made a third time.  What it
+ * took for made, and kept, as the home told it of stages 0, 1 and 2 in turn:
+ * "made 1 1 0 kept 0 1 0", "made 0 0 0 kept 0 1 0", "kept 0 1 1"; then six
+ * pieces were made elsewhere, where four were due.
  */
 static void
 test_made_again_is_handed_on(void)
@@ -746,7 +749,10 @@
 
 /*
  * An entry ceases to be the home, is it again while it has no work, and ceases
- * once more.  The second time it kept what it was given.
+ * once more.  The second time it kept what it was given: the looks at which
+ * another is the home were not counted anew, since an entry without work did
+ * not look.  They counted "0, 1, 2" the first time, when it handed on, and "3,
+ * 3, 3, 3" the second.
  */
 static void
 test_home_no_more_twice(void)
