Logs tell where a stream stands when a run ends and another is sent

Cause: a caller read an event that no run made whole. The logs told that a run was silent or broke, not how much of an event had come of it, nor after which event the next run was to go on, so four hypotheses looked alike. Ruled out: a line for each event, which would flood the log under load. Change: send, silent and broken end with after= (id of the last whole event) and held= (bytes of an event that is not whole). mh_sse_held() replaces mh_sse_partial(). Conclusion: held= above 0 on a second send would prove the first hypothesis.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -64,6 +64,22 @@
 	g_free(q);
 }
 
+/* where its stream stands, for log lines */
+
+static const char *
+stream_after(const struct mh_gask *q)
+{
+	const char *id = q->events == NULL ? NULL : mh_sse_last_id(q->events);
+
+	return id == NULL ? "-" : id;
+}
+
+static size_t
+stream_held(const struct mh_gask *q)
+{
+	return q->events == NULL ? 0 : mh_sse_held(q->events);
+}
+
 /* tries */
 
 static void
@@ -233,8 +249,10 @@
 	n = mh_fleet_find(g->f, q->cur->node);
 	if (n != NULL)
 		mh_node_bad(g->f, n, "silent");
-	mh_event(g->k, "silent", "id=%s node=%s waited_ms=%" PRId64, q->id,
-	    q->cur->node, mh_ms(mh_now(g->k) - q->cur->sent_us));
+	mh_event(g->k, "silent",
+	    "id=%s node=%s waited_ms=%" PRId64 " after=%s held=%zu", q->id,
+	    q->cur->node, mh_ms(mh_now(g->k) - q->cur->sent_us),
+	    stream_after(q), stream_held(q));
 	mh_count(g->k, "repeats_silent", 1);
 	count_run(q, q->cur);
 	leave_try(g, q, true);
@@ -385,11 +403,12 @@
 	mh_event(g->k, "send",
 	    "id=%s route=%s node=%s pool=%s try=%u inflight=%u running=%u "
 	    "waiting=%u "
-	    "told_ms=%" PRId64 " fail=%.2f home=%d left_ms=%" PRId64,
+	    "told_ms=%" PRId64 " fail=%.2f home=%d left_ms=%" PRId64
+	    " after=%s held=%zu",
 	    q->id, q->route->name, n->id, q->pool, q->n_tried, n->inflight,
 	    n->running, n->waiting,
 	    n->told_us > 0 ? mh_ms(mh_now(g->k) - n->told_us) : -1, n->fail,
-	    a.at_home, mh_ms(t->left_us));
+	    a.at_home, mh_ms(t->left_us), stream_after(q), stream_held(q));
 	mh_timer_stop(g->k, &q->patience);
 	if (may_repeat(q))
 		set_patience(g, q, patience_us(q));
@@ -555,10 +574,11 @@
 	}
 	mh_event(g->k, "broken",
 	    "id=%s node=%s sent=%d took_ms=%" PRId64 " head_ms=%" PRId64
-	    " print=%016" PRIx64,
+	    " print=%016" PRIx64 " after=%s held=%zu",
 	    q->id, t->node, end == MH_CALL_BROKEN,
 	    mh_ms(mh_now(g->k) - t->sent_us),
-	    t->head_us == 0 ? -1 : mh_ms(mh_now(g->k) - t->head_us), q->print);
+	    t->head_us == 0 ? -1 : mh_ms(mh_now(g->k) - t->head_us), q->print,
+	    stream_after(q), stream_held(q));
 	/*
 	 * Only what could not be reached is told to others.  Answers that are
 	 * lost on the way come from sound endpoints as well, and half of a
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -468,7 +468,8 @@
 void mh_sse_restart(struct mh_sse *s);
 /** mh_sse_last_id() - the id of the last whole event, or NULL. */
 const char *mh_sse_last_id(const struct mh_sse *s);
-bool mh_sse_partial(const struct mh_sse *s);
+/** mh_sse_held() - bytes of an event that is not whole yet. */
+size_t mh_sse_held(const struct mh_sse *s);
 
 /* gate.c: one request from its arrival to its end */
 
--- a/lib/sse.c
+++ b/lib/sse.c
@@ -97,8 +97,8 @@
 	return s->last_id;
 }
 
-bool
-mh_sse_partial(const struct mh_sse *s)
+size_t
+mh_sse_held(const struct mh_sse *s)
 {
-	return s->held->len > 0;
+	return s->held->len;
 }
