Test, failing: a stream whose engine falls silent within an event

Cause: to come with the mend. Callers saw an event that no engine made, where a first run had stopped in the middle of an event with its connection open. Ruled out: the close in the middle of an event, which the golden session "cut in the middle of an event, and resumed" holds.

--- a/regress/t_front.c
+++ b/regress/t_front.c
@@ -492,6 +492,32 @@
 	frig_destroy(r);
 }
 
+/*
+ * A caller gets an event that no endpoint made: "daid: 2" for its name and the
+ * data of event 2.
+ */
+static void
+test_silent_within_an_event(void)
+{
+	struct frig *r = frig_create();
+	const char *body;
+
+	r->script[0] =
+	    EVENTS("Transfer-Encoding: chunked\r\n") "11\r\nid: 1\ndata: "
+						     "one\n\n\r\n8\r\nid: "
+						     "2\nda\r\n";
+	r->script[1] =
+	    EVENTS("Transfer-Encoding: chunked\r\n") "11\r\nid: 2\ndata: "
+						     "two\n\n\r\n0\r\n\r\n";
+	converse(
+	    r, "POST /plan/1 HTTP/1.1\r\n" CALLER "Content-Length: 0\r\n\r\n");
+	body = strstr(r->answer->str, "\r\n\r\n");
+	CU_ASSERT_STRING_EQUAL(body == NULL ? "" : body + 4,
+	    "11\r\nid: 1\ndata: one\n\n\r\n"
+	    "11\r\nid: 2\ndata: two\n\n\r\n0\r\n\r\n");
+	frig_destroy(r);
+}
+
 /* answers about as long as the longest that is passed on */
 
 enum framing { BY_LENGTH, BY_CHUNKS, BY_CLOSE, FRAMINGS };
@@ -588,6 +614,7 @@
 	{ "front: plain sessions", test_plain },
 	{ "a request under which endpoints end", test_held },
 	{ "front: sessions of streams", test_stream },
+	{ "front: silent within an event", test_silent_within_an_event },
 	{ "front: an answer over the bound", test_answer_over_the_bound },
 	{ "front: an answer of just the bound", test_answer_of_the_bound },
 	{ NULL, NULL },
