Events out of order end their run

Callers got events twice, or with one missing, in a stream that ended as complete. Cause: the run that goes on is told the last event's id, and what it then sent was passed on unread. One that begins again doubles events, one that skips loses them; the same within one run, and for a caller that resumes by itself. Ruled out: passing on only the later events of a run that begins again: it need not be the same text. Change: the cursor of a stream knows its last number; an event that is not behind it, or leaves a number out where events are counted from 0 or 1 or from the id of the caller, ends the run (mh_gate_spoiled()). Another endpoint goes on from there, else the answer breaks off. Ids that are no numbers, and streams whose first event is neither 0 nor 1, can't be checked for gaps. Conclusion: found by trying what a run may do; not the form seen by users.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -61,6 +61,7 @@
 	g_free(q->host);
 	g_free(q->key);
 	g_free(q->piece_key);
+	g_free(q->resume_after);
 	g_free(q);
 }
 
@@ -455,7 +456,7 @@
 pass_head(struct mh_gask *q, const struct mh_gans *a)
 {
 	if (a->events && q->cursor == NULL)
-		q->cursor = mh_cursor_create();
+		q->cursor = mh_cursor_create(NULL, false);
 	q->passed_head = a->events;
 	if (a->events)
 		q->cur->events = mh_sse_create(q->cursor);
@@ -613,6 +614,21 @@
 	repeat_or(g, q, MH_RUN_FAILED);
 }
 
+void
+mh_gate_spoiled(struct mh_gate *g, struct mh_try *t, const char *why)
+{
+	struct mh_gask *q = t->ask;
+	struct mh_node *n = mh_fleet_find(g->f, t->node);
+
+	mh_event(g->k, "spoiled", "id=%s node=%s why=%s after=%s held=%zu",
+	    q->id, t->node, why, stream_after(q), stream_held(q));
+	mh_count(g->k, "answers_spoiled", 1);
+	if (n != NULL)
+		mh_node_bad(g->f, n, why);
+	leave_try(g, q, true);
+	repeat_or(g, q, MH_RUN_FAILED);
+}
+
 struct mh_gate *
 mh_gate_create(struct mh_kern *k, struct mh_fleet *f, struct mh_place *p,
     struct mh_budget *b, const struct mh_gate_ops *ops, const char *domain)
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -461,18 +461,39 @@
 
 /** struct mh_cursor - where a stream stands, over all its runs. */
 struct mh_cursor;
-struct mh_cursor *mh_cursor_create(void);
+/**
+ * mh_cursor_create() - at the beginning, or behind the event @after.
+ * @after: an id, NULL: none.
+ * @ordered: the stream's ids increase; one that does not is a fault.
+ */
+struct mh_cursor *mh_cursor_create(const char *after, bool ordered);
 void mh_cursor_destroy(struct mh_cursor *c);
-/** mh_cursor_last_id() - the id of the last whole event, or NULL. */
+/** mh_cursor_last_id() - the number of the last whole event, or NULL. */
 const char *mh_cursor_last_id(const struct mh_cursor *c);
 
+/** enum mh_sse_fault - why a run can't be passed on. */
+enum mh_sse_fault {
+	MH_SSE_GOOD,
+	MH_SSE_REPEATED, /* an event that the stream has, or has passed */
+	MH_SSE_SKIPPED /* an event is missing before it */
+};
+
+/** mh_sse_fault_name() - as logs know it. */
+const char *mh_sse_fault_name(enum mh_sse_fault f);
+
 /** struct mh_sse - reads the events of one run. */
 struct mh_sse;
 /** mh_sse_create() - moves @c, which outlives it. */
 struct mh_sse *mh_sse_create(struct mh_cursor *c);
 void mh_sse_destroy(struct mh_sse *s);
-/** mh_sse_feed() - appends to @out what completes events. */
-void mh_sse_feed(struct mh_sse *s, const char *data, size_t len, GString *out);
+/**
+ * mh_sse_feed() - appends to @out what completes events.
+ *
+ * Returns the fault of the first event that is not in order; nothing of it, or
+ * behind it, is in @out, and the run is not to be read on.
+ */
+enum mh_sse_fault mh_sse_feed(
+    struct mh_sse *s, const char *data, size_t len, GString *out);
 /** mh_sse_held() - bytes of an event that is not whole yet. */
 size_t mh_sse_held(const struct mh_sse *s);
 
@@ -516,6 +537,8 @@
 	uint32_t pieces[MH_GSTAGES];
 	uint32_t n_pieces;
 	char *piece_key;
+	char *
+	    resume_after; /* its caller has the stream up to this id, or NULL */
 	uint64_t print; /* fingerprint: equal when the same is asked again */
 	void *wire; /* the adapter's own */
 	/* below: the gate's */
@@ -617,6 +640,8 @@
 /** mh_gate_progress() - a part of the answer has come. */
 void mh_gate_progress(struct mh_gate *g, struct mh_try *t);
 void mh_gate_end(struct mh_gate *g, struct mh_try *t, enum mh_hcall_end end);
+/** mh_gate_spoiled() - what the try sends can't be passed on; ends it. */
+void mh_gate_spoiled(struct mh_gate *g, struct mh_try *t, const char *why);
 uint32_t mh_gate_open(const struct mh_gate *g);
 /** mh_gate_open_at() - a try sent to @endpoint before @us is still open. */
 bool mh_gate_open_at(const struct mh_gate *g, const char *endpoint, int64_t us);
--- a/lib/gatetake.c
+++ b/lib/gatetake.c
@@ -114,7 +114,10 @@
 	    mh_ms(q->aim_us - q->arrived_us), mh_gate_open(g), q->print);
 	mh_budget_first(g->budget, q->pool);
 	if (q->route->stream)
-		q->cursor = mh_cursor_create();
+		q->cursor = mh_cursor_create(
+		    q->route->repeat == MH_REPEAT_RESUME ? q->resume_after
+							 : NULL,
+		    true);
 	if (q->route->n_stages > 0)
 		mh_gate_start_job(g, q);
 	else
--- a/lib/sse.c
+++ b/lib/sse.c
@@ -9,10 +9,17 @@
 
 #include "gate.h"
 
+#include <errno.h>
 #include <string.h>
 
+#define ID_LEN 24
+
 struct mh_cursor {
-	char *last_id;
+	bool ordered; /* its ids increase */
+	bool numbered; /* @last is set */
+	bool by_one; /* the ids leave no number out */
+	uint64_t last;
+	char last_id[ID_LEN];
 };
 
 struct mh_sse {
@@ -20,25 +27,71 @@
 	GString *held; /* the event being received */
 };
 
+static bool
+read_id(const char *text, uint64_t *id)
+{
+	char *end;
+
+	if (!g_ascii_isdigit(*text) || strlen(text) >= ID_LEN)
+		return false;
+	errno = 0;
+	*id = g_ascii_strtoull(text, &end, 10);
+	return *end == '\0' && errno == 0;
+}
+
+static void
+move(struct mh_cursor *c, uint64_t id)
+{
+	c->numbered = true;
+	c->last = id;
+	g_snprintf(c->last_id, sizeof(c->last_id), "%" PRIu64, id);
+}
+
 struct mh_cursor *
-mh_cursor_create(void)
+mh_cursor_create(const char *after, bool ordered)
 {
-	return g_new0(struct mh_cursor, 1);
+	struct mh_cursor *c = g_new0(struct mh_cursor, 1);
+	uint64_t id;
+
+	c->ordered = ordered;
+	if (after != NULL && read_id(after, &id)) {
+		c->by_one = true;
+		move(c, id);
+	}
+	return c;
 }
 
 void
 mh_cursor_destroy(struct mh_cursor *c)
 {
-	if (c == NULL)
-		return;
-	g_free(c->last_id);
 	g_free(c);
 }
 
 const char *
 mh_cursor_last_id(const struct mh_cursor *c)
 {
-	return c->last_id;
+	return c->numbered ? c->last_id : NULL;
+}
+
+/*
+ * A stream whose first event is 0 or 1 counts its events; of others it is not
+ * known which numbers they leave out.
+ */
+static enum mh_sse_fault
+advance(struct mh_cursor *c, const char *text)
+{
+	uint64_t id;
+
+	if (!read_id(text, &id))
+		return MH_SSE_GOOD;
+	if (c->ordered && c->numbered && id <= c->last)
+		return MH_SSE_REPEATED;
+	if (c->ordered && c->by_one && id != c->last + 1)
+		return MH_SSE_SKIPPED;
+	if (!c->numbered)
+		c->by_one = id <= 1;
+	move(c, id);
+	return MH_SSE_GOOD;
 }
 
 struct mh_sse *
@@ -79,10 +132,12 @@
 	return 0;
 }
 
-static void
-note_id(struct mh_cursor *c, const char *event, size_t len)
+/* The value of the event's last id, to be freed; NULL: it has none. */
+static char *
+find_id(const char *event, size_t len)
 {
 	const char *p = event, *end = event + len;
+	char *id = NULL;
 
 	while (p < end) {
 		const char *nl = memchr(p, '\n', (size_t)(end - p));
@@ -90,25 +145,49 @@
 		if (nl == NULL)
 			nl = end;
 		if (nl - p > 3 && strncmp(p, "id:", 3) == 0) {
-			g_free(c->last_id);
-			c->last_id =
-			    g_strstrip(g_strndup(p + 3, (gsize)(nl - p - 3)));
+			g_free(id);
+			id = g_strstrip(g_strndup(p + 3, (gsize)(nl - p - 3)));
 		}
 		p = nl + 1;
 	}
+	return id;
 }
 
-void
+static enum mh_sse_fault
+note_event(struct mh_cursor *c, const char *event, size_t len)
+{
+	char *id = find_id(event, len);
+	enum mh_sse_fault f = id == NULL ? MH_SSE_GOOD : advance(c, id);
+
+	g_free(id);
+	return f;
+}
+
+enum mh_sse_fault
 mh_sse_feed(struct mh_sse *s, const char *data, size_t len, GString *out)
 {
+	enum mh_sse_fault f;
 	size_t n;
 
 	g_string_append_len(s->held, data, (gssize)len);
 	while ((n = event_len(s->held)) > 0) {
-		note_id(s->cursor, s->held->str, n);
+		f = note_event(s->cursor, s->held->str, n);
+		if (f != MH_SSE_GOOD)
+			return f;
 		g_string_append_len(out, s->held->str, (gssize)n);
 		g_string_erase(s->held, 0, (gssize)n);
 	}
+	return MH_SSE_GOOD;
+}
+
+const char *
+mh_sse_fault_name(enum mh_sse_fault f)
+{
+	static const char *const names[] = { [MH_SSE_GOOD] = "none",
+		[MH_SSE_REPEATED] = "repeated",
+		[MH_SSE_SKIPPED] = "skipped" };
+
+	return names[f];
 }
 
 size_t
--- a/regress/t_front.c
+++ b/regress/t_front.c
@@ -591,6 +591,58 @@
 	}
 }
 
+#define PLAN_AFTER_1                       \
+	"POST /plan/1 HTTP/1.1\r\n" CALLER \
+	"Last-Event-Id: 1\r\nContent-Length: 0\r\n\r\n"
+
+/* Runs that begin again or skip events double or lose them at the caller. */
+static void
+test_events_out_of_order(void)
+{
+	static const struct {
+		const char *ask;
+		const char *runs[2];
+		const char *events;
+		bool complete;
+	} rows[] = {
+		{ PLAN, { TORN, RUN(CHUNK(EVENT_2) CHUNK(EVENT_3)) },
+		    EVENT_1 EVENT_2 EVENT_3, true },
+		{ PLAN, { TORN, RUN(CHUNK(EVENT_1) CHUNK(EVENT_2)) }, EVENT_1,
+		    false },
+		{ PLAN, { TORN, RUN(CHUNK(EVENT_3)) }, EVENT_1, false },
+		{ PLAN,
+		    { RUN(CHUNK(EVENT_1) CHUNK(EVENT_3)),
+			RUN(CHUNK(EVENT_2) CHUNK(EVENT_3)) },
+		    EVENT_1 EVENT_2 EVENT_3, true },
+		{ PLAN,
+		    { RUN(CHUNK(EVENT_1) CHUNK(EVENT_1)), RUN(CHUNK(EVENT_2)) },
+		    EVENT_1 EVENT_2, true },
+		{ PLAN,
+		    { RUN(CHUNK(EVENT_1) CHUNK(EVENT_2) CHUNK(EVENT_1)),
+			RUN(CHUNK(EVENT_1)) },
+		    EVENT_1 EVENT_2, false },
+		{ PLAN_AFTER_1, { RUN(CHUNK(EVENT_2)), NULL }, EVENT_2, true },
+		{ PLAN_AFTER_1, { RUN(CHUNK(EVENT_1)), RUN(CHUNK(EVENT_2)) },
+		    EVENT_2, true },
+		{ PLAN_AFTER_1, { RUN(CHUNK(EVENT_3)), RUN(CHUNK(EVENT_3)) },
+		    "", false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct frig *r = frig_create();
+		char *got;
+
+		r->script[0] = rows[i].runs[0];
+		r->script[1] = rows[i].runs[1];
+		converse(r, rows[i].ask);
+		got = events_of(r);
+		CU_ASSERT_STRING_EQUAL(got, rows[i].events);
+		CU_ASSERT_EQUAL(is_complete(r), rows[i].complete);
+		g_free(got);
+		frig_destroy(r);
+	}
+}
+
 /* answers about as long as the longest that is passed on */
 
 enum framing { BY_LENGTH, BY_CHUNKS, BY_CLOSE, FRAMINGS };
@@ -689,6 +741,7 @@
 	{ "front: sessions of streams", test_stream },
 	{ "front: silent within an event", test_silent_within_an_event },
 	{ "front: goes on with no stream", test_goes_on_with_no_stream },
+	{ "front: events out of order", test_events_out_of_order },
 	{ "front: an answer over the bound", test_answer_over_the_bound },
 	{ "front: an answer of just the bound", test_answer_of_the_bound },
 	{ NULL, NULL },
