A stream without numbers at its end is not sent again

Callers got events twice where a stream's events have no id, or its last one has none. Cause: the next run is told the last id that was seen. Where none was, it began anew behind the events that were passed on; where events without an id followed, it made those again. Ruled out: keeping the events to compare (they need not be the same text). Change: the cursor knows that an event with data and without a number came behind the last number; then the answer breaks off instead of going on. Comments count as nothing. Conclusion: found by reading what may be resumed; not the form seen by users.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -219,14 +219,23 @@
 }
 
 /*
- * Whether it goes to another endpoint now; takes that from the budget.  What
- * has reached the caller can be gone on with by a route that resumes alone.
+ * What has reached the caller can be gone on with by a route that resumes
+ * alone, and only where another run can be told the last event: it would begin
+ * anew and double what was passed on.
  */
 static bool
+can_go_on(const struct mh_gask *q)
+{
+	return !q->passed_head ||
+	    (q->route->repeat == MH_REPEAT_RESUME &&
+		!mh_cursor_lost(q->cursor));
+}
+
+/* Whether it goes to another endpoint now; takes that from the budget. */
+static bool
 take_repeat(struct mh_gate *g, const struct mh_gask *q)
 {
-	return may_repeat(q) && q->n_tried < TRIES_MAX &&
-	    (!q->passed_head || q->route->repeat == MH_REPEAT_RESUME) &&
+	return may_repeat(q) && q->n_tried < TRIES_MAX && can_go_on(q) &&
 	    mh_budget_take(g->budget, q->pool);
 }
 
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -468,6 +468,8 @@
  */
 struct mh_cursor *mh_cursor_create(const char *after, bool ordered);
 void mh_cursor_destroy(struct mh_cursor *c);
+/** mh_cursor_lost() - behind the last number came events that have none. */
+bool mh_cursor_lost(const struct mh_cursor *c);
 /** mh_cursor_last_id() - the number of the last whole event, or NULL. */
 const char *mh_cursor_last_id(const struct mh_cursor *c);
 
--- a/lib/sse.c
+++ b/lib/sse.c
@@ -18,6 +18,7 @@
 	bool ordered; /* its ids increase */
 	bool numbered; /* @last is set */
 	bool by_one; /* the ids leave no number out */
+	bool lost; /* behind @last came an event without a number */
 	uint64_t last;
 	char last_id[ID_LEN];
 };
@@ -43,6 +44,7 @@
 move(struct mh_cursor *c, uint64_t id)
 {
 	c->numbered = true;
+	c->lost = false;
 	c->last = id;
 	g_snprintf(c->last_id, sizeof(c->last_id), "%" PRIu64, id);
 }
@@ -73,6 +75,12 @@
 	return c->numbered ? c->last_id : NULL;
 }
 
+bool
+mh_cursor_lost(const struct mh_cursor *c)
+{
+	return c->lost;
+}
+
 /*
  * A stream whose first event is 0 or 1 counts its events; of others it is not
  * known which numbers they leave out.
@@ -82,8 +90,10 @@
 {
 	uint64_t id;
 
-	if (!read_id(text, &id))
+	if (!read_id(text, &id)) {
+		c->lost = true;
 		return MH_SSE_GOOD;
+	}
 	if (c->ordered && c->numbered && id <= c->last)
 		return MH_SSE_REPEATED;
 	if (c->ordered && c->by_one && id != c->last + 1)
@@ -132,34 +142,54 @@
 	return 0;
 }
 
-/* The value of the event's last id, to be freed; NULL: it has none. */
-static char *
-find_id(const char *event, size_t len)
+/** struct event - what the cursor is to know of an event. */
+struct event {
+	char *id; /* the last one given, NULL: none */
+	bool has_data;
+};
+
+static void
+read_line(struct event *e, const char *line, size_t len)
+{
+	const char *colon = memchr(line, ':', len);
+	size_t name = colon == NULL ? len : (size_t)(colon - line);
+
+	if (name == 4 && strncmp(line, "data", 4) == 0)
+		e->has_data = true;
+	if (name != 2 || strncmp(line, "id", 2) != 0)
+		return;
+	g_free(e->id);
+	e->id = colon == NULL
+	    ? g_strdup("")
+	    : g_strstrip(g_strndup(colon + 1, len - name - 1));
+}
+
+static void
+read_event(struct event *e, const char *p, size_t len)
 {
-	const char *p = event, *end = event + len;
-	char *id = NULL;
+	const char *end = p + len;
 
 	while (p < end) {
 		const char *nl = memchr(p, '\n', (size_t)(end - p));
+		size_t n = (size_t)((nl == NULL ? end : nl) - p);
 
-		if (nl == NULL)
-			nl = end;
-		if (nl - p > 3 && strncmp(p, "id:", 3) == 0) {
-			g_free(id);
-			id = g_strstrip(g_strndup(p + 3, (gsize)(nl - p - 3)));
-		}
-		p = nl + 1;
+		read_line(e, p, n > 0 && p[n - 1] == '\r' ? n - 1 : n);
+		p += n + 1;
 	}
-	return id;
 }
 
 static enum mh_sse_fault
-note_event(struct mh_cursor *c, const char *event, size_t len)
+note_event(struct mh_cursor *c, const char *text, size_t len)
 {
-	char *id = find_id(event, len);
-	enum mh_sse_fault f = id == NULL ? MH_SSE_GOOD : advance(c, id);
-
-	g_free(id);
+	enum mh_sse_fault f = MH_SSE_GOOD;
+	struct event e = { NULL, false };
+
+	read_event(&e, text, len);
+	if (e.id != NULL)
+		f = advance(c, e.id);
+	else if (e.has_data)
+		c->lost = true;
+	g_free(e.id);
 	return f;
 }
 
--- a/regress/t_front.c
+++ b/regress/t_front.c
@@ -643,6 +643,44 @@
 	}
 }
 
+#define CUT(events) EVENTS("Connection: close\r\n") events "id: 9\nda"
+
+/* Behind an event without a number another run begins anew and doubles it. */
+static void
+test_not_resumed_without_ids(void)
+{
+	static const char *const runs[] = { CUT("data: one\n\n"),
+		CUT(EVENT_1 "data: two\n\n"), CUT("id: a7\ndata: one\n\n"),
+		CUT(EVENT_1 "id:\ndata: two\n\n"),
+		CUT(EVENT_1 "id\ndata: two\n\n"),
+		CUT(EVENT_1 "event: end\ndata\n\n") };
+	static const char *const sound[] = { CUT(""), CUT(": not yet\n\n"),
+		CUT("data: one\n\n" EVENT_1) };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(runs); i++) {
+		struct frig *r = frig_create();
+
+		r->script[0] = runs[i];
+		r->script[1] = RUN(CHUNK(EVENT_1));
+		converse(r, PLAN);
+		CU_ASSERT_EQUAL(r->answered, 1);
+		CU_ASSERT_FALSE(is_complete(r));
+		frig_destroy(r);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(sound); i++) {
+		struct frig *r = frig_create();
+
+		r->script[0] = sound[i];
+		r->script[1] = i + 1 < G_N_ELEMENTS(sound)
+		    ? RUN(CHUNK(EVENT_1))
+		    : RUN(CHUNK(EVENT_2));
+		converse(r, PLAN);
+		CU_ASSERT_EQUAL(r->answered, 2);
+		CU_ASSERT_TRUE(is_complete(r));
+		frig_destroy(r);
+	}
+}
+
 /* answers about as long as the longest that is passed on */
 
 enum framing { BY_LENGTH, BY_CHUNKS, BY_CLOSE, FRAMINGS };
@@ -742,6 +780,7 @@
 	{ "front: silent within an event", test_silent_within_an_event },
 	{ "front: goes on with no stream", test_goes_on_with_no_stream },
 	{ "front: events out of order", test_events_out_of_order },
+	{ "front: not resumed without ids", test_not_resumed_without_ids },
 	{ "front: an answer over the bound", test_answer_over_the_bound },
 	{ "front: an answer of just the bound", test_answer_of_the_bound },
 	{ NULL, NULL },
