An event has a bound, and its bytes are read once

Callers of one stream could make an entry fall short of memory and time for all others. Cause: what an endpoint sent without an empty line was kept for ever, and read from its start at each arrival. Ruled out: the bound of plain answers, which never sees the bytes of a stream. Change: an event of more than 1 MiB ends its run like one out of order; the reader knows how far it has read. "sse: an event without an end" needs the new result and does not build before. Conclusion: holds for streams; "sse: split anywhere" keeps what is read the same at each split.

--- a/lib/gate.h
+++ b/lib/gate.h
@@ -477,7 +477,8 @@
 enum mh_sse_fault {
 	MH_SSE_GOOD,
 	MH_SSE_REPEATED, /* an event that the stream has, or has passed */
-	MH_SSE_SKIPPED /* an event is missing before it */
+	MH_SSE_SKIPPED, /* an event is missing before it */
+	MH_SSE_TOO_LONG /* an event of more than 1 MiB */
 };
 
 /** mh_sse_fault_name() - as logs know it. */
@@ -491,8 +492,8 @@
 /**
  * mh_sse_feed() - appends to @out what completes events.
  *
- * Returns the fault of the first event that is not in order; nothing of it, or
- * behind it, is in @out, and the run is not to be read on.
+ * Returns the fault of the first event that can't be passed on; nothing of it,
+ * or behind it, is in @out, and the run is not to be read on.
  */
 enum mh_sse_fault mh_sse_feed(
     struct mh_sse *s, const char *data, size_t len, GString *out);
--- a/lib/sse.c
+++ b/lib/sse.c
@@ -13,6 +13,8 @@
 #include <string.h>
 
 #define ID_LEN 24
+/* Far more than an engine makes in one step. */
+#define MAX_EVENT ((size_t)1 << 20)
 
 struct mh_cursor {
 	bool ordered; /* its ids increase */
@@ -26,6 +28,8 @@
 struct mh_sse {
 	struct mh_cursor *cursor; /* the stream's */
 	GString *held; /* the event being received */
+	size_t read; /* of @held: known to be within the event */
+	bool blank; /* at the start of a line, but for a CR */
 };
 
 static bool
@@ -111,6 +115,7 @@
 
 	s->cursor = c;
 	s->held = g_string_new(NULL);
+	s->blank = true;
 	return s;
 }
 
@@ -123,23 +128,22 @@
 	g_free(s);
 }
 
-/* The length of the first whole event in @text, 0 when there is none. */
-static size_t
-event_len(const GString *text)
-{
-	const char *p = text->str;
-	const char *end = text->str + text->len;
-
-	while (p < end) {
-		const char *nl = memchr(p, '\n', (size_t)(end - p));
-
-		if (nl == NULL)
-			return 0;
-		if (nl == p || (nl == p + 1 && *p == '\r'))
-			return (size_t)(nl + 1 - text->str);
-		p = nl + 1;
+/* Whether @held has a whole event up to @read, which it moves on. */
+static bool
+find_end(struct mh_sse *s)
+{
+	while (s->read < s->held->len) {
+		char ch = s->held->str[s->read++];
+
+		if (ch == '\n' && s->blank)
+			return true;
+		if (ch == '\n')
+			s->blank = true;
+		else if (ch != '\r' ||
+		    (s->read > 1 && s->held->str[s->read - 2] != '\n'))
+			s->blank = false;
 	}
-	return 0;
+	return false;
 }
 
 /** struct event - what the cursor is to know of an event. */
@@ -193,21 +197,29 @@
 	return f;
 }
 
+/* Whether an event of more than is passed on is being received. */
+static enum mh_sse_fault
+check_length(const struct mh_sse *s)
+{
+	return s->held->len > MAX_EVENT ? MH_SSE_TOO_LONG : MH_SSE_GOOD;
+}
+
 enum mh_sse_fault
 mh_sse_feed(struct mh_sse *s, const char *data, size_t len, GString *out)
 {
 	enum mh_sse_fault f;
-	size_t n;
 
 	g_string_append_len(s->held, data, (gssize)len);
-	while ((n = event_len(s->held)) > 0) {
-		f = note_event(s->cursor, s->held->str, n);
+	while (find_end(s)) {
+		f = note_event(s->cursor, s->held->str, s->read);
 		if (f != MH_SSE_GOOD)
 			return f;
-		g_string_append_len(out, s->held->str, (gssize)n);
-		g_string_erase(s->held, 0, (gssize)n);
+		g_string_append_len(out, s->held->str, (gssize)s->read);
+		g_string_erase(s->held, 0, (gssize)s->read);
+		s->read = 0;
+		s->blank = true;
 	}
-	return MH_SSE_GOOD;
+	return check_length(s);
 }
 
 const char *
@@ -215,7 +227,8 @@
 {
 	static const char *const names[] = { [MH_SSE_GOOD] = "none",
 		[MH_SSE_REPEATED] = "repeated",
-		[MH_SSE_SKIPPED] = "skipped" };
+		[MH_SSE_SKIPPED] = "skipped",
+		[MH_SSE_TOO_LONG] = "too-long" };
 
 	return names[f];
 }
--- a/regress/main.c
+++ b/regress/main.c
@@ -71,6 +71,7 @@
 	{ "store", tests_store },
 	{ "home", tests_home },
 	{ "handon", tests_handon },
+	{ "sse", tests_sse },
 	{ "front", tests_front },
 	{ "work", tests_work },
 	{ "drain", tests_drain },
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -33,6 +33,7 @@
 extern const struct test tests_store[];
 extern const struct test tests_home[];
 extern const struct test tests_handon[];
+extern const struct test tests_sse[];
 extern const struct test tests_front[];
 extern const struct test tests_work[];
 extern const struct test tests_drain[];
--- /dev/null
+++ b/regress/t_sse.c
@@ -0,0 +1,70 @@
+/**
+ * DOC: Events of a stream, read as they come.
+ */
+
+#include "gate.h"
+#include "regress.h"
+
+#include <string.h>
+
+/* Bytes of the longest event that is passed on, by MAX_EVENT in sse.c. */
+#define LONGEST_EVENT ((size_t)1 << 20)
+#define PIECE 4096
+
+/* Events are passed on as they become whole, wherever they are split. */
+static void
+test_split_anywhere(void)
+{
+	static const char *const streams[] = {
+		"id: 1\ndata: one\n\nid: 2\ndata: two\n\n",
+		"id: 1\r\ndata: one\r\n\r\nid: 2\r\ndata: two\r\n\r\n",
+		": first\n\nid: 1\ndata: one\r\n\r\nid:2\ndata\n\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(streams); i++) {
+		size_t len = strlen(streams[i]);
+
+		for (size_t at = 0; at <= len; at++) {
+			struct mh_cursor *c = mh_cursor_create(NULL, true);
+			struct mh_sse *s = mh_sse_create(c);
+			GString *out = g_string_new(NULL);
+
+			mh_sse_feed(s, streams[i], at, out);
+			CU_ASSERT_EQUAL(out->len + mh_sse_held(s), at);
+			mh_sse_feed(s, streams[i] + at, len - at, out);
+			CU_ASSERT_STRING_EQUAL(out->str, streams[i]);
+			CU_ASSERT_STRING_EQUAL(mh_cursor_last_id(c), "2");
+			g_string_free(out, TRUE);
+			mh_sse_destroy(s);
+			mh_cursor_destroy(c);
+		}
+	}
+}
+
+/* An event without an end takes no more memory than the longest allowed. */
+static void
+test_event_without_end(void)
+{
+	struct mh_cursor *c = mh_cursor_create(NULL, true);
+	struct mh_sse *s = mh_sse_create(c);
+	GString *out = g_string_new(NULL);
+	char piece[PIECE];
+	enum mh_sse_fault f = MH_SSE_GOOD;
+	size_t fed;
+
+	memset(piece, 'x', sizeof(piece));
+	for (fed = 0; f == MH_SSE_GOOD && fed < 2 * LONGEST_EVENT; fed += PIECE)
+		f = mh_sse_feed(s, piece, PIECE, out);
+	CU_ASSERT_EQUAL(f, MH_SSE_TOO_LONG);
+	CU_ASSERT_EQUAL(fed, LONGEST_EVENT + PIECE);
+	CU_ASSERT_EQUAL(out->len, 0);
+	g_string_free(out, TRUE);
+	mh_sse_destroy(s);
+	mh_cursor_destroy(c);
+}
+
+const struct test tests_sse[] = {
+	{ "sse: split anywhere", test_split_anywhere },
+	{ "sse: an event without an end", test_event_without_end },
+	{ NULL, NULL },
+};
