Lines of events may end with CR alone

Callers got no event of a stream whose lines end with CR, a line end that the format allows, until it broke off. Cause: events were sought by LF alone; and an id line that ended with CR took the next line into the id. Ruled out: taking each CR for a line end at once: a CR LF that TCP parts would come out as two. Change: the reader follows LF, CR LF and CR; a CR ends an event at once only where the line before ended so too.

--- a/lib/sse.c
+++ b/lib/sse.c
@@ -28,8 +28,11 @@
 struct mh_sse {
 	struct mh_cursor *cursor; /* the stream's */
 	GString *held; /* the event being received */
-	size_t read; /* of @held: known to be within the event */
-	bool blank; /* at the start of a line, but for a CR */
+	size_t read; /* of @held */
+	bool blank; /* the line has no byte yet */
+	bool cr; /* the last byte: a line's end, or half of one */
+	bool lone; /* the last line ended with a CR alone */
+	bool ended; /* the event did; a LF would belong to its end */
 };
 
 static bool
@@ -128,20 +131,55 @@
 	g_free(s);
 }
 
+/*
+ * Whether the event ends with @ch.  Lines end with LF, CR LF or CR.  A CR ends
+ * an event at once where the line before ended with a CR alone; elsewhere the
+ * next byte tells, so that no CR LF is parted.
+ */
+static bool
+ends_with(struct mh_sse *s, char ch)
+{
+	bool blank = s->blank;
+
+	s->cr = ch == '\r';
+	s->blank = s->cr ? blank : ch == '\n';
+	if (ch == '\n')
+		s->lone = false;
+	return blank && (ch == '\n' || (s->cr && s->lone));
+}
+
+/* A CR was followed by another byte than LF: the line has ended there. */
+static void
+end_line(struct mh_sse *s)
+{
+	s->blank = true;
+	s->lone = true;
+	s->cr = false;
+}
+
 /* Whether @held has a whole event up to @read, which it moves on. */
 static bool
 find_end(struct mh_sse *s)
 {
 	while (s->read < s->held->len) {
-		char ch = s->held->str[s->read++];
+		char ch = s->held->str[s->read];
+
+		if (s->cr && ch != '\n') {
+			bool over = s->blank;
 
-		if (ch == '\n' && s->blank)
+			end_line(s);
+			if (over)
+				return true;
+		}
+		s->read++;
+		if (s->ended && s->read == 1 && ch == '\n')
+			return true;
+		s->ended = false;
+		if (ends_with(s, ch)) {
+			s->ended = s->cr;
+			s->cr = false;
 			return true;
-		if (ch == '\n')
-			s->blank = true;
-		else if (ch != '\r' ||
-		    (s->read > 1 && s->held->str[s->read - 2] != '\n'))
-			s->blank = false;
+		}
 	}
 	return false;
 }
@@ -174,11 +212,12 @@
 	const char *end = p + len;
 
 	while (p < end) {
-		const char *nl = memchr(p, '\n', (size_t)(end - p));
-		size_t n = (size_t)((nl == NULL ? end : nl) - p);
+		const char *line = p;
 
-		read_line(e, p, n > 0 && p[n - 1] == '\r' ? n - 1 : n);
-		p += n + 1;
+		while (p < end && *p != '\n' && *p != '\r')
+			p++;
+		read_line(e, line, (size_t)(p - line));
+		p++;
 	}
 }
 
--- a/regress/t_sse.c
+++ b/regress/t_sse.c
@@ -19,6 +19,9 @@
 		"id: 1\ndata: one\n\nid: 2\ndata: two\n\n",
 		"id: 1\r\ndata: one\r\n\r\nid: 2\r\ndata: two\r\n\r\n",
 		": first\n\nid: 1\ndata: one\r\n\r\nid:2\ndata\n\n",
+		"id: 1\rdata: one\r\rid: 2\rdata: two\r\r",
+		"id: 1\rdata: one\r\r\nid: 2\r\ndata: two\n\r\n",
+		"id: 1\ndata: one\n\rid: 2\ndata: two\n\n",
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(streams); i++) {
@@ -41,6 +44,23 @@
 	}
 }
 
+/* An event that ends with a CR waits for no byte behind it. */
+static void
+test_ends_with_cr(void)
+{
+	static const char text[] = "id: 1\rdata: one\r\r";
+	struct mh_cursor *c = mh_cursor_create(NULL, true);
+	struct mh_sse *s = mh_sse_create(c);
+	GString *out = g_string_new(NULL);
+
+	mh_sse_feed(s, text, strlen(text), out);
+	CU_ASSERT_STRING_EQUAL(out->str, text);
+	CU_ASSERT_EQUAL(mh_sse_held(s), 0);
+	g_string_free(out, TRUE);
+	mh_sse_destroy(s);
+	mh_cursor_destroy(c);
+}
+
 /* An event without an end takes no more memory than the longest allowed. */
 static void
 test_event_without_end(void)
@@ -65,6 +85,7 @@
 
 const struct test tests_sse[] = {
 	{ "sse: split anywhere", test_split_anywhere },
+	{ "sse: ends with CR", test_ends_with_cr },
 	{ "sse: an event without an end", test_event_without_end },
 	{ NULL, NULL },
 };
