A trailer is no field of the next answer on its connection

Cause: fields behind the last chunk were read like those of a head, and the last of them stayed with the connection; the next answer there had it as its first field. A stamp in a trailer made the next answer genuine, an id in one made it another's. Ruled out: the fields of interim answers, which end with their head. Change: fields behind a head are passed over, and each answer begins with none. Conclusion: what an answer's head says comes from that head alone.

--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -56,6 +56,7 @@
 	bool connected;
 	bool stranger; /* the answer being read is not our call's */
 	bool spent; /* not to be kept */
+	bool headed; /* the answer's head has come; fields now are trailers */
 	bool whole; /* the answer has come to its end */
 	bool lost; /* freed as soon as the parser returns */
 	bool parsing;
@@ -155,6 +156,10 @@
 
 	mh_headers_destroy(c->headers);
 	c->headers = mh_headers_create();
+	g_string_truncate(c->name, 0);
+	g_string_truncate(c->value, 0);
+	c->in_value = false;
+	c->headed = false;
 	c->stranger = false;
 	c->whole = false;
 	return 0;
@@ -174,6 +179,8 @@
 {
 	struct conn *c = p->data;
 
+	if (c->headed)
+		return 0;
 	if (c->in_value)
 		end_field(c);
 	c->in_value = false;
@@ -186,6 +193,8 @@
 {
 	struct conn *c = p->data;
 
+	if (c->headed)
+		return 0;
 	c->in_value = true;
 	g_string_append_len(c->value, at, (gssize)n);
 	return 0;
@@ -217,6 +226,7 @@
 	const char *echo;
 
 	end_field(c);
+	c->headed = true;
 	if (h == NULL || p->status_code < 200)
 		return p->status_code < 200 ? 0 : -1;
 	read_keep_alive(c, http_should_keep_alive(p));
