An answer in another transfer coding than chunks is broken

Cause: the parser takes any list of codings: "gzip, chunked" is read as chunks, "gzip", "identity" or an unknown one as a body that ends with the connection. The field is for one connection and isn't passed on, so callers got coded bytes, or the chunks' sizes, as the body of a whole answer. Ruled out: a length beside a coding, which the parser refuses. Change: chunks alone, said once, are a coding; any other answer is malformed. Conclusion: what is whole has the endpoint's bytes without a coding.

--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -227,6 +227,9 @@
 
 	end_field(c);
 	c->headed = true;
+	/* Nobody undoes another coding, whose bytes would pass as the body. */
+	if (!mh_headers_coding_ok(c->headers))
+		return -1;
 	if (h == NULL || p->status_code < 200)
 		return p->status_code < 200 ? 0 : -1;
 	read_keep_alive(c, http_should_keep_alive(p));
--- a/lib/headers.c
+++ b/lib/headers.c
@@ -117,6 +117,20 @@
 	return list_has(mh_headers_get(h, "Connection"), name);
 }
 
+bool
+mh_headers_coding_ok(const struct mh_headers *h)
+{
+	static const char name[] = "Transfer-Encoding";
+	static const char chunked[] = "chunked";
+	const char *v = mh_headers_get(h, name);
+	size_t n = strlen(chunked);
+
+	return v == NULL ||
+	    (mh_headers_count(h, name) == 1 &&
+		g_ascii_strncasecmp(v, chunked, n) == 0 &&
+		v[n + strspn(v + n, " \t")] == '\0');
+}
+
 bool
 mh_header_name_ok(const char *name)
 {
--- a/lib/opaque.h
+++ b/lib/opaque.h
@@ -22,6 +22,8 @@
 void mh_headers_each(const struct mh_headers *h, mh_header_fn fn, void *arg);
 /** mh_header_is_hop() - a field that concerns one connection only. */
 bool mh_header_is_hop(const struct mh_headers *h, const char *name);
+/** mh_headers_coding_ok() - no transfer coding, or chunks alone. */
+bool mh_headers_coding_ok(const struct mh_headers *h);
 /** mh_header_name_ok() - an RFC 9110 token. */
 bool mh_header_name_ok(const char *name);
 bool mh_header_value_ok(const char *value);
