A chunk longer than its size is broken, and so is a line without its end

Cause: http_parser, as built for this system, skips the byte behind a carriage return and both bytes behind a chunk without a look at them. An answer with the chunk "hi!!" of size 2 was whole with the body "hi". Ruled out: line feeds alone in a head, which may end its lines; carriage returns within a body, which are its bytes. Change: what is not of the body is looked at as well: behind a carriage return a line feed is due, behind a chunk both. Conclusion: a body of chunks is whole only where each has its size.

--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -63,6 +63,7 @@
 	int64_t idle_at_us;
 	int64_t idle_us; /* how long the peer keeps it */
 	http_parser parser;
+	struct mh_line_ends lines;
 	struct mh_headers *headers;
 	GString *name;
 	GString *value;
@@ -261,6 +262,9 @@
 	struct conn *c = p->data;
 	struct mh_hcall *h = c->call;
 
+	if (!mh_line_ends_upto(&c->lines, at))
+		return -1;
+	mh_line_ends_body(&c->lines, at + n, (p->flags & F_CHUNKED) != 0);
 	if (c->stranger || h == NULL)
 		return 0;
 	h->fns.data(h->arg, at, n);
@@ -286,14 +290,21 @@
 	.on_body = on_body,
 	.on_message_complete = on_complete };
 
+static void
+start_parser(struct conn *c)
+{
+	http_parser_init(&c->parser, HTTP_RESPONSE);
+	c->parser.data = c;
+	memset(&c->lines, 0, sizeof(c->lines));
+}
+
 static void
 go_idle(struct conn *c)
 {
 	c->call = NULL;
 	c->whole = false;
 	c->idle_at_us = mh_now(c->all->k);
-	http_parser_init(&c->parser, HTTP_RESPONSE);
-	c->parser.data = c;
+	start_parser(c);
 	set_timer(c, c->idle_us);
 	mh_loop_fd(c->all->loop, c->fd, true, false, on_io, c);
 }
@@ -320,9 +331,11 @@
 static void
 take(struct conn *c, const char *data, size_t len)
 {
+	bool sound;
 	size_t n;
 
 	c->parsing = true;
+	mh_line_ends_feed(&c->lines, data);
 	n = http_parser_execute(&c->parser, &callbacks, data, len);
 	c->parsing = false;
 	if (c->lost) {
@@ -334,13 +347,15 @@
 			free_call(h);
 		return;
 	}
-	if (c->whole) {
+	sound = (HTTP_PARSER_ERRNO(&c->parser) == HPE_OK || c->whole) &&
+	    mh_line_ends_upto(&c->lines, data + n);
+	if (c->whole && sound) {
 		/* Bytes behind a complete answer belong to no request. */
 		finish(c, len > 0 && n == len);
 		return;
 	}
-	if (len == 0 || HTTP_PARSER_ERRNO(&c->parser) != HPE_OK) {
-		if (HTTP_PARSER_ERRNO(&c->parser) != HPE_OK)
+	if (len == 0 || !sound) {
+		if (!sound)
 			mh_count(c->all->k, "call_malformed_answers", 1);
 		fail(c);
 	}
@@ -521,8 +536,7 @@
 	}
 	h->c = c;
 	c->call = h;
-	http_parser_init(&c->parser, HTTP_RESPONSE);
-	c->parser.data = c;
+	start_parser(c);
 	set_timer(c, c->connected ? 0 : CONNECT_US);
 	mh_loop_fd(a->loop, c->fd, c->connected, true, on_io, c);
 	return h;
--- a/lib/opaque.h
+++ b/lib/opaque.h
@@ -28,6 +28,23 @@
 bool mh_header_name_ok(const char *name);
 bool mh_header_value_ok(const char *value);
 
+/* lineends.c */
+
+/** struct mh_line_ends - where the check of a message's lines stands. */
+struct mh_line_ends {
+	const char *next; /* first byte not looked at, in the bytes fed */
+	bool after_cr;
+	bool after_chunk; /* of the last chunk its data have come, in part */
+};
+
+/** mh_line_ends_feed() - @data are the next bytes of the message. */
+void mh_line_ends_feed(struct mh_line_ends *l, const char *data);
+/** mh_line_ends_upto() - whether the lines in the bytes before @at are sound.
+ */
+bool mh_line_ends_upto(struct mh_line_ends *l, const char *at);
+/** mh_line_ends_body() - the bytes before @end are of the body. */
+void mh_line_ends_body(struct mh_line_ends *l, const char *end, bool chunked);
+
 /* addr.c */
 
 /** mh_listen() - a listening socket; port 0 picks one, told in @port. */
