204, 304 and interim answers have no body, whatever their fields say

Cause: the parser waits for as many bytes as a length tells. A 304 may tell the length of the answer that it stands for, so its call waited until its time was up; an interim answer with a length took its bytes from the answer behind it. Ruled out: HEAD, of which the parser was told that no body follows. Change: the parser is told so for these statuses as well. Where 204 or an interim answer tells a length, bytes may follow against the rule, and the connection isn't kept. Conclusion: an answer ends where RFC 9112, 6.3, says.

--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -219,41 +219,63 @@
 	}
 }
 
+/* Whether the answer is another's that comes where our call's is due. */
+static bool
+is_stranger(struct conn *c, const struct mh_hcall *h)
+{
+	const char *echo;
+
+	if (h->echo_name == NULL)
+		return false;
+	echo = mh_headers_get(c->headers, h->echo_name);
+	return echo != NULL && strcmp(echo, h->echo) != 0;
+}
+
+static bool
+has_no_body(uint32_t status)
+{
+	return status < 200 || status == 204 || status == 304;
+}
+
 static int
 on_headers(http_parser *p)
 {
+	/* To the parser 1 says that no body follows, whatever the fields do. */
+	int bodyless = has_no_body(p->status_code) ? 1 : 0;
 	struct conn *c = p->data;
 	struct mh_hcall *h = c->call;
-	const char *echo;
 
 	end_field(c);
 	c->headed = true;
 	/* Nobody undoes another coding, whose bytes would pass as the body. */
 	if (!mh_headers_coding_ok(c->headers))
 		return -1;
-	if (h == NULL || p->status_code < 200)
-		return p->status_code < 200 ? 0 : -1;
+	/* Only of 304 a length tells of another answer; else one may follow. */
+	if (bodyless && p->status_code != 304 &&
+	    (p->flags & (F_CHUNKED | F_CONTENTLENGTH)))
+		c->spent = true;
+	if (p->status_code < 200)
+		return bodyless;
+	if (h == NULL)
+		return -1;
 	read_keep_alive(c, http_should_keep_alive(p));
-	if (h->echo_name != NULL) {
-		echo = mh_headers_get(c->headers, h->echo_name);
-		/*
-		 * A second answer to an earlier request may come where ours
-		 * is due; handing it on would give a caller the answer of
-		 * another.  The echoed id tells them apart.
-		 */
-		if (echo != NULL && strcmp(echo, h->echo) != 0) {
-			mh_count(c->all->k, "call_stray_answers", 1);
-			c->stranger = true;
-			c->spent = true;
-			return 0;
-		}
+	/*
+	 * A second answer to an earlier request may come where ours is due;
+	 * handing it on would give a caller the answer of another.  The echoed
+	 * id tells them apart.
+	 */
+	if (is_stranger(c, h)) {
+		mh_count(c->all->k, "call_stray_answers", 1);
+		c->stranger = true;
+		c->spent = true;
+		return bodyless;
 	}
 	h->fns.head(h->arg, p->status_code, c->headers,
 	    (p->flags & F_CONTENTLENGTH) ? (int64_t)p->content_length : -1);
 	/* The callback may have aborted the call. */
 	if (c->lost)
 		return -1;
-	return h->is_head ? 1 : 0;
+	return h->is_head ? 1 : bodyless;
 }
 
 static int
