An answer that is none of HTTP/1 is broken

Cause: the parser takes any version, and behind a switch of protocols it drops what is left of the segment and reads the next one as an answer. Ruled out: a switch of protocols made no whole answer in the test, in one go or byte by byte; it is refused where it is seen all the same. Change: another version, a switch of protocols and a status below 100 are malformed. Figures: "wire: no answer of HTTP/1": an answer of HTTP/2.0 was whole; now none of the three is. Conclusion: which bytes are an answer doesn't depend on TCP's segments.

--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -247,6 +247,8 @@
 
 	end_field(c);
 	c->headed = true;
+	if (p->http_major != 1 || p->upgrade || p->status_code < 100)
+		return -1;
 	/* Nobody undoes another coding, whose bytes would pass as the body. */
 	if (!mh_headers_coding_ok(c->headers))
 		return -1;
