A call doesn't begin on a connection where something has come

Cause: a kept connection was used again whatever lay in its socket; the loop had not told of it yet. Bytes of another answer that bore no id were the new call's answer, and a call on a connection that had ended broke. Ruled out: bytes with another id, which are told apart, and bytes that the loop has told of, which close an idle connection. Change: the socket is looked at before a connection is used again; one with bytes or an end is closed and the next one taken. Conclusion: what was there before a request isn't its answer.

--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -472,6 +472,32 @@
 	return best;
 }
 
+/*
+ * Bytes that came before our request belong to none of ours, and a call on a
+ * connection that has ended would break.  The loop may not have told of either.
+ */
+static bool
+is_quiet(struct conn *c)
+{
+	char byte;
+	ssize_t n = recv(c->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	if (n > 0)
+		mh_count(c->all->k, "call_stray_bytes", 1);
+	return n < 0 && (errno == EAGAIN || errno == EINTR);
+}
+
+/* A connection that can be used again; those that can't are closed. */
+static struct conn *
+kept_conn(struct mh_hcalls *a, const char *addr, const char *peer)
+{
+	struct conn *c;
+
+	while ((c = idle_conn(a, addr, peer)) != NULL && !is_quiet(c))
+		free_conn(c);
+	return c;
+}
+
 static int
 dial(const char *addr)
 {
@@ -548,7 +574,7 @@
 	h->fns = args->fns;
 	h->arg = args->arg;
 	if (!args->fresh)
-		c = idle_conn(a, args->addr, args->peer);
+		c = kept_conn(a, args->addr, args->peer);
 	if (c == NULL)
 		c = new_conn(a, args->addr, args->peer);
 	if (c == NULL) {
