An answer without an id on a connection whose peer echoes ids is broken

Cause: only an answer with another id was told from ours. A second answer to an earlier request that bore none and came once the next request had been sent was that one's answer. Ruled out: the same with an id, and bytes that came before the request. Change: once a peer has echoed an id on a connection, an answer there without one ends the call as broken; whose it is can't be told. Conclusion: peers that never echo are taken as before. One that leaves the id out of some answers on kept connections loses these, visibly.

--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -55,6 +55,7 @@
 	int fd;
 	bool connected;
 	bool stranger; /* the answer being read is not our call's */
+	bool echoes; /* an answer on it has borne its request's id */
 	bool spent; /* not to be kept */
 	bool headed; /* the answer's head has come; fields now are trailers */
 	bool whole; /* the answer has come to its end */
@@ -219,16 +220,25 @@
 	}
 }
 
-/* Whether the answer is another's that comes where our call's is due. */
-static bool
-is_stranger(struct conn *c, const struct mh_hcall *h)
+enum whose { OURS, STRANGERS, UNKNOWN };
+
+/*
+ * A second answer to an earlier request may come where our call's is due;
+ * handing it on would give a caller the answer of another.  The echoed id
+ * tells them apart; where the peer echoes ids one without can't be told.
+ */
+static enum whose
+whose(struct conn *c, const struct mh_hcall *h)
 {
 	const char *echo;
 
 	if (h->echo_name == NULL)
-		return false;
+		return OURS;
 	echo = mh_headers_get(c->headers, h->echo_name);
-	return echo != NULL && strcmp(echo, h->echo) != 0;
+	if (echo == NULL)
+		return c->echoes ? UNKNOWN : OURS;
+	c->echoes = true;
+	return strcmp(echo, h->echo) == 0 ? OURS : STRANGERS;
 }
 
 static bool
@@ -261,16 +271,16 @@
 	if (h == NULL)
 		return -1;
 	read_keep_alive(c, http_should_keep_alive(p));
-	/*
-	 * A second answer to an earlier request may come where ours is due;
-	 * handing it on would give a caller the answer of another.  The echoed
-	 * id tells them apart.
-	 */
-	if (is_stranger(c, h)) {
+	switch (whose(c, h)) {
+	case OURS:
+		break;
+	case STRANGERS:
 		mh_count(c->all->k, "call_stray_answers", 1);
 		c->stranger = true;
 		c->spent = true;
 		return bodyless;
+	case UNKNOWN:
+		return -1;
 	}
 	h->fns.head(h->arg, p->status_code, c->headers,
 	    (p->flags & F_CONTENTLENGTH) ? (int64_t)p->content_length : -1);
