A connection that its peer keeps for no time isn't used again

Cause: "timeout=0", or a number below 0, gave an idle time of 0 or less, which meant no timer at all: the connection was kept until its peer closed it, and calls on it crossed that close. A large number overflowed. Ruled out: times of a second and more, which are cut by their margin. Change: a time of 0 or less ends the connection with its answer; times over an hour count as an hour. Conclusion: an idle connection always has its timer.

--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -33,6 +33,8 @@
 #define IDLE_MARGIN_US (500 * MH_US_PER_MS)
 /* Idle time of a peer that announces none; below any usual default. */
 #define IDLE_UNTOLD_US (900 * MH_US_PER_MS)
+/* Longer times that a peer tells are cut to this. */
+#define IDLE_MOST_S 3600
 
 struct conn;
 
@@ -207,17 +209,19 @@
 {
 	const char *v = mh_headers_get(c->headers, "Keep-Alive");
 	const char *t = v == NULL ? NULL : strstr(v, "timeout=");
+	int64_t us;
 
 	if (!keep)
 		c->spent = true;
 	c->idle_us = IDLE_UNTOLD_US;
-	if (t != NULL) {
-		int64_t us = (int64_t)g_ascii_strtoull(
-				 t + strlen("timeout="), NULL, 10) *
-		    MH_US_PER_S;
-
-		c->idle_us = MAX(us - IDLE_MARGIN_US, us / 4);
-	}
+	if (t == NULL)
+		return;
+	us = MIN(g_ascii_strtoll(t + strlen("timeout="), NULL, 10),
+		 IDLE_MOST_S) *
+	    MH_US_PER_S;
+	c->idle_us = MAX(us - IDLE_MARGIN_US, us / 4);
+	if (c->idle_us <= 0)
+		c->spent = true;
 }
 
 enum whose { OURS, STRANGERS, UNKNOWN };
