A call reads a bounded number of answers before its own

Cause: interim answers and answers of others were read without an end, for as long as the call had time. Ruled out: status lines, fields, names, folded fields, empty lines, sizes and extensions of chunks and trailers without an end: the parser ends each of them. Change: the 65th answer that isn't its own ends the call as broken. Conclusion: all that comes before or behind a body has a bound.

--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -36,12 +36,16 @@
 /* Longer times that a peer tells are cut to this. */
 #define IDLE_MOST_S 3600
 
+/* Interim answers, and answers of others, that a call reads before its own. */
+#define MAX_BEFORE 64
+
 struct conn;
 
 struct mh_hcall {
 	struct conn *c;
 	GBytes *text;
 	size_t sent;
+	uint32_t before; /* answers that came and are not its own */
 	char *echo_name;
 	char *echo;
 	bool is_head;
@@ -270,10 +274,10 @@
 	if (bodyless && p->status_code != 304 &&
 	    (p->flags & (F_CHUNKED | F_CONTENTLENGTH)))
 		c->spent = true;
-	if (p->status_code < 200)
-		return bodyless;
 	if (h == NULL)
 		return -1;
+	if (p->status_code < 200)
+		return ++h->before > MAX_BEFORE ? -1 : bodyless;
 	read_keep_alive(c, http_should_keep_alive(p));
 	switch (whose(c, h)) {
 	case OURS:
@@ -282,7 +286,7 @@
 		mh_count(c->all->k, "call_stray_answers", 1);
 		c->stranger = true;
 		c->spent = true;
-		return bodyless;
+		return ++h->before > MAX_BEFORE ? -1 : bodyless;
 	case UNKNOWN:
 		return -1;
 	}
