Tests, failing: what is taken of an engine's stream

A caller of marlhoist's own interface could get text from the body of an error, text with a piece missing in its middle, an answer that its engine gave up, and text behind the end of a whole answer. Ruled out: half a line that outlives its run: it is freed with the run.

--- a/regress/t_adapter.c
+++ b/regress/t_adapter.c
@@ -30,6 +30,7 @@
 	struct mh_client *client;
 	struct mh_httpd *httpd;
 	const struct reply *reply;
+	bool hold; /* streams are left open */
 	char url[64];
 	uint32_t hits;
 	uint32_t gone;
@@ -76,7 +77,7 @@
 		mh_req_stream_add(r, b);
 		if (p->cut_stream)
 			mh_req_cut(r);
-		else
+		else if (!g->hold)
 			mh_req_stream_end(r);
 	} else {
 		mh_req_header_set(r, "X-Consul-Index", "7");
@@ -101,7 +102,11 @@
 	struct rig *g = self;
 
 	if (m->kind == MH_MSG_RUN_CHUNK) {
+		gsize len;
+		const char *text = g_bytes_get_data(m->u.run.body, &len);
+
 		g->chunks++;
+		g_string_append_len(g->body, text, (gssize)len);
 		return;
 	}
 	g->done++;
@@ -218,6 +223,105 @@
 	}
 }
 
+enum stream_end { ENDS, IS_CUT, STAYS_OPEN };
+
+/** struct stream_case - an engine's stream, and what is taken of it. */
+struct stream_case {
+	const char *name;
+	uint32_t status;
+	const char *body;
+	enum stream_end end;
+	bool whole;
+	const char *text;
+};
+
+static void
+play_stream(const struct stream_case *c)
+{
+	const struct reply reply = { c->name, c->status, c->body, true,
+		c->end == IS_CUT };
+	struct mh_msg *m = mh_msg_new(MH_MSG_RUN);
+	struct rig g;
+
+	rig_open(&g);
+	g.reply = &reply;
+	g.hold = c->end == STAYS_OPEN;
+	mh_kern_add(g.k, "side", &g, take, NULL);
+	mh_endpoint_create(g.k, g.client, g.url);
+	m->u.run.run = 1;
+	m->u.run.path = g_strdup("/v1/x");
+	m->u.run.stream = true;
+	m->u.run.timeout_us = 300 * MH_US_PER_MS;
+	m->u.run.body = bytes("{}");
+	mh_post(g.k, "endpoint", m);
+	mh_loop_run(g.loop);
+	if (g.whole != c->whole || strcmp(g.body->str, c->text) != 0)
+		printf("\n  case %s: whole=%d \"%s\"\n", c->name, g.whole,
+		    g.body->str);
+	CU_ASSERT_EQUAL(g.whole, c->whole);
+	CU_ASSERT_STRING_EQUAL(g.body->str, c->text);
+	rig_close(&g);
+}
+
+#define PIECE(t) "data: {\"choices\":[{\"text\":\"" t "\"}]}\n\n"
+
+/* Guards against text taken from the body of an error. */
+static void
+test_stream_of_an_error(void)
+{
+	static const struct stream_case c = { "error", 500, PIECE("a") DONE,
+		ENDS, true, "" };
+
+	play_stream(&c);
+}
+
+/* Guards against a text that lacks a piece in its middle. */
+static void
+test_stream_with_a_bad_event(void)
+{
+	static const struct stream_case c = { "bad event", 200,
+		PIECE("a") "data: }{\n\n" PIECE("c") DONE, ENDS, false, "a" };
+
+	play_stream(&c);
+}
+
+static const struct stream_case error_events[] = {
+	{ "error alone", 200,
+	    PIECE("a") "data: {\"error\":{\"message\":\"x\"}}\n\n" DONE, ENDS,
+	    false, "a" },
+	{ "error beside choices", 200,
+	    PIECE("a") "data: {\"error\":{},\"choices\":[]}\n\n" DONE, ENDS,
+	    false, "a" },
+	{ "no choices", 200, PIECE("a") "data: {}\n\n" DONE, ENDS, false, "a" },
+	{ "no error", 200,
+	    "data: {\"error\":null,\"choices\":[{\"text\":\"a\"}]}\n\n"
+	    "data: {\"choices\":[],\"usage\":{}}\n\n" DONE,
+	    ENDS, true, "a" },
+};
+
+/* Guards against a text that its engine gave up, taken for a whole one. */
+static void
+test_stream_with_an_error_event(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(error_events); i++)
+		play_stream(&error_events[i]);
+}
+
+static const struct stream_case after_ends[] = {
+	{ "text behind the end", 200, PIECE("a") DONE PIECE("b"), ENDS, true,
+	    "a" },
+	{ "cut behind the end", 200, PIECE("a") DONE, IS_CUT, true, "a" },
+	{ "open behind the end", 200, PIECE("a") DONE, STAYS_OPEN, true, "a" },
+};
+
+/* Guards against more text behind a whole one. */
+static void
+test_stream_after_its_end(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(after_ends); i++)
+		play_stream(&after_ends[i]);
+}
+
 static void
 test_endpoint_not_there(void)
 {
@@ -545,6 +649,10 @@
 
 const struct test tests_adapter[] = {
 	{ "endpoint_contract", test_endpoint_contract },
+	{ "stream_of_an_error", test_stream_of_an_error },
+	{ "stream_with_a_bad_event", test_stream_with_a_bad_event },
+	{ "stream_with_an_error_event", test_stream_with_an_error_event },
+	{ "stream_after_its_end", test_stream_after_its_end },
 	{ "endpoint_not_there", test_endpoint_not_there },
 	{ "http_library_never_resends", test_http_library_never_resends },
 	{ "kv_contract", test_kv_contract },
