Text comes from an engine's stream alone, not from the body of an error

A caller could get text out of an error page, before the text of the engine that was asked next. Cause: the endpoint adapter read the lines of any answer to a call that streams, whatever its status; the status was looked at at the end. Class: an answer that is not the one asked for, taken for it. Ruled out: nothing else; the failing test has no other part. Change: whoever reads a body as it comes is told the status, and can end the call. Figures: "stream_of_an_error" fails before, passes after; suites adapter, entry and session pass. Conclusion: mended at the adapter, the only reader of engines' streams.

--- a/lib/client.c
+++ b/lib/client.c
@@ -44,16 +44,23 @@
 	g_free(h);
 }
 
+static uint32_t
+status_of(const struct http *h)
+{
+	long status = 0;
+
+	curl_easy_getinfo(h->easy, CURLINFO_RESPONSE_CODE, &status);
+	return (uint32_t)status;
+}
+
 static void
 finish(struct http *h, CURLcode rc)
 {
 	struct mh_http_done d = { .whole = rc == CURLE_OK };
-	long status = 0;
 	mh_http_done_fn done = h->done;
 	void *arg = h->arg;
 
-	curl_easy_getinfo(h->easy, CURLINFO_RESPONSE_CODE, &status);
-	d.status = (uint32_t)status;
+	d.status = status_of(h);
 	d.sent = rc != CURLE_COULDNT_CONNECT;
 	d.broke = rc == CURLE_RECV_ERROR || rc == CURLE_SEND_ERROR ||
 	    rc == CURLE_GOT_NOTHING || rc == CURLE_PARTIAL_FILE;
@@ -155,10 +162,9 @@
 {
 	struct http *h = arg;
 
-	if (h->data != NULL) {
-		h->data(h->arg, data, size * n);
-		return size * n;
-	}
+	if (h->data != NULL)
+		return h->data(h->arg, status_of(h), data, size * n) ? size * n
+								     : 0;
 	/* An endless answer must not eat our memory. */
 	if (h->answer->len + size * n > MAX_ANSWER)
 		return 0;
--- a/lib/endpoint.c
+++ b/lib/endpoint.c
@@ -74,11 +74,14 @@
 	json_decref(j);
 }
 
-static void
-on_data(void *arg, const char *data, size_t len)
+static bool
+on_data(void *arg, uint32_t status, const char *data, size_t len)
 {
 	struct run *r = arg;
 
+	/* The body of an error is no text of the engine's. */
+	if (status != 200)
+		return true;
 	for (size_t i = 0; i < len; i++) {
 		if (data[i] != '\n') {
 			if (r->line->len < MAX_LINE)
@@ -89,6 +92,7 @@
 			take_event(r, g_strchomp(r->line->str) + 6);
 		g_string_truncate(r->line, 0);
 	}
+	return true;
 }
 
 static uint64_t
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -1050,7 +1050,9 @@
 };
 
 typedef void (*mh_http_done_fn)(void *arg, const struct mh_http_done *d);
-typedef void (*mh_http_data_fn)(void *arg, const char *data, size_t len);
+/** mh_http_data_fn - false: the call ends, broken by us. */
+typedef bool (*mh_http_data_fn)(
+    void *arg, uint32_t status, const char *data, size_t len);
 
 /** mh_client_create() - owned by the kernel; create it before its users. */
 struct mh_client *mh_client_create(struct mh_loop *l);
--- a/marlload/marlload.c
+++ b/marlload/marlload.c
@@ -130,16 +130,17 @@
 	maybe_finish(l);
 }
 
-static void
-on_data(void *arg, const char *data, size_t len)
+static bool
+on_data(void *arg, uint32_t status, const char *data, size_t len)
 {
 	struct shot *s = arg;
 	int64_t now = mh_now(s->load->k) - s->load->start_us;
 
+	(void)status;
 	g_string_append_len(s->text, data, (gssize)len);
 	if (!s->plan->stream ||
 	    g_strstr_len(data, (gssize)len, "event: token") == NULL)
-		return;
+		return true;
 	if (s->first_us == 0) {
 		s->first_us = now;
 		mh_hist_add(s->load->first[0], now - s->at_us);
@@ -147,6 +148,7 @@
 		mh_hist_add(s->load->between, now - s->last_chunk_us);
 	}
 	s->last_chunk_us = now;
+	return true;
 }
 
 static void
