A stream that is answered with another success has no whole text

A caller could get an empty answer as complete. Cause: the end mark was asked for with status 200 alone, and the entry takes any 2xx for a success. Class: an answer that is not the whole one, taken for it. Ruled out: errors, which are whole answers without an end mark. Change: every 2xx to a call that streams needs its end mark.

--- a/lib/endpoint.c
+++ b/lib/endpoint.c
@@ -115,9 +115,12 @@
 	u->status = d->status;
 	u->sent = d->sent;
 	u->broke = d->broke;
-	/* A stream without its end mark was cut, however it closed. */
+	/*
+	 * A stream without its end mark was cut, however it closed, and a
+	 * success other than 200 has none.
+	 */
 	u->whole = d->whole && !r->garbage &&
-	    (!r->stream || d->status != 200 || r->end_mark);
+	    (!r->stream || d->status >= 300 || r->end_mark);
 	if (!r->stream) {
 		u->body = g_bytes_ref(d->body);
 		j = json_loadb(data, len, 0, NULL);
--- a/regress/t_adapter.c
+++ b/regress/t_adapter.c
@@ -275,6 +275,16 @@
 	play_stream(&c);
 }
 
+/* Guards against no text at all, taken for a whole one. */
+static void
+test_stream_of_another_success(void)
+{
+	static const struct stream_case c = { "created", 201, PIECE("a") DONE,
+		ENDS, false, "" };
+
+	play_stream(&c);
+}
+
 /* Guards against a text that lacks a piece in its middle. */
 static void
 test_stream_with_a_bad_event(void)
@@ -650,6 +660,7 @@
 const struct test tests_adapter[] = {
 	{ "endpoint_contract", test_endpoint_contract },
 	{ "stream_of_an_error", test_stream_of_an_error },
+	{ "stream_of_another_success", test_stream_of_another_success },
 	{ "stream_with_a_bad_event", test_stream_with_a_bad_event },
 	{ "stream_with_an_error_event", test_stream_with_an_error_event },
 	{ "stream_after_its_end", test_stream_after_its_end },
