A run ends at an event that can't be read

A caller's text lacked a piece in its middle: the pieces behind an event that could not be read were handed on, and the next run went on behind them. Cause: such an event was noted, and judged at the end of the run. Class: an answer that is not the whole one, taken for it. Ruled out: the run's end, which was told as failed before and is now. Change: nothing is read behind it and the call is ended there. Figures: "stream_with_a_bad_event" gives "ac" of a, ?, c before, "a" after. Conclusion: mended.

--- a/lib/endpoint.c
+++ b/lib/endpoint.c
@@ -82,7 +82,8 @@
 	/* The body of an error is no text of the engine's. */
 	if (status != 200)
 		return true;
-	for (size_t i = 0; i < len; i++) {
+	/* Behind an event that can't be read a piece is missing. */
+	for (size_t i = 0; i < len && !r->garbage; i++) {
 		if (data[i] != '\n') {
 			if (r->line->len < MAX_LINE)
 				g_string_append_c(r->line, data[i]);
@@ -92,7 +93,7 @@
 			take_event(r, g_strchomp(r->line->str) + 6);
 		g_string_truncate(r->line, 0);
 	}
-	return true;
+	return !r->garbage;
 }
 
 static uint64_t
