An engine's error within its stream is no part of a whole text

A caller got the text so far as a complete answer where the engine had given up: some engines end a stream that failed with an event that names the error, and the end mark behind it. Cause: an event without text was passed over, whatever it said. Class: an answer that is not the whole one, taken for it. Ruled out: events that carry usage alone, which have an empty list of choices. Change: an event with an error, or without a list of choices, ends the run as one that can't be read. Conclusion: mended for the forms that the OpenAI-style interfaces use.

--- a/lib/endpoint.c
+++ b/lib/endpoint.c
@@ -47,6 +47,16 @@
 	mh_post(r->e->k, "side", m);
 }
 
+/* An engine that gives up says so in an event, and some send the end mark. */
+static bool
+is_piece(const json_t *j)
+{
+	const json_t *err = json_object_get(j, "error");
+
+	return json_is_array(json_object_get(j, "choices")) &&
+	    (err == NULL || json_is_null(err));
+}
+
 static void
 take_event(struct run *r, const char *data)
 {
@@ -58,7 +68,8 @@
 		return;
 	}
 	j = json_loads(data, 0, NULL);
-	if (j == NULL) {
+	if (!is_piece(j)) {
+		json_decref(j);
 		r->garbage = true;
 		return;
 	}
