A text is whole at its end mark, whatever its connection does then

Callers got more text behind a whole one: text that came behind the end mark was handed on, and where the connection broke or stayed open behind the mark the run counted as torn and another engine was asked to go on. Cause: the end of a run was told with the end of its connection, and both had to be good. Class: an answer that is the whole one, not taken for it. Ruled out: the usage, which comes before the mark; the text whose last token came without a mark, which has a test of its own. Change: the run's end is told at the mark, once; bytes behind it end the call.

--- a/lib/endpoint.c
+++ b/lib/endpoint.c
@@ -21,7 +21,7 @@
 	uint64_t id;
 	uint64_t http;
 	bool stream;
-	bool end_mark;
+	bool told; /* of its end */
 	bool garbage;
 	GString *line;
 	json_t *usage;
@@ -47,6 +47,36 @@
 	mh_post(r->e->k, "side", m);
 }
 
+static uint64_t
+usage_of(json_t *usage, const char *name)
+{
+	return (uint64_t)json_integer_value(json_object_get(usage, name));
+}
+
+/* Tells the end of a run, once. */
+static void
+tell_end(struct run *r, const struct mh_run_msg *end)
+{
+	struct mh_msg *m = mh_msg_new(MH_MSG_RAN);
+
+	m->u.run = *end;
+	m->u.run.run = r->id;
+	m->u.run.tokens_in = usage_of(r->usage, "prompt_tokens");
+	m->u.run.tokens_out = usage_of(r->usage, "completion_tokens");
+	m->u.run.tokens_cached = usage_of(r->usage, "cached_tokens");
+	r->told = true;
+	mh_post(r->e->k, "side", m);
+}
+
+/* Behind its end mark a text is whole, whatever its connection does. */
+static void
+tell_whole(struct run *r)
+{
+	struct mh_run_msg end = { .status = 200, .sent = true, .whole = true };
+
+	tell_end(r, &end);
+}
+
 /* An engine that gives up says so in an event, and some send the end mark. */
 static bool
 is_piece(const json_t *j)
@@ -64,7 +94,7 @@
 	const char *text;
 
 	if (strcmp(data, "[DONE]") == 0) {
-		r->end_mark = true;
+		tell_whole(r);
 		return;
 	}
 	j = json_loads(data, 0, NULL);
@@ -95,6 +125,8 @@
 		return true;
 	/* Behind an event that can't be read a piece is missing. */
 	for (size_t i = 0; i < len && !r->garbage; i++) {
+		if (r->told && !g_ascii_isspace(data[i]))
+			return false;
 		if (data[i] != '\n') {
 			if (r->line->len < MAX_LINE)
 				g_string_append_c(r->line, data[i]);
@@ -107,42 +139,27 @@
 	return !r->garbage;
 }
 
-static uint64_t
-usage_of(json_t *usage, const char *name)
-{
-	return (uint64_t)json_integer_value(json_object_get(usage, name));
-}
-
+/* A stream without its end mark was cut, however it closed. */
 static void
 on_done(void *arg, const struct mh_http_done *d)
 {
 	struct run *r = arg;
-	struct mh_msg *m = mh_msg_new(MH_MSG_RAN);
-	struct mh_run_msg *u = &m->u.run;
-	json_t *j = NULL;
+	struct mh_run_msg end = { .status = d->status,
+		.sent = d->sent,
+		.broke = d->broke,
+		.whole = d->whole && (!r->stream || d->status >= 300) };
+	json_t *j;
 	gsize len;
 	const char *data = g_bytes_get_data(d->body, &len);
 
-	u->run = r->id;
-	u->status = d->status;
-	u->sent = d->sent;
-	u->broke = d->broke;
-	/*
-	 * A stream without its end mark was cut, however it closed, and a
-	 * success other than 200 has none.
-	 */
-	u->whole = d->whole && !r->garbage &&
-	    (!r->stream || d->status >= 300 || r->end_mark);
 	if (!r->stream) {
-		u->body = g_bytes_ref(d->body);
+		end.body = g_bytes_ref(d->body);
 		j = json_loadb(data, len, 0, NULL);
 		r->usage = json_incref(json_object_get(j, "usage"));
 		json_decref(j);
 	}
-	u->tokens_in = usage_of(r->usage, "prompt_tokens");
-	u->tokens_out = usage_of(r->usage, "completion_tokens");
-	u->tokens_cached = usage_of(r->usage, "cached_tokens");
-	mh_post(r->e->k, "side", m);
+	if (!r->told)
+		tell_end(r, &end);
 	g_hash_table_remove(r->e->runs, &r->id);
 }
 
