Test: an engine's stream torn at any byte

Cause: none found; the tear was tried between events only. Ruled out: half a piece, a piece twice, a torn text taken for a whole one, with the stream's end and without it. Change: the test. Conclusion: refuted at the adapter.

--- a/regress/t_adapter.c
+++ b/regress/t_adapter.c
@@ -332,6 +332,30 @@
 		play_stream(&after_ends[i]);
 }
 
+/* Guards against half a piece, or a torn text taken for a whole one. */
+static void
+test_stream_torn_at_any_byte(void)
+{
+	static const char body[] = PIECE("a") PIECE("b") DONE;
+	const char *two = strstr(body, "\n\n") + 2;
+
+	for (size_t n = 0; n <= strlen(body); n++) {
+		char *part = g_strndup(body, n);
+		struct stream_case c = { "torn", 200, part, ENDS, false, "" };
+
+		if (strstr(part, "a\"}]}\n") != NULL)
+			c.text = "a";
+		if (n > (size_t)(two - body) &&
+		    strstr(part + (two - body), "\n") != NULL)
+			c.text = "ab";
+		c.whole = strstr(part, "[DONE]\n") != NULL;
+		play_stream(&c);
+		c.end = IS_CUT;
+		play_stream(&c);
+		g_free(part);
+	}
+}
+
 static void
 test_endpoint_not_there(void)
 {
@@ -664,6 +688,7 @@
 	{ "stream_with_a_bad_event", test_stream_with_a_bad_event },
 	{ "stream_with_an_error_event", test_stream_with_an_error_event },
 	{ "stream_after_its_end", test_stream_after_its_end },
+	{ "stream_torn_at_any_byte", test_stream_torn_at_any_byte },
 	{ "endpoint_not_there", test_endpoint_not_there },
 	{ "http_library_never_resends", test_http_library_never_resends },
 	{ "kv_contract", test_kv_contract },
