What an engine without an end sends is kept up to a bound

Cause: other answers are bounded by the HTTP client, a stream was not: its side process kept every piece, its entry the text, until the caller's deadline, which may lie an hour ahead. A line without an end was cut at 1 MiB and read on till then. Class: what is kept of an endless answer. Ruled out: reading from the start at each arrival (bytes are looked at once). Change: a run ends as failed at 4 MiB of text, or a line over 1 MiB. Conclusion: mended; an engine that sends events without text is bounded by the deadline alone, and holds no memory.

--- a/lib/endpoint.c
+++ b/lib/endpoint.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #define MAX_LINE (1U << 20)
+#define MAX_TEXT (4U << 20) /* of a stream, kept until its end */
 
 struct endpoint {
 	struct mh_kern *k;
@@ -22,8 +23,9 @@
 	uint64_t http;
 	bool stream;
 	bool told; /* of its end */
-	bool garbage;
+	bool bad; /* what comes next is of no use */
 	GString *line;
+	size_t text_len;
 	json_t *usage;
 };
 
@@ -47,6 +49,16 @@
 	mh_post(r->e->k, "side", m);
 }
 
+static void
+take_text(struct run *r, const char *text)
+{
+	r->text_len += strlen(text);
+	if (r->text_len > MAX_TEXT)
+		r->bad = true;
+	else if (*text != '\0')
+		send_chunk(r, text);
+}
+
 static uint64_t
 usage_of(json_t *usage, const char *name)
 {
@@ -100,13 +112,13 @@
 	j = json_loads(data, 0, NULL);
 	if (!is_piece(j)) {
 		json_decref(j);
-		r->garbage = true;
+		r->bad = true;
 		return;
 	}
 	text = json_string_value(json_object_get(
 	    json_array_get(json_object_get(j, "choices"), 0), "text"));
-	if (text != NULL && *text != '\0')
-		send_chunk(r, text);
+	if (text != NULL)
+		take_text(r, text);
 	usage = json_object_get(j, "usage");
 	if (json_is_object(usage)) {
 		json_decref(r->usage);
@@ -124,19 +136,19 @@
 	if (status != 200)
 		return true;
 	/* Behind an event that can't be read a piece is missing. */
-	for (size_t i = 0; i < len && !r->garbage; i++) {
+	for (size_t i = 0; i < len && !r->bad; i++) {
 		if (r->told && !g_ascii_isspace(data[i]))
 			return false;
 		if (data[i] != '\n') {
-			if (r->line->len < MAX_LINE)
-				g_string_append_c(r->line, data[i]);
+			g_string_append_c(r->line, data[i]);
+			r->bad = r->line->len > MAX_LINE;
 			continue;
 		}
 		if (g_str_has_prefix(r->line->str, "data: "))
 			take_event(r, g_strchomp(r->line->str) + 6);
 		g_string_truncate(r->line, 0);
 	}
-	return !r->garbage;
+	return !r->bad;
 }
 
 /* A stream without its end mark was cut, however it closed. */
--- a/regress/t_adapter.c
+++ b/regress/t_adapter.c
@@ -14,6 +14,9 @@
 #include <unistd.h>
 
 #define LONGEST_US (10 * MH_US_PER_S)
+#define LONGEST_TEXT (4U << 20) /* as of other answers */
+#define ENDLESS_BYTES (6U << 20)
+#define ENDLESS_PIECE 1000U
 
 /** struct reply - how the stand-in answers the next calls. */
 struct reply {
@@ -356,6 +359,39 @@
 	}
 }
 
+/* Guards against an engine without an end that eats our memory. */
+static void
+test_stream_without_an_end(void)
+{
+	struct reply endless = { "endless", 200, NULL, true, false };
+	struct mh_msg *m = mh_msg_new(MH_MSG_RUN);
+	char *text = g_strnfill(ENDLESS_PIECE, 'x');
+	GString *body = g_string_new(NULL);
+	struct rig g;
+
+	while (body->len < ENDLESS_BYTES)
+		g_string_append_printf(
+		    body, "data: {\"choices\":[{\"text\":\"%s\"}]}\n\n", text);
+	g_string_append(body, DONE);
+	endless.body = body->str;
+	rig_open(&g);
+	g.reply = &endless;
+	mh_kern_add(g.k, "side", &g, take, NULL);
+	mh_endpoint_create(g.k, g.client, g.url);
+	m->u.run.run = 1;
+	m->u.run.path = g_strdup("/v1/x");
+	m->u.run.stream = true;
+	m->u.run.timeout_us = 5 * MH_US_PER_S;
+	m->u.run.body = bytes("{}");
+	mh_post(g.k, "endpoint", m);
+	mh_loop_run(g.loop);
+	CU_ASSERT_FALSE(g.whole);
+	CU_ASSERT(g.body->len <= LONGEST_TEXT);
+	rig_close(&g);
+	g_string_free(body, TRUE);
+	g_free(text);
+}
+
 static void
 test_endpoint_not_there(void)
 {
@@ -689,6 +725,7 @@
 	{ "stream_with_an_error_event", test_stream_with_an_error_event },
 	{ "stream_after_its_end", test_stream_after_its_end },
 	{ "stream_torn_at_any_byte", test_stream_torn_at_any_byte },
+	{ "stream_without_an_end", test_stream_without_an_end },
 	{ "endpoint_not_there", test_endpoint_not_there },
 	{ "http_library_never_resends", test_http_library_never_resends },
 	{ "kv_contract", test_kv_contract },
