A stream whose call is gone at its side process goes on as another try

A caller got the pieces of two runs joined: the first three of one, the fourth and on of another that had begun at the start. Cause: an entry that was frozen, or cut off, for over a second asks for its call again by id. The side process has ended it by then, says it has not seen it, and was sent it once more under the same id and with the same body; the entry's count of pieces was still that of the first run, so those of the second were taken from there on. Class: state of one try that outlives it. Ruled out: pieces that come late or twice (doubled_and_late_frames); a side process that was started again, which is another incarnation. Change: a call of which pieces have come and that is not known any more is lost; the request goes on elsewhere behind what it has.

--- a/lib/relay.c
+++ b/lib/relay.c
@@ -270,11 +270,18 @@
 /*
  * The side process does not know the call: its frame was lost in the old
  * connection, or is still on its way.  Sending it again is safe, for the
- * side process runs one call id, and one key, once.
+ * side process runs one call id, and one key, once.  A call of which pieces
+ * have come ended there, and another run's pieces don't follow on them.
  */
 static void
 not_seen(struct relay *r, struct mh_call *c)
 {
+	if (c->next_seq > 0) {
+		mh_count(r->k, "relay_gone", 1);
+		send_short(r, c, MH__FRAME__BODY_CANCEL);
+		lose(r, c, MH__OUTCOME__FAILED);
+		return;
+	}
 	mh_count(r->k, "relay_resent", 1);
 	send_call(r, c);
 }
--- a/regress/net.c
+++ b/regress/net.c
@@ -471,6 +471,20 @@
 	}
 }
 
+void
+net_cut(struct net_node *x)
+{
+	for (guint i = 0; i < x->net->wires->len; i++) {
+		struct wire *w = x->net->wires->pdata[i];
+
+		if (!w->open || (w->a.node != x && w->b.node != x))
+			continue;
+		w->open = false;
+		close_end(w, &w->a);
+		close_end(w, &w->b);
+	}
+}
+
 static bool
 runs(const struct net_node *x)
 {
--- a/regress/net.h
+++ b/regress/net.h
@@ -38,6 +38,7 @@
 	bool unsent; /* the endpoint refuses the connection */
 	size_t answer_bytes; /* a service's answer is padded to this */
 	bool cut; /* it runs, but its answer is cut */
+	bool numbered; /* its tokens are RUN.NUMBER */
 	bool falls; /* it ends under a body with NET_FATAL */
 	int64_t fall_us; /* when it ends, or ended; 0: never */
 	uint32_t falls_seen;
@@ -97,6 +98,8 @@
 void net_vanish(struct net_node *x);
 /** net_silence() - open links of @x carry nothing any more. */
 void net_silence(struct net_node *x, bool in, bool out);
+/** net_cut() - open links of @x break, and both ends see it. */
+void net_cut(struct net_node *x);
 void net_apply(struct net *n, uint64_t generation, const char *doc);
 /** net_apply_delta() - as marlctl does, with the delta from @old. */
 void net_apply_delta(
--- a/regress/netfake.c
+++ b/regress/netfake.c
@@ -282,6 +282,16 @@
 	return n;
 }
 
+static GBytes *
+token(const struct net_node *x, uint32_t i)
+{
+	char text[24] = " t";
+
+	if (x->numbered)
+		snprintf(text, sizeof(text), " %" PRIu64 ".%u", x->runs, i + 1);
+	return g_bytes_new(text, strlen(text));
+}
+
 static void
 run_stream(struct net_node *x, const struct mh_run_msg *q, uint32_t n)
 {
@@ -289,7 +299,7 @@
 		struct mh_msg *m = mh_msg_new(MH_MSG_RUN_CHUNK);
 
 		m->u.run.run = q->run;
-		m->u.run.body = g_bytes_new(" t", 2);
+		m->u.run.body = token(x, i);
 		net_deliver(x, "side", m, x->service_us * (i + 1) / (n + 1),
 		    NULL, false);
 	}
--- a/regress/t_entry.c
+++ b/regress/t_entry.c
@@ -137,6 +137,64 @@
 	net_destroy(w.n);
 }
 
+/* How many tokens @id got, each run's from its first on; 0: not so. */
+static uint32_t
+tokens_in_order(struct entry_world *w, uint64_t id)
+{
+	const char *text = net_answer_text(w->n, id, "answer");
+	char **t = g_strsplit(text, " ", -1);
+	uint32_t n = 0, run, last_run = 0, i, last = 0;
+
+	for (char **p = t + 1; *t != NULL && *p != NULL; p++, n++) {
+		if (sscanf(*p, "%u.%u", &run, &i) != 2 ||
+		    i != (run == last_run ? last + 1 : 1)) {
+			printf("\n  got \"%s\"\n", text);
+			n = 0;
+			break;
+		}
+		last_run = run;
+		last = i;
+	}
+	g_strfreev(t);
+	return n;
+}
+
+/* Guards against pieces of two runs of a call joined by their numbers. */
+static void
+test_stream_of_a_call_that_is_gone(void)
+{
+	struct net_ask slow = { .path = "/v1/pipelines/plan",
+		.class_asked = "batch",
+		.body = "{\"input\":\"x\",\"max_tokens\":8}" };
+	struct entry_world w;
+	struct net_node *x;
+	uint64_t id;
+
+	make(&w, 18, net_doc);
+	for (int i = 0; i < 3; i++) {
+		w.llm[i]->numbered = true;
+		w.llm[i]->service_us = 2 * MH_US_PER_S;
+	}
+	/* It is known that they take so long: the stream isn't moved. */
+	for (int i = 0; i < 10; i++) {
+		(void)net_request(w.e, &slow);
+		net_run(w.n, 3 * MH_US_PER_S);
+	}
+	id = net_request(w.e, &slow);
+	net_run(w.n, 800 * MH_US_PER_MS);
+	x = busy_llm(&w);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(x);
+	/* Over a second without its entry: the side process ends the call. */
+	w.e->paused = true;
+	net_cut(x);
+	net_run(w.n, 1500 * MH_US_PER_MS);
+	w.e->paused = false;
+	net_run(w.n, 4 * MH_US_PER_S);
+	CU_ASSERT(mh_counter(w.e->k, "relay_resumes") > 0);
+	CU_ASSERT_EQUAL(tokens_in_order(&w, id), 8);
+	net_destroy(w.n);
+}
+
 /*
  * Every token of a plan came, then the engine's connection broke before the
  * end mark.  Asking another engine for no token at all failed the request.
@@ -533,6 +591,7 @@
 const struct test tests_entry[] = {
 	{ "stream_over_a_silent_link", test_stream_over_a_silent_link },
 	{ "stream_goes_on_elsewhere", test_stream_goes_on_elsewhere },
+	{ "stream_of_a_call_that_is_gone", test_stream_of_a_call_that_is_gone },
 	{ "lost_end_mark_of_a_whole_text", test_lost_end_mark_of_a_whole_text },
 	{ "doubled_and_late_frames", test_doubled_and_late_frames },
 	{ "hedge_around_a_straggler", test_hedge_around_a_straggler },
