An engine that goes on behind what was asked for is cut there

Callers of a stream got more pieces than they had asked for, and no end before their deadline, from an engine that does not stop. Cause: pieces were counted and never held against the number asked for; past it the number left also went round to four thousand million, by which no such stream was slow. Class: what is kept of an endless answer. Change: a piece beyond those asked for ends the try, and the text is whole without it, as where only the end mark is lost. Conclusion: mended.

--- a/lib/pipe.c
+++ b/lib/pipe.c
@@ -469,6 +469,21 @@
 	}
 }
 
+static void
+fail_try(struct request *r, struct try *t)
+{
+	struct mh_peer *p = mh_call_peer(t->call);
+	Mh__Result res = MH__RESULT__INIT;
+
+	res.outcome = MH__OUTCOME__FAILED;
+	mh_relay_cancel(r->e->k, t->call);
+	t->call = NULL;
+	/* A call that was given up tells of its endpoint like one that failed.
+	 */
+	mh_route_judge(r->e->k, p, false, mh_now(r->e->k) - t->started_us);
+	try_failed(r, p, &res);
+}
+
 static void
 on_event(void *arg, struct mh_call *c, const struct mh_call_event *ev)
 {
@@ -483,6 +498,12 @@
 		return;
 	}
 	r->maybe_ran = true;
+	if (r->done_tokens >= r->max_tokens) {
+		/* More than was asked for: the text is whole without it. */
+		mh_count(r->e->k, "pipe_surplus", 1);
+		fail_try(r, t);
+		return;
+	}
 	if (t->first_us == 0)
 		t->first_us = mh_now(r->e->k);
 	t->tokens++;
@@ -495,21 +516,6 @@
 		entry_token(r, ev->chunk);
 }
 
-static void
-fail_try(struct request *r, struct try *t)
-{
-	struct mh_peer *p = mh_call_peer(t->call);
-	Mh__Result res = MH__RESULT__INIT;
-
-	res.outcome = MH__OUTCOME__FAILED;
-	mh_relay_cancel(r->e->k, t->call);
-	t->call = NULL;
-	/* A call that was given up tells of its endpoint like one that failed.
-	 */
-	mh_route_judge(r->e->k, p, false, mh_now(r->e->k) - t->started_us);
-	try_failed(r, p, &res);
-}
-
 static void
 on_timeout(void *arg)
 {
--- a/regress/net.h
+++ b/regress/net.h
@@ -39,6 +39,7 @@
 	size_t answer_bytes; /* a service's answer is padded to this */
 	bool cut; /* it runs, but its answer is cut */
 	bool numbered; /* its tokens are RUN.NUMBER */
+	uint32_t surplus; /* tokens that it makes beyond those asked for */
 	bool falls; /* it ends under a body with NET_FATAL */
 	int64_t fall_us; /* when it ends, or ended; 0: never */
 	uint32_t falls_seen;
--- a/regress/netfake.c
+++ b/regress/netfake.c
@@ -372,7 +372,7 @@
 		m->u.run.whole = !x->cut;
 		m->u.run.body = run_body(x, q);
 		if (q->kind == MH_GENERATE && x->status == 0)
-			run_stream(x, q, wanted_tokens(q));
+			run_stream(x, q, wanted_tokens(q) + x->surplus);
 	}
 	net_deliver(x, "side", m, x->unsent ? 100 : x->service_us, NULL, false);
 }
--- a/regress/t_entry.c
+++ b/regress/t_entry.c
@@ -195,6 +195,32 @@
 	net_destroy(w.n);
 }
 
+/* Guards against an engine that goes on behind what was asked for. */
+static void
+test_stream_of_more_than_was_asked(void)
+{
+	for (int stream = 0; stream < 2; stream++) {
+		struct entry_world w;
+		struct net_answer *a;
+		uint64_t id;
+
+		make(&w, 19, net_doc);
+		for (int i = 0; i < 3; i++) {
+			w.llm[i]->numbered = true;
+			w.llm[i]->surplus = 1000;
+			w.llm[i]->service_us = 3 * MH_US_PER_S;
+		}
+		id = plan(&w, stream == 1);
+		net_run(w.n, 500 * MH_US_PER_MS);
+		a = net_answer(w.n, id);
+		CU_ASSERT_TRUE(a->ended);
+		CU_ASSERT_PTR_NULL(busy_llm(&w));
+		CU_ASSERT_EQUAL(
+		    stream == 1 ? a->parts - 1 : tokens_in_order(&w, id), 8);
+		net_destroy(w.n);
+	}
+}
+
 /*
  * Every token of a plan came, then the engine's connection broke before the
  * end mark.  Asking another engine for no token at all failed the request.
@@ -592,6 +618,7 @@
 	{ "stream_over_a_silent_link", test_stream_over_a_silent_link },
 	{ "stream_goes_on_elsewhere", test_stream_goes_on_elsewhere },
 	{ "stream_of_a_call_that_is_gone", test_stream_of_a_call_that_is_gone },
+	{ "stream_of_more_than_was_asked", test_stream_of_more_than_was_asked },
 	{ "lost_end_mark_of_a_whole_text", test_lost_end_mark_of_a_whole_text },
 	{ "doubled_and_late_frames", test_doubled_and_late_frames },
 	{ "hedge_around_a_straggler", test_hedge_around_a_straggler },
