--- a/lib/endpoint.c
+++ b/lib/endpoint.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #define MAX_LINE (1U << 20)
+#define MAX_TEXT (4U << 20) /* of a stream, kept until its end */
 
 struct endpoint {
 	struct mh_kern *k;
@@ -21,9 +22,10 @@
 	uint64_t id;
 	uint64_t http;
 	bool stream;
-	bool end_mark;
-	bool garbage;
+	bool told; /* of its end */
+	bool bad; /* what comes next is of no use */
 	GString *line;
+	size_t text_len;
 	json_t *usage;
 };
 
@@ -47,6 +49,56 @@
 	mh_post(r->e->k, "side", m);
 }
 
+static void
+take_text(struct run *r, const char *text)
+{
+	r->text_len += strlen(text);
+	if (r->text_len > MAX_TEXT)
+		r->bad = true;
+	else if (*text != '\0')
+		send_chunk(r, text);
+}
+
+static uint64_t
+usage_of(json_t *usage, const char *name)
+{
+	return (uint64_t)json_integer_value(json_object_get(usage, name));
+}
+
+/* Tells the end of a run, once. */
+static void
+tell_end(struct run *r, const struct mh_run_msg *end)
+{
+	struct mh_msg *m = mh_msg_new(MH_MSG_RAN);
+
+	m->u.run = *end;
+	m->u.run.run = r->id;
+	m->u.run.tokens_in = usage_of(r->usage, "prompt_tokens");
+	m->u.run.tokens_out = usage_of(r->usage, "completion_tokens");
+	m->u.run.tokens_cached = usage_of(r->usage, "cached_tokens");
+	r->told = true;
+	mh_post(r->e->k, "side", m);
+}
+
+/* Behind its end mark a text is whole, whatever its connection does. */
+static void
+tell_whole(struct run *r)
+{
+	struct mh_run_msg end = { .status = 200, .sent = true, .whole = true };
+
+	tell_end(r, &end);
+}
+
+/* An engine that gives up says so in an event, and some send the end mark. */
+static bool
+is_piece(const json_t *j)
+{
+	const json_t *err = json_object_get(j, "error");
+
+	return json_is_array(json_object_get(j, "choices")) &&
+	    (err == NULL || json_is_null(err));
+}
+
 static void
 take_event(struct run *r, const char *data)
 {
@@ -54,18 +106,19 @@
 	const char *text;
 
 	if (strcmp(data, "[DONE]") == 0) {
-		r->end_mark = true;
+		tell_whole(r);
 		return;
 	}
 	j = json_loads(data, 0, NULL);
-	if (j == NULL) {
-		r->garbage = true;
+	if (!is_piece(j)) {
+		json_decref(j);
+		r->bad = true;
 		return;
 	}
 	text = json_string_value(json_object_get(
 	    json_array_get(json_object_get(j, "choices"), 0), "text"));
-	if (text != NULL && *text != '\0')
-		send_chunk(r, text);
+	if (text != NULL)
+		take_text(r, text);
 	usage = json_object_get(j, "usage");
 	if (json_is_object(usage)) {
 		json_decref(r->usage);
@@ -74,56 +127,51 @@
 	json_decref(j);
 }
 
-static void
-on_data(void *arg, const char *data, size_t len)
+static bool
+on_data(void *arg, uint32_t status, const char *data, size_t len)
 {
 	struct run *r = arg;
 
-	for (size_t i = 0; i < len; i++) {
+	/* The body of an error is no text of the engine's. */
+	if (status != 200)
+		return true;
+	/* Behind an event that can't be read a piece is missing. */
+	for (size_t i = 0; i < len && !r->bad; i++) {
+		if (r->told && !g_ascii_isspace(data[i]))
+			return false;
 		if (data[i] != '\n') {
-			if (r->line->len < MAX_LINE)
-				g_string_append_c(r->line, data[i]);
+			g_string_append_c(r->line, data[i]);
+			r->bad = r->line->len > MAX_LINE;
 			continue;
 		}
 		if (g_str_has_prefix(r->line->str, "data: "))
 			take_event(r, g_strchomp(r->line->str) + 6);
 		g_string_truncate(r->line, 0);
 	}
+	return !r->bad;
 }
 
-static uint64_t
-usage_of(json_t *usage, const char *name)
-{
-	return (uint64_t)json_integer_value(json_object_get(usage, name));
-}
-
+/* A stream without its end mark was cut, however it closed. */
 static void
 on_done(void *arg, const struct mh_http_done *d)
 {
 	struct run *r = arg;
-	struct mh_msg *m = mh_msg_new(MH_MSG_RAN);
-	struct mh_run_msg *u = &m->u.run;
-	json_t *j = NULL;
+	struct mh_run_msg end = { .status = d->status,
+		.sent = d->sent,
+		.broke = d->broke,
+		.whole = d->whole && (!r->stream || d->status >= 300) };
+	json_t *j;
 	gsize len;
 	const char *data = g_bytes_get_data(d->body, &len);
 
-	u->run = r->id;
-	u->status = d->status;
-	u->sent = d->sent;
-	u->broke = d->broke;
-	/* A stream without its end mark was cut, however it closed. */
-	u->whole = d->whole && !r->garbage &&
-	    (!r->stream || d->status != 200 || r->end_mark);
 	if (!r->stream) {
-		u->body = g_bytes_ref(d->body);
+		end.body = g_bytes_ref(d->body);
 		j = json_loadb(data, len, 0, NULL);
 		r->usage = json_incref(json_object_get(j, "usage"));
 		json_decref(j);
 	}
-	u->tokens_in = usage_of(r->usage, "prompt_tokens");
-	u->tokens_out = usage_of(r->usage, "completion_tokens");
-	u->tokens_cached = usage_of(r->usage, "cached_tokens");
-	mh_post(r->e->k, "side", m);
+	if (!r->told)
+		tell_end(r, &end);
 	g_hash_table_remove(r->e->runs, &r->id);
 }
 
--- a/regress/net.h
+++ b/regress/net.h
@@ -38,6 +38,8 @@
 	bool unsent; /* the endpoint refuses the connection */
 	size_t answer_bytes; /* a service's answer is padded to this */
 	bool cut; /* it runs, but its answer is cut */
+	bool numbered; /* its tokens are RUN.NUMBER */
+	uint32_t surplus; /* tokens that it makes beyond those asked for */
 	bool falls; /* it ends under a body with NET_FATAL */
 	int64_t fall_us; /* when it ends, or ended; 0: never */
 	uint32_t falls_seen;
@@ -75,6 +77,7 @@
 	uint64_t kv_calls;
 	uint64_t next_incarnation;
 	uint64_t next_caller;
+	uint64_t runs; /* of all endpoints */
 	int64_t latency_us;
 	int64_t kv_us; /* how long the KV service takes */
 	double duplicate; /* share of frames delivered twice */
@@ -97,6 +100,8 @@
 void net_vanish(struct net_node *x);
 /** net_silence() - open links of @x carry nothing any more. */
 void net_silence(struct net_node *x, bool in, bool out);
+/** net_cut() - open links of @x break, and both ends see it. */
+void net_cut(struct net_node *x);
 void net_apply(struct net *n, uint64_t generation, const char *doc);
 /** net_apply_delta() - as marlctl does, with the delta from @old. */
 void net_apply_delta(
--- a/regress/netfake.c
+++ b/regress/netfake.c
@@ -282,6 +282,17 @@
 	return n;
 }
 
+static GBytes *
+token(const struct net_node *x, uint32_t i)
+{
+	char text[24] = " t";
+
+	if (x->numbered)
+		snprintf(
+		    text, sizeof(text), " %" PRIu64 ".%u", x->net->runs, i + 1);
+	return g_bytes_new(text, strlen(text));
+}
+
 static void
 run_stream(struct net_node *x, const struct mh_run_msg *q, uint32_t n)
 {
@@ -289,7 +300,7 @@
 		struct mh_msg *m = mh_msg_new(MH_MSG_RUN_CHUNK);
 
 		m->u.run.run = q->run;
-		m->u.run.body = g_bytes_new(" t", 2);
+		m->u.run.body = token(x, i);
 		net_deliver(x, "side", m, x->service_us * (i + 1) / (n + 1),
 		    NULL, false);
 	}
@@ -353,6 +364,7 @@
 	m->u.run.sent = !x->unsent;
 	if (!x->unsent) {
 		x->runs++;
+		x->net->runs++;
 		if (q->key != NULL && *q->key != '\0') {
 			runs = g_hash_table_lookup(x->net->audit, q->key);
 			g_hash_table_replace(x->net->audit, g_strdup(q->key),
@@ -362,7 +374,7 @@
 		m->u.run.whole = !x->cut;
 		m->u.run.body = run_body(x, q);
 		if (q->kind == MH_GENERATE && x->status == 0)
-			run_stream(x, q, wanted_tokens(q));
+			run_stream(x, q, wanted_tokens(q) + x->surplus);
 	}
 	net_deliver(x, "side", m, x->unsent ? 100 : x->service_us, NULL, false);
 }
--- a/regress/t_adapter.c
+++ b/regress/t_adapter.c
@@ -14,6 +14,9 @@
 #include <unistd.h>
 
 #define LONGEST_US (10 * MH_US_PER_S)
+#define LONGEST_TEXT (4U << 20) /* as of other answers */
+#define ENDLESS_BYTES (6U << 20)
+#define ENDLESS_PIECE 1000U
 
 /** struct reply - how the stand-in answers the next calls. */
 struct reply {
@@ -30,6 +33,7 @@
 	struct mh_client *client;
 	struct mh_httpd *httpd;
 	const struct reply *reply;
+	bool hold; /* streams are left open */
 	char url[64];
 	uint32_t hits;
 	uint32_t gone;
@@ -76,7 +80,7 @@
 		mh_req_stream_add(r, b);
 		if (p->cut_stream)
 			mh_req_cut(r);
-		else
+		else if (!g->hold)
 			mh_req_stream_end(r);
 	} else {
 		mh_req_header_set(r, "X-Consul-Index", "7");
@@ -101,7 +105,11 @@
 	struct rig *g = self;
 
 	if (m->kind == MH_MSG_RUN_CHUNK) {
+		gsize len;
+		const char *text = g_bytes_get_data(m->u.run.body, &len);
+
 		g->chunks++;
+		g_string_append_len(g->body, text, (gssize)len);
 		return;
 	}
 	g->done++;
@@ -218,6 +226,172 @@
 	}
 }
 
+enum stream_end { ENDS, IS_CUT, STAYS_OPEN };
+
+/** struct stream_case - an engine's stream, and what is taken of it. */
+struct stream_case {
+	const char *name;
+	uint32_t status;
+	const char *body;
+	enum stream_end end;
+	bool whole;
+	const char *text;
+};
+
+static void
+play_stream(const struct stream_case *c)
+{
+	const struct reply reply = { c->name, c->status, c->body, true,
+		c->end == IS_CUT };
+	struct mh_msg *m = mh_msg_new(MH_MSG_RUN);
+	struct rig g;
+
+	rig_open(&g);
+	g.reply = &reply;
+	g.hold = c->end == STAYS_OPEN;
+	mh_kern_add(g.k, "side", &g, take, NULL);
+	mh_endpoint_create(g.k, g.client, g.url);
+	m->u.run.run = 1;
+	m->u.run.path = g_strdup("/v1/x");
+	m->u.run.stream = true;
+	m->u.run.timeout_us = 300 * MH_US_PER_MS;
+	m->u.run.body = bytes("{}");
+	mh_post(g.k, "endpoint", m);
+	mh_loop_run(g.loop);
+	if (g.whole != c->whole || strcmp(g.body->str, c->text) != 0)
+		printf("\n  case %s: whole=%d \"%s\"\n", c->name, g.whole,
+		    g.body->str);
+	CU_ASSERT_EQUAL(g.whole, c->whole);
+	CU_ASSERT_STRING_EQUAL(g.body->str, c->text);
+	rig_close(&g);
+}
+
+#define PIECE(t) "data: {\"choices\":[{\"text\":\"" t "\"}]}\n\n"
+
+/* Guards against text taken from the body of an error. */
+static void
+test_stream_of_an_error(void)
+{
+	static const struct stream_case c = { "error", 500, PIECE("a") DONE,
+		ENDS, true, "" };
+
+	play_stream(&c);
+}
+
+/* Guards against no text at all, taken for a whole one. */
+static void
+test_stream_of_another_success(void)
+{
+	static const struct stream_case c = { "created", 201, PIECE("a") DONE,
+		ENDS, false, "" };
+
+	play_stream(&c);
+}
+
+/* Guards against a text that lacks a piece in its middle. */
+static void
+test_stream_with_a_bad_event(void)
+{
+	static const struct stream_case c = { "bad event", 200,
+		PIECE("a") "data: }{\n\n" PIECE("c") DONE, ENDS, false, "a" };
+
+	play_stream(&c);
+}
+
+static const struct stream_case error_events[] = {
+	{ "error alone", 200,
+	    PIECE("a") "data: {\"error\":{\"message\":\"x\"}}\n\n" DONE, ENDS,
+	    false, "a" },
+	{ "error beside choices", 200,
+	    PIECE("a") "data: {\"error\":{},\"choices\":[]}\n\n" DONE, ENDS,
+	    false, "a" },
+	{ "no choices", 200, PIECE("a") "data: {}\n\n" DONE, ENDS, false, "a" },
+	{ "no error", 200,
+	    "data: {\"error\":null,\"choices\":[{\"text\":\"a\"}]}\n\n"
+	    "data: {\"choices\":[],\"usage\":{}}\n\n" DONE,
+	    ENDS, true, "a" },
+};
+
+/* Guards against a text that its engine gave up, taken for a whole one. */
+static void
+test_stream_with_an_error_event(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(error_events); i++)
+		play_stream(&error_events[i]);
+}
+
+static const struct stream_case after_ends[] = {
+	{ "text behind the end", 200, PIECE("a") DONE PIECE("b"), ENDS, true,
+	    "a" },
+	{ "cut behind the end", 200, PIECE("a") DONE, IS_CUT, true, "a" },
+	{ "open behind the end", 200, PIECE("a") DONE, STAYS_OPEN, true, "a" },
+};
+
+/* Guards against more text behind a whole one. */
+static void
+test_stream_after_its_end(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(after_ends); i++)
+		play_stream(&after_ends[i]);
+}
+
+/* Guards against half a piece, or a torn text taken for a whole one. */
+static void
+test_stream_torn_at_any_byte(void)
+{
+	static const char body[] = PIECE("a") PIECE("b") DONE;
+	const char *two = strstr(body, "\n\n") + 2;
+
+	for (size_t n = 0; n <= strlen(body); n++) {
+		char *part = g_strndup(body, n);
+		struct stream_case c = { "torn", 200, part, ENDS, false, "" };
+
+		if (strstr(part, "a\"}]}\n") != NULL)
+			c.text = "a";
+		if (n > (size_t)(two - body) &&
+		    strstr(part + (two - body), "\n") != NULL)
+			c.text = "ab";
+		c.whole = strstr(part, "[DONE]\n") != NULL;
+		play_stream(&c);
+		c.end = IS_CUT;
+		play_stream(&c);
+		g_free(part);
+	}
+}
+
+/* Guards against an engine without an end that eats our memory. */
+static void
+test_stream_without_an_end(void)
+{
+	struct reply endless = { "endless", 200, NULL, true, false };
+	struct mh_msg *m = mh_msg_new(MH_MSG_RUN);
+	char *text = g_strnfill(ENDLESS_PIECE, 'x');
+	GString *body = g_string_new(NULL);
+	struct rig g;
+
+	while (body->len < ENDLESS_BYTES)
+		g_string_append_printf(
+		    body, "data: {\"choices\":[{\"text\":\"%s\"}]}\n\n", text);
+	g_string_append(body, DONE);
+	endless.body = body->str;
+	rig_open(&g);
+	g.reply = &endless;
+	mh_kern_add(g.k, "side", &g, take, NULL);
+	mh_endpoint_create(g.k, g.client, g.url);
+	m->u.run.run = 1;
+	m->u.run.path = g_strdup("/v1/x");
+	m->u.run.stream = true;
+	m->u.run.timeout_us = 5 * MH_US_PER_S;
+	m->u.run.body = bytes("{}");
+	mh_post(g.k, "endpoint", m);
+	mh_loop_run(g.loop);
+	CU_ASSERT_FALSE(g.whole);
+	CU_ASSERT(g.body->len <= LONGEST_TEXT);
+	rig_close(&g);
+	g_string_free(body, TRUE);
+	g_free(text);
+}
+
 static void
 test_endpoint_not_there(void)
 {
@@ -545,6 +719,13 @@
 
 const struct test tests_adapter[] = {
 	{ "endpoint_contract", test_endpoint_contract },
+	{ "stream_of_an_error", test_stream_of_an_error },
+	{ "stream_of_another_success", test_stream_of_another_success },
+	{ "stream_with_a_bad_event", test_stream_with_a_bad_event },
+	{ "stream_with_an_error_event", test_stream_with_an_error_event },
+	{ "stream_after_its_end", test_stream_after_its_end },
+	{ "stream_torn_at_any_byte", test_stream_torn_at_any_byte },
+	{ "stream_without_an_end", test_stream_without_an_end },
 	{ "endpoint_not_there", test_endpoint_not_there },
 	{ "http_library_never_resends", test_http_library_never_resends },
 	{ "kv_contract", test_kv_contract },
