A run that goes on gets its inputs before it is sent

Callers got a broken stream although their time, the attempts of the route and sound engines were left. Cause: inputs are freed once an engine has read them. The run that went on was sent with their names all the same, was told that they are gone, and only then was the work asked for again; that engine stayed among those tried, and in a small pool none was left. The work was also planned to end before the stream could begin in time, which is past for one that goes on. Ruled out: forgetting that an engine refused: each endpoint is tried once. Change: where the inputs are known to be freed, the work is asked for first, and has until the caller's limit. The lines that led here (a soak with 3 engines): ev=head try 2 status=409 not_run=1, ev=end outcome=run_failed left_ms=3736 tries=2 runs=1.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -14,6 +14,8 @@
 
 /* Sendings of one request at most, those that did not run included. */
 #define TRIES_MAX 4
+/* Times that its stage work is asked for at most. */
+#define JOBS_MAX 2
 /*
  * Part of the aim after which a repeatable request that got no answer goes
  * to another endpoint: late enough to be rare, early enough to be on time.
@@ -375,6 +377,13 @@
 	return false;
 }
 
+/* Whether what its stages made was freed once an engine had read it. */
+static bool
+inputs_freed(const struct mh_gask *q)
+{
+	return q->inputs != NULL && *q->inputs != '\0' && q->job == NULL;
+}
+
 void
 mh_gate_try_next(struct mh_gate *g, struct mh_gask *q)
 {
@@ -388,6 +397,11 @@
 		mh_gate_out_of_time(g, q);
 		return;
 	}
+	/* An endpoint that finds them gone would be asked in vain. */
+	if (inputs_freed(q) && q->jobs < JOBS_MAX) {
+		mh_gate_start_job(g, q);
+		return;
+	}
 	mh_gate_fill_place(g, q, &a);
 	n = q->n_tried < TRIES_MAX ? mh_place_pick(g->place, &a) : NULL;
 	if (n == NULL) {
@@ -440,7 +454,7 @@
 not_run(struct mh_gate *g, struct mh_gask *q, const struct mh_gans *a)
 {
 	leave_try(g, q, false);
-	if (a->inputs_gone && q->jobs < 2) {
+	if (a->inputs_gone && q->jobs < JOBS_MAX) {
 		mh_count(g->k, "inputs_gone", 1);
 		mh_timer_stop(g->k, &q->fed);
 		release_job(g, q);
--- a/lib/gatejob.c
+++ b/lib/gatejob.c
@@ -58,7 +58,9 @@
 	j->weight = weight_of(g, q);
 	j->arrived_us = q->arrived_us;
 	j->aim_us = q->aim_us - engine_us;
-	j->deadline_us = q->first_by_us - engine_us;
+	/* One that goes on with a stream has the caller's whole time. */
+	j->deadline_us =
+	    (q->passed_head ? q->until_us : q->first_by_us) - engine_us;
 	j->n_stages = r->n_stages;
 	for (uint32_t s = 0; s < r->n_stages; s++) {
 		j->stages[s].pool = g_strdup(r->stages[s].pool);
--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -343,6 +343,46 @@
 	grig_destroy(r);
 }
 
+static void
+finish_job(struct grig *r)
+{
+	struct mh_jstage *st = &r->job->stages[0];
+
+	st->pieces = 1;
+	st->results = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(st->results, g_strdup("10.0.0.1:1/1"));
+	mh_gate_job_end(r->g, r->job, MH_JOB_DONE, 0);
+}
+
+/* A stream is gone on with while its caller waits, not while it would begin. */
+static void
+test_inputs_for_the_run_that_goes_on(void)
+{
+	struct grig *r = grig_create(2);
+	struct mh_gans a = { .status = 200, .genuine = true, .events = true };
+	GString *out = g_string_new(NULL);
+
+	staged(r);
+	finish_job(r);
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, r->cur, &a), MH_PASS);
+	mh_sse_feed(r->cur->events, "id: 1\ndata: x\n\n", 16, out);
+	mh_gate_progress(r->g, r->cur);
+	CU_ASSERT_EQUAL(r->dropped, 1);
+	for (int i = 0; i < 3; i++) {
+		grig_pass(r, 1500 * MS);
+		mh_gate_progress(r->g, r->cur);
+	}
+	mh_gate_end(r->g, r->cur, MH_CALL_BROKEN);
+	CU_ASSERT_EQUAL(r->sends, 1);
+	CU_ASSERT_EQUAL(r->jobs, 2);
+	CU_ASSERT(r->job->deadline_us > mh_now(r->k) + S);
+	finish_job(r);
+	CU_ASSERT_EQUAL(r->sends, 2);
+	CU_ASSERT_STRING_EQUAL(r->resume, "1");
+	g_string_free(out, TRUE);
+	grig_destroy(r);
+}
+
 /* A caller that gave too little time hears so, not that we leave. */
 static void
 test_too_little_time(void)
@@ -537,6 +577,8 @@
 	{ "gate: who has been here before", test_returned },
 	{ "gate: stage work refused", test_job_refused },
 	{ "gate: inputs gone at the engine", test_inputs_gone_at_engine },
+	{ "gate: inputs for the run that goes on",
+	    test_inputs_for_the_run_that_goes_on },
 	{ "gate: stage work refused after a run",
 	    test_job_refused_after_a_run },
 	{ "gate: too little time", test_too_little_time },
