A stream that begins past its first event is noticed

Callers got a stream without its first event as complete. Cause: with nothing passed on there was no number to hold the first event against; ids only increase, and not all need begin at 1. Ruled out: asking of every stream that it begins at 0 or 1: one whose ids are times, say, would never be served. Change: the gate notes the pools of which it has seen a stream that begins at 0 or 1; a later one that begins past 1 has skipped. Figures: "front: first event missing" gets events 2 and 3 before, 1 and 2 from another engine after. Conclusion: the first stream of a pool at an entry can't be judged so.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -479,7 +479,7 @@
 pass_head(struct mh_gask *q, const struct mh_gans *a)
 {
 	if (a->events && q->cursor == NULL)
-		q->cursor = mh_cursor_create(NULL, false);
+		q->cursor = mh_cursor_create(NULL, MH_IDS_ANY);
 	q->passed_head = a->events;
 	if (a->events)
 		q->cur->events = mh_sse_create(q->cursor);
@@ -571,6 +571,8 @@
 	meter_answer(g, q);
 	if (q->state != MH_ASK_ANSWERING) {
 		q->state = MH_ASK_ANSWERING;
+		if (q->cursor != NULL && mh_cursor_counts(q->cursor))
+			g_hash_table_add(g->counting, g_strdup(q->pool));
 		/* The engine has read its inputs. */
 		release_job(g, q);
 	}
@@ -671,6 +673,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->runs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	g->counting =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return g;
 }
 
@@ -724,6 +728,7 @@
 	g_hash_table_destroy(g->deadlines);
 	g_hash_table_destroy(g->sizes);
 	g_hash_table_destroy(g->runs);
+	g_hash_table_destroy(g->counting);
 	mh_gconf_unref(g->conf);
 	g_free(g->domain);
 	g_free(g);
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -459,15 +459,23 @@
 
 /* sse.c: whole events of a stream, and where it stands */
 
+enum mh_ids {
+	MH_IDS_ANY,
+	MH_IDS_INCREASE,
+	MH_IDS_COUNT /* from 0 or 1 */
+};
+
 /** struct mh_cursor - where a stream stands, over all its runs. */
 struct mh_cursor;
 /**
  * mh_cursor_create() - at the beginning, or behind the event @after.
  * @after: an id, NULL: none.
- * @ordered: the stream's ids increase; one that does not is a fault.
+ * @ids: what is known of the stream's ids; another one is a fault.
  */
-struct mh_cursor *mh_cursor_create(const char *after, bool ordered);
+struct mh_cursor *mh_cursor_create(const char *after, enum mh_ids ids);
 void mh_cursor_destroy(struct mh_cursor *c);
+/** mh_cursor_counts() - its first event was 0 or 1. */
+bool mh_cursor_counts(const struct mh_cursor *c);
 /** mh_cursor_lost() - behind the last number came events that have none. */
 bool mh_cursor_lost(const struct mh_cursor *c);
 /** mh_cursor_last_id() - the number of the last whole event, or NULL. */
--- a/lib/sse.c
+++ b/lib/sse.c
@@ -17,9 +17,10 @@
 #define MAX_EVENT ((size_t)1 << 20)
 
 struct mh_cursor {
-	bool ordered; /* its ids increase */
+	enum mh_ids ids;
 	bool numbered; /* @last is set */
 	bool by_one; /* the ids leave no number out */
+	bool counts; /* the first id was 0 or 1 */
 	bool lost; /* behind @last came an event without a number */
 	uint64_t last;
 	char last_id[ID_LEN];
@@ -57,12 +58,12 @@
 }
 
 struct mh_cursor *
-mh_cursor_create(const char *after, bool ordered)
+mh_cursor_create(const char *after, enum mh_ids ids)
 {
 	struct mh_cursor *c = g_new0(struct mh_cursor, 1);
 	uint64_t id;
 
-	c->ordered = ordered;
+	c->ids = ids;
 	if (after != NULL && read_id(after, &id)) {
 		c->by_one = true;
 		move(c, id);
@@ -82,6 +83,12 @@
 	return c->numbered ? c->last_id : NULL;
 }
 
+bool
+mh_cursor_counts(const struct mh_cursor *c)
+{
+	return c->counts;
+}
+
 bool
 mh_cursor_lost(const struct mh_cursor *c)
 {
@@ -101,12 +108,14 @@
 		c->lost = true;
 		return MH_SSE_GOOD;
 	}
-	if (c->ordered && c->numbered && id <= c->last)
+	if (c->ids != MH_IDS_ANY && c->numbered && id <= c->last)
 		return MH_SSE_REPEATED;
-	if (c->ordered && c->by_one && id != c->last + 1)
+	if (c->ids != MH_IDS_ANY && c->by_one && id != c->last + 1)
+		return MH_SSE_SKIPPED;
+	if (c->ids == MH_IDS_COUNT && !c->numbered && id > 1)
 		return MH_SSE_SKIPPED;
 	if (!c->numbered)
-		c->by_one = id <= 1;
+		c->by_one = c->counts = id <= 1;
 	move(c, id);
 	return MH_SSE_GOOD;
 }
--- a/regress/t_front.c
+++ b/regress/t_front.c
@@ -725,6 +725,27 @@
 	}
 }
 
+/* Where streams are seen to count from 1, one that begins at 2 lost an event.
+ */
+static void
+test_first_event_missing(void)
+{
+	struct frig *r = frig_create();
+	char *got;
+
+	r->script[0] = RUN(CHUNK(EVENT_1) CHUNK(EVENT_2));
+	converse(r, PLAN);
+	CU_ASSERT_TRUE(is_complete(r));
+	r->script[0] = RUN(CHUNK(EVENT_2) CHUNK(EVENT_3));
+	r->script[1] = RUN(CHUNK(EVENT_1) CHUNK(EVENT_2));
+	converse(r, PLAN);
+	got = events_of(r);
+	CU_ASSERT_STRING_EQUAL(got, EVENT_1 EVENT_2);
+	CU_ASSERT_TRUE(is_complete(r));
+	g_free(got);
+	frig_destroy(r);
+}
+
 /* answers about as long as the longest that is passed on */
 
 enum framing { BY_LENGTH, BY_CHUNKS, BY_CLOSE, FRAMINGS };
@@ -826,6 +847,7 @@
 	{ "front: events out of order", test_events_out_of_order },
 	{ "front: not resumed without ids", test_not_resumed_without_ids },
 	{ "front: a thrown away answer", test_thrown_away },
+	{ "front: first event missing", test_first_event_missing },
 	{ "front: an answer over the bound", test_answer_over_the_bound },
 	{ "front: an answer of just the bound", test_answer_of_the_bound },
 	{ NULL, NULL },
--- a/regress/t_sse.c
+++ b/regress/t_sse.c
@@ -28,7 +28,8 @@
 		size_t len = strlen(streams[i]);
 
 		for (size_t at = 0; at <= len; at++) {
-			struct mh_cursor *c = mh_cursor_create(NULL, true);
+			struct mh_cursor *c =
+			    mh_cursor_create(NULL, MH_IDS_INCREASE);
 			struct mh_sse *s = mh_sse_create(c);
 			GString *out = g_string_new(NULL);
 
@@ -49,7 +50,7 @@
 test_ends_with_cr(void)
 {
 	static const char text[] = "id: 1\rdata: one\r\r";
-	struct mh_cursor *c = mh_cursor_create(NULL, true);
+	struct mh_cursor *c = mh_cursor_create(NULL, MH_IDS_INCREASE);
 	struct mh_sse *s = mh_sse_create(c);
 	GString *out = g_string_new(NULL);
 
@@ -65,7 +66,7 @@
 static void
 test_event_without_end(void)
 {
-	struct mh_cursor *c = mh_cursor_create(NULL, true);
+	struct mh_cursor *c = mh_cursor_create(NULL, MH_IDS_INCREASE);
 	struct mh_sse *s = mh_sse_create(c);
 	GString *out = g_string_new(NULL);
 	char piece[PIECE];
