Test, failing: the server against raw callers

Cause: not known yet; callers pipeline behind streams, read slowly or not at all, and frame requests in ways that readers take differently. Ruled out: requests behind a stream are answered in order, each in its frame; a request behind a stream that broke isn't answered; part of an answer without a frame ends with a reset (a break, a shut side, the end of the process in the answer and behind it, a caller that doesn't read), with bytes waiting or not.

--- a/regress/t_wire.c
+++ b/regress/t_wire.c
@@ -740,6 +740,444 @@
 	}
 }
 
+/* the server against raw callers */
+
+static void
+on_request(void *arg, struct mh_hreq *q)
+{
+	struct wrig *r = arg;
+
+	r->requests++;
+	r->held = q;
+	r->serve(r, q);
+}
+
+static void
+on_gone(void *arg, struct mh_hreq *q)
+{
+	struct wrig *r = arg;
+
+	(void)q;
+	r->held = NULL;
+	r->gone++;
+}
+
+static struct wrig *
+server_create(void (*serve)(struct wrig *r, struct mh_hreq *q))
+{
+	struct wrig *r = wrig_create();
+	struct mh_hserve_args a = { .listen = "127.0.0.1:0",
+		.limits = { 512, 64, 3 * MH_US_PER_S, 2 * LONGEST_US },
+		.on_request = on_request,
+		.on_gone = on_gone,
+		.arg = r };
+
+	r->serve = serve;
+	r->s = mh_hserve_create(r->loop, &a, NULL);
+	return r;
+}
+
+static void
+on_raw(void *arg, bool readable, bool writable)
+{
+	struct wrig *r = arg;
+	char buf[4096];
+	ssize_t n = recv(r->peer_fd, buf, sizeof(buf), MSG_DONTWAIT);
+
+	(void)readable;
+	(void)writable;
+	if (n > 0) {
+		g_string_append_len(r->got, buf, n);
+		return;
+	}
+	r->raw_errno = n < 0 ? errno : 0;
+	mh_loop_stop(r->loop);
+}
+
+static void
+on_wake(void *arg)
+{
+	struct wrig *r = arg;
+
+	mh_loop_fd(r->loop, r->peer_fd, true, false, on_raw, r);
+}
+
+/* A caller with a small window; it reads nothing before @us have passed. */
+static void
+raw(struct wrig *r, const char *text, int64_t us)
+{
+	int window = 16 << 10;
+
+	r->peer_fd = tcp_dial(mh_hserve_port(r->s));
+	setsockopt(r->peer_fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window));
+	CU_ASSERT(send(r->peer_fd, text, strlen(text), MSG_NOSIGNAL) > 0);
+	mh_timer_start(r->k, us, on_wake, r);
+}
+
+static const char *
+path_of(struct mh_hreq *q)
+{
+	return mh_hreq_target(q);
+}
+
+/** struct empty - an answer without a body. */
+struct empty {
+	const char *method;
+	uint32_t status;
+	int64_t length;
+	bool write; /* bytes that must not leave */
+	const char *head; /* what its head holds besides the status line */
+};
+
+static const struct empty empties[] = {
+	{ "HEAD", 200, -1, false, "" },
+	{ "HEAD", 200, -1, true, "" },
+	{ "HEAD", 200, 5, false, "Content-Length: 5\r\n" },
+	{ "HEAD", 200, 2, true, "Content-Length: 2\r\n" },
+	{ "GET", 204, -1, false, "" },
+	{ "GET", 204, 0, false, "" },
+	{ "GET", 204, 2, true, "" },
+	{ "GET", 304, -1, true, "" },
+	{ "GET", 304, 0, false, "" },
+};
+
+static const struct empty *now;
+
+static void
+serve_empty(struct wrig *r, struct mh_hreq *q)
+{
+	bool last = strcmp(path_of(q), "/last") == 0;
+
+	(void)r;
+	mh_hreq_head(q, last ? 200 : now->status, NULL, last ? 2 : now->length);
+	if (last || now->write)
+		mh_hreq_write(q, "ok", 2);
+	mh_hreq_end(q);
+}
+
+#define LAST "GET /last HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+#define LAST_ANSWER \
+	"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok"
+
+/* A frame or bytes of a body stand where the caller's next answer is due. */
+static void
+test_no_body_due(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(empties); i++) {
+		struct wrig *r = server_create(serve_empty);
+		char *text, *head;
+
+		now = &empties[i];
+		text = g_strdup_printf(
+		    "%s / HTTP/1.1\r\nHost: h\r\n\r\n" LAST, now->method);
+		head = g_strdup_printf("\r\n%s\r\n" LAST_ANSWER, now->head);
+		raw(r, text, 0);
+		run(r);
+		if (!g_str_has_suffix(r->got->str, head) ||
+		    r->got->len > strlen(head) + 30)
+			fprintf(stderr, "no body: %s %u: %s\n", now->method,
+			    now->status, r->got->str);
+		CU_ASSERT_TRUE(g_str_has_suffix(r->got->str, head));
+		CU_ASSERT(r->got->len <= strlen(head) + 30);
+		g_free(text);
+		g_free(head);
+		wrig_destroy(r);
+	}
+}
+
+static void
+serve_fewer(struct wrig *r, struct mh_hreq *q)
+{
+	(void)r;
+	mh_hreq_head(q, 200, NULL, 5);
+	mh_hreq_write(q, "abc", 3);
+	mh_hreq_end(q);
+}
+
+static void
+serve_more(struct wrig *r, struct mh_hreq *q)
+{
+	(void)r;
+	mh_hreq_head(q, 200, NULL, 5);
+	mh_hreq_write(q, "abc", 3);
+	mh_hreq_write(q, "def", 3);
+	mh_hreq_end(q);
+}
+
+/* An answer of another length than told takes from the one behind it. */
+static void
+test_other_length(void)
+{
+	for (int i = 0; i < 2; i++) {
+		struct wrig *r =
+		    server_create(i == 0 ? serve_fewer : serve_more);
+
+		raw(r, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n" LAST, 0);
+		run(r);
+		CU_ASSERT_EQUAL(r->requests, 1);
+		CU_ASSERT_EQUAL(r->raw_errno, ECONNRESET);
+		CU_ASSERT_PTR_NULL(strstr(r->got->str, "def"));
+		wrig_destroy(r);
+	}
+}
+
+static void
+on_second_half(void *arg)
+{
+	struct wrig *r = arg;
+
+	mh_hreq_write(r->held, "there", 5);
+	mh_hreq_end(r->held);
+}
+
+static void
+serve_parts(struct wrig *r, struct mh_hreq *q)
+{
+	if (strcmp(path_of(q), "/last") == 0) {
+		mh_hreq_head(q, 200, NULL, 2);
+		mh_hreq_write(q, "ok", 2);
+		mh_hreq_end(q);
+		return;
+	}
+	mh_hreq_head(q, 200, NULL, -1);
+	mh_hreq_write(q, "hello ", 6);
+	mh_timer_start(r->k, 10 * MH_US_PER_MS, on_second_half, r);
+}
+
+/* Requests that come while a stream is answered are lost or mixed with it. */
+static void
+test_behind_a_stream(void)
+{
+	struct wrig *r = server_create(serve_parts);
+
+	raw(r,
+	    "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+	    "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n" LAST,
+	    0);
+	run(r);
+	CU_ASSERT_EQUAL(r->requests, 3);
+	CU_ASSERT_EQUAL(r->raw_errno, 0);
+#define STREAM OK CHUNKED "\r\n6\r\nhello \r\n5\r\nthere\r\n0\r\n\r\n"
+	CU_ASSERT_STRING_EQUAL(r->got->str, STREAM STREAM LAST_ANSWER);
+	wrig_destroy(r);
+}
+
+static void
+on_break(void *arg)
+{
+	struct wrig *r = arg;
+
+	mh_hreq_break(r->held);
+}
+
+static void
+serve_broken(struct wrig *r, struct mh_hreq *q)
+{
+	mh_hreq_head(q, 200, NULL, -1);
+	mh_hreq_write(q, "hello ", 6);
+	mh_timer_start(r->k, 10 * MH_US_PER_MS, on_break, r);
+}
+
+/* A stream breaks, and a request behind it is answered in its place. */
+static void
+test_behind_a_break(void)
+{
+	struct wrig *r = server_create(serve_broken);
+
+	raw(r, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n" LAST, 0);
+	run(r);
+	CU_ASSERT_EQUAL(r->requests, 1);
+	CU_ASSERT_EQUAL(r->raw_errno, ECONNRESET);
+	CU_ASSERT_STRING_EQUAL(r->got->str, OK CHUNKED "\r\n6\r\nhello \r\n");
+	wrig_destroy(r);
+}
+
+/* More than the kernel takes for a caller that doesn't read. */
+#define MUCH ((size_t)7 << 20)
+/* More than the server keeps for one. */
+#define TOO_MUCH ((size_t)20 << 20)
+
+static void
+write_much(struct mh_hreq *q, size_t len)
+{
+	char *text = g_strnfill(len, 'x');
+
+	mh_hreq_head(q, 200, NULL, -1);
+	mh_hreq_write(q, text, len);
+	g_free(text);
+}
+
+static void
+serve_much(struct wrig *r, struct mh_hreq *q)
+{
+	(void)r;
+	write_much(q, MUCH);
+}
+
+static void
+serve_much_and_end(struct wrig *r, struct mh_hreq *q)
+{
+	(void)r;
+	write_much(q, MUCH);
+	mh_hreq_end(q);
+}
+
+static void
+serve_too_much(struct wrig *r, struct mh_hreq *q)
+{
+	(void)r;
+	write_much(q, TOO_MUCH);
+}
+
+static void
+on_shut(void *arg)
+{
+	struct wrig *r = arg;
+
+	CU_ASSERT_EQUAL(shutdown(r->peer_fd, SHUT_WR), 0);
+}
+
+static void
+on_end_server(void *arg)
+{
+	struct wrig *r = arg;
+
+	mh_hserve_destroy(r->s);
+	r->s = NULL;
+}
+
+/** struct half - a long answer of which the caller gets a part alone. */
+struct half {
+	const char *name;
+	void (*serve)(struct wrig *r, struct mh_hreq *q);
+	void (*then)(void *arg); /* what happens while its bytes wait */
+};
+
+static const struct half halves[] = {
+	{ "it breaks", serve_much, on_break },
+	{ "the caller shuts its side", serve_much, on_shut },
+	{ "the process ends", serve_much, on_end_server },
+	{ "the process ends behind its end", serve_much_and_end,
+	    on_end_server },
+	{ "the caller doesn't read", serve_too_much, NULL },
+};
+
+static void
+check_half(const struct half *h, const char *version, int64_t wake_us)
+{
+	struct wrig *r = server_create(h->serve);
+	char *text = g_strdup_printf("GET / %s\r\nHost: h\r\n\r\n", version);
+	bool framed = strcmp(version, "HTTP/1.1") == 0;
+
+	raw(r, text, wake_us);
+	if (h->then != NULL)
+		mh_timer_start(r->k, 50 * MH_US_PER_MS, h->then, r);
+	run(r);
+	if (!framed && r->raw_errno != ECONNRESET)
+		fprintf(stderr, "half: %s: %zu bytes, errno %d\n", h->name,
+		    r->got->len, r->raw_errno);
+	CU_ASSERT(framed || r->raw_errno == ECONNRESET);
+	CU_ASSERT_FALSE(g_str_has_suffix(r->got->str, "\r\n0\r\n\r\n"));
+	g_free(text);
+	wrig_destroy(r);
+}
+
+/* Part of an answer whose bytes wait for a slow caller looks whole. */
+static void
+test_halves(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(halves); i++) {
+		/* One that reads at once may have it all by then. */
+		if (halves[i].serve != serve_much_and_end)
+			check_half(&halves[i], "HTTP/1.0", 0);
+		check_half(&halves[i], "HTTP/1.0", 200 * MH_US_PER_MS);
+		check_half(&halves[i], "HTTP/1.1", 200 * MH_US_PER_MS);
+	}
+}
+
+static void
+serve_and_break(struct wrig *r, struct mh_hreq *q)
+{
+	(void)r;
+	if (strcmp(path_of(q), "/head") == 0)
+		mh_hreq_head(q, 200, NULL, -1);
+	mh_hreq_break(q);
+}
+
+/* An answer that breaks within the call that hands its request over. */
+static void
+test_break_inside(void)
+{
+	static const char *const paths[] = { "/head", "/" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(paths); i++) {
+		struct wrig *r = server_create(serve_and_break);
+		char *text = g_strdup_printf(
+		    "GET %s HTTP/1.1\r\nHost: h\r\n\r\n" LAST, paths[i]);
+
+		raw(r, text, 0);
+		run(r);
+		CU_ASSERT_EQUAL(r->requests, 1);
+		CU_ASSERT_EQUAL(r->gone, 0);
+		CU_ASSERT_EQUAL(r->raw_errno, ECONNRESET);
+		g_free(text);
+		wrig_destroy(r);
+	}
+}
+
+/** struct sent - a request that must be refused. */
+struct sent {
+	const char *name;
+	const char *text;
+};
+
+#define POST "POST / HTTP/1.1\r\nHost: h\r\n"
+
+static const struct sent unclear[] = {
+	{ "gzip, chunked",
+	    POST
+	    "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n" },
+	{ "gzip", POST "Transfer-Encoding: gzip\r\n\r\nhi" },
+	{ "chunks in HTTP/1.0",
+	    "POST / HTTP/1.0\r\nHost: h\r\n" CHUNKED
+	    "\r\n2\r\nhi\r\n0\r\n\r\n" },
+	{ "a chunk longer than its size",
+	    POST CHUNKED "\r\n2\r\nhi!!0\r\n\r\n" },
+	{ "a size that ends in half a line",
+	    POST CHUNKED "\r\n2\r!hi\r\n0\r\n\r\n" },
+	{ "chunks that end in half a line",
+	    POST CHUNKED "\r\n2\r\nhi\r\n0\r\n\r!" },
+	{ "a head that ends in half a line",
+	    POST "Content-Length: 2\r\n\r!hi" },
+	{ "a head without a body that ends in half a line", POST "\r!" },
+};
+
+static void
+serve_ok(struct wrig *r, struct mh_hreq *q)
+{
+	(void)r;
+	mh_hreq_head(q, 200, NULL, 2);
+	mh_hreq_write(q, "ok", 2);
+	mh_hreq_end(q);
+}
+
+/* A request that two readers would part differently is passed on. */
+static void
+test_unclear(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(unclear); i++) {
+		struct wrig *r = server_create(serve_ok);
+
+		raw(r, unclear[i].text, 0);
+		run(r);
+		if (r->requests != 0)
+			fprintf(stderr, "unclear: %s\n", unclear[i].name);
+		CU_ASSERT_EQUAL(r->requests, 0);
+		CU_ASSERT_TRUE(g_str_has_prefix(r->got->str, "HTTP/1.1 400"));
+		wrig_destroy(r);
+	}
+}
+
 const struct test tests_wire[] = {
 	{ "wire: an answer torn at each byte", test_torn },
 	{ "wire: an answer split at each byte", test_split },
@@ -755,5 +1193,12 @@
 	{ "wire: how long a connection is kept", test_keep_alive },
 	{ "wire: answers without an end", test_endless },
 	{ "wire: a call ended in its callback", test_abort_inside },
+	{ "wire: no body where none is due", test_no_body_due },
+	{ "wire: another length than told", test_other_length },
+	{ "wire: requests behind a stream", test_behind_a_stream },
+	{ "wire: a request behind a break", test_behind_a_break },
+	{ "wire: half of a long answer", test_halves },
+	{ "wire: a break at once", test_break_inside },
+	{ "wire: requests that are unclear", test_unclear },
 	{ NULL, NULL },
 };
