Nothing stands behind the head of an answer to HEAD, or of 204 and 304

Cause: the frame of an answer came from its length alone. A stream asked for with HEAD, and 204 and 304 without a length, had a head that told of chunks, and the last chunk behind it, where the caller's next answer is due. 204 told a length, which it must not, and 304 one that wasn't the other answer's. Ruled out: HEAD with a length and no bytes, which was right. Change: these answers end with their head; what is written behind it is dropped, and 1xx, 204 and 304 tell neither a length nor chunks. Conclusion: a caller on a kept connection reads its next answer from its first byte.

--- a/lib/hreq.c
+++ b/lib/hreq.c
@@ -204,10 +204,22 @@
 	g_string_append_printf(arg, "%s: %s\r\n", name, value);
 }
 
+static bool
+status_has_body(uint32_t status)
+{
+	return status >= 200 && status != 204 && status != 304;
+}
+
+static bool
+is_bodyless(const struct mh_hreq *r, uint32_t status)
+{
+	return r->parser.method == HTTP_HEAD || !status_has_body(status);
+}
+
 bool
-mh_hreq_framed(const struct mh_hreq *r, int64_t length)
+mh_hreq_framed(const struct mh_hreq *r, uint32_t status, int64_t length)
 {
-	return length >= 0 || !r->http10;
+	return length >= 0 || !r->http10 || is_bodyless(r, status);
 }
 
 void
@@ -219,10 +231,11 @@
 	g_string_printf(g, "HTTP/1.1 %u %s\r\n", status, reason(status));
 	if (headers != NULL)
 		mh_headers_each(headers, add_field, g);
-	if (length >= 0) {
+	r->bodyless = is_bodyless(r, status);
+	if (length >= 0 && status_has_body(status)) {
 		g_string_append_printf(
 		    g, "Content-Length: %" PRId64 "\r\n", length);
-	} else if (mh_hreq_framed(r, length)) {
+	} else if (!r->bodyless && mh_hreq_framed(r, status, length)) {
 		r->chunked = true;
 		g_string_append(g, "Transfer-Encoding: chunked\r\n");
 	}
@@ -238,7 +251,7 @@
 {
 	char size[24];
 
-	if (len == 0)
+	if (len == 0 || r->bodyless)
 		return;
 	if (r->chunked) {
 		g_snprintf(size, sizeof(size), "%zx\r\n", len);
--- a/lib/hreqint.h
+++ b/lib/hreqint.h
@@ -24,6 +24,7 @@
 	bool in_value;
 	bool keep_alive;
 	bool chunked; /* the answer's framing */
+	bool bodyless; /* the answer ends with its head */
 	bool http10;
 	uint32_t header_bytes;
 	GByteArray *body;
@@ -47,7 +48,7 @@
 /** mh_hreq_read() - takes bytes from the front of @in, of one request. */
 enum mh_hread mh_hreq_read(struct mh_hreq *r, GByteArray *in);
 /** mh_hreq_framed() - whether an answer's end shows before the connection's. */
-bool mh_hreq_framed(const struct mh_hreq *r, int64_t length);
+bool mh_hreq_framed(const struct mh_hreq *r, uint32_t status, int64_t length);
 /** mh_hreq_put_head() - writes the head of an answer into @out. */
 void mh_hreq_put_head(struct mh_hreq *r, uint32_t status,
     const struct mh_headers *headers, int64_t length, bool close);
--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -211,7 +211,7 @@
 {
 	struct conn *c = r->c;
 
-	c->unframed = !mh_hreq_framed(r, length);
+	c->unframed = !mh_hreq_framed(r, status, length);
 	if (length < 0)
 		set_user_timeout(c->fd, USER_TIMEOUT_MS);
 	if (c->unframed || !r->keep_alive || c->s->draining)
