An answer of another length than told is broken

Cause: the length of a head was the writer's word. With fewer bytes the caller took the rest from its next answer, with more it read the next one from within this. Ruled out: that the front writes such an answer; it tells what it has collected. Change: the bytes are counted; what would pass the length isn't sent, and an end at another count breaks the connection, with the counter serve_length_faults. Conclusion: a caller's frame holds what was written or is visibly short.

--- a/lib/hreq.c
+++ b/lib/hreq.c
@@ -232,6 +232,7 @@
 	if (headers != NULL)
 		mh_headers_each(headers, add_field, g);
 	r->bodyless = is_bodyless(r, status);
+	r->left = r->bodyless ? -1 : length;
 	if (length >= 0 && status_has_body(status)) {
 		g_string_append_printf(
 		    g, "Content-Length: %" PRId64 "\r\n", length);
@@ -253,6 +254,12 @@
 
 	if (len == 0 || r->bodyless)
 		return;
+	if (r->left >= 0) {
+		r->over = r->over || (int64_t)len > r->left;
+		if (r->over)
+			return;
+		r->left -= (int64_t)len;
+	}
 	if (r->chunked) {
 		g_snprintf(size, sizeof(size), "%zx\r\n", len);
 		g_byte_array_append(
@@ -263,11 +270,12 @@
 		g_byte_array_append(r->out, (const uint8_t *)"\r\n", 2);
 }
 
-void
+bool
 mh_hreq_put_end(struct mh_hreq *r)
 {
 	if (r->chunked)
 		g_byte_array_append(r->out, (const uint8_t *)"0\r\n\r\n", 5);
+	return r->left <= 0 && !r->over;
 }
 
 /* what the gate asks of it */
--- a/lib/hreqint.h
+++ b/lib/hreqint.h
@@ -25,6 +25,8 @@
 	bool keep_alive;
 	bool chunked; /* the answer's framing */
 	bool bodyless; /* the answer ends with its head */
+	int64_t left; /* bytes of a told length to come; below 0: none told */
+	bool over; /* more were written than told */
 	bool http10;
 	uint32_t header_bytes;
 	GByteArray *body;
@@ -52,8 +54,13 @@
 /** mh_hreq_put_head() - writes the head of an answer into @out. */
 void mh_hreq_put_head(struct mh_hreq *r, uint32_t status,
     const struct mh_headers *headers, int64_t length, bool close);
-/** mh_hreq_put() - writes bytes of the body, framed as the head says. */
+/**
+ * mh_hreq_put() - writes bytes of the body, framed as the head says.
+ *
+ * Where they pass the length told they are dropped, so that it isn't reached.
+ */
 void mh_hreq_put(struct mh_hreq *r, const void *data, size_t len);
-void mh_hreq_put_end(struct mh_hreq *r);
+/** mh_hreq_put_end() - false if the body hasn't the length told. */
+bool mh_hreq_put_end(struct mh_hreq *r);
 
 #endif
--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -286,7 +286,13 @@
 {
 	struct conn *c = r->c;
 
-	mh_hreq_put_end(r);
+	/* Ended in order it would take bytes of the next answer, or give some.
+	 */
+	if (!mh_hreq_put_end(r)) {
+		mh_count(c->s->k, "serve_length_faults", 1);
+		mh_hreq_break(r);
+		return;
+	}
 	c->req = NULL;
 	c->state = CONN_SENDING;
 	c->deliver_by_us = mh_now(c->s->k) + DELIVER_US;
--- a/lib/opaque.h
+++ b/lib/opaque.h
@@ -115,7 +115,11 @@
 void mh_hreq_head(struct mh_hreq *r, uint32_t status,
     const struct mh_headers *headers, int64_t length);
 void mh_hreq_write(struct mh_hreq *r, const void *data, size_t len);
-/** mh_hreq_end() - the answer is complete; frees @r. */
+/**
+ * mh_hreq_end() - the answer is complete; frees @r.
+ *
+ * One whose bytes aren't as many as told is broken instead.
+ */
 void mh_hreq_end(struct mh_hreq *r);
 /** mh_hreq_break() - resets the connection; frees @r. */
 void mh_hreq_break(struct mh_hreq *r);
