A request that another reader would part differently is refused

Cause: a body in gzip and chunks was taken out of its chunks and passed on in gzip without the field that says so; http_parser skips bytes at the ends of lines and chunks without a look, and takes chunks in HTTP/1.0. Ruled out: other codings than a list that ends in chunks, which the parser refuses. Change: as for answers, chunks are the one coding and line ends are looked at; chunks in HTTP/1.0 are refused.

--- a/lib/hreq.c
+++ b/lib/hreq.c
@@ -118,7 +118,8 @@
 	if (p->http_major != 1 || p->upgrade ||
 	    mh_headers_count(r->headers, "Host") != 1 ||
 	    mh_headers_count(r->headers, "Content-Length") > 1 ||
-	    mh_headers_count(r->headers, "Transfer-Encoding") > 1)
+	    !mh_headers_coding_ok(r->headers) ||
+	    (r->http10 && (p->flags & F_CHUNKED)))
 		r->refuse = 400;
 	if (r->header_bytes > l->header_bytes)
 		r->refuse = 431;
@@ -139,6 +140,9 @@
 {
 	struct mh_hreq *r = p->data;
 
+	if (!mh_line_ends_upto(&r->lines, at))
+		return -1;
+	mh_line_ends_body(&r->lines, at + n, (p->flags & F_CHUNKED) != 0);
 	if (r->body->len + n > r->limits->body_bytes) {
 		r->refuse = 413;
 		return -1;
@@ -165,14 +169,19 @@
 enum mh_hread
 mh_hreq_read(struct mh_hreq *r, GByteArray *in)
 {
-	size_t n = http_parser_execute(
-	    &r->parser, &callbacks, (const char *)in->data, in->len);
+	const char *data = (const char *)in->data;
+	size_t n;
 
+	mh_line_ends_feed(&r->lines, data);
+	n = http_parser_execute(&r->parser, &callbacks, data, in->len);
 	if (HTTP_PARSER_ERRNO(&r->parser) == HPE_PAUSED) {
+		if (!mh_line_ends_upto(&r->lines, data + n))
+			return MH_HREAD_BAD;
 		g_byte_array_remove_range(in, 0, (guint)n);
 		return r->refuse != 0 ? MH_HREAD_BAD : MH_HREAD_WHOLE;
 	}
-	if (HTTP_PARSER_ERRNO(&r->parser) != HPE_OK || r->parser.upgrade)
+	if (HTTP_PARSER_ERRNO(&r->parser) != HPE_OK || r->parser.upgrade ||
+	    !mh_line_ends_upto(&r->lines, data + n))
 		return MH_HREAD_BAD;
 	g_byte_array_set_size(in, 0);
 	if (r->method == NULL && r->header_bytes > r->limits->header_bytes) {
--- a/lib/hreqint.h
+++ b/lib/hreqint.h
@@ -15,6 +15,7 @@
 	const struct mh_hlimits *limits;
 	GByteArray *out; /* the connection's */
 	http_parser parser;
+	struct mh_line_ends lines;
 	bool began; /* its first byte has come; empty lines before are none */
 	char *method;
 	GString *target;
