--- a/lib/hreq.c
+++ b/lib/hreq.c
@@ -118,7 +118,8 @@
 	if (p->http_major != 1 || p->upgrade ||
 	    mh_headers_count(r->headers, "Host") != 1 ||
 	    mh_headers_count(r->headers, "Content-Length") > 1 ||
-	    mh_headers_count(r->headers, "Transfer-Encoding") > 1)
+	    !mh_headers_coding_ok(r->headers) ||
+	    (r->http10 && (p->flags & F_CHUNKED)))
 		r->refuse = 400;
 	if (r->header_bytes > l->header_bytes)
 		r->refuse = 431;
@@ -139,6 +140,9 @@
 {
 	struct mh_hreq *r = p->data;
 
+	if (!mh_line_ends_upto(&r->lines, at))
+		return -1;
+	mh_line_ends_body(&r->lines, at + n, (p->flags & F_CHUNKED) != 0);
 	if (r->body->len + n > r->limits->body_bytes) {
 		r->refuse = 413;
 		return -1;
@@ -165,14 +169,19 @@
 enum mh_hread
 mh_hreq_read(struct mh_hreq *r, GByteArray *in)
 {
-	size_t n = http_parser_execute(
-	    &r->parser, &callbacks, (const char *)in->data, in->len);
+	const char *data = (const char *)in->data;
+	size_t n;
 
+	mh_line_ends_feed(&r->lines, data);
+	n = http_parser_execute(&r->parser, &callbacks, data, in->len);
 	if (HTTP_PARSER_ERRNO(&r->parser) == HPE_PAUSED) {
+		if (!mh_line_ends_upto(&r->lines, data + n))
+			return MH_HREAD_BAD;
 		g_byte_array_remove_range(in, 0, (guint)n);
 		return r->refuse != 0 ? MH_HREAD_BAD : MH_HREAD_WHOLE;
 	}
-	if (HTTP_PARSER_ERRNO(&r->parser) != HPE_OK || r->parser.upgrade)
+	if (HTTP_PARSER_ERRNO(&r->parser) != HPE_OK || r->parser.upgrade ||
+	    !mh_line_ends_upto(&r->lines, data + n))
 		return MH_HREAD_BAD;
 	g_byte_array_set_size(in, 0);
 	if (r->method == NULL && r->header_bytes > r->limits->header_bytes) {
@@ -204,10 +213,22 @@
 	g_string_append_printf(arg, "%s: %s\r\n", name, value);
 }
 
+static bool
+status_has_body(uint32_t status)
+{
+	return status >= 200 && status != 204 && status != 304;
+}
+
+static bool
+is_bodyless(const struct mh_hreq *r, uint32_t status)
+{
+	return r->parser.method == HTTP_HEAD || !status_has_body(status);
+}
+
 bool
-mh_hreq_framed(const struct mh_hreq *r, int64_t length)
+mh_hreq_framed(const struct mh_hreq *r, uint32_t status, int64_t length)
 {
-	return length >= 0 || !r->http10;
+	return length >= 0 || !r->http10 || is_bodyless(r, status);
 }
 
 void
@@ -219,10 +240,12 @@
 	g_string_printf(g, "HTTP/1.1 %u %s\r\n", status, reason(status));
 	if (headers != NULL)
 		mh_headers_each(headers, add_field, g);
-	if (length >= 0) {
+	r->bodyless = is_bodyless(r, status);
+	r->left = r->bodyless ? -1 : length;
+	if (length >= 0 && status_has_body(status)) {
 		g_string_append_printf(
 		    g, "Content-Length: %" PRId64 "\r\n", length);
-	} else if (mh_hreq_framed(r, length)) {
+	} else if (!r->bodyless && mh_hreq_framed(r, status, length)) {
 		r->chunked = true;
 		g_string_append(g, "Transfer-Encoding: chunked\r\n");
 	}
@@ -238,8 +261,14 @@
 {
 	char size[24];
 
-	if (len == 0)
+	if (len == 0 || r->bodyless)
 		return;
+	if (r->left >= 0) {
+		r->over = r->over || (int64_t)len > r->left;
+		if (r->over)
+			return;
+		r->left -= (int64_t)len;
+	}
 	if (r->chunked) {
 		g_snprintf(size, sizeof(size), "%zx\r\n", len);
 		g_byte_array_append(
@@ -250,11 +279,12 @@
 		g_byte_array_append(r->out, (const uint8_t *)"\r\n", 2);
 }
 
-void
+bool
 mh_hreq_put_end(struct mh_hreq *r)
 {
 	if (r->chunked)
 		g_byte_array_append(r->out, (const uint8_t *)"0\r\n\r\n", 5);
+	return r->left <= 0 && !r->over;
 }
 
 /* what the gate asks of it */
--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -211,7 +211,7 @@
 {
 	struct conn *c = r->c;
 
-	c->unframed = !mh_hreq_framed(r, length);
+	c->unframed = !mh_hreq_framed(r, status, length);
 	if (length < 0)
 		set_user_timeout(c->fd, USER_TIMEOUT_MS);
 	if (c->unframed || !r->keep_alive || c->s->draining)
@@ -286,7 +286,13 @@
 {
 	struct conn *c = r->c;
 
-	mh_hreq_put_end(r);
+	/* Ended in order it would take bytes of the next answer, or give some.
+	 */
+	if (!mh_hreq_put_end(r)) {
+		mh_count(c->s->k, "serve_length_faults", 1);
+		mh_hreq_break(r);
+		return;
+	}
 	c->req = NULL;
 	c->state = CONN_SENDING;
 	c->deliver_by_us = mh_now(c->s->k) + DELIVER_US;
