A stage endpoint's answer that comes once more is not the next call's

Where an answer to a stage call came a second time, at the moment at which the next call on that connection waited for its own, its results were taken for other requests' pieces; their inputs were then those of another request, and each later answer on the connection was one call behind. Cause: neither call nor answer of stage work carries an id, and the number of items was all that was checked. Class: state of one try that outlives it. Ruled out: bytes on an idle connection, which close it; the answer to a piece that is made once more, which may name the same result.

--- a/regress/t_stage.c
+++ b/regress/t_stage.c
@@ -49,12 +49,15 @@
 	const struct sanswer *script;
 	uint32_t answers;
 	uint32_t called;
+	bool same_job; /* all jobs have one name */
+	uint32_t jobs;
 	char *made; /* results of the last job, NULL: it failed */
 };
 
 struct sconn {
 	struct srig *r;
 	int fd;
+	bool strayed; /* another's answer has come on it */
 	GString *in;
 };
 
@@ -106,6 +109,7 @@
 
 	if (a->early != NULL)
 		add_answer(out, 200, a->early, LENGTH);
+	c->strayed = a->early != NULL;
 	if (a->body != NULL)
 		add_answer(out, a->status, a->body, a->framing);
 	CU_ASSERT_EQUAL(
@@ -127,6 +131,7 @@
 	struct srig *r = c->r;
 	bool run = g_str_has_prefix(c->in->str, "POST /stage-run ");
 
+	CU_ASSERT_FALSE(c->strayed);
 	g_string_truncate(c->in, 0);
 	if (!run)
 		send_answer(c, &report);
@@ -253,8 +258,10 @@
 static const char *
 srig_job(struct srig *r)
 {
-	struct mh_job *j = mh_job_create("j");
+	char *id = g_strdup_printf("j%u", r->same_job ? 0 : r->jobs++);
+	struct mh_job *j = mh_job_create(id);
 
+	g_free(id);
 	j->route = g_strdup("route");
 	j->key = g_strdup("key");
 	j->arrived_us = mh_now(r->k);
@@ -339,7 +346,45 @@
 	}
 }
 
+#define FIRST ITEMS("m:1/1", "m:1/2")
+
+/* Guards against results of the call before, whose answer comes once more. */
+static void
+test_answer_once_more(void)
+{
+	static const struct sanswer ways[] = { { .early = FIRST },
+		{ .early = FIRST, .body = ITEMS("m:1/3", "m:1/4") } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ways); i++) {
+		const struct sanswer script[] = { { .body = FIRST }, ways[i],
+			{ .body = GOOD } };
+		struct srig r;
+
+		srig_open(&r, script, G_N_ELEMENTS(script));
+		CU_ASSERT_EQUAL(g_strcmp0(srig_job(&r), "m:1/1,m:1/2"), 0);
+		CU_ASSERT_EQUAL(g_strcmp0(srig_job(&r), "m:1/8,m:1/9"), 0);
+		srig_close(&r);
+	}
+}
+
+/* Guards against a piece that may not be made once more. */
+static void
+test_piece_once_more(void)
+{
+	static const struct sanswer script[] = { { .body = FIRST },
+		{ .body = FIRST } };
+	struct srig r;
+
+	srig_open(&r, script, G_N_ELEMENTS(script));
+	r.same_job = true;
+	CU_ASSERT_EQUAL(g_strcmp0(srig_job(&r), "m:1/1,m:1/2"), 0);
+	CU_ASSERT_EQUAL(g_strcmp0(srig_job(&r), "m:1/1,m:1/2"), 0);
+	srig_close(&r);
+}
+
 const struct test tests_stage[] = {
 	{ "stage calls: odd answers", test_odd_answers },
+	{ "stage calls: an answer once more", test_answer_once_more },
+	{ "stage calls: a piece once more", test_piece_once_more },
 	{ NULL, NULL },
 };
