Test: answers to stage calls torn at any byte

Cause: none found. Ruled out: results of half an answer, for answers with a length, in chunks and without either, closed or reset at each byte. Change: the test. Conclusion: refuted.

--- a/regress/t_stage.c
+++ b/regress/t_stage.c
@@ -30,6 +30,8 @@
 	const char *body;
 	enum framing framing;
 	uint32_t status; /* 0: 200 */
+	size_t torn; /* so many of its bytes are sent; 0: all */
+	bool reset; /* where it is torn */
 };
 
 /** struct srig - a cell, and its endpoint. */
@@ -104,6 +106,7 @@
 static void
 send_answer(struct sconn *c, const struct sanswer *a)
 {
+	bool reset = a->framing == RESETS || a->reset;
 	struct linger now = { 1, 0 };
 	GString *out = g_string_new(NULL);
 
@@ -112,12 +115,14 @@
 	c->strayed = a->early != NULL;
 	if (a->body != NULL)
 		add_answer(out, a->status, a->body, a->framing);
+	if (a->torn > 0)
+		g_string_truncate(out, a->torn);
 	CU_ASSERT_EQUAL(
 	    send(c->fd, out->str, out->len, MSG_NOSIGNAL), (ssize_t)out->len);
 	g_string_free(out, TRUE);
-	if (a->framing == RESETS)
+	if (reset)
 		setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
-	if (a->framing == CLOSES || a->framing == RESETS)
+	if (a->framing == CLOSES || reset || a->torn > 0)
 		g_ptr_array_remove(c->r->conns, c);
 }
 
@@ -346,6 +351,38 @@
 	}
 }
 
+/* Guards against results of half an answer. */
+static void
+test_torn_answers(void)
+{
+	static const enum framing framings[] = { LENGTH, CHUNKS, CLOSES };
+	static const char body[] = ITEMS("m:1/1", "m:1/2");
+
+	for (size_t f = 0; f < 2 * G_N_ELEMENTS(framings); f++) {
+		struct sanswer script[] = { { .body = body,
+						.framing = framings[f / 2],
+						.reset = f % 2 == 1 },
+			{ .body = GOOD } };
+		GString *whole = g_string_new(NULL);
+
+		add_answer(whole, 200, body, script[0].framing);
+		for (size_t n = 1; n < whole->len; n++) {
+			const char *made;
+			struct srig r;
+
+			script[0].torn = n;
+			srig_open(&r, script, G_N_ELEMENTS(script));
+			made = srig_job(&r);
+			if (g_strcmp0(made, "m:1/8,m:1/9") != 0)
+				printf("\n  framing %zu torn at %zu: %s\n", f,
+				    n, made == NULL ? "none" : made);
+			CU_ASSERT_EQUAL(g_strcmp0(made, "m:1/8,m:1/9"), 0);
+			srig_close(&r);
+		}
+		g_string_free(whole, TRUE);
+	}
+}
+
 #define FIRST ITEMS("m:1/1", "m:1/2")
 
 /* Guards against results of the call before, whose answer comes once more. */
@@ -384,6 +421,7 @@
 
 const struct test tests_stage[] = {
 	{ "stage calls: odd answers", test_odd_answers },
+	{ "stage calls: torn answers", test_torn_answers },
 	{ "stage calls: an answer once more", test_answer_once_more },
 	{ "stage calls: a piece once more", test_piece_once_more },
 	{ NULL, NULL },
