An answer that no frame holds doesn't break its link again and again

A service's answer of nearly 4 MiB left its caller without a word until the deadline, and all streams and calls of the two processes were cut and taken up again for as long. Cause: an endpoint's answer may be as long as a frame, and the frame has more in it. The peer closes the link at a longer frame; the call is resumed over the next one and the same frame is sent. Class: what is kept of an endless answer. Ruled out: the hand-over of ledgers, which is told in parts. Change: such a result is dropped at its side process and the call counts as one whose answer was cut, as with answers over 4 MiB. Conclusion: mended.

--- a/lib/sidecall.c
+++ b/lib/sidecall.c
@@ -13,6 +13,7 @@
 #define URGENT_WAIT_US (250 * MH_US_PER_MS)
 #define FACTOR_GAIN 0.05
 #define RUN_MIN_US (20 * MH_US_PER_MS)
+#define MAX_RESULT (MH_MAX_FRAME - 4096) /* beside it a frame has little */
 
 static const char *const refusal_names[] = { "none", "full", "late", "leaving",
 	"not_owner", "marked", "revoked", "mismatch", "future", "held" };
@@ -518,14 +519,23 @@
 	}
 }
 
+/* A peer closes the link at a longer frame, each time that it is sent. */
+static bool
+can_be_told(const struct mh_run_msg *m)
+{
+	return m->body == NULL || g_bytes_get_size(m->body) <= MAX_RESULT;
+}
+
 static Mh__Outcome
 outcome_of(const struct call *c, const struct mh_run_msg *m)
 {
+	bool whole = m->whole && can_be_told(m);
+
 	if (!m->sent)
 		return c->never ? MH__OUTCOME__NOT_RUN : MH__OUTCOME__FAILED;
-	if (m->whole && m->status >= 200 && m->status < 300)
+	if (whole && m->status >= 200 && m->status < 300)
 		return MH__OUTCOME__DONE;
-	if (m->whole && c->kind == MH_SERVICE && m->status >= 400 &&
+	if (whole && c->kind == MH_SERVICE && m->status >= 400 &&
 	    m->status < 500)
 		return MH__OUTCOME__DONE;
 	/* Cut or failed after it was sent: it may have run. */
@@ -597,7 +607,8 @@
 	c->used.tokens_in = m->tokens_in;
 	c->used.tokens_cached = m->tokens_cached;
 	c->used.tokens_out = m->tokens_out;
-	c->result = m->body == NULL ? NULL : g_bytes_ref(m->body);
+	c->result =
+	    m->body == NULL || !can_be_told(m) ? NULL : g_bytes_ref(m->body);
 	learn_factor(s, c);
 	note_request(s, c, m);
 	mh_count(s->k, "side_endpoint_us", (uint64_t)c->endpoint_us);
--- a/regress/t_once.c
+++ b/regress/t_once.c
@@ -242,6 +242,35 @@
 	net_destroy(w.n);
 }
 
+/* Guards against a link that one answer breaks again and again. */
+static void
+test_answer_longer_than_a_frame(void)
+{
+	static const size_t over[] = { 0, 64 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(over); i++) {
+		struct once_world w;
+		struct net_node *owner;
+		int64_t at;
+		uint64_t a;
+
+		make(&w, 16);
+		owner = owner_of(&w, "long");
+		CU_ASSERT_PTR_NOT_NULL_FATAL(owner);
+		owner->answer_bytes = MH_MAX_FRAME - over[i];
+		at = net_now(w.n);
+		a = confirm(w.e[0], "long");
+		net_run(w.n, 3 * MH_US_PER_S);
+		CU_ASSERT_EQUAL(net_answer(w.n, a)->status, 504);
+		CU_ASSERT_STRING_EQUAL(
+		    net_answer_text(w.n, a, "outcome"), "unknown");
+		CU_ASSERT(net_answer(w.n, a)->at_us - at < MH_US_PER_S);
+		CU_ASSERT_EQUAL(mh_counter(w.e[0]->k, "relay_resumes"), 0);
+		CU_ASSERT_EQUAL(net_most_runs(w.n), 1);
+		net_destroy(w.n);
+	}
+}
+
 /* A VM that the list dropped is taken over; new keys run there, old don't. */
 static void
 test_takeover_of_a_gone_vm(void)
@@ -743,6 +772,7 @@
 	{ "death_after_the_run", test_death_after_the_run },
 	{ "opaque_key_after_restart", test_opaque_key_after_restart },
 	{ "drain_hands_the_ledger_over", test_drain_hands_the_ledger_over },
+	{ "answer_longer_than_a_frame", test_answer_longer_than_a_frame },
 	{ "large_ledger_is_handed_over", test_large_ledger_is_handed_over },
 	{ "takeover_of_a_gone_vm", test_takeover_of_a_gone_vm },
 	{ "paused_owner_keeps_its_partitions",
