A link whose peer reads nothing ends at its bound

What was sent over a link to a process that stands still was kept without a bound, for as long as the kernel kept the connection. Cause: at 16 MiB the link was marked as dead; the mark was looked at with the next I/O, of which there is none while the peer neither reads nor writes, and frames went on to be kept. Class: what is kept of an endless answer. Ruled out: what comes in, which is bounded by the longest frame. Change: a dead link keeps nothing more and ends in the turn that marked it.

--- a/lib/link.c
+++ b/lib/link.c
@@ -108,6 +108,8 @@
 flush_out(struct conn *c)
 {
 	c->dirty = false;
+	if (c->dead)
+		return false;
 	while (c->out->len > 0) {
 		apr_size_t n = c->out->len;
 		apr_status_t rv =
@@ -147,13 +149,19 @@
 	uint8_t head[LEN_BYTES] = { (uint8_t)(len >> 24), (uint8_t)(len >> 16),
 		(uint8_t)(len >> 8), (uint8_t)len };
 
+	if (c->dead)
+		return;
 	if (c->out->len + len > MAX_OUT) {
-		/* A peer that reads too slowly must not eat our memory. */
+		/*
+		 * A peer that reads too slowly must not eat our memory.  While
+		 * it reads nothing no I/O comes that would end the connection.
+		 */
 		mh_count(c->l->k, "link_overflows", 1);
 		c->dead = true;
+	} else {
+		g_byte_array_append(c->out, head, sizeof(head));
+		g_byte_array_append(c->out, data, (guint)len);
 	}
-	g_byte_array_append(c->out, head, sizeof(head));
-	g_byte_array_append(c->out, data, (guint)len);
 	if (!c->dirty && c->connected) {
 		c->dirty = true;
 		g_ptr_array_add(c->l->dirty, c);
--- a/regress/t_adapter.c
+++ b/regress/t_adapter.c
@@ -17,6 +17,8 @@
 #define LONGEST_TEXT (4U << 20) /* as of other answers */
 #define ENDLESS_BYTES (6U << 20)
 #define ENDLESS_PIECE 1000U
+#define LARGE_FRAME (1U << 20)
+#define LARGE_FRAMES 40
 
 /** struct reply - how the stand-in answers the next calls. */
 struct reply {
@@ -717,6 +719,93 @@
 	mh_loop_destroy(e.loop);
 }
 
+/** struct side_of - one end of a link, on a loop of its own. */
+struct side_of {
+	struct mh_kern *k;
+	struct mh_loop *loop;
+	uint64_t conn; /* 0: not up */
+	bool down;
+};
+
+static void
+side_handle(void *self, struct mh_msg *m)
+{
+	struct side_of *s = self;
+
+	if (m->kind == MH_MSG_LINK_UP)
+		s->conn = m->u.link.conn;
+	s->down |= m->kind == MH_MSG_LINK_DOWN;
+}
+
+static void
+stop_side(void *arg)
+{
+	mh_loop_stop(((struct side_of *)arg)->loop);
+}
+
+static void
+run_side(struct side_of *s)
+{
+	mh_timer_start(s->k, 20 * MH_US_PER_MS, stop_side, s);
+	mh_loop_run(s->loop);
+}
+
+static void
+open_side(struct side_of *s, const char *vm)
+{
+	struct mh_link_args a = { .listen = "127.0.0.1:0",
+		.vm = vm,
+		.domain = "a",
+		.role = "side",
+		.secret = "0123456789abcdef" };
+
+	memset(s, 0, sizeof(*s));
+	s->k = mh_kern_create(1);
+	s->loop = mh_loop_create(s->k, NULL);
+	mh_kern_add(s->k, "hub", s, side_handle, NULL);
+	CU_ASSERT_TRUE(mh_link_create(s->loop, &a, NULL));
+}
+
+static void
+send_large(struct side_of *s)
+{
+	struct mh_msg *m = mh_msg_new(MH_MSG_LINK_SEND);
+	char *data = g_malloc0(LARGE_FRAME);
+
+	m->u.link.conn = s->conn;
+	m->u.link.frame = g_bytes_new_take(data, LARGE_FRAME);
+	mh_post(s->k, "link", m);
+}
+
+/* Guards against memory kept for a peer that reads nothing. */
+static void
+test_link_to_one_that_does_not_read(void)
+{
+	struct side_of us, peer;
+	char addr[32];
+
+	open_side(&us, "us");
+	open_side(&peer, "peer");
+	snprintf(addr, sizeof(addr), "127.0.0.1:%u", mh_link_port(peer.loop));
+	mh_link_dial(us.k, 1000, addr);
+	for (int i = 0; i < 100 && us.conn == 0; i++) {
+		run_side(&us);
+		run_side(&peer);
+	}
+	CU_ASSERT(us.conn != 0);
+	/* The peer's loop stands still. */
+	for (int i = 0; i < LARGE_FRAMES; i++) {
+		send_large(&us);
+		run_side(&us);
+	}
+	CU_ASSERT_TRUE(us.down);
+	CU_ASSERT_EQUAL(mh_counter(us.k, "link_overflows"), 1);
+	mh_kern_destroy(us.k);
+	mh_loop_destroy(us.loop);
+	mh_kern_destroy(peer.k);
+	mh_loop_destroy(peer.loop);
+}
+
 const struct test tests_adapter[] = {
 	{ "endpoint_contract", test_endpoint_contract },
 	{ "stream_of_an_error", test_stream_of_an_error },
@@ -732,5 +821,7 @@
 	{ "vmlist_contract", test_vmlist_contract },
 	{ "caller_leaving_is_noticed", test_caller_leaving_is_noticed },
 	{ "link", test_link },
+	{ "link_to_one_that_does_not_read",
+	    test_link_to_one_that_does_not_read },
 	{ NULL, NULL },
 };
