Work for the next run is not cancelled by the timer of the last

Callers of a stream that was gone on with waited to their limit for nothing. Cause: the timer that frees the inputs of a run after 80 ms was left running when they were freed sooner; with stage work asked for again by then it cancelled that. Class: state of one try that outlives it. Ruled out: a run refused for missing inputs, which stopped the timer itself. Change: whoever frees the work of a request stops the timer with it. Figures: "gate: work asked for soon after": the new work is dropped at 80 ms before, is done and sent after.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -122,6 +122,8 @@
 static void
 release_job(struct mh_gate *g, struct mh_gask *q)
 {
+	/* It would cancel the next one. */
+	mh_timer_stop(g->k, &q->fed);
 	if (q->job == NULL)
 		return;
 	if (q->state == MH_ASK_STAGES)
@@ -140,7 +142,6 @@
 	q->state = MH_ASK_ENDED;
 	mh_timer_stop(g->k, &q->until);
 	mh_timer_stop(g->k, &q->patience);
-	mh_timer_stop(g->k, &q->fed);
 	g_hash_table_remove(g->asks, q);
 }
 
@@ -456,7 +457,6 @@
 	leave_try(g, q, false);
 	if (a->inputs_gone && q->jobs < JOBS_MAX) {
 		mh_count(g->k, "inputs_gone", 1);
-		mh_timer_stop(g->k, &q->fed);
 		release_job(g, q);
 		mh_gate_start_job(g, q);
 		return;
--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -383,6 +383,29 @@
 	grig_destroy(r);
 }
 
+/* Work for the next run is cancelled when that of the last would be freed. */
+static void
+test_work_asked_for_soon_after(void)
+{
+	struct grig *r = grig_create(2);
+	struct mh_gans a = { .status = 200, .genuine = true, .events = true };
+	GString *out = g_string_new(NULL);
+
+	staged(r);
+	finish_job(r);
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, r->cur, &a), MH_PASS);
+	mh_sse_feed(r->cur->events, "id: 1\ndata: x\n\n", 16, out);
+	mh_gate_progress(r->g, r->cur);
+	mh_gate_end(r->g, r->cur, MH_CALL_BROKEN);
+	CU_ASSERT_EQUAL(r->jobs, 2);
+	grig_pass(r, 200 * MS);
+	CU_ASSERT_EQUAL_FATAL(r->dropped, 1);
+	finish_job(r);
+	CU_ASSERT_EQUAL(r->sends, 2);
+	g_string_free(out, TRUE);
+	grig_destroy(r);
+}
+
 /* A caller that gave too little time hears so, not that we leave. */
 static void
 test_too_little_time(void)
@@ -579,6 +602,7 @@
 	{ "gate: inputs gone at the engine", test_inputs_gone_at_engine },
 	{ "gate: inputs for the run that goes on",
 	    test_inputs_for_the_run_that_goes_on },
+	{ "gate: work asked for soon after", test_work_asked_for_soon_after },
 	{ "gate: stage work refused after a run",
 	    test_job_refused_after_a_run },
 	{ "gate: too little time", test_too_little_time },
