Events that were passed on before a break reach the caller

Callers of a stream that broke off missed whole events that the entry had, and asked for them again. Cause: the connection was reset with what had been written in the same turn still waiting in the entry. Ruled out: a loss that callers can't see: the answer breaks off before these events, in order. Change: what waits is handed to the kernel before the reset. Conclusion: less is made twice when callers resume.

--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -312,6 +312,8 @@
 	struct conn *c = arg;
 
 	c->timer = NULL;
+	/* A reset drops what has not left; its caller goes on behind that. */
+	(void)send_out(c);
 	reset_if_half(c);
 	free_conn(c);
 }
--- a/regress/t_front.c
+++ b/regress/t_front.c
@@ -746,6 +746,23 @@
 	frig_destroy(r);
 }
 
+/* Whole events that came just before the break are kept from the caller. */
+static void
+test_events_before_a_break(void)
+{
+	struct frig *r = frig_create();
+	char *got;
+
+	r->script[0] = TORN;
+	r->script[1] = RUN(CHUNK(EVENT_2) CHUNK(EVENT_1));
+	converse(r, PLAN);
+	got = events_of(r);
+	CU_ASSERT_STRING_EQUAL(got, EVENT_1 EVENT_2);
+	CU_ASSERT_FALSE(is_complete(r));
+	g_free(got);
+	frig_destroy(r);
+}
+
 /* A length that the endpoint did not tell is told as 0. */
 static void
 test_head_of_unknown_length(void)
@@ -864,6 +881,7 @@
 	{ "front: not resumed without ids", test_not_resumed_without_ids },
 	{ "front: a thrown away answer", test_thrown_away },
 	{ "front: first event missing", test_first_event_missing },
+	{ "front: events before a break", test_events_before_a_break },
 	{ "front: HEAD of unknown length", test_head_of_unknown_length },
 	{ "front: an answer over the bound", test_answer_over_the_bound },
 	{ "front: an answer of just the bound", test_answer_of_the_bound },
