How events are numbered is known of an endpoint, not of its pool

Callers would get no stream of a pool any more once its endpoints are replaced by ones that number events in another way. Cause: that a pool's streams count from 1 was noted for good; and of a caller that resumes it was taken of any endpoint. Class: what is believed of an endpoint outlives it. Ruled out: forgetting at the first stream that begins elsewhere: every other stream without its first event would pass. Change: it is kept with the endpoint's incarnation, unknown at first: counts from 0 or 1, or begins past that. Conclusion: replaces the note of pools; "front: first event missing" stands.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -469,6 +469,26 @@
 	mh_gate_try_next(g, q);
 }
 
+static void
+read_events(struct mh_gate *g, struct mh_try *t)
+{
+	const struct mh_node *n = mh_fleet_find(g->f, t->node);
+
+	t->events =
+	    mh_sse_create(t->ask->cursor, n == NULL ? MH_IDS_UNKNOWN : n->ids);
+}
+
+/* How the endpoint numbers events, from the streams that begin there. */
+static void
+note_ids(struct mh_node *n, const struct mh_try *t)
+{
+	enum mh_ids ids =
+	    t->events == NULL ? MH_IDS_UNKNOWN : mh_sse_ids(t->events);
+
+	if (n != NULL && ids != MH_IDS_UNKNOWN && n->ids != MH_IDS_COUNT)
+		n->ids = ids;
+}
+
 /*
  * Events may come where the route is no stream; they need their reader, or
  * the adapter has none to give them to.  The reader ends with its try, however
@@ -476,13 +496,13 @@
  * to the first bytes of the next run.
  */
 static enum mh_verdict
-pass_head(struct mh_gask *q, const struct mh_gans *a)
+pass_head(struct mh_gate *g, struct mh_gask *q, const struct mh_gans *a)
 {
 	if (a->events && q->cursor == NULL)
-		q->cursor = mh_cursor_create(NULL, MH_IDS_ANY);
+		q->cursor = mh_cursor_create(NULL, false);
 	q->passed_head = a->events;
 	if (a->events)
-		q->cur->events = mh_sse_create(q->cursor);
+		read_events(g, q->cur);
 	return MH_PASS;
 }
 
@@ -492,7 +512,7 @@
 	bool again = take_repeat(g, q);
 
 	if (!again && a->genuine && !q->passed_head)
-		return pass_head(q, a); /* the endpoint's own failure */
+		return pass_head(g, q, a); /* the endpoint's own failure */
 	leave_try(g, q, false);
 	if (again)
 		mh_gate_try_next(g, q);
@@ -545,8 +565,8 @@
 		return failed_answer(g, q, a);
 	q->last_data_us = mh_now(g->k);
 	if (!q->passed_head)
-		return pass_head(q, a);
-	t->events = mh_sse_create(q->cursor);
+		return pass_head(g, q, a);
+	read_events(g, t);
 	return MH_PASS_ON;
 }
 
@@ -565,14 +585,14 @@
 mh_gate_progress(struct mh_gate *g, struct mh_try *t)
 {
 	struct mh_gask *q = t->ask;
+	struct mh_node *n = mh_fleet_find(g->f, t->node);
 
 	q->last_data_us = mh_now(g->k);
-	heard_of(g, t, mh_fleet_find(g->f, t->node));
+	heard_of(g, t, n);
+	note_ids(n, t);
 	meter_answer(g, q);
 	if (q->state != MH_ASK_ANSWERING) {
 		q->state = MH_ASK_ANSWERING;
-		if (q->cursor != NULL && mh_cursor_counts(q->cursor))
-			g_hash_table_add(g->counting, g_strdup(q->pool));
 		/* The engine has read its inputs. */
 		release_job(g, q);
 	}
@@ -673,8 +693,6 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->runs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	g->counting =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return g;
 }
 
@@ -728,7 +746,6 @@
 	g_hash_table_destroy(g->deadlines);
 	g_hash_table_destroy(g->sizes);
 	g_hash_table_destroy(g->runs);
-	g_hash_table_destroy(g->counting);
 	mh_gconf_unref(g->conf);
 	g_free(g->domain);
 	g_free(g);
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -126,6 +126,13 @@
 
 /* fleet.c: the endpoints and what this process knows of each */
 
+/** enum mh_ids - how an endpoint numbers the events of its streams. */
+enum mh_ids {
+	MH_IDS_UNKNOWN,
+	MH_IDS_COUNT, /* from 0 or 1 */
+	MH_IDS_LEAVE_OUT /* increasing, from another number */
+};
+
 struct mh_fleet;
 
 /**
@@ -157,6 +164,7 @@
 	uint32_t streak; /* failures in a row */
 	int64_t out_until_us; /* not chosen before, unless all are out */
 	uint32_t outs; /* times put out in a row */
+	enum mh_ids ids; /* of its streams' events */
 	uint32_t marks; /* set by fleet when listed */
 	uint64_t hash; /* of its name: its slice, and whose prompts are home */
 	uint32_t rank; /* among its pool's that are not leaving, by hash... */
@@ -459,23 +467,15 @@
 
 /* sse.c: whole events of a stream, and where it stands */
 
-enum mh_ids {
-	MH_IDS_ANY,
-	MH_IDS_INCREASE,
-	MH_IDS_COUNT /* from 0 or 1 */
-};
-
 /** struct mh_cursor - where a stream stands, over all its runs. */
 struct mh_cursor;
 /**
  * mh_cursor_create() - at the beginning, or behind the event @after.
  * @after: an id, NULL: none.
- * @ids: what is known of the stream's ids; another one is a fault.
+ * @ordered: the stream's ids increase; one that does not is a fault.
  */
-struct mh_cursor *mh_cursor_create(const char *after, enum mh_ids ids);
+struct mh_cursor *mh_cursor_create(const char *after, bool ordered);
 void mh_cursor_destroy(struct mh_cursor *c);
-/** mh_cursor_counts() - its first event was 0 or 1. */
-bool mh_cursor_counts(const struct mh_cursor *c);
 /** mh_cursor_lost() - behind the last number came events that have none. */
 bool mh_cursor_lost(const struct mh_cursor *c);
 /** mh_cursor_last_id() - the number of the last whole event, or NULL. */
@@ -494,8 +494,11 @@
 
 /** struct mh_sse - reads the events of one run. */
 struct mh_sse;
-/** mh_sse_create() - moves @c, which outlives it. */
-struct mh_sse *mh_sse_create(struct mh_cursor *c);
+/**
+ * mh_sse_create() - moves @c, which outlives it.
+ * @known: how its endpoint numbers events.
+ */
+struct mh_sse *mh_sse_create(struct mh_cursor *c, enum mh_ids known);
 void mh_sse_destroy(struct mh_sse *s);
 /**
  * mh_sse_feed() - appends to @out what completes events.
@@ -505,6 +508,8 @@
  */
 enum mh_sse_fault mh_sse_feed(
     struct mh_sse *s, const char *data, size_t len, GString *out);
+/** mh_sse_ids() - how the run numbers events, if it began its stream. */
+enum mh_ids mh_sse_ids(const struct mh_sse *s);
 /** mh_sse_held() - bytes of an event that is not whole yet. */
 size_t mh_sse_held(const struct mh_sse *s);
 
--- a/lib/gateint.h
+++ b/lib/gateint.h
@@ -30,7 +30,6 @@
 	GHashTable *deadlines; /* route -> longest time given */
 	GHashTable *sizes; /* route -> mean size of a request, double */
 	GHashTable *runs; /* route -> struct mh_gruns */
-	GHashTable *counting; /* pools whose streams count from 0 or 1 */
 };
 
 /** mh_gate_try_next() - sends it to the next endpoint, or ends it. */
--- a/lib/gatetake.c
+++ b/lib/gatetake.c
@@ -68,16 +68,6 @@
 	}
 }
 
-static struct mh_cursor *
-new_cursor(const struct mh_gate *g, const struct mh_gask *q)
-{
-	bool resumes = q->route->repeat == MH_REPEAT_RESUME;
-	bool counts = g_hash_table_contains(g->counting, q->pool);
-
-	return mh_cursor_create(resumes ? q->resume_after : NULL,
-	    counts && q->resume_after == NULL ? MH_IDS_COUNT : MH_IDS_INCREASE);
-}
-
 void
 mh_gate_take(struct mh_gate *g, struct mh_gask *q)
 {
@@ -124,7 +114,10 @@
 	    mh_ms(q->aim_us - q->arrived_us), mh_gate_open(g), q->print);
 	mh_budget_first(g->budget, q->pool);
 	if (q->route->stream)
-		q->cursor = new_cursor(g, q);
+		q->cursor = mh_cursor_create(
+		    q->route->repeat == MH_REPEAT_RESUME ? q->resume_after
+							 : NULL,
+		    true);
 	if (q->route->n_stages > 0)
 		mh_gate_start_job(g, q);
 	else
--- a/lib/sse.c
+++ b/lib/sse.c
@@ -17,10 +17,10 @@
 #define MAX_EVENT ((size_t)1 << 20)
 
 struct mh_cursor {
-	enum mh_ids ids;
+	bool ordered; /* its ids increase */
+	bool resumes; /* @last was the caller's own, and no event has come */
 	bool numbered; /* @last is set */
 	bool by_one; /* the ids leave no number out */
-	bool counts; /* the first id was 0 or 1 */
 	bool lost; /* behind @last came an event without a number */
 	uint64_t last;
 	char last_id[ID_LEN];
@@ -28,6 +28,8 @@
 
 struct mh_sse {
 	struct mh_cursor *cursor; /* the stream's */
+	enum mh_ids known; /* of the endpoint, before */
+	enum mh_ids ids; /* as this run shows */
 	GString *held; /* the event being received */
 	size_t read; /* of @held */
 	bool blank; /* the line has no byte yet */
@@ -58,15 +60,15 @@
 }
 
 struct mh_cursor *
-mh_cursor_create(const char *after, enum mh_ids ids)
+mh_cursor_create(const char *after, bool ordered)
 {
 	struct mh_cursor *c = g_new0(struct mh_cursor, 1);
 	uint64_t id;
 
-	c->ids = ids;
+	c->ordered = ordered;
 	if (after != NULL && read_id(after, &id)) {
-		c->by_one = true;
 		move(c, id);
+		c->resumes = true;
 	}
 	return c;
 }
@@ -83,49 +85,19 @@
 	return c->numbered ? c->last_id : NULL;
 }
 
-bool
-mh_cursor_counts(const struct mh_cursor *c)
-{
-	return c->counts;
-}
-
 bool
 mh_cursor_lost(const struct mh_cursor *c)
 {
 	return c->lost;
 }
 
-/*
- * A stream whose first event is 0 or 1 counts its events; of others it is not
- * known which numbers they leave out.
- */
-static enum mh_sse_fault
-advance(struct mh_cursor *c, const char *text)
-{
-	uint64_t id;
-
-	if (!read_id(text, &id)) {
-		c->lost = true;
-		return MH_SSE_GOOD;
-	}
-	if (c->ids != MH_IDS_ANY && c->numbered && id <= c->last)
-		return MH_SSE_REPEATED;
-	if (c->ids != MH_IDS_ANY && c->by_one && id != c->last + 1)
-		return MH_SSE_SKIPPED;
-	if (c->ids == MH_IDS_COUNT && !c->numbered && id > 1)
-		return MH_SSE_SKIPPED;
-	if (!c->numbered)
-		c->by_one = c->counts = id <= 1;
-	move(c, id);
-	return MH_SSE_GOOD;
-}
-
 struct mh_sse *
-mh_sse_create(struct mh_cursor *c)
+mh_sse_create(struct mh_cursor *c, enum mh_ids known)
 {
 	struct mh_sse *s = g_new0(struct mh_sse, 1);
 
 	s->cursor = c;
+	s->known = known;
 	s->held = g_string_new(NULL);
 	s->blank = true;
 	return s;
@@ -230,17 +202,56 @@
 	}
 }
 
+/* The first number that comes shows how the others do. */
+static void
+begin(struct mh_sse *s, uint64_t id, uint64_t due)
+{
+	struct mh_cursor *c = s->cursor;
+
+	if (!c->numbered)
+		s->ids = id <= due ? MH_IDS_COUNT : MH_IDS_LEAVE_OUT;
+	c->by_one = id <= due && s->known != MH_IDS_LEAVE_OUT;
+}
+
+/*
+ * Where endpoints count their events a number that is left out is an event
+ * that is missing.  Of a caller that resumes it is taken that they do, unless
+ * the endpoint is known to do otherwise.
+ */
 static enum mh_sse_fault
-note_event(struct mh_cursor *c, const char *text, size_t len)
+advance(struct mh_sse *s, const char *text)
+{
+	struct mh_cursor *c = s->cursor;
+	uint64_t id, due = c->numbered ? c->last + 1 : 1;
+	bool counts = c->by_one || s->known == MH_IDS_COUNT ||
+	    (c->resumes && s->known == MH_IDS_UNKNOWN);
+
+	if (!read_id(text, &id)) {
+		c->lost = true;
+		return MH_SSE_GOOD;
+	}
+	if (c->ordered && c->numbered && id <= c->last)
+		return MH_SSE_REPEATED;
+	if (c->ordered && counts && id > due)
+		return MH_SSE_SKIPPED;
+	if (!c->numbered || c->resumes)
+		begin(s, id, due);
+	c->resumes = false;
+	move(c, id);
+	return MH_SSE_GOOD;
+}
+
+static enum mh_sse_fault
+note_event(struct mh_sse *s, const char *text, size_t len)
 {
 	enum mh_sse_fault f = MH_SSE_GOOD;
 	struct event e = { NULL, false };
 
 	read_event(&e, text, len);
 	if (e.id != NULL)
-		f = advance(c, e.id);
+		f = advance(s, e.id);
 	else if (e.has_data)
-		c->lost = true;
+		s->cursor->lost = true;
 	g_free(e.id);
 	return f;
 }
@@ -259,7 +270,7 @@
 
 	g_string_append_len(s->held, data, (gssize)len);
 	while (find_end(s)) {
-		f = note_event(s->cursor, s->held->str, s->read);
+		f = note_event(s, s->held->str, s->read);
 		if (f != MH_SSE_GOOD)
 			return f;
 		g_string_append_len(out, s->held->str, (gssize)s->read);
@@ -281,6 +292,12 @@
 	return names[f];
 }
 
+enum mh_ids
+mh_sse_ids(const struct mh_sse *s)
+{
+	return s->ids;
+}
+
 size_t
 mh_sse_held(const struct mh_sse *s)
 {
--- a/regress/t_front.c
+++ b/regress/t_front.c
@@ -725,6 +725,20 @@
 	}
 }
 
+/* One endpoint shows that it counts from 1; the other is held to do so too. */
+static void
+show_counting(struct frig *r)
+{
+	struct mh_node *one = mh_fleet_find(r->fleet, "i-1");
+	struct mh_node *two = mh_fleet_find(r->fleet, "i-2");
+
+	r->script[0] = RUN(CHUNK(EVENT_1) CHUNK(EVENT_2));
+	converse(r, PLAN);
+	CU_ASSERT_TRUE(is_complete(r));
+	CU_ASSERT_EQUAL(one->ids + two->ids, MH_IDS_COUNT);
+	one->ids = two->ids = MH_IDS_COUNT;
+}
+
 /* Where streams are seen to count from 1, one that begins at 2 lost an event.
  */
 static void
@@ -733,9 +747,7 @@
 	struct frig *r = frig_create();
 	char *got;
 
-	r->script[0] = RUN(CHUNK(EVENT_1) CHUNK(EVENT_2));
-	converse(r, PLAN);
-	CU_ASSERT_TRUE(is_complete(r));
+	show_counting(r);
 	r->script[0] = RUN(CHUNK(EVENT_2) CHUNK(EVENT_3));
 	r->script[1] = RUN(CHUNK(EVENT_1) CHUNK(EVENT_2));
 	converse(r, PLAN);
@@ -746,6 +758,31 @@
 	frig_destroy(r);
 }
 
+#define EVENT_30 "id: 30\ndata: on\n\n"
+#define EVENT_40 "id: 40\ndata: of\n\n"
+
+/* Endpoints of a new version number events in another way. */
+static void
+test_another_numbering(void)
+{
+	static const char *const asks[] = { PLAN, PLAN_AFTER_1 };
+	struct frig *r = frig_create();
+
+	show_counting(r);
+	list_endpoints(r, "i-3", "i-3");
+	for (size_t i = 0; i < G_N_ELEMENTS(asks); i++) {
+		char *got;
+
+		r->script[0] = RUN(CHUNK(EVENT_30) CHUNK(EVENT_40));
+		converse(r, asks[i]);
+		got = events_of(r);
+		CU_ASSERT_STRING_EQUAL(got, EVENT_30 EVENT_40);
+		CU_ASSERT_TRUE(is_complete(r));
+		g_free(got);
+	}
+	frig_destroy(r);
+}
+
 /* Whole events that came just before the break are kept from the caller. */
 static void
 test_events_before_a_break(void)
@@ -881,6 +918,7 @@
 	{ "front: not resumed without ids", test_not_resumed_without_ids },
 	{ "front: a thrown away answer", test_thrown_away },
 	{ "front: first event missing", test_first_event_missing },
+	{ "front: another numbering", test_another_numbering },
 	{ "front: events before a break", test_events_before_a_break },
 	{ "front: HEAD of unknown length", test_head_of_unknown_length },
 	{ "front: an answer over the bound", test_answer_over_the_bound },
--- a/regress/t_sse.c
+++ b/regress/t_sse.c
@@ -28,9 +28,8 @@
 		size_t len = strlen(streams[i]);
 
 		for (size_t at = 0; at <= len; at++) {
-			struct mh_cursor *c =
-			    mh_cursor_create(NULL, MH_IDS_INCREASE);
-			struct mh_sse *s = mh_sse_create(c);
+			struct mh_cursor *c = mh_cursor_create(NULL, true);
+			struct mh_sse *s = mh_sse_create(c, MH_IDS_UNKNOWN);
 			GString *out = g_string_new(NULL);
 
 			mh_sse_feed(s, streams[i], at, out);
@@ -50,8 +49,8 @@
 test_ends_with_cr(void)
 {
 	static const char text[] = "id: 1\rdata: one\r\r";
-	struct mh_cursor *c = mh_cursor_create(NULL, MH_IDS_INCREASE);
-	struct mh_sse *s = mh_sse_create(c);
+	struct mh_cursor *c = mh_cursor_create(NULL, true);
+	struct mh_sse *s = mh_sse_create(c, MH_IDS_UNKNOWN);
 	GString *out = g_string_new(NULL);
 
 	mh_sse_feed(s, text, strlen(text), out);
@@ -66,8 +65,8 @@
 static void
 test_event_without_end(void)
 {
-	struct mh_cursor *c = mh_cursor_create(NULL, MH_IDS_INCREASE);
-	struct mh_sse *s = mh_sse_create(c);
+	struct mh_cursor *c = mh_cursor_create(NULL, true);
+	struct mh_sse *s = mh_sse_create(c, MH_IDS_UNKNOWN);
 	GString *out = g_string_new(NULL);
 	char piece[PIECE];
 	enum mh_sse_fault f = MH_SSE_GOOD;
