--- a/regress/t_front.c
+++ b/regress/t_front.c
@@ -816,6 +816,24 @@
 	frig_destroy(r);
 }
 
+/* A short answer whose body never comes keeps its connection for ever. */
+static void
+test_thrown_away_and_stuck(void)
+{
+	struct frig *r = frig_create();
+
+	r->script[0] = "HTTP/1.1 503 Busy\r\nX-Request-Id: r1\r\n"
+		       "X-Not-Executed: 1\r\nContent-Length: 5\r\n\r\nx";
+	list_endpoints(r, "i-1", "i-1");
+	converse(r, "GET /confirm/1 HTTP/1.1\r\n" CALLER "\r\n");
+	CU_ASSERT_EQUAL(r->answered, 1);
+	CU_ASSERT_EQUAL(plat_front_open(r->front), 1);
+	for (int i = 0; i < 5; i++)
+		pause_a_while(r);
+	CU_ASSERT_EQUAL(plat_front_open(r->front), 0);
+	frig_destroy(r);
+}
+
 /* answers about as long as the longest that is passed on */
 
 enum framing { BY_LENGTH, BY_CHUNKS, BY_CLOSE, FRAMINGS };
@@ -917,6 +935,8 @@
 	{ "front: events out of order", test_events_out_of_order },
 	{ "front: not resumed without ids", test_not_resumed_without_ids },
 	{ "front: a thrown away answer", test_thrown_away },
+	{ "front: a thrown away answer that is stuck",
+	    test_thrown_away_and_stuck },
 	{ "front: first event missing", test_first_event_missing },
 	{ "front: another numbering", test_another_numbering },
 	{ "front: events before a break", test_events_before_a_break },
