What was passed on of a read is dropped once, not event by event

Cause: the bytes behind each event were moved to the front, for every event of a read. Ruled out: the scan, which reads each byte once. Change: the reader keeps where the event begins and drops what was passed on at the end of a read. Conclusion: an endpoint's small events cost their bytes alone.

--- a/lib/sse.c
+++ b/lib/sse.c
@@ -30,8 +30,9 @@
 	struct mh_cursor *cursor; /* the stream's */
 	enum mh_ids known; /* of the endpoint, before */
 	enum mh_ids ids; /* as this run shows */
-	GString *held; /* the event being received */
-	size_t read; /* of @held */
+	GString *held; /* what was received and not passed on */
+	size_t begun; /* of @held: where the event begins */
+	size_t read; /* of @held: where to read on */
 	bool blank; /* the line has no byte yet */
 	bool cr; /* the last byte: a line's end, or half of one */
 	bool lone; /* the last line ended with a CR alone */
@@ -138,7 +139,7 @@
 	s->cr = false;
 }
 
-/* Whether @held has a whole event up to @read, which it moves on. */
+/* Whether @held has a whole event up to @read, which is moved on. */
 static bool
 find_end(struct mh_sse *s)
 {
@@ -153,7 +154,7 @@
 				return true;
 		}
 		s->read++;
-		if (s->ended && s->read == 1 && ch == '\n')
+		if (s->ended && s->read == s->begun + 1 && ch == '\n')
 			return true;
 		s->ended = false;
 		if (ends_with(s, ch)) {
@@ -263,22 +264,34 @@
 	return s->held->len > MAX_EVENT ? MH_SSE_TOO_LONG : MH_SSE_GOOD;
 }
 
+/* Passes on the event up to @read. */
+static enum mh_sse_fault
+take_event(struct mh_sse *s, GString *out)
+{
+	const char *event = s->held->str + s->begun;
+	size_t len = s->read - s->begun;
+	enum mh_sse_fault f = note_event(s, event, len);
+
+	if (f != MH_SSE_GOOD)
+		return f;
+	g_string_append_len(out, event, (gssize)len);
+	s->begun = s->read;
+	s->blank = true;
+	return MH_SSE_GOOD;
+}
+
 enum mh_sse_fault
 mh_sse_feed(struct mh_sse *s, const char *data, size_t len, GString *out)
 {
-	enum mh_sse_fault f;
+	enum mh_sse_fault f = MH_SSE_GOOD;
 
 	g_string_append_len(s->held, data, (gssize)len);
-	while (find_end(s)) {
-		f = note_event(s, s->held->str, s->read);
-		if (f != MH_SSE_GOOD)
-			return f;
-		g_string_append_len(out, s->held->str, (gssize)s->read);
-		g_string_erase(s->held, 0, (gssize)s->read);
-		s->read = 0;
-		s->blank = true;
-	}
-	return check_length(s);
+	while (f == MH_SSE_GOOD && find_end(s))
+		f = take_event(s, out);
+	g_string_erase(s->held, 0, (gssize)s->begun);
+	s->read -= s->begun;
+	s->begun = 0;
+	return f != MH_SSE_GOOD ? f : check_length(s);
 }
 
 const char *
