--- a/GNUmakefile
+++ b/GNUmakefile
@@ -36,7 +36,7 @@
 	build/asan/regress.bin regress >build/asan/regress.log 2>&1 || \
 	    { tail -60 build/asan/regress.log; exit 1; }
 	@tail -1 build/asan/regress.log | sed 's/^/under sanitizers: /'
-	@sh platform/soak/soak.sh build/debug 22 11 413p
+	@sh platform/soak/soak.sh build/debug 22 11 413p 1s
 	@bash regress/owner.sh build/debug
 	@bash regress/falls.sh build/debug
 	build/debug/regress.bin regress
