Test: the client and the server with a relay that splits, delays and cuts

Cause: the tests of both sides alone know the bytes that the other sends; nothing played the two against each other where TCP splits them. Ruled out: with nothing cut, each answer is whole or was broken by the server; cut at a drawn byte, by a close or a reset, none that isn't whole looks whole. Lengths, chunks and ends by close, HTTP/1.0 and 1.1, four calls at once on kept connections.

--- a/regress/main.c
+++ b/regress/main.c
@@ -67,6 +67,7 @@
 	{ "start", tests_start },
 	{ "http", tests_http },
 	{ "wire", tests_wire },
+	{ "relay", tests_relay },
 	{ "platform", tests_platform },
 	{ "registry", tests_registry },
 	{ "store", tests_store },
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -29,6 +29,7 @@
 extern const struct test tests_start[];
 extern const struct test tests_http[];
 extern const struct test tests_wire[];
+extern const struct test tests_relay[];
 extern const struct test tests_platform[];
 extern const struct test tests_registry[];
 extern const struct test tests_store[];
