Test: a connection that times out, and a call begun in a callback

Cause: two ways to end a call had no test. Ruled out: an answer that ends with its connection isn't whole where the connection times out under TCP_USER_TIMEOUT; a call begun where another was aborted, in its head or its data, has its own connection and bytes. Change: the two tests.

--- a/regress/t_wire.c
+++ b/regress/t_wire.c
@@ -38,6 +38,7 @@
 	size_t sent;
 	size_t step; /* bytes of a send, 0: all */
 	enum then then;
+	bool read_once; /* it reads the request's first bytes alone */
 	const char *unit; /* repeated behind the script without an end */
 	struct mh_timer *more;
 	/* the call */
@@ -51,6 +52,7 @@
 	GString *body;
 	bool abort_in_head;
 	bool abort_in_data;
+	bool start_again; /* behind an abort, in the same callback */
 	/* the server and its raw caller */
 	struct mh_hserve *s;
 	void (*serve)(struct wrig *r, struct mh_hreq *q);
@@ -188,6 +190,9 @@
 		}
 		r->sent = 0;
 		send_more(r);
+		if (r->read_once)
+			mh_loop_fd(
+			    r->loop, r->peer_fd, false, false, on_peer, r);
 		if (r->unit != NULL)
 			mh_loop_fd(
 			    r->loop, r->peer_fd, false, true, on_peer, r);
@@ -209,6 +214,22 @@
 	mh_loop_fd(r->loop, r->peer_fd, true, false, on_peer, r);
 }
 
+static void start_call(
+    struct wrig *r, const char *id, bool is_head, bool fresh);
+
+static void
+abort_call(struct wrig *r)
+{
+	mh_hcall_abort(r->call);
+	r->call = NULL;
+	if (!r->start_again) {
+		mh_loop_stop(r->loop);
+		return;
+	}
+	r->abort_in_head = r->abort_in_data = false;
+	start_call(r, "a", false, false);
+}
+
 static void
 c_head(void *arg, uint32_t status, const struct mh_headers *h, int64_t len)
 {
@@ -219,11 +240,8 @@
 	r->status = status;
 	g_free(r->stamp);
 	r->stamp = g_strdup(mh_headers_get(h, "X-Stamp"));
-	if (r->abort_in_head) {
-		mh_hcall_abort(r->call);
-		r->call = NULL;
-		mh_loop_stop(r->loop);
-	}
+	if (r->abort_in_head)
+		abort_call(r);
 }
 
 static void
@@ -232,11 +250,8 @@
 	struct wrig *r = arg;
 
 	g_string_append_len(r->body, data, (gssize)len);
-	if (r->abort_in_data) {
-		mh_hcall_abort(r->call);
-		r->call = NULL;
-		mh_loop_stop(r->loop);
-	}
+	if (r->abort_in_data)
+		abort_call(r);
 }
 
 static void
@@ -740,6 +755,25 @@
 	}
 }
 
+/* A call begun in the callback that ended another one gets its bytes. */
+static void
+test_start_inside(void)
+{
+	for (int i = 0; i < 2; i++) {
+		struct wrig *r = peer_create();
+
+		r->abort_in_head = i == 0;
+		r->abort_in_data = i == 1;
+		r->start_again = true;
+		g_string_assign(
+		    r->script, OK "X-Id: a\r\nContent-Length: 2\r\n\r\nhi");
+		CU_ASSERT_TRUE(call_is_whole(r, false, false, LONGEST_US));
+		CU_ASSERT_STRING_EQUAL(r->body->str, "hi");
+		CU_ASSERT_EQUAL(r->accepted, 2);
+		wrig_destroy(r);
+	}
+}
+
 /* the server against raw callers */
 
 static void
@@ -1178,6 +1212,36 @@
 	}
 }
 
+/*
+ * The connection times out while the request waits for its peer, and half of
+ * an answer that ends with the connection looks whole.
+ */
+static void
+test_timed_out(void)
+{
+	struct wrig *r = peer_create();
+	char *more = g_strnfill((size_t)16 << 20, 'x');
+	char *text = g_strdup_printf("POST / HTTP/1.1\r\nHost: h\r\n"
+				     "Content-Length: %d\r\n\r\n%s",
+	    16 << 20, more);
+	struct mh_hcall_args a = { .addr = r->addr,
+		.peer = "peer",
+		.text = g_bytes_new_take(text, strlen(text)),
+		.fns = { c_head, c_data, c_done },
+		.arg = r };
+
+	g_string_assign(r->script, OK "\r\nhalf");
+	r->read_once = true;
+	r->call = mh_hcalls_start(r->calls, &a);
+	run(r);
+	CU_ASSERT_EQUAL(r->ended, 1);
+	CU_ASSERT_EQUAL(r->end, MH_CALL_BROKEN);
+	CU_ASSERT_STRING_EQUAL(r->body->str, "half");
+	g_bytes_unref(a.text);
+	g_free(more);
+	wrig_destroy(r);
+}
+
 const struct test tests_wire[] = {
 	{ "wire: an answer torn at each byte", test_torn },
 	{ "wire: an answer split at each byte", test_split },
@@ -1193,6 +1257,8 @@
 	{ "wire: how long a connection is kept", test_keep_alive },
 	{ "wire: answers without an end", test_endless },
 	{ "wire: a call ended in its callback", test_abort_inside },
+	{ "wire: a call begun in a callback", test_start_inside },
+	{ "wire: a connection that times out", test_timed_out },
 	{ "wire: no body where none is due", test_no_body_due },
 	{ "wire: another length than told", test_other_length },
 	{ "wire: requests behind a stream", test_behind_a_stream },
