The names in all Connection fields are noted as they come

Cause: whether a field is for one connection was looked up in the first Connection field, found anew for each field. A name in a second one was passed on; a request of 64 KB with 16,384 fields kept the entry busy for over a second, and an answer's head of 80 KB with a long list for five, while all other callers wait. Ruled out: the size of heads, which the parser ends at 80 KB and callers' limits sooner, counted without colons and line ends. Change: the list is read once, when its field is added, and kept as a set. "wire: fields of one connection" failed before. Conclusion: the work on a head grows with its length alone.

--- a/lib/headers.c
+++ b/lib/headers.c
@@ -8,6 +8,7 @@
 
 struct mh_headers {
 	GArray *fields; /* struct field */
+	GHashTable *listed; /* set of names in Connection fields, lower case */
 };
 
 struct field {
@@ -31,6 +32,8 @@
 
 	h->fields = g_array_new(FALSE, FALSE, sizeof(struct field));
 	g_array_set_clear_func(h->fields, clear_field);
+	h->listed =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return h;
 }
 
@@ -40,15 +43,34 @@
 	if (h == NULL)
 		return;
 	g_array_free(h->fields, TRUE);
+	g_hash_table_destroy(h->listed);
 	g_free(h);
 }
 
+/* Notes the names of a comma-separated list. */
+static void
+note_listed(struct mh_headers *h, const char *list)
+{
+	while (*list != '\0') {
+		size_t len;
+
+		list += strspn(list, " \t,");
+		len = strcspn(list, " \t,;");
+		if (len > 0)
+			g_hash_table_add(
+			    h->listed, g_ascii_strdown(list, (gssize)len));
+		list += strcspn(list, ",");
+	}
+}
+
 void
 mh_headers_add(struct mh_headers *h, const char *name, const char *value)
 {
 	struct field f = { g_strdup(name), g_strdup(value) };
 
 	g_array_append_val(h->fields, f);
+	if (g_ascii_strcasecmp(name, "Connection") == 0)
+		note_listed(h, value);
 }
 
 static struct field *
@@ -84,24 +106,6 @@
 		fn(arg, at(h, i)->name, at(h, i)->value);
 }
 
-/* Whether a comma-separated list holds @word, any case. */
-static bool
-list_has(const char *list, const char *word)
-{
-	size_t n = strlen(word);
-
-	while (list != NULL && *list != '\0') {
-		size_t len;
-
-		list += strspn(list, " \t,");
-		len = strcspn(list, " \t,;");
-		if (len == n && g_ascii_strncasecmp(list, word, n) == 0)
-			return true;
-		list += strcspn(list, ",");
-	}
-	return false;
-}
-
 bool
 mh_header_is_hop(const struct mh_headers *h, const char *name)
 {
@@ -110,11 +114,19 @@
 		"TE", "Trailer", "Transfer-Encoding", "Upgrade",
 		"Content-Length", "Expect", NULL };
 
+	char *lower;
+	bool listed;
+
 	for (int i = 0; hop[i] != NULL; i++) {
 		if (g_ascii_strcasecmp(hop[i], name) == 0)
 			return true;
 	}
-	return list_has(mh_headers_get(h, "Connection"), name);
+	if (g_hash_table_size(h->listed) == 0)
+		return false;
+	lower = g_ascii_strdown(name, -1);
+	listed = g_hash_table_contains(h->listed, lower);
+	g_free(lower);
+	return listed;
 }
 
 bool
--- a/regress/t_wire.c
+++ b/regress/t_wire.c
@@ -1242,7 +1242,26 @@
 	wrig_destroy(r);
 }
 
+/* A field that the second Connection field names is passed on. */
+static void
+test_hop_fields(void)
+{
+	struct mh_headers *h = mh_headers_create();
+
+	mh_headers_add(h, "Connection", "close, X-One;q=1");
+	mh_headers_add(h, "Host", "h");
+	mh_headers_add(h, "connection", "\t,x-TWO ,");
+	CU_ASSERT_TRUE(mh_header_is_hop(h, "x-one"));
+	CU_ASSERT_TRUE(mh_header_is_hop(h, "X-Two"));
+	CU_ASSERT_TRUE(mh_header_is_hop(h, "keep-alive"));
+	CU_ASSERT_FALSE(mh_header_is_hop(h, "X-On"));
+	CU_ASSERT_FALSE(mh_header_is_hop(h, "q=1"));
+	CU_ASSERT_FALSE(mh_header_is_hop(h, "Host"));
+	mh_headers_destroy(h);
+}
+
 const struct test tests_wire[] = {
+	{ "wire: fields of one connection", test_hop_fields },
 	{ "wire: an answer torn at each byte", test_torn },
 	{ "wire: an answer split at each byte", test_split },
 	{ "wire: lengths", test_lengths },
