Half a configuration is read once more, not waited for

A process that read a configuration in half kept the one before it, or none, until its watch ran out half a minute later or another told it. Cause: the hash shows the half, and the watch went on from the head that named it, which does not change again. Class: an answer that is not the whole one, taken for the last word. Ruled out: the half coming into force. Change: the head is read anew after half a second.

--- a/lib/conf.c
+++ b/lib/conf.c
@@ -309,6 +309,15 @@
 	kv_ask(c, MH_KV_GET, name);
 }
 
+/* The head doesn't change again: it is read anew, not waited for. */
+static void
+bad_doc(struct conf *c)
+{
+	mh_count(c->k, "conf_bad_doc", 1);
+	c->head_index = 0;
+	c->kv_at_us = mh_now(c->k) + BACKOFF_US;
+}
+
 static void
 take_doc(struct conf *c, GBytes *doc)
 {
@@ -318,7 +327,7 @@
 	if (want != NULL && strcmp(hash, want) == 0)
 		load_or_log(c, head_u64(c->head, "generation"), doc);
 	else
-		mh_count(c->k, "conf_bad_doc", 1);
+		bad_doc(c);
 	g_free(hash);
 }
 
--- a/regress/net.h
+++ b/regress/net.h
@@ -73,6 +73,8 @@
 	GPtrArray *kv_waits;
 	bool kv_down;
 	bool kv_lose_answer; /* the next write's answer is lost */
+	bool kv_tear; /* the next configuration is read in half */
+	bool kv_no_wait; /* watches return at once */
 	bool vmlist_down;
 	uint64_t kv_calls;
 	uint64_t next_incarnation;
--- a/regress/netfake.c
+++ b/regress/netfake.c
@@ -68,6 +68,12 @@
 		m->u.kv.cas = v->index;
 		m->u.kv.index = v->index;
 		m->u.kv.value = g_bytes_ref(v->data);
+		if (n->kv_tear && g_str_has_prefix(q->name, MH_CONF_DOC)) {
+			n->kv_tear = false;
+			g_bytes_unref(m->u.kv.value);
+			m->u.kv.value = g_bytes_new_from_bytes(
+			    v->data, 0, g_bytes_get_size(v->data) / 2);
+		}
 	}
 	return m;
 }
@@ -171,7 +177,7 @@
 		return;
 	}
 	v = g_hash_table_lookup(n->kv, q->name);
-	if (q->op != MH_KV_WATCH || q->index == 0 ||
+	if (q->op != MH_KV_WATCH || q->index == 0 || n->kv_no_wait ||
 	    (v != NULL && v->index > q->index)) {
 		net_deliver(x, service_name(q->from), kv_answer(n, q),
 		    KV_ANSWER_US, NULL, false);
--- a/regress/t_nodes.c
+++ b/regress/t_nodes.c
@@ -185,6 +185,49 @@
 	return good;
 }
 
+/* Guards against half a configuration that is not read once more. */
+static void
+test_half_a_configuration(void)
+{
+	struct net *n = net_create(40);
+	struct net_node *e;
+
+	net_apply(n, 1, net_doc);
+	e = net_entry(n, "entry1", "a");
+	net_run(n, 3 * MH_US_PER_S);
+	CU_ASSERT_EQUAL(mh_conf_generation(e->k), 1);
+	n->kv_tear = true;
+	net_apply(n, 2, net_doc);
+	net_run(n, 3 * MH_US_PER_S);
+	CU_ASSERT_FALSE(n->kv_tear);
+	CU_ASSERT_EQUAL(mh_counter(e->k, "conf_bad_doc"), 1);
+	CU_ASSERT_EQUAL(mh_conf_generation(e->k), 2);
+	net_destroy(n);
+}
+
+/* Guards against a watch that is asked again without a pause. */
+static void
+test_watches_that_do_not_wait(void)
+{
+	struct net *n = net_create(41);
+	struct net_node *e;
+	uint64_t calls;
+
+	net_apply(n, 1, net_doc);
+	e = net_entry(n, "entry1", "a");
+	net_side(n, "book1", "book", "a", 1);
+	net_run(n, 3 * MH_US_PER_S);
+	n->kv_no_wait = true;
+	net_apply(n, 2, net_doc);
+	net_run(n, MH_US_PER_S);
+	calls = n->kv_calls;
+	net_run(n, 10 * MH_US_PER_S);
+	/* Three watches, each three times a second. */
+	CU_ASSERT(n->kv_calls - calls <= 90);
+	CU_ASSERT_EQUAL(mh_conf_generation(e->k), 2);
+	net_destroy(n);
+}
+
 /* The VM list is out for a minute: nobody stops serving. */
 static void
 test_missing_list_changes_nothing(void)
@@ -360,6 +403,8 @@
 	{ "start_during_an_outage", test_start_during_an_outage },
 	{ "restored_kv_reverts_nothing", test_restored_kv_reverts_nothing },
 	{ "bad_document_is_not_taken", test_bad_document_is_not_taken },
+	{ "half_a_configuration", test_half_a_configuration },
+	{ "watches_that_do_not_wait", test_watches_that_do_not_wait },
 	{ "missing_list_changes_nothing", test_missing_list_changes_nothing },
 	{ "failure_domain_vanishes", test_failure_domain_vanishes },
 	{ "churn", test_churn },
