A watch of the key-value service that returns at once is not asked again at once

A side process asked without a pause where the service's watch returned at once with what was known already. Cause: the next watch followed an answer at once, as each answer was taken for a change. Class: an answer that is not the one asked for, taken for it; an endless event. Ruled out: a change, which has another index and is followed at once as before. Conclusion: mended.

--- a/lib/claim.c
+++ b/lib/claim.c
@@ -65,6 +65,7 @@
 	uint64_t watch; /* token, 0: none under way */
 	uint64_t put;
 	int64_t kv_at_us;
+	int64_t watched_us; /* when the watch was last asked for */
 	int64_t started_us;
 	struct mh_timer *tick;
 };
@@ -174,6 +175,8 @@
 	struct mh_msg *m = mh_msg_new(MH_MSG_KV);
 
 	*token = mh_next_id(c->k);
+	if (op == MH_KV_WATCH)
+		c->watched_us = mh_now(c->k);
 	m->u.kv.op = op;
 	m->u.kv.token = *token;
 	m->u.kv.from = g_strdup("claim");
@@ -471,6 +474,9 @@
 take_value(struct claim *c, const struct mh_kv_msg *v)
 {
 	c->reachable = true;
+	/* A watch that returns at once with nothing new would do so again. */
+	if (v->index == c->index)
+		c->kv_at_us = c->watched_us + BACKOFF_US;
 	c->index = v->index;
 	c->cas = v->cas;
 	c->loaded = true;
--- a/lib/conf.c
+++ b/lib/conf.c
@@ -37,6 +37,7 @@
 	bool fetching; /* that call fetches a document */
 	json_t *head; /* the head whose document is fetched */
 	int64_t kv_at_us; /* no KV call before this */
+	int64_t kv_asked_us; /* when the last one was made */
 	int64_t asked_at_us;
 	struct mh_timer *tick;
 };
@@ -241,6 +242,7 @@
 	struct mh_msg *m = mh_msg_new(MH_MSG_KV);
 
 	c->token = mh_next_id(c->k);
+	c->kv_asked_us = mh_now(c->k);
 	m->u.kv.op = op;
 	m->u.kv.token = c->token;
 	m->u.kv.from = g_strdup("conf");
@@ -354,6 +356,9 @@
 			c->head_index = 0;
 		return;
 	}
+	/* A watch that returns at once with nothing new would do so again. */
+	if (v->index == c->head_index)
+		c->kv_at_us = c->kv_asked_us + BACKOFF_US;
 	/* An index that went backwards means a restored service: start over. */
 	c->head_index = v->index >= c->head_index ? v->index : 0;
 	if (!v->found)
