A hedge that outlives its first call is followed by another try

Cause: the time of a stage is a timer of the request, started with the first call. Where that call failed while its hedge ran, the timer went on, and at its end cancelled the hedge and found no first call to fail: nothing ran, and nothing was to follow. The caller waited until its deadline and got 504. Ruled out: the pace of streams, which has no hedges; a hedge that fails by itself, after which the next try follows. Change: at the end of the time the last call that runs is failed, whichever it is; only beside a first call a hedge is cancelled. Figures: "hedge_goes_on_alone" before: no answer 2.5 s after the ask of a request with 4 s, three encoders sound; after: 200. Conclusion: class, state of one try (its timer) met by another.

--- a/lib/pipe.c
+++ b/lib/pipe.c
@@ -520,17 +520,24 @@
 on_timeout(void *arg)
 {
 	struct request *r = arg;
+	struct try *last = NULL;
 
 	r->check = NULL;
 	mh_count(r->e->k, "pipe_timeouts", 1);
-	for (int i = 1; i < MAX_TRIES; i++) {
-		if (r->tries[i].call != NULL) {
-			mh_relay_cancel(r->e->k, r->tries[i].call);
-			r->tries[i].call = NULL;
+	/* Where the first call has failed, a hedge is all that runs. */
+	for (int i = MAX_TRIES - 1; i >= 0; i--) {
+		struct try *t = &r->tries[i];
+
+		if (t->call == NULL)
+			continue;
+		if (last != NULL) {
+			mh_relay_cancel(r->e->k, last->call);
+			last->call = NULL;
 		}
+		last = t;
 	}
-	if (r->tries[0].call != NULL)
-		fail_try(r, &r->tries[0]);
+	if (last != NULL)
+		fail_try(r, last);
 }
 
 /* Would this stream miss the deadline where another endpoint would not? */
--- a/regress/t_entry.c
+++ b/regress/t_entry.c
@@ -404,6 +404,54 @@
 	net_destroy(w.n);
 }
 
+static uint32_t
+encodes(const struct entry_world *w)
+{
+	uint32_t n = 0;
+
+	for (int i = 0; i < 3; i++)
+		n += w->enc[i]->runs;
+	return n;
+}
+
+static void
+set_encoders(struct entry_world *w, int64_t service_us, uint32_t status)
+{
+	for (int i = 0; i < 3; i++) {
+		w->enc[i]->service_us = service_us;
+		w->enc[i]->status = status;
+	}
+}
+
+/* The time of a first call that failed takes its hedge, and nothing follows. */
+static void
+test_hedge_goes_on_alone(void)
+{
+	struct entry_world w;
+	uint64_t id;
+	uint32_t had;
+
+	make(&w, 4, net_doc);
+	for (int i = 0; i < 30; i++) {
+		embed(&w);
+		net_run(w.n, 30 * MH_US_PER_MS);
+	}
+	had = encodes(&w);
+	set_encoders(&w, 60 * MH_US_PER_MS, 500);
+	id = embed(&w);
+	while (encodes(&w) == had)
+		net_run(w.n, MH_US_PER_MS);
+	set_encoders(&w, 60 * MH_US_PER_S, 0);
+	while (encodes(&w) == had + 1)
+		net_run(w.n, MH_US_PER_MS);
+	CU_ASSERT_EQUAL(mh_counter(w.e->k, "pipe_hedges"), 1);
+	set_encoders(&w, 5 * MH_US_PER_MS, 0);
+	net_run(w.n, 2500 * MH_US_PER_MS);
+	CU_ASSERT_EQUAL(mh_counter(w.e->k, "pipe_timeouts"), 1);
+	CU_ASSERT_EQUAL(net_answer(w.n, id)->status, 200);
+	net_destroy(w.n);
+}
+
 /*
  * A whole pool fails.  Retrying each request again and again multiplied the
  * load on it; the budget bounds the extra calls to a share of the traffic.
@@ -735,6 +783,7 @@
 	{ "doubled_and_late_frames", test_doubled_and_late_frames },
 	{ "streams_in_trouble", test_streams_in_trouble },
 	{ "hedge_around_a_straggler", test_hedge_around_a_straggler },
+	{ "hedge_goes_on_alone", test_hedge_goes_on_alone },
 	{ "retries_keep_to_their_budget", test_retries_keep_to_their_budget },
 	{ "any_stage_may_be_the_last", test_any_stage_may_be_the_last },
 	{ "given_up_is_answered_at_once", test_given_up_is_answered_at_once },
