--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -365,7 +365,7 @@
 	staged(r);
 	finish_job(r);
 	CU_ASSERT_EQUAL(mh_gate_head(r->g, r->cur, &a), MH_PASS);
-	mh_sse_feed(r->cur->events, "id: 1\ndata: x\n\n", 16, out);
+	mh_sse_feed(r->cur->events, "id: 1\ndata: x\n\n", 15, out);
 	mh_gate_progress(r->g, r->cur);
 	CU_ASSERT_EQUAL(r->dropped, 1);
 	for (int i = 0; i < 3; i++) {
@@ -394,7 +394,7 @@
 	staged(r);
 	finish_job(r);
 	CU_ASSERT_EQUAL(mh_gate_head(r->g, r->cur, &a), MH_PASS);
-	mh_sse_feed(r->cur->events, "id: 1\ndata: x\n\n", 16, out);
+	mh_sse_feed(r->cur->events, "id: 1\ndata: x\n\n", 15, out);
 	mh_gate_progress(r->g, r->cur);
 	mh_gate_end(r->g, r->cur, MH_CALL_BROKEN);
 	CU_ASSERT_EQUAL(r->jobs, 2);
