--- a/regress/t_wire.c
+++ b/regress/t_wire.c
@@ -579,6 +579,34 @@
 	check_odds(bodyless, G_N_ELEMENTS(bodyless));
 }
 
+/* The body that an answer without one told of is read as the next answer. */
+static void
+test_bodyless_then(void)
+{
+	static const struct {
+		const char *text;
+		uint32_t accepted;
+	} rows[] = {
+		{ "HTTP/1.1 204 None\r\nContent-Length: 5\r\n\r\n", 2 },
+		{ "HTTP/1.1 204 None\r\n" CHUNKED "\r\n", 2 },
+		{ "HTTP/1.1 103 Hints\r\nContent-Length: 5\r\n\r\n" OK
+		  "Content-Length: 0\r\n\r\n",
+		    2 },
+		{ "HTTP/1.1 304 Same\r\nContent-Length: 5\r\n\r\n", 1 },
+		{ "HTTP/1.1 204 None\r\n\r\n", 1 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		struct wrig *r = peer_create();
+
+		g_string_assign(r->script, rows[i].text);
+		CU_ASSERT_TRUE(call_is_whole(r, false, false, LONGEST_US));
+		CU_ASSERT_TRUE(call_is_whole(r, false, false, LONGEST_US));
+		CU_ASSERT_EQUAL(r->accepted, rows[i].accepted);
+		wrig_destroy(r);
+	}
+}
+
 static const struct odd starts[] = {
 	{ "another protocol",
 	    "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n"
@@ -1186,6 +1214,7 @@
 	{ "wire: codings", test_codings },
 	{ "wire: lines that don't end", test_lines },
 	{ "wire: answers without a body", test_bodyless },
+	{ "wire: behind an answer without a body", test_bodyless_then },
 	{ "wire: no answer of HTTP/1", test_starts },
 	{ "wire: a trailer and the next answer", test_trailer },
 	{ "wire: bytes before a call", test_early },
