Stage work is asked for again for each run of a stream

Callers of a stream whose second run broke got a broken answer although a third run was allowed. Cause: stage work was asked for twice at most; the third run was sent with the names of freed inputs and refused. Ruled out: a loop: runs are bounded by the route's attempts and by four sendings. Change: once for each run, and twice beside for inputs that are found gone.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -14,8 +14,8 @@
 
 /* Sendings of one request at most, those that did not run included. */
 #define TRIES_MAX 4
-/* Times that its stage work is asked for at most. */
-#define JOBS_MAX 2
+/* Times that its stage work is asked for, beside one for each run. */
+#define JOBS_MORE 2
 /*
  * Part of the aim after which a repeatable request that got no answer goes
  * to another endpoint: late enough to be rare, early enough to be on time.
@@ -378,6 +378,12 @@
 	return false;
 }
 
+static bool
+may_ask_stages(const struct mh_gask *q)
+{
+	return q->jobs < q->runs + JOBS_MORE;
+}
+
 /* Whether what its stages made was freed once an engine had read it. */
 static bool
 inputs_freed(const struct mh_gask *q)
@@ -399,7 +405,7 @@
 		return;
 	}
 	/* An endpoint that finds them gone would be asked in vain. */
-	if (inputs_freed(q) && q->jobs < JOBS_MAX) {
+	if (inputs_freed(q) && may_ask_stages(q)) {
 		mh_gate_start_job(g, q);
 		return;
 	}
@@ -455,7 +461,7 @@
 not_run(struct mh_gate *g, struct mh_gask *q, const struct mh_gans *a)
 {
 	leave_try(g, q, false);
-	if (a->inputs_gone && q->jobs < JOBS_MAX) {
+	if (a->inputs_gone && may_ask_stages(q)) {
 		mh_count(g->k, "inputs_gone", 1);
 		release_job(g, q);
 		mh_gate_start_job(g, q);
--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -383,6 +383,28 @@
 	grig_destroy(r);
 }
 
+/* The third run of a stream is sent without the inputs that it needs. */
+static void
+test_inputs_for_each_run(void)
+{
+	struct grig *r = grig_create(4);
+	struct mh_gans a = { .status = 200, .genuine = true, .events = true };
+
+	mh_gconf_named(r->conf, "resume")->attempts = 3;
+	staged(r);
+	for (uint32_t run = 1; run <= 3; run++) {
+		CU_ASSERT_EQUAL_FATAL(r->jobs, run);
+		finish_job(r);
+		CU_ASSERT_EQUAL(r->sends, run);
+		mh_gate_head(r->g, r->cur, &a);
+		mh_gate_progress(r->g, r->cur);
+		mh_gate_end(r->g, r->cur, MH_CALL_BROKEN);
+	}
+	CU_ASSERT_EQUAL(r->jobs, 3);
+	CU_ASSERT_EQUAL(r->broken, 1);
+	grig_destroy(r);
+}
+
 /* Work for the next run is cancelled when that of the last would be freed. */
 static void
 test_work_asked_for_soon_after(void)
@@ -602,6 +624,7 @@
 	{ "gate: inputs gone at the engine", test_inputs_gone_at_engine },
 	{ "gate: inputs for the run that goes on",
 	    test_inputs_for_the_run_that_goes_on },
+	{ "gate: inputs for each run", test_inputs_for_each_run },
 	{ "gate: work asked for soon after", test_work_asked_for_soon_after },
 	{ "gate: stage work refused after a run",
 	    test_job_refused_after_a_run },
