An endpoint whose answer can't be read has not ended

Callers of a sound request were refused as if endpoints ended under it, after three answers that could not be read, where nothing else was asked of these endpoints meanwhile. Cause: we end the connection at such an answer, and the call counted as one that its endpoint broke. Ruled out: a connection that its peer closes or resets within an answer, which is all that is seen of an endpoint that ends, and stays such evidence. Change: such a call ends as unreadable; it may have run, and tells nothing of an end. Figures: "front: unreadable answers hold nothing": the fourth sending is refused before, answered after. Conclusion: mended for what can't be parsed; a chunked stream that ends in order within an event still counts as broken by its endpoint.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -640,7 +640,7 @@
 	mh_event(g->k, "broken",
 	    "id=%s node=%s sent=%d took_ms=%" PRId64 " head_ms=%" PRId64
 	    " print=%016" PRIx64 " after=%s held=%zu",
-	    q->id, t->node, end == MH_CALL_BROKEN,
+	    q->id, t->node, end != MH_CALL_UNSENT,
 	    mh_ms(mh_now(g->k) - t->sent_us),
 	    t->head_us == 0 ? -1 : mh_ms(mh_now(g->k) - t->head_us), q->print,
 	    stream_after(q), stream_held(q));
@@ -653,10 +653,11 @@
 		mh_node_dead(g->f, n, "unreachable");
 	else if (n != NULL)
 		mh_node_bad(g->f, n, t->counted ? "broken" : "no-answer");
-	if (end == MH_CALL_BROKEN) {
+	if (end != MH_CALL_UNSENT)
 		count_run(q, t);
+	/* An endpoint that sends what can't be read has not ended. */
+	if (end == MH_CALL_BROKEN)
 		note_break(g, t, n);
-	}
 	leave_try(g, q, false);
 	if (end == MH_CALL_UNSENT) {
 		mh_gate_try_next(g, q);
--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -124,7 +124,7 @@
 
 /* Ends the connection's call, if any, and the connection. */
 static void
-fail(struct conn *c)
+end_both(struct conn *c, enum mh_hcall_end end)
 {
 	struct mh_hcall *h = c->call;
 
@@ -132,10 +132,16 @@
 	free_conn(c);
 	if (h == NULL)
 		return;
-	h->fns.done(h->arg, h->sent == 0 ? MH_CALL_UNSENT : MH_CALL_BROKEN);
+	h->fns.done(h->arg, h->sent == 0 ? MH_CALL_UNSENT : end);
 	free_call(h);
 }
 
+static void
+fail(struct conn *c)
+{
+	end_both(c, MH_CALL_BROKEN);
+}
+
 static void
 on_late(void *arg)
 {
@@ -396,10 +402,11 @@
 		finish(c, len > 0 && n == len);
 		return;
 	}
-	if (len == 0 || !sound) {
-		if (!sound)
-			mh_count(c->all->k, "call_malformed_answers", 1);
+	if (len == 0) {
 		fail(c);
+	} else if (!sound) {
+		mh_count(c->all->k, "call_malformed_answers", 1);
+		end_both(c, MH_CALL_UNREADABLE);
 	}
 }
 
--- a/lib/opaque.h
+++ b/lib/opaque.h
@@ -132,7 +132,8 @@
 enum mh_hcall_end {
 	MH_CALL_WHOLE, /* the answer came complete */
 	MH_CALL_UNSENT, /* no byte of the request has left */
-	MH_CALL_BROKEN /* sent at least in part; it may have run */
+	MH_CALL_BROKEN, /* sent at least in part; it may have run */
+	MH_CALL_UNREADABLE /* sent; what its peer answers can't be read */
 };
 
 struct mh_hcall_fns {
--- a/regress/t_front.c
+++ b/regress/t_front.c
@@ -474,6 +474,33 @@
 	frig_destroy(r);
 }
 
+/* Endpoints that send what can't be read are taken for ended under a request.
+ */
+static void
+test_unreadable_holds_nothing(void)
+{
+	static const char text[] = "POST /confirm/3 HTTP/1.1\r\n" CALLER
+				   "Content-Length: 3\r\n\r\nabc";
+	static const char *const ids[] = { "i-1", "i-3", "i-5", "i-7" };
+	struct mh_poison_ops alone = { .arg = NULL };
+	struct frig *r = frig_create();
+
+	mh_poison_create(r->k, &alone);
+	for (int i = 0; i < 3; i++) {
+		list_endpoints(r, ids[i], ids[i]);
+		r->script[0] = "what\r\n\r\n";
+		converse(r, text);
+		CU_ASSERT_TRUE(
+		    g_str_has_prefix(r->answer->str, "HTTP/1.1 502 "));
+		pause_a_while(r);
+	}
+	list_endpoints(r, ids[3], ids[3]);
+	r->script[0] = WHOLE;
+	converse(r, text);
+	CU_ASSERT_TRUE(g_str_has_prefix(r->answer->str, "HTTP/1.1 200 "));
+	frig_destroy(r);
+}
+
 static void
 test_stream(void)
 {
@@ -977,6 +1004,8 @@
 const struct test tests_front[] = {
 	{ "front: plain sessions", test_plain },
 	{ "a request under which endpoints end", test_held },
+	{ "front: unreadable answers hold nothing",
+	    test_unreadable_holds_nothing },
 	{ "front: sessions of streams", test_stream },
 	{ "front: silent within an event", test_silent_within_an_event },
 	{ "front: goes on with no stream", test_goes_on_with_no_stream },
--- a/regress/t_http.c
+++ b/regress/t_http.c
@@ -1170,7 +1170,7 @@
 	    MH_CALL_WHOLE, "hi" },
 	{ "no length, reset", OK "\r\nhi", true, MH_CALL_BROKEN, NULL },
 	{ "closed without an answer", NULL, false, MH_CALL_BROKEN, "" },
-	{ "no answer at all", "what\r\n\r\n", false, MH_CALL_BROKEN, "" },
+	{ "no answer at all", "what\r\n\r\n", false, MH_CALL_UNREADABLE, "" },
 	{ "another's answer first",
 	    OK "X-Id: z\r\nContent-length: 3\r\n\r\nnot" OK
 	       "X-Id: a\r\nContent-length: 2\r\n\r\nhi",
