White space behind a value is none of it

Cause: the parser leaves it at the value. A caller whose id was followed by a space was never answered: the endpoint echoed the id, and the answer was taken for another's. An endpoint that put a space there answered nobody. Ruled out: white space before a value, which the parser skips. Change: a field is kept without it. Figures: "wire: space behind a value" and "wire: space behind a value asked" failed before: the call never ended; the value asked for was "a b \t". Conclusion: values are compared and passed on as RFC 9110, 5.5, has them.

--- a/lib/headers.c
+++ b/lib/headers.c
@@ -66,7 +66,13 @@
 void
 mh_headers_add(struct mh_headers *h, const char *name, const char *value)
 {
-	struct field f = { g_strdup(name), g_strdup(value) };
+	size_t n = strlen(value);
+	struct field f;
+
+	while (n > 0 && (value[n - 1] == ' ' || value[n - 1] == '\t'))
+		n--;
+	f.name = g_strdup(name);
+	f.value = g_strndup(value, n);
 
 	g_array_append_val(h->fields, f);
 	if (g_ascii_strcasecmp(name, "Connection") == 0)
--- a/lib/opaque.h
+++ b/lib/opaque.h
@@ -15,6 +15,7 @@
 
 struct mh_headers *mh_headers_create(void);
 void mh_headers_destroy(struct mh_headers *h);
+/** mh_headers_add() - white space behind a value is none of it. */
 void mh_headers_add(struct mh_headers *h, const char *name, const char *value);
 /** mh_headers_get() - the first field of that name, any case, or NULL. */
 const char *mh_headers_get(const struct mh_headers *h, const char *name);
--- a/regress/t_wire.c
+++ b/regress/t_wire.c
@@ -1242,6 +1242,46 @@
 	wrig_destroy(r);
 }
 
+/* White space behind a value makes it another one. */
+static void
+test_space_behind(void)
+{
+	struct wrig *r = peer_create();
+
+	g_string_assign(r->script,
+	    OK "X-Id: \t a \t\r\nX-Stamp: b c \r\nContent-Length: 2 \r\n"
+	       "\r\nhi");
+	CU_ASSERT_TRUE(call_is_whole(r, false, true, QUIET_US));
+	CU_ASSERT_EQUAL(g_strcmp0(r->stamp, "b c"), 0);
+	wrig_destroy(r);
+}
+
+static void
+serve_value(struct wrig *r, struct mh_hreq *q)
+{
+	const char *v = mh_headers_get(mh_hreq_headers(q), "X-Id");
+
+	(void)r;
+	mh_hreq_head(q, 200, NULL, (int64_t)strlen(v));
+	mh_hreq_write(q, v, strlen(v));
+	mh_hreq_end(q);
+}
+
+/* The same in a request. */
+static void
+test_space_behind_asked(void)
+{
+	struct wrig *r = server_create(serve_value);
+
+	raw(r,
+	    "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+	    "X-Id: \ta b \t\r\n\r\n",
+	    0);
+	run(r);
+	CU_ASSERT_TRUE(g_str_has_suffix(r->got->str, "\r\n\r\na b"));
+	wrig_destroy(r);
+}
+
 /* A field that the second Connection field names is passed on. */
 static void
 test_hop_fields(void)
@@ -1261,6 +1301,8 @@
 }
 
 const struct test tests_wire[] = {
+	{ "wire: space behind a value", test_space_behind },
+	{ "wire: space behind a value asked", test_space_behind_asked },
 	{ "wire: fields of one connection", test_hop_fields },
 	{ "wire: an answer torn at each byte", test_torn },
 	{ "wire: an answer split at each byte", test_split },
