A field that goes on in the next line makes a message malformed

Cause: the parser joins the lines of a folded field without what stood between them: "a", line end, space, "b" was passed on as "ab". A length in a line of its own was taken. Ruled out: lines within a body or a chunk that begin with a space. Change: a line of a head or a trailer that begins with white space is refused: a request with 400, an answer as broken (RFC 9112, 5.2, lets a gateway do both). Conclusion: values are passed on as they came or not at all.

--- a/lib/lineends.c
+++ b/lib/lineends.c
@@ -3,7 +3,8 @@
  *
  * http_parser skips the byte behind a carriage return, and both bytes behind
  * a chunk, without a look at them.  A chunk that is longer than its size would
- * pass with its first bytes alone.
+ * pass with its first bytes alone.  It joins a value to the rest of it in the
+ * next line, by which readers differ.
  */
 
 #include "opaque.h"
@@ -22,8 +23,11 @@
 			return false;
 		if (l->after_cr && *l->next != '\n')
 			return false;
+		if (l->after_lf && (*l->next == ' ' || *l->next == '\t'))
+			return false;
 		l->after_chunk = false;
 		l->after_cr = *l->next == '\r';
+		l->after_lf = *l->next == '\n';
 	}
 	return true;
 }
@@ -33,4 +37,5 @@
 {
 	l->next = end;
 	l->after_chunk = chunked;
+	l->after_lf = false;
 }
--- a/lib/opaque.h
+++ b/lib/opaque.h
@@ -35,6 +35,7 @@
 struct mh_line_ends {
 	const char *next; /* first byte not looked at, in the bytes fed */
 	bool after_cr;
+	bool after_lf;
 	bool after_chunk; /* of the last chunk its data have come, in part */
 };
 
--- a/regress/t_wire.c
+++ b/regress/t_wire.c
@@ -458,7 +458,7 @@
 	    false, CLOSE },
 	{ "a field folded",
 	    OK "X: a\r\n Content-Length: 1\r\nContent-Length: 2\r\n\r\nhi",
-	    "hi", false, STAY },
+	    NULL, false, CLOSE },
 	{ "bare line feeds", "HTTP/1.1 200 OK\nContent-Length: 2\n\nhi", "hi",
 	    false, STAY },
 	{ "bytes before it", "x" OK "Content-Length: 2\r\n\r\nhi", NULL, false,
@@ -1183,6 +1183,8 @@
 	    POST CHUNKED "\r\n2\r\nhi\r\n0\r\n\r!" },
 	{ "a head that ends in half a line",
 	    POST "Content-Length: 2\r\n\r!hi" },
+	{ "a folded field", POST "X: a\r\n b\r\nContent-Length: 2\r\n\r\nhi" },
+	{ "a folded length", POST "Content-Length:\r\n 2\r\n\r\nhi" },
 	{ "a head without a body that ends in half a line", POST "\r!" },
 };
 
@@ -1282,6 +1284,28 @@
 	wrig_destroy(r);
 }
 
+static const struct odd folds[] = {
+	{ "a field", OK "X-Stamp: a\r\n b\r\nContent-Length: 2\r\n\r\nhi", NULL,
+	    false, CLOSE },
+	{ "by a tab", OK "X-Stamp: a\r\n\tb\r\nContent-Length: 2\r\n\r\nhi",
+	    NULL, false, CLOSE },
+	{ "an empty one", OK "Content-Length:\r\n 2\r\n\r\nhi", NULL, false,
+	    CLOSE },
+	{ "a trailer", OK CHUNKED "\r\n2\r\nhi\r\n0\r\nX: a\r\n b\r\n\r\n",
+	    NULL, false, CLOSE },
+	{ "a body is none", OK "Content-Length: 4\r\n\r\n a\n ", " a\n ", false,
+	    STAY },
+	{ "a chunk is none", OK CHUNKED "\r\n4\r\n a\n \r\n0\r\n\r\n", " a\n ",
+	    false, STAY },
+};
+
+/* A field that goes on in the next line is joined to another value. */
+static void
+test_folds(void)
+{
+	check_odds(folds, G_N_ELEMENTS(folds));
+}
+
 /* A field that the second Connection field names is passed on. */
 static void
 test_hop_fields(void)
@@ -1303,6 +1327,7 @@
 const struct test tests_wire[] = {
 	{ "wire: space behind a value", test_space_behind },
 	{ "wire: space behind a value asked", test_space_behind_asked },
+	{ "wire: folded fields", test_folds },
 	{ "wire: fields of one connection", test_hop_fields },
 	{ "wire: an answer torn at each byte", test_torn },
 	{ "wire: an answer split at each byte", test_split },
