A space between a name and its colon hides no field of an answer

Cause: the parser lets it pass in answers and leaves it at the name. It obeyed such a Transfer-Encoding, while the check of codings, the echoed id and all that reads a field by its name didn't find it. Ruled out: requests, which are refused for it. Change: spaces behind a name are dropped (RFC 9112, 5.1, asks that of a gateway). Figures: "wire: codings": an answer in gzip, and one with another's id, were whole; now they aren't, and chunks with such a name still are. Conclusion: a field that the parser obeys is one that is read.

--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -176,6 +176,9 @@
 static void
 end_field(struct conn *c)
 {
+	/* The parser lets spaces pass between an answer's name and its colon.
+	 */
+	g_strchomp(c->name->str);
 	if (c->name->len > 0)
 		mh_headers_add(c->headers, c->name->str, c->value->str);
 	g_string_truncate(c->name, 0);
--- a/regress/t_wire.c
+++ b/regress/t_wire.c
@@ -501,6 +501,13 @@
 }
 
 static const struct odd codings[] = {
+	{ "gzip, space behind the name",
+	    OK "Transfer-Encoding : gzip\r\n\r\nhi", NULL, false, CLOSE },
+	{ "chunks, space behind the name",
+	    OK "Transfer-Encoding : chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", "hi",
+	    false, STAY },
+	{ "another's id, space behind the name",
+	    OK "X-Id : z\r\nContent-Length: 3\r\n\r\nyou", NULL, false, CLOSE },
 	{ "gzip, chunked",
 	    OK "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
 	    NULL, false, CLOSE },
