Half of an answer without a frame ends with a reset where the process is killed

Cause: such an answer, to HTTP/1.0, was reset where the server ended the connection. Where the kernel did, as the process was killed or fell, it closed it in order, and the half looked whole to the caller. Ruled out: answers with a length or in chunks, whose end is in their frame. Change: the socket is set to end with a reset when the head is written, and to end in order once the last byte is with the kernel. Figures: "wire: half of an answer, and killed": the connection ended in order before; now with ECONNRESET. Conclusion: an end in order is given by a whole answer alone.

--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -61,7 +61,6 @@
 	int fd;
 	enum conn_state state;
 	bool close_after;
-	bool unframed; /* the answer ends where the connection does */
 	bool shut; /* the caller sends no more; found while sending */
 	int64_t deliver_by_us;
 	struct mh_hreq *req;
@@ -99,35 +98,18 @@
 	g_free(c);
 }
 
-/*
- * Half of an answer without a frame would look whole to the caller if the
- * connection were closed in order.  A reset tells them apart.
- */
 static void
-reset_if_half(struct conn *c)
+set_hard_end(struct conn *c, bool hard)
 {
-	struct linger hard = { 1, 0 };
+	struct linger l = { hard, 0 };
 
-	switch (c->state) {
-	case CONN_READING:
-	case CONN_LINGER:
-		return;
-	case CONN_ANSWERING:
-	case CONN_SENDING:
-		if (!c->unframed)
-			return;
-		break;
-	case CONN_BROKEN:
-		break;
-	}
-	setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+	setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
 }
 
 /* The caller is gone: the gate is told first, as it holds the request. */
 static void
 lose(struct conn *c)
 {
-	reset_if_half(c);
 	if (c->state == CONN_ANSWERING && c->req != NULL) {
 		struct mh_hreq *r = c->req;
 
@@ -210,11 +192,18 @@
     const struct mh_headers *headers, int64_t length)
 {
 	struct conn *c = r->c;
+	bool unframed = !mh_hreq_framed(r, status, length);
 
-	c->unframed = !mh_hreq_framed(r, status, length);
+	/*
+	 * Half of an answer without a frame would look whole to the caller if
+	 * the connection were closed in order, as the kernel does where the
+	 * process dies.  A reset tells them apart.
+	 */
+	if (unframed)
+		set_hard_end(c, true);
 	if (length < 0)
 		set_user_timeout(c->fd, USER_TIMEOUT_MS);
-	if (c->unframed || !r->keep_alive || c->s->draining)
+	if (unframed || !r->keep_alive || c->s->draining)
 		c->close_after = true;
 	mh_hreq_put_head(r, status, headers, length, c->close_after);
 	want_io(c);
@@ -242,6 +231,7 @@
 start_linger(struct conn *c)
 {
 	c->state = CONN_LINGER;
+	set_hard_end(c, false);
 	set_timer(c, LINGER_US);
 	shutdown(c->fd, SHUT_WR);
 	want_io(c);
@@ -312,7 +302,6 @@
 	struct conn *c = arg;
 
 	c->timer = NULL;
-	reset_if_half(c);
 	free_conn(c);
 }
 
@@ -323,6 +312,7 @@
 
 	c->req = NULL;
 	c->state = CONN_BROKEN;
+	set_hard_end(c, true);
 	mh_hreq_destroy(r);
 	mh_timer_stop(c->s->k, &c->timer);
 	c->timer = mh_timer_start(c->s->k, 0, reset, c);
@@ -622,6 +612,7 @@
 	if (c->state != CONN_SENDING || !send_out(c) || c->out->len > 0)
 		return;
 	c->state = CONN_LINGER;
+	set_hard_end(c, false);
 }
 
 static void
@@ -649,7 +640,6 @@
 	for (GList *n = all; n != NULL; n = n->next) {
 		struct conn *c = n->data;
 
-		reset_if_half(c);
 		if (c->state == CONN_LINGER)
 			drop_unread(c);
 		free_conn(c);
--- a/regress/t_wire.c
+++ b/regress/t_wire.c
@@ -9,9 +9,12 @@
 #include "tcp.h"
 
 #include <errno.h>
+#include <poll.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #define LONGEST_US (10 * MH_US_PER_S)
@@ -1240,6 +1243,72 @@
 	}
 }
 
+static void
+serve_half(struct wrig *r, struct mh_hreq *q)
+{
+	(void)r;
+	mh_hreq_head(q, 200, NULL, -1);
+	mh_hreq_write(q, "half", 4);
+}
+
+static G_GNUC_NORETURN void
+run_server(int out)
+{
+	struct wrig *r = server_create(serve_half);
+	uint16_t port = mh_hserve_port(r->s);
+
+	if (write(out, &port, sizeof(port)) == sizeof(port))
+		mh_loop_run(r->loop);
+	_exit(1);
+}
+
+/* Reads until @end has come, or no more comes; returns errno, 0 at the end. */
+static int
+read_until(int fd, GString *got, const char *end)
+{
+	struct pollfd p = { .fd = fd, .events = POLLIN };
+	char buf[4096];
+	ssize_t n;
+
+	while (!g_str_has_suffix(got->str, end)) {
+		if (poll(&p, 1, LONGEST_US / MH_US_PER_MS) != 1)
+			return ETIMEDOUT;
+		n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+		if (n <= 0)
+			return n < 0 ? errno : 0;
+		g_string_append_len(got, buf, n);
+	}
+	return -1;
+}
+
+/* A process is killed, and half of an answer without a frame looks whole. */
+static void
+test_killed(void)
+{
+	static const char text[] = "GET / HTTP/1.0\r\nHost: h\r\n\r\n";
+	GString *got = g_string_new(NULL);
+	uint16_t port = 0;
+	int out[2], fd;
+	pid_t pid;
+
+	CU_ASSERT_EQUAL(pipe(out), 0);
+	fflush(NULL);
+	pid = fork();
+	if (pid == 0)
+		run_server(out[1]);
+	close(out[1]);
+	CU_ASSERT_EQUAL(read(out[0], &port, sizeof(port)), sizeof(port));
+	close(out[0]);
+	fd = tcp_dial(port);
+	CU_ASSERT(send(fd, text, sizeof(text) - 1, MSG_NOSIGNAL) > 0);
+	CU_ASSERT_EQUAL(read_until(fd, got, "half"), -1);
+	kill(pid, SIGKILL);
+	waitpid(pid, NULL, 0);
+	CU_ASSERT_EQUAL(read_until(fd, got, "no such end"), ECONNRESET);
+	close(fd);
+	g_string_free(got, TRUE);
+}
+
 /** struct sent - a request that must be refused. */
 struct sent {
 	const char *name;
@@ -1432,6 +1501,7 @@
 	{ "wire: a request behind a break", test_behind_a_break },
 	{ "wire: half of a long answer", test_halves },
 	{ "wire: a long stream taken in part", test_taken_in_part },
+	{ "wire: half of an answer, and killed", test_killed },
 	{ "wire: a break at once", test_break_inside },
 	{ "wire: requests that are unclear", test_unclear },
 	{ NULL, NULL },
