Lines around chunks end in both carriage return and line feed

Cause: the parser passes a line feed within a chunk's extension. A reader that ends the line there takes other bytes for the chunk's; so do requests differ. Ruled out: the size of a chunk, behind which the parser wants the carriage return. Change: a message in chunks in which a line ended in a line feed alone is malformed. Conclusion: the bytes of a chunk are the same to every reader.

--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -312,12 +312,13 @@
 static int
 on_body(http_parser *p, const char *at, size_t n)
 {
+	bool chunked = (p->flags & F_CHUNKED) != 0;
 	struct conn *c = p->data;
 	struct mh_hcall *h = c->call;
 
-	if (!mh_line_ends_upto(&c->lines, at))
+	if (!mh_line_ends_upto(&c->lines, at, chunked))
 		return -1;
-	mh_line_ends_body(&c->lines, at + n, (p->flags & F_CHUNKED) != 0);
+	mh_line_ends_body(&c->lines, at + n, chunked);
 	if (c->stranger || h == NULL)
 		return 0;
 	h->fns.data(h->arg, at, n);
@@ -401,7 +402,8 @@
 		return;
 	}
 	sound = (HTTP_PARSER_ERRNO(&c->parser) == HPE_OK || c->whole) &&
-	    mh_line_ends_upto(&c->lines, data + n);
+	    mh_line_ends_upto(
+		&c->lines, data + n, (c->parser.flags & F_CHUNKED) != 0);
 	if (c->whole && sound) {
 		/* Bytes behind a complete answer belong to no request. */
 		finish(c, len > 0 && n == len);
--- a/lib/hreq.c
+++ b/lib/hreq.c
@@ -138,11 +138,12 @@
 static int
 on_body(http_parser *p, const char *at, size_t n)
 {
+	bool chunked = (p->flags & F_CHUNKED) != 0;
 	struct mh_hreq *r = p->data;
 
-	if (!mh_line_ends_upto(&r->lines, at))
+	if (!mh_line_ends_upto(&r->lines, at, chunked))
 		return -1;
-	mh_line_ends_body(&r->lines, at + n, (p->flags & F_CHUNKED) != 0);
+	mh_line_ends_body(&r->lines, at + n, chunked);
 	if (r->body->len + n > r->limits->body_bytes) {
 		r->refuse = 413;
 		return -1;
@@ -170,18 +171,21 @@
 mh_hreq_read(struct mh_hreq *r, GByteArray *in)
 {
 	const char *data = (const char *)in->data;
+	bool sound;
 	size_t n;
 
 	mh_line_ends_feed(&r->lines, data);
 	n = http_parser_execute(&r->parser, &callbacks, data, in->len);
+	sound = mh_line_ends_upto(
+	    &r->lines, data + n, (r->parser.flags & F_CHUNKED) != 0);
 	if (HTTP_PARSER_ERRNO(&r->parser) == HPE_PAUSED) {
-		if (!mh_line_ends_upto(&r->lines, data + n))
+		if (!sound)
 			return MH_HREAD_BAD;
 		g_byte_array_remove_range(in, 0, (guint)n);
 		return r->refuse != 0 ? MH_HREAD_BAD : MH_HREAD_WHOLE;
 	}
 	if (HTTP_PARSER_ERRNO(&r->parser) != HPE_OK || r->parser.upgrade ||
-	    !mh_line_ends_upto(&r->lines, data + n))
+	    !sound)
 		return MH_HREAD_BAD;
 	g_byte_array_set_size(in, 0);
 	if (r->method == NULL && r->header_bytes > r->limits->header_bytes) {
--- a/lib/lineends.c
+++ b/lib/lineends.c
@@ -4,7 +4,8 @@
  * http_parser skips the byte behind a carriage return, and both bytes behind
  * a chunk, without a look at them.  A chunk that is longer than its size would
  * pass with its first bytes alone.  It joins a value to the rest of it in the
- * next line, by which readers differ.
+ * next line, by which readers differ.  So they do by a line feed alone, which
+ * it passes in a chunk's extension.
  */
 
 #include "opaque.h"
@@ -15,21 +16,30 @@
 	l->next = data;
 }
 
+static bool
+take_byte(struct mh_line_ends *l, char byte)
+{
+	if (l->after_chunk && byte != '\r')
+		return false;
+	if (l->after_cr && byte != '\n')
+		return false;
+	if (l->after_lf && (byte == ' ' || byte == '\t'))
+		return false;
+	l->bare = l->bare || (byte == '\n' && !l->after_cr);
+	l->after_chunk = false;
+	l->after_cr = byte == '\r';
+	l->after_lf = byte == '\n';
+	return true;
+}
+
 bool
-mh_line_ends_upto(struct mh_line_ends *l, const char *at)
+mh_line_ends_upto(struct mh_line_ends *l, const char *at, bool chunked)
 {
-	for (; l->next < at; l->next++) {
-		if (l->after_chunk && *l->next != '\r')
+	while (l->next < at) {
+		if (!take_byte(l, *l->next++))
 			return false;
-		if (l->after_cr && *l->next != '\n')
-			return false;
-		if (l->after_lf && (*l->next == ' ' || *l->next == '\t'))
-			return false;
-		l->after_chunk = false;
-		l->after_cr = *l->next == '\r';
-		l->after_lf = *l->next == '\n';
 	}
-	return true;
+	return !chunked || !l->bare;
 }
 
 void
--- a/lib/opaque.h
+++ b/lib/opaque.h
@@ -36,14 +36,17 @@
 	const char *next; /* first byte not looked at, in the bytes fed */
 	bool after_cr;
 	bool after_lf;
+	bool bare; /* a line has ended in a line feed alone */
 	bool after_chunk; /* of the last chunk its data have come, in part */
 };
 
 /** mh_line_ends_feed() - @data are the next bytes of the message. */
 void mh_line_ends_feed(struct mh_line_ends *l, const char *data);
-/** mh_line_ends_upto() - whether the lines in the bytes before @at are sound.
+/**
+ * mh_line_ends_upto() - whether the lines in the bytes before @at are sound.
+ * @chunked: the message's body comes in chunks; all its lines end in both
  */
-bool mh_line_ends_upto(struct mh_line_ends *l, const char *at);
+bool mh_line_ends_upto(struct mh_line_ends *l, const char *at, bool chunked);
 /** mh_line_ends_body() - the bytes before @end are of the body. */
 void mh_line_ends_body(struct mh_line_ends *l, const char *end, bool chunked);
 
--- a/regress/t_wire.c
+++ b/regress/t_wire.c
@@ -552,6 +552,14 @@
 	    OK CHUNKED "\r\n2\r\nhi\r!0\r\n\r\n", NULL, false, CLOSE },
 	{ "a size that ends in half a line",
 	    OK CHUNKED "\r\n2\r!hi\r\n0\r\n\r\n", NULL, false, CLOSE },
+	{ "a line feed in an extension",
+	    OK CHUNKED "\r\n2;\nx\r\nhi\r\n0\r\n\r\n", NULL, false, CLOSE },
+	{ "chunks behind bare line feeds",
+	    "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n"
+	    "2\r\nhi\r\n0\r\n\r\n",
+	    NULL, false, CLOSE },
+	{ "a trailer with a bare line feed",
+	    OK CHUNKED "\r\n2\r\nhi\r\n0\r\nX: y\n\r\n", NULL, false, CLOSE },
 	{ "the last chunk ends in half a line",
 	    OK CHUNKED "\r\n2\r\nhi\r\n0\r!\r\n", NULL, false, CLOSE },
 	{ "trailers that end in half a line",
@@ -1334,6 +1342,8 @@
 	{ "a head that ends in half a line",
 	    POST "Content-Length: 2\r\n\r!hi" },
 	{ "a folded field", POST "X: a\r\n b\r\nContent-Length: 2\r\n\r\nhi" },
+	{ "a line feed in an extension",
+	    POST CHUNKED "\r\n2;\nx\r\nhi\r\n0\r\n\r\n" },
 	{ "a folded length", POST "Content-Length:\r\n 2\r\n\r\nhi" },
 	{ "a head without a body that ends in half a line", POST "\r!" },
 };
