--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -182,6 +182,9 @@
 static void
 end_field(struct conn *c)
 {
+	/* The parser lets spaces pass between an answer's name and its colon.
+	 */
+	g_strchomp(c->name->str);
 	if (c->name->len > 0)
 		mh_headers_add(c->headers, c->name->str, c->value->str);
 	g_string_truncate(c->name, 0);
@@ -261,6 +264,14 @@
 	return status < 200 || status == 204 || status == 304;
 }
 
+/* What the parser takes and is no answer of HTTP/1 that we can pass on. */
+static bool
+is_http1(const http_parser *p)
+{
+	return p->http_major == 1 && !p->upgrade && p->status_code >= 100 &&
+	    (!(p->flags & F_CONTENTLENGTH) || p->content_length <= INT64_MAX);
+}
+
 static int
 on_headers(http_parser *p)
 {
@@ -271,7 +282,7 @@
 
 	end_field(c);
 	c->headed = true;
-	if (p->http_major != 1 || p->upgrade || p->status_code < 100)
+	if (!is_http1(p))
 		return -1;
 	/* Nobody undoes another coding, whose bytes would pass as the body. */
 	if (!mh_headers_coding_ok(c->headers))
@@ -307,12 +318,13 @@
 static int
 on_body(http_parser *p, const char *at, size_t n)
 {
+	bool chunked = (p->flags & F_CHUNKED) != 0;
 	struct conn *c = p->data;
 	struct mh_hcall *h = c->call;
 
-	if (!mh_line_ends_upto(&c->lines, at))
+	if (!mh_line_ends_upto(&c->lines, at, chunked))
 		return -1;
-	mh_line_ends_body(&c->lines, at + n, (p->flags & F_CHUNKED) != 0);
+	mh_line_ends_body(&c->lines, at + n, chunked);
 	if (c->stranger || h == NULL)
 		return 0;
 	h->fns.data(h->arg, at, n);
@@ -396,7 +408,8 @@
 		return;
 	}
 	sound = (HTTP_PARSER_ERRNO(&c->parser) == HPE_OK || c->whole) &&
-	    mh_line_ends_upto(&c->lines, data + n);
+	    mh_line_ends_upto(
+		&c->lines, data + n, (c->parser.flags & F_CHUNKED) != 0);
 	if (c->whole && sound) {
 		/* Bytes behind a complete answer belong to no request. */
 		finish(c, len > 0 && n == len);
--- a/regress/t_wire.c
+++ b/regress/t_wire.c
@@ -9,9 +9,12 @@
 #include "tcp.h"
 
 #include <errno.h>
+#include <poll.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #define LONGEST_US (10 * MH_US_PER_S)
@@ -454,11 +457,13 @@
 	{ "below zero", OK "Content-Length: -2\r\n\r\nhi", NULL, false, CLOSE },
 	{ "over 64 bits", OK "Content-Length: 18446744073709551618\r\n\r\nhi",
 	    NULL, false, CLOSE },
+	{ "over 63 bits", OK "Content-Length: 9223372036854775808\r\n\r\n",
+	    NULL, true, CLOSE },
 	{ "a length folded", OK "Content-Length: 2\r\n 0\r\n\r\nhi", NULL,
 	    false, CLOSE },
 	{ "a field folded",
 	    OK "X: a\r\n Content-Length: 1\r\nContent-Length: 2\r\n\r\nhi",
-	    "hi", false, STAY },
+	    NULL, false, CLOSE },
 	{ "bare line feeds", "HTTP/1.1 200 OK\nContent-Length: 2\n\nhi", "hi",
 	    false, STAY },
 	{ "bytes before it", "x" OK "Content-Length: 2\r\n\r\nhi", NULL, false,
@@ -501,6 +506,13 @@
 }
 
 static const struct odd codings[] = {
+	{ "gzip, space behind the name",
+	    OK "Transfer-Encoding : gzip\r\n\r\nhi", NULL, false, CLOSE },
+	{ "chunks, space behind the name",
+	    OK "Transfer-Encoding : chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n", "hi",
+	    false, STAY },
+	{ "another's id, space behind the name",
+	    OK "X-Id : z\r\nContent-Length: 3\r\n\r\nyou", NULL, false, CLOSE },
 	{ "gzip, chunked",
 	    OK "Transfer-Encoding: gzip, chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
 	    NULL, false, CLOSE },
@@ -540,6 +552,14 @@
 	    OK CHUNKED "\r\n2\r\nhi\r!0\r\n\r\n", NULL, false, CLOSE },
 	{ "a size that ends in half a line",
 	    OK CHUNKED "\r\n2\r!hi\r\n0\r\n\r\n", NULL, false, CLOSE },
+	{ "a line feed in an extension",
+	    OK CHUNKED "\r\n2;\nx\r\nhi\r\n0\r\n\r\n", NULL, false, CLOSE },
+	{ "chunks behind bare line feeds",
+	    "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\n\n"
+	    "2\r\nhi\r\n0\r\n\r\n",
+	    NULL, false, CLOSE },
+	{ "a trailer with a bare line feed",
+	    OK CHUNKED "\r\n2\r\nhi\r\n0\r\nX: y\n\r\n", NULL, false, CLOSE },
 	{ "the last chunk ends in half a line",
 	    OK CHUNKED "\r\n2\r\nhi\r\n0\r!\r\n", NULL, false, CLOSE },
 	{ "trailers that end in half a line",
@@ -1157,6 +1177,78 @@
 	}
 }
 
+/* Bytes of the n-th part of a long stream; each byte tells its place. */
+static char *
+part_of(uint32_t n)
+{
+	GString *g = g_string_new(NULL);
+
+	while (g->len < 1 + n * 7919 % 3000)
+		g_string_append_printf(g, "%u.%zu\r\n", n, g->len);
+	return g_string_free(g, FALSE);
+}
+
+#define PARTS 4000
+
+static void
+serve_long(struct wrig *r, struct mh_hreq *q)
+{
+	(void)r;
+	mh_hreq_head(q, 200, NULL, -1);
+	for (uint32_t n = 0; n < PARTS; n++) {
+		char *part = part_of(n);
+
+		mh_hreq_write(q, part, strlen(part));
+		g_free(part);
+	}
+	mh_hreq_end(q);
+}
+
+static GString *
+long_answer(bool chunked)
+{
+	GString *g =
+	    g_string_new(chunked ? OK CHUNKED "Connection: close\r\n\r\n"
+				 : OK "Connection: close\r\n\r\n");
+
+	for (uint32_t n = 0; n < PARTS; n++) {
+		char *part = part_of(n);
+
+		if (chunked)
+			g_string_append_printf(
+			    g, "%zx\r\n%s\r\n", strlen(part), part);
+		else
+			g_string_append(g, part);
+		g_free(part);
+	}
+	if (chunked)
+		g_string_append(g, "0\r\n\r\n");
+	return g;
+}
+
+/* Bytes are lost or doubled where the kernel takes a part of them. */
+static void
+test_taken_in_part(void)
+{
+	for (int i = 0; i < 2; i++) {
+		struct wrig *r = server_create(serve_long);
+		GString *due = long_answer(i == 1);
+
+		/* Else the kernel takes it all at once. */
+		CU_ASSERT(due->len > (5U << 20));
+		raw(r,
+		    i == 1 ? "GET / HTTP/1.1\r\nHost: h\r\n"
+			     "Connection: close\r\n\r\n"
+			   : "GET / HTTP/1.0\r\nHost: h\r\n\r\n",
+		    100 * MH_US_PER_MS);
+		run(r);
+		CU_ASSERT_EQUAL(r->raw_errno, 0);
+		CU_ASSERT_TRUE(g_string_equal(r->got, due));
+		g_string_free(due, TRUE);
+		wrig_destroy(r);
+	}
+}
+
 static void
 serve_and_break(struct wrig *r, struct mh_hreq *q)
 {
@@ -1187,6 +1279,72 @@
 	}
 }
 
+static void
+serve_half(struct wrig *r, struct mh_hreq *q)
+{
+	(void)r;
+	mh_hreq_head(q, 200, NULL, -1);
+	mh_hreq_write(q, "half", 4);
+}
+
+static G_GNUC_NORETURN void
+run_server(int out)
+{
+	struct wrig *r = server_create(serve_half);
+	uint16_t port = mh_hserve_port(r->s);
+
+	if (write(out, &port, sizeof(port)) == sizeof(port))
+		mh_loop_run(r->loop);
+	_exit(1);
+}
+
+/* Reads until @end has come, or no more comes; returns errno, 0 at the end. */
+static int
+read_until(int fd, GString *got, const char *end)
+{
+	struct pollfd p = { .fd = fd, .events = POLLIN };
+	char buf[4096];
+	ssize_t n;
+
+	while (!g_str_has_suffix(got->str, end)) {
+		if (poll(&p, 1, LONGEST_US / MH_US_PER_MS) != 1)
+			return ETIMEDOUT;
+		n = recv(fd, buf, sizeof(buf), MSG_DONTWAIT);
+		if (n <= 0)
+			return n < 0 ? errno : 0;
+		g_string_append_len(got, buf, n);
+	}
+	return -1;
+}
+
+/* A process is killed, and half of an answer without a frame looks whole. */
+static void
+test_killed(void)
+{
+	static const char text[] = "GET / HTTP/1.0\r\nHost: h\r\n\r\n";
+	GString *got = g_string_new(NULL);
+	uint16_t port = 0;
+	int out[2], fd;
+	pid_t pid;
+
+	CU_ASSERT_EQUAL(pipe(out), 0);
+	fflush(NULL);
+	pid = fork();
+	if (pid == 0)
+		run_server(out[1]);
+	close(out[1]);
+	CU_ASSERT_EQUAL(read(out[0], &port, sizeof(port)), sizeof(port));
+	close(out[0]);
+	fd = tcp_dial(port);
+	CU_ASSERT(send(fd, text, sizeof(text) - 1, MSG_NOSIGNAL) > 0);
+	CU_ASSERT_EQUAL(read_until(fd, got, "half"), -1);
+	kill(pid, SIGKILL);
+	waitpid(pid, NULL, 0);
+	CU_ASSERT_EQUAL(read_until(fd, got, "no such end"), ECONNRESET);
+	close(fd);
+	g_string_free(got, TRUE);
+}
+
 /** struct sent - a request that must be refused. */
 struct sent {
 	const char *name;
@@ -1211,6 +1369,10 @@
 	    POST CHUNKED "\r\n2\r\nhi\r\n0\r\n\r!" },
 	{ "a head that ends in half a line",
 	    POST "Content-Length: 2\r\n\r!hi" },
+	{ "a folded field", POST "X: a\r\n b\r\nContent-Length: 2\r\n\r\nhi" },
+	{ "a line feed in an extension",
+	    POST CHUNKED "\r\n2;\nx\r\nhi\r\n0\r\n\r\n" },
+	{ "a folded length", POST "Content-Length:\r\n 2\r\n\r\nhi" },
 	{ "a head without a body that ends in half a line", POST "\r!" },
 };
 
@@ -1270,6 +1432,68 @@
 	wrig_destroy(r);
 }
 
+/* White space behind a value makes it another one. */
+static void
+test_space_behind(void)
+{
+	struct wrig *r = peer_create();
+
+	g_string_assign(r->script,
+	    OK "X-Id: \t a \t\r\nX-Stamp: b c \r\nContent-Length: 2 \r\n"
+	       "\r\nhi");
+	CU_ASSERT_TRUE(call_is_whole(r, false, true, QUIET_US));
+	CU_ASSERT_EQUAL(g_strcmp0(r->stamp, "b c"), 0);
+	wrig_destroy(r);
+}
+
+static void
+serve_value(struct wrig *r, struct mh_hreq *q)
+{
+	const char *v = mh_headers_get(mh_hreq_headers(q), "X-Id");
+
+	(void)r;
+	mh_hreq_head(q, 200, NULL, (int64_t)strlen(v));
+	mh_hreq_write(q, v, strlen(v));
+	mh_hreq_end(q);
+}
+
+/* The same in a request. */
+static void
+test_space_behind_asked(void)
+{
+	struct wrig *r = server_create(serve_value);
+
+	raw(r,
+	    "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
+	    "X-Id: \ta b \t\r\n\r\n",
+	    0);
+	run(r);
+	CU_ASSERT_TRUE(g_str_has_suffix(r->got->str, "\r\n\r\na b"));
+	wrig_destroy(r);
+}
+
+static const struct odd folds[] = {
+	{ "a field", OK "X-Stamp: a\r\n b\r\nContent-Length: 2\r\n\r\nhi", NULL,
+	    false, CLOSE },
+	{ "by a tab", OK "X-Stamp: a\r\n\tb\r\nContent-Length: 2\r\n\r\nhi",
+	    NULL, false, CLOSE },
+	{ "an empty one", OK "Content-Length:\r\n 2\r\n\r\nhi", NULL, false,
+	    CLOSE },
+	{ "a trailer", OK CHUNKED "\r\n2\r\nhi\r\n0\r\nX: a\r\n b\r\n\r\n",
+	    NULL, false, CLOSE },
+	{ "a body is none", OK "Content-Length: 4\r\n\r\n a\n ", " a\n ", false,
+	    STAY },
+	{ "a chunk is none", OK CHUNKED "\r\n4\r\n a\n \r\n0\r\n\r\n", " a\n ",
+	    false, STAY },
+};
+
+/* A field that goes on in the next line is joined to another value. */
+static void
+test_folds(void)
+{
+	check_odds(folds, G_N_ELEMENTS(folds));
+}
+
 /* A field that the second Connection field names is passed on. */
 static void
 test_hop_fields(void)
@@ -1289,6 +1513,9 @@
 }
 
 const struct test tests_wire[] = {
+	{ "wire: space behind a value", test_space_behind },
+	{ "wire: space behind a value asked", test_space_behind_asked },
+	{ "wire: folded fields", test_folds },
 	{ "wire: fields of one connection", test_hop_fields },
 	{ "wire: an answer torn at each byte", test_torn },
 	{ "wire: an answer split at each byte", test_split },
@@ -1312,6 +1539,8 @@
 	{ "wire: requests behind a stream", test_behind_a_stream },
 	{ "wire: a request behind a break", test_behind_a_break },
 	{ "wire: half of a long answer", test_halves },
+	{ "wire: a long stream taken in part", test_taken_in_part },
+	{ "wire: half of an answer, and killed", test_killed },
 	{ "wire: a break at once", test_break_inside },
 	{ "wire: requests that are unclear", test_unclear },
 	{ NULL, NULL },
