An engine's answer that comes once more is not the next call's

A caller could get another caller's text as a whole answer of its own. Cause: a connection to an engine was kept, and an answer that came a second time, after the next call had been sent on it, was taken for that call's: HTTP has nothing to tell them apart and engines echo no id. Class: state of one try that outlives it. Ruled out: bytes on an idle connection, which the library notices. Change: each call to an endpoint has a connection of its own, as calls that may run once had; the flag that told these apart goes. Figures: "stream_sent_once_more" gets "a" for "b" before, passes after.

--- a/lib/endpoint.c
+++ b/lib/endpoint.c
@@ -183,12 +183,16 @@
 	char *key = g_strconcat("Idempotency-Key: ", q->key, NULL);
 	char *org = g_strconcat("X-Organisation: ", q->org, NULL);
 	const char *headers[4] = { "Content-Type: application/json" };
+	/*
+	 * An answer that an engine gives once more would be taken for the
+	 * next one on its connection.
+	 */
 	struct mh_http_call call = { .method = "POST",
 		.url = url,
 		.body = q->body,
 		.headers = headers,
 		.timeout_us = q->timeout_us,
-		.once = q->once };
+		.once = true };
 	int n = 1;
 
 	if (q->key != NULL && *q->key != '\0')
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -128,7 +128,6 @@
 	char *org;
 	uint32_t priority;
 	bool stream;
-	bool once; /* a non-repeatable call */
 	int64_t timeout_us;
 	GBytes *body;
 	/* below: from the endpoint */
--- a/lib/sidecall.c
+++ b/lib/sidecall.c
@@ -229,7 +229,6 @@
 	m->u.run.org = g_strdup(c->org);
 	m->u.run.priority = c->item.priority;
 	m->u.run.stream = c->stream;
-	m->u.run.once = c->never;
 	m->u.run.timeout_us =
 	    MAX(c->item.deadline_us - mh_now(s->k), RUN_MIN_US);
 	m->u.run.body = g_bytes_ref(c->body);
--- a/regress/t_adapter.c
+++ b/regress/t_adapter.c
@@ -6,6 +6,7 @@
 
 #include "net.h"
 #include "regress.h"
+#include "tcp.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -394,6 +395,105 @@
 	g_free(text);
 }
 
+#define STREAM(t)                                                \
+	"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n" \
+	"Content-Length: 48\r\n\r\n" PIECE(t) DONE
+
+/** struct engine - says its last answer again where one follows. */
+struct engine {
+	struct rig *g;
+	int listen_fd;
+	int fd; /* -1: none */
+	uint32_t asked;
+	uint32_t asked_here; /* on this connection */
+};
+
+static void
+close_engine(struct engine *e)
+{
+	if (e->fd < 0)
+		return;
+	mh_loop_fd_close(e->g->loop, e->fd);
+	close(e->fd);
+	e->fd = -1;
+}
+
+static void
+on_engine(void *arg, bool readable, bool writable)
+{
+	struct engine *e = arg;
+	const char *own;
+	GString *out;
+	char buf[4096];
+
+	(void)readable;
+	(void)writable;
+	if (recv(e->fd, buf, sizeof(buf), MSG_DONTWAIT) <= 0) {
+		close_engine(e);
+		return;
+	}
+	own = e->asked++ == 0 ? STREAM("a") : STREAM("b");
+	out = g_string_new(e->asked_here++ == 0 ? "" : STREAM("a"));
+	g_string_append(out, own);
+	CU_ASSERT_EQUAL(
+	    send(e->fd, out->str, out->len, MSG_NOSIGNAL), (ssize_t)out->len);
+	g_string_free(out, TRUE);
+}
+
+static void
+on_engine_accept(void *arg, bool readable, bool writable)
+{
+	struct engine *e = arg;
+
+	(void)readable;
+	(void)writable;
+	close_engine(e);
+	e->fd = accept(e->listen_fd, NULL, NULL);
+	e->asked_here = 0;
+	mh_loop_fd(e->g->loop, e->fd, true, false, on_engine, e);
+}
+
+static void
+run_stream_once(struct rig *g, uint64_t run)
+{
+	struct mh_msg *m = mh_msg_new(MH_MSG_RUN);
+
+	g_string_truncate(g->body, 0);
+	m->u.run.run = run;
+	m->u.run.path = g_strdup("/v1/x");
+	m->u.run.stream = true;
+	m->u.run.timeout_us = MH_US_PER_S;
+	m->u.run.body = bytes("{}");
+	mh_post(g->k, "endpoint", m);
+	mh_loop_run(g->loop);
+}
+
+/* Guards against a stream that an engine sends once more, for the next one. */
+static void
+test_stream_sent_once_more(void)
+{
+	struct engine e = { .fd = -1 };
+	char addr[32], url[64];
+	struct rig g;
+
+	CU_ASSERT_EQUAL(strlen(PIECE("a") DONE), 48);
+	rig_open(&g);
+	e.g = &g;
+	e.listen_fd = tcp_listen(addr);
+	mh_loop_fd(g.loop, e.listen_fd, true, false, on_engine_accept, &e);
+	snprintf(url, sizeof(url), "http://%s", addr);
+	mh_kern_add(g.k, "side", &g, take, NULL);
+	mh_endpoint_create(g.k, g.client, url);
+	run_stream_once(&g, 1);
+	CU_ASSERT_STRING_EQUAL(g.body->str, "a");
+	run_stream_once(&g, 2);
+	CU_ASSERT_STRING_EQUAL(g.body->str, "b");
+	close_engine(&e);
+	mh_loop_fd_close(g.loop, e.listen_fd);
+	close(e.listen_fd);
+	rig_close(&g);
+}
+
 static void
 test_endpoint_not_there(void)
 {
@@ -820,6 +920,7 @@
 	{ "stream_after_its_end", test_stream_after_its_end },
 	{ "stream_torn_at_any_byte", test_stream_torn_at_any_byte },
 	{ "stream_without_an_end", test_stream_without_an_end },
+	{ "stream_sent_once_more", test_stream_sent_once_more },
 	{ "endpoint_not_there", test_endpoint_not_there },
 	{ "http_library_never_resends", test_http_library_never_resends },
 	{ "kv_contract", test_kv_contract },
