Test: a stream that is not whole says so at its end

Cause: none found. Ruled out: a caller's stream whose last event is a piece, in the random play of troubles, the deadline in the middle among them. Change: the test asks for it.

--- a/regress/t_entry.c
+++ b/regress/t_entry.c
@@ -333,6 +333,9 @@
 		json_decref(j);
 	} else {
 		CU_ASSERT(*text == '\0' || tokens_in_order(text) > 0);
+		/* It says that it is not whole, as an event or a status. */
+		CU_ASSERT(g_str_has_prefix(end, "event: problem\ndata: ") ||
+		    net_answer(w->n, id)->status >= 400);
 	}
 	g_free(text);
 	return done;
