An endpoint that answers at too great length has not ended

Callers of a request were refused as if endpoints ended under it, after three answers longer than an entry collects, where nothing else was asked of these endpoints meanwhile. Cause: the entry ends the connection at the bound, and told the gate that its endpoint broke the call. Ruled out: an answer that its endpoint breaks off, which stays evidence. The test of that shares its steps; what it asserts is unchanged.

--- a/regress/t_front.c
+++ b/regress/t_front.c
@@ -474,10 +474,9 @@
 	frig_destroy(r);
 }
 
-/* Endpoints that send what can't be read are taken for ended under a request.
- */
+/* Three endpoints answer a request with @answer, which is not passed on. */
 static void
-test_unreadable_holds_nothing(void)
+check_holds_nothing(const char *answer)
 {
 	static const char text[] = "POST /confirm/3 HTTP/1.1\r\n" CALLER
 				   "Content-Length: 3\r\n\r\nabc";
@@ -488,7 +487,7 @@
 	mh_poison_create(r->k, &alone);
 	for (int i = 0; i < 3; i++) {
 		list_endpoints(r, ids[i], ids[i]);
-		r->script[0] = "what\r\n\r\n";
+		r->script[0] = answer;
 		converse(r, text);
 		CU_ASSERT_TRUE(
 		    g_str_has_prefix(r->answer->str, "HTTP/1.1 502 "));
@@ -501,6 +500,14 @@
 	frig_destroy(r);
 }
 
+/* Endpoints that send what can't be read are taken for ended under a request.
+ */
+static void
+test_unreadable_holds_nothing(void)
+{
+	check_holds_nothing("what\r\n\r\n");
+}
+
 static void
 test_stream(void)
 {
@@ -981,6 +988,16 @@
 	}
 }
 
+/* Endpoints that answer at too great length are taken for ended. */
+static void
+test_over_the_bound_holds_nothing(void)
+{
+	char *text = long_answer(BY_LENGTH, LONGEST_ANSWER + 1);
+
+	check_holds_nothing(text);
+	g_free(text);
+}
+
 /* An answer of just the bound is passed on whole. */
 static void
 test_answer_of_the_bound(void)
@@ -1021,6 +1038,8 @@
 	{ "front: events before a break", test_events_before_a_break },
 	{ "front: HEAD of unknown length", test_head_of_unknown_length },
 	{ "front: an answer over the bound", test_answer_over_the_bound },
+	{ "front: answers over the bound hold nothing",
+	    test_over_the_bound_holds_nothing },
 	{ "front: an answer of just the bound", test_answer_of_the_bound },
 	{ NULL, NULL },
 };
