The gate's log lines and its streams are files of their own

Ruled out: nothing else is changed. Change: gatelog.c has the lines of a request's end, gatestream.c what the gate knows of a stream's runs. Conclusion: none.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -67,25 +67,6 @@
 	g_free(q);
 }
 
-/* where its stream stands, for log lines */
-
-static const char *
-stream_after(const struct mh_gask *q)
-{
-	const char *id =
-	    q->cursor == NULL ? NULL : mh_cursor_last_id(q->cursor);
-
-	return id == NULL ? "-" : id;
-}
-
-static size_t
-stream_held(const struct mh_gask *q)
-{
-	return q->cur == NULL || q->cur->events == NULL
-	    ? 0
-	    : mh_sse_held(q->cur->events);
-}
-
 /* tries */
 
 static void
@@ -145,42 +126,6 @@
 	g_hash_table_remove(g->asks, q);
 }
 
-const char *
-mh_gate_refusal_name(enum mh_gate_refusal why)
-{
-	static const char *const names[] = { [MH_NOT_READY] = "not_ready",
-		[MH_NO_ROUTE] = "no_route",
-		[MH_BAD_KEY] = "bad_key",
-		[MH_BAD_REQUEST] = "bad_request",
-		[MH_TOO_BUSY] = "too_busy",
-		[MH_NO_ENDPOINT] = "no_endpoint",
-		[MH_NOT_IN_TIME] = "not_in_time",
-		[MH_HELD] = "held",
-		[MH_RUN_HELD] = "run_held",
-		[MH_RUN_FAILED] = "run_failed",
-		[MH_RUN_TIMEOUT] = "run_timeout" };
-
-	return names[why];
-}
-
-void
-mh_gate_log_end(struct mh_gate *g, const struct mh_gask *q, const char *outcome,
-    int64_t retry_us)
-{
-	int64_t now = mh_now(g->k);
-
-	mh_event(g->k, "end",
-	    "id=%s route=%s outcome=%s org=%s config=%" PRIu64
-	    " took_ms=%" PRId64 " aim_ms=%" PRId64 " left_ms=%" PRId64
-	    " tries=%u runs=%u returned=%d node=%s retry_ms=%" PRId64,
-	    q->id, q->route != NULL ? q->route->name : "-", outcome,
-	    q->org != NULL ? q->org->name : "-",
-	    q->conf != NULL ? q->conf->version : 0, mh_ms(now - q->arrived_us),
-	    mh_ms(q->aim_us - now), mh_ms(q->until_us - now), q->n_tried,
-	    q->runs, q->returned,
-	    q->n_tried > 0 ? q->tried[q->n_tried - 1] : "-", mh_ms(retry_us));
-}
-
 void
 mh_gate_refuse(struct mh_gate *g, struct mh_gask *q, enum mh_gate_refusal why,
     int64_t retry_us)
@@ -221,25 +166,12 @@
 	return q->route->repeat != MH_REPEAT_NEVER && runs < q->route->attempts;
 }
 
-/*
- * What has reached the caller can be gone on with by a route that resumes
- * alone, and only where another run can be told the last event: it would begin
- * anew and double what was passed on.
- */
-static bool
-can_go_on(const struct mh_gask *q)
-{
-	return !q->passed_head ||
-	    (q->route->repeat == MH_REPEAT_RESUME &&
-		!mh_cursor_lost(q->cursor));
-}
-
 /* Whether it goes to another endpoint now; takes that from the budget. */
 static bool
 take_repeat(struct mh_gate *g, const struct mh_gask *q)
 {
-	return may_repeat(q) && q->n_tried < TRIES_MAX && can_go_on(q) &&
-	    mh_budget_take(g->budget, q->pool);
+	return may_repeat(q) && q->n_tried < TRIES_MAX &&
+	    mh_gate_can_go_on(q) && mh_budget_take(g->budget, q->pool);
 }
 
 /* Goes to another endpoint if that is allowed; else ends. */
@@ -270,7 +202,7 @@
 	mh_event(g->k, "silent",
 	    "id=%s node=%s waited_ms=%" PRId64 " after=%s held=%zu", q->id,
 	    q->cur->node, mh_ms(mh_now(g->k) - q->cur->sent_us),
-	    stream_after(q), stream_held(q));
+	    mh_gate_stream_after(q), mh_gate_stream_held(q));
 	mh_count(g->k, "repeats_silent", 1);
 	count_run(q, q->cur);
 	leave_try(g, q, true);
@@ -444,7 +376,7 @@
 	    q->id, q->route->name, n->id, q->pool, q->n_tried, n->inflight,
 	    n->running, n->waiting,
 	    n->told_us > 0 ? mh_ms(mh_now(g->k) - n->told_us) : -1, n->fail,
-	    a.at_home, mh_ms(t->left_us), stream_after(q));
+	    a.at_home, mh_ms(t->left_us), mh_gate_stream_after(q));
 	mh_timer_stop(g->k, &q->patience);
 	if (may_repeat(q))
 		set_patience(g, q, patience_us(q));
@@ -475,26 +407,6 @@
 	mh_gate_try_next(g, q);
 }
 
-static void
-read_events(struct mh_gate *g, struct mh_try *t)
-{
-	const struct mh_node *n = mh_fleet_find(g->f, t->node);
-
-	t->events =
-	    mh_sse_create(t->ask->cursor, n == NULL ? MH_IDS_UNKNOWN : n->ids);
-}
-
-/* How the endpoint numbers events, from the streams that begin there. */
-static void
-note_ids(struct mh_node *n, const struct mh_try *t)
-{
-	enum mh_ids ids =
-	    t->events == NULL ? MH_IDS_UNKNOWN : mh_sse_ids(t->events);
-
-	if (n != NULL && ids != MH_IDS_UNKNOWN && n->ids != MH_IDS_COUNT)
-		n->ids = ids;
-}
-
 /*
  * Events may come where the route is no stream; they need their reader, or
  * the adapter has none to give them to.  The reader ends with its try, however
@@ -508,7 +420,7 @@
 		q->cursor = mh_cursor_create(NULL, false);
 	q->passed_head = a->events;
 	if (a->events)
-		read_events(g, q->cur);
+		mh_gate_read_events(g, q->cur);
 	return MH_PASS;
 }
 
@@ -572,7 +484,7 @@
 	q->last_data_us = mh_now(g->k);
 	if (!q->passed_head)
 		return pass_head(g, q, a);
-	read_events(g, t);
+	mh_gate_read_events(g, t);
 	return MH_PASS_ON;
 }
 
@@ -595,7 +507,7 @@
 
 	q->last_data_us = mh_now(g->k);
 	heard_of(g, t, n);
-	note_ids(n, t);
+	mh_gate_note_ids(n, t);
 	meter_answer(g, q);
 	if (q->state != MH_ASK_ANSWERING) {
 		q->state = MH_ASK_ANSWERING;
@@ -643,7 +555,7 @@
 	    q->id, t->node, end != MH_CALL_UNSENT,
 	    mh_ms(mh_now(g->k) - t->sent_us),
 	    t->head_us == 0 ? -1 : mh_ms(mh_now(g->k) - t->head_us), q->print,
-	    stream_after(q), stream_held(q));
+	    mh_gate_stream_after(q), mh_gate_stream_held(q));
 	/*
 	 * Only what could not be reached is told to others.  Answers that are
 	 * lost on the way come from sound endpoints as well, and half of a
@@ -673,7 +585,8 @@
 	struct mh_node *n = mh_fleet_find(g->f, t->node);
 
 	mh_event(g->k, "spoiled", "id=%s node=%s why=%s after=%s held=%zu",
-	    q->id, t->node, why, stream_after(q), stream_held(q));
+	    q->id, t->node, why, mh_gate_stream_after(q),
+	    mh_gate_stream_held(q));
 	mh_count(g->k, "answers_spoiled", 1);
 	if (n != NULL)
 		mh_node_bad(g->f, n, why);
@@ -703,39 +616,6 @@
 	return g;
 }
 
-static const char *
-state_name(enum mh_gstate state)
-{
-	static const char *const names[] = { [MH_ASK_STAGES] = "stages",
-		[MH_ASK_TRYING] = "sent",
-		[MH_ASK_ANSWERING] = "answering",
-		[MH_ASK_ENDED] = "ended" };
-
-	return names[state];
-}
-
-/* A caller whose request this is gets no answer: how far had it come? */
-static void
-log_cut(struct mh_gate *g, const struct mh_gask *q)
-{
-	uint32_t made = 0, stages = 0;
-
-	for (uint32_t s = 0; q->job != NULL && s < q->job->n_stages; s++) {
-		const struct mh_jstage *st = &q->job->stages[s];
-
-		stages += st->pieces > 0;
-		made += st->pieces > 0 && mh_job_stage_made(st);
-	}
-	mh_count(g->k, "cut", 1);
-	mh_event(g->k, "cut",
-	    "id=%s state=%s stages_made=%u/%u waited_ms=%" PRId64
-	    " left_ms=%" PRId64 " tries=%u runs=%u node=%s",
-	    q->id, state_name(q->state), made, stages,
-	    mh_ms(mh_now(g->k) - q->arrived_us),
-	    mh_ms(q->until_us - mh_now(g->k)), q->n_tried, q->runs,
-	    q->n_tried > 0 ? q->tried[q->n_tried - 1] : "-");
-}
-
 void
 mh_gate_destroy(struct mh_gate *g)
 {
@@ -745,7 +625,7 @@
 		return;
 	all = g_hash_table_get_keys(g->asks);
 	for (GList *l = all; l != NULL; l = l->next) {
-		log_cut(g, l->data);
+		mh_gate_log_cut(g, l->data);
 		mh_gate_close(g, l->data, true);
 	}
 	g_list_free(all);
--- a/lib/gateint.h
+++ b/lib/gateint.h
@@ -1,7 +1,7 @@
 #ifndef GATEINT_H
 #define GATEINT_H
 
-/* Shared by gate.c, gatejob.c, gatelimit.c and gatetake.c alone. */
+/* Shared by the files of the gate, gate*.c, alone. */
 
 #include "gate.h"
 
@@ -54,6 +54,18 @@
  * it can still be answered here.
  */
 int64_t mh_gate_limit_us(const struct mh_gate *g, const struct mh_gask *q);
+/** mh_gate_log_cut() - the line of one that the end of this process cuts. */
+void mh_gate_log_cut(struct mh_gate *g, const struct mh_gask *q);
+/** mh_gate_stream_after() - the last event passed on, for log lines. */
+const char *mh_gate_stream_after(const struct mh_gask *q);
+/** mh_gate_stream_held() - bytes of an event that is not whole, likewise. */
+size_t mh_gate_stream_held(const struct mh_gask *q);
+/** mh_gate_can_go_on() - another run may follow on what was passed on. */
+bool mh_gate_can_go_on(const struct mh_gask *q);
+/** mh_gate_read_events() - the try's answer is a stream from here on. */
+void mh_gate_read_events(struct mh_gate *g, struct mh_try *t);
+/** mh_gate_note_ids() - how @n, or NULL, numbers the events of streams. */
+void mh_gate_note_ids(struct mh_node *n, const struct mh_try *t);
 /** mh_gate_set_limit() - starts the timer of its limit, as it is now. */
 void mh_gate_set_limit(struct mh_gate *g, struct mh_gask *q);
 /** mh_gate_out_of_time() - gives up on it, and says truly if it may have run.
--- /dev/null
+++ b/lib/gatelog.c
@@ -0,0 +1,91 @@
+/**
+ * DOC: The lines that tell what became of a request.
+ */
+
+#include "gateint.h"
+
+const char *
+mh_gate_stream_after(const struct mh_gask *q)
+{
+	const char *id =
+	    q->cursor == NULL ? NULL : mh_cursor_last_id(q->cursor);
+
+	return id == NULL ? "-" : id;
+}
+
+size_t
+mh_gate_stream_held(const struct mh_gask *q)
+{
+	return q->cur == NULL || q->cur->events == NULL
+	    ? 0
+	    : mh_sse_held(q->cur->events);
+}
+
+const char *
+mh_gate_refusal_name(enum mh_gate_refusal why)
+{
+	static const char *const names[] = { [MH_NOT_READY] = "not_ready",
+		[MH_NO_ROUTE] = "no_route",
+		[MH_BAD_KEY] = "bad_key",
+		[MH_BAD_REQUEST] = "bad_request",
+		[MH_TOO_BUSY] = "too_busy",
+		[MH_NO_ENDPOINT] = "no_endpoint",
+		[MH_NOT_IN_TIME] = "not_in_time",
+		[MH_HELD] = "held",
+		[MH_RUN_HELD] = "run_held",
+		[MH_RUN_FAILED] = "run_failed",
+		[MH_RUN_TIMEOUT] = "run_timeout" };
+
+	return names[why];
+}
+
+void
+mh_gate_log_end(struct mh_gate *g, const struct mh_gask *q, const char *outcome,
+    int64_t retry_us)
+{
+	int64_t now = mh_now(g->k);
+
+	mh_event(g->k, "end",
+	    "id=%s route=%s outcome=%s org=%s config=%" PRIu64
+	    " took_ms=%" PRId64 " aim_ms=%" PRId64 " left_ms=%" PRId64
+	    " tries=%u runs=%u returned=%d node=%s retry_ms=%" PRId64,
+	    q->id, q->route != NULL ? q->route->name : "-", outcome,
+	    q->org != NULL ? q->org->name : "-",
+	    q->conf != NULL ? q->conf->version : 0, mh_ms(now - q->arrived_us),
+	    mh_ms(q->aim_us - now), mh_ms(q->until_us - now), q->n_tried,
+	    q->runs, q->returned,
+	    q->n_tried > 0 ? q->tried[q->n_tried - 1] : "-", mh_ms(retry_us));
+}
+
+static const char *
+state_name(enum mh_gstate state)
+{
+	static const char *const names[] = { [MH_ASK_STAGES] = "stages",
+		[MH_ASK_TRYING] = "sent",
+		[MH_ASK_ANSWERING] = "answering",
+		[MH_ASK_ENDED] = "ended" };
+
+	return names[state];
+}
+
+/* A caller whose request this is gets no answer: how far had it come? */
+void
+mh_gate_log_cut(struct mh_gate *g, const struct mh_gask *q)
+{
+	uint32_t made = 0, stages = 0;
+
+	for (uint32_t s = 0; q->job != NULL && s < q->job->n_stages; s++) {
+		const struct mh_jstage *st = &q->job->stages[s];
+
+		stages += st->pieces > 0;
+		made += st->pieces > 0 && mh_job_stage_made(st);
+	}
+	mh_count(g->k, "cut", 1);
+	mh_event(g->k, "cut",
+	    "id=%s state=%s stages_made=%u/%u waited_ms=%" PRId64
+	    " left_ms=%" PRId64 " tries=%u runs=%u node=%s",
+	    q->id, state_name(q->state), made, stages,
+	    mh_ms(mh_now(g->k) - q->arrived_us),
+	    mh_ms(q->until_us - mh_now(g->k)), q->n_tried, q->runs,
+	    q->n_tried > 0 ? q->tried[q->n_tried - 1] : "-");
+}
