--- a/regress/t_platform_store.c
+++ b/regress/t_platform_store.c
@@ -46,10 +46,12 @@
 	const char *second_page;
 	const char *watch;
 	const char *list;
+	const char *more; /* the list's second page */
 	const char *lease;
 	uint32_t watches;
 	uint32_t puts;
 	uint32_t told; /* lists of entries that were taken */
+	uint32_t most_told; /* entries of the longest */
 };
 
 static void
@@ -111,7 +113,9 @@
 		say(q, 200, registry_page(r, target));
 	} else if (strstr(target, "marlhoist/entries/") != NULL) {
 		r->lists++;
-		say(q, 200, either(r->list, NOTHING));
+		say(q, 200,
+		    either(strstr(target, "after=") == NULL ? r->list : r->more,
+			NOTHING));
 	} else if (strstr(target, "marlhoist/secret") != NULL) {
 		r->secrets++;
 		say(q, 200,
@@ -171,8 +175,10 @@
 static void
 on_entries(void *arg, GPtrArray *entries)
 {
-	(void)entries;
-	((struct srig *)arg)->told++;
+	struct srig *r = arg;
+
+	r->told++;
+	r->most_told = MAX(r->most_told, entries->len);
 }
 
 static void
@@ -372,6 +378,42 @@
 	}
 }
 
+/* {"addr":"127.0.0.1:8"} */
+#define ENTRY(name)                                               \
+	"{\"key\":\"marlhoist/entries/" name "\",\"revision\":4," \
+	"\"value\":\"eyJhZGRyIjoiMTI3LjAuMC4xOjgifQ==\"}"
+#define LIST(entry, more) \
+	"{\"items\":[" entry "],\"hasMore\":" more ",\"asOf\":9}"
+
+/* Guards against a page of the entries taken for all of them. */
+static void
+test_pages_of_members(void)
+{
+	static const struct {
+		const char *more;
+		uint32_t told; /* entries */
+	} t[] = {
+		{ LIST(ENTRY("b"), "false"), 2 },
+		{ "", 0 },
+		{ LIST("", "true"), 0 },
+		{ LIST(ENTRY("a"), "true"), 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(t); i++) {
+		struct srig r = { .odd = true,
+			.list = LIST(ENTRY("a"), "true"),
+			.more = t[i].more };
+
+		play(&r);
+		if (r.most_told != t[i].told || r.lists > 2 * MOST_CALLS)
+			printf("\n  page %s: %u told, %u calls\n", t[i].more,
+			    r.most_told, r.lists);
+		CU_ASSERT_EQUAL(r.most_told, t[i].told);
+		CU_ASSERT(r.lists <= 2 * MOST_CALLS);
+		finish(&r);
+	}
+}
+
 /*
  * The platform answers nobody for seconds.  Every entry took itself for one of
  * those that read for all, since none before it could: the calls of all were
@@ -408,6 +450,7 @@
 	{ "store: odd watches", test_odd_watches },
 	{ "store: odd configuration", test_odd_conf },
 	{ "store: odd members", test_odd_members },
+	{ "store: pages of members", test_pages_of_members },
 	{ "store: a few seek it", test_few_seek_it },
 	{ NULL, NULL },
 };
