Test: spoiled runs count against their endpoint; a short answer keeps its connection

Mutants of lib/gate.c (no fault noted of a run that is spoiled, or that goes on with no stream) and of platform/front.c (each answer that is thrown away ends its connection) passed all suites; each fails now. Passes on the code as it is.

--- a/regress/t_front.c
+++ b/regress/t_front.c
@@ -821,6 +821,21 @@
 	one->ids = two->ids = MH_IDS_COUNT;
 }
 
+/* A new connection is made for each request that an endpoint did not run. */
+static void
+test_thrown_away_and_kept(void)
+{
+	struct frig *r = frig_create();
+
+	r->script[0] = NOT_RUN;
+	r->script[1] = RUN(CHUNK(EVENT_1));
+	converse(r, PLAN);
+	CU_ASSERT_EQUAL(r->answered, 2);
+	CU_ASSERT_TRUE(is_complete(r));
+	CU_ASSERT_EQUAL(r->left_open, 1);
+	frig_destroy(r);
+}
+
 /* Where streams are seen to count from 1, one that begins at 2 lost an event.
  */
 static void
@@ -1033,6 +1048,7 @@
 	{ "front: a thrown away answer", test_thrown_away },
 	{ "front: a thrown away answer that is stuck",
 	    test_thrown_away_and_stuck },
+	{ "front: a short answer thrown away", test_thrown_away_and_kept },
 	{ "front: first event missing", test_first_event_missing },
 	{ "front: another numbering", test_another_numbering },
 	{ "front: events before a break", test_events_before_a_break },
--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -182,6 +182,33 @@
 	grig_destroy(r);
 }
 
+/* An endpoint whose runs can't be passed on looks as good as the others. */
+static void
+test_spoiled_runs_count(void)
+{
+	struct mh_gans events = {
+		.status = 200, .genuine = true, .events = true
+	};
+	struct mh_gans none = { .status = 200, .genuine = true };
+	struct grig *r = grig_create(4);
+	struct mh_node *first, *other;
+
+	grig_ask(r, "/resume/x", 0);
+	first = mh_fleet_find(r->f, r->last);
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, r->cur, &events), MH_PASS);
+	CU_ASSERT(first->fail == 0);
+	mh_gate_spoiled(r->g, r->cur, "test");
+	CU_ASSERT(first->fail > 0);
+	CU_ASSERT_EQUAL(r->aborts, 1);
+	CU_ASSERT_EQUAL(r->sends, 2);
+	other = mh_fleet_find(r->f, r->last);
+	CU_ASSERT_PTR_NOT_EQUAL(other, first);
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, r->cur, &none), MH_DROP);
+	CU_ASSERT(other->fail > 0);
+	CU_ASSERT_EQUAL(r->broken, 1);
+	grig_destroy(r);
+}
+
 /* Who gets 404, 401 or "not ready", before anything is sent. */
 static void
 test_arrival(void)
@@ -615,6 +642,7 @@
 	{ "gate: a silent endpoint, once", test_silent_endpoint_once },
 	{ "gate: a stream resumes", test_stream_resumes },
 	{ "gate: a stream breaks", test_stream_breaks },
+	{ "gate: spoiled runs count", test_spoiled_runs_count },
 	{ "gate: events that nobody asked for", test_events_unasked },
 	{ "gate: route, key, endpoint", test_arrival },
 	{ "gate: the caller leaves", test_caller_leaves },
