Events that nobody asked for tell nothing of an endpoint's streams

Callers of a pool's streams could lose them where a plain route of the pool answers with events that are numbered in another way. Cause: how an endpoint numbers events was noted from any answer of events. Ruled out: the check itself, which such answers never had. Change: noted from routes that are streams alone. Figures: "gate: ids nobody asked for" fails before, passes after.

--- a/lib/gatestream.c
+++ b/lib/gatestream.c
@@ -33,6 +33,9 @@
 	enum mh_ids ids =
 	    t->events == NULL ? MH_IDS_UNKNOWN : mh_sse_ids(t->events);
 
+	/* Elsewhere nothing is said of ids. */
+	if (!t->ask->route->stream)
+		return;
 	if (n != NULL && ids != MH_IDS_UNKNOWN && n->ids != MH_IDS_COUNT)
 		n->ids = ids;
 }
--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -166,6 +166,23 @@
 	grig_destroy(r);
 }
 
+/* Numbers of events that nobody asked for tell of no stream. */
+static void
+test_ids_unasked(void)
+{
+	struct grig *r = grig_create(1);
+	struct mh_gans a = { .status = 200, .genuine = true, .events = true };
+	GString *out = g_string_new(NULL);
+
+	grig_ask(r, "/safe/x", 0);
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, r->cur, &a), MH_PASS);
+	mh_sse_feed(r->cur->events, "id: 1\n\n", 7, out);
+	mh_gate_progress(r->g, r->cur);
+	CU_ASSERT_EQUAL(mh_fleet_find(r->f, r->last)->ids, MH_IDS_UNKNOWN);
+	g_string_free(out, TRUE);
+	grig_destroy(r);
+}
+
 /* A stream that may not be run again breaks visibly. */
 static void
 test_stream_breaks(void)
@@ -644,6 +661,7 @@
 	{ "gate: a stream breaks", test_stream_breaks },
 	{ "gate: spoiled runs count", test_spoiled_runs_count },
 	{ "gate: events that nobody asked for", test_events_unasked },
+	{ "gate: ids nobody asked for", test_ids_unasked },
 	{ "gate: route, key, endpoint", test_arrival },
 	{ "gate: the caller leaves", test_caller_leaves },
 	{ "gate: leaving", test_leaving },
