Tests of the front: the rig, sessions and streams are files of their own

Ruled out: nothing else is changed; each test is as it was, by name and body, but for the names of the rig's functions. Change: frontrig.c has the front, its endpoint and its caller; t_events.c what a caller gets of a stream. Conclusion: none.

--- a/regress/main.c
+++ b/regress/main.c
@@ -75,6 +75,7 @@
 	{ "handon", tests_handon },
 	{ "sse", tests_sse },
 	{ "front", tests_front },
+	{ "events", tests_events },
 	{ "work", tests_work },
 	{ "drain", tests_drain },
 	{ "grace", tests_grace },
