Work for a run that goes on has the aim of the event that is due

Callers of a stream that was gone on with waited behind all work that could still be on time, and work was done for callers that had left. Cause: the stage work of such a run had the aim of the stream's first event, which is past, and all of the caller's time, though callers leave a stream that pauses for too long. Ruled out: the deadline of the first event, which is past as well. Change: its aim is the longest pause that is on time; its deadline the end of the caller's patience after the last event. Figures: "gate: inputs for the run that goes on" fails its check of the aim and "gate: work for a caller that waits" that of the deadline before, none after.

--- a/lib/gateint.h
+++ b/lib/gateint.h
@@ -75,6 +75,8 @@
 bool mh_gate_ends_in_time(const struct mh_gate *g, const struct mh_gask *q);
 /** mh_gate_note_run() - its answer is whole: how long did that take? */
 void mh_gate_note_run(struct mh_gate *g, const struct mh_gask *q);
+/** mh_gate_patience_us() - how long callers of a stream wait for an event. */
+int64_t mh_gate_patience_us(const struct mh_groute *r);
 /** mh_gate_start_job() - asks for the stage work of a request. */
 void mh_gate_start_job(struct mh_gate *g, struct mh_gask *q);
 
--- a/lib/gatejob.c
+++ b/lib/gatejob.c
@@ -36,6 +36,27 @@
 	return FIXED_WORTH + (1 - FIXED_WORTH) * size / *mean;
 }
 
+/*
+ * The engine takes some of the time until its first event.  Of a stream that is
+ * gone on with the next event is due now, and its caller leaves when none comes
+ * for too long.
+ */
+static void
+set_times(struct mh_gate *g, const struct mh_gask *q, struct mh_job *j)
+{
+	int64_t engine_us =
+	    ENGINE_US + (int64_t)q->tokens_in * ENGINE_US_PER_TOKEN;
+	int64_t left_us = q->last_data_us + mh_gate_patience_us(q->route);
+
+	if (q->passed_head) {
+		j->aim_us = mh_now(g->k) + q->route->gap_aim_us;
+		j->deadline_us = MIN(q->until_us, left_us) - engine_us;
+	} else {
+		j->aim_us = q->aim_us - engine_us;
+		j->deadline_us = q->first_by_us - engine_us;
+	}
+}
+
 void
 mh_gate_start_job(struct mh_gate *g, struct mh_gask *q)
 {
@@ -43,8 +64,6 @@
 	const struct mh_groute *r = q->route;
 	struct mh_place_ask a = { 0 };
 	const struct mh_node *home;
-	int64_t engine_us =
-	    ENGINE_US + (int64_t)q->tokens_in * ENGINE_US_PER_TOKEN;
 
 	mh_gate_fill_place(g, q, &a);
 	home = mh_place_home(g->place, &a);
@@ -57,10 +76,7 @@
 	j->returned = q->returned;
 	j->weight = weight_of(g, q);
 	j->arrived_us = q->arrived_us;
-	j->aim_us = q->aim_us - engine_us;
-	/* One that goes on with a stream has the caller's whole time. */
-	j->deadline_us =
-	    (q->passed_head ? q->until_us : q->first_by_us) - engine_us;
+	set_times(g, q, j);
 	j->n_stages = r->n_stages;
 	for (uint32_t s = 0; s < r->n_stages; s++) {
 		j->stages[s].pool = g_strdup(r->stages[s].pool);
--- a/lib/gatetake.c
+++ b/lib/gatetake.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 /*
- * Callers of a stream give up on its first event after the longest of these;
+ * Callers of a stream give up on its next event after the longest of these;
  * what would come later is work for nobody.
  */
 #define PATIENCE_AIMS 4
@@ -21,6 +21,15 @@
 #define RETURNED_BELOW 0.84
 #define GIVEN_MEAN 0.925
 
+int64_t
+mh_gate_patience_us(const struct mh_groute *r)
+{
+	int64_t us =
+	    MAX(PATIENCE_AIMS * r->aim_us, PATIENCE_GAPS * r->gap_aim_us);
+
+	return MAX(us, PATIENCE_LEAST_US) * PATIENCE_PERCENT / 100;
+}
+
 static bool
 find_org(struct mh_gate *g, struct mh_gask *q)
 {
@@ -59,12 +68,8 @@
 	q->first_by_us = q->until_us;
 	if (q->route->stream) {
 		/* Later than this nobody reads its first event. */
-		int64_t patience = MAX(PATIENCE_AIMS * q->route->aim_us,
-		    PATIENCE_GAPS * q->route->gap_aim_us);
-
-		patience = MAX(patience, PATIENCE_LEAST_US);
 		q->first_by_us =
-		    MIN(q->until_us, now + patience * PATIENCE_PERCENT / 100);
+		    MIN(q->until_us, now + mh_gate_patience_us(q->route));
 	}
 }
 
--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -420,6 +420,7 @@
 	CU_ASSERT_EQUAL(r->sends, 1);
 	CU_ASSERT_EQUAL(r->jobs, 2);
 	CU_ASSERT(r->job->deadline_us > mh_now(r->k) + S);
+	CU_ASSERT(r->job->aim_us >= mh_now(r->k));
 	finish_job(r);
 	CU_ASSERT_EQUAL(r->sends, 2);
 	CU_ASSERT_STRING_EQUAL(r->resume, "1");
@@ -427,6 +428,27 @@
 	grig_destroy(r);
 }
 
+/* Work is done for a caller that has left a stream that paused. */
+static void
+test_work_for_a_caller_that_waits(void)
+{
+	struct grig *r = grig_create(2);
+	struct mh_gans a = { .status = 200, .genuine = true, .events = true };
+	struct mh_gask *q;
+
+	mh_gconf_named(r->conf, "resume")->timeout_us = 20 * S;
+	q = staged(r);
+	finish_job(r);
+	mh_gate_head(r->g, r->cur, &a);
+	mh_gate_progress(r->g, r->cur);
+	grig_pass(r, S);
+	mh_gate_end(r->g, r->cur, MH_CALL_BROKEN);
+	CU_ASSERT(r->job->deadline_us > mh_now(r->k) + S);
+	/* Four times the aim, or two seconds, after the last event. */
+	CU_ASSERT(r->job->deadline_us < q->arrived_us + 4 * S);
+	grig_destroy(r);
+}
+
 /* The third run of a stream is sent without the inputs that it needs. */
 static void
 test_inputs_for_each_run(void)
@@ -670,6 +692,8 @@
 	{ "gate: inputs gone at the engine", test_inputs_gone_at_engine },
 	{ "gate: inputs for the run that goes on",
 	    test_inputs_for_the_run_that_goes_on },
+	{ "gate: work for a caller that waits",
+	    test_work_for_a_caller_that_waits },
 	{ "gate: inputs for each run", test_inputs_for_each_run },
 	{ "gate: work asked for soon after", test_work_asked_for_soon_after },
 	{ "gate: stage work refused after a run",
