Of several calls the longest tells how a request ended

Cause: suspects run apart, so two sendings of one request reach the same endpoint. Ruled out: that the end is a quick one: the endpoint had borne the request for as long as the longer sending ran. Change: the longer one tells. Test "poison: late twice at one": fails before (not held after four ends), passes after. Conclusion: one fault of two; one chance end still takes "late" away.

--- a/lib/poisonends.c
+++ b/lib/poisonends.c
@@ -180,9 +180,10 @@
 
 		if (o->print != print)
 			continue;
-		if (!o->old || old)
+		/* Of several calls the longest shows what the endpoint bore. */
+		if (o->old || !old)
 			return false;
-		o->old = false;
+		o->old = true;
 		e->s->stale = true;
 		return true;
 	}
--- a/regress/t_poison.c
+++ b/regress/t_poison.c
@@ -71,6 +71,16 @@
 	mh_poison_broke(r->k, &e);
 }
 
+/* An endpoint ends under a request that had run there for a while. */
+static void
+broke_late(struct prig *r, const char *endpoint, uint64_t print)
+{
+	struct mh_poison_end e = { endpoint, "pool", print, r->now_us - 2 * S,
+		true };
+
+	mh_poison_broke(r->k, &e);
+}
+
 /* Three endpoints end under a request, and are gone. */
 static void
 end_three(struct prig *r, uint64_t print)
@@ -92,6 +102,24 @@
 	return r->bytes;
 }
 
+/* A cause that shows late was taken for a quick one where it ran twice. */
+static void
+test_late_twice_at_one(void)
+{
+	static const char *const ids[] = { "a", "b", "c", "d" };
+	struct prig *r = prig_create();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+		CU_ASSERT_EQUAL(mh_poison_held_us(r->k, BAD), 0);
+		broke_late(r, ids[i], BAD);
+		if (i == 1)
+			broke(r, ids[i], BAD);
+		pass(r, 400 * MS);
+	}
+	CU_ASSERT(mh_poison_held_us(r->k, BAD) > 0);
+	prig_destroy(r);
+}
+
 /*
  * A request is held for minutes and then tried: one end more holds it again,
  * for longer.  What nobody asks for any more is forgotten.
@@ -401,6 +429,7 @@
 }
 
 const struct test tests_poison[] = {
+	{ "poison: late twice at one", test_late_twice_at_one },
 	{ "held, tried, forgotten", test_tried_again },
 	{ "a trial that passes", test_trial_passed },
 	{ "asked seldom", test_asked_seldom },
