A cause is known by the way that most of its ends show

Cause: a request that had run for a while had half of the points for an end, but whole ones if it had at each of its ends. And the first late end gave half, whatever was asked for. Change: ends are counted by kind; those of the more frequent kind give whole points, the others half. Who shows late needs one end more in a quiet pool, as before, and no more than others where ends of their own are known.

--- a/lib/poison.c
+++ b/lib/poison.c
@@ -27,12 +27,9 @@
 #include <string.h>
 
 #define HOLDS_MOST 1024
-/*
- * Points that an end adds: half for a request that had run for a while, since
- * most causes show when they begin.
- */
+/* Points that an end adds, and one unlike most of the request's ends. */
 #define POINTS (MH_POISON_HOLD_POINTS / 3)
-#define POINTS_OLD 1
+#define POINTS_OTHER 1
 /* Of three ends so many are its own, or one more is asked for. */
 #define ENDS_ALONE 2
 /* Suspected this much, a request explains the end of its endpoint. */
@@ -181,15 +178,23 @@
 	return rows;
 }
 
+static bool
+shows_late(const struct row *r)
+{
+	return r->ends_late > r->ends - r->ends_late;
+}
+
 /*
- * A cause that shows late has run for a while at each of its ends; who ran
- * there by chance, at some.  Points for half an end alone kept a late cause
- * going for six ends and more.
+ * A cause shows soon after it began at most of its ends, or late at most; what
+ * it met by chance is of the other kind and adds half.
  */
 static uint32_t
-points_of(const struct row *r, bool old)
+points_of(const struct row *r)
 {
-	return old && !r->late ? POINTS_OLD : POINTS;
+	uint32_t soon = r->ends - r->ends_late;
+
+	return r->base + POINTS * MAX(soon, r->ends_late) +
+	    POINTS_OTHER * MIN(soon, r->ends_late);
 }
 
 /*
@@ -218,12 +223,12 @@
 		bool was_old = g_array_index(old, bool, i);
 
 		if (is_blamed(r, &t)) {
-			r->score += points_of(r, was_old);
 			r->ends++;
+			r->ends_late += was_old;
+			r->score = points_of(r);
 			r->ends_alone += t.blamed == 1;
 			r->last_alone = t.blamed == 1;
 		}
-		r->late = was_old && (r->seen == 0 || r->late);
 		r->seen++;
 	}
 	g_ptr_array_free(rows, TRUE);
@@ -251,7 +256,7 @@
 			continue;
 		/* On trial, or held after one: one more end is enough. */
 		r = row_of(s, h->print, h->pool);
-		r->score = LIKELY_POINTS;
+		r->score = r->base = LIKELY_POINTS;
 		r->seen = LIKELY_POINTS / POINTS;
 		r->ends_alone = ENDS_ALONE - 1;
 	}
@@ -311,7 +316,8 @@
 
 /*
  * Points that hold a request.  Endpoints that end by themselves, one after the
- * other, end under whoever asks again too.
+ * other, end under whoever asks again too; who runs for long meets such an end
+ * easily, and three of them in a pool of which no other end is known yet.
  */
 static uint32_t
 points_needed(struct mh_poison *s, const struct row *r, uint32_t *others)
@@ -323,7 +329,7 @@
 
 	size = MAX(size, POOL_LEAST);
 	*others = other_ends(s, r);
-	points += *others > 0 ? POINTS : 0;
+	points += *others > 0 || shows_late(r) ? POINTS : 0;
 	points += *others * OTHERS_MANY >= size ? POINTS : 0;
 	return stands_alone(r) ? points : points + POINTS;
 }
--- a/lib/poisonint.h
+++ b/lib/poisonint.h
@@ -78,8 +78,9 @@
 	const char *pool; /* of an end or a hold */
 	uint32_t score;
 	uint32_t seen; /* ends at which it was there */
-	bool late; /* it had run for a while at each of these */
+	uint32_t base; /* points of a hold before */
 	uint32_t ends; /* that were laid to it */
+	uint32_t ends_late; /* of these, when it had run for a while */
 	uint32_t ends_alone; /* for which nothing else was blamed */
 	bool last_alone; /* its last end is one of these */
 };
--- a/regress/t_late.c
+++ b/regress/t_late.c
@@ -112,12 +112,17 @@
 	static const struct late_row one = { 2300 * MS, 1, 3, false };
 	static const struct late_row two = { 1000 * MS, 2, 3, false };
 	static const uint32_t of_one[] = { 27, 43, 57 };
-	static const uint32_t of_two[] = { 46, 55 };
+	static const uint32_t of_two[] = { 46, 55, 356 };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(of_one); i++)
 		CU_ASSERT_TRUE(holds(&one, of_one[i]));
 	for (size_t i = 0; i < G_N_ELEMENTS(of_two); i++)
 		CU_ASSERT_TRUE(holds(&two, of_two[i]));
+	for (uint32_t seed = regress_first(1); seed <= regress_last(0);
+	     seed++) {
+		CU_ASSERT_TRUE(holds(&one, seed));
+		CU_ASSERT_TRUE(holds(&two, seed));
+	}
 }
 
 const struct test tests_late[] = {
--- a/regress/t_poison.c
+++ b/regress/t_poison.c
@@ -120,6 +120,45 @@
 	prig_destroy(r);
 }
 
+/* One end met by chance took two ends more to hold a cause that shows late. */
+static void
+test_late_but_once(void)
+{
+	static const char *const ids[] = { "a", "b", "c", "d", "e" };
+	struct prig *r = prig_create();
+
+	broke(r, "other", 0);
+	pass(r, 400 * MS);
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+		CU_ASSERT_EQUAL(mh_poison_held_us(r->k, BAD), 0);
+		if (i == 1)
+			broke(r, ids[i], BAD);
+		else
+			broke_late(r, ids[i], BAD);
+		pass(r, 400 * MS);
+	}
+	CU_ASSERT(mh_poison_held_us(r->k, BAD) > 0);
+	prig_destroy(r);
+}
+
+/* Who runs for long meets three ends of a pool in a row, and is no cause. */
+static void
+test_late_three(void)
+{
+	static const char *const ids[] = { "a", "b", "c" };
+	struct prig *r = prig_create();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+		broke_late(r, ids[i], BAD);
+		pass(r, 400 * MS);
+	}
+	CU_ASSERT_EQUAL(mh_poison_held_us(r->k, BAD), 0);
+	broke_late(r, "d", BAD);
+	pass(r, 400 * MS);
+	CU_ASSERT(mh_poison_held_us(r->k, BAD) > 0);
+	prig_destroy(r);
+}
+
 /*
  * A request is held for minutes and then tried: one end more holds it again,
  * for longer.  What nobody asks for any more is forgotten.
@@ -430,6 +469,8 @@
 
 const struct test tests_poison[] = {
 	{ "poison: late twice at one", test_late_twice_at_one },
+	{ "poison: late but once", test_late_but_once },
+	{ "poison: late three times", test_late_three },
 	{ "held, tried, forgotten", test_tried_again },
 	{ "a trial that passes", test_trial_passed },
 	{ "asked seldom", test_asked_seldom },
