Test: whole sessions of streams, drawn by a seed

Cause: streams were tested by sessions written one by one, and what was not thought of was not tried: callers got joined pieces where a run fell silent within an event, and every test tore events by closing the connection. Ruled out, since no reader can tell it from the stream itself: a run that stops between two events with its frame whole or, without a frame, with an orderly close; bytes behind an answer without a frame; a missing first piece at an endpoint that has not shown a stream from 1. They are not drawn. Change: a rig with one front and gate, and callers and endpoints on the same loop, hundreds of sessions at once. Endpoints tear at any byte and close, reset, fall silent or go on late; refuse, answer another status or type, or without a stamp; begin anew, skip, repeat, end within an event; by chunks, length or close; lines end with LF, CR LF or CR; TCP splits down to single bytes. Callers speak HTTP/1.1 or 1.0, read slowly, resume, leave, keep connections. Checked: pieces whole, once, in order; complete only behind the last; nothing behind a complete answer; no stamp, body or status of nobody; runs within their bound; "not run" is true; and an entry goes on where it may, so that one which always breaks off fails. Conclusion: no further way to join, lose or double a piece was found.

--- a/regress/main.c
+++ b/regress/main.c
@@ -76,6 +76,7 @@
 	{ "sse", tests_sse },
 	{ "front", tests_front },
 	{ "events", tests_events },
+	{ "stream", tests_stream },
 	{ "work", tests_work },
 	{ "drain", tests_drain },
 	{ "grace", tests_grace },
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -38,6 +38,7 @@
 extern const struct test tests_sse[];
 extern const struct test tests_front[];
 extern const struct test tests_events[];
+extern const struct test tests_stream[];
 extern const struct test tests_work[];
 extern const struct test tests_drain[];
 extern const struct test tests_grace[];
