Comments of the event reader tell three words for numbering apart

Cause: a reader of the change stumbled over by_one, known and ids. Ruled out: none. Change: comments alone.

--- a/lib/sse.c
+++ b/lib/sse.c
@@ -20,7 +20,8 @@
 	bool ordered; /* its ids increase */
 	bool resumes; /* @last was the caller's own, and no event has come */
 	bool numbered; /* @last is set */
-	bool by_one; /* the ids leave no number out */
+	bool by_one; /* it began with the number that was due: none is left out
+		      */
 	bool lost; /* behind @last came an event without a number */
 	uint64_t last;
 	char last_id[ID_LEN];
@@ -28,11 +29,12 @@
 
 struct mh_sse {
 	struct mh_cursor *cursor; /* the stream's */
-	enum mh_ids known; /* of the endpoint, before */
-	enum mh_ids ids; /* as this run shows */
+	enum mh_ids known; /* how the endpoint numbered events before */
+	enum mh_ids ids; /* how this run does, if it began the stream */
 	GString *held; /* what was received and not passed on */
 	size_t begun; /* of @held: where the event begins */
 	size_t read; /* of @held: where to read on */
+	/* the line end that was read last */
 	bool blank; /* the line has no byte yet */
 	bool cr; /* the last byte: a line's end, or half of one */
 	bool lone; /* the last line ended with a CR alone */
@@ -203,7 +205,7 @@
 	}
 }
 
-/* The first number that comes shows how the others do. */
+/* The first number that comes shows how the endpoint counts. */
 static void
 begin(struct mh_sse *s, uint64_t id, uint64_t due)
 {
@@ -257,7 +259,6 @@
 	return f;
 }
 
-/* Whether an event of more than is passed on is being received. */
 static enum mh_sse_fault
 check_length(const struct mh_sse *s)
 {
