Test, failing: somebody held beside a cause that shows late

Cause: three ends in a row, before any other end of the pool is known, lay a hold on who asks again; late causes with whole points make it a little more likely.

--- a/regress/t_late.c
+++ b/regress/t_late.c
@@ -125,10 +125,22 @@
 	}
 }
 
+/* Somebody who asks beside a cause meets three ends in a row and is held. */
+static void
+test_held_beside_a_late_cause(void)
+{
+	static const struct late_row row = { 700 * MS, 1, 1, false };
+	static const uint32_t seeds[] = { 43, 83, 121 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(seeds); i++)
+		CU_ASSERT_TRUE(holds(&row, seeds[i]));
+}
+
 const struct test tests_late[] = {
 	{ "late: causes that show late", test_late_causes },
 	{ "late: two causes and falls", test_two_late_causes },
 	{ "late: a cause and falls", test_late_cause_and_falls },
 	{ "late: seldom", test_late_seldom },
+	{ "late: held beside a cause", test_held_beside_a_late_cause },
 	{ NULL, NULL },
 };
