The reason for the reader's end stands where the reader is made

Cause: a newcomer would look for it there; a name said time left and held a moment. Ruled out: any change of what runs. Change: a comment moved, a line shortened, left_us renamed gone_us. Figures: suites gate, front, events and leave pass as before. Conclusion: none.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -409,9 +409,7 @@
 
 /*
  * Events may come where the route is no stream; they need their reader, or
- * the adapter has none to give them to.  The reader ends with its try, however
- * that ends: half of an event that was left with the request would be joined
- * to the first bytes of the next run.
+ * the adapter has none to give them to.
  */
 static enum mh_verdict
 pass_head(struct mh_gate *g, struct mh_gask *q, const struct mh_gans *a)
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -553,8 +553,7 @@
 	uint32_t pieces[MH_GSTAGES];
 	uint32_t n_pieces;
 	char *piece_key;
-	char *
-	    resume_after; /* its caller has the stream up to this id, or NULL */
+	char *resume_after; /* id up to which its caller has it, or NULL */
 	uint64_t print; /* fingerprint: equal when the same is asked again */
 	void *wire; /* the adapter's own */
 	/* below: the gate's */
--- a/lib/gatejob.c
+++ b/lib/gatejob.c
@@ -46,11 +46,11 @@
 {
 	int64_t engine_us =
 	    ENGINE_US + (int64_t)q->tokens_in * ENGINE_US_PER_TOKEN;
-	int64_t left_us = q->last_data_us + mh_gate_patience_us(q->route);
+	int64_t gone_us = q->last_data_us + mh_gate_patience_us(q->route);
 
 	if (q->passed_head) {
 		j->aim_us = mh_now(g->k) + q->route->gap_aim_us;
-		j->deadline_us = MIN(q->until_us, left_us) - engine_us;
+		j->deadline_us = MIN(q->until_us, gone_us) - engine_us;
 	} else {
 		j->aim_us = q->aim_us - engine_us;
 		j->deadline_us = q->first_by_us - engine_us;
--- a/lib/gatestream.c
+++ b/lib/gatestream.c
@@ -17,6 +17,10 @@
 		!mh_cursor_lost(q->cursor));
 }
 
+/*
+ * The reader ends with its try, however that ends: half of an event left with
+ * the request would be joined to the first bytes of the next run.
+ */
 void
 mh_gate_read_events(struct mh_gate *g, struct mh_try *t)
 {
