A hold that was released stays released

Cause: releases leave nothing behind. A process that was paused while a hold was released has the hold still, tells it over the next link, and whoever takes it holds the request for five minutes more, with no line of the log. The ends it rested on are known to live already, so nothing takes it back a second time. Ruled out: a second judgement (the ends count no more); the order of holds and runs in a frame (a run clears once, and the hold is told apart from it). Change: the time of a release is kept for an hour; a hold told by others that was made before it, with ten seconds for the way, is not taken. What new ends show is judged by each process itself, as before.

--- a/lib/poison.c
+++ b/lib/poison.c
@@ -43,6 +43,8 @@
 /* After a hold one end holds it again, for so long. */
 #define FORGET_US (3600 * MH_US_PER_S)
 #define SWEEP_US (5 * MH_US_PER_S)
+/* Word of a hold may be on its way for so long, which its age leaves out. */
+#define LATE_WORD_US (10 * MH_US_PER_S)
 
 struct mh_poison *
 mh_poison_of(struct mh_kern *k)
@@ -420,13 +422,32 @@
 void
 mh_poison_release(struct mh_poison *s, struct hold *h, const char *why)
 {
+	int64_t now = mh_now(s->k);
+
 	mh_count(s->k, "requests_released", 1);
 	mh_poison_says(s, "request-released",
 	    "print=%016" PRIx64 " pool=%s why=\"%s\"", h->print, h->pool, why);
 	s->stale = true;
+	if (g_hash_table_size(s->released) < HOLDS_MOST)
+		g_hash_table_replace(s->released,
+		    g_memdup2(&h->print, sizeof(h->print)),
+		    g_memdup2(&now, sizeof(now)));
 	g_hash_table_remove(s->holds, &h->print);
 }
 
+/*
+ * Who was paused meanwhile still has the hold and tells of it again.  What new
+ * ends show each process finds by itself.
+ */
+bool
+mh_poison_was_released(
+    const struct mh_poison *s, uint64_t print, int64_t made_us)
+{
+	const int64_t *at = g_hash_table_lookup(s->released, &print);
+
+	return at != NULL && made_us <= *at + LATE_WORD_US;
+}
+
 int64_t
 mh_poison_held_us(struct mh_kern *k, uint64_t print)
 {
@@ -560,6 +581,14 @@
 	    MH_POISON_KEEP_US;
 }
 
+static gboolean
+old_release(gpointer key, gpointer value, gpointer arg)
+{
+	(void)key;
+	return mh_now(((struct mh_poison *)arg)->k) - *(int64_t *)value >=
+	    FORGET_US;
+}
+
 static void
 on_sweep(void *arg)
 {
@@ -570,6 +599,7 @@
 	g_hash_table_remove_all(s->rows); /* they name pools of what goes */
 	g_hash_table_foreach_remove(s->ended, old_end, s);
 	g_hash_table_foreach_remove(s->holds, old_hold, s);
+	g_hash_table_foreach_remove(s->released, old_release, s);
 	g_hash_table_foreach_remove(s->ran, old_ran, s);
 	mh_poison_sweep_later(s);
 }
@@ -578,7 +608,7 @@
 mh_poison_sweep_later(struct mh_poison *s)
 {
 	bool any = g_hash_table_size(s->ended) + g_hash_table_size(s->holds) +
-		g_hash_table_size(s->ran) >
+		g_hash_table_size(s->released) + g_hash_table_size(s->ran) >
 	    0;
 
 	if (any && s->sweep == NULL)
@@ -595,6 +625,7 @@
 	g_hash_table_destroy(s->rows);
 	g_hash_table_destroy(s->ended);
 	g_hash_table_destroy(s->holds);
+	g_hash_table_destroy(s->released);
 	g_hash_table_destroy(s->ran);
 	g_free(s);
 }
@@ -610,6 +641,8 @@
 	    g_str_hash, g_str_equal, NULL, mh_poison_free_ended);
 	s->holds =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_hold);
+	s->released =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	s->ran = g_hash_table_new_full(
 	    g_int64_hash, g_int64_equal, g_free, mh_poison_free_ran);
 	s->rows =
--- a/lib/poisonint.h
+++ b/lib/poisonint.h
@@ -91,6 +91,7 @@
 	struct mh_poison_ops ops;
 	GHashTable *ended; /* endpoint -> struct ended */
 	GHashTable *holds; /* print -> struct hold */
+	GHashTable *released; /* print -> when its hold was, int64_t */
 	GHashTable *ran; /* print and pool -> struct ran */
 	GHashTable *rows; /* print and pool -> struct row */
 	bool stale; /* rows are to be worked out anew */
@@ -125,6 +126,9 @@
     const char *pool, int64_t until_us, uint32_t times);
 /** mh_poison_release() - a hold is over and forgotten. */
 void mh_poison_release(struct mh_poison *s, struct hold *h, const char *why);
+/** mh_poison_was_released() - a hold made at @made_us is known to be over. */
+bool mh_poison_was_released(
+    const struct mh_poison *s, uint64_t print, int64_t made_us);
 /** mh_poison_clear() - a request has run; true if that changes anything. */
 bool mh_poison_clear(struct mh_poison *s, const struct run *n);
 /** mh_poison_run_id() - of its last run; 0: none. */
--- a/lib/poisontold.c
+++ b/lib/poisontold.c
@@ -259,6 +259,8 @@
 	    (int64_t)MIN(m->left_us, (uint64_t)MH_POISON_HOLD_MOST_US);
 	bool news = h == NULL || m->times > h->times;
 
+	if (mh_poison_was_released(s, m->print, then(s, m->age_us)))
+		return;
 	h = mh_poison_hold(s, m->print, m->pool, until_us, m->times);
 	if (h == NULL)
 		return;
--- a/regress/t_poison.c
+++ b/regress/t_poison.c
@@ -270,6 +270,55 @@
 	prig_destroy(r);
 }
 
+/* What a process tells, as another one takes it. */
+static void
+op_deliver(void *arg, Mh__Frame *f)
+{
+	struct prig *to = arg;
+	size_t len = mh__frame__get_packed_size(f);
+	uint8_t *bytes = g_malloc(len);
+	Mh__Frame *in;
+
+	mh__frame__pack(f, bytes);
+	in = mh__frame__unpack(NULL, len, bytes);
+	mh_poison_take(to->k, in->poison, false);
+	mh__frame__free_unpacked(in, NULL);
+	g_free(bytes);
+}
+
+/*
+ * A process that was paused while a hold was released tells of it once more.
+ */
+static void
+test_released_for_good(void)
+{
+	struct prig *here = prig_create(), *paused = prig_create();
+
+	end_three(here, BAD);
+	mh_poison_all(here->k, op_deliver, paused);
+	CU_ASSERT(mh_poison_held_us(paused->k, BAD) > 0);
+	pass(here, 400 * MS);
+	mh_poison_answered(here->k, "7-2", 0, false);
+	CU_ASSERT_EQUAL(mh_poison_held_us(here->k, BAD), 0);
+	pass(here, 11 * S);
+	pass(paused, 400 * MS + 11 * S);
+	mh_poison_all(paused->k, op_deliver, here);
+	CU_ASSERT_EQUAL(mh_poison_held_us(here->k, BAD), 0);
+	mh_poison_all(here->k, op_deliver, paused);
+	CU_ASSERT_EQUAL(mh_poison_held_us(paused->k, BAD), 0);
+	/* What ends engines anew is held again. */
+	for (int i = 3; i < 7; i++) {
+		char id[16];
+
+		g_snprintf(id, sizeof(id), "%d-%d", BAD, i);
+		broke(here, id, BAD);
+		pass(here, 400 * MS);
+	}
+	CU_ASSERT(mh_poison_held_us(here->k, BAD) > 0);
+	prig_destroy(paused);
+	prig_destroy(here);
+}
+
 /* What an endpoint that starts again answers does not clear the one before. */
 static void
 test_answer_of_the_next(void)
@@ -476,6 +525,7 @@
 	{ "asked seldom", test_asked_seldom },
 	{ "it ran at another pool", test_ran_elsewhere },
 	{ "answers lost", test_answers_lost },
+	{ "released for good", test_released_for_good },
 	{ "answers of the next incarnation", test_answer_of_the_next },
 	{ "bounded", test_bounded },
 	{ "cost of a request", test_cost },
