Evacuated failure domains get nothing, cold endpoints what they bear

Cause: nothing read the operator's evacuations, and how warm an endpoint is was a matter of taste: it counted as slower. A new endpoint looks empty to every entry at once, and nothing bounded what it got. Ruled out: reading the evacuations by calls of their own (the range and the watch that bring the configuration bring them for the same number of calls); a rate for each entry by their number (at 21 entries of one request a second each already passes a bound of 17); an endpoint's entry that hands out turns (a hop more, and gone with it; a cold endpoint is warm after three seconds). Change: the view reads and watches all that the operator writes; the set of evacuated domains has a revision and goes from entry to entry as the configuration does. An endpoint there is not usable: first and further tries, runs that go on, pieces, reports and frees. What runs there goes on; its results are still read. Cold endpoints get the rate that they bear from the first few entries of an order by rendezvous, as many as they bear requests, each its part; where nothing else is left a request waits for a turn, up to its aim, or is refused with the time of the next. Taken back, an endpoint counts as cold for its warm-up whatever its row says. How warm it is, the newest word tells: its row or a header of its answers.

--- a/lib/celltold.c
+++ b/lib/celltold.c
@@ -25,10 +25,11 @@
 void
 mh_cell_ask(struct mh_cell *c, struct worker *w, const char *node)
 {
+	const struct mh_node *n = mh_fleet_find(c->f, node);
 	int64_t now = mh_now(c->k);
 
 	if (w->asked || now - w->asked_us < ASK_US || c->ops.ask == NULL ||
-	    mh_fleet_find(c->f, node) == NULL)
+	    n == NULL || n->evacuated)
 		return;
 	w->asked = true;
 	w->asked_us = now;
--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -9,6 +9,7 @@
 
 #include "gate.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 /* One failure in four of the recent eight or so moves the share this much. */
@@ -25,9 +26,13 @@
 /* How long, doubled each time in a row: a restart takes some seconds. */
 #define OUT_MIN_US (700 * MH_US_PER_MS)
 #define OUT_MAX_US (6 * MH_US_PER_S)
+/* Times of one row that differ by less are the same. */
+#define SAME_WARM_US (20 * MH_US_PER_MS)
 
 struct mh_fleet {
 	struct mh_kern *k;
+	struct mh_gconf *conf;
+	char **evacuated; /* failure domains */
 	GHashTable *nodes; /* id -> struct mh_node */
 	GHashTable *names; /* name -> struct mh_node, not owned */
 	GHashTable *pools; /* name -> GPtrArray of struct mh_node */
@@ -83,9 +88,66 @@
 	g_hash_table_destroy(f->pools);
 	g_hash_table_destroy(f->names);
 	g_hash_table_destroy(f->nodes);
+	mh_gconf_unref(f->conf);
+	g_strfreev(f->evacuated);
 	g_free(f);
 }
 
+void
+mh_fleet_conf(struct mh_fleet *f, struct mh_gconf *conf)
+{
+	mh_gconf_ref(conf);
+	mh_gconf_unref(f->conf);
+	f->conf = conf;
+}
+
+static int64_t
+warmup_us(const struct mh_fleet *f, const char *pool)
+{
+	const struct mh_gpool *p =
+	    f->conf == NULL ? NULL : mh_gconf_pool(f->conf, pool);
+
+	return p == NULL ? 0 : p->warmup_us;
+}
+
+/*
+ * Endpoints that got nothing for a while may be cold, and their rows tell it
+ * late: some bore no more than a few requests and got all that was due.
+ */
+static void
+take_back(struct mh_fleet *f, struct mh_node *n)
+{
+	int64_t until_us = mh_now(f->k) + warmup_us(f, n->pool);
+
+	n->unsure_until_us = until_us;
+	n->warm_at_us = MAX(n->warm_at_us, until_us);
+}
+
+void
+mh_fleet_evacuate(struct mh_fleet *f, const char *const *domains)
+{
+	GHashTableIter it;
+	gpointer v;
+	uint32_t out = 0, back = 0;
+
+	g_strfreev(f->evacuated);
+	f->evacuated = g_strdupv((char **)(uintptr_t)domains);
+	g_hash_table_iter_init(&it, f->nodes);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct mh_node *n = v;
+		bool was = n->evacuated;
+
+		n->evacuated = g_strv_contains(domains, n->domain);
+		out += n->evacuated;
+		if (was && !n->evacuated) {
+			take_back(f, n);
+			back++;
+		}
+	}
+	mh_event(f->k, "evacuated", "domains=%u endpoints=%u taken_back=%u",
+	    g_strv_length(f->evacuated), out, back);
+}
+
 void
 mh_fleet_begin(struct mh_fleet *f)
 {
@@ -113,6 +175,8 @@
 	n->pool = g_strdup(l->pool);
 	n->addr = g_strdup(l->addr);
 	n->domain = g_strdup(l->domain);
+	n->evacuated = f->evacuated != NULL &&
+	    g_strv_contains((const char *const *)f->evacuated, n->domain);
 	n->hash = mh_hash(n->name, strlen(n->name));
 	n->kept_hash = mh_hash(n->id, strlen(n->id));
 	f->version++;
@@ -169,6 +233,22 @@
 	return n;
 }
 
+/*
+ * A row that was written since tells the newest; read again it tells the same
+ * time as before, but for what the clocks round.
+ */
+static void
+take_warmup(struct mh_fleet *f, struct mh_node *n, int64_t warm_us)
+{
+	int64_t now = mh_now(f->k), at_us = now + warm_us;
+
+	if (warm_us == 0 ? n->row_warm_us <= now
+			 : llabs(at_us - n->row_warm_us) <= SAME_WARM_US)
+		return;
+	n->row_warm_us = at_us;
+	mh_node_warm(f, n, warm_us);
+}
+
 void
 mh_fleet_list(struct mh_fleet *f, const struct mh_listing *l)
 {
@@ -194,7 +274,7 @@
 		f->version++;
 	n->capacity = l->capacity;
 	n->leaving = l->leaving;
-	n->warm_at_us = mh_now(f->k) + l->warm_us;
+	take_warmup(f, n, l->warm_us);
 	n->marks = f->mark;
 }
 
@@ -208,9 +288,11 @@
 	    n->born_ms == born_ms)
 		return;
 	l = (struct mh_listing) { g_strdup(n->name), born_ms, g_strdup(n->pool),
-		g_strdup(n->addr), g_strdup(n->domain), n->capacity, false, 0 };
+		g_strdup(n->addr), g_strdup(n->domain), n->capacity, false,
+		warmup_us(f, n->pool) };
 	now = restarted(f, n, &l);
 	now->capacity = l.capacity;
+	now->row_warm_us = now->warm_at_us = mh_now(f->k) + l.warm_us;
 	g_free((char *)(uintptr_t)l.name);
 	g_free((char *)(uintptr_t)l.pool);
 	g_free((char *)(uintptr_t)l.addr);
@@ -393,7 +475,7 @@
 	for (guint i = 0; pool != NULL && i < pool->len; i++) {
 		const struct mh_node *o = g_ptr_array_index(pool, i);
 
-		out += o != n && o->out_until_us > now;
+		out += o != n && (o->evacuated || o->out_until_us > now);
 	}
 	return pool != NULL && (out + 1) * 2 <= pool->len + 1;
 }
@@ -444,5 +526,21 @@
 bool
 mh_node_usable(const struct mh_fleet *f, const struct mh_node *n)
 {
-	return !n->leaving && n->out_until_us <= mh_now(f->k);
+	return !n->leaving && !n->evacuated && n->out_until_us <= mh_now(f->k);
+}
+
+void
+mh_node_warm(struct mh_fleet *f, struct mh_node *n, int64_t warm_us)
+{
+	int64_t at_us = mh_now(f->k) + warm_us;
+
+	if (mh_now(f->k) < n->unsure_until_us)
+		at_us = MAX(at_us, n->unsure_until_us);
+	n->warm_at_us = at_us;
+}
+
+bool
+mh_node_cold(const struct mh_fleet *f, const struct mh_node *n)
+{
+	return n->warm_at_us > mh_now(f->k);
 }
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -64,6 +64,7 @@
 	g_free(q->key);
 	g_free(q->piece_key);
 	g_free(q->resume_after);
+	g_free(q->turn_at);
 	g_free(q);
 }
 
@@ -123,6 +124,7 @@
 	q->state = MH_ASK_ENDED;
 	mh_timer_stop(g->k, &q->until);
 	mh_timer_stop(g->k, &q->patience);
+	mh_timer_stop(g->k, &q->turn);
 	g_hash_table_remove(g->asks, q);
 }
 
@@ -233,6 +235,9 @@
 	a->pool = q->pool;
 	if (p != NULL)
 		a->most = MAX(p->max_conns / MAX(g->entries, 1), 1);
+	a->cold_per_s = p == NULL ? 0 : p->cold_per_s;
+	a->turn = q->turn_at;
+	a->wait_by_us = MIN(q->aim_us, mh_gate_limit_us(g, q) - LEAST_LEFT_US);
 	a->domain = g->domain;
 	a->n_parts = q->n_parts;
 	memcpy(a->parts, q->parts, sizeof(a->parts));
@@ -323,6 +328,36 @@
 	return q->inputs != NULL && *q->inputs != '\0' && q->job == NULL;
 }
 
+static void
+on_turn(void *arg)
+{
+	struct mh_gask *q = arg;
+
+	q->turn = NULL;
+	mh_gate_try_next(q->gate, q);
+}
+
+/* No endpoint takes it now; a cold one may in time. */
+static void
+wait_or_refuse(
+    struct mh_gate *g, struct mh_gask *q, const struct mh_place_ask *a)
+{
+	bool waits =
+	    a->wait_us > 0 && mh_now(g->k) + a->wait_us <= a->wait_by_us;
+
+	if (!waits) {
+		mh_gate_refuse(g, q,
+		    q->runs > 0 ? MH_RUN_FAILED : MH_NO_ENDPOINT, a->wait_us);
+		return;
+	}
+	mh_count(g->k, "waits_for_cold", 1);
+	mh_event(g->k, "cold-wait", "id=%s pool=%s node=%s wait_ms=%" PRId64,
+	    q->id, q->pool, a->turn_at, mh_ms(a->wait_us));
+	g_free(q->turn_at);
+	q->turn_at = a->turn_at[0] == '\0' ? NULL : g_strdup(a->turn_at);
+	q->turn = mh_timer_start(g->k, a->wait_us, on_turn, q);
+}
+
 void
 mh_gate_try_next(struct mh_gate *g, struct mh_gask *q)
 {
@@ -344,10 +379,10 @@
 	mh_gate_fill_place(g, q, &a);
 	n = q->n_tried < TRIES_MAX ? mh_place_pick(g->place, &a) : NULL;
 	if (n == NULL) {
-		mh_gate_refuse(
-		    g, q, q->runs > 0 ? MH_RUN_FAILED : MH_NO_ENDPOINT, 0);
+		wait_or_refuse(g, q, &a);
 		return;
 	}
+	g_clear_pointer(&q->turn_at, g_free);
 	t = g_new0(struct mh_try, 1);
 	t->ask = q;
 	t->node = g_strdup(n->id);
@@ -371,12 +406,13 @@
 	mh_event(g->k, "send",
 	    "id=%s route=%s node=%s pool=%s try=%u inflight=%u running=%u "
 	    "waiting=%u "
-	    "told_ms=%" PRId64 " fail=%.2f home=%d left_ms=%" PRId64
+	    "told_ms=%" PRId64 " fail=%.2f home=%d cold=%d left_ms=%" PRId64
 	    " after=%s",
 	    q->id, q->route->name, n->id, q->pool, q->n_tried, n->inflight,
 	    n->running, n->waiting,
 	    n->told_us > 0 ? mh_ms(mh_now(g->k) - n->told_us) : -1, n->fail,
-	    a.at_home, mh_ms(t->left_us), mh_gate_stream_after(q));
+	    a.at_home, mh_node_cold(g->f, n), mh_ms(t->left_us),
+	    mh_gate_stream_after(q));
 	mh_timer_stop(g->k, &q->patience);
 	if (may_repeat(q))
 		set_patience(g, q, patience_us(q));
@@ -456,6 +492,8 @@
 
 	if (n != NULL && a->told)
 		mh_node_told(g->f, n, a->running, a->waiting, a->slots);
+	if (n != NULL && a->told_warm)
+		mh_node_warm(g->f, n, a->warm_us);
 	if (!a->moved)
 		heard_of(g, t, n);
 	mh_event(g->k, "head",
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -92,6 +92,8 @@
 struct mh_gpool {
 	char *name;
 	uint32_t max_conns; /* to one endpoint, of all callers together */
+	int64_t warmup_us; /* an endpoint is cold so long after its start */
+	double cold_per_s; /* requests that a cold one bears; 0: any */
 	bool is_work;
 	struct mh_gwork work;
 };
@@ -152,7 +154,12 @@
 	char *domain;
 	uint32_t capacity;
 	bool leaving;
-	int64_t warm_at_us; /* slow until then */
+	bool evacuated; /* its failure domain is: nothing is sent there */
+	int64_t warm_at_us; /* cold until then */
+	int64_t row_warm_us; /* the same, as its row told last */
+	int64_t unsure_until_us; /* until then it is warm no sooner than that */
+	int64_t turn_from_us; /* while cold, no turn of ours is before */
+	int64_t sent_us; /* our last request went there; 0: none */
 	/* seen by this process */
 	uint32_t inflight; /* own calls */
 	uint32_t running; /* last told by itself */
@@ -185,6 +192,13 @@
 };
 
 struct mh_fleet *mh_fleet_create(struct mh_kern *k);
+/** mh_fleet_conf() - how long the endpoints of each pool are cold. */
+void mh_fleet_conf(struct mh_fleet *f, struct mh_gconf *conf);
+/**
+ * mh_fleet_evacuate() - exactly these failure domains are evacuated.
+ * @domains: names, ended by NULL
+ */
+void mh_fleet_evacuate(struct mh_fleet *f, const char *const *domains);
 void mh_fleet_destroy(struct mh_fleet *f);
 /** mh_fleet_begin(), _list(), _end() - one whole reading of the registry. */
 void mh_fleet_begin(struct mh_fleet *f);
@@ -223,6 +237,9 @@
 /** mh_node_told() - the endpoint's own word of its load. */
 void mh_node_told(struct mh_fleet *f, struct mh_node *n, uint32_t running,
     uint32_t waiting, uint32_t slots);
+/** mh_node_warm() - its own word: it is cold for @warm_us more. */
+void mh_node_warm(struct mh_fleet *f, struct mh_node *n, int64_t warm_us);
+bool mh_node_cold(const struct mh_fleet *f, const struct mh_node *n);
 void mh_node_good(struct mh_fleet *f, struct mh_node *n, int64_t took_us);
 void mh_node_bad(struct mh_fleet *f, struct mh_node *n, const char *why);
 /** mh_node_out() - left out for a while, unless half of its pool is out. */
@@ -245,6 +262,7 @@
 
 #define MH_PARTS 16
 #define MH_TRIED 8
+#define MH_TURN_LEN 256 /* of an endpoint's id, with its end */
 
 struct mh_place_ask {
 	const char *pool;
@@ -254,12 +272,25 @@
 	uint32_t n_parts;
 	const char *tried[MH_TRIED]; /* ids */
 	uint32_t n_tried;
+	double cold_per_s; /* to one cold endpoint, of all entries; 0: any */
+	const char *turn; /* id of the cold endpoint whose turn it has */
+	int64_t wait_by_us; /* absolute: it may wait so long for a turn */
+	int64_t wait_us; /* set without a choice: to be asked again; 0: not */
+	char turn_at[MH_TURN_LEN]; /* set with it: has a turn there, or "" */
 	uint64_t apart; /* chosen by this alone; 0: by its prompt and load */
 	bool at_home; /* set by the choice: where its prompt is kept */
 };
 
 struct mh_place *mh_place_create(struct mh_kern *k, struct mh_fleet *f);
 void mh_place_destroy(struct mh_place *p);
+/**
+ * mh_place_on_rank() - who of the entries sends to a cold endpoint.
+ * @fn: how many go before this one there, see mh_mesh_rank()
+ * @entries: how many there are
+ */
+void mh_place_on_rank(struct mh_place *p,
+    uint32_t (*fn)(void *arg, const char *endpoint, uint32_t *entries),
+    void *arg);
 /** mh_place_pick() - the endpoint to try next, or NULL. */
 struct mh_node *mh_place_pick(struct mh_place *p, struct mh_place_ask *a);
 /** mh_place_home() - the endpoint at which a prompt is at home, or NULL. */
@@ -269,6 +300,18 @@
 void mh_place_sent(
     struct mh_place *p, const struct mh_place_ask *a, struct mh_node *n);
 
+/* turn.c: how often a process sends to a cold endpoint */
+
+/** struct mh_turn - what is known of it. */
+struct mh_turn {
+	double per_s; /* requests that the endpoint bears, of all entries */
+	uint32_t entries;
+	uint32_t before; /* entries that go before this one */
+};
+
+/** mh_turn_us() - time between two sendings of ours; 0: none is ours. */
+int64_t mh_turn_us(const struct mh_turn *t);
+
 /* budget.c: repeats as a share of recent requests */
 
 struct mh_budget;
@@ -584,6 +627,8 @@
 	struct mh_timer *until;
 	struct mh_timer *patience;
 	struct mh_timer *fed; /* when its inputs will have been read */
+	struct mh_timer *turn; /* of a cold endpoint, when it comes */
+	char *turn_at; /* that endpoint */
 };
 
 /** struct mh_try - one sending of a request to an endpoint. */
@@ -614,6 +659,8 @@
 	uint32_t running;
 	uint32_t waiting;
 	uint32_t slots;
+	bool told_warm; /* the time below is given */
+	int64_t warm_us; /* it is cold for so long */
 };
 
 enum mh_verdict {
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -236,6 +236,14 @@
 	begin_anew(m, late_us);
 }
 
+static uint64_t
+evacuated_revision(const struct mh_mesh *m)
+{
+	return m->view.evacuated_revision == NULL
+	    ? 0
+	    : m->view.evacuated_revision(m->view.arg);
+}
+
 static void
 fill_beat(struct mh_mesh *m, Mh__Beat *b)
 {
@@ -253,6 +261,7 @@
 	b->conf_revision = m->view.conf_revision(m->view.arg);
 	b->rows_revision = m->view.rows_revision(m->view.arg);
 	b->rows_age_us = (uint64_t)m->view.rows_age_us(m->view.arg);
+	b->evacuated_revision = evacuated_revision(m);
 }
 
 /* To one link, or to all: 0. */
@@ -291,7 +300,8 @@
 	ask.rows = b->rows_revision > m->view.rows_revision(m->view.arg) &&
 	    m->view.rows_due(m->view.arg) &&
 	    mh_now(m->k) >= m->rows_asked_us + ROWS_WAIT_US;
-	if (!ask.conf && !ask.rows)
+	ask.evacuated = b->evacuated_revision > evacuated_revision(m);
+	if (!ask.conf && !ask.rows && !ask.evacuated)
 		return;
 	p->asked_us = mh_now(m->k);
 	if (ask.rows)
@@ -332,7 +342,7 @@
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__View v = MH__VIEW__INIT;
 	Mh__ViewAsk some = *ask;
-	struct mh_shared s = { NULL, NULL };
+	struct mh_shared s = { NULL, NULL, NULL };
 
 	if (m->view.fill == NULL)
 		return;
@@ -341,7 +351,7 @@
 	    m->rows_bytes < ROWS_BYTES_A_BEAT;
 	if (some.conf != ask->conf || some.rows != ask->rows)
 		mh_count(m->k, "views_put_off", 1);
-	if (!some.conf && !some.rows)
+	if (!some.conf && !some.rows && !some.evacuated)
 		return;
 	m->conf_answers += some.conf;
 	m->rows_answers += some.rows;
@@ -353,6 +363,11 @@
 	if (s.rows != NULL)
 		v.rows.data = (uint8_t *)g_bytes_get_data(s.rows, &v.rows.len);
 	m->rows_bytes += v.rows.len;
+	if (s.evacuated != NULL) {
+		v.evacuated_revision = evacuated_revision(m);
+		v.evacuated = (char **)(uintptr_t)s.evacuated;
+		v.n_evacuated = g_strv_length((char **)(uintptr_t)s.evacuated);
+	}
 	f.body_case = MH__FRAME__BODY_VIEW;
 	f.view = &v;
 	mh_mesh_send_conn(m, mh_peer_link(p), &f);
@@ -597,6 +612,7 @@
 	GHashTableIter it;
 	gpointer key, value;
 
+	m->have_list = true;
 	g_hash_table_iter_init(&it, m->peers);
 	while (g_hash_table_iter_next(&it, &key, &value))
 		((struct peer *)value)->listed = false;
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -35,6 +35,7 @@
 struct mh_shared {
 	GBytes *conf;
 	GBytes *rows;
+	const char *const *evacuated; /* domains, ended by NULL; not owned */
 };
 
 /** struct mh_mesh_view - what a process has read, to share with others. */
@@ -52,6 +53,7 @@
 	void (*take)(void *arg, const Mh__View *v);
 	bool (*ready)(void *arg);
 	bool (*reads)(void *arg); /* whether the platform answers us */
+	uint64_t (*evacuated_revision)(void *arg); /* NULL: none is told */
 	void *arg;
 };
 
@@ -96,6 +98,15 @@
     const struct mh_mesh *m, uint32_t slices, uint32_t used[MH_USED_SLICES]);
 /** mh_mesh_set_slices() - links go to the homes of this entry's slices. */
 void mh_mesh_set_slices(struct mh_mesh *m, uint32_t slices);
+/**
+ * mh_mesh_rank() - how many entries go before this one in the order of @what.
+ * @entries: set to how many there are
+ *
+ * By the list alone, which all have, whoever is cut off.  UINT32_MAX before
+ * any was read.
+ */
+uint32_t mh_mesh_rank(
+    const struct mh_mesh *m, const char *what, uint32_t *entries);
 /** mh_mesh_leave() - others no longer choose us. */
 void mh_mesh_leave(struct mh_mesh *m);
 /** mh_mesh_size() - live entries, ourselves included. */
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -49,6 +49,7 @@
 	double weight;
 	bool leaving;
 	uint32_t slices; /* of the stage pools */
+	bool have_list; /* of the entries */
 	int64_t started_us;
 	int64_t ticked_us; /* when our timer last ran */
 	int64_t woke_us; /* when we found that we had not run; 0: never */
--- a/lib/meshorder.c
+++ b/lib/meshorder.c
@@ -213,6 +213,27 @@
 	return n;
 }
 
+uint32_t
+mh_mesh_rank(const struct mh_mesh *m, const char *what, uint32_t *entries)
+{
+	uint64_t mine = mh_rendezvous(what, m->node);
+	uint32_t before = 0;
+	GHashTableIter it;
+	gpointer value;
+
+	*entries = 1;
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct peer *p = value;
+
+		if (!mh_peer_known(p))
+			continue;
+		*entries += 1;
+		before += mh_rendezvous(what, p->node) > mine;
+	}
+	return m->have_list ? before : UINT32_MAX;
+}
+
 /*
  * The first of the order that the platform answers; they are linked to all
  * who would fall back on them.  Whom it does not answer reads only while
--- a/lib/place.c
+++ b/lib/place.c
@@ -38,6 +38,8 @@
 	struct mh_kern *k;
 	struct mh_fleet *f;
 	GHashTable *kept; /* hash of node and part -> last use */
+	uint32_t (*rank)(void *arg, const char *endpoint, uint32_t *entries);
+	void *rank_arg;
 };
 
 struct mh_place *
@@ -100,6 +102,7 @@
 mh_place_sent(
     struct mh_place *p, const struct mh_place_ask *a, struct mh_node *n)
 {
+	n->sent_us = mh_now(p->k);
 	if (g_hash_table_size(p->kept) > KEPT_MAX)
 		g_hash_table_foreach_remove(p->kept, expired, p);
 	for (uint32_t i = 0; i + 1 < a->n_parts; i++) {
@@ -187,13 +190,111 @@
 
 	us += prefill_us(p, a, n, n == home);
 	us += n->fail * FAIL_US;
-	if (n->warm_at_us > mh_now(p->k))
+	if (mh_node_cold(p->f, n))
 		us *= 2;
 	if (a->domain != NULL && strcmp(a->domain, n->domain) != 0)
 		us += OTHER_DOMAIN_US;
 	return us + mh_random_unit(p->k) * OTHER_DOMAIN_US / 2;
 }
 
+/* cold endpoints */
+
+void
+mh_place_on_rank(struct mh_place *p,
+    uint32_t (*fn)(void *arg, const char *endpoint, uint32_t *entries),
+    void *arg)
+{
+	p->rank = fn;
+	p->rank_arg = arg;
+}
+
+/* Time between two of our sendings to an endpoint while it is cold. */
+static int64_t
+turn_us(const struct mh_place *p, const struct mh_place_ask *a,
+    const struct mh_node *n)
+{
+	struct mh_turn t = { a->cold_per_s, 1, 0 };
+
+	if (p->rank != NULL)
+		t.before = p->rank(p->rank_arg, n->name, &t.entries);
+	return mh_turn_us(&t);
+}
+
+static bool
+is_bound(const struct mh_place *p, const struct mh_place_ask *a,
+    const struct mh_node *n)
+{
+	return a->cold_per_s > 0 && mh_node_cold(p->f, n);
+}
+
+/* When our next turn there is; what went there before it was cold counts. */
+static int64_t
+next_turn_us(const struct mh_node *n, int64_t each_us)
+{
+	int64_t us = n->sent_us == 0 ? 0 : n->sent_us + each_us;
+
+	return MAX(us, n->turn_from_us);
+}
+
+/* Whether a cold endpoint bears one more of ours now. */
+static bool
+has_turn(const struct mh_place *p, const struct mh_place_ask *a,
+    const struct mh_node *n)
+{
+	int64_t each_us;
+
+	if (!is_bound(p, a, n))
+		return true;
+	if (a->turn != NULL && strcmp(a->turn, n->id) == 0)
+		return true;
+	each_us = turn_us(p, a, n);
+	return each_us > 0 && next_turn_us(n, each_us) <= mh_now(p->k);
+}
+
+/** struct turn_at - a turn of ours at a cold endpoint. */
+struct turn_at {
+	struct mh_node *node;
+	int64_t at_us; /* or when it is warm, if that is sooner */
+	int64_t each_us;
+};
+
+static struct turn_at
+first_turn(const struct mh_place *p, const struct mh_place_ask *a,
+    const GPtrArray *pool)
+{
+	struct turn_at first = { NULL, INT64_MAX, 0 };
+
+	for (guint i = 0; i < pool->len; i++) {
+		struct mh_node *n = g_ptr_array_index(pool, i);
+		struct turn_at t = { n, n->warm_at_us, 0 };
+
+		if (!mh_node_usable(p->f, n) || was_tried(a, n) ||
+		    !is_bound(p, a, n))
+			continue;
+		t.each_us = turn_us(p, a, n);
+		if (t.each_us > 0)
+			t.at_us = MIN(t.at_us, next_turn_us(n, t.each_us));
+		if (t.at_us < first.at_us)
+			first = t;
+	}
+	return first;
+}
+
+/* Where nothing else is left it waits for a cold endpoint, if not too long. */
+static void
+wait_for_turn(struct mh_place *p, struct mh_place_ask *a, const GPtrArray *pool)
+{
+	struct turn_at t = first_turn(p, a, pool);
+
+	if (t.node == NULL)
+		return;
+	a->wait_us = MAX(t.at_us - mh_now(p->k), 1);
+	if (t.at_us > a->wait_by_us || t.at_us >= t.node->warm_at_us)
+		return; /* or it is warm by then */
+	t.node->turn_from_us = t.at_us + t.each_us;
+	g_strlcpy(a->turn_at, t.node->id, sizeof(a->turn_at));
+}
+
 static struct mh_node *
 best_of(
     struct mh_place *p, struct mh_place_ask *a, const GPtrArray *pool, bool any)
@@ -209,8 +310,8 @@
 		/* An endpoint resets connections beyond its bound. */
 		if (a->most > 0 && n->inflight >= a->most)
 			continue;
-		if (n->leaving || was_tried(a, n) ||
-		    (!any && !mh_node_usable(p->f, n)))
+		if (n->leaving || n->evacuated || was_tried(a, n) ||
+		    (!any && !mh_node_usable(p->f, n)) || !has_turn(p, a, n))
 			continue;
 		s = score(p, a, n, home);
 		if (best == NULL || s < least) {
@@ -238,6 +339,7 @@
 		uint64_t w = mix(a->apart, n->hash);
 
 		if (!mh_node_usable(p->f, n) || was_tried(a, n) ||
+		    !has_turn(p, a, n) ||
 		    (a->most > 0 && n->inflight >= a->most) ||
 		    (best != NULL && w <= most))
 			continue;
@@ -266,5 +368,9 @@
 	n = a->apart != 0 ? apart_of(p, a, pool) : NULL;
 	if (n == NULL)
 		n = best_of(p, a, pool, false);
-	return n != NULL ? n : best_of(p, a, pool, true);
+	if (n == NULL)
+		n = best_of(p, a, pool, true);
+	if (n == NULL)
+		wait_for_turn(p, a, pool);
+	return n;
 }
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -4452,7 +4452,7 @@
   (ProtobufCMessageInit) mh__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__beat__field_descriptors[9] =
+static const ProtobufCFieldDescriptor mh__beat__field_descriptors[10] =
 {
   {
     "ready",
@@ -4562,9 +4562,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuated_revision",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Beat, evacuated_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__beat__field_indices_by_name[] = {
   2,   /* field[2] = conf_revision */
+  9,   /* field[9] = evacuated_revision */
   1,   /* field[1] = leaving */
   8,   /* field[8] = oldest_us */
   4,   /* field[4] = reads */
@@ -4577,7 +4590,7 @@
 static const ProtobufCIntRange mh__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor mh__beat__descriptor =
 {
@@ -4587,7 +4600,7 @@
   "Mh__Beat",
   "mh",
   sizeof(Mh__Beat),
-  9,
+  10,
   mh__beat__field_descriptors,
   mh__beat__field_indices_by_name,
   1,  mh__beat__number_ranges,
@@ -4658,7 +4671,7 @@
   (ProtobufCMessageInit) mh__known__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__view_ask__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mh__view_ask__field_descriptors[4] =
 {
   {
     "conf",
@@ -4696,16 +4709,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuated",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__ViewAsk, evacuated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__view_ask__field_indices_by_name[] = {
   0,   /* field[0] = conf */
+  3,   /* field[3] = evacuated */
   1,   /* field[1] = rows */
   2,   /* field[2] = rows_since */
 };
 static const ProtobufCIntRange mh__view_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor mh__view_ask__descriptor =
 {
@@ -4715,14 +4741,14 @@
   "Mh__ViewAsk",
   "mh",
   sizeof(Mh__ViewAsk),
-  3,
+  4,
   mh__view_ask__field_descriptors,
   mh__view_ask__field_indices_by_name,
   1,  mh__view_ask__number_ranges,
   (ProtobufCMessageInit) mh__view_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__view__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mh__view__field_descriptors[6] =
 {
   {
     "conf_revision",
@@ -4772,17 +4798,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuated_revision",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__View, evacuated_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuated",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Mh__View, n_evacuated),
+    offsetof(Mh__View, evacuated),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__view__field_indices_by_name[] = {
   1,   /* field[1] = conf */
   0,   /* field[0] = conf_revision */
+  5,   /* field[5] = evacuated */
+  4,   /* field[4] = evacuated_revision */
   3,   /* field[3] = rows */
   2,   /* field[2] = rows_revision */
 };
 static const ProtobufCIntRange mh__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mh__view__descriptor =
 {
@@ -4792,7 +4844,7 @@
   "Mh__View",
   "mh",
   sizeof(Mh__View),
-  4,
+  6,
   mh__view__field_descriptors,
   mh__view__field_indices_by_name,
   1,  mh__view__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -561,10 +561,17 @@
    * uptime of the longest running that can serve,
    */
   uint64_t oldest_us;
+  /*
+   * of itself and those it is linked to; 0: none
+   */
+  /*
+   * 0: not known
+   */
+  uint64_t evacuated_revision;
 };
 #define MH__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -594,10 +601,11 @@
    * what the asker has; 0: send all
    */
   uint64_t rows_since;
+  protobuf_c_boolean evacuated;
 };
 #define MH__VIEW_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__view_ask__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 struct  Mh__View
@@ -607,10 +615,19 @@
   ProtobufCBinaryData conf;
   uint64_t rows_revision;
   ProtobufCBinaryData rows;
+  /*
+   * 0: not told
+   */
+  uint64_t evacuated_revision;
+  /*
+   * all failure domains that are
+   */
+  size_t n_evacuated;
+  char **evacuated;
 };
 #define MH__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__view__descriptor) \
-    , 0, {0,NULL}, 0, {0,NULL} }
+    , 0, {0,NULL}, 0, {0,NULL}, 0, 0,NULL }
 
 
 struct  Mh__JobStage
--- a/regress/entries.c
+++ b/regress/entries.c
@@ -316,10 +316,21 @@
 	e->fresh += age_us == 0;
 }
 
+static uint64_t
+v_evacuated_revision(void *arg)
+{
+	return ((struct ment *)arg)->evacuated_revision;
+}
+
 static void
 v_fill(void *arg, const Mh__ViewAsk *ask, struct mh_shared *out)
 {
 	struct ment *e = arg;
+	static const char *domains[2];
+
+	domains[0] = e->evacuated[0] == '\0' ? NULL : e->evacuated;
+	if (ask->evacuated)
+		out->evacuated = domains;
 
 	if (ask->conf)
 		out->conf = g_bytes_new("conf", 4);
@@ -333,6 +344,12 @@
 {
 	struct ment *e = arg;
 
+	if (v->evacuated_revision > e->evacuated_revision) {
+		e->evacuated_revision = v->evacuated_revision;
+		g_strlcpy(e->evacuated,
+		    v->n_evacuated == 0 ? "" : v->evacuated[0],
+		    sizeof(e->evacuated));
+	}
 	e->taken_rows += (uint32_t)v->rows.len;
 	if (v->rows.len > 0)
 		e->rows = v->rows_revision;
@@ -359,7 +376,8 @@
 mrig_start(struct ment *e)
 {
 	const struct mh_mesh_view v = { v_conf, v_rows, v_due, v_rows, v_age,
-		v_same, v_fill, v_take, v_ready, v_reads, e };
+		v_same, v_fill, v_take, v_ready, v_reads, v_evacuated_revision,
+		e };
 
 	e->dialled = 0;
 	e->k = mh_kern_create(e->index + 1);
--- a/regress/entries.h
+++ b/regress/entries.h
@@ -31,6 +31,8 @@
 	bool reads;
 	uint64_t conf;
 	uint64_t rows;
+	uint64_t evacuated_revision;
+	char evacuated[16]; /* one failure domain, "": none */
 	uint32_t taken_conf;
 	uint32_t fresh; /* beats that said: unchanged just now */
 	uint32_t lose_views; /* of its answers, so many are lost */
--- a/regress/main.c
+++ b/regress/main.c
@@ -64,6 +64,7 @@
 	{ "gate", tests_gate },
 	{ "leave", tests_leave },
 	{ "mesh", tests_mesh },
+	{ "cold", tests_cold },
 	{ "start", tests_start },
 	{ "http", tests_http },
 	{ "wire", tests_wire },
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -138,6 +138,26 @@
 	mrig_destroy(r);
 }
 
+/* Guards against a failure domain that one entry alone knows as evacuated. */
+static void
+test_evacuated_from_peers(void)
+{
+	struct mrig *r = mrig_create();
+
+	mrig_run(r, 2 * S);
+	g_strlcpy(r->e[2].evacuated, "d0", sizeof(r->e[2].evacuated));
+	r->e[2].evacuated_revision = 5;
+	mrig_run(r, 1 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		CU_ASSERT_STRING_EQUAL(r->e[i].evacuated, "d0");
+	r->e[4].evacuated[0] = '\0';
+	r->e[4].evacuated_revision = 8;
+	mrig_run(r, 1 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		CU_ASSERT_STRING_EQUAL(r->e[i].evacuated, "");
+	mrig_destroy(r);
+}
+
 /*
  * The registry does not change for minutes.  Its revision stays, so nobody
  * has a newer one to give: without a word of when it was read last, each
@@ -356,6 +376,7 @@
 	{ "mesh: the first of the order gone", test_first_of_the_order_gone },
 	{ "mesh: settled entries first", test_settled_first },
 	{ "mesh: configuration from peers", test_conf_from_peers },
+	{ "mesh: evacuated, from peers", test_evacuated_from_peers },
 	{ "mesh: asks again", test_asks_again },
 	{ "mesh: configuration while rows change",
 	    test_conf_while_rows_change },
--- a/regress/t_platform_rows.c
+++ b/regress/t_platform_rows.c
@@ -199,6 +199,13 @@
 	g_free(text);
 }
 
+static void
+no_evacuated(void *arg, const char *const *domains)
+{
+	(void)arg;
+	(void)domains;
+}
+
 static bool
 is_reader(void *arg)
 {
@@ -226,7 +233,7 @@
 static void
 open_view(struct vrig *r)
 {
-	struct plat_view_fns fns = { no_conf, is_reader, NULL };
+	struct plat_view_fns fns = { no_conf, no_evacuated, is_reader, NULL };
 
 	r->k = mh_kern_create(1);
 	r->l = mh_loop_create(r->k, NULL);
--- a/regress/t_platform_store.c
+++ b/regress/t_platform_store.c
@@ -16,9 +16,16 @@
 /* A call each 200 ms, and as many for what is read at the start. */
 #define MOST_CALLS 6
 
-static const char conf_item[] =
-    "{\"key\":\"op/config\",\"revision\":3,\"asOf\":9,\"value\":"
-    "\"eyJ2ZXJzaW9uIjozLCJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6W119\"}";
+#define CONF_ITEM                                          \
+	"{\"key\":\"op/config\",\"revision\":3,\"value\":" \
+	"\"eyJ2ZXJzaW9uIjozLCJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6W119\"}"
+#define EVACUATED_ITEM(name, revision)                              \
+	"{\"key\":\"op/evacuate/" name "\",\"revision\":" #revision \
+	",\"value\":\"e30=\"}"
+
+static const char conf_item[] = CONF_ITEM;
+static const char written[] =
+    "{\"items\":[" CONF_ITEM "],\"hasMore\":false,\"asOf\":9}";
 
 /** struct srig - a store that answers after @refuse calls, and its reader. */
 struct srig {
@@ -45,11 +52,13 @@
 	/* instead of its usual answers; NULL: these */
 	const char *second_page;
 	const char *watch;
+	const char *written; /* by the operator */
 	const char *list;
 	const char *more; /* the list's second page */
 	const char *lease;
 	uint32_t watches;
 	uint32_t puts;
+	char *evacuated; /* failure domains, joined by commas */
 	uint32_t told; /* lists of entries that were taken */
 	uint32_t most_told; /* entries of the longest */
 };
@@ -107,8 +116,8 @@
 	if (g_str_has_prefix(target, "/kv-watch")) {
 		r->watches++;
 		say(q, 200, either(r->watch, conf_item));
-	} else if (strstr(target, "op/config") != NULL) {
-		say(q, 200, conf_item);
+	} else if (strstr(target, "pathPrefix=op/") != NULL) {
+		say(q, 200, either(r->written, written));
 	} else if (strstr(target, "servers/") != NULL) {
 		say(q, 200, registry_page(r, target));
 	} else if (strstr(target, "marlhoist/entries/") != NULL) {
@@ -137,8 +146,8 @@
 
 	if (r->early < r->refuse) {
 		r->early++;
-		r->early_conf +=
-		    strstr(mh_hreq_target(q), "key=op/config") != NULL;
+		r->early_conf += strstr(mh_hreq_target(q),
+				     "kv-range?pathPrefix=op/") != NULL;
 		say(q, 503, "{}");
 		return;
 	}
@@ -165,6 +174,15 @@
 	((struct srig *)arg)->has_conf = true;
 }
 
+static void
+on_evacuated(void *arg, const char *const *domains)
+{
+	struct srig *r = arg;
+
+	g_free(r->evacuated);
+	r->evacuated = g_strjoinv(",", (char **)(uintptr_t)domains);
+}
+
 static bool
 is_reader(void *arg)
 {
@@ -197,7 +215,7 @@
 		.on_request = on_request,
 		.on_gone = on_gone,
 		.arg = r };
-	struct plat_view_fns fns = { on_conf, is_reader, r };
+	struct plat_view_fns fns = { on_conf, on_evacuated, is_reader, r };
 	struct plat_member_fns member_fns = { on_entries, on_secret, is_reader,
 		r };
 	struct mh_member self = { (char *)"e0", (char *)"127.0.0.1:9", 1 };
@@ -233,6 +251,7 @@
 static void
 finish(struct srig *r)
 {
+	g_free(r->evacuated);
 	plat_members_destroy(r->members);
 	plat_view_destroy(r->view);
 	plat_store_destroy(r->store);
@@ -359,6 +378,67 @@
 	}
 }
 
+/* Guards against work for a failure domain that the operator has evacuated. */
+static void
+test_evacuated(void)
+{
+	static const struct {
+		const char *written;
+		const char *watch;
+		const char *evacuated; /* NULL: nothing was told */
+		uint64_t refused;
+	} t[] = {
+		/* as it is read, and as it changes */
+		{ "{\"items\":[" CONF_ITEM
+		  "," EVACUATED_ITEM("a", 4) "],"
+					     "\"hasMore\":false,\"asOf\":9}",
+		    NULL, "a", 0 },
+		{ NULL,
+		    "{\"events\":[" EVACUATED_ITEM("a", 11) "," EVACUATED_ITEM(
+			"b", 12) "],\"asOf\":12}",
+		    "a,b", 0 },
+		{ "{\"items\":[" CONF_ITEM
+		  "," EVACUATED_ITEM("a", 4) "," EVACUATED_ITEM(
+		      "b", 5) "],\"hasMore\":false,\"asOf\":9}",
+		    "{\"events\":[{\"key\":\"op/evacuate/a\",\"revision\":11,"
+		    "\"deleted\":true}],\"asOf\":11}",
+		    "b", 0 },
+		/* a word from before what was read */
+		{ "{\"items\":[" CONF_ITEM
+		  "," EVACUATED_ITEM("a", 8) "],"
+					     "\"hasMore\":false,\"asOf\":9}",
+		    "{\"events\":[{\"key\":\"op/evacuate/a\",\"revision\":7,"
+		    "\"deleted\":true}],\"asOf\":9}",
+		    "a", 0 },
+		/* keys that name no domain */
+		{ NULL,
+		    "{\"events\":[" EVACUATED_ITEM("", 11) "," EVACUATED_ITEM(
+			"a/b", 12) "," EVACUATED_ITEM("a b",
+			13) "],\"asOf\":13}",
+		    NULL, 3 },
+		/* another writer's keys */
+		{ NULL,
+		    "{\"events\":[{\"key\":\"op/evacuated\",\"revision\":11,"
+		    "\"value\":\"e30=\"},{\"revision\":12},7],\"asOf\":12}",
+		    NULL, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(t); i++) {
+		struct srig r = { .odd = true,
+			.written = t[i].written,
+			.watch = t[i].watch };
+
+		play(&r);
+		if (g_strcmp0(r.evacuated, t[i].evacuated) != 0)
+			printf("\n  row %zu: evacuated %s\n", i, r.evacuated);
+		CU_ASSERT_EQUAL(g_strcmp0(r.evacuated, t[i].evacuated), 0);
+		CU_ASSERT_EQUAL(
+		    mh_counter(r.k, "evacuations_refused"), t[i].refused);
+		CU_ASSERT_EQUAL(plat_view_conf_revision(r.view), 3);
+		finish(&r);
+	}
+}
+
 /* Guards against no entries, or no lease, read from an answer of nothing. */
 static void
 test_odd_members(void)
@@ -449,6 +529,7 @@
 	{ "store: odd pages", test_odd_pages },
 	{ "store: odd watches", test_odd_watches },
 	{ "store: odd configuration", test_odd_conf },
+	{ "evacuated failure domains", test_evacuated },
 	{ "store: odd members", test_odd_members },
 	{ "store: pages of members", test_pages_of_members },
 	{ "store: a few seek it", test_few_seek_it },
