Evacuate and take back at our own interface, and cold endpoints as settings

Cause: the product's own interface had neither; the decisions are the same. Ruled out: a key of its own in the KV service (one more watch in every process, and nobody who says since when); a flag of the VM list (the platform's, not the operator's). Change: the list "evacuated" of a document, which marlctl evacuate and take-back write as a generation of their own, so that history names who did it and it goes to every process as all else; a document without the list leaves it as it is. Pools have cold_per_s and warmup_ms; turns are those of lib/turn.c. Limit: keys that callers give themselves are refused while their partition is in an evacuated domain.

--- a/bench/demo.sh
+++ b/bench/demo.sh
@@ -105,6 +105,31 @@
     state "127.0.0.1:$(dp_port "$DIR/run/entry-0.out" link)" >"$DIR/answer"
 check "a state dump" '"generation": 1'
 
+say "a failure domain is evacuated and taken back"
+"$DP_BIN/marlctl.bin" --kv "$DP_PLATFORM" evacuate a
+sleep 1
+for _ in 1 2 3 4; do
+	ask "$E1" party-key /v1/pipelines/party-plan \
+	    "{\"input\":\"ref:$REF\",\"max_tokens\":2}"
+	check "whole from the other domains" "w0.$REF w1.$REF"
+	if grep -q '"vm":"[a-z]*-0"' "$DIR/answer"; then
+		echo "   WRONG: a call went to domain a"
+		BAD=$((BAD + 1))
+	fi
+done
+"$DP_BIN/marlctl.bin" --kv "$DP_PLATFORM" apply examples/declarations.yaml
+"$DP_BIN/marlctl.bin" --kv "$DP_PLATFORM" show >"$DIR/answer"
+check "a new document leaves it evacuated" 'evacuated: \["a"\]'
+"$DP_BIN/marlctl.bin" --kv "$DP_PLATFORM" take-back a
+"$DP_BIN/marlctl.bin" --kv "$DP_PLATFORM" show >"$DIR/answer"
+if grep -q evacuated "$DIR/answer"; then
+	echo "   WRONG: it is still evacuated"
+	BAD=$((BAD + 1))
+fi
+"$DP_BIN/marlctl.bin" --kv "$DP_PLATFORM" evacuate 'a b' 2>"$DIR/answer" &&
+	BAD=$((BAD + 1))
+check "no such name" "can't name a failure domain"
+
 say "the users' platform: four entries before a stand-in of it"
 if "$DP_BIN/marlsoak.bin" --quiet --seconds 8 --program "$DP_BIN/marlgated" \
     --dir "$DIR/platform"; then
--- a/lib/decl.c
+++ b/lib/decl.c
@@ -15,6 +15,7 @@
 #define MAX_MS 3600000.0
 #define DEFAULT_STAGE_TIMEOUT_US (2 * MH_US_PER_S)
 #define MAX_STAGES 6
+#define MAX_DOMAIN 128
 
 static const char *const routing_words[] = { "two-choices", "round-robin",
 	NULL };
@@ -61,6 +62,8 @@
 	F(mh_pool, checks_fencing, MH_F_BOOL, false, 0, 0),
 	F(mh_pool, honours_priority, MH_F_BOOL, false, 0, 0),
 	F(mh_pool, prefix_cache, MH_F_BOOL, false, 0, 0),
+	FN("warmup_ms", mh_pool, warmup_us, MH_F_MS, false, 0, MAX_MS),
+	F(mh_pool, cold_per_s, MH_F_DOUBLE, false, 0, 1e6),
 	FEND,
 };
 
@@ -249,6 +252,7 @@
 	FTAB("pipelines", mh_decl, pipelines, MH_F_LIST, true, &pipeline_table),
 	FTAB("rules", mh_decl, rules, MH_F_LIST, true, &rule_table),
 	FTAB("organisations", mh_decl, orgs, MH_F_LIST, true, &org_table),
+	F(mh_decl, evacuated, MH_F_STRS, false, 0, 0),
 	FEND,
 };
 static const struct mh_table decl_table =
@@ -291,6 +295,29 @@
 	return find_named(d->orgs, n);
 }
 
+bool
+mh_domain_ok(const char *name)
+{
+	size_t len = strlen(name);
+
+	for (size_t i = 0; i < len; i++) {
+		if (!g_ascii_isalnum(name[i]) &&
+		    strchr("-_.:", name[i]) == NULL)
+			return false;
+	}
+	return len > 0 && len <= MAX_DOMAIN;
+}
+
+bool
+mh_decl_evacuated(const struct mh_decl *d, const char *domain)
+{
+	for (guint i = 0; d->evacuated != NULL && i < d->evacuated->len; i++) {
+		if (strcmp(d->evacuated->pdata[i], domain) == 0)
+			return true;
+	}
+	return false;
+}
+
 static bool
 fail_at(GError **err, uint32_t line, const char *field, const char *what,
     const char *remedy)
@@ -480,6 +507,19 @@
 	return true;
 }
 
+static bool
+check_evacuated(const struct mh_decl *d, GError **err)
+{
+	for (guint i = 0; d->evacuated != NULL && i < d->evacuated->len; i++) {
+		if (mh_domain_ok(d->evacuated->pdata[i]))
+			continue;
+		return fail_at(err, 1, "evacuated",
+		    "holds what can't name a failure domain",
+		    "use letters, digits, \"-\", \"_\", \".\" and \":\"");
+	}
+	return true;
+}
+
 static bool
 check(struct mh_decl *d, GError **err)
 {
@@ -489,7 +529,7 @@
 	    check_unique(d->rules, "rules", err) &&
 	    check_unique(d->orgs, "organisations", err) &&
 	    check_pipelines(d, err) && check_rules(d, err) &&
-	    check_orgs(d, err);
+	    check_orgs(d, err) && check_evacuated(d, err);
 }
 
 static void
@@ -546,6 +586,7 @@
 	free_array(d->pipelines);
 	free_array(d->rules);
 	free_array(d->orgs);
+	free_array(d->evacuated);
 	g_bytes_unref(d->doc);
 	g_free(d);
 }
--- a/lib/entry.c
+++ b/lib/entry.c
@@ -654,14 +654,27 @@
 	    g_hash_table_size(e->lookups);
 }
 
+static json_t *
+evacuated_state(struct mh_kern *k)
+{
+	const struct mh_decl *d = mh_conf_get(k);
+	json_t *all = json_array();
+
+	for (guint i = 0;
+	     d != NULL && d->evacuated != NULL && i < d->evacuated->len; i++)
+		json_array_append_new(all, json_string(d->evacuated->pdata[i]));
+	return all;
+}
+
 json_t *
 mh_entry_state(struct mh_kern *k)
 {
 	struct entry *e = get(k);
 
-	return json_pack("{s:b, s:i, s:i, s:f}", "draining", e->draining,
+	return json_pack("{s:b, s:i, s:i, s:f, s:o}", "draining", e->draining,
 	    "requests", (int)g_hash_table_size(e->requests), "calls",
-	    (int)mh_relay_open(k), "retry_budget", e->budget);
+	    (int)mh_relay_open(k), "retry_budget", e->budget, "evacuated",
+	    evacuated_state(k));
 }
 
 static void
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -300,18 +300,6 @@
 void mh_place_sent(
     struct mh_place *p, const struct mh_place_ask *a, struct mh_node *n);
 
-/* turn.c: how often a process sends to a cold endpoint */
-
-/** struct mh_turn - what is known of it. */
-struct mh_turn {
-	double per_s; /* requests that the endpoint bears, of all entries */
-	uint32_t entries;
-	uint32_t before; /* entries that go before this one */
-};
-
-/** mh_turn_us() - time between two sendings of ours; 0: none is ours. */
-int64_t mh_turn_us(const struct mh_turn *t);
-
 /* budget.c: repeats as a share of recent requests */
 
 struct mh_budget;
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -302,6 +302,8 @@
 	bool checks_fencing;
 	bool honours_priority;
 	bool prefix_cache;
+	int64_t warmup_us; /* an endpoint is cold so long after its start */
+	double cold_per_s; /* calls that a cold one bears; 0: any */
 };
 
 struct mh_stage {
@@ -378,6 +380,7 @@
 	GPtrArray *pipelines;
 	GPtrArray *rules;
 	GPtrArray *orgs;
+	GPtrArray *evacuated; /* failure domains; NULL: none is */
 	GHashTable *by_key; /* hash -> struct mh_key_owner */
 };
 
@@ -399,6 +402,17 @@
 struct mh_class *mh_decl_class(const struct mh_decl *d, const char *n);
 struct mh_pool *mh_decl_pool(const struct mh_decl *d, const char *n);
 struct mh_org *mh_decl_org(const struct mh_decl *d, const char *n);
+/** mh_decl_evacuated() - whether a failure domain is to get nothing. */
+bool mh_decl_evacuated(const struct mh_decl *d, const char *domain);
+/**
+ * mh_decl_with_evacuated() - a document that evacuates exactly @domains.
+ *
+ * Return: the new text, good as mh_decl_read() takes it, or NULL with @err.
+ */
+GBytes *mh_decl_with_evacuated(
+    GBytes *doc, const GPtrArray *domains, GError **err);
+/** mh_domain_ok() - whether a text can name a failure domain. */
+bool mh_domain_ok(const char *name);
 /** mh_decl_find_key() - constant time in the key's content. */
 const struct mh_key_owner *mh_decl_find_key(
     const struct mh_decl *d, const char *key);
@@ -541,6 +555,7 @@
 	uint32_t load_own; /* own when the load was reported */
 	uint64_t load_wait_us[MH_PRIORITIES];
 	int64_t load_at_us;
+	int64_t sent_us; /* our last call there; 0: none */
 	double ewma_us; /* endpoint time of one call */
 	uint32_t fails; /* in a row */
 	int64_t eject_until_us;
@@ -628,6 +643,11 @@
 
 /* rendez.c */
 
+/**
+ * mh_roster_rank() - entries that go before this one in the order of @what.
+ * @entries: set to how many there are
+ */
+uint32_t mh_roster_rank(struct mh_kern *k, const char *what, uint32_t *entries);
 /** mh_rendezvous() - the weight of @node for @what; highest wins. */
 uint64_t mh_rendezvous(const char *what, const char *node);
 uint64_t mh_hash(const void *data, size_t len);
@@ -1214,4 +1234,16 @@
 /** mh_daemon_main() - runs until drained; the process's exit status. */
 int mh_daemon_main(const struct mh_daemon_ops *ops, int argc, char **argv);
 
+/* turn.c: how often a process sends to a cold endpoint */
+
+/** struct mh_turn - what is known of it. */
+struct mh_turn {
+	double per_s; /* requests that the endpoint bears, of all entries */
+	uint32_t entries;
+	uint32_t before; /* entries that go before this one */
+};
+
+/** mh_turn_us() - time between two sendings of ours; 0: none is ours. */
+int64_t mh_turn_us(const struct mh_turn *t);
+
 #endif
--- a/lib/member.c
+++ b/lib/member.c
@@ -151,7 +151,10 @@
 bool
 mh_member_usable(struct mh_kern *k, const struct mh_peer *p)
 {
-	return p->up && p->wanted && !leaving(p) && !absent(get(k), p);
+	const struct mh_decl *d = mh_conf_get(k);
+
+	return p->up && p->wanted && !leaving(p) && !absent(get(k), p) &&
+	    (d == NULL || !mh_decl_evacuated(d, p->domain));
 }
 
 void
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -277,6 +277,28 @@
 	return MAX(c.count, 1);
 }
 
+uint32_t
+mh_roster_rank(struct mh_kern *k, const char *what, uint32_t *entries)
+{
+	struct roster *r = get(k);
+	uint64_t mine = mh_rendezvous(what, r->vm);
+	uint32_t before = 0;
+	GHashTableIter it;
+	gpointer value;
+
+	*entries = mh_member_entries(k);
+	if (r->at_us < 0)
+		return UINT32_MAX; /* no list was read */
+	g_hash_table_iter_init(&it, r->rows);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct row *row = value;
+
+		before += strcmp(row->vm->role, "entry") == 0 &&
+		    stays(r, row) && mh_rendezvous(what, row->vm->id) > mine;
+	}
+	return before;
+}
+
 const char *
 mh_member_home(struct mh_kern *k, const char *what)
 {
--- a/lib/route.c
+++ b/lib/route.c
@@ -26,8 +26,12 @@
 #define AFFINITY_SLACK 2.0
 #define FAR_FACTOR 1.05 /* another failure domain costs a hop */
 
+/* An entry that has just started knows no endpoint for longer. */
+#define FOUND_US (5 * MH_US_PER_S)
+
 struct route {
 	struct mh_kern *k;
+	int64_t started_us;
 	char *domain;
 	GHashTable *turns; /* pool -> next turn of round robin */
 };
@@ -69,16 +73,44 @@
 	return q->avoid_vm != NULL && strcmp(p->vm, q->avoid_vm) == 0;
 }
 
+static bool
+is_cold(
+    const struct route *r, const struct mh_pool *pool, const struct mh_peer *p)
+{
+	return pool != NULL && pool->cold_per_s > 0 &&
+	    p->up_since_us - r->started_us > FOUND_US &&
+	    mh_now(r->k) - p->up_since_us < pool->warmup_us;
+}
+
+/* Whether a cold endpoint bears one more call of ours now; see turn.c. */
+static bool
+has_turn(
+    const struct route *r, const struct mh_pool *pool, const struct mh_peer *p)
+{
+	struct mh_turn t = { 0 };
+	int64_t each_us;
+
+	if (!is_cold(r, pool, p))
+		return true;
+	t.per_s = pool->cold_per_s;
+	t.before = mh_roster_rank(r->k, p->vm, &t.entries);
+	each_us = mh_turn_us(&t);
+	return each_us > 0 &&
+	    (p->sent_us == 0 || mh_now(r->k) - p->sent_us >= each_us);
+}
+
 static void
 collect(struct route *r, const struct mh_pick *q, GPtrArray *out, bool all)
 {
 	GPtrArray *pool = mh_member_pool(r->k, q->pool);
 	int64_t now = mh_now(r->k);
+	const struct mh_pool *of = mh_decl_pool(mh_conf_get(r->k), q->pool);
 
 	for (guint i = 0; i < pool->len; i++) {
 		struct mh_peer *p = pool->pdata[i];
 
-		if (!mh_member_usable(r->k, p) || skip(p, q))
+		if (!mh_member_usable(r->k, p) || skip(p, q) ||
+		    !has_turn(r, of, p))
 			continue;
 		if (all || p->eject_until_us <= now)
 			g_ptr_array_add(out, p);
@@ -201,8 +233,8 @@
 void
 mh_route_sent(struct mh_kern *k, struct mh_peer *p)
 {
-	(void)k;
 	p->own++;
+	p->sent_us = mh_now(k);
 }
 
 static int
@@ -331,6 +363,7 @@
 	struct route *r = g_new0(struct route, 1);
 
 	r->k = k;
+	r->started_us = mh_now(k);
 	r->domain = g_strdup(domain);
 	r->turns = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	mh_kern_add(k, "route", r, NULL, destroy);
--- a/lib/turn.c
+++ b/lib/turn.c
@@ -8,7 +8,7 @@
  * requests, and each of these takes its part.
  */
 
-#include "gate.h"
+#include "marlhoist.h"
 
 #include <math.h>
 
--- a/marlctl/apply.c
+++ b/marlctl/apply.c
@@ -154,46 +154,164 @@
 		    generation, o->base_generation);
 }
 
+/** struct current - what is in force. */
+struct current {
+	struct mh_decl *decl; /* NULL: nothing was applied yet */
+	json_t *head;
+	uint64_t cas;
+};
+
+static void
+current_clear(struct current *c)
+{
+	json_decref(c->head);
+	mh_decl_unref(c->decl);
+}
+
+/* Puts @doc in force after @c; @what stands in the history. */
+static enum written
+put_in_force(const struct options *o, const struct current *c, GBytes *doc,
+    const char *what)
+{
+	uint64_t base = c->decl == NULL ? 0 : c->decl->generation;
+	char *id = new_write_id();
+	json_t *history = new_history(c->head, base + 1, id, what);
+	GBytes *value;
+	enum written w;
+
+	write_doc(o, id, doc);
+	value = mh_conf_head_make(base + 1, id, doc, base,
+	    c->decl == NULL ? NULL : c->decl->doc, history);
+	w = store_put(o->kv, MH_CONF_HEAD, c->cas, value);
+	if (w == NO_ANSWER)
+		w = settle(o, id);
+	if (w == WRITTEN)
+		printf("applied generation=%" PRIu64 " write_id=%s\n", base + 1,
+		    id);
+	json_decref(history);
+	g_bytes_unref(value);
+	g_free(id);
+	return w;
+}
+
+/*
+ * A document from version control knows nothing of what was evacuated since;
+ * one that has a list of its own says it itself.
+ */
+static GBytes *
+keep_evacuated(const struct mh_decl *new, const struct mh_decl *old)
+{
+	GError *err = NULL;
+	GBytes *doc;
+
+	if (new->evacuated != NULL || old == NULL || old->evacuated == NULL)
+		return g_bytes_ref(new->doc);
+	doc = mh_decl_with_evacuated(new->doc, old->evacuated, &err);
+	if (doc == NULL)
+		die(EXIT_BAD, "%s", err->message);
+	printf("evacuated domains stay so: %u\n", old->evacuated->len);
+	return doc;
+}
+
 int
 cmd_apply(const struct options *o, const char *file)
 {
-	GBytes *doc = read_file(file), *value;
+	GBytes *text = read_file(file), *doc;
 	GError *err = NULL;
-	struct mh_decl *new = mh_decl_read(doc, &err), *old;
-	json_t *head, *history;
-	uint64_t cas, base, generation;
-	enum written w;
-	char *id;
+	struct mh_decl *new = mh_decl_read(text, &err);
+	struct current c;
 
 	if (new == NULL)
 		die(EXIT_BAD, "%s: %s", file, err->message);
-	old = read_current(o, &head, &cas);
-	base = old == NULL ? 0 : old->generation;
-	check_base(o, base);
-	generation = base + 1;
-	id = new_write_id();
-	write_doc(o, id, doc);
-	history = new_history(head, generation, id, file);
-	value = mh_conf_head_make(
-	    generation, id, doc, base, old == NULL ? NULL : old->doc, history);
-	w = store_put(o->kv, MH_CONF_HEAD, cas, value);
-	if (w == NO_ANSWER)
-		w = settle(o, id);
-	if (w != WRITTEN)
+	c.decl = read_current(o, &c.head, &c.cas);
+	check_base(o, c.decl == NULL ? 0 : c.decl->generation);
+	doc = keep_evacuated(new, c.decl);
+	if (put_in_force(o, &c, doc, file) != WRITTEN)
 		die(EXIT_BAD,
 		    "lost race: somebody else applied first; diff "
 		    "again and apply against the new generation");
-	printf("applied generation=%" PRIu64 " write_id=%s\n", generation, id);
-	json_decref(history);
-	json_decref(head);
-	mh_decl_unref(old);
+	current_clear(&c);
 	mh_decl_unref(new);
-	g_bytes_unref(value);
 	g_bytes_unref(doc);
-	g_free(id);
+	g_bytes_unref(text);
 	return 0;
 }
 
+/* What is evacuated, with @domain or without. */
+static GPtrArray *
+changed_list(const struct mh_decl *d, const char *domain, bool evacuate)
+{
+	GPtrArray *list = g_ptr_array_new_with_free_func(g_free);
+
+	for (guint i = 0; d->evacuated != NULL && i < d->evacuated->len; i++) {
+		if (strcmp(d->evacuated->pdata[i], domain) != 0)
+			g_ptr_array_add(list, g_strdup(d->evacuated->pdata[i]));
+	}
+	if (evacuate)
+		g_ptr_array_add(list, g_strdup(domain));
+	return list;
+}
+
+static enum written
+try_change(const struct options *o, const char *domain, bool evacuate)
+{
+	GError *err = NULL;
+	struct current c;
+	GPtrArray *list;
+	GBytes *doc;
+	char *what;
+	enum written w = WRITTEN;
+
+	c.decl = read_current(o, &c.head, &c.cas);
+	if (c.decl == NULL)
+		die(EXIT_BAD, "nothing was applied yet; use marlctl apply");
+	if (mh_decl_evacuated(c.decl, domain) == evacuate) {
+		printf("%s: %s already\n", domain,
+		    evacuate ? "is evacuated" : "is in use");
+		current_clear(&c);
+		return w;
+	}
+	list = changed_list(c.decl, domain, evacuate);
+	doc = mh_decl_with_evacuated(c.decl->doc, list, &err);
+	if (doc == NULL)
+		die(EXIT_BAD, "%s", err->message);
+	what = g_strdup_printf(
+	    "%s-%s", evacuate ? "evacuate" : "take-back", domain);
+	w = put_in_force(o, &c, doc, what);
+	g_free(what);
+	g_ptr_array_free(list, TRUE);
+	g_bytes_unref(doc);
+	current_clear(&c);
+	return w;
+}
+
+static int
+change_evacuated(const struct options *o, const char *domain, bool evacuate)
+{
+	if (!mh_domain_ok(domain))
+		die(EXIT_BAD,
+		    "\"%s\" can't name a failure domain: use letters, digits, "
+		    "\"-\", \"_\", \".\" and \":\"",
+		    domain);
+	for (int i = 0; i < TRIES; i++) {
+		if (try_change(o, domain, evacuate) == WRITTEN)
+			return 0;
+	}
+	die(EXIT_BAD, "others apply all the time; try again");
+}
+
+int
+cmd_evacuate(const struct options *o, const char *domain)
+{
+	return change_evacuated(o, domain, true);
+}
+
+int
+cmd_take_back(const struct options *o, const char *domain)
+{
+	return change_evacuated(o, domain, false);
+}
+
 int
 cmd_show(const struct options *o)
 {
--- a/marlctl/marlctl.c
+++ b/marlctl/marlctl.c
@@ -30,6 +30,8 @@
 static int run_explain(const struct options *o, const char *const *args);
 static int run_state(const struct options *o, const char *const *args);
 static int run_order(const struct options *o, const char *const *args);
+static int run_evacuate(const struct options *o, const char *const *args);
+static int run_take_back(const struct options *o, const char *const *args);
 static int run_hash_key(const struct options *o, const char *const *args);
 
 static const struct command commands[] = {
@@ -44,6 +46,10 @@
 	{ "state", "ADDRESS", "a process's state", 1, false, run_state },
 	{ "order", "ADDRESS VERB SUBJECT", "order an engine", 3, true,
 	    run_order },
+	{ "evacuate", "DOMAIN", "send nothing to a failure domain", 1, true,
+	    run_evacuate },
+	{ "take-back", "DOMAIN", "use a failure domain again", 1, true,
+	    run_take_back },
 	{ "hash-key", "KEY", "a key's hash for a document", 1, false,
 	    run_hash_key },
 };
@@ -230,6 +236,18 @@
 	return cmd_order(o, args[0], args[1], args[2]);
 }
 
+static int
+run_evacuate(const struct options *o, const char *const *args)
+{
+	return cmd_evacuate(o, args[0]);
+}
+
+static int
+run_take_back(const struct options *o, const char *const *args)
+{
+	return cmd_take_back(o, args[0]);
+}
+
 static int
 run_hash_key(const struct options *o, const char *const *args)
 {
--- a/marlctl/marlctl.h
+++ b/marlctl/marlctl.h
@@ -41,6 +41,8 @@
 
 /* apply.c */
 int cmd_apply(const struct options *o, const char *file);
+int cmd_evacuate(const struct options *o, const char *domain);
+int cmd_take_back(const struct options *o, const char *domain);
 int cmd_history(const struct options *o);
 int cmd_show(const struct options *o);
 /** read_current() - the document in the KV, NULL when there is none. */
--- a/regress/main.c
+++ b/regress/main.c
@@ -65,6 +65,7 @@
 	{ "leave", tests_leave },
 	{ "mesh", tests_mesh },
 	{ "cold", tests_cold },
+	{ "evacuate", tests_evacuate },
 	{ "start", tests_start },
 	{ "http", tests_http },
 	{ "wire", tests_wire },
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -27,6 +27,7 @@
 extern const struct test tests_leave[];
 extern const struct test tests_mesh[];
 extern const struct test tests_cold[];
+extern const struct test tests_evacuate[];
 extern const struct test tests_start[];
 extern const struct test tests_http[];
 extern const struct test tests_wire[];
