marlwork account: where each second's work goes, by the log lines

Ruled out: counters in the daemon (they say nothing of a second and a pool). Change: marlwork account LOG prints tables by second: requests by route, calls by pool with their fill and what waits, stage work with what was given up on.

--- a/marlwork/marlwork.c
+++ b/marlwork/marlwork.c
@@ -25,6 +25,8 @@
 	GError *err = NULL;
 	int rc;
 
+	if (argc == 3 && strcmp(argv[1], "account") == 0)
+		return account(argv[2]);
 	read_args(&a, argc, argv);
 	l = load_read(a.file, &err);
 	if (l == NULL) {
@@ -45,7 +47,8 @@
 {
 	fprintf(stderr,
 	    "marlwork: %s\nusage: marlwork [--policy home|alone] "
-	    "[--entries N] [--seed N] [--series FILE]\n  LOAD\n",
+	    "[--entries N] [--seed N] [--series FILE]\n  LOAD\n"
+	    "       marlwork account LOG\n",
 	    why);
 	exit(2);
 }
--- a/marlwork/marlwork.h
+++ b/marlwork/marlwork.h
@@ -109,4 +109,8 @@
 double run_busy_ms(const struct run *r);
 void run_destroy(struct run *r);
 
+/** account() - tables, by second, of what a file of log lines tells; the exit
+ * status. */
+int account(const char *file);
+
 #endif
--- a/regress/t_work.c
+++ b/regress/t_work.c
@@ -146,9 +146,54 @@
 	}
 }
 
+/* Guards against an account that counts lines of other programs, or none. */
+static void
+test_account(void)
+{
+	static const char lines[] =
+	    "  1.0 e1 t=100.200 ev=end id=a route=r outcome=answered "
+	    "took_ms=40 "
+	    "tries=2 runs=1\n"
+	    "  1.1 e2 t=101.300 ev=end id=b route=r outcome=too_busy took_ms=1 "
+	    "tries=0\n"
+	    "another program says t=1 and stops\n\nev=end\n"
+	    "t=101.9 ev=batch batch=1 pool=p node=n pieces=3 of=12 ready=40\n"
+	    "t=101.9 ev=job id=a outcome=taken late=1 jobs=3\n"
+	    "t=101.9 ev=job-hopeless id=a left_ms=3\n"
+	    "t=102.0 ev=piece-refused batch=1 id=a stage=0 piece=1 why=room\n";
+	static const char *const rows[] = { "     0 r 1 1 0 0 0 1 40\n",
+		"     1 r 1 0 1 0 0 0 0\n", "     1 p 1 3 0.25 40 1\n",
+		"     1 1 1 0 1 0 0 0 0\n", "     2 0 0 0 0 0 0 1 0\n" };
+	char *in = g_strdup("/tmp/account-XXXXXX"), *out = NULL;
+	char *to = g_strdup("/tmp/account-XXXXXX");
+	int fd = mkstemp(in), out_fd = mkstemp(to), was = dup(STDOUT_FILENO);
+
+	CU_ASSERT_FATAL(fd >= 0 && out_fd >= 0 && was >= 0);
+	CU_ASSERT_EQUAL(
+	    write(fd, lines, strlen(lines)), (ssize_t)strlen(lines));
+	close(fd);
+	fflush(stdout);
+	CU_ASSERT(dup2(out_fd, STDOUT_FILENO) >= 0);
+	CU_ASSERT_EQUAL(account(in), 0);
+	fflush(stdout);
+	CU_ASSERT(dup2(was, STDOUT_FILENO) >= 0);
+	close(was);
+	close(out_fd);
+	CU_ASSERT_TRUE(g_file_get_contents(to, &out, NULL, NULL));
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		CU_ASSERT_PTR_NOT_NULL(strstr(out, rows[i]));
+	CU_ASSERT_EQUAL(account("/nowhere/at/all"), 2);
+	unlink(in);
+	unlink(to);
+	g_free(out);
+	g_free(in);
+	g_free(to);
+}
+
 const struct test tests_work[] = {
 	{ "work: one home against each alone", test_home_against_alone },
 	{ "work: from few entries to many", test_many_entries },
 	{ "work: bad files", test_bad_files },
+	{ "work: account", test_account },
 	{ NULL, NULL },
 };
