Tests: null pointers that a checker can't rule out

Ruled out: suppressions. Change: the tests end where a pointer is NULL; a value that was stored in vain is gone. Conclusion: none.

--- a/regress/t_cold.c
+++ b/regress/t_cold.c
@@ -48,7 +48,9 @@
 			.apart = i % 3 == 0 ? (uint64_t)i : 0 };
 
 		n = mh_place_pick(p, &a);
-		CU_ASSERT_PTR_NOT_NULL_FATAL(n);
+		CU_ASSERT_PTR_NOT_NULL(n);
+		if (n == NULL)
+			break;
 		CU_ASSERT_STRING_EQUAL(n->id, "b");
 		CU_ASSERT_STRING_EQUAL(n->domain, "d1");
 	}
@@ -281,14 +283,13 @@
 many_run(struct many *m, uint32_t per_s, uint64_t parts, int64_t us)
 {
 	GRand *rand = g_rand_new_with_seed(5);
-	int64_t each = S / per_s, from = S, last = from;
+	int64_t each = S / per_s;
 
 	for (int64_t t = 0; t < us; t += each) {
 		uint32_t i = (uint32_t)g_rand_int_range(rand, 0, (gint32)m->n);
 
-		last = from + t;
-		mh_kern_advance(m->e[i].k, last, last);
-		place_one(m, &m->e[i], last,
+		mh_kern_advance(m->e[i].k, S + t, S + t);
+		place_one(m, &m->e[i], S + t,
 		    (uint64_t)t / (uint64_t)each % parts + 10);
 	}
 	g_rand_free(rand);
--- a/regress/t_evacuate.c
+++ b/regress/t_evacuate.c
@@ -75,7 +75,9 @@
 	for (int i = 0; i < 50; i++) {
 		struct mh_peer *p = pick(&w);
 
-		CU_ASSERT_PTR_NOT_NULL_FATAL(p);
+		CU_ASSERT_PTR_NOT_NULL(p);
+		if (p == NULL)
+			break;
 		CU_ASSERT_STRING_EQUAL(p->domain, "b");
 	}
 	apply(&w, 3, "evacuated: [a, b]\n");
@@ -105,7 +107,9 @@
 	for (int i = 0; i < 400; i++) {
 		struct mh_peer *p = pick(&w);
 
-		CU_ASSERT_PTR_NOT_NULL_FATAL(p);
+		CU_ASSERT_PTR_NOT_NULL(p);
+		if (p == NULL)
+			break;
 		mh_route_sent(w.e->k, p);
 		cold += strcmp(p->vm, "llm0") == 0;
 		net_run(w.n, 10 * MS);
@@ -139,7 +143,9 @@
 			made = mh_decl_with_evacuated(doc, list, NULL);
 			CU_ASSERT_PTR_NOT_NULL_FATAL(made);
 			d = mh_decl_read(made, NULL);
-			CU_ASSERT_PTR_NOT_NULL_FATAL(d);
+			CU_ASSERT_PTR_NOT_NULL(d);
+			if (d == NULL)
+				return;
 			CU_ASSERT_EQUAL(
 			    d->evacuated == NULL ? 0 : d->evacuated->len,
 			    list->len);
@@ -160,7 +166,8 @@
 {
 	static const char *const bad[] = { "evacuated: [\"\"]\n",
 		"evacuated: [\"a b\"]\n", "evacuated: [\"a\\nb\"]\n",
-		"evacuated: \"7 8\"\n", "evacuated: {a: b}\n", "evacuated: [[a]]\n" };
+		"evacuated: \"7 8\"\n", "evacuated: {a: b}\n",
+		"evacuated: [[a]]\n" };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
 		char *text = doc_with(bad[i]);
@@ -168,7 +175,9 @@
 		GError *err = NULL;
 
 		CU_ASSERT_PTR_NULL(mh_decl_read(doc, &err));
-		CU_ASSERT_PTR_NOT_NULL_FATAL(err);
+		CU_ASSERT_PTR_NOT_NULL(err);
+		if (err == NULL)
+			return;
 		CU_ASSERT_PTR_NOT_NULL(strstr(err->message, "evacuated"));
 		g_error_free(err);
 		g_bytes_unref(doc);
