A storm of links at 300 entries: no more than twelve are tried

Cause: after all were killed, 300 small entries had 40,000 to 54,000 links with each other within three seconds. Where fewer than four of the order can serve, as far as is known, every entry was wanted. While all start, what they say of their age comes late, so that none seems to have run for long enough. Change: where fewer can serve, the first twelve of the order are tried.

--- a/lib/meshorder.c
+++ b/lib/meshorder.c
@@ -9,6 +9,12 @@
 
 /* First in the order of any work: one to use and the next to fall back on. */
 #define DIALLED 4
+/*
+ * Where fewer can serve, as far as is known, so many of the order are tried.
+ * All were: while 300 entries start together, what they say of themselves comes
+ * late, none seems to have run for long enough, and they had 40,000 links.
+ */
+#define TRIED_MOST 12
 /* Entries that read for all: one may be cut off or die unnoticed. */
 #define READERS 2
 /*
@@ -32,7 +38,7 @@
  * A process that has just started is taken for one that will be ready: all rows
  * of 3,000 endpoints take 2 to 4 s over 10 Mbit/s.  Passed over after one
  * second, the first of the order gave way to the next, which were not ready
- * either, and 300 entries had 40,000 links among them within three seconds.
+ * either, until each was linked to all.
  */
 #define STARTING_US (4 * MH_US_PER_S)
 
@@ -279,6 +285,20 @@
 	    (p->ready || mh_now(p->m->k) - p->started_us < STARTING_US);
 }
 
+/* Keeps the highest, the highest first. */
+static void
+keep_best(double best[TRIED_MOST], double r)
+{
+	uint32_t at = TRIED_MOST;
+
+	while (at > 0 && best[at - 1] < r)
+		at--;
+	for (uint32_t i = TRIED_MOST - 1; at < TRIED_MOST && i > at; i--)
+		best[i] = best[i - 1];
+	if (at < TRIED_MOST)
+		best[at] = r;
+}
+
 /*
  * Marks the first few of the order of some work as worth a link of our own.
  * Those that are down, leaving, not ready or too young to be a home don't
@@ -289,8 +309,9 @@
 want_first(struct mh_mesh *m, const char *work, uint32_t few)
 {
 	struct peer *first[DIALLED] = { NULL };
+	double tried[TRIED_MOST] = { 0 };
 	int64_t latest = latest_start(m);
-	double least = 0;
+	double least;
 	GHashTableIter it;
 	gpointer key, value;
 
@@ -299,9 +320,11 @@
 		struct peer *p = value;
 		uint32_t at = few;
 
+		p->rank = rank(work, p->node, p->weight);
+		if (mh_peer_known(p))
+			keep_best(tried, p->rank);
 		if (!may_serve(p, latest))
 			continue;
-		p->rank = rank(work, p->node, p->weight);
 		while (at > 0 &&
 		    (first[at - 1] == NULL || first[at - 1]->rank < p->rank))
 			at--;
@@ -311,8 +334,8 @@
 			first[at] = p;
 	}
 	/* Who would be among them is tried again, should it be back. */
-	if (first[few - 1] != NULL)
-		least = first[few - 1]->rank;
+	least = first[few - 1] != NULL ? first[few - 1]->rank
+				       : tried[TRIED_MOST - 1];
 	g_hash_table_iter_init(&it, m->peers);
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		struct peer *p = value;
