--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -112,7 +112,7 @@
 
 /*
  * Endpoints that got nothing for a while may be cold, and their rows tell it
- * late: some bore no more than a few requests and got all that was due.
+ * late.  They count as cold for the warm-up of their pool, whatever is told.
  */
 static void
 take_back(struct mh_fleet *f, struct mh_node *n)
--- a/lib/meshorder.c
+++ b/lib/meshorder.c
@@ -11,8 +11,8 @@
 #define DIALLED 4
 /*
  * Where fewer can serve, as far as is known, so many of the order are tried.
- * All were: while 300 entries start together, what they say of themselves comes
- * late, none seems to have run for long enough, and they had 40,000 links.
+ * While hundreds of entries start together, what they say of their age comes
+ * late and none seems to have run for long enough: each had links to all.
  */
 #define TRIED_MOST 12
 /* Entries that read for all: one may be cut off or die unnoticed. */
