--- a/lib/decl.c
+++ b/lib/decl.c
@@ -311,11 +311,9 @@
 bool
 mh_decl_evacuated(const struct mh_decl *d, const char *domain)
 {
-	for (guint i = 0; d->evacuated != NULL && i < d->evacuated->len; i++) {
-		if (strcmp(d->evacuated->pdata[i], domain) == 0)
-			return true;
-	}
-	return false;
+	return d->evacuated != NULL &&
+	    g_ptr_array_find_with_equal_func(
+		d->evacuated, domain, g_str_equal, NULL);
 }
 
 static bool
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -352,9 +352,10 @@
 	}
 	mh_count(g->k, "waits_for_cold", 1);
 	mh_event(g->k, "cold-wait", "id=%s pool=%s node=%s wait_ms=%" PRId64,
-	    q->id, q->pool, a->turn_at, mh_ms(a->wait_us));
+	    q->id, q->pool, a->turn_at == NULL ? "" : a->turn_at,
+	    mh_ms(a->wait_us));
 	g_free(q->turn_at);
-	q->turn_at = a->turn_at[0] == '\0' ? NULL : g_strdup(a->turn_at);
+	q->turn_at = g_strdup(a->turn_at);
 	q->turn = mh_timer_start(g->k, a->wait_us, on_turn, q);
 }
 
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -262,7 +262,6 @@
 
 #define MH_PARTS 16
 #define MH_TRIED 8
-#define MH_TURN_LEN 256 /* of an endpoint's id, with its end */
 
 struct mh_place_ask {
 	const char *pool;
@@ -276,7 +275,7 @@
 	const char *turn; /* id of the cold endpoint whose turn it has */
 	int64_t wait_by_us; /* absolute: it may wait so long for a turn */
 	int64_t wait_us; /* set without a choice: to be asked again; 0: not */
-	char turn_at[MH_TURN_LEN]; /* set with it: has a turn there, or "" */
+	const char *turn_at; /* set with it: the id of where; NULL: none */
 	uint64_t apart; /* chosen by this alone; 0: by its prompt and load */
 	bool at_home; /* set by the choice: where its prompt is kept */
 };
--- a/lib/member.c
+++ b/lib/member.c
@@ -148,13 +148,19 @@
 	    mh_now(mb->k) - p->absent_since_us > ABSENT_US;
 }
 
-bool
-mh_member_usable(struct mh_kern *k, const struct mh_peer *p)
+static bool
+evacuated(struct mh_kern *k, const struct mh_peer *p)
 {
 	const struct mh_decl *d = mh_conf_get(k);
 
+	return d != NULL && mh_decl_evacuated(d, p->domain);
+}
+
+bool
+mh_member_usable(struct mh_kern *k, const struct mh_peer *p)
+{
 	return p->up && p->wanted && !leaving(p) && !absent(get(k), p) &&
-	    (d == NULL || !mh_decl_evacuated(d, p->domain));
+	    !evacuated(k, p);
 }
 
 void
--- a/lib/meshorder.c
+++ b/lib/meshorder.c
@@ -340,7 +340,7 @@
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		struct peer *p = value;
 
-		if (mh_peer_known(p) && rank(work, p->node, p->weight) >= least)
+		if (mh_peer_known(p) && p->rank >= least)
 			p->wanted = true;
 	}
 }
--- a/lib/place.c
+++ b/lib/place.c
@@ -292,7 +292,7 @@
 	if (t.at_us > a->wait_by_us || t.at_us >= t.node->warm_at_us)
 		return; /* or it is warm by then */
 	t.node->turn_from_us = t.at_us + t.each_us;
-	g_strlcpy(a->turn_at, t.node->id, sizeof(a->turn_at));
+	a->turn_at = t.node->id;
 }
 
 static struct mh_node *
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -229,6 +229,8 @@
 	uint64_t weight;
 	uint64_t second_weight;
 	uint32_t count;
+	uint64_t mine; /* a weight of our own, and... */
+	uint32_t before; /* ...how many have more */
 };
 
 static void
@@ -237,6 +239,7 @@
 	uint64_t w = mh_rendezvous(c->what, vm);
 
 	c->count++;
+	c->before += w > c->mine;
 	if (c->best == NULL || w > c->weight) {
 		c->second = c->best;
 		c->second_weight = c->weight;
@@ -281,22 +284,13 @@
 mh_roster_rank(struct mh_kern *k, const char *what, uint32_t *entries)
 {
 	struct roster *r = get(k);
-	uint64_t mine = mh_rendezvous(what, r->vm);
-	uint32_t before = 0;
-	GHashTableIter it;
-	gpointer value;
+	struct contest c = { .what = what,
+		.role = "entry",
+		.mine = mh_rendezvous(what, r->vm) };
 
-	*entries = mh_member_entries(k);
-	if (r->at_us < 0)
-		return UINT32_MAX; /* no list was read */
-	g_hash_table_iter_init(&it, r->rows);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct row *row = value;
-
-		before += strcmp(row->vm->role, "entry") == 0 &&
-		    stays(r, row) && mh_rendezvous(what, row->vm->id) > mine;
-	}
-	return before;
+	hold(r, &c);
+	*entries = MAX(c.count, 1);
+	return r->at_us < 0 ? UINT32_MAX : c.before; /* no list was read */
 }
 
 const char *
--- a/regress/t_cold.c
+++ b/regress/t_cold.c
@@ -264,7 +264,7 @@
 		m->waited += a.wait_us > 0 && now + a.wait_us <= a.wait_by_us;
 		m->refused++;
 		/* One that waits goes when its turn comes. */
-		if (a.turn_at[0] != '\0') {
+		if (a.turn_at != NULL) {
 			int64_t at = now + a.wait_us;
 
 			g_array_append_val(m->sent, at);
