Tests: one loop with a limit for seven rigs

Cause: seven rigs had their own copy of a timer that stops the loop and says that it did: front, streams, http, wire, store, relay, stages. Ruled out: t_adapter.c and t_drain.c as well: their loops end in other ways. The openings of t_gate.c that look alike stay spelled out, they are what the tests show. Change: run_most() in regress/tcp.c serves the seven. Each that was asserted to end in time still is, with the same limit; the store's odd answers still may run to theirs.

--- a/regress/frontrig.c
+++ b/regress/frontrig.c
@@ -298,16 +298,6 @@
 	g_free(r);
 }
 
-static void
-on_late(void *arg)
-{
-	struct frig *r = arg;
-
-	r->late = NULL;
-	r->timed_out = true;
-	mh_loop_stop(r->loop);
-}
-
 static void
 on_caller(void *arg, bool readable, bool writable)
 {
@@ -337,10 +327,7 @@
 	r->caller_fd = tcp_dial(mh_hserve_port(plat_front_server(r->front)));
 	CU_ASSERT(send(r->caller_fd, text, strlen(text), MSG_NOSIGNAL) > 0);
 	mh_loop_fd(r->loop, r->caller_fd, true, false, on_caller, r);
-	r->late = mh_timer_start(r->k, LONGEST_US, on_late, r);
-	mh_loop_run(r->loop);
-	mh_timer_stop(r->k, &r->late);
-	CU_ASSERT_FALSE(r->timed_out);
+	CU_ASSERT_TRUE(run_most(r->k, r->loop, LONGEST_US));
 	memset(r->script, 0, sizeof(r->script));
 }
 
--- a/regress/frontrig.h
+++ b/regress/frontrig.h
@@ -18,8 +18,6 @@
 	struct mh_budget *budget;
 	struct mh_gate *gate;
 	struct plat_front *front;
-	struct mh_timer *late;
-	bool timed_out;
 	bool refuse_jobs;
 	GString *log; /* the session so far */
 	/* the endpoint */
--- a/regress/streamrig.c
+++ b/regress/streamrig.c
@@ -53,8 +53,6 @@
 	uint32_t started;
 	uint32_t ended;
 	struct mh_timer *starter;
-	struct mh_timer *late;
-	bool timed_out;
 };
 
 /** struct econn - a connection of an endpoint. */
@@ -632,16 +630,6 @@
 	mh_gconf_unref(c);
 }
 
-static void
-on_late(void *arg)
-{
-	struct srig *r = arg;
-
-	r->late = NULL;
-	r->timed_out = true;
-	mh_loop_stop(r->loop);
-}
-
 /* A few a turn: the queue of a listener is short. */
 static void
 on_start(void *arg)
@@ -662,16 +650,15 @@
 srig_run(struct srig *r)
 {
 	struct rlimit l;
+	bool in_time;
 
 	getrlimit(RLIMIT_NOFILE, &l);
 	r->open_most = (uint32_t)MIN(OPEN_MOST, l.rlim_cur / LANE_FDS);
 	set_conf(r);
-	r->late = mh_timer_start(r->k, LONGEST_US, on_late, r);
 	on_start(r);
-	mh_loop_run(r->loop);
-	mh_timer_stop(r->k, &r->late);
+	in_time = run_most(r->k, r->loop, LONGEST_US);
 	mh_timer_stop(r->k, &r->starter);
-	return !r->timed_out;
+	return in_time;
 }
 
 static void
--- a/regress/t_http.c
+++ b/regress/t_http.c
@@ -27,8 +27,6 @@
 	struct mh_hserve *s;
 	struct mh_hcalls *c;
 	char addr[32];
-	struct mh_timer *late;
-	bool timed_out;
 	/* the server's side */
 	uint32_t requests;
 	uint32_t gone;
@@ -57,24 +55,10 @@
 	GString *got;
 };
 
-static void
-on_late(void *arg)
-{
-	struct hrig *r = arg;
-
-	r->late = NULL;
-	r->timed_out = true;
-	mh_loop_stop(r->loop);
-}
-
 static void
 run(struct hrig *r)
 {
-	r->timed_out = false;
-	r->late = mh_timer_start(r->k, LONGEST_US, on_late, r);
-	mh_loop_run(r->loop);
-	mh_timer_stop(r->k, &r->late);
-	CU_ASSERT_FALSE(r->timed_out);
+	CU_ASSERT_TRUE(run_most(r->k, r->loop, LONGEST_US));
 }
 
 static void
--- a/regress/t_platform_store.c
+++ b/regress/t_platform_store.c
@@ -7,6 +7,7 @@
 #include "entries.h"
 #include "platform.h"
 #include "regress.h"
+#include "tcp.h"
 
 #include <string.h>
 
@@ -37,8 +38,6 @@
 	struct plat_store *store;
 	struct plat_view *view;
 	struct plat_members *members;
-	struct mh_timer *late;
-	bool timed_out;
 	uint32_t refuse; /* calls that get 503 */
 	uint32_t early; /* calls that did */
 	uint32_t early_conf; /* of these, for the configuration */
@@ -63,16 +62,6 @@
 	uint32_t most_told; /* entries of the longest */
 };
 
-static void
-on_late(void *arg)
-{
-	struct srig *r = arg;
-
-	r->late = NULL;
-	r->timed_out = !r->odd;
-	mh_loop_stop(r->loop);
-}
-
 static void
 say(struct mh_hreq *q, uint32_t status, const char *text)
 {
@@ -220,6 +209,7 @@
 		r };
 	struct mh_member self = { (char *)"e0", (char *)"127.0.0.1:9", 1 };
 	char addr[32];
+	bool in_time;
 
 	r->k = mh_kern_create(1);
 	r->loop = mh_loop_create(r->k, NULL);
@@ -232,11 +222,8 @@
 	r->view = plat_view_create(r->k, r->store, r->fleet, &fns);
 	r->members = plat_members_create(r->k, r->store, &member_fns);
 	plat_members_announce(r->members, &self);
-	r->late =
-	    mh_timer_start(r->k, r->odd ? ODD_US : LONGEST_US, on_late, r);
-	mh_loop_run(r->loop);
-	mh_timer_stop(r->k, &r->late);
-	CU_ASSERT_FALSE(r->timed_out);
+	in_time = run_most(r->k, r->loop, r->odd ? ODD_US : LONGEST_US);
+	CU_ASSERT_TRUE(in_time || r->odd);
 }
 
 static void
--- a/regress/t_relay.c
+++ b/regress/t_relay.c
@@ -80,7 +80,6 @@
 	int listen_fd;
 	GHashTable *relays; /* set of struct relay */
 	GHashTable *answers; /* set of struct answer */
-	bool timed_out;
 	uint32_t begun;
 	uint32_t ended;
 	uint32_t whole;
@@ -448,15 +447,6 @@
 	g_bytes_unref(args.text);
 }
 
-static void
-on_late(void *arg)
-{
-	struct play *p = arg;
-
-	p->timed_out = true;
-	mh_loop_stop(p->loop);
-}
-
 static struct play *
 play_create(uint32_t seed, bool cuts)
 {
@@ -510,17 +500,15 @@
 play(uint32_t seed, bool cuts)
 {
 	struct play *p = play_create(seed, cuts);
-	struct mh_timer *late;
+	bool in_time;
 
-	late = mh_timer_start(p->k, LONGEST_US, on_late, p);
 	for (int i = 0; i < AT_ONCE; i++)
 		ask(p);
-	mh_loop_run(p->loop);
-	mh_timer_stop(p->k, &late);
-	if (p->timed_out)
+	in_time = run_most(p->k, p->loop, LONGEST_US);
+	if (!in_time)
 		fprintf(stderr, "relay: seed %u: %u of %u ended\n", seed,
 		    p->ended, CALLS);
-	CU_ASSERT_FALSE(p->timed_out);
+	CU_ASSERT_TRUE(in_time);
 	CU_ASSERT_EQUAL(p->wrong, 0);
 	/* Else the seed shows nothing. */
 	CU_ASSERT(p->whole > CALLS / 4);
--- a/regress/t_stage.c
+++ b/regress/t_stage.c
@@ -43,8 +43,6 @@
 	struct mh_budget *budget;
 	struct plat_stages *stages;
 	struct mh_cell *cell;
-	struct mh_timer *late;
-	bool timed_out;
 	int listen_fd;
 	char addr[32];
 	GPtrArray *conns; /* struct sconn */
@@ -216,16 +214,6 @@
 	mh_loop_stop(r->loop);
 }
 
-static void
-on_late(void *arg)
-{
-	struct srig *r = arg;
-
-	r->late = NULL;
-	r->timed_out = true;
-	mh_loop_stop(r->loop);
-}
-
 static void
 srig_open(struct srig *r, const struct sanswer *script, uint32_t answers)
 {
@@ -278,11 +266,8 @@
 	j->n_stages = 1;
 	g_free(r->made);
 	r->made = NULL;
-	r->late = mh_timer_start(r->k, LONGEST_US, on_late, r);
 	mh_cell_submit(r->cell, j);
-	mh_loop_run(r->loop);
-	mh_timer_stop(r->k, &r->late);
-	CU_ASSERT_FALSE(r->timed_out);
+	CU_ASSERT_TRUE(run_most(r->k, r->loop, LONGEST_US));
 	return r->made;
 }
 
--- a/regress/t_wire.c
+++ b/regress/t_wire.c
@@ -29,8 +29,6 @@
 struct wrig {
 	struct mh_kern *k;
 	struct mh_loop *loop;
-	struct mh_timer *late;
-	bool timed_out;
 	/* the client's peer */
 	struct mh_hcalls *calls;
 	char addr[32];
@@ -66,30 +64,10 @@
 	int raw_errno; /* 0: the connection ended in order */
 };
 
-static void
-on_late(void *arg)
-{
-	struct wrig *r = arg;
-
-	r->late = NULL;
-	r->timed_out = true;
-	mh_loop_stop(r->loop);
-}
-
-static void
-run_for(struct wrig *r, int64_t us)
-{
-	r->timed_out = false;
-	r->late = mh_timer_start(r->k, us, on_late, r);
-	mh_loop_run(r->loop);
-	mh_timer_stop(r->k, &r->late);
-}
-
 static void
 run(struct wrig *r)
 {
-	run_for(r, LONGEST_US);
-	CU_ASSERT_FALSE(r->timed_out);
+	CU_ASSERT_TRUE(run_most(r->k, r->loop, LONGEST_US));
 }
 
 static struct wrig *
@@ -307,7 +285,7 @@
 call_is_whole(struct wrig *r, bool is_head, bool fresh, int64_t us)
 {
 	start_call(r, "a", is_head, fresh);
-	run_for(r, us);
+	(void)run_most(r->k, r->loop, us);
 	if (r->call != NULL) {
 		mh_hcall_abort(r->call);
 		r->call = NULL;
--- a/regress/tcp.c
+++ b/regress/tcp.c
@@ -1,5 +1,5 @@
 /**
- * DOC: Sockets on loopback for tests that speak raw bytes.
+ * DOC: Sockets on loopback for tests that speak raw bytes, and their loop.
  */
 
 #include "tcp.h"
@@ -37,3 +37,30 @@
 	CU_ASSERT_EQUAL(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
 	return fd;
 }
+
+struct limit {
+	struct mh_loop *l;
+	struct mh_timer *timer;
+	bool reached;
+};
+
+static void
+on_limit(void *arg)
+{
+	struct limit *m = arg;
+
+	m->timer = NULL;
+	m->reached = true;
+	mh_loop_stop(m->l);
+}
+
+bool
+run_most(struct mh_kern *k, struct mh_loop *l, int64_t most_us)
+{
+	struct limit m = { .l = l };
+
+	m.timer = mh_timer_start(k, most_us, on_limit, &m);
+	mh_loop_run(l);
+	mh_timer_stop(k, &m.timer);
+	return !m.reached;
+}
