Configurations: packed, asked of one entry at a time, bounded by bytes

An entry asked every other that had a later configuration, and each answered with the whole document as text, a dozen of them between two beats. A document of 1,659 routes is some hundred KB; twelve copies are 4 MB, three seconds of a link of 10 Mbit/s, and beats, rows and stage work stood behind them. Of what leaves one link, copies grow with entries x bytes of the document. Then a change waited for a beat at each step of its way, and an entry that had heard of a later configuration answered 404 and 401 by its own. Change: lib/pack.c packs documents (zlib) for who takes them; one entry is asked at a time, another after 150 ms; answers are bounded by 256 KB a beat, not by their number; a change is told at once; what our configuration does not know while a later one is on its way is refused for now (503, not run, come back).

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -653,6 +653,13 @@
 	return g;
 }
 
+void
+mh_gate_on_unknown(struct mh_gate *g, bool (*behind)(void *arg), void *arg)
+{
+	g->behind = behind;
+	g->behind_arg = arg;
+}
+
 void
 mh_gate_destroy(struct mh_gate *g)
 {
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -675,6 +675,13 @@
     const char *domain);
 void mh_gate_destroy(struct mh_gate *g);
 void mh_gate_conf(struct mh_gate *g, struct mh_gconf *conf);
+/**
+ * mh_gate_on_unknown() - asked whether a later configuration is on its way.
+ *
+ * What ours does not know may stand in that one: it is refused for now.
+ */
+void mh_gate_on_unknown(
+    struct mh_gate *g, bool (*behind)(void *arg), void *arg);
 struct mh_gask *mh_gask_create(const char *id);
 void mh_gask_destroy(struct mh_gask *q);
 /** mh_gate_take() - a request has come; ends with one of refuse, finish or
--- a/lib/gateint.h
+++ b/lib/gateint.h
@@ -22,6 +22,8 @@
 	struct mh_budget *budget;
 	struct mh_gate_ops ops;
 	struct mh_gconf *conf;
+	bool (*behind)(void *arg); /* a later one is on its way; NULL: never */
+	void *behind_arg;
 	char *domain;
 	uint32_t entries; /* processes like this one */
 	GHashTable *asks; /* set of struct mh_gask */
--- a/lib/gatetake.c
+++ b/lib/gatetake.c
@@ -73,6 +73,14 @@
 	}
 }
 
+static void
+refuse_unknown(struct mh_gate *g, struct mh_gask *q, enum mh_gate_refusal why)
+{
+	bool behind = g->behind != NULL && g->behind(g->behind_arg);
+
+	mh_gate_refuse(g, q, behind ? MH_NOT_READY : why, 0);
+}
+
 void
 mh_gate_take(struct mh_gate *g, struct mh_gask *q)
 {
@@ -88,11 +96,11 @@
 	q->conf = mh_gconf_ref(g->conf);
 	q->route = mh_gconf_route(g->conf, q->host, q->target);
 	if (q->route == NULL) {
-		mh_gate_refuse(g, q, MH_NO_ROUTE, 0);
+		refuse_unknown(g, q, MH_NO_ROUTE);
 		return;
 	}
 	if (!find_org(g, q)) {
-		mh_gate_refuse(g, q, MH_BAD_KEY, 0);
+		refuse_unknown(g, q, MH_BAD_KEY);
 		return;
 	}
 	q->priority = q->org != NULL && q->org->priority >= 0
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -36,25 +36,19 @@
 #define YOUNG_REDIAL_US (100 * MH_US_PER_MS)
 /*
  * What one entry sends of its readings between two beats.  All who are linked
- * to a reader would ask it at once: 300 copies of a configuration are 15 MB.
- * Those that get none ask at a later beat, by when others have it too: what is
- * new spreads by a factor a beat.  Rows and configurations are counted apart:
- * while many endpoints register, everybody asks for rows all the time, and a
- * new key was unknown at some entries for longer than its bound.
+ * to a reader ask it at once, and their copies would fill its link, so that
+ * what comes behind them is late everywhere.  Those that get none ask again at
+ * a later beat.  Rows and the rest are counted apart: while many endpoints
+ * register, everybody asks for rows all the time.
  */
-#define ANSWERS_A_BEAT 12
-/*
- * All rows of 3,000 endpoints are 1 MB: a dozen a beat filled the links of the
- * entries that read for all, and what came behind them was late everywhere.
- * Who gets none reads the platform itself.  Changes alone are some KB.
- */
-#define ROWS_BYTES_A_BEAT (256 * 1024)
+#define ROWS_ANSWERS_A_BEAT 12
+#define BYTES_A_BEAT (256 * 1024)
 #define ASK_AGAIN_US (400 * MH_US_PER_MS)
 /*
- * One entry is asked for rows at a time: all that had read them answered, and
- * their copies filled the links of 10 Mbit/s that requests come by.
+ * One entry is asked for one kind of reading at a time: all that have it would
+ * answer, and their copies fill the links of 10 Mbit/s that requests come by.
  */
-#define ROWS_WAIT_US (150 * MH_US_PER_MS)
+#define ANSWER_WAIT_US (150 * MH_US_PER_MS)
 /* Our own timer was late by so much: this process did not run. */
 #define AWAY_US (600 * MH_US_PER_MS)
 static void on_timer(void *arg);
@@ -280,6 +274,20 @@
 		mh_mesh_send_all(m, &f);
 }
 
+void
+mh_mesh_conf_changed(struct mh_mesh *m)
+{
+	if (!m->leaving)
+		beat(m, 0);
+}
+
+bool
+mh_mesh_conf_behind(const struct mh_mesh *m)
+{
+	return m->view.conf_revision != NULL &&
+	    m->conf_heard > m->view.conf_revision(m->view.arg);
+}
+
 /*
  * A process that the store turns away still learns of a new configuration
  * and of leaving endpoints: from whoever has read them.
@@ -289,25 +297,31 @@
 {
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__ViewAsk ask = MH__VIEW_ASK__INIT;
+	int64_t now = mh_now(m->k);
 
 	if (m->view.conf_revision == NULL)
 		return;
+	m->conf_heard = MAX(m->conf_heard, b->conf_revision);
 	if (b->rows_revision == m->view.rows_revision(m->view.arg))
 		m->view.rows_same(m->view.arg, (int64_t)b->rows_age_us);
-	if (mh_now(m->k) - p->asked_us < ASK_AGAIN_US && p->asked_us != 0)
+	if (now - p->asked_us < ASK_AGAIN_US && p->asked_us != 0)
 		return;
-	ask.conf = b->conf_revision > m->view.conf_revision(m->view.arg);
+	ask.conf = b->conf_revision > m->view.conf_revision(m->view.arg) &&
+	    now >= m->conf_asked_us + ANSWER_WAIT_US;
 	ask.rows = b->rows_revision > m->view.rows_revision(m->view.arg) &&
 	    m->view.rows_due(m->view.arg) &&
-	    mh_now(m->k) >= m->rows_asked_us + ROWS_WAIT_US;
+	    now >= m->rows_asked_us + ANSWER_WAIT_US;
 	ask.evacuated = b->evacuated_revision > evacuated_revision(m);
 	if (!ask.conf && !ask.rows && !ask.evacuated)
 		return;
-	p->asked_us = mh_now(m->k);
-	if (ask.rows)
-		m->rows_asked_us = mh_now(m->k);
-	if (ask.rows)
+	p->asked_us = now;
+	if (ask.conf)
+		m->conf_asked_us = now;
+	if (ask.rows) {
+		m->rows_asked_us = now;
 		ask.rows_since = m->view.rows_have(m->view.arg);
+	}
+	ask.packed = true;
 	f.body_case = MH__FRAME__BODY_VIEW_ASK;
 	f.view_ask = &ask;
 	mh_mesh_send_conn(m, mh_peer_link(p), &f);
@@ -342,18 +356,17 @@
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__View v = MH__VIEW__INIT;
 	Mh__ViewAsk some = *ask;
-	struct mh_shared s = { NULL, NULL, NULL };
+	struct mh_shared s = { 0 };
 
 	if (m->view.fill == NULL)
 		return;
-	some.conf = ask->conf && m->conf_answers < ANSWERS_A_BEAT;
-	some.rows = ask->rows && m->rows_answers < ANSWERS_A_BEAT &&
-	    m->rows_bytes < ROWS_BYTES_A_BEAT;
+	some.conf = ask->conf && m->conf_bytes < BYTES_A_BEAT;
+	some.rows = ask->rows && m->rows_answers < ROWS_ANSWERS_A_BEAT &&
+	    m->rows_bytes < BYTES_A_BEAT;
 	if (some.conf != ask->conf || some.rows != ask->rows)
 		mh_count(m->k, "views_put_off", 1);
 	if (!some.conf && !some.rows && !some.evacuated)
 		return;
-	m->conf_answers += some.conf;
 	m->rows_answers += some.rows;
 	m->view.fill(m->view.arg, &some, &s);
 	v.conf_revision = m->view.conf_revision(m->view.arg);
@@ -362,6 +375,8 @@
 		v.conf.data = (uint8_t *)g_bytes_get_data(s.conf, &v.conf.len);
 	if (s.rows != NULL)
 		v.rows.data = (uint8_t *)g_bytes_get_data(s.rows, &v.rows.len);
+	v.packed = s.packed;
+	m->conf_bytes += v.conf.len;
 	m->rows_bytes += v.rows.len;
 	if (s.evacuated != NULL) {
 		v.evacuated_revision = evacuated_revision(m);
@@ -402,6 +417,9 @@
 		answer_view(m, p, f->view_ask);
 		break;
 	case MH__FRAME__BODY_VIEW:
+		p->asked_us = 0;
+		if (f->view->conf.len > 0)
+			m->conf_asked_us = 0;
 		if (f->view->rows.len > 0)
 			m->rows_asked_us = 0;
 		if (m->view.take != NULL)
@@ -597,7 +615,7 @@
 		    mh_now(m->k) >= p->dial_us && p->wanted)
 			dial(m, p);
 	}
-	m->conf_answers = 0;
+	m->conf_bytes = 0;
 	m->rows_answers = 0;
 	m->rows_bytes = 0;
 	beat(m, 0);
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -36,6 +36,7 @@
 	GBytes *conf;
 	GBytes *rows;
 	const char *const *evacuated; /* domains, ended by NULL; not owned */
+	bool packed; /* by mh_pack() */
 };
 
 /** struct mh_mesh_view - what a process has read, to share with others. */
@@ -107,6 +108,10 @@
  */
 uint32_t mh_mesh_rank(
     const struct mh_mesh *m, const char *what, uint32_t *entries);
+/** mh_mesh_conf_changed() - linked entries hear of it before the next beat. */
+void mh_mesh_conf_changed(struct mh_mesh *m);
+/** mh_mesh_conf_behind() - another has a later configuration than we have. */
+bool mh_mesh_conf_behind(const struct mh_mesh *m);
 /** mh_mesh_leave() - others no longer choose us. */
 void mh_mesh_leave(struct mh_mesh *m);
 /** mh_mesh_size() - live entries, ourselves included. */
@@ -115,6 +120,16 @@
 /** mh_mesh_send_all() - to every entry that we are linked to. */
 void mh_mesh_send_all(struct mh_mesh *m, Mh__Frame *f);
 
+/* pack.c: documents packed for the way between entries */
+
+/* Bytes that a packed document may have once it is unpacked. */
+#define MH_UNPACKED_MOST (16U << 20)
+
+/** mh_pack() - NULL where there is nothing to pack. */
+GBytes *mh_pack(const void *data, size_t len);
+/** mh_unpack() - NULL where it is torn, not packed, or of over @most bytes. */
+GBytes *mh_unpack(const void *data, size_t len, size_t most);
+
 /* suspect.c: endpoints that several entries could not reach */
 
 struct mh_suspects;
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -62,8 +62,10 @@
 	void (*up)(void *arg, const char *node);
 	void *up_arg;
 	struct mh_timer *timer;
-	int64_t rows_asked_us; /* when another was asked, 0: answered */
-	uint32_t conf_answers; /* configurations sent since the last beat */
+	int64_t conf_asked_us; /* when another was asked, 0: answered */
+	int64_t rows_asked_us;
+	uint64_t conf_heard; /* the latest that another has */
+	size_t conf_bytes; /* of configurations sent since the last beat */
 	uint32_t rows_answers; /* times rows were sent since the last beat */
 	size_t rows_bytes; /* of these */
 };
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -4452,7 +4452,7 @@
   (ProtobufCMessageInit) mh__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__beat__field_descriptors[10] =
+static const ProtobufCFieldDescriptor mh__beat__field_descriptors[12] =
 {
   {
     "ready",
@@ -4574,9 +4574,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "entries_revision",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Beat, entries_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries_hash",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Beat, entries_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__beat__field_indices_by_name[] = {
   2,   /* field[2] = conf_revision */
+  11,   /* field[11] = entries_hash */
+  10,   /* field[10] = entries_revision */
   9,   /* field[9] = evacuated_revision */
   1,   /* field[1] = leaving */
   8,   /* field[8] = oldest_us */
@@ -4590,7 +4616,7 @@
 static const ProtobufCIntRange mh__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor mh__beat__descriptor =
 {
@@ -4600,7 +4626,7 @@
   "Mh__Beat",
   "mh",
   sizeof(Mh__Beat),
-  10,
+  12,
   mh__beat__field_descriptors,
   mh__beat__field_indices_by_name,
   1,  mh__beat__number_ranges,
@@ -4671,7 +4697,7 @@
   (ProtobufCMessageInit) mh__known__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__view_ask__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mh__view_ask__field_descriptors[6] =
 {
   {
     "conf",
@@ -4721,17 +4747,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "packed",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__ViewAsk, packed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__ViewAsk, entries),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__view_ask__field_indices_by_name[] = {
   0,   /* field[0] = conf */
+  5,   /* field[5] = entries */
   3,   /* field[3] = evacuated */
+  4,   /* field[4] = packed */
   1,   /* field[1] = rows */
   2,   /* field[2] = rows_since */
 };
 static const ProtobufCIntRange mh__view_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mh__view_ask__descriptor =
 {
@@ -4741,14 +4793,14 @@
   "Mh__ViewAsk",
   "mh",
   sizeof(Mh__ViewAsk),
-  4,
+  6,
   mh__view_ask__field_descriptors,
   mh__view_ask__field_indices_by_name,
   1,  mh__view_ask__number_ranges,
   (ProtobufCMessageInit) mh__view_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__view__field_descriptors[6] =
+static const ProtobufCFieldDescriptor mh__view__field_descriptors[9] =
 {
   {
     "conf_revision",
@@ -4822,19 +4874,58 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "packed",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__View, packed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries_revision",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__View, entries_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Mh__View, entries),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__view__field_indices_by_name[] = {
   1,   /* field[1] = conf */
   0,   /* field[0] = conf_revision */
+  8,   /* field[8] = entries */
+  7,   /* field[7] = entries_revision */
   5,   /* field[5] = evacuated */
   4,   /* field[4] = evacuated_revision */
+  6,   /* field[6] = packed */
   3,   /* field[3] = rows */
   2,   /* field[2] = rows_revision */
 };
 static const ProtobufCIntRange mh__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor mh__view__descriptor =
 {
@@ -4844,7 +4935,7 @@
   "Mh__View",
   "mh",
   sizeof(Mh__View),
-  6,
+  9,
   mh__view__field_descriptors,
   mh__view__field_indices_by_name,
   1,  mh__view__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -568,10 +568,18 @@
    * 0: not known
    */
   uint64_t evacuated_revision;
+  /*
+   * of the list of entries; 0: not whole
+   */
+  uint64_t entries_revision;
+  /*
+   * of what it says
+   */
+  uint64_t entries_hash;
 };
 #define MH__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -602,10 +610,15 @@
    */
   uint64_t rows_since;
   protobuf_c_boolean evacuated;
+  /*
+   * the asker takes what is packed
+   */
+  protobuf_c_boolean packed;
+  protobuf_c_boolean entries;
 };
 #define MH__VIEW_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__view_ask__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 struct  Mh__View
@@ -624,10 +637,16 @@
    */
   size_t n_evacuated;
   char **evacuated;
+  /*
+   * conf, rows and entries are
+   */
+  protobuf_c_boolean packed;
+  uint64_t entries_revision;
+  ProtobufCBinaryData entries;
 };
 #define MH__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__view__descriptor) \
-    , 0, {0,NULL}, 0, {0,NULL}, 0, 0,NULL }
+    , 0, {0,NULL}, 0, {0,NULL}, 0, 0,NULL, 0, 0, {0,NULL} }
 
 
 struct  Mh__JobStage
--- a/regress/entries.c
+++ b/regress/entries.c
@@ -195,13 +195,27 @@
 	g_free(w);
 }
 
+/* When the last byte of a frame has left its sender. */
+static int64_t
+left_at_us(struct ment *from, const GBytes *frame)
+{
+	size_t len = g_bytes_get_size((GBytes *)(uintptr_t)frame);
+
+	from->sent_bytes += len;
+	if (from->bytes_per_s == 0)
+		return from->r->now_us;
+	from->busy_until_us = MAX(from->busy_until_us, from->r->now_us) +
+	    (int64_t)(len * MH_US_PER_S / from->bytes_per_s);
+	return from->busy_until_us;
+}
+
 static void
 deliver(struct ment *from, struct ment *to, uint64_t conn, GBytes *frame)
 {
 	struct on_way w = { from, to, conn, frame,
-		to->r->now_us + to->delay_us };
+		left_at_us(from, frame) + to->delay_us };
 
-	if (to->delay_us == 0) {
+	if (w.at_us == to->r->now_us) {
 		tell(to, MH_MSG_FRAME, conn, from, false, frame);
 		return;
 	}
@@ -322,6 +336,53 @@
 	return ((struct ment *)arg)->evacuated_revision;
 }
 
+/* Routes of one kind, as an operator adds them by the thousand. */
+static GBytes *
+conf_text(uint64_t revision, uint32_t len)
+{
+	GString *s = g_string_new(NULL);
+
+	for (uint32_t i = 0; s->len < len; i++)
+		g_string_append_printf(s,
+		    "{\"name\":\"r%" PRIu64 "-%u\",\"host\":\"h%u.example\","
+		    "\"service\":\"pool\",\"timeoutMs\":6000}",
+		    revision, i * 7919, i * 104729);
+	g_string_truncate(s, len);
+	return g_string_free_to_bytes(s);
+}
+
+static void
+fill_conf(const struct ment *e, const Mh__ViewAsk *ask, struct mh_shared *out)
+{
+	GBytes *text;
+
+	if (e->conf_len == 0) {
+		out->conf = g_bytes_new("conf", 4);
+		return;
+	}
+	text = conf_text(e->conf, e->conf_len);
+	out->packed = ask->packed;
+	out->conf = ask->packed
+	    ? mh_pack(g_bytes_get_data(text, NULL), g_bytes_get_size(text))
+	    : g_bytes_ref(text);
+	g_bytes_unref(text);
+}
+
+static void
+take_conf(struct ment *e, const Mh__View *v)
+{
+	GBytes *text = v->packed
+	    ? mh_unpack(v->conf.data, v->conf.len, MH_UNPACKED_MOST)
+	    : g_bytes_new(v->conf.data, v->conf.len);
+
+	if (g_bytes_get_size(text) == (e->conf_len == 0 ? 4 : e->conf_len)) {
+		e->conf = MAX(e->conf, v->conf_revision);
+		e->taken_conf++;
+		mh_mesh_conf_changed(e->m);
+	}
+	g_bytes_unref(text);
+}
+
 static void
 v_fill(void *arg, const Mh__ViewAsk *ask, struct mh_shared *out)
 {
@@ -333,7 +394,7 @@
 		out->evacuated = domains;
 
 	if (ask->conf)
-		out->conf = g_bytes_new("conf", 4);
+		fill_conf(e, ask, out);
 	if (ask->rows && e->rows_len > 0)
 		out->rows =
 		    g_bytes_new_take(g_malloc0(e->rows_len), e->rows_len);
@@ -353,10 +414,8 @@
 	e->taken_rows += (uint32_t)v->rows.len;
 	if (v->rows.len > 0)
 		e->rows = v->rows_revision;
-	if (v->conf.len == 4) {
-		e->conf = v->conf_revision;
-		e->taken_conf++;
-	}
+	if (v->conf.len > 0)
+		take_conf(e, v);
 }
 
 void
--- a/regress/entries.h
+++ b/regress/entries.h
@@ -33,7 +33,11 @@
 	uint64_t rows;
 	uint64_t evacuated_revision;
 	char evacuated[16]; /* one failure domain, "": none */
+	uint32_t conf_len; /* bytes of its text; 0: a short word */
 	uint32_t taken_conf;
+	uint64_t bytes_per_s; /* of its own link, outwards; 0: no limit */
+	int64_t busy_until_us; /* its link, with what was sent before */
+	uint64_t sent_bytes;
 	uint32_t fresh; /* beats that said: unchanged just now */
 	uint32_t lose_views; /* of its answers, so many are lost */
 	uint32_t rows_len; /* bytes of all its rows */
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -31,6 +31,7 @@
 extern const struct test tests_start[];
 extern const struct test tests_http[];
 extern const struct test tests_wire[];
+extern const struct test tests_pack[];
 extern const struct test tests_relay[];
 extern const struct test tests_platform[];
 extern const struct test tests_registry[];
--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -226,6 +226,37 @@
 	grig_destroy(r);
 }
 
+static bool
+is_behind(void *arg)
+{
+	return *(bool *)arg;
+}
+
+/* Guards against 404 and 401 for what a later configuration may hold. */
+static void
+test_unknown_for_now(void)
+{
+	struct grig *r = grig_create(2);
+	struct mh_gorg *o = g_new0(struct mh_gorg, 1);
+	bool behind = true;
+
+	o->name = g_strdup("org");
+	o->priority = -1;
+	g_ptr_array_add(r->conf->orgs, o);
+	g_hash_table_insert(r->conf->keys, g_strdup("key"), o);
+	mh_gate_on_unknown(r->g, is_behind, &behind);
+	grig_ask(r, "/nowhere/x", 0);
+	CU_ASSERT_EQUAL(r->why, MH_NOT_READY);
+	CU_ASSERT(r->retry_us > 0);
+	grig_ask(r, "/safe/x", 0);
+	CU_ASSERT_EQUAL(r->why, MH_NOT_READY);
+	behind = false;
+	grig_ask(r, "/nowhere/x", 0);
+	CU_ASSERT_EQUAL(r->why, MH_NO_ROUTE);
+	CU_ASSERT_EQUAL(r->sends, 0);
+	grig_destroy(r);
+}
+
 /* Who gets 404, 401 or "not ready", before anything is sent. */
 static void
 test_arrival(void)
@@ -685,6 +716,8 @@
 	{ "gate: events that nobody asked for", test_events_unasked },
 	{ "gate: ids nobody asked for", test_ids_unasked },
 	{ "gate: route, key, endpoint", test_arrival },
+	{ "gate: unknown while a configuration is on its way",
+	    test_unknown_for_now },
 	{ "gate: the caller leaves", test_caller_leaves },
 	{ "gate: leaving", test_leaving },
 	{ "gate: who has been here before", test_returned },
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -194,6 +194,108 @@
 	mrig_destroy(r);
 }
 
+/* Guards against a changed key unknown at some while all have it to give. */
+static void
+test_large_conf(void)
+{
+	static const uint32_t lens[] = { 200 << 10, 400 << 10 };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lens); i++) {
+		struct mrig *r = mrig_create();
+
+		mrig_run(r, 2 * S);
+		for (uint32_t n = 0; n < ENTRIES; n++) {
+			r->e[n].conf_len = lens[i];
+			r->e[n].bytes_per_s = 10 * 1000 * 1000 / 8;
+			r->e[n].busy_until_us = r->now_us + 200 * MS;
+		}
+		for (uint64_t v = 5; v < 8; v++) {
+			r->e[2].conf = v;
+			mh_mesh_conf_changed(r->e[2].m);
+			mrig_run(r, 100 * MS);
+		}
+		mrig_run(r, 900 * MS);
+		for (uint32_t n = 0; n < ENTRIES; n++)
+			CU_ASSERT_EQUAL(r->e[n].conf, 7);
+		mrig_destroy(r);
+	}
+}
+
+/* Guards against a copy of the configuration from each that has it. */
+static void
+test_conf_of_one(void)
+{
+	struct mrig *r = mrig_create();
+
+	mrig_run(r, 4 * S);
+	for (uint32_t i = 0; i + 1 < ENTRIES; i++)
+		r->e[i].conf = 9;
+	r->e[ENTRIES - 1].taken_conf = 0;
+	mrig_run(r, 1 * S);
+	CU_ASSERT_EQUAL(r->e[ENTRIES - 1].conf, 9);
+	CU_ASSERT_EQUAL(r->e[ENTRIES - 1].taken_conf, 1);
+	mrig_destroy(r);
+}
+
+/* Guards against a link that is full of copies of a configuration. */
+static void
+test_conf_by_bytes(void)
+{
+	struct mrig *r = mrig_create();
+
+	mrig_run(r, 2 * S);
+	r->e[0].conf_len = r->e[1].conf_len = 1 << 20;
+	r->e[1].taken_conf = 0;
+	for (int i = 0; i < 8; i++)
+		mrig_ask_view(&r->e[1], &r->e[0], true);
+	mrig_run(r, 2 * MS);
+	CU_ASSERT_EQUAL(r->e[1].taken_conf, 1);
+	mrig_run(r, 500 * MS);
+	r->e[0].conf_len = r->e[1].conf_len = 4 << 10;
+	r->e[1].taken_conf = 0;
+	for (int i = 0; i < 40; i++)
+		mrig_ask_view(&r->e[1], &r->e[0], true);
+	mrig_run(r, 2 * MS);
+	CU_ASSERT_EQUAL(r->e[1].taken_conf, 40);
+	mrig_destroy(r);
+}
+
+/* Guards against a change that waits for a beat at each step of its way. */
+static void
+test_conf_at_once(void)
+{
+	struct mrig *r = mrig_create();
+	struct ment *home;
+
+	mrig_run(r, 10 * S);
+	home = mrig_agreed(r);
+	home->conf = 5;
+	mh_mesh_conf_changed(home->m);
+	mrig_run(r, 20 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		CU_ASSERT_EQUAL(r->e[i].conf, 5);
+	mrig_destroy(r);
+}
+
+/* Guards against 404 for what a configuration on its way may hold. */
+static void
+test_conf_behind(void)
+{
+	struct mrig *r = mrig_create();
+
+	mrig_run(r, 2 * S);
+	CU_ASSERT_FALSE(mh_mesh_conf_behind(r->e[1].m));
+	r->e[2].lose_views = ENTRIES * 8;
+	r->e[2].conf = 5;
+	mrig_run(r, 400 * MS);
+	CU_ASSERT_TRUE(mh_mesh_conf_behind(r->e[1].m));
+	CU_ASSERT_FALSE(mh_mesh_conf_behind(r->e[2].m));
+	r->e[2].lose_views = 0;
+	mrig_run(r, 1 * S);
+	CU_ASSERT_FALSE(mh_mesh_conf_behind(r->e[1].m));
+	mrig_destroy(r);
+}
+
 /*
  * Hundreds of entries start at once and thousands of endpoints register: the
  * few entries that read for all are asked for rows all the time and put most
@@ -378,6 +480,11 @@
 	{ "mesh: configuration from peers", test_conf_from_peers },
 	{ "mesh: evacuated, from peers", test_evacuated_from_peers },
 	{ "mesh: asks again", test_asks_again },
+	{ "mesh: a large configuration over narrow links", test_large_conf },
+	{ "mesh: configuration of one entry at a time", test_conf_of_one },
+	{ "mesh: configurations by bytes", test_conf_by_bytes },
+	{ "mesh: a configuration does not wait for beats", test_conf_at_once },
+	{ "mesh: a configuration on its way", test_conf_behind },
 	{ "mesh: configuration while rows change",
 	    test_conf_while_rows_change },
 	{ "mesh: rows by bytes", test_rows_by_bytes },
