Entries: listed without leases, and told the list by each other

Cause: each of 358 entries read the whole list of entries (two pages) two or three times at its start and again each 20 s, its secret, and kept a lease: calls grew with entries x pages of the list, the square of the fleet, beside a renewal for each entry. A restart took a row out of the list and put it back. Ruled out: seed addresses of the settings (three at most, which all would dial); a lease kept by a few for all (rows of the dead stay as long as the group lives, and all lapse with it); stale readings alone (a tenth of a square is one). A start reads one page, a tenth of a call, with the secret and some entries, and is told the rest by those: beats carry the list's revision and a hash of what it says, so that one later reading of the same is not sent again. Only who reads for all reads the whole list, and takes out entries that nobody has heard of for a minute (lib/listed.c), unless it is the one that hears of nobody.

--- /dev/null
+++ b/lib/listed.c
@@ -0,0 +1,86 @@
+/**
+ * DOC: Which of the listed entries are gone for good.
+ *
+ * Entries are listed until somebody takes them out.  One that nobody has heard
+ * of for long is gone, unless it is we who hear of nobody.
+ */
+
+#include "mesh.h"
+
+/* Longer than a restart, and than the cuts that a VM comes back from. */
+#define GONE_US (60 * MH_US_PER_S)
+
+struct seen {
+	int64_t at_us; /* heard of then, or listed since */
+	uint32_t round;
+};
+
+struct mh_listed {
+	GHashTable *seen; /* node -> struct seen */
+	uint32_t round;
+	uint32_t alive; /* in this round */
+};
+
+struct mh_listed *
+mh_listed_create(void)
+{
+	struct mh_listed *l = g_new0(struct mh_listed, 1);
+
+	l->seen =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	return l;
+}
+
+void
+mh_listed_destroy(struct mh_listed *l)
+{
+	if (l == NULL)
+		return;
+	g_hash_table_destroy(l->seen);
+	g_free(l);
+}
+
+void
+mh_listed_begin(struct mh_listed *l)
+{
+	l->round++;
+	l->alive = 0;
+}
+
+void
+mh_listed_note(
+    struct mh_listed *l, const char *node, bool alive, int64_t now_us)
+{
+	struct seen *s = g_hash_table_lookup(l->seen, node);
+
+	if (s == NULL) {
+		s = g_new0(struct seen, 1);
+		s->at_us = now_us;
+		g_hash_table_insert(l->seen, g_strdup(node), s);
+	}
+	if (alive)
+		s->at_us = now_us;
+	s->round = l->round;
+	l->alive += alive;
+}
+
+GPtrArray *
+mh_listed_gone(struct mh_listed *l, int64_t now_us)
+{
+	GPtrArray *gone = g_ptr_array_new_with_free_func(g_free);
+	GHashTableIter it;
+	gpointer node, value;
+
+	g_hash_table_iter_init(&it, l->seen);
+	while (g_hash_table_iter_next(&it, &node, &value)) {
+		const struct seen *s = value;
+
+		if (s->round != l->round)
+			g_hash_table_iter_remove(&it);
+		else if (now_us - s->at_us > GONE_US)
+			g_ptr_array_add(gone, g_strdup(node));
+	}
+	if (l->alive * 2 < g_hash_table_size(l->seen))
+		g_ptr_array_set_size(gone, 0);
+	return gone;
+}
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -256,6 +256,10 @@
 	b->rows_revision = m->view.rows_revision(m->view.arg);
 	b->rows_age_us = (uint64_t)m->view.rows_age_us(m->view.arg);
 	b->evacuated_revision = evacuated_revision(m);
+	if (m->view.entries_revision == NULL)
+		return;
+	b->entries_revision = m->view.entries_revision(m->view.arg);
+	b->entries_hash = m->view.entries_hash(m->view.arg);
 }
 
 /* To one link, or to all: 0. */
@@ -288,6 +292,16 @@
 	    m->conf_heard > m->view.conf_revision(m->view.arg);
 }
 
+/* A later list that says the same is of no use. */
+static bool
+wants_entries(const struct mh_mesh *m, const Mh__Beat *b)
+{
+	return m->view.entries_revision != NULL &&
+	    b->entries_revision > m->view.entries_revision(m->view.arg) &&
+	    b->entries_hash != m->view.entries_hash(m->view.arg) &&
+	    mh_now(m->k) >= m->entries_asked_us + ANSWER_WAIT_US;
+}
+
 /*
  * A process that the store turns away still learns of a new configuration
  * and of leaving endpoints: from whoever has read them.
@@ -312,9 +326,12 @@
 	    m->view.rows_due(m->view.arg) &&
 	    now >= m->rows_asked_us + ANSWER_WAIT_US;
 	ask.evacuated = b->evacuated_revision > evacuated_revision(m);
-	if (!ask.conf && !ask.rows && !ask.evacuated)
+	ask.entries = wants_entries(m, b);
+	if (!ask.conf && !ask.rows && !ask.evacuated && !ask.entries)
 		return;
 	p->asked_us = now;
+	if (ask.entries)
+		m->entries_asked_us = now;
 	if (ask.conf)
 		m->conf_asked_us = now;
 	if (ask.rows) {
@@ -350,33 +367,63 @@
 	compare_views(m, p, b);
 }
 
+/* What of it is answered now; the rest is asked for again. */
+static Mh__ViewAsk
+answered_now(struct mh_mesh *m, const Mh__ViewAsk *ask)
+{
+	Mh__ViewAsk some = *ask;
+	bool full = m->told_bytes >= BYTES_A_BEAT;
+
+	some.conf = ask->conf && !full;
+	some.entries = ask->entries && !full;
+	some.rows = ask->rows && m->rows_answers < ROWS_ANSWERS_A_BEAT &&
+	    m->rows_bytes < BYTES_A_BEAT;
+	if (some.conf != ask->conf || some.rows != ask->rows ||
+	    some.entries != ask->entries)
+		mh_count(m->k, "views_put_off", 1);
+	m->rows_answers += some.rows;
+	return some;
+}
+
+static void
+set_bytes(ProtobufCBinaryData *to, GBytes *from)
+{
+	if (from != NULL)
+		to->data =
+		    (uint8_t *)(uintptr_t)g_bytes_get_data(from, &to->len);
+}
+
+static void
+free_shared(struct mh_shared *s)
+{
+	g_clear_pointer(&s->conf, g_bytes_unref);
+	g_clear_pointer(&s->rows, g_bytes_unref);
+	g_clear_pointer(&s->entries, g_bytes_unref);
+}
+
 static void
 answer_view(struct mh_mesh *m, struct peer *p, const Mh__ViewAsk *ask)
 {
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__View v = MH__VIEW__INIT;
-	Mh__ViewAsk some = *ask;
+	Mh__ViewAsk some;
 	struct mh_shared s = { 0 };
 
 	if (m->view.fill == NULL)
 		return;
-	some.conf = ask->conf && m->conf_bytes < BYTES_A_BEAT;
-	some.rows = ask->rows && m->rows_answers < ROWS_ANSWERS_A_BEAT &&
-	    m->rows_bytes < BYTES_A_BEAT;
-	if (some.conf != ask->conf || some.rows != ask->rows)
-		mh_count(m->k, "views_put_off", 1);
-	if (!some.conf && !some.rows && !some.evacuated)
+	some = answered_now(m, ask);
+	if (!some.conf && !some.rows && !some.evacuated && !some.entries)
 		return;
-	m->rows_answers += some.rows;
 	m->view.fill(m->view.arg, &some, &s);
 	v.conf_revision = m->view.conf_revision(m->view.arg);
 	v.rows_revision = m->view.rows_revision(m->view.arg);
-	if (s.conf != NULL)
-		v.conf.data = (uint8_t *)g_bytes_get_data(s.conf, &v.conf.len);
-	if (s.rows != NULL)
-		v.rows.data = (uint8_t *)g_bytes_get_data(s.rows, &v.rows.len);
+	set_bytes(&v.conf, s.conf);
+	set_bytes(&v.rows, s.rows);
+	set_bytes(&v.entries, s.entries);
 	v.packed = s.packed;
-	m->conf_bytes += v.conf.len;
+	if (s.entries != NULL)
+		v.entries_revision = m->view.entries_revision(m->view.arg);
+	m->told_bytes += v.conf.len + v.entries.len;
 	m->rows_bytes += v.rows.len;
 	if (s.evacuated != NULL) {
 		v.evacuated_revision = evacuated_revision(m);
@@ -386,10 +433,7 @@
 	f.body_case = MH__FRAME__BODY_VIEW;
 	f.view = &v;
 	mh_mesh_send_conn(m, mh_peer_link(p), &f);
-	if (s.conf != NULL)
-		g_bytes_unref(s.conf);
-	if (s.rows != NULL)
-		g_bytes_unref(s.rows);
+	free_shared(&s);
 }
 
 static void
@@ -422,6 +466,8 @@
 			m->conf_asked_us = 0;
 		if (f->view->rows.len > 0)
 			m->rows_asked_us = 0;
+		if (f->view->entries.len > 0)
+			m->entries_asked_us = 0;
 		if (m->view.take != NULL)
 			m->view.take(m->view.arg, f->view);
 		break;
@@ -615,7 +661,7 @@
 		    mh_now(m->k) >= p->dial_us && p->wanted)
 			dial(m, p);
 	}
-	m->conf_bytes = 0;
+	m->told_bytes = 0;
 	m->rows_answers = 0;
 	m->rows_bytes = 0;
 	beat(m, 0);
@@ -625,15 +671,8 @@
 }
 
 void
-mh_mesh_list(struct mh_mesh *m, const GPtrArray *members)
+mh_mesh_list_some(struct mh_mesh *m, const GPtrArray *members)
 {
-	GHashTableIter it;
-	gpointer key, value;
-
-	m->have_list = true;
-	g_hash_table_iter_init(&it, m->peers);
-	while (g_hash_table_iter_next(&it, &key, &value))
-		((struct peer *)value)->listed = false;
 	for (guint i = 0; i < members->len; i++) {
 		const struct mh_member *e = g_ptr_array_index(members, i);
 		struct peer *p;
@@ -648,6 +687,39 @@
 	}
 }
 
+void
+mh_mesh_list(struct mh_mesh *m, const GPtrArray *members)
+{
+	GHashTableIter it;
+	gpointer key, value;
+
+	m->have_list = true;
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, &key, &value))
+		((struct peer *)value)->listed = false;
+	mh_mesh_list_some(m, members);
+}
+
+bool
+mh_mesh_hears(const struct mh_mesh *m, const char *node)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	if (node != NULL) {
+		const struct peer *p = g_hash_table_lookup(m->peers, node);
+
+		return strcmp(node, m->node) == 0 ||
+		    (p != NULL && mh_peer_alive(p));
+	}
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		if (mh_peer_alive(value))
+			return true;
+	}
+	return false;
+}
+
 void
 mh_mesh_leave(struct mh_mesh *m)
 {
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -35,6 +35,7 @@
 struct mh_shared {
 	GBytes *conf;
 	GBytes *rows;
+	GBytes *entries;
 	const char *const *evacuated; /* domains, ended by NULL; not owned */
 	bool packed; /* by mh_pack() */
 };
@@ -55,14 +56,21 @@
 	bool (*ready)(void *arg);
 	bool (*reads)(void *arg); /* whether the platform answers us */
 	uint64_t (*evacuated_revision)(void *arg); /* NULL: none is told */
+	/* of the whole list of entries, 0: not known; NULL: none is told */
+	uint64_t (*entries_revision)(void *arg);
+	uint64_t (*entries_hash)(void *arg);
 	void *arg;
 };
 
 struct mh_mesh *mh_mesh_create(
     struct mh_kern *k, const char *node, double weight);
 void mh_mesh_share(struct mh_mesh *m, const struct mh_mesh_view *v);
-/** mh_mesh_list() - the entries listed now; struct mh_member. */
+/** mh_mesh_list() - all the entries listed now; struct mh_member. */
 void mh_mesh_list(struct mh_mesh *m, const GPtrArray *members);
+/** mh_mesh_list_some() - some of those listed, until all are known. */
+void mh_mesh_list_some(struct mh_mesh *m, const GPtrArray *members);
+/** mh_mesh_hears() - whether @node is linked and heard of; NULL: any is. */
+bool mh_mesh_hears(const struct mh_mesh *m, const char *node);
 void mh_mesh_on(
     struct mh_mesh *m, Mh__Frame__BodyCase kind, mh_mesh_fn fn, void *arg);
 /** mh_mesh_on_lost() - an entry stopped answering. */
@@ -130,6 +138,20 @@
 /** mh_unpack() - NULL where it is torn, not packed, or of over @most bytes. */
 GBytes *mh_unpack(const void *data, size_t len, size_t most);
 
+/* listed.c: which of the listed entries are gone for good */
+
+struct mh_listed;
+
+struct mh_listed *mh_listed_create(void);
+void mh_listed_destroy(struct mh_listed *l);
+/** mh_listed_begin() - the list is looked through anew. */
+void mh_listed_begin(struct mh_listed *l);
+/** mh_listed_note() - @node is on it; @alive: we hear of it. */
+void mh_listed_note(
+    struct mh_listed *l, const char *node, bool alive, int64_t now_us);
+/** mh_listed_gone() - names of those that are, the caller's to free. */
+GPtrArray *mh_listed_gone(struct mh_listed *l, int64_t now_us);
+
 /* suspect.c: endpoints that several entries could not reach */
 
 struct mh_suspects;
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -64,8 +64,9 @@
 	struct mh_timer *timer;
 	int64_t conf_asked_us; /* when another was asked, 0: answered */
 	int64_t rows_asked_us;
+	int64_t entries_asked_us;
 	uint64_t conf_heard; /* the latest that another has */
-	size_t conf_bytes; /* of configurations sent since the last beat */
+	size_t told_bytes; /* of all but rows, since the last beat */
 	uint32_t rows_answers; /* times rows were sent since the last beat */
 	size_t rows_bytes; /* of these */
 };
--- a/regress/entries.c
+++ b/regress/entries.c
@@ -330,6 +330,18 @@
 	e->fresh += age_us == 0;
 }
 
+static uint64_t
+v_entries(void *arg)
+{
+	return ((struct ment *)arg)->entries;
+}
+
+static uint64_t
+v_entries_hash(void *arg)
+{
+	return ((struct ment *)arg)->entries_hash;
+}
+
 static uint64_t
 v_evacuated_revision(void *arg)
 {
@@ -393,6 +405,9 @@
 	if (ask->evacuated)
 		out->evacuated = domains;
 
+	if (ask->entries)
+		out->entries =
+		    g_bytes_new(&e->entries_hash, sizeof(e->entries_hash));
 	if (ask->conf)
 		fill_conf(e, ask, out);
 	if (ask->rows && e->rows_len > 0)
@@ -411,6 +426,12 @@
 		    v->n_evacuated == 0 ? "" : v->evacuated[0],
 		    sizeof(e->evacuated));
 	}
+	if (v->entries.len == sizeof(e->entries_hash)) {
+		memcpy(
+		    &e->entries_hash, v->entries.data, sizeof(e->entries_hash));
+		e->entries = v->entries_revision;
+		e->taken_entries++;
+	}
 	e->taken_rows += (uint32_t)v->rows.len;
 	if (v->rows.len > 0)
 		e->rows = v->rows_revision;
@@ -436,7 +457,7 @@
 {
 	const struct mh_mesh_view v = { v_conf, v_rows, v_due, v_rows, v_age,
 		v_same, v_fill, v_take, v_ready, v_reads, v_evacuated_revision,
-		e };
+		v_entries, v_entries_hash, e };
 
 	e->dialled = 0;
 	e->k = mh_kern_create(e->index + 1);
--- a/regress/entries.h
+++ b/regress/entries.h
@@ -38,6 +38,9 @@
 	uint64_t bytes_per_s; /* of its own link, outwards; 0: no limit */
 	int64_t busy_until_us; /* its link, with what was sent before */
 	uint64_t sent_bytes;
+	uint64_t entries; /* revision of its list of entries */
+	uint64_t entries_hash;
+	uint32_t taken_entries;
 	uint32_t fresh; /* beats that said: unchanged just now */
 	uint32_t lose_views; /* of its answers, so many are lost */
 	uint32_t rows_len; /* bytes of all its rows */
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -194,6 +194,27 @@
 	mrig_destroy(r);
 }
 
+/* Guards against a list of entries that each reads for itself, or twice. */
+static void
+test_entries_from_peers(void)
+{
+	struct mrig *r = mrig_create();
+
+	mrig_run(r, 2 * S);
+	r->e[2].entries = 5;
+	r->e[2].entries_hash = 77;
+	mrig_run(r, 1500 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		CU_ASSERT_EQUAL(r->e[i].entries_hash, 77);
+		CU_ASSERT_EQUAL(r->e[i].taken_entries, i != 2);
+	}
+	r->e[2].entries = 9; /* read later, and the same */
+	mrig_run(r, 1 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		CU_ASSERT_EQUAL(r->e[i].taken_entries, i != 2);
+	mrig_destroy(r);
+}
+
 /* Guards against a changed key unknown at some while all have it to give. */
 static void
 test_large_conf(void)
@@ -480,6 +501,7 @@
 	{ "mesh: configuration from peers", test_conf_from_peers },
 	{ "mesh: evacuated, from peers", test_evacuated_from_peers },
 	{ "mesh: asks again", test_asks_again },
+	{ "mesh: the list of entries from peers", test_entries_from_peers },
 	{ "mesh: a large configuration over narrow links", test_large_conf },
 	{ "mesh: configuration of one entry at a time", test_conf_of_one },
 	{ "mesh: configurations by bytes", test_conf_by_bytes },
