Starts: rows and configuration are told by neighbours, not read by each

Cause: each entry read every page of the registry at its start, asked each second for a configuration that nobody had written yet, read the configuration again each 30 s though others told it, and read all pages again whenever it had been told nothing for 1.1 s. Calls grew with entries x pages of rows. Ruled out: stale readings of all pages by each (a tenth of the same square, and an endpoint's leaving would be known seconds late). Change: at a start rows come from who has them, packed, in one answer; who is among the first of the order by the list alone reads at once, so that somebody has them when all start together; others read for themselves after 1.5 s. Where no configuration is written, those who read for all ask for it. Who is told nothing goes on from what was told with one watch; the later word on a row wins. Tests: store: a start is told its rows, is told nothing, silence costs one call, no configuration yet.

--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -102,6 +102,11 @@
  * tell the others, so that the platform's load does not grow with entries.
  */
 bool mh_mesh_reads(struct mh_mesh *m);
+/**
+ * mh_mesh_first() - whether it is among those that will read, by the list
+ * alone: at a start nobody has heard of anybody yet.
+ */
+bool mh_mesh_first(const struct mh_mesh *m);
 /** mh_mesh_slices() - the slices that this entry uses; their number. */
 uint32_t mh_mesh_slices(
     const struct mh_mesh *m, uint32_t slices, uint32_t used[MH_USED_SLICES]);
--- a/lib/meshorder.c
+++ b/lib/meshorder.c
@@ -275,6 +275,26 @@
 	return readers < READERS && (answered || seekers < SEEKERS);
 }
 
+bool
+mh_mesh_first(const struct mh_mesh *m)
+{
+	double mine = rank(MH_STAGE_WORK, m->node, m->weight);
+	GHashTableIter it;
+	gpointer value;
+	uint32_t known = 0, before = 0;
+
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct peer *p = value;
+
+		if (!mh_peer_known(p))
+			continue;
+		known++;
+		before += rank(MH_STAGE_WORK, p->node, p->weight) > mine;
+	}
+	return known > 0 && before < DIALLED;
+}
+
 /* It can be a home for us, or may as far as we know. */
 static bool
 may_serve(const struct peer *p, int64_t latest)
--- a/regress/t_platform_rows.c
+++ b/regress/t_platform_rows.c
@@ -233,7 +233,8 @@
 static void
 open_view(struct vrig *r)
 {
-	struct plat_view_fns fns = { no_conf, no_evacuated, is_reader, NULL };
+	struct plat_view_fns fns = { no_conf, no_evacuated, is_reader,
+		is_reader, is_reader, NULL };
 
 	r->k = mh_kern_create(1);
 	r->l = mh_loop_create(r->k, NULL);
--- a/regress/t_platform_store.c
+++ b/regress/t_platform_store.c
@@ -61,7 +61,10 @@
 	const char *more; /* the list's second page */
 	const char *own_row; /* NULL: there is none */
 	const char *secret; /* NULL: there is none */
-	uint32_t watches;
+	const char *row_watch; /* what a watch of the registry brings */
+	uint32_t watches; /* of what the operator writes */
+	uint32_t row_watches;
+	uint32_t confs;
 	uint32_t puts;
 	char *evacuated; /* failure domains, joined by commas */
 	uint32_t told; /* lists of entries that were taken */
@@ -120,10 +123,14 @@
 {
 	const char *target = mh_hreq_target(q);
 
-	if (g_str_has_prefix(target, "/kv-watch")) {
+	if (g_str_has_prefix(target, "/kv-watch?pathPrefix=servers/")) {
+		r->row_watches++;
+		say(q, 200, either(r->row_watch, conf_item));
+	} else if (g_str_has_prefix(target, "/kv-watch")) {
 		r->watches++;
 		say(q, 200, either(r->watch, conf_item));
 	} else if (strstr(target, "pathPrefix=op/") != NULL) {
+		r->confs++;
 		say(q, 200, either(r->written, written));
 	} else if (strstr(target, "servers/") != NULL) {
 		say(q, 200, registry_page(r, target));
@@ -239,7 +246,8 @@
 		.on_request = on_request,
 		.on_gone = on_gone,
 		.arg = r };
-	struct plat_view_fns fns = { on_conf, on_evacuated, is_reader, r };
+	struct plat_view_fns fns = { on_conf, on_evacuated, is_reader,
+		is_reader, is_linked, r };
 	struct plat_member_fns member_fns = { on_entries, on_secret, is_reader,
 		is_linked, has_heard, r };
 	struct mh_member self = { (char *)"e0", (char *)"127.0.0.1:9", 1 };
@@ -660,6 +668,89 @@
 	mrig_destroy(r);
 }
 
+#define ROW_A "{\"key\":\"servers/a\",\"revision\":4,\"value\":\"e30=\"}"
+#define TOLD(rows, count) \
+	"{\"items\":[" rows "],\"gone\":[],\"since\":0,\"count\":" count "}"
+
+static void
+tell_rows(struct srig *r, uint64_t revision, const char *text)
+{
+	plat_view_take_rows(r->view, revision, text, strlen(text));
+}
+
+/* Guards against starts whose calls grow with the number of endpoints. */
+static void
+test_start_is_told_rows(void)
+{
+	struct srig r = { .odd = true, .follows = true };
+
+	play(&r);
+	CU_ASSERT_EQUAL(r.rows + r.row_watches, 0);
+	CU_ASSERT_FALSE(plat_view_ready(r.view));
+	CU_ASSERT_TRUE(plat_view_rows_due(r.view));
+	tell_rows(&r, 300, TOLD(ROW_A, "1"));
+	CU_ASSERT_TRUE(plat_view_ready(r.view));
+	(void)run_most(r.k, r.loop, S / 2);
+	CU_ASSERT_EQUAL(r.rows + r.row_watches, 0);
+	finish(&r);
+}
+
+/* Guards against a start that waits for others who never tell. */
+static void
+test_start_is_told_nothing(void)
+{
+	struct srig r = { .odd = true, .follows = true };
+
+	play(&r);
+	(void)run_most(r.k, r.loop, 3 * S / 2);
+	CU_ASSERT(r.rows > 0);
+	CU_ASSERT_TRUE(plat_view_ready(r.view));
+	finish(&r);
+}
+
+/* Guards against all pages read by each that is told nothing for a second. */
+static void
+test_silence_costs_one_call(void)
+{
+	struct srig r = { .odd = true,
+		.follows = true,
+		.row_watch = "{\"events\":[{\"key\":\"servers/a\",\"revision\":"
+			     "2,\"deleted\":true},{\"key\":\"servers/b\","
+			     "\"revision\":301,\"value\":\"e30=\"}],"
+			     "\"asOf\":302}" };
+	GBytes *text;
+
+	play(&r);
+	tell_rows(&r, 300, TOLD(ROW_A, "1"));
+	(void)run_most(r.k, r.loop, 3 * S / 2);
+	CU_ASSERT_EQUAL(r.rows, 0);
+	CU_ASSERT(r.row_watches > 0 && r.row_watches <= 2);
+	/* What the watch brings from before is older than what was told. */
+	CU_ASSERT_EQUAL(plat_view_rows_revision(r.view), 301);
+	text = plat_view_rows_text(r.view, 0);
+	CU_ASSERT_PTR_NOT_NULL(
+	    strstr(g_bytes_get_data(text, NULL), "servers/a"));
+	g_bytes_unref(text);
+	finish(&r);
+}
+
+/* Guards against all who ask for a configuration that nobody has written. */
+static void
+test_no_configuration_yet(void)
+{
+	static const char conf[] =
+	    "{\"version\":3,\"routes\":[],\"services\":[]}";
+	struct srig r = { .odd = true, .follows = true, .written = NOTHING };
+
+	play(&r);
+	CU_ASSERT_EQUAL(r.confs, 1);
+	(void)run_most(r.k, r.loop, 2 * S);
+	CU_ASSERT_EQUAL(r.confs, 1);
+	plat_view_take_conf(r.view, 3, conf, strlen(conf));
+	CU_ASSERT_TRUE(r.has_conf);
+	finish(&r);
+}
+
 const struct test tests_store[] = {
 	{ "store: one call finds it back", test_one_call_finds_it_back },
 	{ "store: all is read at once", test_all_is_read_at_once },
@@ -673,6 +764,10 @@
 	{ "store: a start reads one page", test_start_reads_one_page },
 	{ "store: a list that another tells", test_told_list },
 	{ "store: listed entries that are gone", test_listed_gone },
+	{ "store: a start is told its rows", test_start_is_told_rows },
+	{ "store: a start is told nothing", test_start_is_told_nothing },
+	{ "store: silence costs one call", test_silence_costs_one_call },
+	{ "store: no configuration yet", test_no_configuration_yet },
 	{ "store: a few seek it", test_few_seek_it },
 	{ NULL, NULL },
 };
