Configurations: a change is sent alone, by the text that the asker has

Cause: a change of one key went to each entry as the whole document: entries x bytes of the document, out of the links of the few that all are linked to. On the fleet (259 routes, 666 keys) four of them at 256 KB a beat gave it to 358 entries in 1 to 2 s, and to twice as many it would take twice as long. Ruled out: a larger bound a beat (fills links of 20 Mbit/s that requests come by); more entries that all are linked to (their beats grow). Change: an entry keeps the last eight texts, 4 MB at most (lib/past.c), and packs the latest by the one that the asker has (libzstd with a prefix in place of zlib); a checksum tells a text of another base, which is dropped with a line, and the next ask gets the whole. Tests: pack: a change alone (under a thousandth of the document at 300 KB and at 1.2 MB), texts are bounded, bits turned over; mesh: a change of the configuration alone (bytes of all links at 100 and at 400 KB within a quarter).

--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -332,8 +332,10 @@
 	p->asked_us = now;
 	if (ask.entries)
 		m->entries_asked_us = now;
-	if (ask.conf)
+	if (ask.conf) {
 		m->conf_asked_us = now;
+		ask.conf_since = m->view.conf_revision(m->view.arg);
+	}
 	if (ask.rows) {
 		m->rows_asked_us = now;
 		ask.rows_since = m->view.rows_have(m->view.arg);
@@ -421,6 +423,7 @@
 	set_bytes(&v.rows, s.rows);
 	set_bytes(&v.entries, s.entries);
 	v.packed = s.packed;
+	v.conf_base = s.conf_base;
 	if (s.entries != NULL)
 		v.entries_revision = m->view.entries_revision(m->view.arg);
 	m->told_bytes += v.conf.len + v.entries.len;
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -34,6 +34,7 @@
 /** struct mh_shared - what another entry asked for; NULL: not asked. */
 struct mh_shared {
 	GBytes *conf;
+	uint64_t conf_base; /* packed by that one; 0: alone */
 	GBytes *rows;
 	GBytes *entries;
 	const char *const *evacuated; /* domains, ended by NULL; not owned */
@@ -138,10 +139,34 @@
 /* Bytes that a packed document may have once it is unpacked. */
 #define MH_UNPACKED_MOST (16U << 20)
 
-/** mh_pack() - NULL where there is nothing to pack. */
-GBytes *mh_pack(const void *data, size_t len);
-/** mh_unpack() - NULL where it is torn, not packed, or of over @most bytes. */
-GBytes *mh_unpack(const void *data, size_t len, size_t most);
+/** mh_pack() - by what changed since @base, NULL: alone; NULL: nothing. */
+GBytes *mh_pack(const void *data, size_t len, const GBytes *base);
+/**
+ * mh_unpack() - the document, by the same @base.
+ *
+ * NULL where it is torn, not packed, of another base, or of over @most bytes.
+ */
+GBytes *mh_unpack(
+    const void *data, size_t len, size_t most, const GBytes *base);
+
+/* past.c: a document's last texts, and what changed since each */
+
+struct mh_past;
+
+struct mh_past *mh_past_create(void);
+void mh_past_destroy(struct mh_past *p);
+/** mh_past_add() - the latest text from now on. */
+void mh_past_add(
+    struct mh_past *p, uint64_t revision, const char *data, size_t len);
+/** mh_past_text() - borrowed; NULL: it is not known. */
+GBytes *mh_past_text(const struct mh_past *p, uint64_t revision);
+/** mh_past_latest() - borrowed; NULL: there is none. */
+GBytes *mh_past_latest(const struct mh_past *p);
+/**
+ * mh_past_packed() - the latest for one who has @since; NULL: there is none.
+ * @base: set to what it is packed by, 0: alone
+ */
+GBytes *mh_past_packed(struct mh_past *p, uint64_t since, uint64_t *base);
 
 /* listed.c: which of the listed entries are gone for good */
 
--- a/lib/pack.c
+++ b/lib/pack.c
@@ -4,64 +4,87 @@
 
 #include "mesh.h"
 
-#include <zlib.h>
+#include <zstd.h>
 
-/* Most of the gain at a third of the time of the default. */
 #define PACK_LEVEL 3
-/* What is unpacked grows by so much at first. */
-#define UNPACK_FIRST (64U << 10)
 
-GBytes *
-mh_pack(const void *data, size_t len)
+/* A window over both, so that any part of the base can be referred to. */
+static int
+window_log(size_t len)
 {
-	uLongf n = compressBound(len);
-	uint8_t *out = g_malloc(n);
+	ZSTD_bounds b = ZSTD_cParam_getBounds(ZSTD_c_windowLog);
+	int log = b.lowerBound;
 
-	if (len == 0 || compress2(out, &n, data, len, PACK_LEVEL) != Z_OK) {
-		g_free(out);
-		return NULL;
-	}
-	return g_bytes_new_take(g_realloc(out, n), n);
+	while (log < b.upperBound && ((size_t)1 << log) < len)
+		log++;
+	return log;
 }
 
-/* Whether the whole stream was there and fits. */
 static bool
-inflate_all(z_stream *z, GByteArray *out, size_t most)
+set_up(ZSTD_CCtx *c, size_t len, const GBytes *base)
 {
-	int rv = Z_OK;
+	gsize n = 0;
+	const void *data;
 
-	while (rv == Z_OK) {
-		guint was = out->len;
-		guint room = MIN(MAX(was, UNPACK_FIRST), most + 1 - was);
+	if (ZSTD_isError(ZSTD_CCtx_setParameter(
+		c, ZSTD_c_compressionLevel, PACK_LEVEL)) ||
+	    ZSTD_isError(ZSTD_CCtx_setParameter(c, ZSTD_c_checksumFlag, 1)))
+		return false;
+	if (base == NULL)
+		return true;
+	data = g_bytes_get_data((GBytes *)(uintptr_t)base, &n);
+	return !ZSTD_isError(ZSTD_CCtx_setParameter(
+		   c, ZSTD_c_windowLog, window_log(n + len))) &&
+	    !ZSTD_isError(ZSTD_CCtx_refPrefix(c, data, n));
+}
 
-		if (was > most)
-			return false;
-		g_byte_array_set_size(out, was + room);
-		z->next_out = out->data + was;
-		z->avail_out = room;
-		rv = inflate(z, Z_NO_FLUSH);
-		g_byte_array_set_size(out, was + room - z->avail_out);
-	}
-	return rv == Z_STREAM_END && z->avail_in == 0 && out->len <= most;
+GBytes *
+mh_pack(const void *data, size_t len, const GBytes *base)
+{
+	size_t n = ZSTD_compressBound(len);
+	ZSTD_CCtx *c = ZSTD_createCCtx();
+	uint8_t *out = g_malloc(n);
+	bool ok = false;
+
+	if (c == NULL || len == 0 || !set_up(c, len, base))
+		goto done;
+	n = ZSTD_compress2(c, out, n, data, len);
+	ok = !ZSTD_isError(n);
+done:
+	ZSTD_freeCCtx(c);
+	if (ok)
+		return g_bytes_new_take(g_realloc(out, n), n);
+	g_free(out);
+	return NULL;
 }
 
 GBytes *
-mh_unpack(const void *data, size_t len, size_t most)
+mh_unpack(const void *data, size_t len, size_t most, const GBytes *base)
 {
-	z_stream z = { 0 };
-	GByteArray *out;
-	bool whole;
+	unsigned long long size = ZSTD_getFrameContentSize(data, len);
+	ZSTD_DCtx *c = NULL;
+	uint8_t *out = NULL;
+	gsize n = 0;
+	bool ok = false;
+
+	/* The two errors of that call are the largest numbers. */
+	if (size == 0 || size > most)
+		goto done;
+	c = ZSTD_createDCtx();
+	out = g_malloc(size);
+	if (c == NULL)
+		goto done;
+	if (base != NULL) {
+		const void *p = g_bytes_get_data((GBytes *)(uintptr_t)base, &n);
 
-	if (len == 0 || len > UINT32_MAX || inflateInit(&z) != Z_OK)
-		return NULL;
-	out = g_byte_array_new();
-	z.next_in = (uint8_t *)(uintptr_t)data;
-	z.avail_in = (uInt)len;
-	whole = inflate_all(&z, out, most);
-	(void)inflateEnd(&z);
-	if (!whole) {
-		g_byte_array_unref(out);
-		return NULL;
+		if (ZSTD_isError(ZSTD_DCtx_refPrefix(c, p, n)))
+			goto done;
 	}
-	return g_byte_array_free_to_bytes(out);
+	ok = ZSTD_decompressDCtx(c, out, size, data, len) == size;
+done:
+	ZSTD_freeDCtx(c);
+	if (ok)
+		return g_bytes_new_take(out, size);
+	g_free(out);
+	return NULL;
 }
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -4697,7 +4697,7 @@
   (ProtobufCMessageInit) mh__known__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__view_ask__field_descriptors[6] =
+static const ProtobufCFieldDescriptor mh__view_ask__field_descriptors[7] =
 {
   {
     "conf",
@@ -4771,9 +4771,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "conf_since",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__ViewAsk, conf_since),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__view_ask__field_indices_by_name[] = {
   0,   /* field[0] = conf */
+  6,   /* field[6] = conf_since */
   5,   /* field[5] = entries */
   3,   /* field[3] = evacuated */
   4,   /* field[4] = packed */
@@ -4783,7 +4796,7 @@
 static const ProtobufCIntRange mh__view_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor mh__view_ask__descriptor =
 {
@@ -4793,14 +4806,14 @@
   "Mh__ViewAsk",
   "mh",
   sizeof(Mh__ViewAsk),
-  6,
+  7,
   mh__view_ask__field_descriptors,
   mh__view_ask__field_indices_by_name,
   1,  mh__view_ask__number_ranges,
   (ProtobufCMessageInit) mh__view_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__view__field_descriptors[9] =
+static const ProtobufCFieldDescriptor mh__view__field_descriptors[10] =
 {
   {
     "conf_revision",
@@ -4910,9 +4923,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "conf_base",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__View, conf_base),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__view__field_indices_by_name[] = {
   1,   /* field[1] = conf */
+  9,   /* field[9] = conf_base */
   0,   /* field[0] = conf_revision */
   8,   /* field[8] = entries */
   7,   /* field[7] = entries_revision */
@@ -4925,7 +4951,7 @@
 static const ProtobufCIntRange mh__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor mh__view__descriptor =
 {
@@ -4935,7 +4961,7 @@
   "Mh__View",
   "mh",
   sizeof(Mh__View),
-  9,
+  10,
   mh__view__field_descriptors,
   mh__view__field_indices_by_name,
   1,  mh__view__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -615,10 +615,14 @@
    */
   protobuf_c_boolean packed;
   protobuf_c_boolean entries;
+  /*
+   * what the asker has; 0: nothing
+   */
+  uint64_t conf_since;
 };
 #define MH__VIEW_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__view_ask__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Mh__View
@@ -643,10 +647,14 @@
   protobuf_c_boolean packed;
   uint64_t entries_revision;
   ProtobufCBinaryData entries;
+  /*
+   * conf is packed by that one; 0: alone
+   */
+  uint64_t conf_base;
 };
 #define MH__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__view__descriptor) \
-    , 0, {0,NULL}, 0, {0,NULL}, 0, 0,NULL, 0, 0, {0,NULL} }
+    , 0, {0,NULL}, 0, {0,NULL}, 0, 0,NULL, 0, 0, {0,NULL}, 0 }
 
 
 struct  Mh__JobStage
--- a/mk/common.mk
+++ b/mk/common.mk
@@ -2,7 +2,7 @@
 .DEFAULT_GOAL := all
 TOP ?= ..
 PKGS = apr-1 libprotobuf-c libmicrohttpd libcurl glib-2.0 jansson \
-	yaml-0.1 libxxhash libsodium libbsd-overlay zlib
+	yaml-0.1 libxxhash libsodium libbsd-overlay libzstd
 BUILD ?= debug
 # Where everything built goes; the platform wants its own folder.
 BUILDDIR ?= build
--- a/regress/entries.c
+++ b/regress/entries.c
@@ -348,17 +348,18 @@
 	return ((struct ment *)arg)->evacuated_revision;
 }
 
-/* Routes of one kind, as an operator adds them by the thousand. */
+/* A version that changes, and routes as an operator adds them by thousands. */
 static GBytes *
 conf_text(uint64_t revision, uint32_t len)
 {
 	GString *s = g_string_new(NULL);
 
+	g_string_append_printf(s, "{\"version\":%" PRIu64 "}", revision);
 	for (uint32_t i = 0; s->len < len; i++)
 		g_string_append_printf(s,
-		    "{\"name\":\"r%" PRIu64 "-%u\",\"host\":\"h%u.example\","
+		    "{\"name\":\"r%u\",\"host\":\"h%u.example\","
 		    "\"service\":\"pool\",\"timeoutMs\":6000}",
-		    revision, i * 7919, i * 104729);
+		    i * 7919, i * 104729);
 	g_string_truncate(s, len);
 	return g_string_free_to_bytes(s);
 }
@@ -366,7 +367,7 @@
 static void
 fill_conf(const struct ment *e, const Mh__ViewAsk *ask, struct mh_shared *out)
 {
-	GBytes *text;
+	GBytes *text, *base = NULL;
 
 	if (e->conf_len == 0) {
 		out->conf = g_bytes_new("conf", 4);
@@ -374,24 +375,32 @@
 	}
 	text = conf_text(e->conf, e->conf_len);
 	out->packed = ask->packed;
-	out->conf = ask->packed
-	    ? mh_pack(g_bytes_get_data(text, NULL), g_bytes_get_size(text))
-	    : g_bytes_ref(text);
+	out->conf_base = ask->conf_since;
+	if (ask->conf_since != 0)
+		base = conf_text(ask->conf_since, e->conf_len);
+	out->conf = ask->packed ? mh_pack(g_bytes_get_data(text, NULL),
+				      g_bytes_get_size(text), base)
+				: g_bytes_ref(text);
+	g_clear_pointer(&base, g_bytes_unref);
 	g_bytes_unref(text);
 }
 
 static void
 take_conf(struct ment *e, const Mh__View *v)
 {
-	GBytes *text = v->packed
-	    ? mh_unpack(v->conf.data, v->conf.len, MH_UNPACKED_MOST)
-	    : g_bytes_new(v->conf.data, v->conf.len);
+	GBytes *base = NULL, *text;
 
+	if (v->conf_base != 0)
+		base = conf_text(v->conf_base, e->conf_len);
+	text = v->packed
+	    ? mh_unpack(v->conf.data, v->conf.len, MH_UNPACKED_MOST, base)
+	    : g_bytes_new(v->conf.data, v->conf.len);
 	if (g_bytes_get_size(text) == (e->conf_len == 0 ? 4 : e->conf_len)) {
 		e->conf = MAX(e->conf, v->conf_revision);
 		e->taken_conf++;
 		mh_mesh_conf_changed(e->m);
 	}
+	g_clear_pointer(&base, g_bytes_unref);
 	g_bytes_unref(text);
 }
 
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -242,6 +242,34 @@
 	}
 }
 
+/* Guards against changes whose cost is that of the document, for each entry. */
+static void
+test_conf_change_alone(void)
+{
+	static const uint32_t lens[] = { 100 << 10, 400 << 10 };
+	uint64_t sent[2] = { 0, 0 };
+
+	for (size_t i = 0; i < 2; i++) {
+		struct mrig *r = mrig_create();
+
+		mrig_run(r, 2 * S);
+		for (uint32_t n = 0; n < ENTRIES; n++) {
+			r->e[n].conf_len = lens[i];
+			r->e[n].conf = 4;
+			r->e[n].sent_bytes = 0;
+		}
+		r->e[2].conf = 5;
+		mh_mesh_conf_changed(r->e[2].m);
+		mrig_run(r, 500 * MS);
+		for (uint32_t n = 0; n < ENTRIES; n++) {
+			CU_ASSERT_EQUAL(r->e[n].conf, 5);
+			sent[i] += r->e[n].sent_bytes;
+		}
+		mrig_destroy(r);
+	}
+	CU_ASSERT(sent[1] < sent[0] + sent[0] / 4);
+}
+
 /* Guards against a copy of the configuration from each that has it. */
 static void
 test_conf_of_one(void)
@@ -503,6 +531,7 @@
 	{ "mesh: asks again", test_asks_again },
 	{ "mesh: the list of entries from peers", test_entries_from_peers },
 	{ "mesh: a large configuration over narrow links", test_large_conf },
+	{ "mesh: a change of the configuration alone", test_conf_change_alone },
 	{ "mesh: configuration of one entry at a time", test_conf_of_one },
 	{ "mesh: configurations by bytes", test_conf_by_bytes },
 	{ "mesh: a configuration does not wait for beats", test_conf_at_once },
--- a/regress/t_pack.c
+++ b/regress/t_pack.c
@@ -24,7 +24,8 @@
 static GBytes *
 packed_of(GBytes *text)
 {
-	return mh_pack(g_bytes_get_data(text, NULL), g_bytes_get_size(text));
+	return mh_pack(
+	    g_bytes_get_data(text, NULL), g_bytes_get_size(text), NULL);
 }
 
 /* Guards against a document that comes out otherwise than it went in. */
@@ -35,10 +36,10 @@
 
 	CU_ASSERT(g_bytes_get_size(packed) < LEN / 3);
 	back = mh_unpack(g_bytes_get_data(packed, NULL),
-	    g_bytes_get_size(packed), MH_UNPACKED_MOST);
+	    g_bytes_get_size(packed), MH_UNPACKED_MOST, NULL);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(back);
 	CU_ASSERT_TRUE(g_bytes_equal(text, back));
-	CU_ASSERT_PTR_NULL(mh_pack("", 0));
+	CU_ASSERT_PTR_NULL(mh_pack("", 0, NULL));
 	g_bytes_unref(back);
 	g_bytes_unref(packed);
 	g_bytes_unref(text);
@@ -54,12 +55,13 @@
 	uint8_t *more = g_malloc0(len + 1);
 
 	memcpy(more, data, len);
-	CU_ASSERT_PTR_NULL(mh_unpack(data, len - 1, MH_UNPACKED_MOST));
-	CU_ASSERT_PTR_NULL(mh_unpack(more, len + 1, MH_UNPACKED_MOST));
-	CU_ASSERT_PTR_NULL(mh_unpack(data, len, LEN - 1));
-	CU_ASSERT_PTR_NULL(mh_unpack(data, 0, MH_UNPACKED_MOST));
-	CU_ASSERT_PTR_NULL(mh_unpack("{\"version\":3}", 13, MH_UNPACKED_MOST));
-	back = mh_unpack(data, len, LEN);
+	CU_ASSERT_PTR_NULL(mh_unpack(data, len - 1, MH_UNPACKED_MOST, NULL));
+	CU_ASSERT_PTR_NULL(mh_unpack(more, len + 1, MH_UNPACKED_MOST, NULL));
+	CU_ASSERT_PTR_NULL(mh_unpack(data, len, LEN - 1, NULL));
+	CU_ASSERT_PTR_NULL(mh_unpack(data, 0, MH_UNPACKED_MOST, NULL));
+	CU_ASSERT_PTR_NULL(
+	    mh_unpack("{\"version\":3}", 13, MH_UNPACKED_MOST, NULL));
+	back = mh_unpack(data, len, LEN, NULL);
 	CU_ASSERT_PTR_NOT_NULL(back);
 	g_clear_pointer(&back, g_bytes_unref);
 	g_free(more);
@@ -83,7 +85,7 @@
 		GBytes *back;
 
 		bad[at] ^= bit;
-		back = mh_unpack(bad, len, 2 * LEN);
+		back = mh_unpack(bad, len, 2 * LEN, NULL);
 		CU_ASSERT_TRUE(back == NULL || g_bytes_equal(text, back));
 		g_clear_pointer(&back, g_bytes_unref);
 		bad[at] ^= bit;
@@ -94,9 +96,76 @@
 	g_bytes_unref(text);
 }
 
+/* Guards against a change whose cost grows with the document. */
+static void
+test_change_alone(void)
+{
+	static const size_t lens[] = { LEN, 4 * LEN };
+	size_t bytes[2];
+
+	for (size_t i = 0; i < 2; i++) {
+		struct mh_past *p = mh_past_create();
+		GString *s = g_string_new("{\"version\":3}");
+		GBytes *packed, *back;
+		uint64_t base;
+
+		for (uint32_t n = 0; s->len < lens[i]; n++)
+			g_string_append_printf(
+			    s, "{\"name\":\"r%u\"}", n * 7919);
+		mh_past_add(p, 5, s->str, s->len);
+		s->str[11] = '4';
+		g_string_insert(s, (gssize)s->len / 2, "{\"name\":\"new\"}");
+		mh_past_add(p, 6, s->str, s->len);
+		packed = mh_past_packed(p, 5, &base);
+		CU_ASSERT_EQUAL(base, 5);
+		bytes[i] = g_bytes_get_size(packed);
+		CU_ASSERT(bytes[i] < lens[i] / 1000);
+		back = mh_unpack(g_bytes_get_data(packed, NULL), bytes[i],
+		    MH_UNPACKED_MOST, mh_past_text(p, 5));
+		CU_ASSERT_PTR_NOT_NULL_FATAL(back);
+		CU_ASSERT_TRUE(g_bytes_equal(back, mh_past_latest(p)));
+		g_bytes_unref(back);
+		/* by another text: nothing, not another document */
+		back = mh_unpack(g_bytes_get_data(packed, NULL), bytes[i],
+		    MH_UNPACKED_MOST, mh_past_text(p, 6));
+		CU_ASSERT_PTR_NULL(back);
+		g_bytes_unref(packed);
+		packed = mh_past_packed(p, 4, &base);
+		CU_ASSERT_EQUAL(base, 0);
+		CU_ASSERT(g_bytes_get_size(packed) > 20 * bytes[i]);
+		g_bytes_unref(packed);
+		g_string_free(s, TRUE);
+		mh_past_destroy(p);
+	}
+}
+
+/* Guards against texts that are kept without end. */
+static void
+test_past_is_bounded(void)
+{
+	struct mh_past *p = mh_past_create();
+	char *text = g_strnfill(1 << 20, 'x');
+	uint64_t base;
+	GBytes *packed;
+
+	CU_ASSERT_PTR_NULL(mh_past_latest(p));
+	CU_ASSERT_PTR_NULL(mh_past_packed(p, 0, &base));
+	for (uint64_t v = 1; v <= 20; v++)
+		mh_past_add(p, v, text, v < 10 ? 10 : 1 << 20);
+	CU_ASSERT_PTR_NULL(mh_past_text(p, 16));
+	CU_ASSERT_PTR_NOT_NULL(mh_past_text(p, 17));
+	packed = mh_past_packed(p, 20, &base); /* who has the latest */
+	CU_ASSERT_EQUAL(base, 0);
+	g_bytes_unref(packed);
+	g_free(text);
+	mh_past_destroy(p);
+}
+
 const struct test tests_pack[] = {
 	{ "pack: there and back", test_round },
 	{ "pack: torn, overlong, foreign", test_odd },
 	{ "pack: bits turned over", test_flipped },
+	{ "pack: a change alone", test_change_alone },
+	{ "pack: texts are bounded", test_past_is_bounded },
 	{ NULL, NULL },
 };
--- a/regress/t_platform_store.c
+++ b/regress/t_platform_store.c
@@ -400,10 +400,9 @@
 		GBytes *text;
 
 		play(&r);
-		text = plat_view_conf_text(r.view);
+		text = mh_past_latest(plat_view_conf_past(r.view));
 		CU_ASSERT_EQUAL(plat_view_conf_revision(r.view), 3);
 		CU_ASSERT(g_bytes_get_size(text) > 0);
-		g_bytes_unref(text);
 		finish(&r);
 	}
 }
