Placement: the endpoint's own word of how long work takes there now

Cause: endpoints that share their machines tell a fourth figure with their load; three were read, so that work went to machines that others were using. Ruled out: reading it with what is told of load, for 0.6 s: it changes many times a second. Change: the figure is a factor of the expected wait and of the reading of a prompt; it fades to nothing within 250 ms. Its absence, a fifth figure, none, zero and nonsense leave the other three as they are. Tests: platform: how long work takes there; gate: placed by how long work takes.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -13,6 +13,8 @@
 #include <string.h>
 
 /* One failure in four of the recent eight or so moves the share this much. */
+/* A shared machine's pace changes many times a second: its word fades. */
+#define PACE_US (250 * MH_US_PER_MS)
 #define FAIL_WEIGHT 0.2
 #define TOOK_WEIGHT 0.2
 /*
@@ -437,6 +439,23 @@
 	n->told_us = mh_now(f->k);
 }
 
+void
+mh_node_paced(struct mh_fleet *f, struct mh_node *n, uint32_t percent)
+{
+	n->pace = percent / 100.0;
+	n->pace_us = mh_now(f->k);
+}
+
+double
+mh_node_pace(const struct mh_fleet *f, const struct mh_node *n)
+{
+	int64_t age_us = mh_now(f->k) - n->pace_us;
+
+	if (n->pace_us == 0 || age_us >= PACE_US)
+		return 1;
+	return 1 + (n->pace - 1) * (1 - (double)age_us / PACE_US);
+}
+
 void
 mh_node_good(struct mh_fleet *f, struct mh_node *n, int64_t took_us)
 {
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -493,6 +493,8 @@
 
 	if (n != NULL && a->told)
 		mh_node_told(g->f, n, a->running, a->waiting, a->slots);
+	if (n != NULL && a->pace_percent > 0)
+		mh_node_paced(g->f, n, a->pace_percent);
 	if (n != NULL && a->told_warm)
 		mh_node_warm(g->f, n, a->warm_us);
 	if (!a->moved)
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -166,6 +166,8 @@
 	uint32_t waiting;
 	uint32_t slots;
 	int64_t told_us; /* when; 0: never */
+	double pace; /* how long work takes there, of the usual, as it told */
+	int64_t pace_us; /* when; 0: never */
 	double fail; /* recent share of failures, 0 to 1 */
 	double took_us; /* recent mean time to an answer */
 	uint32_t streak; /* failures in a row */
@@ -237,6 +239,10 @@
 /** mh_node_told() - the endpoint's own word of its load. */
 void mh_node_told(struct mh_fleet *f, struct mh_node *n, uint32_t running,
     uint32_t waiting, uint32_t slots);
+/** mh_node_paced() - its own word: work takes @percent of the usual time. */
+void mh_node_paced(struct mh_fleet *f, struct mh_node *n, uint32_t percent);
+/** mh_node_pace() - that as a factor; 1 where it is not told or old. */
+double mh_node_pace(const struct mh_fleet *f, const struct mh_node *n);
 /** mh_node_warm() - its own word: it is cold for @warm_us more. */
 void mh_node_warm(struct mh_fleet *f, struct mh_node *n, int64_t warm_us);
 bool mh_node_cold(const struct mh_fleet *f, const struct mh_node *n);
@@ -646,6 +652,7 @@
 	uint32_t running;
 	uint32_t waiting;
 	uint32_t slots;
+	uint32_t pace_percent; /* time that work takes there now; 0: not told */
 	bool told_warm; /* the time below is given */
 	int64_t warm_us; /* it is cold for so long */
 };
--- a/lib/place.c
+++ b/lib/place.c
@@ -172,13 +172,16 @@
 	double running = n->inflight;
 	double slots = n->capacity > 0 ? n->capacity : 1;
 	double each = n->took_us > 0 ? n->took_us : TOOK_DEFAULT_US;
+	double pace = mh_node_pace(p->f, n);
 
 	if (fresh)
 		running = MAX(running, (double)n->running + n->waiting);
+	each *= pace;
 	if (!engine)
 		return each * (1 + running / slots) +
 		    (running >= slots ? each : 0);
-	return RUNNING_US * running + (fresh ? WAITING_US * n->waiting : 0) +
+	return RUNNING_US * pace * running +
+	    (fresh ? WAITING_US * n->waiting : 0) +
 	    (running >= slots ? FULL_US : 0);
 }
 
@@ -188,7 +191,7 @@
 {
 	double us = load_us(p, n, a->n_parts > 0);
 
-	us += prefill_us(p, a, n, n == home);
+	us += prefill_us(p, a, n, n == home) * mh_node_pace(p->f, n);
 	us += n->fail * FAIL_US;
 	if (mh_node_cold(p->f, n))
 		us *= 2;
--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -706,6 +706,26 @@
 	grig_destroy(r);
 }
 
+/* Guards against work for a machine that others are using, by an old word. */
+static void
+test_place_by_pace(void)
+{
+	struct grig *r = grig_create(2);
+	struct mh_place_ask q = { .pool = "pool" };
+	struct mh_node *slow = mh_place_pick(r->p, &q), *fast;
+
+	mh_node_paced(r->f, slow, 300);
+	fast = mh_place_pick(r->p, &q);
+	CU_ASSERT_PTR_NOT_EQUAL(fast, slow);
+	CU_ASSERT(mh_node_pace(r->f, slow) == 3);
+	CU_ASSERT(mh_node_pace(r->f, fast) == 1);
+	mh_kern_advance(r->k, mh_now(r->k) + 125 * MS, 0);
+	CU_ASSERT(mh_node_pace(r->f, slow) == 2);
+	mh_kern_advance(r->k, mh_now(r->k) + 125 * MS, 0);
+	CU_ASSERT(mh_node_pace(r->f, slow) == 1);
+	grig_destroy(r);
+}
+
 const struct test tests_gate[] = {
 	{ "gate: repeats by kind and failure", test_repeats_table },
 	{ "gate: a silent endpoint", test_silent_endpoint },
@@ -716,6 +736,7 @@
 	{ "gate: events that nobody asked for", test_events_unasked },
 	{ "gate: ids nobody asked for", test_ids_unasked },
 	{ "gate: route, key, endpoint", test_arrival },
+	{ "gate: placed by how long work takes", test_place_by_pace },
 	{ "gate: unknown while a configuration is on its way",
 	    test_unknown_for_now },
 	{ "gate: the caller leaves", test_caller_leaves },
--- a/regress/t_platform.c
+++ b/regress/t_platform.c
@@ -263,6 +263,41 @@
 	mh_headers_destroy(h);
 }
 
+/* Guards against a fourth figure that spoils the three, or is nonsense. */
+static void
+test_pace(void)
+{
+	static const struct {
+		const char *text;
+		bool told;
+		uint32_t percent;
+	} t[] = {
+		{ "3,1,8", true, 0 },
+		{ "3,1,8,250", true, 250 },
+		{ "3,1,8,250,7", true, 250 },
+		{ "3,1,8,", true, 0 },
+		{ "3,1,8,0", true, 0 },
+		{ "3,1,8,-5", true, 0 },
+		{ "3,1,8,x", true, 0 },
+		{ "3,1,8,10001", true, 0 },
+		{ "3,1,8,99999999999999999999", true, 0 },
+		{ "3,1", false, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(t); i++) {
+		struct mh_headers *h = mh_headers_create();
+		struct mh_gans a;
+
+		mh_headers_add(h, "X-Instance-Load", t[i].text);
+		plat_ans_decode(200, h, &a);
+		CU_ASSERT_EQUAL(a.told, t[i].told);
+		CU_ASSERT_EQUAL(a.pace_percent, t[i].percent);
+		if (a.told)
+			CU_ASSERT_EQUAL(a.slots, 8);
+		mh_headers_destroy(h);
+	}
+}
+
 /* Only statuses that promise "not run" are given where that is true. */
 static void
 test_refusals(void)
@@ -349,6 +384,7 @@
 	{ "configuration: what is wrong is named", test_bad_conf },
 	{ "answers: what a head says", test_heads },
 	{ "answers: load", test_load },
+	{ "platform: how long work takes there", test_pace },
 	{ "answers: our own", test_refusals },
 	{ "platform: reports of stage endpoints", test_reports },
 	{ "platform: no gap in an answer", test_no_gap_in_an_answer },
