Placement: the word of an endpoint's pace fades to its mean, not to nothing

Ruled out: the last word alone for 0.12, 0.6, 1.2 and 2.5 s. Change: a mean of what was told lately (a fifth of each new word); the last word fades to it in 250 ms, and it counts until it is ten seconds old. Test: gate: placed by how long work takes.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -13,8 +13,13 @@
 #include <string.h>
 
 /* One failure in four of the recent eight or so moves the share this much. */
-/* A shared machine's pace changes many times a second: its word fades. */
+/*
+ * A shared machine's pace changes many times a second, round a mean that lasts:
+ * its word fades to the mean, and that counts until it is old.
+ */
 #define PACE_US (250 * MH_US_PER_MS)
+#define PACE_WEIGHT 0.2
+#define PACE_KNOWN_US (10 * MH_US_PER_S)
 #define FAIL_WEIGHT 0.2
 #define TOOK_WEIGHT 0.2
 /*
@@ -443,6 +448,9 @@
 mh_node_paced(struct mh_fleet *f, struct mh_node *n, uint32_t percent)
 {
 	n->pace = percent / 100.0;
+	if (n->pace_us == 0)
+		n->pace_mean = n->pace;
+	n->pace_mean += PACE_WEIGHT * (n->pace - n->pace_mean);
 	n->pace_us = mh_now(f->k);
 }
 
@@ -451,9 +459,12 @@
 {
 	int64_t age_us = mh_now(f->k) - n->pace_us;
 
-	if (n->pace_us == 0 || age_us >= PACE_US)
+	if (n->pace_us == 0 || age_us >= PACE_KNOWN_US)
 		return 1;
-	return 1 + (n->pace - 1) * (1 - (double)age_us / PACE_US);
+	if (age_us >= PACE_US)
+		return n->pace_mean;
+	return n->pace_mean +
+	    (n->pace - n->pace_mean) * (1 - (double)age_us / PACE_US);
 }
 
 void
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -167,6 +167,7 @@
 	uint32_t slots;
 	int64_t told_us; /* when; 0: never */
 	double pace; /* how long work takes there, of the usual, as it told */
+	double pace_mean; /* of what it told lately */
 	int64_t pace_us; /* when; 0: never */
 	double fail; /* recent share of failures, 0 to 1 */
 	double took_us; /* recent mean time to an answer */
--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -719,10 +719,15 @@
 	CU_ASSERT_PTR_NOT_EQUAL(fast, slow);
 	CU_ASSERT(mh_node_pace(r->f, slow) == 3);
 	CU_ASSERT(mh_node_pace(r->f, fast) == 1);
+	/* It fades to the mean of what was told, and that to nothing. */
+	mh_node_paced(r->f, slow, 100);
+	CU_ASSERT_DOUBLE_EQUAL(mh_node_pace(r->f, slow), 1, 0.01);
 	mh_kern_advance(r->k, mh_now(r->k) + 125 * MS, 0);
-	CU_ASSERT(mh_node_pace(r->f, slow) == 2);
+	CU_ASSERT_DOUBLE_EQUAL(mh_node_pace(r->f, slow), 1.8, 0.01);
 	mh_kern_advance(r->k, mh_now(r->k) + 125 * MS, 0);
-	CU_ASSERT(mh_node_pace(r->f, slow) == 1);
+	CU_ASSERT_DOUBLE_EQUAL(mh_node_pace(r->f, slow), 2.6, 0.01);
+	mh_kern_advance(r->k, mh_now(r->k) + 10 * S, 0);
+	CU_ASSERT_DOUBLE_EQUAL(mh_node_pace(r->f, slow), 1, 0.01);
 	grig_destroy(r);
 }
 
