--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -41,7 +41,6 @@
  * a later beat.  Rows and the rest are counted apart: while many endpoints
  * register, everybody asks for rows all the time.
  */
-#define ROWS_ANSWERS_A_BEAT 12
 #define BYTES_A_BEAT (256 * 1024)
 #define ASK_AGAIN_US (400 * MH_US_PER_MS)
 /*
@@ -378,12 +377,10 @@
 
 	some.conf = ask->conf && !full;
 	some.entries = ask->entries && !full;
-	some.rows = ask->rows && m->rows_answers < ROWS_ANSWERS_A_BEAT &&
-	    m->rows_bytes < BYTES_A_BEAT;
+	some.rows = ask->rows && m->rows_bytes < BYTES_A_BEAT;
 	if (some.conf != ask->conf || some.rows != ask->rows ||
 	    some.entries != ask->entries)
 		mh_count(m->k, "views_put_off", 1);
-	m->rows_answers += some.rows;
 	return some;
 }
 
@@ -665,7 +662,6 @@
 			dial(m, p);
 	}
 	m->told_bytes = 0;
-	m->rows_answers = 0;
 	m->rows_bytes = 0;
 	beat(m, 0);
 	mh_timer_stop(m->k, &m->timer);
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -67,8 +67,7 @@
 	int64_t entries_asked_us;
 	uint64_t conf_heard; /* the latest that another has */
 	size_t told_bytes; /* of all but rows, since the last beat */
-	uint32_t rows_answers; /* times rows were sent since the last beat */
-	size_t rows_bytes; /* of these */
+	size_t rows_bytes; /* of rows */
 };
 
 /** mh_peer_link() - a link that is up, 0: none. */
--- a/regress/t_platform_rows.c
+++ b/regress/t_platform_rows.c
@@ -304,6 +304,44 @@
 	close_view(&r);
 }
 
+/* Guards against a change of one row that is told with hundreds of others. */
+static void
+test_registry_change_alone(void)
+{
+	static const uint32_t sizes[] = { 100, 400 };
+	size_t bytes[2];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+		uint32_t n = sizes[i];
+		GString *all = g_string_new(NULL);
+		char *changed = row_item("r0", n + 1, true);
+		struct vrig r;
+		GBytes *text;
+
+		for (uint32_t k = 0; k < n; k++) {
+			char name[16], *one;
+
+			g_snprintf(name, sizeof(name), "r%u", k);
+			one = row_item(name, k + 1, false);
+			g_string_append_printf(
+			    all, "%s%s", k > 0 ? "," : "", one);
+			g_free(one);
+		}
+		open_view(&r);
+		take(r.v, n, 0, all->str, "", n);
+		take(r.v, n + 1, n, changed, "", n);
+		text = plat_view_rows_text(r.v, n);
+		bytes[i] = g_bytes_get_size(text);
+		CU_ASSERT_PTR_NOT_NULL(
+		    strstr(g_bytes_get_data(text, NULL), "\"servers/r0\""));
+		g_bytes_unref(text);
+		close_view(&r);
+		g_string_free(all, TRUE);
+		g_free(changed);
+	}
+	CU_ASSERT(bytes[1] < bytes[0] + 16);
+}
+
 static void
 pass(struct vrig *r, int64_t us)
 {
@@ -614,6 +652,7 @@
 	{ "registry: names of another writer", test_foreign_names },
 	{ "registry: rows of any bytes", test_rows_mutated },
 	{ "registry: changes among entries", test_registry_changes },
+	{ "registry: a change is told alone", test_registry_change_alone },
 	{ "registry: another writer's row in a reading",
 	    test_foreign_row_in_a_reading },
 	{ "registry: a row of no service", test_row_of_no_service },
