--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -395,9 +395,9 @@
 static void
 free_shared(struct mh_shared *s)
 {
-	g_clear_pointer(&s->conf, g_bytes_unref);
-	g_clear_pointer(&s->rows, g_bytes_unref);
-	g_clear_pointer(&s->entries, g_bytes_unref);
+	mh_bytes_clear(&s->conf);
+	mh_bytes_clear(&s->rows);
+	mh_bytes_clear(&s->entries);
 }
 
 static void
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -139,6 +139,8 @@
 /* Bytes that a packed document may have once it is unpacked. */
 #define MH_UNPACKED_MOST (16U << 20)
 
+/** mh_bytes_clear() - drops its reference, if there is one. */
+void mh_bytes_clear(GBytes **b);
 /** mh_pack() - by what changed since @base, NULL: alone; NULL: nothing. */
 GBytes *mh_pack(const void *data, size_t len, const GBytes *base);
 /**
--- a/lib/pack.c
+++ b/lib/pack.c
@@ -8,6 +8,14 @@
 
 #define PACK_LEVEL 3
 
+void
+mh_bytes_clear(GBytes **b)
+{
+	if (*b != NULL)
+		g_bytes_unref(*b);
+	*b = NULL;
+}
+
 /* A window over both, so that any part of the base can be referred to. */
 static int
 window_log(size_t len)
--- a/lib/past.c
+++ b/lib/past.c
@@ -34,8 +34,8 @@
 {
 	struct text *t = &p->t[--p->n];
 
-	g_clear_pointer(&t->bytes, g_bytes_unref);
-	g_clear_pointer(&t->packed, g_bytes_unref);
+	mh_bytes_clear(&t->bytes);
+	mh_bytes_clear(&t->packed);
 }
 
 void
@@ -45,7 +45,7 @@
 		return;
 	while (p->n > 0)
 		drop_last(p);
-	g_clear_pointer(&p->packed, g_bytes_unref);
+	mh_bytes_clear(&p->packed);
 	g_free(p);
 }
 
@@ -63,8 +63,8 @@
 mh_past_add(struct mh_past *p, uint64_t revision, const char *data, size_t len)
 {
 	for (uint32_t i = 0; i < p->n; i++)
-		g_clear_pointer(&p->t[i].packed, g_bytes_unref);
-	g_clear_pointer(&p->packed, g_bytes_unref);
+		mh_bytes_clear(&p->t[i].packed);
+	mh_bytes_clear(&p->packed);
 	while (
 	    p->n == TEXTS_MOST || (p->n > 1 && bytes_of(p) + len > BYTES_MOST))
 		drop_last(p);
--- a/mk/lint.sh
+++ b/mk/lint.sh
@@ -2,7 +2,7 @@
 set -eu
 FLAGS="-std=gnu11 -Ilib -Iregress -Iplatform -Imarlwork $(pkg-config --cflags apr-1 libprotobuf-c \
     libmicrohttpd libcurl glib-2.0 jansson yaml-0.1 libxxhash libsodium \
-    libbsd-overlay)"
+    libbsd-overlay libzstd)"
 files=$(ls lib/*.c marl*/*.c platform/*.c platform/soak/*.c regress/*.c | grep -v 'pb-c')
 # shellcheck disable=SC2086
 echo "$files" | xargs -P 4 -n 4 sh -c '
--- a/regress/entries.c
+++ b/regress/entries.c
@@ -381,7 +381,7 @@
 	out->conf = ask->packed ? mh_pack(g_bytes_get_data(text, NULL),
 				      g_bytes_get_size(text), base)
 				: g_bytes_ref(text);
-	g_clear_pointer(&base, g_bytes_unref);
+	mh_bytes_clear(&base);
 	g_bytes_unref(text);
 }
 
@@ -400,7 +400,7 @@
 		e->taken_conf++;
 		mh_mesh_conf_changed(e->m);
 	}
-	g_clear_pointer(&base, g_bytes_unref);
+	mh_bytes_clear(&base);
 	g_bytes_unref(text);
 }
 
--- a/regress/t_pack.c
+++ b/regress/t_pack.c
@@ -63,7 +63,7 @@
 	    mh_unpack("{\"version\":3}", 13, MH_UNPACKED_MOST, NULL));
 	back = mh_unpack(data, len, LEN, NULL);
 	CU_ASSERT_PTR_NOT_NULL(back);
-	g_clear_pointer(&back, g_bytes_unref);
+	mh_bytes_clear(&back);
 	g_free(more);
 	g_bytes_unref(packed);
 	g_bytes_unref(text);
@@ -87,7 +87,7 @@
 		bad[at] ^= bit;
 		back = mh_unpack(bad, len, 2 * LEN, NULL);
 		CU_ASSERT_TRUE(back == NULL || g_bytes_equal(text, back));
-		g_clear_pointer(&back, g_bytes_unref);
+		mh_bytes_clear(&back);
 		bad[at] ^= bit;
 	}
 	g_rand_free(rnd);
