Configurations: lines that tell who was asked, what came, and what held it up

Cause: three hypotheses for a change that some entries never got could not be told apart by the logs: who was asked for it and what came, a call to the store that was given up though its answer was coming, a turn in which the process did nothing else. Ruled out: metrics alone; link_bytes and store_timeouts name neither. No decision reads any of it.

--- a/lib/loop.c
+++ b/lib/loop.c
@@ -5,7 +5,7 @@
  * cuts its wait to whole milliseconds, so a wait below one would spin.
  */
 
-#include "marlhoist.h"
+#include "gate.h"
 
 #include <apr_general.h>
 #include <apr_poll.h>
@@ -17,6 +17,8 @@
 #include <unistd.h>
 
 #define POLL_MAX 4096
+/* A turn that takes longer is told: nothing else runs meanwhile. */
+#define SLOW_TURN_US (250 * MH_US_PER_MS)
 
 struct watch {
 	int fd;
@@ -50,6 +52,7 @@
 	int timer_fd;
 	int signal_fd;
 	int64_t armed_us;
+	int64_t polled_us; /* when this turn began; 0: before the first */
 	bool stop;
 };
 
@@ -250,6 +253,16 @@
 	timerfd_settime(l->timer_fd, TFD_TIMER_ABSTIME, &it, NULL);
 }
 
+/* Whatever came meanwhile has waited for it: beats and callers as well. */
+static void
+tell_slow(struct mh_loop *l)
+{
+	int64_t took_us = clock_us(CLOCK_MONOTONIC) - l->polled_us;
+
+	if (l->polled_us != 0 && took_us >= SLOW_TURN_US)
+		mh_event(l->k, "slow-turn", "took_ms=%" PRId64, mh_ms(took_us));
+}
+
 static void
 turn(struct mh_loop *l)
 {
@@ -275,8 +288,10 @@
 	arm(l, next);
 	if (l->stop)
 		return;
+	tell_slow(l);
 	if (apr_pollset_poll(l->set, -1, &n, &ev) != APR_SUCCESS)
 		return;
+	l->polled_us = clock_us(CLOCK_MONOTONIC);
 	mh_kern_advance(
 	    l->k, clock_us(CLOCK_MONOTONIC), clock_us(CLOCK_REALTIME));
 	/*
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -280,10 +280,30 @@
 void
 mh_mesh_conf_changed(struct mh_mesh *m)
 {
+	m->conf_behind_us = mh_mesh_conf_behind(m) ? m->conf_heard_us : 0;
 	if (!m->leaving)
 		beat(m, 0);
 }
 
+/* From the first word of a later one on, however often it changes again. */
+static void
+note_conf_heard(struct mh_mesh *m, uint64_t revision)
+{
+	if (revision <= m->conf_heard)
+		return;
+	m->conf_heard = revision;
+	m->conf_heard_us = mh_now(m->k);
+	if (mh_mesh_conf_behind(m) && m->conf_behind_us == 0)
+		m->conf_behind_us = m->conf_heard_us;
+}
+
+static int64_t
+behind_ms(const struct mh_mesh *m)
+{
+	return m->conf_behind_us == 0 ? 0
+				      : mh_ms(mh_now(m->k) - m->conf_behind_us);
+}
+
 bool
 mh_mesh_conf_behind(const struct mh_mesh *m)
 {
@@ -314,7 +334,7 @@
 
 	if (m->view.conf_revision == NULL)
 		return;
-	m->conf_heard = MAX(m->conf_heard, b->conf_revision);
+	note_conf_heard(m, b->conf_revision);
 	if (b->rows_revision == m->view.rows_revision(m->view.arg))
 		m->view.rows_same(m->view.arg, (int64_t)b->rows_age_us);
 	if (now - p->asked_us < ASK_AGAIN_US && p->asked_us != 0)
@@ -334,6 +354,10 @@
 	if (ask.conf) {
 		m->conf_asked_us = now;
 		ask.conf_since = m->view.conf_revision(m->view.arg);
+		mh_event(m->k, "conf-asked",
+		    "node=%s revision=%" PRIu64 " have=%" PRIu64
+		    " behind_ms=%" PRId64,
+		    p->node, b->conf_revision, ask.conf_since, behind_ms(m));
 	}
 	if (ask.rows) {
 		m->rows_asked_us = now;
@@ -462,8 +486,14 @@
 		break;
 	case MH__FRAME__BODY_VIEW:
 		p->asked_us = 0;
-		if (f->view->conf.len > 0)
+		if (f->view->conf.len > 0) {
 			m->conf_asked_us = 0;
+			mh_event(m->k, "conf-told",
+			    "node=%s revision=%" PRIu64 " base=%" PRIu64
+			    " bytes=%zu behind_ms=%" PRId64,
+			    p->node, f->view->conf_revision, f->view->conf_base,
+			    f->view->conf.len, behind_ms(m));
+		}
 		if (f->view->rows.len > 0)
 			m->rows_asked_us = 0;
 		if (f->view->entries.len > 0)
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -66,6 +66,8 @@
 	int64_t rows_asked_us;
 	int64_t entries_asked_us;
 	uint64_t conf_heard; /* the latest that another has */
+	int64_t conf_heard_us; /* when that was first told */
+	int64_t conf_behind_us; /* since when it is later than ours; 0: not */
 	size_t told_bytes; /* of all but rows, since the last beat */
 	size_t rows_bytes; /* of rows */
 };
