Tests: answers of the store that come slowly fail, listed

Cause: a call to the store is bounded from its begin to the last byte of its answer: 0.5 s for what the operator has written, 2.4 s for a watch of it, 1.5 s for a page of rows. An answer that comes without a pause, but over a link of 10 Mbit/s or beside others, is given up and asked for again, for ever. Change: a rig whose store sends in pieces, and four tests; no logic. Figures: a configuration, a change and rows that come steadily: 3 of 3 fail; an answer that stops coming is given up: passes, and has to.

--- a/regress/main.c
+++ b/regress/main.c
@@ -74,6 +74,7 @@
 	{ "platform", tests_platform },
 	{ "registry", tests_registry },
 	{ "store", tests_store },
+	{ "slow", tests_slow },
 	{ "home", tests_home },
 	{ "handon", tests_handon },
 	{ "sse", tests_sse },
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -36,6 +36,7 @@
 extern const struct test tests_platform[];
 extern const struct test tests_registry[];
 extern const struct test tests_store[];
+extern const struct test tests_slow[];
 extern const struct test tests_home[];
 extern const struct test tests_handon[];
 extern const struct test tests_sse[];
--- /dev/null
+++ b/regress/t_slow.c
@@ -0,0 +1,260 @@
+/**
+ * DOC: Answers of the store that come slowly: over loopback, from a stand-in
+ * that sends each in pieces.
+ */
+
+#include "platform.h"
+#include "regress.h"
+#include "tcp.h"
+
+#include <string.h>
+
+#define MS MH_US_PER_MS
+#define S MH_US_PER_S
+#define PIECE_US (100 * MS)
+#define VALUE_1 "eyJ2ZXJzaW9uIjoxLCJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6W119"
+#define VALUE_3 "eyJ2ZXJzaW9uIjozLCJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6W119"
+#define CONF(revision, value)                                          \
+	"{\"key\":\"op/config\",\"revision\":" #revision ",\"value\":" \
+	"\"" value "\"}"
+#define ITEMS(item) "{\"items\":[" item "],\"hasMore\":false,\"asOf\":9}"
+#define EVENTS(item) "{\"events\":[" item "],\"asOf\":9}"
+#define ROW "{\"key\":\"servers/a\",\"revision\":4,\"value\":\"e30=\"}"
+
+/** struct pieces - how an answer is sent. */
+struct pieces {
+	uint32_t count; /* a piece each PIECE_US; 0: at once */
+	uint32_t silent_after; /* nothing comes behind so many; 0: all come */
+};
+
+enum asked { WRITTEN, WRITTEN_WATCH, ROWS, ROWS_WATCH, OTHER, KINDS };
+
+/** struct wrig - a store whose answers come in pieces, and its reader. */
+struct wrig {
+	struct mh_kern *k;
+	struct mh_loop *loop;
+	struct mh_hcalls *calls;
+	struct mh_hserve *server;
+	struct mh_fleet *fleet;
+	struct plat_store *store;
+	struct plat_view *view;
+	struct pieces sent[KINDS];
+	const char *text[KINDS]; /* NULL: nothing new, after the wait */
+	uint32_t asked[KINDS];
+	uint64_t version; /* in force */
+	GPtrArray *sending; /* struct sending */
+};
+
+/** struct sending - an answer on its way. */
+struct sending {
+	struct wrig *r;
+	struct mh_hreq *q;
+	struct pieces p;
+	const char *text;
+	uint32_t done;
+	struct mh_timer *timer;
+};
+
+static void
+free_sending(void *arg)
+{
+	struct sending *s = arg;
+
+	mh_timer_stop(s->r->k, &s->timer);
+	g_free(s);
+}
+
+static void
+send_piece(void *arg)
+{
+	struct sending *s = arg;
+	size_t len = strlen(s->text);
+	size_t from = len * s->done / s->p.count;
+	size_t to = len * (s->done + 1) / s->p.count;
+
+	s->timer = NULL;
+	mh_hreq_write(s->q, s->text + from, to - from);
+	s->done++;
+	if (s->done == s->p.count) {
+		mh_hreq_end(s->q);
+		g_ptr_array_remove(s->r->sending, s);
+	} else if (s->done != s->p.silent_after) {
+		s->timer = mh_timer_start(s->r->k, PIECE_US, send_piece, s);
+	}
+}
+
+static enum asked
+asked_for(const char *target)
+{
+	bool rows = strstr(target, "pathPrefix=" PLAT_REGISTRY_PREFIX) != NULL;
+
+	if (strstr(target, "pathPrefix=" PLAT_OWN_PREFIX) != NULL)
+		return OTHER;
+	if (strstr(target, "/kv-watch") != NULL)
+		return rows ? ROWS_WATCH : WRITTEN_WATCH;
+	return rows ? ROWS : WRITTEN;
+}
+
+static void
+on_request(void *arg, struct mh_hreq *q)
+{
+	struct wrig *r = arg;
+	enum asked kind = asked_for(mh_hreq_target(q));
+	struct sending *s = g_new0(struct sending, 1);
+	struct mh_headers *h = mh_headers_create();
+
+	s->r = r;
+	s->q = q;
+	s->p = r->sent[kind];
+	s->p.count = MAX(s->p.count, 1);
+	s->text = r->text[kind] != NULL ? r->text[kind] : EVENTS("");
+	r->asked[kind]++;
+	mh_hreq_set_data(q, s);
+	g_ptr_array_add(r->sending, s);
+	mh_headers_add(h, "Content-Type", "application/json");
+	mh_hreq_head(q, 200, h, (int64_t)strlen(s->text));
+	mh_headers_destroy(h);
+	send_piece(s);
+}
+
+static void
+on_gone(void *arg, struct mh_hreq *q)
+{
+	struct wrig *r = arg;
+
+	g_ptr_array_remove(r->sending, mh_hreq_data(q));
+}
+
+static void
+on_conf(void *arg, struct mh_gconf *c)
+{
+	((struct wrig *)arg)->version = c->version;
+}
+
+static void
+on_evacuated(void *arg, const char *const *domains)
+{
+	(void)arg;
+	(void)domains;
+}
+
+static void
+on_first(void *arg, const struct plat_reply *reply)
+{
+	(void)arg;
+	(void)reply;
+}
+
+static bool
+yes(void *arg)
+{
+	(void)arg;
+	return true;
+}
+
+static bool
+no(void *arg)
+{
+	(void)arg;
+	return false;
+}
+
+static void
+play(struct wrig *r, int64_t us)
+{
+	struct mh_hserve_args a = { .listen = "127.0.0.1:0",
+		.limits = { 4096, 65536, 3 * S, 9 * S },
+		.on_request = on_request,
+		.on_gone = on_gone,
+		.arg = r };
+	struct plat_view_fns fns = { on_conf, on_evacuated, yes, yes, no, r,
+		2 * S };
+	char addr[32];
+
+	r->k = mh_kern_create(1);
+	r->loop = mh_loop_create(r->k, NULL);
+	r->sending = g_ptr_array_new_with_free_func(free_sending);
+	r->server = mh_hserve_create(r->loop, &a, NULL);
+	r->calls = mh_hcalls_create(r->loop);
+	g_snprintf(
+	    addr, sizeof(addr), "127.0.0.1:%u", mh_hserve_port(r->server));
+	r->fleet = mh_fleet_create(r->k);
+	r->store = plat_store_create(r->k, r->calls, addr);
+	r->view = plat_view_create(r->k, r->store, r->fleet, &fns);
+	/* As at every start, one call finds the store. */
+	plat_store_call(r->store, "GET",
+	    "/kv-range?pathPrefix=" PLAT_OWN_PREFIX, NULL, S, on_first, r);
+	(void)run_most(r->k, r->loop, us);
+}
+
+static void
+finish(struct wrig *r)
+{
+	plat_view_destroy(r->view);
+	plat_store_destroy(r->store);
+	mh_fleet_destroy(r->fleet);
+	mh_hserve_destroy(r->server);
+	mh_hcalls_destroy(r->calls);
+	g_ptr_array_free(r->sending, TRUE);
+	mh_loop_destroy(r->loop);
+	mh_kern_destroy(r->k);
+}
+
+/* Guards against starts that never get a configuration over a narrow link. */
+static void
+test_slow_configuration(void)
+{
+	struct wrig r = { .text = { ITEMS(CONF(3, VALUE_3)), NULL, ITEMS("") },
+		.sent = { { 12, 0 } } };
+
+	play(&r, 2 * S);
+	CU_ASSERT_EQUAL(r.version, 3);
+	finish(&r);
+}
+
+/* Guards against a change that no watch ever brings over a narrow link. */
+static void
+test_slow_change(void)
+{
+	struct wrig r = { .text = { ITEMS(CONF(1, VALUE_1)),
+			      EVENTS(CONF(3, VALUE_3)), ITEMS("") },
+		.sent = { { 0, 0 }, { 28, 0 } } };
+
+	play(&r, 3500 * MS);
+	CU_ASSERT_EQUAL(r.version, 3);
+	CU_ASSERT_EQUAL(r.asked[WRITTEN_WATCH], 2);
+	finish(&r);
+}
+
+/* Guards against endpoints that are never known over a narrow link. */
+static void
+test_slow_rows(void)
+{
+	struct wrig r = { .text = { ITEMS(CONF(3, VALUE_3)), NULL, ITEMS(ROW) },
+		.sent = { { 0, 0 }, { 0, 0 }, { 18, 0 } } };
+
+	play(&r, 2500 * MS);
+	CU_ASSERT_TRUE(plat_view_ready(r.view));
+	finish(&r);
+}
+
+/* Guards against a call that waits on for an answer that has stopped coming. */
+static void
+test_silence_in_an_answer(void)
+{
+	struct wrig r = { .text = { ITEMS(CONF(3, VALUE_3)), NULL, ITEMS("") },
+		.sent = { { 12, 3 } } };
+
+	play(&r, 2500 * MS);
+	CU_ASSERT_EQUAL(r.version, 0);
+	CU_ASSERT(r.asked[WRITTEN] >= 2);
+	finish(&r);
+}
+
+const struct test tests_slow[] = {
+	{ "slow: a configuration", test_slow_configuration },
+	{ "slow: a change", test_slow_change },
+	{ "slow: rows", test_slow_rows },
+	{ "slow: silence in an answer", test_silence_in_an_answer },
+	{ NULL, NULL },
+};
