Links: part of a frame is a sign of life, and an answer that comes is not asked for twice

Cause: a link counted as silent 0.85 s after its last whole frame. Over 10 Mbit/s a text of 1 MB takes that long, the beats behind it wait, the link was closed with the text on it, and the next peer was asked for the same. Beside that, the next holder was asked 150 ms after the first though the first's answer was coming; the copies share one link and are all later. Change: the link tells the mesh when part of a frame has come; that is a sign of life, and extends the wait for an answer from that peer, 3 s at most. Test: mesh: a text that takes longer than silence, 1.5 s for a whole text: without the change nothing after 2 s, with it there, once. The rig drops what is on its way over a connection that is closed; before, such a frame could arrive on the next one.

--- a/lib/hub.c
+++ b/lib/hub.c
@@ -51,6 +51,8 @@
 	case MH_MSG_LINK_DOWN:
 		mh_member_link(h->k, m);
 		break;
+	case MH_MSG_LINK_HEARD: /* only an answered ping counts there */
+		break;
 	default:
 		mh_count(h->k, "hub_unexpected", 1);
 		break;
--- a/lib/kern.c
+++ b/lib/kern.c
@@ -177,6 +177,7 @@
 	case MH_MSG_LINK_CLOSE:
 	case MH_MSG_LINK_UP:
 	case MH_MSG_LINK_DOWN:
+	case MH_MSG_LINK_HEARD:
 	case MH_MSG_FRAME:
 		free_link(&m->u.link);
 		break;
--- a/lib/link.c
+++ b/lib/link.c
@@ -312,6 +312,15 @@
 	return true;
 }
 
+static void
+tell_heard(struct conn *c)
+{
+	struct mh_msg *m = mh_msg_new(MH_MSG_LINK_HEARD);
+
+	m->u.link.conn = c->id;
+	mh_post(c->l->k, "hub", m);
+}
+
 static bool
 take_input(struct conn *c)
 {
@@ -332,6 +341,8 @@
 	}
 	if (at > 0)
 		g_byte_array_remove_range(c->in, 0, (guint)at);
+	if (ok && c->up && c->in->len > 0)
+		tell_heard(c);
 	return ok;
 }
 
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -48,6 +48,8 @@
  * answer, and their copies fill the links of 10 Mbit/s that requests come by.
  */
 #define ANSWER_WAIT_US (150 * MH_US_PER_MS)
+/* An answer of which bytes come is waited for, so long at most. */
+#define COMING_US (3 * MH_US_PER_S)
 /* Our own timer was late by so much: this process did not run. */
 #define AWAY_US (600 * MH_US_PER_MS)
 static void on_timer(void *arg);
@@ -348,7 +350,9 @@
 	ask.entries = wants_entries(m, b);
 	if (!ask.conf && !ask.rows && !ask.evacuated && !ask.entries)
 		return;
-	p->asked_us = now;
+	p->asked_us = p->asked_first_us = now;
+	p->asked = (ask.conf ? ASKED_CONF : 0) | (ask.rows ? ASKED_ROWS : 0) |
+	    (ask.entries ? ASKED_ENTRIES : 0);
 	if (ask.entries)
 		m->entries_asked_us = now;
 	if (ask.conf) {
@@ -486,6 +490,7 @@
 		break;
 	case MH__FRAME__BODY_VIEW:
 		p->asked_us = 0;
+		p->asked = 0;
 		if (f->view->conf.len > 0) {
 			m->conf_asked_us = 0;
 			mh_event(m->k, "conf-told",
@@ -511,6 +516,30 @@
 	mh_frame_free(f);
 }
 
+/*
+ * Part of a frame has come.  Whoever sends it is alive, though its beats wait
+ * behind; and if it is an answer of ours, another's would only slow it down.
+ */
+static void
+take_heard(struct mh_mesh *m, uint64_t conn)
+{
+	struct peer *p = g_hash_table_lookup(m->conns, &conn);
+	int64_t now = mh_now(m->k);
+
+	if (p == NULL)
+		return;
+	p->heard_us = now;
+	if (p->asked == 0 || now - p->asked_first_us >= COMING_US)
+		return;
+	p->asked_us = now;
+	if (p->asked & ASKED_CONF)
+		m->conf_asked_us = now;
+	if (p->asked & ASKED_ROWS)
+		m->rows_asked_us = now;
+	if (p->asked & ASKED_ENTRIES)
+		m->entries_asked_us = now;
+}
+
 /* links */
 
 struct peer *
@@ -558,6 +587,7 @@
 	p->tried_us = 0;
 	p->dials = 0;
 	p->asked_us = 0;
+	p->asked = 0;
 	note_conn(m, l->conn, p);
 	/* It must not wait for our next beat to know that we can serve. */
 	beat(m, l->conn);
@@ -765,6 +795,9 @@
 	case MH_MSG_FRAME:
 		take_frame(m, &msg->u.link);
 		break;
+	case MH_MSG_LINK_HEARD:
+		take_heard(m, msg->u.link.conn);
+		break;
 	case MH_MSG_LINK_UP:
 		link_up(m, &msg->u.link);
 		break;
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -31,8 +31,12 @@
 	int64_t tried_us; /* dialled in vain since, 0: not at all */
 	int64_t dial_us; /* not again before */
 	int64_t asked_us; /* when it was last asked for what it has read */
+	int64_t asked_first_us; /* the same, though bytes have come since */
+	uint32_t asked; /* for what: ASKED_CONF and others; 0: it answered */
 };
 
+enum { ASKED_CONF = 1, ASKED_ROWS = 2, ASKED_ENTRIES = 4 };
+
 struct handler {
 	mh_mesh_fn fn;
 	void *arg;
--- a/regress/entries.c
+++ b/regress/entries.c
@@ -183,6 +183,7 @@
 	struct ment *to;
 	uint64_t conn; /* the receiver's */
 	GBytes *frame;
+	int64_t from_us; /* its first byte arrives */
 	int64_t at_us;
 };
 
@@ -212,7 +213,8 @@
 static void
 deliver(struct ment *from, struct ment *to, uint64_t conn, GBytes *frame)
 {
-	struct on_way w = { from, to, conn, frame,
+	int64_t from_us = MAX(from->busy_until_us, from->r->now_us);
+	struct on_way w = { from, to, conn, frame, from_us + to->delay_us,
 		left_at_us(from, frame) + to->delay_us };
 
 	if (w.at_us == to->r->now_us) {
@@ -230,6 +232,9 @@
 		struct on_way *w = g_ptr_array_index(r->on_way, i);
 
 		if (w->at_us > r->now_us) {
+			if (w->from_us < r->now_us)
+				tell(w->to, MH_MSG_LINK_HEARD, w->conn, w->from,
+				    false, NULL);
 			i++;
 			continue;
 		}
@@ -238,6 +243,22 @@
 	}
 }
 
+/* What was on its way is lost with the connection. */
+static void
+lose_on_way(struct ment *to, uint64_t conn)
+{
+	GPtrArray *all = to->r->on_way;
+
+	for (guint i = 0; i < all->len;) {
+		const struct on_way *w = g_ptr_array_index(all, i);
+
+		if (w->to == to && w->conn == conn)
+			g_ptr_array_remove_index(all, i);
+		else
+			i++;
+	}
+}
+
 static void
 link_handle(void *self, struct mh_msg *msg)
 {
@@ -266,6 +287,9 @@
 			break;
 		to = other_end(e, id);
 		tl = mh_kern_get(to->k, "link");
+		lose_on_way(e, m->conn);
+		if (tl != NULL)
+			lose_on_way(to, theirs(tl, mirror(id)));
 		if (tl != NULL && !e->cut && !to->cut && !to->down && !to->off)
 			tell(to, MH_MSG_LINK_DOWN, theirs(tl, mirror(id)), e,
 			    false, NULL);
@@ -364,6 +388,18 @@
 	return g_string_free_to_bytes(s);
 }
 
+uint64_t
+mrig_whole_len(const struct ment *e)
+{
+	GBytes *text = conf_text(e->conf, e->conf_len);
+	GBytes *packed = mh_pack(text, NULL);
+	uint64_t len = g_bytes_get_size(packed);
+
+	g_bytes_unref(packed);
+	g_bytes_unref(text);
+	return len;
+}
+
 static void
 fill_conf(const struct ment *e, const Mh__ViewAsk *ask, struct mh_shared *out)
 {
--- a/regress/entries.h
+++ b/regress/entries.h
@@ -70,6 +70,8 @@
 const char *mrig_home(struct ment *e);
 /** mrig_agreed() - the home that all live entries name; NULL: they differ. */
 struct ment *mrig_agreed(struct mrig *r);
+/** mrig_whole_len() - bytes of the whole configuration of @e, packed. */
+uint64_t mrig_whole_len(const struct ment *e);
 /** mrig_ask_view() - asks @to for its configuration, or for its rows. */
 void mrig_ask_view(struct ment *e, struct ment *to, bool conf);
 
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -242,6 +242,31 @@
 	}
 }
 
+/*
+ * Guards against an entry that never gets a text which takes longer to come
+ * than a link may be silent.
+ */
+static void
+test_conf_longer_than_silence(void)
+{
+	struct mrig *r = mrig_create();
+	struct ment *last = &r->e[ENTRIES - 1];
+
+	mrig_run(r, 2 * S);
+	for (uint32_t n = 0; n < ENTRIES; n++) {
+		r->e[n].conf_len = 400 << 10;
+		r->e[n].conf = 9;
+	}
+	last->conf = 0;
+	for (uint32_t n = 0; n + 1 < ENTRIES; n++)
+		r->e[n].bytes_per_s = mrig_whole_len(&r->e[n]) * 2 / 3;
+	last->taken_conf = 0;
+	mrig_run(r, 2 * S); /* it takes 1.5 s to send */
+	CU_ASSERT_EQUAL(last->conf, 9);
+	CU_ASSERT_EQUAL(last->taken_conf, 1);
+	mrig_destroy(r);
+}
+
 /* Guards against changes whose cost is that of the document, for each entry. */
 static void
 test_conf_change_alone(void)
@@ -531,6 +556,8 @@
 	{ "mesh: asks again", test_asks_again },
 	{ "mesh: the list of entries from peers", test_entries_from_peers },
 	{ "mesh: a large configuration over narrow links", test_large_conf },
+	{ "mesh: a text that takes longer than silence",
+	    test_conf_longer_than_silence },
 	{ "mesh: a change of the configuration alone", test_conf_change_alone },
 	{ "mesh: configuration of one entry at a time", test_conf_of_one },
 	{ "mesh: configurations by bytes", test_conf_by_bytes },
