--- a/regress/t_slow.c
+++ b/regress/t_slow.c
@@ -238,6 +238,19 @@
 	finish(&r);
 }
 
+/* Guards against a narrow link that carries the same document all the time. */
+static void
+test_slow_whole_readings(void)
+{
+	struct wrig r = { .text = { ITEMS(CONF(3, VALUE_3)), NULL, ITEMS("") },
+		.sent = { { 6, 0 } } };
+
+	play(&r, 4200 * MS);
+	CU_ASSERT_EQUAL(r.version, 3);
+	CU_ASSERT_EQUAL(r.asked[WRITTEN], 1);
+	finish(&r);
+}
+
 /* Guards against a call that waits on for an answer that has stopped coming. */
 static void
 test_silence_in_an_answer(void)
@@ -255,6 +268,7 @@
 	{ "slow: a configuration", test_slow_configuration },
 	{ "slow: a change", test_slow_change },
 	{ "slow: rows", test_slow_rows },
+	{ "slow: whole readings", test_slow_whole_readings },
 	{ "slow: silence in an answer", test_silence_in_an_answer },
 	{ NULL, NULL },
 };
