--- a/lib/gate.c
+++ b/lib/gate.c
@@ -656,12 +656,19 @@
 }
 
 void
-mh_gate_on_unknown(struct mh_gate *g, bool (*behind)(void *arg), void *arg)
+mh_gate_on_unknown(
+    struct mh_gate *g, int64_t (*behind_us)(void *arg), void *arg)
 {
-	g->behind = behind;
+	g->behind_us = behind_us;
 	g->behind_arg = arg;
 }
 
+void
+mh_gate_conf_most(struct mh_gate *g, int64_t most_us)
+{
+	g->behind_most_us = most_us;
+}
+
 void
 mh_gate_destroy(struct mh_gate *g)
 {
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -694,7 +694,12 @@
  * What ours does not know may stand in that one: it is refused for now.
  */
 void mh_gate_on_unknown(
-    struct mh_gate *g, bool (*behind)(void *arg), void *arg);
+    struct mh_gate *g, int64_t (*behind_us)(void *arg), void *arg);
+/**
+ * mh_gate_conf_most() - once a later configuration has been on its way for so
+ * long, requests are refused, not run by the one that we have; 0: never.
+ */
+void mh_gate_conf_most(struct mh_gate *g, int64_t most_us);
 struct mh_gask *mh_gask_create(const char *id);
 void mh_gask_destroy(struct mh_gask *q);
 /** mh_gate_take() - a request has come; ends with one of refuse, finish or
--- a/lib/gateint.h
+++ b/lib/gateint.h
@@ -22,8 +22,11 @@
 	struct mh_budget *budget;
 	struct mh_gate_ops ops;
 	struct mh_gconf *conf;
-	bool (*behind)(void *arg); /* a later one is on its way; NULL: never */
+	/* how long a later one has been on its way, 0: none is; NULL: never */
+	int64_t (*behind_us)(void *arg);
 	void *behind_arg;
+	int64_t behind_most_us; /* then requests are refused; 0: never */
+	bool overdue; /* it has been told */
 	char *domain;
 	uint32_t entries; /* processes like this one */
 	GHashTable *asks; /* set of struct mh_gask */
--- a/lib/gatetake.c
+++ b/lib/gatetake.c
@@ -73,12 +73,34 @@
 	}
 }
 
+static int64_t
+behind_us(const struct mh_gate *g)
+{
+	return g->behind_us == NULL ? 0 : g->behind_us(g->behind_arg);
+}
+
 static void
 refuse_unknown(struct mh_gate *g, struct mh_gask *q, enum mh_gate_refusal why)
 {
-	bool behind = g->behind != NULL && g->behind(g->behind_arg);
+	mh_gate_refuse(g, q, behind_us(g) > 0 ? MH_NOT_READY : why, 0);
+}
+
+/*
+ * A later one is known to others, and does not come: what this one allows may
+ * not be allowed any more.
+ */
+static bool
+conf_is_overdue(struct mh_gate *g)
+{
+	int64_t us = behind_us(g);
+	bool overdue = g->behind_most_us > 0 && us >= g->behind_most_us;
 
-	mh_gate_refuse(g, q, behind ? MH_NOT_READY : why, 0);
+	if (overdue && !g->overdue)
+		mh_event(g->k, "conf-overdue",
+		    "config=%" PRIu64 " behind_ms=%" PRId64, g->conf->version,
+		    mh_ms(us));
+	g->overdue = overdue;
+	return overdue;
 }
 
 void
@@ -89,7 +111,7 @@
 	q->until_us = q->arrived_us;
 	q->aim_us = q->arrived_us;
 	g_hash_table_add(g->asks, q);
-	if (g->conf == NULL) {
+	if (g->conf == NULL || conf_is_overdue(g)) {
 		mh_gate_refuse(g, q, MH_NOT_READY, 0);
 		return;
 	}
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -299,13 +299,6 @@
 		m->conf_behind_us = m->conf_heard_us;
 }
 
-static int64_t
-behind_ms(const struct mh_mesh *m)
-{
-	return m->conf_behind_us == 0 ? 0
-				      : mh_ms(mh_now(m->k) - m->conf_behind_us);
-}
-
 bool
 mh_mesh_conf_behind(const struct mh_mesh *m)
 {
@@ -313,6 +306,34 @@
 	    m->conf_heard > m->view.conf_revision(m->view.arg);
 }
 
+bool
+mh_mesh_conf_offered(const struct mh_mesh *m)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	if (!mh_mesh_conf_behind(m))
+		return false;
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct peer *p = value;
+
+		if (mh_peer_alive(p) &&
+		    p->conf_revision > m->view.conf_revision(m->view.arg))
+			return true;
+	}
+	return false;
+}
+
+int64_t
+mh_mesh_conf_behind_us(const struct mh_mesh *m)
+{
+	if (!mh_mesh_conf_behind(m))
+		return 0;
+	/* It was heard of when it was; 0 would mean that none was. */
+	return MAX(mh_now(m->k) - MAX(m->conf_behind_us, m->woke_us), 1);
+}
+
 /* A later list that says the same is of no use. */
 static bool
 wants_entries(const struct mh_mesh *m, const Mh__Beat *b)
@@ -361,7 +382,8 @@
 		mh_event(m->k, "conf-asked",
 		    "node=%s revision=%" PRIu64 " have=%" PRIu64
 		    " behind_ms=%" PRId64,
-		    p->node, b->conf_revision, ask.conf_since, behind_ms(m));
+		    p->node, b->conf_revision, ask.conf_since,
+		    mh_ms(mh_mesh_conf_behind_us(m)));
 	}
 	if (ask.rows) {
 		m->rows_asked_us = now;
@@ -381,6 +403,7 @@
 
 	p->ready = b->ready;
 	p->reads = b->reads;
+	p->conf_revision = b->conf_revision;
 	if (b->weight > 0)
 		p->weight = b->weight / WEIGHT_UNIT;
 	p->started_us = mh_now(m->k) - (int64_t)b->uptime_us;
@@ -497,7 +520,8 @@
 			    "node=%s revision=%" PRIu64 " base=%" PRIu64
 			    " bytes=%zu behind_ms=%" PRId64,
 			    p->node, f->view->conf_revision, f->view->conf_base,
-			    f->view->conf.len, behind_ms(m));
+			    f->view->conf.len,
+			    mh_ms(mh_mesh_conf_behind_us(m)));
 		}
 		if (f->view->rows.len > 0)
 			m->rows_asked_us = 0;
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -126,6 +126,10 @@
 void mh_mesh_conf_changed(struct mh_mesh *m);
 /** mh_mesh_conf_behind() - another has a later configuration than we have. */
 bool mh_mesh_conf_behind(const struct mh_mesh *m);
+/** mh_mesh_conf_offered() - an entry that we hear of has a later one. */
+bool mh_mesh_conf_offered(const struct mh_mesh *m);
+/** mh_mesh_conf_behind_us() - for how long, while we ran; 0: it has none. */
+int64_t mh_mesh_conf_behind_us(const struct mh_mesh *m);
 /** mh_mesh_leave() - others no longer choose us. */
 void mh_mesh_leave(struct mh_mesh *m);
 /** mh_mesh_size() - live entries, ourselves included. */
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -17,6 +17,7 @@
 	bool ready;
 	bool leaving;
 	bool reads; /* the platform answers it */
+	uint64_t conf_revision; /* that it has */
 	bool failed; /* the last try to reach it failed */
 	bool wanted; /* worth a link of our own */
 	double rank; /* in the order that is being looked at */
--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -226,10 +226,10 @@
 	grig_destroy(r);
 }
 
-static bool
-is_behind(void *arg)
+static int64_t
+told_behind_us(void *arg)
 {
-	return *(bool *)arg;
+	return *(int64_t *)arg;
 }
 
 /* Guards against 404 and 401 for what a later configuration may hold. */
@@ -238,19 +238,19 @@
 {
 	struct grig *r = grig_create(2);
 	struct mh_gorg *o = g_new0(struct mh_gorg, 1);
-	bool behind = true;
+	int64_t behind_us = 1;
 
 	o->name = g_strdup("org");
 	o->priority = -1;
 	g_ptr_array_add(r->conf->orgs, o);
 	g_hash_table_insert(r->conf->keys, g_strdup("key"), o);
-	mh_gate_on_unknown(r->g, is_behind, &behind);
+	mh_gate_on_unknown(r->g, told_behind_us, &behind_us);
 	grig_ask(r, "/nowhere/x", 0);
 	CU_ASSERT_EQUAL(r->why, MH_NOT_READY);
 	CU_ASSERT(r->retry_us > 0);
 	grig_ask(r, "/safe/x", 0);
 	CU_ASSERT_EQUAL(r->why, MH_NOT_READY);
-	behind = false;
+	behind_us = 0;
 	grig_ask(r, "/nowhere/x", 0);
 	CU_ASSERT_EQUAL(r->why, MH_NO_ROUTE);
 	CU_ASSERT_EQUAL(r->sends, 0);
@@ -731,7 +731,42 @@
 	grig_destroy(r);
 }
 
+/* Guards against requests by a configuration that was replaced long ago. */
+static void
+test_conf_overdue(void)
+{
+	static const struct {
+		int64_t behind_us;
+		const char *target;
+		uint32_t sends;
+		enum mh_gate_refusal why; /* when not sent */
+	} t[] = {
+		{ 0, "/safe/x", 1, 0 },
+		{ 0, "/none/x", 0, MH_NO_ROUTE },
+		{ 1, "/safe/x", 1, 0 },
+		{ 1, "/none/x", 0, MH_NOT_READY },
+		{ 2499 * MS, "/once/x", 1, 0 },
+		{ 2500 * MS, "/once/x", 0, MH_NOT_READY },
+		{ 9 * S, "/safe/x", 0, MH_NOT_READY },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(t); i++) {
+		struct grig *r = grig_create(1);
+		int64_t behind_us = t[i].behind_us;
+
+		mh_gate_on_unknown(r->g, told_behind_us, &behind_us);
+		mh_gate_conf_most(r->g, 2500 * MS);
+		grig_ask(r, t[i].target, 0);
+		CU_ASSERT_EQUAL(r->sends, t[i].sends);
+		CU_ASSERT_EQUAL(r->refused, t[i].sends == 0);
+		if (t[i].sends == 0)
+			CU_ASSERT_EQUAL(r->why, t[i].why);
+		grig_destroy(r);
+	}
+}
+
 const struct test tests_gate[] = {
+	{ "gate: a configuration that is overdue", test_conf_overdue },
 	{ "gate: repeats by kind and failure", test_repeats_table },
 	{ "gate: a silent endpoint", test_silent_endpoint },
 	{ "gate: a silent endpoint, once", test_silent_endpoint_once },
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -364,9 +364,27 @@
 	mrig_run(r, 400 * MS);
 	CU_ASSERT_TRUE(mh_mesh_conf_behind(r->e[1].m));
 	CU_ASSERT_FALSE(mh_mesh_conf_behind(r->e[2].m));
+	CU_ASSERT_EQUAL(mh_mesh_conf_behind_us(r->e[2].m), 0);
+	/* One more change starts nothing anew. */
+	r->e[2].conf = 6;
+	mrig_run(r, 1500 * MS);
+	CU_ASSERT(mh_mesh_conf_behind_us(r->e[1].m) > 1600 * MS);
+	CU_ASSERT(mh_mesh_conf_behind_us(r->e[1].m) <= 1900 * MS);
 	r->e[2].lose_views = 0;
 	mrig_run(r, 1 * S);
 	CU_ASSERT_FALSE(mh_mesh_conf_behind(r->e[1].m));
+	CU_ASSERT_EQUAL(mh_mesh_conf_behind_us(r->e[1].m), 0);
+	r->e[2].lose_views = ENTRIES * 8;
+	r->e[2].conf = 7;
+	mh_mesh_conf_changed(r->e[2].m);
+	mrig_run(r, 100 * MS);
+	CU_ASSERT(mh_mesh_conf_behind_us(r->e[1].m) <= 100 * MS);
+	/* Who has it is gone. */
+	CU_ASSERT_TRUE(mh_mesh_conf_offered(r->e[1].m));
+	r->e[2].cut = true;
+	mrig_run(r, 1 * S);
+	CU_ASSERT_FALSE(mh_mesh_conf_offered(r->e[1].m));
+	CU_ASSERT(mh_mesh_conf_behind_us(r->e[1].m) > 1 * S);
 	mrig_destroy(r);
 }
 
--- a/regress/t_platform_rows.c
+++ b/regress/t_platform_rows.c
@@ -234,7 +234,7 @@
 open_view(struct vrig *r)
 {
 	struct plat_view_fns fns = { no_conf, no_evacuated, is_reader,
-		is_reader, is_reader, NULL, 2 * S };
+		is_reader, is_reader, NULL, 2 * S, NULL };
 
 	r->k = mh_kern_create(1);
 	r->l = mh_loop_create(r->k, NULL);
--- a/regress/t_platform_store.c
+++ b/regress/t_platform_store.c
@@ -50,6 +50,7 @@
 	bool has_links;
 	bool alone; /* no other entry is heard of */
 	bool follows; /* others read for all */
+	bool behind; /* others have a later configuration */
 	bool pages; /* the registry is two pages, of two moments */
 	bool odd; /* it runs for ODD_US */
 	/* instead of its usual answers; NULL: these */
@@ -212,6 +213,12 @@
 	return !((struct srig *)arg)->alone;
 }
 
+static bool
+is_behind(void *arg)
+{
+	return ((struct srig *)arg)->behind;
+}
+
 static bool
 has_heard(void *arg, const char *node)
 {
@@ -247,7 +254,7 @@
 		.on_gone = on_gone,
 		.arg = r };
 	struct plat_view_fns fns = { on_conf, on_evacuated, is_reader,
-		is_reader, is_linked, r, 2 * S };
+		is_reader, is_linked, r, 2 * S, is_behind };
 	struct plat_member_fns member_fns = { on_entries, on_secret, is_reader,
 		is_linked, has_heard, r };
 	struct mh_member self = { (char *)"e0", (char *)"127.0.0.1:9", 1 };
@@ -759,6 +766,32 @@
 	finish(&r);
 }
 
+/*
+ * Guards against a configuration that stays old since what others send of the
+ * later one never arrives, or cannot be read.
+ */
+static void
+test_behind_reads_itself(void)
+{
+	struct srig r = { .odd = true, .follows = true };
+
+	play(&r);
+	tell_conf(&r);
+	tell_rows(&r, 300, TOLD(ROW_A, "1"));
+	(void)run_most(r.k, r.loop, S / 2);
+	CU_ASSERT_EQUAL(r.confs + r.watches, 0);
+	r.behind = true;
+	(void)run_most(r.k, r.loop, S / 2);
+	CU_ASSERT_EQUAL(r.confs, 1);
+	(void)run_most(r.k, r.loop, 2 * S);
+	CU_ASSERT(r.confs >= 2 && r.confs <= 3);
+	r.behind = false;
+	r.confs = 0;
+	(void)run_most(r.k, r.loop, S);
+	CU_ASSERT_EQUAL(r.confs, 0);
+	finish(&r);
+}
+
 /* Guards against a start that has no others to tell it anything. */
 static void
 test_start_alone(void)
@@ -806,6 +839,7 @@
 	{ "store: silence costs one call", test_silence_costs_one_call },
 	{ "store: a start is told the configuration",
 	    test_start_is_told_configuration },
+	{ "store: who is behind reads it itself", test_behind_reads_itself },
 	{ "store: a start alone", test_start_alone },
 	{ "store: no configuration yet", test_no_configuration_yet },
 	{ "store: a few seek it", test_few_seek_it },
--- a/regress/t_slow.c
+++ b/regress/t_slow.c
@@ -168,7 +168,7 @@
 		.on_gone = on_gone,
 		.arg = r };
 	struct plat_view_fns fns = { on_conf, on_evacuated, yes, yes, no, r,
-		2 * S };
+		2 * S, NULL };
 	char addr[32];
 
 	r->k = mh_kern_create(1);
