--- a/regress/t_slow.c
+++ b/regress/t_slow.c
@@ -238,6 +238,40 @@
 	finish(&r);
 }
 
+/* A value may have some megabytes, and a watch may bring two of them. */
+static char *
+large_conf(size_t len)
+{
+	GString *s =
+	    g_string_new("{\"version\":3,\"routes\":[],\"services\":[]");
+	char *value, *text;
+
+	while (s->len < len)
+		g_string_append(s, "                                ");
+	g_string_append_c(s, '}');
+	value = g_base64_encode((const guchar *)s->str, s->len);
+	text = g_strdup_printf("{\"items\":[{\"key\":\"op/config\","
+			       "\"revision\":3,\"value\":\"%s\"}],"
+			       "\"hasMore\":false,\"asOf\":9}",
+	    value);
+	g_free(value);
+	g_string_free(s, TRUE);
+	return text;
+}
+
+/* Guards against a document that is cut off as it is read. */
+static void
+test_large_document(void)
+{
+	char *text = large_conf(4U << 20);
+	struct wrig r = { .text = { text, NULL, ITEMS("") } };
+
+	play(&r, 1500 * MS);
+	CU_ASSERT_EQUAL(r.version, 3);
+	finish(&r);
+	g_free(text);
+}
+
 /* Guards against a narrow link that carries the same document all the time. */
 static void
 test_slow_whole_readings(void)
@@ -268,6 +302,7 @@
 	{ "slow: a configuration", test_slow_configuration },
 	{ "slow: a change", test_slow_change },
 	{ "slow: rows", test_slow_rows },
+	{ "slow: a document of some megabytes", test_large_document },
 	{ "slow: whole readings", test_slow_whole_readings },
 	{ "slow: silence in an answer", test_silence_in_an_answer },
 	{ NULL, NULL },
