Entries: what is told of readings is a file of its own

Cause: lib/mesh.c had 841 lines and two jobs: links and who is alive, and what entries tell each other of what they have read. Change: the second is lib/meshtold.c; moved, not changed. What it needs of the other stands in meshint.h. Conclusion: a change to how readings spread touches one file.

--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -1,7 +1,7 @@
 #ifndef MESHINT_H
 #define MESHINT_H
 
-/* Shared by mesh.c and meshorder.c alone. */
+/* Shared by mesh.c, meshknown.c, meshorder.c and meshtold.c alone. */
 
 #include "mesh.h"
 
@@ -93,6 +93,8 @@
 struct peer *mh_peer_of(struct mh_mesh *m, const char *node);
 /** mh_mesh_send_conn() - a frame to one link. */
 void mh_mesh_send_conn(struct mh_mesh *m, uint64_t conn, Mh__Frame *f);
+/** mh_mesh_beat() - to one link, or to all: 0. */
+void mh_mesh_beat(struct mh_mesh *m, uint64_t conn);
 /** mh_mesh_take_known() - another entry tells of one. */
 void mh_mesh_take_known(struct mh_mesh *m, const Mh__Known *k);
 /** mh_mesh_oldest() - start of the longest running that can serve, of itself
@@ -101,4 +103,18 @@
 /** mh_mesh_want_links() - marks the peers that are worth a link. */
 void mh_mesh_want_links(struct mh_mesh *m);
 
+/* meshtold.c */
+
+uint64_t mh_mesh_evacuated_revision(const struct mh_mesh *m);
+/** mh_mesh_compare_views() - asks for what the sender of a beat has later. */
+void mh_mesh_compare_views(
+    struct mh_mesh *m, struct peer *p, const Mh__Beat *b);
+void mh_mesh_answer_view(
+    struct mh_mesh *m, struct peer *p, const Mh__ViewAsk *ask);
+void mh_mesh_take_view(struct mh_mesh *m, struct peer *p, const Mh__View *v);
+/** mh_mesh_answer_comes() - bytes from a peer, of no whole frame yet. */
+void mh_mesh_answer_comes(struct mh_mesh *m, struct peer *p);
+/** mh_mesh_told_anew() - a beat has passed. */
+void mh_mesh_told_anew(struct mh_mesh *m);
+
 #endif
