Links: only a large frame is told of before it is whole

Cause: part of any frame counted as an answer that is coming. Beside a lot of small frames, cut at any byte, an ask that was put off would not have gone to another entry for up to 3 s. Change: the link tells of a frame of 8 KiB or more alone; smaller ones are whole within milliseconds. One reading of a frame's length in place of two. Test: link: part of a large frame (100 bytes, 4 KiB: not told; 1 MiB: told).

--- a/lib/link.c
+++ b/lib/link.c
@@ -19,6 +19,8 @@
 #define LEN_BYTES 4
 #define MAX_OUT (16U << 20)
 #define READ_SIZE 65536
+/* Smaller ones are whole within milliseconds, over any link that is used. */
+#define LARGE_FRAME 8192
 #define HANDSHAKE_US (2 * MH_US_PER_S)
 #define BACKLOG 1024
 
@@ -321,6 +323,18 @@
 	mh_post(c->l->k, "hub", m);
 }
 
+/* Of the frame that begins at @at; 0: not even that has come. */
+static uint32_t
+frame_len(const GByteArray *in, size_t at)
+{
+	const uint8_t *p = in->data + at;
+
+	if (in->len - at < LEN_BYTES)
+		return 0;
+	return (uint32_t)p[0] << 24 | (uint32_t)p[1] << 16 |
+	    (uint32_t)p[2] << 8 | p[3];
+}
+
 static bool
 take_input(struct conn *c)
 {
@@ -329,8 +343,7 @@
 
 	while (ok && c->in->len - at >= LEN_BYTES) {
 		const uint8_t *p = c->in->data + at;
-		uint32_t len = (uint32_t)p[0] << 24 | (uint32_t)p[1] << 16 |
-		    (uint32_t)p[2] << 8 | p[3];
+		uint32_t len = frame_len(c->in, at);
 
 		if (len > MH_MAX_FRAME)
 			return false;
@@ -341,7 +354,7 @@
 	}
 	if (at > 0)
 		g_byte_array_remove_range(c->in, 0, (guint)at);
-	if (ok && c->up && c->in->len > 0)
+	if (ok && c->up && frame_len(c->in, 0) >= LARGE_FRAME)
 		tell_heard(c);
 	return ok;
 }
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -63,7 +63,7 @@
 	MH_MSG_LINK_CLOSE, /* to link */
 	MH_MSG_LINK_UP, /* from link: handshake done */
 	MH_MSG_LINK_DOWN, /* from link: closed or never opened */
-	MH_MSG_LINK_HEARD, /* from link: a frame is coming, not whole yet */
+	MH_MSG_LINK_HEARD, /* from link: part of a large frame has come */
 	MH_MSG_FRAME, /* from link: one packed frame */
 	MH_MSG_REQUEST, /* from http: a caller's request */
 	MH_MSG_REPLY, /* to http: part of an answer */
--- a/regress/t_adapter.c
+++ b/regress/t_adapter.c
@@ -825,6 +825,8 @@
 	struct mh_loop *loop;
 	uint64_t conn; /* 0: not up */
 	bool down;
+	uint32_t heard; /* times that part of a frame had come */
+	uint32_t frames;
 };
 
 static void
@@ -835,6 +837,8 @@
 	if (m->kind == MH_MSG_LINK_UP)
 		s->conn = m->u.link.conn;
 	s->down |= m->kind == MH_MSG_LINK_DOWN;
+	s->heard += m->kind == MH_MSG_LINK_HEARD;
+	s->frames += m->kind == MH_MSG_FRAME;
 }
 
 static void
@@ -869,46 +873,86 @@
 }
 
 static void
-send_large(struct side_of *s)
+send_bytes(struct side_of *s, size_t len)
 {
 	struct mh_msg *m = mh_msg_new(MH_MSG_LINK_SEND);
-	char *data = g_malloc0(LARGE_FRAME);
 
 	m->u.link.conn = s->conn;
-	m->u.link.frame = g_bytes_new_take(data, LARGE_FRAME);
+	m->u.link.frame = g_bytes_new_take(g_malloc0(len), len);
 	mh_post(s->k, "link", m);
 }
 
+static void
+link_sides(struct side_of *us, struct side_of *peer)
+{
+	int64_t start = g_get_monotonic_time();
+	char addr[32];
+
+	open_side(us, "us");
+	open_side(peer, "peer");
+	snprintf(addr, sizeof(addr), "127.0.0.1:%u", mh_link_port(peer->loop));
+	mh_link_dial(us->k, 1000, addr);
+	while (us->conn == 0 && g_get_monotonic_time() - start < LONGEST_US) {
+		run_side(us);
+		run_side(peer);
+	}
+	CU_ASSERT(us->conn != 0);
+}
+
+static void
+close_side(struct side_of *s)
+{
+	mh_kern_destroy(s->k);
+	mh_loop_destroy(s->loop);
+}
+
+/* Guards against a link taken for silent while a large frame is coming. */
+static void
+test_link_part_of_a_frame(void)
+{
+	static const struct {
+		size_t len;
+		bool heard;
+	} t[] = { { 100, false }, { 4096, false }, { LARGE_FRAME, true } };
+	struct side_of us, peer;
+
+	link_sides(&us, &peer);
+	for (size_t i = 0; i < G_N_ELEMENTS(t); i++) {
+		int64_t start = g_get_monotonic_time();
+
+		peer.heard = peer.frames = 0;
+		send_bytes(&us, t[i].len);
+		while (peer.frames == 0 &&
+		    g_get_monotonic_time() - start < LONGEST_US) {
+			run_side(&us);
+			run_side(&peer);
+		}
+		CU_ASSERT_EQUAL(peer.frames, 1);
+		CU_ASSERT_EQUAL(peer.heard > 0, t[i].heard);
+	}
+	close_side(&us);
+	close_side(&peer);
+}
+
 /* Guards against memory kept for a peer that reads nothing. */
 static void
 test_link_to_one_that_does_not_read(void)
 {
 	struct side_of us, peer;
 	int64_t start = g_get_monotonic_time();
-	char addr[32];
 
-	open_side(&us, "us");
-	open_side(&peer, "peer");
-	snprintf(addr, sizeof(addr), "127.0.0.1:%u", mh_link_port(peer.loop));
-	mh_link_dial(us.k, 1000, addr);
-	while (us.conn == 0 && g_get_monotonic_time() - start < LONGEST_US) {
-		run_side(&us);
-		run_side(&peer);
-	}
-	CU_ASSERT(us.conn != 0);
+	link_sides(&us, &peer);
 	/* The peer's loop stands still. */
 	for (int i = 0; i < LARGE_FRAMES; i++) {
-		send_large(&us);
+		send_bytes(&us, LARGE_FRAME);
 		run_side(&us);
 	}
 	while (!us.down && g_get_monotonic_time() - start < LONGEST_US)
 		run_side(&us);
 	CU_ASSERT_TRUE(us.down);
 	CU_ASSERT_EQUAL(mh_counter(us.k, "link_overflows"), 1);
-	mh_kern_destroy(us.k);
-	mh_loop_destroy(us.loop);
-	mh_kern_destroy(peer.k);
-	mh_loop_destroy(peer.loop);
+	close_side(&us);
+	close_side(&peer);
 }
 
 const struct test tests_adapter[] = {
@@ -927,6 +971,7 @@
 	{ "vmlist_contract", test_vmlist_contract },
 	{ "caller_leaving_is_noticed", test_caller_leaving_is_noticed },
 	{ "link", test_link },
+	{ "link: part of a large frame", test_link_part_of_a_frame },
 	{ "link_to_one_that_does_not_read",
 	    test_link_to_one_that_does_not_read },
 	{ NULL, NULL },
