--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -219,7 +219,7 @@
 static void
 test_large_conf(void)
 {
-	static const uint32_t lens[] = { 200 << 10, 400 << 10 };
+	static const uint32_t lens[] = { 200 << 10, 400 << 10, 930 << 10 };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(lens); i++) {
 		struct mrig *r = mrig_create();
