--- a/regress/t_slow.c
+++ b/regress/t_slow.c
@@ -238,6 +238,29 @@
 	finish(&r);
 }
 
+/* Guards against others that count on one whom the store answers too slowly. */
+static void
+test_slow_reader(void)
+{
+	static const struct {
+		uint32_t pieces; /* of what the watch brings */
+		int64_t us;
+		bool reads;
+	} t[] = { { 60, 1500 * MS, true }, { 60, 3800 * MS, false },
+		{ 0, 3800 * MS, true } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(t); i++) {
+		struct wrig r = { .text = { ITEMS(CONF(1, VALUE_1)),
+				      EVENTS(CONF(3, VALUE_3)), ITEMS(ROW) },
+			.sent = { { 0, 0 }, { t[i].pieces, 0 } } };
+
+		play(&r, t[i].us);
+		CU_ASSERT_TRUE(plat_view_ready(r.view));
+		CU_ASSERT_EQUAL(plat_view_reads(r.view), t[i].reads);
+		finish(&r);
+	}
+}
+
 /* A value may have some megabytes, and a watch may bring two of them. */
 static char *
 large_conf(size_t len)
@@ -302,6 +325,7 @@
 	{ "slow: a configuration", test_slow_configuration },
 	{ "slow: a change", test_slow_change },
 	{ "slow: rows", test_slow_rows },
+	{ "slow: a reader", test_slow_reader },
 	{ "slow: a document of some megabytes", test_large_document },
 	{ "slow: whole readings", test_slow_whole_readings },
 	{ "slow: silence in an answer", test_silence_in_an_answer },
