--- a/regress/t_slow.c
+++ b/regress/t_slow.c
@@ -220,7 +220,7 @@
 			      EVENTS(CONF(3, VALUE_3)), ITEMS("") },
 		.sent = { { 0, 0 }, { 28, 0 } } };
 
-	play(&r, 3500 * MS);
+	play(&r, 4500 * MS);
 	CU_ASSERT_EQUAL(r.version, 3);
 	CU_ASSERT_EQUAL(r.asked[WRITTEN_WATCH], 2);
 	finish(&r);
@@ -233,7 +233,7 @@
 	struct wrig r = { .text = { ITEMS(CONF(3, VALUE_3)), NULL, ITEMS(ROW) },
 		.sent = { { 0, 0 }, { 0, 0 }, { 18, 0 } } };
 
-	play(&r, 2500 * MS);
+	play(&r, 4 * S);
 	CU_ASSERT_TRUE(plat_view_ready(r.view));
 	finish(&r);
 }
@@ -289,7 +289,7 @@
 	char *text = large_conf(4U << 20);
 	struct wrig r = { .text = { text, NULL, ITEMS("") } };
 
-	play(&r, 1500 * MS);
+	play(&r, 3 * S);
 	CU_ASSERT_EQUAL(r.version, 3);
 	finish(&r);
 	g_free(text);
