Log: who reads the store, how old each view is, and links that flap

Cause: peer-up and peer-lost had no bound where a link flaps, and no line said which connection of a pair was silent, who an entry leaves reading the store to, or when its configuration was last confirmed.

Ruled out: a lower rate for all lines; it would drop the other warnings.

Change: peer-lost names the age of the last bytes on each connection and whether the peer read for us. A line views, each ten seconds and when the readers change: who reads, live peers, revisions and ages of configuration and rows, entries that share the retry budget. Heartbeats carry the age of the configuration; no decision uses it yet.

--- a/lib/budget.c
+++ b/lib/budget.c
@@ -97,6 +97,12 @@
 	b->entries = MAX(n, 1);
 }
 
+uint32_t
+mh_budget_shared_by(const struct mh_budget *b)
+{
+	return b->entries;
+}
+
 static struct window *
 window_of(struct mh_budget *b, const char *pool)
 {
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -345,6 +345,8 @@
 void mh_budget_set(struct mh_budget *b, const struct mh_budget_args *a);
 /** mh_budget_entries() - the slack is divided among @n processes. */
 void mh_budget_entries(struct mh_budget *b, uint32_t n);
+/** mh_budget_shared_by() - number of processes that share the slack. */
+uint32_t mh_budget_shared_by(const struct mh_budget *b);
 /** mh_budget_request() - counts a request that is no retry. */
 void mh_budget_request(struct mh_budget *b, const char *pool);
 /** mh_budget_take() - whether a retry is allowed; counts it if so. */
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -57,7 +57,7 @@
 uint64_t
 mh_peer_link(const struct peer *p)
 {
-	return p->out_conn != 0 ? p->out_conn : p->in_conn;
+	return p->out.id != 0 ? p->out.id : p->in.id;
 }
 
 bool
@@ -241,6 +241,8 @@
 	b->rows_revision = m->view.rows_revision(m->view.arg);
 	b->rows_age_us = (uint64_t)m->view.rows_age_us(m->view.arg);
 	b->evacuated_revision = mh_mesh_evacuated_revision(m);
+	if (m->view.conf_age_us != NULL)
+		b->conf_age_us = (uint64_t)m->view.conf_age_us(m->view.arg) + 1;
 	if (m->view.entries_revision == NULL)
 		return;
 	b->entries_revision = m->view.entries_revision(m->view.arg);
@@ -289,6 +291,14 @@
 	mh_mesh_compare_views(m, p, b);
 }
 
+static void
+note_received(struct mh_mesh *m, struct peer *p, uint64_t conn)
+{
+	struct peer_conn *c = p->out.id == conn ? &p->out : &p->in;
+
+	p->last_recv_us = c->recv_us = mh_now(m->k);
+}
+
 static void
 take_frame(struct mh_mesh *m, const struct mh_link_msg *l)
 {
@@ -302,7 +312,7 @@
 		mh_link_close(m->k, l->conn);
 		goto done;
 	}
-	p->last_recv_us = mh_now(m->k);
+	note_received(m, p, l->conn);
 	switch (f->body_case) {
 	case MH__FRAME__BODY_BEAT:
 		take_heartbeat(m, p, f->beat);
@@ -337,7 +347,7 @@
 
 	if (p == NULL)
 		return;
-	p->last_recv_us = mh_now(m->k);
+	note_received(m, p, conn);
 	mh_mesh_view_arriving(m, p);
 }
 
@@ -367,20 +377,18 @@
 link_up(struct mh_mesh *m, const struct mh_link_msg *l)
 {
 	struct peer *p = mh_peer_of(m, l->vm);
-	uint64_t *slot = l->inbound ? &p->in_conn : &p->out_conn;
-
-	if (*slot != 0 && *slot != l->conn) {
-		uint64_t old = *slot;
+	struct peer_conn *c = l->inbound ? &p->in : &p->out;
 
-		g_hash_table_remove(m->conns, &old);
-		mh_link_close(m->k, old);
+	if (c->id != 0 && c->id != l->conn) {
+		g_hash_table_remove(m->conns, &c->id);
+		mh_link_close(m->k, c->id);
 	}
-	*slot = l->conn;
+	c->id = l->conn;
 	if (!l->inbound)
 		p->dial_conn = 0;
 	if (p->addr == NULL)
 		p->addr = g_strdup(l->addr);
-	p->last_recv_us = mh_now(m->k);
+	p->last_recv_us = c->recv_us = mh_now(m->k);
 	p->oldest_start_us = INT64_MAX; /* until its first heartbeat */
 	if (p->started_us == 0)
 		p->started_us = p->last_recv_us;
@@ -395,8 +403,7 @@
 	 * we can serve.
 	 */
 	mh_mesh_heartbeat(m, l->conn);
-	mh_event(m->k, "peer-up", "node=%s addr=%s inbound=%d", p->node,
-	    l->addr, l->inbound);
+	mh_peer_log_up(p, l);
 	if (m->on_up != NULL)
 		m->on_up(m->on_up_arg, p->node);
 }
@@ -404,8 +411,8 @@
 static void
 peer_lost(struct mh_mesh *m, struct peer *p, const char *why)
 {
-	mh_event(m->k, "peer-lost", "node=%s why=%s silent_ms=%" PRId64,
-	    p->node, why, mh_ms(mh_now(m->k) - p->last_recv_us));
+	mh_peer_log_lost(p, why);
+	mh_count(m->k, "peer_losses", 1);
 	p->ready = false;
 	if (m->on_lost != NULL)
 		m->on_lost(m->on_lost_arg, p->node);
@@ -436,10 +443,10 @@
 	g_hash_table_remove(m->conns, &conn);
 	if (p->dial_conn == conn)
 		p->dial_conn = 0;
-	if (p->out_conn == conn)
-		p->out_conn = 0;
-	if (p->in_conn == conn)
-		p->in_conn = 0;
+	if (p->out.id == conn)
+		p->out.id = 0;
+	if (p->in.id == conn)
+		p->in.id = 0;
 	if (was_linked && mh_peer_link(p) == 0)
 		peer_lost(m, p, "closed");
 }
@@ -462,8 +469,8 @@
 	if (mh_peer_link(p) == 0 || mh_now(m->k) - p->last_recv_us < SILENT_US)
 		return;
 	/* A new connection may work although this one has gone silent. */
-	drop_link(m, &p->out_conn);
-	drop_link(m, &p->in_conn);
+	drop_link(m, &p->out.id);
+	drop_link(m, &p->in.id);
 	p->next_dial_us = mh_now(m->k);
 	peer_lost(m, p, "silent");
 }
@@ -518,13 +525,14 @@
 		struct peer *p = value;
 
 		check_silent(m, p);
+		mh_peer_log_flaps(p);
 		check_dial_timeout(m, p);
 		if (mh_peer_link(p) == 0 && p->dial_conn == 0 &&
 		    !mh_peer_is_member(p)) {
 			g_hash_table_iter_remove(&it);
 			continue;
 		}
-		if (can_dial && p->out_conn == 0 && p->dial_conn == 0 &&
+		if (can_dial && p->out.id == 0 && p->dial_conn == 0 &&
 		    mh_peer_is_member(p) && p->addr != NULL &&
 		    mh_now(m->k) >= p->next_dial_us && p->want_link)
 			dial(m, p);
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -82,6 +82,10 @@
 	 */
 	uint64_t (*entries_revision)(void *arg);
 	uint64_t (*entries_hash)(void *arg);
+	/* time since our configuration was last confirmed as the newest */
+	int64_t (*conf_age_us)(void *arg);
+	/* another entry confirmed the revision that we have @age_us ago */
+	void (*conf_unchanged)(void *arg, int64_t age_us);
 	void *arg;
 };
 
@@ -191,6 +195,13 @@
  * without pauses of this process; 0: it is current.
  */
 int64_t mh_mesh_conf_stale_us(const struct mh_mesh *m);
+/**
+ * mh_mesh_readers_text() - names of the peers that this entry leaves reading
+ * the platform to, for the log; g_free() it.
+ */
+char *mh_mesh_readers_text(const struct mh_mesh *m);
+/** mh_mesh_live_peers() - number of peers that are linked and not silent. */
+uint32_t mh_mesh_live_peers(const struct mh_mesh *m);
 /** mh_mesh_drain() - announces that this entry coordinates no new work. */
 void mh_mesh_drain(struct mh_mesh *m);
 /** mh_mesh_size() - entries that are listed or alive, including this one. */
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -5,6 +5,12 @@
 
 #include "mesh.h"
 
+/** struct peer_conn - an open connection to a peer. */
+struct peer_conn {
+	uint64_t id; /* 0: none */
+	int64_t recv_us; /* when bytes last arrived, or when it opened */
+};
+
 /** struct peer - another entry. */
 struct peer {
 	struct mh_mesh *m;
@@ -24,8 +30,8 @@
 	int64_t started_us; /* on our clock */
 	int64_t oldest_start_us; /* its earliest start of a serving entry */
 	uint64_t dial_conn; /* connection being opened, 0: none */
-	uint64_t out_conn; /* connection that we opened, 0: none */
-	uint64_t in_conn;
+	struct peer_conn out; /* the connection that we opened */
+	struct peer_conn in;
 	int64_t last_recv_us;
 	int64_t dial_start_us; /* when dial_conn was opened */
 	uint32_t dial_timeouts; /* dials that timed out since the last link */
@@ -34,6 +40,9 @@
 	int64_t last_request_us; /* last request or answer bytes; 0: answered */
 	int64_t request_sent_us; /* when that request was sent */
 	uint32_t requested; /* flags REQUESTED_*; 0: answered */
+	int64_t flap_from_us; /* when the counts below began; 0: none */
+	uint32_t ups; /* links that opened */
+	uint32_t losses; /* times that the peer was lost */
 };
 
 enum { REQUESTED_CONF = 1, REQUESTED_ROWS = 2, REQUESTED_ENTRIES = 4 };
@@ -115,6 +124,20 @@
 /** mh_mesh_select_links() - marks the peers that this entry keeps links to. */
 void mh_mesh_select_links(struct mh_mesh *m);
 
+/* meshlog.c */
+
+/** mh_peer_log_up() - logs a new link, unless the peer flaps. */
+void mh_peer_log_up(struct peer *p, const struct mh_link_msg *l);
+/** mh_peer_log_lost() - logs a lost peer, unless it flaps. */
+void mh_peer_log_lost(struct peer *p, const char *why);
+/** mh_peer_log_flaps() - logs, at intervals, how often a peer was lost. */
+void mh_peer_log_flaps(struct peer *p);
+
+/* meshorder.c */
+
+/** mh_mesh_reads_for() - whether we leave reading the platform to @p. */
+bool mh_mesh_reads_for(const struct mh_mesh *m, const struct peer *p);
+
 /* meshview.c */
 
 uint64_t mh_mesh_evacuated_revision(const struct mh_mesh *m);
--- a/lib/meshorder.c
+++ b/lib/meshorder.c
@@ -262,6 +262,21 @@
 	return m->have_list ? before : UINT32_MAX;
 }
 
+/* Whether a peer precedes us in the order of readers and can be relied on. */
+static bool
+precedes(const struct peer *p, double mine)
+{
+	return mh_peer_is_alive(p) && !p->draining &&
+	    rank(MH_STAGE_WORK, p->node, p->weight) > mine;
+}
+
+bool
+mh_mesh_reads_for(const struct mh_mesh *m, const struct peer *p)
+{
+	return p->can_read &&
+	    precedes(p, rank(MH_STAGE_WORK, m->node, m->weight));
+}
+
 /*
  * The readers are the first READERS of the order that the platform answers; all
  * entries that would choose them as coordinators are linked to them. An entry
@@ -285,8 +300,7 @@
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		const struct peer *p = value;
 
-		if (!mh_peer_is_alive(p) || p->draining ||
-		    rank(MH_STAGE_WORK, p->node, p->weight) <= mine)
+		if (!precedes(p, mine))
 			continue;
 		readers += p->can_read;
 		pollers++;
--- a/lib/meshview.c
+++ b/lib/meshview.c
@@ -114,6 +114,10 @@
 	if (m->view.conf_revision == NULL)
 		return;
 	note_conf_revision(m, b->conf_revision);
+	if (b->conf_age_us != 0 && m->view.conf_unchanged != NULL &&
+	    b->conf_revision == m->view.conf_revision(m->view.arg))
+		m->view.conf_unchanged(
+		    m->view.arg, (int64_t)(b->conf_age_us - 1));
 	if (b->rows_revision == m->view.rows_revision(m->view.arg))
 		m->view.rows_unchanged(m->view.arg, (int64_t)b->rows_age_us);
 	if (now - p->last_request_us < RETRY_US && p->last_request_us != 0)
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -4452,7 +4452,7 @@
   (ProtobufCMessageInit) mh__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__beat__field_descriptors[12] =
+static const ProtobufCFieldDescriptor mh__beat__field_descriptors[14] =
 {
   {
     "ready",
@@ -4598,8 +4598,33 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "conf_age_us",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Beat, conf_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "received",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Beat, received),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__beat__field_indices_by_name[] = {
+  12,   /* field[12] = conf_age_us */
   2,   /* field[2] = conf_revision */
   11,   /* field[11] = entries_hash */
   10,   /* field[10] = entries_revision */
@@ -4608,6 +4633,7 @@
   8,   /* field[8] = oldest_us */
   4,   /* field[4] = reads */
   0,   /* field[0] = ready */
+  13,   /* field[13] = received */
   6,   /* field[6] = rows_age_us */
   3,   /* field[3] = rows_revision */
   5,   /* field[5] = uptime_us */
@@ -4616,7 +4642,7 @@
 static const ProtobufCIntRange mh__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor mh__beat__descriptor =
 {
@@ -4626,7 +4652,7 @@
   "Mh__Beat",
   "mh",
   sizeof(Mh__Beat),
-  12,
+  14,
   mh__beat__field_descriptors,
   mh__beat__field_indices_by_name,
   1,  mh__beat__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -576,10 +576,21 @@
    * of what it says
    */
   uint64_t entries_hash;
+  /*
+   * since conf_revision was last confirmed as the newest,
+   */
+  uint64_t conf_age_us;
+  /*
+   * plus 1; 0: not reported
+   */
+  /*
+   * frames and parts of large frames that the sender
+   */
+  uint64_t received;
 };
 #define MH__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/regress/entries.c
+++ b/regress/entries.c
@@ -512,7 +512,7 @@
 {
 	const struct mh_mesh_view v = { v_conf, v_rows, v_due, v_rows, v_age,
 		v_same, v_fill, v_take, v_ready, v_reads, v_evacuated_revision,
-		v_entries, v_entries_hash, e };
+		v_entries, v_entries_hash, NULL, NULL, e };
 
 	e->links_opened = 0;
 	e->k = mh_kern_create(e->index + 1);
