Mesh: each connection of a pair is judged by what came on it

What callers saw: in the record, answers by an out-of-date configuration at entries that lost each other once a second for minutes.

Cause: a pair has two connections if both dialled. An entry sends on the one that it dialled; when it last heard from the peer was kept for the peer, not for the connection. If its own connection dies without a reset it goes on sending there, kept content by what arrives on the other. The peer gets nothing, closes both, dials, gets the heartbeat that starts a link, then nothing more: lost each second, on one side only, as in the record.

Class: what proves a connection alive must come over that connection, and prove the direction that is relied on.

Change: heartbeats go over every connection and say how many frames came on it. What arrives proves one direction, a number that grows the other. A connection without either proof is closed, the other one carries on. Parts of a large frame count, heartbeats are queued behind them. A peer of an earlier version, which sends on one connection alone, is judged as before. meshlink.c is split from mesh.c.

--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -1,35 +1,18 @@
 /**
- * DOC: Mesh of entries: links and failure detection.
+ * DOC: Mesh of entries: frames, heartbeats and members.
  *
  * The platform's list of entries may be out of date; heartbeats on each link
- * show which entries are alive. The order of entries for a piece of work comes
- * from weighted rendezvous hashing, so that all entries compute the same
- * coordinator without a message, and each entry dials only the first few of
- * that order. While two entries disagree for a moment, batches are smaller;
- * results stay correct.
+ * show which entries are alive (meshlink.c). The order of entries for a piece
+ * of work comes from weighted rendezvous hashing, so that all entries compute
+ * the same coordinator without a message, and each entry dials only the first
+ * few of that order. While two entries disagree for a moment, batches are
+ * smaller; results stay correct.
  */
 
 #include "meshint.h"
 
 #include <string.h>
 
-#define HEARTBEAT_US (250 * MH_US_PER_MS)
-/*
- * Three heartbeats and the network delay: a running process sends a heartbeat
- * within this time.
- */
-#define SILENT_US (850 * MH_US_PER_MS)
-#define REDIAL_US (500 * MH_US_PER_MS)
-/*
- * A first packet to a VM that is not powered on yet is lost, and TCP
- * retransmits it a second later; links open within some tens of milliseconds.
- * Each further dial may take twice as long, so that a link over a congested
- * network opens in the end.
- */
-#define DIAL_TIMEOUT_US (150 * MH_US_PER_MS)
-#define DIAL_DOUBLINGS 4 /* above, the link times out first */
-/* The order skips an entry that has been unreachable for this long. */
-#define UNREACHABLE_US (1 * MH_US_PER_S)
 /*
  * After a power loss all processes restart within some tenths of a second, and
  * requests arrive at once. Until a process has received heartbeats of the
@@ -39,7 +22,6 @@
  */
 #define STARTUP_US (1500 * MH_US_PER_MS)
 #define STARTUP_HEARTBEAT_US (50 * MH_US_PER_MS)
-#define STARTUP_REDIAL_US (100 * MH_US_PER_MS)
 /* If our own timer fires so late, this process was paused. */
 #define PAUSE_US (600 * MH_US_PER_MS)
 static void on_timer(void *arg);
@@ -54,19 +36,6 @@
 	g_free(p);
 }
 
-uint64_t
-mh_peer_link(const struct peer *p)
-{
-	return p->out.id != 0 ? p->out.id : p->in.id;
-}
-
-bool
-mh_peer_is_alive(const struct peer *p)
-{
-	return mh_peer_link(p) != 0 &&
-	    mh_now(p->m->k) - p->last_recv_us < SILENT_US;
-}
-
 /* frames */
 
 static void
@@ -163,9 +132,8 @@
 	m->view = *v;
 }
 
-/* The process has just started or resumed and has to find the other entries. */
-static bool
-is_starting(const struct mh_mesh *m)
+bool
+mh_mesh_is_starting(const struct mh_mesh *m)
 {
 	return mh_now(m->k) - mh_mesh_start_us(m) < STARTUP_US;
 }
@@ -196,9 +164,7 @@
 		p->first_dial_us = 0;
 		p->dial_timeouts = 0;
 		p->next_dial_us = 0;
-		/* Frames that it sent during the pause are still unread. */
-		if (mh_peer_link(p) != 0)
-			p->last_recv_us = m->resumed_us;
+		mh_peer_resumed(p);
 	}
 	mh_timer_stop(m->k, &m->timer);
 	m->timer = mh_timer_start(m->k, 0, on_timer, m);
@@ -249,27 +215,49 @@
 	b->entries_hash = m->view.entries_hash(m->view.arg);
 }
 
-void
-mh_mesh_heartbeat(struct mh_mesh *m, uint64_t conn)
+/* Each connection has a heartbeat of its own, which says what came on it. */
+static void
+send_heartbeat(struct mh_mesh *m, Mh__Beat *b, const struct peer_conn *c)
 {
 	Mh__Frame f = MH__FRAME__INIT;
+
+	if (c->id == 0)
+		return;
+	b->received = c->received + 1;
+	f.body_case = MH__FRAME__BODY_BEAT;
+	f.beat = b;
+	mh_mesh_send_conn(m, c->id, &f);
+}
+
+void
+mh_mesh_heartbeat(struct mh_mesh *m, const struct peer_conn *c)
+{
 	Mh__Beat b = MH__BEAT__INIT;
+	GHashTableIter it;
+	gpointer value;
 
 	fill_heartbeat(m, &b);
-	f.body_case = MH__FRAME__BODY_BEAT;
-	f.beat = &b;
-	if (conn != 0)
-		mh_mesh_send_conn(m, conn, &f);
-	else
-		mh_mesh_send_all(m, &f);
+	if (c != NULL) {
+		send_heartbeat(m, &b, c);
+		return;
+	}
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct peer *p = value;
+
+		send_heartbeat(m, &b, &p->out);
+		send_heartbeat(m, &b, &p->in);
+	}
 }
 
 static void
-take_heartbeat(struct mh_mesh *m, struct peer *p, const Mh__Beat *b)
+take_heartbeat(
+    struct mh_mesh *m, struct peer *p, struct peer_conn *c, const Mh__Beat *b)
 {
 	bool starts_drain = b->leaving && !p->draining;
 	int64_t oldest = starts_drain ? mh_mesh_oldest_start_us(m) : 0;
 
+	mh_peer_note_heartbeat(p, c, b);
 	p->ready = b->ready;
 	p->can_read = b->reads;
 	p->conf_revision = b->conf_revision;
@@ -287,23 +275,16 @@
 	 * would go on skipping all entries that have run for less time.
 	 */
 	if (starts_drain && oldest != mh_mesh_oldest_start_us(m))
-		mh_mesh_heartbeat(m, 0);
+		mh_mesh_heartbeat(m, NULL);
 	mh_mesh_compare_views(m, p, b);
 }
 
-static void
-note_received(struct mh_mesh *m, struct peer *p, uint64_t conn)
-{
-	struct peer_conn *c = p->out.id == conn ? &p->out : &p->in;
-
-	p->last_recv_us = c->recv_us = mh_now(m->k);
-}
-
 static void
 take_frame(struct mh_mesh *m, const struct mh_link_msg *l)
 {
 	struct peer *p = g_hash_table_lookup(m->conns, &l->conn);
 	Mh__Frame *f = mh_frame_unpack(l->frame);
+	struct peer_conn *c;
 
 	mh_count(m->k, "link_frames_in", 1);
 	mh_count(m->k, "link_bytes_in", g_bytes_get_size(l->frame) + 4);
@@ -312,10 +293,10 @@
 		mh_link_close(m->k, l->conn);
 		goto done;
 	}
-	note_received(m, p, l->conn);
+	c = mh_peer_note_received(p, l->conn);
 	switch (f->body_case) {
 	case MH__FRAME__BODY_BEAT:
-		take_heartbeat(m, p, f->beat);
+		take_heartbeat(m, p, c, f->beat);
 		break;
 	case MH__FRAME__BODY_KNOWN:
 		mh_mesh_take_known(m, f->known);
@@ -347,12 +328,10 @@
 
 	if (p == NULL)
 		return;
-	note_received(m, p, conn);
+	mh_peer_note_part(p, conn);
 	mh_mesh_view_arriving(m, p);
 }
 
-/* links */
-
 struct peer *
 mh_peer_of(struct mh_mesh *m, const char *node)
 {
@@ -367,142 +346,6 @@
 	return p;
 }
 
-static void
-add_conn(struct mh_mesh *m, uint64_t conn, struct peer *p)
-{
-	g_hash_table_replace(m->conns, g_memdup2(&conn, sizeof(conn)), p);
-}
-
-static void
-link_up(struct mh_mesh *m, const struct mh_link_msg *l)
-{
-	struct peer *p = mh_peer_of(m, l->vm);
-	struct peer_conn *c = l->inbound ? &p->in : &p->out;
-
-	if (c->id != 0 && c->id != l->conn) {
-		g_hash_table_remove(m->conns, &c->id);
-		mh_link_close(m->k, c->id);
-	}
-	c->id = l->conn;
-	if (!l->inbound)
-		p->dial_conn = 0;
-	if (p->addr == NULL)
-		p->addr = g_strdup(l->addr);
-	p->last_recv_us = c->recv_us = mh_now(m->k);
-	p->oldest_start_us = INT64_MAX; /* until its first heartbeat */
-	if (p->started_us == 0)
-		p->started_us = p->last_recv_us;
-	p->unreachable = false;
-	p->first_dial_us = 0;
-	p->dial_timeouts = 0;
-	p->last_request_us = 0;
-	p->requested = 0;
-	add_conn(m, l->conn, p);
-	/*
-	 * The peer must not wait for our next periodic heartbeat to learn that
-	 * we can serve.
-	 */
-	mh_mesh_heartbeat(m, l->conn);
-	mh_peer_log_up(p, l);
-	if (m->on_up != NULL)
-		m->on_up(m->on_up_arg, p->node);
-}
-
-static void
-peer_lost(struct mh_mesh *m, struct peer *p, const char *why)
-{
-	mh_peer_log_lost(p, why);
-	mh_count(m->k, "peer_losses", 1);
-	p->ready = false;
-	if (m->on_lost != NULL)
-		m->on_lost(m->on_lost_arg, p->node);
-}
-
-/*
- * While all entries start together most dials fail at first. When these peers
- * counted as unreachable at once, each entry went on to the next of the order
- * until every entry was linked to every other.
- */
-static void
-note_dial_failed(struct mh_mesh *m, struct peer *p)
-{
-	p->unreachable = mh_now(m->k) - p->first_dial_us >= UNREACHABLE_US;
-}
-
-static void
-link_down(struct mh_mesh *m, uint64_t conn)
-{
-	struct peer *p = g_hash_table_lookup(m->conns, &conn);
-	bool was_linked;
-
-	if (p == NULL)
-		return;
-	was_linked = mh_peer_link(p) != 0;
-	if (!was_linked)
-		note_dial_failed(m, p);
-	g_hash_table_remove(m->conns, &conn);
-	if (p->dial_conn == conn)
-		p->dial_conn = 0;
-	if (p->out.id == conn)
-		p->out.id = 0;
-	if (p->in.id == conn)
-		p->in.id = 0;
-	if (was_linked && mh_peer_link(p) == 0)
-		peer_lost(m, p, "closed");
-}
-
-static void
-drop_link(struct mh_mesh *m, uint64_t *slot)
-{
-	uint64_t conn = *slot;
-
-	*slot = 0;
-	if (conn == 0)
-		return;
-	g_hash_table_remove(m->conns, &conn);
-	mh_link_close(m->k, conn);
-}
-
-static void
-check_silent(struct mh_mesh *m, struct peer *p)
-{
-	if (mh_peer_link(p) == 0 || mh_now(m->k) - p->last_recv_us < SILENT_US)
-		return;
-	/* A new connection may work although this one has gone silent. */
-	drop_link(m, &p->out.id);
-	drop_link(m, &p->in.id);
-	p->next_dial_us = mh_now(m->k);
-	peer_lost(m, p, "silent");
-}
-
-static void
-check_dial_timeout(struct mh_mesh *m, struct peer *p)
-{
-	int64_t late_us = DIAL_TIMEOUT_US
-	    << MIN(p->dial_timeouts, DIAL_DOUBLINGS);
-
-	if (p->dial_conn == 0 || mh_now(m->k) - p->dial_start_us < late_us)
-		return;
-	p->dial_timeouts++;
-	mh_count(m->k, "dials_hung", 1);
-	drop_link(m, &p->dial_conn);
-	note_dial_failed(m, p);
-	p->next_dial_us = mh_now(m->k);
-}
-
-static void
-dial(struct mh_mesh *m, struct peer *p)
-{
-	p->dial_conn = mh_next_id(m->k);
-	p->dial_start_us = mh_now(m->k);
-	if (p->first_dial_us == 0)
-		p->first_dial_us = p->dial_start_us;
-	p->next_dial_us =
-	    mh_now(m->k) + (is_starting(m) ? STARTUP_REDIAL_US : REDIAL_US);
-	add_conn(m, p->dial_conn, p);
-	mh_link_dial(m->k, p->dial_conn, p->addr);
-}
-
 static void
 on_timer(void *arg)
 {
@@ -524,24 +367,22 @@
 	while (g_hash_table_iter_next(&it, &key, &value)) {
 		struct peer *p = value;
 
-		check_silent(m, p);
+		mh_peer_check_links(p);
 		mh_peer_log_flaps(p);
-		check_dial_timeout(m, p);
 		if (mh_peer_link(p) == 0 && p->dial_conn == 0 &&
 		    !mh_peer_is_member(p)) {
 			g_hash_table_iter_remove(&it);
 			continue;
 		}
-		if (can_dial && p->out.id == 0 && p->dial_conn == 0 &&
-		    mh_peer_is_member(p) && p->addr != NULL &&
-		    mh_now(m->k) >= p->next_dial_us && p->want_link)
-			dial(m, p);
+		if (can_dial)
+			mh_peer_dial(p);
 	}
 	mh_mesh_reset_sent_bytes(m);
-	mh_mesh_heartbeat(m, 0);
+	mh_mesh_heartbeat(m, NULL);
 	mh_timer_stop(m->k, &m->timer);
 	m->timer = mh_timer_start(m->k,
-	    is_starting(m) ? STARTUP_HEARTBEAT_US : HEARTBEAT_US, on_timer, m);
+	    mh_mesh_is_starting(m) ? STARTUP_HEARTBEAT_US : HEARTBEAT_US,
+	    on_timer, m);
 }
 
 void
@@ -598,7 +439,7 @@
 mh_mesh_drain(struct mh_mesh *m)
 {
 	m->draining = true;
-	mh_mesh_heartbeat(m, 0);
+	mh_mesh_heartbeat(m, NULL);
 }
 
 static void
@@ -614,10 +455,10 @@
 		take_partial_frame(m, msg->u.link.conn);
 		break;
 	case MH_MSG_LINK_UP:
-		link_up(m, &msg->u.link);
+		mh_mesh_link_up(m, &msg->u.link);
 		break;
 	case MH_MSG_LINK_DOWN:
-		link_down(m, msg->u.link.conn);
+		mh_mesh_link_down(m, msg->u.link.conn);
 		break;
 	default:
 		break;
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -1,7 +1,7 @@
 #ifndef MESHINT_H
 #define MESHINT_H
 
-/* Shared by mesh.c, meshgossip.c, meshorder.c and meshview.c alone. */
+/* Shared by mesh.c and mesh*.c alone. */
 
 #include "mesh.h"
 
@@ -9,6 +9,11 @@
 struct peer_conn {
 	uint64_t id; /* 0: none */
 	int64_t recv_us; /* when bytes last arrived, or when it opened */
+	uint64_t received; /* frames and parts of large frames */
+	bool has_heartbeat; /* a heartbeat has arrived */
+	uint64_t peer_received; /* as its last heartbeat says, plus 1 */
+	int64_t sent_us; /* when that last grew, or when it opened */
+	int64_t proven_us; /* when the peer first had a frame of ours; 0: not */
 };
 
 /** struct peer - another entry. */
@@ -32,7 +37,7 @@
 	uint64_t dial_conn; /* connection being opened, 0: none */
 	struct peer_conn out; /* the connection that we opened */
 	struct peer_conn in;
-	int64_t last_recv_us;
+	int64_t last_recv_us; /* on any connection */
 	int64_t dial_start_us; /* when dial_conn was opened */
 	uint32_t dial_timeouts; /* dials that timed out since the last link */
 	int64_t first_dial_us; /* since the last link; 0: none */
@@ -43,6 +48,7 @@
 	int64_t flap_from_us; /* when the counts below began; 0: none */
 	uint32_t ups; /* links that opened */
 	uint32_t losses; /* times that the peer was lost */
+	uint32_t silent_links; /* connections that were closed as silent */
 };
 
 enum { REQUESTED_CONF = 1, REQUESTED_ROWS = 2, REQUESTED_ENTRIES = 4 };
@@ -53,6 +59,8 @@
 };
 
 #define MAX_CASES 64
+/* Interval of heartbeats. */
+#define HEARTBEAT_US (250 * MH_US_PER_MS)
 
 /* Weights are sent as integers in units of 1 / WEIGHT_UNIT. */
 #define WEIGHT_UNIT 10000.0
@@ -88,7 +96,10 @@
 
 /** mh_peer_link() - connection id of an open link, 0: none. */
 uint64_t mh_peer_link(const struct peer *p);
-/** mh_peer_is_alive() - whether it is linked and not silent. */
+/**
+ * mh_peer_is_alive() - whether a connection to it works in both directions, and
+ * has for long enough.
+ */
 bool mh_peer_is_alive(const struct peer *p);
 /**
  * mh_peer_is_member() - whether it is listed, or was announced by another
@@ -111,9 +122,14 @@
 /** mh_mesh_send_conn() - sends a frame over one connection. */
 void mh_mesh_send_conn(struct mh_mesh *m, uint64_t conn, Mh__Frame *f);
 /**
- * mh_mesh_heartbeat() - sends a heartbeat over @conn, or over all links if 0.
+ * mh_mesh_heartbeat() - sends a heartbeat over @c; NULL: over all connections.
  */
-void mh_mesh_heartbeat(struct mh_mesh *m, uint64_t conn);
+void mh_mesh_heartbeat(struct mh_mesh *m, const struct peer_conn *c);
+/**
+ * mh_mesh_is_starting() - whether this process has just started or resumed and
+ * has to find the other entries.
+ */
+bool mh_mesh_is_starting(const struct mh_mesh *m);
 /** mh_mesh_take_known() - adds an entry that another entry announced. */
 void mh_mesh_take_known(struct mh_mesh *m, const Mh__Known *k);
 /**
@@ -124,8 +140,31 @@
 /** mh_mesh_select_links() - marks the peers that this entry keeps links to. */
 void mh_mesh_select_links(struct mh_mesh *m);
 
+/* meshlink.c */
+
+void mh_mesh_link_up(struct mh_mesh *m, const struct mh_link_msg *l);
+void mh_mesh_link_down(struct mh_mesh *m, uint64_t conn);
+/**
+ * mh_peer_note_received() - records a frame; returns the connection it came on.
+ */
+struct peer_conn *mh_peer_note_received(struct peer *p, uint64_t conn);
+/** mh_peer_note_part() - records part of a large frame. */
+void mh_peer_note_part(struct peer *p, uint64_t conn);
+/** mh_peer_note_heartbeat() - takes what a heartbeat proves about @c. */
+void mh_peer_note_heartbeat(
+    struct peer *p, struct peer_conn *c, const Mh__Beat *b);
+/** mh_peer_resumed() - this process was paused: its peers seem silent. */
+void mh_peer_resumed(struct peer *p);
+/** mh_peer_check_links() - closes connections that don't work. */
+void mh_peer_check_links(struct peer *p);
+/** mh_peer_dial() - opens the connection to @p that we want to keep. */
+void mh_peer_dial(struct peer *p);
+
 /* meshlog.c */
 
+/** mh_peer_log_silent() - logs a silent connection, unless it flaps. */
+void mh_peer_log_silent(struct peer *p, const struct peer_conn *c);
+
 /** mh_peer_log_up() - logs a new link, unless the peer flaps. */
 void mh_peer_log_up(struct peer *p, const struct mh_link_msg *l);
 /** mh_peer_log_lost() - logs a lost peer, unless it flaps. */
--- /dev/null
+++ b/lib/meshlink.c
@@ -0,0 +1,279 @@
+/**
+ * DOC: Links of the mesh: what proves a connection, and a peer, alive.
+ *
+ * Two entries have two connections if both dialled, and either may go silent
+ * for good without a reset, in one direction or both.  So each connection is
+ * judged by itself.  Each carries heartbeats that say how much the sender has
+ * received on it: what arrives proves one direction, and a count that grows
+ * proves the other.  A peer is alive if one of its connections is proven in
+ * both directions.
+ */
+
+#include "meshint.h"
+
+/*
+ * Three heartbeats and the network delay: a running process sends a heartbeat
+ * within this time.
+ */
+#define SILENT_US (850 * MH_US_PER_MS)
+/* The same both ways: our heartbeat, and that of the peer, which counts it. */
+#define UNSENT_US (2 * SILENT_US)
+/* A new connection needs two round trips for its proof. */
+#define PROOF_US (3 * MH_US_PER_S)
+#define REDIAL_US (500 * MH_US_PER_MS)
+#define STARTUP_REDIAL_US (100 * MH_US_PER_MS)
+/*
+ * A first packet to a VM that is not powered on yet is lost, and TCP
+ * retransmits it a second later; links open within some tens of milliseconds.
+ * Each further dial may take twice as long, so that a link over a congested
+ * network opens in the end.
+ */
+#define DIAL_TIMEOUT_US (150 * MH_US_PER_MS)
+#define DIAL_DOUBLINGS 4 /* above, the link times out first */
+/* The order skips an entry that has been unreachable for this long. */
+#define UNREACHABLE_US (1 * MH_US_PER_S)
+/* Whether it sends heartbeats on each connection, as earlier versions don't. */
+static bool
+reports(const struct peer_conn *c)
+{
+	return c->peer_received > 0;
+}
+
+/* Whether the connection works in both directions, as far as is known yet. */
+static bool
+works(const struct peer *p, const struct peer_conn *c)
+{
+	int64_t now = mh_now(p->m->k);
+
+	if (c->id == 0)
+		return false;
+	if (c->has_heartbeat && !reports(c))
+		return now - p->last_recv_us < SILENT_US;
+	return now - c->recv_us < SILENT_US &&
+	    now - c->sent_us < (c->proven_us != 0 ? UNSENT_US : PROOF_US);
+}
+
+uint64_t
+mh_peer_link(const struct peer *p)
+{
+	if (works(p, &p->out))
+		return p->out.id;
+	if (works(p, &p->in))
+		return p->in.id;
+	return p->out.id != 0 ? p->out.id : p->in.id;
+}
+
+bool
+mh_peer_is_alive(const struct peer *p)
+{
+	return works(p, &p->out) || works(p, &p->in);
+}
+
+/* Frames of an earlier version count as proof of both directions. */
+void
+mh_peer_note_heartbeat(struct peer *p, struct peer_conn *c, const Mh__Beat *b)
+{
+	int64_t now = mh_now(p->m->k);
+	bool first = !c->has_heartbeat;
+	bool grown = b->received > MAX(c->peer_received, 1);
+
+	c->has_heartbeat = true;
+	c->peer_received = b->received;
+	if (grown || b->received == 0)
+		c->sent_us = now;
+	if ((grown || b->received == 0) && c->proven_us == 0) {
+		c->proven_us = now;
+	}
+	/* The peer must not wait for our next periodic heartbeat for its proof.
+	 */
+	if (first)
+		mh_mesh_heartbeat(p->m, c);
+}
+
+struct peer_conn *
+mh_peer_note_received(struct peer *p, uint64_t conn)
+{
+	struct peer_conn *c = p->out.id == conn ? &p->out : &p->in;
+
+	p->last_recv_us = c->recv_us = mh_now(p->m->k);
+	c->received++;
+	return c;
+}
+
+void
+mh_peer_note_part(struct peer *p, uint64_t conn)
+{
+	struct peer_conn *c = mh_peer_note_received(p, conn);
+
+	/* The heartbeats that count our frames are queued behind it. */
+	if (c->proven_us != 0)
+		c->sent_us = c->recv_us;
+}
+
+void
+mh_peer_resumed(struct peer *p)
+{
+	/* Frames that it sent during the pause are still unread. */
+	if (p->out.id != 0 || p->in.id != 0)
+		p->last_recv_us = mh_now(p->m->k);
+	p->out.recv_us = p->out.sent_us = p->last_recv_us;
+	p->in.recv_us = p->in.sent_us = p->last_recv_us;
+}
+
+/* links */
+
+static void
+add_conn(struct mh_mesh *m, uint64_t conn, struct peer *p)
+{
+	g_hash_table_replace(m->conns, g_memdup2(&conn, sizeof(conn)), p);
+}
+
+static void
+drop_link(struct mh_mesh *m, uint64_t *slot)
+{
+	uint64_t conn = *slot;
+
+	*slot = 0;
+	if (conn == 0)
+		return;
+	g_hash_table_remove(m->conns, &conn);
+	mh_link_close(m->k, conn);
+}
+
+void
+mh_mesh_link_up(struct mh_mesh *m, const struct mh_link_msg *l)
+{
+	struct peer *p = mh_peer_of(m, l->vm);
+	struct peer_conn *c = l->inbound ? &p->in : &p->out;
+	int64_t now = mh_now(m->k);
+
+	if (c->id != l->conn)
+		drop_link(m, &c->id);
+	*c = (struct peer_conn) {
+		.id = l->conn, .recv_us = now, .sent_us = now
+	};
+	if (!l->inbound)
+		p->dial_conn = 0;
+	if (p->addr == NULL)
+		p->addr = g_strdup(l->addr);
+	p->last_recv_us = now;
+	p->oldest_start_us = INT64_MAX; /* until its first heartbeat */
+	if (p->started_us == 0)
+		p->started_us = now;
+	p->unreachable = false;
+	p->first_dial_us = 0;
+	p->dial_timeouts = 0;
+	p->last_request_us = 0;
+	p->requested = 0;
+	add_conn(m, l->conn, p);
+	/*
+	 * The peer must not wait for our next periodic heartbeat to learn that
+	 * we can serve.
+	 */
+	mh_mesh_heartbeat(m, c);
+	mh_peer_log_up(p, l);
+	if (m->on_up != NULL)
+		m->on_up(m->on_up_arg, p->node);
+}
+
+static void
+peer_lost(struct peer *p, const char *why)
+{
+	struct mh_mesh *m = p->m;
+
+	mh_peer_log_lost(p, why);
+	mh_count(m->k, "peer_losses", 1);
+	p->ready = false;
+	if (m->on_lost != NULL)
+		m->on_lost(m->on_lost_arg, p->node);
+}
+
+/*
+ * While all entries start together most dials fail at first. When these peers
+ * counted as unreachable at once, each entry went on to the next of the order
+ * until every entry was linked to every other.
+ */
+static void
+note_dial_failed(struct peer *p)
+{
+	p->unreachable = mh_now(p->m->k) - p->first_dial_us >= UNREACHABLE_US;
+}
+
+void
+mh_mesh_link_down(struct mh_mesh *m, uint64_t conn)
+{
+	struct peer *p = g_hash_table_lookup(m->conns, &conn);
+	bool was_linked;
+
+	if (p == NULL)
+		return;
+	was_linked = mh_peer_link(p) != 0;
+	if (!was_linked)
+		note_dial_failed(p);
+	g_hash_table_remove(m->conns, &conn);
+	if (p->dial_conn == conn)
+		p->dial_conn = 0;
+	if (p->out.id == conn)
+		p->out.id = 0;
+	if (p->in.id == conn)
+		p->in.id = 0;
+	if (was_linked && mh_peer_link(p) == 0)
+		peer_lost(p, "closed");
+}
+
+static void
+check_link(struct peer *p, struct peer_conn *c)
+{
+	if (c->id == 0 || works(p, c))
+		return;
+	mh_peer_log_silent(p, c);
+	/* A new connection may work although this one has gone silent. */
+	drop_link(p->m, &c->id);
+	if (c == &p->out)
+		p->next_dial_us = mh_now(p->m->k);
+	if (mh_peer_link(p) != 0)
+		return;
+	peer_lost(p, "silent");
+}
+
+static void
+check_dial_timeout(struct peer *p)
+{
+	int64_t late_us = DIAL_TIMEOUT_US
+	    << MIN(p->dial_timeouts, DIAL_DOUBLINGS);
+
+	if (p->dial_conn == 0 || mh_now(p->m->k) - p->dial_start_us < late_us)
+		return;
+	p->dial_timeouts++;
+	mh_count(p->m->k, "dials_hung", 1);
+	drop_link(p->m, &p->dial_conn);
+	note_dial_failed(p);
+	p->next_dial_us = mh_now(p->m->k);
+}
+
+void
+mh_peer_check_links(struct peer *p)
+{
+	check_link(p, &p->out);
+	check_link(p, &p->in);
+	check_dial_timeout(p);
+}
+
+void
+mh_peer_dial(struct peer *p)
+{
+	struct mh_mesh *m = p->m;
+	int64_t now = mh_now(m->k);
+
+	if (p->out.id != 0 || p->dial_conn != 0 || p->addr == NULL ||
+	    !p->want_link || !mh_peer_is_member(p) || now < p->next_dial_us)
+		return;
+	p->dial_conn = mh_next_id(m->k);
+	p->dial_start_us = now;
+	if (p->first_dial_us == 0)
+		p->first_dial_us = now;
+	p->next_dial_us =
+	    now + (mh_mesh_is_starting(m) ? STARTUP_REDIAL_US : REDIAL_US);
+	add_conn(m, p->dial_conn, p);
+	mh_link_dial(m->k, p->dial_conn, p->addr);
+}
--- a/lib/meshlog.c
+++ b/lib/meshlog.c
@@ -47,23 +47,37 @@
 	    quiet_ms(p, &p->out), quiet_ms(p, &p->in), p->can_read);
 }
 
+void
+mh_peer_log_silent(struct peer *p, const struct peer_conn *c)
+{
+	if (may_log(p, &p->silent_links, FLAP_LOSSES))
+		mh_event(p->m->k, "link-silent",
+		    "node=%s inbound=%d recv_ms=%" PRId64 " sent_ms=%" PRId64
+		    " frames=%" PRIu64 " proven=%d",
+		    p->node, c == &p->in, quiet_ms(p, c),
+		    mh_ms(mh_now(p->m->k) - c->sent_us), c->received,
+		    c->proven_us != 0);
+}
+
 void
 mh_peer_log_flaps(struct peer *p)
 {
 	int64_t now = mh_now(p->m->k);
 
-	bool flaps = p->losses > FLAP_LOSSES || p->ups > FLAP_UPS;
+	bool flaps = p->losses > FLAP_LOSSES || p->ups > FLAP_UPS ||
+	    p->silent_links > FLAP_LOSSES;
 
 	if (p->flap_from_us == 0 || now - p->flap_from_us < FLAP_US)
 		return;
 	if (flaps)
 		mh_event(p->m->k, "peer-flaps",
-		    "node=%s ups=%u losses=%u over_ms=%" PRId64
+		    "node=%s ups=%u losses=%u silent=%u over_ms=%" PRId64
 		    " out_ms=%" PRId64 " in_ms=%" PRId64,
-		    p->node, p->ups, p->losses, mh_ms(now - p->flap_from_us),
-		    quiet_ms(p, &p->out), quiet_ms(p, &p->in));
+		    p->node, p->ups, p->losses, p->silent_links,
+		    mh_ms(now - p->flap_from_us), quiet_ms(p, &p->out),
+		    quiet_ms(p, &p->in));
 	p->flap_from_us = 0;
-	p->ups = p->losses = 0;
+	p->ups = p->losses = p->silent_links = 0;
 }
 
 char *
--- a/regress/entries.c
+++ b/regress/entries.c
@@ -88,6 +88,7 @@
 	g_hash_table_replace(l->dial_ids, g_memdup2(&id, sizeof(id)),
 	    g_memdup2(&dialled, sizeof(dialled)));
 	e->links_opened++;
+	e->r->lost[e->index][to->index] = LOSES_NOTHING;
 	post_link(e, MH_MSG_LINK_UP, dialled, to, false, NULL);
 	post_link(to, MH_MSG_LINK_UP, mirror(id), e, true, NULL);
 }
@@ -266,6 +267,34 @@
 	}
 }
 
+/* The dialer's index of a connection id. */
+static uint32_t
+dialer_of(uint64_t conn)
+{
+	return (uint32_t)(conn % 1000000 / 10);
+}
+
+/* Whether frames of @e over the connection are lost without a reset. */
+static bool
+loses(const struct ment *e, const struct ment *to, uint64_t conn)
+{
+	bool dialled = dialer_of(conn) == e->index;
+	uint32_t a = dialled ? e->index : to->index;
+	uint32_t b = dialled ? to->index : e->index;
+
+	switch (e->r->lost[a][b]) {
+	case LOSES_NOTHING:
+		return e->r->silent_dials;
+	case LOSES_BOTH:
+		return true;
+	case LOSES_TO_DIALER:
+		return !dialled;
+	case LOSES_FROM_DIALER:
+		return dialled;
+	}
+	return false;
+}
+
 static void
 link_handle(void *self, struct mh_msg *msg)
 {
@@ -282,7 +311,7 @@
 	case MH_MSG_LINK_SEND:
 		to = other_end(e, id);
 		if (e->cut || to->cut || to->down || to->powered_off ||
-		    is_lost(e, m->frame))
+		    loses(e, to, id) || is_lost(e, m->frame))
 			break;
 		tl = mh_kern_get(to->k, "link");
 		if (tl == NULL)
@@ -298,7 +327,7 @@
 		if (tl != NULL)
 			drop_in_flight(to, to_dial_id(tl, mirror(id)));
 		if (tl != NULL && !e->cut && !to->cut && !to->down &&
-		    !to->powered_off)
+		    !to->powered_off && !loses(e, to, id))
 			post_link(to, MH_MSG_LINK_DOWN,
 			    to_dial_id(tl, mirror(id)), e, false, NULL);
 		break;
@@ -524,6 +553,12 @@
 	mh_mesh_set_members(e->m, e->list != NULL ? e->list : e->r->members);
 }
 
+void
+mrig_lose(struct ment *from, struct ment *to, enum mrig_loss loss)
+{
+	from->r->lost[from->index][to->index] = loss;
+}
+
 void
 mrig_run(struct mrig *r, int64_t us)
 {
--- a/regress/entries.h
+++ b/regress/entries.h
@@ -48,18 +48,34 @@
 	uint32_t received_row_bytes; /* bytes received */
 };
 
+/** enum mrig_loss - what an open connection loses, without a reset. */
+enum mrig_loss {
+	LOSES_NOTHING,
+	LOSES_BOTH,
+	LOSES_TO_DIALER, /* frames to the entry that dialled */
+	LOSES_FROM_DIALER
+};
+
 /** struct mrig - entries whose links share one queue. */
 struct mrig {
 	struct ment e[ENTRIES];
+	/* the open connection by dialer and other end carries nothing more */
+	enum mrig_loss lost[ENTRIES][ENTRIES];
 	int64_t now_us;
 	GPtrArray *members;
 	GPtrArray *dials; /* struct opening */
 	GPtrArray *in_flight; /* struct flight, in the order of sending */
+	bool silent_dials; /* links open, but carry no frame */
 	uint32_t poison_frames; /* number sent so far */
 	uint32_t empty_results; /* empty results sent among those of a complete
 				   stage */
 };
 
+/**
+ * mrig_lose() - the open connection that @from dialled to @to loses frames;
+ * new ones work.
+ */
+void mrig_lose(struct ment *from, struct ment *to, enum mrig_loss loss);
 struct mrig *mrig_create(void);
 void mrig_destroy(struct mrig *r);
 /** mrig_start() - starts the process of an entry, with a kernel of its own. */
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -585,7 +585,62 @@
 	mrig_destroy(r);
 }
 
+static uint64_t
+peer_losses(struct mrig *r)
+{
+	uint64_t n = 0;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		n += mh_counter(r->e[i].k, "peer_losses");
+	return n;
+}
+
+/* Loses what @from has dialled to all others, and what they dialled to it. */
+static void
+lose_all(struct mrig *r, struct ment *from, enum mrig_loss out, bool in)
+{
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		mrig_lose(from, &r->e[i], out);
+		if (in)
+			mrig_lose(&r->e[i], from, LOSES_BOTH);
+	}
+}
+
+/*
+ * Guards against a peer that is lost each second because one of the two
+ * connections of the pair carries nothing in one direction or in both.
+ */
+static void
+test_one_connection_silent(void)
+{
+	static const enum mrig_loss kinds[] = { LOSES_BOTH, LOSES_TO_DIALER,
+		LOSES_FROM_DIALER };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++) {
+		struct mrig *r = mrig_create();
+		struct ment *coordinator;
+		uint32_t differ = 0;
+
+		mrig_run(r, 10 * S);
+		coordinator = mrig_agreed(r);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(coordinator);
+		lose_all(r, coordinator, kinds[i], false);
+		for (int t = 0; t < 100; t++) {
+			mrig_run(r, 100 * MS);
+			differ += mrig_agreed(r) != coordinator;
+		}
+		CU_ASSERT_EQUAL(peer_losses(r), 0);
+		CU_ASSERT_EQUAL(differ, 0);
+		coordinator->conf = 5;
+		mrig_run(r, 600 * MS);
+		for (uint32_t n = 0; n < ENTRIES; n++)
+			CU_ASSERT_EQUAL(r->e[n].conf, 5);
+		mrig_destroy(r);
+	}
+}
+
 const struct test tests_mesh[] = {
+	{ "mesh: one connection of two is silent", test_one_connection_silent },
 	{ "mesh: one coordinator", test_one_coordinator },
 	{ "mesh: a silent coordinator", test_silent_coordinator },
 	{ "mesh: a draining coordinator", test_draining_coordinator },
