Mesh: a handshake does not prove that a peer is alive

Cause: a new link counted as a sign of life and cleared all that was known against the peer. It counted as alive, as a reader of the store and as a coordinator for 850 of each 1,000 ms, and nothing outlived its loss.

Ruled out: a longer silence limit; it only makes each such lie last longer.

Change: a peer is alive when it has reported a frame of ours over a link that still works. One that goes silent again within 10 s of that proof counts only after its link has worked for 0.85 s, twice as long each time, 8 s at most; a restarted process begins anew. A lost peer no longer counts as a reader.

Evidence: mesh: only dials are answered; mesh: a coordinator that flaps: both fail without the change, both pass with it.

Conclusion: reading the store, stage work and views no longer rest on a link that merely opens.

--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -38,6 +38,8 @@
 	struct peer_conn out; /* the connection that we opened */
 	struct peer_conn in;
 	int64_t last_recv_us; /* on any connection */
+	uint64_t incarnation; /* of its process, at the last link */
+	int64_t probation_us; /* a link must have worked for so long */
 	int64_t dial_start_us; /* when dial_conn was opened */
 	uint32_t dial_timeouts; /* dials that timed out since the last link */
 	int64_t first_dial_us; /* since the last link; 0: none */
--- a/lib/meshlink.c
+++ b/lib/meshlink.c
@@ -6,7 +6,8 @@
  * judged by itself.  Each carries heartbeats that say how much the sender has
  * received on it: what arrives proves one direction, and a count that grows
  * proves the other.  A peer is alive if one of its connections is proven in
- * both directions.
+ * both directions.  A handshake that succeeds proves neither for longer than
+ * itself.
  */
 
 #include "meshint.h"
@@ -32,6 +33,14 @@
 #define DIAL_DOUBLINGS 4 /* above, the link times out first */
 /* The order skips an entry that has been unreachable for this long. */
 #define UNREACHABLE_US (1 * MH_US_PER_S)
+/*
+ * A peer that goes silent again within STEADY_US of its last proof counts as
+ * alive only after its link has worked for a while, twice as long each time.
+ */
+#define STEADY_US (10 * MH_US_PER_S)
+#define PROBATION_US SILENT_US
+#define PROBATION_MAX_US (8 * MH_US_PER_S)
+
 /* Whether it sends heartbeats on each connection, as earlier versions don't. */
 static bool
 reports(const struct peer_conn *c)
@@ -53,9 +62,20 @@
 	    now - c->sent_us < (c->proven_us != 0 ? UNSENT_US : PROOF_US);
 }
 
+static bool
+is_proven(const struct peer *p, const struct peer_conn *c)
+{
+	return works(p, c) && c->proven_us != 0 &&
+	    mh_now(p->m->k) - c->proven_us >= p->probation_us;
+}
+
 uint64_t
 mh_peer_link(const struct peer *p)
 {
+	if (is_proven(p, &p->out))
+		return p->out.id;
+	if (is_proven(p, &p->in))
+		return p->in.id;
 	if (works(p, &p->out))
 		return p->out.id;
 	if (works(p, &p->in))
@@ -66,7 +86,7 @@
 bool
 mh_peer_is_alive(const struct peer *p)
 {
-	return works(p, &p->out) || works(p, &p->in);
+	return is_proven(p, &p->out) || is_proven(p, &p->in);
 }
 
 /* Frames of an earlier version count as proof of both directions. */
@@ -83,6 +103,9 @@
 		c->sent_us = now;
 	if ((grown || b->received == 0) && c->proven_us == 0) {
 		c->proven_us = now;
+		p->unreachable = false;
+		p->first_dial_us = 0;
+		p->dial_timeouts = 0;
 	}
 	/* The peer must not wait for our next periodic heartbeat for its proof.
 	 */
@@ -156,13 +179,13 @@
 		p->dial_conn = 0;
 	if (p->addr == NULL)
 		p->addr = g_strdup(l->addr);
+	if (p->incarnation != l->incarnation)
+		p->probation_us = 0; /* another process */
+	p->incarnation = l->incarnation;
 	p->last_recv_us = now;
 	p->oldest_start_us = INT64_MAX; /* until its first heartbeat */
 	if (p->started_us == 0)
 		p->started_us = now;
-	p->unreachable = false;
-	p->first_dial_us = 0;
-	p->dial_timeouts = 0;
 	p->last_request_us = 0;
 	p->requested = 0;
 	add_conn(m, l->conn, p);
@@ -184,6 +207,7 @@
 	mh_peer_log_lost(p, why);
 	mh_count(m->k, "peer_losses", 1);
 	p->ready = false;
+	p->can_read = false;
 	if (m->on_lost != NULL)
 		m->on_lost(m->on_lost_arg, p->node);
 }
@@ -221,18 +245,34 @@
 		peer_lost(p, "closed");
 }
 
+static void
+start_probation(struct peer *p, int64_t proven_us)
+{
+	bool steady =
+	    proven_us != 0 && mh_now(p->m->k) - proven_us >= STEADY_US;
+
+	if (steady)
+		p->probation_us = 0;
+	else
+		p->probation_us =
+		    CLAMP(2 * p->probation_us, PROBATION_US, PROBATION_MAX_US);
+}
+
 static void
 check_link(struct peer *p, struct peer_conn *c)
 {
 	if (c->id == 0 || works(p, c))
 		return;
 	mh_peer_log_silent(p, c);
+	if (c->proven_us == 0)
+		note_dial_failed(p);
 	/* A new connection may work although this one has gone silent. */
 	drop_link(p->m, &c->id);
 	if (c == &p->out)
 		p->next_dial_us = mh_now(p->m->k);
 	if (mh_peer_link(p) != 0)
 		return;
+	start_probation(p, c->proven_us);
 	peer_lost(p, "silent");
 }
 
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -639,8 +639,62 @@
 	}
 }
 
+/* Guards against counting a peer as alive that only answers dials. */
+static void
+test_only_dials_answered(void)
+{
+	struct mrig *r = mrig_create();
+	uint32_t alive = 0;
+
+	mrig_run(r, 4 * S);
+	r->silent_dials = true;
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		lose_all(r, &r->e[i], LOSES_BOTH, false);
+	mrig_run(r, 1500 * MS);
+	for (int t = 0; t < 200; t++) {
+		mrig_run(r, 50 * MS);
+		for (uint32_t i = 0; i < ENTRIES; i++)
+			alive += mh_mesh_is_alive(r->e[i].m, NULL) ||
+			    !mh_mesh_is_reader(r->e[i].m);
+	}
+	CU_ASSERT_EQUAL(alive, 0);
+	r->silent_dials = false;
+	mrig_run(r, 12 * S);
+	CU_ASSERT_PTR_NOT_NULL(mrig_agreed(r));
+	mrig_destroy(r);
+}
+
+/* Guards against stage work that moves each second, with its coordinator. */
+static void
+test_flapping_coordinator(void)
+{
+	struct mrig *r = mrig_create();
+	struct ment *coordinator;
+	uint32_t chosen = 0;
+
+	mrig_run(r, 10 * S);
+	coordinator = mrig_agreed(r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(coordinator);
+	for (int t = 0; t < 20; t++) {
+		lose_all(r, coordinator, LOSES_BOTH, true);
+		for (int n = 0; n < 25; n++) {
+			mrig_run(r, 100 * MS);
+			for (uint32_t i = 0; t >= 4 && i < ENTRIES; i++)
+				chosen += &r->e[i] != coordinator &&
+				    strcmp(mrig_coordinator(&r->e[i]),
+					coordinator->node) == 0;
+		}
+	}
+	CU_ASSERT_EQUAL(chosen, 0);
+	mrig_run(r, 20 * S);
+	CU_ASSERT_PTR_EQUAL(mrig_agreed(r), coordinator);
+	mrig_destroy(r);
+}
+
 const struct test tests_mesh[] = {
 	{ "mesh: one connection of two is silent", test_one_connection_silent },
+	{ "mesh: only dials are answered", test_only_dials_answered },
+	{ "mesh: a coordinator that flaps", test_flapping_coordinator },
 	{ "mesh: one coordinator", test_one_coordinator },
 	{ "mesh: a silent coordinator", test_silent_coordinator },
 	{ "mesh: a draining coordinator", test_draining_coordinator },
