View: an entry reads for itself when nothing confirms its configuration

What callers saw: an out-of-date configuration in force although the store was well.

Cause: an entry left the reading to its peers as long as they confirmed its rows, three more seconds each time. Nothing measured the age of its configuration: only a peer that announced a later one could.

Class: one view's age was taken for another's, and a bound needed a peer to start it.

Ruled out: readings at shorter intervals by all entries; calls grow with their number.

Change: heartbeats say when the sender's configuration and evacuations were last confirmed by the store; the same revisions are confirmed as of then, less the round trip, which heartbeats now measure. A peer whose words come more than a second late is no reader for others.

--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -217,20 +217,26 @@
 
 /* Each connection has a heartbeat of its own, which says what came on it. */
 static void
-send_heartbeat(struct mh_mesh *m, Mh__Beat *b, const struct peer_conn *c)
+send_heartbeat(struct mh_mesh *m, Mh__Beat *b, struct peer_conn *c)
 {
 	Mh__Frame f = MH__FRAME__INIT;
 
 	if (c->id == 0)
 		return;
 	b->received = c->received + 1;
+	b->heartbeats = c->heartbeats_in;
+	c->heartbeats_out++;
+	if (c->timed_heartbeat == 0) {
+		c->timed_heartbeat = c->heartbeats_out;
+		c->timed_us = mh_now(m->k);
+	}
 	f.body_case = MH__FRAME__BODY_BEAT;
 	f.beat = b;
 	mh_mesh_send_conn(m, c->id, &f);
 }
 
 void
-mh_mesh_heartbeat(struct mh_mesh *m, const struct peer_conn *c)
+mh_mesh_heartbeat(struct mh_mesh *m, struct peer_conn *c)
 {
 	Mh__Beat b = MH__BEAT__INIT;
 	GHashTableIter it;
@@ -243,7 +249,7 @@
 	}
 	g_hash_table_iter_init(&it, m->peers);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct peer *p = value;
+		struct peer *p = value;
 
 		send_heartbeat(m, &b, &p->out);
 		send_heartbeat(m, &b, &p->in);
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -14,6 +14,11 @@
 	uint64_t peer_received; /* as its last heartbeat says, plus 1 */
 	int64_t sent_us; /* when that last grew, or when it opened */
 	int64_t proven_us; /* when the peer first had a frame of ours; 0: not */
+	uint64_t heartbeats_in;
+	uint64_t heartbeats_out;
+	uint64_t timed_heartbeat; /* the one that is timed; 0: none */
+	int64_t timed_us; /* when it was sent */
+	int64_t reported_us; /* time until the last one timed was reported */
 };
 
 /** struct peer - another entry. */
@@ -126,7 +131,7 @@
 /**
  * mh_mesh_heartbeat() - sends a heartbeat over @c; NULL: over all connections.
  */
-void mh_mesh_heartbeat(struct mh_mesh *m, const struct peer_conn *c);
+void mh_mesh_heartbeat(struct mh_mesh *m, struct peer_conn *c);
 /**
  * mh_mesh_is_starting() - whether this process has just started or resumed and
  * has to find the other entries.
@@ -150,6 +155,11 @@
  * mh_peer_note_received() - records a frame; returns the connection it came on.
  */
 struct peer_conn *mh_peer_note_received(struct peer *p, uint64_t conn);
+/**
+ * mh_peer_round_trip_us() - about how late the words of @p are at the most,
+ * over the link that is used; 0 if it is an earlier version.
+ */
+int64_t mh_peer_round_trip_us(const struct peer *p);
 /** mh_peer_note_part() - records part of a large frame. */
 void mh_peer_note_part(struct peer *p, uint64_t conn);
 /** mh_peer_note_heartbeat() - takes what a heartbeat proves about @c. */
--- a/lib/meshlink.c
+++ b/lib/meshlink.c
@@ -89,6 +89,18 @@
 	return is_proven(p, &p->out) || is_proven(p, &p->in);
 }
 
+int64_t
+mh_peer_round_trip_us(const struct peer *p)
+{
+	const struct peer_conn *c =
+	    mh_peer_link(p) == p->out.id ? &p->out : &p->in;
+	int64_t us = c->reported_us;
+
+	if (c->timed_heartbeat != 0)
+		us = MAX(us, mh_now(p->m->k) - c->timed_us);
+	return MAX(us - HEARTBEAT_US, 0);
+}
+
 /* Frames of an earlier version count as proof of both directions. */
 void
 mh_peer_note_heartbeat(struct peer *p, struct peer_conn *c, const Mh__Beat *b)
@@ -99,6 +111,13 @@
 
 	c->has_heartbeat = true;
 	c->peer_received = b->received;
+	c->heartbeats_in++;
+	if (b->received == 0)
+		c->timed_heartbeat = 0; /* it counts none */
+	if (c->timed_heartbeat != 0 && b->heartbeats >= c->timed_heartbeat) {
+		c->reported_us = now - c->timed_us;
+		c->timed_heartbeat = 0;
+	}
 	if (grown || b->received == 0)
 		c->sent_us = now;
 	if ((grown || b->received == 0) && c->proven_us == 0) {
--- a/lib/meshorder.c
+++ b/lib/meshorder.c
@@ -25,6 +25,8 @@
  * cut off or die unnoticed.
  */
 #define READERS 2
+/* What a reader announces must arrive within this time. */
+#define READER_ROUND_TRIP_US (1 * MH_US_PER_S)
 /*
  * Entries that poll a platform which answers nobody. With all 68 entries
  * polling, a day with a 14 s outage took 7,784 calls, counted by the platform;
@@ -262,7 +264,7 @@
 	return m->have_list ? before : UINT32_MAX;
 }
 
-/* Whether a peer precedes us in the order of readers and can be relied on. */
+/* Whether a peer precedes us in the order of readers. */
 static bool
 precedes(const struct peer *p, double mine)
 {
@@ -270,10 +272,17 @@
 	    rank(MH_STAGE_WORK, p->node, p->weight) > mine;
 }
 
+/* Whether the platform answers its reads, and we soon get what it has read. */
+static bool
+reads_in_time(const struct peer *p)
+{
+	return p->can_read && mh_peer_round_trip_us(p) < READER_ROUND_TRIP_US;
+}
+
 bool
 mh_mesh_reads_for(const struct mh_mesh *m, const struct peer *p)
 {
-	return p->can_read &&
+	return reads_in_time(p) &&
 	    precedes(p, rank(MH_STAGE_WORK, m->node, m->weight));
 }
 
@@ -302,7 +311,7 @@
 
 		if (!precedes(p, mine))
 			continue;
-		readers += p->can_read;
+		readers += reads_in_time(p);
 		pollers++;
 	}
 	return readers < READERS && (answered || pollers < POLLERS);
--- a/lib/meshview.c
+++ b/lib/meshview.c
@@ -100,6 +100,21 @@
 	    mh_now(m->k) >= m->entries_request_us + ANSWER_WAIT_US;
 }
 
+/*
+ * What has the revisions that we have was confirmed by the store when the peer
+ * says, as far as a round trip ago.
+ */
+static void
+note_conf_confirmed(struct mh_mesh *m, const struct peer *p, const Mh__Beat *b)
+{
+	if (b->conf_age_us == 0 || m->view.conf_unchanged == NULL ||
+	    b->conf_revision != m->view.conf_revision(m->view.arg) ||
+	    b->evacuated_revision > mh_mesh_evacuated_revision(m))
+		return;
+	m->view.conf_unchanged(m->view.arg,
+	    (int64_t)(b->conf_age_us - 1) + mh_peer_round_trip_us(p));
+}
+
 /*
  * An entry whose requests the store refuses still receives a new configuration
  * and the draining of endpoints, from the entries that have read them.
@@ -114,12 +129,10 @@
 	if (m->view.conf_revision == NULL)
 		return;
 	note_conf_revision(m, b->conf_revision);
-	if (b->conf_age_us != 0 && m->view.conf_unchanged != NULL &&
-	    b->conf_revision == m->view.conf_revision(m->view.arg))
-		m->view.conf_unchanged(
-		    m->view.arg, (int64_t)(b->conf_age_us - 1));
+	note_conf_confirmed(m, p, b);
 	if (b->rows_revision == m->view.rows_revision(m->view.arg))
-		m->view.rows_unchanged(m->view.arg, (int64_t)b->rows_age_us);
+		m->view.rows_unchanged(m->view.arg,
+		    (int64_t)b->rows_age_us + mh_peer_round_trip_us(p));
 	if (now - p->last_request_us < RETRY_US && p->last_request_us != 0)
 		return;
 	req.conf = b->conf_revision > m->view.conf_revision(m->view.arg) &&
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -4452,7 +4452,7 @@
   (ProtobufCMessageInit) mh__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__beat__field_descriptors[14] =
+static const ProtobufCFieldDescriptor mh__beat__field_descriptors[15] =
 {
   {
     "ready",
@@ -4622,6 +4622,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "heartbeats",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Beat, heartbeats),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__beat__field_indices_by_name[] = {
   12,   /* field[12] = conf_age_us */
@@ -4629,6 +4641,7 @@
   11,   /* field[11] = entries_hash */
   10,   /* field[10] = entries_revision */
   9,   /* field[9] = evacuated_revision */
+  14,   /* field[14] = heartbeats */
   1,   /* field[1] = leaving */
   8,   /* field[8] = oldest_us */
   4,   /* field[4] = reads */
@@ -4642,7 +4655,7 @@
 static const ProtobufCIntRange mh__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor mh__beat__descriptor =
 {
@@ -4652,7 +4665,7 @@
   "Mh__Beat",
   "mh",
   sizeof(Mh__Beat),
-  14,
+  15,
   mh__beat__field_descriptors,
   mh__beat__field_indices_by_name,
   1,  mh__beat__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -587,10 +587,17 @@
    * frames and parts of large frames that the sender
    */
   uint64_t received;
+  /*
+   * received on this link, plus 1; 0: not reported
+   */
+  /*
+   * of these
+   */
+  uint64_t heartbeats;
 };
 #define MH__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/regress/t_slow.c
+++ b/regress/t_slow.c
@@ -12,6 +12,8 @@
 #define MS MH_US_PER_MS
 #define S MH_US_PER_S
 #define PIECE_US (100 * MS)
+#define PEER_US (200 * MS) /* interval of peers' heartbeats */
+#define CHANGE_US (1 * S)
 #define VALUE_1 "eyJ2ZXJzaW9uIjoxLCJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6W119"
 #define VALUE_3 "eyJ2ZXJzaW9uIjozLCJyb3V0ZXMiOltdLCJzZXJ2aWNlcyI6W119"
 #define CONF(revision, value)                                          \
@@ -43,6 +45,10 @@
 	uint32_t requests[KINDS];
 	uint64_t version; /* of the configuration in force */
 	GPtrArray *sending; /* struct sending */
+	bool relies; /* it leaves reading to peers, which confirm its rows */
+	bool confirmed; /* they confirm its configuration too */
+	const char *later; /* item that the store has after CHANGE_US */
+	struct mh_timer *peer_timer;
 };
 
 /** struct sending - a response being sent. */
@@ -159,6 +165,31 @@
 	return false;
 }
 
+static bool
+reads(void *arg)
+{
+	return !((struct wrig *)arg)->relies;
+}
+
+static void
+on_peer(void *arg)
+{
+	struct wrig *r = arg;
+
+	plat_view_rows_unchanged(r->view, 0);
+	if (r->confirmed)
+		plat_view_conf_unchanged(r->view, 0);
+	r->peer_timer = mh_timer_start(r->k, PEER_US, on_peer, r);
+}
+
+static void
+on_change(void *arg)
+{
+	struct wrig *r = arg;
+
+	r->text[WRITTEN] = r->later;
+}
+
 static void
 run_rig(struct wrig *r, int64_t us)
 {
@@ -167,7 +198,7 @@
 		.on_request = on_request,
 		.on_disconnect = on_disconnect,
 		.arg = r };
-	struct plat_view_fns fns = { on_conf, on_evacuated, yes, yes, no, r,
+	struct plat_view_fns fns = { on_conf, on_evacuated, reads, yes, no, r,
 		2 * S, NULL };
 	char addr[32];
 
@@ -181,6 +212,10 @@
 	r->fleet = mh_fleet_create(r->k);
 	r->store = plat_store_create(r->k, r->calls, addr);
 	r->view = plat_view_create(r->k, r->store, r->fleet, &fns);
+	if (r->relies)
+		r->peer_timer = mh_timer_start(r->k, PEER_US, on_peer, r);
+	if (r->later != NULL)
+		mh_timer_start(r->k, CHANGE_US, on_change, r);
 	/* As at every start, one call finds out that the store answers. */
 	plat_store_call(r->store, "GET",
 	    "/kv-range?pathPrefix=" PLAT_OWN_PREFIX, NULL, S, on_first, r);
@@ -190,6 +225,7 @@
 static void
 finish(struct wrig *r)
 {
+	mh_timer_stop(r->k, &r->peer_timer);
 	plat_view_destroy(r->view);
 	plat_store_destroy(r->store);
 	mh_fleet_destroy(r->fleet);
@@ -321,7 +357,39 @@
 	finish(&r);
 }
 
+/* Guards against a configuration that peers neither confirm nor replace. */
+static void
+test_unconfirmed_configuration(void)
+{
+	struct wrig r = { .text = { ITEMS(CONF(1, VALUE_1)), NULL, ITEMS(ROW) },
+		.relies = true,
+		.later = ITEMS(CONF(3, VALUE_3)) };
+
+	run_rig(&r, 3800 * MS);
+	CU_ASSERT_EQUAL(r.version, 3);
+	finish(&r);
+}
+
+/* Guards against calls for what peers have just confirmed. */
+static void
+test_confirmed_configuration(void)
+{
+	struct wrig r = { .text = { ITEMS(CONF(1, VALUE_1)), NULL, ITEMS(ROW) },
+		.relies = true,
+		.confirmed = true };
+
+	run_rig(&r, 3800 * MS);
+	CU_ASSERT_EQUAL(r.version, 1);
+	CU_ASSERT_EQUAL(r.requests[WRITTEN], 1);
+	CU_ASSERT_EQUAL(r.requests[WRITTEN_WATCH], 0);
+	finish(&r);
+}
+
 const struct test tests_slow[] = {
+	{ "slow: a configuration that no peer confirms",
+	    test_unconfirmed_configuration },
+	{ "slow: a configuration that peers confirm",
+	    test_confirmed_configuration },
 	{ "slow: a configuration", test_slow_configuration },
 	{ "slow: a change", test_slow_change },
 	{ "slow: rows", test_slow_rows },
