Mesh: what is sent on a connection that dies is sent again on the other

What callers saw: nothing yet; a request whose stage work was sent to its coordinator on a connection that had gone silent would wait for its deadline.

Cause: since each connection is judged by itself one may die while the other carries on. Then the peer isn't lost, so nobody sends the frames of the last second again. The same held before where one of two was reset. And a peer that restarts without a reset counted as the process before, as long as a new connection came before the old ones fell silent.

Class: mh_mesh_on_lost() was the only sign of lost frames, and it speaks of the peer.

Ruled out: to treat the loss of a connection as that of the peer: the other side doesn't at the same time, and all work of the pair would run again.

An entry keeps to one connection as long as it works, so frames stay in order. A link of another incarnation means that the process before is lost. A late step of a job that is done is ignored. Sending is split off into meshsend.c.

--- a/lib/broker.c
+++ b/lib/broker.c
@@ -351,8 +351,13 @@
 	const Mh__JobStep *m = f->job_step;
 	struct mh_job *j = find_sent(b, node, m->id);
 
+	const struct sent_job *s;
+
 	if (j == NULL || m->stage >= j->n_stages)
 		return;
+	s = g_hash_table_lookup(b->sent_jobs, j);
+	if (s->done) /* the step was sent again, over another connection */
+		return;
 	if (m->n_results == j->stages[m->stage].pieces)
 		mh_job_set_results(j, m->stage, m->results, m->n_results);
 	else if (m->n_some == j->stages[m->stage].pieces)
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -31,61 +31,14 @@
 {
 	struct peer *p = arg;
 
+	mh_conn_forget(&p->out);
+	mh_conn_forget(&p->in);
 	g_free(p->node);
 	g_free(p->addr);
 	g_free(p);
 }
 
-/* frames */
-
-static void
-send_bytes(struct mh_mesh *m, uint64_t conn, GBytes *frame)
-{
-	struct mh_msg *msg = mh_msg_new(MH_MSG_LINK_SEND);
-
-	msg->u.link.conn = conn;
-	msg->u.link.frame = g_bytes_ref(frame);
-	mh_count(m->k, "link_frames_out", 1);
-	mh_count(m->k, "link_bytes_out", g_bytes_get_size(frame) + 4);
-	mh_post(m->k, "link", msg);
-}
-
-void
-mh_mesh_send_conn(struct mh_mesh *m, uint64_t conn, Mh__Frame *f)
-{
-	GBytes *frame = mh_frame_pack(f);
-
-	send_bytes(m, conn, frame);
-	g_bytes_unref(frame);
-}
-
-bool
-mh_mesh_send(struct mh_mesh *m, const char *node, Mh__Frame *f)
-{
-	struct peer *p = g_hash_table_lookup(m->peers, node);
-
-	if (p == NULL || mh_peer_link(p) == 0)
-		return false;
-	mh_mesh_send_conn(m, mh_peer_link(p), f);
-	return true;
-}
-
-void
-mh_mesh_send_all(struct mh_mesh *m, Mh__Frame *f)
-{
-	GBytes *frame = mh_frame_pack(f);
-	GHashTableIter it;
-	gpointer key, value;
-
-	g_hash_table_iter_init(&it, m->peers);
-	while (g_hash_table_iter_next(&it, &key, &value)) {
-		const struct peer *p = value;
-
-		if (mh_peer_link(p) != 0)
-			send_bytes(m, mh_peer_link(p), frame);
-	}
-	g_bytes_unref(frame);
-}
+/* callbacks */
 
 void
 mh_mesh_on(
@@ -224,15 +177,14 @@
 	if (c->id == 0)
 		return;
 	b->received = c->received + 1;
-	b->heartbeats = c->heartbeats_in;
-	c->heartbeats_out++;
-	if (c->timed_heartbeat == 0) {
-		c->timed_heartbeat = c->heartbeats_out;
+	b->frames = c->frames_in;
+	if (c->timed_frame == 0) {
+		c->timed_frame = c->frames_out + 1;
 		c->timed_us = mh_now(m->k);
 	}
 	f.body_case = MH__FRAME__BODY_BEAT;
 	f.beat = b;
-	mh_mesh_send_conn(m, c->id, &f);
+	mh_conn_send(m, c, &f);
 }
 
 void
@@ -300,6 +252,11 @@
 		goto done;
 	}
 	c = mh_peer_note_received(p, l->conn);
+	c->frames_in++;
+	if (f->number != 0 && mh_peer_is_repeated(p, f->number)) {
+		mh_count(m->k, "link_frames_repeated", 1);
+		goto done;
+	}
 	switch (f->body_case) {
 	case MH__FRAME__BODY_BEAT:
 		take_heartbeat(m, p, c, f->beat);
@@ -347,6 +304,8 @@
 		p = g_new0(struct peer, 1);
 		p->m = m;
 		p->node = g_strdup(node);
+		/* The peer may know numbers of one that was removed. */
+		p->sent_number = (uint64_t)mh_now(m->k);
 		g_hash_table_insert(m->peers, p->node, p);
 	}
 	return p;
--- a/lib/meshgossip.c
+++ b/lib/meshgossip.c
@@ -52,7 +52,7 @@
 	k.weight = mh_weight_units(p->weight);
 	f.body_case = MH__FRAME__BODY_KNOWN;
 	f.known = &k;
-	mh_mesh_send_conn(m, mh_peer_link(to), &f);
+	mh_peer_send(to, &f);
 }
 
 void
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -5,6 +5,9 @@
 
 #include "mesh.h"
 
+/* Numbered frames that are known as received or not; a multiple of 64. */
+#define NUMBERS_KEPT 4096
+
 /** struct peer_conn - an open connection to a peer. */
 struct peer_conn {
 	uint64_t id; /* 0: none */
@@ -14,11 +17,12 @@
 	uint64_t peer_received; /* as its last heartbeat says, plus 1 */
 	int64_t sent_us; /* when that last grew, or when it opened */
 	int64_t proven_us; /* when the peer first had a frame of ours; 0: not */
-	uint64_t heartbeats_in;
-	uint64_t heartbeats_out;
-	uint64_t timed_heartbeat; /* the one that is timed; 0: none */
+	uint64_t frames_in; /* whole frames that came */
+	uint64_t frames_out;
+	uint64_t timed_frame; /* number of a heartbeat that is timed; 0: none */
 	int64_t timed_us; /* when it was sent */
 	int64_t reported_us; /* time until the last one timed was reported */
+	GQueue unreported; /* struct unreported, the oldest first */
 };
 
 /** struct peer - another entry. */
@@ -42,6 +46,10 @@
 	uint64_t dial_conn; /* connection being opened, 0: none */
 	struct peer_conn out; /* the connection that we opened */
 	struct peer_conn in;
+	struct peer_conn *used; /* the one that we send on; NULL: none */
+	uint64_t sent_number; /* of the last numbered frame */
+	uint64_t received_number; /* the highest that came */
+	uint64_t received_bits[NUMBERS_KEPT / 64]; /* which of the last came */
 	int64_t last_recv_us; /* on any connection */
 	uint64_t incarnation; /* of its process, at the last link */
 	int64_t probation_us; /* a link must have worked for so long */
@@ -126,8 +134,6 @@
 uint32_t mh_weight_units(double weight);
 /** mh_peer_of() - the peer of that name, created if there is none. */
 struct peer *mh_peer_of(struct mh_mesh *m, const char *node);
-/** mh_mesh_send_conn() - sends a frame over one connection. */
-void mh_mesh_send_conn(struct mh_mesh *m, uint64_t conn, Mh__Frame *f);
 /**
  * mh_mesh_heartbeat() - sends a heartbeat over @c; NULL: over all connections.
  */
@@ -172,6 +178,24 @@
 /** mh_peer_dial() - opens the connection to @p that we want to keep. */
 void mh_peer_dial(struct peer *p);
 
+/* meshsend.c */
+
+/** mh_conn_send() - sends a frame over one connection. */
+void mh_conn_send(struct mh_mesh *m, struct peer_conn *c, Mh__Frame *f);
+/** mh_peer_send() - sends a frame that may be lost; does nothing unlinked. */
+void mh_peer_send(struct peer *p, Mh__Frame *f);
+/** mh_conn_reported() - the peer has received so many frames over @c. */
+void mh_conn_reported(struct peer_conn *c, uint64_t frames);
+/** mh_conn_forget() - drops what is kept to be sent again. */
+void mh_conn_forget(struct peer_conn *c);
+/**
+ * mh_conn_resend() - sends what the peer has not reported over the connection
+ * that is used now, if any.
+ */
+void mh_conn_resend(struct peer *p, struct peer_conn *c);
+/** mh_peer_is_repeated() - records a numbered frame; true: it came before. */
+bool mh_peer_is_repeated(struct peer *p, uint64_t number);
+
 /* meshlog.c */
 
 /** mh_peer_log_silent() - logs a silent connection, unless it flaps. */
--- a/lib/meshlink.c
+++ b/lib/meshlink.c
@@ -12,6 +12,8 @@
 
 #include "meshint.h"
 
+#include <string.h>
+
 /*
  * Three heartbeats and the network delay: a running process sends a heartbeat
  * within this time.
@@ -69,18 +71,35 @@
 	    mh_now(p->m->k) - c->proven_us >= p->probation_us;
 }
 
-uint64_t
-mh_peer_link(const struct peer *p)
+/* The better of the two connections, with what is proven first. */
+static struct peer_conn *
+best_conn(struct peer *p)
 {
 	if (is_proven(p, &p->out))
-		return p->out.id;
+		return &p->out;
 	if (is_proven(p, &p->in))
-		return p->in.id;
-	if (works(p, &p->out))
-		return p->out.id;
-	if (works(p, &p->in))
-		return p->in.id;
-	return p->out.id != 0 ? p->out.id : p->in.id;
+		return &p->in;
+	if (p->out.id == 0)
+		return p->in.id == 0 ? NULL : &p->in;
+	return p->in.id == 0 || works(p, &p->out) ? &p->out : &p->in;
+}
+
+/*
+ * We send on one connection as long as it works, so that frames keep their
+ * order, unless another one is proven and it is not.
+ */
+static void
+choose_conn(struct peer *p)
+{
+	if (p->used != NULL && p->used->id != 0 && is_proven(p, p->used))
+		return;
+	p->used = best_conn(p);
+}
+
+uint64_t
+mh_peer_link(const struct peer *p)
+{
+	return p->used == NULL ? 0 : p->used->id;
 }
 
 bool
@@ -92,11 +111,10 @@
 int64_t
 mh_peer_round_trip_us(const struct peer *p)
 {
-	const struct peer_conn *c =
-	    mh_peer_link(p) == p->out.id ? &p->out : &p->in;
-	int64_t us = c->reported_us;
+	const struct peer_conn *c = p->used;
+	int64_t us = c == NULL ? 0 : c->reported_us;
 
-	if (c->timed_heartbeat != 0)
+	if (c != NULL && c->timed_frame != 0)
 		us = MAX(us, mh_now(p->m->k) - c->timed_us);
 	return MAX(us - HEARTBEAT_US, 0);
 }
@@ -111,13 +129,15 @@
 
 	c->has_heartbeat = true;
 	c->peer_received = b->received;
-	c->heartbeats_in++;
-	if (b->received == 0)
-		c->timed_heartbeat = 0; /* it counts none */
-	if (c->timed_heartbeat != 0 && b->heartbeats >= c->timed_heartbeat) {
+	if (b->received == 0) { /* it counts none */
+		c->timed_frame = 0;
+		mh_conn_forget(c);
+	}
+	if (c->timed_frame != 0 && b->frames >= c->timed_frame) {
 		c->reported_us = now - c->timed_us;
-		c->timed_heartbeat = 0;
+		c->timed_frame = 0;
 	}
+	mh_conn_reported(c, b->frames);
 	if (grown || b->received == 0)
 		c->sent_us = now;
 	if ((grown || b->received == 0) && c->proven_us == 0) {
@@ -126,6 +146,7 @@
 		p->first_dial_us = 0;
 		p->dial_timeouts = 0;
 	}
+	choose_conn(p);
 	/* The peer must not wait for our next periodic heartbeat for its proof.
 	 */
 	if (first)
@@ -182,6 +203,52 @@
 	mh_link_close(m->k, conn);
 }
 
+/*
+ * Forgets a connection, which is closed already or by this.  What the peer has
+ * not reported is sent over the other one; if there is none, nothing is.
+ */
+static void
+end_conn(struct peer *p, struct peer_conn *c)
+{
+	drop_link(p->m, &c->id);
+	choose_conn(p);
+	mh_conn_resend(p, c);
+}
+
+static void
+peer_lost(struct peer *p, const char *why)
+{
+	struct mh_mesh *m = p->m;
+
+	mh_peer_log_lost(p, why);
+	mh_count(m->k, "peer_losses", 1);
+	p->ready = false;
+	p->can_read = false;
+	if (m->on_lost != NULL)
+		m->on_lost(m->on_lost_arg, p->node);
+}
+
+/*
+ * The peer has restarted, perhaps without a reset of its connections: what was
+ * sent to the process before is lost.  Its numbers begin again.
+ */
+static void
+new_process(struct peer *p, uint64_t incarnation)
+{
+	bool was_linked = p->used != NULL;
+
+	p->incarnation = incarnation;
+	p->probation_us = 0;
+	p->received_number = 0;
+	memset(p->received_bits, 0, sizeof(p->received_bits));
+	mh_conn_forget(&p->out);
+	mh_conn_forget(&p->in);
+	end_conn(p, &p->out);
+	end_conn(p, &p->in);
+	if (was_linked)
+		peer_lost(p, "restarted");
+}
+
 void
 mh_mesh_link_up(struct mh_mesh *m, const struct mh_link_msg *l)
 {
@@ -189,8 +256,11 @@
 	struct peer_conn *c = l->inbound ? &p->in : &p->out;
 	int64_t now = mh_now(m->k);
 
-	if (c->id != l->conn)
-		drop_link(m, &c->id);
+	if (p->incarnation != l->incarnation)
+		new_process(p, l->incarnation);
+	if (c->id == l->conn)
+		c->id = 0;
+	end_conn(p, c);
 	*c = (struct peer_conn) {
 		.id = l->conn, .recv_us = now, .sent_us = now
 	};
@@ -198,9 +268,6 @@
 		p->dial_conn = 0;
 	if (p->addr == NULL)
 		p->addr = g_strdup(l->addr);
-	if (p->incarnation != l->incarnation)
-		p->probation_us = 0; /* another process */
-	p->incarnation = l->incarnation;
 	p->last_recv_us = now;
 	p->oldest_start_us = INT64_MAX; /* until its first heartbeat */
 	if (p->started_us == 0)
@@ -208,6 +275,7 @@
 	p->last_request_us = 0;
 	p->requested = 0;
 	add_conn(m, l->conn, p);
+	choose_conn(p);
 	/*
 	 * The peer must not wait for our next periodic heartbeat to learn that
 	 * we can serve.
@@ -218,19 +286,6 @@
 		m->on_up(m->on_up_arg, p->node);
 }
 
-static void
-peer_lost(struct peer *p, const char *why)
-{
-	struct mh_mesh *m = p->m;
-
-	mh_peer_log_lost(p, why);
-	mh_count(m->k, "peer_losses", 1);
-	p->ready = false;
-	p->can_read = false;
-	if (m->on_lost != NULL)
-		m->on_lost(m->on_lost_arg, p->node);
-}
-
 /*
  * While all entries start together most dials fail at first. When these peers
  * counted as unreachable at once, each entry went on to the next of the order
@@ -242,6 +297,16 @@
 	p->unreachable = mh_now(p->m->k) - p->first_dial_us >= UNREACHABLE_US;
 }
 
+/* Ends the connection if it is that one, which is closed already. */
+static void
+end_if(struct peer *p, struct peer_conn *c, uint64_t conn)
+{
+	if (c->id != conn)
+		return;
+	c->id = 0;
+	end_conn(p, c);
+}
+
 void
 mh_mesh_link_down(struct mh_mesh *m, uint64_t conn)
 {
@@ -256,10 +321,8 @@
 	g_hash_table_remove(m->conns, &conn);
 	if (p->dial_conn == conn)
 		p->dial_conn = 0;
-	if (p->out.id == conn)
-		p->out.id = 0;
-	if (p->in.id == conn)
-		p->in.id = 0;
+	end_if(p, &p->out, conn);
+	end_if(p, &p->in, conn);
 	if (was_linked && mh_peer_link(p) == 0)
 		peer_lost(p, "closed");
 }
@@ -286,7 +349,7 @@
 	if (c->proven_us == 0)
 		note_dial_failed(p);
 	/* A new connection may work although this one has gone silent. */
-	drop_link(p->m, &c->id);
+	end_conn(p, c);
 	if (c == &p->out)
 		p->next_dial_us = mh_now(p->m->k);
 	if (mh_peer_link(p) != 0)
@@ -315,6 +378,7 @@
 {
 	check_link(p, &p->out);
 	check_link(p, &p->in);
+	choose_conn(p);
 	check_dial_timeout(p);
 }
 
--- a/lib/meshview.c
+++ b/lib/meshview.c
@@ -166,7 +166,7 @@
 	req.packed = true;
 	f.body_case = MH__FRAME__BODY_VIEW_ASK;
 	f.view_ask = &req;
-	mh_mesh_send_conn(m, mh_peer_link(p), &f);
+	mh_peer_send(p, &f);
 }
 
 /*
@@ -235,7 +235,7 @@
 	}
 	f.body_case = MH__FRAME__BODY_VIEW;
 	f.view = &v;
-	mh_mesh_send_conn(m, mh_peer_link(p), &f);
+	mh_peer_send(p, &f);
 	clear_reply(&s);
 }
 
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -4623,12 +4623,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "heartbeats",
+    "frames",
     15,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Mh__Beat, heartbeats),
+    offsetof(Mh__Beat, frames),
     NULL,
     NULL,
     0,             /* flags */
@@ -4641,7 +4641,7 @@
   11,   /* field[11] = entries_hash */
   10,   /* field[10] = entries_revision */
   9,   /* field[9] = evacuated_revision */
-  14,   /* field[14] = heartbeats */
+  14,   /* field[14] = frames */
   1,   /* field[1] = leaving */
   8,   /* field[8] = oldest_us */
   4,   /* field[4] = reads */
@@ -5920,7 +5920,7 @@
   (ProtobufCMessageInit) mh__poison__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__frame__field_descriptors[38] =
+static const ProtobufCFieldDescriptor mh__frame__field_descriptors[39] =
 {
   {
     "generation",
@@ -5946,6 +5946,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "number",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Frame, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "hello",
     10,
@@ -6380,51 +6392,52 @@
   },
 };
 static const unsigned mh__frame__field_indices_by_name[] = {
-  7,   /* field[7] = ack */
-  3,   /* field[3] = auth */
-  28,   /* field[28] = beat */
-  4,   /* field[4] = call */
-  8,   /* field[8] = cancel */
-  5,   /* field[5] = chunk */
-  19,   /* field[19] = config */
-  18,   /* field[18] = config_ask */
-  12,   /* field[12] = drain */
+  8,   /* field[8] = ack */
+  4,   /* field[4] = auth */
+  29,   /* field[29] = beat */
+  5,   /* field[5] = call */
+  9,   /* field[9] = cancel */
+  6,   /* field[6] = chunk */
+  20,   /* field[20] = config */
+  19,   /* field[19] = config_ask */
+  13,   /* field[13] = drain */
   0,   /* field[0] = generation */
-  23,   /* field[23] = grant */
-  22,   /* field[22] = grant_ask */
-  16,   /* field[16] = handover */
-  17,   /* field[17] = handover_ack */
-  2,   /* field[2] = hello */
-  31,   /* field[31] = job */
-  33,   /* field[33] = job_drop */
-  32,   /* field[32] = job_end */
-  36,   /* field[36] = job_step */
-  35,   /* field[35] = known */
+  24,   /* field[24] = grant */
+  23,   /* field[23] = grant_ask */
+  17,   /* field[17] = handover */
+  18,   /* field[18] = handover_ack */
+  3,   /* field[3] = hello */
+  32,   /* field[32] = job */
+  34,   /* field[34] = job_drop */
+  33,   /* field[33] = job_end */
+  37,   /* field[37] = job_step */
+  36,   /* field[36] = known */
   1,   /* field[1] = load */
-  13,   /* field[13] = lookup */
-  20,   /* field[20] = members */
-  21,   /* field[21] = members_ask */
-  24,   /* field[24] = order */
-  25,   /* field[25] = order_result */
-  14,   /* field[14] = outcomes */
-  15,   /* field[15] = owners */
-  10,   /* field[10] = ping */
-  37,   /* field[37] = poison */
-  11,   /* field[11] = pong */
-  6,   /* field[6] = result */
-  9,   /* field[9] = resume */
-  27,   /* field[27] = state */
-  26,   /* field[26] = state_ask */
-  34,   /* field[34] = suspect */
-  30,   /* field[30] = view */
-  29,   /* field[29] = view_ask */
+  14,   /* field[14] = lookup */
+  21,   /* field[21] = members */
+  22,   /* field[22] = members_ask */
+  2,   /* field[2] = number */
+  25,   /* field[25] = order */
+  26,   /* field[26] = order_result */
+  15,   /* field[15] = outcomes */
+  16,   /* field[16] = owners */
+  11,   /* field[11] = ping */
+  38,   /* field[38] = poison */
+  12,   /* field[12] = pong */
+  7,   /* field[7] = result */
+  10,   /* field[10] = resume */
+  28,   /* field[28] = state */
+  27,   /* field[27] = state_ask */
+  35,   /* field[35] = suspect */
+  31,   /* field[31] = view */
+  30,   /* field[30] = view_ask */
 };
 static const ProtobufCIntRange mh__frame__number_ranges[3 + 1] =
 {
   { 1, 0 },
-  { 10, 2 },
-  { 25, 16 },
-  { 0, 38 }
+  { 10, 3 },
+  { 25, 17 },
+  { 0, 39 }
 };
 const ProtobufCMessageDescriptor mh__frame__descriptor =
 {
@@ -6434,7 +6447,7 @@
   "Mh__Frame",
   "mh",
   sizeof(Mh__Frame),
-  38,
+  39,
   mh__frame__field_descriptors,
   mh__frame__field_indices_by_name,
   3,  mh__frame__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -591,9 +591,9 @@
    * received on this link, plus 1; 0: not reported
    */
   /*
-   * of these
+   * whole frames of these
    */
-  uint64_t heartbeats;
+  uint64_t frames;
 };
 #define MH__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__beat__descriptor) \
@@ -955,6 +955,10 @@
   ProtobufCMessage base;
   uint64_t generation;
   Mh__Load *load;
+  /*
+   * of the frames that one entry sends to another;
+   */
+  uint64_t number;
   Mh__Frame__BodyCase body_case;
   union {
     Mh__Hello *hello;
@@ -997,7 +1001,7 @@
 };
 #define MH__FRAME__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__frame__descriptor) \
-    , 0, NULL, MH__FRAME__BODY__NOT_SET, {0} }
+    , 0, NULL, 0, MH__FRAME__BODY__NOT_SET, {0} }
 
 
 /* Mh__Load methods */
--- a/regress/entries.c
+++ b/regress/entries.c
@@ -38,6 +38,7 @@
 
 	m->u.link.conn = conn;
 	m->u.link.inbound = inbound;
+	m->u.link.incarnation = peer->incarnation;
 	if (kind == MH_MSG_LINK_UP) {
 		m->u.link.vm = g_strdup(peer->node);
 		m->u.link.addr = g_strdup_printf("10.0.0.%u:1", peer->index);
@@ -544,6 +545,7 @@
 		v_entries, v_entries_hash, NULL, NULL, e };
 
 	e->links_opened = 0;
+	e->incarnation++;
 	e->k = mh_kern_create(e->index + 1);
 	mh_kern_advance(e->k, e->r->now_us, e->r->now_us);
 	if (!e->no_links)
--- a/regress/entries.h
+++ b/regress/entries.h
@@ -16,6 +16,7 @@
 	uint32_t index;
 	char node[8];
 	double weight;
+	uint64_t incarnation; /* number of starts */
 	GPtrArray *list; /* its list of entries; NULL: all */
 	struct mh_kern *k;
 	struct mh_mesh *m;
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -691,7 +691,103 @@
 	mrig_destroy(r);
 }
 
+/*
+ * Guards against stage work, and its results, that are lost with one connection
+ * of two.
+ */
+static void
+test_job_on_silent_connection(void)
+{
+	static const char *const pools[] = { "a", NULL };
+	static const enum mrig_loss kinds[] = { LOSES_BOTH, LOSES_TO_DIALER,
+		LOSES_FROM_DIALER };
+	const uint32_t pieces[] = { 2 };
+
+	for (size_t n = 0; n < G_N_ELEMENTS(kinds); n++) {
+		struct mrig *r = mrig_create();
+		struct ent all[ENTRIES] = { 0 };
+		struct mh_job *jobs[ENTRIES] = { NULL };
+		struct ment *coordinator;
+
+		for (uint32_t i = 0; i < ENTRIES; i++)
+			ent_create(&all[i], &r->e[i]);
+		mrig_run(r, 10 * S);
+		coordinator = mrig_agreed(r);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(coordinator);
+		for (uint32_t i = 0; i < ENTRIES; i++) {
+			struct mh_job *j =
+			    world_job(all[i].w, pools, pieces, 5 * S, 9 * S);
+
+			/* Only a pair with two connections keeps one. */
+			mrig_lose(coordinator, &r->e[i], kinds[n]);
+			j->slo_us = mh_now(r->e[i].k) + 5 * S;
+			j->deadline_us = mh_now(r->e[i].k) + 9 * S;
+			jobs[i] = j;
+			mh_broker_submit(all[i].b, j);
+		}
+		mrig_run(r, 3 * S);
+		CU_ASSERT_EQUAL(peer_losses(r), 0);
+		for (uint32_t i = 0; i < ENTRIES; i++) {
+			CU_ASSERT_EQUAL(all[i].ended, 1);
+			CU_ASSERT_EQUAL(all[i].done, 1);
+			mh_broker_drop(all[i].b, jobs[i]);
+			mh_job_destroy(jobs[i]);
+		}
+		mrig_run(r, 100 * MS);
+		for (uint32_t i = 0; i < ENTRIES; i++)
+			ent_destroy(&all[i]);
+		mrig_destroy(r);
+	}
+}
+
+/* Guards against waiting for a process that has restarted without a reset. */
+static void
+test_restart_without_reset(void)
+{
+	static const char *const pools[] = { "a", NULL };
+	const uint32_t pieces[] = { 2 };
+	struct mrig *r = mrig_create();
+	struct ent all[ENTRIES] = { 0 };
+	struct ment *coordinator, *requester;
+	struct mh_msg *up = mh_msg_new(MH_MSG_LINK_UP);
+	struct mh_job *j;
+	struct ent *e;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_create(&all[i], &r->e[i]);
+	mrig_run(r, 10 * S);
+	coordinator = mrig_agreed(r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(coordinator);
+	requester = &r->e[coordinator->index == 0];
+	e = &all[requester->index];
+	j = world_job(e->w, pools, pieces, 5 * S, 9 * S);
+	j->slo_us = mh_now(requester->k) + 5 * S;
+	j->deadline_us = mh_now(requester->k) + 9 * S;
+	coordinator->cut = true; /* what is sent to it is lost */
+	mh_broker_submit(e->b, j);
+	mrig_run(r, 20 * MS);
+	CU_ASSERT_EQUAL(mh_counter(requester->k, "jobs_moved"), 0);
+	up->u.link.conn = 1000000 + coordinator->index * 10 + requester->index;
+	up->u.link.inbound = true;
+	up->u.link.vm = g_strdup(coordinator->node);
+	up->u.link.addr = g_strdup("10.0.0.1:1");
+	up->u.link.incarnation = coordinator->incarnation + 1;
+	mh_post(requester->k, "hub", up);
+	mrig_run(r, 20 * MS);
+	CU_ASSERT_EQUAL(mh_counter(requester->k, "peer_losses"), 1);
+	CU_ASSERT_EQUAL(mh_counter(requester->k, "jobs_moved"), 1);
+	mh_broker_drop(e->b, j);
+	mh_job_destroy(j);
+	mrig_run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
+}
+
 const struct test tests_mesh[] = {
+	{ "mesh: a restart without a reset", test_restart_without_reset },
+	{ "mesh: stage work on a connection that is silent",
+	    test_job_on_silent_connection },
 	{ "mesh: one connection of two is silent", test_one_connection_silent },
 	{ "mesh: only dials are answered", test_only_dials_answered },
 	{ "mesh: a coordinator that flaps", test_flapping_coordinator },
