--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -691,7 +691,94 @@
 	mrig_destroy(r);
 }
 
+/** struct link_loss - what the connections of the coordinator lose. */
+struct link_loss {
+	enum mrig_loss dialled; /* those that it dialled */
+	enum mrig_loss accepted;
+	bool silent_dials;
+};
+
+/*
+ * Sends a job from each other entry to the coordinator as its connections begin
+ * to lose frames; returns how many jobs are not done within their aim.
+ */
+static uint32_t
+jobs_left(const struct link_loss *loss)
+{
+	static const char *const pools[] = { "a", NULL };
+	const uint32_t pieces[] = { 2 };
+	struct mrig *r = mrig_create();
+	struct ent all[ENTRIES] = { 0 };
+	struct mh_job *jobs[ENTRIES] = { NULL };
+	struct ment *coordinator;
+	uint32_t left = 0;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_create(&all[i], &r->e[i]);
+	mrig_run(r, 10 * S);
+	coordinator = mrig_agreed(r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(coordinator);
+	r->silent_dials = loss->silent_dials;
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		struct ment *m = &r->e[i];
+
+		if (m == coordinator)
+			continue;
+		mrig_lose(coordinator, m, loss->dialled);
+		mrig_lose(m, coordinator, loss->accepted);
+		jobs[i] = world_job(all[i].w, pools, pieces, 5 * S, 9 * S);
+		jobs[i]->slo_us = mh_now(m->k) + 5 * S;
+		jobs[i]->deadline_us = mh_now(m->k) + 9 * S;
+		mh_broker_submit(all[i].b, jobs[i]);
+	}
+	mrig_run(r, 5 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		if (jobs[i] == NULL)
+			continue;
+		left += all[i].done == 0;
+		mh_broker_drop(all[i].b, jobs[i]);
+		mh_job_destroy(jobs[i]);
+	}
+	mrig_run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
+	return left;
+}
+
+/*
+ * Guards against a job, or its results, that were sent on a connection that
+ * carries nothing, while the other connection of the pair works.
+ */
+static void
+test_job_on_silent_connection(void)
+{
+	static const struct link_loss losses[] = {
+		{ LOSES_NOTHING, LOSES_BOTH, false },
+		{ LOSES_NOTHING, LOSES_TO_DIALER, false },
+		{ LOSES_NOTHING, LOSES_FROM_DIALER, false },
+		{ LOSES_BOTH, LOSES_NOTHING, false },
+		{ LOSES_TO_DIALER, LOSES_NOTHING, false },
+		{ LOSES_FROM_DIALER, LOSES_NOTHING, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(losses); i++)
+		CU_ASSERT_EQUAL(jobs_left(&losses[i]), 0);
+}
+
+/* Guards against a job whose coordinator only answers dials from then on. */
+static void
+test_job_and_only_dials_answered(void)
+{
+	const struct link_loss loss = { LOSES_BOTH, LOSES_BOTH, true };
+
+	CU_ASSERT_EQUAL(jobs_left(&loss), 0);
+}
+
 const struct test tests_mesh[] = {
+	{ "mesh: a job on a silent connection", test_job_on_silent_connection },
+	{ "mesh: a job while only dials are answered",
+	    test_job_and_only_dials_answered },
 	{ "mesh: one connection of two is silent", test_one_connection_silent },
 	{ "mesh: only dials are answered", test_only_dials_answered },
 	{ "mesh: a coordinator that flaps", test_flapping_coordinator },
