Tests: confirmations in a circle, and a coordinator that restarts at once

Entries that no store answers confirm each other's configuration, and each takes its age for younger by the delay that the round trip, less a whole heartbeat interval, does not cover. Jobs of a coordinator that loses power and is back 0.4 s later end with their deadline: its new connection keeps it from being lost.

--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -775,7 +775,166 @@
 	CU_ASSERT_EQUAL(jobs_left(&loss), 0);
 }
 
+/** struct aged - an entry whose configuration only others confirm. */
+struct aged {
+	struct ment *m;
+	int64_t conf_at_us; /* when the store confirmed it, as far as known */
+};
+
+static uint64_t
+aged_revision(void *arg)
+{
+	(void)arg;
+	return 1;
+}
+
+static int64_t
+aged_rows_age(void *arg)
+{
+	(void)arg;
+	return 0;
+}
+
+static void
+aged_rows_unchanged(void *arg, int64_t age_us)
+{
+	(void)arg;
+	(void)age_us;
+}
+
+static bool
+aged_yes(void *arg)
+{
+	(void)arg;
+	return true;
+}
+
+static int64_t
+aged_conf_age(void *arg)
+{
+	struct aged *a = arg;
+
+	return mh_now(a->m->k) - a->conf_at_us;
+}
+
+static void
+aged_conf_unchanged(void *arg, int64_t age_us)
+{
+	struct aged *a = arg;
+
+	a->conf_at_us = MAX(a->conf_at_us, mh_now(a->m->k) - age_us);
+}
+
+static void
+aged_begin(struct aged *a, struct ment *m)
+{
+	struct mh_mesh_view v = { .conf_revision = aged_revision,
+		.rows_revision = aged_revision,
+		.rows_age_us = aged_rows_age,
+		.rows_unchanged = aged_rows_unchanged,
+		.ready = aged_yes,
+		.can_read = aged_yes,
+		.conf_age_us = aged_conf_age,
+		.conf_unchanged = aged_conf_unchanged,
+		.arg = a };
+
+	a->m = m;
+	a->conf_at_us = mh_now(m->k);
+	mh_mesh_set_view(m->m, &v);
+}
+
+/* How much later than in truth any entry says that the store confirmed it. */
+static int64_t
+conf_too_young_us(int64_t delay_us)
+{
+	struct mrig *r = mrig_create();
+	struct aged all[ENTRIES];
+	int64_t last_us, worst = 0;
+
+	/* Their heartbeats are apart by less than an interval. */
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		mrig_run(r, 70 * MS);
+		mh_kern_destroy(r->e[i].k);
+		mrig_start(&r->e[i]);
+		r->e[i].delay_us = delay_us;
+	}
+	mrig_run(r, 6 * S);
+	last_us = r->now_us;
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		aged_begin(&all[i], &r->e[i]);
+	mrig_run(r, 6 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		worst = MAX(worst, all[i].conf_at_us - last_us);
+	mrig_destroy(r);
+	return worst;
+}
+
+/*
+ * Guards against entries that keep a configuration in force by confirming it to
+ * each other, though the store confirmed it to none.
+ */
+static void
+test_conf_confirmed_in_a_circle(void)
+{
+	for (int64_t delay = 0; delay <= 200 * MS; delay += 20 * MS)
+		CU_ASSERT_EQUAL(conf_too_young_us(delay), 0);
+}
+
+/*
+ * Guards against jobs of a coordinator that restarts without a reset before its
+ * connections have been silent for long enough.
+ */
+static void
+test_job_and_quick_restart(void)
+{
+	static const char *const pools[] = { "a", NULL };
+	const uint32_t pieces[] = { 2 };
+	struct mrig *r = mrig_create();
+	struct ent all[ENTRIES] = { 0 };
+	struct mh_job *jobs[ENTRIES] = { NULL };
+	struct ment *coordinator;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_create(&all[i], &r->e[i]);
+	mrig_run(r, 10 * S);
+	coordinator = mrig_agreed(r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(coordinator);
+	coordinator->powered_off = true;
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		struct ment *m = &r->e[i];
+
+		if (m == coordinator)
+			continue;
+		jobs[i] = world_job(all[i].w, pools, pieces, 5 * S, 9 * S);
+		jobs[i]->slo_us = mh_now(m->k) + 5 * S;
+		jobs[i]->deadline_us = mh_now(m->k) + 9 * S;
+		mh_broker_submit(all[i].b, jobs[i]);
+	}
+	mrig_run(r, 400 * MS);
+	ent_destroy(&all[coordinator->index]);
+	mh_kern_destroy(coordinator->k);
+	coordinator->powered_off = false;
+	mrig_start(coordinator);
+	ent_create(&all[coordinator->index], coordinator);
+	mrig_run(r, 4600 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		if (jobs[i] == NULL)
+			continue;
+		CU_ASSERT_EQUAL(all[i].done, 1);
+		mh_broker_drop(all[i].b, jobs[i]);
+		mh_job_destroy(jobs[i]);
+	}
+	mrig_run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
+}
+
 const struct test tests_mesh[] = {
+	{ "mesh: a configuration confirmed in a circle",
+	    test_conf_confirmed_in_a_circle },
+	{ "mesh: a job whose coordinator restarts at once",
+	    test_job_and_quick_restart },
 	{ "mesh: a job on a silent connection", test_job_on_silent_connection },
 	{ "mesh: a job while only dials are answered",
 	    test_job_and_only_dials_answered },
