Tests: an outdated heartbeat, and silence at a start

Heartbeats come over both connections of a pair, so one that was sent earlier may arrive later over the slower one, and a peer that said that it leaves is chosen again. The 3 s is the time that another test here gives after a cut.

--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -930,7 +930,98 @@
 	mrig_destroy(r);
 }
 
+static void
+post_to_mesh(
+    struct mh_kern *k, enum mh_msg_kind kind, uint64_t conn, const Mh__Beat *b)
+{
+	struct mh_msg *m = mh_msg_new(kind);
+	Mh__Frame f = MH__FRAME__INIT;
+
+	m->u.link.conn = conn;
+	m->u.link.inbound = conn == 2;
+	if (kind == MH_MSG_LINK_UP) {
+		m->u.link.vm = g_strdup("b");
+		m->u.link.addr = g_strdup("10.0.0.2:1");
+	} else {
+		f.body_case = MH__FRAME__BODY_BEAT;
+		f.beat = (Mh__Beat *)(uintptr_t)b;
+		m->u.link.frame = mh_frame_pack(&f);
+	}
+	mh_post(k, "hub", m);
+}
+
+/*
+ * Guards against what a peer said earlier, on the slower of two connections,
+ * replacing what it has said since.
+ */
+static void
+test_outdated_heartbeat(void)
+{
+	struct mh_kern *k = mh_kern_create(1);
+	struct mh_mesh *m;
+	Mh__Beat b = MH__BEAT__INIT;
+
+	mh_kern_advance(k, S, S);
+	m = mh_mesh_create(k, "a", 0.001);
+	post_to_mesh(k, MH_MSG_LINK_UP, 1, NULL);
+	post_to_mesh(k, MH_MSG_LINK_UP, 2, NULL);
+	b.ready = b.reads = true;
+	b.weight = 1000000;
+	b.uptime_us = 60 * S;
+	b.received = 1;
+	post_to_mesh(k, MH_MSG_FRAME, 1, &b);
+	post_to_mesh(k, MH_MSG_FRAME, 2, &b);
+	b.received = 2;
+	b.uptime_us += 250 * MS;
+	post_to_mesh(k, MH_MSG_FRAME, 1, &b);
+	mh_kern_advance(k, S + 100 * MS, S + 100 * MS);
+	CU_ASSERT_STRING_EQUAL(mh_mesh_coordinator(m, "stage-work"), "b");
+	b.leaving = true;
+	b.received = 3;
+	b.uptime_us += 250 * MS;
+	post_to_mesh(k, MH_MSG_FRAME, 1, &b);
+	mh_kern_advance(k, S + 200 * MS, S + 200 * MS);
+	CU_ASSERT_STRING_EQUAL(mh_mesh_coordinator(m, "stage-work"), "a");
+	/* Sent before the last one. */
+	b.leaving = false;
+	b.received = 2;
+	b.uptime_us -= 250 * MS;
+	post_to_mesh(k, MH_MSG_FRAME, 2, &b);
+	mh_kern_advance(k, S + 300 * MS, S + 300 * MS);
+	CU_ASSERT_STRING_EQUAL(mh_mesh_coordinator(m, "stage-work"), "a");
+	mh_kern_destroy(k);
+}
+
+/*
+ * Guards against entries that count none of the others as alive, though all
+ * links work, since links were silent for a moment some times after a start.
+ */
+static void
+test_alive_after_silence_at_start(void)
+{
+	struct mrig *r = mrig_create();
+	uint32_t alone = 0;
+
+	for (int n = 0; n < 4; n++) {
+		mrig_run(r, 2 * S);
+		for (uint32_t i = 0; i < ENTRIES; i++)
+			r->e[i].cut = true;
+		mrig_run(r, 1200 * MS);
+		for (uint32_t i = 0; i < ENTRIES; i++)
+			r->e[i].cut = false;
+	}
+	mrig_run(r, 3 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		alone += !mh_mesh_is_alive(r->e[i].m, NULL);
+	CU_ASSERT_EQUAL(alone, 0);
+	CU_ASSERT_PTR_NOT_NULL(mrig_agreed(r));
+	mrig_destroy(r);
+}
+
 const struct test tests_mesh[] = {
+	{ "mesh: an outdated heartbeat", test_outdated_heartbeat },
+	{ "mesh: alive after silence at a start",
+	    test_alive_after_silence_at_start },
 	{ "mesh: a configuration confirmed in a circle",
 	    test_conf_confirmed_in_a_circle },
 	{ "mesh: a job whose coordinator restarts at once",
