--- a/regress/entries.c
+++ b/regress/entries.c
@@ -70,6 +70,32 @@
 	return v != NULL ? *v : id;
 }
 
+/** struct flight - a frame that has not arrived completely. */
+struct flight {
+	struct ment *from;
+	struct ment *to;
+	uint64_t conn; /* the receiver's */
+	GBytes *frame;
+	int64_t first_us; /* arrival of its first byte */
+	int64_t at_us;
+};
+
+/* Drops the frames in flight with the connection. */
+static void
+drop_in_flight(struct ment *to, uint64_t conn)
+{
+	GPtrArray *all = to->r->in_flight;
+
+	for (guint i = 0; i < all->len;) {
+		const struct flight *w = g_ptr_array_index(all, i);
+
+		if (w->to == to && w->conn == conn)
+			g_ptr_array_remove_index(all, i);
+		else
+			i++;
+	}
+}
+
 /** struct opening - a dial that is not connected yet. */
 struct opening {
 	struct link *l;
@@ -90,6 +116,8 @@
 	    g_memdup2(&dialled, sizeof(dialled)));
 	e->links_opened++;
 	e->r->lost[e->index][to->index] = LOSES_NOTHING;
+	/* It has the id of the one before, not its frames. */
+	drop_in_flight(to, mirror(id));
 	post_link(e, MH_MSG_LINK_UP, dialled, to, false, NULL);
 	post_link(to, MH_MSG_LINK_UP, mirror(id), e, true, NULL);
 }
@@ -185,16 +213,6 @@
 	return lost;
 }
 
-/** struct flight - a frame that has not arrived completely. */
-struct flight {
-	struct ment *from;
-	struct ment *to;
-	uint64_t conn; /* the receiver's */
-	GBytes *frame;
-	int64_t first_us; /* arrival of its first byte */
-	int64_t at_us;
-};
-
 static void
 free_flight(void *arg)
 {
@@ -252,22 +270,6 @@
 	}
 }
 
-/* Drops the frames in flight with the connection. */
-static void
-drop_in_flight(struct ment *to, uint64_t conn)
-{
-	GPtrArray *all = to->r->in_flight;
-
-	for (guint i = 0; i < all->len;) {
-		const struct flight *w = g_ptr_array_index(all, i);
-
-		if (w->to == to && w->conn == conn)
-			g_ptr_array_remove_index(all, i);
-		else
-			i++;
-	}
-}
-
 /* The dialer's index of a connection id. */
 static uint32_t
 dialer_of(uint64_t conn)
