Mesh: entries that confirm each other's configuration grow no younger

What callers saw: nothing; found by review.

Cause: the age that a peer announces was taken as that at its arrival, less a round trip from which a whole heartbeat interval was taken off. Two entries that no store answers then confirm their configuration to each other, some milliseconds younger each time, for good: the bound on its age never acts.

Class: an age was received without the time that it was under way.

Ruled out: the measured round trip alone: it is that of another heartbeat.

Change: an announced age counts from when we sent the latest heartbeat that the same frame reports, the earliest moment at which the peer can have said it. It is older than the truth by an interval and a round trip at most, never younger. The same for rows, and for peers that read for others.

--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -178,10 +178,9 @@
 		return;
 	b->received = c->received + 1;
 	b->frames = c->frames_in;
-	if (c->timed_frame == 0) {
-		c->timed_frame = c->frames_out + 1;
-		c->timed_us = mh_now(m->k);
-	}
+	c->sent[c->n_sent++ % HEARTBEATS_TIMED] =
+	    (struct sent_heartbeat) { .frame = c->frames_out + 1,
+		    .at_us = mh_now(m->k) };
 	f.body_case = MH__FRAME__BODY_BEAT;
 	f.beat = b;
 	mh_conn_send(m, c, &f);
@@ -216,6 +215,8 @@
 	int64_t oldest = starts_drain ? mh_mesh_oldest_start_us(m) : 0;
 
 	mh_peer_note_heartbeat(p, c, b);
+	p->uptime_us = b->uptime_us;
+	p->heartbeat_us = b->received == 0 ? mh_now(m->k) : c->reported_us;
 	p->ready = b->ready;
 	p->can_read = b->reads;
 	p->conf_revision = b->conf_revision;
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -8,6 +8,15 @@
 /* Numbered frames that are known as received or not; a multiple of 64. */
 #define NUMBERS_KEPT 4096
 
+/* Heartbeats under way at most, with a delay of some seconds. */
+#define HEARTBEATS_TIMED 32
+
+/** struct sent_heartbeat - when a heartbeat was sent. */
+struct sent_heartbeat {
+	uint64_t frame; /* its place among the frames of the connection */
+	int64_t at_us;
+};
+
 /** struct peer_conn - an open connection to a peer. */
 struct peer_conn {
 	uint64_t id; /* 0: none */
@@ -19,9 +28,10 @@
 	int64_t proven_us; /* when the peer first had a frame of ours; 0: not */
 	uint64_t frames_in; /* whole frames that came */
 	uint64_t frames_out;
-	uint64_t timed_frame; /* number of a heartbeat that is timed; 0: none */
-	int64_t timed_us; /* when it was sent */
-	int64_t reported_us; /* time until the last one timed was reported */
+	/* the last heartbeats sent, a ring */
+	struct sent_heartbeat sent[HEARTBEATS_TIMED];
+	uint32_t n_sent; /* in all */
+	int64_t reported_us; /* when the last one reported was sent; 0: none */
 	GQueue unreported; /* struct unreported, the oldest first */
 };
 
@@ -42,6 +52,8 @@
 	bool want_link; /* we keep a link to it */
 	double rank; /* in the order that is being computed */
 	int64_t started_us; /* on our clock */
+	uint64_t uptime_us; /* on its own, when it sent the latest heartbeat */
+	int64_t heartbeat_us; /* no later than that; 0: not known */
 	int64_t oldest_start_us; /* its earliest start of a serving entry */
 	uint64_t dial_conn; /* connection being opened, 0: none */
 	struct peer_conn out; /* the connection that we opened */
@@ -162,10 +174,10 @@
  */
 struct peer_conn *mh_peer_note_received(struct peer *p, uint64_t conn);
 /**
- * mh_peer_round_trip_us() - about how late the words of @p are at the most,
- * over the link that is used; 0 if it is an earlier version.
+ * mh_peer_late_us() - time since the peer sent its latest heartbeat, at the
+ * most; INT64_MAX: not known.
  */
-int64_t mh_peer_round_trip_us(const struct peer *p);
+int64_t mh_peer_late_us(const struct peer *p);
 /** mh_peer_note_part() - records part of a large frame. */
 void mh_peer_note_part(struct peer *p, uint64_t conn);
 /** mh_peer_note_heartbeat() - takes what a heartbeat proves about @c. */
--- a/lib/meshlink.c
+++ b/lib/meshlink.c
@@ -37,7 +37,7 @@
 #define UNREACHABLE_US (1 * MH_US_PER_S)
 /*
  * A peer that goes silent again within STEADY_US of its last proof counts as
- * alive only after its link has worked for a while, twice as long each time.
+ * alive only after its link has worked for a while.
  */
 #define STEADY_US (10 * MH_US_PER_S)
 #define PROBATION_US SILENT_US
@@ -108,15 +108,25 @@
 	return is_proven(p, &p->out) || is_proven(p, &p->in);
 }
 
+/*
+ * The peer sent it after it had received the heartbeat of ours that it reports.
+ * An earlier version reports none; what it sends is taken for just sent.
+ */
 int64_t
-mh_peer_round_trip_us(const struct peer *p)
+mh_peer_late_us(const struct peer *p)
 {
-	const struct peer_conn *c = p->used;
-	int64_t us = c == NULL ? 0 : c->reported_us;
+	return p->heartbeat_us == 0 ? INT64_MAX
+				    : mh_now(p->m->k) - p->heartbeat_us;
+}
 
-	if (c != NULL && c->timed_frame != 0)
-		us = MAX(us, mh_now(p->m->k) - c->timed_us);
-	return MAX(us - HEARTBEAT_US, 0);
+static void
+note_reported(struct peer_conn *c, uint64_t frames)
+{
+	for (uint32_t i = 0; i < MIN(c->n_sent, HEARTBEATS_TIMED); i++) {
+		if (c->sent[i].frame <= frames)
+			c->reported_us = MAX(c->reported_us, c->sent[i].at_us);
+	}
+	mh_conn_reported(c, frames);
 }
 
 /* Frames of an earlier version count as proof of both directions. */
@@ -129,15 +139,10 @@
 
 	c->has_heartbeat = true;
 	c->peer_received = b->received;
-	if (b->received == 0) { /* it counts none */
-		c->timed_frame = 0;
-		mh_conn_forget(c);
-	}
-	if (c->timed_frame != 0 && b->frames >= c->timed_frame) {
-		c->reported_us = now - c->timed_us;
-		c->timed_frame = 0;
-	}
-	mh_conn_reported(c, b->frames);
+	if (b->received == 0)
+		mh_conn_forget(c); /* it counts none */
+	else
+		note_reported(c, b->frames);
 	if (grown || b->received == 0)
 		c->sent_us = now;
 	if ((grown || b->received == 0) && c->proven_us == 0) {
@@ -211,6 +216,7 @@
 end_conn(struct peer *p, struct peer_conn *c)
 {
 	drop_link(p->m, &c->id);
+	c->proven_us = 0;
 	choose_conn(p);
 	mh_conn_resend(p, c);
 }
@@ -239,6 +245,8 @@
 
 	p->incarnation = incarnation;
 	p->probation_us = 0;
+	p->uptime_us = 0;
+	p->heartbeat_us = 0;
 	p->received_number = 0;
 	memset(p->received_bits, 0, sizeof(p->received_bits));
 	mh_conn_forget(&p->out);
@@ -249,6 +257,19 @@
 		peer_lost(p, "restarted");
 }
 
+static void
+start_probation(struct peer *p, int64_t proven_us)
+{
+	bool steady =
+	    proven_us != 0 && mh_now(p->m->k) - proven_us >= STEADY_US;
+
+	if (steady)
+		p->probation_us = 0;
+	else
+		p->probation_us =
+		    CLAMP(2 * p->probation_us, PROBATION_US, PROBATION_MAX_US);
+}
+
 void
 mh_mesh_link_up(struct mh_mesh *m, const struct mh_link_msg *l)
 {
@@ -327,26 +348,15 @@
 		peer_lost(p, "closed");
 }
 
-static void
-start_probation(struct peer *p, int64_t proven_us)
-{
-	bool steady =
-	    proven_us != 0 && mh_now(p->m->k) - proven_us >= STEADY_US;
-
-	if (steady)
-		p->probation_us = 0;
-	else
-		p->probation_us =
-		    CLAMP(2 * p->probation_us, PROBATION_US, PROBATION_MAX_US);
-}
-
 static void
 check_link(struct peer *p, struct peer_conn *c)
 {
+	int64_t proven_us = c->proven_us;
+
 	if (c->id == 0 || works(p, c))
 		return;
 	mh_peer_log_silent(p, c);
-	if (c->proven_us == 0)
+	if (proven_us == 0)
 		note_dial_failed(p);
 	/* A new connection may work although this one has gone silent. */
 	end_conn(p, c);
@@ -354,7 +364,7 @@
 		p->next_dial_us = mh_now(p->m->k);
 	if (mh_peer_link(p) != 0)
 		return;
-	start_probation(p, c->proven_us);
+	start_probation(p, proven_us);
 	peer_lost(p, "silent");
 }
 
--- a/lib/meshorder.c
+++ b/lib/meshorder.c
@@ -25,8 +25,11 @@
  * cut off or die unnoticed.
  */
 #define READERS 2
-/* What a reader announces must arrive within this time. */
-#define READER_ROUND_TRIP_US (1 * MH_US_PER_S)
+/*
+ * What a reader says must be no older, with the interval of our heartbeats and
+ * of its own.
+ */
+#define READER_LATE_US (1500 * MH_US_PER_MS)
 /*
  * Entries that poll a platform which answers nobody. With all 68 entries
  * polling, a day with a 14 s outage took 7,784 calls, counted by the platform;
@@ -276,7 +279,7 @@
 static bool
 reads_in_time(const struct peer *p)
 {
-	return p->can_read && mh_peer_round_trip_us(p) < READER_ROUND_TRIP_US;
+	return p->can_read && mh_peer_late_us(p) < READER_LATE_US;
 }
 
 bool
--- a/lib/meshview.c
+++ b/lib/meshview.c
@@ -101,18 +101,25 @@
 }
 
 /*
- * What has the revisions that we have was confirmed by the store when the peer
- * says, as far as a round trip ago.
+ * A peer with the revisions that we have says how long ago the store confirmed
+ * them.  It may have said so a while ago; counted from the earliest moment at
+ * which it can have, entries that confirm each other grow no younger.
  */
 static void
-note_conf_confirmed(struct mh_mesh *m, const struct peer *p, const Mh__Beat *b)
+note_confirmed(struct mh_mesh *m, const struct peer *p, const Mh__Beat *b)
 {
-	if (b->conf_age_us == 0 || m->view.conf_unchanged == NULL ||
-	    b->conf_revision != m->view.conf_revision(m->view.arg) ||
-	    b->evacuated_revision > mh_mesh_evacuated_revision(m))
+	int64_t late_us = mh_peer_late_us(p);
+
+	if (late_us == INT64_MAX)
 		return;
-	m->view.conf_unchanged(m->view.arg,
-	    (int64_t)(b->conf_age_us - 1) + mh_peer_round_trip_us(p));
+	if (b->rows_revision == m->view.rows_revision(m->view.arg))
+		m->view.rows_unchanged(
+		    m->view.arg, (int64_t)b->rows_age_us + late_us);
+	if (b->conf_age_us != 0 && m->view.conf_unchanged != NULL &&
+	    b->conf_revision == m->view.conf_revision(m->view.arg) &&
+	    b->evacuated_revision <= mh_mesh_evacuated_revision(m))
+		m->view.conf_unchanged(
+		    m->view.arg, (int64_t)(b->conf_age_us - 1) + late_us);
 }
 
 /*
@@ -129,10 +136,7 @@
 	if (m->view.conf_revision == NULL)
 		return;
 	note_conf_revision(m, b->conf_revision);
-	note_conf_confirmed(m, p, b);
-	if (b->rows_revision == m->view.rows_revision(m->view.arg))
-		m->view.rows_unchanged(m->view.arg,
-		    (int64_t)b->rows_age_us + mh_peer_round_trip_us(p));
+	note_confirmed(m, p, b);
 	if (now - p->last_request_us < RETRY_US && p->last_request_us != 0)
 		return;
 	req.conf = b->conf_revision > m->view.conf_revision(m->view.arg) &&
