Mesh: an outdated heartbeat changes nothing

What callers saw: nothing; found by review.

Cause: heartbeats come over both connections of a pair. One that was sent earlier may arrive later over the slower connection, and a peer that said that it leaves, or reads, or has rows, is again what it was.

Change: a heartbeat with a lower uptime than the last still proves its connection; what it says is ignored.

Evidence: mesh: an outdated heartbeat fails before (the leaving peer is chosen as the coordinator), passes after.

Conclusion: order between connections no longer matters for heartbeats; numbered frames keep to one connection.

--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -215,6 +215,9 @@
 	int64_t oldest = starts_drain ? mh_mesh_oldest_start_us(m) : 0;
 
 	mh_peer_note_heartbeat(p, c, b);
+	/* It came over the slower of two connections. */
+	if (b->uptime_us < p->uptime_us)
+		return;
 	p->uptime_us = b->uptime_us;
 	p->heartbeat_us = b->received == 0 ? mh_now(m->k) : c->reported_us;
 	p->ready = b->ready;
