Mesh: a peer whose links are reset again and again is on probation too

What callers saw: nothing; found by review.

Cause: only silence started a probation. A coordinator whose links are reset each second was chosen in between, each time; and an inbound connection that never carried a frame made a peer unreachable that was never dialled.

Change: a link that ends within 10 s of its proof, however, starts it; one that was never proven doesn't, as a peer without proof has no role anyway. A peer that was never dialled isn't unreachable.

The rig: a connection of an earlier process is reset by the new one.

Evidence: mesh: a coordinator that flaps, now with resets each second too, failed before, passes.

Conclusion: one rule for every end of a link.

--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -17,7 +17,12 @@
 	int64_t at_us;
 };
 
-/** struct peer_conn - an open connection to a peer. */
+/**
+ * struct peer_conn - an open connection to a peer.
+ *
+ * Both ends count from its opening.  Counts are sent plus 1, since 0 means that
+ * an earlier version sent none.
+ */
 struct peer_conn {
 	uint64_t id; /* 0: none */
 	int64_t recv_us; /* when bytes last arrived, or when it opened */
--- a/lib/meshlink.c
+++ b/lib/meshlink.c
@@ -36,8 +36,8 @@
 /* The order skips an entry that has been unreachable for this long. */
 #define UNREACHABLE_US (1 * MH_US_PER_S)
 /*
- * A peer that goes silent again within STEADY_US of its last proof counts as
- * alive only after its link has worked for a while.
+ * A peer whose link ends within STEADY_US of its proof counts as alive only
+ * after the next one has worked for a while.
  */
 #define STEADY_US (10 * MH_US_PER_S)
 #define PROBATION_US (2 * SILENT_US)
@@ -221,12 +221,23 @@
 }
 
 static void
-peer_lost(struct peer *p, const char *why)
+start_probation(struct peer *p, int64_t proven_us)
+{
+	bool steady = mh_now(p->m->k) - proven_us >= STEADY_US;
+
+	p->probation_us = steady ? 0 : PROBATION_US;
+}
+
+/* @proven_us: when its last connection was proven; 0: it was not */
+static void
+peer_lost(struct peer *p, const char *why, int64_t proven_us)
 {
 	struct mh_mesh *m = p->m;
 
 	mh_peer_log_lost(p, why);
 	mh_count(m->k, "peer_losses", 1);
+	if (proven_us != 0)
+		start_probation(p, proven_us);
 	p->ready = false;
 	p->can_read = false;
 	if (m->on_lost != NULL)
@@ -243,7 +254,6 @@
 	bool was_linked = p->used != NULL;
 
 	p->incarnation = incarnation;
-	p->probation_us = 0;
 	p->uptime_us = 0;
 	p->heartbeat_us = 0;
 	p->received_number = 0;
@@ -253,16 +263,8 @@
 	end_conn(p, &p->out);
 	end_conn(p, &p->in);
 	if (was_linked)
-		peer_lost(p, "restarted");
-}
-
-static void
-start_probation(struct peer *p, int64_t proven_us)
-{
-	bool steady =
-	    proven_us != 0 && mh_now(p->m->k) - proven_us >= STEADY_US;
-
-	p->probation_us = steady ? 0 : PROBATION_US;
+		peer_lost(p, "restarted", 0);
+	p->probation_us = 0;
 }
 
 void
@@ -313,7 +315,8 @@
 static void
 note_dial_failed(struct peer *p)
 {
-	p->unreachable = mh_now(p->m->k) - p->first_dial_us >= UNREACHABLE_US;
+	p->unreachable = p->first_dial_us != 0 &&
+	    mh_now(p->m->k) - p->first_dial_us >= UNREACHABLE_US;
 }
 
 /* Ends the connection if it is that one, which is closed already. */
@@ -330,10 +333,12 @@
 mh_mesh_link_down(struct mh_mesh *m, uint64_t conn)
 {
 	struct peer *p = g_hash_table_lookup(m->conns, &conn);
+	int64_t proven_us;
 	bool was_linked;
 
 	if (p == NULL)
 		return;
+	proven_us = MAX(p->out.proven_us, p->in.proven_us);
 	was_linked = mh_peer_link(p) != 0;
 	if (!was_linked)
 		note_dial_failed(p);
@@ -343,7 +348,7 @@
 	end_if(p, &p->out, conn);
 	end_if(p, &p->in, conn);
 	if (was_linked && mh_peer_link(p) == 0)
-		peer_lost(p, "closed");
+		peer_lost(p, "closed", proven_us);
 }
 
 static void
@@ -362,8 +367,7 @@
 		p->next_dial_us = mh_now(p->m->k);
 	if (mh_peer_link(p) != 0)
 		return;
-	start_probation(p, proven_us);
-	peer_lost(p, "silent");
+	peer_lost(p, "silent", proven_us);
 }
 
 static void
--- a/lib/meshlog.c
+++ b/lib/meshlog.c
@@ -63,7 +63,6 @@
 mh_peer_log_flaps(struct peer *p)
 {
 	int64_t now = mh_now(p->m->k);
-
 	bool flaps = p->losses > FLAP_LOSSES || p->ups > FLAP_UPS ||
 	    p->silent_links > FLAP_LOSSES;
 
--- a/regress/entries.c
+++ b/regress/entries.c
@@ -298,6 +298,13 @@
 	return false;
 }
 
+/* Whether @to opened the connection in an earlier process. */
+static bool
+is_forgotten(const struct link *to, uint64_t id)
+{
+	return id < 1000000 && !g_hash_table_contains(to->dial_ids, &id);
+}
+
 static void
 link_handle(void *self, struct mh_msg *msg)
 {
@@ -319,6 +326,11 @@
 		tl = mh_kern_get(to->k, "link");
 		if (tl == NULL)
 			break;
+		if (is_forgotten(tl, mirror(id))) {
+			post_link(
+			    e, MH_MSG_LINK_DOWN, m->conn, to, false, NULL);
+			break;
+		}
 		deliver(e, to, to_dial_id(tl, mirror(id)), m->frame);
 		break;
 	case MH_MSG_LINK_CLOSE:
@@ -329,8 +341,9 @@
 		drop_in_flight(e, m->conn);
 		if (tl != NULL)
 			drop_in_flight(to, to_dial_id(tl, mirror(id)));
-		if (tl != NULL && !e->cut && !to->cut && !to->down &&
-		    !to->powered_off && !loses(e, to, id))
+		if (tl != NULL && !is_forgotten(tl, mirror(id)) && !e->cut &&
+		    !to->cut && !to->down && !to->powered_off &&
+		    !loses(e, to, id))
 			post_link(to, MH_MSG_LINK_DOWN,
 			    to_dial_id(tl, mirror(id)), e, false, NULL);
 		break;
@@ -557,6 +570,18 @@
 	mh_mesh_set_members(e->m, e->list != NULL ? e->list : e->r->members);
 }
 
+void
+mrig_reset(struct ment *from, struct ment *to)
+{
+	struct link *l = mh_kern_get(from->k, "link");
+	uint64_t id = from->index * 10 + to->index;
+
+	if (g_hash_table_lookup(l->dial_ids, &id) == NULL)
+		return; /* it never dialled */
+	post_link(from, MH_MSG_LINK_DOWN, to_dial_id(l, id), to, false, NULL);
+	post_link(to, MH_MSG_LINK_DOWN, mirror(id), from, true, NULL);
+}
+
 void
 mrig_lose(struct ment *from, struct ment *to, enum mrig_loss loss)
 {
--- a/regress/entries.h
+++ b/regress/entries.h
@@ -77,6 +77,8 @@
  * new ones work.
  */
 void mrig_lose(struct ment *from, struct ment *to, enum mrig_loss loss);
+/** mrig_reset() - resets the open connection that @from dialled to @to. */
+void mrig_reset(struct ment *from, struct ment *to);
 struct mrig *mrig_create(void);
 void mrig_destroy(struct mrig *r);
 /** mrig_start() - starts the process of an entry, with a kernel of its own. */
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -664,9 +664,20 @@
 	mrig_destroy(r);
 }
 
-/* Guards against stage work that moves each second, with its coordinator. */
 static void
-test_flapping_coordinator(void)
+reset_all(struct mrig *r, struct ment *from)
+{
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		if (&r->e[i] == from)
+			continue;
+		mrig_reset(from, &r->e[i]);
+		mrig_reset(&r->e[i], from);
+	}
+}
+
+/* The links of the coordinator end again and again, each @period_us. */
+static void
+flap(bool reset, int64_t period_us)
 {
 	struct mrig *r = mrig_create();
 	struct ment *coordinator;
@@ -676,8 +687,11 @@
 	coordinator = mrig_agreed(r);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(coordinator);
 	for (int t = 0; t < 20; t++) {
-		lose_all(r, coordinator, LOSES_BOTH, true);
-		for (int n = 0; n < 25; n++) {
+		if (reset)
+			reset_all(r, coordinator);
+		else
+			lose_all(r, coordinator, LOSES_BOTH, true);
+		for (int64_t us = 0; us < period_us; us += 100 * MS) {
 			mrig_run(r, 100 * MS);
 			for (uint32_t i = 0; t >= 4 && i < ENTRIES; i++)
 				chosen += &r->e[i] != coordinator &&
@@ -691,6 +705,14 @@
 	mrig_destroy(r);
 }
 
+/* Guards against stage work that moves each second, with its coordinator. */
+static void
+test_flapping_coordinator(void)
+{
+	flap(false, 2500 * MS);
+	flap(true, 1000 * MS);
+}
+
 /** struct link_loss - what the connections of the coordinator lose. */
 struct link_loss {
 	enum mrig_loss dialled; /* those that it dialled */
