Tests: jobs whose coordinator alone has lost their entry

FAILS: "mesh: jobs of a peer that one side alone has lost", 8 of 9 cases (entries started 30 to 240 ms apart; 0 ms passes).

A request waits until its deadline: its job is never answered and never moved to another coordinator.

All connections of the coordinator fall silent, new ones work, as after a cut of about a second. The coordinator finds them silent first, loses the peer, drops the jobs of that peer and dials again. The requester gets the new connection before its own check, which is up to 250 ms later. mh_mesh_link_up() replaces the one before, so the requester always has a connection and never calls on_lost. The jobs were reported as received, so they are not sent again either. If the replaced connection was the only one, end_conn() even drops what was not reported, without a loss.

Calls of the stage work rig may now take time; 0, as before, ends them at once.

--- a/regress/entwork.c
+++ b/regress/entwork.c
@@ -8,6 +8,46 @@
 
 #define MS MH_US_PER_MS
 
+/** struct ent_call - a call that takes time. */
+struct ent_call {
+	struct ent *e;
+	struct mh_batch *b;
+	struct mh_timer *timer;
+};
+
+static void
+free_call(void *arg)
+{
+	struct ent_call *c = arg;
+
+	mh_timer_stop(c->e->m->k, &c->timer);
+	g_free(c);
+}
+
+static void
+on_call_end(void *arg)
+{
+	struct ent_call *c = arg;
+	struct mh_batch *b = c->b;
+
+	c->timer = NULL;
+	b->call = NULL;
+	g_ptr_array_remove(c->e->running, c);
+	mh_sched_batch_end(b->sched, b, MH_BATCH_DONE);
+}
+
+static void
+start_call(struct ent *e, struct mh_batch *b)
+{
+	struct ent_call *c = g_new0(struct ent_call, 1);
+
+	c->e = e;
+	c->b = b;
+	c->timer = mh_timer_start(e->m->k, e->call_us, on_call_end, c);
+	b->call = c;
+	g_ptr_array_add(e->running, c);
+}
+
 static void
 op_run(void *arg, struct mh_batch *b)
 {
@@ -24,15 +64,20 @@
 	for (guint i = 0; i < b->items->len; i++)
 		g_array_index(b->items, struct mh_batch_item, i).result =
 		    g_strdup("10.9.9.9:1/result");
-	if (!e->m->cut)
+	if (e->call_us > 0)
+		start_call(e, b);
+	else if (!e->m->cut)
 		mh_sched_batch_end(b->sched, b, MH_BATCH_DONE);
 }
 
 static void
 op_abort(void *arg, struct mh_batch *b)
 {
-	(void)arg;
-	(void)b;
+	struct ent *e = arg;
+
+	if (b->call != NULL)
+		g_ptr_array_remove(e->running, b->call);
+	b->call = NULL;
 }
 
 static void
@@ -83,6 +128,7 @@
 		.arg = e };
 
 	e->m = m;
+	e->running = g_ptr_array_new_with_free_func(free_call);
 	e->w = world_create();
 	world_pool(e->w, "a", 1, 8, 100 * MS, 10 * MS, 0);
 	world_pool(e->w, "b", 1, 8, 100 * MS, 10 * MS, 0);
@@ -97,5 +143,6 @@
 {
 	mh_broker_destroy(e->b);
 	mh_scheds_destroy(e->cs);
+	g_ptr_array_free(e->running, TRUE);
 	world_destroy(e->w);
 }
--- a/regress/entwork.h
+++ b/regress/entwork.h
@@ -5,14 +5,16 @@
 #include "world.h"
 
 /**
- * struct ent - stage work of one entry; calls end at once, or never while its
- * frames are lost.
+ * struct ent - stage work of one entry; calls end at once, or after call_us, or
+ * never while its frames are lost.
  */
 struct ent {
 	struct ment *m;
 	struct world *w;
 	struct mh_scheds *cs;
 	struct mh_broker *b;
+	int64_t call_us; /* duration of a call; 0: none */
+	GPtrArray *running; /* struct ent_call, that take so long */
 	const char *stalled; /* calls of this pool don't end; NULL: all do */
 	uint32_t calls_to_end; /* calls of it that still end */
 	uint32_t calls;
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -1133,7 +1133,74 @@
 	mrig_destroy(r);
 }
 
+/*
+ * The jobs of all other entries are running at the coordinator when all its
+ * connections fall silent; each entry was started @apart_us after the one
+ * before, and new connections work. Returns how many jobs are not done.
+ */
+static uint32_t
+jobs_left_after_silence(int64_t apart_us)
+{
+	static const char *const pools[] = { "a", NULL };
+	const uint32_t pieces[] = { 2 };
+	struct mrig *r = mrig_create();
+	struct ent all[ENTRIES] = { 0 };
+	struct mh_job *jobs[ENTRIES] = { NULL };
+	struct ment *coordinator;
+	uint32_t left = 0;
+
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		mrig_run(r, apart_us);
+		mh_kern_destroy(r->e[i].k);
+		mrig_start(&r->e[i]);
+		ent_create(&all[i], &r->e[i]);
+	}
+	mrig_run(r, 12 * S);
+	coordinator = mrig_agreed(r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(coordinator);
+	all[coordinator->index].call_us = 400 * MS;
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		struct ment *m = &r->e[i];
+
+		if (m == coordinator)
+			continue;
+		jobs[i] = world_job(all[i].w, pools, pieces, 8 * S, 12 * S);
+		jobs[i]->slo_us = mh_now(m->k) + 8 * S;
+		jobs[i]->deadline_us = mh_now(m->k) + 12 * S;
+		mh_broker_submit(all[i].b, jobs[i]);
+	}
+	/* They have arrived, and the coordinator has reported them. */
+	mrig_run(r, 300 * MS);
+	lose_all(r, coordinator, LOSES_BOTH, true);
+	mrig_run(r, 8 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		if (jobs[i] == NULL)
+			continue;
+		left += all[i].done == 0;
+		mh_broker_drop(all[i].b, jobs[i]);
+		mh_job_destroy(jobs[i]);
+	}
+	mrig_run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
+	return left;
+}
+
+/*
+ * Guards against jobs that their coordinator dropped, as it lost the entry that
+ * waits for them, while that one took its new dial for the same link.
+ */
+static void
+test_jobs_of_one_sided_loss(void)
+{
+	for (int64_t apart = 0; apart <= 240 * MS; apart += 30 * MS)
+		CU_ASSERT_EQUAL(jobs_left_after_silence(apart), 0);
+}
+
 const struct test tests_mesh[] = {
+	{ "mesh: jobs of a peer that one side alone has lost",
+	    test_jobs_of_one_sided_loss },
 	{ "mesh: stage work on a connection that is silent",
 	    test_jobs_on_silent_connections },
 	{ "mesh: a restart without a reset", test_restart_without_reset },
