Tests: ids of connections in the rig are not used again

The rig named a connection by its two entries alone, and a process that restarts draws the same ids as the one before. With delays and restarts, frames of an earlier connection, or in flight to an earlier process, were counted on a new one: a heartbeat then reported frames that had not come, and ages were up to 30 ms too young. TCP can do neither.

An id now has a serial number, frames on a replaced connection are lost, and a restart drops what is in flight to the process before.

--- a/regress/entries.c
+++ b/regress/entries.c
@@ -15,7 +15,16 @@
 	return &r->e[node[1] - '0'];
 }
 
-/* Connection ids name both entries: dialer * 10 + other, inbound + 1000000. */
+/*
+ * Connection ids name both entries, and are not used again: serial number * 100
+ * + dialer * 10 + other, inbound + 1000000.
+ */
+static uint64_t
+pair_id(const struct mrig *r, uint32_t dialer, uint32_t other)
+{
+	return r->opened[dialer][other] * 100 + dialer * 10 + other;
+}
+
 static struct ment *
 other_end(struct ment *e, uint64_t conn)
 {
@@ -96,6 +105,22 @@
 	}
 }
 
+/* Drops the frames in flight to a process that has ended. */
+static void
+drop_all_in_flight(const struct ment *to)
+{
+	GPtrArray *all = to->r->in_flight;
+
+	for (guint i = 0; i < all->len;) {
+		const struct flight *w = g_ptr_array_index(all, i);
+
+		if (w->to == to)
+			g_ptr_array_remove_index(all, i);
+		else
+			i++;
+	}
+}
+
 /** struct opening - a dial that is not connected yet. */
 struct opening {
 	struct link *l;
@@ -108,16 +133,16 @@
 open_link(struct link *l, struct ment *to, uint64_t dialled)
 {
 	struct ment *e = l->e;
-	uint64_t id = e->index * 10 + to->index;
+	uint64_t id;
 
+	e->r->opened[e->index][to->index]++;
+	id = pair_id(e->r, e->index, to->index);
 	g_hash_table_replace(l->pair_ids, g_memdup2(&dialled, sizeof(dialled)),
 	    g_memdup2(&id, sizeof(id)));
 	g_hash_table_replace(l->dial_ids, g_memdup2(&id, sizeof(id)),
 	    g_memdup2(&dialled, sizeof(dialled)));
 	e->links_opened++;
 	e->r->lost[e->index][to->index] = LOSES_NOTHING;
-	/* It has the id of the one before, not its frames. */
-	drop_in_flight(to, mirror(id));
 	post_link(e, MH_MSG_LINK_UP, dialled, to, false, NULL);
 	post_link(to, MH_MSG_LINK_UP, mirror(id), e, true, NULL);
 }
@@ -274,7 +299,7 @@
 static uint32_t
 dialer_of(uint64_t conn)
 {
-	return (uint32_t)(conn % 1000000 / 10);
+	return (uint32_t)(conn / 10 % 10);
 }
 
 /* Whether frames of @e over the connection are lost without a reset. */
@@ -285,6 +310,8 @@
 	uint32_t a = dialled ? e->index : to->index;
 	uint32_t b = dialled ? to->index : e->index;
 
+	if (conn % 1000000 != pair_id(e->r, a, b))
+		return true; /* a later one has replaced it */
 	switch (e->r->lost[a][b]) {
 	case LOSES_NOTHING:
 		return e->r->silent_dials;
@@ -559,6 +586,7 @@
 		v_same, v_fill, v_take, v_ready, v_reads, v_evacuated_revision,
 		v_entries, v_entries_hash, NULL, NULL, e };
 
+	drop_all_in_flight(e);
 	e->links_opened = 0;
 	e->incarnation++;
 	e->k = mh_kern_create(e->index + 1);
@@ -574,7 +602,7 @@
 mrig_reset(struct ment *from, struct ment *to)
 {
 	struct link *l = mh_kern_get(from->k, "link");
-	uint64_t id = from->index * 10 + to->index;
+	uint64_t id = pair_id(from->r, from->index, to->index);
 
 	if (g_hash_table_lookup(l->dial_ids, &id) == NULL)
 		return; /* it never dialled */
@@ -681,7 +709,7 @@
 mrig_request_view(struct ment *e, struct ment *to, bool conf)
 {
 	struct link *l = mh_kern_get(e->k, "link");
-	uint64_t id = e->index * 10 + to->index;
+	uint64_t id = pair_id(e->r, e->index, to->index);
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__ViewAsk req = MH__VIEW_ASK__INIT;
 	struct mh_msg *m = mh_msg_new(MH_MSG_LINK_SEND);
@@ -691,7 +719,7 @@
 	f.body_case = MH__FRAME__BODY_VIEW_ASK;
 	f.view_ask = &req;
 	if (g_hash_table_lookup(l->dial_ids, &id) == NULL)
-		id = mirror(to->index * 10 + e->index);
+		id = mirror(pair_id(e->r, to->index, e->index));
 	m->u.link.conn = to_dial_id(l, id);
 	m->u.link.frame = mh_frame_pack(&f);
 	mh_post(e->k, "link", m);
--- a/regress/entries.h
+++ b/regress/entries.h
@@ -62,6 +62,7 @@
 	struct ment e[ENTRIES];
 	/* the open connection by dialer and other end carries nothing more */
 	enum mrig_loss lost[ENTRIES][ENTRIES];
+	uint64_t opened[ENTRIES][ENTRIES]; /* connections, so far */
 	int64_t now_us;
 	GPtrArray *members;
 	GPtrArray *dials; /* struct opening */
