Tests: drawn faults of links and entries, with stage work

Ten entries, in virtual time; per seed 8 s of faults: connections that lose frames in one direction or both without a reset, resets, entries that are cut off, paused or restarted with and without resets, delays up to 140 ms, calls that take time, clients that leave. Checked: each job ends once and within its deadline, which is later than the last fault by 3.5 s or more; no connection is open and silent for over 4 s, in either direction; entries agree 5 s after the last fault; no configuration counts as confirmed later than an entry last read it.

--- a/regress/main.c
+++ b/regress/main.c
@@ -64,6 +64,7 @@
 	{ "gate", tests_gate },
 	{ "leave", tests_leave },
 	{ "mesh", tests_mesh },
+	{ "linkdraw", tests_linkdraw },
 	{ "pack", tests_pack },
 	{ "cold", tests_cold },
 	{ "evacuate", tests_evacuate },
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -26,6 +26,7 @@
 extern const struct test tests_gate[];
 extern const struct test tests_leave[];
 extern const struct test tests_mesh[];
+extern const struct test tests_linkdraw[];
 extern const struct test tests_cold[];
 extern const struct test tests_evacuate[];
 extern const struct test tests_start[];
