Mesh: a peer that has lost us says so, and both start over

What callers saw: nothing yet; found by review with drawn faults. A request waits for its deadline: its coordinator has dropped its stage work.

Cause: a coordinator that finds all connections to an entry silent loses it and drops its jobs. It dials again, and the entry, whose check comes up to 250 ms later, takes the new connection in place of the one before: it has had a connection all the time and starts nothing over.

Class: the loss of a peer was known to one side.

Ruled out: the drop of jobs at the coordinator; without it a peer that is gone would hold result memory.

Change: heartbeats say how often the sender has lost the receiver. If the number has grown, the receiver does what it does for a lost peer. What was sent over a connection that the peer replaces waits for the first heartbeat over the new one, which decides whether it is sent again or dropped.

Conclusion: jobs are answered or moved whatever the two sides saw.

--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -31,8 +31,7 @@
 {
 	struct peer *p = arg;
 
-	mh_conn_forget(&p->out);
-	mh_conn_forget(&p->in);
+	mh_peer_forget(p);
 	g_free(p->node);
 	g_free(p->addr);
 	g_free(p);
@@ -170,40 +169,46 @@
 
 /* Each connection has a heartbeat of its own, which says what came on it. */
 static void
-send_heartbeat(struct mh_mesh *m, Mh__Beat *b, struct peer_conn *c)
+send_heartbeat(Mh__Beat *b, const struct peer *p, struct peer_conn *c)
 {
 	Mh__Frame f = MH__FRAME__INIT;
 
 	if (c->id == 0)
 		return;
+	b->losses = p->times_lost;
 	b->received = c->received + 1;
 	b->frames = c->frames_in;
 	c->sent[c->n_sent++ % HEARTBEATS_TIMED] =
 	    (struct sent_heartbeat) { .frame = c->frames_out + 1,
-		    .at_us = mh_now(m->k) };
+		    .at_us = mh_now(p->m->k) };
 	f.body_case = MH__FRAME__BODY_BEAT;
 	f.beat = b;
-	mh_conn_send(m, c, &f);
+	mh_conn_send(p->m, c, &f);
 }
 
 void
-mh_mesh_heartbeat(struct mh_mesh *m, struct peer_conn *c)
+mh_peer_heartbeat(const struct peer *p, struct peer_conn *c)
+{
+	Mh__Beat b = MH__BEAT__INIT;
+
+	fill_heartbeat(p->m, &b);
+	send_heartbeat(&b, p, c);
+}
+
+void
+mh_mesh_heartbeat(struct mh_mesh *m)
 {
 	Mh__Beat b = MH__BEAT__INIT;
 	GHashTableIter it;
 	gpointer value;
 
 	fill_heartbeat(m, &b);
-	if (c != NULL) {
-		send_heartbeat(m, &b, c);
-		return;
-	}
 	g_hash_table_iter_init(&it, m->peers);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct peer *p = value;
 
-		send_heartbeat(m, &b, &p->out);
-		send_heartbeat(m, &b, &p->in);
+		send_heartbeat(&b, p, &p->out);
+		send_heartbeat(&b, p, &p->in);
 	}
 }
 
@@ -237,7 +242,7 @@
 	 * would go on skipping all entries that have run for less time.
 	 */
 	if (starts_drain && oldest != mh_mesh_oldest_start_us(m))
-		mh_mesh_heartbeat(m, NULL);
+		mh_mesh_heartbeat(m);
 	mh_mesh_compare_views(m, p, b);
 }
 
@@ -308,8 +313,8 @@
 		p = g_new0(struct peer, 1);
 		p->m = m;
 		p->node = g_strdup(node);
-		/* The peer may know numbers of one that was removed. */
-		p->sent_number = (uint64_t)mh_now(m->k);
+		/* The peer may know higher ones of one that was removed. */
+		p->sent_number = p->times_lost = (uint64_t)mh_now(m->k);
 		g_hash_table_insert(m->peers, p->node, p);
 	}
 	return p;
@@ -347,7 +352,7 @@
 			mh_peer_dial(p);
 	}
 	mh_mesh_reset_sent_bytes(m);
-	mh_mesh_heartbeat(m, NULL);
+	mh_mesh_heartbeat(m);
 	mh_timer_stop(m->k, &m->timer);
 	m->timer = mh_timer_start(m->k,
 	    mh_mesh_is_starting(m) ? STARTUP_HEARTBEAT_US : HEARTBEAT_US,
@@ -408,7 +413,7 @@
 mh_mesh_drain(struct mh_mesh *m)
 {
 	m->draining = true;
-	mh_mesh_heartbeat(m, NULL);
+	mh_mesh_heartbeat(m);
 }
 
 static void
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -64,6 +64,9 @@
 	struct peer_conn out; /* the connection that we opened */
 	struct peer_conn in;
 	struct peer_conn *used; /* the one that we send on; NULL: none */
+	GQueue unreported; /* struct unreported of an ended connection */
+	uint64_t times_lost; /* by us, in this process */
+	uint64_t lost_us; /* how often it has lost us, by its heartbeats */
 	uint64_t sent_number; /* of the last numbered frame */
 	uint64_t received_number; /* the highest that came */
 	uint64_t received_bits[NUMBERS_KEPT / 64]; /* which of the last came */
@@ -151,10 +154,10 @@
 uint32_t mh_weight_units(double weight);
 /** mh_peer_of() - the peer of that name, created if there is none. */
 struct peer *mh_peer_of(struct mh_mesh *m, const char *node);
-/**
- * mh_mesh_heartbeat() - sends a heartbeat over @c; NULL: over all connections.
- */
-void mh_mesh_heartbeat(struct mh_mesh *m, struct peer_conn *c);
+/** mh_mesh_heartbeat() - sends a heartbeat over all connections. */
+void mh_mesh_heartbeat(struct mh_mesh *m);
+/** mh_peer_heartbeat() - sends a heartbeat over one connection. */
+void mh_peer_heartbeat(const struct peer *p, struct peer_conn *c);
 /**
  * mh_mesh_is_starting() - whether this process has just started or resumed and
  * has to find the other entries.
@@ -203,13 +206,12 @@
 void mh_peer_send(struct peer *p, Mh__Frame *f);
 /** mh_conn_reported() - the peer has received so many frames over @c. */
 void mh_conn_reported(struct peer_conn *c, uint64_t frames);
-/** mh_conn_forget() - drops what is kept to be sent again. */
-void mh_conn_forget(struct peer_conn *c);
-/**
- * mh_conn_resend() - sends what the peer has not reported over the connection
- * that is used now, if any.
- */
-void mh_conn_resend(struct peer *p, struct peer_conn *c);
+/** mh_peer_forget() - drops all that is kept to be sent again. */
+void mh_peer_forget(struct peer *p);
+/** mh_conn_move() - keeps what was sent over @c for the next connection. */
+void mh_conn_move(struct peer *p, struct peer_conn *c);
+/** mh_peer_resend() - sends what was kept, if there is a connection. */
+void mh_peer_resend(struct peer *p);
 /** mh_peer_is_repeated() - records a numbered frame; true: it came before. */
 bool mh_peer_is_repeated(struct peer *p, uint64_t number);
 
--- a/lib/meshlink.c
+++ b/lib/meshlink.c
@@ -128,6 +128,19 @@
 	mh_conn_reported(c, frames);
 }
 
+/*
+ * The peer has dropped what it had from us and started over, while we had a
+ * connection all the time.
+ */
+static void
+lost_by_peer(struct peer *p, uint64_t losses)
+{
+	p->lost_us = losses;
+	mh_peer_forget(p);
+	if (p->m->on_lost != NULL)
+		p->m->on_lost(p->m->on_lost_arg, p->node);
+}
+
 /* Frames of an earlier version count as proof of both directions. */
 void
 mh_peer_note_heartbeat(struct peer *p, struct peer_conn *c, const Mh__Beat *b)
@@ -139,7 +152,7 @@
 	c->has_heartbeat = true;
 	c->peer_received = b->received;
 	if (b->received == 0)
-		mh_conn_forget(c); /* it counts none */
+		mh_peer_forget(p); /* it counts none */
 	else
 		note_reported(c, b->frames);
 	if (grown || b->received == 0)
@@ -151,10 +164,13 @@
 		p->dial_timeouts = 0;
 	}
 	choose_conn(p);
+	if (b->losses > p->lost_us)
+		lost_by_peer(p, b->losses);
+	mh_peer_resend(p);
 	/* The peer must not wait for our next periodic heartbeat for its proof.
 	 */
 	if (first)
-		mh_mesh_heartbeat(p->m, c);
+		mh_peer_heartbeat(p, c);
 }
 
 struct peer_conn *
@@ -209,15 +225,18 @@
 
 /*
  * Forgets a connection, which is closed already or by this.  What the peer has
- * not reported is sent over the other one; if there is none, nothing is.
+ * not reported waits for its first heartbeat over another one, which says
+ * whether it has lost us.
  */
 static void
 end_conn(struct peer *p, struct peer_conn *c)
 {
 	drop_link(p->m, &c->id);
 	c->proven_us = 0;
+	mh_conn_move(p, c);
 	choose_conn(p);
-	mh_conn_resend(p, c);
+	if (p->used != NULL && is_proven(p, p->used))
+		mh_peer_resend(p);
 }
 
 static void
@@ -236,6 +255,8 @@
 
 	mh_peer_log_lost(p, why);
 	mh_count(m->k, "peer_losses", 1);
+	mh_peer_forget(p);
+	p->times_lost++;
 	if (proven_us != 0)
 		start_probation(p, proven_us);
 	p->ready = false;
@@ -258,10 +279,10 @@
 	p->heartbeat_us = 0;
 	p->received_number = 0;
 	memset(p->received_bits, 0, sizeof(p->received_bits));
-	mh_conn_forget(&p->out);
-	mh_conn_forget(&p->in);
+	p->lost_us = 0;
 	end_conn(p, &p->out);
 	end_conn(p, &p->in);
+	mh_peer_forget(p);
 	if (was_linked)
 		peer_lost(p, "restarted", 0);
 	p->probation_us = 0;
@@ -301,7 +322,7 @@
 	 * The peer must not wait for our next periodic heartbeat to learn that
 	 * we can serve.
 	 */
-	mh_mesh_heartbeat(m, c);
+	mh_peer_heartbeat(p, c);
 	mh_peer_log_up(p, l);
 	if (m->on_up != NULL)
 		m->on_up(m->on_up_arg, p->node);
--- a/lib/meshsend.c
+++ b/lib/meshsend.c
@@ -2,9 +2,10 @@
  * DOC: Sending over the mesh.
  *
  * What an entry sends to one other entry is numbered, and kept until the other
- * reports it.  If the connection dies and there is another one, it is sent
- * again there, and who gets it twice drops it.  If there is none, the peer is
- * lost, and the callers of mh_mesh_on_lost() start over.
+ * reports it.  If the connection dies and there is another one, or the next one
+ * comes before the loss is noticed, it is sent again there, and who gets it
+ * twice drops it.  Else the peer is lost, and the callers of mh_mesh_on_lost()
+ * start over, at both sides: heartbeats say how often one has lost the other.
  */
 
 #include "meshint.h"
@@ -117,23 +118,42 @@
 		free_unreported(g_queue_pop_head(&c->unreported));
 }
 
+static void
+forget(GQueue *q)
+{
+	struct unreported *u;
+
+	while ((u = g_queue_pop_head(q)) != NULL)
+		free_unreported(u);
+}
+
 void
-mh_conn_forget(struct peer_conn *c)
+mh_peer_forget(struct peer *p)
 {
-	mh_conn_reported(c, UINT64_MAX);
+	forget(&p->unreported);
+	forget(&p->out.unreported);
+	forget(&p->in.unreported);
+}
+
+void
+mh_conn_move(struct peer *p, struct peer_conn *c)
+{
+	struct unreported *u;
+
+	while ((u = g_queue_pop_head(&c->unreported)) != NULL)
+		g_queue_push_tail(&p->unreported, u);
 }
 
 void
-mh_conn_resend(struct peer *p, struct peer_conn *c)
+mh_peer_resend(struct peer *p)
 {
 	struct unreported *u;
 
-	while ((u = g_queue_pop_head(&c->unreported)) != NULL) {
-		if (p->used != NULL) {
-			send_bytes(p->m, p->used, u->bytes);
-			keep(p->used, u->bytes);
-			mh_count(p->m->k, "link_frames_resent", 1);
-		}
+	while (
+	    p->used != NULL && (u = g_queue_pop_head(&p->unreported)) != NULL) {
+		send_bytes(p->m, p->used, u->bytes);
+		keep(p->used, u->bytes);
+		mh_count(p->m->k, "link_frames_resent", 1);
 		free_unreported(u);
 	}
 }
--- a/lib/meshview.c
+++ b/lib/meshview.c
@@ -87,7 +87,7 @@
 {
 	m->conf_stale_from_us = mh_mesh_conf_stale(m) ? m->latest_conf_us : 0;
 	if (!m->draining)
-		mh_mesh_heartbeat(m, NULL);
+		mh_mesh_heartbeat(m);
 }
 
 /* A list with a later revision and the same hash isn't requested. */
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -4452,7 +4452,7 @@
   (ProtobufCMessageInit) mh__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__beat__field_descriptors[15] =
+static const ProtobufCFieldDescriptor mh__beat__field_descriptors[16] =
 {
   {
     "ready",
@@ -4634,6 +4634,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "losses",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Beat, losses),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__beat__field_indices_by_name[] = {
   12,   /* field[12] = conf_age_us */
@@ -4643,6 +4655,7 @@
   9,   /* field[9] = evacuated_revision */
   14,   /* field[14] = frames */
   1,   /* field[1] = leaving */
+  15,   /* field[15] = losses */
   8,   /* field[8] = oldest_us */
   4,   /* field[4] = reads */
   0,   /* field[0] = ready */
@@ -4655,7 +4668,7 @@
 static const ProtobufCIntRange mh__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor mh__beat__descriptor =
 {
@@ -4665,7 +4678,7 @@
   "Mh__Beat",
   "mh",
   sizeof(Mh__Beat),
-  15,
+  16,
   mh__beat__field_descriptors,
   mh__beat__field_indices_by_name,
   1,  mh__beat__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -594,10 +594,14 @@
    * whole frames of these
    */
   uint64_t frames;
+  /*
+   * times that the sender has lost the receiver, with
+   */
+  uint64_t losses;
 };
 #define MH__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
