Member: a handshake does not prove that a side process answers

What callers saw: an endpoint whose links open and then carry nothing kept getting calls.

Cause: an entry that got no pong opened a second link, and the handshake alone counted as the pong. The peer stayed linked, its calls were resumed and waited, and no failure was ever reported, so nothing was sent elsewhere.

Class: a handshake counted as proof that a peer is alive.

Ruled out: pongs on another connection of the pair (a ping's pong comes on its own connection, and the connection that it replaces is closed); a shorter ping limit (each new link would renew it as well).

Change: a link that replaces one that failed is pinged at once. Without a pong within 300 ms it has failed: its calls are told, the redial delay grows, and the peer takes no new calls until a pong. A first link, and the first that replaces a silent one, are used at once as before.

Conclusion: calls of marlhoistd no longer rest on a link that merely opens. A non-repeatable call still waits for its owner, as before.

--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -561,7 +561,8 @@
 	int64_t pong_at_us; /* when both directions last worked */
 	int64_t dialed_us;
 	int64_t up_since_us; /* when this incarnation was first linked */
-	uint32_t dial_failures;
+	uint32_t dial_failures; /* links that failed since the last pong */
+	bool unproven; /* the link has replaced one that failed: no pong yet */
 	/* load, maintained by route.c */
 	uint32_t own_calls; /* calls of this process in flight there */
 	uint32_t load_running;
@@ -592,8 +593,9 @@
 /** mh_member_foreach() - calls @fn for every tracked peer. */
 void mh_member_foreach(struct mh_kern *k, mh_peer_fn fn, void *arg);
 /**
- * mh_member_usable() - whether @p takes new calls: linked, in the subset, not
- * draining, not off the VM list for long, its failure domain not evacuated.
+ * mh_member_usable() - whether @p takes new calls: linked, and answering if
+ * its last link failed, in the subset, not draining, not off the VM list for
+ * long, its failure domain not evacuated.
  */
 bool mh_member_usable(struct mh_kern *k, const struct mh_peer *p);
 /** mh_member_vm_listed() - @vm is on the VM list or its row changed. */
--- a/lib/member.c
+++ b/lib/member.c
@@ -19,6 +19,7 @@
 #define IDLE_PING_US (1 * MH_US_PER_S)
 #define IDLE_PING_PER_LINK_US (50 * MH_US_PER_MS)
 #define PING_TIMEOUT_US (200 * MH_US_PER_MS)
+#define PROOF_TIMEOUT_US (300 * MH_US_PER_MS) /* first pong of a new link */
 #define DIAL_TIMEOUT_US (300 * MH_US_PER_MS) /* the handshake included */
 #define REDIAL_MIN_US (100 * MH_US_PER_MS)
 #define REDIAL_MAX_US (2 * MH_US_PER_S)
@@ -160,7 +161,9 @@
 bool
 mh_member_usable(struct mh_kern *k, const struct mh_peer *p)
 {
-	return p->up && p->in_subset && !is_draining(p) &&
+	bool answers = p->up && !(p->unproven && p->dial_failures > 0);
+
+	return answers && p->in_subset && !is_draining(p) &&
 	    !is_absent(get(k), p) && !domain_evacuated(k, p);
 }
 
@@ -219,6 +222,15 @@
 		dial(get(k), p);
 }
 
+/* Closes a link that answers no ping and could not be replaced. */
+static void
+close_silent(struct member *mb, struct mh_peer *p)
+{
+	drop_conn(mb, p->conn);
+	p->conn = 0;
+	p->up = false;
+}
+
 static void
 dial_failed(struct member *mb, struct mh_peer *p)
 {
@@ -226,16 +238,25 @@
 	p->dial_conn = 0;
 	if (p->dial_failures < 16)
 		p->dial_failures++;
-	/* Close a link that answers no ping and could not be replaced. */
-	if (p->up && p->ping_at_us > 0) {
-		drop_conn(mb, p->conn);
-		p->conn = 0;
-		p->up = false;
-	}
+	if (p->up && p->ping_at_us > 0)
+		close_silent(mb, p);
 	if (!p->up)
 		notify(mb, p, MH_LINK_FAILED, 0);
 }
 
+static void
+send_ping(struct member *mb, struct mh_peer *p)
+{
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__Ping ping = MH__PING__INIT;
+
+	ping.token = 1;
+	f.body_case = MH__FRAME__BODY_PING;
+	f.ping = &ping;
+	p->ping_at_us = mh_now(mb->k);
+	mh_frame_send(mb->k, p->conn, &f);
+}
+
 static void
 link_up_outbound(
     struct member *mb, struct mh_peer *p, const struct mh_link_msg *l)
@@ -254,10 +275,12 @@
 	p->conn = l->conn;
 	p->dial_conn = 0;
 	p->up = true;
-	p->dial_failures = 0;
+	p->unproven = p->ping_at_us > 0 || p->dial_failures > 0;
 	p->incarnation = l->incarnation;
 	p->last_rx_us = p->pong_at_us = mh_now(mb->k);
 	p->ping_at_us = 0;
+	if (p->unproven)
+		send_ping(mb, p);
 	if (old_inc != l->incarnation) {
 		p->up_since_us = mh_now(mb->k);
 		p->draining = false;
@@ -294,6 +317,7 @@
 		p->conn = l->conn;
 		p->conn_outbound = false;
 		p->up = true;
+		p->unproven = false;
 		p->incarnation = l->incarnation;
 	}
 	p->last_rx_us = mh_now(mb->k);
@@ -357,24 +381,13 @@
 	if (f->body_case == MH__FRAME__BODY_PONG) {
 		p->pong_at_us = mh_now(k);
 		p->ping_at_us = 0;
+		p->dial_failures = 0;
+		p->unproven = false;
 	}
 	if (f->load != NULL)
 		mh_route_load(k, p, f->load);
 }
 
-static void
-send_ping(struct member *mb, struct mh_peer *p)
-{
-	Mh__Frame f = MH__FRAME__INIT;
-	Mh__Ping ping = MH__PING__INIT;
-
-	ping.token = 1;
-	f.body_case = MH__FRAME__BODY_PING;
-	f.ping = &ping;
-	p->ping_at_us = mh_now(mb->k);
-	mh_frame_send(mb->k, p->conn, &f);
-}
-
 static bool
 ping_due(struct member *mb, const struct mh_peer *p)
 {
@@ -387,6 +400,21 @@
 	    MAX(IDLE_PING_US, mb->links * IDLE_PING_PER_LINK_US);
 }
 
+/*
+ * A handshake proves a link for no longer than itself: where every link opens
+ * and then goes silent, a peer that counted as linked again after each kept its
+ * calls until their deadlines.
+ */
+static void
+unproven_failed(struct member *mb, struct mh_peer *p)
+{
+	mh_count(mb->k, "member_unproven_links", 1);
+	if (p->dial_failures < 16)
+		p->dial_failures++;
+	close_silent(mb, p);
+	notify(mb, p, MH_LINK_FAILED, 0);
+}
+
 /*
  * A TCP connection can stop passing data without an error, also in one
  * direction only, if a device on the path drops its state.  Incoming frames
@@ -402,9 +430,14 @@
 			send_ping(mb, p);
 		return;
 	}
-	if (mh_now(mb->k) - p->ping_at_us <= PING_TIMEOUT_US ||
+	if (mh_now(mb->k) - p->ping_at_us <=
+		(p->unproven ? PROOF_TIMEOUT_US : PING_TIMEOUT_US) ||
 	    p->dial_conn != 0)
 		return;
+	if (p->unproven) {
+		unproven_failed(mb, p);
+		return;
+	}
 	mh_count(mb->k, "member_silent_links", 1);
 	mh_log(mb->k, "member", "No pong on the link, dialing again: vm=%s.",
 	    p->vm);
--- a/regress/net.c
+++ b/regress/net.c
@@ -306,6 +306,8 @@
 		return;
 	}
 	to = is_a ? &nl->b : &nl->a;
+	if (x->dials_only || to->node->dials_only)
+		return;
 	n->frames++;
 	n->bytes += g_bytes_get_size(l->frame) + 4;
 	if (n->duplicate_share > 0 && mh_random_unit(n->k) < n->duplicate_share)
--- a/regress/net.h
+++ b/regress/net.h
@@ -36,6 +36,7 @@
 	int64_t service_us;
 	uint32_t status; /* of its responses, 0: 200 */
 	bool refuses_conn;
+	bool dials_only; /* links to it open, then drop all frames */
 	size_t response_bytes; /* a service's response is padded to this */
 	bool truncates; /* it runs calls, but truncates its responses */
 	bool numbers_tokens; /* its tokens read RUN.NUMBER */
--- a/regress/t_entry.c
+++ b/regress/t_entry.c
@@ -117,6 +117,48 @@
 	}
 }
 
+/*
+ * A link to a side process opens each time, then carries nothing.  It must not
+ * get calls for as long as handshakes succeed, and must get them once it
+ * answers again.
+ */
+static void
+test_only_dials_are_answered(void)
+{
+	struct entry_world w;
+	uint64_t ids[60];
+	int64_t latest_us = 0;
+	uint32_t late = 0;
+
+	entry_world_create(&w, 18, net_doc);
+	w.enc[1]->dials_only = true;
+	net_run(w.n, 2 * MH_US_PER_S);
+	for (int i = 0; i < 60; i++) {
+		int64_t sent_us = net_now(w.n);
+		int64_t us;
+
+		ids[i] = send_embed(&w);
+		net_run(w.n, 100 * MH_US_PER_MS);
+		us = net_response(w.n, ids[i])->ended
+		    ? net_response(w.n, ids[i])->at_us - sent_us
+		    : G_MAXINT64;
+		late += us > 60 * MH_US_PER_MS;
+		latest_us = MAX(latest_us, us);
+	}
+	CU_ASSERT_EQUAL(late, 0);
+	CU_ASSERT(latest_us <= 60 * MH_US_PER_MS);
+	CU_ASSERT_EQUAL(w.enc[1]->runs, 0);
+	w.enc[1]->dials_only = false;
+	net_run(w.n, 3 * MH_US_PER_S);
+	for (int i = 0; i < 60; i++) {
+		CU_ASSERT_EQUAL(net_response(w.n, ids[i])->status, 200);
+		ids[i] = send_embed(&w);
+		net_run(w.n, 20 * MH_US_PER_MS);
+	}
+	CU_ASSERT(w.enc[1]->runs > 0);
+	net_destroy(w.n);
+}
+
 /* The side process is killed in mid-stream: the stream fails over. */
 static void
 test_stream_failover(void)
@@ -785,6 +827,7 @@
 
 const struct test tests_entry[] = {
 	{ "stream_over_a_silent_link", test_stream_over_a_silent_link },
+	{ "only_dials_are_answered", test_only_dials_are_answered },
 	{ "stream_failover", test_stream_failover },
 	{ "stream_of_an_ended_call", test_stream_of_an_ended_call },
 	{ "stream_of_surplus_tokens", test_stream_of_surplus_tokens },
