Roster: an entry that nobody reaches does not read for others

What callers saw: a new configuration was not in force at any entry for as long as the entries that read it were on the VM list but lost, or ran behind links that carry nothing.

Cause: the two entries of a failure domain that watch the configuration were chosen by the list alone. The others neither read nor noticed: a change reaches them only from a peer that has read it. For the VM list itself all entries read each second in that case.

Class: who is alive was not asked, and a bound on the age needed a peer.

Ruled out: all entries reading at intervals (calls to the service grow with their number); the same two entries for list and configuration (while versions are mixed, each would leave the watch to the other).

Change: each entry links to the watchers of the configuration too, as it does to those of the VM list, and passes over those whose last three links failed. Who reaches nobody reads for itself.

Evidence: nodes: watchers_that_nobody_hears, 12 entries and 36 side processes: without the change no running node has the change after 9 s, in both of its cases (4 of 6 checks fail); with it all have (6 pass).

Conclusion: a change needs one entry that reads it and is reached. It does not cover a watcher that is reached but whose own watch hangs.

--- a/lib/roster.c
+++ b/lib/roster.c
@@ -18,6 +18,8 @@
 #define UNLISTED_KEEP_US (3600 * MH_US_PER_S) /* rows of former VMs */
 #define MAX_CHANGES 512 /* kept for answering polls with deltas */
 #define WATCHERS 2 /* per failure domain */
+/* Links that fail in a row until another entry reads instead. */
+#define SILENT_DIALS 3
 
 /** struct row - a VM that is on the list or was on it. */
 struct row {
@@ -227,6 +229,7 @@
 	const char *role;
 	const char *pool; /* NULL: any */
 	const char *domain; /* NULL: any */
+	bool heard; /* only VMs whose links don't all fail */
 	const char *best;
 	const char *second;
 	uint64_t weight;
@@ -254,6 +257,19 @@
 	}
 }
 
+/*
+ * A VM that is lost stays listed for a while, and one that is cut off for as
+ * long as it runs: what it reads reaches nobody.
+ */
+static bool
+is_silent(struct roster *r, const struct row *row)
+{
+	const struct mh_peer *p = mh_member_find(r->k, row->vm->id);
+
+	return p != NULL && p->dial_failures >= SILENT_DIALS &&
+	    (!p->up || p->unproven);
+}
+
 /* Ranks the listed VMs that match the role, pool and domain of @c. */
 static void
 rank_vms(struct roster *r, struct ranking *c)
@@ -269,7 +285,7 @@
 		    (c->pool != NULL && strcmp(row->vm->pool, c->pool) != 0) ||
 		    (c->domain != NULL &&
 			strcmp(row->vm->domain, c->domain) != 0) ||
-		    !is_serving(r, row))
+		    !is_serving(r, row) || (c->heard && is_silent(r, row)))
 			continue;
 		rank_vm(c, row->vm->id);
 	}
@@ -321,9 +337,22 @@
 	return a != NULL && strcmp(a, b) == 0;
 }
 
+/* Ranks the entries that may read @key for this failure domain. */
+static struct ranking
+rank_watchers(struct roster *r, const char *key)
+{
+	struct ranking c = {
+		.key = key, .role = "entry", .domain = r->domain, .heard = true
+	};
+
+	rank_vms(r, &c);
+	return c;
+}
+
 /*
  * Watchers are chosen without agreement: each entry ranks the listed entries
- * of its failure domain.  Where copies of the list differ there may be a
+ * of its failure domain that it can reach, and keeps links to the first, which
+ * show whether it can.  Where copies of the list differ there may be a
  * watcher too many or too few for a moment, which costs reads, not safety.
  * A side process watches only while it has no link.
  */
@@ -331,13 +360,13 @@
 mh_member_is_watcher(struct mh_kern *k, const char *key)
 {
 	struct roster *r = get(k);
-	struct ranking c = { .key = key, .role = "entry", .domain = r->domain };
+	struct ranking c;
 
 	if (r->read_us < 0)
 		return true;
 	if (!r->entry)
 		return mh_member_link_count(k) == 0;
-	rank_vms(r, &c);
+	c = rank_watchers(r, key);
 	return same_id(c.best, r->vm) || same_id(c.second, r->vm) ||
 	    c.count < WATCHERS;
 }
@@ -351,27 +380,14 @@
 		*out = p;
 }
 
-/*
- * The peer to poll: for an entry a watcher of its failure domain, which is
- * dialed if need be, for a side process any linked entry.  NULL if there is
- * no such link.
- */
+/* Keeps links to the watchers of @key; returns one that is linked, or NULL. */
 static struct mh_peer *
-upstream(struct roster *r)
+dial_watchers(struct roster *r, const char *key)
 {
-	struct ranking c = {
-		.key = "vmlist", .role = "entry", .domain = r->domain
-	};
+	struct ranking c = rank_watchers(r, key);
+	const char *names[WATCHERS] = { c.best, c.second };
 	struct mh_peer *found = NULL;
-	const char *names[WATCHERS];
 
-	if (!r->entry) {
-		mh_member_foreach(r->k, find_linked_entry, &found);
-		return found;
-	}
-	rank_vms(r, &c);
-	names[0] = c.best;
-	names[1] = c.second;
 	for (int i = 0; i < WATCHERS; i++) {
 		struct mh_peer *p =
 		    names[i] == NULL ? NULL : mh_member_find(r->k, names[i]);
@@ -385,6 +401,21 @@
 	return found;
 }
 
+/*
+ * The peer to poll: for an entry a watcher of its failure domain, for a side
+ * process any linked entry.  NULL if there is no such link.
+ */
+static struct mh_peer *
+upstream(struct roster *r)
+{
+	struct mh_peer *found = NULL;
+
+	if (r->entry)
+		return dial_watchers(r, "vmlist");
+	mh_member_foreach(r->k, find_linked_entry, &found);
+	return found;
+}
+
 /* Reads the list from the platform or polls a peer, at most once a second. */
 static void
 refresh_list(struct roster *r)
@@ -418,6 +449,8 @@
 	struct roster *r = arg;
 
 	r->tick = mh_timer_start(r->k, TICK_US, on_tick, r);
+	if (r->entry)
+		(void)dial_watchers(r, "config");
 	refresh_list(r);
 }
 
--- a/regress/t_nodes.c
+++ b/regress/t_nodes.c
@@ -97,6 +97,43 @@
 	net_destroy(w.n);
 }
 
+/*
+ * The entries that read for their failure domains are listed but dead, or run
+ * behind links that carry nothing.  The others must take over the reading:
+ * nobody tells them of a change.
+ */
+static void
+test_watchers_that_nobody_hears(void)
+{
+	for (int run = 0; run < 2; run++) {
+		struct nodes w;
+		int heard = 0, silent = 0;
+
+		create_nodes(&w, 42, net_doc);
+		for (int i = 0; i < ENTRIES; i++) {
+			struct net_node *e = w.e[i];
+
+			if (!mh_member_is_watcher(e->k, "config")) {
+				heard++;
+				continue;
+			}
+			silent++;
+			e->dials_only = run == 1;
+			if (run == 0)
+				net_crash_vm(e);
+		}
+		CU_ASSERT_EQUAL(silent, 6);
+		net_run(w.n, 10 * MH_US_PER_S);
+		net_apply(w.n, 2, net_doc);
+		CU_ASSERT(time_to_apply(&w, 2, 9 * MH_US_PER_S) >= 0);
+		for (int i = 0; i < ENTRIES; i++)
+			heard -= w.e[i]->k != NULL && !w.e[i]->dials_only &&
+			    mh_conf_generation(w.e[i]->k) == 2;
+		CU_ASSERT_EQUAL(heard, 0);
+		net_destroy(w.n);
+	}
+}
+
 /*
  * A configuration is applied, then the KV service fails and nodes start.  They
  * must get the configuration from their peers.
@@ -399,6 +436,7 @@
 const struct test tests_nodes[] = {
 	{ "change_is_everywhere_in_seconds",
 	    test_change_is_everywhere_in_seconds },
+	{ "watchers_that_nobody_hears", test_watchers_that_nobody_hears },
 	{ "few_watch_the_platform", test_few_watch_the_platform },
 	{ "start_during_an_outage", test_start_during_an_outage },
 	{ "restored_kv_reverts_nothing", test_restored_kv_reverts_nothing },
