--- a/regress/t_platform_store.c
+++ b/regress/t_platform_store.c
@@ -418,6 +418,61 @@
 	}
 }
 
+static void
+count_change(void *arg, const char *const *domains)
+{
+	uint32_t *changes = arg;
+
+	(void)domains;
+	(*changes)++;
+}
+
+/*
+ * Guards against an evacuation that ended long ago and is in force again: an
+ * entry that has just read the store takes it from a peer that is behind.
+ */
+static void
+test_evacuated_of_a_peer_that_is_behind(void)
+{
+	static const char *const behind[] = { "a", NULL };
+	static const char *const none[] = { NULL };
+	static const char *const later[] = { "b", NULL };
+	struct mh_kern *k = mh_kern_create(1);
+	uint32_t changes = 0;
+	struct plat_evacuated *e =
+	    plat_evacuated_create(k, count_change, &changes);
+	json_t *items = json_object();
+
+	/* Read as of 300: the peer's evacuation of 100 was ended before. */
+	plat_evacuated_load(e, items, 300);
+	plat_evacuated_receive(e, behind, 1, 100);
+	CU_ASSERT_EQUAL(
+	    g_strv_length((char **)(uintptr_t)plat_evacuated_domains(e)), 0);
+	CU_ASSERT_EQUAL(changes, 0);
+	/* The peer takes ours instead. */
+	CU_ASSERT(plat_evacuated_revision(e) > 100);
+	/* The same set is taken as it is, so that it isn't requested again. */
+	plat_evacuated_receive(e, none, 0, 299);
+	CU_ASSERT(plat_evacuated_revision(e) >= 299);
+	CU_ASSERT_EQUAL(changes, 0);
+	plat_evacuated_receive(e, later, 1, 310);
+	CU_ASSERT_STRING_EQUAL(plat_evacuated_domains(e)[0], "b");
+	CU_ASSERT_EQUAL(plat_evacuated_revision(e), 310);
+	plat_evacuated_receive(e, behind, 1, 305);
+	CU_ASSERT_STRING_EQUAL(plat_evacuated_domains(e)[0], "b");
+	CU_ASSERT_EQUAL(changes, 1);
+	plat_evacuated_destroy(e);
+	/* The same set of a first reading is not announced as another one. */
+	e = plat_evacuated_create(k, count_change, &changes);
+	plat_evacuated_load(e, items, 300);
+	CU_ASSERT_EQUAL(plat_evacuated_revision(e), 1);
+	plat_evacuated_receive(e, none, 0, 200);
+	CU_ASSERT_EQUAL(plat_evacuated_revision(e), 200);
+	plat_evacuated_destroy(e);
+	json_decref(items);
+	mh_kern_destroy(k);
+}
+
 /* Guards against work sent to a failure domain that is evacuated. */
 static void
 test_evacuated(void)
@@ -836,6 +891,8 @@
 	{ "store: empty or malformed watches", test_malformed_watches },
 	{ "store: configuration without a value", test_conf_without_value },
 	{ "evacuated failure domains", test_evacuated },
+	{ "evacuated failure domains of a peer that is behind",
+	    test_evacuated_of_a_peer_that_is_behind },
 	{ "store: malformed pages of entries", test_malformed_entry_pages },
 	{ "store: pages of entries", test_entry_pages },
 	{ "store: a start reads one page", test_start_reads_one_page },
