Budget: retries count until a whole window has passed

What callers saw: two bursts of retries within less than budgetWindowS.

Cause: the window was ten buckets, the newest of them partly filled, and the oldest was dropped whole. So retries counted for nine tenths of a window at least. A burst at the end of a bucket and one right after that bucket was dropped are within one window: twice the slack.

Change: retries count for one bucket more than requests, which is a whole window at least; requests still count for a window at most. 20 buckets rather than 10, so that this costs less.

Test: t_budget.c, a rig that sums retries of several budgets in each sliding window.

For a calm entry, by the arithmetic of the buckets: slack that was spent is back after 1 to 1.05 windows (0.9 to 1 before), and requests count for 0.95 to 1 window (0.9 to 1 before).

--- a/lib/budget.c
+++ b/lib/budget.c
@@ -10,13 +10,19 @@
 
 #include <string.h>
 
-#define BUCKETS 10
+/* Buckets of a window. */
+#define BUCKETS 20
+/*
+ * Retries count until a whole window has passed, so for one bucket more than
+ * requests, as the newest bucket is not full.
+ */
+#define HELD (BUCKETS + 1)
 /* The rest is a margin for entries that count over shifted windows. */
 #define SLACK_USED 0.8
 
 struct window {
-	uint32_t requests[BUCKETS];
-	uint32_t retries[BUCKETS];
+	uint32_t requests[HELD];
+	uint32_t retries[HELD];
 	int64_t newest; /* number of the newest bucket */
 };
 
@@ -61,14 +67,14 @@
 {
 	uint32_t requests = 0, retries = 0;
 
-	for (int i = 0; i < BUCKETS; i++) {
+	for (int i = 0; i < HELD; i++) {
 		requests += w->requests[i];
 		retries += w->retries[i];
 	}
 	memset(w, 0, sizeof(*w));
 	w->newest = bucket;
-	w->requests[bucket % BUCKETS] = requests;
-	w->retries[bucket % BUCKETS] = retries;
+	w->requests[bucket % HELD] = requests;
+	w->retries[bucket % HELD] = retries;
 }
 
 /*
@@ -114,10 +120,10 @@
 		w->newest = bucket;
 		g_hash_table_insert(b->pools, g_strdup(pool), w);
 	}
-	for (int n = 0; w->newest < bucket && n < BUCKETS; n++) {
+	for (int n = 0; w->newest < bucket && n < HELD; n++) {
 		w->newest++;
-		w->requests[w->newest % BUCKETS] = 0;
-		w->retries[w->newest % BUCKETS] = 0;
+		w->requests[w->newest % HELD] = 0;
+		w->retries[w->newest % HELD] = 0;
 	}
 	w->newest = bucket;
 	return w;
@@ -128,7 +134,7 @@
 {
 	struct window *w = window_of(b, pool);
 
-	w->requests[w->newest % BUCKETS]++;
+	w->requests[w->newest % HELD]++;
 }
 
 static double
@@ -136,8 +142,8 @@
 {
 	double n = 0;
 
-	for (int i = 0; i < BUCKETS; i++)
-		n += w->requests[i];
+	for (int64_t i = 0; i < BUCKETS; i++)
+		n += w->requests[(w->newest - i + HELD) % HELD];
 	return b->args.ratio * n + b->args.slack * SLACK_USED / b->entries;
 }
 
@@ -146,7 +152,7 @@
 {
 	double n = 0;
 
-	for (int i = 0; i < BUCKETS; i++)
+	for (int i = 0; i < HELD; i++)
 		n += w->retries[i];
 	return n;
 }
@@ -160,6 +166,6 @@
 		mh_count(b->k, "repeats_over_budget", 1);
 		return false;
 	}
-	w->retries[w->newest % BUCKETS]++;
+	w->retries[w->newest % HELD]++;
 	return true;
 }
--- /dev/null
+++ b/regress/t_budget.c
@@ -0,0 +1,169 @@
+/**
+ * DOC: The retry budget of several entries, in virtual time: retries of all of
+ * them in any sliding window are compared with what the rule allows.
+ */
+
+#include "gate.h"
+#include "regress.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define MS MH_US_PER_MS
+#define S MH_US_PER_S
+#define ENTRIES 8
+#define RATIO 0.2
+#define SLACK 50.0
+#define WINDOW_US (10 * S)
+
+/** struct brig - the rig: budgets of some entries, and what they allowed. */
+struct brig {
+	struct mh_kern *k;
+	struct mh_budget *b[ENTRIES]; /* NULL: it doesn't run */
+	int64_t now_us;
+	int64_t window_us;
+	GArray *retries; /* int64_t: times of retries of all entries */
+	GArray *requests; /* int64_t */
+};
+
+static void
+brig_advance(struct brig *r, int64_t us)
+{
+	r->now_us += us;
+	mh_kern_advance(r->k, r->now_us, r->now_us);
+}
+
+static void
+brig_open(struct brig *r)
+{
+	memset(r, 0, sizeof(*r));
+	r->k = mh_kern_create(1);
+	r->window_us = WINDOW_US;
+	r->retries = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	r->requests = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	brig_advance(r, 100 * S);
+}
+
+static void
+brig_stop(struct brig *r, uint32_t i)
+{
+	mh_budget_destroy(r->b[i]);
+	r->b[i] = NULL;
+}
+
+static void
+brig_close(struct brig *r)
+{
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		brig_stop(r, i);
+	g_array_free(r->retries, TRUE);
+	g_array_free(r->requests, TRUE);
+	mh_kern_destroy(r->k);
+}
+
+/* Starts an entry again, if it runs. */
+static void
+brig_start(struct brig *r, uint32_t i)
+{
+	struct mh_budget_args a = { RATIO, SLACK, r->window_us };
+
+	brig_stop(r, i);
+	r->b[i] = mh_budget_create(r->k, &a);
+}
+
+/* Tells all entries how many share the slack. */
+static void
+brig_tell(struct brig *r, uint32_t n)
+{
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		if (r->b[i] != NULL)
+			mh_budget_entries(r->b[i], n);
+	}
+}
+
+static void
+brig_request(struct brig *r, uint32_t i)
+{
+	mh_budget_request(r->b[i], "pool");
+	g_array_append_val(r->requests, r->now_us);
+}
+
+/* At most @most retries of an entry; returns how many it was allowed. */
+static uint32_t
+brig_retry(struct brig *r, uint32_t i, uint32_t most)
+{
+	uint32_t n = 0;
+
+	while (n < most && mh_budget_take(r->b[i], "pool")) {
+		g_array_append_val(r->retries, r->now_us);
+		n++;
+	}
+	return n;
+}
+
+/* Number of times within @window_us up to @end_us. */
+static uint32_t
+count_until(const GArray *times, int64_t end_us, int64_t window_us)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < times->len; i++) {
+		int64_t t = g_array_index(times, int64_t, i);
+
+		n += t <= end_us && t >= end_us - window_us;
+	}
+	return n;
+}
+
+/* The most by which retries in any window exceed what is allowed in it. */
+static double
+excess(const struct brig *r)
+{
+	double most = -SLACK;
+
+	for (guint i = 0; i < r->retries->len; i++) {
+		int64_t t = g_array_index(r->retries, int64_t, i);
+		int64_t w = r->window_us;
+		uint32_t q = count_until(r->requests, t, w);
+
+		q = MAX(q, count_until(r->requests, t - w / 2, w));
+		q = MAX(q, count_until(r->requests, t - w, w));
+		most = MAX(
+		    most, count_until(r->retries, t, w) - (RATIO * q + SLACK));
+	}
+	return most;
+}
+
+/*
+ * Guards against retries that are forgotten before a whole window has passed:
+ * one burst at the end of a bucket, the next as soon as it is forgotten.
+ */
+static void
+test_two_bursts(void)
+{
+	struct brig r;
+	uint32_t n;
+
+	brig_open(&r);
+	brig_start(&r, 0);
+	brig_tell(&r, 1);
+	brig_advance(&r, 3 * WINDOW_US - MS);
+	for (int i = 0; i < 5; i++)
+		brig_request(&r, 0);
+	n = brig_retry(&r, 0, UINT32_MAX);
+	CU_ASSERT_EQUAL(n, 41);
+	for (int i = 0; i < 100; i++) {
+		brig_advance(&r, WINDOW_US / 100);
+		n += brig_retry(&r, 0, UINT32_MAX);
+	}
+	CU_ASSERT_EQUAL(n, 41);
+	CU_ASSERT(excess(&r) <= 0);
+	brig_advance(&r, WINDOW_US / 10);
+	CU_ASSERT_EQUAL(brig_retry(&r, 0, UINT32_MAX), 40);
+	brig_close(&r);
+}
+
+const struct test tests_budget[] = {
+	{ "budget: two bursts within a window", test_two_bursts },
+	{ NULL, NULL },
+};
