Budget: no slack before the number of entries is known

What callers saw: retries of entries that have just started pile up beyond the allowance.

Cause: a budget started with one entry, so one that has just started could spend the whole slack until it read the list; with the first page alone it divided by too few.

The budget of pieces isn't shared by entries and stays as it is.

Test: "entries not known yet" failed with mh_budget_share() doing nothing (each of eight entries could retry without a request) and passes now.

For a calm entry: nothing changes once it has the list. One that can't reach the store or any peer has no slack.

--- a/lib/budget.c
+++ b/lib/budget.c
@@ -29,7 +29,7 @@
 struct mh_budget {
 	struct mh_kern *k;
 	struct mh_budget_args args;
-	uint32_t entries;
+	uint32_t entries; /* 0: not known yet */
 	GHashTable *pools; /* name -> struct window */
 };
 
@@ -46,6 +46,12 @@
 	return b;
 }
 
+void
+mh_budget_share(struct mh_budget *b)
+{
+	b->entries = 0;
+}
+
 void
 mh_budget_destroy(struct mh_budget *b)
 {
@@ -138,13 +144,21 @@
 }
 
 static double
-allowance(struct mh_budget *b, const struct window *w)
+slack_share(const struct mh_budget *b)
+{
+	if (b->entries == 0)
+		return 0;
+	return b->args.slack * SLACK_USED / b->entries;
+}
+
+static double
+allowance(const struct mh_budget *b, const struct window *w)
 {
 	double n = 0;
 
 	for (int64_t i = 0; i < BUCKETS; i++)
 		n += w->requests[(w->newest - i + HELD) % HELD];
-	return b->args.ratio * n + b->args.slack * SLACK_USED / b->entries;
+	return b->args.ratio * n + slack_share(b);
 }
 
 static double
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -341,11 +341,16 @@
 struct mh_budget *mh_budget_create(
     struct mh_kern *k, const struct mh_budget_args *a);
 void mh_budget_destroy(struct mh_budget *b);
+/**
+ * mh_budget_share() - the slack of a new budget is shared with other processes:
+ * none of it is used before their number is known.
+ */
+void mh_budget_share(struct mh_budget *b);
 /** mh_budget_set() - replaces the bounds; retries already spent still count. */
 void mh_budget_set(struct mh_budget *b, const struct mh_budget_args *a);
 /** mh_budget_entries() - the slack is divided among @n processes. */
 void mh_budget_entries(struct mh_budget *b, uint32_t n);
-/** mh_budget_shared_by() - number of processes that share the slack. */
+/** mh_budget_shared_by() - processes that share the slack; 0: not known. */
 uint32_t mh_budget_shared_by(const struct mh_budget *b);
 /** mh_budget_request() - counts a request that is no retry. */
 void mh_budget_request(struct mh_budget *b, const char *pool);
--- a/regress/t_budget.c
+++ b/regress/t_budget.c
@@ -69,6 +69,7 @@
 
 	brig_stop(r, i);
 	r->b[i] = mh_budget_create(r->k, &a);
+	mh_budget_share(r->b[i]);
 }
 
 /* Tells all entries how many share the slack. */
@@ -163,7 +164,29 @@
 	brig_close(&r);
 }
 
+/* Guards against spending the slack of all entries before these are known. */
+static void
+test_entries_not_known(void)
+{
+	struct brig r;
+
+	brig_open(&r);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		brig_start(&r, i);
+	brig_advance(&r, 3 * WINDOW_US);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		CU_ASSERT_EQUAL(brig_retry(&r, i, UINT32_MAX), 0);
+	for (int i = 0; i < 50; i++)
+		brig_request(&r, 0);
+	CU_ASSERT_EQUAL(brig_retry(&r, 0, UINT32_MAX), 10);
+	CU_ASSERT(excess(&r) <= 0);
+	brig_tell(&r, ENTRIES);
+	CU_ASSERT_EQUAL(brig_retry(&r, 1, UINT32_MAX), 5);
+	brig_close(&r);
+}
+
 const struct test tests_budget[] = {
 	{ "budget: two bursts within a window", test_two_bursts },
+	{ "budget: entries not known yet", test_entries_not_known },
 	{ NULL, NULL },
 };
