Budget: an entry that has started has no slack for a window

What callers saw: more retries than the slack when entries are restarted one after the other.

Cause: a process that was restarted has forgotten what its predecessor spent in the same window, so each restart gave a fresh share. An entry that is new had a share at once, of what others that didn't know of it had spent.

Ruled out: asking peers for what was spent. They don't know it either, and an answer may be late.

Change: a shared budget allows no slack, the ratio alone, until one window and five seconds (the time in which others learn of an entry) have passed since its start.

Tests: "entries restarted in turn" and "many entries join" failed without the hold; the second one also with a hold of one window alone. Both pass now.

For a calm entry: nothing changes 15 s after its start at a window of 10 s. Before, retries are a share of the requests that it has seen itself.

--- a/lib/budget.c
+++ b/lib/budget.c
@@ -19,6 +19,8 @@
 #define HELD (BUCKETS + 1)
 /* The rest is a margin for entries that count over shifted windows. */
 #define SLACK_USED 0.8
+/* Others know of a process that has started after this time at most. */
+#define JOIN_US (5 * MH_US_PER_S)
 
 struct window {
 	uint32_t requests[HELD];
@@ -30,6 +32,8 @@
 	struct mh_kern *k;
 	struct mh_budget_args args;
 	uint32_t entries; /* 0: not known yet */
+	bool shared; /* with other processes */
+	int64_t start_us; /* of this process */
 	GHashTable *pools; /* name -> struct window */
 };
 
@@ -50,6 +54,8 @@
 mh_budget_share(struct mh_budget *b)
 {
 	b->entries = 0;
+	b->shared = true;
+	b->start_us = mh_now(b->k);
 }
 
 void
@@ -143,10 +149,22 @@
 	w->requests[w->newest % HELD]++;
 }
 
+/*
+ * A process that was restarted doesn't know what its predecessor has spent.
+ * One that is new has no share of what others, which did not know of it, have
+ * spent.
+ */
+static bool
+holds_slack(const struct mh_budget *b)
+{
+	return b->shared &&
+	    mh_now(b->k) < b->start_us + b->args.window_us + JOIN_US;
+}
+
 static double
 slack_share(const struct mh_budget *b)
 {
-	if (b->entries == 0)
+	if (b->entries == 0 || holds_slack(b))
 		return 0;
 	return b->args.slack * SLACK_USED / b->entries;
 }
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -343,7 +343,8 @@
 void mh_budget_destroy(struct mh_budget *b);
 /**
  * mh_budget_share() - the slack of a new budget is shared with other processes:
- * none of it is used before their number is known.
+ * none of it is used before their number is known, nor as long as what a
+ * predecessor of this process has spent is in the window.
  */
 void mh_budget_share(struct mh_budget *b);
 /** mh_budget_set() - replaces the bounds; retries already spent still count. */
--- a/regress/t_budget.c
+++ b/regress/t_budget.c
@@ -185,8 +185,66 @@
 	brig_close(&r);
 }
 
+/* Guards against a fresh share of the slack for each start of an entry. */
+static void
+test_restarted_in_turn(void)
+{
+	struct brig r;
+	uint32_t n = 0;
+
+	brig_open(&r);
+	for (uint32_t i = 0; i < 4; i++)
+		brig_start(&r, i);
+	brig_tell(&r, 4);
+	brig_advance(&r, 3 * WINDOW_US);
+	for (uint32_t round = 0; round < 2; round++) {
+		for (uint32_t i = 0; i < 4; i++) {
+			n += brig_retry(&r, i, UINT32_MAX);
+			brig_advance(&r, 700 * MS);
+			brig_start(&r, i);
+			brig_tell(&r, 4);
+		}
+	}
+	CU_ASSERT_EQUAL(n, 40);
+	CU_ASSERT(excess(&r) <= 0);
+	brig_advance(&r, 2 * WINDOW_US);
+	CU_ASSERT_EQUAL(brig_retry(&r, 0, UINT32_MAX), 10);
+	brig_close(&r);
+}
+
+/*
+ * Guards against entries that join and get a share before the others know of
+ * them, and have spent larger shares.
+ */
+static void
+test_many_join(void)
+{
+	struct brig r;
+
+	brig_open(&r);
+	brig_start(&r, 0);
+	brig_tell(&r, 1);
+	brig_advance(&r, 3 * WINDOW_US);
+	for (uint32_t i = 1; i < ENTRIES; i++) {
+		brig_start(&r, i);
+		mh_budget_entries(r.b[i], ENTRIES);
+	}
+	brig_advance(&r, 3 * S);
+	CU_ASSERT_EQUAL(brig_retry(&r, 0, UINT32_MAX), 40);
+	brig_tell(&r, ENTRIES);
+	for (int i = 0; i < 200; i++) {
+		brig_advance(&r, 100 * MS);
+		for (uint32_t e = 0; e < ENTRIES; e++)
+			brig_retry(&r, e, UINT32_MAX);
+	}
+	CU_ASSERT(excess(&r) <= 0);
+	brig_close(&r);
+}
+
 const struct test tests_budget[] = {
 	{ "budget: two bursts within a window", test_two_bursts },
 	{ "budget: entries not known yet", test_entries_not_known },
+	{ "budget: entries restarted in turn", test_restarted_in_turn },
+	{ "budget: many entries join", test_many_join },
 	{ NULL, NULL },
 };
