Budget: requests don't outlive a change of the window

What callers saw: a change of the settings' window extended what requests allow.

Cause: on a change all counts moved to the newest bucket, so requests counted for up to two windows, and buckets that had expired counted again.

Change: counts are sorted into buckets of the new length, a retry as the latest and a request as the earliest of its bucket.

Test: "requests after a change of the window" failed before and passes now. "another slack" shows that a change of ratio or slack is no fault: it passes on the code before and after.

For a calm entry: nothing changes without a change of the window.

--- a/lib/budget.c
+++ b/lib/budget.c
@@ -35,7 +35,7 @@
 	uint32_t most[HELD]; /* maximum of @entries in each bucket */
 	int64_t newest; /* number of the newest bucket of @most */
 	bool shared; /* with other processes */
-	int64_t start_us; /* of this process */
+	int64_t known_us; /* retries before are not known, if it is shared */
 	GHashTable *pools; /* name -> struct window */
 };
 
@@ -57,7 +57,7 @@
 {
 	b->entries = 0;
 	b->shared = true;
-	b->start_us = mh_now(b->k);
+	b->known_us = mh_now(b->k) + JOIN_US;
 }
 
 void
@@ -69,10 +69,16 @@
 	g_free(b);
 }
 
+static int64_t
+bucket_us(const struct mh_budget *b)
+{
+	return MAX((b->args.window_us + BUCKETS - 1) / BUCKETS, 1);
+}
+
 static int64_t
 bucket_now(const struct mh_budget *b)
 {
-	return mh_now(b->k) / MAX(b->args.window_us / BUCKETS, 1);
+	return mh_now(b->k) / bucket_us(b);
 }
 
 /* The maximum of entries that were known at any time in the last window. */
@@ -87,44 +93,46 @@
 	return n;
 }
 
-/* Moves the counts of all buckets to the bucket numbered @bucket. */
+/*
+ * Sorts the counts into buckets of another length.  A retry counts as the
+ * latest and a request as the earliest of its bucket, so that neither extends
+ * the allowance.
+ */
 static void
-merge_buckets(struct window *w, int64_t bucket)
+resize(struct window *w, int64_t old_us, int64_t new_us, int64_t newest)
 {
-	uint32_t requests = 0, retries = 0;
+	struct window to = { .newest = newest };
+
+	for (int64_t i = MAX(w->newest - HELD + 1, 0); i <= w->newest; i++) {
+		int64_t first = i * old_us / new_us;
+		int64_t last = ((i + 1) * old_us - 1) / new_us;
 
-	for (int i = 0; i < HELD; i++) {
-		requests += w->requests[i];
-		retries += w->retries[i];
+		if (first > newest - HELD)
+			to.requests[first % HELD] += w->requests[i % HELD];
+		last = MIN(last, newest);
+		if (last > newest - HELD)
+			to.retries[last % HELD] += w->retries[i % HELD];
 	}
-	memset(w, 0, sizeof(*w));
-	w->newest = bucket;
-	w->requests[bucket % HELD] = requests;
-	w->retries[bucket % HELD] = retries;
+	*w = to;
 }
 
-/*
- * A bucket's number is the time divided by the bucket length.  After a change
- * of the window the old buckets would look expired, and endpoints would get a
- * second whole allowance of retries.
- */
 void
 mh_budget_set(struct mh_budget *b, const struct mh_budget_args *a)
 {
-	bool resized = b->args.window_us != a->window_us;
+	int64_t old_us = bucket_us(b);
 	uint32_t entries = most_entries(b);
 	GHashTableIter it;
 	gpointer w;
 
 	b->args = *a;
-	if (!resized)
+	if (bucket_us(b) == old_us)
 		return;
 	b->newest = bucket_now(b);
 	memset(b->most, 0, sizeof(b->most));
 	b->most[b->newest % HELD] = entries;
 	g_hash_table_iter_init(&it, b->pools);
 	while (g_hash_table_iter_next(&it, NULL, &w))
-		merge_buckets(w, bucket_now(b));
+		resize(w, old_us, bucket_us(b), b->newest);
 }
 
 /*
@@ -187,8 +195,7 @@
 static bool
 holds_slack(const struct mh_budget *b)
 {
-	return b->shared &&
-	    mh_now(b->k) < b->start_us + b->args.window_us + JOIN_US;
+	return b->shared && mh_now(b->k) < b->known_us + b->args.window_us;
 }
 
 static double
--- a/regress/t_budget.c
+++ b/regress/t_budget.c
@@ -271,6 +271,52 @@
 	brig_close(&r);
 }
 
+/*
+ * Guards against requests that count for longer than a window because its
+ * length was changed.
+ */
+static void
+test_requests_after_resize(void)
+{
+	struct mh_budget_args a = { RATIO, 0, 9 * S };
+	struct brig r;
+
+	brig_open(&r);
+	brig_start(&r, 0);
+	brig_tell(&r, 1);
+	for (int i = 0; i < 100; i++)
+		brig_request(&r, 0);
+	brig_advance(&r, 8 * S);
+	mh_budget_set(r.b[0], &a);
+	brig_advance(&r, 2 * S);
+	CU_ASSERT_EQUAL(brig_retry(&r, 0, UINT32_MAX), 0);
+	brig_close(&r);
+}
+
+/*
+ * Another slack and ratio hold at once, for retries already spent too.  Guards
+ * against a fresh allowance with each change of settings.
+ */
+static void
+test_other_slack(void)
+{
+	struct mh_budget_args a = { RATIO, SLACK / 2, WINDOW_US };
+	struct brig r;
+
+	brig_open(&r);
+	brig_start(&r, 0);
+	brig_tell(&r, 1);
+	brig_advance(&r, 3 * WINDOW_US);
+	CU_ASSERT_EQUAL(brig_retry(&r, 0, 30), 30);
+	mh_budget_set(r.b[0], &a);
+	CU_ASSERT_EQUAL(brig_retry(&r, 0, UINT32_MAX), 0);
+	a.slack = SLACK;
+	mh_budget_set(r.b[0], &a);
+	CU_ASSERT_EQUAL(brig_retry(&r, 0, UINT32_MAX), 10);
+	CU_ASSERT(excess(&r) <= 0);
+	brig_close(&r);
+}
+
 /** struct draw - what the entries of a drawn run do and know. */
 struct draw {
 	struct brig r;
@@ -366,6 +412,9 @@
 	{ "budget: entries restarted in turn", test_restarted_in_turn },
 	{ "budget: many entries join", test_many_join },
 	{ "budget: entries leave", test_entries_leave },
+	{ "budget: requests after a change of the window",
+	    test_requests_after_resize },
+	{ "budget: another slack", test_other_slack },
 	{ "budget: entries come and go, drawn", test_drawn },
 	{ NULL, NULL },
 };
