Budget: no slack after a change to a longer window until it is full

What callers saw: a second slack after a change of settings to a longer window.

Cause: what the shorter window had dropped is forgotten, but counts again in the longer one.

Change: a shared budget allows the ratio alone until its memory is as long as the window. The budget of pieces, which no rule bounds, isn't held.

For a calm entry: a change from 10 to 12 s holds the slack for 2 s.

--- a/lib/budget.c
+++ b/lib/budget.c
@@ -119,11 +119,13 @@
 void
 mh_budget_set(struct mh_budget *b, const struct mh_budget_args *a)
 {
-	int64_t old_us = bucket_us(b);
+	int64_t old_us = bucket_us(b), now = mh_now(b->k);
 	uint32_t entries = most_entries(b);
 	GHashTableIter it;
 	gpointer w;
 
+	if (a->window_us > b->args.window_us)
+		b->known_us = MAX(b->known_us, now - b->args.window_us);
 	b->args = *a;
 	if (bucket_us(b) == old_us)
 		return;
@@ -190,7 +192,8 @@
 /*
  * A process that was restarted doesn't know what its predecessor has spent.
  * One that is new has no share of what others, which did not know of it, have
- * spent.
+ * spent.  After a change to a longer window, retries that the shorter one had
+ * dropped count again.
  */
 static bool
 holds_slack(const struct mh_budget *b)
--- a/regress/t_budget.c
+++ b/regress/t_budget.c
@@ -317,6 +317,34 @@
 	brig_close(&r);
 }
 
+/*
+ * A change of settings makes the window longer.  Guards against a whole slack
+ * at once although retries that the shorter window had forgotten count again.
+ */
+static void
+test_longer_window(void)
+{
+	struct mh_budget_args a = { RATIO, SLACK, WINDOW_US };
+	struct brig r;
+
+	brig_open(&r);
+	r.window_us = 2 * S;
+	brig_start(&r, 0);
+	brig_tell(&r, 1);
+	brig_advance(&r, 3 * WINDOW_US);
+	CU_ASSERT_EQUAL(brig_retry(&r, 0, UINT32_MAX), 40);
+	brig_advance(&r, 3 * S);
+	brig_request(&r, 0);
+	r.window_us = WINDOW_US;
+	mh_budget_set(r.b[0], &a);
+	CU_ASSERT_EQUAL(brig_retry(&r, 0, UINT32_MAX), 0);
+	CU_ASSERT(excess(&r) <= 0);
+	brig_advance(&r, 9 * S);
+	CU_ASSERT_EQUAL(brig_retry(&r, 0, UINT32_MAX), 40);
+	CU_ASSERT(excess(&r) <= 0);
+	brig_close(&r);
+}
+
 /** struct draw - what the entries of a drawn run do and know. */
 struct draw {
 	struct brig r;
@@ -415,6 +443,7 @@
 	{ "budget: requests after a change of the window",
 	    test_requests_after_resize },
 	{ "budget: another slack", test_other_slack },
+	{ "budget: a longer window", test_longer_window },
 	{ "budget: entries come and go, drawn", test_drawn },
 	{ NULL, NULL },
 };
