Gate: a retry after lost inputs takes from the budget

What callers saw: repeats beyond the allowance while results of stage work are being lost, as when coordinators flap.

Cause: an engine that doesn't find its inputs says that the request was not run. The request was sent once more after its stage work was done again, without asking the budget, although an arrival that a replica rejects counts.

So pieces that are queued again without asking the budget of pieces, and its slack at a coordinator that moves, are left as they are.

Change: the budget is asked before the stage work is done again, and the request is refused without it, also when no try would be left.

Test: "inputs lost without a budget" failed before (a second job, no refusal), and passes now.

For a calm entry: a request whose inputs are lost uses one retry.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -437,17 +437,17 @@
 retry_not_run(struct mh_gate *g, struct mh_greq *q, const struct mh_gresp *a)
 {
 	close_try(g, q, false);
+	if (q->n_tried >= MAX_TRIES || !mh_budget_take(g->budget, q->pool)) {
+		mh_gate_refuse(
+		    g, q, q->runs > 0 ? MH_RUN_FAILED : MH_TOO_BUSY, 0);
+		return;
+	}
 	if (a->inputs_lost && may_start_job(q)) {
 		mh_count(g->k, "inputs_gone", 1);
 		release_job(g, q);
 		mh_gate_start_job(g, q);
 		return;
 	}
-	if (q->n_tried >= MAX_TRIES || !mh_budget_take(g->budget, q->pool)) {
-		mh_gate_refuse(
-		    g, q, q->runs > 0 ? MH_RUN_FAILED : MH_TOO_BUSY, 0);
-		return;
-	}
 	mh_gate_try_next(g, q);
 }
 
--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -393,6 +393,32 @@
 	grig_destroy(r);
 }
 
+/*
+ * Guards against retries without a budget: where the results of many requests
+ * are lost at once, each engine's answer would send one more.
+ */
+static void
+test_inputs_lost_over_budget(void)
+{
+	struct grig *r = grig_create(4);
+	struct mh_gresp a = {
+		.status = 409, .not_run = true, .inputs_lost = true
+	};
+	uint32_t n = 0;
+
+	request_with_stage(r);
+	mh_gate_job_end(r->g, r->job, MH_JOB_DONE, 0);
+	CU_ASSERT_EQUAL(r->sends, 1);
+	while (mh_budget_take(r->b, "pool"))
+		n++;
+	CU_ASSERT_EQUAL(n, 40);
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, r->cur, &a), MH_DROP);
+	CU_ASSERT_EQUAL(r->jobs, 1);
+	CU_ASSERT_EQUAL(r->refused, 1);
+	CU_ASSERT_EQUAL(r->why, MH_TOO_BUSY);
+	grig_destroy(r);
+}
+
 /*
  * The first endpoint broke off and may have run the request; the second states
  * that the inputs are lost.  The coordinator has no time to recompute them. The
@@ -792,6 +818,7 @@
 	{ "gate: a returning caller", test_returned },
 	{ "gate: stage work refused", test_job_refused },
 	{ "gate: inputs lost at the engine", test_inputs_lost_at_engine },
+	{ "gate: inputs lost without a budget", test_inputs_lost_over_budget },
 	{ "gate: inputs for a stream failover", test_inputs_for_failover },
 	{ "gate: stage work within the client timeout",
 	    test_work_within_client_timeout },
