Budget: a line says that a pool's retries are used up

What callers saw: nothing; a refused retry was a count of all pools.

Change: "retries-used-up", at most one line a window and pool, with what was spent, what is allowed, the slack in it, the entries that share it, the retries refused since the last such line, and the time since the start.

Test: "used up is logged once a window" failed without the line and passes.

--- a/lib/budget.c
+++ b/lib/budget.c
@@ -26,6 +26,8 @@
 	uint32_t requests[HELD];
 	uint32_t retries[HELD];
 	int64_t newest; /* number of the newest bucket */
+	int64_t logged_us; /* when a refused retry was last logged; 0: never */
+	uint32_t refused; /* retries since then */
 };
 
 struct mh_budget {
@@ -35,6 +37,7 @@
 	uint32_t most[HELD]; /* maximum of @entries in each bucket */
 	int64_t newest; /* number of the newest bucket of @most */
 	bool shared; /* with other processes */
+	int64_t start_us; /* of this process */
 	int64_t known_us; /* retries before are not known, if it is shared */
 	GHashTable *pools; /* name -> struct window */
 };
@@ -47,6 +50,7 @@
 	b->k = k;
 	b->args = *a;
 	b->entries = 1;
+	b->start_us = mh_now(k);
 	b->pools =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return b;
@@ -101,7 +105,9 @@
 static void
 resize(struct window *w, int64_t old_us, int64_t new_us, int64_t newest)
 {
-	struct window to = { .newest = newest };
+	struct window to = { .newest = newest,
+		.logged_us = w->logged_us,
+		.refused = w->refused };
 
 	for (int64_t i = MAX(w->newest - HELD + 1, 0); i <= w->newest; i++) {
 		int64_t first = i * old_us / new_us;
@@ -229,6 +235,24 @@
 	return n;
 }
 
+/* Logs that a pool's budget is used up, at most once a window. */
+static void
+log_refused(struct mh_budget *b, const char *pool, struct window *w)
+{
+	int64_t now = mh_now(b->k);
+
+	w->refused++;
+	if (w->logged_us != 0 && now - w->logged_us < b->args.window_us)
+		return;
+	mh_event(b->k, "retries-used-up",
+	    "pool=%s used=%.0f allowed=%.1f slack=%.1f entries=%u refused=%u "
+	    "up_s=%" PRId64,
+	    pool, used(w), allowance(b, w), slack_share(b), most_entries(b),
+	    w->refused, mh_ms(now - b->start_us) / 1000);
+	w->logged_us = now;
+	w->refused = 0;
+}
+
 bool
 mh_budget_take(struct mh_budget *b, const char *pool)
 {
@@ -236,6 +260,7 @@
 
 	if (used(w) + 1 > allowance(b, w)) {
 		mh_count(b->k, "repeats_over_budget", 1);
+		log_refused(b, pool, w);
 		return false;
 	}
 	w->retries[w->newest % HELD]++;
--- a/regress/t_budget.c
+++ b/regress/t_budget.c
@@ -6,8 +6,10 @@
 #include "gate.h"
 #include "regress.h"
 
+#include <fcntl.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #define MS MH_US_PER_MS
 #define S MH_US_PER_S
@@ -345,6 +347,53 @@
 	brig_close(&r);
 }
 
+static uint32_t
+count_text(const char *all, const char *text)
+{
+	uint32_t n = 0;
+
+	for (const char *p = all; (p = strstr(p, text)) != NULL; p++)
+		n++;
+	return n;
+}
+
+/*
+ * Guards against refused retries that no log shows, and against a line for each
+ * of them.
+ */
+static void
+test_used_up_logged(void)
+{
+	struct brig r;
+	char all[4096] = "";
+	int fds[2];
+
+	CU_ASSERT_EQUAL_FATAL(pipe(fds), 0);
+	CU_ASSERT_EQUAL_FATAL(fcntl(fds[0], F_SETFL, O_NONBLOCK), 0);
+	brig_open(&r);
+	mh_evlog_create(r.k, fds[1]);
+	brig_start(&r, 0);
+	brig_tell(&r, 5);
+	brig_advance(&r, 3 * WINDOW_US);
+	CU_ASSERT_EQUAL(brig_retry(&r, 0, UINT32_MAX), 8);
+	for (int i = 0; i < 10; i++)
+		CU_ASSERT_EQUAL(brig_retry(&r, 0, 1), 0);
+	brig_advance(&r, WINDOW_US + S);
+	CU_ASSERT_EQUAL(brig_retry(&r, 0, UINT32_MAX), 8);
+	brig_advance(&r, S);
+	CU_ASSERT(read(fds[0], all, sizeof(all) - 1) > 0);
+	CU_ASSERT_EQUAL(count_text(all, "ev=retries-used-up"), 2);
+	CU_ASSERT_EQUAL(
+	    count_text(all,
+		"pool=pool used=8 allowed=8.0 slack=8.0 entries=5 refused=1 "
+		"up_s=30"),
+	    1);
+	CU_ASSERT_EQUAL(count_text(all, "refused=11 up_s=41"), 1);
+	brig_close(&r);
+	close(fds[0]);
+	close(fds[1]);
+}
+
 /** struct draw - what the entries of a drawn run do and know. */
 struct draw {
 	struct brig r;
@@ -444,6 +493,7 @@
 	    test_requests_after_resize },
 	{ "budget: another slack", test_other_slack },
 	{ "budget: a longer window", test_longer_window },
+	{ "budget: used up is logged once a window", test_used_up_logged },
 	{ "budget: entries come and go, drawn", test_drawn },
 	{ NULL, NULL },
 };
