--- a/lib/budget.c
+++ b/lib/budget.c
@@ -10,21 +10,40 @@
 
 #include <string.h>
 
-#define BUCKETS 10
+/* Buckets of a window. */
+#define BUCKETS 20
+/*
+ * Retries count until a whole window has passed, so for one bucket more than
+ * requests, as the newest bucket is not full.
+ */
+#define HELD (BUCKETS + 1)
 /* The rest is a margin for entries that count over shifted windows. */
 #define SLACK_USED 0.8
+/* Others know of a process that has started after this time at most. */
+#define JOIN_US (5 * MH_US_PER_S)
 
 struct window {
-	uint32_t requests[BUCKETS];
-	uint32_t retries[BUCKETS];
+	uint32_t requests[HELD];
+	uint32_t retries[HELD];
 	int64_t newest; /* number of the newest bucket */
+	int64_t logged_us; /* when a refused retry was last logged; 0: never */
+	uint32_t refused; /* retries since then */
 };
 
 struct mh_budget {
 	struct mh_kern *k;
 	struct mh_budget_args args;
-	uint32_t entries;
+	uint32_t entries; /* as last told; 0: not known yet */
+	uint32_t most[HELD]; /* maximum of @entries in each bucket */
+	int64_t newest; /* number of the newest bucket of @most */
+	bool shared; /* with other processes */
+	int64_t start_us; /* of this process */
+	int64_t known_us; /* retries before are not known, if it is shared */
 	GHashTable *pools; /* name -> struct window */
+	uint32_t (*entries_fn)(void *arg); /* see mh_budget_follow() */
+	void *arg;
+	struct mh_timer *timer;
+	int64_t asked_us; /* when it last fired */
 };
 
 struct mh_budget *
@@ -35,72 +54,148 @@
 	b->k = k;
 	b->args = *a;
 	b->entries = 1;
+	b->start_us = mh_now(k);
 	b->pools =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return b;
 }
 
+void
+mh_budget_share(struct mh_budget *b)
+{
+	b->entries = 0;
+	b->shared = true;
+	b->known_us = mh_now(b->k) + JOIN_US;
+}
+
 void
 mh_budget_destroy(struct mh_budget *b)
 {
 	if (b == NULL)
 		return;
+	mh_timer_stop(b->k, &b->timer);
 	g_hash_table_destroy(b->pools);
 	g_free(b);
 }
 
+static int64_t
+bucket_us(const struct mh_budget *b)
+{
+	return MAX((b->args.window_us + BUCKETS - 1) / BUCKETS, 1);
+}
+
 static int64_t
 bucket_now(const struct mh_budget *b)
 {
-	return mh_now(b->k) / MAX(b->args.window_us / BUCKETS, 1);
+	return mh_now(b->k) / bucket_us(b);
 }
 
-/* Moves the counts of all buckets to the bucket numbered @bucket. */
-static void
-merge_buckets(struct window *w, int64_t bucket)
+/* The maximum of entries that were known at any time in the last window. */
+static uint32_t
+most_entries(const struct mh_budget *b)
 {
-	uint32_t requests = 0, retries = 0;
+	int64_t oldest = MAX(bucket_now(b) - HELD + 1, 0);
+	uint32_t n = b->entries;
 
-	for (int i = 0; i < BUCKETS; i++) {
-		requests += w->requests[i];
-		retries += w->retries[i];
-	}
-	memset(w, 0, sizeof(*w));
-	w->newest = bucket;
-	w->requests[bucket % BUCKETS] = requests;
-	w->retries[bucket % BUCKETS] = retries;
+	for (int64_t i = b->newest; i > b->newest - HELD && i >= oldest; i--)
+		n = MAX(n, b->most[i % HELD]);
+	return n;
 }
 
 /*
- * A bucket's number is the time divided by the bucket length.  After a change
- * of the window the old buckets would look expired, and endpoints would get a
- * second whole allowance of retries.
+ * Sorts the counts into buckets of another length.  A retry counts as the
+ * latest and a request as the earliest of its bucket, so that neither extends
+ * the allowance.
  */
+static void
+resize(struct window *w, int64_t old_us, int64_t new_us, int64_t newest)
+{
+	struct window to = { .newest = newest,
+		.logged_us = w->logged_us,
+		.refused = w->refused };
+
+	for (int64_t i = MAX(w->newest - HELD + 1, 0); i <= w->newest; i++) {
+		int64_t first = i * old_us / new_us;
+		int64_t last = ((i + 1) * old_us - 1) / new_us;
+
+		if (first > newest - HELD)
+			to.requests[first % HELD] += w->requests[i % HELD];
+		last = MIN(last, newest);
+		if (last > newest - HELD)
+			to.retries[last % HELD] += w->retries[i % HELD];
+	}
+	*w = to;
+}
+
 void
 mh_budget_set(struct mh_budget *b, const struct mh_budget_args *a)
 {
-	bool resized = b->args.window_us != a->window_us;
+	int64_t old_us = bucket_us(b), now = mh_now(b->k);
+	uint32_t entries = most_entries(b);
 	GHashTableIter it;
 	gpointer w;
 
+	if (a->window_us > b->args.window_us)
+		b->known_us = MAX(b->known_us, now - b->args.window_us);
 	b->args = *a;
-	if (!resized)
+	if (bucket_us(b) == old_us)
 		return;
+	b->newest = bucket_now(b);
+	memset(b->most, 0, sizeof(b->most));
+	b->most[b->newest % HELD] = entries;
 	g_hash_table_iter_init(&it, b->pools);
 	while (g_hash_table_iter_next(&it, NULL, &w))
-		merge_buckets(w, bucket_now(b));
+		resize(w, old_us, bucket_us(b), b->newest);
 }
 
+/*
+ * What entries that have left had spent is in the window for a while, so the
+ * shares of the others grow only after that.
+ */
 void
 mh_budget_entries(struct mh_budget *b, uint32_t n)
 {
+	int64_t bucket = bucket_now(b);
+
+	for (int i = 0; b->newest < bucket && i < HELD; i++) {
+		b->newest++;
+		b->most[b->newest % HELD] = b->entries;
+	}
+	b->newest = bucket;
 	b->entries = MAX(n, 1);
+	b->most[bucket % HELD] = MAX(b->most[bucket % HELD], b->entries);
+}
+
+static void
+on_timer(void *arg)
+{
+	struct mh_budget *b = arg;
+	uint32_t n = b->entries_fn(b->arg);
+	int64_t now = mh_now(b->k);
+
+	/* The process did not run, and others have shared without it. */
+	if (now - b->asked_us > b->args.window_us)
+		b->known_us = MAX(b->known_us, now + JOIN_US);
+	b->asked_us = now;
+	if (n > 0)
+		mh_budget_entries(b, n);
+	b->timer = mh_timer_start(b->k, bucket_us(b), on_timer, b);
+}
+
+void
+mh_budget_follow(struct mh_budget *b, uint32_t (*fn)(void *arg), void *arg)
+{
+	mh_timer_stop(b->k, &b->timer);
+	b->entries_fn = fn;
+	b->arg = arg;
+	b->asked_us = mh_now(b->k);
+	on_timer(b);
 }
 
 uint32_t
 mh_budget_shared_by(const struct mh_budget *b)
 {
-	return b->entries;
+	return most_entries(b);
 }
 
 static struct window *
@@ -114,10 +209,10 @@
 		w->newest = bucket;
 		g_hash_table_insert(b->pools, g_strdup(pool), w);
 	}
-	for (int n = 0; w->newest < bucket && n < BUCKETS; n++) {
+	for (int n = 0; w->newest < bucket && n < HELD; n++) {
 		w->newest++;
-		w->requests[w->newest % BUCKETS] = 0;
-		w->retries[w->newest % BUCKETS] = 0;
+		w->requests[w->newest % HELD] = 0;
+		w->retries[w->newest % HELD] = 0;
 	}
 	w->newest = bucket;
 	return w;
@@ -128,17 +223,37 @@
 {
 	struct window *w = window_of(b, pool);
 
-	w->requests[w->newest % BUCKETS]++;
+	w->requests[w->newest % HELD]++;
+}
+
+/*
+ * A process that was restarted doesn't know what its predecessor has spent.
+ * One that is new has no share of what others, which did not know of it, have
+ * spent.  After a change to a longer window, retries that the shorter one had
+ * dropped count again.
+ */
+static bool
+holds_slack(const struct mh_budget *b)
+{
+	return b->shared && mh_now(b->k) < b->known_us + b->args.window_us;
+}
+
+static double
+slack_share(const struct mh_budget *b)
+{
+	if (b->entries == 0 || holds_slack(b))
+		return 0;
+	return b->args.slack * SLACK_USED / most_entries(b);
 }
 
 static double
-allowance(struct mh_budget *b, const struct window *w)
+allowance(const struct mh_budget *b, const struct window *w)
 {
 	double n = 0;
 
-	for (int i = 0; i < BUCKETS; i++)
-		n += w->requests[i];
-	return b->args.ratio * n + b->args.slack * SLACK_USED / b->entries;
+	for (int64_t i = 0; i < BUCKETS; i++)
+		n += w->requests[(w->newest - i + HELD) % HELD];
+	return b->args.ratio * n + slack_share(b);
 }
 
 static double
@@ -146,11 +261,29 @@
 {
 	double n = 0;
 
-	for (int i = 0; i < BUCKETS; i++)
+	for (int i = 0; i < HELD; i++)
 		n += w->retries[i];
 	return n;
 }
 
+/* Logs that a pool's budget is used up, at most once a window. */
+static void
+log_refused(struct mh_budget *b, const char *pool, struct window *w)
+{
+	int64_t now = mh_now(b->k);
+
+	w->refused++;
+	if (w->logged_us != 0 && now - w->logged_us < b->args.window_us)
+		return;
+	mh_event(b->k, "retries-used-up",
+	    "pool=%s used=%.0f allowed=%.1f slack=%.1f entries=%u refused=%u "
+	    "up_s=%" PRId64,
+	    pool, used(w), allowance(b, w), slack_share(b), most_entries(b),
+	    w->refused, mh_ms(now - b->start_us) / 1000);
+	w->logged_us = now;
+	w->refused = 0;
+}
+
 bool
 mh_budget_take(struct mh_budget *b, const char *pool)
 {
@@ -158,8 +291,9 @@
 
 	if (used(w) + 1 > allowance(b, w)) {
 		mh_count(b->k, "repeats_over_budget", 1);
+		log_refused(b, pool, w);
 		return false;
 	}
-	w->retries[w->newest % BUCKETS]++;
+	w->retries[w->newest % HELD]++;
 	return true;
 }
