Marlctl: an apply does not write over what it could not read

What callers saw: nothing yet; read in the code. An apply while the active document can't be read would make generation 1 of it, and the domains that operators have evacuated would get requests again.

Cause: read_current() returned the same for "nothing was applied" and "the head is there, its document isn't", also where the store didn't answer.

Ruled out: reading the evacuated domains from the delta of the head; it holds what changed, not all.

Evidence: regress/apply.sh fails before (applied generation=1 over generation 2).

Conclusion: a domain stays evacuated until somebody takes it back.

--- a/GNUmakefile
+++ b/GNUmakefile
@@ -40,6 +40,7 @@
 	@sh platform/soak/soak.sh build/debug 30 12e
 	@bash regress/owner.sh build/debug
 	@bash regress/falls.sh build/debug
+	@bash regress/apply.sh build/debug
 	build/debug/regress.bin regress
 
 soak: deps
--- a/marlctl/apply.c
+++ b/marlctl/apply.c
@@ -18,42 +18,86 @@
 #define MAX_TRIES 3
 #define WRITE_ID_BYTES 12
 
-struct mh_decl *
-read_current(const struct options *o, json_t **head, uint64_t *cas)
+/*
+ * Reads the head value; NULL if nothing was applied yet.
+ * @unanswered: what to say if there is no response
+ */
+static json_t *
+read_head(const struct options *o, uint64_t *cas, const char *unanswered)
 {
-	struct kv_value s, doc;
-	struct mh_decl *d = NULL;
-	GError *err = NULL;
+	struct kv_value s;
+	json_t *head;
 	gsize len;
 	const char *data;
 
-	*head = NULL;
 	*cas = 0;
 	store_get(o->kv, MH_CONF_HEAD, &s);
 	if (!s.responded)
-		die(EXIT_BAD,
-		    "the KV service does not respond; try again "
-		    "later (the active document is unchanged)");
+		die(EXIT_BAD, "the KV service does not respond; %s",
+		    unanswered);
 	if (!s.found)
 		return NULL;
 	*cas = s.cas;
 	data = g_bytes_get_data(s.value, &len);
-	*head = json_loadb(data, len, 0, NULL);
-	if (*head == NULL)
+	head = json_loadb(data, len, 0, NULL);
+	if (!json_is_string(json_object_get(head, "doc")) ||
+	    !json_is_integer(json_object_get(head, "generation")))
 		die(EXIT_BAD,
-		    "the head value is malformed; apply again from "
-		    "version control");
-	store_get(
-	    o->kv, json_string_value(json_object_get(*head, "doc")), &doc);
-	if (doc.found) {
-		d = mh_decl_read(doc.value, &err);
-		if (d == NULL)
-			die(EXIT_BAD, "stored document: %s", err->message);
-		d->generation = (uint64_t)json_integer_value(
-		    json_object_get(*head, "generation"));
-	}
-	kv_value_clear(&doc);
+		    "the value of the key %s is malformed: restore it from a "
+		    "backup of the KV service (nothing was changed)",
+		    MH_CONF_HEAD);
 	kv_value_clear(&s);
+	return head;
+}
+
+static uint64_t
+head_generation(json_t *head)
+{
+	return (uint64_t)json_integer_value(
+	    json_object_get(head, "generation"));
+}
+
+/* Reads the document that @head names; NULL if its key doesn't exist. */
+static struct mh_decl *
+read_doc(const struct options *o, json_t *head)
+{
+	struct mh_decl *d;
+	GError *err = NULL;
+	struct kv_value doc;
+
+	store_get(o->kv, json_string_value(json_object_get(head, "doc")), &doc);
+	if (!doc.responded)
+		die(EXIT_BAD,
+		    "the KV service does not respond; try again later "
+		    "(the active document is unchanged)");
+	if (!doc.found)
+		return NULL;
+	d = mh_decl_read(doc.value, &err);
+	if (d == NULL)
+		die(EXIT_BAD, "stored document: %s", err->message);
+	d->generation = head_generation(head);
+	kv_value_clear(&doc);
+	return d;
+}
+
+struct mh_decl *
+read_current(const struct options *o, json_t **head, uint64_t *cas)
+{
+	struct mh_decl *d;
+
+	*head = read_head(
+	    o, cas, "try again later (the active document is unchanged)");
+	if (*head == NULL)
+		return NULL;
+	d = read_doc(o, *head);
+	if (d == NULL)
+		die(EXIT_BAD,
+		    "generation %" PRIu64 " is active, but its document, the "
+		    "key %s, is missing, and which domains are evacuated with "
+		    "it: restore that key, or list them under \"evacuated\" in "
+		    "a document and apply it with --replace-lost",
+		    head_generation(*head),
+		    json_string_value(json_object_get(*head, "doc")));
 	return d;
 }
 
@@ -138,12 +182,11 @@
 static enum put_result
 check_head_write(const struct options *o, const char *write_id)
 {
-	json_t *head;
 	uint64_t cas;
-	struct mh_decl *d = read_current(o, &head, &cas);
+	json_t *head = read_head(
+	    o, &cas, "try again later (the active document is unchanged)");
 	bool is_written = has_write_id(head, write_id);
 
-	mh_decl_unref(d);
 	json_decref(head);
 	return is_written ? WRITTEN : LOST_RACE;
 }
@@ -161,11 +204,17 @@
 
 /** struct current - the active document and its head. */
 struct current {
-	struct mh_decl *decl; /* NULL: none was applied yet */
-	json_t *head;
+	struct mh_decl *decl; /* NULL: none was applied yet, or it is lost */
+	json_t *head; /* NULL: none was applied yet */
 	uint64_t cas;
 };
 
+static uint64_t
+current_generation(const struct current *c)
+{
+	return c->head == NULL ? 0 : head_generation(c->head);
+}
+
 static void
 current_clear(struct current *c)
 {
@@ -181,7 +230,7 @@
 activate_doc(const struct options *o, const struct current *c, GBytes *doc,
     const char *source)
 {
-	uint64_t base = c->decl == NULL ? 0 : c->decl->generation;
+	uint64_t base = current_generation(c);
 	char *id = new_write_id();
 	json_t *history = new_history(c->head, base + 1, id, source);
 	GBytes *value;
@@ -222,6 +271,24 @@
 	return doc;
 }
 
+/* A lost document is replaced only by one that says what is evacuated. */
+static void
+read_to_replace(
+    const struct options *o, const struct mh_decl *new, struct current *c)
+{
+	if (!o->replace_lost) {
+		c->decl = read_current(o, &c->head, &c->cas);
+		return;
+	}
+	if (new->evacuated == NULL)
+		die(EXIT_BAD,
+		    "--replace-lost needs a document that lists the evacuated "
+		    "domains: add \"evacuated: []\" if there are none");
+	c->head = read_head(
+	    o, &c->cas, "try again later (the active document is unchanged)");
+	c->decl = c->head == NULL ? NULL : read_doc(o, c->head);
+}
+
 int
 cmd_apply(const struct options *o, const char *file)
 {
@@ -232,8 +299,8 @@
 
 	if (new == NULL)
 		die(EXIT_BAD, "%s: %s", file, err->message);
-	c.decl = read_current(o, &c.head, &c.cas);
-	check_base(o, c.decl == NULL ? 0 : c.decl->generation);
+	read_to_replace(o, new, &c);
+	check_base(o, current_generation(&c));
 	doc = keep_evacuated(new, c.decl);
 	if (activate_doc(o, &c, doc, file) != WRITTEN)
 		die(EXIT_BAD,
@@ -343,9 +410,8 @@
 int
 cmd_history(const struct options *o)
 {
-	json_t *head, *h;
 	uint64_t cas;
-	struct mh_decl *d = read_current(o, &head, &cas);
+	json_t *head = read_head(o, &cas, "try again later"), *h;
 	size_t i;
 
 	json_array_foreach(json_object_get(head, "history"), i, h)
@@ -357,7 +423,6 @@
 		    json_string_value(json_object_get(h, "file")),
 		    json_string_value(json_object_get(h, "write_id")));
 	}
-	mh_decl_unref(d);
 	json_decref(head);
 	return 0;
 }
--- a/marlctl/marlctl.c
+++ b/marlctl/marlctl.c
@@ -81,13 +81,15 @@
 	    arg_str0(NULL, "model", "<name>", "for explain");
 	struct arg_int *base = arg_int0(
 	    NULL, "generation", "<n>", "for apply: expected generation");
+	struct arg_lit *lost = arg_lit0(NULL, "replace-lost",
+	    "for apply: although the active document is lost");
 	struct arg_int *fence =
 	    arg_int0(NULL, "fence", "<n>", "for order: fencing number");
 	struct arg_str *words =
 	    arg_strn(NULL, NULL, "<word>", 1, MAX_WORDS, "command");
 	struct arg_end *end = arg_end(5);
-	void *table[] = { kv, secret, org, pipeline, class, model, base, fence,
-		words, end };
+	void *table[] = { kv, secret, org, pipeline, class, model, base, lost,
+		fence, words, end };
 	struct options o = { .base_generation = -1 };
 	const struct command *c;
 	int rv;
@@ -103,6 +105,7 @@
 	o.model = model->count > 0 ? model->sval[0] : NULL;
 	if (base->count > 0)
 		o.base_generation = base->ival[0];
+	o.replace_lost = lost->count > 0;
 	if (fence->count > 0)
 		o.fence = (uint64_t)fence->ival[0];
 	c = find_command(words->sval[0]);
--- a/marlctl/marlctl.h
+++ b/marlctl/marlctl.h
@@ -16,6 +16,7 @@
 	const char *model;
 	int64_t base_generation; /* -1: not given */
 	uint64_t fence; /* 0: get a new one from the KV service */
+	bool replace_lost; /* apply even if the active document is lost */
 };
 
 /* marlctl.c */
@@ -27,7 +28,7 @@
 
 /** struct kv_value - result of reading a key; kv_value_clear() frees it. */
 struct kv_value {
-	bool responded; /* status 200 or 404 was received */
+	bool responded; /* a value or status 404 was received */
 	bool found;
 	uint64_t cas; /* modify index; 0: no such key */
 	GBytes *value; /* NULL unless found */
@@ -51,12 +52,12 @@
 int cmd_history(const struct options *o);
 int cmd_show(const struct options *o);
 /**
- * read_current() - reads the active document; NULL if there is none or its
- * key cannot be read.
+ * read_current() - reads the active document; NULL if none was applied yet.
  * @head: set to the head value, owned by the caller, or NULL
  * @cas: set to the modify index of the head
  *
- * Exits if the KV service doesn't respond or its values are malformed.
+ * Exits if the KV service doesn't respond, a value is malformed, or the
+ * document that the head names can't be read, with what to do.
  */
 struct mh_decl *read_current(
     const struct options *o, json_t **head, uint64_t *cas);
--- a/marlctl/store.c
+++ b/marlctl/store.c
@@ -50,10 +50,10 @@
 	long status = http_call("GET", url, NULL, a);
 
 	memset(out, 0, sizeof(*out));
-	out->responded = status == 200 || status == 404;
 	if (status == 200)
 		out->value = mh_kv_value(a->data, a->len, &out->cas);
 	out->found = out->value != NULL;
+	out->responded = out->found || status == 404;
 	g_byte_array_unref(a);
 	g_free(url);
 }
