Marlctl: a write whose result is not known is not called unchanged

What callers saw: nothing yet; read in the code. An operator whose apply lost its answer was told that the active document is unchanged, and might apply again, or not, on that word.

Cause: the head is read back to settle a lost answer; where the store is away by then, the message was that of a first reading.

Change: the message says that it is not known, and names the write id that marlctl history shows if it took effect.

Evidence: regress/apply.sh, the store away between write and reading back: said "(the active document is unchanged)" before, and the write is in the history.

Conclusion: marlctl says unchanged only where it has written nothing.

--- a/marlctl/apply.c
+++ b/marlctl/apply.c
@@ -182,12 +182,16 @@
 static enum put_result
 check_head_write(const struct options *o, const char *write_id)
 {
+	char *unknown = g_strdup_printf(
+	    "it is not known whether this change was applied: look for "
+	    "write_id=%s in marlctl history before you try again",
+	    write_id);
 	uint64_t cas;
-	json_t *head = read_head(
-	    o, &cas, "try again later (the active document is unchanged)");
+	json_t *head = read_head(o, &cas, unknown);
 	bool is_written = has_write_id(head, write_id);
 
 	json_decref(head);
+	g_free(unknown);
 	return is_written ? WRITTEN : LOST_RACE;
 }
 
--- a/regress/apply.sh
+++ b/regress/apply.sh
@@ -81,7 +81,26 @@
     fail "$(($(generation) - was)) generations of 2"
 [ "$(evacuated)" = 2 ] || fail "an evacuation was lost with its answer"
 
-dp_ctl /ctl/platform '{"lose_answers":0}' >/dev/null
+# The store goes away after the write: its result is not known.
+writes() {
+	dp_ctl /ctl/platform '{}' | sed 's/.*"writes": *\([0-9]*\).*/\1/'
+}
+dp_ctl /ctl/platform '{"delay_ms":1500}' >/dev/null
+was=$(writes)
+ctl apply $DECL >"$DP_DIR/out" &
+pid=$!
+_n=0
+while [ "$(writes)" -lt $((was + 2)) ] && [ $_n -lt 400 ]; do
+	_n=$((_n + 1))
+	sleep 0.05
+done
+dp_ctl /ctl/platform '{"down":true}' >/dev/null
+wait $pid && fail "applied without an answer: $(cat "$DP_DIR/out")"
+grep -q unchanged "$DP_DIR/out" && fail "wrong: $(cat "$DP_DIR/out")"
+grep -q 'not known' "$DP_DIR/out" || fail "unclear: $(cat "$DP_DIR/out")"
+dp_ctl /ctl/platform '{"down":false,"delay_ms":2,"lose_answers":0}' >/dev/null
+id=$(sed -n 's/.*write_id=\([0-9a-f]*\).*/\1/p' "$DP_DIR/out")
+ctl history | grep -q "write_id=$id" || fail "its write id is not in the history"
 
 # Eight operators at once: each change that was confirmed is in force.
 ctl apply $DECL >/dev/null || fail "no apply when the store is back"
