--- a/lib/meshlink.c
+++ b/lib/meshlink.c
@@ -36,12 +36,11 @@
 /* The order skips an entry that has been unreachable for this long. */
 #define UNREACHABLE_US (1 * MH_US_PER_S)
 /*
- * A peer that goes silent again within STEADY_US of its last proof counts as
- * alive only after its link has worked for a while, twice as long each time.
+ * A peer whose link ends within STEADY_US of its proof counts as alive only
+ * after the next one has worked for a while.
  */
 #define STEADY_US (10 * MH_US_PER_S)
-#define PROBATION_US SILENT_US
-#define PROBATION_MAX_US (8 * MH_US_PER_S)
+#define PROBATION_US (2 * SILENT_US)
 
 /* Whether it sends heartbeats on each connection, as earlier versions don't. */
 static bool
@@ -68,7 +67,7 @@
 is_proven(const struct peer *p, const struct peer_conn *c)
 {
 	return works(p, c) && c->proven_us != 0 &&
-	    mh_now(p->m->k) - c->proven_us >= p->probation_us;
+	    c->recv_us - c->proven_us >= p->probation_us;
 }
 
 /* The better of the two connections, with what is proven first. */
@@ -108,15 +107,25 @@
 	return is_proven(p, &p->out) || is_proven(p, &p->in);
 }
 
+/*
+ * The peer sent it after it had received the heartbeat of ours that it reports.
+ * An earlier version reports none; what it sends is taken for just sent.
+ */
 int64_t
-mh_peer_round_trip_us(const struct peer *p)
+mh_peer_late_us(const struct peer *p)
 {
-	const struct peer_conn *c = p->used;
-	int64_t us = c == NULL ? 0 : c->reported_us;
+	return p->heartbeat_us == 0 ? INT64_MAX
+				    : mh_now(p->m->k) - p->heartbeat_us;
+}
 
-	if (c != NULL && c->timed_frame != 0)
-		us = MAX(us, mh_now(p->m->k) - c->timed_us);
-	return MAX(us - HEARTBEAT_US, 0);
+static void
+note_reported(struct peer_conn *c, uint64_t frames)
+{
+	for (uint32_t i = 0; i < MIN(c->n_sent, HEARTBEATS_TIMED); i++) {
+		if (c->sent[i].frame <= frames)
+			c->reported_us = MAX(c->reported_us, c->sent[i].at_us);
+	}
+	mh_conn_reported(c, frames);
 }
 
 /* Frames of an earlier version count as proof of both directions. */
@@ -129,15 +138,10 @@
 
 	c->has_heartbeat = true;
 	c->peer_received = b->received;
-	if (b->received == 0) { /* it counts none */
-		c->timed_frame = 0;
-		mh_conn_forget(c);
-	}
-	if (c->timed_frame != 0 && b->frames >= c->timed_frame) {
-		c->reported_us = now - c->timed_us;
-		c->timed_frame = 0;
-	}
-	mh_conn_reported(c, b->frames);
+	if (b->received == 0)
+		mh_conn_forget(c); /* it counts none */
+	else
+		note_reported(c, b->frames);
 	if (grown || b->received == 0)
 		c->sent_us = now;
 	if ((grown || b->received == 0) && c->proven_us == 0) {
@@ -211,17 +215,29 @@
 end_conn(struct peer *p, struct peer_conn *c)
 {
 	drop_link(p->m, &c->id);
+	c->proven_us = 0;
 	choose_conn(p);
 	mh_conn_resend(p, c);
 }
 
 static void
-peer_lost(struct peer *p, const char *why)
+start_probation(struct peer *p, int64_t proven_us)
+{
+	bool steady = mh_now(p->m->k) - proven_us >= STEADY_US;
+
+	p->probation_us = steady ? 0 : PROBATION_US;
+}
+
+/* @proven_us: when its last connection was proven; 0: it was not */
+static void
+peer_lost(struct peer *p, const char *why, int64_t proven_us)
 {
 	struct mh_mesh *m = p->m;
 
 	mh_peer_log_lost(p, why);
 	mh_count(m->k, "peer_losses", 1);
+	if (proven_us != 0)
+		start_probation(p, proven_us);
 	p->ready = false;
 	p->can_read = false;
 	if (m->on_lost != NULL)
@@ -238,7 +254,8 @@
 	bool was_linked = p->used != NULL;
 
 	p->incarnation = incarnation;
-	p->probation_us = 0;
+	p->uptime_us = 0;
+	p->heartbeat_us = 0;
 	p->received_number = 0;
 	memset(p->received_bits, 0, sizeof(p->received_bits));
 	mh_conn_forget(&p->out);
@@ -246,7 +263,8 @@
 	end_conn(p, &p->out);
 	end_conn(p, &p->in);
 	if (was_linked)
-		peer_lost(p, "restarted");
+		peer_lost(p, "restarted", 0);
+	p->probation_us = 0;
 }
 
 void
@@ -260,6 +278,9 @@
 		new_process(p, l->incarnation);
 	if (c->id == l->conn)
 		c->id = 0;
+	/* The peer has found it silent before we did. */
+	if (c->proven_us != 0 && now - c->recv_us >= 2 * HEARTBEAT_US)
+		start_probation(p, c->proven_us);
 	end_conn(p, c);
 	*c = (struct peer_conn) {
 		.id = l->conn, .recv_us = now, .sent_us = now
@@ -294,7 +315,8 @@
 static void
 note_dial_failed(struct peer *p)
 {
-	p->unreachable = mh_now(p->m->k) - p->first_dial_us >= UNREACHABLE_US;
+	p->unreachable = p->first_dial_us != 0 &&
+	    mh_now(p->m->k) - p->first_dial_us >= UNREACHABLE_US;
 }
 
 /* Ends the connection if it is that one, which is closed already. */
@@ -311,10 +333,12 @@
 mh_mesh_link_down(struct mh_mesh *m, uint64_t conn)
 {
 	struct peer *p = g_hash_table_lookup(m->conns, &conn);
+	int64_t proven_us;
 	bool was_linked;
 
 	if (p == NULL)
 		return;
+	proven_us = MAX(p->out.proven_us, p->in.proven_us);
 	was_linked = mh_peer_link(p) != 0;
 	if (!was_linked)
 		note_dial_failed(p);
@@ -324,29 +348,18 @@
 	end_if(p, &p->out, conn);
 	end_if(p, &p->in, conn);
 	if (was_linked && mh_peer_link(p) == 0)
-		peer_lost(p, "closed");
-}
-
-static void
-start_probation(struct peer *p, int64_t proven_us)
-{
-	bool steady =
-	    proven_us != 0 && mh_now(p->m->k) - proven_us >= STEADY_US;
-
-	if (steady)
-		p->probation_us = 0;
-	else
-		p->probation_us =
-		    CLAMP(2 * p->probation_us, PROBATION_US, PROBATION_MAX_US);
+		peer_lost(p, "closed", proven_us);
 }
 
 static void
 check_link(struct peer *p, struct peer_conn *c)
 {
+	int64_t proven_us = c->proven_us;
+
 	if (c->id == 0 || works(p, c))
 		return;
 	mh_peer_log_silent(p, c);
-	if (c->proven_us == 0)
+	if (proven_us == 0)
 		note_dial_failed(p);
 	/* A new connection may work although this one has gone silent. */
 	end_conn(p, c);
@@ -354,8 +367,7 @@
 		p->next_dial_us = mh_now(p->m->k);
 	if (mh_peer_link(p) != 0)
 		return;
-	start_probation(p, c->proven_us);
-	peer_lost(p, "silent");
+	peer_lost(p, "silent", proven_us);
 }
 
 static void
--- a/regress/entries.c
+++ b/regress/entries.c
@@ -70,6 +70,32 @@
 	return v != NULL ? *v : id;
 }
 
+/** struct flight - a frame that has not arrived completely. */
+struct flight {
+	struct ment *from;
+	struct ment *to;
+	uint64_t conn; /* the receiver's */
+	GBytes *frame;
+	int64_t first_us; /* arrival of its first byte */
+	int64_t at_us;
+};
+
+/* Drops the frames in flight with the connection. */
+static void
+drop_in_flight(struct ment *to, uint64_t conn)
+{
+	GPtrArray *all = to->r->in_flight;
+
+	for (guint i = 0; i < all->len;) {
+		const struct flight *w = g_ptr_array_index(all, i);
+
+		if (w->to == to && w->conn == conn)
+			g_ptr_array_remove_index(all, i);
+		else
+			i++;
+	}
+}
+
 /** struct opening - a dial that is not connected yet. */
 struct opening {
 	struct link *l;
@@ -90,6 +116,8 @@
 	    g_memdup2(&dialled, sizeof(dialled)));
 	e->links_opened++;
 	e->r->lost[e->index][to->index] = LOSES_NOTHING;
+	/* It has the id of the one before, not its frames. */
+	drop_in_flight(to, mirror(id));
 	post_link(e, MH_MSG_LINK_UP, dialled, to, false, NULL);
 	post_link(to, MH_MSG_LINK_UP, mirror(id), e, true, NULL);
 }
@@ -185,16 +213,6 @@
 	return lost;
 }
 
-/** struct flight - a frame that has not arrived completely. */
-struct flight {
-	struct ment *from;
-	struct ment *to;
-	uint64_t conn; /* the receiver's */
-	GBytes *frame;
-	int64_t first_us; /* arrival of its first byte */
-	int64_t at_us;
-};
-
 static void
 free_flight(void *arg)
 {
@@ -252,22 +270,6 @@
 	}
 }
 
-/* Drops the frames in flight with the connection. */
-static void
-drop_in_flight(struct ment *to, uint64_t conn)
-{
-	GPtrArray *all = to->r->in_flight;
-
-	for (guint i = 0; i < all->len;) {
-		const struct flight *w = g_ptr_array_index(all, i);
-
-		if (w->to == to && w->conn == conn)
-			g_ptr_array_remove_index(all, i);
-		else
-			i++;
-	}
-}
-
 /* The dialer's index of a connection id. */
 static uint32_t
 dialer_of(uint64_t conn)
@@ -296,6 +298,13 @@
 	return false;
 }
 
+/* Whether @to opened the connection in an earlier process. */
+static bool
+is_forgotten(const struct link *to, uint64_t id)
+{
+	return id < 1000000 && !g_hash_table_contains(to->dial_ids, &id);
+}
+
 static void
 link_handle(void *self, struct mh_msg *msg)
 {
@@ -317,6 +326,11 @@
 		tl = mh_kern_get(to->k, "link");
 		if (tl == NULL)
 			break;
+		if (is_forgotten(tl, mirror(id))) {
+			post_link(
+			    e, MH_MSG_LINK_DOWN, m->conn, to, false, NULL);
+			break;
+		}
 		deliver(e, to, to_dial_id(tl, mirror(id)), m->frame);
 		break;
 	case MH_MSG_LINK_CLOSE:
@@ -327,8 +341,9 @@
 		drop_in_flight(e, m->conn);
 		if (tl != NULL)
 			drop_in_flight(to, to_dial_id(tl, mirror(id)));
-		if (tl != NULL && !e->cut && !to->cut && !to->down &&
-		    !to->powered_off && !loses(e, to, id))
+		if (tl != NULL && !is_forgotten(tl, mirror(id)) && !e->cut &&
+		    !to->cut && !to->down && !to->powered_off &&
+		    !loses(e, to, id))
 			post_link(to, MH_MSG_LINK_DOWN,
 			    to_dial_id(tl, mirror(id)), e, false, NULL);
 		break;
@@ -555,6 +570,18 @@
 	mh_mesh_set_members(e->m, e->list != NULL ? e->list : e->r->members);
 }
 
+void
+mrig_reset(struct ment *from, struct ment *to)
+{
+	struct link *l = mh_kern_get(from->k, "link");
+	uint64_t id = from->index * 10 + to->index;
+
+	if (g_hash_table_lookup(l->dial_ids, &id) == NULL)
+		return; /* it never dialled */
+	post_link(from, MH_MSG_LINK_DOWN, to_dial_id(l, id), to, false, NULL);
+	post_link(to, MH_MSG_LINK_DOWN, mirror(id), from, true, NULL);
+}
+
 void
 mrig_lose(struct ment *from, struct ment *to, enum mrig_loss loss)
 {
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -664,9 +664,20 @@
 	mrig_destroy(r);
 }
 
-/* Guards against stage work that moves each second, with its coordinator. */
 static void
-test_flapping_coordinator(void)
+reset_all(struct mrig *r, struct ment *from)
+{
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		if (&r->e[i] == from)
+			continue;
+		mrig_reset(from, &r->e[i]);
+		mrig_reset(&r->e[i], from);
+	}
+}
+
+/* The links of the coordinator end again and again, each @period_us. */
+static void
+flap(bool reset, int64_t period_us)
 {
 	struct mrig *r = mrig_create();
 	struct ment *coordinator;
@@ -676,8 +687,11 @@
 	coordinator = mrig_agreed(r);
 	CU_ASSERT_PTR_NOT_NULL_FATAL(coordinator);
 	for (int t = 0; t < 20; t++) {
-		lose_all(r, coordinator, LOSES_BOTH, true);
-		for (int n = 0; n < 25; n++) {
+		if (reset)
+			reset_all(r, coordinator);
+		else
+			lose_all(r, coordinator, LOSES_BOTH, true);
+		for (int64_t us = 0; us < period_us; us += 100 * MS) {
 			mrig_run(r, 100 * MS);
 			for (uint32_t i = 0; t >= 4 && i < ENTRIES; i++)
 				chosen += &r->e[i] != coordinator &&
@@ -691,12 +705,347 @@
 	mrig_destroy(r);
 }
 
+/* Guards against stage work that moves each second, with its coordinator. */
+static void
+test_flapping_coordinator(void)
+{
+	flap(false, 2500 * MS);
+	flap(true, 1000 * MS);
+}
+
+/** struct link_loss - what the connections of the coordinator lose. */
+struct link_loss {
+	enum mrig_loss dialled; /* those that it dialled */
+	enum mrig_loss accepted;
+	bool silent_dials;
+};
+
+/*
+ * Sends a job from each other entry to the coordinator as its connections begin
+ * to lose frames; returns how many jobs are not done within their aim.
+ */
+static uint32_t
+jobs_left(const struct link_loss *loss)
+{
+	static const char *const pools[] = { "a", NULL };
+	const uint32_t pieces[] = { 2 };
+	struct mrig *r = mrig_create();
+	struct ent all[ENTRIES] = { 0 };
+	struct mh_job *jobs[ENTRIES] = { NULL };
+	struct ment *coordinator;
+	uint32_t left = 0;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_create(&all[i], &r->e[i]);
+	mrig_run(r, 10 * S);
+	coordinator = mrig_agreed(r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(coordinator);
+	r->silent_dials = loss->silent_dials;
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		struct ment *m = &r->e[i];
+
+		if (m == coordinator)
+			continue;
+		mrig_lose(coordinator, m, loss->dialled);
+		mrig_lose(m, coordinator, loss->accepted);
+		jobs[i] = world_job(all[i].w, pools, pieces, 5 * S, 9 * S);
+		jobs[i]->slo_us = mh_now(m->k) + 5 * S;
+		jobs[i]->deadline_us = mh_now(m->k) + 9 * S;
+		mh_broker_submit(all[i].b, jobs[i]);
+	}
+	mrig_run(r, 5 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		if (jobs[i] == NULL)
+			continue;
+		left += all[i].done == 0;
+		mh_broker_drop(all[i].b, jobs[i]);
+		mh_job_destroy(jobs[i]);
+	}
+	mrig_run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
+	return left;
+}
+
+/*
+ * Guards against a job, or its results, that were sent on a connection that
+ * carries nothing, while the other connection of the pair works.
+ */
+static void
+test_job_on_silent_connection(void)
+{
+	static const struct link_loss losses[] = {
+		{ LOSES_NOTHING, LOSES_BOTH, false },
+		{ LOSES_NOTHING, LOSES_TO_DIALER, false },
+		{ LOSES_NOTHING, LOSES_FROM_DIALER, false },
+		{ LOSES_BOTH, LOSES_NOTHING, false },
+		{ LOSES_TO_DIALER, LOSES_NOTHING, false },
+		{ LOSES_FROM_DIALER, LOSES_NOTHING, false },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(losses); i++)
+		CU_ASSERT_EQUAL(jobs_left(&losses[i]), 0);
+}
+
+/* Guards against a job whose coordinator only answers dials from then on. */
+static void
+test_job_and_only_dials_answered(void)
+{
+	const struct link_loss loss = { LOSES_BOTH, LOSES_BOTH, true };
+
+	CU_ASSERT_EQUAL(jobs_left(&loss), 0);
+}
+
+/** struct aged - an entry whose configuration only others confirm. */
+struct aged {
+	struct ment *m;
+	int64_t conf_at_us; /* when the store confirmed it, as far as known */
+};
+
+static uint64_t
+aged_revision(void *arg)
+{
+	(void)arg;
+	return 1;
+}
+
+static int64_t
+aged_rows_age(void *arg)
+{
+	(void)arg;
+	return 0;
+}
+
+static void
+aged_rows_unchanged(void *arg, int64_t age_us)
+{
+	(void)arg;
+	(void)age_us;
+}
+
+static bool
+aged_yes(void *arg)
+{
+	(void)arg;
+	return true;
+}
+
+static int64_t
+aged_conf_age(void *arg)
+{
+	struct aged *a = arg;
+
+	return mh_now(a->m->k) - a->conf_at_us;
+}
+
+static void
+aged_conf_unchanged(void *arg, int64_t age_us)
+{
+	struct aged *a = arg;
+
+	a->conf_at_us = MAX(a->conf_at_us, mh_now(a->m->k) - age_us);
+}
+
+static void
+aged_begin(struct aged *a, struct ment *m)
+{
+	struct mh_mesh_view v = { .conf_revision = aged_revision,
+		.rows_revision = aged_revision,
+		.rows_age_us = aged_rows_age,
+		.rows_unchanged = aged_rows_unchanged,
+		.ready = aged_yes,
+		.can_read = aged_yes,
+		.conf_age_us = aged_conf_age,
+		.conf_unchanged = aged_conf_unchanged,
+		.arg = a };
+
+	a->m = m;
+	a->conf_at_us = mh_now(m->k);
+	mh_mesh_set_view(m->m, &v);
+}
+
+/* How much later than in truth any entry says that the store confirmed it. */
+static int64_t
+conf_too_young_us(int64_t delay_us)
+{
+	struct mrig *r = mrig_create();
+	struct aged all[ENTRIES];
+	int64_t last_us, worst = 0;
+
+	/* Their heartbeats are apart by less than an interval. */
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		mrig_run(r, 70 * MS);
+		mh_kern_destroy(r->e[i].k);
+		mrig_start(&r->e[i]);
+		r->e[i].delay_us = delay_us;
+	}
+	mrig_run(r, 6 * S);
+	last_us = r->now_us;
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		aged_begin(&all[i], &r->e[i]);
+	mrig_run(r, 6 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		worst = MAX(worst, all[i].conf_at_us - last_us);
+	mrig_destroy(r);
+	return worst;
+}
+
+/*
+ * Guards against entries that keep a configuration in force by confirming it to
+ * each other, though the store confirmed it to none.
+ */
+static void
+test_conf_confirmed_in_a_circle(void)
+{
+	for (int64_t delay = 0; delay <= 200 * MS; delay += 20 * MS)
+		CU_ASSERT_EQUAL(conf_too_young_us(delay), 0);
+}
+
+/*
+ * Guards against jobs of a coordinator that restarts without a reset before its
+ * connections have been silent for long enough.
+ */
+static void
+test_job_and_quick_restart(void)
+{
+	static const char *const pools[] = { "a", NULL };
+	const uint32_t pieces[] = { 2 };
+	struct mrig *r = mrig_create();
+	struct ent all[ENTRIES] = { 0 };
+	struct mh_job *jobs[ENTRIES] = { NULL };
+	struct ment *coordinator;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_create(&all[i], &r->e[i]);
+	mrig_run(r, 10 * S);
+	coordinator = mrig_agreed(r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(coordinator);
+	coordinator->powered_off = true;
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		struct ment *m = &r->e[i];
+
+		if (m == coordinator)
+			continue;
+		jobs[i] = world_job(all[i].w, pools, pieces, 5 * S, 9 * S);
+		jobs[i]->slo_us = mh_now(m->k) + 5 * S;
+		jobs[i]->deadline_us = mh_now(m->k) + 9 * S;
+		mh_broker_submit(all[i].b, jobs[i]);
+	}
+	mrig_run(r, 400 * MS);
+	ent_destroy(&all[coordinator->index]);
+	mh_kern_destroy(coordinator->k);
+	coordinator->powered_off = false;
+	mrig_start(coordinator);
+	ent_create(&all[coordinator->index], coordinator);
+	mrig_run(r, 4600 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		if (jobs[i] == NULL)
+			continue;
+		CU_ASSERT_EQUAL(all[i].done, 1);
+		mh_broker_drop(all[i].b, jobs[i]);
+		mh_job_destroy(jobs[i]);
+	}
+	mrig_run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
+}
+
+static void
+post_to_mesh(
+    struct mh_kern *k, enum mh_msg_kind kind, uint64_t conn, const Mh__Beat *b)
+{
+	struct mh_msg *m = mh_msg_new(kind);
+	Mh__Frame f = MH__FRAME__INIT;
+
+	m->u.link.conn = conn;
+	m->u.link.inbound = conn == 2;
+	if (kind == MH_MSG_LINK_UP) {
+		m->u.link.vm = g_strdup("b");
+		m->u.link.addr = g_strdup("10.0.0.2:1");
+	} else {
+		f.body_case = MH__FRAME__BODY_BEAT;
+		f.beat = (Mh__Beat *)(uintptr_t)b;
+		m->u.link.frame = mh_frame_pack(&f);
+	}
+	mh_post(k, "hub", m);
+}
+
+/*
+ * Guards against what a peer said earlier, on the slower of two connections,
+ * replacing what it has said since.
+ */
+static void
+test_outdated_heartbeat(void)
+{
+	struct mh_kern *k = mh_kern_create(1);
+	struct mh_mesh *m;
+	Mh__Beat b = MH__BEAT__INIT;
+
+	mh_kern_advance(k, S, S);
+	m = mh_mesh_create(k, "a", 0.001);
+	post_to_mesh(k, MH_MSG_LINK_UP, 1, NULL);
+	post_to_mesh(k, MH_MSG_LINK_UP, 2, NULL);
+	b.ready = b.reads = true;
+	b.weight = 1000000;
+	b.uptime_us = 60 * S;
+	b.received = 1;
+	post_to_mesh(k, MH_MSG_FRAME, 1, &b);
+	post_to_mesh(k, MH_MSG_FRAME, 2, &b);
+	b.received = 2;
+	b.uptime_us += 250 * MS;
+	post_to_mesh(k, MH_MSG_FRAME, 1, &b);
+	mh_kern_advance(k, S + 100 * MS, S + 100 * MS);
+	CU_ASSERT_STRING_EQUAL(mh_mesh_coordinator(m, "stage-work"), "b");
+	b.leaving = true;
+	b.received = 3;
+	b.uptime_us += 250 * MS;
+	post_to_mesh(k, MH_MSG_FRAME, 1, &b);
+	mh_kern_advance(k, S + 200 * MS, S + 200 * MS);
+	CU_ASSERT_STRING_EQUAL(mh_mesh_coordinator(m, "stage-work"), "a");
+	/* Sent before the last one. */
+	b.leaving = false;
+	b.received = 2;
+	b.uptime_us -= 250 * MS;
+	post_to_mesh(k, MH_MSG_FRAME, 2, &b);
+	mh_kern_advance(k, S + 300 * MS, S + 300 * MS);
+	CU_ASSERT_STRING_EQUAL(mh_mesh_coordinator(m, "stage-work"), "a");
+	mh_kern_destroy(k);
+}
+
+/*
+ * Guards against entries that count none of the others as alive, though all
+ * links work, since links were silent for a moment some times after a start.
+ */
+static void
+test_alive_after_silence_at_start(void)
+{
+	struct mrig *r = mrig_create();
+	uint32_t alone = 0;
+
+	for (int n = 0; n < 4; n++) {
+		mrig_run(r, 2 * S);
+		for (uint32_t i = 0; i < ENTRIES; i++)
+			r->e[i].cut = true;
+		mrig_run(r, 1200 * MS);
+		for (uint32_t i = 0; i < ENTRIES; i++)
+			r->e[i].cut = false;
+	}
+	mrig_run(r, 3 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		alone += !mh_mesh_is_alive(r->e[i].m, NULL);
+	CU_ASSERT_EQUAL(alone, 0);
+	CU_ASSERT_PTR_NOT_NULL(mrig_agreed(r));
+	mrig_destroy(r);
+}
+
 /*
  * Guards against stage work, and its results, that are lost with one connection
  * of two.
  */
 static void
-test_job_on_silent_connection(void)
+test_jobs_on_silent_connections(void)
 {
 	static const char *const pools[] = { "a", NULL };
 	static const enum mrig_loss kinds[] = { LOSES_BOTH, LOSES_TO_DIALER,
@@ -785,9 +1134,19 @@
 }
 
 const struct test tests_mesh[] = {
-	{ "mesh: a restart without a reset", test_restart_without_reset },
 	{ "mesh: stage work on a connection that is silent",
-	    test_job_on_silent_connection },
+	    test_jobs_on_silent_connections },
+	{ "mesh: a restart without a reset", test_restart_without_reset },
+	{ "mesh: an outdated heartbeat", test_outdated_heartbeat },
+	{ "mesh: alive after silence at a start",
+	    test_alive_after_silence_at_start },
+	{ "mesh: a configuration confirmed in a circle",
+	    test_conf_confirmed_in_a_circle },
+	{ "mesh: a job whose coordinator restarts at once",
+	    test_job_and_quick_restart },
+	{ "mesh: a job on a silent connection", test_job_on_silent_connection },
+	{ "mesh: a job while only dials are answered",
+	    test_job_and_only_dials_answered },
 	{ "mesh: one connection of two is silent", test_one_connection_silent },
 	{ "mesh: only dials are answered", test_only_dials_answered },
 	{ "mesh: a coordinator that flaps", test_flapping_coordinator },
