Side: no promise of "not run" while a ledger is handed over

What callers saw: a client that revokes a key is told "not run", orders elsewhere, and the key runs at the next owner: a second booking.

Cause: an owner that has sent its rows to the next one still answered revocations, with a row that the next owner never gets. The same for one that was removed from the list of VMs, whose partitions may be taken over.

Ruled out: sending the row after the handover; the next owner may have started the call.

Change: without a row of the key, a revocation or a question is answered "unknown" by an owner that doesn't own the partition alone. Rows from before the handover are answered as they are.

In virtual time; not run over real processes.

--- a/lib/side.c
+++ b/lib/side.c
@@ -149,6 +149,9 @@
 	r = mh_ledger_find(s->ledger, q->key);
 	if (!mh_claim_open(s->k, q->partition)) {
 		o.outcome = MH__OUTCOME__UNKNOWN;
+	} else if (r == NULL && !mh_claim_exclusive(s->k, q->partition)) {
+		/* The next owner doesn't get the row, nor do we get its. */
+		o.outcome = MH__OUTCOME__UNKNOWN;
 	} else if (q->revoke) {
 		r = mh_ledger_revoke(s->ledger, q->partition, q->key,
 		    mh_wall(s->k) / MH_US_PER_MS);
--- a/regress/t_once.c
+++ b/regress/t_once.c
@@ -6,6 +6,7 @@
 #include "net.h"
 #include "regress.h"
 
+#include <stdio.h>
 #include <string.h>
 
 #define GRACE_US (30 * MH_US_PER_S) /* the default, MH_GRACE_S */
@@ -54,6 +55,30 @@
 	return NULL;
 }
 
+static uint64_t
+revoke_key(struct net_node *e, const char *key)
+{
+	char *path = g_strconcat("/v1/outcomes/confirm/", key, NULL);
+	struct net_request_args a = { .method = "DELETE", .path = path };
+	uint64_t caller = net_request(e, &a);
+
+	g_free(path);
+	return caller;
+}
+
+/* Whether the key ran although the caller of its revocation got "not run". */
+static bool
+ran_after_not_run(struct net *n, uint64_t caller, const char *key)
+{
+	char *full = g_strconcat("acme/", key, NULL);
+	bool ran = g_strcmp0(net_response_text(n, caller, "outcome"),
+		       "not-run") == 0 &&
+	    net_runs(n, full) > 0;
+
+	g_free(full);
+	return ran;
+}
+
 static char *
 key_now(struct net *n)
 {
@@ -652,12 +677,74 @@
 	}
 }
 
+#define REVOKED_KEYS 100
+
+/*
+ * Revokes keys while partitions are handed over, then sends the same keys.
+ * Returns how many ran although their caller got "not run".
+ */
+static uint32_t
+runs_after_not_run(uint32_t seed, uint32_t *not_run)
+{
+	struct once_world w;
+	uint64_t asked[REVOKED_KEYS];
+	uint32_t wrong = 0;
+
+	make(&w, seed);
+	w.n->kv_latency_us = 100 * MH_US_PER_MS; /* for a long handover */
+	net_side(w.n, "book4", "book", "a", 4);
+	net_run(w.n, 2 * MH_US_PER_S);
+	for (int i = 0; i < REVOKED_KEYS; i++) {
+		char key[24];
+
+		snprintf(key, sizeof(key), "h-%d", i);
+		asked[i] = revoke_key(w.e[0], key);
+		net_run(w.n, (int64_t)(mh_random(w.n->k) % 50000));
+	}
+	net_run(w.n, 2 * MH_US_PER_S);
+	for (int i = 0; i < REVOKED_KEYS; i++) {
+		char key[24];
+
+		snprintf(key, sizeof(key), "h-%d", i);
+		confirm(w.e[1], key);
+	}
+	net_run(w.n, 5 * MH_US_PER_S);
+	for (int i = 0; i < REVOKED_KEYS; i++) {
+		char key[24];
+
+		snprintf(key, sizeof(key), "h-%d", i);
+		*not_run +=
+		    g_strcmp0(net_response_text(w.n, asked[i], "outcome"),
+			"not-run") == 0;
+		wrong += ran_after_not_run(w.n, asked[i], key);
+	}
+	net_destroy(w.n);
+	return wrong;
+}
+
+/*
+ * Guards against "not run" from an owner that has already sent the rows of the
+ * partition to the next one.
+ */
+static void
+test_revoke_during_a_handover(void)
+{
+	uint32_t wrong = 0, not_run = 0;
+
+	for (uint32_t seed = regress_first_seed(1);
+	     seed <= regress_last_seed(10); seed++)
+		wrong += runs_after_not_run(seed, &not_run);
+	CU_ASSERT_EQUAL(wrong, 0);
+	CU_ASSERT(not_run > 0);
+}
+
 /* ---- random failures; the guarantees are checked from outside ---- */
 
 struct request_row {
 	uint64_t caller;
 	char key[48];
 	bool retried; /* the key was sent more than once */
+	uint64_t revoked; /* caller of its last revocation; 0: none */
 };
 
 static void
@@ -724,8 +811,9 @@
 	}
 }
 
+/* @revokes: whether keys are revoked, before and after they are sent */
 static void
-run_random(uint32_t seed)
+run_random(uint32_t seed, bool revokes)
 {
 	struct once_world w;
 	struct request_row rows[MAX_REQUESTS];
@@ -744,6 +832,12 @@
 		else
 			g_strlcpy(r->key, key, sizeof(r->key));
 		r->retried = false;
+		r->revoked = revokes && count % 5 == 0
+		    ? revoke_key(w.e[(count + 1) % 2], r->key)
+		    : 0;
+		if (r->revoked != 0)
+			net_run(w.n,
+			    (int64_t)(mh_random(w.n->k) % 200) * MH_US_PER_MS);
 		r->caller = confirm(w.e[count % 2], r->key);
 		count++;
 		g_free(key);
@@ -754,11 +848,19 @@
 			r->retried = true;
 			confirm(w.e[mh_random(w.n->k) % 2], r->key);
 		}
+		if (revokes && count % 5 == 2) {
+			r = &rows[mh_random(w.n->k) % (uint64_t)count];
+			r->revoked =
+			    revoke_key(w.e[mh_random(w.n->k) % 2], r->key);
+		}
 		if (count % 8 == 0)
 			inject_failure(&w);
 	}
 	net_run(w.n, 10 * MH_US_PER_S);
 	check_guarantees(w.n, rows, count);
+	for (int i = 0; i < count; i++)
+		CU_ASSERT(rows[i].revoked == 0 ||
+		    !ran_after_not_run(w.n, rows[i].revoked, rows[i].key));
 	net_destroy(w.n);
 }
 
@@ -771,7 +873,16 @@
 test_random_failures(void)
 {
 	for (uint32_t seed = 1; seed <= 20; seed++)
-		run_random(seed);
+		run_random(seed, false);
+}
+
+/* The same with revocations: a key does not run after "not run". */
+static void
+test_random_failures_and_revocations(void)
+{
+	for (uint32_t seed = regress_first_seed(1);
+	     seed <= regress_last_seed(20); seed++)
+		run_random(seed, true);
 }
 
 const struct test tests_once[] = {
@@ -793,7 +904,10 @@
 	{ "lookup_without_owner", test_lookup_without_owner },
 	{ "refusals_of_a_key", test_refusals_of_a_key },
 	{ "outcome_by_response", test_outcome_by_response },
+	{ "revoke_during_a_handover", test_revoke_during_a_handover },
 	{ "one_key_during_a_handover", test_one_key_during_a_handover },
+	{ "random_failures_and_revocations",
+	    test_random_failures_and_revocations },
 	{ "random_failures", test_random_failures },
 	{ NULL, NULL },
 };
