Tests: the order of frames between two connections

FAILS: "mesh: the order between two connections".

The end of a request can overtake its job: the coordinator ignores the end, then runs the job, and keeps its results until it loses the entry (by reading).

choose_conn() goes over to the other connection when a heartbeat comes on it and the first has been silent for 850 ms; what was sent on the first is sent again only when the check, up to 250 ms later, ends it. What is sent in between goes first. The test sees one lower number after a higher one. The same holds while a connection that was used waits up to 3 s for its proof (by reading, no run).

--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -10,6 +10,7 @@
 
 #define MS MH_US_PER_MS
 #define S MH_US_PER_S
+
 static void
 test_one_coordinator(void)
 {
@@ -1198,7 +1199,81 @@
 		CU_ASSERT_EQUAL(jobs_left_after_silence(apart), 0);
 }
 
+/** struct sent_frames - numbers of the frames that were sent on each link. */
+struct sent_frames {
+	GArray *numbers[3]; /* by connection id, 1 and 2 */
+};
+
+static void
+note_sent(void *self, struct mh_msg *msg)
+{
+	struct sent_frames *s = self;
+	Mh__Frame *f;
+
+	if (msg->kind != MH_MSG_LINK_SEND)
+		return;
+	f = mh_frame_unpack(msg->u.link.frame);
+	if (f->number != 0)
+		g_array_append_val(s->numbers[msg->u.link.conn], f->number);
+	mh_frame_free(f);
+}
+
+static void
+send_drop(struct mh_mesh *m)
+{
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__JobDrop d = MH__JOB_DROP__INIT;
+
+	f.body_case = MH__FRAME__BODY_JOB_DROP;
+	f.job_drop = &d;
+	CU_ASSERT_TRUE(mh_mesh_send(m, "b", &f));
+}
+
+/*
+ * Guards against a request whose end overtakes its job: one connection of two
+ * is silent, the other one is used already, and what was sent on the first is
+ * sent again only at the next check.
+ */
+static void
+test_order_between_connections(void)
+{
+	struct mh_kern *k = mh_kern_create(1);
+	struct sent_frames s = { { NULL } };
+	Mh__Beat b = MH__BEAT__INIT;
+	struct mh_mesh *m;
+
+	s.numbers[1] = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	s.numbers[2] = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	mh_kern_advance(k, S, S);
+	mh_kern_add(k, "link", &s, note_sent, NULL);
+	m = mh_mesh_create(k, "a", 1);
+	post_to_mesh(k, MH_MSG_LINK_UP, 1, NULL);
+	post_to_mesh(k, MH_MSG_LINK_UP, 2, NULL);
+	for (int64_t t = S; t < 5 * S; t += 10 * MS) {
+		/* The first one carries nothing more after 3.1 s. */
+		b.received++;
+		b.uptime_us = (uint64_t)t;
+		if (t % (50 * MS) == 0 && t <= 3100 * MS)
+			post_to_mesh(k, MH_MSG_FRAME, 1, &b);
+		if (t % (50 * MS) == 0)
+			post_to_mesh(k, MH_MSG_FRAME, 2, &b);
+		mh_kern_advance(k, t, t);
+		if (t >= 3100 * MS && t < 4300 * MS)
+			send_drop(m);
+	}
+	CU_ASSERT(s.numbers[1]->len > 0);
+	CU_ASSERT(s.numbers[2]->len > 1);
+	for (guint i = 1; i < s.numbers[2]->len; i++)
+		CU_ASSERT(g_array_index(s.numbers[2], uint64_t, i - 1) <
+		    g_array_index(s.numbers[2], uint64_t, i));
+	mh_kern_destroy(k);
+	g_array_free(s.numbers[1], TRUE);
+	g_array_free(s.numbers[2], TRUE);
+}
+
 const struct test tests_mesh[] = {
+	{ "mesh: the order between two connections",
+	    test_order_between_connections },
 	{ "mesh: jobs of a peer that one side alone has lost",
 	    test_jobs_of_one_sided_loss },
 	{ "mesh: stage work on a connection that is silent",
