Tests: many jobs on a silent connection

3,000 jobs are sent to a coordinator at 2,000 a second over one connection of two that carries nothing.

--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -11,6 +11,9 @@
 #define MS MH_US_PER_MS
 #define S MH_US_PER_S
 
+/* Within the time in which a connection is found silent. */
+#define MANY_JOBS 3000
+
 static void
 test_one_coordinator(void)
 {
@@ -1271,9 +1274,79 @@
 	g_array_free(s.numbers[2], TRUE);
 }
 
+/* An entry with two connections to another one, or NULL. */
+static struct ment *
+linked_twice(struct mrig *r, const struct ment *other)
+{
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		if (r->opened[i][other->index] > 0 &&
+		    r->opened[other->index][i] > 0)
+			return &r->e[i];
+	}
+	return NULL;
+}
+
+/*
+ * Sends many jobs to the coordinator over a connection that loses them; returns
+ * how many have not ended by their deadline.
+ */
+static uint32_t
+many_jobs_left(void)
+{
+	static const char *const pools[] = { "a", NULL };
+	const uint32_t pieces[] = { 1 };
+	struct mrig *r = mrig_create();
+	struct ent all[ENTRIES] = { 0 };
+	struct mh_job *jobs[MANY_JOBS] = { NULL };
+	struct ment *coordinator, *requester;
+	struct ent *e;
+	uint32_t left;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_create(&all[i], &r->e[i]);
+	mrig_run(r, 10 * S);
+	coordinator = mrig_agreed(r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(coordinator);
+	requester = linked_twice(r, coordinator);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(requester);
+	e = &all[requester->index];
+	mrig_lose(requester, coordinator, LOSES_FROM_DIALER);
+	for (uint32_t i = 0; i < MANY_JOBS; i++) {
+		jobs[i] = world_job(e->w, pools, pieces, 5 * S, 9 * S);
+		jobs[i]->slo_us = mh_now(requester->k) + 5 * S;
+		jobs[i]->deadline_us = mh_now(requester->k) + 9 * S;
+		mh_broker_submit(e->b, jobs[i]);
+		if (i % 20 == 19)
+			mrig_run(r, 10 * MS);
+	}
+	mrig_run(r, 9 * S);
+	left = MANY_JOBS - e->ended;
+	for (uint32_t i = 0; i < MANY_JOBS; i++) {
+		mh_broker_drop(e->b, jobs[i]);
+		mh_job_destroy(jobs[i]);
+	}
+	mrig_run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
+	return left;
+}
+
+/*
+ * Guards against jobs that are never answered, since more frames than can be
+ * kept were sent on a connection that carries nothing.
+ */
+static void
+test_many_jobs_on_silent_connection(void)
+{
+	CU_ASSERT_EQUAL(many_jobs_left(), 0);
+}
+
 const struct test tests_mesh[] = {
 	{ "mesh: the order between two connections",
 	    test_order_between_connections },
+	{ "mesh: many jobs on a silent connection",
+	    test_many_jobs_on_silent_connection },
 	{ "mesh: jobs of a peer that one side alone has lost",
 	    test_jobs_of_one_sided_loss },
 	{ "mesh: stage work on a connection that is silent",
