--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -10,6 +10,10 @@
 
 #define MS MH_US_PER_MS
 #define S MH_US_PER_S
+
+/* Within the time in which a connection is found silent. */
+#define MANY_JOBS 3000
+
 static void
 test_one_coordinator(void)
 {
@@ -1198,7 +1202,151 @@
 		CU_ASSERT_EQUAL(jobs_left_after_silence(apart), 0);
 }
 
+/** struct sent_frames - numbers of the frames that were sent on each link. */
+struct sent_frames {
+	GArray *numbers[3]; /* by connection id, 1 and 2 */
+};
+
+static void
+note_sent(void *self, struct mh_msg *msg)
+{
+	struct sent_frames *s = self;
+	Mh__Frame *f;
+
+	if (msg->kind != MH_MSG_LINK_SEND)
+		return;
+	f = mh_frame_unpack(msg->u.link.frame);
+	if (f->number != 0)
+		g_array_append_val(s->numbers[msg->u.link.conn], f->number);
+	mh_frame_free(f);
+}
+
+static void
+send_drop(struct mh_mesh *m)
+{
+	Mh__Frame f = MH__FRAME__INIT;
+	Mh__JobDrop d = MH__JOB_DROP__INIT;
+
+	f.body_case = MH__FRAME__BODY_JOB_DROP;
+	f.job_drop = &d;
+	CU_ASSERT_TRUE(mh_mesh_send(m, "b", &f));
+}
+
+/*
+ * Guards against a request whose end overtakes its job: one connection of two
+ * is silent, the other one is used already, and what was sent on the first is
+ * sent again only at the next check.
+ */
+static void
+test_order_between_connections(void)
+{
+	struct mh_kern *k = mh_kern_create(1);
+	struct sent_frames s = { { NULL } };
+	Mh__Beat b = MH__BEAT__INIT;
+	struct mh_mesh *m;
+
+	s.numbers[1] = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	s.numbers[2] = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	mh_kern_advance(k, S, S);
+	mh_kern_add(k, "link", &s, note_sent, NULL);
+	m = mh_mesh_create(k, "a", 1);
+	post_to_mesh(k, MH_MSG_LINK_UP, 1, NULL);
+	post_to_mesh(k, MH_MSG_LINK_UP, 2, NULL);
+	for (int64_t t = S; t < 5 * S; t += 10 * MS) {
+		/* The first one carries nothing more after 3.1 s. */
+		b.received++;
+		b.uptime_us = (uint64_t)t;
+		if (t % (50 * MS) == 0 && t <= 3100 * MS)
+			post_to_mesh(k, MH_MSG_FRAME, 1, &b);
+		if (t % (50 * MS) == 0)
+			post_to_mesh(k, MH_MSG_FRAME, 2, &b);
+		mh_kern_advance(k, t, t);
+		if (t >= 3100 * MS && t < 4300 * MS)
+			send_drop(m);
+	}
+	CU_ASSERT(s.numbers[1]->len > 0);
+	CU_ASSERT(s.numbers[2]->len > 1);
+	for (guint i = 1; i < s.numbers[2]->len; i++)
+		CU_ASSERT(g_array_index(s.numbers[2], uint64_t, i - 1) <
+		    g_array_index(s.numbers[2], uint64_t, i));
+	mh_kern_destroy(k);
+	g_array_free(s.numbers[1], TRUE);
+	g_array_free(s.numbers[2], TRUE);
+}
+
+/* An entry with two connections to another one, or NULL. */
+static struct ment *
+linked_twice(struct mrig *r, const struct ment *other)
+{
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		if (r->opened[i][other->index] > 0 &&
+		    r->opened[other->index][i] > 0)
+			return &r->e[i];
+	}
+	return NULL;
+}
+
+/*
+ * Sends many jobs to the coordinator over a connection that loses them; returns
+ * how many have not ended by their deadline.
+ */
+static uint32_t
+many_jobs_left(void)
+{
+	static const char *const pools[] = { "a", NULL };
+	const uint32_t pieces[] = { 1 };
+	struct mrig *r = mrig_create();
+	struct ent all[ENTRIES] = { 0 };
+	struct mh_job *jobs[MANY_JOBS] = { NULL };
+	struct ment *coordinator, *requester;
+	struct ent *e;
+	uint32_t left;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_create(&all[i], &r->e[i]);
+	mrig_run(r, 10 * S);
+	coordinator = mrig_agreed(r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(coordinator);
+	requester = linked_twice(r, coordinator);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(requester);
+	e = &all[requester->index];
+	mrig_lose(requester, coordinator, LOSES_FROM_DIALER);
+	for (uint32_t i = 0; i < MANY_JOBS; i++) {
+		jobs[i] = world_job(e->w, pools, pieces, 5 * S, 9 * S);
+		jobs[i]->slo_us = mh_now(requester->k) + 5 * S;
+		jobs[i]->deadline_us = mh_now(requester->k) + 9 * S;
+		mh_broker_submit(e->b, jobs[i]);
+		if (i % 20 == 19)
+			mrig_run(r, 10 * MS);
+	}
+	mrig_run(r, 9 * S);
+	left = MANY_JOBS - e->ended;
+	for (uint32_t i = 0; i < MANY_JOBS; i++) {
+		mh_broker_drop(e->b, jobs[i]);
+		mh_job_destroy(jobs[i]);
+	}
+	mrig_run(r, 100 * MS);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ent_destroy(&all[i]);
+	mrig_destroy(r);
+	return left;
+}
+
+/*
+ * Guards against jobs that are never answered, since more frames than can be
+ * kept were sent on a connection that carries nothing.
+ */
+static void
+test_many_jobs_on_silent_connection(void)
+{
+	CU_ASSERT_EQUAL(many_jobs_left(), 0);
+}
+
 const struct test tests_mesh[] = {
+	{ "mesh: the order between two connections",
+	    test_order_between_connections },
+	{ "mesh: many jobs on a silent connection",
+	    test_many_jobs_on_silent_connection },
 	{ "mesh: jobs of a peer that one side alone has lost",
 	    test_jobs_of_one_sided_loss },
 	{ "mesh: stage work on a connection that is silent",
