Poison: the whole state goes to a peer once in five seconds

What callers saw: nothing reported; links busy with announcements while peers flap, behind which requests' frames wait.

Cause: all that an entry knows of poison requests is sent at each link that opens, by both sides. Where links open and carry nothing, a new one opens each second, for each pair, and the state holds up to 1,024 quarantined requests, 256 crashes and 4,096 completions, 32 of each kind a frame.

Class: what is sent at each link that opens is multiplied by one that flaps.

Ruled out: sending only to peers that count as alive (after a long flap that takes up to 8 s more, and an entry that restarts needs the state at once).

Change: the first link that opens is sent the state at once, as before; links to the same entry within 5 s of that are served together at its end. If there was no link or nothing to tell, the next one is sent it at once. The rig counts frames when they are sent, not those that are not lost.

Conclusion: bounded by the number of peers, not by how often links open. An entry that restarts within 5 s of an earlier link may get the state up to 5 s later than before.

--- a/lib/poisonmesh.c
+++ b/lib/poisonmesh.c
@@ -10,9 +10,24 @@
 
 #include <string.h>
 
+/*
+ * The whole state goes to an entry once in this time.  Sent at each link that
+ * opened, it filled the links to peers that flap.
+ */
+#define RESEND_US (5 * MH_US_PER_S)
+
 struct mh_poison_mesh {
 	struct mh_kern *k;
 	struct mh_poison_mesh_args a;
+	GHashTable *recent; /* node -> struct recent */
+};
+
+/** struct recent - an entry that was sent the whole state. */
+struct recent {
+	struct mh_poison_mesh *p;
+	char *node;
+	struct mh_timer *timer;
+	bool again; /* another link to it has opened since */
 };
 
 static void
@@ -63,6 +78,7 @@
 struct target {
 	struct mh_mesh *m;
 	const char *node;
+	bool sent;
 };
 
 static void
@@ -70,16 +86,60 @@
 {
 	struct target *t = arg;
 
-	mh_mesh_send(t->m, t->node, f);
+	t->sent |= mh_mesh_send(t->m, t->node, f);
+}
+
+/* Returns false if nothing was sent: no link, or nothing to tell. */
+static bool
+send_state(struct mh_poison_mesh *p, const char *node)
+{
+	struct target t = { p->a.mesh, node, false };
+
+	mh_poison_send_all(p->k, send_to, &t);
+	return t.sent;
+}
+
+static void
+free_recent(void *arg)
+{
+	struct recent *r = arg;
+
+	mh_timer_stop(r->p->k, &r->timer);
+	g_free(r->node);
+	g_free(r);
+}
+
+static void
+on_resend(void *arg)
+{
+	struct recent *r = arg;
+
+	r->timer = NULL;
+	if (!r->again || !send_state(r->p, r->node)) {
+		g_hash_table_remove(r->p->recent, r->node);
+		return;
+	}
+	r->again = false;
+	r->timer = mh_timer_start(r->p->k, RESEND_US, on_resend, r);
 }
 
 static void
 on_up(void *arg, const char *node)
 {
 	struct mh_poison_mesh *p = arg;
-	struct target t = { p->a.mesh, node };
-
-	mh_poison_send_all(p->k, send_to, &t);
+	struct recent *r = g_hash_table_lookup(p->recent, node);
+
+	if (r != NULL) {
+		r->again = true;
+		return;
+	}
+	if (!send_state(p, node))
+		return;
+	r = g_new0(struct recent, 1);
+	r->p = p;
+	r->node = g_strdup(node);
+	r->timer = mh_timer_start(p->k, RESEND_US, on_resend, r);
+	g_hash_table_insert(p->recent, r->node, r);
 }
 
 struct mh_poison_mesh *
@@ -91,6 +151,8 @@
 
 	p->k = k;
 	p->a = *a;
+	p->recent =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_recent);
 	mh_poison_create(k, &ops);
 	mh_mesh_on(a->mesh, MH__FRAME__BODY_POISON, on_poison, p);
 	mh_mesh_on_up(a->mesh, on_up, p);
@@ -100,5 +162,8 @@
 void
 mh_poison_mesh_destroy(struct mh_poison_mesh *p)
 {
+	if (p == NULL)
+		return;
+	g_hash_table_destroy(p->recent);
 	g_free(p);
 }
--- a/regress/entries.c
+++ b/regress/entries.c
@@ -171,6 +171,15 @@
 	}
 }
 
+static void
+count_poison(struct mrig *r, GBytes *frame)
+{
+	Mh__Frame *f = mh_frame_unpack(frame);
+
+	r->poison_frames += f->body_case == MH__FRAME__BODY_POISON;
+	mh_frame_free(f);
+}
+
 static bool
 is_lost(struct ment *e, GBytes *frame)
 {
@@ -178,7 +187,6 @@
 	bool lost = e->lose_views > 0 && f->body_case == MH__FRAME__BODY_VIEW;
 
 	count_empty_results(e->r, f);
-	e->r->poison_frames += f->body_case == MH__FRAME__BODY_POISON;
 	e->lose_views -= lost;
 	mh_frame_free(f);
 	return lost;
@@ -309,6 +317,7 @@
 		dial(l, m);
 		break;
 	case MH_MSG_LINK_SEND:
+		count_poison(e->r, m->frame);
 		to = other_end(e, id);
 		if (e->cut || to->cut || to->down || to->powered_off ||
 		    loses(e, to, id) || is_lost(e, m->frame))
--- a/regress/t_crash.c
+++ b/regress/t_crash.c
@@ -4,6 +4,7 @@
 
 #include "crashrig.h"
 #include "net.h"
+#include "poison.h"
 #include "regress.h"
 
 #include <stdio.h>
@@ -276,6 +277,75 @@
 	crashrig_destroy(r);
 }
 
+/* Entry 0 learns of quarantined requests @from to @to, 1024 at most. */
+static void
+quarantine_at_first(struct crashrig *r, uint64_t from, uint64_t to, bool pass)
+{
+	for (uint64_t f = from; f <= to; f++) {
+		Mh__Held held = MH__HELD__INIT, *list[] = { &held };
+		Mh__Poison m = MH__POISON__INIT;
+
+		held.print = f;
+		held.pool = (char *)(uintptr_t) "pool";
+		held.times = 1;
+		held.left_us = 200 * S;
+		m.held = list;
+		m.n_held = 1;
+		mh_poison_receive(r->m->e[0].k, &m, pass);
+	}
+}
+
+static uint32_t
+entries_that_quarantine(struct crashrig *r, uint64_t fingerprint)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		n += mh_poison_quarantine_us(r->m->e[i].k, fingerprint) > 0;
+	return n;
+}
+
+/*
+ * Guards against links that are filled with what entries know of poison
+ * requests: all of it is sent at each link that opens, and where links carry
+ * nothing a new one opens each second.
+ */
+static void
+test_links_that_flap(void)
+{
+	struct crashrig *r = crashrig_create(ENGINES, 4);
+	uint32_t frames, opened = 0;
+
+	crashrig_run(r, 5 * S);
+	r->other_per_s = 0;
+	quarantine_at_first(r, 1000, 1031, true); /* a frame holds all */
+	crashrig_run(r, 15 * S);
+	CU_ASSERT_EQUAL(entries_that_quarantine(r, 1031), ENTRIES);
+	frames = r->m->poison_frames;
+	crashrig_run(r, 5 * S);
+	CU_ASSERT_EQUAL(r->m->poison_frames, frames);
+	r->m->silent_dials = true;
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		for (uint32_t j = 0; j < ENTRIES; j++)
+			mrig_lose(&r->m->e[i], &r->m->e[j], LOSES_BOTH);
+		opened -= r->m->e[i].links_opened;
+	}
+	crashrig_run(r, 30 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		opened += r->m->e[i].links_opened;
+	frames = r->m->poison_frames - frames;
+	printf("%u links opened, %u frames\n", opened, frames);
+	CU_ASSERT(opened > 500);
+	/* Every five seconds to each other entry. */
+	CU_ASSERT(frames <= ENTRIES * (ENTRIES - 1) * 30 / 5);
+	quarantine_at_first(r, 77, 77, false);
+	CU_ASSERT_EQUAL(entries_that_quarantine(r, 77), 1);
+	r->m->silent_dials = false;
+	crashrig_run(r, 8 * S);
+	CU_ASSERT_EQUAL(entries_that_quarantine(r, 77), ENTRIES);
+	crashrig_destroy(r);
+}
+
 /* Poison frames that entries send in 3 s, 15 s after the last request. */
 static uint32_t
 frames_when_quiet(uint32_t seed, int64_t delay_us, bool resets)
@@ -555,6 +625,7 @@
 }
 
 const struct test tests_crash[] = {
+	{ "crash: links that flap", test_links_that_flap },
 	{ "crash: a poison request", test_crashes_engines },
 	{ "crash: others are served", test_others_are_served },
 	{ "crash: plain requests", test_plain },
