--- a/regress/t_platform_store.c
+++ b/regress/t_platform_store.c
@@ -10,6 +10,8 @@
 #include "tcp.h"
 
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define S MH_US_PER_S
 #define RUN_MAX_US (8 * MH_US_PER_S)
@@ -881,6 +883,127 @@
 	finish(&r);
 }
 
+/* Connections to the stand-in below. */
+#define PEERS 32
+#define KEPT 6
+#define SILENT_WAIT_US (40 * MH_US_PER_MS)
+
+/** struct silent_peer - the stand-in's end of a connection. */
+struct silent_peer {
+	struct silent_rig *r;
+	int fd;
+	bool silent;
+};
+
+/** struct silent_rig - a store whose open connections go silent. */
+struct silent_rig {
+	struct mh_loop *l;
+	int listen_fd;
+	struct silent_peer peers[PEERS];
+	uint32_t n_peers;
+	uint32_t answered;
+	uint32_t unanswered;
+	uint32_t open; /* calls */
+};
+
+static void
+on_silent_peer(void *arg, bool readable, bool writable)
+{
+	static const char text[] =
+	    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+	struct silent_peer *p = arg;
+	char buf[4096];
+	ssize_t n = recv(p->fd, buf, sizeof(buf), 0);
+
+	(void)readable;
+	(void)writable;
+	if (n <= 0) {
+		mh_loop_fd_close(p->r->l, p->fd);
+		close(p->fd);
+		p->fd = -1;
+	} else if (!p->silent) {
+		CU_ASSERT_EQUAL(send(p->fd, text, strlen(text), MSG_NOSIGNAL),
+		    (ssize_t)strlen(text));
+	}
+}
+
+static void
+on_silent_accept(void *arg, bool readable, bool writable)
+{
+	struct silent_rig *r = arg;
+	struct silent_peer *p = &r->peers[r->n_peers++];
+
+	(void)readable;
+	(void)writable;
+	CU_ASSERT_FATAL(r->n_peers < PEERS);
+	p->r = r;
+	p->fd = accept(r->listen_fd, NULL, NULL);
+	mh_loop_fd(r->l, p->fd, true, false, on_silent_peer, p);
+}
+
+static void
+on_silent_reply(void *arg, const struct plat_reply *a)
+{
+	struct silent_rig *r = arg;
+
+	r->answered += a->status == 200;
+	r->unanswered += a->status == 0;
+	if (--r->open == 0)
+		mh_loop_stop(r->l);
+}
+
+static void
+call_silent(struct silent_rig *r, struct plat_store *s, uint32_t calls)
+{
+	r->open = calls;
+	for (uint32_t i = 0; i < calls; i++)
+		plat_store_call(s, "GET", "/kv-key?key=a", NULL, SILENT_WAIT_US,
+		    on_silent_reply, r);
+	mh_loop_run(r->l);
+}
+
+/*
+ * Guards against a store that counts as down although new connections to it
+ * work: its kept connections all went silent, and each was tried in turn.
+ */
+static void
+test_kept_connections_silent(void)
+{
+	struct silent_rig r = { 0 };
+	struct mh_kern *k = mh_kern_create(1);
+	struct mh_hcalls *calls;
+	struct plat_store *s;
+	char addr[32];
+
+	r.l = mh_loop_create(k, NULL);
+	r.listen_fd = tcp_listen(addr);
+	mh_loop_fd(r.l, r.listen_fd, true, false, on_silent_accept, &r);
+	calls = mh_hcalls_create(r.l);
+	s = plat_store_create(k, calls, addr);
+	call_silent(&r, s, KEPT);
+	CU_ASSERT_EQUAL(r.answered, KEPT);
+	CU_ASSERT_EQUAL(r.n_peers, KEPT);
+	for (uint32_t i = 0; i < r.n_peers; i++)
+		r.peers[i].silent = true;
+	for (int i = 0; i < KEPT + 2; i++)
+		call_silent(&r, s, 1);
+	CU_ASSERT_EQUAL(r.unanswered, 1);
+	CU_ASSERT_EQUAL(r.answered, KEPT + KEPT + 1);
+	CU_ASSERT_FALSE(plat_store_is_down(s));
+	plat_store_destroy(s);
+	mh_hcalls_destroy(calls);
+	for (uint32_t i = 0; i < r.n_peers; i++) {
+		if (r.peers[i].fd < 0)
+			continue;
+		mh_loop_fd_close(r.l, r.peers[i].fd);
+		close(r.peers[i].fd);
+	}
+	mh_loop_fd_close(r.l, r.listen_fd);
+	close(r.listen_fd);
+	mh_loop_destroy(r.l);
+	mh_kern_destroy(k);
+}
+
 const struct test tests_store[] = {
 	{ "store: one call detects its recovery",
 	    test_one_call_detects_recovery },
@@ -890,6 +1013,8 @@
 	{ "store: malformed pages", test_malformed_pages },
 	{ "store: empty or malformed watches", test_malformed_watches },
 	{ "store: configuration without a value", test_conf_without_value },
+	{ "kept connections to the store go silent",
+	    test_kept_connections_silent },
 	{ "evacuated failure domains", test_evacuated },
 	{ "evacuated failure domains of a peer that is behind",
 	    test_evacuated_of_a_peer_that_is_behind },
