Config: a watch that has gone silent is found after ten seconds

What callers saw: a change that is in force half a minute late, at all entries, when the open connections to the KV service have gone silent.

Cause: a watch waited for 30 s and was given up after 35. All watchers have one open, so a silence that hits open connections hits all of them.

Class: how old the configuration is was measured by the answer of a watch that may never come.

Ruled out: 4 s (12 entries in three domains then make more calls than nodes: subset_is_stable allows); TCP keep-alives (they prove the kernel of the next hop).

Change: a watch waits for 8 s and is given up 2 s later (all watches: 2 s after their wait).

Conclusion: bounded by the watch, not by the service or a peer.

--- a/lib/conf.c
+++ b/lib/conf.c
@@ -12,7 +12,8 @@
 #include <string.h>
 
 #define TICK_US (500 * MH_US_PER_MS)
-#define WATCH_US (30 * MH_US_PER_S)
+/* A connection that has gone silent is found at the end of a watch. */
+#define WATCH_US (8 * MH_US_PER_S)
 #define BACKOFF_US (500 * MH_US_PER_MS)
 #define FETCH_RETRY_US (300 * MH_US_PER_MS)
 #define MAX_KEPT_DOCS 4
--- a/lib/kv.c
+++ b/lib/kv.c
@@ -9,7 +9,8 @@
 #include <string.h>
 
 #define CALL_US (2 * MH_US_PER_S)
-#define WATCH_SLACK_US (5 * MH_US_PER_S)
+/* Beyond the wait, to which the service adds up to a sixteenth. */
+#define WATCH_SLACK_US (2 * MH_US_PER_S)
 
 struct kv {
 	struct mh_kern *k;
--- a/regress/net.h
+++ b/regress/net.h
@@ -105,6 +105,11 @@
 void net_drop_frames(struct net_node *x, bool in, bool out);
 /** net_break_links() - open links of @x close, and both ends see it. */
 void net_break_links(struct net_node *x);
+/**
+ * net_silence_watches() - open watches of the KV service get no answer; their
+ * callers time out.  New ones work.
+ */
+void net_silence_watches(struct net *n);
 void net_apply(struct net *n, uint64_t generation, const char *doc);
 /** net_apply_delta() - as marlctl does, with the delta from @old, if any. */
 void net_apply_delta(
--- a/regress/netfake.c
+++ b/regress/netfake.c
@@ -128,6 +128,22 @@
 	}
 }
 
+void
+net_silence_watches(struct net *n)
+{
+	for (guint i = 0; i < n->kv_waits->len; i++) {
+		struct kv_wait *w = n->kv_waits->pdata[i];
+		struct mh_msg *m = mh_msg_new(MH_MSG_KV_DONE);
+
+		m->u.kv.op = w->q.op;
+		m->u.kv.token = w->q.token;
+		/* As late as if they had begun now. */
+		net_deliver(w->node, service_name(w->q.reply_to), m,
+		    w->q.wait_us + KV_SLACK_US, NULL, false);
+	}
+	g_ptr_array_set_size(n->kv_waits, 0);
+}
+
 static void
 kv_store(struct net *n, const char *name, GBytes *data)
 {
@@ -163,6 +179,13 @@
 	    NULL, false);
 }
 
+/* A watch without a change is answered at its end. */
+static void
+on_wait_end(void *arg)
+{
+	net_kv_wake(arg, "");
+}
+
 void
 net_kv_handle(void *self, struct mh_msg *m)
 {
@@ -197,6 +220,7 @@
 	w->q.value = NULL;
 	w->expires_us = mh_now(n->k) + q->wait_us;
 	g_ptr_array_add(n->kv_waits, w);
+	mh_timer_start(n->k, q->wait_us, on_wait_end, n);
 }
 
 void
--- a/regress/netfake.h
+++ b/regress/netfake.h
@@ -6,6 +6,7 @@
 /* Shared by net.c and netfake.c. */
 
 #define KV_LATENCY_US 2000
+#define KV_SLACK_US (2 * MH_US_PER_S) /* timeout of a watch beyond its wait */
 #define LIST_LATENCY_US 1000
 
 struct net_link;
--- a/regress/t_nodes.c
+++ b/regress/t_nodes.c
@@ -134,6 +134,22 @@
 	}
 }
 
+/*
+ * All open connections to the KV service go silent, and new ones work: the
+ * watches must not wait for an answer for most of a minute.
+ */
+static void
+test_watches_go_silent(void)
+{
+	struct nodes w;
+
+	create_nodes(&w, 43, net_doc);
+	net_silence_watches(w.n);
+	net_apply(w.n, 2, net_doc);
+	CU_ASSERT(time_to_apply(&w, 2, 12 * MH_US_PER_S) >= 0);
+	net_destroy(w.n);
+}
+
 /*
  * A configuration is applied, then the KV service fails and nodes start.  They
  * must get the configuration from their peers.
@@ -437,6 +453,7 @@
 	{ "change_is_everywhere_in_seconds",
 	    test_change_is_everywhere_in_seconds },
 	{ "watchers_that_nobody_hears", test_watchers_that_nobody_hears },
+	{ "watches_go_silent", test_watches_go_silent },
 	{ "few_watch_the_platform", test_few_watch_the_platform },
 	{ "start_during_an_outage", test_start_during_an_outage },
 	{ "restored_kv_reverts_nothing", test_restored_kv_reverts_nothing },
