Budget: the number of entries is asked for several times a window

What callers saw: shares of the slack by entries that are no longer, or not yet, right.

Cause: the budget was told the number when the list of entries changed. It also depends on heartbeats: an entry that is alive and not listed yet counts.

Change: mh_budget_follow() asks for the number each twentieth of a window; with the maximum over a window, an entry that is known for a moment counts for a window.

Test: "entries that no list names yet" failed with the number asked for once, and passes now.

For a calm entry: nothing changes; one more timer each half a second.

--- a/lib/budget.c
+++ b/lib/budget.c
@@ -40,6 +40,9 @@
 	int64_t start_us; /* of this process */
 	int64_t known_us; /* retries before are not known, if it is shared */
 	GHashTable *pools; /* name -> struct window */
+	uint32_t (*entries_fn)(void *arg); /* see mh_budget_follow() */
+	void *arg;
+	struct mh_timer *timer;
 };
 
 struct mh_budget *
@@ -69,6 +72,7 @@
 {
 	if (b == NULL)
 		return;
+	mh_timer_stop(b->k, &b->timer);
 	g_hash_table_destroy(b->pools);
 	g_free(b);
 }
@@ -161,6 +165,26 @@
 	b->most[bucket % HELD] = MAX(b->most[bucket % HELD], b->entries);
 }
 
+static void
+on_timer(void *arg)
+{
+	struct mh_budget *b = arg;
+	uint32_t n = b->entries_fn(b->arg);
+
+	if (n > 0)
+		mh_budget_entries(b, n);
+	b->timer = mh_timer_start(b->k, bucket_us(b), on_timer, b);
+}
+
+void
+mh_budget_follow(struct mh_budget *b, uint32_t (*fn)(void *arg), void *arg)
+{
+	mh_timer_stop(b->k, &b->timer);
+	b->entries_fn = fn;
+	b->arg = arg;
+	on_timer(b);
+}
+
 uint32_t
 mh_budget_shared_by(const struct mh_budget *b)
 {
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -351,6 +351,12 @@
 void mh_budget_set(struct mh_budget *b, const struct mh_budget_args *a);
 /** mh_budget_entries() - the slack is divided among @n processes. */
 void mh_budget_entries(struct mh_budget *b, uint32_t n);
+/**
+ * mh_budget_follow() - @fn returns the number of processes that share the
+ * slack, 0: not known yet; it is asked several times a window.
+ */
+void mh_budget_follow(
+    struct mh_budget *b, uint32_t (*fn)(void *arg), void *arg);
 /** mh_budget_shared_by() - processes that share the slack; 0: not known. */
 uint32_t mh_budget_shared_by(const struct mh_budget *b);
 /** mh_budget_request() - counts a request that is no retry. */
--- a/regress/t_budget.c
+++ b/regress/t_budget.c
@@ -347,6 +347,45 @@
 	brig_close(&r);
 }
 
+static uint32_t
+read_count(void *arg)
+{
+	return *(uint32_t *)arg;
+}
+
+/*
+ * Guards against a number of entries that is asked for only when the list
+ * changes: entries are known by their heartbeats before the list names them.
+ */
+static void
+test_followed(void)
+{
+	uint32_t n = 0;
+	struct brig r;
+
+	brig_open(&r);
+	brig_start(&r, 0);
+	mh_budget_follow(r.b[0], read_count, &n);
+	brig_advance(&r, 3 * WINDOW_US);
+	CU_ASSERT_EQUAL(mh_budget_shared_by(r.b[0]), 0);
+	CU_ASSERT_EQUAL(brig_retry(&r, 0, UINT32_MAX), 0);
+	n = 2;
+	brig_advance(&r, WINDOW_US / 10);
+	CU_ASSERT_EQUAL(brig_retry(&r, 0, UINT32_MAX), 20);
+	/* They are there for less than a window and not used meanwhile. */
+	n = 8;
+	brig_advance(&r, WINDOW_US / 10);
+	n = 2;
+	for (int i = 0; i < 9; i++)
+		brig_advance(&r, S);
+	CU_ASSERT_EQUAL(mh_budget_shared_by(r.b[0]), 8);
+	for (int i = 0; i < 3; i++)
+		brig_advance(&r, S);
+	CU_ASSERT_EQUAL(mh_budget_shared_by(r.b[0]), 2);
+	CU_ASSERT_EQUAL(brig_retry(&r, 0, UINT32_MAX), 20);
+	brig_close(&r);
+}
+
 static uint32_t
 count_text(const char *all, const char *text)
 {
@@ -493,6 +532,7 @@
 	    test_requests_after_resize },
 	{ "budget: another slack", test_other_slack },
 	{ "budget: a longer window", test_longer_window },
+	{ "budget: entries that no list names yet", test_followed },
 	{ "budget: used up is logged once a window", test_used_up_logged },
 	{ "budget: entries come and go, drawn", test_drawn },
 	{ NULL, NULL },
