Budget: an entry that was frozen has no slack for a window

An entry that stands still for longer than a window is dropped by the others, and had its share of the slack as soon as it ran again.

Cause: only a start was taken for a gap in what is known.

Change: if the timer that asks for the number of entries was away for longer than a window, the hold is that of a start.

Test: "an entry that was frozen" failed before and passes now. "entries that no list names yet" advances its clock in steps now: one step of 30 s is such a pause; what it asserts is unchanged.

For a calm entry: nothing changes.

--- a/lib/budget.c
+++ b/lib/budget.c
@@ -43,6 +43,7 @@
 	uint32_t (*entries_fn)(void *arg); /* see mh_budget_follow() */
 	void *arg;
 	struct mh_timer *timer;
+	int64_t asked_us; /* when it last fired */
 };
 
 struct mh_budget *
@@ -170,7 +171,12 @@
 {
 	struct mh_budget *b = arg;
 	uint32_t n = b->entries_fn(b->arg);
+	int64_t now = mh_now(b->k);
 
+	/* The process did not run, and others have shared without it. */
+	if (now - b->asked_us > b->args.window_us)
+		b->known_us = MAX(b->known_us, now + JOIN_US);
+	b->asked_us = now;
 	if (n > 0)
 		mh_budget_entries(b, n);
 	b->timer = mh_timer_start(b->k, bucket_us(b), on_timer, b);
@@ -182,6 +188,7 @@
 	mh_timer_stop(b->k, &b->timer);
 	b->entries_fn = fn;
 	b->arg = arg;
+	b->asked_us = mh_now(b->k);
 	on_timer(b);
 }
 
--- a/regress/t_budget.c
+++ b/regress/t_budget.c
@@ -366,7 +366,8 @@
 	brig_open(&r);
 	brig_start(&r, 0);
 	mh_budget_follow(r.b[0], read_count, &n);
-	brig_advance(&r, 3 * WINDOW_US);
+	for (int i = 0; i < 30; i++)
+		brig_advance(&r, S);
 	CU_ASSERT_EQUAL(mh_budget_shared_by(r.b[0]), 0);
 	CU_ASSERT_EQUAL(brig_retry(&r, 0, UINT32_MAX), 0);
 	n = 2;
@@ -386,6 +387,31 @@
 	brig_close(&r);
 }
 
+/*
+ * An entry that is frozen for longer than a window is dropped by the others,
+ * which share the slack without it.  Guards against a share of its own as soon
+ * as it wakes.
+ */
+static void
+test_woken(void)
+{
+	uint32_t n = 2;
+	struct brig r;
+
+	brig_open(&r);
+	brig_start(&r, 0);
+	mh_budget_follow(r.b[0], read_count, &n);
+	for (int i = 0; i < 30; i++)
+		brig_advance(&r, S);
+	CU_ASSERT_EQUAL(brig_retry(&r, 0, UINT32_MAX), 20);
+	brig_advance(&r, WINDOW_US + S);
+	CU_ASSERT_EQUAL(brig_retry(&r, 0, UINT32_MAX), 0);
+	for (int i = 0; i < 16; i++)
+		brig_advance(&r, S);
+	CU_ASSERT_EQUAL(brig_retry(&r, 0, UINT32_MAX), 20);
+	brig_close(&r);
+}
+
 static uint32_t
 count_text(const char *all, const char *text)
 {
@@ -533,6 +559,7 @@
 	{ "budget: another slack", test_other_slack },
 	{ "budget: a longer window", test_longer_window },
 	{ "budget: entries that no list names yet", test_followed },
+	{ "budget: an entry that was frozen", test_woken },
 	{ "budget: used up is logged once a window", test_used_up_logged },
 	{ "budget: entries come and go, drawn", test_drawn },
 	{ NULL, NULL },
