Claim: an expected change of the owner table is read, not awaited

What callers saw: requests with a key refused after a drain or a change of owner, if the side processes' watches of the owner table had gone silent, until these time out (their wait of 20 s and the client's slack, by the constants).

Cause: the old owner writes the table and the new one has acknowledged the handover, but both learn of the change from their watches alone, which wait for 20 s. Meanwhile neither serves the partition, and entries get the table from neither.

Class: what is known was taken for current because nothing was heard.

Change: after a write of ours, or a handover that we acknowledged, a watch that has shown nothing for 500 ms is left, and the table is read anew. The answer of the one that was left is ignored; epochs keep older tables out, as before.

Evidence: once: drain_while_watches_are_silent: without the change the drained process still has its partitions after 4 s and the request is not answered with 200 (4 checks fail); with it another owns the key and runs it once.

Conclusion: an expected change is read within a second, whatever the watch does. A process that expects none still learns of one at its watch's end alone; not looked into.

--- a/lib/claim.c
+++ b/lib/claim.c
@@ -18,6 +18,8 @@
 #define TICK_US (100 * MH_US_PER_MS)
 #define WATCH_WAIT_US (20 * MH_US_PER_S)
 #define BACKOFF_US (400 * MH_US_PER_MS)
+/* A change of the table that we expect: the watch shows it within this time. */
+#define EXPECTED_US (500 * MH_US_PER_MS)
 #define START_DELAY_US (1 * MH_US_PER_S) /* before balancing after a start */
 #define HANDOVER_TIMEOUT_US (2 * MH_US_PER_S)
 #define HANDOVER_RETRY_US (5 * MH_US_PER_S)
@@ -73,6 +75,7 @@
 	uint64_t put;
 	int64_t kv_next_us;
 	int64_t watch_started_us;
+	int64_t expected_us; /* since when we expect a change; 0: we don't */
 	int64_t started_us;
 	struct mh_timer *tick;
 };
@@ -453,6 +456,24 @@
 	}
 }
 
+/*
+ * The connection of a watch may go silent.  We wrote the table, or are about to
+ * be entered in it, and learn nothing of that until the watch times out, so
+ * that nobody serves the partition.
+ */
+static void
+check_watch(struct claim *c)
+{
+	if (c->expected_us == 0 || c->watch == 0 || c->put != 0 ||
+	    mh_now(c->k) - MAX(c->expected_us, c->watch_started_us) <
+		EXPECTED_US)
+		return;
+	mh_count(c->k, "claim_silent_watches", 1);
+	c->expected_us = 0;
+	c->watch = 0; /* its answer is ignored */
+	c->index = 0;
+}
+
 static void
 on_tick(void *arg)
 {
@@ -461,6 +482,7 @@
 	c->tick = mh_timer_start(c->k, TICK_US, on_tick, c);
 	if (!pool_is_service(c))
 		return;
+	check_watch(c);
 	if (c->watch == 0 && c->put == 0 && mh_now(c->k) >= c->kv_next_us)
 		kv_call(c, MH_KV_WATCH, NULL, &c->watch);
 	if (!c->loaded || !mh_member_has_list(c->k) ||
@@ -486,6 +508,7 @@
 apply_value(struct claim *c, const struct mh_kv_msg *v)
 {
 	c->reachable = true;
+	c->expected_us = 0;
 	/* Limits the rate of watches that return at once without a change. */
 	if (v->index == c->index)
 		c->kv_next_us = c->watch_started_us + BACKOFF_US;
@@ -514,6 +537,7 @@
 			kv_failed(c);
 	} else if (v->token == c->put) {
 		c->put = 0;
+		c->expected_us = mh_now(c->k);
 		if (!v->ok)
 			kv_failed(c);
 		else
@@ -546,7 +570,7 @@
 		return;
 	c->part[p].recv_epoch = h->epoch;
 	c->part[p].recv_serial = h->serial;
-	c->part[p].received_us = mh_now(c->k);
+	c->part[p].received_us = c->expected_us = mh_now(c->k);
 	mh_ledger_close(c->ledger, p);
 	for (size_t i = 0; i < h->n_entries; i++)
 		mh_ledger_add(c->ledger, p, h->entries[i]);
--- a/regress/t_once.c
+++ b/regress/t_once.c
@@ -774,7 +774,41 @@
 		run_random(seed);
 }
 
+/*
+ * Guards against a partition that nobody serves for most of a minute: the
+ * watches of its old and its new owner have gone silent when the drain hands
+ * it over, and each waits for its watch to show the change.
+ */
+static void
+test_drain_while_watches_are_silent(void)
+{
+	struct once_world w;
+	struct net_node *owner, *next;
+	char *key;
+	uint64_t id;
+
+	make(&w, 24);
+	key = key_now(w.n);
+	owner = owner_of(&w, key);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(owner);
+	net_silence_watches(w.n);
+	mh_side_drain(owner->k, GRACE_US);
+	net_run(w.n, 4 * MH_US_PER_S);
+	next = owner_of(&w, key);
+	CU_ASSERT_PTR_NOT_NULL(next);
+	CU_ASSERT_PTR_NOT_EQUAL(next, owner);
+	CU_ASSERT_EQUAL(mh_claim_count(owner->k), 0);
+	id = confirm(w.e[0], key);
+	net_run(w.n, 2 * MH_US_PER_S);
+	CU_ASSERT_EQUAL(net_response(w.n, id)->status, 200);
+	CU_ASSERT_EQUAL(net_response(w.n, id)->runs, 1);
+	g_free(key);
+	net_destroy(w.n);
+}
+
 const struct test tests_once[] = {
+	{ "drain_while_watches_are_silent",
+	    test_drain_while_watches_are_silent },
 	{ "every_partition_has_one_owner", test_every_partition_has_one_owner },
 	{ "one_key_at_two_entries", test_one_key_at_two_entries },
 	{ "crash_after_run", test_crash_after_run },
