Member: links that a peer has left are closed

What callers saw: nothing reported. A side process whose links open and then carry nothing keeps a socket for each that an entry has opened and left, until it has none for new ones.

Cause: a link that the peer dialed is closed only by the peer, whose close may be lost like all else on it; the side process sends no pings. Its count of links grows too, and tells whether it must watch the configuration itself.

Class: a connection that proves nothing counts as alive.

Ruled out: a limit of silence (an idle link is pinged each 50 ms a link of the entry, so a small one would close good links); closing the link before at once (its last frames may be under way).

Change: when a peer dials a third link, the first is closed. So there are two at most for each peer. The rig loses the ends of links that carry nothing.

Conclusion: bounded by the number of peers. The two that a peer which is gone for good has left stay open until the process ends, as before.

--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -553,6 +553,8 @@
 	/* link */
 	uint64_t conn; /* the link in use, 0 for none */
 	bool conn_outbound; /* dialed by this process */
+	uint64_t inbound; /* the last link that the peer dialed, 0: none */
+	uint64_t old_inbound; /* the one before it, 0: none */
 	uint64_t dial_conn; /* the link being opened, 0: none */
 	bool up;
 	uint64_t incarnation;
--- a/lib/member.c
+++ b/lib/member.c
@@ -300,6 +300,24 @@
 	    l->conn);
 }
 
+/*
+ * A peer dials again once its link is lost or silent, and the end of a silent
+ * link may never arrive.  Frames of the link before may still be under way.
+ */
+static void
+close_left(struct member *mb, struct mh_peer *p, uint64_t conn)
+{
+	uint64_t left = p->old_inbound;
+
+	p->old_inbound = p->inbound;
+	p->inbound = conn;
+	if (left == 0 || left == p->conn)
+		return;
+	drop_conn(mb, left);
+	if (mb->links > 0)
+		mb->links--;
+}
+
 static void
 link_up_inbound(struct member *mb, const struct mh_link_msg *l)
 {
@@ -313,6 +331,7 @@
 		set_str(&p->addr, l->addr);
 	map_conn(mb, l->conn, p);
 	mb->links++;
+	close_left(mb, p, l->conn);
 	if (!p->up || !p->keep_link) {
 		p->conn = l->conn;
 		p->conn_outbound = false;
@@ -334,6 +353,10 @@
 	g_hash_table_remove(mb->conns, &conn);
 	if (mb->links > 0 && conn != p->dial_conn)
 		mb->links--;
+	if (conn == p->inbound)
+		p->inbound = 0;
+	if (conn == p->old_inbound)
+		p->old_inbound = 0;
 	if (conn == p->dial_conn) {
 		dial_failed(mb, p);
 		return;
--- a/regress/net.c
+++ b/regress/net.c
@@ -285,7 +285,8 @@
 	if (nl == NULL)
 		return;
 	nl->open = false;
-	if (!nl->a.rx_dropped && !nl->b.rx_dropped)
+	if (!nl->a.rx_dropped && !nl->b.rx_dropped && !nl->a.node->dials_only &&
+	    !nl->b.node->dials_only)
 		close_end(nl, is_a ? &nl->b : &nl->a);
 }
 
--- a/regress/t_entry.c
+++ b/regress/t_entry.c
@@ -159,6 +159,29 @@
 	net_destroy(w.n);
 }
 
+/*
+ * Guards against a side process that runs out of sockets: an entry leaves one
+ * link after the other to it, and none of their ends arrives.
+ */
+static void
+test_links_whose_end_is_lost(void)
+{
+	struct entry_world w;
+	uint32_t before;
+
+	entry_world_create(&w, 19, net_doc);
+	before = mh_member_link_count(w.enc[1]->k);
+	w.enc[1]->dials_only = true;
+	net_run(w.n, 120 * MH_US_PER_S);
+	CU_ASSERT(mh_counter(w.e->k, "member_unproven_links") > 20);
+	CU_ASSERT(mh_member_link_count(w.enc[1]->k) <= before + 1);
+	w.enc[1]->dials_only = false;
+	net_run(w.n, 5 * MH_US_PER_S);
+	CU_ASSERT_TRUE(
+	    mh_member_usable(w.e->k, mh_member_find(w.e->k, w.enc[1]->vm)));
+	net_destroy(w.n);
+}
+
 /* The side process is killed in mid-stream: the stream fails over. */
 static void
 test_stream_failover(void)
@@ -828,6 +851,7 @@
 const struct test tests_entry[] = {
 	{ "stream_over_a_silent_link", test_stream_over_a_silent_link },
 	{ "only_dials_are_answered", test_only_dials_are_answered },
+	{ "links_whose_end_is_lost", test_links_whose_end_is_lost },
 	{ "stream_failover", test_stream_failover },
 	{ "stream_of_an_ended_call", test_stream_of_an_ended_call },
 	{ "stream_of_surplus_tokens", test_stream_of_surplus_tokens },
