Mesh: announcements to all are kept and sent again like other frames

What callers saw: nothing; a suspicion, or the quarantine of a request that ends replicas, was lost for one entry with one connection of two.

Cause: what goes to all was sent over the connection in use without a number, so that nobody sent it again.

Ruled out: waiting for the next link that opens, at which the whole state of poison requests goes over: it may be minutes away, and is limited to one in five seconds.

Change: each entry gets the frame with a number of its own.

Evidence: mesh: an announcement on a connection that is silent failed for the connections that others dialled, passes.

--- a/lib/meshsend.c
+++ b/lib/meshsend.c
@@ -81,40 +81,45 @@
 		keep(&c->unreported, bytes, c->frames_out);
 }
 
-bool
-mh_mesh_send(struct mh_mesh *m, const char *node, Mh__Frame *f)
+static void
+send_numbered(struct peer *p, Mh__Frame *f)
 {
-	struct peer *p = g_hash_table_lookup(m->peers, node);
 	GBytes *bytes;
 
-	if (p == NULL || p->used == NULL)
-		return false;
 	f->number = ++p->sent_number;
 	bytes = mh_frame_pack(f);
 	/* Behind what waits for the proof of a new connection. */
 	if (g_queue_is_empty(&p->unreported))
-		send_kept(m, p->used, bytes);
+		send_kept(p->m, p->used, bytes);
 	else
 		keep(&p->unreported, bytes, 0);
 	g_bytes_unref(bytes);
+}
+
+bool
+mh_mesh_send(struct mh_mesh *m, const char *node, Mh__Frame *f)
+{
+	struct peer *p = g_hash_table_lookup(m->peers, node);
+
+	if (p == NULL || p->used == NULL)
+		return false;
+	send_numbered(p, f);
 	return true;
 }
 
 void
 mh_mesh_send_all(struct mh_mesh *m, Mh__Frame *f)
 {
-	GBytes *frame = mh_frame_pack(f);
 	GHashTableIter it;
 	gpointer value;
 
 	g_hash_table_iter_init(&it, m->peers);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct peer *p = value;
+		struct peer *p = value;
 
 		if (p->used != NULL)
-			send_bytes(m, p->used, frame);
+			send_numbered(p, f);
 	}
-	g_bytes_unref(frame);
 }
 
 void
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -551,6 +551,93 @@
 	mrig_destroy(r);
 }
 
+static uint64_t
+peer_losses(struct mrig *r)
+{
+	uint64_t n = 0;
+
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		n += mh_counter(r->e[i].k, "peer_losses");
+	return n;
+}
+
+/* Loses what @from has dialled to all others, and what they dialled to it. */
+static void
+lose_all(struct mrig *r, struct ment *from, enum mrig_loss out, bool in)
+{
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		mrig_lose(from, &r->e[i], out);
+		if (in)
+			mrig_lose(&r->e[i], from, LOSES_BOTH);
+	}
+}
+
+/*
+ * Returns how many entries get an announcement of the coordinator as, of each
+ * pair with two connections, the one that it dialled or the other falls silent.
+ */
+static uint64_t
+announced(bool dialled)
+{
+	struct mrig *r = mrig_create();
+	struct ment *coordinator;
+	struct mh_fleet *f[ENTRIES];
+	struct mh_suspects *s[ENTRIES];
+	uint64_t ejected = 0;
+
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		static const char *const ids[] = { "n0", "n1", "n2" };
+
+		f[i] = mh_fleet_create(r->e[i].k);
+		mh_fleet_begin(f[i]);
+		for (int n = 0; n < 3; n++) {
+			struct mh_listing l = { ids[n], 0, "pool", "a:1", "d",
+				1, false, 0 };
+
+			mh_fleet_list(f[i], &l);
+		}
+		mh_fleet_end(f[i]);
+		s[i] = mh_suspects_create(r->e[i].k, r->e[i].m, f[i]);
+	}
+	mrig_run(r, 10 * S);
+	coordinator = mrig_agreed(r);
+	CU_ASSERT_PTR_NOT_NULL_FATAL(coordinator);
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		struct ment *m = &r->e[i];
+
+		if (r->opened[coordinator->index][i] == 0 ||
+		    r->opened[i][coordinator->index] == 0)
+			continue;
+		if (dialled)
+			mrig_lose(coordinator, m, LOSES_BOTH);
+		else
+			mrig_lose(m, coordinator, LOSES_BOTH);
+	}
+	mh_suspects_report(s[coordinator->index], "n1");
+	mh_suspects_report(s[coordinator->index], "n1");
+	mrig_run(r, 3 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		ejected += mh_counter(r->e[i].k, "endpoints_put_out");
+	CU_ASSERT_EQUAL(peer_losses(r), 0);
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		mh_suspects_destroy(s[i]);
+		mh_fleet_destroy(f[i]);
+	}
+	mrig_destroy(r);
+	return ejected;
+}
+
+/*
+ * Guards against an announcement to all that is lost with one connection of
+ * two.
+ */
+static void
+test_announced_on_silent_connection(void)
+{
+	CU_ASSERT_EQUAL(announced(true), ENTRIES);
+	CU_ASSERT_EQUAL(announced(false), ENTRIES);
+}
+
 /*
  * A job is sent to its coordinator, which dies; the next one must complete it.
  */
@@ -589,27 +676,6 @@
 	mrig_destroy(r);
 }
 
-static uint64_t
-peer_losses(struct mrig *r)
-{
-	uint64_t n = 0;
-
-	for (uint32_t i = 0; i < ENTRIES; i++)
-		n += mh_counter(r->e[i].k, "peer_losses");
-	return n;
-}
-
-/* Loses what @from has dialled to all others, and what they dialled to it. */
-static void
-lose_all(struct mrig *r, struct ment *from, enum mrig_loss out, bool in)
-{
-	for (uint32_t i = 0; i < ENTRIES; i++) {
-		mrig_lose(from, &r->e[i], out);
-		if (in)
-			mrig_lose(&r->e[i], from, LOSES_BOTH);
-	}
-}
-
 /*
  * Guards against a peer that is lost each second because one of the two
  * connections of the pair carries nothing in one direction or in both.
@@ -1350,6 +1416,8 @@
 	    test_many_jobs_on_silent_connection },
 	{ "mesh: jobs of a peer that one side alone has lost",
 	    test_jobs_of_one_sided_loss },
+	{ "mesh: an announcement on a connection that is silent",
+	    test_announced_on_silent_connection },
 	{ "mesh: stage work on a connection that is silent",
 	    test_jobs_on_silent_connections },
 	{ "mesh: a restart without a reset", test_restart_without_reset },
