--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -29,7 +29,8 @@
 	uint64_t received; /* frames and parts of large frames */
 	bool has_heartbeat; /* a heartbeat has arrived */
 	uint64_t peer_received; /* as its last heartbeat says, plus 1 */
-	int64_t sent_us; /* when that last grew, or when it opened */
+	int64_t sent_us; /* when that last grew, or when it opened: what we
+			  * sent before has arrived */
 	int64_t proven_us; /* when the peer first had a frame of ours; 0: not */
 	uint64_t frames_in; /* whole frames that came */
 	uint64_t frames_out;
@@ -66,8 +67,8 @@
 	struct peer_conn in;
 	struct peer_conn *used; /* the one that we send on; NULL: none */
 	GQueue unreported; /* struct unreported of an ended connection */
-	uint64_t times_lost; /* by us, in this process */
-	uint64_t lost_us; /* how often it has lost us, by its heartbeats */
+	uint64_t times_lost; /* by us */
+	uint64_t reported_losses; /* times that it has lost us, as it says */
 	uint64_t sent_number; /* of the last numbered frame */
 	uint64_t received_number; /* the highest that came */
 	uint64_t received_bits[NUMBERS_KEPT / 64]; /* which of the last came */
--- a/lib/meshlink.c
+++ b/lib/meshlink.c
@@ -6,8 +6,7 @@
  * judged by itself.  Each carries heartbeats that say how much the sender has
  * received on it: what arrives proves one direction, and a count that grows
  * proves the other.  A peer is alive if one of its connections is proven in
- * both directions.  A handshake that succeeds proves neither for longer than
- * itself.
+ * both directions.  A handshake alone is no proof.
  */
 
 #include "meshint.h"
@@ -171,7 +170,7 @@
 static void
 lost_by_peer(struct peer *p, uint64_t losses)
 {
-	p->lost_us = losses;
+	p->reported_losses = losses;
 	mh_peer_forget(p);
 	if (p->m->on_lost != NULL)
 		p->m->on_lost(p->m->on_lost_arg, p->node);
@@ -200,11 +199,10 @@
 		p->dial_timeouts = 0;
 	}
 	choose_conn(p);
-	if (b->losses > p->lost_us)
+	if (b->losses > p->reported_losses)
 		lost_by_peer(p, b->losses);
 	mh_peer_resend(p);
-	/* The peer must not wait for our next periodic heartbeat for its proof.
-	 */
+	/* The peer needs it as proof, and must not wait for the next one. */
 	if (first)
 		mh_peer_heartbeat(p, c);
 }
@@ -315,7 +313,7 @@
 	p->heartbeat_us = 0;
 	p->received_number = 0;
 	memset(p->received_bits, 0, sizeof(p->received_bits));
-	p->lost_us = 0;
+	p->reported_losses = 0;
 	end_conn(p, &p->out);
 	end_conn(p, &p->in);
 	mh_peer_forget(p);
