Log: limits that endpoints name in their answers

What was missing: no log line or counter showed that an answer named a limit, so the hypotheses (not read, read by some ways only, kept by each entry alone) could not be told apart.

Nothing acts on it yet.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -7,7 +7,7 @@
  * pool is ejected for a while; at most half of a pool, rounded up, is ejected.
  */
 
-#include "gate.h"
+#include "fleetint.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -38,24 +38,6 @@
 /* Warm-up ends read from one unchanged row differ by less than this. */
 #define WARM_ROUNDING_US (20 * MH_US_PER_MS)
 
-struct mh_fleet {
-	struct mh_kern *k;
-	struct mh_gconf *conf;
-	char **evacuated; /* failure domains */
-	GHashTable *nodes; /* id -> struct mh_node */
-	GHashTable *names; /* name -> struct mh_node, not owned */
-	GHashTable *pools; /* name -> GPtrArray of struct mh_node */
-	uint32_t mark; /* of the current reading of the registry */
-	uint64_t version;
-	uint64_t ranks_version; /* version for which the ranks were computed */
-	void (*on_removed)(void *arg, const char *id);
-	void *on_removed_arg;
-	void (*on_restart)(void *arg, const char *id);
-	void *on_restart_arg;
-	void (*on_unreachable)(void *arg, const char *id);
-	void *on_unreachable_arg;
-};
-
 static void
 free_node(void *arg)
 {
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -142,6 +142,22 @@
 	MH_IDS_SPARSE /* increasing, with gaps or from another number */
 };
 
+/** struct mh_said - what one answer says of its endpoint. */
+struct mh_said {
+	int64_t sent_us; /* when its request was sent; 0: not known */
+	bool is_work; /* an answer to work, which names a limit if there is one
+		       */
+	bool has_limit;
+	double limit_per_s; /* requests a second, from all entries together */
+	bool malformed; /* a value that makes no sense was ignored */
+};
+
+/** struct mh_node_words - what an endpoint has said of itself. */
+struct mh_node_words {
+	double limit_per_s; /* of requests by all entries; 0: none */
+	int64_t limit_at_us; /* when that was said last; 0: never */
+};
+
 struct mh_fleet;
 
 /**
@@ -166,6 +182,7 @@
 	int64_t cold_until_us; /* cold before, whatever is reported */
 	int64_t slot_from_us; /* while cold: no time slot of ours is sooner */
 	int64_t sent_us; /* time of our last request there; 0: none */
+	struct mh_node_words said;
 	/* measured by this process or reported by the endpoint */
 	uint32_t inflight; /* own calls */
 	uint32_t running; /* this and the next two: last reported */
@@ -273,6 +290,12 @@
 /** mh_node_usable() - not draining, evacuated or ejected. */
 bool mh_node_usable(const struct mh_fleet *f, const struct mh_node *n);
 
+/* said.c: what endpoints say of themselves in their answers */
+
+/** mh_node_said() - records what an answer of the endpoint says. */
+void mh_node_said(
+    struct mh_fleet *f, struct mh_node *n, const struct mh_said *s);
+
 /* place.c: choice of the endpoint for a request */
 
 struct mh_place;
--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -46,6 +46,7 @@
 	struct conn *c;
 	GBytes *text;
 	size_t sent;
+	int64_t start_us;
 	uint32_t skipped; /* interim responses and those of other calls */
 	char *echo_name;
 	char *echo;
@@ -85,6 +86,8 @@
 	struct mh_loop *loop;
 	GHashTable *conns; /* set of struct conn */
 	GHashTable *peers; /* peer -> GPtrArray of struct conn */
+	void (*on_head)(void *arg, const struct mh_hcall_head *h);
+	void *on_head_arg;
 };
 
 static void on_io(void *arg, bool readable, bool writable);
@@ -260,6 +263,17 @@
 	return strcmp(echo, h->echo) == 0 ? OWN : FOREIGN;
 }
 
+static void
+report_head(const struct conn *c, enum attribution whose)
+{
+	struct mh_hcall_head h = { c->peer,
+		whose == OWN ? c->call->start_us : 0, c->parser.status_code,
+		c->headers };
+
+	if (c->calls->on_head != NULL)
+		c->calls->on_head(c->calls->on_head_arg, &h);
+}
+
 static bool
 has_no_body(uint32_t status)
 {
@@ -281,6 +295,7 @@
 	int bodyless = has_no_body(p->status_code) ? 1 : 0;
 	struct conn *c = p->data;
 	struct mh_hcall *h = c->call;
+	enum attribution whose;
 
 	end_field(c);
 	c->head_done = true;
@@ -300,7 +315,9 @@
 	if (p->status_code < 200)
 		return ++h->skipped > MAX_SKIPPED ? -1 : bodyless;
 	read_keep_alive(c, http_should_keep_alive(p));
-	switch (attribution(c, h)) {
+	whose = attribution(c, h);
+	report_head(c, whose);
+	switch (whose) {
 	case OWN:
 		break;
 	case FOREIGN:
@@ -612,6 +629,7 @@
 	struct conn *c = NULL;
 
 	h->text = g_bytes_ref(args->text);
+	h->start_us = mh_now(a->k);
 	h->echo_name = g_strdup(args->echo_name);
 	h->echo = g_strdup(args->echo);
 	h->is_head = args->is_head;
@@ -673,6 +691,14 @@
 	return a;
 }
 
+void
+mh_hcalls_on_head(struct mh_hcalls *a,
+    void (*fn)(void *arg, const struct mh_hcall_head *h), void *arg)
+{
+	a->on_head = fn;
+	a->on_head_arg = arg;
+}
+
 void
 mh_hcalls_destroy(struct mh_hcalls *a)
 {
--- a/lib/opaque.h
+++ b/lib/opaque.h
@@ -178,7 +178,21 @@
 	void *arg;
 };
 
+/** struct mh_hcall_head - the head of a response, of whichever call. */
+struct mh_hcall_head {
+	const char *peer;
+	int64_t sent_us; /* when its call started; 0: a response to another */
+	uint32_t status; /* 200 or higher */
+	const struct mh_headers *headers;
+};
+
 struct mh_hcalls *mh_hcalls_create(struct mh_loop *l);
+/**
+ * mh_hcalls_on_head() - @fn gets the head of every response, also of one that
+ * belongs to none of the calls; it must not start or abort calls.
+ */
+void mh_hcalls_on_head(struct mh_hcalls *c,
+    void (*fn)(void *arg, const struct mh_hcall_head *h), void *arg);
 void mh_hcalls_destroy(struct mh_hcalls *c);
 struct mh_hcall *mh_hcalls_start(
     struct mh_hcalls *c, const struct mh_hcall_args *a);
