Fleet: the limit that an endpoint names holds over all entries

What callers saw: in the record two engines that had named a limit of 1 request a second got 12 in 4 s from four entries that had been told; 11 are allowed.

Cause: no decision asked what an answer had said.

Change: lib/said.c answers when something may be sent to an endpoint next, for requests, stage calls, reports and frees alike; draining and evacuation are asked there too. A limit is divided by an order of entries for each endpoint, as the slots of cold ones: the first ones, few enough to send once in 4 s each, have three quarters of it, the others the rest in turns, so that each sees in the end that it is over. The coordinator of stage work has three quarters; one that is cut off from half of the entries divides by their number. An entry that does not know the others sends nothing there. A request waits for a slot within its latency objective, or is refused at once with the time after which an entry has a turn; a pool that can take it at no time is refused before its stage work. What was said stays with the incarnation while it is not listed. Prompts have no affinity to an endpoint with a limit. A limit of 0 counts as one request in 10 s, or nothing would ever tell its end; other senseless values are counted and ignored.

Conclusion: entries that have been told keep to the limit together. An entry learns of it, and of its end, only from answers to itself: next.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -65,6 +65,8 @@
 	f->k = k;
 	f->nodes =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_node);
+	f->unlisted =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	f->names = g_hash_table_new(g_str_hash, g_str_equal);
 	f->pools =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_array);
@@ -79,6 +81,7 @@
 	g_hash_table_destroy(f->pools);
 	g_hash_table_destroy(f->names);
 	g_hash_table_destroy(f->nodes);
+	g_hash_table_destroy(f->unlisted);
 	mh_gconf_unref(f->conf);
 	g_strfreev(f->evacuated);
 	g_free(f);
@@ -171,6 +174,7 @@
 	    g_strv_contains((const char *const *)f->evacuated, n->domain);
 	n->hash = mh_hash(n->name, strlen(n->name));
 	n->cache_hash = mh_hash(n->id, strlen(n->id));
+	mh_words_restore(f, n);
 	f->version++;
 	g_hash_table_insert(f->nodes, n->id, n);
 	g_hash_table_replace(f->names, n->name, n);
@@ -189,6 +193,7 @@
 remove_node(struct mh_fleet *f, struct mh_node *n)
 {
 	mh_event(f->k, "endpoint-gone", "id=%s pool=%s", n->id, n->pool);
+	mh_words_keep(f, n);
 	g_ptr_array_remove(g_hash_table_lookup(f->pools, n->pool), n);
 	if (f->on_removed != NULL)
 		f->on_removed(f->on_removed_arg, n->id);
--- a/lib/fleetint.h
+++ b/lib/fleetint.h
@@ -15,6 +15,11 @@
 	uint32_t mark; /* of the current reading of the registry */
 	uint64_t version;
 	uint64_t ranks_version; /* version for which the ranks were computed */
+	/* words of endpoints that are not listed: id -> struct unlisted */
+	GHashTable *unlisted;
+	uint32_t (*rank)(void *arg, const char *endpoint, uint32_t *entries);
+	bool (*is_linked)(void *arg);
+	void *sharing_arg; /* of the two above */
 	void (*on_removed)(void *arg, const char *id);
 	void *on_removed_arg;
 	void (*on_restart)(void *arg, const char *id);
@@ -23,4 +28,9 @@
 	void *on_unreachable_arg;
 };
 
+/** mh_words_keep() - keeps the words of an endpoint that is removed. */
+void mh_words_keep(struct mh_fleet *f, const struct mh_node *n);
+/** mh_words_restore() - restores them if this incarnation was removed. */
+void mh_words_restore(struct mh_fleet *f, struct mh_node *n);
+
 #endif
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -353,11 +353,11 @@
 
 	if (!waits) {
 		mh_gate_refuse(g, q,
-		    q->runs > 0 ? MH_RUN_FAILED : MH_NO_ENDPOINT, a->wait_us);
+		    q->runs > 0 ? MH_RUN_FAILED : MH_NO_ENDPOINT, a->retry_us);
 		return;
 	}
-	mh_count(g->k, "waits_for_cold", 1);
-	mh_event(g->k, "cold-wait", "id=%s pool=%s node=%s wait_ms=%" PRId64,
+	mh_count(g->k, "waits_for_slot", 1);
+	mh_event(g->k, "slot-wait", "id=%s pool=%s node=%s wait_ms=%" PRId64,
 	    q->id, q->pool, a->wait_node == NULL ? "" : a->wait_node,
 	    mh_ms(a->wait_us));
 	g_free(q->slot_node);
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -155,6 +155,7 @@
 /** struct mh_node_words - what an endpoint has said of itself. */
 struct mh_node_words {
 	double limit_per_s; /* of requests by all entries; 0: none */
+	int64_t limit_start_us; /* when a limit was named first */
 	int64_t limit_at_us; /* when that was said last; 0: never */
 };
 
@@ -292,9 +293,51 @@
 
 /* said.c: what endpoints say of themselves in their answers */
 
+/** enum mh_sender - which entries send to an endpoint. */
+enum mh_sender {
+	MH_SENDER_ANY, /* all, as for requests */
+	MH_SENDER_ONE /* this one for all, as for stage work */
+};
+
+/**
+ * mh_fleet_set_sharing() - how the limit of an endpoint is divided.
+ * @rank: returns the rank of this entry there, UINT32_MAX if the entries are
+ * not known, and sets @entries to their number, see mh_mesh_rank()
+ * @is_linked: whether this entry is linked to half of the others
+ *
+ * Without it this process is the only entry.
+ */
+void mh_fleet_set_sharing(struct mh_fleet *f,
+    uint32_t (*rank)(void *arg, const char *endpoint, uint32_t *entries),
+    bool (*is_linked)(void *arg), void *arg);
+/** mh_fleet_rank() - what @rank returns for an endpoint. */
+uint32_t mh_fleet_rank(
+    const struct mh_fleet *f, const struct mh_node *n, uint32_t *entries);
 /** mh_node_said() - records what an answer of the endpoint says. */
 void mh_node_said(
     struct mh_fleet *f, struct mh_node *n, const struct mh_said *s);
+/**
+ * mh_node_interval_us() - least time between two sends of ours by the limit
+ * that the endpoint has named; 0: it has named none, INT64_MAX: send nothing.
+ */
+int64_t mh_node_interval_us(
+    const struct mh_fleet *f, const struct mh_node *n, enum mh_sender who);
+/**
+ * mh_node_next_us() - when something may be sent there next, whatever it is.
+ *
+ * Returns an absolute time, which may have passed; INT64_MAX: never.
+ * Ejection, which is our own estimate, is not considered.
+ */
+int64_t mh_node_next_us(
+    const struct mh_fleet *f, const struct mh_node *n, enum mh_sender who);
+/**
+ * mh_node_retry_us() - time until a caller may return, to any entry.
+ * @us: when this entry may send there next
+ */
+int64_t mh_node_retry_us(
+    const struct mh_fleet *f, const struct mh_node *n, int64_t us);
+/** mh_node_sent() - something is sent there now. */
+void mh_node_sent(struct mh_fleet *f, struct mh_node *n);
 
 /* place.c: choice of the endpoint for a request */
 
@@ -323,6 +366,7 @@
 	const char *slot_node; /* id of the cold endpoint with a slot for it */
 	int64_t wait_deadline_us; /* absolute: latest usable slot */
 	int64_t wait_us; /* set if none is chosen: retry after it; 0: do not */
+	int64_t retry_us; /* likewise: time until a caller may return */
 	const char *wait_node; /* id where a slot is reserved, or NULL */
 	uint64_t isolation_hash; /* see poison.h; 0: choose by prompt, load */
 	bool has_cached_prompt; /* set by the choice: expected there */
@@ -330,20 +374,19 @@
 
 struct mh_place *mh_place_create(struct mh_kern *k, struct mh_fleet *f);
 void mh_place_destroy(struct mh_place *p);
-/**
- * mh_place_set_rank() - sets the order of entries for a cold endpoint.
- * @fn: returns the rank of this entry there and sets @entries to the number of
- * entries, see mh_mesh_rank()
- */
-void mh_place_set_rank(struct mh_place *p,
-    uint32_t (*fn)(void *arg, const char *endpoint, uint32_t *entries),
-    void *arg);
 /**
  * mh_place_pick() - the endpoint to try next, or NULL.
  *
  * NULL with @a->wait_us set: retry after that time.
  */
 struct mh_node *mh_place_pick(struct mh_place *p, struct mh_place_request *a);
+/**
+ * mh_place_next_us() - when any endpoint of the pool may take a request.
+ *
+ * Returns an absolute time, which may have passed, and sets @a->retry_us;
+ * INT64_MAX: none of them, by what is known now.
+ */
+int64_t mh_place_next_us(struct mh_place *p, struct mh_place_request *a);
 /** mh_place_affinity() - the endpoint expected to have the prompt, or NULL. */
 const struct mh_node *mh_place_affinity(
     struct mh_place *p, const struct mh_place_request *a);
--- a/lib/gateadmit.c
+++ b/lib/gateadmit.c
@@ -108,6 +108,20 @@
 	return overdue;
 }
 
+/* Stage work would be wasted if no endpoint took the request in its time. */
+static bool
+refuse_closed(struct mh_gate *g, struct mh_greq *q)
+{
+	struct mh_place_request a = { 0 };
+
+	mh_gate_fill_place(g, q, &a);
+	if (q->route->n_stages == 0 || mh_fleet_pool(g->f, q->pool) == NULL ||
+	    mh_place_next_us(g->place, &a) < mh_gate_limit_us(g, q))
+		return false;
+	mh_gate_refuse(g, q, MH_NO_ENDPOINT, a.retry_us);
+	return true;
+}
+
 void
 mh_gate_admit(struct mh_gate *g, struct mh_greq *q)
 {
@@ -159,6 +173,8 @@
 		    q->route->repeat == MH_REPEAT_RESUME ? q->resume_after
 							 : NULL,
 		    true);
+	if (refuse_closed(g, q))
+		return;
 	if (q->route->n_stages > 0)
 		mh_gate_start_job(g, q);
 	else
--- a/lib/place.c
+++ b/lib/place.c
@@ -41,8 +41,6 @@
 	struct mh_kern *k;
 	struct mh_fleet *f;
 	GHashTable *cached; /* hash of node and part -> last use */
-	uint32_t (*rank)(void *arg, const char *endpoint, uint32_t *entries);
-	void *rank_arg;
 };
 
 struct mh_place *
@@ -105,7 +103,7 @@
 mh_place_sent(
     struct mh_place *p, const struct mh_place_request *a, struct mh_node *n)
 {
-	n->sent_us = mh_now(p->k);
+	mh_node_sent(p->f, n);
 	if (g_hash_table_size(p->cached) > CACHE_ENTRIES_MAX)
 		g_hash_table_foreach_remove(p->cached, expired, p);
 	for (uint32_t i = 0; i + 1 < a->n_parts; i++) {
@@ -146,7 +144,10 @@
 		const struct mh_node *n = g_ptr_array_index(pool, i);
 		uint64_t w = mix(part, n->hash);
 
-		if (mh_node_usable(p->f, n) && (affine == NULL || w > best)) {
+		/* Few of its prompts could go to one that takes few requests.
+		 */
+		if (mh_node_usable(p->f, n) && n->said.limit_per_s == 0 &&
+		    (affine == NULL || w > best)) {
 			affine = n;
 			best = w;
 		}
@@ -209,87 +210,107 @@
 	return us + mh_random_unit(p->k) * OTHER_DOMAIN_COST_US / 2;
 }
 
-/* cold endpoints */
+/* endpoints that take few requests: cold ones, and those that say so */
 
-void
-mh_place_set_rank(struct mh_place *p,
-    uint32_t (*fn)(void *arg, const char *endpoint, uint32_t *entries),
-    void *arg)
+static bool
+is_cold(const struct mh_place *p, const struct mh_place_request *a,
+    const struct mh_node *n)
 {
-	p->rank = fn;
-	p->rank_arg = arg;
+	return a->cold_per_s > 0 && mh_node_cold(p->f, n);
 }
 
 /* Interval of our time slots at a cold endpoint; 0: we have none there. */
 static int64_t
-slot_interval_us(const struct mh_place *p, const struct mh_place_request *a,
+cold_interval_us(const struct mh_place *p, const struct mh_place_request *a,
     const struct mh_node *n)
 {
 	struct mh_cold_slot t = { a->cold_per_s, 1, 0 };
 
-	if (p->rank != NULL)
-		t.rank = p->rank(p->rank_arg, n->name, &t.entries);
+	t.rank = mh_fleet_rank(p->f, n, &t.entries);
 	return mh_cold_slot_us(&t);
 }
 
-static bool
-is_limited(const struct mh_place *p, const struct mh_place_request *a,
-    const struct mh_node *n)
+/** struct slot - a time slot of ours at an endpoint. */
+struct slot {
+	struct mh_node *node;
+	int64_t at_us; /* its start, or the end of the warm-up if sooner */
+	int64_t interval_us; /* 0: no slots of ours, or none are needed */
+};
+
+/*
+ * Our next time slot there.  A request that was sent before the endpoint became
+ * cold, or named its limit, counts as well.
+ */
+static struct slot
+next_slot(const struct mh_place *p, const struct mh_place_request *a,
+    struct mh_node *n)
 {
-	return a->cold_per_s > 0 && mh_node_cold(p->f, n);
+	struct slot t = { n, mh_node_next_us(p->f, n, MH_SENDER_ANY),
+		mh_node_interval_us(p->f, n, MH_SENDER_ANY) };
+	int64_t cold_us, interval_us;
+
+	if (t.at_us == INT64_MAX)
+		return t;
+	if (t.interval_us > 0)
+		t.at_us = MAX(t.at_us, n->slot_from_us);
+	if (!is_cold(p, a, n))
+		return t;
+	cold_us = n->warm_at_us;
+	interval_us = cold_interval_us(p, a, n);
+	if (interval_us > 0) {
+		int64_t us = n->sent_us == 0 ? 0 : n->sent_us + interval_us;
+
+		cold_us = MIN(cold_us, MAX(us, n->slot_from_us));
+	}
+	t.at_us = MAX(t.at_us, cold_us);
+	t.interval_us = MAX(t.interval_us, interval_us);
+	return t;
 }
 
 /*
- * Start of our next time slot there.  A request that was sent before the
- * endpoint became cold counts as well.
+ * Whether the slot that was reserved for the request is still one: the endpoint
+ * may have named a limit, or a lower one, since.  Timers are not exact.
  */
-static int64_t
-next_slot_us(const struct mh_node *n, int64_t interval_us)
+static bool
+keeps_reserved(const struct mh_place *p, const struct mh_node *n)
 {
-	int64_t us = n->sent_us == 0 ? 0 : n->sent_us + interval_us;
+	int64_t us = mh_node_interval_us(p->f, n, MH_SENDER_ANY);
 
-	return MAX(us, n->slot_from_us);
+	return us == 0 || n->sent_us == 0 ||
+	    (us != INT64_MAX && n->sent_us + us / 4 * 3 <= mh_now(p->k));
 }
 
-/* Whether we may send a request to the endpoint now, cold or not. */
+/* Whether we may send a request to the endpoint now. */
 static bool
 has_slot(const struct mh_place *p, const struct mh_place_request *a,
-    const struct mh_node *n)
+    struct mh_node *n)
 {
-	int64_t interval_us;
+	struct slot t = next_slot(p, a, n);
 
-	if (!is_limited(p, a, n))
+	if (t.at_us == INT64_MAX)
+		return false;
+	if (a->slot_node != NULL && strcmp(a->slot_node, n->id) == 0 &&
+	    keeps_reserved(p, n))
 		return true;
-	if (a->slot_node != NULL && strcmp(a->slot_node, n->id) == 0)
-		return true;
-	interval_us = slot_interval_us(p, a, n);
-	return interval_us > 0 && next_slot_us(n, interval_us) <= mh_now(p->k);
+	return t.at_us <= mh_now(p->k);
 }
 
-/** struct slot - a time slot of ours at a cold endpoint. */
-struct slot {
-	struct mh_node *node;
-	int64_t at_us; /* its start, or the end of the warm-up if sooner */
-	int64_t interval_us; /* 0: we have no slots there */
-};
-
 static struct slot
-first_slot(const struct mh_place *p, const struct mh_place_request *a,
-    const GPtrArray *pool)
+first_slot(
+    const struct mh_place *p, struct mh_place_request *a, const GPtrArray *pool)
 {
 	struct slot first = { NULL, INT64_MAX, 0 };
 
 	for (guint i = 0; i < pool->len; i++) {
 		struct mh_node *n = g_ptr_array_index(pool, i);
-		struct slot t = { n, n->warm_at_us, 0 };
+		struct slot t = next_slot(p, a, n);
+		int64_t us = mh_node_retry_us(p->f, n, t.at_us);
 
-		if (!mh_node_usable(p->f, n) || was_tried(a, n) ||
-		    !is_limited(p, a, n))
+		if (t.at_us == INT64_MAX || was_tried(a, n))
 			continue;
-		t.interval_us = slot_interval_us(p, a, n);
-		if (t.interval_us > 0)
-			t.at_us = MIN(t.at_us, next_slot_us(n, t.interval_us));
-		if (t.at_us < first.at_us)
+		if (a->retry_us == 0 || us < a->retry_us)
+			a->retry_us = us;
+		if (mh_node_usable(p->f, n) && t.at_us < first.at_us)
 			first = t;
 	}
 	return first;
@@ -297,30 +318,50 @@
 
 /*
  * No endpoint can take the request now.  Sets the time until one may, and
- * reserves our next time slot at a cold endpoint if the request can wait for
- * it and the endpoint is still cold then.
+ * reserves our next time slot at an endpoint with few of them if the request
+ * can wait for it.
  */
 static void
 wait_for_slot(
     struct mh_place *p, struct mh_place_request *a, const GPtrArray *pool)
 {
 	struct slot t = first_slot(p, a, pool);
+	bool is_warm;
 
-	if (t.node == NULL)
+	if (t.node == NULL || t.at_us <= mh_now(p->k))
 		return;
-	a->wait_us = MAX(t.at_us - mh_now(p->k), 1);
-	if (t.at_us > a->wait_deadline_us || t.at_us >= t.node->warm_at_us)
+	a->wait_us = t.at_us - mh_now(p->k);
+	is_warm = t.at_us >= t.node->warm_at_us;
+	if (t.at_us > a->wait_deadline_us ||
+	    (is_warm && t.node->said.limit_per_s == 0))
 		return;
 	t.node->slot_from_us = t.at_us + t.interval_us;
 	a->wait_node = t.node->id;
 }
 
+int64_t
+mh_place_next_us(struct mh_place *p, struct mh_place_request *a)
+{
+	GPtrArray *pool = mh_fleet_pool(p->f, a->pool);
+	int64_t us = INT64_MAX;
+
+	for (guint i = 0; pool != NULL && i < pool->len; i++) {
+		struct mh_node *n = g_ptr_array_index(pool, i);
+
+		us = MIN(us, next_slot(p, a, n).at_us);
+	}
+	if (pool != NULL)
+		(void)first_slot(p, a, pool);
+	return us;
+}
+
 static struct mh_node *
 best_of(struct mh_place *p, struct mh_place_request *a, const GPtrArray *pool,
     bool with_ejected)
 {
 	const struct mh_node *affine = affinity_node(p, a, pool);
 	struct mh_node *best = NULL;
+	uint32_t held_back = 0;
 	double least = 0;
 
 	for (guint i = 0; i < pool->len; i++) {
@@ -330,10 +371,13 @@
 		/* An endpoint resets connections beyond its limit. */
 		if (a->inflight_max > 0 && n->inflight >= a->inflight_max)
 			continue;
-		if (n->draining || n->evacuated || was_tried(a, n) ||
-		    (!with_ejected && !mh_node_usable(p->f, n)) ||
-		    !has_slot(p, a, n))
+		if (was_tried(a, n) ||
+		    (!with_ejected && !mh_node_usable(p->f, n)))
 			continue;
+		if (!has_slot(p, a, n)) {
+			held_back += n->said.limit_per_s > 0;
+			continue;
+		}
 		s = score(p, a, n, affine);
 		if (best == NULL || s < least) {
 			best = n;
@@ -341,6 +385,8 @@
 		}
 	}
 	a->has_cached_prompt = best != NULL && best == affine;
+	if (held_back > 0)
+		mh_count(p->k, "picks_held_back_limit", held_back);
 	return best;
 }
 
--- a/lib/said.c
+++ b/lib/said.c
@@ -1,17 +1,172 @@
 /**
- * DOC: What endpoints say of themselves in their answers.
+ * DOC: What endpoints say of themselves in their answers, and when something
+ * may be sent to them.
  *
  * It is recorded with the incarnation of the endpoint, whichever call got the
- * answer.
+ * answer, and kept while the incarnation is not listed.
+ *
+ * A limit holds for all entries together, which know only how many they are.
+ * Each computes the same order of entries for the endpoint.  The first ones
+ * share most of the limit, few enough that each may send once in LIMIT_PERIOD.
+ * The others share the rest, in turns, so that each of them finds out in the
+ * end that the limit has ended.  Stage calls of all entries are sent by one.
  */
 
 #include "fleetint.h"
 
+#include <math.h>
+#include <string.h>
+
 /*
  * A limit of 0 is taken as this: an endpoint that gets nothing could never say
  * that it is well again.
  */
 #define LIMIT_MIN_PER_S 0.1
+#define LIMIT_PERIOD_US (4 * MH_US_PER_S)
+/*
+ * Share of the limit of the first entries, and of the one that sends for all.
+ * While the role moves, two may act as that one.
+ */
+#define MAIN_SHARE 0.75
+/* Words on endpoints that are not listed, and how long they are kept. */
+#define MAX_UNLISTED 4096
+#define UNLISTED_US (120 * MH_US_PER_S)
+
+/** struct unlisted - words of an incarnation that is not listed. */
+struct unlisted {
+	struct mh_node_words said;
+	int64_t sent_us;
+	int64_t expires_us;
+};
+
+void
+mh_fleet_set_sharing(struct mh_fleet *f,
+    uint32_t (*rank)(void *arg, const char *endpoint, uint32_t *entries),
+    bool (*is_linked)(void *arg), void *arg)
+{
+	f->rank = rank;
+	f->is_linked = is_linked;
+	f->sharing_arg = arg;
+}
+
+uint32_t
+mh_fleet_rank(
+    const struct mh_fleet *f, const struct mh_node *n, uint32_t *entries)
+{
+	*entries = 1;
+	return f->rank == NULL ? 0 : f->rank(f->sharing_arg, n->name, entries);
+}
+
+/** struct share - our part of a limit; times in seconds. */
+struct share {
+	double interval_s; /* between two requests */
+	double first_s; /* from the first word on the limit to our first turn */
+};
+
+static struct share
+share_of_first(double limit, uint32_t rank, uint32_t entries)
+{
+	double senders =
+	    MAX(floor(MAIN_SHARE * limit * LIMIT_PERIOD_US / MH_US_PER_S), 1);
+	double rest = (1 - MAIN_SHARE) * limit;
+
+	if (senders >= entries)
+		return (struct share) { entries / limit, 0 };
+	if (rank < senders)
+		return (struct share) { senders / (MAIN_SHARE * limit), 0 };
+	return (struct share) { (entries - senders) / rest,
+		(rank - senders + 1) / rest };
+}
+
+/* An entry that is cut off from the others may not be the only coordinator. */
+static struct share
+share_of_one(const struct mh_fleet *f, double limit, uint32_t entries)
+{
+	bool linked = f->is_linked == NULL || f->is_linked(f->sharing_arg);
+
+	return (
+	    struct share) { (linked ? 1 : entries) / (MAIN_SHARE * limit), 0 };
+}
+
+/* Returns false if we may not send: the entries are not known yet. */
+static bool
+get_share(const struct mh_fleet *f, const struct mh_node *n, enum mh_sender who,
+    struct share *s)
+{
+	uint32_t entries, rank = mh_fleet_rank(f, n, &entries);
+
+	if (rank == UINT32_MAX)
+		return false;
+	*s = who == MH_SENDER_ONE
+	    ? share_of_one(f, n->said.limit_per_s, entries)
+	    : share_of_first(n->said.limit_per_s, rank, entries);
+	return true;
+}
+
+static int64_t
+seconds(double s)
+{
+	return (int64_t)(s * (double)MH_US_PER_S);
+}
+
+int64_t
+mh_node_interval_us(
+    const struct mh_fleet *f, const struct mh_node *n, enum mh_sender who)
+{
+	struct share s;
+
+	if (n->said.limit_per_s == 0)
+		return 0;
+	return get_share(f, n, who, &s) ? seconds(s.interval_s) : INT64_MAX;
+}
+
+int64_t
+mh_node_next_us(
+    const struct mh_fleet *f, const struct mh_node *n, enum mh_sender who)
+{
+	struct share s;
+	int64_t us;
+
+	if (n->draining || n->evacuated)
+		return INT64_MAX;
+	if (n->said.limit_per_s == 0)
+		return 0;
+	if (!get_share(f, n, who, &s))
+		return INT64_MAX;
+	us = n->said.limit_start_us + seconds(s.first_s);
+	if (n->sent_us != 0)
+		us = MAX(us, n->sent_us + seconds(s.interval_s));
+	return us;
+}
+
+int64_t
+mh_node_retry_us(const struct mh_fleet *f, const struct mh_node *n, int64_t us)
+{
+	if (us == INT64_MAX)
+		return us;
+	us = MAX(us - mh_now(f->k), 1);
+	/* By then another entry has a turn. */
+	return n->said.limit_per_s == 0 ? us : MIN(us, LIMIT_PERIOD_US);
+}
+
+void
+mh_node_sent(struct mh_fleet *f, struct mh_node *n)
+{
+	n->sent_us = mh_now(f->k);
+}
+
+static void
+log_limit(struct mh_fleet *f, const struct mh_node *n, double was)
+{
+	int64_t us = mh_node_interval_us(f, n, MH_SENDER_ANY);
+
+	mh_count(f->k, "endpoint_limits_said", 1);
+	mh_event(f->k, "endpoint-limit",
+	    "id=%s pool=%s per_s=%.2f was=%.2f by=answer age_ms=0 "
+	    "each_ms=%" PRId64,
+	    n->id, n->pool, n->said.limit_per_s, was,
+	    us == INT64_MAX ? -1 : mh_ms(us));
+}
 
 static void
 take_limit(struct mh_fleet *f, struct mh_node *n, const struct mh_said *s)
@@ -28,10 +183,9 @@
 	n->said.limit_at_us = now;
 	if (n->said.limit_per_s == was)
 		return;
-	mh_count(f->k, "endpoint_limits_said", 1);
-	mh_event(f->k, "endpoint-limit",
-	    "id=%s pool=%s per_s=%.2f was=%.2f by=answer age_ms=0", n->id,
-	    n->pool, n->said.limit_per_s, was);
+	if (was == 0)
+		n->said.limit_start_us = now;
+	log_limit(f, n, was);
 }
 
 void
@@ -41,3 +195,43 @@
 		mh_count(f->k, "endpoint_words_malformed", 1);
 	take_limit(f, n, s);
 }
+
+/* endpoints that are not listed */
+
+static gboolean
+is_expired(gpointer key, gpointer value, gpointer arg)
+{
+	const struct mh_fleet *f = arg;
+
+	(void)key;
+	return ((struct unlisted *)value)->expires_us <= mh_now(f->k);
+}
+
+void
+mh_words_keep(struct mh_fleet *f, const struct mh_node *n)
+{
+	struct unlisted *u;
+
+	if (n->said.limit_at_us == 0)
+		return;
+	g_hash_table_foreach_remove(f->unlisted, is_expired, f);
+	if (g_hash_table_size(f->unlisted) >= MAX_UNLISTED)
+		g_hash_table_remove_all(f->unlisted);
+	u = g_new0(struct unlisted, 1);
+	u->said = n->said;
+	u->sent_us = n->sent_us;
+	u->expires_us = mh_now(f->k) + UNLISTED_US;
+	g_hash_table_replace(f->unlisted, g_strdup(n->id), u);
+}
+
+void
+mh_words_restore(struct mh_fleet *f, struct mh_node *n)
+{
+	const struct unlisted *u = g_hash_table_lookup(f->unlisted, n->id);
+
+	if (u == NULL)
+		return;
+	n->said = u->said;
+	n->sent_us = u->sent_us;
+	g_hash_table_remove(f->unlisted, n->id);
+}
--- a/lib/schedreport.c
+++ b/lib/schedreport.c
@@ -26,12 +26,14 @@
 void
 mh_sched_poll(struct mh_sched *sc, struct worker *w, const char *node)
 {
-	const struct mh_node *n = mh_fleet_find(sc->f, node);
+	struct mh_node *n = mh_fleet_find(sc->f, node);
 	int64_t now = mh_now(sc->k);
 
 	if (w->polling || now - w->last_poll_us < POLL_INTERVAL_US ||
-	    sc->ops.poll == NULL || n == NULL || n->evacuated)
+	    sc->ops.poll == NULL || n == NULL ||
+	    mh_node_next_us(sc->f, n, MH_SENDER_ONE) > now)
 		return;
+	mh_node_sent(sc->f, n);
 	w->polling = true;
 	w->last_poll_us = now;
 	mh_count(sc->k, "stage_reports", 1);
--- a/lib/schedrun.c
+++ b/lib/schedrun.c
@@ -432,8 +432,8 @@
 }
 
 static void
-run_batch(struct mh_sched *sc, struct sched_pool *p, const struct mh_node *n,
-    GArray *ready)
+run_batch(
+    struct mh_sched *sc, struct sched_pool *p, struct mh_node *n, GArray *ready)
 {
 	struct worker *w = mh_sched_worker_of(p, n->id);
 	const struct mh_gwork *gw = p->work;
@@ -456,6 +456,7 @@
 		return;
 	}
 	w->in_flight++;
+	mh_node_sent(sc->f, n);
 	mh_count(sc->k, "batches", 1);
 	mh_count(sc->k, "batch_pieces", b->items->len);
 	mh_event(sc->k, "batch",
@@ -478,7 +479,8 @@
     const struct mh_node *n, const struct worker *w)
 {
 	return mh_node_usable(sc->f, n) && w->in_flight < p->work->max_calls &&
-	    w->pause_end_us <= mh_now(sc->k);
+	    w->pause_end_us <= mh_now(sc->k) &&
+	    mh_node_next_us(sc->f, n, MH_SENDER_ONE) <= mh_now(sc->k);
 }
 
 /* Number of ready stages with data near an endpoint. */
--- a/lib/schedwork.c
+++ b/lib/schedwork.c
@@ -138,10 +138,16 @@
 
 	for (guint i = 0; i < nodes->len; i++) {
 		struct mh_node *n = g_ptr_array_index(nodes, i);
+		int64_t us = mh_node_interval_us(sc->f, n, MH_SENDER_ONE);
+		double each;
 
-		if (mh_node_usable(sc->f, n))
-			rate += w->batch * w->max_calls /
-			    (full_us * mh_sched_worker_of(p, n->id)->slowdown);
+		if (!mh_node_usable(sc->f, n))
+			continue;
+		each = w->batch * w->max_calls /
+		    (full_us * mh_sched_worker_of(p, n->id)->slowdown);
+		if (us > 0)
+			each = MIN(each, w->batch / (double)us);
+		rate += each;
 	}
 	return rate * (double)MH_US_PER_S;
 }
--- a/regress/main.c
+++ b/regress/main.c
@@ -90,6 +90,7 @@
 	{ "late", tests_late_crash },
 	{ "poison", tests_poison },
 	{ "stage", tests_stage },
+	{ "said", tests_said },
 	{ "red", tests_red },
 };
 
--- a/regress/t_cold.c
+++ b/regress/t_cold.c
@@ -232,7 +232,7 @@
 		e->p = mh_place_create(e->k, e->f);
 		e->m = mh_mesh_create(e->k, node, 1);
 		mh_fleet_set_conf(e->f, m->conf);
-		mh_place_set_rank(e->p, rank_of, e);
+		mh_fleet_set_sharing(e->f, rank_of, NULL, e);
 		list_entries(m, i, partly);
 		list_two(e->f, warm_us);
 	}
