Mesh: what endpoints say of themselves is passed on among entries

What callers saw: nothing by itself. An entry that had not been told, or had just started, sent to an endpoint with a limit as before, and one whose turn there came seldom kept to a limit for minutes after it was over.

Cause: each entry learned of a limit, and of its end, from answers to itself alone. With 358 entries an endpoint with a limit of 1 a second got 18 requests in 4 s of entries that had not been told, in virtual time.

Ruled out: an end of the limit by time; all entries that had been told would send at once, and count.

Change: each change of what an endpoint says is announced over all links, with its age, and forwarded by the entries that others may be linked to alone. A newly linked entry gets all that is in force. The later word counts, and each word is taken once by its number: words seem younger with each link, so two that contradict each other could else replace one another for ever. Words on an incarnation that is not listed yet are kept. Several parts can follow new links now.

Conclusion: a limit holds over entries that have not been told either.

--- a/lib/fleetint.h
+++ b/lib/fleetint.h
@@ -20,6 +20,8 @@
 	uint32_t (*rank)(void *arg, const char *endpoint, uint32_t *entries);
 	bool (*is_linked)(void *arg);
 	void *sharing_arg; /* of the two above */
+	void (*on_word)(void *arg, const struct mh_word *w);
+	void *on_word_arg;
 	void (*on_removed)(void *arg, const char *id);
 	void *on_removed_arg;
 	void (*on_restart)(void *arg, const char *id);
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -152,8 +152,22 @@
 	bool malformed; /* a value that makes no sense was ignored */
 };
 
+/** struct mh_word - what an endpoint has said, as entries pass it on. */
+struct mh_word {
+	const char *endpoint; /* id of its incarnation */
+	const char *from; /* the entry that sent it; NULL: an answer to us */
+	uint64_t number; /* random; the same wherever it is passed on */
+	int64_t at_us;
+	double limit_per_s; /* 0: none */
+};
+
+#define MH_WORDS_SEEN 8
+
 /** struct mh_node_words - what an endpoint has said of itself. */
 struct mh_node_words {
+	uint64_t number; /* of the word in force; 0: none */
+	uint64_t seen[MH_WORDS_SEEN]; /* the last words, a ring */
+	uint32_t n_seen; /* in all */
 	double limit_per_s; /* of requests by all entries; 0: none */
 	int64_t limit_start_us; /* when a limit was named first */
 	int64_t limit_at_us; /* when that was said last; 0: never */
@@ -316,6 +330,17 @@
 /** mh_node_said() - records what an answer of the endpoint says. */
 void mh_node_said(
     struct mh_fleet *f, struct mh_node *n, const struct mh_said *s);
+/**
+ * mh_fleet_hear() - records what an endpoint, listed or not, has said to
+ * another entry, unless it has said something later.
+ */
+void mh_fleet_hear(struct mh_fleet *f, const struct mh_word *w);
+/** mh_fleet_on_word() - @fn is called for each change of what one has said. */
+void mh_fleet_on_word(struct mh_fleet *f,
+    void (*fn)(void *arg, const struct mh_word *w), void *arg);
+/** mh_fleet_foreach_word() - calls @fn for all that is in force. */
+void mh_fleet_foreach_word(struct mh_fleet *f,
+    void (*fn)(void *arg, const struct mh_word *w), void *arg);
 /**
  * mh_node_interval_us() - least time between two sends of ours by the limit
  * that the endpoint has named; 0: it has named none, INT64_MAX: send nothing.
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -59,8 +59,8 @@
 mh_mesh_on_up(
     struct mh_mesh *m, void (*fn)(void *arg, const char *node), void *arg)
 {
-	m->on_up = fn;
-	m->on_up_arg = arg;
+	g_assert(m->n_on_up < MAX_UP_HANDLERS);
+	m->on_up[m->n_on_up++] = (struct up_handler) { fn, arg };
 }
 
 bool
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -114,7 +114,7 @@
  */
 void mh_mesh_on_lost(
     struct mh_mesh *m, void (*fn)(void *arg, const char *node), void *arg);
-/** mh_mesh_on_up() - sets the callback for a new link to an entry. */
+/** mh_mesh_on_up() - adds a callback for new links to entries. */
 void mh_mesh_on_up(
     struct mh_mesh *m, void (*fn)(void *arg, const char *node), void *arg);
 /**
@@ -287,6 +287,15 @@
 /** mh_suspects_report() - this entry could not reach an endpoint. */
 void mh_suspects_report(struct mh_suspects *s, const char *endpoint);
 
+/* saidmesh.c: what endpoints have said, passed on among entries */
+
+struct mh_said_mesh;
+
+struct mh_said_mesh *mh_said_mesh_create(
+    struct mh_kern *k, struct mh_mesh *m, struct mh_fleet *f);
+/** mh_said_mesh_destroy() - to call when no more frames are delivered. */
+void mh_said_mesh_destroy(struct mh_said_mesh *s);
+
 /* poisonmesh.c: service "poison" among the entries of a mesh */
 
 struct mh_poison_mesh;
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -96,6 +96,13 @@
 };
 
 #define MAX_CASES 64
+#define MAX_UP_HANDLERS 4
+
+/** struct up_handler - called for each new link to an entry. */
+struct up_handler {
+	void (*fn)(void *arg, const char *node);
+	void *arg;
+};
 /* Interval of heartbeats. */
 #define HEARTBEAT_US (250 * MH_US_PER_MS)
 
@@ -118,8 +125,8 @@
 	struct handler handlers[MAX_CASES];
 	void (*on_lost)(void *arg, const char *node);
 	void *on_lost_arg;
-	void (*on_up)(void *arg, const char *node);
-	void *on_up_arg;
+	struct up_handler on_up[MAX_UP_HANDLERS];
+	uint32_t n_on_up;
 	struct mh_timer *timer;
 	int64_t conf_request_us; /* last request to a peer; 0: answered */
 	int64_t rows_request_us;
--- a/lib/meshlink.c
+++ b/lib/meshlink.c
@@ -358,8 +358,8 @@
 	 */
 	mh_peer_heartbeat(p, c);
 	mh_peer_log_up(p, l);
-	if (m->on_up != NULL)
-		m->on_up(m->on_up_arg, p->node);
+	for (uint32_t i = 0; i < m->n_on_up; i++)
+		m->on_up[i].fn(m->on_up[i].arg, p->node);
 }
 
 /*
--- a/lib/said.c
+++ b/lib/said.c
@@ -155,45 +155,120 @@
 	n->sent_us = mh_now(f->k);
 }
 
+/* words: what was said, and by which answer */
+
+static bool
+was_seen(const struct mh_node_words *s, uint64_t number)
+{
+	for (uint32_t i = 0; i < MIN(s->n_seen, MH_WORDS_SEEN); i++) {
+		if (s->seen[i] == number)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Takes a word; returns whether it changes anything.  A word that passes many
+ * entries seems younger than it is, so each is taken only once: else two that
+ * contradict each other could replace one another for ever.
+ */
+static bool
+take_word(struct mh_node_words *s, const struct mh_word *w, int64_t now)
+{
+	double was = s->limit_per_s;
+
+	if (was_seen(s, w->number))
+		return false;
+	s->seen[s->n_seen++ % MH_WORDS_SEEN] = w->number;
+	if (w->at_us <= s->limit_at_us)
+		return false;
+	s->number = w->number;
+	s->limit_at_us = w->at_us;
+	s->limit_per_s =
+	    w->limit_per_s == 0 ? 0 : MAX(w->limit_per_s, LIMIT_MIN_PER_S);
+	if (was == 0)
+		s->limit_start_us = now;
+	return s->limit_per_s != was;
+}
+
 static void
-log_limit(struct mh_fleet *f, const struct mh_node *n, double was)
+log_word(struct mh_fleet *f, const struct mh_node *n, const struct mh_word *w)
 {
 	int64_t us = mh_node_interval_us(f, n, MH_SENDER_ANY);
 
 	mh_count(f->k, "endpoint_limits_said", 1);
 	mh_event(f->k, "endpoint-limit",
-	    "id=%s pool=%s per_s=%.2f was=%.2f by=answer age_ms=0 "
-	    "each_ms=%" PRId64,
-	    n->id, n->pool, n->said.limit_per_s, was,
-	    us == INT64_MAX ? -1 : mh_ms(us));
+	    "id=%s pool=%s per_s=%.2f by=%s age_ms=%" PRId64
+	    " each_ms=%" PRId64,
+	    n->id, n->pool, n->said.limit_per_s,
+	    w->from == NULL ? "answer" : w->from,
+	    mh_ms(mh_now(f->k) - w->at_us), us == INT64_MAX ? -1 : mh_ms(us));
 }
 
 static void
-take_limit(struct mh_fleet *f, struct mh_node *n, const struct mh_said *s)
+pass_on(struct mh_fleet *f, const struct mh_word *w)
+{
+	if (f->on_word != NULL)
+		f->on_word(f->on_word_arg, w);
+}
+
+static uint64_t
+new_number(struct mh_fleet *f)
+{
+	uint64_t n = mh_random(f->k);
+
+	return n == 0 ? 1 : n;
+}
+
+void
+mh_node_said(struct mh_fleet *f, struct mh_node *n, const struct mh_said *s)
 {
-	int64_t now = mh_now(f->k);
-	double was = n->said.limit_per_s;
+	struct mh_word w = { n->id, NULL, 0, mh_now(f->k), 0 };
 
+	if (s->malformed)
+		mh_count(f->k, "endpoint_words_malformed", 1);
 	/* An answer from before the limit was named does not end it. */
 	if (!s->has_limit &&
-	    (was == 0 || !s->is_work || s->sent_us <= n->said.limit_at_us))
+	    (n->said.limit_per_s == 0 || !s->is_work ||
+		s->sent_us <= n->said.limit_at_us))
 		return;
-	n->said.limit_per_s =
-	    s->has_limit ? MAX(s->limit_per_s, LIMIT_MIN_PER_S) : 0;
-	n->said.limit_at_us = now;
-	if (n->said.limit_per_s == was)
+	if (s->has_limit)
+		w.limit_per_s = MAX(s->limit_per_s, LIMIT_MIN_PER_S);
+	if (w.limit_per_s == n->said.limit_per_s) {
+		n->said.limit_at_us = w.at_us;
 		return;
-	if (was == 0)
-		n->said.limit_start_us = now;
-	log_limit(f, n, was);
+	}
+	w.number = new_number(f);
+	if (!take_word(&n->said, &w, w.at_us))
+		return;
+	log_word(f, n, &w);
+	pass_on(f, &w);
 }
 
 void
-mh_node_said(struct mh_fleet *f, struct mh_node *n, const struct mh_said *s)
+mh_fleet_on_word(struct mh_fleet *f,
+    void (*fn)(void *arg, const struct mh_word *w), void *arg)
 {
-	if (s->malformed)
-		mh_count(f->k, "endpoint_words_malformed", 1);
-	take_limit(f, n, s);
+	f->on_word = fn;
+	f->on_word_arg = arg;
+}
+
+void
+mh_fleet_foreach_word(struct mh_fleet *f,
+    void (*fn)(void *arg, const struct mh_word *w), void *arg)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, f->nodes);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct mh_node *n = value;
+		struct mh_word w = { n->id, NULL, n->said.number,
+			n->said.limit_at_us, n->said.limit_per_s };
+
+		if (n->said.limit_per_s > 0)
+			fn(arg, &w);
+	}
 }
 
 /* endpoints that are not listed */
@@ -207,21 +282,32 @@
 	return ((struct unlisted *)value)->expires_us <= mh_now(f->k);
 }
 
+static struct unlisted *
+unlisted_of(struct mh_fleet *f, const char *id)
+{
+	struct unlisted *u = g_hash_table_lookup(f->unlisted, id);
+
+	if (u == NULL) {
+		g_hash_table_foreach_remove(f->unlisted, is_expired, f);
+		if (g_hash_table_size(f->unlisted) >= MAX_UNLISTED)
+			g_hash_table_remove_all(f->unlisted);
+		u = g_new0(struct unlisted, 1);
+		g_hash_table_insert(f->unlisted, g_strdup(id), u);
+	}
+	u->expires_us = mh_now(f->k) + UNLISTED_US;
+	return u;
+}
+
 void
 mh_words_keep(struct mh_fleet *f, const struct mh_node *n)
 {
 	struct unlisted *u;
 
-	if (n->said.limit_at_us == 0)
+	if (n->said.n_seen == 0)
 		return;
-	g_hash_table_foreach_remove(f->unlisted, is_expired, f);
-	if (g_hash_table_size(f->unlisted) >= MAX_UNLISTED)
-		g_hash_table_remove_all(f->unlisted);
-	u = g_new0(struct unlisted, 1);
+	u = unlisted_of(f, n->id);
 	u->said = n->said;
 	u->sent_us = n->sent_us;
-	u->expires_us = mh_now(f->k) + UNLISTED_US;
-	g_hash_table_replace(f->unlisted, g_strdup(n->id), u);
 }
 
 void
@@ -235,3 +321,19 @@
 	n->sent_us = u->sent_us;
 	g_hash_table_remove(f->unlisted, n->id);
 }
+
+void
+mh_fleet_hear(struct mh_fleet *f, const struct mh_word *w)
+{
+	struct mh_node *n = mh_fleet_find(f, w->endpoint);
+
+	if (n == NULL) {
+		(void)take_word(
+		    &unlisted_of(f, w->endpoint)->said, w, mh_now(f->k));
+		return;
+	}
+	if (!take_word(&n->said, w, mh_now(f->k)))
+		return;
+	log_word(f, n, w);
+	pass_on(f, w);
+}
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -2032,6 +2032,96 @@
   assert(message->base.descriptor == &mh__poison__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mh__word__init
+                     (Mh__Word         *message)
+{
+  static const Mh__Word init_value = MH__WORD__INIT;
+  *message = init_value;
+}
+size_t mh__word__get_packed_size
+                     (const Mh__Word *message)
+{
+  assert(message->base.descriptor == &mh__word__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__word__pack
+                     (const Mh__Word *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__word__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__word__pack_to_buffer
+                     (const Mh__Word *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__word__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__Word *
+       mh__word__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__Word *)
+     protobuf_c_message_unpack (&mh__word__descriptor,
+                                allocator, len, data);
+}
+void   mh__word__free_unpacked
+                     (Mh__Word *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__word__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mh__words__init
+                     (Mh__Words         *message)
+{
+  static const Mh__Words init_value = MH__WORDS__INIT;
+  *message = init_value;
+}
+size_t mh__words__get_packed_size
+                     (const Mh__Words *message)
+{
+  assert(message->base.descriptor == &mh__words__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__words__pack
+                     (const Mh__Words *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__words__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__words__pack_to_buffer
+                     (const Mh__Words *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__words__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__Words *
+       mh__words__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__Words *)
+     protobuf_c_message_unpack (&mh__words__descriptor,
+                                allocator, len, data);
+}
+void   mh__words__free_unpacked
+                     (Mh__Words *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__words__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mh__frame__init
                      (Mh__Frame         *message)
 {
@@ -5933,7 +6023,122 @@
   (ProtobufCMessageInit) mh__poison__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__frame__field_descriptors[39] =
+static const ProtobufCFieldDescriptor mh__word__field_descriptors[4] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Word, endpoint),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Word, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_per_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Word, limit_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Word, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__word__field_indices_by_name[] = {
+  3,   /* field[3] = age_us */
+  0,   /* field[0] = endpoint */
+  2,   /* field[2] = limit_per_s */
+  1,   /* field[1] = number */
+};
+static const ProtobufCIntRange mh__word__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mh__word__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.Word",
+  "Word",
+  "Mh__Word",
+  "mh",
+  sizeof(Mh__Word),
+  4,
+  mh__word__field_descriptors,
+  mh__word__field_indices_by_name,
+  1,  mh__word__number_ranges,
+  (ProtobufCMessageInit) mh__word__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__words__field_descriptors[1] =
+{
+  {
+    "words",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Words, n_words),
+    offsetof(Mh__Words, words),
+    &mh__word__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__words__field_indices_by_name[] = {
+  0,   /* field[0] = words */
+};
+static const ProtobufCIntRange mh__words__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor mh__words__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.Words",
+  "Words",
+  "Mh__Words",
+  "mh",
+  sizeof(Mh__Words),
+  1,
+  mh__words__field_descriptors,
+  mh__words__field_indices_by_name,
+  1,  mh__words__number_ranges,
+  (ProtobufCMessageInit) mh__words__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__frame__field_descriptors[40] =
 {
   {
     "generation",
@@ -6403,6 +6608,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "words",
+    47,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, words),
+    &mh__words__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__frame__field_indices_by_name[] = {
   8,   /* field[8] = ack */
@@ -6444,13 +6661,14 @@
   35,   /* field[35] = suspect */
   31,   /* field[31] = view */
   30,   /* field[30] = view_ask */
+  39,   /* field[39] = words */
 };
 static const ProtobufCIntRange mh__frame__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 10, 3 },
   { 25, 17 },
-  { 0, 39 }
+  { 0, 40 }
 };
 const ProtobufCMessageDescriptor mh__frame__descriptor =
 {
@@ -6460,7 +6678,7 @@
   "Mh__Frame",
   "mh",
   sizeof(Mh__Frame),
-  39,
+  40,
   mh__frame__field_descriptors,
   mh__frame__field_indices_by_name,
   3,  mh__frame__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -60,6 +60,8 @@
 typedef struct Mh__Held Mh__Held;
 typedef struct Mh__Ran Mh__Ran;
 typedef struct Mh__Poison Mh__Poison;
+typedef struct Mh__Word Mh__Word;
+typedef struct Mh__Words Mh__Words;
 typedef struct Mh__Frame Mh__Frame;
 
 
@@ -913,6 +915,42 @@
     , 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * What endpoints have said of themselves in answers to some entry.
+ */
+struct  Mh__Word
+{
+  ProtobufCMessage base;
+  /*
+   * the incarnation
+   */
+  char *endpoint;
+  /*
+   * random, the same wherever it is passed on
+   */
+  uint64_t number;
+  /*
+   * of requests by all entries; 0: none
+   */
+  double limit_per_s;
+  uint64_t age_us;
+};
+#define MH__WORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__word__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+struct  Mh__Words
+{
+  ProtobufCMessage base;
+  size_t n_words;
+  Mh__Word **words;
+};
+#define MH__WORDS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__words__descriptor) \
+    , 0,NULL }
+
+
 typedef enum {
   MH__FRAME__BODY__NOT_SET = 0,
   MH__FRAME__BODY_HELLO = 10,
@@ -950,7 +988,8 @@
   MH__FRAME__BODY_SUSPECT = 43,
   MH__FRAME__BODY_KNOWN = 44,
   MH__FRAME__BODY_JOB_STEP = 45,
-  MH__FRAME__BODY_POISON = 46
+  MH__FRAME__BODY_POISON = 46,
+  MH__FRAME__BODY_WORDS = 47
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MH__FRAME__BODY__CASE)
 } Mh__Frame__BodyCase;
 
@@ -1001,6 +1040,7 @@
     Mh__Known *known;
     Mh__JobStep *job_step;
     Mh__Poison *poison;
+    Mh__Words *words;
   };
 };
 #define MH__FRAME__INIT \
@@ -1863,6 +1903,44 @@
 void   mh__poison__free_unpacked
                      (Mh__Poison *message,
                       ProtobufCAllocator *allocator);
+/* Mh__Word methods */
+void   mh__word__init
+                     (Mh__Word         *message);
+size_t mh__word__get_packed_size
+                     (const Mh__Word   *message);
+size_t mh__word__pack
+                     (const Mh__Word   *message,
+                      uint8_t             *out);
+size_t mh__word__pack_to_buffer
+                     (const Mh__Word   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__Word *
+       mh__word__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__word__free_unpacked
+                     (Mh__Word *message,
+                      ProtobufCAllocator *allocator);
+/* Mh__Words methods */
+void   mh__words__init
+                     (Mh__Words         *message);
+size_t mh__words__get_packed_size
+                     (const Mh__Words   *message);
+size_t mh__words__pack
+                     (const Mh__Words   *message,
+                      uint8_t             *out);
+size_t mh__words__pack_to_buffer
+                     (const Mh__Words   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__Words *
+       mh__words__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__words__free_unpacked
+                     (Mh__Words *message,
+                      ProtobufCAllocator *allocator);
 /* Mh__Frame methods */
 void   mh__frame__init
                      (Mh__Frame         *message);
@@ -2019,6 +2097,12 @@
 typedef void (*Mh__Poison_Closure)
                  (const Mh__Poison *message,
                   void *closure_data);
+typedef void (*Mh__Word_Closure)
+                 (const Mh__Word *message,
+                  void *closure_data);
+typedef void (*Mh__Words_Closure)
+                 (const Mh__Words *message,
+                  void *closure_data);
 typedef void (*Mh__Frame_Closure)
                  (const Mh__Frame *message,
                   void *closure_data);
@@ -2074,6 +2158,8 @@
 extern const ProtobufCMessageDescriptor mh__held__descriptor;
 extern const ProtobufCMessageDescriptor mh__ran__descriptor;
 extern const ProtobufCMessageDescriptor mh__poison__descriptor;
+extern const ProtobufCMessageDescriptor mh__word__descriptor;
+extern const ProtobufCMessageDescriptor mh__words__descriptor;
 extern const ProtobufCMessageDescriptor mh__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/regress/main.c
+++ b/regress/main.c
@@ -91,6 +91,7 @@
 	{ "poison", tests_poison },
 	{ "stage", tests_stage },
 	{ "said", tests_said },
+	{ "words", tests_words },
 	{ "red", tests_red },
 };
 
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -53,6 +53,7 @@
 extern const struct test tests_poison[];
 extern const struct test tests_stage[];
 extern const struct test tests_said[];
+extern const struct test tests_words[];
 extern const struct test tests_red[];
 
 /** regress_dir - the directory that contains golden/. */
--- a/regress/t_said.c
+++ b/regress/t_said.c
@@ -15,6 +15,8 @@
 #define LIMIT_SLACK 5
 #define LIMIT_WINDOW_US (4 * S)
 #define TOLD_US (500 * MS)
+/* Time for a word to reach the other entries. */
+#define PASSING_US (250 * MS)
 
 /** struct sentry - an entry that sends to the endpoints. */
 struct sentry {
@@ -25,7 +27,6 @@
 	struct mh_fleet *f;
 	struct mh_place *p;
 	GArray *due; /* int64_t, reserved slots */
-	int64_t told_us; /* when it got an answer with the limit; 0: not yet */
 };
 
 /** struct sworld - entries before one endpoint in need and one that is not. */
@@ -34,12 +35,46 @@
 	uint32_t n;
 	double limit; /* 0: none is named */
 	int64_t now_us;
-	/* int64_t, at the endpoint in need, of entries told for TOLD_US */
+	/* int64_t, at the endpoint in need, TOLD_US after the first word */
 	GArray *arrivals;
+	int64_t told_us; /* first word; 0: none yet */
+	GArray *words; /* struct passing */
 	uint32_t sent;
 	uint32_t refused;
 };
 
+/** struct passing - a word on its way to all entries. */
+struct passing {
+	struct mh_word word;
+	int64_t at_us;
+};
+
+static void
+on_word(void *arg, const struct mh_word *word)
+{
+	struct sworld *w = ((struct sentry *)arg)->w;
+	struct passing p = { *word, w->now_us + PASSING_US };
+
+	p.word.endpoint = "need@77";
+	p.word.from = "entry";
+	if (word->from == NULL)
+		g_array_append_val(w->words, p);
+}
+
+static void
+deliver_words(struct sworld *w)
+{
+	while (w->words->len > 0) {
+		struct passing p = g_array_index(w->words, struct passing, 0);
+
+		if (p.at_us > w->now_us)
+			return;
+		g_array_remove_index(w->words, 0);
+		for (uint32_t i = 0; i < w->n; i++)
+			mh_fleet_hear(w->e[i].f, &p.word);
+	}
+}
+
 static uint32_t
 rank_of(void *arg, const char *endpoint, uint32_t *entries)
 {
@@ -79,6 +114,7 @@
 	e->p = mh_place_create(e->k, e->f);
 	e->due = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	mh_fleet_set_sharing(e->f, rank_of, NULL, e);
+	mh_fleet_on_word(e->f, on_word, e);
 	list_pool(e->f, endpoints);
 }
 
@@ -101,6 +137,7 @@
 	w->limit = limit;
 	w->now_us = S;
 	w->arrivals = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	w->words = g_array_new(FALSE, FALSE, sizeof(struct passing));
 	for (uint32_t i = 0; i < n; i++)
 		start_entry(w, i, endpoints);
 	return w;
@@ -111,6 +148,7 @@
 {
 	for (uint32_t i = 0; i < w->n; i++)
 		stop_entry(&w->e[i]);
+	g_array_free(w->words, TRUE);
 	g_array_free(w->arrivals, TRUE);
 	g_free(w->e);
 	g_free(w);
@@ -129,10 +167,10 @@
 	w->sent++;
 	if (strcmp(n->name, "need") != 0)
 		return;
-	if (e->told_us != 0 && w->now_us >= e->told_us + TOLD_US)
+	if (w->told_us != 0 && w->now_us >= w->told_us + TOLD_US)
 		g_array_append_val(w->arrivals, w->now_us);
-	if (e->told_us == 0 && s.has_limit)
-		e->told_us = w->now_us;
+	if (w->told_us == 0 && s.has_limit)
+		w->told_us = w->now_us;
 	mh_node_said(e->f, n, &s);
 }
 
@@ -164,6 +202,7 @@
 	int64_t end_us = w->now_us + us, step_us = S / per_s;
 
 	for (; w->now_us < end_us; w->now_us += step_us) {
+		deliver_words(w);
 		for (uint32_t i = 0; i < w->n; i++) {
 			struct sentry *e = &w->e[i];
 
@@ -219,8 +258,7 @@
 			    sworld_create(entries[i], limits[j], 2);
 			int64_t from_us;
 
-			/* Until all entries have been told. */
-			sworld_run(w, 100, 0, 12 * S);
+			sworld_run(w, 100, 0, 2 * S);
 			from_us = w->now_us;
 			sworld_run(w, 100, 0, 20 * S);
 			CU_ASSERT(most_in_window(w->arrivals, from_us) <=
@@ -263,7 +301,7 @@
 
 	sworld_run(w, 50, 0, 10 * S);
 	w->limit = 0;
-	sworld_run(w, 50, 0, 20 * S);
+	sworld_run(w, 50, 0, 5 * S);
 	before = w->arrivals->len;
 	sworld_run(w, 50, 0, 10 * S);
 	CU_ASSERT_EQUAL(w->arrivals->len - before, 500);
