Fleet: an endpoint that says it leaves gets nothing, whatever its row says

What callers saw: nothing at once; in the record two requests reached an engine 3.1 and 3.8 s after an answer had told the entry that it leaves, with a store that did not acknowledge its row for 12.6 s. What is sent there so late may end with it.

Cause: the header was not decoded, and a row that says ready would have undone it.

Ruled out: requests that were sent before and arrived late; the entry sent them within 1 ms of their arrival.

Change: an answer that says so marks the incarnation as draining, which requests, stage calls, slices, reports, frees and the evidence on crashes ask already. A row does not take it back, nor a removal and a later listing; a new incarnation has not said so. It is passed on among entries like a limit, and never taken back by another word. Values other than 0 and 1 are counted and ignored. Running requests go on. The log line and counter of words are now endpoint-said and endpoint_words.

Conclusion: the same way as a row's draining, learned seconds sooner.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -251,6 +251,7 @@
 mh_fleet_list(struct mh_fleet *f, const struct mh_listing *l)
 {
 	struct mh_node *n = g_hash_table_lookup(f->names, l->name);
+	bool draining;
 
 	/* The row still describes the previous incarnation. */
 	if (n != NULL && n->prev_start_ms != 0 &&
@@ -266,13 +267,14 @@
 		g_free(n->addr);
 		n->addr = g_strdup(l->addr);
 	}
-	if (l->draining && !n->draining)
+	draining = l->draining || n->said.leaving;
+	if (draining && !n->draining)
 		mh_event(
 		    f->k, "endpoint-leaving", "id=%s pool=%s", n->id, n->pool);
-	if (l->draining != n->draining)
+	if (draining != n->draining)
 		f->version++;
 	n->capacity = l->capacity;
-	n->draining = l->draining;
+	n->draining = draining;
 	take_warmup(f, n, l->warm_us);
 	n->mark = f->mark;
 }
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -149,6 +149,7 @@
 		       */
 	bool has_limit;
 	double limit_per_s; /* requests a second, from all entries together */
+	bool leaving; /* it takes nothing new any more */
 	bool malformed; /* a value that makes no sense was ignored */
 };
 
@@ -159,6 +160,7 @@
 	uint64_t number; /* random; the same wherever it is passed on */
 	int64_t at_us;
 	double limit_per_s; /* 0: none */
+	bool leaving; /* never taken back */
 };
 
 #define MH_WORDS_SEEN 8
@@ -171,6 +173,7 @@
 	double limit_per_s; /* of requests by all entries; 0: none */
 	int64_t limit_start_us; /* when a limit was named first */
 	int64_t limit_at_us; /* when that was said last; 0: never */
+	bool leaving; /* a later row does not undo it */
 };
 
 struct mh_fleet;
@@ -190,7 +193,7 @@
 	char *addr;
 	char *domain;
 	uint32_t capacity;
-	bool draining;
+	bool draining; /* by its row or by its own word */
 	bool evacuated; /* its failure domain is: nothing is sent there */
 	int64_t warm_at_us; /* cold before */
 	int64_t row_warm_at_us; /* the same, by the row last applied */
--- a/lib/said.c
+++ b/lib/said.c
@@ -176,31 +176,39 @@
 take_word(struct mh_node_words *s, const struct mh_word *w, int64_t now)
 {
 	double was = s->limit_per_s;
+	bool leaves = w->leaving && !s->leaving;
 
 	if (was_seen(s, w->number))
 		return false;
 	s->seen[s->n_seen++ % MH_WORDS_SEEN] = w->number;
+	s->leaving = s->leaving || w->leaving;
 	if (w->at_us <= s->limit_at_us)
-		return false;
+		return leaves;
 	s->number = w->number;
 	s->limit_at_us = w->at_us;
 	s->limit_per_s =
 	    w->limit_per_s == 0 ? 0 : MAX(w->limit_per_s, LIMIT_MIN_PER_S);
 	if (was == 0)
 		s->limit_start_us = now;
-	return s->limit_per_s != was;
+	return leaves || s->limit_per_s != was;
 }
 
+/* A word has changed what the endpoint says: acts on it, and logs it. */
 static void
-log_word(struct mh_fleet *f, const struct mh_node *n, const struct mh_word *w)
+apply_word(struct mh_fleet *f, struct mh_node *n, const struct mh_word *w)
 {
-	int64_t us = mh_node_interval_us(f, n, MH_SENDER_ANY);
+	int64_t us;
 
-	mh_count(f->k, "endpoint_limits_said", 1);
-	mh_event(f->k, "endpoint-limit",
-	    "id=%s pool=%s per_s=%.2f by=%s age_ms=%" PRId64
+	if (n->said.leaving && !n->draining) {
+		n->draining = true;
+		f->version++;
+	}
+	us = mh_node_interval_us(f, n, MH_SENDER_ANY);
+	mh_count(f->k, "endpoint_words", 1);
+	mh_event(f->k, "endpoint-said",
+	    "id=%s pool=%s leaving=%d per_s=%.2f by=%s age_ms=%" PRId64
 	    " each_ms=%" PRId64,
-	    n->id, n->pool, n->said.limit_per_s,
+	    n->id, n->pool, n->said.leaving, n->said.limit_per_s,
 	    w->from == NULL ? "answer" : w->from,
 	    mh_ms(mh_now(f->k) - w->at_us), us == INT64_MAX ? -1 : mh_ms(us));
 }
@@ -223,25 +231,26 @@
 void
 mh_node_said(struct mh_fleet *f, struct mh_node *n, const struct mh_said *s)
 {
-	struct mh_word w = { n->id, NULL, 0, mh_now(f->k), 0 };
+	struct mh_word w = { n->id, NULL, 0, mh_now(f->k), n->said.limit_per_s,
+		n->said.leaving || s->leaving };
 
 	if (s->malformed)
 		mh_count(f->k, "endpoint_words_malformed", 1);
 	/* An answer from before the limit was named does not end it. */
-	if (!s->has_limit &&
-	    (n->said.limit_per_s == 0 || !s->is_work ||
-		s->sent_us <= n->said.limit_at_us))
-		return;
 	if (s->has_limit)
 		w.limit_per_s = MAX(s->limit_per_s, LIMIT_MIN_PER_S);
-	if (w.limit_per_s == n->said.limit_per_s) {
-		n->said.limit_at_us = w.at_us;
+	else if (s->is_work && s->sent_us > n->said.limit_at_us)
+		w.limit_per_s = 0;
+	if (w.leaving == n->said.leaving &&
+	    w.limit_per_s == n->said.limit_per_s) {
+		if (s->has_limit)
+			n->said.limit_at_us = w.at_us;
 		return;
 	}
 	w.number = new_number(f);
 	if (!take_word(&n->said, &w, w.at_us))
 		return;
-	log_word(f, n, &w);
+	apply_word(f, n, &w);
 	pass_on(f, &w);
 }
 
@@ -264,9 +273,10 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct mh_node *n = value;
 		struct mh_word w = { n->id, NULL, n->said.number,
-			n->said.limit_at_us, n->said.limit_per_s };
+			n->said.limit_at_us, n->said.limit_per_s,
+			n->said.leaving };
 
-		if (n->said.limit_per_s > 0)
+		if (n->said.limit_per_s > 0 || n->said.leaving)
 			fn(arg, &w);
 	}
 }
@@ -318,6 +328,7 @@
 	if (u == NULL)
 		return;
 	n->said = u->said;
+	n->draining = n->said.leaving;
 	n->sent_us = u->sent_us;
 	g_hash_table_remove(f->unlisted, n->id);
 }
@@ -334,6 +345,6 @@
 	}
 	if (!take_word(&n->said, w, mh_now(f->k)))
 		return;
-	log_word(f, n, w);
+	apply_word(f, n, w);
 	pass_on(f, w);
 }
--- a/lib/saidmesh.c
+++ b/lib/saidmesh.c
@@ -58,6 +58,7 @@
 	m->endpoint = (char *)(uintptr_t)w->endpoint;
 	m->number = w->number;
 	m->limit_per_s = w->limit_per_s;
+	m->leaving = w->leaving;
 	m->age_us = (uint64_t)MAX(mh_now(o->s->k) - w->at_us, 0);
 	o->list[o->words.n_words++] = m;
 	if (o->words.n_words == FRAME_WORDS_MAX)
@@ -114,7 +115,8 @@
 	for (size_t i = 0; i < f->words->n_words; i++) {
 		const Mh__Word *m = f->words->words[i];
 		struct mh_word w = { m->endpoint, node, m->number,
-			mh_now(s->k) - (int64_t)m->age_us, m->limit_per_s };
+			mh_now(s->k) - (int64_t)m->age_us, m->limit_per_s,
+			m->leaving };
 
 		if (is_valid(m))
 			mh_fleet_hear(s->f, &w);
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -6023,7 +6023,7 @@
   (ProtobufCMessageInit) mh__poison__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__word__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mh__word__field_descriptors[5] =
 {
   {
     "endpoint",
@@ -6073,17 +6073,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Word, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__word__field_indices_by_name[] = {
   3,   /* field[3] = age_us */
   0,   /* field[0] = endpoint */
+  4,   /* field[4] = leaving */
   2,   /* field[2] = limit_per_s */
   1,   /* field[1] = number */
 };
 static const ProtobufCIntRange mh__word__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor mh__word__descriptor =
 {
@@ -6093,7 +6106,7 @@
   "Mh__Word",
   "mh",
   sizeof(Mh__Word),
-  4,
+  5,
   mh__word__field_descriptors,
   mh__word__field_indices_by_name,
   1,  mh__word__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -934,10 +934,11 @@
    */
   double limit_per_s;
   uint64_t age_us;
+  protobuf_c_boolean leaving;
 };
 #define MH__WORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__word__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Mh__Words
--- a/regress/t_said.c
+++ b/regress/t_said.c
@@ -533,6 +533,128 @@
 	}
 }
 
+/* Guards against a row that still says ready and undoes that one leaves. */
+static void
+test_leaving_and_rows(void)
+{
+	struct mh_said s = { .leaving = true };
+	struct mh_kern *k = mh_kern_create(1);
+	struct mh_fleet *f = mh_fleet_create(k);
+	struct mh_listing l = { "need", 78, "pool", "10.0.0.1:1", "d", 8, false,
+		0 };
+	struct mh_node *n;
+	uint64_t version;
+
+	list_pool(f, 2);
+	n = mh_fleet_find(f, "need@77");
+	version = mh_fleet_version(f);
+	mh_node_said(f, n, &s);
+	CU_ASSERT(mh_fleet_version(f) > version);
+	for (int i = 0; i < 3; i++) {
+		n = mh_fleet_find(f, "need@77");
+		CU_ASSERT_FALSE(mh_node_usable(f, n));
+		CU_ASSERT_EQUAL(
+		    mh_node_next_us(f, n, MH_SENDER_ONE), INT64_MAX);
+		CU_ASSERT_EQUAL(mh_fleet_slice(f, n, 4), 4);
+		if (i == 1)
+			list_pool(f, 0); /* removed, and listed again */
+		list_pool(f, 2);
+	}
+	/* Another incarnation has not said so. */
+	mh_fleet_begin(f);
+	mh_fleet_list(f, &l);
+	mh_fleet_end(f);
+	CU_ASSERT_TRUE(mh_node_usable(f, mh_fleet_find(f, "need@78")));
+	mh_fleet_destroy(f);
+	mh_kern_destroy(k);
+}
+
+/* Guards against requests for an endpoint that has said that it leaves. */
+static void
+test_gate_leaving(void)
+{
+	static const char *const targets[] = { "/safe/x", "/once/x",
+		"/resume/x", "/stream/x" };
+	struct mh_said s = { .leaving = true };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(targets); i++) {
+		struct grig *r = grig_create(2);
+		char first[16];
+
+		(void)grig_request(r, targets[i], 5 * S);
+		g_strlcpy(first, r->last, sizeof(first));
+		mh_node_said(r->f, mh_fleet_find(r->f, first), &s);
+		CU_ASSERT_EQUAL(r->aborts, 0);
+		grig_answer(r, 200, false, true);
+		CU_ASSERT_EQUAL(r->finished, 1);
+		for (int n = 0; n < 5; n++) {
+			(void)grig_request(r, targets[i], 5 * S);
+			CU_ASSERT_STRING_NOT_EQUAL(r->last, first);
+			grig_answer(r, 200, false, true);
+		}
+		mh_node_said(r->f, mh_fleet_find(r->f, r->last), &s);
+		(void)grig_request(r, targets[i], 5 * S);
+		CU_ASSERT_EQUAL(r->sends, 6);
+		CU_ASSERT_EQUAL(r->refused, 1);
+		CU_ASSERT_EQUAL(r->why, MH_NO_ENDPOINT);
+		grig_destroy(r);
+	}
+}
+
+/* Guards against calls to a stage endpoint that has said that it leaves. */
+static void
+test_leaving_stage_endpoint(void)
+{
+	static const char *const pools[] = { "a", NULL };
+	static const uint32_t pieces[] = { 8 };
+	struct mh_said s = { .leaving = true };
+	struct world *w = world_create();
+	uint32_t before = 0;
+
+	world_pool(w, "a", 2, 8, 100 * MS, 5 * MS, 0);
+	for (int i = 0; i < 200; i++) {
+		mh_sched_submit(
+		    w->sched, world_job(w, pools, pieces, S, 2 * S));
+		world_run(w, 80 * MS);
+		if (i != 40)
+			continue;
+		mh_node_said(w->f, mh_fleet_find(w->f, w->nodes[0].id), &s);
+		before = w->nodes[0].calls;
+	}
+	CU_ASSERT(before > 0);
+	CU_ASSERT_EQUAL(w->nodes[0].calls, before);
+	CU_ASSERT(w->nodes[1].calls > 50);
+	CU_ASSERT_EQUAL(w->failed, 0);
+	world_destroy(w);
+}
+
+/* Guards against values that make no sense. */
+static void
+test_leaving_values(void)
+{
+	static const struct {
+		const char *text;
+		bool leaving;
+		bool malformed;
+	} t[] = { { "1", true, false }, { "0", false, false },
+		{ "", false, true }, { "2", false, true },
+		{ "-1", false, true }, { "yes", false, true },
+		{ "11", false, true } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(t); i++) {
+		struct mh_headers *h = mh_headers_create();
+		struct mh_said s;
+
+		mh_headers_add(h, "server-leaving", t[i].text);
+		plat_said_decode(503, h, &s);
+		CU_ASSERT_EQUAL(s.leaving, t[i].leaving);
+		CU_ASSERT_EQUAL(s.malformed, t[i].malformed);
+		plat_said_decode(421, h, &s);
+		CU_ASSERT_FALSE(s.leaving);
+		mh_headers_destroy(h);
+	}
+}
+
 const struct test tests_said[] = {
 	{ "said: a limit holds over all entries", test_limit_over_entries },
 	{ "said: a limit of a whole pool", test_limit_of_whole_pool },
@@ -545,5 +667,9 @@
 	{ "said: refused before stage work", test_gate_refuses_before_stages },
 	{ "said: a limit of a stage endpoint", test_limit_of_stage_endpoint },
 	{ "said: values of a limit", test_limit_values },
+	{ "said: one leaves, by its word and its row", test_leaving_and_rows },
+	{ "said: no request for one that leaves", test_gate_leaving },
+	{ "said: a stage endpoint leaves", test_leaving_stage_endpoint },
+	{ "said: values of leaving", test_leaving_values },
 	{ NULL, NULL },
 };
--- a/regress/t_words.c
+++ b/regress/t_words.c
@@ -106,7 +106,7 @@
 	uint64_t n = 0;
 
 	for (uint32_t i = 0; i < ENTRIES; i++)
-		n += mh_counter(w->r->e[i].k, "endpoint_limits_said");
+		n += mh_counter(w->r->e[i].k, "endpoint_words");
 	return n;
 }
 
@@ -202,6 +202,29 @@
 	words_destroy(w);
 }
 
+/* Guards against a word on a limit that takes back that an endpoint leaves. */
+static void
+test_leaving(void)
+{
+	struct words *w = words_create();
+	struct mh_said s = { .leaving = true };
+	uint32_t n = 0;
+
+	w->r->e[6].cut = true;
+	mrig_run(w->r, 2 * S);
+	mh_node_said(w->f[3], mh_fleet_find(w->f[3], "n1"), &s);
+	mrig_run(w->r, 200 * MS);
+	say(w, 6, 4);
+	w->r->e[6].cut = false;
+	mrig_run(w->r, 3 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		list_two(w->f[i], true); /* a row that says ready */
+		n += !mh_node_usable(w->f[i], mh_fleet_find(w->f[i], "n1"));
+	}
+	CU_ASSERT_EQUAL(n, ENTRIES);
+	words_destroy(w);
+}
+
 /* Guards against words that make no sense. */
 static void
 test_malformed(void)
@@ -250,6 +273,7 @@
 	{ "words: an entry is cut off", test_cut_off },
 	{ "words: that contradict each other", test_contradiction },
 	{ "words: before the row", test_before_row },
+	{ "words: one leaves", test_leaving },
 	{ "words: malformed", test_malformed },
 	{ NULL, NULL },
 };
