Fleet: an endpoint that asks for rest gets nothing until it is over

What callers saw: requests that tried several engines within 10 ms, all of which had turned this entry away, before one took them; in the record an engine that had asked for 3 s of rest got 3 requests in that time, 2 are allowed.

Cause: Retry-After of a 503 was not decoded; the second and third choice knew as little as the first.

Ruled out: late arrivals; the entry sent all of them within 1 ms of their arrival.

Change: Retry-After of a 503 or 429, in seconds with fractions or as a date that counts from the answer's own Date, is kept with the incarnation; of two times the one that ends later holds, an hour at most. It is asked like a limit, by requests, stage calls, reports and frees. It is meant for this entry alone and not passed on. No request waits for its end, since all would come at once: a pool that is all at rest refuses at once and gives the earliest end as the time to return, also for stage work and for a request that has run out of tries. Counters held_back_leaving, _rest and _limit, line endpoint-rest.

Conclusion: all three words are read on every way an answer comes and asked before every send.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -552,7 +552,7 @@
 mh_node_usable(const struct mh_fleet *f, const struct mh_node *n)
 {
 	return !n->draining && !n->evacuated &&
-	    n->eject_until_us <= mh_now(f->k);
+	    MAX(n->eject_until_us, n->said.rest_end_us) <= mh_now(f->k);
 }
 
 void
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -269,6 +269,22 @@
 	return n->waiting == 0 && n->running < n->capacity * 3 / 4;
 }
 
+/*
+ * Time until an endpoint of its pool takes a request again; 0: one does now, or
+ * the pool has none.
+ */
+static int64_t
+closed_us(struct mh_gate *g, const struct mh_greq *q)
+{
+	struct mh_place_request a = { 0 };
+
+	mh_gate_fill_place(g, q, &a);
+	a.n_tried = 0;
+	if (mh_place_next_us(g->place, &a) <= mh_now(g->k))
+		return 0;
+	return a.retry_us;
+}
+
 bool
 mh_gate_refuse_quarantined(struct mh_gate *g, struct mh_greq *q)
 {
@@ -438,8 +454,8 @@
 {
 	close_try(g, q, false);
 	if (q->n_tried >= MAX_TRIES || !mh_budget_take(g->budget, q->pool)) {
-		mh_gate_refuse(
-		    g, q, q->runs > 0 ? MH_RUN_FAILED : MH_TOO_BUSY, 0);
+		mh_gate_refuse(g, q, q->runs > 0 ? MH_RUN_FAILED : MH_TOO_BUSY,
+		    closed_us(g, q));
 		return;
 	}
 	if (a->inputs_lost && may_start_job(q)) {
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -150,6 +150,7 @@
 	bool has_limit;
 	double limit_per_s; /* requests a second, from all entries together */
 	bool leaving; /* it takes nothing new any more */
+	int64_t rest_us; /* it wants nothing from us for so long; 0: none */
 	bool malformed; /* a value that makes no sense was ignored */
 };
 
@@ -174,6 +175,7 @@
 	int64_t limit_start_us; /* when a limit was named first */
 	int64_t limit_at_us; /* when that was said last; 0: never */
 	bool leaving; /* a later row does not undo it */
+	int64_t rest_end_us; /* it has asked us to send nothing before */
 };
 
 struct mh_fleet;
@@ -305,7 +307,7 @@
 /** mh_node_set_unreachable() - records a failure: it could not be reached. */
 void mh_node_set_unreachable(
     struct mh_fleet *f, struct mh_node *n, const char *why);
-/** mh_node_usable() - not draining, evacuated or ejected. */
+/** mh_node_usable() - not draining, evacuated, at rest or ejected. */
 bool mh_node_usable(const struct mh_fleet *f, const struct mh_node *n);
 
 /* said.c: what endpoints say of themselves in their answers */
--- a/lib/place.c
+++ b/lib/place.c
@@ -310,6 +310,7 @@
 			continue;
 		if (a->retry_us == 0 || us < a->retry_us)
 			a->retry_us = us;
+		/* None waits for a rest: all would come at its end. */
 		if (mh_node_usable(p->f, n) && t.at_us < first.at_us)
 			first = t;
 	}
@@ -355,13 +356,24 @@
 	return us;
 }
 
+/* Counts an endpoint that got no request because of what it has said. */
+static void
+note_held_back(const struct mh_place *p, const struct mh_node *n)
+{
+	if (n->said.leaving)
+		mh_count(p->k, "held_back_leaving", 1);
+	else if (n->said.rest_end_us > mh_now(p->k))
+		mh_count(p->k, "held_back_rest", 1);
+	else if (n->said.limit_per_s > 0)
+		mh_count(p->k, "held_back_limit", 1);
+}
+
 static struct mh_node *
 best_of(struct mh_place *p, struct mh_place_request *a, const GPtrArray *pool,
     bool with_ejected)
 {
 	const struct mh_node *affine = affinity_node(p, a, pool);
 	struct mh_node *best = NULL;
-	uint32_t held_back = 0;
 	double least = 0;
 
 	for (guint i = 0; i < pool->len; i++) {
@@ -372,10 +384,10 @@
 		if (a->inflight_max > 0 && n->inflight >= a->inflight_max)
 			continue;
 		if (was_tried(a, n) ||
-		    (!with_ejected && !mh_node_usable(p->f, n)))
+		    (!with_ejected && n->eject_until_us > mh_now(p->k)))
 			continue;
 		if (!has_slot(p, a, n)) {
-			held_back += n->said.limit_per_s > 0;
+			note_held_back(p, n);
 			continue;
 		}
 		s = score(p, a, n, affine);
@@ -385,8 +397,6 @@
 		}
 	}
 	a->has_cached_prompt = best != NULL && best == affine;
-	if (held_back > 0)
-		mh_count(p->k, "picks_held_back_limit", held_back);
 	return best;
 }
 
--- a/lib/said.c
+++ b/lib/said.c
@@ -28,6 +28,8 @@
  * While the role moves, two may act as that one.
  */
 #define MAIN_SHARE 0.75
+/* A longer rest counts as this. */
+#define REST_MAX_US (3600 * MH_US_PER_S)
 /* Words on endpoints that are not listed, and how long they are kept. */
 #define MAX_UNLISTED 4096
 #define UNLISTED_US (120 * MH_US_PER_S)
@@ -130,10 +132,11 @@
 	if (n->draining || n->evacuated)
 		return INT64_MAX;
 	if (n->said.limit_per_s == 0)
-		return 0;
+		return n->said.rest_end_us;
 	if (!get_share(f, n, who, &s))
 		return INT64_MAX;
-	us = n->said.limit_start_us + seconds(s.first_s);
+	us = MAX(
+	    n->said.limit_start_us + seconds(s.first_s), n->said.rest_end_us);
 	if (n->sent_us != 0)
 		us = MAX(us, n->sent_us + seconds(s.interval_s));
 	return us;
@@ -145,8 +148,10 @@
 	if (us == INT64_MAX)
 		return us;
 	us = MAX(us - mh_now(f->k), 1);
-	/* By then another entry has a turn. */
-	return n->said.limit_per_s == 0 ? us : MIN(us, LIMIT_PERIOD_US);
+	/* By then another entry has a turn.  A rest is over for us alone. */
+	if (n->said.limit_per_s > 0 && n->said.rest_end_us <= mh_now(f->k))
+		us = MIN(us, LIMIT_PERIOD_US);
+	return us;
 }
 
 void
@@ -220,6 +225,21 @@
 		f->on_word(f->on_word_arg, w);
 }
 
+/* Of two times of rest the one that ends later holds.  Not passed on. */
+static void
+take_rest(struct mh_fleet *f, struct mh_node *n, int64_t rest_us)
+{
+	int64_t now = mh_now(f->k), end_us = now + MIN(rest_us, REST_MAX_US);
+
+	if (rest_us <= 0 || end_us <= n->said.rest_end_us)
+		return;
+	mh_count(f->k, "endpoint_rests", 1);
+	mh_event(f->k, "endpoint-rest",
+	    "id=%s pool=%s asked_ms=%" PRId64 " left_ms=%" PRId64, n->id,
+	    n->pool, mh_ms(rest_us), mh_ms(MAX(n->said.rest_end_us - now, 0)));
+	n->said.rest_end_us = end_us;
+}
+
 static uint64_t
 new_number(struct mh_fleet *f)
 {
@@ -236,6 +256,7 @@
 
 	if (s->malformed)
 		mh_count(f->k, "endpoint_words_malformed", 1);
+	take_rest(f, n, s->rest_us);
 	/* An answer from before the limit was named does not end it. */
 	if (s->has_limit)
 		w.limit_per_s = MAX(s->limit_per_s, LIMIT_MIN_PER_S);
@@ -313,7 +334,7 @@
 {
 	struct unlisted *u;
 
-	if (n->said.n_seen == 0)
+	if (n->said.n_seen == 0 && n->said.rest_end_us == 0)
 		return;
 	u = unlisted_of(f, n->id);
 	u->said = n->said;
--- a/lib/schedadmit.c
+++ b/lib/schedadmit.c
@@ -96,6 +96,22 @@
 	return last;
 }
 
+/* Time until an endpoint of a pool without usable ones may be usable. */
+static int64_t
+closed_us(struct mh_sched *sc, struct sched_pool *pool)
+{
+	GPtrArray *nodes = mh_sched_nodes(sc, pool);
+	int64_t us = INT64_MAX, now = mh_now(sc->k);
+
+	for (guint i = 0; i < nodes->len; i++) {
+		const struct mh_node *n = g_ptr_array_index(nodes, i);
+		int64_t at_us = mh_node_next_us(sc->f, n, MH_SENDER_ONE);
+
+		us = MIN(us, MAX(at_us, n->eject_until_us));
+	}
+	return us == INT64_MAX ? MH_US_PER_S : MAX(us - now, 1);
+}
+
 int64_t
 mh_sched_backlog_us(struct mh_sched *sc, const char *name)
 {
@@ -103,7 +119,7 @@
 	double rate = mh_sched_pool_rate(sc, pool);
 
 	if (rate <= 0)
-		return MH_US_PER_S;
+		return closed_us(sc, pool);
 	return (int64_t)(pieces_before(sc, pool, INT64_MAX) / rate *
 	    (double)MH_US_PER_S);
 }
--- a/regress/t_said.c
+++ b/regress/t_said.c
@@ -655,6 +655,158 @@
 	}
 }
 
+/* Guards against requests for an endpoint that has asked for rest. */
+static void
+test_gate_rest(void)
+{
+	static const char *const targets[] = { "/safe/x", "/once/x",
+		"/resume/x", "/stream/x" };
+	struct mh_said s = { .rest_us = 3 * S };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(targets); i++) {
+		struct grig *r = grig_create(2);
+		char first[16];
+
+		(void)grig_request(r, targets[i], 10 * S);
+		g_strlcpy(first, r->last, sizeof(first));
+		mh_node_said(r->f, mh_fleet_find(r->f, first), &s);
+		grig_answer(r, 503, true, false);
+		CU_ASSERT_EQUAL(r->sends, 2);
+		grig_answer(r, 200, false, true);
+		for (int n = 0; n < 5; n++) {
+			grig_advance(r, 100 * MS);
+			(void)grig_request(r, targets[i], 10 * S);
+			CU_ASSERT_STRING_NOT_EQUAL(r->last, first);
+			grig_answer(r, 200, false, true);
+		}
+		/* Both are at rest: the caller returns when one of them ends.
+		 */
+		(void)grig_request(r, targets[i], 10 * S);
+		mh_node_said(r->f, mh_fleet_find(r->f, r->last), &s);
+		grig_answer(r, 503, true, false);
+		CU_ASSERT_EQUAL(r->refused, 1);
+		CU_ASSERT(r->retry_us >= 2500 * MS && r->retry_us <= 3750 * MS);
+		(void)grig_request(r, targets[i], 10 * S);
+		CU_ASSERT_EQUAL(r->sends, 8);
+		CU_ASSERT_EQUAL(r->refused, 2);
+		CU_ASSERT_EQUAL(r->why, MH_NO_ENDPOINT);
+		CU_ASSERT(r->retry_us >= 2500 * MS && r->retry_us <= 3750 * MS);
+		grig_advance(r, 2500 * MS);
+		(void)grig_request(r, targets[i], 10 * S);
+		CU_ASSERT_EQUAL(r->sends, 9);
+		CU_ASSERT_STRING_EQUAL(r->last, first);
+		grig_destroy(r);
+	}
+}
+
+/* Guards against a shorter rest, a row or a removal that ends a rest. */
+static void
+test_rest_holds(void)
+{
+	struct mh_said longer = { .rest_us = 5 * S }, s = { .rest_us = S };
+	struct mh_kern *k = mh_kern_create(1);
+	struct mh_fleet *f = mh_fleet_create(k);
+	struct mh_listing l = { "need", 78, "pool", "10.0.0.1:1", "d", 8, false,
+		0 };
+	struct mh_node *n;
+
+	mh_kern_advance(k, S, S);
+	list_pool(f, 2);
+	mh_node_said(f, mh_fleet_find(f, "need@77"), &longer);
+	mh_node_said(f, mh_fleet_find(f, "need@77"), &s);
+	for (int i = 0; i < 3; i++) {
+		n = mh_fleet_find(f, "need@77");
+		CU_ASSERT_FALSE(mh_node_usable(f, n));
+		CU_ASSERT_EQUAL(mh_node_next_us(f, n, MH_SENDER_ANY), 6 * S);
+		if (i == 1)
+			list_pool(f, 0);
+		list_pool(f, 2);
+	}
+	mh_kern_advance(k, 6 * S, 6 * S);
+	CU_ASSERT_TRUE(mh_node_usable(f, mh_fleet_find(f, "need@77")));
+	mh_node_said(f, mh_fleet_find(f, "need@77"), &longer);
+	mh_fleet_begin(f);
+	mh_fleet_list(f, &l);
+	mh_fleet_end(f);
+	CU_ASSERT_TRUE(mh_node_usable(f, mh_fleet_find(f, "need@78")));
+	mh_fleet_destroy(f);
+	mh_kern_destroy(k);
+}
+
+/* Guards against calls to a stage endpoint at rest, and a wrong retry time. */
+static void
+test_rest_of_stage_endpoint(void)
+{
+	static const char *const pools[] = { "a", NULL };
+	static const uint32_t pieces[] = { 8 };
+	struct mh_said s = { .rest_us = 4 * S };
+	struct world *w = world_create();
+	uint32_t before[2];
+
+	world_pool(w, "a", 2, 8, 100 * MS, 5 * MS, 0);
+	for (int i = 0; i < 30; i++) {
+		mh_sched_submit(
+		    w->sched, world_job(w, pools, pieces, S, 2 * S));
+		world_run(w, 100 * MS);
+	}
+	for (int n = 0; n < 2; n++)
+		mh_node_said(w->f, mh_fleet_find(w->f, w->nodes[n].id), &s);
+	world_run(w, S);
+	before[0] = w->nodes[0].calls;
+	before[1] = w->nodes[1].calls;
+	CU_ASSERT_EQUAL(mh_sched_backlog_us(w->sched, "a"), 3 * S);
+	for (int i = 0; i < 20; i++) {
+		mh_sched_submit(
+		    w->sched, world_job(w, pools, pieces, S, 2 * S));
+		world_run(w, 100 * MS);
+	}
+	CU_ASSERT_EQUAL(w->nodes[0].calls, before[0]);
+	CU_ASSERT_EQUAL(w->nodes[1].calls, before[1]);
+	CU_ASSERT_EQUAL(w->refused, 20);
+	world_run(w, 2 * S);
+	mh_sched_submit(w->sched, world_job(w, pools, pieces, S, 2 * S));
+	world_run(w, S);
+	CU_ASSERT_EQUAL(
+	    w->nodes[0].calls + w->nodes[1].calls, before[0] + before[1] + 1);
+	world_destroy(w);
+}
+
+/* Guards against times of rest that make no sense. */
+static void
+test_rest_values(void)
+{
+	static const char date[] = "Thu, 03 Dec 2026 20:00:00 GMT";
+	static const struct {
+		const char *text;
+		const char *date;
+		int64_t us; /* -1: malformed */
+	} t[] = { { "3", NULL, 3 * S }, { "0.25", NULL, S / 4 },
+		{ "0", NULL, 0 }, { "1e12", NULL, 1000000 * S },
+		{ "-3", NULL, -1 }, { "", NULL, -1 }, { "later", NULL, -1 },
+		{ "nan", NULL, -1 }, { "3 s", NULL, -1 },
+		{ "Thu, 03 Dec 2026 20:00:07 GMT", date, 7 * S },
+		{ "Thu, 03 Dec 2026 19:59:00 GMT", date, 0 },
+		{ "Thu, 03 Dec 2026 20:00:07 GMT", NULL, -1 },
+		{ "Thu, 03 Dec 2026 20:00:07 GMT", "soon", -1 } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(t); i++) {
+		struct mh_headers *h = mh_headers_create();
+		struct mh_said s;
+
+		mh_headers_add(h, "retry-after", t[i].text);
+		if (t[i].date != NULL)
+			mh_headers_add(h, "Date", t[i].date);
+		plat_said_decode(503, h, &s);
+		CU_ASSERT_EQUAL(s.rest_us, MAX(t[i].us, 0));
+		CU_ASSERT_EQUAL(s.malformed, t[i].us < 0);
+		plat_said_decode(200, h, &s);
+		CU_ASSERT_EQUAL(s.rest_us, 0);
+		plat_said_decode(421, h, &s);
+		CU_ASSERT_EQUAL(s.rest_us, 0);
+		mh_headers_destroy(h);
+	}
+}
+
 const struct test tests_said[] = {
 	{ "said: a limit holds over all entries", test_limit_over_entries },
 	{ "said: a limit of a whole pool", test_limit_of_whole_pool },
@@ -671,5 +823,9 @@
 	{ "said: no request for one that leaves", test_gate_leaving },
 	{ "said: a stage endpoint leaves", test_leaving_stage_endpoint },
 	{ "said: values of leaving", test_leaving_values },
+	{ "said: no request for one at rest", test_gate_rest },
+	{ "said: a rest holds", test_rest_holds },
+	{ "said: a stage endpoint at rest", test_rest_of_stage_endpoint },
+	{ "said: values of a rest", test_rest_values },
 	{ NULL, NULL },
 };
