Side: an endpoint that asks for rest gets no call until it is over

What callers saw on the product's own interface: an endpoint that answered 503 or 429 with Retry-After got the next call at once, and callers were told to return before the end of the rest.

Change: the HTTP client reads Retry-After (lib/restfield.c, one reader for both interfaces). The side process starts no run until the end of the rest, refuses at once what another endpoint may run, those that wait too, and keeps what only the owner of a key may run, if it has the time. Its load report says how long the rest lasts; entries choose no endpoint at rest and give callers the earliest end as Retry-After. A new incarnation of the side process is not at rest.

Read, not changed: a side process that drains says so on each new link of its incarnation, and a row of the VM list does not undo it. Endpoints of this interface have no way to name a limit or that they leave.

--- a/lib/client.c
+++ b/lib/client.c
@@ -29,6 +29,8 @@
 	mh_http_done_fn done;
 	void *arg;
 	uint64_t index;
+	char *retry_after; /* NULL: none */
+	char *date;
 };
 
 static void
@@ -41,6 +43,8 @@
 	if (h->body != NULL)
 		g_bytes_unref(h->body);
 	g_byte_array_unref(h->response);
+	g_free(h->retry_after);
+	g_free(h->date);
 	g_free(h);
 }
 
@@ -65,6 +69,8 @@
 	d.broke = rc == CURLE_RECV_ERROR || rc == CURLE_SEND_ERROR ||
 	    rc == CURLE_GOT_NOTHING || rc == CURLE_PARTIAL_FILE;
 	d.index = h->index;
+	if ((d.status == 429 || d.status == 503) && h->retry_after != NULL)
+		(void)mh_rest_read(h->retry_after, h->date, &d.rest_us);
 	d.body = g_bytes_new(h->response->data, h->response->len);
 	free_transfer(h);
 	done(arg, &d);
@@ -172,21 +178,38 @@
 	return size * n;
 }
 
+/* The value of a header line if it has that name, which ends with a colon. */
+static char *
+value_of(const char *line, size_t len, const char *name)
+{
+	size_t n = strlen(name);
+
+	if (len <= n || g_ascii_strncasecmp(line, name, n) != 0)
+		return NULL;
+	return g_strstrip(g_strndup(line + n, len - n));
+}
+
+static void
+take_value(char **to, char *value)
+{
+	if (value == NULL)
+		return;
+	g_free(*to);
+	*to = value;
+}
+
 static size_t
 on_header(char *data, size_t size, size_t n, void *arg)
 {
-	static const char name[] = "x-consul-index:";
 	struct transfer *h = arg;
 	size_t len = size * n;
-	char *text;
-
-	if (len > sizeof(name) &&
-	    g_ascii_strncasecmp(data, name, sizeof(name) - 1) == 0) {
-		text = g_strndup(
-		    data + sizeof(name) - 1, len - (sizeof(name) - 1));
-		h->index = g_ascii_strtoull(g_strstrip(text), NULL, 10);
-		g_free(text);
-	}
+	char *index = value_of(data, len, "x-consul-index:");
+
+	if (index != NULL)
+		h->index = g_ascii_strtoull(index, NULL, 10);
+	g_free(index);
+	take_value(&h->retry_after, value_of(data, len, "retry-after:"));
+	take_value(&h->date, value_of(data, len, "date:"));
 	return len;
 }
 
--- a/lib/endpoint.c
+++ b/lib/endpoint.c
@@ -160,6 +160,7 @@
 	struct mh_run_msg end = { .status = d->status,
 		.sent = d->sent,
 		.broke = d->broke,
+		.rest_us = d->rest_us,
 		.complete = d->complete && (!r->stream || d->status >= 300) };
 	json_t *j;
 	gsize len;
--- a/lib/entry.c
+++ b/lib/entry.c
@@ -419,7 +419,7 @@
 		refuse(e, m, &entry_draining_problem);
 		return false;
 	}
-	over = MAX(over, MH_US_PER_S);
+	over = MAX(MAX(over, pipe_rest_us(r)), MH_US_PER_S);
 	p.retry_us = over + (int64_t)(mh_random_unit(e->k) * (double)over / 2);
 	refuse(e, m, &p);
 	return false;
--- a/lib/entry.h
+++ b/lib/entry.h
@@ -169,6 +169,8 @@
  * @waits: add the expected wait in each pool's queues
  */
 int64_t pipe_predict_us(const struct request *r, guint from, bool waits);
+/** pipe_rest_us() - time until all its pools have an endpoint not at rest. */
+int64_t pipe_rest_us(const struct request *r);
 /** pipe_units() - estimate of the weighted tokens that @r uses at most. */
 double pipe_units(const struct request *r);
 
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -136,6 +136,7 @@
 	bool sent; /* false: the endpoint certainly got nothing */
 	bool complete; /* complete response; a stream had its end mark */
 	bool broke; /* the connection failed during the call */
+	int64_t rest_us; /* it was turned away; none for so long; 0: no */
 	uint64_t tokens_in;
 	uint64_t tokens_cached;
 	uint64_t tokens_out;
@@ -573,6 +574,7 @@
 	uint32_t load_own_calls; /* own_calls when the load was reported */
 	uint64_t load_wait_us[MH_PRIORITIES];
 	int64_t load_at_us;
+	int64_t rest_end_us; /* its endpoint takes nothing before */
 	int64_t last_call_us; /* last call of this process, 0: none */
 	double ewma_us; /* smoothed endpoint time of one call */
 	uint32_t fail_streak; /* failed calls in a row */
@@ -715,6 +717,8 @@
     struct mh_kern *k, struct mh_peer *p, bool good, int64_t endpoint_us);
 /** mh_route_wait() - shortest expected wait in us; -1: none is usable. */
 int64_t mh_route_wait(struct mh_kern *k, const char *pool, uint32_t priority);
+/** mh_route_rest() - time until an endpoint of @pool is not at rest. */
+int64_t mh_route_rest(struct mh_kern *k, const char *pool);
 /** mh_route_usable() - number of usable endpoints, ejected ones included. */
 uint32_t mh_route_usable(struct mh_kern *k, const char *pool);
 
@@ -1127,6 +1131,7 @@
 	bool sent; /* false: no connection was made */
 	bool complete; /* the response is complete */
 	bool broke; /* the connection failed during the call */
+	int64_t rest_us; /* by Retry-After of a 429 or 503; 0: none */
 	GBytes *body;
 	uint64_t index; /* X-Consul-Index */
 };
@@ -1315,6 +1320,19 @@
 /** mh_daemon_main() - runs until drained; returns the exit status. */
 int mh_daemon_main(const struct mh_daemon_ops *ops, int argc, char **argv);
 
+/* restfield.c: Retry-After */
+
+/**
+ * mh_rest_read() - reads Retry-After: seconds, with fractions, or a date.
+ * @date: the Date of the same response, from which a date counts: the clocks of
+ * both sides may differ; NULL: none
+ *
+ * Return: false if @text is neither.
+ */
+bool mh_rest_read(const char *text, const char *date, int64_t *us);
+/** mh_decimal_read() - a decimal number that is not negative, or false. */
+bool mh_decimal_read(const char *text, double *out);
+
 /* coldslot.c: time slots for sending to a cold endpoint */
 
 /** struct mh_cold_slot - what the time slots of an entry depend on. */
--- a/lib/member.c
+++ b/lib/member.c
@@ -284,6 +284,7 @@
 	if (old_inc != l->incarnation) {
 		p->up_since_us = mh_now(mb->k);
 		p->draining = false;
+		p->rest_end_us = 0;
 		p->fail_streak = 0;
 	}
 	/*
--- a/lib/pipe.c
+++ b/lib/pipe.c
@@ -82,6 +82,16 @@
 	return sum;
 }
 
+int64_t
+pipe_rest_us(const struct request *r)
+{
+	int64_t us = 0;
+
+	for (guint i = 0; i < r->d.pipeline->stages->len; i++)
+		us = MAX(us, mh_route_rest(r->e->k, stage_at(r, i)->pool));
+	return us;
+}
+
 double
 pipe_units(const struct request *r)
 {
@@ -721,8 +731,8 @@
 	}
 	if (p == NULL) {
 		if (!hedge)
-			fail_now(
-			    r, "No endpoint of the pool can be reached.", 0);
+			fail_now(r, "No endpoint of the pool takes calls.",
+			    mh_route_rest(r->e->k, s->pool));
 		return;
 	}
 	r->picks++;
--- a/lib/route.c
+++ b/lib/route.c
@@ -14,6 +14,8 @@
 #include <math.h>
 #include <string.h>
 
+/* A longer rest that a side process reports counts as this. */
+#define REST_MAX_US ((uint64_t)3600 * MH_US_PER_S)
 #define EWMA_GAIN 0.1
 #define EJECT_FAILS 3
 #define EJECT_MIN_US (500 * MH_US_PER_MS)
@@ -116,7 +118,7 @@
 		struct mh_peer *p = pool->pdata[i];
 
 		if (!mh_member_usable(r->k, p) || is_avoided(p, q) ||
-		    !has_slot(r, decl, p))
+		    p->rest_end_us > now || !has_slot(r, decl, p))
 			continue;
 		if (with_ejected || p->eject_until_us <= now)
 			g_ptr_array_add(out, p);
@@ -237,6 +239,7 @@
 	p->load_at_us = mh_now(k);
 	for (size_t i = 0; i < MH_PRIORITIES; i++)
 		p->load_wait_us[i] = i < l->n_wait_us ? l->wait_us[i] : 0;
+	p->rest_end_us = mh_now(k) + (int64_t)MIN(l->rest_us, REST_MAX_US);
 }
 
 void
@@ -350,12 +353,29 @@
 			continue;
 		if (mh_now(k) - p->load_at_us > LOAD_FRESH_US)
 			wait = 0;
+		wait = MAX(wait, p->rest_end_us - mh_now(k));
 		if (best < 0 || wait < best)
 			best = wait;
 	}
 	return best;
 }
 
+int64_t
+mh_route_rest(struct mh_kern *k, const char *pool)
+{
+	GPtrArray *a = mh_member_pool(k, pool);
+	int64_t least = -1;
+
+	for (guint i = 0; i < a->len; i++) {
+		const struct mh_peer *p = a->pdata[i];
+		int64_t us = MAX(p->rest_end_us - mh_now(k), 0);
+
+		if (mh_member_usable(k, p) && (least < 0 || us < least))
+			least = us;
+	}
+	return MAX(least, 0);
+}
+
 static void
 destroy(void *self)
 {
--- a/lib/side.h
+++ b/lib/side.h
@@ -64,6 +64,7 @@
 	struct mh_queue *queue;
 	struct mh_ledger *ledger;
 	uint32_t running;
+	int64_t rest_end_us; /* the endpoint wants no run before */
 	double run_us; /* moving average of a call's time at the endpoint */
 	double factor; /* moving average of actual over predicted time */
 	/* identifies the endpoint to other processes, new after each crash */
--- a/lib/sidecall.c
+++ b/lib/sidecall.c
@@ -57,12 +57,21 @@
 	return s->a.slots / URGENT_SLOTS_DIVISOR;
 }
 
+/* Remaining time for which the endpoint wants no run. */
+static int64_t
+rest_us(const struct side *s)
+{
+	return MAX(s->rest_end_us - mh_now(s->k), 0);
+}
+
 /* Expected queueing time of a call of @priority that arrives now. */
 static int64_t
 expected_wait(const struct side *s, uint32_t priority)
 {
-	int64_t work;
+	int64_t work, rest = rest_us(s);
 
+	if (rest > 0)
+		return rest;
 	if (s->running < s->a.slots - urgent_slots(s) &&
 	    mh_queue_len(s->queue) == 0)
 		return 0;
@@ -87,6 +96,7 @@
 		wait_us[p] = (uint64_t)expected_wait(s, p);
 	l->n_wait_us = MH_PRIORITIES;
 	l->wait_us = wait_us;
+	l->rest_us = (uint64_t)rest_us(s);
 	return true;
 }
 
@@ -265,6 +275,46 @@
 	return us > 0;
 }
 
+/*
+ * Refuses a call that may run at another endpoint while this one is at rest.
+ * One that only the owner of its key may run waits, if it has the time.
+ */
+static bool
+refuse_if_at_rest(struct side *s, struct call *c)
+{
+	int64_t us = rest_us(s);
+
+	if (us == 0 || c->at_most_once)
+		return false;
+	call_refuse(c, MH_REFUSAL_QUEUE_FULL, us);
+	return true;
+}
+
+/* Of two times of rest the one that ends later holds. */
+static void
+take_rest(struct side *s, int64_t us)
+{
+	int64_t end_us = mh_now(s->k) + us;
+	GList *all;
+
+	if (us <= 0 || end_us <= s->rest_end_us)
+		return;
+	mh_count(s->k, "side_rests", 1);
+	mh_log(s->k, "side", "Endpoint asks for rest: ms=%" PRId64 ".",
+	    us / (int64_t)MH_US_PER_MS);
+	s->rest_end_us = end_us;
+	all = g_hash_table_get_values(s->calls);
+	for (GList *l = all; l != NULL; l = l->next) {
+		struct call *c = l->data;
+
+		if (c->state != ST_QUEUED || c->at_most_once)
+			continue;
+		mh_queue_remove(s->queue, &c->item);
+		(void)refuse_if_at_rest(s, c);
+	}
+	g_list_free(all);
+}
+
 void
 mh_side_quarantine(struct mh_kern *k, uint64_t fingerprint)
 {
@@ -291,7 +341,7 @@
 	while ((it = mh_queue_pop_infeasible(
 		    s->queue, mh_now(s->k), infeasible_factor(s))) != NULL)
 		call_refuse(it->call, MH_REFUSAL_DEADLINE, 0);
-	while (s->running < s->a.slots) {
+	while (s->running < s->a.slots && rest_us(s) == 0) {
 		bool urgent_only = s->running >= s->a.slots - urgent_slots(s);
 		struct call *c;
 
@@ -338,7 +388,7 @@
 	int64_t wait;
 
 	c->state = ST_QUEUED;
-	if (refuse_if_quarantined(s, c))
+	if (refuse_if_quarantined(s, c) || refuse_if_at_rest(s, c))
 		return;
 	if (misses_deadline(s, c, &wait)) {
 		call_refuse(c, MH_REFUSAL_DEADLINE, wait);
@@ -618,6 +668,7 @@
 	    m->body == NULL || !fits_in_frame(m) ? NULL : g_bytes_ref(m->body);
 	update_factor(s, c);
 	report_to_poison(s, c, m);
+	take_rest(s, m->rest_us);
 	mh_count(s->k, "side_endpoint_us", (uint64_t)c->endpoint_us);
 	if (c->at_most_once) {
 		mh_claim_busy(s->k, c->partition, -1);
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -2167,7 +2167,7 @@
   assert(message->base.descriptor == &mh__frame__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor mh__load__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mh__load__field_descriptors[5] =
 {
   {
     "running",
@@ -2217,9 +2217,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rest_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Load, rest_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__load__field_indices_by_name[] = {
   1,   /* field[1] = queued */
+  4,   /* field[4] = rest_us */
   0,   /* field[0] = running */
   2,   /* field[2] = slots */
   3,   /* field[3] = wait_us */
@@ -2227,7 +2240,7 @@
 static const ProtobufCIntRange mh__load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor mh__load__descriptor =
 {
@@ -2237,7 +2250,7 @@
   "Mh__Load",
   "mh",
   sizeof(Mh__Load),
-  4,
+  5,
   mh__load__field_descriptors,
   mh__load__field_indices_by_name,
   1,  mh__load__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -90,10 +90,14 @@
    */
   size_t n_wait_us;
   uint64_t *wait_us;
+  /*
+   * the endpoint has asked to get nothing for so long
+   */
+  uint64_t rest_us;
 };
 #define MH__LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__load__descriptor) \
-    , 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Mh__CallId
--- a/regress/net.h
+++ b/regress/net.h
@@ -35,6 +35,7 @@
 	/* the endpoint of a side process */
 	int64_t service_us;
 	uint32_t status; /* of its responses, 0: 200 */
+	int64_t rest_us; /* asked for by its responses; 0: none */
 	bool refuses_conn;
 	bool dials_only; /* links to it open, then drop all frames */
 	size_t response_bytes; /* a service's response is padded to this */
--- a/regress/netfake.c
+++ b/regress/netfake.c
@@ -414,6 +414,7 @@
 			    GUINT_TO_POINTER(GPOINTER_TO_UINT(runs) + 1));
 		}
 		m->u.run.status = x->status == 0 ? 200 : x->status;
+		m->u.run.rest_us = x->rest_us;
 		m->u.run.complete = !x->truncates;
 		m->u.run.body = run_body(x, q);
 		if (q->kind == MH_GENERATE && x->status == 0)
--- a/regress/t_adapter.c
+++ b/regress/t_adapter.c
@@ -52,6 +52,8 @@
 	GString *body;
 	struct mh_timer *timeout;
 	bool timed_out;
+	const char *retry_after; /* of its replies; NULL: none */
+	int64_t rest_us; /* of the last run */
 };
 
 static GBytes *
@@ -87,6 +89,8 @@
 			mh_req_stream_end(r);
 	} else {
 		mh_req_header_set(r, "X-Consul-Index", "7");
+		if (g->retry_after != NULL)
+			mh_req_header_set(r, "Retry-After", g->retry_after);
 		mh_req_reply(r, p->status, "application/json", b);
 	}
 	g_bytes_unref(b);
@@ -120,6 +124,7 @@
 		g->status = m->u.run.status;
 		g->whole = m->u.run.complete;
 		g->sent = m->u.run.sent;
+		g->rest_us = m->u.run.rest_us;
 	} else if (m->kind == MH_MSG_KV_DONE) {
 		g->whole = m->u.kv.ok;
 		g->sent = m->u.kv.found;
@@ -229,6 +234,43 @@
 	}
 }
 
+/* Guards against a rest that an endpoint asks for and that is not seen. */
+static void
+test_endpoint_rest(void)
+{
+	static const struct {
+		uint32_t status;
+		const char *retry_after;
+		int64_t rest_us;
+	} t[] = { { 503, "1.5", 1500 * MH_US_PER_MS },
+		{ 429, "2", 2 * MH_US_PER_S }, { 503, NULL, 0 },
+		{ 500, "2", 0 }, { 200, "2", 0 }, { 503, "-2", 0 },
+		{ 503, "soon", 0 }, { 503, "", 0 } };
+
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(t); i++) {
+		struct reply reply = { "rest", t[i / 2].status, "{}", false,
+			false };
+		struct mh_msg *m = mh_msg_new(MH_MSG_RUN);
+		struct rig g;
+
+		rig_open(&g);
+		g.reply = &reply;
+		g.retry_after = t[i / 2].retry_after;
+		mh_kern_add(g.k, "side", &g, on_message, NULL);
+		mh_endpoint_create(g.k, g.client, g.url);
+		m->u.run.run = 1;
+		m->u.run.path = g_strdup("/v1/x");
+		m->u.run.stream = i % 2 == 1;
+		m->u.run.timeout_us = 300 * MH_US_PER_MS;
+		m->u.run.body = bytes("{}");
+		mh_post(g.k, "endpoint", m);
+		mh_loop_run(g.loop);
+		CU_ASSERT_EQUAL(g.status, t[i / 2].status);
+		CU_ASSERT_EQUAL(g.rest_us, t[i / 2].rest_us);
+		rig_close(&g);
+	}
+}
+
 enum stream_end { END_NORMAL, END_CUT, END_NEVER };
 
 /** struct stream_case - an engine's stream and the text expected from it. */
@@ -960,6 +1002,7 @@
 }
 
 const struct test tests_adapter[] = {
+	{ "endpoint_rest", test_endpoint_rest },
 	{ "endpoint_contract", test_endpoint_contract },
 	{ "stream_with_error_status", test_stream_with_error_status },
 	{ "stream_with_status_201", test_stream_with_status_201 },
--- a/regress/t_entry.c
+++ b/regress/t_entry.c
@@ -549,6 +549,73 @@
 	net_destroy(w.n);
 }
 
+/* Guards against calls to an endpoint that has asked for rest. */
+static void
+test_endpoint_at_rest(void)
+{
+	struct entry_world w;
+	uint64_t before, ids[20];
+	uint32_t done = 0;
+
+	entry_world_create(&w, 19, net_doc);
+	w.enc[0]->status = 503;
+	w.enc[0]->rest_us = 4 * MH_US_PER_S;
+	for (int i = 0; i < 20 && w.enc[0]->runs == 0; i++) {
+		send_embed(&w);
+		net_run(w.n, 20 * MH_US_PER_MS);
+	}
+	CU_ASSERT_EQUAL(w.enc[0]->runs, 1);
+	w.enc[0]->status = 0;
+	w.enc[0]->rest_us = 0;
+	before = w.enc[1]->runs + w.enc[2]->runs;
+	for (int i = 0; i < 20; i++) {
+		ids[i] = send_embed(&w);
+		net_run(w.n, 150 * MH_US_PER_MS);
+	}
+	for (int i = 0; i < 20; i++)
+		done += net_response(w.n, ids[i])->status == 200;
+	CU_ASSERT_EQUAL(w.enc[0]->runs, 1);
+	CU_ASSERT_EQUAL(done, 20);
+	CU_ASSERT_EQUAL(w.enc[1]->runs + w.enc[2]->runs, before + 20);
+	net_run(w.n, 2 * MH_US_PER_S);
+	for (int i = 0; i < 100; i++) {
+		send_embed(&w);
+		net_run(w.n, 20 * MH_US_PER_MS);
+	}
+	CU_ASSERT(w.enc[0]->runs > 1);
+	net_destroy(w.n);
+}
+
+/* Guards against callers that return before the end of a rest. */
+static void
+test_pool_at_rest(void)
+{
+	struct entry_world w;
+	uint64_t id, before = 0;
+	int64_t at;
+
+	entry_world_create(&w, 20, net_doc);
+	for (int i = 0; i < 3; i++) {
+		w.enc[i]->status = 503;
+		w.enc[i]->rest_us = 5 * MH_US_PER_S;
+	}
+	for (int i = 0; i < 40; i++) {
+		send_embed(&w);
+		net_run(w.n, 20 * MH_US_PER_MS);
+		if (i == 10) /* by now each has answered */
+			before = encoder_runs(&w);
+	}
+	CU_ASSERT(before >= 3);
+	CU_ASSERT_EQUAL(encoder_runs(&w), before);
+	at = net_now(w.n);
+	id = send_embed(&w);
+	net_run(w.n, MH_US_PER_S);
+	CU_ASSERT_EQUAL(net_response(w.n, id)->status, 503);
+	CU_ASSERT(net_response(w.n, id)->at_us - at < 200 * MH_US_PER_MS);
+	CU_ASSERT(net_response(w.n, id)->retry_after_s >= 4);
+	net_destroy(w.n);
+}
+
 /*
  * A pipeline that ends in an encode stage has no generated text.  Building the
  * answer from that text would crash the daemon with all its requests.
@@ -862,6 +929,8 @@
 	{ "hedge_around_a_straggler", test_hedge_around_a_straggler },
 	{ "hedge_after_failed_first_call", test_hedge_after_failed_first_call },
 	{ "retries_within_budget", test_retries_within_budget },
+	{ "endpoint_at_rest", test_endpoint_at_rest },
+	{ "pool_at_rest", test_pool_at_rest },
 	{ "any_stage_may_be_the_last", test_any_stage_may_be_the_last },
 	{ "give_up_answers_at_once", test_give_up_answers_at_once },
 	{ "infeasible_is_refused_early", test_infeasible_is_refused_early },
