--- a/lib/gate.c
+++ b/lib/gate.c
@@ -366,6 +366,14 @@
 {
 	bool waits =
 	    a->wait_us > 0 && mh_now(g->k) + a->wait_us <= a->wait_deadline_us;
+	const uint32_t *n = a->held_back;
+
+	if (n[MH_NEED_LEAVES] + n[MH_NEED_RESTS] + n[MH_NEED_LIMITS] > 0)
+		mh_event(g->k, "held-back",
+		    "id=%s pool=%s leaving=%u rest=%u limit=%u waits=%d "
+		    "retry_ms=%" PRId64,
+		    q->id, q->pool, n[MH_NEED_LEAVES], n[MH_NEED_RESTS],
+		    n[MH_NEED_LIMITS], waits, mh_ms(a->retry_us));
 
 	if (!waits) {
 		mh_gate_refuse(g, q,
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -154,6 +154,9 @@
 	bool malformed; /* a value that makes no sense was ignored */
 };
 
+/** enum mh_need - why nothing is sent to an endpoint now, by its own word. */
+enum mh_need { MH_NEED_LEAVES, MH_NEED_RESTS, MH_NEED_LIMITS, MH_NEEDS };
+
 /** struct mh_word - what an endpoint has said, as entries pass it on. */
 struct mh_word {
 	const char *endpoint; /* id of its incarnation */
@@ -360,6 +363,8 @@
  */
 int64_t mh_node_next_us(
     const struct mh_fleet *f, const struct mh_node *n, enum mh_sender who);
+/** mh_fleet_count_needs() - counts endpoints by what they have said. */
+void mh_fleet_count_needs(const struct mh_fleet *f, uint32_t n[MH_NEEDS]);
 /**
  * mh_node_retry_us() - time until a caller may return, to any entry.
  * @us: when this entry may send there next
@@ -400,6 +405,7 @@
 	const char *wait_node; /* id where a slot is reserved, or NULL */
 	uint64_t isolation_hash; /* see poison.h; 0: choose by prompt, load */
 	bool has_cached_prompt; /* set by the choice: expected there */
+	uint32_t held_back[MH_NEEDS]; /* likewise: endpoints left out */
 };
 
 struct mh_place *mh_place_create(struct mh_kern *k, struct mh_fleet *f);
--- a/lib/place.c
+++ b/lib/place.c
@@ -356,16 +356,29 @@
 	return us;
 }
 
-/* Counts an endpoint that got no request because of what it has said. */
+/* Notes an endpoint that is left out because of what it has said. */
 static void
-note_held_back(const struct mh_place *p, const struct mh_node *n)
+note_held_back(const struct mh_place *p, struct mh_place_request *a,
+    const struct mh_node *n)
 {
 	if (n->said.leaving)
-		mh_count(p->k, "held_back_leaving", 1);
+		a->held_back[MH_NEED_LEAVES]++;
 	else if (n->said.rest_end_us > mh_now(p->k))
-		mh_count(p->k, "held_back_rest", 1);
+		a->held_back[MH_NEED_RESTS]++;
 	else if (n->said.limit_per_s > 0)
-		mh_count(p->k, "held_back_limit", 1);
+		a->held_back[MH_NEED_LIMITS]++;
+}
+
+static void
+count_held_back(struct mh_place *p, const struct mh_place_request *a)
+{
+	static const char *const names[MH_NEEDS] = { "held_back_leaving",
+		"held_back_rest", "held_back_limit" };
+
+	for (int i = 0; i < MH_NEEDS; i++) {
+		if (a->held_back[i] > 0)
+			mh_count(p->k, names[i], a->held_back[i]);
+	}
 }
 
 static struct mh_node *
@@ -376,6 +389,7 @@
 	struct mh_node *best = NULL;
 	double least = 0;
 
+	memset(a->held_back, 0, sizeof(a->held_back));
 	for (guint i = 0; i < pool->len; i++) {
 		struct mh_node *n = g_ptr_array_index(pool, i);
 		double s;
@@ -387,7 +401,7 @@
 		    (!with_ejected && n->eject_until_us > mh_now(p->k)))
 			continue;
 		if (!has_slot(p, a, n)) {
-			note_held_back(p, n);
+			note_held_back(p, a, n);
 			continue;
 		}
 		s = score(p, a, n, affine);
@@ -397,6 +411,8 @@
 		}
 	}
 	a->has_cached_prompt = best != NULL && best == affine;
+	if (best != NULL || with_ejected)
+		count_held_back(p, a);
 	return best;
 }
 
--- a/lib/said.c
+++ b/lib/said.c
@@ -154,6 +154,24 @@
 	return us;
 }
 
+void
+mh_fleet_count_needs(const struct mh_fleet *f, uint32_t n[MH_NEEDS])
+{
+	GHashTableIter it;
+	gpointer value;
+
+	memset(n, 0, MH_NEEDS * sizeof(n[0]));
+	g_hash_table_iter_init(&it, f->nodes);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct mh_node_words *s =
+		    &((struct mh_node *)value)->said;
+
+		n[MH_NEED_LEAVES] += s->leaving;
+		n[MH_NEED_RESTS] += s->rest_end_us > mh_now(f->k);
+		n[MH_NEED_LIMITS] += s->limit_per_s > 0;
+	}
+}
+
 void
 mh_node_sent(struct mh_fleet *f, struct mh_node *n)
 {
