--- a/regress/t_platform_store.c
+++ b/regress/t_platform_store.c
@@ -64,6 +64,10 @@
 	const char *second_list_page;
 	const char *own_row; /* NULL: there is none */
 	const char *secret; /* NULL: there is none */
+	/* only the third first page has it, and a read of it ends after that */
+	bool late_secret;
+	struct mh_hreq *held; /* that read */
+	uint32_t secrets; /* times that we got it */
 	const char *row_watch; /* of the registry */
 	uint32_t watches; /* of the operator's items */
 	uint32_t row_watches;
@@ -121,6 +125,16 @@
 	return if_set(r->second_page, SECOND_PAGE);
 }
 
+static void
+respond_held(void *arg)
+{
+	struct srig *r = arg;
+
+	if (r->held != NULL)
+		respond(r->held, 200, SECRET_ITEM);
+	r->held = NULL;
+}
+
 static void
 serve(struct srig *r, struct mh_hreq *q)
 {
@@ -150,9 +164,19 @@
 			NOTHING));
 	} else if (strstr(target, "pathPrefix=marlhoist/") != NULL) {
 		r->first_reads++;
-		respond(q, 200, if_set(r->first, LIST(SECRET_ITEM, "false")));
+		if (r->late_secret && r->first_reads <= 2)
+			respond(q, 200, LIST(OWN_ITEM, "false"));
+		else
+			respond(q, 200,
+			    if_set(r->first, LIST(SECRET_ITEM, "false")));
+		if (r->held != NULL && r->first_reads > 2)
+			mh_timer_start(r->k, S / 20, respond_held, r);
 	} else if (strstr(target, "marlhoist/secret") != NULL) {
 		r->secret_reads++;
+		if (r->late_secret) {
+			r->held = q;
+			return;
+		}
 		respond(
 		    q, r->secret == NULL ? 404 : 200, if_set(r->secret, "{}"));
 	} else {
@@ -247,6 +271,7 @@
 {
 	CU_ASSERT_STRING_EQUAL(text, "c2VjcmV0");
 	((struct srig *)arg)->has_secret = true;
+	((struct srig *)arg)->secrets++;
 }
 
 /* @r is zero except for what the store is to do. */
@@ -635,6 +660,23 @@
 	}
 }
 
+/* Guards against links that are opened twice, under two incarnations. */
+static void
+test_secret_read_twice(void)
+{
+	struct srig r = { .timed = true,
+		.not_reader = true,
+		.alone = true,
+		.late_secret = true };
+
+	run_rig(&r);
+	(void)run_with_timeout(r.k, r.loop, S);
+	CU_ASSERT_EQUAL(r.secret_reads, 1);
+	CU_ASSERT_PTR_NULL(r.held);
+	CU_ASSERT_EQUAL(r.secrets, 1);
+	finish(&r);
+}
+
 static bool
 receive_list(struct srig *r, uint64_t revision, const char *text)
 {
@@ -1020,6 +1062,7 @@
 	    test_evacuated_of_a_peer_that_is_behind },
 	{ "store: malformed pages of entries", test_malformed_entry_pages },
 	{ "store: pages of entries", test_entry_pages },
+	{ "platform: the secret is read twice", test_secret_read_twice },
 	{ "store: a start reads one page", test_start_reads_one_page },
 	{ "store: a list received from a peer", test_peer_list },
 	{ "store: listed entries that departed", test_listed_departed },
