Place: a request waits for a time slot though an endpoint is full

A request for which every endpoint was cold, in need, or had as many calls as this entry may have there, was refused instead of waiting for the next slot: the full one counted as the first to take it. So it was since slots are shared by cold endpoints and limits. An admitted request looks for the first open endpoint only, instead of the earliest time of all.

--- a/lib/place.c
+++ b/lib/place.c
@@ -310,8 +310,12 @@
 			continue;
 		if (a->retry_us == 0 || us < a->retry_us)
 			a->retry_us = us;
-		/* None waits for a rest: all would come at its end. */
-		if (mh_node_usable(p->f, n) && t.at_us < first.at_us)
+		/*
+		 * One that may get a request now was left out for another
+		 * reason.  None waits for a rest: all would come at its end.
+		 */
+		if (mh_node_usable(p->f, n) && t.at_us > mh_now(p->k) &&
+		    t.at_us < first.at_us)
 			first = t;
 	}
 	return first;
@@ -329,7 +333,7 @@
 	struct slot t = first_slot(p, a, pool);
 	bool is_warm;
 
-	if (t.node == NULL || t.at_us <= mh_now(p->k))
+	if (t.node == NULL)
 		return;
 	a->wait_us = t.at_us - mh_now(p->k);
 	is_warm = t.at_us >= t.node->warm_at_us;
@@ -350,6 +354,8 @@
 		struct mh_node *n = g_ptr_array_index(pool, i);
 
 		us = MIN(us, next_slot(p, a, n).at_us);
+		if (us <= mh_now(p->k))
+			return us;
 	}
 	if (pool != NULL)
 		(void)first_slot(p, a, pool);
