Sched: an endpoint without result memory is asked more and more seldom

Cause: pieces that are refused for lack of memory come again each 120 ms at each endpoint, and do not use the retry budget.

Change: the pause doubles with each call in a row that was refused as a whole, up to eight times; a piece that is done there or a result that is freed ends that.

Figures: "sched: a pool without result memory" fails before (a window of 10 s has more than the 120 arrivals allowed), passes after.

--- a/lib/sched.c
+++ b/lib/sched.c
@@ -228,6 +228,14 @@
 	end_job(sc, j, MH_JOB_DONE, 0);
 }
 
+static int64_t
+memory_pause_us(const struct worker *w)
+{
+	uint32_t more = MAX(w->memory_refusals, 1) - 1;
+
+	return MEMORY_PAUSE_US << MIN(more, MEMORY_PAUSE_DOUBLINGS);
+}
+
 static void
 finish_item(struct mh_sched *sc, struct mh_batch *b, struct worker *w,
     struct mh_batch_item *m, enum mh_batch_end end)
@@ -269,7 +277,7 @@
 		mh_sched_recompute_lost(sc, j, m->stage);
 	}
 	if (m->no_memory)
-		w->pause_end_us = mh_now(sc->k) + MEMORY_PAUSE_US;
+		w->pause_end_us = mh_now(sc->k) + memory_pause_us(w);
 	if (b->requeued || !ps->needed)
 		return;
 	if (end == MH_BATCH_FULL || m->no_memory) /* the piece did not run */
@@ -340,6 +348,25 @@
 	}
 }
 
+/* Counts calls in a row of which the endpoint had memory for no piece. */
+static void
+note_memory(const struct mh_batch *b, struct worker *w)
+{
+	uint32_t refused = 0, done = 0;
+
+	for (guint i = 0; i < b->items->len; i++) {
+		const struct mh_batch_item *m =
+		    &g_array_index(b->items, struct mh_batch_item, i);
+
+		refused += m->no_memory;
+		done += m->result != NULL;
+	}
+	if (done > 0)
+		w->memory_refusals = 0;
+	else if (refused > 0 && refused == b->items->len)
+		w->memory_refusals++;
+}
+
 void
 mh_sched_batch_end(
     struct mh_sched *sc, struct mh_batch *b, enum mh_batch_end end)
@@ -378,6 +405,7 @@
 		p->shared_end_us = 0;
 	}
 	report_requests(sc, b, end);
+	note_memory(b, w);
 	sc->dispatching = true; /* no dispatch until all items are processed */
 	for (guint i = 0; i < b->items->len; i++) {
 		struct mh_batch_item *m =
--- a/lib/schedint.h
+++ b/lib/schedint.h
@@ -8,8 +8,13 @@
 
 #include "gate.h"
 
-/* An endpoint without result memory gets no call for this long. */
+/*
+ * An endpoint without result memory gets no call for this long, and for twice
+ * as long after each further call that it refused as a whole, up to eight
+ * times.
+ */
 #define MEMORY_PAUSE_US (120 * MH_US_PER_MS)
+#define MEMORY_PAUSE_DOUBLINGS 3
 /*
  * While entries disagree on which of them is the coordinator, two processes
  * call the same endpoint, and our call waits there behind the other's.  For
@@ -28,6 +33,7 @@
 	uint32_t in_flight; /* calls in flight */
 	double slowdown; /* actual over expected call time */
 	int64_t pause_end_us; /* no calls before this time */
+	uint32_t memory_refusals; /* whole calls in a row */
 	int64_t shared_end_us; /* others seem to call it until this time */
 	uint64_t result_bytes; /* bytes of our results that it stores */
 	int64_t last_call_us; /* when the last call was sent */
--- a/lib/schedresult.c
+++ b/lib/schedresult.c
@@ -26,8 +26,10 @@
 
 	if (*slot == NULL)
 		return;
-	if (m->worker != NULL)
+	if (m->worker != NULL) {
 		mh_sched_memory_freed(m->worker, st->result_bytes);
+		m->worker->memory_refusals = 0;
+	}
 	m->worker = NULL;
 	sc->ops.discard(sc->ops.arg, *slot);
 	g_free(*slot);
--- a/regress/t_sched.c
+++ b/regress/t_sched.c
@@ -859,6 +859,40 @@
 	CU_ASSERT_EQUAL(run_jobs(true, false), JOBS);
 }
 
+/*
+ * Guards against a pool without result memory that gets the same pieces again
+ * and again: each such call is an arrival beyond the first.
+ */
+static void
+test_pool_without_memory(void)
+{
+	static const char *const pools[] = { "a", NULL };
+	static const uint32_t pieces[] = { 3 };
+	/* A window of 10 s with 20 requests a second, a ratio of 0.2, 80 more.
+	 */
+	const uint32_t allowed = 200 * 2 / 10 + 80;
+	struct world *w = world_create();
+	uint32_t n = 0, done;
+
+	world_pool(w, "a", 3, 8, 40 * MS, 4 * MS, 0);
+	for (int i = 0; i < 3; i++)
+		w->nodes[i].no_memory = true;
+	for (int i = 0; i < 200; i++) {
+		mh_sched_submit(
+		    w->sched, world_job(w, pools, pieces, 2 * S, 20 * S));
+		world_run(w, 50 * MS);
+	}
+	for (int i = 0; i < 3; i++)
+		n += w->nodes[i].calls;
+	CU_ASSERT(n <= allowed);
+	for (int i = 0; i < 3; i++)
+		w->nodes[i].no_memory = false;
+	done = w->done;
+	world_run(w, 2 * S);
+	CU_ASSERT(w->done > done + 50);
+	world_destroy(w);
+}
+
 const struct test tests_sched[] = {
 	{ "sched: jobs handed off are accepted", test_handed_off_is_accepted },
 	{ "sched: pieces of all entries share calls", test_pieces_share_calls },
@@ -897,5 +931,6 @@
 	{ "sched: no endpoint, refused at once",
 	    test_no_endpoint_refused_at_once },
 	{ "sched: no pieces", test_no_pieces },
+	{ "sched: a pool without result memory", test_pool_without_memory },
 	{ NULL, NULL },
 };
--- a/regress/world.c
+++ b/regress/world.c
@@ -60,6 +60,10 @@
 		struct mh_batch_item *m =
 		    &g_array_index(b->items, struct mh_batch_item, i);
 
+		if (n->no_memory) {
+			m->no_memory = true;
+			continue;
+		}
 		if (n->loses_inputs || call->inputs_lost) {
 			m->inputs_lost = true;
 			w->lost_inputs++;
--- a/regress/world.h
+++ b/regress/world.h
@@ -20,6 +20,7 @@
 	double slowdown; /* factor of the duration of calls */
 	bool loses_answers; /* answers are lost */
 	bool refuses; /* calls are refused */
+	bool no_memory; /* it has none for results */
 	bool crashed; /* crashed by the poison request: no answers */
 	uint32_t max_calls; /* more at a time are refused; 0: no limit */
 	uint32_t active_calls; /* calls running or waiting */
