--- a/lib/place.c
+++ b/lib/place.c
@@ -144,8 +144,7 @@
 		const struct mh_node *n = g_ptr_array_index(pool, i);
 		uint64_t w = mix(part, n->hash);
 
-		/* Few of its prompts could go to one that takes few requests.
-		 */
+		/* One with a limit could take few of its prompts. */
 		if (mh_node_usable(p->f, n) && n->said.limit_per_s == 0 &&
 		    (affine == NULL || w > best)) {
 			affine = n;
