Fleet: only work that was done ends a limit, not a rejection or a report

What callers saw: nothing yet; read in the code. An answer without a limit ended it, whatever it answered: a 503 that carries the load, or the answer to a report or to freed results. An endpoint that names its limit only where it has worked would have lost it each time, for all entries.

Change: only a 2xx with a stamp or the load, to a request or a stage call, ends a limit. Control calls are marked as such for the HTTP client, which reports when the call of a response started.

--- a/lib/gate.h
+++ b/lib/gate.h
@@ -145,8 +145,7 @@
 /** struct mh_said - what one answer says of its endpoint. */
 struct mh_said {
 	int64_t sent_us; /* when its request was sent; 0: not known */
-	bool is_work; /* an answer to work, which names a limit if there is one
-		       */
+	bool is_work; /* work was done: it names a limit if there is one */
 	bool has_limit;
 	double limit_per_s; /* requests a second, from all entries together */
 	bool leaving; /* it takes nothing new any more */
--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -51,6 +51,7 @@
 	char *echo_name;
 	char *echo;
 	bool is_head;
+	bool is_control;
 	bool aborted; /* without a connection; done() is not called */
 	struct mh_hcall_fns fns;
 	void *arg;
@@ -267,8 +268,8 @@
 report_head(const struct conn *c, enum attribution whose)
 {
 	struct mh_hcall_head h = { c->peer,
-		whose == OWN ? c->call->start_us : 0, c->parser.status_code,
-		c->headers };
+		whose == OWN && !c->call->is_control ? c->call->start_us : 0,
+		c->parser.status_code, c->headers };
 
 	if (c->calls->on_head != NULL)
 		c->calls->on_head(c->calls->on_head_arg, &h);
@@ -633,6 +634,7 @@
 	h->echo_name = g_strdup(args->echo_name);
 	h->echo = g_strdup(args->echo);
 	h->is_head = args->is_head;
+	h->is_control = args->is_control;
 	h->fns = args->fns;
 	h->arg = args->arg;
 	if (!args->fresh)
--- a/lib/opaque.h
+++ b/lib/opaque.h
@@ -174,6 +174,7 @@
 	const char *echo;
 	bool is_head; /* a HEAD request: the response has no body */
 	bool fresh; /* use a new connection */
+	bool is_control; /* it runs no work at the peer */
 	struct mh_hcall_fns fns;
 	void *arg;
 };
@@ -181,7 +182,8 @@
 /** struct mh_hcall_head - the head of a response, of whichever call. */
 struct mh_hcall_head {
 	const char *peer;
-	int64_t sent_us; /* when its call started; 0: a response to another */
+	/* when its call started; 0: a control call, or a response to another */
+	int64_t sent_us;
 	uint32_t status; /* 200 or higher */
 	const struct mh_headers *headers;
 };
--- a/regress/t_http.c
+++ b/regress/t_http.c
@@ -53,6 +53,9 @@
 	enum mh_hcall_outcome end;
 	uint32_t status;
 	GString *got;
+	bool is_control; /* its next calls are */
+	uint32_t heads; /* reported, of all calls */
+	uint32_t work_heads; /* of these, of calls that run work */
 };
 
 static void
@@ -1117,6 +1120,7 @@
 		.text = g_bytes_new(text, strlen(text)),
 		.echo_name = "X-Id",
 		.echo = id,
+		.is_control = r->is_control,
 		.fns = { c_head, c_data, c_done },
 		.arg = r };
 
@@ -1188,6 +1192,43 @@
 	}
 }
 
+static void
+on_any_head(void *arg, const struct mh_hcall_head *h)
+{
+	struct hrig *r = arg;
+
+	r->heads++;
+	r->work_heads += h->sent_us != 0;
+	CU_ASSERT_STRING_EQUAL(h->peer, "peer");
+	CU_ASSERT_EQUAL(h->status, 200);
+}
+
+/* Guards against heads that go unseen: of another call, or of a control call.
+ */
+static void
+test_every_head(void)
+{
+	struct hrig *r = hrig_create();
+
+	mh_hcalls_on_head(r->c, on_any_head, r);
+	listen_raw(r);
+	r->script = "HTTP/1.1 103 Early Hints\r\n\r\n" OK
+		    "X-Id: z\r\nContent-length: 3\r\n\r\nnot" OK
+		    "X-Id: a\r\nContent-length: 2\r\n\r\nhi";
+	r->expected = 1;
+	call(r, "a");
+	run(r);
+	CU_ASSERT_EQUAL(r->heads, 2);
+	CU_ASSERT_EQUAL(r->work_heads, 1);
+	r->is_control = true;
+	r->expected = 2;
+	call(r, "a");
+	run(r);
+	CU_ASSERT_EQUAL(r->heads, 4);
+	CU_ASSERT_EQUAL(r->work_heads, 1);
+	hrig_destroy(r);
+}
+
 /* A connection is reused for the next call, but not after a response of
  * another call. */
 static void
@@ -1280,6 +1321,7 @@
 	    test_finish_waits_for_bytes },
 	{ "serve: shutdown lets streams end", test_finish_lets_streams_end },
 	{ "call: responses of a peer", test_responses },
+	{ "call: every head is reported", test_every_head },
 	{ "call: reuse of connections", test_reuse },
 	{ "call: not sent", test_unsent },
 	{ NULL, NULL },
--- a/regress/t_said.c
+++ b/regress/t_said.c
@@ -500,6 +500,32 @@
 	world_destroy(w);
 }
 
+/* Guards against a rejection that ends a limit because it names none. */
+static void
+test_limit_and_rejections(void)
+{
+	static const struct {
+		uint32_t status;
+		const char *name;
+		bool is_work;
+	} t[] = { { 200, "X-Response-Stamp", true },
+		{ 200, "X-Instance-Load", true }, { 200, "Server", false },
+		{ 503, "X-Instance-Load", false },
+		{ 429, "X-Instance-Load", false },
+		{ 500, "X-Response-Stamp", false },
+		{ 421, "X-Instance-Load", false } };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(t); i++) {
+		struct mh_headers *h = mh_headers_create();
+		struct mh_said s;
+
+		mh_headers_add(h, t[i].name, "1,0,8");
+		plat_said_decode(t[i].status, h, &s);
+		CU_ASSERT_EQUAL(s.is_work, t[i].is_work);
+		mh_headers_destroy(h);
+	}
+}
+
 /* Guards against values that make no sense. */
 static void
 test_limit_values(void)
@@ -818,6 +844,7 @@
 	{ "said: refused at once", test_gate_refuses_at_once },
 	{ "said: refused before stage work", test_gate_refuses_before_stages },
 	{ "said: a limit of a stage endpoint", test_limit_of_stage_endpoint },
+	{ "said: a limit and rejections", test_limit_and_rejections },
 	{ "said: values of a limit", test_limit_values },
 	{ "said: one leaves, by its word and its row", test_leaving_and_rows },
 	{ "said: no request for one that leaves", test_gate_leaving },
