Sched: why each call repeats pieces, in the log and in counters

What callers saw: nothing.

Change: each piece has the reason of its next call (moved, full, lost, overdue, not run, recomputed); the line "batch" names them (resend=) and a counter for each counts the calls. No decision is changed.

--- a/lib/gate.h
+++ b/lib/gate.h
@@ -497,6 +497,7 @@
 	double weight; /* its value over the mean of its route, 0: unknown */
 	bool refused_before; /* a retry after a refusal */
 	bool handed_off; /* another scheduler had it before */
+	bool recomputed; /* a job of its request was done before */
 	int64_t arrived_us;
 	int64_t slo_us; /* absolute latency objective of the stage work */
 	int64_t deadline_us; /* absolute */
@@ -549,6 +550,7 @@
 	const char *node_name; /* interned, valid after the batch is freed */
 	char *pool;
 	GArray *items; /* struct mh_batch_item */
+	uint32_t resend; /* bit mask of enum resend; 0: no piece of it */
 	int64_t sent_us;
 	int64_t expect_us; /* estimated duration of the call */
 	bool requeued; /* overdue: its pieces were queued again */
--- a/lib/sched.c
+++ b/lib/sched.c
@@ -172,6 +172,10 @@
 			ss->pieces[i].needed =
 			    g_ptr_array_index(st->results, i) == NULL;
 			ss->remaining += ss->pieces[i].needed;
+			if (j->recomputed)
+				ss->pieces[i].resend = RESEND_RECOMPUTED;
+			else if (j->handed_off)
+				ss->pieces[i].resend = RESEND_MOVED;
 		}
 	}
 	skip_unneeded(j);
@@ -236,6 +240,20 @@
 	return MEMORY_PAUSE_US << MIN(more, MEMORY_PAUSE_DOUBLINGS);
 }
 
+static enum resend
+resend_after(enum mh_batch_end end)
+{
+	switch (end) {
+	case MH_BATCH_DONE:
+		return RESEND_NOT_RUN;
+	case MH_BATCH_FULL:
+		return RESEND_FULL;
+	case MH_BATCH_LOST:
+		break;
+	}
+	return RESEND_LOST;
+}
+
 static void
 finish_item(struct mh_sched *sc, struct mh_batch *b, struct worker *w,
     struct mh_batch_item *m, enum mh_batch_end end)
@@ -283,6 +301,7 @@
 	if (end == MH_BATCH_FULL || m->no_memory) /* the piece did not run */
 		ps->tries--;
 	ps->inputs_read = false;
+	ps->resend = resend_after(end);
 	if (ps->tries >= PIECE_TRIES ||
 	    (end != MH_BATCH_DONE && !mh_budget_take(sc->budget, b->pool))) {
 		mh_event(sc->k, "job-failed",
@@ -456,6 +475,7 @@
 		ss = &m->job->state->stages[m->stage];
 		ss->pieces[m->piece].in_flight = false;
 		ss->pieces[m->piece].inputs_read = false;
+		ss->pieces[m->piece].resend = RESEND_OVERDUE;
 		ss->in_flight--;
 		mh_sched_recompute_freed(sc, m->job, m->stage);
 		mh_budget_take(sc->budget, b->pool);
--- a/lib/schedint.h
+++ b/lib/schedint.h
@@ -60,8 +60,21 @@
 	int64_t arrivals_us; /* when it was last decayed */
 };
 
+/** enum resend - why a piece is sent again. */
+enum resend {
+	RESEND_NONE, /* it was not sent before */
+	RESEND_MOVED, /* its coordinator was lost */
+	RESEND_FULL, /* the endpoint refused the call */
+	RESEND_LOST, /* no answer */
+	RESEND_OVERDUE, /* no answer yet */
+	RESEND_NOT_RUN, /* answered, without a result for it */
+	RESEND_RECOMPUTED, /* its result was lost or freed */
+	RESENDS
+};
+
 /** struct piece_state - one piece, and the endpoint with its result. */
 struct piece_state {
+	enum resend resend; /* of its next call */
 	bool needed; /* its result is to be computed */
 	bool in_flight; /* in a call that is not overdue */
 	bool inputs_read; /* its call has read its inputs */
--- a/lib/schedresult.c
+++ b/lib/schedresult.c
@@ -153,6 +153,7 @@
 	if (ss->remaining == 0)
 		j->state->lost_stages |= 1U << stage;
 	ss->pieces[piece].needed = true;
+	ss->pieces[piece].resend = RESEND_RECOMPUTED;
 	ss->pieces[piece].inputs_read = false;
 	ss->remaining++;
 	j->state->paths_stale = true;
--- a/lib/schedrun.c
+++ b/lib/schedrun.c
@@ -288,6 +288,8 @@
 			MEMORY_SHARE_MAX * (double)gw->result_memory_bytes)
 			return;
 		u->job->state->started = true;
+		if (ss->pieces[i].resend != RESEND_NONE)
+			b->resend |= 1U << ss->pieces[i].resend;
 		ss->pieces[i].in_flight = true;
 		ss->pieces[i].inputs_read = false;
 		ss->pieces[i].tries++;
@@ -431,6 +433,49 @@
 	return true;
 }
 
+/* Names of the reasons in a bit mask of enum resend; the caller frees it. */
+static char *
+resend_text(uint32_t mask)
+{
+	static const char *const names[RESENDS] = { "none", "moved", "full",
+		"lost", "overdue", "not-run", "recomputed" };
+	GString *g = g_string_new(mask == 0 ? names[RESEND_NONE] : NULL);
+
+	for (uint32_t i = RESEND_NONE + 1; i < RESENDS; i++) {
+		if ((mask >> i & 1) != 0)
+			g_string_append_printf(
+			    g, "%s%s", g->len > 0 ? "," : "", names[i]);
+	}
+	return g_string_free(g, FALSE);
+}
+
+/* Counts and logs a call that is sent. */
+static void
+log_batch(struct mh_sched *sc, const struct mh_batch *b, const struct worker *w,
+    const GArray *ready)
+{
+	static const char *const counters[RESENDS] = { "batches",
+		"batches_resent_moved", "batches_resent_full",
+		"batches_resent_lost", "batches_resent_overdue",
+		"batches_resent_not_run", "batches_resent_recomputed" };
+	const struct mh_gwork *gw = mh_sched_work_conf(sc, b->pool);
+	char *why = resend_text(b->resend);
+
+	mh_count(sc->k, "batches", 1);
+	mh_count(sc->k, "batch_pieces", b->items->len);
+	for (uint32_t i = RESEND_NONE + 1; i < RESENDS; i++)
+		mh_count(sc->k, counters[i], b->resend >> i & 1);
+	mh_event(sc->k, "batch",
+	    "batch=%" PRIu64 " pool=%s node=%s pieces=%u "
+	    "of=%u ready=%u held_kb=%" PRIu64 " room_kb=%" PRIu64
+	    " expect_ms=%" PRId64 " slow=%.2f first=%s resend=%s",
+	    b->id, b->pool, b->node, b->items->len, gw->batch,
+	    ready_pieces(ready), w->result_bytes >> 10,
+	    gw->result_memory_bytes >> 10, mh_ms(b->expect_us), w->slowdown,
+	    g_array_index(b->items, struct mh_batch_item, 0).job->id, why);
+	g_free(why);
+}
+
 static void
 run_batch(
     struct mh_sched *sc, struct sched_pool *p, struct mh_node *n, GArray *ready)
@@ -457,16 +502,7 @@
 	}
 	w->in_flight++;
 	mh_node_sent(sc->f, n);
-	mh_count(sc->k, "batches", 1);
-	mh_count(sc->k, "batch_pieces", b->items->len);
-	mh_event(sc->k, "batch",
-	    "batch=%" PRIu64 " pool=%s node=%s pieces=%u "
-	    "of=%u ready=%u held_kb=%" PRIu64 " room_kb=%" PRIu64
-	    " expect_ms=%" PRId64 " slow=%.2f first=%s",
-	    b->id, p->name, n->id, b->items->len, gw->batch,
-	    ready_pieces(ready), w->result_bytes >> 10,
-	    gw->result_memory_bytes >> 10, mh_ms(b->expect_us), w->slowdown,
-	    g_array_index(b->items, struct mh_batch_item, 0).job->id);
+	log_batch(sc, b, w, ready);
 	b->sched = sc;
 	if (starts_at_once(sc, p, w, b))
 		b->read_timer =
