Sched: the retries of stage work belong to the entry that has the request

Cause: the budget was that of whoever schedules, its slack divided by slices. Links decide how many entries believe that they schedule, so each of 60 had the whole. Jobs that move, lost results, pieces refused for memory and overdue calls were sent again without a budget that could refuse (185 of 383 calls).

Ruled out: the herd of full calls alone; of those 383 calls 182 followed a full one, but the other ways by themselves exceed a share, and the logs show the budget refusing next to nothing.

Change: an entry has a share of the slack by the list of entries, and the ratio of its own requests. A job at a coordinator takes along a part, and its end returns what is left; if no end comes, all counts as spent until the job's deadline. All ways ask at one place, one retry a call. A job waits for a retry that the budget will allow in its time. A piece of a full call waits for a random time that doubles. Parts of a retry are rounded at random, as 60 entries would lose them. The wire has three new fields; protobuf-c-compiler, which make proto calls, is now declared.

Drawn partings of 4, 60 and 358 entries hold.

Conclusion: the share is right however links part the entries, since nobody has to know who else schedules.

--- a/lib/broker.c
+++ b/lib/broker.c
@@ -6,6 +6,11 @@
  * which continues from the computed stages: a piece may be computed twice, but
  * a request is sent once. A coordinator that drains, or that another entry
  * replaces, hands off its jobs with all computed results.
+ *
+ * The retries of a request's stage work count against the budget of the entry
+ * that received the request. Each job that is sent takes along a part of it,
+ * and its end returns what is left. If the end doesn't come, all of it counts
+ * as spent, as the former coordinator may still spend it.
  */
 
 #include "mesh.h"
@@ -19,12 +24,22 @@
  */
 #define CHECK_US (100 * MH_US_PER_MS)
 #define CHECKS_TO_HAND_OFF 3
+/*
+ * What a job takes along of the retries that its entry has left: few jobs need
+ * any, and a coordinator may use those of all its jobs for one. A job whose
+ * pieces may have been sent before is likely to need one.
+ */
+#define GRANT_SHARE 0.25
+#define GRANT_MAX 0.25
+#define GRANT_RESENT_MAX 1.0
+#define MILLI 1000
 
 /* A job sent to another entry. */
 struct sent_job {
 	struct mh_job *job;
 	char *node;
 	bool done; /* its results have been returned to the request */
+	double granted[MH_GSTAGES]; /* retries at each stage's pool */
 };
 
 /* A job received from another entry; the submitter of its mh_job. */
@@ -39,6 +54,7 @@
 	struct mh_kern *k;
 	struct mh_mesh *m;
 	struct mh_scheds *scheds;
+	struct mh_budget *budget; /* of the schedulers */
 	GHashTable *sent_jobs; /* job -> struct sent_job */
 	GHashTable *remote_jobs; /* node/id -> struct remote_job */
 	GHashTable *remote_by_job; /* job -> struct remote_job */
@@ -60,6 +76,70 @@
 	g_free(s);
 }
 
+/* Whether an earlier stage of the job uses the same pool. */
+static bool
+pool_was_seen(const struct mh_job *j, uint32_t stage)
+{
+	for (uint32_t s = 0; s < stage; s++) {
+		if (j->stages[s].pieces > 0 &&
+		    strcmp(j->stages[s].pool, j->stages[stage].pool) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* Counts a request for each pool that its stages use. */
+static void
+count_request(struct mh_broker *b, const struct mh_job *j)
+{
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		if (j->stages[s].pieces > 0 && !pool_was_seen(j, s))
+			mh_budget_request(b->budget, j->stages[s].pool);
+	}
+}
+
+static void
+grant_retries(struct mh_broker *b, struct sent_job *s)
+{
+	const struct mh_job *j = s->job;
+
+	for (uint32_t i = 0; i < j->n_stages; i++) {
+		if (j->stages[i].pieces == 0 || pool_was_seen(j, i) ||
+		    mh_job_stage_done(&j->stages[i]))
+			continue;
+		s->granted[i] = mh_budget_grant(b->budget, j->stages[i].pool,
+		    j->resent ? 1 : GRANT_SHARE,
+		    j->resent ? GRANT_RESENT_MAX : GRANT_MAX);
+	}
+}
+
+/* The coordinator has ended the job and returns what is left. */
+static void
+settle_retries(struct mh_broker *b, struct sent_job *s, const Mh__JobEnd *m)
+{
+	for (uint32_t i = 0; i < s->job->n_stages; i++) {
+		double left = i < m->n_stages
+		    ? (double)m->stages[i]->retries_milli / MILLI
+		    : 0;
+
+		if (s->granted[i] > 0)
+			mh_budget_settle(b->budget, s->job->stages[i].pool,
+			    s->granted[i], left);
+		s->granted[i] = 0;
+	}
+}
+
+/* Nothing more will be heard of the job; it ends by its deadline. */
+static void
+forfeit_retries(struct mh_broker *b, struct sent_job *s)
+{
+	for (uint32_t i = 0; i < s->job->n_stages; i++) {
+		mh_budget_forfeit(b->budget, s->job->stages[i].pool,
+		    s->granted[i], s->job->deadline_us);
+		s->granted[i] = 0;
+	}
+}
+
 static char *
 remote_key(const char *node, const char *id)
 {
@@ -93,9 +173,10 @@
 }
 
 static void
-send_job(struct mh_broker *b, struct mh_job *j, const char *node,
-    uint32_t slice, uint32_t slices)
+send_job(struct mh_broker *b, const struct sent_job *sent, uint32_t slice,
+    uint32_t slices)
 {
+	struct mh_job *j = sent->job;
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__Job m = MH__JOB__INIT;
 	Mh__JobStage stages[MH_GSTAGES], *list[MH_GSTAGES];
@@ -111,6 +192,7 @@
 	m.slices = slices;
 	m.returned = j->refused_before;
 	m.moved = j->handed_off;
+	m.resent = j->resent;
 	m.print = j->fingerprint;
 	m.aim_us = j->slo_us - mh_now(b->k);
 	m.deadline_us = j->deadline_us - mh_now(b->k);
@@ -122,6 +204,7 @@
 		stages[s].after = j->stages[s].after;
 		stages[s].pieces = j->stages[s].pieces;
 		stages[s].result_bytes = j->stages[s].result_bytes;
+		stages[s].retries_milli = (uint32_t)(sent->granted[s] * MILLI);
 		list[s] = &stages[s];
 		results[s] = results_of(&j->stages[s]);
 		if (results[s] == NULL)
@@ -136,7 +219,7 @@
 	}
 	f.body_case = MH__FRAME__BODY_JOB;
 	f.job = &m;
-	mh_mesh_send(b->m, node, &f);
+	mh_mesh_send(b->m, sent->node, &f);
 	for (uint32_t s = 0; s < j->n_stages; s++)
 		g_free(results[s]);
 }
@@ -181,7 +264,8 @@
 	mh_count(b->k, "jobs_sent", 1);
 	mh_event(b->k, "job-sent", "id=%s home=%s slice=%u/%u", j->id,
 	    coordinator, slice, count);
-	send_job(b, j, coordinator, slice, count);
+	grant_retries(b, s);
+	send_job(b, s, slice, count);
 }
 
 static void
@@ -205,6 +289,8 @@
 {
 	int64_t wait_us = mh_mesh_settle_us(b->m);
 
+	if (!j->handed_off && !j->resent)
+		count_request(b, j);
 	if (wait_us == 0) {
 		submit(b, j);
 		return;
@@ -249,6 +335,7 @@
 		discard_results(b, j);
 		return;
 	}
+	forfeit_retries(b, s);
 	d.id = j->id;
 	f.body_case = MH__FRAME__BODY_JOB_DROP;
 	f.job_drop = &d;
@@ -325,6 +412,7 @@
 	s = g_hash_table_lookup(b->sent_jobs, j);
 	if (s->done) /* it was sent twice, and ended both times */
 		return;
+	settle_retries(b, s, m);
 	if (end == MH_JOB_DONE) {
 		take_results(j, m);
 		if (!has_results(j))
@@ -334,6 +422,7 @@
 	if (end != MH_JOB_DONE)
 		g_hash_table_remove(b->sent_jobs, j);
 	if (end == MH_JOB_HANDED_OFF) {
+		j->resent = m->resent;
 		hand_off(b, j, node);
 		return;
 	}
@@ -397,6 +486,7 @@
 	j->weight = m->weight;
 	j->refused_before = m->returned;
 	j->handed_off = m->moved;
+	j->resent = m->resent;
 	j->fingerprint = m->print;
 	j->arrived_us = mh_now(b->k);
 	j->slo_us = j->arrived_us + m->aim_us;
@@ -407,6 +497,8 @@
 		j->stages[s].after = m->stages[s]->after & ((1U << s) - 1);
 		j->stages[s].pieces = m->stages[s]->pieces;
 		j->stages[s].result_bytes = m->stages[s]->result_bytes;
+		j->stages[s].granted =
+		    (double)MIN(m->stages[s]->retries_milli, MILLI) / MILLI;
 		if (m->stages[s]->n_results > 0 &&
 		    m->stages[s]->n_results == m->stages[s]->pieces)
 			mh_job_set_results(j, s, m->stages[s]->results,
@@ -484,13 +576,16 @@
 	m.held = end == MH_JOB_QUARANTINED;
 	m.end = m.held ? MH_JOB_FAILED : end;
 	m.retry_us = (uint64_t)MAX(retry_us, 0);
-	m.n_stages = end == MH_JOB_DONE ? j->n_stages : 0;
+	m.resent = end == MH_JOB_HANDED_OFF && j->resent;
+	m.n_stages = j->n_stages;
 	m.stages = list;
 	for (uint32_t s = 0; s < j->n_stages; s++) {
 		GPtrArray *a = j->stages[s].results;
 
 		mh__job_stage__init(&stages[s]);
 		list[s] = &stages[s];
+		stages[s].retries_milli =
+		    (uint32_t)(j->stages[s].granted * MILLI);
 		if (end != MH_JOB_DONE)
 			continue;
 		stages[s].n_results = a->len;
@@ -591,9 +686,11 @@
 		if (s == NULL || strcmp(s->node, node) != 0)
 			continue;
 		done = s->done;
+		forfeit_retries(b, s);
 		g_hash_table_remove(b->sent_jobs, j);
 		if (done)
 			continue; /* the results don't depend on that entry */
+		j->resent = true;
 		hand_off(b, j, node);
 	}
 	g_list_free(all);
@@ -665,6 +762,7 @@
 	b->k = k;
 	b->m = m;
 	b->scheds = scheds;
+	b->budget = mh_scheds_budget(scheds);
 	b->sent_jobs = g_hash_table_new_full(NULL, NULL, NULL, free_sent);
 	b->remote_jobs =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
--- a/lib/budget.c
+++ b/lib/budget.c
@@ -3,7 +3,9 @@
  *
  * When endpoints fail, retries multiply the load on the remaining ones.  The
  * entries share one allowance per pool: each may spend a ratio of the requests
- * that it received and its share of a fixed slack, over a sliding window.
+ * that it received and its share of a fixed slack, over a sliding window.  What
+ * another process retries for it is granted to that process in advance, so the
+ * sum is bounded however the links between entries fail.
  */
 
 #include "gate.h"
@@ -19,12 +21,22 @@
 #define HELD (BUCKETS + 1)
 /* The rest is a margin for entries that count over shifted windows. */
 #define SLACK_USED 0.8
+/* Sums of parts of a retry differ from whole numbers by less than this. */
+#define ROUNDING 1e-6
 /* Others know of a process that has started after this time at most. */
 #define JOIN_US (5 * MH_US_PER_S)
 
+/** struct forfeit - part of a grant of which nothing more will be heard. */
+struct forfeit {
+	int64_t until_us; /* it may be spent until then */
+	double retries;
+};
+
 struct window {
 	uint32_t requests[HELD];
-	uint32_t retries[HELD];
+	double retries[HELD];
+	double granted; /* to other processes, not settled yet */
+	GArray *forfeits; /* struct forfeit, part of @granted */
 	int64_t newest; /* number of the newest bucket */
 	int64_t logged_us; /* when a refused retry was last logged; 0: never */
 	uint32_t refused; /* retries since then */
@@ -37,6 +49,7 @@
 	uint32_t most[HELD]; /* maximum of @entries in each bucket */
 	int64_t newest; /* number of the newest bucket of @most */
 	bool shared; /* with other processes */
+	double rounding; /* see mh_budget_round() */
 	int64_t start_us; /* of this process */
 	int64_t known_us; /* retries before are not known, if it is shared */
 	GHashTable *pools; /* name -> struct window */
@@ -46,6 +59,15 @@
 	int64_t asked_us; /* when it last fired */
 };
 
+static void
+free_window(void *arg)
+{
+	struct window *w = arg;
+
+	g_array_free(w->forfeits, TRUE);
+	g_free(w);
+}
+
 struct mh_budget *
 mh_budget_create(struct mh_kern *k, const struct mh_budget_args *a)
 {
@@ -56,7 +78,7 @@
 	b->entries = 1;
 	b->start_us = mh_now(k);
 	b->pools =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_window);
 	return b;
 }
 
@@ -111,6 +133,8 @@
 resize(struct window *w, int64_t old_us, int64_t new_us, int64_t newest)
 {
 	struct window to = { .newest = newest,
+		.granted = w->granted,
+		.forfeits = w->forfeits,
 		.logged_us = w->logged_us,
 		.refused = w->refused };
 
@@ -198,6 +222,22 @@
 	return most_entries(b);
 }
 
+/* Counts forfeits as spent at the latest time at which they can have been. */
+static void
+count_forfeits(struct mh_budget *b, struct window *w)
+{
+	for (guint i = w->forfeits->len; i-- > 0;) {
+		struct forfeit *f =
+		    &g_array_index(w->forfeits, struct forfeit, i);
+
+		if (f->until_us > mh_now(b->k))
+			continue;
+		w->granted -= f->retries;
+		w->retries[w->newest % HELD] += f->retries;
+		g_array_remove_index_fast(w->forfeits, i);
+	}
+}
+
 static struct window *
 window_of(struct mh_budget *b, const char *pool)
 {
@@ -207,6 +247,7 @@
 	if (w == NULL) {
 		w = g_new0(struct window, 1);
 		w->newest = bucket;
+		w->forfeits = g_array_new(FALSE, FALSE, sizeof(struct forfeit));
 		g_hash_table_insert(b->pools, g_strdup(pool), w);
 	}
 	for (int n = 0; w->newest < bucket && n < HELD; n++) {
@@ -215,6 +256,7 @@
 		w->retries[w->newest % HELD] = 0;
 	}
 	w->newest = bucket;
+	count_forfeits(b, w);
 	return w;
 }
 
@@ -259,41 +301,106 @@
 static double
 used(const struct window *w)
 {
-	double n = 0;
+	double n = w->granted;
 
 	for (int i = 0; i < HELD; i++)
 		n += w->retries[i];
 	return n;
 }
 
-/* Logs that a pool's budget is used up, at most once a window. */
-static void
-log_refused(struct mh_budget *b, const char *pool, struct window *w)
+void
+mh_budget_refuse(struct mh_budget *b, const char *pool)
 {
+	struct window *w = window_of(b, pool);
 	int64_t now = mh_now(b->k);
 
+	mh_count(b->k, "repeats_over_budget", 1);
 	w->refused++;
 	if (w->logged_us != 0 && now - w->logged_us < b->args.window_us)
 		return;
 	mh_event(b->k, "retries-used-up",
 	    "pool=%s used=%.0f allowed=%.1f slack=%.1f entries=%u refused=%u "
-	    "up_s=%" PRId64,
-	    pool, used(w), allowance(b, w), slack_share(b), most_entries(b),
-	    w->refused, mh_ms(now - b->start_us) / 1000);
+	    "up_s=%" PRId64 " granted=%.1f",
+	    pool, used(w) - w->granted, allowance(b, w), slack_share(b),
+	    most_entries(b), w->refused, mh_ms(now - b->start_us) / 1000,
+	    w->granted);
 	w->logged_us = now;
 	w->refused = 0;
 }
 
+void
+mh_budget_round(struct mh_budget *b)
+{
+	b->rounding = mh_random_unit(b->k);
+}
+
+bool
+mh_budget_allows(struct mh_budget *b, const char *pool)
+{
+	const struct window *w = window_of(b, pool);
+
+	return used(w) + 1 <= allowance(b, w) + b->rounding + ROUNDING;
+}
+
+int64_t
+mh_budget_wait_us(struct mh_budget *b, const char *pool)
+{
+	const struct window *w = window_of(b, pool);
+	double allowed = allowance(b, w) + b->rounding, spent = used(w);
+	int64_t bucket = bucket_us(b), next = bucket - mh_now(b->k) % bucket;
+
+	/* Buckets leave the window one after the other, the oldest first. */
+	for (int64_t i = 0; i <= HELD; i++) {
+		if (spent + 1 <= allowed + ROUNDING)
+			return i == 0 ? 0 : next + (i - 1) * bucket;
+		spent -= w->retries[(w->newest + 1 + i) % HELD];
+		if (i + 1 < HELD)
+			allowed -= b->args.ratio *
+			    w->requests[(w->newest + 2 + i) % HELD];
+	}
+	return INT64_MAX;
+}
+
 bool
 mh_budget_take(struct mh_budget *b, const char *pool)
 {
 	struct window *w = window_of(b, pool);
 
-	if (used(w) + 1 > allowance(b, w)) {
-		mh_count(b->k, "repeats_over_budget", 1);
-		log_refused(b, pool, w);
+	if (!mh_budget_allows(b, pool)) {
+		mh_budget_refuse(b, pool);
 		return false;
 	}
 	w->retries[w->newest % HELD]++;
 	return true;
 }
+
+double
+mh_budget_grant(
+    struct mh_budget *b, const char *pool, double share, double most)
+{
+	struct window *w = window_of(b, pool);
+	double n = CLAMP(share * (allowance(b, w) - used(w)), 0, most);
+
+	w->granted += n;
+	return n;
+}
+
+void
+mh_budget_settle(
+    struct mh_budget *b, const char *pool, double granted, double left)
+{
+	struct window *w = window_of(b, pool);
+
+	w->granted -= granted;
+	w->retries[w->newest % HELD] += granted - CLAMP(left, 0, granted);
+}
+
+void
+mh_budget_forfeit(
+    struct mh_budget *b, const char *pool, double granted, int64_t until_us)
+{
+	struct forfeit f = { until_us, granted };
+
+	if (granted > 0)
+		g_array_append_val(window_of(b, pool)->forfeits, f);
+}
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -448,6 +448,11 @@
  * predecessor of this process has spent is in the window.
  */
 void mh_budget_share(struct mh_budget *b);
+/**
+ * mh_budget_round() - rounds what is allowed to a whole number, up or down at
+ * random, so that parts of a retry are not lost where many processes share.
+ */
+void mh_budget_round(struct mh_budget *b);
 /** mh_budget_set() - replaces the bounds; retries already spent still count. */
 void mh_budget_set(struct mh_budget *b, const struct mh_budget_args *a);
 /** mh_budget_entries() - the slack is divided among @n processes. */
@@ -464,6 +469,35 @@
 void mh_budget_request(struct mh_budget *b, const char *pool);
 /** mh_budget_take() - whether a retry is allowed; counts it if so. */
 bool mh_budget_take(struct mh_budget *b, const char *pool);
+/** mh_budget_allows() - whether a retry is allowed; counts nothing. */
+bool mh_budget_allows(struct mh_budget *b, const char *pool);
+/**
+ * mh_budget_wait_us() - when a retry will be allowed if no request comes.
+ *
+ * Return: microseconds from now; INT64_MAX: not without requests.
+ */
+int64_t mh_budget_wait_us(struct mh_budget *b, const char *pool);
+/** mh_budget_refuse() - counts and logs a retry that is not allowed. */
+void mh_budget_refuse(struct mh_budget *b, const char *pool);
+/**
+ * mh_budget_grant() - allows another process to retry for this one.
+ * @share: of what is left
+ * @most: retries
+ *
+ * Return: parts of a retry, which are not available here until they are
+ * settled or forfeited.
+ */
+double mh_budget_grant(
+    struct mh_budget *b, const char *pool, double share, double most);
+/** mh_budget_settle() - the other process has spent all but @left. */
+void mh_budget_settle(
+    struct mh_budget *b, const char *pool, double granted, double left);
+/**
+ * mh_budget_forfeit() - the other process will not say what it has spent.
+ * @until_us: absolute; it spends nothing after that
+ */
+void mh_budget_forfeit(
+    struct mh_budget *b, const char *pool, double granted, int64_t until_us);
 
 /* sched.c: schedules and batches the stage work of many requests */
 
@@ -476,6 +510,7 @@
 	uint32_t pieces; /* 0: the job skips this stage */
 	uint64_t result_bytes;
 	GPtrArray *results; /* char *, NULL: not computed yet */
+	double granted; /* retries at its pool that the submitter allows */
 };
 
 enum mh_job_end {
@@ -497,7 +532,7 @@
 	double weight; /* its value over the mean of its route, 0: unknown */
 	bool refused_before; /* a retry after a refusal */
 	bool handed_off; /* another scheduler had it before */
-	bool recomputed; /* a job of its request was done before */
+	bool resent; /* pieces without a result may have been sent before */
 	int64_t arrived_us;
 	int64_t slo_us; /* absolute latency objective of the stage work */
 	int64_t deadline_us; /* absolute */
@@ -551,6 +586,7 @@
 	char *pool;
 	GArray *items; /* struct mh_batch_item */
 	uint32_t resend; /* bit mask of enum resend; 0: no piece of it */
+	bool overdue;
 	int64_t sent_us;
 	int64_t expect_us; /* estimated duration of the call */
 	bool requeued; /* overdue: its pieces were queued again */
@@ -653,6 +689,8 @@
 /** mh_scheds_get() - the scheduler of a slice, created on first use. */
 struct mh_sched *mh_scheds_get(
     struct mh_scheds *scs, uint32_t index, uint32_t count);
+/** mh_scheds_budget() - the budget of the schedulers, not owned. */
+struct mh_budget *mh_scheds_budget(struct mh_scheds *scs);
 /** mh_scheds_count() - current number of slices. */
 uint32_t mh_scheds_count(struct mh_scheds *scs);
 /**
--- a/lib/gatejob.c
+++ b/lib/gatejob.c
@@ -75,7 +75,7 @@
 	j->fingerprint = q->fingerprint;
 	j->priority = q->priority;
 	j->refused_before = q->returned;
-	j->recomputed = q->n_jobs > 0;
+	j->resent = q->n_jobs > 0;
 	j->weight = job_weight(g, q);
 	j->arrived_us = q->arrived_us;
 	set_times(g, q, j);
--- a/lib/sched.c
+++ b/lib/sched.c
@@ -34,6 +34,12 @@
 #define LOST_FACTOR 8.0
 /* An endpoint that refused a call gets no other for this long. */
 #define FULL_PAUSE_US (150 * MH_US_PER_MS)
+/*
+ * A piece of it waits for a random time up to twice this, and for twice as long
+ * after each further refusal: those who find an endpoint full are many.
+ */
+#define FULL_WAIT_US (50 * MH_US_PER_MS)
+#define FULL_WAIT_DOUBLINGS 3
 /*
  * The excess of a slowdown estimate over 1 shrinks by this factor per tick, so
  * that an endpoint that has recovered is used again.
@@ -172,10 +178,10 @@
 			ss->pieces[i].needed =
 			    g_ptr_array_index(st->results, i) == NULL;
 			ss->remaining += ss->pieces[i].needed;
-			if (j->recomputed)
-				ss->pieces[i].resend = RESEND_RECOMPUTED;
-			else if (j->handed_off)
-				ss->pieces[i].resend = RESEND_MOVED;
+			if (j->resent)
+				ss->pieces[i].resend = j->handed_off
+				    ? RESEND_MOVED
+				    : RESEND_RECOMPUTED;
 		}
 	}
 	skip_unneeded(j);
@@ -212,6 +218,10 @@
 		mh_sched_note_arrival(sc, j);
 	if (j->handed_off)
 		sc->last_handoff_us = mh_now(sc->k);
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		if (j->stages[s].granted > 0)
+			sc->last_grant_us = mh_now(sc->k);
+	}
 	g_ptr_array_add(sc->jobs, j);
 	if (sc->tick == NULL)
 		sc->tick = mh_timer_start(sc->k, TICK_US, on_tick, sc);
@@ -254,6 +264,15 @@
 	return RESEND_LOST;
 }
 
+static int64_t
+full_wait_us(struct mh_sched *sc, struct piece_state *ps)
+{
+	int64_t us = FULL_WAIT_US << MIN(ps->fulls, FULL_WAIT_DOUBLINGS);
+
+	ps->fulls++;
+	return us + (int64_t)((double)us * mh_random_unit(sc->k));
+}
+
 static void
 finish_item(struct mh_sched *sc, struct mh_batch *b, struct worker *w,
     struct mh_batch_item *m, enum mh_batch_end end)
@@ -300,13 +319,16 @@
 		return;
 	if (end == MH_BATCH_FULL || m->no_memory) /* the piece did not run */
 		ps->tries--;
+	if (end == MH_BATCH_FULL)
+		ps->pause_end_us = mh_now(sc->k) + full_wait_us(sc, ps);
+	else
+		ps->fulls = 0;
 	ps->inputs_read = false;
 	ps->resend = resend_after(end);
-	if (ps->tries >= PIECE_TRIES ||
-	    (end != MH_BATCH_DONE && !mh_budget_take(sc->budget, b->pool))) {
+	if (ps->tries >= PIECE_TRIES) {
 		mh_event(sc->k, "job-failed",
-		    "id=%s stage=%u piece=%u tries=%u", j->id, m->stage,
-		    m->piece, ps->tries);
+		    "id=%s stage=%u piece=%u tries=%u why=tries", j->id,
+		    m->stage, m->piece, ps->tries);
 		end_job(sc, j, MH_JOB_FAILED, 0);
 		return;
 	}
@@ -444,27 +466,31 @@
 	mh_sched_dispatch_all(sc);
 }
 
-/* Queues the pieces of an overdue call again, for another endpoint. */
 static void
-requeue_pieces(struct mh_sched *sc, struct mh_batch *b)
+note_overdue(struct mh_sched *sc, struct mh_batch *b, struct worker *w)
 {
-	struct worker *w =
-	    mh_sched_worker_of(mh_sched_pool_of(sc, b->pool), b->node);
 	struct mh_node *n = mh_fleet_find(sc->f, b->node);
 	double ratio =
 	    (double)(mh_now(sc->k) - b->sent_us) / (double)MAX(b->expect_us, 1);
 
+	b->overdue = true;
 	w->slowdown = MAX(w->slowdown, ratio);
 	if (n != NULL)
 		mh_node_failed(sc->f, n, "stage-call-overdue");
-	b->requeued = true;
-	/* The next calls of these pieces have not read their inputs yet. */
-	mh_timer_stop(sc->k, &b->read_timer);
 	mh_count(sc->k, "batches_overdue", 1);
 	mh_event(sc->k, "batch-overdue",
 	    "batch=%" PRIu64 " node=%s "
 	    "expect_ms=%" PRId64,
 	    b->id, b->node, mh_ms(b->expect_us));
+}
+
+/* Queues the pieces of an overdue call again, for another endpoint. */
+static void
+requeue_pieces(struct mh_sched *sc, struct mh_batch *b)
+{
+	b->requeued = true;
+	/* The next calls of these pieces have not read their inputs yet. */
+	mh_timer_stop(sc->k, &b->read_timer);
 	for (guint i = 0; i < b->items->len; i++) {
 		struct mh_batch_item *m =
 		    &g_array_index(b->items, struct mh_batch_item, i);
@@ -478,7 +504,6 @@
 		ss->pieces[m->piece].resend = RESEND_OVERDUE;
 		ss->in_flight--;
 		mh_sched_recompute_freed(sc, m->job, m->stage);
-		mh_budget_take(sc->budget, b->pool);
 	}
 }
 
@@ -490,16 +515,17 @@
 
 	for (GList *l = all; l != NULL; l = l->next) {
 		struct mh_batch *b = l->data;
-		struct worker *w =
-		    mh_sched_worker_of(mh_sched_pool_of(sc, b->pool), b->node);
+		struct sched_pool *p = mh_sched_pool_of(sc, b->pool);
+		struct worker *w = mh_sched_worker_of(p, b->node);
 		double took = (double)(now - b->sent_us - OVERDUE_GRACE_US);
 
 		if (w->shared_end_us > now)
 			took /= 2; /* another process's call may run first */
 		if (now - b->sent_us > b->expect_us + POLL_AFTER_US)
 			mh_sched_poll(sc, w, b->node); /* it may be lost */
-		if (!b->requeued &&
-		    took > OVERDUE_FACTOR * (double)b->expect_us)
+		if (!b->overdue && took > OVERDUE_FACTOR * (double)b->expect_us)
+			note_overdue(sc, b, w);
+		if (b->overdue && !b->requeued && mh_sched_may_resend(sc, p))
 			requeue_pieces(sc, b);
 		else if (took > LOST_FACTOR * (double)b->expect_us) {
 			sc->ops.abort(sc->ops.arg, b);
@@ -526,6 +552,12 @@
 			    mh_sched_max_backlog_us(sc, j));
 			continue;
 		}
+		if (mh_sched_is_unpaid(sc, j)) {
+			mh_event(
+			    sc->k, "job-failed", "id=%s why=budget", j->id);
+			end_job(sc, j, MH_JOB_FAILED, 0);
+			continue;
+		}
 		if (!j->state->misses_slo && mh_sched_misses_slo(sc, j))
 			j->state->misses_slo = true;
 		i++;
--- a/lib/schedint.h
+++ b/lib/schedint.h
@@ -75,6 +75,8 @@
 /** struct piece_state - one piece, and the endpoint with its result. */
 struct piece_state {
 	enum resend resend; /* of its next call */
+	uint32_t fulls; /* refused calls in a row */
+	int64_t pause_end_us; /* no calls before this time */
 	bool needed; /* its result is to be computed */
 	bool in_flight; /* in a call that is not overdue */
 	bool inputs_read; /* its call has read its inputs */
@@ -100,6 +102,7 @@
 	bool started; /* a piece was sent to an endpoint */
 	bool draining; /* handed off once no piece is in a call */
 	bool paths_stale; /* the paths are out of date */
+	int64_t unpaid_us; /* since when no retry is allowed it; 0: one is */
 	uint32_t lost_stages; /* bit mask: stages that were reported as done and
 			       * have to be recomputed */
 	int64_t longest_path_us; /* longest path of all its stages */
@@ -122,6 +125,7 @@
 	GHashTable *mean_work; /* route -> double, us of work per job */
 	struct mh_timer *tick;
 	int64_t last_handoff_us; /* last job handed off to us; 0: never */
+	int64_t last_grant_us; /* last job that came with retries; 0: never */
 	uint64_t next_id;
 	bool dispatching;
 };
@@ -225,6 +229,18 @@
 /** mh_sched_poll() - polls an endpoint for its report, at a limited rate. */
 void mh_sched_poll(struct mh_sched *sc, struct worker *w, const char *node);
 
+/* schedretry.c */
+
+/** mh_sched_may_resend() - whether a call that repeats pieces may be sent. */
+bool mh_sched_may_resend(struct mh_sched *sc, const struct sched_pool *p);
+/** mh_sched_take_resend() - the same; counts it if so. */
+bool mh_sched_take_resend(struct mh_sched *sc, const struct sched_pool *p);
+/**
+ * mh_sched_is_unpaid() - whether a job has to end as pieces of it may not be
+ * sent again.
+ */
+bool mh_sched_is_unpaid(struct mh_sched *sc, struct mh_job *j);
+
 /* schedadmit.c */
 
 /** mh_sched_max_backlog_us() - longest backlog of the pools that a job uses. */
--- a/lib/schedresult.c
+++ b/lib/schedresult.c
@@ -104,7 +104,14 @@
 void
 mh_sched_hand_off(struct mh_sched *sc, struct mh_job *j)
 {
+	j->resent = false;
 	for (uint32_t s = 0; s < j->n_stages; s++) {
+		const struct stage_state *ss = &j->state->stages[s];
+
+		for (uint32_t i = 0; i < j->stages[s].pieces; i++)
+			j->resent = j->resent ||
+			    (ss->pieces[i].needed &&
+				ss->pieces[i].resend != RESEND_NONE);
 		if (mh_job_needs_stage(j, s))
 			stop_counting(j, s);
 		else
--- a/lib/schedrun.c
+++ b/lib/schedrun.c
@@ -204,10 +204,34 @@
 	return !u->waits || is_near(u, n);
 }
 
+static bool
+may_send(
+    const struct mh_sched *sc, const struct piece_state *ps, bool may_resend)
+{
+	return ps->needed && !ps->in_flight &&
+	    ps->pause_end_us <= mh_now(sc->k) &&
+	    (may_resend || ps->resend == RESEND_NONE);
+}
+
+/* Whether a stage has a piece for a call. */
+static bool
+has_piece(const struct mh_sched *sc, const struct mh_job *j, uint32_t stage,
+    bool may_resend)
+{
+	const struct stage_state *ss = &j->state->stages[stage];
+
+	for (uint32_t i = 0; i < j->stages[stage].pieces; i++) {
+		if (may_send(sc, &ss->pieces[i], may_resend))
+			return true;
+	}
+	return false;
+}
+
 static GArray *
 ready_stages(struct mh_sched *sc, struct sched_pool *p)
 {
 	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct ready_stage));
+	bool may_resend = mh_sched_may_resend(sc, p);
 
 	for (guint i = 0; i < sc->jobs->len; i++) {
 		struct mh_job *j = g_ptr_array_index(sc->jobs, i);
@@ -219,6 +243,7 @@
 
 			if (ss->remaining <= ss->in_flight || ss->pool != p ||
 			    !mh_sched_is_ready(j, s) ||
+			    !has_piece(sc, j, s, may_resend) ||
 			    mh_poison_should_wait(
 				sc->k, j->fingerprint, p->name))
 				continue;
@@ -269,8 +294,8 @@
 }
 
 static void
-take_pieces(struct mh_batch *b, struct worker *w, const struct ready_stage *u,
-    const struct mh_gwork *gw, uint32_t max)
+take_pieces(struct mh_sched *sc, struct mh_batch *b, struct worker *w,
+    const struct ready_stage *u, const struct mh_gwork *gw, uint32_t max)
 {
 	struct mh_job_stage *st = &u->job->stages[u->stage];
 	struct stage_state *ss = &u->job->state->stages[u->stage];
@@ -281,15 +306,20 @@
 			.piece = i,
 			.result_bytes = st->result_bytes };
 
-		if (ss->pieces[i].in_flight || !ss->pieces[i].needed)
+		if (!may_send(sc, &ss->pieces[i], true))
 			continue;
 		if (gw->result_memory_bytes > 0 && w->result_bytes > 0 &&
 		    (double)(w->result_bytes + st->result_bytes) >
 			MEMORY_SHARE_MAX * (double)gw->result_memory_bytes)
 			return;
 		u->job->state->started = true;
-		if (ss->pieces[i].resend != RESEND_NONE)
+		if (ss->pieces[i].resend != RESEND_NONE) {
+			/* One retry pays for the whole call. */
+			if (b->resend == 0 &&
+			    !mh_sched_take_resend(sc, ss->pool))
+				continue;
 			b->resend |= 1U << ss->pieces[i].resend;
+		}
 		ss->pieces[i].in_flight = true;
 		ss->pieces[i].inputs_read = false;
 		ss->pieces[i].tries++;
@@ -382,7 +412,7 @@
 			return;
 		if (is_near(u, n) && may_share_call(sc, b, u->job) &&
 		    has_inputs(u->job, u->stage))
-			take_pieces(b, w, u, gw, max);
+			take_pieces(sc, b, w, u, gw, max);
 	}
 }
 
@@ -400,7 +430,7 @@
 		if (!suits(u, n) || !may_share_call(sc, b, u->job))
 			continue;
 		if (has_inputs(u->job, u->stage))
-			take_pieces(b, w, u, gw, max);
+			take_pieces(sc, b, w, u, gw, max);
 		else
 			mh_sched_recompute_freed(sc, u->job, u->stage);
 	}
--- a/lib/scheds.c
+++ b/lib/scheds.c
@@ -226,6 +226,12 @@
 	}
 }
 
+struct mh_budget *
+mh_scheds_budget(struct mh_scheds *scs)
+{
+	return scs->budget;
+}
+
 uint32_t
 mh_scheds_count(struct mh_scheds *scs)
 {
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -5123,7 +5123,7 @@
   (ProtobufCMessageInit) mh__view__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__job_stage__field_descriptors[6] =
+static const ProtobufCFieldDescriptor mh__job_stage__field_descriptors[7] =
 {
   {
     "pool",
@@ -5197,6 +5197,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "retries_milli",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mh__JobStage, retries_milli),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__job_stage__field_indices_by_name[] = {
   1,   /* field[1] = after */
@@ -5204,12 +5216,13 @@
   0,   /* field[0] = pool */
   3,   /* field[3] = result_bytes */
   4,   /* field[4] = results */
+  6,   /* field[6] = retries_milli */
   5,   /* field[5] = some */
 };
 static const ProtobufCIntRange mh__job_stage__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor mh__job_stage__descriptor =
 {
@@ -5219,14 +5232,14 @@
   "Mh__JobStage",
   "mh",
   sizeof(Mh__JobStage),
-  6,
+  7,
   mh__job_stage__field_descriptors,
   mh__job_stage__field_indices_by_name,
   1,  mh__job_stage__number_ranges,
   (ProtobufCMessageInit) mh__job_stage__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__job__field_descriptors[14] =
+static const ProtobufCFieldDescriptor mh__job__field_descriptors[15] =
 {
   {
     "id",
@@ -5396,6 +5409,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "resent",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Job, resent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__job__field_indices_by_name[] = {
   5,   /* field[5] = aim_us */
@@ -5406,6 +5431,7 @@
   12,   /* field[12] = moved */
   13,   /* field[13] = print */
   3,   /* field[3] = priority */
+  14,   /* field[14] = resent */
   4,   /* field[4] = returned */
   2,   /* field[2] = route */
   10,   /* field[10] = slice */
@@ -5416,7 +5442,7 @@
 static const ProtobufCIntRange mh__job__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor mh__job__descriptor =
 {
@@ -5426,14 +5452,14 @@
   "Mh__Job",
   "mh",
   sizeof(Mh__Job),
-  14,
+  15,
   mh__job__field_descriptors,
   mh__job__field_indices_by_name,
   1,  mh__job__number_ranges,
   (ProtobufCMessageInit) mh__job__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__job_end__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mh__job_end__field_descriptors[6] =
 {
   {
     "id",
@@ -5495,18 +5521,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "resent",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__JobEnd, resent),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__job_end__field_indices_by_name[] = {
   1,   /* field[1] = end */
   4,   /* field[4] = held */
   0,   /* field[0] = id */
+  5,   /* field[5] = resent */
   2,   /* field[2] = retry_us */
   3,   /* field[3] = stages */
 };
 static const ProtobufCIntRange mh__job_end__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor mh__job_end__descriptor =
 {
@@ -5516,7 +5555,7 @@
   "Mh__JobEnd",
   "mh",
   sizeof(Mh__JobEnd),
-  5,
+  6,
   mh__job_end__field_descriptors,
   mh__job_end__field_indices_by_name,
   1,  mh__job_end__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -705,10 +705,14 @@
    */
   size_t n_some;
   char **some;
+  /*
+   * thousandths of a retry that may be spent; in JobEnd: left
+   */
+  uint32_t retries_milli;
 };
 #define MH__JOB_STAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__job_stage__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 struct  Mh__Job
@@ -750,10 +754,14 @@
    * fingerprint of its request; 0: none
    */
   uint64_t print;
+  /*
+   * pieces without a result may have been sent before
+   */
+  protobuf_c_boolean resent;
 };
 #define MH__JOB__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__job__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Mh__JobEnd
@@ -768,10 +776,14 @@
    * with a failed end: endpoints crash under it
    */
   protobuf_c_boolean held;
+  /*
+   * pieces without a result were sent
+   */
+  protobuf_c_boolean resent;
 };
 #define MH__JOB_END__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__job_end__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/mk/deps.sh
+++ b/mk/deps.sh
@@ -4,7 +4,7 @@
 PKGS="gcc make pkg-config libc6-dev libapr1-dev libprotobuf-c-dev
 libmicrohttpd-dev libhttp-parser-dev libcurl4-gnutls-dev libargtable2-dev liblog4c-dev
 libglib2.0-dev libcunit1-dev libjansson-dev libyaml-dev libxxhash-dev
-libsodium-dev libbsd-dev libzstd-dev clang-format clang-tidy cppcheck mandoc spin
+libsodium-dev libbsd-dev libzstd-dev protobuf-c-compiler clang-format clang-tidy cppcheck mandoc spin
 gnuplot-nox curl openssl procps"
 
 missing=
--- a/regress/entwork.c
+++ b/regress/entwork.c
@@ -7,11 +7,13 @@
 #include <string.h>
 
 #define MS MH_US_PER_MS
+#define FULL_US (10 * MS) /* a call that is refused */
 
 /** struct ent_call - a call that takes time. */
 struct ent_call {
 	struct ent *e;
 	struct mh_batch *b;
+	enum mh_batch_end end;
 	struct mh_timer *timer;
 };
 
@@ -29,21 +31,24 @@
 {
 	struct ent_call *c = arg;
 	struct mh_batch *b = c->b;
+	enum mh_batch_end end = c->end;
 
 	c->timer = NULL;
 	b->call = NULL;
 	g_ptr_array_remove(c->e->running, c);
-	mh_sched_batch_end(b->sched, b, MH_BATCH_DONE);
+	mh_sched_batch_end(b->sched, b, end);
 }
 
 static void
-start_call(struct ent *e, struct mh_batch *b)
+start_call(struct ent *e, struct mh_batch *b, enum mh_batch_end end)
 {
 	struct ent_call *c = g_new0(struct ent_call, 1);
 
 	c->e = e;
 	c->b = b;
-	c->timer = mh_timer_start(e->m->k, e->call_us, on_call_end, c);
+	c->end = end;
+	c->timer = mh_timer_start(e->m->k,
+	    end == MH_BATCH_FULL ? FULL_US : e->call_us, on_call_end, c);
 	b->call = c;
 	g_ptr_array_add(e->running, c);
 }
@@ -53,6 +58,10 @@
 {
 	struct ent *e = arg;
 
+	enum mh_batch_end end = MH_BATCH_DONE;
+
+	if (e->on_call != NULL)
+		end = e->on_call(e, b);
 	e->calls++;
 	e->calls_b += strcmp(b->pool, "b") == 0;
 	e->pieces += b->items->len;
@@ -61,13 +70,13 @@
 			return;
 		e->calls_to_end--;
 	}
-	for (guint i = 0; i < b->items->len; i++)
+	for (guint i = 0; i < b->items->len && end == MH_BATCH_DONE; i++)
 		g_array_index(b->items, struct mh_batch_item, i).result =
 		    g_strdup("10.9.9.9:1/result");
 	if (e->call_us > 0)
-		start_call(e, b);
+		start_call(e, b, end);
 	else if (!e->m->cut)
-		mh_sched_batch_end(b->sched, b, MH_BATCH_DONE);
+		mh_sched_batch_end(b->sched, b, end);
 }
 
 static void
@@ -110,11 +119,12 @@
 {
 	struct ent *e = arg;
 
-	(void)j;
 	(void)retry_us;
 	e->ended++;
 	e->done += end == MH_JOB_DONE;
 	e->quarantined += end == MH_JOB_QUARANTINED;
+	if (e->on_end != NULL)
+		e->on_end(e, j);
 }
 
 void
@@ -132,7 +142,8 @@
 	e->w = world_create();
 	world_pool(e->w, "a", 1, 8, 100 * MS, 10 * MS, 0);
 	world_pool(e->w, "b", 1, 8, 100 * MS, 10 * MS, 0);
-	e->cs = mh_scheds_create(m->k, e->w->f, e->w->budget, &ops);
+	e->cs = mh_scheds_create(
+	    m->k, e->w->f, e->budget != NULL ? e->budget : e->w->budget, &ops);
 	mh_scheds_set_conf(e->cs, e->w->conf);
 	e->b = mh_broker_create(m->k, m->m, e->cs);
 	mh_broker_on_end(e->b, on_job_end, e);
--- a/regress/entwork.h
+++ b/regress/entwork.h
@@ -15,6 +15,12 @@
 	struct mh_broker *b;
 	int64_t call_us; /* duration of a call; 0: none */
 	GPtrArray *running; /* struct ent_call, that take so long */
+	struct mh_budget *budget; /* its retries, not owned; NULL: @w has it */
+	/* how a call ends; NULL: it is answered */
+	enum mh_batch_end (*on_call)(struct ent *e, const struct mh_batch *b);
+	/* takes over a job that has ended; NULL: it stays with its owner */
+	void (*on_end)(struct ent *e, struct mh_job *j);
+	void *arg; /* for @on_call and @on_end */
 	const char *stalled; /* calls of this pool don't end; NULL: all do */
 	uint32_t calls_to_end; /* calls of it that still end */
 	uint32_t calls;
--- a/regress/main.c
+++ b/regress/main.c
@@ -92,6 +92,7 @@
 	{ "stage", tests_stage },
 	{ "said", tests_said },
 	{ "words", tests_words },
+	{ "retry", tests_retry },
 	{ "red", tests_red },
 };
 
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -54,6 +54,7 @@
 extern const struct test tests_stage[];
 extern const struct test tests_said[];
 extern const struct test tests_words[];
+extern const struct test tests_retry[];
 extern const struct test tests_red[];
 
 /** regress_dir - the directory that contains golden/. */
