Poison: an endpoint that restarts under its name crashes anew

Cause: a crash is recorded once for an incarnation, which is what the registry says. While the registry is late, a restarted endpoint's next crash counts as a call refused by one that is down.

Ruled out: blame on other requests (fewer records than crashes). That entries alone can't tell each other is a cause too, of what comes afterwards, and stays.

Change: an endpoint that was down after a crash and answers later has restarted, all are told, and its next crash has an id of its own; reports of one crash under two ids are merged. An entry that is alone concludes nothing.

Conclusion: what happened while entries could talk is counted while they can. Poison requests that first show while all are alone stay open.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -636,6 +636,8 @@
 	 * Sound endpoints lose answers on the way too; reporting those would
 	 * eject half of a pool.
 	 */
+	if (end == MH_CALL_UNSENT)
+		mh_poison_unreachable(g->k, t->node, t->sent_us);
 	if (n != NULL && end == MH_CALL_UNSENT)
 		mh_node_set_unreachable(g->f, n, "unreachable");
 	else if (n != NULL)
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -591,6 +591,7 @@
 	int64_t expect_us; /* estimated duration of the call */
 	bool requeued; /* overdue: its pieces were queued again */
 	bool conn_lost; /* the endpoint may have crashed */
+	bool unsent; /* it was not reached */
 	uint32_t others_waiting; /* other calls waiting there when it ended */
 	struct mh_sched *sched;
 	struct mh_timer *read_timer; /* fires when inputs should be read */
--- a/lib/poison.h
+++ b/lib/poison.h
@@ -25,6 +25,8 @@
 	uint32_t (*pool_size)(void *arg, const char *pool);
 	/* whether a call sent there before @us is still open; NULL: never */
 	bool (*still_open)(void *arg, const char *endpoint, int64_t us);
+	/* whether no other process is linked; NULL: never */
+	bool (*is_alone)(void *arg);
 	/* a request was quarantined; may be NULL */
 	void (*quarantined)(void *arg, uint64_t fingerprint);
 	void *arg;
@@ -50,6 +52,10 @@
 
 /** mh_poison_call_broke() - a call broke; its endpoint may have crashed. */
 void mh_poison_call_broke(struct mh_kern *k, const struct mh_poison_break *b);
+/** mh_poison_unreachable() - a call that was sent at @sent_us did not arrive.
+ */
+void mh_poison_unreachable(
+    struct mh_kern *k, const char *endpoint, int64_t sent_us);
 /**
  * mh_poison_answered() - an endpoint has sent data.
  * @sent_us: when the call was sent that the data belongs to
--- a/lib/poisoncrash.c
+++ b/lib/poisoncrash.c
@@ -23,6 +23,14 @@
 #define CRASH_REQUESTS_MAX 64
 #define CRASH_IDS_MAX 64
 #define COMPLETIONS_MAX 4096
+/*
+ * One crash may be reported under two ids, when some processes know the new
+ * start time of the endpoint and others don't; the reports differ by less.
+ */
+#define SAME_NAME_US (1 * MH_US_PER_S)
+/* Ids of incarnations are NAME@START. */
+#define START_MARK '@'
+#define RESTART_MARK '#'
 /* Data that an endpoint sent before its crash arrives within this. */
 #define IN_FLIGHT_US (700 * MH_US_PER_MS)
 /* The least time that a crashed endpoint takes to restart. */
@@ -124,6 +132,54 @@
 		    g_array_index(before->earlier_ids, uint64_t, i));
 }
 
+/*
+ * The id under which the next crash of an endpoint is recorded, and the crash
+ * that it may be part of, or NULL.  The registry names a restarted endpoint
+ * seconds later, or not while the store is away, so one that was down after a
+ * crash and answers counts as another incarnation.  The caller frees the id.
+ */
+static char *
+current_id(struct mh_poison *s, const char *endpoint, struct crash **c)
+{
+	char *id = g_strdup(endpoint);
+
+	for (uint32_t n = 1;; n++) {
+		*c = g_hash_table_lookup(s->crashes, id);
+		if (*c == NULL || !(*c)->restarted)
+			return id;
+		g_free(id);
+		id = g_strdup_printf("%s%c%u", endpoint, RESTART_MARK, n);
+	}
+}
+
+static bool
+has_name(const char *id, const char *name, size_t len)
+{
+	return strncmp(id, name, len) == 0 &&
+	    (id[len] == '\0' || id[len] == START_MARK ||
+		id[len] == RESTART_MARK);
+}
+
+/* A crash of an endpoint of the same name at about the same time. */
+static struct crash *
+same_name(struct mh_poison *s, const struct crash_report *w)
+{
+	const char ends[] = { START_MARK, RESTART_MARK, '\0' };
+	size_t len = strcspn(w->endpoint, ends);
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, s->crashes);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct crash *c = v;
+
+		if (!c->alive && ABS(c->at_us - w->at_us) < SAME_NAME_US &&
+		    has_name(c->endpoint, w->endpoint, len))
+			return c;
+	}
+	return NULL;
+}
+
 static struct crash *
 new_crash(struct mh_poison *s, const struct crash_report *w)
 {
@@ -154,6 +210,8 @@
 	struct crash *c = g_hash_table_lookup(s->crashes, w->endpoint), *before;
 
 	*is_new = false;
+	if (c == NULL)
+		c = same_name(s, w);
 	if (c != NULL && has_id(c->earlier_ids, w->id))
 		return NULL;
 	if (c != NULL &&
@@ -210,10 +268,14 @@
 settle(struct crash *c)
 {
 	struct mh_poison *s = c->s;
+	char *endpoint = g_strndup(
+	    c->endpoint, strcspn(c->endpoint, (char[]) { RESTART_MARK, '\0' }));
+	bool open = s->ops.still_open != NULL &&
+	    s->ops.still_open(s->ops.arg, endpoint, c->at_us);
 
+	g_free(endpoint);
 	c->settled = true;
-	if (s->ops.still_open != NULL &&
-	    s->ops.still_open(s->ops.arg, c->endpoint, c->at_us)) {
+	if (open) {
 		c->alive = true;
 		c->announced = true; /* the crash was never announced */
 		mh_count(s->k, "poison_ends_false", 1);
@@ -260,26 +322,56 @@
 		    mh_timer_start(s->k, SETTLE_US, on_check_timer, s);
 }
 
+/* The others must know, as one of them may be the next to get an answer. */
+static void
+note_down(struct crash *c)
+{
+	if (c->down_us != 0 || c->answered || !c->settled)
+		return;
+	c->down_us = mh_now(c->s->k);
+	c->announced = false;
+	mh_poison_announce(c->s);
+}
+
+void
+mh_poison_unreachable(struct mh_kern *k, const char *endpoint, int64_t sent_us)
+{
+	struct mh_poison *s = mh_poison_of(k);
+	struct crash *c;
+
+	if (s == NULL || g_hash_table_size(s->crashes) == 0)
+		return;
+	g_free(current_id(s, endpoint, &c));
+	if (c != NULL && !c->alive && sent_us >= c->at_us)
+		note_down(c);
+}
+
 void
 mh_poison_call_broke(struct mh_kern *k, const struct mh_poison_break *b)
 {
 	struct mh_poison *s = mh_poison_of(k);
 	/* After a disproved crash, later breaks are a new crash. */
-	struct crash_report w = { b->endpoint, b->pool, mh_now(k), 0,
+	struct crash_report w = { NULL, b->pool, mh_now(k), 0,
 		IN_FLIGHT_US + 1 };
 	struct crash *c;
+	char *id;
 	bool is_new;
 
 	if (s == NULL)
 		return;
-	c = g_hash_table_lookup(s->crashes, b->endpoint);
+	w.endpoint = id = current_id(s, b->endpoint, &c);
 	/* The call was sent after the crash, or breaks too long after it. */
 	if (c != NULL && !c->alive &&
 	    (b->sent_us >= c->at_us ||
-		mh_now(k) - c->at_us >= MH_POISON_SAME_CRASH_US))
+		mh_now(k) - c->at_us >= MH_POISON_SAME_CRASH_US)) {
+		if (b->sent_us >= c->at_us)
+			note_down(c);
+		g_free(id);
 		return;
-	w.id = new_id(s, mh_hash(b->endpoint, strlen(b->endpoint)));
+	}
+	w.id = new_id(s, mh_hash(id, strlen(id)));
 	c = mh_poison_record_crash(s, &w, &is_new);
+	g_free(id);
 	if (c == NULL)
 		return;
 	if (mh_poison_add_request(c, b->fingerprint, b->late))
@@ -307,6 +399,23 @@
 	}
 }
 
+/*
+ * The others must know by its next crash: if they recorded it under another id,
+ * each would blame the requests that it had there itself.
+ */
+static void
+note_restart(struct crash *c)
+{
+	const struct mh_poison_ops *ops = &c->s->ops;
+
+	if (ops->is_alone != NULL && ops->is_alone(ops->arg))
+		return;
+	c->restarted = true;
+	c->announced = false;
+	mh_count(c->s->k, "poison_endpoints_restarted", 1);
+	mh_poison_announce(c->s);
+}
+
 void
 mh_poison_answered(
     struct mh_kern *k, const char *endpoint, int64_t sent_us, bool unique_id)
@@ -317,13 +426,18 @@
 
 	if (s == NULL || g_hash_table_size(s->crashes) == 0)
 		return;
-	c = g_hash_table_lookup(s->crashes, endpoint);
+	g_free(current_id(s, endpoint, &c));
 	if (c == NULL || c->alive)
 		return;
 	since = mh_now(k) - c->at_us;
-	if (sent_us < c->at_us ? since < IN_FLIGHT_US
-			       : !unique_id && since >= RESTART_MIN_US)
+	if (sent_us < c->at_us && since < IN_FLIGHT_US)
+		return;
+	if (sent_us >= c->at_us && !unique_id && since >= RESTART_MIN_US) {
+		c->answered = true;
+		if (c->down_us != 0 && sent_us >= c->down_us)
+			note_restart(c);
 		return;
+	}
 	c->alive = true;
 	c->announced = !c->settled;
 	c->settled = true;
--- a/lib/poisongossip.c
+++ b/lib/poisongossip.c
@@ -63,6 +63,8 @@
 	m->pool = c->pool;
 	m->age_us = age(s, c->at_us);
 	m->lives = c->alive;
+	m->down = c->down_us != 0;
+	m->restarted = c->restarted;
 	m->end_id = c->ids->len == 0 ? 0 : g_array_index(c->ids, uint64_t, 0);
 	m->fresh = fingerprints_of(o, c, false, &m->n_fresh);
 	m->old = fingerprints_of(o, c, true, &m->n_old);
@@ -255,6 +257,12 @@
 		c->settled = c->announced = true;
 	changed = receive_fingerprints(c, m->fresh, m->n_fresh, false) | is_new;
 	changed |= receive_fingerprints(c, m->old, m->n_old, true);
+	if (m->down && c->down_us == 0) {
+		c->down_us = mh_now(s->k);
+		changed = true;
+	}
+	if (m->restarted && !c->restarted)
+		c->restarted = changed = true;
 	if (m->lives && !c->alive) {
 		c->alive = changed = true;
 		s->stale = true;
--- a/lib/poisonint.h
+++ b/lib/poisonint.h
@@ -30,7 +30,7 @@
 /** struct crash - a presumed crash of an endpoint. */
 struct crash {
 	struct mh_poison *s;
-	char *endpoint;
+	char *endpoint; /* incarnation; #N is added after N restarts of it */
 	char *pool;
 	int64_t at_us;
 	GArray *requests; /* struct crash_request */
@@ -39,6 +39,9 @@
 	bool settled; /* all of our calls that break with it have broken */
 	bool evaluated; /* the reports of others are in, so it counts */
 	bool alive; /* disproved: the endpoint has sent data since */
+	bool answered; /* after a second or more, so it may have restarted */
+	int64_t down_us; /* when it was found to be down; 0: it was not */
+	bool restarted; /* it has answered after that */
 	bool announced;
 };
 
--- a/lib/poisonmesh.c
+++ b/lib/poisonmesh.c
@@ -55,6 +55,14 @@
 	return mh_gate_open_at(p->a.gate, endpoint, us);
 }
 
+static bool
+op_is_alone(void *arg)
+{
+	struct mh_poison_mesh *p = arg;
+
+	return !mh_mesh_is_alive(p->a.mesh, NULL);
+}
+
 static void
 op_quarantined(void *arg, uint64_t fingerprint)
 {
@@ -147,7 +155,7 @@
 {
 	struct mh_poison_mesh *p = g_new0(struct mh_poison_mesh, 1);
 	struct mh_poison_ops ops = { op_announce, op_pool_size, op_still_open,
-		op_quarantined, p };
+		op_is_alone, op_quarantined, p };
 
 	p->k = k;
 	p->a = *a;
--- a/lib/sched.c
+++ b/lib/sched.c
@@ -372,6 +372,8 @@
 {
 	const struct mh_node *n = mh_fleet_find(sc->f, b->node);
 
+	if (b->unsent)
+		mh_poison_unreachable(sc->k, b->node, b->sent_us);
 	if (end != MH_BATCH_LOST)
 		mh_poison_answered(
 		    sc->k, b->node, b->sent_us, n != NULL && n->start_ms == 0);
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -5728,7 +5728,7 @@
   (ProtobufCMessageInit) mh__suspect__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__ended__field_descriptors[7] =
+static const ProtobufCFieldDescriptor mh__ended__field_descriptors[9] =
 {
   {
     "endpoint",
@@ -5814,20 +5814,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "down",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Ended, down),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "restarted",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Ended, restarted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__ended__field_indices_by_name[] = {
   2,   /* field[2] = age_us */
+  7,   /* field[7] = down */
   6,   /* field[6] = end_id */
   0,   /* field[0] = endpoint */
   3,   /* field[3] = fresh */
   5,   /* field[5] = lives */
   4,   /* field[4] = old */
   1,   /* field[1] = pool */
+  8,   /* field[8] = restarted */
 };
 static const ProtobufCIntRange mh__ended__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor mh__ended__descriptor =
 {
@@ -5837,7 +5863,7 @@
   "Mh__Ended",
   "mh",
   sizeof(Mh__Ended),
-  7,
+  9,
   mh__ended__field_descriptors,
   mh__ended__field_indices_by_name,
   1,  mh__ended__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -848,7 +848,7 @@
 {
   ProtobufCMessage base;
   /*
-   * the incarnation
+   * the incarnation, with #N after N restarts
    */
   char *endpoint;
   char *pool;
@@ -871,10 +871,18 @@
    * 0: not sent
    */
   uint64_t end_id;
+  /*
+   * calls that were sent since have failed
+   */
+  protobuf_c_boolean down;
+  /*
+   * it has answered since: another crash is a new one
+   */
+  protobuf_c_boolean restarted;
 };
 #define MH__ENDED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__ended__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Mh__Held
--- a/regress/t_poison.c
+++ b/regress/t_poison.c
@@ -14,6 +14,7 @@
 #define MS MH_US_PER_MS
 #define S MH_US_PER_S
 #define POISON 7
+#define SOUND 8
 /* Three crashes are enough, and three more sends may be in flight. */
 #define CRASHES_MAX 6
 
@@ -23,6 +24,7 @@
 	int64_t now_us;
 	uint32_t frames;
 	size_t bytes;
+	bool alone;
 	Mh__Poison *last;
 };
 
@@ -42,11 +44,19 @@
 	mh_kern_advance(r->k, r->now_us, r->now_us);
 }
 
+static bool
+op_is_alone(void *arg)
+{
+	return ((struct prig *)arg)->alone;
+}
+
 static struct prig *
 prig_create(void)
 {
 	struct prig *r = g_new0(struct prig, 1);
-	struct mh_poison_ops ops = { .announce = op_announce, .arg = r };
+	struct mh_poison_ops ops = {
+		.announce = op_announce, .is_alone = op_is_alone, .arg = r
+	};
 
 	r->now_us = S;
 	r->k = mh_kern_create(1);
@@ -296,6 +306,117 @@
 	g_free(bytes);
 }
 
+/*
+ * Endpoints crash and restart while the registry still names their first start.
+ * Guards against further crashes under that name that count as the first one.
+ */
+static void
+test_restarts_under_one_name(void)
+{
+	struct prig *here = prig_create(), *other = prig_create();
+
+	for (int i = 0; i < 3; i++) {
+		CU_ASSERT_EQUAL(mh_poison_quarantine_us(here->k, POISON), 0);
+		break_call(here, "a@1", POISON);
+		advance(here, 500 * MS);
+		break_call(here, "a@1", SOUND); /* it is down */
+		advance(here, 1000 * MS);
+		advance(other, 1500 * MS);
+		mh_poison_answered(here->k, "a@1", here->now_us - MS, false);
+		mh_poison_send_all(here->k, op_deliver, other);
+		advance(here, 500 * MS);
+		advance(other, 500 * MS);
+	}
+	CU_ASSERT(mh_poison_quarantine_us(here->k, POISON) > 0);
+	CU_ASSERT_EQUAL(mh_poison_quarantine_us(here->k, SOUND), 0);
+	advance(other, 400 * MS);
+	CU_ASSERT(mh_poison_quarantine_us(other->k, POISON) > 0);
+	prig_destroy(other);
+	prig_destroy(here);
+}
+
+/*
+ * Guards against restarts that one process alone knows of: its next report
+ * would not be merged with those of the others, and blame its own requests.
+ */
+static void
+test_restarts_seen_alone(void)
+{
+	struct prig *r = prig_create();
+
+	r->alone = true;
+	for (int i = 0; i < 4; i++) {
+		break_call(r, "a@1", SOUND);
+		advance(r, 500 * MS);
+		break_call(r, "a@1", SOUND);
+		advance(r, 1000 * MS);
+		mh_poison_answered(r->k, "a@1", r->now_us - MS, false);
+		advance(r, 500 * MS);
+	}
+	CU_ASSERT_EQUAL(mh_poison_quarantine_us(r->k, SOUND), 0);
+	prig_destroy(r);
+}
+
+/*
+ * Guards against crashes of an endpoint that only breaks some of its calls: it
+ * was never found to be down.
+ */
+static void
+test_breaks_some_calls(void)
+{
+	struct prig *r = prig_create();
+
+	for (int i = 0; i < 6; i++) {
+		break_call(r, "a@1", POISON);
+		advance(r, 1500 * MS);
+		mh_poison_answered(r->k, "a@1", r->now_us - MS, false);
+		advance(r, 500 * MS);
+	}
+	CU_ASSERT_EQUAL(mh_poison_quarantine_us(r->k, POISON), 0);
+	prig_destroy(r);
+}
+
+/* Guards against calls to an endpoint that is down counted as its crashes. */
+static void
+test_down_for_long(void)
+{
+	struct prig *r = prig_create();
+
+	for (int i = 0; i < 6; i++) {
+		break_call(r, "a@1", POISON);
+		advance(r, 1500 * MS);
+	}
+	CU_ASSERT_EQUAL(mh_poison_quarantine_us(r->k, POISON), 0);
+	prig_destroy(r);
+}
+
+/*
+ * Guards against one crash that counts twice, as a process that knows the new
+ * start time reports it under another id.
+ */
+static void
+test_crash_under_two_ids(void)
+{
+	struct prig *here = prig_create(), *other = prig_create();
+
+	for (int i = 0; i < 2; i++) {
+		char id[16];
+
+		break_call(here, "a@1", POISON);
+		g_snprintf(id, sizeof(id), "a@%d", i + 1);
+		break_call(other, id, POISON);
+		advance(here, 1500 * MS);
+		advance(other, 1500 * MS);
+		mh_poison_answered(here->k, "a@1", here->now_us - MS, false);
+		mh_poison_send_all(other->k, op_deliver, here);
+		advance(here, 500 * MS);
+		advance(other, 500 * MS);
+	}
+	CU_ASSERT_EQUAL(mh_poison_quarantine_us(here->k, POISON), 0);
+	prig_destroy(other);
+	prig_destroy(here);
+}
+
 /*
  * A process that was paused while a quarantine was released announces it again.
  */
@@ -532,6 +653,12 @@
 }
 
 const struct test tests_poison[] = {
+	{ "poison: restarts under one name", test_restarts_under_one_name },
+	{ "poison: restarts seen alone", test_restarts_seen_alone },
+	{ "poison: an endpoint that breaks some calls",
+	    test_breaks_some_calls },
+	{ "poison: an endpoint down for long", test_down_for_long },
+	{ "poison: a crash under two ids", test_crash_under_two_ids },
 	{ "poison: late twice at one", test_late_twice_at_one },
 	{ "poison: late but once", test_late_but_once },
 	{ "poison: late three times", test_late_three },
