Poison: a request sent to an endpoint that is down is not blamed for its crash

Cause: an entry that does not know of a crash sends to the endpoint while it is down, takes the break for the crash and reports its request. Merged with the others' reports of that crash, it counts as running at it. In the traced run two engines crashed at 11.68 s, entry 6 sent to both at 12.65 s, both calls broke within 1 ms; at 14.3 s the links carried and it held the request.

Ruled out: that it ran beside the poison request (sent a second after); that a crash counts twice (ids without a restart).

Change: the earliest report of a crash holds, what comes over half a second later adds no requests, and one that is so much earlier replaces them.

Conclusion: what entries report after they were parted is judged by when it was seen. An entry alone may still hold a request that met three endpoints that were down.

--- a/lib/poison.c
+++ b/lib/poison.c
@@ -656,6 +656,7 @@
 
 	mh_timer_stop(s->k, &s->check_timer);
 	mh_timer_stop(s->k, &s->sweep_timer);
+	g_array_free(s->withdrawn, TRUE);
 	g_hash_table_destroy(s->evidence);
 	g_hash_table_destroy(s->crashes);
 	g_hash_table_destroy(s->quarantines);
@@ -671,6 +672,7 @@
 
 	s->k = k;
 	s->ops = *ops;
+	s->withdrawn = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	s->crashes = g_hash_table_new_full(
 	    g_str_hash, g_str_equal, NULL, mh_poison_free_crash);
 	s->quarantines = g_hash_table_new_full(
--- a/lib/poisoncrash.c
+++ b/lib/poisoncrash.c
@@ -23,6 +23,7 @@
 #define CRASH_REQUESTS_MAX 64
 #define CRASH_IDS_MAX 64
 #define COMPLETIONS_MAX 4096
+#define WITHDRAWN_MAX 32 /* between two announcements */
 /*
  * One crash may be reported under two ids, when some processes know the new
  * start time of the endpoint and others don't; the reports differ by less.
@@ -380,25 +381,41 @@
 }
 
 void
-mh_poison_retract_crash(struct mh_poison *s, const struct crash *c)
+mh_poison_withdraw(struct mh_poison *s, uint64_t fingerprint)
+{
+	if (s->withdrawn->len < WITHDRAWN_MAX)
+		g_array_append_val(s->withdrawn, fingerprint);
+}
+
+void
+mh_poison_retract(struct mh_poison *s, const char *pool, const GArray *requests,
+    const char *why)
 {
 	mh_poison_update_evidence(s);
-	for (guint i = 0; i < c->requests->len; i++) {
+	for (guint i = 0; i < requests->len; i++) {
 		uint64_t fingerprint =
-		    g_array_index(c->requests, struct crash_request, i)
+		    g_array_index(requests, struct crash_request, i)
 			.fingerprint;
 		const struct evidence *r =
-		    mh_poison_evidence(s, fingerprint, c->pool);
+		    mh_poison_evidence(s, fingerprint, pool);
 		struct quarantine *q =
 		    g_hash_table_lookup(s->quarantines, &fingerprint);
 
 		if (q != NULL && q->times == 1 &&
 		    mh_now(s->k) - q->start_us < MH_POISON_KEEP_US &&
-		    (r == NULL || r->score < MH_POISON_QUARANTINE_POINTS))
-			mh_poison_release(s, q, "the endpoint lives");
+		    (r == NULL || r->score < MH_POISON_QUARANTINE_POINTS)) {
+			mh_poison_release(s, q, why);
+			mh_poison_withdraw(s, fingerprint);
+		}
 	}
 }
 
+void
+mh_poison_retract_crash(struct mh_poison *s, const struct crash *c)
+{
+	mh_poison_retract(s, c->pool, c->requests, "the endpoint lives");
+}
+
 /*
  * The others must know by its next crash: if they recorded it under another id,
  * each would blame the requests that it had there itself.
--- a/lib/poisongossip.c
+++ b/lib/poisongossip.c
@@ -16,6 +16,8 @@
  * goes into the next frame.
  */
 #define FRAME_RECORDS_MAX 32
+/* Reports of one crash by processes that ran requests there differ by less. */
+#define SAME_REPORT_US (500 * MH_US_PER_MS)
 
 /** struct message - a Poison message and the memory that it points to. */
 struct message {
@@ -192,6 +194,21 @@
 	g_ptr_array_free(l->completions, TRUE);
 }
 
+/* They go first: a request may be quarantined again, with better ground. */
+static void
+send_withdrawn(struct mh_poison *s)
+{
+	struct message *o;
+
+	if (s->withdrawn->len == 0)
+		return;
+	o = message_create();
+	o->m.withdrawn = (uint64_t *)(gpointer)s->withdrawn->data;
+	o->m.n_withdrawn = s->withdrawn->len;
+	message_send(o, s->ops.announce, s->ops.arg);
+	g_array_set_size(s->withdrawn, 0);
+}
+
 void
 mh_poison_announce(struct mh_poison *s)
 {
@@ -200,6 +217,7 @@
 	if (s->ops.announce == NULL)
 		return;
 	collect(s, &l, true);
+	send_withdrawn(s);
 	for (guint i = 0; i < l.crashes->len; i++)
 		((struct crash *)l.crashes->pdata[i])->announced = true;
 	for (guint i = 0; i < l.quarantines->len; i++)
@@ -243,6 +261,37 @@
 	return changed;
 }
 
+/*
+ * Takes the requests that were running when the endpoint crashed; returns
+ * whether they are news.  A process that did not know of the crash reports
+ * requests that it sent while the endpoint was down.  So the earliest report
+ * holds: a later one adds nothing, and an earlier one replaces what we have.
+ */
+static bool
+receive_requests(struct crash *c, const Mh__Ended *m, int64_t at_us)
+{
+	GArray *replaced = NULL;
+	bool changed;
+
+	if (at_us > c->at_us + SAME_REPORT_US)
+		return false;
+	if (at_us < c->at_us - SAME_REPORT_US) {
+		replaced = c->requests;
+		c->requests =
+		    g_array_new(FALSE, FALSE, sizeof(struct crash_request));
+		c->at_us = at_us;
+		c->s->stale = true;
+	}
+	changed = receive_fingerprints(c, m->fresh, m->n_fresh, false);
+	changed |= receive_fingerprints(c, m->old, m->n_old, true);
+	if (replaced == NULL)
+		return changed;
+	mh_poison_retract(
+	    c->s, c->pool, replaced, "it was sent after the crash");
+	g_array_free(replaced, TRUE);
+	return true;
+}
+
 static void
 receive_crash(struct mh_poison *s, const Mh__Ended *m, bool pass_on)
 {
@@ -255,8 +304,7 @@
 		return;
 	if (is_new)
 		c->settled = c->announced = true;
-	changed = receive_fingerprints(c, m->fresh, m->n_fresh, false) | is_new;
-	changed |= receive_fingerprints(c, m->old, m->n_old, true);
+	changed = receive_requests(c, m, w.at_us) | is_new;
 	if (m->down && c->down_us == 0) {
 		c->down_us = mh_now(s->k);
 		changed = true;
@@ -307,6 +355,25 @@
 	r->announced = !pass_on;
 }
 
+/* Our own evidence may be better. */
+static void
+receive_withdrawn(struct mh_poison *s, uint64_t fingerprint, bool pass_on)
+{
+	struct quarantine *q =
+	    g_hash_table_lookup(s->quarantines, &fingerprint);
+	const struct evidence *r;
+
+	if (q == NULL || q->times > 1)
+		return;
+	mh_poison_update_evidence(s);
+	r = mh_poison_evidence(s, fingerprint, q->pool);
+	if (r != NULL && r->score >= MH_POISON_QUARANTINE_POINTS)
+		return;
+	mh_poison_release(s, q, "withdrawn by another entry");
+	if (pass_on)
+		mh_poison_withdraw(s, fingerprint);
+}
+
 void
 mh_poison_receive(struct mh_kern *k, const Mh__Poison *m, bool pass_on)
 {
@@ -318,6 +385,8 @@
 		receive_crash(s, m->ended[i], pass_on);
 	for (size_t i = 0; i < m->n_held; i++)
 		receive_quarantine(s, m->held[i], pass_on);
+	for (size_t i = 0; i < m->n_withdrawn; i++)
+		receive_withdrawn(s, m->withdrawn[i], pass_on);
 	for (size_t i = 0; i < m->n_ran; i++)
 		receive_completion(s, m->ran[i], pass_on);
 	mh_poison_evaluate(s);
--- a/lib/poisonint.h
+++ b/lib/poisonint.h
@@ -99,6 +99,7 @@
 	GHashTable *completions; /* mh_poison_key() -> struct completion */
 	GHashTable *evidence; /* mh_poison_key() -> struct evidence */
 	bool stale; /* evidence must be recomputed */
+	GArray *withdrawn; /* uint64_t, quarantines to be announced as such */
 	uint32_t n_pending; /* crashes that are not evaluated yet */
 	int64_t rate_second; /* in which n_new_crashes were recorded */
 	uint32_t n_new_crashes;
@@ -147,6 +148,14 @@
     struct mh_poison *s, const struct completion_report *n);
 /** mh_poison_run_id() - id of the last run; 0: none. */
 uint64_t mh_poison_run_id(const struct completion *r);
+/** mh_poison_withdraw() - announces that a quarantine had no ground. */
+void mh_poison_withdraw(struct mh_poison *s, uint64_t fingerprint);
+/**
+ * mh_poison_retract() - releases quarantines of @requests for which the
+ * evidence is too little now, and announces that.
+ */
+void mh_poison_retract(struct mh_poison *s, const char *pool,
+    const GArray *requests, const char *why);
 /**
  * mh_poison_retract_crash() - releases quarantines for which the evidence is
  * too little now that the endpoint of @c proved to be alive.
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -6037,7 +6037,7 @@
   (ProtobufCMessageInit) mh__ran__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__poison__field_descriptors[3] =
+static const ProtobufCFieldDescriptor mh__poison__field_descriptors[4] =
 {
   {
     "ended",
@@ -6075,16 +6075,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "withdrawn",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Mh__Poison, n_withdrawn),
+    offsetof(Mh__Poison, withdrawn),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__poison__field_indices_by_name[] = {
   0,   /* field[0] = ended */
   1,   /* field[1] = held */
   2,   /* field[2] = ran */
+  3,   /* field[3] = withdrawn */
 };
 static const ProtobufCIntRange mh__poison__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor mh__poison__descriptor =
 {
@@ -6094,7 +6107,7 @@
   "Mh__Poison",
   "mh",
   sizeof(Mh__Poison),
-  3,
+  4,
   mh__poison__field_descriptors,
   mh__poison__field_indices_by_name,
   1,  mh__poison__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -933,10 +933,15 @@
   Mh__Held **held;
   size_t n_ran;
   Mh__Ran **ran;
+  /*
+   * requests whose quarantine had no ground
+   */
+  size_t n_withdrawn;
+  uint64_t *withdrawn;
 };
 #define MH__POISON__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__poison__descriptor) \
-    , 0,NULL, 0,NULL, 0,NULL }
+    , 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/regress/t_poison.c
+++ b/regress/t_poison.c
@@ -25,14 +25,20 @@
 	uint32_t frames;
 	size_t bytes;
 	bool alone;
+	struct prig *to; /* gets what is announced; NULL: nobody */
 	Mh__Poison *last;
 };
 
+static void op_deliver(void *arg, Mh__Frame *f);
+
 static void
 op_announce(void *arg, Mh__Frame *f)
 {
 	struct prig *r = arg;
 
+	if (r->to != NULL)
+		op_deliver(r->to, f);
+
 	r->frames++;
 	r->bytes += mh__frame__get_packed_size(f);
 }
@@ -390,6 +396,78 @@
 	prig_destroy(r);
 }
 
+/*
+ * Endpoints crash while links are silent.  Guards against blame on a request
+ * that other processes sent to them while they were down.
+ */
+static void
+test_sent_while_down(void)
+{
+	struct prig *here = prig_create(), *others[2];
+
+	for (int i = 0; i < 2; i++)
+		others[i] = prig_create();
+	for (uint64_t i = 0; i < 4; i++) {
+		struct prig *other = others[i / 2];
+		char id[16];
+
+		g_snprintf(id, sizeof(id), "%" PRIu64 "@1", i);
+		break_call(here, id, 100 + i);
+		advance(here, 800 * MS);
+		advance(others[0], 800 * MS);
+		advance(others[1], 800 * MS);
+		break_call(other, id, SOUND);
+		advance(here, 400 * MS);
+		advance(others[0], 400 * MS);
+		advance(others[1], 400 * MS);
+	}
+	mh_poison_send_all(others[0]->k, op_deliver, here);
+	mh_poison_send_all(others[1]->k, op_deliver, here);
+	mh_poison_send_all(here->k, op_deliver, others[0]);
+	advance(here, 400 * MS);
+	CU_ASSERT_EQUAL(mh_poison_quarantine_us(here->k, SOUND), 0);
+	CU_ASSERT_EQUAL(mh_poison_isolation_hash(here->k, SOUND, "pool"), 0);
+	CU_ASSERT_EQUAL(
+	    mh_poison_isolation_hash(others[0]->k, SOUND, "pool"), 0);
+	prig_destroy(others[0]);
+	prig_destroy(others[1]);
+	prig_destroy(here);
+}
+
+/*
+ * Guards against a quarantine that its own entry found to have no ground, after
+ * it had told others of it.
+ */
+static void
+test_withdrawn(void)
+{
+	struct prig *alone = prig_create(), *other = prig_create();
+	struct prig *here = prig_create();
+
+	for (uint64_t i = 0; i < 3; i++) {
+		char id[16];
+
+		g_snprintf(id, sizeof(id), "%" PRIu64 "@1", i);
+		break_call(here, id, 100 + i);
+		advance(here, 800 * MS);
+		advance(alone, 800 * MS);
+		break_call(alone, id, SOUND);
+		advance(here, 400 * MS);
+		advance(alone, 400 * MS);
+		advance(other, 1200 * MS);
+	}
+	CU_ASSERT(mh_poison_quarantine_us(alone->k, SOUND) > 0);
+	mh_poison_send_all(alone->k, op_deliver, other);
+	CU_ASSERT(mh_poison_quarantine_us(other->k, SOUND) > 0);
+	alone->to = other;
+	mh_poison_send_all(here->k, op_deliver, alone);
+	CU_ASSERT_EQUAL(mh_poison_quarantine_us(alone->k, SOUND), 0);
+	CU_ASSERT_EQUAL(mh_poison_quarantine_us(other->k, SOUND), 0);
+	prig_destroy(alone);
+	prig_destroy(other);
+	prig_destroy(here);
+}
+
 /*
  * Guards against one crash that counts twice, as a process that knows the new
  * start time reports it under another id.
@@ -658,6 +736,8 @@
 	{ "poison: an endpoint that breaks some calls",
 	    test_breaks_some_calls },
 	{ "poison: an endpoint down for long", test_down_for_long },
+	{ "poison: sent while endpoints were down", test_sent_while_down },
+	{ "poison: a quarantine is withdrawn", test_withdrawn },
 	{ "poison: a crash under two ids", test_crash_under_two_ids },
 	{ "poison: late twice at one", test_late_twice_at_one },
 	{ "poison: late but once", test_late_but_once },
