--- a/lib/broker.c
+++ b/lib/broker.c
@@ -39,7 +39,6 @@
 	struct mh_job *job;
 	char *node;
 	bool done; /* its results have been returned to the request */
-	double granted[MH_GSTAGES]; /* retries at each stage's pool */
 };
 
 /* A job received from another entry; the submitter of its mh_job. */
@@ -99,15 +98,15 @@
 }
 
 static void
-grant_retries(struct mh_broker *b, struct sent_job *s)
+grant_retries(struct mh_broker *b, struct mh_job *j)
 {
-	const struct mh_job *j = s->job;
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		struct mh_job_stage *st = &j->stages[s];
 
-	for (uint32_t i = 0; i < j->n_stages; i++) {
-		if (j->stages[i].pieces == 0 || pool_was_seen(j, i) ||
-		    mh_job_stage_done(&j->stages[i]))
+		if (st->pieces == 0 || pool_was_seen(j, s) ||
+		    mh_job_stage_done(st))
 			continue;
-		s->granted[i] = mh_budget_grant(b->budget, j->stages[i].pool,
+		st->granted = mh_budget_grant(b->budget, st->pool,
 		    j->resent ? 1 : GRANT_SHARE,
 		    j->resent ? GRANT_RESENT_MAX : GRANT_MAX);
 	}
@@ -115,28 +114,31 @@
 
 /* The coordinator has ended the job and returns what is left. */
 static void
-settle_retries(struct mh_broker *b, struct sent_job *s, const Mh__JobEnd *m)
+settle_retries(struct mh_broker *b, struct mh_job *j, const Mh__JobEnd *m)
 {
-	for (uint32_t i = 0; i < s->job->n_stages; i++) {
-		double left = i < m->n_stages
-		    ? (double)m->stages[i]->retries_milli / MILLI
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		struct mh_job_stage *st = &j->stages[s];
+		double left = s < m->n_stages
+		    ? (double)m->stages[s]->retries_milli / MILLI
 		    : 0;
 
-		if (s->granted[i] > 0)
-			mh_budget_settle(b->budget, s->job->stages[i].pool,
-			    s->granted[i], left);
-		s->granted[i] = 0;
+		if (st->granted > 0)
+			mh_budget_settle(
+			    b->budget, st->pool, st->granted, left);
+		st->granted = 0;
 	}
 }
 
 /* Nothing more will be heard of the job; it ends by its deadline. */
 static void
-forfeit_retries(struct mh_broker *b, struct sent_job *s)
+forfeit_retries(struct mh_broker *b, struct mh_job *j)
 {
-	for (uint32_t i = 0; i < s->job->n_stages; i++) {
-		mh_budget_forfeit(b->budget, s->job->stages[i].pool,
-		    s->granted[i], s->job->deadline_us);
-		s->granted[i] = 0;
+	for (uint32_t s = 0; s < j->n_stages; s++) {
+		struct mh_job_stage *st = &j->stages[s];
+
+		mh_budget_forfeit(
+		    b->budget, st->pool, st->granted, j->deadline_us);
+		st->granted = 0;
 	}
 }
 
@@ -173,10 +175,9 @@
 }
 
 static void
-send_job(struct mh_broker *b, const struct sent_job *sent, uint32_t slice,
-    uint32_t slices)
+send_job(struct mh_broker *b, struct mh_job *j, const char *node,
+    uint32_t slice, uint32_t slices)
 {
-	struct mh_job *j = sent->job;
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__Job m = MH__JOB__INIT;
 	Mh__JobStage stages[MH_GSTAGES], *list[MH_GSTAGES];
@@ -204,7 +205,8 @@
 		stages[s].after = j->stages[s].after;
 		stages[s].pieces = j->stages[s].pieces;
 		stages[s].result_bytes = j->stages[s].result_bytes;
-		stages[s].retries_milli = (uint32_t)(sent->granted[s] * MILLI);
+		stages[s].retries_milli =
+		    (uint32_t)(j->stages[s].granted * MILLI);
 		list[s] = &stages[s];
 		results[s] = results_of(&j->stages[s]);
 		if (results[s] == NULL)
@@ -219,7 +221,7 @@
 	}
 	f.body_case = MH__FRAME__BODY_JOB;
 	f.job = &m;
-	mh_mesh_send(b->m, sent->node, &f);
+	mh_mesh_send(b->m, node, &f);
 	for (uint32_t s = 0; s < j->n_stages; s++)
 		g_free(results[s]);
 }
@@ -264,8 +266,8 @@
 	mh_count(b->k, "jobs_sent", 1);
 	mh_event(b->k, "job-sent", "id=%s home=%s slice=%u/%u", j->id,
 	    coordinator, slice, count);
-	grant_retries(b, s);
-	send_job(b, s, slice, count);
+	grant_retries(b, j);
+	send_job(b, j, coordinator, slice, count);
 }
 
 static void
@@ -335,7 +337,7 @@
 		discard_results(b, j);
 		return;
 	}
-	forfeit_retries(b, s);
+	forfeit_retries(b, j);
 	d.id = j->id;
 	f.body_case = MH__FRAME__BODY_JOB_DROP;
 	f.job_drop = &d;
@@ -412,7 +414,7 @@
 	s = g_hash_table_lookup(b->sent_jobs, j);
 	if (s->done) /* it was sent twice, and ended both times */
 		return;
-	settle_retries(b, s, m);
+	settle_retries(b, j, m);
 	if (end == MH_JOB_DONE) {
 		take_results(j, m);
 		if (!has_results(j))
@@ -686,7 +688,7 @@
 		if (s == NULL || strcmp(s->node, node) != 0)
 			continue;
 		done = s->done;
-		forfeit_retries(b, s);
+		forfeit_retries(b, j);
 		g_hash_table_remove(b->sent_jobs, j);
 		if (done)
 			continue; /* the results don't depend on that entry */
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -510,7 +510,8 @@
 	uint32_t pieces; /* 0: the job skips this stage */
 	uint64_t result_bytes;
 	GPtrArray *results; /* char *, NULL: not computed yet */
-	double granted; /* retries at its pool that the submitter allows */
+	/* retries at its pool that the submitter's entry allows another one */
+	double granted;
 };
 
 enum mh_job_end {
