--- a/lib/sched.c
+++ b/lib/sched.c
@@ -34,12 +34,6 @@
 #define LOST_FACTOR 8.0
 /* An endpoint that refused a call gets no other for this long. */
 #define FULL_PAUSE_US (150 * MH_US_PER_MS)
-/*
- * A piece of it waits for a random time up to twice this, and for twice as long
- * after each further refusal: those who find an endpoint full are many.
- */
-#define FULL_WAIT_US (50 * MH_US_PER_MS)
-#define FULL_WAIT_DOUBLINGS 3
 /*
  * The excess of a slowdown estimate over 1 shrinks by this factor per tick, so
  * that an endpoint that has recovered is used again.
@@ -250,29 +244,6 @@
 	return MEMORY_PAUSE_US << MIN(more, MEMORY_PAUSE_DOUBLINGS);
 }
 
-static enum resend
-resend_after(enum mh_batch_end end)
-{
-	switch (end) {
-	case MH_BATCH_DONE:
-		return RESEND_NOT_RUN;
-	case MH_BATCH_FULL:
-		return RESEND_FULL;
-	case MH_BATCH_LOST:
-		break;
-	}
-	return RESEND_LOST;
-}
-
-static int64_t
-full_wait_us(struct mh_sched *sc, struct piece_state *ps)
-{
-	int64_t us = FULL_WAIT_US << MIN(ps->fulls, FULL_WAIT_DOUBLINGS);
-
-	ps->fulls++;
-	return us + (int64_t)((double)us * mh_random_unit(sc->k));
-}
-
 static void
 finish_item(struct mh_sched *sc, struct mh_batch *b, struct worker *w,
     struct mh_batch_item *m, enum mh_batch_end end)
@@ -319,12 +290,8 @@
 		return;
 	if (end == MH_BATCH_FULL || m->no_memory) /* the piece did not run */
 		ps->tries--;
-	if (end == MH_BATCH_FULL)
-		ps->pause_end_us = mh_now(sc->k) + full_wait_us(sc, ps);
-	else
-		ps->fulls = 0;
 	ps->inputs_read = false;
-	ps->resend = resend_after(end);
+	mh_sched_note_resend(sc, ps, end);
 	if (ps->tries >= PIECE_TRIES) {
 		mh_event(sc->k, "job-failed",
 		    "id=%s stage=%u piece=%u tries=%u why=tries", j->id,
--- a/lib/schedint.h
+++ b/lib/schedint.h
@@ -231,6 +231,9 @@
 
 /* schedretry.c */
 
+/** mh_sched_note_resend() - a call that ended so has no result for a piece. */
+void mh_sched_note_resend(
+    struct mh_sched *sc, struct piece_state *ps, enum mh_batch_end end);
 /** mh_sched_may_resend() - whether a call that repeats pieces may be sent. */
 bool mh_sched_may_resend(struct mh_sched *sc, const struct sched_pool *p);
 /** mh_sched_take_resend() - the same; counts it if so. */
--- a/lib/schedretry.c
+++ b/lib/schedretry.c
@@ -10,6 +10,13 @@
 
 /* How long a piece waits for a retry that a job of another entry may bring. */
 #define WAIT_US (500 * MH_US_PER_MS)
+/*
+ * A piece that an endpoint refused waits for a random time up to twice this,
+ * and for twice as long after each further refusal: those who find an endpoint
+ * full are many.
+ */
+#define FULL_WAIT_US (50 * MH_US_PER_MS)
+#define FULL_WAIT_DOUBLINGS 3
 /* Sums of grants differ from whole numbers by less than this. */
 #define ROUNDING 1e-6
 
@@ -94,3 +101,37 @@
 	return mh_budget_wait_us(sc->budget, j->stages[s].pool) >
 	    j->deadline_us - now - mh_sched_remaining_us(j);
 }
+
+static enum resend
+resend_after(enum mh_batch_end end)
+{
+	switch (end) {
+	case MH_BATCH_DONE:
+		return RESEND_NOT_RUN;
+	case MH_BATCH_FULL:
+		return RESEND_FULL;
+	case MH_BATCH_LOST:
+		break;
+	}
+	return RESEND_LOST;
+}
+
+static int64_t
+full_wait_us(struct mh_sched *sc, struct piece_state *ps)
+{
+	int64_t us = FULL_WAIT_US << MIN(ps->fulls, FULL_WAIT_DOUBLINGS);
+
+	ps->fulls++;
+	return us + (int64_t)((double)us * mh_random_unit(sc->k));
+}
+
+void
+mh_sched_note_resend(
+    struct mh_sched *sc, struct piece_state *ps, enum mh_batch_end end)
+{
+	ps->resend = resend_after(end);
+	if (end == MH_BATCH_FULL)
+		ps->pause_end_us = mh_now(sc->k) + full_wait_us(sc, ps);
+	else
+		ps->fulls = 0;
+}
