Poison: no copy of an endpoint's id for each answer

While a crash is on record, each answer of any endpoint copied its id to look up the crash. Now an id is built only for an endpoint that has restarted. The marks in ids are one pair of strings. No behaviour changes.

--- a/lib/poisoncrash.c
+++ b/lib/poisoncrash.c
@@ -29,9 +29,9 @@
  * start time of the endpoint and others don't; the reports differ by less.
  */
 #define SAME_NAME_US (1 * MH_US_PER_S)
-/* Ids of incarnations are NAME@START. */
-#define START_MARK '@'
-#define RESTART_MARK '#'
+/* Ids of incarnations are NAME@START, and NAME@START#N after N restarts. */
+#define START_MARK "@"
+#define RESTART_MARK "#"
 /* Data that an endpoint sent before its crash arrives within this. */
 #define IN_FLIGHT_US (700 * MH_US_PER_MS)
 /* The least time that a crashed endpoint takes to restart. */
@@ -134,39 +134,38 @@
 }
 
 /*
- * The id under which the next crash of an endpoint is recorded, and the crash
- * that it may be part of, or NULL.  The registry names a restarted endpoint
- * seconds later, or not while the store is away, so one that was down after a
- * crash and answers counts as another incarnation.  The caller frees the id.
+ * The crash that the next break at an endpoint may be part of, or NULL.  The
+ * registry names a restarted endpoint seconds later, or not while the store is
+ * away, so one that was down after a crash and answers counts as another
+ * incarnation.
+ * @id: set to the id of that, for the caller to free; NULL: @endpoint
  */
-static char *
-current_id(struct mh_poison *s, const char *endpoint, struct crash **c)
+static struct crash *
+current_crash(struct mh_poison *s, const char *endpoint, char **id)
 {
-	char *id = g_strdup(endpoint);
+	struct crash *c = g_hash_table_lookup(s->crashes, endpoint);
 
-	for (uint32_t n = 1;; n++) {
-		*c = g_hash_table_lookup(s->crashes, id);
-		if (*c == NULL || !(*c)->restarted)
-			return id;
-		g_free(id);
-		id = g_strdup_printf("%s%c%u", endpoint, RESTART_MARK, n);
+	*id = NULL;
+	for (uint32_t n = 1; c != NULL && c->restarted; n++) {
+		g_free(*id);
+		*id = g_strdup_printf("%s" RESTART_MARK "%u", endpoint, n);
+		c = g_hash_table_lookup(s->crashes, *id);
 	}
+	return c;
 }
 
 static bool
 has_name(const char *id, const char *name, size_t len)
 {
 	return strncmp(id, name, len) == 0 &&
-	    (id[len] == '\0' || id[len] == START_MARK ||
-		id[len] == RESTART_MARK);
+	    strcspn(id, START_MARK RESTART_MARK) == len;
 }
 
 /* A crash of an endpoint of the same name at about the same time. */
 static struct crash *
 same_name(struct mh_poison *s, const struct crash_report *w)
 {
-	const char ends[] = { START_MARK, RESTART_MARK, '\0' };
-	size_t len = strcspn(w->endpoint, ends);
+	size_t len = strcspn(w->endpoint, START_MARK RESTART_MARK);
 	GHashTableIter it;
 	gpointer v;
 
@@ -269,8 +268,8 @@
 settle(struct crash *c)
 {
 	struct mh_poison *s = c->s;
-	char *endpoint = g_strndup(
-	    c->endpoint, strcspn(c->endpoint, (char[]) { RESTART_MARK, '\0' }));
+	char *endpoint =
+	    g_strndup(c->endpoint, strcspn(c->endpoint, RESTART_MARK));
 	bool open = s->ops.still_open != NULL &&
 	    s->ops.still_open(s->ops.arg, endpoint, c->at_us);
 
@@ -339,10 +338,12 @@
 {
 	struct mh_poison *s = mh_poison_of(k);
 	struct crash *c;
+	char *id;
 
 	if (s == NULL || g_hash_table_size(s->crashes) == 0)
 		return;
-	g_free(current_id(s, endpoint, &c));
+	c = current_crash(s, endpoint, &id);
+	g_free(id);
 	if (c != NULL && !c->alive && sent_us >= c->at_us)
 		note_down(c);
 }
@@ -360,7 +361,8 @@
 
 	if (s == NULL)
 		return;
-	w.endpoint = id = current_id(s, b->endpoint, &c);
+	c = current_crash(s, b->endpoint, &id);
+	w.endpoint = id == NULL ? b->endpoint : id;
 	/* The call was sent after the crash, or breaks too long after it. */
 	if (c != NULL && !c->alive &&
 	    (b->sent_us >= c->at_us ||
@@ -370,7 +372,7 @@
 		g_free(id);
 		return;
 	}
-	w.id = new_id(s, mh_hash(id, strlen(id)));
+	w.id = new_id(s, mh_hash(w.endpoint, strlen(w.endpoint)));
 	c = mh_poison_record_crash(s, &w, &is_new);
 	g_free(id);
 	if (c == NULL)
@@ -439,11 +441,13 @@
 {
 	struct mh_poison *s = mh_poison_of(k);
 	struct crash *c;
+	char *id;
 	int64_t since;
 
 	if (s == NULL || g_hash_table_size(s->crashes) == 0)
 		return;
-	g_free(current_id(s, endpoint, &c));
+	c = current_crash(s, endpoint, &id);
+	g_free(id);
 	if (c == NULL || c->alive)
 		return;
 	since = mh_now(k) - c->at_us;
