Regress: one search for times in a window

t_retry.c had a second one beside t_budget.c. Both call times_within(); the windows are the same to the microsecond and no assertion changes.

--- a/regress/t_budget.c
+++ b/regress/t_budget.c
@@ -5,6 +5,7 @@
 
 #include "gate.h"
 #include "regress.h"
+#include "times.h"
 
 #include <fcntl.h>
 #include <stdio.h>
@@ -104,20 +105,6 @@
 	return n;
 }
 
-/* Number of times within @window_us up to @end_us. */
-static uint32_t
-count_until(const GArray *times, int64_t end_us, int64_t window_us)
-{
-	uint32_t n = 0;
-
-	for (guint i = 0; i < times->len; i++) {
-		int64_t t = g_array_index(times, int64_t, i);
-
-		n += t <= end_us && t >= end_us - window_us;
-	}
-	return n;
-}
-
 /* The most by which retries in any window exceed what is allowed in it. */
 static double
 excess(const struct brig *r)
@@ -127,12 +114,12 @@
 	for (guint i = 0; i < r->retries->len; i++) {
 		int64_t t = g_array_index(r->retries, int64_t, i);
 		int64_t w = r->window_us;
-		uint32_t q = count_until(r->requests, t, w);
+		uint32_t q = times_within(r->requests, t, w);
 
-		q = MAX(q, count_until(r->requests, t - w / 2, w));
-		q = MAX(q, count_until(r->requests, t - w, w));
+		q = MAX(q, times_within(r->requests, t - w / 2, w));
+		q = MAX(q, times_within(r->requests, t - w, w));
 		most = MAX(
-		    most, count_until(r->retries, t, w) - (RATIO * q + SLACK));
+		    most, times_within(r->retries, t, w) - (RATIO * q + SLACK));
 	}
 	return most;
 }
--- a/regress/t_retry.c
+++ b/regress/t_retry.c
@@ -5,6 +5,7 @@
 
 #include "entwork.h"
 #include "regress.h"
+#include "times.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -36,27 +37,10 @@
 	g_array_free(p->retries, TRUE);
 }
 
-static uint32_t
-count_until(const GArray *times, int64_t us)
-{
-	guint low = 0, high = times->len;
-
-	while (low < high) {
-		guint mid = (low + high) / 2;
-
-		if (g_array_index(times, int64_t, mid) <= us)
-			low = mid + 1;
-		else
-			high = mid;
-	}
-	return low;
-}
-
 static uint32_t
 count_window(const GArray *times, int64_t end_us)
 {
-	return count_until(times, end_us) -
-	    count_until(times, end_us - WINDOW_US);
+	return times_within(times, end_us, WINDOW_US - 1);
 }
 
 /* The highest part of what is allowed that the retries of a window use. */
