Log: the software version of endpoints, and which stream a caller takes up

What callers saw: streams that began at one software version of a pool went on at another.

Cause: under way. The log could not tell the hypotheses apart: the field "version" of a row was checked and dropped, and the header that names the request which began a stream was not read.

Ruled out: nothing more.

Change: a row's version is kept with the endpoint. "endpoint-listed" and "send" name it; "ask" names the request that began the stream. Nothing is decided by them yet.

Conclusion: next, tests that fail because nothing is decided by them.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -48,6 +48,7 @@
 	g_free(n->pool);
 	g_free(n->addr);
 	g_free(n->domain);
+	g_free(n->version);
 	g_free(n);
 }
 
@@ -170,6 +171,7 @@
 	n->pool = g_strdup(l->pool);
 	n->addr = g_strdup(l->addr);
 	n->domain = g_strdup(l->domain);
+	n->version = g_strdup(l->version == NULL ? "" : l->version);
 	n->evacuated = f->evacuated != NULL &&
 	    g_strv_contains((const char *const *)f->evacuated, n->domain);
 	n->hash = mh_hash(n->name, strlen(n->name));
@@ -183,8 +185,9 @@
 		g_hash_table_insert(f->pools, g_strdup(l->pool), pool);
 	}
 	g_ptr_array_add(pool, n);
-	mh_event(f->k, "endpoint-listed", "id=%s pool=%s addr=%s domain=%s",
-	    n->id, n->pool, n->addr, n->domain);
+	mh_event(f->k, "endpoint-listed",
+	    "id=%s pool=%s addr=%s domain=%s version=%s", n->id, n->pool,
+	    n->addr, n->domain, n->version);
 	return n;
 }
 
@@ -267,6 +270,10 @@
 		g_free(n->addr);
 		n->addr = g_strdup(l->addr);
 	}
+	if (l->version != NULL && strcmp(n->version, l->version) != 0) {
+		g_free(n->version);
+		n->version = g_strdup(l->version);
+	}
 	draining = l->draining || n->said.leaving;
 	if (draining && !n->draining)
 		mh_event(
@@ -290,7 +297,7 @@
 		return;
 	l = (struct mh_listing) { g_strdup(n->name), start_ms,
 		g_strdup(n->pool), g_strdup(n->addr), g_strdup(n->domain),
-		n->capacity, false, warmup_us(f, n->pool) };
+		n->capacity, false, warmup_us(f, n->pool), NULL };
 	next = replace_node(f, n, &l);
 	next->capacity = l.capacity;
 	next->row_warm_at_us = next->warm_at_us = mh_now(f->k) + l.warm_us;
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -66,6 +66,7 @@
 	g_free(q->key);
 	g_free(q->piece_key);
 	g_free(q->resume_after);
+	g_free(q->resumes);
 	g_free(q->slot_node);
 	g_free(q);
 }
@@ -438,12 +439,12 @@
 	    "id=%s route=%s node=%s pool=%s try=%u inflight=%u running=%u "
 	    "waiting=%u "
 	    "told_ms=%" PRId64 " fail=%.2f home=%d cold=%d left_ms=%" PRId64
-	    " after=%s",
+	    " after=%s version=%s",
 	    q->id, q->route->name, n->id, q->pool, q->n_tried, n->inflight,
 	    n->running, n->waiting,
 	    n->load_at_us > 0 ? mh_ms(mh_now(g->k) - n->load_at_us) : -1,
 	    n->fail_share, a.has_cached_prompt, mh_node_cold(g->f, n),
-	    mh_ms(t->remaining_us), mh_gate_stream_after(q));
+	    mh_ms(t->remaining_us), mh_gate_stream_after(q), n->version);
 	mh_timer_stop(g->k, &q->silence_timer);
 	if (may_retry(q))
 		set_silence_timer(g, q, silence_us(q));
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -196,6 +196,7 @@
 	char *pool;
 	char *addr;
 	char *domain;
+	char *version; /* of its software; "": not reported */
 	uint32_t capacity;
 	bool draining; /* by its row or by its own word */
 	bool evacuated; /* its failure domain is: nothing is sent there */
@@ -237,6 +238,7 @@
 	uint32_t capacity;
 	bool draining;
 	int64_t warm_us; /* remaining warm-up time */
+	const char *version; /* of its software; NULL: not reported */
 };
 
 struct mh_fleet *mh_fleet_create(struct mh_kern *k);
@@ -796,6 +798,7 @@
 	uint32_t n_pieces;
 	char *piece_key;
 	char *resume_after; /* last event id that the caller has, or NULL */
+	char *resumes; /* id of the request that began its stream, or NULL */
 	uint64_t fingerprint; /* the same for every request with this content */
 	void *adapter_data;
 	/* set and used by the gateway */
--- a/lib/gateadmit.c
+++ b/lib/gateadmit.c
@@ -162,11 +162,12 @@
 		return;
 	mh_event(g->k, "ask",
 	    "id=%s route=%s org=%s config=%" PRIu64 " pool=%s given_ms=%" PRId64
-	    " returned=%d aim_ms=%" PRId64 " open=%u print=%016" PRIx64,
+	    " returned=%d aim_ms=%" PRId64 " open=%u print=%016" PRIx64
+	    " resumes=%s",
 	    q->id, q->route->name, q->org != NULL ? q->org->name : "-",
 	    q->conf->version, q->pool, mh_ms(q->deadline_us), q->returned,
 	    mh_ms(q->slo_by_us - q->arrived_us), mh_gate_open(g),
-	    q->fingerprint);
+	    q->fingerprint, q->resumes == NULL ? "-" : q->resumes);
 	mh_budget_request(g->budget, q->pool);
 	if (q->route->stream)
 		q->cursor = mh_cursor_create(
--- a/regress/crashrig.c
+++ b/regress/crashrig.c
@@ -175,7 +175,7 @@
 	for (uint32_t i = 0; i < r->n_engines; i++) {
 		const struct engine *n = &r->engines[i];
 		struct mh_listing l = { n->id, 0, "pool", "10.0.0.1:1", "d", 64,
-			n->draining, 0 };
+			n->draining, 0, NULL };
 
 		mh_fleet_list(e->f, &l);
 	}
--- a/regress/frontrig.c
+++ b/regress/frontrig.c
@@ -236,7 +236,7 @@
 	mh_fleet_begin(r->fleet);
 	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
 		struct mh_listing l = { ids[i], 0, "desk", r->addr, "d", 8,
-			false, 0 };
+			false, 0, NULL };
 
 		mh_fleet_list(r->fleet, &l);
 	}
--- a/regress/gaterig.c
+++ b/regress/gaterig.c
@@ -104,7 +104,7 @@
 	mh_fleet_begin(r->f);
 	for (uint32_t i = 0; i < n; i++) {
 		struct mh_listing l = { ids[i], 0, "pool", "10.0.0.1:1", "d", 8,
-			false, 0 };
+			false, 0, NULL };
 
 		mh_fleet_list(r->f, &l);
 	}
--- a/regress/streamrig.c
+++ b/regress/streamrig.c
@@ -617,7 +617,7 @@
 	for (uint32_t i = 0; i < l->n_nodes; i++) {
 		char *name = g_strdup_printf("i-%u-%u", l->seed, i);
 		struct mh_listing row = { name, 0, pool, r->addr, "d", 8, false,
-			0 };
+			0, NULL };
 
 		mh_fleet_list(r->fleet, &row);
 		g_free(name);
--- a/regress/t_cold.c
+++ b/regress/t_cold.c
@@ -19,9 +19,9 @@
 list_two(struct mh_fleet *f, int64_t warm_us)
 {
 	struct mh_listing a = { "a", 0, "pool", "10.0.0.1:1", "d0", 64, false,
-		warm_us };
+		warm_us, NULL };
 	struct mh_listing b = { "b", 0, "pool", "10.0.0.2:1", "d1", 64, false,
-		0 };
+		0, NULL };
 
 	mh_fleet_begin(f);
 	mh_fleet_list(f, &a);
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -526,7 +526,7 @@
 		mh_fleet_begin(f[i]);
 		for (int n = 0; n < 3; n++) {
 			struct mh_listing l = { ids[n], 0, "pool", "a:1", "d",
-				1, false, 0 };
+				1, false, 0, NULL };
 
 			mh_fleet_list(f[i], &l);
 		}
@@ -592,7 +592,7 @@
 		mh_fleet_begin(f[i]);
 		for (int n = 0; n < 3; n++) {
 			struct mh_listing l = { ids[n], 0, "pool", "a:1", "d",
-				1, false, 0 };
+				1, false, 0, NULL };
 
 			mh_fleet_list(f[i], &l);
 		}
--- a/regress/t_platform_rows.c
+++ b/regress/t_platform_rows.c
@@ -511,7 +511,7 @@
 list_one(struct mh_fleet *f, int64_t start_ms, bool leaving)
 {
 	struct mh_listing l = { "i", start_ms, "pool", "10.0.0.2:80", "z", 4,
-		leaving, 0 };
+		leaving, 0, NULL };
 
 	mh_fleet_begin(f);
 	mh_fleet_list(f, &l);
--- a/regress/t_said.c
+++ b/regress/t_said.c
@@ -93,7 +93,7 @@
 	mh_fleet_begin(f);
 	for (uint32_t i = 0; i < n; i++) {
 		struct mh_listing l = { ids[i], 77, "pool", "10.0.0.1:1", "d",
-			8, false, 0 };
+			8, false, 0, NULL };
 
 		mh_fleet_list(f, &l);
 	}
@@ -362,7 +362,7 @@
 		.is_work = true, .has_limit = true, .limit_per_s = 2
 	};
 	struct mh_listing l = { "need", 78, "pool", "10.0.0.1:1", "d", 8, false,
-		0 };
+		0, NULL };
 	struct mh_node *n;
 
 	mh_kern_advance(k, S, S);
@@ -567,7 +567,7 @@
 	struct mh_kern *k = mh_kern_create(1);
 	struct mh_fleet *f = mh_fleet_create(k);
 	struct mh_listing l = { "need", 78, "pool", "10.0.0.1:1", "d", 8, false,
-		0 };
+		0, NULL };
 	struct mh_node *n;
 	uint64_t version;
 
@@ -733,7 +733,7 @@
 	struct mh_kern *k = mh_kern_create(1);
 	struct mh_fleet *f = mh_fleet_create(k);
 	struct mh_listing l = { "need", 78, "pool", "10.0.0.1:1", "d", 8, false,
-		0 };
+		0, NULL };
 	struct mh_node *n;
 
 	mh_kern_advance(k, S, S);
--- a/regress/t_sched.c
+++ b/regress/t_sched.c
@@ -728,7 +728,8 @@
 			struct mh_node *drained =
 			    g_ptr_array_index(mh_fleet_pool(w->f, names[p]), 0);
 			struct mh_listing l = { drained->name, 0, names[p],
-				drained->addr, drained->domain, 1, true, 0 };
+				drained->addr, drained->domain, 1, true, 0,
+				NULL };
 
 			slices_of(w, names[p], count, at);
 			for (uint32_t i = 0; i < sizes[p]; i++)
--- a/regress/t_stage.c
+++ b/regress/t_stage.c
@@ -225,7 +225,8 @@
 		.discard = op_discard,
 		.poll = op_poll,
 		.arg = r };
-	struct mh_listing l = { "i-1", 0, "roster", r->addr, "d", 1, false, 0 };
+	struct mh_listing l = { "i-1", 0, "roster", r->addr, "d", 1, false, 0,
+		NULL };
 
 	memset(r, 0, sizeof(*r));
 	r->script = script;
--- a/regress/t_words.c
+++ b/regress/t_words.c
@@ -27,7 +27,7 @@
 	mh_fleet_begin(f);
 	for (int n = 0; n < 2 && listed; n++) {
 		struct mh_listing l = { ids[n], 0, "pool", "a:1", "d", 1, false,
-			0 };
+			0, NULL };
 
 		mh_fleet_list(f, &l);
 	}
--- a/regress/world.c
+++ b/regress/world.c
@@ -398,7 +398,7 @@
 	for (uint32_t i = 0; i < w->n_nodes; i++) {
 		struct wnode *n = &w->nodes[i];
 		struct mh_listing l = { n->id, 0, n->pool, n->id, n->domain, 1,
-			false, 0 };
+			false, 0, NULL };
 
 		mh_fleet_list(w->f, &l);
 	}
