--- a/regress/gaterig.c
+++ b/regress/gaterig.c
@@ -96,15 +96,15 @@
 	g_ptr_array_add(r->conf->routes, t);
 }
 
-static void
-add_pool(struct grig *r, uint32_t n)
+void
+grig_list(struct grig *r, const char *const *versions, uint32_t n)
 {
 	static const char *const ids[] = { "n0", "n1", "n2", "n3" };
 
 	mh_fleet_begin(r->f);
 	for (uint32_t i = 0; i < n; i++) {
 		struct mh_listing l = { ids[i], 0, "pool", "10.0.0.1:1", "d", 8,
-			false, 0, NULL };
+			false, 0, versions[i] };
 
 		mh_fleet_list(r->f, &l);
 	}
@@ -114,6 +114,7 @@
 struct grig *
 grig_create(uint32_t nodes)
 {
+	static const char *const no_versions[4];
 	struct grig *r = g_new0(struct grig, 1);
 	struct mh_budget_args b = { 0.2, 50, 10 * S };
 	struct mh_gate_ops ops = { op_send, op_abort, op_refuse, op_finish,
@@ -132,7 +133,7 @@
 	add_route(r, "once", false, MH_REPEAT_NEVER, 1);
 	add_route(r, "resume", true, MH_REPEAT_RESUME, 2);
 	add_route(r, "stream", true, MH_REPEAT_NEVER, 1);
-	add_pool(r, nodes);
+	grig_list(r, no_versions, nodes);
 	mh_gate_conf(r->g, r->conf);
 	return r;
 }
@@ -172,6 +173,21 @@
 	return q;
 }
 
+struct mh_greq *
+grig_stream(struct grig *r, const char *id, const char *resumes)
+{
+	struct mh_greq *q = mh_greq_create(id);
+
+	q->host = g_strdup("h.example");
+	q->target = "/resume/x";
+	q->resumes = g_strdup(resumes);
+	if (resumes != NULL)
+		q->resume_after = g_strdup("3");
+	g_ptr_array_add(r->open, q);
+	mh_gate_admit(r->g, q);
+	return q;
+}
+
 void
 grig_answer(struct grig *r, uint32_t status, bool not_run, bool genuine)
 {
--- a/regress/gaterig.h
+++ b/regress/gaterig.h
@@ -40,6 +40,14 @@
 /** grig_request() - submits a request; @deadline_us 0: none given. */
 struct mh_greq *grig_request(
     struct grig *r, const char *target, int64_t deadline_us);
+/** grig_list() - replaces the endpoints by n0, n1, ... of these versions. */
+void grig_list(struct grig *r, const char *const *versions, uint32_t n);
+/**
+ * grig_stream() - submits a request for a stream that may be resumed.
+ * @resumes: request that began it, of which event 3 has come; NULL: none
+ */
+struct mh_greq *grig_stream(
+    struct grig *r, const char *id, const char *resumes);
 /** grig_answer() - answers the last try completely. */
 void grig_answer(struct grig *r, uint32_t status, bool not_run, bool genuine);
 /** grig_forget() - destroys a request that has ended. */
--- a/regress/main.c
+++ b/regress/main.c
@@ -84,6 +84,7 @@
 	{ "events", tests_events },
 	{ "stream", tests_stream },
 	{ "work", tests_work },
+	{ "version", tests_version },
 	{ "drain", tests_drain },
 	{ "grace", tests_grace },
 	{ "crash", tests_crash },
