--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -37,6 +37,8 @@
 #define EJECT_MAX_US (6 * MH_US_PER_S)
 /* Warm-up ends read from one unchanged row differ by less than this. */
 #define WARM_ROUNDING_US (20 * MH_US_PER_MS)
+/* Time for the row of a restarted endpoint to arrive. */
+#define DOUBT_US (2 * MH_US_PER_S)
 
 static void
 free_node(void *arg)
@@ -71,6 +73,8 @@
 	f->names = g_hash_table_new(g_str_hash, g_str_equal);
 	f->pools =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_array);
+	f->soles =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return f;
 }
 
@@ -80,6 +84,7 @@
 	if (f == NULL)
 		return;
 	g_hash_table_destroy(f->pools);
+	g_hash_table_destroy(f->soles);
 	g_hash_table_destroy(f->names);
 	g_hash_table_destroy(f->nodes);
 	g_hash_table_destroy(f->unlisted);
@@ -150,6 +155,106 @@
 	f->mark++;
 }
 
+/* software versions */
+
+/* Takes the version that a row states; NULL: none. */
+static void
+set_version(struct mh_node *n, const char *version)
+{
+	uint64_t of[] = { mh_hash(n->pool, strlen(n->pool)), 0 };
+
+	g_free(n->version);
+	n->version = g_strdup(version == NULL ? "" : version);
+	of[1] = mh_hash(n->version, strlen(n->version));
+	n->version_key = version == NULL ? 0 : mh_hash(of, sizeof(of)) | 1;
+}
+
+/* The endpoints of a pool, or their versions, have changed. */
+static void
+update_sole(struct mh_fleet *f, const char *pool)
+{
+	const GPtrArray *nodes = mh_fleet_pool(f, pool);
+	struct mh_sole *s = g_hash_table_lookup(f->soles, pool);
+	const struct mh_node *first;
+	bool is_sole = true;
+
+	if (nodes == NULL || nodes->len == 0)
+		return;
+	first = g_ptr_array_index(nodes, 0);
+	for (guint i = 1; i < nodes->len && is_sole; i++) {
+		const struct mh_node *n = g_ptr_array_index(nodes, i);
+
+		is_sole = n->version_key == first->version_key;
+	}
+	if (s == NULL) {
+		s = g_new0(struct mh_sole, 1);
+		s->since_us = mh_now(f->k);
+		s->version = first->version_key;
+		s->is_sole = is_sole;
+		g_hash_table_insert(f->soles, g_strdup(pool), s);
+	}
+	if (s->is_sole == is_sole &&
+	    (!is_sole || s->version == first->version_key))
+		return;
+	s->is_sole = is_sole;
+	s->version = first->version_key;
+	s->since_us = mh_now(f->k);
+	mh_event(f->k, "versions", "pool=%s endpoints=%u sole=%s", pool,
+	    nodes->len, is_sole ? first->version : "-");
+}
+
+struct mh_sole
+mh_fleet_sole(const struct mh_fleet *f, const char *pool)
+{
+	const struct mh_sole *s = g_hash_table_lookup(f->soles, pool);
+
+	return s == NULL ? (struct mh_sole) { false, 0, mh_now(f->k) } : *s;
+}
+
+bool
+mh_fleet_has_version(struct mh_fleet *f, const char *pool, uint64_t version)
+{
+	const GPtrArray *nodes = mh_fleet_pool(f, pool);
+
+	for (guint i = 0; nodes != NULL && i < nodes->len; i++) {
+		const struct mh_node *n = g_ptr_array_index(nodes, i);
+
+		if (n->version_key == version)
+			return true;
+	}
+	return false;
+}
+
+void
+mh_fleet_set_drain(struct mh_fleet *f, int64_t us)
+{
+	f->drain_us = us;
+}
+
+bool
+mh_node_takes_last(const struct mh_fleet *f, const struct mh_node *n)
+{
+	return n->draining && !n->said.leaving && !n->evacuated &&
+	    mh_now(f->k) - n->draining_us < f->drain_us;
+}
+
+/*
+ * Only an endpoint that reports its start time may start again under the same
+ * name; any other one rejects what is meant for its predecessor.
+ */
+void
+mh_node_doubt(struct mh_fleet *f, struct mh_node *n)
+{
+	if (n->start_ms != 0)
+		n->doubt_us = mh_now(f->k);
+}
+
+bool
+mh_node_in_doubt(const struct mh_fleet *f, const struct mh_node *n)
+{
+	return n->doubt_us != 0 && mh_now(f->k) - n->doubt_us < DOUBT_US;
+}
+
 /* The id of one incarnation; names do not contain "@". */
 static char *
 incarnation_id(const char *name, int64_t start_ms)
@@ -171,7 +276,7 @@
 	n->pool = g_strdup(l->pool);
 	n->addr = g_strdup(l->addr);
 	n->domain = g_strdup(l->domain);
-	n->version = g_strdup(l->version == NULL ? "" : l->version);
+	set_version(n, l->version);
 	n->evacuated = f->evacuated != NULL &&
 	    g_strv_contains((const char *const *)f->evacuated, n->domain);
 	n->hash = mh_hash(n->name, strlen(n->name));
@@ -185,6 +290,7 @@
 		g_hash_table_insert(f->pools, g_strdup(l->pool), pool);
 	}
 	g_ptr_array_add(pool, n);
+	update_sole(f, n->pool);
 	mh_event(f->k, "endpoint-listed",
 	    "id=%s pool=%s addr=%s domain=%s version=%s", n->id, n->pool,
 	    n->addr, n->domain, n->version);
@@ -198,6 +304,7 @@
 	mh_event(f->k, "endpoint-gone", "id=%s pool=%s", n->id, n->pool);
 	mh_words_keep(f, n);
 	g_ptr_array_remove(g_hash_table_lookup(f->pools, n->pool), n);
+	update_sole(f, n->pool);
 	if (f->on_removed != NULL)
 		f->on_removed(f->on_removed_arg, n->id);
 	if (g_hash_table_lookup(f->names, n->name) == n)
@@ -250,6 +357,16 @@
 	mh_node_set_warmup(f, n, warm_us);
 }
 
+void
+mh_node_set_draining(struct mh_fleet *f, struct mh_node *n, bool draining)
+{
+	if (draining == n->draining)
+		return;
+	n->draining = draining;
+	n->draining_us = draining ? mh_now(f->k) : 0;
+	f->version++;
+}
+
 void
 mh_fleet_list(struct mh_fleet *f, const struct mh_listing *l)
 {
@@ -271,17 +388,15 @@
 		n->addr = g_strdup(l->addr);
 	}
 	if (l->version != NULL && strcmp(n->version, l->version) != 0) {
-		g_free(n->version);
-		n->version = g_strdup(l->version);
+		set_version(n, l->version);
+		update_sole(f, n->pool);
 	}
 	draining = l->draining || n->said.leaving;
 	if (draining && !n->draining)
 		mh_event(
 		    f->k, "endpoint-leaving", "id=%s pool=%s", n->id, n->pool);
-	if (draining != n->draining)
-		f->version++;
 	n->capacity = l->capacity;
-	n->draining = draining;
+	mh_node_set_draining(f, n, draining);
 	take_warmup(f, n, l->warm_us);
 	n->mark = f->mark;
 }
--- a/lib/fleetint.h
+++ b/lib/fleetint.h
@@ -12,6 +12,8 @@
 	GHashTable *nodes; /* id -> struct mh_node */
 	GHashTable *names; /* name -> struct mh_node, not owned */
 	GHashTable *pools; /* name -> GPtrArray of struct mh_node */
+	GHashTable *soles; /* pool -> struct mh_sole */
+	int64_t drain_us; /* see mh_fleet_set_drain() */
 	uint32_t mark; /* of the current reading of the registry */
 	uint64_t version;
 	uint64_t ranks_version; /* version for which the ranks were computed */
@@ -35,4 +37,7 @@
 /** mh_words_restore() - restores them if this incarnation was removed. */
 void mh_words_restore(struct mh_fleet *f, struct mh_node *n);
 
+/** mh_node_set_draining() - whether it drains, by any source. */
+void mh_node_set_draining(struct mh_fleet *f, struct mh_node *n, bool draining);
+
 #endif
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -124,6 +124,9 @@
 {
 	close_try(g, q, abort);
 	release_job(g, q);
+	if (q->ask != NULL)
+		mh_origins_cancel(g->origins, q->ask);
+	q->ask = NULL;
 	q->state = MH_GREQ_ENDED;
 	mh_timer_stop(g->k, &q->expiry_timer);
 	mh_timer_stop(g->k, &q->silence_timer);
@@ -237,6 +240,7 @@
 	const struct mh_gpool *p = mh_gconf_pool(q->conf, q->pool);
 
 	a->pool = q->pool;
+	a->version = q->version;
 	if (p != NULL)
 		a->inflight_max = MAX(p->max_conns / MAX(g->entries, 1), 1);
 	a->cold_per_s = p == NULL ? 0 : p->cold_per_s;
@@ -411,7 +415,8 @@
 	mh_gate_fill_place(g, q, &a);
 	n = q->n_tried < MAX_TRIES ? mh_place_pick(g->place, &a) : NULL;
 	if (n == NULL) {
-		wait_or_refuse(g, q, &a);
+		if (!mh_gate_wait_for_version(g, q))
+			wait_or_refuse(g, q, &a);
 		return;
 	}
 	g_clear_pointer(&q->slot_node, g_free);
@@ -422,6 +427,8 @@
 	t->addr = g_strdup(n->addr);
 	t->sent_us = mh_now(g->k);
 	t->remaining_us = q->expires_us - mh_now(g->k);
+	t->version = n->version_key;
+	t->in_doubt = mh_node_in_doubt(g->f, n);
 	t->new_conn = q->n_tried > 0;
 	if (q->cursor != NULL)
 		t->resume_after = g_strdup(mh_cursor_last_id(q->cursor));
@@ -486,8 +493,10 @@
 	if (a->events && q->cursor == NULL)
 		q->cursor = mh_cursor_create(NULL, false);
 	q->head_forwarded = a->events;
-	if (a->events)
+	if (a->events) {
+		mh_gate_note_began(g, q, q->cur);
 		mh_gate_read_events(g, q->cur);
+	}
 	return MH_FORWARD;
 }
 
@@ -509,8 +518,10 @@
 
 /* The endpoint has sent something, so it has not crashed. */
 static void
-note_alive(struct mh_gate *g, const struct mh_try *t, const struct mh_node *n)
+note_alive(struct mh_gate *g, const struct mh_try *t, struct mh_node *n)
 {
+	if (n != NULL && t->sent_us < n->doubt_us)
+		n->doubt_us = 0;
 	/* An endpoint without a start time has a new id after each restart. */
 	mh_poison_answered(
 	    g->k, t->node, t->sent_us, n != NULL && n->start_ms == 0);
@@ -617,6 +628,7 @@
 		meter_answer(g, q);
 		mh_poison_completed(g->k, q->fingerprint, q->pool);
 		mh_gate_note_run(g, q);
+		mh_origins_complete(g->origins, q->stream);
 		mh_gate_log_end(g, q, "answered", 0);
 		mh_count(g->k, "answered", 1);
 		close_try(g, q, false);
@@ -639,6 +651,8 @@
 	 */
 	if (end == MH_CALL_UNSENT)
 		mh_poison_unreachable(g->k, t->node, t->sent_us);
+	if (n != NULL && end != MH_CALL_UNREADABLE)
+		mh_node_doubt(g->f, n);
 	if (n != NULL && end == MH_CALL_UNSENT)
 		mh_node_set_unreachable(g->f, n, "unreachable");
 	else if (n != NULL)
@@ -682,6 +696,7 @@
 	g->f = f;
 	g->place = p;
 	g->budget = b;
+	g->origins = mh_origins_create(k, f);
 	g->ops = *ops;
 	g->domain = g_strdup(domain);
 	g->requests = g_hash_table_new(NULL, NULL);
@@ -725,6 +740,7 @@
 	g_hash_table_destroy(g->max_deadlines);
 	g_hash_table_destroy(g->sizes);
 	g_hash_table_destroy(g->runs);
+	mh_origins_destroy(g->origins);
 	mh_gconf_unref(g->conf);
 	g_free(g->domain);
 	g_free(g);
@@ -737,6 +753,12 @@
 	g->conf = mh_gconf_ref(conf);
 }
 
+struct mh_origins *
+mh_gate_origins(const struct mh_gate *g)
+{
+	return g->origins;
+}
+
 uint32_t
 mh_gate_open(const struct mh_gate *g)
 {
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -197,6 +197,9 @@
 	char *addr;
 	char *domain;
 	char *version; /* of its software; "": not reported */
+	uint64_t version_key; /* hash of pool and version; 0: not reported */
+	int64_t draining_us; /* when that was first known; 0: not draining */
+	int64_t doubt_us; /* when a connection to it failed last; 0: never */
 	uint32_t capacity;
 	bool draining; /* by its row or by its own word */
 	bool evacuated; /* its failure domain is: nothing is sent there */
@@ -286,6 +289,31 @@
  */
 uint32_t mh_fleet_slice(
     struct mh_fleet *f, const struct mh_node *n, uint32_t count);
+/** struct mh_sole - the software version that alone serves a pool. */
+struct mh_sole {
+	bool is_sole; /* all listed endpoints have the same */
+	uint64_t version; /* 0: none is reported */
+	int64_t since_us; /* when that, or its opposite, began */
+};
+/** mh_fleet_sole() - @pool may have no endpoint: what it was last. */
+struct mh_sole mh_fleet_sole(const struct mh_fleet *f, const char *pool);
+/** mh_fleet_has_version() - whether an endpoint of the pool has it. */
+bool mh_fleet_has_version(
+    struct mh_fleet *f, const char *pool, uint64_t version);
+/**
+ * mh_fleet_set_drain() - a draining endpoint may get streams that go on for
+ * @us after it is known to drain; 0: never.
+ */
+void mh_fleet_set_drain(struct mh_fleet *f, int64_t us);
+/**
+ * mh_node_takes_last() - whether a draining endpoint may get a stream that goes
+ * on.
+ */
+bool mh_node_takes_last(const struct mh_fleet *f, const struct mh_node *n);
+/** mh_node_doubt() - a connection to it failed: it may have restarted. */
+void mh_node_doubt(struct mh_fleet *f, struct mh_node *n);
+/** mh_node_in_doubt() - whether it may be an incarnation not listed yet. */
+bool mh_node_in_doubt(const struct mh_fleet *f, const struct mh_node *n);
 uint32_t mh_fleet_size(const struct mh_fleet *f);
 /** mh_fleet_version() - grows if endpoints are added, removed, drained. */
 uint64_t mh_fleet_version(const struct mh_fleet *f);
@@ -404,6 +432,7 @@
 	int64_t wait_us; /* set if none is chosen: retry after it; 0: do not */
 	int64_t retry_us; /* likewise: time until a caller may return */
 	const char *wait_node; /* id where a slot is reserved, or NULL */
+	uint64_t version; /* software version it is bound to; 0: any */
 	uint64_t isolation_hash; /* see poison.h; 0: choose by prompt, load */
 	bool has_cached_prompt; /* set by the choice: expected there */
 	uint32_t held_back[MH_NEEDS]; /* likewise: endpoints left out */
@@ -757,6 +786,82 @@
 /** mh_sse_pending_bytes() - bytes received of an incomplete event. */
 size_t mh_sse_pending_bytes(const struct mh_sse *s);
 
+/* origin.c: the software version at which each stream began */
+
+/* The version of a stream that began at an endpoint in doubt. */
+#define MH_VERSION_UNSURE 2
+
+/** enum mh_origin_how - how the version of a stream is known. */
+enum mh_origin_how {
+	MH_ORIGIN_UNKNOWN,
+	MH_ORIGIN_OWN, /* this entry began it or carried it on */
+	MH_ORIGIN_TOLD, /* another entry did, and has told */
+	MH_ORIGIN_SOLE /* no other version has served for long enough */
+};
+
+/** struct mh_begun - a stream that began at an endpoint. */
+struct mh_begun {
+	uint64_t stream; /* mh_origin_stream() */
+	uint64_t version; /* of the pool, see struct mh_node */
+	const char *pool;
+	int64_t last_us; /* its caller may take it up for this long */
+};
+
+/** struct mh_origin_query - a question to other entries; copied. */
+struct mh_origin_query {
+	uint64_t stream;
+	const char *const *pools; /* where it may have begun */
+	size_t n_pools;
+	int64_t last_us; /* see mh_origins_sole_us() */
+	/* called once, unless cancelled */
+	void (*fn)(void *arg, uint64_t version, enum mh_origin_how how);
+	void *arg;
+};
+
+/** struct mh_origin_ops - the other entries; without it there are none. */
+struct mh_origin_ops {
+	void (*tell)(void *arg, uint64_t stream, uint64_t version);
+	/* returns what cancel takes; NULL: there is nobody to ask */
+	void *(*ask)(void *arg, const struct mh_origin_query *q);
+	void (*cancel)(void *arg, void *ask);
+	/* time since the rows were last confirmed; NULL: they always are */
+	int64_t (*rows_age_us)(void *arg);
+	void *arg;
+};
+
+struct mh_origins;
+
+struct mh_origins *mh_origins_create(struct mh_kern *k, struct mh_fleet *f);
+void mh_origins_destroy(struct mh_origins *o);
+void mh_origins_set_ops(struct mh_origins *o, const struct mh_origin_ops *ops);
+/** mh_origin_stream() - the stream that the request @id began. */
+uint64_t mh_origin_stream(const char *id);
+/** mh_origins_began() - this entry began a stream or carried it on. */
+void mh_origins_began(struct mh_origins *o, const struct mh_begun *b);
+/** mh_origins_complete() - a stream has ended, and nobody will take it up. */
+void mh_origins_complete(struct mh_origins *o, uint64_t stream);
+/** mh_origins_tick() - to call several times a second: tells and drops. */
+void mh_origins_tick(struct mh_origins *o);
+/** mh_origins_tell_again() - another entry is there: tells it all. */
+void mh_origins_tell_again(struct mh_origins *o);
+/** mh_origins_learn() - another entry tells of a stream. */
+void mh_origins_learn(struct mh_origins *o, uint64_t stream, uint64_t version);
+/** mh_origins_find() - the version of a stream, and how it is known. */
+enum mh_origin_how mh_origins_find(
+    const struct mh_origins *o, uint64_t stream, uint64_t *version);
+/**
+ * mh_origins_sole_us() - for how long one version alone has served each pool.
+ * @version: set to it; 0: none is reported, or there are several pools
+ *
+ * Return: microseconds; 0: two serve, or our rows are old; INT64_MAX: no
+ * version is reported.
+ */
+int64_t mh_origins_sole_us(const struct mh_origins *o, const char *const *pools,
+    size_t n, uint64_t *version);
+/** mh_origins_ask() - asks other entries; NULL: there are none. */
+void *mh_origins_ask(struct mh_origins *o, const struct mh_origin_query *q);
+void mh_origins_cancel(struct mh_origins *o, void *ask);
+
 /* gate.c: one request from its arrival to its end */
 
 struct mh_gate;
@@ -777,6 +882,8 @@
 	MH_TOO_BUSY, /* not run: retry later */
 	MH_NO_ENDPOINT, /* not run: none could be reached */
 	MH_NOT_IN_TIME, /* not run: it expired before it was sent */
+	MH_VERSION_UNKNOWN, /* not run: where its stream began is not known */
+	MH_VERSION_GONE, /* not run: no endpoint of its version serves */
 	MH_QUARANTINED, /* not run: quarantined as a poison request */
 	MH_RUN_QUARANTINED, /* sent, then quarantined as a poison request */
 	MH_RUN_FAILED, /* sent, no complete answer arrived */
@@ -808,6 +915,10 @@
 	struct mh_groute *route;
 	struct mh_gorg *org;
 	const char *pool;
+	uint64_t stream; /* mh_origin_stream() of what began it */
+	uint64_t version; /* software version that it is bound to; 0: any */
+	int64_t version_wait_us; /* until then it waits for one of it */
+	void *ask; /* other entries are asked for its version; or NULL */
 	int64_t arrived_us;
 	int64_t first_attempt_us; /* estimate: when the caller first tried */
 	int64_t slo_by_us; /* absolute latency objective */
@@ -844,6 +955,8 @@
 	int64_t head_us; /* when its answer began; 0: not yet */
 	int64_t remaining_us; /* as sent to the endpoint */
 	char *resume_after; /* id of the last event the caller has, or NULL */
+	uint64_t version; /* of the endpoint; see struct mh_node */
+	bool in_doubt; /* whether it still had it */
 	bool new_conn; /* reuses no idle connection */
 	bool counted; /* included in the runs of its request */
 	struct mh_sse *events; /* NULL: no stream, or not begun */
@@ -936,6 +1049,8 @@
 /** mh_gate_invalid_answer() - the answer can't be forwarded; aborts the try. */
 void mh_gate_invalid_answer(
     struct mh_gate *g, struct mh_try *t, const char *why);
+/** mh_gate_origins() - the versions of streams. */
+struct mh_origins *mh_gate_origins(const struct mh_gate *g);
 /** mh_gate_open() - number of requests that have not ended. */
 uint32_t mh_gate_open(const struct mh_gate *g);
 /** mh_gate_open_at() - a try sent to @endpoint before @us is still open. */
--- a/lib/gateadmit.c
+++ b/lib/gateadmit.c
@@ -122,6 +122,17 @@
 	return true;
 }
 
+void
+mh_gate_start(struct mh_gate *g, struct mh_greq *q)
+{
+	if (refuse_closed(g, q))
+		return;
+	if (q->route->n_stages > 0)
+		mh_gate_start_job(g, q);
+	else
+		mh_gate_try_next(g, q);
+}
+
 void
 mh_gate_admit(struct mh_gate *g, struct mh_greq *q)
 {
@@ -174,12 +185,8 @@
 		    q->route->repeat == MH_REPEAT_RESUME ? q->resume_after
 							 : NULL,
 		    true);
-	if (refuse_closed(g, q))
-		return;
-	if (q->route->n_stages > 0)
-		mh_gate_start_job(g, q);
-	else
-		mh_gate_try_next(g, q);
+	if (mh_gate_take_up(g, q))
+		mh_gate_start(g, q);
 }
 
 void
--- a/lib/gateint.h
+++ b/lib/gateint.h
@@ -19,6 +19,7 @@
 	struct mh_fleet *f;
 	struct mh_place *place;
 	struct mh_budget *budget;
+	struct mh_origins *origins;
 	struct mh_gate_ops ops;
 	struct mh_gconf *conf;
 	/* for how long @conf has been stale, 0: it is not; NULL: never */
@@ -85,6 +86,19 @@
  * mh_gate_client_timeout_us() - how long callers of a stream wait for an event.
  */
 int64_t mh_gate_client_timeout_us(const struct mh_groute *r);
+/**
+ * mh_gate_take_up() - finds the version of a stream that the request takes up.
+ *
+ * Return: false if it has ended, or goes on when the version is known.
+ */
+bool mh_gate_take_up(struct mh_gate *g, struct mh_greq *q);
+/** mh_gate_start() - starts the work on an admitted request. */
+void mh_gate_start(struct mh_gate *g, struct mh_greq *q);
+/** mh_gate_note_began() - the head of a stream goes to the caller. */
+void mh_gate_note_began(
+    struct mh_gate *g, struct mh_greq *q, const struct mh_try *t);
+/** mh_gate_wait_for_version() - waits for an endpoint of its version; true. */
+bool mh_gate_wait_for_version(struct mh_gate *g, struct mh_greq *q);
 /** mh_gate_start_job() - submits the stage work of a request. */
 void mh_gate_start_job(struct mh_gate *g, struct mh_greq *q);
 
--- a/lib/gatelog.c
+++ b/lib/gatelog.c
@@ -31,6 +31,8 @@
 		[MH_TOO_BUSY] = "too_busy",
 		[MH_NO_ENDPOINT] = "no_endpoint",
 		[MH_NOT_IN_TIME] = "not_in_time",
+		[MH_VERSION_UNKNOWN] = "version_unknown",
+		[MH_VERSION_GONE] = "version_gone",
 		[MH_QUARANTINED] = "held",
 		[MH_RUN_QUARANTINED] = "run_held",
 		[MH_RUN_FAILED] = "run_failed",
--- /dev/null
+++ b/lib/gateversion.c
@@ -0,0 +1,211 @@
+/**
+ * DOC: Binds a stream to the software version that began it.
+ */
+
+#include "gateint.h"
+
+#include <string.h>
+
+/* A stream may last for so many time-outs of its route, if not known better. */
+#define LAST_TIMEOUTS 2
+/* Interval at which a bound request looks for an endpoint, and for how long. */
+#define WAIT_US (100 * MH_US_PER_MS)
+#define WAIT_MAX_US (1500 * MH_US_PER_MS)
+
+static bool
+is_resumable(const struct mh_greq *q)
+{
+	return q->route->stream && q->route->repeat == MH_REPEAT_RESUME;
+}
+
+/* How long after a stream of the route began its caller may take it up. */
+static int64_t
+last_us(const struct mh_gate *g, const struct mh_groute *r)
+{
+	const int64_t *longest = g_hash_table_lookup(g->max_deadlines, r->name);
+
+	return MAX(
+	    longest == NULL ? 0 : *longest, LAST_TIMEOUTS * r->timeout_us);
+}
+
+static const char *
+how_name(enum mh_origin_how how)
+{
+	static const char *const names[] = { [MH_ORIGIN_UNKNOWN] = "unknown",
+		[MH_ORIGIN_OWN] = "own",
+		[MH_ORIGIN_TOLD] = "told",
+		[MH_ORIGIN_SOLE] = "sole" };
+
+	return names[how];
+}
+
+static void
+count_how(struct mh_gate *g, enum mh_origin_how how)
+{
+	static const char *const counters[] = { [MH_ORIGIN_UNKNOWN] =
+						    "streams_version_unknown",
+		[MH_ORIGIN_OWN] = "streams_version_own",
+		[MH_ORIGIN_TOLD] = "streams_version_told",
+		[MH_ORIGIN_SOLE] = "streams_version_sole" };
+
+	mh_count(g->k, counters[how], 1);
+}
+
+/*
+ * Binds the request to the version, and to the pool that has it; refuses it if
+ * the version isn't known or no endpoint has it.
+ */
+static bool
+bind(struct mh_gate *g, struct mh_greq *q, uint64_t version,
+    enum mh_origin_how how)
+{
+	const char *pool = NULL;
+
+	for (guint i = 0; version != 0 && i < q->route->targets->len; i++) {
+		const struct mh_gtarget *t =
+		    &g_array_index(q->route->targets, struct mh_gtarget, i);
+
+		if (pool == NULL &&
+		    mh_fleet_has_version(g->f, t->pool, version))
+			pool = t->pool;
+	}
+	count_how(g, how);
+	mh_event(g->k, "taken-up",
+	    "id=%s began=%s stream=%016" PRIx64 " version=%016" PRIx64
+	    " how=%s pool=%s after_ms=%" PRId64,
+	    q->id, q->resumes == NULL ? "-" : q->resumes, q->stream, version,
+	    how_name(how), pool == NULL ? "-" : pool,
+	    mh_ms(mh_now(g->k) - q->arrived_us));
+	if (how == MH_ORIGIN_UNKNOWN || (version != 0 && pool == NULL)) {
+		mh_gate_refuse(g, q,
+		    how == MH_ORIGIN_UNKNOWN ? MH_VERSION_UNKNOWN
+					     : MH_VERSION_GONE,
+		    0);
+		return false;
+	}
+	q->version = version;
+	if (pool != NULL)
+		q->pool = pool;
+	return true;
+}
+
+static void
+on_origin(void *arg, uint64_t version, enum mh_origin_how how)
+{
+	struct mh_greq *q = arg;
+
+	q->ask = NULL;
+	if (bind(q->gate, q, version, how))
+		mh_gate_start(q->gate, q);
+}
+
+static bool
+ask(struct mh_gate *g, struct mh_greq *q, const char *const *pools, guint n)
+{
+	struct mh_origin_query a = { q->stream, pools, n, last_us(g, q->route),
+		on_origin, q };
+
+	for (guint i = 0; i < n; i++) {
+		/* Others can't know better than that there are two. */
+		if (!mh_fleet_sole(g->f, pools[i]).is_sole)
+			a.last_us = INT64_MAX;
+	}
+	q->ask = mh_origins_ask(g->origins, &a);
+	return q->ask != NULL;
+}
+
+bool
+mh_gate_take_up(struct mh_gate *g, struct mh_greq *q)
+{
+	guint n = q->route->targets->len;
+	enum mh_origin_how how = MH_ORIGIN_UNKNOWN;
+	uint64_t version = 0;
+	bool asked = false;
+	const char **pools;
+
+	if (!is_resumable(q))
+		return true;
+	if (q->resume_after == NULL) {
+		q->stream = mh_origin_stream(q->id);
+		return true;
+	}
+	q->stream = mh_origin_stream(q->resumes == NULL ? q->id : q->resumes);
+	pools = g_new(const char *, n);
+	for (guint i = 0; i < n; i++)
+		pools[i] =
+		    g_array_index(q->route->targets, struct mh_gtarget, i).pool;
+	if (q->resumes != NULL)
+		how = mh_origins_find(g->origins, q->stream, &version);
+	if (how == MH_ORIGIN_UNKNOWN &&
+	    mh_origins_sole_us(g->origins, pools, n, &version) >=
+		last_us(g, q->route))
+		how = MH_ORIGIN_SOLE;
+	if (how == MH_ORIGIN_UNKNOWN && q->resumes != NULL)
+		asked = ask(g, q, pools, n);
+	g_free(pools);
+	return !asked && bind(g, q, version, how);
+}
+
+void
+mh_gate_note_began(struct mh_gate *g, struct mh_greq *q, const struct mh_try *t)
+{
+	struct mh_begun b = { q->stream, q->version, q->pool,
+		last_us(g, q->route) };
+
+	if (!is_resumable(q) || t->version == 0)
+		return;
+	if (b.version == 0)
+		b.version = t->in_doubt ? MH_VERSION_UNSURE : t->version;
+	q->version = b.version;
+	mh_event(g->k, "stream-began",
+	    "id=%s stream=%016" PRIx64 " version=%016" PRIx64
+	    " node=%s sure=%d",
+	    q->id, q->stream, q->version, t->node,
+	    q->version != MH_VERSION_UNSURE);
+	mh_origins_began(g->origins, &b);
+}
+
+/* Whether an endpoint of its version may take it before long. */
+static bool
+has_other_endpoint(const struct mh_gate *g, const struct mh_greq *q)
+{
+	const GPtrArray *nodes = mh_fleet_pool(g->f, q->pool);
+
+	for (guint i = 0; nodes != NULL && i < nodes->len; i++) {
+		const struct mh_node *n = g_ptr_array_index(nodes, i);
+		bool tried = false;
+
+		for (uint32_t j = 0; j < q->n_tried; j++)
+			tried = tried || strcmp(q->tried[j], n->id) == 0;
+		if (!tried && n->version_key == q->version &&
+		    (!n->draining || mh_node_takes_last(g->f, n)))
+			return true;
+	}
+	return false;
+}
+
+static void
+on_wait(void *arg)
+{
+	struct mh_greq *q = arg;
+
+	q->slot_timer = NULL;
+	mh_gate_try_next(q->gate, q);
+}
+
+bool
+mh_gate_wait_for_version(struct mh_gate *g, struct mh_greq *q)
+{
+	int64_t now = mh_now(g->k);
+
+	if (q->version == 0 || !has_other_endpoint(g, q))
+		return false;
+	if (q->version_wait_us == 0)
+		q->version_wait_us = now + WAIT_MAX_US;
+	if (now >= q->version_wait_us ||
+	    mh_gate_limit_us(g, q) - now < 2 * WAIT_US)
+		return false;
+	mh_count(g->k, "waits_for_version", 1);
+	q->slot_timer = mh_timer_start(g->k, WAIT_US, on_wait, q);
+	return true;
+}
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -124,6 +124,15 @@
  * what every entry should receive.
  */
 bool mh_mesh_is_relay(struct mh_mesh *m);
+/**
+ * mh_mesh_first_peers() - the first live peers of the order of stage work,
+ * which most entries are linked to.
+ * @nodes: set to their names, borrowed
+ *
+ * Return: their number, @most at the most.
+ */
+uint32_t mh_mesh_first_peers(
+    const struct mh_mesh *m, const char **nodes, uint32_t most);
 /** mh_mesh_send() - false when there is no link to @node. */
 bool mh_mesh_send(struct mh_mesh *m, const char *node, Mh__Frame *f);
 /**
@@ -296,6 +305,23 @@
 /** mh_said_mesh_destroy() - to call when no more frames are delivered. */
 void mh_said_mesh_destroy(struct mh_said_mesh *s);
 
+/* originmesh.c: the versions of streams among entries */
+
+struct mh_origin_mesh;
+
+/**
+ * mh_origin_mesh_create() - connects @origins to the other entries.
+ * @rows_age_us: time since the rows of endpoints were confirmed; may be NULL
+ */
+struct mh_origin_mesh *mh_origin_mesh_create(struct mh_kern *k,
+    struct mh_mesh *m, struct mh_origins *origins,
+    int64_t (*rows_age_us)(void *arg), void *arg);
+/**
+ * mh_origin_mesh_destroy() - to call when no more frames are delivered, after
+ * the gateway is destroyed.
+ */
+void mh_origin_mesh_destroy(struct mh_origin_mesh *o);
+
 /* poisonmesh.c: service "poison" among the entries of a mesh */
 
 struct mh_poison_mesh;
--- a/lib/meshorder.c
+++ b/lib/meshorder.c
@@ -246,6 +246,35 @@
 	return n;
 }
 
+uint32_t
+mh_mesh_first_peers(const struct mh_mesh *m, const char **nodes, uint32_t most)
+{
+	double ranks[DIALLED_MAX];
+	uint32_t n = 0;
+	GHashTableIter it;
+	gpointer value;
+
+	g_assert(most <= DIALLED_MAX);
+	g_hash_table_iter_init(&it, m->peers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct peer *p = value;
+		double r = rank(MH_STAGE_WORK, p->node, p->weight);
+		uint32_t at = n;
+
+		if (!mh_peer_is_alive(p) || (n == most && r <= ranks[n - 1]))
+			continue;
+		n = MIN(n + 1, most);
+		at = MIN(at, most - 1);
+		for (; at > 0 && ranks[at - 1] < r; at--) {
+			ranks[at] = ranks[at - 1];
+			nodes[at] = nodes[at - 1];
+		}
+		ranks[at] = r;
+		nodes[at] = p->node;
+	}
+	return n;
+}
+
 uint32_t
 mh_mesh_rank(const struct mh_mesh *m, const char *what, uint32_t *entries)
 {
--- a/lib/place.c
+++ b/lib/place.c
@@ -125,6 +125,21 @@
 	return false;
 }
 
+static bool
+has_version(const struct mh_place_request *a, const struct mh_node *n)
+{
+	return a->version == 0 || n->version_key == a->version;
+}
+
+/* Whether the request may go there at all, whenever that is. */
+static bool
+is_candidate(const struct mh_place *p, const struct mh_place_request *a,
+    const struct mh_node *n)
+{
+	return has_version(a, n) && !was_tried(a, n) &&
+	    (a->version == 0 || !mh_node_in_doubt(p->f, n));
+}
+
 /*
  * The endpoint expected to have the prompt cached: the usable one with the
  * highest rendezvous weight for the last shared part.  The last part of all
@@ -145,8 +160,8 @@
 		uint64_t w = mix(part, n->hash);
 
 		/* One with a limit could take few of its prompts. */
-		if (mh_node_usable(p->f, n) && n->said.limit_per_s == 0 &&
-		    (affine == NULL || w > best)) {
+		if (has_version(a, n) && mh_node_usable(p->f, n) &&
+		    n->said.limit_per_s == 0 && (affine == NULL || w > best)) {
 			affine = n;
 			best = w;
 		}
@@ -305,7 +320,7 @@
 		struct slot t = next_slot(p, a, n);
 		int64_t us = mh_node_retry_us(p->f, n, t.at_us);
 
-		if (t.at_us == INT64_MAX || was_tried(a, n))
+		if (t.at_us == INT64_MAX || !is_candidate(p, a, n))
 			continue;
 		if (a->retry_us == 0 || us < a->retry_us)
 			a->retry_us = us;
@@ -352,7 +367,12 @@
 	for (guint i = 0; pool != NULL && i < pool->len; i++) {
 		struct mh_node *n = g_ptr_array_index(pool, i);
 
-		us = MIN(us, next_slot(p, a, n).at_us);
+		if (!has_version(a, n))
+			continue;
+		us = MIN(us,
+		    a->version != 0 && mh_node_takes_last(p->f, n)
+			? mh_now(p->k)
+			: next_slot(p, a, n).at_us);
 		if (us <= mh_now(p->k))
 			return us;
 	}
@@ -402,7 +422,7 @@
 		/* An endpoint resets connections beyond its limit. */
 		if (a->inflight_max > 0 && n->inflight >= a->inflight_max)
 			continue;
-		if (was_tried(a, n) ||
+		if (!is_candidate(p, a, n) ||
 		    (!with_ejected && n->eject_until_us > mh_now(p->k)))
 			continue;
 		if (!has_slot(p, a, n)) {
@@ -437,7 +457,7 @@
 		struct mh_node *n = g_ptr_array_index(pool, i);
 		uint64_t w = mix(a->isolation_hash, n->hash);
 
-		if (!mh_node_usable(p->f, n) || was_tried(a, n) ||
+		if (!mh_node_usable(p->f, n) || !is_candidate(p, a, n) ||
 		    !has_slot(p, a, n) ||
 		    (a->inflight_max > 0 && n->inflight >= a->inflight_max) ||
 		    (best != NULL && w <= most))
@@ -448,6 +468,27 @@
 	return best;
 }
 
+/*
+ * A draining endpoint for a stream that goes on: others of its version may not
+ * exist any more.
+ */
+static struct mh_node *
+draining_node(
+    struct mh_place *p, const struct mh_place_request *a, const GPtrArray *pool)
+{
+	struct mh_node *best = NULL;
+
+	for (guint i = 0; a->version != 0 && i < pool->len; i++) {
+		struct mh_node *n = g_ptr_array_index(pool, i);
+
+		if (mh_node_takes_last(p->f, n) && is_candidate(p, a, n) &&
+		    (a->inflight_max == 0 || n->inflight < a->inflight_max) &&
+		    (best == NULL || n->inflight < best->inflight))
+			best = n;
+	}
+	return best;
+}
+
 const struct mh_node *
 mh_place_affinity(struct mh_place *p, const struct mh_place_request *a)
 {
@@ -469,6 +510,8 @@
 		n = best_of(p, a, pool, false);
 	if (n == NULL)
 		n = best_of(p, a, pool, true);
+	if (n == NULL)
+		n = draining_node(p, a, pool);
 	if (n == NULL)
 		wait_for_slot(p, a, pool);
 	return n;
--- a/lib/poison.h
+++ b/lib/poison.h
@@ -27,6 +27,8 @@
 	bool (*still_open)(void *arg, const char *endpoint, int64_t us);
 	/* whether no other process is linked; NULL: never */
 	bool (*is_alone)(void *arg);
+	/* an endpoint seems to have crashed; may be NULL */
+	void (*fell)(void *arg, const char *endpoint);
 	/* a request was quarantined; may be NULL */
 	void (*quarantined)(void *arg, uint64_t fingerprint);
 	void *arg;
--- a/lib/poisoncrash.c
+++ b/lib/poisoncrash.c
@@ -229,6 +229,8 @@
 		keep_earlier_ids(c, before);
 	g_hash_table_replace(s->crashes, c->endpoint, c);
 	s->stale = true; /* it may borrow a pool name that was freed */
+	if (s->ops.fell != NULL)
+		s->ops.fell(s->ops.arg, w->endpoint);
 	s->n_pending++;
 	check_later(s);
 	mh_poison_sweep_later(s);
--- a/lib/poisonmesh.c
+++ b/lib/poisonmesh.c
@@ -63,6 +63,16 @@
 	return !mh_mesh_is_alive(p->a.mesh, NULL);
 }
 
+static void
+op_fell(void *arg, const char *endpoint)
+{
+	struct mh_poison_mesh *p = arg;
+	struct mh_node *n = mh_fleet_find(p->a.fleet, endpoint);
+
+	if (n != NULL)
+		mh_node_doubt(p->a.fleet, n);
+}
+
 static void
 op_quarantined(void *arg, uint64_t fingerprint)
 {
@@ -155,7 +165,7 @@
 {
 	struct mh_poison_mesh *p = g_new0(struct mh_poison_mesh, 1);
 	struct mh_poison_ops ops = { op_announce, op_pool_size, op_still_open,
-		op_is_alone, op_quarantined, p };
+		op_is_alone, op_fell, op_quarantined, p };
 
 	p->k = k;
 	p->a = *a;
--- a/lib/said.c
+++ b/lib/said.c
@@ -222,10 +222,8 @@
 {
 	int64_t us;
 
-	if (n->said.leaving && !n->draining) {
-		n->draining = true;
-		f->version++;
-	}
+	if (n->said.leaving)
+		mh_node_set_draining(f, n, true);
 	us = mh_node_interval_us(f, n, MH_SENDER_ANY);
 	mh_count(f->k, "endpoint_words", 1);
 	mh_event(f->k, "endpoint-said",
--- a/lib/suspect.c
+++ b/lib/suspect.c
@@ -34,8 +34,10 @@
 {
 	struct mh_node *n = mh_fleet_find(s->f, endpoint);
 
-	if (n != NULL)
-		mh_node_eject(s->f, n, "others-agree");
+	if (n == NULL)
+		return;
+	mh_node_doubt(s->f, n);
+	mh_node_eject(s->f, n, "others-agree");
 }
 
 static void
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -2122,6 +2122,141 @@
   assert(message->base.descriptor == &mh__words__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mh__begun__init
+                     (Mh__Begun         *message)
+{
+  static const Mh__Begun init_value = MH__BEGUN__INIT;
+  *message = init_value;
+}
+size_t mh__begun__get_packed_size
+                     (const Mh__Begun *message)
+{
+  assert(message->base.descriptor == &mh__begun__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__begun__pack
+                     (const Mh__Begun *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__begun__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__begun__pack_to_buffer
+                     (const Mh__Begun *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__begun__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__Begun *
+       mh__begun__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__Begun *)
+     protobuf_c_message_unpack (&mh__begun__descriptor,
+                                allocator, len, data);
+}
+void   mh__begun__free_unpacked
+                     (Mh__Begun *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__begun__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mh__origin_ask__init
+                     (Mh__OriginAsk         *message)
+{
+  static const Mh__OriginAsk init_value = MH__ORIGIN_ASK__INIT;
+  *message = init_value;
+}
+size_t mh__origin_ask__get_packed_size
+                     (const Mh__OriginAsk *message)
+{
+  assert(message->base.descriptor == &mh__origin_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__origin_ask__pack
+                     (const Mh__OriginAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__origin_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__origin_ask__pack_to_buffer
+                     (const Mh__OriginAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__origin_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__OriginAsk *
+       mh__origin_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__OriginAsk *)
+     protobuf_c_message_unpack (&mh__origin_ask__descriptor,
+                                allocator, len, data);
+}
+void   mh__origin_ask__free_unpacked
+                     (Mh__OriginAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__origin_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mh__origin__init
+                     (Mh__Origin         *message)
+{
+  static const Mh__Origin init_value = MH__ORIGIN__INIT;
+  *message = init_value;
+}
+size_t mh__origin__get_packed_size
+                     (const Mh__Origin *message)
+{
+  assert(message->base.descriptor == &mh__origin__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mh__origin__pack
+                     (const Mh__Origin *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mh__origin__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mh__origin__pack_to_buffer
+                     (const Mh__Origin *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mh__origin__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mh__Origin *
+       mh__origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mh__Origin *)
+     protobuf_c_message_unpack (&mh__origin__descriptor,
+                                allocator, len, data);
+}
+void   mh__origin__free_unpacked
+                     (Mh__Origin *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mh__origin__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mh__frame__init
                      (Mh__Frame         *message)
 {
@@ -6242,7 +6377,186 @@
   (ProtobufCMessageInit) mh__words__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__frame__field_descriptors[40] =
+static const ProtobufCFieldDescriptor mh__begun__field_descriptors[2] =
+{
+  {
+    "streams",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Mh__Begun, n_streams),
+    offsetof(Mh__Begun, streams),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "versions",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Mh__Begun, n_versions),
+    offsetof(Mh__Begun, versions),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__begun__field_indices_by_name[] = {
+  0,   /* field[0] = streams */
+  1,   /* field[1] = versions */
+};
+static const ProtobufCIntRange mh__begun__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mh__begun__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.Begun",
+  "Begun",
+  "Mh__Begun",
+  "mh",
+  sizeof(Mh__Begun),
+  2,
+  mh__begun__field_descriptors,
+  mh__begun__field_indices_by_name,
+  1,  mh__begun__number_ranges,
+  (ProtobufCMessageInit) mh__begun__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__origin_ask__field_descriptors[2] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__OriginAsk, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pools",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Mh__OriginAsk, n_pools),
+    offsetof(Mh__OriginAsk, pools),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__origin_ask__field_indices_by_name[] = {
+  1,   /* field[1] = pools */
+  0,   /* field[0] = stream */
+};
+static const ProtobufCIntRange mh__origin_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor mh__origin_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.OriginAsk",
+  "OriginAsk",
+  "Mh__OriginAsk",
+  "mh",
+  sizeof(Mh__OriginAsk),
+  2,
+  mh__origin_ask__field_descriptors,
+  mh__origin_ask__field_indices_by_name,
+  1,  mh__origin_ask__number_ranges,
+  (ProtobufCMessageInit) mh__origin_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__origin__field_descriptors[4] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Origin, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Origin, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sole",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Origin, sole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sole_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Origin, sole_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mh__origin__field_indices_by_name[] = {
+  2,   /* field[2] = sole */
+  3,   /* field[3] = sole_us */
+  0,   /* field[0] = stream */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange mh__origin__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor mh__origin__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mh.Origin",
+  "Origin",
+  "Mh__Origin",
+  "mh",
+  sizeof(Mh__Origin),
+  4,
+  mh__origin__field_descriptors,
+  mh__origin__field_indices_by_name,
+  1,  mh__origin__number_ranges,
+  (ProtobufCMessageInit) mh__origin__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mh__frame__field_descriptors[43] =
 {
   {
     "generation",
@@ -6724,11 +7038,48 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "begun",
+    48,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, begun),
+    &mh__begun__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origin_ask",
+    49,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, origin_ask),
+    &mh__origin_ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origin",
+    50,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mh__Frame, body_case),
+    offsetof(Mh__Frame, origin),
+    &mh__origin__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__frame__field_indices_by_name[] = {
   8,   /* field[8] = ack */
   4,   /* field[4] = auth */
   29,   /* field[29] = beat */
+  40,   /* field[40] = begun */
   5,   /* field[5] = call */
   9,   /* field[9] = cancel */
   6,   /* field[6] = chunk */
@@ -6753,6 +7104,8 @@
   2,   /* field[2] = number */
   25,   /* field[25] = order */
   26,   /* field[26] = order_result */
+  42,   /* field[42] = origin */
+  41,   /* field[41] = origin_ask */
   15,   /* field[15] = outcomes */
   16,   /* field[16] = owners */
   11,   /* field[11] = ping */
@@ -6772,7 +7125,7 @@
   { 1, 0 },
   { 10, 3 },
   { 25, 17 },
-  { 0, 40 }
+  { 0, 43 }
 };
 const ProtobufCMessageDescriptor mh__frame__descriptor =
 {
@@ -6782,7 +7135,7 @@
   "Mh__Frame",
   "mh",
   sizeof(Mh__Frame),
-  40,
+  43,
   mh__frame__field_descriptors,
   mh__frame__field_indices_by_name,
   3,  mh__frame__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -62,6 +62,9 @@
 typedef struct Mh__Poison Mh__Poison;
 typedef struct Mh__Word Mh__Word;
 typedef struct Mh__Words Mh__Words;
+typedef struct Mh__Begun Mh__Begun;
+typedef struct Mh__OriginAsk Mh__OriginAsk;
+typedef struct Mh__Origin Mh__Origin;
 typedef struct Mh__Frame Mh__Frame;
 
 
@@ -981,6 +984,62 @@
     , 0,NULL }
 
 
+/*
+ * Streams and the software versions at which they began; both by hash.
+ */
+struct  Mh__Begun
+{
+  ProtobufCMessage base;
+  size_t n_streams;
+  uint64_t *streams;
+  /*
+   * in the same order
+   */
+  size_t n_versions;
+  uint64_t *versions;
+};
+#define MH__BEGUN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__begun__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
+struct  Mh__OriginAsk
+{
+  ProtobufCMessage base;
+  uint64_t stream;
+  /*
+   * where it may have begun
+   */
+  size_t n_pools;
+  char **pools;
+};
+#define MH__ORIGIN_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__origin_ask__descriptor) \
+    , 0, 0,NULL }
+
+
+struct  Mh__Origin
+{
+  ProtobufCMessage base;
+  uint64_t stream;
+  /*
+   * 0: not known
+   */
+  uint64_t version;
+  /*
+   * the only version in all these pools; 0: none
+   */
+  uint64_t sole;
+  /*
+   * for how long
+   */
+  uint64_t sole_us;
+};
+#define MH__ORIGIN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mh__origin__descriptor) \
+    , 0, 0, 0, 0 }
+
+
 typedef enum {
   MH__FRAME__BODY__NOT_SET = 0,
   MH__FRAME__BODY_HELLO = 10,
@@ -1019,7 +1078,10 @@
   MH__FRAME__BODY_KNOWN = 44,
   MH__FRAME__BODY_JOB_STEP = 45,
   MH__FRAME__BODY_POISON = 46,
-  MH__FRAME__BODY_WORDS = 47
+  MH__FRAME__BODY_WORDS = 47,
+  MH__FRAME__BODY_BEGUN = 48,
+  MH__FRAME__BODY_ORIGIN_ASK = 49,
+  MH__FRAME__BODY_ORIGIN = 50
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MH__FRAME__BODY__CASE)
 } Mh__Frame__BodyCase;
 
@@ -1071,6 +1133,9 @@
     Mh__JobStep *job_step;
     Mh__Poison *poison;
     Mh__Words *words;
+    Mh__Begun *begun;
+    Mh__OriginAsk *origin_ask;
+    Mh__Origin *origin;
   };
 };
 #define MH__FRAME__INIT \
@@ -1971,6 +2036,63 @@
 void   mh__words__free_unpacked
                      (Mh__Words *message,
                       ProtobufCAllocator *allocator);
+/* Mh__Begun methods */
+void   mh__begun__init
+                     (Mh__Begun         *message);
+size_t mh__begun__get_packed_size
+                     (const Mh__Begun   *message);
+size_t mh__begun__pack
+                     (const Mh__Begun   *message,
+                      uint8_t             *out);
+size_t mh__begun__pack_to_buffer
+                     (const Mh__Begun   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__Begun *
+       mh__begun__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__begun__free_unpacked
+                     (Mh__Begun *message,
+                      ProtobufCAllocator *allocator);
+/* Mh__OriginAsk methods */
+void   mh__origin_ask__init
+                     (Mh__OriginAsk         *message);
+size_t mh__origin_ask__get_packed_size
+                     (const Mh__OriginAsk   *message);
+size_t mh__origin_ask__pack
+                     (const Mh__OriginAsk   *message,
+                      uint8_t             *out);
+size_t mh__origin_ask__pack_to_buffer
+                     (const Mh__OriginAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__OriginAsk *
+       mh__origin_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__origin_ask__free_unpacked
+                     (Mh__OriginAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Mh__Origin methods */
+void   mh__origin__init
+                     (Mh__Origin         *message);
+size_t mh__origin__get_packed_size
+                     (const Mh__Origin   *message);
+size_t mh__origin__pack
+                     (const Mh__Origin   *message,
+                      uint8_t             *out);
+size_t mh__origin__pack_to_buffer
+                     (const Mh__Origin   *message,
+                      ProtobufCBuffer     *buffer);
+Mh__Origin *
+       mh__origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mh__origin__free_unpacked
+                     (Mh__Origin *message,
+                      ProtobufCAllocator *allocator);
 /* Mh__Frame methods */
 void   mh__frame__init
                      (Mh__Frame         *message);
@@ -2133,6 +2255,15 @@
 typedef void (*Mh__Words_Closure)
                  (const Mh__Words *message,
                   void *closure_data);
+typedef void (*Mh__Begun_Closure)
+                 (const Mh__Begun *message,
+                  void *closure_data);
+typedef void (*Mh__OriginAsk_Closure)
+                 (const Mh__OriginAsk *message,
+                  void *closure_data);
+typedef void (*Mh__Origin_Closure)
+                 (const Mh__Origin *message,
+                  void *closure_data);
 typedef void (*Mh__Frame_Closure)
                  (const Mh__Frame *message,
                   void *closure_data);
@@ -2190,6 +2321,9 @@
 extern const ProtobufCMessageDescriptor mh__poison__descriptor;
 extern const ProtobufCMessageDescriptor mh__word__descriptor;
 extern const ProtobufCMessageDescriptor mh__words__descriptor;
+extern const ProtobufCMessageDescriptor mh__begun__descriptor;
+extern const ProtobufCMessageDescriptor mh__origin_ask__descriptor;
+extern const ProtobufCMessageDescriptor mh__origin__descriptor;
 extern const ProtobufCMessageDescriptor mh__frame__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/regress/t_version.c
+++ b/regress/t_version.c
@@ -2,6 +2,7 @@
  * DOC: Streams go on only at the software version that began them.
  */
 
+#include "entries.h"
 #include "gaterig.h"
 #include "regress.h"
 
@@ -115,10 +116,416 @@
 	grig_destroy(r);
 }
 
+/* Guards against refusals where there has been one version for long. */
+static void
+test_sole(void)
+{
+	static const char *const one[] = { "v1", "v1", "v1", "v1" };
+	struct grig *r = grig_create(4);
+
+	grig_list(r, one, 4);
+	(void)grig_stream(r, "b", "elsewhere");
+	CU_ASSERT_EQUAL(r->refused, 1);
+	CU_ASSERT_EQUAL(r->why, MH_VERSION_UNKNOWN);
+	grig_advance(r, 20 * S);
+	(void)grig_stream(r, "b", "elsewhere");
+	CU_ASSERT_EQUAL(r->sends, 1);
+	begin(r);
+	mh_gate_try_end(r->g, r->cur, MH_CALL_BROKEN);
+	CU_ASSERT_EQUAL(r->sends, 2);
+	grig_destroy(r);
+}
+
+/* Guards against losing what began before a second version was listed. */
+static void
+test_begun_before_release(void)
+{
+	static const char *const one[] = { "v1", "v1", "v1", "v1" };
+	static const char *const more[] = { "v1", "v2", "v1.1", "v1.2" };
+	struct grig *r = grig_create(4);
+	struct mh_greq *q;
+
+	grig_list(r, one, 4);
+	q = grig_stream(r, "a", NULL);
+	begin(r);
+	grig_list(r, two_versions, 4);
+	grig_advance(r, 100 * MS);
+	grig_list(r, more, 4);
+	mh_gate_caller_left(r->g, q);
+	grig_forget(r, q);
+	(void)grig_stream(r, "b", "a");
+	CU_ASSERT_EQUAL(r->refused, 0);
+	CU_ASSERT_STRING_EQUAL(version_of(r), "v1");
+	grig_destroy(r);
+}
+
+/* Guards against waiting for a version that no endpoint has. */
+static void
+test_gone(void)
+{
+	static const char *const next[] = { "v2", "v2", "v2", "v2" };
+	struct grig *r = grig_create(4);
+	struct mh_greq *q;
+
+	grig_list(r, two_versions, 4);
+	do {
+		q = grig_stream(r, "a", NULL);
+		if (strcmp(version_of(r), "v1") == 0)
+			break;
+		mh_gate_caller_left(r->g, q);
+		grig_forget(r, q);
+	} while (true);
+	begin(r);
+	mh_gate_caller_left(r->g, q);
+	grig_forget(r, q);
+	grig_list(r, next, 4);
+	(void)grig_stream(r, "b", "a");
+	CU_ASSERT_EQUAL(r->refused, 1);
+	CU_ASSERT_EQUAL(r->why, MH_VERSION_GONE);
+	grig_destroy(r);
+}
+
+/* Guards against refusals while a draining endpoint still serves a version. */
+static void
+test_draining(void)
+{
+	struct mh_listing l = { "n0", 0, "pool", "10.0.0.1:1", "d", 8, true, 0,
+		"v1" };
+	static const char *const versions[] = { "v1", "v2" };
+	struct grig *r = grig_create(2);
+	struct mh_greq *q;
+
+	mh_fleet_set_drain(r->f, 800 * MS);
+	grig_list(r, versions, 2);
+	do {
+		q = grig_stream(r, "a", NULL);
+		begin(r);
+		mh_gate_caller_left(r->g, q);
+		grig_forget(r, q);
+	} while (strcmp(version_of(r), "v1") != 0);
+	mh_fleet_list(r->f, &l);
+	grig_advance(r, 700 * MS);
+	q = grig_stream(r, "b", "a");
+	CU_ASSERT_EQUAL(r->refused, 0);
+	CU_ASSERT_STRING_EQUAL(r->last, "n0");
+	mh_gate_caller_left(r->g, q);
+	grig_forget(r, q);
+	grig_advance(r, 200 * MS);
+	(void)grig_stream(r, "c", "a");
+	grig_advance(r, 2 * S);
+	CU_ASSERT_EQUAL(r->refused, 1);
+	grig_destroy(r);
+}
+
+/* Guards against a version that is taken for sure at an endpoint in doubt. */
+static void
+test_in_doubt(void)
+{
+	static const char *const names[] = { "n0", "n1" };
+	struct grig *r = grig_create(0);
+	struct mh_greq *q;
+
+	mh_fleet_begin(r->f);
+	for (int i = 0; i < 2; i++) {
+		struct mh_listing l = { names[i], 77, "pool", "10.0.0.1:1", "d",
+			8, false, 0, "v1" };
+
+		mh_fleet_list(r->f, &l);
+	}
+	mh_fleet_end(r->f);
+	q = grig_stream(r, "a", NULL);
+	begin(r);
+	mh_gate_caller_left(r->g, q);
+	grig_forget(r, q);
+	for (int i = 0; i < 2; i++) {
+		char *id = g_strdup_printf("%s@77", names[i]);
+
+		mh_node_doubt(r->f, mh_fleet_find(r->f, id));
+		g_free(id);
+	}
+	r->sends = 0;
+	(void)grig_stream(r, "b", "a");
+	CU_ASSERT_EQUAL(r->sends, 0);
+	q = grig_stream(r, "c", NULL);
+	begin(r);
+	mh_gate_caller_left(r->g, q);
+	grig_forget(r, q);
+	r->sends = 0;
+	(void)grig_stream(r, "d", "c");
+	CU_ASSERT_EQUAL(r->sends, 0);
+	grig_destroy(r);
+}
+
+/* entries that tell and ask each other */
+
+/** struct vrig - the entries of a mesh, each with versions of streams. */
+struct vrig {
+	struct mrig *m;
+	struct mh_fleet *f[ENTRIES];
+	struct mh_origins *o[ENTRIES];
+	struct mh_origin_mesh *om[ENTRIES];
+	int64_t rows_age_us;
+	uint32_t answers;
+	uint64_t version; /* of the last answer */
+	enum mh_origin_how how;
+};
+
+static const char *const pools[] = { "pool" };
+
+static int64_t
+rows_age_us(void *arg)
+{
+	return ((struct vrig *)arg)->rows_age_us;
+}
+
+static void
+vrig_list(struct vrig *r, uint32_t entry, const char *one, const char *two)
+{
+	const char *const versions[] = { one, two };
+
+	mh_fleet_begin(r->f[entry]);
+	for (size_t i = 0; i < G_N_ELEMENTS(versions); i++) {
+		struct mh_listing l = { i == 0 ? "n0" : "n1", 0, "pool", "a:1",
+			"d", 1, false, 0, versions[i] };
+
+		mh_fleet_list(r->f[entry], &l);
+	}
+	mh_fleet_end(r->f[entry]);
+}
+
+static void
+vrig_start(struct vrig *r, uint32_t i)
+{
+	r->f[i] = mh_fleet_create(r->m->e[i].k);
+	r->o[i] = mh_origins_create(r->m->e[i].k, r->f[i]);
+	r->om[i] = mh_origin_mesh_create(
+	    r->m->e[i].k, r->m->e[i].m, r->o[i], rows_age_us, r);
+}
+
+static void
+vrig_stop(struct vrig *r, uint32_t i)
+{
+	mh_origin_mesh_destroy(r->om[i]);
+	mh_origins_destroy(r->o[i]);
+	mh_fleet_destroy(r->f[i]);
+}
+
+static struct vrig *
+vrig_create(const char *one, const char *two)
+{
+	struct vrig *r = g_new0(struct vrig, 1);
+
+	r->m = mrig_create();
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		vrig_start(r, i);
+		vrig_list(r, i, one, two);
+	}
+	mrig_run(r->m, 3 * S);
+	return r;
+}
+
+static void
+vrig_destroy(struct vrig *r)
+{
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		vrig_stop(r, i);
+	mrig_destroy(r->m);
+	g_free(r);
+}
+
+static uint64_t
+key_of(struct vrig *r, uint32_t entry, const char *node)
+{
+	return mh_fleet_find(r->f[entry], node)->version_key;
+}
+
+static void
+vrig_begin(struct vrig *r, uint32_t entry, const char *id, const char *node)
+{
+	struct mh_begun b = { mh_origin_stream(id), key_of(r, entry, node),
+		"pool", 10 * S };
+
+	mh_origins_began(r->o[entry], &b);
+}
+
+static void
+on_origin(void *arg, uint64_t version, enum mh_origin_how how)
+{
+	struct vrig *r = arg;
+
+	r->answers++;
+	r->version = version;
+	r->how = how;
+}
+
+/* What an entry finds out about a stream, by itself or from the others. */
+static enum mh_origin_how
+vrig_find(struct vrig *r, uint32_t entry, const char *id)
+{
+	struct mh_origin_query q = { mh_origin_stream(id), pools, 1, 10 * S,
+		on_origin, r };
+	uint32_t answers = r->answers;
+
+	r->how = mh_origins_find(r->o[entry], q.stream, &r->version);
+	if (r->how != MH_ORIGIN_UNKNOWN)
+		return r->how;
+	if (mh_origins_sole_us(r->o[entry], pools, 1, &r->version) >= 10 * S)
+		return MH_ORIGIN_SOLE;
+	if (mh_origins_ask(r->o[entry], &q) == NULL)
+		return MH_ORIGIN_UNKNOWN;
+	mrig_run(r->m, S);
+	CU_ASSERT_EQUAL(r->answers, answers + 1);
+	return r->how;
+}
+
+/* Guards against losing a version with the entry that began the stream. */
+static void
+test_first_entry_dead(void)
+{
+	struct vrig *r = vrig_create("v1", "v2");
+
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		char id[8];
+
+		g_snprintf(id, sizeof(id), "a%u", i);
+		vrig_begin(r, i, id, i % 2 == 0 ? "n0" : "n1");
+		mrig_run(r->m, 20 * MS);
+		r->m->e[i].powered_off = true;
+		mrig_run(r->m, 20 * MS);
+		for (uint32_t j = 0; j < ENTRIES; j++) {
+			if (j == i)
+				continue;
+			CU_ASSERT_EQUAL(vrig_find(r, j, id), MH_ORIGIN_TOLD);
+			CU_ASSERT_EQUAL(
+			    r->version, key_of(r, j, i % 2 == 0 ? "n0" : "n1"));
+		}
+		r->m->e[i].powered_off = false;
+		mrig_run(r->m, 3 * S);
+	}
+	CU_ASSERT_EQUAL(vrig_find(r, 3, "never"), MH_ORIGIN_UNKNOWN);
+	vrig_destroy(r);
+}
+
+/* Guards against losing what entries knew that restart one after another. */
+static void
+test_entries_restart(void)
+{
+	struct vrig *r = vrig_create("v1", "v2");
+
+	vrig_begin(r, 0, "a", "n0");
+	mrig_run(r->m, 300 * MS);
+	for (uint32_t i = 1; i < ENTRIES; i++) {
+		vrig_stop(r, i);
+		mrig_start(&r->m->e[i]);
+		vrig_start(r, i);
+		vrig_list(r, i, "v1", "v2");
+		mrig_run(r->m, 2 * S);
+	}
+	r->m->e[0].powered_off = true;
+	mrig_run(r->m, 20 * MS);
+	for (uint32_t i = 1; i < ENTRIES; i++)
+		CU_ASSERT_EQUAL(vrig_find(r, i, "a"), MH_ORIGIN_TOLD);
+	vrig_destroy(r);
+}
+
+/* Guards against losing what began before a second version was listed. */
+static void
+test_told_at_release(void)
+{
+	struct vrig *r = vrig_create("v1", "v1");
+
+	mrig_run(r->m, 12 * S);
+	vrig_begin(r, 0, "a", "n0");
+	mrig_run(r->m, 500 * MS);
+	CU_ASSERT_EQUAL(mh_counter(r->m->e[0].k, "streams_told"), 0);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		vrig_list(r, i, "v1", "v2");
+	mrig_run(r->m, 500 * MS);
+	CU_ASSERT_EQUAL(mh_counter(r->m->e[0].k, "streams_told"), 1);
+	r->m->e[0].powered_off = true;
+	CU_ASSERT_EQUAL(vrig_find(r, 7, "a"), MH_ORIGIN_TOLD);
+	CU_ASSERT_EQUAL(r->version, key_of(r, 7, "n0"));
+	vrig_destroy(r);
+}
+
+/* Guards against refusals at an entry that has just started. */
+static void
+test_new_entry(void)
+{
+	struct vrig *r = vrig_create("v1", "v1");
+
+	mrig_run(r->m, 12 * S);
+	vrig_stop(r, 4);
+	mrig_start(&r->m->e[4]);
+	vrig_start(r, 4);
+	vrig_list(r, 4, "v1", "v1");
+	mrig_run(r->m, S);
+	CU_ASSERT_EQUAL(vrig_find(r, 4, "a"), MH_ORIGIN_SOLE);
+	CU_ASSERT_EQUAL(r->version, key_of(r, 4, "n0"));
+	vrig_destroy(r);
+}
+
+/* Guards against a guess where others may know of another version. */
+static void
+test_alone_with_old_rows(void)
+{
+	struct vrig *r = vrig_create("v1", "v1");
+
+	mrig_run(r->m, 12 * S);
+	r->rows_age_us = 4 * S;
+	vrig_begin(r, 0, "a", "n0");
+	mrig_run(r->m, 300 * MS);
+	CU_ASSERT_EQUAL(vrig_find(r, 7, "a"), MH_ORIGIN_TOLD);
+	CU_ASSERT_EQUAL(vrig_find(r, 7, "b"), MH_ORIGIN_UNKNOWN);
+	r->m->e[7].cut = true;
+	mrig_run(r->m, 3 * S);
+	CU_ASSERT_EQUAL(vrig_find(r, 7, "c"), MH_ORIGIN_UNKNOWN);
+	vrig_destroy(r);
+}
+
+/* Guards against a frame for each stream, however many begin. */
+static void
+test_frames_are_bounded(void)
+{
+	struct vrig *r = vrig_create("v1", "v2");
+	uint64_t before, idle, sent, streams = 0;
+
+	before = mh_counter(r->m->e[0].k, "link_frames_out");
+	mrig_run(r->m, S);
+	idle = mh_counter(r->m->e[0].k, "link_frames_out") - before;
+	for (int i = 0; i < 100; i++) {
+		for (int j = 0; j < 20; j++) {
+			char id[16];
+
+			g_snprintf(id, sizeof(id), "%d-%d", i, j);
+			vrig_begin(r, 0, id, "n0");
+			streams++;
+		}
+		mrig_run(r->m, 10 * MS);
+	}
+	sent = mh_counter(r->m->e[0].k, "link_frames_out") - before - idle;
+	CU_ASSERT_EQUAL(mh_counter(r->m->e[0].k, "streams_told"), streams);
+	/* One each 10 ms, to four entries. */
+	CU_ASSERT(sent < idle + 100 * 4 + 20);
+	CU_ASSERT_EQUAL(vrig_find(r, 5, "99-19"), MH_ORIGIN_TOLD);
+	vrig_destroy(r);
+}
+
 const struct test tests_version[] = {
 	{ "version: the entry's own tries", test_own_tries },
 	{ "version: no replica of it is left", test_own_try_without_replica },
 	{ "version: taken up by its caller", test_taken_up },
 	{ "version: not known", test_unknown },
+	{ "version: one alone for long", test_sole },
+	{ "version: begun before a release", test_begun_before_release },
+	{ "version: no endpoint has it", test_gone },
+	{ "version: a draining endpoint has it", test_draining },
+	{ "version: an endpoint in doubt", test_in_doubt },
+	{ "version: the first entry is dead", test_first_entry_dead },
+	{ "version: entries restart one by one", test_entries_restart },
+	{ "version: told at a release", test_told_at_release },
+	{ "version: an entry that has just started", test_new_entry },
+	{ "version: alone with old rows", test_alone_with_old_rows },
+	{ "version: frames are bounded", test_frames_are_bounded },
 	{ NULL, NULL },
 };
