Gateway: an endpoint confirms its start before a stream goes on there

Cause: the version is that of the row. A restart under the same name is accepted under that name, and nothing in an answer tells the incarnation.

Ruled out: leaving out endpoints to which a connection failed: an entry that had none open there sees nothing, and two replicas of a version were both left out at times.

Change: an endpoint that reports its start time is asked for it (GET of its report) before a stream goes on there; also after one began there, if the rows are older than 0.6 s or a connection failed since. Until it answers the stream is bound to nothing. What seemed to begin at an endpoint whose restart is found later counts as unknown. Endpoints whose names are not used again are not asked.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -37,7 +37,7 @@
 #define EJECT_MAX_US (6 * MH_US_PER_S)
 /* Warm-up ends read from one unchanged row differ by less than this. */
 #define WARM_ROUNDING_US (20 * MH_US_PER_MS)
-/* Time for the row of a restarted endpoint to arrive. */
+/* Time for an endpoint to restart and for its row to be written. */
 #define DOUBT_US (2 * MH_US_PER_S)
 
 static void
@@ -225,6 +225,19 @@
 	return false;
 }
 
+void
+mh_fleet_on_rows_age(struct mh_fleet *f, int64_t (*fn)(void *arg), void *arg)
+{
+	f->rows_age_us = fn;
+	f->rows_age_arg = arg;
+}
+
+int64_t
+mh_fleet_rows_age_us(const struct mh_fleet *f)
+{
+	return f->rows_age_us == NULL ? 0 : f->rows_age_us(f->rows_age_arg);
+}
+
 void
 mh_fleet_set_drain(struct mh_fleet *f, int64_t us)
 {
@@ -238,6 +251,12 @@
 	    mh_now(f->k) - n->draining_us < f->drain_us;
 }
 
+int64_t
+mh_fleet_restart_from_us(const struct mh_fleet *f)
+{
+	return mh_now(f->k) - mh_fleet_rows_age_us(f) - DOUBT_US;
+}
+
 /*
  * Only an endpoint that reports its start time may start again under the same
  * name; any other one rejects what is meant for its predecessor.
@@ -252,7 +271,8 @@
 bool
 mh_node_in_doubt(const struct mh_fleet *f, const struct mh_node *n)
 {
-	return n->doubt_us != 0 && mh_now(f->k) - n->doubt_us < DOUBT_US;
+	return n->doubt_us != 0 &&
+	    mh_now(f->k) - mh_fleet_rows_age_us(f) - n->doubt_us < DOUBT_US;
 }
 
 /* The id of one incarnation; names do not contain "@". */
@@ -406,6 +426,7 @@
 {
 	struct mh_node *n = mh_fleet_find(f, id), *next;
 	struct mh_listing l;
+	bool has_version;
 
 	if (n == NULL || start_ms == 0 || n->start_ms == 0 ||
 	    n->start_ms == start_ms)
@@ -413,7 +434,12 @@
 	l = (struct mh_listing) { g_strdup(n->name), start_ms,
 		g_strdup(n->pool), g_strdup(n->addr), g_strdup(n->domain),
 		n->capacity, false, warmup_us(f, n->pool), NULL };
+	has_version = n->version_key != 0;
 	next = replace_node(f, n, &l);
+	if (has_version) {
+		next->version_key = MH_VERSION_UNSURE;
+		update_sole(f, next->pool);
+	}
 	next->capacity = l.capacity;
 	next->row_warm_at_us = next->warm_at_us = mh_now(f->k) + l.warm_us;
 	g_free((char *)(uintptr_t)l.name);
--- a/lib/fleetint.h
+++ b/lib/fleetint.h
@@ -13,6 +13,8 @@
 	GHashTable *names; /* name -> struct mh_node, not owned */
 	GHashTable *pools; /* name -> GPtrArray of struct mh_node */
 	GHashTable *soles; /* pool -> struct mh_sole */
+	int64_t (*rows_age_us)(void *arg);
+	void *rows_age_arg;
 	int64_t drain_us; /* see mh_fleet_set_drain() */
 	uint32_t mark; /* of the current reading of the registry */
 	uint64_t version;
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -67,6 +67,7 @@
 	g_free(q->piece_key);
 	g_free(q->resume_after);
 	g_free(q->resumes);
+	g_free(q->confirm_node);
 	g_free(q->slot_node);
 	g_free(q);
 }
@@ -127,6 +128,9 @@
 	if (q->ask != NULL)
 		mh_origins_cancel(g->origins, q->ask);
 	q->ask = NULL;
+	if (q->confirm != NULL)
+		g->ops.unconfirm(g->ops.jobs, q->confirm);
+	q->confirm = NULL;
 	q->state = MH_GREQ_ENDED;
 	mh_timer_stop(g->k, &q->expiry_timer);
 	mh_timer_stop(g->k, &q->silence_timer);
@@ -241,6 +245,8 @@
 
 	a->pool = q->pool;
 	a->version = q->version;
+	a->sure = q->version != 0 && g->ops.confirm == NULL;
+	a->confirmed = q->confirm_node;
 	if (p != NULL)
 		a->inflight_max = MAX(p->max_conns / MAX(g->entries, 1), 1);
 	a->cold_per_s = p == NULL ? 0 : p->cold_per_s;
@@ -419,6 +425,8 @@
 			wait_or_refuse(g, q, &a);
 		return;
 	}
+	if (mh_gate_must_confirm(g, q, n))
+		return;
 	g_clear_pointer(&q->slot_node, g_free);
 	t = g_new0(struct mh_try, 1);
 	t->req = q;
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -182,6 +182,9 @@
 
 struct mh_fleet;
 
+/* Version of an endpoint that has restarted and whose row is late. */
+#define MH_VERSION_UNSURE 2
+
 /**
  * struct mh_node - one incarnation of an endpoint.
  *
@@ -310,6 +313,18 @@
  * on.
  */
 bool mh_node_takes_last(const struct mh_fleet *f, const struct mh_node *n);
+/**
+ * mh_fleet_on_rows_age() - sets the query for the time since the rows were last
+ * confirmed; without it they always are.
+ */
+void mh_fleet_on_rows_age(
+    struct mh_fleet *f, int64_t (*fn)(void *arg), void *arg);
+int64_t mh_fleet_rows_age_us(const struct mh_fleet *f);
+/**
+ * mh_fleet_restart_from_us() - an endpoint whose restart is found now did not
+ * restart earlier.
+ */
+int64_t mh_fleet_restart_from_us(const struct mh_fleet *f);
 /** mh_node_doubt() - a connection to it failed: it may have restarted. */
 void mh_node_doubt(struct mh_fleet *f, struct mh_node *n);
 /** mh_node_in_doubt() - whether it may be an incarnation not listed yet. */
@@ -433,6 +448,8 @@
 	int64_t retry_us; /* likewise: time until a caller may return */
 	const char *wait_node; /* id where a slot is reserved, or NULL */
 	uint64_t version; /* software version it is bound to; 0: any */
+	bool sure; /* with @version: to no endpoint in doubt */
+	const char *confirmed; /* id, chosen if it can take the request */
 	uint64_t isolation_hash; /* see poison.h; 0: choose by prompt, load */
 	bool has_cached_prompt; /* set by the choice: expected there */
 	uint32_t held_back[MH_NEEDS]; /* likewise: endpoints left out */
@@ -788,9 +805,6 @@
 
 /* origin.c: the software version at which each stream began */
 
-/* The version of a stream that began at an endpoint in doubt. */
-#define MH_VERSION_UNSURE 2
-
 /** enum mh_origin_how - how the version of a stream is known. */
 enum mh_origin_how {
 	MH_ORIGIN_UNKNOWN,
@@ -804,6 +818,7 @@
 	uint64_t stream; /* mh_origin_stream() */
 	uint64_t version; /* of the pool, see struct mh_node */
 	const char *pool;
+	const char *node; /* id of the endpoint */
 	int64_t last_us; /* its caller may take it up for this long */
 };
 
@@ -824,8 +839,6 @@
 	/* returns what cancel takes; NULL: there is nobody to ask */
 	void *(*ask)(void *arg, const struct mh_origin_query *q);
 	void (*cancel)(void *arg, void *ask);
-	/* time since the rows were last confirmed; NULL: they always are */
-	int64_t (*rows_age_us)(void *arg);
 	void *arg;
 };
 
@@ -838,6 +851,11 @@
 uint64_t mh_origin_stream(const char *id);
 /** mh_origins_began() - this entry began a stream or carried it on. */
 void mh_origins_began(struct mh_origins *o, const struct mh_begun *b);
+/**
+ * mh_origins_restarted() - an endpoint has started again: what seemed to begin
+ * there of late may have begun at the new incarnation.
+ */
+void mh_origins_restarted(struct mh_origins *o, const char *node);
 /** mh_origins_complete() - a stream has ended, and nobody will take it up. */
 void mh_origins_complete(struct mh_origins *o, uint64_t stream);
 /** mh_origins_tick() - to call several times a second: tells and drops. */
@@ -919,6 +937,8 @@
 	uint64_t version; /* software version that it is bound to; 0: any */
 	int64_t version_wait_us; /* until then it waits for one of it */
 	void *ask; /* other entries are asked for its version; or NULL */
+	void *confirm; /* @confirm_node is asked for its start; or NULL */
+	char *confirm_node; /* id of the endpoint asked last; or NULL */
 	int64_t arrived_us;
 	int64_t first_attempt_us; /* estimate: when the caller first tried */
 	int64_t slo_by_us; /* absolute latency objective */
@@ -1002,6 +1022,14 @@
 	/* the results of a finished job may be freed */
 	void (*release)(void *jobs, struct mh_job *j);
 	void *jobs; /* of submit, cancel and release */
+	/*
+	 * Asks an endpoint for its start time, which may be later than that of
+	 * its row; ends in mh_gate_confirmed().  Returns what unconfirm takes.
+	 * NULL: it can't be asked.
+	 */
+	void *(*confirm)(
+	    void *jobs, struct mh_greq *q, const struct mh_node *n);
+	void (*unconfirm)(void *jobs, void *call);
 };
 
 struct mh_gate *mh_gate_create(struct mh_kern *k, struct mh_fleet *f,
@@ -1051,6 +1079,13 @@
     struct mh_gate *g, struct mh_try *t, const char *why);
 /** mh_gate_origins() - the versions of streams. */
 struct mh_origins *mh_gate_origins(const struct mh_gate *g);
+/** mh_gate_restarted() - an endpoint has started again under its name. */
+void mh_gate_restarted(struct mh_gate *g, const char *node);
+/**
+ * mh_gate_confirmed() - an endpoint has told when it started; 0: it has not
+ * answered.
+ */
+void mh_gate_confirmed(struct mh_gate *g, struct mh_greq *q, int64_t start_ms);
 /** mh_gate_open() - number of requests that have not ended. */
 uint32_t mh_gate_open(const struct mh_gate *g);
 /** mh_gate_open_at() - a try sent to @endpoint before @us is still open. */
--- a/lib/gateint.h
+++ b/lib/gateint.h
@@ -97,6 +97,12 @@
 /** mh_gate_note_began() - the head of a stream goes to the caller. */
 void mh_gate_note_began(
     struct mh_gate *g, struct mh_greq *q, const struct mh_try *t);
+/**
+ * mh_gate_must_confirm() - asks the endpoint for its start, if it may have
+ * restarted as another version; true: the request waits for that.
+ */
+bool mh_gate_must_confirm(
+    struct mh_gate *g, struct mh_greq *q, const struct mh_node *n);
 /** mh_gate_wait_for_version() - waits for an endpoint of its version; true. */
 bool mh_gate_wait_for_version(struct mh_gate *g, struct mh_greq *q);
 /** mh_gate_start_job() - submits the stage work of a request. */
--- a/lib/gateversion.c
+++ b/lib/gateversion.c
@@ -11,6 +11,8 @@
 /* Interval at which a bound request looks for an endpoint, and for how long. */
 #define WAIT_US (100 * MH_US_PER_MS)
 #define WAIT_MAX_US (1500 * MH_US_PER_MS)
+/* Younger rows name a restarted endpoint, but for the time to write its row. */
+#define ROWS_FRESH_US (600 * MH_US_PER_MS)
 
 static bool
 is_resumable(const struct mh_greq *q)
@@ -146,23 +148,115 @@
 	return !asked && bind(g, q, version, how);
 }
 
-void
-mh_gate_note_began(struct mh_gate *g, struct mh_greq *q, const struct mh_try *t)
+/* The version of the stream is known now. */
+static void
+note_version(struct mh_gate *g, struct mh_greq *q, const struct mh_try *t,
+    uint64_t version)
 {
-	struct mh_begun b = { q->stream, q->version, q->pool,
+	struct mh_begun b = { q->stream, version, q->pool, t->node,
 		last_us(g, q->route) };
 
-	if (!is_resumable(q) || t->version == 0)
-		return;
-	if (b.version == 0)
-		b.version = t->in_doubt ? MH_VERSION_UNSURE : t->version;
-	q->version = b.version;
+	q->version = version;
 	mh_event(g->k, "stream-began",
 	    "id=%s stream=%016" PRIx64 " version=%016" PRIx64
 	    " node=%s sure=%d",
-	    q->id, q->stream, q->version, t->node,
-	    q->version != MH_VERSION_UNSURE);
-	mh_origins_began(g->origins, &b);
+	    q->id, q->stream, version, t->node, version != MH_VERSION_UNSURE);
+	if (version != MH_VERSION_UNSURE)
+		mh_origins_began(g->origins, &b);
+}
+
+static void
+ask_start(struct mh_gate *g, struct mh_greq *q, const struct mh_node *n)
+{
+	if (q->confirm != NULL)
+		g->ops.unconfirm(g->ops.jobs, q->confirm);
+	g_free(q->confirm_node);
+	q->confirm_node = g_strdup(n->id);
+	mh_count(g->k, "starts_asked", 1);
+	q->confirm = g->ops.confirm(g->ops.jobs, q, n);
+}
+
+/*
+ * Where the row may be out of date, the endpoint is asked for its start after
+ * it has begun: the answer holds for the begin too.
+ */
+void
+mh_gate_note_began(struct mh_gate *g, struct mh_greq *q, const struct mh_try *t)
+{
+	const struct mh_node *n = mh_fleet_find(g->f, t->node);
+	bool old = n != NULL && n->start_ms != 0 &&
+	    mh_fleet_rows_age_us(g->f) > ROWS_FRESH_US;
+
+	if (!is_resumable(q) || t->version == 0)
+		return;
+	if (q->version != 0 || (!t->in_doubt && !old)) {
+		note_version(
+		    g, q, t, q->version != 0 ? q->version : t->version);
+		return;
+	}
+	note_version(g, q, t, MH_VERSION_UNSURE);
+	if (n != NULL && g->ops.confirm != NULL)
+		ask_start(g, q, n);
+}
+
+void
+mh_gate_restarted(struct mh_gate *g, const char *node)
+{
+	int64_t from_us = mh_fleet_restart_from_us(g->f);
+	GHashTableIter it;
+	gpointer key;
+
+	mh_origins_restarted(g->origins, node);
+	g_hash_table_iter_init(&it, g->requests);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		struct mh_greq *q = key;
+
+		if (q->version != 0 && q->cur != NULL &&
+		    q->cur->sent_us >= from_us &&
+		    strcmp(q->cur->node, node) == 0)
+			q->version = MH_VERSION_UNSURE;
+	}
+}
+
+/*
+ * An endpoint that reports its start time may have started again under its
+ * name, as another version, without any sign that reached this entry.
+ */
+bool
+mh_gate_must_confirm(
+    struct mh_gate *g, struct mh_greq *q, const struct mh_node *n)
+{
+	if (q->version == 0 || n->start_ms == 0 || g->ops.confirm == NULL ||
+	    g_strcmp0(q->confirm_node, n->id) == 0)
+		return false;
+	ask_start(g, q, n);
+	return true;
+}
+
+void
+mh_gate_confirmed(struct mh_gate *g, struct mh_greq *q, int64_t start_ms)
+{
+	struct mh_node *n = mh_fleet_find(g->f, q->confirm_node);
+	const struct mh_try *t = q->cur;
+	bool ok = n != NULL && start_ms == n->start_ms;
+
+	q->confirm = NULL;
+	if (ok)
+		n->doubt_us = 0;
+	else
+		mh_event(g->k, "start-not-confirmed",
+		    "id=%s node=%s start_ms=%" PRId64, q->id, q->confirm_node,
+		    start_ms);
+	if (!ok && start_ms != 0)
+		mh_fleet_set_start(g->f, q->confirm_node, start_ms);
+	if (t != NULL) { /* it has begun there */
+		if (ok && strcmp(t->node, q->confirm_node) == 0)
+			note_version(g, q, t, t->version);
+		return;
+	}
+	if (!ok && start_ms == 0 && q->n_tried < MH_TRIED_MAX)
+		q->tried[q->n_tried++] = g_strdup(q->confirm_node);
+	mh_gate_try_next(g, q);
 }
 
 /* Whether an endpoint of its version may take it before long. */
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -309,13 +309,9 @@
 
 struct mh_origin_mesh;
 
-/**
- * mh_origin_mesh_create() - connects @origins to the other entries.
- * @rows_age_us: time since the rows of endpoints were confirmed; may be NULL
- */
-struct mh_origin_mesh *mh_origin_mesh_create(struct mh_kern *k,
-    struct mh_mesh *m, struct mh_origins *origins,
-    int64_t (*rows_age_us)(void *arg), void *arg);
+/** mh_origin_mesh_create() - connects @origins to the other entries. */
+struct mh_origin_mesh *mh_origin_mesh_create(
+    struct mh_kern *k, struct mh_mesh *m, struct mh_origins *origins);
 /**
  * mh_origin_mesh_destroy() - to call when no more frames are delivered, after
  * the gateway is destroyed.
--- a/lib/origin.c
+++ b/lib/origin.c
@@ -87,8 +87,7 @@
 static bool
 rows_are_old(const struct mh_origins *o)
 {
-	return o->ops.rows_age_us != NULL &&
-	    o->ops.rows_age_us(o->ops.arg) > ROWS_OLD_US;
+	return mh_fleet_rows_age_us(o->f) > ROWS_OLD_US;
 }
 
 /* Whether another entry can't conclude the version from its rows. */
@@ -127,11 +126,32 @@
 	}
 	w->b = *b;
 	w->b.pool = g_intern_string(b->pool);
+	w->b.node = g_intern_string(b->node);
 	w->at_us = mh_now(o->k);
 	w->told = false;
 	tell_if_needed(o, w);
 }
 
+void
+mh_origins_restarted(struct mh_origins *o, const char *node)
+{
+	int64_t from_us = mh_fleet_restart_from_us(o->f);
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, o->own);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct own *w = value;
+
+		if (w->at_us < from_us || strcmp(w->b.node, node) != 0)
+			continue;
+		w->b.version = MH_VERSION_UNSURE;
+		w->told = false;
+		mh_count(o->k, "streams_version_withdrawn", 1);
+		tell_if_needed(o, w);
+	}
+}
+
 void
 mh_origins_complete(struct mh_origins *o, uint64_t stream)
 {
@@ -190,14 +210,18 @@
 	const struct own *w = g_hash_table_lookup(o->own, &stream);
 	const struct told *t = NULL;
 
-	if (w != NULL) {
-		*version = w->b.version;
-		return MH_ORIGIN_OWN;
-	}
 	for (int i = 0; i < 2 && t == NULL; i++)
 		t = g_hash_table_lookup(o->told[i], &stream);
-	*version = t == NULL ? 0 : t->version;
-	return t == NULL ? MH_ORIGIN_UNKNOWN : MH_ORIGIN_TOLD;
+	*version = 0;
+	if (w != NULL)
+		*version = w->b.version;
+	else if (t != NULL)
+		*version = t->version;
+	if (*version == MH_VERSION_UNSURE)
+		*version = 0;
+	if (*version == 0)
+		return MH_ORIGIN_UNKNOWN;
+	return w != NULL ? MH_ORIGIN_OWN : MH_ORIGIN_TOLD;
 }
 
 int64_t
--- a/lib/originmesh.c
+++ b/lib/originmesh.c
@@ -44,8 +44,6 @@
 	struct mh_kern *k;
 	struct mh_mesh *m;
 	struct mh_origins *origins;
-	int64_t (*rows_age_us)(void *arg);
-	void *arg;
 	GArray *streams; /* uint64_t, to be told... */
 	GArray *versions; /* ...and theirs */
 	GPtrArray *asked; /* struct asked */
@@ -265,27 +263,16 @@
 	}
 }
 
-static int64_t
-op_rows_age_us(void *arg)
-{
-	struct mh_origin_mesh *o = arg;
-
-	return o->rows_age_us(o->arg);
-}
-
 struct mh_origin_mesh *
-mh_origin_mesh_create(struct mh_kern *k, struct mh_mesh *m,
-    struct mh_origins *origins, int64_t (*rows_age_us)(void *arg), void *arg)
+mh_origin_mesh_create(
+    struct mh_kern *k, struct mh_mesh *m, struct mh_origins *origins)
 {
 	struct mh_origin_mesh *o = g_new0(struct mh_origin_mesh, 1);
-	struct mh_origin_ops ops = { op_tell, op_ask, op_cancel,
-		rows_age_us == NULL ? NULL : op_rows_age_us, o };
+	struct mh_origin_ops ops = { op_tell, op_ask, op_cancel, o };
 
 	o->k = k;
 	o->m = m;
 	o->origins = origins;
-	o->rows_age_us = rows_age_us;
-	o->arg = arg;
 	o->streams = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	o->versions = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	o->asked = g_ptr_array_new_with_free_func(free_asked);
--- a/lib/place.c
+++ b/lib/place.c
@@ -128,7 +128,8 @@
 static bool
 has_version(const struct mh_place_request *a, const struct mh_node *n)
 {
-	return a->version == 0 || n->version_key == a->version;
+	return a->version == 0 ||
+	    (n->version_key == a->version && a->version != MH_VERSION_UNSURE);
 }
 
 /* Whether the request may go there at all, whenever that is. */
@@ -137,7 +138,7 @@
     const struct mh_node *n)
 {
 	return has_version(a, n) && !was_tried(a, n) &&
-	    (a->version == 0 || !mh_node_in_doubt(p->f, n));
+	    !(a->sure && mh_node_in_doubt(p->f, n));
 }
 
 /*
@@ -489,6 +490,20 @@
 	return best;
 }
 
+/* The endpoint that has just confirmed its start, if it still has room. */
+static struct mh_node *
+confirmed_node(struct mh_place *p, const struct mh_place_request *a)
+{
+	struct mh_node *n =
+	    a->confirmed == NULL ? NULL : mh_fleet_find(p->f, a->confirmed);
+
+	if (n == NULL || !is_candidate(p, a, n) ||
+	    (a->inflight_max > 0 && n->inflight >= a->inflight_max) ||
+	    (!has_slot(p, a, n) && !mh_node_takes_last(p->f, n)))
+		return NULL;
+	return n;
+}
+
 const struct mh_node *
 mh_place_affinity(struct mh_place *p, const struct mh_place_request *a)
 {
@@ -505,6 +520,9 @@
 
 	if (pool == NULL)
 		return NULL;
+	n = confirmed_node(p, a);
+	if (n != NULL)
+		return n;
 	n = a->isolation_hash != 0 ? isolation_node(p, a, pool) : NULL;
 	if (n == NULL)
 		n = best_of(p, a, pool, false);
--- a/regress/crashrig.c
+++ b/regress/crashrig.c
@@ -187,7 +187,7 @@
 {
 	struct mh_budget_args b = { 0.2, 500, 10 * S };
 	struct mh_gate_ops ops = { op_send, op_abort, op_refuse, op_finish,
-		op_break, e, op_job, op_job, op_job, e };
+		op_break, e, op_job, op_job, op_job, e, NULL, NULL };
 	struct mh_poison_mesh_args poison = { .mesh = e->m->m };
 
 	e->f = mh_fleet_create(e->m->k);
--- a/regress/gaterig.c
+++ b/regress/gaterig.c
@@ -77,6 +77,36 @@
 	((struct grig *)arg)->dropped++;
 }
 
+static void
+on_start(void *arg)
+{
+	struct grig *r = arg;
+
+	r->start_timer = NULL;
+	mh_gate_confirmed(r->g, r->asking, r->start_ms);
+}
+
+static void *
+op_confirm(void *arg, struct mh_greq *q, const struct mh_node *n)
+{
+	struct grig *r = arg;
+
+	(void)n;
+	r->starts_asked++;
+	r->asking = q;
+	r->start_timer = mh_timer_start(r->k, 1, on_start, r);
+	return r;
+}
+
+static void
+op_unconfirm(void *arg, void *call)
+{
+	struct grig *r = arg;
+
+	(void)call;
+	mh_timer_stop(r->k, &r->start_timer);
+}
+
 static void
 add_route(struct grig *r, const char *name, bool stream, enum mh_repeat repeat,
     uint32_t attempts)
@@ -118,7 +148,8 @@
 	struct grig *r = g_new0(struct grig, 1);
 	struct mh_budget_args b = { 0.2, 50, 10 * S };
 	struct mh_gate_ops ops = { op_send, op_abort, op_refuse, op_finish,
-		op_break, r, op_submit, op_drop, op_drop, r };
+		op_break, r, op_submit, op_drop, op_drop, r, op_confirm,
+		op_unconfirm };
 
 	r->k = mh_kern_create(3);
 	r->open = g_ptr_array_new();
--- a/regress/t_version.c
+++ b/regress/t_version.c
@@ -217,13 +217,12 @@
 	grig_destroy(r);
 }
 
-/* Guards against a version that is taken for sure at an endpoint in doubt. */
-static void
-test_in_doubt(void)
+/* Two endpoints that report when they started, 77. */
+static struct grig *
+restartable(void)
 {
 	static const char *const names[] = { "n0", "n1" };
 	struct grig *r = grig_create(0);
-	struct mh_greq *q;
 
 	mh_fleet_begin(r->f);
 	for (int i = 0; i < 2; i++) {
@@ -233,26 +232,117 @@
 		mh_fleet_list(r->f, &l);
 	}
 	mh_fleet_end(r->f);
-	q = grig_stream(r, "a", NULL);
+	r->start_ms = 77;
+	return r;
+}
+
+static void
+begin_and_leave(struct grig *r, const char *id)
+{
+	struct mh_greq *q = grig_stream(r, id, NULL);
+
 	begin(r);
 	mh_gate_caller_left(r->g, q);
 	grig_forget(r, q);
-	for (int i = 0; i < 2; i++) {
-		char *id = g_strdup_printf("%s@77", names[i]);
-
-		mh_node_doubt(r->f, mh_fleet_find(r->f, id));
-		g_free(id);
-	}
 	r->sends = 0;
+}
+
+/* Guards against a version that is taken for sure at an endpoint in doubt. */
+static void
+test_begun_in_doubt(void)
+{
+	struct grig *r = restartable();
+
+	mh_node_doubt(r->f, mh_fleet_find(r->f, "n0@77"));
+	mh_node_doubt(r->f, mh_fleet_find(r->f, "n1@77"));
+	begin_and_leave(r, "a");
 	(void)grig_stream(r, "b", "a");
+	CU_ASSERT_EQUAL(r->why, MH_VERSION_UNKNOWN);
 	CU_ASSERT_EQUAL(r->sends, 0);
-	q = grig_stream(r, "c", NULL);
-	begin(r);
-	mh_gate_caller_left(r->g, q);
-	grig_forget(r, q);
-	r->sends = 0;
+	grig_advance(r, 3 * S);
+	begin_and_leave(r, "c");
 	(void)grig_stream(r, "d", "c");
+	grig_advance(r, 10 * MS);
+	CU_ASSERT_EQUAL(r->sends, 1);
+	grig_destroy(r);
+}
+
+/* Guards against a restart as another version that no row tells yet. */
+static void
+test_restarted(void)
+{
+	struct grig *r = restartable();
+
+	begin_and_leave(r, "a");
+	(void)grig_stream(r, "b", "a");
 	CU_ASSERT_EQUAL(r->sends, 0);
+	grig_advance(r, 10 * MS);
+	CU_ASSERT_EQUAL(r->starts_asked, 1);
+	CU_ASSERT_EQUAL(r->sends, 1);
+	grig_answer(r, 200, false, true);
+	begin_and_leave(r, "c");
+	r->start_ms = 88;
+	(void)grig_stream(r, "d", "c");
+	for (int i = 0; i < 30; i++)
+		grig_advance(r, 100 * MS);
+	CU_ASSERT_EQUAL(r->starts_asked, 3);
+	CU_ASSERT_EQUAL(r->sends, 0);
+	CU_ASSERT_EQUAL(r->refused, 1);
+	CU_ASSERT_PTR_NULL(mh_fleet_find(r->f, "n0@77"));
+	grig_destroy(r);
+}
+
+static int64_t
+two_seconds(void *arg)
+{
+	(void)arg;
+	return 2 * S;
+}
+
+/* Guards against a version taken from a row that may be out of date. */
+static void
+test_begun_with_old_rows(void)
+{
+	struct grig *r = restartable();
+	struct mh_greq *q;
+
+	mh_fleet_on_rows_age(r->f, two_seconds, NULL);
+	for (int i = 0; i < 2; i++) {
+		r->start_ms = i == 0 ? 77 : 88;
+		q = grig_stream(r, i == 0 ? "a" : "b", NULL);
+		begin(r);
+		grig_advance(r, 10 * MS);
+		CU_ASSERT_EQUAL(r->starts_asked, i + 1);
+		mh_gate_caller_left(r->g, q);
+		grig_forget(r, q);
+	}
+	r->sends = 0;
+	r->start_ms = 77;
+	(void)grig_stream(r, "c", "b");
+	grig_advance(r, 10 * MS);
+	CU_ASSERT_EQUAL(r->why, MH_VERSION_UNKNOWN);
+	CU_ASSERT_EQUAL(r->sends, 0);
+	(void)grig_stream(r, "d", "a");
+	grig_advance(r, 10 * MS);
+	CU_ASSERT_EQUAL(r->sends, 1);
+	grig_destroy(r);
+}
+
+/* Guards against a begin at what proves to have been another incarnation. */
+static void
+test_begun_after_restart(void)
+{
+	struct grig *r = restartable();
+	char node[16];
+
+	begin_and_leave(r, "a");
+	g_strlcpy(node, r->last, sizeof(node));
+	mh_fleet_set_start(r->f, node, 88);
+	mh_gate_restarted(r->g, node);
+	(void)grig_stream(r, "b", "a");
+	grig_advance(r, S);
+	CU_ASSERT_EQUAL(r->sends, 0);
+	CU_ASSERT_EQUAL(r->why, MH_VERSION_UNKNOWN);
 	grig_destroy(r);
 }
 
@@ -298,8 +388,8 @@
 {
 	r->f[i] = mh_fleet_create(r->m->e[i].k);
 	r->o[i] = mh_origins_create(r->m->e[i].k, r->f[i]);
-	r->om[i] = mh_origin_mesh_create(
-	    r->m->e[i].k, r->m->e[i].m, r->o[i], rows_age_us, r);
+	mh_fleet_on_rows_age(r->f[i], rows_age_us, r);
+	r->om[i] = mh_origin_mesh_create(r->m->e[i].k, r->m->e[i].m, r->o[i]);
 }
 
 static void
@@ -343,7 +433,7 @@
 vrig_begin(struct vrig *r, uint32_t entry, const char *id, const char *node)
 {
 	struct mh_begun b = { mh_origin_stream(id), key_of(r, entry, node),
-		"pool", 10 * S };
+		"pool", node, 10 * S };
 
 	mh_origins_began(r->o[entry], &b);
 }
@@ -520,7 +610,10 @@
 	{ "version: begun before a release", test_begun_before_release },
 	{ "version: no endpoint has it", test_gone },
 	{ "version: a draining endpoint has it", test_draining },
-	{ "version: an endpoint in doubt", test_in_doubt },
+	{ "version: begun at an endpoint in doubt", test_begun_in_doubt },
+	{ "version: an endpoint has restarted", test_restarted },
+	{ "version: begun with old rows", test_begun_with_old_rows },
+	{ "version: begun after a restart", test_begun_after_restart },
 	{ "version: the first entry is dead", test_first_entry_dead },
 	{ "version: entries restart one by one", test_entries_restart },
 	{ "version: told at a release", test_told_at_release },
