Regress, soak: parts of prompts that crash engines (fails)

What callers saw: requests that share one part of their prompt crash one engine after the other.

Change: three tests in virtual time: one to three causes, with plenty of and few sound requests that share the caller's part, the first part and others; engines that crash on their own; entries that restart. The audit allows three requests at entries in touch over 3 s after the fifth crash, and half of the sound streams must begin from 6 s after it.

--- a/regress/crashrig.c
+++ b/regress/crashrig.c
@@ -43,10 +43,44 @@
 	uint32_t tries;
 };
 
+/* Requests with a poison part: a fingerprint each, which ends in the part. */
+#define FIRST_WITH_PART 1000000000
+#define CAUSES_MAX 8
+/* Values of a shared part at each of its places. */
+#define SHARED 5
+
 static bool
 is_poison(const struct crashrig *r, uint64_t fingerprint)
 {
-	return fingerprint <= r->n_poison;
+	return fingerprint <= r->n_poison || fingerprint >= FIRST_WITH_PART;
+}
+
+/* Index of its results. */
+static uint64_t
+kind_of(uint64_t fingerprint)
+{
+	return fingerprint < FIRST_WITH_PART ? fingerprint
+					     : fingerprint % CAUSES_MAX;
+}
+
+static void
+add_part(struct mh_greq *q, uint64_t id)
+{
+	q->parts[q->n_parts++] = (struct mh_prompt_part) { id, 50 };
+}
+
+/* All share the first part; others, and callers, share the other ones. */
+static void
+set_parts(struct mh_greq *q)
+{
+	uint64_t n = q->fingerprint / CAUSES_MAX;
+
+	add_part(q, 1);
+	add_part(q, 10 + n % SHARED);
+	if (q->fingerprint >= FIRST_WITH_PART)
+		add_part(q, 50 + kind_of(q->fingerprint));
+	add_part(q, 20 + n / SHARED % SHARED);
+	add_part(q, 100 + q->fingerprint);
 }
 
 static int64_t
@@ -90,10 +124,14 @@
 	n->incarnation = n->engine->incarnation;
 	if (!is_poison(r, fingerprint))
 		return;
+	fingerprint = kind_of(fingerprint);
 	r->sends[fingerprint]++;
 	if (r->third_crash_us[fingerprint] != 0 &&
 	    now(r) > r->third_crash_us[fingerprint] + SPREAD_US)
 		r->late_sends[fingerprint]++;
+	if (r->fifth_crash_us[fingerprint] != 0 &&
+	    now(r) > r->fifth_crash_us[fingerprint] + SPREAD_US)
+		r->after_fifth[fingerprint]++;
 }
 
 static void
@@ -279,8 +317,12 @@
 static void
 note_crash(struct crashrig *r, uint64_t fingerprint)
 {
-	if (++r->crashes[fingerprint] == 3)
-		r->third_crash_us[fingerprint] = now(r);
+	uint64_t kind = kind_of(fingerprint);
+
+	if (++r->crashes[kind] == 3)
+		r->third_crash_us[kind] = now(r);
+	if (r->crashes[kind] == 5)
+		r->fifth_crash_us[kind] = now(r);
 }
 
 /* Advances a run by a step; true if it has ended, maybe with others. */
@@ -359,6 +401,8 @@
 	q->host = g_strdup("h.example");
 	q->target = r->plain ? "/once/x" : "/stream/x";
 	q->fingerprint = fingerprint;
+	if (r->n_causes > 0)
+		set_parts(q);
 	g_ptr_array_add(r->open, q);
 	mh_gate_admit(e->g, q);
 }
@@ -368,13 +412,18 @@
 {
 	double chance = r->other_per_s * (double)STEP_US / (double)S;
 
-	for (uint64_t b = 1; b <= r->n_poison; b++) {
+	for (uint64_t b = 1; b <= r->n_poison + r->n_causes; b++) {
 		if (now(r) < r->poison_next_us[b])
 			continue;
 		r->poison_next_us[b] = now(r) +
 		    (int64_t)((double)r->poison_pause_us *
 			g_rand_double_range(r->rand, 0.3, 1.7));
-		send_request(r, b, 1);
+		if (r->n_causes > 0)
+			send_request(r,
+			    FIRST_WITH_PART + CAUSES_MAX * r->n_others++ + b,
+			    1);
+		else
+			send_request(r, b, 1);
 	}
 	for (; chance > 0; chance -= 1) {
 		if (g_rand_double(r->rand) >= chance)
--- a/regress/crashrig.h
+++ b/regress/crashrig.h
@@ -48,13 +48,16 @@
 	int64_t poison_pause_us; /* mean time between sends of each */
 	int64_t crash_us; /* from the head of its answer to the crash */
 	uint32_t n_poison; /* poison requests, fingerprints from 1 on */
+	uint32_t n_causes; /* parts of prompts that are poison; instead */
 	bool store_down; /* the entries' lists of engines don't change */
 	bool plain; /* requests are not streams */
-	/* results, of poison requests by fingerprint */
+	/* results, of poison requests by fingerprint, or by part */
 	uint32_t sends[8]; /* that reached an engine */
 	uint32_t crashes[8]; /* of engines under it */
 	int64_t third_crash_us[8]; /* when the third of these came */
 	uint32_t late_sends[8]; /* that came over SPREAD_US later */
+	uint32_t after_fifth[8]; /* over SPREAD_US after the fifth */
+	int64_t fifth_crash_us[8];
 	uint32_t other_sent;
 	uint32_t other_served;
 	uint32_t other_failed; /* after the last retry */
--- a/regress/main.c
+++ b/regress/main.c
@@ -90,6 +90,7 @@
 	{ "crash", tests_crash },
 	{ "late", tests_late_crash },
 	{ "poison", tests_poison },
+	{ "part", tests_part },
 	{ "stage", tests_stage },
 	{ "said", tests_said },
 	{ "words", tests_words },
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -52,6 +52,7 @@
 extern const struct test tests_crash[];
 extern const struct test tests_late_crash[];
 extern const struct test tests_poison[];
+extern const struct test tests_part[];
 extern const struct test tests_stage[];
 extern const struct test tests_said[];
 extern const struct test tests_words[];
