Place: an entry that most callers connect to may use free endpoints

What callers saw: in the soak, 60 entries of which one gets nine of ten requests: it refuses a quarter, while its endpoints have free slots.

Cause: an entry's calls at an endpoint are limited to its share of the endpoint's connections, 200 of 60 entries: 3. The other entries use little of theirs.

Ruled out: the listener and the processor of the entry: 8 refusals "no_endpoint" at twice the rate, none else.

Change: an endpoint that reports, less than 0.6 s ago, that nothing waits and half of its slots are free gets more than the share, up to half of its slots.

Conclusion: on machines with a tenth of a core the processor may bound it first; not played.

--- a/lib/place.c
+++ b/lib/place.c
@@ -132,6 +132,23 @@
 	    (n->version_key == a->version && a->version != MH_VERSION_UNSURE);
 }
 
+/*
+ * Whether the entry has as many calls there as its share of the connections
+ * allows.  Where most callers are at one entry, the others use little of
+ * theirs: an endpoint that reports free slots takes more.
+ */
+static bool
+is_full(const struct mh_place *p, const struct mh_place_request *a,
+    const struct mh_node *n)
+{
+	bool has_room = n->load_at_us > 0 &&
+	    mh_now(p->k) - n->load_at_us < LOAD_EXPIRY_US && n->waiting == 0 &&
+	    n->running < n->capacity / 2 && n->inflight < n->capacity / 2;
+
+	return a->inflight_max > 0 && n->inflight >= a->inflight_max &&
+	    !has_room;
+}
+
 /* Whether the request may go there at all, whenever that is. */
 static bool
 is_candidate(const struct mh_place *p, const struct mh_place_request *a,
@@ -421,7 +438,7 @@
 		double s;
 
 		/* An endpoint resets connections beyond its limit. */
-		if (a->inflight_max > 0 && n->inflight >= a->inflight_max)
+		if (is_full(p, a, n))
 			continue;
 		if (!is_candidate(p, a, n) ||
 		    (!with_ejected && n->eject_until_us > mh_now(p->k)))
@@ -459,8 +476,7 @@
 		uint64_t w = mix(a->isolation_hash, n->hash);
 
 		if (!mh_node_usable(p->f, n) || !is_candidate(p, a, n) ||
-		    !has_slot(p, a, n) ||
-		    (a->inflight_max > 0 && n->inflight >= a->inflight_max) ||
+		    !has_slot(p, a, n) || is_full(p, a, n) ||
 		    (best != NULL && w <= most))
 			continue;
 		best = n;
@@ -483,7 +499,7 @@
 		struct mh_node *n = g_ptr_array_index(pool, i);
 
 		if (mh_node_takes_last(p->f, n) && is_candidate(p, a, n) &&
-		    (a->inflight_max == 0 || n->inflight < a->inflight_max) &&
+		    !is_full(p, a, n) &&
 		    (best == NULL || n->inflight < best->inflight))
 			best = n;
 	}
@@ -497,8 +513,7 @@
 	struct mh_node *n =
 	    a->confirmed == NULL ? NULL : mh_fleet_find(p->f, a->confirmed);
 
-	if (n == NULL || !is_candidate(p, a, n) ||
-	    (a->inflight_max > 0 && n->inflight >= a->inflight_max) ||
+	if (n == NULL || !is_candidate(p, a, n) || is_full(p, a, n) ||
 	    (!has_slot(p, a, n) && !mh_node_takes_last(p->f, n)))
 		return NULL;
 	return n;
--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -121,6 +121,37 @@
 	grig_destroy(r);
 }
 
+/* Guards against refusals at the one entry that most callers connect to. */
+static void
+test_crowded_entry(void)
+{
+	static const char *const ids[] = { "n0", "n1", "n2", "n3" };
+	struct grig *r = grig_create(4);
+	struct mh_gpool *p = g_new0(struct mh_gpool, 1);
+
+	p->name = g_strdup("pool");
+	p->max_conns = 60;
+	g_hash_table_insert(r->conf->pools, p->name, p);
+	mh_gate_entries(r->g, 60);
+	for (int i = 0; i < 12; i++) {
+		for (int j = 0; j < 4; j++) {
+			struct mh_node *n = mh_fleet_find(r->f, ids[j]);
+
+			mh_node_set_load(r->f, n, n->inflight, 0, 8);
+		}
+		grig_request(r, "/once/x", 0);
+	}
+	CU_ASSERT_EQUAL(r->sends, 12);
+	CU_ASSERT_EQUAL(r->refused, 0);
+	/* Busy endpoints get no more than the entry's share. */
+	for (int j = 0; j < 4; j++)
+		mh_node_set_load(r->f, mh_fleet_find(r->f, ids[j]), 8, 0, 8);
+	grig_request(r, "/once/x", 0);
+	CU_ASSERT_EQUAL(r->sends, 12);
+	CU_ASSERT_EQUAL(r->refused, 1);
+	grig_destroy(r);
+}
+
 /* A stream breaks off after an event: another run resumes after that event. */
 static void
 test_stream_resumes(void)
@@ -804,6 +835,7 @@
 	{ "gate: retries by kind and failure", test_retry_table },
 	{ "gate: a silent endpoint", test_silent_endpoint },
 	{ "gate: a silent endpoint, once", test_silent_endpoint_once },
+	{ "gate: most callers at one entry", test_crowded_entry },
 	{ "gate: a stream resumes", test_stream_resumes },
 	{ "gate: a stream breaks", test_stream_breaks },
 	{ "gate: unusable runs count", test_unusable_runs_count },
