Mesh: first peers are at least one

What callers saw: nothing; the linter did.

Cause: an empty array of peers would be read before its first element.

Ruled out: a caller with none: both ask for four and six.

Change: an assertion.

Conclusion: none.

--- a/lib/meshorder.c
+++ b/lib/meshorder.c
@@ -254,7 +254,7 @@
 	GHashTableIter it;
 	gpointer value;
 
-	g_assert(most <= DIALLED_MAX);
+	g_assert(most > 0 && most <= DIALLED_MAX);
 	g_hash_table_iter_init(&it, m->peers);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct peer *p = value;
