Soak, tests: the store comes back from a copy (fails)

What callers saw: as in docs/incidents/store-restored.md.

Cause, reproduced: after a restore revisions are given out again, and all that an entry orders by revision alone is ignored until the store passes what the entry has.

Ruled out: a silent connection: the watches are cut, and calls are answered in between.

--- a/regress/main.c
+++ b/regress/main.c
@@ -76,6 +76,7 @@
 	{ "platform", tests_platform },
 	{ "registry", tests_registry },
 	{ "store", tests_store },
+	{ "restored", tests_restored },
 	{ "slow", tests_slow },
 	{ "coordinator", tests_coordinator },
 	{ "handoff", tests_handoff },
