Store: what was read is ordered by era, the configuration by its version

Cause: a store that was restored from a copy gives its revisions out again. All that an entry has was ordered, or proved to be current, by the revision alone: a later configuration with a lower revision was ignored, a change given out between the copy and the cursor was skipped by a watch that still answered, and a reading after 410 left the cursor where it was, so that readers read and watched again without a pause.

Ruled out: silent connections (watches were cut, calls answered), invalid configurations, a copy's configuration that replaces a newer one.

Rows, list of entries and evacuations are ordered by era and revision (struct mh_rev), on the wire too; the configuration by its version, and differences of its text are based on versions. Frames without an era are understood and count as the earliest.

--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -145,6 +145,7 @@
 fill_heartbeat(struct mh_mesh *m, Mh__Beat *b)
 {
 	int64_t oldest = mh_mesh_oldest_start_us(m);
+	struct mh_rev r;
 
 	b->leaving = m->draining;
 	b->uptime_us = (uint64_t)(mh_now(m->k) - m->started_us);
@@ -155,15 +156,25 @@
 		return;
 	b->ready = m->view.ready(m->view.arg);
 	b->reads = m->view.can_read(m->view.arg);
-	b->conf_revision = m->view.conf_revision(m->view.arg);
-	b->rows_revision = m->view.rows_revision(m->view.arg);
+	b->conf_version = m->view.conf_version(m->view.arg);
+	if (m->view.conf_rev != NULL)
+		b->conf_revision = m->view.conf_rev(m->view.arg).revision;
+	r = m->view.rows_rev(m->view.arg);
+	b->rows_revision = r.revision;
+	b->rows_era = r.era;
 	b->rows_age_us = (uint64_t)m->view.rows_age_us(m->view.arg);
-	b->evacuated_revision = mh_mesh_evacuated_revision(m);
+	r = mh_mesh_evacuated_rev(m);
+	b->evacuated_revision = r.revision;
+	b->evacuated_era = r.era;
+	if (m->view.held_era != NULL)
+		b->held_era = m->view.held_era(m->view.arg);
 	if (m->view.conf_age_us != NULL)
 		b->conf_age_us = (uint64_t)m->view.conf_age_us(m->view.arg) + 1;
-	if (m->view.entries_revision == NULL)
+	if (m->view.entries_rev == NULL)
 		return;
-	b->entries_revision = m->view.entries_revision(m->view.arg);
+	r = m->view.entries_rev(m->view.arg);
+	b->entries_revision = r.revision;
+	b->entries_era = r.era;
 	b->entries_hash = m->view.entries_hash(m->view.arg);
 }
 
@@ -227,7 +238,7 @@
 	p->heartbeat_us = b->received == 0 ? mh_now(m->k) : c->reported_us;
 	p->ready = b->ready;
 	p->can_read = b->reads;
-	p->conf_revision = b->conf_revision;
+	p->conf_version = b->conf_version;
 	if (b->weight > 0)
 		p->weight = b->weight / WEIGHT_UNIT;
 	p->started_us = mh_now(m->k) - (int64_t)b->uptime_us;
--- a/lib/mesh.h
+++ b/lib/mesh.h
@@ -30,6 +30,20 @@
 
 struct mh_mesh;
 
+/* rev.c: order of what was read from a store that may be restored */
+
+/** struct mh_rev - a revision of the store. */
+struct mh_rev {
+	uint64_t era; /* rises when the store is restored from a copy */
+	uint64_t revision; /* given out again in each era; 0: none */
+};
+/**
+ * mh_rev_cmp() - order of two revisions: negative if @a is the earlier one.
+ */
+int mh_rev_cmp(struct mh_rev a, struct mh_rev b);
+/** mh_rev_max() - the later one. */
+struct mh_rev mh_rev_max(struct mh_rev a, struct mh_rev b);
+
 /** struct mh_member - an entry in the list of entries. */
 struct mh_member {
 	char *node;
@@ -45,10 +59,13 @@
  */
 struct mh_view_reply {
 	GBytes *conf;
-	uint64_t conf_base; /* revision that @conf is packed against; 0: none */
+	uint64_t conf_base; /* version that @conf is packed against; 0: none */
 	GBytes *rows;
 	GBytes *entries;
-	const char *const *evacuated; /* NULL-terminated domains, borrowed */
+	/* NULL-terminated failure domains, borrowed; NULL: not requested */
+	const char *const *evacuated; /* in the store */
+	const char *const *held; /* still evacuated, though not in the store */
+	const char *const *returned; /* taken back, though in the store */
 	bool packed; /* documents are compressed by mh_pack() */
 };
 
@@ -57,15 +74,18 @@
  * with other entries.
  */
 struct mh_mesh_view {
-	uint64_t (*conf_revision)(void *arg);
-	uint64_t (*rows_revision)(void *arg);
+	/* orders configurations; 0: we have none */
+	uint64_t (*conf_version)(void *arg);
+	/* of the configuration's text; NULL: not announced */
+	struct mh_rev (*conf_rev)(void *arg);
+	struct mh_rev (*rows_rev)(void *arg);
 	/*
 	 * whether our rows are old enough to request newer ones from another
 	 * entry
 	 */
 	bool (*rows_due)(void *arg);
-	/* base revision of requested changes; 0: requests all rows */
-	uint64_t (*rows_base)(void *arg);
+	/* base of requested changes; revision 0: requests all rows */
+	struct mh_rev (*rows_base)(void *arg);
 	int64_t (*rows_age_us)(void *arg);
 	/* another entry read the revision that we have @age_us ago */
 	void (*rows_unchanged)(void *arg, int64_t age_us);
@@ -75,17 +95,24 @@
 	bool (*ready)(void *arg);
 	bool (*can_read)(
 	    void *arg); /* whether the platform answers our reads */
-	uint64_t (*evacuated_revision)(void *arg); /* NULL: not shared */
+	struct mh_rev (*evacuated_rev)(void *arg); /* NULL: not shared */
 	/*
 	 * revision of the complete list of entries, 0: unknown; NULL: the list
 	 * is not shared
 	 */
-	uint64_t (*entries_revision)(void *arg);
+	struct mh_rev (*entries_rev)(void *arg);
 	uint64_t (*entries_hash)(void *arg);
 	/* time since our configuration was last confirmed as the newest */
 	int64_t (*conf_age_us)(void *arg);
-	/* another entry confirmed the revision that we have @age_us ago */
+	/* another entry confirmed the version that we have @age_us ago */
 	void (*conf_unchanged)(void *arg, int64_t age_us);
+	/*
+	 * latest era for which we know what is held against the store, see
+	 * platform.h; 0: none; NULL: nothing is ever held
+	 */
+	uint64_t (*known_era)(void *arg);
+	/* that era while something is held; else 0 */
+	uint64_t (*held_era)(void *arg);
 	void *arg;
 };
 
--- a/lib/meshint.h
+++ b/lib/meshint.h
@@ -54,7 +54,8 @@
 	bool ready;
 	bool draining;
 	bool can_read; /* the platform answers its reads */
-	uint64_t conf_revision; /* configuration revision that it announced */
+	uint64_t conf_version; /* of the configuration that it announced */
+	uint64_t asked_revision; /* of a configuration without a version */
 	bool unreachable; /* dials have failed for UNREACHABLE_US */
 	bool want_link; /* we keep a link to it */
 	double rank; /* in the order that is being computed */
@@ -243,7 +244,7 @@
 
 /* meshview.c */
 
-uint64_t mh_mesh_evacuated_revision(const struct mh_mesh *m);
+struct mh_rev mh_mesh_evacuated_rev(const struct mh_mesh *m);
 /**
  * mh_mesh_compare_views() - requests what the sender of a heartbeat has in a
  * later revision.
--- a/lib/meshview.c
+++ b/lib/meshview.c
@@ -24,12 +24,14 @@
 /* An answer that is arriving is awaited for this long at most. */
 #define ARRIVING_US (3 * MH_US_PER_S)
 
-uint64_t
-mh_mesh_evacuated_revision(const struct mh_mesh *m)
+struct mh_rev
+mh_mesh_evacuated_rev(const struct mh_mesh *m)
 {
-	return m->view.evacuated_revision == NULL
-	    ? 0
-	    : m->view.evacuated_revision(m->view.arg);
+	const struct mh_rev none = { 0 };
+
+	return m->view.evacuated_rev == NULL
+	    ? none
+	    : m->view.evacuated_rev(m->view.arg);
 }
 
 /*
@@ -37,11 +39,11 @@
  * however often it changes after that.
  */
 static void
-note_conf_revision(struct mh_mesh *m, uint64_t revision)
+note_conf_version(struct mh_mesh *m, uint64_t version)
 {
-	if (revision <= m->latest_conf)
+	if (version <= m->latest_conf)
 		return;
-	m->latest_conf = revision;
+	m->latest_conf = version;
 	m->latest_conf_us = mh_now(m->k);
 	if (mh_mesh_conf_stale(m) && m->conf_stale_from_us == 0)
 		m->conf_stale_from_us = m->latest_conf_us;
@@ -50,8 +52,8 @@
 bool
 mh_mesh_conf_stale(const struct mh_mesh *m)
 {
-	return m->view.conf_revision != NULL &&
-	    m->latest_conf > m->view.conf_revision(m->view.arg);
+	return m->view.conf_version != NULL &&
+	    m->latest_conf > m->view.conf_version(m->view.arg);
 }
 
 bool
@@ -67,7 +69,7 @@
 		const struct peer *p = value;
 
 		if (mh_peer_is_alive(p) &&
-		    p->conf_revision > m->view.conf_revision(m->view.arg))
+		    p->conf_version > m->view.conf_version(m->view.arg))
 			return true;
 	}
 	return false;
@@ -94,12 +96,47 @@
 static bool
 wants_entries(const struct mh_mesh *m, const Mh__Beat *b)
 {
-	return m->view.entries_revision != NULL &&
-	    b->entries_revision > m->view.entries_revision(m->view.arg) &&
+	const struct mh_rev theirs = { b->entries_era, b->entries_revision };
+
+	return m->view.entries_rev != NULL &&
+	    mh_rev_cmp(theirs, m->view.entries_rev(m->view.arg)) > 0 &&
 	    b->entries_hash != m->view.entries_hash(m->view.arg) &&
 	    mh_now(m->k) >= m->entries_request_us + ANSWER_WAIT_US;
 }
 
+static struct mh_rev
+announced_rows(const Mh__Beat *b)
+{
+	return (struct mh_rev) { b->rows_era, b->rows_revision };
+}
+
+static struct mh_rev
+announced_evacuated(const Mh__Beat *b)
+{
+	return (struct mh_rev) { b->evacuated_era, b->evacuated_revision };
+}
+
+/*
+ * Only the text tells the version of what an entry of an earlier version of
+ * this program has: it is requested once for each revision.
+ */
+static bool
+wants_conf(const struct mh_mesh *m, const struct peer *p, const Mh__Beat *b)
+{
+	if (b->conf_version != 0 || m->view.conf_rev == NULL)
+		return b->conf_version > m->view.conf_version(m->view.arg);
+	return b->conf_revision != p->asked_revision &&
+	    b->conf_revision > m->view.conf_rev(m->view.arg).revision;
+}
+
+/* It holds what we, who started since, can't know. */
+static bool
+wants_held(const struct mh_mesh *m, const Mh__Beat *b)
+{
+	return m->view.known_era != NULL &&
+	    b->held_era > m->view.known_era(m->view.arg);
+}
+
 /*
  * A peer with the revisions that we have says how long ago the store confirmed
  * them.  It may have said so a while ago; counted from the earliest moment at
@@ -112,12 +149,12 @@
 
 	if (late_us == INT64_MAX)
 		return;
-	if (b->rows_revision == m->view.rows_revision(m->view.arg))
+	if (mh_rev_cmp(announced_rows(b), m->view.rows_rev(m->view.arg)) == 0)
 		m->view.rows_unchanged(
 		    m->view.arg, (int64_t)b->rows_age_us + late_us);
 	if (b->conf_age_us != 0 && m->view.conf_unchanged != NULL &&
-	    b->conf_revision == m->view.conf_revision(m->view.arg) &&
-	    b->evacuated_revision <= mh_mesh_evacuated_revision(m))
+	    b->conf_version == m->view.conf_version(m->view.arg) &&
+	    mh_rev_cmp(announced_evacuated(b), mh_mesh_evacuated_rev(m)) <= 0)
 		m->view.conf_unchanged(
 		    m->view.arg, (int64_t)(b->conf_age_us - 1) + late_us);
 }
@@ -132,19 +169,25 @@
 	Mh__Frame f = MH__FRAME__INIT;
 	Mh__ViewAsk req = MH__VIEW_ASK__INIT;
 	int64_t now = mh_now(m->k);
+	struct mh_rev base;
+	bool held;
 
-	if (m->view.conf_revision == NULL)
+	if (m->view.conf_version == NULL)
 		return;
-	note_conf_revision(m, b->conf_revision);
+	note_conf_version(m, b->conf_version);
 	note_confirmed(m, p, b);
 	if (now - p->last_request_us < RETRY_US && p->last_request_us != 0)
 		return;
-	req.conf = b->conf_revision > m->view.conf_revision(m->view.arg) &&
-	    now >= m->conf_request_us + ANSWER_WAIT_US;
-	req.rows = b->rows_revision > m->view.rows_revision(m->view.arg) &&
-	    m->view.rows_due(m->view.arg) &&
+	held = wants_held(m, b);
+	req.conf =
+	    wants_conf(m, p, b) && now >= m->conf_request_us + ANSWER_WAIT_US;
+	req.rows = (held ||
+		       (mh_rev_cmp(announced_rows(b),
+			    m->view.rows_rev(m->view.arg)) > 0 &&
+			   m->view.rows_due(m->view.arg))) &&
 	    now >= m->rows_request_us + ANSWER_WAIT_US;
-	req.evacuated = b->evacuated_revision > mh_mesh_evacuated_revision(m);
+	req.evacuated = held ||
+	    mh_rev_cmp(announced_evacuated(b), mh_mesh_evacuated_rev(m)) > 0;
 	req.entries = wants_entries(m, b);
 	if (!req.conf && !req.rows && !req.evacuated && !req.entries)
 		return;
@@ -156,16 +199,19 @@
 		m->entries_request_us = now;
 	if (req.conf) {
 		m->conf_request_us = now;
-		req.conf_since = m->view.conf_revision(m->view.arg);
+		req.conf_since_version = m->view.conf_version(m->view.arg);
+		p->asked_revision = b->conf_revision;
 		mh_event(m->k, "conf-asked",
-		    "node=%s revision=%" PRIu64 " have=%" PRIu64
+		    "node=%s version=%" PRIu64 " have=%" PRIu64
 		    " behind_ms=%" PRId64,
-		    p->node, b->conf_revision, req.conf_since,
+		    p->node, b->conf_version, req.conf_since_version,
 		    mh_ms(mh_mesh_conf_stale_us(m)));
 	}
 	if (req.rows) {
 		m->rows_request_us = now;
-		req.rows_since = m->view.rows_base(m->view.arg);
+		base = m->view.rows_base(m->view.arg);
+		req.rows_since = base.revision;
+		req.rows_since_era = base.era;
 	}
 	req.packed = true;
 	f.body_case = MH__FRAME__BODY_VIEW_ASK;
@@ -199,6 +245,28 @@
 		    (uint8_t *)(uintptr_t)g_bytes_get_data(from, &to->len);
 }
 
+static size_t
+set_wire_names(char ***to, const char *const *from)
+{
+	*to = (char **)(uintptr_t)from;
+	return from == NULL ? 0 : g_strv_length(*to);
+}
+
+static void
+set_wire_revs(const struct mh_mesh *m, Mh__View *v)
+{
+	struct mh_rev r = m->view.rows_rev(m->view.arg);
+
+	v->rows_revision = r.revision;
+	v->rows_era = r.era;
+	v->conf_version = m->view.conf_version(m->view.arg);
+	if (m->view.conf_rev == NULL)
+		return;
+	r = m->view.conf_rev(m->view.arg);
+	v->conf_revision = r.revision;
+	v->conf_era = r.era;
+}
+
 static void
 clear_reply(struct mh_view_reply *s)
 {
@@ -221,21 +289,28 @@
 	if (!some.conf && !some.rows && !some.evacuated && !some.entries)
 		return;
 	m->view.fill(m->view.arg, &some, &s);
-	v.conf_revision = m->view.conf_revision(m->view.arg);
-	v.rows_revision = m->view.rows_revision(m->view.arg);
+	set_wire_revs(m, &v);
 	set_wire_bytes(&v.conf, s.conf);
 	set_wire_bytes(&v.rows, s.rows);
 	set_wire_bytes(&v.entries, s.entries);
 	v.packed = s.packed;
-	v.conf_base = s.conf_base;
-	if (s.entries != NULL)
-		v.entries_revision = m->view.entries_revision(m->view.arg);
+	v.conf_base_version = s.conf_base;
+	if (s.entries != NULL) {
+		struct mh_rev r = m->view.entries_rev(m->view.arg);
+
+		v.entries_revision = r.revision;
+		v.entries_era = r.era;
+	}
 	m->sent_view_bytes += v.conf.len + v.entries.len;
 	m->sent_rows_bytes += v.rows.len;
 	if (s.evacuated != NULL) {
-		v.evacuated_revision = mh_mesh_evacuated_revision(m);
-		v.evacuated = (char **)(uintptr_t)s.evacuated;
-		v.n_evacuated = g_strv_length((char **)(uintptr_t)s.evacuated);
+		struct mh_rev r = mh_mesh_evacuated_rev(m);
+
+		v.evacuated_revision = r.revision;
+		v.evacuated_era = r.era;
+		v.n_evacuated = set_wire_names(&v.evacuated, s.evacuated);
+		v.n_held = set_wire_names(&v.held, s.held);
+		v.n_returned = set_wire_names(&v.returned, s.returned);
 	}
 	f.body_case = MH__FRAME__BODY_VIEW;
 	f.view = &v;
@@ -251,10 +326,10 @@
 	if (v->conf.len > 0) {
 		m->conf_request_us = 0;
 		mh_event(m->k, "conf-told",
-		    "node=%s revision=%" PRIu64 " base=%" PRIu64
+		    "node=%s version=%" PRIu64 " era=%" PRIu64 " base=%" PRIu64
 		    " bytes=%zu behind_ms=%" PRId64,
-		    p->node, v->conf_revision, v->conf_base, v->conf.len,
-		    mh_ms(mh_mesh_conf_stale_us(m)));
+		    p->node, v->conf_version, v->conf_era, v->conf_base_version,
+		    v->conf.len, mh_ms(mh_mesh_conf_stale_us(m)));
 	}
 	if (v->rows.len > 0)
 		m->rows_request_us = 0;
--- a/lib/wire.pb-c.c
+++ b/lib/wire.pb-c.c
@@ -4690,7 +4690,7 @@
   (ProtobufCMessageInit) mh__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__beat__field_descriptors[16] =
+static const ProtobufCFieldDescriptor mh__beat__field_descriptors[21] =
 {
   {
     "ready",
@@ -4884,14 +4884,78 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "conf_version",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Beat, conf_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows_era",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Beat, rows_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuated_era",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Beat, evacuated_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries_era",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Beat, entries_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held_era",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__Beat, held_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__beat__field_indices_by_name[] = {
   12,   /* field[12] = conf_age_us */
   2,   /* field[2] = conf_revision */
+  16,   /* field[16] = conf_version */
+  19,   /* field[19] = entries_era */
   11,   /* field[11] = entries_hash */
   10,   /* field[10] = entries_revision */
+  18,   /* field[18] = evacuated_era */
   9,   /* field[9] = evacuated_revision */
   14,   /* field[14] = frames */
+  20,   /* field[20] = held_era */
   1,   /* field[1] = leaving */
   15,   /* field[15] = losses */
   8,   /* field[8] = oldest_us */
@@ -4899,6 +4963,7 @@
   0,   /* field[0] = ready */
   13,   /* field[13] = received */
   6,   /* field[6] = rows_age_us */
+  17,   /* field[17] = rows_era */
   3,   /* field[3] = rows_revision */
   5,   /* field[5] = uptime_us */
   7,   /* field[7] = weight */
@@ -4906,7 +4971,7 @@
 static const ProtobufCIntRange mh__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor mh__beat__descriptor =
 {
@@ -4916,7 +4981,7 @@
   "Mh__Beat",
   "mh",
   sizeof(Mh__Beat),
-  16,
+  21,
   mh__beat__field_descriptors,
   mh__beat__field_indices_by_name,
   1,  mh__beat__number_ranges,
@@ -4987,7 +5052,7 @@
   (ProtobufCMessageInit) mh__known__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__view_ask__field_descriptors[7] =
+static const ProtobufCFieldDescriptor mh__view_ask__field_descriptors[9] =
 {
   {
     "conf",
@@ -5073,20 +5138,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rows_since_era",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__ViewAsk, rows_since_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "conf_since_version",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__ViewAsk, conf_since_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__view_ask__field_indices_by_name[] = {
   0,   /* field[0] = conf */
   6,   /* field[6] = conf_since */
+  8,   /* field[8] = conf_since_version */
   5,   /* field[5] = entries */
   3,   /* field[3] = evacuated */
   4,   /* field[4] = packed */
   1,   /* field[1] = rows */
   2,   /* field[2] = rows_since */
+  7,   /* field[7] = rows_since_era */
 };
 static const ProtobufCIntRange mh__view_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor mh__view_ask__descriptor =
 {
@@ -5096,14 +5187,14 @@
   "Mh__ViewAsk",
   "mh",
   sizeof(Mh__ViewAsk),
-  7,
+  9,
   mh__view_ask__field_descriptors,
   mh__view_ask__field_indices_by_name,
   1,  mh__view_ask__number_ranges,
   (ProtobufCMessageInit) mh__view_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mh__view__field_descriptors[10] =
+static const ProtobufCFieldDescriptor mh__view__field_descriptors[18] =
 {
   {
     "conf_revision",
@@ -5225,23 +5316,127 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "conf_version",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__View, conf_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows_era",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__View, rows_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuated_era",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__View, evacuated_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries_era",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__View, entries_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "conf_base_version",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__View, conf_base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "conf_era",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mh__View, conf_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Mh__View, n_held),
+    offsetof(Mh__View, held),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "returned",
+    18,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Mh__View, n_returned),
+    offsetof(Mh__View, returned),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mh__view__field_indices_by_name[] = {
   1,   /* field[1] = conf */
   9,   /* field[9] = conf_base */
+  14,   /* field[14] = conf_base_version */
+  15,   /* field[15] = conf_era */
   0,   /* field[0] = conf_revision */
+  10,   /* field[10] = conf_version */
   8,   /* field[8] = entries */
+  13,   /* field[13] = entries_era */
   7,   /* field[7] = entries_revision */
   5,   /* field[5] = evacuated */
+  12,   /* field[12] = evacuated_era */
   4,   /* field[4] = evacuated_revision */
+  16,   /* field[16] = held */
   6,   /* field[6] = packed */
+  17,   /* field[17] = returned */
   3,   /* field[3] = rows */
+  11,   /* field[11] = rows_era */
   2,   /* field[2] = rows_revision */
 };
 static const ProtobufCIntRange mh__view__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor mh__view__descriptor =
 {
@@ -5251,7 +5446,7 @@
   "Mh__View",
   "mh",
   sizeof(Mh__View),
-  10,
+  18,
   mh__view__field_descriptors,
   mh__view__field_indices_by_name,
   1,  mh__view__number_ranges,
--- a/lib/wire.pb-c.h
+++ b/lib/wire.pb-c.h
@@ -607,10 +607,27 @@
    * times that the sender has lost the receiver, with
    */
   uint64_t losses;
+  /*
+   * what it had from it
+   */
+  /*
+   * orders the configuration; 0: not reported
+   */
+  uint64_t conf_version;
+  /*
+   * of rows_revision, and so on
+   */
+  uint64_t rows_era;
+  uint64_t evacuated_era;
+  uint64_t entries_era;
+  /*
+   * era that the sender holds rows or evacuations
+   */
+  uint64_t held_era;
 };
 #define MH__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -650,10 +667,15 @@
    * what the requester has; 0: nothing
    */
   uint64_t conf_since;
+  uint64_t rows_since_era;
+  /*
+   * instead of conf_since
+   */
+  uint64_t conf_since_version;
 };
 #define MH__VIEW_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__view_ask__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Mh__View
@@ -682,10 +704,29 @@
    * conf is packed by that one; 0: alone
    */
   uint64_t conf_base;
+  uint64_t conf_version;
+  uint64_t rows_era;
+  uint64_t evacuated_era;
+  uint64_t entries_era;
+  /*
+   * instead of conf_base
+   */
+  uint64_t conf_base_version;
+  uint64_t conf_era;
+  /*
+   * still evacuated, though the store lacks them
+   */
+  size_t n_held;
+  char **held;
+  /*
+   * taken back, though the store has them
+   */
+  size_t n_returned;
+  char **returned;
 };
 #define MH__VIEW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mh__view__descriptor) \
-    , 0, {0,NULL}, 0, {0,NULL}, 0, 0,NULL, 0, 0, {0,NULL}, 0 }
+    , 0, {0,NULL}, 0, {0,NULL}, 0, 0,NULL, 0, 0, {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  Mh__JobStage
--- a/mk/lint.sh
+++ b/mk/lint.sh
@@ -1,6 +1,6 @@
 # Runs clang-tidy, cppcheck and mandoc over all sources and manual pages.
 set -eu
-FLAGS="-std=gnu11 -Ilib -Iregress -Iplatform -Imarlwork $(pkg-config --cflags apr-1 libprotobuf-c \
+FLAGS="-std=gnu11 -Ilib -Iregress -Iplatform -Iplatform/soak -Imarlwork $(pkg-config --cflags apr-1 libprotobuf-c \
     libmicrohttpd libcurl glib-2.0 jansson yaml-0.1 libxxhash libsodium \
     libbsd-overlay libzstd)"
 files=$(ls lib/*.c marl*/*.c platform/*.c platform/soak/*.c regress/*.c | grep -v 'pb-c')
--- a/regress/entries.c
+++ b/regress/entries.c
@@ -404,10 +404,12 @@
 	return ((struct ment *)arg)->conf;
 }
 
-static uint64_t
+static struct mh_rev
 v_rows(void *arg)
 {
-	return ((struct ment *)arg)->rows;
+	const struct ment *e = arg;
+
+	return (struct mh_rev) { e->rows_era, e->rows };
 }
 
 static bool
@@ -443,10 +445,12 @@
 	e->rows_confirmed += age_us == 0;
 }
 
-static uint64_t
+static struct mh_rev
 v_entries(void *arg)
 {
-	return ((struct ment *)arg)->entries;
+	const struct ment *e = arg;
+
+	return (struct mh_rev) { e->entries_era, e->entries };
 }
 
 static uint64_t
@@ -455,10 +459,12 @@
 	return ((struct ment *)arg)->entries_hash;
 }
 
-static uint64_t
-v_evacuated_revision(void *arg)
+static struct mh_rev
+v_evacuated_rev(void *arg)
 {
-	return ((struct ment *)arg)->evacuated_revision;
+	const struct ment *e = arg;
+
+	return (struct mh_rev) { e->evacuated_era, e->evacuated_revision };
 }
 
 /*
@@ -504,9 +510,9 @@
 	}
 	text = conf_text(e->conf, e->conf_len);
 	out->packed = req->packed;
-	out->conf_base = req->conf_since;
-	if (req->conf_since != 0)
-		base = conf_text(req->conf_since, e->conf_len);
+	out->conf_base = req->conf_since_version;
+	if (req->conf_since_version != 0)
+		base = conf_text(req->conf_since_version, e->conf_len);
 	out->conf = req->packed ? mh_pack(text, base) : g_bytes_ref(text);
 	mh_bytes_clear(&base);
 	g_bytes_unref(text);
@@ -517,13 +523,13 @@
 {
 	GBytes *base = NULL, *text;
 
-	if (v->conf_base != 0)
-		base = conf_text(v->conf_base, e->conf_len);
+	if (v->conf_base_version != 0)
+		base = conf_text(v->conf_base_version, e->conf_len);
 	text = v->packed
 	    ? mh_unpack(v->conf.data, v->conf.len, MH_UNPACKED_MAX, base)
 	    : g_bytes_new(v->conf.data, v->conf.len);
 	if (g_bytes_get_size(text) == (e->conf_len == 0 ? 4 : e->conf_len)) {
-		e->conf = MAX(e->conf, v->conf_revision);
+		e->conf = MAX(e->conf, v->conf_version);
 		e->received_confs++;
 		mh_mesh_conf_changed(e->m);
 	}
@@ -555,8 +561,11 @@
 v_take(void *arg, const Mh__View *v)
 {
 	struct ment *e = arg;
+	const struct mh_rev evacuated = { v->evacuated_era,
+		v->evacuated_revision };
 
-	if (v->evacuated_revision > e->evacuated_revision) {
+	if (mh_rev_cmp(evacuated, v_evacuated_rev(e)) > 0) {
+		e->evacuated_era = v->evacuated_era;
 		e->evacuated_revision = v->evacuated_revision;
 		g_strlcpy(e->evacuated,
 		    v->n_evacuated == 0 ? "" : v->evacuated[0],
@@ -566,11 +575,14 @@
 		memcpy(
 		    &e->entries_hash, v->entries.data, sizeof(e->entries_hash));
 		e->entries = v->entries_revision;
+		e->entries_era = v->entries_era;
 		e->received_lists++;
 	}
 	e->received_row_bytes += (uint32_t)v->rows.len;
-	if (v->rows.len > 0)
+	if (v->rows.len > 0) {
 		e->rows = v->rows_revision;
+		e->rows_era = v->rows_era;
+	}
 	if (v->conf.len > 0)
 		take_conf(e, v);
 }
@@ -591,9 +603,20 @@
 void
 mrig_start(struct ment *e)
 {
-	const struct mh_mesh_view v = { v_conf, v_rows, v_due, v_rows, v_age,
-		v_same, v_fill, v_take, v_ready, v_reads, v_evacuated_revision,
-		v_entries, v_entries_hash, NULL, NULL, e };
+	const struct mh_mesh_view v = { .conf_version = v_conf,
+		.rows_rev = v_rows,
+		.rows_due = v_due,
+		.rows_base = v_rows,
+		.rows_age_us = v_age,
+		.rows_unchanged = v_same,
+		.fill = v_fill,
+		.take = v_take,
+		.ready = v_ready,
+		.can_read = v_reads,
+		.evacuated_rev = v_evacuated_rev,
+		.entries_rev = v_entries,
+		.entries_hash = v_entries_hash,
+		.arg = e };
 
 	drop_all_in_flight(e);
 	e->links_opened = 0;
--- a/regress/entries.h
+++ b/regress/entries.h
@@ -9,6 +9,8 @@
 #include "mesh.h"
 
 #define ENTRIES 10
+/* Revision @n of a store that states no era. */
+#define REV(n) ((struct mh_rev) { 0, (n) })
 
 /** struct ment - one entry: a kernel with a mesh and a fake link service. */
 struct ment {
@@ -32,7 +34,9 @@
 	bool can_read;
 	uint64_t conf;
 	uint64_t rows;
+	uint64_t rows_era;
 	uint64_t evacuated_revision;
+	uint64_t evacuated_era;
 	char evacuated[16]; /* one evacuated failure domain, "": none */
 	uint32_t conf_len; /* size of its text in bytes; 0: "conf" */
 	uint32_t received_confs;
@@ -40,6 +44,7 @@
 	int64_t link_busy_end_us; /* end of the frames that it has sent */
 	uint64_t sent_bytes;
 	uint64_t entries; /* revision of its list */
+	uint64_t entries_era;
 	uint64_t entries_hash;
 	uint32_t received_lists;
 	uint32_t
--- a/regress/t_linkdraw.c
+++ b/regress/t_linkdraw.c
@@ -64,12 +64,19 @@
 };
 
 static uint64_t
-v_revision(void *arg)
+v_version(void *arg)
 {
 	(void)arg;
 	return 1;
 }
 
+static struct mh_rev
+v_rows_rev(void *arg)
+{
+	(void)arg;
+	return (struct mh_rev) { 0, 1 };
+}
+
 static int64_t
 v_rows_age(void *arg)
 {
@@ -126,8 +133,8 @@
 static void
 start_work(struct member *a)
 {
-	const struct mh_mesh_view v = { .conf_revision = v_revision,
-		.rows_revision = v_revision,
+	const struct mh_mesh_view v = { .conf_version = v_version,
+		.rows_rev = v_rows_rev,
 		.rows_age_us = v_rows_age,
 		.rows_unchanged = v_rows_unchanged,
 		.ready = v_yes,
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -874,12 +874,19 @@
 };
 
 static uint64_t
-aged_revision(void *arg)
+aged_version(void *arg)
 {
 	(void)arg;
 	return 1;
 }
 
+static struct mh_rev
+aged_rows_rev(void *arg)
+{
+	(void)arg;
+	return (struct mh_rev) { 0, 1 };
+}
+
 static int64_t
 aged_rows_age(void *arg)
 {
@@ -920,8 +927,8 @@
 static void
 aged_begin(struct aged *a, struct ment *m)
 {
-	struct mh_mesh_view v = { .conf_revision = aged_revision,
-		.rows_revision = aged_revision,
+	struct mh_mesh_view v = { .conf_version = aged_version,
+		.rows_rev = aged_rows_rev,
 		.rows_age_us = aged_rows_age,
 		.rows_unchanged = aged_rows_unchanged,
 		.ready = aged_yes,
--- a/regress/t_platform_rows.c
+++ b/regress/t_platform_rows.c
@@ -3,6 +3,7 @@
  * programs, rows exchanged between entries, endpoints that restart.
  */
 
+#include "entries.h"
 #include "platform.h"
 #include "regress.h"
 #include "viewint.h"
@@ -195,7 +196,7 @@
 				     "\"since\":%" PRIu64 ",\"count\":%d}",
 	    items, removals, since, count);
 
-	plat_view_receive_rows(v, revision, text, strlen(text));
+	plat_view_receive_rows(v, REV(revision), text, strlen(text));
 	g_free(text);
 }
 
@@ -276,7 +277,7 @@
 	f = r.f;
 	receive(v, 5, 0, both, "", 2);
 	CU_ASSERT_EQUAL(mh_fleet_size(f), 2);
-	CU_ASSERT_EQUAL(plat_view_rows_base(v), 5);
+	CU_ASSERT_EQUAL(plat_view_rows_base(v).revision, 5);
 	receive(v, 6, 5, left, "", 2);
 	CU_ASSERT_TRUE(mh_fleet_find(f, "b")->draining);
 	CU_ASSERT_FALSE(mh_fleet_find(f, "a")->draining);
@@ -287,12 +288,12 @@
 	CU_ASSERT_EQUAL(mh_fleet_size(f), 2);
 	receive(v, 9, 8, left, "", 5); /* removed later; wrong count */
 	CU_ASSERT_PTR_NULL(mh_fleet_find(f, "b"));
-	CU_ASSERT_EQUAL(plat_view_rows_base(v), 0);
+	CU_ASSERT_EQUAL(plat_view_rows_base(v).revision, 0);
 	CU_ASSERT_EQUAL(mh_fleet_size(f), 2);
 	receive(v, 10, 0, both, "", 2);
-	CU_ASSERT_EQUAL(plat_view_rows_base(v), 10);
+	CU_ASSERT_EQUAL(plat_view_rows_base(v).revision, 10);
 	CU_ASSERT_PTR_NOT_NULL(mh_fleet_find(f, "b"));
-	text = plat_view_rows_text(v, 5);
+	text = plat_view_rows_text(v, REV(5));
 	CU_ASSERT_PTR_NOT_NULL(
 	    strstr(g_bytes_get_data(text, NULL), "servers/c"));
 	g_bytes_unref(text);
@@ -330,7 +331,7 @@
 		open_view(&r);
 		receive(r.v, n, 0, all->str, "", n);
 		receive(r.v, n + 1, n, changed, "", n);
-		text = plat_view_rows_text(r.v, n);
+		text = plat_view_rows_text(r.v, REV(n));
 		bytes[i] = g_bytes_get_size(text);
 		CU_ASSERT_PTR_NOT_NULL(
 		    strstr(g_bytes_get_data(text, NULL), "\"servers/r0\""));
@@ -378,7 +379,7 @@
 	}
 	CU_ASSERT_PTR_NULL(mh_fleet_find(r.f, "b"));
 	CU_ASSERT_PTR_NOT_NULL(mh_fleet_find(r.f, "a"));
-	CU_ASSERT_EQUAL(plat_view_rows_revision(r.v), 6);
+	CU_ASSERT_EQUAL(plat_view_rows_rev(r.v).revision, 6);
 	g_free(a);
 	g_free(b);
 	g_free(both);
@@ -462,14 +463,14 @@
 	open_view(&r);
 	receive_two(r.v, 5, item_with_start("a", 3, START_MS, "ready"),
 	    item_with_start("b", 4, START_MS, "ready"));
-	plat_view_receive_conf(r.v, 6, conf, strlen(conf));
+	plat_view_receive_conf(r.v, REV(6), conf, strlen(conf));
 	CU_ASSERT_EQUAL(mh_fleet_size(r.f), 0);
 	CU_ASSERT_EQUAL(mh_counter(r.k, "registry_rows_refused"), 2);
 	receive_two(r.v, 7, item_with_start("a", 3, START_MS, "ready"),
 	    item_with_start("b", 4, START_MS, "ready"));
 	CU_ASSERT_EQUAL(mh_fleet_size(r.f), 0);
 	CU_ASSERT_EQUAL(mh_counter(r.k, "registry_rows_refused"), 2);
-	plat_view_receive_conf(r.v, 8, both, strlen(both));
+	plat_view_receive_conf(r.v, REV(8), both, strlen(both));
 	CU_ASSERT_EQUAL(mh_fleet_size(r.f), 2);
 	close_view(&r);
 }
--- a/regress/t_platform_store.c
+++ b/regress/t_platform_store.c
@@ -372,7 +372,7 @@
 	struct srig r;
 
 	run(&r, 0, true);
-	CU_ASSERT_EQUAL(plat_view_rows_revision(r.view), 9);
+	CU_ASSERT_EQUAL(plat_view_rows_rev(r.view).revision, 9);
 	finish(&r);
 }
 
@@ -417,7 +417,7 @@
 			printf(
 			    "\n  watch %s: calls=%u\n", watches[i], r.watches);
 		CU_ASSERT(r.watches > 0 && r.watches <= MAX_CALLS);
-		CU_ASSERT_EQUAL(plat_view_conf_revision(r.view), 3);
+		CU_ASSERT_EQUAL(plat_view_conf_rev(r.view).revision, 3);
 		finish(&r);
 	}
 }
@@ -439,7 +439,7 @@
 
 		run_rig(&r);
 		text = mh_history_latest(plat_view_conf_history(r.view));
-		CU_ASSERT_EQUAL(plat_view_conf_revision(r.view), 3);
+		CU_ASSERT_EQUAL(plat_view_conf_rev(r.view).revision, 3);
 		CU_ASSERT(g_bytes_get_size(text) > 0);
 		finish(&r);
 	}
@@ -471,30 +471,30 @@
 	json_t *items = json_object();
 
 	/* Read as of 300: the peer's evacuation of 100 was ended before. */
-	plat_evacuated_load(e, items, 300);
-	plat_evacuated_receive(e, behind, 1, 100);
+	plat_evacuated_load(e, items, REV(300));
+	plat_evacuated_receive(e, behind, 1, REV(100));
 	CU_ASSERT_EQUAL(
 	    g_strv_length((char **)(uintptr_t)plat_evacuated_domains(e)), 0);
 	CU_ASSERT_EQUAL(changes, 0);
 	/* The peer takes ours instead. */
-	CU_ASSERT(plat_evacuated_revision(e) > 100);
+	CU_ASSERT(plat_evacuated_rev(e).revision > 100);
 	/* The same set is taken as it is, so that it isn't requested again. */
-	plat_evacuated_receive(e, none, 0, 299);
-	CU_ASSERT(plat_evacuated_revision(e) >= 299);
+	plat_evacuated_receive(e, none, 0, REV(299));
+	CU_ASSERT(plat_evacuated_rev(e).revision >= 299);
 	CU_ASSERT_EQUAL(changes, 0);
-	plat_evacuated_receive(e, later, 1, 310);
+	plat_evacuated_receive(e, later, 1, REV(310));
 	CU_ASSERT_STRING_EQUAL(plat_evacuated_domains(e)[0], "b");
-	CU_ASSERT_EQUAL(plat_evacuated_revision(e), 310);
-	plat_evacuated_receive(e, behind, 1, 305);
+	CU_ASSERT_EQUAL(plat_evacuated_rev(e).revision, 310);
+	plat_evacuated_receive(e, behind, 1, REV(305));
 	CU_ASSERT_STRING_EQUAL(plat_evacuated_domains(e)[0], "b");
 	CU_ASSERT_EQUAL(changes, 1);
 	plat_evacuated_destroy(e);
 	/* The same set of a first reading is not announced as another one. */
 	e = plat_evacuated_create(k, count_change, &changes);
-	plat_evacuated_load(e, items, 300);
-	CU_ASSERT_EQUAL(plat_evacuated_revision(e), 1);
-	plat_evacuated_receive(e, none, 0, 200);
-	CU_ASSERT_EQUAL(plat_evacuated_revision(e), 200);
+	plat_evacuated_load(e, items, REV(300));
+	CU_ASSERT_EQUAL(plat_evacuated_rev(e).revision, 1);
+	plat_evacuated_receive(e, none, 0, REV(200));
+	CU_ASSERT_EQUAL(plat_evacuated_rev(e).revision, 200);
 	plat_evacuated_destroy(e);
 	json_decref(items);
 	mh_kern_destroy(k);
@@ -556,7 +556,7 @@
 		CU_ASSERT_EQUAL(g_strcmp0(r.evacuated, t[i].evacuated), 0);
 		CU_ASSERT_EQUAL(
 		    mh_counter(r.k, "evacuations_refused"), t[i].refused);
-		CU_ASSERT_EQUAL(plat_view_conf_revision(r.view), 3);
+		CU_ASSERT_EQUAL(plat_view_conf_rev(r.view).revision, 3);
 		finish(&r);
 	}
 }
@@ -681,7 +681,7 @@
 receive_list(struct srig *r, uint64_t revision, const char *text)
 {
 	GBytes *b = g_bytes_new(text, strlen(text));
-	bool taken = plat_members_receive(r->members, revision, b);
+	bool taken = plat_members_receive(r->members, REV(revision), b);
 
 	g_bytes_unref(b);
 	return taken;
@@ -710,7 +710,7 @@
 	CU_ASSERT_TRUE(receive_list(&r, 19, "[[\"a\",\"127.0.0.1:8\",100]]"));
 	CU_ASSERT_EQUAL(r.lists_received, 1);
 	CU_ASSERT_EQUAL(r.longest_list, 2);
-	CU_ASSERT_EQUAL(plat_members_revision(r.members), 20);
+	CU_ASSERT_EQUAL(plat_members_rev(r.members).revision, 20);
 	text = plat_members_text(r.members);
 	CU_ASSERT_EQUAL(g_bytes_get_size(text), strlen(two));
 	g_bytes_unref(text);
@@ -789,13 +789,13 @@
 	static const char conf[] =
 	    "{\"version\":3,\"routes\":[],\"services\":[]}";
 
-	plat_view_receive_conf(r->view, 3, conf, strlen(conf));
+	plat_view_receive_conf(r->view, REV(3), conf, strlen(conf));
 }
 
 static void
 receive_rows(struct srig *r, uint64_t revision, const char *text)
 {
-	plat_view_receive_rows(r->view, revision, text, strlen(text));
+	plat_view_receive_rows(r->view, REV(revision), text, strlen(text));
 }
 
 /* Guards against starts whose calls grow with the number of endpoints. */
@@ -847,8 +847,8 @@
 	CU_ASSERT_EQUAL(r.row_reads, 0);
 	CU_ASSERT(r.row_watches > 0 && r.row_watches <= 2);
 	/* The watch's event of revision 2 is older than the peer's row. */
-	CU_ASSERT_EQUAL(plat_view_rows_revision(r.view), 301);
-	text = plat_view_rows_text(r.view, 0);
+	CU_ASSERT_EQUAL(plat_view_rows_rev(r.view).revision, 301);
+	text = plat_view_rows_text(r.view, REV(0));
 	CU_ASSERT_PTR_NOT_NULL(
 	    strstr(g_bytes_get_data(text, NULL), "servers/a"));
 	g_bytes_unref(text);
