--- a/regress/t_restored.c
+++ b/regress/t_restored.c
@@ -19,6 +19,7 @@
 	struct mh_loop *l;
 	struct mh_hcalls *calls;
 	struct store *server;
+	struct proxy *proxy; /* before the server */
 	struct mh_fleet *f;
 	struct plat_store *store;
 	struct plat_view *v;
@@ -48,6 +49,13 @@
 	r->evacuated = g_strjoinv(",", (char **)(uintptr_t)domains);
 }
 
+static void
+ignore(void *arg, const struct plat_reply *r)
+{
+	(void)arg;
+	(void)r;
+}
+
 static bool
 yes(void *arg)
 {
@@ -121,7 +129,8 @@
 	r->l = mh_loop_create(r->k, NULL);
 	r->calls = mh_hcalls_create(r->l);
 	r->server = store_create(r->l, "127.0.0.1");
-	g_snprintf(addr, sizeof(addr), "127.0.0.1:%u", store_port(r->server));
+	r->proxy = proxy_create(r->l, "127.0.0.1", store_port(r->server));
+	g_snprintf(addr, sizeof(addr), "127.0.0.1:%u", proxy_port(r->proxy));
 	r->f = mh_fleet_create(r->k);
 	r->evacuated = g_strdup("");
 	put_conf(r, 3);
@@ -140,6 +149,7 @@
 	plat_store_destroy(r->store);
 	mh_fleet_destroy(r->f);
 	mh_hcalls_destroy(r->calls);
+	proxy_destroy(r->proxy);
 	store_destroy(r->server);
 	mh_loop_destroy(r->l);
 	mh_kern_destroy(r->k);
@@ -190,9 +200,251 @@
 	close_rig(&r);
 }
 
+static void
+put_row(struct rrig *r, const char *name, const char *state, int capacity)
+{
+	char *key = g_strdup_printf("servers/%s", name);
+	char *text = g_strdup_printf(
+	    "{\"service\":\"s\",\"address\":\"10.0.0.2:80\",\"zone\":\"z\","
+	    "\"version\":\"v1\",\"capacity\":%d,\"warmupLeftMs\":0,"
+	    "\"sequence\":1,\"state\":\"%s\",\"born\":1784044378752}",
+	    capacity, state);
+
+	store_put(r->server, key, text);
+	g_free(text);
+	g_free(key);
+}
+
+static const struct mh_node *
+find_endpoint(const struct mh_fleet *f, const char *name)
+{
+	char *id = g_strdup_printf("%s@1784044378752", name);
+	const struct mh_node *n = mh_fleet_find((struct mh_fleet *)f, id);
+
+	g_free(id);
+	return n;
+}
+
+static bool
+is_draining(const struct mh_fleet *f, const char *name)
+{
+	const struct mh_node *n = find_endpoint(f, name);
+
+	return n != NULL && n->draining;
+}
+
+/*
+ * Guards against a change that has the revision of another one before: no watch
+ * from there shows it.
+ */
+static void
+test_conf_of_the_same_revision(void)
+{
+	struct rrig r;
+
+	open_rig(&r);
+	store_copy(r.server);
+	change(&r, 9);
+	run(&r, S / 5);
+	store_restore(r.server, 0, false);
+	put_conf(&r, 5);
+	change(&r, 8);
+	run(&r, S / 2);
+	CU_ASSERT_EQUAL(r.version, 5);
+	close_rig(&r);
+}
+
+/* Guards against work for endpoints that are ready again in a copy alone. */
+static void
+test_leaving_endpoints(void)
+{
+	struct rrig r;
+
+	open_rig(&r);
+	put_row(&r, "a", "ready", 4);
+	put_row(&r, "b", "ready", 4);
+	run(&r, S / 2);
+	store_copy(r.server);
+	put_row(&r, "a", "draining", 4);
+	store_remove(r.server, "servers/b");
+	run(&r, S / 2);
+	CU_ASSERT_TRUE(is_draining(r.f, "a"));
+	CU_ASSERT_PTR_NULL(find_endpoint(r.f, "b"));
+	for (int i = 0; i < 2; i++) {
+		store_restore(r.server, 0, false);
+		run(&r, S / 2);
+		CU_ASSERT_TRUE(is_draining(r.f, "a"));
+		CU_ASSERT_PTR_NULL(find_endpoint(r.f, "b"));
+	}
+	put_row(&r, "a", "draining", 4);
+	put_row(&r, "b", "ready", 5);
+	run(&r, S / 2);
+	CU_ASSERT_TRUE(is_draining(r.f, "a"));
+	CU_ASSERT_PTR_NOT_NULL(find_endpoint(r.f, "b"));
+	close_rig(&r);
+}
+
+/* Guards against an endpoint that is gone because the copy lacks it. */
+static void
+test_endpoint_of_later(void)
+{
+	struct rrig r;
+
+	open_rig(&r);
+	store_copy(r.server);
+	put_row(&r, "c", "ready", 4);
+	put_row(&r, "d", "ready", 4);
+	run(&r, S / 2);
+	store_restore(r.server, 0, false);
+	run(&r, S / 2);
+	CU_ASSERT_PTR_NOT_NULL(find_endpoint(r.f, "c"));
+	put_row(&r, "c", "ready", 4);
+	run(&r, 5 * S / 2);
+	CU_ASSERT_PTR_NOT_NULL(find_endpoint(r.f, "c"));
+	CU_ASSERT_PTR_NULL(find_endpoint(r.f, "d"));
+	close_rig(&r);
+}
+
+/* Guards against evacuations that end, or begin again, by a copy alone. */
+static void
+test_evacuations(void)
+{
+	struct rrig r;
+
+	open_rig(&r);
+	store_put(r.server, "op/evacuate/x", "{}");
+	store_copy(r.server);
+	store_put(r.server, "op/evacuate/y", "{}");
+	store_put(r.server, "op/evacuate/z", "{}");
+	store_remove(r.server, "op/evacuate/x");
+	run(&r, S / 2);
+	CU_ASSERT_STRING_EQUAL(r.evacuated, "y,z");
+	store_restore(r.server, 0, false);
+	run(&r, S / 2);
+	CU_ASSERT_STRING_EQUAL(r.evacuated, "y,z");
+	/* Written again, and changed since. */
+	store_put(r.server, "op/evacuate/y", "{}");
+	store_put(r.server, "op/evacuate/z", "{}");
+	store_remove(r.server, "op/evacuate/z");
+	run(&r, S / 2);
+	CU_ASSERT_STRING_EQUAL(r.evacuated, "y");
+	run(&r, 5 * S / 2);
+	CU_ASSERT_STRING_EQUAL(r.evacuated, "x,y");
+	close_rig(&r);
+}
+
+/*
+ * Guards against an entry that starts after the restore and gives work to an
+ * endpoint that the others know to drain.
+ */
+static void
+test_start_after_a_restore(void)
+{
+	struct plat_view_fns fns = { on_conf, on_evacuated, yes, yes, yes, NULL,
+		2 * S, NULL };
+	struct rrig r, later = { 0 };
+	struct mh_fleet *f;
+	struct plat_view *v;
+	struct plat_store *store;
+	char addr[32];
+	GBytes *text;
+
+	open_rig(&r);
+	put_row(&r, "a", "ready", 4);
+	store_copy(r.server);
+	put_row(&r, "a", "draining", 4);
+	run(&r, S / 2);
+	store_restore(r.server, 0, false);
+	run(&r, S / 2);
+	fns.arg = &later;
+	f = mh_fleet_create(r.k);
+	g_snprintf(addr, sizeof(addr), "127.0.0.1:%u", store_port(r.server));
+	store = plat_store_create(r.k, r.calls, addr);
+	v = plat_view_create(r.k, store, f, &fns);
+	plat_store_call(
+	    store, "GET", "/kv-key?key=op/config", NULL, S, ignore, NULL);
+	run(&r, S);
+	CU_ASSERT_PTR_NOT_NULL(find_endpoint(f, "a"));
+	CU_ASSERT(plat_view_known_era(v) < plat_view_held_era(r.v));
+	text = plat_view_rows_text(r.v, plat_view_rows_base(v));
+	plat_view_receive_rows(v, plat_view_rows_rev(r.v),
+	    g_bytes_get_data(text, NULL), g_bytes_get_size(text));
+	CU_ASSERT_TRUE(is_draining(f, "a"));
+	CU_ASSERT_EQUAL(plat_view_known_era(v), plat_view_held_era(r.v));
+	g_bytes_unref(text);
+	plat_view_destroy(v);
+	plat_store_destroy(store);
+	mh_fleet_destroy(f);
+	g_free(later.evacuated);
+	close_rig(&r);
+}
+
+/* Guards against all rows sent to peers again, and differences by revision. */
+static void
+test_rows_for_peers(void)
+{
+	struct rrig r;
+	struct mh_rev before, far;
+	GBytes *text;
+	const char *all;
+
+	open_rig(&r);
+	put_row(&r, "a", "ready", 4);
+	put_row(&r, "b", "ready", 4);
+	store_copy(r.server);
+	put_row(&r, "b", "ready", 5);
+	run(&r, S / 2);
+	before = plat_view_rows_rev(r.v);
+	store_restore(r.server, 0, false);
+	run(&r, S / 2);
+	CU_ASSERT(mh_rev_cmp(plat_view_rows_rev(r.v), before) > 0);
+	text = plat_view_rows_text(r.v, before);
+	all = g_bytes_get_data(text, NULL);
+	CU_ASSERT_PTR_NULL(strstr(all, "servers/a"));
+	CU_ASSERT_PTR_NOT_NULL(strstr(all, "servers/b"));
+	g_bytes_unref(text);
+	/* A peer that has read more of the earlier era gets all. */
+	far = before;
+	far.revision++;
+	text = plat_view_rows_text(r.v, far);
+	all = g_bytes_get_data(text, NULL);
+	CU_ASSERT_PTR_NOT_NULL(strstr(all, "servers/a"));
+	g_bytes_unref(text);
+	close_rig(&r);
+}
+
+/* Guards against a list that is shorter because the copy lacks entries. */
+static void
+test_entries_of_later(void)
+{
+	struct rrig r;
+
+	open_rig(&r);
+	store_copy(r.server);
+	store_put(r.server, "marlhoist/vm/e1",
+	    "{\"addr\":\"127.0.0.1:8\",\"weight\":1.000}");
+	run(&r, 5 * S / 2);
+	CU_ASSERT_EQUAL(r.listed, 2);
+	store_restore(r.server, 0, false);
+	run(&r, S);
+	CU_ASSERT_EQUAL(r.listed, 2);
+	run(&r, 4 * S);
+	CU_ASSERT_EQUAL(r.listed, 1);
+	close_rig(&r);
+}
+
 const struct test tests_restored[] = {
 	{ "restored: a configuration of a lower revision",
 	    test_conf_of_a_lower_revision },
 	{ "restored: readings", test_readings_of_a_restore },
+	{ "restored: a configuration of the same revision",
+	    test_conf_of_the_same_revision },
+	{ "restored: endpoints that leave", test_leaving_endpoints },
+	{ "restored: an endpoint that the copy lacks", test_endpoint_of_later },
+	{ "restored: evacuations", test_evacuations },
+	{ "restored: an entry that starts after it",
+	    test_start_after_a_restore },
+	{ "restored: rows for peers", test_rows_for_peers },
+	{ "restored: entries that the copy lacks", test_entries_of_later },
 	{ NULL, NULL },
 };
