--- a/regress/t_restored.c
+++ b/regress/t_restored.c
@@ -200,6 +200,24 @@
 	close_rig(&r);
 }
 
+/* Guards against a change noticed only when a silent watch ends. */
+static void
+test_silent_connections(void)
+{
+	/* Just after a watch and a reading have begun. */
+	for (int64_t after = 25 * S / 8; after < 27 * S / 8; after += S / 8) {
+		struct rrig r;
+
+		open_rig(&r);
+		run(&r, after);
+		proxy_stall(r.proxy);
+		put_conf(&r, 4);
+		run(&r, 3 * S / 2);
+		CU_ASSERT_EQUAL(r.version, 4);
+		close_rig(&r);
+	}
+}
+
 static void
 put_row(struct rrig *r, const char *name, const char *state, int capacity)
 {
@@ -446,5 +464,7 @@
 	    test_start_after_a_restore },
 	{ "restored: rows for peers", test_rows_for_peers },
 	{ "restored: entries that the copy lacks", test_entries_of_later },
+	{ "store: a change behind silent connections",
+	    test_silent_connections },
 	{ NULL, NULL },
 };
