Entries: the secret that a restored store lacks is put back

What callers saw: nothing yet; found by a test.

Cause: the secret by which entries link to each other was written once. If a copy lacks it, an entry that starts creates another one, and never links to those that have the first.

Ruled out: an order by era, since the secret has no place in the heartbeat of entries that can't link.

Change: readers write the secret in use at each restore unless it is there, and replace another one if they have live peers; an entry without peers that finds another one in the store uses that.

Conclusion: two secrets in one fleet end with one of them.

--- a/lib/link.c
+++ b/lib/link.c
@@ -568,6 +568,22 @@
 	return true;
 }
 
+static void
+set_key(struct link *l, const char *secret)
+{
+	crypto_generichash(l->key, sizeof(l->key),
+	    (const unsigned char *)secret, strlen(secret), NULL, 0);
+}
+
+void
+mh_link_set_secret(struct mh_loop *loop, const char *secret)
+{
+	struct link *l = mh_kern_get(mh_loop_kern(loop), "link");
+
+	if (l != NULL)
+		set_key(l, secret);
+}
+
 uint16_t
 mh_link_port(struct mh_loop *loop)
 {
@@ -591,8 +607,7 @@
 	l->conns = g_hash_table_new(g_int64_hash, g_int64_equal);
 	l->flush_queue = g_ptr_array_new();
 	apr_pool_create(&l->pool, NULL);
-	crypto_generichash(l->key, sizeof(l->key),
-	    (const unsigned char *)a->secret, strlen(a->secret), NULL, 0);
+	set_key(l, a->secret);
 	mh_kern_add(l->k, "link", l, handle, destroy);
 	mh_loop_before_wait(loop, flush_all, l);
 	if (a->listen != NULL && !start_listen(l, a->listen, err))
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -1111,6 +1111,8 @@
 bool mh_link_create(
     struct mh_loop *l, const struct mh_link_args *a, GError **err);
 uint16_t mh_link_port(struct mh_loop *l);
+/** mh_link_set_secret() - changes the shared key for handshakes from now on. */
+void mh_link_set_secret(struct mh_loop *l, const char *secret);
 
 /* client.c: HTTP client over libcurl */
 
--- a/regress/t_platform_store.c
+++ b/regress/t_platform_store.c
@@ -286,7 +286,7 @@
 	struct plat_view_fns fns = { on_conf, on_evacuated, is_reader,
 		is_reader, is_linked, r, 2 * S, is_conf_stale };
 	struct plat_member_fns member_fns = { on_entries, on_secret, is_reader,
-		is_linked, is_alive, r };
+		is_linked, is_alive, r, true };
 	struct mh_member self = { (char *)"e0", (char *)"127.0.0.1:9", 1 };
 	char addr[32];
 	bool in_time;
--- a/regress/t_restored.c
+++ b/regress/t_restored.c
@@ -120,7 +120,7 @@
 	struct plat_view_fns fns = { on_conf, on_evacuated, yes, yes, yes, r,
 		2 * S, NULL };
 	struct plat_member_fns member_fns = { on_entries, on_secret, yes, yes,
-		is_alive, r };
+		is_alive, r, false };
 	struct mh_member self = { (char *)"e0", (char *)"127.0.0.1:9", 1 };
 	char addr[32];
 
@@ -135,6 +135,7 @@
 	r->evacuated = g_strdup("");
 	put_conf(r, 3);
 	change(r, 5);
+	store_copy(r->server); /* before the entry writes anything */
 	r->store = plat_store_create(r->k, r->calls, addr);
 	r->v = plat_view_create(r->k, r->store, r->f, &fns);
 	r->members = plat_members_create(r->k, r->store, &self, &member_fns);
@@ -351,6 +352,68 @@
 	close_rig(&r);
 }
 
+/* The secret that an entry gets which starts now; g_free() it. */
+static char *
+secret_of_a_start(struct rrig *r)
+{
+	struct rrig later = { 0 };
+	const struct plat_member_fns fns = { on_entries, on_secret, yes, yes,
+		is_alive, &later, false };
+	struct mh_member self = { (char *)"e1", (char *)"127.0.0.1:8", 1 };
+	struct plat_members *m =
+	    plat_members_create(r->k, r->store, &self, &fns);
+
+	run(r, S);
+	plat_members_destroy(m);
+	return later.secret;
+}
+
+/* Guards against two secrets, with which entries can't link to each other. */
+static void
+test_secret_of_later(void)
+{
+	for (int other = 0; other < 2; other++) {
+		struct rrig r;
+		char *secret;
+
+		open_rig(&r);
+		CU_ASSERT_PTR_NOT_NULL_FATAL(r.secret);
+		store_restore(r.server, 0, false);
+		CU_ASSERT_FALSE(store_has(r.server, "marlhoist/secret"));
+		if (other != 0)
+			store_put(r.server, "marlhoist/secret", "another");
+		run(&r, S / 2);
+		CU_ASSERT_TRUE(store_has(r.server, "marlhoist/vm/e0"));
+		/* Pages of entries are read stale, 2 s old. */
+		run(&r, 2 * S);
+		secret = secret_of_a_start(&r);
+		CU_ASSERT_EQUAL(g_strcmp0(secret, r.secret), 0);
+		g_free(secret);
+		close_rig(&r);
+	}
+}
+
+/* Guards against a secret made by an entry that starts after the restore. */
+static void
+test_start_without_a_secret(void)
+{
+	struct rrig r;
+	char *secret;
+
+	open_rig(&r);
+	plat_members_destroy(r.members);
+	r.members = NULL;
+	store_put(r.server, "marlhoist/vm/e2", "{\"addr\":\"127.0.0.1:7\"}");
+	store_put(r.server, "marlhoist/vm/e3", "{\"addr\":\"127.0.0.1:6\"}");
+	store_remove(r.server, "marlhoist/secret");
+	run(&r, 2 * S);
+	secret = secret_of_a_start(&r);
+	CU_ASSERT_PTR_NULL(secret);
+	CU_ASSERT_FALSE(store_has(r.server, "marlhoist/secret"));
+	g_free(secret);
+	close_rig(&r);
+}
+
 /*
  * Guards against an entry that starts after the restore and gives work to an
  * endpoint that the others know to drain.
@@ -464,6 +527,8 @@
 	    test_start_after_a_restore },
 	{ "restored: rows for peers", test_rows_for_peers },
 	{ "restored: entries that the copy lacks", test_entries_of_later },
+	{ "restored: the secret that the copy lacks", test_secret_of_later },
+	{ "restored: a start without a secret", test_start_without_a_secret },
 	{ "store: a change behind silent connections",
 	    test_silent_connections },
 	{ NULL, NULL },
