Mesh: tests of a later era and of a configuration without a version

Cause: rows, list and evacuations of a restored store have lower revisions than what peers have; entries of an earlier version announce no version.

Ruled out: a request for each heartbeat of such an entry.

Change: two tests of ten entries in virtual time.

Conclusion: a later era wins at all entries within a second.

--- a/regress/entries.c
+++ b/regress/entries.c
@@ -401,7 +401,15 @@
 static uint64_t
 v_conf(void *arg)
 {
-	return ((struct ment *)arg)->conf;
+	const struct ment *e = arg;
+
+	return e->no_version ? 0 : e->conf;
+}
+
+static struct mh_rev
+v_conf_rev(void *arg)
+{
+	return (struct mh_rev) { 0, ((struct ment *)arg)->conf };
 }
 
 static struct mh_rev
@@ -529,7 +537,9 @@
 	    ? mh_unpack(v->conf.data, v->conf.len, MH_UNPACKED_MAX, base)
 	    : g_bytes_new(v->conf.data, v->conf.len);
 	if (g_bytes_get_size(text) == (e->conf_len == 0 ? 4 : e->conf_len)) {
-		e->conf = MAX(e->conf, v->conf_version);
+		/* The text would tell its version. */
+		e->conf = MAX(e->conf,
+		    v->conf_version != 0 ? v->conf_version : v->conf_revision);
 		e->received_confs++;
 		mh_mesh_conf_changed(e->m);
 	}
@@ -604,6 +614,7 @@
 mrig_start(struct ment *e)
 {
 	const struct mh_mesh_view v = { .conf_version = v_conf,
+		.conf_rev = v_conf_rev,
 		.rows_rev = v_rows,
 		.rows_due = v_due,
 		.rows_base = v_rows,
--- a/regress/entries.h
+++ b/regress/entries.h
@@ -33,6 +33,7 @@
 	bool ready;
 	bool can_read;
 	uint64_t conf;
+	bool no_version; /* it doesn't announce the configuration's version */
 	uint64_t rows;
 	uint64_t rows_era;
 	uint64_t evacuated_revision;
--- a/regress/t_mesh.c
+++ b/regress/t_mesh.c
@@ -143,6 +143,54 @@
 	mrig_destroy(r);
 }
 
+/* Guards against rows of a restored store ignored for a lower revision. */
+static void
+test_rows_of_a_later_era(void)
+{
+	struct mrig *r = mrig_create();
+
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		r->e[i].rows = r->e[i].evacuated_revision = 7;
+		r->e[i].entries = 7;
+		r->e[i].rows_era = r->e[i].evacuated_era = 1;
+		r->e[i].entries_era = 1;
+		r->e[i].rows_len = 100;
+	}
+	mrig_run(r, 2 * S);
+	r->e[2].rows = r->e[2].evacuated_revision = r->e[2].entries = 3;
+	r->e[2].rows_era = r->e[2].evacuated_era = r->e[2].entries_era = 2;
+	r->e[2].entries_hash = 5;
+	g_strlcpy(r->e[2].evacuated, "d0", sizeof(r->e[2].evacuated));
+	mrig_run(r, 1 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		CU_ASSERT_EQUAL(r->e[i].rows, 3);
+		CU_ASSERT_EQUAL(r->e[i].rows_era, 2);
+		CU_ASSERT_EQUAL(r->e[i].entries_hash, 5);
+		CU_ASSERT_STRING_EQUAL(r->e[i].evacuated, "d0");
+	}
+	mrig_destroy(r);
+}
+
+/*
+ * Guards against a configuration of an entry of an earlier version that is
+ * never requested, or again and again.
+ */
+static void
+test_conf_without_version(void)
+{
+	struct mrig *r = mrig_create();
+
+	mrig_run(r, 2 * S);
+	r->e[2].no_version = true;
+	r->e[2].conf = 5;
+	mrig_run(r, 3 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		CU_ASSERT_EQUAL(r->e[i].conf, 5);
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		CU_ASSERT(i == 2 || r->e[i].received_confs == 1);
+	mrig_destroy(r);
+}
+
 /* Guards against an evacuated failure domain that one entry alone has read. */
 static void
 test_evacuated_from_peers(void)
@@ -1466,6 +1514,9 @@
 	{ "mesh: slices used", test_slices_used },
 	{ "mesh: readers", test_readers },
 	{ "mesh: unchanged rows are current", test_rows_unchanged },
+	{ "mesh: rows of a later era", test_rows_of_a_later_era },
+	{ "mesh: a configuration without a version",
+	    test_conf_without_version },
 	{ "mesh: endpoints that two could not reach", test_suspects },
 	{ "mesh: a job is handed off to the next coordinator",
 	    test_job_handed_off },
