--- a/regress/t_restored.c
+++ b/regress/t_restored.c
@@ -219,21 +219,30 @@
 	}
 }
 
+#define START_MS INT64_C(1784044378752)
+
 static void
-put_row(struct rrig *r, const char *name, const char *state, int capacity)
+put_row_of(struct rrig *r, const char *name, const char *state, int capacity,
+    int64_t start_ms)
 {
 	char *key = g_strdup_printf("servers/%s", name);
 	char *text = g_strdup_printf(
 	    "{\"service\":\"s\",\"address\":\"10.0.0.2:80\",\"zone\":\"z\","
 	    "\"version\":\"v1\",\"capacity\":%d,\"warmupLeftMs\":0,"
-	    "\"sequence\":1,\"state\":\"%s\",\"born\":1784044378752}",
-	    capacity, state);
+	    "\"sequence\":1,\"state\":\"%s\",\"born\":%" PRId64 "}",
+	    capacity, state, start_ms);
 
 	store_put(r->server, key, text);
 	g_free(text);
 	g_free(key);
 }
 
+static void
+put_row(struct rrig *r, const char *name, const char *state, int capacity)
+{
+	put_row_of(r, name, state, capacity, START_MS);
+}
+
 static const struct mh_node *
 find_endpoint(const struct mh_fleet *f, const char *name)
 {
@@ -303,6 +312,32 @@
 	close_rig(&r);
 }
 
+/* Guards against an endpoint that is taken for its start before the copy. */
+static void
+test_endpoint_started_again(void)
+{
+	static const char later[] = "a@1784044378753";
+	struct rrig r;
+
+	open_rig(&r);
+	put_row(&r, "a", "ready", 4);
+	run(&r, S / 2);
+	store_copy(r.server);
+	put_row_of(&r, "a", "ready", 4, START_MS + 1);
+	run(&r, S / 2);
+	CU_ASSERT_PTR_NOT_NULL(mh_fleet_find(r.f, later));
+	for (int i = 0; i < 2; i++) {
+		store_restore(r.server, 0, false);
+		run(&r, S / 2);
+		CU_ASSERT_PTR_NOT_NULL(mh_fleet_find(r.f, later));
+		CU_ASSERT_PTR_NULL(find_endpoint(r.f, "a"));
+	}
+	put_row_of(&r, "a", "ready", 4, START_MS + 1);
+	run(&r, 5 * S / 2);
+	CU_ASSERT_PTR_NOT_NULL(mh_fleet_find(r.f, later));
+	close_rig(&r);
+}
+
 /* Guards against an endpoint that is gone because the copy lacks it. */
 static void
 test_endpoint_of_later(void)
@@ -521,6 +556,8 @@
 	{ "restored: a configuration of the same revision",
 	    test_conf_of_the_same_revision },
 	{ "restored: endpoints that leave", test_leaving_endpoints },
+	{ "restored: an endpoint that started again",
+	    test_endpoint_started_again },
 	{ "restored: an endpoint that the copy lacks", test_endpoint_of_later },
 	{ "restored: evacuations", test_evacuations },
 	{ "restored: an entry that starts after it",
