Fleet: rows of any earlier start of an endpoint are ignored

Cause: an endpoint had started twice since the copy that the store was restored from. The fleet ignored the row of the start just before, but took the row of the one before that for a new start, with its old version, and the start that runs for an ended one when it was seen again.

Ruled out: a lost binding of the stream; its version was known and kept (how=told), and the endpoint had served under it.

Change: a node keeps the last eight starts under its name; a row of one of them changes nothing.

Conclusion: what has ended doesn't come back, whichever row says so.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -341,21 +341,23 @@
 static struct mh_node *
 replace_node(struct mh_fleet *f, struct mh_node *n, const struct mh_listing *l)
 {
-	int64_t prev_start_ms = n->start_ms;
+	int64_t starts[MH_ENDED_STARTS];
 	uint32_t mark = n->mark;
 	char *ended;
 
 	mh_count(f->k, "endpoints_restarted", 1);
 	mh_event(f->k, "endpoint-restarted",
 	    "name=%s pool=%s born_ms=%" PRId64 " former_ms=%" PRId64, l->name,
-	    l->pool, l->start_ms, prev_start_ms);
+	    l->pool, l->start_ms, n->start_ms);
+	starts[0] = n->start_ms;
+	memcpy(&starts[1], n->ended_ms, sizeof(starts) - sizeof(starts[0]));
 	ended = g_strdup(n->id);
 	remove_node(f, n);
 	n = add(f, l);
 	if (f->on_restart != NULL)
 		f->on_restart(f->on_restart_arg, ended);
 	g_free(ended);
-	n->prev_start_ms = prev_start_ms;
+	memcpy(n->ended_ms, starts, sizeof(starts));
 	n->mark = mark;
 	return n;
 }
@@ -387,15 +389,24 @@
 	f->version++;
 }
 
+static bool
+has_ended(const struct mh_node *n, int64_t start_ms)
+{
+	for (size_t i = 0; start_ms != 0 && i < MH_ENDED_STARTS; i++) {
+		if (n->ended_ms[i] == start_ms)
+			return true;
+	}
+	return false;
+}
+
 void
 mh_fleet_list(struct mh_fleet *f, const struct mh_listing *l)
 {
 	struct mh_node *n = g_hash_table_lookup(f->names, l->name);
 	bool draining;
 
-	/* The row still describes the previous incarnation. */
-	if (n != NULL && n->prev_start_ms != 0 &&
-	    l->start_ms == n->prev_start_ms) {
+	/* The row describes a previous incarnation, perhaps again. */
+	if (n != NULL && has_ended(n, l->start_ms)) {
 		n->mark = f->mark;
 		return;
 	}
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -185,6 +185,9 @@
 /* Version of an endpoint that has restarted and whose row is late. */
 #define MH_VERSION_UNSURE 2
 
+/* An endpoint that crashes starts again each second at most. */
+#define MH_ENDED_STARTS 8
+
 /**
  * struct mh_node - one incarnation of an endpoint.
  *
@@ -195,7 +198,8 @@
 	char *id;
 	char *name;
 	int64_t start_ms; /* Unix time of its start; 0: not reported */
-	int64_t prev_start_ms; /* of the previous incarnation; 0: none */
+	/* of previous incarnations, the latest first; 0: none */
+	int64_t ended_ms[MH_ENDED_STARTS];
 	char *pool;
 	char *addr;
 	char *domain;
--- a/regress/t_restored.c
+++ b/regress/t_restored.c
@@ -316,7 +316,7 @@
 static void
 test_endpoint_started_again(void)
 {
-	static const char later[] = "a@1784044378753";
+	static const char later[] = "a@1784044378754";
 	struct rrig r;
 
 	open_rig(&r);
@@ -325,6 +325,8 @@
 	store_copy(r.server);
 	put_row_of(&r, "a", "ready", 4, START_MS + 1);
 	run(&r, S / 2);
+	put_row_of(&r, "a", "ready", 4, START_MS + 2);
+	run(&r, S / 2);
 	CU_ASSERT_PTR_NOT_NULL(mh_fleet_find(r.f, later));
 	for (int i = 0; i < 2; i++) {
 		store_restore(r.server, 0, false);
@@ -332,7 +334,7 @@
 		CU_ASSERT_PTR_NOT_NULL(mh_fleet_find(r.f, later));
 		CU_ASSERT_PTR_NULL(find_endpoint(r.f, "a"));
 	}
-	put_row_of(&r, "a", "ready", 4, START_MS + 1);
+	put_row_of(&r, "a", "ready", 4, START_MS + 2);
 	run(&r, 5 * S / 2);
 	CU_ASSERT_PTR_NOT_NULL(mh_fleet_find(r.f, later));
 	close_rig(&r);
