Client: a call that is given up resets its connection

Cause: the call was sent at 5.07 s, just after a partition between two zones began, found overdue at 5.43 s and given up at 6.76 s. close() leaves what was sent and not acknowledged to the kernel, which sends it again, with growing pauses: it arrived at 16.69 s, 11.6 s after it was made, and the domain had been evacuated at 10.6 s. So may any call that was given up.

Ruled out: a late evacuation; no entry made a call there after 10.65 s, and the piece's request had its answer at 6.49 s.

Change: a connection whose call ends before its answer is complete is reset.

The test failed before (orderly close).

Conclusion: what was given up doesn't run later.

--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -127,12 +127,27 @@
 	g_free(c);
 }
 
+/*
+ * What a partition holds up of a call is sent again when the partition ends,
+ * also after close().  A reset drops it, so that a call that was given up
+ * doesn't run seconds later.
+ */
+static void
+reset_on_close(struct conn *c)
+{
+	const struct linger l = { 1, 0 };
+
+	setsockopt(c->fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+}
+
 /* Closes the connection and ends its call, if any. */
 static void
 end_call_and_conn(struct conn *c, enum mh_hcall_outcome outcome)
 {
 	struct mh_hcall *h = c->call;
 
+	if (h != NULL && outcome != MH_CALL_COMPLETE)
+		reset_on_close(c);
 	c->call = NULL;
 	free_conn(c);
 	if (h == NULL)
@@ -665,6 +680,7 @@
 		h->aborted = true;
 		return;
 	}
+	reset_on_close(c);
 	if (c->parsing) { /* take_input() frees both */
 		c->free_pending = true;
 		return;
--- a/regress/t_http.c
+++ b/regress/t_http.c
@@ -41,6 +41,8 @@
 	int peer_fd;
 	const char *script; /* its response to each request */
 	bool reset;
+	bool peer_ended; /* the client closed the connection... */
+	int peer_errno; /* ...in order: 0, or with a reset */
 	uint32_t accepted;
 	/* raw caller of the server */
 	GString *feed; /* still to be sent */
@@ -50,6 +52,8 @@
 	/* the client's side */
 	uint32_t ended;
 	uint32_t expected; /* calls to wait for */
+	struct mh_hcall *call; /* the last one */
+	bool abandons; /* it is given up */
 	enum mh_hcall_outcome end;
 	uint32_t status;
 	GString *got;
@@ -1053,6 +1057,10 @@
 	(void)readable;
 	(void)writable;
 	n = recv(r->peer_fd, buf, sizeof(buf), MSG_DONTWAIT);
+	r->peer_ended = n <= 0;
+	r->peer_errno = n < 0 ? errno : 0;
+	if (r->peer_ended && r->abandons)
+		mh_loop_stop(r->loop);
 	if (n > 0 && r->script != NULL)
 		CU_ASSERT(send(r->peer_fd, r->script, strlen(r->script),
 			      MSG_NOSIGNAL) >= 0);
@@ -1124,11 +1132,37 @@
 		.fns = { c_head, c_data, c_done },
 		.arg = r };
 
-	mh_hcalls_start(r->c, &a);
+	r->call = mh_hcalls_start(r->c, &a);
 	g_bytes_unref(a.text);
 	g_free(text);
 }
 
+static void
+on_abort(void *arg)
+{
+	mh_hcall_abort(((struct hrig *)arg)->call);
+}
+
+/*
+ * Guards against a call that arrives seconds after it was given up: what a
+ * partition holds up is sent again unless its connection is reset.
+ */
+static void
+test_abandoned_call_resets(void)
+{
+	struct hrig *r = hrig_create();
+
+	listen_raw(r);
+	r->script = "HTTP/1.1 200 OK\r\nContent-length: 9\r\n\r\nhi";
+	r->abandons = true;
+	call(r, "a");
+	mh_timer_start(r->k, 50 * MH_US_PER_MS, on_abort, r);
+	run(r);
+	CU_ASSERT_TRUE(r->peer_ended);
+	CU_ASSERT_EQUAL(r->peer_errno, ECONNRESET);
+	hrig_destroy(r);
+}
+
 /** struct response_case - what a peer sends, and the outcome of the call. */
 struct response_case {
 	const char *name;
@@ -1285,6 +1319,8 @@
 	{ "serve: two on one connection", test_two_on_one_connection },
 	{ "serve: the caller closes", test_caller_closes },
 	{ "serve: aborted response", test_aborted_response },
+	{ "call: an abandoned one resets its connection",
+	    test_abandoned_call_resets },
 	{ "serve: a slow caller and Connection: close",
 	    test_slow_caller_that_closes },
 	{ "serve: a caller that pauses", test_caller_that_pauses },
