Logs: what a broken call had received, whether a caller had the head

What callers saw: nothing new.

Cause: `broken` told neither a reset from a malformed response nor why it was malformed, and `end` not whether the caller's connection was reset.

Ruled out: the status in `head`; a call that can't be attributed has no head.

Change: `call-malformed` with the status, the parser's word and whether only the missing id made it so; readable= in `broken`, head= in `end`.

Figures: a line for each malformed response.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -600,9 +600,10 @@
 		return;
 	}
 	mh_event(g->k, "broken",
-	    "id=%s node=%s sent=%d took_ms=%" PRId64 " head_ms=%" PRId64
-	    " print=%016" PRIx64 " after=%s held=%zu parts=%s",
-	    q->id, t->node, end != MH_CALL_UNSENT,
+	    "id=%s node=%s sent=%d readable=%d took_ms=%" PRId64
+	    " head_ms=%" PRId64 " print=%016" PRIx64
+	    " after=%s held=%zu parts=%s",
+	    q->id, t->node, end != MH_CALL_UNSENT, end != MH_CALL_UNREADABLE,
 	    mh_ms(mh_now(g->k) - t->sent_us),
 	    t->head_us == 0 ? -1 : mh_ms(mh_now(g->k) - t->head_us),
 	    q->fingerprint, mh_gate_stream_after(q), mh_gate_stream_buffered(q),
--- a/lib/gatelog.c
+++ b/lib/gatelog.c
@@ -62,12 +62,12 @@
 	mh_event(g->k, "end",
 	    "id=%s route=%s outcome=%s org=%s config=%" PRIu64
 	    " took_ms=%" PRId64 " aim_ms=%" PRId64 " left_ms=%" PRId64
-	    " tries=%u runs=%u returned=%d node=%s retry_ms=%" PRId64,
+	    " tries=%u runs=%u returned=%d head=%d node=%s retry_ms=%" PRId64,
 	    q->id, q->route != NULL ? q->route->name : "-", outcome,
 	    q->org != NULL ? q->org->name : "-",
 	    q->conf != NULL ? q->conf->version : 0, mh_ms(now - q->arrived_us),
 	    mh_ms(q->slo_by_us - now), mh_ms(q->expires_us - now), q->n_tried,
-	    q->runs, q->returned,
+	    q->runs, q->returned, q->head_forwarded,
 	    q->n_tried > 0 ? q->tried[q->n_tried - 1] : "-", mh_ms(retry_us));
 }
 
--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -64,6 +64,7 @@
 	int fd;
 	bool connected;
 	bool is_foreign; /* the response being read is of another call */
+	bool is_unclear; /* whose it is cannot be told */
 	bool has_echoed; /* a response on it had the echo field */
 	bool no_reuse; /* close it after the call */
 	bool head_done; /* the head is parsed; further fields are trailers */
@@ -196,6 +197,7 @@
 	c->in_value = false;
 	c->head_done = false;
 	c->is_foreign = false;
+	c->is_unclear = false;
 	c->is_complete = false;
 	return 0;
 }
@@ -342,6 +344,7 @@
 		c->no_reuse = true;
 		return ++h->skipped > MAX_SKIPPED ? -1 : bodyless;
 	case UNCLEAR:
+		c->is_unclear = true;
 		return -1;
 	}
 	h->fns.head(h->arg, p->status_code, c->headers,
@@ -457,6 +460,10 @@
 		fail(c);
 	} else if (!is_valid) {
 		mh_count(c->calls->k, "call_malformed_answers", 1);
+		mh_event(c->calls->k, "call-malformed",
+		    "peer=%s status=%u unclear=%d parser=%s", c->peer,
+		    c->parser.status_code, c->is_unclear,
+		    http_errno_name(HTTP_PARSER_ERRNO(&c->parser)));
 		end_call_and_conn(c, MH_CALL_UNREADABLE);
 	}
 }
