Gateway: a silent run is kept until another has begun

What callers saw: streams cut half way and 502, seconds before their time, when a sound engine was silent for 1.2 to 2.2 s and went on.

Cause: the gateway closed the silent try first and then looked for another endpoint. Whatever was wanting (an engine of the version, room, budget, stage work that is done in time) ended the answer.

Change: the silent try stays open while another endpoint is looked for, its stage work is done again and the request is sent. The budget is charged at the sending, stage work begins only if an endpoint could take the request. A silent one that states that it has not run the request does not count as a run. All tries end with the request.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -691,6 +691,18 @@
 		mh_node_eject(f, n, why);
 }
 
+void
+mh_node_silent(struct mh_fleet *f, struct mh_node *n)
+{
+	mh_node_failed(f, n, "silent");
+}
+
+void
+mh_node_heard(struct mh_fleet *f, struct mh_node *n)
+{
+	n->heard_us = mh_now(f->k);
+}
+
 void
 mh_fleet_on_unreachable(
     struct mh_fleet *f, void (*fn)(void *arg, const char *id), void *arg)
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -87,22 +87,27 @@
 	g_free(t);
 }
 
-/* Ends the current try, which no longer counts as in flight at its endpoint. */
+void
+mh_gate_end_try(struct mh_gate *g, struct mh_try *t, bool abort)
+{
+	struct mh_node *n = mh_fleet_find(g->f, t->node);
+
+	if (n != NULL && n->inflight > 0)
+		n->inflight--;
+	if (abort)
+		g->ops.abort(g->ops.arg, t);
+	free_try(t);
+}
+
 static void
 close_try(struct mh_gate *g, struct mh_greq *q, bool abort)
 {
 	struct mh_try *t = q->cur;
-	struct mh_node *n;
 
 	if (t == NULL)
 		return;
 	q->cur = NULL;
-	n = mh_fleet_find(g->f, t->node);
-	if (n != NULL && n->inflight > 0)
-		n->inflight--;
-	if (abort)
-		g->ops.abort(g->ops.arg, t);
-	free_try(t);
+	mh_gate_end_try(g, t, abort);
 }
 
 static void
@@ -120,21 +125,28 @@
 	q->job = NULL;
 }
 
+void
+mh_gate_stop_search(struct mh_gate *g, struct mh_greq *q)
+{
+	release_job(g, q);
+	if (q->confirm != NULL)
+		g->ops.unconfirm(g->ops.jobs, q->confirm);
+	q->confirm = NULL;
+	mh_timer_stop(g->k, &q->slot_timer);
+}
+
 void
 mh_gate_close(struct mh_gate *g, struct mh_greq *q, bool abort)
 {
 	close_try(g, q, abort);
-	release_job(g, q);
+	mh_gate_end_all_silent(g, q);
+	mh_gate_stop_search(g, q);
 	if (q->ask != NULL)
 		mh_origins_cancel(g->origins, q->ask);
 	q->ask = NULL;
-	if (q->confirm != NULL)
-		g->ops.unconfirm(g->ops.jobs, q->confirm);
-	q->confirm = NULL;
 	q->state = MH_GREQ_ENDED;
 	mh_timer_stop(g->k, &q->expiry_timer);
 	mh_timer_stop(g->k, &q->silence_timer);
-	mh_timer_stop(g->k, &q->slot_timer);
 	g_hash_table_remove(g->requests, q);
 }
 
@@ -146,6 +158,8 @@
 	    why == MH_NO_ENDPOINT || why == MH_NOT_IN_TIME ||
 	    why == MH_QUARANTINED;
 
+	if (mh_gate_fall_back(g, q, why))
+		return;
 	if (later) {
 		retry_us = MAX(retry_us, RETRY_MIN_US);
 		retry_us += (int64_t)((double)retry_us * RETRY_SPREAD *
@@ -161,16 +175,16 @@
 }
 
 /* The endpoint may have begun to work on it. */
-static void
-count_run(struct mh_greq *q, struct mh_try *t)
+void
+mh_gate_count_run(struct mh_greq *q, struct mh_try *t)
 {
 	if (!t->counted)
 		q->runs++;
 	t->counted = true;
 }
 
-static bool
-may_retry(const struct mh_greq *q)
+bool
+mh_gate_may_retry(const struct mh_greq *q)
 {
 	uint32_t runs = q->runs;
 
@@ -179,12 +193,18 @@
 	return q->route->repeat != MH_REPEAT_NEVER && runs < q->route->attempts;
 }
 
+static bool
+may_go_elsewhere(const struct mh_greq *q)
+{
+	return mh_gate_may_retry(q) && q->n_tried < MAX_TRIES &&
+	    mh_gate_can_resume(q);
+}
+
 /* Whether it may go to another endpoint now; counts against the budget. */
 static bool
 take_retry(struct mh_gate *g, const struct mh_greq *q)
 {
-	return may_retry(q) && q->n_tried < MAX_TRIES &&
-	    mh_gate_can_resume(q) && mh_budget_take(g->budget, q->pool);
+	return may_go_elsewhere(q) && mh_budget_take(g->budget, q->pool);
 }
 
 /* Retries at another endpoint if that is allowed; else refuses. */
@@ -199,34 +219,11 @@
 	mh_gate_try_next(g, q);
 }
 
-static void
-on_silence(void *arg)
-{
-	struct mh_greq *q = arg;
-	struct mh_gate *g = q->gate;
-	struct mh_node *n;
-
-	q->silence_timer = NULL;
-	if (q->cur == NULL || !take_retry(g, q))
-		return;
-	n = mh_fleet_find(g->f, q->cur->node);
-	if (n != NULL)
-		mh_node_failed(g->f, n, "silent");
-	mh_event(g->k, "silent",
-	    "id=%s node=%s waited_ms=%" PRId64 " after=%s held=%zu", q->id,
-	    q->cur->node, mh_ms(mh_now(g->k) - q->cur->sent_us),
-	    mh_gate_stream_after(q), mh_gate_stream_buffered(q));
-	mh_count(g->k, "repeats_silent", 1);
-	count_run(q, q->cur);
-	close_try(g, q, true);
-	mh_gate_try_next(g, q);
-}
-
-static void
-set_silence_timer(struct mh_gate *g, struct mh_greq *q, int64_t us)
+void
+mh_gate_set_silence_timer(struct mh_gate *g, struct mh_greq *q, int64_t us)
 {
 	mh_timer_stop(g->k, &q->silence_timer);
-	q->silence_timer = mh_timer_start(g->k, us, on_silence, q);
+	q->silence_timer = mh_timer_start(g->k, us, mh_gate_on_silence, q);
 }
 
 static int64_t
@@ -296,6 +293,12 @@
 	return a.retry_us;
 }
 
+static bool
+is_open_at(const struct mh_try *t, const char *endpoint, int64_t us)
+{
+	return t->sent_us < us && strcmp(t->node, endpoint) == 0;
+}
+
 bool
 mh_gate_open_at(const struct mh_gate *g, const char *endpoint, int64_t us)
 {
@@ -304,11 +307,14 @@
 
 	g_hash_table_iter_init(&it, g->requests);
 	while (g_hash_table_iter_next(&it, &key, NULL)) {
-		const struct mh_try *t = ((struct mh_greq *)key)->cur;
+		const struct mh_greq *q = key;
 
-		if (t != NULL && t->sent_us < us &&
-		    strcmp(t->node, endpoint) == 0)
+		if (q->cur != NULL && is_open_at(q->cur, endpoint, us))
 			return true;
+		for (uint32_t i = 0; i < q->n_silent; i++) {
+			if (is_open_at(q->silent[i], endpoint, us))
+				return true;
+		}
 	}
 	return false;
 }
@@ -326,6 +332,18 @@
 	return q->inputs != NULL && *q->inputs != '\0' && q->job == NULL;
 }
 
+bool
+mh_gate_has_other(struct mh_gate *g, const struct mh_greq *q)
+{
+	struct mh_place_request a = { 0 };
+
+	if (!may_go_elsewhere(q) || (inputs_freed(q) && !may_start_job(q)) ||
+	    !mh_budget_allows(g->budget, q->pool))
+		return false;
+	mh_gate_fill_place(g, q, &a);
+	return mh_place_look(g->place, &a) != NULL;
+}
+
 static void
 on_cold_slot(void *arg)
 {
@@ -392,6 +410,11 @@
 	}
 	if (mh_gate_must_confirm(g, q, n))
 		return;
+	if (q->owes_retry && !mh_budget_take(g->budget, q->pool)) {
+		mh_gate_refuse(g, q, MH_RUN_FAILED, 0);
+		return;
+	}
+	q->owes_retry = false;
 	g_clear_pointer(&q->slot_node, g_free);
 	t = g_new0(struct mh_try, 1);
 	t->req = q;
@@ -426,8 +449,8 @@
 	    n->fail_share, a.has_cached_prompt, mh_node_cold(g->f, n),
 	    mh_ms(t->remaining_us), mh_gate_stream_after(q), n->version);
 	mh_timer_stop(g->k, &q->silence_timer);
-	if (may_retry(q))
-		set_silence_timer(g, q, silence_us(q));
+	if (mh_gate_may_retry(q))
+		mh_gate_set_silence_timer(g, q, silence_us(q));
 	mh_timer_stop(g->k, &q->inputs_timer);
 	if (q->job != NULL && has_free_slots(n))
 		q->inputs_timer =
@@ -479,7 +502,7 @@
 	bool retry = take_retry(g, q);
 
 	/* Without a retry, the caller gets the endpoint's own error. */
-	if (!retry && a->genuine && !q->head_forwarded)
+	if (!retry && a->genuine && !q->head_forwarded && q->n_silent == 0)
 		return forward_head(g, q, a);
 	close_try(g, q, false);
 	if (retry)
@@ -493,6 +516,8 @@
 static void
 note_alive(struct mh_gate *g, const struct mh_try *t, struct mh_node *n)
 {
+	if (n != NULL)
+		mh_node_heard(g->f, n);
 	if (n != NULL && t->sent_us < n->doubt_us)
 		n->doubt_us = 0;
 	/* An endpoint without a start time has a new id after each restart. */
@@ -522,10 +547,16 @@
 	if (a->not_run) {
 		if (n != NULL && a->addr_reused)
 			n->eject_until_us = mh_now(g->k) + MH_US_PER_S;
-		retry_not_run(g, q, a);
+		if (t->counted) /* while it was silent */
+			q->runs--;
+		t->counted = false;
+		if (mh_gate_is_silent(t))
+			mh_gate_end_silent(g, t, false);
+		else
+			retry_not_run(g, q, a);
 		return MH_DROP;
 	}
-	count_run(q, t);
+	mh_gate_count_run(q, t);
 	t->head_us = mh_now(g->k);
 	t->status = a->status;
 	/* Only events can continue a stream; anything else would end it. */
@@ -536,8 +567,14 @@
 		mh_node_failed(g->f, n, a->genuine ? "status" : "not-genuine");
 	if (a->genuine && a->status >= 500) /* failed, but did not crash */
 		mh_poison_completed(g->k, q->fingerprint, q->pool);
-	if (!a->genuine || a->status >= 500 || !continues)
-		return failed_answer(g, q, a);
+	if (!a->genuine || a->status >= 500 || !continues) {
+		if (!mh_gate_is_silent(t))
+			return failed_answer(g, q, a);
+		mh_gate_end_silent(g, t, false);
+		return MH_DROP;
+	}
+	mh_gate_heard(g, t);
+	mh_gate_end_all_silent(g, q);
 	q->last_data_us = mh_now(g->k);
 	if (!q->head_forwarded)
 		return forward_head(g, q, a);
@@ -562,6 +599,7 @@
 	struct mh_greq *q = t->req;
 	struct mh_node *n = mh_fleet_find(g->f, t->node);
 
+	mh_gate_heard(g, t);
 	q->last_data_us = mh_now(g->k);
 	note_alive(g, t, n);
 	mh_gate_note_ids(n, t);
@@ -572,8 +610,8 @@
 		/* An engine that answers has read its inputs. */
 		release_job(g, q);
 	}
-	if (q->route->stream && may_retry(q))
-		set_silence_timer(
+	if (q->route->stream && mh_gate_may_retry(q))
+		mh_gate_set_silence_timer(
 		    g, q, MAX(GAP_FACTOR * q->route->gap_slo_us, GAP_MIN_US));
 }
 
@@ -585,6 +623,7 @@
 	char parts[MH_PARTS_LEN];
 
 	if (end == MH_CALL_COMPLETE) {
+		mh_gate_heard(g, t);
 		meter_answer(g, q);
 		mh_poison_completed(g->k, q->fingerprint, q->pool);
 		if (t->status < 300 &&
@@ -622,10 +661,14 @@
 	else if (n != NULL)
 		mh_node_failed(g->f, n, t->counted ? "broken" : "no-answer");
 	if (end != MH_CALL_UNSENT)
-		count_run(q, t);
+		mh_gate_count_run(q, t);
 	/* An endpoint that sends a malformed answer has not crashed. */
 	if (end == MH_CALL_BROKEN)
 		mh_gate_note_break(g, t, n);
+	if (mh_gate_is_silent(t)) {
+		mh_gate_end_silent(g, t, false);
+		return;
+	}
 	close_try(g, q, false);
 	if (end == MH_CALL_UNSENT) {
 		mh_gate_try_next(g, q);
@@ -646,6 +689,10 @@
 	mh_count(g->k, "answers_spoiled", 1);
 	if (n != NULL)
 		mh_node_failed(g->f, n, why);
+	if (mh_gate_is_silent(t)) {
+		mh_gate_end_silent(g, t, true);
+		return;
+	}
 	close_try(g, q, true);
 	retry_or_refuse(g, q, MH_RUN_FAILED);
 }
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -229,6 +229,7 @@
 	double took_us; /* moving average of the time to an answer */
 	uint32_t streak; /* failures in a row */
 	int64_t eject_until_us; /* not chosen before, unless all are ejected */
+	int64_t heard_us; /* when a call last received bytes of it; 0: never */
 	uint32_t ejections; /* ejections in a row */
 	enum mh_ids ids; /* of its streams' events */
 	uint32_t mark; /* the last reading of the registry that listed it */
@@ -350,6 +351,10 @@
 void mh_node_succeeded(struct mh_fleet *f, struct mh_node *n, int64_t took_us);
 /** mh_node_failed() - records a failure, which may eject the endpoint. */
 void mh_node_failed(struct mh_fleet *f, struct mh_node *n, const char *why);
+/** mh_node_silent() - a call there is silent, though it may be sound. */
+void mh_node_silent(struct mh_fleet *f, struct mh_node *n);
+/** mh_node_heard() - bytes of it have arrived. */
+void mh_node_heard(struct mh_fleet *f, struct mh_node *n);
 /** mh_node_eject() - ejects it for a while, unless too few would remain. */
 void mh_node_eject(struct mh_fleet *f, struct mh_node *n, const char *why);
 /** mh_fleet_on_unreachable() - called by mh_node_set_unreachable(). */
@@ -467,6 +472,8 @@
  * NULL with @a->wait_us set: retry after that time.
  */
 struct mh_node *mh_place_pick(struct mh_place *p, struct mh_place_request *a);
+/** mh_place_look() - as mh_place_pick(), but reserves no time slot. */
+struct mh_node *mh_place_look(struct mh_place *p, struct mh_place_request *a);
 /**
  * mh_place_next_us() - when any endpoint of the pool may take a request.
  *
@@ -954,6 +961,10 @@
 	struct mh_job *job;
 	char *inputs; /* references to the results of its stages */
 	struct mh_try *cur;
+	/* earlier ones at silent endpoints, open until another one begins */
+	struct mh_try *silent[MH_TRIED_MAX];
+	uint32_t n_silent;
+	bool owes_retry; /* the next sending counts against the budget */
 	char *tried[MH_TRIED_MAX];
 	uint32_t n_tried;
 	uint32_t runs; /* endpoints that may have run it */
@@ -986,6 +997,7 @@
 	bool in_doubt; /* whether it still had it */
 	bool new_conn; /* reuses no idle connection */
 	bool counted; /* included in the runs of its request */
+	bool was_silent; /* another run was looked for */
 	struct mh_sse *events; /* NULL: no stream, or not begun */
 	void *call; /* the adapter's own data */
 };
@@ -1076,6 +1088,8 @@
     struct mh_gate *g, struct mh_job *j, enum mh_job_end end, int64_t retry_us);
 enum mh_verdict mh_gate_head(
     struct mh_gate *g, struct mh_try *t, const struct mh_gresp *a);
+/** mh_gate_heard() - bytes of an answer have arrived, of any kind. */
+void mh_gate_heard(struct mh_gate *g, struct mh_try *t);
 /** mh_gate_progress() - a part of the answer has arrived. */
 void mh_gate_progress(struct mh_gate *g, struct mh_try *t);
 /** mh_gate_try_end() - the call of a try has ended. */
--- a/lib/gateint.h
+++ b/lib/gateint.h
@@ -101,6 +101,35 @@
 /** mh_gate_note_began() - the head of a stream goes to the caller. */
 void mh_gate_note_began(
     struct mh_gate *g, struct mh_greq *q, const struct mh_try *t);
+/** mh_gate_end_try() - frees a try, which is no longer in flight. */
+void mh_gate_end_try(struct mh_gate *g, struct mh_try *t, bool abort);
+/** mh_gate_stop_search() - ends what is done to begin the next try. */
+void mh_gate_stop_search(struct mh_gate *g, struct mh_greq *q);
+/** mh_gate_may_retry() - its route allows another run. */
+bool mh_gate_may_retry(const struct mh_greq *q);
+/** mh_gate_count_run() - the endpoint may have begun to work on it. */
+void mh_gate_count_run(struct mh_greq *q, struct mh_try *t);
+/** mh_gate_has_other() - another run could begin now. */
+bool mh_gate_has_other(struct mh_gate *g, const struct mh_greq *q);
+void mh_gate_set_silence_timer(
+    struct mh_gate *g, struct mh_greq *q, int64_t us);
+/* gatesilent.c: runs at silent endpoints */
+
+/** mh_gate_is_silent() - it is a silent run of its request. */
+bool mh_gate_is_silent(const struct mh_try *t);
+/** mh_gate_end_silent() - a silent run has ended, or is ended by @abort. */
+void mh_gate_end_silent(struct mh_gate *g, struct mh_try *t, bool abort);
+/** mh_gate_end_all_silent() - another run has begun, or the request ends. */
+void mh_gate_end_all_silent(struct mh_gate *g, struct mh_greq *q);
+/**
+ * mh_gate_fall_back() - no other run can begin: the silent one goes on.
+ *
+ * Return: false if none is open, or its time is over.
+ */
+bool mh_gate_fall_back(
+    struct mh_gate *g, struct mh_greq *q, enum mh_gate_refusal why);
+/** mh_gate_on_silence() - the current run (struct mh_greq) is silent. */
+void mh_gate_on_silence(void *arg);
 /* gatepoison.c: requests and parts of prompts that crash endpoints */
 
 /**
--- a/lib/gatelimit.c
+++ b/lib/gatelimit.c
@@ -94,7 +94,7 @@
 
 	if (us == 0)
 		return q->expires_us;
-	if (q->state == MH_GREQ_STAGES)
+	if (q->state == MH_GREQ_STAGES && q->n_silent == 0)
 		us -= expected_run_us(g, q->route);
 	return MIN(us, q->expires_us);
 }
--- a/lib/gateversion.c
+++ b/lib/gateversion.c
@@ -199,6 +199,12 @@
 		ask_start(g, q, n);
 }
 
+static bool
+began_at(const struct mh_try *t, const char *node, int64_t from_us)
+{
+	return t != NULL && t->sent_us >= from_us && strcmp(t->node, node) == 0;
+}
+
 void
 mh_gate_restarted(struct mh_gate *g, const char *node)
 {
@@ -211,10 +217,14 @@
 	while (g_hash_table_iter_next(&it, &key, NULL)) {
 		struct mh_greq *q = key;
 
-		if (q->version != 0 && q->cur != NULL &&
-		    q->cur->sent_us >= from_us &&
-		    strcmp(q->cur->node, node) == 0)
+		if (q->version == 0)
+			continue;
+		if (began_at(q->cur, node, from_us))
 			q->version = MH_VERSION_UNSURE;
+		for (uint32_t i = 0; i < q->n_silent; i++) {
+			if (began_at(q->silent[i], node, from_us))
+				q->version = MH_VERSION_UNSURE;
+		}
 	}
 }
 
--- a/lib/place.c
+++ b/lib/place.c
@@ -528,7 +528,7 @@
 }
 
 struct mh_node *
-mh_place_pick(struct mh_place *p, struct mh_place_request *a)
+mh_place_look(struct mh_place *p, struct mh_place_request *a)
 {
 	GPtrArray *pool = mh_fleet_pool(p->f, a->pool);
 	struct mh_node *n;
@@ -543,9 +543,16 @@
 		n = best_of(p, a, pool, false);
 	if (n == NULL)
 		n = best_of(p, a, pool, true);
-	if (n == NULL)
-		n = draining_node(p, a, pool);
-	if (n == NULL)
+	return n != NULL ? n : draining_node(p, a, pool);
+}
+
+struct mh_node *
+mh_place_pick(struct mh_place *p, struct mh_place_request *a)
+{
+	GPtrArray *pool = mh_fleet_pool(p->f, a->pool);
+	struct mh_node *n = mh_place_look(p, a);
+
+	if (n == NULL && pool != NULL)
 		wait_for_slot(p, a, pool);
 	return n;
 }
--- a/regress/gaterig.c
+++ b/regress/gaterig.c
@@ -230,3 +230,14 @@
 	if (mh_gate_head(r->g, t, &a) != MH_DROP)
 		mh_gate_try_end(r->g, t, MH_CALL_COMPLETE);
 }
+
+void
+grig_finish_job(struct grig *r)
+{
+	struct mh_job_stage *st = &r->job->stages[0];
+
+	st->pieces = 1;
+	st->results = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(st->results, g_strdup("10.0.0.1:1/1"));
+	mh_gate_job_end(r->g, r->job, MH_JOB_DONE, 0);
+}
--- a/regress/gaterig.h
+++ b/regress/gaterig.h
@@ -55,6 +55,8 @@
     struct grig *r, const char *id, const char *resumes);
 /** grig_answer() - answers the last try completely. */
 void grig_answer(struct grig *r, uint32_t status, bool not_run, bool genuine);
+/** grig_finish_job() - the last stage work ends with one result. */
+void grig_finish_job(struct grig *r);
 /** grig_forget() - destroys a request that has ended. */
 void grig_forget(struct grig *r, struct mh_greq *q);
 
--- a/regress/main.c
+++ b/regress/main.c
@@ -62,6 +62,7 @@
 	{ "fuzz", tests_fuzz },
 	{ "sched", tests_sched },
 	{ "gate", tests_gate },
+	{ "silent", tests_silent },
 	{ "budget", tests_budget },
 	{ "leave", tests_leave },
 	{ "mesh", tests_mesh },
