Fleet: what silence adds to an endpoint's record ends with the silence

What callers saw: requests went to fewer endpoints, or were turned away for want of one, for up to some seconds after an endpoint that had been silent went on. Cause: a silent call was recorded as a failure: two in a row ejected a sound endpoint, for longer each time, and nothing but an answer in full took it back. Ruled out: to leave silence out of the record, as an endpoint that is dark for good would be left later. Change: silence counts as failure, as before, until bytes of the endpoint arrive on any call; then the streak, the share of failures and the ejections are as they were without it. Real failures stay.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -1,10 +1,7 @@
 /**
  * DOC: The endpoints, and what this process records of each.
  *
- * The registry lists the endpoints.  It does not show that an endpoint fails
- * part of its requests while its health check passes, so every answer and
- * failure is recorded here.  An endpoint that fails far more often than its
- * pool is ejected for a while; at most half of a pool, rounded up, is ejected.
+ * The registry lists the endpoints; nodefail.c records how their calls end.
  */
 
 #include "fleetint.h"
@@ -20,21 +17,6 @@
 #define PACE_DECAY_US (250 * MH_US_PER_MS)
 #define PACE_WEIGHT 0.2
 #define PACE_EXPIRY_US (10 * MH_US_PER_S)
-/* Weights of the newest sample: the last eight or so dominate the mean. */
-#define FAIL_WEIGHT 0.2
-#define TOOK_WEIGHT 0.2
-/*
- * An error rate of the whole pool is no fault of a single endpoint.  An
- * endpoint is ejected for its share of failures only from this share on, and
- * only from twice the mean of the other endpoints on.
- */
-#define EJECT_FAIL_SHARE 0.45
-#define EJECT_POOL_FACTOR 2.0
-/* Failures in a row that eject an endpoint whatever its share of failures. */
-#define EJECT_STREAK 2
-/* Ejection time, doubled each time in a row; a restart takes some seconds. */
-#define EJECT_MIN_US (700 * MH_US_PER_MS)
-#define EJECT_MAX_US (6 * MH_US_PER_S)
 /* Warm-up ends read from one unchanged row differ by less than this. */
 #define WARM_ROUNDING_US (20 * MH_US_PER_MS)
 /* Time for an endpoint to restart and for its row to be written. */
@@ -621,88 +603,6 @@
 	    (n->pace - n->pace_mean) * (1 - (double)age_us / PACE_DECAY_US);
 }
 
-void
-mh_node_succeeded(struct mh_fleet *f, struct mh_node *n, int64_t took_us)
-{
-	(void)f;
-	n->streak = 0;
-	n->ejections = 0;
-	n->fail_share *= 1 - FAIL_WEIGHT;
-	if (n->took_us <= 0)
-		n->took_us = (double)took_us;
-	n->took_us += TOOK_WEIGHT * ((double)took_us - n->took_us);
-}
-
-static double
-others_fail_mean(struct mh_fleet *f, const struct mh_node *n)
-{
-	GPtrArray *pool = mh_fleet_pool(f, n->pool);
-	double sum = 0;
-
-	for (guint i = 0; pool != NULL && i < pool->len; i++) {
-		const struct mh_node *o = g_ptr_array_index(pool, i);
-
-		if (o != n)
-			sum += o->fail_share;
-	}
-	return pool == NULL || pool->len < 2 ? 0 : sum / (pool->len - 1);
-}
-
-/* Whether an ejection leaves at most half of the pool, rounded up, unused. */
-static bool
-may_eject(struct mh_fleet *f, const struct mh_node *n)
-{
-	GPtrArray *pool = mh_fleet_pool(f, n->pool);
-	int64_t now = mh_now(f->k);
-	uint32_t unused = 0;
-
-	for (guint i = 0; pool != NULL && i < pool->len; i++) {
-		const struct mh_node *o = g_ptr_array_index(pool, i);
-
-		unused += o != n && (o->evacuated || o->eject_until_us > now);
-	}
-	return pool != NULL && (unused + 1) * 2 <= pool->len + 1;
-}
-
-void
-mh_node_eject(struct mh_fleet *f, struct mh_node *n, const char *why)
-{
-	int64_t now = mh_now(f->k), eject_us;
-
-	if (n->eject_until_us > now || !may_eject(f, n))
-		return;
-	eject_us = MIN(EJECT_MIN_US << MIN(n->ejections, 4), EJECT_MAX_US);
-	n->ejections++;
-	n->eject_until_us = now + eject_us;
-	mh_count(f->k, "endpoints_put_out", 1);
-	mh_event(f->k, "endpoint-out",
-	    "id=%s pool=%s why=%s fail=%.2f streak=%u for_ms=%" PRId64, n->id,
-	    n->pool, why, n->fail_share, n->streak, mh_ms(eject_us));
-}
-
-void
-mh_node_failed(struct mh_fleet *f, struct mh_node *n, const char *why)
-{
-	n->streak++;
-	n->fail_share += FAIL_WEIGHT * (1 - n->fail_share);
-	if (n->streak >= EJECT_STREAK ||
-	    (n->fail_share >= EJECT_FAIL_SHARE &&
-		n->fail_share >= EJECT_POOL_FACTOR * others_fail_mean(f, n)))
-		mh_node_eject(f, n, why);
-}
-
-void
-mh_node_silent(struct mh_fleet *f, struct mh_node *n)
-{
-	mh_node_failed(f, n, "silent");
-}
-
-void
-mh_node_heard(struct mh_fleet *f, struct mh_node *n)
-{
-	n->heard_us = mh_now(f->k);
-}
-
 void
 mh_fleet_on_unreachable(
     struct mh_fleet *f, void (*fn)(void *arg, const char *id), void *arg)
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -180,6 +180,17 @@
 	int64_t rest_end_us; /* it has asked us to send nothing before */
 };
 
+/**
+ * struct mh_node_silence - what silent calls have added to an endpoint's record
+ * since it was heard last.
+ */
+struct mh_node_silence {
+	uint32_t calls;
+	uint32_t ejections; /* of those in a row */
+	int64_t eject_until_us; /* end of its ejection for silence; 0: none */
+	double sound_share; /* its fail_share without silent calls */
+};
+
 struct mh_fleet;
 
 /* Version of an endpoint that has restarted and whose row is late. */
@@ -230,6 +241,7 @@
 	uint32_t streak; /* failures in a row */
 	int64_t eject_until_us; /* not chosen before, unless all are ejected */
 	int64_t heard_us; /* when a call last received bytes of it; 0: never */
+	struct mh_node_silence silence;
 	uint32_t ejections; /* ejections in a row */
 	enum mh_ids ids; /* of its streams' events */
 	uint32_t mark; /* the last reading of the registry that listed it */
@@ -351,9 +363,13 @@
 void mh_node_succeeded(struct mh_fleet *f, struct mh_node *n, int64_t took_us);
 /** mh_node_failed() - records a failure, which may eject the endpoint. */
 void mh_node_failed(struct mh_fleet *f, struct mh_node *n, const char *why);
-/** mh_node_silent() - a call there is silent, though it may be sound. */
+/**
+ * mh_node_silent() - a call there is silent, though it may be sound.
+ *
+ * A failure until the endpoint is heard again.
+ */
 void mh_node_silent(struct mh_fleet *f, struct mh_node *n);
-/** mh_node_heard() - bytes of it have arrived. */
+/** mh_node_heard() - bytes of it have arrived: it is not silent any more. */
 void mh_node_heard(struct mh_fleet *f, struct mh_node *n);
 /** mh_node_eject() - ejects it for a while, unless too few would remain. */
 void mh_node_eject(struct mh_fleet *f, struct mh_node *n, const char *why);
--- a/regress/main.c
+++ b/regress/main.c
@@ -63,6 +63,7 @@
 	{ "sched", tests_sched },
 	{ "gate", tests_gate },
 	{ "silent", tests_silent },
+	{ "nodefail", tests_nodefail },
 	{ "budget", tests_budget },
 	{ "leave", tests_leave },
 	{ "mesh", tests_mesh },
