Gateway: runs beside a silent one are counted, watched and confirmed

Cause: a run that ended because the silent one went on was not counted, so one that falls silent again and again reached more endpoints than its route allows. A run that came back by its head, or was left alone because the silent one had not run, had no limit for its silence. A question for a start that was dropped counted as answered. A silent call that was never sent counted as a run, and one that broke later as two failures. Stage work that was refused was submitted again before its time, and a request whose inputs were gone was sent without.

Ruled out: use after free, two writers to one caller, requests without an end (review, tests under sanitizers).

Change: each of these; refusals tell the time until another run is looked for.

Conclusion: BUDGET holds for runs that fall silent twice; an engine that goes dark after it was silent is left as soon as before.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -129,8 +129,10 @@
 mh_gate_stop_search(struct mh_gate *g, struct mh_greq *q)
 {
 	release_job(g, q);
-	if (q->confirm != NULL)
+	if (q->confirm != NULL) {
 		g->ops.unconfirm(g->ops.jobs, q->confirm);
+		g_clear_pointer(&q->confirm_node, g_free);
+	}
 	q->confirm = NULL;
 	mh_timer_stop(g->k, &q->slot_timer);
 }
@@ -158,12 +160,14 @@
 	    why == MH_NO_ENDPOINT || why == MH_NOT_IN_TIME ||
 	    why == MH_QUARANTINED;
 
-	if (mh_gate_fall_back(g, q, why))
+	if (mh_gate_fall_back(g, q, why, retry_us))
 		return;
 	if (later) {
 		retry_us = MAX(retry_us, RETRY_MIN_US);
 		retry_us += (int64_t)((double)retry_us * RETRY_SPREAD *
 		    mh_random_unit(g->k));
+	} else {
+		retry_us = 0;
 	}
 	mh_gate_log_end(g, q, mh_gate_refusal_name(why), retry_us);
 	mh_count(g->k, mh_gate_refusal_name(why), 1);
@@ -171,7 +175,7 @@
 	if (q->head_forwarded)
 		g->ops.break_off(g->ops.arg, q);
 	else
-		g->ops.refuse(g->ops.arg, q, why, later ? retry_us : 0);
+		g->ops.refuse(g->ops.arg, q, why, retry_us);
 }
 
 /* The endpoint may have begun to work on it. */
@@ -183,6 +187,15 @@
 	t->counted = true;
 }
 
+/* It has not run the request, though it was silent for long. */
+static void
+uncount_run(struct mh_greq *q, struct mh_try *t)
+{
+	if (t->counted)
+		q->runs--;
+	t->counted = false;
+}
+
 bool
 mh_gate_may_retry(const struct mh_greq *q)
 {
@@ -234,6 +247,17 @@
 	return q->route->stream ? MAX(us, STREAM_SILENCE_MIN_US) : us;
 }
 
+void
+mh_gate_watch(struct mh_gate *g, struct mh_greq *q)
+{
+	int64_t us = silence_us(q);
+
+	if (q->route->stream && q->state == MH_GREQ_ANSWERING)
+		us = MAX(GAP_FACTOR * q->route->gap_slo_us, GAP_MIN_US);
+	if (mh_gate_may_retry(q))
+		mh_gate_set_silence_timer(g, q, us);
+}
+
 void
 mh_gate_fill_place(
     struct mh_gate *g, const struct mh_greq *q, struct mh_place_request *a)
@@ -401,6 +425,11 @@
 		mh_gate_start_job(g, q);
 		return;
 	}
+	if (inputs_freed(q)) {
+		mh_gate_refuse(
+		    g, q, q->runs > 0 ? MH_RUN_FAILED : MH_NO_ENDPOINT, 0);
+		return;
+	}
 	mh_gate_fill_place(g, q, &a);
 	n = q->n_tried < MAX_TRIES ? mh_place_pick(g->place, &a) : NULL;
 	if (n == NULL) {
@@ -411,7 +440,8 @@
 	if (mh_gate_must_confirm(g, q, n))
 		return;
 	if (q->owes_retry && !mh_budget_take(g->budget, q->pool)) {
-		mh_gate_refuse(g, q, MH_RUN_FAILED, 0);
+		mh_gate_refuse(
+		    g, q, q->runs > 0 ? MH_RUN_FAILED : MH_TOO_BUSY, 0);
 		return;
 	}
 	q->owes_retry = false;
@@ -449,8 +479,7 @@
 	    n->fail_share, a.has_cached_prompt, mh_node_cold(g->f, n),
 	    mh_ms(t->remaining_us), mh_gate_stream_after(q), n->version);
 	mh_timer_stop(g->k, &q->silence_timer);
-	if (mh_gate_may_retry(q))
-		mh_gate_set_silence_timer(g, q, silence_us(q));
+	mh_gate_watch(g, q);
 	mh_timer_stop(g->k, &q->inputs_timer);
 	if (q->job != NULL && has_free_slots(n))
 		q->inputs_timer =
@@ -547,9 +576,7 @@
 	if (a->not_run) {
 		if (n != NULL && a->addr_reused)
 			n->eject_until_us = mh_now(g->k) + MH_US_PER_S;
-		if (t->counted) /* while it was silent */
-			q->runs--;
-		t->counted = false;
+		uncount_run(q, t);
 		if (mh_gate_is_silent(t))
 			mh_gate_end_silent(g, t, false);
 		else
@@ -610,9 +637,8 @@
 		/* An engine that answers has read its inputs. */
 		release_job(g, q);
 	}
-	if (q->route->stream && mh_gate_may_retry(q))
-		mh_gate_set_silence_timer(
-		    g, q, MAX(GAP_FACTOR * q->route->gap_slo_us, GAP_MIN_US));
+	if (q->route->stream)
+		mh_gate_watch(g, q);
 }
 
 void
@@ -658,10 +684,12 @@
 		mh_node_doubt(g->f, n);
 	if (n != NULL && end == MH_CALL_UNSENT)
 		mh_node_set_unreachable(g->f, n, "unreachable");
-	else if (n != NULL)
+	else if (n != NULL && !t->was_silent) /* else it is recorded */
 		mh_node_failed(g->f, n, t->counted ? "broken" : "no-answer");
 	if (end != MH_CALL_UNSENT)
 		mh_gate_count_run(q, t);
+	else
+		uncount_run(q, t);
 	/* An endpoint that sends a malformed answer has not crashed. */
 	if (end == MH_CALL_BROKEN)
 		mh_gate_note_break(g, t, n);
--- a/lib/gateint.h
+++ b/lib/gateint.h
@@ -111,6 +111,8 @@
 void mh_gate_count_run(struct mh_greq *q, struct mh_try *t);
 /** mh_gate_has_other() - another run could begin now. */
 bool mh_gate_has_other(struct mh_gate *g, const struct mh_greq *q);
+/** mh_gate_watch() - restarts the limit for the silence of the current run. */
+void mh_gate_watch(struct mh_gate *g, struct mh_greq *q);
 void mh_gate_set_silence_timer(
     struct mh_gate *g, struct mh_greq *q, int64_t us);
 /* gatesilent.c: runs at silent endpoints */
@@ -123,11 +125,12 @@
 void mh_gate_end_all_silent(struct mh_gate *g, struct mh_greq *q);
 /**
  * mh_gate_fall_back() - no other run can begin: the silent one goes on.
+ * @retry_us: time until another is looked for, at least
  *
  * Return: false if none is open, or its time is over.
  */
-bool mh_gate_fall_back(
-    struct mh_gate *g, struct mh_greq *q, enum mh_gate_refusal why);
+bool mh_gate_fall_back(struct mh_gate *g, struct mh_greq *q,
+    enum mh_gate_refusal why, int64_t retry_us);
 /** mh_gate_on_silence() - the current run (struct mh_greq) is silent. */
 void mh_gate_on_silence(void *arg);
 /* gatepoison.c: requests and parts of prompts that crash endpoints */
--- a/lib/gatejob.c
+++ b/lib/gatejob.c
@@ -100,7 +100,7 @@
     int64_t retry_us)
 {
 	if (q->runs > 0) /* an endpoint had it before its inputs were lost */
-		mh_gate_refuse(g, q, MH_RUN_FAILED, 0);
+		mh_gate_refuse(g, q, MH_RUN_FAILED, retry_us);
 	else if (mh_gate_limit_us(g, q) < q->answer_by_us)
 		mh_gate_refuse(g, q, MH_NOT_READY, 0); /* exits too soon */
 	else
--- a/lib/gatesilent.c
+++ b/lib/gatesilent.c
@@ -48,6 +48,9 @@
 
 	take_out(t);
 	mh_gate_end_try(g, t, abort);
+	/* It may not have counted as a run: another one may follow. */
+	if (q->cur != NULL && q->silence_timer == NULL)
+		mh_gate_watch(g, q);
 	/* The limit of a draining process may depend on silent runs. */
 	if (q->n_silent == 0 && q->state == MH_GREQ_STAGES)
 		mh_gate_set_limit(g, q);
@@ -78,6 +81,7 @@
 		struct mh_try *other = q->cur;
 
 		q->cur = NULL;
+		mh_gate_count_run(q, other);
 		mh_gate_end_try(g, other, true);
 	}
 	mh_gate_stop_search(g, q);
@@ -101,11 +105,12 @@
 	mh_count(g->k, "silent_went_on", 1);
 	make_current(g, t);
 	mh_gate_end_all_silent(g, q);
+	mh_gate_watch(g, q);
 }
 
 bool
-mh_gate_fall_back(
-    struct mh_gate *g, struct mh_greq *q, enum mh_gate_refusal why)
+mh_gate_fall_back(struct mh_gate *g, struct mh_greq *q,
+    enum mh_gate_refusal why, int64_t retry_us)
 {
 	if (q->n_silent == 0 || why == MH_QUARANTINED ||
 	    why == MH_RUN_QUARANTINED || mh_now(g->k) >= mh_gate_limit_us(g, q))
@@ -115,7 +120,7 @@
 	    q->id, q->cur->node, mh_gate_refusal_name(why),
 	    mh_ms(mh_gate_limit_us(g, q) - mh_now(g->k)));
 	mh_count(g->k, "silent_kept", 1);
-	mh_gate_set_silence_timer(g, q, LOOK_AGAIN_US);
+	mh_gate_set_silence_timer(g, q, MAX(LOOK_AGAIN_US, retry_us));
 	return true;
 }
 
--- a/regress/t_silent.c
+++ b/regress/t_silent.c
@@ -285,6 +285,217 @@
 	grig_destroy(r);
 }
 
+/* Guards against more runs than the route allows by one that falls silent
+ * twice. */
+static void
+test_silent_twice(void)
+{
+	struct grig *r = grig_create(4);
+	struct mh_try *t = silent_stream(r);
+
+	CU_ASSERT_EQUAL(r->sends, 2); /* attempts: 2 */
+	event(r, t, 3);
+	CU_ASSERT_EQUAL(r->aborts, 1);
+	grig_advance(r, 1700 * MS);
+	CU_ASSERT_EQUAL(r->sends, 2);
+	event(r, t, 4);
+	grig_advance(r, 1700 * MS);
+	CU_ASSERT_EQUAL(r->sends, 2);
+	grig_destroy(r);
+}
+
+/* Guards against an engine that goes dark for good after it was silent once. */
+static void
+test_dark_after_head(void)
+{
+	struct grig *r = grig_create(2);
+	struct mh_groute *g = mh_gconf_route_by_name(r->conf, "resume");
+	struct mh_try *t;
+
+	g->n_stages = 1;
+	g->stages[0].pool = g_strdup("work");
+	grig_stream(r, "a", NULL);
+	grig_finish_job(r);
+	t = r->cur;
+	grig_advance(r, 1300 * MS);
+	CU_ASSERT_EQUAL(r->jobs, 2);
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, t, &head), MH_FORWARD);
+	grig_advance(r, 4 * S); /* dark for good */
+	CU_ASSERT(r->jobs >= 3);
+	grig_destroy(r);
+}
+
+/* Guards against a second engine left for good after the first ran nothing. */
+static void
+test_not_run_then_dark(void)
+{
+	struct grig *r = grig_create(4);
+	struct mh_try *t;
+
+	grig_stream(r, "a", NULL);
+	t = r->cur;
+	grig_advance(r, 1300 * MS);
+	CU_ASSERT_EQUAL(r->sends, 2);
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, t, &full), MH_DROP);
+	grig_advance(r, 4 * S);
+	CU_ASSERT(r->sends >= 3);
+	grig_destroy(r);
+}
+
+static void
+list_starts(struct grig *r, uint32_t n, int64_t start_ms)
+{
+	static const char *const ids[] = { "n0", "n1", "n2", "n3" };
+
+	mh_fleet_begin(r->f);
+	for (uint32_t i = 0; i < n; i++) {
+		struct mh_listing l = { ids[i], start_ms, "pool", "10.0.0.1:1",
+			"d", 8, false, 0, "v1" };
+
+		mh_fleet_list(r->f, &l);
+	}
+	mh_fleet_end(r->f);
+}
+
+/* Guards against a start that counts as confirmed though its question ended. */
+static void
+test_unconfirmed_start(void)
+{
+	struct grig *r = grig_create(0);
+	struct mh_try *t;
+	uint32_t asked;
+
+	list_starts(r, 2, 100);
+	r->start_ms = 100;
+	grig_stream(r, "a", NULL);
+	t = r->cur;
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, t, &head), MH_FORWARD);
+	event(r, t, 1);
+	grig_advance(r, 1599 * MS);
+	asked = r->starts_asked;
+	/* step to the moment of the silence timer, without the answer */
+	while (r->starts_asked == asked && r->now_us < 10 * S)
+		grig_advance(r, 1);
+	CU_ASSERT_EQUAL(r->starts_asked, asked + 1);
+	CU_ASSERT_EQUAL(r->sends, 1);
+	event(r, t, 2); /* goes on; the question is given up */
+	CU_ASSERT_PTR_NULL(r->start_timer);
+	while (r->sends == 1 && r->now_us < 10 * S)
+		grig_advance(r, 1 * MS);
+	CU_ASSERT_EQUAL(r->starts_asked, asked + 2);
+	grig_destroy(r);
+}
+
+/* Guards against a connection that never came to be counted as a run. */
+static void
+test_unsent(void)
+{
+	struct grig *r = grig_create(4);
+	struct mh_try *t, *b;
+
+	grig_request(r, "/safe/x", 0);
+	t = r->cur;
+	grig_advance(r, 600 * MS);
+	b = r->cur;
+	CU_ASSERT_EQUAL(r->sends, 2);
+	mh_gate_try_end(r->g, t, MH_CALL_UNSENT);
+	mh_gate_try_end(r->g, b, MH_CALL_BROKEN);
+	CU_ASSERT_EQUAL(r->sends, 3);
+	grig_destroy(r);
+}
+
+/* Guards against half an event of the silent run joined to the next run. */
+static void
+test_half_event(void)
+{
+	struct grig *r = grig_create(2);
+	struct mh_try *t;
+	GString *out;
+
+	t = silent_stream(r);
+	out = g_string_new(NULL);
+	mh_sse_feed(t->events, "id: 3\ndata: x\n", 14, out);
+	CU_ASSERT_EQUAL(out->len, 0);
+	g_string_free(out, TRUE);
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, r->cur, &head), MH_FORWARD_BODY);
+	CU_ASSERT_EQUAL(r->aborts, 1);
+	CU_ASSERT_STRING_EQUAL(r->resume, "2");
+	event(r, r->cur, 3);
+	mh_gate_try_end(r->g, r->cur, MH_CALL_COMPLETE);
+	CU_ASSERT_EQUAL(r->finished, 1);
+	grig_destroy(r);
+}
+
+/* Guards against a sending without inputs after stage work was refused. */
+static void
+test_jobs_refused(void)
+{
+	static const struct mh_gresp lost = {
+		.status = 409, .not_run = true, .inputs_lost = true
+	};
+	struct grig *r = grig_create(3);
+	struct mh_groute *g = mh_gconf_route_by_name(r->conf, "resume");
+	struct mh_try *t;
+
+	g->n_stages = 1;
+	g->stages[0].pool = g_strdup("work");
+	grig_stream(r, "a", NULL);
+	grig_finish_job(r);
+	t = r->cur;
+	grig_advance(r, 1300 * MS);
+	CU_ASSERT_EQUAL(r->jobs, 2);
+	mh_gate_job_end(r->g, r->job, MH_JOB_REFUSED, 400 * MS);
+	grig_advance(r, 310 * MS);
+	CU_ASSERT_EQUAL(r->jobs, 2);
+	grig_advance(r, 100 * MS);
+	CU_ASSERT_EQUAL(r->jobs, 3);
+	mh_gate_job_end(r->g, r->job, MH_JOB_REFUSED, 400 * MS);
+	CU_ASSERT_EQUAL(r->refused, 0);
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, t, &lost), MH_DROP);
+	CU_ASSERT_EQUAL(r->sends, 1);
+	grig_destroy(r);
+}
+
+/* Guards against one call that counts as two failures of its endpoint. */
+static void
+test_one_failure(void)
+{
+	struct grig *r = grig_create(3);
+	struct mh_try *t = silent_stream(r);
+	double share;
+	struct mh_node *n = mh_fleet_find(r->f, t->node);
+
+	share = n->fail_share;
+	CU_ASSERT(share > 0);
+	mh_gate_try_end(r->g, t, MH_CALL_BROKEN);
+	CU_ASSERT_EQUAL(n->fail_share, share);
+	CU_ASSERT_EQUAL(n->eject_until_us, 0);
+	grig_destroy(r);
+}
+
+/* Guards against "run" said of a request that ran nowhere, without a budget. */
+static void
+test_no_budget_not_run(void)
+{
+	struct grig *r = grig_create(2);
+	struct mh_groute *g = mh_gconf_route_by_name(r->conf, "resume");
+	struct mh_try *t;
+
+	g->n_stages = 1;
+	g->stages[0].pool = g_strdup("work");
+	grig_stream(r, "a", NULL);
+	grig_finish_job(r);
+	t = r->cur;
+	grig_advance(r, 1300 * MS);
+	CU_ASSERT_EQUAL(r->jobs, 2);
+	CU_ASSERT_EQUAL(mh_gate_head(r->g, t, &full), MH_DROP);
+	while (mh_budget_take(r->b, "pool"))
+		;
+	grig_finish_job(r);
+	CU_ASSERT_EQUAL(r->why, MH_TOO_BUSY);
+	grig_destroy(r);
+}
+
 const struct test tests_silent[] = {
 	{ "silent: the only engine of its version", test_only_engine },
 	{ "silent: another engine begins", test_other_begins },
@@ -297,5 +508,14 @@
 	{ "silent: no budget", test_no_budget },
 	{ "silent: all engines", test_all_silent },
 	{ "silent: the caller leaves", test_caller_leaves },
+	{ "silent: twice", test_silent_twice },
+	{ "silent: dark after its head", test_dark_after_head },
+	{ "silent: not run, and the other dark", test_not_run_then_dark },
+	{ "silent: an unconfirmed start", test_unconfirmed_start },
+	{ "silent: never sent", test_unsent },
+	{ "silent: half an event", test_half_event },
+	{ "silent: stage work is refused twice", test_jobs_refused },
+	{ "silent: one failure", test_one_failure },
+	{ "silent: no budget, not run", test_no_budget_not_run },
 	{ NULL, NULL },
 };
