Loop: timers run after the input that was there when they were due

Cause: an iteration set the clock and ran the timers, then polled; after the poll it ran them again before it called the watches. What a handler after a slow one started had the time from before the stall. Ruled out: reading sockets in each timer, as the server's own idle and header timers do: it would have to be done for each kind of timer. Change: poll, watches, then timers. After a stall, timers run up to the time before the poll only, the rest after the next one; the clock is set again after a slow watch; hooks don't run between a stall and the timers that are due. Conclusion: a stall of the entry is no silence of others. Timers that a slow timer or handler itself starts after its work still count from its start.

--- a/lib/kern.c
+++ b/lib/kern.c
@@ -244,17 +244,22 @@
 }
 
 void
-mh_kern_advance(struct mh_kern *k, int64_t now_us, int64_t wall_us)
+mh_kern_set_clock(struct mh_kern *k, int64_t now_us, int64_t wall_us)
 {
-	struct mh_timer *t;
-
 	/* Time never goes backwards, even if the caller's clock does. */
 	if (now_us > k->now_us)
 		k->now_us = now_us;
 	k->wall_us = wall_us;
+}
+
+void
+mh_kern_run(struct mh_kern *k, int64_t until_us)
+{
+	struct mh_timer *t;
+
 	drain(k);
 	while ((t = RB_MIN(timer_tree, &k->timers)) != NULL &&
-	    t->at_us <= k->now_us) {
+	    t->at_us <= until_us) {
 		mh_timer_fn fn = t->fn;
 		void *arg = t->arg;
 
@@ -267,6 +272,13 @@
 	}
 }
 
+void
+mh_kern_advance(struct mh_kern *k, int64_t now_us, int64_t wall_us)
+{
+	mh_kern_set_clock(k, now_us, wall_us);
+	mh_kern_run(k, k->now_us);
+}
+
 int64_t
 mh_kern_next_us(struct mh_kern *k)
 {
--- a/lib/loop.c
+++ b/lib/loop.c
@@ -4,6 +4,9 @@
  * A timerfd in the pollset wakes the loop at the next deadline:
  * apr_pollset_poll() truncates its timeout to whole milliseconds, so that the
  * loop would spin for a wait of less than 1 ms.
+ *
+ * Timers run after the input that was there when they were due: most measure
+ * silence, and the process may have been the one that stood still.
  */
 
 #include "gate.h"
@@ -20,6 +23,8 @@
 #define POLL_MAX 4096
 /* Iterations that take this long are logged: they delay everything else. */
 #define SLOW_ITERATION_US (250 * MH_US_PER_MS)
+/* The process stood still, or a callback was slow, if a step takes longer. */
+#define STALL_US (50 * MH_US_PER_MS)
 
 struct watch {
 	int fd;
@@ -54,6 +59,7 @@
 	int signal_fd;
 	int64_t armed_us;
 	int64_t iteration_start_us; /* 0: no iteration has begun */
+	bool stalled; /* in the last iteration; timers may be due */
 	bool stop;
 };
 
@@ -264,17 +270,22 @@
 		mh_event(l->k, "slow-turn", "took_ms=%" PRId64, mh_ms(took_us));
 }
 
-static void
-run_iteration(struct mh_loop *l)
+/* Sets the kernel's clocks; returns the time. */
+static int64_t
+set_clock(struct mh_loop *l)
 {
-	int64_t next, bound = -1;
-	const apr_pollfd_t *ev = NULL;
-	apr_int32_t n = 0;
+	int64_t now = clock_us(CLOCK_MONOTONIC);
+
+	mh_kern_set_clock(l->k, now, clock_us(CLOCK_REALTIME));
+	return now;
+}
+
+/* Returns the longest time to wait, -1: as long as the kernel allows. */
+static int64_t
+run_hooks(struct mh_loop *l)
+{
+	int64_t bound = -1;
 
-	mh_kern_advance(
-	    l->k, clock_us(CLOCK_MONOTONIC), clock_us(CLOCK_REALTIME));
-	if (l->stop) /* hooks may read requests, too */
-		return;
 	for (guint i = 0; i < l->hooks->len; i++) {
 		struct hook *h = &g_array_index(l->hooks, struct hook, i);
 		int64_t us = h->fn(h->arg);
@@ -282,19 +293,16 @@
 		if (us >= 0 && (bound < 0 || us < bound))
 			bound = us;
 	}
-	next = mh_kern_next_us(l->k);
-	if (bound >= 0 &&
-	    (next < 0 || clock_us(CLOCK_MONOTONIC) + bound < next))
-		next = clock_us(CLOCK_MONOTONIC) + bound;
-	arm(l, next);
-	if (l->stop)
-		return;
-	log_slow_iteration(l);
-	if (apr_pollset_poll(l->set, -1, &n, &ev) != APR_SUCCESS)
-		return;
-	l->iteration_start_us = clock_us(CLOCK_MONOTONIC);
-	mh_kern_advance(
-	    l->k, clock_us(CLOCK_MONOTONIC), clock_us(CLOCK_REALTIME));
+	return bound;
+}
+
+/* Calls the watches; returns false if one of them was slow. */
+static bool
+handle_events(struct mh_loop *l, const apr_pollfd_t *ev, apr_int32_t n)
+{
+	int64_t before = mh_now(l->k);
+	bool quick = true;
+
 	/*
 	 * No event is handled after mh_loop_stop(): a request that is read then
 	 * would be forwarded, but its caller would get no response.
@@ -309,13 +317,53 @@
 			w->fn(w->arg,
 			    r & (APR_POLLIN | APR_POLLHUP | APR_POLLERR),
 			    r & APR_POLLOUT);
+		if (clock_us(CLOCK_MONOTONIC) - before <= STALL_US)
+			continue;
+		/* What the next ones start must not count the stall. */
+		before = set_clock(l);
+		quick = false;
 	}
+	return quick;
+}
+
+static void
+run_iteration(struct mh_loop *l)
+{
+	int64_t next, bound = -1, before, now, until;
+	const apr_pollfd_t *ev = NULL;
+	apr_int32_t n = 0;
+
+	/* Hooks may read requests, and a timer that is due may stop the loop.
+	 */
+	if (!l->stalled)
+		bound = run_hooks(l);
+	next = mh_kern_next_us(l->k);
+	before = clock_us(CLOCK_MONOTONIC);
+	if (bound >= 0 && (next < 0 || before + bound < next))
+		next = before + bound;
+	arm(l, next);
+	if (l->stop)
+		return;
+	log_slow_iteration(l);
+	if (apr_pollset_poll(l->set, -1, &n, &ev) != APR_SUCCESS)
+		return;
+	now = set_clock(l);
+	l->iteration_start_us = now;
+	l->stalled = next >= 0 && now - MAX(before, next) > STALL_US;
+	/* After a stall there may be input that this poll hasn't seen. */
+	until = l->stalled ? before : now;
+	if (!handle_events(l, ev, n))
+		l->stalled = true;
+	if (!l->stop)
+		mh_kern_run(l->k, until);
 }
 
 void
 mh_loop_run(struct mh_loop *l)
 {
 	l->stop = false;
+	l->stalled = false;
+	set_clock(l);
 	while (!l->stop)
 		run_iteration(l);
 }
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -209,6 +209,14 @@
 void *mh_kern_get(struct mh_kern *k, const char *name);
 /** mh_kern_advance() - sets the clocks, delivers messages, runs due timers. */
 void mh_kern_advance(struct mh_kern *k, int64_t now_us, int64_t wall_us);
+/** mh_kern_set_clock() - sets the clocks only; time never goes backwards. */
+void mh_kern_set_clock(struct mh_kern *k, int64_t now_us, int64_t wall_us);
+/**
+ * mh_kern_run() - delivers messages and runs the timers due at @until_us.
+ *
+ * For an owner that has its clock ahead of the input that it has read.
+ */
+void mh_kern_run(struct mh_kern *k, int64_t until_us);
 /** mh_kern_next_us() - time of the next message or timer, us; -1: none. */
 int64_t mh_kern_next_us(struct mh_kern *k);
 /** mh_now() - monotonic time in microseconds. */
--- a/regress/t_kern.c
+++ b/regress/t_kern.c
@@ -1,11 +1,15 @@
 /**
- * DOC: Tests of the kernel, histograms, UUIDs and rendezvous hashing.
+ * DOC: Tests of the kernel, the loop, histograms, UUIDs and rendezvous hashing.
  */
 
+#include "gate.h"
 #include "net.h"
 #include "regress.h"
 
+#include <signal.h>
 #include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 struct probe {
 	struct mh_kern *k;
@@ -63,6 +67,171 @@
 	mh_kern_destroy(k);
 }
 
+/** struct stall - a loop with a pipe that is read, and a timer. */
+struct stall {
+	struct mh_kern *k;
+	struct mh_loop *l;
+	int pipe[2];
+	uint32_t stalls; /* of callbacks, left */
+	uint32_t reads;
+	uint32_t reads_before; /* the timer */
+	int64_t read_us; /* mh_now() then */
+};
+
+#define STALL_TIMER_US (200 * MH_US_PER_MS)
+
+static void
+on_stall_timer(void *arg)
+{
+	struct stall *s = arg;
+
+	s->reads_before = s->reads;
+	mh_loop_stop(s->l);
+}
+
+static void
+on_stall_pipe(void *arg, bool readable, bool writable)
+{
+	struct stall *s = arg;
+	char c;
+
+	(void)readable;
+	(void)writable;
+	if (read(s->pipe[0], &c, 1) != 1)
+		return;
+	s->reads++;
+	s->read_us = mh_now(s->k);
+	if (s->stalls == 0)
+		return;
+	s->stalls--;
+	CU_ASSERT_EQUAL(write(s->pipe[1], "y", 1), 1);
+	g_usleep(STALL_TIMER_US * 2);
+}
+
+static void
+stall_create(struct stall *s)
+{
+	memset(s, 0, sizeof(*s));
+	s->k = mh_kern_create(1);
+	s->l = mh_loop_create(s->k, NULL);
+	CU_ASSERT_EQUAL(pipe(s->pipe), 0);
+	mh_loop_fd(s->l, s->pipe[0], true, false, on_stall_pipe, s);
+	mh_timer_start(s->k, STALL_TIMER_US, on_stall_timer, s);
+}
+
+static void
+stall_destroy(struct stall *s)
+{
+	mh_loop_fd_close(s->l, s->pipe[0]);
+	close(s->pipe[0]);
+	close(s->pipe[1]);
+	mh_kern_destroy(s->k);
+	mh_loop_destroy(s->l);
+}
+
+static void
+on_stalling_timer(void *arg)
+{
+	struct stall *s = arg;
+
+	CU_ASSERT_EQUAL(write(s->pipe[1], "x", 1), 1);
+	g_usleep(STALL_TIMER_US * 2);
+}
+
+/* A slow timer: a byte that came meanwhile is no silence to the next one. */
+static void
+test_input_before_timers(void)
+{
+	struct stall s;
+
+	stall_create(&s);
+	mh_timer_start(s.k, STALL_TIMER_US / 4, on_stalling_timer, &s);
+	mh_loop_run(s.l);
+	CU_ASSERT_EQUAL(s.reads_before, 1);
+	stall_destroy(&s);
+}
+
+/* The same beside a slow handler of input, such as a large configuration's. */
+static void
+test_slow_input_before_timers(void)
+{
+	struct stall s;
+
+	stall_create(&s);
+	s.stalls = 1;
+	CU_ASSERT_EQUAL(write(s.pipe[1], "x", 1), 1);
+	mh_loop_run(s.l);
+	CU_ASSERT_EQUAL(s.reads_before, 2);
+	stall_destroy(&s);
+}
+
+/* Runs in a process of its own; returns 0 if the byte came before the timer. */
+static int
+run_stopped(struct stall *s)
+{
+	mh_loop_run(s->l);
+	return s->reads_before == 1 ? 0 : 1;
+}
+
+/* The same for a process that is stopped and goes on. */
+static void
+test_stopped_process(void)
+{
+	int status = -1;
+	struct stall s;
+	pid_t pid;
+
+	stall_create(&s);
+	pid = fork();
+	if (pid == 0)
+		_exit(run_stopped(&s));
+	CU_ASSERT_FATAL(pid > 0);
+	g_usleep(STALL_TIMER_US / 4);
+	CU_ASSERT_EQUAL(kill(pid, SIGSTOP), 0);
+	g_usleep(STALL_TIMER_US / 4);
+	CU_ASSERT_EQUAL(write(s.pipe[1], "x", 1), 1);
+	g_usleep(STALL_TIMER_US * 2);
+	CU_ASSERT_EQUAL(kill(pid, SIGCONT), 0);
+	CU_ASSERT_EQUAL(waitpid(pid, &status, 0), pid);
+	CU_ASSERT_TRUE(WIFEXITED(status));
+	CU_ASSERT_EQUAL(WEXITSTATUS(status), 0);
+	stall_destroy(&s);
+}
+
+static void
+on_second_stall(void *arg, bool readable, bool writable)
+{
+	struct stall *s = arg;
+	char c;
+
+	(void)readable;
+	(void)writable;
+	CU_ASSERT_EQUAL(read(s->pipe[0], &c, 1), 1);
+	g_usleep(STALL_TIMER_US);
+}
+
+/* A handler that follows a slow one starts its timers at the time it runs. */
+static void
+test_clock_after_slow_input(void)
+{
+	struct stall s, other;
+	int64_t start_us;
+
+	stall_create(&s);
+	stall_create(&other);
+	start_us = mh_now(s.k);
+	/* Both are ready in one turn, the slow one first. */
+	mh_loop_fd(s.l, other.pipe[0], true, false, on_second_stall, &other);
+	CU_ASSERT_EQUAL(write(other.pipe[1], "x", 1), 1);
+	CU_ASSERT_EQUAL(write(s.pipe[1], "x", 1), 1);
+	mh_loop_run(s.l);
+	CU_ASSERT_EQUAL(s.reads, 1);
+	CU_ASSERT_TRUE(s.read_us - start_us >= STALL_TIMER_US);
+	mh_loop_fd_close(s.l, other.pipe[0]);
+	stall_destroy(&other);
+	stall_destroy(&s);
+}
+
 static void
 test_unknown_service_is_counted(void)
 {
@@ -141,6 +310,10 @@
 const struct test tests_kern[] = {
 	{ "timers_in_order", test_timers_in_order },
 	{ "time_never_goes_back", test_time_never_goes_back },
+	{ "loop: input before timers", test_input_before_timers },
+	{ "loop: slow input before timers", test_slow_input_before_timers },
+	{ "loop: a stopped process", test_stopped_process },
+	{ "loop: the clock after slow input", test_clock_after_slow_input },
 	{ "unknown_service_is_counted", test_unknown_service_is_counted },
 	{ "hist_quantile_within_a_bucket", test_hist_quantile_within_a_bucket },
 	{ "uuid7_contains_time", test_uuid7_contains_time },
