Gateway: an endpoint that does not tell its start is asked again

What callers saw: a stream that they took up was refused, though the only engines of its version were sound and went on within two seconds. Cause: an endpoint that may have restarted is asked for its start before it gets such a stream; one that did not answer within 300 ms was never tried again for this request, and the fourth such one ended it. Ruled out: to send without the answer, as the endpoint may be another version. Change: others are asked first, then it is asked again after 100 ms. A request leaves at most eight questions unanswered, about three seconds, and ends as before by its own limit. Questions that were not answered do not count as tries. The rig's endpoints take 300 ms not to answer, as real ones do. Conclusion: a stream waits for silent engines of its version. One that is dark for good is asked eight times, where it was asked once; an engine that refuses the connection holds the stream for 0.8 s.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -68,6 +68,7 @@
 	g_free(q->resume_after);
 	g_free(q->resumes);
 	g_free(q->confirm_node);
+	mh_gate_forget_mute(q);
 	g_free(q->slot_node);
 	g_free(q);
 }
@@ -282,6 +283,8 @@
 	a->n_tried = q->n_tried;
 	for (uint32_t i = 0; i < q->n_tried; i++)
 		a->tried[i] = q->tried[i];
+	for (uint32_t i = 0; i < q->n_mute && a->n_tried < MH_TRIED_MAX; i++)
+		a->tried[a->n_tried++] = q->mute[i];
 }
 
 /* The engine has had time to read the inputs: they may be freed. */
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -966,6 +966,10 @@
 	void *ask; /* other entries are asked for its version; or NULL */
 	void *confirm; /* @confirm_node is asked for its start; or NULL */
 	char *confirm_node; /* id of the endpoint asked last; or NULL */
+	/* ids of those that did not answer, until all have been asked */
+	char *mute[MH_TRIED_MAX];
+	uint32_t n_mute;
+	uint32_t n_unanswered; /* such questions in all */
 	int64_t arrived_us;
 	int64_t first_attempt_us; /* estimate: when the caller first tried */
 	int64_t slo_by_us; /* absolute latency objective */
--- a/lib/gateint.h
+++ b/lib/gateint.h
@@ -155,6 +155,8 @@
  */
 bool mh_gate_must_confirm(
     struct mh_gate *g, struct mh_greq *q, const struct mh_node *n);
+/** mh_gate_forget_mute() - endpoints that did not answer may be asked again. */
+void mh_gate_forget_mute(struct mh_greq *q);
 /** mh_gate_wait_for_version() - waits for an endpoint of its version; true. */
 bool mh_gate_wait_for_version(struct mh_gate *g, struct mh_greq *q);
 /** mh_gate_start_job() - submits the stage work of a request. */
--- a/lib/gateversion.c
+++ b/lib/gateversion.c
@@ -11,6 +11,11 @@
 /* Interval at which a bound request looks for an endpoint, and for how long. */
 #define WAIT_US (100 * MH_US_PER_MS)
 #define WAIT_MAX_US (1500 * MH_US_PER_MS)
+/*
+ * Questions for a start that one request may leave unanswered: a sound endpoint
+ * may be silent for two seconds.
+ */
+#define UNANSWERED_MAX 8
 /* Younger rows name a restarted endpoint, but for the time to write its row. */
 #define ROWS_FRESH_US (600 * MH_US_PER_MS)
 
@@ -243,6 +248,29 @@
 	return true;
 }
 
+void
+mh_gate_forget_mute(struct mh_greq *q)
+{
+	for (uint32_t i = 0; i < q->n_mute; i++)
+		g_free(q->mute[i]);
+	q->n_mute = 0;
+}
+
+/* It may be silent and yet sound: others are asked first, then it is again. */
+static void
+ask_elsewhere(struct mh_gate *g, struct mh_greq *q)
+{
+	if (q->n_mute == MH_TRIED_MAX)
+		mh_gate_forget_mute(q);
+	q->mute[q->n_mute++] = q->confirm_node;
+	q->confirm_node = NULL;
+	if (++q->n_unanswered < UNANSWERED_MAX)
+		mh_gate_try_next(g, q);
+	else
+		mh_gate_refuse(
+		    g, q, q->runs > 0 ? MH_RUN_FAILED : MH_NO_ENDPOINT, 0);
+}
+
 void
 mh_gate_confirmed(struct mh_gate *g, struct mh_greq *q, int64_t start_ms)
 {
@@ -264,9 +292,10 @@
 			note_version(g, q, t, t->version);
 		return;
 	}
-	if (!ok && start_ms == 0 && q->n_tried < MH_TRIED_MAX)
-		q->tried[q->n_tried++] = g_strdup(q->confirm_node);
-	mh_gate_try_next(g, q);
+	if (start_ms == 0)
+		ask_elsewhere(g, q);
+	else
+		mh_gate_try_next(g, q);
 }
 
 /* Whether an endpoint of its version may take it before long. */
@@ -306,9 +335,10 @@
 		return false;
 	if (q->version_wait_us == 0)
 		q->version_wait_us = now + WAIT_MAX_US;
-	if (now >= q->version_wait_us ||
+	if ((now >= q->version_wait_us && q->n_mute == 0) ||
 	    mh_gate_limit_us(g, q) - now < 2 * WAIT_US)
 		return false;
+	mh_gate_forget_mute(q);
 	mh_count(g->k, "waits_for_version", 1);
 	q->slot_timer = mh_timer_start(g->k, WAIT_US, on_wait, q);
 	return true;
--- a/regress/gaterig.c
+++ b/regress/gaterig.c
@@ -94,7 +94,8 @@
 	(void)n;
 	r->starts_asked++;
 	r->asking = q;
-	r->start_timer = mh_timer_start(r->k, 1, on_start, r);
+	r->start_timer =
+	    mh_timer_start(r->k, r->start_ms == 0 ? 300 * MS : 1, on_start, r);
 	return r;
 }
 
--- a/regress/gaterig.h
+++ b/regress/gaterig.h
@@ -30,7 +30,7 @@
 	enum mh_gate_refusal why; /* of the last refusal */
 	int64_t retry_us; /* likewise */
 	struct mh_job *job; /* last submitted */
-	/* endpoints are asked for their start time, with this answer; 0: not */
+	/* what endpoints answer that are asked for their start; 0: nothing */
 	int64_t start_ms;
 	uint32_t starts_asked;
 	struct mh_greq *asking;
--- a/regress/t_version.c
+++ b/regress/t_version.c
@@ -292,6 +292,52 @@
 	grig_destroy(r);
 }
 
+/* Guards against a stream refused because its engines are silent for a while.
+ */
+static void
+test_silent_when_asked(void)
+{
+	for (int64_t silent_us = 200 * MS; silent_us < 2200 * MS;
+	     silent_us += 400 * MS) {
+		struct grig *r = restartable();
+		int64_t end_us;
+
+		begin_and_leave(r, "a");
+		r->start_ms = 0;
+		end_us = r->now_us + silent_us;
+		(void)grig_stream(r, "b", "a");
+		while (r->now_us < end_us)
+			grig_advance(r, 10 * MS);
+		r->start_ms = 77;
+		for (int i = 0; i < 41; i++)
+			grig_advance(r, 10 * MS);
+		CU_ASSERT_EQUAL(r->refused, 0);
+		CU_ASSERT_EQUAL(r->sends, 1);
+		if (r->sends > 0)
+			grig_answer(r, 200, false, true);
+		CU_ASSERT_EQUAL(r->finished, 1);
+		grig_destroy(r);
+	}
+}
+
+/* Guards against endless questions to engines that are dark for good. */
+static void
+test_never_answers(void)
+{
+	struct grig *r = restartable();
+
+	begin_and_leave(r, "a");
+	r->start_ms = 0;
+	(void)grig_stream(r, "b", "a");
+	for (int i = 0; i < 350; i++)
+		grig_advance(r, 10 * MS);
+	CU_ASSERT_EQUAL(r->starts_asked, 8);
+	CU_ASSERT_EQUAL(r->sends, 0);
+	CU_ASSERT_EQUAL(r->refused, 1);
+	CU_ASSERT_EQUAL(r->why, MH_NO_ENDPOINT);
+	grig_destroy(r);
+}
+
 static int64_t
 two_seconds(void *arg)
 {
@@ -612,6 +658,8 @@
 	{ "version: a draining endpoint has it", test_draining },
 	{ "version: begun at an endpoint in doubt", test_begun_in_doubt },
 	{ "version: an endpoint has restarted", test_restarted },
+	{ "version: silent when asked", test_silent_when_asked },
+	{ "version: never answers", test_never_answers },
 	{ "version: begun with old rows", test_begun_with_old_rows },
 	{ "version: begun after a restart", test_begun_after_restart },
 	{ "version: the first entry is dead", test_first_entry_dead },
