Gateway: inputs are freed once their engine is heard, not by a guess

What callers saw: 502, or stage work done again late, after an engine with free slots had been silent for some tenths of a second. Cause: the inputs of a request were freed 80 ms after it was sent to such an engine, whether it had read them or not. One that was silent then finds them gone when it goes on and answers 409. Ruled out: keeping them until the first event, since result memory is what runs out in a burst. Change: they are freed when the engine's own answer has begun, not sooner than 80 ms, or when other answers of the engine came in over a span of 80 ms without a pause of more than 200 ms: bytes that follow a longer pause may have been held up together with the request. A silent run's inputs are kept while another run has them too, and when the silent run becomes the only one again. Without timers beyond the one there was: each answer's bytes are looked at. Conclusion: an engine that was silent when it was sent to finds its inputs.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -32,12 +32,6 @@
  * from returning together. */
 #define RETRY_MIN_US (150 * MH_US_PER_MS)
 #define RETRY_SPREAD 0.5
-/*
- * An engine reads the inputs of a request when it begins to work on it.  An
- * engine with free slots does so at once: the inputs are freed after this time,
- * since result memory is what runs out during a burst.
- */
-#define INPUTS_READ_US (80 * MH_US_PER_MS)
 /* With less time remaining, an endpoint can't produce an answer. */
 #define REMAINING_MIN_US (20 * MH_US_PER_MS)
 
@@ -111,25 +105,16 @@
 	mh_gate_end_try(g, t, abort);
 }
 
-static void
-release_job(struct mh_gate *g, struct mh_greq *q)
+void
+mh_gate_stop_search(struct mh_gate *g, struct mh_greq *q)
 {
-	/* The timer would release the next job of this request. */
-	mh_timer_stop(g->k, &q->inputs_timer);
-	if (q->job == NULL)
-		return;
-	if (q->state == MH_GREQ_STAGES)
-		g->ops.cancel(g->ops.jobs, q->job);
-	else
-		g->ops.release(g->ops.jobs, q->job);
-	mh_job_destroy(q->job);
-	q->job = NULL;
+	mh_gate_release_job(g, q);
+	mh_gate_drop_search(g, q);
 }
 
 void
-mh_gate_stop_search(struct mh_gate *g, struct mh_greq *q)
+mh_gate_drop_search(struct mh_gate *g, struct mh_greq *q)
 {
-	release_job(g, q);
 	if (q->confirm != NULL) {
 		g->ops.unconfirm(g->ops.jobs, q->confirm);
 		g_clear_pointer(&q->confirm_node, g_free);
@@ -287,23 +272,6 @@
 		a->tried[a->n_tried++] = q->mute[i];
 }
 
-/* The engine has had time to read the inputs: they may be freed. */
-static void
-on_fed(void *arg)
-{
-	struct mh_greq *q = arg;
-
-	q->inputs_timer = NULL;
-	release_job(q->gate, q);
-}
-
-/* Whether an engine begins the next request at once. */
-static bool
-has_free_slots(const struct mh_node *n)
-{
-	return n->waiting == 0 && n->running < n->capacity * 3 / 4;
-}
-
 /*
  * Time until an endpoint of its pool takes a request again; 0: one does now, or
  * the pool has none.
@@ -483,10 +451,7 @@
 	    mh_ms(t->remaining_us), mh_gate_stream_after(q), n->version);
 	mh_timer_stop(g->k, &q->silence_timer);
 	mh_gate_watch(g, q);
-	mh_timer_stop(g->k, &q->inputs_timer);
-	if (q->job != NULL && has_free_slots(n))
-		q->inputs_timer =
-		    mh_timer_start(g->k, INPUTS_READ_US, on_fed, q);
+	mh_gate_feed(g, t, n);
 	g->ops.send(g->ops.arg, t);
 }
 
@@ -504,7 +469,7 @@
 	}
 	if (a->inputs_lost && may_start_job(q)) {
 		mh_count(g->k, "inputs_gone", 1);
-		release_job(g, q);
+		mh_gate_release_job(g, q);
 		mh_gate_start_job(g, q);
 		return;
 	}
@@ -550,6 +515,7 @@
 {
 	if (n != NULL)
 		mh_node_heard(g->f, n);
+	mh_gate_feed_heard(g, t);
 	if (n != NULL && t->sent_us < n->doubt_us)
 		n->doubt_us = 0;
 	/* An endpoint without a start time has a new id after each restart. */
@@ -605,6 +571,7 @@
 	}
 	mh_gate_heard(g, t);
 	mh_gate_end_all_silent(g, q);
+	mh_gate_feed_begun(g, q);
 	q->last_data_us = mh_now(g->k);
 	if (!q->head_forwarded)
 		return forward_head(g, q, a);
@@ -635,11 +602,9 @@
 	mh_gate_note_ids(n, t);
 	mh_gate_note_answering(g, t);
 	meter_answer(g, q);
-	if (q->state != MH_GREQ_ANSWERING) {
-		q->state = MH_GREQ_ANSWERING;
-		/* An engine that answers has read its inputs. */
-		release_job(g, q);
-	}
+	q->state = MH_GREQ_ANSWERING;
+	if (q->job != NULL) /* an engine that answers has read its inputs */
+		mh_gate_release_job(g, q);
 	if (q->route->stream)
 		mh_gate_watch(g, q);
 }
@@ -742,6 +707,7 @@
 	g->ops = *ops;
 	g->domain = g_strdup(domain);
 	g->requests = g_hash_table_new(NULL, NULL);
+	g->feeding = g_ptr_array_new();
 	g->max_deadlines =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g->sizes =
@@ -779,6 +745,7 @@
 	}
 	g_list_free(all);
 	g_hash_table_destroy(g->requests);
+	g_ptr_array_free(g->feeding, TRUE);
 	g_hash_table_destroy(g->max_deadlines);
 	g_hash_table_destroy(g->sizes);
 	g_hash_table_destroy(g->runs);
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -995,7 +995,7 @@
 	int64_t last_data_us;
 	struct mh_timer *expiry_timer; /* at mh_gate_limit_us() */
 	struct mh_timer *silence_timer; /* endpoint is silent for too long */
-	struct mh_timer *inputs_timer; /* the engine has read the inputs */
+	struct mh_timer *inputs_timer; /* the engine may have read the inputs */
 	struct mh_timer *slot_timer; /* time slot of a cold endpoint begins */
 	char *slot_node; /* id of that endpoint */
 };
@@ -1018,6 +1018,11 @@
 	bool new_conn; /* reuses no idle connection */
 	bool counted; /* included in the runs of its request */
 	bool was_silent; /* another run was looked for */
+	bool begins_at_once; /* the endpoint had free slots */
+	uint32_t n_jobs; /* of its request when it was sent */
+	int64_t
+	    heard_us; /* bytes of the endpoint came last, while watched... */
+	int64_t alive_from_us; /* ...and since then without a long pause */
 	struct mh_sse *events; /* NULL: no stream, or not begun */
 	void *call; /* the adapter's own data */
 };
--- a/lib/gateint.h
+++ b/lib/gateint.h
@@ -30,6 +30,7 @@
 	char *domain;
 	uint32_t entries; /* processes like this one, itself included */
 	GHashTable *requests; /* set of struct mh_greq */
+	GPtrArray *feeding; /* struct mh_greq, whose engine may read inputs */
 	int64_t exit_us; /* when this process exits; 0: not draining */
 	int64_t streams_by_us; /* later streams are refused while draining */
 	GHashTable *max_deadlines; /* route -> longest one given, int64_t us */
@@ -105,6 +106,8 @@
 void mh_gate_end_try(struct mh_gate *g, struct mh_try *t, bool abort);
 /** mh_gate_stop_search() - ends what is done to begin the next try. */
 void mh_gate_stop_search(struct mh_gate *g, struct mh_greq *q);
+/** mh_gate_drop_search() - the same, but keeps its job. */
+void mh_gate_drop_search(struct mh_gate *g, struct mh_greq *q);
 /** mh_gate_may_retry() - its route allows another run. */
 bool mh_gate_may_retry(const struct mh_greq *q);
 /** mh_gate_count_run() - the endpoint may have begun to work on it. */
@@ -133,6 +136,20 @@
     enum mh_gate_refusal why, int64_t retry_us);
 /** mh_gate_on_silence() - the current run (struct mh_greq) is silent. */
 void mh_gate_on_silence(void *arg);
+/* gatefeed.c: inputs of runs, and when they are freed */
+
+/** mh_gate_release_job() - frees its job and the results; stops the watch. */
+void mh_gate_release_job(struct mh_gate *g, struct mh_greq *q);
+/** mh_gate_feed() - @t goes to @n: watches for its reading of the inputs. */
+void mh_gate_feed(struct mh_gate *g, struct mh_try *t, const struct mh_node *n);
+/** mh_gate_feed_again() - a silent run is the current one: watches it. */
+void mh_gate_feed_again(struct mh_gate *g, struct mh_greq *q);
+/** mh_gate_feed_begun() - the current run has begun to answer. */
+void mh_gate_feed_begun(struct mh_gate *g, struct mh_greq *q);
+/** mh_gate_feed_heard() - the endpoint of @t has sent bytes of its answer. */
+void mh_gate_feed_heard(struct mh_gate *g, const struct mh_try *t);
+/** mh_gate_keeps_job() - a run @t of @q may still read its job's results. */
+bool mh_gate_keeps_job(const struct mh_greq *q, const struct mh_try *t);
 /* gatepoison.c: requests and parts of prompts that crash endpoints */
 
 /**
--- a/lib/gatesilent.c
+++ b/lib/gatesilent.c
@@ -84,10 +84,14 @@
 		mh_gate_count_run(q, other);
 		mh_gate_end_try(g, other, true);
 	}
-	mh_gate_stop_search(g, q);
+	if (mh_gate_keeps_job(q, t))
+		mh_gate_drop_search(g, q);
+	else
+		mh_gate_stop_search(g, q);
 	q->owes_retry = false;
 	q->cur = t;
 	q->state = q->head_forwarded ? MH_GREQ_ANSWERING : MH_GREQ_TRYING;
+	mh_gate_feed_again(g, q);
 	mh_gate_set_limit(g, q);
 }
 
--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -588,18 +588,58 @@
 	grig_destroy(r);
 }
 
-/* An engine with free slots reads its inputs soon: then they are freed. */
+/* What is heard of an engine with free slots that got inputs at 0 ms. */
+static const struct {
+	const char *name;
+	uint32_t others_ms[3]; /* answers to another request; 0: no more */
+	uint32_t head_ms; /* the head of its own answer; 0: none */
+	uint32_t freed_ms; /* the inputs are freed then; 0: kept for 1 s */
+} feeds[] = {
+	{ "works", { 50, 100 }, 0, 100 },
+	{ "begins to answer", { 0 }, 5, 80 },
+	{ "begins to answer late", { 0 }, 500, 500 },
+	{ "silent", { 0 }, 0, 0 },
+	{ "silent at once", { 20 }, 0, 0 },
+	{ "silent, and goes on", { 20, 800, 900 }, 0, 900 },
+	{ "held bytes come", { 20, 800, 801 }, 0, 0 },
+};
+
+/* Guards against inputs freed before a silent engine has read them. */
 static void
 test_results_freed_early(void)
 {
-	struct grig *r = grig_create(2);
+	struct mh_gresp a = { .status = 200, .genuine = true, .events = true };
 
-	request_with_stage(r);
-	mh_gate_job_end(r->g, r->job, MH_JOB_DONE, 0);
-	CU_ASSERT_EQUAL(r->dropped, 0);
-	grig_advance(r, 100 * MS);
-	CU_ASSERT_EQUAL(r->dropped, 1);
-	grig_destroy(r);
+	for (size_t i = 0; i < G_N_ELEMENTS(feeds); i++) {
+		struct grig *r = grig_create(1);
+		struct mh_try *other, *t;
+		uint32_t freed_ms = 0, next = 0;
+
+		grig_request(r, "/stream/x", 0);
+		other = r->cur;
+		CU_ASSERT_EQUAL(mh_gate_head(r->g, other, &a), MH_FORWARD);
+		request_with_stage(r);
+		mh_gate_job_end(r->g, r->job, MH_JOB_DONE, 0);
+		t = r->cur;
+		for (uint32_t ms = 1; ms <= 1000; ms++) {
+			grig_advance(r, MS);
+			if (next < 3 && ms == feeds[i].others_ms[next]) {
+				mh_gate_progress(r->g, other);
+				next++;
+			}
+			if (ms == feeds[i].head_ms)
+				CU_ASSERT_EQUAL(
+				    mh_gate_head(r->g, t, &a), MH_FORWARD);
+			if (freed_ms == 0 && r->dropped > 0)
+				freed_ms = ms;
+		}
+		if (freed_ms != feeds[i].freed_ms)
+			fprintf(stderr, "row: %s (freed %u)\n", feeds[i].name,
+			    freed_ms);
+		CU_ASSERT_EQUAL(freed_ms, feeds[i].freed_ms);
+		CU_ASSERT_EQUAL(r->dropped, freed_ms > 0);
+		grig_destroy(r);
+	}
 }
 
 /* placement */
