HTTP server: changed limits leave requests under way the wider ones

What callers saw: a request half sent as a configuration came in was refused (431, 413, 408) by limits that its caller could not know; a connection that waited was closed at the former idle time though its caller might use it up to the new one, and the other way round. Cause: all requests read the server's limits through one pointer, and a timer kept the time that it was started with. Ruled out: that any of this is a request lost after it was read: each gets an answer, or its connection closes before the request is read. Change: a connection has its own limits from the moment it waits for a request, and a change widens them until that request is read; its timer looks at them again when it expires. Conclusion: the next request of a connection has the new limits; a caller that still knows a longer idle time then may meet the close, unread.

--- a/lib/hreqint.h
+++ b/lib/hreqint.h
@@ -44,7 +44,7 @@
 
 /**
  * mh_hreq_create() - a request of which nothing has been received.
- * @l: consulted on each read, so changes apply; must outlive the request
+ * @l: consulted on each read, so it may be widened; must outlive the request
  * @out: responses are appended here; must outlive the request
  */
 struct mh_hreq *mh_hreq_create(const struct mh_hlimits *l, GByteArray *out);
--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -67,6 +67,8 @@
 	bool close_after;
 	bool peer_eof; /* the caller sent FIN, seen while sending */
 	int64_t send_deadline_us;
+	struct mh_hlimits limits; /* of the request to be read */
+	int64_t wait_start_us; /* for its first byte, then for its last */
 	struct mh_hreq *req;
 	GByteArray *in;
 	GByteArray *out;
@@ -228,9 +230,11 @@
 start_reading(struct conn *c)
 {
 	c->state = CONN_READING;
-	c->req = mh_hreq_create(&c->s->args.limits, c->out);
+	c->limits = c->s->args.limits;
+	c->req = mh_hreq_create(&c->limits, c->out);
 	c->req->c = c;
-	set_timer(c, c->s->args.limits.idle_us);
+	c->wait_start_us = mh_now(c->s->k);
+	set_timer(c, c->limits.idle_us);
 }
 
 static void
@@ -360,8 +364,10 @@
 	started = c->req->started;
 	switch (mh_hreq_read(c->req, c->in)) {
 	case MH_HREAD_MORE:
-		if (!started && c->req->started)
-			set_timer(c, c->s->args.limits.header_us);
+		if (!started && c->req->started) {
+			c->wait_start_us = mh_now(c->s->k);
+			set_timer(c, c->limits.header_us);
+		}
 		return;
 	case MH_HREAD_COMPLETE:
 		deliver_request(c);
@@ -464,6 +470,21 @@
 	return ioctl(c->fd, SIOCOUTQ, &n) == 0 && n > 0;
 }
 
+/* The limits may have grown since the timer was started. */
+static void
+on_read_limit(struct conn *c)
+{
+	int64_t us = c->req->started ? c->limits.header_us : c->limits.idle_us;
+
+	us += c->wait_start_us - mh_now(c->s->k);
+	if (us > 0)
+		set_timer(c, us);
+	else if (c->req->started)
+		time_out_request(c);
+	else
+		close_if_idle(c);
+}
+
 static void
 on_timer(void *arg)
 {
@@ -472,10 +493,7 @@
 	c->timer = NULL;
 	switch (c->state) {
 	case CONN_READING:
-		if (c->req->started)
-			time_out_request(c);
-		else
-			close_if_idle(c);
+		on_read_limit(c);
 		return;
 	case CONN_SENDING:
 		mh_count(c->s->k, "serve_slow_callers", 1);
@@ -664,10 +682,29 @@
 	return s->port;
 }
 
+static void
+widen(struct mh_hlimits *to, const struct mh_hlimits *l)
+{
+	to->header_bytes = MAX(to->header_bytes, l->header_bytes);
+	to->body_bytes = MAX(to->body_bytes, l->body_bytes);
+	to->header_us = MAX(to->header_us, l->header_us);
+	to->idle_us = MAX(to->idle_us, l->idle_us);
+}
+
 void
 mh_hserve_set_limits(struct mh_hserve *s, const struct mh_hlimits *l)
 {
+	GHashTableIter it;
+	gpointer key;
+
 	s->args.limits = *l;
+	g_hash_table_iter_init(&it, s->conns);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		struct conn *c = key;
+
+		if (c->state == CONN_READING)
+			widen(&c->limits, l);
+	}
 }
 
 void
--- a/lib/opaque.h
+++ b/lib/opaque.h
@@ -94,6 +94,12 @@
     struct mh_loop *l, const struct mh_hserve_args *a, GError **err);
 void mh_hserve_destroy(struct mh_hserve *s);
 uint16_t mh_hserve_port(const struct mh_hserve *s);
+/**
+ * mh_hserve_set_limits() - limits for the requests to come.
+ *
+ * A request that is being read or waited for gets the wider of each old and new
+ * limit: its caller may know either.
+ */
 void mh_hserve_set_limits(struct mh_hserve *s, const struct mh_hlimits *l);
 /** mh_hserve_drain() - closes each connection after its next response. */
 void mh_hserve_drain(struct mh_hserve *s);
--- a/regress/t_http.c
+++ b/regress/t_http.c
@@ -656,6 +656,101 @@
 	hrig_destroy(r);
 }
 
+static const char one_request[] = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
+
+static void
+on_rest(void *arg)
+{
+	struct hrig *r = arg;
+
+	CU_ASSERT(
+	    send(r->peer_fd, r->feed->str, r->feed->len, MSG_NOSIGNAL) > 0);
+}
+
+/* changed limits: those who send or wait may know the former ones */
+
+static const struct mh_hlimits wide = { 512, 64, 3 * MH_US_PER_S,
+	2 * TIMEOUT_US };
+static const struct mh_hlimits narrow = { 20, 2, 50 * MH_US_PER_MS,
+	50 * MH_US_PER_MS };
+
+static void
+on_narrow(void *arg)
+{
+	struct hrig *r = arg;
+
+	mh_hserve_set_limits(r->s, &narrow);
+	mh_timer_start(r->k, 100 * MH_US_PER_MS, on_rest, r);
+}
+
+static void
+on_wide(void *arg)
+{
+	struct hrig *r = arg;
+
+	mh_hserve_set_limits(r->s, &wide);
+	mh_timer_start(r->k, 100 * MH_US_PER_MS, on_rest, r);
+}
+
+/* One request under way or waited for as the limits change; @rest follows. */
+static void
+check_change(const struct mh_hlimits *before, mh_timer_fn change,
+    const char *text, const char *rest)
+{
+	struct hrig *r = hrig_create();
+
+	mh_hserve_set_limits(r->s, before);
+	r->feed = g_string_new(rest);
+	r->peer_fd = tcp_dial(mh_hserve_port(r->s));
+	CU_ASSERT(send(r->peer_fd, text, strlen(text), MSG_NOSIGNAL) >= 0);
+	mh_loop_fd(r->loop, r->peer_fd, true, false, on_raw, r);
+	mh_timer_start(r->k, 20 * MH_US_PER_MS, change, r);
+	run(r);
+	CU_ASSERT_EQUAL(r->requests, 1);
+	CU_ASSERT_TRUE(g_str_has_prefix(r->got->str, "HTTP/1.1 200"));
+	hrig_destroy(r);
+}
+
+static void
+test_limits_change(void)
+{
+	static const char half[] = "GET /1 HTTP/1.1\r\nHost: h\r\n";
+	static const char body[] =
+	    "POST /1 HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n" END;
+	static const char small[] = "GET / HTTP/1.1\r\nHost: h\r\n";
+
+	check_change(&wide, on_narrow, half, "X-Long: 1234567890\r\n" END);
+	check_change(&wide, on_narrow, body, "abcdef");
+	check_change(
+	    &wide, on_narrow, "", "GET /1 HTTP/1.1\r\nHost: h\r\n" END);
+	check_change(&narrow, on_wide, small, END);
+	check_change(
+	    &narrow, on_wide, "", "GET /1 HTTP/1.1\r\nHost: h\r\n" END);
+}
+
+/* The next request of a connection has the new limits. */
+static void
+test_limits_of_the_next(void)
+{
+	struct hrig *r = hrig_create();
+
+	r->stop_text = "xx";
+	raw(r, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+	mh_hserve_set_limits(r->s, &wide);
+	run(r);
+	mh_hserve_set_limits(r->s, &narrow);
+	r->stop_text = NULL;
+	g_string_truncate(r->got, 0);
+	/* It waits under both; the one after it has the narrow limits. */
+	CU_ASSERT(send(r->peer_fd, one_request, strlen(one_request),
+		      MSG_NOSIGNAL) > 0);
+	run(r);
+	CU_ASSERT_EQUAL(r->requests, 2);
+	CU_ASSERT_EQUAL(r->raw_errno, 0);
+	CU_ASSERT_TRUE(g_str_has_suffix(r->got->str, "\r\n\r\nxx"));
+	hrig_destroy(r);
+}
+
 static int64_t
 count_loop(void *arg)
 {
@@ -848,8 +943,6 @@
 	mh_hserve_finish(((struct hrig *)arg)->s);
 }
 
-static const char one_request[] = "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n";
-
 /*
  * A server shuts down while callers keep idle connections that they may reuse
  * at any time.  These must be closed before a request arrives; otherwise the
@@ -1341,6 +1434,8 @@
 	{ "serve: bytes after the response", test_bytes_after_the_response },
 	{ "serve: a request at the idle limit",
 	    test_request_at_the_idle_limit },
+	{ "serve: limits change within a request", test_limits_change },
+	{ "serve: limits of the next request", test_limits_of_the_next },
 	{ "serve: no free file descriptor", test_no_free_descriptor },
 	{ "serve: a caller that shuts down its side",
 	    test_caller_shuts_down_its_side },
