Stages: a silent call is kept until its pieces are in another one

What callers saw: 503 for a request whose stage work had been accepted, as the endpoint was silent for a second and no other had taken the work. Cause: a call was given up after eight times its expected time, about half a second, and its connection reset, whether or not its pieces could be sent elsewhere: with no free endpoint, or no retry allowed, the sound call's work was thrown away and the job failed for its budget or its tries. Ruled out: that the pieces wait for an endpoint while they can be sent: they are queued again, as before, when the call is overdue. Change: after that time the call still counts against its endpoint, once, but is given up only when each of its pieces is in another call, has a result, or belongs to a job that has ended or is handed off. Conclusion: what a silent sound endpoint accepted is given up only when another call has it; an endpoint that is dark for good is left as before.

--- a/lib/gate.h
+++ b/lib/gate.h
@@ -667,6 +667,7 @@
 	int64_t sent_us;
 	int64_t expect_us; /* estimated duration of the call */
 	bool requeued; /* overdue: its pieces were queued again */
+	bool too_long; /* it counts as lost once its pieces are elsewhere */
 	bool conn_lost; /* the endpoint may have crashed */
 	bool unsent; /* it was not reached */
 	uint32_t others_waiting; /* other calls waiting there when it ended */
--- a/lib/sched.c
+++ b/lib/sched.c
@@ -29,7 +29,7 @@
 #define POLL_AFTER_US (100 * MH_US_PER_MS)
 /*
  * A call counts as lost after this multiple of its expected time and the same
- * grace period.
+ * grace period, once its pieces are in other calls.
  */
 #define LOST_FACTOR 8.0
 /* An endpoint that refused a call gets no other for this long. */
@@ -402,7 +402,7 @@
 		mh_sched_learn(sc, b, w);
 	if (end == MH_BATCH_DONE && n != NULL)
 		mh_node_succeeded(sc->f, n, mh_now(sc->k) - b->sent_us);
-	if (end == MH_BATCH_LOST && n != NULL)
+	if (end == MH_BATCH_LOST && n != NULL && !b->too_long)
 		mh_node_failed(sc->f, n, "stage-call-lost");
 	if (end == MH_BATCH_LOST) /* the endpoint may still run it */
 		w->shared_end_us = mh_now(sc->k) + SHARED_HOLD_US;
@@ -477,6 +477,44 @@
 	}
 }
 
+/*
+ * Whether a piece of a call is in no other one.  A silent endpoint may go on,
+ * so the call is not given up before, except for a job that is to be handed
+ * off.
+ */
+static bool
+is_wanted(const struct mh_batch *b)
+{
+	for (guint i = 0; i < b->items->len; i++) {
+		const struct mh_batch_item *m =
+		    &g_array_index(b->items, struct mh_batch_item, i);
+		const struct piece_state *ps;
+
+		if (m->job == NULL || m->job->state->draining)
+			continue;
+		ps = &m->job->state->stages[m->stage].pieces[m->piece];
+		if (ps->needed && (!b->requeued || !ps->in_flight))
+			return true;
+	}
+	return false;
+}
+
+/* A call has taken so long that its answer seems lost. */
+static void
+note_too_long(struct mh_sched *sc, struct mh_batch *b, struct worker *w)
+{
+	struct mh_node *n = mh_fleet_find(sc->f, b->node);
+
+	if (!b->too_long && n != NULL)
+		mh_node_failed(sc->f, n, "stage-call-lost");
+	b->too_long = true;
+	w->shared_end_us = mh_now(sc->k) + SHARED_HOLD_US;
+	if (is_wanted(b))
+		return;
+	sc->ops.abort(sc->ops.arg, b);
+	mh_sched_batch_end(sc, b, MH_BATCH_LOST);
+}
+
 static void
 check_batches(struct mh_sched *sc)
 {
@@ -497,10 +535,9 @@
 			note_overdue(sc, b, w);
 		if (b->overdue && !b->requeued && mh_sched_may_resend(sc, p))
 			requeue_pieces(sc, b);
-		else if (took > LOST_FACTOR * (double)b->expect_us) {
-			sc->ops.abort(sc->ops.arg, b);
-			mh_sched_batch_end(sc, b, MH_BATCH_LOST);
-		}
+		else if (b->too_long ||
+		    took > LOST_FACTOR * (double)b->expect_us)
+			note_too_long(sc, b, w);
 	}
 	g_list_free(all);
 }
--- a/regress/main.c
+++ b/regress/main.c
@@ -61,6 +61,7 @@
 	{ "adapter", tests_adapter },
 	{ "fuzz", tests_fuzz },
 	{ "sched", tests_sched },
+	{ "schedsilent", tests_schedsilent },
 	{ "gate", tests_gate },
 	{ "silent", tests_silent },
 	{ "nodefail", tests_nodefail },
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -23,6 +23,7 @@
 extern const struct test tests_adapter[];
 extern const struct test tests_fuzz[];
 extern const struct test tests_sched[];
+extern const struct test tests_schedsilent[];
 extern const struct test tests_gate[];
 extern const struct test tests_silent[];
 extern const struct test tests_nodefail[];
--- /dev/null
+++ b/regress/t_schedsilent.c
@@ -0,0 +1,96 @@
+/**
+ * DOC: Stage endpoints that fall silent and go on: no call is given up before
+ * its pieces are in another one, and no result is made twice without need.
+ */
+
+#include "regress.h"
+#include "world.h"
+
+#define MS MH_US_PER_MS
+#define S MH_US_PER_S
+
+static const char *const one_pool[] = { "a", NULL };
+static const uint32_t three[] = { 3 };
+
+/* Guards against a sound call given up with no other endpoint for its work. */
+static void
+test_only_endpoint(void)
+{
+	struct world *w = world_create();
+
+	world_pool(w, "a", 1, 8, 100 * MS, 10 * MS, 0);
+	world_silence(w, "a-0", 2 * S);
+	mh_sched_submit(w->sched, world_job(w, one_pool, three, 4 * S, 6 * S));
+	world_run(w, 3 * S);
+	CU_ASSERT_EQUAL(w->done, 1);
+	CU_ASSERT_EQUAL(w->aborted, 0);
+	CU_ASSERT_EQUAL(w->nodes[0].calls, 1);
+	CU_ASSERT_EQUAL(g_hash_table_size(w->live), 0);
+	world_destroy(w);
+}
+
+/* Guards against calls given up because no retry is allowed. */
+static void
+test_no_budget(void)
+{
+	struct world *w = world_create();
+
+	world_pool(w, "a", 2, 8, 100 * MS, 10 * MS, 0);
+	while (mh_budget_allows(w->budget, "a"))
+		CU_ASSERT_TRUE_FATAL(mh_budget_take(w->budget, "a"));
+	world_silence(w, "a-0", 1500 * MS);
+	world_silence(w, "a-1", 1500 * MS);
+	mh_sched_submit(w->sched, world_job(w, one_pool, three, 4 * S, 6 * S));
+	world_run(w, 2 * S);
+	CU_ASSERT_EQUAL(w->done, 1);
+	CU_ASSERT_EQUAL(w->aborted, 0);
+	world_destroy(w);
+}
+
+/* Guards against a dark endpoint that keeps work from a sound one. */
+static void
+test_dark_for_good(void)
+{
+	struct world *w = world_create();
+	uint32_t dark;
+
+	world_pool(w, "a", 2, 8, 100 * MS, 10 * MS, 0);
+	world_silence(w, "a-0", 60 * S);
+	world_node(w, "a-0")->slowdown = 0.9;
+	for (int i = 0; i < 20; i++) {
+		mh_sched_submit(
+		    w->sched, world_job(w, one_pool, three, 1500 * MS, 6 * S));
+		world_run(w, 150 * MS);
+	}
+	dark = world_node(w, "a-0")->calls;
+	world_run(w, 2 * S);
+	CU_ASSERT_EQUAL(w->done, 20);
+	CU_ASSERT(w->on_time >= 19);
+	CU_ASSERT(dark > 0 && dark <= 4);
+	world_destroy(w);
+}
+
+/* Guards against an endpoint kept busy by work that nobody waits for. */
+static void
+test_hopeless(void)
+{
+	struct world *w = world_create();
+
+	world_pool(w, "a", 1, 8, 100 * MS, 10 * MS, 0);
+	world_silence(w, "a-0", 60 * S);
+	mh_sched_submit(w->sched, world_job(w, one_pool, three, S, 2 * S));
+	world_run(w, 1800 * MS);
+	CU_ASSERT_EQUAL(w->aborted, 0);
+	world_run(w, 400 * MS);
+	CU_ASSERT_EQUAL(w->refused, 1);
+	CU_ASSERT_EQUAL(w->aborted, 1);
+	world_destroy(w);
+}
+
+const struct test tests_schedsilent[] = {
+	{ "sched silent: the only endpoint", test_only_endpoint },
+	{ "sched silent: no budget", test_no_budget },
+	{ "sched silent: dark for good", test_dark_for_good },
+	{ "sched silent: work that nobody waits for", test_hopeless },
+	{ NULL, NULL },
+};
--- a/regress/world.c
+++ b/regress/world.c
@@ -55,6 +55,11 @@
 	enum mh_batch_end end = MH_BATCH_DONE;
 
 	call->end_timer = NULL;
+	if (n->silent_until_us > mh_now(w->k)) {
+		call->end_timer = mh_timer_start(w->k,
+		    n->silent_until_us + STEP_US - mh_now(w->k), on_done, call);
+		return;
+	}
 	b->call = NULL;
 	for (guint i = 0; i < b->items->len; i++) {
 		struct mh_batch_item *m =
@@ -210,9 +215,10 @@
 	took = (int64_t)((double)(p->work.call_us +
 			     p->work.item_us * b->items->len) *
 	    n->slowdown);
+	n->busy_until_us = MAX(n->busy_until_us, MAX(n->silent_until_us, now));
 	call->start_timer = mh_timer_start(
-	    w->k, MAX(n->busy_until_us - now, 0) + FETCH_US, on_start, call);
-	n->busy_until_us = MAX(n->busy_until_us, now) + took;
+	    w->k, n->busy_until_us - now + FETCH_US, on_start, call);
+	n->busy_until_us += took;
 	if (!n->loses_answers)
 		call->end_timer =
 		    mh_timer_start(w->k, n->busy_until_us - now, on_done, call);
@@ -223,6 +229,7 @@
 {
 	struct world *w = arg;
 
+	w->aborted++;
 	if (b->call != NULL)
 		free_call(w, b->call);
 	b->call = NULL;
@@ -294,7 +301,8 @@
 	a->w = w;
 	a->sc = sc;
 	a->n = world_node(w, node);
-	mh_timer_start(w->k, STEP_US, on_report, a);
+	mh_timer_start(w->k, MAX(a->n->silent_until_us - mh_now(w->k), STEP_US),
+	    on_report, a);
 }
 
 static struct mh_sched_ops
@@ -324,6 +332,12 @@
 	return w->scheds;
 }
 
+void
+world_silence(struct world *w, const char *id, int64_t us)
+{
+	world_node(w, id)->silent_until_us = w->now_us + us;
+}
+
 struct mh_sched *
 world_sched(struct world *w)
 {
--- a/regress/world.h
+++ b/regress/world.h
@@ -26,6 +26,7 @@
 	uint32_t active_calls; /* calls running or waiting */
 	bool loses_inputs; /* the next call does not find its inputs */
 	int64_t busy_until_us;
+	int64_t silent_until_us; /* what is sent and answered waits for it */
 	uint32_t calls; /* accepted */
 	uint32_t pieces; /* in these calls */
 };
@@ -54,6 +55,7 @@
 	uint32_t lost_inputs; /* pieces that did not find their inputs */
 	uint32_t cross_domain_reads; /* inputs from other domains */
 	uint32_t reads; /* inputs read */
+	uint32_t aborted; /* calls */
 	uint32_t max_live; /* maximum size of @live */
 	bool keep; /* add done jobs to @kept, with their results */
 	GPtrArray *kept; /* struct mh_job */
@@ -89,6 +91,8 @@
     const uint32_t *pieces, int64_t slo_us, int64_t deadline_us);
 /** world_run() - advances the time by @us in steps of a millisecond. */
 void world_run(struct world *w, int64_t us);
+/** world_silence() - an endpoint is silent for @us, and goes on. */
+void world_silence(struct world *w, const char *id, int64_t us);
 struct wnode *world_node(struct world *w, const char *id);
 /** world_fill() - mean pieces per call of a pool over @batch. */
 double world_fill(const struct world *w, const char *pool, uint32_t batch);
