Stages: a late call's lost inputs don't undo those made again

What callers saw: late answers, as stage work was done three times. Cause: when a call is overdue, its pieces are queued again and those of their inputs that were freed are made again. When the silent endpoint goes on, it finds the old inputs gone and says so; this dropped the new ones, which the other call was about to read. Ruled out: inputs lost by a restart or by their endpoint: the other call finds that itself, and restarts are seen by themselves. Change: that answer of a call whose pieces were queued again has no effect on results. Conclusion: inputs are made twice at most for one silence.

--- a/lib/sched.c
+++ b/lib/sched.c
@@ -282,7 +282,9 @@
 		    !mh_sched_inputs_suspect(sc, j, m->stage))
 			/* they were freed before the call read them */
 			ss->pool->shared_end_us = w->shared_end_us;
-		mh_sched_recompute_lost(sc, j, m->stage);
+		/* Those of a call that was queued again are made again. */
+		if (!b->requeued)
+			mh_sched_recompute_lost(sc, j, m->stage);
 	}
 	if (m->no_memory)
 		w->pause_end_us = mh_now(sc->k) + memory_pause_us(w);
--- a/regress/t_schedsilent.c
+++ b/regress/t_schedsilent.c
@@ -10,7 +10,9 @@
 #define S MH_US_PER_S
 
 static const char *const one_pool[] = { "a", NULL };
+static const char *const chain[] = { "a", "b", NULL };
 static const uint32_t three[] = { 3 };
+static const uint32_t three_two[] = { 3, 2 };
 
 /* Guards against a sound call given up with no other endpoint for its work. */
 static void
@@ -87,10 +89,39 @@
 	world_destroy(w);
 }
 
+/*
+ * An endpoint goes on when its work has been begun elsewhere, and does not find
+ * the inputs, which were freed.  Guards against freeing those that were made
+ * again for the other call.
+ */
+static void
+test_inputs_made_again(void)
+{
+	for (int64_t us = 300 * MS; us <= 900 * MS; us += 20 * MS) {
+		struct world *w = world_create();
+
+		world_pool(w, "a", 2, 8, 100 * MS, 10 * MS, 0);
+		world_pool(w, "b", 2, 8, 100 * MS, 10 * MS, 0);
+		mh_sched_submit(
+		    w->sched, world_job(w, chain, three_two, 4 * S, 8 * S));
+		world_run(w, 100 * MS);
+		world_silence(w, "b-0", us);
+		world_run(w, 4 * S);
+		CU_ASSERT_EQUAL(w->done, 1);
+		CU_ASSERT_EQUAL(w->without_inputs, 0);
+		CU_ASSERT_EQUAL(
+		    world_node(w, "a-0")->pieces + world_node(w, "a-1")->pieces,
+		    6);
+		CU_ASSERT_EQUAL(g_hash_table_size(w->live), 0);
+		world_destroy(w);
+	}
+}
+
 const struct test tests_schedsilent[] = {
 	{ "sched silent: the only endpoint", test_only_endpoint },
 	{ "sched silent: no budget", test_no_budget },
 	{ "sched silent: dark for good", test_dark_for_good },
 	{ "sched silent: work that nobody waits for", test_hopeless },
+	{ "sched silent: inputs made again", test_inputs_made_again },
 	{ NULL, NULL },
 };
