--- a/lib/loop.c
+++ b/lib/loop.c
@@ -25,6 +25,8 @@
 #define SLOW_ITERATION_US (250 * MH_US_PER_MS)
 /* The process stood still, or a callback was slow, if a step takes longer. */
 #define STALL_US (50 * MH_US_PER_MS)
+/* A poll that takes less has not waited. */
+#define AT_ONCE_US (1 * MH_US_PER_MS)
 
 struct watch {
 	int fd;
@@ -60,6 +62,7 @@
 	int64_t armed_us;
 	int64_t iteration_start_us; /* 0: no iteration has begun */
 	bool stalled; /* in the last iteration; timers may be due */
+	int64_t unseen_us; /* what the last poll reported came since then */
 	bool stop;
 };
 
@@ -199,6 +202,12 @@
 		mh_loop_fd(l, l->signal_fd, true, false, on_signal, l);
 }
 
+int64_t
+mh_loop_signal_us(const struct mh_loop *l)
+{
+	return l->unseen_us;
+}
+
 struct mh_loop *
 mh_loop_create(struct mh_kern *k, GError **err)
 {
@@ -330,6 +339,7 @@
 run_iteration(struct mh_loop *l)
 {
 	int64_t next, bound = -1, before, now, until;
+	int64_t last = l->iteration_start_us;
 	const apr_pollfd_t *ev = NULL;
 	apr_int32_t n = 0;
 
@@ -352,6 +362,11 @@
 	l->stalled = next >= 0 && now - MAX(before, next) > STALL_US;
 	/* After a stall there may be input that this poll hasn't seen. */
 	until = l->stalled ? before : now;
+	l->unseen_us = now;
+	if (l->stalled)
+		l->unseen_us = MAX(before, next);
+	else if (last != 0 && now - before < AT_ONCE_US)
+		l->unseen_us = last;
 	if (!handle_events(l, ev, n))
 		l->stalled = true;
 	if (!l->stop)
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -1102,6 +1102,12 @@
 /** mh_loop_signal() - calls @fn in the loop when signal @sig arrives. */
 void mh_loop_signal(
     struct mh_loop *l, int sig, void (*fn)(void *arg), void *arg);
+/**
+ * mh_loop_signal_us() - least mh_now() at which the signal can have been sent.
+ *
+ * For the handlers of signals: a slow callback keeps a signal waiting.
+ */
+int64_t mh_loop_signal_us(const struct mh_loop *l);
 
 /* link.c: service "link" */
 
--- a/regress/t_kern.c
+++ b/regress/t_kern.c
@@ -232,6 +232,66 @@
 	stall_destroy(&s);
 }
 
+/** struct sent - a signal that waits for a slow callback. */
+struct sent {
+	struct mh_kern *k;
+	struct mh_loop *l;
+	int64_t least_us; /* mh_loop_signal_us() */
+	int64_t seen_us;
+};
+
+static void
+on_sent(void *arg)
+{
+	struct sent *s = arg;
+
+	s->least_us = mh_loop_signal_us(s->l);
+	s->seen_us = mh_now(s->k);
+	mh_loop_stop(s->l);
+}
+
+static void
+send_signal(void *arg)
+{
+	(void)arg;
+	CU_ASSERT_EQUAL(kill(getpid(), SIGUSR2), 0);
+}
+
+static void
+send_signal_and_stall(void *arg)
+{
+	send_signal(arg);
+	g_usleep(STALL_TIMER_US);
+}
+
+/* A signal's deadlines count from its sending, not from the end of a stall. */
+static void
+test_signal_in_a_stall(void)
+{
+	static const mh_timer_fn senders[] = { send_signal,
+		send_signal_and_stall };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(senders); i++) {
+		struct sent s = { .k = mh_kern_create(1) };
+		int64_t start_us;
+		sigset_t set;
+
+		s.l = mh_loop_create(s.k, NULL);
+		mh_loop_signal(s.l, SIGUSR2, on_sent, &s);
+		start_us = mh_now(s.k) + STALL_TIMER_US;
+		mh_timer_start(s.k, STALL_TIMER_US, senders[i], &s);
+		mh_loop_run(s.l);
+		CU_ASSERT_TRUE(s.least_us >= start_us);
+		CU_ASSERT_TRUE(s.least_us < start_us + STALL_TIMER_US / 2);
+		CU_ASSERT_EQUAL(s.seen_us >= start_us + STALL_TIMER_US, i == 1);
+		mh_kern_destroy(s.k);
+		mh_loop_destroy(s.l);
+		sigemptyset(&set);
+		sigaddset(&set, SIGUSR2);
+		sigprocmask(SIG_UNBLOCK, &set, NULL);
+	}
+}
+
 static void
 test_unknown_service_is_counted(void)
 {
@@ -314,6 +374,7 @@
 	{ "loop: slow input before timers", test_slow_input_before_timers },
 	{ "loop: a stopped process", test_stopped_process },
 	{ "loop: the clock after slow input", test_clock_after_slow_input },
+	{ "loop: a signal in a stall", test_signal_in_a_stall },
 	{ "unknown_service_is_counted", test_unknown_service_is_counted },
 	{ "hist_quantile_within_a_bucket", test_hist_quantile_within_a_bucket },
 	{ "uuid7_contains_time", test_uuid7_contains_time },
