Stages: what a silent call adds to an endpoint's record ends with its answer

What callers saw: stage endpoints left out for some seconds after they had gone on, and jobs refused or late as the rest of the pool was too small.

Cause: an overdue call, and one that took too long, counted as a failure of the endpoint, which stayed ejected when it was heard again.

Ruled out: to leave overdue calls out of the record; an endpoint that is dark for good would get more work.

Change: both count as silence, which ends with the next thing that is heard; a report that an endpoint answers is heard too.

--- a/lib/sched.c
+++ b/lib/sched.c
@@ -448,7 +448,7 @@
 	b->overdue = true;
 	w->slowdown = MAX(w->slowdown, ratio);
 	if (n != NULL)
-		mh_node_failed(sc->f, n, "stage-call-overdue");
+		mh_node_silent(sc->f, n);
 	mh_count(sc->k, "batches_overdue", 1);
 	mh_event(sc->k, "batch-overdue",
 	    "batch=%" PRIu64 " node=%s "
@@ -508,7 +508,7 @@
 	struct mh_node *n = mh_fleet_find(sc->f, b->node);
 
 	if (!b->too_long && n != NULL)
-		mh_node_failed(sc->f, n, "stage-call-lost");
+		mh_node_silent(sc->f, n);
 	b->too_long = true;
 	w->shared_end_us = mh_now(sc->k) + SHARED_HOLD_US;
 	if (is_wanted(b))
--- a/lib/schedreport.c
+++ b/lib/schedreport.c
@@ -81,6 +81,8 @@
 		return; /* it was removed */
 	w = mh_sched_worker_of(mh_sched_pool_of(sc, n->pool), node);
 	w->polling = false;
+	if (r != NULL)
+		mh_node_heard(sc->f, n);
 	held_up = mh_now(sc->k) - w->last_poll_us > REPORT_WAIT_US;
 	mh_event(sc->k, "stage-report", "node=%s told=%d running=%u waiting=%u",
 	    node, r != NULL, r == NULL ? 0 : r->running,
--- a/regress/t_schedsilent.c
+++ b/regress/t_schedsilent.c
@@ -137,6 +137,28 @@
 	world_destroy(w);
 }
 
+/* Guards against a sound endpoint that is ejected after it has gone on. */
+static void
+test_back_at_once(void)
+{
+	struct world *w = world_create();
+	struct mh_node *n;
+
+	world_pool(w, "a", 2, 8, 100 * MS, 10 * MS, 0);
+	world_silence(w, "a-0", 1500 * MS);
+	world_node(w, "a-0")->slowdown = 0.9;
+	mh_sched_submit(w->sched, world_job(w, one_pool, three, 4 * S, 6 * S));
+	mh_sched_submit(w->sched, world_job(w, one_pool, three, 4 * S, 6 * S));
+	world_run(w, 1400 * MS);
+	n = mh_fleet_find(w->f, "a-0");
+	CU_ASSERT(n->eject_until_us > mh_now(w->k));
+	world_run(w, 300 * MS);
+	CU_ASSERT(n->eject_until_us <= mh_now(w->k));
+	CU_ASSERT_EQUAL(n->ejections, 0);
+	CU_ASSERT_EQUAL(w->done, 2);
+	world_destroy(w);
+}
+
 const struct test tests_schedsilent[] = {
 	{ "sched silent: the only endpoint", test_only_endpoint },
 	{ "sched silent: no budget", test_no_budget },
@@ -144,5 +166,6 @@
 	{ "sched silent: work that nobody waits for", test_hopeless },
 	{ "sched silent: inputs made again", test_inputs_made_again },
 	{ "sched silent: a report held up", test_report_held_up },
+	{ "sched silent: back at once", test_back_at_once },
 	{ NULL, NULL },
 };
