Stages: work for a pool that is silent as a whole is not refused as too slow

What callers saw: 503 or, for a request that had run, 502, while all endpoints of a stage pool were silent for a second or so and for some time after. Cause: an overdue call counts as an endpoint's speed. With all of a pool overdue, the estimate for new jobs was many times their time. The answer to a call that had been silent for long was taken for the endpoint's speed as well. Ruled out: that the jobs would have been late: at a quarter of the pool's capacity all are done in their time. Change: if each usable endpoint of a pool has had an overdue call for no more than 2 s, admission uses their speed by answered calls, and adds the rest of a silence of 1 s, 0.5 s at least. What that doesn't leave time for is refused at once. A call that counted as lost says nothing about speed when it is answered after all. Conclusion: a pool that goes on in a second is used; the 503 without an id is another fault and remains.

--- a/lib/sched.c
+++ b/lib/sched.c
@@ -390,6 +390,7 @@
 
 	b->call = NULL;
 	w->in_flight -= MIN(w->in_flight, 1);
+	w->overdue -= b->overdue;
 	b->node_name = g_intern_string(b->node);
 	mh_event(sc->k, "batch-end",
 	    "batch=%" PRIu64 " node=%s end=%s "
@@ -446,6 +447,8 @@
 	    (double)(mh_now(sc->k) - b->sent_us) / (double)MAX(b->expect_us, 1);
 
 	b->overdue = true;
+	if (w->overdue++ == 0)
+		w->overdue_us = mh_now(sc->k);
 	w->slowdown = MAX(w->slowdown, ratio);
 	if (n != NULL)
 		mh_node_silent(sc->f, n);
@@ -605,6 +608,8 @@
 			struct worker *w = value;
 
 			w->slowdown = 1 + (w->slowdown - 1) * SLOWDOWN_DECAY;
+			w->answered_slowdown =
+			    1 + (w->answered_slowdown - 1) * SLOWDOWN_DECAY;
 		}
 	}
 }
--- a/lib/schedadmit.c
+++ b/lib/schedadmit.c
@@ -32,6 +32,11 @@
  * without.
  */
 #define CLASS_MARGIN 0.5
+/*
+ * A pool whose endpoints are all silent is expected to go on after this, or
+ * after half of it if that is later.
+ */
+#define SILENCE_US (1 * MH_US_PER_S)
 #define CLASSES 4 /* higher numbers count as the last class */
 
 /* admission */
@@ -55,6 +60,15 @@
 	return n;
 }
 
+/* How long a pool is expected to be silent yet; 0: it isn't. */
+static int64_t
+silence_left_us(struct mh_sched *sc, struct sched_pool *pool)
+{
+	int64_t us = mh_sched_silent_us(sc, pool);
+
+	return us == 0 ? 0 : MAX(SILENCE_US - us, SILENCE_US / 2);
+}
+
 /*
  * Estimates when the job would be done if no other arrived: each stage waits
  * for the pieces that run before it at its pool, less those that the pool
@@ -89,6 +103,7 @@
 		wait = (int64_t)(pieces_before(sc, j->state->stages[s].pool,
 				     mh_sched_slack_key(j, s)) /
 		    rate * (double)MH_US_PER_S);
+		wait += silence_left_us(sc, j->state->stages[s].pool);
 		wait = MAX(wait - (start - now), 0);
 		done[s] = start + wait + mh_sched_stage_us(j, s);
 		last = MAX(last, done[s]);
--- a/lib/schedint.h
+++ b/lib/schedint.h
@@ -32,6 +32,9 @@
 struct worker {
 	uint32_t in_flight; /* calls in flight */
 	double slowdown; /* actual over expected call time */
+	double answered_slowdown; /* the same, by answered calls alone */
+	uint32_t overdue; /* calls in flight that are overdue... */
+	int64_t overdue_us; /* ...and since when there is one */
 	int64_t pause_end_us; /* no calls before this time */
 	uint32_t memory_refusals; /* whole calls in a row */
 	int64_t shared_end_us; /* others seem to call it until this time */
@@ -138,6 +141,11 @@
 struct sched_pool *mh_sched_pool_of(struct mh_sched *sc, const char *name);
 /** mh_sched_nodes() - the endpoints of a pool in the scheduler's slice. */
 GPtrArray *mh_sched_nodes(struct mh_sched *sc, struct sched_pool *p);
+/**
+ * mh_sched_silent_us() - for how long all usable endpoints of a pool have had
+ * an overdue call, if they seem to be silent and may go on; 0: they don't.
+ */
+int64_t mh_sched_silent_us(struct mh_sched *sc, struct sched_pool *p);
 /**
  * mh_sched_pool_rate() - capacity of the usable endpoints with full calls, in
  * pieces per second.
--- a/lib/schedrun.c
+++ b/lib/schedrun.c
@@ -652,8 +652,11 @@
 	double ratio = took / (double)MAX(b->expect_us, 1);
 	double over;
 
-	/* If others waited there, the time says nothing about the endpoint. */
-	if (b->others_waiting > 0) {
+	/*
+	 * If others waited there, or it was silent, the time says nothing about
+	 * the endpoint's speed.
+	 */
+	if (b->others_waiting > 0 || b->too_long) {
 		w->shared_end_us = mh_now(sc->k) + SHARED_HOLD_US;
 		return;
 	}
@@ -663,6 +666,7 @@
 		w->slowdown = MIN(w->slowdown, SLOWDOWN_MAX);
 	w->slowdown += SLOWDOWN_WEIGHT * (MAX(ratio, 0.5) - w->slowdown);
 	w->slowdown = MAX(w->slowdown, 0.7);
+	w->answered_slowdown = w->slowdown;
 	if (ratio < 0.5 || ratio > 1.5 || gw->item_us <= 0)
 		return; /* due to the endpoint, not to the cost of the pieces */
 	over = (took - (double)b->expect_us) /
--- a/lib/schedwork.c
+++ b/lib/schedwork.c
@@ -16,6 +16,8 @@
  * the objective by more than this, since estimates have errors.
  */
 #define SLO_SLACK_US (100 * MH_US_PER_MS)
+/* Endpoints that are silent for longer are taken to be as slow as they seem. */
+#define SILENCE_MAX_US (2 * MH_US_PER_S)
 
 uint32_t
 mh_sched_readers(const struct mh_job *j, uint32_t stage)
@@ -63,7 +65,7 @@
 
 	if (w == NULL) {
 		w = g_new0(struct worker, 1);
-		w->slowdown = 1;
+		w->slowdown = w->answered_slowdown = 1;
 		g_hash_table_insert(p->workers, g_strdup(node), w);
 	}
 	return w;
@@ -128,23 +130,44 @@
 	return p->nodes;
 }
 
+int64_t
+mh_sched_silent_us(struct mh_sched *sc, struct sched_pool *p)
+{
+	GPtrArray *nodes = mh_sched_nodes(sc, p);
+	int64_t least = INT64_MAX, now = mh_now(sc->k);
+
+	for (guint i = 0; i < nodes->len; i++) {
+		const struct mh_node *n = g_ptr_array_index(nodes, i);
+		const struct worker *w = mh_sched_worker_of(p, n->id);
+
+		if (!mh_node_usable(sc->f, n))
+			continue;
+		if (w->overdue == 0 || now - w->overdue_us > SILENCE_MAX_US)
+			return 0;
+		least = MIN(least, MAX(now - w->overdue_us, 1));
+	}
+	return least == INT64_MAX ? 0 : least;
+}
+
 double
 mh_sched_pool_rate(struct mh_sched *sc, struct sched_pool *p)
 {
 	GPtrArray *nodes = mh_sched_nodes(sc, p);
 	const struct mh_gwork *w = p->work;
+	bool silent = mh_sched_silent_us(sc, p) > 0;
 	double full_us = (double)w->call_us + (double)w->item_us * w->batch;
 	double rate = 0;
 
 	for (guint i = 0; i < nodes->len; i++) {
 		struct mh_node *n = g_ptr_array_index(nodes, i);
+		const struct worker *o = mh_sched_worker_of(p, n->id);
 		int64_t us = mh_node_interval_us(sc->f, n, MH_SENDER_ONE);
 		double each;
 
 		if (!mh_node_usable(sc->f, n))
 			continue;
 		each = w->batch * w->max_calls /
-		    (full_us * mh_sched_worker_of(p, n->id)->slowdown);
+		    (full_us * (silent ? o->answered_slowdown : o->slowdown));
 		if (us > 0)
 			each = MIN(each, w->batch / (double)us);
 		rate += each;
--- a/regress/t_schedsilent.c
+++ b/regress/t_schedsilent.c
@@ -159,6 +159,58 @@
 	world_destroy(w);
 }
 
+/*
+ * All endpoints of a pool are silent for 1.5 s, beside a load of a quarter.
+ * Guards against refusals by an estimate that takes them as slow.
+ */
+static void
+test_whole_pool(void)
+{
+	struct world *w = world_create();
+
+	world_pool(w, "a", 3, 8, 100 * MS, 10 * MS, 0);
+	for (int i = 0; i < 100; i++) {
+		if (i == 20) {
+			world_silence(w, "a-0", 1500 * MS);
+			world_silence(w, "a-1", 1500 * MS);
+			world_silence(w, "a-2", 1500 * MS);
+		}
+		mh_sched_submit(
+		    w->sched, world_job(w, one_pool, three, S, 3500 * MS));
+		world_run(w, 90 * MS);
+	}
+	world_run(w, 3 * S);
+	CU_ASSERT_EQUAL(w->done, 100);
+	CU_ASSERT(w->on_time >= 75);
+	CU_ASSERT_EQUAL(w->refused + w->failed, 0);
+	world_destroy(w);
+}
+
+/* Guards against work accepted that a silent pool can't do in its time. */
+static void
+test_whole_pool_no_time(void)
+{
+	struct world *w = world_create();
+	const uint32_t eight[] = { 8 };
+
+	world_pool(w, "a", 2, 8, 100 * MS, 10 * MS, 0);
+	world_silence(w, "a-0", 1500 * MS);
+	world_silence(w, "a-1", 1500 * MS);
+	for (int i = 0; i < 2; i++)
+		mh_sched_submit(
+		    w->sched, world_job(w, one_pool, eight, 4 * S, 6 * S));
+	world_run(w, 600 * MS);
+	mh_sched_submit(
+	    w->sched, world_job(w, one_pool, three, 500 * MS, 900 * MS));
+	CU_ASSERT_EQUAL(w->refused, 1);
+	mh_sched_submit(w->sched, world_job(w, one_pool, three, S, 3 * S));
+	CU_ASSERT_EQUAL(w->refused, 1);
+	world_run(w, 3 * S);
+	CU_ASSERT_EQUAL(w->done, 3);
+	CU_ASSERT_EQUAL(w->aborted, 0);
+	world_destroy(w);
+}
+
 const struct test tests_schedsilent[] = {
 	{ "sched silent: the only endpoint", test_only_endpoint },
 	{ "sched silent: no budget", test_no_budget },
@@ -167,5 +219,7 @@
 	{ "sched silent: inputs made again", test_inputs_made_again },
 	{ "sched silent: a report held up", test_report_held_up },
 	{ "sched silent: back at once", test_back_at_once },
+	{ "sched silent: a whole pool", test_whole_pool },
+	{ "sched silent: a whole pool, no time", test_whole_pool_no_time },
 	{ NULL, NULL },
 };
