Gateway: a long drain takes no stream later than the platform excuses

What callers saw: nothing at a grace of 8 s, where streams are taken for 2.25 s after the signal; with a longer grace, 5.9 s of 20 s, a stream that the exit cuts is one that the platform doesn't excuse after 3 s. Cause: the time is a share of the grace only. Ruled out: 8 s and less, by the figures above. Change: 2.8 s at most. Conclusion: plain requests are taken as before, if their deadline is before the exit.

--- a/lib/gatelimit.c
+++ b/lib/gatelimit.c
@@ -20,6 +20,9 @@
  * most end in a few seconds, and each response of a draining process closes its
  * connection, so that callers connect to another entry. */
 #define STREAMS_RATIO 0.3
+/* And no longer: the platform excuses a stream that the exit cuts only if it
+ * was sent within 3 s of the signal. */
+#define STREAMS_MAX_US (2800 * MH_US_PER_MS)
 
 void
 mh_gate_out_of_time(struct mh_gate *g, struct mh_greq *q)
@@ -131,12 +134,12 @@
 void
 mh_gate_drain(struct mh_gate *g, int64_t remaining_us)
 {
+	int64_t streams_us = (int64_t)((double)remaining_us * STREAMS_RATIO);
 	GHashTableIter it;
 	gpointer key;
 
 	g->exit_us = mh_now(g->k) + remaining_us;
-	g->streams_by_us =
-	    mh_now(g->k) + (int64_t)((double)remaining_us * STREAMS_RATIO);
+	g->streams_by_us = mh_now(g->k) + MIN(streams_us, STREAMS_MAX_US);
 	g_hash_table_iter_init(&it, g->requests);
 	while (g_hash_table_iter_next(&it, &key, NULL))
 		mh_gate_set_limit(g, key);
--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -356,6 +356,23 @@
 	grig_destroy(r);
 }
 
+/* A stream that the exit cuts is excused only if it came within 3 s. */
+static void
+test_draining_for_long(void)
+{
+	struct grig *r = grig_create(2);
+
+	mh_gate_drain(r->g, 30 * S);
+	grig_advance(r, 2700 * MS);
+	grig_request(r, "/stream/x", 0);
+	CU_ASSERT_EQUAL(r->sends, 1);
+	grig_advance(r, 400 * MS);
+	grig_request(r, "/stream/x", 0);
+	CU_ASSERT_EQUAL(r->sends, 1);
+	CU_ASSERT_EQUAL(r->why, MH_NOT_READY);
+	grig_destroy(r);
+}
+
 /*
  * Callers vary their deadlines a little.  When every shorter deadline counted
  * as that of a returning caller, the latency objective seemed missed and the
@@ -877,6 +894,7 @@
 	    test_unknown_while_stale },
 	{ "gate: the caller leaves", test_caller_leaves },
 	{ "gate: draining", test_draining },
+	{ "a long drain", test_draining_for_long },
 	{ "gate: a returning caller", test_returned },
 	{ "gate: stage work refused", test_job_refused },
 	{ "gate: inputs lost at the engine", test_inputs_lost_at_engine },
