Gateway: tests that open runs go on beside changes

What callers saw: nothing; a reading of the incident had a whole request end beside a change of the configuration or of the registry. Cause: none found in the gateway. Change: tests only. Conclusion: a request keeps the configuration that it came by.

--- a/regress/main.c
+++ b/regress/main.c
@@ -65,6 +65,7 @@
 	{ "gate", tests_gate },
 	{ "silent", tests_silent },
 	{ "nodefail", tests_nodefail },
+	{ "change", tests_change },
 	{ "budget", tests_budget },
 	{ "leave", tests_leave },
 	{ "mesh", tests_mesh },
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -27,6 +27,7 @@
 extern const struct test tests_gate[];
 extern const struct test tests_silent[];
 extern const struct test tests_nodefail[];
+extern const struct test tests_change[];
 extern const struct test tests_budget[];
 extern const struct test tests_leave[];
 extern const struct test tests_mesh[];
--- a/regress/t_gate.c
+++ b/regress/t_gate.c
@@ -894,7 +894,7 @@
 	    test_unknown_while_stale },
 	{ "gate: the caller leaves", test_caller_leaves },
 	{ "gate: draining", test_draining },
-	{ "a long drain", test_draining_for_long },
+	{ "gate: a long drain", test_draining_for_long },
 	{ "gate: a returning caller", test_returned },
 	{ "gate: stage work refused", test_job_refused },
 	{ "gate: inputs lost at the engine", test_inputs_lost_at_engine },
