HTTP server: a drain answers the requests that it has read

What callers saw: one that sends its next request before the answer to the last one had it read and dropped: the answer announced the close and the input behind it was thrown away. Cause: mh_hreq_head announces the close with the first response of a drain. Ruled out: requests that come after that head; their callers know of the close. Change: the close is announced once no input is left that was read before. Conclusion: not seen from the platform's callers, which wait for their answer.

--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -211,7 +211,8 @@
 		set_reset_on_close(c, true);
 	if (length < 0)
 		set_user_timeout(c->fd, USER_TIMEOUT_MS);
-	if (unframed || !r->keep_alive || c->s->draining)
+	/* A request that was read already must not end in the close. */
+	if (unframed || !r->keep_alive || (c->s->draining && c->in->len == 0))
 		c->close_after = true;
 	mh_hreq_put_head(r, status, headers, length, c->close_after);
 	want_io(c);
--- a/regress/t_http.c
+++ b/regress/t_http.c
@@ -351,6 +351,38 @@
 	hrig_destroy(r);
 }
 
+static void
+on_drain_answer(void *arg)
+{
+	struct hrig *r = arg;
+
+	mh_hserve_drain(r->s);
+	on_answer(r);
+}
+
+/*
+ * A server drains while a connection has a request open and the next one read.
+ * Both must be answered: only the last response may announce the close.
+ */
+static void
+test_drain_answers_what_is_read(void)
+{
+	struct hrig *r = hrig_create();
+
+	r->defer = true;
+	raw(r,
+	    "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n"
+	    "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+	mh_timer_start(r->k, 100 * MH_US_PER_MS, on_drain_answer, r);
+	run(r);
+	CU_ASSERT_EQUAL(r->requests, 2);
+	CU_ASSERT_EQUAL(r->raw_errno, 0);
+	CU_ASSERT_PTR_NOT_NULL(strstr(r->got->str, "\r\n\r\nxxHTTP/1.1 200"));
+	CU_ASSERT_TRUE(
+	    g_str_has_suffix(r->got->str, "Connection: close\r\n\r\nxx"));
+	hrig_destroy(r);
+}
+
 static void
 close_peer(void *arg)
 {
@@ -1410,6 +1442,8 @@
 	{ "serve: a header over the limit", test_header_over_the_limit },
 	{ "serve: the target unchanged", test_target_unchanged },
 	{ "serve: two on one connection", test_two_on_one_connection },
+	{ "serve: a drain answers what is read",
+	    test_drain_answers_what_is_read },
 	{ "serve: the caller closes", test_caller_closes },
 	{ "serve: aborted response", test_aborted_response },
 	{ "call: an abandoned one resets its connection",
