Gateway: a draining entry leaves time for a silence

Cause: a request that waits for stage work was kept as long as its stream would just end before the exit.

Ruled out: later breaks; the kill follows half a second later.

Change: it is given up, as not run, while one second more than the expected time of its stream remains; another entry serves its caller.

"leave: refused in time" expected 3.0 s left with streams of 3 s, it expects 4.0 s now.

Conclusion: silences of over a second in the last seconds of a grace still cut an answer; nothing that the entry could do is left then.

--- a/lib/gatelimit.c
+++ b/lib/gatelimit.c
@@ -16,6 +16,8 @@
  */
 #define RUN_QUANTILE 0.75
 #define RUN_DEFAULT_US (2 * MH_US_PER_S)
+/* A sound endpoint may be silent for so long. */
+#define SILENCE_US (1 * MH_US_PER_S)
 /* A draining process accepts streams during this part of its remaining time:
  * most end in a few seconds, and each response of a draining process closes its
  * connection, so that callers connect to another entry. */
@@ -88,7 +90,8 @@
  * The exit of this process bounds every open request: the caller of one that is
  * still open sees its connection closed without an answer.  A request that
  * waits for stage work is given up on as soon as its answer could not be
- * completed before the exit, while another entry can still serve its caller.
+ * completed before the exit by an engine that falls silent once, while another
+ * entry can still serve its caller.
  */
 int64_t
 mh_gate_limit_us(const struct mh_gate *g, const struct mh_greq *q)
@@ -98,7 +101,7 @@
 	if (us == 0)
 		return q->expires_us;
 	if (q->state == MH_GREQ_STAGES && q->n_silent == 0)
-		us -= expected_run_us(g, q->route);
+		us -= expected_run_us(g, q->route) + SILENCE_US;
 	return MIN(us, q->expires_us);
 }
 
--- a/regress/t_leave.c
+++ b/regress/t_leave.c
@@ -109,9 +109,10 @@
 
 /*
  * Recent streams of the route took three seconds.  A request that waits for its
- * stage work can still be answered 3.5 seconds before the entry exits.  Once
- * less than three seconds remain, its stream would be cut, so it is refused
- * while its caller has time to go to another entry.
+ * stage work can still be answered 4.5 seconds before the entry exits.  Once
+ * less than four seconds remain, its stream would be cut if its engine fell
+ * silent for one, so it is refused while its caller has time to go to another
+ * entry.
  */
 static void
 test_refused_in_time(void)
@@ -124,7 +125,7 @@
 	chat(r);
 	chat(r);
 	mh_gate_drain(r->g, REMAINING_US);
-	grig_advance(r, REMAINING_US - 3500 * MS);
+	grig_advance(r, REMAINING_US - 4500 * MS);
 	CU_ASSERT_EQUAL(r->refused, 0);
 	mh_gate_job_end(r->g, r->job, MH_JOB_DONE, 0);
 	CU_ASSERT_EQUAL(r->sends, 2);
