Loop: hooks are put off once, and only for timers that are due

What callers saw: nothing; a fault of "timers run after the input", found by reading: frames of links wait for a hook. Cause: after a slow handler the next iteration left the hooks out although no timer was due, and then waited; with each turn slow they never ran. Ruled out: calling them always: a stop that is due must come before requests are read. Change: they are left out if a timer is due, and not twice in a row.

--- a/lib/loop.c
+++ b/lib/loop.c
@@ -62,6 +62,7 @@
 	int64_t armed_us;
 	int64_t iteration_start_us; /* 0: no iteration has begun */
 	bool stalled; /* in the last iteration; timers may be due */
+	bool skipped; /* the hooks, in the last iteration */
 	int64_t unseen_us; /* what the last poll reported came since then */
 	bool stop;
 };
@@ -335,6 +336,16 @@
 	return quick;
 }
 
+/* Whether timers that a stall put off are due: they may stop the loop. */
+static bool
+timers_first(const struct mh_loop *l)
+{
+	int64_t next = mh_kern_next_us(l->k);
+
+	return l->stalled && !l->skipped && next >= 0 &&
+	    next <= clock_us(CLOCK_MONOTONIC);
+}
+
 static void
 run_iteration(struct mh_loop *l)
 {
@@ -343,9 +354,9 @@
 	const apr_pollfd_t *ev = NULL;
 	apr_int32_t n = 0;
 
-	/* Hooks may read requests, and a timer that is due may stop the loop.
-	 */
-	if (!l->stalled)
+	/* Hooks may read requests: not after the loop was to be stopped. */
+	l->skipped = timers_first(l);
+	if (!l->skipped)
 		bound = run_hooks(l);
 	next = mh_kern_next_us(l->k);
 	before = clock_us(CLOCK_MONOTONIC);
@@ -378,6 +389,7 @@
 {
 	l->stop = false;
 	l->stalled = false;
+	l->skipped = false;
 	set_clock(l);
 	while (!l->stop)
 		run_iteration(l);
--- a/regress/t_kern.c
+++ b/regress/t_kern.c
@@ -75,6 +75,8 @@
 	uint32_t stalls; /* of callbacks, left */
 	uint32_t reads;
 	uint32_t reads_before; /* the timer */
+	uint32_t hooks; /* calls after the first read */
+	struct mh_timer *timer;
 	int64_t read_us; /* mh_now() then */
 };
 
@@ -85,6 +87,7 @@
 {
 	struct stall *s = arg;
 
+	s->timer = NULL;
 	s->reads_before = s->reads;
 	mh_loop_stop(s->l);
 }
@@ -116,7 +119,7 @@
 	s->l = mh_loop_create(s->k, NULL);
 	CU_ASSERT_EQUAL(pipe(s->pipe), 0);
 	mh_loop_fd(s->l, s->pipe[0], true, false, on_stall_pipe, s);
-	mh_timer_start(s->k, STALL_TIMER_US, on_stall_timer, s);
+	s->timer = mh_timer_start(s->k, STALL_TIMER_US, on_stall_timer, s);
 }
 
 static void
@@ -232,6 +235,69 @@
 	stall_destroy(&s);
 }
 
+static void
+nothing(void *arg)
+{
+	(void)arg;
+}
+
+static int64_t
+count_hooks(void *arg)
+{
+	struct stall *s = arg;
+
+	s->hooks += s->reads > 0;
+	return -1;
+}
+
+/* What a slow handler wrote goes out before the next wait, however long. */
+static void
+test_hooks_after_slow_input(void)
+{
+	struct stall s;
+
+	stall_create(&s);
+	mh_timer_stop(s.k, &s.timer);
+	mh_timer_start(s.k, STALL_TIMER_US * 4, on_stall_timer, &s);
+	mh_loop_before_wait(s.l, count_hooks, &s);
+	s.stalls = 1;
+	CU_ASSERT_EQUAL(write(s.pipe[1], "x", 1), 1);
+	mh_loop_run(s.l);
+	CU_ASSERT_EQUAL(s.reads, 2);
+	CU_ASSERT_TRUE(s.hooks >= 2);
+	stall_destroy(&s);
+}
+
+static void
+on_slow_pipe(void *arg, bool readable, bool writable)
+{
+	struct stall *s = arg;
+
+	(void)readable;
+	(void)writable;
+	s->reads++;
+	g_usleep(STALL_TIMER_US / 2);
+}
+
+/* Hooks run although each turn is slow and a timer is due in it. */
+static void
+test_hooks_in_overload(void)
+{
+	struct stall s;
+
+	stall_create(&s);
+	mh_timer_stop(s.k, &s.timer);
+	mh_timer_start(s.k, STALL_TIMER_US * 4, on_stall_timer, &s);
+	for (int64_t us = 0; us < STALL_TIMER_US * 4; us += 5 * MH_US_PER_MS)
+		mh_timer_start(s.k, us, nothing, NULL);
+	mh_loop_fd(s.l, s.pipe[0], true, false, on_slow_pipe, &s);
+	mh_loop_before_wait(s.l, count_hooks, &s);
+	CU_ASSERT_EQUAL(write(s.pipe[1], "x", 1), 1);
+	mh_loop_run(s.l);
+	CU_ASSERT_TRUE(s.hooks >= 2);
+	stall_destroy(&s);
+}
+
 /** struct sent - a signal that waits for a slow callback. */
 struct sent {
 	struct mh_kern *k;
@@ -374,6 +440,8 @@
 	{ "loop: slow input before timers", test_slow_input_before_timers },
 	{ "loop: a stopped process", test_stopped_process },
 	{ "loop: the clock after slow input", test_clock_after_slow_input },
+	{ "loop: hooks after slow input", test_hooks_after_slow_input },
+	{ "loop: hooks in overload", test_hooks_in_overload },
 	{ "loop: a signal in a stall", test_signal_in_a_stall },
 	{ "unknown_service_is_counted", test_unknown_service_is_counted },
 	{ "hist_quantile_within_a_bucket", test_hist_quantile_within_a_bucket },
