Tests: a connect beside a stall of the process

What callers saw: nothing shown; a stall of 0.3 s or more while an endpoint was connected to counted as one that can't be reached. Ruled out: - Change: a test of the HTTP client over loopback. Conclusion: only a connect that outlasts the stall itself is given up by it.

--- a/regress/t_http.c
+++ b/regress/t_http.c
@@ -1415,6 +1415,29 @@
 	hrig_destroy(r);
 }
 
+static void
+call_and_stall(void *arg)
+{
+	call(arg, "a");
+	g_usleep(500 * MH_US_PER_MS);
+}
+
+/* A stall of this process is no silence of a peer that is connected to. */
+static void
+test_connect_in_a_stall(void)
+{
+	struct hrig *r = hrig_create();
+
+	listen_raw(r);
+	r->script = OK "X-Id: a\r\nContent-length: 2\r\n\r\nhi";
+	r->expected = 1;
+	mh_timer_start(r->k, MH_US_PER_MS, call_and_stall, r);
+	run(r);
+	CU_ASSERT_EQUAL(r->end, MH_CALL_COMPLETE);
+	CU_ASSERT_EQUAL(mh_counter(r->k, "call_connect_timeouts"), 0);
+	hrig_destroy(r);
+}
+
 /* If nothing listens at the address the request is reported as not sent. */
 static void
 test_unsent(void)
@@ -1488,6 +1511,7 @@
 	{ "call: responses of a peer", test_responses },
 	{ "call: every head is reported", test_every_head },
 	{ "call: reuse of connections", test_reuse },
+	{ "call: a connect in a stall", test_connect_in_a_stall },
 	{ "call: not sent", test_unsent },
 	{ NULL, NULL },
 };
