Fleet: a late call after a silence is no failure

What callers saw: as before, endpoints that had been silent stayed out for a while after they went on. Cause: a silent call was recorded as a failure ("hangs") if the endpoint had been heard within 400 ms. Routes with a short objective find a call silent after 165 ms, sooner than that; and calls are late just after a silence. Ruled out: never to count calls that hang, as an endpoint may answer others. Conclusion: what is wrong with one call is told from silence more narrowly.

--- a/lib/gate.h
+++ b/lib/gate.h
@@ -241,7 +241,7 @@
 	uint32_t streak; /* failures in a row */
 	int64_t eject_until_us; /* not chosen before, unless all are ejected */
 	int64_t heard_us; /* when a call last received bytes of it; 0: never */
-	int64_t alive_from_us; /* heard since then without a long pause */
+	int64_t steady_us; /* it has been heard without a gap since then */
 	struct mh_node_silence silence;
 	uint32_t ejections; /* ejections in a row */
 	enum mh_ids ids; /* of its streams' events */
--- a/lib/gatefeed.c
+++ b/lib/gatefeed.c
@@ -69,8 +69,8 @@
 	if (t->head_us != 0 || n == NULL)
 		return true;
 	/* After silence it reads what had been sent meanwhile. */
-	if (n->alive_from_us > t->sent_us)
-		from_us = n->alive_from_us;
+	if (n->steady_us > t->sent_us)
+		from_us = n->steady_us;
 	else if (t->was_silent)
 		return false;
 	return t->begins_at_once && now - from_us >= INPUTS_READ_US &&
--- a/lib/nodefail.c
+++ b/lib/nodefail.c
@@ -28,12 +28,14 @@
 #define EJECT_MIN_US (700 * MH_US_PER_MS)
 #define EJECT_MAX_US (6 * MH_US_PER_S)
 /*
- * An endpoint of which other calls have heard within this time is not silent: a
- * call that hangs there has failed.
+ * An endpoint that other calls have heard for STEADY_US, without a gap of
+ * GAP_US, and within RECENT_US is not silent: a call that hangs there has
+ * failed.  After a gap it has work to make up for.  No call is taken for silent
+ * sooner than RECENT_US.
  */
-#define HEARD_US (400 * MH_US_PER_MS)
-/* An endpoint that is answering is heard more often than this. */
-#define PAUSE_MAX_US (200 * MH_US_PER_MS)
+#define RECENT_US (100 * MH_US_PER_MS)
+#define GAP_US (200 * MH_US_PER_MS)
+#define STEADY_US (1600 * MH_US_PER_MS)
 
 static double
 others_fail_mean(struct mh_fleet *f, const struct mh_node *n)
@@ -151,7 +153,10 @@
 void
 mh_node_silent(struct mh_fleet *f, struct mh_node *n)
 {
-	if (n->heard_us != 0 && mh_now(f->k) - n->heard_us < HEARD_US) {
+	int64_t now = mh_now(f->k);
+
+	if (n->heard_us != 0 && now - n->heard_us < RECENT_US &&
+	    now - n->steady_us >= STEADY_US) {
 		mh_node_failed(f, n, "hangs");
 		return;
 	}
@@ -184,8 +189,8 @@
 {
 	int64_t now = mh_now(f->k);
 
-	if (now - n->heard_us > PAUSE_MAX_US)
-		n->alive_from_us = now;
+	if (n->heard_us == 0 || now - n->heard_us >= GAP_US)
+		n->steady_us = now;
 	n->heard_us = now;
 	if (n->silence.calls > 0)
 		end_silence(f, n);
--- a/regress/t_nodefail.c
+++ b/regress/t_nodefail.c
@@ -79,6 +79,15 @@
 	grig_destroy(r);
 }
 
+static void
+heard_for(struct grig *r, struct mh_node *n, int64_t us)
+{
+	for (int64_t i = 0; i <= us; i += 100 * MS) {
+		grig_advance(r, 100 * MS);
+		mh_node_heard(r->f, n);
+	}
+}
+
 /* Guards against calls that hang for ever at an endpoint that answers others.
  */
 static void
@@ -87,17 +96,38 @@
 	struct grig *r = grig_create(3);
 	struct mh_node *n = mh_fleet_find(r->f, "n0");
 
-	for (int i = 0; i < 2; i++) {
-		mh_node_heard(r->f, n);
-		grig_advance(r, 100 * MS);
-		mh_node_silent(r->f, n);
-	}
+	heard_for(r, n, 2 * S);
+	mh_node_silent(r->f, n);
+	heard_for(r, n, 2 * S);
+	mh_node_silent(r->f, n);
 	mh_node_heard(r->f, n);
 	CU_ASSERT_FALSE(mh_node_usable(r->f, n));
 	CU_ASSERT_EQUAL(n->streak, 2);
 	grig_destroy(r);
 }
 
+/* Guards against calls that are late after a silence taken for hanging ones. */
+static void
+test_makes_up(void)
+{
+	struct grig *r = grig_create(3);
+	struct mh_node *n = mh_fleet_find(r->f, "n0");
+
+	heard_for(r, n, 2 * S);
+	grig_advance(r, 165 * MS);
+	mh_node_silent(r->f, n);
+	mh_node_silent(r->f, n);
+	CU_ASSERT_FALSE(mh_node_usable(r->f, n));
+	grig_advance(r, 1000 * MS);
+	heard_for(r, n, 500 * MS);
+	mh_node_silent(r->f, n);
+	mh_node_silent(r->f, n);
+	mh_node_heard(r->f, n);
+	CU_ASSERT_TRUE(mh_node_usable(r->f, n));
+	CU_ASSERT_EQUAL(n->streak, 0);
+	grig_destroy(r);
+}
+
 /* Guards against a pool that has nothing left since all of it is silent. */
 static void
 test_half_is_silent(void)
@@ -148,6 +178,7 @@
 	{ "nodefail: dark for good", test_dark },
 	{ "nodefail: failures stay", test_failures_stay },
 	{ "nodefail: calls that hang", test_hangs },
+	{ "nodefail: late after a silence", test_makes_up },
 	{ "nodefail: half of a pool", test_half_is_silent },
 	{ "nodefail: another ejection", test_other_ejection },
 	{ NULL, NULL },
