Gateway: a dial or a call that silence ended is no failure of the endpoint

What callers saw: sound endpoints got nothing from any entry for a while after two dials of one entry had not been answered within 300 ms. Cause: a dial that was not answered counted as a refused one: a failure, and two reports of it put the endpoint out at every entry, whoever heard it meanwhile. A call that the kernel ended since nothing was acknowledged counted as a broken one: a failure, and evidence of a crash against its request. Ruled out: to report such dials later, as a dead endpoint looks the same. Change: both have outcomes of their own. They count as silence, which ends with the first bytes; what entries agree on ends so too. Dials that are not answered are reported as before, and confirm a crash that a break showed. A call that the kernel ended is no evidence of a crash any more. The event "broken" says dark=1 for both. No test shows the outcome of a call that the kernel ended (MH_CALL_UNACKED), nor that it is no evidence of a crash.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -612,13 +612,19 @@
 }
 
 void
-mh_node_set_unreachable(struct mh_fleet *f, struct mh_node *n, const char *why)
+mh_node_report_unreachable(struct mh_fleet *f, const struct mh_node *n)
 {
-	mh_node_failed(f, n, why);
 	if (f->on_unreachable != NULL)
 		f->on_unreachable(f->on_unreachable_arg, n->id);
 }
 
+void
+mh_node_set_unreachable(struct mh_fleet *f, struct mh_node *n, const char *why)
+{
+	mh_node_failed(f, n, why);
+	mh_node_report_unreachable(f, n);
+}
+
 bool
 mh_node_usable(const struct mh_fleet *f, const struct mh_node *n)
 {
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -609,9 +609,25 @@
 		mh_gate_watch(g, q);
 }
 
+/*
+ * The endpoint did not end the call, and may be silent and sound.  If it could
+ * not be reached, that is reported as for any other.
+ */
+static void
+note_dark(struct mh_gate *g, const struct mh_try *t, struct mh_node *n,
+    enum mh_hcall_outcome end)
+{
+	if (n != NULL && !t->was_silent)
+		mh_node_silent(g->f, n);
+	if (n != NULL && end == MH_CALL_UNANSWERED)
+		mh_node_report_unreachable(g->f, n);
+}
+
 void
 mh_gate_try_end(struct mh_gate *g, struct mh_try *t, enum mh_hcall_outcome end)
 {
+	bool sent = end != MH_CALL_UNSENT && end != MH_CALL_UNANSWERED;
+	bool dark = end == MH_CALL_UNACKED || end == MH_CALL_UNANSWERED;
 	struct mh_greq *q = t->req;
 	struct mh_node *n = mh_fleet_find(g->f, t->node);
 	char parts[MH_PARTS_LEN];
@@ -633,10 +649,10 @@
 		return;
 	}
 	mh_event(g->k, "broken",
-	    "id=%s node=%s sent=%d readable=%d took_ms=%" PRId64
+	    "id=%s node=%s sent=%d readable=%d dark=%d took_ms=%" PRId64
 	    " head_ms=%" PRId64 " print=%016" PRIx64
 	    " after=%s held=%zu parts=%s",
-	    q->id, t->node, end != MH_CALL_UNSENT, end != MH_CALL_UNREADABLE,
+	    q->id, t->node, sent, end != MH_CALL_UNREADABLE, dark,
 	    mh_ms(mh_now(g->k) - t->sent_us),
 	    t->head_us == 0 ? -1 : mh_ms(mh_now(g->k) - t->head_us),
 	    q->fingerprint, mh_gate_stream_after(q), mh_gate_stream_buffered(q),
@@ -646,15 +662,17 @@
 	 * Sound endpoints lose answers on the way too; reporting those would
 	 * eject half of a pool.
 	 */
-	if (end == MH_CALL_UNSENT)
+	if (!sent)
 		mh_poison_unreachable(g->k, t->node, t->sent_us);
 	if (n != NULL && end != MH_CALL_UNREADABLE)
 		mh_node_doubt(g->f, n);
-	if (n != NULL && end == MH_CALL_UNSENT)
+	if (dark)
+		note_dark(g, t, n, end);
+	else if (n != NULL && !sent)
 		mh_node_set_unreachable(g->f, n, "unreachable");
 	else if (n != NULL && !t->was_silent) /* else it is recorded */
 		mh_node_failed(g->f, n, t->counted ? "broken" : "no-answer");
-	if (end != MH_CALL_UNSENT)
+	if (sent)
 		mh_gate_count_run(q, t);
 	else
 		uncount_run(q, t);
@@ -666,7 +684,7 @@
 		return;
 	}
 	close_try(g, q, false);
-	if (end == MH_CALL_UNSENT) {
+	if (!sent) {
 		mh_gate_try_next(g, q);
 		return;
 	}
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -374,9 +374,13 @@
 void mh_node_heard(struct mh_fleet *f, struct mh_node *n);
 /** mh_node_eject() - ejects it for a while, unless too few would remain. */
 void mh_node_eject(struct mh_fleet *f, struct mh_node *n, const char *why);
-/** mh_fleet_on_unreachable() - called by mh_node_set_unreachable(). */
+/** mh_node_suspect() - as mh_node_eject(), until the endpoint is heard. */
+void mh_node_suspect(struct mh_fleet *f, struct mh_node *n, const char *why);
+/** mh_fleet_on_unreachable() - called by mh_node_report_unreachable(). */
 void mh_fleet_on_unreachable(
     struct mh_fleet *f, void (*fn)(void *arg, const char *id), void *arg);
+/** mh_node_report_unreachable() - it could not be reached; not recorded. */
+void mh_node_report_unreachable(struct mh_fleet *f, const struct mh_node *n);
 /** mh_node_set_unreachable() - records a failure: it could not be reached. */
 void mh_node_set_unreachable(
     struct mh_fleet *f, struct mh_node *n, const char *why);
--- a/lib/nodefail.c
+++ b/lib/nodefail.c
@@ -110,6 +110,15 @@
 	n->silence.ejections--;
 }
 
+void
+mh_node_suspect(struct mh_fleet *f, struct mh_node *n, const char *why)
+{
+	if (!eject(f, n, why))
+		return;
+	n->silence.ejections++;
+	n->silence.eject_until_us = n->eject_until_us;
+}
+
 static bool
 must_eject(
     struct mh_fleet *f, const struct mh_node *n, uint32_t streak, double share)
@@ -123,15 +132,13 @@
 static void
 judge(struct mh_fleet *f, struct mh_node *n, const char *why)
 {
-	struct mh_node_silence *s = &n->silence;
+	const struct mh_node_silence *s = &n->silence;
 
 	if (must_eject(f, n, n->streak, s->sound_share)) {
 		confirm_ejection(f, n);
 		(void)eject(f, n, why);
-	} else if (must_eject(f, n, n->streak + s->calls, n->fail_share) &&
-	    eject(f, n, why)) {
-		s->ejections++;
-		s->eject_until_us = n->eject_until_us;
+	} else if (must_eject(f, n, n->streak + s->calls, n->fail_share)) {
+		mh_node_suspect(f, n, why);
 	}
 }
 
@@ -192,14 +199,14 @@
 	if (n->heard_us == 0 || now - n->heard_us >= GAP_US)
 		n->steady_us = now;
 	n->heard_us = now;
-	if (n->silence.calls > 0)
+	if (n->silence.calls > 0 || n->silence.ejections > 0)
 		end_silence(f, n);
 }
 
 void
 mh_node_succeeded(struct mh_fleet *f, struct mh_node *n, int64_t took_us)
 {
-	if (n->silence.calls > 0)
+	if (n->silence.calls > 0 || n->silence.ejections > 0)
 		end_silence(f, n);
 	n->streak = 0;
 	n->ejections = 0;
--- a/lib/opaque.h
+++ b/lib/opaque.h
@@ -156,7 +156,11 @@
 	MH_CALL_COMPLETE, /* the response is complete */
 	MH_CALL_UNSENT, /* no byte of the request was sent */
 	MH_CALL_BROKEN, /* sent at least in part; it may have been executed */
-	MH_CALL_UNREADABLE /* sent; the response is malformed */
+	MH_CALL_UNREADABLE, /* sent; the response is malformed */
+	/* nothing was sent: the peer did not answer the dial in time */
+	MH_CALL_UNANSWERED,
+	/* sent at least in part: the peer acknowledged nothing for too long */
+	MH_CALL_UNACKED
 };
 
 /**
--- a/lib/suspect.c
+++ b/lib/suspect.c
@@ -37,7 +37,7 @@
 	if (n == NULL)
 		return;
 	mh_node_doubt(s->f, n);
-	mh_node_eject(s->f, n, "others-agree");
+	mh_node_suspect(s->f, n, "others-agree");
 }
 
 static void
--- a/regress/t_http.c
+++ b/regress/t_http.c
@@ -1460,6 +1460,32 @@
 	hrig_destroy(r);
 }
 
+/* Guards against a peer that answers no dial taken for one that refuses it. */
+static void
+test_unanswered(void)
+{
+	struct hrig *r = hrig_create();
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	socklen_t len = sizeof(sin);
+	int fds[4];
+
+	r->listen_fd = tcp_listen(r->addr);
+	CU_ASSERT_EQUAL(listen(r->listen_fd, 0), 0);
+	CU_ASSERT_EQUAL(
+	    getsockname(r->listen_fd, (struct sockaddr *)&sin, &len), 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++) { /* fill its queue */
+		fds[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+		(void)connect(fds[i], (struct sockaddr *)&sin, len);
+	}
+	r->expected = 1;
+	call(r, "a");
+	run(r);
+	CU_ASSERT_EQUAL(r->end, MH_CALL_UNANSWERED);
+	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++)
+		close(fds[i]);
+	hrig_destroy(r);
+}
+
 const struct test tests_http[] = {
 	{ "serve: requests passed on and refused", test_requests },
 	{ "serve: a header over the limit", test_header_over_the_limit },
@@ -1513,5 +1539,6 @@
 	{ "call: reuse of connections", test_reuse },
 	{ "call: a connect in a stall", test_connect_in_a_stall },
 	{ "call: not sent", test_unsent },
+	{ "call: a dial is not answered", test_unanswered },
 	{ NULL, NULL },
 };
--- a/regress/t_nodefail.c
+++ b/regress/t_nodefail.c
@@ -128,6 +128,57 @@
 	grig_destroy(r);
 }
 
+static void
+on_unreachable(void *arg, const char *id)
+{
+	(void)id;
+	++*(uint32_t *)arg;
+}
+
+/*
+ * Guards against a sound endpoint that stays out since it was silent when it
+ * was dialled, and against a dead one that is reported later.
+ */
+static void
+test_unanswered(void)
+{
+	for (int refused = 0; refused < 2; refused++) {
+		struct grig *r = grig_create(1);
+		struct mh_node *n = mh_fleet_find(r->f, "n0");
+		uint32_t reports = 0;
+
+		mh_fleet_on_unreachable(r->f, on_unreachable, &reports);
+		for (int i = 0; i < 2; i++) {
+			(void)grig_request(r, "/once/x", 0);
+			mh_gate_try_end(r->g, r->cur,
+			    refused ? MH_CALL_UNSENT : MH_CALL_UNANSWERED);
+		}
+		CU_ASSERT_EQUAL(r->refused, 2);
+		CU_ASSERT_EQUAL(r->why, MH_NO_ENDPOINT);
+		CU_ASSERT_FALSE(mh_node_usable(r->f, n));
+		CU_ASSERT_EQUAL(reports, 2);
+		mh_node_heard(r->f, n);
+		CU_ASSERT_EQUAL(mh_node_usable(r->f, n), !refused);
+		CU_ASSERT_EQUAL(n->streak, refused ? 2 : 0);
+		grig_destroy(r);
+	}
+}
+
+/* Guards against the same at entries that were told. */
+static void
+test_others_agree(void)
+{
+	struct grig *r = grig_create(3);
+	struct mh_node *n = mh_fleet_find(r->f, "n0");
+
+	mh_node_suspect(r->f, n, "test");
+	CU_ASSERT_FALSE(mh_node_usable(r->f, n));
+	mh_node_heard(r->f, n);
+	CU_ASSERT_TRUE(mh_node_usable(r->f, n));
+	CU_ASSERT_EQUAL(n->ejections, 0);
+	grig_destroy(r);
+}
+
 /* Guards against a pool that has nothing left since all of it is silent. */
 static void
 test_half_is_silent(void)
@@ -179,6 +230,8 @@
 	{ "nodefail: failures stay", test_failures_stay },
 	{ "nodefail: calls that hang", test_hangs },
 	{ "nodefail: late after a silence", test_makes_up },
+	{ "nodefail: unanswered dials", test_unanswered },
+	{ "nodefail: others agree", test_others_agree },
 	{ "nodefail: half of a pool", test_half_is_silent },
 	{ "nodefail: another ejection", test_other_ejection },
 	{ NULL, NULL },
