Gateway: the kernel does not end a request whose endpoint is silent

What callers saw: a request with a long body broke off, or ended with 502, if its sound endpoint read nothing for more than two seconds. Cause: TCP_USER_TIMEOUT was 2 s for all connections to endpoints; the kernel counts the time of a full window too. Ruled out: one longer time for all calls, as nothing else ends a stage call or a call to the store so soon. Change: calls for requests have 60 s; the request's own limit ends them, and what may be repeated goes elsewhere by the silence timer, as before. All other calls keep 2 s. The option is set where it changes, so also on kept connections. A request that may run once only, sent to a host that is dead, ends with 504 at its limit where it had 502 after 2 s. Neither is a promise, so no caller may repeat it after either. No soak was run with this change. Conclusion: only a request's limit, or its endpoint, ends it.

--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -26,6 +26,8 @@
 #define CONNECT_US (300 * MH_US_PER_MS)
 /* A silent peer is detected within this time while bytes are unacknowledged. */
 #define USER_TIMEOUT_MS 2000
+/* For calls that their caller ends: longer than a sound peer is silent. */
+#define PATIENT_TIMEOUT_MS 60000
 /*
  * A kept connection is not used in the last part of the idle time that its
  * peer announced: the request could cross the peer's close, and a request that
@@ -62,6 +64,7 @@
 	char *addr;
 	char *peer;
 	int fd;
+	int user_timeout_ms; /* 0: not set yet */
 	bool connected;
 	bool is_foreign; /* the response being read is of another call */
 	bool is_unclear; /* whose it is cannot be told */
@@ -607,7 +610,7 @@
 	struct sockaddr_in sin = { .sin_family = AF_INET };
 	char host[MH_HOST_LEN];
 	uint16_t port;
-	int fd, on = 1, ms = USER_TIMEOUT_MS;
+	int fd, on = 1;
 
 	if (!mh_addr_parse(addr, host, &port) ||
 	    inet_pton(AF_INET, host, &sin.sin_addr) != 1)
@@ -617,7 +620,6 @@
 	if (fd < 0)
 		return -1;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
 	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) < 0 &&
 	    errno != EINPROGRESS) {
 		close(fd);
@@ -664,6 +666,17 @@
 	free_call(h);
 }
 
+static void
+set_user_timeout(struct conn *c, bool is_patient)
+{
+	int ms = is_patient ? PATIENT_TIMEOUT_MS : USER_TIMEOUT_MS;
+
+	if (c->user_timeout_ms == ms)
+		return;
+	setsockopt(c->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+	c->user_timeout_ms = ms;
+}
+
 struct mh_hcall *
 mh_hcalls_start(struct mh_hcalls *a, const struct mh_hcall_args *args)
 {
@@ -691,6 +704,7 @@
 	}
 	h->c = c;
 	c->call = h;
+	set_user_timeout(c, args->is_patient);
 	start_parser(c);
 	set_timer(c, c->connected ? 0 : CONNECT_US);
 	mh_loop_fd(a->loop, c->fd, c->connected, true, on_io, c);
--- a/lib/opaque.h
+++ b/lib/opaque.h
@@ -185,6 +185,7 @@
 	bool is_head; /* a HEAD request: the response has no body */
 	bool fresh; /* use a new connection */
 	bool is_control; /* it runs no work at the peer */
+	bool is_patient; /* the caller ends it, however silent the peer is */
 	struct mh_hcall_fns fns;
 	void *arg;
 };
--- a/regress/t_http.c
+++ b/regress/t_http.c
@@ -1486,6 +1486,44 @@
 	hrig_destroy(r);
 }
 
+static void
+on_goes_on(void *arg)
+{
+	struct hrig *r = arg;
+
+	mh_loop_fd(r->loop, r->listen_fd, true, false, on_accept, r);
+}
+
+/* Guards against a long request to a silent peer that the kernel ends. */
+static void
+test_silent_peer(void)
+{
+	struct hrig *r = hrig_create();
+	char *body = g_strnfill(LONG_ANSWER, 'x');
+	char *text = g_strdup_printf("POST /x HTTP/1.1\r\nHost: h\r\n"
+				     "Content-Length: %zu\r\n\r\n%s",
+	    LONG_ANSWER, body);
+	struct mh_hcall_args a = { .addr = r->addr,
+		.peer = "peer",
+		.is_patient = true,
+		.fns = { c_head, c_data, c_done },
+		.arg = r };
+
+	r->listen_fd = tcp_listen(r->addr);
+	r->script = OK "Content-length: 2\r\n\r\nhi";
+	r->expected = 1;
+	a.text = g_bytes_new(text, strlen(text));
+	r->call = mh_hcalls_start(r->c, &a);
+	mh_timer_start(r->k, 3500 * MH_US_PER_MS, on_goes_on, r);
+	run(r);
+	CU_ASSERT_EQUAL(r->end, MH_CALL_COMPLETE);
+	CU_ASSERT_STRING_EQUAL(r->got->str, "hi");
+	g_bytes_unref(a.text);
+	g_free(text);
+	g_free(body);
+	hrig_destroy(r);
+}
+
 const struct test tests_http[] = {
 	{ "serve: requests passed on and refused", test_requests },
 	{ "serve: a header over the limit", test_header_over_the_limit },
@@ -1540,5 +1578,6 @@
 	{ "call: a connect in a stall", test_connect_in_a_stall },
 	{ "call: not sent", test_unsent },
 	{ "call: a dial is not answered", test_unanswered },
+	{ "call: a long request to a silent peer", test_silent_peer },
 	{ NULL, NULL },
 };
