--- a/review/3/case.c
+++ b/review/3/case.c
@@ -164,6 +164,7 @@
 
 			if (e->up_ms == 0 &&
 			    waitpid(e->pid, NULL, WNOHANG) == e->pid) {
+				e->pid = 0;
 				e->up_ms = now_ms() + DOWN_MS;
 				engine_crashes++;
 				record("%s has crashed", e->id);
@@ -397,8 +398,10 @@
 	over = true;
 	sleep_ms(300);
 	entry_stop(&entry);
-	for (int i = 0; i < ENGINES; i++)
-		kill(engines[i].pid, SIGKILL);
+	for (int i = 0; i < ENGINES; i++) {
+		if (engines[i].pid > 0)
+			kill(engines[i].pid, SIGKILL);
+	}
 	record("engines crashed %d times; streams whole %d, cut %d; desk: %d "
 	       "answered, %d lost once passed on, %d before; ends of the entry "
 	       "by itself: %d",
