--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,4 @@
+#!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 # TROUBLE=0 leaves the disruption out.
 here=$(cd "$(dirname "$0")" && pwd)
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,3 +1,4 @@
+#!/bin/sh
 # Builds the stand-ins that the scripts of this folder start, under
 # target/review.  Run it in the repository's root, after the deploy file's
 # build.
