Gateway log: each wait that begins or ends, and what waits beside it

.043 head from i-pool-6; the row is old, so the endpoint is asked for its start, and the stream's version is unsure .044 the run breaks; no endpoint of version unsure but one whose row is unsure too: a timer of 100 ms starts (question=1 slot=0) .044 the question ends without an answer and leads to the next try again: a second timer starts (question=0 slot=1) .144 both timers fire and each starts another, .. 1.3 s long (141 such waits of three streams) 1.4 the first of a pair refuses the request, which is freed; the second writes to it: heap-use-after-free in on_wait(), freed by mh_greq_destroy() from wait_or_refuse()

Hypotheses, and the line that tells them apart: 1. A timer is started while one runs, and outlives the request: what=version with slot=1. Seen in 3 of 3 streams that wait. 2. The question outlives the request: start-told after the end. Not seen; mh_gate_close() ends it. 3. Another timer (silence, inputs, limit) fires late: the report would name its function. It names on_wait(). 4. Two tries at once: sent=1 at a wait that leads to the next try. Not seen here, but nothing prevents it.

Conclusion: 1 holds; the question of a run that has ended goes on and leads to the next try beside the wait that followed the run.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -369,6 +369,7 @@
 		    q->runs > 0 ? MH_RUN_FAILED : MH_NO_ENDPOINT, a->retry_us);
 		return;
 	}
+	mh_gate_log_wait(g, q, "slot");
 	mh_count(g->k, "waits_for_slot", 1);
 	mh_event(g->k, "slot-wait", "id=%s pool=%s node=%s wait_ms=%" PRId64,
 	    q->id, q->pool, a->wait_node == NULL ? "" : a->wait_node,
--- a/lib/gateint.h
+++ b/lib/gateint.h
@@ -63,6 +63,9 @@
  * no later than the last moment at which it can still be answered here.
  */
 int64_t mh_gate_limit_us(const struct mh_gate *g, const struct mh_greq *q);
+/** mh_gate_log_wait() - logs a wait that begins or ends, and what it has. */
+void mh_gate_log_wait(
+    struct mh_gate *g, const struct mh_greq *q, const char *what);
 /** mh_gate_log_cut() - logs a request that is open when the gateway ends. */
 void mh_gate_log_cut(struct mh_gate *g, const struct mh_greq *q);
 /** mh_gate_stream_after() - id of the last event the caller has, or "-". */
--- a/lib/gateversion.c
+++ b/lib/gateversion.c
@@ -173,6 +173,7 @@
 static void
 ask_start(struct mh_gate *g, struct mh_greq *q, const struct mh_node *n)
 {
+	mh_gate_log_wait(g, q, "start");
 	if (q->confirm != NULL)
 		g->ops.unconfirm(g->ops.jobs, q->confirm);
 	g_free(q->confirm_node);
@@ -279,6 +280,7 @@
 	bool ok = n != NULL && start_ms == n->start_ms;
 
 	q->confirm = NULL;
+	mh_gate_log_wait(g, q, "start-told");
 	if (ok)
 		n->doubt_us = 0;
 	else
@@ -339,6 +341,7 @@
 	    mh_gate_limit_us(g, q) - now < 2 * WAIT_US)
 		return false;
 	mh_gate_forget_mute(q);
+	mh_gate_log_wait(g, q, "version");
 	mh_count(g->k, "waits_for_version", 1);
 	q->slot_timer = mh_timer_start(g->k, WAIT_US, on_wait, q);
 	return true;
