Gateway: a request without a run waits for one thing at a time

What callers saw: an entry ended by itself (signal 11), and with it every connection of its callers; requests that replicas had got were lost.

Cause: two owners for one question. As a resumable stream begins where the row is old, its endpoint is asked for its start. The question was the request's, not the run's: when the run broke first, the next try was looked for, found nothing and started a timer, and the end of the question looked for a next try again and overwrote that timer. From then on the request had two chains of waits; the one that refused it freed it under the other.

Placing a request twice: in these chains the version is unsure, which no endpoint matches, so no second try was sent.

Change: a request has one struct mh_gwait, a tagged union of what it waits for (origin, stages, start, slot, version); beginning one stops the one before, and so does the next try. A question about a run belongs to the run and ends with it.

Tests: 'version: the question of a broken run' fails before (t_version.c, waits_for_version goes on after the request ended) and passes.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -89,6 +89,8 @@
 
 	if (n != NULL && n->inflight > 0)
 		n->inflight--;
+	if (t->question != NULL)
+		g->ops.unconfirm(g->ops.jobs, t->question);
 	if (abort)
 		g->ops.abort(g->ops.arg, t);
 	free_try(t);
@@ -109,18 +111,7 @@
 mh_gate_stop_search(struct mh_gate *g, struct mh_greq *q)
 {
 	mh_gate_release_job(g, q);
-	mh_gate_drop_search(g, q);
-}
-
-void
-mh_gate_drop_search(struct mh_gate *g, struct mh_greq *q)
-{
-	if (q->confirm != NULL) {
-		g->ops.unconfirm(g->ops.jobs, q->confirm);
-		g_clear_pointer(&q->confirm_node, g_free);
-	}
-	q->confirm = NULL;
-	mh_timer_stop(g->k, &q->slot_timer);
+	mh_gate_wait_stop(g, q);
 }
 
 void
@@ -129,9 +120,6 @@
 	close_try(g, q, abort);
 	mh_gate_end_all_silent(g, q);
 	mh_gate_stop_search(g, q);
-	if (q->ask != NULL)
-		mh_origins_cancel(g->origins, q->ask);
-	q->ask = NULL;
 	q->state = MH_GREQ_ENDED;
 	mh_timer_stop(g->k, &q->expiry_timer);
 	mh_timer_stop(g->k, &q->silence_timer);
@@ -339,15 +327,6 @@
 	return mh_place_look(g->place, &a) != NULL;
 }
 
-static void
-on_cold_slot(void *arg)
-{
-	struct mh_greq *q = arg;
-
-	q->slot_timer = NULL;
-	mh_gate_try_next(q->gate, q);
-}
-
 /* No endpoint can take it now; waits if a cold one can soon enough. */
 static void
 wait_or_refuse(
@@ -369,14 +348,13 @@
 		    q->runs > 0 ? MH_RUN_FAILED : MH_NO_ENDPOINT, a->retry_us);
 		return;
 	}
-	mh_gate_log_wait(g, q, "slot");
 	mh_count(g->k, "waits_for_slot", 1);
 	mh_event(g->k, "slot-wait", "id=%s pool=%s node=%s wait_ms=%" PRId64,
 	    q->id, q->pool, a->wait_node == NULL ? "" : a->wait_node,
 	    mh_ms(a->wait_us));
 	g_free(q->slot_node);
 	q->slot_node = g_strdup(a->wait_node);
-	q->slot_timer = mh_timer_start(g->k, a->wait_us, on_cold_slot, q);
+	mh_gate_wait_for_us(g, q, MH_WAIT_SLOT, a->wait_us);
 }
 
 void
@@ -386,6 +364,7 @@
 	struct mh_node *n;
 	struct mh_try *t;
 
+	mh_gate_wait_stop(g, q);
 	if (mh_gate_refuse_quarantined(g, q))
 		return;
 	if (mh_gate_limit_us(g, q) - mh_now(g->k) < REMAINING_MIN_US) {
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -941,6 +941,26 @@
 	MH_RUN_TIMEOUT /* sent, expired before the answer was complete */
 };
 
+/** enum mh_gwait_kind - what a request waits for before its next try. */
+enum mh_gwait_kind {
+	MH_WAIT_NONE,
+	MH_WAIT_ORIGIN, /* other entries are asked for its version */
+	MH_WAIT_STAGES, /* its job */
+	MH_WAIT_START, /* an endpoint is asked for its start time */
+	MH_WAIT_SLOT, /* time slot of a cold endpoint */
+	MH_WAIT_VERSION /* an endpoint of its version */
+};
+
+/** struct mh_gwait - the one wait of a request; see gatewait.c. */
+struct mh_gwait {
+	enum mh_gwait_kind kind;
+	union {
+		void *ask; /* MH_WAIT_ORIGIN */
+		void *question; /* MH_WAIT_START */
+		struct mh_timer *timer; /* MH_WAIT_SLOT, MH_WAIT_VERSION */
+	} u;
+};
+
 /** struct mh_greq - one request, as the adapter decoded it. */
 struct mh_greq {
 	char *id;
@@ -969,9 +989,9 @@
 	uint64_t stream; /* mh_origin_stream() of what began it */
 	uint64_t version; /* software version that it is bound to; 0: any */
 	int64_t version_wait_us; /* until then it waits for one of it */
-	void *ask; /* other entries are asked for its version; or NULL */
-	void *confirm; /* @confirm_node is asked for its start; or NULL */
-	char *confirm_node; /* id of the endpoint asked last; or NULL */
+	struct mh_gwait wait; /* not while it has a run */
+	/* id of the endpoint asked for its start before sending, or NULL */
+	char *confirm_node;
 	/* ids of those that did not answer, until all have been asked */
 	char *mute[MH_TRIED_MAX];
 	uint32_t n_mute;
@@ -1002,8 +1022,7 @@
 	struct mh_timer *expiry_timer; /* at mh_gate_limit_us() */
 	struct mh_timer *silence_timer; /* endpoint is silent for too long */
 	struct mh_timer *inputs_timer; /* the engine may have read the inputs */
-	struct mh_timer *slot_timer; /* time slot of a cold endpoint begins */
-	char *slot_node; /* id of that endpoint */
+	char *slot_node; /* id of the cold endpoint whose slot it waits for */
 };
 
 /** struct mh_try - one attempt to send a request to an endpoint. */
@@ -1027,6 +1046,7 @@
 	bool begins_at_once; /* the endpoint had free slots */
 	uint32_t n_jobs; /* of its request when it was sent */
 	struct mh_sse *events; /* NULL: no stream, or not begun */
+	void *question; /* its endpoint is asked for its start; or NULL */
 	void *call; /* the adapter's own data */
 };
 
@@ -1071,7 +1091,8 @@
 	void *jobs; /* of submit, cancel and release */
 	/*
 	 * Asks an endpoint for its start time, which may be later than that of
-	 * its row; ends in mh_gate_confirmed().  Returns what unconfirm takes.
+	 * its row; ends in mh_gate_confirmed(), not before it returns.  Returns
+	 * what unconfirm takes.
 	 * NULL: it can't be asked.
 	 */
 	void *(*confirm)(
--- a/lib/gatefeed.c
+++ b/lib/gatefeed.c
@@ -26,12 +26,11 @@
 {
 	/* Else the next job of this request would be released. */
 	stop_watch(g, q);
+	if (q->wait.kind == MH_WAIT_STAGES)
+		mh_gate_wait_stop(g, q);
 	if (q->job == NULL)
 		return;
-	if (q->state == MH_GREQ_STAGES)
-		g->ops.cancel(g->ops.jobs, q->job);
-	else
-		g->ops.release(g->ops.jobs, q->job);
+	g->ops.release(g->ops.jobs, q->job);
 	mh_job_destroy(q->job);
 	q->job = NULL;
 }
--- a/lib/gateint.h
+++ b/lib/gateint.h
@@ -63,9 +63,6 @@
  * no later than the last moment at which it can still be answered here.
  */
 int64_t mh_gate_limit_us(const struct mh_gate *g, const struct mh_greq *q);
-/** mh_gate_log_wait() - logs a wait that begins or ends, and what it has. */
-void mh_gate_log_wait(
-    struct mh_gate *g, const struct mh_greq *q, const char *what);
 /** mh_gate_log_cut() - logs a request that is open when the gateway ends. */
 void mh_gate_log_cut(struct mh_gate *g, const struct mh_greq *q);
 /** mh_gate_stream_after() - id of the last event the caller has, or "-". */
@@ -103,14 +100,11 @@
 /** mh_gate_start() - starts the work on an admitted request. */
 void mh_gate_start(struct mh_gate *g, struct mh_greq *q);
 /** mh_gate_note_began() - the head of a stream goes to the caller. */
-void mh_gate_note_began(
-    struct mh_gate *g, struct mh_greq *q, const struct mh_try *t);
+void mh_gate_note_began(struct mh_gate *g, struct mh_greq *q, struct mh_try *t);
 /** mh_gate_end_try() - frees a try, which is no longer in flight. */
 void mh_gate_end_try(struct mh_gate *g, struct mh_try *t, bool abort);
 /** mh_gate_stop_search() - ends what is done to begin the next try. */
 void mh_gate_stop_search(struct mh_gate *g, struct mh_greq *q);
-/** mh_gate_drop_search() - the same, but keeps its job. */
-void mh_gate_drop_search(struct mh_gate *g, struct mh_greq *q);
 /** mh_gate_may_retry() - its route allows another run. */
 bool mh_gate_may_retry(const struct mh_greq *q);
 /** mh_gate_count_run() - the endpoint may have begun to work on it. */
@@ -121,6 +115,18 @@
 void mh_gate_watch(struct mh_gate *g, struct mh_greq *q);
 void mh_gate_set_silence_timer(
     struct mh_gate *g, struct mh_greq *q, int64_t us);
+/* gatewait.c: what a request without a run waits for */
+
+/** mh_gate_wait_begin() - begins a wait, and stops the one before it. */
+struct mh_gwait *mh_gate_wait_begin(
+    struct mh_gate *g, struct mh_greq *q, enum mh_gwait_kind kind);
+/** mh_gate_wait_for_us() - waits for @us, then leads to the next try. */
+void mh_gate_wait_for_us(
+    struct mh_gate *g, struct mh_greq *q, enum mh_gwait_kind kind, int64_t us);
+/** mh_gate_wait_over() - what it waited for has come. */
+void mh_gate_wait_over(struct mh_greq *q);
+/** mh_gate_wait_stop() - it waits no more; of its jobs, an open one ends. */
+void mh_gate_wait_stop(struct mh_gate *g, struct mh_greq *q);
 /* gatesilent.c: runs at silent endpoints */
 
 /** mh_gate_is_silent() - it is a silent run of its request. */
--- a/lib/gatejob.c
+++ b/lib/gatejob.c
@@ -91,6 +91,7 @@
 	q->n_jobs++;
 	q->state = MH_GREQ_STAGES;
 	mh_gate_set_limit(g, q);
+	(void)mh_gate_wait_begin(g, q, MH_WAIT_STAGES);
 	g->ops.submit(g->ops.jobs, j);
 }
 
@@ -113,6 +114,7 @@
 {
 	struct mh_greq *q = j->submitter;
 
+	mh_gate_wait_over(q);
 	switch (end) {
 	case MH_JOB_DONE:
 		mh_observe(g->k, "stage_work", mh_now(g->k) - q->arrived_us);
--- a/lib/gatelog.c
+++ b/lib/gatelog.c
@@ -53,17 +53,6 @@
 	return names[why];
 }
 
-void
-mh_gate_log_wait(struct mh_gate *g, const struct mh_greq *q, const char *what)
-{
-	mh_event(g->k, "wait",
-	    "id=%s what=%s node=%s sent=%d question=%d slot=%d job=%d "
-	    "silent=%u runs=%u version=%016" PRIx64,
-	    q->id, what, q->confirm_node == NULL ? "-" : q->confirm_node,
-	    q->cur != NULL, q->confirm != NULL, q->slot_timer != NULL,
-	    q->state == MH_GREQ_STAGES, q->n_silent, q->runs, q->version);
-}
-
 void
 mh_gate_log_end(struct mh_gate *g, const struct mh_greq *q, const char *outcome,
     int64_t retry_us)
--- a/lib/gatesilent.c
+++ b/lib/gatesilent.c
@@ -85,7 +85,7 @@
 		mh_gate_end_try(g, other, true);
 	}
 	if (mh_gate_keeps_job(g, q, t))
-		mh_gate_drop_search(g, q);
+		mh_gate_wait_stop(g, q);
 	else
 		mh_gate_stop_search(g, q);
 	q->owes_retry = false;
@@ -140,7 +140,7 @@
 	/* While it is asked for its start, the version is not known. */
 	if (t == NULL || !mh_gate_may_retry(q))
 		return;
-	if (q->confirm != NULL || !mh_gate_has_other(g, q)) {
+	if (t->question != NULL || !mh_gate_has_other(g, q)) {
 		mh_gate_set_silence_timer(g, q, LOOK_AGAIN_US);
 		return;
 	}
--- a/lib/gateversion.c
+++ b/lib/gateversion.c
@@ -101,7 +101,7 @@
 {
 	struct mh_greq *q = arg;
 
-	q->ask = NULL;
+	mh_gate_wait_over(q);
 	if (bind(q->gate, q, version, how))
 		mh_gate_start(q->gate, q);
 }
@@ -111,14 +111,17 @@
 {
 	struct mh_origin_query a = { q->stream, pools, n, last_us(g, q->route),
 		on_origin, q };
+	void *asked;
 
 	for (guint i = 0; i < n; i++) {
 		/* Others can't know better than that there are two. */
 		if (!mh_fleet_sole(g->f, pools[i]).is_sole)
 			a.last_us = INT64_MAX;
 	}
-	q->ask = mh_origins_ask(g->origins, &a);
-	return q->ask != NULL;
+	asked = mh_origins_ask(g->origins, &a);
+	if (asked != NULL)
+		mh_gate_wait_begin(g, q, MH_WAIT_ORIGIN)->u.ask = asked;
+	return asked != NULL;
 }
 
 bool
@@ -170,24 +173,20 @@
 		mh_origins_began(g->origins, &b);
 }
 
-static void
+static void *
 ask_start(struct mh_gate *g, struct mh_greq *q, const struct mh_node *n)
 {
-	mh_gate_log_wait(g, q, "start");
-	if (q->confirm != NULL)
-		g->ops.unconfirm(g->ops.jobs, q->confirm);
-	g_free(q->confirm_node);
-	q->confirm_node = g_strdup(n->id);
 	mh_count(g->k, "starts_asked", 1);
-	q->confirm = g->ops.confirm(g->ops.jobs, q, n);
+	return g->ops.confirm(g->ops.jobs, q, n);
 }
 
 /*
  * Where the row may be out of date, the endpoint is asked for its start after
- * it has begun: the answer holds for the begin too.
+ * it has begun: the answer holds for the begin too.  The question ends with the
+ * run, as its answer then leads to nothing.
  */
 void
-mh_gate_note_began(struct mh_gate *g, struct mh_greq *q, const struct mh_try *t)
+mh_gate_note_began(struct mh_gate *g, struct mh_greq *q, struct mh_try *t)
 {
 	const struct mh_node *n = mh_fleet_find(g->f, t->node);
 	bool old = n != NULL && n->start_ms != 0 &&
@@ -202,7 +201,7 @@
 	}
 	note_version(g, q, t, MH_VERSION_UNSURE);
 	if (n != NULL && g->ops.confirm != NULL)
-		ask_start(g, q, n);
+		t->question = ask_start(g, q, n);
 }
 
 static bool
@@ -245,7 +244,10 @@
 	if (q->version == 0 || n->start_ms == 0 || g->ops.confirm == NULL ||
 	    g_strcmp0(q->confirm_node, n->id) == 0)
 		return false;
-	ask_start(g, q, n);
+	mh_gate_wait_begin(g, q, MH_WAIT_START)->u.question =
+	    ask_start(g, q, n);
+	g_free(q->confirm_node);
+	q->confirm_node = g_strdup(n->id);
 	return true;
 }
 
@@ -275,22 +277,24 @@
 void
 mh_gate_confirmed(struct mh_gate *g, struct mh_greq *q, int64_t start_ms)
 {
-	struct mh_node *n = mh_fleet_find(g->f, q->confirm_node);
-	const struct mh_try *t = q->cur;
+	struct mh_try *t = q->cur;
+	const char *id = t != NULL ? t->node : q->confirm_node;
+	struct mh_node *n = mh_fleet_find(g->f, id);
 	bool ok = n != NULL && start_ms == n->start_ms;
 
-	q->confirm = NULL;
-	mh_gate_log_wait(g, q, "start-told");
+	if (t != NULL)
+		t->question = NULL;
+	else
+		mh_gate_wait_over(q);
 	if (ok)
 		n->doubt_us = 0;
 	else
 		mh_event(g->k, "start-not-confirmed",
-		    "id=%s node=%s start_ms=%" PRId64, q->id, q->confirm_node,
-		    start_ms);
+		    "id=%s node=%s start_ms=%" PRId64, q->id, id, start_ms);
 	if (!ok && start_ms != 0)
-		mh_fleet_set_start(g->f, q->confirm_node, start_ms);
+		mh_fleet_set_start(g->f, id, start_ms);
 	if (t != NULL) { /* it has begun there */
-		if (ok && strcmp(t->node, q->confirm_node) == 0)
+		if (ok)
 			note_version(g, q, t, t->version);
 		return;
 	}
@@ -319,15 +323,6 @@
 	return false;
 }
 
-static void
-on_wait(void *arg)
-{
-	struct mh_greq *q = arg;
-
-	q->slot_timer = NULL;
-	mh_gate_try_next(q->gate, q);
-}
-
 bool
 mh_gate_wait_for_version(struct mh_gate *g, struct mh_greq *q)
 {
@@ -341,8 +336,7 @@
 	    mh_gate_limit_us(g, q) - now < 2 * WAIT_US)
 		return false;
 	mh_gate_forget_mute(q);
-	mh_gate_log_wait(g, q, "version");
 	mh_count(g->k, "waits_for_version", 1);
-	q->slot_timer = mh_timer_start(g->k, WAIT_US, on_wait, q);
+	mh_gate_wait_for_us(g, q, MH_WAIT_VERSION, WAIT_US);
 	return true;
 }
--- a/regress/main.c
+++ b/regress/main.c
@@ -90,6 +90,7 @@
 	{ "stream", tests_stream },
 	{ "work", tests_work },
 	{ "version", tests_version },
+	{ "waits", tests_waits },
 	{ "drain", tests_drain },
 	{ "grace", tests_grace },
 	{ "crash", tests_crash },
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -52,6 +52,7 @@
 extern const struct test tests_stream[];
 extern const struct test tests_work[];
 extern const struct test tests_version[];
+extern const struct test tests_waits[];
 extern const struct test tests_drain[];
 extern const struct test tests_grace[];
 extern const struct test tests_crash[];
--- a/regress/t_version.c
+++ b/regress/t_version.c
@@ -374,6 +374,37 @@
 	grig_destroy(r);
 }
 
+/* Guards against a wait that goes on after its request has ended. */
+static void
+test_question_of_a_broken_run(void)
+{
+	for (int i = 0; i < 2; i++) {
+		struct grig *r = restartable();
+		struct mh_greq *q;
+		uint64_t waits;
+
+		mh_fleet_on_rows_age(r->f, two_seconds, NULL);
+		q = grig_stream(r, "a", NULL);
+		begin(r);
+		CU_ASSERT_EQUAL(r->starts_asked, 1);
+		/* The other one has restarted, and its row is not read yet. */
+		mh_fleet_set_start(r->f,
+		    strcmp(r->last, "n0@77") == 0 ? "n1@77" : "n0@77", 88);
+		r->start_ms = 0;
+		mh_gate_try_end(r->g, r->cur, MH_CALL_BROKEN);
+		grig_advance(r, i * 350 * MS);
+		if (r->open->len > 0)
+			mh_gate_caller_left(r->g, q);
+		waits = mh_counter(r->k, "waits_for_version");
+		for (int j = 0; j < 20; j++)
+			grig_advance(r, 100 * MS);
+		CU_ASSERT_EQUAL(mh_counter(r->k, "waits_for_version"), waits);
+		CU_ASSERT_EQUAL(r->sends, 1);
+		CU_ASSERT(r->broken + r->open->len == 1);
+		grig_destroy(r);
+	}
+}
+
 /* Guards against a begin at what proves to have been another incarnation. */
 static void
 test_begun_after_restart(void)
@@ -662,6 +693,8 @@
 	{ "version: never answers", test_never_answers },
 	{ "version: begun with old rows", test_begun_with_old_rows },
 	{ "version: begun after a restart", test_begun_after_restart },
+	{ "version: the question of a broken run",
+	    test_question_of_a_broken_run },
 	{ "version: the first entry is dead", test_first_entry_dead },
 	{ "version: entries restart one by one", test_entries_restart },
 	{ "version: told at a release", test_told_at_release },
