Gateway: a stream that began at no known version is not waited for

What callers saw: a stream whose run broke before its endpoint's start was confirmed went on to wait for up to 1.5 s, and was broken off then.

Cause: its version stays unsure for good, as only its run's question could have told it. mh_gate_wait_for_version() took an endpoint whose own version is unsure for one of the same version; placement never does. Its stage work was done again for the same nothing.

Ruled out: that a row that comes later makes it sure (note_version() needs the run), and that a silent run is lost by it (mh_gate_refuse() falls back).

Change: such a request ends at once, and its caller may take it up elsewhere.

Conclusion: refused at once.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -371,6 +371,12 @@
 		mh_gate_out_of_time(g, q);
 		return;
 	}
+	/* Where its stream began is not known, so it can go on nowhere. */
+	if (q->version == MH_VERSION_UNSURE) {
+		mh_gate_refuse(
+		    g, q, q->runs > 0 ? MH_RUN_FAILED : MH_NO_ENDPOINT, 0);
+		return;
+	}
 	/* No endpoint can run it without its inputs: compute them again. */
 	if (inputs_freed(q) && may_start_job(q)) {
 		mh_gate_start_job(g, q);
--- a/regress/t_version.c
+++ b/regress/t_version.c
@@ -405,6 +405,23 @@
 	}
 }
 
+/* Guards against a wait for a version that no endpoint can be known to have. */
+static void
+test_begun_nowhere_known(void)
+{
+	struct grig *r = restartable();
+
+	mh_fleet_on_rows_age(r->f, two_seconds, NULL);
+	(void)grig_stream(r, "a", NULL);
+	begin(r);
+	mh_fleet_set_start(
+	    r->f, strcmp(r->last, "n0@77") == 0 ? "n1@77" : "n0@77", 88);
+	mh_gate_try_end(r->g, r->cur, MH_CALL_BROKEN);
+	CU_ASSERT_EQUAL(r->broken, 1);
+	CU_ASSERT_EQUAL(mh_counter(r->k, "waits_for_version"), 0);
+	grig_destroy(r);
+}
+
 /* Guards against a begin at what proves to have been another incarnation. */
 static void
 test_begun_after_restart(void)
@@ -693,6 +710,7 @@
 	{ "version: never answers", test_never_answers },
 	{ "version: begun with old rows", test_begun_with_old_rows },
 	{ "version: begun after a restart", test_begun_after_restart },
+	{ "version: begun nowhere known", test_begun_nowhere_known },
 	{ "version: the question of a broken run",
 	    test_question_of_a_broken_run },
 	{ "version: the first entry is dead", test_first_entry_dead },
