Timers: one pointer holds one timer, and a start stops what runs there

Cause of the class: mh_timer_start() returned a pointer that each owner had to store, to stop before the next start and to clear as its function is called. Forgetting the second leaves a timer that nothing can stop, and that outlives its owner; forgetting the third leaves a dangling pointer.

Read for it: all 70 starts in lib/ and platform/. The unsent call of hcall.c had a timer that nothing could stop, and a flag instead.

Change: mh_timer_set() takes the owner's pointer: it stops what runs there, and the kernel sets it to NULL as the timer fires. 93 functions no longer clear it, and 18 stops before a start are gone. mh_timer_start() is left for timers without an owner, which only tests and stand-ins have; it returns nothing, so an owner can't use it by mistake.

Cost: a pointer for each timer.

Conclusion: a second timer in one pointer can't run.

--- a/lib/broker.c
+++ b/lib/broker.c
@@ -276,7 +276,6 @@
 	struct mh_broker *b = arg;
 	struct mh_job *j;
 
-	b->settle_timer = NULL;
 	while ((j = g_queue_pop_head(b->waiting)) != NULL)
 		submit(b, j);
 }
@@ -299,7 +298,7 @@
 	}
 	g_queue_push_tail(b->waiting, j);
 	if (b->settle_timer == NULL)
-		b->settle_timer = mh_timer_start(b->k, wait_us, on_settled, b);
+		mh_timer_set(b->k, &b->settle_timer, wait_us, on_settled, b);
 }
 
 /*
@@ -742,7 +741,7 @@
 {
 	struct mh_broker *b = arg;
 
-	b->check_timer = mh_timer_start(b->k, CHECK_US, on_check_timer, b);
+	mh_timer_set(b->k, &b->check_timer, CHECK_US, on_check_timer, b);
 	mh_scheds_foreach(b->scheds, check_role, b);
 }
 
@@ -771,7 +770,7 @@
 	b->remote_by_job = g_hash_table_new(NULL, NULL);
 	b->waiting = g_queue_new();
 	b->lost_checks = g_hash_table_new(NULL, NULL);
-	b->check_timer = mh_timer_start(k, CHECK_US, on_check_timer, b);
+	mh_timer_set(k, &b->check_timer, CHECK_US, on_check_timer, b);
 	mh_mesh_on(m, MH__FRAME__BODY_JOB, on_job, b);
 	mh_mesh_on(m, MH__FRAME__BODY_JOB_END, on_job_end, b);
 	mh_mesh_on(m, MH__FRAME__BODY_JOB_STEP, on_job_step, b);
--- a/lib/budget.c
+++ b/lib/budget.c
@@ -203,7 +203,7 @@
 	b->asked_us = now;
 	if (n > 0)
 		mh_budget_entries(b, n);
-	b->timer = mh_timer_start(b->k, bucket_us(b), on_timer, b);
+	mh_timer_set(b->k, &b->timer, bucket_us(b), on_timer, b);
 }
 
 void
--- a/lib/claim.c
+++ b/lib/claim.c
@@ -479,7 +479,7 @@
 {
 	struct claim *c = arg;
 
-	c->tick = mh_timer_start(c->k, TICK_US, on_tick, c);
+	mh_timer_set(c->k, &c->tick, TICK_US, on_tick, c);
 	if (!pool_is_service(c))
 		return;
 	check_watch(c);
@@ -673,5 +673,5 @@
 	mh_hub_set_handler(k, MH__FRAME__BODY_HANDOVER, on_handover, c);
 	mh_hub_set_handler(k, MH__FRAME__BODY_HANDOVER_ACK, on_handover_ack, c);
 	mh_member_on_link(k, on_link, c);
-	c->tick = mh_timer_start(k, 0, on_tick, c);
+	mh_timer_set(k, &c->tick, 0, on_tick, c);
 }
--- a/lib/client.c
+++ b/lib/client.c
@@ -107,7 +107,6 @@
 {
 	struct mh_client *c = arg;
 
-	c->timer = NULL;
 	socket_action(c, CURL_SOCKET_TIMEOUT, 0);
 }
 
@@ -119,8 +118,8 @@
 	(void)multi;
 	mh_timer_stop(c->k, &c->timer);
 	if (ms >= 0)
-		c->timer = mh_timer_start(
-		    c->k, (int64_t)ms * MH_US_PER_MS, on_timer, c);
+		mh_timer_set(
+		    c->k, &c->timer, (int64_t)ms * MH_US_PER_MS, on_timer, c);
 	return 0;
 }
 
--- a/lib/conf.c
+++ b/lib/conf.c
@@ -377,7 +377,7 @@
 {
 	struct conf *c = arg;
 
-	c->tick = mh_timer_start(c->k, TICK_US, on_tick, c);
+	mh_timer_set(c->k, &c->tick, TICK_US, on_tick, c);
 	if (c->token != 0 || mh_now(c->k) < c->kv_next_us)
 		return;
 	if (mh_member_is_watcher(c->k, "config") || c->decl == NULL)
@@ -504,5 +504,5 @@
 	mh_kern_add(k, "conf", c, handle, destroy);
 	mh_hub_set_handler(k, MH__FRAME__BODY_CONFIG_ASK, on_config_ask, c);
 	mh_hub_set_handler(k, MH__FRAME__BODY_CONFIG, on_config, c);
-	c->tick = mh_timer_start(k, 0, on_tick, c);
+	mh_timer_set(k, &c->tick, 0, on_tick, c);
 }
--- a/lib/deadline.c
+++ b/lib/deadline.c
@@ -54,7 +54,6 @@
 	if (r->key_given)
 		p.remedy = "Ask again with the same key, or look the outcome "
 			   "up; do not repeat it under another key.";
-	r->deadline_timer = NULL;
 	if (entry_cut_by_drain(r))
 		mh_count(r->e->k, "entry_cuts", 1);
 	if (s->at_most_once && r->tries[0].call != NULL) {
@@ -73,9 +72,8 @@
 {
 	struct mh_kern *k = r->e->k;
 
-	mh_timer_stop(k, &r->deadline_timer);
-	r->deadline_timer =
-	    mh_timer_start(k, r->deadline_us - mh_now(k), on_deadline, r);
+	mh_timer_set(
+	    k, &r->deadline_timer, r->deadline_us - mh_now(k), on_deadline, r);
 }
 
 /*
--- a/lib/entry.c
+++ b/lib/entry.c
@@ -549,10 +549,8 @@
 	struct deferred *x = arg;
 	struct entry *e = x->e;
 
-	x->timer = NULL;
 	if (!is_started(e) && may_defer(e)) {
-		x->timer =
-		    mh_timer_start(e->k, DEFER_POLL_US, on_defer_poll, x);
+		mh_timer_set(e->k, &x->timer, DEFER_POLL_US, on_defer_poll, x);
 		return;
 	}
 	mh_post(e->k, "entry", x->msg);
@@ -577,7 +575,7 @@
 	x->msg = mh_msg_new(m->kind);
 	x->msg->u.request = m->u.request;
 	memset(&m->u.request, 0, sizeof(m->u.request));
-	x->timer = mh_timer_start(e->k, DEFER_POLL_US, on_defer_poll, x);
+	mh_timer_set(e->k, &x->timer, DEFER_POLL_US, on_defer_poll, x);
 	g_ptr_array_add(e->deferred, x);
 	return true;
 }
--- a/lib/evlog.c
+++ b/lib/evlog.c
@@ -72,10 +72,9 @@
 {
 	struct mh_evlog *e = arg;
 
-	e->timer = NULL;
 	flush(e);
 	if (e->out->len > 0)
-		e->timer = mh_timer_start(e->k, FLUSH_US, on_flush, e);
+		mh_timer_set(e->k, &e->timer, FLUSH_US, on_flush, e);
 }
 
 static bool
@@ -124,7 +123,7 @@
 	va_end(ap);
 	g_string_append_c(e->out, '\n');
 	if (e->timer == NULL)
-		e->timer = mh_timer_start(k, FLUSH_US, on_flush, e);
+		mh_timer_set(k, &e->timer, FLUSH_US, on_flush, e);
 }
 
 static void
--- a/lib/gate.c
+++ b/lib/gate.c
@@ -209,8 +209,7 @@
 void
 mh_gate_set_silence_timer(struct mh_gate *g, struct mh_greq *q, int64_t us)
 {
-	mh_timer_stop(g->k, &q->silence_timer);
-	q->silence_timer = mh_timer_start(g->k, us, mh_gate_on_silence, q);
+	mh_timer_set(g->k, &q->silence_timer, us, mh_gate_on_silence, q);
 }
 
 static int64_t
--- a/lib/gatefeed.c
+++ b/lib/gatefeed.c
@@ -103,7 +103,6 @@
 {
 	struct mh_greq *q = arg;
 
-	q->inputs_timer = NULL;
 	look(q->gate, q);
 }
 
@@ -118,7 +117,7 @@
 	if (q->job == NULL || !t->begins_at_once)
 		return;
 	g_ptr_array_add(g->feeding, q);
-	q->inputs_timer = mh_timer_start(g->k, INPUTS_READ_US, on_fed, q);
+	mh_timer_set(g->k, &q->inputs_timer, INPUTS_READ_US, on_fed, q);
 }
 
 void
--- a/lib/gatelimit.c
+++ b/lib/gatelimit.c
@@ -43,7 +43,6 @@
 	struct mh_greq *q = arg;
 	struct mh_gate *g = q->gate;
 
-	q->expiry_timer = NULL;
 	mh_gate_out_of_time(g, q);
 }
 
@@ -113,9 +112,8 @@
 	/* The coordinator, and the next one after a handoff, plans by this. */
 	if (q->state == MH_GREQ_STAGES && q->job != NULL)
 		q->job->deadline_us = MIN(q->job->deadline_us, limit_us);
-	mh_timer_stop(g->k, &q->expiry_timer);
-	q->expiry_timer =
-	    mh_timer_start(g->k, MAX(limit_us - mh_now(g->k), 0), on_expiry, q);
+	mh_timer_set(g->k, &q->expiry_timer, MAX(limit_us - mh_now(g->k), 0),
+	    on_expiry, q);
 }
 
 /*
--- a/lib/gatesilent.c
+++ b/lib/gatesilent.c
@@ -136,7 +136,6 @@
 	struct mh_try *t = q->cur;
 	struct mh_node *n;
 
-	q->silence_timer = NULL;
 	/* While it is asked for its start, the version is not known. */
 	if (t == NULL || !mh_gate_may_retry(q))
 		return;
--- a/lib/gatewait.c
+++ b/lib/gatewait.c
@@ -66,7 +66,7 @@
 		    q->id, kind_name(kind), kind_name(q->wait.kind),
 		    q->cur != NULL, q->n_silent, q->runs, q->version);
 	mh_gate_wait_stop(g, q);
-	q->wait.kind = kind;
+	q->wait = (struct mh_gwait) { .kind = kind };
 	return &q->wait;
 }
 
@@ -75,7 +75,6 @@
 {
 	struct mh_greq *q = arg;
 
-	q->wait.u.timer = NULL;
 	mh_gate_wait_over(q);
 	mh_gate_try_next(q->gate, q);
 }
@@ -84,6 +83,6 @@
 mh_gate_wait_for_us(
     struct mh_gate *g, struct mh_greq *q, enum mh_gwait_kind kind, int64_t us)
 {
-	mh_gate_wait_begin(g, q, kind)->u.timer =
-	    mh_timer_start(g->k, us, on_wait_over, q);
+	mh_timer_set(g->k, &mh_gate_wait_begin(g, q, kind)->u.timer, us,
+	    on_wait_over, q);
 }
--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -45,7 +45,8 @@
 struct conn;
 
 struct mh_hcall {
-	struct conn *c;
+	struct mh_hcalls *calls;
+	struct conn *c; /* NULL: no socket could be opened */
 	GBytes *text;
 	size_t sent;
 	int64_t start_us;
@@ -54,7 +55,7 @@
 	char *echo;
 	bool is_head;
 	bool is_control;
-	bool aborted; /* without a connection; done() is not called */
+	struct mh_timer *unsent_timer; /* without a connection */
 	struct mh_hcall_fns fns;
 	void *arg;
 };
@@ -191,7 +192,6 @@
 {
 	struct conn *c = arg;
 
-	c->timer = NULL;
 	if (c->call != NULL && !c->connected)
 		mh_count(c->calls->k, "call_connect_timeouts", 1);
 	end_call_and_conn(c, MH_CALL_UNANSWERED);
@@ -202,7 +202,7 @@
 {
 	mh_timer_stop(c->calls->k, &c->timer);
 	if (us > 0)
-		c->timer = mh_timer_start(c->calls->k, us, on_late, c);
+		mh_timer_set(c->calls->k, &c->timer, us, on_late, c);
 }
 
 /* parsing */
@@ -661,8 +661,7 @@
 {
 	struct mh_hcall *h = arg;
 
-	if (!h->aborted)
-		h->fns.done(h->arg, MH_CALL_UNSENT);
+	h->fns.done(h->arg, MH_CALL_UNSENT);
 	free_call(h);
 }
 
@@ -683,6 +682,7 @@
 	struct mh_hcall *h = g_new0(struct mh_hcall, 1);
 	struct conn *c = NULL;
 
+	h->calls = a;
 	h->text = g_bytes_ref(args->text);
 	h->start_us = mh_now(a->k);
 	h->echo_name = g_strdup(args->echo_name);
@@ -699,7 +699,7 @@
 		/* No file descriptor, or a bad address.  Reported from the
 		 * loop, so that the caller has @h before done() is called. */
 		mh_count(a->k, "call_no_socket", 1);
-		mh_timer_start(a->k, 0, on_unsent, h);
+		mh_timer_set(a->k, &h->unsent_timer, 0, on_unsent, h);
 		return h;
 	}
 	h->c = c;
@@ -716,8 +716,9 @@
 {
 	struct conn *c = h->c;
 
-	if (c == NULL) { /* on_unsent() frees it */
-		h->aborted = true;
+	if (c == NULL) {
+		mh_timer_stop(h->calls->k, &h->unsent_timer);
+		free_call(h);
 		return;
 	}
 	reset_on_close(c);
--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -138,7 +138,7 @@
 {
 	mh_timer_stop(c->s->k, &c->timer);
 	if (us > 0)
-		c->timer = mh_timer_start(c->s->k, us, on_timer, c);
+		mh_timer_set(c->s->k, &c->timer, us, on_timer, c);
 }
 
 static void
@@ -273,7 +273,6 @@
 {
 	struct conn *c = arg;
 
-	c->timer = NULL;
 	if (!flush_out(c))
 		return;
 	if (c->out->len == 0)
@@ -302,8 +301,7 @@
 	if (c->close_after)
 		g_byte_array_set_size(c->in, 0);
 	mh_hreq_destroy(r);
-	mh_timer_stop(c->s->k, &c->timer);
-	c->timer = mh_timer_start(c->s->k, 0, start_sending, c);
+	mh_timer_set(c->s->k, &c->timer, 0, start_sending, c);
 }
 
 static void
@@ -311,7 +309,6 @@
 {
 	struct conn *c = arg;
 
-	c->timer = NULL;
 	/* The reset drops unsent bytes, and a resumed stream continues after
 	 * what was received, so send as much as the kernel accepts. */
 	(void)send_out(c);
@@ -327,8 +324,7 @@
 	c->state = CONN_RESETTING;
 	set_reset_on_close(c, true);
 	mh_hreq_destroy(r);
-	mh_timer_stop(c->s->k, &c->timer);
-	c->timer = mh_timer_start(c->s->k, 0, reset_conn, c);
+	mh_timer_set(c->s->k, &c->timer, 0, reset_conn, c);
 }
 
 static void
@@ -491,7 +487,6 @@
 {
 	struct conn *c = arg;
 
-	c->timer = NULL;
 	switch (c->state) {
 	case CONN_READING:
 		on_read_limit(c);
@@ -540,7 +535,6 @@
 {
 	struct mh_hserve *s = arg;
 
-	s->accept_timer = NULL;
 	mh_loop_fd(s->loop, s->fd, true, false, on_accept, s);
 }
 
@@ -553,9 +547,7 @@
 {
 	mh_count(s->k, "serve_accept_pauses", 1);
 	mh_loop_fd(s->loop, s->fd, false, false, on_accept, s);
-	mh_timer_stop(s->k, &s->accept_timer);
-	s->accept_timer =
-	    mh_timer_start(s->k, ACCEPT_RETRY_US, resume_accept, s);
+	mh_timer_set(s->k, &s->accept_timer, ACCEPT_RETRY_US, resume_accept, s);
 }
 
 static void
--- a/lib/httpd.c
+++ b/lib/httpd.c
@@ -442,8 +442,8 @@
 	GHashTableIter it;
 	gpointer v;
 
-	h->disconnect_timer =
-	    mh_timer_start(h->k, DISCONNECT_CHECK_US, check_disconnects, h);
+	mh_timer_set(h->k, &h->disconnect_timer, DISCONNECT_CHECK_US,
+	    check_disconnects, h);
 	g_hash_table_iter_init(&it, h->reqs);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
 		struct mh_http_req *r = v;
@@ -573,8 +573,8 @@
 	}
 	mh_loop_fd(loop, h->epoll_fd, true, false, on_ready, h);
 	mh_loop_before_wait(loop, before_wait, h);
-	h->disconnect_timer =
-	    mh_timer_start(h->k, DISCONNECT_CHECK_US, check_disconnects, h);
+	mh_timer_set(h->k, &h->disconnect_timer, DISCONNECT_CHECK_US,
+	    check_disconnects, h);
 	return h;
 }
 
--- a/lib/kern.c
+++ b/lib/kern.c
@@ -23,6 +23,7 @@
 	uint64_t seq;
 	mh_timer_fn fn;
 	void *arg;
+	struct mh_timer **owner; /* set to NULL when it fires; or NULL */
 };
 
 RB_HEAD(timer_tree, mh_timer);
@@ -264,8 +265,8 @@
 		void *arg = t->arg;
 
 		RB_REMOVE(timer_tree, &k->timers, t);
-		/* The owner's pointer is stale now: see mh_timer_start(). */
-		t->fn = NULL;
+		if (t->owner != NULL)
+			*t->owner = NULL;
 		g_free(t);
 		fn(arg);
 		drain(k);
@@ -321,12 +322,8 @@
 	return g_rand_double(k->rand);
 }
 
-/*
- * The timer is freed before @fn is called, so @fn must first clear the owner's
- * pointer to it.
- */
-struct mh_timer *
-mh_timer_start(struct mh_kern *k, int64_t delay_us, mh_timer_fn fn, void *arg)
+static struct mh_timer *
+insert_timer(struct mh_kern *k, int64_t delay_us, mh_timer_fn fn, void *arg)
 {
 	struct mh_timer *t = g_new0(struct mh_timer, 1);
 
@@ -338,6 +335,25 @@
 	return t;
 }
 
+/*
+ * Two timers in one pointer can't run: the first would outlive its owner, who
+ * could stop only the second.
+ */
+void
+mh_timer_set(struct mh_kern *k, struct mh_timer **t, int64_t delay_us,
+    mh_timer_fn fn, void *arg)
+{
+	mh_timer_stop(k, t);
+	*t = insert_timer(k, delay_us, fn, arg);
+	(*t)->owner = t;
+}
+
+void
+mh_timer_start(struct mh_kern *k, int64_t delay_us, mh_timer_fn fn, void *arg)
+{
+	(void)insert_timer(k, delay_us, fn, arg);
+}
+
 void
 mh_timer_stop(struct mh_kern *k, struct mh_timer **t)
 {
--- a/lib/limit.c
+++ b/lib/limit.c
@@ -302,7 +302,7 @@
 	struct mh_decl *d = mh_conf_get(l->k);
 	guint sent = 0;
 
-	l->tick = mh_timer_start(l->k, TICK_US, on_tick, l);
+	mh_timer_set(l->k, &l->tick, TICK_US, on_tick, l);
 	if (d == NULL)
 		return;
 	g_hash_table_foreach(l->orgs, smooth_demand, NULL);
@@ -403,5 +403,5 @@
 	mh_kern_add(k, "limit", l, NULL, destroy);
 	mh_hub_set_handler(k, MH__FRAME__BODY_GRANT_ASK, on_grant_request, l);
 	mh_hub_set_handler(k, MH__FRAME__BODY_GRANT, on_grant, l);
-	l->tick = mh_timer_start(k, TICK_US, on_tick, l);
+	mh_timer_set(k, &l->tick, TICK_US, on_tick, l);
 }
--- a/lib/link.c
+++ b/lib/link.c
@@ -401,7 +401,6 @@
 {
 	struct conn *c = arg;
 
-	c->timer = NULL;
 	drop(c);
 }
 
@@ -422,8 +421,8 @@
 	apr_socket_opt_set(sock, APR_SO_NONBLOCK, 1);
 	apr_socket_timeout_set(sock, 0);
 	apr_socket_opt_set(sock, APR_TCP_NODELAY, 1);
-	c->timer =
-	    mh_timer_start(l->k, HANDSHAKE_TIMEOUT_US, on_handshake_timeout, c);
+	mh_timer_set(
+	    l->k, &c->timer, HANDSHAKE_TIMEOUT_US, on_handshake_timeout, c);
 	g_hash_table_insert(l->conns, &c->id, c);
 	return c;
 }
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -234,7 +234,16 @@
  * service has handled it, or at once if there is no such service.
  */
 void mh_post(struct mh_kern *k, const char *to, struct mh_msg *msg);
-struct mh_timer *mh_timer_start(
+/**
+ * mh_timer_set() - calls @fn once, after @delay_us, with *@t set to NULL.
+ * @t: the owner's pointer to it, NULL if none runs; it must not move
+ *
+ * The timer that runs in *@t is stopped.
+ */
+void mh_timer_set(struct mh_kern *k, struct mh_timer **t, int64_t delay_us,
+    mh_timer_fn fn, void *arg);
+/** mh_timer_start() - the same without an owner: it can't be stopped. */
+void mh_timer_start(
     struct mh_kern *k, int64_t delay_us, mh_timer_fn fn, void *arg);
 /** mh_timer_stop() - cancels *@t and sets it to NULL; *@t may be NULL. */
 void mh_timer_stop(struct mh_kern *k, struct mh_timer **t);
--- a/lib/member.c
+++ b/lib/member.c
@@ -608,7 +608,7 @@
 {
 	struct member *mb = arg;
 
-	mb->tick = mh_timer_start(mb->k, TICK_US, on_tick, mb);
+	mh_timer_set(mb->k, &mb->tick, TICK_US, on_tick, mb);
 	if (mb->entry) {
 		mb->links = 0;
 		mh_member_foreach(mb->k, count_links, mb);
@@ -740,5 +740,5 @@
 	mh_hub_set_handler(k, MH__FRAME__BODY_DRAIN, on_drain, mb);
 	mh_hub_set_handler(k, MH__FRAME__BODY_PING, on_ping, mb);
 	mh_member_on_link(k, on_link, mb);
-	mb->tick = mh_timer_start(k, 0, on_tick, mb);
+	mh_timer_set(k, &mb->tick, 0, on_tick, mb);
 }
--- a/lib/mesh.c
+++ b/lib/mesh.c
@@ -118,8 +118,7 @@
 		p->next_dial_us = 0;
 		mh_peer_resumed(p);
 	}
-	mh_timer_stop(m->k, &m->timer);
-	m->timer = mh_timer_start(m->k, 0, on_timer, m);
+	mh_timer_set(m->k, &m->timer, 0, on_timer, m);
 }
 
 /*
@@ -344,7 +343,6 @@
 	GHashTableIter it;
 	gpointer key, value;
 
-	m->timer = NULL;
 	mh_mesh_check_pause(m);
 	m->last_timer_us = mh_now(m->k);
 	mh_mesh_select_links(m);
@@ -364,8 +362,7 @@
 	}
 	mh_mesh_reset_sent_bytes(m);
 	mh_mesh_heartbeat(m);
-	mh_timer_stop(m->k, &m->timer);
-	m->timer = mh_timer_start(m->k,
+	mh_timer_set(m->k, &m->timer,
 	    mh_mesh_is_starting(m) ? STARTUP_HEARTBEAT_US : HEARTBEAT_US,
 	    on_timer, m);
 }
@@ -477,6 +474,6 @@
 	m->conns =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	mh_kern_add(k, "hub", m, handle, destroy);
-	m->timer = mh_timer_start(k, STARTUP_HEARTBEAT_US, on_timer, m);
+	mh_timer_set(k, &m->timer, STARTUP_HEARTBEAT_US, on_timer, m);
 	return m;
 }
--- a/lib/originmesh.c
+++ b/lib/originmesh.c
@@ -80,7 +80,6 @@
 {
 	struct mh_origin_mesh *o = arg;
 
-	o->flush_timer = NULL;
 	flush(o);
 }
 
@@ -96,8 +95,8 @@
 	if (mh_now(o->k) >= next_us || o->streams->len >= FRAME_STREAMS_MAX)
 		flush(o);
 	else if (o->flush_timer == NULL)
-		o->flush_timer =
-		    mh_timer_start(o->k, next_us - mh_now(o->k), on_flush, o);
+		mh_timer_set(
+		    o->k, &o->flush_timer, next_us - mh_now(o->k), on_flush, o);
 }
 
 static void
@@ -117,7 +116,7 @@
 	struct mh_origin_mesh *o = arg;
 
 	mh_origins_tick(o->origins);
-	o->tick_timer = mh_timer_start(o->k, TICK_US, on_tick, o);
+	mh_timer_set(o->k, &o->tick_timer, TICK_US, on_tick, o);
 }
 
 /* An entry that has just started was told of nothing. */
@@ -175,14 +174,13 @@
 	struct asked *a = arg;
 	int64_t left_us = a->since_us + ASK_US - mh_now(a->o->k);
 
-	a->timer = NULL;
 	if (left_us <= 0) {
 		end_asked(a, 0, MH_ORIGIN_UNKNOWN);
 		return;
 	}
 	a->again = true;
 	send_ask(a);
-	a->timer = mh_timer_start(a->o->k, left_us, on_timeout, a);
+	mh_timer_set(a->o->k, &a->timer, left_us, on_timeout, a);
 }
 
 static void *
@@ -203,7 +201,7 @@
 	}
 	mh_count(o->k, "streams_asked", 1);
 	a->since_us = mh_now(o->k);
-	a->timer = mh_timer_start(o->k, ASK_AGAIN_US, on_timeout, a);
+	mh_timer_set(o->k, &a->timer, ASK_AGAIN_US, on_timeout, a);
 	g_ptr_array_add(o->asked, a);
 	return a;
 }
@@ -276,7 +274,7 @@
 	o->streams = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	o->versions = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	o->asked = g_ptr_array_new_with_free_func(free_asked);
-	o->tick_timer = mh_timer_start(k, TICK_US, on_tick, o);
+	mh_timer_set(k, &o->tick_timer, TICK_US, on_tick, o);
 	mh_origins_set_ops(origins, &ops);
 	mh_mesh_on(m, MH__FRAME__BODY_BEGUN, on_begun, o);
 	mh_mesh_on(m, MH__FRAME__BODY_ORIGIN_ASK, on_ask, o);
--- a/lib/outcome.c
+++ b/lib/outcome.c
@@ -29,7 +29,6 @@
 	struct lookup *l = arg;
 	struct entry *e = l->e;
 
-	l->timer = NULL;
 	refuse_lookup(e, l->caller, 503, "owner-silent",
 	    "The key's owner did not answer.", "Ask again later.");
 	g_hash_table_remove(e->lookups, &l->token);
@@ -92,8 +91,8 @@
 	l->e = e;
 	l->token = mh_next_id(e->k);
 	l->caller = caller;
-	l->timer = mh_timer_start(
-	    e->k, entry_cap_us(e, LOOKUP_US), on_lookup_timeout, l);
+	mh_timer_set(
+	    e->k, &l->timer, entry_cap_us(e, LOOKUP_US), on_lookup_timeout, l);
 	g_hash_table_insert(e->lookups, &l->token, l);
 	m.token = l->token;
 	m.key = (char *)(uintptr_t)key;
--- a/lib/pipe.c
+++ b/lib/pipe.c
@@ -299,7 +299,6 @@
 {
 	struct request *r = arg;
 
-	r->check_timer = NULL;
 	next_try(r, false);
 }
 
@@ -312,9 +311,8 @@
 wait_for_owner(struct request *r)
 {
 	mh_count(r->e->k, "pipe_owner_waits", 1);
-	mh_timer_stop(r->e->k, &r->check_timer);
-	r->check_timer =
-	    mh_timer_start(r->e->k, HANDOVER_WAIT_US, on_owner_wait, r);
+	mh_timer_set(
+	    r->e->k, &r->check_timer, HANDOVER_WAIT_US, on_owner_wait, r);
 }
 
 /*
@@ -533,7 +531,6 @@
 	struct request *r = arg;
 	struct stage_try *last = NULL;
 
-	r->check_timer = NULL;
 	mh_count(r->e->k, "pipe_timeouts", 1);
 	/* If the first call has failed, only the hedge is in flight. */
 	for (int i = MAX_TRIES - 1; i >= 0; i--) {
@@ -587,7 +584,6 @@
 	struct request *r = arg;
 	struct stage_try *t = &r->tries[0];
 
-	r->check_timer = NULL;
 	if (t->call == NULL)
 		return;
 	if (has_budget(r) && too_slow(r, t)) {
@@ -595,7 +591,7 @@
 		fail_try(r, t);
 		return;
 	}
-	r->check_timer = mh_timer_start(r->e->k, PACE_CHECK_US, check_pace, r);
+	mh_timer_set(r->e->k, &r->check_timer, PACE_CHECK_US, check_pace, r);
 }
 
 static void
@@ -603,7 +599,6 @@
 {
 	struct request *r = arg;
 
-	r->hedge_timer = NULL;
 	/* A suspected poison request runs at one endpoint at a time. */
 	if (mh_poison_isolation_hash(
 		r->e->k, r->fingerprint, stage_of(r)->pool) != 0)
@@ -639,20 +634,20 @@
 	if (s->at_most_once)
 		return;
 	if (p->retrying == MH_RETRY_PLAIN) {
-		r->check_timer =
-		    mh_timer_start(r->e->k, p->fixed_timeout_us, on_timeout, r);
+		mh_timer_set(r->e->k, &r->check_timer, p->fixed_timeout_us,
+		    on_timeout, r);
 		return;
 	}
 	if (s->kind == MH_GENERATE) {
-		r->check_timer =
-		    mh_timer_start(r->e->k, PACE_CHECK_US, check_pace, r);
+		mh_timer_set(
+		    r->e->k, &r->check_timer, PACE_CHECK_US, check_pace, r);
 		return;
 	}
-	r->check_timer = mh_timer_start(
-	    r->e->k, MIN(s->timeout_us, stage_budget_us(r)), on_timeout, r);
+	mh_timer_set(r->e->k, &r->check_timer,
+	    MIN(s->timeout_us, stage_budget_us(r)), on_timeout, r);
 	mean = mh_predict_us(r->e->k, s->pool, 0, &dev);
 	if (p->hedge)
-		r->hedge_timer = mh_timer_start(r->e->k,
+		mh_timer_set(r->e->k, &r->hedge_timer,
 		    MAX(mean + HEDGE_DEVS * dev, HEDGE_MIN_US), on_hedge, r);
 }
 
--- a/lib/poison.c
+++ b/lib/poison.c
@@ -682,7 +682,6 @@
 {
 	struct mh_poison *s = arg;
 
-	s->sweep_timer = NULL;
 	s->stale = true;
 	/* They borrow pool names of records that are freed below. */
 	g_hash_table_remove_all(s->evidence);
@@ -704,7 +703,7 @@
 	    0;
 
 	if (any && s->sweep_timer == NULL)
-		s->sweep_timer = mh_timer_start(s->k, SWEEP_US, on_sweep, s);
+		mh_timer_set(s->k, &s->sweep_timer, SWEEP_US, on_sweep, s);
 }
 
 static void
--- a/lib/poisoncrash.c
+++ b/lib/poisoncrash.c
@@ -300,7 +300,6 @@
 	GHashTableIter it;
 	gpointer v;
 
-	s->check_timer = NULL;
 	s->n_pending = 0;
 	g_hash_table_iter_init(&it, s->crashes);
 	while (g_hash_table_iter_next(&it, NULL, &v)) {
@@ -323,8 +322,8 @@
 check_later(struct mh_poison *s)
 {
 	if (s->check_timer == NULL)
-		s->check_timer =
-		    mh_timer_start(s->k, SETTLE_US, on_check_timer, s);
+		mh_timer_set(
+		    s->k, &s->check_timer, SETTLE_US, on_check_timer, s);
 }
 
 /* The others must know, as one of them may be the next to get an answer. */
--- a/lib/poisonmesh.c
+++ b/lib/poisonmesh.c
@@ -132,13 +132,12 @@
 {
 	struct recent *r = arg;
 
-	r->timer = NULL;
 	if (!r->again || !send_state(r->p, r->node)) {
 		g_hash_table_remove(r->p->recent, r->node);
 		return;
 	}
 	r->again = false;
-	r->timer = mh_timer_start(r->p->k, RESEND_US, on_resend, r);
+	mh_timer_set(r->p->k, &r->timer, RESEND_US, on_resend, r);
 }
 
 static void
@@ -156,7 +155,7 @@
 	r = g_new0(struct recent, 1);
 	r->p = p;
 	r->node = g_strdup(node);
-	r->timer = mh_timer_start(p->k, RESEND_US, on_resend, r);
+	mh_timer_set(p->k, &r->timer, RESEND_US, on_resend, r);
 	g_hash_table_insert(p->recent, r->node, r);
 }
 
--- a/lib/roster.c
+++ b/lib/roster.c
@@ -448,7 +448,7 @@
 {
 	struct roster *r = arg;
 
-	r->tick = mh_timer_start(r->k, TICK_US, on_tick, r);
+	mh_timer_set(r->k, &r->tick, TICK_US, on_tick, r);
 	if (r->entry)
 		(void)dial_watchers(r, "config");
 	refresh_list(r);
@@ -675,5 +675,5 @@
 	mh_kern_add(k, "roster", r, handle, destroy);
 	mh_hub_set_handler(k, MH__FRAME__BODY_MEMBERS_ASK, on_members_ask, r);
 	mh_hub_set_handler(k, MH__FRAME__BODY_MEMBERS, on_members, r);
-	r->tick = mh_timer_start(k, 0, on_tick, r);
+	mh_timer_set(k, &r->tick, 0, on_tick, r);
 }
--- a/lib/run.c
+++ b/lib/run.c
@@ -52,7 +52,7 @@
 	struct mh_daemon *d = arg;
 	int64_t elapsed_us = mh_now(d->k) - d->drain_start_us;
 
-	d->drain_timer = mh_timer_start(d->k, DRAIN_CHECK_US, check_drained, d);
+	mh_timer_set(d->k, &d->drain_timer, DRAIN_CHECK_US, check_drained, d);
 	if (elapsed_us < d->ops->min_drain_us)
 		return;
 	if (!is_done(d) && elapsed_us < d->grace_us - EXIT_MARGIN_US)
@@ -78,7 +78,7 @@
 	mh_log(d->k, "daemon", "Draining.");
 	d->drain_start_us = mh_now(d->k);
 	d->ops->drain(d);
-	d->drain_timer = mh_timer_start(d->k, DRAIN_CHECK_US, check_drained, d);
+	mh_timer_set(d->k, &d->drain_timer, DRAIN_CHECK_US, check_drained, d);
 }
 
 static void
--- a/lib/sched.c
+++ b/lib/sched.c
@@ -218,7 +218,7 @@
 	}
 	g_ptr_array_add(sc->jobs, j);
 	if (sc->tick == NULL)
-		sc->tick = mh_timer_start(sc->k, TICK_US, on_tick, sc);
+		mh_timer_set(sc->k, &sc->tick, TICK_US, on_tick, sc);
 	mh_sched_dispatch_all(sc);
 }
 
@@ -619,14 +619,13 @@
 {
 	struct mh_sched *sc = arg;
 
-	sc->tick = NULL;
 	check_batches(sc);
 	check_jobs(sc);
 	hand_off_draining(sc);
 	decay_slowdowns(sc);
 	mh_sched_dispatch_all(sc);
 	if (sc->jobs->len > 0 || g_hash_table_size(sc->batches) > 0)
-		sc->tick = mh_timer_start(sc->k, TICK_US, on_tick, sc);
+		mh_timer_set(sc->k, &sc->tick, TICK_US, on_tick, sc);
 }
 
 static void
--- a/lib/schedrun.c
+++ b/lib/schedrun.c
@@ -353,7 +353,6 @@
 	struct mh_batch *b = arg;
 	struct mh_sched *sc = b->sched;
 
-	b->read_timer = NULL;
 	b->inputs_freed = true;
 	for (guint i = 0; i < b->items->len; i++) {
 		const struct mh_batch_item *m =
@@ -535,8 +534,8 @@
 	log_batch(sc, b, w, ready);
 	b->sched = sc;
 	if (starts_at_once(sc, p, w, b))
-		b->read_timer =
-		    mh_timer_start(sc->k, READ_INPUTS_US, on_inputs_read, b);
+		mh_timer_set(
+		    sc->k, &b->read_timer, READ_INPUTS_US, on_inputs_read, b);
 	sc->ops.run(sc->ops.arg, b);
 }
 
--- a/lib/side.c
+++ b/lib/side.c
@@ -279,7 +279,7 @@
 	struct side *s = arg;
 	struct mh_decl *d = mh_conf_get(s->k);
 
-	s->tick = mh_timer_start(s->k, TICK_US, on_tick, s);
+	mh_timer_set(s->k, &s->tick, TICK_US, on_tick, s);
 	drop_expired_calls(s);
 	if (s->draining && mh_now(s->k) >= s->drain_deadline_us)
 		side_abort_runs(s);
@@ -444,5 +444,5 @@
 	mh_hub_set_handler(k, MH__FRAME__BODY_CANCEL, on_cancel, s);
 	mh_hub_set_handler(k, MH__FRAME__BODY_LOOKUP, on_lookup, s);
 	mh_hub_set_handler(k, MH__FRAME__BODY_ORDER, on_order, s);
-	s->tick = mh_timer_start(k, TICK_US, on_tick, s);
+	mh_timer_set(k, &s->tick, TICK_US, on_tick, s);
 }
--- a/marlstand/engine.c
+++ b/marlstand/engine.c
@@ -119,7 +119,7 @@
 	if (g->step_timer != NULL ||
 	    (g->running->len == 0 && g->waiting->len == 0))
 		return;
-	g->step_timer = mh_timer_start(g->e->w->k, g->step_us, on_step, g);
+	mh_timer_set(g->e->w->k, &g->step_timer, g->step_us, on_step, g);
 }
 
 static struct seq *
@@ -232,7 +232,6 @@
 	const struct spec *sp = &g->e->spec;
 	int64_t prefill;
 
-	g->step_timer = NULL;
 	for (guint i = 0; i < g->running->len;) {
 		if (emit_token(g, g->running->pdata[i]))
 			i++;
--- a/marlstand/kvstand.c
+++ b/marlstand/kvstand.c
@@ -108,7 +108,6 @@
 	struct platform *p = h->p;
 	struct mh_http_req *r = mh_httpd_find(p->w->ctl, h->req);
 
-	h->timer = NULL;
 	if (r != NULL)
 		reply_get(p, r, h->name);
 	g_hash_table_remove(p->delayed, &h->req);
@@ -125,7 +124,7 @@
 	h->name = g_strdup(name);
 	h->index = index;
 	h->watch = watch;
-	h->timer = mh_timer_start(p->w->k, us, reply_delayed, h);
+	mh_timer_set(p->w->k, &h->timer, us, reply_delayed, h);
 	g_hash_table_insert(p->delayed, &h->req, h);
 }
 
@@ -228,7 +227,6 @@
 {
 	struct platform *p = arg;
 
-	p->lag_timer = NULL;
 	g_free(p->vms);
 	p->vms = p->vms_next;
 	p->vms_next = NULL;
@@ -243,8 +241,7 @@
 	g_free(p->vms_next);
 	p->vms_next = g_strndup(data, len);
 	if (p->lag_timer == NULL)
-		p->lag_timer =
-		    mh_timer_start(p->w->k, p->lag_us, publish_vms, p);
+		mh_timer_set(p->w->k, &p->lag_timer, p->lag_us, publish_vms, p);
 }
 
 static void
--- a/marlstand/pool.c
+++ b/marlstand/pool.c
@@ -160,7 +160,6 @@
 {
 	struct endpoint *e = arg;
 
-	e->crash_timer = NULL;
 	endpoint_fault(e, FAULT_NONE, 1);
 }
 
@@ -170,8 +169,7 @@
 	struct endpoint *e = arg;
 
 	endpoint_fault(e, FAULT_DEAD, 1);
-	e->crash_timer =
-	    mh_timer_start(e->w->k, RESTART_DELAY_US, on_restart, e);
+	mh_timer_set(e->w->k, &e->crash_timer, RESTART_DELAY_US, on_restart, e);
 }
 
 bool
@@ -181,8 +179,8 @@
 		return false;
 	if (e->crash_timer == NULL) {
 		e->crashes++;
-		e->crash_timer =
-		    mh_timer_start(e->w->k, CRASH_DELAY_US, on_crash, e);
+		mh_timer_set(
+		    e->w->k, &e->crash_timer, CRASH_DELAY_US, on_crash, e);
 	}
 	return true;
 }
--- a/regress/entwork.c
+++ b/regress/entwork.c
@@ -33,7 +33,6 @@
 	struct mh_batch *b = c->b;
 	enum mh_batch_end end = c->end;
 
-	c->timer = NULL;
 	b->call = NULL;
 	g_ptr_array_remove(c->e->running, c);
 	mh_sched_batch_end(b->sched, b, end);
@@ -47,7 +46,7 @@
 	c->e = e;
 	c->b = b;
 	c->end = end;
-	c->timer = mh_timer_start(e->m->k,
+	mh_timer_set(e->m->k, &c->timer,
 	    end == MH_BATCH_FULL ? FULL_US : e->call_us, on_call_end, c);
 	b->call = c;
 	g_ptr_array_add(e->running, c);
--- a/regress/gaterig.c
+++ b/regress/gaterig.c
@@ -82,7 +82,6 @@
 {
 	struct grig *r = arg;
 
-	r->start_timer = NULL;
 	mh_gate_confirmed(r->g, r->asking, r->start_ms);
 }
 
@@ -94,8 +93,8 @@
 	(void)n;
 	r->starts_asked++;
 	r->asking = q;
-	r->start_timer =
-	    mh_timer_start(r->k, r->start_ms == 0 ? 300 * MS : 1, on_start, r);
+	mh_timer_set(r->k, &r->start_timer, r->start_ms == 0 ? 300 * MS : 1,
+	    on_start, r);
 	return r;
 }
 
--- a/regress/streamrig.c
+++ b/regress/streamrig.c
@@ -179,7 +179,7 @@
 static void
 schedule_send(struct endpoint_conn *c)
 {
-	c->timer = mh_timer_start(c->rig->k, next_pause_us(c), on_send, c);
+	mh_timer_set(c->rig->k, &c->timer, next_pause_us(c), on_send, c);
 }
 
 static size_t
@@ -201,7 +201,6 @@
 				 : send(c->fd, c->out->str + c->sent, n,
 				       MSG_NOSIGNAL | MSG_DONTWAIT);
 
-	c->timer = NULL;
 	if (written < 0 && errno != EAGAIN) {
 		endpoint_conn_close(c);
 		return;
@@ -455,7 +454,7 @@
 	l->current++;
 	if (l->current == l->n_sessions)
 		close_caller(l);
-	l->timer = mh_timer_start(r->k, 0, next_session, l);
+	mh_timer_set(r->k, &l->timer, 0, next_session, l);
 }
 
 static void
@@ -463,7 +462,6 @@
 {
 	struct stream_lane *l = arg;
 
-	l->timer = NULL;
 	end_session(l);
 }
 
@@ -487,8 +485,8 @@
 		s->hung_up = s->close_after_bytes > 0 && !s->complete &&
 		    s->raw->len >= s->close_after_bytes;
 		if (s->complete && l->timer == NULL)
-			l->timer = mh_timer_start(
-			    l->rig->k, STRAY_WAIT_US, on_stray_timeout, l);
+			mh_timer_set(l->rig->k, &l->timer, STRAY_WAIT_US,
+			    on_stray_timeout, l);
 		if (!s->hung_up && (s->stray_bytes == 0 || s->complete))
 			return true;
 	}
@@ -511,10 +509,9 @@
 {
 	struct stream_lane *l = arg;
 
-	l->timer = NULL;
 	if (read_caller(l) && l->timer == NULL)
-		l->timer =
-		    mh_timer_start(l->rig->k, READ_PAUSE_US, on_slow_read, l);
+		mh_timer_set(
+		    l->rig->k, &l->timer, READ_PAUSE_US, on_slow_read, l);
 }
 
 static void
@@ -553,7 +550,6 @@
 	struct stream_session *s;
 	char *text;
 
-	l->timer = NULL;
 	if (l->current == l->n_sessions) {
 		r->ended++;
 		if (r->ended == r->lanes->len)
@@ -571,7 +567,7 @@
 	g_free(text);
 	if (s->read_bytes > 0) {
 		mh_loop_fd(r->loop, l->fd, false, false, on_caller, l);
-		l->timer = mh_timer_start(r->k, 0, on_slow_read, l);
+		mh_timer_set(r->k, &l->timer, 0, on_slow_read, l);
 	} else
 		mh_loop_fd(r->loop, l->fd, true, false, on_caller, l);
 }
@@ -649,14 +645,13 @@
 {
 	struct stream_rig *r = arg;
 
-	r->start_timer = NULL;
 	if (r->started == r->lanes->len)
 		return;
 	for (uint32_t i = 0; i < LANES_PER_START &&
 	     r->started < r->lanes->len && r->started - r->ended < r->max_open;
 	     i++)
 		next_session(g_ptr_array_index(r->lanes, r->started++));
-	r->start_timer = mh_timer_start(r->k, 500, start_lanes, r);
+	mh_timer_set(r->k, &r->start_timer, 500, start_lanes, r);
 }
 
 bool
--- a/regress/t_adapter.c
+++ b/regress/t_adapter.c
@@ -140,7 +140,6 @@
 {
 	struct rig *g = arg;
 
-	g->timeout = NULL;
 	g->timed_out = true;
 	mh_loop_stop(g->loop);
 }
@@ -162,7 +161,7 @@
 	snprintf(g->url, sizeof(g->url), "http://127.0.0.1:%u",
 	    mh_httpd_port(g->httpd));
 	g->body = g_string_new(NULL);
-	g->timeout = mh_timer_start(g->k, TIMEOUT_US, on_timeout, g);
+	mh_timer_set(g->k, &g->timeout, TIMEOUT_US, on_timeout, g);
 }
 
 static void
--- a/regress/t_drain.c
+++ b/regress/t_drain.c
@@ -492,7 +492,6 @@
 {
 	struct port *p = arg;
 
-	p->timeout = NULL;
 	mh_loop_stop(p->loop);
 }
 
@@ -521,8 +520,8 @@
 		mh_loop_fd(p.loop, p.fd[i], true, false, on_answer, &p);
 	}
 	mh_httpd_stop(p.h);
-	p.timeout = mh_timer_start(
-	    p.k, CHILD_TIMEOUT_MS * MH_US_PER_MS, on_timeout, &p);
+	mh_timer_set(
+	    p.k, &p.timeout, CHILD_TIMEOUT_MS * MH_US_PER_MS, on_timeout, &p);
 	mh_loop_run(p.loop);
 	CU_ASSERT_EQUAL(p.closed, WAITING);
 	CU_ASSERT_EQUAL(p.answered, WAITING);
--- a/regress/t_kern.c
+++ b/regress/t_kern.c
@@ -42,7 +42,7 @@
 
 	mh_timer_start(p.k, 20, fire_a, &p);
 	mh_timer_start(p.k, 10, fire_b, &p);
-	p.t = mh_timer_start(p.k, 15, fire_a, &p);
+	mh_timer_set(p.k, &p.t, 15, fire_a, &p);
 	CU_ASSERT_EQUAL(mh_kern_next_us(p.k), 10);
 	mh_kern_advance(p.k, 30, 0);
 	CU_ASSERT_EQUAL(p.n, 2);
@@ -52,6 +52,23 @@
 	mh_kern_destroy(p.k);
 }
 
+/* Guards against a timer that is replaced and yet fires. */
+static void
+test_timer_set_again(void)
+{
+	struct probe p = { .k = mh_kern_create(1) };
+
+	mh_timer_set(p.k, &p.t, 10, fire_b, &p);
+	mh_timer_set(p.k, &p.t, 20, fire_a, &p);
+	CU_ASSERT_EQUAL(mh_kern_next_us(p.k), 20);
+	mh_kern_advance(p.k, 30, 0);
+	CU_ASSERT_EQUAL(p.n, 1);
+	CU_ASSERT_EQUAL(p.order[0], 1);
+	CU_ASSERT_PTR_NULL(p.t);
+	CU_ASSERT_EQUAL(mh_kern_next_us(p.k), -1);
+	mh_kern_destroy(p.k);
+}
+
 /*
  * The platform sets the clock of a VM back.  If the kernel's time followed,
  * timers would stop, deadlines would move and requests would hang.
@@ -87,7 +104,6 @@
 {
 	struct stall *s = arg;
 
-	s->timer = NULL;
 	s->reads_before = s->reads;
 	mh_loop_stop(s->l);
 }
@@ -119,7 +135,7 @@
 	s->l = mh_loop_create(s->k, NULL);
 	CU_ASSERT_EQUAL(pipe(s->pipe), 0);
 	mh_loop_fd(s->l, s->pipe[0], true, false, on_stall_pipe, s);
-	s->timer = mh_timer_start(s->k, STALL_TIMER_US, on_stall_timer, s);
+	mh_timer_set(s->k, &s->timer, STALL_TIMER_US, on_stall_timer, s);
 }
 
 static void
@@ -435,6 +451,7 @@
 
 const struct test tests_kern[] = {
 	{ "timers_in_order", test_timers_in_order },
+	{ "timer set again", test_timer_set_again },
 	{ "time_never_goes_back", test_time_never_goes_back },
 	{ "loop: input before timers", test_input_before_timers },
 	{ "loop: slow input before timers", test_slow_input_before_timers },
--- a/regress/t_relay.c
+++ b/regress/t_relay.c
@@ -186,8 +186,8 @@
 	struct session *p = s->r->p;
 
 	if (s->timer == NULL && (s->out->len > 0 || s->ended))
-		s->timer = mh_timer_start(
-		    p->k, g_rand_int_range(p->rand, 0, 300), on_timer, s);
+		mh_timer_set(p->k, &s->timer, g_rand_int_range(p->rand, 0, 300),
+		    on_timer, s);
 }
 
 /* Sends some of the buffered bytes; returns false if the relay was closed. */
@@ -223,7 +223,6 @@
 {
 	struct side *s = arg;
 
-	s->timer = NULL;
 	if (s->out->len > 0 && !send_some(s))
 		return;
 	if (s->out->len == 0 && s->ended) {
@@ -296,13 +295,12 @@
 	size_t n = MIN(half - a->off, part);
 	char *bytes = body_of(a->plan.n, a->plan.response_bytes);
 
-	a->timer = NULL;
 	mh_hreq_write(a->q, bytes + a->off, n);
 	g_free(bytes);
 	a->off += n;
 	if (a->off < half) {
-		a->timer = mh_timer_start(
-		    p->k, g_rand_int_range(p->rand, 0, 300), write_part, a);
+		mh_timer_set(p->k, &a->timer, g_rand_int_range(p->rand, 0, 300),
+		    write_part, a);
 		return;
 	}
 	if (a->plan.aborts)
--- a/regress/t_slow.c
+++ b/regress/t_slow.c
@@ -78,14 +78,13 @@
 	size_t from = len * s->done / s->p.count;
 	size_t to = len * (s->done + 1) / s->p.count;
 
-	s->timer = NULL;
 	mh_hreq_write(s->q, s->text + from, to - from);
 	s->done++;
 	if (s->done == s->p.count) {
 		mh_hreq_end(s->q);
 		g_ptr_array_remove(s->r->sending, s);
 	} else if (s->done != s->p.silent_after) {
-		s->timer = mh_timer_start(s->r->k, PIECE_US, send_piece, s);
+		mh_timer_set(s->r->k, &s->timer, PIECE_US, send_piece, s);
 	}
 }
 
@@ -179,7 +178,7 @@
 	plat_view_rows_unchanged(r->view, 0);
 	if (r->confirmed)
 		plat_view_conf_unchanged(r->view, 0);
-	r->peer_timer = mh_timer_start(r->k, PEER_US, on_peer, r);
+	mh_timer_set(r->k, &r->peer_timer, PEER_US, on_peer, r);
 }
 
 static void
@@ -213,7 +212,7 @@
 	r->store = plat_store_create(r->k, r->calls, addr);
 	r->view = plat_view_create(r->k, r->store, r->fleet, &fns);
 	if (r->relies)
-		r->peer_timer = mh_timer_start(r->k, PEER_US, on_peer, r);
+		mh_timer_set(r->k, &r->peer_timer, PEER_US, on_peer, r);
 	if (r->later != NULL)
 		mh_timer_start(r->k, CHANGE_US, on_change, r);
 	/* As at every start, one call finds out that the store answers. */
--- a/regress/t_wire.c
+++ b/regress/t_wire.c
@@ -132,13 +132,12 @@
 	size_t remaining = r->script->len - r->sent;
 	size_t n = r->step == 0 ? remaining : MIN(remaining, r->step);
 
-	r->send_timer = NULL;
 	if (n > 0 &&
 	    send(r->peer_fd, r->script->str + r->sent, n, MSG_NOSIGNAL) < 0)
 		return;
 	r->sent += n;
 	if (r->sent < r->script->len)
-		r->send_timer = mh_timer_start(r->k, 0, send_more, r);
+		mh_timer_set(r->k, &r->send_timer, 0, send_more, r);
 	else if (r->peer_end != STAY)
 		end_peer(r, r->peer_end);
 }
--- a/regress/tcp.c
+++ b/regress/tcp.c
@@ -49,7 +49,6 @@
 {
 	struct timeout *m = arg;
 
-	m->timer = NULL;
 	m->expired = true;
 	mh_loop_stop(m->l);
 }
@@ -59,7 +58,7 @@
 {
 	struct timeout m = { .l = l };
 
-	m.timer = mh_timer_start(k, timeout_us, on_timeout, &m);
+	mh_timer_set(k, &m.timer, timeout_us, on_timeout, &m);
 	mh_loop_run(l);
 	mh_timer_stop(k, &m.timer);
 	return !m.expired;
--- a/regress/world.c
+++ b/regress/world.c
@@ -54,9 +54,8 @@
 	struct wnode *n = call->n;
 	enum mh_batch_end end = MH_BATCH_DONE;
 
-	call->end_timer = NULL;
 	if (n->silent_until_us > mh_now(w->k)) {
-		call->end_timer = mh_timer_start(w->k,
+		mh_timer_set(w->k, &call->end_timer,
 		    n->silent_until_us + STEP_US - mh_now(w->k), on_done, call);
 		return;
 	}
@@ -92,7 +91,6 @@
 	struct world *w = call->w;
 	struct mh_batch *b = call->b;
 
-	call->end_timer = NULL;
 	b->call = NULL;
 	free_call(w, call);
 	mh_sched_batch_end(b->sched, b, MH_BATCH_FULL);
@@ -116,7 +114,6 @@
 {
 	struct wcall *call = arg;
 
-	call->start_timer = NULL;
 	for (guint i = 0; i < call->inputs->len; i++) {
 		if (!g_hash_table_contains(
 			call->w->live, g_ptr_array_index(call->inputs, i)))
@@ -158,7 +155,6 @@
 	struct wcall *call = arg;
 	struct mh_batch *b = call->b;
 
-	call->end_timer = NULL;
 	b->call = NULL;
 	b->conn_lost = call->crashes;
 	free_call(call->w, call);
@@ -195,16 +191,15 @@
 	b->call = call;
 	g_ptr_array_add(w->calls, call);
 	if (refused) {
-		call->end_timer =
-		    mh_timer_start(w->k, STEP_US, on_refused, call);
+		mh_timer_set(w->k, &call->end_timer, STEP_US, on_refused, call);
 		return;
 	}
 	if (n->crashed || is_poison(w, b)) {
 		call->crashes = !n->crashed;
 		w->crashes += call->crashes;
 		n->crashed = true;
-		call->end_timer = mh_timer_start(
-		    w->k, call->crashes ? CRASH_US : STEP_US, on_crash, call);
+		mh_timer_set(w->k, &call->end_timer,
+		    call->crashes ? CRASH_US : STEP_US, on_crash, call);
 		return;
 	}
 	n->calls++;
@@ -216,12 +211,12 @@
 			     p->work.item_us * b->items->len) *
 	    n->slowdown);
 	n->busy_until_us = MAX(n->busy_until_us, MAX(n->silent_until_us, now));
-	call->start_timer = mh_timer_start(
-	    w->k, n->busy_until_us - now + FETCH_US, on_start, call);
+	mh_timer_set(w->k, &call->start_timer,
+	    n->busy_until_us - now + FETCH_US, on_start, call);
 	n->busy_until_us += took;
 	if (!n->loses_answers)
-		call->end_timer =
-		    mh_timer_start(w->k, n->busy_until_us - now, on_done, call);
+		mh_timer_set(w->k, &call->end_timer, n->busy_until_us - now,
+		    on_done, call);
 }
 
 static void
