--- a/regress/t_endless.c
+++ b/regress/t_endless.c
@@ -389,10 +389,122 @@
 	}
 }
 
+#define CALLERS 24
+
+/** struct callers - requests that are open at once. */
+struct callers {
+	struct frig *r;
+	int fds[CALLERS];
+	GString *answers[CALLERS];
+	uint32_t open;
+	size_t peak_bytes; /* buffered by the front */
+	struct mh_timer *timer;
+};
+
+static void
+on_look(void *arg)
+{
+	struct callers *c = arg;
+
+	c->peak_bytes =
+	    MAX(c->peak_bytes, plat_front_buffered_bytes(c->r->front));
+	mh_timer_set(c->r->k, &c->timer, MS, on_look, c);
+}
+
+static void
+on_caller(void *arg, bool readable, bool writable)
+{
+	struct callers *c = arg;
+	char buf[16384];
+
+	(void)readable;
+	(void)writable;
+	for (int i = 0; i < CALLERS; i++) {
+		ssize_t n;
+
+		if (c->fds[i] < 0)
+			continue;
+		n = recv(c->fds[i], buf, sizeof(buf), MSG_DONTWAIT);
+		if (n > 0)
+			g_string_append_len(c->answers[i], buf, n);
+		if (n > 0 || (n < 0 && errno == EAGAIN))
+			continue;
+		mh_loop_fd_close(c->r->loop, c->fds[i]);
+		close(c->fds[i]);
+		c->fds[i] = -1;
+		if (--c->open == 0)
+			mh_loop_stop(c->r->loop);
+	}
+}
+
+static void
+ask_all(struct callers *c, const char *text)
+{
+	uint16_t port = mh_hserve_port(plat_front_server(c->r->front));
+
+	for (int i = 0; i < CALLERS; i++) {
+		c->fds[i] = tcp_dial(port);
+		c->answers[i] = g_string_new(NULL);
+		CU_ASSERT(
+		    send(c->fds[i], text, strlen(text), MSG_NOSIGNAL) > 0);
+		mh_loop_fd(c->r->loop, c->fds[i], true, false, on_caller, c);
+		c->open++;
+	}
+	on_look(c);
+	CU_ASSERT_TRUE(run_with_timeout(c->r->k, c->r->loop, TEST_MAX_US));
+	mh_timer_stop(c->r->k, &c->timer);
+}
+
+/*
+ * Guards against memory used up by endpoints whose answers never end, and
+ * against a byte of them that reaches a caller.
+ */
+static void
+test_front(void)
+{
+	static const struct {
+		const char *head;
+		const char *unit;
+		const char *status; /* "": a part of it may go out */
+	} t[] = {
+		{ HEAD "X-Response-Stamp: s\r\nX-A: ", "@", "502" },
+		{ HEAD "X-Response-Stamp: s\r\n\r\n", "@", "502" },
+		{ HEAD "X-Response-Stamp: s\r\n"
+		       "Transfer-Encoding: chunked\r\n\r\n",
+		    "4\r\n@@@@\r\n", "502" },
+		{ HEAD "X-Response-Stamp: s\r\n"
+		       "Content-Type: text/event-stream\r\n\r\ndata: ",
+		    "@", "" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(t); i++) {
+		struct endless e = {
+			.head = t[i].head, .unit = t[i].unit, .waits = true
+		};
+		struct callers c = { .r = frig_create() };
+
+		endless_start(&e);
+		g_strlcpy(c.r->addr, e.addr, sizeof(c.r->addr));
+		frig_list(c.r, "i-3", "i-4");
+		ask_all(&c, "GET /confirm/1 HTTP/1.1\r\n" CALLER "\r\n");
+		for (int n = 0; n < CALLERS; n++) {
+			CU_ASSERT_PTR_NULL(strchr(c.answers[n]->str, '@'));
+			CU_ASSERT_PTR_NOT_NULL(
+			    strstr(c.answers[n]->str, t[i].status));
+			g_string_free(c.answers[n], TRUE);
+		}
+		CU_ASSERT(c.peak_bytes <= (size_t)65 << 20);
+		CU_ASSERT_EQUAL(plat_front_buffered_bytes(c.r->front), 0);
+		frig_destroy(c.r);
+		endless_stop(&e);
+	}
+}
+
 const struct test tests_endless[] = {
 	{ "endless: calls", test_calls },
 	{ "endless: a second answer without a reader",
 	    test_second_answer_without_reader },
 	{ "endless: JSON", test_json },
+	{ "endless: answers to many callers", test_front },
 	{ NULL, NULL },
 };
