Links: a hello is short, and a frame must end

What callers saw: nothing yet; anybody who connects could have an entry keep 4 MB for two seconds, each connection anew, without a proof. A frame that came a byte at a time kept its link for ever as one that makes progress.

Cause: one length for all frames, and no limit of time for one.

Change: before the peer has proved its secret a frame has at most 4 KB; a frame of a proved peer must be whole in 10 s (4 MB take 3.4 s at 10 Mbit/s), or the link ends.

Ruled out: malformed frames, which end a link already; a hello a byte at a time, which ends after 2 s already.

Conclusion: bounded in memory and time.

--- a/lib/link.c
+++ b/lib/link.c
@@ -22,6 +22,10 @@
 /* Smaller frames arrive whole within milliseconds on any link in use. */
 #define LARGE_FRAME_BYTES 8192
 #define HANDSHAKE_TIMEOUT_US (2 * MH_US_PER_S)
+/* A hello holds a few names. */
+#define HANDSHAKE_MAX_FRAME 4096
+/* The largest frame takes a third of this over a link of 10 Mbit/s. */
+#define FRAME_TIMEOUT_US (10 * MH_US_PER_S)
 #define BACKLOG 1024
 
 struct conn {
@@ -39,7 +43,7 @@
 	Mh__Frame *hello; /* the peer's */
 	GByteArray *in;
 	GByteArray *out;
-	struct mh_timer *timer;
+	struct mh_timer *timer; /* limits the handshake, then a frame */
 };
 
 struct link {
@@ -340,6 +344,30 @@
 	    (uint32_t)p[2] << 8 | p[3];
 }
 
+static void
+on_late_frame(void *arg)
+{
+	struct conn *c = arg;
+
+	mh_count(c->l->k, "link_frames_late", 1);
+	mh_log(c->l->k, "link",
+	    "Closed a link: a frame of %u bytes was not whole in time, %u "
+	    "bytes had come.",
+	    frame_len(c->in, 0), c->in->len);
+	drop(c);
+}
+
+/* Limits the time of a frame that has come in part; @is_next: just now. */
+static void
+limit_frame(struct conn *c, bool is_next)
+{
+	if (is_next || c->in->len == 0)
+		mh_timer_stop(c->l->k, &c->timer);
+	if (c->in->len > 0 && c->timer == NULL)
+		mh_timer_set(
+		    c->l->k, &c->timer, FRAME_TIMEOUT_US, on_late_frame, c);
+}
+
 static bool
 process_input(struct conn *c)
 {
@@ -350,8 +378,10 @@
 		const uint8_t *p = c->in->data + at;
 		uint32_t len = frame_len(c->in, at);
 
-		if (len > MH_MAX_FRAME)
+		if (len > (c->up ? MH_MAX_FRAME : HANDSHAKE_MAX_FRAME)) {
+			mh_count(c->l->k, "link_frames_too_long", 1);
 			return false;
+		}
 		if (c->in->len - at - LEN_BYTES < len)
 			break;
 		ok = take_frame(c, p + LEN_BYTES, len);
@@ -359,6 +389,8 @@
 	}
 	if (at > 0)
 		g_byte_array_remove_range(c->in, 0, (guint)at);
+	if (ok && c->up)
+		limit_frame(c, at > 0);
 	if (ok && c->up && frame_len(c->in, 0) >= LARGE_FRAME_BYTES)
 		post_rx_progress(c);
 	return ok;
--- a/regress/t_adapter.c
+++ b/regress/t_adapter.c
@@ -979,6 +979,64 @@
 	close_end(&peer);
 }
 
+/* Guards against memory and time for a peer that proves nothing. */
+static void
+test_link_endless_hello(void)
+{
+	/* at full speed, and a byte at a time */
+	for (int slow = 0; slow < 2; slow++) {
+		const uint8_t head[] = { 0, slow ? 0 : 0x3f, 0x0f, 0xff };
+		int64_t start = g_get_monotonic_time();
+		uint8_t bytes[4096] = { 0 };
+		struct link_end us;
+		size_t sent = 0;
+		ssize_t n;
+		int fd;
+
+		open_end(&us, "us");
+		fd = tcp_dial(mh_link_port(us.loop));
+		CU_ASSERT(send(fd, head, 4, MSG_NOSIGNAL) > 0);
+		do {
+			n = send(fd, bytes, slow ? 1 : sizeof(bytes),
+			    MSG_NOSIGNAL | MSG_DONTWAIT);
+			sent += n > 0 ? (size_t)n : 0;
+			run_end(&us);
+		} while ((n > 0 || errno == EAGAIN) &&
+		    g_get_monotonic_time() - start < TIMEOUT_US);
+		CU_ASSERT(n < 0 && errno != EAGAIN);
+		CU_ASSERT(sent < 16 * sizeof(bytes));
+		CU_ASSERT_EQUAL(
+		    mh_counter(us.k, "link_frames_too_long"), !slow);
+		close(fd);
+		close_end(&us);
+	}
+}
+
+/* Guards against a link that is kept for a frame that never ends. */
+static void
+test_link_endless_frame(void)
+{
+	struct link_end us, peer;
+
+	link_ends(&us, &peer);
+	while (peer.conn == 0)
+		run_end(&peer);
+	/* Its loop stops then: only a part of the frame is sent. */
+	send_bytes(&peer, MH_MAX_FRAME);
+	run_end(&peer);
+	run_end(&us);
+	run_end(&us);
+	CU_ASSERT_EQUAL(us.frames, 0);
+	CU_ASSERT_FALSE(us.down);
+	mh_kern_advance(
+	    us.k, g_get_monotonic_time() + 11 * MH_US_PER_S, g_get_real_time());
+	run_end(&us);
+	CU_ASSERT_TRUE(us.down);
+	CU_ASSERT_EQUAL(mh_counter(us.k, "link_frames_late"), 1);
+	close_end(&us);
+	close_end(&peer);
+}
+
 /* Guards against unbounded buffers for a peer that does not read. */
 static void
 test_link_to_peer_that_does_not_read(void)
@@ -1018,6 +1076,8 @@
 	{ "caller_disconnect_is_noticed", test_caller_disconnect_is_noticed },
 	{ "link", test_link },
 	{ "link: part of a large frame", test_link_part_of_a_frame },
+	{ "link: a hello without end", test_link_endless_hello },
+	{ "link: a frame without end", test_link_endless_frame },
 	{ "link_to_peer_that_does_not_read",
 	    test_link_to_peer_that_does_not_read },
 	{ NULL, NULL },
