Gateway: a configuration that names organisations lets nobody in without a key

Cause: find_org() took a table without keys for a configuration that names no organisations. What the configuration doesn't say was read as a permission.

An empty key is no key. A key that two organisations have lets nobody in, as the requests would run under either.

Ruled out: refusing such a configuration, as the one before, with the keys that were taken away, would stay in force.

Not done: the soak doesn't play a configuration without keys. Conclusion: closed where in doubt.

--- a/lib/gate.h
+++ b/lib/gate.h
@@ -113,7 +113,9 @@
 	uint64_t version;
 	GPtrArray *routes; /* struct mh_groute */
 	GHashTable *pools; /* name -> struct mh_gpool */
-	GHashTable *keys; /* key -> struct mh_gorg, not owned */
+	/* key -> struct mh_gorg, not owned; NULL: two have it, nobody may */
+	GHashTable *keys;
+	bool needs_key; /* it names organisations, though they may have none */
 	GPtrArray *orgs; /* struct mh_gorg */
 	struct mh_hlimits limits;
 };
--- a/lib/gateadmit.c
+++ b/lib/gateadmit.c
@@ -33,10 +33,11 @@
 	return MAX(us, TIMEOUT_MIN_US) * TIMEOUT_PERCENT / 100;
 }
 
+/* Only a configuration that names no organisations lets everybody in. */
 static bool
 find_org(struct mh_gate *g, struct mh_greq *q)
 {
-	if (g_hash_table_size(g->conf->keys) == 0)
+	if (!g->conf->needs_key && g_hash_table_size(g->conf->keys) == 0)
 		return true;
 	if (q->key != NULL)
 		q->org = g_hash_table_lookup(g->conf->keys, q->key);
--- a/regress/t_platform.c
+++ b/regress/t_platform.c
@@ -5,6 +5,7 @@
  */
 
 #include "platform.h"
+#include "gaterig.h"
 #include "regress.h"
 
 #include <string.h>
@@ -486,6 +487,66 @@
 	    plat_report_decode(NULL, &(struct mh_work_report) { 0 }));
 }
 
+/* Guards against requests let in by a configuration without a key. */
+static void
+test_keys_taken_away(void)
+{
+	static const struct {
+		const char *tenants;
+		const char *key; /* NULL: none */
+		enum mh_gate_refusal why; /* MH_NO_ENDPOINT: let in */
+	} t[] = {
+		{ "", NULL, MH_NO_ENDPOINT },
+		{ "", "k", MH_NO_ENDPOINT },
+		{ ",\"tenants\":[]", NULL, MH_BAD_KEY },
+		{ ",\"tenants\":null", "k", MH_BAD_KEY },
+		{ ",\"tenants\":{}", "k", MH_BAD_KEY },
+		{ ",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[]}]", "k",
+		    MH_BAD_KEY },
+		{ ",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[]}]", NULL,
+		    MH_BAD_KEY },
+		{ ",\"tenants\":[{\"name\":\"a\"}]", "k", MH_BAD_KEY },
+		{ ",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"\"]}]", "",
+		    MH_BAD_KEY },
+		{ ",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\",\"k\"]}]",
+		    "k", MH_NO_ENDPOINT },
+		{ ",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\"]},"
+		  "{\"name\":\"b\",\"apiKeys\":[\"k\",\"l\"]},"
+		  "{\"name\":\"c\",\"apiKeys\":[\"k\"]}]",
+		    "k", MH_BAD_KEY },
+		{ ",\"tenants\":[{\"name\":\"a\",\"apiKeys\":[\"k\"]},"
+		  "{\"name\":\"b\",\"apiKeys\":[\"k\",\"l\"]}]",
+		    "l", MH_NO_ENDPOINT },
+	};
+	/* decoded in parts and as a whole */
+	static const char *const lists[] = { "routes", "rout\\u0065s" };
+
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(t); i++) {
+		struct grig *r = grig_create(0);
+		char *text = g_strdup_printf(
+		    "{\"%s\":[{\"name\":\"r\",\"host\":\"h.example\","
+		    "\"pathPrefix\":\"/r/\",\"kind\":\"safe\","
+		    "\"service\":\"s\"}]%s}",
+		    lists[i % 2], t[i / 2].tenants);
+		struct mh_gconf *c =
+		    plat_conf_decode(text, strlen(text), NULL, NULL);
+		struct mh_greq *q = mh_greq_create("id");
+
+		CU_ASSERT_PTR_NOT_NULL_FATAL(c);
+		mh_gate_conf(r->g, c);
+		mh_gconf_unref(c);
+		q->host = g_strdup("h.example");
+		q->target = "/r/x";
+		q->key = g_strdup(t[i / 2].key);
+		g_ptr_array_add(r->open, q);
+		mh_gate_admit(r->g, q);
+		CU_ASSERT_EQUAL(r->refused, 1);
+		CU_ASSERT_EQUAL(r->why, t[i / 2].why);
+		g_free(text);
+		grig_destroy(r);
+	}
+}
+
 const struct test tests_platform[] = {
 	{ "settings: decoding", test_settings },
 	{ "settings: errors name the field", test_bad_settings },
@@ -495,6 +556,7 @@
 	    test_conf_shares_routes },
 	{ "configuration: decoded in parts and as a whole",
 	    test_conf_in_parts },
+	{ "configuration: keys taken away", test_keys_taken_away },
 	{ "responses: decoding of heads", test_heads },
 	{ "responses: load", test_load },
 	{ "responses: slowdown in the load header", test_pace },
