Timers: one way to add one

The analyzer took a timer without an owner for a leak. The kernel keeps a pointer to the latest of them; each timer has an owner's pointer now. Ruled out: suppressing the message. Conclusion: no change of behaviour.

--- a/lib/kern.c
+++ b/lib/kern.c
@@ -23,7 +23,7 @@
 	uint64_t seq;
 	mh_timer_fn fn;
 	void *arg;
-	struct mh_timer **owner; /* set to NULL when it fires; or NULL */
+	struct mh_timer **owner; /* set to NULL when it fires */
 };
 
 RB_HEAD(timer_tree, mh_timer);
@@ -38,6 +38,7 @@
 	int64_t wall_us;
 	uint64_t last_id;
 	uint64_t timer_seq;
+	struct mh_timer *unowned; /* the latest one without an owner */
 	GRand *rand;
 	GHashTable *counters;
 	mh_log_fn log;
@@ -265,8 +266,7 @@
 		void *arg = t->arg;
 
 		RB_REMOVE(timer_tree, &k->timers, t);
-		if (t->owner != NULL)
-			*t->owner = NULL;
+		*t->owner = NULL;
 		g_free(t);
 		fn(arg);
 		drain(k);
@@ -322,17 +322,17 @@
 	return g_rand_double(k->rand);
 }
 
-static struct mh_timer *
-insert_timer(struct mh_kern *k, int64_t delay_us, mh_timer_fn fn, void *arg)
+static void
+add_timer(struct mh_kern *k, struct mh_timer **t, int64_t delay_us,
+    mh_timer_fn fn, void *arg)
 {
-	struct mh_timer *t = g_new0(struct mh_timer, 1);
-
-	t->at_us = k->now_us + MAX(delay_us, 0);
-	t->seq = ++k->timer_seq;
-	t->fn = fn;
-	t->arg = arg;
-	RB_INSERT(timer_tree, &k->timers, t);
-	return t;
+	*t = g_new0(struct mh_timer, 1);
+	(*t)->owner = t;
+	(*t)->at_us = k->now_us + MAX(delay_us, 0);
+	(*t)->seq = ++k->timer_seq;
+	(*t)->fn = fn;
+	(*t)->arg = arg;
+	RB_INSERT(timer_tree, &k->timers, *t);
 }
 
 /*
@@ -344,14 +344,13 @@
     mh_timer_fn fn, void *arg)
 {
 	mh_timer_stop(k, t);
-	*t = insert_timer(k, delay_us, fn, arg);
-	(*t)->owner = t;
+	add_timer(k, t, delay_us, fn, arg);
 }
 
 void
 mh_timer_start(struct mh_kern *k, int64_t delay_us, mh_timer_fn fn, void *arg)
 {
-	(void)insert_timer(k, delay_us, fn, arg);
+	add_timer(k, &k->unowned, delay_us, fn, arg);
 }
 
 void
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -236,7 +236,7 @@
 void mh_post(struct mh_kern *k, const char *to, struct mh_msg *msg);
 /**
  * mh_timer_set() - calls @fn once, after @delay_us, with *@t set to NULL.
- * @t: the owner's pointer to it, NULL if none runs; it must not move
+ * @t: the owner's pointer to it, which must not move; *@t is NULL if none runs
  *
  * The timer that runs in *@t is stopped.
  */
