Tests: endless answers may also end in the caller's time

Cause: 'endless: answers to many callers' asked for 502 from each of 24 callers. Ruled out: bytes passed on, and more than 65 MB buffered; both checks passed in that run. Change: 502 run_failed or 504 run_timeout, each with its kind; before, any text with 502 in it passed. Conclusion: the check was of the machine's speed; what it guards is as strict, and the form of the answer stricter.

--- a/regress/t_endless.c
+++ b/regress/t_endless.c
@@ -455,6 +455,16 @@
 	mh_timer_stop(c->r->k, &c->timer);
 }
 
+/* Sent, and no whole answer came, at all or in the caller's time. */
+static bool
+is_failure(const char *text)
+{
+	return (g_str_has_prefix(text, "HTTP/1.1 502 ") &&
+		   strstr(text, "\"kind\":\"run_failed\"") != NULL) ||
+	    (g_str_has_prefix(text, "HTTP/1.1 504 ") &&
+		strstr(text, "\"kind\":\"run_timeout\"") != NULL);
+}
+
 /*
  * Guards against memory used up by endpoints whose answers never end, and
  * against a byte of them that reaches a caller.
@@ -465,16 +475,16 @@
 	static const struct {
 		const char *head;
 		const char *unit;
-		const char *status; /* "": a part of it may go out */
+		bool events; /* the head may go out */
 	} t[] = {
-		{ HEAD "X-Response-Stamp: s\r\nX-A: ", "@", "502" },
-		{ HEAD "X-Response-Stamp: s\r\n\r\n", "@", "502" },
+		{ HEAD "X-Response-Stamp: s\r\nX-A: ", "@", false },
+		{ HEAD "X-Response-Stamp: s\r\n\r\n", "@", false },
 		{ HEAD "X-Response-Stamp: s\r\n"
 		       "Transfer-Encoding: chunked\r\n\r\n",
-		    "4\r\n@@@@\r\n", "502" },
+		    "4\r\n@@@@\r\n", false },
 		{ HEAD "X-Response-Stamp: s\r\n"
 		       "Content-Type: text/event-stream\r\n\r\ndata: ",
-		    "@", "" },
+		    "@", true },
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(t); i++) {
@@ -489,8 +499,7 @@
 		ask_all(&c, "GET /confirm/1 HTTP/1.1\r\n" CALLER "\r\n");
 		for (int n = 0; n < CALLERS; n++) {
 			CU_ASSERT_PTR_NULL(strchr(c.answers[n]->str, '@'));
-			CU_ASSERT_PTR_NOT_NULL(
-			    strstr(c.answers[n]->str, t[i].status));
+			CU_ASSERT(t[i].events || is_failure(c.answers[n]->str));
 			g_string_free(c.answers[n], TRUE);
 		}
 		CU_ASSERT(c.peak_bytes <= (size_t)65 << 20);
