Tests: crowds of clients that misbehave, failing

What callers saw: an entry's memory grows with what its callers send or leave unread, until the process ends; idle connections leave no descriptor for anybody else. Tests: suites "crowd" and "crowdhoist" run marlgated and marlhoistd as processes on loopback, with memory and descriptors lowered in their settings, and a crowd of 12 to 1,500 connections. They check that the process lives, that its resident memory and the bytes that the kernel holds for its sockets stay within the memory of its machine (memoryMb), its descriptors within maxFds, and that an ordinary request of another organisation is answered 200 while the crowd is there and afterwards. No check depends on a time or a share; a caller gives up after 20 s. Conclusion: memory has no common bound; descriptors have none but the kernel's.

--- a/regress/main.c
+++ b/regress/main.c
@@ -100,6 +100,8 @@
 	{ "part", tests_part },
 	{ "stage", tests_stage },
 	{ "said", tests_said },
+	{ "crowd", tests_crowd },
+	{ "crowdhoist", tests_crowd_hoist },
 	{ "words", tests_words },
 	{ "retry", tests_retry },
 	{ "red", tests_red },
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -54,6 +54,8 @@
 extern const struct test tests_version[];
 extern const struct test tests_waits[];
 extern const struct test tests_endless[];
+extern const struct test tests_crowd[];
+extern const struct test tests_crowd_hoist[];
 extern const struct test tests_drain[];
 extern const struct test tests_grace[];
 extern const struct test tests_crash[];
