Header fields share one buffer

What callers saw: 600 heads of just under 16 KiB, in fields of eight bytes and stopped short of their end, take 198 MB of an entry. Cause: two allocations for each field and one for each name in Connection, so that a head took about eleven times its bytes. Ruled out: a bound on the number of fields, which a head inside maxHeaderBytes could meet. Change: names and values of a list stand in one buffer, with offsets of eight bytes a field; the options of Connection in one string. Conclusion: a head takes about twice its bytes; what all heads take together still has no bound.

--- a/lib/headers.c
+++ b/lib/headers.c
@@ -6,34 +6,29 @@
 
 #include <string.h>
 
+/*
+ * All fields share one buffer: with two allocations for each, a list of short
+ * fields would take many times its bytes.
+ */
 struct mh_headers {
+	GString *text; /* names and values, each ended by NUL */
 	GArray *fields; /* struct field */
-	GHashTable *conn_options; /* names in Connection fields, lower case */
+	GString *conn_options; /* ",a,b,": names in Connection; NULL: none */
 };
 
+/* Offsets in the text. */
 struct field {
-	char *name;
-	char *value;
+	uint32_t name;
+	uint32_t value;
 };
 
-static void
-clear_field(void *arg)
-{
-	struct field *f = arg;
-
-	g_free(f->name);
-	g_free(f->value);
-}
-
 struct mh_headers *
 mh_headers_create(void)
 {
 	struct mh_headers *h = g_new0(struct mh_headers, 1);
 
+	h->text = g_string_new(NULL);
 	h->fields = g_array_new(FALSE, FALSE, sizeof(struct field));
-	g_array_set_clear_func(h->fields, clear_field);
-	h->conn_options =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	return h;
 }
 
@@ -42,8 +37,10 @@
 {
 	if (h == NULL)
 		return;
+	g_string_free(h->text, TRUE);
 	g_array_free(h->fields, TRUE);
-	g_hash_table_destroy(h->conn_options);
+	if (h->conn_options != NULL)
+		g_string_free(h->conn_options, TRUE);
 	g_free(h);
 }
 
@@ -51,16 +48,20 @@
 static void
 add_conn_options(struct mh_headers *h, const char *list)
 {
+	if (h->conn_options == NULL)
+		h->conn_options = g_string_new(",");
 	while (*list != '\0') {
 		size_t len;
 
 		list += strspn(list, " \t,");
 		len = strcspn(list, " \t,;");
-		if (len > 0)
-			g_hash_table_add(h->conn_options,
-			    g_ascii_strdown(list, (gssize)len));
+		if (len > 0) {
+			g_string_append_len(h->conn_options, list, (gssize)len);
+			g_string_append_c(h->conn_options, ',');
+		}
 		list += strcspn(list, ",");
 	}
+	g_string_ascii_down(h->conn_options);
 }
 
 void
@@ -71,26 +72,34 @@
 
 	while (n > 0 && (value[n - 1] == ' ' || value[n - 1] == '\t'))
 		n--;
-	f.name = g_strdup(name);
-	f.value = g_strndup(value, n);
-
+	f.name = (uint32_t)h->text->len;
+	g_string_append_len(h->text, name, (gssize)strlen(name) + 1);
+	f.value = (uint32_t)h->text->len;
+	g_string_append_len(h->text, value, (gssize)n);
+	g_string_append_c(h->text, '\0');
 	g_array_append_val(h->fields, f);
 	if (g_ascii_strcasecmp(name, "Connection") == 0)
 		add_conn_options(h, value);
 }
 
-static struct field *
-field_at(const struct mh_headers *h, uint32_t i)
+static const char *
+name_at(const struct mh_headers *h, uint32_t i)
 {
-	return &g_array_index(h->fields, struct field, i);
+	return h->text->str + g_array_index(h->fields, struct field, i).name;
+}
+
+static const char *
+value_at(const struct mh_headers *h, uint32_t i)
+{
+	return h->text->str + g_array_index(h->fields, struct field, i).value;
 }
 
 const char *
 mh_headers_get(const struct mh_headers *h, const char *name)
 {
 	for (uint32_t i = 0; i < h->fields->len; i++) {
-		if (g_ascii_strcasecmp(field_at(h, i)->name, name) == 0)
-			return field_at(h, i)->value;
+		if (g_ascii_strcasecmp(name_at(h, i), name) == 0)
+			return value_at(h, i);
 	}
 	return NULL;
 }
@@ -101,7 +110,19 @@
 	uint32_t n = 0;
 
 	for (uint32_t i = 0; i < h->fields->len; i++)
-		n += g_ascii_strcasecmp(field_at(h, i)->name, name) == 0;
+		n += g_ascii_strcasecmp(name_at(h, i), name) == 0;
+	return n;
+}
+
+size_t
+mh_headers_bytes(const struct mh_headers *h)
+{
+	size_t n = sizeof(*h) + h->text->allocated_len;
+
+	/* The array grows by doubling. */
+	n += 2 * h->fields->len * sizeof(struct field);
+	if (h->conn_options != NULL)
+		n += h->conn_options->allocated_len;
 	return n;
 }
 
@@ -109,7 +130,7 @@
 mh_headers_each(const struct mh_headers *h, mh_header_fn fn, void *arg)
 {
 	for (uint32_t i = 0; i < h->fields->len; i++)
-		fn(arg, field_at(h, i)->name, field_at(h, i)->value);
+		fn(arg, name_at(h, i), value_at(h, i));
 }
 
 bool
@@ -120,18 +141,20 @@
 		"TE", "Trailer", "Transfer-Encoding", "Upgrade",
 		"Content-Length", "Expect", NULL };
 
-	char *lower;
+	char *option;
 	bool listed;
 
 	for (int i = 0; hop[i] != NULL; i++) {
 		if (g_ascii_strcasecmp(hop[i], name) == 0)
 			return true;
 	}
-	if (g_hash_table_size(h->conn_options) == 0)
+	if (h->conn_options == NULL)
 		return false;
-	lower = g_ascii_strdown(name, -1);
-	listed = g_hash_table_contains(h->conn_options, lower);
-	g_free(lower);
+	option = g_strdup_printf(",%s,", name);
+	for (char *c = option; *c != '\0'; c++)
+		*c = g_ascii_tolower(*c);
+	listed = strstr(h->conn_options->str, option) != NULL;
+	g_free(option);
 	return listed;
 }
 
--- a/lib/opaque.h
+++ b/lib/opaque.h
@@ -18,10 +18,15 @@
 void mh_headers_destroy(struct mh_headers *h);
 /** mh_headers_add() - appends a field; trims white space after the value. */
 void mh_headers_add(struct mh_headers *h, const char *name, const char *value);
-/** mh_headers_get() - value of the first such field, any case, or NULL. */
+/**
+ * mh_headers_get() - value of the first such field, any case, or NULL; valid
+ * until a field is added.
+ */
 const char *mh_headers_get(const struct mh_headers *h, const char *name);
 uint32_t mh_headers_count(const struct mh_headers *h, const char *name);
 void mh_headers_each(const struct mh_headers *h, mh_header_fn fn, void *arg);
+/** mh_headers_bytes() - memory that the list takes. */
+size_t mh_headers_bytes(const struct mh_headers *h);
 /**
  * mh_header_is_hop() - whether a field is hop-by-hop, so not passed on.
  *
