marlgated: one account of memory for callers, one division of descriptors

What callers saw: an entry that ran out of memory, or that accepted no connection any more, after a crowd of callers had stopped short of the end of their bodies, read no answers, sent requests ahead, or stayed idle. Cause: each connection had bounds of its own (body, input, output), nothing bounded all of them together, and memoryMb and maxFds of the settings bounded nothing. A body was held twice as it was sent on; the kernel's buffers grew by themselves for each connection; buffers that had grown were kept by idle connections and by the allocator; accept() stopped only when no descriptor was left for endpoints, store and links. Ruled out: a lower bound for each connection (a caller inside the limits would meet it); reserving an announced length (a few callers that announce and send nothing would take the place of all others). Change: - lib/account.c: an account of 20/32 of the machine's memory, with a share for each organisation, and one for callers that are not known yet. Connections (with both buffers of the kernel), heads, bodies, requests sent ahead, responses being buffered, and responses and streams that are not read yet are charged to it. A share may hold four times what is free: alone four fifths, and a new one always finds room. - Over that, a request that comes in takes the place of one of its organisation without progress for a second, or of what a larger share holds; else it is refused: 503, Retry-After, never delivered. Callers that read nothing are closed, longest without progress first, then the longest response that an endpoint hasn't ended. A body is read only if its route and key are valid. - A refused caller that still sends is read on, up to four times the largest body, so that the answer reaches it. - The body of a request is sent on from the memory of the request. - Descriptors: of those that are not for files a half for callers, a quarter for links that others open, 1/32 (32 at most) for the readiness and the metrics port each; the rest is for calls. At the bound the connection without progress for longest is closed, else the new one. - Links: the oldest without a proven peer makes place; all unsent output together has a bound, the longest queue is closed; accept() pauses without descriptors instead of spinning. - The readiness and metrics ports have an account each. - The allocator returns what is freed. Settings that change apply at once. - Counters serve_refused_memory, serve_closed_idle, serve_closed_stalled, serve_turned_away, link_turned_away; gauges held_bytes, held_bytes_peak, held_bytes_max, caller_connections; a log line callers-limited a second at most, refused-unread for each request.

--- a/lib/gate.h
+++ b/lib/gate.h
@@ -933,6 +933,7 @@
 	MH_BAD_KEY,
 	MH_BAD_REQUEST,
 	MH_TOO_BUSY, /* not run: retry later */
+	MH_NO_MEMORY, /* not run: no memory for what it would take */
 	MH_NO_ENDPOINT, /* not run: none could be reached */
 	MH_NOT_IN_TIME, /* not run: it expired before it was sent */
 	MH_VERSION_UNKNOWN, /* not run: where its stream began is not known */
@@ -1125,6 +1126,12 @@
 void mh_gate_max_stale_conf(struct mh_gate *g, int64_t max_us);
 struct mh_greq *mh_greq_create(const char *id);
 void mh_greq_destroy(struct mh_greq *q);
+/**
+ * mh_gate_may_admit() - whether a request has a route and a valid key.
+ * @why: set if it has not
+ */
+bool mh_gate_may_admit(
+    struct mh_gate *g, struct mh_greq *q, enum mh_gate_refusal *why);
 /**
  * mh_gate_admit() - handles a request that has arrived.
  *
--- a/lib/gateadmit.c
+++ b/lib/gateadmit.c
@@ -85,12 +85,6 @@
 	return g->stale_us == NULL ? 0 : g->stale_us(g->stale_arg);
 }
 
-static void
-refuse_unknown(struct mh_gate *g, struct mh_greq *q, enum mh_gate_refusal why)
-{
-	mh_gate_refuse(g, q, stale_us(g) > 0 ? MH_NOT_READY : why, 0);
-}
-
 /*
  * Other processes have a newer configuration that has not arrived here: what
  * ours allows may no longer be allowed.
@@ -134,26 +128,34 @@
 		mh_gate_try_next(g, q);
 }
 
+bool
+mh_gate_may_admit(
+    struct mh_gate *g, struct mh_greq *q, enum mh_gate_refusal *why)
+{
+	*why = MH_NOT_READY;
+	if (g->conf == NULL || conf_is_overdue(g))
+		return false;
+	q->conf = mh_gconf_ref(g->conf);
+	q->route = mh_gconf_route(g->conf, q->host, q->target);
+	if (q->route != NULL && find_org(g, q))
+		return true;
+	if (stale_us(g) == 0)
+		*why = q->route == NULL ? MH_NO_ROUTE : MH_BAD_KEY;
+	return false;
+}
+
 void
 mh_gate_admit(struct mh_gate *g, struct mh_greq *q)
 {
+	enum mh_gate_refusal why;
+
 	q->gate = g;
 	q->arrived_us = mh_now(g->k);
 	q->expires_us = q->arrived_us;
 	q->slo_by_us = q->arrived_us;
 	g_hash_table_add(g->requests, q);
-	if (g->conf == NULL || conf_is_overdue(g)) {
-		mh_gate_refuse(g, q, MH_NOT_READY, 0);
-		return;
-	}
-	q->conf = mh_gconf_ref(g->conf);
-	q->route = mh_gconf_route(g->conf, q->host, q->target);
-	if (q->route == NULL) {
-		refuse_unknown(g, q, MH_NO_ROUTE);
-		return;
-	}
-	if (!find_org(g, q)) {
-		refuse_unknown(g, q, MH_BAD_KEY);
+	if (!mh_gate_may_admit(g, q, &why)) {
+		mh_gate_refuse(g, q, why, 0);
 		return;
 	}
 	q->priority = q->org != NULL && q->org->priority >= 0
--- a/lib/gatelog.c
+++ b/lib/gatelog.c
@@ -41,6 +41,7 @@
 		[MH_BAD_KEY] = "bad_key",
 		[MH_BAD_REQUEST] = "bad_request",
 		[MH_TOO_BUSY] = "too_busy",
+		[MH_NO_MEMORY] = "no_memory",
 		[MH_NO_ENDPOINT] = "no_endpoint",
 		[MH_NOT_IN_TIME] = "not_in_time",
 		[MH_VERSION_UNKNOWN] = "version_unknown",
--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -15,9 +15,12 @@
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <sys/uio.h>
 #include <unistd.h>
 
 #define READ_SIZE 32768
+/* What the kernel holds of a request that its peer doesn't read. */
+#define SEND_BUFFER_BYTES (128 << 10)
 /*
  * Connecting takes one round trip.  If the SYN is lost or the listen queue is
  * full the kernel sends the next SYN after a second; a call does not wait for
@@ -50,7 +53,8 @@
 	struct mh_hcalls *calls;
 	struct conn *c; /* NULL: no socket could be opened */
 	GBytes *text;
-	size_t sent;
+	GBytes *body; /* NULL: none */
+	size_t sent; /* of both */
 	int64_t start_us;
 	uint32_t skipped; /* interim responses and those of other calls */
 	uint64_t max_bytes; /* of the body; 0: its owner bounds it */
@@ -107,6 +111,7 @@
 free_call(struct mh_hcall *h)
 {
 	g_bytes_unref(h->text);
+	g_clear_pointer(&h->body, g_bytes_unref);
 	g_free(h->echo_name);
 	g_free(h->echo);
 	g_free(h);
@@ -466,7 +471,7 @@
 
 	/* The response came before the whole request was sent: the peer
 	 * would take the rest for the next request. */
-	if (h->sent < g_bytes_get_size(h->text))
+	if (!mh_hcall_is_sent(h))
 		keep = false;
 	c->call = NULL;
 	if (keep && !c->no_reuse)
@@ -538,17 +543,49 @@
 	take_input(c, buf, (size_t)n);
 }
 
+bool
+mh_hcall_is_sent(const struct mh_hcall *h)
+{
+	size_t len = g_bytes_get_size(h->text);
+
+	if (h->body != NULL)
+		len += g_bytes_get_size(h->body);
+	return h->sent == len;
+}
+
+/* Sends the rest of the text, and of the body. */
+static ssize_t
+send_rest(const struct conn *c)
+{
+	const struct mh_hcall *h = c->call;
+	GBytes *const parts[] = { h->text, h->body };
+	struct iovec v[G_N_ELEMENTS(parts)];
+	struct msghdr m = { .msg_iov = v };
+	size_t skip = h->sent;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+		gsize len = 0;
+		const char *data =
+		    parts[i] == NULL ? NULL : g_bytes_get_data(parts[i], &len);
+
+		if (len > skip) {
+			v[m.msg_iovlen].iov_base =
+			    (void *)(uintptr_t)(data + skip);
+			v[m.msg_iovlen++].iov_len = len - skip;
+		}
+		skip -= MIN(skip, len);
+	}
+	return sendmsg(c->fd, &m, MSG_NOSIGNAL | MSG_DONTWAIT);
+}
+
 /* Returns false if the connection failed and was freed. */
 static bool
 write_out(struct conn *c)
 {
 	struct mh_hcall *h = c->call;
-	gsize len;
-	const char *text = g_bytes_get_data(h->text, &len);
 
-	while (h->sent < len) {
-		ssize_t n = send(c->fd, text + h->sent, len - h->sent,
-		    MSG_NOSIGNAL | MSG_DONTWAIT);
+	while (!mh_hcall_is_sent(h)) {
+		ssize_t n = send_rest(c);
 
 		if (n < 0 && (errno == EAGAIN || errno == EINTR))
 			break;
@@ -558,7 +595,7 @@
 		}
 		h->sent += (size_t)n;
 	}
-	mh_loop_fd(c->calls->loop, c->fd, true, h->sent < len, on_io, c);
+	mh_loop_fd(c->calls->loop, c->fd, true, !mh_hcall_is_sent(h), on_io, c);
 	return true;
 }
 
@@ -581,8 +618,7 @@
 		c->connected = true;
 		set_timer(c, 0);
 	}
-	if (c->call != NULL &&
-	    c->call->sent < g_bytes_get_size(c->call->text) && !write_out(c))
+	if (c->call != NULL && !mh_hcall_is_sent(c->call) && !write_out(c))
 		return;
 	if (readable)
 		read_in(c);
@@ -640,7 +676,7 @@
 	struct sockaddr_in sin = { .sin_family = AF_INET };
 	char host[MH_HOST_LEN];
 	uint16_t port;
-	int fd, on = 1;
+	int fd, on = 1, sndbuf = SEND_BUFFER_BYTES;
 
 	if (!mh_addr_parse(addr, host, &port) ||
 	    inet_pton(AF_INET, host, &sin.sin_addr) != 1)
@@ -650,6 +686,7 @@
 	if (fd < 0)
 		return -1;
 	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &sndbuf, sizeof(sndbuf));
 	if (connect(fd, (struct sockaddr *)&sin, sizeof(sin)) < 0 &&
 	    errno != EINPROGRESS) {
 		close(fd);
@@ -714,6 +751,8 @@
 
 	h->calls = a;
 	h->text = g_bytes_ref(args->text);
+	if (args->body != NULL)
+		h->body = g_bytes_ref(args->body);
 	h->start_us = mh_now(a->k);
 	h->echo_name = g_strdup(args->echo_name);
 	h->echo = g_strdup(args->echo);
--- a/lib/hreq.c
+++ b/lib/hreq.c
@@ -41,6 +41,27 @@
 	return r;
 }
 
+size_t
+mh_hreq_bytes(const struct mh_hreq *r)
+{
+	return sizeof(*r) + r->target->allocated_len + r->name->allocated_len +
+	    r->value->allocated_len + mh_headers_bytes(r->headers) +
+	    r->body->len;
+}
+
+bool
+mh_hreq_turned_large(struct mh_hreq *r)
+{
+	uint64_t announced = r->parser.content_length;
+
+	if (r->is_large || r->method == NULL)
+		return false;
+	r->is_large = r->body->len > MH_SMALL_BODY_BYTES ||
+	    (!(r->parser.flags & F_CHUNKED) && announced != UINT64_MAX &&
+		announced > MH_SMALL_BODY_BYTES);
+	return r->is_large;
+}
+
 /* parsing */
 
 static int
@@ -317,6 +338,19 @@
 	return r->body;
 }
 
+static void
+unref_array(void *arg)
+{
+	g_byte_array_unref(arg);
+}
+
+GBytes *
+mh_hreq_body_bytes(const struct mh_hreq *r)
+{
+	return g_bytes_new_with_free_func(r->body->data, r->body->len,
+	    unref_array, g_byte_array_ref(r->body));
+}
+
 void *
 mh_hreq_data(const struct mh_hreq *r)
 {
--- a/lib/hreqint.h
+++ b/lib/hreqint.h
@@ -32,10 +32,14 @@
 	bool http10;
 	uint32_t header_bytes;
 	GByteArray *body;
+	bool is_large; /* the body is over MH_SMALL_BODY_BYTES */
 	uint32_t refuse_status; /* HTTP status of a parse error, 0: none */
 	void *data;
 };
 
+/* A body up to this size counts as a part of the head. */
+#define MH_SMALL_BODY_BYTES 16384
+
 enum mh_hread {
 	MH_HREAD_MORE, /* all input consumed, the request is incomplete */
 	MH_HREAD_COMPLETE,
@@ -49,6 +53,10 @@
  */
 struct mh_hreq *mh_hreq_create(const struct mh_hlimits *l, GByteArray *out);
 void mh_hreq_destroy(struct mh_hreq *r);
+/** mh_hreq_bytes() - memory that the request takes. */
+size_t mh_hreq_bytes(const struct mh_hreq *r);
+/** mh_hreq_turned_large() - whether its body has just proved to be large. */
+bool mh_hreq_turned_large(struct mh_hreq *r);
 /** mh_hreq_read() - parses at most one request, removing its bytes from @in. */
 enum mh_hread mh_hreq_read(struct mh_hreq *r, GByteArray *in);
 /**
--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -20,8 +20,8 @@
 #include <unistd.h>
 
 #define READ_SIZE 32768
-/* Reading pauses while this many input bytes wait to be parsed. */
-#define MAX_IN_BYTES (256U << 10)
+/* Reading pauses while this many bytes, of requests sent ahead, wait. */
+#define MAX_IN_BYTES (64U << 10)
 /*
  * A caller that reads too slowly is disconnected when an unfinished response
  * has this many unsent bytes.
@@ -39,9 +39,32 @@
  * take over the slowest supported link, 10 Mbit/s.
  */
 #define SEND_TIMEOUT_US (14 * MH_US_PER_S)
-/* Bounds the final discarding of input, MAX_IN_BYTES in all, so that a caller
- * that keeps sending cannot block the server. */
-#define MAX_DISCARD_READS (MAX_IN_BYTES / READ_SIZE)
+/* Bounds the final discarding of input, so that a caller that keeps sending
+ * cannot block the server. */
+#define MAX_DISCARD_READS 8
+/*
+ * A caller that is answered while it sends a body may read the answer only
+ * after it has sent all.  Its input is discarded up to so many times the
+ * largest body; chunks take several bytes for one of the body.
+ */
+#define DISCARD_BODIES 4
+/*
+ * Buffers of the kernel for a connection, and for one with a large body or a
+ * large response.  They count towards the memory of the machine.
+ */
+#define KERNEL_BYTES 16384
+#define KERNEL_LARGE_BYTES (128 << 10)
+/* What a connection without a request takes, with both buffers of the kernel */
+#define CONN_BYTES (8192 + 2 * KERNEL_BYTES)
+/* An empty buffer that has grown over this is freed. */
+#define KEEP_BYTES 4096
+/* A connection makes progress with each so many bytes. */
+#define PROGRESS_BYTES 4096
+/* Without progress for so long, it makes room for a request that comes in. */
+#define STALL_US (1 * MH_US_PER_S)
+/* A caller may come back so long after it was refused for memory. */
+#define MEMORY_RETRY_S "1"
+#define LOG_US (1 * MH_US_PER_S)
 /* Delay before the next accept when no file descriptor is free. */
 #define ACCEPT_RETRY_US (100 * MH_US_PER_MS)
 /*
@@ -73,6 +96,24 @@
 	GByteArray *in;
 	GByteArray *out;
 	struct mh_timer *timer;
+	/* what it holds; without an account the share is NULL */
+	struct mh_share *share;
+	uint64_t held_bytes;
+	uint32_t in_most_bytes; /* since the buffer was empty */
+	uint32_t out_most_bytes;
+	bool reads_much; /* the kernel's buffers are large ones */
+	bool sends_much;
+	int64_t progress_us; /* when it made some last */
+	uint32_t moved_bytes; /* since then */
+	uint64_t discarded_bytes;
+};
+
+/** struct limited - what the limits did since the last log line. */
+struct limited {
+	uint32_t refused; /* requests, for memory */
+	uint32_t closed_idle;
+	uint32_t closed_stalled; /* with a response that isn't read */
+	uint32_t turned_away; /* new connections */
 };
 
 struct mh_hserve {
@@ -84,16 +125,22 @@
 	bool draining;
 	bool finishing;
 	struct mh_timer *accept_timer;
+	struct mh_timer *log_timer;
+	struct limited limited;
 	GHashTable *conns; /* set of struct conn */
 };
 
 static void on_io(void *arg, bool readable, bool writable);
+static void make_room(struct conn *c, uint64_t more);
 static void process_input(struct conn *c);
 static void close_if_idle(struct conn *c);
 
 static void
 free_conn(struct conn *c)
 {
+	if (c->share != NULL)
+		mh_share_charge(c->share, c->held_bytes, 0);
+	mh_share_unref(c->share);
 	mh_timer_stop(c->s->k, &c->timer);
 	mh_loop_fd_close(c->s->loop, c->fd);
 	close(c->fd);
@@ -141,6 +188,73 @@
 		mh_timer_set(c->s->k, &c->timer, us, on_timer, c);
 }
 
+/* An array keeps what it has grown to, also when it is empty. */
+static void
+free_empty(GByteArray **a, uint32_t *most)
+{
+	*most = MAX(*most, (*a)->len);
+	if ((*a)->len > 0 || *most <= KEEP_BYTES)
+		return;
+	g_byte_array_unref(*a);
+	*a = g_byte_array_new();
+	*most = 0;
+}
+
+/* Charges what the connection holds now. */
+static void
+charge(struct conn *c)
+{
+	uint64_t bytes = CONN_BYTES;
+
+	if (c->share == NULL)
+		return;
+	free_empty(&c->in, &c->in_most_bytes);
+	if (c->out->len == 0 && c->out_most_bytes > KEEP_BYTES) {
+		free_empty(&c->out, &c->out_most_bytes);
+		if (c->req != NULL)
+			c->req->out = c->out;
+	}
+	c->out_most_bytes = MAX(c->out_most_bytes, c->out->len);
+	bytes += c->in_most_bytes + c->out_most_bytes;
+	if (c->reads_much)
+		bytes += KERNEL_LARGE_BYTES;
+	if (c->sends_much)
+		bytes += KERNEL_LARGE_BYTES;
+	if (c->req != NULL)
+		bytes += mh_hreq_bytes(c->req);
+	if (bytes == c->held_bytes)
+		return;
+	mh_share_charge(c->share, c->held_bytes, bytes);
+	c->held_bytes = bytes;
+}
+
+static void
+set_share(struct conn *c, const char *name)
+{
+	struct mh_account *a = c->s->args.account;
+	struct mh_share *share;
+
+	if (a == NULL ||
+	    (c->share != NULL && strcmp(mh_share_name(c->share), name) == 0))
+		return;
+	share = mh_share_get(a, name);
+	if (c->share != NULL)
+		mh_share_charge(c->share, c->held_bytes, 0);
+	mh_share_unref(c->share);
+	c->share = share;
+	mh_share_charge(share, 0, c->held_bytes);
+}
+
+static void
+note_progress(struct conn *c, size_t bytes)
+{
+	c->moved_bytes += (uint32_t)bytes;
+	if (c->moved_bytes < PROGRESS_BYTES)
+		return;
+	c->moved_bytes = 0;
+	c->progress_us = mh_now(c->s->k);
+}
+
 static void
 want_io(struct conn *c)
 {
@@ -150,6 +264,13 @@
 
 	mh_loop_fd(
 	    c->s->loop, c->fd, !full && !ended, c->out->len > 0, on_io, c);
+	charge(c);
+}
+
+static void
+set_kernel_buffer(int fd, int option, int bytes)
+{
+	setsockopt(fd, SOL_SOCKET, option, &bytes, sizeof(bytes));
 }
 
 /* Returns false if the connection failed. */
@@ -170,6 +291,11 @@
 	}
 	if (off > 0)
 		g_byte_array_remove_range(c->out, 0, off);
+	note_progress(c, off);
+	if (c->share != NULL && !c->sends_much && c->out->len > KERNEL_BYTES) {
+		c->sends_much = true;
+		set_kernel_buffer(c->fd, SO_SNDBUF, KERNEL_LARGE_BYTES);
+	}
 	return true;
 }
 
@@ -234,7 +360,10 @@
 	c->limits = c->s->args.limits;
 	c->req = mh_hreq_create(&c->limits, c->out);
 	c->req->c = c;
-	c->wait_start_us = mh_now(c->s->k);
+	set_share(c, "");
+	c->moved_bytes = 0;
+	c->progress_us = mh_now(c->s->k);
+	c->wait_start_us = c->progress_us;
 	set_timer(c, c->limits.idle_us);
 }
 
@@ -242,6 +371,8 @@
 start_linger(struct conn *c)
 {
 	c->state = CONN_LINGER;
+	c->moved_bytes = 0;
+	c->progress_us = mh_now(c->s->k);
 	set_reset_on_close(c, false);
 	set_timer(c, LINGER_US);
 	shutdown(c->fd, SHUT_WR);
@@ -327,6 +458,67 @@
 	mh_timer_set(c->s->k, &c->timer, 0, reset_conn, c);
 }
 
+/* The answer closes the connection; what is left of the request is dropped. */
+static void
+start_refusal(struct conn *c)
+{
+	c->state = CONN_ANSWERING;
+	c->req->keep_alive = false;
+	c->close_after = true;
+	c->moved_bytes = 0;
+	c->progress_us = mh_now(c->s->k);
+	g_byte_array_set_size(c->in, 0);
+}
+
+static void
+log_limited(void *arg)
+{
+	struct mh_hserve *s = arg;
+	const struct limited *l = &s->limited;
+	const struct mh_account *a = s->args.account;
+
+	mh_event(s->k, "callers-limited",
+	    "refused=%u closed_idle=%u closed_stalled=%u turned_away=%u "
+	    "conns=%u max_conns=%u held_bytes=%" PRIu64 " max_bytes=%" PRIu64,
+	    l->refused, l->closed_idle, l->closed_stalled, l->turned_away,
+	    g_hash_table_size(s->conns), s->args.max_conns,
+	    a == NULL ? 0 : mh_account_bytes(a),
+	    a == NULL ? 0 : mh_account_limit(a));
+	memset(&s->limited, 0, sizeof(s->limited));
+}
+
+/* Counts what a limit did; callers can cause many, so they share a line. */
+static void
+note_limited(struct mh_hserve *s, uint32_t *n, const char *counter)
+{
+	(*n)++;
+	mh_count(s->k, counter, 1);
+	if (s->log_timer == NULL)
+		mh_timer_set(s->k, &s->log_timer, LOG_US, log_limited, s);
+}
+
+/* Answers a request that isn't complete, and will never be delivered. */
+static void
+refuse(struct conn *c, int why)
+{
+	struct mh_hserve *s = c->s;
+	struct mh_headers *h;
+
+	if (why == MH_REFUSE_MEMORY)
+		note_limited(s, &s->limited.refused, "serve_refused_memory");
+	set_timer(c, 0);
+	start_refusal(c);
+	if (s->args.on_refuse != NULL) {
+		s->args.on_refuse(s->args.arg, c->req, why);
+		return;
+	}
+	h = mh_headers_create();
+	mh_headers_add(h, "Retry-After", MEMORY_RETRY_S);
+	mh_hreq_head(c->req, 503, h, 0);
+	mh_hreq_end(c->req);
+	mh_headers_destroy(h);
+}
+
 static void
 refuse_bad(struct conn *c)
 {
@@ -335,9 +527,7 @@
 
 	mh_event(c->s->k, "bad-request", "status=%u parser=%s", status,
 	    http_errno_name(HTTP_PARSER_ERRNO(&r->parser)));
-	c->state = CONN_ANSWERING;
-	c->close_after = true;
-	g_byte_array_set_size(c->in, 0);
+	start_refusal(c);
 	mh_hreq_head(r, status, NULL, 0);
 	mh_hreq_end(r);
 }
@@ -350,6 +540,29 @@
 	c->s->args.on_request(c->s->args.arg, c->req);
 }
 
+/* Before more of a large body is read; it may be refused. */
+static void
+check_large(struct conn *c)
+{
+	const struct mh_hserve *s = c->s;
+	uint64_t announced = c->req->parser.content_length;
+	int why = 0;
+
+	if (s->args.account == NULL || !mh_hreq_turned_large(c->req))
+		return;
+	if (s->args.on_body != NULL &&
+	    !s->args.on_body(s->args.arg, c->req, &why)) {
+		refuse(c, why);
+		return;
+	}
+	c->reads_much = true;
+	set_kernel_buffer(c->fd, SO_RCVBUF, KERNEL_LARGE_BYTES);
+	charge(c);
+	if (announced == UINT64_MAX || (c->req->parser.flags & F_CHUNKED))
+		announced = 0;
+	make_room(c, announced);
+}
+
 /* Parses buffered input up to the end of one request. */
 static void
 process_input(struct conn *c)
@@ -363,8 +576,10 @@
 	case MH_HREAD_MORE:
 		if (!started && c->req->started) {
 			c->wait_start_us = mh_now(c->s->k);
+			c->progress_us = c->wait_start_us;
 			set_timer(c, c->limits.header_us);
 		}
+		check_large(c);
 		return;
 	case MH_HREAD_COMPLETE:
 		deliver_request(c);
@@ -397,6 +612,7 @@
 		handle_disconnect(c);
 		return false;
 	}
+	note_progress(c, (size_t)n);
 	switch (c->state) {
 	case CONN_READING:
 	case CONN_ANSWERING:
@@ -406,8 +622,10 @@
 		if (!c->close_after)
 			g_byte_array_append(c->in, buf, (guint)n);
 		break;
-	case CONN_RESETTING:
 	case CONN_LINGER:
+		c->discarded_bytes += (uint64_t)n;
+		break;
+	case CONN_RESETTING:
 		break;
 	}
 	return true;
@@ -451,9 +669,7 @@
 	if (c->state != CONN_READING)
 		return;
 	mh_count(c->s->k, "serve_header_timeouts", 1);
-	c->state = CONN_ANSWERING;
-	c->req->keep_alive = false;
-	c->close_after = true;
+	start_refusal(c);
 	mh_hreq_head(c->req, 408, NULL, 0);
 	mh_hreq_end(c->req);
 }
@@ -482,6 +698,15 @@
 		close_if_idle(c);
 }
 
+/* Whether the caller may still be sending what came with its request. */
+static bool
+is_sending(const struct conn *c)
+{
+	return mh_now(c->s->k) - c->progress_us < LINGER_US &&
+	    c->discarded_bytes <
+	    (uint64_t)DISCARD_BODIES * c->limits.body_bytes;
+}
+
 static void
 on_timer(void *arg)
 {
@@ -496,7 +721,8 @@
 		handle_disconnect(c);
 		return;
 	case CONN_LINGER:
-		if (has_unacked(c) && mh_now(c->s->k) < c->send_deadline_us) {
+		if ((has_unacked(c) || is_sending(c)) &&
+		    mh_now(c->s->k) < c->send_deadline_us) {
 			set_timer(c, LINGER_US);
 			return;
 		}
@@ -521,6 +747,8 @@
 		if (!read_in(c))
 			return;
 		process_input(c);
+		charge(c);
+		make_room(c, 0);
 	}
 	if (!flush_out(c))
 		return;
@@ -528,6 +756,167 @@
 		on_response_sent(c);
 }
 
+/* making room */
+
+/* Whether it waits for a request, of which nothing has come. */
+static bool
+is_idle(const struct conn *c)
+{
+	int n = 0;
+
+	return c->state == CONN_READING && !c->req->started &&
+	    ioctl(c->fd, FIONREAD, &n) == 0 && n == 0;
+}
+
+/** struct victims - which connections may make room. */
+struct victims {
+	const struct mh_share *share; /* NULL: any */
+	const struct conn *except;
+	int64_t stalled_us; /* least time without progress, unless it is idle */
+	bool streams; /* also those whose response isn't complete */
+};
+
+static bool
+may_go(const struct conn *c, const struct victims *v)
+{
+	int64_t still_us = mh_now(c->s->k) - c->progress_us;
+
+	if (c == v->except || (v->share != NULL && c->share != v->share))
+		return false;
+	switch (c->state) {
+	case CONN_READING:
+		return !c->req->started || still_us >= v->stalled_us;
+	case CONN_SENDING:
+	case CONN_LINGER:
+		return still_us >= v->stalled_us;
+	case CONN_ANSWERING:
+		return v->streams && c->out->len > 0 &&
+		    still_us >= v->stalled_us;
+	case CONN_RESETTING:
+		return false;
+	}
+	return false;
+}
+
+/* Of those that may go, the one that made no progress for longest; or NULL. */
+static struct conn *
+find_victim(const struct mh_hserve *s, const struct victims *v)
+{
+	struct conn *oldest = NULL;
+	GHashTableIter it;
+	gpointer key;
+
+	g_hash_table_iter_init(&it, s->conns);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		struct conn *c = key;
+
+		if (may_go(c, v) &&
+		    (oldest == NULL || c->progress_us < oldest->progress_us))
+			oldest = c;
+	}
+	return oldest;
+}
+
+/* Closes the connection; one on which a request has come stays. */
+static void
+close_victim(struct conn *c)
+{
+	struct mh_hserve *s = c->s;
+
+	if (c->state == CONN_LINGER || is_idle(c)) {
+		note_limited(s, &s->limited.closed_idle, "serve_closed_idle");
+		free_conn(c);
+	} else if (c->state == CONN_READING && !c->req->started) {
+		c->progress_us = mh_now(s->k);
+	} else {
+		note_limited(
+		    s, &s->limited.closed_stalled, "serve_closed_stalled");
+		handle_disconnect(c);
+	}
+}
+
+/* As above, but a request that has come in part is refused. */
+static void
+evict(struct conn *c)
+{
+	if (c->state == CONN_READING && c->req->started) {
+		refuse(c, MH_REFUSE_MEMORY);
+		want_io(c);
+	} else {
+		close_victim(c);
+	}
+}
+
+/*
+ * A request that comes in takes the place of one of its organisation that has
+ * stalled, or of what another holds beyond its part.  Else it is refused.
+ */
+static void
+make_room(struct conn *c, uint64_t more)
+{
+	uint32_t tries = g_hash_table_size(c->s->conns);
+
+	while (c->share != NULL && c->state == CONN_READING &&
+	    !mh_share_fits(c->share, more)) {
+		struct mh_share *over = mh_account_over(c->s->args.account);
+		struct victims v = {
+			.share = c->share, .except = c, .stalled_us = STALL_US
+		};
+		struct conn *victim;
+
+		if (over != NULL && over != c->share) {
+			v.share = over;
+			v.stalled_us = 0;
+		}
+		victim = tries-- > 0 ? find_victim(c->s, &v) : NULL;
+		if (victim != NULL) {
+			evict(victim);
+			continue;
+		}
+		if (c->req->started)
+			refuse(c, MH_REFUSE_MEMORY);
+		return;
+	}
+}
+
+void
+mh_hserve_relieve(struct mh_hserve *s)
+{
+	uint32_t tries = g_hash_table_size(s->conns);
+	struct mh_share *over;
+
+	while (
+	    tries-- > 0 && (over = mh_account_over(s->args.account)) != NULL) {
+		const struct victims v = { .share = over, .streams = true };
+		struct conn *victim = find_victim(s, &v);
+
+		if (victim == NULL)
+			return;
+		evict(victim);
+	}
+}
+
+/* Whether there is a connection left for a caller that connects. */
+static bool
+make_place(struct mh_hserve *s)
+{
+	const struct victims v = { .stalled_us = STALL_US, .streams = true };
+	uint32_t tries = g_hash_table_size(s->conns);
+	struct conn *victim;
+
+	while (s->args.max_conns > 0 &&
+	    g_hash_table_size(s->conns) >= s->args.max_conns) {
+		victim = tries-- > 0 ? find_victim(s, &v) : NULL;
+		if (victim == NULL) {
+			note_limited(
+			    s, &s->limited.turned_away, "serve_turned_away");
+			return false;
+		}
+		close_victim(victim);
+	}
+	return true;
+}
+
 static void on_accept(void *arg, bool readable, bool writable);
 
 static void
@@ -569,6 +958,10 @@
 				pause_accept(s);
 			return;
 		}
+		if (!make_place(s)) {
+			close(fd);
+			continue;
+		}
 		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 		set_user_timeout(fd, SEND_TIMEOUT_US / MH_US_PER_MS);
 		c = g_new0(struct conn, 1);
@@ -579,6 +972,7 @@
 		g_hash_table_add(s->conns, c);
 		start_reading(c);
 		want_io(c);
+		make_room(c, 0);
 	}
 }
 
@@ -598,6 +992,11 @@
 		g_free(s);
 		return NULL;
 	}
+	/* Accepted sockets inherit them. */
+	if (a->account != NULL) {
+		set_kernel_buffer(s->fd, SO_RCVBUF, KERNEL_BYTES);
+		set_kernel_buffer(s->fd, SO_SNDBUF, KERNEL_BYTES);
+	}
 	mh_loop_fd(l, s->fd, true, false, on_accept, s);
 	return s;
 }
@@ -652,6 +1051,7 @@
 
 	if (s == NULL)
 		return;
+	mh_timer_stop(s->k, &s->log_timer);
 	all = g_hash_table_get_keys(s->conns);
 	for (GList *n = all; n != NULL; n = n->next)
 		send_last_bytes(n->data);
@@ -700,6 +1100,24 @@
 	}
 }
 
+void
+mh_hserve_set_max_conns(struct mh_hserve *s, uint32_t max_conns)
+{
+	s->args.max_conns = max_conns;
+}
+
+uint32_t
+mh_hserve_conns(const struct mh_hserve *s)
+{
+	return g_hash_table_size(s->conns);
+}
+
+void
+mh_hreq_set_share(struct mh_hreq *r, const char *name)
+{
+	set_share(r->c, name);
+}
+
 void
 mh_hserve_drain(struct mh_hserve *s)
 {
--- a/lib/link.c
+++ b/lib/link.c
@@ -11,6 +11,7 @@
 
 #include <apr_network_io.h>
 #include <apr_portable.h>
+#include <errno.h>
 #include <sodium.h>
 #include <string.h>
 
@@ -27,6 +28,10 @@
 /* The largest frame takes a third of this over a link of 10 Mbit/s. */
 #define FRAME_TIMEOUT_US (10 * MH_US_PER_S)
 #define BACKLOG 1024
+/* What the kernel holds for a peer that doesn't read. */
+#define SEND_BUFFER_BYTES 65536
+/* Delay before the next accept when no file descriptor is free. */
+#define ACCEPT_RETRY_US (100 * MH_US_PER_MS)
 
 struct conn {
 	struct link *l;
@@ -60,6 +65,10 @@
 	apr_socket_t *listener;
 	int listen_fd;
 	uint16_t port;
+	uint32_t max_conns; /* that others open; 0: no bound */
+	uint64_t max_out_bytes; /* of all output queues; 0: no bound */
+	uint64_t out_bytes;
+	struct mh_timer *accept_timer;
 	GHashTable *conns; /* id -> struct conn */
 	GPtrArray *flush_queue; /* struct conn with output to flush */
 };
@@ -71,6 +80,7 @@
 {
 	struct link *l = c->l;
 
+	l->out_bytes -= c->out->len;
 	mh_timer_stop(l->k, &c->timer);
 	mh_loop_fd_close(l->loop, c->fd);
 	g_ptr_array_remove(l->flush_queue, c);
@@ -121,8 +131,10 @@
 		apr_status_t rv =
 		    apr_socket_send(c->sock, (const char *)c->out->data, &n);
 
-		if (n > 0)
+		if (n > 0) {
 			g_byte_array_remove_range(c->out, 0, (guint)n);
+			c->l->out_bytes -= n;
+		}
 		if (APR_STATUS_IS_EAGAIN(rv))
 			break;
 		if (rv != APR_SUCCESS)
@@ -132,6 +144,15 @@
 	return true;
 }
 
+static void
+queue_flush(struct conn *c)
+{
+	if (c->flush_pending || !c->connected)
+		return;
+	c->flush_pending = true;
+	g_ptr_array_add(c->l->flush_queue, c);
+}
+
 /* Runs before each wait, to write all frames of one iteration at once. */
 static int64_t
 flush_all(void *arg)
@@ -148,9 +169,45 @@
 	return -1;
 }
 
+/*
+ * Bounds the memory that a slow reader can use.  The peer may never become
+ * readable or writable again, so the connection is queued for a flush, which
+ * closes it.
+ */
+static void
+overflow(struct conn *c)
+{
+	mh_count(c->l->k, "link_overflows", 1);
+	mh_log(c->l->k, "link",
+	    "Closed a link: its peer does not read, %u bytes wait, %" PRIu64
+	    " on all links.",
+	    c->out->len, c->l->out_bytes);
+	c->overflowed = true;
+	queue_flush(c);
+}
+
+static struct conn *
+longest_queue(const struct link *l)
+{
+	struct conn *longest = NULL;
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, l->conns);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct conn *c = v;
+
+		if (!c->overflowed &&
+		    (longest == NULL || c->out->len > longest->out->len))
+			longest = c;
+	}
+	return longest;
+}
+
 static void
 queue_packed(struct conn *c, GBytes *b)
 {
+	struct link *l = c->l;
 	gsize len;
 	const uint8_t *data = g_bytes_get_data(b, &len);
 	uint8_t head[LEN_BYTES] = { (uint8_t)(len >> 24), (uint8_t)(len >> 16),
@@ -159,21 +216,15 @@
 	if (c->overflowed)
 		return;
 	if (c->out->len + len > MAX_OUT_BYTES) {
-		/*
-		 * Bounds the memory that a slow reader can use.  The peer may
-		 * never become readable or writable again, so the connection
-		 * is queued for a flush, which closes it.
-		 */
-		mh_count(c->l->k, "link_overflows", 1);
-		c->overflowed = true;
-	} else {
-		g_byte_array_append(c->out, head, sizeof(head));
-		g_byte_array_append(c->out, data, (guint)len);
-	}
-	if (!c->flush_pending && c->connected) {
-		c->flush_pending = true;
-		g_ptr_array_add(c->l->flush_queue, c);
+		overflow(c);
+		return;
 	}
+	g_byte_array_append(c->out, head, sizeof(head));
+	g_byte_array_append(c->out, data, (guint)len);
+	l->out_bytes += sizeof(head) + len;
+	queue_flush(c);
+	if (l->max_out_bytes > 0 && l->out_bytes > l->max_out_bytes)
+		overflow(longest_queue(l));
 }
 
 static void
@@ -453,6 +504,7 @@
 	apr_socket_opt_set(sock, APR_SO_NONBLOCK, 1);
 	apr_socket_timeout_set(sock, 0);
 	apr_socket_opt_set(sock, APR_TCP_NODELAY, 1);
+	apr_socket_opt_set(sock, APR_SO_SNDBUF, SEND_BUFFER_BYTES);
 	mh_timer_set(
 	    l->k, &c->timer, HANDSHAKE_TIMEOUT_US, on_handshake_timeout, c);
 	g_hash_table_insert(l->conns, &c->id, c);
@@ -498,6 +550,54 @@
 	want_io(c);
 }
 
+/*
+ * Frees a place for a peer that connects: the oldest link that others have
+ * opened and on which nobody has proved yet who it is makes room.
+ */
+static bool
+make_place(struct link *l)
+{
+	struct conn *oldest = NULL;
+	GHashTableIter it;
+	uint32_t n = 0;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, l->conns);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct conn *c = v;
+
+		n += !c->dialer;
+		if (!c->dialer && !c->up &&
+		    (oldest == NULL || c->id < oldest->id))
+			oldest = c;
+	}
+	if (l->max_conns == 0 || n < l->max_conns)
+		return true;
+	mh_count(l->k, "link_turned_away", 1);
+	if (oldest != NULL)
+		drop(oldest);
+	return oldest != NULL;
+}
+
+static void on_accept(void *arg, bool readable, bool writable);
+
+static void
+resume_accept(void *arg)
+{
+	struct link *l = arg;
+
+	mh_loop_fd(l->loop, l->listen_fd, true, false, on_accept, l);
+}
+
+/* As without a descriptor the listening socket stays readable. */
+static void
+pause_accept(struct link *l)
+{
+	mh_count(l->k, "link_accept_pauses", 1);
+	mh_loop_fd(l->loop, l->listen_fd, false, false, on_accept, l);
+	mh_timer_set(l->k, &l->accept_timer, ACCEPT_RETRY_US, resume_accept, l);
+}
+
 static void
 on_accept(void *arg, bool readable, bool writable)
 {
@@ -505,12 +605,17 @@
 	apr_pool_t *pool;
 	apr_socket_t *sock = NULL;
 	struct conn *c;
+	apr_status_t rv;
 
 	(void)readable;
 	(void)writable;
 	apr_pool_create(&pool, l->pool);
-	if (apr_socket_accept(&sock, l->listener, pool) != APR_SUCCESS) {
+	rv = apr_socket_accept(&sock, l->listener, pool);
+	if (rv != APR_SUCCESS || !make_place(l)) {
 		apr_pool_destroy(pool);
+		if (rv == EMFILE || rv == ENFILE || rv == ENOBUFS ||
+		    rv == ENOMEM)
+			pause_accept(l);
 		return;
 	}
 	c = new_conn(l, mh_next_id(l->k), sock, pool);
@@ -552,6 +657,7 @@
 	struct link *l = self;
 	GList *all = g_hash_table_get_values(l->conns);
 
+	mh_timer_stop(l->k, &l->accept_timer);
 	for (GList *n = all; n != NULL; n = n->next) {
 		flush_out(n->data);
 		free_conn(n->data);
@@ -606,6 +712,18 @@
 	    (const unsigned char *)secret, strlen(secret), NULL, 0);
 }
 
+void
+mh_link_set_limits(
+    struct mh_loop *loop, uint32_t max_conns, uint64_t max_out_bytes)
+{
+	struct link *l = mh_kern_get(mh_loop_kern(loop), "link");
+
+	if (l == NULL)
+		return;
+	l->max_conns = max_conns;
+	l->max_out_bytes = max_out_bytes;
+}
+
 void
 mh_link_set_secret(struct mh_loop *loop, const char *secret)
 {
@@ -635,6 +753,8 @@
 	l->role = g_strdup(a->role);
 	l->pool_name = g_strdup(a->pool != NULL ? a->pool : "");
 	l->incarnation = a->incarnation;
+	l->max_conns = a->max_conns;
+	l->max_out_bytes = a->max_out_bytes;
 	l->conns = g_hash_table_new(g_int64_hash, g_int64_equal);
 	l->flush_queue = g_ptr_array_new();
 	apr_pool_create(&l->pool, NULL);
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -1129,11 +1129,19 @@
 	const char *pool;
 	uint64_t incarnation;
 	const char *secret; /* shared key of the handshake */
+	uint32_t max_conns; /* that others open; 0: no bound */
+	uint64_t max_out_bytes; /* unsent, on all links; 0: no bound */
 };
 
 bool mh_link_create(
     struct mh_loop *l, const struct mh_link_args *a, GError **err);
 uint16_t mh_link_port(struct mh_loop *l);
+/**
+ * mh_link_set_limits() - bounds of the links that others open, and of what all
+ * links have not sent yet; 0: none.
+ */
+void mh_link_set_limits(
+    struct mh_loop *loop, uint32_t max_conns, uint64_t max_out_bytes);
 /** mh_link_set_secret() - changes the shared key for handshakes from now on. */
 void mh_link_set_secret(struct mh_loop *l, const char *secret);
 
@@ -1193,6 +1201,58 @@
 /** mh_vmlist_parse() - struct mh_vm of the JSON list; NULL: malformed. */
 GPtrArray *mh_vmlist_parse(GBytes *body);
 
+/* account.c: memory held for others, and the division of a process's limits */
+
+struct mh_account;
+struct mh_share;
+
+/** mh_account_create() - @limit_bytes: bound of all shares together. */
+struct mh_account *mh_account_create(struct mh_kern *k, uint64_t limit_bytes);
+/** mh_account_destroy() - after its shares were released. */
+void mh_account_destroy(struct mh_account *a);
+void mh_account_set_limit(struct mh_account *a, uint64_t limit_bytes);
+/**
+ * mh_account_on_over() - @fn is called from the loop after a share went over
+ * its part; it is to have something given back.
+ */
+void mh_account_on_over(struct mh_account *a, void (*fn)(void *arg), void *arg);
+/** mh_account_over() - the share that is to give something back, or NULL. */
+struct mh_share *mh_account_over(const struct mh_account *a);
+uint64_t mh_account_bytes(const struct mh_account *a);
+uint64_t mh_account_limit(const struct mh_account *a);
+/** mh_account_peak() - most bytes so far. */
+uint64_t mh_account_peak(const struct mh_account *a);
+/** mh_share_get() - a reference to the share of @name. */
+struct mh_share *mh_share_get(struct mh_account *a, const char *name);
+/** mh_share_unref() - @s may be NULL. */
+void mh_share_unref(struct mh_share *s);
+const char *mh_share_name(const struct mh_share *s);
+uint64_t mh_share_bytes(const struct mh_share *s);
+/** mh_share_charge() - a holder has @bytes now and had @was_bytes before. */
+void mh_share_charge(struct mh_share *s, uint64_t was_bytes, uint64_t bytes);
+/** mh_share_fits() - whether @more bytes fit into its part. */
+bool mh_share_fits(const struct mh_share *s, uint64_t more);
+
+/** struct mh_holdings - what a process may hold for others. */
+struct mh_holdings {
+	uint64_t caller_bytes; /* for callers */
+	uint64_t admin_bytes; /* for each port of its operators */
+	uint64_t link_bytes; /* unsent, on all links */
+	uint32_t caller_conns;
+	uint32_t admin_conns;
+	uint32_t link_conns; /* that others have opened */
+};
+
+/**
+ * mh_holdings_divide() - divides a machine's memory and descriptors.
+ * @memory_bytes: 0: the memory of the machine
+ * @fds: 0: the limit of the process, which also bounds it
+ */
+void mh_holdings_divide(
+    struct mh_holdings *h, uint64_t memory_bytes, uint32_t fds);
+/** mh_memory_tune() - has the allocator return what is freed. */
+void mh_memory_tune(void);
+
 /* httpd.c: HTTP server over libmicrohttpd */
 
 struct mh_httpd;
@@ -1202,7 +1262,10 @@
 	const char *listen; /* ip:port, port 0 picks one */
 	const char *cert_file; /* NULL: no TLS */
 	const char *key_file;
+	struct mh_holdings holdings; /* zeros: no bounds */
 	void (*on_request)(void *arg, struct mh_http_req *r);
+	/* name of the organisation of a request; NULL: not known */
+	const char *(*org)(void *arg, const struct mh_http_req *r);
 	/* the caller disconnected before its response was given */
 	void (*on_caller_left)(void *arg, struct mh_http_req *r);
 	void *arg;
@@ -1227,6 +1290,8 @@
     void (*fn)(void *arg, const char *name, const char *value), void *arg);
 GBytes *mh_req_body(const struct mh_http_req *r);
 bool mh_req_too_big(const struct mh_http_req *r);
+/** mh_req_no_memory() - whether its body was dropped for lack of memory. */
+bool mh_req_no_memory(const struct mh_http_req *r);
 uint64_t mh_req_id(const struct mh_http_req *r);
 struct mh_http_req *mh_httpd_find(struct mh_httpd *h, uint64_t id);
 /** mh_req_header_set() - sets or replaces a header of the response. */
@@ -1290,6 +1355,8 @@
 	int slots;
 	int queue_limit;
 	int grace; /* seconds from the first signal to SIGKILL */
+	int memory_mb; /* of this VM; 0: as the system reports */
+	int max_fds; /* of this process; 0: as the system limits it */
 	bool check_only;
 };
 
@@ -1302,6 +1369,8 @@
 void mh_settings_read(
     struct mh_settings *s, enum mh_daemon_kind kind, int argc, char **argv);
 void mh_settings_clear(struct mh_settings *s);
+/** mh_settings_holdings() - what the process may hold for others. */
+void mh_settings_holdings(const struct mh_settings *s, struct mh_holdings *h);
 /** mh_secret_read() - the shared secret: first line of @file; g_free() it. */
 char *mh_secret_read(const char *file, GError **err);
 /** mh_log_start() - logs @k to standard error; @level NULL: info. */
--- a/lib/opaque.h
+++ b/lib/opaque.h
@@ -92,9 +92,21 @@
 	void (*on_request)(void *arg, struct mh_hreq *r);
 	/* the caller disconnected first; @r is freed on return */
 	void (*on_disconnect)(void *arg, struct mh_hreq *r);
+	/*
+	 * The head of a request with a large body is complete: returns whether
+	 * to read the body, or sets @why.  NULL: always.
+	 */
+	bool (*on_body)(void *arg, struct mh_hreq *r, int *why);
+	/* answers such a request, or MH_REFUSE_MEMORY; NULL: a plain 503 */
+	void (*on_refuse)(void *arg, struct mh_hreq *r, int why);
 	void *arg;
+	struct mh_account *account; /* that connections draw from; NULL: none */
+	uint32_t max_conns; /* 0: no bound */
 };
 
+/* No memory for what a request would take. */
+#define MH_REFUSE_MEMORY (-1)
+
 struct mh_hserve *mh_hserve_create(
     struct mh_loop *l, const struct mh_hserve_args *a, GError **err);
 void mh_hserve_destroy(struct mh_hserve *s);
@@ -106,6 +118,14 @@
  * limit: its caller may know either.
  */
 void mh_hserve_set_limits(struct mh_hserve *s, const struct mh_hlimits *l);
+/** mh_hserve_set_max_conns() - most connections; 0: no bound. */
+void mh_hserve_set_max_conns(struct mh_hserve *s, uint32_t max_conns);
+/**
+ * mh_hserve_relieve() - closes connections of the share that is over its part,
+ * those without progress for the longest time first.
+ */
+void mh_hserve_relieve(struct mh_hserve *s);
+uint32_t mh_hserve_conns(const struct mh_hserve *s);
 /** mh_hserve_drain() - closes each connection after its next response. */
 void mh_hserve_drain(struct mh_hserve *s);
 /**
@@ -134,6 +154,10 @@
 const struct mh_headers *mh_hreq_headers(const struct mh_hreq *r);
 /** mh_hreq_body() - owned by the request. */
 const GByteArray *mh_hreq_body(const struct mh_hreq *r);
+/** mh_hreq_body_bytes() - the same memory, which outlives the request. */
+GBytes *mh_hreq_body_bytes(const struct mh_hreq *r);
+/** mh_hreq_set_share() - the share that its connection draws from. */
+void mh_hreq_set_share(struct mh_hreq *r, const char *name);
 void *mh_hreq_data(const struct mh_hreq *r);
 void mh_hreq_set_data(struct mh_hreq *r, void *data);
 /**
@@ -183,7 +207,8 @@
 struct mh_hcall_args {
 	const char *addr; /* ip:port */
 	const char *peer; /* process at @addr; has its own connections */
-	GBytes *text; /* the whole request */
+	GBytes *text; /* the request, or its head */
+	GBytes *body; /* sent after the text; NULL: none */
 	/* a response whose field @echo_name is not @echo is of another call */
 	const char *echo_name;
 	const char *echo;
@@ -216,6 +241,8 @@
 void mh_hcalls_destroy(struct mh_hcalls *c);
 struct mh_hcall *mh_hcalls_start(
     struct mh_hcalls *c, const struct mh_hcall_args *a);
+/** mh_hcall_is_sent() - whether the kernel has the whole request. */
+bool mh_hcall_is_sent(const struct mh_hcall *call);
 /** mh_hcall_abort() - closes its connection without calling done(). */
 void mh_hcall_abort(struct mh_hcall *call);
 /**
--- a/regress/frontrig.c
+++ b/regress/frontrig.c
@@ -253,6 +253,7 @@
 		.release = op_drop,
 		.jobs = r };
 	struct mh_gconf *c = plat_conf_decode(conf, strlen(conf), NULL, NULL);
+	const struct mh_holdings holdings = { .caller_bytes = 64U << 20 };
 
 	r->fd = r->caller_fd = -1;
 	r->log = g_string_new(NULL);
@@ -265,7 +266,8 @@
 	r->fleet = mh_fleet_create(r->k);
 	r->place = mh_place_create(r->k, r->fleet);
 	r->budget = mh_budget_create(r->k, &b);
-	r->front = plat_front_create(r->loop, r->calls, "127.0.0.1:0", NULL);
+	r->front = plat_front_create(
+	    r->loop, r->calls, "127.0.0.1:0", &holdings, NULL);
 	plat_front_ops(r->front, &ops);
 	r->gate =
 	    mh_gate_create(r->k, r->fleet, r->place, r->budget, &ops, "d");
--- a/regress/streamrig.c
+++ b/regress/streamrig.c
@@ -732,6 +732,7 @@
 	struct stream_rig *r = g_new0(struct stream_rig, 1);
 	struct mh_budget_args b = { 1, 1e6, 10 * MH_US_PER_S };
 	struct mh_gate_ops ops = { .jobs = r };
+	const struct mh_holdings holdings = { .caller_bytes = 256U << 20 };
 
 	r->on_session_end = on_session_end;
 	r->lanes = g_ptr_array_new_with_free_func(lane_free);
@@ -743,7 +744,8 @@
 	r->fleet = mh_fleet_create(r->k);
 	r->place = mh_place_create(r->k, r->fleet);
 	r->budget = mh_budget_create(r->k, &b);
-	r->front = plat_front_create(r->loop, r->calls, "127.0.0.1:0", NULL);
+	r->front = plat_front_create(
+	    r->loop, r->calls, "127.0.0.1:0", &holdings, NULL);
 	plat_front_ops(r->front, &ops);
 	r->gate =
 	    mh_gate_create(r->k, r->fleet, r->place, r->budget, &ops, "d");
--- a/regress/t_platform.c
+++ b/regress/t_platform.c
@@ -436,8 +436,8 @@
 	} rows[] = { { MH_NOT_READY, 503 }, { MH_NO_ROUTE, 404 },
 		{ MH_BAD_KEY, 401 }, { MH_BAD_REQUEST, 400 },
 		{ MH_TOO_BUSY, 503 }, { MH_NO_ENDPOINT, 503 },
-		{ MH_NOT_IN_TIME, 503 }, { MH_RUN_FAILED, 502 },
-		{ MH_RUN_TIMEOUT, 504 } };
+		{ MH_NOT_IN_TIME, 503 }, { MH_NO_MEMORY, 503 },
+		{ MH_RUN_FAILED, 502 }, { MH_RUN_TIMEOUT, 504 } };
 	const char *text;
 
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
