marlhoistd, marlsided: the same account and division

What callers saw: marlhoistd grew without a bound with bodies that stop short and answers that nobody reads (168 and 838 MB of a machine of 64), and 800 idle connections left no descriptor. Cause: 4,096 connections with bodies of 1 MiB and streams without a bound; the kernel's buffers grew by themselves. Change: memory-mb and max-fds (MARLHOIST_MEMORY_MB, MARLHOIST_MAX_FDS), by default what the system reports and allows, are divided as in marlgated. Bodies, responses and streams draw from the organisation's share; a body without room is dropped as it is read and its request answered 503 no-memory, Retry-After, outcome not-run; unread responses are closed, without progress first; near the bound of connections the idle one that is oldest is closed.

--- a/lib/daemon.c
+++ b/lib/daemon.c
@@ -15,6 +15,10 @@
 #define DEFAULT_QUEUE_LIMIT 256
 #define MAX_SLOTS 4096
 #define MIN_SECRET_CHARS 16
+#define MIN_MEMORY_MB 16
+#define MAX_MEMORY_MB (1U << 20)
+#define MIN_FDS 64
+#define MAX_FDS (1U << 20)
 
 struct setting {
 	const char *flag;
@@ -74,6 +78,12 @@
 	S("grace", "MARLHOIST_GRACE", grace,
 	    "whole seconds from SIGTERM to SIGKILL, 2 to 3600", 0, true, false,
 	    MH_GRACE_MIN_S, MH_GRACE_MAX_S),
+	S("memory-mb", "MARLHOIST_MEMORY_MB", memory_mb,
+	    "memory of this VM in MB, 16 to 1048576", 0, true, false,
+	    MIN_MEMORY_MB, MAX_MEMORY_MB),
+	S("max-fds", "MARLHOIST_MAX_FDS", max_fds,
+	    "descriptors that it may open, 64 to 1048576", 0, true, false,
+	    MIN_FDS, MAX_FDS),
 };
 #define NSETTINGS (sizeof(settings) / sizeof(settings[0]))
 
@@ -226,6 +236,13 @@
 	memset(s, 0, sizeof(*s));
 }
 
+void
+mh_settings_holdings(const struct mh_settings *s, struct mh_holdings *h)
+{
+	mh_holdings_divide(
+	    h, (uint64_t)s->memory_mb << 20, (uint32_t)s->max_fds);
+}
+
 char *
 mh_secret_read(const char *file, GError **err)
 {
--- a/lib/httpd.c
+++ b/lib/httpd.c
@@ -17,6 +17,13 @@
 #define MAX_CONNECTIONS 4096U
 #define IDLE_TIMEOUT_S 60U
 #define BLOCK_BYTES 65536
+/* Buffers of the kernel for a connection; they count as memory of the VM. */
+#define KERNEL_BYTES 16384
+/* What a connection takes: the library's pool, and the kernel's buffers. */
+#define CONN_BYTES (32768 + 2 * KERNEL_BYTES)
+/* Without progress for so long, a request makes room for another. */
+#define STALL_US (1 * MH_US_PER_S)
+#define LOG_US (1 * MH_US_PER_S)
 #define MAX_RUNS 4 /* of MHD_run() in a row: a handler may wake requests */
 
 enum phase { READING, WAITING, READY, STREAMING, QUEUED, ABORTED };
@@ -26,9 +33,22 @@
 	char *value;
 };
 
+/** struct hconn - a caller's connection. */
+struct hconn {
+	struct mh_httpd *h;
+	int fd;
+	struct mh_http_req *req; /* NULL: idle */
+	int64_t progress_us; /* when it made some last */
+	bool closing; /* the library has yet to notice */
+};
+
 struct mh_http_req {
 	struct mh_httpd *h;
 	struct MHD_Connection *conn;
+	struct hconn *hconn;
+	struct mh_share *share; /* NULL: no bounds */
+	uint64_t held_bytes;
+	bool no_memory; /* the body was dropped */
 	uint64_t id;
 	enum phase phase;
 	bool suspended;
@@ -54,6 +74,13 @@
 	struct MHD_Daemon *daemon;
 	struct mh_httpd_args a;
 	GHashTable *reqs; /* id -> struct mh_http_req */
+	GHashTable *conns; /* set of struct hconn */
+	uint32_t n_closing; /* connections */
+	struct mh_account *account; /* NULL: no bounds */
+	struct mh_share *conns_share; /* what connections take by themselves */
+	struct mh_timer *log_timer;
+	uint32_t refused; /* these two since the last log line */
+	uint32_t closed;
 	struct mh_timer *disconnect_timer;
 	char *cert;
 	char *key;
@@ -126,6 +153,12 @@
 	return r->too_big;
 }
 
+bool
+mh_req_no_memory(const struct mh_http_req *r)
+{
+	return r->no_memory;
+}
+
 uint64_t
 mh_req_id(const struct mh_http_req *r)
 {
@@ -167,6 +200,228 @@
 	g_array_append_val(r->headers, hd);
 }
 
+/* limits */
+
+static void
+log_limited(void *arg)
+{
+	struct mh_httpd *h = arg;
+
+	mh_log(h->k, "http",
+	    "Callers limited: refused=%u closed=%u conns=%u max_conns=%u "
+	    "held_bytes=%" PRIu64 " max_bytes=%" PRIu64 ".",
+	    h->refused, h->closed, g_hash_table_size(h->conns),
+	    h->a.holdings.caller_conns, mh_account_bytes(h->account),
+	    mh_account_limit(h->account));
+	h->refused = 0;
+	h->closed = 0;
+}
+
+static void
+note_limited(struct mh_httpd *h, uint32_t *n, const char *counter)
+{
+	(*n)++;
+	mh_count(h->k, counter, 1);
+	if (h->log_timer == NULL)
+		mh_timer_set(h->k, &h->log_timer, LOG_US, log_limited, h);
+}
+
+/* Charges what the request holds now; the library copies a response. */
+static void
+charge(struct mh_http_req *r)
+{
+	uint64_t bytes = 0;
+
+	if (r->share == NULL)
+		return;
+	if (r->in != NULL)
+		bytes += r->in->len;
+	if (r->body != NULL)
+		bytes += g_bytes_get_size(r->body);
+	if (r->out != NULL)
+		bytes += r->out->len;
+	if (r->response_body != NULL)
+		bytes += 2 * g_bytes_get_size(r->response_body);
+	mh_share_charge(r->share, r->held_bytes, bytes);
+	r->held_bytes = bytes;
+}
+
+static void
+note_progress(struct mh_http_req *r)
+{
+	if (r->hconn != NULL)
+		r->hconn->progress_us = mh_now(r->h->k);
+}
+
+/* The library sees the end of the connection and frees what it has. */
+static void
+close_hconn(struct hconn *c)
+{
+	if (c->closing)
+		return;
+	c->closing = true;
+	c->h->n_closing++;
+	if (c->h->account != NULL)
+		mh_share_charge(c->h->conns_share, CONN_BYTES, 0);
+	c->h->run_pending = true;
+	shutdown(c->fd, SHUT_RDWR);
+	note_limited(c->h, &c->h->closed, "http_closed");
+}
+
+/* The body is read on and dropped; the request is answered when it ends. */
+static void
+drop_body(struct mh_http_req *r)
+{
+	g_byte_array_unref(r->in);
+	r->in = g_byte_array_new();
+	r->no_memory = true;
+	charge(r);
+	note_limited(r->h, &r->h->refused, "http_refused_memory");
+}
+
+static bool
+is_reading(const struct mh_http_req *r)
+{
+	return r->phase == READING && r->in != NULL && r->in->len > 0;
+}
+
+static bool
+is_unread(const struct mh_http_req *r)
+{
+	return r->phase == QUEUED ||
+	    (r->phase == STREAMING && r->out->len > 0 && !r->abort_after_out);
+}
+
+/* Of those in a share, the request without progress for longest, or NULL. */
+static struct mh_http_req *
+find_stalled(struct mh_httpd *h, const struct mh_share *share,
+    bool (*may_go)(const struct mh_http_req *r), int64_t stalled_us)
+{
+	struct mh_http_req *oldest = NULL;
+	GHashTableIter it;
+	gpointer v;
+
+	g_hash_table_iter_init(&it, h->reqs);
+	while (g_hash_table_iter_next(&it, NULL, &v)) {
+		struct mh_http_req *r = v;
+
+		if (r->hconn == NULL || r->hconn->closing ||
+		    r->share != share || !may_go(r) ||
+		    mh_now(h->k) - r->hconn->progress_us < stalled_us)
+			continue;
+		if (oldest == NULL ||
+		    r->hconn->progress_us < oldest->hconn->progress_us)
+			oldest = r;
+	}
+	return oldest;
+}
+
+/*
+ * A body takes the place of one of its organisation that has stalled, or of
+ * what another holds beyond its part.  Else it is dropped.
+ */
+static bool
+make_room(struct mh_http_req *r, size_t more)
+{
+	struct mh_httpd *h = r->h;
+
+	while (r->share != NULL && !mh_share_fits(r->share, more)) {
+		struct mh_share *over = mh_account_over(h->account);
+		bool own = over == NULL || over == r->share;
+		struct mh_http_req *stalled = find_stalled(
+		    h, own ? r->share : over, is_reading, own ? STALL_US : 0);
+
+		if (stalled == NULL || stalled == r)
+			return false;
+		drop_body(stalled);
+	}
+	return true;
+}
+
+static void
+abort_unread(struct mh_http_req *r)
+{
+	if (r->phase == STREAMING) {
+		g_byte_array_set_size(r->out, 0);
+		mh_req_abort(r);
+		charge(r);
+	}
+	close_hconn(r->hconn);
+}
+
+/*
+ * Of the connections without a request, or whose request or response has
+ * stalled, the one without progress for longest; or NULL.
+ */
+static struct hconn *
+find_idle(struct mh_httpd *h)
+{
+	struct hconn *oldest = NULL;
+	GHashTableIter it;
+	gpointer key;
+
+	g_hash_table_iter_init(&it, h->conns);
+	while (g_hash_table_iter_next(&it, &key, NULL)) {
+		struct hconn *c = key;
+		bool goes = c->req == NULL ||
+		    ((c->req->phase == READING || is_unread(c->req)) &&
+			mh_now(h->k) - c->progress_us >= STALL_US);
+
+		if (goes && !c->closing &&
+		    (oldest == NULL || c->progress_us < oldest->progress_us))
+			oldest = c;
+	}
+	return oldest;
+}
+
+/* Has a share give something back; returns false if nothing can. */
+static bool
+relieve(struct mh_httpd *h, const struct mh_share *over)
+{
+	struct mh_http_req *r;
+	struct hconn *c;
+
+	if (over == h->conns_share) {
+		c = find_idle(h);
+		if (c != NULL)
+			close_hconn(c);
+		return c != NULL;
+	}
+	r = find_stalled(h, over, is_unread, 0);
+	if (r != NULL) {
+		abort_unread(r);
+		return true;
+	}
+	r = find_stalled(h, over, is_reading, 0);
+	if (r != NULL)
+		drop_body(r);
+	return r != NULL;
+}
+
+static void
+on_over(void *arg)
+{
+	struct mh_httpd *h = arg;
+	struct mh_share *over;
+
+	while ((over = mh_account_over(h->account)) != NULL && relieve(h, over))
+		continue;
+}
+
+/* Closes idle connections while there are too many. */
+static void
+make_place(struct mh_httpd *h)
+{
+	uint32_t most = h->a.holdings.caller_conns;
+	struct hconn *c;
+
+	/* The library accepts no more at the limit itself. */
+	most -= MIN(most / 8, most - 1);
+	while (g_hash_table_size(h->conns) - h->n_closing > most &&
+	    (c = find_idle(h)) != NULL)
+		close_hconn(c);
+}
+
 static void
 set_response(struct mh_http_req *r, uint32_t status, const char *type)
 {
@@ -186,6 +441,8 @@
 	    body == NULL ? g_bytes_new(NULL, 0) : g_bytes_ref(body);
 	r->phase = READY;
 	r->ended = true;
+	charge(r);
+	note_progress(r);
 	wake(r);
 }
 
@@ -218,6 +475,7 @@
 	if (r->out == NULL)
 		return;
 	g_byte_array_append(r->out, data, (guint)len);
+	charge(r);
 	wake_stream(r);
 }
 
@@ -252,6 +510,8 @@
 		n = MIN(max, r->out->len);
 		memcpy(buf, r->out->data, n);
 		g_byte_array_remove_range(r->out, 0, (guint)n);
+		charge(r);
+		note_progress(r);
 		return (ssize_t)n;
 	}
 	if (r->abort_after_out)
@@ -302,6 +562,9 @@
     const char *method)
 {
 	struct mh_http_req *r = g_new0(struct mh_http_req, 1);
+	const union MHD_ConnectionInfo *info =
+	    MHD_get_connection_info(conn, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+	const char *org;
 
 	r->h = h;
 	r->conn = conn;
@@ -311,6 +574,15 @@
 	r->in = g_byte_array_new();
 	r->headers = g_array_new(FALSE, FALSE, sizeof(struct header));
 	g_hash_table_insert(h->reqs, &r->id, r);
+	if (info != NULL && info->socket_context != NULL) {
+		r->hconn = info->socket_context;
+		r->hconn->req = r;
+		note_progress(r);
+	}
+	if (h->account != NULL) {
+		org = h->a.org == NULL ? NULL : h->a.org(h->a.arg, r);
+		r->share = mh_share_get(h->account, org == NULL ? "" : org);
+	}
 	return r;
 }
 
@@ -335,6 +607,24 @@
 	return rv;
 }
 
+static void
+take_body(struct mh_http_req *r, const char *data, size_t len)
+{
+	note_progress(r);
+	if (r->no_memory || r->too_big)
+		return;
+	if (r->in->len + len > MH_MAX_BODY) {
+		g_byte_array_unref(r->in);
+		r->in = g_byte_array_new();
+		r->too_big = true;
+	} else if (!make_room(r, len)) {
+		drop_body(r);
+	} else {
+		g_byte_array_append(r->in, (const uint8_t *)data, (guint)len);
+	}
+	charge(r);
+}
+
 static enum MHD_Result
 on_access(void *cls, struct MHD_Connection *conn, const char *url,
     const char *method, const char *version, const char *data, size_t *size,
@@ -351,11 +641,7 @@
 		return MHD_YES;
 	}
 	if (*size > 0) {
-		if (r->in->len + *size > MH_MAX_BODY)
-			r->too_big = true;
-		else
-			g_byte_array_append(
-			    r->in, (const uint8_t *)data, (guint)*size);
+		take_body(r, data, *size);
 		*size = 0;
 		return MHD_YES;
 	}
@@ -380,6 +666,13 @@
 free_req(struct mh_http_req *r)
 {
 	g_hash_table_remove(r->h->reqs, &r->id);
+	if (r->hconn != NULL) {
+		r->hconn->req = NULL;
+		r->hconn->progress_us = mh_now(r->h->k);
+	}
+	if (r->share != NULL)
+		mh_share_charge(r->share, r->held_bytes, 0);
+	mh_share_unref(r->share);
 	for (guint i = 0; i < r->headers->len; i++) {
 		struct header *hd =
 		    &g_array_index(r->headers, struct header, i);
@@ -419,6 +712,47 @@
 	free_req(r);
 }
 
+static void
+add_hconn(struct mh_httpd *h, struct MHD_Connection *conn, void **ctx)
+{
+	const union MHD_ConnectionInfo *info =
+	    MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD);
+	struct hconn *c = g_new0(struct hconn, 1);
+
+	c->h = h;
+	c->fd = info->connect_fd;
+	c->progress_us = mh_now(h->k);
+	g_hash_table_add(h->conns, c);
+	*ctx = c;
+	if (h->account == NULL)
+		return;
+	mh_share_charge(h->conns_share, 0, CONN_BYTES);
+	make_place(h);
+}
+
+static void
+on_connection(void *cls, struct MHD_Connection *conn, void **ctx,
+    enum MHD_ConnectionNotificationCode code)
+{
+	struct mh_httpd *h = cls;
+	struct hconn *c = *ctx;
+
+	if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+		add_hconn(h, conn, ctx);
+		return;
+	}
+	if (c == NULL)
+		return;
+	if (c->req != NULL)
+		c->req->hconn = NULL;
+	h->n_closing -= c->closing;
+	g_hash_table_remove(h->conns, c);
+	if (h->account != NULL && !c->closing)
+		mh_share_charge(h->conns_share, CONN_BYTES, 0);
+	g_free(c);
+	*ctx = NULL;
+}
+
 /*
  * A suspended connection is not polled.  Without this check the work of a
  * caller that disconnected would go on.
@@ -529,7 +863,11 @@
 		{ MHD_OPTION_HTTPS_MEM_KEY, 0, h->key },
 		{ MHD_OPTION_END, 0, NULL } };
 	const union MHD_DaemonInfo *info;
+	unsigned most = MAX_CONNECTIONS;
+	int size = KERNEL_BYTES;
 
+	if (h->a.holdings.caller_conns > 0)
+		most = MIN(most, h->a.holdings.caller_conns);
 	if (h->cert != NULL)
 		flags |= MHD_USE_TLS;
 	else
@@ -537,10 +875,10 @@
 	h->daemon = MHD_start_daemon(flags, 0, NULL, NULL, on_access, h,
 	    MHD_OPTION_SOCK_ADDR, (struct sockaddr *)sa,
 	    MHD_OPTION_NOTIFY_COMPLETED, on_completed, h,
-	    MHD_OPTION_CONNECTION_LIMIT, MAX_CONNECTIONS,
-	    MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
-	    MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_ARRAY, tls,
-	    MHD_OPTION_END);
+	    MHD_OPTION_NOTIFY_CONNECTION, on_connection, h,
+	    MHD_OPTION_CONNECTION_LIMIT, most, MHD_OPTION_CONNECTION_TIMEOUT,
+	    IDLE_TIMEOUT_S, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+	    MHD_OPTION_ARRAY, tls, MHD_OPTION_END);
 	if (h->daemon == NULL) {
 		g_set_error(err, MH_ERROR, MH_ERR_IO,
 		    "cannot serve HTTP on %s: give a free IP:PORT of this VM "
@@ -552,6 +890,12 @@
 	h->port = info->port;
 	info = MHD_get_daemon_info(h->daemon, MHD_DAEMON_INFO_EPOLL_FD);
 	h->epoll_fd = info->epoll_fd;
+	if (h->account == NULL)
+		return true;
+	/* Accepted sockets inherit them. */
+	info = MHD_get_daemon_info(h->daemon, MHD_DAEMON_INFO_LISTEN_FD);
+	setsockopt(info->listen_fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	setsockopt(info->listen_fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
 	return true;
 }
 
@@ -566,6 +910,12 @@
 	h->k = mh_loop_kern(loop);
 	h->a = *a;
 	h->reqs = g_hash_table_new(g_int64_hash, g_int64_equal);
+	h->conns = g_hash_table_new(NULL, NULL);
+	if (a->holdings.caller_bytes > 0) {
+		h->account = mh_account_create(h->k, a->holdings.caller_bytes);
+		h->conns_share = mh_share_get(h->account, "connections");
+		mh_account_on_over(h->account, on_over, h);
+	}
 	if (!parse_listen(a->listen, &sa, err) || !read_tls(h, err) ||
 	    !start(h, &sa, err)) {
 		mh_httpd_destroy(h);
@@ -582,7 +932,7 @@
  * Closing the listening socket resets the connections in its backlog, and a
  * caller that has already sent a request can't tell whether it was executed.
  * So the backlog is accepted first.  It is short, and each MHD_run() accepts at
- * least one connection; connections beyond MAX_CONNECTIONS are still reset.
+ * least one connection; connections beyond the limit are still reset.
  */
 static void
 accept_waiting(struct mh_httpd *h)
@@ -647,6 +997,10 @@
 		MHD_stop_daemon(h->daemon);
 		h->daemon = NULL;
 	}
+	mh_timer_stop(h->k, &h->log_timer);
+	mh_share_unref(h->conns_share);
+	mh_account_destroy(h->account);
+	g_hash_table_destroy(h->conns);
 	g_hash_table_destroy(h->reqs);
 	g_free(h->cert);
 	g_free(h->key);
--- a/lib/run.c
+++ b/lib/run.c
@@ -103,8 +103,12 @@
 		.pool = s->pool,
 		.incarnation = d->incarnation,
 		.secret = secret };
+	struct mh_holdings h;
 	GError *err = NULL;
 
+	mh_settings_holdings(s, &h);
+	a.max_conns = h.link_conns;
+	a.max_out_bytes = h.link_bytes;
 	if (!mh_link_create(d->loop, &a, &err))
 		fail(d, err);
 }
@@ -140,6 +144,7 @@
 	}
 	d.grace_us = d.settings.grace * MH_US_PER_S;
 	signal(SIGPIPE, SIG_IGN);
+	mh_memory_tune();
 	d.incarnation = mh_random_incarnation();
 	d.k = mh_kern_create((uint32_t)mh_random_incarnation());
 	mh_log_start(d.k, ops->name, d.settings.log_level);
--- a/marlhoistd/http.c
+++ b/marlhoistd/http.c
@@ -9,6 +9,8 @@
 
 #define LABEL_PREFIX "marl-label-"
 #define MAX_DEADLINE_MS 3600000U
+/* A caller may come back so long after it was refused for memory. */
+#define MEMORY_RETRY_S "1"
 
 struct http {
 	struct mh_kern *k;
@@ -66,18 +68,46 @@
 		mh_req_header_set(r, "Connection", "close");
 }
 
+/* The key of a request, or NULL. */
+static const char *
+key_of(const struct mh_http_req *r)
+{
+	static const char bearer[] = "Bearer ";
+	const char *auth = mh_req_header(r, "Authorization");
+
+	return auth != NULL && g_str_has_prefix(auth, bearer)
+	    ? auth + strlen(bearer)
+	    : NULL;
+}
+
+static const char *
+org_of(void *arg, const struct mh_http_req *r)
+{
+	struct http *h = arg;
+	const struct mh_decl *d = mh_conf_get(h->k);
+	const char *key = key_of(r);
+	const struct mh_key_match *who =
+	    d == NULL || key == NULL ? NULL : mh_decl_find_key(d, key);
+
+	return who == NULL ? NULL : who->org->name;
+}
+
 static void
 on_request(void *arg, struct mh_http_req *r)
 {
-	static const char bearer[] = "Bearer ";
 	struct http *h = arg;
-	const char *auth = mh_req_header(r, "Authorization");
 	struct mh_msg *m;
 	int64_t deadline_us;
 
 	if (mh_admin_serve(h->k, r))
 		return;
 	close_if_draining(h, r);
+	if (mh_req_no_memory(r)) {
+		mh_req_header_set(r, "Retry-After", MEMORY_RETRY_S);
+		reply_problem(
+		    r, 503, "no-memory", "Send it again after Retry-After.");
+		return;
+	}
 	if (mh_req_too_big(r)) {
 		reply_problem(
 		    r, 413, "body-too-large", "Send a body of at most 1 MiB.");
@@ -93,8 +123,7 @@
 	m->u.request.id = mh_req_id(r);
 	m->u.request.method = g_strdup(mh_req_method(r));
 	m->u.request.path = g_strdup(mh_req_path(r));
-	if (auth != NULL && g_str_has_prefix(auth, bearer))
-		m->u.request.key = g_strdup(auth + strlen(bearer));
+	m->u.request.key = g_strdup(key_of(r));
 	m->u.request.idempotency_key =
 	    g_strdup(mh_req_header(r, "Idempotency-Key"));
 	m->u.request.class_name = g_strdup(mh_req_header(r, "Marl-Class"));
@@ -165,9 +194,11 @@
 		.key_file = s->key_file,
 		.on_request = on_request,
 		.on_caller_left = on_disconnect,
+		.org = org_of,
 		.arg = h };
 
 	h->k = mh_loop_kern(l);
+	mh_settings_holdings(s, &a.holdings);
 	h->httpd = mh_httpd_create(l, &a, err);
 	if (h->httpd == NULL) {
 		g_free(h);
--- a/marlsided/marlsided.c
+++ b/marlsided/marlsided.c
@@ -42,6 +42,7 @@
 		.listen = s->http, .on_request = on_http, .arg = d
 	};
 
+	mh_settings_holdings(s, &http.holdings);
 	mh_endpoint_create(d->k, d->client, s->endpoint);
 	mh_side_create(d->k, &side);
 	d->httpd = mh_httpd_create(d->loop, &http, err);
