Links: a test of peers that do not read

What the other processes saw: nothing yet; 16 MB of unsent output for each link, of a hundred links, were 1.6 GB. Figures: four peers that leave 4 MB each unread, of 8 MB: one or more links are closed, never all, and no more than 8 MB wait.

--- a/lib/link.c
+++ b/lib/link.c
@@ -724,6 +724,14 @@
 	l->max_out_bytes = max_out_bytes;
 }
 
+uint64_t
+mh_link_out_bytes(struct mh_loop *loop)
+{
+	const struct link *l = mh_kern_get(mh_loop_kern(loop), "link");
+
+	return l == NULL ? 0 : l->out_bytes;
+}
+
 void
 mh_link_set_secret(struct mh_loop *loop, const char *secret)
 {
--- a/lib/marlhoist.h
+++ b/lib/marlhoist.h
@@ -1142,6 +1142,8 @@
  */
 void mh_link_set_limits(
     struct mh_loop *loop, uint32_t max_conns, uint64_t max_out_bytes);
+/** mh_link_out_bytes() - not sent yet, on all links. */
+uint64_t mh_link_out_bytes(struct mh_loop *loop);
 /** mh_link_set_secret() - changes the shared key for handshakes from now on. */
 void mh_link_set_secret(struct mh_loop *l, const char *secret);
 
--- a/regress/t_adapter.c
+++ b/regress/t_adapter.c
@@ -869,6 +869,7 @@
 	struct mh_loop *loop;
 	uint64_t conn; /* 0: not up */
 	bool down;
+	uint32_t ups;
 	uint32_t progress; /* reports of a partly received frame */
 	uint32_t frames;
 };
@@ -880,6 +881,7 @@
 
 	if (m->kind == MH_MSG_LINK_UP)
 		s->conn = m->u.link.conn;
+	s->ups += m->kind == MH_MSG_LINK_UP;
 	s->down |= m->kind == MH_MSG_LINK_DOWN;
 	s->progress += m->kind == MH_MSG_LINK_RX_PROGRESS;
 	s->frames += m->kind == MH_MSG_FRAME;
@@ -1058,6 +1060,47 @@
 	close_end(&peer);
 }
 
+#define PEERS 4
+#define QUEUES_MAX_BYTES ((uint64_t)8 << 20)
+#define QUEUED_FRAME_BYTES ((size_t)1 << 20)
+#define FRAMES_A_PEER 4
+
+/* Guards against many peers that each leave a little unread. */
+static void
+test_links_to_peers_that_do_not_read(void)
+{
+	struct link_end us, peers[PEERS];
+	int64_t start = g_get_monotonic_time();
+	char addr[32];
+
+	open_end(&us, "us");
+	mh_link_set_limits(us.loop, 0, QUEUES_MAX_BYTES);
+	for (uint64_t i = 0; i < PEERS; i++) {
+		open_end(&peers[i], "peer");
+		snprintf(addr, sizeof(addr), "127.0.0.1:%u",
+		    mh_link_port(peers[i].loop));
+		mh_link_dial(us.k, 1000 + i, addr);
+	}
+	while (us.ups < PEERS && g_get_monotonic_time() - start < TIMEOUT_US) {
+		run_end(&us);
+		for (int i = 0; i < PEERS; i++)
+			run_end(&peers[i]);
+	}
+	CU_ASSERT_EQUAL(us.ups, PEERS);
+	/* The peers' loops do not run. */
+	for (uint64_t i = 0; i < (uint64_t)PEERS * FRAMES_A_PEER; i++) {
+		us.conn = 1000 + i % PEERS;
+		send_bytes(&us, QUEUED_FRAME_BYTES);
+		run_end(&us);
+		CU_ASSERT(mh_link_out_bytes(us.loop) <= QUEUES_MAX_BYTES);
+	}
+	CU_ASSERT(mh_counter(us.k, "link_overflows") > 0);
+	CU_ASSERT(mh_counter(us.k, "link_overflows") < PEERS);
+	close_end(&us);
+	for (int i = 0; i < PEERS; i++)
+		close_end(&peers[i]);
+}
+
 const struct test tests_adapter[] = {
 	{ "endpoint_rest", test_endpoint_rest },
 	{ "endpoint_contract", test_endpoint_contract },
@@ -1080,5 +1123,7 @@
 	{ "link: a frame without end", test_link_endless_frame },
 	{ "link_to_peer_that_does_not_read",
 	    test_link_to_peer_that_does_not_read },
+	{ "links to peers that do not read",
+	    test_links_to_peers_that_do_not_read },
 	{ NULL, NULL },
 };
