Tests: a refused slow sender, a readiness port with much memory

On loopback a caller that sends at once is done within the second for which a connection stays open after any answer.

--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -111,7 +111,8 @@
 free_call(struct mh_hcall *h)
 {
 	g_bytes_unref(h->text);
-	g_clear_pointer(&h->body, g_bytes_unref);
+	if (h->body != NULL)
+		g_bytes_unref(h->body);
 	g_free(h->echo_name);
 	g_free(h->echo);
 	g_free(h);
--- a/regress/crowd.c
+++ b/regress/crowd.c
@@ -91,6 +91,7 @@
 	size_t len = next_bytes(c, m, &at);
 	ssize_t n;
 
+	errno = EAGAIN;
 	if (len == 0)
 		return false;
 	n = send(m->fd, at, len, MSG_NOSIGNAL | MSG_DONTWAIT);
@@ -167,6 +168,17 @@
 	g_free(p);
 }
 
+void
+crowd_send(struct crowd *c)
+{
+	for (uint32_t i = 0; i < c->n; i++) {
+		struct crowd_member *m = &c->members[i];
+
+		if (m->fd >= 0 && !send_some(c, m) && errno != EAGAIN)
+			close_member(m);
+	}
+}
+
 uint32_t
 crowd_count(const struct crowd *c, const char *text)
 {
--- a/regress/crowdrig.h
+++ b/regress/crowdrig.h
@@ -90,6 +90,8 @@
  * moves any more.
  */
 void crowd_play(struct crowd *c);
+/** crowd_send() - sends once what each member's socket takes. */
+void crowd_send(struct crowd *c);
 /** crowd_count() - members whose answer begins with @text. */
 uint32_t crowd_count(const struct crowd *c, const char *text);
 void crowd_close(struct crowd *c);
--- a/regress/t_crowd.c
+++ b/regress/t_crowd.c
@@ -17,6 +17,9 @@
 #define BODY_BYTES (4 * MB)
 #define UNIT_BYTES 65536
 #define SMALL_RCVBUF 4096
+/* A slow sender takes longer than an idle connection stays after its answer. */
+#define SLOW_PARTS 30
+#define SLOW_PART_US 100000
 
 #define POST(path)                                      \
 	"POST " path " HTTP/1.1\r\nHost: a.example\r\n" \
@@ -196,6 +199,10 @@
 PLAY(test_ready_port, "idle connections to the readiness port", 800,
     CROWD_READY_PORT, "", BYTES, 0, false, 0, { 64, 600, BODY_BYTES, false })
 
+/* Guards against the same where the memory would bear them. */
+PLAY(test_ready_port_memory, "the same with much memory", 800, CROWD_READY_PORT,
+    "", BYTES, 0, false, 0, { 1024, 600, BODY_BYTES, false })
+
 /* Guards against the metrics port using up the memory. */
 PLAY(test_metrics_port, "metrics unread", 300, CROWD_METRICS_PORT, "", METRICS,
     2 * MB, false, SMALL_RCVBUF, SMALL)
@@ -280,6 +287,36 @@
 	crowd_rig_stop(r);
 }
 
+/* Guards against a caller that is reset while it still sends a large body. */
+static void
+test_refused_slow_sender(void)
+{
+	static const struct crowd_settings s = USUAL;
+	static const char head[] =
+	    "POST /desk/slow/ HTTP/1.1\r\nHost: a.example\r\n"
+	    "X-Request-Id: slow\r\nX-Deadline-Ms: 8000\r\n"
+	    "Authorization: Token " CROWD_KEY "\r\n"
+	    "Content-Length: 8388608\r\n\r\n";
+	struct crowd_rig *r = crowd_rig_start(&s);
+	char *x = g_strnfill(UNIT_BYTES, 'x');
+	struct crowd c = { .unit = x, .unit_len = UNIT_BYTES };
+
+	crowd_open(&c, r->ip, CROWD_FRONT_PORT, 1, head);
+	for (int i = 0; i < SLOW_PARTS; i++) {
+		c.send_max += UNIT_BYTES;
+		crowd_send(&c);
+		g_usleep(SLOW_PART_US);
+		CU_ASSERT(c.members[0].fd >= 0);
+	}
+	c.reads = true;
+	crowd_play(&c);
+	CU_ASSERT_EQUAL(crowd_count(&c, "HTTP/1.1 413 "), 1);
+	crowd_close(&c);
+	g_free(x);
+	crowd_rig_check(r, "refused slow sender");
+	crowd_rig_stop(r);
+}
+
 /*
  * Guards against an organisation whose bodies leave no memory to those of
  * others.
@@ -367,10 +404,12 @@
 	{ "crowd: idle connections", test_idle },
 	{ "crowd: idle connections over the limit", test_idle_over },
 	{ "crowd: readiness port", test_ready_port },
+	{ "crowd: readiness port, much memory", test_ready_port_memory },
 	{ "crowd: metrics port", test_metrics_port },
 	{ "crowd: links without a hello", test_links },
 	{ "crowd: refused bodies", test_refused },
 	{ "crowd: refused while sending", test_refused_while_sending },
+	{ "crowd: refused slow sender", test_refused_slow_sender },
 	{ "crowd: another organisation's body", test_other_organisation },
 	{ "crowd: whole bodies inside the limits", test_whole_bodies },
 	{ "crowd: settings change", test_settings_change },
