Tests: a body beside stalled ones of its organisation

Change: twelve bodies of one organisation stop short; one more of it is served within twenty returns of its caller.

--- a/regress/t_crowd.c
+++ b/regress/t_crowd.c
@@ -20,6 +20,9 @@
 /* A slow sender takes longer than an idle connection stays after its answer. */
 #define SLOW_PARTS 30
 #define SLOW_PART_US 100000
+/* A caller comes back before the entry gives up on a request by its time. */
+#define RETURNS 20
+#define RETURN_US 100000
 
 #define POST(path)                                      \
 	"POST " path " HTTP/1.1\r\nHost: a.example\r\n" \
@@ -340,6 +343,31 @@
 	crowd_rig_stop(r);
 }
 
+/* Guards against bodies that have stalled shutting out those that come in. */
+static void
+test_same_organisation(void)
+{
+	static const struct play p = { "a body beside stalled ones", 12,
+		CROWD_FRONT_PORT, POST("/desk/a/") KEY LENGTH, BYTES,
+		BODY_BYTES - 1, false, 0, USUAL };
+	struct crowd_rig *r = crowd_rig_start(&p.set);
+	struct crowd c = { 0 };
+	bool served = false;
+
+	open_and_play(&c, &p, r->ip);
+	for (int i = 0; i < RETURNS && !served; i++) {
+		char *answer = ask_body(r, CROWD_KEY, BODY_BYTES);
+
+		served = g_str_has_prefix(answer, "HTTP/1.1 200 ");
+		g_free(answer);
+		g_usleep(RETURN_US);
+	}
+	CU_ASSERT_TRUE(served);
+	crowd_close(&c);
+	crowd_rig_check(r, p.name);
+	crowd_rig_stop(r);
+}
+
 /* Guards against a limit that a caller inside the limits meets. */
 static void
 test_whole_bodies(void)
@@ -411,6 +439,7 @@
 	{ "crowd: refused while sending", test_refused_while_sending },
 	{ "crowd: refused slow sender", test_refused_slow_sender },
 	{ "crowd: another organisation's body", test_other_organisation },
+	{ "crowd: a body beside stalled ones", test_same_organisation },
 	{ "crowd: whole bodies inside the limits", test_whole_bodies },
 	{ "crowd: settings change", test_settings_change },
 	{ NULL, NULL },
