--- a/lib/account.c
+++ b/lib/account.c
@@ -36,7 +36,6 @@
 #define LINK_FD_PARTS 8
 #define ADMIN_FD_PARTS 1
 #define ADMIN_CONNS 32
-#define DEFAULT_FDS 1024
 
 struct mh_share {
 	struct mh_account *a;
@@ -235,7 +234,7 @@
 	struct rlimit l;
 
 	if (getrlimit(RLIMIT_NOFILE, &l) < 0 || l.rlim_cur == RLIM_INFINITY)
-		return DEFAULT_FDS;
+		return UINT32_MAX;
 	return (uint32_t)MIN(l.rlim_cur, (rlim_t)UINT32_MAX);
 }
 
@@ -251,8 +250,8 @@
 	h->caller_bytes = memory / MEMORY_PARTS * CALLER_PARTS;
 	h->link_bytes = memory / MEMORY_PARTS * LINK_PARTS;
 	h->admin_bytes = memory / MEMORY_PARTS * ADMIN_PARTS;
-	h->caller_conns = MAX(most * CALLER_FD_PARTS / FD_PARTS, 1);
-	h->link_conns = MAX(most * LINK_FD_PARTS / FD_PARTS, 1);
+	h->caller_conns = MAX(most / FD_PARTS * CALLER_FD_PARTS, 1);
+	h->link_conns = MAX(most / FD_PARTS * LINK_FD_PARTS, 1);
 	h->admin_conns =
-	    CLAMP(most * ADMIN_FD_PARTS / FD_PARTS, 1, ADMIN_CONNS);
+	    CLAMP(most / FD_PARTS * ADMIN_FD_PARTS, 1, ADMIN_CONNS);
 }
