--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -478,10 +478,11 @@
 	const struct mh_account *a = s->args.account;
 
 	mh_event(s->k, "callers-limited",
-	    "refused=%u closed_idle=%u closed_stalled=%u turned_away=%u "
+	    "port=%u refused=%u closed_idle=%u closed_stalled=%u "
+	    "turned_away=%u "
 	    "conns=%u max_conns=%u held_bytes=%" PRIu64 " max_bytes=%" PRIu64,
-	    l->refused, l->closed_idle, l->closed_stalled, l->turned_away,
-	    g_hash_table_size(s->conns), s->args.max_conns,
+	    s->port, l->refused, l->closed_idle, l->closed_stalled,
+	    l->turned_away, g_hash_table_size(s->conns), s->args.max_conns,
 	    a == NULL ? 0 : mh_account_bytes(a),
 	    a == NULL ? 0 : mh_account_limit(a));
 	memset(&s->limited, 0, sizeof(s->limited));
