--- a/regress/t_crowd.c
+++ b/regress/t_crowd.c
@@ -214,6 +214,42 @@
 PLAY(test_links, "links without a hello", 800, CROWD_FRAME_PORT, "", BYTES, 0,
     false, 0, { 64, 600, BODY_BYTES, true })
 
+/*
+ * Guards against memory that the allocator keeps after one crowd and the next
+ * can't use.
+ */
+static void
+test_in_a_row(void)
+{
+	static const struct play crowds[] = {
+		{ "heads", 400, CROWD_FRONT_PORT, GET("/desk/a/"), FIELDS,
+		    8 * 4000, false, 0, USUAL },
+		{ "bodies", 60, CROWD_FRONT_PORT, POST("/desk/a/") KEY LENGTH,
+		    BYTES, BODY_BYTES - 1, false, 0, USUAL },
+		{ "tiny chunks", 60, CROWD_FRONT_PORT,
+		    POST("/desk/a/") KEY CHUNKED, TINY_CHUNKS, 4 * MB, false, 0,
+		    USUAL },
+		{ "answers", 60, CROWD_FRONT_PORT, GET("/desk/big/") KEY "\r\n",
+		    BYTES, 0, false, SMALL_RCVBUF, USUAL },
+		{ "requests", 150, CROWD_FRONT_PORT, GET("/desk/a/") KEY "\r\n",
+		    REQUESTS, 2 * MB, false, SMALL_RCVBUF, USUAL },
+		{ "streams", 60, CROWD_FRONT_PORT, GET("/pool/a/") KEY "\r\n",
+		    BYTES, 0, false, SMALL_RCVBUF, USUAL },
+	};
+	struct crowd_rig *r = crowd_rig_start(&crowds[0].set);
+
+	for (size_t i = 0; i < G_N_ELEMENTS(crowds); i++) {
+		struct crowd c = { 0 };
+
+		open_and_play(&c, &crowds[i], r->ip);
+		CU_ASSERT_TRUE(crowd_rig_ordinary(r, ORDINARY_KEY));
+		crowd_close(&c);
+	}
+	CU_ASSERT_TRUE(crowd_rig_ordinary(r, ORDINARY_KEY));
+	crowd_rig_check(r, "crowds in a row");
+	crowd_rig_stop(r);
+}
+
 /* Guards against a refusal that runs, or that says too little. */
 static void
 test_refused(void)
@@ -435,6 +471,7 @@
 	{ "crowd: readiness port, much memory", test_ready_port_memory },
 	{ "crowd: metrics port", test_metrics_port },
 	{ "crowd: links without a hello", test_links },
+	{ "crowd: in a row", test_in_a_row },
 	{ "crowd: refused bodies", test_refused },
 	{ "crowd: refused while sending", test_refused_while_sending },
 	{ "crowd: refused slow sender", test_refused_slow_sender },
