--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -8,7 +8,7 @@
  * request at a time.
  */
 
-#include "hreqint.h"
+#include "hserveint.h"
 
 #include <errno.h>
 #include <linux/sockios.h>
@@ -48,23 +48,8 @@
  * largest body; chunks take several bytes for one of the body.
  */
 #define DISCARD_BODIES 4
-/*
- * Buffers of the kernel for a connection, and for one with a large body or a
- * large response.  They count towards the memory of the machine.
- */
-#define KERNEL_BYTES 16384
-#define KERNEL_LARGE_BYTES (128 << 10)
-/* What a connection without a request takes, with both buffers of the kernel */
-#define CONN_BYTES (8192 + 2 * KERNEL_BYTES)
-/* An empty buffer that has grown over this is freed. */
-#define KEEP_BYTES 4096
-/* A connection makes progress with each so many bytes. */
-#define PROGRESS_BYTES 4096
-/* Without progress for so long, it makes room for a request that comes in. */
-#define STALL_US (1 * MH_US_PER_S)
 /* A caller may come back so long after it was refused for memory. */
 #define MEMORY_RETRY_S "1"
-#define LOG_US (1 * MH_US_PER_S)
 /* Delay before the next accept when no file descriptor is free. */
 #define ACCEPT_RETRY_US (100 * MH_US_PER_MS)
 /*
@@ -75,68 +60,12 @@
  */
 #define USER_TIMEOUT_MS 4000
 
-enum conn_state {
-	CONN_READING, /* idle, or a request is partly received */
-	CONN_ANSWERING, /* the request was delivered */
-	CONN_SENDING, /* the response is complete, its bytes are being sent */
-	CONN_RESETTING, /* the response was aborted; to be reset */
-	CONN_LINGER /* shut down for writing; discards input until closed */
-};
-
-struct conn {
-	struct mh_hserve *s;
-	int fd;
-	enum conn_state state;
-	bool close_after;
-	bool peer_eof; /* the caller sent FIN, seen while sending */
-	int64_t send_deadline_us;
-	struct mh_hlimits limits; /* of the request to be read */
-	int64_t wait_start_us; /* for its first byte, then for its last */
-	struct mh_hreq *req;
-	GByteArray *in;
-	GByteArray *out;
-	struct mh_timer *timer;
-	/* what it holds; without an account the share is NULL */
-	struct mh_share *share;
-	uint64_t held_bytes;
-	uint32_t in_most_bytes; /* since the buffer was empty */
-	uint32_t out_most_bytes;
-	bool reads_much; /* the kernel's buffers are large ones */
-	bool sends_much;
-	int64_t progress_us; /* when it made some last */
-	uint32_t moved_bytes; /* since then */
-	uint64_t discarded_bytes;
-};
-
-/** struct limited - what the limits did since the last log line. */
-struct limited {
-	uint32_t refused; /* requests, for memory */
-	uint32_t closed_idle;
-	uint32_t closed_stalled; /* with a response that isn't read */
-	uint32_t turned_away; /* new connections */
-};
-
-struct mh_hserve {
-	struct mh_kern *k;
-	struct mh_loop *loop;
-	struct mh_hserve_args args;
-	int fd;
-	uint16_t port;
-	bool draining;
-	bool finishing;
-	struct mh_timer *accept_timer;
-	struct mh_timer *log_timer;
-	struct limited limited;
-	GHashTable *conns; /* set of struct conn */
-};
-
 static void on_io(void *arg, bool readable, bool writable);
-static void make_room(struct conn *c, uint64_t more);
 static void process_input(struct conn *c);
 static void close_if_idle(struct conn *c);
 
-static void
-free_conn(struct conn *c)
+void
+mh_hconn_free(struct conn *c)
 {
 	if (c->share != NULL)
 		mh_share_charge(c->share, c->held_bytes, 0);
@@ -160,8 +89,8 @@
 }
 
 /* Reports the disconnect to the owner of a delivered request; frees @c. */
-static void
-handle_disconnect(struct conn *c)
+void
+mh_hconn_disconnect(struct conn *c)
 {
 	if (c->state == CONN_ANSWERING && c->req != NULL) {
 		struct mh_hreq *r = c->req;
@@ -169,7 +98,7 @@
 		c->state = CONN_LINGER;
 		c->s->args.on_disconnect(c->s->args.arg, r);
 	}
-	free_conn(c);
+	mh_hconn_free(c);
 }
 
 static void
@@ -188,75 +117,8 @@
 		mh_timer_set(c->s->k, &c->timer, us, on_timer, c);
 }
 
-/* An array keeps what it has grown to, also when it is empty. */
-static void
-free_empty(GByteArray **a, uint32_t *most)
-{
-	*most = MAX(*most, (*a)->len);
-	if ((*a)->len > 0 || *most <= KEEP_BYTES)
-		return;
-	g_byte_array_unref(*a);
-	*a = g_byte_array_new();
-	*most = 0;
-}
-
-/* Charges what the connection holds now. */
-static void
-charge(struct conn *c)
-{
-	uint64_t bytes = CONN_BYTES;
-
-	if (c->share == NULL)
-		return;
-	free_empty(&c->in, &c->in_most_bytes);
-	if (c->out->len == 0 && c->out_most_bytes > KEEP_BYTES) {
-		free_empty(&c->out, &c->out_most_bytes);
-		if (c->req != NULL)
-			c->req->out = c->out;
-	}
-	c->out_most_bytes = MAX(c->out_most_bytes, c->out->len);
-	bytes += c->in_most_bytes + c->out_most_bytes;
-	if (c->reads_much)
-		bytes += KERNEL_LARGE_BYTES;
-	if (c->sends_much)
-		bytes += KERNEL_LARGE_BYTES;
-	if (c->req != NULL)
-		bytes += mh_hreq_bytes(c->req);
-	if (bytes == c->held_bytes)
-		return;
-	mh_share_charge(c->share, c->held_bytes, bytes);
-	c->held_bytes = bytes;
-}
-
-static void
-set_share(struct conn *c, const char *name)
-{
-	struct mh_account *a = c->s->args.account;
-	struct mh_share *share;
-
-	if (a == NULL ||
-	    (c->share != NULL && strcmp(mh_share_name(c->share), name) == 0))
-		return;
-	share = mh_share_get(a, name);
-	if (c->share != NULL)
-		mh_share_charge(c->share, c->held_bytes, 0);
-	mh_share_unref(c->share);
-	c->share = share;
-	mh_share_charge(share, 0, c->held_bytes);
-}
-
-static void
-note_progress(struct conn *c, size_t bytes)
-{
-	c->moved_bytes += (uint32_t)bytes;
-	if (c->moved_bytes < PROGRESS_BYTES)
-		return;
-	c->moved_bytes = 0;
-	c->progress_us = mh_now(c->s->k);
-}
-
-static void
-want_io(struct conn *c)
+void
+mh_hconn_want_io(struct conn *c)
 {
 	bool full = c->in->len >= MAX_IN_BYTES;
 	/* A socket at end of file stays readable: the loop would spin. */
@@ -264,13 +126,7 @@
 
 	mh_loop_fd(
 	    c->s->loop, c->fd, !full && !ended, c->out->len > 0, on_io, c);
-	charge(c);
-}
-
-static void
-set_kernel_buffer(int fd, int option, int bytes)
-{
-	setsockopt(fd, SOL_SOCKET, option, &bytes, sizeof(bytes));
+	mh_hconn_charge(c);
 }
 
 /* Returns false if the connection failed. */
@@ -291,10 +147,10 @@
 	}
 	if (off > 0)
 		g_byte_array_remove_range(c->out, 0, off);
-	note_progress(c, off);
+	mh_hconn_progress(c, off);
 	if (c->share != NULL && !c->sends_much && c->out->len > KERNEL_BYTES) {
 		c->sends_much = true;
-		set_kernel_buffer(c->fd, SO_SNDBUF, KERNEL_LARGE_BYTES);
+		mh_hconn_kernel_buffer(c->fd, SO_SNDBUF, KERNEL_LARGE_BYTES);
 	}
 	return true;
 }
@@ -304,17 +160,17 @@
 flush_out(struct conn *c)
 {
 	if (!send_out(c)) {
-		handle_disconnect(c);
+		mh_hconn_disconnect(c);
 		return false;
 	}
 	/* The size of a complete response is bounded by its producer, and its
 	 * duration by SEND_TIMEOUT_US. */
 	if (c->state == CONN_ANSWERING && c->out->len > MAX_OUT_BYTES) {
 		mh_count(c->s->k, "serve_slow_callers", 1);
-		handle_disconnect(c);
+		mh_hconn_disconnect(c);
 		return false;
 	}
-	want_io(c);
+	mh_hconn_want_io(c);
 	return true;
 }
 
@@ -341,7 +197,7 @@
 	if (unframed || !r->keep_alive || (c->s->draining && c->in->len == 0))
 		c->close_after = true;
 	mh_hreq_put_head(r, status, headers, length, c->close_after);
-	want_io(c);
+	mh_hconn_want_io(c);
 }
 
 void
@@ -350,7 +206,7 @@
 	if (len == 0)
 		return;
 	mh_hreq_put(r, data, len);
-	want_io(r->c);
+	mh_hconn_want_io(r->c);
 }
 
 static void
@@ -360,7 +216,7 @@
 	c->limits = c->s->args.limits;
 	c->req = mh_hreq_create(&c->limits, c->out);
 	c->req->c = c;
-	set_share(c, "");
+	mh_hconn_set_share(c, "");
 	c->moved_bytes = 0;
 	c->progress_us = mh_now(c->s->k);
 	c->wait_start_us = c->progress_us;
@@ -376,7 +232,7 @@
 	set_reset_on_close(c, false);
 	set_timer(c, LINGER_US);
 	shutdown(c->fd, SHUT_WR);
-	want_io(c);
+	mh_hconn_want_io(c);
 }
 
 /* The kernel has accepted the last byte of the response. */
@@ -390,7 +246,7 @@
 	start_reading(c);
 	process_input(c);
 	/* Resumes reading if it was paused at MAX_IN_BYTES. */
-	want_io(c);
+	mh_hconn_want_io(c);
 	if (c->s->finishing)
 		close_if_idle(c);
 }
@@ -443,7 +299,7 @@
 	/* The reset drops unsent bytes, and a resumed stream continues after
 	 * what was received, so send as much as the kernel accepts. */
 	(void)send_out(c);
-	free_conn(c);
+	mh_hconn_free(c);
 }
 
 void
@@ -470,43 +326,16 @@
 	g_byte_array_set_size(c->in, 0);
 }
 
-static void
-log_limited(void *arg)
-{
-	struct mh_hserve *s = arg;
-	const struct limited *l = &s->limited;
-	const struct mh_account *a = s->args.account;
-
-	mh_event(s->k, "callers-limited",
-	    "port=%u refused=%u closed_idle=%u closed_stalled=%u "
-	    "turned_away=%u "
-	    "conns=%u max_conns=%u held_bytes=%" PRIu64 " max_bytes=%" PRIu64,
-	    s->port, l->refused, l->closed_idle, l->closed_stalled,
-	    l->turned_away, g_hash_table_size(s->conns), s->args.max_conns,
-	    a == NULL ? 0 : mh_account_bytes(a),
-	    a == NULL ? 0 : mh_account_limit(a));
-	memset(&s->limited, 0, sizeof(s->limited));
-}
-
-/* Counts what a limit did; callers can cause many, so they share a line. */
-static void
-note_limited(struct mh_hserve *s, uint32_t *n, const char *counter)
-{
-	(*n)++;
-	mh_count(s->k, counter, 1);
-	if (s->log_timer == NULL)
-		mh_timer_set(s->k, &s->log_timer, LOG_US, log_limited, s);
-}
-
 /* Answers a request that isn't complete, and will never be delivered. */
-static void
-refuse(struct conn *c, int why)
+void
+mh_hconn_refuse(struct conn *c, int why)
 {
 	struct mh_hserve *s = c->s;
 	struct mh_headers *h;
 
 	if (why == MH_REFUSE_MEMORY)
-		note_limited(s, &s->limited.refused, "serve_refused_memory");
+		mh_hserve_note_limited(
+		    s, &s->limited.refused, "serve_refused_memory");
 	set_timer(c, 0);
 	start_refusal(c);
 	if (s->args.on_refuse != NULL) {
@@ -553,15 +382,15 @@
 		return;
 	if (s->args.on_body != NULL &&
 	    !s->args.on_body(s->args.arg, c->req, &why)) {
-		refuse(c, why);
+		mh_hconn_refuse(c, why);
 		return;
 	}
 	c->reads_much = true;
-	set_kernel_buffer(c->fd, SO_RCVBUF, KERNEL_LARGE_BYTES);
-	charge(c);
+	mh_hconn_kernel_buffer(c->fd, SO_RCVBUF, KERNEL_LARGE_BYTES);
+	mh_hconn_charge(c);
 	if (announced == UINT64_MAX || (c->req->parser.flags & F_CHUNKED))
 		announced = 0;
-	make_room(c, announced);
+	mh_hconn_make_room(c, announced);
 }
 
 /* Parses buffered input up to the end of one request. */
@@ -610,10 +439,10 @@
 		return true;
 	}
 	if (n <= 0) {
-		handle_disconnect(c);
+		mh_hconn_disconnect(c);
 		return false;
 	}
-	note_progress(c, (size_t)n);
+	mh_hconn_progress(c, (size_t)n);
 	switch (c->state) {
 	case CONN_READING:
 	case CONN_ANSWERING:
@@ -654,9 +483,9 @@
 	if (c->state != CONN_READING || c->req->started || !read_in(c))
 		return;
 	process_input(c);
-	want_io(c);
+	mh_hconn_want_io(c);
 	if (c->state == CONN_READING && !c->req->started)
-		handle_disconnect(c);
+		mh_hconn_disconnect(c);
 }
 
 /* Answers 408 unless the rest of the request is in the socket buffer. */
@@ -666,7 +495,7 @@
 	if (!read_in(c))
 		return;
 	process_input(c);
-	want_io(c);
+	mh_hconn_want_io(c);
 	if (c->state != CONN_READING)
 		return;
 	mh_count(c->s->k, "serve_header_timeouts", 1);
@@ -719,7 +548,7 @@
 		return;
 	case CONN_SENDING:
 		mh_count(c->s->k, "serve_slow_callers", 1);
-		handle_disconnect(c);
+		mh_hconn_disconnect(c);
 		return;
 	case CONN_LINGER:
 		if ((has_unacked(c) || is_sending(c)) &&
@@ -728,7 +557,7 @@
 			return;
 		}
 		discard_input(c);
-		free_conn(c);
+		mh_hconn_free(c);
 		return;
 	case CONN_ANSWERING:
 	case CONN_RESETTING:
@@ -748,8 +577,8 @@
 		if (!read_in(c))
 			return;
 		process_input(c);
-		charge(c);
-		make_room(c, 0);
+		mh_hconn_charge(c);
+		mh_hconn_make_room(c, 0);
 	}
 	if (!flush_out(c))
 		return;
@@ -757,167 +586,6 @@
 		on_response_sent(c);
 }
 
-/* making room */
-
-/* Whether it waits for a request, of which nothing has come. */
-static bool
-is_idle(const struct conn *c)
-{
-	int n = 0;
-
-	return c->state == CONN_READING && !c->req->started &&
-	    ioctl(c->fd, FIONREAD, &n) == 0 && n == 0;
-}
-
-/** struct victims - which connections may make room. */
-struct victims {
-	const struct mh_share *share; /* NULL: any */
-	const struct conn *except;
-	int64_t stalled_us; /* least time without progress, unless it is idle */
-	bool streams; /* also those whose response isn't complete */
-};
-
-static bool
-may_go(const struct conn *c, const struct victims *v)
-{
-	int64_t still_us = mh_now(c->s->k) - c->progress_us;
-
-	if (c == v->except || (v->share != NULL && c->share != v->share))
-		return false;
-	switch (c->state) {
-	case CONN_READING:
-		return !c->req->started || still_us >= v->stalled_us;
-	case CONN_SENDING:
-	case CONN_LINGER:
-		return still_us >= v->stalled_us;
-	case CONN_ANSWERING:
-		return v->streams && c->out->len > 0 &&
-		    still_us >= v->stalled_us;
-	case CONN_RESETTING:
-		return false;
-	}
-	return false;
-}
-
-/* Of those that may go, the one that made no progress for longest; or NULL. */
-static struct conn *
-find_victim(const struct mh_hserve *s, const struct victims *v)
-{
-	struct conn *oldest = NULL;
-	GHashTableIter it;
-	gpointer key;
-
-	g_hash_table_iter_init(&it, s->conns);
-	while (g_hash_table_iter_next(&it, &key, NULL)) {
-		struct conn *c = key;
-
-		if (may_go(c, v) &&
-		    (oldest == NULL || c->progress_us < oldest->progress_us))
-			oldest = c;
-	}
-	return oldest;
-}
-
-/* Closes the connection; one on which a request has come stays. */
-static void
-close_victim(struct conn *c)
-{
-	struct mh_hserve *s = c->s;
-
-	if (c->state == CONN_LINGER || is_idle(c)) {
-		note_limited(s, &s->limited.closed_idle, "serve_closed_idle");
-		free_conn(c);
-	} else if (c->state == CONN_READING && !c->req->started) {
-		c->progress_us = mh_now(s->k);
-	} else {
-		note_limited(
-		    s, &s->limited.closed_stalled, "serve_closed_stalled");
-		handle_disconnect(c);
-	}
-}
-
-/* As above, but a request that has come in part is refused. */
-static void
-evict(struct conn *c)
-{
-	if (c->state == CONN_READING && c->req->started) {
-		refuse(c, MH_REFUSE_MEMORY);
-		want_io(c);
-	} else {
-		close_victim(c);
-	}
-}
-
-/*
- * A request that comes in takes the place of one of its organisation that has
- * stalled, or of what another holds beyond its part.  Else it is refused.
- */
-static void
-make_room(struct conn *c, uint64_t more)
-{
-	uint32_t tries = g_hash_table_size(c->s->conns);
-
-	while (c->share != NULL && c->state == CONN_READING &&
-	    !mh_share_fits(c->share, more)) {
-		struct mh_share *over = mh_account_over(c->s->args.account);
-		struct victims v = {
-			.share = c->share, .except = c, .stalled_us = STALL_US
-		};
-		struct conn *victim;
-
-		if (over != NULL && over != c->share) {
-			v.share = over;
-			v.stalled_us = 0;
-		}
-		victim = tries-- > 0 ? find_victim(c->s, &v) : NULL;
-		if (victim != NULL) {
-			evict(victim);
-			continue;
-		}
-		if (c->req->started)
-			refuse(c, MH_REFUSE_MEMORY);
-		return;
-	}
-}
-
-void
-mh_hserve_relieve(struct mh_hserve *s)
-{
-	uint32_t tries = g_hash_table_size(s->conns);
-	struct mh_share *over;
-
-	while (
-	    tries-- > 0 && (over = mh_account_over(s->args.account)) != NULL) {
-		const struct victims v = { .share = over, .streams = true };
-		struct conn *victim = find_victim(s, &v);
-
-		if (victim == NULL)
-			return;
-		evict(victim);
-	}
-}
-
-/* Whether there is a connection left for a caller that connects. */
-static bool
-make_place(struct mh_hserve *s)
-{
-	const struct victims v = { .stalled_us = STALL_US, .streams = true };
-	uint32_t tries = g_hash_table_size(s->conns);
-	struct conn *victim;
-
-	while (s->args.max_conns > 0 &&
-	    g_hash_table_size(s->conns) >= s->args.max_conns) {
-		victim = tries-- > 0 ? find_victim(s, &v) : NULL;
-		if (victim == NULL) {
-			note_limited(
-			    s, &s->limited.turned_away, "serve_turned_away");
-			return false;
-		}
-		close_victim(victim);
-	}
-	return true;
-}
-
 static void on_accept(void *arg, bool readable, bool writable);
 
 static void
@@ -959,7 +627,7 @@
 				pause_accept(s);
 			return;
 		}
-		if (!make_place(s)) {
+		if (!mh_hserve_make_place(s)) {
 			close(fd);
 			continue;
 		}
@@ -972,8 +640,8 @@
 		c->out = g_byte_array_new();
 		g_hash_table_add(s->conns, c);
 		start_reading(c);
-		want_io(c);
-		make_room(c, 0);
+		mh_hconn_want_io(c);
+		mh_hconn_make_room(c, 0);
 	}
 }
 
@@ -995,8 +663,8 @@
 	}
 	/* Accepted sockets inherit them. */
 	if (a->account != NULL) {
-		set_kernel_buffer(s->fd, SO_RCVBUF, KERNEL_BYTES);
-		set_kernel_buffer(s->fd, SO_SNDBUF, KERNEL_BYTES);
+		mh_hconn_kernel_buffer(s->fd, SO_RCVBUF, KERNEL_BYTES);
+		mh_hconn_kernel_buffer(s->fd, SO_SNDBUF, KERNEL_BYTES);
 	}
 	mh_loop_fd(l, s->fd, true, false, on_accept, s);
 	return s;
@@ -1062,7 +730,7 @@
 
 		if (c->state == CONN_LINGER)
 			discard_input(c);
-		free_conn(c);
+		mh_hconn_free(c);
 	}
 	g_list_free(all);
 	g_hash_table_destroy(s->conns);
@@ -1116,7 +784,7 @@
 void
 mh_hreq_set_share(struct mh_hreq *r, const char *name)
 {
-	set_share(r->c, name);
+	mh_hconn_set_share(r->c, name);
 }
 
 void
