Read once more: a freed connection at shutdown; memory given back too late

By reading, not shown by a run: - mh_hserve_finish() walks a list of all connections; one that is read in there may make another of them go, which was then used after it was freed. Only a connection that is still there is looked at. - marlhoistd: closing a connection whose response isn't read gave nothing back to the account before the library had noticed, so that all unread responses of a share were closed where one was enough; and a stream that was given up kept its buffer.

--- a/lib/hserve.c
+++ b/lib/hserve.c
@@ -804,8 +804,11 @@
 		on_accept(s, true, false);
 	stop_accepting(s);
 	all = g_hash_table_get_keys(s->conns);
-	for (GList *n = all; n != NULL; n = n->next)
-		close_if_idle(n->data);
+	for (GList *n = all; n != NULL; n = n->next) {
+		/* One that is read may have had another make room. */
+		if (g_hash_table_contains(s->conns, n->data))
+			close_if_idle(n->data);
+	}
 	g_list_free(all);
 }
 
--- a/lib/httpd.c
+++ b/lib/httpd.c
@@ -342,10 +342,14 @@
 abort_unread(struct mh_http_req *r)
 {
 	if (r->phase == STREAMING) {
-		g_byte_array_set_size(r->out, 0);
+		g_byte_array_unref(r->out);
+		r->out = g_byte_array_new();
 		mh_req_abort(r);
-		charge(r);
+	} else if (r->response_body != NULL) {
+		g_bytes_unref(r->response_body); /* the library has a copy */
+		r->response_body = NULL;
 	}
+	charge(r);
 	close_hconn(r->hconn);
 }
 
