--- a/review/common-2/rig.c
+++ b/review/common-2/rig.c
@@ -944,9 +944,8 @@
 
 	signal(SIGPIPE, SIG_IGN);
 	start_s = clock_s();
-	record = fopen("record.txt", "w");
-	if (getenv("RECORD") != NULL)
-		record = fopen(getenv("RECORD"), "w");
+	record = fopen(
+	    getenv("RECORD") != NULL ? getenv("RECORD") : "record.txt", "w");
 	if (record == NULL)
 		exit(2);
 	pthread_condattr_init(&a);
