--- a/regress/main.c
+++ b/regress/main.c
@@ -82,6 +82,7 @@
 	{ "registry", tests_registry },
 	{ "store", tests_store },
 	{ "restored", tests_restored },
+	{ "foreign", tests_foreign },
 	{ "slow", tests_slow },
 	{ "coordinator", tests_coordinator },
 	{ "handoff", tests_handoff },
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -43,6 +43,7 @@
 extern const struct test tests_registry[];
 extern const struct test tests_store[];
 extern const struct test tests_restored[];
+extern const struct test tests_foreign[];
 extern const struct test tests_slow[];
 extern const struct test tests_coordinator[];
 extern const struct test tests_handoff[];
