Configuration: stages in any order, and invalid parts left out alone

What callers saw: from a version on that lists a stage before one that it reads, a removed route and a revoked key still ran and an added route got 404, for as long as that version stood. Cause: the decoder took only stages that read earlier ones, and one route that it refused dropped the version as a whole. Ruled out: the version isn't read late or lost (conf-refused in each log). Change: stages may read any others, but no cycle. The scheduler follows an order computed from what they read, where loops relied on the numbers.

--- a/lib/broker.c
+++ b/lib/broker.c
@@ -478,6 +478,7 @@
 read_job(struct mh_broker *b, const Mh__Job *m)
 {
 	struct mh_job *j = mh_job_create(m->id);
+	uint8_t order[MH_GSTAGES];
 
 	j->key = g_strdup(m->key);
 	j->route = g_strdup(m->route);
@@ -495,7 +496,7 @@
 	j->n_stages = MIN((uint32_t)m->n_stages, MH_GSTAGES);
 	for (uint32_t s = 0; s < j->n_stages; s++) {
 		j->stages[s].pool = g_strdup(m->stages[s]->pool);
-		j->stages[s].after = m->stages[s]->after & ((1U << s) - 1);
+		j->stages[s].after = m->stages[s]->after;
 		j->stages[s].pieces = m->stages[s]->pieces;
 		j->stages[s].result_bytes = m->stages[s]->result_bytes;
 		j->stages[s].granted =
@@ -509,6 +510,8 @@
 			mh_job_set_results(
 			    j, s, m->stages[s]->some, m->stages[s]->n_some);
 	}
+	for (uint32_t s = 0; s < j->n_stages && !mh_job_sort(j, order); s++)
+		j->stages[s].after &= (1U << s) - 1;
 	return j;
 }
 
@@ -632,6 +635,7 @@
     int64_t retry_us)
 {
 	struct remote_job *r = g_hash_table_lookup(b->remote_by_job, j);
+	uint8_t order[MH_GSTAGES];
 
 	if (r == NULL && end == MH_JOB_HANDED_OFF) {
 		hand_off(b, j, "here");
@@ -647,8 +651,10 @@
 	 * discards the results that the later one reads, and both would be
 	 * computed again.
 	 */
-	for (uint32_t s = j->n_stages; s > 0 && end == MH_JOB_HANDED_OFF; s--)
-		mh_broker_stage_changed(b, j, s - 1);
+	if (end == MH_JOB_HANDED_OFF && mh_job_sort(j, order)) {
+		for (uint32_t n = j->n_stages; n > 0; n--)
+			mh_broker_stage_changed(b, j, order[n - 1]);
+	}
 	send_end(b, r, end, retry_us);
 	if (end != MH_JOB_DONE)
 		free_remote(b, r);
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -44,7 +44,8 @@
 	MH_REPEAT_NEVER /* at most once */
 };
 
-#define MH_GSTAGES 8 /* most stages of a route */
+/* Most stages of a route: sets of them are bit masks. */
+#define MH_GSTAGES 32
 
 /** struct mh_gstage - one stage of work that precedes the request. */
 struct mh_gstage {
@@ -116,6 +117,7 @@
 	/* key -> struct mh_gorg, not owned; NULL: two have it, nobody may */
 	GHashTable *keys;
 	bool needs_key; /* it names organisations, though they may have none */
+	GPtrArray *faults; /* texts: what was left out as it is invalid */
 	GPtrArray *orgs; /* struct mh_gorg */
 	struct mh_hlimits limits;
 };
@@ -628,6 +630,17 @@
 
 struct mh_job *mh_job_create(const char *id);
 void mh_job_destroy(struct mh_job *j);
+/**
+ * mh_stages_sort() - orders stages so that each follows those that it reads.
+ * @after: of each stage, a bit mask of the stages that it reads
+ * @order: set to the numbers of the stages
+ *
+ * Returns false if there is no such order, or a stage reads one that isn't
+ * among the first @n.
+ */
+bool mh_stages_sort(const uint32_t *after, uint32_t n, uint8_t *order);
+/** mh_job_sort() - mh_stages_sort() of a job's stages. */
+bool mh_job_sort(const struct mh_job *j, uint8_t *order);
 /** mh_job_stage_done() - whether all results of a stage are computed. */
 bool mh_job_stage_done(const struct mh_job_stage *st);
 /**
--- a/lib/gconf.c
+++ b/lib/gconf.c
@@ -76,6 +76,7 @@
 	c->refs = 1;
 	c->routes = g_ptr_array_new_with_free_func(unref_route);
 	c->orgs = g_ptr_array_new_with_free_func(free_org);
+	c->faults = g_ptr_array_new_with_free_func(g_free);
 	c->pools =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_pool);
 	c->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -96,6 +97,7 @@
 		return;
 	g_ptr_array_free(c->routes, TRUE);
 	g_ptr_array_free(c->orgs, TRUE);
+	g_ptr_array_free(c->faults, TRUE);
 	g_hash_table_destroy(c->pools);
 	g_hash_table_destroy(c->keys);
 	g_free(c);
--- a/lib/job.c
+++ b/lib/job.c
@@ -32,6 +32,35 @@
 	g_free(j);
 }
 
+bool
+mh_stages_sort(const uint32_t *after, uint32_t n, uint8_t *order)
+{
+	uint32_t placed = 0, count = 0;
+
+	while (count < n) {
+		uint32_t s = 0;
+
+		while (s < n &&
+		    ((placed >> s & 1) != 0 || (after[s] & ~placed) != 0))
+			s++;
+		if (s == n)
+			return false;
+		placed |= 1U << s;
+		order[count++] = (uint8_t)s;
+	}
+	return true;
+}
+
+bool
+mh_job_sort(const struct mh_job *j, uint8_t *order)
+{
+	uint32_t after[MH_GSTAGES];
+
+	for (uint32_t s = 0; s < j->n_stages; s++)
+		after[s] = j->stages[s].after;
+	return mh_stages_sort(after, j->n_stages, order);
+}
+
 bool
 mh_job_stage_done(const struct mh_job_stage *st)
 {
@@ -67,7 +96,7 @@
 {
 	bool read = false;
 
-	for (uint32_t t = stage + 1; t < j->n_stages; t++) {
+	for (uint32_t t = 0; t < j->n_stages; t++) {
 		if ((j->stages[t].after >> stage & 1) == 0 ||
 		    j->stages[t].pieces == 0)
 			continue;
--- a/lib/sched.c
+++ b/lib/sched.c
@@ -157,6 +157,7 @@
 {
 	j->state = g_new0(struct mh_job_state, 1);
 	j->state->paths_stale = true;
+	(void)mh_job_sort(j, j->state->order);
 	for (uint32_t s = 0; s < j->n_stages; s++) {
 		struct mh_job_stage *st = &j->stages[s];
 		struct stage_state *ss = &j->state->stages[s];
--- a/lib/schedadmit.c
+++ b/lib/schedadmit.c
@@ -80,11 +80,12 @@
 {
 	int64_t now = mh_now(sc->k), done[MH_GSTAGES], last = now;
 
-	for (uint32_t s = 0; s < j->n_stages; s++) {
+	for (uint32_t n = 0; n < j->n_stages; n++) {
+		uint32_t s = j->state->order[n];
 		int64_t start = now, wait = 0;
 		double rate;
 
-		for (uint32_t a = 0; a < s; a++) {
+		for (uint32_t a = 0; a < j->n_stages; a++) {
 			if ((j->stages[s].after >> a & 1) != 0)
 				start = MAX(start, done[a]);
 		}
--- a/lib/schedint.h
+++ b/lib/schedint.h
@@ -110,6 +110,7 @@
 			       * have to be recomputed */
 	int64_t longest_path_us; /* longest path of all its stages */
 	struct stage_state stages[MH_GSTAGES];
+	uint8_t order[MH_GSTAGES]; /* each stage after those that it reads */
 };
 
 struct mh_sched {
--- a/lib/schedresult.c
+++ b/lib/schedresult.c
@@ -136,7 +136,7 @@
 void
 mh_sched_drop_inputs(struct mh_sched *sc, struct mh_job *j, uint32_t stage)
 {
-	for (uint32_t s = 0; s < stage; s++) {
+	for (uint32_t s = 0; s < j->n_stages; s++) {
 		bool wanted = false;
 
 		if ((j->stages[stage].after >> s & 1) == 0)
@@ -171,7 +171,7 @@
 static void
 recompute_freed(struct mh_sched *sc, struct mh_job *j, uint32_t stage)
 {
-	for (uint32_t s = 0; s < stage; s++) {
+	for (uint32_t s = 0; s < j->n_stages; s++) {
 		if ((j->stages[stage].after >> s & 1) == 0)
 			continue;
 		for (uint32_t i = 0; i < j->stages[s].pieces; i++) {
@@ -192,13 +192,14 @@
 static void
 report_lost_stages(struct mh_sched *sc, struct mh_job *j)
 {
+	const uint8_t *order = j->state->order;
 	uint32_t unmade = j->state->lost_stages;
 
 	j->state->lost_stages = 0;
-	for (uint32_t s = j->n_stages; s > 0 && sc->ops.stage_changed != NULL;
-	     s--) {
-		if ((unmade >> (s - 1) & 1) != 0)
-			sc->ops.stage_changed(sc->ops.arg, j, s - 1);
+	for (uint32_t n = j->n_stages; n > 0 && sc->ops.stage_changed != NULL;
+	     n--) {
+		if ((unmade >> order[n - 1] & 1) != 0)
+			sc->ops.stage_changed(sc->ops.arg, j, order[n - 1]);
 	}
 }
 
@@ -222,7 +223,7 @@
 mh_sched_inputs_suspect(
     struct mh_sched *sc, const struct mh_job *j, uint32_t stage)
 {
-	for (uint32_t s = 0; s < stage; s++) {
+	for (uint32_t s = 0; s < j->n_stages; s++) {
 		if ((j->stages[stage].after >> s & 1) == 0)
 			continue;
 		for (uint32_t i = 0; i < j->stages[s].pieces; i++) {
@@ -243,7 +244,7 @@
 	bool any = false;
 
 	for (int all = 0; all < 2 && !any; all++) {
-		for (uint32_t s = 0; s < stage; s++) {
+		for (uint32_t s = 0; s < j->n_stages; s++) {
 			struct stage_state *ss = &j->state->stages[s];
 
 			if ((j->stages[stage].after >> s & 1) == 0)
--- a/lib/schedrun.c
+++ b/lib/schedrun.c
@@ -106,7 +106,7 @@
 	struct domain_bytes all[MAX_DOMAINS];
 	uint32_t n = 0, best = 0;
 
-	for (uint32_t s = 0; s < stage; s++) {
+	for (uint32_t s = 0; s < j->n_stages; s++) {
 		if ((st->after >> s & 1) == 0)
 			continue;
 		for (uint32_t i = 0; i < j->stages[s].pieces; i++)
@@ -264,7 +264,7 @@
 static bool
 has_inputs(const struct mh_job *j, uint32_t stage)
 {
-	for (uint32_t s = 0; s < stage; s++) {
+	for (uint32_t s = 0; s < j->n_stages; s++) {
 		if ((j->stages[stage].after >> s & 1) == 0)
 			continue;
 		for (uint32_t i = 0; i < j->stages[s].pieces; i++) {
--- a/lib/schedwork.c
+++ b/lib/schedwork.c
@@ -235,11 +235,12 @@
 {
 	j->state->paths_stale = false;
 	j->state->longest_path_us = 0;
-	for (uint32_t s = j->n_stages; s-- > 0;) {
+	for (uint32_t n = j->n_stages; n-- > 0;) {
+		uint32_t s = j->state->order[n];
 		struct stage_state *ss = &j->state->stages[s];
 		int64_t longest = 0;
 
-		for (uint32_t t = s + 1; t < j->n_stages; t++) {
+		for (uint32_t t = 0; t < j->n_stages; t++) {
 			if ((j->stages[t].after >> s & 1) != 0)
 				longest =
 				    MAX(longest, j->state->stages[t].path_us);
--- a/regress/t_sched.c
+++ b/regress/t_sched.c
@@ -782,6 +782,53 @@
 #define SLOWER 1.5 /* actual over configured call time */
 
 /** struct handoff - the scheduler that gets the jobs handed off. */
+#define CHAIN 3
+
+/* A chain of three stages in the order of @number. */
+static struct mh_job *
+numbered_job(struct world *w, const uint32_t *number)
+{
+	static const char *const pools[] = { "a", "b", "c", NULL };
+	const uint32_t pieces[] = { 2, 3, 1 };
+	struct mh_job *j = world_job(w, pools, pieces, 5 * S, 9 * S);
+	struct mh_job_stage was[CHAIN];
+
+	memcpy(was, j->stages, sizeof(was));
+	for (uint32_t s = 0; s < CHAIN; s++) {
+		j->stages[number[s]] = was[s];
+		j->stages[number[s]].after = s == 0 ? 0 : 1U << number[s - 1];
+	}
+	return j;
+}
+
+/* Guards against estimates and results that depend on the stages' numbers. */
+static void
+test_stages_in_any_order(void)
+{
+	static const uint32_t numbers[][CHAIN] = { { 0, 1, 2 }, { 0, 2, 1 },
+		{ 1, 0, 2 }, { 1, 2, 0 }, { 2, 0, 1 }, { 2, 1, 0 } };
+	int64_t remaining_us = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+		struct world *w = world_create();
+		struct mh_job *j = numbered_job(w, numbers[i]);
+
+		world_pool(w, "a", 2, 8, 100 * MS, 10 * MS, 0);
+		world_pool(w, "b", 2, 8, 120 * MS, 20 * MS, 0);
+		world_pool(w, "c", 2, 8, 140 * MS, 30 * MS, 0);
+		mh_sched_submit(w->sched, j);
+		if (i == 0)
+			remaining_us = mh_sched_remaining_us(j);
+		CU_ASSERT_EQUAL(mh_sched_remaining_us(j), remaining_us);
+		CU_ASSERT_TRUE(mh_job_needs_stage(j, numbers[i][0]));
+		world_run(w, 2 * S);
+		CU_ASSERT_EQUAL(w->done, 1);
+		CU_ASSERT_EQUAL(w->without_inputs, 0);
+		CU_ASSERT_EQUAL(total_calls(w), CHAIN);
+		world_destroy(w);
+	}
+}
+
 struct handoff {
 	struct world *w;
 	struct mh_sched *to;
@@ -896,6 +943,7 @@
 
 const struct test tests_sched[] = {
 	{ "sched: jobs handed off are accepted", test_handed_off_is_accepted },
+	{ "scheduler: stages in any order", test_stages_in_any_order },
 	{ "sched: pieces of all entries share calls", test_pieces_share_calls },
 	{ "sched: a burst, accepted in time or refused",
 	    test_burst_in_time_or_refused },
