Registry: rows may have lapsed only from when the store answers again

What callers saw: requests reach a replica up to 2.3 s after its row was removed, 2.0 s allowed, seconds after an outage of the store. Cause: an entry that leaves reading to peers noted the end of the outage when it had to read for itself, and kept missing rows for 2.2 s from then. What only this entry missed is no outage. An entry that hears of the end from peers keeps lapsed rows too. 'registry: an outage noticed late' (7 orders of events) fails before.

--- a/regress/t_platform_rows.c
+++ b/regress/t_platform_rows.c
@@ -386,6 +386,63 @@
 	close_view(&r);
 }
 
+/** struct lapse - what an entry learns of an outage, and when. */
+struct lapse {
+	int64_t confirm_from_us; /* peers confirm the rows from then on */
+	int64_t noticed_us; /* the store answers the entry itself; 0: not */
+	int64_t removed_us; /* a row is missing in a peer's rows */
+	int64_t kept_until_us; /* of that row */
+};
+
+/* The store fails the entry's calls from 0.1 s on. */
+static void
+play_lapse(const struct lapse *t)
+{
+	char *a = row_item("a", 3, false), *b = row_item("b", 4, false);
+	char *both = g_strdup_printf("%s,%s", a, b);
+	struct vrig r;
+
+	open_view(&r);
+	receive(r.v, 5, 0, both, "", 2);
+	advance(&r, 100 * MS);
+	plat_view_note_store(r.v, false);
+	for (int64_t us = 0; us < 12 * S; us += 50 * MS) {
+		if (us >= t->confirm_from_us)
+			plat_view_rows_unchanged(r.v, 10 * MS);
+		if (us == t->noticed_us && us > 0)
+			plat_view_note_store(r.v, true);
+		if (us == t->removed_us)
+			receive(r.v, 6, 0, a, "", 1);
+		CU_ASSERT_EQUAL(mh_fleet_find(r.f, "b") != NULL,
+		    us < MAX(t->kept_until_us, t->removed_us));
+		advance(&r, 50 * MS);
+	}
+	g_free(a);
+	g_free(b);
+	g_free(both);
+	close_view(&r);
+}
+
+/* Guards against rows kept for as long after an outage that is noticed late. */
+static void
+test_outage_noticed_late(void)
+{
+	static const struct lapse all[] = {
+		{ 4500 * MS, 8 * S, 8 * S, 0 },
+		{ 4500 * MS, 8 * S, 7950 * MS, 0 },
+		{ 4500 * MS, 0, 8 * S, 0 },
+		{ 4500 * MS, 6 * S, 6 * S, 6700 * MS },
+		/* Missing as soon as the store answers again. */
+		{ 4500 * MS, 0, 4500 * MS, 6700 * MS },
+		{ 4500 * MS, 4500 * MS, 4500 * MS, 6700 * MS },
+		/* Only the entry itself was kept from the store. */
+		{ 0, 8 * S, 8 * S, 0 },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(all); i++)
+		play_lapse(&all[i]);
+}
+
 /* A row with the start time of its endpoint; 0: without. */
 static char *
 item_with_start(
@@ -651,6 +708,7 @@
 const struct test tests_registry[] = {
 	{ "registry: a row that may have lapsed is removed",
 	    test_lapsed_row_removed },
+	{ "registry: an outage noticed late", test_outage_noticed_late },
 	{ "registry: a row", test_row },
 	{ "registry: rows of another program", test_foreign_rows },
 	{ "registry: names of another program", test_foreign_names },
