Streams: a version is concluded only where streams led all the while

What callers saw: reported of another system, streams taken up at another version than the one that began them. Here too, in four ways: on a route with two pools; on a route that a new configuration moved; where a stream began at an endpoint whose restart no row told yet; and where one entry knows the version and another, which concludes it, answers first. Cause: that one version alone serves now was taken for where the stream began. Ruled out: all entries started at once beside a release, with the old version gone, going or not yet listed, with and without an entry that remembers: refused or right, before and after (a test that stays). Change: nothing is concluded for several pools, or for as long as a stream can last after a change of the pools that streams lead to; such streams are told to other entries, as beside a second version. What is unsure is recorded, told, and never concluded. An asking entry waits for all answers before it takes a conclusion.

--- a/lib/gate.c
+++ b/lib/gate.c
@@ -763,6 +763,7 @@
 {
 	mh_gconf_unref(g->conf);
 	g->conf = mh_gconf_ref(conf);
+	mh_gate_note_routes(g);
 }
 
 struct mh_origins *
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -856,6 +856,7 @@
 /** enum mh_origin_how - how the version of a stream is known. */
 enum mh_origin_how {
 	MH_ORIGIN_UNKNOWN,
+	MH_ORIGIN_UNSURE, /* it began where the version can't be known */
 	MH_ORIGIN_OWN, /* this entry began it or carried it on */
 	MH_ORIGIN_TOLD, /* another entry did, and has told */
 	MH_ORIGIN_SOLE /* no other version has served for long enough */
@@ -868,6 +869,7 @@
 	const char *pool;
 	const char *node; /* id of the endpoint */
 	int64_t last_us; /* its caller may take it up for this long */
+	bool is_split; /* its route leads to several pools */
 };
 
 /** struct mh_origin_query - a question to other entries; copied. */
@@ -910,17 +912,23 @@
 void mh_origins_tick(struct mh_origins *o);
 /** mh_origins_tell_again() - another entry is there: tells it all. */
 void mh_origins_tell_again(struct mh_origins *o);
+/**
+ * mh_origins_routes_changed() - streams may lead to other pools from now on
+ * than those that they began at.
+ */
+void mh_origins_routes_changed(struct mh_origins *o);
 /** mh_origins_learn() - another entry tells of a stream. */
 void mh_origins_learn(struct mh_origins *o, uint64_t stream, uint64_t version);
 /** mh_origins_find() - the version of a stream, and how it is known. */
 enum mh_origin_how mh_origins_find(
     const struct mh_origins *o, uint64_t stream, uint64_t *version);
 /**
- * mh_origins_sole_us() - for how long one version alone has served each pool.
- * @version: set to it; 0: none is reported, or there are several pools
+ * mh_origins_sole_us() - for how long streams can have begun at one version
+ * only.
+ * @version: set to it; 0: none is reported
  *
- * Return: microseconds; 0: two serve, or our rows are old; INT64_MAX: no
- * version is reported.
+ * Return: microseconds; 0: two serve, they may have begun at several pools, or
+ * our rows are old; INT64_MAX: no version is reported.
  */
 int64_t mh_origins_sole_us(const struct mh_origins *o, const char *const *pools,
     size_t n, uint64_t *version);
--- a/lib/gateint.h
+++ b/lib/gateint.h
@@ -33,6 +33,7 @@
 	GPtrArray *feeding; /* struct mh_greq, whose engine may read inputs */
 	int64_t exit_us; /* when this process exits; 0: not draining */
 	int64_t streams_by_us; /* later streams are refused while draining */
+	uint64_t routes_hash; /* of what leads streams to pools */
 	GHashTable *max_deadlines; /* route -> longest one given, int64_t us */
 	GHashTable *sizes; /* route -> mean weighted tokens, double */
 	GHashTable *runs; /* route -> struct mh_grun_times */
@@ -91,6 +92,8 @@
  * mh_gate_client_timeout_us() - how long callers of a stream wait for an event.
  */
 int64_t mh_gate_client_timeout_us(const struct mh_groute *r);
+/** mh_gate_note_routes() - another configuration is in force. */
+void mh_gate_note_routes(struct mh_gate *g);
 /**
  * mh_gate_take_up() - finds the version of a stream that the request takes up.
  *
--- a/lib/gateversion.c
+++ b/lib/gateversion.c
@@ -8,6 +8,9 @@
 
 /* A stream may last for so many time-outs of its route, if not known better. */
 #define LAST_TIMEOUTS 2
+/* Of the longest deadline seen: callers give their longest, or a little less.
+ */
+#define LONGEST_PERCENT 120
 /* Interval at which a bound request looks for an endpoint, and for how long. */
 #define WAIT_US (100 * MH_US_PER_MS)
 #define WAIT_MAX_US (1500 * MH_US_PER_MS)
@@ -25,20 +28,58 @@
 	return q->route->stream && q->route->repeat == MH_REPEAT_RESUME;
 }
 
+static uint64_t
+hash_text(const char *text)
+{
+	return mh_hash(text, strlen(text));
+}
+
+/* Of what leads requests for streams to pools; the order of routes is free. */
+static uint64_t
+hash_routes(const struct mh_gconf *c)
+{
+	uint64_t sum = 0;
+
+	for (guint i = 0; i < c->routes->len; i++) {
+		const struct mh_groute *r = g_ptr_array_index(c->routes, i);
+		uint64_t of[] = { hash_text(r->host), hash_text(r->prefix), 0 };
+
+		if (!r->stream || r->repeat != MH_REPEAT_RESUME)
+			continue;
+		for (guint t = 0; t < r->targets->len; t++)
+			of[2] += hash_text(
+			    g_array_index(r->targets, struct mh_gtarget, t)
+				.pool);
+		sum += mh_hash(of, sizeof(of));
+	}
+	return sum;
+}
+
+void
+mh_gate_note_routes(struct mh_gate *g)
+{
+	uint64_t hash = hash_routes(g->conf);
+
+	if (hash != g->routes_hash)
+		mh_origins_routes_changed(g->origins);
+	g->routes_hash = hash;
+}
+
 /* How long after a stream of the route began its caller may take it up. */
 static int64_t
 last_us(const struct mh_gate *g, const struct mh_groute *r)
 {
 	const int64_t *longest = g_hash_table_lookup(g->max_deadlines, r->name);
 
-	return MAX(
-	    longest == NULL ? 0 : *longest, LAST_TIMEOUTS * r->timeout_us);
+	return MAX(longest == NULL ? 0 : *longest * LONGEST_PERCENT / 100,
+	    LAST_TIMEOUTS * r->timeout_us);
 }
 
 static const char *
 how_name(enum mh_origin_how how)
 {
 	static const char *const names[] = { [MH_ORIGIN_UNKNOWN] = "unknown",
+		[MH_ORIGIN_UNSURE] = "unsure",
 		[MH_ORIGIN_OWN] = "own",
 		[MH_ORIGIN_TOLD] = "told",
 		[MH_ORIGIN_SOLE] = "sole" };
@@ -51,6 +92,7 @@
 {
 	static const char *const counters[] = { [MH_ORIGIN_UNKNOWN] =
 						    "streams_version_unknown",
+		[MH_ORIGIN_UNSURE] = "streams_version_unknown",
 		[MH_ORIGIN_OWN] = "streams_version_own",
 		[MH_ORIGIN_TOLD] = "streams_version_told",
 		[MH_ORIGIN_SOLE] = "streams_version_sole" };
@@ -66,6 +108,7 @@
 bind(struct mh_gate *g, struct mh_greq *q, uint64_t version,
     enum mh_origin_how how)
 {
+	bool is_known = how != MH_ORIGIN_UNKNOWN && how != MH_ORIGIN_UNSURE;
 	const char *pool = NULL;
 
 	for (guint i = 0; version != 0 && i < q->route->targets->len; i++) {
@@ -83,11 +126,9 @@
 	    q->id, q->resumes == NULL ? "-" : q->resumes, q->stream, version,
 	    how_name(how), pool == NULL ? "-" : pool,
 	    mh_ms(mh_now(g->k) - q->arrived_us));
-	if (how == MH_ORIGIN_UNKNOWN || (version != 0 && pool == NULL)) {
-		mh_gate_refuse(g, q,
-		    how == MH_ORIGIN_UNKNOWN ? MH_VERSION_UNKNOWN
-					     : MH_VERSION_GONE,
-		    0);
+	if (!is_known || (version != 0 && pool == NULL)) {
+		mh_gate_refuse(
+		    g, q, is_known ? MH_VERSION_GONE : MH_VERSION_UNKNOWN, 0);
 		return false;
 	}
 	q->version = version;
@@ -162,15 +203,14 @@
     uint64_t version)
 {
 	struct mh_begun b = { q->stream, version, q->pool, t->node,
-		last_us(g, q->route) };
+		last_us(g, q->route), q->route->targets->len > 1 };
 
 	q->version = version;
 	mh_event(g->k, "stream-began",
 	    "id=%s stream=%016" PRIx64 " version=%016" PRIx64
 	    " node=%s sure=%d",
 	    q->id, q->stream, version, t->node, version != MH_VERSION_UNSURE);
-	if (version != MH_VERSION_UNSURE)
-		mh_origins_began(g->origins, &b);
+	mh_origins_began(g->origins, &b);
 }
 
 static void *
--- a/lib/origin.c
+++ b/lib/origin.c
@@ -30,7 +30,7 @@
 struct own {
 	struct mh_begun b;
 	int64_t at_us;
-	bool told; /* to other entries */
+	uint64_t told_version; /* to other entries; 0: none */
 };
 
 struct mh_origins {
@@ -40,6 +40,7 @@
 	GHashTable *own; /* stream -> struct own */
 	GHashTable *told[2]; /* stream -> struct told; the newer one first */
 	int64_t told_from_us; /* when the newer one was begun */
+	int64_t routes_us; /* since when streams lead to the same pools */
 };
 
 static GHashTable *
@@ -58,6 +59,7 @@
 	o->own = new_table();
 	o->told[0] = new_table();
 	o->told[1] = new_table();
+	o->routes_us = mh_now(k);
 	return o;
 }
 
@@ -96,16 +98,18 @@
 {
 	struct mh_sole s = mh_fleet_sole(o->f, w->b.pool);
 
-	return !s.is_sole || rows_are_old(o) ||
-	    mh_now(o->k) - s.since_us < w->b.last_us;
+	return !s.is_sole || w->b.is_split ||
+	    w->b.version == MH_VERSION_UNSURE || rows_are_old(o) ||
+	    mh_now(o->k) - MAX(s.since_us, o->routes_us) < w->b.last_us;
 }
 
 static void
 tell_if_needed(struct mh_origins *o, struct own *w)
 {
-	if (w->told || o->ops.tell == NULL || !must_tell(o, w))
+	if (w->told_version == w->b.version || o->ops.tell == NULL ||
+	    (w->told_version == 0 && !must_tell(o, w)))
 		return;
-	w->told = true;
+	w->told_version = w->b.version;
 	mh_count(o->k, "streams_told", 1);
 	o->ops.tell(o->ops.arg, w->b.stream, w->b.version);
 }
@@ -128,7 +132,6 @@
 	w->b.pool = g_intern_string(b->pool);
 	w->b.node = g_intern_string(b->node);
 	w->at_us = mh_now(o->k);
-	w->told = false;
 	tell_if_needed(o, w);
 }
 
@@ -146,7 +149,6 @@
 		if (w->at_us < from_us || strcmp(w->b.node, node) != 0)
 			continue;
 		w->b.version = MH_VERSION_UNSURE;
-		w->told = false;
 		mh_count(o->k, "streams_version_withdrawn", 1);
 		tell_if_needed(o, w);
 	}
@@ -183,7 +185,13 @@
 
 	g_hash_table_iter_init(&it, o->own);
 	while (g_hash_table_iter_next(&it, NULL, &value))
-		((struct own *)value)->told = false;
+		((struct own *)value)->told_version = 0;
+}
+
+void
+mh_origins_routes_changed(struct mh_origins *o)
+{
+	o->routes_us = mh_now(o->k);
 }
 
 void
@@ -217,8 +225,10 @@
 		*version = w->b.version;
 	else if (t != NULL)
 		*version = t->version;
-	if (*version == MH_VERSION_UNSURE)
+	if (*version == MH_VERSION_UNSURE) {
 		*version = 0;
+		return MH_ORIGIN_UNSURE;
+	}
 	if (*version == 0)
 		return MH_ORIGIN_UNKNOWN;
 	return w != NULL ? MH_ORIGIN_OWN : MH_ORIGIN_TOLD;
@@ -242,7 +252,10 @@
 			us = MIN(us, mh_now(o->k) - s.since_us);
 		*version = n == 1 ? s.version : 0;
 	}
-	return reported && rows_are_old(o) ? 0 : us;
+	if (!reported)
+		return us;
+	return n > 1 || rows_are_old(o) ? 0
+					: MIN(us, mh_now(o->k) - o->routes_us);
 }
 
 void *
--- a/lib/originmesh.c
+++ b/lib/originmesh.c
@@ -36,6 +36,7 @@
 	char **pools;
 	int64_t since_us;
 	uint32_t pending; /* answers */
+	uint64_t sole; /* version that one that doesn't know it concludes */
 	bool again; /* asked twice */
 	struct mh_timer *timer;
 };
@@ -174,8 +175,9 @@
 	struct asked *a = arg;
 	int64_t left_us = a->since_us + ASK_US - mh_now(a->o->k);
 
-	if (left_us <= 0) {
-		end_asked(a, 0, MH_ORIGIN_UNKNOWN);
+	if (a->sole != 0 || left_us <= 0) {
+		end_asked(a, a->sole,
+		    a->sole != 0 ? MH_ORIGIN_SOLE : MH_ORIGIN_UNKNOWN);
 		return;
 	}
 	a->again = true;
@@ -221,27 +223,37 @@
 	const Mh__OriginAsk *m = f->origin_ask;
 	Mh__Frame out = MH__FRAME__INIT;
 	Mh__Origin r = MH__ORIGIN__INIT;
+	enum mh_origin_how how;
 
 	r.stream = m->stream;
-	if (mh_origins_find(o->origins, m->stream, &r.version) ==
-	    MH_ORIGIN_UNKNOWN)
+	how = mh_origins_find(o->origins, m->stream, &r.version);
+	if (how == MH_ORIGIN_UNKNOWN)
 		r.sole_us = (uint64_t)mh_origins_sole_us(o->origins,
 		    (const char *const *)m->pools, m->n_pools, &r.sole);
+	else if (how == MH_ORIGIN_UNSURE)
+		r.version = MH_VERSION_UNSURE;
 	out.body_case = MH__FRAME__BODY_ORIGIN;
 	out.origin = &r;
 	(void)mh_mesh_send(o->m, node, &out);
 }
 
-/* One of the entries that were asked for @a has answered. */
+/*
+ * One of the entries that were asked for @a has answered.  What one knows of
+ * the stream goes before what another concludes.
+ */
 static void
 take_answer(struct asked *a, const Mh__Origin *m)
 {
 	if (a->pending > 0)
 		a->pending--;
-	if (m->version != 0)
+	if (m->sole != 0 && m->sole_us >= (uint64_t)a->q.last_us)
+		a->sole = m->sole;
+	if (m->version == MH_VERSION_UNSURE)
+		end_asked(a, 0, MH_ORIGIN_UNSURE);
+	else if (m->version != 0)
 		end_asked(a, m->version, MH_ORIGIN_TOLD);
-	else if (m->sole != 0 && m->sole_us >= (uint64_t)a->q.last_us)
-		end_asked(a, m->sole, MH_ORIGIN_SOLE);
+	else if (a->pending == 0 && a->sole != 0)
+		end_asked(a, a->sole, MH_ORIGIN_SOLE);
 	else if (a->pending == 0 && a->again)
 		end_asked(a, 0, MH_ORIGIN_UNKNOWN);
 }
--- a/regress/t_version.c
+++ b/regress/t_version.c
@@ -440,6 +440,105 @@
 	grig_destroy(r);
 }
 
+/* Lists one endpoint in each of two pools. */
+static void
+list_two_pools(struct grig *r)
+{
+	mh_fleet_begin(r->f);
+	for (int i = 0; i < 2; i++) {
+		struct mh_listing l = { i == 0 ? "n0" : "n1", 0,
+			i == 0 ? "pool" : "other", "10.0.0.1:1", "d", 8, false,
+			0, i == 0 ? "v1" : "v2" };
+
+		mh_fleet_list(r->f, &l);
+	}
+	mh_fleet_end(r->f);
+}
+
+/* A configuration whose route for streams leads to @one and, if set, @two. */
+static void
+lead_streams(struct grig *r, const char *one, const char *two)
+{
+	struct mh_gconf *c = mh_gconf_create();
+	const char *const names[] = { one, two };
+
+	for (guint i = 0; i < r->conf->routes->len; i++) {
+		struct mh_groute *was = g_ptr_array_index(r->conf->routes, i);
+		struct mh_groute *now = mh_groute_create();
+
+		now->name = g_strdup(was->name);
+		now->host = g_strdup(was->host);
+		now->prefix = g_strdup(was->prefix);
+		now->stream = was->stream;
+		now->repeat = was->repeat;
+		now->attempts = was->attempts;
+		now->timeout_us = was->timeout_us;
+		now->slo_us = was->slo_us;
+		for (int t = 0; t < 2 && names[t] != NULL; t++) {
+			struct mh_gtarget to = { g_strdup(names[t]), 1 };
+
+			g_array_append_val(now->targets, to);
+		}
+		g_ptr_array_add(c->routes, now);
+	}
+	mh_gate_conf(r->g, c);
+	mh_gconf_unref(r->conf);
+	r->conf = c;
+}
+
+/* Guards against a stream that goes on at another pool of its route. */
+static void
+test_split_route(void)
+{
+	struct grig *r = grig_create(0);
+
+	list_two_pools(r);
+	lead_streams(r, "pool", "other");
+	grig_advance(r, 60 * S);
+	for (int i = 0; i < STREAMS; i++)
+		(void)grig_stream(r, "b", "elsewhere");
+	CU_ASSERT_EQUAL(r->sends, 0);
+	CU_ASSERT_EQUAL(r->why, MH_VERSION_UNKNOWN);
+	grig_destroy(r);
+}
+
+/* Guards against a stream that goes on at the pool that its route has now. */
+static void
+test_moved_route(void)
+{
+	struct grig *r = grig_create(0);
+
+	list_two_pools(r);
+	grig_advance(r, 60 * S);
+	lead_streams(r, "other", NULL);
+	grig_advance(r, 5 * S);
+	(void)grig_stream(r, "b", "elsewhere");
+	CU_ASSERT_EQUAL(r->sends, 0);
+	CU_ASSERT_EQUAL(r->why, MH_VERSION_UNKNOWN);
+	/* The same again, which changes nothing. */
+	lead_streams(r, "other", NULL);
+	grig_advance(r, 8 * S);
+	(void)grig_stream(r, "b", "elsewhere");
+	CU_ASSERT_EQUAL(r->sends, 1);
+	grig_destroy(r);
+}
+
+/* Guards against a guess at what is known to be in doubt. */
+static void
+test_in_doubt_beside_one_version(void)
+{
+	struct grig *r = restartable();
+
+	grig_advance(r, 60 * S);
+	mh_node_doubt(r->f, mh_fleet_find(r->f, "n0@77"));
+	mh_node_doubt(r->f, mh_fleet_find(r->f, "n1@77"));
+	begin_and_leave(r, "a");
+	(void)grig_stream(r, "b", "a");
+	CU_ASSERT_EQUAL(r->sends, 0);
+	CU_ASSERT_EQUAL(r->why, MH_VERSION_UNKNOWN);
+	grig_destroy(r);
+}
+
 /* entries that tell and ask each other */
 
 /** struct vrig - the entries of a mesh, each with versions of streams. */
@@ -524,14 +623,21 @@
 }
 
 static void
-vrig_begin(struct vrig *r, uint32_t entry, const char *id, const char *node)
+vrig_begin_at(struct vrig *r, uint32_t entry, const char *id, uint64_t version,
+    bool split)
 {
-	struct mh_begun b = { mh_origin_stream(id), key_of(r, entry, node),
-		"pool", node, 10 * S };
+	struct mh_begun b = { mh_origin_stream(id), version, "pool", "n0",
+		10 * S, split };
 
 	mh_origins_began(r->o[entry], &b);
 }
 
+static void
+vrig_begin(struct vrig *r, uint32_t entry, const char *id, const char *node)
+{
+	vrig_begin_at(r, entry, id, key_of(r, entry, node), false);
+}
+
 static void
 on_origin(void *arg, uint64_t version, enum mh_origin_how how)
 {
@@ -667,6 +773,126 @@
 	vrig_destroy(r);
 }
 
+/* Guards against what one concludes, where another knows. */
+static void
+test_known_before_concluded(void)
+{
+	struct vrig *r = vrig_create("v1", "v1");
+	uint32_t told = 0;
+
+	mrig_run(r->m, 12 * S);
+	for (uint32_t i = 0; i < ENTRIES; i++) {
+		char id[8];
+
+		g_snprintf(id, sizeof(id), "a%u", i);
+		vrig_begin_at(r, i, id, 77, false);
+		vrig_stop(r, (i + 1) % ENTRIES);
+		vrig_start(r, (i + 1) % ENTRIES);
+		if (vrig_find(r, (i + 1) % ENTRIES, id) == MH_ORIGIN_TOLD) {
+			told++;
+			CU_ASSERT_EQUAL(r->version, 77);
+		}
+		vrig_list(r, (i + 1) % ENTRIES, "v1", "v1");
+		mrig_run(r->m, 11 * S);
+	}
+	/* Of ten entries six are asked. */
+	CU_ASSERT(told >= 5);
+	vrig_destroy(r);
+}
+
+/* Entries, other than the first, that were told of a stream. */
+static uint32_t
+count_told(struct vrig *r, const char *id, enum mh_origin_how how, uint64_t is)
+{
+	uint32_t n = 0;
+
+	for (uint32_t i = 1; i < ENTRIES; i++) {
+		uint64_t version;
+
+		n += mh_origins_find(r->o[i], mh_origin_stream(id), &version) ==
+			how &&
+		    version == is;
+	}
+	return n;
+}
+
+/* Guards against losing what others can't conclude. */
+static void
+test_told_what_none_concludes(void)
+{
+	struct vrig *r = vrig_create("v1", "v1");
+
+	mrig_run(r->m, 12 * S);
+	vrig_begin_at(r, 0, "sure", 77, false);
+	vrig_begin_at(r, 0, "split", 78, true);
+	vrig_begin_at(r, 0, "unsure", MH_VERSION_UNSURE, false);
+	vrig_begin_at(r, 0, "confirmed", MH_VERSION_UNSURE, false);
+	mrig_run(r->m, 100 * MS);
+	vrig_begin_at(r, 0, "confirmed", 79, false);
+	mrig_run(r->m, 500 * MS);
+	CU_ASSERT_EQUAL(count_told(r, "sure", MH_ORIGIN_TOLD, 77), 0);
+	CU_ASSERT_EQUAL(count_told(r, "split", MH_ORIGIN_TOLD, 78), 4);
+	CU_ASSERT_EQUAL(count_told(r, "unsure", MH_ORIGIN_UNSURE, 0), 4);
+	CU_ASSERT_EQUAL(count_told(r, "confirmed", MH_ORIGIN_TOLD, 79), 4);
+	/* Others can't conclude it any more. */
+	for (uint32_t i = 0; i < ENTRIES; i++)
+		mh_origins_routes_changed(r->o[i]);
+	CU_ASSERT_EQUAL(vrig_find(r, 7, "never"), MH_ORIGIN_UNKNOWN);
+	CU_ASSERT_EQUAL(count_told(r, "sure", MH_ORIGIN_TOLD, 77), 4);
+	vrig_destroy(r);
+}
+
+/** struct restart - what is listed when all entries have started again. */
+struct restart {
+	const char *one;
+	const char *two;
+	const char *later_one;
+	const char *later_two;
+};
+
+/*
+ * Guards against a guess where all entries start at once beside a release: the
+ * version that began a stream is gone, or goes, or isn't listed yet.
+ */
+static void
+test_all_started_beside_a_release(void)
+{
+	static const struct restart all[] = { { "v2", "v2", "v2", "v2" },
+		{ "v1", "v2", "v2", "v2" }, { "v2", "v2", "v1", "v2" },
+		{ "v2", "v1", "v1", "v1" }, { "v1", "v1", "v2", "v2" } };
+
+	for (size_t n = 0; n < 2 * G_N_ELEMENTS(all); n++) {
+		const struct restart *t = &all[n / 2];
+		bool remembers = n % 2 == 1; /* one entry wasn't killed */
+		struct vrig *r = vrig_create("v1", "v2");
+		uint64_t version = key_of(r, 0, "n0");
+
+		vrig_begin(r, 0, "a", "n0");
+		mrig_run(r->m, 500 * MS);
+		for (uint32_t i = remembers; i < ENTRIES; i++) {
+			vrig_stop(r, i);
+			mrig_start(&r->m->e[i]);
+			vrig_start(r, i);
+			vrig_list(r, i, t->one, t->two);
+		}
+		for (int round = 0; round < 8; round++) {
+			enum mh_origin_how how = vrig_find(r, 7, "a");
+
+			if (remembers && round > 1)
+				CU_ASSERT_EQUAL(how, MH_ORIGIN_TOLD);
+			CU_ASSERT(how == MH_ORIGIN_UNKNOWN ||
+			    (how == MH_ORIGIN_TOLD && r->version == version));
+			if (round == 2) {
+				for (uint32_t i = 0; i < ENTRIES; i++)
+					vrig_list(
+					    r, i, t->later_one, t->later_two);
+			}
+			mrig_run(r->m, 200 * MS);
+		}
+		vrig_destroy(r);
+	}
+}
+
 /* Guards against a frame for each stream, however many begin. */
 static void
 test_frames_are_bounded(void)
@@ -719,5 +945,13 @@
 	{ "version: an entry that has just started", test_new_entry },
 	{ "version: alone with old rows", test_alone_with_old_rows },
 	{ "version: frames are bounded", test_frames_are_bounded },
+	{ "version: a route with two pools", test_split_route },
+	{ "version: a route that was moved", test_moved_route },
+	{ "version: in doubt beside one version",
+	    test_in_doubt_beside_one_version },
+	{ "version: known before concluded", test_known_before_concluded },
+	{ "version: told what none concludes", test_told_what_none_concludes },
+	{ "version: all entries started beside a release",
+	    test_all_started_beside_a_release },
 	{ NULL, NULL },
 };
