Tests: endpoints that never end, many at once, a small entry

What callers saw: reported of another system, an endpoint that sends bytes without end used up the memory of the process that had called it. Here: doesn't happen. 18 endpoints at once, of 14 forms (no HTTP, status, one field, fields, interim answers, bodies, chunks, a second answer, events, stage results), and 160 callers of a real entry of 120 MB that read the answers, or don't. Conclusion: a test that stays.

--- a/regress/crowdrig.c
+++ b/regress/crowdrig.c
@@ -166,19 +166,41 @@
 		"safe", "hold", "") "," ROUTE("pool", "streaming", "pool",
 		"") "," ROUTE("staged", "streaming", "pool",
 		",\"stages\":[" STAGE "," STAGE "," STAGE "," STAGE
-		"]") "],"
-		     "\"services\":[{\"name\":\"desk\",\"maxConnections\":400},"
-		     "{\"name\":\"hold\",\"maxConnections\":400},"
-		     "{\"name\":\"pool\",\"maxConnections\":400},"
-		     "{\"name\":\"work\",\"maxConnections\":200,\"pieces\":{"
-		     "\"capacity\":1,\"queue\":200,\"batch\":8,\"callMs\":1,"
-		     "\"itemMs\":0.01,\"headroomMb\":100000,\"handleS\":4}}],"
-		     "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":%u,"
-		     "\"headerTimeoutMs\":9000,\"idleTimeoutMs\":60000},"
-		     "\"tenants\":[{\"name\":\"org-a\",\"apiKeys\":["
-		     "\"" CROWD_KEY
-		     "\"]},{\"name\":\"org-b\",\"apiKeys\":[\"" ORDINARY_KEY
-		     "\"]}]}",
+		"]") "," ROUTE("mad", "safe", "mad", "") "," ROUTE("madpool",
+		"streaming", "madpool",
+		"") "," ROUTE("madstaged", "streaming", "pool",
+		",\"stages\":[{\"service\":\"madwork\",\"after\":[],"
+		"\"bytes\":1000}]") "],"
+				    "\"services\":[{\"name\":\"desk\","
+				    "\"maxConnections\":400},"
+				    "{\"name\":\"hold\",\"maxConnections\":400}"
+				    ","
+				    "{\"name\":\"pool\",\"maxConnections\":400}"
+				    ","
+				    "{\"name\":\"mad\",\"maxConnections\":400},"
+				    "{\"name\":\"madpool\",\"maxConnections\":"
+				    "400},"
+				    "{\"name\":\"madwork\",\"maxConnections\":"
+				    "200,\"pieces\":{"
+				    "\"capacity\":4,\"queue\":200,\"batch\":8,"
+				    "\"callMs\":1,"
+				    "\"itemMs\":0.01,\"headroomMb\":100000,"
+				    "\"handleS\":4}},"
+				    "{\"name\":\"work\",\"maxConnections\":200,"
+				    "\"pieces\":{"
+				    "\"capacity\":1,\"queue\":200,\"batch\":8,"
+				    "\"callMs\":1,"
+				    "\"itemMs\":0.01,\"headroomMb\":100000,"
+				    "\"handleS\":4}}],"
+				    "\"limits\":{\"maxHeaderBytes\":16384,"
+				    "\"maxBodyBytes\":%u,"
+				    "\"headerTimeoutMs\":9000,"
+				    "\"idleTimeoutMs\":60000},"
+				    "\"tenants\":[{\"name\":\"org-a\","
+				    "\"apiKeys\":["
+				    "\"" CROWD_KEY
+				    "\"]},{\"name\":\"org-b\",\"apiKeys\":["
+				    "\"" ORDINARY_KEY "\"]}]}",
 	    body_bytes);
 }
 
@@ -198,8 +220,26 @@
 	g_free(key);
 }
 
+static void
+put_more(struct peer *p, const struct crowd_endpoint *more, uint32_t n)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		char *key = g_strdup_printf("servers/i-more-%u", i);
+		char *text = g_strdup_printf(
+		    "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"z0\","
+		    "\"version\":\"v1\",\"capacity\":8,\"state\":\"ready\","
+		    "\"warmupLeftMs\":0,\"sequence\":1,\"born\":%" PRId64 "}",
+		    more[i].service, more[i].addr, STARTED_MS);
+
+		store_put(p->store, key, text);
+		g_free(text);
+		g_free(key);
+	}
+}
+
 static struct peer *
-peer_start(const char *ip, uint32_t body_bytes)
+peer_start(const char *ip, uint32_t body_bytes,
+    const struct crowd_endpoint *more, uint32_t n)
 {
 	struct peer *p = g_new0(struct peer, 1);
 	char listen[48];
@@ -224,6 +264,7 @@
 		p->endpoints[i] = mh_hserve_create(p->loop, &a, NULL);
 		put_row(p, i);
 	}
+	put_more(p, more, n);
 	on_tick(p);
 	p->thread = g_thread_new("peer", run_peer, p);
 	g_free(conf);
@@ -450,6 +491,13 @@
 
 struct crowd_rig *
 crowd_rig_start(const struct crowd_settings *s)
+{
+	return crowd_rig_start_with(s, NULL, 0);
+}
+
+struct crowd_rig *
+crowd_rig_start_with(const struct crowd_settings *s,
+    const struct crowd_endpoint *more, uint32_t n)
 {
 	static uint32_t count;
 	struct crowd_rig *r = g_new0(struct crowd_rig, 1);
@@ -464,7 +512,7 @@
 	    121 + count++ % 120);
 	r->dir = g_dir_make_tmp("crowd-XXXXXX", NULL);
 	r->settings = g_build_filename(r->dir, "entry.yaml", NULL);
-	r->peer = peer_start(peer_ip, s->body_bytes);
+	r->peer = peer_start(peer_ip, s->body_bytes, more, n);
 	crowd_rig_write(r, s);
 	start_entry(r);
 	wait_ready(r);
--- a/regress/crowdrig.h
+++ b/regress/crowdrig.h
@@ -33,7 +33,16 @@
 	struct watch *watch; /* measures, on a thread */
 };
 
+/** struct crowd_endpoint - one of the services "mad", "madpool", "madwork". */
+struct crowd_endpoint {
+	const char *service;
+	const char *addr;
+};
+
 struct crowd_rig *crowd_rig_start(const struct crowd_settings *s);
+/** crowd_rig_start_with() - the same with @n more endpoints. */
+struct crowd_rig *crowd_rig_start_with(const struct crowd_settings *s,
+    const struct crowd_endpoint *more, uint32_t n);
 /** crowd_rig_write() - writes the settings file again, with other limits. */
 void crowd_rig_write(struct crowd_rig *r, const struct crowd_settings *s);
 /** crowd_rig_wait_log() - waits until the entry has logged @text. */
--- a/regress/t_crowd.c
+++ b/regress/t_crowd.c
@@ -8,6 +8,7 @@
  */
 
 #include "crowdrig.h"
+#include "endlesspeer.h"
 
 #include <signal.h>
 #include <string.h>
@@ -23,6 +24,9 @@
 /* A caller comes back before the entry gives up on a request by its time. */
 #define RETURNS 20
 #define RETURN_US 100000
+/* Rounds in which callers of endless answers read, and their pause. */
+#define ENDLESS_ROUNDS 20
+#define ENDLESS_ROUND_US 100000
 
 #define POST(path)                                      \
 	"POST " path " HTTP/1.1\r\nHost: a.example\r\n" \
@@ -451,6 +455,96 @@
 	crowd_rig_stop(r);
 }
 
+/* What faulty endpoints of a service send without end. */
+static const struct {
+	const char *service;
+	enum endless_form form;
+} endless[] = {
+	{ "mad", ENDLESS_NO_HTTP },
+	{ "mad", ENDLESS_STATUS },
+	{ "mad", ENDLESS_FIELD },
+	{ "mad", ENDLESS_FIELDS },
+	{ "mad", ENDLESS_INTERIM },
+	{ "mad", ENDLESS_BODY },
+	{ "mad", ENDLESS_CHUNKS },
+	{ "mad", ENDLESS_CHUNK_SIZE },
+	{ "mad", ENDLESS_LENGTH },
+	{ "mad", ENDLESS_SECOND },
+	{ "madpool", ENDLESS_EVENT },
+	{ "madpool", ENDLESS_EVENTS },
+	{ "madpool", ENDLESS_BODY },
+	{ "madpool", ENDLESS_FIELDS },
+	{ "madwork", ENDLESS_JSON },
+	{ "madwork", ENDLESS_JSON_ITEMS },
+	{ "madwork", ENDLESS_LENGTH },
+	{ "madwork", ENDLESS_NO_HTTP },
+};
+
+#define ENDLESS_PEERS G_N_ELEMENTS(endless)
+
+/* Many callers of faulty endpoints; their answers are read, or not. */
+static void
+play_endless(const struct crowd_settings *set, bool reads)
+{
+	static const struct {
+		const char *head;
+		uint32_t n;
+	} crowds[] = {
+		{ GET("/mad/a/") KEY "\r\n", 80 },
+		{ GET("/madpool/a/") KEY "\r\n", 40 },
+		{ GET("/madstaged/a/") KEY
+		    "X-Piece-Key: k\r\nX-Pieces: 8\r\n\r\n",
+		    40 },
+	};
+	struct endless_peer *peers[ENDLESS_PEERS];
+	struct crowd c[G_N_ELEMENTS(crowds)] = { 0 };
+	struct crowd_endpoint more[ENDLESS_PEERS];
+	struct crowd_rig *r;
+	uint32_t sent_mb = 0;
+
+	for (size_t i = 0; i < ENDLESS_PEERS; i++) {
+		peers[i] = endless_peer_start(endless[i].form);
+		more[i].service = endless[i].service;
+		more[i].addr = endless_peer_address(peers[i]);
+	}
+	r = crowd_rig_start_with(set, more, ENDLESS_PEERS);
+	for (size_t i = 0; i < G_N_ELEMENTS(crowds); i++) {
+		c[i].reads = reads;
+		c[i].rcvbuf = reads ? 0 : SMALL_RCVBUF;
+		crowd_open(&c[i], r->ip, CROWD_FRONT_PORT, crowds[i].n,
+		    crowds[i].head);
+	}
+	for (int round = 0; round < ENDLESS_ROUNDS; round++) {
+		for (size_t i = 0; i < G_N_ELEMENTS(crowds); i++)
+			crowd_send(&c[i]);
+		CU_ASSERT_TRUE(crowd_rig_ordinary(r, ORDINARY_KEY));
+		g_usleep(ENDLESS_ROUND_US);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(crowds); i++)
+		crowd_close(&c[i]);
+	CU_ASSERT_TRUE(crowd_rig_ordinary(r, ORDINARY_KEY));
+	for (size_t i = 0; i < ENDLESS_PEERS; i++)
+		sent_mb += endless_peer_sent_mb(peers[i]);
+	CU_ASSERT(sent_mb > 0);
+	printf("\n    endpoints sent %u MB", sent_mb);
+	crowd_rig_check(r, "endpoints that never end");
+	crowd_rig_stop(r);
+	for (size_t i = 0; i < ENDLESS_PEERS; i++)
+		endless_peer_stop(peers[i]);
+}
+
+/* Guards against faulty endpoints that use up the memory of a small entry. */
+static void
+test_endless_endpoints(void)
+{
+	static const struct crowd_settings least = {
+		.memory_mb = 120, .max_fds = 3075, .body_bytes = BODY_BYTES
+	};
+
+	play_endless(&least, true);
+	play_endless(&least, false);
+}
+
 const struct test tests_crowd[] = {
 	{ "crowd: bodies stopped short", test_short_bodies },
 	{ "crowd: chunks stopped short", test_short_chunks },
@@ -479,5 +573,6 @@
 	{ "crowd: a body beside stalled ones", test_same_organisation },
 	{ "crowd: whole bodies inside the limits", test_whole_bodies },
 	{ "crowd: settings change", test_settings_change },
+	{ "crowd: endpoints that never end", test_endless_endpoints },
 	{ NULL, NULL },
 };
