Tests: what a gateway that is stopped takes, passes on and answers

What callers saw: reported of another system, requests that came late in the grace of a planned stop were passed on and cut by the exit without an answer. Here: doesn't happen. A plain request that comes late is passed on only if its own time ends before the exit, a stream only in the first 2.8 s. Conclusion: a test that stays.

--- a/regress/main.c
+++ b/regress/main.c
@@ -93,6 +93,7 @@
 	{ "work", tests_work },
 	{ "version", tests_version },
 	{ "waits", tests_waits },
+	{ "stop", tests_stop },
 	{ "endless", tests_endless },
 	{ "drain", tests_drain },
 	{ "grace", tests_grace },
--- a/regress/regress.h
+++ b/regress/regress.h
@@ -54,6 +54,7 @@
 extern const struct test tests_work[];
 extern const struct test tests_version[];
 extern const struct test tests_waits[];
+extern const struct test tests_stop[];
 extern const struct test tests_endless[];
 extern const struct test tests_crowd[];
 extern const struct test tests_crowd_hoist[];
