Client: an answer that ends early is not whole, a status has three digits

What callers saw: reported of another system, a part of an answer as a complete 200 as an endpoint gave up while the upload was being written, and an answer of status 000. Here too where the endpoint ends its sending side before it resets; 600 and 999 were passed on, 0200 as 200. Cause: an answer without a length was complete with the end of the peer's sending side, though the peer had not taken the request, and no recv() reports the reset that follows. http_parser accepts statuses up to 999 and leading zeros. Ruled out: a reset, or a close with the upload unread (broken before and after); 000, 099, 1000, -1 and 101 (refused before and after). Change: such an answer is complete only if the request is sent and acknowledged and no error waits at the socket; the status line is read by its digits. Figures: 'client: answers that end early' (8 ways) and 'client: statuses' (18 codes) fail before, pass now.

--- a/lib/hcall.c
+++ b/lib/hcall.c
@@ -11,9 +11,11 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <http_parser.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <unistd.h>
@@ -88,6 +90,8 @@
 	int64_t idle_limit_us; /* how long it may stay idle */
 	http_parser parser;
 	struct mh_line_ends lines;
+	struct mh_status_line status_line;
+	bool has_bad_status;
 	struct mh_headers *headers;
 	GString *name;
 	GString *value;
@@ -362,7 +366,7 @@
 
 	end_field(c);
 	c->head_done = true;
-	if (!is_http1(p))
+	if (!is_http1(p) || c->has_bad_status)
 		return -1;
 	/* Other codings are not decoded here: coded bytes would be passed on
 	 * as the body. */
@@ -452,6 +456,8 @@
 	http_parser_init(&c->parser, HTTP_RESPONSE);
 	c->parser.data = c;
 	memset(&c->lines, 0, sizeof(c->lines));
+	memset(&c->status_line, 0, sizeof(c->status_line));
+	c->has_bad_status = false;
 }
 
 static void
@@ -483,6 +489,25 @@
 	free_call(h);
 }
 
+/*
+ * Whether the peer has all of the request and has not reset the connection.  A
+ * response that ends with its connection is whole only then: a peer that gives
+ * up shuts down its side, and the reset that follows is reported by no recv().
+ */
+static bool
+has_taken_request(const struct conn *c)
+{
+	int error = 0, unacked = 0;
+	socklen_t n = sizeof(error);
+
+	if (c->call == NULL || !mh_hcall_is_sent(c->call))
+		return false;
+	if (getsockopt(c->fd, SOL_SOCKET, SO_ERROR, &error, &n) == 0 &&
+	    error != 0)
+		return false;
+	return ioctl(c->fd, SIOCOUTQ, &unacked) < 0 || unacked <= 0;
+}
+
 /* Parses bytes of the response; @len 0 is the end of the connection. */
 static void
 take_input(struct conn *c, const char *data, size_t len)
@@ -491,6 +516,8 @@
 	size_t n;
 
 	c->parsing = true;
+	c->has_bad_status = c->has_bad_status ||
+	    !mh_status_line_feed(&c->status_line, data, len);
 	mh_line_ends_feed(&c->lines, data);
 	n = http_parser_execute(&c->parser, &callbacks, data, len);
 	c->parsing = false;
@@ -507,6 +534,8 @@
 	    (HTTP_PARSER_ERRNO(&c->parser) == HPE_OK || c->is_complete) &&
 	    mh_line_ends_check(
 		&c->lines, data + n, (c->parser.flags & F_CHUNKED) != 0);
+	if (len == 0 && !has_taken_request(c))
+		c->is_complete = false;
 	if (c->is_complete && is_valid) {
 		/* Surplus bytes belong to no request: do not reuse it. */
 		finish(c, len > 0 && n == len);
--- a/lib/opaque.h
+++ b/lib/opaque.h
@@ -63,6 +63,29 @@
 /** mh_line_ends_body() - skips body bytes up to @end without a check. */
 void mh_line_ends_body(struct mh_line_ends *l, const char *end, bool chunked);
 
+/* statusline.c */
+
+/** struct mh_status_line - state of the check of a response's status. */
+struct mh_status_line {
+	enum {
+		MH_STATUS_VERSION, /* initial */
+		MH_STATUS_CODE,
+		MH_STATUS_FIELDS,
+		MH_STATUS_DONE /* in the body */
+	} at;
+	uint32_t digits; /* so far */
+	uint32_t status;
+	size_t line_bytes; /* of the line being read */
+};
+
+/**
+ * mh_status_line_feed() - checks the next bytes of a response, up to its body.
+ *
+ * Returns false if the status is not a code of three digits, 100 to 599.
+ */
+bool mh_status_line_feed(
+    struct mh_status_line *s, const char *data, size_t len);
+
 /* addr.c */
 
 /**
--- a/regress/t_http.c
+++ b/regress/t_http.c
@@ -41,6 +41,9 @@
 	int peer_fd;
 	const char *script; /* its response to each request */
 	bool reset;
+	int64_t half_us; /* until it closes the other */
+	bool half_closes; /* it ends its sending side first */
+	size_t body_bytes; /* of the request, of which it reads the first */
 	bool peer_ended; /* the client closed the connection... */
 	int peer_errno; /* ...in order: 0, or with a reset */
 	uint32_t accepted;
@@ -1171,6 +1174,16 @@
 
 /* the client against a raw peer */
 
+static void
+on_half_closed(void *arg)
+{
+	struct hrig *r = arg;
+
+	if (r->peer_fd >= 0)
+		close(r->peer_fd);
+	r->peer_fd = -1;
+}
+
 static void
 on_peer(void *arg, bool readable, bool writable)
 {
@@ -1196,6 +1209,11 @@
 		setsockopt(
 		    r->peer_fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
 	mh_loop_fd_close(r->loop, r->peer_fd);
+	if (r->half_closes) {
+		shutdown(r->peer_fd, SHUT_WR);
+		mh_timer_start(r->k, r->half_us, on_half_closed, r);
+		return;
+	}
 	close(r->peer_fd);
 	r->peer_fd = -1;
 }
@@ -1257,7 +1275,12 @@
 		.fns = { c_head, c_data, c_done },
 		.arg = r };
 
+	if (r->body_bytes > 0)
+		a.body =
+		    g_bytes_new_take(g_malloc0(r->body_bytes), r->body_bytes);
 	r->call = mh_hcalls_start(r->c, &a);
+	if (a.body != NULL)
+		g_bytes_unref(a.body);
 	g_bytes_unref(a.text);
 	g_free(text);
 }
@@ -1351,6 +1374,86 @@
 	}
 }
 
+/** struct early_case - an answer without a length, before the request is in. */
+struct early_case {
+	size_t body_bytes; /* of the request */
+	bool half_closes;
+	bool reset;
+	int64_t half_us;
+	enum mh_hcall_outcome end;
+};
+
+/* Guards against the part of a broken answer that is taken for all of it. */
+static void
+test_early_end(void)
+{
+	static const struct early_case all[] = {
+		{ 3U << 20, true, true, 0, MH_CALL_BROKEN },
+		{ 3U << 20, true, false, 0, MH_CALL_BROKEN },
+		{ 3U << 20, true, true, 50 * MH_US_PER_MS, MH_CALL_BROKEN },
+		{ 3U << 20, true, false, 50 * MH_US_PER_MS, MH_CALL_BROKEN },
+		{ 3U << 20, false, true, 0, MH_CALL_BROKEN },
+		{ 3U << 20, false, false, 0, MH_CALL_BROKEN },
+		{ 16, true, false, 50 * MH_US_PER_MS, MH_CALL_COMPLETE },
+		{ 16, false, false, 0, MH_CALL_COMPLETE },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(all); i++) {
+		const struct early_case *e = &all[i];
+		struct hrig *r = hrig_create();
+
+		listen_raw(r);
+		r->script = OK "\r\nhi";
+		r->body_bytes = e->body_bytes;
+		r->half_closes = e->half_closes;
+		r->half_us = e->half_us;
+		r->reset = e->reset;
+		r->expected = 1;
+		call(r, "a");
+		run(r);
+		if (r->end != e->end)
+			fprintf(stderr, "early end %zu\n", i);
+		CU_ASSERT_EQUAL(r->end, e->end);
+		if (r->peer_fd >= 0 && e->half_closes)
+			on_half_closed(r);
+		hrig_destroy(r);
+	}
+}
+
+/* Guards against what is no status that is passed on as one. */
+static void
+test_statuses(void)
+{
+	static const char *const bad[] = { "000", "00", "0", "99", "099",
+		"0200", "00200", "600", "999", "1000", "-1", "2 00", "2x0" };
+	static const char *const good[] = { "200", "204", "304", "404", "599" };
+
+	for (size_t i = 0; i < 2 * G_N_ELEMENTS(bad) + G_N_ELEMENTS(good);
+	     i++) {
+		bool is_good = i >= 2 * G_N_ELEMENTS(bad);
+		const char *status =
+		    is_good ? good[i - 2 * G_N_ELEMENTS(bad)] : bad[i / 2];
+		struct hrig *r = hrig_create();
+		char *script = g_strdup_printf(
+		    "%sHTTP/1.1 %s%s\r\nX-Id: a\r\nContent-length: 0\r\n\r\n",
+		    i % 2 == 0 ? "" : "HTTP/1.1 103 Early\r\n\r\n", status,
+		    i % 3 == 0 ? "" : " Any");
+
+		listen_raw(r);
+		r->script = script;
+		r->expected = 1;
+		call(r, "a");
+		run(r);
+		if ((r->end == MH_CALL_COMPLETE) != is_good)
+			fprintf(stderr, "status %s\n", status);
+		CU_ASSERT_EQUAL(
+		    r->end, is_good ? MH_CALL_COMPLETE : MH_CALL_UNREADABLE);
+		CU_ASSERT_EQUAL(r->status != 0, is_good);
+		hrig_destroy(r);
+		g_free(script);
+	}
+}
+
 static void
 on_any_head(void *arg, const struct mh_hcall_head *h)
 {
@@ -1573,6 +1676,8 @@
 	    test_finish_waits_for_bytes },
 	{ "serve: shutdown lets streams end", test_finish_lets_streams_end },
 	{ "call: responses of a peer", test_responses },
+	{ "client: answers that end early", test_early_end },
+	{ "client: statuses", test_statuses },
 	{ "call: every head is reported", test_every_head },
 	{ "call: reuse of connections", test_reuse },
 	{ "call: a connect in a stall", test_connect_in_a_stall },
