--- a/GNUmakefile
+++ b/GNUmakefile
@@ -38,7 +38,7 @@
 	@tail -1 build/asan/regress.log | sed 's/^/under sanitizers: /'
 	@sh platform/soak/soak.sh build/debug 22 11 413p 1s
 	@sh platform/soak/soak.sh build/debug 30 12e 35k 1n 5n 601x 1r 1g 3q \
-	    302o 402y
+	    302o 402y 2d 2i
 	@bash regress/owner.sh build/debug
 	@bash regress/falls.sh build/debug
 	@bash regress/apply.sh build/debug
