--- a/lib/schedadmit.c
+++ b/lib/schedadmit.c
@@ -78,7 +78,7 @@
 static int64_t
 predict_us(struct mh_sched *sc, struct mh_job *j)
 {
-	int64_t now = mh_now(sc->k), done[MH_GSTAGES], last = now;
+	int64_t now = mh_now(sc->k), done[MH_GSTAGES] = { 0 }, last = now;
 
 	for (uint32_t n = 0; n < j->n_stages; n++) {
 		uint32_t s = j->state->order[n];
--- a/regress/t_platform.c
+++ b/regress/t_platform.c
@@ -309,7 +309,10 @@
 		    text, strlen(text), i % 2 == 0 ? NULL : prev, NULL);
 		struct mh_groute *r;
 
-		CU_ASSERT_PTR_NOT_NULL_FATAL(c);
+		if (c == NULL) {
+			CU_FAIL("no configuration returned");
+			return;
+		}
 		CU_ASSERT_EQUAL(c->version, 7);
 		CU_ASSERT_EQUAL(c->faults->len, 1);
 		if (c->faults->len > 0)
@@ -343,7 +346,10 @@
 
 		CU_ASSERT_PTR_NULL(
 		    plat_conf_decode(bad[i], strlen(bad[i]), NULL, &err));
-		CU_ASSERT_PTR_NOT_NULL_FATAL(err);
+		if (err == NULL) {
+			CU_FAIL("no error returned");
+			return;
+		}
 		CU_ASSERT_PTR_NOT_NULL(strstr(err->message, "line"));
 		g_error_free(err);
 	}
--- a/regress/t_stop.c
+++ b/regress/t_stop.c
@@ -46,8 +46,7 @@
 static bool
 is_stream(const struct stop *t)
 {
-	return strcmp(t->target, targets[2]) == 0 ||
-	    strcmp(t->target, targets[3]) == 0;
+	return t->target == targets[2] || t->target == targets[3];
 }
 
 static void
