Endpoints: a drain begins once in the life of an incarnation

What callers saw: streams sent to an endpoint 5.8 s after it had said that it drains, 2 s allowed, where its row expired meanwhile and came back. Cause: the time of its first word was kept with the listed endpoint, went with the row, and began anew with the next sight of it. Ruled out: a start of another incarnation (it has another id or start time). Change: the time is kept with the words of incarnations that aren't listed, and isn't taken back. 'version: a draining row comes back' fails before. An entry that starts still takes the drain as beginning then.

--- a/lib/fleet.c
+++ b/lib/fleet.c
@@ -367,7 +367,8 @@
 	if (draining == n->draining)
 		return;
 	n->draining = draining;
-	n->draining_us = draining ? mh_now(f->k) : 0;
+	if (draining && n->draining_us == 0)
+		n->draining_us = mh_now(f->k);
 	f->version++;
 }
 
--- a/lib/gate.h
+++ b/lib/gate.h
@@ -220,7 +220,7 @@
 	char *domain;
 	char *version; /* of its software; "": not reported */
 	uint64_t version_key; /* hash of pool and version; 0: not reported */
-	int64_t draining_us; /* when that was first known; 0: not draining */
+	int64_t draining_us; /* when that was first known; 0: it never was */
 	int64_t doubt_us; /* when a connection to it failed last; 0: never */
 	uint32_t capacity;
 	bool draining; /* by its row or by its own word */
--- a/lib/said.c
+++ b/lib/said.c
@@ -39,6 +39,7 @@
 	struct mh_node_words said;
 	int64_t sent_us;
 	int64_t expires_us;
+	int64_t draining_us; /* as of its node */
 };
 
 void
@@ -350,10 +351,12 @@
 {
 	struct unlisted *u;
 
-	if (n->said.n_seen == 0 && n->said.rest_end_us == 0)
+	if (n->said.n_seen == 0 && n->said.rest_end_us == 0 &&
+	    n->draining_us == 0)
 		return;
 	u = unlisted_of(f, n->id);
 	u->said = n->said;
+	u->draining_us = n->draining_us;
 	u->sent_us = n->sent_us;
 }
 
@@ -366,6 +369,7 @@
 		return;
 	n->said = u->said;
 	n->draining = n->said.leaving;
+	n->draining_us = u->draining_us;
 	n->sent_us = u->sent_us;
 	g_hash_table_remove(f->unlisted, n->id);
 }
--- a/regress/t_version.c
+++ b/regress/t_version.c
@@ -217,6 +217,42 @@
 	grig_destroy(r);
 }
 
+/* Guards against a drain that begins anew as a row is removed and comes back.
+ */
+static void
+test_draining_row_comes_back(void)
+{
+	struct mh_listing all[] = { { "n0", 0, "pool", "10.0.0.1:1", "d", 8,
+					true, 0, "v1" },
+		{ "n1", 0, "pool", "10.0.0.1:1", "d", 8, false, 0, "v1" } };
+	struct grig *r = grig_create(0);
+
+	mh_fleet_set_drain(r->f, 800 * MS);
+	for (int step = 0; step < 4; step++) {
+		/* Its row is there, gone, there, and says that it is ready. */
+		all[0].draining = step < 3;
+		mh_fleet_begin(r->f);
+		if (step != 1)
+			mh_fleet_list(r->f, &all[0]);
+		mh_fleet_list(r->f, &all[1]);
+		mh_fleet_end(r->f);
+		CU_ASSERT_EQUAL(mh_fleet_find(r->f, "n0") != NULL, step != 1);
+		if (step == 0)
+			CU_ASSERT_TRUE(mh_node_takes_last(
+			    r->f, mh_fleet_find(r->f, "n0")));
+		if (step == 2)
+			CU_ASSERT_FALSE(mh_node_takes_last(
+			    r->f, mh_fleet_find(r->f, "n0")));
+		grig_advance(r, 2 * S);
+	}
+	mh_fleet_begin(r->f);
+	all[0].draining = true;
+	mh_fleet_list(r->f, &all[0]);
+	mh_fleet_end(r->f);
+	CU_ASSERT_FALSE(mh_node_takes_last(r->f, mh_fleet_find(r->f, "n0")));
+	grig_destroy(r);
+}
+
 /* Two endpoints that report when they started, 77. */
 static struct grig *
 restartable(void)
@@ -930,6 +966,7 @@
 	{ "version: begun before a release", test_begun_before_release },
 	{ "version: no endpoint has it", test_gone },
 	{ "version: a draining endpoint has it", test_draining },
+	{ "version: a draining row comes back", test_draining_row_comes_back },
 	{ "version: begun at an endpoint in doubt", test_begun_in_doubt },
 	{ "version: an endpoint has restarted", test_restarted },
 	{ "version: silent when asked", test_silent_when_asked },
